--- /dev/null
+++ b/packages/entry/src/server/requests/attempt.ts
@@ -0,0 +1,175 @@
+/** One attempt of a request at one agent, over as many connections as it takes. */
+import type { agent } from '@copperlever/protocol';
+import { clocks } from '@copperlever/runtime';
+
+import type * as directories from '../../shared/agent-directory.js';
+import type * as calls from '../../types/calls.js';
+import type * as links from '../../types/links.js';
+
+/** How an attempt ended, as far as this entry can know. */
+export type AttemptResult =
+  | { kind: 'ended'; status: number }
+  /** The agent says that it did not run. */
+  | { kind: 'refused'; cause: string; retryAtMs: number; detail: string }
+  | { kind: 'failed'; cause: string; detail: string; upstreamCrashed: boolean }
+  /** The agent cannot be reached any more; the attempt may have started. */
+  | { kind: 'lost'; detail: string; hadStarted: boolean }
+  | { kind: 'deadline-passed'; hadStarted: boolean }
+  /** The caller closed its connection. */
+  | { kind: 'caller-gone' };
+
+export type AttemptDeps = {
+  clock: clocks.Clock;
+  link: links.AgentLink;
+  directory: directories.AgentDirectory;
+};
+
+export type AttemptInput = {
+  target: links.AgentTarget;
+  dispatchId: string;
+  deadlineMs: number;
+  sink: calls.AnswerSink;
+  callerGone: AbortSignal;
+  /** Opens the first stream: a dispatch, or a resume of what another entry dispatched. */
+  open: (signal: AbortSignal) => AsyncIterable<links.LinkPart>;
+};
+
+/**
+ * A connection that something in the middle has forgotten stays silent for good. After this long
+ * without a frame the answer is asked for again on a new one; the time doubles, since a long queue
+ * is silent too.
+ */
+const FIRST_SILENCE_MS = 1_000;
+const MAX_SILENCE_MS = 8_000;
+/** New connections that bring nothing before the agent is given up. */
+const MAX_RECONNECTS = 4;
+const RECONNECT_PAUSE_MS = 100;
+
+type Progress = { offsetBytes: number; status: number; hadStarted: boolean };
+
+type StreamEnd =
+  | { kind: 'closed'; result: AttemptResult }
+  | { kind: 'silent' }
+  | { kind: 'broken'; detail: string };
+
+/** The next part, or why there is none. */
+async function nextPart(
+  iterator: AsyncIterator<links.LinkPart>,
+  clock: clocks.Clock,
+  untilMs: number,
+  callerGone: AbortSignal,
+): Promise<links.LinkPart | 'deadline' | 'caller-gone' | 'closed'> {
+  const gone = new Promise<'caller-gone'>((resolve) => {
+    if (callerGone.aborted) resolve('caller-gone');
+    callerGone.addEventListener('abort', () => resolve('caller-gone'), { once: true });
+  });
+  const next = iterator.next().then((step) => (step.done === true ? 'closed' : step.value));
+  return clocks.raceDeadline(clock, untilMs, Promise.race([next, gone]));
+}
+
+export async function runAttempt(deps: AttemptDeps, input: AttemptInput): Promise<AttemptResult> {
+  const { clock, directory } = deps;
+  const progress: Progress = { offsetBytes: 0, status: 0, hadStarted: false };
+
+  function takeData(offsetBytes: number, data: Buffer): Promise<void> {
+    // A frame of an earlier connection can arrive twice; only the next byte is ever passed on.
+    if (offsetBytes !== progress.offsetBytes) return Promise.resolve();
+    progress.offsetBytes += data.length;
+    return input.sink.chunk(data);
+  }
+
+  /** Takes one frame; a result when it closes the attempt. */
+  async function takeFrame(frame: agent.AnswerFrame): Promise<AttemptResult | null> {
+    // Another request's frame must never reach this caller.
+    if (frame.dispatchId !== input.dispatchId || frame.part === undefined) return null;
+    directory.noteLoad(input.target.agentId, frame.load);
+    switch (frame.part.$case) {
+      case 'accepted':
+        return null;
+      case 'started':
+        progress.hadStarted = true;
+        return null;
+      case 'head':
+        progress.status = frame.part.value.status;
+        if (progress.offsetBytes === 0) {
+          input.sink.head(frame.part.value.status, frame.part.value.headers);
+        }
+        return null;
+      case 'chunk':
+        await takeData(frame.offsetBytes, frame.part.value.data);
+        return null;
+      case 'end':
+        if (frame.part.value.sizeBytes !== progress.offsetBytes) return null;
+        return { kind: 'ended', status: progress.status };
+      case 'refused': {
+        const { cause, detail, retryAfterMs } = frame.part.value;
+        return { kind: 'refused', cause, detail, retryAtMs: clock.nowMs() + retryAfterMs };
+      }
+      case 'failed':
+        return { kind: 'failed', ...frame.part.value };
+    }
+  }
+
+  async function readStream(
+    parts: AsyncIterable<links.LinkPart>,
+    silenceMs: number,
+  ): Promise<StreamEnd> {
+    const iterator = parts[Symbol.asyncIterator]();
+    for (;;) {
+      const silentAtMs = clock.nowMs() + silenceMs;
+      const untilMs = Math.min(silentAtMs, input.deadlineMs);
+      const part = await nextPart(iterator, clock, untilMs, input.callerGone);
+      if (part === 'caller-gone') return { kind: 'closed', result: { kind: 'caller-gone' } };
+      if (part === 'closed') return { kind: 'broken', detail: 'the stream ended early' };
+      if (part === 'deadline') {
+        if (clock.nowMs() < input.deadlineMs) return { kind: 'silent' };
+        const { hadStarted } = progress;
+        return { kind: 'closed', result: { kind: 'deadline-passed', hadStarted } };
+      }
+      if (part.kind === 'lost') return { kind: 'broken', detail: part.detail };
+      const result = await takeFrame(part.frame);
+      if (result !== null) return { kind: 'closed', result };
+    }
+  }
+
+  function resume(signal: AbortSignal): AsyncIterable<links.LinkPart> {
+    const request = {
+      dispatchId: input.dispatchId,
+      agentIncarnation: input.target.incarnation,
+      offsetBytes: progress.offsetBytes,
+    };
+    return deps.link.resume(input.target, request, signal, 'fresh');
+  }
+
+  async function readUntilClosed(): Promise<AttemptResult> {
+    let silenceMs = FIRST_SILENCE_MS;
+    let failedConnects = 0;
+    let { open } = input;
+    let detail = '';
+    while (failedConnects <= MAX_RECONNECTS) {
+      const stream = new AbortController();
+      const offsetBefore = progress.offsetBytes;
+      const end = await readStream(open(stream.signal), silenceMs);
+      stream.abort();
+      if (end.kind === 'closed') return end.result;
+      if (progress.offsetBytes > offsetBefore) failedConnects = 0;
+      if (end.kind === 'silent') {
+        silenceMs = Math.min(MAX_SILENCE_MS, silenceMs * 2);
+      } else {
+        failedConnects += 1;
+        detail = end.detail;
+        const pauseMs = RECONNECT_PAUSE_MS * 2 ** failedConnects;
+        await clocks.sleepUntil(clock, clock.nowMs() + pauseMs, input.callerGone);
+      }
+      open = resume;
+    }
+    return { kind: 'lost', detail, hadStarted: progress.hadStarted };
+  }
+
+  directory.noteStarted(input.target.agentId);
+  try {
+    return await readUntilClosed();
+  } finally {
+    directory.noteEnded(input.target.agentId);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/types/settings.ts
@@ -0,0 +1,28 @@
+/** The settings file of an entry. */
+import * as zod from 'zod';
+
+const name = zod.string().min(1);
+const port = zod.number().int().min(1).max(65_535);
+
+export const settingsSchema = zod.strictObject({
+  /** The same over restarts; the process behind it changes its incarnation. */
+  entryId: name,
+  region: name,
+  failureDomain: name,
+  /** Where callers come in, behind the platform's balancer. */
+  callerHost: name,
+  callerPort: port,
+  /** Where the other daemons reach this one. */
+  listenHost: name,
+  listenPort: port,
+  /** `host:port` of a few other daemons, asked first for members and configuration. */
+  seedAddresses: zod.array(name),
+  platformUrl: zod.url(),
+  logLevel: zod.enum(['info', 'warn', 'error']).default('info'),
+  statsd: zod.strictObject({ host: name, port }).optional(),
+  maxBodyBytes: zod.number().int().positive().default(4_000_000),
+  /** How long a planned stop waits for requests in flight. */
+  drainTimeoutMs: zod.number().int().positive().default(120_000),
+});
+
+export type Settings = zod.infer<typeof settingsSchema>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
 /** The messages and services between the processes of copperlever, generated from `proto/`. */
 export * as agent from './generated/copperlever/v1/agent.js';
 export * as peer from './generated/copperlever/v1/peer.js';
+export * as attributes from './generated/copperlever/v1/attributes.js';
--- /dev/null
+++ b/packages/stand-ins/src/shared/control-port.ts
@@ -0,0 +1,45 @@
+/** The control port of every stand-in: faults are set and cleared here while it runs. */
+import * as fastify from 'fastify';
+
+/** The faults in force, by name; the value's meaning belongs to the fault. */
+export type Faults = Map<string, number | string | boolean>;
+
+export type ControlOptions = {
+  port: number;
+  faults: Faults;
+  /** What tests want to know of the stand-in: counts of what ran, crashes and the like. */
+  counters: () => unknown;
+};
+
+export type FaultBody = { name: string; value: number | string | boolean };
+
+/** Serves `POST /faults`, `DELETE /faults` and `GET /counters`. */
+export async function startControlPort(options: ControlOptions) {
+  const app = fastify.fastify();
+  app.get('/counters', () => options.counters());
+  app.post<{ Body: FaultBody }>('/faults', (request) => {
+    options.faults.set(request.body.name, request.body.value);
+    return { inForce: Object.fromEntries(options.faults) };
+  });
+  app.delete<{ Querystring: { name?: string } }>('/faults', (request) => {
+    if (request.query.name === undefined) options.faults.clear();
+    else options.faults.delete(request.query.name);
+    return { inForce: Object.fromEntries(options.faults) };
+  });
+  await app.listen({ host: '127.0.0.1', port: options.port });
+  return app;
+}
+
+/** Reads a fault that is a number; `otherwise` when it is not in force. */
+export function numberOf(faults: Faults, name: string, otherwise: number): number {
+  const value = faults.get(name);
+  return typeof value === 'number' ? value : otherwise;
+}
+
+/** Uses up one of a counted fault, such as "drop the next three orders". */
+export function takeOne(faults: Faults, name: string): boolean {
+  const left = numberOf(faults, name, 0);
+  if (left <= 0) return false;
+  faults.set(name, left - 1);
+  return true;
+}
