--- /dev/null
+++ b/packages/coordination/src/claims/claims.ts
@@ -0,0 +1,108 @@
+/** Claims with one object for each idempotency key. */
+import { results } from '@copperlever/runtime';
+import type { clocks, randoms } from '@copperlever/runtime';
+
+import * as nonces from '../nonces.js';
+import * as ownWrites from '../object-store/own-writes.js';
+import type * as objectStore from '../object-store/types.js';
+
+import type * as types from './types.js';
+
+export type ClaimsOptions = {
+  store: types.ClaimStore;
+  clock: clocks.Clock;
+  random: randoms.Random;
+};
+
+/** How long callers are told to stay away when the store names no time itself. */
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+export function claimObjectKey(key: string): string {
+  return `claims/${encodeURIComponent(key)}`;
+}
+
+function parseClaim(value: Buffer): types.Claim {
+  return JSON.parse(value.toString('utf8')) as types.Claim;
+}
+
+function toHeld(stored: objectStore.StoredObject): types.HeldClaim {
+  return { claim: parseClaim(stored.value), version: stored.version };
+}
+
+export function createClaims(options: ClaimsOptions): types.Claims {
+  const { store, clock, random } = options;
+
+  function unavailable(retryAtMs?: number): types.ClaimError {
+    const atMs = retryAtMs ?? clock.nowMs() + DEFAULT_RETRY_AFTER_MS;
+    return { kind: 'store-unavailable', retryAtMs: atMs };
+  }
+
+  async function write(
+    claim: types.Claim,
+    condition: objectStore.WriteCondition,
+    deadlineMs: number,
+  ): Promise<results.Result<objectStore.StoredObject, ownWrites.OwnWriteError>> {
+    const wanted = {
+      key: claimObjectKey(claim.key),
+      value: Buffer.from(JSON.stringify(claim)),
+      condition,
+      isOwn: (stored: Buffer) => parseClaim(stored).nonce === claim.nonce,
+    };
+    return ownWrites.writeOwn(options, wanted, deadlineMs);
+  }
+
+  /** Each change carries a nonce of its own, so that a lost answer to it can be recognised. */
+  async function change(
+    held: types.HeldClaim,
+    fields: Partial<types.Claim>,
+    deadlineMs: number,
+  ): Promise<results.Result<types.HeldClaim, types.ClaimError>> {
+    const claim = { ...held.claim, ...fields, nonce: nonces.createNonce(random) };
+    const done = await write(claim, { kind: 'version', version: held.version }, deadlineMs);
+    if (done.ok) return results.Ok(toHeld(done.val));
+    switch (done.val.kind) {
+      case 'conflict':
+        return results.Err({ kind: 'lost' });
+      case 'unavailable':
+        return results.Err(unavailable(done.val.retryAtMs));
+      case 'outcome-unknown':
+      case 'too-large':
+        return results.Err(unavailable());
+    }
+  }
+
+  return {
+    claim: async (wanted, deadlineMs) => {
+      const claim: types.Claim = {
+        ...wanted,
+        nonce: nonces.createNonce(random),
+        outcome: null,
+        createdAtMs: clock.wallMs(),
+      };
+      const done = await write(claim, { kind: 'absent' }, deadlineMs);
+      if (done.ok) return results.Ok({ kind: 'held', held: toHeld(done.val) });
+      switch (done.val.kind) {
+        case 'conflict':
+          // The winner's claim may have been swept between the write and the read.
+          if (done.val.present === null) return results.Err(unavailable(clock.nowMs()));
+          return results.Ok({ kind: 'taken', held: toHeld(done.val.present) });
+        case 'unavailable':
+          return results.Err(unavailable(done.val.retryAtMs));
+        case 'outcome-unknown':
+        case 'too-large':
+          return results.Err(unavailable());
+      }
+    },
+
+    retarget: (held, next, deadlineMs) => change(held, { ...next, outcome: null }, deadlineMs),
+
+    settle: (held, outcome, deadlineMs) => change(held, { outcome }, deadlineMs),
+
+    read: async (key, deadlineMs) => {
+      const found = await store.get(claimObjectKey(key), deadlineMs);
+      if (found.ok) return results.Ok(found.val === null ? null : toHeld(found.val));
+      const retryAtMs = found.val.kind === 'unavailable' ? found.val.retryAtMs : undefined;
+      return results.Err(unavailable(retryAtMs));
+    },
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/object-store/call-budget.ts
@@ -0,0 +1,43 @@
+/** A token bucket: how many calls a second may go out. */
+import type { clocks } from '@copperlever/runtime';
+
+export type CallBudget = {
+  /** Takes one call from the budget and says from when on it may go out. */
+  reserve: () => number;
+  /** Returns a reserved call that was not made. */
+  giveBack: () => void;
+  /** Takes one call only if it may go out now. */
+  tryTake: () => boolean;
+};
+
+export type CallBudgetOptions = { clock: clocks.Clock; perSecond: number; burst: number };
+
+export function createCallBudget(options: CallBudgetOptions): CallBudget {
+  const { clock, perSecond, burst } = options;
+  const msPerCall = 1_000 / perSecond;
+  let tokens = burst;
+  let filledAtMs = clock.nowMs();
+
+  function refill(): void {
+    const nowMs = clock.nowMs();
+    tokens = Math.min(burst, tokens + (nowMs - filledAtMs) / msPerCall);
+    filledAtMs = nowMs;
+  }
+
+  return {
+    reserve: () => {
+      refill();
+      tokens -= 1;
+      return tokens >= 0 ? clock.nowMs() : clock.nowMs() - tokens * msPerCall;
+    },
+    giveBack: () => {
+      tokens += 1;
+    },
+    tryTake: () => {
+      refill();
+      if (tokens < 1) return false;
+      tokens -= 1;
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/object-store/faulty-store.ts
@@ -0,0 +1,78 @@
+/** An object store with faults that a test switches on and off. */
+import { clocks, results } from '@copperlever/runtime';
+
+import type * as types from './types.js';
+
+export type StoreFault =
+  | { kind: 'none' }
+  /** Every call fails without effect. */
+  | { kind: 'outage'; retryAfterMs: number }
+  /** Every call takes effect and is answered `delayMs` later. */
+  | { kind: 'slow'; delayMs: number }
+  /** The next `count` writes take effect, but their answers are lost. */
+  | { kind: 'answers-lost'; count: number }
+  /** The next `count` writes are lost on their way and take no effect. */
+  | { kind: 'writes-lost'; count: number };
+
+export type FaultyStore = types.ObjectStore & {
+  setFault: (fault: StoreFault) => void;
+  /** Calls since the start, failed ones among them. */
+  callCount: () => number;
+};
+
+export function createFaultyStore(inner: types.ObjectStore, clock: clocks.Clock): FaultyStore {
+  let fault: StoreFault = { kind: 'none' };
+  let callCount = 0;
+
+  function unavailable(retryAfterMs: number): types.ObjectError {
+    return { kind: 'unavailable', retryAtMs: clock.nowMs() + retryAfterMs, reason: 'outage' };
+  }
+
+  /** A slow call past its deadline has had its effect all the same. */
+  async function slowly<Value>(
+    call: () => Promise<results.Result<Value, types.ObjectError>>,
+    deadlineMs: number,
+    late: types.ObjectError,
+  ): Promise<results.Result<Value, types.ObjectError>> {
+    callCount += 1;
+    if (fault.kind === 'outage') return results.Err(unavailable(fault.retryAfterMs));
+    const untilMs = fault.kind === 'slow' ? clock.nowMs() + fault.delayMs : null;
+    const done = await call();
+    if (untilMs === null) return done;
+    await clocks.sleepUntil(clock, Math.min(untilMs, deadlineMs));
+    return untilMs > deadlineMs ? results.Err(late) : done;
+  }
+
+  async function write<Value>(
+    key: string,
+    call: () => Promise<results.Result<Value, types.ObjectError>>,
+    deadlineMs: number,
+  ): Promise<results.Result<Value, types.ObjectError>> {
+    const lost: types.ObjectError = { kind: 'outcome-unknown', key, reason: 'answer lost' };
+    if (fault.kind === 'writes-lost' && fault.count > 0) {
+      callCount += 1;
+      fault.count -= 1;
+      return results.Err(lost);
+    }
+    const done = await slowly(call, deadlineMs, lost);
+    if (fault.kind !== 'answers-lost' || fault.count === 0) return done;
+    fault.count -= 1;
+    return results.Err(lost);
+  }
+
+  return {
+    get: (key, deadlineMs) => slowly(() => inner.get(key, deadlineMs), deadlineMs, unavailable(0)),
+    put: (key, value, condition, deadlineMs) =>
+      write(key, () => inner.put(key, value, condition, deadlineMs), deadlineMs),
+    remove: (key, deadlineMs) => write(key, () => inner.remove(key, deadlineMs), deadlineMs),
+    list: (prefix, deadlineMs) =>
+      slowly(() => inner.list(prefix, deadlineMs), deadlineMs, unavailable(0)),
+    watch: (prefix, afterRevision, deadlineMs) =>
+      slowly(() => inner.watch(prefix, afterRevision, deadlineMs), deadlineMs, unavailable(0)),
+    listVms: (deadlineMs) => slowly(() => inner.listVms(deadlineMs), deadlineMs, unavailable(0)),
+    setFault: (next) => {
+      fault = { ...next };
+    },
+    callCount: () => callCount,
+  };
+}
