--- /dev/null
+++ b/packages/coordination/src/config/config-follower.ts
@@ -0,0 +1,189 @@
+/** Keeps this process at the newest configuration: from the object store, or from any peer. */
+import { clocks } from '@copperlever/runtime';
+import type { randoms } from '@copperlever/runtime';
+
+import type * as objectStore from '../object-store/types.js';
+
+import * as configStore from './config-store.js';
+import type * as types from './types.js';
+
+/** How a version is fetched from another process. */
+export type ConfigPeers = {
+  /** Undefined when the peer has nothing newer or cannot be reached. */
+  fetch: (
+    memberId: string,
+    heldVersion: number,
+    heldPartHashes: readonly string[],
+    deadlineMs: number,
+  ) => Promise<types.SharedVersion | undefined>;
+  /** Some peers that may hold the newest version, the nearest first. */
+  candidates: () => readonly string[];
+};
+
+export type ConfigFollowerOptions<Document> = {
+  config: Pick<types.ConfigStore<Document>, 'read' | 'assemble'>;
+  store: Pick<objectStore.ObjectStore, 'watch'>;
+  peers: ConfigPeers;
+  /** Whether this process should hold a watch now; see watch-duty. */
+  isWatcher: () => boolean;
+  clock: clocks.Clock;
+  random: randoms.Random;
+};
+
+/** A version that was heard of is fetched within this time, so that its holders meet no crowd. */
+const SPREAD_MS = 200;
+const PEER_DEADLINE_MS = 2_000;
+const READ_DEADLINE_MS = 5_000;
+/** A watch is renewed this often, so one whose connection went silent is soon given up. */
+const WATCH_MS = 20_000;
+const WATCHER_RETRY_MS = 1_000;
+/** How often a process looks whether it has become a watcher. */
+const DUTY_CHECK_MS = 1_000;
+/**
+ * A process that does not watch reads the head this seldom, in case gossip never told it: 1,140
+ * processes make two reads a second of it.
+ */
+const SAFETY_READ_MS = 600_000;
+/** Before the first version, the object store is asked this often. */
+const FIRST_READ_MS = 2_000;
+
+export function createConfigFollower<Document>(
+  options: ConfigFollowerOptions<Document>,
+): types.ConfigFollower<Document> {
+  const { clock, random, config, peers } = options;
+  const listeners: ((version: types.ConfigVersion<Document>) => void)[] = [];
+  const stopping = new AbortController();
+  let held: types.StoredVersion<Document> | null = null;
+  /** The newest version that anyone spoke of, and who did, the latest last. */
+  let heard = { version: 0, memberIds: [] as string[] };
+  let isFetching = false;
+  let loopDone: Promise<void> = Promise.resolve();
+
+  function heldVersion(): number {
+    return held?.version ?? 0;
+  }
+
+  /**
+   * Failure: a peer or a slow read brings an older version. Symptom: a process goes back to
+   * settings that operators replaced. Enough, because this is the only place that sets `held`.
+   */
+  function adopt(version: types.StoredVersion<Document>): void {
+    if (version.version <= heldVersion()) return;
+    held = version;
+    for (const listener of listeners) listener(version);
+  }
+
+  async function fetchFrom(memberId: string): Promise<boolean> {
+    const hashes = [...(held?.parts.keys() ?? [])];
+    const deadlineMs = clock.nowMs() + PEER_DEADLINE_MS;
+    const shared = await peers.fetch(memberId, heldVersion(), hashes, deadlineMs);
+    if (shared === undefined) return false;
+    const parts = new Map(held?.parts ?? []);
+    for (const part of shared.parts) parts.set(part.hash, part.data);
+    const version = config.assemble(shared.head, parts);
+    if (version === undefined) return false;
+    adopt(version);
+    return true;
+  }
+
+  async function readStore(): Promise<boolean> {
+    const read = await config.read(clock.nowMs() + READ_DEADLINE_MS, held?.parts);
+    if (read.err || read.val === null) return false;
+    adopt(read.val);
+    return true;
+  }
+
+  /** One fetch at a time: from those who spoke of the version, then from others, then the store. */
+  async function catchUp(): Promise<void> {
+    if (isFetching) return;
+    isFetching = true;
+    try {
+      await clocks.sleepUntil(clock, clock.nowMs() + random.below(SPREAD_MS), stopping.signal);
+      while (heard.version > heldVersion() && !stopping.signal.aborted) {
+        const memberId = heard.memberIds.pop();
+        if (memberId === undefined) break;
+        await fetchFrom(memberId);
+      }
+      if (heard.version > heldVersion() && !stopping.signal.aborted) await readStore();
+    } finally {
+      isFetching = false;
+    }
+  }
+
+  async function pause(durationMs: number): Promise<void> {
+    await clocks.sleepUntil(clock, clock.nowMs() + durationMs, stopping.signal);
+  }
+
+  /** Holds one watch until it ends; `revision` is that of the whole store. */
+  async function watchOnce(revision: number): Promise<number> {
+    const deadlineMs = clock.nowMs() + WATCH_MS;
+    const reply = await options.store.watch(configStore.HEAD_KEY, revision, deadlineMs);
+    if (reply.err) {
+      await pause(WATCHER_RETRY_MS * (1 + random.fraction()));
+      return revision;
+    }
+    // The revision moves on only after the read: a change in between wakes the next watch.
+    if (reply.val.changedKeys.length > 0 && !(await readStore())) {
+      await pause(WATCHER_RETRY_MS);
+      return revision;
+    }
+    return reply.val.revision;
+  }
+
+  async function takeFirst(): Promise<void> {
+    for (const memberId of peers.candidates()) {
+      if (held !== null || (await fetchFrom(memberId))) return;
+    }
+    if (held === null) await readStore();
+  }
+
+  async function run(): Promise<void> {
+    let revision = 0;
+    let safetyReadAtMs = clock.nowMs() + SAFETY_READ_MS * random.fraction();
+    while (!stopping.signal.aborted) {
+      if (held === null) {
+        await takeFirst();
+        if (held === null) await pause(FIRST_READ_MS * (0.5 + random.fraction()));
+      } else if (options.isWatcher()) {
+        revision = await watchOnce(revision);
+      } else {
+        revision = 0;
+        await pause(DUTY_CHECK_MS);
+        if (clock.nowMs() >= safetyReadAtMs) {
+          safetyReadAtMs = clock.nowMs() + SAFETY_READ_MS * (0.5 + random.fraction());
+          await readStore();
+        }
+      }
+    }
+  }
+
+  return {
+    current: () => held,
+    version: heldVersion,
+    hearOf: (version, memberId) => {
+      if (version <= heldVersion() || version < heard.version) return;
+      if (version > heard.version) heard = { version, memberIds: [] };
+      if (!heard.memberIds.includes(memberId)) heard.memberIds.push(memberId);
+      void catchUp();
+    },
+    offer: adopt,
+    share: (version, partHashes) => {
+      if (held === null || held.version <= version) return undefined;
+      const there = new Set(partHashes);
+      const parts = [...held.parts]
+        .filter(([hash]) => !there.has(hash))
+        .map(([hash, data]) => ({ hash, data }));
+      return { head: held.head, parts };
+    },
+    onChange: (listener) => {
+      listeners.push(listener);
+    },
+    start: () => {
+      loopDone = run();
+    },
+    stop: async () => {
+      stopping.abort();
+      await clocks.raceDeadline(clock, clock.nowMs() + READ_DEADLINE_MS, loopDone);
+    },
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/config/document-codec.ts
@@ -0,0 +1,85 @@
+/** Cuts a JSON document into parts, so that a small patch changes few bytes. */
+import * as crypto from 'node:crypto';
+
+import { hashes } from '@copperlever/runtime';
+
+import type * as types from './types.js';
+
+type JsonObject = Record<string, unknown>;
+
+/**
+ * Around this size a field is cut into groups of its entries. A patch to one of 1,600 models then
+ * rewrites and spreads one group, not all models.
+ */
+const GROUP_TARGET_BYTES = 16_000;
+const GROUP_COUNT_MAX = 1_024;
+
+/** Separates a field from its group: `models#3of8`. */
+const GROUP_MARK = '#';
+
+export function hashOf(data: Buffer): string {
+  return crypto.createHash('sha256').update(data).digest('hex');
+}
+
+function isObject(value: unknown): value is JsonObject {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function toPart(partName: string, value: unknown): types.Part {
+  const data = Buffer.from(JSON.stringify(value));
+  return { partName, hash: hashOf(data), data };
+}
+
+/** A power of two, so that a growing field seldom moves its entries to other groups. */
+function groupCountFor(sizeBytes: number): number {
+  let count = 1;
+  while (count < GROUP_COUNT_MAX && sizeBytes / count > GROUP_TARGET_BYTES) count *= 2;
+  return count;
+}
+
+function cutField(field: string, value: unknown): types.Part[] {
+  const whole = toPart(field, value);
+  const groupCount = groupCountFor(whole.data.length);
+  if (groupCount === 1 || !isObject(value)) return [whole];
+  const groups = Array.from({ length: groupCount }, (): JsonObject => ({}));
+  for (const [key, entry] of Object.entries(value)) {
+    const group = groups[hashes.hash32(key) % groupCount];
+    if (group !== undefined) group[key] = entry;
+  }
+  return groups.map((group, index) =>
+    toPart(`${field}${GROUP_MARK}${index}of${groupCount}`, group),
+  );
+}
+
+function fieldOf(partName: string): string {
+  const markAt = partName.lastIndexOf(GROUP_MARK);
+  return markAt < 0 ? partName : partName.slice(0, markAt);
+}
+
+function joinParts(parts: readonly types.Part[]): JsonObject {
+  const document: JsonObject = {};
+  for (const part of parts) {
+    const value = JSON.parse(part.data.toString('utf8')) as unknown;
+    const field = fieldOf(part.partName);
+    const before = document[field];
+    document[field] = isObject(before) && isObject(value) ? { ...before, ...value } : value;
+  }
+  return document;
+}
+
+/** Each top-level field of the document is a part; a large field is several. */
+export function createJsonCodec<Document extends object>(): types.DocumentCodec<Document> {
+  return {
+    toParts: (document) =>
+      Object.entries(document)
+        .filter(([, value]) => value !== undefined)
+        .flatMap(([field, value]) => cutField(field, value)),
+    fromParts: (parts) => {
+      try {
+        return joinParts(parts) as Document;
+      } catch {
+        return undefined;
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/config/watch-duty.ts
@@ -0,0 +1,29 @@
+/** Which processes hold a watch on the configuration. */
+import { hashes } from '@copperlever/runtime';
+
+export type DutyMember = { memberId: string; failureDomain: string };
+
+/**
+ * Two for each failure domain: one may die or lag without delay to the others, and the object API,
+ * which counts a waiting watch as a call, carries 16 watches at 8 failure domains instead of 1,140.
+ */
+export const WATCHERS_PER_DOMAIN = 2;
+
+/** The members of `failureDomain` that watch: first by rendezvous hashing, so that few change. */
+export function watchersOf(
+  members: readonly DutyMember[],
+  failureDomain: string,
+  count = WATCHERS_PER_DOMAIN,
+): string[] {
+  return members
+    .filter((member) => member.failureDomain === failureDomain)
+    .map(({ memberId }) => ({ memberId, rank: hashes.hash32(`watch/${memberId}`) }))
+    .sort((a, b) => a.rank - b.rank || (a.memberId < b.memberId ? -1 : 1))
+    .slice(0, count)
+    .map(({ memberId }) => memberId);
+}
+
+/** Whether the process `self` should hold a watch now. */
+export function isWatcher(members: readonly DutyMember[], self: DutyMember): boolean {
+  return watchersOf(members, self.failureDomain).includes(self.memberId);
+}
