--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** What every daemon shares. Import the namespaces: `import { clocks } from '@copperlever/runtime'`. */
 export * as clocks from './clocks.js';
+export * as daemon from './daemon.js';
 export * as hashes from './hashes.js';
 export * as logs from './logs.js';
 export * as metrics from './metrics.js';
--- a/packages/stand-ins/src/shared/control-port.ts
+++ b/packages/stand-ins/src/shared/control-port.ts
@@ -9,6 +9,8 @@
   faults: Faults;
   /** What tests want to know of the stand-in: counts of what ran, crashes and the like. */
   counters: () => unknown;
+  /** Routes that only one kind of stand-in has. */
+  addRoutes?: (app: fastify.FastifyInstance) => void;
 };
 
 export type FaultBody = { name: string; value: number | string | boolean };
@@ -26,6 +28,7 @@
     else options.faults.delete(request.query.name);
     return { inForce: Object.fromEntries(options.faults) };
   });
+  options.addRoutes?.(app);
   await app.listen({ host: '127.0.0.1', port: options.port });
   return app;
 }
