--- a/packages/coordination/src/config/config-follower.ts
+++ b/packages/coordination/src/config/config-follower.ts
@@ -110,6 +110,18 @@
     }
   }
 
+  /** A waiting watch must not hold up a stop. */
+  function untilStopped<Value>(work: Promise<Value>): Promise<Value | 'stopped'> {
+    return new Promise((resolve) => {
+      const onAbort = () => resolve('stopped');
+      stopping.signal.addEventListener('abort', onAbort, { once: true });
+      void work.then((value) => {
+        stopping.signal.removeEventListener('abort', onAbort);
+        resolve(value);
+      });
+    });
+  }
+
   async function pause(durationMs: number): Promise<void> {
     await clocks.sleepUntil(clock, clock.nowMs() + durationMs, stopping.signal);
   }
@@ -117,7 +129,9 @@
   /** Holds one watch until it ends; `revision` is that of the whole store. */
   async function watchOnce(revision: number): Promise<number> {
     const deadlineMs = clock.nowMs() + WATCH_MS;
-    const reply = await options.store.watch(configStore.HEAD_KEY, revision, deadlineMs);
+    const watch = options.store.watch(configStore.HEAD_KEY, revision, deadlineMs);
+    const reply = await untilStopped(watch);
+    if (reply === 'stopped') return revision;
     if (reply.err) {
       await pause(WATCHER_RETRY_MS * (1 + random.fraction()));
       return revision;
@@ -134,7 +148,9 @@
     for (const memberId of peers.candidates()) {
       if (held !== null || (await fetchFrom(memberId))) return;
     }
-    if (held === null) await readStore();
+    // When a whole fleet starts, the watchers read first and the others hear of it from them.
+    if (!options.isWatcher()) await pause(FIRST_READ_MS * random.fraction());
+    if (held === null && !stopping.signal.aborted) await readStore();
   }
 
   async function run(): Promise<void> {
--- /dev/null
+++ b/packages/coordination/src/control/control-node.ts
@@ -0,0 +1,99 @@
+/** Membership and configuration of one process, wired together over one peer service. */
+import type { clocks, logs, randoms } from '@copperlever/runtime';
+
+import * as configFollower from '../config/config-follower.js';
+import * as configPeers from '../config/config-peers.js';
+import * as configStore from '../config/config-store.js';
+import type * as configTypes from '../config/types.js';
+import * as watchDuty from '../config/watch-duty.js';
+import * as membership from '../membership/membership.js';
+import type * as swim from '../membership/swim.js';
+import type * as membershipTypes from '../membership/types.js';
+import type * as objectStore from '../object-store/types.js';
+
+export type ControlNodeOptions<Document> = {
+  self: membershipTypes.SelfDescription;
+  store: objectStore.ObjectStore;
+  transport: membershipTypes.PeerTransport;
+  codec: configTypes.DocumentCodec<Document>;
+  clock: clocks.Clock;
+  random: randoms.Random;
+  /** `host:port` of processes that may be there, from the settings. */
+  seedAddresses: readonly string[];
+  limits?: Partial<swim.SwimLimits>;
+  log?: logs.Logger;
+};
+
+export type ControlNode<Document> = {
+  membership: membership.DrivenMembership;
+  config: configTypes.ConfigStore<Document>;
+  follower: configTypes.ConfigFollower<Document>;
+  /** To be offered on the process's gRPC server; see grpc-transport. */
+  handlers: membershipTypes.PeerHandlers;
+  start: () => Promise<void>;
+  stop: () => Promise<void>;
+};
+
+/** The platform's list is read again at most this often. */
+const VM_LIST_PERIOD_MS = 60_000;
+const VM_LIST_TIMEOUT_MS = 1_000;
+
+export function createControlNode<Document>(
+  options: ControlNodeOptions<Document>,
+): ControlNode<Document> {
+  const { self, store, transport, clock, random } = options;
+  let listedAddresses: readonly string[] = [];
+  let listAgainAtMs = clock.nowMs();
+
+  /** Settings name a few; the platform's list, which lags, names the others. */
+  async function seeds(): Promise<readonly string[]> {
+    if (clock.nowMs() >= listAgainAtMs) {
+      listAgainAtMs = clock.nowMs() + VM_LIST_PERIOD_MS * (0.5 + random.fraction());
+      const listed = await store.listVms(clock.nowMs() + VM_LIST_TIMEOUT_MS);
+      if (listed.ok) listedAddresses = listed.val.map((vm) => vm.address);
+    }
+    return [...options.seedAddresses, ...listedAddresses].filter(
+      (address) => address !== self.address,
+    );
+  }
+
+  const config = configStore.createConfigStore({ store, codec: options.codec, clock, random });
+  const members = membership.createMembership({
+    self,
+    transport,
+    clock,
+    random,
+    seeds,
+    configVersion: () => follower.version(),
+    onConfigVersion: (version, memberId) => follower.hearOf(version, memberId),
+    limits: options.limits,
+    log: options.log,
+  });
+  const follower = configFollower.createConfigFollower<Document>({
+    config,
+    store,
+    peers: configPeers.createConfigPeers({ membership: members, transport, random }),
+    isWatcher: () => watchDuty.isWatcher(members.members(), self),
+    clock,
+    random,
+  });
+  follower.onChange(() => members.pushNews());
+
+  return {
+    membership: members,
+    config,
+    follower,
+    handlers: {
+      ...members.handlers,
+      fetchConfig: (request) => configPeers.answerFetch(follower, request),
+    },
+    start: async () => {
+      await members.start();
+      follower.start();
+    },
+    stop: async () => {
+      await follower.stop();
+      await members.stop();
+    },
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/journal/batches.ts
@@ -0,0 +1,50 @@
+/** Batches of journal events: their keys in the object store and their compressed form. */
+import * as util from 'node:util';
+import * as zlib from 'node:zlib';
+
+import type * as types from './types.js';
+
+const gzip = util.promisify(zlib.gzip);
+const gunzip = util.promisify(zlib.gunzip);
+
+/** Says in a batch that the process had to drop `count` events before it. */
+export const DROPPED_EVENT = 'journal-events-dropped';
+
+/** Everything about the requests of one minute, whoever recorded it. */
+export function minutePrefix(minute: number): string {
+  return `journal/${minute}/`;
+}
+
+/** What one process recorded about the requests of one minute. */
+export function memberPrefix(minute: number, memberId: string): string {
+  return `${minutePrefix(minute)}${memberId}/`;
+}
+
+export function batchKey(
+  minute: number,
+  memberId: string,
+  incarnation: number,
+  sequence: number,
+): string {
+  return `${memberPrefix(minute, memberId)}${incarnation}-${sequence}`;
+}
+
+export function encodeLine(event: types.JournalEvent): string {
+  return JSON.stringify(event);
+}
+
+export function compress(lines: readonly string[]): Promise<Buffer> {
+  return gzip(Buffer.from(lines.join('\n')));
+}
+
+/** Undefined for an object that is no batch. */
+export async function decompress(
+  value: Buffer,
+): Promise<readonly types.JournalEvent[] | undefined> {
+  try {
+    const text = (await gunzip(value)).toString('utf8');
+    return text.split('\n').map((line) => JSON.parse(line) as types.JournalEvent);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/journal/journal.ts
@@ -0,0 +1,187 @@
+/** Records events in memory and writes them in compressed batches, one for each minute of requests. */
+import { clocks } from '@copperlever/runtime';
+import type { randoms } from '@copperlever/runtime';
+
+import * as resilientStore from '../object-store/resilient-store.js';
+import type * as objectStore from '../object-store/types.js';
+
+import * as batches from './batches.js';
+import * as requestIds from './request-ids.js';
+import type * as types from './types.js';
+
+export type JournalOptions = {
+  store: Pick<objectStore.ObjectStore, 'put'>;
+  memberId: string;
+  incarnation: number;
+  clock: clocks.Clock;
+  random: randoms.Random;
+  /** How long an event waits in memory at most while the store answers. */
+  flushIntervalMs?: number;
+  /** Memory for events that are not yet written. */
+  pendingMaxBytes?: number;
+};
+
+/** Each process makes one write per minute of requests and interval: 1,140 processes, 38 a second. */
+const DEFAULT_FLUSH_INTERVAL_MS = 30_000;
+const DEFAULT_PENDING_MAX_BYTES = 8_000_000;
+/** A batch of this much text, compressed, is well below the largest value of the store. */
+const BATCH_MAX_BYTES = 2_000_000;
+const WRITE_TIMEOUT_MS = 5_000;
+
+type Pending = { minute: number; line: string };
+type Batch = { key: string; value: Buffer; sizeBytes: number; eventCount: number };
+
+export function createJournal(options: JournalOptions): types.Journal {
+  const { store, memberId, incarnation, clock, random } = options;
+  const flushIntervalMs = options.flushIntervalMs ?? DEFAULT_FLUSH_INTERVAL_MS;
+  const pendingMaxBytes = options.pendingMaxBytes ?? DEFAULT_PENDING_MAX_BYTES;
+  const stopping = new AbortController();
+  let pending: Pending[] = [];
+  let pendingBytes = 0;
+  /** Batches whose write has not been confirmed; they keep their keys, so a resend is harmless. */
+  let unconfirmed: Batch[] = [];
+  let unconfirmedBytes = 0;
+  let eventSequence = 0;
+  let batchSequence = 0;
+  let droppedCount = 0;
+  let reportedDroppedCount = 0;
+  let writing: Promise<void> | null = null;
+  let isFlushPlanned = false;
+  let loopDone: Promise<void> = Promise.resolve();
+
+  function toPending(requestId: string, event: string, fields: types.JournalFields): Pending {
+    eventSequence += 1;
+    const atMs = clock.wallMs();
+    const line = batches.encodeLine({
+      requestId,
+      atMs,
+      memberId,
+      sequence: eventSequence,
+      event,
+      fields,
+    });
+    // What names no request of ours is kept under the minute it happened in.
+    const minute = requestIds.parseRequestId(requestId)?.minute ?? requestIds.minuteOf(atMs);
+    return { minute, line };
+  }
+
+  function append(item: Pending): void {
+    pending.push(item);
+    pendingBytes += item.line.length;
+  }
+
+  /**
+   * Failure: the store is down for longer than memory lasts. Symptom: a process that dies of its
+   * journal. The newest events are dropped, so that each kept story is whole up to a point, and
+   * their number is itself recorded.
+   */
+  function record(requestId: string, event: string, fields: types.JournalFields = {}): void {
+    const item = toPending(requestId, event, fields);
+    if (pendingBytes + unconfirmedBytes + item.line.length > pendingMaxBytes) {
+      droppedCount += 1;
+      return;
+    }
+    append(item);
+    if (pendingBytes > BATCH_MAX_BYTES && !isFlushPlanned && writing === null) planFlush();
+  }
+
+  function planFlush(): void {
+    isFlushPlanned = true;
+    clock.schedule(clock.nowMs(), () => {
+      isFlushPlanned = false;
+      void flush(clock.nowMs() + WRITE_TIMEOUT_MS);
+    });
+  }
+
+  function reportDropped(): void {
+    if (droppedCount === reportedDroppedCount) return;
+    const count = droppedCount - reportedDroppedCount;
+    reportedDroppedCount = droppedCount;
+    append(toPending('', batches.DROPPED_EVENT, { count }));
+  }
+
+  /** The next lines of one minute, up to the size of a batch. */
+  function takeLines(): { minute: number; lines: string[] } {
+    const minute = pending[0]?.minute ?? 0;
+    const lines: string[] = [];
+    const rest: Pending[] = [];
+    let takenBytes = 0;
+    for (const item of pending) {
+      if (item.minute === minute && takenBytes < BATCH_MAX_BYTES) {
+        lines.push(item.line);
+        takenBytes += item.line.length;
+      } else {
+        rest.push(item);
+      }
+    }
+    pending = rest;
+    pendingBytes -= takenBytes;
+    return { minute, lines };
+  }
+
+  async function cutBatches(): Promise<void> {
+    reportDropped();
+    while (pending.length > 0) {
+      const { minute, lines } = takeLines();
+      batchSequence += 1;
+      const key = batches.batchKey(minute, memberId, incarnation, batchSequence);
+      const value = await batches.compress(lines);
+      unconfirmed.push({ key, value, sizeBytes: value.length, eventCount: lines.length });
+      unconfirmedBytes += value.length;
+    }
+  }
+
+  function settle(batch: Batch): void {
+    unconfirmed = unconfirmed.filter((other) => other !== batch);
+    unconfirmedBytes -= batch.sizeBytes;
+  }
+
+  async function writeBatches(deadlineMs: number): Promise<void> {
+    await cutBatches();
+    for (const batch of [...unconfirmed]) {
+      const done = await store.put(batch.key, batch.value, { kind: 'absent' }, deadlineMs);
+      // A conflict is this batch itself, written by an attempt whose answer was lost.
+      if (done.ok || done.val.kind === 'conflict') settle(batch);
+      else if (done.val.kind === 'too-large') {
+        droppedCount += batch.eventCount;
+        settle(batch);
+      } else return;
+    }
+  }
+
+  async function flush(deadlineMs: number): Promise<void> {
+    if (writing !== null) await clocks.raceDeadline(clock, deadlineMs, writing);
+    if (writing !== null) return;
+    writing = writeBatches(deadlineMs).finally(() => {
+      writing = null;
+    });
+    await clocks.raceDeadline(clock, deadlineMs, writing);
+  }
+
+  async function run(): Promise<void> {
+    // Processes that start together do not write together.
+    let waitMs = flushIntervalMs * random.fraction();
+    let failureCount = 0;
+    while (
+      (await clocks.sleepUntil(clock, clock.nowMs() + waitMs, stopping.signal)) === 'elapsed'
+    ) {
+      await flush(clock.nowMs() + WRITE_TIMEOUT_MS);
+      failureCount = unconfirmed.length > 0 ? failureCount + 1 : 0;
+      waitMs = failureCount > 0 ? resilientStore.backoffMs(failureCount, random) : flushIntervalMs;
+    }
+  }
+
+  return {
+    record,
+    flush,
+    droppedCount: () => droppedCount,
+    start: () => {
+      loopDone = run();
+    },
+    stop: async (deadlineMs) => {
+      stopping.abort();
+      await clocks.raceDeadline(clock, deadlineMs, loopDone);
+      await flush(deadlineMs);
+    },
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/membership/membership.ts
@@ -0,0 +1,286 @@
+/** Drives the SWIM state machine: probes, joins, pushes of news, and the comparison of views. */
+import type { peer } from '@copperlever/protocol';
+import { clocks, logs, randoms } from '@copperlever/runtime';
+
+import * as callBudget from '../object-store/call-budget.js';
+
+import * as messages from './messages.js';
+import * as notices from './notices.js';
+import * as swim from './swim.js';
+import type * as types from './types.js';
+import * as viewSync from './view-sync.js';
+
+export type MembershipOptions = {
+  self: types.SelfDescription;
+  transport: Pick<types.PeerTransport, 'probe' | 'probeIndirectly' | 'listMembers'>;
+  clock: clocks.Clock;
+  random: randoms.Random;
+  /** Addresses where members may be found: from the settings, and the platform's list of VMs. */
+  seeds: () => Promise<readonly string[]>;
+  /** The configuration version that this process holds. */
+  configVersion: () => number;
+  /** A peer holds this version. */
+  onConfigVersion: (version: number, memberId: string) => void;
+  limits?: Partial<swim.SwimLimits>;
+  log?: logs.Logger;
+};
+
+export type DrivenMembership = types.Membership & {
+  notices: types.Notices;
+  /** Something changed here that peers should hear of at once, such as the configuration version. */
+  pushNews: () => void;
+  handlers: Pick<types.PeerHandlers, 'probe' | 'probeIndirectly' | 'listMembers'>;
+  /** Resolves when another member answered, or when none of the seeds did. */
+  start: () => Promise<void>;
+  stop: () => Promise<void>;
+};
+
+/** Two round trips between regions and the start of a connection. */
+const PROBE_TIMEOUT_MS = 900;
+const INDIRECT_TIMEOUT_MS = 1_000;
+/** With three helpers, one lost path or one slow helper does not make a suspect. */
+const INDIRECT_HELPERS = 3;
+
+/**
+ * News is pushed at once to a few random members, who do the same: with four each, all but one in
+ * fifty hear of it within about six hops, and the next probes tell the rest. Waiting for the
+ * periodic probes alone takes about ten periods at 1,140 members, longer than 7 s.
+ */
+const PUSH_FANOUT = 4;
+/** News within this time goes out together. */
+const PUSH_DELAY_MS = 100;
+/** A storm of news falls back to the periodic probes, so that its bytes stay bounded. */
+const PUSHES_PER_SECOND = 1;
+const PUSH_BURST = 24;
+
+/** How often an address is tried where a member may have come back, for example after a cut. */
+const REJOIN_PERIOD_MS = 15_000;
+const JOIN_TIMEOUT_MS = 2_000;
+const JOIN_ATTEMPTS = 4;
+
+export function createMembership(options: MembershipOptions): DrivenMembership {
+  const { transport, clock, random } = options;
+  const log = options.log ?? logs.createSilentLogger();
+  const limits = { ...swim.DEFAULT_LIMITS, ...options.limits };
+  const state = swim.createSwim(options.self, limits, random);
+  const board = notices.createNoticeBoard(clock);
+  const listeners: (() => void)[] = [];
+  const stopping = new AbortController();
+  const pushBudget = callBudget.createCallBudget({
+    clock,
+    perSecond: PUSHES_PER_SECOND,
+    burst: PUSH_BURST,
+  });
+  const sync = viewSync.createViewSync({ state, board, transport, clock, random, learn });
+  let isPushPlanned = false;
+  let loops: Promise<unknown> = Promise.resolve();
+
+  function onChange(): void {
+    for (const listener of listeners) listener();
+  }
+
+  function createMessage(): peer.ProbeMessage {
+    const nowMs = clock.nowMs();
+    const transmitLimit = Math.ceil(Math.log2(state.members().length + 1)) + 2;
+    return {
+      fromId: state.self().memberId,
+      updates: state.takeUpdates().map(messages.toUpdate),
+      configVersion: options.configVersion(),
+      notices: board.takePending(transmitLimit).map((item) => messages.toNotice(item, nowMs)),
+      viewHash: state.viewHash(),
+    };
+  }
+
+  function applyAll(updates: readonly peer.MemberUpdate[], from: 'gossip' | 'view'): void {
+    let hasNews = false;
+    let hasChanged = false;
+    for (const update of updates) {
+      const change = state.apply(messages.fromUpdate(update), clock.nowMs(), from);
+      hasNews ||= change === 'standing';
+      hasChanged ||= change !== 'none';
+    }
+    if (hasNews && from === 'gossip') pushNews();
+    if (hasChanged) {
+      sync.noteChange();
+      onChange();
+    }
+  }
+
+  function learnNotices(items: readonly peer.Notice[]): void {
+    const learned = items.map((item) => board.learn(messages.fromNotice(item, clock.nowMs())));
+    if (learned.includes(true)) pushNews();
+  }
+
+  function learn(reply: peer.ListMembersReply): void {
+    applyAll(reply.members, 'view');
+    learnNotices(reply.notices);
+    if (reply.configVersion > 0) options.onConfigVersion(reply.configVersion, reply.fromId);
+  }
+
+  function takeIn(message: peer.ProbeMessage): void {
+    applyAll(message.updates, 'gossip');
+    learnNotices(message.notices);
+    if (message.configVersion > 0) options.onConfigVersion(message.configVersion, message.fromId);
+    sync.compare(message);
+  }
+
+  /** Whether the member itself answered at its address. */
+  async function exchange(address: string, memberId: string | null): Promise<boolean> {
+    const deadlineMs = clock.nowMs() + PROBE_TIMEOUT_MS;
+    const reply = await transport.probe(address, createMessage(), deadlineMs);
+    if (reply.err) return false;
+    takeIn(reply.val);
+    return memberId === null || reply.val.fromId === memberId;
+  }
+
+  async function probeThroughOthers(target: types.Member): Promise<boolean> {
+    const helpers = state.sampleOthers(INDIRECT_HELPERS, target.memberId);
+    const deadlineMs = clock.nowMs() + INDIRECT_TIMEOUT_MS;
+    const asked = helpers.map((helper) => {
+      const request = {
+        targetId: target.memberId,
+        targetAddress: target.address,
+        probe: createMessage(),
+      };
+      return transport.probeIndirectly(helper.address, request, deadlineMs);
+    });
+    const answers = await Promise.all(asked);
+    return answers.some((answer) => answer.ok && answer.val.answered);
+  }
+
+  async function probe(target: types.Member): Promise<void> {
+    const startedMs = clock.nowMs();
+    if (await exchange(target.address, target.memberId)) return;
+    if (await probeThroughOthers(target)) return;
+    // This process itself stood still: what it did not hear is no evidence against others.
+    const tookMs = clock.nowMs() - startedMs;
+    if (tookMs > PROBE_TIMEOUT_MS + INDIRECT_TIMEOUT_MS + limits.probePeriodMs) return;
+    if (!state.suspect(target.memberId, clock.nowMs())) return;
+    log.warn('member-suspected', { member: target.memberId, address: target.address });
+    sync.noteChange();
+    pushNews();
+    onChange();
+  }
+
+  function expire(): void {
+    if (!state.expire(clock.nowMs())) return;
+    log.warn('member-dead', { memberCount: state.members().length });
+    sync.noteChange();
+    pushNews();
+    onChange();
+  }
+
+  async function probeLoop(): Promise<void> {
+    let tickAtMs = clock.nowMs() + limits.probePeriodMs * random.fraction();
+    while ((await clocks.sleepUntil(clock, tickAtMs, stopping.signal)) === 'elapsed') {
+      const lateMs = clock.nowMs() - tickAtMs;
+      if (lateMs > limits.probePeriodMs) state.extendSuspicions(lateMs);
+      expire();
+      const target = state.nextTarget();
+      if (target !== undefined) void probe(target);
+      tickAtMs = clock.nowMs() + limits.probePeriodMs * (0.9 + 0.2 * random.fraction());
+    }
+  }
+
+  function pushNews(): void {
+    if (isPushPlanned || stopping.signal.aborted) return;
+    isPushPlanned = true;
+    const atMs = clock.nowMs() + PUSH_DELAY_MS * (0.5 + random.fraction());
+    clock.schedule(atMs, () => {
+      isPushPlanned = false;
+      if (stopping.signal.aborted) return;
+      for (const member of state.sampleOthers(PUSH_FANOUT)) {
+        if (pushBudget.tryTake()) void exchange(member.address, null);
+      }
+    });
+  }
+
+  /** Addresses where no member is known to be: seeds, and where the dead were. */
+  async function lostAddresses(): Promise<string[]> {
+    const known = new Set(state.members().map((member) => member.address));
+    const candidates = [
+      ...state.dead().map((member) => member.address),
+      ...(await options.seeds()),
+    ];
+    return [...new Set(candidates)].filter((address) => !known.has(address));
+  }
+
+  async function rejoinLoop(): Promise<void> {
+    const nextMs = () => clock.nowMs() + REJOIN_PERIOD_MS * (0.5 + random.fraction());
+    while ((await clocks.sleepUntil(clock, nextMs(), stopping.signal)) === 'elapsed') {
+      const address = randoms.pick(random, await lostAddresses());
+      if (address === undefined) continue;
+      const lost = state.dead().find((member) => member.address === address);
+      if (lost !== undefined) state.repeat(lost.memberId);
+      state.repeat(state.self().memberId);
+      await exchange(address, null);
+    }
+  }
+
+  async function join(): Promise<void> {
+    const addresses = await lostAddresses();
+    for (const address of randoms.sample(random, addresses, JOIN_ATTEMPTS)) {
+      const deadlineMs = clock.nowMs() + JOIN_TIMEOUT_MS;
+      const reply = await transport.listMembers(address, { bucketHashes: [] }, deadlineMs);
+      if (reply.err || reply.val.fromId === state.self().memberId) continue;
+      learn(reply.val);
+      log.info('joined', { address, memberCount: state.members().length });
+      break;
+    }
+    pushNews();
+  }
+
+  return {
+    members: state.members,
+    find: state.find,
+    self: state.self,
+    setAttributes: (attributes) => {
+      state.setAttributes(attributes);
+      sync.noteChange();
+      onChange();
+    },
+    leave: () => {
+      state.leave();
+      sync.noteChange();
+      pushNews();
+      onChange();
+    },
+    reportUnreachable: (memberId) => {
+      const member = state.find(memberId);
+      const isDoubtful = member?.status === 'alive' || member?.status === 'leaving';
+      // A doubt costs one probe, and no more of them than pushes.
+      if (isDoubtful && pushBudget.tryTake()) void probe(member);
+    },
+    onChange: (listener) => {
+      listeners.push(listener);
+    },
+    notices: {
+      ...board,
+      publish: (notice) => {
+        if (board.learn(notice)) pushNews();
+      },
+    },
+    pushNews,
+    handlers: {
+      probe: (message) => {
+        // The answer is made first: it must not return what the message has just brought.
+        const reply = createMessage();
+        takeIn(message);
+        return reply;
+      },
+      probeIndirectly: async (request) => {
+        const answered = await exchange(request.targetAddress, request.targetId);
+        return { answered };
+      },
+      listMembers: (request) => sync.answer(request, options.configVersion()),
+    },
+    start: async () => {
+      await join();
+      loops = Promise.all([probeLoop(), rejoinLoop()]);
+    },
+    stop: async () => {
+      stopping.abort();
+      await clocks.raceDeadline(clock, clock.nowMs() + JOIN_TIMEOUT_MS, loops);
+    },
+  };
+}
