Join entry, agent, command line and stand-ins into one path

Cause: the parts had never run together. Change: awilix containers and supervisor trees for both daemons, the operators' commands, a fleet script and the demo. Not done yet: placing, floors, quarantine, unfenced engines, proofs.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -52,7 +52,13 @@
   {
     files: ['**/*.mjs'],
     languageOptions: {
-      globals: { process: 'readonly', console: 'readonly', setTimeout: 'readonly' },
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        setTimeout: 'readonly',
+        fetch: 'readonly',
+        performance: 'readonly',
+      },
     },
   },
   { files: ['*.mjs'], rules: { 'import-x/no-default-export': 'off' } },
--- /dev/null
+++ b/packages/agent/src/main.ts
@@ -0,0 +1,138 @@
+/** The agent beside one upstream: the only process that gives it work and orders. */
+import { grpcTransport } from '@copperlever/coordination';
+import { agent } from '@copperlever/protocol';
+import { clocks, daemon, supervisor } from '@copperlever/runtime';
+import * as grpc from '@grpc/grpc-js';
+
+import * as containers from './container.js';
+import * as dispatchApp from './server/dispatch/app.js';
+import * as settingsModule from './types/settings.js';
+
+const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+const STOP_TIMEOUT_MS = 5_000;
+const DRAIN_CHECK_MS = 50;
+/** Entries learn from gossip within this time that the agent leaves; what still comes is refused. */
+const LEAVE_SPREAD_MS = 1_000;
+const ENGINE_REPORT_TIMEOUT_MS = 2_000;
+
+const settings = daemon.readSettings(
+  { name: 'copperlever-agent', description: 'Gives one upstream its work and its orders' },
+  settingsModule.settingsSchema,
+);
+
+/** Grows with each start, and past every number that the engine has seen, whatever clocks say. */
+async function chooseIncarnation(container: ReturnType<typeof containers.createContainer>) {
+  const { upstream, clock } = container.cradle;
+  const report = await upstream.report(clock.nowMs() + ENGINE_REPORT_TIMEOUT_MS);
+  const seen = report.ok ? report.val.fencingNumber : 0;
+  return Math.max(clock.wallMs(), seen + 1);
+}
+
+const incarnation = await chooseIncarnation(containers.createContainer(settings, Date.now()));
+const container = containers.createContainer(settings, incarnation);
+const { cradle } = container;
+const { clock, log } = cradle;
+const server = new grpc.Server({
+  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+});
+
+function listen(): Promise<void> {
+  const address = `${settings.listenHost}:${settings.listenPort}`;
+  return new Promise((resolve, reject) => {
+    server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error) => {
+      if (error === null) resolve();
+      else reject(error);
+    });
+  });
+}
+
+/** Whether a configuration is in force here that names this agent's upstream. */
+function isConfigured(): boolean {
+  return cradle.document().upstreams[settings.upstreamId] !== undefined;
+}
+
+function waitForConfiguration(): Promise<void> {
+  if (isConfigured()) return Promise.resolve();
+  return new Promise((resolve) => {
+    cradle.control.follower.onChange(() => {
+      if (isConfigured()) resolve();
+    });
+  });
+}
+
+function publishReadyTargets(): void {
+  const said = containers.encodeAttributes(settings.upstreamId, cradle.copies.readyTargets());
+  if (!said.equals(cradle.control.membership.self().attributes)) {
+    cradle.control.membership.setAttributes(said);
+  }
+}
+
+async function startControl(): Promise<supervisor.RunningPart> {
+  grpcTransport.addPeerService(server, cradle.control.handlers);
+  // Dispatches are refused until the first configuration is here.
+  server.addService(agent.AgentServiceService, {
+    ...dispatchApp.createApp({
+      clock,
+      incarnation,
+      attempts: () => (isConfigured() ? cradle.attempts : null),
+    }),
+  });
+  await listen();
+  await cradle.control.start();
+  cradle.journal.start();
+  return {
+    failed: supervisor.neverFails(),
+    stop: async () => {
+      await cradle.journal.stop(clock.nowMs() + STOP_TIMEOUT_MS);
+      await cradle.control.stop();
+      server.forceShutdown();
+    },
+  };
+}
+
+async function startUpstream(): Promise<supervisor.RunningPart> {
+  const stopping = new AbortController();
+  void waitForConfiguration().then(() => {
+    cradle.copies.onChange(publishReadyTargets);
+    cradle.control.follower.onChange(publishReadyTargets);
+    publishReadyTargets();
+    return cradle.copies.run?.(stopping.signal);
+  });
+  return {
+    failed: supervisor.neverFails(),
+    stop: async () => {
+      stopping.abort();
+      await cradle.upstream.close();
+    },
+  };
+}
+
+async function drain(): Promise<void> {
+  cradle.control.membership.leave();
+  if (!isConfigured()) return;
+  cradle.attempts.leave();
+  const deadlineMs = clock.nowMs() + settings.drainTimeoutMs;
+  await clocks.sleepUntil(clock, clock.nowMs() + LEAVE_SPREAD_MS);
+  while (cradle.attempts.openCount() > 0 && clock.nowMs() < deadlineMs) {
+    await clocks.sleepUntil(clock, clock.nowMs() + DRAIN_CHECK_MS);
+  }
+}
+
+const tree = supervisor.createSupervisor(
+  [
+    { name: 'control', start: startControl },
+    { name: 'upstream', start: startUpstream },
+  ],
+  { clock, log, onGiveUp: () => process.exit(1) },
+);
+
+daemon.onPlannedStop(async () => {
+  log.info('stopping', {});
+  await drain();
+  await tree.stop();
+  log.info('stopped', {});
+});
+
+await tree.start();
+log.info('started', { upstream: settings.upstreamId, incarnation });
--- a/packages/agent/src/types/causes.ts
+++ b/packages/agent/src/types/causes.ts
@@ -2,6 +2,8 @@
 
 /** The attempt did not run and will not run. */
 export type RefusalCause =
+  /** No configuration that names the upstream is in force here yet. */
+  | 'starting'
   | 'deadline-unreachable'
   | 'deadline-passed'
   | 'queue-full'
@@ -22,4 +24,10 @@
 
 /** The attempt started and did not come to an end. */
 export type FailureCause =
-  'upstream-broken' | 'upstream-silent' | 'deadline-passed' | 'cancelled' | 'answer-too-large';
+  /** A resume named an attempt that this process does not know. */
+  | 'attempt-unknown'
+  | 'upstream-broken'
+  | 'upstream-silent'
+  | 'deadline-passed'
+  | 'cancelled'
+  | 'answer-too-large';
--- /dev/null
+++ b/packages/cli/src/commands/config.ts
@@ -0,0 +1,179 @@
+/** `copperlever config`: show, patch, history and diff of the numbered versions. */
+import { checks, patches, schema } from '@copperlever/configuration';
+import type { configTypes } from '@copperlever/coordination';
+import { results, settings } from '@copperlever/runtime';
+import * as zod from 'zod';
+
+import * as contexts from '../context.js';
+
+type Context = contexts.Context;
+type Version = configTypes.ConfigVersion<schema.Document>;
+
+/** Audit records read for one listing or difference at most. */
+const MAX_HISTORY = 10_000;
+
+function describeConfigError(context: Context, error: configTypes.ConfigError): string {
+  switch (error.kind) {
+    case 'stale':
+      return `stale: the present version is ${error.presentVersion}`;
+    case 'store-unavailable': {
+      const seconds = Math.ceil(context.untilMs(error.retryAtMs) / 1_000);
+      return `the object API is unavailable; nothing was changed; try again in ${seconds} s`;
+    }
+    case 'outcome-unknown':
+      return `the answer was lost; see "config history" for version ${error.version}`;
+    case 'too-large':
+      return `${error.partName} has ${error.sizeBytes} bytes, more than one object may have`;
+    case 'malformed':
+      return `the object ${error.key} cannot be read as configuration`;
+  }
+}
+
+function failWith(context: Context, error: configTypes.ConfigError): number {
+  contexts.printError(context, error, describeConfigError(context, error));
+  return error.kind === 'stale' ? contexts.EXIT.stale : contexts.EXIT.failed;
+}
+
+async function readCurrent(
+  context: Context,
+): Promise<results.Result<Version, configTypes.ConfigError>> {
+  const read = await context.config.read(context.deadlineMs());
+  if (read.err) return read;
+  return results.Ok(read.val ?? { version: 0, document: schema.emptyDocument() });
+}
+
+export async function showConfig(context: Context): Promise<number> {
+  const current = await readCurrent(context);
+  if (current.err) return failWith(context, current.val);
+  const { version, document } = current.val;
+  contexts.print(context, { version, document }, [
+    `version ${version}`,
+    JSON.stringify(document, null, 2),
+  ]);
+  return contexts.EXIT.ok;
+}
+
+function explainStale(context: Context, presentVersion: number, changes: patches.FieldChange[]) {
+  const lines = [
+    `stale: the present version is ${presentVersion}; changed since:`,
+    ...changes.map((change) => `  ${change.field}`),
+  ];
+  contexts.printError(context, { kind: 'stale', presentVersion, changes }, lines.join('\n'));
+  return contexts.EXIT.stale;
+}
+
+/** The documents of all versions, rebuilt from the audit trail; index is the version. */
+async function replayHistory(
+  context: Context,
+): Promise<results.Result<unknown[], configTypes.ConfigError>> {
+  const history = await context.config.history(MAX_HISTORY, context.deadlineMs());
+  if (history.err) return history;
+  const documents: unknown[] = [schema.emptyDocument()];
+  for (const record of [...history.val].reverse()) {
+    const merged = patches.mergePatch(documents[record.againstVersion], record.patch);
+    documents[record.version] = schema.documentSchema.parse(merged);
+  }
+  return results.Ok(documents);
+}
+
+async function submitPatch(context: Context, current: Version, patch: unknown): Promise<number> {
+  const applied = patches.applyPatch(current.document, patch);
+  if (applied.err) {
+    const lines = applied.val.map(checks.describeProblem);
+    const value = { kind: 'rejected', problems: applied.val };
+    contexts.printError(context, value, ['rejected:', ...lines].join('\n  '));
+    return contexts.EXIT.badInput;
+  }
+  const submission = {
+    operator: context.options.operator,
+    patch,
+    againstVersion: current.version,
+    document: applied.val,
+  };
+  const accepted = await context.config.submit(submission, context.deadlineMs());
+  if (accepted.err) return failWith(context, accepted.val);
+  const { version } = accepted.val;
+  const changes = patches.difference(current.document, applied.val);
+  contexts.print(context, { version, changes }, [`accepted as version ${version}`]);
+  return contexts.EXIT.ok;
+}
+
+export async function patchConfig(
+  context: Context,
+  againstVersion: number,
+  patch: unknown,
+): Promise<number> {
+  const current = await readCurrent(context);
+  if (current.err) return failWith(context, current.val);
+  if (current.val.version !== againstVersion) {
+    const documents = await replayHistory(context);
+    const before = documents.ok ? documents.val[againstVersion] : current.val.document;
+    const changes = patches.difference(before, current.val.document);
+    return explainStale(context, current.val.version, changes);
+  }
+  return submitPatch(context, current.val, patch);
+}
+
+/** Reads a patch file: JSON with comments. */
+export async function patchConfigFromFile(
+  context: Context,
+  againstVersion: number,
+  file: string,
+): Promise<number> {
+  const loaded = settings.loadSettings(file, zod.record(zod.string(), zod.unknown()));
+  if (loaded.err) {
+    const text = loaded.val.map(settings.describeError).join('\n');
+    contexts.printError(context, { kind: 'unreadable-patch', errors: loaded.val }, text);
+    return contexts.EXIT.badInput;
+  }
+  return patchConfig(context, againstVersion, loaded.val);
+}
+
+/** A patch of this command's own, against whatever version is present. */
+export async function patchPresent(
+  context: Context,
+  makePatch: (document: schema.Document) => unknown,
+): Promise<number> {
+  const current = await readCurrent(context);
+  if (current.err) return failWith(context, current.val);
+  const patch = makePatch(current.val.document);
+  if (patch === null) return contexts.EXIT.badInput;
+  return submitPatch(context, current.val, patch);
+}
+
+export async function showHistory(context: Context, limit: number): Promise<number> {
+  const history = await context.config.history(limit, context.deadlineMs());
+  if (history.err) return failWith(context, history.val);
+  const lines = history.val.map(
+    (record) =>
+      `${record.version}  ${record.acceptedAt}  ${record.operator}  against ${record.againstVersion}  ${JSON.stringify(record.patch)}`,
+  );
+  contexts.print(context, history.val, lines);
+  return contexts.EXIT.ok;
+}
+
+export async function showDifference(
+  context: Context,
+  fromVersion: number,
+  toVersion: number,
+): Promise<number> {
+  const documents = await replayHistory(context);
+  if (documents.err) return failWith(context, documents.val);
+  const [from, to] = [documents.val[fromVersion], documents.val[toVersion]];
+  if (from === undefined || to === undefined) {
+    const missing = from === undefined ? fromVersion : toVersion;
+    contexts.printError(
+      context,
+      { kind: 'no-such-version', version: missing },
+      `no version ${missing}`,
+    );
+    return contexts.EXIT.badInput;
+  }
+  const changes = patches.difference(from, to);
+  const lines = changes.map(
+    (change) =>
+      `${change.field}: ${JSON.stringify(change.before) ?? '(none)'} -> ${JSON.stringify(change.after) ?? '(none)'}`,
+  );
+  contexts.print(context, changes, lines);
+  return contexts.EXIT.ok;
+}
--- /dev/null
+++ b/packages/cli/src/commands/fleet.ts
@@ -0,0 +1,112 @@
+/** `copperlever status`, `models`, `upstreams`, `drain`: the fleet as one entry sees it. */
+import { results } from '@copperlever/runtime';
+import * as undici from 'undici';
+import * as zod from 'zod';
+
+import * as contexts from '../context.js';
+import * as config from './config.js';
+
+const memberSchema = zod.looseObject({
+  memberId: zod.string(),
+  role: zod.enum(['entry', 'agent']),
+  status: zod.string(),
+  address: zod.string(),
+  failureDomain: zod.string(),
+  upstreamId: zod.string(),
+  readyTargets: zod.array(zod.string()),
+});
+
+const statusSchema = zod.looseObject({
+  entryId: zod.string(),
+  configVersion: zod.number(),
+  openCallCount: zod.number(),
+  members: zod.array(memberSchema),
+});
+
+type FleetStatus = zod.infer<typeof statusSchema>;
+
+type FleetError = { kind: 'entry-unreachable'; detail: string };
+
+async function readStatus(
+  context: contexts.Context,
+): Promise<results.Result<FleetStatus, FleetError>> {
+  try {
+    const response = await undici.request(`${context.options.entry}/operator/status`);
+    return results.Ok(statusSchema.parse(await response.body.json()));
+  } catch (cause) {
+    const detail = cause instanceof Error ? cause.message : 'unknown';
+    return results.Err({ kind: 'entry-unreachable', detail });
+  }
+}
+
+function fail(context: contexts.Context, error: FleetError): number {
+  contexts.printError(context, error, `the entry cannot be reached: ${error.detail}`);
+  return contexts.EXIT.failed;
+}
+
+export async function showStatus(context: contexts.Context): Promise<number> {
+  const status = await readStatus(context);
+  if (status.err) return fail(context, status.val);
+  const { configVersion, members, openCallCount } = status.val;
+  contexts.print(context, status.val, [
+    `configuration ${configVersion}, ${openCallCount} open calls at ${status.val.entryId}`,
+    ...members.map(
+      (member) => `${member.memberId}  ${member.role}  ${member.status}  ${member.failureDomain}`,
+    ),
+  ]);
+  return contexts.EXIT.ok;
+}
+
+export async function showUpstreams(context: contexts.Context): Promise<number> {
+  const status = await readStatus(context);
+  if (status.err) return fail(context, status.val);
+  const agents = status.val.members.filter((member) => member.role === 'agent');
+  contexts.print(
+    context,
+    agents,
+    agents.map(
+      (member) =>
+        `${member.upstreamId}  ${member.status}  ${member.failureDomain}  ready: ${member.readyTargets.join(' ') || '(none)'}`,
+    ),
+  );
+  return contexts.EXIT.ok;
+}
+
+export async function showModels(context: contexts.Context): Promise<number> {
+  const status = await readStatus(context);
+  if (status.err) return fail(context, status.val);
+  const read = await context.config.read(context.deadlineMs());
+  if (read.err || read.val === null) {
+    contexts.printError(context, { kind: 'no-configuration' }, 'no configuration can be read');
+    return contexts.EXIT.failed;
+  }
+  const { models, adapters } = read.val.document;
+  const names = [...Object.keys(models), ...Object.keys(adapters)];
+  const rows = names.map((name) => ({
+    name,
+    readyAt: status.val.members
+      .filter((member) => member.readyTargets.includes(name))
+      .map((member) => member.upstreamId),
+  }));
+  contexts.print(
+    context,
+    rows,
+    rows.map((row) => `${row.name}  ${row.readyAt.join(' ') || '(loaded on demand)'}`),
+  );
+  return contexts.EXIT.ok;
+}
+
+/** Marks an upstream as draining: it gets no new work, what it has is finished. */
+export async function drainUpstream(
+  context: contexts.Context,
+  upstreamId: string,
+): Promise<number> {
+  return config.patchPresent(context, (document) => {
+    if (Object.hasOwn(document.upstreams, upstreamId)) {
+      return { upstreams: { [upstreamId]: { draining: true } } };
+    }
+    const error = { kind: 'unknown-upstream', upstreamId };
+    contexts.printError(context, error, `there is no upstream "${upstreamId}"`);
+    return null;
+  });
+}
--- /dev/null
+++ b/packages/entry/src/container.ts
@@ -0,0 +1,161 @@
+/** Joins the parts of an entry; each part gets only what it names. */
+import type { schema } from '@copperlever/configuration';
+import {
+  claims as claimsModule,
+  type claimTypes,
+  controlNode,
+  documentCodec,
+  grpcTransport,
+  httpStore,
+  journal as journals,
+  requestIds,
+  resilientStore,
+} from '@copperlever/coordination';
+import { attributes } from '@copperlever/protocol';
+import { clocks, logs, metrics as metricsModule, randoms } from '@copperlever/runtime';
+import * as awilix from 'awilix';
+
+import * as grpcLink from './server/links/grpc-link.js';
+import * as serving from './server/requests/serve.js';
+import * as directories from './shared/agent-directory.js';
+import type * as settingsModule from './types/settings.js';
+
+/** An entry's share of the platform's rates: claims, journal batches and a watch. */
+const STORE_CALLS_PER_SECOND = 20;
+const STORE_BURST_CALLS = 40;
+
+type Settings = settingsModule.Settings;
+
+export type EntryParts = {
+  settings: Settings;
+  incarnation: number;
+  clock: clocks.Clock;
+  random: randoms.Random;
+  log: logs.Logger;
+  metrics: metricsModule.Metrics;
+  rawStore: httpStore.HttpObjectStore;
+  store: ReturnType<typeof resilientStore.createResilientStore>;
+  transport: grpcTransport.GrpcTransport;
+  control: controlNode.ControlNode<schema.Document>;
+  journal: ReturnType<typeof journals.createJournal>;
+  claims: claimTypes.Claims;
+  link: grpcLink.GrpcLink;
+  directory: directories.AgentDirectory;
+  serve: serving.Serve;
+  ids: ReturnType<typeof requestIds.createRequestIds>;
+};
+
+function encodeAttributes(): Buffer {
+  const said = attributes.DaemonAttributes.fromPartial({
+    role: attributes.DaemonRole.DAEMON_ROLE_ENTRY,
+  });
+  return Buffer.from(attributes.DaemonAttributes.encode(said).finish());
+}
+
+function createMetrics({ settings }: EntryParts): metricsModule.Metrics {
+  if (settings.statsd === undefined) return metricsModule.createSilentMetrics();
+  return metricsModule.createMetrics({ ...settings.statsd, daemonId: settings.entryId });
+}
+
+function createControl(parts: EntryParts): EntryParts['control'] {
+  const { settings } = parts;
+  return controlNode.createControlNode<schema.Document>({
+    self: {
+      memberId: settings.entryId,
+      incarnation: parts.incarnation,
+      address: `${settings.listenHost}:${settings.listenPort}`,
+      region: settings.region,
+      failureDomain: settings.failureDomain,
+      attributes: encodeAttributes(),
+    },
+    store: parts.store,
+    transport: parts.transport,
+    codec: documentCodec.createJsonCodec<schema.Document>(),
+    clock: parts.clock,
+    random: parts.random,
+    seedAddresses: settings.seedAddresses,
+    log: parts.log,
+  });
+}
+
+function createServe(parts: EntryParts): serving.Serve {
+  return serving.createServe({
+    clock: parts.clock,
+    random: parts.random,
+    log: parts.log,
+    journal: parts.journal,
+    link: parts.link,
+    directory: parts.directory,
+    claims: parts.claims,
+    configuration: parts.control.follower.current,
+    entryId: parts.settings.entryId,
+    region: parts.settings.region,
+  });
+}
+
+export function createContainer(settings: Settings, incarnation: number) {
+  const container = awilix.createContainer<EntryParts>({ strict: true });
+  const memberId = settings.entryId;
+  container.register({
+    settings: awilix.asValue(settings),
+    incarnation: awilix.asValue(incarnation),
+    clock: awilix.asFunction(clocks.createSystemClock).singleton(),
+    random: awilix.asFunction(() => randoms.createRandom(incarnation % 2 ** 31)).singleton(),
+    log: awilix
+      .asFunction(() => logs.createLogger({ daemonId: memberId, level: settings.logLevel }))
+      .singleton(),
+    metrics: awilix.asFunction(createMetrics).singleton(),
+    rawStore: awilix
+      .asFunction(({ clock }: EntryParts) =>
+        httpStore.createHttpObjectStore({ baseUrl: settings.platformUrl, clock }),
+      )
+      .singleton(),
+    store: awilix
+      .asFunction(({ rawStore, clock, random }: EntryParts) =>
+        resilientStore.createResilientStore(rawStore, {
+          clock,
+          random,
+          callsPerSecond: STORE_CALLS_PER_SECOND,
+          burstCalls: STORE_BURST_CALLS,
+        }),
+      )
+      .singleton(),
+    transport: awilix
+      .asFunction(({ clock }: EntryParts) => grpcTransport.createGrpcTransport({ clock }))
+      .singleton(),
+    control: awilix.asFunction(createControl).singleton(),
+    journal: awilix
+      .asFunction(({ store, clock, random }: EntryParts) =>
+        journals.createJournal({
+          store,
+          clock,
+          random,
+          incarnation,
+          memberId,
+          flushIntervalMs: settings.journalFlushIntervalMs,
+        }),
+      )
+      .singleton(),
+    claims: awilix
+      .asFunction(({ store, clock, random }: EntryParts) =>
+        claimsModule.createClaims({ store, clock, random }),
+      )
+      .singleton(),
+    link: awilix.asFunction(({ clock }: EntryParts) => grpcLink.createGrpcLink(clock)).singleton(),
+    directory: awilix
+      .asFunction(({ control, clock }: EntryParts) =>
+        directories.createAgentDirectory({
+          members: control.membership.members,
+          nowMs: clock.nowMs,
+        }),
+      )
+      .singleton(),
+    serve: awilix.asFunction(createServe).singleton(),
+    ids: awilix
+      .asFunction(({ clock }: EntryParts) =>
+        requestIds.createRequestIds(memberId, incarnation, clock.wallMs),
+      )
+      .singleton(),
+  });
+  return container;
+}
--- a/packages/entry/src/types/settings.ts
+++ b/packages/entry/src/types/settings.ts
@@ -21,6 +21,8 @@
   logLevel: zod.enum(['info', 'warn', 'error']).default('info'),
   statsd: zod.strictObject({ host: name, port }).optional(),
   maxBodyBytes: zod.number().int().positive().default(4_000_000),
+  /** How long an event of a request waits before it is written; short only in demos and tests. */
+  journalFlushIntervalMs: zod.number().int().positive().default(30_000),
   /** How long a planned stop waits for requests in flight. */
   drainTimeoutMs: zod.number().int().positive().default(120_000),
 });
--- a/packages/runtime/src/clocks.ts
+++ b/packages/runtime/src/clocks.ts
@@ -13,7 +13,7 @@
   schedule: (atMs: number, task: () => void) => Cancel;
 };
 
-/** The clock of the running system. Its timers do not keep a process alive. */
+/** The clock of the running system. */
 export function createSystemClock(): Clock {
   return {
     nowMs: () => performance.now(),
--- a/packages/stand-ins/src/shared/control-port.ts
+++ b/packages/stand-ins/src/shared/control-port.ts
@@ -17,7 +17,7 @@
 
 /** Serves `POST /faults`, `DELETE /faults` and `GET /counters`. */
 export async function startControlPort(options: ControlOptions) {
-  const app = fastify.fastify();
+  const app = fastify.fastify({ forceCloseConnections: true });
   app.get('/counters', () => options.counters());
   app.post<{ Body: FaultBody }>('/faults', (request) => {
     options.faults.set(request.body.name, request.body.value);
