Let the test command pass over tests that KNOWN-RED.txt names

Cause: the users allow at most three known red tests, printed on each run. Change: a run is green only when every failed test is named there; a file that cannot be loaded has no name, so it always fails. Tried with a test that fails on purpose: exit 1 without the entry, 0 with it.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -3,6 +3,7 @@
 import * as fs from 'node:fs';
 
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const MAX_KNOWN_RED = 3;
 const packageFilter = process.argv[2] ?? '.*';
 
 function listTests() {
@@ -28,6 +29,11 @@
     .filter((line) => line.trim() !== '' && !line.startsWith('#'));
 }
 
+/** The names of the failed tests, as uvu prints them: FAIL  suite  "name". */
+function listFailed(output) {
+  return [...output.matchAll(/^\s*FAIL\s+.*?"(.+)"\s*$/gm)].map((match) => match[1]);
+}
+
 refuseSilentFiles(listTests());
 const knownRed = readKnownRed();
 const done = childProcess.spawnSync(
@@ -43,6 +49,11 @@
 process.stdout.write(done.stdout);
 const total = Number(/Total:\s+(\d+)/.exec(done.stdout)?.[1] ?? 0);
 const passed = Number(/Passed:\s+(\d+)/.exec(done.stdout)?.[1] ?? 0);
+const failed = listFailed(done.stdout);
+const isKnown = (name) => knownRed.some((line) => line.includes(`"${name}"`));
+const allKnown =
+  failed.length > 0 && total - passed === failed.length && knownRed.length <= MAX_KNOWN_RED;
+const isGreen = total > 0 && (done.status === 0 || (allKnown && failed.every(isKnown)));
 knownRed.forEach((line) => console.log(`known red: ${line}`));
 console.log(`${passed} passed, ${total - passed} failed`);
-process.exit(total > 0 && done.status === 0 ? 0 : 1);
+process.exit(isGreen ? 0 : 1);
