--- /dev/null
+++ b/packages/coordination/src/floors/floors.test.ts
@@ -0,0 +1,29 @@
+import { randoms } from '@copperlever/runtime';
+import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as faultyStore from '../object-store/faulty-store.js';
+import * as memoryStore from '../object-store/memory-store.js';
+
+import * as floors from './floors.js';
+
+test('of two members that move a floor at once, one does', async () => {
+  // The model stays reachable: each member would unload after its own move, so only one may win.
+  // The winner's answer is lost and recognised; the other is told who holds the floor.
+  const clock = fakeClock.createFakeClock();
+  const store = faultyStore.createFaultyStore(memoryStore.createMemoryStore(clock), clock);
+  const random = randoms.createRandom(1);
+  const held = floors.createFloors({ store, clock, random });
+  const first = await held.take('m', null, { holderId: 'a', incarnation: 1 }, 100);
+  store.setFault({ kind: 'answers-lost', count: 1 });
+  const moves = ['b', 'c'].map((holderId) =>
+    held.take('m', first.unwrap(), { holderId, incarnation: 1 }, 5_000),
+  );
+  await clock.advance(5_000);
+  const [b, c] = await Promise.all(moves);
+  assert.is(b?.ok, true);
+  assert.equal(c?.val, { kind: 'moved', floor: { key: 'm', holderId: 'b', incarnation: 1 } });
+});
+
+test.run();
--- /dev/null
+++ b/packages/coordination/src/journal/journal.test.ts
@@ -0,0 +1,97 @@
+import { randoms } from '@copperlever/runtime';
+import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as faultyStore from '../object-store/faulty-store.js';
+import * as memoryStore from '../object-store/memory-store.js';
+
+import * as journal from './journal.js';
+import * as journalReader from './journal-reader.js';
+import * as requestIds from './request-ids.js';
+
+function createParts() {
+  const clock = fakeClock.createFakeClock();
+  const memory = memoryStore.createMemoryStore(clock);
+  const store = faultyStore.createFaultyStore(memory, clock);
+  const journalOf = (memberId: string, pendingMaxBytes?: number) =>
+    journal.createJournal({
+      store,
+      memberId,
+      incarnation: 1,
+      clock,
+      random: randoms.createRandom(1),
+      pendingMaxBytes,
+    });
+  const ids = requestIds.createRequestIds('entry-1', 1, clock.wallMs);
+  const reader = journalReader.createJournalReader({ store });
+  return { clock, memory, store, journalOf, ids, reader };
+}
+
+test('a request id names its entry, incarnation and minute', () => {
+  const id = { entryId: 'entry.a', incarnation: 1_767_225_600_000, minute: 29_453_760, counter: 7 };
+  assert.equal(requestIds.parseRequestId(requestIds.formatRequestId(id)), id);
+  for (const text of ['', 'rq', 'rq.a.1.2', 'x.a.1.2.3', 'rq.a.1.2.', 'rq..1.2.3']) {
+    assert.is(requestIds.parseRequestId(text), undefined, text);
+  }
+});
+
+test('a trace joins what the entry and the agent recorded, in order', async () => {
+  const { clock, journalOf, ids, reader, store } = createParts();
+  const [entry, agent, stranger] = ['entry-1', 'agent-1', 'agent-2'].map((id) => journalOf(id));
+  const requestId = ids.next();
+  entry?.record(requestId, 'admitted');
+  entry?.record(requestId, 'dispatched', { agent: 'agent-1' });
+  await clock.advance(5);
+  agent?.record(requestId, 'started');
+  stranger?.record(ids.next(), 'started');
+  await Promise.all([entry, agent, stranger].map((one) => one?.flush(1_000)));
+  const callsBefore = store.callCount();
+  const events = (await reader.trace(requestId, 1_000)).unwrap();
+  assert.equal(
+    events.map((event) => event.event),
+    ['admitted', 'dispatched', 'started'],
+  );
+  // One list, and one read for each of the two processes that took part.
+  assert.is(store.callCount() - callsBefore, 3);
+});
+
+test('the agent alone tells the story of a request whose entry was killed', async () => {
+  const { journalOf, ids, reader } = createParts();
+  const requestId = ids.next();
+  const agent = journalOf('agent-1');
+  agent.record(requestId, 'started');
+  await agent.flush(1_000);
+  const found = (await reader.search(requestId, 1_000)).unwrap();
+  assert.equal([found.events.length, found.isWhole], [1, true]);
+});
+
+test('in an outage memory stays bounded, and what was dropped is recorded', async () => {
+  // Support engineers see a gap that says so. The store is down longer than memory lasts: the
+  // journal keeps the oldest events, counts the others, and writes both when the store is back.
+  const { clock, store, journalOf, ids, reader } = createParts();
+  const entry = journalOf('entry-1', 2_000);
+  entry.start();
+  store.setFault({ kind: 'outage', retryAfterMs: 100 });
+  const requestId = ids.next();
+  for (let count = 0; count < 100; count += 1) entry.record(requestId, 'token', { count });
+  await clock.advance(30_000);
+  assert.ok(entry.droppedCount() > 50);
+  store.setFault({ kind: 'none' });
+  await clock.advance(60_000);
+  const found = (await reader.search(requestId, clock.nowMs() + 1_000)).unwrap();
+  assert.is(found.events.length + entry.droppedCount(), 100);
+  assert.is(found.isWhole, false);
+});
+
+test('a batch whose answer was lost is written once', async () => {
+  const { clock, memory, store, journalOf, ids } = createParts();
+  const entry = journalOf('entry-1');
+  entry.record(ids.next(), 'admitted');
+  store.setFault({ kind: 'answers-lost', count: 1 });
+  await entry.flush(clock.nowMs() + 1_000);
+  await entry.stop(clock.nowMs() + 1_000);
+  assert.is(memory.objectCount(), 1);
+});
+
+test.run();
--- a/packages/coordination/src/journal/request-ids.ts
+++ b/packages/coordination/src/journal/request-ids.ts
@@ -23,13 +23,14 @@
 export function parseRequestId(text: string): RequestId | undefined {
   const [prefix, ...rest] = text.split('.');
   const numbers = rest.splice(-3);
+  const entryId = rest.join('.');
   const isWellFormed =
-    prefix === PREFIX && rest.length > 0 && numbers.every((digits) => DIGITS.test(digits));
+    prefix === PREFIX && entryId !== '' && numbers.every((digits) => DIGITS.test(digits));
   if (!isWellFormed) return undefined;
   const [incarnation = 0, minute = 0, counter = 0] = numbers.map((digits) =>
     Number.parseInt(digits, BASE),
   );
-  return { entryId: rest.join('.'), incarnation, minute, counter };
+  return { entryId, incarnation, minute, counter };
 }
 
 export function minuteOf(wallMs: number): number {
--- /dev/null
+++ b/packages/coordination/src/membership/swim.test.ts
@@ -0,0 +1,89 @@
+import { randoms } from '@copperlever/runtime';
+import * as fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as records from './records.js';
+import * as swim from './swim.js';
+import type * as types from './types.js';
+
+function describe(memberId: string): types.SelfDescription {
+  return {
+    memberId,
+    incarnation: 1,
+    address: `${memberId}:1`,
+    region: 'r',
+    failureDomain: 'd',
+    attributes: Buffer.alloc(0),
+  };
+}
+
+const recordArbitrary = fc.record({
+  incarnation: fc.integer({ min: 1, max: 3 }),
+  revision: fc.integer({ min: 0, max: 3 }),
+  status: fc.constantFrom<types.MemberStatus>('alive', 'suspected', 'leaving', 'dead'),
+});
+
+function createState(memberId: string): swim.Swim {
+  return swim.createSwim(describe(memberId), swim.DEFAULT_LIMITS, randoms.createRandom(1));
+}
+
+test('views that hear the same records in any order agree', () => {
+  // A member itself says alive or leaving once for each revision, so `leaving` has its own.
+  const own = recordArbitrary.map((record) => ({
+    ...describe('b'),
+    ...record,
+    revision: record.status === 'leaving' ? record.revision + 10 : record.revision,
+  }));
+  fc.assert(
+    fc.property(fc.array(own, { maxLength: 12 }), fc.integer(), (heard, seed) => {
+      const shuffled = randoms.sample(randoms.createRandom(seed), heard, heard.length);
+      const [first, second] = [createState('a'), createState('c')];
+      heard.forEach((record) => first.apply(record, 0, 'gossip'));
+      shuffled.forEach((record) => second.apply(record, 0, 'gossip'));
+      assert.equal(first.find('b'), second.find('b'));
+    }),
+    { seed: 7, numRuns: 300 },
+  );
+});
+
+test('a record never gives way to an older one', () => {
+  const record = recordArbitrary.map((fields) => ({ ...describe('b'), ...fields }));
+  fc.assert(
+    fc.property(record, record, (a, b) => {
+      assert.not.ok(records.isNewer(a, b) && records.isNewer(b, a));
+    }),
+    { seed: 7 },
+  );
+});
+
+test('an update is sent a bounded number of times', () => {
+  const state = createState('a');
+  state.apply({ ...describe('b'), revision: 0, status: 'alive' }, 0, 'gossip');
+  let sentCount = 0;
+  for (let round = 0; round < 100; round += 1) sentCount += state.takeUpdates().length;
+  assert.is(state.pendingCount(), 0);
+  assert.ok(sentCount <= 2 * 5, `${sentCount} sent`);
+});
+
+test('a view that was fetched whole is not passed on', () => {
+  const state = createState('a');
+  state.takeUpdates();
+  state.apply({ ...describe('b'), revision: 0, status: 'alive' }, 0, 'view');
+  assert.equal(
+    state.takeUpdates().map((member) => member.memberId),
+    ['a'],
+  );
+});
+
+test('the hash of a view does not depend on the way it came about', () => {
+  const [first, second] = [createState('a'), createState('a')];
+  first.apply({ ...describe('b'), revision: 0, status: 'alive' }, 0, 'gossip');
+  first.suspect('b', 0);
+  first.apply({ ...describe('b'), revision: 1, status: 'alive' }, 0, 'gossip');
+  first.apply({ ...describe('c'), revision: 0, status: 'dead' }, 0, 'gossip');
+  second.apply({ ...describe('b'), revision: 1, status: 'alive' }, 0, 'gossip');
+  assert.is(first.viewHash(), second.viewHash());
+});
+
+test.run();
