--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -55,6 +55,8 @@
 
 /** How often an address is tried where a member may have come back, for example after a cut. */
 const REJOIN_PERIOD_MS = 15_000;
+/** A process that has just started tries more often: its seeds may be starting as well. */
+const FIRST_REJOIN_MS = 1_000;
 const JOIN_TIMEOUT_MS = 2_000;
 const JOIN_ATTEMPTS = 4;
 
@@ -206,8 +208,10 @@
   }
 
   async function rejoinLoop(): Promise<void> {
-    const nextMs = () => clock.nowMs() + REJOIN_PERIOD_MS * (0.5 + random.fraction());
+    let periodMs = FIRST_REJOIN_MS;
+    const nextMs = () => clock.nowMs() + periodMs * (0.5 + random.fraction());
     while ((await clocks.sleepUntil(clock, nextMs(), stopping.signal)) === 'elapsed') {
+      periodMs = Math.min(REJOIN_PERIOD_MS, periodMs * 2);
       const address = randoms.pick(random, await lostAddresses());
       if (address === undefined) continue;
       const lost = state.dead().find((member) => member.address === address);
