--- a/packages/coordination/src/testing/fleet.ts
+++ b/packages/coordination/src/testing/fleet.ts
@@ -38,6 +38,16 @@
   const network = queueNetwork.createQueueNetwork({ clock, latencyMs: () => LATENCY_MS });
   const nodes: FleetNode[] = [];
 
+  /** Lets time pass until `work` is done. */
+  async function run(work: Promise<unknown>): Promise<void> {
+    let isDone = false;
+    void work.then(() => {
+      isDone = true;
+    });
+    while (!isDone) await clock.advance(STEP_MS);
+    await work;
+  }
+
   async function startNode(index: number, incarnation = 1): Promise<FleetNode> {
     const address = addressOf(index);
     const memberId = `node-${index}`;
@@ -58,9 +68,7 @@
       seedAddresses: [addressOf(0), addressOf(1)],
     });
     network.attach(address, node.handlers);
-    const started = node.start();
-    await clock.advance(STEP_MS);
-    await started;
+    await run(node.start());
     const wired = { ...node, address, memberId };
     nodes[index] = wired;
     return wired;
@@ -82,10 +90,6 @@
       }
       return clock.nowMs() - startedMs;
     },
-    stop: async () => {
-      const stopped = Promise.all(nodes.map((node) => node.stop()));
-      await clock.advance(STEP_MS);
-      await stopped;
-    },
+    stop: () => run(Promise.all(nodes.map((node) => node.stop()))),
   };
 }
