--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -76,6 +76,16 @@
   return results.Ok(documents);
 }
 
+/** A patch against an old version, or one that lost a race: says what it did not take into account. */
+async function refuseStale(context: Context, againstVersion: number): Promise<number> {
+  const current = await readCurrent(context);
+  if (current.err) return failWith(context, current.val);
+  const documents = await replayHistory(context);
+  const before = documents.ok ? documents.val[againstVersion] : undefined;
+  const changes = before === undefined ? [] : patches.difference(before, current.val.document);
+  return explainStale(context, current.val.version, changes);
+}
+
 async function submitPatch(context: Context, current: Version, patch: unknown): Promise<number> {
   const applied = patches.applyPatch(current.document, patch);
   if (applied.err) {
@@ -91,6 +101,9 @@
     document: applied.val,
   };
   const accepted = await context.config.submit(submission, context.deadlineMs());
+  if (accepted.err && accepted.val.kind === 'stale') {
+    return refuseStale(context, current.version);
+  }
   if (accepted.err) return failWith(context, accepted.val);
   const { version } = accepted.val;
   const changes = patches.difference(current.document, applied.val);
@@ -105,12 +118,7 @@
 ): Promise<number> {
   const current = await readCurrent(context);
   if (current.err) return failWith(context, current.val);
-  if (current.val.version !== againstVersion) {
-    const documents = await replayHistory(context);
-    const before = documents.ok ? documents.val[againstVersion] : current.val.document;
-    const changes = patches.difference(before, current.val.document);
-    return explainStale(context, current.val.version, changes);
-  }
+  if (current.val.version !== againstVersion) return refuseStale(context, againstVersion);
   return submitPatch(context, current.val, patch);
 }
 
--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -25,6 +25,9 @@
   deadlineMs: () => number;
   /** Milliseconds from now until an instant of the local clock. */
   untilMs: (atMs: number) => number;
+  /** Where output and errors go; tests keep them. */
+  write: (text: string) => void;
+  writeError: (text: string) => void;
   close: () => Promise<void>;
 };
 
@@ -39,6 +42,8 @@
     journal: journalReader.createJournalReader({ store }),
     deadlineMs: () => clock.nowMs() + CALL_TIMEOUT_MS,
     untilMs: (atMs) => Math.max(0, atMs - clock.nowMs()),
+    write: (text) => process.stdout.write(text),
+    writeError: (text) => process.stderr.write(text),
     close: store.close,
   };
 }
@@ -46,9 +51,9 @@
 /** Prints `value` as JSON where `--json` asks for it, else `lines`. */
 export function print(context: Context, value: unknown, lines: readonly string[]): void {
   const text = context.options.json === true ? JSON.stringify(value) : lines.join('\n');
-  process.stdout.write(`${text}\n`);
+  context.write(`${text}\n`);
 }
 
 export function printError(context: Context, value: unknown, text: string): void {
-  process.stderr.write(`${context.options.json === true ? JSON.stringify(value) : text}\n`);
+  context.writeError(`${context.options.json === true ? JSON.stringify(value) : text}\n`);
 }
