Refuse bad input with typed problems and drain by a tested module

Cause: unknown routes, wrong methods and URLs that cannot be decoded had fastify's own errors. A service path was compared with the routes as it was written, so `/%73ubmissions` or `//submissions` passed by a route that must run at most once. An entry that stops kept its connections open. The app could only be built by main.ts, so none of this could be tested; there is no failing run to quote.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,20 +1,18 @@
 /** The entry: takes calls from callers, routes them to agents and answers. */
 import { grpcTransport } from '@copperlever/coordination';
-import { clocks, daemon, supervisor } from '@copperlever/runtime';
+import { daemon, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
-import * as fastify from 'fastify';
+import type * as fastify from 'fastify';
 
 import * as containers from './container.js';
 import * as callsApp from './server/calls/app.js';
-import * as callHandlers from './server/calls/handlers.js';
+import type * as contexts from './server/calls/context.js';
 import * as healthApp from './server/health/app.js';
+import * as drains from './server/health/drain.js';
 import * as operatorApp from './server/operator/app.js';
 import * as settingsModule from './types/settings.js';
 
 const STOP_TIMEOUT_MS = 5_000;
-const DRAIN_CHECK_MS = 50;
-/** The balancer asks `/readyz` again within this time and sends no more callers. */
-const BALANCER_NOTICE_MS = 2_000;
 
 const settings = daemon.readSettings(
   { name: 'copperlever-entry', description: 'Takes calls, routes them and answers' },
@@ -55,8 +53,7 @@
 }
 
 function createCallerApp(): fastify.FastifyInstance {
-  const app = fastify.fastify({ bodyLimit: settings.maxBodyBytes });
-  const callDeps: callHandlers.CallDeps = {
+  const callDeps: contexts.CallDeps = {
     clock,
     log,
     metrics: cradle.metrics,
@@ -66,13 +63,10 @@
     nextRequestId: cradle.ids.next,
     openCalls,
   };
-  // Bodies pass to the upstream as they came.
-  app.removeAllContentTypeParsers();
-  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
-  app.setErrorHandler((error: fastify.FastifyError, _request, reply) =>
-    callHandlers.handleError(callDeps, error, reply),
-  );
-  callsApp.registerCalls(app, callDeps);
+  const app = callsApp.createCallerApp(callDeps, {
+    maxBodyBytes: settings.maxBodyBytes,
+    isStopping: () => isStopping,
+  });
   healthApp.registerHealth(app, { readiness });
   operatorApp.registerOperator(app, {
     entryId: settings.entryId,
@@ -95,16 +89,6 @@
   };
 }
 
-async function drain(): Promise<void> {
-  isStopping = true;
-  control.membership.leave();
-  const deadlineMs = clock.nowMs() + settings.drainTimeoutMs;
-  await clocks.sleepUntil(clock, clock.nowMs() + BALANCER_NOTICE_MS);
-  while (openCalls.count > 0 && clock.nowMs() < deadlineMs) {
-    await clocks.sleepUntil(clock, clock.nowMs() + DRAIN_CHECK_MS);
-  }
-}
-
 const tree = supervisor.createSupervisor(
   [
     { name: 'control', start: startControl },
@@ -115,7 +99,17 @@
 
 daemon.onPlannedStop(async () => {
   log.info('stopping', { openCallCount: openCalls.count });
-  await drain();
+  await drains.drain({
+    clock,
+    log,
+    turnReadyOff: () => {
+      isStopping = true;
+    },
+    leaveMembership: control.membership.leave,
+    openCallCount: () => openCalls.count,
+    pendingClaimCount: cradle.settlements.pendingCount,
+    timeoutMs: settings.drainTimeoutMs,
+  });
   await tree.stop();
   log.info('stopped', {});
 });
--- a/packages/entry/src/server/calls/answers.ts
+++ b/packages/entry/src/server/calls/answers.ts
@@ -19,7 +19,7 @@
     .status(problem.status)
     .header('x-request-id', requestId)
     .header('content-type', problems.PROBLEM_CONTENT_TYPE)
-    .send(JSON.stringify(problem));
+    .send(Buffer.from(JSON.stringify(problem)));
 }
 
 export function sendHeld(
--- /dev/null
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -0,0 +1,175 @@
+import { schema } from '@copperlever/configuration';
+import { logs, metrics } from '@copperlever/runtime';
+import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
+import type * as fastify from 'fastify';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type * as calls from '../../types/calls.js';
+import type * as serving from '../requests/serve.js';
+import * as app from './app.js';
+
+const test = suite('calls');
+const MAX_BODY_BYTES = 500;
+
+const document = schema.documentSchema.parse({
+  upstreams: {
+    'jury-1': {
+      kind: 'engine',
+      pool: 'jury',
+      failureDomain: 'd',
+      region: 'r',
+      acceleratorCount: 1,
+      memoryBytes: 100,
+      slotCount: 1,
+      checksFencing: true,
+    },
+  },
+  models: { draws: { version: 'v1', sizeBytes: 1, pools: ['jury'] } },
+  services: {
+    proofs: {
+      pool: 'jury',
+      nonIdempotentRoutes: [{ method: 'POST', pathPrefix: '/submissions' }],
+    },
+  },
+});
+
+const answering: serving.Serve = async (_call, sink) => {
+  sink.head(200, [{ name: 'content-type', value: 'text/plain' }]);
+  await sink.chunk(Buffer.from('lane 4'));
+  return { kind: 'answered', status: 200, replayed: false };
+};
+
+function createApp(serve = answering) {
+  const clock = fakeClock.createFakeClock();
+  const served: calls.Call[] = [];
+  const events: string[] = [];
+  const state = { isStopping: false };
+  const server = app.createCallerApp(
+    {
+      clock,
+      log: logs.createSilentLogger(),
+      metrics: metrics.createSilentMetrics(),
+      journal: {
+        record: (_requestId, event) => events.push(event),
+        flush: async () => {},
+        droppedCount: () => 0,
+        start: () => {},
+        stop: async () => {},
+      },
+      serve: (call, sink, signal) => {
+        served.push(call);
+        return serve(call, sink, signal);
+      },
+      configuration: () => ({ version: 3, document }),
+      nextRequestId: () => 'r-1',
+      openCalls: { count: 0 },
+    },
+    { maxBodyBytes: MAX_BODY_BYTES, isStopping: () => state.isStopping },
+  );
+  return { server, served, events, state, clock };
+}
+
+const chat = { model: 'draws', messages: [{ role: 'user', content: 'draw' }] };
+
+function post(url: string, payload: unknown, headers: Record<string, string> = {}) {
+  const body = typeof payload === 'string' ? payload : JSON.stringify(payload);
+  const allHeaders = { 'content-type': 'application/json', ...headers };
+  return { method: 'POST', url, payload: body, headers: allHeaders } as const;
+}
+
+const CHAT = '/v1/chat/completions';
+
+const badInputs: [string, fastify.InjectOptions, number, string][] = [
+  ['malformed JSON', post(CHAT, '{'), 400, 'malformed-request'],
+  ['no messages', post(CHAT, { model: 'draws' }), 400, 'malformed-request'],
+  ['an unknown model', post(CHAT, { ...chat, model: 'none' }), 404, 'unknown-model'],
+  ['a name of the prototype', post(CHAT, { ...chat, model: 'toString' }), 404, 'unknown-model'],
+  ['an oversized body', post(CHAT, 'x'.repeat(501)), 413, 'body-too-large'],
+  [
+    'a deadline already past',
+    post(CHAT, chat, { 'x-request-deadline': '2025-01-01T00:00:00Z' }),
+    400,
+    'deadline-passed',
+  ],
+  [
+    'an unknown header value',
+    post(CHAT, chat, { 'x-priority-class': 'urgent' }),
+    400,
+    'invalid-header',
+  ],
+  ['an unknown service', post('/services/none/a', ''), 404, 'unknown-service'],
+  ['a prototype service', post('/services/__proto__/a', ''), 404, 'unknown-service'],
+  ['an encoded slash', post('/services/proofs/a%2f..%2fb', ''), 400, 'malformed-request'],
+  ['bad percent-encoding', post('/services/proofs/%zz', ''), 400, 'malformed-request'],
+  ['an unknown route', { method: 'GET', url: '/v2/none' }, 404, 'unknown-route'],
+  ['an unknown method', { method: 'PUT', url: CHAT }, 404, 'unknown-route'],
+  ['HEAD of an unknown route', { method: 'HEAD', url: '/v2/none' }, 404, 'unknown-route'],
+];
+
+badInputs.forEach(([what, request, status, cause]) => {
+  test(`${what} is refused at once with a typed problem`, async () => {
+    const { server, served, events } = createApp();
+    const answer = await server.inject(request);
+    assert.is(answer.statusCode, status);
+    assert.is(answer.headers['content-type'], 'application/problem+json');
+    assert.is(answer.headers['x-request-id'], 'r-1');
+    assert.equal(events, ['refused']);
+    assert.is(served.length, 0);
+    if (request.method === 'HEAD') return;
+    const problem = answer.json<Record<string, unknown>>();
+    assert.is(problem.type, `urn:copperlever:problem:${cause}`);
+    assert.is(problem.outcome, 'not-run');
+  });
+});
+
+test('a chat completion is answered with its request id', async () => {
+  const { server, served } = createApp();
+  const answer = await server.inject(post(CHAT, chat));
+  assert.is(answer.body, 'lane 4');
+  assert.is(answer.headers['x-request-id'], 'r-1');
+  assert.is(served[0]?.idempotencyKey, null);
+});
+
+test('a route that must run at most once is recognised however it is written', async () => {
+  const { server, served } = createApp();
+  await server.inject(post('/services/proofs/%73ubmissions?a=1', {}));
+  await server.inject(post('/services/proofs/checks', {}));
+  assert.equal(
+    served.map((call) => call.idempotencyKey),
+    ['r-1', null],
+  );
+  assert.is(served[0]?.path, '/%73ubmissions?a=1');
+});
+
+test('a stream that fails half-way ends with an error event, never like a whole one', async () => {
+  const { server } = createApp(async (_call, sink) => {
+    sink.head(200, [{ name: 'content-type', value: 'text/event-stream' }]);
+    await sink.chunk(Buffer.from('data: half\n\n'));
+    return { kind: 'failed', cause: 'upstream-broken', retryAtMs: null, detail: 'lost' };
+  });
+  const answer = await server.inject(post(CHAT, { ...chat, stream: true }));
+  assert.match(answer.body, /^data: half\n\nevent: error\ndata: /);
+  assert.not.match(answer.body, /DONE/);
+});
+
+test('a refusal tells when to come back', async () => {
+  const { server, clock } = createApp(async () => ({
+    kind: 'not-run',
+    cause: 'queue-full',
+    retryAtMs: clock.nowMs() + 2_500,
+    detail: '',
+  }));
+  const answer = await server.inject(post(CHAT, chat));
+  assert.is(answer.statusCode, 429);
+  assert.is(answer.headers['retry-after'], '3');
+});
+
+test('an entry that stops asks for its connections to be closed', async () => {
+  const { server, state } = createApp();
+  state.isStopping = true;
+  const answer = await server.inject({ method: 'GET', url: '/v1/models' });
+  assert.is(answer.headers.connection, 'close');
+});
+
+test.run();
--- a/packages/entry/src/server/calls/app.ts
+++ b/packages/entry/src/server/calls/app.ts
@@ -1,15 +1,44 @@
-/** Registers the callers' routes. */
-import type * as fastify from 'fastify';
+/** The callers' side of the entry: its routes, and typed problems for all that is none. */
+import * as fastify from 'fastify';
 
+import type * as contexts from './context.js';
 import * as handlers from './handlers.js';
+import * as services from './services.js';
 
-type ServiceRequest = fastify.FastifyRequest<{ Params: { name: string } }>;
+export type CallerAppOptions = { maxBodyBytes: number; isStopping: () => boolean };
 
-export function registerCalls(app: fastify.FastifyInstance, deps: handlers.CallDeps): void {
+/** Registers the callers' routes. */
+function registerCalls(app: fastify.FastifyInstance, deps: contexts.CallDeps): void {
   app.post('/v1/chat/completions', (request, reply) => handlers.handleChat(deps, request, reply));
   app.get('/v1/models', (request, reply) => handlers.handleModels(deps, request, reply));
-  const serve = (request: ServiceRequest, reply: fastify.FastifyReply) =>
-    handlers.handleService(deps, request, reply);
-  app.all<{ Params: { name: string } }>('/services/:name', serve);
-  app.all<{ Params: { name: string } }>('/services/:name/*', serve);
+  const serve = (request: fastify.FastifyRequest, reply: fastify.FastifyReply) =>
+    services.handleService(deps, request, reply);
+  app.all('/services/:name', serve);
+  app.all('/services/:name/*', serve);
+}
+
+export function createCallerApp(
+  deps: contexts.CallDeps,
+  options: CallerAppOptions,
+): fastify.FastifyInstance {
+  const app = fastify.fastify({
+    bodyLimit: options.maxBodyBytes,
+    // A URL that cannot be decoded never reaches a route or the error handler.
+    frameworkErrors: (error, _request, reply) => {
+      handlers.handleError(deps, error, reply);
+    },
+  });
+  // Bodies pass to the upstream as they came.
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+  app.setErrorHandler((error: fastify.FastifyError, _request, reply) =>
+    handlers.handleError(deps, error, reply),
+  );
+  app.setNotFoundHandler((request, reply) => handlers.handleNotFound(deps, request, reply));
+  app.addHook('onRequest', async (_request, reply) => {
+    // A balancer that keeps its connections would go on using this entry after it has left.
+    if (options.isStopping()) reply.header('connection', 'close');
+  });
+  registerCalls(app, deps);
+  return app;
 }
--- /dev/null
+++ b/packages/entry/src/server/calls/serve-call.ts
@@ -0,0 +1,106 @@
+/** Serves one call to its caller, whole or streamed, and says in journal, log and metrics how it ended. */
+import type * as http from 'node:http';
+
+import type * as fastify from 'fastify';
+
+import type * as calls from '../../types/calls.js';
+import * as answers from './answers.js';
+import type * as contexts from './context.js';
+import * as sinks from './sinks.js';
+
+function callerGoneSignal(raw: http.ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  raw.once('close', () => {
+    if (!raw.writableEnded) controller.abort();
+  });
+  return controller.signal;
+}
+
+async function serveHeld(
+  deps: contexts.CallDeps,
+  reply: fastify.FastifyReply,
+  call: calls.Call,
+): Promise<calls.Outcome> {
+  const sink = sinks.createHeldSink();
+  const outcome = await deps.serve(call, sink, callerGoneSignal(reply.raw));
+  if (outcome.kind === 'answered') {
+    await answers.sendHeld(reply, sink.answer(), call.requestId, outcome.replayed);
+  } else {
+    await answers.sendRefusal(reply, outcome, call.requestId, deps.clock);
+  }
+  return outcome;
+}
+
+async function serveStreamed(
+  deps: contexts.CallDeps,
+  reply: fastify.FastifyReply,
+  call: calls.Call,
+): Promise<calls.Outcome> {
+  const sink = sinks.createStreamSink(reply.raw, call.requestId);
+  const outcome = await deps.serve(call, sink, callerGoneSignal(reply.raw));
+  if (sink.hasBegun()) {
+    reply.hijack();
+    answers.endStream(reply, outcome, call.requestId);
+  } else if (outcome.kind !== 'answered') {
+    await answers.sendRefusal(reply, outcome, call.requestId, deps.clock);
+  } else {
+    await reply.status(outcome.status).header('x-request-id', call.requestId).send();
+  }
+  return outcome;
+}
+
+function logOutcome(
+  deps: contexts.CallDeps,
+  call: calls.Call,
+  outcome: calls.Outcome,
+  startedAtMs: number,
+) {
+  const cause = outcome.kind === 'answered' ? '' : outcome.cause;
+  const tookMs = Math.round(deps.clock.nowMs() - startedAtMs);
+  deps.log.info('request-ended', {
+    requestId: call.requestId,
+    target: call.target.name,
+    outcome: outcome.kind,
+    cause,
+    tookMs,
+    configVersion: deps.configuration()?.version,
+  });
+  deps.metrics.count('entry.requests', 1, { outcome: outcome.kind, cause });
+  deps.metrics.timing('entry.request_ms', tookMs, { class: call.priorityClass });
+}
+
+export async function serveCall(
+  deps: contexts.CallDeps,
+  reply: fastify.FastifyReply,
+  call: calls.Call,
+  isStreamed: boolean,
+): Promise<void> {
+  const startedAtMs = deps.clock.nowMs();
+  deps.journal.record(call.requestId, 'admitted', {
+    target: call.target.name,
+    priorityClass: call.priorityClass,
+    callerGroup: call.callerGroup,
+    remainingMs: Math.round(call.deadlineMs - startedAtMs),
+  });
+  deps.openCalls.count += 1;
+  try {
+    const outcome = await (isStreamed ? serveStreamed : serveHeld)(deps, reply, call);
+    logOutcome(deps, call, outcome, startedAtMs);
+  } finally {
+    deps.openCalls.count -= 1;
+  }
+}
+
+/** Refuses at once what never became a call. */
+export function refuse(
+  deps: contexts.CallDeps,
+  reply: fastify.FastifyReply,
+  refused: calls.Refusal,
+  requestId: string,
+): fastify.FastifyReply {
+  const cause = refused.kind === 'not-run' ? refused.cause : '';
+  deps.journal.record(requestId, 'refused', { cause });
+  deps.log.info('request-refused', { requestId, cause });
+  deps.metrics.count('entry.requests', 1, { outcome: refused.kind, cause });
+  return answers.sendRefusal(reply, refused, requestId, deps.clock);
+}
--- /dev/null
+++ b/packages/entry/src/server/health/drain.ts
@@ -0,0 +1,35 @@
+/** A planned stop of the entry: it turns callers away first, and ends when the last has its answer. */
+import { clocks, type logs } from '@copperlever/runtime';
+
+export type DrainDeps = {
+  clock: clocks.Clock;
+  log: logs.Logger;
+  /** From now on `/readyz` says no. */
+  turnReadyOff: () => void;
+  leaveMembership: () => void;
+  openCallCount: () => number;
+  /** Claims whose outcome is not written yet. */
+  pendingClaimCount: () => number;
+  timeoutMs: number;
+};
+
+/** The balancer asks `/readyz` again within this time and sends no more callers. */
+export const BALANCER_NOTICE_MS = 2_000;
+const CHECK_MS = 50;
+
+/**
+ * Callers that come before the balancer has noticed are served as ever. Requests in flight are cut off
+ * only at the timeout, which an operator sets above the longest deadline.
+ */
+export async function drain(deps: DrainDeps): Promise<void> {
+  const { clock } = deps;
+  const deadlineMs = clock.nowMs() + deps.timeoutMs;
+  deps.turnReadyOff();
+  deps.leaveMembership();
+  await clocks.sleepUntil(clock, clock.nowMs() + BALANCER_NOTICE_MS);
+  while (deps.openCallCount() + deps.pendingClaimCount() > 0 && clock.nowMs() < deadlineMs) {
+    await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
+  }
+  const openCallCount = deps.openCallCount();
+  if (openCallCount > 0) deps.log.error('drain-timed-out', { openCallCount });
+}
--- a/packages/entry/src/server/requests/serve.ts
+++ b/packages/entry/src/server/requests/serve.ts
@@ -1,10 +1,9 @@
 /** The life of one request: route, claim where it must, dispatch, retry, and end truthfully. */
 import type * as claimTypes from '@copperlever/coordination/claims/types';
-import { clocks, type logs, type metrics as metricsModule } from '@copperlever/runtime';
+import type { logs } from '@copperlever/runtime';
 
 import * as dispatchRequests from '../../shared/dispatch-requests.js';
 import * as endings from '../../shared/endings.js';
-import type * as retryBudgets from '../../shared/retry-budget.js';
 import type * as suspectsModule from '../../shared/suspects.js';
 import type * as calls from '../../types/calls.js';
 import type * as links from '../../types/links.js';
@@ -12,16 +11,15 @@
 import * as attempts from './attempt.js';
 import * as join from './join.js';
 import * as once from './once.js';
+import * as retries from './retries.js';
 import * as routes from './routes.js';
 import * as withdrawals from './withdraw.js';
 
-export type ServeDeps = routes.RoutesDeps &
+export type ServeDeps = retries.RetryDeps &
   join.JoinDeps & {
     log: logs.Logger;
-    metrics: metricsModule.Metrics;
     claims: claimTypes.Claims;
     suspects: suspectsModule.Suspects;
-    retryBudget: retryBudgets.RetryBudget;
     entryId: string;
   };
 
@@ -31,87 +29,14 @@
   callerGone: AbortSignal,
 ) => Promise<calls.Outcome>;
 
-/** Attempts before the caller is told to come back; the budget ends them sooner under load. */
-const MAX_ATTEMPTS = 6;
 /** How often a resend follows a claim that others keep changing. */
 const MAX_FOLLOWS = 4;
-/** A retry with less time than this left would only be refused. */
-const LEAST_REMAINING_MS = 20;
 
 const { done } = runs;
 
 export function createServe(deps: ServeDeps): Serve {
   const { clock, journal, settlements, suspects } = deps;
 
-  function factsOf(run: runs.Run): endings.Facts {
-    const { call } = run;
-    return {
-      nowMs: clock.nowMs(),
-      isOnce: call.idempotencyKey !== null,
-      hasCallerKey: call.idempotencyKey !== null && call.idempotencyKey !== call.requestId,
-      hasBegun: run.sink.hasBegun(),
-      crashCount: run.crashCount,
-      soonestRetryMs: run.soonestRetryMs,
-    };
-  }
-
-  /** Ends the request; a claim is told what a resend need not ask the agent for. */
-  function end(run: runs.Run, ending: calls.Refusal): runs.Step {
-    const outcome = endings.truthful(ending, run.earlierEnding);
-    if (run.held !== null && outcome.kind !== 'unknown') {
-      const kind = outcome.kind === 'not-run' ? 'refused' : 'failed';
-      settlements.settle(run.held, { kind, cause: outcome.cause }, () => {});
-    }
-    return done(outcome);
-  }
-
-  async function waitForAny(run: runs.Run): Promise<links.AgentTarget | null> {
-    const untilMs = run.soonestRetryMs ?? clock.nowMs() + endings.DEFAULT_RETRY_MS;
-    if (untilMs + LEAST_REMAINING_MS >= run.call.deadlineMs) return null;
-    await clocks.sleepUntil(clock, untilMs, run.callerGone);
-    run.excludedIds.clear();
-    run.soonestRetryMs = null;
-    return routes.choose(deps, run);
-  }
-
-  function hasTimeLeft(run: runs.Run): boolean {
-    return (
-      run.attemptCount < MAX_ATTEMPTS &&
-      clock.nowMs() + LEAST_REMAINING_MS < run.call.deadlineMs &&
-      !run.callerGone.aborted
-    );
-  }
-
-  function again(run: runs.Run, target: links.AgentTarget, verdict: endings.Verdict): runs.Step {
-    const { cause } = verdict.ending;
-    journal.record(run.call.requestId, 'retried', { cause, agentId: target.agentId });
-    deps.metrics.count('entry.retries', 1, { cause });
-    return { kind: 'again', target };
-  }
-
-  /** Tries once more where the verdict, the deadline and the budget allow it. */
-  async function retryOrEnd(
-    run: runs.Run,
-    target: links.AgentTarget,
-    verdict: endings.Verdict,
-  ): Promise<runs.Step> {
-    if (verdict.ending.kind !== 'not-run') run.earlierEnding = verdict.ending;
-    if (verdict.retry === 'no' || !hasTimeLeft(run)) return end(run, verdict.ending);
-    if (verdict.retry === 'follow-claim') {
-      return run.held === null ? end(run, verdict.ending) : followAgain(run);
-    }
-    if (verdict.retry === 'same-agent') {
-      const renewed = routes.choose(deps, run) ?? target;
-      return again(run, renewed, verdict);
-    }
-    run.excludedIds.add(target.agentId);
-    if (!deps.retryBudget.tryTake(clock.nowMs())) return end(run, verdict.ending);
-    const other = routes.choose(deps, run);
-    if (other !== null) return again(run, other, verdict);
-    const waited = verdict.retry === 'wait' ? await waitForAny(run) : null;
-    return waited === null ? end(run, verdict.ending) : again(run, waited, verdict);
-  }
-
   function noteRefusal(run: runs.Run, retryAtMs: number): void {
     run.soonestRetryMs = Math.min(run.soonestRetryMs ?? retryAtMs, retryAtMs);
   }
@@ -156,27 +81,45 @@
     switch (result.kind) {
       case 'refused':
         noteRefusal(run, result.retryAtMs);
-        return retryOrEnd(run, target, endings.afterRefusal(factsOf(run), result));
+        return retries.retryOrEnd(
+          deps,
+          run,
+          target,
+          endings.afterRefusal(retries.factsOf(deps, run), result),
+        );
       case 'failed': {
         const quarantined = result.upstreamCrashed ? afterCrash(run) : null;
-        if (quarantined !== null) return end(run, quarantined);
+        if (quarantined !== null) return retries.end(deps, run, quarantined);
         // The upstream would go on for nobody.
         if (result.cause === 'answer-too-large')
           await withdrawals.withdraw(deps, dispatch, !isOnce);
-        return retryOrEnd(run, target, endings.afterFailure(factsOf(run), result));
+        return retries.retryOrEnd(
+          deps,
+          run,
+          target,
+          endings.afterFailure(retries.factsOf(deps, run), result),
+        );
       }
       case 'lost': {
         const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce);
-        const verdict = endings.afterLoss(factsOf(run), result.detail, withdrawal);
-        return retryOrEnd(run, target, verdict);
+        const verdict = endings.afterLoss(retries.factsOf(deps, run), result.detail, withdrawal);
+        return retries.retryOrEnd(deps, run, target, verdict);
       }
       case 'deadline-passed': {
         // The caller is held back a little longer: "not run" needs the agent's word.
         const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce);
-        return end(run, endings.afterDeadline(factsOf(run), withdrawal));
+        return retries.end(
+          deps,
+          run,
+          endings.afterDeadline(retries.factsOf(deps, run), withdrawal),
+        );
       }
       case 'caller-gone':
-        return end(run, endings.afterCallerGone(await withdrawals.withdraw(deps, dispatch, true)));
+        return retries.end(
+          deps,
+          run,
+          endings.afterCallerGone(await withdrawals.withdraw(deps, dispatch, true)),
+        );
     }
   }
 
@@ -257,7 +200,8 @@
 
   function nowhere(run: runs.Run): runs.Step {
     const retryAtMs = clock.nowMs() + endings.DEFAULT_RETRY_MS;
-    return end(
+    return retries.end(
+      deps,
       run,
       endings.notRun('no-upstream', retryAtMs, `no agent for ${run.call.target.name}`),
     );
@@ -276,7 +220,9 @@
   return async (call, sink, callerGone) => {
     const run = runs.createRun(call, sink, callerGone);
     let next = await begin(run);
-    while (next.kind === 'again') next = await step(run, next.target);
+    while (next.kind !== 'done') {
+      next = next.kind === 'follow' ? await followAgain(run) : await step(run, next.target);
+    }
     const { outcome } = next;
     const cause = outcome.kind === 'answered' ? '' : outcome.cause;
     journal.record(call.requestId, 'outcome', { outcome: outcome.kind, cause });
--- a/packages/entry/src/server/requests/settlements.ts
+++ b/packages/entry/src/server/requests/settlements.ts
@@ -20,8 +20,6 @@
     onSettled: () => void,
   ) => void;
   pendingCount: () => number;
-  /** Resolves when nothing is pending, or at the deadline. */
-  drain: (deadlineMs: number) => Promise<void>;
 };
 
 const TRY_TIMEOUT_MS = 5_000;
@@ -31,7 +29,6 @@
 const GIVE_UP_MS = 600_000;
 /** Each keeps an answer of up to a few hundred kilobytes in memory. */
 const MAX_PENDING = 200;
-const DRAIN_CHECK_MS = 50;
 
 export function createSettlements(deps: SettlementsDeps): Settlements {
   const { clock, claims, log, metrics } = deps;
@@ -83,10 +80,5 @@
       void run(held, outcome, onSettled);
     },
     pendingCount: () => pendingCount,
-    drain: async (deadlineMs) => {
-      while (pendingCount > 0 && clock.nowMs() < deadlineMs) {
-        await clocks.sleepUntil(clock, clock.nowMs() + DRAIN_CHECK_MS);
-      }
-    },
   };
 }
--- a/packages/entry/src/types/runs.ts
+++ b/packages/entry/src/types/runs.ts
@@ -32,7 +32,12 @@
 };
 
 export type Step =
-  { kind: 'done'; outcome: calls.Outcome } | { kind: 'again'; target: links.AgentTarget };
+  | { kind: 'done'; outcome: calls.Outcome }
+  | { kind: 'again'; target: links.AgentTarget }
+  /** Another request took the claim over: its answer is this one's as well. */
+  | { kind: 'follow' };
+
+export const FOLLOW: Step = { kind: 'follow' };
 
 export function createRun(call: calls.Call, sink: calls.AnswerSink, callerGone: AbortSignal): Run {
   return {
