--- a/packages/decisions/src/queues.ts
+++ b/packages/decisions/src/queues.ts
@@ -14,8 +14,11 @@
 export type WorkQueue = {
   /** Admits `item` to the queue or refuses it at once. */
   admit: (item: types.WorkItem, nowMs: number) => Admission;
-  /** Takes the work that should start now; null when no slot is free or nothing waits. */
-  startNext: (nowMs: number) => types.WorkItem | null;
+  /**
+   * Takes the work that should start now; null when no slot is free or nothing waits. Work for which
+   * `isReady` is false, such as work whose model still loads, keeps its place and does not start.
+   */
+  startNext: (nowMs: number, isReady?: (item: types.WorkItem) => boolean) => types.WorkItem | null;
   /** Waiting work whose deadline can no longer be met; it leaves the queue and must be answered. */
   takeExpired: (nowMs: number) => types.WorkItem[];
   /** Withdraws waiting work; false when it does not wait. */
@@ -74,10 +77,12 @@
       waiting.sort(compareUrgency);
       return { kind: 'admit', predictedWaitMs };
     },
-    startNext: (nowMs) => {
+    startNext: (nowMs, isReady = () => true) => {
       if (running.size >= slotCount) return null;
-      const item = waiting.shift() ?? null;
-      if (item !== null) running.set(item.id, { item, startedAtMs: nowMs });
+      const item = waiting.find(isReady);
+      if (item === undefined) return null;
+      waiting = waiting.filter((other) => other !== item);
+      running.set(item.id, { item, startedAtMs: nowMs });
       return item;
     },
     takeExpired: (nowMs) => {
