Find lost failure domains and heal region cuts fast

Excluded: shorter probe periods, which cost bytes at all times. Change: whoever finds a silent member probes two more of its domain; a process that starts asks again twice; the answer to a probe carries a refutation; members that a peer calls alive and this process dead are asked themselves; views that agree with nobody's for 15 s are compared also in a storm.

--- a/packages/bench/src/control/main.ts
+++ b/packages/bench/src/control/main.ts
@@ -5,6 +5,7 @@
 
 import * as fleets from './fleet.js';
 import * as platforms from './platform.js';
+import * as pureRun from './pure-run.js';
 import * as scenarios from './scenarios.js';
 
 type Options = {
@@ -14,6 +15,7 @@
   basePort: number;
   journalEvents: number;
   only?: string;
+  pure?: number;
 };
 
 const WARM_UP_MS = 15_000;
@@ -31,6 +33,7 @@
   .option('--patches <count>', 'patches made one after the other', parseCount, 5)
   .option('--base-port <port>', 'the first of the ports used', parseCount, 21_000)
   .option('--journal-events <count>', 'journal events a second of each daemon', parseCount, 0)
+  .option('--pure <members>', 'no processes: this many members on a virtual clock', parseCount)
   .option('--only <part>', 'steady: no faults; idle: processes without membership')
   .parse();
 const options = program.opts<Options>();
@@ -69,6 +72,14 @@
   if (options.only === undefined) await runFaults(fleet, platform);
 }
 
+if (options.pure !== undefined) {
+  const members = options.pure;
+  await pureRun.runPure(members, (part, result) => {
+    console.log(JSON.stringify({ bench: 'control', pureMembers: members, part, result }));
+  });
+  process.exit(0);
+}
+
 const platform = await platforms.startPlatform(options.basePort - 2, options.basePort - 1);
 const fleet = fleets.createFleet({
   count: options.daemons,
--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -53,11 +53,26 @@
 const PUSHES_PER_SECOND = 1;
 const PUSH_BURST = 24;
 
+/**
+ * Members share racks and power: where one is down, others may be. Whoever finds one that does not
+ * answer looks at two more of its failure domain at once, so that a lost domain is found within
+ * about a second instead of after many rounds of probes.
+ */
+const NEIGHBOURS_PROBED = 2;
+
+/** Members that a peer calls alive and this process dead are asked themselves, this many at once. */
+const CONTESTED_PROBED = 8;
+
 /** How often an address is tried where a member may have come back, for example after a cut. */
 const REJOIN_PERIOD_MS = 15_000;
 /** A process that has just started tries more often: its seeds may be starting as well. */
 const FIRST_REJOIN_MS = 1_000;
 const JOIN_TIMEOUT_MS = 2_000;
+/**
+ * Until others know a process that has just started, their news does not come to it. So it asks
+ * again for what it missed, when they have heard of it.
+ */
+const ASK_AGAIN_AFTER_MS = [1_000, 4_000] as const;
 const JOIN_ATTEMPTS = 4;
 
 export function createMembership(options: MembershipOptions): DrivenMembership {
@@ -115,6 +130,7 @@
 
   function learn(reply: peer.ListMembersReply): void {
     applyAll(reply.members, 'view');
+    probeContested(reply.members);
     learnNotices(reply.notices);
     if (reply.configVersion > 0) options.onConfigVersion(reply.configVersion, reply.fromId);
   }
@@ -158,12 +174,40 @@
     const tookMs = clock.nowMs() - startedMs;
     if (tookMs > PROBE_TIMEOUT_MS + INDIRECT_TIMEOUT_MS + limits.probePeriodMs) return;
     if (!state.suspect(target.memberId, clock.nowMs())) return;
+    probeNeighbours(target);
     log.warn('member-suspected', { member: target.memberId, address: target.address });
     sync.noteChange();
     pushNews();
     onChange();
   }
 
+  function probeNeighbours(target: types.Member): void {
+    const neighbours = state
+      .members()
+      .filter((member) => member.failureDomain === target.failureDomain)
+      .filter((member) => member.status === 'alive' && member.memberId !== state.self().memberId);
+    for (const neighbour of randoms.sample(random, neighbours, NEIGHBOURS_PROBED)) {
+      if (pushBudget.tryTake()) void probe(neighbour);
+    }
+  }
+
+  /**
+   * Failure: a cut between regions is over, but each side holds the other for dead. Symptom: half
+   * of the upstreams get no work. Enough, because a member that is asked hears of its death, and
+   * its refutation is in its answer; each process asks a few, and all together ask everyone.
+   */
+  function probeContested(members: readonly peer.MemberUpdate[]): void {
+    const dead = new Set(state.dead().map((member) => member.memberId));
+    const contested = members
+      .map(messages.fromUpdate)
+      .filter((member) => member.status === 'alive' && dead.has(member.memberId));
+    for (const member of randoms.sample(random, contested, CONTESTED_PROBED)) {
+      if (!pushBudget.tryTake()) return;
+      state.repeat(member.memberId);
+      void exchange(member.address, null);
+    }
+  }
+
   function expire(): void {
     if (!state.expire(clock.nowMs())) return;
     log.warn('member-dead', { memberCount: state.members().length });
@@ -217,7 +261,16 @@
       const lost = state.dead().find((member) => member.address === address);
       if (lost !== undefined) state.repeat(lost.memberId);
       state.repeat(state.self().memberId);
-      await exchange(address, null);
+      const isBack = await exchange(address, null);
+      if (isBack && lost !== undefined) await sync.fetchFrom(lost.memberId);
+    }
+  }
+
+  function askAgain(): void {
+    for (const afterMs of ASK_AGAIN_AFTER_MS) {
+      clock.schedule(clock.nowMs() + afterMs * (0.75 + 0.5 * random.fraction()), () => {
+        if (!stopping.signal.aborted) void sync.fetchSoon();
+      });
     }
   }
 
@@ -232,6 +285,7 @@
       break;
     }
     pushNews();
+    askAgain();
   }
 
   return {
@@ -269,7 +323,10 @@
       probe: (message) => {
         // The answer is made first: it must not return what the message has just brought.
         const reply = createMessage();
+        const { revision } = state.self();
         takeIn(message);
+        const self = state.self();
+        if (self.revision !== revision) reply.updates.push(messages.toUpdate(self));
         return reply;
       },
       probeIndirectly: async (request) => {
--- a/packages/coordination/src/membership/view-sync.ts
+++ b/packages/coordination/src/membership/view-sync.ts
@@ -22,11 +22,17 @@
   noteChange: () => void;
   /** Looks at the view hash of a message; fetches if the views have differed for too long. */
   compare: (message: peer.ProbeMessage) => void;
+  /** Fetches what differs from the member's view. */
+  fetchFrom: (memberId: string) => Promise<void>;
+  /** The same from one random member. */
+  fetchSoon: () => Promise<void>;
   answer: (request: peer.ListMembersRequest, configVersion: number) => peer.ListMembersReply;
 };
 
 /** While updates are on their way, views differ without harm. */
-const SETTLED_AFTER_MS = 10_000;
+const SETTLED_AFTER_MS = 5_000;
+/** In a storm a view never settles; if it agreed with nobody's for this long, it is compared. */
+const DIFFERENT_AFTER_MS = 15_000;
 /** One difference may be the peer's; three in a row are more likely this process's own. */
 const DIFFERENCES_BEFORE_SYNC = 3;
 /** With views that differ for good, for example on both sides of a half-open path. */
@@ -41,6 +47,7 @@
 export function createViewSync(options: ViewSyncOptions): ViewSync {
   const { state, board, transport, clock, random } = options;
   let changedAtMs = clock.nowMs();
+  let agreedAtMs = clock.nowMs();
   let differenceCount = 0;
   let nextSyncAtMs = clock.nowMs();
 
@@ -60,16 +67,24 @@
     compare: (message) => {
       if (message.viewHash === state.viewHash()) {
         differenceCount = 0;
+        agreedAtMs = clock.nowMs();
         return;
       }
       differenceCount += 1;
       const nowMs = clock.nowMs();
       const isSettled = nowMs >= changedAtMs + SETTLED_AFTER_MS;
-      if (!isSettled || differenceCount < DIFFERENCES_BEFORE_SYNC || nowMs < nextSyncAtMs) return;
+      const isOverdue = nowMs >= agreedAtMs + DIFFERENT_AFTER_MS;
+      if (!isSettled && !isOverdue) return;
+      if (differenceCount < DIFFERENCES_BEFORE_SYNC || nowMs < nextSyncAtMs) return;
       differenceCount = 0;
       nextSyncAtMs = nowMs + SYNC_PERIOD_MS * (0.5 + random.fraction());
       void fetchFrom(message.fromId);
     },
+    fetchFrom,
+    fetchSoon: async () => {
+      const [other] = state.sampleOthers(1);
+      if (other !== undefined) await fetchFrom(other.memberId);
+    },
     answer: (request, configVersion) => {
       const own = state.bucketHashes();
       const isWanted = (member: types.Member) => {
