Add claims in buckets and an example that others can run

Cause: one write for each claim breaks the write rate of the object API at a few hundred claims a second; and the library needs an example to be embedded. Excluded: a wait before the second look after a conflict, since mostly another process was just first. Change: claims hashed into buckets, where all that waits for a bucket shares one conditional write; operations know themselves by their nonces, and nobody is told taken or lost without a fresh read. A fleet without any configuration asks for the first ever more seldom.

--- /dev/null
+++ b/packages/coordination/src/claims/bucketed-claims.ts
@@ -0,0 +1,205 @@
+/**
+ * Claims hashed into buckets, one object for each bucket: all operations that wait for a bucket are
+ * committed by one write. Pays where many claims a second meet in few processes; see
+ * docs/CAPACITY.md for the measured rates.
+ */
+import { clocks, hashes, results } from '@copperlever/runtime';
+import type { randoms } from '@copperlever/runtime';
+
+import * as nonces from '../nonces.js';
+import * as resilientStore from '../object-store/resilient-store.js';
+import type * as objectStore from '../object-store/types.js';
+
+import * as bucketState from './bucket-state.js';
+import type * as types from './types.js';
+
+export type BucketedClaimsOptions = {
+  store: types.ClaimStore;
+  clock: clocks.Clock;
+  random: randoms.Random;
+  bucketCount: number;
+  /** How long a settled claim is kept; a bucket must hold all claims of this time. */
+  keepMs: number;
+};
+
+type Waiting = {
+  operation: bucketState.Operation;
+  deadlineMs: number;
+  answer: (decision: bucketState.Decision | types.ClaimError) => void;
+};
+
+type BucketLane = {
+  key: string;
+  waiting: Waiting[];
+  isCommitting: boolean;
+  /** The bucket as last read or written, and its version; null when it has to be read. */
+  known: { value: Buffer | null; version: number } | null;
+};
+
+const RETRY_AFTER_MS = 1_000;
+const EMPTY: bucketState.Bucket = { nonce: '', claims: {} };
+
+function parse(value: Buffer | null): bucketState.Bucket {
+  if (value === null) return structuredClone(EMPTY);
+  return JSON.parse(value.toString('utf8')) as bucketState.Bucket;
+}
+
+export function createBucketedClaims(options: BucketedClaimsOptions): types.Claims {
+  const { store, clock, random, bucketCount } = options;
+  const lanes = new Map<number, BucketLane>();
+
+  function laneOf(key: string): BucketLane {
+    const index = hashes.hash32(key) % bucketCount;
+    const known = lanes.get(index);
+    if (known !== undefined) return known;
+    const lane = {
+      key: `claim-buckets/${bucketCount}/${index}`,
+      waiting: [],
+      isCommitting: false,
+      known: null,
+    };
+    lanes.set(index, lane);
+    return lane;
+  }
+
+  function unavailable(retryAtMs = clock.nowMs() + RETRY_AFTER_MS): types.ClaimError {
+    return { kind: 'store-unavailable', retryAtMs };
+  }
+
+  async function readInto(lane: BucketLane, deadlineMs: number): Promise<boolean> {
+    const read = await store.get(lane.key, deadlineMs);
+    if (read.err) return false;
+    lane.known = { value: read.val?.value ?? null, version: read.val?.version ?? 0 };
+    return true;
+  }
+
+  /** Answers what waited too long; a claim that lands later names a target that was never used. */
+  function dropExpired(lane: BucketLane): void {
+    const nowMs = clock.nowMs();
+    const expired = lane.waiting.filter((item) => item.deadlineMs <= nowMs);
+    lane.waiting = lane.waiting.filter((item) => item.deadlineMs > nowMs);
+    for (const item of expired) item.answer(unavailable());
+  }
+
+  /** One attempt at the whole batch; undefined when it has to be tried again. */
+  async function attempt(
+    lane: BucketLane,
+    batch: readonly Waiting[],
+    deadlineMs: number,
+  ): Promise<bucketState.Decision[] | undefined> {
+    const isFresh = lane.known === null;
+    if (lane.known === null && !(await readInto(lane, deadlineMs))) return undefined;
+    const { value, version } = lane.known ?? { value: null, version: 0 };
+    const bucket = parse(value);
+    const decisions = batch.map((item) => bucketState.apply(bucket, item.operation));
+    const isSettled = decisions.every((decision) => decision.kind === 'done');
+    if (!isSettled && !isFresh) {
+      // What is known here may be old: nobody is told "taken" or "lost" without a fresh read.
+      lane.known = null;
+      return attempt(lane, batch, deadlineMs);
+    }
+    const isChanged = decisions.some((decision) => decision.kind === 'done' && decision.isChanged);
+    if (!isChanged) return decisions;
+    bucketState.prune(bucket, clock.wallMs() - options.keepMs);
+    bucket.nonce = nonces.createNonce(random);
+    const next = Buffer.from(JSON.stringify(bucket));
+    const condition: objectStore.WriteCondition =
+      value === null ? { kind: 'absent' } : { kind: 'version', version };
+    const done = await store.put(lane.key, next, condition, deadlineMs);
+    lane.known = done.ok ? { value: next, version: done.val } : null;
+    return done.ok ? decisions : undefined;
+  }
+
+  /** Operations know themselves again by their nonces, so a batch may be tried any number of times. */
+  async function commit(lane: BucketLane, batch: readonly Waiting[]): Promise<void> {
+    const deadlineMs = Math.max(...batch.map((item) => item.deadlineMs));
+    for (let count = 1; clock.nowMs() < deadlineMs; count += 1) {
+      const decisions = await attempt(lane, batch, deadlineMs);
+      if (decisions !== undefined) {
+        batch.forEach((item, index) => item.answer(decisions[index] ?? unavailable()));
+        return;
+      }
+      // Mostly another process was first: one more look settles it without a wait.
+      if (count === 1) continue;
+      const retryAtMs = clock.nowMs() + resilientStore.backoffMs(count - 1, random);
+      await clocks.sleepUntil(clock, Math.min(retryAtMs, deadlineMs));
+    }
+    for (const item of batch) item.answer(unavailable());
+  }
+
+  /** One batch of a bucket at a time; what comes meanwhile goes into the next. */
+  async function drain(lane: BucketLane): Promise<void> {
+    if (lane.isCommitting) return;
+    lane.isCommitting = true;
+    for (;;) {
+      dropExpired(lane);
+      const batch = lane.waiting;
+      lane.waiting = [];
+      if (batch.length === 0) break;
+      await commit(lane, batch);
+    }
+    lane.isCommitting = false;
+  }
+
+  function enqueue(
+    operation: bucketState.Operation,
+    deadlineMs: number,
+  ): Promise<bucketState.Decision | types.ClaimError> {
+    const lane = laneOf(operation.claim.key);
+    const answer = new Promise<bucketState.Decision | types.ClaimError>((resolve) => {
+      lane.waiting.push({ operation, deadlineMs, answer: resolve });
+    });
+    void drain(lane);
+    return clocks
+      .raceDeadline(clock, deadlineMs, answer)
+      .then((decision) => (decision === 'deadline' ? unavailable() : decision));
+  }
+
+  async function change(
+    held: types.HeldClaim,
+    fields: Partial<types.Claim>,
+    deadlineMs: number,
+  ): Promise<results.Result<types.HeldClaim, types.ClaimError>> {
+    const claim = { ...held.claim, ...fields, nonce: nonces.createNonce(random) };
+    const decision = await enqueue({ kind: 'change', held, claim }, deadlineMs);
+    switch (decision.kind) {
+      case 'done':
+        return results.Ok(decision.held);
+      case 'taken':
+      case 'lost':
+        return results.Err({ kind: 'lost' });
+      case 'store-unavailable':
+        return results.Err(decision);
+    }
+  }
+
+  return {
+    claim: async (wanted, deadlineMs) => {
+      const fresh = {
+        nonce: nonces.createNonce(random),
+        outcome: null,
+        createdAtMs: clock.wallMs(),
+      };
+      const operation = { kind: 'claim' as const, claim: { ...wanted, ...fresh } };
+      const decision = await enqueue(operation, deadlineMs);
+      switch (decision.kind) {
+        case 'done':
+          return results.Ok({ kind: 'held', held: decision.held });
+        case 'taken':
+          return results.Ok({ kind: 'taken', held: decision.held });
+        case 'lost':
+          return results.Err({ kind: 'lost' });
+        case 'store-unavailable':
+          return results.Err(decision);
+      }
+    },
+    retarget: (held, next, deadlineMs) => change(held, { ...next, outcome: null }, deadlineMs),
+    settle: (held, outcome, deadlineMs) => change(held, { outcome }, deadlineMs),
+    read: async (key, deadlineMs) => {
+      const read = await store.get(laneOf(key).key, deadlineMs);
+      if (read.ok) return results.Ok(parse(read.val?.value ?? null).claims[key] ?? null);
+      const retryAtMs = read.val.kind === 'unavailable' ? read.val.retryAtMs : undefined;
+      return results.Err(unavailable(retryAtMs));
+    },
+  };
+}
--- a/packages/coordination/src/config/config-follower.ts
+++ b/packages/coordination/src/config/config-follower.ts
@@ -44,8 +44,12 @@
  * processes make two reads a second of it.
  */
 const SAFETY_READ_MS = 600_000;
-/** Before the first version, the object store is asked this often. */
+/**
+ * Before the first version, the object store is asked this often, then ever more seldom: a fleet of
+ * 1,140 that has no configuration yet makes 70 reads a second of it, and gossip tells of the first.
+ */
 const FIRST_READ_MS = 2_000;
+const FIRST_READ_MAX_MS = 16_000;
 
 export function createConfigFollower<Document>(
   options: ConfigFollowerOptions<Document>,
@@ -155,11 +159,13 @@
 
   async function run(): Promise<void> {
     let revision = 0;
+    let firstReadMs = FIRST_READ_MS;
     let safetyReadAtMs = clock.nowMs() + SAFETY_READ_MS * random.fraction();
     while (!stopping.signal.aborted) {
       if (held === null) {
         await takeFirst();
-        if (held === null) await pause(FIRST_READ_MS * (0.5 + random.fraction()));
+        if (held === null) await pause(firstReadMs * (0.5 + random.fraction()));
+        firstReadMs = Math.min(FIRST_READ_MAX_MS, firstReadMs * 2);
       } else if (options.isWatcher()) {
         revision = await watchOnce(revision);
       } else {
--- /dev/null
+++ b/packages/coordination/src/examples/main.ts
@@ -0,0 +1,7 @@
+/** Runs the example of the README and prints what it saw. */
+import * as embed from './embed.js';
+
+const FIRST_PORT = 29_400;
+
+console.log(JSON.stringify(await embed.runExample(FIRST_PORT)));
+process.exit(0);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,5 +1,6 @@
 /** Coordination parts that can be embedded one by one; each takes its ports as arguments. */
 export * as auditTrail from './config/audit-trail.js';
+export * as bucketedClaims from './claims/bucketed-claims.js';
 export * as claims from './claims/claims.js';
 export * as claimTypes from './claims/types.js';
 export * as configFollower from './config/config-follower.js';
