Run the request journey through a fault matrix

Red are: - failed told for a submission that was done: an agent that was replaced, a dispatch that came late or a connection that went silent answers a resume with attempt-unknown, which the entry took for a failed run (agent killed, message late, connection silent, engine ignores fencing); - failed told for a submission whose upstream had done it and lost its answer; - status 500 to the caller when the head of an answer is lost or overtaken; - status 404 to the caller from an engine that restarted and lost its models; - a request that crashes engines crashes six: nothing remembers it when it is sent again.

--- /dev/null
+++ b/packages/proofs/src/matrix/faults.ts
@@ -0,0 +1,177 @@
+/** The faults of the brief, each as something that is done to a fleet at one instant. */
+import type * as fleets from '../harness/fleet.js';
+import type * as networks from '../harness/network.js';
+import * as upstreams from '../harness/upstreams.js';
+import * as stops from './stops.js';
+
+/** Where a fault strikes. */
+export type Scene = {
+  fleet: fleets.Fleet;
+  /** The entry that was asked first. */
+  entryId: string;
+  /** The upstream whose agent has the request, or would have it. */
+  upstreamId: string;
+  /** How many messages the message faults take. */
+  messageCount: number;
+  /** A word that no other use of this scene has. */
+  mark: string;
+};
+
+export type Fault = {
+  name: string;
+  /** The request itself crashes the engines that run it. */
+  isPoison?: true;
+  /** Why the fault has no meaning at a step. */
+  unfit?: (step: string) => string | null;
+  strike: (scene: Scene) => void;
+};
+
+const PAUSE_MS = 30_000;
+const REPLACE_AFTER_MS = 3_000;
+const STORE_FAULT_MS = 10_000;
+const SLOW_MS = 400;
+const LATE_MS = 2_500;
+const SECOND_COPY_MS = 400;
+const OVERTAKEN_MS = 50;
+const LOST_ANSWERS = 2;
+const RETRY_AFTER_MS = 1_000;
+
+const CONTROL_KINDS = ['probe', 'list-members', 'fetch-config'];
+
+function after(scene: Scene, waitMs: number, task: () => void): void {
+  scene.fleet.clock.schedule(scene.fleet.clock.nowMs() + waitMs, task);
+}
+
+function isOfRequest(message: networks.Message): boolean {
+  return !CONTROL_KINDS.some((kind) => message.kind.startsWith(kind));
+}
+
+/** Does something to the next messages of the request path. */
+function disturbMessages(scene: Scene, delaysOf: (index: number) => readonly number[]): void {
+  let index = 0;
+  scene.fleet.network.addFate((message) => {
+    if (!isOfRequest(message) || index >= scene.messageCount) return null;
+    index += 1;
+    return delaysOf(index);
+  });
+}
+
+function killEntry({ fleet, entryId }: Scene): void {
+  const entry = fleet.entries.get(entryId);
+  if (entry !== undefined) fleet.kill(entry.process);
+}
+
+function killAgent({ fleet, upstreamId }: Scene): void {
+  const agent = fleet.agents.get(upstreamId);
+  if (agent !== undefined) fleet.kill(agent.process);
+}
+
+function replaceAgent(scene: Scene): void {
+  killAgent(scene);
+  after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startAgent(scene.upstreamId));
+}
+
+function breakStore(scene: Scene, fault: Parameters<fleets.Fleet['store']['setFault']>[0]): void {
+  scene.fleet.store.setFault(fault);
+  after(scene, STORE_FAULT_MS, () => scene.fleet.store.setFault({ kind: 'none' }));
+}
+
+/** Two operators patch the same version; the request must not notice. */
+function raceOperators({ fleet, mark }: Scene): void {
+  const entries = [...fleet.entries.values()].filter((entry) => entry.process.isRunning());
+  entries.forEach((entry, index) => {
+    const current = entry.parts.control.follower.current();
+    if (current === null) return;
+    const { version, document } = current;
+    const policy = { ...document.policy, moveCostMs: document.policy.moveCostMs + 1 + index };
+    const patch = { policy };
+    void entry.parts.control.config.submit(
+      {
+        operator: `${mark}-${index}`,
+        patch,
+        againstVersion: version,
+        document: { ...document, policy },
+      },
+      fleet.clock.nowMs() + 5_000,
+    );
+  });
+}
+
+export const FAULTS: readonly Fault[] = [
+  {
+    name: 'entry killed',
+    strike: (scene) => {
+      killEntry(scene);
+      after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startEntry(scene.entryId));
+    },
+  },
+  { name: 'agent killed', strike: replaceAgent },
+  {
+    name: 'entry paused past its lease',
+    strike: (scene) => {
+      const process = scene.fleet.entries.get(scene.entryId)?.process;
+      process?.pause();
+      after(scene, PAUSE_MS, () => process?.resume());
+    },
+  },
+  {
+    name: 'agent paused past its lease',
+    strike: (scene) => {
+      const process = scene.fleet.agents.get(scene.upstreamId)?.process;
+      process?.pause();
+      after(scene, PAUSE_MS, () => process?.resume());
+    },
+  },
+  { name: 'message lost', strike: (scene) => disturbMessages(scene, () => []) },
+  { name: 'message late', strike: (scene) => disturbMessages(scene, () => [LATE_MS]) },
+  {
+    name: 'message twice',
+    strike: (scene) => disturbMessages(scene, () => [1, SECOND_COPY_MS]),
+  },
+  {
+    name: 'messages out of order',
+    strike: (scene) => disturbMessages(scene, (index) => [index % 2 === 1 ? OVERTAKEN_MS : 1]),
+  },
+  { name: 'connection silent for good', strike: ({ fleet }) => fleet.network.silence() },
+  {
+    name: 'object API down',
+    strike: (scene) => breakStore(scene, { kind: 'outage', retryAfterMs: RETRY_AFTER_MS }),
+  },
+  {
+    name: 'object API slow',
+    strike: (scene) => breakStore(scene, { kind: 'slow', delayMs: SLOW_MS }),
+  },
+  {
+    name: 'answer of a write lost',
+    strike: (scene) => breakStore(scene, { kind: 'answers-lost', count: LOST_ANSWERS }),
+  },
+  {
+    name: 'upstream crash',
+    strike: ({ fleet, upstreamId }) => fleet.upstreams.get(upstreamId)?.crash(),
+  },
+  {
+    name: 'answer of the upstream lost',
+    unfit: (step) =>
+      ['streaming', 'finished', 'recorded'].includes(step) ? 'the answer is there already' : null,
+    strike: ({ fleet, upstreamId }) => fleet.upstreams.get(upstreamId)?.loseNextAnswer(),
+  },
+  {
+    name: 'engine ignores fencing numbers',
+    strike: (scene) => {
+      scene.fleet.upstreams.get(scene.upstreamId)?.setChecksFencing(false);
+      replaceAgent(scene);
+    },
+  },
+  {
+    name: 'request that crashes engines',
+    isPoison: true,
+    unfit: (step) => (step in upstreams.POISONS ? null : 'the engine does not run it at this step'),
+    strike: () => {},
+  },
+  { name: 'operators racing', strike: raceOperators },
+  {
+    name: 'upstream leaving',
+    strike: (scene) => void stops.stopAgent(scene.fleet, scene.upstreamId),
+  },
+  { name: 'entry leaving', strike: (scene) => void stops.stopEntry(scene.fleet, scene.entryId) },
+];
--- /dev/null
+++ b/packages/proofs/src/matrix/request-journey.ts
@@ -0,0 +1,137 @@
+/** The journey of a request, with one or two faults on its way. */
+import * as callers from '../harness/callers.js';
+import * as documents from '../harness/documents.js';
+import * as fleets from '../harness/fleet.js';
+import { POISONS } from '../harness/upstreams.js';
+import type * as faults from './faults.js';
+import * as invariants from './invariants.js';
+
+export const STEPS = [
+  'received',
+  'claimed',
+  'dispatched',
+  'started',
+  'streaming',
+  'finished',
+  'recorded',
+] as const;
+
+export type Step = (typeof STEPS)[number];
+
+export type Strike = { fault: faults.Fault; step: Step };
+
+export type Variant = { kind: callers.Question['kind']; messageCount: number };
+
+export type Outcome = { violations: invariants.Violation[]; strikeCount: number };
+
+const VARIANTS: readonly Variant[] = [
+  { kind: 'chat', messageCount: 1 },
+  { kind: 'chat', messageCount: 3 },
+  { kind: 'submission', messageCount: 1 },
+  { kind: 'submission', messageCount: 3 },
+];
+
+/** Longer than any fault lasts, and than what it takes to find each other again. */
+const HEAL_MS = 45_000;
+
+/** Which event of the journal shows that the request has reached a step. */
+const STEP_EVENTS: Readonly<Record<string, Step>> = {
+  claimed: 'claimed',
+  dispatched: 'dispatched',
+  started: 'started',
+  answered: 'finished',
+  'attempt-ended': 'recorded',
+};
+
+type Progress = { upstreamId: string; reached: Set<Step> };
+
+/** Calls `onStep` as the first request of the fleet reaches each step. */
+function followSteps(fleet: fleets.Fleet, progress: Progress, onStep: (step: Step) => void): void {
+  const reach = (step: Step) => {
+    if (progress.reached.has(step)) return;
+    progress.reached.add(step);
+    onStep(step);
+  };
+  fleet.onEvent(({ event, fields }) => {
+    const { agentId } = fields;
+    if (event === 'dispatched' && typeof agentId === 'string') {
+      progress.upstreamId = agentId.replace(/^agent-/, '');
+    }
+    const step = STEP_EVENTS[event];
+    if (step !== undefined) reach(step);
+  });
+  fleet.network.onArrival(({ kind }) => {
+    if (kind === 'chunk') reach('streaming');
+  });
+}
+
+/** The word that makes the request crash engines; a submission has only one piece to crash in. */
+function poisonOf(strikes: readonly Strike[]): string {
+  const step = strikes.find(({ fault }) => fault.isPoison)?.step;
+  return step !== undefined && step in POISONS ? POISONS[step as keyof typeof POISONS] : '';
+}
+
+function isApplicable(variant: Variant, strikes: readonly Strike[]): boolean {
+  return variant.kind === 'submission' || strikes.every(({ step }) => step !== 'claimed');
+}
+
+async function runVariant(
+  strikes: readonly Strike[],
+  variant: Variant,
+  overrides?: fleets.Overrides,
+): Promise<Outcome> {
+  const fleet = await fleets.createFleet({ seed: variant.messageCount, overrides });
+  await fleet.start();
+  const [entryId] = documents.ENTRY_IDS;
+  const pool = variant.kind === 'chat' ? 'jury' : 'desk';
+  const progress: Progress = { upstreamId: `${pool}-1`, reached: new Set() };
+  let strikeCount = 0;
+  const strikeAt = (step: Step) => {
+    for (const strike of strikes) {
+      if (strike.step !== step) continue;
+      strikeCount += 1;
+      const { upstreamId } = progress;
+      const { messageCount } = variant;
+      strike.fault.strike({
+        fleet,
+        entryId,
+        upstreamId,
+        messageCount,
+        mark: `race-${strikeCount}`,
+      });
+    }
+  };
+  followSteps(fleet, progress, strikeAt);
+  const mark = `${poisonOf(strikes)} lane seven`;
+  const asking = callers.askUntilEnd(fleet, documents.ENTRY_IDS, { kind: variant.kind, mark });
+  strikeAt('received');
+  const asks = await fleet.runHere(asking);
+  await fleet.clock.advance(HEAL_MS);
+  const violations = [
+    ...invariants.checkAll(fleet, asks),
+    ...invariants.checkCrashes(fleet, strikes.length - 1),
+    ...(await invariants.checkReachable(fleet)),
+    ...(await invariants.checkTold(fleet, asks)),
+  ];
+  return { violations: unique(violations), strikeCount };
+}
+
+function unique(violations: readonly invariants.Violation[]): invariants.Violation[] {
+  return [...new Map(violations.map((found) => [found.detail, found])).values()];
+}
+
+/** Runs one cell: the faults at their steps, for both kinds of request. */
+export async function runCell(
+  strikes: readonly Strike[],
+  overrides?: fleets.Overrides,
+): Promise<Outcome> {
+  const outcomes: Outcome[] = [];
+  for (const variant of VARIANTS) {
+    if (!isApplicable(variant, strikes)) continue;
+    outcomes.push(await runVariant(strikes, variant, overrides));
+  }
+  return {
+    violations: outcomes.flatMap(({ violations }) => violations),
+    strikeCount: outcomes.reduce((sum, outcome) => sum + outcome.strikeCount, 0),
+  };
+}
