--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -48,6 +48,8 @@
   upstream: upstreams.FakeUpstream;
 };
 
+type ControlParts = Pick<entryContainers.EntryParts, 'control'>;
+
 export type EntryOverrides = Partial<entryContainers.EntryParts>;
 export type AgentOverrides = Partial<agentContainers.AgentParts>;
 
@@ -89,7 +91,9 @@
 export async function createFleet(options: FleetOptions) {
   const clock = fakeClocks.createFakeClock();
   const memory = memoryStore.createMemoryStore(clock);
-  const store = faultyStore.createFaultyStore(memory, clock);
+  const writtenListeners: ((key: string) => void)[] = [];
+  const versionListeners: ((process: processes.FakeProcess, version: number) => void)[] = [];
+  const store = faultyStore.createFaultyStore({ ...memory, put }, clock);
   const network = networks.createNetwork(clock);
   const endpoints: links.Endpoints = new Map();
   const entries = new Map<string, Entry>();
@@ -108,6 +112,21 @@
   /** Grows with each process, as the time of a start does. */
   const nextIncarnation = () => clock.wallMs() + processCount;
 
+  async function put(...args: Parameters<typeof memory.put>) {
+    const done = await memory.put(...args);
+    if (done.ok) writtenListeners.forEach((listener) => listener(args[0]));
+    return done;
+  }
+
+  function watchVersion({
+    process,
+    parts,
+  }: Pick<Entry, 'process'> & { parts: ControlParts }): void {
+    parts.control.follower.onChange(({ version }) =>
+      versionListeners.forEach((listener) => listener(process, version)),
+    );
+  }
+
   function wrapJournal(process: processes.FakeProcess, inner: journalTypes.Journal) {
     return {
       ...inner,
@@ -184,6 +203,7 @@
     container.register(asValues(sharedParts(process, entryId, incarnation)));
     override(container, options.overrides?.entry?.(container.cradle));
     const parts = container.cradle;
+    watchVersion({ process, parts });
     endpoints.set(process.name, { process, peers: parts.control.handlers, agent: null });
     network.listen(addressOf(entryId), process);
     await runHere(parts.control.start());
@@ -251,6 +271,7 @@
     });
     network.listen(addressOf(agentId), process);
     const agent = { process, parts, upstream };
+    watchVersion(agent);
     agents.set(upstreamId, agent);
     followUpstream(agent, isConfigured);
     await runHere(parts.control.start());
@@ -326,6 +347,14 @@
     onEvent: (listener: (event: FleetEvent) => void) => {
       listeners.push(listener);
     },
+    /** Told of each version that a process takes. */
+    onVersion: (listener: (process: processes.FakeProcess, version: number) => void) => {
+      versionListeners.push(listener);
+    },
+    /** Told of the key of each write that took effect. */
+    onWritten: (listener: (key: string) => void) => {
+      writtenListeners.push(listener);
+    },
     onPut: (listener: stores.OnPut) => {
       putListeners.push(listener);
     },
--- a/packages/proofs/src/harness/network.ts
+++ b/packages/proofs/src/harness/network.ts
@@ -42,6 +42,13 @@
 
 export const LATENCY_MS = 1;
 
+const CONTROL_KINDS = ['probe', 'list-members', 'fetch-config'];
+
+/** Whether a message is between peers, not between an entry and an agent. */
+export function isControl(message: Message): boolean {
+  return CONTROL_KINDS.some((kind) => message.kind.startsWith(kind));
+}
+
 export function createNetwork(world: clocks.Clock): Network {
   const processesAt = new Map<string, processes.FakeProcess>();
   const open = new Set<Connection>();
--- a/packages/proofs/src/matrix/cells.ts
+++ b/packages/proofs/src/matrix/cells.ts
@@ -1,17 +1,16 @@
 /** The cells of the matrix: one for each fault, or pair of faults, and step of a journey. */
 import type * as fleets from '../harness/fleet.js';
+import * as configJourney from './config-journey.js';
 import * as faults from './faults.js';
 import type * as invariants from './invariants.js';
 import * as requestJourney from './request-journey.js';
 
-export type CellOutcome = { violations: readonly invariants.Violation[]; strikeCount: number };
-
 export type Cell = {
   journey: string;
   fault: string;
   step: string;
   work:
-    | { kind: 'run'; run: (overrides?: fleets.Overrides) => Promise<CellOutcome> }
+    | { kind: 'run'; run: (overrides?: fleets.Overrides) => Promise<invariants.CellOutcome> }
     /** The combination has no meaning. */
     | { kind: 'not-applicable'; reason: string }
     | { kind: 'not-covered'; reason: string };
@@ -36,6 +35,20 @@
   );
 }
 
+function configCells(): Cell[] {
+  return [...faults.OPERATOR_FAULTS, ...faults.FAULTS].flatMap((fault) =>
+    configJourney.STEPS.map((step): Cell => {
+      const journey = 'configuration patch';
+      if (fault.isOfEngines === true) {
+        const reason = 'no engine takes part in a patch';
+        return { journey, fault: fault.name, step, work: { kind: 'not-applicable', reason } };
+      }
+      const run = (overrides?: fleets.Overrides) => configJourney.runCell(fault, step, overrides);
+      return { journey, fault: fault.name, step, work: { kind: 'run', run } };
+    }),
+  );
+}
+
 export function listCells(): Cell[] {
-  return [...requestCells()];
+  return [...requestCells(), ...configCells()];
 }
--- a/packages/proofs/src/matrix/faults.ts
+++ b/packages/proofs/src/matrix/faults.ts
@@ -11,16 +11,21 @@
   entryId: string;
   /** The upstream whose agent has the request, or would have it. */
   upstreamId: string;
-  /** How many messages the message faults take. */
+  /** How many messages the message faults take, and which. */
   messageCount: number;
+  isDisturbed: (message: networks.Message) => boolean;
   /** A word that no other use of this scene has. */
   mark: string;
+  /** The operator whose patch is on its way, where the journey has one. */
+  operators?: { kill: () => void; pause: () => void; resume: () => void; race: () => void };
 };
 
 export type Fault = {
   name: string;
   /** The request itself crashes the engines that run it. */
   isPoison?: true;
+  /** It happens to an engine, or to orders for one. */
+  isOfEngines?: true;
   /** Why the fault has no meaning at a step. */
   unfit?: (step: string) => string | null;
   strike: (scene: Scene) => void;
@@ -36,21 +41,15 @@
 const LOST_ANSWERS = 2;
 const RETRY_AFTER_MS = 1_000;
 
-const CONTROL_KINDS = ['probe', 'list-members', 'fetch-config'];
-
 function after(scene: Scene, waitMs: number, task: () => void): void {
   scene.fleet.clock.schedule(scene.fleet.clock.nowMs() + waitMs, task);
 }
 
-function isOfRequest(message: networks.Message): boolean {
-  return !CONTROL_KINDS.some((kind) => message.kind.startsWith(kind));
-}
-
-/** Does something to the next messages of the request path. */
+/** Does something to the next messages of the journey. */
 function disturbMessages(scene: Scene, delaysOf: (index: number) => readonly number[]): void {
   let index = 0;
   scene.fleet.network.addFate((message) => {
-    if (!isOfRequest(message) || index >= scene.messageCount) return null;
+    if (!scene.isDisturbed(message) || index >= scene.messageCount) return null;
     index += 1;
     return delaysOf(index);
   });
@@ -77,7 +76,11 @@
 }
 
 /** Two operators patch the same version; the request must not notice. */
-function raceOperators({ fleet, mark }: Scene): void {
+function raceOperators({ fleet, mark, operators }: Scene): void {
+  if (operators !== undefined) {
+    operators.race();
+    return;
+  }
   const entries = [...fleet.entries.values()].filter((entry) => entry.process.isRunning());
   entries.forEach((entry, index) => {
     const current = entry.parts.control.follower.current();
@@ -147,16 +150,19 @@
   },
   {
     name: 'upstream crash',
+    isOfEngines: true,
     strike: ({ fleet, upstreamId }) => fleet.upstreams.get(upstreamId)?.crash(),
   },
   {
     name: 'answer of the upstream lost',
+    isOfEngines: true,
     unfit: (step) =>
       ['streaming', 'finished', 'recorded'].includes(step) ? 'the answer is there already' : null,
     strike: ({ fleet, upstreamId }) => fleet.upstreams.get(upstreamId)?.loseNextAnswer(),
   },
   {
     name: 'engine ignores fencing numbers',
+    isOfEngines: true,
     strike: (scene) => {
       scene.fleet.upstreams.get(scene.upstreamId)?.setChecksFencing(false);
       replaceAgent(scene);
@@ -165,6 +171,7 @@
   {
     name: 'request that crashes engines',
     isPoison: true,
+    isOfEngines: true,
     unfit: (step) => (step in upstreams.POISONS ? null : 'the engine does not run it at this step'),
     strike: () => {},
   },
@@ -175,3 +182,15 @@
   },
   { name: 'entry leaving', strike: (scene) => void stops.stopEntry(scene.fleet, scene.entryId) },
 ];
+
+/** Faults that only the journey of a patch has: its operator's command is a process too. */
+export const OPERATOR_FAULTS: readonly Fault[] = [
+  { name: 'operator command killed', strike: ({ operators }) => operators?.kill() },
+  {
+    name: 'operator command paused and resumed',
+    strike: (scene) => {
+      scene.operators?.pause();
+      after(scene, PAUSE_MS, () => scene.operators?.resume());
+    },
+  },
+];
--- a/packages/proofs/src/matrix/invariants.ts
+++ b/packages/proofs/src/matrix/invariants.ts
@@ -15,11 +15,24 @@
   | 'work-for-leaving'
   | 'cut-off'
   | 'reverted'
+  | 'not-in-force'
+  | 'history-broken'
   | 'untold'
   | 'crashes';
 
 export type Violation = { kind: ViolationKind; detail: string };
 
+export type CellOutcome = { violations: readonly Violation[]; strikeCount: number };
+
+/** What several variants of one cell found, each violation once. */
+export function joinOutcomes(outcomes: readonly CellOutcome[]): CellOutcome {
+  const all = outcomes.flatMap(({ violations }) => violations);
+  return {
+    violations: [...new Map(all.map((found) => [`${found.kind} ${found.detail}`, found])).values()],
+    strikeCount: outcomes.reduce((sum, outcome) => sum + outcome.strikeCount, 0),
+  };
+}
+
 const LEAVING_GRACE_MS = 5_000;
 const POISON_RUNS = 2;
 /** Compression takes real time, while the fake clock runs on. */
--- a/packages/proofs/src/matrix/request-journey.ts
+++ b/packages/proofs/src/matrix/request-journey.ts
@@ -2,6 +2,7 @@
 import * as callers from '../harness/callers.js';
 import * as documents from '../harness/documents.js';
 import * as fleets from '../harness/fleet.js';
+import * as networks from '../harness/network.js';
 import { POISONS } from '../harness/upstreams.js';
 import type * as faults from './faults.js';
 import * as invariants from './invariants.js';
@@ -22,8 +23,6 @@
 
 export type Variant = { kind: callers.Question['kind']; messageCount: number };
 
-export type Outcome = { violations: invariants.Violation[]; strikeCount: number };
-
 const VARIANTS: readonly Variant[] = [
   { kind: 'chat', messageCount: 1 },
   { kind: 'chat', messageCount: 3 },
@@ -79,7 +78,7 @@
   strikes: readonly Strike[],
   variant: Variant,
   overrides?: fleets.Overrides,
-): Promise<Outcome> {
+): Promise<invariants.CellOutcome> {
   const fleet = await fleets.createFleet({ seed: variant.messageCount, overrides });
   await fleet.start();
   const [entryId] = documents.ENTRY_IDS;
@@ -90,13 +89,12 @@
     for (const strike of strikes) {
       if (strike.step !== step) continue;
       strikeCount += 1;
-      const { upstreamId } = progress;
-      const { messageCount } = variant;
       strike.fault.strike({
         fleet,
         entryId,
-        upstreamId,
-        messageCount,
+        upstreamId: progress.upstreamId,
+        messageCount: variant.messageCount,
+        isDisturbed: (message) => !networks.isControl(message),
         mark: `race-${strikeCount}`,
       });
     }
@@ -113,25 +111,18 @@
     ...(await invariants.checkReachable(fleet)),
     ...(await invariants.checkTold(fleet, asks)),
   ];
-  return { violations: unique(violations), strikeCount };
-}
-
-function unique(violations: readonly invariants.Violation[]): invariants.Violation[] {
-  return [...new Map(violations.map((found) => [found.detail, found])).values()];
+  return { violations, strikeCount };
 }
 
 /** Runs one cell: the faults at their steps, for both kinds of request. */
 export async function runCell(
   strikes: readonly Strike[],
   overrides?: fleets.Overrides,
-): Promise<Outcome> {
-  const outcomes: Outcome[] = [];
+): Promise<invariants.CellOutcome> {
+  const outcomes: invariants.CellOutcome[] = [];
   for (const variant of VARIANTS) {
     if (!isApplicable(variant, strikes)) continue;
     outcomes.push(await runVariant(strikes, variant, overrides));
   }
-  return {
-    violations: outcomes.flatMap(({ violations }) => violations),
-    strikeCount: outcomes.reduce((sum, outcome) => sum + outcome.strikeCount, 0),
-  };
+  return invariants.joinOutcomes(outcomes);
 }
