--- a/packages/proofs/src/harness/links.ts
+++ b/packages/proofs/src/harness/links.ts
@@ -144,8 +144,8 @@
       openStream(target.address, choice, 'resume', signal, (deps, gone) =>
         agentHandlers.handleResume(deps, request, gone),
       ),
-    revoke: async (target, request, deadlineMs) => {
-      const connection = connect(target.address, 'shared');
+    revoke: async (target, request, deadlineMs, choice) => {
+      const connection = connect(target.address, choice);
       const reply = await callOnce(ports, connection, 'revoke', deadlineMs, (endpoint) =>
         endpoint.agent === null ? undefined : agentHandlers.handleRevoke(endpoint.agent, request),
       );
