Wait for an answer's head before its body

Symptom: a caller got status 500 (ERR_HTTP_INVALID_STATUS_CODE) for an answer that the engine gave. Cause: the frame with the head was lost or overtaken, and the entry passed the body on with status 0. Excluded: the offsets, which were right; the agent, whose log has the head and sends it on a resume. Run before: npm run matrix, red in message lost, message late and messages out of order at started. Enough: without a head neither a chunk nor the end counts, so the stream ends or falls silent, and the resume brings the head again.

--- a/packages/entry/src/server/requests/attempt.ts
+++ b/packages/entry/src/server/requests/attempt.ts
@@ -102,8 +102,9 @@
   const limitBytes = input.sink.limitBytes ?? Infinity;
 
   async function takeData(offsetBytes: number, data: Buffer): Promise<AttemptResult | null> {
-    // A frame of an earlier connection can arrive twice; only the next byte is ever passed on.
-    if (offsetBytes !== progress.offsetBytes) return null;
+    // A frame of an earlier connection can arrive twice; only the next byte is ever passed on. A
+    // body without its head would reach the caller without a status: it is asked for again.
+    if (progress.status === 0 || offsetBytes !== progress.offsetBytes) return null;
     progress.offsetBytes += data.length;
     if (progress.offsetBytes > limitBytes) {
       const detail = `the answer is longer than ${limitBytes} bytes`;
@@ -133,6 +134,7 @@
       case 'chunk':
         return takeData(frame.offsetBytes, frame.part.value.data);
       case 'end':
+        if (progress.status === 0) return null;
         if (frame.part.value.sizeBytes !== progress.offsetBytes) return null;
         return { kind: 'ended', status: progress.status };
       case 'refused': {
