Say unknown when a submission's upstream may have done it

Symptom: a caller was told that its submission failed, while the upstream had done it; sent anew under another key, it is done twice. Cause: an upstream whose connection breaks during the call may have done the work, and the entry took every such end for a failed run. Excluded: the claim, which held (0 doubled under one key); not-run, which was told of none of them. Run before: npm run matrix, red in answer of the upstream lost at received, claimed, dispatched and started (was told failed and was done).

--- a/packages/entry/src/server/requests/join.ts
+++ b/packages/entry/src/server/requests/join.ts
@@ -67,9 +67,10 @@
       return TAKE_OVER;
     case 'failed': {
       const { cause, detail } = result;
-      deps.settlements.settle(held, { kind: 'failed', cause }, () => {});
-      const facts = factsOfJoin(deps, run);
-      return { kind: 'done', outcome: endings.afterFailure(facts, { cause, detail }).ending };
+      const { ending } = endings.afterFailure(factsOfJoin(deps, run), { cause, detail });
+      const kind = ending.kind === 'unknown' ? 'unknown' : 'failed';
+      deps.settlements.settle(held, { kind, cause }, () => {});
+      return { kind: 'done', outcome: ending };
     }
     case 'lost': {
       const withdrawal = await withdrawals.withdraw(deps, first, false);
--- a/packages/entry/src/shared/endings.ts
+++ b/packages/entry/src/shared/endings.ts
@@ -60,19 +60,29 @@
   return { ending, retry: plan.next === 'give-up' ? 'no' : plan.next };
 }
 
-type FailurePlan = { cause: calls.FailedCause; mayRetry: boolean };
+/** `mayBeDone`: the upstream may have done the work and only its answer is lost. */
+type FailurePlan = { cause: calls.FailedCause; mayRetry: boolean; mayBeDone: boolean };
 
 const FAILURES: Readonly<Record<causes.FailureCause, FailurePlan>> = {
-  'attempt-unknown': { cause: 'agent-lost', mayRetry: true },
-  'upstream-broken': { cause: 'upstream-broken', mayRetry: true },
-  'upstream-silent': { cause: 'upstream-silent', mayRetry: true },
-  'deadline-passed': { cause: 'deadline-passed', mayRetry: false },
-  cancelled: { cause: 'cancelled', mayRetry: false },
-  'answer-too-large': { cause: 'answer-too-large', mayRetry: false },
+  'attempt-unknown': { cause: 'agent-lost', mayRetry: true, mayBeDone: true },
+  'upstream-broken': { cause: 'upstream-broken', mayRetry: true, mayBeDone: true },
+  'upstream-silent': { cause: 'upstream-silent', mayRetry: true, mayBeDone: true },
+  'deadline-passed': { cause: 'deadline-passed', mayRetry: false, mayBeDone: true },
+  cancelled: { cause: 'cancelled', mayRetry: false, mayBeDone: true },
+  'answer-too-large': { cause: 'answer-too-large', mayRetry: false, mayBeDone: false },
 };
 
+/**
+ * Failure: an upstream does a submission, and its answer is lost. Symptom: a caller that is told
+ * "failed" submits anew, and the printer makes two plates. So what may be done is "unknown".
+ */
 export function afterFailure(facts: Facts, failed: { cause: string; detail: string }): Verdict {
   const plan = FAILURES[causes.parseFailureCause(failed.cause) ?? 'upstream-broken'];
+  if (facts.isOnce && plan.mayBeDone) {
+    const { detail } = failed;
+    const ending = { kind: 'unknown', cause: 'upstream-broken', retryAtMs: null, detail } as const;
+    return { ending, retry: 'no' };
+  }
   const mayRetry =
     plan.mayRetry && !facts.isOnce && !facts.hasBegun && facts.crashCount <= MAX_CRASHES;
   const retryAtMs = facts.isOnce || !plan.mayRetry ? null : facts.nowMs + DEFAULT_RETRY_MS;
--- a/packages/entry/src/shared/problems.ts
+++ b/packages/entry/src/shared/problems.ts
@@ -43,6 +43,7 @@
   'claim-lost': 502,
   'deadline-passed': 504,
   'in-progress': 409,
+  'upstream-broken': 502,
 };
 
 const FAILED_STATUS: Readonly<Record<calls.FailedCause, number>> = {
--- a/packages/entry/src/types/calls.ts
+++ b/packages/entry/src/types/calls.ts
@@ -64,7 +64,13 @@
   | 'claim-store-unavailable'
   | 'caller-gone';
 
-export type UnknownCause = 'agent-lost' | 'claim-lost' | 'deadline-passed' | 'in-progress';
+export type UnknownCause =
+  | 'agent-lost'
+  | 'claim-lost'
+  | 'deadline-passed'
+  | 'in-progress'
+  /** The upstream had the request, and its answer did not come whole. */
+  | 'upstream-broken';
 
 export type FailedCause =
   | 'upstream-broken'
