--- a/packages/proofs/src/harness/upstreams.ts
+++ b/packages/proofs/src/harness/upstreams.ts
@@ -28,7 +28,7 @@
   crash: () => void;
   crashCount: () => number;
   /** The next run is done, and its answer is lost. */
-  loseNextAnswer: () => void;
+  losesNextAnswer: (loses: boolean) => void;
   setChecksFencing: (checks: boolean) => void;
   /** What happens to the next orders. */
   setOrderFate: (fate: ((order: upstreamTypes.NumberedOrder) => OrderFate | null) | null) => void;
@@ -225,8 +225,8 @@
     }),
     crash,
     crashCount: () => epoch - 1,
-    loseNextAnswer: () => {
-      losesAnswer = true;
+    losesNextAnswer: (loses) => {
+      losesAnswer = loses;
     },
     setChecksFencing: (checks) => {
       checksFencing = checks;
--- a/packages/proofs/src/matrix/faults.ts
+++ b/packages/proofs/src/matrix/faults.ts
@@ -158,7 +158,11 @@
     isOfEngines: true,
     unfit: (step) =>
       ['streaming', 'finished', 'recorded'].includes(step) ? 'the answer is there already' : null,
-    strike: ({ fleet, upstreamId }) => fleet.upstreams.get(upstreamId)?.loseNextAnswer(),
+    strike: (scene) => {
+      const upstream = scene.fleet.upstreams.get(scene.upstreamId);
+      upstream?.losesNextAnswer(true);
+      after(scene, STORE_FAULT_MS, () => upstream?.losesNextAnswer(false));
+    },
   },
   {
     name: 'engine ignores fencing numbers',
