Measure the path, and give an agent's queue its slots from the first request on

Cause: the first run of bench:path with 16 streams side by side had a median time to first token of 2,560 ms through the path against 21 ms directly. The queue is made with the first request; it took its slots only from later changes of the configuration, and ran one request at a time until then.

Excluded: the entry and the connection. The trace of the slowest request shows 2.8 s between "queued" and "started" at the agent.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -92,10 +92,14 @@
     { slotCount: DEFAULT_SLOT_COUNT, maxWaiting: MAX_WAITING },
     times,
   );
-  control.follower.onChange(({ document }) => {
+  const takeSlots = ({ document }: { document: schema.Document }) => {
     const upstream = document.upstreams[settings.upstreamId];
     if (upstream !== undefined) queue.setSlotCount(upstream.slotCount);
-  });
+  };
+  // The queue is made with the first request, after the first configuration.
+  const present = control.follower.current();
+  if (present !== null) takeSlots(present);
+  control.follower.onChange(takeSlots);
   return queue;
 }
 
--- /dev/null
+++ b/packages/bench/src/path/main.ts
@@ -0,0 +1,117 @@
+/** `npm run bench:path`: what the way through entry and agent adds to calling the engine directly. */
+import * as commander from 'commander';
+import * as undici from 'undici';
+
+import * as clients from './client.js';
+import * as latencies from './latencies.js';
+import * as pathFleets from './path-fleet.js';
+
+type Options = {
+  pairs: number;
+  streams: number;
+  tokens: number;
+  firstTokenMs: number;
+  tokenGapMs: number;
+  agentSettings: string;
+};
+
+function parseCount(text: string): number {
+  const count = Number(text);
+  if (Number.isInteger(count) && count > 0) return count;
+  throw new commander.InvalidArgumentError('must be a whole number above 0');
+}
+
+const program = new commander.Command('bench-path')
+  .description('Added time to first token and between tokens, against calling the engine directly')
+  .option('--pairs <count>', 'pairs of requests, direct and through', parseCount, 200)
+  .option('--streams <count>', 'streams side by side in the loaded part', parseCount, 32)
+  .option('--tokens <count>', 'tokens of each answer', parseCount, 32)
+  .option('--first-token-ms <ms>', 'of the engine', parseCount, 20)
+  .option('--token-gap-ms <ms>', 'of the engine', parseCount, 5)
+  .option('--agent-settings <json>', 'settings of the agent to be tried', '{}')
+  .parse();
+const options = program.opts<Options>();
+
+type Side = { firstToken: latencies.Latencies; gap: latencies.Latencies; tokenCount: number };
+
+function createSide(): Side {
+  return {
+    firstToken: latencies.createLatencies(),
+    gap: latencies.createLatencies(),
+    tokenCount: 0,
+  };
+}
+
+const client = new undici.Agent({ connections: options.streams * 2 });
+const fleet = await pathFleets.startPathFleet(
+  { firstTokenMs: options.firstTokenMs, tokenGapMs: options.tokenGapMs },
+  JSON.parse(options.agentSettings) as Record<string, unknown>,
+);
+let failedCount = 0;
+
+async function ask(url: string, side: Side): Promise<void> {
+  const request = { url, model: pathFleets.MODEL, tokenCount: options.tokens };
+  const times = await clients.streamOnce(client, request);
+  if ('kind' in times) {
+    failedCount += 1;
+    return;
+  }
+  side.firstToken.add(times.firstTokenMs);
+  times.gapsMs.forEach((gapMs) => side.gap.add(gapMs));
+  side.tokenCount += times.gapsMs.length + 1;
+}
+
+/** Pairs that follow each other, so that both sides meet the same state of the machine. */
+async function runPairs(count: number, direct: Side, through: Side): Promise<void> {
+  for (let pair = 0; pair < count; pair += 1) {
+    const isDirectFirst = pair % 2 === 0;
+    const order = isDirectFirst ? ['direct', 'through'] : ['through', 'direct'];
+    for (const which of order) {
+      if (which === 'direct') await ask(fleet.directUrl, direct);
+      else await ask(fleet.throughUrl, through);
+    }
+  }
+}
+
+async function measure(streamCount: number) {
+  const [direct, through] = [createSide(), createSide()];
+  const pairsEach = Math.ceil(options.pairs / streamCount);
+  const before = fleet.processorUs();
+  const workers = Array.from({ length: streamCount }, () => runPairs(pairsEach, direct, through));
+  await Promise.all(workers);
+  const after = fleet.processorUs();
+  const perToken = (usedUs: number) => Math.round((usedUs / through.tokenCount) * 10) / 10;
+  return {
+    streams: streamCount,
+    firstToken: latencies.compare(direct.firstToken, through.firstToken),
+    tokenGap: latencies.compare(direct.gap, through.gap),
+    processorUsPerToken: {
+      entry: perToken(after.entry - before.entry),
+      agent: perToken(after.agent - before.agent),
+      tokenCount: through.tokenCount,
+    },
+  };
+}
+
+/** The first request loads the model; the next ones warm both ways. */
+async function warmUp(): Promise<void> {
+  await pathFleets.waitFor('the first answer', async () => {
+    const side = createSide();
+    await ask(fleet.throughUrl, side);
+    return side.tokenCount > 0 ? true : undefined;
+  });
+  const unused = createSide();
+  await runPairs(10, unused, unused);
+  failedCount = 0;
+}
+
+try {
+  await warmUp();
+  const alone = await measure(1);
+  const loaded = await measure(options.streams);
+  console.log(JSON.stringify({ options, alone, loaded, failedCount }, null, 2));
+  process.exitCode = failedCount > 0 ? 1 : 0;
+} finally {
+  await client.close();
+  await fleet.stop();
+}
--- a/packages/entry/src/server/calls/app.ts
+++ b/packages/entry/src/server/calls/app.ts
@@ -8,7 +8,7 @@
 export type CallerAppOptions = { maxBodyBytes: number; isStopping: () => boolean };
 
 /** Registers the callers' routes. */
-function registerCalls(app: fastify.FastifyInstance, deps: contexts.CallDeps): void {
+export function registerCalls(app: fastify.FastifyInstance, deps: contexts.CallDeps): void {
   app.post('/v1/chat/completions', (request, reply) => handlers.handleChat(deps, request, reply));
   app.get('/v1/models', (request, reply) => handlers.handleModels(deps, request, reply));
   const serve = (request: fastify.FastifyRequest, reply: fastify.FastifyReply) =>
