--- a/packages/stand-ins/src/engine/main.ts
+++ b/packages/stand-ins/src/engine/main.ts
@@ -4,8 +4,10 @@
 
 import * as fastify from 'fastify';
 
+import * as arrivals from '../shared/arrivals.js';
 import * as commands from '../shared/command.js';
 import * as control from '../shared/control-port.js';
+import * as silence from '../shared/silence.js';
 import * as completions from './completions.js';
 import * as engineState from './engine-state.js';
 
@@ -100,13 +102,8 @@
 
 const app = fastify.fastify({ bodyLimit: 16 * 1024 * 1024, forceCloseConnections: true });
 
-app.addHook('onRequest', async (request, reply) => {
-  if (isDown || faults.has('down')) {
-    request.raw.socket.destroy();
-    reply.hijack();
-  }
-  if (faults.has('silent')) reply.hijack();
-});
+arrivals.addArrivalFaults(app, faults, () => isDown);
+const connections = silence.createSilence(app.server);
 
 app.post<{ Body: completions.ChatBody }>('/v1/chat/completions', (request, reply) => {
   const { body } = request;
@@ -123,9 +120,7 @@
 app.post<{ Body: engineState.Order }>('/orders', async (request, reply) => {
   const order = request.body;
   if (control.takeOne(faults, 'drop-orders')) {
-    reply.hijack();
-    request.raw.socket.destroy();
-    return reply;
+    return arrivals.hangUp(request, reply);
   }
   await timers.setTimeout(control.numberOf(faults, 'delay-orders-ms', 0));
   const checksFencing = options.ignoresFencing !== true && !faults.has('ignore-fencing');
@@ -135,9 +130,7 @@
     void timers.setTimeout(options.loadMs * slowness()).then(() => state.markReady(name, version));
   }
   if (control.takeOne(faults, 'lose-order-answers')) {
-    reply.hijack();
-    request.raw.socket.destroy();
-    return reply;
+    return arrivals.hangUp(request, reply);
   }
   return reply.status(verdict === 'taken' ? 202 : 409).send({ verdict });
 });
@@ -148,6 +141,7 @@
 const controlApp = await control.startControlPort({
   port: options.controlPort,
   faults,
+  connections,
   counters: () => ({
     runsById: Object.fromEntries(runsById),
     crashCount,
--- a/packages/stand-ins/src/platform/main.ts
+++ b/packages/stand-ins/src/platform/main.ts
@@ -5,8 +5,10 @@
 import { clocks } from '@copperlever/runtime';
 import * as fastify from 'fastify';
 
+import * as arrivals from '../shared/arrivals.js';
 import * as commands from '../shared/command.js';
 import * as control from '../shared/control-port.js';
+import * as silence from '../shared/silence.js';
 
 type PlatformOptions = { port: number; controlPort: number; check?: boolean };
 
@@ -48,16 +50,12 @@
   }
 }
 
-function hangUp(request: fastify.FastifyRequest, reply: fastify.FastifyReply) {
-  reply.hijack();
-  request.raw.socket.destroy();
-  return reply;
-}
-
 const app = fastify.fastify({ bodyLimit: 2_000_000, forceCloseConnections: true });
 app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
 app.removeContentTypeParser(['application/json', 'text/plain']);
 
+const connections = silence.createSilence(app.server);
+
 app.addHook('onRequest', async (request, reply) => {
   const kind = `${request.method} ${request.url.split(/[/?]/)[1] ?? ''}`;
   callCounts.set(kind, (callCounts.get(kind) ?? 0) + 1);
@@ -78,7 +76,7 @@
   if (condition === null) return reply.status(428).send();
   const value = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
   const written = await store.put(request.params['*'], value, condition, deadlineMs());
-  if (control.takeOne(faults, 'lose-write-answers')) return hangUp(request, reply);
+  if (control.takeOne(faults, 'lose-write-answers')) return arrivals.hangUp(request, reply);
   if (written.err) return reply.status(statusOf(written.val)).send();
   return reply.header(VERSION_HEADER, String(written.val)).send();
 });
@@ -115,6 +113,7 @@
 const controlApp = await control.startControlPort({
   port: options.controlPort,
   faults,
+  connections,
   counters: () => ({
     calls: Object.fromEntries(callCounts),
     revision: store.revision(),
--- a/packages/stand-ins/src/service/main.ts
+++ b/packages/stand-ins/src/service/main.ts
@@ -3,8 +3,10 @@
 
 import * as fastify from 'fastify';
 
+import * as arrivals from '../shared/arrivals.js';
 import * as commands from '../shared/command.js';
 import * as control from '../shared/control-port.js';
+import * as silence from '../shared/silence.js';
 
 type ServiceOptions = { port: number; controlPort: number; workMs: number; check?: boolean };
 
@@ -20,21 +22,14 @@
 
 const app = fastify.fastify({ forceCloseConnections: true });
 
-app.addHook('onRequest', async (request, reply) => {
-  if (faults.has('down')) {
-    request.raw.socket.destroy();
-    reply.hijack();
-  }
-  if (faults.has('silent')) reply.hijack();
-});
+arrivals.addArrivalFaults(app, faults);
+const connections = silence.createSilence(app.server);
 
 app.post('/submissions', async (request, reply) => {
   await timers.setTimeout(options.workMs * control.numberOf(faults, 'slow', 1));
   submissions.push({ proof: request.body, requestId: String(request.headers['x-request-id']) });
   if (control.takeOne(faults, 'lose-answers')) {
-    reply.hijack();
-    request.raw.socket.destroy();
-    return reply;
+    return arrivals.hangUp(request, reply);
   }
   return reply.status(201).send({ submission: submissions.length, proof: request.body });
 });
@@ -45,6 +40,7 @@
 const controlApp = await control.startControlPort({
   port: options.controlPort,
   faults,
+  connections,
   counters: () => ({ submissions }),
 });
 commands.stopOnSignal(() => Promise.all([app.close(), controlApp.close()]));
--- a/packages/stand-ins/src/shared/control-port.ts
+++ b/packages/stand-ins/src/shared/control-port.ts
@@ -1,12 +1,15 @@
 /** The control port of every stand-in: faults are set and cleared here while it runs. */
 import * as fastify from 'fastify';
 
+import type * as silence from './silence.js';
+
 /** The faults in force, by name; the value's meaning belongs to the fault. */
 export type Faults = Map<string, number | string | boolean>;
 
 export type ControlOptions = {
   port: number;
   faults: Faults;
+  connections: silence.Silence;
   /** What tests want to know of the stand-in: counts of what ran, crashes and the like. */
   counters: () => unknown;
   /** Routes that only one kind of stand-in has. */
@@ -15,12 +18,17 @@
 
 export type FaultBody = { name: string; value: number | string | boolean };
 
+/** Not a state but an event: it strikes the connections that are open now. */
+const SILENCE_OPEN = 'silence-open-connections';
+
 /** Serves `POST /faults`, `DELETE /faults` and `GET /counters`. */
 export async function startControlPort(options: ControlOptions) {
   const app = fastify.fastify({ forceCloseConnections: true });
   app.get('/counters', () => options.counters());
   app.post<{ Body: FaultBody }>('/faults', (request) => {
-    options.faults.set(request.body.name, request.body.value);
+    const { name, value } = request.body;
+    if (name === SILENCE_OPEN) options.connections.silenceOpen();
+    else options.faults.set(name, value);
     return { inForce: Object.fromEntries(options.faults) };
   });
   app.delete<{ Querystring: { name?: string } }>('/faults', (request) => {
