--- a/packages/cli/src/commands/config.test.ts
+++ b/packages/cli/src/commands/config.test.ts
@@ -1,44 +1,16 @@
-import { schema } from '@copperlever/configuration';
-import { configStore, documentCodec, journalReader, memoryStore } from '@copperlever/coordination';
-import { randoms } from '@copperlever/runtime';
-import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import type * as contexts from '../context.js';
+import * as rigs from '../testing/rig.js';
 import * as config from './config.js';
 
 const test = suite('config commands');
 
-/** Runs commands against a store in memory and keeps what they print. */
-function createRig() {
-  const clock = fakeClock.createFakeClock();
-  const store = memoryStore.createMemoryStore(clock);
-  const printed: unknown[] = [];
-  const errors: Record<string, unknown>[] = [];
-  const context: contexts.Context = {
-    options: { platform: '', entry: '', json: true, operator: 'lan' },
-    config: configStore.createConfigStore({
-      store,
-      codec: documentCodec.createJsonCodec<schema.Document>(),
-      clock,
-      random: randoms.createRandom(1),
-    }),
-    journal: journalReader.createJournalReader({ store }),
-    deadlineMs: () => clock.nowMs() + 1_000,
-    untilMs: (atMs) => atMs - clock.nowMs(),
-    write: (text) => printed.push(JSON.parse(text)),
-    writeError: (text) => errors.push(JSON.parse(text) as Record<string, unknown>),
-    close: async () => {},
-  };
-  return { context, printed, errors };
-}
-
 const desk = { kind: 'service', pool: 'desk', failureDomain: 'a', region: 'r', slotCount: 1 };
 
 test('a stale patch exits 3 with the present version and what changed since', async () => {
   // Minh and Lan both read version 1; Lan is first. Minh's patch must not silently undo hers.
-  const { context, errors } = createRig();
+  const { context, errors } = rigs.createRig();
   await config.patchConfig(context, 0, { upstreams: { 'desk-1': desk } });
   const first = await config.patchConfig(context, 1, {
     upstreams: { 'desk-1': { slotCount: 2 } },
@@ -55,7 +27,7 @@
 });
 
 test('a patch that cannot be in force is rejected with the field, and changes nothing', async () => {
-  const { context, errors, printed } = createRig();
+  const { context, errors, printed } = rigs.createRig();
   const status = await config.patchConfig(context, 0, { services: { proofs: { pool: 'desk' } } });
   assert.is(status, 2);
   assert.equal(errors[0]?.problems, [
@@ -66,14 +38,14 @@
 });
 
 test('a version that never was is not taken for a stale one', async () => {
-  const { context, errors } = createRig();
+  const { context, errors } = rigs.createRig();
   const status = await config.patchConfig(context, 7, { upstreams: { 'desk-1': desk } });
   assert.is(status, 3);
   assert.equal(errors[0], { kind: 'stale', presentVersion: 0, changes: [] });
 });
 
 test('each accepted patch is in the audit trail with its operator', async () => {
-  const { context, printed } = createRig();
+  const { context, printed } = rigs.createRig();
   await config.patchConfig(context, 0, { upstreams: { 'desk-1': desk } });
   await config.showHistory(context, 10);
   const [record] = printed[1] as Record<string, unknown>[];
@@ -82,7 +54,7 @@
 });
 
 test('the difference between two versions is told, also for one that is not there', async () => {
-  const { context, printed, errors } = createRig();
+  const { context, printed, errors } = rigs.createRig();
   await config.patchConfig(context, 0, { upstreams: { 'desk-1': desk } });
   await config.patchConfig(context, 1, { upstreams: { 'desk-1': { draining: true } } });
   assert.is(await config.showDifference(context, 1, 2), 0);
--- /dev/null
+++ b/packages/cli/src/commands/fleet.test.ts
@@ -0,0 +1,57 @@
+import * as undici from 'undici';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as rigs from '../testing/rig.js';
+import * as config from './config.js';
+import * as fleet from './fleet.js';
+
+const test = suite('fleet commands');
+const desk = { kind: 'service', pool: 'desk', failureDomain: 'a', region: 'r', slotCount: 1 };
+
+const agentMember = {
+  memberId: 'agent-desk-1',
+  role: 'agent',
+  status: 'alive',
+  address: '10.0.0.1:7100',
+  failureDomain: 'a',
+  upstreamId: 'desk-1',
+  readyTargets: ['draws'],
+};
+
+/** An entry that answers one question about its status. */
+function answerStatus(members: unknown[]): void {
+  const mock = new undici.MockAgent();
+  mock.disableNetConnect();
+  const reply = { entryId: 'entry-1', configVersion: 4, openCallCount: 0, members };
+  mock.get(rigs.ENTRY_URL).intercept({ path: '/operator/status' }).reply(200, reply);
+  undici.setGlobalDispatcher(mock);
+}
+
+test('the upstreams are listed with what is ready there', async () => {
+  answerStatus([agentMember, { ...agentMember, memberId: 'entry-1', role: 'entry' }]);
+  const { context, printed } = rigs.createRig();
+  assert.is(await fleet.showUpstreams(context), 0);
+  assert.equal(printed[0], [agentMember]);
+});
+
+test('an entry that cannot be reached is told as such', async () => {
+  const mock = new undici.MockAgent();
+  mock.disableNetConnect();
+  undici.setGlobalDispatcher(mock);
+  const { context, errors } = rigs.createRig();
+  assert.is(await fleet.showStatus(context), 1);
+  assert.is(errors[0]?.kind, 'entry-unreachable');
+});
+
+test('drain marks the upstream in a new version; an unknown one is refused', async () => {
+  const { context, printed, errors } = rigs.createRig();
+  await config.patchConfig(context, 0, { upstreams: { 'desk-1': desk } });
+  assert.is(await fleet.drainUpstream(context, 'desk-1'), 0);
+  const change = { field: 'upstreams.desk-1.draining', before: false, after: true };
+  assert.equal(printed[1], { version: 2, changes: [change] });
+  assert.is(await fleet.drainUpstream(context, 'desk-9'), 2);
+  assert.is(errors[0]?.kind, 'unknown-upstream');
+});
+
+test.run();
--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -23,6 +23,9 @@
   members: zod.array(memberSchema),
 });
 
+/** An entry that is there answers far sooner. */
+const ENTRY_TIMEOUT_MS = 5_000;
+
 type FleetStatus = zod.infer<typeof statusSchema>;
 
 type FleetError = { kind: 'entry-unreachable'; detail: string };
@@ -31,7 +34,10 @@
   context: contexts.Context,
 ): Promise<results.Result<FleetStatus, FleetError>> {
   try {
-    const response = await undici.request(`${context.options.entry}/operator/status`);
+    const response = await undici.request(`${context.options.entry}/operator/status`, {
+      headersTimeout: ENTRY_TIMEOUT_MS,
+      bodyTimeout: ENTRY_TIMEOUT_MS,
+    });
     return results.Ok(statusSchema.parse(await response.body.json()));
   } catch (cause) {
     const detail = cause instanceof Error ? cause.message : 'unknown';
--- /dev/null
+++ b/packages/cli/src/commands/trace.test.ts
@@ -0,0 +1,38 @@
+import { journal as journals, requestIds } from '@copperlever/coordination';
+import { randoms } from '@copperlever/runtime';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as rigs from '../testing/rig.js';
+import * as trace from './trace.js';
+
+const test = suite('trace');
+
+test('the events of a request are told, also after the entry that took it is gone', async () => {
+  const { clock, store, context, printed } = rigs.createRig();
+  const journal = journals.createJournal({
+    store,
+    clock,
+    random: randoms.createRandom(1),
+    incarnation: 1,
+    memberId: 'entry-1',
+  });
+  const requestId = requestIds.createRequestIds('entry-1', 1, clock.wallMs).next();
+  journal.record(requestId, 'admitted', { target: 'draws' });
+  journal.record(requestId, 'outcome', { outcome: 'answered' });
+  await journal.flush(1_000);
+  assert.is(await trace.showTrace(context, requestId), 0);
+  const { events } = printed[0] as { events: { event: string }[] };
+  assert.equal(
+    events.map((one) => one.event),
+    ['admitted', 'outcome'],
+  );
+});
+
+test('an id of which nothing is recorded is told as such', async () => {
+  const { context, errors } = rigs.createRig();
+  assert.is(await trace.showTrace(context, 'rq.entry-1.x.y.1'), 1);
+  assert.is(errors[0]?.kind, 'not-found');
+});
+
+test.run();
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -17,15 +17,22 @@
   .option(
     '--platform <url>',
     "the platform's object API",
+    parseUrl,
     process.env.COPPERLEVER_PLATFORM ?? DEFAULT_PLATFORM_URL,
   )
-  .option('--entry <url>', 'an entry', process.env.COPPERLEVER_ENTRY ?? DEFAULT_ENTRY_URL)
+  .option('--entry <url>', 'an entry', parseUrl, process.env.COPPERLEVER_ENTRY ?? DEFAULT_ENTRY_URL)
   .option('--operator <name>', 'who makes a change, for the audit trail', os.userInfo().username)
   .option('--json', 'print JSON')
+  .option('--check', 'check the options and exit')
   .exitOverride((error) => {
     process.exit(error.exitCode === 0 ? contexts.EXIT.ok : contexts.EXIT.badInput);
   });
 
+function parseUrl(text: string): string {
+  if (URL.canParse(text)) return text;
+  throw new commander.InvalidArgumentError('must be a URL, such as http://127.0.0.1:8080');
+}
+
 function parseVersion(text: string): number {
   const version = Number(text);
   if (Number.isInteger(version) && version >= 0) return version;
@@ -98,4 +105,9 @@
   .argument('<id>', 'the x-request-id of its answer')
   .action((id: string) => run((context) => trace.showTrace(context, id)));
 
+// Without a command there is only `--check`: the options have been read by now.
+program.action((options: { check?: boolean }) => {
+  if (options.check !== true) program.help({ error: true });
+});
+
 await program.parseAsync();
--- a/packages/entry/src/server/calls/serve-call.ts
+++ b/packages/entry/src/server/calls/serve-call.ts
@@ -36,7 +36,11 @@
   reply: fastify.FastifyReply,
   call: calls.Call,
 ): Promise<calls.Outcome> {
-  const sink = sinks.createStreamSink(reply.raw, call.requestId);
+  const startedAtMs = deps.clock.nowMs();
+  const sink = sinks.createStreamSink(reply.raw, call.requestId, () => {
+    const tookMs = deps.clock.nowMs() - startedAtMs;
+    deps.metrics.timing('entry.first_byte_ms', tookMs, { class: call.priorityClass });
+  });
   const outcome = await deps.serve(call, sink, callerGoneSignal(reply.raw));
   if (sink.hasBegun()) {
     reply.hijack();
@@ -83,11 +87,13 @@
     remainingMs: Math.round(call.deadlineMs - startedAtMs),
   });
   deps.openCalls.count += 1;
+  deps.metrics.gauge('entry.open_calls', deps.openCalls.count);
   try {
     const outcome = await (isStreamed ? serveStreamed : serveHeld)(deps, reply, call);
     logOutcome(deps, call, outcome, startedAtMs);
   } finally {
     deps.openCalls.count -= 1;
+    deps.metrics.gauge('entry.open_calls', deps.openCalls.count);
   }
 }
 
@@ -100,7 +106,8 @@
 ): fastify.FastifyReply {
   const cause = refused.kind === 'not-run' ? refused.cause : '';
   deps.journal.record(requestId, 'refused', { cause });
-  deps.log.info('request-refused', { requestId, cause });
+  const configVersion = deps.configuration()?.version;
+  deps.log.info('request-refused', { requestId, cause, configVersion });
   deps.metrics.count('entry.requests', 1, { outcome: refused.kind, cause });
   return answers.sendRefusal(reply, refused, requestId, deps.clock);
 }
--- a/packages/entry/src/server/calls/sinks.ts
+++ b/packages/entry/src/server/calls/sinks.ts
@@ -51,7 +51,11 @@
 }
 
 /** Writes the answer as it comes; the head waits for the first byte of the body. */
-export function createStreamSink(raw: http.ServerResponse, requestId: string): calls.AnswerSink {
+export function createStreamSink(
+  raw: http.ServerResponse,
+  requestId: string,
+  onFirstByte: () => void = () => {},
+): calls.AnswerSink {
   let status = 0;
   let headers: readonly calls.HeaderPair[] = [];
   return {
@@ -64,6 +68,7 @@
         headers.forEach((header) => raw.setHeader(header.name, header.value));
         raw.setHeader('x-request-id', requestId);
         raw.writeHead(status);
+        onFirstByte();
       }
       if (raw.write(data) || raw.destroyed) return Promise.resolve();
       return new Promise((resolve) => {
