--- a/packages/bench/src/decisions/policies/present.ts
+++ b/packages/bench/src/decisions/policies/present.ts
@@ -144,6 +144,7 @@
       agent.times.observe(request.target, {
         prefillMsPerToken: (model.prefillMsPerToken * tookMs) / nominalMs,
         decodeMsPerToken: (model.decodeMsPerToken * tookMs) / nominalMs,
+        outputShare: request.realOutputTokens / request.outputTokens,
       });
       agent.queue.finish(request.id, fleet.nowMs());
       settle(request, agent);
--- a/packages/decisions/src/service-times.ts
+++ b/packages/decisions/src/service-times.ts
@@ -1,17 +1,30 @@
-/** Service times per target, learned from finished work; prefill and decode apart. */
+/** Service times per target on one upstream, learned from finished work; prefill and decode apart. */
 import type * as types from './types.js';
 
-/** What is expected of one target on one upstream. */
-export type ServiceTime = { prefillMsPerToken: number; decodeMsPerToken: number };
+/** What one finished request took. */
+export type ServiceTime = {
+  prefillMsPerToken: number;
+  decodeMsPerToken: number;
+  /** The tokens of the answer against those it might have had; left out where it is not known. */
+  outputShare?: number;
+};
+
+export type SizedWork = Pick<types.WorkItem, 'target' | 'promptTokens' | 'outputTokens'>;
 
 export type ServiceTimes = {
-  /** The expected milliseconds for the whole of `item`. */
-  expectedMs: (item: Pick<types.WorkItem, 'target' | 'promptTokens' | 'outputTokens'>) => number;
+  /** The expected milliseconds for the whole of `item`: for what others wait. */
+  expectedMs: (item: SizedWork) => number;
+  /** What `item` takes when it uses all its tokens: for whether its own deadline can be kept. */
+  longestMs: (item: SizedWork) => number;
   observe: (target: string, observed: ServiceTime) => void;
 };
 
 /** Until something is observed: a mid-sized model on one accelerator. */
-const INITIAL: ServiceTime = { prefillMsPerToken: 0.3, decodeMsPerToken: 25 };
+const INITIAL: Required<ServiceTime> = {
+  prefillMsPerToken: 0.3,
+  decodeMsPerToken: 25,
+  outputShare: 1,
+};
 /** Ten observations carry most of the weight, so that a slowdown shows within seconds of traffic. */
 const NEWEST_WEIGHT = 0.2;
 
@@ -19,19 +32,38 @@
   return old + NEWEST_WEIGHT * (observed - old);
 }
 
+function blendTimes(old: Required<ServiceTime>, observed: ServiceTime): Required<ServiceTime> {
+  return {
+    prefillMsPerToken: blend(old.prefillMsPerToken, observed.prefillMsPerToken),
+    decodeMsPerToken: blend(old.decodeMsPerToken, observed.decodeMsPerToken),
+    outputShare: blend(old.outputShare, observed.outputShare ?? old.outputShare),
+  };
+}
+
+/**
+ * Times for one upstream. A target that was not seen there yet is expected to take what the upstream
+ * takes on average: after a slowdown every target is then known to be slow, not only the busy ones.
+ */
 export function createServiceTimes(): ServiceTimes {
-  const byTarget = new Map<string, ServiceTime>();
+  const byTarget = new Map<string, Required<ServiceTime>>();
+  let average: Required<ServiceTime> | null = null;
+
+  function timeOf(target: string): Required<ServiceTime> {
+    return byTarget.get(target) ?? average ?? INITIAL;
+  }
+
+  function serviceMs(item: SizedWork, outputTokens: number): number {
+    const time = timeOf(item.target);
+    return item.promptTokens * time.prefillMsPerToken + outputTokens * time.decodeMsPerToken;
+  }
+
   return {
-    expectedMs: (item) => {
-      const time = byTarget.get(item.target) ?? INITIAL;
-      return item.promptTokens * time.prefillMsPerToken + item.outputTokens * time.decodeMsPerToken;
-    },
+    expectedMs: (item) => serviceMs(item, item.outputTokens * timeOf(item.target).outputShare),
+    longestMs: (item) => serviceMs(item, item.outputTokens),
     observe: (target, observed) => {
-      const old = byTarget.get(target) ?? observed;
-      byTarget.set(target, {
-        prefillMsPerToken: blend(old.prefillMsPerToken, observed.prefillMsPerToken),
-        decodeMsPerToken: blend(old.decodeMsPerToken, observed.decodeMsPerToken),
-      });
+      const complete = { ...INITIAL, ...observed };
+      byTarget.set(target, blendTimes(byTarget.get(target) ?? complete, observed));
+      average = blendTimes(average ?? complete, observed);
     },
   };
 }
--- a/packages/decisions/src/types.ts
+++ b/packages/decisions/src/types.ts
@@ -20,6 +20,8 @@
   promptTokens: number;
   /** The most tokens that the answer may have. */
   outputTokens: number;
+  /** When its model will be ready where it waits; left out when it is ready now. */
+  readyAtMs?: number;
 };
 
 /** A refusal, with the instant at which asking again makes sense. */
