Bound how long updates are passed on, and measure claims

Cause: a pure run of 1,140 members that start together still passed on their updates a minute and more later, at 2.6 KB a second for each daemon; and claims in buckets did not save writes, since a write carried hardly more than one operation (600 claims a second in 8 buckets: 987 writes). Excluded: nothing is lost by the bound, since views are compared by hashes. Buckets gather for a while before they write. The list of VMs is read every ten minutes instead of every minute. A single process may miss a suspicion until its end (13 s at 100 members); its own calls tell it.

--- a/packages/bench/src/control/main.ts
+++ b/packages/bench/src/control/main.ts
@@ -3,6 +3,7 @@
 
 import * as commander from 'commander';
 
+import * as claimRates from './claim-rates.js';
 import * as fleets from './fleet.js';
 import * as platforms from './platform.js';
 import * as pureRun from './pure-run.js';
@@ -16,6 +17,7 @@
   journalEvents: number;
   only?: string;
   pure?: number;
+  claims?: boolean;
 };
 
 const WARM_UP_MS = 15_000;
@@ -34,6 +36,7 @@
   .option('--base-port <port>', 'the first of the ports used', parseCount, 21_000)
   .option('--journal-events <count>', 'journal events a second of each daemon', parseCount, 0)
   .option('--pure <members>', 'no processes: this many members on a virtual clock', parseCount)
+  .option('--claims', 'no processes: rates of claims on a virtual clock, by way of keeping them')
   .option('--only <part>', 'steady: no faults; idle: processes without membership')
   .parse();
 const options = program.opts<Options>();
@@ -80,6 +83,13 @@
   process.exit(0);
 }
 
+if (options.claims === true) {
+  await claimRates.runClaimRates((result) => {
+    console.log(JSON.stringify({ bench: 'control', part: 'claims', result }));
+  });
+  process.exit(0);
+}
+
 const platform = await platforms.startPlatform(options.basePort - 2, options.basePort - 1);
 const fleet = fleets.createFleet({
   count: options.daemons,
--- a/packages/coordination/src/claims/bucketed-claims.ts
+++ b/packages/coordination/src/claims/bucketed-claims.ts
@@ -18,6 +18,11 @@
   clock: clocks.Clock;
   random: randoms.Random;
   bucketCount: number;
+  /**
+   * How long a batch waits for more. Without a wait a write carries hardly more than one operation
+   * until the store itself is slow; with one, writes are at most buckets / gatherMs.
+   */
+  gatherMs: number;
   /** How long a settled claim is kept; a bucket must hold all claims of this time. */
   keepMs: number;
 };
@@ -131,12 +136,12 @@
   async function drain(lane: BucketLane): Promise<void> {
     if (lane.isCommitting) return;
     lane.isCommitting = true;
-    for (;;) {
+    while (lane.waiting.length > 0) {
+      if (options.gatherMs > 0) await clocks.sleepUntil(clock, clock.nowMs() + options.gatherMs);
       dropExpired(lane);
       const batch = lane.waiting;
       lane.waiting = [];
-      if (batch.length === 0) break;
-      await commit(lane, batch);
+      if (batch.length > 0) await commit(lane, batch);
     }
     lane.isCommitting = false;
   }
--- a/packages/coordination/src/control/control-node.ts
+++ b/packages/coordination/src/control/control-node.ts
@@ -34,8 +34,12 @@
   stop: () => Promise<void>;
 };
 
-/** The platform's list is read again at most this often. */
-const VM_LIST_PERIOD_MS = 60_000;
+/**
+ * The platform's list is read again at most this often: by a process that is alone more often than
+ * by one that knows others, of which 1,140 make two reads a second.
+ */
+const LONELY_LIST_PERIOD_MS = 30_000;
+const VM_LIST_PERIOD_MS = 600_000;
 const VM_LIST_TIMEOUT_MS = 1_000;
 
 export function createControlNode<Document>(
@@ -48,7 +52,9 @@
   /** Settings name a few; the platform's list, which lags, names the others. */
   async function seeds(): Promise<readonly string[]> {
     if (clock.nowMs() >= listAgainAtMs) {
-      listAgainAtMs = clock.nowMs() + VM_LIST_PERIOD_MS * (0.5 + random.fraction());
+      const isAlone = members.members().length === 1;
+      const periodMs = isAlone ? LONELY_LIST_PERIOD_MS : VM_LIST_PERIOD_MS;
+      listAgainAtMs = clock.nowMs() + periodMs * (0.5 + random.fraction());
       const listed = await store.listVms(clock.nowMs() + VM_LIST_TIMEOUT_MS);
       if (listed.ok) listedAddresses = listed.val.map((vm) => vm.address);
     }
--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -59,6 +59,8 @@
  * about a second instead of after many rounds of probes.
  */
 const NEIGHBOURS_PROBED = 2;
+/** Then once more, when all have heard which ones were found: what is left is found then. */
+const NEIGHBOURS_AGAIN_MS = 1_500;
 
 /** Members that a peer calls alive and this process dead are asked themselves, this many at once. */
 const CONTESTED_PROBED = 8;
@@ -79,7 +81,7 @@
   const { transport, clock, random } = options;
   const log = options.log ?? logs.createSilentLogger();
   const limits = { ...swim.DEFAULT_LIMITS, ...options.limits };
-  const state = swim.createSwim(options.self, limits, random);
+  const state = swim.createSwim(options.self, limits, random, clock.nowMs());
   const board = notices.createNoticeBoard(clock);
   const listeners: (() => void)[] = [];
   const stopping = new AbortController();
@@ -98,12 +100,13 @@
 
   function createMessage(): peer.ProbeMessage {
     const nowMs = clock.nowMs();
-    const transmitLimit = Math.ceil(Math.log2(state.members().length + 1)) + 2;
     return {
       fromId: state.self().memberId,
-      updates: state.takeUpdates().map(messages.toUpdate),
+      updates: state.takeUpdates(nowMs).map(messages.toUpdate),
       configVersion: options.configVersion(),
-      notices: board.takePending(transmitLimit).map((item) => messages.toNotice(item, nowMs)),
+      notices: board
+        .takePending(limits.transmitLimit)
+        .map((item) => messages.toNotice(item, nowMs)),
       viewHash: state.viewHash(),
     };
   }
@@ -175,6 +178,9 @@
     if (tookMs > PROBE_TIMEOUT_MS + INDIRECT_TIMEOUT_MS + limits.probePeriodMs) return;
     if (!state.suspect(target.memberId, clock.nowMs())) return;
     probeNeighbours(target);
+    clock.schedule(clock.nowMs() + NEIGHBOURS_AGAIN_MS, () => {
+      if (!stopping.signal.aborted) probeNeighbours(target);
+    });
     log.warn('member-suspected', { member: target.memberId, address: target.address });
     sync.noteChange();
     pushNews();
@@ -203,7 +209,7 @@
       .filter((member) => member.status === 'alive' && dead.has(member.memberId));
     for (const member of randoms.sample(random, contested, CONTESTED_PROBED)) {
       if (!pushBudget.tryTake()) return;
-      state.repeat(member.memberId);
+      state.repeat(member.memberId, clock.nowMs());
       void exchange(member.address, null);
     }
   }
@@ -259,8 +265,8 @@
       const address = randoms.pick(random, await lostAddresses());
       if (address === undefined) continue;
       const lost = state.dead().find((member) => member.address === address);
-      if (lost !== undefined) state.repeat(lost.memberId);
-      state.repeat(state.self().memberId);
+      if (lost !== undefined) state.repeat(lost.memberId, clock.nowMs());
+      state.repeat(state.self().memberId, clock.nowMs());
       const isBack = await exchange(address, null);
       if (isBack && lost !== undefined) await sync.fetchFrom(lost.memberId);
     }
@@ -293,12 +299,12 @@
     find: state.find,
     self: state.self,
     setAttributes: (attributes) => {
-      state.setAttributes(attributes);
+      state.setAttributes(attributes, clock.nowMs());
       sync.noteChange();
       onChange();
     },
     leave: () => {
-      state.leave();
+      state.leave(clock.nowMs());
       sync.noteChange();
       pushNews();
       onChange();
--- a/packages/coordination/src/membership/notices.ts
+++ b/packages/coordination/src/membership/notices.ts
@@ -47,7 +47,7 @@
     const before = find(notice.topic, notice.key);
     if (before !== undefined && notice.expiresAtMs < before.expiresAtMs + RENEWAL_MS) return false;
     known.set(keyOf(notice.topic, notice.key), notice);
-    pending.add(keyOf(notice.topic, notice.key), notice);
+    pending.add(keyOf(notice.topic, notice.key), notice, clock.nowMs());
     sweep();
     for (const listener of listeners) listener(notice);
     return true;
@@ -72,7 +72,7 @@
     learn,
     takePending: (transmitLimit) =>
       pending
-        .take(NOTICES_PER_MESSAGE, transmitLimit)
+        .take(NOTICES_PER_MESSAGE, transmitLimit, clock.nowMs())
         .filter((notice) => notice.expiresAtMs > clock.nowMs()),
   };
 }
--- a/packages/coordination/src/membership/swim.ts
+++ b/packages/coordination/src/membership/swim.ts
@@ -11,8 +11,11 @@
 export type SwimLimits = {
   /** Updates in one message: about 1.6 KB at 100 bytes each. */
   updatesPerMessage: number;
-  /** An update is sent this many times log2 of the number of members. */
-  transmitFactor: number;
+  /**
+   * How often each process passes an update on: four times at once, and four times with its next
+   * probes. Of those whom none of the first four reached, the others reach all but one in fifty.
+   */
+  transmitLimit: number;
   /** A suspicion lasts this many probe periods times log10 of the number of members. */
   suspicionFactor: number;
   probePeriodMs: number;
@@ -22,7 +25,7 @@
 
 export const DEFAULT_LIMITS: SwimLimits = {
   updatesPerMessage: 16,
-  transmitFactor: 1,
+  transmitLimit: 8,
   suspicionFactor: 3,
   probePeriodMs: 2_000,
   forgetAfterMs: 2 * 60 * 60 * 1_000,
@@ -47,15 +50,15 @@
   expire: (nowMs: number) => boolean;
   /** Gives every suspicion more time, after this process itself was paused. */
   extendSuspicions: (byMs: number) => void;
-  setAttributes: (attributes: Buffer) => void;
-  leave: () => void;
+  setAttributes: (attributes: Buffer, nowMs: number) => void;
+  leave: (nowMs: number) => void;
   /** Passes the record on again, to peers that have an older one. */
-  repeat: (memberId: string) => void;
+  repeat: (memberId: string, nowMs: number) => void;
   /** The member whose turn it is to be probed. */
   nextTarget: () => types.Member | undefined;
   /** Up to `count` other members that are alive, at random. */
   sampleOthers: (count: number, exceptId?: string) => types.Member[];
-  takeUpdates: () => types.Member[];
+  takeUpdates: (nowMs: number) => types.Member[];
   pendingCount: () => number;
   viewHash: () => number;
   bucketHashes: () => readonly number[];
@@ -70,6 +73,7 @@
   description: types.SelfDescription,
   limits: SwimLimits,
   random: randoms.Random,
+  startedAtMs = 0,
 ): Swim {
   let self: types.Member = { ...description, revision: 0, status: 'alive' };
   /** Members that are not dead, without this process; with the end of a suspicion. */
@@ -81,7 +85,7 @@
   let targets: string[] = [];
   let listed: readonly types.Member[] | null = null;
   addToHash(self);
-  updates.add(self.memberId, self);
+  updates.add(self.memberId, self, startedAtMs);
 
   /** Adding and removing a record are the same, since the hashes are joined by exclusive or. */
   function addToHash(member: types.Member): void {
@@ -95,12 +99,12 @@
     return listed;
   }
 
-  function setSelf(next: types.Member): void {
+  function setSelf(next: types.Member, nowMs: number): void {
     addToHash(self);
     self = next;
     addToHash(self);
     listed = null;
-    updates.add(self.memberId, self);
+    updates.add(self.memberId, self, nowMs);
   }
 
   function suspicionMs(): number {
@@ -129,27 +133,27 @@
 
   function storeAndSpread(member: types.Member, nowMs: number): void {
     store(member, nowMs);
-    updates.add(member.memberId, member);
+    updates.add(member.memberId, member, nowMs);
   }
 
   /**
    * Failure: others think that this process is gone, for example after it was paused. Symptom: it
    * gets no work. Enough, because a record with a higher revision overrides any word of others.
    */
-  function refute(word: types.Member): boolean {
+  function refute(word: types.Member, nowMs: number): boolean {
     if (word.incarnation !== self.incarnation || word.revision < self.revision) return false;
     const isContradicted = word.status === 'suspected' || word.status === 'dead';
     if (!isContradicted && word.revision === self.revision) return false;
-    setSelf({ ...self, revision: word.revision + 1 });
+    setSelf({ ...self, revision: word.revision + 1 }, nowMs);
     return true;
   }
 
   function apply(member: types.Member, nowMs: number, from: 'gossip' | 'view'): Change {
-    if (member.memberId === self.memberId) return refute(member) ? 'standing' : 'none';
+    if (member.memberId === self.memberId) return refute(member, nowMs) ? 'standing' : 'none';
     const before = known(member.memberId);
     if (before !== undefined && !records.isNewer(member, before)) return 'none';
     store(member, nowMs);
-    if (from === 'gossip') updates.add(member.memberId, member);
+    if (from === 'gossip') updates.add(member.memberId, member, nowMs);
     const isSame = before?.incarnation === member.incarnation && before.status === member.status;
     return isSame ? 'attributes' : 'standing';
   }
@@ -213,22 +217,19 @@
     extendSuspicions: (byMs) => {
       for (const entry of present.values()) entry.deadlineMs += byMs;
     },
-    setAttributes: (attributes) => {
-      setSelf({ ...self, attributes, revision: self.revision + 1 });
+    setAttributes: (attributes, nowMs) => {
+      setSelf({ ...self, attributes, revision: self.revision + 1 }, nowMs);
     },
-    leave: () => {
-      setSelf({ ...self, status: 'leaving', revision: self.revision + 1 });
+    leave: (nowMs) => {
+      setSelf({ ...self, status: 'leaving', revision: self.revision + 1 }, nowMs);
     },
-    repeat: (memberId) => {
+    repeat: (memberId, nowMs) => {
       const member = known(memberId);
-      if (member !== undefined) updates.add(memberId, member);
+      if (member !== undefined) updates.add(memberId, member, nowMs);
     },
     nextTarget,
     sampleOthers,
-    takeUpdates: () => {
-      const limit = Math.ceil(limits.transmitFactor * Math.log2(present.size + 2)) + 2;
-      return updates.take(limits.updatesPerMessage, limit);
-    },
+    takeUpdates: (nowMs) => updates.take(limits.updatesPerMessage, limits.transmitLimit, nowMs),
     pendingCount: updates.size,
     viewHash: () =>
       // eslint-disable-next-line no-bitwise -- as above
