--- a/packages/entry/src/shared/problems.ts
+++ b/packages/entry/src/shared/problems.ts
@@ -17,6 +17,7 @@
   'invalid-header': 400,
   'unknown-model': 404,
   'unknown-service': 404,
+  'unknown-route': 404,
   'body-too-large': 413,
   'deadline-passed': 400,
   'idempotency-key-reused': 422,
@@ -30,6 +31,8 @@
   'load-failed': 503,
   'upstream-unreachable': 503,
   'retries-exhausted': 503,
+  'expired-waiting': 504,
+  'config-behind': 503,
   starting: 503,
   leaving: 503,
   'claim-store-unavailable': 503,
@@ -40,6 +43,7 @@
   'claim-lost': 502,
   'deadline-passed': 504,
   'in-progress': 409,
+  'upstream-broken': 502,
 };
 
 const FAILED_STATUS: Readonly<Record<calls.FailedCause, number>> = {
