Keep changed attributes from crowding out standings, and from the view hash

Cause: agents say their ready models in their attributes. Each change costs each daemon about 3 KB at four copies of 410 bytes, so one change a second breaks 2 KB a second; and with attributes in the view hash no two views would agree, so that every process would fetch views all the time. Excluded: more room for attributes; spread to all is over the budget at a few changes a second however it is done. Change: the view hash covers who is there and who leaves; changed attributes go in fewer copies, behind standings, one to a message from 128 members on: they come late before the budget breaks.

--- a/packages/coordination/src/journal/batches.ts
+++ b/packages/coordination/src/journal/batches.ts
@@ -33,10 +33,16 @@
   return JSON.stringify(event);
 }
 
+/** Off the loop: a full batch takes tens of milliseconds, in which tokens would wait. */
 export function compress(lines: readonly string[]): Promise<Buffer> {
   return gzip(Buffer.from(lines.join('\n')));
 }
 
+/** On the loop, for tests on a fake clock, which does not wait for other threads. */
+export async function compressNow(lines: readonly string[]): Promise<Buffer> {
+  return zlib.gzipSync(Buffer.from(lines.join('\n')));
+}
+
 /** Undefined for an object that is no batch. */
 export async function decompress(
   value: Buffer,
--- a/packages/coordination/src/journal/journal.test.ts
+++ b/packages/coordination/src/journal/journal.test.ts
@@ -6,6 +6,7 @@
 import * as faultyStore from '../object-store/faulty-store.js';
 import * as memoryStore from '../object-store/memory-store.js';
 
+import * as batches from './batches.js';
 import * as journal from './journal.js';
 import * as journalReader from './journal-reader.js';
 import * as requestIds from './request-ids.js';
@@ -22,6 +23,7 @@
       clock,
       random: randoms.createRandom(1),
       pendingMaxBytes,
+      compress: batches.compressNow,
     });
   const ids = requestIds.createRequestIds('entry-1', 1, clock.wallMs);
   const reader = journalReader.createJournalReader({ store });
--- a/packages/coordination/src/journal/journal.ts
+++ b/packages/coordination/src/journal/journal.ts
@@ -19,6 +19,8 @@
   flushIntervalMs?: number;
   /** Memory for events that are not yet written. */
   pendingMaxBytes?: number;
+  /** How a batch is compressed; on a fake clock `batches.compressNow`. */
+  compress?: (lines: readonly string[]) => Promise<Buffer>;
 };
 
 /** Each process makes one write per minute of requests and interval: 1,140 processes, 38 a second. */
@@ -35,6 +37,7 @@
   const { store, memberId, incarnation, clock, random } = options;
   const flushIntervalMs = options.flushIntervalMs ?? DEFAULT_FLUSH_INTERVAL_MS;
   const pendingMaxBytes = options.pendingMaxBytes ?? DEFAULT_PENDING_MAX_BYTES;
+  const compress = options.compress ?? batches.compress;
   const stopping = new AbortController();
   let pending: Pending[] = [];
   let pendingBytes = 0;
@@ -125,7 +128,7 @@
       const { minute, lines } = takeLines();
       batchSequence += 1;
       const key = batches.batchKey(minute, memberId, incarnation, batchSequence);
-      const value = await batches.compress(lines);
+      const value = await compress(lines);
       unconfirmed.push({ key, value, sizeBytes: value.length, eventCount: lines.length });
       unconfirmedBytes += value.length;
     }
--- a/packages/coordination/src/membership/gossip-buffer.ts
+++ b/packages/coordination/src/membership/gossip-buffer.ts
@@ -11,6 +11,8 @@
   add: (key: string, item: Item, nowMs: number) => void;
   /** Up to `count` items, those that were sent least often first; counts them as sent once more. */
   take: (count: number, transmitLimit: number, nowMs: number) => Item[];
+  has: (key: string) => boolean;
+  remove: (key: string) => void;
   size: () => number;
 };
 
@@ -32,6 +34,10 @@
       }
       return chosen.map(([, entry]) => entry.item);
     },
+    has: (key) => entries.has(key),
+    remove: (key) => {
+      entries.delete(key);
+    },
     size: () => entries.size,
   };
 }
--- a/packages/coordination/src/membership/records.ts
+++ b/packages/coordination/src/membership/records.ts
@@ -25,10 +25,15 @@
   return statusRank(candidate.status) > statusRank(present.status);
 }
 
-/** What a record adds to the hash of a view; suspicion is left out, since it comes and goes. */
+/**
+ * What a record adds to the hash of a view: who is there and whether it is leaving. Suspicion is
+ * left out, since it comes and goes, and so are attributes: with several changes a second somewhere
+ * in the fleet, no two views would ever agree.
+ */
 export function hashOf(member: types.Member): number {
   if (member.status === 'dead') return 0;
-  return hashes.hash32(`${member.memberId}/${member.incarnation}/${member.revision}`);
+  const isLeaving = member.status === 'leaving' ? 'leaving' : 'there';
+  return hashes.hash32(`${member.memberId}/${member.incarnation}/${isLeaving}`);
 }
 
 export function bucketOf(memberId: string, bucketCount: number): number {
--- a/packages/coordination/src/membership/swim.test.ts
+++ b/packages/coordination/src/membership/swim.test.ts
@@ -76,6 +76,23 @@
   );
 });
 
+test('changed attributes wait for standings, and do not change the view', () => {
+  // Nobody sees a difference in who is there. An agent's models change while another one leaves:
+  // the leaving goes first, and the attributes follow in few copies.
+  const state = createState('a');
+  for (let count = 0; count < 200; count += 1) {
+    state.apply({ ...describe(`m${count}`), revision: 0, status: 'alive' }, 0, 'view');
+  }
+  const hash = state.viewHash();
+  while (state.takeUpdates(0).length > 0);
+  state.apply({ ...describe('m1'), revision: 1, status: 'alive' }, 0, 'gossip');
+  state.apply({ ...describe('m2'), revision: 1, status: 'alive' }, 0, 'gossip');
+  assert.is(state.viewHash(), hash);
+  state.apply({ ...describe('m3'), revision: 1, status: 'leaving' }, 0, 'gossip');
+  const sent = state.takeUpdates(0).map((member) => member.memberId);
+  assert.equal([sent[0], sent.length], ['m3', 2]);
+});
+
 test('the hash of a view does not depend on the way it came about', () => {
   const [first, second] = [createState('a'), createState('a')];
   first.apply({ ...describe('b'), revision: 0, status: 'alive' }, 0, 'gossip');
--- a/packages/coordination/src/membership/swim.ts
+++ b/packages/coordination/src/membership/swim.ts
@@ -4,18 +4,11 @@
  */
 import { randoms } from '@copperlever/runtime';
 
-import * as gossipBuffer from './gossip-buffer.js';
+import * as memberUpdates from './member-updates.js';
 import * as records from './records.js';
 import type * as types from './types.js';
 
-export type SwimLimits = {
-  /** Updates in one message: about 1.6 KB at 100 bytes each. */
-  updatesPerMessage: number;
-  /**
-   * How often each process passes an update on: four times at once, and four times with its next
-   * probes. Of those whom none of the first four reached, the others reach all but one in fifty.
-   */
-  transmitLimit: number;
+export type SwimLimits = memberUpdates.UpdateLimits & {
   /** A suspicion lasts this many probe periods times log10 of the number of members. */
   suspicionFactor: number;
   probePeriodMs: number;
@@ -26,6 +19,7 @@
 export const DEFAULT_LIMITS: SwimLimits = {
   updatesPerMessage: 16,
   transmitLimit: 8,
+  attributesTransmitLimit: 4,
   suspicionFactor: 3,
   probePeriodMs: 2_000,
   forgetAfterMs: 2 * 60 * 60 * 1_000,
@@ -80,12 +74,12 @@
   const present = new Map<string, Entry>();
   /** Dead members, with the instant at which they are forgotten. */
   const dead = new Map<string, Entry>();
-  const updates = gossipBuffer.createGossipBuffer<types.Member>();
+  const updates = memberUpdates.createMemberUpdates(limits);
   const buckets = new Array<number>(BUCKET_COUNT).fill(0);
   let targets: string[] = [];
   let listed: readonly types.Member[] | null = null;
   addToHash(self);
-  updates.add(self.memberId, self, startedAtMs);
+  updates.add(self, 'standing', startedAtMs);
 
   /** Adding and removing a record are the same, since the hashes are joined by exclusive or. */
   function addToHash(member: types.Member): void {
@@ -99,12 +93,12 @@
     return listed;
   }
 
-  function setSelf(next: types.Member, nowMs: number): void {
+  function setSelf(next: types.Member, change: 'standing' | 'attributes', nowMs: number): void {
     addToHash(self);
     self = next;
     addToHash(self);
     listed = null;
-    updates.add(self.memberId, self, nowMs);
+    updates.add(self, change, nowMs);
   }
 
   function suspicionMs(): number {
@@ -133,7 +127,7 @@
 
   function storeAndSpread(member: types.Member, nowMs: number): void {
     store(member, nowMs);
-    updates.add(member.memberId, member, nowMs);
+    updates.add(member, 'standing', nowMs);
   }
 
   /**
@@ -144,7 +138,7 @@
     if (word.incarnation !== self.incarnation || word.revision < self.revision) return false;
     const isContradicted = word.status === 'suspected' || word.status === 'dead';
     if (!isContradicted && word.revision === self.revision) return false;
-    setSelf({ ...self, revision: word.revision + 1 }, nowMs);
+    setSelf({ ...self, revision: word.revision + 1 }, 'standing', nowMs);
     return true;
   }
 
@@ -153,9 +147,10 @@
     const before = known(member.memberId);
     if (before !== undefined && !records.isNewer(member, before)) return 'none';
     store(member, nowMs);
-    if (from === 'gossip') updates.add(member.memberId, member, nowMs);
     const isSame = before?.incarnation === member.incarnation && before.status === member.status;
-    return isSame ? 'attributes' : 'standing';
+    const change = isSame ? 'attributes' : 'standing';
+    if (from === 'gossip') updates.add(member, change, nowMs);
+    return change;
   }
 
   /** A leaving member gets no work any more: nothing is gained by waiting for its word. */
@@ -218,18 +213,18 @@
       for (const entry of present.values()) entry.deadlineMs += byMs;
     },
     setAttributes: (attributes, nowMs) => {
-      setSelf({ ...self, attributes, revision: self.revision + 1 }, nowMs);
+      setSelf({ ...self, attributes, revision: self.revision + 1 }, 'attributes', nowMs);
     },
     leave: (nowMs) => {
-      setSelf({ ...self, status: 'leaving', revision: self.revision + 1 }, nowMs);
+      setSelf({ ...self, status: 'leaving', revision: self.revision + 1 }, 'standing', nowMs);
     },
     repeat: (memberId, nowMs) => {
       const member = known(memberId);
-      if (member !== undefined) updates.add(memberId, member, nowMs);
+      if (member !== undefined) updates.add(member, 'standing', nowMs);
     },
     nextTarget,
     sampleOthers,
-    takeUpdates: (nowMs) => updates.take(limits.updatesPerMessage, limits.transmitLimit, nowMs),
+    takeUpdates: (nowMs) => updates.take(present.size + 1, nowMs),
     pendingCount: updates.size,
     viewHash: () =>
       // eslint-disable-next-line no-bitwise -- as above
