--- a/packages/bench/src/control/figures.ts
+++ b/packages/bench/src/control/figures.ts
@@ -15,6 +15,8 @@
 
 export type SteadyFigures = {
   periodMs: number;
+  /** The fewest and the most members that any daemon knows. */
+  memberCounts: { fewest: number; most: number };
   cpuPercent: Spread;
   rssMb: Spread;
   peerBytesPerSecond: Spread;
@@ -49,8 +51,10 @@
       storeCallsPerSecond[kind] = round((storeCallsPerSecond[kind] ?? 0) + calls);
     }
   }
+  const memberCounts = after.map((sample) => sample.memberCount);
   return {
     periodMs,
+    memberCounts: { fewest: Math.min(...memberCounts), most: Math.max(...memberCounts) },
     cpuPercent: perSecond((sample) => sample.cpuMs / 10),
     rssMb: spreadOf(after.map((sample) => sample.rssBytes / MB)),
     peerBytesPerSecond: perSecond((sample) => sample.peerBytes),
