--- a/packages/proofs/src/harness/documents.ts
+++ b/packages/proofs/src/harness/documents.ts
@@ -21,7 +21,6 @@
   acceleratorCount: 1,
   memoryBytes: 100 * GIB,
   slotCount: 4,
-  checksFencing: true,
 };
 
 const SERVICE = {
@@ -32,14 +31,17 @@
   slotCount: 4,
 };
 
-export function modelOf(version: string, sizeGib = 40) {
-  return { version, sizeBytes: sizeGib * GIB, pools: ['jury-models'] };
+/** A model of which two fit into one engine. */
+export function model(version: string): schema.Model {
+  const fields = { version, sizeBytes: 40 * GIB, pools: ['jury-models'] };
+  return schema.modelSchema.parse(fields);
 }
 
-export function firstDocument(): schema.Document {
+export function firstDocument(checksFencing = true): schema.Document {
+  const engine = { ...ENGINE, checksFencing };
   return schema.documentSchema.parse({
-    upstreams: { 'jury-1': ENGINE, 'jury-2': ENGINE, 'desk-1': SERVICE, 'desk-2': SERVICE },
-    models: { draws: modelOf('v1'), protests: modelOf('v1'), coach: modelOf('v1') },
+    upstreams: { 'jury-1': engine, 'jury-2': engine, 'desk-1': SERVICE, 'desk-2': SERVICE },
+    models: { draws: model('v1'), protests: model('v1'), coach: model('v1') },
     adapters: { 'club-a': { model: 'draws', version: 'v1', sizeBytes: GIB } },
     services: {
       'entry-desk': {
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -3,7 +3,6 @@
  * over in-process transports, the memory object store and fake upstreams.
  */
 import * as agentContainers from '@copperlever/agent/container';
-import type { schema } from '@copperlever/configuration';
 import {
   faultyStore,
   journal as journals,
@@ -316,7 +315,9 @@
     return marked;
   }
 
-  async function start(document: schema.Document = documents.firstDocument()): Promise<void> {
+  async function start(checksFencing = true): Promise<void> {
+    const document = documents.firstDocument(checksFencing);
+    upstreamsByName.forEach((upstream) => upstream.setChecksFencing(checksFencing));
     for (const entryId of documents.ENTRY_IDS) await startEntry(entryId);
     for (const upstreamId of upstreamsByName.keys()) await startAgent(upstreamId);
     const { config } = (entries.get(documents.ENTRY_IDS[0]) as Entry).parts.control;
--- a/packages/proofs/src/harness/upstreams.ts
+++ b/packages/proofs/src/harness/upstreams.ts
@@ -16,6 +16,8 @@
 
 export type OrderFate = { delaysMs: readonly number[]; answers: boolean };
 
+export type OrderStage = 'sent' | 'taken' | 'loaded';
+
 export type FakeUpstream = {
   name: string;
   runs: Run[];
@@ -32,8 +34,8 @@
   setChecksFencing: (checks: boolean) => void;
   /** What happens to the next orders. */
   setOrderFate: (fate: ((order: upstreamTypes.NumberedOrder) => OrderFate | null) | null) => void;
-  /** Told of each order that takes effect. */
-  onOrder: (listener: (order: upstreamTypes.NumberedOrder) => void) => void;
+  /** Told of each order as it is sent, as it takes effect, and of each copy that gets ready. */
+  onOrder: (listener: (stage: OrderStage, order: upstreamTypes.NumberedOrder) => void) => void;
 };
 
 /** A body with one of these words crashes every engine that runs it, at that point of the run. */
@@ -71,7 +73,7 @@
 ): FakeUpstream {
   const state = engineState.createEngineState(memoryBytes, 1);
   const runs: Run[] = [];
-  const orderListeners: ((order: upstreamTypes.NumberedOrder) => void)[] = [];
+  const orderListeners: ((stage: OrderStage, order: upstreamTypes.NumberedOrder) => void)[] = [];
   let checksFencing = true;
   let epoch = 1;
   let isDown = false;
@@ -166,13 +168,19 @@
     }
   }
 
+  function tell(stage: OrderStage, order: upstreamTypes.NumberedOrder): void {
+    orderListeners.forEach((listener) => listener(stage, order));
+  }
+
   function take(order: upstreamTypes.NumberedOrder): engineState.OrderVerdict {
     const verdict = state.take(order, checksFencing);
-    if (verdict === 'taken') orderListeners.forEach((listener) => listener(order));
+    if (verdict === 'taken') tell('taken', order);
     if (verdict === 'taken' && order.kind === 'load') {
       const takenEpoch = epoch;
       clock.schedule(clock.nowMs() + LOAD_MS, () => {
-        if (takenEpoch === epoch) state.markReady(order.name, order.version);
+        if (takenEpoch !== epoch) return;
+        state.markReady(order.name, order.version);
+        tell('loaded', order);
       });
     }
     return verdict;
@@ -189,6 +197,7 @@
     deadlineMs: number,
   ): Promise<results.Result<void, upstreamTypes.OrderError>> {
     if (isDown) return results.Err({ kind: 'not-sent', detail: 'ECONNREFUSED' });
+    tell('sent', order);
     const fate = fateOf?.(order) ?? { delaysMs: [ORDER_LATENCY_MS], answers: true };
     const reply = new Promise<results.Result<void, upstreamTypes.OrderError>>((resolve) => {
       fate.delaysMs.forEach((delayMs) =>
--- a/packages/proofs/src/matrix/cells.ts
+++ b/packages/proofs/src/matrix/cells.ts
@@ -3,6 +3,7 @@
 import * as configJourney from './config-journey.js';
 import * as faults from './faults.js';
 import type * as invariants from './invariants.js';
+import * as modelJourney from './model-journey.js';
 import * as requestJourney from './request-journey.js';
 
 export type Cell = {
@@ -49,6 +50,20 @@
   );
 }
 
+function modelCells(): Cell[] {
+  return faults.FAULTS.flatMap((fault) =>
+    modelJourney.STEPS.map((step): Cell => {
+      const journey = 'model change';
+      const reason = fault.isOfRequests === true ? 'it happens to a request' : fault.unfit?.(step);
+      if (typeof reason === 'string') {
+        return { journey, fault: fault.name, step, work: { kind: 'not-applicable', reason } };
+      }
+      const run = (overrides?: fleets.Overrides) => modelJourney.runCell(fault, step, overrides);
+      return { journey, fault: fault.name, step, work: { kind: 'run', run } };
+    }),
+  );
+}
+
 export function listCells(): Cell[] {
-  return [...requestCells(), ...configCells()];
+  return [...requestCells(), ...modelCells(), ...configCells()];
 }
--- a/packages/proofs/src/matrix/faults.ts
+++ b/packages/proofs/src/matrix/faults.ts
@@ -14,6 +14,10 @@
   /** How many messages the message faults take, and which. */
   messageCount: number;
   isDisturbed: (message: networks.Message) => boolean;
+  /** Orders to the engine are messages of the journey too. */
+  disturbsOrders?: true;
+  /** A paused agent is taken for dead and replaced, while it still believes in itself. */
+  replacesPaused?: true;
   /** A word that no other use of this scene has. */
   mark: string;
   /** The operator whose patch is on its way, where the journey has one. */
@@ -24,8 +28,12 @@
   name: string;
   /** The request itself crashes the engines that run it. */
   isPoison?: true;
+  /** It happens to a request that an engine runs. */
+  isOfRequests?: true;
   /** It happens to an engine, or to orders for one. */
   isOfEngines?: true;
+  /** The configuration says that the engines ignore fencing numbers, and they do. */
+  ignoresFencing?: true;
   /** Why the fault has no meaning at a step. */
   unfit?: (step: string) => string | null;
   strike: (scene: Scene) => void;
@@ -41,18 +49,32 @@
 const LOST_ANSWERS = 2;
 const RETRY_AFTER_MS = 1_000;
 
+/** Steps at which an order to an engine may be on its way. */
+const ORDER_STEPS = ['decided', 'order sent', 'order taken', 'loaded'];
+
 function after(scene: Scene, waitMs: number, task: () => void): void {
   scene.fleet.clock.schedule(scene.fleet.clock.nowMs() + waitMs, task);
 }
 
 /** Does something to the next messages of the journey. */
-function disturbMessages(scene: Scene, delaysOf: (index: number) => readonly number[]): void {
+function disturbMessages(
+  scene: Scene,
+  delaysOf: (index: number) => readonly number[],
+  answersOrder = true,
+): void {
   let index = 0;
   scene.fleet.network.addFate((message) => {
     if (!scene.isDisturbed(message) || index >= scene.messageCount) return null;
     index += 1;
     return delaysOf(index);
   });
+  if (scene.disturbsOrders !== true) return;
+  let orderIndex = 0;
+  scene.fleet.upstreams.get(scene.upstreamId)?.setOrderFate(() => {
+    if (orderIndex >= scene.messageCount) return null;
+    orderIndex += 1;
+    return { delaysMs: delaysOf(orderIndex), answers: answersOrder };
+  });
 }
 
 function killEntry({ fleet, entryId }: Scene): void {
@@ -70,6 +92,14 @@
   after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startAgent(scene.upstreamId));
 }
 
+function pauseAgent(scene: Scene): void {
+  const process = scene.fleet.agents.get(scene.upstreamId)?.process;
+  process?.pause();
+  after(scene, PAUSE_MS, () => process?.resume());
+  if (scene.replacesPaused !== true) return;
+  after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startAgent(scene.upstreamId));
+}
+
 function breakStore(scene: Scene, fault: Parameters<fleets.Fleet['store']['setFault']>[0]): void {
   scene.fleet.store.setFault(fault);
   after(scene, STORE_FAULT_MS, () => scene.fleet.store.setFault({ kind: 'none' }));
@@ -119,13 +149,15 @@
   },
   {
     name: 'agent paused past its lease',
-    strike: (scene) => {
-      const process = scene.fleet.agents.get(scene.upstreamId)?.process;
-      process?.pause();
-      after(scene, PAUSE_MS, () => process?.resume());
-    },
+    strike: pauseAgent,
   },
   { name: 'message lost', strike: (scene) => disturbMessages(scene, () => []) },
+  {
+    name: 'answer of an order lost',
+    isOfEngines: true,
+    unfit: (step) => (ORDER_STEPS.includes(step) ? null : 'no order is on its way'),
+    strike: (scene) => disturbMessages({ ...scene, isDisturbed: () => false }, () => [1], false),
+  },
   { name: 'message late', strike: (scene) => disturbMessages(scene, () => [LATE_MS]) },
   {
     name: 'message twice',
@@ -155,6 +187,7 @@
   },
   {
     name: 'answer of the upstream lost',
+    isOfRequests: true,
     isOfEngines: true,
     unfit: (step) =>
       ['streaming', 'finished', 'recorded'].includes(step) ? 'the answer is there already' : null,
@@ -167,14 +200,13 @@
   {
     name: 'engine ignores fencing numbers',
     isOfEngines: true,
-    strike: (scene) => {
-      scene.fleet.upstreams.get(scene.upstreamId)?.setChecksFencing(false);
-      replaceAgent(scene);
-    },
+    ignoresFencing: true,
+    strike: (scene) => (scene.replacesPaused === true ? pauseAgent(scene) : replaceAgent(scene)),
   },
   {
     name: 'request that crashes engines',
     isPoison: true,
+    isOfRequests: true,
     isOfEngines: true,
     unfit: (step) => (step in upstreams.POISONS ? null : 'the engine does not run it at this step'),
     strike: () => {},
--- a/packages/proofs/src/matrix/invariants.ts
+++ b/packages/proofs/src/matrix/invariants.ts
@@ -120,13 +120,20 @@
   ];
 }
 
+const MODELS = ['draws', 'protests', 'coach'];
+
 /** After the faults every target must be answered again, at every entry. */
-export async function checkReachable(fleet: fleets.Fleet): Promise<Violation[]> {
+export async function checkReachable(
+  fleet: fleets.Fleet,
+  moreModels: readonly string[] = [],
+): Promise<Violation[]> {
   const found: Violation[] = [];
   const questions: callers.Question[] = [
-    { kind: 'chat', mark: 'after draws', model: 'draws' },
-    { kind: 'chat', mark: 'after protests', model: 'protests' },
-    { kind: 'chat', mark: 'after coach', model: 'coach' },
+    ...[...MODELS, ...moreModels].map((model) => ({
+      kind: 'chat' as const,
+      mark: `after ${model}`,
+      model,
+    })),
     { kind: 'submission', mark: 'after' },
   ];
   const entryIds = [...fleet.entries.keys()].filter(
--- a/packages/proofs/src/matrix/request-journey.ts
+++ b/packages/proofs/src/matrix/request-journey.ts
@@ -80,7 +80,7 @@
   overrides?: fleets.Overrides,
 ): Promise<invariants.CellOutcome> {
   const fleet = await fleets.createFleet({ seed: variant.messageCount, overrides });
-  await fleet.start();
+  await fleet.start(!strikes.some(({ fault }) => fault.ignoresFencing));
   const [entryId] = documents.ENTRY_IDS;
   const pool = variant.kind === 'chat' ? 'jury' : 'desk';
   const progress: Progress = { upstreamId: `${pool}-1`, reached: new Set() };
