--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -9,6 +9,7 @@
 import type * as contexts from './server/calls/context.js';
 import * as healthApp from './server/health/app.js';
 import * as drains from './server/health/drain.js';
+import * as gauges from './server/health/gauges.js';
 import * as operatorApp from './server/operator/app.js';
 import * as settingsModule from './types/settings.js';
 
@@ -89,10 +90,29 @@
   };
 }
 
+async function startReports(): Promise<supervisor.RunningPart> {
+  return gauges.startGauges({
+    clock,
+    metrics: cradle.metrics,
+    sources: [
+      { name: 'entry.config_version', read: () => control.follower.current()?.version ?? 0 },
+      { name: 'entry.members', read: () => control.membership.members().length },
+      { name: 'entry.journal_dropped', read: cradle.journal.droppedCount },
+      { name: 'entry.claims_pending', read: cradle.settlements.pendingCount },
+      { name: 'entry.open_calls', read: () => openCalls.count },
+    ],
+  });
+}
+
+control.follower.onChange(({ version }) => {
+  log.info('config-in-force', { configVersion: version });
+});
+
 const tree = supervisor.createSupervisor(
   [
     { name: 'control', start: startControl },
     { name: 'callers', start: startCallers },
+    { name: 'reports', start: startReports },
   ],
   { clock, log, onGiveUp: () => process.exit(1) },
 );
