--- a/packages/stand-ins/src/engine/main.ts
+++ b/packages/stand-ins/src/engine/main.ts
@@ -37,7 +37,6 @@
 
 const faults: control.Faults = new Map();
 const state = engineState.createEngineState(options.memoryBytes, Date.now());
-const openStreams = new Set<http.ServerResponse>();
 const runsById = new Map<string, number>();
 let crashCount = 0;
 let cancelledCount = 0;
@@ -48,7 +47,8 @@
   crashCount += 1;
   isDown = true;
   state.crash();
-  openStreams.forEach((stream) => stream.destroy());
+  // Also those whose answer has not begun, the marked request's among them.
+  app.server.closeAllConnections();
   await timers.setTimeout(RESTART_MS);
   isDown = false;
 }
@@ -90,13 +90,11 @@
   const contentType = body.stream === true ? 'text/event-stream' : 'application/json';
   raw.writeHead(200, { 'content-type': contentType });
   if (body.stream === true) raw.flushHeaders();
-  openStreams.add(raw);
   state.requestStarted();
   try {
     await writeTokens(raw, id, body);
   } finally {
     state.requestEnded();
-    openStreams.delete(raw);
   }
 }
 
