Open a new connection only when the present one brings nothing at all

Cause: a request without a frame for a second asked again on a new connection, and that one took the place of the shared one. A request that waits in a queue is silent too: a hundred of them would open a hundred connections every few seconds, each for a moment the shared one of all others. Found by reading; there is no failing run, since the link had no part that a test could reach.

Excluded: HTTP/2 pings on each connection with calls in flight; they cost control bytes on hundreds of connections, and frames of other requests say the same for nothing.

Change: channel-freshness.ts decides by when the connection was opened and last heard; the link keeps both.

--- a/packages/entry/src/server/links/grpc-link.ts
+++ b/packages/entry/src/server/links/grpc-link.ts
@@ -3,6 +3,7 @@
 import { type clocks, results } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 
+import * as channelFreshness from '../../shared/channel-freshness.js';
 import type * as links from '../../types/links.js';
 
 export type GrpcLink = links.AgentLink & { close: () => void };
@@ -27,6 +28,8 @@
   'grpc.max_reconnect_backoff_ms': 1_000,
 };
 
+type Channel = channelFreshness.ChannelTimes & { client: agent.AgentServiceClient };
+
 type FrameStream = grpc.ClientReadableStream<agent.AnswerFrame>;
 
 function detailOf(cause: unknown): string {
@@ -36,11 +39,13 @@
 async function* readParts(
   stream: FrameStream,
   signal: AbortSignal,
+  onHeard: () => void,
 ): AsyncGenerator<links.LinkPart> {
   const cancel = () => stream.cancel();
   signal.addEventListener('abort', cancel, { once: true });
   try {
     for await (const frame of stream) {
+      onHeard();
       yield { kind: 'frame', frame: frame as agent.AnswerFrame };
     }
   } catch (cause) {
@@ -52,25 +57,32 @@
 }
 
 export function createGrpcLink(clock: clocks.Clock): GrpcLink {
-  const channels = new Map<string, agent.AgentServiceClient>();
+  const channels = new Map<string, Channel>();
   const pendingAcks = new Map<string, string[]>();
 
-  function clientFor(
-    address: string,
-    connection: links.ConnectionChoice,
-  ): agent.AgentServiceClient {
-    const known = channels.get(address);
-    if (known !== undefined && connection === 'shared') return known;
-    if (known !== undefined) {
-      clock.schedule(clock.nowMs() + OLD_CHANNEL_GRACE_MS, () => known.close());
-    }
+  function open(address: string): Channel {
     const client = new agent.AgentServiceClient(
       address,
       grpc.credentials.createInsecure(),
       CHANNEL_OPTIONS,
     );
-    channels.set(address, client);
-    return client;
+    const nowMs = clock.nowMs();
+    const channel = { client, openedAtMs: nowMs, heardAtMs: nowMs };
+    channels.set(address, channel);
+    return channel;
+  }
+
+  function channelFor(address: string, connection: links.ConnectionChoice): Channel {
+    const known = channels.get(address);
+    if (known === undefined) return open(address);
+    const nowMs = clock.nowMs();
+    if (connection === 'shared' || !channelFreshness.needsReopening(known, nowMs)) return known;
+    clock.schedule(nowMs + OLD_CHANNEL_GRACE_MS, () => known.client.close());
+    return open(address);
+  }
+
+  function hear(channel: Channel): void {
+    channel.heardAtMs = clock.nowMs();
   }
 
   function sendAcks(address: string): void {
@@ -78,7 +90,7 @@
     pendingAcks.delete(address);
     const deadline = new Date(clock.wallMs() + ACKNOWLEDGE_TIMEOUT_MS);
     // A lost acknowledgement only keeps an answer in the agent's memory a little longer.
-    clientFor(address, 'shared').acknowledge(
+    channelFor(address, 'shared').client.acknowledge(
       { dispatchIds },
       new grpc.Metadata(),
       { deadline },
@@ -87,14 +99,18 @@
   }
 
   return {
-    dispatch: (target, request, signal) =>
-      readParts(clientFor(target.address, 'shared').dispatch(request), signal),
-    resume: (target, request, signal, connection) =>
-      readParts(clientFor(target.address, connection).resume(request), signal),
+    dispatch: (target, request, signal) => {
+      const channel = channelFor(target.address, 'shared');
+      return readParts(channel.client.dispatch(request), signal, () => hear(channel));
+    },
+    resume: (target, request, signal, connection) => {
+      const channel = channelFor(target.address, connection);
+      return readParts(channel.client.resume(request), signal, () => hear(channel));
+    },
     revoke: (target, request, deadlineMs, connection) => {
       const deadline = new Date(clock.wallMs() + deadlineMs - clock.nowMs());
       return new Promise((resolve) => {
-        clientFor(target.address, connection).revoke(
+        channelFor(target.address, connection).client.revoke(
           request,
           new grpc.Metadata(),
           { deadline },
@@ -115,7 +131,7 @@
       clock.schedule(clock.nowMs() + ACKNOWLEDGE_DELAY_MS, () => sendAcks(target.address));
     },
     close: () => {
-      channels.forEach((client) => client.close());
+      channels.forEach((channel) => channel.client.close());
       channels.clear();
     },
   };
