Let the matrix build the callers' app as the entry does

Cause: the entry's callers' app became one function, and the matrix still put its parts together by itself; merged, the two did not compile. Excluded: keeping both. The matrix now runs the entry's own function, so bad routes and limits are under test as well.

--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -15,7 +15,7 @@
 import { logs, metrics, randoms } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import * as awilix from 'awilix';
-import * as fastify from 'fastify';
+import type * as fastify from 'fastify';
 
 import * as documents from './documents.js';
 import * as links from './links.js';
@@ -222,12 +222,7 @@
   /** The callers' routes, as the entry's main module offers them. */
   function createCallerApp(parts: entryContainers.EntryParts) {
     const openCalls = { count: 0 };
-    const app = fastify.fastify();
-    app.removeAllContentTypeParsers();
-    app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
-      done(null, body),
-    );
-    callsApp.registerCalls(app, {
+    const deps = {
       clock: parts.clock,
       log: parts.log,
       metrics: metrics.createSilentMetrics(),
@@ -236,8 +231,12 @@
       configuration: parts.control.follower.current,
       nextRequestId: parts.ids.next,
       openCalls,
-    });
-    return { app, openCalls };
+    };
+    const appOptions = {
+      maxBodyBytes: parts.settings.maxBodyBytes,
+      isStopping: () => entries.get(parts.settings.entryId)?.isStopping === true,
+    };
+    return { app: callsApp.createCallerApp(deps, appOptions), openCalls };
   }
 
   async function startAgent(upstreamId: string): Promise<Agent> {
