--- a/packages/proofs/src/matrix/cells.ts
+++ b/packages/proofs/src/matrix/cells.ts
@@ -17,12 +17,50 @@
     | { kind: 'not-covered'; reason: string };
 };
 
-function requestWork(strikes: readonly requestJourney.Strike[]): Cell['work'] {
+function requestWork(
+  strikes: readonly requestJourney.Strike[],
+  pairIndex: number | null = null,
+): Cell['work'] {
   for (const { fault, step } of strikes) {
     const reason = fault.unfit?.(step) ?? null;
     if (reason !== null) return { kind: 'not-applicable', reason: `${fault.name}: ${reason}` };
   }
-  return { kind: 'run', run: (overrides) => requestJourney.runCell(strikes, overrides) };
+  return {
+    kind: 'run',
+    run: (overrides) =>
+      pairIndex === null
+        ? requestJourney.runCell(strikes, overrides)
+        : requestJourney.runPair(strikes, pairIndex, overrides),
+  };
+}
+
+/** Two faults at the same step, for every pair that is one of the request journey. */
+function pairCells(): Cell[] {
+  const found: Cell[] = [];
+  const own = faults.FAULTS.filter((fault) =>
+    requestJourney.STEPS.some((step) => fits(fault, step)),
+  );
+  own.forEach((first, firstIndex) =>
+    own.slice(firstIndex + 1).forEach((second, offset) =>
+      requestJourney.STEPS.forEach((step, stepIndex) => {
+        const strikes = [
+          { fault: first, step },
+          { fault: second, step },
+        ];
+        found.push({
+          journey: 'request, two faults',
+          fault: `${first.name} + ${second.name}`,
+          step,
+          work: requestWork(strikes, offset + stepIndex),
+        });
+      }),
+    ),
+  );
+  return found;
+}
+
+function fits(fault: faults.Fault, step: string): boolean {
+  return (fault.unfit?.(step) ?? null) === null;
 }
 
 function requestCells(): Cell[] {
@@ -65,5 +103,9 @@
 }
 
 export function listCells(): Cell[] {
-  return [...requestCells(), ...modelCells(), ...configCells()];
+  return [...requestCells(), ...modelCells(), ...configCells(), ...pairCells()];
+}
+
+export function isWanted(cell: Cell, only: string): boolean {
+  return `${cell.journey} ${cell.fault} ${cell.step}`.includes(only);
 }
