--- a/packages/proofs/src/harness/callers.ts
+++ b/packages/proofs/src/harness/callers.ts
@@ -147,7 +147,9 @@
 
 /** The balancer leaves out entries that said they are stopping. */
 function chooseEntry(fleet: fleets.Fleet, entryIds: readonly string[], index: number): string {
-  const open = entryIds.filter((entryId) => fleet.entries.get(entryId)?.isStopping === false);
+  const open = entryIds.filter(
+    (entryId) => fleet.entries.get(entryId)?.stopping.isStopping === false,
+  );
   const choices = open.length > 0 ? open : entryIds;
   return choices[index % choices.length] as string;
 }
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -12,7 +12,7 @@
 } from '@copperlever/coordination';
 import * as entryContainers from '@copperlever/entry/container';
 import * as callsApp from '@copperlever/entry/server/calls/app';
-import { logs, metrics, randoms } from '@copperlever/runtime';
+import { logs, randoms } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import * as awilix from 'awilix';
 import * as fastify from 'fastify';
@@ -37,7 +37,7 @@
   app: fastify.FastifyInstance;
   openCalls: { count: number };
   /** The balancer sends no more callers. */
-  isStopping: boolean;
+  stopping: { isStopping: boolean };
   startedAtMs: number;
 };
 
@@ -211,33 +211,31 @@
     const entry = {
       process,
       parts,
-      ...createCallerApp(parts),
-      isStopping: false,
+      ...createCallerSide(parts),
       startedAtMs: clock.nowMs(),
     };
     entries.set(entryId, entry);
     return entry;
   }
 
-  /** The callers' routes, as the entry's main module offers them. */
-  function createCallerApp(parts: entryContainers.EntryParts) {
+  /** The callers' side, as the entry's main module joins it. */
+  function createCallerSide(parts: entryContainers.EntryParts) {
     const openCalls = { count: 0 };
-    const app = fastify.fastify();
-    app.removeAllContentTypeParsers();
-    app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
-      done(null, body),
+    const stopping = { isStopping: false };
+    const app = callsApp.createCallerApp(
+      {
+        clock: parts.clock,
+        log: parts.log,
+        metrics: parts.metrics,
+        journal: parts.journal,
+        serve: parts.serve,
+        configuration: parts.control.follower.current,
+        nextRequestId: parts.ids.next,
+        openCalls,
+      },
+      { maxBodyBytes: parts.settings.maxBodyBytes, isStopping: () => stopping.isStopping },
     );
-    callsApp.registerCalls(app, {
-      clock: parts.clock,
-      log: parts.log,
-      metrics: metrics.createSilentMetrics(),
-      journal: parts.journal,
-      serve: parts.serve,
-      configuration: parts.control.follower.current,
-      nextRequestId: parts.ids.next,
-      openCalls,
-    });
-    return { app, openCalls };
+    return { app, openCalls, stopping };
   }
 
   async function startAgent(upstreamId: string): Promise<Agent> {
--- a/packages/proofs/src/matrix/stops.ts
+++ b/packages/proofs/src/matrix/stops.ts
@@ -2,11 +2,11 @@
  * Planned stops, in the order of the daemons' main modules. The journal is left out: it compresses
  * on a real thread, which no fake clock waits for.
  */
+import * as drains from '@copperlever/entry/server/health/drain';
 import { clocks } from '@copperlever/runtime';
 
 import type * as fleets from '../harness/fleet.js';
 
-const BALANCER_NOTICE_MS = 2_000;
 const LEAVE_SPREAD_MS = 1_000;
 const DRAIN_CHECK_MS = 50;
 const DRAIN_TIMEOUT_MS = 120_000;
@@ -39,11 +39,18 @@
 export async function stopEntry(fleet: fleets.Fleet, entryId: string): Promise<void> {
   const entry = fleet.entries.get(entryId);
   if (entry === undefined || !entry.process.isRunning()) return;
-  const { parts, process, openCalls } = entry;
-  const { clock } = process;
-  entry.isStopping = true;
-  parts.control.membership.leave();
-  await drain(clock, BALANCER_NOTICE_MS, () => openCalls.count);
+  const { parts, process, openCalls, stopping } = entry;
+  await drains.drain({
+    clock: process.clock,
+    log: parts.log,
+    turnReadyOff: () => {
+      stopping.isStopping = true;
+    },
+    leaveMembership: parts.control.membership.leave,
+    openCallCount: () => openCalls.count,
+    pendingClaimCount: parts.settlements.pendingCount,
+    timeoutMs: DRAIN_TIMEOUT_MS,
+  });
   await parts.control.stop();
   fleet.kill(process);
 }
