Take an engine's 404 for a served model as a lost copy

Symptom: the caller of a served model was answered 404. Cause: the engine restarted and held nothing, and the agent, which asks for a report every two seconds, still gave it work; the entry passed the engine's answer on. Excluded: the entry's retry, which went to the right agent; the ledger, which the next report mended.

--- a/packages/agent/src/server/copies/engine-copies.ts
+++ b/packages/agent/src/server/copies/engine-copies.ts
@@ -193,6 +193,7 @@
       const document = deps.document();
       return [...Object.keys(document.models), ...Object.keys(document.adapters)].filter(isReady);
     },
+    noteMissing: () => void takeReport(),
     onChange: (listener) => listeners.add(listener),
     run: async (signal) => {
       await sendOrder({ kind: 'fence' });
--- a/packages/agent/src/server/copies/types.ts
+++ b/packages/agent/src/server/copies/types.ts
@@ -18,5 +18,7 @@
   ensureReady: (target: string, deadlineMs: number) => Promise<results.Result<void, CopyError>>;
   /** The targets that are ready, for what this agent says of itself to the entries. */
   readyTargets: () => readonly string[];
+  /** The upstream says that it lacks a copy of the target. Undefined where it holds no copies. */
+  noteMissing?: (target: string) => void;
   onChange: (listener: () => void) => void;
 };
--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -17,6 +17,7 @@
 const OUTCOME_GRACE_MS = 60_000;
 /** When an agent cannot say when it will be better, callers come back after this. */
 const DEFAULT_RETRY_MS = 1_000;
+const NOT_FOUND_STATUS = 404;
 
 export type Attempt = {
   request: agent.DispatchRequest;
@@ -173,11 +174,27 @@
     }
   }
 
+  /** An engine answers 404 for a model that it does not hold; a plain service means its own thing. */
+  function isMissingCopy(head: Extract<upstreams.UpstreamPart, { kind: 'head' }>): boolean {
+    return copyHolder.noteMissing !== undefined && head.status === NOT_FOUND_STATUS;
+  }
+
+  /**
+   * Failure: the engine restarted since its last report, and holds nothing. Symptom: the caller of a
+   * served model gets 404. Enough, because the engine has run nothing, so that another agent may.
+   */
+  function refuseMissing(attempt: Attempt): void {
+    copyHolder.noteMissing?.(attempt.request.target);
+    const retryAtMs = clock.nowMs() + DEFAULT_RETRY_MS;
+    refuse(attempt, 'upstream-unreachable', retryAtMs, 'the engine lost its copy');
+  }
+
   async function run(attempt: Attempt): Promise<void> {
     let firstDataAtMs: number | null = null;
     for await (const part of deps.upstream.run(toCall(attempt.request), attempt.abort.signal)) {
       if (part.kind === 'head') {
-        attempt.log.append(part);
+        if (isMissingCopy(part)) refuseMissing(attempt);
+        else attempt.log.append(part);
       } else if (part.kind === 'data') {
         firstDataAtMs ??= clock.nowMs();
         const offsetBytes = attempt.log.sizeBytes();
