Tell all entries of a request's first crash

Symptom: a request that crashes engines while its answer streams took down three engines. Cause: a stream that has begun is not retried, so each entry saw one crash only; its caller came to the next entry, which knew nothing. With many entries each would lose an engine before it refuses. Excluded: the gossip, which told all entries of the quarantine once there was one; a lower limit, which would quarantine every request that shared one crash with the culprit. The rig of the entry's tests kept notices without their topics, so that a suspect looked quarantined; it now tells topics apart, as the notice board does.

--- a/packages/entry/src/shared/suspects.ts
+++ b/packages/entry/src/shared/suspects.ts
@@ -26,6 +26,10 @@
 };
 
 export const QUARANTINE_TOPIC = 'quarantine';
+/** A request that one entry has seen on a crashed engine: its caller may come to another next. */
+export const SUSPECT_TOPIC = 'crash-suspect';
+/** A caller that asks again does so within this time. */
+const SUSPECT_NOTICE_MS = 60_000;
 /** Long enough that its callers give up, short enough that a wrong verdict passes by itself. */
 export const QUARANTINE_MS = 600_000;
 /** A second crash this long after the first is another story. */
@@ -38,6 +42,17 @@
   const crashedAtMs = new Map<string, number>();
   const busyCounts = new Map<string, number>();
 
+  /**
+   * Failure: a stream has begun, so its crash is not retried, and the caller asks at another entry.
+   * Symptom: each entry sees a first crash, and the request takes down an engine for each of them.
+   * Enough, because the word of a first crash reaches the other entries before a caller does.
+   */
+  function isSuspect(fingerprint: string): boolean {
+    const beforeMs = crashedAtMs.get(fingerprint);
+    if (beforeMs !== undefined) return beforeMs > clock.nowMs() - SUSPICION_MS;
+    return notices.has(SUSPECT_TOPIC, fingerprint);
+  }
+
   function quarantine(fingerprint: string): void {
     const expiresAtMs = clock.nowMs() + QUARANTINE_MS;
     notices.publish({ topic: QUARANTINE_TOPIC, key: fingerprint, expiresAtMs });
@@ -47,6 +62,8 @@
   function suspect(fingerprint: string): void {
     crashedAtMs.delete(fingerprint);
     crashedAtMs.set(fingerprint, clock.nowMs());
+    const expiresAtMs = clock.nowMs() + SUSPECT_NOTICE_MS;
+    notices.publish({ topic: SUSPECT_TOPIC, key: fingerprint, expiresAtMs });
     if (crashedAtMs.size <= MAX_SUSPECTS) return;
     const [oldest] = crashedAtMs.keys();
     if (oldest !== undefined) crashedAtMs.delete(oldest);
@@ -65,9 +82,7 @@
       return listed.find((notice) => notice.key === fingerprint)?.expiresAtMs ?? null;
     },
     noteCrash: (fingerprint) => {
-      const beforeMs = crashedAtMs.get(fingerprint);
-      const isSecond = beforeMs !== undefined && beforeMs > clock.nowMs() - SUSPICION_MS;
-      if (isSecond) quarantine(fingerprint);
+      if (isSuspect(fingerprint)) quarantine(fingerprint);
       else suspect(fingerprint);
     },
     noteAnswer: (fingerprint) => {
--- a/packages/entry/src/testing/rig.ts
+++ b/packages/entry/src/testing/rig.ts
@@ -117,9 +117,9 @@
       suspects: suspectsModule.createSuspects({
         clock,
         notices: {
-          publish: (notice) => void notices.set(notice.key, notice),
-          has: (_topic, key) => (notices.get(key)?.expiresAtMs ?? 0) > clock.nowMs(),
-          list: () => [...notices.values()],
+          publish: (notice) => void notices.set(`${notice.topic}/${notice.key}`, notice),
+          has: (topic, key) => (notices.get(`${topic}/${key}`)?.expiresAtMs ?? 0) > clock.nowMs(),
+          list: (topic) => [...notices.values()].filter((notice) => notice.topic === topic),
         },
       }),
       retryBudget: options.retryBudget ?? retryBudgets.createRetryBudget(0),
