Release engine memory only on a report that proves it free

Cause: a report asked for before an order was acknowledged dropped the order's charge, and every report was treated as unfenced. Engines that ignore fencing numbers had no guard at all. Change: the ledger numbers events; a missing copy releases its charge only behind an acknowledged newer fencing number, or, for engines that ignore it, when each order was answered before the report was asked for. Orders to the latter stand in the object API, under conditional update, before they are sent; a new agent charges every one. Excluded: a wait after each order (no bound on how late one comes); trusting the engine's own sum.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -17,6 +17,9 @@
 import * as engineCopies from './server/copies/engine-copies.js';
 import type * as copyTypes from './server/copies/types.js';
 import * as attempts from './server/dispatch/attempts.js';
+import * as intents from './server/orders/intents.js';
+import * as orders from './server/orders/orders.js';
+import type * as orderTypes from './server/orders/types.js';
 import * as httpUpstream from './server/upstream/http-upstream.js';
 import * as ledgers from './shared/memory-ledger.js';
 import * as revocations from './shared/revocations.js';
@@ -99,6 +102,25 @@
   return queue;
 }
 
+function createOrders(parts: AgentParts, ledger: ledgers.MemoryLedger): orderTypes.Orders {
+  const { clock, document, incarnation, log, metrics, random, store } = parts;
+  const { upstreamId } = parts.settings;
+  return orders.createOrders({
+    clock,
+    log,
+    metrics,
+    engine: parts.upstream,
+    ledger,
+    upstreamId,
+    incarnation,
+    intents: intents.createIntentsStore({ clock, random, store, upstreamId, incarnation }),
+    checksFencing: () => {
+      const upstream = document().upstreams[upstreamId];
+      return upstream?.kind === 'engine' && upstream.checksFencing;
+    },
+  });
+}
+
 /** An engine's copies, or a plain service's, as the first configuration with the upstream says. */
 function createCopies(parts: AgentParts): AgentParts['copies'] {
   const { settings, document } = parts;
@@ -110,16 +132,17 @@
         .map(([name]) => name),
     );
   }
+  const ledger = ledgers.createMemoryLedger(upstream.memoryBytes);
   return engineCopies.createEngineCopies({
     clock: parts.clock,
     log: parts.log,
+    metrics: parts.metrics,
     engine: parts.upstream,
-    ledger: ledgers.createMemoryLedger(upstream.memoryBytes),
-    fencingNumber: parts.incarnation,
+    ledger,
+    orders: createOrders(parts, ledger),
     upstreamId: settings.upstreamId,
     document,
     isFloorHere: () => false,
-    isInUse: () => false,
   });
 }
 
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -6,6 +6,8 @@
 
 import * as containers from './container.js';
 import * as dispatchApp from './server/dispatch/app.js';
+import * as intents from './server/orders/intents.js';
+import * as orders from './server/orders/orders.js';
 import * as settingsModule from './types/settings.js';
 
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
@@ -20,12 +22,23 @@
   settingsModule.settingsSchema,
 );
 
-/** Grows with each start, and past every number that the engine has seen, whatever clocks say. */
+/**
+ * Grows with each start, and past every number that the engine has seen and every owner that the
+ * object API names, whatever clocks say.
+ */
 async function chooseIncarnation(container: ReturnType<typeof containers.createContainer>) {
-  const { upstream, clock } = container.cradle;
-  const report = await upstream.report(clock.nowMs() + ENGINE_REPORT_TIMEOUT_MS);
-  const seen = report.ok ? report.val.fencingNumber : 0;
-  return Math.max(clock.wallMs(), seen + 1);
+  const { upstream, clock, random, store } = container.cradle;
+  const deadlineMs = clock.nowMs() + ENGINE_REPORT_TIMEOUT_MS;
+  const { upstreamId } = settings;
+  const incarnation = clock.wallMs();
+  const recorded = intents.createIntentsStore({ clock, random, store, upstreamId, incarnation });
+  const [report, owned] = await Promise.all([
+    upstream.report(deadlineMs),
+    recorded.read(deadlineMs),
+  ]);
+  const seenNumber = report.ok ? report.val.fencingNumber : 0;
+  const owner = owned.ok ? (owned.val?.intents.ownerIncarnation ?? 0) : 0;
+  return Math.max(incarnation, orders.incarnationAbove(seenNumber), owner + 1);
 }
 
 const incarnation = await chooseIncarnation(containers.createContainer(settings, Date.now()));
--- a/packages/agent/src/server/copies/service-copies.ts
+++ b/packages/agent/src/server/copies/service-copies.ts
@@ -8,6 +8,7 @@
     knows: (target) => serviceNames().includes(target),
     isReady: () => true,
     ensureReady: () => Promise.resolve(results.Ok(undefined)),
+    hold: () => () => {},
     readyTargets: serviceNames,
     onChange: () => {},
   };
--- a/packages/agent/src/server/copies/types.ts
+++ b/packages/agent/src/server/copies/types.ts
@@ -13,9 +13,12 @@
 export type Copies = {
   /** Whether the configuration in force here has the target for this upstream. */
   knows: (target: string) => boolean;
+  /** Ready for new work; a copy that is about to leave takes none. */
   isReady: (target: string) => boolean;
   /** Loads what the target needs; the deadline bounds the wait, not the load. */
   ensureReady: (target: string, deadlineMs: number) => Promise<results.Result<void, CopyError>>;
+  /** Keeps what the target runs on in memory until the function that comes back is called. */
+  hold: (target: string) => () => void;
   /** The targets that are ready, for what this agent says of itself to the entries. */
   readyTargets: () => readonly string[];
   onChange: (listener: () => void) => void;
