--- a/packages/bench/src/control/main.ts
+++ b/packages/bench/src/control/main.ts
@@ -3,8 +3,10 @@
 
 import * as commander from 'commander';
 
+import * as claimRates from './claim-rates.js';
 import * as fleets from './fleet.js';
 import * as platforms from './platform.js';
+import * as pureRun from './pure-run.js';
 import * as scenarios from './scenarios.js';
 
 type Options = {
@@ -14,6 +16,8 @@
   basePort: number;
   journalEvents: number;
   only?: string;
+  pure?: number;
+  claims?: boolean;
 };
 
 const WARM_UP_MS = 15_000;
@@ -31,6 +35,8 @@
   .option('--patches <count>', 'patches made one after the other', parseCount, 5)
   .option('--base-port <port>', 'the first of the ports used', parseCount, 21_000)
   .option('--journal-events <count>', 'journal events a second of each daemon', parseCount, 0)
+  .option('--pure <members>', 'no processes: this many members on a virtual clock', parseCount)
+  .option('--claims', 'no processes: rates of claims on a virtual clock, by way of keeping them')
   .option('--only <part>', 'steady: no faults; idle: processes without membership')
   .parse();
 const options = program.opts<Options>();
@@ -69,6 +75,21 @@
   if (options.only === undefined) await runFaults(fleet, platform);
 }
 
+if (options.pure !== undefined) {
+  const members = options.pure;
+  await pureRun.runPure(members, (part, result) => {
+    console.log(JSON.stringify({ bench: 'control', pureMembers: members, part, result }));
+  });
+  process.exit(0);
+}
+
+if (options.claims === true) {
+  await claimRates.runClaimRates((result) => {
+    console.log(JSON.stringify({ bench: 'control', part: 'claims', result }));
+  });
+  process.exit(0);
+}
+
 const platform = await platforms.startPlatform(options.basePort - 2, options.basePort - 1);
 const fleet = fleets.createFleet({
   count: options.daemons,
