Decide routes, retries, copies, moves, turns and quarantines, each in a module of its own

Cause: the skeleton had a queue and a route and nothing that follows demand. Change: upstream paces from own latencies, prefix affinity with bounded load, waits by class, regions as a cost; retry budget; demand as busy slots; planCopies, chooseDisplaced, netGainMs, load allowance (AIMD), turns, quarantine; an adapter's times are learned with its base model. The bench wires them as entries, agents and coordinators would. Tests by outcome and properties.

--- a/packages/bench/src/decisions/policies/present.ts
+++ b/packages/bench/src/decisions/policies/present.ts
@@ -1,157 +1,120 @@
 /** The project's own decisions, wired to the virtual fleet as the entry and the agent wire them. */
-import { queues, routing, serviceTimes, types } from '@copperlever/decisions';
+import { retryBudgets } from '@copperlever/decisions';
 import type { randoms } from '@copperlever/runtime';
 
 import type * as benchTypes from '../types.js';
 import type * as world from '../world.js';
+import * as presentAgents from './present-agents.js';
+import * as presentCoordinator from './present-coordinator.js';
+import * as presentEntries from './present-entries.js';
 
 const ENTRY_COUNT = 3;
-const MAX_WAITING = 400;
-const ATTEMPTS = 2;
-const REGION = 'region';
+/** Upstreams that are asked for one request before it is refused. */
+const ATTEMPTS = 3;
 
-type Agent = {
-  upstream: world.Upstream;
-  queue: queues.WorkQueue;
-  times: serviceTimes.ServiceTimes;
-};
-
-/** What one entry knows of one upstream, from the last answer it had from there. */
-type View = { predictedWaitMs: number; seenAtMs: number; inFlightCount: number };
+type Sent = { entry: presentEntries.Entry; agent: presentAgents.Agent };
 
 export function createPresent(fleet: world.World, random: randoms.Random): world.Policy {
-  const requests = new Map<string, benchTypes.Request>();
-  const entryOf = new Map<string, Map<string, View>>();
-  const agents = new Map<string, Agent>(
-    fleet.upstreams().map((upstream) => {
-      const times = serviceTimes.createServiceTimes();
-      const limits = { slotCount: upstream.spec.slotCount, maxWaiting: MAX_WAITING };
-      return [upstream.spec.id, { upstream, times, queue: queues.createWorkQueue(limits, times) }];
-    }),
+  const sentBy = new Map<string, Sent>();
+  const budget = retryBudgets.createRetryBudget();
+  const agents = new Map(
+    fleet
+      .upstreams()
+      .map((upstream) => [upstream.spec.id, presentAgents.createAgent(fleet, upstream)] as const),
   );
-  const entries = Array.from({ length: ENTRY_COUNT }, () => new Map<string, View>());
-
-  function viewOf(entry: Map<string, View>, upstreamId: string): View {
-    const view = entry.get(upstreamId) ?? { predictedWaitMs: 0, seenAtMs: 0, inFlightCount: 0 };
-    entry.set(upstreamId, view);
-    return view;
-  }
-
-  function refreshView(view: View, agent: Agent): void {
-    view.predictedWaitMs = agent.queue.predictedWaitMs(fleet.nowMs());
-    view.seenAtMs = fleet.nowMs();
-  }
-
-  function toCandidate(
-    entry: Map<string, View>,
-    agent: Agent,
-    request: benchTypes.Request,
-  ): routing.Candidate {
-    const { spec, copies } = agent.upstream;
-    const view = viewOf(entry, spec.id);
-    const copy = copies.get(request.model);
-    return {
-      upstreamId: spec.id,
-      failureDomain: spec.failureDomain,
-      region: REGION,
-      hasCopy: copy !== undefined && copy.readyAtMs <= fleet.nowMs(),
-      suspected: false,
-      predictedWaitMs: Math.max(0, view.predictedWaitMs - (fleet.nowMs() - view.seenAtMs)),
-      inFlightCount: view.inFlightCount,
-    };
-  }
+  const entries = Array.from({ length: ENTRY_COUNT }, () =>
+    presentEntries.createEntry(fleet, random),
+  );
+  const coordinator = presentCoordinator.createCoordinator(fleet, {
+    agents,
+    slowness: (id) => entries[0]?.slowness(id) ?? 1,
+  });
 
-  function isReady(agent: Agent, item: types.WorkItem): boolean {
-    const copy = agent.upstream.copies.get((requests.get(item.id) as benchTypes.Request).model);
-    return copy !== undefined && copy.readyAtMs <= fleet.nowMs();
+  function settle(requestId: string): Sent {
+    const sent = sentBy.get(requestId) as Sent;
+    sentBy.delete(requestId);
+    sent.entry.settled(sent.agent);
+    sent.entry.answered(sent.agent);
+    return sent;
   }
 
-  function pump(agent: Agent): void {
-    agent.queue.takeExpired(fleet.nowMs()).forEach((item) => {
-      giveUp(agent, requests.get(item.id) as benchTypes.Request);
+  function pump(agent: presentAgents.Agent): void {
+    agent.pump().forEach((request) => {
+      settle(request.id);
+      fleet.refuse(request, fleet.nowMs() + agent.queue.predictedWaitMs(fleet.nowMs()));
     });
-    for (;;) {
-      const item = agent.queue.startNext(fleet.nowMs(), (waiting) => isReady(agent, waiting));
-      if (item === null) return;
-      fleet.start(requests.get(item.id) as benchTypes.Request, agent.upstream.spec.id);
-    }
   }
 
-  function giveUp(agent: Agent, request: benchTypes.Request): void {
-    settle(request, agent);
-    fleet.refuse(request, fleet.nowMs());
+  function liveAgents(pool: string): presentAgents.Agent[] {
+    return [...agents.values()].filter(
+      ({ upstream }) => upstream.spec.pool === pool && !upstream.lost,
+    );
   }
 
-  function settle(request: benchTypes.Request, agent: Agent): void {
-    const entry = entryOf.get(request.id) as Map<string, View>;
-    const view = viewOf(entry, agent.upstream.spec.id);
-    view.inFlightCount -= 1;
-    refreshView(view, agent);
+  function ensureCopy(model: benchTypes.ModelSpec, live: readonly presentAgents.Agent[]): void {
+    const hasCopy = live.some(
+      ({ upstream, draining }) => upstream.copies.has(model.id) && !draining.has(model.id),
+    );
+    if (!hasCopy) coordinator.plan(model);
   }
 
-  function arrive(request: benchTypes.Request): void {
-    const entry = entries[random.below(ENTRY_COUNT)] as Map<string, View>;
-    requests.set(request.id, request);
-    entryOf.set(request.id, entry);
+  function send(request: benchTypes.Request, entry: presentEntries.Entry): void {
+    const model = fleet.model(request.model);
+    const live = liveAgents(model.pool);
+    ensureCopy(model, live);
     const excludedIds = new Set<string>();
     let retryAtMs = Infinity;
     for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
-      const agent = route(entry, request, excludedIds);
+      const agent = entry.route(request, live, excludedIds);
       if (agent === null) break;
-      const view = viewOf(entry, agent.upstream.spec.id);
-      const verdict = agent.queue.admit(request, fleet.nowMs());
+      excludedIds.add(agent.upstream.spec.id);
+      if (!agent.upstream.copies.has(request.model)) continue;
+      const verdict = agent.admit(request);
       if (verdict.kind === 'admit') {
-        view.inFlightCount += 1;
+        sentBy.set(request.id, { entry, agent });
+        entry.sent(agent);
         pump(agent);
-        refreshView(view, agent);
+        entry.answered(agent);
         return;
       }
-      refreshView(view, agent);
-      excludedIds.add(agent.upstream.spec.id);
+      entry.answered(agent);
       retryAtMs = Math.min(retryAtMs, verdict.retryAtMs);
     }
     fleet.refuse(request, retryAtMs === Infinity ? fleet.nowMs() : retryAtMs);
   }
 
-  function route(
-    entry: Map<string, View>,
-    request: benchTypes.Request,
-    excludedIds: ReadonlySet<string>,
-  ): Agent | null {
-    const { pool } = fleet.model(request.model);
-    const candidates = [...agents.values()]
-      .filter((agent) => agent.upstream.spec.pool === pool && !agent.upstream.lost)
-      .map((agent) => toCandidate(entry, agent, request));
-    const chosen = routing.chooseRoute(
-      { target: request.model, prefixKey: request.prefixKey, localRegion: REGION, excludedIds },
-      candidates,
-      random.fraction,
-    );
-    switch (chosen.kind) {
-      case 'send':
-        return agents.get(chosen.upstreamId) as Agent;
-      case 'nowhere':
-        return null;
-    }
-  }
-
   return {
-    arrive,
+    arrive: (request) => {
+      const entry = entries[random.below(ENTRY_COUNT)] as presentEntries.Entry;
+      coordinator.observe(request, entry.expectedMs(request));
+      send(request, entry);
+    },
     finish: (request, upstreamId, tookMs) => {
-      const agent = agents.get(upstreamId) as Agent;
-      const nominalMs = request.realServiceMs;
-      const model = fleet.model(request.model);
-      agent.times.observe(request.target, {
-        prefillMsPerToken: (model.prefillMsPerToken * tookMs) / nominalMs,
-        decodeMsPerToken: (model.decodeMsPerToken * tookMs) / nominalMs,
-        outputShare: request.realOutputTokens / request.outputTokens,
-      });
-      agent.queue.finish(request.id, fleet.nowMs());
-      settle(request, agent);
+      const agent = agents.get(upstreamId) as presentAgents.Agent;
+      agent.finish(request, tookMs);
+      settle(request.id).entry.finished(request, upstreamId, tookMs);
+      budget.succeeded();
       pump(agent);
     },
-    loaded: (upstreamId) => pump(agents.get(upstreamId) as Agent),
-    lose: () => undefined,
-    tick: () => agents.forEach((agent) => pump(agent)),
+    loaded: (upstreamId) => {
+      coordinator.loaded();
+      pump(agents.get(upstreamId) as presentAgents.Agent);
+    },
+    lose: (upstreamId, inFlight) => {
+      const agent = agents.get(upstreamId) as presentAgents.Agent;
+      [...inFlight, ...agent.takeWaiting()].forEach((request) => {
+        const { entry } = settle(request.id);
+        if (budget.take(fleet.nowMs())) send(request, entry);
+        else fleet.refuse(request, fleet.nowMs());
+      });
+    },
+    tick: () => {
+      agents.forEach((agent) => {
+        if (agent.upstream.lost) return;
+        agent.sampleBusy();
+        pump(agent);
+      });
+      coordinator.tick();
+    },
   };
 }
--- /dev/null
+++ b/packages/decisions/src/limits.test.ts
@@ -0,0 +1,159 @@
+import * as fc from 'fast-check';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as loadAllowance from './load-allowance.js';
+import * as quarantine from './quarantine.js';
+import * as retryBudgets from './retry-budgets.js';
+import * as turns from './turns.js';
+import * as upstreamPaces from './upstream-paces.js';
+
+const test = suite('limits');
+
+test('retries of a failing service stay a tenth of what succeeds', () => {
+  // Half of all requests fail under overload and each failure asks for a retry. The callers see more
+  // failures, but the service sees a tenth more load and not twice as much.
+  const budget = retryBudgets.createRetryBudget();
+  let retryCount = 0;
+  for (let index = 0; index < 10_000; index += 1) {
+    if (index % 2 === 0) budget.succeeded();
+    else if (budget.take(index)) retryCount += 1;
+  }
+  assert.ok(retryCount <= 0.1 * 5_000 + 20);
+  assert.ok(retryCount >= 0.1 * 5_000);
+});
+
+test('a quiet service still gets a retry now and then', () => {
+  const budget = retryBudgets.createRetryBudget();
+  while (budget.take(0));
+  assert.is(budget.take(5_000), false);
+  assert.is(budget.take(11_000), true);
+});
+
+test('a request that crashes each upstream is refused after the second crash', () => {
+  // A request crashes jury-1 with a bystander in flight. Both are retried elsewhere: the bystander is
+  // answered, the culprit crashes jury-2 as well. Sent again it is refused at once, on every entry that
+  // learned of it, until the quarantine ends; the bystander's resend runs.
+  const suspects = quarantine.createQuarantine();
+  const peer = quarantine.createQuarantine();
+  assert.is(suspects.crashed('culprit', 'jury-1', 0).kind, 'retry');
+  assert.is(suspects.crashed('bystander', 'jury-1', 0).kind, 'retry');
+  suspects.cleared('bystander');
+  const second = suspects.crashed('culprit', 'jury-2', 1_000);
+  assert.is(second.kind, 'quarantine');
+  if (second.kind === 'quarantine') peer.learned('culprit', second.untilMs);
+  assert.ok((peer.refusedUntilMs('culprit', 2_000) ?? 0) > 2_000);
+  assert.is(suspects.refusedUntilMs('bystander', 2_000), null);
+  assert.is(suspects.crashed('bystander', 'jury-3', 3_000).kind, 'retry');
+  assert.is(peer.refusedUntilMs('culprit', 2_000_000), null);
+});
+
+test('no two suspects of one crash are retried on one upstream', () => {
+  const assigned = quarantine.assignSuspects(['a', 'b', 'c'], ['jury-2', 'jury-3']);
+  assert.equal(
+    assigned,
+    new Map([
+      ['a', 'jury-2'],
+      ['b', 'jury-3'],
+    ]),
+  );
+});
+
+test('one slow upstream stands out, and a slowdown of all does not', () => {
+  const paces = upstreamPaces.createUpstreamPaces();
+  for (let round = 0; round < 30; round += 1) {
+    paces.observe('jury-1', 200, 100);
+    paces.observe('jury-2', 210, 100);
+    paces.observe('jury-3', 1_000, 100);
+  }
+  assert.ok(paces.slowness('jury-1') < 1.1);
+  assert.ok(paces.slowness('jury-3') > 4);
+  assert.is(paces.slowness('never-seen'), 1);
+});
+
+test('the weight store is asked at its rate at most, and for reachability first', () => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.record({
+          stepMs: fc.integer({ min: 0, max: 2_000 }),
+          purpose: fc.constantFrom('reachability' as const, 'demand' as const),
+          isRefused: fc.boolean(),
+        }),
+      ),
+      (steps) => {
+        const limits = { loadsPerSecond: 2, concurrentLoads: 25 };
+        const allowance = loadAllowance.createLoadAllowance(limits);
+        let nowMs = 0;
+        let takenCount = 0;
+        steps.forEach(({ stepMs, purpose, isRefused }) => {
+          nowMs += stepMs;
+          if (!allowance.tryTake(purpose, nowMs)) return;
+          takenCount += 1;
+          if (isRefused) allowance.refused(nowMs);
+        });
+        assert.ok(takenCount <= 2 + (nowMs / 1_000) * limits.loadsPerSecond);
+      },
+    ),
+    { seed: 5 },
+  );
+  const allowance = loadAllowance.createLoadAllowance({ loadsPerSecond: 2, concurrentLoads: 25 });
+  assert.is(allowance.tryTake('demand', 0), true);
+  assert.is(allowance.tryTake('demand', 0), false);
+  assert.is(allowance.tryTake('reachability', 0), true);
+});
+
+test('models that cannot all be resident take turns, the oldest deadline first, and none starves', () => {
+  // Five models share room for two, and each always has work waiting. Every model's callers are served
+  // again and again; no model is displaced before its turn has lasted twice its load.
+  const LOAD_MS = 10_000;
+  const names = ['a', 'b', 'c', 'd', 'e'];
+  const servedAtMs = new Map(names.map((name) => [name, 0]));
+  const state: { resident: turns.ResidentModel[] } = { resident: [] };
+  for (let nowMs = 0; nowMs < 1_000_000; nowMs += 1_000) {
+    state.resident.forEach((one) => {
+      if (nowMs >= one.loadedAtMs) servedAtMs.set(one.model, nowMs);
+    });
+    const toWaiting = (name: string) => ({
+      model: name,
+      sizeBytes: 10,
+      oldestDeadlineMs: (servedAtMs.get(name) ?? 0) + 60_000,
+    });
+    const waiting = names
+      .filter((name) => !state.resident.some((one) => one.model === name))
+      .map(toWaiting);
+    state.resident.forEach((one) => {
+      one.oldestDeadlineMs = toWaiting(one.model).oldestDeadlineMs;
+    });
+    const turn = turns.chooseTurn(waiting, state.resident, 20 - 10 * state.resident.length, nowMs);
+    if (turn.kind !== 'load') continue;
+    state.resident = state.resident.filter((one) => !turn.displaced.includes(one.model));
+    state.resident.push({
+      ...toWaiting(turn.model),
+      loadedAtMs: nowMs + LOAD_MS,
+      loadTookMs: LOAD_MS,
+      runningCount: 0,
+    });
+    assert.ok(state.resident.length <= 2);
+  }
+  servedAtMs.forEach((atMs) => assert.ok(atMs > 1_000_000 - 5 * 3 * LOAD_MS));
+});
+
+test('a model with work running is drained before it leaves', () => {
+  const busy = {
+    model: 'busy',
+    sizeBytes: 10,
+    loadedAtMs: 0,
+    loadTookMs: 1_000,
+    runningCount: 1,
+    oldestDeadlineMs: Infinity,
+  };
+  const waiting = [{ model: 'next', sizeBytes: 10, oldestDeadlineMs: 90_000 }];
+  assert.equal(turns.chooseTurn(waiting, [busy], 0, 60_000), {
+    kind: 'drain',
+    model: 'next',
+    draining: ['busy'],
+  });
+});
+
+test.run();
--- /dev/null
+++ b/packages/decisions/src/placing.test.ts
@@ -0,0 +1,207 @@
+import * as fc from 'fast-check';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as demands from './demands.js';
+import * as displacing from './displacing.js';
+import * as placing from './placing.js';
+
+const test = suite('placing');
+
+const NOW_MS = 3_600_000;
+const LIMITS = { moveCostMs: 2_000 };
+
+function copy(upstreamId: string, fields: Partial<placing.CopyView> = {}): placing.CopyView {
+  return { upstreamId, failureDomain: 'tay-ho', isReady: true, availableSlots: 8, ...fields };
+}
+
+function offer(upstreamId: string, fields: Partial<placing.Offer> = {}): placing.Offer {
+  return {
+    upstreamId,
+    failureDomain: 'long-bien',
+    freeBytes: 100,
+    availableSlots: 8,
+    displacement: { models: [], lostSlots: 0 },
+    ...fields,
+  };
+}
+
+function demand(neededSlots: number, fields: Partial<placing.DemandView> = {}): placing.DemandView {
+  return {
+    model: 'draws',
+    sizeBytes: 10,
+    neededSlots,
+    minimumCopies: 1,
+    changedAtMs: -Infinity,
+    ...fields,
+  };
+}
+
+function held(model: string, fields: Partial<displacing.HeldCopy> = {}): displacing.HeldCopy {
+  return {
+    model,
+    sizeBytes: 10,
+    isFloor: false,
+    activeCount: 0,
+    busySlots: 0,
+    spareSlotsElsewhere: 0,
+    lastUsedAtMs: 0,
+    loadedAtMs: 0,
+    ...fields,
+  };
+}
+
+test('a model that lost its last copy is loaded, whatever the move costs', () => {
+  const plan = placing.planCopies(demand(0), [], [offer('jury-1')], { moveCostMs: 1e9 }, NOW_MS);
+  assert.is(plan.kind, 'add');
+  assert.is(plan.reason, 'unreachable');
+});
+
+test('copies grow before targets are missed, in another failure domain', () => {
+  // Demand has risen to six of the eight slots: callers do not wait yet. The new copy is asked for now,
+  // since its weights need most of a minute, and where the loss of one domain does not take both.
+  const offers = [offer('jury-2', { failureDomain: 'tay-ho' }), offer('jury-3')];
+  const plan = placing.planCopies(demand(6), [copy('jury-1')], offers, LIMITS, NOW_MS);
+  assert.equal(plan, {
+    kind: 'add',
+    reason: 'short-of-slots',
+    upstreamId: 'jury-3',
+    displaced: [],
+  });
+});
+
+test('demand that moves tenfold within an hour is followed before the slots run out', () => {
+  // Work grows from 0.8 slots to 8 within the hour. The copies that the plan asks for hold more slots
+  // than the demand at every moment, although each takes a minute to load.
+  const tracker = demands.createDemands();
+  const copies = [copy('jury-0')];
+  const last = { changedAtMs: -Infinity };
+  for (let nowMs = 0; nowMs < 3_600_000; nowMs += 1_000) {
+    const slots = 0.8 * 10 ** (nowMs / 3_600_000);
+    tracker.observe('draws', slots * 1_000, nowMs);
+    assert.ok(slots < copies.filter((one) => one.isReady).length * 4);
+    copies.forEach((one) => {
+      if (nowMs - last.changedAtMs >= 60_000) one.isReady = true;
+      one.availableSlots = 4;
+    });
+    const view = demand(tracker.neededSlots('draws', nowMs), last);
+    const next = offer(`jury-${copies.length}`, { availableSlots: 4 });
+    if (placing.planCopies(view, copies, [next], LIMITS, nowMs).kind !== 'add') continue;
+    last.changedAtMs = nowMs;
+    copies.push(copy(next.upstreamId, { isReady: false, failureDomain: 'long-bien' }));
+  }
+  assert.ok(copies.length >= 3 && copies.length <= 4);
+});
+
+test('the same shortage is worth a move to the consortium and not to the guild', () => {
+  const copies = [copy('a', { failureDomain: 'x' }), copy('b')];
+  const short = demand(0.7 * 16 + 0.1);
+  const plan = (moveCostMs: number) =>
+    placing.planCopies(short, copies, [offer('c')], { moveCostMs }, NOW_MS);
+  assert.is(plan(2_000).kind, 'add');
+  assert.equal(plan(20_000), { kind: 'none', reason: 'does-not-pay' });
+});
+
+test('when every upstream is full a copy brings nothing, and none is moved', () => {
+  const full = [offer('jury-2', { availableSlots: 0 }), offer('jury-3', { availableSlots: 0 })];
+  const copies = [copy('jury-1', { availableSlots: 2 })];
+  assert.is(placing.planCopies(demand(9), copies, full, LIMITS, NOW_MS).kind, 'none');
+});
+
+test('a copy that demand no longer needs goes late, and the last one never', () => {
+  const copies = [copy('a'), copy('b', { failureDomain: 'x' }), copy('c', { failureDomain: 'y' })];
+  const at = (changedAtMs: number) =>
+    placing.planCopies(demand(0.1, { changedAtMs }), copies, [], LIMITS, NOW_MS);
+  assert.is(at(NOW_MS - 60_000).kind, 'none');
+  assert.is(at(NOW_MS - 700_000).kind, 'remove');
+  const last = placing.planCopies(demand(0), [copy('a')], [], LIMITS, NOW_MS);
+  assert.is(last.kind, 'none');
+});
+
+test('a new version is loaded before the old one leaves, or on another upstream first', () => {
+  const displace = (neededBytes: number) =>
+    displacing.chooseDisplaced([held('idle')], neededBytes, NOW_MS);
+  assert.equal(placing.planVersionChange(10, 10, displace), { kind: 'make-before-break' });
+  assert.equal(placing.planVersionChange(15, 10, displace), {
+    kind: 'displace-first',
+    displaced: ['idle'],
+  });
+  assert.equal(placing.planVersionChange(25, 10, displace), { kind: 'elsewhere-first' });
+});
+
+test('the copy that leaves is the one whose work finds another copy', () => {
+  const copies = [
+    held('busy-and-alone', { busySlots: 2 }),
+    held('busy-elsewhere-too', { busySlots: 2, spareSlotsElsewhere: 5 }),
+  ];
+  assert.equal(displacing.chooseDisplaced(copies, 10, NOW_MS), {
+    models: ['busy-elsewhere-too'],
+    lostSlots: 0,
+  });
+});
+
+test('two models that take turns at being busy do not displace each other', () => {
+  const fresh = held('fresh', { loadedAtMs: NOW_MS - 1_000 });
+  assert.is(displacing.chooseDisplaced([fresh], 10, NOW_MS), null);
+});
+
+test('whatever an upstream holds, floors stay and exactly enough leaves', () => {
+  const anyCopy = fc.record({
+    sizeBytes: fc.integer({ min: 1, max: 50 }),
+    isFloor: fc.boolean(),
+    busySlots: fc.double({ min: 0, max: 8, noNaN: true }),
+    spareSlotsElsewhere: fc.double({ min: 0, max: 8, noNaN: true }),
+    lastUsedAtMs: fc.integer({ min: 0, max: NOW_MS }),
+  });
+  fc.assert(
+    fc.property(fc.array(anyCopy), fc.integer({ min: 1, max: 100 }), (fields, neededBytes) => {
+      const copies = fields.map((one, index) => held(`model-${index}`, one));
+      const chosen = displacing.chooseDisplaced(copies, neededBytes, NOW_MS);
+      const movable = copies.filter((one) => !one.isFloor);
+      const sumBytes = (list: readonly displacing.HeldCopy[]) =>
+        list.reduce((sum, one) => sum + one.sizeBytes, 0);
+      if (chosen === null) {
+        assert.ok(sumBytes(movable) < neededBytes);
+        return;
+      }
+      const leaving = copies.filter((one) => chosen.models.includes(one.model));
+      assert.not.ok(leaving.some((one) => one.isFloor));
+      assert.ok(sumBytes(leaving) >= neededBytes);
+      leaving.forEach((one) => assert.ok(sumBytes(leaving) - one.sizeBytes < neededBytes));
+    }),
+    { seed: 5 },
+  );
+});
+
+test('no plan takes the last copy or goes below the minimum', () => {
+  const anyView = fc.record({
+    failureDomain: fc.constantFrom('x', 'y', 'z'),
+    isReady: fc.boolean(),
+    availableSlots: fc.double({ min: 0, max: 16, noNaN: true }),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(anyView, { maxLength: 6 }),
+      fc.double({ min: 0, max: 40, noNaN: true }),
+      fc.integer({ min: 1, max: 3 }),
+      (views, neededSlots, minimumCopies) => {
+        const copies = views.map((view, index) => copy(`u-${index}`, view));
+        const plan = placing.planCopies(
+          demand(neededSlots, { minimumCopies }),
+          copies,
+          [],
+          LIMITS,
+          NOW_MS,
+        );
+        if (plan.kind !== 'remove') return;
+        assert.ok(copies.length - 1 >= minimumCopies);
+        const rest = copies.filter((one) => one.upstreamId !== plan.upstreamId);
+        const slots = rest.reduce((sum, one) => sum + one.availableSlots, 0);
+        assert.ok(neededSlots < slots);
+      },
+    ),
+    { seed: 5 },
+  );
+});
+
+test.run();
--- a/packages/decisions/src/queues.ts
+++ b/packages/decisions/src/queues.ts
@@ -5,7 +5,7 @@
 import * as longWork from './long-work.js';
 import * as retryInstants from './retry-instants.js';
 import type * as serviceTimes from './service-times.js';
-import type * as types from './types.js';
+import * as types from './types.js';
 import * as urgency from './urgency.js';
 import * as waits from './waits.js';
 
@@ -39,6 +39,8 @@
   setSlotCount: (slotCount: number) => void;
   /** How long new work of the class would wait; of the lowest class when none is named. */
   predictedWaitMs: (nowMs: number, priorityClass?: types.PriorityClass) => number;
+  /** The same for every class at once. */
+  predictedWaitsMs: (nowMs: number) => Record<types.PriorityClass, number>;
   waitingCount: () => number;
   runningCount: () => number;
 };
@@ -59,11 +61,24 @@
  */
 const OVER_SHARE_SLACK = 0.5;
 
-type Running = { item: types.WorkItem; startedAtMs: number; isLong: boolean };
+/** Admitted work with what it was expected to take when it came. */
+type Queued = { item: types.WorkItem; expectedMs: number; longestMs: number; isLong: boolean };
+
+type Running = { queued: Queued; startedAtMs: number };
+
+function isMoreUrgent(left: Queued, right: Queued): boolean {
+  return urgency.compareUrgency(left.item, right.item) <= 0;
+}
+
+/** Gives the next slot of `plan` to the work and returns the instant at which it starts. */
+function assign(plan: waits.SlotPlan, queued: Queued): number {
+  const { item, expectedMs } = queued;
+  return waits.assign(plan, { expectedMs, readyAtMs: item.readyAtMs ?? 0 });
+}
 
 export function createWorkQueue(limits: QueueLimits, times: QueueTimes): WorkQueue {
   let { slotCount } = limits;
-  let waiting: types.WorkItem[] = [];
+  let waiting: Queued[] = [];
   const running = new Map<string, Running>();
   const credit = agingCredit.createAgingCredit(() => slotCount);
   const shares = fairShares.createFairShares(limits.shareWeightOf);
@@ -71,72 +86,79 @@
   const long = longWork.createLongWork();
   const retries = retryInstants.createRetryInstants();
 
-  function longestMs(item: types.WorkItem): number {
-    return times.longestMs?.(item) ?? times.expectedMs(item);
+  function estimate(item: types.WorkItem): Queued {
+    const expectedMs = times.expectedMs(item);
+    const longestMs = times.longestMs?.(item) ?? expectedMs;
+    return { item, expectedMs, longestMs, isLong: long.isLong(expectedMs) };
   }
 
   function planNow(nowMs: number): waits.SlotPlan {
-    const leftsMs = [...running.values()].map(({ item, startedAtMs }) =>
-      waits.remainingMs(startedAtMs, times.expectedMs(item), nowMs),
+    const leftsMs = [...running.values()].map(({ queued, startedAtMs }) =>
+      waits.remainingMs(startedAtMs, queued.expectedMs, nowMs),
     );
     return waits.planSlots(slotCount, leftsMs, nowMs);
   }
 
-  function assign(plan: waits.SlotPlan, item: types.WorkItem): number {
-    return waits.assign(plan, {
-      expectedMs: times.expectedMs(item),
-      readyAtMs: item.readyAtMs ?? 0,
-    });
-  }
-
-  /** The wait of `item` behind all waiting work that is more urgent. */
-  function predictWaitMs(item: types.WorkItem, nowMs: number): number {
+  /** The wait of `queued` behind all waiting work that is more urgent. */
+  function predictWaitMs(queued: Queued, nowMs: number): number {
+    const { item } = queued;
     const plan = planNow(nowMs);
-    waiting
-      .filter((other) => urgency.compareUrgency(other, item) <= 0)
-      .forEach((other) => assign(plan, other));
+    waiting.filter((other) => isMoreUrgent(other, queued)).forEach((other) => assign(plan, other));
     const queueMs = Math.max(0, (plan[0] ?? nowMs) - nowMs);
     const stretchedMs = higherLoad.stretch(item.priorityClass, queueMs, slotCount, nowMs);
     return Math.max(stretchedMs, (item.readyAtMs ?? 0) - nowMs);
   }
 
+  function predictWaitsMs(nowMs: number): Record<types.PriorityClass, number> {
+    const plan = planNow(nowMs);
+    const waitsMs = { critical: 0, standard: 0, batch: 0 };
+    types.PRIORITY_CLASSES.forEach((name) => {
+      waiting
+        .filter(({ item }) => item.priorityClass === name)
+        .forEach((queued) => assign(plan, queued));
+      waitsMs[name] = Math.max(0, (plan[0] ?? nowMs) - nowMs);
+    });
+    return waitsMs;
+  }
+
   /**
-   * Whether `item` would push admitted work of its own class past its deadline. Made for bursts: with
+   * Whether `queued` would push admitted work of its own class past its deadline. Made for bursts: with
    * earliest deadline first a newcomer overtakes, and without this check each newcomer in time would
    * cost an admitted one its deadline.
    */
-  function breaksPromise(item: types.WorkItem, nowMs: number): boolean {
+  function breaksPromise(queued: Queued, nowMs: number): boolean {
+    const behind = waiting.filter(
+      (other) =>
+        other.item.priorityClass === queued.item.priorityClass && !isMoreUrgent(other, queued),
+    );
+    if (behind.length === 0) return false;
     const plan = planNow(nowMs);
-    const order = [...waiting, item].sort(urgency.compareUrgency);
-    for (const other of order) {
-      const startAtMs = assign(plan, other);
-      const isBehind =
-        other.priorityClass === item.priorityClass && urgency.compareUrgency(other, item) > 0;
-      if (isBehind && startAtMs + longestMs(other) > other.deadlineMs) return true;
-    }
-    return false;
+    waiting.filter((other) => isMoreUrgent(other, queued)).forEach((other) => assign(plan, other));
+    assign(plan, queued);
+    return behind.some((other) => assign(plan, other) + other.longestMs > other.item.deadlineMs);
   }
 
   function refuse(
     cause: types.RefusalCause,
-    item: types.WorkItem,
+    queued: Queued,
     earliestMs: number,
     nowMs: number,
   ): types.Refusal {
-    const retryAtMs = retries.next(earliestMs, times.expectedMs(item), slotCount, nowMs);
+    const retryAtMs = retries.next(earliestMs, queued.expectedMs, slotCount, nowMs);
     return { kind: 'refuse', cause, retryAtMs };
   }
 
-  function judge(item: types.WorkItem, nowMs: number): Admission {
-    const predictedWaitMs = predictWaitMs(item, nowMs);
+  function judge(queued: Queued, nowMs: number): Admission {
+    const { item } = queued;
+    const predictedWaitMs = predictWaitMs(queued, nowMs);
     if (waiting.length >= limits.maxWaiting * WAITING_SHARE[item.priorityClass]) {
-      return refuse('queue-full', item, nowMs + predictedWaitMs, nowMs);
+      return refuse('queue-full', queued, nowMs + predictedWaitMs, nowMs);
     }
-    const slackMs = item.deadlineMs - nowMs - longestMs(item);
+    const slackMs = item.deadlineMs - nowMs - queued.longestMs;
     /** Waits shrink by a millisecond each millisecond, so this is when the slack is enough. */
     const earliestMs = nowMs + predictedWaitMs - Math.max(0, slackMs);
-    if (predictedWaitMs > slackMs || breaksPromise(item, nowMs)) {
-      return refuse('deadline-unreachable', item, earliestMs, nowMs);
+    if (predictedWaitMs > slackMs || breaksPromise(queued, nowMs)) {
+      return refuse('deadline-unreachable', queued, earliestMs, nowMs);
     }
     const isCrowding =
       item.priorityClass !== 'batch' &&
@@ -144,68 +166,62 @@
       shares.isOverShare(item.callerGroup, nowMs);
     if (isCrowding) {
       const enoughAtMs = nowMs + predictedWaitMs - OVER_SHARE_SLACK * slackMs;
-      return refuse('group-over-share', item, enoughAtMs, nowMs);
+      return refuse('group-over-share', queued, enoughAtMs, nowMs);
     }
     return { kind: 'admit', predictedWaitMs };
   }
 
-  function insert(item: types.WorkItem): void {
-    const index = waiting.findIndex((other) => urgency.compareUrgency(other, item) > 0);
-    waiting.splice(index === -1 ? waiting.length : index, 0, item);
+  function insert(queued: Queued): void {
+    const index = waiting.findIndex((other) => !isMoreUrgent(other, queued));
+    waiting.splice(index === -1 ? waiting.length : index, 0, queued);
   }
 
-  function mayStart(item: types.WorkItem): boolean {
-    if (!long.isLong(times.expectedMs(item))) return true;
-    const longCount = [...running.values()].filter((entry) => entry.isLong).length;
+  function mayStart(queued: Queued): boolean {
+    if (!queued.isLong) return true;
+    const longCount = [...running.values()].filter((entry) => entry.queued.isLong).length;
     return longCount < longWork.longSlotLimit(slotCount);
   }
 
   /** The longest waiting aged work goes first as long as ageing has credit; then by urgency. */
-  function pickNext(ready: readonly types.WorkItem[], nowMs: number): types.WorkItem | undefined {
-    const [first] = ready;
-    if (first === undefined) return undefined;
-    const aged = ready
-      .filter((item) => urgency.isAged(item, nowMs))
-      .reduce<types.WorkItem | undefined>(
-        (oldest, item) =>
-          oldest === undefined || item.arrivedAtMs < oldest.arrivedAtMs ? item : oldest,
-        undefined,
-      );
+  function pickNext(mayStartNow: (queued: Queued) => boolean, nowMs: number): Queued | undefined {
+    const first = waiting.find(mayStartNow);
+    const aged = waiting
+      .filter(({ item }) => urgency.isAged(item, nowMs))
+      .sort((left, right) => left.item.arrivedAtMs - right.item.arrivedAtMs)
+      .find(mayStartNow);
     if (aged === undefined || aged === first) return first;
-    return credit.spend(times.expectedMs(aged), nowMs) ? aged : first;
+    return credit.spend(aged.expectedMs, nowMs) ? aged : first;
   }
 
   return {
     admit: (item, nowMs) => {
-      const expectedMs = times.expectedMs(item);
+      const queued = estimate(item);
       shares.asked(item.callerGroup, nowMs);
-      const verdict = judge(item, nowMs);
+      const verdict = judge(queued, nowMs);
       if (verdict.kind === 'refuse') return verdict;
-      insert(item);
-      shares.admitted(item.callerGroup, expectedMs, nowMs);
-      higherLoad.admitted(item.priorityClass, expectedMs, nowMs);
-      long.observe(expectedMs);
+      insert(queued);
+      shares.admitted(item.callerGroup, queued.expectedMs, nowMs);
+      higherLoad.admitted(item.priorityClass, queued.expectedMs, nowMs);
+      long.observe(queued.expectedMs);
       return verdict;
     },
     startNext: (nowMs, isReady = () => true) => {
       if (running.size >= slotCount) return null;
-      const ready = waiting.filter((item) => isReady(item) && mayStart(item));
-      const item = pickNext(ready, nowMs);
-      if (item === undefined) return null;
-      waiting = waiting.filter((other) => other !== item);
-      const isLong = long.isLong(times.expectedMs(item));
-      running.set(item.id, { item, startedAtMs: nowMs, isLong });
-      return item;
+      const queued = pickNext((other) => isReady(other.item) && mayStart(other), nowMs);
+      if (queued === undefined) return null;
+      waiting.splice(waiting.indexOf(queued), 1);
+      running.set(queued.item.id, { queued, startedAtMs: nowMs });
+      return queued.item;
     },
     takeExpired: (nowMs) => {
-      const isLost = (item: types.WorkItem) => nowMs + times.expectedMs(item) > item.deadlineMs;
+      const isLost = (queued: Queued) => nowMs + queued.expectedMs > queued.item.deadlineMs;
       const expired = waiting.filter(isLost);
-      if (expired.length > 0) waiting = waiting.filter((item) => !isLost(item));
-      return expired;
+      if (expired.length > 0) waiting = waiting.filter((queued) => !isLost(queued));
+      return expired.map(({ item }) => item);
     },
     withdraw: (id) => {
       const before = waiting.length;
-      waiting = waiting.filter((item) => item.id !== id);
+      waiting = waiting.filter(({ item }) => item.id !== id);
       return waiting.length < before;
     },
     finish: (id) => {
@@ -214,14 +230,8 @@
     setSlotCount: (count) => {
       slotCount = count;
     },
-    predictedWaitMs: (nowMs, priorityClass = 'batch') => {
-      const plan = planNow(nowMs);
-      const rank = urgency.classRank(priorityClass);
-      waiting
-        .filter((item) => urgency.classRank(item.priorityClass) <= rank)
-        .forEach((item) => assign(plan, item));
-      return Math.max(0, (plan[0] ?? nowMs) - nowMs);
-    },
+    predictedWaitMs: (nowMs, priorityClass = 'batch') => predictWaitsMs(nowMs)[priorityClass],
+    predictedWaitsMs: predictWaitsMs,
     waitingCount: () => waiting.length,
     runningCount: () => running.size,
   };
--- a/packages/decisions/src/routing.test.ts
+++ b/packages/decisions/src/routing.test.ts
@@ -1,3 +1,4 @@
+import * as randoms from '@copperlever/runtime/randoms';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -25,6 +26,24 @@
   excludedIds: new Set(),
 };
 
+const CHOICES = 1_000;
+
+/** How often each upstream is chosen for the same request. */
+function countChoices(
+  candidates: readonly routing.Candidate[],
+  wanted: routing.RoutingRequest,
+  random: () => number,
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (let index = 0; index < CHOICES; index += 1) {
+    const route = routing.chooseRoute(wanted, candidates, random);
+    if (route.kind === 'send') {
+      counts.set(route.upstreamId, (counts.get(route.upstreamId) ?? 0) + 1);
+    }
+  }
+  return counts;
+}
+
 test('a suspected upstream is chosen only when no other has a copy', () => {
   const suspected = candidate('jury-1', { suspected: true });
   const sound = candidate('jury-2', { predictedWaitMs: 500 });
@@ -53,4 +72,65 @@
   assert.equal(first, second);
 });
 
+test('a slow upstream is used less than the others, and never not at all', () => {
+  // Jury-3 takes five times as long as the others. Its callers would see five times the delay, so it
+  // gets a small part of the requests; it keeps some, since only its answers can show its recovery.
+  const random = randoms.createRandom(1);
+  const candidates = [
+    candidate('jury-1', {}),
+    candidate('jury-2', {}),
+    candidate('jury-3', { slowness: 5 }),
+  ];
+  const counts = countChoices(candidates, { ...request, expectedMs: 0 }, random.fraction);
+  assert.ok((counts.get('jury-3') ?? 0) > 0);
+  assert.ok((counts.get('jury-3') ?? 0) < 0.15 * CHOICES);
+});
+
+test('when all copies are slow or suspected the request still goes to one of them', () => {
+  const slow = ['jury-1', 'jury-2'].map((id) => candidate(id, { slowness: 9, suspected: true }));
+  const route = routing.chooseRoute(request, slow, () => 0.99);
+  assert.is(route.kind, 'send');
+});
+
+test('requests with one prefix stay together until their upstream is over its share', () => {
+  const idle = ['jury-1', 'jury-2', 'jury-3'].map((id) => candidate(id, {}));
+  const popular = { ...request, prefixKey: 'rules-of-racing' };
+  const random = randoms.createRandom(1);
+  const counts = countChoices(idle, popular, random.fraction);
+  assert.is(counts.size, 1);
+  const [affineId] = [...counts.keys()];
+  const loaded = idle.map((other) =>
+    other.upstreamId === affineId ? { ...other, inFlightCount: 9 } : other,
+  );
+  assert.not.ok(countChoices(loaded, popular, random.fraction).has(affineId as string));
+});
+
+test('another region helps out only when the local one would keep the request waiting', () => {
+  const near = candidate('jury-1', { predictedWaitMs: 50 });
+  const far = candidate('jury-2', { region: 'hue' });
+  const random = randoms.createRandom(1);
+  assert.equal(countChoices([near, far], request, random.fraction), new Map([['jury-1', CHOICES]]));
+  const busy = { ...near, predictedWaitMs: 2_000 };
+  assert.equal(countChoices([busy, far], request, random.fraction), new Map([['jury-2', CHOICES]]));
+});
+
+test('with stale knowledge in many entries no upstream is buried', () => {
+  // Ten upstreams look alike but one that looks a little better to all entries. Were each entry to take
+  // the best it knows, that one would get all requests; of two drawn at random it gets a fifth.
+  const candidates = Array.from({ length: 10 }, (_, index) =>
+    candidate(`jury-${index}`, { predictedWaitMs: index === 4 ? 10 : 20 }),
+  );
+  const counts = countChoices(candidates, request, randoms.createRandom(1).fraction);
+  assert.ok((counts.get('jury-4') ?? 0) < 0.25 * CHOICES);
+});
+
+test('an upstream that a request must not go to again is not chosen', () => {
+  const candidates = [candidate('jury-1', {}), candidate('jury-2', {})];
+  const excluded = { ...request, excludedIds: new Set(['jury-1', 'jury-2']) };
+  assert.equal(
+    routing.chooseRoute(excluded, candidates, () => 0),
+    { kind: 'nowhere' },
+  );
+});
+
 test.run();
--- a/packages/decisions/src/service-times.ts
+++ b/packages/decisions/src/service-times.ts
@@ -41,15 +41,18 @@
 }
 
 /**
- * Times for one upstream. A target that was not seen there yet is expected to take what the upstream
+ * Times for one upstream. `baseOf` names the model whose pace a target has: an adapter runs at the pace
+ * of its base model, and learning each adapter apart would leave most of them unknown. A target that was not seen there yet is expected to take what the upstream
  * takes on average: after a slowdown every target is then known to be slow, not only the busy ones.
  */
-export function createServiceTimes(): ServiceTimes {
+export function createServiceTimes(
+  baseOf: (target: string) => string = (target) => target,
+): ServiceTimes {
   const byTarget = new Map<string, Required<ServiceTime>>();
   let average: Required<ServiceTime> | null = null;
 
   function timeOf(target: string): Required<ServiceTime> {
-    return byTarget.get(target) ?? average ?? INITIAL;
+    return byTarget.get(baseOf(target)) ?? average ?? INITIAL;
   }
 
   function serviceMs(item: SizedWork, outputTokens: number): number {
@@ -62,7 +65,8 @@
     longestMs: (item) => serviceMs(item, item.outputTokens),
     observe: (target, observed) => {
       const complete = { ...INITIAL, ...observed };
-      byTarget.set(target, blendTimes(byTarget.get(target) ?? complete, observed));
+      const base = baseOf(target);
+      byTarget.set(base, blendTimes(byTarget.get(base) ?? complete, observed));
       average = blendTimes(average ?? complete, observed);
     },
   };
