Judge an adapter's first requests by its base model in the agent

Cause: awilix gives a factory its cradle, and the service times now take a function as their first argument; merged, the cradle was taken for it and the first admission threw. Excluded: a fault in the decisions, whose own tests pass. Before: the matrix ended with 'baseOf is not a function'.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -1,5 +1,5 @@
 /** Joins the parts of an agent; each part gets only what it names. */
-import { schema } from '@copperlever/configuration';
+import { schema, targets } from '@copperlever/configuration';
 import {
   controlNode,
   documentCodec,
@@ -150,6 +150,12 @@
   });
 }
 
+/** An adapter runs as fast as its base model, so its first requests are judged by that. */
+function baseModelOf(document: schema.Document, target: string): string {
+  const found = targets.findModelTarget(document, target);
+  return found === null || found.kind === 'service' ? target : found.model;
+}
+
 export function createContainer(settings: Settings, incarnation: number) {
   const container = awilix.createContainer<AgentParts>({ strict: true });
   container.register({
@@ -197,7 +203,11 @@
         }),
       )
       .singleton(),
-    times: awilix.asFunction(serviceTimes.createServiceTimes).singleton(),
+    times: awilix
+      .asFunction(({ document }: AgentParts) =>
+        serviceTimes.createServiceTimes((target) => baseModelOf(document(), target)),
+      )
+      .singleton(),
     queue: awilix.asFunction(createQueue).singleton(),
     revoked: awilix
       .asFunction(({ clock }: AgentParts) => revocations.createRevocations(clock.nowMs()))
