Read frames without a stream's own iterator, and clear a suspect that is answered

A frequent innocent request in flight at two crashes was then refused:

FAIL suspects "a frequent request that is answered between two crashes is not blamed for them" FAIL suspects "a first crash at another entry counts, unless the request was answered here since"

(the fakes of these tests now keep topics apart, which the older ones did not need).

Change: an entry that has answered a request since does not heed the word of its first crash.

--- a/packages/entry/src/server/links/grpc-link.ts
+++ b/packages/entry/src/server/links/grpc-link.ts
@@ -5,6 +5,7 @@
 
 import * as channelFreshness from '../../shared/channel-freshness.js';
 import type * as links from '../../types/links.js';
+import * as frameReader from './frame-reader.js';
 
 export type GrpcLink = links.AgentLink & { close: () => void };
 
@@ -30,32 +31,6 @@
 
 type Channel = channelFreshness.ChannelTimes & { client: agent.AgentServiceClient };
 
-type FrameStream = grpc.ClientReadableStream<agent.AnswerFrame>;
-
-function detailOf(cause: unknown): string {
-  return cause instanceof Error ? cause.message : 'unknown';
-}
-
-async function* readParts(
-  stream: FrameStream,
-  signal: AbortSignal,
-  onHeard: () => void,
-): AsyncGenerator<links.LinkPart> {
-  const cancel = () => stream.cancel();
-  signal.addEventListener('abort', cancel, { once: true });
-  try {
-    for await (const frame of stream) {
-      onHeard();
-      yield { kind: 'frame', frame: frame as agent.AnswerFrame };
-    }
-  } catch (cause) {
-    yield { kind: 'lost', detail: detailOf(cause) };
-  } finally {
-    signal.removeEventListener('abort', cancel);
-    stream.cancel();
-  }
-}
-
 export function createGrpcLink(clock: clocks.Clock): GrpcLink {
   const channels = new Map<string, Channel>();
   const pendingAcks = new Map<string, string[]>();
@@ -101,11 +76,11 @@
   return {
     dispatch: (target, request, signal) => {
       const channel = channelFor(target.address, 'shared');
-      return readParts(channel.client.dispatch(request), signal, () => hear(channel));
+      return frameReader.readFrames(channel.client.dispatch(request), signal, () => hear(channel));
     },
     resume: (target, request, signal, connection) => {
       const channel = channelFor(target.address, connection);
-      return readParts(channel.client.resume(request), signal, () => hear(channel));
+      return frameReader.readFrames(channel.client.resume(request), signal, () => hear(channel));
     },
     revoke: (target, request, deadlineMs, connection) => {
       const deadline = new Date(clock.wallMs() + deadlineMs - clock.nowMs());
--- a/packages/entry/src/shared/suspects.test.ts
+++ b/packages/entry/src/shared/suspects.test.ts
@@ -6,16 +6,16 @@
 
 const test = suite('suspects');
 
-function createRig() {
+function createRig(notices: membership.Notice[] = []) {
   const state = { nowMs: 0 };
-  const notices: membership.Notice[] = [];
+  const listed = (topic: string) =>
+    notices.filter((notice) => notice.topic === topic && notice.expiresAtMs > state.nowMs);
   const suspects = suspectsModule.createSuspects({
     clock: { nowMs: () => state.nowMs },
     notices: {
       publish: (notice) => notices.push(notice),
-      has: (_topic, key) =>
-        notices.some((notice) => notice.key === key && notice.expiresAtMs > state.nowMs),
-      list: () => notices,
+      has: (topic, key) => listed(topic).some((notice) => notice.key === key),
+      list: listed,
     },
   });
   return { state, notices, suspects };
@@ -38,6 +38,21 @@
   assert.is(suspects.quarantinedUntilMs('ping'), null);
 });
 
+test('a first crash at another entry counts, unless the request was answered here since', () => {
+  // A stream has begun when its engine dies, so it is not retried; its caller asks at another entry.
+  const first = createRig();
+  first.suspects.noteCrash('f-1');
+  const second = createRig(first.notices);
+  second.suspects.noteCrash('f-1');
+  assert.is(second.suspects.quarantinedUntilMs('f-1'), suspectsModule.QUARANTINE_MS);
+  const third = createRig();
+  third.suspects.noteCrash('ping');
+  const fourth = createRig(third.notices);
+  fourth.suspects.noteAnswer('ping');
+  fourth.suspects.noteCrash('ping');
+  assert.is(fourth.suspects.quarantinedUntilMs('ping'), null);
+});
+
 test('a quarantine ends by itself, and old suspicions pass', () => {
   const { state, suspects } = createRig();
   suspects.noteCrash('f-1');
--- a/packages/entry/src/shared/suspects.ts
+++ b/packages/entry/src/shared/suspects.ts
@@ -40,6 +40,8 @@
 export function createSuspects(deps: SuspectsDeps): Suspects {
   const { clock, notices } = deps;
   const crashedAtMs = new Map<string, number>();
+  /** Requests that were answered here although another entry suspects them; a notice cannot be withdrawn. */
+  const clearedUntil = new Map<string, number>();
   const busyCounts = new Map<string, number>();
 
   /**
@@ -50,7 +52,8 @@
   function isSuspect(fingerprint: string): boolean {
     const beforeMs = crashedAtMs.get(fingerprint);
     if (beforeMs !== undefined) return beforeMs > clock.nowMs() - SUSPICION_MS;
-    return notices.has(SUSPECT_TOPIC, fingerprint);
+    const clearedUntilMs = clearedUntil.get(fingerprint) ?? 0;
+    return clearedUntilMs <= clock.nowMs() && notices.has(SUSPECT_TOPIC, fingerprint);
   }
 
   function quarantine(fingerprint: string): void {
@@ -69,6 +72,14 @@
     if (oldest !== undefined) crashedAtMs.delete(oldest);
   }
 
+  function clear(fingerprint: string): void {
+    const nowMs = clock.nowMs();
+    for (const [cleared, untilMs] of clearedUntil) {
+      if (untilMs <= nowMs) clearedUntil.delete(cleared);
+    }
+    clearedUntil.set(fingerprint, nowMs + SUSPECT_NOTICE_MS);
+  }
+
   function addBusy(agentId: string, change: number): void {
     const count = (busyCounts.get(agentId) ?? 0) + change;
     if (count > 0) busyCounts.set(agentId, count);
@@ -87,6 +98,7 @@
     },
     noteAnswer: (fingerprint) => {
       crashedAtMs.delete(fingerprint);
+      if (notices.has(SUSPECT_TOPIC, fingerprint)) clear(fingerprint);
     },
     noteStarted: (agentId) => addBusy(agentId, 1),
     noteEnded: (agentId) => addBusy(agentId, -1),
