Promise a standard request twice its predicted wait, stretched by higher classes

Change: the wait of a standard request counts double, and the check of promises already given counts the steady load of higher classes too.

--- a/packages/decisions/src/queues.ts
+++ b/packages/decisions/src/queues.ts
@@ -61,6 +61,18 @@
  */
 const OVER_SHARE_SLACK = 0.5;
 
+/**
+ * Waits are promised with this margin. Made for answers whose length nobody knows: they end anywhere
+ * between a few of their tokens and all of them, so a predicted start may be off by a quarter, and
+ * without a margin every second one of the last to be admitted would be late or given up on. Batch work
+ * has no margin: it is admitted late rather than refused early.
+ */
+const WAIT_MARGIN: Record<types.PriorityClass, number> = {
+  critical: 1,
+  standard: 2,
+  batch: 1,
+};
+
 /** Admitted work with what it was expected to take when it came. */
 type Queued = { item: types.WorkItem; expectedMs: number; longestMs: number; isLong: boolean };
 
@@ -99,14 +111,19 @@
     return waits.planSlots(slotCount, leftsMs, nowMs);
   }
 
+  /** The wait that is counted on, given the wait if nothing more of a higher class came. */
+  function promiseMs({ item }: Queued, waitMs: number, nowMs: number): number {
+    const marginMs = waitMs * WAIT_MARGIN[item.priorityClass];
+    return higherLoad.stretch(item.priorityClass, marginMs, slotCount, nowMs);
+  }
+
   /** The wait of `queued` behind all waiting work that is more urgent. */
   function predictWaitMs(queued: Queued, nowMs: number): number {
     const { item } = queued;
     const plan = planNow(nowMs);
     waiting.filter((other) => isMoreUrgent(other, queued)).forEach((other) => assign(plan, other));
     const queueMs = Math.max(0, (plan[0] ?? nowMs) - nowMs);
-    const stretchedMs = higherLoad.stretch(item.priorityClass, queueMs, slotCount, nowMs);
-    return Math.max(stretchedMs, (item.readyAtMs ?? 0) - nowMs);
+    return Math.max(promiseMs(queued, queueMs, nowMs), (item.readyAtMs ?? 0) - nowMs);
   }
 
   function predictWaitsMs(nowMs: number): Record<types.PriorityClass, number> {
@@ -135,7 +152,10 @@
     const plan = planNow(nowMs);
     waiting.filter((other) => isMoreUrgent(other, queued)).forEach((other) => assign(plan, other));
     assign(plan, queued);
-    return behind.some((other) => assign(plan, other) + other.longestMs > other.item.deadlineMs);
+    return behind.some((other) => {
+      const waitMs = promiseMs(other, assign(plan, other) - nowMs, nowMs);
+      return nowMs + waitMs + other.longestMs > other.item.deadlineMs;
+    });
   }
 
   function refuse(
