--- a/packages/bench/src/decisions/policies/present-agents.ts
+++ b/packages/bench/src/decisions/policies/present-agents.ts
@@ -5,7 +5,7 @@
 import type * as benchTypes from '../types.js';
 import type * as world from '../world.js';
 
-const MAX_WAITING = 400;
+const MAX_WAITING = 1500;
 /** Busy slots are averaged over about this many samples, one each second. */
 const BUSY_SAMPLES = 30;
 
--- a/packages/decisions/src/queues.ts
+++ b/packages/decisions/src/queues.ts
@@ -62,19 +62,19 @@
 const OVER_SHARE_SLACK = 0.5;
 
 /**
- * Waits are promised with this margin. Made for answers whose length nobody knows: they end anywhere
- * between a few of their tokens and all of them, so a predicted start may be off by a quarter, and
- * without a margin every second one of the last to be admitted would be late or given up on. Batch work
- * has no margin: it is admitted late rather than refused early.
+ * Waits are promised with this margin. Made for answers whose length nobody knows, and for a higher
+ * class whose load moves: with 1 a standard request is often given up on after it waited (measured, see
+ * docs/decisions.md). Critical work has no margin: it would cost about twenty refusals for each late
+ * answer that it spares. Batch work is admitted late rather than refused early: neither a margin nor the
+ * load of higher classes counts against it, since that load ebbs long before its deadline.
  */
-const WAIT_MARGIN: Record<types.PriorityClass, number> = {
+const WAIT_MARGIN: Record<Exclude<types.PriorityClass, 'batch'>, number> = {
   critical: 1,
   standard: 2,
-  batch: 1,
 };
 
 /** Admitted work with what it was expected to take when it came. */
-type Queued = { item: types.WorkItem; expectedMs: number; longestMs: number; isLong: boolean };
+type Queued = waits.PlannedWork & { item: types.WorkItem; longestMs: number; isLong: boolean };
 
 type Running = { queued: Queued; startedAtMs: number };
 
@@ -82,12 +82,6 @@
   return urgency.compareUrgency(left.item, right.item) <= 0;
 }
 
-/** Gives the next slot of `plan` to the work and returns the instant at which it starts. */
-function assign(plan: waits.SlotPlan, queued: Queued): number {
-  const { item, expectedMs } = queued;
-  return waits.assign(plan, { expectedMs, readyAtMs: item.readyAtMs ?? 0 });
-}
-
 export function createWorkQueue(limits: QueueLimits, times: QueueTimes): WorkQueue {
   let { slotCount } = limits;
   let waiting: Queued[] = [];
@@ -101,7 +95,8 @@
   function estimate(item: types.WorkItem): Queued {
     const expectedMs = times.expectedMs(item);
     const longestMs = times.longestMs?.(item) ?? expectedMs;
-    return { item, expectedMs, longestMs, isLong: long.isLong(expectedMs) };
+    const readyAtMs = item.readyAtMs ?? 0;
+    return { item, expectedMs, longestMs, readyAtMs, isLong: long.isLong(expectedMs) };
   }
 
   function planNow(nowMs: number): waits.SlotPlan {
@@ -111,28 +106,33 @@
     return waits.planSlots(slotCount, leftsMs, nowMs);
   }
 
+  function listBefore(queued: Queued): Queued[] {
+    return waiting.filter((other) => isMoreUrgent(other, queued));
+  }
+
   /** The wait that is counted on, given the wait if nothing more of a higher class came. */
   function promiseMs({ item }: Queued, waitMs: number, nowMs: number): number {
+    if (item.priorityClass === 'batch') return waitMs;
     const marginMs = waitMs * WAIT_MARGIN[item.priorityClass];
     return higherLoad.stretch(item.priorityClass, marginMs, slotCount, nowMs);
   }
 
   /** The wait of `queued` behind all waiting work that is more urgent. */
   function predictWaitMs(queued: Queued, nowMs: number): number {
-    const { item } = queued;
     const plan = planNow(nowMs);
-    waiting.filter((other) => isMoreUrgent(other, queued)).forEach((other) => assign(plan, other));
+    waits.assignAll(plan, listBefore(queued));
     const queueMs = Math.max(0, (plan[0] ?? nowMs) - nowMs);
-    return Math.max(promiseMs(queued, queueMs, nowMs), (item.readyAtMs ?? 0) - nowMs);
+    return Math.max(promiseMs(queued, queueMs, nowMs), queued.readyAtMs - nowMs);
   }
 
   function predictWaitsMs(nowMs: number): Record<types.PriorityClass, number> {
     const plan = planNow(nowMs);
     const waitsMs = { critical: 0, standard: 0, batch: 0 };
     types.PRIORITY_CLASSES.forEach((name) => {
-      waiting
-        .filter(({ item }) => item.priorityClass === name)
-        .forEach((queued) => assign(plan, queued));
+      waits.assignAll(
+        plan,
+        waiting.filter(({ item }) => item.priorityClass === name),
+      );
       waitsMs[name] = Math.max(0, (plan[0] ?? nowMs) - nowMs);
     });
     return waitsMs;
@@ -150,10 +150,10 @@
     );
     if (behind.length === 0) return false;
     const plan = planNow(nowMs);
-    waiting.filter((other) => isMoreUrgent(other, queued)).forEach((other) => assign(plan, other));
-    assign(plan, queued);
+    waits.assignAll(plan, listBefore(queued));
+    waits.assign(plan, queued);
     return behind.some((other) => {
-      const waitMs = promiseMs(other, assign(plan, other) - nowMs, nowMs);
+      const waitMs = promiseMs(other, waits.assign(plan, other) - nowMs, nowMs);
       return nowMs + waitMs + other.longestMs > other.item.deadlineMs;
     });
   }
--- a/packages/decisions/src/waits.ts
+++ b/packages/decisions/src/waits.ts
@@ -42,3 +42,24 @@
   plan.splice(index, 0, untilMs);
   return startAtMs;
 }
+
+/**
+ * Work beyond this many pieces is spread evenly over the slots rather than dealt piece by piece. Made for
+ * a backlog of overnight work: an agent may spend little time on control, and behind so many pieces
+ * the order of the last ones changes a wait by less than the lengths of the answers do.
+ */
+const MOST_DEALT = 64;
+
+/** Gives slots to all of `works` in their order. */
+export function assignAll(plan: SlotPlan, works: readonly PlannedWork[]): void {
+  const dealtCount = Math.min(MOST_DEALT, works.length);
+  for (let index = 0; index < dealtCount; index += 1) assign(plan, works[index] as PlannedWork);
+  let restMs = 0;
+  for (let index = dealtCount; index < works.length; index += 1) {
+    restMs += (works[index] as PlannedWork).expectedMs;
+  }
+  if (restMs === 0) return;
+  for (let index = 0; index < plan.length; index += 1) {
+    plan[index] = (plan[index] as number) + restMs / plan.length;
+  }
+}
