--- a/packages/decisions/src/placing.ts
+++ b/packages/decisions/src/placing.ts
@@ -51,9 +51,9 @@
   | { kind: 'none'; reason: PlacingReason };
 
 /**
- * Copies are added once demand takes more than this part of the slots they can have. Demand grows while
- * the weights load, and queues grow without bound as the part nears 1: at 0.7 of some ten slots few
- * requests wait.
+ * Copies are added once demand takes more than this part of the slots they can have. Queues grow without
+ * bound as the part nears 1, and demand grows while the weights load. With 0.7 models of a fleet that is
+ * three quarters full look short without end, and move (measured, see docs/decisions.md).
  */
 const GROW_ABOVE = 0.7;
 /**
@@ -119,6 +119,10 @@
   return others.length > 0 ? others : offers;
 }
 
+/**
+ * A copy in a second failure domain, where there is room for it. It displaces nothing: the model whose
+ * copy it displaced would want it back for the same reason, and both would load for ever.
+ */
 function planSpread(
   copies: readonly CopyView[],
   offers: readonly Offer[],
@@ -126,7 +130,9 @@
 ): CopyPlan | null {
   const domains = new Set(copies.map((copy) => copy.failureDomain));
   if (domains.size !== 1) return null;
-  const outside = offers.filter((offer) => !domains.has(offer.failureDomain));
+  const outside = offers.filter(
+    (offer) => !domains.has(offer.failureDomain) && offer.displacement?.models.length === 0,
+  );
   const best = findBest(outside, SPREAD_WORTH_SLOTS, limits);
   return best !== undefined && best.gainMs > 0 ? add(best, 'one-failure-domain') : null;
 }
