--- a/packages/decisions/src/placing.ts
+++ b/packages/decisions/src/placing.ts
@@ -55,7 +55,7 @@
  * bound as the part nears 1, and demand grows while the weights load. With 0.7 models of a fleet that is
  * three quarters full look short without end, and move (measured, see docs/decisions.md).
  */
-const GROW_ABOVE = 0.7;
+const GROW_ABOVE = 0.85;
 /**
  * A copy may go when the others would be used less than this. Far below GROW_ABOVE, so that a copy that
  * has just gone is not wanted back.
