--- a/packages/bench/src/decisions/main.ts
+++ b/packages/bench/src/decisions/main.ts
@@ -1,20 +1,10 @@
 /** Measures the decisions against baselines on a virtual clock; one JSON line per load and policy. */
-import { randoms } from '@copperlever/runtime';
 import * as commander from 'commander';
 
-import * as bounds from './bounds.js';
-import * as loads from './loads.js';
-import * as outcomes from './outcomes.js';
-import * as placement from './placement.js';
-import * as baseline from './policies/baseline.js';
-import * as present from './policies/present.js';
-import * as sizes from './sizes.js';
+import type * as outcomes from './outcomes.js';
+import * as runs from './runs.js';
 import * as summaries from './summaries.js';
 import * as benchTypes from './types.js';
-import * as world from './world.js';
-
-/** Policies draw from a stream of their own, so that all of them meet the same load. */
-const POLICY_SEED_OFFSET = 1_000_003;
 
 type Options = {
   seed: number;
@@ -23,63 +13,29 @@
   load: benchTypes.LoadName[];
   policy: benchTypes.PolicyName[];
   offered?: number;
+  plot?: string;
 };
 
-function createPolicy(
-  name: benchTypes.PolicyName,
-  fleet: world.World,
-  random: randoms.Random,
-): world.Policy {
-  switch (name) {
-    case 'present':
-      return present.createPresent(fleet, random);
-    case 'round-robin':
-      return baseline.createBaseline(fleet, {
-        choose: baseline.chooseRoundRobin(),
-        loadsOnDemand: true,
-      });
-    case 'least-outstanding':
-      return baseline.createBaseline(fleet, {
-        choose: baseline.chooseLeastOutstanding(true),
-        loadsOnDemand: true,
-      });
-    case 'static-placement':
-      return baseline.createBaseline(fleet, {
-        choose: baseline.chooseLeastOutstanding(false),
-        loadsOnDemand: false,
-      });
-  }
+function listSeeds(options: Options): number[] {
+  return Array.from({ length: options.seeds }, (_, index) => options.seed + index);
 }
 
-function measureSeed(
-  sizeName: benchTypes.SizeName,
-  loadName: benchTypes.LoadName,
-  seed: number,
-  options: Options,
-): Map<benchTypes.PolicyName, outcomes.Outcome> {
-  const random = randoms.createRandom(seed);
-  const size = sizes.createSize(sizeName, random);
-  const load = loads.createLoad(loadName, size, random, options.offered);
-  const copies = placement.createPlacement(size);
-  const bound = bounds.computeBound(size, load);
-  return new Map(
-    options.policy.map((name) => {
-      const policyRandom = randoms.createRandom(seed + POLICY_SEED_OFFSET);
-      const result = world.run(size, load, copies, (fleet) =>
-        createPolicy(name, fleet, policyRandom),
-      );
-      return [name, outcomes.measure(size, load, result, bound)];
-    }),
+function measureLoad(size: benchTypes.SizeName, load: benchTypes.LoadName, options: Options): void {
+  const { policy: policies, offered } = options;
+  const bySeed = listSeeds(options).map((seed) =>
+    runs.measureSeed({ size, load, policies, seed, offered }),
   );
+  policies.forEach((policy) => {
+    const results = bySeed.map((byPolicy) => byPolicy.get(policy) as outcomes.Outcome);
+    console.log(JSON.stringify({ size, load, policy, ...summaries.summarize(results) }));
+  });
 }
 
-function measureLoad(size: benchTypes.SizeName, load: benchTypes.LoadName, options: Options): void {
-  const seeds = Array.from({ length: options.seeds }, (_, index) => options.seed + index);
-  const bySeed = seeds.map((seed) => measureSeed(size, load, seed, options));
-  options.policy.forEach((policy) => {
-    const runs = bySeed.map((byPolicy) => byPolicy.get(policy) as outcomes.Outcome);
-    console.log(JSON.stringify({ size, load, policy, ...summaries.summarize(runs) }));
-  });
+/** The drawing library is for development only, so it is loaded only when a picture is wanted. */
+async function drawPlot(file: string, options: Options): Promise<void> {
+  const plot = await import('./plot.js');
+  const size = options.size[0] ?? 'consortium';
+  await plot.writePlot(file, size, options.policy, listSeeds(options));
 }
 
 const program = new commander.Command('bench-decisions')
@@ -101,10 +57,15 @@
       .choices(benchTypes.POLICY_NAMES)
       .default([...benchTypes.POLICY_NAMES]),
   )
-  .option('--offered <share>', 'work offered as a share of all slots', Number);
+  .option('--offered <share>', 'work offered as a share of all slots', Number)
+  .option('--plot <file>', 'draw attainment against offered load for the first size instead');
 
 program.parse();
 const options = program.opts<Options>();
-options.size.forEach((size) => {
-  options.load.forEach((load) => measureLoad(size, load, options));
-});
+if (options.plot === undefined) {
+  options.size.forEach((size) => {
+    options.load.forEach((load) => measureLoad(size, load, options));
+  });
+} else {
+  await drawPlot(options.plot, options);
+}
--- a/packages/decisions/src/long-work.ts
+++ b/packages/decisions/src/long-work.ts
@@ -20,6 +20,8 @@
   let usualMs: number | null = null;
   return {
     observe: (expectedMs) => {
+      /** Work of unknown length, as of a plain service, says nothing of what is usual. */
+      if (expectedMs <= 0) return;
       /** One huge piece must not move the measure by more than a usual long one would. */
       const counted = usualMs === null ? expectedMs : Math.min(expectedMs, LONG_FACTOR * usualMs);
       usualMs = usualMs === null ? counted : usualMs + NEWEST_WEIGHT * (counted - usualMs);
