--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -1,5 +1,5 @@
 /** Joins the parts of an agent; each part gets only what it names. */
-import { schema } from '@copperlever/configuration';
+import { schema, targets } from '@copperlever/configuration';
 import {
   controlNode,
   documentCodec,
@@ -17,6 +17,9 @@
 import * as engineCopies from './server/copies/engine-copies.js';
 import type * as copyTypes from './server/copies/types.js';
 import * as attempts from './server/dispatch/attempts.js';
+import * as intents from './server/orders/intents.js';
+import * as orders from './server/orders/orders.js';
+import type * as orderTypes from './server/orders/types.js';
 import * as httpUpstream from './server/upstream/http-upstream.js';
 import * as ledgers from './shared/memory-ledger.js';
 import * as revocations from './shared/revocations.js';
@@ -92,13 +95,36 @@
     { slotCount: DEFAULT_SLOT_COUNT, maxWaiting: MAX_WAITING },
     times,
   );
-  control.follower.onChange(({ document }) => {
+  const takeSlots = ({ document }: { document: schema.Document }) => {
     const upstream = document.upstreams[settings.upstreamId];
     if (upstream !== undefined) queue.setSlotCount(upstream.slotCount);
-  });
+  };
+  // The queue is made with the first request, after the first configuration.
+  const present = control.follower.current();
+  if (present !== null) takeSlots(present);
+  control.follower.onChange(takeSlots);
   return queue;
 }
 
+function createOrders(parts: AgentParts, ledger: ledgers.MemoryLedger): orderTypes.Orders {
+  const { clock, document, incarnation, log, metrics, random, store } = parts;
+  const { upstreamId } = parts.settings;
+  return orders.createOrders({
+    clock,
+    log,
+    metrics,
+    engine: parts.upstream,
+    ledger,
+    upstreamId,
+    incarnation,
+    intents: intents.createIntentsStore({ clock, random, store, upstreamId, incarnation }),
+    checksFencing: () => {
+      const upstream = document().upstreams[upstreamId];
+      return upstream?.kind === 'engine' && upstream.checksFencing;
+    },
+  });
+}
+
 /** An engine's copies, or a plain service's, as the first configuration with the upstream says. */
 function createCopies(parts: AgentParts): AgentParts['copies'] {
   const { settings, document } = parts;
@@ -110,19 +136,26 @@
         .map(([name]) => name),
     );
   }
+  const ledger = ledgers.createMemoryLedger(upstream.memoryBytes);
   return engineCopies.createEngineCopies({
     clock: parts.clock,
     log: parts.log,
+    metrics: parts.metrics,
     engine: parts.upstream,
-    ledger: ledgers.createMemoryLedger(upstream.memoryBytes),
-    fencingNumber: parts.incarnation,
+    ledger,
+    orders: createOrders(parts, ledger),
     upstreamId: settings.upstreamId,
     document,
     isFloorHere: () => false,
-    isInUse: () => false,
   });
 }
 
+/** An adapter runs as fast as its base model, so its first requests are judged by that. */
+function baseModelOf(document: schema.Document, target: string): string {
+  const found = targets.findModelTarget(document, target);
+  return found === null || found.kind === 'service' ? target : found.model;
+}
+
 export function createContainer(settings: Settings, incarnation: number) {
   const container = awilix.createContainer<AgentParts>({ strict: true });
   container.register({
@@ -170,7 +203,11 @@
         }),
       )
       .singleton(),
-    times: awilix.asFunction(serviceTimes.createServiceTimes).singleton(),
+    times: awilix
+      .asFunction(({ document }: AgentParts) =>
+        serviceTimes.createServiceTimes((target) => baseModelOf(document(), target)),
+      )
+      .singleton(),
     queue: awilix.asFunction(createQueue).singleton(),
     revoked: awilix
       .asFunction(({ clock }: AgentParts) => revocations.createRevocations(clock.nowMs()))
