--- a/packages/bench/src/decisions/outcomes.ts
+++ b/packages/bench/src/decisions/outcomes.ts
@@ -25,6 +25,8 @@
   refusedAfterWaiting: number;
   /** Admitted top-class requests that were not answered in time. */
   topClassAdmittedMissed: number;
+  /** Of these, the late ones that waited while their upstream started lower-class work. */
+  topClassOvertaken: number;
   /** Requests that were begun and answered too late, or lost with their upstream. */
   missed: number;
   worstWaitCriticalMs: number;
@@ -70,6 +72,24 @@
   return waitMs(entry) + prefillMs <= FIRST_TOKEN_TARGET_MS;
 }
 
+/** Late top-class answers whose upstream started lower-class work while they waited. */
+function countOvertaken(entries: readonly Entry[]): number {
+  const starts = entries.flatMap(({ request, verdict }) =>
+    verdict?.kind === 'served' && request.priorityClass !== 'critical' ? [verdict] : [],
+  );
+  return entries.filter((entry) => {
+    const { request, verdict } = entry;
+    if (request.priorityClass !== 'critical' || isAttained(entry)) return false;
+    if (verdict?.kind !== 'served') return false;
+    return starts.some(
+      (other) =>
+        other.upstreamId === verdict.upstreamId &&
+        other.startedAtMs > request.arrivedAtMs &&
+        other.startedAtMs < verdict.startedAtMs,
+    );
+  }).length;
+}
+
 export function measure(
   size: benchTypes.Size,
   load: benchTypes.Load,
@@ -111,6 +131,7 @@
     topClassAdmittedMissed: byClass.critical.filter(
       (entry) => !isRefused(entry) && !isAttained(entry),
     ).length,
+    topClassOvertaken: countOvertaken(entries),
     missed: entries.filter((entry) => !isRefused(entry) && !isAttained(entry)).length,
     worstWaitCriticalMs: worst(entries, 'critical'),
     worstWaitStandardMs: worst(entries, 'standard'),
--- a/packages/bench/src/decisions/world.ts
+++ b/packages/bench/src/decisions/world.ts
@@ -16,7 +16,7 @@
 
 /** What happened to one request; policies never see it. */
 export type Verdict =
-  | { kind: 'served'; startedAtMs: number; doneAtMs: number }
+  | { kind: 'served'; upstreamId: string; startedAtMs: number; doneAtMs: number }
   | { kind: 'refused'; atMs: number; retryAtMs: number }
   | { kind: 'abandoned'; atMs: number };
 
@@ -129,7 +129,7 @@
       schedule(nowMs + tookMs, () => {
         if (!upstream.running.delete(request.id)) return;
         copy.activeCount -= 1;
-        verdicts.set(request.id, { kind: 'served', startedAtMs, doneAtMs: nowMs });
+        verdicts.set(request.id, { kind: 'served', upstreamId, startedAtMs, doneAtMs: nowMs });
         policy.finish(request, upstreamId, tookMs);
       });
     },
