--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -331,6 +331,10 @@
         const reply = createMessage();
         const { revision } = state.self();
         takeIn(message);
+        // A member that is held for dead here, but calls, has to hear of it to refute it.
+        const doubt = state.doubtOf(message.fromId);
+        const isSaid = reply.updates.some((update) => update.memberId === message.fromId);
+        if (doubt !== undefined && !isSaid) reply.updates.push(messages.toUpdate(doubt));
         const self = state.self();
         if (self.revision !== revision) reply.updates.push(messages.toUpdate(self));
         return reply;
--- a/packages/coordination/src/membership/view-sync.ts
+++ b/packages/coordination/src/membership/view-sync.ts
@@ -42,7 +42,9 @@
 /**
  * Failure: an update was not passed on to this process before it was sent often enough, or a cut
  * between regions outlasted every resend. Symptom: it never sends work to a member that is there.
- * Enough, because the hashes of two views differ until their records are the same.
+ * Enough, because the hashes of two views differ until their records are the same. A fetch brings
+ * only what the other knows; what it may lack is this process itself, whose first messages were
+ * lost, so that is told again.
  */
 export function createViewSync(options: ViewSyncOptions): ViewSync {
   const { state, board, transport, clock, random } = options;
@@ -56,6 +58,7 @@
     const deadlineMs = clock.nowMs() + SYNC_TIMEOUT_MS;
     const reply = await transport.listMembers(address, request, deadlineMs);
     if (reply.ok) options.learn(reply.val);
+    state.repeat(state.self().memberId, clock.nowMs());
   }
 
   return {
