--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -8,6 +8,7 @@
   journal as journals,
   type journalTypes,
   memoryStore,
+  type objectStoreTypes,
   resilientStore,
 } from '@copperlever/coordination';
 import * as entryContainers from '@copperlever/entry/container';
@@ -56,6 +57,16 @@
 export type Overrides = {
   entry?: (parts: entryContainers.EntryParts) => EntryOverrides;
   agent?: (parts: agentContainers.AgentParts) => AgentOverrides;
+  /** The object API as operators' commands reach it. */
+  operatorStore?: (store: objectStoreTypes.ObjectStore) => objectStoreTypes.ObjectStore;
+  /** Agents take what was meant for an earlier process. */
+  acceptsAnyIncarnation?: true;
+  /** Planned stops end the process at once. */
+  stopsAtOnce?: true;
+  /** Leaving agents say nothing, and refuse nothing. */
+  leavesInSilence?: true;
+  /** Engines do not check what the configuration says that they check. */
+  enginesIgnoreFencing?: true;
 };
 
 export type FleetOptions = { seed: number; overrides?: Overrides };
@@ -262,6 +273,7 @@
     endpoints.set(process.name, {
       process,
       peers: parts.control.handlers,
+      acceptsAnyIncarnation: options.overrides?.acceptsAnyIncarnation,
       agent: {
         clock: process.clock,
         incarnation,
@@ -315,7 +327,10 @@
 
   async function start(checksFencing = true): Promise<void> {
     const document = documents.firstDocument(checksFencing);
-    upstreamsByName.forEach((upstream) => upstream.setChecksFencing(checksFencing));
+    upstreamsByName.forEach((upstream) => {
+      const isChecked = checksFencing && options.overrides?.enginesIgnoreFencing !== true;
+      upstream.setChecksFencing(isChecked);
+    });
     for (const entryId of documents.ENTRY_IDS) await startEntry(entryId);
     for (const upstreamId of upstreamsByName.keys()) await startAgent(upstreamId);
     const { config } = (entries.get(documents.ENTRY_IDS[0]) as Entry).parts.control;
@@ -331,6 +346,7 @@
 
   return {
     clock,
+    overrides: options.overrides ?? {},
     memory,
     store,
     network,
--- a/packages/proofs/src/harness/links.ts
+++ b/packages/proofs/src/harness/links.ts
@@ -14,6 +14,8 @@
   process: processes.FakeProcess;
   peers: membershipTypes.PeerHandlers;
   agent: handlers.HandlerDeps | null;
+  /** Takes every request as meant for this very process. */
+  acceptsAnyIncarnation?: true;
 };
 
 export type Endpoints = Map<string, Endpoint>;
@@ -58,6 +60,15 @@
   };
 }
 
+/** The request as the endpoint takes it. */
+function addressed<Request extends { agentIncarnation: number }>(
+  endpoint: Endpoint | undefined,
+  request: Request,
+): Request {
+  if (endpoint?.acceptsAnyIncarnation !== true) return request;
+  return { ...request, agentIncarnation: endpoint.agent?.incarnation ?? 0 };
+}
+
 /** One call and its reply; null when neither came by the deadline or nothing answers. */
 function callOnce<Reply>(
   ports: Ports,
@@ -106,7 +117,11 @@
     choice: links.ConnectionChoice,
     kind: string,
     signal: AbortSignal,
-    handle: (deps: handlers.HandlerDeps, gone: AbortSignal) => AsyncIterable<agent.AnswerFrame>,
+    handle: (
+      deps: handlers.HandlerDeps,
+      endpoint: Endpoint,
+      gone: AbortSignal,
+    ) => AsyncIterable<agent.AnswerFrame>,
   ): Stream {
     const stream = createStream();
     const connection = connect(address, choice);
@@ -121,33 +136,35 @@
       stream.end();
       network.send(connection, 'there', 'cancel', () => gone.abort());
     });
-    const pump = async (deps: handlers.HandlerDeps) => {
-      for await (const frame of handle(deps, gone.signal)) {
+    const pump = async (endpoint: Endpoint, deps: handlers.HandlerDeps) => {
+      for await (const frame of handle(deps, endpoint, gone.signal)) {
         const partKind = frame.part?.$case ?? 'empty';
         network.send(connection, 'back', partKind, () => stream.push({ kind: 'frame', frame }));
       }
       network.send(connection, 'back', 'close', stream.end);
     };
     network.send(connection, 'there', kind, () => {
-      const deps = endpoints.get(connection.to.name)?.agent ?? null;
-      if (deps !== null) void pump(deps);
+      const endpoint = endpoints.get(connection.to.name);
+      if (endpoint !== undefined && endpoint.agent !== null) void pump(endpoint, endpoint.agent);
     });
     return stream;
   }
 
   return {
     dispatch: (target, request, signal) =>
-      openStream(target.address, 'shared', 'dispatch', signal, (deps, gone) =>
-        agentHandlers.handleDispatch(deps, request, gone),
+      openStream(target.address, 'shared', 'dispatch', signal, (deps, endpoint, gone) =>
+        agentHandlers.handleDispatch(deps, addressed(endpoint, request), gone),
       ),
     resume: (target, request, signal, choice) =>
-      openStream(target.address, choice, 'resume', signal, (deps, gone) =>
-        agentHandlers.handleResume(deps, request, gone),
+      openStream(target.address, choice, 'resume', signal, (deps, endpoint, gone) =>
+        agentHandlers.handleResume(deps, addressed(endpoint, request), gone),
       ),
     revoke: async (target, request, deadlineMs, choice) => {
       const connection = connect(target.address, choice);
       const reply = await callOnce(ports, connection, 'revoke', deadlineMs, (endpoint) =>
-        endpoint.agent === null ? undefined : agentHandlers.handleRevoke(endpoint.agent, request),
+        endpoint.agent === null
+          ? undefined
+          : agentHandlers.handleRevoke(endpoint.agent, addressed(endpoint, request)),
       );
       return reply === null
         ? results.Err({ kind: 'link-lost', detail: 'no reply' })
--- a/packages/proofs/src/matrix/config-journey.ts
+++ b/packages/proofs/src/matrix/config-journey.ts
@@ -22,6 +22,7 @@
 type Submitted = { operator: string; version: number; told: SubmitResult | null };
 
 const SUBMIT_MS = 20_000;
+const REPLACE_AFTER_MS = 3_000;
 const HEAL_MS = 35_000;
 const MESSAGE_COUNTS = [1, 6];
 const HISTORY_MAX = 100;
@@ -30,8 +31,9 @@
 /** An operator's command line: a process of its own, at the object API. */
 function createOperator(fleet: fleets.Fleet, name: string) {
   const process = processes.createProcess(name, fleet.clock);
+  const store = stores.createProcessStore(process, fleet.store, fleet.clock, () => {});
   const tools = {
-    store: stores.createProcessStore(process, fleet.store, fleet.clock, () => {}),
+    store: fleet.overrides.operatorStore?.(store) ?? store,
     codec: documentCodec.createJsonCodec<Document>(),
     clock: process.clock,
     random: randoms.createRandom(hashes.hash32(name) % 2 ** 31),
@@ -165,6 +167,7 @@
     entryId: documents.ENTRY_IDS[0],
     upstreamId: 'jury-1',
     messageCount,
+    replaceAfterMs: REPLACE_AFTER_MS,
     isDisturbed: networks.isControl,
     mark: 'rival',
     operators: {
--- a/packages/proofs/src/matrix/faults.ts
+++ b/packages/proofs/src/matrix/faults.ts
@@ -14,6 +14,8 @@
   /** How many messages the message faults take, and which. */
   messageCount: number;
   isDisturbed: (message: networks.Message) => boolean;
+  /** How long after a process its replacement starts. */
+  replaceAfterMs: number;
   /** Orders to the engine are messages of the journey too. */
   disturbsOrders?: true;
   /** A paused agent is taken for dead and replaced, while it still believes in itself. */
@@ -30,6 +32,8 @@
   isPoison?: true;
   /** It happens to a request that an engine runs. */
   isOfRequests?: true;
+  /** A planned stop: nothing may be cut off by it. */
+  isPlanned?: true;
   /** It happens to an engine, or to orders for one. */
   isOfEngines?: true;
   /** The configuration says that the engines ignore fencing numbers, and they do. */
@@ -41,7 +45,6 @@
 
 /** Longer than a suspicion and than the callers' deadlines. */
 const PAUSE_MS = 16_000;
-const REPLACE_AFTER_MS = 3_000;
 const STORE_FAULT_MS = 10_000;
 const SLOW_MS = 400;
 const LATE_MS = 2_500;
@@ -90,7 +93,7 @@
 
 function replaceAgent(scene: Scene): void {
   killAgent(scene);
-  after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startAgent(scene.upstreamId));
+  after(scene, scene.replaceAfterMs, () => void scene.fleet.startAgent(scene.upstreamId));
 }
 
 function pauseAgent(scene: Scene): void {
@@ -98,7 +101,7 @@
   process?.pause();
   after(scene, PAUSE_MS, () => process?.resume());
   if (scene.replacesPaused !== true) return;
-  after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startAgent(scene.upstreamId));
+  after(scene, scene.replaceAfterMs, () => void scene.fleet.startAgent(scene.upstreamId));
 }
 
 function breakStore(scene: Scene, fault: Parameters<fleets.Fleet['store']['setFault']>[0]): void {
@@ -136,7 +139,7 @@
     name: 'entry killed',
     strike: (scene) => {
       killEntry(scene);
-      after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startEntry(scene.entryId));
+      after(scene, scene.replaceAfterMs, () => void scene.fleet.startEntry(scene.entryId));
     },
   },
   { name: 'agent killed', strike: replaceAgent },
@@ -215,9 +218,14 @@
   { name: 'operators racing', strike: raceOperators },
   {
     name: 'upstream leaving',
+    isPlanned: true,
     strike: (scene) => void stops.stopAgent(scene.fleet, scene.upstreamId),
   },
-  { name: 'entry leaving', strike: (scene) => void stops.stopEntry(scene.fleet, scene.entryId) },
+  {
+    name: 'entry leaving',
+    isPlanned: true,
+    strike: (scene) => void stops.stopEntry(scene.fleet, scene.entryId),
+  },
 ];
 
 /** Faults that only the journey of a patch has: its operator's command is a process too. */
--- a/packages/proofs/src/matrix/invariants.ts
+++ b/packages/proofs/src/matrix/invariants.ts
@@ -117,6 +117,13 @@
   return [{ kind: 'crashes', detail: `it crashed ${crashCount} engines` }];
 }
 
+/** A planned stop may turn a request away, but may not cut it off. */
+export function checkNotCutOff(asks: readonly callers.Ask[]): Violation[] {
+  return asks
+    .filter(({ told }) => told.kind !== 'answered' && told.kind !== 'not-run')
+    .map((ask) => ({ kind: 'cut-off', detail: `${ask.entryId}: ${JSON.stringify(ask.told)}` }));
+}
+
 export function checkAll(fleet: fleets.Fleet, asks: readonly callers.Ask[]): Violation[] {
   const runs = allRuns(fleet);
   return [
--- a/packages/proofs/src/matrix/model-journey.ts
+++ b/packages/proofs/src/matrix/model-journey.ts
@@ -32,6 +32,7 @@
 const MESSAGE_COUNT = 2;
 const SETTLE_MS = 4_000;
 const CHANGE_MS = 15_000;
+const REPLACE_AFTER_MS = 3_000;
 const HEAL_MS = 40_000;
 const ASK_EVERY_MS = 700;
 const SUBMIT_MS = 10_000;
@@ -148,6 +149,7 @@
       entryId: documents.ENTRY_IDS[0],
       upstreamId,
       messageCount: MESSAGE_COUNT,
+      replaceAfterMs: REPLACE_AFTER_MS,
       isDisturbed: (message) => !networks.isControl(message),
       disturbsOrders: true,
       replacesPaused: true,
--- a/packages/proofs/src/matrix/request-journey.ts
+++ b/packages/proofs/src/matrix/request-journey.ts
@@ -21,20 +21,31 @@
 
 export type Strike = { fault: faults.Fault; step: Step };
 
-export type Variant = { kind: callers.Question['kind']; messageCount: number };
+export type Variant = {
+  kind: callers.Question['kind'];
+  messageCount: number;
+  replaceAfterMs: number;
+};
+
+/** Before and after the entries have given the process up. */
+const SOON_MS = 300;
+const LATER_MS = 3_000;
 
 const VARIANTS: readonly Variant[] = [
-  { kind: 'chat', messageCount: 1 },
-  { kind: 'chat', messageCount: 3 },
-  { kind: 'submission', messageCount: 1 },
-  { kind: 'submission', messageCount: 3 },
+  { kind: 'chat', messageCount: 1, replaceAfterMs: SOON_MS },
+  { kind: 'chat', messageCount: 3, replaceAfterMs: LATER_MS },
+  { kind: 'submission', messageCount: 1, replaceAfterMs: SOON_MS },
+  { kind: 'submission', messageCount: 3, replaceAfterMs: LATER_MS },
 ];
 
 const PAIR_VARIANTS: readonly Variant[] = [
-  { kind: 'submission', messageCount: 2 },
-  { kind: 'chat', messageCount: 2 },
+  { kind: 'submission', messageCount: 2, replaceAfterMs: SOON_MS },
+  { kind: 'chat', messageCount: 2, replaceAfterMs: SOON_MS },
 ];
 
+const LEAVING_KNOWN_MS = 6_000;
+const LATER_ASKS = 4;
+
 /** Longer than any fault lasts, and than what it takes to find each other again. */
 const HEAL_MS = 25_000;
 
@@ -76,6 +87,18 @@
   return step !== undefined && step in POISONS ? POISONS[step as keyof typeof POISONS] : '';
 }
 
+/** Asks while a leaving VM still answers, after everyone should know that it leaves. */
+async function askLater(
+  fleet: fleets.Fleet,
+  kind: callers.Question['kind'],
+): Promise<callers.Ask[]> {
+  await fleet.clock.advance(LEAVING_KNOWN_MS);
+  const asked = Array.from({ length: LATER_ASKS }, (_, index) =>
+    callers.askUntilEnd(fleet, documents.ENTRY_IDS, { kind, mark: `later ${index}` }),
+  );
+  return (await fleet.runHere(Promise.all(asked))).flat();
+}
+
 function isApplicable(variant: Variant, strikes: readonly Strike[]): boolean {
   return variant.kind === 'submission' || strikes.every(({ step }) => step !== 'claimed');
 }
@@ -101,6 +124,7 @@
         entryId,
         upstreamId: progress.upstreamId,
         messageCount: variant.messageCount,
+        replaceAfterMs: variant.replaceAfterMs,
         isDisturbed: (message) => !networks.isControl(message),
         mark: `race-${hit.size}`,
       });
@@ -112,9 +136,14 @@
   strikeAt('received');
   const asks = await fleet.runHere(asking);
   isArmed = false;
+  const isPlanned = strikes.every(({ fault }) => fault.isPlanned === true);
+  if (strikes.some(({ fault }) => fault.isPlanned === true)) {
+    asks.push(...(await askLater(fleet, variant.kind)));
+  }
   await fleet.clock.advance(HEAL_MS);
   const violations = [
     ...invariants.checkAll(fleet, asks),
+    ...(isPlanned ? invariants.checkNotCutOff(asks) : []),
     ...invariants.checkCrashes(fleet, strikes.length - 1),
     ...(await invariants.checkReachable(fleet)),
     ...(await invariants.checkTold(fleet, asks)),
--- a/packages/proofs/src/matrix/stops.ts
+++ b/packages/proofs/src/matrix/stops.ts
@@ -9,6 +9,7 @@
 
 const LEAVE_SPREAD_MS = 1_000;
 const DRAIN_CHECK_MS = 50;
+const VM_GOES_MS = 9_000;
 const DRAIN_TIMEOUT_MS = 120_000;
 
 async function drain(
@@ -28,10 +29,15 @@
   if (agent === undefined || !agent.process.isRunning()) return;
   const { parts, process } = agent;
   const { clock } = process;
+  const { stopsAtOnce, leavesInSilence } = fleet.overrides;
   fleet.noteLeaving(upstreamId);
-  parts.control.membership.leave();
-  parts.attempts.leave();
-  await drain(clock, LEAVE_SPREAD_MS, parts.attempts.openCount);
+  if (leavesInSilence !== true) {
+    parts.control.membership.leave();
+    parts.attempts.leave();
+  }
+  if (stopsAtOnce !== true) await drain(clock, LEAVE_SPREAD_MS, parts.attempts.openCount);
+  // The VM takes a while to go; until then its agent answers.
+  if (stopsAtOnce !== true) await clocks.sleepUntil(clock, clock.nowMs() + VM_GOES_MS);
   await parts.control.stop();
   fleet.kill(process);
 }
@@ -40,6 +46,10 @@
   const entry = fleet.entries.get(entryId);
   if (entry === undefined || !entry.process.isRunning()) return;
   const { parts, process, openCalls, stopping } = entry;
+  if (fleet.overrides.stopsAtOnce === true) {
+    fleet.kill(process);
+    return;
+  }
   await drains.drain({
     clock: process.clock,
     log: parts.log,
