--- a/packages/agent/src/server/copies/engine-copies.ts
+++ b/packages/agent/src/server/copies/engine-copies.ts
@@ -292,7 +292,7 @@
       const { models, adapters } = document();
       return [...Object.keys(models), ...Object.keys(adapters)].filter(isReady);
     },
-    noteMissing: () => void takeReport(),
+    noteMissing: () => void reader.refresh(),
     onChange: (listener) => listeners.add(listener),
     run: async (signal) => {
       while (!signal.aborted) {
