--- a/packages/proofs/src/matrix/faults.ts
+++ b/packages/proofs/src/matrix/faults.ts
@@ -48,6 +48,9 @@
 const STORE_FAULT_MS = 10_000;
 const SLOW_MS = 400;
 const LATE_MS = 2_500;
+/** Long enough that a new agent has taken the engine over and given its memory away. */
+const ORDER_LATE_MS = 6_000;
+const SOON_MS = 300;
 const SECOND_COPY_MS = 400;
 const OVERTAKEN_MS = 50;
 const LOST_ANSWERS = 2;
@@ -104,6 +107,16 @@
   after(scene, scene.replaceAfterMs, () => void scene.fleet.startAgent(scene.upstreamId));
 }
 
+function unlessOrdered(step: string): string | null {
+  return ORDER_STEPS.includes(step) ? null : 'no order is on its way';
+}
+
+/** The order is on its way when its agent dies, and arrives when another agent has the engine. */
+function delayOrderAndReplace(scene: Scene): void {
+  disturbMessages({ ...scene, isDisturbed: () => false }, () => [ORDER_LATE_MS]);
+  after(scene, 1, () => replaceAgent({ ...scene, replaceAfterMs: SOON_MS }));
+}
+
 function breakStore(scene: Scene, fault: Parameters<fleets.Fleet['store']['setFault']>[0]): void {
   scene.fleet.store.setFault(fault);
   after(scene, STORE_FAULT_MS, () => scene.fleet.store.setFault({ kind: 'none' }));
@@ -159,9 +172,22 @@
   {
     name: 'answer of an order lost',
     isOfEngines: true,
-    unfit: (step) => (ORDER_STEPS.includes(step) ? null : 'no order is on its way'),
+    unfit: unlessOrdered,
     strike: (scene) => disturbMessages({ ...scene, isDisturbed: () => false }, () => [1], false),
   },
+  {
+    name: 'order late, its agent replaced',
+    isOfEngines: true,
+    unfit: unlessOrdered,
+    strike: delayOrderAndReplace,
+  },
+  {
+    name: 'order late, its agent replaced, fencing ignored',
+    isOfEngines: true,
+    ignoresFencing: true,
+    unfit: unlessOrdered,
+    strike: delayOrderAndReplace,
+  },
   { name: 'message late', strike: (scene) => disturbMessages(scene, () => [LATE_MS]) },
   {
     name: 'message twice',
--- a/packages/proofs/src/matrix/model-journey.ts
+++ b/packages/proofs/src/matrix/model-journey.ts
@@ -21,14 +21,20 @@
 export type Step = (typeof STEPS)[number];
 
 /** What changes, and the model or adapter that callers ask for because of it. */
-type Change = { kind: 'model' | 'adapter' | 'version'; asks: string };
+type Change = { kind: 'model' | 'adapter' | 'version' | 'replaced'; asks: string };
 
 const CHANGES: readonly Change[] = [
   { kind: 'model', asks: 'results' },
   { kind: 'adapter', asks: 'club-a' },
   { kind: 'version', asks: 'draws' },
+  // A model that is taken back while its load is under way: another gets its memory.
+  { kind: 'replaced', asks: 'results' },
 ];
 
+const REPLACEMENT = 'finals';
+const SPREAD_MS = 2_000;
+const TAKEN_BACK_AFTER_MS = 1_000;
+
 const MESSAGE_COUNT = 2;
 const SETTLE_MS = 4_000;
 const CHANGE_MS = 15_000;
@@ -43,6 +49,7 @@
 function patchFor(change: Change): Patch | null {
   switch (change.kind) {
     case 'model':
+    case 'replaced':
       return { models: { results: documents.model('v1') } };
     case 'version':
       return { models: { draws: documents.model('v2') } };
@@ -51,11 +58,18 @@
   }
 }
 
-async function submitPatch(fleet: fleets.Fleet, { models }: Patch): Promise<void> {
+async function submitPatch(
+  fleet: fleets.Fleet,
+  { models }: Patch,
+  removed: readonly string[] = [],
+): Promise<void> {
   const entry = fleet.entries.get(documents.ENTRY_IDS[1]) as fleets.Entry;
   const current = entry.parts.control.follower.current();
   if (current === null) return;
-  const document = { ...current.document, models: { ...current.document.models, ...models } };
+  const kept = Object.entries({ ...current.document.models, ...models }).filter(
+    ([name]) => !removed.includes(name),
+  );
+  const document = { ...current.document, models: Object.fromEntries(kept) };
   const submission = { operator: 'change', patch: { models }, againstVersion: current.version };
   await fleet.runHere(
     entry.parts.control.config.submit({ ...submission, document }, fleet.clock.nowMs() + SUBMIT_MS),
@@ -126,6 +140,16 @@
     }));
 }
 
+/** Asks for the model once, and takes it out of the configuration for another. */
+async function takeBack(fleet: fleets.Fleet, model: string): Promise<Promise<callers.Ask[]>[]> {
+  await fleet.clock.advance(SPREAD_MS);
+  const question = { kind: 'chat' as const, mark: `early ${model}`, model };
+  const early = callers.askUntilEnd(fleet, documents.ENTRY_IDS, question);
+  await fleet.clock.advance(TAKEN_BACK_AFTER_MS);
+  await submitPatch(fleet, { models: { [REPLACEMENT]: documents.model('v1') } }, [model]);
+  return [early];
+}
+
 async function runChange(
   fault: faults.Fault,
   step: Step,
@@ -158,9 +182,11 @@
   });
   const patch = patchFor(change);
   if (patch !== null) await submitPatch(fleet, patch);
-  const models = [...new Set([change.asks, ...before])];
+  const early = change.kind === 'replaced' ? await takeBack(fleet, change.asks) : [];
+  const asked = change.kind === 'replaced' ? REPLACEMENT : change.asks;
+  const models = [...new Set([asked, ...before])];
   const asking = keepAsking(fleet, models, fleet.clock.nowMs() + CHANGE_MS);
-  const asks = await fleet.runHere(asking);
+  const asks = (await fleet.runHere(Promise.all([asking, ...early]))).flat();
   await fleet.clock.advance(HEAL_MS);
   const violations = [
     ...invariants.checkAll(fleet, asks),
--- a/packages/proofs/src/matrix/safeguards.ts
+++ b/packages/proofs/src/matrix/safeguards.ts
@@ -17,6 +17,8 @@
   without: fleets.Overrides;
 };
 
+const INTENT_PREFIX = 'intents/';
+
 function heldBy(claim: Omit<claimTypes.Claim, 'nonce' | 'outcome' | 'createdAtMs'>) {
   const whole = { ...claim, nonce: '', outcome: null, createdAtMs: 0 };
   return { claim: whole, version: 1 };
@@ -105,6 +107,18 @@
   };
 }
 
+/** A store that forgets the recorded intents of agents. */
+function storeWithoutIntents(store: Store): Store {
+  const isIntent = (key: string) => key.startsWith(INTENT_PREFIX);
+  return {
+    ...store,
+    get: (key, deadlineMs) =>
+      isIntent(key) ? Promise.resolve(results.Ok(null)) : store.get(key, deadlineMs),
+    put: (key, value, condition, deadlineMs) =>
+      isIntent(key) ? Promise.resolve(results.Ok(1)) : store.put(key, value, condition, deadlineMs),
+  };
+}
+
 export const SAFEGUARDS: readonly Safeguard[] = [
   {
     name: 'claims',
@@ -178,10 +192,17 @@
     shownBy: 'configuration patch operators racing read',
     without: { operatorStore: storeWithoutCondition },
   },
+  {
+    name: 'intents',
+    prevents: 'the same at an engine that ignores fencing numbers',
+    shownBy: 'model change order late, its agent replaced, fencing ignored order sent',
+    without: { agent: ({ store }) => ({ store: storeWithoutIntents(store) }) },
+  },
   {
     name: 'fencing',
-    prevents: 'a paused agent orders loads into memory that its successor has given away',
-    shownBy: 'model change agent paused past its lease',
+    prevents:
+      'a late order of an agent that is gone loads into memory that its successor gave away',
+    shownBy: 'model change order late, its agent replaced order sent',
     without: { enginesIgnoreFencing: true },
   },
 ];
--- a/packages/proofs/src/matrix/workers.ts
+++ b/packages/proofs/src/matrix/workers.ts
@@ -15,6 +15,8 @@
     const worker = new threads.Worker(program, { workerData: share });
     worker.once('message', (rows: runner.Row[]) => resolve(rows));
     worker.once('error', reject);
+    // A cell that waits for nothing that can come ends the thread without a word.
+    worker.once('exit', () => reject(new Error('a thread ended before its cells')));
   });
 }
 
