--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -3,6 +3,7 @@
 import {
   controlNode,
   documentCodec,
+  floors,
   grpcTransport,
   httpStore,
   journal as journals,
@@ -17,11 +18,14 @@
 import * as engineCopies from './server/copies/engine-copies.js';
 import type * as copyTypes from './server/copies/types.js';
 import * as attempts from './server/dispatch/attempts.js';
+import * as floorKeepers from './server/floors/floor-keeper.js';
+import * as standings from './server/floors/standings.js';
 import * as intents from './server/orders/intents.js';
 import * as orders from './server/orders/orders.js';
 import type * as orderTypes from './server/orders/types.js';
 import * as httpUpstream from './server/upstream/http-upstream.js';
 import * as ledgers from './shared/memory-ledger.js';
+import * as needs from './shared/needs.js';
 import * as revocations from './shared/revocations.js';
 import type * as settingsModule from './types/settings.js';
 
@@ -51,7 +55,8 @@
   queue: queues.WorkQueue;
   revoked: revocations.Revocations;
   document: () => schema.Document;
-  copies: copyTypes.Copies & { run?: engineCopies.EngineCopies['run'] };
+  copies: copyTypes.Copies & Partial<Pick<engineCopies.EngineCopies, 'run' | 'want' | 'ledger'>>;
+  floorKeeper: floorKeepers.FloorKeeper;
   attempts: attempts.Attempts;
 };
 
@@ -91,8 +96,10 @@
 }
 
 function createQueue({ control, settings, times }: AgentParts): queues.WorkQueue {
+  const shareWeightOf = (group: string) =>
+    control.follower.current()?.document.callerGroups[group]?.shareWeight ?? 1;
   const queue = queues.createWorkQueue(
-    { slotCount: DEFAULT_SLOT_COUNT, maxWaiting: MAX_WAITING },
+    { slotCount: DEFAULT_SLOT_COUNT, maxWaiting: MAX_WAITING, shareWeightOf },
     times,
   );
   control.follower.onChange(({ document }) => {
@@ -121,9 +128,32 @@
   });
 }
 
+function createFloorKeeper(parts: AgentParts): floorKeepers.FloorKeeper {
+  const { clock, random, log, metrics, store, settings, document } = parts;
+  return floorKeepers.createFloorKeeper({
+    clock,
+    random,
+    log,
+    metrics,
+    floors: floors.createFloors({ store, clock, random }),
+    self: { holderId: settings.agentId, incarnation: parts.incarnation },
+    readyModels: () =>
+      parts.copies.readyTargets().filter((target) => needs.isModel(document(), target)),
+    standingOf: standings.createStandings({
+      find: (memberId) => parts.control.membership.find(memberId),
+      document,
+    }),
+    isStaying: () => {
+      const isLeaving = parts.control.membership.self().status === 'leaving';
+      return !isLeaving && document().upstreams[settings.upstreamId]?.draining === false;
+    },
+    reload: (model) => parts.copies.want?.(model),
+  });
+}
+
 /** An engine's copies, or a plain service's, as the first configuration with the upstream says. */
 function createCopies(parts: AgentParts): AgentParts['copies'] {
-  const { settings, document } = parts;
+  const { settings, document, floorKeeper } = parts;
   const upstream = document().upstreams[settings.upstreamId];
   if (upstream?.kind !== 'engine') {
     return serviceCopies.createServiceCopies(() =>
@@ -133,7 +163,7 @@
     );
   }
   const ledger = ledgers.createMemoryLedger(upstream.memoryBytes);
-  return engineCopies.createEngineCopies({
+  const copies = engineCopies.createEngineCopies({
     clock: parts.clock,
     log: parts.log,
     metrics: parts.metrics,
@@ -142,8 +172,15 @@
     orders: createOrders(parts, ledger),
     upstreamId: settings.upstreamId,
     document,
-    isFloorHere: () => false,
+    // An adapter is loaded again wherever its model is; only models have floors.
+    isFloorHere: (name) => needs.isModel(document(), name) && floorKeeper.isFloorHere(name),
   });
+  return {
+    ...copies,
+    run: async (signal) => {
+      await Promise.all([copies.run(signal), floorKeeper.run(signal)]);
+    },
+  };
 }
 
 export function createContainer(settings: Settings, incarnation: number) {
@@ -205,6 +242,7 @@
             control.follower.current()?.document ?? schema.emptyDocument(),
       )
       .singleton(),
+    floorKeeper: awilix.asFunction(createFloorKeeper).singleton(),
     copies: awilix.asFunction(createCopies).singleton(),
     attempts: awilix
       .asFunction((parts: AgentParts) =>
--- a/packages/agent/src/server/copies/plan.ts
+++ b/packages/agent/src/server/copies/plan.ts
@@ -131,6 +131,16 @@
     makeRoom([], []);
   }
 
+  /** An adapter is of no use without its model. */
+  function leaveOrphans(): void {
+    for (const charge of ledger.charges()) {
+      const model = document.adapters[charge.name]?.model;
+      if (model === undefined || charge.state !== 'ready') continue;
+      const isBase = (other: ledgers.Charge) => other.name === model && !isLeaving(other);
+      if (!ledger.charges().some(isBase)) plan.leavingKeys.add(keyOf(charge));
+    }
+  }
+
   function missingOf(want: wants.Want): ledgers.SizedCopy[] {
     return needs
       .copiesFor(document, want.target)
@@ -193,5 +203,6 @@
   leaveExcess();
   input.wants.forEach(meet);
   ledger.charges().forEach(renew);
+  leaveOrphans();
   return plan;
 }
--- a/packages/agent/src/shared/needs.ts
+++ b/packages/agent/src/shared/needs.ts
@@ -34,3 +34,8 @@
   const upstream = document.upstreams[upstreamId];
   return upstream?.kind === 'engine' ? upstream.memoryBytes : 0;
 }
+
+/** The models of the configuration; adapters are left out. */
+export function isModel(document: schema.Document, name: string): boolean {
+  return Object.hasOwn(document.models, name);
+}
