--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -18,6 +18,8 @@
 import * as engineCopies from './server/copies/engine-copies.js';
 import type * as copyTypes from './server/copies/types.js';
 import * as attempts from './server/dispatch/attempts.js';
+import * as lossJudges from './server/dispatch/loss-judge.js';
+import * as runs from './server/dispatch/runs.js';
 import * as floorKeepers from './server/floors/floor-keeper.js';
 import * as standings from './server/floors/standings.js';
 import * as intents from './server/orders/intents.js';
@@ -57,6 +59,8 @@
   document: () => schema.Document;
   copies: copyTypes.Copies & Partial<Pick<engineCopies.EngineCopies, 'run' | 'want' | 'ledger'>>;
   floorKeeper: floorKeepers.FloorKeeper;
+  lossJudge: lossJudges.LossJudge;
+  runs: runs.Runs;
   attempts: attempts.Attempts;
 };
 
@@ -234,7 +238,11 @@
         }),
       )
       .singleton(),
-    times: awilix.asFunction(serviceTimes.createServiceTimes).singleton(),
+    times: awilix
+      .asFunction(({ document }: AgentParts) =>
+        serviceTimes.createServiceTimes((target) => document().adapters[target]?.model ?? target),
+      )
+      .singleton(),
     queue: awilix.asFunction(createQueue).singleton(),
     revoked: awilix
       .asFunction(({ clock }: AgentParts) => revocations.createRevocations(clock.nowMs()))
@@ -248,17 +256,27 @@
       .singleton(),
     floorKeeper: awilix.asFunction(createFloorKeeper).singleton(),
     copies: awilix.asFunction(createCopies).singleton(),
+    lossJudge: awilix
+      .asFunction(({ clock, upstream }: AgentParts) =>
+        lossJudges.createLossJudge({ clock, upstream }),
+      )
+      .singleton(),
+    runs: awilix
+      .asFunction(({ clock, copies, lossJudge, metrics, times, upstream }: AgentParts) =>
+        runs.createRuns({ clock, copies, lossJudge, metrics, times, upstream }),
+      )
+      .singleton(),
     attempts: awilix
       .asFunction((parts: AgentParts) =>
         attempts.createAttempts({
           clock: parts.clock,
           log: parts.log,
+          metrics: parts.metrics,
           journal: parts.journal,
           queue: parts.queue,
-          times: parts.times,
+          runs: parts.runs,
           revocations: parts.revoked,
           copies: parts.copies,
-          upstream: parts.upstream,
           incarnation,
           configVersion: () => parts.control.follower.version(),
         }),
--- a/packages/agent/src/server/copies/copy-times.ts
+++ b/packages/agent/src/server/copies/copy-times.ts
@@ -13,6 +13,8 @@
   readySinceMs: (copy: ledgers.CopyId) => number;
   /** What is left of a load: of one under way, or of one that is ordered now. */
   expectedLoadMs: (copy: ledgers.SizedCopy) => number;
+  /** How long a load of that size takes here, by those that were seen. */
+  loadTookMs: (copy: ledgers.SizedCopy) => number;
 };
 
 function keyOf(copy: ledgers.CopyId): string {
@@ -63,6 +65,7 @@
     },
     lastUsedMs: (name) => usedAtMs.get(name) ?? 0,
     readySinceMs: (copy) => readyAtMs.get(keyOf(copy)) ?? Number.NEGATIVE_INFINITY,
+    loadTookMs: (copy) => times.expectedMs(copy.sizeBytes),
     expectedLoadMs: (copy) => {
       const wholeMs = times.expectedMs(copy.sizeBytes);
       const startedMs = orderedAtMs.get(keyOf(copy)) ?? clock.nowMs();
--- a/packages/agent/src/server/copies/engine-copies.ts
+++ b/packages/agent/src/server/copies/engine-copies.ts
@@ -35,8 +35,8 @@
   document: () => schema.Document;
   /** Names of copies that this agent must keep, since they are the last ones. */
   isFloorHere: (name: string) => boolean;
-  /** A model's new version does not fit beside the old one, and no other agent holds the model. */
-  onStuck?: (name: string) => void;
+  /** Whether a model that is nowhere may take the place of last copies, since not all fit. */
+  mayTakeTurn?: (target: string, waitedMs: number) => boolean;
 };
 
 export type EngineCopies = types.Copies & {
@@ -44,6 +44,8 @@
   run: (signal: AbortSignal) => Promise<void>;
   /** Asks for a copy that no caller waits for. */
   want: (target: string) => void;
+  /** Last copies whose new version does not fit beside them: another agent has to take them over. */
+  stuckNames: () => readonly string[];
   ledger: ledgers.MemoryLedger;
 };
 
@@ -55,6 +57,7 @@
     deps.metrics.timing('agent.load_ms', tookMs);
   });
   let leavingKeys: ReadonlySet<string> = new Set();
+  let stuckNames: readonly string[] = [];
   let planAgainAtMs: number | null = null;
   let engineMemoryBytes: number | null = null;
   let isWoken = false;
@@ -213,6 +216,10 @@
       lastUsedMs: times.lastUsedMs,
       readySinceMs: times.readySinceMs,
       mayResend,
+      mayTakeTurn: (want) =>
+        want.isByCaller &&
+        deps.mayTakeTurn?.(want.target, clock.nowMs() - want.askedAtMs) === true,
+      loadTookMs: (copy) => times.loadTookMs(copy),
       isDue,
       engineMemoryBytes,
       isNameReady: (name) =>
@@ -229,7 +236,7 @@
     leavingKeys = plan.leavingKeys;
     planAgainAtMs = plan.planAgainAtMs;
     refuseImpossible(plan.impossible);
-    plan.stuckNames.forEach((name) => deps.onStuck?.(name));
+    stuckNames = plan.stuckNames;
     wants.settleReady();
     changed();
     const leaving = unloadable();
@@ -268,7 +275,7 @@
     isReady,
     ensureReady: async (target, deadlineMs) => {
       const nowMs = clock.nowMs();
-      wants.want(target, Math.max(deadlineMs, nowMs + WANT_MS));
+      wants.want(target, Math.max(deadlineMs, nowMs + WANT_MS), true);
       wake();
       const retryAtMs = expectedReadyAtMs(target);
       if (retryAtMs > deadlineMs) {
@@ -284,15 +291,17 @@
       return holds.hold(held);
     },
     want: (target) => {
-      wants.want(target, clock.nowMs() + WANT_MS);
+      wants.want(target, clock.nowMs() + WANT_MS, false);
       wake();
     },
+    stuckNames: () => stuckNames,
     readyTargets: () => {
       if (!reader.isReachable()) return [];
       const { models, adapters } = document();
       return [...Object.keys(models), ...Object.keys(adapters)].filter(isReady);
     },
-    noteMissing: () => void takeReport(),
+    noteMissing: wake,
+    engineIncarnation: reader.engineIncarnation,
     onChange: (listener) => listeners.add(listener),
     run: async (signal) => {
       while (!signal.aborted) {
--- a/packages/agent/src/server/copies/plan.ts
+++ b/packages/agent/src/server/copies/plan.ts
@@ -3,6 +3,7 @@
  * is sent here: the plan reserves memory in the ledger and names the orders.
  */
 import type { schema } from '@copperlever/configuration';
+import { turns } from '@copperlever/decisions';
 
 import type * as ledgers from '../../shared/memory-ledger.js';
 import * as needs from '../../shared/needs.js';
@@ -34,6 +35,9 @@
   readySinceMs: (copy: ledgers.CopyId) => number;
   /** Whether an order without an answer may be sent again: it is charged already. */
   mayResend: (copy: ledgers.CopyId) => boolean;
+  /** Whether the want may take the place of last copies: not all models fit, and it is nowhere. */
+  mayTakeTurn: (want: wants.Want) => boolean;
+  loadTookMs: (copy: ledgers.SizedCopy) => number;
   /** Whether the last order for the copy is long enough ago. */
   isDue: (copy: ledgers.CopyId) => boolean;
   /** What the engine says it has; null before its first report. */
@@ -42,6 +46,9 @@
   isNameReady: (name: string) => boolean;
 };
 
+/** A model that waits for its turn is looked at again this often. */
+const TURN_CHECK_MS = 200;
+
 export function keyOf(copy: ledgers.CopyId): string {
   return `${copy.name}@${copy.version}`;
 }
@@ -157,11 +164,46 @@
     }
   }
 
+  /** So many VMs are lost that the last copies do not fit any more: models take turns. */
+  function takeTurn(
+    want: wants.Want,
+    missing: readonly ledgers.SizedCopy[],
+    names: readonly string[],
+  ): 'waiting' | 'impossible' {
+    const sizeBytes = missing.reduce((sumBytes, copy) => sumBytes + copy.sizeBytes, 0);
+    if (sizeBytes > input.ledger.capacityBytes()) return 'impossible';
+    const charges = leaversBeside(names);
+    const resident = charges.map((charge) => ({
+      model: keyOf(charge),
+      sizeBytes: charge.sizeBytes,
+      loadedAtMs: charge.readySinceMs,
+      loadTookMs: input.loadTookMs(charge),
+      runningCount: charge.isInUse ? 1 : 0,
+      oldestDeadlineMs: Number.POSITIVE_INFINITY,
+    }));
+    const waiting = [{ model: want.target, sizeBytes, oldestDeadlineMs: want.askedAtMs }];
+    const turn = turns.chooseTurn(waiting, resident, futureFreeBytes(), nowMs);
+    switch (turn.kind) {
+      case 'load':
+        turn.displaced.forEach((key) => plan.leavingKeys.add(key));
+        break;
+      case 'drain':
+        turn.draining.forEach((key) => plan.leavingKeys.add(key));
+        break;
+      case 'wait':
+    }
+    promisedBytes += sizeBytes;
+    planAgainAt(nowMs + TURN_CHECK_MS);
+    return 'waiting';
+  }
+
   function meet(want: wants.Want): void {
     const copies = needs.copiesFor(document, want.target);
     const missing = missingOf(want);
     const names = copies.map((copy) => copy.name);
-    const made = missing.length === 0 ? 'reserved' : makeRoom(missing, names);
+    const found = missing.length === 0 ? 'reserved' : makeRoom(missing, names);
+    const isTurn = found === 'impossible' && input.mayTakeTurn(want);
+    const made = isTurn ? takeTurn(want, missing, names) : found;
     if (made === 'impossible') plan.impossible.push(want);
     else if (made === 'reserved' && want.tryAtMs <= nowMs) orderReserved(copies);
     if (want.tryAtMs > nowMs) planAgainAt(want.tryAtMs);
--- a/packages/agent/src/server/copies/report-reader.ts
+++ b/packages/agent/src/server/copies/report-reader.ts
@@ -24,6 +24,7 @@
   mayOrder: () => boolean;
   isSuperseded: () => boolean;
   isReachable: () => boolean;
+  engineIncarnation: () => number | null;
 };
 
 const REPORT_TIMEOUT_MS = 2_000;
@@ -35,6 +36,7 @@
   let authority: orders.Authority = 'opening';
   let hasBase = false;
   let failureCount = 0;
+  let engineIncarnation: number | null = null;
   let underWay: Promise<void> | null = null;
   let next: Promise<void> | null = null;
 
@@ -50,6 +52,7 @@
     }
     failureCount = 0;
     const { incarnation, copies } = report.val;
+    engineIncarnation = incarnation;
     const heard = ledger.applyReport(
       { requestedStep, incarnation, copies },
       sender.checksFencing(),
@@ -78,6 +81,7 @@
     },
     mayOrder: () => hasBase && authority === 'open',
     isSuperseded: () => authority === 'superseded',
+    engineIncarnation: () => engineIncarnation,
     isReachable: () => failureCount < FAILURES_OF_AN_OUTAGE,
   };
 }
--- a/packages/agent/src/server/copies/types.ts
+++ b/packages/agent/src/server/copies/types.ts
@@ -23,5 +23,7 @@
   readyTargets: () => readonly string[];
   /** The upstream says that it lacks a copy of the target. Undefined where it holds no copies. */
   noteMissing?: (target: string) => void;
+  /** The engine's process as last reported. Undefined where the upstream reports none. */
+  engineIncarnation?: () => number | null;
   onChange: (listener: () => void) => void;
 };
--- a/packages/agent/src/server/copies/wants.ts
+++ b/packages/agent/src/server/copies/wants.ts
@@ -8,6 +8,8 @@
   /** The target is loaded until then even if its callers were refused, so that they find it later. */
   untilMs: number;
   askedAtMs: number;
+  /** A caller asked for it, not only this system's own keeping of copies. */
+  isByCaller: boolean;
   /** After a failure that may pass, the load is tried again at this instant. */
   tryAtMs: number;
 };
@@ -22,7 +24,7 @@
 export type Wants = {
   /** Wants, the one asked for longest ago first: that one has waited longest for its turn. */
   list: () => readonly Want[];
-  want: (target: string, untilMs: number) => Want;
+  want: (target: string, untilMs: number, isByCaller: boolean) => Want;
   /** Resolves when the target is ready, has failed, or at the deadline. */
   wait: (target: string, deadlineMs: number) => Promise<Answer>;
   /** Tells the waiters of `target` that it will not be ready in time for them. */
@@ -64,9 +66,11 @@
       forgetOld();
       return [...wants.values()].sort((left, right) => left.askedAtMs - right.askedAtMs);
     },
-    want: (target, untilMs) => {
+    want: (target, untilMs, isByCaller) => {
       const nowMs = clock.nowMs();
-      const want = wants.get(target) ?? { target, untilMs, askedAtMs: nowMs, tryAtMs: nowMs };
+      const fresh = { target, untilMs, askedAtMs: nowMs, tryAtMs: nowMs, isByCaller };
+      const want = wants.get(target) ?? fresh;
+      want.isByCaller ||= isByCaller;
       want.untilMs = Math.max(want.untilMs, untilMs);
       wants.set(target, want);
       return want;
--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -1,15 +1,16 @@
 /** The attempts at this agent: from dispatch to the end of the answer. */
 import type * as journals from '@copperlever/coordination/journal/types';
-import type { queues, serviceTimes, types as work } from '@copperlever/decisions';
+import type { queues, types as work } from '@copperlever/decisions';
 import { agent } from '@copperlever/protocol';
-import type { clocks, logs } from '@copperlever/runtime';
+import type { clocks, logs, metrics } from '@copperlever/runtime';
 
 import * as answerLogs from '../../shared/answer-log.js';
 import type * as revocations from '../../shared/revocations.js';
 import type * as answers from '../../types/answers.js';
 import type * as causes from '../../types/causes.js';
-import type * as upstreams from '../../types/upstreams.js';
 import type * as copies from '../copies/types.js';
+import type * as runsModule from './runs.js';
+import type * as types from './types.js';
 
 /** How long a finished answer is kept for a reader that lost its connection. */
 const KEEP_FINISHED_MS = 60_000;
@@ -17,39 +18,34 @@
 const OUTCOME_GRACE_MS = 60_000;
 /** When an agent cannot say when it will be better, callers come back after this. */
 const DEFAULT_RETRY_MS = 1_000;
-const NOT_FOUND_STATUS = 404;
-
-export type Attempt = {
-  request: agent.DispatchRequest;
-  state: 'waiting-for-copy' | 'queued' | 'running' | 'closed';
-  deadlineMs: number;
-  log: answerLogs.AnswerLog;
-  abort: AbortController;
-  startedAtMs: number | null;
-};
+/** An entry that lives reads, or resumes within a few seconds; after this it is taken for dead. */
+const UNREAD_LIMIT_MS = 15_000;
 
 export type AttemptsDeps = {
   clock: clocks.Clock;
   log: logs.Logger;
   journal: journals.Journal;
   queue: queues.WorkQueue;
-  times: serviceTimes.ServiceTimes;
+  metrics: Pick<metrics.Metrics, 'count'>;
+  runs: runsModule.Runs;
   revocations: revocations.Revocations;
   copies: copies.Copies;
-  upstream: upstreams.UpstreamPort;
   incarnation: number;
   /** The newest configuration version in force here. */
   configVersion: () => number;
+  /** Told of each request for a target that the upstream may serve, refused ones too. */
+  onDemand?: (item: work.WorkItem) => void;
 };
 
 export type Attempts = {
   dispatch: (request: agent.DispatchRequest) => answerLogs.AnswerLog;
-  find: (dispatchId: string) => Attempt | undefined;
+  find: (dispatchId: string) => types.Attempt | undefined;
   revoke: (request: agent.RevokeRequest) => agent.RevokeOutcome;
   acknowledge: (dispatchIds: readonly string[]) => void;
   load: () => agent.AgentLoad;
   /** Refuses new work from now on. */
   leave: () => void;
+  /** Attempts that are not closed, and answers that their entries have not read whole yet. */
   openCount: () => number;
 };
 
@@ -60,7 +56,7 @@
   [agent.PriorityClass.PRIORITY_CLASS_BATCH]: 'batch',
 };
 
-function toWorkItem(attempt: Attempt, nowMs: number): work.WorkItem {
+function toWorkItem(attempt: types.Attempt, nowMs: number): work.WorkItem {
   const { request } = attempt;
   return {
     id: request.dispatchId,
@@ -76,11 +72,11 @@
 
 export function createAttempts(deps: AttemptsDeps): Attempts {
   const { clock, queue, copies: copyHolder, journal } = deps;
-  const attempts = new Map<string, Attempt>();
+  const attempts = new Map<string, types.Attempt>();
   let isLeaving = false;
 
   function record(
-    attempt: Attempt,
+    attempt: types.Attempt,
     event: string,
     fields: Record<string, string | number | boolean> = {},
   ): void {
@@ -98,20 +94,56 @@
     const didRun = attempt.log.closing()?.kind !== 'refused';
     if (!didRun) deps.revocations.revoke(dispatchId, clock.nowMs());
     else deps.revocations.noteRan(dispatchId, clock.nowMs());
+    stopTimers(attempt);
     attempts.delete(dispatchId);
   }
 
-  function close(attempt: Attempt, part: answers.ClosingPart): void {
+  function schedule(attempt: types.Attempt, atMs: number, task: () => void): void {
+    const cancel = clock.schedule(atMs, () => {
+      attempt.timers.delete(cancel);
+      task();
+    });
+    attempt.timers.add(cancel);
+  }
+
+  function stopTimers(attempt: types.Attempt): void {
+    attempt.timers.forEach((cancel) => cancel());
+    attempt.timers.clear();
+    attempt.stopIdleTimer?.();
+    attempt.stopIdleTimer = null;
+  }
+
+  function recordClosing(attempt: types.Attempt, part: answers.ClosingPart): void {
+    const outcome = part.kind === 'end' ? 'answered' : part.kind;
+    const cause = part.kind === 'end' ? '' : part.cause;
+    deps.metrics.count('agent.attempts', 1, { outcome, cause });
+    if (part.kind !== 'failed') {
+      record(attempt, outcome, { cause, sizeBytes: attempt.log.sizeBytes() });
+      return;
+    }
+    const { upstreamCrashed } = part;
+    const { fingerprint, requestId } = attempt.request;
+    record(attempt, outcome, { cause, upstreamCrashed, fingerprint });
+    deps.log.warn('attempt-failed', { requestId, cause, upstreamCrashed, fingerprint });
+  }
+
+  function close(attempt: types.Attempt, part: answers.ClosingPart): void {
     if (attempt.state === 'closed') return;
     attempt.state = 'closed';
+    attempt.closedAtMs = clock.nowMs();
+    stopTimers(attempt);
+    attempt.release();
     attempt.log.append(part);
-    record(attempt, part.kind === 'end' ? 'answered' : part.kind, {
-      cause: part.kind === 'end' ? '' : part.cause,
-    });
-    clock.schedule(clock.nowMs() + KEEP_FINISHED_MS, () => forget(attempt.request.dispatchId));
+    recordClosing(attempt, part);
+    schedule(attempt, clock.nowMs() + KEEP_FINISHED_MS, () => forget(attempt.request.dispatchId));
   }
 
-  function refuse(attempt: Attempt, cause: causes.RefusalCause, retryAtMs: number, detail = '') {
+  function refuse(
+    attempt: types.Attempt,
+    cause: causes.RefusalCause,
+    retryAtMs: number,
+    detail = '',
+  ) {
     close(attempt, { kind: 'refused', cause, retryAtMs, detail });
   }
 
@@ -135,87 +167,19 @@
     return request.configVersion > deps.configVersion() ? 'config-behind' : 'unknown-target';
   }
 
-  function observeServiceTime(attempt: Attempt, firstDataAtMs: number | null): void {
-    const { request, startedAtMs } = attempt;
-    if (startedAtMs === null || firstDataAtMs === null) return;
-    deps.times.observe(request.target, {
-      prefillMsPerToken: (firstDataAtMs - startedAtMs) / Math.max(1, request.promptTokens),
-      decodeMsPerToken: (clock.nowMs() - firstDataAtMs) / Math.max(1, request.outputTokens),
-    });
-  }
-
-  function toCall(request: agent.DispatchRequest): upstreams.UpstreamCall {
-    return {
-      requestId: request.requestId,
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      body: request.body,
-      priority: request.priorityClass,
-    };
-  }
-
-  function closeFor(
-    attempt: Attempt,
-    part: Exclude<upstreams.UpstreamPart, { kind: 'head' | 'data' }>,
-  ): void {
-    switch (part.kind) {
-      case 'end':
-        return close(attempt, { kind: 'end', sizeBytes: attempt.log.sizeBytes() });
-      case 'not-sent': {
-        const retryAtMs = clock.nowMs() + DEFAULT_RETRY_MS;
-        return refuse(attempt, 'upstream-unreachable', retryAtMs, part.detail);
-      }
-      case 'broken': {
-        const cause = attempt.abort.signal.aborted ? 'cancelled' : 'upstream-broken';
-        const upstreamCrashed = cause === 'upstream-broken';
-        return close(attempt, { kind: 'failed', cause, detail: part.detail, upstreamCrashed });
-      }
-    }
-  }
-
-  /** An engine answers 404 for a model that it does not hold; a plain service means its own thing. */
-  function isMissingCopy(head: Extract<upstreams.UpstreamPart, { kind: 'head' }>): boolean {
-    return copyHolder.noteMissing !== undefined && head.status === NOT_FOUND_STATUS;
-  }
-
-  /**
-   * Failure: the engine restarted since its last report, and holds nothing. Symptom: the caller of a
-   * served model gets 404. Enough, because the engine has run nothing, so that another agent may.
-   */
-  function refuseMissing(attempt: Attempt): void {
-    copyHolder.noteMissing?.(attempt.request.target);
-    const retryAtMs = clock.nowMs() + DEFAULT_RETRY_MS;
-    refuse(attempt, 'upstream-unreachable', retryAtMs, 'the engine lost its copy');
-  }
-
-  async function run(attempt: Attempt): Promise<void> {
-    let firstDataAtMs: number | null = null;
-    for await (const part of deps.upstream.run(toCall(attempt.request), attempt.abort.signal)) {
-      if (part.kind === 'head') {
-        if (isMissingCopy(part)) refuseMissing(attempt);
-        else attempt.log.append(part);
-      } else if (part.kind === 'data') {
-        firstDataAtMs ??= clock.nowMs();
-        const offsetBytes = attempt.log.sizeBytes();
-        attempt.log.append({ kind: 'chunk', offsetBytes, data: part.data });
-      } else {
-        closeFor(attempt, part);
-      }
-    }
-    closeFor(attempt, { kind: 'broken', detail: 'the upstream ended without a last part' });
-    observeServiceTime(attempt, firstDataAtMs);
+  async function run(attempt: types.Attempt): Promise<void> {
+    close(attempt, await deps.runs.run(attempt));
     queue.finish(attempt.request.dispatchId, clock.nowMs());
     startWaiting();
   }
 
-  function start(attempt: Attempt): void {
+  function start(attempt: types.Attempt): void {
     attempt.state = 'running';
     attempt.startedAtMs = clock.nowMs();
     attempt.log.append({ kind: 'started' });
     record(attempt, 'started');
     const graceMs = attempt.request.nonIdempotent ? OUTCOME_GRACE_MS : 0;
-    clock.schedule(attempt.deadlineMs + graceMs, () => attempt.abort.abort());
+    schedule(attempt, attempt.deadlineMs + graceMs, () => attempt.abort.abort('deadline-passed'));
     void run(attempt);
   }
 
@@ -232,7 +196,7 @@
     }
   }
 
-  function enqueue(attempt: Attempt): void {
+  function enqueue(attempt: types.Attempt): void {
     const nowMs = clock.nowMs();
     const admission = queue.admit(toWorkItem(attempt, nowMs), nowMs);
     if (admission.kind === 'refuse') {
@@ -240,25 +204,68 @@
       return;
     }
     attempt.state = 'queued';
+    attempt.release = copyHolder.hold(attempt.request.target);
     attempt.log.append({ kind: 'accepted' });
     record(attempt, 'queued', { predictedWaitMs: Math.round(admission.predictedWaitMs) });
-    clock.schedule(attempt.deadlineMs, startWaiting);
+    schedule(attempt, attempt.deadlineMs, startWaiting);
     startWaiting();
   }
 
-  async function waitForCopy(attempt: Attempt): Promise<void> {
-    const ready = await copyHolder.ensureReady(attempt.request.target, attempt.deadlineMs);
-    if (attempt.state !== 'waiting-for-copy') return;
-    if (ready.err) refuse(attempt, ready.val.cause, ready.val.retryAtMs, ready.val.detail);
-    else enqueue(attempt);
+  async function waitForCopy(attempt: types.Attempt): Promise<void> {
+    const { target } = attempt.request;
+    // The copy may be on its way out again by the time that its waiter runs.
+    while (attempt.state === 'waiting-for-copy' && !copyHolder.isReady(target)) {
+      const ready = await copyHolder.ensureReady(target, attempt.deadlineMs);
+      if (attempt.state !== 'waiting-for-copy') return;
+      if (ready.err) refuse(attempt, ready.val.cause, ready.val.retryAtMs, ready.val.detail);
+    }
+    if (attempt.state === 'waiting-for-copy') enqueue(attempt);
+  }
+
+  /**
+   * Failure: the entry that dispatched the attempt has died. Symptom: the upstream's slots fill with
+   * answers that nobody will read. Enough for idempotent work, which its caller sends again; what is
+   * non-idempotent goes on once it has started, so that its outcome stands in the journal.
+   */
+  function giveUpUnread(attempt: types.Attempt): void {
+    switch (attempt.state) {
+      case 'waiting-for-copy':
+      case 'queued':
+        queue.withdraw(attempt.request.dispatchId);
+        record(attempt, 'unread');
+        refuse(attempt, 'revoked', clock.nowMs(), 'nobody reads the answer');
+        return;
+      case 'running':
+        record(attempt, 'unread');
+        if (!attempt.request.nonIdempotent) attempt.abort.abort('cancelled');
+        
+      case 'closed':
+    }
+  }
+
+  function noteReaders(attempt: types.Attempt, readerCount: number): void {
+    attempt.stopIdleTimer?.();
+    attempt.stopIdleTimer = null;
+    if (readerCount > 0 || attempt.state === 'closed') return;
+    const giveUpAtMs = clock.nowMs() + UNREAD_LIMIT_MS;
+    attempt.stopIdleTimer = clock.schedule(giveUpAtMs, () => giveUpUnread(attempt));
+  }
+
+  /** A finished answer that its entry may still come for. */
+  function isAwaited(attempt: types.Attempt): boolean {
+    if (attempt.state !== 'closed') return true;
+    if (attempt.log.readerCount() > 0) return true;
+    const sinceMs = clock.nowMs() - (attempt.closedAtMs ?? 0);
+    return !attempt.log.isReadWhole() && sinceMs < UNREAD_LIMIT_MS;
   }
 
-  function begin(attempt: Attempt): void {
+  function begin(attempt: types.Attempt): void {
     const obstacle = findObstacle(attempt.request);
     if (obstacle !== null) {
       refuse(attempt, obstacle, clock.nowMs() + DEFAULT_RETRY_MS);
       return;
     }
+    deps.onDemand?.(toWorkItem(attempt, clock.nowMs()));
     if (copyHolder.isReady(attempt.request.target)) {
       enqueue(attempt);
       return;
@@ -273,20 +280,25 @@
   function dispatch(request: agent.DispatchRequest): answerLogs.AnswerLog {
     const known = attempts.get(request.dispatchId);
     if (known !== undefined) return known.log;
-    const attempt: Attempt = {
+    const attempt: types.Attempt = {
       request,
       state: 'waiting-for-copy',
       deadlineMs: clock.nowMs() + request.remainingMs,
-      log: answerLogs.createAnswerLog(),
+      log: answerLogs.createAnswerLog((readerCount) => noteReaders(attempt, readerCount)),
       abort: new AbortController(),
       startedAtMs: null,
+      closedAtMs: null,
+      timers: new Set(),
+      stopIdleTimer: null,
+      release: () => {},
     };
+    noteReaders(attempt, 0);
     attempts.set(request.dispatchId, attempt);
     begin(attempt);
     return attempt.log;
   }
 
-  function revokeKnown(attempt: Attempt, cancelIfStarted: boolean): agent.RevokeOutcome {
+  function revokeKnown(attempt: types.Attempt, cancelIfStarted: boolean): agent.RevokeOutcome {
     switch (attempt.state) {
       case 'waiting-for-copy':
       case 'queued':
@@ -294,7 +306,7 @@
         refuse(attempt, 'revoked', clock.nowMs());
         return agent.RevokeOutcome.REVOKE_OUTCOME_REVOKED;
       case 'running':
-        if (cancelIfStarted) attempt.abort.abort();
+        if (cancelIfStarted) attempt.abort.abort('cancelled');
         return agent.RevokeOutcome.REVOKE_OUTCOME_STARTED;
       case 'closed':
         return attempt.log.closing()?.kind === 'refused'
@@ -341,6 +353,6 @@
     leave: () => {
       isLeaving = true;
     },
-    openCount: () => [...attempts.values()].filter((attempt) => attempt.state !== 'closed').length,
+    openCount: () => [...attempts.values()].filter(isAwaited).length,
   };
 }
--- a/packages/agent/src/server/floors/floor-keeper.ts
+++ b/packages/agent/src/server/floors/floor-keeper.ts
@@ -16,6 +16,8 @@
   standingOf: (holderId: string, model: string) => floorDecisions.HolderStanding;
   /** Whether the upstream stays: one that is to be emptied takes no floors. */
   isStaying: () => boolean;
+  /** Whether another agent is asked to take the model over: its floor may move any moment. */
+  isHandingOver?: (model: string) => boolean;
   /** Loads a model again whose floor is here and whose copy is lost. */
   reload: (model: string) => void;
 };
@@ -40,6 +42,7 @@
 const ROUND_MS = 1_000;
 /** At plan size some 4,000 copies are read once in this time: about 70 reads a second in all. */
 const READ_AGAIN_MS = 60_000;
+const READ_MOVING_MS = 2_000;
 /** Calls in one round: an agent that has just started reads its floors within seconds. */
 const READS_PER_ROUND = 4;
 
@@ -60,7 +63,9 @@
 
   function remember(model: string, held: floorTypes.HeldFloor | null): void {
     // Spread over time, so that agents that started together do not read together for ever.
-    const readAgainAtMs = clock.nowMs() + READ_AGAIN_MS * (0.5 + deps.random.fraction());
+    const isMoving = deps.isHandingOver?.(model) === true;
+    const periodMs = isMoving ? READ_MOVING_MS : READ_AGAIN_MS;
+    const readAgainAtMs = clock.nowMs() + periodMs * (0.5 + deps.random.fraction());
     const withoutCopySinceMs = known.get(model)?.withoutCopySinceMs ?? null;
     known.set(model, { held, readAgainAtMs, withoutCopySinceMs });
   }
@@ -105,7 +110,9 @@
 
   function isReadDue(model: string): boolean {
     const one = known.get(model);
-    return one === undefined || one.readAgainAtMs <= clock.nowMs();
+    if (one === undefined || one.readAgainAtMs <= clock.nowMs()) return true;
+    const isMoving = deps.isHandingOver?.(model) === true;
+    return isMoving && one.readAgainAtMs > clock.nowMs() + 2 * READ_MOVING_MS;
   }
 
   async function check(): Promise<void> {
--- a/packages/agent/src/server/floors/standings.ts
+++ b/packages/agent/src/server/floors/standings.ts
@@ -19,6 +19,7 @@
     const said = attributes.DaemonAttributes.decode(member.attributes);
     const upstream = deps.document().upstreams[said.upstreamId];
     if (upstream === undefined || upstream.draining) return 'going';
+    if (said.handingOver.includes(model)) return 'going';
     return said.readyTargets.includes(model) ? 'keeping' : 'without-copy';
   };
 }
--- a/packages/agent/src/server/upstream/http-upstream.ts
+++ b/packages/agent/src/server/upstream/http-upstream.ts
@@ -108,9 +108,11 @@
     const expiry = abortAt(clock, deadlineMs);
     try {
       const response = await pool.request({ method: 'GET', path: '/state', signal: expiry.signal });
-      const body = await response.body.json();
-      if (response.statusCode === 200) return results.Ok(body as upstreams.EngineReport);
-      return results.Err({ kind: 'unreachable', detail: `status ${response.statusCode}` });
+      if (response.statusCode === 200) {
+        return results.Ok((await response.body.json()) as upstreams.EngineReport);
+      }
+      await response.body.dump();
+      return results.Err({ kind: 'no-report', detail: `status ${response.statusCode}` });
     } catch (cause) {
       return results.Err({ kind: 'unreachable', detail: detailOf(cause) });
     } finally {
--- a/packages/agent/src/shared/answer-log.ts
+++ b/packages/agent/src/shared/answer-log.ts
@@ -8,6 +8,13 @@
   append: (part: answers.AnswerPart) => void;
   /** Parts from byte `fromBytes` of the body on; ends after the closing part or at `signal`. */
   read: (fromBytes: number, signal?: AbortSignal) => AsyncIterable<answers.AnswerPart>;
+  /**
+   * Resolves when less than `limitBytes` wait for the reader that is furthest on, or at `signal`.
+   * A slow reader so slows the upstream instead of filling this process's memory.
+   */
+  untilRoom: (limitBytes: number, signal?: AbortSignal) => Promise<void>;
+  /** Whether a reader was handed everything, the closing part too. */
+  isReadWhole: () => boolean;
   closing: () => answers.ClosingPart | null;
   sizeBytes: () => number;
   readerCount: () => number;
@@ -30,44 +37,64 @@
   return signal?.aborted === true;
 }
 
-export function createAnswerLog(): AnswerLog {
+/** `onReaderCount` is told whenever a reader comes or goes. */
+export function createAnswerLog(onReaderCount: (count: number) => void = () => {}): AnswerLog {
   const parts: answers.AnswerPart[] = [];
   const waiters = new Set<() => void>();
+  const writers = new Set<() => void>();
+  let handedBytes = 0;
+  let isHandedWhole = false;
   let sizeBytes = 0;
   let readerCount = 0;
   let closing: answers.ClosingPart | null = null;
 
-  function wakeReaders(): void {
-    const woken = [...waiters];
-    waiters.clear();
+  function wakeAll(sleepers: Set<() => void>): void {
+    const woken = [...sleepers];
+    sleepers.clear();
     woken.forEach((wake) => wake());
   }
 
-  function nextAppend(signal?: AbortSignal): Promise<void> {
+  function sleepIn(sleepers: Set<() => void>, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       const wake = () => {
         signal?.removeEventListener('abort', wake);
-        waiters.delete(wake);
+        sleepers.delete(wake);
         resolve();
       };
-      waiters.add(wake);
+      sleepers.add(wake);
       signal?.addEventListener('abort', wake, { once: true });
     });
   }
 
+  function noteHanded(part: answers.AnswerPart): void {
+    if (part.kind === 'chunk') {
+      handedBytes = Math.max(handedBytes, part.offsetBytes + part.data.length);
+    }
+    if (isClosing(part)) isHandedWhole = true;
+    wakeAll(writers);
+  }
+
+  function changeReaders(by: number): void {
+    readerCount += by;
+    onReaderCount(readerCount);
+  }
+
   async function* read(fromBytes: number, signal?: AbortSignal) {
-    readerCount += 1;
+    changeReaders(1);
     try {
       for (let index = 0; ; index += 1) {
-        while (index >= parts.length && !isAborted(signal)) await nextAppend(signal);
+        while (index >= parts.length && !isAborted(signal)) await sleepIn(waiters, signal);
         const part = parts[index];
         if (part === undefined || isAborted(signal)) return;
         const wanted = partAfter(part, fromBytes);
-        if (wanted !== null) yield wanted;
+        if (wanted !== null) {
+          yield wanted;
+          noteHanded(wanted);
+        }
         if (isClosing(part)) return;
       }
     } finally {
-      readerCount -= 1;
+      changeReaders(-1);
     }
   }
 
@@ -77,9 +104,15 @@
       parts.push(part);
       if (part.kind === 'chunk') sizeBytes += part.data.length;
       if (isClosing(part)) closing = part;
-      wakeReaders();
+      wakeAll(waiters);
     },
     read,
+    untilRoom: async (limitBytes, signal) => {
+      while (sizeBytes - handedBytes >= limitBytes && !isAborted(signal)) {
+        await sleepIn(writers, signal);
+      }
+    },
+    isReadWhole: () => isHandedWhole,
     closing: () => closing,
     sizeBytes: () => sizeBytes,
     readerCount: () => readerCount,
--- a/packages/agent/src/shared/memory-ledger.ts
+++ b/packages/agent/src/shared/memory-ledger.ts
@@ -67,6 +67,7 @@
   charges: () => readonly Charge[];
   chargedBytes: () => number;
   freeBytes: () => number;
+  capacityBytes: () => number;
 };
 
 function keyOf(copy: CopyId): string {
@@ -256,5 +257,6 @@
     charges: () => [...charges.values()],
     chargedBytes,
     freeBytes: () => capacityBytes - chargedBytes(),
+    capacityBytes: () => capacityBytes,
   };
 }
--- a/packages/agent/src/types/upstreams.ts
+++ b/packages/agent/src/types/upstreams.ts
@@ -55,7 +55,11 @@
   runningCount: number;
 };
 
-export type ReportError = { kind: 'unreachable'; detail: string };
+export type ReportError =
+  /** Nobody took the call. */
+  | { kind: 'unreachable'; detail: string }
+  /** Somebody answered, and not with a report: a plain service gives none. */
+  | { kind: 'no-report'; detail: string };
 
 export type UpstreamPort = {
   /** Runs one call; the last part is `end`, `not-sent` or `broken`. Aborting cancels upstream. */
