--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -1,9 +1,8 @@
 /** Joins the parts of an agent; each part gets only what it names. */
-import { schema } from '@copperlever/configuration';
+import { schema, targets } from '@copperlever/configuration';
 import {
   controlNode,
   documentCodec,
-  floors,
   grpcTransport,
   httpStore,
   journal as journals,
@@ -14,20 +13,11 @@
 import { clocks, logs, metrics as metricsModule, randoms } from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
-import * as serviceCopies from './server/copies/service-copies.js';
-import * as engineCopies from './server/copies/engine-copies.js';
-import type * as copyTypes from './server/copies/types.js';
+import * as engineParts from './engine-parts.js';
 import * as attempts from './server/dispatch/attempts.js';
 import * as lossJudges from './server/dispatch/loss-judge.js';
 import * as runs from './server/dispatch/runs.js';
-import * as floorKeepers from './server/floors/floor-keeper.js';
-import * as standings from './server/floors/standings.js';
-import * as intents from './server/orders/intents.js';
-import * as orders from './server/orders/orders.js';
-import type * as orderTypes from './server/orders/types.js';
 import * as httpUpstream from './server/upstream/http-upstream.js';
-import * as ledgers from './shared/memory-ledger.js';
-import * as needs from './shared/needs.js';
 import * as revocations from './shared/revocations.js';
 import type * as settingsModule from './types/settings.js';
 
@@ -57,22 +47,34 @@
   queue: queues.WorkQueue;
   revoked: revocations.Revocations;
   document: () => schema.Document;
-  copies: copyTypes.Copies & Partial<Pick<engineCopies.EngineCopies, 'run' | 'want' | 'ledger'>>;
-  floorKeeper: floorKeepers.FloorKeeper;
+  copies: engineParts.AgentCopies;
   lossJudge: lossJudges.LossJudge;
   runs: runs.Runs;
   attempts: attempts.Attempts;
 };
 
-export function encodeAttributes(upstreamId: string, readyTargets: readonly string[]): Buffer {
+export function encodeAttributes(
+  upstreamId: string,
+  readyTargets: readonly string[],
+  handingOver: readonly string[] = [],
+): Buffer {
   const said = attributes.DaemonAttributes.fromPartial({
     role: attributes.DaemonRole.DAEMON_ROLE_AGENT,
     upstreamId,
     readyTargets: [...readyTargets],
+    handingOver: [...handingOver],
   });
   return Buffer.from(attributes.DaemonAttributes.encode(said).finish());
 }
 
+/** Tells the other daemons what is ready here, if that has changed. */
+export function publishAttributes(parts: AgentParts): void {
+  const { control, copies, settings } = parts;
+  const handingOver = copies.handingOver?.() ?? [];
+  const said = encodeAttributes(settings.upstreamId, copies.readyTargets(), handingOver);
+  if (!said.equals(control.membership.self().attributes)) control.membership.setAttributes(said);
+}
+
 function createMetrics({ settings }: AgentParts): metricsModule.Metrics {
   if (settings.statsd === undefined) return metricsModule.createSilentMetrics();
   return metricsModule.createMetrics({ ...settings.statsd, daemonId: settings.agentId });
@@ -117,78 +119,10 @@
   return queue;
 }
 
-function createOrders(parts: AgentParts, ledger: ledgers.MemoryLedger): orderTypes.Orders {
-  const { clock, document, incarnation, log, metrics, random, store } = parts;
-  const { upstreamId } = parts.settings;
-  return orders.createOrders({
-    clock,
-    log,
-    metrics,
-    engine: parts.upstream,
-    ledger,
-    upstreamId,
-    incarnation,
-    intents: intents.createIntentsStore({ clock, random, store, upstreamId, incarnation }),
-    checksFencing: () => {
-      const upstream = document().upstreams[upstreamId];
-      return upstream?.kind === 'engine' && upstream.checksFencing;
-    },
-  });
-}
-
-function createFloorKeeper(parts: AgentParts): floorKeepers.FloorKeeper {
-  const { clock, random, log, metrics, store, settings, document } = parts;
-  return floorKeepers.createFloorKeeper({
-    clock,
-    random,
-    log,
-    metrics,
-    floors: floors.createFloors({ store, clock, random }),
-    self: { holderId: settings.agentId, incarnation: parts.incarnation },
-    readyModels: () =>
-      parts.copies.readyTargets().filter((target) => needs.isModel(document(), target)),
-    standingOf: standings.createStandings({
-      find: (memberId) => parts.control.membership.find(memberId),
-      document,
-    }),
-    isStaying: () => {
-      const isLeaving = parts.control.membership.self().status === 'leaving';
-      return !isLeaving && document().upstreams[settings.upstreamId]?.draining === false;
-    },
-    reload: (model) => parts.copies.want?.(model),
-  });
-}
-
-/** An engine's copies, or a plain service's, as the first configuration with the upstream says. */
-function createCopies(parts: AgentParts): AgentParts['copies'] {
-  const { settings, document, floorKeeper } = parts;
-  const upstream = document().upstreams[settings.upstreamId];
-  if (upstream?.kind !== 'engine') {
-    return serviceCopies.createServiceCopies(() =>
-      Object.entries(document().services)
-        .filter(([, service]) => service.pool === upstream?.pool)
-        .map(([name]) => name),
-    );
-  }
-  const ledger = ledgers.createMemoryLedger(upstream.memoryBytes);
-  const copies = engineCopies.createEngineCopies({
-    clock: parts.clock,
-    log: parts.log,
-    metrics: parts.metrics,
-    engine: parts.upstream,
-    ledger,
-    orders: createOrders(parts, ledger),
-    upstreamId: settings.upstreamId,
-    document,
-    // An adapter is loaded again wherever its model is; only models have floors.
-    isFloorHere: (name) => needs.isModel(document(), name) && floorKeeper.isFloorHere(name),
-  });
-  return {
-    ...copies,
-    run: async (signal) => {
-      await Promise.all([copies.run(signal), floorKeeper.run(signal)]);
-    },
-  };
+/** An adapter runs as fast as its base model, so its first requests are judged by that. */
+function baseModelOf(document: schema.Document, target: string): string {
+  const found = targets.findModelTarget(document, target);
+  return found === null || found.kind === 'service' ? target : found.model;
 }
 
 export function createContainer(settings: Settings, incarnation: number) {
@@ -240,7 +174,7 @@
       .singleton(),
     times: awilix
       .asFunction(({ document }: AgentParts) =>
-        serviceTimes.createServiceTimes((target) => document().adapters[target]?.model ?? target),
+        serviceTimes.createServiceTimes((target) => baseModelOf(document(), target)),
       )
       .singleton(),
     queue: awilix.asFunction(createQueue).singleton(),
@@ -254,8 +188,7 @@
             control.follower.current()?.document ?? schema.emptyDocument(),
       )
       .singleton(),
-    floorKeeper: awilix.asFunction(createFloorKeeper).singleton(),
-    copies: awilix.asFunction(createCopies).singleton(),
+    copies: awilix.asFunction(engineParts.createCopies).singleton(),
     lossJudge: awilix
       .asFunction(({ clock, upstream }: AgentParts) =>
         lossJudges.createLossJudge({ clock, upstream }),
--- a/packages/agent/src/server/copies/engine-copies.ts
+++ b/packages/agent/src/server/copies/engine-copies.ts
@@ -217,8 +217,7 @@
       readySinceMs: times.readySinceMs,
       mayResend,
       mayTakeTurn: (want) =>
-        want.isByCaller &&
-        deps.mayTakeTurn?.(want.target, clock.nowMs() - want.askedAtMs) === true,
+        want.isByCaller && deps.mayTakeTurn?.(want.target, clock.nowMs() - want.askedAtMs) === true,
       loadTookMs: (copy) => times.loadTookMs(copy),
       isDue,
       engineMemoryBytes,
--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -238,7 +238,8 @@
       case 'running':
         record(attempt, 'unread');
         if (!attempt.request.nonIdempotent) attempt.abort.abort('cancelled');
-        
+        break;
+
       case 'closed':
     }
   }
