--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -13,15 +13,11 @@
 import { clocks, logs, metrics as metricsModule, randoms } from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
-import * as serviceCopies from './server/copies/service-copies.js';
-import * as engineCopies from './server/copies/engine-copies.js';
-import type * as copyTypes from './server/copies/types.js';
+import * as engineParts from './engine-parts.js';
 import * as attempts from './server/dispatch/attempts.js';
-import * as intents from './server/orders/intents.js';
-import * as orders from './server/orders/orders.js';
-import type * as orderTypes from './server/orders/types.js';
+import * as lossJudges from './server/dispatch/loss-judge.js';
+import * as runs from './server/dispatch/runs.js';
 import * as httpUpstream from './server/upstream/http-upstream.js';
-import * as ledgers from './shared/memory-ledger.js';
 import * as revocations from './shared/revocations.js';
 import type * as settingsModule from './types/settings.js';
 
@@ -51,19 +47,34 @@
   queue: queues.WorkQueue;
   revoked: revocations.Revocations;
   document: () => schema.Document;
-  copies: copyTypes.Copies & { run?: engineCopies.EngineCopies['run'] };
+  copies: engineParts.AgentCopies;
+  lossJudge: lossJudges.LossJudge;
+  runs: runs.Runs;
   attempts: attempts.Attempts;
 };
 
-export function encodeAttributes(upstreamId: string, readyTargets: readonly string[]): Buffer {
+export function encodeAttributes(
+  upstreamId: string,
+  readyTargets: readonly string[],
+  handingOver: readonly string[] = [],
+): Buffer {
   const said = attributes.DaemonAttributes.fromPartial({
     role: attributes.DaemonRole.DAEMON_ROLE_AGENT,
     upstreamId,
     readyTargets: [...readyTargets],
+    handingOver: [...handingOver],
   });
   return Buffer.from(attributes.DaemonAttributes.encode(said).finish());
 }
 
+/** Tells the other daemons what is ready here, if that has changed. */
+export function publishAttributes(parts: AgentParts): void {
+  const { control, copies, settings } = parts;
+  const handingOver = copies.handingOver?.() ?? [];
+  const said = encodeAttributes(settings.upstreamId, copies.readyTargets(), handingOver);
+  if (!said.equals(control.membership.self().attributes)) control.membership.setAttributes(said);
+}
+
 function createMetrics({ settings }: AgentParts): metricsModule.Metrics {
   if (settings.statsd === undefined) return metricsModule.createSilentMetrics();
   return metricsModule.createMetrics({ ...settings.statsd, daemonId: settings.agentId });
@@ -91,8 +102,10 @@
 }
 
 function createQueue({ control, settings, times }: AgentParts): queues.WorkQueue {
+  const shareWeightOf = (group: string) =>
+    control.follower.current()?.document.callerGroups[group]?.shareWeight ?? 1;
   const queue = queues.createWorkQueue(
-    { slotCount: DEFAULT_SLOT_COUNT, maxWaiting: MAX_WAITING },
+    { slotCount: DEFAULT_SLOT_COUNT, maxWaiting: MAX_WAITING, shareWeightOf },
     times,
   );
   const takeSlots = ({ document }: { document: schema.Document }) => {
@@ -106,50 +119,6 @@
   return queue;
 }
 
-function createOrders(parts: AgentParts, ledger: ledgers.MemoryLedger): orderTypes.Orders {
-  const { clock, document, incarnation, log, metrics, random, store } = parts;
-  const { upstreamId } = parts.settings;
-  return orders.createOrders({
-    clock,
-    log,
-    metrics,
-    engine: parts.upstream,
-    ledger,
-    upstreamId,
-    incarnation,
-    intents: intents.createIntentsStore({ clock, random, store, upstreamId, incarnation }),
-    checksFencing: () => {
-      const upstream = document().upstreams[upstreamId];
-      return upstream?.kind === 'engine' && upstream.checksFencing;
-    },
-  });
-}
-
-/** An engine's copies, or a plain service's, as the first configuration with the upstream says. */
-function createCopies(parts: AgentParts): AgentParts['copies'] {
-  const { settings, document } = parts;
-  const upstream = document().upstreams[settings.upstreamId];
-  if (upstream?.kind !== 'engine') {
-    return serviceCopies.createServiceCopies(() =>
-      Object.entries(document().services)
-        .filter(([, service]) => service.pool === upstream?.pool)
-        .map(([name]) => name),
-    );
-  }
-  const ledger = ledgers.createMemoryLedger(upstream.memoryBytes);
-  return engineCopies.createEngineCopies({
-    clock: parts.clock,
-    log: parts.log,
-    metrics: parts.metrics,
-    engine: parts.upstream,
-    ledger,
-    orders: createOrders(parts, ledger),
-    upstreamId: settings.upstreamId,
-    document,
-    isFloorHere: () => false,
-  });
-}
-
 /** An adapter runs as fast as its base model, so its first requests are judged by that. */
 function baseModelOf(document: schema.Document, target: string): string {
   const found = targets.findModelTarget(document, target);
@@ -219,18 +188,28 @@
             control.follower.current()?.document ?? schema.emptyDocument(),
       )
       .singleton(),
-    copies: awilix.asFunction(createCopies).singleton(),
+    copies: awilix.asFunction(engineParts.createCopies).singleton(),
+    lossJudge: awilix
+      .asFunction(({ clock, upstream }: AgentParts) =>
+        lossJudges.createLossJudge({ clock, upstream }),
+      )
+      .singleton(),
+    runs: awilix
+      .asFunction(({ clock, copies, lossJudge, metrics, times, upstream }: AgentParts) =>
+        runs.createRuns({ clock, copies, lossJudge, metrics, times, upstream }),
+      )
+      .singleton(),
     attempts: awilix
       .asFunction((parts: AgentParts) =>
         attempts.createAttempts({
           clock: parts.clock,
           log: parts.log,
+          metrics: parts.metrics,
           journal: parts.journal,
           queue: parts.queue,
-          times: parts.times,
+          runs: parts.runs,
           revocations: parts.revoked,
           copies: parts.copies,
-          upstream: parts.upstream,
           incarnation,
           configVersion: () => parts.control.follower.version(),
         }),
