--- a/packages/proofs/src/matrix/faults.ts
+++ b/packages/proofs/src/matrix/faults.ts
@@ -14,6 +14,8 @@
   /** How many messages the message faults take, and which. */
   messageCount: number;
   isDisturbed: (message: networks.Message) => boolean;
+  /** How long after a process its replacement starts. */
+  replaceAfterMs: number;
   /** Orders to the engine are messages of the journey too. */
   disturbsOrders?: true;
   /** A paused agent is taken for dead and replaced, while it still believes in itself. */
@@ -30,6 +32,8 @@
   isPoison?: true;
   /** It happens to a request that an engine runs. */
   isOfRequests?: true;
+  /** A planned stop: nothing may be cut off by it. */
+  isPlanned?: true;
   /** It happens to an engine, or to orders for one. */
   isOfEngines?: true;
   /** The configuration says that the engines ignore fencing numbers, and they do. */
@@ -41,10 +45,12 @@
 
 /** Longer than a suspicion and than the callers' deadlines. */
 const PAUSE_MS = 16_000;
-const REPLACE_AFTER_MS = 3_000;
 const STORE_FAULT_MS = 10_000;
 const SLOW_MS = 400;
 const LATE_MS = 2_500;
+/** Long enough that a new agent has taken the engine over and given its memory away. */
+const ORDER_LATE_MS = 6_000;
+const SOON_MS = 300;
 const SECOND_COPY_MS = 400;
 const OVERTAKEN_MS = 50;
 const LOST_ANSWERS = 2;
@@ -90,7 +96,7 @@
 
 function replaceAgent(scene: Scene): void {
   killAgent(scene);
-  after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startAgent(scene.upstreamId));
+  after(scene, scene.replaceAfterMs, () => void scene.fleet.startAgent(scene.upstreamId));
 }
 
 function pauseAgent(scene: Scene): void {
@@ -98,7 +104,17 @@
   process?.pause();
   after(scene, PAUSE_MS, () => process?.resume());
   if (scene.replacesPaused !== true) return;
-  after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startAgent(scene.upstreamId));
+  after(scene, scene.replaceAfterMs, () => void scene.fleet.startAgent(scene.upstreamId));
+}
+
+function unlessOrdered(step: string): string | null {
+  return ORDER_STEPS.includes(step) ? null : 'no order is on its way';
+}
+
+/** The order is on its way when its agent dies, and arrives when another agent has the engine. */
+function delayOrderAndReplace(scene: Scene): void {
+  disturbMessages({ ...scene, isDisturbed: () => false }, () => [ORDER_LATE_MS]);
+  after(scene, 1, () => replaceAgent({ ...scene, replaceAfterMs: SOON_MS }));
 }
 
 function breakStore(scene: Scene, fault: Parameters<fleets.Fleet['store']['setFault']>[0]): void {
@@ -136,7 +152,7 @@
     name: 'entry killed',
     strike: (scene) => {
       killEntry(scene);
-      after(scene, REPLACE_AFTER_MS, () => void scene.fleet.startEntry(scene.entryId));
+      after(scene, scene.replaceAfterMs, () => void scene.fleet.startEntry(scene.entryId));
     },
   },
   { name: 'agent killed', strike: replaceAgent },
@@ -156,9 +172,22 @@
   {
     name: 'answer of an order lost',
     isOfEngines: true,
-    unfit: (step) => (ORDER_STEPS.includes(step) ? null : 'no order is on its way'),
+    unfit: unlessOrdered,
     strike: (scene) => disturbMessages({ ...scene, isDisturbed: () => false }, () => [1], false),
   },
+  {
+    name: 'order late, its agent replaced',
+    isOfEngines: true,
+    unfit: unlessOrdered,
+    strike: delayOrderAndReplace,
+  },
+  {
+    name: 'order late, its agent replaced, fencing ignored',
+    isOfEngines: true,
+    ignoresFencing: true,
+    unfit: unlessOrdered,
+    strike: delayOrderAndReplace,
+  },
   { name: 'message late', strike: (scene) => disturbMessages(scene, () => [LATE_MS]) },
   {
     name: 'message twice',
@@ -215,9 +244,14 @@
   { name: 'operators racing', strike: raceOperators },
   {
     name: 'upstream leaving',
+    isPlanned: true,
     strike: (scene) => void stops.stopAgent(scene.fleet, scene.upstreamId),
   },
-  { name: 'entry leaving', strike: (scene) => void stops.stopEntry(scene.fleet, scene.entryId) },
+  {
+    name: 'entry leaving',
+    isPlanned: true,
+    strike: (scene) => void stops.stopEntry(scene.fleet, scene.entryId),
+  },
 ];
 
 /** Faults that only the journey of a patch has: its operator's command is a process too. */
