Send an agent's load with the parts that open and close an answer, not with each token

Cause: each token's frame carried the agent's load, which looks at every request that waits or runs there.

Change: frames of chunks carry none; the entry reads it from the other parts.

--- a/packages/agent/src/server/dispatch/handlers.ts
+++ b/packages/agent/src/server/dispatch/handlers.ts
@@ -30,7 +30,9 @@
   signal?: AbortSignal,
 ): AsyncGenerator<agent.AnswerFrame> {
   for await (const part of log.read(fromBytes, signal)) {
-    yield frames.toFrame(dispatchId, part, attempts.load(), deps.clock.nowMs());
+    // The load looks at each request that runs here: for each token of each it would cost the square.
+    const load = part.kind === 'chunk' ? undefined : attempts.load();
+    yield frames.toFrame(dispatchId, part, load, deps.clock.nowMs());
   }
 }
 
--- a/packages/agent/src/shared/frames.ts
+++ b/packages/agent/src/shared/frames.ts
@@ -36,7 +36,7 @@
 export function toFrame(
   dispatchId: string,
   part: answers.AnswerPart,
-  load: agent.AgentLoad,
+  load: agent.AgentLoad | undefined,
   nowMs: number,
 ): agent.AnswerFrame {
   const offsetBytes = part.kind === 'chunk' ? part.offsetBytes : 0;
