Clear a suspect that is answered, though another entry named it

Change: an answer at an entry outweighs another entry's word there; the fake tells topics apart, as the notice board does, which is stricter; a test for the word of another entry is added.

--- a/packages/entry/src/shared/suspects.test.ts
+++ b/packages/entry/src/shared/suspects.test.ts
@@ -9,13 +9,14 @@
 function createRig() {
   const state = { nowMs: 0 };
   const notices: membership.Notice[] = [];
+  const inForce = (topic: string) =>
+    notices.filter((notice) => notice.topic === topic && notice.expiresAtMs > state.nowMs);
   const suspects = suspectsModule.createSuspects({
     clock: { nowMs: () => state.nowMs },
     notices: {
       publish: (notice) => notices.push(notice),
-      has: (_topic, key) =>
-        notices.some((notice) => notice.key === key && notice.expiresAtMs > state.nowMs),
-      list: () => notices,
+      has: (topic, key) => inForce(topic).some((notice) => notice.key === key),
+      list: inForce,
     },
   });
   return { state, notices, suspects };
@@ -38,6 +39,14 @@
   assert.is(suspects.quarantinedUntilMs('ping'), null);
 });
 
+test('the word of another entry makes a first crash here the second', () => {
+  const { suspects, notices } = createRig();
+  const expiresAtMs = 60_000;
+  notices.push({ topic: suspectsModule.SUSPECT_TOPIC, key: 'f-1', expiresAtMs });
+  suspects.noteCrash('f-1');
+  assert.is(suspects.quarantinedUntilMs('f-1'), suspectsModule.QUARANTINE_MS);
+});
+
 test('a quarantine ends by itself, and old suspicions pass', () => {
   const { state, suspects } = createRig();
   suspects.noteCrash('f-1');
--- a/packages/entry/src/shared/suspects.ts
+++ b/packages/entry/src/shared/suspects.ts
@@ -37,9 +37,18 @@
 /** A crash leaves as many suspects as were in flight; the oldest make room. */
 const MAX_SUSPECTS = 1_000;
 
+/** Keeps a map of fingerprints within its limit; the oldest were added first. */
+function dropOldest(byFingerprint: Map<string, number>): void {
+  if (byFingerprint.size <= MAX_SUSPECTS) return;
+  const [oldest] = byFingerprint.keys();
+  if (oldest !== undefined) byFingerprint.delete(oldest);
+}
+
 export function createSuspects(deps: SuspectsDeps): Suspects {
   const { clock, notices } = deps;
   const crashedAtMs = new Map<string, number>();
+  /** Fingerprints that were answered here after another entry called them suspects. */
+  const clearedUntilMs = new Map<string, number>();
   const busyCounts = new Map<string, number>();
 
   /**
@@ -50,7 +59,21 @@
   function isSuspect(fingerprint: string): boolean {
     const beforeMs = crashedAtMs.get(fingerprint);
     if (beforeMs !== undefined) return beforeMs > clock.nowMs() - SUSPICION_MS;
-    return notices.has(SUSPECT_TOPIC, fingerprint);
+    const isCleared = (clearedUntilMs.get(fingerprint) ?? 0) > clock.nowMs();
+    return notices.has(SUSPECT_TOPIC, fingerprint) && !isCleared;
+  }
+
+  /**
+   * Failure: a frequent request, such as a health check, is in flight at each crash. Symptom: the word
+   * of one crash and another one later quarantine it. Enough, because it is answered in between, and
+   * an answer outweighs a suspicion at the entry that gave it.
+   */
+  function clear(fingerprint: string): void {
+    crashedAtMs.delete(fingerprint);
+    if (!notices.has(SUSPECT_TOPIC, fingerprint)) return;
+    clearedUntilMs.delete(fingerprint);
+    clearedUntilMs.set(fingerprint, clock.nowMs() + SUSPECT_NOTICE_MS);
+    dropOldest(clearedUntilMs);
   }
 
   function quarantine(fingerprint: string): void {
@@ -60,13 +83,12 @@
   }
 
   function suspect(fingerprint: string): void {
+    clearedUntilMs.delete(fingerprint);
     crashedAtMs.delete(fingerprint);
     crashedAtMs.set(fingerprint, clock.nowMs());
     const expiresAtMs = clock.nowMs() + SUSPECT_NOTICE_MS;
     notices.publish({ topic: SUSPECT_TOPIC, key: fingerprint, expiresAtMs });
-    if (crashedAtMs.size <= MAX_SUSPECTS) return;
-    const [oldest] = crashedAtMs.keys();
-    if (oldest !== undefined) crashedAtMs.delete(oldest);
+    dropOldest(crashedAtMs);
   }
 
   function addBusy(agentId: string, change: number): void {
@@ -85,9 +107,7 @@
       if (isSuspect(fingerprint)) quarantine(fingerprint);
       else suspect(fingerprint);
     },
-    noteAnswer: (fingerprint) => {
-      crashedAtMs.delete(fingerprint);
-    },
+    noteAnswer: clear,
     noteStarted: (agentId) => addBusy(agentId, 1),
     noteEnded: (agentId) => addBusy(agentId, -1),
     busyAgentIds: () => new Set(busyCounts.keys()),
