--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -75,10 +75,7 @@
 }
 
 function publishReadyTargets(): void {
-  const said = containers.encodeAttributes(settings.upstreamId, cradle.copies.readyTargets());
-  if (!said.equals(cradle.control.membership.self().attributes)) {
-    cradle.control.membership.setAttributes(said);
-  }
+  containers.publishAttributes(cradle);
 }
 
 async function startControl(): Promise<supervisor.RunningPart> {
