--- a/packages/agent/src/server/floors/floor-keeper.test.ts
+++ b/packages/agent/src/server/floors/floor-keeper.test.ts
@@ -16,7 +16,7 @@
   const reloaded: string[] = [];
   const staying = new Set(['agent-1', 'agent-2']);
 
-  function createAgent(holderId: string, ready: string[]) {
+  function createAgent(holderId: string, ready: string[], incarnation = 1) {
     const random = randoms.createRandom(7);
     return floorKeepers.createFloorKeeper({
       clock,
@@ -24,7 +24,7 @@
       log: logs.createSilentLogger(),
       metrics: metrics.createSilentMetrics(),
       floors: floors.createFloors({ store, clock, random }),
-      self: { holderId, incarnation: 1 },
+      self: { holderId, incarnation },
       readyModels: () => ready,
       standingOf: (id) => standings.get(id) ?? 'keeping',
       isStaying: () => staying.has(holderId),
@@ -80,6 +80,35 @@
   assert.not.ok(first.isFloorHere('draws'));
 });
 
+// An agent is paused and replaced; awake again it finds its floors held under its own name by its
+// successor. It leaves them there: or the two would take them from each other for ever.
+test('a replaced process does not take the floors back', async () => {
+  const world = createWorld();
+  const old = world.createAgent('agent-1', ['draws'], 1);
+  await old.check();
+  const successor = world.createAgent('agent-1', ['draws'], 2);
+  await successor.check();
+  await world.clock.advance(100_000);
+  const callsBefore = world.store.callCount();
+  await old.check();
+  assert.is(world.store.callCount(), callsBefore + 1);
+});
+
+// The membership has not yet told that the taker has the model. Its taking the floor did: a floor is
+// taken only by one that has the model ready, so the giver need not wait for the membership.
+test('a floor that was just taken frees the copy though the membership lags', async () => {
+  const world = createWorld();
+  const first = world.createAgent('agent-1', ['draws']);
+  await first.check();
+  world.standings.set('agent-1', 'going');
+  world.staying.delete('agent-1');
+  world.standings.set('agent-2', 'without-copy');
+  await world.createAgent('agent-2', ['draws']).check();
+  await world.clock.advance(100_000);
+  await first.check();
+  assert.not.ok(first.isFloorHere('draws'));
+});
+
 test('a holder whose engine lost the model loads it again', async () => {
   const world = createWorld();
   const ready = ['draws'];
--- a/packages/agent/src/server/floors/floor-keeper.ts
+++ b/packages/agent/src/server/floors/floor-keeper.ts
@@ -36,6 +36,8 @@
   readAgainAtMs: number;
   /** Since when the holder is seen without the copy. */
   withoutCopySinceMs: number | null;
+  /** When another agent was seen to have taken the floor from this one. */
+  lostAtMs: number | null;
 };
 
 const CALL_TIMEOUT_MS = 2_000;
@@ -57,6 +59,8 @@
       held: one?.held,
       self,
       standingOf: (holderId) => deps.standingOf(holderId, model),
+      wasTakenLately:
+        one?.lostAtMs != null && clock.nowMs() - one.lostAtMs < floorDecisions.HOLDER_RELOAD_MS,
       withoutCopyMs: sinceMs === null ? 0 : clock.nowMs() - sinceMs,
     };
   }
@@ -66,8 +70,11 @@
     const isMoving = deps.isHandingOver?.(model) === true;
     const periodMs = isMoving ? READ_MOVING_MS : READ_AGAIN_MS;
     const readAgainAtMs = clock.nowMs() + periodMs * (0.5 + deps.random.fraction());
+    const wasMine = isMine(model);
+    const isLost = wasMine && held !== null && held.floor.holderId !== self.holderId;
+    const lostAtMs = isLost ? clock.nowMs() : (known.get(model)?.lostAtMs ?? null);
     const withoutCopySinceMs = known.get(model)?.withoutCopySinceMs ?? null;
-    known.set(model, { held, readAgainAtMs, withoutCopySinceMs });
+    known.set(model, { held, readAgainAtMs, withoutCopySinceMs, lostAtMs });
   }
 
   async function read(model: string): Promise<boolean> {
--- a/packages/agent/src/shared/floor-decisions.ts
+++ b/packages/agent/src/shared/floor-decisions.ts
@@ -20,6 +20,11 @@
   held: floorTypes.HeldFloor | null | undefined;
   self: { holderId: string; incarnation: number };
   standingOf: (holderId: string) => HolderStanding;
+  /**
+   * The floor was here and another agent took it a short time ago. It had the model ready then, though
+   * the membership may not say so yet.
+   */
+  wasTakenLately: boolean;
   /** How long the holder has been without the copy. */
   withoutCopyMs: number;
 };
@@ -35,7 +40,8 @@
   const { held, self } = view;
   if (held === undefined) return false;
   if (held === null) return true;
-  if (held.floor.holderId === self.holderId) return held.floor.incarnation !== self.incarnation;
+  // Held by a later process of the same agent: this one was replaced while it was paused.
+  if (held.floor.holderId === self.holderId) return held.floor.incarnation < self.incarnation;
   switch (view.standingOf(held.floor.holderId)) {
     case 'keeping':
       return false;
@@ -55,5 +61,12 @@
   const { held, self } = view;
   if (held === undefined || held === null) return true;
   if (held.floor.holderId === self.holderId) return true;
-  return view.standingOf(held.floor.holderId) !== 'keeping';
+  switch (view.standingOf(held.floor.holderId)) {
+    case 'keeping':
+      return false;
+    case 'without-copy':
+      return !view.wasTakenLately;
+    case 'going':
+      return true;
+  }
 }
