--- a/packages/proofs/src/matrix/config-journey.ts
+++ b/packages/proofs/src/matrix/config-journey.ts
@@ -19,7 +19,7 @@
 type SubmitResult = results.Result<configTypes.ConfigVersion<Document>, configTypes.ConfigError>;
 
 /** What an operator was told of one patch; null while there is no answer. */
-type Submitted = { operator: string; version: number; told: SubmitResult | null };
+export type Submitted = { operator: string; version: number; told: SubmitResult | null };
 
 const SUBMIT_MS = 20_000;
 const REPLACE_AFTER_MS = 3_000;
@@ -41,7 +41,7 @@
   return { process, config: configStore.createConfigStore<Document>(tools) };
 }
 
-function submit(
+export function submit(
   fleet: fleets.Fleet,
   name: string,
   submitted: Submitted[],
@@ -70,7 +70,7 @@
 }
 
 /** Notes every version that any process ever holds. */
-function watchVersions(fleet: fleets.Fleet, violations: invariants.Violation[]): void {
+export function watchVersions(fleet: fleets.Fleet, violations: invariants.Violation[]): void {
   const highest = new Map<string, number>();
   fleet.onVersion((process, version) => {
     const before = highest.get(process.name) ?? 0;
@@ -87,7 +87,7 @@
   );
 }
 
-function checkInForce(fleet: fleets.Fleet, version: number): invariants.Violation[] {
+export function checkInForce(fleet: fleets.Fleet, version: number): invariants.Violation[] {
   return living(fleet)
     .filter(({ parts }) => parts.control.follower.version() < version)
     .map(({ process, parts }) => ({
@@ -97,7 +97,7 @@
 }
 
 /** Each accepted patch is in the one line of history; a patch that was refused is not. */
-function checkHistory(
+export function checkHistory(
   history: readonly configTypes.AuditRecord[],
   submitted: readonly Submitted[],
 ): invariants.Violation[] {
@@ -121,7 +121,9 @@
   return found;
 }
 
-async function readHistory(fleet: fleets.Fleet): Promise<readonly configTypes.AuditRecord[]> {
+export async function readHistory(
+  fleet: fleets.Fleet,
+): Promise<readonly configTypes.AuditRecord[]> {
   const { config } = createOperator(fleet, 'auditor');
   const read = await fleet.runHere(config.history(HISTORY_MAX, fleet.clock.nowMs() + SUBMIT_MS));
   return read.ok ? read.val : [];
