--- a/packages/bench/src/control/fleet.ts
+++ b/packages/bench/src/control/fleet.ts
@@ -114,7 +114,13 @@
     child.setMaxListeners(0);
     child.on('message', (message) => note(daemon, message as messages.FromDaemon));
     daemons[index] = daemon;
+    // A port that is taken, for example by daemons of an earlier run, would leave the bench waiting.
+    const endsEarly = () => {
+      throw new Error(`${daemon.memberId} ended before it was ready`);
+    };
+    child.once('exit', endsEarly);
     await nextMessage(daemon, 'ready');
+    child.off('exit', endsEarly);
     return daemon;
   }
 
