Place copies by demand: coordinators, offers, and the weight store's allowance

Cause: copies followed demand only by requests that reached an agent without one, and an agent loaded as fast as it was asked, whatever the weight store bears. Change: agents tell each model's coordinator their demand; it samples offers and asks the best. Loads take from the allowance, reachability first; a load that goes away counts as a refusal. Excluded: acting on 'remove' (a copy costs nothing until its room is needed). Not run: placing between real processes under load; its traffic.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -17,6 +17,7 @@
 import * as attempts from './server/dispatch/attempts.js';
 import * as lossJudges from './server/dispatch/loss-judge.js';
 import * as runs from './server/dispatch/runs.js';
+import * as demandBoards from './server/placing/demand-board.js';
 import * as httpUpstream from './server/upstream/http-upstream.js';
 import * as revocations from './shared/revocations.js';
 import type * as settingsModule from './types/settings.js';
@@ -48,6 +49,7 @@
   revoked: revocations.Revocations;
   document: () => schema.Document;
   copies: engineParts.AgentCopies;
+  demandBoard: demandBoards.DemandBoard;
   lossJudge: lossJudges.LossJudge;
   runs: runs.Runs;
   attempts: attempts.Attempts;
@@ -188,6 +190,9 @@
             control.follower.current()?.document ?? schema.emptyDocument(),
       )
       .singleton(),
+    demandBoard: awilix
+      .asFunction(({ clock }: AgentParts) => demandBoards.createDemandBoard(clock))
+      .singleton(),
     copies: awilix.asFunction(engineParts.createCopies).singleton(),
     lossJudge: awilix
       .asFunction(({ clock, upstream }: AgentParts) =>
@@ -208,6 +213,10 @@
           journal: parts.journal,
           queue: parts.queue,
           runs: parts.runs,
+          onDemand: (item) => {
+            const model = baseModelOf(parts.document(), item.target);
+            parts.demandBoard.observe(model, parts.times.expectedMs(item));
+          },
           revocations: parts.revoked,
           copies: parts.copies,
           incarnation,
--- a/packages/agent/src/engine-parts.ts
+++ b/packages/agent/src/engine-parts.ts
@@ -12,7 +12,10 @@
 import * as orders from './server/orders/orders.js';
 import type * as orderTypes from './server/orders/types.js';
 import * as fleetViews from './server/placing/fleet-view.js';
+import * as coordinators from './server/placing/coordinator.js';
 import * as handOvers from './server/placing/hand-overs.js';
+import * as placingHandlers from './server/placing/handlers.js';
+import type * as placingTypes from './server/placing/types.js';
 import * as ledgers from './shared/memory-ledger.js';
 import * as needs from './shared/needs.js';
 
@@ -22,6 +25,10 @@
   /** The models whose last copy is here and that another agent should take over. */
   handingOver?: () => readonly string[];
   ledger?: ledgers.MemoryLedger;
+  /** Answers to those who would place copies here. */
+  placing?: placingHandlers.PlacingHandlers;
+  /** Proposes copies of the models that this agent ranks first for, over `link`. */
+  coordinate?: (link: placingTypes.AgentLink, signal: AbortSignal) => Promise<void>;
 };
 
 const HAND_OVER_CHECK_MS = 1_000;
@@ -127,9 +134,43 @@
     }
   }
 
+  const placing = placingHandlers.createPlacingHandlers({
+    clock,
+    document,
+    upstreamId,
+    board: parts.demandBoard,
+    ledger,
+    knows: copies.knows,
+    isStaying,
+    isFloorHere: (name) => needs.isModel(document(), name) && keeper.isFloorHere(name),
+    isInUse: copies.isInUse,
+    lastUsedMs: copies.lastUsedMs,
+    readySinceMs: copies.readySinceMs,
+    copiesElsewhere: (model) =>
+      fleet
+        .candidates(model)
+        .filter((agent) => agent.agentId !== agentId && agent.readyTargets.includes(model)).length,
+    want: copies.want,
+  });
+
   return {
     ...copies,
     handingOver,
+    placing,
+    coordinate: (link, signal) =>
+      coordinators
+        .createCoordinator({
+          clock,
+          random,
+          log,
+          metrics,
+          selfId: agentId,
+          fleet,
+          board: parts.demandBoard,
+          link,
+          document,
+        })
+        .run(signal),
     run: async (signal) => {
       await Promise.all([copies.run(signal), keeper.run(signal), followHandOvers(signal)]);
     },
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -8,6 +8,8 @@
 import * as dispatchApp from './server/dispatch/app.js';
 import * as intents from './server/orders/intents.js';
 import * as orders from './server/orders/orders.js';
+import * as placingApp from './server/placing/app.js';
+import * as agentLinks from './server/placing/grpc-agent-link.js';
 import * as settingsModule from './types/settings.js';
 
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
@@ -87,6 +89,7 @@
       incarnation,
       attempts: () => (isConfigured() ? cradle.attempts : null),
     }),
+    ...placingApp.createPlacingApp(() => (isConfigured() ? (cradle.copies.placing ?? null) : null)),
   });
   await listen();
   await cradle.control.start();
@@ -103,16 +106,19 @@
 
 async function startUpstream(): Promise<supervisor.RunningPart> {
   const stopping = new AbortController();
+  const link = agentLinks.createGrpcAgentLink(clock);
   void waitForConfiguration().then(() => {
     cradle.copies.onChange(publishReadyTargets);
     cradle.control.follower.onChange(publishReadyTargets);
     publishReadyTargets();
+    void cradle.copies.coordinate?.(link, stopping.signal);
     return cradle.copies.run?.(stopping.signal);
   });
   return {
     failed: supervisor.neverFails(),
     stop: async () => {
       stopping.abort();
+      link.close();
       await cradle.upstream.close();
     },
   };
--- a/packages/agent/src/server/copies/copy-times.ts
+++ b/packages/agent/src/server/copies/copy-times.ts
@@ -4,8 +4,15 @@
 import * as loadTimes from '../../shared/load-times.js';
 import type * as ledgers from '../../shared/memory-ledger.js';
 
+export type LoadEnd =
+  | { kind: 'ready'; tookMs: number }
+  /** The engine took the order and the copy went away again: the weight store refused it. */
+  | { kind: 'lost' };
+
 export type CopyTimes = {
   noteOrdered: (copy: ledgers.CopyId) => void;
+  /** The order did not get through: its load says nothing about the weight store. */
+  noteNotOrdered: (copy: ledgers.CopyId) => void;
   noteUsed: (name: string) => void;
   /** Compares the charges with those seen before, and learns from loads that ended. */
   noteCharges: (charges: readonly ledgers.Charge[]) => void;
@@ -21,10 +28,7 @@
   return `${copy.name}@${copy.version}`;
 }
 
-export function createCopyTimes(
-  clock: clocks.Clock,
-  onLoaded: (tookMs: number) => void,
-): CopyTimes {
+export function createCopyTimes(clock: clocks.Clock, onLoadEnd: (end: LoadEnd) => void): CopyTimes {
   const times = loadTimes.createLoadTimes();
   const orderedAtMs = new Map<string, number>();
   const readyAtMs = new Map<string, number>();
@@ -39,13 +43,16 @@
     if (startedMs === undefined) return;
     const tookMs = clock.nowMs() - startedMs;
     times.observe(charge.sizeBytes, tookMs);
-    onLoaded(tookMs);
+    onLoadEnd({ kind: 'ready', tookMs });
   }
 
   return {
     noteOrdered: (copy) => {
       if (!orderedAtMs.has(keyOf(copy))) orderedAtMs.set(keyOf(copy), clock.nowMs());
     },
+    noteNotOrdered: (copy) => {
+      orderedAtMs.delete(keyOf(copy));
+    },
     noteUsed: (name) => {
       usedAtMs.set(name, clock.nowMs());
     },
@@ -55,6 +62,7 @@
         .filter((key) => !keys.has(key))
         .forEach((key) => {
           orderedAtMs.delete(key);
+          onLoadEnd({ kind: 'lost' });
         });
       [...readyAtMs.keys()]
         .filter((key) => !keys.has(key))
--- a/packages/agent/src/server/copies/engine-copies.ts
+++ b/packages/agent/src/server/copies/engine-copies.ts
@@ -11,6 +11,7 @@
 import * as planModule from './plan.js';
 import * as reportReaders from './report-reader.js';
 import type * as types from './types.js';
+import * as storeAllowances from './store-allowance.js';
 import * as wantsModule from './wants.js';
 
 /** The engine is asked this often while a change is under way, and when nothing is. */
@@ -24,6 +25,10 @@
 /** Between two tries of an order that failed or had no answer. */
 const ORDER_RETRY_MS = 1_000;
 
+const BY_CALLER = { isByCaller: true, isForDemand: false };
+/** A load that the weight store's allowance holds back is looked at again after this. */
+const ALLOWANCE_CHECK_MS = 100;
+
 export type EngineCopiesDeps = {
   clock: clocks.Clock;
   log: logs.Logger;
@@ -43,7 +48,10 @@
   /** Follows the engine's reports and carries out changes until stopped. */
   run: (signal: AbortSignal) => Promise<void>;
   /** Asks for a copy that no caller waits for. */
-  want: (target: string) => void;
+  want: (target: string, isForDemand?: boolean) => void;
+  isInUse: (copy: ledgers.CopyId) => boolean;
+  lastUsedMs: (name: string) => number;
+  readySinceMs: (copy: ledgers.CopyId) => number;
   /** Last copies whose new version does not fit beside them: another agent has to take them over. */
   stuckNames: () => readonly string[];
   ledger: ledgers.MemoryLedger;
@@ -53,8 +61,11 @@
   const { clock, ledger, log, document } = deps;
   const listeners = new Set<() => void>();
   const lastOrderMs = new Map<string, number>();
-  const times = copyTimes.createCopyTimes(clock, (tookMs) => {
-    deps.metrics.timing('agent.load_ms', tookMs);
+  const allowance = storeAllowances.createStoreAllowance(() => document().policy);
+  const times = copyTimes.createCopyTimes(clock, (end) => {
+    allowance.ended(end.kind, clock.nowMs());
+    if (end.kind === 'ready') deps.metrics.timing('agent.load_ms', end.tookMs);
+    else deps.metrics.count('agent.loads_lost');
   });
   let leavingKeys: ReadonlySet<string> = new Set();
   let stuckNames: readonly string[] = [];
@@ -166,10 +177,12 @@
     times.noteOrdered(copy);
     const sent = await deps.orders.load(copy);
     if (sent.err) {
+      times.noteNotOrdered(copy);
       log.warn('load-failed', { copy: planModule.keyOf(copy), cause: sent.val.kind });
       afterFailedLoad(copy, sent.val);
       return;
     }
+    allowance.accepted();
     log.info('load-ordered', { copy: planModule.keyOf(copy) });
   }
 
@@ -204,6 +217,13 @@
     wants.list().forEach((want) => wants.fail(want.target, failure({ kind: 'superseded' })));
   }
 
+  /** Loads that callers wait for go before those that only make a model faster. */
+  function isAllowed(copy: ledgers.CopyId): boolean {
+    const wanting = wantsOf(copy);
+    const isForDemand = wanting.length > 0 && wanting.every((want) => want.isForDemand);
+    return allowance.tryTake(isForDemand ? 'demand' : 'reachability', clock.nowMs());
+  }
+
   function makePlan(): planModule.Plan {
     return planModule.createPlan({
       document: document(),
@@ -239,8 +259,12 @@
     wants.settleReady();
     changed();
     const leaving = unloadable();
-    await Promise.all([...leaving.map(orderUnload), ...plan.loads.map(orderLoad)]);
-    return leaving.length + plan.loads.length > 0;
+    const loads = plan.loads.filter(isAllowed);
+    if (loads.length < plan.loads.length) {
+      planAgainAtMs = Math.min(planAgainAtMs ?? Infinity, clock.nowMs() + ALLOWANCE_CHECK_MS);
+    }
+    await Promise.all([...leaving.map(orderUnload), ...loads.map(orderLoad)]);
+    return leaving.length + loads.length > 0;
   }
 
   function isChanging(): boolean {
@@ -274,7 +298,7 @@
     isReady,
     ensureReady: async (target, deadlineMs) => {
       const nowMs = clock.nowMs();
-      wants.want(target, Math.max(deadlineMs, nowMs + WANT_MS), true);
+      wants.want(target, Math.max(deadlineMs, nowMs + WANT_MS), BY_CALLER);
       wake();
       const retryAtMs = expectedReadyAtMs(target);
       if (retryAtMs > deadlineMs) {
@@ -289,10 +313,13 @@
       held.forEach((copy) => times.noteUsed(copy.name));
       return holds.hold(held);
     },
-    want: (target) => {
-      wants.want(target, clock.nowMs() + WANT_MS, false);
+    want: (target, isForDemand = false) => {
+      wants.want(target, clock.nowMs() + WANT_MS, { isByCaller: false, isForDemand });
       wake();
     },
+    isInUse: holds.isHeld,
+    lastUsedMs: times.lastUsedMs,
+    readySinceMs: times.readySinceMs,
     stuckNames: () => stuckNames,
     readyTargets: () => {
       if (!reader.isReachable()) return [];
--- a/packages/agent/src/server/copies/wants.ts
+++ b/packages/agent/src/server/copies/wants.ts
@@ -10,6 +10,8 @@
   askedAtMs: number;
   /** A caller asked for it, not only this system's own keeping of copies. */
   isByCaller: boolean;
+  /** It only makes the model faster: the model has a copy elsewhere. */
+  isForDemand: boolean;
   /** After a failure that may pass, the load is tried again at this instant. */
   tryAtMs: number;
 };
@@ -24,7 +26,7 @@
 export type Wants = {
   /** Wants, the one asked for longest ago first: that one has waited longest for its turn. */
   list: () => readonly Want[];
-  want: (target: string, untilMs: number, isByCaller: boolean) => Want;
+  want: (target: string, untilMs: number, kind: Pick<Want, 'isByCaller' | 'isForDemand'>) => Want;
   /** Resolves when the target is ready, has failed, or at the deadline. */
   wait: (target: string, deadlineMs: number) => Promise<Answer>;
   /** Tells the waiters of `target` that it will not be ready in time for them. */
@@ -66,11 +68,12 @@
       forgetOld();
       return [...wants.values()].sort((left, right) => left.askedAtMs - right.askedAtMs);
     },
-    want: (target, untilMs, isByCaller) => {
+    want: (target, untilMs, kind) => {
       const nowMs = clock.nowMs();
-      const fresh = { target, untilMs, askedAtMs: nowMs, tryAtMs: nowMs, isByCaller };
+      const fresh = { target, untilMs, askedAtMs: nowMs, tryAtMs: nowMs, ...kind };
       const want = wants.get(target) ?? fresh;
-      want.isByCaller ||= isByCaller;
+      want.isByCaller ||= kind.isByCaller;
+      want.isForDemand &&= kind.isForDemand;
       want.untilMs = Math.max(want.untilMs, untilMs);
       wants.set(target, want);
       return want;
--- a/packages/agent/src/server/dispatch/app.ts
+++ b/packages/agent/src/server/dispatch/app.ts
@@ -1,5 +1,5 @@
 /** Registers the handlers of AgentService with gRPC. */
-import { agent } from '@copperlever/protocol';
+import type { agent } from '@copperlever/protocol';
 import type * as grpc from '@grpc/grpc-js';
 
 import * as handlers from './handlers.js';
@@ -30,11 +30,13 @@
   if (!gone.signal.aborted) call.end();
 }
 
-export function createApp(deps: handlers.HandlerDeps): agent.AgentServiceServer {
+export type DispatchApp = Pick<
+  agent.AgentServiceServer,
+  'dispatch' | 'resume' | 'revoke' | 'acknowledge'
+>;
+
+export function createApp(deps: handlers.HandlerDeps): DispatchApp {
   return {
-    // Placing is not joined in yet: an agent loads only what it is asked to serve.
-    offer: (_call, callback) => callback(null, agent.OfferReply.create()),
-    addCopy: (_call, callback) => callback(null, { accepted: false, cause: 'not-placing' }),
     dispatch: (call) => {
       void writeFrames(call, (signal) => handlers.handleDispatch(deps, call.request, signal));
     },
