--- a/packages/coordination/src/membership/membership.test.ts
+++ b/packages/coordination/src/membership/membership.test.ts
@@ -1,3 +1,4 @@
+import { peer } from '@copperlever/protocol';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -83,6 +84,29 @@
   await fleet.stop();
 });
 
+test('a member that is held for dead hears of it from whom it calls', async () => {
+  // Callers could reach the process, but get no way to it: its peers hold it for dead, and the word
+  // of it is long passed on. It does not know, and goes on probing them; the answer must tell it.
+  const fleet = await fleets.createFleet(1, 9);
+  const handlers = fleet.nodes[0]?.handlers;
+  const dead = {
+    memberId: 'x',
+    incarnation: 1,
+    revision: 0,
+    status: peer.MemberStatus.MEMBER_STATUS_DEAD,
+    address: 'x:1',
+    region: 'hanoi',
+    failureDomain: 'tay-ho',
+    attributes: Buffer.alloc(0),
+  };
+  const probe = { fromId: 'y', updates: [dead], configVersion: 0, notices: [], viewHash: 0 };
+  for (let count = 0; count < 30; count += 1) handlers?.probe(probe);
+  const reply = handlers?.probe({ ...probe, fromId: 'x', updates: [] });
+  const told = reply?.updates.filter((update) => update.memberId === 'x');
+  assert.equal(told, [dead]);
+  await fleet.stop();
+});
+
 test('a path lost between two processes makes neither a suspect', async () => {
   // Nobody sees anything: only the path between 1 and 2 is lost, and three helpers reach the other.
   const fleet = await fleets.createFleet(NODE_COUNT, 5);
--- a/packages/coordination/src/membership/swim.ts
+++ b/packages/coordination/src/membership/swim.ts
@@ -33,6 +33,8 @@
   members: () => readonly types.Member[];
   find: (memberId: string) => types.Member | undefined;
   dead: () => readonly types.Member[];
+  /** What is held against a member: its record if it is suspected or dead. */
+  doubtOf: (memberId: string) => types.Member | undefined;
   /**
    * Takes a record from a peer and says what it changed. A record of a whole view is `known` to
    * others: it is not passed on, or a process that starts would pass on every member.
@@ -205,6 +207,10 @@
     self: () => self,
     members,
     find: (memberId) => (memberId === self.memberId ? self : present.get(memberId)?.member),
+    doubtOf: (memberId) => {
+      const member = known(memberId);
+      return member?.status === 'suspected' || member?.status === 'dead' ? member : undefined;
+    },
     dead: () => [...dead.values()].map((entry) => entry.member),
     apply,
     suspect,
@@ -219,7 +225,7 @@
       setSelf({ ...self, status: 'leaving', revision: self.revision + 1 }, 'standing', nowMs);
     },
     repeat: (memberId, nowMs) => {
-      const member = known(memberId);
+      const member = memberId === self.memberId ? self : known(memberId);
       if (member !== undefined) updates.add(member, 'standing', nowMs);
     },
     nextTarget,
--- a/packages/decisions/src/queues.ts
+++ b/packages/decisions/src/queues.ts
@@ -61,8 +61,20 @@
  */
 const OVER_SHARE_SLACK = 0.5;
 
+/**
+ * Waits are promised with this margin. Made for answers whose length nobody knows, and for a higher
+ * class whose load moves: with 1 a standard request is often given up on after it waited (measured, see
+ * docs/decisions.md). Critical work has no margin: it would cost about twenty refusals for each late
+ * answer that it spares. Batch work is admitted late rather than refused early: neither a margin nor the
+ * load of higher classes counts against it, since that load ebbs long before its deadline.
+ */
+const WAIT_MARGIN: Record<Exclude<types.PriorityClass, 'batch'>, number> = {
+  critical: 1,
+  standard: 2,
+};
+
 /** Admitted work with what it was expected to take when it came. */
-type Queued = { item: types.WorkItem; expectedMs: number; longestMs: number; isLong: boolean };
+type Queued = waits.PlannedWork & { item: types.WorkItem; longestMs: number; isLong: boolean };
 
 type Running = { queued: Queued; startedAtMs: number };
 
@@ -70,12 +82,6 @@
   return urgency.compareUrgency(left.item, right.item) <= 0;
 }
 
-/** Gives the next slot of `plan` to the work and returns the instant at which it starts. */
-function assign(plan: waits.SlotPlan, queued: Queued): number {
-  const { item, expectedMs } = queued;
-  return waits.assign(plan, { expectedMs, readyAtMs: item.readyAtMs ?? 0 });
-}
-
 export function createWorkQueue(limits: QueueLimits, times: QueueTimes): WorkQueue {
   let { slotCount } = limits;
   let waiting: Queued[] = [];
@@ -89,7 +95,8 @@
   function estimate(item: types.WorkItem): Queued {
     const expectedMs = times.expectedMs(item);
     const longestMs = times.longestMs?.(item) ?? expectedMs;
-    return { item, expectedMs, longestMs, isLong: long.isLong(expectedMs) };
+    const readyAtMs = item.readyAtMs ?? 0;
+    return { item, expectedMs, longestMs, readyAtMs, isLong: long.isLong(expectedMs) };
   }
 
   function planNow(nowMs: number): waits.SlotPlan {
@@ -99,23 +106,48 @@
     return waits.planSlots(slotCount, leftsMs, nowMs);
   }
 
+  /** The aged work that may go next, before work of higher classes. */
+  function findAged(nowMs: number): Queued | undefined {
+    if (!credit.isLeft(nowMs)) return undefined;
+    return waiting
+      .filter(({ item }) => urgency.isAged(item, nowMs))
+      .sort((left, right) => left.item.arrivedAtMs - right.item.arrivedAtMs)[0];
+  }
+
+  /** The slots as they are once all that starts before `queued` has its own. */
+  function planBefore(queued: Queued, nowMs: number): waits.SlotPlan {
+    const plan = planNow(nowMs);
+    const aged = findAged(nowMs);
+    if (aged !== undefined && !isMoreUrgent(aged, queued)) waits.assign(plan, aged);
+    waits.assignAll(
+      plan,
+      waiting.filter((other) => isMoreUrgent(other, queued)),
+    );
+    return plan;
+  }
+
+  /** The wait that is counted on, given the wait if nothing more of a higher class came. */
+  function promiseMs({ item }: Queued, waitMs: number, nowMs: number): number {
+    if (item.priorityClass === 'batch') return waitMs;
+    const marginMs = waitMs * WAIT_MARGIN[item.priorityClass];
+    return higherLoad.stretch(item.priorityClass, marginMs, slotCount, nowMs);
+  }
+
   /** The wait of `queued` behind all waiting work that is more urgent. */
   function predictWaitMs(queued: Queued, nowMs: number): number {
-    const { item } = queued;
-    const plan = planNow(nowMs);
-    waiting.filter((other) => isMoreUrgent(other, queued)).forEach((other) => assign(plan, other));
+    const plan = planBefore(queued, nowMs);
     const queueMs = Math.max(0, (plan[0] ?? nowMs) - nowMs);
-    const stretchedMs = higherLoad.stretch(item.priorityClass, queueMs, slotCount, nowMs);
-    return Math.max(stretchedMs, (item.readyAtMs ?? 0) - nowMs);
+    return Math.max(promiseMs(queued, queueMs, nowMs), queued.readyAtMs - nowMs);
   }
 
   function predictWaitsMs(nowMs: number): Record<types.PriorityClass, number> {
     const plan = planNow(nowMs);
     const waitsMs = { critical: 0, standard: 0, batch: 0 };
     types.PRIORITY_CLASSES.forEach((name) => {
-      waiting
-        .filter(({ item }) => item.priorityClass === name)
-        .forEach((queued) => assign(plan, queued));
+      waits.assignAll(
+        plan,
+        waiting.filter(({ item }) => item.priorityClass === name),
+      );
       waitsMs[name] = Math.max(0, (plan[0] ?? nowMs) - nowMs);
     });
     return waitsMs;
@@ -132,10 +164,12 @@
         other.item.priorityClass === queued.item.priorityClass && !isMoreUrgent(other, queued),
     );
     if (behind.length === 0) return false;
-    const plan = planNow(nowMs);
-    waiting.filter((other) => isMoreUrgent(other, queued)).forEach((other) => assign(plan, other));
-    assign(plan, queued);
-    return behind.some((other) => assign(plan, other) + other.longestMs > other.item.deadlineMs);
+    const plan = planBefore(queued, nowMs);
+    waits.assign(plan, queued);
+    return behind.some((other) => {
+      const waitMs = promiseMs(other, waits.assign(plan, other) - nowMs, nowMs);
+      return nowMs + waitMs + other.longestMs > other.item.deadlineMs;
+    });
   }
 
   function refuse(
@@ -182,15 +216,32 @@
     return longCount < longWork.longSlotLimit(slotCount);
   }
 
-  /** The longest waiting aged work goes first as long as ageing has credit; then by urgency. */
+  /**
+   * Whether starting `aged` now makes work of a higher class late that would be in time otherwise. Made for
+   * critical work admitted with little to spare: ageing must not cost it its deadline. Admission counts the
+   * next aged piece as going first, so room for it comes within the longest wait of a critical request.
+   */
+  function costsDeadline(aged: Queued, nowMs: number): boolean {
+    const without = planNow(nowMs);
+    const withAged = planNow(nowMs);
+    waits.assign(withAged, aged);
+    return waiting
+      .filter((other) => other !== aged && isMoreUrgent(other, aged))
+      .some((other) => {
+        const latestStartMs = other.item.deadlineMs - other.longestMs;
+        const startMs = waits.assign(without, other);
+        return waits.assign(withAged, other) > latestStartMs && startMs <= latestStartMs;
+      });
+  }
+
+  /** Aged work goes first as long as ageing has credit and costs no one a deadline. */
   function pickNext(mayStartNow: (queued: Queued) => boolean, nowMs: number): Queued | undefined {
     const first = waiting.find(mayStartNow);
-    const aged = waiting
-      .filter(({ item }) => urgency.isAged(item, nowMs))
-      .sort((left, right) => left.item.arrivedAtMs - right.item.arrivedAtMs)
-      .find(mayStartNow);
-    if (aged === undefined || aged === first) return first;
-    return credit.spend(aged.expectedMs, nowMs) ? aged : first;
+    const aged = findAged(nowMs);
+    if (aged === undefined || aged === first || !mayStartNow(aged)) return first;
+    if (costsDeadline(aged, nowMs)) return first;
+    credit.spend(aged.expectedMs, nowMs);
+    return aged;
   }
 
   return {
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -291,13 +291,7 @@
 
   /** What the agent's main module does once a configuration names its upstream. */
   function followUpstream({ parts }: Agent, isConfigured: () => boolean): void {
-    const publish = () => {
-      const { upstreamId } = parts.settings;
-      const said = agentContainers.encodeAttributes(upstreamId, parts.copies.readyTargets());
-      if (!said.equals(parts.control.membership.self().attributes)) {
-        parts.control.membership.setAttributes(said);
-      }
-    };
+    const publish = () => agentContainers.publishAttributes(parts);
     let isFollowing = false;
     parts.control.follower.onChange(() => {
       if (!isConfigured()) return;
