--- a/packages/proofs/src/matrix/faults.ts
+++ b/packages/proofs/src/matrix/faults.ts
@@ -160,6 +160,7 @@
   { name: 'agent killed', strike: replaceAgent },
   {
     name: 'entry paused past its lease',
+    cutsGossip: true,
     strike: (scene) => {
       const process = scene.fleet.entries.get(scene.entryId)?.process;
       process?.pause();
