Do not take the end of the agent's own pause for a silent upstream

Cause: proofs' test 'an agent that stands still loses no answer, and no model' was red: after SIGCONT the overdue silence timer ran before the data that had arrived was read, and the answer was cut off. The new test failed first: FAIL attempts 'data that waited out a pause of the agent is no silence' (13 of 14). Change: a second, short wait confirms the silence, so that what has arrived is read first. Excluded: measuring the pause itself (the clock does not tell it from a slow loop). After: attempts.test 14 of 14; proofs' processes.test 5 of 5 (before 4 of 5).

--- a/packages/agent/src/server/dispatch/attempts.test.ts
+++ b/packages/agent/src/server/dispatch/attempts.test.ts
@@ -155,6 +155,24 @@
   assert.is(world.state.heldCount, 0);
 });
 
+// The agent's VM stands still in the middle of an answer. When it goes on, its overdue timers run
+// before it reads what the engine sent meanwhile. The engine was not silent, and the answer goes on.
+test('data that waited out a pause of the agent is no silence', async () => {
+  const world = createWorld(async function* paused() {
+    yield HEAD;
+    yield data('a');
+    await new Promise<void>((resolve) => {
+      world.clock.schedule(10_001, resolve);
+    });
+    yield data('b');
+    yield { kind: 'end' };
+  });
+  const parts = readAll(world.dispatch('r/1'));
+  await world.clock.advance(12_000);
+  assert.is(textOf(parts), 'ab');
+  assert.is(parts.at(-1)?.kind, 'end');
+});
+
 // The entry dies while its request runs: nobody reads. The slot is given back after 15 seconds.
 test('an idempotent attempt that nobody reads is cancelled', async () => {
   const world = createWorld(hanging);
--- a/packages/agent/src/server/dispatch/runs.ts
+++ b/packages/agent/src/server/dispatch/runs.ts
@@ -28,6 +28,11 @@
 /** Before the first byte a long prompt, or a whole answer that is not streamed, takes its time. */
 const SILENT_BEFORE_DATA_MS = 30_000;
 const SILENT_BEFORE_DATA_FACTOR = 4;
+/**
+ * After a pause of this process its timers run before it reads what has arrived meanwhile: a part that
+ * comes within this time was not late.
+ */
+const CONFIRM_SILENCE_MS = 1_000;
 /** What a reader may be behind before the upstream is slowed down. */
 const UNREAD_LIMIT_BYTES = 256 * 1024;
 /** Kept whole until its entry has it; a chat answer is a hundredth of this. */
@@ -134,7 +139,10 @@
     limitMs: number,
   ): Promise<upstreams.UpstreamPart | 'silent'> {
     const next = iterator.next();
-    const step = await clocks.raceDeadline(clock, clock.nowMs() + limitMs, next);
+    const inTime = await clocks.raceDeadline(clock, clock.nowMs() + limitMs, next);
+    const confirmAtMs = clock.nowMs() + CONFIRM_SILENCE_MS;
+    const step =
+      inTime === 'deadline' ? await clocks.raceDeadline(clock, confirmAtMs, next) : inTime;
     if (step === 'deadline') return 'silent';
     if (step.done !== true) return step.value;
     return { kind: 'broken', detail: 'the upstream ended without a last part' };
