Give the network back after the fleet commands' tests, and ask the whole answer of a paused agent

Cause: all test files run in one process; the tests of the fleet commands replace undici's global dispatcher, which the built-in fetch of the tests with real processes uses too, so their start could not reach the first stand-in. It showed only in npm test, and read as a slow machine. Excluded: load (the same failure at a load average of 2), the scripts, the stand-ins. Before: npm test ended early, or never.

--- a/packages/cli/src/commands/fleet.test.ts
+++ b/packages/cli/src/commands/fleet.test.ts
@@ -7,6 +7,7 @@
 import * as fleet from './fleet.js';
 
 const test = suite('fleet commands');
+const network = undici.getGlobalDispatcher();
 const desk = { kind: 'service', pool: 'desk', failureDomain: 'a', region: 'r', slotCount: 1 };
 
 const agentMember = {
@@ -28,6 +29,11 @@
   undici.setGlobalDispatcher(mock);
 }
 
+// All test files run in one process, and its built-in fetch uses this dispatcher as well.
+test.after.each(() => {
+  undici.setGlobalDispatcher(network);
+});
+
 test('the upstreams are listed with what is ready there', async () => {
   answerStatus([agentMember, { ...agentMember, memberId: 'entry-1', role: 'entry' }]);
   const { context, printed } = rigs.createRig();
--- a/packages/proofs/src/processes/processes.test.ts
+++ b/packages/proofs/src/processes/processes.test.ts
@@ -48,7 +48,7 @@
 });
 
 test.after(async () => {
-  await rig.stop();
+  await (rig as rigs.Rig | undefined)?.stop();
 });
 
 test('a connection to the object API that falls silent does not stop submissions', async () => {
@@ -60,10 +60,9 @@
   assert.is(await countOf('after-silence'), 1);
 });
 
-test('an agent that stands still loses no model, and no caller takes a part for the whole', async () => {
+test('an agent that stands still loses no answer, and no model', async () => {
   // An agent's VM is paused in the middle of a stream. Its caller sees nothing, other callers are
-  // served by the other engine. The stream comes to its whole end when the VM goes on, or its caller
-  // is told before that the rest does not come: a part never looks like the whole.
+  // served by the other engine, and when the VM goes on the stream comes to its whole end.
   let begun: () => void = () => {};
   const first = new Promise<void>((resolve) => {
     begun = resolve;
@@ -78,7 +77,7 @@
   assert.ok(rigs.isWhole(other, 2));
   rig.signal('agent-jury-1', 'SIGCONT');
   const text = await answer;
-  assert.ok(rigs.isWhole(text, TOKENS) || rigs.isToldBroken(text), text.slice(-200));
+  assert.ok(rigs.isWhole(text, TOKENS), text.slice(-200));
 });
 
 test('an entry killed in the middle of a submission leads to no second run', async () => {
--- a/packages/proofs/src/processes/rig.ts
+++ b/packages/proofs/src/processes/rig.ts
@@ -229,8 +229,3 @@
   const count = [...text.matchAll(/"content":/g)].length;
   return text.trimEnd().endsWith('data: [DONE]') && count === tokens;
 }
-
-/** Whether the stream ended with word that it is not whole, and without its usual last line. */
-export function isToldBroken(text: string): boolean {
-  return /event: error\ndata: .*"outcome":"failed"/.test(text) && !text.includes('[DONE]');
-}
