Let the entries use a slow upstream less, by their own latencies

Excluded: a fault in the route (its tests pass once it is given the slowness). Change: an ended answer tells its running time and size; its time for each byte is compared within its target, since targets differ in speed; the directory gives the slowness to the route. A test that compares an attempt's whole result names its two new fields. Not joined yet: the expected time, which weighs a slow upstream against a queue.

--- a/packages/entry/src/server/requests/attempt.test.ts
+++ b/packages/entry/src/server/requests/attempt.test.ts
@@ -29,6 +29,7 @@
     find: () => [],
     locate: () => null,
     noteLoad: () => {},
+    noteAnswer: () => {},
     noteStarted: () => {},
     noteEnded: () => {},
     tickOf: () => 0,
@@ -62,7 +63,7 @@
       [6, end],
     ]);
   });
-  assert.equal(await run(), { kind: 'ended', status: 200 });
+  assert.equal(await run(), { kind: 'ended', status: 200, runMs: 0, sizeBytes: 6 });
   assert.is(text(), 'lane 4');
 });
 
--- a/packages/entry/src/server/requests/attempt.ts
+++ b/packages/entry/src/server/requests/attempt.ts
@@ -8,7 +8,8 @@
 
 /** How an attempt ended, as far as this entry can know. */
 export type AttemptResult =
-  | { kind: 'ended'; status: number }
+  /** `runMs` counts from the start at the upstream, or from the opening where that was not seen. */
+  | { kind: 'ended'; status: number; runMs: number; sizeBytes: number }
   /** The agent says that it did not run. */
   | { kind: 'refused'; cause: string; retryAtMs: number; detail: string }
   | { kind: 'failed'; cause: string; detail: string; upstreamCrashed: boolean }
@@ -49,7 +50,7 @@
 /** The agent does not know the attempt: the dispatch never arrived, or its process was replaced. */
 const UNKNOWN_ATTEMPT: causes.FailureCause = 'attempt-unknown';
 
-type Progress = { offsetBytes: number; status: number; hadStarted: boolean };
+type Progress = { offsetBytes: number; status: number; hadStarted: boolean; startedAtMs: number };
 
 type StreamEnd =
   | { kind: 'closed'; result: AttemptResult }
@@ -97,7 +98,12 @@
 
 export async function runAttempt(deps: AttemptDeps, input: AttemptInput): Promise<AttemptResult> {
   const { clock, directory } = deps;
-  const progress: Progress = { offsetBytes: 0, status: 0, hadStarted: false };
+  const progress: Progress = {
+    offsetBytes: 0,
+    status: 0,
+    hadStarted: false,
+    startedAtMs: clock.nowMs(),
+  };
   const watch = createCallerWatch(input.callerGone);
   const limitBytes = input.sink.limitBytes ?? Infinity;
 
@@ -123,6 +129,7 @@
       case 'accepted':
         return null;
       case 'started':
+        if (!progress.hadStarted) progress.startedAtMs = clock.nowMs();
         progress.hadStarted = true;
         return null;
       case 'head':
@@ -136,7 +143,12 @@
       case 'end':
         if (progress.status === 0) return null;
         if (frame.part.value.sizeBytes !== progress.offsetBytes) return null;
-        return { kind: 'ended', status: progress.status };
+        return {
+          kind: 'ended',
+          status: progress.status,
+          runMs: clock.nowMs() - progress.startedAtMs,
+          sizeBytes: progress.offsetBytes,
+        };
       case 'refused': {
         const { cause, detail, retryAfterMs } = frame.part.value;
         return { kind: 'refused', cause, detail, retryAtMs: clock.nowMs() + retryAfterMs };
--- a/packages/entry/src/server/requests/serve.ts
+++ b/packages/entry/src/server/requests/serve.ts
@@ -148,7 +148,10 @@
     if (isSuspect) suspects.noteEnded(target.agentId);
     journal.record(call.requestId, 'attempt-ended', { dispatchId, result: result.kind });
     deps.metrics.count('entry.attempts', 1, { result: result.kind });
-    if (result.kind === 'ended') return afterEnd(run, dispatch, result.status, recorder);
+    if (result.kind === 'ended') {
+      deps.directory.noteAnswer(target.agentId, { ...result, target: call.target.name });
+      return afterEnd(run, dispatch, result.status, recorder);
+    }
     return afterAttempt(run, dispatch, result);
   }
 
--- a/packages/entry/src/shared/agent-directory.ts
+++ b/packages/entry/src/shared/agent-directory.ts
@@ -5,6 +5,7 @@
 import { type agent, attributes } from '@copperlever/protocol';
 
 import type * as links from '../types/links.js';
+import * as targetPaces from './target-paces.js';
 
 export type KnownAgent = {
   target: links.AgentTarget;
@@ -21,6 +22,8 @@
   noteLoad: (agentId: string, load: agent.AgentLoad | undefined) => void;
   noteStarted: (agentId: string) => void;
   noteEnded: (agentId: string) => void;
+  /** An answer ended whole: how fast its upstream is shows in later choices. */
+  noteAnswer: (agentId: string, answer: targetPaces.EndedAnswer) => void;
   /** The tick that `agentId` last told this entry; 0 for none. */
   tickOf: (agentId: string, incarnation: number) => number;
 };
@@ -35,6 +38,7 @@
 export function createAgentDirectory(deps: DirectoryDeps): AgentDirectory {
   const loads = new Map<string, SeenLoad>();
   const inFlightCounts = new Map<string, number>();
+  const paces = targetPaces.createTargetPaces();
   // Records change rarely and are read for each request.
   const decoded = new WeakMap<Buffer, attributes.DaemonAttributes>();
 
@@ -78,6 +82,7 @@
         suspected: member.status === 'suspected',
         predictedWaitMs: predictedWaitMs(member.memberId),
         inFlightCount: inFlightCounts.get(member.memberId) ?? 0,
+        slowness: paces.slowness(member.memberId),
       },
     };
   }
@@ -110,6 +115,7 @@
     noteEnded: (agentId) => {
       inFlightCounts.set(agentId, Math.max(0, (inFlightCounts.get(agentId) ?? 0) - 1));
     },
+    noteAnswer: paces.observe,
     tickOf: (agentId, incarnation) => {
       const seen = loads.get(agentId);
       return seen?.load.incarnation === incarnation ? seen.load.tick : 0;
--- a/packages/proofs/src/properties/answers.test.ts
+++ b/packages/proofs/src/properties/answers.test.ts
@@ -81,6 +81,7 @@
     find: () => [],
     locate: () => null,
     noteLoad: () => {},
+    noteAnswer: () => {},
     noteStarted: () => {},
     noteEnded: () => {},
     tickOf: () => 0,
