--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -98,6 +98,13 @@
     for (const listener of listeners) listener();
   }
 
+  /** Who is there has changed here: peers should hear of it soon, and so should this process. */
+  function announceChange(): void {
+    sync.noteChange();
+    pushNews();
+    onChange();
+  }
+
   function createMessage(receiver?: types.Member): peer.ProbeMessage {
     const nowMs = clock.nowMs();
     return {
@@ -198,9 +205,7 @@
       if (!stopping.signal.aborted) probeNeighbours(target);
     });
     log.warn('member-suspected', { member: target.memberId, address: target.address });
-    sync.noteChange();
-    pushNews();
-    onChange();
+    announceChange();
   }
 
   function probeNeighbours(target: types.Member): void {
@@ -233,9 +238,7 @@
   function expire(): void {
     if (!state.expire(clock.nowMs())) return;
     log.warn('member-dead', { memberCount: state.members().length });
-    sync.noteChange();
-    pushNews();
-    onChange();
+    announceChange();
   }
 
   async function probeLoop(): Promise<void> {
@@ -321,9 +324,7 @@
     },
     leave: () => {
       state.leave(clock.nowMs());
-      sync.noteChange();
-      pushNews();
-      onChange();
+      announceChange();
     },
     reportUnreachable: (memberId) => {
       const member = state.find(memberId);
