--- a/packages/decisions/src/quarantine.ts
+++ b/packages/decisions/src/quarantine.ts
@@ -23,6 +23,8 @@
   learned: (fingerprint: string, untilMs: number) => void;
   /** Until when the fingerprint is refused, or null. */
   refusedUntilMs: (fingerprint: string, nowMs: number) => number | null;
+  /** All that is refused now, for other processes to learn. */
+  refused: (nowMs: number) => readonly { fingerprint: string; untilMs: number }[];
 };
 
 /** Long enough that a caller's resends stop, short enough that a mistake or a mended engine heals. */
@@ -78,6 +80,10 @@
       refusedUntil.delete(fingerprint);
       return null;
     },
+    refused: (nowMs) =>
+      [...refusedUntil]
+        .filter(([, untilMs]) => untilMs > nowMs)
+        .map(([fingerprint, untilMs]) => ({ fingerprint, untilMs })),
   };
 }
 
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -6,8 +6,15 @@
 import * as configHolder from './server/control/config-holder.js';
 import * as connectionsModule from './server/forwarding/connections.js';
 import * as serving from './server/forwarding/serve.js';
-import * as listedPlacement from './server/placing/listed-placement.js';
+import * as exchanges from './server/peers/exchange.js';
+import * as peerLinks from './server/peers/peer-link.js';
+import * as leaseKeepers from './server/placing/lease-keeper.js';
+import * as placementClients from './server/placing/placement-client.js';
+import * as placers from './server/placing/placer.js';
 import * as inFlightModule from './shared/in-flight.js';
+import * as peerBooks from './shared/peer-book.js';
+import * as demandCounters from './shared/placing/demand-counters.js';
+import * as placementViews from './shared/placing/placement-view.js';
 import * as promptCaches from './shared/prompt-caches.js';
 import * as retryShares from './shared/retry-share.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
@@ -26,6 +33,14 @@
   upstreamControl: dialects.UpstreamControl;
 };
 
+/** What the running daemon knows of itself. */
+export type GatewayStatus = {
+  isStopping: () => boolean;
+  isStoreConnected: () => boolean;
+  hasListing: () => boolean;
+  onUpstreamsLearned: () => void;
+};
+
 export type GatewayParts = PlatformParts & {
   settings: settingsModule.Settings;
   clock: clocks.Clock;
@@ -40,12 +55,81 @@
   connections: connectionsModule.Connections;
   configuration: configHolder.ConfigHolder;
   placement: placementTypes.Placement;
+  book: peerBooks.PeerBook;
+  demand: demandCounters.DemandCounters;
+  view: placementViews.PlacementView;
+  link: peerLinks.PeerLink;
+  lease: leaseKeepers.LeaseKeeper;
+  placer: placers.Placer;
+  exchange: exchanges.Exchange;
+  status: GatewayStatus;
   serve: serving.Serve;
 };
 
+function createLease(parts: GatewayParts): leaseKeepers.LeaseKeeper {
+  const { settings, status, configuration } = parts;
+  return leaseKeepers.createLeaseKeeper({
+    clock: parts.clock,
+    log: parts.log,
+    random: parts.random,
+    store: parts.store,
+    book: parts.book,
+    gatewayId: settings.gatewayId,
+    leaseMs: settings.leaseMs,
+    upstreamsCheckFences: settings.upstreamsCheckFences,
+    isEligible: () => status.hasListing() && configuration.current() !== null,
+  });
+}
+
+function createPlacer(parts: GatewayParts): placers.Placer {
+  const { settings, configuration, inFlight, clock } = parts;
+  return placers.createPlacer({
+    clock,
+    log: parts.log,
+    control: parts.upstreamControl,
+    lease: parts.lease,
+    directory: parts.directory,
+    config: () => configuration.current()?.config ?? null,
+    gatewayId: settings.gatewayId,
+    storeLoadLimits: {
+      windowMs: settings.loadWindowS * MS_PER_SECOND,
+      overage: settings.loadOverage,
+    },
+    inFlight: (upstreamId, model) => inFlight.modelCount(upstreamId, model, clock.nowMs()),
+    onNews: parts.view.apply,
+  });
+}
+
+function createExchange(parts: GatewayParts): exchanges.Exchange {
+  const { settings, status } = parts;
+  return exchanges.createExchange({
+    clock: parts.clock,
+    random: parts.random,
+    log: parts.log,
+    link: parts.link,
+    book: parts.book,
+    configuration: parts.configuration,
+    directory: parts.directory,
+    inFlight: parts.inFlight,
+    quarantine: parts.quarantine,
+    demand: parts.demand,
+    view: parts.view,
+    lease: parts.lease,
+    placer: parts.placer,
+    gatewayId: settings.gatewayId,
+    incarnation: Math.trunc(parts.random.fraction() * Number.MAX_SAFE_INTEGER),
+    address: settings.peerAddress,
+    seedAddresses: settings.seedAddresses,
+    isStopping: status.isStopping,
+    isStoreConnected: status.isStoreConnected,
+    onUpstreamsLearned: status.onUpstreamsLearned,
+  });
+}
+
 export function createContainer(
   settings: settingsModule.Settings,
   createPlatform: (clock: clocks.Clock, log: logs.Logger) => PlatformParts,
+  status: GatewayStatus,
 ) {
   const container = awilix.createContainer<GatewayParts>({ strict: true });
   const clock = clocks.createSystemClock();
@@ -77,8 +161,29 @@
         }),
       )
       .singleton(),
+    status: awilix.asValue(status),
+    book: awilix.asFunction(() => peerBooks.createPeerBook(settings.gatewayId)).singleton(),
+    demand: awilix.asFunction(demandCounters.createDemandCounters).singleton(),
+    view: awilix.asFunction(placementViews.createPlacementView).singleton(),
+    link: awilix
+      .asFunction((parts: GatewayParts) => peerLinks.createPeerLink(parts.clock))
+      .singleton(),
+    lease: awilix.asFunction(createLease).singleton(),
+    placer: awilix.asFunction(createPlacer).singleton(),
+    exchange: awilix.asFunction(createExchange).singleton(),
     placement: awilix
-      .asFunction((parts: GatewayParts) => listedPlacement.createListedPlacement(parts.clock))
+      .asFunction((parts: GatewayParts) =>
+        placementClients.createPlacementClient({
+          clock: parts.clock,
+          view: parts.view,
+          demand: parts.demand,
+          book: parts.book,
+          link: parts.link,
+          lease: parts.lease,
+          placer: parts.placer,
+          hurry: () => parts.exchange.hurry(),
+        }),
+      )
       .singleton(),
     serve: awilix
       .asFunction((parts: GatewayParts) =>
@@ -96,7 +201,7 @@
           connections: parts.connections,
           placement: parts.placement,
           serviceOf: parts.configuration.serviceOf,
-          gatewayCount: () => 4,
+          gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
           failureDomain: settings.failureDomain,
         }),
       )
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -7,11 +7,14 @@
 import * as followers from './server/control/follower.js';
 import * as forwarding from './server/forwarding/app.js';
 import * as healthApp from './server/health/app.js';
+import * as peers from './server/peers/server.js';
 import * as stops from './server/health/stop.js';
 import type * as settingsModule from './types/settings.js';
 
 /** An absence shorter than this lets no entry of the platform's list lapse. */
 const LAPSE_ABSENCE_MS = 1_000;
+/** Upstreams write often; each call is paid for, and one that leaves may get work for longer than this. */
+const UPSTREAM_PAUSE_MS = 600;
 /** The record of the configuration within its kind. */
 const CONFIG_RECORD = 'main';
 
@@ -34,12 +37,22 @@
   settings: settingsModule.Settings,
   createPlatform: CreatePlatform,
 ): Promise<void> {
-  const { cradle } = containers.createContainer(settings, (clock, log) =>
-    createPlatform(clock, log, settings),
-  );
-  const { clock, log, directory, configuration } = cradle;
   let isStopping = false;
   let hasListing = false;
+  const { cradle } = containers.createContainer(
+    settings,
+    (clock, log) => createPlatform(clock, log, settings),
+    {
+      isStopping: () => isStopping,
+      hasListing: () => hasListing,
+      isStoreConnected: () => upstreamFollower.isConnected(),
+      onUpstreamsLearned: () => {
+        hasListing = true;
+        afterDirectoryChange();
+      },
+    },
+  );
+  const { clock, log, directory, configuration } = cradle;
 
   const common = { store: cradle.store, clock, random: cradle.random, log };
 
@@ -53,6 +66,7 @@
   const upstreamFollower = followers.createFollower({
     ...common,
     kind: 'upstreams',
+    pauseMs: UPSTREAM_PAUSE_MS,
     onListing: (listing) => {
       directory.applyListing(listing, clock.nowMs());
       hasListing = true;
@@ -74,6 +88,7 @@
   const configFollower = followers.createFollower({
     ...common,
     kind: 'configuration',
+    pauseMs: 0,
     onListing: (listing) => {
       const main = listing.records.find((record) => record.name === CONFIG_RECORD);
       if (main !== undefined) configuration.offer(main.value, 'store');
@@ -117,6 +132,41 @@
           };
         },
       },
+      {
+        name: 'peers',
+        start: async () => {
+          const server = await peers.listen(settings.peerAddress, {
+            exchange: cradle.exchange.handle,
+            ensureAdapter: async ({ upstreamId, model, adapter }) => ({
+              isReady: await cradle.placer.ensureAdapter(upstreamId, model, adapter),
+              retryAfterMs: 0,
+            }),
+          });
+          cradle.exchange.start();
+          return {
+            failed: supervisor.neverFails(),
+            stop: async () => {
+              cradle.exchange.stop();
+              cradle.link.close();
+              server.forceShutdown();
+            },
+          };
+        },
+      },
+      {
+        name: 'placing',
+        start: async () => {
+          cradle.lease.start();
+          cradle.placer.start();
+          return {
+            failed: supervisor.neverFails(),
+            stop: async () => {
+              cradle.placer.stop();
+              await cradle.lease.stop();
+            },
+          };
+        },
+      },
       {
         name: 'readiness',
         start: async () => {
@@ -138,6 +188,8 @@
   daemon.onPlannedStop(async () => {
     isStopping = true;
     log.info('stopping', { inFlightCount: cradle.inFlight.totalCount() });
+    cradle.placer.stop();
+    await cradle.lease.stop();
     await stops.drain({
       clock,
       server: callers.server,
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -14,6 +14,8 @@
   onChange: (change: stores.Change<stores.KindValues[K]>) => void;
   /** The store answers again after it did not for `awayMs`. */
   onRegained: (awayMs: number) => void;
+  /** After changes the next watch waits this long, so that one call brings several. */
+  pauseMs: number;
 };
 
 export type Follower = {
@@ -32,7 +34,7 @@
 const FIRST_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1_000;
 
-type Step = 'ok' | 'failed' | 'list-again';
+type Step = 'ok' | 'changed' | 'failed' | 'list-again';
 
 export function createFollower<K extends stores.Kind>(options: FollowerOptions<K>): Follower {
   const { kind, store, clock, log } = options;
@@ -88,13 +90,16 @@
     noteSuccess();
     watched.val.changes.forEach(options.onChange);
     revision = watched.val.revision;
-    return 'ok';
+    return watched.val.changes.length > 0 ? 'changed' : 'ok';
   }
 
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
       const step = revision === null ? await list() : await watch(revision);
       if (step === 'list-again') revision = null;
+      if (step === 'changed' && options.pauseMs > 0) {
+        await clocks.sleepUntil(clock, clock.nowMs() + options.pauseMs, stopping.signal);
+      }
       if (step === 'failed') {
         const limitMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failureCount - 1));
         const waitMs = limitMs * (0.5 + options.random.fraction() / 2);
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -95,6 +95,8 @@
   deps.log.info('request-ended', {
     requestId: call.requestId,
     route: call.route.name,
+    model: call.facts.model,
+    adapter: call.facts.adapter,
     outcome: ending.kind,
     status: ending.kind === 'answered' ? ending.status : undefined,
     cause: 'cause' in ending ? ending.cause : undefined,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -50,6 +50,8 @@
 const PATIENCE_SHARE = 0.8;
 /** How long a request waits for an adapter, which loads within some tens of milliseconds. */
 const ADAPTER_WAIT_MS = 400;
+/** One upstream may be busy with another order; a second one seldom is too. */
+const ADAPTER_ASKS_MAX = 3;
 const NO_UPSTREAM_RETRY_MS = 500;
 /** When nobody has ordered a load yet: the time that a load from disk takes, and its unloading before. */
 const UNKNOWN_READY_MS = 2_500;
@@ -63,7 +65,7 @@
   upstreamId: string;
   excludedIds: Set<string>;
   resumeAfterId: string | null;
-  hasAskedAdapter: boolean;
+  adapterAsks: number;
 };
 
 export function createServe(deps: ServeDeps): Serve {
@@ -88,8 +90,9 @@
       failureDomain,
       slots,
       copy,
+      blockedForMs: copy === 'blocked' ? placement.blockedForMs(upstreamId) : 0,
       inFlightCount: load.inFlightCount,
-      ownInFlightCount: inFlight.own(upstreamId).inFlightCount,
+      ownInFlightCount: inFlight.ownCount(upstreamId),
       unreadPromptTokens: load.unreadPromptTokens,
       cachedTokens: deps.caches.cachedTokens(upstreamId, scopeOf(call), promptParts),
       belief: beliefs.belief(upstreamId),
@@ -187,7 +190,7 @@
     const scope = scopeOf(call);
     const cachedTokens = deps.caches.cachedTokens(upstreamId, scope, call.facts.promptParts);
     const unreadTokens = Math.max(0, call.facts.promptTokens - cachedTokens);
-    const started = inFlight.started(upstreamId, unreadTokens);
+    const started = inFlight.started(upstreamId, call.facts.model ?? '', unreadTokens);
     deps.caches.sent(upstreamId, scope, call.facts.promptParts);
     const connectionsMax = (service.connectionsMax / deps.gatewayCount()) * CONNECTION_SHARE;
     let firstPieceMs: number | null = null;
@@ -261,15 +264,21 @@
     return deps.retryShare.tryTake(call.service, deps.gatewayCount(), clock.nowMs());
   }
 
-  async function ensureAdapter(call: calls.Call, run: Run): Promise<calls.Ending | null> {
+  /** Null when the request can be routed anew, the adapter being there or another upstream to be tried. */
+  async function ensureAdapter(
+    call: calls.Call,
+    run: Run,
+    upstreamId: string,
+  ): Promise<calls.Ending | null> {
     const { model, adapter } = call.facts;
-    if (run.hasAskedAdapter || model === null || adapter === null) {
-      return refuse(call, run, 'model-not-ready', NO_UPSTREAM_RETRY_MS);
+    if (run.adapterAsks >= ADAPTER_ASKS_MAX || model === null || adapter === null) {
+      return refuse(call, run, 'adapter-not-ready', NO_UPSTREAM_RETRY_MS);
     }
-    run.hasAskedAdapter = true;
+    run.adapterAsks += 1;
     const byMs = Math.min(call.deadlineMs, clock.nowMs() + ADAPTER_WAIT_MS);
-    const isReady = await placement.ensureAdapter(call.service, model, adapter, byMs);
-    return isReady ? null : refuse(call, run, 'model-not-ready', NO_UPSTREAM_RETRY_MS);
+    const isReady = await placement.ensureAdapter(upstreamId, model, adapter, byMs);
+    if (!isReady) run.excludedIds.add(upstreamId);
+    return null;
   }
 
   async function step(
@@ -280,18 +289,19 @@
     const choice = choose(call, run);
     switch (choice.kind) {
       case 'send': {
+        if (choice.needsAdapter) return ensureAdapter(call, run, choice.upstreamId);
         run.upstreamId = choice.upstreamId;
         run.excludedIds.add(choice.upstreamId);
         const result = await attempt(call, run, sink, choice);
         return settle(call, run, sink, result);
       }
-      case 'adapter-missing':
-        return ensureAdapter(call, run);
       case 'model-missing': {
         const model = call.facts.model ?? '';
         const readyInMs = placement.readyInMs(call.service, model) ?? UNKNOWN_READY_MS;
         return refuse(call, run, 'model-not-ready', readyInMs);
       }
+      case 'adapter-blocked':
+        return refuse(call, run, 'adapter-not-ready', choice.forMs);
       case 'overloaded':
         return refuse(call, run, 'overloaded', choice.predictedMs - patienceMs(call));
       case 'no-upstream':
@@ -300,12 +310,12 @@
   }
 
   function noteDemand(call: calls.Call): void {
-    const { model, adapter, promptTokens } = call.facts;
+    const { model, adapter } = call.facts;
     if (model === null || !needsModel(call)) return;
     const isServed = directory
       .eligible(call.service, clock.nowMs())
-      .some((record) => placement.copyAt(record, model, adapter) === 'ready');
-    placement.noteDemand({ service: call.service, model, adapter, promptTokens, isServed });
+      .some((record) => placement.copyAt(record, model, adapter) !== 'none');
+    placement.noteDemand({ service: call.service, model, adapter, isServed });
   }
 
   return async (call, sink) => {
@@ -317,7 +327,7 @@
       upstreamId: '',
       excludedIds: new Set(),
       resumeAfterId: null,
-      hasAskedAdapter: false,
+      adapterAsks: 0,
     };
     const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
     if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
--- /dev/null
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -0,0 +1,53 @@
+/** Calls other gateways, and offers them this one's service. */
+import type * as grpc from '@grpc/grpc-js';
+import { channels as channelsModule, gatewayPeer } from '@copperlever/protocol';
+import type { clocks, results } from '@copperlever/runtime';
+
+export type PeerLink = {
+  exchange: (
+    address: string,
+    request: gatewayPeer.ExchangeRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.ExchangeReply, channelsModule.PeerError>>;
+  ensureAdapter: (
+    address: string,
+    request: gatewayPeer.EnsureAdapterRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.EnsureAdapterReply, channelsModule.PeerError>>;
+  close: () => void;
+};
+
+export type PeerHandlers = {
+  exchange: (request: gatewayPeer.ExchangeRequest) => gatewayPeer.ExchangeReply;
+  ensureAdapter: (
+    request: gatewayPeer.EnsureAdapterRequest,
+  ) => Promise<gatewayPeer.EnsureAdapterReply>;
+};
+
+/** The holder is called several times a second; other peers at random, about once. */
+const IDLE_MS = 10_000;
+
+export function createPeerLink(clock: clocks.Clock): PeerLink {
+  const channels = channelsModule.createChannels<gatewayPeer.GatewayPeerServiceClient>({
+    clock,
+    idleMs: IDLE_MS,
+    connect: (address, credentials, options) =>
+      new gatewayPeer.GatewayPeerServiceClient(address, credentials, options),
+  });
+  return {
+    exchange: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.exchange(...rest)),
+    ensureAdapter: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) =>
+        client.ensureAdapter(...rest),
+      ),
+    close: channels.close,
+  };
+}
+
+export function addPeerService(server: grpc.Server, handlers: PeerHandlers): void {
+  server.addService(gatewayPeer.GatewayPeerServiceService, {
+    exchange: channelsModule.toUnary(handlers.exchange),
+    ensureAdapter: channelsModule.toUnary(handlers.ensureAdapter),
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -0,0 +1,217 @@
+/** Takes, keeps and gives back the lease on placing. */
+import type { clocks, logs, randoms } from '@copperlever/runtime';
+import { clocks as clocksModule } from '@copperlever/runtime';
+
+import * as leaseDecisions from '../../shared/lease-decisions.js';
+import type * as peerBooks from '../../shared/peer-book.js';
+import type * as stores from '../../types/stores.js';
+
+export type LeaseKeeperDeps = {
+  clock: clocks.Clock;
+  log: logs.Logger;
+  random: randoms.Random;
+  store: stores.RecordStore;
+  book: peerBooks.PeerBook;
+  gatewayId: string;
+  leaseMs: number;
+  upstreamsCheckFences: boolean;
+  /** Only a gateway that knows what there is may place. */
+  isEligible: () => boolean;
+};
+
+export type LeaseKeeper = {
+  start: () => void;
+  /** Gives the lease back, so that another need not wait for its end. */
+  stop: () => Promise<void>;
+  /** The term under which orders may be given now, or null. */
+  orderTerm: () => number | null;
+  /** The term held, also while orders have to wait. */
+  heldTerm: () => number | null;
+  /** An upstream refused an order: another holder has a higher term. */
+  fenced: () => void;
+};
+
+type StoredLease = stores.StoredRecord<stores.LeaseValue>;
+
+type Held = {
+  record: StoredLease;
+  ordersFromMs: number;
+  renewedAtMs: number;
+  isStoreAway: boolean;
+};
+
+const RECORD_NAME = 'placing';
+const TICK_MS = 200;
+const CALL_TIMEOUT_MS = 800;
+/** Gateways that start or miss the holder together do not all ask at the same moment. */
+const JITTER_MS = 150;
+
+export function createLeaseKeeper(deps: LeaseKeeperDeps): LeaseKeeper {
+  const { clock, log, store, book } = deps;
+  const stopping = new AbortController();
+  let held: Held | null = null;
+  let seen: { record: StoredLease; atMs: number } | null = null;
+  const startedAtMs = clock.nowMs();
+
+  function deadlineMs(): number {
+    return clock.nowMs() + CALL_TIMEOUT_MS;
+  }
+
+  function lose(reason: string): void {
+    if (held === null) return;
+    log.warn('lease-lost', { term: held.record.value.term, reason });
+    held = null;
+  }
+
+  function noteSeen(record: StoredLease): void {
+    if (seen === null || seen.record.revision !== record.revision) {
+      seen = { record, atMs: clock.nowMs() };
+    }
+    const { holderId, term } = record.value;
+    book.noteLease({ holderId, term });
+  }
+
+  function isOwn(record: StoredLease, term: number): boolean {
+    return record.value.holderId === deps.gatewayId && record.value.term === term;
+  }
+
+  async function renew(lease: Held): Promise<void> {
+    const sentAtMs = clock.nowMs();
+    const { value, revision } = lease.record;
+    const next = { ...value, renewals: value.renewals + 1 };
+    const put = await store.put('leases', RECORD_NAME, next, revision, deadlineMs());
+    if (held !== lease) return;
+    if (put.ok) {
+      held = { ...lease, record: put.val, renewedAtMs: sentAtMs, isStoreAway: false };
+      return;
+    }
+    switch (put.val.kind) {
+      case 'conflict':
+      case 'outcome-unknown':
+        await settle(lease, put.val.kind);
+        return;
+      case 'unavailable':
+      case 'history-gone':
+        lease.isStoreAway = true;
+    }
+  }
+
+  /**
+   * Failure: the answer to a renewal is lost after it took effect. Symptom: the next one conflicts with
+   * it, and the holder would give up its own lease. The record itself says whose it is.
+   */
+  async function settle(lease: Held, failure: string): Promise<void> {
+    const found = await store.get('leases', RECORD_NAME, deadlineMs());
+    if (held !== lease) return;
+    if (found.err || found.val === null) {
+      lease.isStoreAway = true;
+      return;
+    }
+    if (isOwn(found.val, lease.record.value.term) && !found.val.value.isReleased) {
+      held = { ...lease, record: found.val, isStoreAway: failure !== 'conflict' };
+      return;
+    }
+    noteSeen(found.val);
+    lose('another holder');
+  }
+
+  function sightOf(record: StoredLease, seenAtMs: number): leaseDecisions.HolderSight {
+    const { holderId, isReleased } = record.value;
+    const isSelf = holderId === deps.gatewayId;
+    return {
+      seenAtMs,
+      isReleased,
+      // A lease of this gateway's earlier life: nobody answers for it.
+      lastHeardMs: isSelf ? null : book.lastHeardMs(holderId),
+      silentSinceMs: isSelf ? seenAtMs : book.silentSinceMs(holderId),
+    };
+  }
+
+  async function take(present: StoredLease | null, sight: leaseDecisions.HolderSight | null) {
+    const term = (present?.value.term ?? 0) + 1;
+    const value = { holderId: deps.gatewayId, term, renewals: 0, isReleased: false };
+    const sentAtMs = clock.nowMs();
+    const revision = present?.revision ?? null;
+    const put = await store.put('leases', RECORD_NAME, value, revision, deadlineMs());
+    if (put.err) {
+      if (put.val.kind !== 'outcome-unknown') return;
+      // It may be ours after all: the next look tells, and then it is taken over from ourselves.
+      log.warn('lease-unknown', { term, reason: put.val.reason });
+      return;
+    }
+    const ordersFromMs = leaseDecisions.ordersFromMs(
+      sight,
+      clock.nowMs(),
+      deps.leaseMs,
+      deps.upstreamsCheckFences,
+    );
+    held = { record: put.val, ordersFromMs, renewedAtMs: sentAtMs, isStoreAway: false };
+    book.noteLease({ holderId: deps.gatewayId, term });
+    const ordersInMs = Math.round(ordersFromMs - clock.nowMs());
+    log.info('lease-taken', { term, before: present?.value.holderId ?? '', ordersInMs });
+  }
+
+  async function look(): Promise<void> {
+    const found = await store.get('leases', RECORD_NAME, deadlineMs());
+    if (found.err) return;
+    if (found.val === null) {
+      await take(null, null);
+      return;
+    }
+    noteSeen(found.val);
+    const sight = sightOf(found.val, seen?.atMs ?? clock.nowMs());
+    if (leaseDecisions.mayTakeOver(sight, clock.nowMs())) await take(found.val, sight);
+  }
+
+  function holderHeardMs(): number | null {
+    const known = book.lease();
+    return known === null ? null : book.lastHeardMs(known.holderId);
+  }
+
+  async function step(): Promise<void> {
+    const nowMs = clock.nowMs();
+    if (held !== null) {
+      const known = book.lease();
+      if (known !== null && known.term > held.record.value.term) {
+        lose('a peer knows a newer term');
+        return;
+      }
+      if (nowMs - held.renewedAtMs >= leaseDecisions.RENEW_MS) await renew(held);
+      return;
+    }
+    if (!deps.isEligible()) return;
+    if (!leaseDecisions.shouldLook(holderHeardMs(), startedAtMs - TICK_MS, nowMs)) return;
+    await look();
+  }
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await step();
+      const waitMs = held === null ? TICK_MS + deps.random.below(JITTER_MS) : TICK_MS;
+      await clocksModule.sleepUntil(clock, clock.nowMs() + waitMs, stopping.signal);
+    }
+  }
+
+  return {
+    start: () => {
+      void run();
+    },
+    stop: async () => {
+      stopping.abort();
+      const lease = held;
+      held = null;
+      if (lease === null) return;
+      const value = { ...lease.record.value, isReleased: true };
+      const { revision } = lease.record;
+      const put = await store.put('leases', RECORD_NAME, value, revision, deadlineMs());
+      log.info('lease-released', { term: value.term, isStored: put.ok });
+    },
+    orderTerm: () => {
+      if (held === null) return null;
+      const may = leaseDecisions.mayOrder(held, deps.upstreamsCheckFences, clock.nowMs());
+      return may ? held.record.value.term : null;
+    },
+    heldTerm: () => held?.record.value.term ?? null,
+    fenced: () => lose('an upstream has seen a higher term'),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/server/placing/placement-client.ts
@@ -0,0 +1,72 @@
+/** The placing as request handling sees it, at every gateway: the holder's news, and asking the holder. */
+import type { clocks } from '@copperlever/runtime';
+
+import type * as peerBooks from '../../shared/peer-book.js';
+import type * as demandCounters from '../../shared/placing/demand-counters.js';
+import type * as placementViews from '../../shared/placing/placement-view.js';
+import type * as placementTypes from '../../types/placement.js';
+import type * as peerLinks from '../peers/peer-link.js';
+import type * as leaseKeepers from './lease-keeper.js';
+import type * as placers from './placer.js';
+
+export type PlacementClientDeps = {
+  clock: clocks.Clock;
+  view: placementViews.PlacementView;
+  demand: demandCounters.DemandCounters;
+  book: peerBooks.PeerBook;
+  link: peerLinks.PeerLink;
+  lease: leaseKeepers.LeaseKeeper;
+  placer: placers.Placer;
+  /** Tells the holder without delay. */
+  hurry: () => void;
+};
+
+export function createPlacementClient(deps: PlacementClientDeps): placementTypes.Placement {
+  const { clock, view } = deps;
+  const asked = new Map<string, Promise<boolean>>();
+
+  async function ask(
+    upstreamId: string,
+    model: string,
+    adapter: string,
+    deadlineMs: number,
+  ): Promise<boolean> {
+    if (deps.lease.heldTerm() !== null) {
+      return deps.placer.ensureAdapter(upstreamId, model, adapter);
+    }
+    const holderId = deps.book.lease()?.holderId;
+    const address = holderId === undefined ? null : deps.book.addressOf(holderId);
+    if (address === null) return false;
+    const reply = await deps.link.ensureAdapter(
+      address,
+      { upstreamId, model, adapter },
+      deadlineMs,
+    );
+    return reply.ok && reply.val.isReady;
+  }
+
+  return {
+    copyAt: (upstream, model, adapter) => view.copyAt(upstream, model, adapter, clock.nowMs()),
+    noteAbsent: (upstreamId, model, adapter) => {
+      view.noteAbsent(upstreamId, model, adapter, clock.nowMs());
+      deps.hurry();
+    },
+    noteDemand: ({ service, model, adapter, isServed }) => {
+      deps.demand.add({ service, model, adapter }, isServed, clock.nowMs());
+      if (!isServed) deps.hurry();
+    },
+    readyInMs: (service, model) => {
+      const arrival = view.arrival(service, model);
+      return arrival === null ? null : Math.max(0, arrival.readyAtMs - clock.nowMs());
+    },
+    blockedForMs: (upstreamId) => view.blockedForMs(upstreamId, clock.nowMs()),
+    ensureAdapter: async (upstreamId, model, adapter, deadlineMs) => {
+      const key = `${upstreamId} ${model}/${adapter}`;
+      const running = asked.get(key) ?? ask(upstreamId, model, adapter, deadlineMs);
+      asked.set(key, running);
+      const isReady = await running.finally(() => asked.delete(key));
+      if (isReady) view.noteAdapter(upstreamId, model, adapter);
+      return isReady;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -0,0 +1,257 @@
+/** Places models while this gateway holds the lease: meters demand, plans changes, has stewards carry them out. */
+import { clocks as clocksModule } from '@copperlever/runtime';
+import type { clocks, logs } from '@copperlever/runtime';
+
+import * as adapterPlan from '../../shared/placing/adapter-plan.js';
+import * as copyPlan from '../../shared/placing/copy-plan.js';
+import type * as demandCounters from '../../shared/placing/demand-counters.js';
+import * as demandMeters from '../../shared/placing/demand-meter.js';
+import type * as placementViews from '../../shared/placing/placement-view.js';
+import * as storeLoadsModule from '../../shared/placing/store-loads.js';
+import type * as directories from '../../shared/upstream-directory.js';
+import type * as dialects from '../../types/dialects.js';
+import type * as fleet from '../../types/fleet.js';
+import type * as leaseKeepers from './lease-keeper.js';
+import * as stewards from './steward.js';
+
+export type PlacerDeps = {
+  clock: clocks.Clock;
+  log: logs.Logger;
+  control: dialects.UpstreamControl;
+  lease: leaseKeepers.LeaseKeeper;
+  directory: directories.UpstreamDirectory;
+  config: () => fleet.FleetConfig | null;
+  gatewayId: string;
+  storeLoadLimits: storeLoadsModule.StoreLoadLimits;
+  inFlight: (upstreamId: string, model: string) => number;
+  /** This gateway's own view of the placing, kept without a message. */
+  onNews: (news: placementViews.PlacementNews) => void;
+};
+
+export type Placer = {
+  start: () => void;
+  stop: () => void;
+  /** Counts that a gateway has told since its start. */
+  heardDemand: (
+    sourceId: string,
+    incarnation: number,
+    counts: readonly demandCounters.DemandCount[],
+  ) => void;
+  news: () => placementViews.PlacementNews | null;
+  ensureAdapter: (upstreamId: string, model: string, adapter: string) => Promise<boolean>;
+};
+
+/** Demand moves within seconds; a plan over some dozen upstreams takes well under a millisecond. */
+const TICK_MS = 100;
+/** More changes at once than this leave too few upstreams undisturbed. */
+const CHANGES_PER_TICK = 4;
+const KNOWN_SHARE = 0.75;
+/** Upstreams register one after the other; before any demand there is time to wait for all. */
+const SETTLE_MS = 2_500;
+/** Adapters load within some tens of milliseconds, four at once at one upstream. */
+const ADAPTER_LOADS_AT_ONCE = 2;
+
+export function createPlacer(deps: PlacerDeps): Placer {
+  const { clock, log, directory } = deps;
+  const stopping = new AbortController();
+  const meter = demandMeters.createDemandMeter();
+  const adapterAskedMs = new Map<string, number>();
+  const heard = new Map<string, { incarnation: number; counts: Map<string, [number, number]> }>();
+  const byUpstream = new Map<string, stewards.Steward>();
+  let storeLoads = storeLoadsModule.createStoreLoads(deps.storeLoadLimits);
+  let servedTerm: number | null = null;
+  let version = 0;
+  let lastArrivalMs = 0;
+  let published: placementViews.PlacementNews | null = null;
+
+  function modelKey(service: string, model: string): string {
+    return `${service} ${model}`;
+  }
+
+  function note(count: demandCounters.DemandCount, requests: number, missed: number): void {
+    const nowMs = clock.nowMs();
+    meter.add(modelKey(count.service, count.model), requests, missed, nowMs);
+    if (count.adapter !== null) adapterAskedMs.set(`${count.model}/${count.adapter}`, nowMs);
+  }
+
+  function publish(): void {
+    const term = deps.lease.heldTerm();
+    if (term === null) {
+      published = null;
+      return;
+    }
+    version += 1;
+    const placed = [...byUpstream.values()].flatMap(
+      (steward): [string, placementViews.PlacedUpstream][] => {
+        const held = steward.placed();
+        return held === null ? [] : [[steward.upstreamId, held]];
+      },
+    );
+    const arrivals = [...byUpstream.values()].flatMap((steward) => {
+      const arrival = steward.arrival();
+      const service = directory.find(steward.upstreamId)?.service;
+      return arrival === null || service === undefined ? [] : [{ service, ...arrival }];
+    });
+    published = { term, version, upstreams: new Map(placed), arrivals };
+    deps.onNews(published);
+  }
+
+  function createSteward(record: fleet.UpstreamRecord): stewards.Steward {
+    return stewards.createSteward(record, {
+      clock,
+      log,
+      control: deps.control,
+      holderId: deps.gatewayId,
+      orderTerm: deps.lease.orderTerm,
+      onFenced: deps.lease.fenced,
+      onStoreLoad: (isCertain) => {
+        if (isCertain) storeLoads.began(clock.nowMs());
+        else storeLoads.uncertain(clock.nowMs() + stewards.UNCERTAIN_LOAD_MS);
+      },
+      adapterLastAskedMs: (model, adapter) => adapterAskedMs.get(`${model}/${adapter}`) ?? 0,
+      onChanged: publish,
+    });
+  }
+
+  function engineServices(): readonly fleet.Service[] {
+    return (deps.config()?.services ?? []).filter(({ engine }) => engine !== null);
+  }
+
+  /** One steward for each upstream that may get orders. */
+  function syncStewards(): void {
+    const records = engineServices().flatMap(({ name }) => directory.eligible(name, clock.nowMs()));
+    const ids = new Set(records.map(({ upstreamId }) => upstreamId));
+    for (const [id, steward] of byUpstream) {
+      if (ids.has(id)) continue;
+      steward.stop();
+      byUpstream.delete(id);
+    }
+    records.forEach((record) => {
+      const known = byUpstream.get(record.upstreamId);
+      if (known === undefined) {
+        byUpstream.set(record.upstreamId, createSteward(record));
+        lastArrivalMs = clock.nowMs();
+      } else known.adopt(record);
+    });
+  }
+
+  function isSettled(): boolean {
+    return meter.hasDemand() || clock.nowMs() - lastArrivalMs >= SETTLE_MS;
+  }
+
+  function endTerm(): void {
+    byUpstream.forEach((steward) => steward.stop());
+    byUpstream.clear();
+    published = null;
+    servedTerm = null;
+  }
+
+  function beginTerm(term: number): void {
+    endTerm();
+    servedTerm = term;
+    storeLoads = storeLoadsModule.createStoreLoads(deps.storeLoadLimits);
+    // The first holder of all has no predecessor.
+    if (term > 1) storeLoads.assumeUsed(clock.nowMs());
+  }
+
+  function planFor(service: fleet.Service, engine: fleet.EngineSpec): void {
+    for (let count = 0; count < CHANGES_PER_TICK; count += 1) {
+      const nowMs = clock.nowMs();
+      const records = directory.eligible(service.name, nowMs);
+      const views = records.flatMap(({ upstreamId }) => {
+        const view = byUpstream.get(upstreamId)?.view((model) => deps.inFlight(upstreamId, model));
+        return view === null || view === undefined ? [] : [view];
+      });
+      // A plan made before most have told what they hold would bring what is there already.
+      if (views.length < records.length * KNOWN_SHARE) return;
+      const change = copyPlan.planNext({
+        engine,
+        upstreams: views,
+        demand: (model) => meter.figures(modelKey(service.name, model), nowMs),
+        storeLoadsLeft: storeLoads.left(engine.loadsPerSecond, nowMs),
+        nowMs,
+      });
+      if (change === null) return;
+      byUpstream.get(change.upstreamId)?.startChange(change);
+    }
+  }
+
+  /** Brings adapters to copies before they are asked for there. */
+  function fillAdapters(service: fleet.Service, engine: fleet.EngineSpec): void {
+    const stewardsOf = directory
+      .eligible(service.name, clock.nowMs())
+      .flatMap(({ upstreamId }) => byUpstream.get(upstreamId) ?? []);
+    const holders = stewardsOf.map((steward) => ({
+      upstreamId: steward.upstreamId,
+      models: steward.placed()?.copies.filter((copy) => !copy.isClosing) ?? [],
+      freePlaces: engine.adaptersMax - steward.adapterCount(),
+      isBlocked: (steward.placed()?.blockedUntilMs ?? 0) > 0,
+      has: steward.hasAdapter,
+    }));
+    const wanted = adapterPlan.planAdapters({
+      engine,
+      holders,
+      lastAskedMs: (model, adapter) => adapterAskedMs.get(`${model}/${adapter}`) ?? null,
+      perUpstream: ADAPTER_LOADS_AT_ONCE,
+    });
+    wanted.forEach(({ upstreamId, model, adapter }) => {
+      void byUpstream.get(upstreamId)?.ensureAdapter(model, adapter, engine.adaptersMax);
+    });
+  }
+
+  function tick(): void {
+    const term = deps.lease.heldTerm();
+    if (term === null) {
+      if (servedTerm !== null) endTerm();
+      return;
+    }
+    if (term !== servedTerm) beginTerm(term);
+    syncStewards();
+    if (!isSettled()) return;
+    if (deps.lease.orderTerm() === null) return;
+    engineServices().forEach((service) => {
+      if (service.engine === null) return;
+      planFor(service, service.engine);
+      fillAdapters(service, service.engine);
+    });
+  }
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      tick();
+      await clocksModule.sleepUntil(clock, clock.nowMs() + TICK_MS, stopping.signal);
+    }
+  }
+
+  return {
+    start: () => {
+      void run();
+    },
+    stop: () => {
+      stopping.abort();
+      endTerm();
+    },
+    heardDemand: (sourceId, incarnation, counts) => {
+      const before = heard.get(sourceId);
+      const known =
+        before !== undefined && before.incarnation === incarnation
+          ? before
+          : { incarnation, counts: new Map<string, [number, number]>() };
+      heard.set(sourceId, known);
+      counts.forEach((count) => {
+        const key = `${count.service} ${count.model}/${count.adapter ?? ''}`;
+        const [requests, missed] = known.counts.get(key) ?? [0, 0];
+        known.counts.set(key, [count.requestCount, count.missedCount]);
+        note(count, count.requestCount - requests, count.missedCount - missed);
+      });
+    },
+    news: () => published,
+    ensureAdapter: async (upstreamId, model, adapter) => {
+      const service = directory.find(upstreamId)?.service;
+      const engine = engineServices().find(({ name }) => name === service)?.engine;
+      const steward = byUpstream.get(upstreamId);
+      if (steward === undefined || engine == null) return false;
+      return steward.ensureAdapter(model, adapter, engine.adaptersMax);
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -0,0 +1,430 @@
+/**
+ * Gives one upstream its orders, one at a time, and keeps what it holds. Every order says after how many
+ * others it counts, so that one which is carried out late, after newer ones, is void: what an upstream
+ * holds follows from the orders that it has taken, and memory is never promised twice.
+ */
+import { clocks as clocksModule } from '@copperlever/runtime';
+import type { clocks, logs } from '@copperlever/runtime';
+
+import type * as copyPlan from '../../shared/placing/copy-plan.js';
+import type * as placementViews from '../../shared/placing/placement-view.js';
+import type * as dialects from '../../types/dialects.js';
+import type * as fleet from '../../types/fleet.js';
+
+export type StewardDeps = {
+  clock: clocks.Clock;
+  log: logs.Logger;
+  control: dialects.UpstreamControl;
+  holderId: string;
+  /** The term for orders given now; null while none may be given. */
+  orderTerm: () => number | null;
+  onFenced: () => void;
+  onStoreLoad: (isCertain: boolean) => void;
+  /** When an adapter was last asked for, to choose the one that gives way. */
+  adapterLastAskedMs: (model: string, adapter: string) => number;
+  onChanged: () => void;
+};
+
+export type Steward = {
+  upstreamId: string;
+  /** Null until the upstream has told what it holds. */
+  view: (inFlightOf: (model: string) => number) => copyPlan.UpstreamView | null;
+  placed: () => placementViews.PlacedUpstream | null;
+  arrival: () => { model: string; readyAtMs: number } | null;
+  startChange: (change: copyPlan.CopyChange) => void;
+  ensureAdapter: (model: string, adapter: string, adaptersMax: number) => Promise<boolean>;
+  /** Adapters that are held, or being loaded. */
+  adapterCount: () => number;
+  hasAdapter: (model: string, adapter: string) => boolean;
+  /** What the platform's list says; it counts while no order is fresh. */
+  adopt: (record: fleet.UpstreamRecord) => void;
+  stop: () => void;
+};
+
+/** Answers come within a round trip; more is an upstream that does not answer. */
+const CALL_TIMEOUT_MS = 700;
+/** Gateways learn of a closing copy with their next exchange; requests sent before are at the upstream then. */
+const CLOSE_NOTICE_MS = 300;
+/** An unload waits for its runs; how often the load behind it is tried. */
+const FIRST_RETRY_MS = 40;
+const LONGEST_RETRY_MS = 250;
+/** Longer than the longest stream runs; then the copy that would not go is taken back into use. */
+const UNLOAD_PATIENCE_MS = 12_000;
+/** Reports are some hundred milliseconds old; asked more often they say the same again. */
+const REPORT_PAUSE_MS = 150;
+const REPORT_LAG_MS = 1_000;
+/** Beyond its usual time a load may be slowed by others; after this it is taken for failed. */
+const LOAD_PATIENCE_FACTOR = 4;
+/** An adapter loads within 30 ms while the store is not crowded. */
+const ADAPTER_LOAD_MS = 32;
+/** A report may be some orders old; the next one is not. */
+const ADAPTER_TRIES = 3;
+/** The platform's list lags by two heartbeats and its own delay. */
+const LIST_LAG_MS = 3_500;
+/** How long an order without an answer may still be carried out. */
+const LATE_ORDER_MS = 13_000;
+
+type Copy = { adapters: Set<string>; readyAtMs: number; isClosing: boolean };
+
+type Sent = 'accepted' | 'conflict' | 'unknown' | 'not-allowed';
+
+export function createSteward(record: fleet.UpstreamRecord, deps: StewardDeps): Steward {
+  const { clock, log } = deps;
+  const { upstreamId, address, failureDomain } = record;
+  const target: dialects.OrderTarget = { upstreamId, address };
+  const stopping = new AbortController();
+  let copies = new Map<string, Copy>();
+  let hostModels = new Set(record.hostModels);
+  let diskModels = new Set(record.diskModels);
+  let isKnown = false;
+  /** Orders taken by the upstream; null when that has to be asked. */
+  let orderCount: number | null = null;
+  /** A report that counts fewer is older than what is known already. */
+  let leastOrderCount = 0;
+  let lastOrderMs = -Infinity;
+  let arriving: { model: string; readyAtMs: number } | null = null;
+  let isChanging = false;
+  let lastListed = record;
+  /** Ordered to go; the upstream lists it until its runs have ended. */
+  let unloading: string | null = null;
+  /** Orders and reports are sent one after the other. */
+  let turn: Promise<unknown> = Promise.resolve();
+  /** Taken by the upstream, and not there yet. */
+  const arrivingAdapters = new Set<string>();
+  const adapterLoads = new Map<string, Promise<boolean>>();
+
+  function inTurn<Value>(task: () => Promise<Value>): Promise<Value> {
+    const done = turn.then(task);
+    turn = done.catch((cause: unknown) => {
+      log.error('steward-broken', { upstreamId, reason: String(cause) });
+    });
+    return done;
+  }
+
+  function sleep(durationMs: number): Promise<'elapsed' | 'aborted'> {
+    return clocksModule.sleepUntil(clock, clock.nowMs() + durationMs, stopping.signal);
+  }
+
+  function takeResident(models: readonly fleet.ResidentModel[]): void {
+    const nowMs = clock.nowMs();
+    copies = new Map(
+      models.map((model): [string, Copy] => {
+        const before = copies.get(model.name);
+        return [
+          model.name,
+          {
+            adapters: new Set(model.adapters),
+            readyAtMs: before?.readyAtMs ?? (isKnown ? nowMs : -Infinity),
+            isClosing: model.name === unloading,
+          },
+        ];
+      }),
+    );
+    isKnown = true;
+    deps.onChanged();
+  }
+
+  /** Asks what the upstream holds; a report older than our own orders is asked for again. */
+  async function refresh(): Promise<fleet.UpstreamReport | null> {
+    const report = await deps.control.report(target, clock.nowMs() + CALL_TIMEOUT_MS);
+    if (report.err) {
+      log.warn('report-missing', { upstreamId, reason: report.val.reason });
+      return null;
+    }
+    const mayBeOld = clock.nowMs() - lastOrderMs < REPORT_LAG_MS;
+    if (mayBeOld && report.val.orderCount < leastOrderCount) return null;
+    orderCount = report.val.orderCount;
+    if (report.val.hostModels.length > 0) hostModels = new Set(report.val.hostModels);
+    if (report.val.diskModels.length > 0) diskModels = new Set(report.val.diskModels);
+    if (!isKnown) {
+      log.info('upstream-holds', {
+        upstreamId,
+        orderCount,
+        models: report.val.models.map(({ name }) => name).join(','),
+        adapters: report.val.models.map(({ adapters }) => adapters.length).join(','),
+        host: report.val.hostModels.join(','),
+        disk: report.val.diskModels.join(','),
+      });
+    }
+    takeResident(report.val.models);
+    return report.val;
+  }
+
+  async function ensureKnown(): Promise<boolean> {
+    if (orderCount !== null) return true;
+    return (await refresh()) !== null;
+  }
+
+  function noteOutcome(order: dialects.Order, outcome: dialects.OrderOutcome): Sent {
+    switch (outcome.kind) {
+      case 'accepted':
+        orderCount = (orderCount ?? 0) + 1;
+        leastOrderCount = orderCount;
+        return 'accepted';
+      case 'holds-already':
+        // An adapter that nobody uses goes at once, which counts as an order taken; one that had gone
+        // before does not. The next report tells.
+        if (order.kind === 'unload-adapter') orderCount = (orderCount ?? 0) + 1;
+        return 'accepted';
+      case 'conflict':
+        return 'conflict';
+      case 'fenced':
+        deps.onFenced();
+        return 'not-allowed';
+      case 'other-upstream':
+      case 'invalid':
+        orderCount = null;
+        return 'not-allowed';
+    }
+  }
+
+  async function send(order: dialects.Order): Promise<Sent> {
+    if (!(await ensureKnown())) return 'unknown';
+    const term = deps.orderTerm();
+    if (term === null || stopping.signal.aborted) return 'not-allowed';
+    const expectedOrderCount = orderCount ?? 0;
+    const context = { holderId: deps.holderId, fence: term, expectedOrderCount };
+    const answer = await deps.control.order(
+      target,
+      order,
+      context,
+      clock.nowMs() + CALL_TIMEOUT_MS,
+    );
+    lastOrderMs = clock.nowMs();
+    const result = answer.ok ? noteOutcome(order, answer.val) : 'unknown';
+    if (answer.err) orderCount = null;
+    log.info('order-given', {
+      upstreamId,
+      order: order.kind,
+      model: order.model,
+      adapter: 'adapter' in order ? order.adapter : undefined,
+      term,
+      expectedOrderCount,
+      outcome: answer.ok ? answer.val.kind : answer.val.reason,
+    });
+    return result;
+  }
+
+  /** Sends until the upstream takes it: behind an unload, that is when the unload is done. */
+  async function sendUntilTaken(order: dialects.Order, untilMs: number): Promise<Sent> {
+    let waitMs = FIRST_RETRY_MS;
+    for (;;) {
+      const sent = await inTurn(() => send(order));
+      if (sent === 'accepted' || sent === 'not-allowed') return sent;
+      if (clock.nowMs() >= untilMs || stopping.signal.aborted) return sent;
+      if (sent === 'unknown') await sleep(REPORT_PAUSE_MS);
+      else await sleep(waitMs);
+      waitMs = Math.min(LONGEST_RETRY_MS, waitMs * 2);
+      // Someone's order was taken meanwhile, perhaps a late one of ours: ask before the next try.
+      if (sent === 'conflict' && waitMs >= LONGEST_RETRY_MS) await inTurn(refresh);
+    }
+  }
+
+  async function unload(model: string): Promise<boolean> {
+    const copy = copies.get(model);
+    if (copy === undefined) return true;
+    copy.isClosing = true;
+    unloading = model;
+    deps.onChanged();
+    await sleep(CLOSE_NOTICE_MS);
+    const untilMs = clock.nowMs() + CALL_TIMEOUT_MS;
+    const sent = await sendUntilTaken({ kind: 'unload-model', model }, untilMs);
+    if (sent === 'accepted') return true;
+    unloading = null;
+    copy.isClosing = false;
+    if (sent === 'unknown') await inTurn(refresh);
+    deps.onChanged();
+    return !copies.has(model);
+  }
+
+  async function awaitLoaded(change: copyPlan.CopyChange): Promise<boolean> {
+    const startedMs = clock.nowMs();
+    const untilMs = startedMs + change.loadMs * LOAD_PATIENCE_FACTOR;
+    arriving = { model: change.load, readyAtMs: startedMs + change.loadMs };
+    deps.onChanged();
+    await sleep(change.loadMs);
+    while (clock.nowMs() < untilMs && !stopping.signal.aborted) {
+      const report = await inTurn(refresh);
+      if (report !== null && copies.has(change.load)) return true;
+      if (report !== null && !report.isBusy) return false;
+      await sleep(REPORT_PAUSE_MS);
+    }
+    return false;
+  }
+
+  /** Whether the plan was made for what the upstream holds. */
+  async function isStillRight(wanted: copyPlan.CopyChange): Promise<boolean> {
+    const planned = [...copies.keys()].sort().join(' ');
+    const untilMs = clock.nowMs() + CALL_TIMEOUT_MS;
+    while ((await inTurn(refresh)) === null) {
+      if (clock.nowMs() >= untilMs || (await sleep(REPORT_PAUSE_MS)) === 'aborted') return false;
+    }
+    const held = [...copies.keys()].sort().join(' ');
+    return planned === held && (wanted.unload === null || copies.has(wanted.unload));
+  }
+
+  async function carryOut(wanted: copyPlan.CopyChange): Promise<boolean> {
+    if (!(await isStillRight(wanted))) return false;
+    if (wanted.unload !== null && !(await unload(wanted.unload))) return false;
+    const patienceMs = wanted.unload === null ? CALL_TIMEOUT_MS : UNLOAD_PATIENCE_MS;
+    const isStoreLoad = wanted.level === 'store';
+    const order = { kind: 'load-model', model: wanted.load } as const;
+    if (isStoreLoad) deps.onStoreLoad(true);
+    const sent = await sendUntilTaken(order, clock.nowMs() + patienceMs);
+    if (sent === 'accepted' && wanted.unload !== null) copies.delete(wanted.unload);
+    if (sent === 'unknown' && isStoreLoad) deps.onStoreLoad(false);
+    if (sent !== 'accepted') {
+      await inTurn(refresh);
+      return false;
+    }
+    return awaitLoaded(wanted);
+  }
+
+  function heldAdapters(): { model: string; adapter: string }[] {
+    return [...copies].flatMap(([model, { adapters }]) =>
+      [...adapters].map((adapter) => ({ model, adapter })),
+    );
+  }
+
+  /** Makes one place free, at the cost of the adapter that was asked for longest ago. */
+  async function freeAdapterPlace(): Promise<boolean> {
+    const lastAskedMs = (held: { model: string; adapter: string }) =>
+      deps.adapterLastAskedMs(held.model, held.adapter);
+    const oldest = heldAdapters().sort((a, b) => lastAskedMs(a) - lastAskedMs(b))[0];
+    if (oldest === undefined) return false;
+    copies.get(oldest.model)?.adapters.delete(oldest.adapter);
+    deps.onChanged();
+    return (await send({ kind: 'unload-adapter', ...oldest })) === 'accepted';
+  }
+
+  /** Orders the load, with as many tries as a report that is some orders old needs. */
+  async function orderAdapter(
+    model: string,
+    adapter: string,
+    adaptersMax: number,
+  ): Promise<boolean> {
+    for (let tries = 0; tries < ADAPTER_TRIES; tries += 1) {
+      const copy = copies.get(model);
+      // While it loads a model it refuses orders for adapters.
+      if (copy === undefined || copy.isClosing || isChanging) return false;
+      if (copy.adapters.has(adapter)) return true;
+      const isFull = heldAdapters().length + arrivingAdapters.size >= adaptersMax;
+      const hasRoom = !isFull || (await freeAdapterPlace());
+      const sent = hasRoom ? await send({ kind: 'load-adapter', model, adapter }) : 'conflict';
+      if (sent === 'accepted') return true;
+      if (sent === 'not-allowed') return false;
+      await sleep(REPORT_PAUSE_MS);
+      await refresh();
+    }
+    return false;
+  }
+
+  async function loadAdapter(
+    model: string,
+    adapter: string,
+    adaptersMax: number,
+  ): Promise<boolean> {
+    const key = `${model}/${adapter}`;
+    const isOrdered = await inTurn(async () => {
+      const isTaken = await orderAdapter(model, adapter, adaptersMax);
+      if (isTaken) arrivingAdapters.add(key);
+      return isTaken;
+    });
+    if (!isOrdered) return false;
+    await sleep(ADAPTER_LOAD_MS);
+    arrivingAdapters.delete(key);
+    copies.get(model)?.adapters.add(adapter);
+    deps.onChanged();
+    return true;
+  }
+
+  void inTurn(refresh);
+
+  return {
+    upstreamId,
+    view: (inFlightOf) => {
+      if (!isKnown) return null;
+      return {
+        upstreamId,
+        failureDomain,
+        hostModels,
+        diskModels,
+        isChanging,
+        arriving: arriving?.model ?? null,
+        copies: [...copies].map(([model, copy]) => ({
+          model,
+          isClosing: copy.isClosing,
+          readyAtMs: copy.readyAtMs,
+          inFlightCount: inFlightOf(model),
+        })),
+      };
+    },
+    placed: () =>
+      isKnown
+        ? {
+            blockedUntilMs: isChanging ? (arriving?.readyAtMs ?? 0) : 0,
+            copies: [...copies].map(([model, { adapters, isClosing }]) => ({
+              model,
+              adapters: [...adapters],
+              isClosing,
+            })),
+          }
+        : null,
+    adapterCount: () =>
+      adapterLoads.size +
+      [...copies.values()].reduce((sum, { adapters }) => sum + adapters.size, 0),
+    hasAdapter: (model, adapter) =>
+      copies.get(model)?.adapters.has(adapter) === true || adapterLoads.has(`${model}/${adapter}`),
+    arrival: () => arriving,
+    startChange: (wanted) => {
+      isChanging = true;
+      const readyAtMs = clock.nowMs() + wanted.loadMs + CLOSE_NOTICE_MS;
+      arriving = { model: wanted.load, readyAtMs };
+      deps.onChanged();
+      log.info('change-started', {
+        upstreamId,
+        load: wanted.load,
+        unload: wanted.unload ?? undefined,
+        loadFrom: wanted.level,
+      });
+      const startedMs = clock.nowMs();
+      void carryOut(wanted)
+        .catch((cause: unknown) => {
+          log.error('change-broken', { upstreamId, reason: String(cause) });
+          return false;
+        })
+        .then((isDone) => {
+          isChanging = false;
+          lastOrderMs = clock.nowMs();
+          unloading = null;
+          arriving = null;
+          const tookMs = Math.round(clock.nowMs() - startedMs);
+          log.info('change-ended', { upstreamId, load: wanted.load, isDone, tookMs });
+          deps.onChanged();
+        });
+    },
+    ensureAdapter: (model, adapter, adaptersMax) => {
+      if (copies.get(model)?.adapters.has(adapter) === true) return Promise.resolve(true);
+      const key = `${model}/${adapter}`;
+      const running = adapterLoads.get(key);
+      if (running !== undefined) return running;
+      const load = loadAdapter(model, adapter, adaptersMax).finally(() => adapterLoads.delete(key));
+      adapterLoads.set(key, load);
+      return load;
+    },
+    adopt: (listed) => {
+      // While the store is away the same old record is seen again and again.
+      if (listed === lastListed) return;
+      lastListed = listed;
+      if (listed.hostModels.length > 0) hostModels = new Set(listed.hostModels);
+      if (listed.diskModels.length > 0) diskModels = new Set(listed.diskModels);
+      const isQuiet = clock.nowMs() - lastOrderMs > LIST_LAG_MS && !isChanging;
+      if (!isQuiet || !isKnown) return;
+      takeResident(listed.models);
+    },
+    stop: () => stopping.abort(),
+  };
+}
+
+/** How long an order that was not answered may still begin a load. */
+export const UNCERTAIN_LOAD_MS = LATE_ORDER_MS;
--- a/packages/gateway/src/shared/in-flight.ts
+++ b/packages/gateway/src/shared/in-flight.ts
@@ -2,14 +2,22 @@
 
 export type UpstreamLoad = { inFlightCount: number; unreadPromptTokens: number };
 
+/** The load of one model at one upstream; the model is empty for plain services. */
+export type ModelLoad = UpstreamLoad & { upstreamId: string; model: string };
+
 export type InFlight = {
-  started: (upstreamId: string, promptTokens: number) => Started;
-  own: (upstreamId: string) => UpstreamLoad;
-  /** Own and others' together. */
+  started: (upstreamId: string, model: string, promptTokens: number) => Started;
+  /** This gateway's requests at the upstream. */
+  ownCount: (upstreamId: string) => number;
+  /** All gateways' requests at the upstream. */
   total: (upstreamId: string, nowMs: number) => UpstreamLoad;
-  /** What one or all other gateways have in flight; replaces what was heard from `sourceId` before. */
-  heard: (sourceId: string, loads: ReadonlyMap<string, UpstreamLoad>, nowMs: number) => void;
-  ownLoads: () => ReadonlyMap<string, UpstreamLoad>;
+  /** All gateways' requests at the upstream for one model. */
+  modelCount: (upstreamId: string, model: string, nowMs: number) => number;
+  /** What another source has in flight; replaces what was heard from it before. */
+  heard: (sourceId: string, loads: readonly ModelLoad[], nowMs: number) => void;
+  ownLoads: () => readonly ModelLoad[];
+  /** What was heard from all sources but `exceptId`, and this gateway's own. */
+  loadsWithout: (exceptId: string, nowMs: number) => readonly ModelLoad[];
   totalCount: () => number;
 };
 
@@ -22,57 +30,88 @@
 /** Older news says nothing about requests that take a second or two. */
 const HEARD_VALID_MS = 1_500;
 
-const NONE: UpstreamLoad = { inFlightCount: 0, unreadPromptTokens: 0 };
+type Source = { loads: readonly ModelLoad[]; atMs: number };
 
 export function createInFlight(): InFlight {
-  const own = new Map<string, UpstreamLoad>();
-  const others = new Map<string, { loads: ReadonlyMap<string, UpstreamLoad>; atMs: number }>();
+  const own = new Map<string, ModelLoad>();
+  const others = new Map<string, Source>();
   let count = 0;
 
-  function add(upstreamId: string, countChange: number, tokensChange: number): void {
-    const before = own.get(upstreamId) ?? NONE;
-    const inFlightCount = before.inFlightCount + countChange;
-    const unreadPromptTokens = before.unreadPromptTokens + tokensChange;
-    if (inFlightCount <= 0) own.delete(upstreamId);
-    else own.set(upstreamId, { inFlightCount, unreadPromptTokens });
+  function add(upstreamId: string, model: string, countChange: number, tokensChange: number): void {
+    const key = `${upstreamId} ${model}`;
+    const before = own.get(key);
+    const inFlightCount = (before?.inFlightCount ?? 0) + countChange;
+    const unreadPromptTokens = (before?.unreadPromptTokens ?? 0) + tokensChange;
+    if (inFlightCount <= 0) own.delete(key);
+    else own.set(key, { upstreamId, model, inFlightCount, unreadPromptTokens });
+  }
+
+  function* allLoads(nowMs: number, exceptId: string | null): Iterable<ModelLoad> {
+    yield* own.values();
+    for (const [sourceId, { loads, atMs }] of others) {
+      if (sourceId !== exceptId && nowMs - atMs <= HEARD_VALID_MS) yield* loads;
+    }
   }
 
   return {
-    started: (upstreamId, promptTokens) => {
+    started: (upstreamId, model, promptTokens) => {
       let unreadTokens = promptTokens;
       let isOpen = true;
       count += 1;
-      add(upstreamId, 1, promptTokens);
+      add(upstreamId, model, 1, promptTokens);
       const promptRead = () => {
-        add(upstreamId, 0, -unreadTokens);
+        if (!isOpen) return;
+        add(upstreamId, model, 0, -unreadTokens);
         unreadTokens = 0;
       };
       return {
         promptRead,
         ended: () => {
           if (!isOpen) return;
-          isOpen = false;
           promptRead();
+          isOpen = false;
           count -= 1;
-          add(upstreamId, -1, 0);
+          add(upstreamId, model, -1, 0);
         },
       };
     },
-    own: (upstreamId) => own.get(upstreamId) ?? NONE,
+    ownCount: (upstreamId) => {
+      let sum = 0;
+      for (const load of own.values())
+        if (load.upstreamId === upstreamId) sum += load.inFlightCount;
+      return sum;
+    },
     total: (upstreamId, nowMs) => {
-      let { inFlightCount, unreadPromptTokens } = own.get(upstreamId) ?? NONE;
-      others.forEach(({ loads, atMs }) => {
-        const load = loads.get(upstreamId);
-        if (load === undefined || nowMs - atMs > HEARD_VALID_MS) return;
-        inFlightCount += load.inFlightCount;
-        unreadPromptTokens += load.unreadPromptTokens;
-      });
-      return { inFlightCount, unreadPromptTokens };
+      const sum = { inFlightCount: 0, unreadPromptTokens: 0 };
+      for (const load of allLoads(nowMs, null)) {
+        if (load.upstreamId !== upstreamId) continue;
+        sum.inFlightCount += load.inFlightCount;
+        sum.unreadPromptTokens += load.unreadPromptTokens;
+      }
+      return sum;
+    },
+    modelCount: (upstreamId, model, nowMs) => {
+      let sum = 0;
+      for (const load of allLoads(nowMs, null)) {
+        if (load.upstreamId === upstreamId && load.model === model) sum += load.inFlightCount;
+      }
+      return sum;
     },
     heard: (sourceId, loads, nowMs) => {
       others.set(sourceId, { loads, atMs: nowMs });
     },
-    ownLoads: () => own,
+    ownLoads: () => [...own.values()],
+    loadsWithout: (exceptId, nowMs) => {
+      const sums = new Map<string, ModelLoad>();
+      for (const load of allLoads(nowMs, exceptId)) {
+        const key = `${load.upstreamId} ${load.model}`;
+        const sum = sums.get(key) ?? { ...load, inFlightCount: 0, unreadPromptTokens: 0 };
+        sum.inFlightCount += load.inFlightCount;
+        sum.unreadPromptTokens += load.unreadPromptTokens;
+        sums.set(key, sum);
+      }
+      return [...sums.values()];
+    },
     totalCount: () => count,
   };
 }
--- /dev/null
+++ b/packages/gateway/src/shared/lease-decisions.ts
@@ -0,0 +1,72 @@
+/**
+ * Who may place models. One gateway at a time holds a lease in the platform's store; its term fences
+ * orders of earlier holders. Two gateways that place at once undo each other's copies, and one that was
+ * paused and wakes goes on with a plan that no longer holds.
+ */
+
+/** What a gateway that does not hold the lease knows of the one who does. */
+export type HolderSight = {
+  /** The lease record, when it was first seen at its present revision. */
+  seenAtMs: number;
+  isReleased: boolean;
+  /** When the holder itself was last heard, over whichever way. */
+  lastHeardMs: number | null;
+  /** Since when it does not answer; null while it does, or was never asked. */
+  silentSinceMs: number | null;
+};
+
+/** Renewals are paid for; two may be lost before the lease ends. */
+export const RENEW_MS = 1_000;
+/** A holder trusts its lease this long after the renewal was sent. */
+export const VALID_MS = 2_200;
+/** Others wait longer than that: their clocks start when they see the renewal, later than it was sent. */
+const EXPIRY_MS = 2_400;
+/** A holder that answers its peers is alive, also when it cannot reach the store. */
+const HEARD_MS = 1_000;
+
+/** Whether to try to take the lease over now. */
+export function mayTakeOver(sight: HolderSight, nowMs: number): boolean {
+  if (sight.isReleased) return true;
+  const isHeard = sight.lastHeardMs !== null && nowMs - sight.lastHeardMs < HEARD_MS;
+  return !isHeard && nowMs - sight.seenAtMs >= EXPIRY_MS;
+}
+
+/** Whether it is time to look at the record at all: each look is paid for. */
+export function shouldLook(
+  lastHeardMs: number | null,
+  startedAtMs: number,
+  nowMs: number,
+): boolean {
+  return nowMs - (lastHeardMs ?? startedAtMs) >= HEARD_MS;
+}
+
+/**
+ * From when on a new holder may give orders: `leaseMs` after the last order that its predecessor may
+ * have given. Where upstreams check fences, a predecessor that still runs but is cut off is refused by
+ * them, so only the time until it fell silent counts; elsewhere its lease has to end by its own clock.
+ */
+export function ordersFromMs(
+  sight: HolderSight | null,
+  tookOverMs: number,
+  leaseMs: number,
+  checksFences: boolean,
+): number {
+  if (sight === null) return tookOverMs;
+  const leaseEndMs = sight.seenAtMs + VALID_MS;
+  if (sight.isReleased) return Math.max(tookOverMs, sight.seenAtMs + leaseMs);
+  const silentMs = sight.silentSinceMs ?? leaseEndMs;
+  const lastOrderMs = checksFences ? Math.min(silentMs, leaseEndMs) : leaseEndMs;
+  return Math.max(tookOverMs, lastOrderMs + leaseMs);
+}
+
+/** Whether a holder may give orders at `nowMs`. */
+export function mayOrder(
+  held: { ordersFromMs: number; renewedAtMs: number; isStoreAway: boolean },
+  checksFences: boolean,
+  nowMs: number,
+): boolean {
+  if (nowMs < held.ordersFromMs) return false;
+  if (nowMs < held.renewedAtMs + VALID_MS) return true;
+  // Nobody can have taken over without the store; if another could reach it, its fence stops us.
+  return checksFences && held.isStoreAway;
+}
--- /dev/null
+++ b/packages/gateway/src/shared/peer-book.ts
@@ -0,0 +1,84 @@
+/** The other gateways: who they are, when each was last heard of, and who holds the lease. */
+export type PeerAddress = { gatewayId: string; address: string };
+
+export type LeaseHolder = { holderId: string; term: number };
+
+export type PeerBook = {
+  /** A peer answered or asked: it lives. */
+  heardFrom: (peer: PeerAddress, nowMs: number) => void;
+  /** Another peer has heard of it lately. */
+  learned: (peers: readonly PeerAddress[], nowMs: number) => void;
+  /** It did not answer. */
+  missed: (address: string, nowMs: number) => void;
+  left: (gatewayId: string) => void;
+  noteLease: (lease: LeaseHolder) => void;
+  lease: () => LeaseHolder | null;
+  addressOf: (gatewayId: string) => string | null;
+  /** Peers that were heard themselves lately, to tell others of. */
+  heard: (nowMs: number) => readonly PeerAddress[];
+  live: (nowMs: number) => readonly PeerAddress[];
+  /** When the peer itself last answered or asked; null if never. */
+  lastHeardMs: (gatewayId: string) => number | null;
+  /** Since when it has not answered, though asked; null while it answers. */
+  silentSinceMs: (gatewayId: string) => number | null;
+};
+
+/** Several exchanges, so that one that is lost makes nobody dead. */
+const LIVE_MS = 6_000;
+const TELL_MS = 3_000;
+
+type Entry = {
+  address: string;
+  heardMs: number | null;
+  knownMs: number;
+  silentSinceMs: number | null;
+};
+
+export function createPeerBook(selfId: string): PeerBook {
+  const entries = new Map<string, Entry>();
+  let lease: LeaseHolder | null = null;
+
+  function toAddress([gatewayId, { address }]: [string, Entry]): PeerAddress {
+    return { gatewayId, address };
+  }
+
+  return {
+    heardFrom: ({ gatewayId, address }, nowMs) => {
+      if (gatewayId === selfId || gatewayId === '') return;
+      entries.set(gatewayId, { address, heardMs: nowMs, knownMs: nowMs, silentSinceMs: null });
+    },
+    learned: (peers, nowMs) => {
+      peers.forEach(({ gatewayId, address }) => {
+        if (gatewayId === selfId) return;
+        const before = entries.get(gatewayId);
+        if (before === undefined) {
+          entries.set(gatewayId, { address, heardMs: null, knownMs: nowMs, silentSinceMs: null });
+          return;
+        }
+        before.knownMs = nowMs;
+      });
+    },
+    missed: (address, nowMs) => {
+      for (const entry of entries.values()) {
+        if (entry.address === address) entry.silentSinceMs ??= nowMs;
+      }
+    },
+    left: (gatewayId) => {
+      entries.delete(gatewayId);
+    },
+    noteLease: (news) => {
+      if (news.holderId === '' || (lease !== null && news.term <= lease.term)) return;
+      lease = news;
+    },
+    lease: () => lease,
+    addressOf: (gatewayId) => entries.get(gatewayId)?.address ?? null,
+    heard: (nowMs) =>
+      [...entries]
+        .filter(([, entry]) => nowMs - (entry.heardMs ?? -Infinity) < TELL_MS)
+        .map(toAddress),
+    live: (nowMs) =>
+      [...entries].filter(([, entry]) => nowMs - entry.knownMs < LIVE_MS).map(toAddress),
+    lastHeardMs: (gatewayId) => entries.get(gatewayId)?.heardMs ?? null,
+    silentSinceMs: (gatewayId) => entries.get(gatewayId)?.silentSinceMs ?? null,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -0,0 +1,270 @@
+/**
+ * Which copy to bring next, where, and which one gives way. Load: a few models take most requests and
+ * change within seconds; many others are asked for now and then; there are fewer places than models.
+ * Harm prevented: a hot model behind one copy, a model that nobody can reach, and churn that costs the
+ * weight store and every request that meets a copy on its way out.
+ */
+import type * as fleet from '../../types/fleet.js';
+import type * as demandMeters from './demand-meter.js';
+
+export type CopyView = {
+  model: string;
+  /** Requests in flight for it there. */
+  inFlightCount: number;
+  /** It is about to go. */
+  isClosing: boolean;
+  readyAtMs: number;
+};
+
+export type UpstreamView = {
+  upstreamId: string;
+  failureDomain: string;
+  copies: readonly CopyView[];
+  hostModels: ReadonlySet<string>;
+  diskModels: ReadonlySet<string>;
+  /** A change is under way: nothing new is planned there. */
+  isChanging: boolean;
+  /** The model that the change brings; counted as a copy. */
+  arriving: string | null;
+};
+
+export type LoadLevel = 'host' | 'disk' | 'store';
+
+export type CopyChange = {
+  upstreamId: string;
+  load: string;
+  unload: string | null;
+  level: LoadLevel;
+  loadMs: number;
+};
+
+export type PlanInput = {
+  engine: fleet.EngineSpec;
+  upstreams: readonly UpstreamView[];
+  demand: (model: string) => demandMeters.DemandFigures | null;
+  /** Loads from the weight store that may begin now. */
+  storeLoadsLeft: number;
+  nowMs: number;
+};
+
+/** What a request keeps its upstream busy for, most of it reading the prompt. */
+const REQUEST_S = 0.055;
+/** Up to this part of its time a copy answers nearly all within half a second; at the other, hardly any. */
+const EASY_SHARE = 0.2;
+const FULL_SHARE = 0.8;
+/** What a late answer loses of a timely one's worth. */
+const LATE_LOSS = 0.7;
+/** What a plan has to pay off in: about the time between two moves of demand. */
+const HORIZON_S = 15;
+/** A model that is asked for now may be asked for more: what the busiest has is a measure of how much. */
+const NEXT_TO_RISE_SHARE = 0.8;
+const NEXT_TO_RISE_WEIGHT = 0.3;
+const HOT_PER_SECOND = 1;
+/** A request that found no copy comes back once, and others of its session follow. */
+const MISSED_WEIGHT = 0.4;
+const MISSED_VALID_MS = 6_000;
+/**
+ * Any model may be the next that demand moves to, and then misses some requests a second until its copy
+ * is back. The weight of a last copy stands for that, in requests a second, for a copy that would have to
+ * come from the store; less in proportion where another upstream has it at hand.
+ */
+const LAST_COPY_WEIGHT = 0.35;
+/** Beside its load a comeback takes noticing, making room and bringing adapters. */
+const COMEBACK_MS = 1_500;
+/** Costs in requests: a load from the store takes bandwidth from others; any swap disturbs. */
+const STORE_COST = 0.6;
+const SWAP_COST = 0.2;
+/** A copy that was brought for a caller who comes back must still be there then. */
+const LEAST_STAY_MS = 4_000;
+/** A request that is cut short or waits for the unload costs more than one that finds another copy. */
+const DISTURBED_COST = 0.3;
+/** Requests for a model with adapters that need one which is not there. */
+const BLOCKED_SHARE = 0.1;
+const MS_PER_SECOND = 1_000;
+
+type Need = { expected: number; anticipated: number; missedWeight: number; lastWeight: number };
+
+function clamp(value: number, least: number, most: number): number {
+  return Math.min(most, Math.max(least, value));
+}
+
+function copyCounts(upstreams: readonly UpstreamView[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  const add = (model: string) => counts.set(model, (counts.get(model) ?? 0) + 1);
+  upstreams.forEach((upstream) => {
+    upstream.copies.filter((copy) => !copy.isClosing).forEach((copy) => add(copy.model));
+    if (upstream.arriving !== null) add(upstream.arriving);
+  });
+  return counts;
+}
+
+/**
+ * How quickly a model that has no copy could come back, against a load from the store. An upstream that
+ * loads from the store itself brings nothing else meanwhile.
+ */
+function comebackShare(
+  input: PlanInput,
+  spec: fleet.ModelSpec,
+  exceptId: string | null = null,
+): number {
+  const usable = input.upstreams.filter(
+    ({ upstreamId, isChanging }) => upstreamId !== exceptId && !isChanging,
+  );
+  const quickestMs = Math.min(
+    spec.storeLoadMs,
+    ...usable.map((upstream) => loadMsAt(spec, levelAt(upstream, spec.name))),
+  );
+  return Math.min(1, (quickestMs + COMEBACK_MS) / spec.storeLoadMs);
+}
+
+function needsOf(input: PlanInput): Map<string, Need> {
+  const figures = input.engine.models.map((spec) => ({ spec, figures: input.demand(spec.name) }));
+  const top = Math.max(0, ...figures.map((entry) => entry.figures?.recentPerSecond ?? 0));
+  return new Map(
+    figures.map(({ spec, figures: known }): [string, Need] => {
+      const lastWeight = LAST_COPY_WEIGHT * comebackShare(input, spec);
+      if (known === null) {
+        return [spec.name, { expected: 0, anticipated: 0, missedWeight: 0, lastWeight }];
+      }
+      const isHot = known.recentPerSecond >= HOT_PER_SECOND && !known.isFalling;
+      const isMissed =
+        known.lastMissedMs !== null && input.nowMs - known.lastMissedMs < MISSED_VALID_MS;
+      return [
+        spec.name,
+        {
+          expected: known.expectedPerSecond,
+          anticipated: isHot ? NEXT_TO_RISE_SHARE * top : 0,
+          missedWeight: isMissed ? MISSED_WEIGHT : 0,
+          lastWeight,
+        },
+      ];
+    }),
+  );
+}
+
+/** Requests a second that are served in time, late ones counted in part, by `count` copies. */
+function servedBy(perSecond: number, count: number): number {
+  if (count < 1) return 0;
+  const busyShare = (perSecond * REQUEST_S) / count;
+  const lateShare = clamp((busyShare - EASY_SHARE) / (FULL_SHARE - EASY_SHARE), 0, 1);
+  return perSecond * (1 - LATE_LOSS * lateShare);
+}
+
+/** What the copy number `count` of a model adds, in requests a second. */
+export function marginal(need: Need, count: number): number {
+  if (count < 1) return 0;
+  const served = servedBy(need.expected, count) - servedBy(need.expected, count - 1);
+  if (count === 1) return served + need.missedWeight + need.lastWeight;
+  const risen = Math.max(need.expected, need.anticipated);
+  const foreseen = servedBy(risen, count) - servedBy(risen, count - 1);
+  return served + NEXT_TO_RISE_WEIGHT * Math.max(0, foreseen - served);
+}
+
+export function levelAt(upstream: UpstreamView, model: string): LoadLevel {
+  if (upstream.hostModels.has(model)) return 'host';
+  return upstream.diskModels.has(model) ? 'disk' : 'store';
+}
+
+export function loadMsAt(spec: fleet.ModelSpec, level: LoadLevel): number {
+  switch (level) {
+    case 'host':
+      return spec.hostLoadMs;
+    case 'disk':
+      return spec.diskLoadMs;
+    case 'store':
+      return spec.storeLoadMs;
+  }
+}
+
+function reservedMb(engine: fleet.EngineSpec): number {
+  const largest = Math.max(0, ...engine.models.map(({ adapterSizeMb }) => adapterSizeMb));
+  return engine.adaptersMax * largest;
+}
+
+/** Whether `load` fits once `unload` is gone, with room for all adapters. */
+function fits(
+  engine: fleet.EngineSpec,
+  upstream: UpstreamView,
+  load: string,
+  unload: string | null,
+): boolean {
+  const sizeOf = (name: string) =>
+    engine.models.find((spec) => spec.name === name)?.sizeMb ?? engine.weightsMb;
+  const residentMb = upstream.copies
+    .filter(({ model }) => model !== unload)
+    .reduce((sumMb, { model }) => sumMb + sizeOf(model), 0);
+  return residentMb + sizeOf(load) + reservedMb(engine) <= engine.weightsMb;
+}
+
+type Scored = { change: CopyChange; benefit: number };
+
+/** The change with the largest benefit, or null when none pays off. */
+export function planNext(input: PlanInput): CopyChange | null {
+  const { engine, upstreams, nowMs } = input;
+  const needs = needsOf(input);
+  const counts = copyCounts(upstreams);
+  const needOf = (model: string): Need =>
+    needs.get(model) ?? { expected: 0, anticipated: 0, missedWeight: 0, lastWeight: 0 };
+  const hotShare = (upstream: UpstreamView): number =>
+    upstream.copies.reduce(
+      (sum, { model }) => sum + needOf(model).expected / Math.max(1, counts.get(model) ?? 1),
+      0,
+    );
+  let best: Scored | null = null;
+
+  const specs = new Map(engine.models.map((spec) => [spec.name, spec]));
+
+  function lossOf(upstream: UpstreamView, copy: CopyView, level: LoadLevel): number {
+    const need = needOf(copy.model);
+    const spec = specs.get(copy.model);
+    const exceptId = level === 'store' ? upstream.upstreamId : null;
+    const lastWeight =
+      spec === undefined ? 0 : LAST_COPY_WEIGHT * comebackShare(input, spec, exceptId);
+    const loss = marginal({ ...need, lastWeight }, counts.get(copy.model) ?? 1);
+    return loss * HORIZON_S + copy.inFlightCount * DISTURBED_COST;
+  }
+
+  /** While it loads, an upstream takes no adapters for its other models. */
+  function blockedLoss(upstream: UpstreamView, loadMs: number): number {
+    const perSecond = upstream.copies
+      .filter(({ model }) => (specs.get(model)?.adapterCount ?? 0) > 0)
+      .reduce((sum, { model }) => sum + needOf(model).expected / Math.max(1, counts.get(model) ?? 1), 0);
+    return (BLOCKED_SHARE * perSecond * loadMs) / MS_PER_SECOND;
+  }
+
+  function consider(upstream: UpstreamView, spec: fleet.ModelSpec, victim: CopyView | null): void {
+    const level = levelAt(upstream, spec.name);
+    if (level === 'store' && input.storeLoadsLeft < 1) return;
+    const unload = victim?.model ?? null;
+    if (!fits(engine, upstream, spec.name, unload)) return;
+    const loadMs = loadMsAt(spec, level);
+    const gain = marginal(needOf(spec.name), (counts.get(spec.name) ?? 0) + 1);
+    const activeS = Math.max(0, HORIZON_S - loadMs / MS_PER_SECOND);
+    const cost =
+      (victim === null ? 0 : lossOf(upstream, victim, level)) +
+      (level === 'store' ? STORE_COST : 0) +
+      blockedLoss(upstream, loadMs);
+    // Of two places alike, the one beside less work.
+    const beside = 0.01 * hotShare(upstream);
+    const benefit = gain * activeS - cost - SWAP_COST - beside;
+    if (benefit <= 0 || (best !== null && benefit <= best.benefit)) return;
+    best = {
+      benefit,
+      change: { upstreamId: upstream.upstreamId, load: spec.name, unload, level, loadMs },
+    };
+  }
+
+  const wanted = engine.models.filter(
+    ({ name }) => marginal(needOf(name), (counts.get(name) ?? 0) + 1) > 0,
+  );
+  for (const upstream of upstreams) {
+    if (upstream.isChanging) continue;
+    const movable = upstream.copies.filter((copy) => nowMs - copy.readyAtMs >= LEAST_STAY_MS);
+    for (const spec of wanted) {
+      if (upstream.copies.some(({ model }) => model === spec.name)) continue;
+      consider(upstream, spec, null);
+      movable.forEach((victim) => consider(upstream, spec, victim));
+    }
+  }
+  return (best as Scored | null)?.change ?? null;
+}
--- /dev/null
+++ b/packages/gateway/src/shared/placing/demand-counters.ts
@@ -0,0 +1,36 @@
+/** Requests of this gateway by service, model and adapter, counted since its start. */
+export type DemandCount = {
+  service: string;
+  model: string;
+  adapter: string | null;
+  requestCount: number;
+  missedCount: number;
+};
+
+export type DemandCounters = {
+  add: (
+    demand: Omit<DemandCount, 'requestCount' | 'missedCount'>,
+    isServed: boolean,
+    nowMs: number,
+  ) => void;
+  /** What was asked for lately; older counts have reached everyone. */
+  recent: (nowMs: number) => readonly DemandCount[];
+};
+
+/** Many exchanges: a count that did not change for so long has been told. */
+const RECENT_MS = 5_000;
+
+export function createDemandCounters(): DemandCounters {
+  const counts = new Map<string, DemandCount & { lastMs: number }>();
+  return {
+    add: (demand, isServed, nowMs) => {
+      const key = `${demand.service} ${demand.model}/${demand.adapter ?? ''}`;
+      const count = counts.get(key) ?? { ...demand, requestCount: 0, missedCount: 0, lastMs: 0 };
+      count.requestCount += 1;
+      if (!isServed) count.missedCount += 1;
+      count.lastMs = nowMs;
+      counts.set(key, count);
+    },
+    recent: (nowMs) => [...counts.values()].filter(({ lastMs }) => nowMs - lastMs < RECENT_MS),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/shared/placing/demand-meter.ts
@@ -0,0 +1,108 @@
+/**
+ * How often each model is asked for, and where that is heading. Load: demand that moves on to other
+ * models within a few seconds, beside many models that are asked for now and then. Harm prevented: a
+ * rising model whose second copy is ordered only when the first is saturated, seconds too late.
+ */
+
+export type DemandFigures = {
+  /** Requests a second, expected within the next seconds. */
+  expectedPerSecond: number;
+  /** Requests a second over the last seconds. */
+  recentPerSecond: number;
+  /** Asked for much less than a moment ago. */
+  isFalling: boolean;
+  lastAskedMs: number;
+  /** When a request last found no copy; null if none did. */
+  lastMissedMs: number | null;
+};
+
+export type DemandMeter = {
+  add: (key: string, requestCount: number, missedCount: number, nowMs: number) => void;
+  figures: (key: string, nowMs: number) => DemandFigures | null;
+  hasDemand: () => boolean;
+  keys: (nowMs: number) => readonly string[];
+};
+
+/** Short enough to see a ramp of five seconds in its first, long enough for some requests. */
+const FAST_MS = 1_500;
+const SLOW_MS = 4_000;
+/** A ramp is drawn out by about the time that a copy takes to come. */
+const TREND_FACTOR = 1.5;
+/** A rise counts from so many standard deviations of a random arrival on: one request is no ramp. */
+const TREND_DEVIATIONS = 1;
+const FALLING_SHARE = 0.5;
+/** After this a model's figures are all but zero. */
+const FORGET_MS = 60_000;
+const LEAST_AGE_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+type Counter = {
+  fast: number;
+  slow: number;
+  atMs: number;
+  lastAskedMs: number;
+  lastMissedMs: number | null;
+};
+
+function decay(counter: Counter, nowMs: number): void {
+  const sinceMs = Math.max(0, nowMs - counter.atMs);
+  counter.fast *= Math.exp(-sinceMs / FAST_MS);
+  counter.slow *= Math.exp(-sinceMs / SLOW_MS);
+  counter.atMs = nowMs;
+}
+
+export function createDemandMeter(): DemandMeter {
+  const counters = new Map<string, Counter>();
+  let startedMs: number | null = null;
+
+  /** The rate that an exponential window shows; a young meter has seen only a part of its window. */
+  function rate(weight: number, windowMs: number, nowMs: number): number {
+    const ageMs = Math.max(LEAST_AGE_MS, nowMs - (startedMs ?? nowMs));
+    return (weight * MS_PER_SECOND) / windowMs / (1 - Math.exp(-ageMs / windowMs));
+  }
+
+  return {
+    add: (key, requestCount, missedCount, nowMs) => {
+      if (requestCount <= 0) return;
+      startedMs ??= nowMs;
+      const counter = counters.get(key) ?? {
+        fast: 0,
+        slow: 0,
+        atMs: nowMs,
+        lastAskedMs: nowMs,
+        lastMissedMs: null,
+      };
+      counters.set(key, counter);
+      decay(counter, nowMs);
+      counter.fast += requestCount;
+      counter.slow += requestCount;
+      counter.lastAskedMs = nowMs;
+      if (missedCount > 0) counter.lastMissedMs = nowMs;
+    },
+    figures: (key, nowMs) => {
+      const counter = counters.get(key);
+      if (counter === undefined) return null;
+      decay(counter, nowMs);
+      const fast = rate(counter.fast, FAST_MS, nowMs);
+      const slow = rate(counter.slow, SLOW_MS, nowMs);
+      const deviation = Math.sqrt((fast * MS_PER_SECOND) / FAST_MS);
+      const change = fast - slow;
+      const trend =
+        Math.sign(change) * Math.max(0, Math.abs(change) - TREND_DEVIATIONS * deviation);
+      return {
+        expectedPerSecond: Math.max(0, slow + TREND_FACTOR * trend),
+        recentPerSecond: slow,
+        isFalling: fast < FALLING_SHARE * slow,
+        lastAskedMs: counter.lastAskedMs,
+        lastMissedMs: counter.lastMissedMs,
+      };
+    },
+    hasDemand: () => startedMs !== null,
+    keys: (nowMs) => {
+      for (const [key, { lastAskedMs }] of counters) {
+        if (nowMs - lastAskedMs > FORGET_MS) counters.delete(key);
+      }
+      return [...counters.keys()];
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/shared/placing/placement-view.ts
@@ -0,0 +1,117 @@
+/** Where copies are, as the holder of the lease last told; the platform's list where it did not. */
+import type * as fleet from '../../types/fleet.js';
+import type * as placementTypes from '../../types/placement.js';
+
+export type PlacedCopy = { model: string; adapters: readonly string[]; isClosing: boolean };
+
+export type PlacedUpstream = {
+  copies: readonly PlacedCopy[];
+  /** Until when it loads a model, and no adapter. */
+  blockedUntilMs: number;
+};
+
+export type Arrival = { service: string; model: string; readyAtMs: number };
+
+export type PlacementNews = {
+  term: number;
+  version: number;
+  upstreams: ReadonlyMap<string, PlacedUpstream>;
+  arrivals: readonly Arrival[];
+};
+
+export type PlacementView = {
+  apply: (news: PlacementNews) => void;
+  /** The holder was heard: what it told last still stands. */
+  confirm: (nowMs: number) => void;
+  copyAt: (
+    upstream: fleet.UpstreamRecord,
+    model: string,
+    adapter: string | null,
+    nowMs: number,
+  ) => placementTypes.CopyState;
+  noteAbsent: (upstreamId: string, model: string, adapter: string | null, nowMs: number) => void;
+  noteAdapter: (upstreamId: string, model: string, adapter: string) => void;
+  blockedForMs: (upstreamId: string, nowMs: number) => number;
+  arrival: (service: string, model: string) => Arrival | null;
+  version: () => { term: number; version: number };
+};
+
+/** Without news for this long the platform's list, two heartbeats old, is the better source. */
+const VALID_MS = 2_000;
+/** An upstream's own word outweighs both until the list has caught up with it. */
+const ABSENT_MS = 1_500;
+
+export function createPlacementView(): PlacementView {
+  let news: PlacementNews = { term: 0, version: 0, upstreams: new Map(), arrivals: [] };
+  let confirmedMs = -Infinity;
+  const absentUntilMs = new Map<string, number>();
+  const addedAdapters = new Set<string>();
+
+  const keyOf = (upstreamId: string, model: string, adapter: string | null) =>
+    `${upstreamId} ${model}/${adapter ?? ''}`;
+
+  function placedCopy(
+    upstream: fleet.UpstreamRecord,
+    model: string,
+    nowMs: number,
+  ): PlacedCopy | undefined {
+    const placed = news.upstreams.get(upstream.upstreamId);
+    if (placed !== undefined && nowMs - confirmedMs < VALID_MS) {
+      return placed.copies.find((copy) => copy.model === model);
+    }
+    const resident = upstream.models.find(({ name }) => name === model);
+    if (resident === undefined) return undefined;
+    return { model, adapters: resident.adapters, isClosing: false };
+  }
+
+  function isAbsent(upstreamId: string, model: string, adapter: string | null, nowMs: number) {
+    return (absentUntilMs.get(keyOf(upstreamId, model, adapter)) ?? 0) > nowMs;
+  }
+
+  function blockedUntilMs(upstreamId: string, nowMs: number): number {
+    if (nowMs - confirmedMs >= VALID_MS) return 0;
+    return news.upstreams.get(upstreamId)?.blockedUntilMs ?? 0;
+  }
+
+  return {
+    blockedForMs: (upstreamId, nowMs) => Math.max(0, blockedUntilMs(upstreamId, nowMs) - nowMs),
+    apply: (next) => {
+      const isNewer =
+        next.term > news.term || (next.term === news.term && next.version > news.version);
+      if (!isNewer) return;
+      news = next;
+      addedAdapters.clear();
+    },
+    confirm: (nowMs) => {
+      confirmedMs = nowMs;
+    },
+    copyAt: (upstream, model, adapter, nowMs) => {
+      const { upstreamId } = upstream;
+      const copy = placedCopy(upstream, model, nowMs);
+      if (copy === undefined || copy.isClosing) return 'none';
+      if (isAbsent(upstreamId, model, null, nowMs)) return 'none';
+      if (adapter === null) return 'ready';
+      if (isAbsent(upstreamId, model, adapter, nowMs)) return 'no-adapter';
+      const has =
+        copy.adapters.includes(adapter) || addedAdapters.has(keyOf(upstreamId, model, adapter));
+      if (has) return 'ready';
+      return blockedUntilMs(upstreamId, nowMs) > nowMs ? 'blocked' : 'no-adapter';
+    },
+    noteAbsent: (upstreamId, model, adapter, nowMs) => {
+      const key = keyOf(upstreamId, model, adapter);
+      addedAdapters.delete(key);
+      absentUntilMs.set(key, nowMs + ABSENT_MS);
+      for (const [known, untilMs] of absentUntilMs) {
+        if (untilMs <= nowMs) absentUntilMs.delete(known);
+      }
+    },
+    noteAdapter: (upstreamId, model, adapter) => {
+      const key = keyOf(upstreamId, model, adapter);
+      absentUntilMs.delete(key);
+      addedAdapters.add(key);
+    },
+    arrival: (service, model) =>
+      news.arrivals.find((entry) => entry.service === service && entry.model === model) ?? null,
+    version: () => ({ term: news.term, version: news.version }),
+  };
+}
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -4,6 +4,7 @@
  * gateways' requests is some hundred milliseconds old. Harm prevented: a request that waits behind long
  * prompts beside an idle upstream, and one that is held until its caller leaves.
  */
+import type * as placementTypes from '../types/placement.js';
 import type * as beliefs from './upstream-beliefs.js';
 
 export type Candidate = {
@@ -19,7 +20,9 @@
   /** Tokens of this request's prompt that are probably cached there. */
   cachedTokens: number;
   belief: beliefs.Belief;
-  copy: 'ready' | 'no-adapter' | 'none';
+  copy: placementTypes.CopyState;
+  /** For how long a `blocked` copy stays so. */
+  blockedForMs: number;
 };
 
 export type ChoiceRequest = {
@@ -32,10 +35,10 @@
 };
 
 export type Choice =
-  | { kind: 'send'; upstreamId: string; predictedMs: number }
-  /** Copies of the model are there, none with the adapter. */
-  | { kind: 'adapter-missing'; upstreamIds: readonly string[] }
+  | { kind: 'send'; upstreamId: string; predictedMs: number; needsAdapter: boolean }
   | { kind: 'model-missing' }
+  /** Copies are there, but the adapter can be loaded at none of them for now. */
+  | { kind: 'adapter-blocked'; forMs: number }
   | { kind: 'overloaded'; predictedMs: number }
   | { kind: 'no-upstream' };
 
@@ -51,6 +54,11 @@
 const FAR_MS = 3;
 /** Decorrelates gateways that see the same figures at the same time. */
 const NOISE_SHARE = 0.1;
+/**
+ * What it costs to have an adapter loaded first: its loading and asking for it, and the place that it
+ * takes from another. Below the queues that a second place for the adapter relieves.
+ */
+const ADAPTER_MS = 90;
 /** What a failed attempt costs a caller: at best it comes back once. */
 const FAILURE_MS = 400;
 
@@ -85,6 +93,7 @@
     (request.kind === 'plain' ? occupancy * (belief.firstPieceMs ?? PLAIN_CALL_MS) : 0) +
     belief.excessMs +
     belief.failureShare * FAILURE_MS +
+    (candidate.copy === 'no-adapter' ? ADAPTER_MS : 0) +
     (isNear ? 0 : FAR_MS)
   );
 }
@@ -113,14 +122,12 @@
   if (candidates.length === 0) return { kind: 'no-upstream' };
   const withModel = candidates.filter(({ copy }) => copy !== 'none');
   if (withModel.length === 0) return { kind: 'model-missing' };
-  const ready = withModel.filter(({ copy }) => copy === 'ready');
-  if (ready.length === 0) {
-    return {
-      kind: 'adapter-missing',
-      upstreamIds: withModel.map(({ upstreamId }) => upstreamId),
-    };
+  const open = withModel.filter(({ copy }) => copy !== 'blocked');
+  if (open.length === 0) {
+    const forMs = Math.min(...withModel.map(({ blockedForMs }) => blockedForMs));
+    return { kind: 'adapter-blocked', forMs };
   }
-  const allowed = ready.filter(({ upstreamId }) => !request.excludedIds.has(upstreamId));
+  const allowed = open.filter(({ upstreamId }) => !request.excludedIds.has(upstreamId));
   if (allowed.length === 0) return { kind: 'no-upstream' };
   const ranked = preferUsable(allowed, nowMs)
     .map((candidate) => ({ candidate, cost: costMs(request, candidate, random()) }))
@@ -128,5 +135,6 @@
   const best = ranked[0]?.candidate as Candidate;
   const predictedMs = predictMs(request, best);
   if (predictedMs > request.patienceMs) return { kind: 'overloaded', predictedMs };
-  return { kind: 'send', upstreamId: best.upstreamId, predictedMs };
+  const needsAdapter = best.copy === 'no-adapter';
+  return { kind: 'send', upstreamId: best.upstreamId, predictedMs, needsAdapter };
 }
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -36,10 +36,13 @@
   /** Names that were deleted, so that an older listing does not bring them back. */
   const deletedRevisions = new Map<string, number>();
   let revision = 0;
+  /** The newest whole listing; what it lacks, and is older, has gone. */
+  let listedRevision = 0;
   let graceUntilMs = 0;
 
   function write(record: UpstreamStored): void {
     const before = known.get(record.name);
+    if (before === undefined && record.revision <= listedRevision) return;
     if (before !== undefined && before.stored.revision > record.revision) return;
     if ((deletedRevisions.get(record.name) ?? -1) >= record.revision) return;
     known.set(record.name, { stored: record, goneAtMs: null });
@@ -66,6 +69,7 @@
       revision = listing.revision;
       const names = new Set(listing.records.map((record) => record.name));
       listing.records.forEach(write);
+      listedRevision = listing.revision;
       for (const name of [...known.keys()]) if (!names.has(name)) remove(name, nowMs);
       sweep(nowMs);
     },
@@ -77,6 +81,7 @@
           return;
         case 'deleted':
           revision = Math.max(revision, change.revision);
+          if ((known.get(change.name)?.stored.revision ?? 0) > change.revision) return;
           deletedRevisions.set(change.name, change.revision);
           remove(change.name, nowMs);
       }
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -25,6 +25,8 @@
   | 'no-configuration'
   | 'no-upstream'
   | 'model-not-ready'
+  /** The model is there, its adapter is not, and cannot be loaded for now. */
+  | 'adapter-not-ready'
   | 'overloaded'
   | 'retries-spent'
   | 'quarantined'
--- a/packages/gateway/src/types/fleet.ts
+++ b/packages/gateway/src/types/fleet.ts
@@ -80,6 +80,9 @@
   slots: number;
   state: 'ready' | 'draining';
   models: readonly ResidentModel[];
+  /** Models of which it keeps copies in host memory and on disk. */
+  hostModels: readonly string[];
+  diskModels: readonly string[];
 };
 
 /** What an upstream answers when it is asked for its state. */
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -1,13 +1,16 @@
 /** What request handling asks of the placing of models. */
 import type * as fleet from './fleet.js';
 
-export type CopyState = 'ready' | 'no-adapter' | 'none';
+/**
+ * `no-adapter`: the model is there, the adapter can be loaded in some tens of milliseconds. `blocked`: it
+ * cannot, since the upstream loads a model.
+ */
+export type CopyState = 'ready' | 'no-adapter' | 'blocked' | 'none';
 
 export type Demand = {
   service: string;
   model: string;
   adapter: string | null;
-  promptTokens: number;
   /** Whether an upstream with a copy could take it. */
   isServed: boolean;
 };
@@ -20,11 +23,13 @@
   noteDemand: (demand: Demand) => void;
   /** When the model is expected to be ready somewhere; null when nobody knows. */
   readyInMs: (service: string, model: string) => number | null;
-  /** Has the adapter loaded; resolves to whether an upstream has it. */
+  /** Has the adapter loaded at an upstream that has its model; resolves to whether it is there. */
   ensureAdapter: (
-    service: string,
+    upstreamId: string,
     model: string,
     adapter: string,
     deadlineMs: number,
   ) => Promise<boolean>;
+  /** For how long the upstream can load no adapter. */
+  blockedForMs: (upstreamId: string) => number;
 };
--- /dev/null
+++ b/packages/protocol/src/channels.ts
@@ -0,0 +1,133 @@
+/** gRPC channels to many peers: opened when needed, given up when broken, closed when idle. */
+import * as grpc from '@grpc/grpc-js';
+import { results } from '@copperlever/runtime';
+import type { clocks } from '@copperlever/runtime';
+
+export type PeerError =
+  /** No answer by the deadline. */
+  | { kind: 'deadline'; address: string }
+  | { kind: 'unreachable'; address: string; reason: string };
+
+export type UnaryCall<Client, Request, Reply> = (
+  client: Client,
+  request: Request,
+  metadata: grpc.Metadata,
+  options: Partial<grpc.CallOptions>,
+  done: (error: grpc.ServiceError | null, reply: Reply) => void,
+) => grpc.ClientUnaryCall;
+
+export type ChannelsOptions<Client> = {
+  clock: clocks.Clock;
+  connect: (
+    address: string,
+    credentials: grpc.ChannelCredentials,
+    options: grpc.ClientOptions,
+  ) => Client;
+  /** A channel without a call for this long is closed. */
+  idleMs: number;
+};
+
+export type Channels<Client> = {
+  /** The deadline is kept on the injected clock; on the wire goes what is left of it. */
+  call: <Request, Reply>(
+    address: string,
+    request: Request,
+    deadlineMs: number,
+    method: UnaryCall<Client, Request, Reply>,
+  ) => Promise<results.Result<Reply, PeerError>>;
+  openCount: () => number;
+  close: () => void;
+};
+
+type Channel<Client> = { client: Client; activeCount: number; cancelIdle: () => void };
+
+const MESSAGE_MAX_BYTES = 32 * 1024 * 1024;
+
+/**
+ * No keep-alive: pings on idle channels to hundreds of members break the budget of 2 KB a second
+ * on their own. A connection that went silent shows by the deadline of the next call, which closes
+ * its channel; the next call opens a new one, since channels share no connections.
+ */
+const CHANNEL_OPTIONS: grpc.ClientOptions = {
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_http_proxy': 0,
+  'grpc.enable_retries': 0,
+  'grpc.enable_channelz': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.max_receive_message_length': MESSAGE_MAX_BYTES,
+};
+
+export function createChannels<Client extends { close: () => void }>(
+  options: ChannelsOptions<Client>,
+): Channels<Client> {
+  const { clock } = options;
+  const channels = new Map<string, Channel<Client>>();
+  const noMetadata = new grpc.Metadata();
+
+  function open(address: string): Channel<Client> {
+    const known = channels.get(address);
+    if (known !== undefined) return known;
+    const client = options.connect(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
+    const channel = { client, activeCount: 0, cancelIdle: () => {} };
+    channels.set(address, channel);
+    return channel;
+  }
+
+  function drop(address: string, channel: Channel<Client>): void {
+    if (channels.get(address) === channel) channels.delete(address);
+    channel.cancelIdle();
+    channel.client.close();
+  }
+
+  function release(address: string, channel: Channel<Client>, isBroken: boolean): void {
+    channel.activeCount -= 1;
+    // No new call may take a channel that failed; calls that are still on it end by themselves.
+    if (isBroken && channels.get(address) === channel) channels.delete(address);
+    if (channel.activeCount > 0) return;
+    if (isBroken) {
+      drop(address, channel);
+      return;
+    }
+    channel.cancelIdle = clock.schedule(clock.nowMs() + options.idleMs, () =>
+      drop(address, channel),
+    );
+  }
+
+  function describe(address: string, error: grpc.ServiceError): PeerError {
+    if (error.code === grpc.status.DEADLINE_EXCEEDED) return { kind: 'deadline', address };
+    return { kind: 'unreachable', address, reason: error.details };
+  }
+
+  return {
+    call: (address, request, deadlineMs, method) => {
+      const channel = open(address);
+      channel.cancelIdle();
+      channel.activeCount += 1;
+      const deadline = Date.now() + Math.max(1, deadlineMs - clock.nowMs());
+      return new Promise((resolve) => {
+        method(channel.client, request, noMetadata, { deadline }, (error, reply) => {
+          release(address, channel, error !== null);
+          resolve(error === null ? results.Ok(reply) : results.Err(describe(address, error)));
+        });
+      });
+    },
+    openCount: () => channels.size,
+    close: () => {
+      for (const [address, channel] of channels) drop(address, channel);
+    },
+  };
+}
+
+/** A handler of one unary method, from a function that may fail. */
+export function toUnary<Request, Reply>(
+  handle: (request: Request) => Reply | Promise<Reply>,
+): grpc.handleUnaryCall<Request, Reply> {
+  return (serverCall, respond) => {
+    Promise.resolve()
+      .then(() => handle(serverCall.request))
+      .then(
+        (reply) => respond(null, reply),
+        (cause: unknown) => respond({ code: grpc.status.INTERNAL, details: String(cause) }),
+      );
+  };
+}
