Leave busy upstreams alone, end fresh connections at a stop, survive SIGHUP

Cause: (1) LIMIT: after a takeover the new holder saw an upstream's free place while a load of the old holder's was still on its way; the count of orders does not move when a load ends, so the next load was taken and crashed the upstream. (2) LOST: Node counts a connection without any request yet as active, so at a stop it stayed open and its request was cut at the exit. (3) SIGHUP ended the process. Excluded: late orders (the upstreams' counts were as expected), the list (no adoption in those seconds). Change: a report that says busy with a foreign order blocks planning there until it ends; stops track connections by their requests; SIGHUP is logged.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -109,6 +109,7 @@
     isStopping: () => isStopping,
     onEnded: () => {},
   });
+  const connections = stops.trackConnections(callers.server);
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
 
   function isReady(): boolean {
@@ -185,6 +186,11 @@
     { clock, log, onGiveUp: () => process.exit(1) },
   );
 
+  daemon.onReload(() => {
+    // Addresses and limits of the running process stand until its next start.
+    log.info('settings-changed', { inForceFrom: 'next start' });
+  });
+
   daemon.onPlannedStop(async () => {
     isStopping = true;
     log.info('stopping', { inFlightCount: cradle.inFlight.totalCount() });
@@ -193,6 +199,7 @@
     await stops.drain({
       clock,
       server: callers.server,
+      connections,
       inFlightCount: cradle.inFlight.totalCount,
       stopTimeoutMs: settings.stopTimeoutS * 1_000,
     });
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -1,11 +1,13 @@
 /** A planned stop: goes on serving until the balancer has turned away, then ends what is idle. */
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 
 import { clocks } from '@copperlever/runtime';
 
 export type DrainOptions = {
   clock: clocks.Clock;
   server: http.Server;
+  connections: OpenConnections;
   inFlightCount: () => number;
   stopTimeoutMs: number;
 };
@@ -18,16 +20,48 @@
 /** Requests that crossed the close of their connection are still answered. */
 const LINGER_MS = 300;
 
+export type OpenConnections = {
+  /** Ends connections without a request: those kept, and those that never sent one. */
+  closeQuiet: () => void;
+};
+
+/**
+ * Node's own list of idle connections leaves out those on which no request has come yet: a request that
+ * arrives on one at the last moment would be taken and given up.
+ */
+export function trackConnections(server: http.Server): OpenConnections {
+  const requestCounts = new Map<net.Socket, number>();
+  server.on('connection', (socket: net.Socket) => {
+    requestCounts.set(socket, 0);
+    socket.once('close', () => requestCounts.delete(socket));
+  });
+  server.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
+    const { socket } = request;
+    const add = (count: number) => {
+      const before = requestCounts.get(socket);
+      if (before !== undefined) requestCounts.set(socket, before + count);
+    };
+    add(1);
+    response.once('close', () => add(-1));
+  });
+  return {
+    closeQuiet: () => {
+      for (const [socket, count] of requestCounts) if (count <= 0) socket.end();
+    },
+  };
+}
+
 export async function drain(options: DrainOptions): Promise<void> {
-  const { clock, server } = options;
+  const { clock, server, connections } = options;
   const endMs = clock.nowMs() + options.stopTimeoutMs - EXIT_MARGIN_MS;
   await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + TURN_AWAY_MS));
   server.close();
-  server.closeIdleConnections();
+  connections.closeQuiet();
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
   while (options.inFlightCount() > 0 && clock.nowMs() < endMs) {
+    connections.closeQuiet();
     await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
   }
-  server.closeIdleConnections();
+  connections.closeQuiet();
   await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
 }
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -53,6 +53,8 @@
 /** Reports are some hundred milliseconds old; asked more often they say the same again. */
 const REPORT_PAUSE_MS = 150;
 const REPORT_LAG_MS = 1_000;
+/** Another holder's load takes seconds. */
+const FOREIGN_PAUSE_MS = 400;
 /** Beyond its usual time a load may be slowed by others; after this it is taken for failed. */
 const LOAD_PATIENCE_FACTOR = 4;
 /** An adapter loads within 30 ms while the store is not crowded. */
@@ -84,6 +86,7 @@
   let lastOrderMs = -Infinity;
   let arriving: { model: string; readyAtMs: number } | null = null;
   let isChanging = false;
+  let isForeignBusy = false;
   let lastListed = record;
   /** Ordered to go; the upstream lists it until its runs have ended. */
   let unloading: string | null = null;
@@ -147,9 +150,28 @@
       });
     }
     takeResident(report.val.models);
+    noteBusy(report.val.isBusy);
     return report.val;
   }
 
+  /**
+   * Failure: an upstream carries out a load that an earlier holder ordered. Symptom: its report lacks the
+   * model until it is there, its memory looks free, and the next load crashes it. So nothing is planned
+   * for an upstream that is busy with what this holder did not order, until it says that it has done.
+   */
+  function noteBusy(isBusy: boolean): void {
+    const isForeign = isBusy && !isChanging;
+    if (isForeign && !isForeignBusy) void awaitForeign();
+    isForeignBusy = isForeign;
+  }
+
+  async function awaitForeign(): Promise<void> {
+    do {
+      if ((await sleep(FOREIGN_PAUSE_MS)) === 'aborted') return;
+      await inTurn(refresh);
+    } while (isForeignBusy);
+  }
+
   async function ensureKnown(): Promise<boolean> {
     if (orderCount !== null) return true;
     return (await refresh()) !== null;
@@ -205,18 +227,23 @@
     return result;
   }
 
-  /** Sends until the upstream takes it: behind an unload, that is when the unload is done. */
+  /**
+   * Sends until the upstream takes it: behind an unload, that is when the unload is done. Given up once
+   * the upstream has taken someone else's order, since the plan was made before that.
+   */
   async function sendUntilTaken(order: dialects.Order, untilMs: number): Promise<Sent> {
+    const plannedCount = orderCount;
     let waitMs = FIRST_RETRY_MS;
     for (;;) {
+      if (orderCount !== null && plannedCount !== null && orderCount !== plannedCount) {
+        return 'conflict';
+      }
       const sent = await inTurn(() => send(order));
       if (sent === 'accepted' || sent === 'not-allowed') return sent;
       if (clock.nowMs() >= untilMs || stopping.signal.aborted) return sent;
-      if (sent === 'unknown') await sleep(REPORT_PAUSE_MS);
-      else await sleep(waitMs);
+      await sleep(sent === 'unknown' ? REPORT_PAUSE_MS : waitMs);
       waitMs = Math.min(LONGEST_RETRY_MS, waitMs * 2);
-      // Someone's order was taken meanwhile, perhaps a late one of ours: ask before the next try.
-      if (sent === 'conflict' && waitMs >= LONGEST_RETRY_MS) await inTurn(refresh);
+      if (waitMs >= LONGEST_RETRY_MS) await inTurn(refresh);
     }
   }
 
@@ -252,13 +279,16 @@
     return false;
   }
 
-  /** Whether the plan was made for what the upstream holds. */
+  /** Whether the plan was made for what the upstream holds, and it is free to carry it out. */
   async function isStillRight(wanted: copyPlan.CopyChange): Promise<boolean> {
     const planned = [...copies.keys()].sort().join(' ');
     const untilMs = clock.nowMs() + CALL_TIMEOUT_MS;
-    while ((await inTurn(refresh)) === null) {
+    let report = await inTurn(refresh);
+    while (report === null) {
       if (clock.nowMs() >= untilMs || (await sleep(REPORT_PAUSE_MS)) === 'aborted') return false;
+      report = await inTurn(refresh);
     }
+    if (report.isBusy) return false;
     const held = [...copies.keys()].sort().join(' ');
     return planned === held && (wanted.unload === null || copies.has(wanted.unload));
   }
@@ -349,7 +379,7 @@
         failureDomain,
         hostModels,
         diskModels,
-        isChanging,
+        isChanging: isChanging || isForeignBusy,
         arriving: arriving?.model ?? null,
         copies: [...copies].map(([model, copy]) => ({
           model,
@@ -395,6 +425,7 @@
         })
         .then((isDone) => {
           isChanging = false;
+          void inTurn(refresh);
           lastOrderMs = clock.nowMs();
           unloading = null;
           arriving = null;
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -228,7 +228,10 @@
   function blockedLoss(upstream: UpstreamView, loadMs: number): number {
     const perSecond = upstream.copies
       .filter(({ model }) => (specs.get(model)?.adapterCount ?? 0) > 0)
-      .reduce((sum, { model }) => sum + needOf(model).expected / Math.max(1, counts.get(model) ?? 1), 0);
+      .reduce(
+        (sum, { model }) => sum + needOf(model).expected / Math.max(1, counts.get(model) ?? 1),
+        0,
+      );
     return (BLOCKED_SHARE * perSecond * loadMs) / MS_PER_SECOND;
   }
 
--- a/packages/protocol/src/channels.ts
+++ b/packages/protocol/src/channels.ts
@@ -5,8 +5,7 @@
 
 export type PeerError =
   /** No answer by the deadline. */
-  | { kind: 'deadline'; address: string }
-  | { kind: 'unreachable'; address: string; reason: string };
+  { kind: 'deadline'; address: string } | { kind: 'unreachable'; address: string; reason: string };
 
 export type UnaryCall<Client, Request, Reply> = (
   client: Client,
--- a/packages/runtime/src/daemon.ts
+++ b/packages/runtime/src/daemon.ts
@@ -60,3 +60,8 @@
   process.on('SIGTERM', begin);
   process.on('SIGINT', begin);
 }
+
+/** Runs `reload` when the settings file is said to have changed; without it the signal ends a process. */
+export function onReload(reload: () => void): void {
+  process.on('SIGHUP', reload);
+}
