Pass unframed answers on unframed, and end a connection with its last answer at a stop

Cause: (1) MIXED: an answer without a length that an upstream cut off was passed on with a length, as if whole; the client library also takes a reset, and the early end of a chunked answer, for the end. (2) LOST: answers begun before a stop do not announce the close, so the caller's next request came on the same connection just before the exit.

--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -6,7 +6,7 @@
 
 export type AnswerSink = {
   hasBegun: () => boolean;
-  begin: (status: number, headers: readonly dialects.HeaderPair[]) => void;
+  begin: (status: number, headers: readonly dialects.HeaderPair[], framing: calls.Framing) => void;
   /** False when the caller reads more slowly than the answer comes. */
   write: (chunk: Buffer) => boolean;
   onceDrained: (task: () => void) => void;
@@ -50,9 +50,17 @@
     raw.writeHead(status);
   }
 
+  function endWithConnection(): void {
+    raw.useChunkedEncodingByDefault = false;
+    raw.shouldKeepAlive = false;
+  }
+
   return {
     hasBegun: () => raw.headersSent,
-    begin: writeHead,
+    begin: (status, headers, framing) => {
+      if (framing === 'until-close') endWithConnection();
+      writeHead(status, headers);
+    },
     write: (chunk) => raw.destroyed || raw.write(chunk),
     onceDrained: (task) => {
       raw.once('drain', task);
@@ -62,8 +70,13 @@
     },
     sendWhole: (answer) => {
       if (isGone) return;
-      const length: dialects.HeaderPair = ['content-length', String(answer.body.length)];
-      writeHead(answer.status, [...answer.headers, length]);
+      if (answer.framing === 'until-close') {
+        endWithConnection();
+        writeHead(answer.status, answer.headers);
+      } else {
+        const length: dialects.HeaderPair = ['content-length', String(answer.body.length)];
+        writeHead(answer.status, [...answer.headers, length]);
+      }
       raw.end(answer.body);
     },
     refuse: (status, headers, cause) => {
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -111,6 +111,11 @@
   request: http.IncomingMessage,
   raw: http.ServerResponse,
 ): Promise<void> {
+  // A request that crossed the close of its connection cannot be answered: it must not run either.
+  if (request.socket.writableEnded || request.socket.destroyed) {
+    request.socket.destroy();
+    return;
+  }
   const arrivedAtMs = deps.clock.nowMs();
   const { requestId } = deps.dialect.readCall(request.headers);
   const sink = answers.createAnswerSink({ raw, requestId, isStopping: deps.isStopping });
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -12,8 +12,13 @@
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as answers from './answers.js';
+import type * as connectionsModule from './connections.js';
 
-export type AttemptDeps = { clock: clocks.Clock; dialect: dialects.Dialect };
+export type AttemptDeps = {
+  clock: clocks.Clock;
+  dialect: dialects.Dialect;
+  connections: Pick<connectionsModule.Connections, 'endingNow'>;
+};
 
 export type AttemptInput = {
   call: calls.Call;
@@ -48,6 +53,7 @@
     let isSettled = false;
     let isSent = false;
     let hasStatus = false;
+    let framing: calls.Framing = 'length';
     let status = 0;
     let headers: dialects.HeaderPair[] = [];
     let facts: dialects.AnswerFacts | null = null;
@@ -79,9 +85,12 @@
 
     function passOn(chunk: Buffer): void {
       const bytes = framer === null ? chunk : framer.push(chunk);
-      if (bytes.length === 0) return;
+      if (bytes.length > 0) write(bytes);
+    }
+
+    function write(bytes: Buffer): void {
       if (!sink.hasBegun()) {
-        sink.begin(status, headers);
+        sink.begin(status, headers, framing);
         input.onFirstPiece();
       }
       if (sink.write(bytes)) return;
@@ -111,16 +120,19 @@
 
     function endWhole(): void {
       if (isSettled) return;
-      if (framer !== null && isPassing && framer.restBytes() > 0) {
-        settle(lost('garbled'));
+      const ending = deps.connections.endingNow();
+      if (ending === 'reset' || (ending === 'closed' && framing === 'chunked')) {
+        settle(lost('connection'));
         return;
       }
       if (isPassing) {
+        const rest = framer?.rest();
+        if (rest !== undefined && rest.length > 0) write(rest);
         sink.end();
         settle({ kind: 'answered', status });
         return;
       }
-      const answer = { status, headers, body: Buffer.concat(held) };
+      const answer = { status, framing, headers, body: Buffer.concat(held) };
       const isFailure = status >= 500;
       if (isFailure && (input.holdsFailure || facts?.isSigned !== true)) {
         settle({ kind: 'held-failure', answer });
@@ -144,6 +156,7 @@
         if (statusCode < 200 || isSettled) return;
         hasStatus = true;
         status = statusCode;
+        framing = framingOf(status, responseHeaders);
         facts = dialect.readAnswer(status, responseHeaders);
         headers = connectionHeaders.forwarded(toPairs(responseHeaders));
         const verdict = judgeHead(facts);
@@ -226,3 +239,9 @@
     return Array.isArray(value) ? value.map((item) => [name, item] as const) : [[name, value]];
   });
 }
+
+function framingOf(status: number, headers: http.IncomingHttpHeaders): calls.Framing {
+  if (headers['transfer-encoding'] !== undefined) return 'chunked';
+  const hasNoBody = status === 204 || status === 304;
+  return headers['content-length'] !== undefined || hasNoBody ? 'length' : 'until-close';
+}
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -31,6 +31,7 @@
  */
 export function trackConnections(server: http.Server): OpenConnections {
   const requestCounts = new Map<net.Socket, number>();
+  let isClosing = false;
   server.on('connection', (socket: net.Socket) => {
     requestCounts.set(socket, 0);
     socket.once('close', () => requestCounts.delete(socket));
@@ -42,10 +43,16 @@
       if (before !== undefined) requestCounts.set(socket, before + count);
     };
     add(1);
+    // An answer that began before the stop does not say that its connection closes: the caller would
+    // send its next request at once.
+    response.once('finish', () => {
+      if (isClosing) socket.end();
+    });
     response.once('close', () => add(-1));
   });
   return {
     closeQuiet: () => {
+      isClosing = true;
       for (const [socket, count] of requestCounts) if (count <= 0) socket.end();
     },
   };
@@ -63,5 +70,6 @@
     await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
   }
   connections.closeQuiet();
-  await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
+  // What was written last is still on its way to its callers.
+  await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
 }
--- a/packages/gateway/src/shared/event-framer.ts
+++ b/packages/gateway/src/shared/event-framer.ts
@@ -7,8 +7,8 @@
   push: (chunk: Buffer) => Buffer;
   /** The id of the last whole event, or null before the first. */
   lastEventId: () => string | null;
-  /** Bytes of an event that is not whole yet. */
-  restBytes: () => number;
+  /** What has come of an event that is not whole yet; taken out. */
+  rest: () => Buffer;
 };
 
 const BLANK_LINE = '\n\n';
@@ -36,6 +36,10 @@
       return whole;
     },
     lastEventId: () => lastEventId,
-    restBytes: () => rest.length,
+    rest: () => {
+      const taken = rest;
+      rest = Buffer.alloc(0);
+      return taken;
+    },
   };
 }
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -58,8 +58,15 @@
 
 export type LossReason = 'connection' | 'silent' | 'garbled';
 
+/**
+ * How the end of an answer is told. An answer that ends with its upstream's connection may have been cut
+ * off there; it is passed on in the same way, so that nobody is told that it is whole.
+ */
+export type Framing = 'length' | 'chunked' | 'until-close';
+
 export type HeldAnswer = {
   status: number;
+  framing: Framing;
   headers: readonly dialects.HeaderPair[];
   body: Buffer;
 };
