--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -14,16 +14,12 @@
 import type * as answers from './answers.js';
 import type * as connectionsModule from './connections.js';
 
-export type AttemptDeps = {
-  clock: clocks.Clock;
-  dialect: dialects.Dialect;
-  connections: Pick<connectionsModule.Connections, 'endingNow'>;
-};
+export type AttemptDeps = { clock: clocks.Clock; dialect: dialects.Dialect };
 
 export type AttemptInput = {
   call: calls.Call;
   upstreamId: string;
-  pool: undici.Dispatcher;
+  connection: connectionsModule.LentConnection;
   sink: answers.AnswerSink;
   priority: number;
   resumeAfterId: string | null;
@@ -120,7 +116,7 @@
 
     function endWhole(): void {
       if (isSettled) return;
-      const ending = deps.connections.endingNow();
+      const ending = input.connection.end();
       if (ending === 'reset' || (ending === 'closed' && framing === 'chunked')) {
         settle(lost('connection'));
         return;
@@ -216,7 +212,7 @@
       ? call.headers.filter(([name]) => name.toLowerCase() !== 'last-event-id')
       : call.headers;
     try {
-      input.pool.dispatch(
+      input.connection.dispatch(
         {
           method: call.method,
           path: call.path,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -186,19 +186,21 @@
     const record = directory.find(upstreamId);
     const service = deps.serviceOf(call.service);
     if (record === undefined || service === null) return { kind: 'not-sent', reason: 'gone' };
+    const connectionsMax = (service.connectionsMax / deps.gatewayCount()) * CONNECTION_SHARE;
+    const connection = deps.connections.lend(record, connectionsMax);
+    if (connection === null) return { kind: 'not-sent', reason: 'connections in use' };
     const startedAtMs = clock.nowMs();
     const scope = scopeOf(call);
     const cachedTokens = deps.caches.cachedTokens(upstreamId, scope, call.facts.promptParts);
     const unreadTokens = Math.max(0, call.facts.promptTokens - cachedTokens);
     const started = inFlight.started(upstreamId, call.facts.model ?? '', unreadTokens);
     deps.caches.sent(upstreamId, scope, call.facts.promptParts);
-    const connectionsMax = (service.connectionsMax / deps.gatewayCount()) * CONNECTION_SHARE;
     let firstPieceMs: number | null = null;
     const result = await attempts.runAttempt(deps, {
       call,
       upstreamId,
       sink,
-      pool: deps.connections.poolFor(record, connectionsMax),
+      connection,
       priority: urgency.enginePriority(call.route),
       resumeAfterId: run.resumeAfterId,
       holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
@@ -211,6 +213,7 @@
       onAnswer: () => {},
     });
     started.ended();
+    connection.giveBack(result.kind !== 'not-sent');
     if (firstPieceMs !== null && result.kind === 'answered' && result.status < 500) {
       const good = { kind: 'good', firstPieceMs, predictedMs: choice.predictedMs } as const;
       beliefs.ended(upstreamId, good, clock.nowMs());
