Count a planned unload at once, and let misses add up

Change: the plan counts a copy as going from the moment its change starts; misses add up over 15 s; loads avoid upstreams whose other models need adapters.

--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -86,6 +86,8 @@
   let lastOrderMs = -Infinity;
   let arriving: { model: string; readyAtMs: number } | null = null;
   let isChanging = false;
+  /** What the change under way unloads. */
+  let leaving: string | null = null;
   let isForeignBusy = false;
   let lastListed = record;
   /** Ordered to go; the upstream lists it until its runs have ended. */
@@ -383,7 +385,8 @@
         arriving: arriving?.model ?? null,
         copies: [...copies].map(([model, copy]) => ({
           model,
-          isClosing: copy.isClosing,
+          // Also while its unload is only planned: the next plan must not take another copy of it as well.
+          isClosing: copy.isClosing || model === leaving,
           readyAtMs: copy.readyAtMs,
           inFlightCount: inFlightOf(model),
         })),
@@ -408,6 +411,7 @@
     arrival: () => arriving,
     startChange: (wanted) => {
       isChanging = true;
+      leaving = wanted.unload;
       const readyAtMs = clock.nowMs() + wanted.loadMs + CLOSE_NOTICE_MS;
       arriving = { model: wanted.load, readyAtMs };
       deps.onChanged();
@@ -428,6 +432,7 @@
           void inTurn(refresh);
           lastOrderMs = clock.nowMs();
           unloading = null;
+          leaving = null;
           arriving = null;
           const tookMs = Math.round(clock.nowMs() - startedMs);
           log.info('change-ended', { upstreamId, load: wanted.load, isDone, tookMs });
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -60,9 +60,12 @@
 const NEXT_TO_RISE_SHARE = 0.8;
 const NEXT_TO_RISE_WEIGHT = 0.3;
 const HOT_PER_SECOND = 1;
-/** A request that found no copy comes back once, and others of its session follow. */
+/**
+ * A request that found no copy comes back once, and others of its session follow. Misses add up, so that
+ * a model which is asked for seldom gets its turn before it has starved.
+ */
 const MISSED_WEIGHT = 0.4;
-const MISSED_VALID_MS = 6_000;
+const MISSED_WEIGHT_MAX = 3;
 /**
  * Any model may be the next that demand moves to, and then misses some requests a second until its copy
  * is back. The weight of a last copy stands for that, in requests a second, for a copy that would have to
@@ -79,7 +82,7 @@
 /** A request that is cut short or waits for the unload costs more than one that finds another copy. */
 const DISTURBED_COST = 0.3;
 /** Requests for a model with adapters that need one which is not there. */
-const BLOCKED_SHARE = 0.1;
+const BLOCKED_SHARE = 0.25;
 const MS_PER_SECOND = 1_000;
 
 type Need = { expected: number; anticipated: number; missedWeight: number; lastWeight: number };
@@ -127,14 +130,12 @@
         return [spec.name, { expected: 0, anticipated: 0, missedWeight: 0, lastWeight }];
       }
       const isHot = known.recentPerSecond >= HOT_PER_SECOND && !known.isFalling;
-      const isMissed =
-        known.lastMissedMs !== null && input.nowMs - known.lastMissedMs < MISSED_VALID_MS;
       return [
         spec.name,
         {
           expected: known.expectedPerSecond,
           anticipated: isHot ? NEXT_TO_RISE_SHARE * top : 0,
-          missedWeight: isMissed ? MISSED_WEIGHT : 0,
+          missedWeight: Math.min(MISSED_WEIGHT_MAX, MISSED_WEIGHT * known.missedCount),
           lastWeight,
         },
       ];
--- a/packages/gateway/src/shared/placing/demand-meter.ts
+++ b/packages/gateway/src/shared/placing/demand-meter.ts
@@ -12,8 +12,8 @@
   /** Asked for much less than a moment ago. */
   isFalling: boolean;
   lastAskedMs: number;
-  /** When a request last found no copy; null if none did. */
-  lastMissedMs: number | null;
+  /** Requests of the last while that found no copy; older ones count less. */
+  missedCount: number;
 };
 
 export type DemandMeter = {
@@ -30,6 +30,8 @@
 const TREND_FACTOR = 1.5;
 /** A rise counts from so many standard deviations of a random arrival on: one request is no ramp. */
 const TREND_DEVIATIONS = 1;
+/** Misses of a model that is asked for every few seconds add up until it gets its turn. */
+const MISSED_MS = 15_000;
 const FALLING_SHARE = 0.5;
 /** After this a model's figures are all but zero. */
 const FORGET_MS = 60_000;
@@ -41,13 +43,14 @@
   slow: number;
   atMs: number;
   lastAskedMs: number;
-  lastMissedMs: number | null;
+  missed: number;
 };
 
 function decay(counter: Counter, nowMs: number): void {
   const sinceMs = Math.max(0, nowMs - counter.atMs);
   counter.fast *= Math.exp(-sinceMs / FAST_MS);
   counter.slow *= Math.exp(-sinceMs / SLOW_MS);
+  counter.missed *= Math.exp(-sinceMs / MISSED_MS);
   counter.atMs = nowMs;
 }
 
@@ -70,14 +73,14 @@
         slow: 0,
         atMs: nowMs,
         lastAskedMs: nowMs,
-        lastMissedMs: null,
+        missed: 0,
       };
       counters.set(key, counter);
       decay(counter, nowMs);
       counter.fast += requestCount;
       counter.slow += requestCount;
       counter.lastAskedMs = nowMs;
-      if (missedCount > 0) counter.lastMissedMs = nowMs;
+      counter.missed += missedCount;
     },
     figures: (key, nowMs) => {
       const counter = counters.get(key);
@@ -94,7 +97,7 @@
         recentPerSecond: slow,
         isFalling: fast < FALLING_SHARE * slow,
         lastAskedMs: counter.lastAskedMs,
-        lastMissedMs: counter.lastMissedMs,
+        missedCount: counter.missed,
       };
     },
     hasDemand: () => startedMs !== null,
