--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -15,6 +15,10 @@
 const LAPSE_ABSENCE_MS = 1_000;
 /** Upstreams write often; each call is paid for, and one that leaves may get work for longer than this. */
 const UPSTREAM_PAUSE_MS = 600;
+/** A change must be in force within two seconds also when the connection that it comes on falls silent. */
+const HOLDER_WAIT_MS = 2_000;
+const FOLLOWER_WAIT_MS = 15_000;
+const HOLDER_HEARD_MS = 1_000;
 /** The record of the configuration within its kind. */
 const CONFIG_RECORD = 'main';
 
@@ -54,7 +58,21 @@
   );
   const { clock, log, directory, configuration } = cradle;
 
-  const common = { store: cradle.store, clock, random: cradle.random, log };
+  /** One gateway has to notice a silent connection in time; the others learn from it. */
+  function watchWaitMs(): number {
+    const lease = cradle.book.lease();
+    const heardMs = lease === null ? null : cradle.book.lastHeardMs(lease.holderId);
+    const hearsHolder = heardMs !== null && clock.nowMs() - heardMs < HOLDER_HEARD_MS;
+    return hearsHolder ? FOLLOWER_WAIT_MS : HOLDER_WAIT_MS;
+  }
+
+  const common = {
+    store: cradle.store,
+    clock,
+    random: cradle.random,
+    log,
+    waitMs: watchWaitMs,
+  };
 
   function afterDirectoryChange(): void {
     const ids = new Set(directory.all().map((record) => record.upstreamId));
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -14,6 +14,8 @@
   onChange: (change: stores.Change<stores.KindValues[K]>) => void;
   /** The store answers again after it did not for `awayMs`. */
   onRegained: (awayMs: number) => void;
+  /** How long a watch waits: each call is paid for, and one that fell silent is noticed only at its end. */
+  waitMs: () => number;
   /** After changes the next watch waits this long, so that one call brings several. */
   pauseMs: number;
 };
@@ -27,10 +29,8 @@
 };
 
 const LIST_TIMEOUT_MS = 2_000;
-/** Each call is paid for; one that waits returns with the first change anyway. */
-const WATCH_WAIT_MS = 15_000;
 /** What the answer itself may take; a connection that went silent is given up after it. */
-const WATCH_GRACE_MS = 1_000;
+const WATCH_GRACE_MS = 400;
 const FIRST_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1_000;
 
@@ -73,11 +73,12 @@
   }
 
   async function watch(afterRevision: number): Promise<Step> {
-    const deadlineMs = clock.nowMs() + WATCH_WAIT_MS + WATCH_GRACE_MS;
+    const waitMs = options.waitMs();
+    const deadlineMs = clock.nowMs() + waitMs + WATCH_GRACE_MS;
     const renewed = new Promise<'renewed'>((resolve) => {
       renewWaiting = () => resolve('renewed');
     });
-    const watched = store.watch(kind, afterRevision, WATCH_WAIT_MS, deadlineMs);
+    const watched = store.watch(kind, afterRevision, waitMs, deadlineMs);
     const first = await Promise.race([watched, renewed]);
     if (first === 'renewed') return 'list-again';
     return takeChanges(first);
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -1,4 +1,3 @@
-import * as http from 'node:http';
 import type * as net from 'node:net';
 
 import { clocks } from '@copperlever/runtime';
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -59,6 +59,8 @@
 const CALL_TIMEOUT_MS = 600;
 /** Misses come in groups; the first one's message tells of those that follow within this time. */
 const HURRY_MS = 40;
+/** A watch pauses after changes; what is missing after that was lost on its way. */
+const BEHIND_MS = 900;
 /** The source of what the holder tells of all others. */
 const HOLDER_SOURCE = 'holder';
 
@@ -68,6 +70,19 @@
   let wake: () => void = () => {};
   let isHurried = false;
   let lastPeerMs = -Infinity;
+  /** Since when a peer has a newer list than this gateway. */
+  let behindSinceMs: number | null = null;
+
+  /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
+  function wantsUpstreams(nowMs: number): boolean {
+    if (!deps.isStoreConnected()) return true;
+    return behindSinceMs !== null && nowMs - behindSinceMs > BEHIND_MS;
+  }
+
+  function noteRevision(revision: number): void {
+    if (revision <= directory.revision()) behindSinceMs = null;
+    else behindSinceMs ??= clock.nowMs();
+  }
 
   function ownNews(): gatewayPeer.GatewayNews {
     const nowMs = clock.nowMs();
@@ -78,7 +93,7 @@
       incarnation: deps.incarnation,
       configVersion: configuration.version(),
       upstreamsRevision: directory.revision(),
-      isCutFromStore: !deps.isStoreConnected(),
+      wantsUpstreams: wantsUpstreams(nowMs),
       lease: lease === null ? undefined : lease,
       gateways: [...book.heard(nowMs)],
       quarantined: deps.quarantine.refused(nowMs).map(({ fingerprint, untilMs }) => ({
@@ -97,6 +112,7 @@
     if (news.isStopping) book.left(news.gatewayId);
     else book.heardFrom(news, nowMs);
     book.learned(news.gateways, nowMs);
+    noteRevision(news.upstreamsRevision);
     if (news.lease !== undefined) book.noteLease(news.lease);
     news.quarantined.forEach(({ fingerprint, remainingMs }) => {
       deps.quarantine.learned(fingerprint, nowMs + remainingMs);
@@ -224,7 +240,7 @@
       const hasNewerConfig =
         current !== null && current.config.version > (news?.configVersion ?? 0);
       const hasNewerList = directory.revision() > (news?.upstreamsRevision ?? 0);
-      const mayWantList = news?.isCutFromStore === true && hasNewerList;
+      const mayWantList = news?.wantsUpstreams === true && hasNewerList;
       const placement = isHolder ? deps.placer.news() : null;
       const isPlacementNewer =
         placement !== null &&
