Keep last copies, and let upstreams that load from the store cost what they block

Before traffic the surplus copies of the busiest models, the last one included, made way for models nobody asked for. Change: a last copy weighs more and bringing one unasked less; a store load costs what its upstream cannot bring meanwhile; models that stand on several upstreams at the start count as busy until demand tells.

--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -48,6 +48,9 @@
 const KNOWN_SHARE = 0.75;
 /** Upstreams register one after the other; before any demand there is time to wait for all. */
 const SETTLE_MS = 2_500;
+/** Requests a second that each copy beyond the first stands for, until demand itself tells. */
+const PRIOR_PER_COPY = 3;
+const PRIOR_VALID_MS = 3_000;
 /** Adapters load within some tens of milliseconds, four at once at one upstream. */
 const ADAPTER_LOADS_AT_ONCE = 2;
 
@@ -62,6 +65,8 @@
   let servedTerm: number | null = null;
   let version = 0;
   let lastArrivalMs = 0;
+  const prior = new Map<string, number>();
+  let hasPrior = false;
   let published: placementViews.PlacementNews | null = null;
 
   function modelKey(service: string, model: string): string {
@@ -154,6 +159,40 @@
     if (term > 1) storeLoads.assumeUsed(clock.nowMs());
   }
 
+  /**
+   * Before any demand is known, what was placed says what the operators expect: models that stand on
+   * several upstreams are the busy ones, and the first requests are theirs.
+   */
+  function notePrior(service: fleet.Service): void {
+    const counts = new Map<string, number>();
+    directory
+      .eligible(service.name, clock.nowMs())
+      .flatMap(({ upstreamId }) => byUpstream.get(upstreamId)?.placed()?.copies ?? [])
+      .forEach(({ model }) => counts.set(model, (counts.get(model) ?? 0) + 1));
+    counts.forEach((count, model) => {
+      if (count > 1) prior.set(modelKey(service.name, model), (count - 1) * PRIOR_PER_COPY);
+    });
+  }
+
+  function demandFor(
+    service: string,
+    model: string,
+    nowMs: number,
+  ): demandMeters.DemandFigures | null {
+    const key = modelKey(service, model);
+    const figures = meter.figures(key, nowMs);
+    const expected = meter.ageMs(nowMs) < PRIOR_VALID_MS ? (prior.get(key) ?? 0) : 0;
+    if (expected === 0) return figures;
+    return {
+      recentPerSecond: expected,
+      isFalling: false,
+      lastAskedMs: nowMs,
+      missedCount: 0,
+      ...figures,
+      expectedPerSecond: Math.max(expected, figures?.expectedPerSecond ?? 0),
+    };
+  }
+
   function planFor(service: fleet.Service, engine: fleet.EngineSpec): void {
     for (let count = 0; count < CHANGES_PER_TICK; count += 1) {
       const nowMs = clock.nowMs();
@@ -167,7 +206,7 @@
       const change = copyPlan.planNext({
         engine,
         upstreams: views,
-        demand: (model) => meter.figures(modelKey(service.name, model), nowMs),
+        demand: (model) => demandFor(service.name, model, nowMs),
         storeLoadsLeft: storeLoads.left(engine.loadsPerSecond, nowMs),
         nowMs,
       });
@@ -208,6 +247,10 @@
     if (term !== servedTerm) beginTerm(term);
     syncStewards();
     if (!isSettled()) return;
+    if (!hasPrior) {
+      hasPrior = true;
+      if (!meter.hasDemand()) engineServices().forEach(notePrior);
+    }
     if (deps.lease.orderTerm() === null) return;
     engineServices().forEach((service) => {
       if (service.engine === null) return;
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -71,11 +71,13 @@
  * is back. The weight of a last copy stands for that, in requests a second, for a copy that would have to
  * come from the store; less in proportion where another upstream has it at hand.
  */
-const LAST_COPY_WEIGHT = 0.35;
+const LAST_COPY_WEIGHT = 0.5;
+/** To bring a copy that nobody asks for is worth less than to keep one: the swap itself disturbs. */
+const UNASKED_SHARE = 0.4;
 /** Beside its load a comeback takes noticing, making room and bringing adapters. */
 const COMEBACK_MS = 1_500;
 /** Costs in requests: a load from the store takes bandwidth from others; any swap disturbs. */
-const STORE_COST = 0.6;
+const STORE_COST = 1.5;
 const SWAP_COST = 0.2;
 /** A copy that was brought for a caller who comes back must still be there then. */
 const LEAST_STAY_MS = 4_000;
@@ -234,7 +236,17 @@
         (sum, { model }) => sum + needOf(model).expected / Math.max(1, counts.get(model) ?? 1),
         0,
       );
-    return (BLOCKED_SHARE * perSecond * loadMs) / MS_PER_SECOND;
+    // Nor does it bring what only it has near, should that be the next to be asked for.
+    const nearOnlyHere = engine.models.filter(
+      ({ name }) =>
+        (counts.get(name) ?? 0) === 0 &&
+        levelAt(upstream, name) !== 'store' &&
+        !upstreams.some(
+          (other) => other !== upstream && !other.isChanging && levelAt(other, name) !== 'store',
+        ),
+    ).length;
+    const blocked = BLOCKED_SHARE * perSecond + LAST_COPY_WEIGHT * nearOnlyHere;
+    return (blocked * loadMs) / MS_PER_SECOND;
   }
 
   function consider(upstream: UpstreamView, spec: fleet.ModelSpec, victim: CopyView | null): void {
@@ -243,7 +255,9 @@
     const unload = victim?.model ?? null;
     if (!fits(engine, upstream, spec.name, unload)) return;
     const loadMs = loadMsAt(spec, level);
-    const gain = marginal(needOf(spec.name), (counts.get(spec.name) ?? 0) + 1);
+    const need = needOf(spec.name);
+    const asked = { ...need, lastWeight: UNASKED_SHARE * need.lastWeight };
+    const gain = marginal(asked, (counts.get(spec.name) ?? 0) + 1);
     const activeS = Math.max(0, HORIZON_S - loadMs / MS_PER_SECOND);
     const cost =
       (victim === null ? 0 : lossOf(upstream, victim, level)) +
--- a/packages/gateway/src/shared/placing/demand-meter.ts
+++ b/packages/gateway/src/shared/placing/demand-meter.ts
@@ -20,6 +20,8 @@
   add: (key: string, requestCount: number, missedCount: number, nowMs: number) => void;
   figures: (key: string, nowMs: number) => DemandFigures | null;
   hasDemand: () => boolean;
+  /** Since the first request; 0 before it. */
+  ageMs: (nowMs: number) => number;
   keys: (nowMs: number) => readonly string[];
 };
 
@@ -104,6 +106,7 @@
       };
     },
     hasDemand: () => startedMs !== null,
+    ageMs: (nowMs) => (startedMs === null ? 0 : nowMs - startedMs),
     keys: (nowMs) => {
       for (const [key, { lastAskedMs }] of counters) {
         if (nowMs - lastAskedMs > FORGET_MS) counters.delete(key);
