--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -1,6 +1,6 @@
 /** Joins the parts of a gateway; each part gets only what it names. */
 import { quarantine as quarantineModule } from '@copperlever/decisions';
-import { clocks, logs, randoms } from '@copperlever/runtime';
+import { boundedLogs, clocks, logs, randoms } from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
 import * as configHolder from './server/control/config-holder.js';
@@ -26,6 +26,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** At some tens of microseconds a line, the two lines of a request take about a hundredth of a core. */
+const LOG_BOUNDS: boundedLogs.LogBounds = { infoPerSecond: 150, warnPerSecond: 300 };
+
 /** What the platform that the gateway runs on brings along. */
 export type PlatformParts = {
   dialect: dialects.Dialect;
@@ -133,7 +136,11 @@
 ) {
   const container = awilix.createContainer<GatewayParts>({ strict: true });
   const clock = clocks.createSystemClock();
-  const log = logs.createLogger({ daemonId: settings.gatewayId, level: settings.logLevel });
+  const log = boundedLogs.createBoundedLogger(
+    logs.createLogger({ daemonId: settings.gatewayId, level: settings.logLevel }),
+    clock,
+    LOG_BOUNDS,
+  );
   const platform = createPlatform(clock, log);
   container.register({
     settings: awilix.asValue(settings),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,6 +1,6 @@
 /** Runs a gateway: its parts in a supervisor tree, and its planned stop. */
-import { clocks, daemon, supervisor } from '@copperlever/runtime';
-import type { logs } from '@copperlever/runtime';
+import { supervisor } from '@copperlever/runtime';
+import type { clocks, logs } from '@copperlever/runtime';
 import type * as fastify from 'fastify';
 
 import * as containers from './container.js';
@@ -37,10 +37,17 @@
   await app.listen(splitAddress(address));
 }
 
-export async function runGateway(
+export type RunningGateway = {
+  /** A planned stop; resolves when all that was taken has been answered or its time is up. */
+  stop: () => Promise<void>;
+  /** The settings file has changed. */
+  reload: () => void;
+};
+
+export async function startGateway(
   settings: settingsModule.Settings,
   createPlatform: CreatePlatform,
-): Promise<void> {
+): Promise<RunningGateway> {
   let isStopping = false;
   let hasListing = false;
   const { cradle } = containers.createContainer(
@@ -190,26 +197,26 @@
         name: 'readiness',
         start: async () => {
           await listen(readiness, settings.readinessAddress);
-          return { failed: supervisor.neverFails(), stop: async () => {} };
+          return { failed: supervisor.neverFails(), stop: () => readiness.close() };
         },
       },
       {
         name: 'callers',
         start: async () => {
           await listen(callers, settings.callerAddress);
-          return { failed: supervisor.neverFails(), stop: async () => {} };
+          const stopCallers = async () => {
+            callers.server.closeAllConnections();
+            await callers.close();
+            await cradle.connections.close();
+          };
+          return { failed: supervisor.neverFails(), stop: stopCallers };
         },
       },
     ],
     { clock, log, onGiveUp: () => process.exit(1) },
   );
 
-  daemon.onReload(() => {
-    // Addresses and limits of the running process stand until its next start.
-    log.info('settings-changed', { inForceFrom: 'next start' });
-  });
-
-  daemon.onPlannedStop(async () => {
+  async function stop(): Promise<void> {
     isStopping = true;
     log.info('stopping', { inFlightCount: cradle.inFlight.totalCount() });
     cradle.placer.stop();
@@ -223,8 +230,15 @@
     });
     await tree.stop();
     log.info('stopped', { inFlightCount: cradle.inFlight.totalCount() });
-  });
+  }
 
   await tree.start();
   log.info('started', { callerAddress: settings.callerAddress });
+  return {
+    stop,
+    reload: () => {
+      // Addresses and limits of the running process stand until its next start.
+      log.info('settings-changed', { inForceFrom: 'next start' });
+    },
+  };
 }
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -92,7 +92,10 @@
 }
 
 function logEnding(deps: CallersDeps, call: calls.Call, ending: calls.Ending): void {
-  deps.log.info('request-ended', {
+  // Requests that went well are the most and are missed least.
+  const isGood = ending.kind === 'answered' && ending.status < 500;
+  const write = isGood ? deps.log.info : deps.log.warn;
+  write(isGood ? 'request-ended' : 'request-failed', {
     requestId: call.requestId,
     route: call.route.name,
     model: call.facts.model,
