--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -12,8 +12,11 @@
   stopTimeoutMs: number;
 };
 
-/** The balancer asks once a second and turns away after two misses; one more for its own delay. */
-const TURN_AWAY_MS = 3_000;
+/**
+ * The balancer asks once a second and turns away after two misses. What is taken later than three seconds
+ * after the stop began may be too long to be answered before the end, so nothing is.
+ */
+const TURN_AWAY_MS = 2_500;
 /** What is still being answered then is ended by the platform's kill otherwise. */
 const EXIT_MARGIN_MS = 700;
 const CHECK_MS = 50;
