Let overnight work wait for loads that fit its objective, and tell others when theirs is ready

Excluded: queues (its p50 is 113 ms). Change: a pure decision waits for a load that ends within 0.8 of the objective, 200 at most; the wait that a refusal names follows from where the model is at hand.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -188,6 +188,8 @@
           link: parts.link,
           lease: parts.lease,
           placer: parts.placer,
+          directory: parts.directory,
+          serviceOf: parts.configuration.serviceOf,
           hurry: () => parts.exchange.hurry(),
         }),
       )
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -1,10 +1,12 @@
 /** The life of one request: choose an upstream, attempt, repeat where that is allowed, end truthfully. */
 import type { quarantine } from '@copperlever/decisions';
+import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks, logs, randoms } from '@copperlever/runtime';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import type * as retryShares from '../../shared/retry-share.js';
+import * as modelWaits from '../../shared/model-waits.js';
 import * as runVerdicts from '../../shared/run-verdicts.js';
 import type * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
@@ -53,8 +55,6 @@
 /** One upstream may be busy with another order; a second one seldom is too. */
 const ADAPTER_ASKS_MAX = 3;
 const NO_UPSTREAM_RETRY_MS = 500;
-/** When nobody has ordered a load yet: the time that a load from disk takes, and its unloading before. */
-const UNKNOWN_READY_MS = 2_500;
 const MIN_RETRY_AFTER_MS = 100;
 /** A connection is kept for what all gateways together may hold; the rest is for those that join. */
 const CONNECTION_SHARE = 0.8;
@@ -66,11 +66,15 @@
   excludedIds: Set<string>;
   resumeAfterId: string | null;
   adapterAsks: number;
+  /** For its model. */
+  hasWaited: boolean;
 };
 
 export function createServe(deps: ServeDeps): Serve {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
+  let waitingCount = 0;
+
   function scopeOf(call: calls.Call): string {
     return `${call.facts.model ?? ''}/${call.facts.adapter ?? ''}`;
   }
@@ -284,6 +288,35 @@
     return null;
   }
 
+  /** Waits for the model where that is worth it, or tells the caller when to come back. */
+  async function afterMissingModel(call: calls.Call, run: Run): Promise<calls.Ending | null> {
+    const expected = placement.expectedReady(call.service, call.facts.model ?? '');
+    const verdict = modelWaits.afterMissingModel({
+      nowMs: clock.nowMs(),
+      arrivedAtMs: call.arrivedAtMs,
+      deadlineMs: call.deadlineMs,
+      latencyObjectiveMs: call.route.latencyObjectiveMs,
+      readyInMs: expected.inMs,
+      waitingCount,
+    });
+    if (verdict.kind === 'refuse') {
+      return refuse(call, run, 'model-not-ready', verdict.retryAfterMs);
+    }
+    if (!run.hasWaited) {
+      log.info('request-waits', {
+        requestId: call.requestId,
+        model: call.facts.model,
+        expected: expected.kind,
+        expectedInMs: Math.round(expected.inMs),
+      });
+    }
+    run.hasWaited = true;
+    waitingCount += 1;
+    await clocksModule.sleepUntil(clock, verdict.untilMs);
+    waitingCount -= 1;
+    return null;
+  }
+
   async function step(
     call: calls.Call,
     run: Run,
@@ -298,11 +331,8 @@
         const result = await attempt(call, run, sink, choice);
         return settle(call, run, sink, result);
       }
-      case 'model-missing': {
-        const model = call.facts.model ?? '';
-        const readyInMs = placement.readyInMs(call.service, model) ?? UNKNOWN_READY_MS;
-        return refuse(call, run, 'model-not-ready', readyInMs);
-      }
+      case 'model-missing':
+        return afterMissingModel(call, run);
       case 'adapter-blocked':
         return refuse(call, run, 'adapter-not-ready', choice.forMs);
       case 'overloaded':
@@ -331,6 +361,7 @@
       excludedIds: new Set(),
       resumeAfterId: null,
       adapterAsks: 0,
+      hasWaited: false,
     };
     const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
     if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
--- a/packages/gateway/src/server/placing/placement-client.ts
+++ b/packages/gateway/src/server/placing/placement-client.ts
@@ -4,6 +4,9 @@
 import type * as peerBooks from '../../shared/peer-book.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
+import * as loadTimes from '../../shared/placing/load-times.js';
+import type * as directories from '../../shared/upstream-directory.js';
+import type * as fleet from '../../types/fleet.js';
 import type * as placementTypes from '../../types/placement.js';
 import type * as peerLinks from '../peers/peer-link.js';
 import type * as leaseKeepers from './lease-keeper.js';
@@ -17,6 +20,8 @@
   link: peerLinks.PeerLink;
   lease: leaseKeepers.LeaseKeeper;
   placer: placers.Placer;
+  directory: directories.UpstreamDirectory;
+  serviceOf: (name: string) => fleet.Service | null;
   /** Tells the holder without delay. */
   hurry: () => void;
 };
@@ -55,9 +60,15 @@
       deps.demand.add({ service, model, adapter }, isServed, clock.nowMs());
       if (!isServed) deps.hurry();
     },
-    readyInMs: (service, model) => {
+    expectedReady: (service, model) => {
+      const nowMs = clock.nowMs();
       const arrival = view.arrival(service, model);
-      return arrival === null ? null : Math.max(0, arrival.readyAtMs - clock.nowMs());
+      if (arrival !== null) {
+        return { kind: 'on-its-way', inMs: Math.max(0, arrival.readyAtMs - nowMs) };
+      }
+      const spec = deps.serviceOf(service)?.engine?.models.find(({ name }) => name === model);
+      const records = deps.directory.eligible(service, nowMs);
+      return { kind: 'not-ordered', inMs: loadTimes.nearestLoadMs(spec, records) };
     },
     blockedForMs: (upstreamId) => view.blockedForMs(upstreamId, clock.nowMs()),
     ensureAdapter: async (upstreamId, model, adapter, deadlineMs) => {
--- /dev/null
+++ b/packages/gateway/src/shared/model-waits.ts
@@ -0,0 +1,40 @@
+/**
+ * What becomes of a request whose model stands nowhere. Load: overnight work with an objective of ten
+ * seconds beside interactive work with one of half a second, while models come and go. Harm prevented:
+ * overnight callers come back once at most; refused, they meet the next gap between copies and are lost,
+ * though a load takes less time than they have. Interactive requests never wait: no load fits their
+ * objectives, and their callers leave within two seconds.
+ */
+export type MissingModel = {
+  nowMs: number;
+  arrivedAtMs: number;
+  deadlineMs: number;
+  latencyObjectiveMs: number;
+  /** When the model is expected to be ready. */
+  readyInMs: number;
+  /** Requests that wait at this gateway, this one left out. */
+  waitingCount: number;
+};
+
+export type MissingModelVerdict =
+  { kind: 'wait'; untilMs: number } | { kind: 'refuse'; retryAfterMs: number };
+
+/** The part of its latency objective that a request may wait for its model; the rest is for its answer. */
+const WAIT_SHARE = 0.8;
+/** How often it is looked whether the model has come. */
+const STEP_MS = 100;
+/** Each one that waits keeps its body and connection; a minute of overnight work at the usual load. */
+const WAITING_MAX = 200;
+/** A gateway hears of a copy with its next exchange; a caller that comes back before finds none. */
+const READY_MARGIN_MS = 400;
+
+export function afterMissingModel(request: MissingModel): MissingModelVerdict {
+  const { nowMs } = request;
+  const latestMs = request.arrivedAtMs + WAIT_SHARE * request.latencyObjectiveMs;
+  const readyMs = nowMs + request.readyInMs + READY_MARGIN_MS;
+  const fits = readyMs < Math.min(latestMs, request.deadlineMs);
+  if (fits && request.waitingCount < WAITING_MAX) {
+    return { kind: 'wait', untilMs: nowMs + STEP_MS };
+  }
+  return { kind: 'refuse', retryAfterMs: request.readyInMs + READY_MARGIN_MS };
+}
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -7,6 +7,12 @@
  */
 export type CopyState = 'ready' | 'no-adapter' | 'blocked' | 'none';
 
+export type ExpectedReady = {
+  /** Whether its load has been ordered, or is a guess from where it is at hand. */
+  kind: 'on-its-way' | 'not-ordered';
+  inMs: number;
+};
+
 export type Demand = {
   service: string;
   model: string;
@@ -21,8 +27,8 @@
   /** The upstream said that it does not have it. */
   noteAbsent: (upstreamId: string, model: string, adapter: string | null) => void;
   noteDemand: (demand: Demand) => void;
-  /** When the model is expected to be ready somewhere; null when nobody knows. */
-  readyInMs: (service: string, model: string) => number | null;
+  /** When the model is expected to be ready somewhere. */
+  expectedReady: (service: string, model: string) => ExpectedReady;
   /** Has the adapter loaded at an upstream that has its model; resolves to whether it is there. */
   ensureAdapter: (
     upstreamId: string,
--- a/scripts/build-deploy.mjs
+++ b/scripts/build-deploy.mjs
@@ -6,13 +6,18 @@
   outdir: 'target',
   outExtension: { '.js': '.mjs' },
   bundle: true,
+  // Half the source is half of what the engine keeps of it: some megabytes in each process.
+  minify: true,
+  keepNames: true,
   format: 'esm',
   platform: 'node',
   target: 'node20',
   logLevel: 'warning',
   // ts-results is UMD like it and has no other build; the others are optional add-ons of bunyan.
   // Its CommonJS build asks for modules by computed names, which no bundler can follow.
-  alias: { 'jsonc-parser': './node_modules/jsonc-parser/lib/esm/main.js' },
+  alias: {
+    'jsonc-parser': './node_modules/jsonc-parser/lib/esm/main.js',
+  },
   external: ['ts-results', 'dtrace-provider', 'mv', 'source-map-support'],
   banner: {
     js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
