Refuse what waits for a model when the gateway stops, and wait for all that was read

Change: nothing waits at a gateway that stops; a stop waits for every request that was read. Test: 'nothing waits at a gateway that stops'.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -212,6 +212,7 @@
           serviceOf: parts.configuration.serviceOf,
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
           failureDomain: settings.failureDomain,
+          isStopping: status.isStopping,
         }),
       )
       .singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -50,6 +50,7 @@
 ): Promise<RunningGateway> {
   let isStopping = false;
   let hasListing = false;
+  const openCalls = { count: 0 };
   const { cradle } = containers.createContainer(
     settings,
     (clock, log) => createPlatform(clock, log, settings),
@@ -132,7 +133,7 @@
     serve: cradle.serve,
     configuration: configuration.current,
     isStopping: () => isStopping,
-    onEnded: () => {},
+    openCalls,
   });
   const connections = stops.trackConnections(callers.server);
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
@@ -218,18 +219,18 @@
 
   async function stop(): Promise<void> {
     isStopping = true;
-    log.info('stopping', { inFlightCount: cradle.inFlight.totalCount() });
+    log.info('stopping', { openCallCount: openCalls.count });
     cradle.placer.stop();
     await cradle.lease.stop();
     await stops.drain({
       clock,
       server: callers.server,
       connections,
-      inFlightCount: cradle.inFlight.totalCount,
+      openCallCount: () => openCalls.count,
       stopTimeoutMs: settings.stopTimeoutS * 1_000,
     });
     await tree.stop();
-    log.info('stopped', { inFlightCount: cradle.inFlight.totalCount() });
+    log.info('stopped', { openCallCount: openCalls.count });
   }
 
   await tree.start();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -21,7 +21,8 @@
   serve: serving.Serve;
   configuration: () => InForce | null;
   isStopping: () => boolean;
-  onEnded: (call: calls.Call, ending: calls.Ending) => void;
+  /** Requests that have been read and are not answered yet, waiting ones among them. */
+  openCalls: { count: number };
 };
 
 /** A configuration with its route table. */
@@ -145,10 +146,14 @@
     return;
   }
   const call = buildCall(deps, request, route, body.bytes, arrivedAtMs);
-  const ending = await deps.serve(call, sink);
-  answerEnding(deps, sink, ending);
-  logEnding(deps, call, ending);
-  deps.onEnded(call, ending);
+  deps.openCalls.count += 1;
+  try {
+    const ending = await deps.serve(call, sink);
+    answerEnding(deps, sink, ending);
+    logEnding(deps, call, ending);
+  } finally {
+    deps.openCalls.count -= 1;
+  }
 }
 
 export function createCallersApp(deps: CallersDeps): fastify.FastifyInstance {
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -35,6 +35,7 @@
   placement: placementTypes.Placement;
   serviceOf: (name: string) => fleet.Service | null;
   gatewayCount: () => number;
+  isStopping: () => boolean;
   failureDomain: string;
 };
 
@@ -298,6 +299,7 @@
       latencyObjectiveMs: call.route.latencyObjectiveMs,
       readyInMs: expected.inMs,
       waitingCount,
+      isStopping: deps.isStopping(),
     });
     if (verdict.kind === 'refuse') {
       return refuse(call, run, 'model-not-ready', verdict.retryAfterMs);
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -10,7 +10,7 @@
 
 const STOP_TIMEOUT_MS = 8_000;
 
-function startDrain(inFlightCount: () => number) {
+function startDrain(openCallCount: () => number) {
   const clock = fakeClocks.createFakeClock();
   const state = { closedAtMs: -1, lastQuietMs: -1, endedAtMs: -1 };
   const server = {
@@ -24,7 +24,7 @@
     },
   };
   void stops
-    .drain({ clock, server, connections, inFlightCount, stopTimeoutMs: STOP_TIMEOUT_MS })
+    .drain({ clock, server, connections, openCallCount, stopTimeoutMs: STOP_TIMEOUT_MS })
     .then(() => {
       state.endedAtMs = clock.nowMs();
     });
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -8,7 +8,7 @@
   clock: clocks.Clock;
   server: http.Server;
   connections: OpenConnections;
-  inFlightCount: () => number;
+  openCallCount: () => number;
   stopTimeoutMs: number;
 };
 
@@ -68,7 +68,7 @@
   server.close();
   connections.closeQuiet();
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
-  while (options.inFlightCount() > 0 && clock.nowMs() < endMs) {
+  while (options.openCallCount() > 0 && clock.nowMs() < endMs) {
     connections.closeQuiet();
     await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
   }
--- a/packages/gateway/src/shared/in-flight.ts
+++ b/packages/gateway/src/shared/in-flight.ts
@@ -18,7 +18,6 @@
   ownLoads: () => readonly ModelLoad[];
   /** What was heard from all sources but `exceptId`, and this gateway's own. */
   loadsWithout: (exceptId: string, nowMs: number) => readonly ModelLoad[];
-  totalCount: () => number;
 };
 
 export type Started = {
@@ -35,7 +34,6 @@
 export function createInFlight(): InFlight {
   const own = new Map<string, ModelLoad>();
   const others = new Map<string, Source>();
-  let count = 0;
 
   function add(upstreamId: string, model: string, countChange: number, tokensChange: number): void {
     const key = `${upstreamId} ${model}`;
@@ -57,7 +55,6 @@
     started: (upstreamId, model, promptTokens) => {
       let unreadTokens = promptTokens;
       let isOpen = true;
-      count += 1;
       add(upstreamId, model, 1, promptTokens);
       const promptRead = () => {
         if (!isOpen) return;
@@ -70,7 +67,6 @@
           if (!isOpen) return;
           promptRead();
           isOpen = false;
-          count -= 1;
           add(upstreamId, model, -1, 0);
         },
       };
@@ -112,6 +108,5 @@
       }
       return [...sums.values()];
     },
-    totalCount: () => count,
   };
 }
--- a/packages/gateway/src/shared/model-waits.test.ts
+++ b/packages/gateway/src/shared/model-waits.test.ts
@@ -12,6 +12,7 @@
   latencyObjectiveMs: 10_000,
   readyInMs: 3_000,
   waitingCount: 0,
+  isStopping: false,
 };
 
 /** Plays a request until it is refused or its model is there; says which, and when. */
@@ -60,4 +61,10 @@
   assert.is(modelWaits.afterMissingModel(crowd).kind, 'refuse');
 });
 
+// The gateway stops while a request waits. It ends long before the load does, and the caller would see its
+// connection close without a word.
+test('nothing waits at a gateway that stops', () => {
+  assert.is(modelWaits.afterMissingModel({ ...OVERNIGHT, isStopping: true }).kind, 'refuse');
+});
+
 test.run();
--- a/packages/gateway/src/shared/model-waits.ts
+++ b/packages/gateway/src/shared/model-waits.ts
@@ -14,6 +14,8 @@
   readyInMs: number;
   /** Requests that wait at this gateway, this one left out. */
   waitingCount: number;
+  /** The gateway is about to leave: what waits would be given up with it. */
+  isStopping: boolean;
 };
 
 export type MissingModelVerdict =
@@ -33,7 +35,7 @@
   const latestMs = request.arrivedAtMs + WAIT_SHARE * request.latencyObjectiveMs;
   const readyMs = nowMs + request.readyInMs + READY_MARGIN_MS;
   const fits = readyMs < Math.min(latestMs, request.deadlineMs);
-  if (fits && request.waitingCount < WAITING_MAX) {
+  if (fits && !request.isStopping && request.waitingCount < WAITING_MAX) {
     return { kind: 'wait', untilMs: nowMs + STEP_MS };
   }
   return { kind: 'refuse', retryAfterMs: request.readyInMs + READY_MARGIN_MS };
