Keep an adapter's place until it has gone, and let what an upstream did wrong fade

The unload of an adapter that requests use is taken with 202 and done when they have ended; its place was given away at once. A test of the steward with adapters in use crashes the upstream before the change. Excluded: loads of another holder, adapters on their way (both have their tests). Change: excess and failures fade within 1.5 s.

--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -100,7 +100,7 @@
       ownInFlightCount: inFlight.ownCount(upstreamId),
       unreadPromptTokens: load.unreadPromptTokens,
       cachedTokens: deps.caches.cachedTokens(upstreamId, scopeOf(call), promptParts),
-      belief: beliefs.belief(upstreamId),
+      belief: beliefs.belief(upstreamId, clock.nowMs()),
     };
   }
 
@@ -142,7 +142,7 @@
   function firstByteByMs(call: calls.Call, run: Run, upstreamId: string): number {
     const isLast = run.ranCount + 1 >= call.route.maxAttempts;
     if (call.route.kind !== 'idempotent' || isLast) return call.deadlineMs;
-    const usualMs = beliefs.belief(upstreamId).firstPieceMs ?? SILENT_MIN_MS;
+    const usualMs = beliefs.belief(upstreamId, clock.nowMs()).firstPieceMs ?? SILENT_MIN_MS;
     return Math.min(
       call.deadlineMs,
       clock.nowMs() + Math.max(SILENT_MIN_MS, usualMs * SILENT_FACTOR),
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -12,6 +12,7 @@
 const test = suite('steward');
 
 const ADAPTER_MS = 30;
+const RUN_MS = 2_000;
 
 const LOAD_MS = 2_000;
 const REPORT_LAG_MS = 200;
@@ -28,6 +29,8 @@
     crashed: false,
     losesAnswers: false,
     adaptersMax: 4,
+    /** An adapter that requests use goes when they have ended. */
+    adaptersInUse: false,
   };
   const orders: string[] = [];
   const snapshots: Snapshot[] = [];
@@ -84,9 +87,15 @@
           snap();
         });
         break;
-      case 'unload-adapter':
-        held.get(order.model)?.delete(order.adapter);
+      case 'unload-adapter': {
+        const drop = () => {
+          held.get(order.model)?.delete(order.adapter);
+          snap();
+        };
+        if (state.adaptersInUse) clock.schedule(clock.nowMs() + RUN_MS, drop);
+        else drop();
         break;
+      }
     }
     snap();
   }
@@ -107,7 +116,7 @@
       if (state.losesAnswers) {
         return Promise.resolve(results.Err({ kind: 'no-answer', reason: 'lost' } as const));
       }
-      const isImmediate = order.kind === 'unload-adapter';
+      const isImmediate = order.kind === 'unload-adapter' && !state.adaptersInUse;
       const kind = isImmediate ? 'holds-already' : 'accepted';
       return Promise.resolve(results.Ok({ kind } as const));
     },
@@ -237,4 +246,29 @@
   }
 });
 
+// All places hold adapters that requests use. The unload of one is taken, and its place stays taken until those
+// requests have ended; another adapter in the meantime would be one too many.
+test('an adapter in use keeps its place until it has gone', async () => {
+  const { clock, upstream, create } = createRig(['a']);
+  const steward = create();
+  await clock.advance(500);
+  ['a1', 'a2', 'a3', 'a4'].forEach((adapter) => {
+    void steward.ensureAdapter('a', adapter, 4);
+  });
+  await clock.advance(1_000);
+  upstream.state.adaptersInUse = true;
+  const first = steward.ensureAdapter('a', 'a5', 4);
+  await clock.advance(1_000);
+  const second = steward.ensureAdapter('a', 'a6', 4);
+  await clock.advance(1_000);
+  assert.not(upstream.state.crashed);
+  await clock.advance(5_000);
+  await Promise.all([first, second]);
+  const third = steward.ensureAdapter('a', 'a7', 4);
+  await clock.advance(5_000);
+  await third;
+  assert.not(upstream.state.crashed);
+  steward.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -68,7 +68,8 @@
 
 type Copy = { adapters: Set<string>; readyAtMs: number; isClosing: boolean };
 
-type Sent = 'accepted' | 'conflict' | 'unknown' | 'not-allowed';
+/** `pending`: taken, and done once the requests that use it have ended. */
+type Sent = 'accepted' | 'pending' | 'conflict' | 'unknown' | 'not-allowed';
 
 export function createSteward(record: fleet.UpstreamRecord, deps: StewardDeps): Steward {
   const { clock, log } = deps;
@@ -101,6 +102,12 @@
    * list the adapter yet. Symptom: its place looks free, and one more adapter crashes the upstream.
    */
   let comingAdapters: ReadonlySet<string> = new Set();
+  /**
+   * Ordered to go while requests use them, with the time of the order. Failure: such a place is given away
+   * at once. Symptom: one adapter too many, which crashes the upstream. A report from after the order that
+   * does not list it is enough.
+   */
+  const leavingAdapters = new Map<string, number>();
   const adapterLoads = new Map<string, Promise<boolean>>();
 
   function inTurn<Value>(task: () => Promise<Value>): Promise<Value> {
@@ -134,6 +141,18 @@
     deps.onChanged();
   }
 
+  function settleLeaving(models: readonly fleet.ResidentModel[]): void {
+    const listed = new Set(
+      models.flatMap(({ name, adapters }) => adapters.map((adapter) => `${name}/${adapter}`)),
+    );
+    for (const [key, orderedMs] of leavingAdapters) {
+      const isOld = clock.nowMs() - orderedMs < REPORT_LAG_MS;
+      if (!isOld && !listed.has(key)) leavingAdapters.delete(key);
+      const [model = '', adapter = ''] = key.split('/');
+      copies.get(model)?.adapters.delete(adapter);
+    }
+  }
+
   /** Asks what the upstream holds; a report older than our own orders is asked for again. */
   async function refresh(): Promise<fleet.UpstreamReport | null> {
     const report = await deps.control.report(target, clock.nowMs() + CALL_TIMEOUT_MS);
@@ -158,6 +177,7 @@
     }
     takeResident(report.val.models);
     comingAdapters = new Set(report.val.arrivingAdapters);
+    settleLeaving(report.val.models);
     noteBusy(report.val.isBusy);
     return report.val;
   }
@@ -190,7 +210,9 @@
       case 'accepted':
         orderCount = (orderCount ?? 0) + 1;
         leastOrderCount = orderCount;
-        return 'accepted';
+        if (order.kind !== 'unload-adapter') return 'accepted';
+        leavingAdapters.set(`${order.model}/${order.adapter}`, clock.nowMs());
+        return 'pending';
       case 'holds-already':
         // An adapter that nobody uses goes at once, which counts as an order taken; one that had gone
         // before does not. The next report tells.
@@ -247,7 +269,7 @@
         return 'conflict';
       }
       const sent = await inTurn(() => send(order));
-      if (sent === 'accepted' || sent === 'not-allowed') return sent;
+      if (sent === 'accepted' || sent === 'pending' || sent === 'not-allowed') return sent;
       if (clock.nowMs() >= untilMs || stopping.signal.aborted) return sent;
       await sleep(sent === 'unknown' ? REPORT_PAUSE_MS : waitMs);
       waitMs = Math.min(LONGEST_RETRY_MS, waitMs * 2);
@@ -332,7 +354,8 @@
 
   function takenPlaces(): number {
     const held = heldAdapters().map(({ model, adapter }) => `${model}/${adapter}`);
-    return new Set([...held, ...arrivingAdapters, ...comingAdapters]).size;
+    return new Set([...held, ...arrivingAdapters, ...comingAdapters, ...leavingAdapters.keys()])
+      .size;
   }
 
   /** Makes one place free, at the cost of the adapter that was asked for longest ago. */
--- a/packages/gateway/src/shared/upstream-beliefs.ts
+++ b/packages/gateway/src/shared/upstream-beliefs.ts
@@ -24,17 +24,26 @@
   excessMs: number;
   /** Broken attempts since the last good one. */
   brokenInRow: number;
+  /** When an attempt there last ended. */
+  endedMs: number;
 };
 
 export type UpstreamBeliefs = {
   ended: (upstreamId: string, end: AttemptEnd, nowMs: number) => void;
-  belief: (upstreamId: string) => Belief;
+  belief: (upstreamId: string, nowMs: number) => Belief;
   /** Forgets upstreams that are no longer listed. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
 };
 
 /** Ten attempts make up most of the smoothed figures: a second's worth at usual load. */
 const SMOOTHING = 0.15;
+/**
+ * What an upstream did wrong fades, since one that is left out has no attempts that could show that it has
+ * recovered: without it a single late answer kept an idle upstream out beside one with a queue of a second.
+ */
+const FADE_MS = 1_500;
+/** One answer that was late by more says no more of the next. */
+const EXCESS_MAX_MS = 400;
 /** A first pause after a broken attempt; it doubles while probes fail as well. */
 const FIRST_AVOID_MS = 200;
 const LONGEST_AVOID_MS = 3_000;
@@ -47,12 +56,22 @@
   firstPieceMs: null,
   excessMs: 0,
   brokenInRow: 0,
+  endedMs: 0,
 };
 
 function smooth(before: number, sample: number): number {
   return before + SMOOTHING * (sample - before);
 }
 
+function faded(state: Belief, nowMs: number): Belief {
+  const share = Math.exp(-Math.max(0, nowMs - state.endedMs) / FADE_MS);
+  return {
+    ...state,
+    excessMs: state.excessMs * share,
+    failureShare: state.failureShare * share,
+  };
+}
+
 function afterEnd(state: Belief, end: AttemptEnd, nowMs: number): Belief {
   switch (end.kind) {
     case 'good':
@@ -63,8 +82,12 @@
           state.firstPieceMs === null
             ? end.firstPieceMs
             : smooth(state.firstPieceMs, end.firstPieceMs),
-        excessMs: smooth(state.excessMs, Math.max(0, end.firstPieceMs - end.predictedMs)),
+        excessMs: smooth(
+          state.excessMs,
+          Math.min(EXCESS_MAX_MS, Math.max(0, end.firstPieceMs - end.predictedMs)),
+        ),
         brokenInRow: 0,
+        endedMs: nowMs,
       };
     case 'rejected':
       return { ...state, avoidUntilMs: Math.max(state.avoidUntilMs, nowMs + REJECTED_AVOID_MS) };
@@ -87,9 +110,10 @@
   const states = new Map<string, Belief>();
   return {
     ended: (upstreamId, end, nowMs) => {
-      states.set(upstreamId, afterEnd(states.get(upstreamId) ?? FRESH, end, nowMs));
+      const before = faded(states.get(upstreamId) ?? FRESH, nowMs);
+      states.set(upstreamId, { ...afterEnd(before, end, nowMs), endedMs: nowMs });
     },
-    belief: (upstreamId) => states.get(upstreamId) ?? FRESH,
+    belief: (upstreamId, nowMs) => faded(states.get(upstreamId) ?? FRESH, nowMs),
     retain: (upstreamIds) => {
       for (const id of [...states.keys()]) if (!upstreamIds.has(id)) states.delete(id);
     },
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -7,7 +7,7 @@
 
 const test = suite('upstream choice');
 
-const FRESH = beliefsModule.createUpstreamBeliefs().belief('nobody');
+const FRESH = beliefsModule.createUpstreamBeliefs().belief('nobody', 0);
 
 function candidate(
   upstreamId: string,
@@ -67,16 +67,30 @@
 test('one that fails fast does not draw the traffic', () => {
   const beliefs = beliefsModule.createUpstreamBeliefs();
   for (let count = 0; count < 6; count += 1) beliefs.ended('grey', { kind: 'failed' }, 900);
-  const grey = candidate('grey', { belief: beliefs.belief('grey') });
+  const grey = candidate('grey', { belief: beliefs.belief('grey', 950) });
   const sound = candidate('sound', { inFlightCount: 4, unreadPromptTokens: 1_000 });
   assert.is(idOf(choose([grey, sound])), 'sound');
 });
 
+// One answer came three seconds late, behind a prompt that crossed it. The upstream is idle again, and beside it
+// another has a second of prompts to read; were the late answer remembered for good, all would queue there.
+test('a late answer is forgotten once the upstream has had time to recover', () => {
+  const beliefs = beliefsModule.createUpstreamBeliefs();
+  for (let count = 0; count < 8; count += 1) {
+    beliefs.ended('late', { kind: 'good', firstPieceMs: 3_300, predictedMs: 300 }, 1_000);
+  }
+  const queued = candidate('queued', { unreadPromptTokens: 9_000 });
+  const lateAt = (nowMs: number) => candidate('late', { belief: beliefs.belief('late', nowMs) });
+  const shorter = candidate('shorter', { unreadPromptTokens: 2_000 });
+  assert.is(idOf(choose([lateAt(1_000), shorter])), 'shorter');
+  assert.is(idOf(choose([lateAt(4_000), queued])), 'late');
+});
+
 test('a dark one gets single probes, and is used when nothing else is left', () => {
   const beliefs = beliefsModule.createUpstreamBeliefs();
   beliefs.ended('dark', { kind: 'broken' }, 900);
   beliefs.ended('dark', { kind: 'broken' }, 900);
-  const dark = candidate('dark', { belief: beliefs.belief('dark') });
+  const dark = candidate('dark', { belief: beliefs.belief('dark', 950) });
   const loaded = candidate('loaded', { inFlightCount: 30, unreadPromptTokens: 20_000 });
   assert.is(idOf(choose([dark, loaded], { patienceMs: 60_000 })), 'loaded');
   assert.is(idOf(choose([dark])), 'dark');
