Ask the upstream where the platform's list differs, instead of believing the list

Places that were taken looked free. Test first: 'a list from before the last orders frees no places' crashes the upstream before the change. Change: a list that differs from the book asks for a report. What an upstream's places for adapters are taken by has a module of its own.

--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -136,7 +136,7 @@
       if (known === undefined) {
         byUpstream.set(record.upstreamId, createSteward(record));
         lastArrivalMs = clock.nowMs();
-      } else known.adopt(record);
+      } else known.heardList(record);
     });
   }
 
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -203,9 +203,9 @@
   await clock.advance(500);
   steward.startChange(change('d', 'a'));
   await clock.advance(4_000);
-  steward.adopt(old);
+  steward.heardList(old);
   await clock.advance(20_000);
-  steward.adopt(old);
+  steward.heardList(old);
   assert.equal(modelsOf(steward), ['b', 'c', 'd']);
   steward.stop();
 });
@@ -271,4 +271,23 @@
   steward.stop();
 });
 
+// The store was away while adapters were loaded, and its list shows the upstream as it was before. Believed, it
+// shows places that are taken, and one more adapter crashes the upstream.
+test('a list from before the last orders frees no places', async () => {
+  const { clock, upstream, create } = createRig(['a']);
+  const steward = create();
+  await clock.advance(500);
+  ['a1', 'a2', 'a3', 'a4'].forEach((adapter) => {
+    void steward.ensureAdapter('a', adapter, 4);
+  });
+  await clock.advance(10_000);
+  const models = [{ name: 'a', version: 1, adapters: ['a1'] }];
+  steward.heardList(fixtures.upstreamRecord('u1', { models }));
+  const later = steward.ensureAdapter('a', 'a5', 4);
+  await clock.advance(5_000);
+  await later;
+  assert.not(upstream.state.crashed);
+  steward.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -10,6 +10,7 @@
 import type * as placementViews from '../../shared/placing/placement-view.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
+import * as adapterPlaces from './adapter-places.js';
 
 export type StewardDeps = {
   clock: clocks.Clock;
@@ -36,8 +37,11 @@
   /** Adapters that are held, or being loaded. */
   adapterCount: () => number;
   hasAdapter: (model: string, adapter: string) => boolean;
-  /** What the platform's list says; it counts while no order is fresh. */
-  adopt: (record: fleet.UpstreamRecord) => void;
+  /**
+   * What the platform's list says. It may be seconds old, most of all after the store was away: where it
+   * differs, the upstream itself is asked. Taken for truth, it would show free places that are none.
+   */
+  heardList: (record: fleet.UpstreamRecord) => void;
   stop: () => void;
 };
 
@@ -61,8 +65,6 @@
 const ADAPTER_LOAD_MS = 32;
 /** A report may be some orders old; the next one is not. */
 const ADAPTER_TRIES = 3;
-/** The platform's list lags by two heartbeats and its own delay. */
-const LIST_LAG_MS = 3_500;
 /** How long an order without an answer may still be carried out. */
 const LATE_ORDER_MS = 13_000;
 
@@ -95,19 +97,7 @@
   let unloading: string | null = null;
   /** Orders and reports are sent one after the other. */
   let turn: Promise<unknown> = Promise.resolve();
-  /** Taken by the upstream, and not there yet. */
-  const arrivingAdapters = new Set<string>();
-  /**
-   * On their way at the time of the latest report. Failure: a report counts an adapter's order and does not
-   * list the adapter yet. Symptom: its place looks free, and one more adapter crashes the upstream.
-   */
-  let comingAdapters: ReadonlySet<string> = new Set();
-  /**
-   * Ordered to go while requests use them, with the time of the order. Failure: such a place is given away
-   * at once. Symptom: one adapter too many, which crashes the upstream. A report from after the order that
-   * does not list it is enough.
-   */
-  const leavingAdapters = new Map<string, number>();
+  const places = adapterPlaces.createAdapterPlaces(clock);
   const adapterLoads = new Map<string, Promise<boolean>>();
 
   function inTurn<Value>(task: () => Promise<Value>): Promise<Value> {
@@ -130,7 +120,9 @@
         return [
           model.name,
           {
-            adapters: new Set(model.adapters),
+            adapters: new Set(
+              model.adapters.filter((adapter) => !places.isLeaving(model.name, adapter)),
+            ),
             readyAtMs: before?.readyAtMs ?? (isKnown ? nowMs : -Infinity),
             isClosing: model.name === unloading,
           },
@@ -141,18 +133,6 @@
     deps.onChanged();
   }
 
-  function settleLeaving(models: readonly fleet.ResidentModel[]): void {
-    const listed = new Set(
-      models.flatMap(({ name, adapters }) => adapters.map((adapter) => `${name}/${adapter}`)),
-    );
-    for (const [key, orderedMs] of leavingAdapters) {
-      const isOld = clock.nowMs() - orderedMs < REPORT_LAG_MS;
-      if (!isOld && !listed.has(key)) leavingAdapters.delete(key);
-      const [model = '', adapter = ''] = key.split('/');
-      copies.get(model)?.adapters.delete(adapter);
-    }
-  }
-
   /** Asks what the upstream holds; a report older than our own orders is asked for again. */
   async function refresh(): Promise<fleet.UpstreamReport | null> {
     const report = await deps.control.report(target, clock.nowMs() + CALL_TIMEOUT_MS);
@@ -176,8 +156,7 @@
       });
     }
     takeResident(report.val.models);
-    comingAdapters = new Set(report.val.arrivingAdapters);
-    settleLeaving(report.val.models);
+    places.reported(report.val);
     noteBusy(report.val.isBusy);
     return report.val;
   }
@@ -211,7 +190,7 @@
         orderCount = (orderCount ?? 0) + 1;
         leastOrderCount = orderCount;
         if (order.kind !== 'unload-adapter') return 'accepted';
-        leavingAdapters.set(`${order.model}/${order.adapter}`, clock.nowMs());
+        places.leaves(order.model, order.adapter);
         return 'pending';
       case 'holds-already':
         // An adapter that nobody uses goes at once, which counts as an order taken; one that had gone
@@ -340,6 +319,14 @@
     return awaitLoaded(wanted);
   }
 
+  function isAlike(listed: fleet.UpstreamRecord): boolean {
+    const name = ({ model, adapters }: { model: string; adapters: Iterable<string> }) =>
+      `${model}:${[...adapters].sort().join(',')}`;
+    const held = [...copies].map(([model, { adapters }]) => name({ model, adapters }));
+    const told = listed.models.map(({ name: model, adapters }) => name({ model, adapters }));
+    return held.sort().join(' ') === told.sort().join(' ');
+  }
+
   /** Until when it takes no orders for adapters, as far as that can be told. */
   function blockedUntilMs(): number {
     if (isChanging) return arriving?.readyAtMs ?? 0;
@@ -353,9 +340,7 @@
   }
 
   function takenPlaces(): number {
-    const held = heldAdapters().map(({ model, adapter }) => `${model}/${adapter}`);
-    return new Set([...held, ...arrivingAdapters, ...comingAdapters, ...leavingAdapters.keys()])
-      .size;
+    return places.takenCount(heldAdapters());
   }
 
   /** Makes one place free, at the cost of the adapter that was asked for longest ago. */
@@ -396,15 +381,14 @@
     adapter: string,
     adaptersMax: number,
   ): Promise<boolean> {
-    const key = `${model}/${adapter}`;
     const isOrdered = await inTurn(async () => {
       const isTaken = await orderAdapter(model, adapter, adaptersMax);
-      if (isTaken) arrivingAdapters.add(key);
+      if (isTaken) places.arrives(model, adapter);
       return isTaken;
     });
     if (!isOrdered) return false;
     await sleep(ADAPTER_LOAD_MS);
-    arrivingAdapters.delete(key);
+    places.arrived(model, adapter);
     copies.get(model)?.adapters.add(adapter);
     deps.onChanged();
     return true;
@@ -443,7 +427,7 @@
             })),
           }
         : null,
-    adapterCount: () => takenPlaces() + adapterLoads.size - arrivingAdapters.size,
+    adapterCount: () => takenPlaces() + adapterLoads.size - places.arrivingCount(),
     hasAdapter: (model, adapter) =>
       copies.get(model)?.adapters.has(adapter) === true || adapterLoads.has(`${model}/${adapter}`),
     arrival: () => arriving,
@@ -486,15 +470,13 @@
       adapterLoads.set(key, load);
       return load;
     },
-    adopt: (listed) => {
+    heardList: (listed) => {
       // While the store is away the same old record is seen again and again.
       if (listed === lastListed) return;
       lastListed = listed;
       if (listed.hostModels.length > 0) hostModels = new Set(listed.hostModels);
       if (listed.diskModels.length > 0) diskModels = new Set(listed.diskModels);
-      const isQuiet = clock.nowMs() - lastOrderMs > LIST_LAG_MS && !isChanging;
-      if (!isQuiet || !isKnown) return;
-      takeResident(listed.models);
+      if (isKnown && !isChanging && !isAlike(listed)) void inTurn(refresh);
     },
     stop: () => stopping.abort(),
   };
