Renew the lease after a suspension before the next order, where upstreams check no fences

Cause: a suspended machine's steady clock stands still, so a holder that wakes trusts its lease although another may have taken over; upstreams that check fences refuse its orders, others carry them out. Change: where wall and steady clock have moved apart by 0.3 s the lease is renewed first. Test: 'after a suspension ...' (without the change the order term stands right after the suspension).

--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -12,7 +12,9 @@
 const LEASE_MS = 3_000;
 
 function createRig() {
-  const clock = fakeClocks.createFakeClock();
+  const steady = fakeClocks.createFakeClock();
+  const state = { sleptMs: 0 };
+  const clock = { ...steady, wallMs: () => steady.wallMs() + state.sleptMs };
   const store = memoryRecords.createMemoryRecords();
   const join = (gatewayId: string, upstreamsCheckFences = true) => {
     const book = peerBooks.createPeerBook(gatewayId);
@@ -29,7 +31,7 @@
     });
     return { book, keeper };
   };
-  return { clock, store, join };
+  return { clock, state, store, join };
 }
 
 test('one takes the lease and keeps it', async () => {
@@ -106,4 +108,19 @@
   await keeper.stop();
 });
 
+// The machine of the holder is suspended for seconds, in which another may have taken over. Its steady clock has
+// stood still, so its lease looks fresh; its first order on waking would cross the new holder's.
+test('after a suspension the lease is renewed before the next order', async () => {
+  const { clock, state, join } = createRig();
+  const { keeper } = join('g1', false);
+  keeper.start();
+  await clock.advance(1_500);
+  assert.is(keeper.orderTerm(), 1);
+  state.sleptMs = 5_000;
+  assert.is(keeper.orderTerm(), null);
+  await clock.advance(500);
+  assert.is(keeper.orderTerm(), 1);
+  await keeper.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -37,9 +37,13 @@
   record: StoredLease;
   ordersFromMs: number;
   renewedAtMs: number;
+  /** How far the wall clock was ahead of the steady one at the renewal. */
+  aheadMs: number;
   isStoreAway: boolean;
 };
 
+/** The two clocks of one machine drift apart by far less between renewals. */
+const SUSPENSION_MS = 300;
 const RECORD_NAME = 'placing';
 const TICK_MS = 200;
 const CALL_TIMEOUT_MS = 800;
@@ -57,6 +61,21 @@
     return clock.nowMs() + CALL_TIMEOUT_MS;
   }
 
+  function aheadMs(): number {
+    return clock.wallMs() - clock.nowMs();
+  }
+
+  /**
+   * Failure: the VM is suspended for seconds; its steady clock stands still, and the lease looks as fresh as
+   * before, though another gateway has taken over. Symptom: on waking it gives orders beside the new holder.
+   * The wall clock has gone on: where the two no longer agree the lease is renewed before the next order.
+   * A step of the wall clock costs one renewal. Upstreams that check fences refuse such orders themselves.
+   */
+  function mayHaveSlept(lease: Held): boolean {
+    if (deps.upstreamsCheckFences) return false;
+    return Math.abs(aheadMs() - lease.aheadMs) > SUSPENSION_MS;
+  }
+
   function lose(reason: string): void {
     if (held === null) return;
     log.warn('lease-lost', { term: held.record.value.term, reason });
@@ -82,7 +101,13 @@
     const put = await store.put('leases', RECORD_NAME, next, revision, deadlineMs());
     if (held !== lease) return;
     if (put.ok) {
-      held = { ...lease, record: put.val, renewedAtMs: sentAtMs, isStoreAway: false };
+      held = {
+        ...lease,
+        record: put.val,
+        renewedAtMs: sentAtMs,
+        aheadMs: aheadMs(),
+        isStoreAway: false,
+      };
       return;
     }
     switch (put.val.kind) {
@@ -145,7 +170,13 @@
       deps.leaseMs,
       deps.upstreamsCheckFences,
     );
-    held = { record: put.val, ordersFromMs, renewedAtMs: sentAtMs, isStoreAway: false };
+    held = {
+      record: put.val,
+      ordersFromMs,
+      renewedAtMs: sentAtMs,
+      aheadMs: aheadMs(),
+      isStoreAway: false,
+    };
     book.noteLease({ holderId: deps.gatewayId, term });
     const ordersInMs = Math.round(ordersFromMs - clock.nowMs());
     log.info('lease-taken', { term, before: present?.value.holderId ?? '', ordersInMs });
@@ -176,7 +207,8 @@
         lose('a peer knows a newer term');
         return;
       }
-      if (nowMs - held.renewedAtMs >= leaseDecisions.RENEW_MS) await renew(held);
+      const isDue = nowMs - held.renewedAtMs >= leaseDecisions.RENEW_MS;
+      if (isDue || mayHaveSlept(held)) await renew(held);
       return;
     }
     if (!deps.isEligible()) return;
@@ -207,7 +239,7 @@
       log.info('lease-released', { term: value.term, isStored: put.ok });
     },
     orderTerm: () => {
-      if (held === null) return null;
+      if (held === null || mayHaveSlept(held)) return null;
       const may = leaseDecisions.mayOrder(held, deps.upstreamsCheckFences, clock.nowMs());
       return may ? held.record.value.term : null;
     },
