Find the holder by its lease, and drop what nobody used

Cause: a gateway whose seeds are all gone (they are three at most, and may be stale) found no other gateway: it took no news of copies and told nobody of its demand. Change: the lease names its holder's address. Test: 'who looks at the lease learns where its holder is'. The kind of record meant for this, and the load hints of answers, had no user.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -78,6 +78,7 @@
     store: parts.store,
     book: parts.book,
     gatewayId: settings.gatewayId,
+    address: settings.peerAddress,
     leaseMs: settings.leaseMs,
     upstreamsCheckFences: settings.upstreamsCheckFences,
     isEligible: () => status.hasListing() && configuration.current() !== null,
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -106,7 +106,6 @@
         sendByMs: clock.nowMs() + 10_000,
         firstByteByMs: clock.nowMs() + 20_000,
         onFirstPiece: () => {},
-        onAnswer: () => {},
       },
     );
     connection.giveBack(result.kind !== 'not-sent');
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -30,7 +30,6 @@
   /** Give up, as silent, when no byte of an answer has come by then. */
   firstByteByMs: number;
   onFirstPiece: () => void;
-  onAnswer: (facts: dialects.AnswerFacts) => void;
 };
 
 /** A whole answer up to this size is held, so that one that breaks off can still become a typed failure. */
@@ -160,7 +159,6 @@
           abandon(verdict);
           return;
         }
-        input.onAnswer(facts);
         if (verdict !== null) {
           settle(verdict);
           return;
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -215,7 +215,6 @@
         started.promptRead();
         firstPieceMs = clock.nowMs() - startedAtMs;
       },
-      onAnswer: () => {},
     });
     started.ended();
     connection.giveBack(result.kind !== 'not-sent');
--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -25,6 +25,7 @@
       store,
       book,
       gatewayId,
+      address: `${gatewayId}:7000`,
       leaseMs: LEASE_MS,
       upstreamsCheckFences,
       isEligible: () => true,
@@ -48,6 +49,20 @@
   await Promise.all([first.keeper.stop(), second.keeper.stop()]);
 });
 
+// All seeds of a new gateway are gone. The lease tells where its holder is, or the gateway would neither learn of
+// copies nor tell of its demand.
+test('who looks at the lease learns where its holder is', async () => {
+  const { clock, join } = createRig();
+  const first = join('g1');
+  first.keeper.start();
+  await clock.advance(1_500);
+  const second = join('g2');
+  second.keeper.start();
+  await clock.advance(1_500);
+  assert.is(second.book.addressOf('g1'), 'g1:7000');
+  await Promise.all([first.keeper.stop(), second.keeper.stop()]);
+});
+
 // The holder gives its lease back and stops. Its successor may order only once the lease time has passed
 // since the last order that the holder may have given: earlier, two would take turns at one upstream.
 test('a successor takes over with a higher term, and waits before its first order', async () => {
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -13,6 +13,8 @@
   store: stores.RecordStore;
   book: peerBooks.PeerBook;
   gatewayId: string;
+  /** Where this gateway answers others. */
+  address: string;
   leaseMs: number;
   upstreamsCheckFences: boolean;
   /** Only a gateway that knows what there is may place. */
@@ -86,8 +88,9 @@
     if (seen === null || seen.record.revision !== record.revision) {
       seen = { record, atMs: clock.nowMs() };
     }
-    const { holderId, term } = record.value;
+    const { holderId, address, term } = record.value;
     book.noteLease({ holderId, term });
+    book.learned([{ gatewayId: holderId, address }], clock.nowMs());
   }
 
   function isOwn(record: StoredLease, term: number): boolean {
@@ -154,7 +157,13 @@
 
   async function take(present: StoredLease | null, sight: leaseDecisions.HolderSight | null) {
     const term = (present?.value.term ?? 0) + 1;
-    const value = { holderId: deps.gatewayId, term, renewals: 0, isReleased: false };
+    const value = {
+      holderId: deps.gatewayId,
+      address: deps.address,
+      term,
+      renewals: 0,
+      isReleased: false,
+    };
     const sentAtMs = clock.nowMs();
     const revision = present?.revision ?? null;
     const put = await store.put('leases', RECORD_NAME, value, revision, deadlineMs());
--- a/packages/gateway/src/testing/memory-records.ts
+++ b/packages/gateway/src/testing/memory-records.ts
@@ -37,7 +37,7 @@
       const found = records.get(`${kind}/${name}`)?.record ?? null;
       return Promise.resolve(results.Ok(found as stores.StoredRecord<stores.KindValues[K]> | null));
     },
-    put: <K extends 'leases' | 'gateways'>(
+    put: <K extends 'leases'>(
       kind: K,
       name: string,
       value: stores.KindValues[K],
--- a/packages/gateway/src/testing/test-dialect.ts
+++ b/packages/gateway/src/testing/test-dialect.ts
@@ -30,7 +30,6 @@
       isSigned: headers['t-signed'] !== undefined,
       didNotRun: headers['t-not-run'] !== undefined || status === 421,
       isMisdirected: status === 421,
-      load: null,
     }),
     retryAfter: (waitMs) => (waitMs / 1_000).toFixed(2),
   };
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -19,8 +19,6 @@
   promptParts: readonly PromptPart[];
 };
 
-export type LoadHint = { runningCount: number; waitingCount: number; slots: number };
-
 /** What an upstream's headers say about its answer. */
 export type AnswerFacts = {
   requestId: string | null;
@@ -29,7 +27,6 @@
   didNotRun: boolean;
   /** Another upstream has this address now. */
   isMisdirected: boolean;
-  load: LoadHint | null;
 };
 
 /** What the gateway tells the upstream about one attempt. */
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -6,6 +6,8 @@
 /** Who may give orders to upstreams. The term grows with each new holder and fences older ones. */
 export type LeaseValue = {
   holderId: string;
+  /** Where the holder answers other gateways: one whose seeds are all gone finds it here. */
+  address: string;
   term: number;
   /** Counts renewals, so that each one changes the record. */
   renewals: number;
@@ -13,15 +15,11 @@
   isReleased: boolean;
 };
 
-/** Where a gateway answers its peers. */
-export type GatewayValue = { address: string };
-
 /** What is kept under each kind. */
 export type KindValues = {
   upstreams: fleet.UpstreamRecord;
   configuration: fleet.FleetConfig;
   leases: LeaseValue;
-  gateways: GatewayValue;
 };
 
 export type Kind = keyof KindValues;
@@ -65,7 +63,7 @@
     deadlineMs: number,
   ) => Promise<results.Result<StoredRecord<KindValues[K]> | null, StoreError>>;
   /** Creates a record that must be absent (`revision` null), or replaces it at that revision. */
-  put: <K extends 'leases' | 'gateways'>(
+  put: <K extends 'leases'>(
     kind: K,
     name: string,
     value: KindValues[K],
