--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -44,7 +44,7 @@
   isStoreAway: boolean;
 };
 
-/** The two clocks of one machine drift apart by far less between renewals. */
+/** The two clocks of one VM drift apart by far less between renewals. */
 const SUSPENSION_MS = 300;
 const RECORD_NAME = 'placing';
 const TICK_MS = 200;
