--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,14 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/target/**', '**/node_modules/**', 'packages/protocol/src/generated/**'] },
+  {
+    ignores: [
+      '**/dist/**',
+      '**/target/**',
+      '**/node_modules/**',
+      'packages/protocol/src/generated/**',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
