--- a/scripts/build-deploy.mjs
+++ b/scripts/build-deploy.mjs
@@ -13,11 +13,11 @@
   platform: 'node',
   target: 'node20',
   logLevel: 'warning',
-  // ts-results is UMD like it and has no other build; the others are optional add-ons of bunyan.
-  // Its CommonJS build asks for modules by computed names, which no bundler can follow.
+  // The UMD build of jsonc-parser asks for modules through a function, which no bundler can follow.
   alias: {
     'jsonc-parser': './node_modules/jsonc-parser/lib/esm/main.js',
   },
+  // ts-results has only such a build; the others are optional add-ons of bunyan.
   external: ['ts-results', 'dtrace-provider', 'mv', 'source-map-support'],
   banner: {
     js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
