Go on placing through a planned stop until the store takes the lease back

Excluded: the successor's wait (it cannot take a lease that the store does not give). Change: handBack keeps the lease and the orders until the release is stored, or the drain ends; peers go on asking a holder that stops until it has given the lease back. Tests: the two that go through an outage fail with a single try at the release.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -189,7 +189,7 @@
             failed: supervisor.neverFails(),
             stop: async () => {
               cradle.placer.stop();
-              await cradle.lease.stop();
+              await cradle.lease.handBack(clock.nowMs());
             },
           };
         },
@@ -220,15 +220,17 @@
   async function stop(): Promise<void> {
     isStopping = true;
     log.info('stopping', { openCallCount: openCalls.count });
-    cradle.placer.stop();
-    await cradle.lease.stop();
-    await stops.drain({
-      clock,
-      server: callers.server,
-      connections,
-      openCallCount: () => openCalls.count,
-      stopTimeoutMs: settings.stopTimeoutS * 1_000,
-    });
+    const endMs = stops.exitByMs(clock.nowMs(), settings.stopTimeoutS * 1_000);
+    await Promise.all([
+      cradle.lease.handBack(endMs),
+      stops.drain({
+        clock,
+        server: callers.server,
+        connections,
+        openCallCount: () => openCalls.count,
+        endMs,
+      }),
+    ]);
     await tree.stop();
     log.info('stopped', { openCallCount: openCalls.count });
   }
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -24,7 +24,13 @@
     },
   };
   void stops
-    .drain({ clock, server, connections, openCallCount, stopTimeoutMs: STOP_TIMEOUT_MS })
+    .drain({
+      clock,
+      server,
+      connections,
+      openCallCount,
+      endMs: stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS),
+    })
     .then(() => {
       state.endedAtMs = clock.nowMs();
     });
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -9,7 +9,8 @@
   server: http.Server;
   connections: OpenConnections;
   openCallCount: () => number;
-  stopTimeoutMs: number;
+  /** By when it has to be over. */
+  endMs: number;
 };
 
 /**
@@ -61,9 +62,12 @@
   };
 }
 
+export function exitByMs(stopAtMs: number, stopTimeoutMs: number): number {
+  return stopAtMs + stopTimeoutMs - EXIT_MARGIN_MS;
+}
+
 export async function drain(options: DrainOptions): Promise<void> {
-  const { clock, server, connections } = options;
-  const endMs = clock.nowMs() + options.stopTimeoutMs - EXIT_MARGIN_MS;
+  const { clock, server, connections, endMs } = options;
   await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + TURN_AWAY_MS));
   server.close();
   connections.closeQuiet();
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -102,7 +102,8 @@
       })),
       knownPlacementVersion: view.version().version,
       knownPlacementTerm: view.version().term,
-      isStopping: deps.isStopping(),
+      // A holder that stops is asked for copies until it has given its lease back.
+      isStopping: deps.isStopping() && deps.lease.heldTerm() === null,
     };
   }
 
--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -46,7 +46,7 @@
   await clock.advance(20_000);
   assert.is(first.keeper.orderTerm(), 1);
   assert.is(second.keeper.orderTerm(), null);
-  await Promise.all([first.keeper.stop(), second.keeper.stop()]);
+  await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
 });
 
 // All seeds of a new gateway are gone. The lease tells where its holder is, or the gateway would neither learn of
@@ -60,7 +60,7 @@
   second.keeper.start();
   await clock.advance(1_500);
   assert.is(second.book.addressOf('g1'), 'g1:7000');
-  await Promise.all([first.keeper.stop(), second.keeper.stop()]);
+  await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
 });
 
 // The holder gives its lease back and stops. Its successor may order only once the lease time has passed
@@ -73,13 +73,13 @@
   const second = join('g2', false);
   second.keeper.start();
   await clock.advance(4_000);
-  await first.keeper.stop();
+  await first.keeper.handBack(clock.nowMs() + 1_000);
   await clock.advance(1_500);
   assert.is(second.keeper.heldTerm(), 2);
   assert.is(second.keeper.orderTerm(), null);
   await clock.advance(LEASE_MS);
   assert.is(second.keeper.orderTerm(), 2);
-  await second.keeper.stop();
+  await second.keeper.handBack(clock.nowMs());
 });
 
 // The answer to a renewal is lost after it took effect; the next renewal conflicts with the holder's own.
@@ -94,7 +94,7 @@
   await clock.advance(2_000);
   assert.is(keeper.heldTerm(), 1);
   assert.is(keeper.orderTerm(), 1);
-  await keeper.stop();
+  await keeper.handBack(clock.nowMs());
 });
 
 test('while the store is away the holder goes on only where fences are checked', async () => {
@@ -106,7 +106,7 @@
     store.setFault('down');
     await clock.advance(8_000);
     assert.is(keeper.orderTerm(), checksFences ? 1 : null);
-    await keeper.stop();
+    await keeper.handBack(clock.nowMs());
   }
 });
 
@@ -120,7 +120,78 @@
   book.noteLease({ holderId: 'g2', term: 2 });
   await clock.advance(300);
   assert.is(keeper.heldTerm(), null);
-  await keeper.stop();
+  await keeper.handBack(clock.nowMs());
+});
+
+// The holder is stopped while the store is away, and cannot give its lease back: nobody else can take it. A
+// holder that fell silent at once would leave every model where it is until the store returns, and callers of
+// models that demand moves to meanwhile would be refused for seconds.
+test('a holder that cannot give its lease back goes on placing while it drains', async () => {
+  const { clock, store, join } = createRig();
+  const { keeper } = join('g1');
+  keeper.start();
+  await clock.advance(1_500);
+  store.setFault('down');
+  await clock.advance(1_000);
+  const state = { isHandedBack: false };
+  const endMs = clock.nowMs() + 7_000;
+  void keeper.handBack(endMs).then(() => {
+    state.isHandedBack = true;
+  });
+  await clock.advance(4_000);
+  assert.is(keeper.orderTerm(), 1);
+  assert.not(state.isHandedBack);
+  store.setFault('none');
+  await clock.advance(1_500);
+  assert.ok(state.isHandedBack);
+  assert.is(keeper.heldTerm(), null);
+  const found = await store.get('leases', 'placing', clock.nowMs() + 100);
+  assert.is(found.unwrap()?.value.isReleased, true);
+});
+
+test('handing back ends at its deadline where the store stays away', async () => {
+  const { clock, store, join } = createRig();
+  const { keeper } = join('g1');
+  keeper.start();
+  await clock.advance(1_500);
+  store.setFault('down');
+  const state = { endedAtMs: -1 };
+  const endMs = clock.nowMs() + 4_000;
+  void keeper.handBack(endMs).then(() => {
+    state.endedAtMs = clock.nowMs();
+  });
+  await clock.advance(6_000);
+  assert.ok(state.endedAtMs >= endMs && state.endedAtMs < endMs + 500, `${state.endedAtMs}`);
+  assert.is(keeper.heldTerm(), null);
+});
+
+// The lease has been given back, its answer was lost, and another gateway may hold it already. To go on giving
+// orders would be to take turns with the new holder.
+test('an answer lost while handing back ends the orders', async () => {
+  const { clock, store, join } = createRig();
+  const { keeper } = join('g1');
+  keeper.start();
+  await clock.advance(1_500);
+  store.setFault('lose-answers');
+  void keeper.handBack(clock.nowMs() + 5_000);
+  await clock.advance(100);
+  assert.is(keeper.orderTerm(), null);
+  await clock.advance(1_500);
+  assert.is(keeper.heldTerm(), null);
+});
+
+test('a gateway that stops takes no lease', async () => {
+  const { clock, join } = createRig();
+  const first = join('g1');
+  const second = join('g2');
+  first.keeper.start();
+  await clock.advance(1_500);
+  second.keeper.start();
+  await clock.advance(500);
+  await second.keeper.handBack(clock.nowMs() + 8_000);
+  await first.keeper.handBack(clock.nowMs() + 8_000);
+  await clock.advance(6_000);
+  assert.is(second.keeper.heldTerm(), null);
 });
 
 // The machine of the holder is suspended for seconds, in which another may have taken over. Its steady clock has
@@ -135,7 +206,7 @@
   assert.is(keeper.orderTerm(), null);
   await clock.advance(500);
   assert.is(keeper.orderTerm(), 1);
-  await keeper.stop();
+  await keeper.handBack(clock.nowMs());
 });
 
 test.run();
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -23,8 +23,11 @@
 
 export type LeaseKeeper = {
   start: () => void;
-  /** Gives the lease back, so that another need not wait for its end. */
-  stop: () => Promise<void>;
+  /**
+   * Gives the lease back, so that another need not wait for its end, and takes none again. While the store
+   * is away it cannot be given back and nobody can take it over: orders go on until it is, or `untilMs`.
+   */
+  handBack: (untilMs: number) => Promise<void>;
   /** The term under which orders may be given now, or null. */
   orderTerm: () => number | null;
   /** The term held, also while orders have to wait. */
@@ -57,6 +60,9 @@
   const stopping = new AbortController();
   let held: Held | null = null;
   let seen: { record: StoredLease; atMs: number } | null = null;
+  let isLeaving = false;
+  /** The release is on its way: an order now could cross those of the next holder. */
+  let isReleasing = false;
   const startedAtMs = clock.nowMs();
 
   function deadlineMs(): number {
@@ -220,11 +226,43 @@
       if (isDue || mayHaveSlept(held)) await renew(held);
       return;
     }
-    if (!deps.isEligible()) return;
+    if (isLeaving || !deps.isEligible()) return;
     if (!leaseDecisions.shouldLook(holderHeardMs(), startedAtMs - TICK_MS, nowMs)) return;
     await look();
   }
 
+  /**
+   * Where the answer is lost the release may have taken effect, or may yet. Peers that hear this gateway do
+   * not look at the lease, and fences stop its orders once another has given one; without fences it gives none.
+   */
+  async function release(lease: Held): Promise<void> {
+    isReleasing = true;
+    const value = { ...lease.record.value, isReleased: true };
+    const { revision } = lease.record;
+    const put = await store.put('leases', RECORD_NAME, value, revision, deadlineMs());
+    if (put.ok) held = null;
+    else if (put.val.kind === 'unavailable') lease.isStoreAway = true;
+    else await settle(lease, put.val.kind);
+    const isUnknown = put.err && put.val.kind === 'outcome-unknown';
+    isReleasing = held !== null && isUnknown && !deps.upstreamsCheckFences;
+    log.info('lease-released', {
+      term: value.term,
+      isStored: put.ok,
+      reason: put.err ? put.val.kind : undefined,
+    });
+  }
+
+  /** The loop that renews goes on meanwhile; a renewal that succeeds says that the store is back. */
+  async function handBackBy(untilMs: number): Promise<void> {
+    do {
+      const lease = held;
+      if (lease === null) return;
+      if (!lease.isStoreAway) await release(lease);
+      if (held === null || clock.nowMs() >= untilMs) return;
+      await clocksModule.sleepUntil(clock, Math.min(untilMs, clock.nowMs() + TICK_MS));
+    } while (clock.nowMs() < untilMs);
+  }
+
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
       await step();
@@ -237,18 +275,19 @@
     start: () => {
       void run();
     },
-    stop: async () => {
+    handBack: async (untilMs) => {
+      isLeaving = true;
+      const startedMs = clock.nowMs();
+      await handBackBy(untilMs);
       stopping.abort();
-      const lease = held;
+      if (held !== null) {
+        const waitedMs = Math.round(clock.nowMs() - startedMs);
+        log.warn('lease-kept', { term: held.record.value.term, waitedMs });
+      }
       held = null;
-      if (lease === null) return;
-      const value = { ...lease.record.value, isReleased: true };
-      const { revision } = lease.record;
-      const put = await store.put('leases', RECORD_NAME, value, revision, deadlineMs());
-      log.info('lease-released', { term: value.term, isStored: put.ok });
     },
     orderTerm: () => {
-      if (held === null || mayHaveSlept(held)) return null;
+      if (held === null || isReleasing || mayHaveSlept(held)) return null;
       const may = leaseDecisions.mayOrder(held, deps.upstreamsCheckFences, clock.nowMs());
       return may ? held.record.value.term : null;
     },
