Bound queues by the latency objective, by what is read before a request

Cause: a request was let into a copy's queue while its first piece was predicted within 0.8 of its caller's patience, 1.9 s. Excluded: wrong predictions (below 0.4 s their median is right, one in ten takes 1.4 times as long). Change: a request joins a queue while its prediction is within 0.7 of its objective; one that comes back late, which less time left than others on its route shows, may queue for as long as its caller stays, and yields to those that may still be in time. Retry-After is when the next copy arrives or the queue has been served, no longer the excess. A model request whose upstreams have failed it waits or is told when its model comes.

--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -5,6 +5,8 @@
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
+import * as deadlineNorms from '../../shared/deadline-norms.js';
+import * as queueLimits from '../../shared/queue-limits.js';
 import type * as retryShares from '../../shared/retry-share.js';
 import * as modelWaits from '../../shared/model-waits.js';
 import * as runVerdicts from '../../shared/run-verdicts.js';
@@ -46,11 +48,6 @@
 /** An idempotent call that is this many times later than usual is tried elsewhere. */
 const SILENT_FACTOR = 8;
 const SILENT_MIN_MS = 250;
-/** Callers of a stream leave after the longest of two seconds and four objectives without an event. */
-const STREAM_PATIENCE_MIN_MS = 2_000;
-const STREAM_PATIENCE_OBJECTIVES = 4;
-/** A prediction beyond this part of the caller's patience is a wait in vain. */
-const PATIENCE_SHARE = 0.8;
 /** How long a request waits for an adapter, which loads within some tens of milliseconds. */
 const ADAPTER_WAIT_MS = 400;
 /** One upstream may be busy with another order; a second one seldom is too. */
@@ -63,17 +60,24 @@
 type Run = {
   ranCount: number;
   sentCount: number;
+  /** The caller has a part of an answer. */
+  hasBegun: boolean;
   upstreamId: string;
+  /** An upstream was full: what has to be waited for is a place there, not another copy. */
+  wasFull: boolean;
   excludedIds: Set<string>;
   resumeAfterId: string | null;
   adapterAsks: number;
   /** For its model. */
   hasWaited: boolean;
+  /** How long the caller had been waiting when the request came, at least. */
+  elapsedBeforeMs: number;
 };
 
 export function createServe(deps: ServeDeps): Serve {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
+  const norms = deadlineNorms.createDeadlineNorms();
   let waitingCount = 0;
 
   function scopeOf(call: calls.Call): string {
@@ -84,10 +88,14 @@
     return call.facts.model !== null && deps.serviceOf(call.service)?.engine != null;
   }
 
-  function toCandidate(call: calls.Call, record: fleet.UpstreamRecord): upstreamChoice.Candidate {
+  function toCandidate(
+    call: calls.Call,
+    priority: number,
+    record: fleet.UpstreamRecord,
+  ): upstreamChoice.Candidate {
     const { model, adapter, promptParts } = call.facts;
     const { upstreamId, failureDomain, slots } = record;
-    const load = inFlight.total(upstreamId, clock.nowMs());
+    const load = inFlight.total(upstreamId, priority, clock.nowMs());
     const copy =
       model !== null && needsModel(call) ? placement.copyAt(record, model, adapter) : 'ready';
     return {
@@ -104,14 +112,24 @@
     };
   }
 
-  function patienceMs(call: calls.Call): number {
-    const leftMs = call.deadlineMs - clock.nowMs();
-    if (call.route.kind !== 'stream') return leftMs * PATIENCE_SHARE;
-    const gapMs = Math.max(
-      STREAM_PATIENCE_MIN_MS,
-      STREAM_PATIENCE_OBJECTIVES * call.route.latencyObjectiveMs,
-    );
-    return Math.min(leftMs, gapMs) * PATIENCE_SHARE;
+  function isLate(call: calls.Call, run: Run): boolean {
+    const elapsedMs = run.elapsedBeforeMs + clock.nowMs() - call.arrivedAtMs;
+    return elapsedMs > call.route.latencyObjectiveMs;
+  }
+
+  function priorityOf(call: calls.Call, run: Run): number {
+    return urgency.enginePriority(call.route, isLate(call, run));
+  }
+
+  function queueLimitMs(call: calls.Call, run: Run): number {
+    // What its caller has a part of already is finished.
+    if (run.hasBegun) return call.deadlineMs - clock.nowMs();
+    return queueLimits.queueLimitMs({
+      isStream: call.route.kind === 'stream',
+      latencyObjectiveMs: call.route.latencyObjectiveMs,
+      leftMs: call.deadlineMs - clock.nowMs(),
+      isLate: isLate(call, run),
+    });
   }
 
   function choose(call: calls.Call, run: Run): upstreamChoice.Choice {
@@ -122,15 +140,16 @@
       promptTokens: call.facts.promptTokens,
       localFailureDomain: deps.failureDomain,
       excludedIds: run.excludedIds,
-      patienceMs: patienceMs(call),
+      queueLimitMs: queueLimitMs(call, run),
     };
-    const candidates = records.map((record) => toCandidate(call, record));
+    const priority = priorityOf(call, run);
+    const candidates = records.map((record) => toCandidate(call, priority, record));
     return upstreamChoice.chooseUpstream(request, candidates, nowMs, deps.random.fraction);
   }
 
   function factsOf(call: calls.Call, run: Run): runVerdicts.RunFacts {
-    const { ranCount, sentCount, upstreamId } = run;
-    return { route: call.route, ranCount, sentCount, upstreamId };
+    const { ranCount, sentCount, hasBegun, upstreamId } = run;
+    return { route: call.route, ranCount, sentCount, hasBegun, upstreamId };
   }
 
   function refuse(call: calls.Call, run: Run, cause: calls.RefusalCause, waitMs: number) {
@@ -198,7 +217,13 @@
     const scope = scopeOf(call);
     const cachedTokens = deps.caches.cachedTokens(upstreamId, scope, call.facts.promptParts);
     const unreadTokens = Math.max(0, call.facts.promptTokens - cachedTokens);
-    const started = inFlight.started(upstreamId, call.facts.model ?? '', unreadTokens);
+    const priority = priorityOf(call, run);
+    const started = inFlight.started({
+      upstreamId,
+      model: call.facts.model ?? '',
+      priority,
+      promptTokens: unreadTokens,
+    });
     deps.caches.sent(upstreamId, scope, call.facts.promptParts);
     let firstPieceMs: number | null = null;
     const result = await attempts.runAttempt(deps, {
@@ -206,7 +231,7 @@
       upstreamId,
       sink,
       connection,
-      priority: urgency.enginePriority(call.route),
+      priority,
       resumeAfterId: run.resumeAfterId,
       holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
       sendByMs: startedAtMs + SEND_PATIENCE_MS,
@@ -245,6 +270,8 @@
   ): calls.Ending | null {
     if (result.kind !== 'not-sent') run.sentCount += 1;
     if (result.kind !== 'not-sent' && result.kind !== 'rejected') run.ranCount += 1;
+    run.hasBegun = sink.hasBegun();
+    if (result.kind === 'rejected' && !result.isMisdirected) run.wasFull = true;
     if (result.kind === 'lost' && result.reason === 'connection') {
       deps.quarantine.crashed(call.fingerprint, run.upstreamId, clock.nowMs());
     }
@@ -258,9 +285,6 @@
     const verdict = runVerdicts.afterAttempt(factsOf(call, run), result);
     if (verdict.kind === 'end') return verdict.ending;
     if (verdict.isRepeat && !takeRetry(call)) {
-      if (sink.hasBegun()) {
-        return { kind: 'cut', cause: 'upstream-lost', upstreamId: run.upstreamId };
-      }
       return refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
     }
     run.resumeAfterId = verdict.resumeAfterId ?? run.resumeAfterId;
@@ -289,7 +313,11 @@
   }
 
   /** Waits for the model where that is worth it, or tells the caller when to come back. */
-  async function afterMissingModel(call: calls.Call, run: Run): Promise<calls.Ending | null> {
+  async function afterMissingModel(
+    call: calls.Call,
+    run: Run,
+    cause: calls.RefusalCause,
+  ): Promise<calls.Ending | null> {
     const expected = placement.expectedReady(call.service, call.facts.model ?? '');
     const verdict = modelWaits.afterMissingModel({
       nowMs: clock.nowMs(),
@@ -301,7 +329,7 @@
       isStopping: deps.isStopping(),
     });
     if (verdict.kind === 'refuse') {
-      return refuse(call, run, 'model-not-ready', verdict.retryAfterMs);
+      return refuse(call, run, cause, verdict.retryAfterMs);
     }
     if (!run.hasWaited) {
       log.info('request-waits', {
@@ -318,6 +346,12 @@
     return null;
   }
 
+  function overloadRetryMs(call: calls.Call, predictedMs: number): number {
+    const { model } = call.facts;
+    const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
+    return queueLimits.overloadRetryMs({ predictedMs, nextCopyInMs });
+  }
+
   async function step(
     call: calls.Call,
     run: Run,
@@ -333,12 +367,14 @@
         return settle(call, run, sink, result);
       }
       case 'model-missing':
-        return afterMissingModel(call, run);
+        return afterMissingModel(call, run, 'model-not-ready');
       case 'adapter-blocked':
         return refuse(call, run, 'adapter-not-ready', choice.forMs);
       case 'overloaded':
-        return refuse(call, run, 'overloaded', choice.predictedMs - patienceMs(call));
+        return refuse(call, run, 'overloaded', overloadRetryMs(call, choice.predictedMs));
       case 'no-upstream':
+        // Every upstream with the model has failed this request: it comes back elsewhere, or with a new one.
+        if (needsModel(call) && !run.wasFull) return afterMissingModel(call, run, 'no-upstream');
         return refuse(call, run, 'no-upstream', NO_UPSTREAM_RETRY_MS);
     }
   }
@@ -358,11 +394,14 @@
     const run: Run = {
       ranCount: 0,
       sentCount: 0,
+      hasBegun: false,
       upstreamId: '',
+      wasFull: false,
       excludedIds: new Set(),
       resumeAfterId: null,
       adapterAsks: 0,
       hasWaited: false,
+      elapsedBeforeMs: norms.elapsedMs(call.route.name, call.facts.remainingMs, clock.nowMs()),
     };
     const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
     if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
--- a/packages/gateway/src/server/placing/placement-client.ts
+++ b/packages/gateway/src/server/placing/placement-client.ts
@@ -50,6 +50,11 @@
     return reply.ok && reply.val.isReady;
   }
 
+  function nextCopyInMs(service: string, model: string): number | null {
+    const arrival = view.arrival(service, model);
+    return arrival === null ? null : Math.max(0, arrival.readyAtMs - clock.nowMs());
+  }
+
   return {
     copyAt: (upstream, model, adapter) => view.copyAt(upstream, model, adapter, clock.nowMs()),
     noteAbsent: (upstreamId, model, adapter) => {
@@ -61,15 +66,13 @@
       if (!isServed) deps.hurry();
     },
     expectedReady: (service, model) => {
-      const nowMs = clock.nowMs();
-      const arrival = view.arrival(service, model);
-      if (arrival !== null) {
-        return { kind: 'on-its-way', inMs: Math.max(0, arrival.readyAtMs - nowMs) };
-      }
+      const nextInMs = nextCopyInMs(service, model);
+      if (nextInMs !== null) return { kind: 'on-its-way', inMs: nextInMs };
       const spec = deps.serviceOf(service)?.engine?.models.find(({ name }) => name === model);
-      const records = deps.directory.eligible(service, nowMs);
+      const records = deps.directory.eligible(service, clock.nowMs());
       return { kind: 'not-ordered', inMs: loadTimes.nearestLoadMs(spec, records) };
     },
+    nextCopyInMs,
     blockedForMs: (upstreamId) => view.blockedForMs(upstreamId, clock.nowMs()),
     ensureAdapter: async (upstreamId, model, adapter, deadlineMs) => {
       const key = `${upstreamId} ${model}/${adapter}`;
--- a/packages/gateway/src/shared/in-flight.ts
+++ b/packages/gateway/src/shared/in-flight.ts
@@ -2,15 +2,15 @@
 
 export type UpstreamLoad = { inFlightCount: number; unreadPromptTokens: number };
 
-/** The load of one model at one upstream; the model is empty for plain services. */
-export type ModelLoad = UpstreamLoad & { upstreamId: string; model: string };
+/** The load of one model and priority at one upstream; the model is empty for plain services. */
+export type ModelLoad = UpstreamLoad & { upstreamId: string; model: string; priority: number };
 
 export type InFlight = {
-  started: (upstreamId: string, model: string, promptTokens: number) => Started;
+  started: (request: StartedRequest) => Started;
   /** This gateway's requests at the upstream. */
   ownCount: (upstreamId: string) => number;
-  /** All gateways' requests at the upstream. */
-  total: (upstreamId: string, nowMs: number) => UpstreamLoad;
+  /** All gateways' requests at the upstream, and the prompts that are read before one of `priority`. */
+  total: (upstreamId: string, priority: number, nowMs: number) => UpstreamLoad;
   /** All gateways' requests at the upstream for one model. */
   modelCount: (upstreamId: string, model: string, nowMs: number) => number;
   /** What another source has in flight; replaces what was heard from it before. */
@@ -20,6 +20,15 @@
   loadsWithout: (exceptId: string, nowMs: number) => readonly ModelLoad[];
 };
 
+export type StartedRequest = {
+  upstreamId: string;
+  model: string;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Tokens of its prompt that are not cached there. */
+  promptTokens: number;
+};
+
 export type Started = {
   /** The first piece has come: its prompt has been read. */
   promptRead: () => void;
@@ -35,13 +44,20 @@
   const own = new Map<string, ModelLoad>();
   const others = new Map<string, Source>();
 
-  function add(upstreamId: string, model: string, countChange: number, tokensChange: number): void {
-    const key = `${upstreamId} ${model}`;
+  type LoadKey = Omit<StartedRequest, 'promptTokens'>;
+
+  function toKey({ upstreamId, model, priority }: LoadKey): string {
+    return `${upstreamId} ${model} ${priority}`;
+  }
+
+  function add(load: LoadKey, countChange: number, tokensChange: number): void {
+    const { upstreamId, model, priority } = load;
+    const key = toKey(load);
     const before = own.get(key);
     const inFlightCount = (before?.inFlightCount ?? 0) + countChange;
     const unreadPromptTokens = (before?.unreadPromptTokens ?? 0) + tokensChange;
     if (inFlightCount <= 0) own.delete(key);
-    else own.set(key, { upstreamId, model, inFlightCount, unreadPromptTokens });
+    else own.set(key, { upstreamId, model, priority, inFlightCount, unreadPromptTokens });
   }
 
   function* allLoads(nowMs: number, exceptId: string | null): Iterable<ModelLoad> {
@@ -52,13 +68,13 @@
   }
 
   return {
-    started: (upstreamId, model, promptTokens) => {
-      let unreadTokens = promptTokens;
+    started: (request) => {
+      let unreadTokens = request.promptTokens;
       let isOpen = true;
-      add(upstreamId, model, 1, promptTokens);
+      add(request, 1, unreadTokens);
       const promptRead = () => {
         if (!isOpen) return;
-        add(upstreamId, model, 0, -unreadTokens);
+        add(request, 0, -unreadTokens);
         unreadTokens = 0;
       };
       return {
@@ -67,7 +83,7 @@
           if (!isOpen) return;
           promptRead();
           isOpen = false;
-          add(upstreamId, model, -1, 0);
+          add(request, -1, 0);
         },
       };
     },
@@ -77,12 +93,13 @@
         if (load.upstreamId === upstreamId) sum += load.inFlightCount;
       return sum;
     },
-    total: (upstreamId, nowMs) => {
+    total: (upstreamId, priority, nowMs) => {
       const sum = { inFlightCount: 0, unreadPromptTokens: 0 };
       for (const load of allLoads(nowMs, null)) {
         if (load.upstreamId !== upstreamId) continue;
         sum.inFlightCount += load.inFlightCount;
-        sum.unreadPromptTokens += load.unreadPromptTokens;
+        // Engines read the prompts of more urgent requests first, whenever these came.
+        if (load.priority <= priority) sum.unreadPromptTokens += load.unreadPromptTokens;
       }
       return sum;
     },
@@ -100,7 +117,7 @@
     loadsWithout: (exceptId, nowMs) => {
       const sums = new Map<string, ModelLoad>();
       for (const load of allLoads(nowMs, exceptId)) {
-        const key = `${load.upstreamId} ${load.model}`;
+        const key = toKey(load);
         const sum = sums.get(key) ?? { ...load, inFlightCount: 0, unreadPromptTokens: 0 };
         sum.inFlightCount += load.inFlightCount;
         sum.unreadPromptTokens += load.unreadPromptTokens;
--- a/packages/gateway/src/shared/placing/placement-view.ts
+++ b/packages/gateway/src/shared/placing/placement-view.ts
@@ -32,6 +32,7 @@
   noteAbsent: (upstreamId: string, model: string, adapter: string | null, nowMs: number) => void;
   noteAdapter: (upstreamId: string, model: string, adapter: string) => void;
   blockedForMs: (upstreamId: string, nowMs: number) => number;
+  /** The next copy to arrive. */
   arrival: (service: string, model: string) => Arrival | null;
   version: () => { term: number; version: number };
 };
@@ -111,7 +112,9 @@
       addedAdapters.add(key);
     },
     arrival: (service, model) =>
-      news.arrivals.find((entry) => entry.service === service && entry.model === model) ?? null,
+      news.arrivals
+        .filter((entry) => entry.service === service && entry.model === model)
+        .sort((left, right) => left.readyAtMs - right.readyAtMs)[0] ?? null,
     version: () => ({ term: news.term, version: news.version }),
   };
 }
--- a/packages/gateway/src/shared/run-verdicts.test.ts
+++ b/packages/gateway/src/shared/run-verdicts.test.ts
@@ -20,6 +20,7 @@
     route: { kind, isResumable: false, maxAttempts: 2 },
     ranCount: 1,
     sentCount: 1,
+    hasBegun: false,
     upstreamId: 'u1',
     ...overrides,
   };
@@ -46,6 +47,14 @@
   assert.is(cut.kind === 'end' && cut.ending.kind, 'cut');
 });
 
+// A stream broke off midway, and no other upstream has its model. The caller has some events already: a failure
+// behind them would be a second answer on the same connection.
+test('behind a part of an answer there is only the cut', () => {
+  const begun = facts('stream', { hasBegun: true });
+  const ending = runVerdicts.refusalOrFailure(begun, 'model-not-ready', 500);
+  assert.equal(ending, { kind: 'cut', cause: 'upstream-lost', upstreamId: 'u1' });
+});
+
 // An idempotent request may have run at one upstream and is then rejected by the next. "Not run" would be
 // false, however true it is of the last attempt.
 test('"not run" is never said of what may have run', () => {
--- a/packages/gateway/src/shared/run-verdicts.ts
+++ b/packages/gateway/src/shared/run-verdicts.ts
@@ -12,6 +12,8 @@
   ranCount: number;
   /** Attempts that reached an upstream, rejected ones included. */
   sentCount: number;
+  /** The caller has a part of an answer. */
+  hasBegun: boolean;
   upstreamId: string;
 };
 
@@ -38,15 +40,18 @@
 
 /**
  * A refusal promises that the request has not run. Once any attempt may have run, only "failed" is
- * true, however the last one ended.
+ * true, however the last one ended. Behind a part of an answer no other answer can follow: a resumed stream
+ * that finds no upstream ends with its connection, which tells the caller that it is not whole.
  */
 export function refusalOrFailure(
   facts: RunFacts,
   cause: calls.RefusalCause,
   retryAfterMs: number,
 ): calls.Ending {
+  const { upstreamId } = facts;
+  if (facts.hasBegun) return { kind: 'cut', cause: 'upstream-lost', upstreamId };
   if (facts.ranCount === 0) return { kind: 'not-run', cause, retryAfterMs };
-  return { kind: 'failed', cause: 'upstream-lost', upstreamId: facts.upstreamId };
+  return { kind: 'failed', cause: 'upstream-lost', upstreamId };
 }
 
 function afterLoss(
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -37,7 +37,7 @@
     promptTokens: 1_500,
     localFailureDomain: 'north',
     excludedIds: new Set(),
-    patienceMs: 1_600,
+    queueLimitMs: 1_600,
     ...overrides,
   };
   return upstreamChoice.chooseUpstream(request, candidates, 1_000, createRandom(5).fraction);
@@ -92,7 +92,7 @@
   beliefs.ended('dark', { kind: 'broken' }, 900);
   const dark = candidate('dark', { belief: beliefs.belief('dark', 950) });
   const loaded = candidate('loaded', { inFlightCount: 30, unreadPromptTokens: 20_000 });
-  assert.is(idOf(choose([dark, loaded], { patienceMs: 60_000 })), 'loaded');
+  assert.is(idOf(choose([dark, loaded], { queueLimitMs: 60_000 })), 'loaded');
   assert.is(idOf(choose([dark])), 'dark');
 });
 
@@ -103,6 +103,15 @@
   assert.ok(choice.kind === 'overloaded' && choice.predictedMs > 3_000);
 });
 
+// Upstreams have turned slow, and a long prompt takes longer than its limit although nothing waits there. To refuse
+// it would leave the upstream idle and the caller with nothing.
+test('what waits for nobody is sent however long it takes', () => {
+  const idle = candidate('idle');
+  assert.is(idOf(choose([idle], { promptTokens: 30_000, queueLimitMs: 300 })), 'idle');
+  const queued = candidate('queued', { unreadPromptTokens: 6_000 });
+  assert.is(idOf(choose([queued], { queueLimitMs: 300 })), 'overloaded');
+});
+
 test('an adapter is brought where the queues are shorter, not beside a short one', () => {
   const holding = candidate('holding', { unreadPromptTokens: 900 });
   const free = candidate('free', { copy: 'no-adapter' });
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -15,7 +15,7 @@
   inFlightCount: number;
   /** Requests of this gateway there. */
   ownInFlightCount: number;
-  /** Prompt tokens there that no first piece has come for yet. */
+  /** Prompt tokens there that are read before this request's: unread ones of requests as urgent or more. */
   unreadPromptTokens: number;
   /** Tokens of this request's prompt that are probably cached there. */
   cachedTokens: number;
@@ -30,8 +30,8 @@
   promptTokens: number;
   localFailureDomain: string;
   excludedIds: ReadonlySet<string>;
-  /** The longest that the first piece may take before the caller leaves. */
-  patienceMs: number;
+  /** The longest predicted time to the first piece with which it may join a queue. */
+  queueLimitMs: number;
 };
 
 export type Choice =
@@ -105,6 +105,10 @@
   return belief.brokenInRow < 2 || candidate.ownInFlightCount === 0;
 }
 
+function hasQueue({ unreadPromptTokens, inFlightCount, slots }: Candidate): boolean {
+  return unreadPromptTokens > 0 || inFlightCount >= slots;
+}
+
 function preferUsable(candidates: readonly Candidate[], nowMs: number): readonly Candidate[] {
   const usable = candidates.filter((candidate) => isUsable(candidate, nowMs));
   if (usable.length > 0) return usable;
@@ -134,7 +138,10 @@
     .sort((a, b) => a.cost - b.cost);
   const best = ranked[0]?.candidate as Candidate;
   const predictedMs = predictMs(request, best);
-  if (predictedMs > request.patienceMs) return { kind: 'overloaded', predictedMs };
+  // What waits for nobody is sent however long it takes: a refusal could not make it any quicker.
+  if (hasQueue(best) && predictedMs > request.queueLimitMs) {
+    return { kind: 'overloaded', predictedMs };
+  }
   const needsAdapter = best.copy === 'no-adapter';
   return { kind: 'send', upstreamId: best.upstreamId, predictedMs, needsAdapter };
 }
--- a/packages/gateway/src/shared/urgency.ts
+++ b/packages/gateway/src/shared/urgency.ts
@@ -6,12 +6,18 @@
 const BATCH_OBJECTIVE_MS = 5_000;
 const BATCH_STEPS = 4;
 
+/** Below interactive work that may still be in time, above overnight work. */
+const LATE_STEPS = 2;
+
 /**
  * Made for overnight work beside interactive work of the same priority: admitted alike, its long prompts
  * make others miss objectives of half a second, while it has ten seconds itself. It starves nobody and
- * is not starved, since engines run tens of requests at once.
+ * is not starved, since engines run tens of requests at once. The same holds for callers that come back
+ * together once a model has its copy: they are late already, and those that ask for the first time would be
+ * late behind them.
  */
-export function enginePriority(route: fleet.Route): number {
+export function enginePriority(route: fleet.Route, isLate: boolean): number {
   const isBatch = route.latencyObjectiveMs >= BATCH_OBJECTIVE_MS;
-  return Math.min(LEAST_URGENT, Math.max(0, route.priority) + (isBatch ? BATCH_STEPS : 0));
+  const steps = (isBatch ? BATCH_STEPS : 0) + (isLate ? LATE_STEPS : 0);
+  return Math.min(LEAST_URGENT, Math.max(0, route.priority) + steps);
 }
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -29,6 +29,8 @@
   noteDemand: (demand: Demand) => void;
   /** When the model is expected to be ready somewhere. */
   expectedReady: (service: string, model: string) => ExpectedReady;
+  /** When one more copy is ready, or null if none is on its way. */
+  nextCopyInMs: (service: string, model: string) => number | null;
   /** Has the adapter loaded at an upstream that has its model; resolves to whether it is there. */
   ensureAdapter: (
     upstreamId: string,
