Give each log line a schema, and serve metrics on an address of the settings

Cause: lines were typed by hand and fields could differ from place to place; nothing counted refusals, waits, store calls or loads; why a request found no upstream could not be read from its lines. Change: types/log-events.ts names every line with its fields, checked by the compiler wherever one is written. request-not-placed tells the inputs of a refusal with their age and version; upstream-avoided and upstream-trusted tell a change of belief. prom-client serves counters and latency histograms on metricsAddress. The setting drainTimeoutMs, which nothing used, is gone.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -6,6 +6,8 @@
 import * as configHolder from './server/control/config-holder.js';
 import * as connectionsModule from './server/forwarding/connections.js';
 import * as serving from './server/forwarding/serve.js';
+import * as measuredStores from './server/metrics/measured-store.js';
+import * as metricsModule from './server/metrics/metrics.js';
 import * as exchanges from './server/peers/exchange.js';
 import * as peerLinks from './server/peers/peer-link.js';
 import * as leaseKeepers from './server/placing/lease-keeper.js';
@@ -20,6 +22,7 @@
 import * as beliefsModule from './shared/upstream-beliefs.js';
 import * as directories from './shared/upstream-directory.js';
 import type * as dialects from './types/dialects.js';
+import type * as logEvents from './types/log-events.js';
 import type * as placementTypes from './types/placement.js';
 import type * as settingsModule from './types/settings.js';
 import type * as stores from './types/stores.js';
@@ -39,6 +42,8 @@
 /** What the running daemon knows of itself. */
 export type GatewayStatus = {
   isStopping: () => boolean;
+  /** Requests that have been read and are not answered yet. */
+  openCallCount: () => number;
   isStoreConnected: () => boolean;
   hasListing: () => boolean;
   onUpstreamsLearned: () => void;
@@ -46,9 +51,12 @@
 
 export type GatewayParts = PlatformParts & {
   settings: settingsModule.Settings;
+  metrics: metricsModule.GatewayMetrics;
   clock: clocks.Clock;
   random: randoms.Random;
-  log: logs.Logger;
+  log: logEvents.GatewayLog;
+  /** For parts of the runtime, whose lines are their own. */
+  runtimeLog: logs.Logger;
   directory: directories.UpstreamDirectory;
   beliefs: beliefsModule.UpstreamBeliefs;
   inFlight: inFlightModule.InFlight;
@@ -69,6 +77,27 @@
   serve: serving.Serve;
 };
 
+function createMetrics(parts: GatewayParts): metricsModule.GatewayMetrics {
+  const { clock, configuration, directory, beliefs } = parts;
+  return metricsModule.createGatewayMetrics(() => {
+    const nowMs = clock.nowMs();
+    const upstreams = directory.all();
+    const avoided = upstreams.filter(({ upstreamId }) =>
+      beliefsModule.isAvoided(beliefs.belief(upstreamId, nowMs)),
+    );
+    return {
+      openCallCount: parts.status.openCallCount(),
+      configVersion: configuration.version(),
+      configAgeMs: configuration.ageMs(),
+      upstreamsRevision: directory.revision(),
+      upstreamCount: upstreams.length,
+      avoidedCount: avoided.length,
+      placementAgeMs: parts.view.ageMs(nowMs),
+      heldTerm: parts.lease.heldTerm(),
+    };
+  });
+}
+
 function createLease(parts: GatewayParts): leaseKeepers.LeaseKeeper {
   const { settings, status, configuration } = parts;
   return leaseKeepers.createLeaseKeeper({
@@ -101,6 +130,7 @@
     },
     inFlight: (upstreamId, model) => inFlight.modelCount(upstreamId, model, clock.nowMs()),
     onNews: parts.view.apply,
+    metrics: parts.metrics,
   });
 }
 
@@ -132,7 +162,7 @@
 
 export function createContainer(
   settings: settingsModule.Settings,
-  createPlatform: (clock: clocks.Clock, log: logs.Logger) => PlatformParts,
+  createPlatform: (clock: clocks.Clock, log: logEvents.GatewayLog) => PlatformParts,
   status: GatewayStatus,
 ) {
   const container = awilix.createContainer<GatewayParts>({ strict: true });
@@ -147,8 +177,14 @@
     settings: awilix.asValue(settings),
     clock: awilix.asValue(clock),
     log: awilix.asValue(log),
+    runtimeLog: awilix.asValue(log),
     dialect: awilix.asValue(platform.dialect),
-    store: awilix.asValue(platform.store),
+    metrics: awilix.asFunction(createMetrics).singleton(),
+    store: awilix
+      .asFunction((parts: GatewayParts) =>
+        measuredStores.createMeasuredStore(platform.store, parts.metrics),
+      )
+      .singleton(),
     upstreamControl: awilix.asValue(platform.upstreamControl),
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
     directory: awilix.asFunction(directories.createUpstreamDirectory).singleton(),
@@ -158,7 +194,7 @@
     quarantine: awilix.asFunction(quarantineModule.createQuarantine).singleton(),
     connections: awilix.asFunction(connectionsModule.createConnections).singleton(),
     configuration: awilix
-      .asFunction((parts: GatewayParts) => configHolder.createConfigHolder(parts.log))
+      .asFunction((parts: GatewayParts) => configHolder.createConfigHolder(parts.log, parts.clock))
       .singleton(),
     retryShare: awilix
       .asFunction(() =>
@@ -210,6 +246,7 @@
           quarantine: parts.quarantine,
           connections: parts.connections,
           placement: parts.placement,
+          metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
           failureDomain: settings.failureDomain,
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,14 +1,16 @@
 /** Runs a gateway: its parts in a supervisor tree, and its planned stop. */
 import { supervisor } from '@copperlever/runtime';
-import type { clocks, logs } from '@copperlever/runtime';
+import type { clocks } from '@copperlever/runtime';
 import type * as fastify from 'fastify';
 
 import * as containers from './container.js';
 import * as followers from './server/control/follower.js';
 import * as forwarding from './server/forwarding/app.js';
 import * as healthApp from './server/health/app.js';
+import * as metricsApp from './server/metrics/app.js';
 import * as peers from './server/peers/server.js';
 import * as stops from './server/health/stop.js';
+import type * as logEvents from './types/log-events.js';
 import type * as settingsModule from './types/settings.js';
 
 /** An absence shorter than this lets no entry of the platform's list lapse. */
@@ -24,7 +26,7 @@
 
 export type CreatePlatform = (
   clock: clocks.Clock,
-  log: logs.Logger,
+  log: logEvents.GatewayLog,
   settings: settingsModule.Settings,
 ) => containers.PlatformParts;
 
@@ -56,6 +58,7 @@
     (clock, log) => createPlatform(clock, log, settings),
     {
       isStopping: () => isStopping,
+      openCallCount: () => openCalls.count,
       hasListing: () => hasListing,
       isStoreConnected: () => upstreamFollower.isConnected(),
       onUpstreamsLearned: () => {
@@ -132,6 +135,7 @@
     dialect: cradle.dialect,
     serve: cradle.serve,
     configuration: configuration.current,
+    metrics: cradle.metrics,
     isStopping: () => isStopping,
     openCalls,
   });
@@ -201,6 +205,14 @@
           return { failed: supervisor.neverFails(), stop: () => readiness.close() };
         },
       },
+      {
+        name: 'metrics',
+        start: async () => {
+          const app = metricsApp.createMetricsApp(cradle.metrics);
+          if (settings.metricsAddress !== undefined) await listen(app, settings.metricsAddress);
+          return { failed: supervisor.neverFails(), stop: () => app.close() };
+        },
+      },
       {
         name: 'callers',
         start: async () => {
@@ -214,7 +226,7 @@
         },
       },
     ],
-    { clock, log, onGiveUp: () => process.exit(1) },
+    { clock, log: cradle.runtimeLog, onGiveUp: () => process.exit(1) },
   );
 
   async function stop(): Promise<void> {
--- a/packages/gateway/src/server/control/config-holder.ts
+++ b/packages/gateway/src/server/control/config-holder.ts
@@ -1,30 +1,40 @@
 /** The configuration in force: only ever a newer one takes its place. */
-import type { logs } from '@copperlever/runtime';
+
+import type { clocks } from '@copperlever/runtime';
 
 import * as routeTables from '../../shared/route-table.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
 import type * as forwarding from '../forwarding/app.js';
 
 export type ConfigHolder = {
   current: () => forwarding.InForce | null;
   version: () => number;
+  /** Since it came into force; null before the first. */
+  ageMs: () => number | null;
   serviceOf: (name: string) => fleet.Service | null;
   /** Puts `config` in force if it is newer; says whether it did. */
   offer: (config: fleet.FleetConfig, source: string) => boolean;
   onChange: (listener: (config: fleet.FleetConfig) => void) => void;
 };
 
-export function createConfigHolder(log: logs.Logger): ConfigHolder {
+export function createConfigHolder(
+  log: logEvents.GatewayLog,
+  clock: Pick<clocks.Clock, 'nowMs'>,
+): ConfigHolder {
+  let sinceMs: number | null = null;
   let inForce: forwarding.InForce | null = null;
   let services = new Map<string, fleet.Service>();
   const listeners: ((config: fleet.FleetConfig) => void)[] = [];
   return {
     current: () => inForce,
     version: () => inForce?.config.version ?? 0,
+    ageMs: () => (sinceMs === null ? null : clock.nowMs() - sinceMs),
     serviceOf: (name) => services.get(name) ?? null,
     offer: (config, source) => {
       const before = inForce?.config.version ?? 0;
       if (config.version <= before) return false;
+      sinceMs = clock.nowMs();
       inForce = { config, routes: routeTables.createRouteTable(config.routes) };
       services = new Map(config.services.map((service) => [service.name, service]));
       log.info('config-in-force', { configVersion: config.version, before, source });
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -1,7 +1,8 @@
 /** Follows one kind of the store's records: a listing, then watches, through outages and lost history. */
 import { clocks } from '@copperlever/runtime';
-import type { logs, randoms, results } from '@copperlever/runtime';
+import type { randoms, results } from '@copperlever/runtime';
 
+import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
 
 export type FollowerOptions<K extends stores.Kind> = {
@@ -9,7 +10,7 @@
   store: stores.RecordStore;
   clock: clocks.Clock;
   random: randoms.Random;
-  log: logs.Logger;
+  log: logEvents.GatewayLog;
   onListing: (listing: stores.Listing<stores.KindValues[K]>) => void;
   onChange: (change: stores.Change<stores.KindValues[K]>) => void;
   /** The store answers again after it did not for `awayMs`. */
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -1,7 +1,7 @@
 /** The callers' side of the gateway: reads requests, has them served and answers what cannot be served. */
 import type * as http from 'node:http';
 
-import type { clocks, logs } from '@copperlever/runtime';
+import type { clocks } from '@copperlever/runtime';
 import * as hashes from '@copperlever/runtime/hashes';
 import * as fastify from 'fastify';
 
@@ -10,17 +10,20 @@
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
+import type * as metricsModule from '../metrics/metrics.js';
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
 import type * as serving from './serve.js';
 
 export type CallersDeps = {
   clock: clocks.Clock;
-  log: logs.Logger;
+  log: logEvents.GatewayLog;
   dialect: dialects.Dialect;
   serve: serving.Serve;
   configuration: () => InForce | null;
   isStopping: () => boolean;
+  metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded'>;
   /** Requests that have been read and are not answered yet, waiting ones among them. */
   openCalls: { count: number };
 };
@@ -151,6 +154,7 @@
     const ending = await deps.serve(call, sink);
     answerEnding(deps, sink, ending);
     logEnding(deps, call, ending);
+    deps.metrics.requestEnded(call.route, ending, deps.clock.nowMs() - call.arrivedAtMs);
   } finally {
     deps.openCalls.count -= 1;
   }
@@ -171,7 +175,8 @@
     reply.hijack();
     request.raw.url = request.originalUrl;
     handle(deps, request.raw, reply.raw).catch((cause: unknown) => {
-      deps.log.error('request-broken', { reason: String(cause) });
+      const { requestId } = deps.dialect.readCall(request.headers);
+      deps.log.error('request-broken', { requestId, reason: String(cause) });
       reply.raw.socket?.resetAndDestroy();
     });
   });
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -1,7 +1,7 @@
 /** The life of one request: choose an upstream, attempt, repeat where that is allowed, end truthfully. */
 import type { quarantine } from '@copperlever/decisions';
 import { clocks as clocksModule } from '@copperlever/runtime';
-import type { clocks, logs, randoms } from '@copperlever/runtime';
+import type { clocks, randoms } from '@copperlever/runtime';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
@@ -17,14 +17,16 @@
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as metricsModule from '../metrics/metrics.js';
 import type * as answers from './answers.js';
 import * as attempts from './attempt.js';
 import type * as connectionsModule from './connections.js';
 
 export type ServeDeps = {
   clock: clocks.Clock;
-  log: logs.Logger;
+  log: logEvents.GatewayLog;
   random: randoms.Random;
   dialect: dialects.Dialect;
   directory: directories.UpstreamDirectory;
@@ -35,6 +37,7 @@
   quarantine: quarantine.Quarantine;
   connections: connectionsModule.Connections;
   placement: placementTypes.Placement;
+  metrics: metricsModule.GatewayMetrics;
   serviceOf: (name: string) => fleet.Service | null;
   gatewayCount: () => number;
   isStopping: () => boolean;
@@ -74,6 +77,8 @@
   elapsedBeforeMs: number;
 };
 
+type NoChoice = Exclude<upstreamChoice.Choice, { kind: 'send' }>;
+
 export function createServe(deps: ServeDeps): Serve {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
@@ -168,25 +173,36 @@
     );
   }
 
+  function noteBelief(upstreamId: string, end: beliefsModule.AttemptEnd, nowMs: number): void {
+    const change = beliefs.ended(upstreamId, end, nowMs);
+    if (change === null) return;
+    const { brokenInRow, avoidUntilMs } = change.belief;
+    if (change.kind === 'trusted') log.info('upstream-trusted', { upstreamId });
+    else {
+      const forMs = Math.round(avoidUntilMs - nowMs);
+      log.warn('upstream-avoided', { upstreamId, brokenInRow, forMs });
+    }
+  }
+
   function noteEnd(call: calls.Call, upstreamId: string, result: calls.AttemptResult): void {
     const nowMs = clock.nowMs();
     switch (result.kind) {
       case 'not-sent':
       case 'lost':
-        beliefs.ended(upstreamId, { kind: 'broken' }, nowMs);
+        noteBelief(upstreamId, { kind: 'broken' }, nowMs);
         break;
       case 'rejected':
         if (result.isMisdirected) noteMisdirected(call, upstreamId);
-        else beliefs.ended(upstreamId, { kind: 'rejected' }, nowMs);
+        else noteBelief(upstreamId, { kind: 'rejected' }, nowMs);
         break;
       case 'held-failure':
-        beliefs.ended(upstreamId, { kind: 'failed' }, nowMs);
+        noteBelief(upstreamId, { kind: 'failed' }, nowMs);
         break;
       case 'deadline':
-        if (!result.hasBegun) beliefs.ended(upstreamId, { kind: 'broken' }, nowMs);
+        if (!result.hasBegun) noteBelief(upstreamId, { kind: 'broken' }, nowMs);
         break;
       case 'answered':
-        if (result.status >= 500) beliefs.ended(upstreamId, { kind: 'failed' }, nowMs);
+        if (result.status >= 500) noteBelief(upstreamId, { kind: 'failed' }, nowMs);
         break;
       case 'caller-gone':
         break;
@@ -239,13 +255,15 @@
       onFirstPiece: () => {
         started.promptRead();
         firstPieceMs = clock.nowMs() - startedAtMs;
+        deps.metrics.firstPiece(call.route, clock.nowMs() - call.arrivedAtMs);
       },
     });
     started.ended();
+    deps.metrics.attemptEnded(result.kind);
     connection.giveBack(result.kind !== 'not-sent');
     if (firstPieceMs !== null && result.kind === 'answered' && result.status < 500) {
       const good = { kind: 'good', firstPieceMs, predictedMs: choice.predictedMs } as const;
-      beliefs.ended(upstreamId, good, clock.nowMs());
+      noteBelief(upstreamId, good, clock.nowMs());
     } else {
       noteEnd(call, upstreamId, result);
     }
@@ -254,6 +272,7 @@
       upstreamId,
       result: result.kind,
       reason: 'reason' in result ? result.reason : undefined,
+      priority,
       predictedMs: Math.round(choice.predictedMs),
       firstPieceMs: firstPieceMs === null ? undefined : Math.round(firstPieceMs),
       tookMs: Math.round(clock.nowMs() - startedAtMs),
@@ -292,7 +311,9 @@
   }
 
   function takeRetry(call: calls.Call): boolean {
-    return deps.retryShare.tryTake(call.service, deps.gatewayCount(), clock.nowMs());
+    const isTaken = deps.retryShare.tryTake(call.service, deps.gatewayCount(), clock.nowMs());
+    deps.metrics.retry(isTaken);
+    return isTaken;
   }
 
   /** Null when the request can be routed anew, the adapter being there or another upstream to be tried. */
@@ -341,8 +362,10 @@
     }
     run.hasWaited = true;
     waitingCount += 1;
+    const startedAtMs = clock.nowMs();
     await clocksModule.sleepUntil(clock, verdict.untilMs);
     waitingCount -= 1;
+    deps.metrics.waited(clock.nowMs() - startedAtMs);
     return null;
   }
 
@@ -358,14 +381,25 @@
     sink: answers.AnswerSink,
   ): Promise<calls.Ending | null> {
     const choice = choose(call, run);
+    if (choice.kind !== 'send') {
+      const ending = await afterNoChoice(call, run, choice);
+      if (ending !== null) noteNotPlaced(call, run, choice, ending);
+      return ending;
+    }
+    if (choice.needsAdapter) return ensureAdapter(call, run, choice.upstreamId);
+    run.upstreamId = choice.upstreamId;
+    run.excludedIds.add(choice.upstreamId);
+    const result = await attempt(call, run, sink, choice);
+    return settle(call, run, sink, result);
+  }
+
+  /** What becomes of a request that no upstream was chosen for; null when it is to be routed anew. */
+  async function afterNoChoice(
+    call: calls.Call,
+    run: Run,
+    choice: NoChoice,
+  ): Promise<calls.Ending | null> {
     switch (choice.kind) {
-      case 'send': {
-        if (choice.needsAdapter) return ensureAdapter(call, run, choice.upstreamId);
-        run.upstreamId = choice.upstreamId;
-        run.excludedIds.add(choice.upstreamId);
-        const result = await attempt(call, run, sink, choice);
-        return settle(call, run, sink, result);
-      }
       case 'model-missing':
         return afterMissingModel(call, run, 'model-not-ready');
       case 'adapter-blocked':
@@ -379,6 +413,28 @@
     }
   }
 
+  function noteNotPlaced(call: calls.Call, run: Run, choice: NoChoice, ending: calls.Ending): void {
+    const { model, adapter } = call.facts;
+    const records = directory.eligible(call.service, clock.nowMs());
+    const withModel = records.filter(
+      (record) => model !== null && placement.copyAt(record, model, adapter) !== 'none',
+    );
+    const basis = placement.basis();
+    log.info('request-not-placed', {
+      requestId: call.requestId,
+      model,
+      cause: 'cause' in ending ? ending.cause : ending.kind,
+      upstreamCount: records.length,
+      withModelCount: withModel.length,
+      predictedMs: choice.kind === 'overloaded' ? Math.round(choice.predictedMs) : undefined,
+      queueLimitMs: Math.round(queueLimitMs(call, run)),
+      upstreamsRevision: directory.revision(),
+      placementTerm: basis.term,
+      placementVersion: basis.version,
+      placementAgeMs: Math.round(basis.ageMs),
+    });
+  }
+
   function noteDemand(call: calls.Call): void {
     const { model, adapter } = call.facts;
     if (model === null || !needsModel(call)) return;
--- /dev/null
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -0,0 +1,73 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as memoryRecords from '../../testing/memory-records.js';
+import * as metricsApp from './app.js';
+import * as measuredStores from './measured-store.js';
+import * as metricsModule from './metrics.js';
+
+const test = suite('metrics');
+
+const READINGS: metricsModule.Readings = {
+  openCallCount: 3,
+  configVersion: 12,
+  configAgeMs: 2_500,
+  upstreamsRevision: 40,
+  upstreamCount: 11,
+  avoidedCount: 1,
+  placementAgeMs: 250,
+  heldTerm: null,
+};
+
+const STREAM = { kind: 'stream', priority: 1 } as const;
+
+function createMetrics() {
+  return metricsModule.createGatewayMetrics(() => READINGS);
+}
+
+test('requests are counted by class, outcome and cause, with their times', async () => {
+  const metrics = createMetrics();
+  const refusal = { kind: 'not-run', cause: 'overloaded', retryAfterMs: 900 } as const;
+  metrics.requestEnded(STREAM, refusal, 2);
+  metrics.requestEnded(STREAM, { kind: 'answered', status: 200, upstreamId: 'u1' }, 1_400);
+  metrics.firstPiece(STREAM, 130);
+  const text = await metrics.text();
+  const refused =
+    'copperlever_requests_total{kind="stream",priority="1",outcome="not-run",cause="overloaded"} 1';
+  assert.ok(text.includes(refused), text);
+  assert.ok(
+    text.includes('copperlever_first_piece_seconds_bucket{le="0.2",kind="stream",priority="1"} 1'),
+    text,
+  );
+  assert.ok(text.includes('copperlever_request_seconds_count{kind="stream",priority="1"} 2'));
+});
+
+test('what a gateway knows is read when it is asked for', async () => {
+  const text = await createMetrics().text();
+  assert.ok(text.includes('copperlever_config_age_seconds 2.5'));
+  assert.ok(text.includes('copperlever_upstreams_avoided 1'));
+  assert.ok(text.includes('copperlever_lease_term 0'));
+});
+
+test('store calls are counted with their results, and passed on', async () => {
+  const metrics = createMetrics();
+  const records = memoryRecords.createMemoryRecords();
+  const store = measuredStores.createMeasuredStore(records, metrics);
+  assert.is((await store.get('leases', 'placing', 0)).ok, true);
+  records.setFault('down');
+  assert.is((await store.get('leases', 'placing', 0)).ok, false);
+  const text = await metrics.text();
+  assert.ok(text.includes('copperlever_store_calls_total{call="get",result="ok"} 1'), text);
+  assert.ok(text.includes('copperlever_store_calls_total{call="get",result="unavailable"} 1'));
+});
+
+test('the text is served where collectors look for it', async () => {
+  const app = metricsApp.createMetricsApp(createMetrics());
+  const answer = await app.inject({ url: metricsApp.METRICS_PATH });
+  assert.is(answer.statusCode, 200);
+  assert.match(String(answer.headers['content-type']), /^text\/plain/);
+  assert.ok(answer.body.includes('# TYPE copperlever_requests_total counter'));
+  await app.close();
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -0,0 +1,154 @@
+/** Counters and latency histograms, in the text format that Prometheus reads. docs/metrics.md lists them. */
+import * as perfHooks from 'node:perf_hooks';
+
+import * as prometheus from 'prom-client';
+
+import type * as calls from '../../types/calls.js';
+import type * as dialects from '../../types/dialects.js';
+import type * as fleet from '../../types/fleet.js';
+import type * as stores from '../../types/stores.js';
+
+export type RequestClass = { kind: fleet.RouteKind; priority: number };
+
+/** What is read when somebody asks, and kept by others. */
+export type Readings = {
+  openCallCount: number;
+  configVersion: number;
+  configAgeMs: number | null;
+  upstreamsRevision: number;
+  upstreamCount: number;
+  avoidedCount: number;
+  placementAgeMs: number;
+  heldTerm: number | null;
+};
+
+export type GatewayMetrics = {
+  requestEnded: (of: RequestClass, ending: calls.Ending, tookMs: number) => void;
+  firstPiece: (of: RequestClass, sinceArrivalMs: number) => void;
+  waited: (tookMs: number) => void;
+  attemptEnded: (result: calls.AttemptResult['kind']) => void;
+  retry: (isTaken: boolean) => void;
+  storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
+  orderGiven: (order: dialects.Order['kind'], outcome: string) => void;
+  changeEnded: (loadFrom: string, isDone: boolean, tookMs: number) => void;
+  text: () => Promise<string>;
+};
+
+const PREFIX = 'copperlever_';
+const MS_PER_SECOND = 1_000;
+/** Around the objectives of half a second and ten seconds, and the patience of callers of streams. */
+const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.4, 0.5, 1, 2, 5, 10, 30];
+/** From a load out of host memory to one from the store behind others. */
+const CHANGE_BUCKETS_S = [1, 1.5, 2, 3, 5, 10, 20];
+
+function classLabels({ kind, priority }: RequestClass) {
+  return { kind, priority: String(priority) };
+}
+
+export function createGatewayMetrics(readings: () => Readings): GatewayMetrics {
+  const registry = new prometheus.Registry();
+  const registers = [registry];
+
+  function counter(name: string, help: string, labelNames: string[]) {
+    return new prometheus.Counter({ name: PREFIX + name, help, labelNames, registers });
+  }
+
+  function histogram(name: string, help: string, labelNames: string[], buckets: number[]) {
+    return new prometheus.Histogram({ name: PREFIX + name, help, labelNames, buckets, registers });
+  }
+
+  function gauge(name: string, help: string, read: () => number | null) {
+    return new prometheus.Gauge({
+      name: PREFIX + name,
+      help,
+      registers,
+      collect() {
+        const value = read();
+        if (value !== null) this.set(value);
+      },
+    });
+  }
+
+  const requests = counter('requests_total', 'Requests that ended', [
+    'kind',
+    'priority',
+    'outcome',
+    'cause',
+  ]);
+  const byClass = ['kind', 'priority'];
+  const requestSeconds = histogram(
+    'request_seconds',
+    'From a request to the end of its answer',
+    byClass,
+    LATENCY_BUCKETS_S,
+  );
+  const firstPieceSeconds = histogram(
+    'first_piece_seconds',
+    'From a request to the first piece of its answer',
+    byClass,
+    LATENCY_BUCKETS_S,
+  );
+  const waitSeconds = histogram('wait_seconds', 'Waits for a model', [], LATENCY_BUCKETS_S);
+  const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
+  const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
+  const storeCalls = counter('store_calls_total', "Calls to the platform's store", [
+    'call',
+    'result',
+  ]);
+  const orders = counter('orders_total', 'Orders to upstreams', ['order', 'outcome']);
+  const changeSeconds = histogram(
+    'change_seconds',
+    'Changes of copies, from the plan to the ready copy',
+    ['load_from', 'outcome'],
+    CHANGE_BUCKETS_S,
+  );
+  const seconds = (valueMs: number | null) => (valueMs === null ? null : valueMs / MS_PER_SECOND);
+  gauge('open_requests', 'Requests read and not answered yet', () => readings().openCallCount);
+  gauge('config_version', 'Configuration in force', () => readings().configVersion);
+  gauge('config_age_seconds', 'Since the configuration came into force', () =>
+    seconds(readings().configAgeMs),
+  );
+  gauge('upstreams_revision', 'Revision of the list', () => readings().upstreamsRevision);
+  gauge('upstreams', 'Upstreams listed', () => readings().upstreamCount);
+  gauge(
+    'upstreams_avoided',
+    'Listed upstreams that broke attempts in a row',
+    () => readings().avoidedCount,
+  );
+  gauge('placement_age_seconds', 'Since the holder of the lease was heard', () =>
+    seconds(readings().placementAgeMs),
+  );
+  gauge(
+    'lease_term',
+    'Term of the lease held here; 0 when it is not',
+    () => readings().heldTerm ?? 0,
+  );
+  let lastUse = perfHooks.performance.eventLoopUtilization();
+  gauge('event_loop_utilization', 'Share of time the event loop was busy since last asked', () => {
+    const use = perfHooks.performance.eventLoopUtilization();
+    const since = perfHooks.performance.eventLoopUtilization(use, lastUse);
+    lastUse = use;
+    return since.utilization;
+  });
+
+  return {
+    requestEnded: (of, ending, tookMs) => {
+      const cause = 'cause' in ending ? ending.cause : '';
+      requests.inc({ ...classLabels(of), outcome: ending.kind, cause });
+      requestSeconds.observe(classLabels(of), tookMs / MS_PER_SECOND);
+    },
+    firstPiece: (of, sinceArrivalMs) => {
+      firstPieceSeconds.observe(classLabels(of), sinceArrivalMs / MS_PER_SECOND);
+    },
+    waited: (tookMs) => waitSeconds.observe(tookMs / MS_PER_SECOND),
+    attemptEnded: (result) => attempts.inc({ result }),
+    retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
+    storeCalled: (call, result) => storeCalls.inc({ call, result }),
+    orderGiven: (order, outcome) => orders.inc({ order, outcome }),
+    changeEnded: (loadFrom, isDone, tookMs) => {
+      const outcome = isDone ? 'done' : 'given-up';
+      changeSeconds.observe({ load_from: loadFrom, outcome }, tookMs / MS_PER_SECOND);
+    },
+    text: () => registry.metrics(),
+  };
+}
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -6,7 +6,7 @@
 import type { quarantine } from '@copperlever/decisions';
 import type { gatewayPeer } from '@copperlever/protocol';
 import { clocks as clocksModule, randoms as randomsModule } from '@copperlever/runtime';
-import type { clocks, logs, randoms } from '@copperlever/runtime';
+import type { clocks, randoms } from '@copperlever/runtime';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as peerBooks from '../../shared/peer-book.js';
@@ -14,6 +14,7 @@
 import type * as placementViews from '../../shared/placing/placement-view.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
 import type * as configHolders from '../control/config-holder.js';
 import type * as leaseKeepers from '../placing/lease-keeper.js';
@@ -24,7 +25,7 @@
 export type ExchangeDeps = {
   clock: clocks.Clock;
   random: randoms.Random;
-  log: logs.Logger;
+  log: logEvents.GatewayLog;
   link: peerLinks.PeerLink;
   book: peerBooks.PeerBook;
   configuration: configHolders.ConfigHolder;
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -1,14 +1,15 @@
 /** Takes, keeps and gives back the lease on placing. */
-import type { clocks, logs, randoms } from '@copperlever/runtime';
+import type { clocks, randoms } from '@copperlever/runtime';
 import { clocks as clocksModule } from '@copperlever/runtime';
 
 import * as leaseDecisions from '../../shared/lease-decisions.js';
 import type * as peerBooks from '../../shared/peer-book.js';
+import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
 
 export type LeaseKeeperDeps = {
   clock: clocks.Clock;
-  log: logs.Logger;
+  log: logEvents.GatewayLog;
   random: randoms.Random;
   store: stores.RecordStore;
   book: peerBooks.PeerBook;
--- a/packages/gateway/src/server/placing/placement-client.ts
+++ b/packages/gateway/src/server/placing/placement-client.ts
@@ -56,6 +56,7 @@
   }
 
   return {
+    basis: () => ({ ...view.version(), ageMs: view.ageMs(clock.nowMs()) }),
     copyAt: (upstream, model, adapter) => view.copyAt(upstream, model, adapter, clock.nowMs()),
     noteAbsent: (upstreamId, model, adapter) => {
       view.noteAbsent(upstreamId, model, adapter, clock.nowMs());
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -1,6 +1,6 @@
 /** Places models while this gateway holds the lease: meters demand, plans changes, has stewards carry them out. */
 import { clocks as clocksModule } from '@copperlever/runtime';
-import type { clocks, logs } from '@copperlever/runtime';
+import type { clocks } from '@copperlever/runtime';
 
 import * as adapterPlan from '../../shared/placing/adapter-plan.js';
 import * as copyPlan from '../../shared/placing/copy-plan.js';
@@ -11,12 +11,14 @@
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
+import type * as metricsModule from '../metrics/metrics.js';
 import type * as leaseKeepers from './lease-keeper.js';
 import * as stewards from './steward.js';
 
 export type PlacerDeps = {
   clock: clocks.Clock;
-  log: logs.Logger;
+  log: logEvents.GatewayLog;
   control: dialects.UpstreamControl;
   lease: leaseKeepers.LeaseKeeper;
   directory: directories.UpstreamDirectory;
@@ -26,6 +28,7 @@
   inFlight: (upstreamId: string, model: string) => number;
   /** This gateway's own view of the placing, kept without a message. */
   onNews: (news: placementViews.PlacementNews) => void;
+  metrics: Pick<metricsModule.GatewayMetrics, 'orderGiven' | 'changeEnded'>;
 };
 
 export type Placer = {
@@ -115,6 +118,7 @@
       },
       adapterLastAskedMs: (model, adapter) => adapterAskedMs.get(`${model}/${adapter}`) ?? 0,
       onChanged: publish,
+      metrics: deps.metrics,
     });
   }
 
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -138,6 +138,7 @@
       onStoreLoad: () => {},
       adapterLastAskedMs: (_model, adapter) => Number(adapter.slice(1)),
       onChanged: () => {},
+      metrics: { orderGiven: () => {}, changeEnded: () => {} },
     });
   return { clock, upstream, create };
 }
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -4,17 +4,19 @@
  * holds follows from the orders that it has taken, and memory is never promised twice.
  */
 import { clocks as clocksModule } from '@copperlever/runtime';
-import type { clocks, logs } from '@copperlever/runtime';
+import type { clocks } from '@copperlever/runtime';
 
 import type * as copyPlan from '../../shared/placing/copy-plan.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
+import type * as metricsModule from '../metrics/metrics.js';
 import * as adapterPlaces from './adapter-places.js';
 
 export type StewardDeps = {
   clock: clocks.Clock;
-  log: logs.Logger;
+  log: logEvents.GatewayLog;
   control: dialects.UpstreamControl;
   holderId: string;
   /** The term for orders given now; null while none may be given. */
@@ -24,6 +26,7 @@
   /** When an adapter was last asked for, to choose the one that gives way. */
   adapterLastAskedMs: (model: string, adapter: string) => number;
   onChanged: () => void;
+  metrics: Pick<metricsModule.GatewayMetrics, 'orderGiven' | 'changeEnded'>;
 };
 
 export type Steward = {
@@ -224,6 +227,7 @@
     lastOrderMs = clock.nowMs();
     const result = answer.ok ? noteOutcome(order, answer.val) : 'unknown';
     if (answer.err) orderCount = null;
+    deps.metrics.orderGiven(order.kind, answer.ok ? answer.val.kind : 'unknown');
     log.info('order-given', {
       upstreamId,
       order: order.kind,
@@ -407,6 +411,7 @@
         diskModels,
         isChanging: isChanging || isForeignBusy,
         arriving: arriving?.model ?? null,
+        freeAtMs: isChanging ? (arriving?.readyAtMs ?? null) : null,
         copies: [...copies].map(([model, copy]) => ({
           model,
           // Also while its unload is only planned: the next plan must not take another copy of it as well.
@@ -457,6 +462,7 @@
           leaving = null;
           arriving = null;
           const tookMs = Math.round(clock.nowMs() - startedMs);
+          deps.metrics.changeEnded(wanted.level, isDone, tookMs);
           log.info('change-ended', { upstreamId, load: wanted.load, isDone, tookMs });
           deps.onChanged();
         });
--- a/packages/gateway/src/shared/upstream-beliefs.ts
+++ b/packages/gateway/src/shared/upstream-beliefs.ts
@@ -28,8 +28,11 @@
   endedMs: number;
 };
 
+export type BeliefChange = { kind: 'avoided' | 'trusted'; belief: Belief };
+
 export type UpstreamBeliefs = {
-  ended: (upstreamId: string, end: AttemptEnd, nowMs: number) => void;
+  /** Says whether the end changed what the upstream gets: `avoided` after breaks in a row, `trusted` again. */
+  ended: (upstreamId: string, end: AttemptEnd, nowMs: number) => BeliefChange | null;
   belief: (upstreamId: string, nowMs: number) => Belief;
   /** Forgets upstreams that are no longer listed. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
@@ -44,6 +47,8 @@
 const FADE_MS = 1_500;
 /** One answer that was late by more says no more of the next. */
 const EXCESS_MAX_MS = 400;
+/** One broken answer is bad luck; two in a row are a pattern. */
+const AVOIDED_FROM = 2;
 /** A first pause after a broken attempt; it doubles while probes fail as well. */
 const FIRST_AVOID_MS = 200;
 const LONGEST_AVOID_MS = 3_000;
@@ -98,20 +103,33 @@
       return {
         ...state,
         failureShare: smooth(state.failureShare, 1),
-        // One broken answer is bad luck; two in a row are a pattern.
-        avoidUntilMs: state.brokenInRow === 0 ? state.avoidUntilMs : nowMs + pauseMs,
+        avoidUntilMs: isAvoided({ brokenInRow: state.brokenInRow + 1 })
+          ? nowMs + pauseMs
+          : state.avoidUntilMs,
         brokenInRow: state.brokenInRow + 1,
       };
     }
   }
 }
 
+/** An upstream is avoided from its second break in a row until its next good answer. */
+export function isAvoided(belief: Pick<Belief, 'brokenInRow'>): boolean {
+  return belief.brokenInRow >= AVOIDED_FROM;
+}
+
+function changeOf(before: Belief, after: Belief): BeliefChange | null {
+  if (isAvoided(before) === isAvoided(after)) return null;
+  return { kind: isAvoided(after) ? 'avoided' : 'trusted', belief: after };
+}
+
 export function createUpstreamBeliefs(): UpstreamBeliefs {
   const states = new Map<string, Belief>();
   return {
     ended: (upstreamId, end, nowMs) => {
       const before = faded(states.get(upstreamId) ?? FRESH, nowMs);
-      states.set(upstreamId, { ...afterEnd(before, end, nowMs), endedMs: nowMs });
+      const after = { ...afterEnd(before, end, nowMs), endedMs: nowMs };
+      states.set(upstreamId, after);
+      return changeOf(before, after);
     },
     belief: (upstreamId, nowMs) => faded(states.get(upstreamId) ?? FRESH, nowMs),
     retain: (upstreamIds) => {
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -5,7 +5,7 @@
  * prompts beside an idle upstream, and one that is held until its caller leaves.
  */
 import type * as placementTypes from '../types/placement.js';
-import type * as beliefs from './upstream-beliefs.js';
+import * as beliefs from './upstream-beliefs.js';
 
 export type Candidate = {
   upstreamId: string;
@@ -102,7 +102,7 @@
 function isUsable(candidate: Candidate, nowMs: number): boolean {
   const { belief } = candidate;
   if (belief.avoidUntilMs > nowMs) return false;
-  return belief.brokenInRow < 2 || candidate.ownInFlightCount === 0;
+  return !beliefs.isAvoided(belief) || candidate.ownInFlightCount === 0;
 }
 
 function hasQueue({ unreadPromptTokens, inFlightCount, slots }: Candidate): boolean {
--- /dev/null
+++ b/packages/gateway/src/types/log-events.ts
@@ -0,0 +1,109 @@
+/**
+ * Every line that a gateway writes, and the fields it carries. A line's name and fields are what operators
+ * search for: both are checked wherever one is written.
+ */
+import type * as calls from './calls.js';
+import type * as dialects from './dialects.js';
+import type * as stores from './stores.js';
+
+type Text = string | null | undefined;
+type Amount = number | undefined;
+
+/** What a decision about a request was based on. */
+type ChoiceInputs = {
+  /** Upstreams of the service, and those of them that have the model. */
+  upstreamCount: number;
+  withModelCount: number;
+  predictedMs: Amount;
+  queueLimitMs: number;
+  /** The list of upstreams that was used. */
+  upstreamsRevision: number;
+  /** The placing that was used, and since when its holder has not been heard. */
+  placementTerm: number;
+  placementVersion: number;
+  placementAgeMs: number;
+};
+
+export type LogEvents = {
+  started: { callerAddress: string };
+  stopping: { openCallCount: number };
+  stopped: { openCallCount: number };
+  'settings-changed': { inForceFrom: string };
+  'config-in-force': { configVersion: number; before: number; source: string };
+  'upstreams-listed': { count: number; revision: number };
+  'upstreams-learned': { source: string; revision: number };
+  'upstream-changed': { upstreamId: string; state: string; revision: number };
+  /** It broke attempts in a row: new requests go elsewhere until a single one has shown that it answers. */
+  'upstream-avoided': { upstreamId: string; brokenInRow: number; forMs: number };
+  'upstream-trusted': { upstreamId: string };
+  'store-lost': { kind: stores.Kind; error: string; reason: string; revision: number | null };
+  'store-regained': { kind: stores.Kind; awayMs: number; revision: number | null };
+  'record-unreadable': { kind: stores.Kind; name: string; revision: number; reason: string };
+  'lease-taken': { term: number; before: string; ordersInMs: number };
+  'lease-lost': { term: number; reason: string };
+  'lease-unknown': { term: number; reason: string };
+  'lease-released': { term: number; isStored: boolean; reason: Text };
+  'lease-kept': { term: number; waitedMs: number };
+  'upstream-holds': {
+    upstreamId: string;
+    orderCount: number;
+    models: string;
+    adapters: string;
+    host: string;
+    disk: string;
+  };
+  'report-missing': { upstreamId: string; reason: string };
+  'order-given': {
+    upstreamId: string;
+    order: dialects.Order['kind'];
+    model: string;
+    adapter: Text;
+    term: number;
+    expectedOrderCount: number;
+    outcome: string;
+  };
+  'change-started': { upstreamId: string; load: string; unload: Text; loadFrom: string };
+  'change-ended': { upstreamId: string; load: string; isDone: boolean; tookMs: number };
+  'change-broken': { upstreamId: string; reason: string };
+  'steward-broken': { upstreamId: string; reason: string };
+  'route-unknown': { requestId: string; path: string; configVersion: number };
+  'request-broken': { requestId: string; reason: string };
+  'request-waits': {
+    requestId: string;
+    model: string | null;
+    expected: string;
+    expectedInMs: number;
+  };
+  /** No upstream was chosen: why, and by what. */
+  'request-not-placed': { requestId: string; model: string | null; cause: string } & ChoiceInputs;
+  'attempt-ended': {
+    requestId: string;
+    upstreamId: string;
+    result: calls.AttemptResult['kind'];
+    reason: Text;
+    priority: number;
+    predictedMs: number;
+    firstPieceMs: Amount;
+    tookMs: number;
+  };
+  'request-ended': RequestEnd;
+  'request-failed': RequestEnd;
+};
+
+type RequestEnd = {
+  requestId: string;
+  route: string;
+  model: string | null;
+  adapter: string | null;
+  outcome: calls.Ending['kind'];
+  status: Amount;
+  cause: Text;
+  retryAfterMs: Amount;
+  upstreamId: Text;
+  tookMs: number;
+};
+
+type Write = <Event extends keyof LogEvents>(event: Event, fields: LogEvents[Event]) => void;
+
+/** A logger that takes only the lines above. */
+export type GatewayLog = { info: Write; warn: Write; error: Write };
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -21,7 +21,11 @@
   isServed: boolean;
 };
 
+/** What is known of the placing, and how old it is. */
+export type PlacementBasis = { term: number; version: number; ageMs: number };
+
 export type Placement = {
+  basis: () => PlacementBasis;
   /** Whether the upstream can serve the model, and with the adapter, as far as known. */
   copyAt: (upstream: fleet.UpstreamRecord, model: string, adapter: string | null) => CopyState;
   /** The upstream said that it does not have it. */
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -13,12 +13,12 @@
   readinessAddress: address,
   peerAddress: address,
   storeAddress: address,
+  /** Where metrics are collected; none are served without it. */
+  metricsAddress: address.optional(),
   seedAddresses: zod.array(address).default([]),
   logLevel: zod.enum(['info', 'warn', 'error']).default('info'),
   /** How long a planned stop may take before the process is killed. */
   stopTimeoutS: positive,
-  /** How long an upstream that leaves may still get new work. */
-  drainTimeoutMs: positive,
   /** Retries of all gateways together, as a share of the requests in a window, and on top of it. */
   retryRatio: zod.number().nonnegative(),
   retryWindowS: positive,
