--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -19,6 +19,7 @@
 import * as placementViews from './shared/placing/placement-view.js';
 import * as promptCaches from './shared/prompt-caches.js';
 import * as retryShares from './shared/retry-share.js';
+import * as watchPauses from './shared/watch-pauses.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
 import * as directories from './shared/upstream-directory.js';
 import type * as dialects from './types/dialects.js';
@@ -157,6 +158,7 @@
     isStopping: status.isStopping,
     isStoreConnected: status.isStoreConnected,
     onUpstreamsLearned: status.onUpstreamsLearned,
+    watchPauseMs: watchPauses.followerPauseMs(settings.drainTimeoutMs),
   });
 }
 
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -11,12 +11,11 @@
 import * as peers from './server/peers/server.js';
 import * as stops from './server/health/stop.js';
 import type * as logEvents from './types/log-events.js';
+import * as watchPauses from './shared/watch-pauses.js';
 import type * as settingsModule from './types/settings.js';
 
 /** An absence shorter than this lets no entry of the platform's list lapse. */
 const LAPSE_ABSENCE_MS = 1_000;
-/** Upstreams write often; each call is paid for, and one that leaves may get work for longer than this. */
-const UPSTREAM_PAUSE_MS = 600;
 /** A change must be in force within two seconds also when the connection that it comes on falls silent. */
 const HOLDER_WAIT_MS = 2_000;
 const FOLLOWER_WAIT_MS = 15_000;
@@ -77,6 +76,13 @@
     return hearsHolder ? FOLLOWER_WAIT_MS : HOLDER_WAIT_MS;
   }
 
+  function upstreamPauseMs(): number {
+    const isHolder = cradle.lease.heldTerm() !== null;
+    return isHolder
+      ? watchPauses.HOLDER_PAUSE_MS
+      : watchPauses.followerPauseMs(settings.drainTimeoutMs);
+  }
+
   const common = {
     store: cradle.store,
     clock,
@@ -95,7 +101,7 @@
   const upstreamFollower = followers.createFollower({
     ...common,
     kind: 'upstreams',
-    pauseMs: UPSTREAM_PAUSE_MS,
+    pauseMs: upstreamPauseMs,
     onListing: (listing) => {
       directory.applyListing(listing, clock.nowMs());
       hasListing = true;
@@ -117,7 +123,7 @@
   const configFollower = followers.createFollower({
     ...common,
     kind: 'configuration',
-    pauseMs: 0,
+    pauseMs: () => 0,
     onListing: (listing) => {
       const main = listing.records.find((record) => record.name === CONFIG_RECORD);
       if (main !== undefined) configuration.offer(main.value, 'store');
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -18,7 +18,7 @@
   /** How long a watch waits: each call is paid for, and one that fell silent is noticed only at its end. */
   waitMs: () => number;
   /** After changes the next watch waits this long, so that one call brings several. */
-  pauseMs: number;
+  pauseMs: () => number;
 };
 
 export type Follower = {
@@ -99,8 +99,9 @@
     while (!stopping.signal.aborted) {
       const step = revision === null ? await list() : await watch(revision);
       if (step === 'list-again') revision = null;
-      if (step === 'changed' && options.pauseMs > 0) {
-        await clocks.sleepUntil(clock, clock.nowMs() + options.pauseMs, stopping.signal);
+      const pauseMs = step === 'changed' ? options.pauseMs() : 0;
+      if (pauseMs > 0) {
+        await clocks.sleepUntil(clock, clock.nowMs() + pauseMs, stopping.signal);
       }
       if (step === 'failed') {
         const limitMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failureCount - 1));
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -9,6 +9,7 @@
 import type { clocks, randoms } from '@copperlever/runtime';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
+import * as listLag from '../../shared/list-lag.js';
 import type * as peerBooks from '../../shared/peer-book.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
@@ -43,6 +44,8 @@
   isStopping: () => boolean;
   isStoreConnected: () => boolean;
   onUpstreamsLearned: () => void;
+  /** The longest that this gateway's own watch pauses after changes. */
+  watchPauseMs: number;
 };
 
 export type Exchange = {
@@ -60,8 +63,8 @@
 const CALL_TIMEOUT_MS = 600;
 /** Misses come in groups; the first one's message tells of those that follow within this time. */
 const HURRY_MS = 40;
-/** A watch pauses after changes; what is missing after that was lost on its way. */
-const BEHIND_MS = 900;
+/** What the answer to a watch may take beside its pause. */
+const WATCH_ANSWER_MS = 300;
 /** The source of what the holder tells of all others. */
 const HOLDER_SOURCE = 'holder';
 
@@ -71,18 +74,12 @@
   let wake: () => void = () => {};
   let isHurried = false;
   let lastPeerMs = -Infinity;
-  /** Since when a peer has a newer list than this gateway. */
-  let behindSinceMs: number | null = null;
+  const lag = listLag.createListLag(deps.watchPauseMs + WATCH_ANSWER_MS);
 
   /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
   function wantsUpstreams(nowMs: number): boolean {
     if (!deps.isStoreConnected()) return true;
-    return behindSinceMs !== null && nowMs - behindSinceMs > BEHIND_MS;
-  }
-
-  function noteRevision(revision: number): void {
-    if (revision <= directory.revision()) behindSinceMs = null;
-    else behindSinceMs ??= clock.nowMs();
+    return lag.isLagging(directory.revision(), nowMs);
   }
 
   function ownNews(): gatewayPeer.GatewayNews {
@@ -114,7 +111,7 @@
     if (news.isStopping) book.left(news.gatewayId);
     else book.heardFrom(news, nowMs);
     book.learned(news.gateways, nowMs);
-    noteRevision(news.upstreamsRevision);
+    lag.heard(news.upstreamsRevision, directory.revision(), nowMs);
     if (news.lease !== undefined) book.noteLease(news.lease);
     news.quarantined.forEach(({ fingerprint, remainingMs }) => {
       deps.quarantine.learned(fingerprint, nowMs + remainingMs);
--- /dev/null
+++ b/packages/gateway/src/shared/list-lag.test.ts
@@ -0,0 +1,30 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as listLag from './list-lag.js';
+
+const test = suite('list lag');
+
+// The watch's connection has fallen silent; a peer has had a newer list for longer than the watch pauses.
+test('what a peer has had for longer than the pause is missing', () => {
+  const lag = listLag.createListLag(1_500);
+  lag.heard(41, 40, 0);
+  lag.heard(44, 40, 1_000);
+  assert.not(lag.isLagging(40, 1_400));
+  assert.ok(lag.isLagging(40, 1_600));
+  assert.not(lag.isLagging(44, 1_600));
+});
+
+// Upstreams change all the time, so that a peer is nearly always a revision ahead. Were that lagging, each gateway
+// would be sent the whole list again and again.
+test('to be a little behind all the time is no lag', () => {
+  const lag = listLag.createListLag(1_500);
+  for (let nowMs = 0; nowMs < 20_000; nowMs += 250) {
+    const peerRevision = Math.floor(nowMs / 100) + 1;
+    const ownRevision = Math.floor((nowMs - (nowMs % 1_250)) / 100);
+    lag.heard(peerRevision, ownRevision, nowMs);
+    assert.not(lag.isLagging(ownRevision, nowMs), `${nowMs}`);
+  }
+});
+
+test.run();
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -19,6 +19,8 @@
   logLevel: zod.enum(['info', 'warn', 'error']).default('info'),
   /** How long a planned stop may take before the process is killed. */
   stopTimeoutS: positive,
+  /** How long an upstream that leaves may still get new work. */
+  drainTimeoutMs: positive,
   /** Retries of all gateways together, as a share of the requests in a window, and on top of it. */
   retryRatio: zod.number().nonnegative(),
   retryWindowS: positive,
