--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -441,7 +441,8 @@
     const isServed = directory
       .eligible(call.service, clock.nowMs())
       .some((record) => placement.copyAt(record, model, adapter) !== 'none');
-    placement.noteDemand({ service: call.service, model, adapter, isServed });
+    const isPatient = urgency.isPatient(call.route);
+    placement.noteDemand({ service: call.service, model, adapter, isServed, isPatient });
   }
 
   return async (call, sink) => {
--- a/packages/gateway/src/shared/placing/demand-meter.ts
+++ b/packages/gateway/src/shared/placing/demand-meter.ts
@@ -14,10 +14,14 @@
   lastAskedMs: number;
   /** Requests of the last while that found no copy; older ones count less. */
   missedCount: number;
+  /** The part of its requests that has time to wait for a load, from 0 to 1. */
+  patientShare: number;
 };
 
+export type DemandChange = { requestCount: number; missedCount: number; patientCount: number };
+
 export type DemandMeter = {
-  add: (key: string, requestCount: number, missedCount: number, nowMs: number) => void;
+  add: (key: string, change: DemandChange, nowMs: number) => void;
   figures: (key: string, nowMs: number) => DemandFigures | null;
   hasDemand: () => boolean;
   /** Since the first request; 0 before it. */
@@ -49,6 +53,9 @@
   atMs: number;
   lastAskedMs: number;
   missed: number;
+  /** Of all requests since the counter began. */
+  totalCount: number;
+  patientCount: number;
 };
 
 function decay(counter: Counter, nowMs: number): void {
@@ -70,7 +77,7 @@
   }
 
   return {
-    add: (key, requestCount, missedCount, nowMs) => {
+    add: (key, { requestCount, missedCount, patientCount }, nowMs) => {
       if (requestCount <= 0) return;
       startedMs ??= nowMs;
       const counter = counters.get(key) ?? {
@@ -79,6 +86,8 @@
         atMs: nowMs,
         lastAskedMs: nowMs,
         missed: 0,
+        totalCount: 0,
+        patientCount: 0,
       };
       counters.set(key, counter);
       decay(counter, nowMs);
@@ -86,6 +95,8 @@
       counter.slow += requestCount;
       counter.lastAskedMs = nowMs;
       counter.missed += missedCount;
+      counter.totalCount += requestCount;
+      counter.patientCount += patientCount;
     },
     figures: (key, nowMs) => {
       const counter = counters.get(key);
@@ -103,6 +114,7 @@
         isFalling: fast < FALLING_SHARE * slow,
         lastAskedMs: counter.lastAskedMs,
         missedCount: counter.missed,
+        patientShare: counter.patientCount / counter.totalCount,
       };
     },
     hasDemand: () => startedMs !== null,
