--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -441,8 +441,7 @@
     const isServed = directory
       .eligible(call.service, clock.nowMs())
       .some((record) => placement.copyAt(record, model, adapter) !== 'none');
-    const isPatient = urgency.isPatient(call.route);
-    placement.noteDemand({ service: call.service, model, adapter, isServed, isPatient });
+    placement.noteDemand({ service: call.service, model, adapter, isServed });
   }
 
   return async (call, sink) => {
--- a/packages/gateway/src/server/placing/placement-client.ts
+++ b/packages/gateway/src/server/placing/placement-client.ts
@@ -62,9 +62,9 @@
       view.noteAbsent(upstreamId, model, adapter, clock.nowMs());
       deps.hurry();
     },
-    noteDemand: (demand) => {
-      deps.demand.add(demand, clock.nowMs());
-      if (!demand.isServed) deps.hurry();
+    noteDemand: ({ service, model, adapter, isServed }) => {
+      deps.demand.add({ service, model, adapter }, isServed, clock.nowMs());
+      if (!isServed) deps.hurry();
     },
     expectedReady: (service, model) => {
       const nextInMs = nextCopyInMs(service, model);
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -62,10 +62,7 @@
   const stopping = new AbortController();
   const meter = demandMeters.createDemandMeter();
   const adapterAskedMs = new Map<string, number>();
-  const heard = new Map<
-    string,
-    { incarnation: number; counts: Map<string, demandMeters.DemandChange> }
-  >();
+  const heard = new Map<string, { incarnation: number; counts: Map<string, [number, number]> }>();
   const byUpstream = new Map<string, stewards.Steward>();
   let storeLoads = storeLoadsModule.createStoreLoads(deps.storeLoadLimits);
   let servedTerm: number | null = null;
@@ -79,9 +76,9 @@
     return `${service} ${model}`;
   }
 
-  function note(count: demandCounters.DemandCount, change: demandMeters.DemandChange): void {
+  function note(count: demandCounters.DemandCount, requests: number, missed: number): void {
     const nowMs = clock.nowMs();
-    meter.add(modelKey(count.service, count.model), change, nowMs);
+    meter.add(modelKey(count.service, count.model), requests, missed, nowMs);
     if (count.adapter !== null) adapterAskedMs.set(`${count.model}/${count.adapter}`, nowMs);
   }
 
@@ -195,7 +192,6 @@
       isFalling: false,
       lastAskedMs: nowMs,
       missedCount: 0,
-      patientShare: 0,
       ...figures,
       expectedPerSecond: Math.max(expected, figures?.expectedPerSecond ?? 0),
     };
@@ -287,18 +283,13 @@
       const known =
         before !== undefined && before.incarnation === incarnation
           ? before
-          : { incarnation, counts: new Map<string, demandMeters.DemandChange>() };
+          : { incarnation, counts: new Map<string, [number, number]>() };
       heard.set(sourceId, known);
       counts.forEach((count) => {
         const key = `${count.service} ${count.model}/${count.adapter ?? ''}`;
-        const told = known.counts.get(key) ?? { requestCount: 0, missedCount: 0, patientCount: 0 };
-        const { requestCount, missedCount, patientCount } = count;
-        known.counts.set(key, { requestCount, missedCount, patientCount });
-        note(count, {
-          requestCount: requestCount - told.requestCount,
-          missedCount: missedCount - told.missedCount,
-          patientCount: patientCount - told.patientCount,
-        });
+        const [requests, missed] = known.counts.get(key) ?? [0, 0];
+        known.counts.set(key, [count.requestCount, count.missedCount]);
+        note(count, count.requestCount - requests, count.missedCount - missed);
       });
     },
     news: () => published,
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -19,7 +19,6 @@
     isFalling: false,
     lastAskedMs: NOW_MS,
     missedCount: 0,
-    patientShare: 0,
     ...overrides,
   };
 }
@@ -154,28 +153,6 @@
   assert.is(planAt(NOW_MS - 1_000)?.load, 'rare');
 });
 
-// Two models have one copy each and have not been asked for lately: one by drafts that people wait for, one by
-// overnight work that can wait for a load itself. A hot model needs a place.
-test('what overnight work alone asks for gives way before what people wait for', () => {
-  const fallen = { expectedPerSecond: 0.02, recentPerSecond: 0.02, lastAskedMs: NOW_MS - 9_000 };
-  ['old', 'cold'].forEach((overnight) => {
-    const people = overnight === 'old' ? 'cold' : 'old';
-    const upstreams = [
-      fixtures.upstreamView('u1', ['old', 'cold', 'next'], {
-        diskModels: new Set(['old', 'cold', 'next', 'hot']),
-      }),
-      fixtures.upstreamView('u2', ['hot']),
-    ];
-    const change = plan(upstreams, {
-      hot: asked(16),
-      next: asked(4),
-      [overnight]: asked(0.02, { ...fallen, patientShare: 1 }),
-      [people]: asked(0.02, fallen),
-    });
-    assert.is(change?.unload, overnight);
-  });
-});
-
 // Skewed demand at saturation: a hot model is asked for thirty times a second over eight upstreams, many
 // others now and then. Followed until nothing more pays off, the hot one stands on several upstreams and
 // no model that is asked for is left without a copy for its sake.
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -74,11 +74,6 @@
  * come from the store; less in proportion where another upstream has it at hand.
  */
 const LAST_COPY_WEIGHT = 0.5;
-/**
- * A model that only overnight work asks for needs no copy at hand: its requests wait for a load and are in time.
- * Its last copy is worth this part of another's, the disturbance of bringing it back.
- */
-const PATIENT_SHARE = 0.3;
 /** To bring a copy that nobody asks for is worth less than to keep one: the swap itself disturbs. */
 const UNASKED_SHARE = 0.4;
 /** Beside its load a comeback takes noticing, making room and bringing adapters. */
@@ -104,22 +99,7 @@
 const BLOCKED_SHARE = 0.25;
 const MS_PER_SECOND = 1_000;
 
-type Need = {
-  expected: number;
-  anticipated: number;
-  missedWeight: number;
-  lastWeight: number;
-  /** What a last copy of it is worth beside that of a model that interactive work asks for. */
-  lastShare: number;
-};
-
-const NO_NEED: Need = {
-  expected: 0,
-  anticipated: 0,
-  missedWeight: 0,
-  lastWeight: 0,
-  lastShare: 1,
-};
+type Need = { expected: number; anticipated: number; missedWeight: number; lastWeight: number };
 
 function clamp(value: number, least: number, most: number): number {
   return Math.min(most, Math.max(least, value));
@@ -161,9 +141,8 @@
     figures.map(({ spec, figures: known }): [string, Need] => {
       const lastWeight = LAST_COPY_WEIGHT * comebackShare(input, spec);
       if (known === null) {
-        return [spec.name, { ...NO_NEED, lastWeight }];
+        return [spec.name, { expected: 0, anticipated: 0, missedWeight: 0, lastWeight }];
       }
-      const lastShare = 1 - (1 - PATIENT_SHARE) * known.patientShare;
       const isHot = known.recentPerSecond >= HOT_PER_SECOND && !known.isFalling;
       return [
         spec.name,
@@ -171,8 +150,7 @@
           expected: known.expectedPerSecond,
           anticipated: isHot ? NEXT_TO_RISE_SHARE * top : 0,
           missedWeight: Math.min(MISSED_WEIGHT_MAX, MISSED_WEIGHT * known.missedCount),
-          lastWeight: lastWeight * lastShare,
-          lastShare,
+          lastWeight,
         },
       ];
     }),
@@ -266,7 +244,8 @@
   const { engine, upstreams, nowMs } = input;
   const needs = needsOf(input);
   const counts = copyCounts(upstreams);
-  const needOf = (model: string): Need => needs.get(model) ?? NO_NEED;
+  const needOf = (model: string): Need =>
+    needs.get(model) ?? { expected: 0, anticipated: 0, missedWeight: 0, lastWeight: 0 };
   const hotShare = (upstream: UpstreamView): number =>
     upstream.copies.reduce(
       (sum, { model }) => sum + needOf(model).expected / Math.max(1, counts.get(model) ?? 1),
@@ -280,8 +259,8 @@
     const need = needOf(copy.model);
     const spec = specs.get(copy.model);
     const exceptId = level === 'store' ? upstream.upstreamId : null;
-    const share = spec === undefined ? 0 : comebackShare(input, spec, exceptId);
-    const lastWeight = LAST_COPY_WEIGHT * share * need.lastShare;
+    const lastWeight =
+      spec === undefined ? 0 : LAST_COPY_WEIGHT * comebackShare(input, spec, exceptId);
     const loss = marginal({ ...need, lastWeight }, counts.get(copy.model) ?? 1);
     return loss * HORIZON_S + copy.inFlightCount * DISTURBED_COST;
   }
--- a/packages/gateway/src/shared/placing/demand-meter.test.ts
+++ b/packages/gateway/src/shared/placing/demand-meter.test.ts
@@ -5,22 +5,18 @@
 
 const test = suite('demand meter');
 
-function asked(requestCount: number, missedCount: number): demandMeters.DemandChange {
-  return { requestCount, missedCount, patientCount: 0 };
-}
-
 // Demand moves on within five seconds. The second copy takes seconds to come, so the ramp has to be seen
 // while the rate is still small.
 test('a ramp is expected to go on', () => {
   const meter = demandMeters.createDemandMeter();
-  for (let nowMs = 0; nowMs < 10_000; nowMs += 100) meter.add('steady', asked(1, 0), nowMs);
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 100) meter.add('steady', 1, 0, nowMs);
   let sum = 0;
   for (let nowMs = 10_000; nowMs < 13_000; nowMs += 100) {
     sum += ((nowMs - 10_000) / 1_000) * 0.3;
     const count = Math.floor(sum);
     sum -= count;
-    meter.add('rising', asked(count, 0), nowMs);
-    meter.add('steady', asked(1, 0), nowMs);
+    meter.add('rising', count, 0, nowMs);
+    meter.add('steady', 1, 0, nowMs);
   }
   const rising = meter.figures('rising', 13_000);
   const steady = meter.figures('steady', 13_000);
@@ -31,25 +27,17 @@
 
 test('one request is no ramp', () => {
   const meter = demandMeters.createDemandMeter();
-  for (let nowMs = 0; nowMs < 10_000; nowMs += 100) meter.add('steady', asked(1, 0), nowMs);
-  meter.add('single', asked(1, 1), 10_000);
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 100) meter.add('steady', 1, 0, nowMs);
+  meter.add('single', 1, 1, 10_000);
   const single = meter.figures('single', 10_000);
   assert.ok(single !== null && single.expectedPerSecond < 0.5);
 });
 
 test('misses add up over requests that are seconds apart', () => {
   const meter = demandMeters.createDemandMeter();
-  [0, 4_000, 8_000, 12_000].forEach((nowMs) => meter.add('rare', asked(1, 1), nowMs));
+  [0, 4_000, 8_000, 12_000].forEach((nowMs) => meter.add('rare', 1, 1, nowMs));
   const rare = meter.figures('rare', 12_000);
   assert.ok(rare !== null && rare.missedCount > 2);
 });
 
-test('what has time to wait is told apart', () => {
-  const meter = demandMeters.createDemandMeter();
-  meter.add('mixed', { requestCount: 3, missedCount: 0, patientCount: 3 }, 0);
-  assert.is(meter.figures('mixed', 0)?.patientShare, 1);
-  meter.add('mixed', { requestCount: 1, missedCount: 0, patientCount: 0 }, 1_000);
-  assert.is(meter.figures('mixed', 1_000)?.patientShare, 0.75);
-});
-
 test.run();
--- a/packages/gateway/src/shared/placing/demand-meter.ts
+++ b/packages/gateway/src/shared/placing/demand-meter.ts
@@ -14,14 +14,10 @@
   lastAskedMs: number;
   /** Requests of the last while that found no copy; older ones count less. */
   missedCount: number;
-  /** The part of its requests that has time to wait for a load, from 0 to 1. */
-  patientShare: number;
 };
 
-export type DemandChange = { requestCount: number; missedCount: number; patientCount: number };
-
 export type DemandMeter = {
-  add: (key: string, change: DemandChange, nowMs: number) => void;
+  add: (key: string, requestCount: number, missedCount: number, nowMs: number) => void;
   figures: (key: string, nowMs: number) => DemandFigures | null;
   hasDemand: () => boolean;
   /** Since the first request; 0 before it. */
@@ -53,9 +49,6 @@
   atMs: number;
   lastAskedMs: number;
   missed: number;
-  /** Of all requests since the counter began. */
-  totalCount: number;
-  patientCount: number;
 };
 
 function decay(counter: Counter, nowMs: number): void {
@@ -77,7 +70,7 @@
   }
 
   return {
-    add: (key, { requestCount, missedCount, patientCount }, nowMs) => {
+    add: (key, requestCount, missedCount, nowMs) => {
       if (requestCount <= 0) return;
       startedMs ??= nowMs;
       const counter = counters.get(key) ?? {
@@ -86,8 +79,6 @@
         atMs: nowMs,
         lastAskedMs: nowMs,
         missed: 0,
-        totalCount: 0,
-        patientCount: 0,
       };
       counters.set(key, counter);
       decay(counter, nowMs);
@@ -95,8 +86,6 @@
       counter.slow += requestCount;
       counter.lastAskedMs = nowMs;
       counter.missed += missedCount;
-      counter.totalCount += requestCount;
-      counter.patientCount += patientCount;
     },
     figures: (key, nowMs) => {
       const counter = counters.get(key);
@@ -114,7 +103,6 @@
         isFalling: fast < FALLING_SHARE * slow,
         lastAskedMs: counter.lastAskedMs,
         missedCount: counter.missed,
-        patientShare: counter.patientCount / counter.totalCount,
       };
     },
     hasDemand: () => startedMs !== null,
--- a/packages/gateway/src/shared/urgency.ts
+++ b/packages/gateway/src/shared/urgency.ts
@@ -9,11 +9,6 @@
 /** Below interactive work that may still be in time, above overnight work. */
 const LATE_STEPS = 2;
 
-/** Whether it has time to wait for a load from its upstream's disk. */
-export function isPatient(route: Pick<fleet.Route, 'latencyObjectiveMs'>): boolean {
-  return route.latencyObjectiveMs >= BATCH_OBJECTIVE_MS;
-}
-
 /**
  * Made for overnight work beside interactive work of the same priority: admitted alike, its long prompts
  * make others miss objectives of half a second, while it has ten seconds itself. It starves nobody and
@@ -22,6 +17,7 @@
  * late behind them.
  */
 export function enginePriority(route: fleet.Route, isLate: boolean): number {
-  const steps = (isPatient(route) ? BATCH_STEPS : 0) + (isLate ? LATE_STEPS : 0);
+  const isBatch = route.latencyObjectiveMs >= BATCH_OBJECTIVE_MS;
+  const steps = (isBatch ? BATCH_STEPS : 0) + (isLate ? LATE_STEPS : 0);
   return Math.min(LEAST_URGENT, Math.max(0, route.priority) + steps);
 }
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -19,8 +19,6 @@
   adapter: string | null;
   /** Whether an upstream with a copy could take it. */
   isServed: boolean;
-  /** Whether it has time to wait for a load. */
-  isPatient: boolean;
 };
 
 /** What is known of the placing, and how old it is. */
