Tell callers when a model is really ready; hand the lease back last; count out upstreams that two gateways avoid

The copies of a crashed upstream counted for the three heartbeats that the platform lists it. Change: host memory counts only where nothing makes way; ready times include the unload and the report, and are put off while an unload waits; Retry-After of an overload is the queue's time unless a copy comes within 3 s; the holder places through its drain and hands back at its end; gateways tell the holder what they avoid, and two of them make an upstream suspect. Tests: each failed before or fails without its part, but for the ready times of the steward, which have none.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -20,6 +20,7 @@
 import * as promptCaches from './shared/prompt-caches.js';
 import * as retryShares from './shared/retry-share.js';
 import * as watchPauses from './shared/watch-pauses.js';
+import * as suspectsModule from './shared/suspects.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
 import * as directories from './shared/upstream-directory.js';
 import type * as dialects from './types/dialects.js';
@@ -60,6 +61,7 @@
   runtimeLog: logs.Logger;
   directory: directories.UpstreamDirectory;
   beliefs: beliefsModule.UpstreamBeliefs;
+  suspects: suspectsModule.Suspects;
   inFlight: inFlightModule.InFlight;
   caches: promptCaches.PromptCaches;
   retryShare: retryShares.RetryShare;
@@ -130,6 +132,10 @@
       overage: settings.loadOverage,
     },
     inFlight: (upstreamId, model) => inFlight.modelCount(upstreamId, model, clock.nowMs()),
+    isSuspect: (upstreamId) => {
+      const gatewayCount = parts.book.live(clock.nowMs()).length + 1;
+      return parts.suspects.isSuspect(upstreamId, gatewayCount, clock.nowMs());
+    },
     onNews: parts.view.apply,
     metrics: parts.metrics,
   });
@@ -150,6 +156,8 @@
     demand: parts.demand,
     view: parts.view,
     lease: parts.lease,
+    beliefs: parts.beliefs,
+    suspects: parts.suspects,
     placer: parts.placer,
     gatewayId: settings.gatewayId,
     incarnation: Math.trunc(parts.random.fraction() * Number.MAX_SAFE_INTEGER),
@@ -191,6 +199,7 @@
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
     directory: awilix.asFunction(directories.createUpstreamDirectory).singleton(),
     beliefs: awilix.asFunction(beliefsModule.createUpstreamBeliefs).singleton(),
+    suspects: awilix.asFunction(suspectsModule.createSuspects).singleton(),
     inFlight: awilix.asFunction(inFlightModule.createInFlight).singleton(),
     caches: awilix.asFunction(promptCaches.createPromptCaches).singleton(),
     quarantine: awilix.asFunction(quarantineModule.createQuarantine).singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -239,16 +239,14 @@
     isStopping = true;
     log.info('stopping', { openCallCount: openCalls.count });
     const endMs = stops.exitByMs(clock.nowMs(), settings.stopTimeoutS * 1_000);
-    await Promise.all([
-      cradle.lease.handBack(endMs),
-      stops.drain({
-        clock,
-        server: callers.server,
-        connections,
-        openCallCount: () => openCalls.count,
-        endMs,
-      }),
-    ]);
+    const drained = stops.drain({
+      clock,
+      server: callers.server,
+      connections,
+      openCallCount: () => openCalls.count,
+      endMs,
+    });
+    await stops.handBackLast({ clock, drained, handBack: cradle.lease.handBack, endMs });
     await tree.stop();
     log.info('stopped', { openCallCount: openCalls.count });
   }
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -10,7 +10,7 @@
 import type * as retryShares from '../../shared/retry-share.js';
 import * as modelWaits from '../../shared/model-waits.js';
 import * as runVerdicts from '../../shared/run-verdicts.js';
-import type * as beliefsModule from '../../shared/upstream-beliefs.js';
+import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import * as urgency from '../../shared/urgency.js';
@@ -126,13 +126,21 @@
     return urgency.enginePriority(call.route, isLate(call, run));
   }
 
+  function patienceOf(call: calls.Call) {
+    const nowMs = clock.nowMs();
+    return {
+      latencyObjectiveMs: call.route.latencyObjectiveMs,
+      leftMs: call.deadlineMs - nowMs,
+      waitedMs: nowMs - call.arrivedAtMs,
+    };
+  }
+
   function queueLimitMs(call: calls.Call, run: Run): number {
     // What its caller has a part of already is finished.
     if (run.hasBegun) return call.deadlineMs - clock.nowMs();
     return queueLimits.queueLimitMs({
+      ...patienceOf(call),
       isStream: call.route.kind === 'stream',
-      latencyObjectiveMs: call.route.latencyObjectiveMs,
-      leftMs: call.deadlineMs - clock.nowMs(),
       isLate: isLate(call, run),
     });
   }
@@ -345,6 +353,8 @@
       arrivedAtMs: call.arrivedAtMs,
       deadlineMs: call.deadlineMs,
       latencyObjectiveMs: call.route.latencyObjectiveMs,
+      patienceMs: queueLimits.patienceMs(patienceOf(call)),
+      isOnItsWay: expected.kind === 'on-its-way',
       readyInMs: expected.inMs,
       waitingCount,
       isStopping: deps.isStopping(),
@@ -440,7 +450,11 @@
     if (model === null || !needsModel(call)) return;
     const isServed = directory
       .eligible(call.service, clock.nowMs())
-      .some((record) => placement.copyAt(record, model, adapter) !== 'none');
+      .some(
+        (record) =>
+          placement.copyAt(record, model, adapter) !== 'none' &&
+          !beliefsModule.isAvoided(beliefs.belief(record.upstreamId, clock.nowMs())),
+      );
     placement.noteDemand({ service: call.service, model, adapter, isServed });
   }
 
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 
+import { clocks } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -63,4 +64,27 @@
   assert.ok(state.lastQuietMs >= 4_000);
 });
 
+// Gateways are restarted in turn, two seconds apart. Given back at once, the lease goes to the next to be stopped, and
+// each time nobody may give orders for the lease time: rising models get no copy for most of the restart.
+test('the lease is kept while the drain lasts, and given back before the kill', async () => {
+  for (const drainMs of [3_000, 60_000]) {
+    const clock = fakeClocks.createFakeClock();
+    const state = { handedBackAtMs: -1 };
+    const endMs = stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
+    const drained = clocks
+      .sleepUntil(clock, Math.min(endMs, clock.nowMs() + drainMs))
+      .then(() => undefined);
+    const handBack = async () => {
+      state.handedBackAtMs = clock.nowMs();
+    };
+    const startMs = clock.nowMs();
+    void stops.handBackLast({ clock, drained, handBack, endMs });
+    await clock.advance(2_500);
+    assert.is(state.handedBackAtMs, -1);
+    await clock.advance(6_000);
+    const dueMs = Math.min(startMs + drainMs, endMs - 500);
+    assert.ok(state.handedBackAtMs > 0 && state.handedBackAtMs <= dueMs, `${drainMs}`);
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -80,3 +80,24 @@
   // What was written last is still on its way to its callers.
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
 }
+
+export type HandBackOptions = {
+  clock: clocks.Clock;
+  drained: Promise<void>;
+  /** Gives the lease back by then, if it is held. */
+  handBack: (untilMs: number) => Promise<void>;
+  endMs: number;
+};
+
+/** Enough for the store's answer, and for another try. */
+const HAND_BACK_MS = 1_000;
+
+/**
+ * Each change of holder costs the lease time without orders. When gateways are restarted in turn, a lease that is
+ * given back at once goes to one that is stopped next; kept until the drain is over, it changes hands once.
+ */
+export async function handBackLast(options: HandBackOptions): Promise<void> {
+  const { clock, drained, handBack, endMs } = options;
+  await Promise.race([drained, clocks.sleepUntil(clock, endMs - HAND_BACK_MS)]);
+  await Promise.all([drained, handBack(endMs)]);
+}
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -13,6 +13,8 @@
 import type * as peerBooks from '../../shared/peer-book.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
+import type * as suspectsModule from '../../shared/suspects.js';
+import type * as beliefsModule from '../../shared/upstream-beliefs.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -36,6 +38,8 @@
   demand: demandCounters.DemandCounters;
   view: placementViews.PlacementView;
   lease: leaseKeepers.LeaseKeeper;
+  beliefs: Pick<beliefsModule.UpstreamBeliefs, 'avoidedIds'>;
+  suspects: suspectsModule.Suspects;
   placer: placers.Placer;
   gatewayId: string;
   incarnation: number;
@@ -151,6 +155,7 @@
       news: ownNews(),
       loads: isHolder ? newsCodec.toLoadNews(inFlight.ownLoads()) : [],
       demands: isHolder ? deps.demand.recent(nowMs).map(newsCodec.toDemandNews) : [],
+      avoidedUpstreamIds: isHolder ? [...deps.beliefs.avoidedIds()] : [],
     };
     const reply = await deps.link.exchange(address, request, nowMs + CALL_TIMEOUT_MS);
     if (reply.err) {
@@ -166,6 +171,7 @@
   function exchangeWithSelf(): void {
     const nowMs = clock.nowMs();
     deps.placer.heardDemand(deps.gatewayId, deps.incarnation, deps.demand.recent(nowMs));
+    deps.suspects.heard(deps.gatewayId, deps.beliefs.avoidedIds(), nowMs);
     const news = deps.placer.news();
     if (news !== null) view.apply(news);
     view.confirm(nowMs);
@@ -232,6 +238,7 @@
       const isHolder = deps.lease.heldTerm() !== null;
       if (isHolder && news !== undefined) {
         inFlight.heard(sourceId, request.loads, nowMs);
+        deps.suspects.heard(sourceId, request.avoidedUpstreamIds, nowMs);
         const counts = request.demands.map(newsCodec.fromDemandNews);
         deps.placer.heardDemand(sourceId, news.incarnation, counts);
       }
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -52,6 +52,10 @@
 const CALL_TIMEOUT_MS = 700;
 /** Gateways learn of a closing copy with their next exchange; requests sent before are at the upstream then. */
 const CLOSE_NOTICE_MS = 300;
+/** What an unload takes when nothing runs there. */
+const UNLOAD_MS = 150;
+/** A copy is in use once a report shows it. */
+const REPORTED_AFTER_MS = 300;
 /** An unload waits for its runs; how often the load behind it is tried. */
 const FIRST_RETRY_MS = 40;
 const LONGEST_RETRY_MS = 250;
@@ -60,6 +64,8 @@
 /** Reports are some hundred milliseconds old; asked more often they say the same again. */
 const REPORT_PAUSE_MS = 150;
 const REPORT_LAG_MS = 1_000;
+/** Streams that an unload waits for run for seconds: how far its end is put off at a time. */
+const DELAY_STEP_MS = 800;
 /** Another holder's load takes seconds. */
 const FOREIGN_PAUSE_MS = 400;
 /** Beyond its usual time a load may be slowed by others; after this it is taken for failed. */
@@ -244,7 +250,11 @@
    * Sends until the upstream takes it: behind an unload, that is when the unload is done. Given up once
    * the upstream has taken someone else's order, since the plan was made before that.
    */
-  async function sendUntilTaken(order: dialects.Order, untilMs: number): Promise<Sent> {
+  async function sendUntilTaken(
+    order: dialects.Order,
+    untilMs: number,
+    onDelayed = () => {},
+  ): Promise<Sent> {
     const plannedCount = orderCount;
     let waitMs = FIRST_RETRY_MS;
     for (;;) {
@@ -254,6 +264,7 @@
       const sent = await inTurn(() => send(order));
       if (sent === 'accepted' || sent === 'pending' || sent === 'not-allowed') return sent;
       if (clock.nowMs() >= untilMs || stopping.signal.aborted) return sent;
+      onDelayed();
       await sleep(sent === 'unknown' ? REPORT_PAUSE_MS : waitMs);
       waitMs = Math.min(LONGEST_RETRY_MS, waitMs * 2);
       if (waitMs >= LONGEST_RETRY_MS) await inTurn(refresh);
@@ -280,7 +291,7 @@
   async function awaitLoaded(change: copyPlan.CopyChange): Promise<boolean> {
     const startedMs = clock.nowMs();
     const untilMs = startedMs + change.loadMs * LOAD_PATIENCE_FACTOR;
-    arriving = { model: change.load, readyAtMs: startedMs + change.loadMs };
+    arriving = { model: change.load, readyAtMs: startedMs + change.loadMs + REPORTED_AFTER_MS };
     deps.onChanged();
     await sleep(change.loadMs);
     while (clock.nowMs() < untilMs && !stopping.signal.aborted) {
@@ -313,7 +324,13 @@
     const isStoreLoad = wanted.level === 'store';
     const order = { kind: 'load-model', model: wanted.load } as const;
     if (isStoreLoad) deps.onStoreLoad(true);
-    const sent = await sendUntilTaken(order, clock.nowMs() + patienceMs);
+    const sent = await sendUntilTaken(order, clock.nowMs() + patienceMs, () => {
+      // The runs that the unload waits for last longer: callers are told to come back accordingly.
+      const soonestMs = clock.nowMs() + wanted.loadMs + REPORTED_AFTER_MS;
+      if (arriving === null || arriving.readyAtMs >= soonestMs) return;
+      arriving = { model: wanted.load, readyAtMs: soonestMs + DELAY_STEP_MS };
+      deps.onChanged();
+    });
     if (sent === 'accepted' && wanted.unload !== null) copies.delete(wanted.unload);
     if (sent === 'unknown' && isStoreLoad) deps.onStoreLoad(false);
     if (sent !== 'accepted') {
@@ -439,7 +456,8 @@
     startChange: (wanted) => {
       isChanging = true;
       leaving = wanted.unload;
-      const readyAtMs = clock.nowMs() + wanted.loadMs + CLOSE_NOTICE_MS;
+      const unloadMs = wanted.unload === null ? 0 : CLOSE_NOTICE_MS + UNLOAD_MS;
+      const readyAtMs = clock.nowMs() + unloadMs + wanted.loadMs + REPORTED_AFTER_MS;
       arriving = { model: wanted.load, readyAtMs };
       deps.onChanged();
       log.info('change-started', {
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -153,6 +153,24 @@
   assert.is(planAt(NOW_MS - 1_000)?.load, 'rare');
 });
 
+// A model is in host memory at an upstream that has to unload another for it, and on disk at one with a free place.
+// The unload pushes it out of host memory: it would be loaded from disk there as well, behind the unload.
+test('host memory counts only where nothing has to make way', () => {
+  const full = fixtures.upstreamView('u1', ['old', 'cold', 'lone'], {
+    hostModels: new Set(['rare']),
+    diskModels: new Set(['rare', 'old', 'cold', 'lone']),
+  });
+  const roomy = fixtures.upstreamView('u2', ['old', 'cold'], {
+    diskModels: new Set(['rare', 'old', 'cold']),
+  });
+  const others = { old: asked(1), cold: asked(1), lone: asked(1) };
+  const demand = { ...others, rare: asked(3, { missedCount: 3 }) };
+  assert.is(plan([full, roomy], demand)?.upstreamId, 'u2');
+  assert.is(plan([full], demand)?.loadMs, 2_400);
+  const host = { ...roomy, hostModels: new Set(['rare']) };
+  assert.is(plan([host], demand)?.loadMs, 1_200);
+});
+
 // Skewed demand at saturation: a hot model is asked for thirty times a second over eight upstreams, many
 // others now and then. Followed until nothing more pays off, the hot one stands on several upstreams and
 // no model that is asked for is left without a copy for its sake.
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -192,6 +192,14 @@
   }
 }
 
+/**
+ * What is unloaded goes to host memory and pushes out what was there longest, mostly the model that is to be
+ * loaded: of 54 loads from host memory behind an unload all took as long as from disk.
+ */
+export function loadBehindUnloadMs(spec: fleet.ModelSpec, level: LoadLevel): number {
+  return level === 'host' ? spec.diskLoadMs : loadMsAt(spec, level);
+}
+
 function reservedMb(engine: fleet.EngineSpec): number {
   const largest = Math.max(0, ...engine.models.map(({ adapterSizeMb }) => adapterSizeMb));
   return engine.adaptersMax * largest;
@@ -329,7 +337,7 @@
     if (level === 'store' && input.storeLoadsLeft < 1) return null;
     const unload = victim?.copy.model ?? null;
     if (!fits(specs, roomMb, upstream, spec.name, unload)) return null;
-    const loadMs = loadMsAt(spec, level);
+    const loadMs = unload === null ? loadMsAt(spec, level) : loadBehindUnloadMs(spec, level);
     const loadS = loadMs / MS_PER_SECOND;
     const loss = level === 'store' ? victim?.storeLoss : victim?.nearLoss;
     const cost =
--- a/packages/gateway/src/shared/placing/load-times.ts
+++ b/packages/gateway/src/shared/placing/load-times.ts
@@ -1,8 +1,8 @@
 /** How long a model takes to come to the upstream that has it nearest. */
 import type * as fleet from '../../types/fleet.js';
 
-/** Telling the holder, planning, and unloading what makes way, before the load itself begins. */
-const BEFORE_LOAD_MS = 700;
+/** Telling the holder, planning, and unloading what makes way, before the load itself begins; as measured. */
+const BEFORE_LOAD_MS = 1_400;
 /** For a model that the configuration does not know yet. */
 const UNKNOWN_LOAD_MS = 2_500;
 
@@ -11,10 +11,12 @@
   upstreams: readonly fleet.UpstreamRecord[],
 ): number {
   if (spec === undefined) return UNKNOWN_LOAD_MS;
-  if (upstreams.some(({ hostModels }) => hostModels.includes(spec.name))) {
-    return BEFORE_LOAD_MS + spec.hostLoadMs;
-  }
-  if (upstreams.some(({ diskModels }) => diskModels.includes(spec.name))) {
+  // Something has to make way nearly always, and then host memory is no quicker than the disk.
+  const isNear = upstreams.some(
+    ({ hostModels, diskModels }) =>
+      hostModels.includes(spec.name) || diskModels.includes(spec.name),
+  );
+  if (isNear) {
     return BEFORE_LOAD_MS + spec.diskLoadMs;
   }
   return BEFORE_LOAD_MS + spec.storeLoadMs;
--- a/packages/gateway/src/shared/queue-limits.test.ts
+++ b/packages/gateway/src/shared/queue-limits.test.ts
@@ -41,6 +41,7 @@
     isStream: true,
     latencyObjectiveMs: OBJECTIVE_MS,
     leftMs,
+    waitedMs: 0,
     isLate,
   });
 }
@@ -68,8 +69,21 @@
   assert.ok(limitMs(true) < PATIENCE_MS);
 });
 
+test('what was waited for a model is time that the caller no longer has', () => {
+  const input = { isStream: true, latencyObjectiveMs: 500, leftMs: 12_000, isLate: true };
+  const limitAfterMs = (waitedMs: number) => queueLimits.queueLimitMs({ ...input, waitedMs });
+  assert.ok(limitAfterMs(1_500) <= limitAfterMs(0) - 1_000);
+  assert.is(limitAfterMs(2_500), 0);
+});
+
 test('nobody queues beyond the deadline', () => {
-  const input = { isStream: true, latencyObjectiveMs: 10_000, leftMs: 800, isLate: false };
+  const input = {
+    isStream: true,
+    latencyObjectiveMs: 10_000,
+    leftMs: 800,
+    waitedMs: 0,
+    isLate: false,
+  };
   assert.ok(queueLimits.queueLimitMs(input) < 800);
   assert.ok(queueLimits.queueLimitMs({ ...input, isStream: false }) < 800);
 });
@@ -77,6 +91,7 @@
 test('a refused caller comes back when the next copy is there, or the queue has been served', () => {
   assert.is(queueLimits.overloadRetryMs({ predictedMs: 900, nextCopyInMs: null }), 900);
   assert.ok(queueLimits.overloadRetryMs({ predictedMs: 900, nextCopyInMs: 2_000 }) > 2_000);
+  assert.is(queueLimits.overloadRetryMs({ predictedMs: 900, nextCopyInMs: 9_000 }), 900);
 });
 
 test.run();
--- a/packages/gateway/src/shared/queue-limits.ts
+++ b/packages/gateway/src/shared/queue-limits.ts
@@ -11,7 +11,9 @@
   latencyObjectiveMs: number;
   /** Until the caller's deadline. */
   leftMs: number;
-  /** The objective has passed: the caller has asked before. */
+  /** Since the request came: its caller has had nothing for so long. */
+  waitedMs: number;
+  /** The objective has passed: the caller has asked before, or waited for its model. */
   isLate: boolean;
 };
 
@@ -23,18 +25,19 @@
 /** A prediction beyond this part of the caller's patience is a wait in vain. */
 const PATIENCE_SHARE = 0.8;
 
-export function patienceMs(input: Pick<QueueLimitInput, 'latencyObjectiveMs' | 'leftMs'>): number {
+/** How long the caller of a stream still stays without a piece. */
+export function patienceMs(input: Omit<QueueLimitInput, 'isStream' | 'isLate'>): number {
   const gapMs = Math.max(
     STREAM_PATIENCE_MIN_MS,
     STREAM_PATIENCE_OBJECTIVES * input.latencyObjectiveMs,
   );
-  return Math.min(input.leftMs, gapMs) * PREDICTED_SHARE;
+  return Math.max(0, Math.min(input.leftMs, gapMs - input.waitedMs));
 }
 
 /** The longest predicted time to the first piece with which a request is let into a queue. */
 export function queueLimitMs(input: QueueLimitInput): number {
   if (!input.isStream) return input.leftMs * PATIENCE_SHARE;
-  const longestMs = patienceMs(input);
+  const longestMs = patienceMs(input) * PREDICTED_SHARE;
   if (input.isLate) return longestMs;
   return Math.min(longestMs, input.latencyObjectiveMs * PREDICTED_SHARE);
 }
@@ -48,7 +51,11 @@
 /** A gateway hears of a copy with its next exchange; a caller that comes back before finds none. */
 const COPY_NOTICE_MS = 400;
 
-/** When the queue that was too long has been served, or another copy shares the load. */
+/** A copy from the store takes longer than most callers may be told to stay away; the queue is shorter. */
+const COPY_SOON_MS = 3_000;
+
+/** When another copy shares the load, if that is soon, or the queue that was too long has been served. */
 export function overloadRetryMs({ predictedMs, nextCopyInMs }: OverloadInput): number {
-  return nextCopyInMs === null ? predictedMs : nextCopyInMs + COPY_NOTICE_MS;
+  if (nextCopyInMs === null || nextCopyInMs > COPY_SOON_MS) return predictedMs;
+  return nextCopyInMs + COPY_NOTICE_MS;
 }
--- a/packages/gateway/src/shared/upstream-beliefs.ts
+++ b/packages/gateway/src/shared/upstream-beliefs.ts
@@ -34,6 +34,7 @@
   /** Says whether the end changed what the upstream gets: `avoided` after breaks in a row, `trusted` again. */
   ended: (upstreamId: string, end: AttemptEnd, nowMs: number) => BeliefChange | null;
   belief: (upstreamId: string, nowMs: number) => Belief;
+  avoidedIds: () => readonly string[];
   /** Forgets upstreams that are no longer listed. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
 };
@@ -132,6 +133,7 @@
       return changeOf(before, after);
     },
     belief: (upstreamId, nowMs) => faded(states.get(upstreamId) ?? FRESH, nowMs),
+    avoidedIds: () => [...states].filter(([, state]) => isAvoided(state)).map(([id]) => id),
     retain: (upstreamIds) => {
       for (const id of [...states.keys()]) if (!upstreamIds.has(id)) states.delete(id);
     },
