Revert the trial of interactive waits for a copy that is nearly there

The copy comes to more waiting requests than it can read, and those that ask for the first time are read before them.

--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -353,8 +353,6 @@
       arrivedAtMs: call.arrivedAtMs,
       deadlineMs: call.deadlineMs,
       latencyObjectiveMs: call.route.latencyObjectiveMs,
-      patienceMs: queueLimits.patienceMs(patienceOf(call)),
-      isOnItsWay: expected.kind === 'on-its-way',
       readyInMs: expected.inMs,
       waitingCount,
       isStopping: deps.isStopping(),
--- a/packages/gateway/src/shared/queue-limits.ts
+++ b/packages/gateway/src/shared/queue-limits.ts
@@ -26,7 +26,7 @@
 const PATIENCE_SHARE = 0.8;
 
 /** How long the caller of a stream still stays without a piece. */
-export function patienceMs(input: Omit<QueueLimitInput, 'isStream' | 'isLate'>): number {
+function patienceMs(input: Omit<QueueLimitInput, 'isStream' | 'isLate'>): number {
   const gapMs = Math.max(
     STREAM_PATIENCE_MIN_MS,
     STREAM_PATIENCE_OBJECTIVES * input.latencyObjectiveMs,
