--- /dev/null
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -0,0 +1,164 @@
+/** Gathers what is known of a service's upstreams and has one chosen for a request; says why none was. */
+import type { clocks, randoms } from '@copperlever/runtime';
+
+import type * as inFlightModule from '../../shared/in-flight.js';
+import type * as promptCaches from '../../shared/prompt-caches.js';
+import * as queueLimits from '../../shared/queue-limits.js';
+import * as beliefsModule from '../../shared/upstream-beliefs.js';
+import * as upstreamChoice from '../../shared/upstream-choice.js';
+import type * as directories from '../../shared/upstream-directory.js';
+import * as urgency from '../../shared/urgency.js';
+import type * as calls from '../../types/calls.js';
+import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
+import type * as placementTypes from '../../types/placement.js';
+import * as runs from './run.js';
+
+export type RouterDeps = {
+  clock: clocks.Clock;
+  log: logEvents.GatewayLog;
+  random: randoms.Random;
+  directory: directories.UpstreamDirectory;
+  beliefs: beliefsModule.UpstreamBeliefs;
+  inFlight: inFlightModule.InFlight;
+  caches: promptCaches.PromptCaches;
+  placement: placementTypes.Placement;
+  serviceOf: (name: string) => fleet.Service | null;
+  failureDomain: string;
+};
+
+export type NoChoice = Exclude<upstreamChoice.Choice, { kind: 'send' }>;
+
+export type Router = {
+  needsModel: (call: calls.Call) => boolean;
+  /** 0 is the most urgent. */
+  priorityOf: (call: calls.Call, run: runs.Run) => number;
+  choose: (call: calls.Call, run: runs.Run) => upstreamChoice.Choice;
+  overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
+  /** Tells the placing what is asked for. */
+  noteDemand: (call: calls.Call) => void;
+  noteNotPlaced: (call: calls.Call, run: runs.Run, choice: NoChoice, ending: calls.Ending) => void;
+};
+
+export function createRouter(deps: RouterDeps): Router {
+  const { clock, log, directory, beliefs, inFlight, placement } = deps;
+
+  function needsModel(call: calls.Call): boolean {
+    return call.facts.model !== null && deps.serviceOf(call.service)?.engine != null;
+  }
+
+  function toCandidate(
+    call: calls.Call,
+    priority: number,
+    record: fleet.UpstreamRecord,
+  ): upstreamChoice.Candidate {
+    const { model, adapter, promptParts } = call.facts;
+    const { upstreamId, failureDomain, slots } = record;
+    const load = inFlight.total(upstreamId, priority, clock.nowMs());
+    const copy =
+      model !== null && needsModel(call) ? placement.copyAt(record, model, adapter) : 'ready';
+    return {
+      upstreamId,
+      failureDomain,
+      slots,
+      copy,
+      blockedForMs: copy === 'blocked' ? placement.blockedForMs(upstreamId) : 0,
+      inFlightCount: load.inFlightCount,
+      ownInFlightCount: inFlight.ownCount(upstreamId),
+      unreadPromptTokens: load.unreadPromptTokens,
+      cachedTokens: deps.caches.cachedTokens(upstreamId, runs.cacheScope(call), promptParts),
+      belief: beliefs.belief(upstreamId, clock.nowMs()),
+    };
+  }
+
+  function isLate(call: calls.Call, run: runs.Run): boolean {
+    const elapsedMs = run.elapsedBeforeMs + clock.nowMs() - call.arrivedAtMs;
+    return elapsedMs > call.route.latencyObjectiveMs;
+  }
+
+  function priorityOf(call: calls.Call, run: runs.Run): number {
+    return urgency.enginePriority(call.route, isLate(call, run));
+  }
+
+  function patienceOf(call: calls.Call) {
+    const nowMs = clock.nowMs();
+    return {
+      latencyObjectiveMs: call.route.latencyObjectiveMs,
+      leftMs: call.deadlineMs - nowMs,
+      waitedMs: nowMs - call.arrivedAtMs,
+    };
+  }
+
+  function queueLimitMs(call: calls.Call, run: runs.Run): number {
+    // What its caller has a part of already is finished.
+    if (run.hasBegun) return call.deadlineMs - clock.nowMs();
+    return queueLimits.queueLimitMs({
+      ...patienceOf(call),
+      isStream: call.route.kind === 'stream',
+      isLate: isLate(call, run),
+    });
+  }
+
+  function choose(call: calls.Call, run: runs.Run): upstreamChoice.Choice {
+    const nowMs = clock.nowMs();
+    const records = directory.eligible(call.service, nowMs);
+    const request: upstreamChoice.ChoiceRequest = {
+      kind: needsModel(call) ? 'model' : 'plain',
+      promptTokens: call.facts.promptTokens,
+      localFailureDomain: deps.failureDomain,
+      excludedIds: run.excludedIds,
+      queueLimitMs: queueLimitMs(call, run),
+    };
+    const priority = priorityOf(call, run);
+    const candidates = records.map((record) => toCandidate(call, priority, record));
+    return upstreamChoice.chooseUpstream(request, candidates, nowMs, deps.random.fraction);
+  }
+
+  function overloadRetryMs(call: calls.Call, predictedMs: number): number {
+    const { model } = call.facts;
+    const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
+    return queueLimits.overloadRetryMs({ predictedMs, nextCopyInMs });
+  }
+
+  function noteNotPlaced(
+    call: calls.Call,
+    run: runs.Run,
+    choice: NoChoice,
+    ending: calls.Ending,
+  ): void {
+    const { model, adapter } = call.facts;
+    const records = directory.eligible(call.service, clock.nowMs());
+    const withModel = records.filter(
+      (record) => model !== null && placement.copyAt(record, model, adapter) !== 'none',
+    );
+    const basis = placement.basis();
+    log.info('request-not-placed', {
+      requestId: call.requestId,
+      model,
+      cause: 'cause' in ending ? ending.cause : ending.kind,
+      upstreamCount: records.length,
+      withModelCount: withModel.length,
+      predictedMs: choice.kind === 'overloaded' ? Math.round(choice.predictedMs) : undefined,
+      queueLimitMs: Math.round(queueLimitMs(call, run)),
+      upstreamsRevision: directory.revision(),
+      placementTerm: basis.term,
+      placementVersion: basis.version,
+      placementAgeMs: Math.round(basis.ageMs),
+    });
+  }
+
+  function noteDemand(call: calls.Call): void {
+    const { model, adapter } = call.facts;
+    if (model === null || !needsModel(call)) return;
+    const isServed = directory
+      .eligible(call.service, clock.nowMs())
+      .some(
+        (record) =>
+          placement.copyAt(record, model, adapter) !== 'none' &&
+          !beliefsModule.isAvoided(beliefs.belief(record.upstreamId, clock.nowMs())),
+      );
+    placement.noteDemand({ service: call.service, model, adapter, isServed });
+  }
+
+  return { needsModel, priorityOf, choose, overloadRetryMs, noteDemand, noteNotPlaced };
+}
--- /dev/null
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -0,0 +1,39 @@
+/** What one request has been through so far. */
+import type * as calls from '../../types/calls.js';
+
+export type Run = {
+  ranCount: number;
+  sentCount: number;
+  /** The caller has a part of an answer. */
+  hasBegun: boolean;
+  upstreamId: string;
+  /** An upstream was full: what has to be waited for is a place there, not another copy. */
+  wasFull: boolean;
+  excludedIds: Set<string>;
+  resumeAfterId: string | null;
+  adapterAsks: number;
+  /** For its model. */
+  hasWaited: boolean;
+  /** How long the caller had been waiting when the request came, at least. */
+  elapsedBeforeMs: number;
+};
+
+export function createRun(elapsedBeforeMs: number): Run {
+  return {
+    ranCount: 0,
+    sentCount: 0,
+    hasBegun: false,
+    upstreamId: '',
+    wasFull: false,
+    excludedIds: new Set(),
+    resumeAfterId: null,
+    adapterAsks: 0,
+    hasWaited: false,
+    elapsedBeforeMs,
+  };
+}
+
+/** The same prompt with another model or adapter is cached apart. */
+export function cacheScope({ facts }: calls.Call): string {
+  return `${facts.model ?? ''}/${facts.adapter ?? ''}`;
+}
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -6,14 +6,12 @@
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import * as deadlineNorms from '../../shared/deadline-norms.js';
-import * as queueLimits from '../../shared/queue-limits.js';
 import type * as retryShares from '../../shared/retry-share.js';
 import * as modelWaits from '../../shared/model-waits.js';
 import * as runVerdicts from '../../shared/run-verdicts.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as directories from '../../shared/upstream-directory.js';
-import * as urgency from '../../shared/urgency.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
@@ -21,7 +19,10 @@
 import type * as placementTypes from '../../types/placement.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as answers from './answers.js';
+import * as attemptNotes from './attempt-notes.js';
 import * as attempts from './attempt.js';
+import * as routers from './router.js';
+import * as runs from './run.js';
 import type * as connectionsModule from './connections.js';
 
 export type ServeDeps = {
@@ -60,118 +61,26 @@
 /** A connection is kept for what all gateways together may hold; the rest is for those that join. */
 const CONNECTION_SHARE = 0.8;
 
-type Run = {
-  ranCount: number;
-  sentCount: number;
-  /** The caller has a part of an answer. */
-  hasBegun: boolean;
-  upstreamId: string;
-  /** An upstream was full: what has to be waited for is a place there, not another copy. */
-  wasFull: boolean;
-  excludedIds: Set<string>;
-  resumeAfterId: string | null;
-  adapterAsks: number;
-  /** For its model. */
-  hasWaited: boolean;
-  /** How long the caller had been waiting when the request came, at least. */
-  elapsedBeforeMs: number;
-};
-
-type NoChoice = Exclude<upstreamChoice.Choice, { kind: 'send' }>;
-
 export function createServe(deps: ServeDeps): Serve {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
+  const router = routers.createRouter(deps);
+  const noteAttempt = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
   const norms = deadlineNorms.createDeadlineNorms();
   let waitingCount = 0;
 
-  function scopeOf(call: calls.Call): string {
-    return `${call.facts.model ?? ''}/${call.facts.adapter ?? ''}`;
-  }
-
-  function needsModel(call: calls.Call): boolean {
-    return call.facts.model !== null && deps.serviceOf(call.service)?.engine != null;
-  }
-
-  function toCandidate(
-    call: calls.Call,
-    priority: number,
-    record: fleet.UpstreamRecord,
-  ): upstreamChoice.Candidate {
-    const { model, adapter, promptParts } = call.facts;
-    const { upstreamId, failureDomain, slots } = record;
-    const load = inFlight.total(upstreamId, priority, clock.nowMs());
-    const copy =
-      model !== null && needsModel(call) ? placement.copyAt(record, model, adapter) : 'ready';
-    return {
-      upstreamId,
-      failureDomain,
-      slots,
-      copy,
-      blockedForMs: copy === 'blocked' ? placement.blockedForMs(upstreamId) : 0,
-      inFlightCount: load.inFlightCount,
-      ownInFlightCount: inFlight.ownCount(upstreamId),
-      unreadPromptTokens: load.unreadPromptTokens,
-      cachedTokens: deps.caches.cachedTokens(upstreamId, scopeOf(call), promptParts),
-      belief: beliefs.belief(upstreamId, clock.nowMs()),
-    };
-  }
-
-  function isLate(call: calls.Call, run: Run): boolean {
-    const elapsedMs = run.elapsedBeforeMs + clock.nowMs() - call.arrivedAtMs;
-    return elapsedMs > call.route.latencyObjectiveMs;
-  }
-
-  function priorityOf(call: calls.Call, run: Run): number {
-    return urgency.enginePriority(call.route, isLate(call, run));
-  }
-
-  function patienceOf(call: calls.Call) {
-    const nowMs = clock.nowMs();
-    return {
-      latencyObjectiveMs: call.route.latencyObjectiveMs,
-      leftMs: call.deadlineMs - nowMs,
-      waitedMs: nowMs - call.arrivedAtMs,
-    };
-  }
-
-  function queueLimitMs(call: calls.Call, run: Run): number {
-    // What its caller has a part of already is finished.
-    if (run.hasBegun) return call.deadlineMs - clock.nowMs();
-    return queueLimits.queueLimitMs({
-      ...patienceOf(call),
-      isStream: call.route.kind === 'stream',
-      isLate: isLate(call, run),
-    });
-  }
-
-  function choose(call: calls.Call, run: Run): upstreamChoice.Choice {
-    const nowMs = clock.nowMs();
-    const records = directory.eligible(call.service, nowMs);
-    const request: upstreamChoice.ChoiceRequest = {
-      kind: needsModel(call) ? 'model' : 'plain',
-      promptTokens: call.facts.promptTokens,
-      localFailureDomain: deps.failureDomain,
-      excludedIds: run.excludedIds,
-      queueLimitMs: queueLimitMs(call, run),
-    };
-    const priority = priorityOf(call, run);
-    const candidates = records.map((record) => toCandidate(call, priority, record));
-    return upstreamChoice.chooseUpstream(request, candidates, nowMs, deps.random.fraction);
-  }
-
-  function factsOf(call: calls.Call, run: Run): runVerdicts.RunFacts {
+  function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
     const { ranCount, sentCount, hasBegun, upstreamId } = run;
     return { route: call.route, ranCount, sentCount, hasBegun, upstreamId };
   }
 
-  function refuse(call: calls.Call, run: Run, cause: calls.RefusalCause, waitMs: number) {
+  function refuse(call: calls.Call, run: runs.Run, cause: calls.RefusalCause, waitMs: number) {
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs);
     return runVerdicts.refusalOrFailure(factsOf(call, run), cause, retryAfterMs);
   }
 
   /** A silent attempt is given up early only where another one may follow. */
-  function firstByteByMs(call: calls.Call, run: Run, upstreamId: string): number {
+  function firstByteByMs(call: calls.Call, run: runs.Run, upstreamId: string): number {
     const isLast = run.ranCount + 1 >= call.route.maxAttempts;
     if (call.route.kind !== 'idempotent' || isLast) return call.deadlineMs;
     const usualMs = beliefs.belief(upstreamId, clock.nowMs()).firstPieceMs ?? SILENT_MIN_MS;
@@ -181,52 +90,9 @@
     );
   }
 
-  function noteBelief(upstreamId: string, end: beliefsModule.AttemptEnd, nowMs: number): void {
-    const change = beliefs.ended(upstreamId, end, nowMs);
-    if (change === null) return;
-    const { brokenInRow, avoidUntilMs } = change.belief;
-    if (change.kind === 'trusted') log.info('upstream-trusted', { upstreamId });
-    else {
-      const forMs = Math.round(avoidUntilMs - nowMs);
-      log.warn('upstream-avoided', { upstreamId, brokenInRow, forMs });
-    }
-  }
-
-  function noteEnd(call: calls.Call, upstreamId: string, result: calls.AttemptResult): void {
-    const nowMs = clock.nowMs();
-    switch (result.kind) {
-      case 'not-sent':
-      case 'lost':
-        noteBelief(upstreamId, { kind: 'broken' }, nowMs);
-        break;
-      case 'rejected':
-        if (result.isMisdirected) noteMisdirected(call, upstreamId);
-        else noteBelief(upstreamId, { kind: 'rejected' }, nowMs);
-        break;
-      case 'held-failure':
-        noteBelief(upstreamId, { kind: 'failed' }, nowMs);
-        break;
-      case 'deadline':
-        if (!result.hasBegun) noteBelief(upstreamId, { kind: 'broken' }, nowMs);
-        break;
-      case 'answered':
-        if (result.status >= 500) noteBelief(upstreamId, { kind: 'failed' }, nowMs);
-        break;
-      case 'caller-gone':
-        break;
-    }
-  }
-
-  /** Either another upstream has the address, or the model has gone from this one. */
-  function noteMisdirected(call: calls.Call, upstreamId: string): void {
-    const { model, adapter } = call.facts;
-    if (model !== null && needsModel(call)) placement.noteAbsent(upstreamId, model, adapter);
-    else directory.noteMisdirected(upstreamId);
-  }
-
   async function attempt(
     call: calls.Call,
-    run: Run,
+    run: runs.Run,
     sink: answers.AnswerSink,
     choice: Extract<upstreamChoice.Choice, { kind: 'send' }>,
   ): Promise<calls.AttemptResult> {
@@ -238,10 +104,10 @@
     const connection = deps.connections.lend(record, connectionsMax);
     if (connection === null) return { kind: 'not-sent', reason: 'connections in use' };
     const startedAtMs = clock.nowMs();
-    const scope = scopeOf(call);
+    const scope = runs.cacheScope(call);
     const cachedTokens = deps.caches.cachedTokens(upstreamId, scope, call.facts.promptParts);
     const unreadTokens = Math.max(0, call.facts.promptTokens - cachedTokens);
-    const priority = priorityOf(call, run);
+    const priority = router.priorityOf(call, run);
     const started = inFlight.started({
       upstreamId,
       model: call.facts.model ?? '',
@@ -269,12 +135,7 @@
     started.ended();
     deps.metrics.attemptEnded(result.kind);
     connection.giveBack(result.kind !== 'not-sent');
-    if (firstPieceMs !== null && result.kind === 'answered' && result.status < 500) {
-      const good = { kind: 'good', firstPieceMs, predictedMs: choice.predictedMs } as const;
-      noteBelief(upstreamId, good, clock.nowMs());
-    } else {
-      noteEnd(call, upstreamId, result);
-    }
+    noteAttempt({ call, upstreamId, result, firstPieceMs, predictedMs: choice.predictedMs });
     log.info('attempt-ended', {
       requestId: call.requestId,
       upstreamId,
@@ -291,7 +152,7 @@
   /** The end after an attempt, or null when another attempt follows. */
   function settle(
     call: calls.Call,
-    run: Run,
+    run: runs.Run,
     sink: answers.AnswerSink,
     result: calls.AttemptResult,
   ): calls.Ending | null {
@@ -327,7 +188,7 @@
   /** Null when the request can be routed anew, the adapter being there or another upstream to be tried. */
   async function ensureAdapter(
     call: calls.Call,
-    run: Run,
+    run: runs.Run,
     upstreamId: string,
   ): Promise<calls.Ending | null> {
     const { model, adapter } = call.facts;
@@ -344,7 +205,7 @@
   /** Waits for the model where that is worth it, or tells the caller when to come back. */
   async function afterMissingModel(
     call: calls.Call,
-    run: Run,
+    run: runs.Run,
     cause: calls.RefusalCause,
   ): Promise<calls.Ending | null> {
     const expected = placement.expectedReady(call.service, call.facts.model ?? '');
@@ -377,21 +238,15 @@
     return null;
   }
 
-  function overloadRetryMs(call: calls.Call, predictedMs: number): number {
-    const { model } = call.facts;
-    const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
-    return queueLimits.overloadRetryMs({ predictedMs, nextCopyInMs });
-  }
-
   async function step(
     call: calls.Call,
-    run: Run,
+    run: runs.Run,
     sink: answers.AnswerSink,
   ): Promise<calls.Ending | null> {
-    const choice = choose(call, run);
+    const choice = router.choose(call, run);
     if (choice.kind !== 'send') {
       const ending = await afterNoChoice(call, run, choice);
-      if (ending !== null) noteNotPlaced(call, run, choice, ending);
+      if (ending !== null) router.noteNotPlaced(call, run, choice, ending);
       return ending;
     }
     if (choice.needsAdapter) return ensureAdapter(call, run, choice.upstreamId);
@@ -404,8 +259,8 @@
   /** What becomes of a request that no upstream was chosen for; null when it is to be routed anew. */
   async function afterNoChoice(
     call: calls.Call,
-    run: Run,
-    choice: NoChoice,
+    run: runs.Run,
+    choice: routers.NoChoice,
   ): Promise<calls.Ending | null> {
     switch (choice.kind) {
       case 'model-missing':
@@ -413,64 +268,20 @@
       case 'adapter-blocked':
         return refuse(call, run, 'adapter-not-ready', choice.forMs);
       case 'overloaded':
-        return refuse(call, run, 'overloaded', overloadRetryMs(call, choice.predictedMs));
+        return refuse(call, run, 'overloaded', router.overloadRetryMs(call, choice.predictedMs));
       case 'no-upstream':
         // Every upstream with the model has failed this request: it comes back elsewhere, or with a new one.
-        if (needsModel(call) && !run.wasFull) return afterMissingModel(call, run, 'no-upstream');
+        if (router.needsModel(call) && !run.wasFull)
+          return afterMissingModel(call, run, 'no-upstream');
         return refuse(call, run, 'no-upstream', NO_UPSTREAM_RETRY_MS);
     }
   }
 
-  function noteNotPlaced(call: calls.Call, run: Run, choice: NoChoice, ending: calls.Ending): void {
-    const { model, adapter } = call.facts;
-    const records = directory.eligible(call.service, clock.nowMs());
-    const withModel = records.filter(
-      (record) => model !== null && placement.copyAt(record, model, adapter) !== 'none',
-    );
-    const basis = placement.basis();
-    log.info('request-not-placed', {
-      requestId: call.requestId,
-      model,
-      cause: 'cause' in ending ? ending.cause : ending.kind,
-      upstreamCount: records.length,
-      withModelCount: withModel.length,
-      predictedMs: choice.kind === 'overloaded' ? Math.round(choice.predictedMs) : undefined,
-      queueLimitMs: Math.round(queueLimitMs(call, run)),
-      upstreamsRevision: directory.revision(),
-      placementTerm: basis.term,
-      placementVersion: basis.version,
-      placementAgeMs: Math.round(basis.ageMs),
-    });
-  }
-
-  function noteDemand(call: calls.Call): void {
-    const { model, adapter } = call.facts;
-    if (model === null || !needsModel(call)) return;
-    const isServed = directory
-      .eligible(call.service, clock.nowMs())
-      .some(
-        (record) =>
-          placement.copyAt(record, model, adapter) !== 'none' &&
-          !beliefsModule.isAvoided(beliefs.belief(record.upstreamId, clock.nowMs())),
-      );
-    placement.noteDemand({ service: call.service, model, adapter, isServed });
-  }
-
   return async (call, sink) => {
     deps.retryShare.noteRequest(call.service, clock.nowMs());
-    noteDemand(call);
-    const run: Run = {
-      ranCount: 0,
-      sentCount: 0,
-      hasBegun: false,
-      upstreamId: '',
-      wasFull: false,
-      excludedIds: new Set(),
-      resumeAfterId: null,
-      adapterAsks: 0,
-      hasWaited: false,
-      elapsedBeforeMs: norms.elapsedMs(call.route.name, call.facts.remainingMs, clock.nowMs()),
-    };
+    router.noteDemand(call);
+    const elapsedBeforeMs = norms.elapsedMs(call.route.name, call.facts.remainingMs, clock.nowMs());
+    const run = runs.createRun(elapsedBeforeMs);
     const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
     if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
     for (;;) {
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -6,6 +6,7 @@
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
 
+import type * as copyNeeds from '../../shared/placing/copy-needs.js';
 import type * as copyPlan from '../../shared/placing/copy-plan.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
 import type * as dialects from '../../types/dialects.js';
@@ -32,7 +33,7 @@
 export type Steward = {
   upstreamId: string;
   /** Null until the upstream has told what it holds. */
-  view: (inFlightOf: (model: string) => number) => copyPlan.UpstreamView | null;
+  view: (inFlightOf: (model: string) => number) => copyNeeds.UpstreamView | null;
   placed: () => placementViews.PlacedUpstream | null;
   arrival: () => { model: string; readyAtMs: number } | null;
   startChange: (change: copyPlan.CopyChange) => void;
--- /dev/null
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -0,0 +1,176 @@
+/**
+ * What copies of each model are worth, in requests a second that are served in time. Load: a few busy models beside
+ * many that are asked for now and then, any of which demand may move to. Harm prevented: a hot model's third copy
+ * bought with the only one of a model that would miss all its requests for as long as a load takes.
+ */
+import type * as fleet from '../../types/fleet.js';
+import type * as demandMeters from './demand-meter.js';
+
+export type CopyView = {
+  model: string;
+  /** Requests in flight for it there. */
+  inFlightCount: number;
+  /** It is about to go. */
+  isClosing: boolean;
+  readyAtMs: number;
+};
+
+export type UpstreamView = {
+  upstreamId: string;
+  failureDomain: string;
+  copies: readonly CopyView[];
+  hostModels: ReadonlySet<string>;
+  diskModels: ReadonlySet<string>;
+  /** A change is under way: nothing new is planned there. */
+  isChanging: boolean;
+  /** The model that the change brings; counted as a copy. */
+  arriving: string | null;
+  /** When the change under way is expected to end; null while none is, or nobody knows. */
+  freeAtMs: number | null;
+};
+
+export type LoadLevel = 'host' | 'disk' | 'store';
+
+export type PlanInput = {
+  engine: fleet.EngineSpec;
+  upstreams: readonly UpstreamView[];
+  demand: (model: string) => demandMeters.DemandFigures | null;
+  /** Loads from the weight store that may begin now. */
+  storeLoadsLeft: number;
+  nowMs: number;
+};
+
+/** What a request keeps its upstream busy for, most of it reading the prompt. */
+const REQUEST_S = 0.055;
+/** Up to this part of its time a copy answers nearly all within half a second; at the other, hardly any. */
+const EASY_SHARE = 0.2;
+const FULL_SHARE = 0.8;
+/** What a late answer loses of a timely one's worth. */
+const LATE_LOSS = 0.7;
+/** A model that is asked for now may be asked for more: what the busiest has is a measure of how much. */
+const NEXT_TO_RISE_SHARE = 0.8;
+const NEXT_TO_RISE_WEIGHT = 0.3;
+const HOT_PER_SECOND = 1;
+/**
+ * A request that found no copy comes back once, and others of its session follow. Misses add up, so that
+ * a model which is asked for seldom gets its turn before it has starved.
+ */
+const MISSED_WEIGHT = 0.4;
+const MISSED_WEIGHT_MAX = 3;
+/**
+ * Any model may be the next that demand moves to, and then misses some requests a second until its copy
+ * is back. The weight of a last copy stands for that, in requests a second, for a copy that would have to
+ * come from the store; less in proportion where another upstream has it at hand.
+ */
+export const LAST_COPY_WEIGHT = 0.5;
+/** Beside its load a comeback takes noticing, making room and bringing adapters. */
+const COMEBACK_MS = 1_500;
+export type Need = {
+  expected: number;
+  anticipated: number;
+  missedWeight: number;
+  lastWeight: number;
+};
+
+export const NO_NEED: Need = { expected: 0, anticipated: 0, missedWeight: 0, lastWeight: 0 };
+
+function clamp(value: number, least: number, most: number): number {
+  return Math.min(most, Math.max(least, value));
+}
+
+/** Copies of each model, those on their way among them and those about to go left out. */
+export function copyCounts(upstreams: readonly UpstreamView[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  const add = (model: string) => counts.set(model, (counts.get(model) ?? 0) + 1);
+  upstreams.forEach((upstream) => {
+    upstream.copies.filter((copy) => !copy.isClosing).forEach((copy) => add(copy.model));
+    if (upstream.arriving !== null) add(upstream.arriving);
+  });
+  return counts;
+}
+
+/**
+ * How quickly a model that has no copy could come back, against a load from the store. An upstream that
+ * loads from the store itself brings nothing else meanwhile.
+ */
+function comebackShare(
+  input: PlanInput,
+  spec: fleet.ModelSpec,
+  exceptId: string | null = null,
+): number {
+  const usable = input.upstreams.filter(
+    ({ upstreamId, isChanging }) => upstreamId !== exceptId && !isChanging,
+  );
+  const quickestMs = Math.min(
+    spec.storeLoadMs,
+    ...usable.map((upstream) => loadMsAt(spec, levelAt(upstream, spec.name))),
+  );
+  return Math.min(1, (quickestMs + COMEBACK_MS) / spec.storeLoadMs);
+}
+
+/** What the last copy of a model is worth for the requests that demand may yet bring. */
+export function lastCopyWeight(
+  input: PlanInput,
+  spec: fleet.ModelSpec,
+  exceptId: string | null = null,
+): number {
+  return LAST_COPY_WEIGHT * comebackShare(input, spec, exceptId);
+}
+
+export function needsOf(input: PlanInput): Map<string, Need> {
+  const figures = input.engine.models.map((spec) => ({ spec, figures: input.demand(spec.name) }));
+  const top = Math.max(0, ...figures.map((entry) => entry.figures?.recentPerSecond ?? 0));
+  return new Map(
+    figures.map(({ spec, figures: known }): [string, Need] => {
+      const lastWeight = lastCopyWeight(input, spec);
+      if (known === null) {
+        return [spec.name, { ...NO_NEED, lastWeight }];
+      }
+      const isHot = known.recentPerSecond >= HOT_PER_SECOND && !known.isFalling;
+      return [
+        spec.name,
+        {
+          expected: known.expectedPerSecond,
+          anticipated: isHot ? NEXT_TO_RISE_SHARE * top : 0,
+          missedWeight: Math.min(MISSED_WEIGHT_MAX, MISSED_WEIGHT * known.missedCount),
+          lastWeight,
+        },
+      ];
+    }),
+  );
+}
+
+/** Requests a second that are served in time, late ones counted in part, by `count` copies. */
+function servedBy(perSecond: number, count: number): number {
+  if (count < 1) return 0;
+  const busyShare = (perSecond * REQUEST_S) / count;
+  const lateShare = clamp((busyShare - EASY_SHARE) / (FULL_SHARE - EASY_SHARE), 0, 1);
+  // Beyond their capacity copies answer late what they can, and the rest not at all.
+  return Math.min(perSecond, count / REQUEST_S) * (1 - LATE_LOSS * lateShare);
+}
+
+/** What the copy number `count` of a model adds, in requests a second. */
+export function marginal(need: Need, count: number): number {
+  if (count < 1) return 0;
+  const served = servedBy(need.expected, count) - servedBy(need.expected, count - 1);
+  if (count === 1) return served + need.missedWeight + need.lastWeight;
+  const risen = Math.max(need.expected, need.anticipated);
+  const foreseen = servedBy(risen, count) - servedBy(risen, count - 1);
+  return served + NEXT_TO_RISE_WEIGHT * Math.max(0, foreseen - served);
+}
+
+export function levelAt(upstream: UpstreamView, model: string): LoadLevel {
+  if (upstream.hostModels.has(model)) return 'host';
+  return upstream.diskModels.has(model) ? 'disk' : 'store';
+}
+
+export function loadMsAt(spec: fleet.ModelSpec, level: LoadLevel): number {
+  switch (level) {
+    case 'host':
+      return spec.hostLoadMs;
+    case 'disk':
+      return spec.diskLoadMs;
+    case 'store':
+      return spec.storeLoadMs;
+  }
+}
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 
 import * as fixtures from '../../testing/fleet-fixtures.js';
+import type * as copyNeeds from './copy-needs.js';
 import * as copyPlan from './copy-plan.js';
 import type * as demandMeters from './demand-meter.js';
 
@@ -24,7 +25,7 @@
 }
 
 function plan(
-  upstreams: readonly copyPlan.UpstreamView[],
+  upstreams: readonly copyNeeds.UpstreamView[],
   demand: Record<string, demandMeters.DemandFigures>,
   storeLoadsLeft = 4,
 ): copyPlan.CopyChange | null {
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -5,79 +5,20 @@
  * weight store and every request that meets a copy on its way out.
  */
 import type * as fleet from '../../types/fleet.js';
-import type * as demandMeters from './demand-meter.js';
-
-export type CopyView = {
-  model: string;
-  /** Requests in flight for it there. */
-  inFlightCount: number;
-  /** It is about to go. */
-  isClosing: boolean;
-  readyAtMs: number;
-};
-
-export type UpstreamView = {
-  upstreamId: string;
-  failureDomain: string;
-  copies: readonly CopyView[];
-  hostModels: ReadonlySet<string>;
-  diskModels: ReadonlySet<string>;
-  /** A change is under way: nothing new is planned there. */
-  isChanging: boolean;
-  /** The model that the change brings; counted as a copy. */
-  arriving: string | null;
-  /** When the change under way is expected to end; null while none is, or nobody knows. */
-  freeAtMs: number | null;
-};
-
-export type LoadLevel = 'host' | 'disk' | 'store';
+import * as copyNeeds from './copy-needs.js';
 
 export type CopyChange = {
   upstreamId: string;
   load: string;
   unload: string | null;
-  level: LoadLevel;
+  level: copyNeeds.LoadLevel;
   loadMs: number;
 };
 
-export type PlanInput = {
-  engine: fleet.EngineSpec;
-  upstreams: readonly UpstreamView[];
-  demand: (model: string) => demandMeters.DemandFigures | null;
-  /** Loads from the weight store that may begin now. */
-  storeLoadsLeft: number;
-  nowMs: number;
-};
-
-/** What a request keeps its upstream busy for, most of it reading the prompt. */
-const REQUEST_S = 0.055;
-/** Up to this part of its time a copy answers nearly all within half a second; at the other, hardly any. */
-const EASY_SHARE = 0.2;
-const FULL_SHARE = 0.8;
-/** What a late answer loses of a timely one's worth. */
-const LATE_LOSS = 0.7;
 /** What a plan has to pay off in: about the time between two moves of demand. */
 const HORIZON_S = 15;
-/** A model that is asked for now may be asked for more: what the busiest has is a measure of how much. */
-const NEXT_TO_RISE_SHARE = 0.8;
-const NEXT_TO_RISE_WEIGHT = 0.3;
-const HOT_PER_SECOND = 1;
-/**
- * A request that found no copy comes back once, and others of its session follow. Misses add up, so that
- * a model which is asked for seldom gets its turn before it has starved.
- */
-const MISSED_WEIGHT = 0.4;
-const MISSED_WEIGHT_MAX = 3;
-/**
- * Any model may be the next that demand moves to, and then misses some requests a second until its copy
- * is back. The weight of a last copy stands for that, in requests a second, for a copy that would have to
- * come from the store; less in proportion where another upstream has it at hand.
- */
-const LAST_COPY_WEIGHT = 0.5;
 /** To bring a copy that nobody asks for is worth less than to keep one: the swap itself disturbs. */
 const UNASKED_SHARE = 0.4;
-/** Beside its load a comeback takes noticing, making room and bringing adapters. */
-const COMEBACK_MS = 1_500;
 /** Costs in requests: a load from the store takes bandwidth from others; any swap disturbs. */
 const STORE_COST = 1.5;
 const SWAP_COST = 0.2;
@@ -99,105 +40,12 @@
 const BLOCKED_SHARE = 0.25;
 const MS_PER_SECOND = 1_000;
 
-type Need = { expected: number; anticipated: number; missedWeight: number; lastWeight: number };
-
-function clamp(value: number, least: number, most: number): number {
-  return Math.min(most, Math.max(least, value));
-}
-
-function copyCounts(upstreams: readonly UpstreamView[]): Map<string, number> {
-  const counts = new Map<string, number>();
-  const add = (model: string) => counts.set(model, (counts.get(model) ?? 0) + 1);
-  upstreams.forEach((upstream) => {
-    upstream.copies.filter((copy) => !copy.isClosing).forEach((copy) => add(copy.model));
-    if (upstream.arriving !== null) add(upstream.arriving);
-  });
-  return counts;
-}
-
-/**
- * How quickly a model that has no copy could come back, against a load from the store. An upstream that
- * loads from the store itself brings nothing else meanwhile.
- */
-function comebackShare(
-  input: PlanInput,
-  spec: fleet.ModelSpec,
-  exceptId: string | null = null,
-): number {
-  const usable = input.upstreams.filter(
-    ({ upstreamId, isChanging }) => upstreamId !== exceptId && !isChanging,
-  );
-  const quickestMs = Math.min(
-    spec.storeLoadMs,
-    ...usable.map((upstream) => loadMsAt(spec, levelAt(upstream, spec.name))),
-  );
-  return Math.min(1, (quickestMs + COMEBACK_MS) / spec.storeLoadMs);
-}
-
-function needsOf(input: PlanInput): Map<string, Need> {
-  const figures = input.engine.models.map((spec) => ({ spec, figures: input.demand(spec.name) }));
-  const top = Math.max(0, ...figures.map((entry) => entry.figures?.recentPerSecond ?? 0));
-  return new Map(
-    figures.map(({ spec, figures: known }): [string, Need] => {
-      const lastWeight = LAST_COPY_WEIGHT * comebackShare(input, spec);
-      if (known === null) {
-        return [spec.name, { expected: 0, anticipated: 0, missedWeight: 0, lastWeight }];
-      }
-      const isHot = known.recentPerSecond >= HOT_PER_SECOND && !known.isFalling;
-      return [
-        spec.name,
-        {
-          expected: known.expectedPerSecond,
-          anticipated: isHot ? NEXT_TO_RISE_SHARE * top : 0,
-          missedWeight: Math.min(MISSED_WEIGHT_MAX, MISSED_WEIGHT * known.missedCount),
-          lastWeight,
-        },
-      ];
-    }),
-  );
-}
-
-/** Requests a second that are served in time, late ones counted in part, by `count` copies. */
-function servedBy(perSecond: number, count: number): number {
-  if (count < 1) return 0;
-  const busyShare = (perSecond * REQUEST_S) / count;
-  const lateShare = clamp((busyShare - EASY_SHARE) / (FULL_SHARE - EASY_SHARE), 0, 1);
-  // Beyond their capacity copies answer late what they can, and the rest not at all.
-  return Math.min(perSecond, count / REQUEST_S) * (1 - LATE_LOSS * lateShare);
-}
-
-/** What the copy number `count` of a model adds, in requests a second. */
-export function marginal(need: Need, count: number): number {
-  if (count < 1) return 0;
-  const served = servedBy(need.expected, count) - servedBy(need.expected, count - 1);
-  if (count === 1) return served + need.missedWeight + need.lastWeight;
-  const risen = Math.max(need.expected, need.anticipated);
-  const foreseen = servedBy(risen, count) - servedBy(risen, count - 1);
-  return served + NEXT_TO_RISE_WEIGHT * Math.max(0, foreseen - served);
-}
-
-export function levelAt(upstream: UpstreamView, model: string): LoadLevel {
-  if (upstream.hostModels.has(model)) return 'host';
-  return upstream.diskModels.has(model) ? 'disk' : 'store';
-}
-
-export function loadMsAt(spec: fleet.ModelSpec, level: LoadLevel): number {
-  switch (level) {
-    case 'host':
-      return spec.hostLoadMs;
-    case 'disk':
-      return spec.diskLoadMs;
-    case 'store':
-      return spec.storeLoadMs;
-  }
-}
-
 /**
  * What is unloaded goes to host memory and pushes out what was there longest, mostly the model that is to be
  * loaded: of 54 loads from host memory behind an unload all took as long as from disk.
  */
-export function loadBehindUnloadMs(spec: fleet.ModelSpec, level: LoadLevel): number {
-  return level === 'host' ? spec.diskLoadMs : loadMsAt(spec, level);
+export function loadBehindUnloadMs(spec: fleet.ModelSpec, level: copyNeeds.LoadLevel): number {
+  return level === 'host' ? spec.diskLoadMs : copyNeeds.loadMsAt(spec, level);
 }
 
 function reservedMb(engine: fleet.EngineSpec): number {
@@ -209,7 +57,7 @@
 function fits(
   specs: ReadonlyMap<string, fleet.ModelSpec>,
   roomMb: number,
-  upstream: UpstreamView,
+  upstream: copyNeeds.UpstreamView,
   load: string,
   unload: string | null,
 ): boolean {
@@ -223,21 +71,21 @@
 type Scored = { change: CopyChange; benefit: number };
 
 type Victim = {
-  copy: CopyView;
+  copy: copyNeeds.CopyView;
   /** What is lost with it when it makes way for a load from near, and for one from the store. */
   nearLoss: number;
   storeLoss: number;
 };
 
 type Place = {
-  upstream: UpstreamView;
+  upstream: copyNeeds.UpstreamView;
   blockedPerSecond: number;
   hotShare: number;
   victims: readonly Victim[];
 };
 
 /** An upstream as it will be once its change has ended. */
-function afterChange(upstream: UpstreamView, nowMs: number): UpstreamView {
+function afterChange(upstream: copyNeeds.UpstreamView, nowMs: number): copyNeeds.UpstreamView {
   const kept = upstream.copies.filter((copy) => !copy.isClosing);
   const { arriving } = upstream;
   const isListed = arriving === null || kept.some(({ model }) => model === arriving);
@@ -248,13 +96,12 @@
 }
 
 /** The change with the largest benefit, or null when none pays off. */
-export function planNext(input: PlanInput): CopyChange | null {
+export function planNext(input: copyNeeds.PlanInput): CopyChange | null {
   const { engine, upstreams, nowMs } = input;
-  const needs = needsOf(input);
-  const counts = copyCounts(upstreams);
-  const needOf = (model: string): Need =>
-    needs.get(model) ?? { expected: 0, anticipated: 0, missedWeight: 0, lastWeight: 0 };
-  const hotShare = (upstream: UpstreamView): number =>
+  const needs = copyNeeds.needsOf(input);
+  const counts = copyNeeds.copyCounts(upstreams);
+  const needOf = (model: string): copyNeeds.Need => needs.get(model) ?? copyNeeds.NO_NEED;
+  const hotShare = (upstream: copyNeeds.UpstreamView): number =>
     upstream.copies.reduce(
       (sum, { model }) => sum + needOf(model).expected / Math.max(1, counts.get(model) ?? 1),
       0,
@@ -263,13 +110,16 @@
   const roomMb = engine.weightsMb - reservedMb(engine);
   const specs = new Map(engine.models.map((spec) => [spec.name, spec]));
 
-  function lossOf(upstream: UpstreamView, copy: CopyView, level: LoadLevel): number {
+  function lossOf(
+    upstream: copyNeeds.UpstreamView,
+    copy: copyNeeds.CopyView,
+    level: copyNeeds.LoadLevel,
+  ): number {
     const need = needOf(copy.model);
     const spec = specs.get(copy.model);
     const exceptId = level === 'store' ? upstream.upstreamId : null;
-    const lastWeight =
-      spec === undefined ? 0 : LAST_COPY_WEIGHT * comebackShare(input, spec, exceptId);
-    const loss = marginal({ ...need, lastWeight }, counts.get(copy.model) ?? 1);
+    const lastWeight = spec === undefined ? 0 : copyNeeds.lastCopyWeight(input, spec, exceptId);
+    const loss = copyNeeds.marginal({ ...need, lastWeight }, counts.get(copy.model) ?? 1);
     return loss * HORIZON_S + copy.inFlightCount * DISTURBED_COST;
   }
 
@@ -278,7 +128,7 @@
   engine.models.forEach(({ name }) => {
     if ((counts.get(name) ?? 0) > 0) return;
     const near = upstreams.filter(
-      (upstream) => !upstream.isChanging && levelAt(upstream, name) !== 'store',
+      (upstream) => !upstream.isChanging && copyNeeds.levelAt(upstream, name) !== 'store',
     );
     const [only] = near;
     if (near.length !== 1 || only === undefined) return;
@@ -286,7 +136,7 @@
   });
 
   /** Requests a second for models with adapters that the upstream's copies get. */
-  function adapterRate(copies: readonly CopyView[]): number {
+  function adapterRate(copies: readonly copyNeeds.CopyView[]): number {
     return copies
       .filter(({ model }) => (specs.get(model)?.adapterCount ?? 0) > 0)
       .reduce(
@@ -299,18 +149,18 @@
    * What an upstream loses for each second that it loads: it takes no adapters for its other models
    * meanwhile, nor brings what only it has near, should that be the next to be asked for.
    */
-  function blockedPerSecond(upstream: UpstreamView): number {
+  function blockedPerSecond(upstream: copyNeeds.UpstreamView): number {
     const nearOnlyHere = nearOnly.get(upstream.upstreamId) ?? 0;
-    return BLOCKED_SHARE * adapterRate(upstream.copies) + LAST_COPY_WEIGHT * nearOnlyHere;
+    return BLOCKED_SHARE * adapterRate(upstream.copies) + copyNeeds.LAST_COPY_WEIGHT * nearOnlyHere;
   }
 
   /** A copy has just come, and adapters for it are on their way. */
-  function isSettling(upstream: UpstreamView): boolean {
+  function isSettling(upstream: copyNeeds.UpstreamView): boolean {
     const young = upstream.copies.filter(({ readyAtMs }) => nowMs - readyAtMs < ADAPTER_SETTLE_MS);
     return adapterRate(young) > 0;
   }
 
-  function toPlace(upstream: UpstreamView): Place {
+  function toPlace(upstream: copyNeeds.UpstreamView): Place {
     const movable = upstream.copies.filter((copy) => nowMs - copy.readyAtMs >= LEAST_STAY_MS);
     return {
       upstream,
@@ -333,11 +183,12 @@
     delayMs: number,
   ): Scored | null {
     const { upstream } = place;
-    const level = levelAt(upstream, spec.name);
+    const level = copyNeeds.levelAt(upstream, spec.name);
     if (level === 'store' && input.storeLoadsLeft < 1) return null;
     const unload = victim?.copy.model ?? null;
     if (!fits(specs, roomMb, upstream, spec.name, unload)) return null;
-    const loadMs = unload === null ? loadMsAt(spec, level) : loadBehindUnloadMs(spec, level);
+    const loadMs =
+      unload === null ? copyNeeds.loadMsAt(spec, level) : loadBehindUnloadMs(spec, level);
     const loadS = loadMs / MS_PER_SECOND;
     const loss = level === 'store' ? victim?.storeLoss : victim?.nearLoss;
     const cost =
@@ -368,7 +219,7 @@
   function gainOf(model: string): number {
     const need = needOf(model);
     const asked = { ...need, lastWeight: UNASKED_SHARE * need.lastWeight };
-    return marginal(asked, (counts.get(model) ?? 0) + 1);
+    return copyNeeds.marginal(asked, (counts.get(model) ?? 0) + 1);
   }
 
   /**
@@ -380,10 +231,10 @@
     if (planned.change.level !== 'store') return false;
     return upstreams.some((upstream) => {
       const { freeAtMs } = upstream;
-      const level = levelAt(upstream, spec.name);
+      const level = copyNeeds.levelAt(upstream, spec.name);
       if (!upstream.isChanging || freeAtMs === null || level === 'store') return false;
       const delayMs = Math.max(0, freeAtMs - nowMs);
-      const readyMs = delayMs + loadMsAt(spec, level) + NEAR_MARGIN_MS;
+      const readyMs = delayMs + copyNeeds.loadMsAt(spec, level) + NEAR_MARGIN_MS;
       if (readyMs > planned.change.loadMs) return false;
       const later = bestAt(toPlace(afterChange(upstream, nowMs)), spec, gain, delayMs);
       return later !== null && later.benefit > planned.benefit;
--- a/packages/gateway/src/testing/fleet-fixtures.ts
+++ b/packages/gateway/src/testing/fleet-fixtures.ts
@@ -1,5 +1,5 @@
 /** Small fleets for tests. */
-import type * as copyPlan from '../shared/placing/copy-plan.js';
+import type * as copyNeeds from '../shared/placing/copy-needs.js';
 import type * as fleet from '../types/fleet.js';
 
 export function upstreamRecord(
@@ -48,8 +48,8 @@
 export function upstreamView(
   upstreamId: string,
   models: readonly string[],
-  overrides: Partial<copyPlan.UpstreamView> = {},
-): copyPlan.UpstreamView {
+  overrides: Partial<copyNeeds.UpstreamView> = {},
+): copyNeeds.UpstreamView {
   return {
     upstreamId,
     failureDomain: 'north',
