--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -56,8 +56,6 @@
 /** Requests a second that each copy beyond the first stands for, until demand itself tells. */
 const PRIOR_PER_COPY = 3;
 const PRIOR_VALID_MS = 3_000;
-/** What operators placed on several upstreams was asked for before. */
-const PRIOR_LASTED_MS = 15_000;
 /** Adapters load within some tens of milliseconds, four at once at one upstream. */
 const ADAPTER_LOADS_AT_ONCE = 2;
 
@@ -196,7 +194,6 @@
       isFalling: false,
       lastAskedMs: nowMs,
       missedCount: 0,
-      lastedMs: PRIOR_LASTED_MS,
       ...figures,
       expectedPerSecond: Math.max(expected, figures?.expectedPerSecond ?? 0),
     };
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -66,21 +66,13 @@
 /** Beside its load a comeback takes noticing, making room and bringing adapters. */
 const COMEBACK_MS = 1_500;
 export type Need = {
-  /** For how long it has been busy. */
-  lastedMs: number;
   expected: number;
   anticipated: number;
   missedWeight: number;
   lastWeight: number;
 };
 
-export const NO_NEED: Need = {
-  lastedMs: 0,
-  expected: 0,
-  anticipated: 0,
-  missedWeight: 0,
-  lastWeight: 0,
-};
+export const NO_NEED: Need = { expected: 0, anticipated: 0, missedWeight: 0, lastWeight: 0 };
 
 function clamp(value: number, least: number, most: number): number {
   return Math.min(most, Math.max(least, value));
@@ -138,7 +130,6 @@
       return [
         spec.name,
         {
-          lastedMs: known.lastedMs,
           expected: known.expectedPerSecond,
           anticipated: isHot ? NEXT_TO_RISE_SHARE * top : 0,
           missedWeight: Math.min(MISSED_WEIGHT_MAX, MISSED_WEIGHT * known.missedCount),
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -20,7 +20,6 @@
     isFalling: false,
     lastAskedMs: NOW_MS,
     missedCount: 0,
-    lastedMs: 20_000,
     ...overrides,
   };
 }
@@ -173,24 +172,6 @@
   assert.is(plan([host], demand)?.loadMs, 1_200);
 });
 
-// Demand has just moved to a model with one copy, which it saturates; an upstream with a surplus copy could load one more
-// from the store, and is the only one to have the model near that demand moves to next. Nine seconds later neither
-// would help. Only where the demand has lasted is it expected to last until that copy has paid off.
-test('one more copy comes from the store only for a demand that has lasted', () => {
-  const upstreams = [
-    fixtures.upstreamView('u1', ['hot', 'next', 'cold']),
-    fixtures.upstreamView('u2', ['old', 'cold', 'lone'], {
-      diskModels: new Set(['old', 'cold', 'lone', 'rare']),
-    }),
-  ];
-  const risen = plan(upstreams, { hot: asked(14, { lastedMs: 3_000 }), next: asked(1) });
-  assert.ok(risen?.load !== 'hot' || risen.level !== 'store');
-  const steady = plan(upstreams, { hot: asked(14, { lastedMs: 25_000 }), next: asked(1) });
-  assert.equal({ load: steady?.load, level: steady?.level }, { load: 'hot', level: 'store' });
-  const missing = plan(upstreams.slice(1), { hot: asked(14, { lastedMs: 0 }) });
-  assert.is(missing?.load, 'hot');
-});
-
 // Skewed demand at saturation: a hot model is asked for thirty times a second over eight upstreams, many
 // others now and then. Followed until nothing more pays off, the hot one stands on several upstreams and
 // no model that is asked for is left without a copy for its sake.
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -17,12 +17,6 @@
 
 /** What a plan has to pay off in: about the time between two moves of demand. */
 const HORIZON_S = 15;
-/**
- * A demand that has lasted for some time is expected to last as long again, up to this. One more copy from the
- * store takes nine seconds: for a model that has just risen it came when demand had moved on, and its upstream
- * could bring nothing of what it had near meanwhile. A first copy has no such choice.
- */
-const LONGEST_HORIZON_S = 30;
 /** To bring a copy that nobody asks for is worth less than to keep one: the swap itself disturbs. */
 const UNASKED_SHARE = 0.4;
 /** Costs in requests: a load from the store takes bandwidth from others; any swap disturbs. */
@@ -180,12 +174,6 @@
     };
   }
 
-  function horizonOf(model: string, level: copyNeeds.LoadLevel): number {
-    const isFirst = (counts.get(model) ?? 0) < 1;
-    if (isFirst || level !== 'store') return HORIZON_S;
-    return Math.min(LONGEST_HORIZON_S, needOf(model).lastedMs / MS_PER_SECOND);
-  }
-
   /** What the change brings if it starts after `delayMs`; null where it cannot be made. */
   function score(
     place: Place,
@@ -207,8 +195,7 @@
       (loss ?? 0) + (level === 'store' ? STORE_COST : 0) + place.blockedPerSecond * loadS;
     // Of two places alike, the one beside less work.
     const beside = 0.01 * place.hotShare;
-    const horizonS = horizonOf(spec.name, level);
-    const usedS = Math.max(0, horizonS - loadS - delayMs / MS_PER_SECOND);
+    const usedS = Math.max(0, HORIZON_S - loadS - delayMs / MS_PER_SECOND);
     const benefit = gain * usedS - cost - SWAP_COST - beside;
     if (benefit <= 0) return null;
     const change = { upstreamId: upstream.upstreamId, load: spec.name, unload, level, loadMs };
--- a/packages/gateway/src/shared/placing/demand-meter.test.ts
+++ b/packages/gateway/src/shared/placing/demand-meter.test.ts
@@ -40,15 +40,4 @@
   assert.ok(rare !== null && rare.missedCount > 2);
 });
 
-// Whether a copy that takes nine seconds to come will still be wanted then: how long the demand has lasted tells.
-test('a demand lasts until it pauses', () => {
-  const meter = demandMeters.createDemandMeter();
-  const lastedMs = (nowMs: number) => meter.figures('busy', nowMs)?.lastedMs ?? -1;
-  for (let nowMs = 0; nowMs <= 12_000; nowMs += 200) meter.add('busy', 1, 0, nowMs);
-  assert.ok(lastedMs(12_000) > 10_000, `${lastedMs(12_000)}`);
-  assert.is(lastedMs(24_000), 0);
-  for (let nowMs = 24_000; nowMs <= 28_000; nowMs += 200) meter.add('busy', 1, 0, nowMs);
-  assert.ok(lastedMs(28_000) < 4_500, `${lastedMs(28_000)}`);
-});
-
 test.run();
--- a/packages/gateway/src/shared/placing/demand-meter.ts
+++ b/packages/gateway/src/shared/placing/demand-meter.ts
@@ -14,8 +14,6 @@
   lastAskedMs: number;
   /** Requests of the last while that found no copy; older ones count less. */
   missedCount: number;
-  /** For how long it has been asked for more than now and then, without a pause; 0 while it is not. */
-  lastedMs: number;
 };
 
 export type DemandMeter = {
@@ -40,9 +38,6 @@
 /** Misses of a model that is asked for every few seconds add up until it gets its turn. */
 const MISSED_MS = 15_000;
 const FALLING_SHARE = 0.5;
-/** From one request a second on a model is asked for more than now and then, until it falls to half of that. */
-const BUSY_PER_SECOND = 1;
-const QUIET_PER_SECOND = 0.5;
 /** After this a model's figures are all but zero. */
 const FORGET_MS = 60_000;
 const LEAST_AGE_MS = 1_000;
@@ -54,8 +49,6 @@
   atMs: number;
   lastAskedMs: number;
   missed: number;
-  /** Since when it has been asked for more than now and then. */
-  busySinceMs: number | null;
 };
 
 function decay(counter: Counter, nowMs: number): void {
@@ -76,12 +69,6 @@
     return (weight * MS_PER_SECOND) / windowMs / (1 - Math.exp(-ageMs / windowMs));
   }
 
-  function noteBusy(counter: Counter, nowMs: number): void {
-    const perSecond = rate(counter.slow, SLOW_MS, nowMs);
-    if (perSecond < QUIET_PER_SECOND) counter.busySinceMs = null;
-    else if (perSecond >= BUSY_PER_SECOND) counter.busySinceMs ??= nowMs;
-  }
-
   return {
     add: (key, requestCount, missedCount, nowMs) => {
       if (requestCount <= 0) return;
@@ -92,7 +79,6 @@
         atMs: nowMs,
         lastAskedMs: nowMs,
         missed: 0,
-        busySinceMs: null,
       };
       counters.set(key, counter);
       decay(counter, nowMs);
@@ -100,13 +86,11 @@
       counter.slow += requestCount;
       counter.lastAskedMs = nowMs;
       counter.missed += missedCount;
-      noteBusy(counter, nowMs);
     },
     figures: (key, nowMs) => {
       const counter = counters.get(key);
       if (counter === undefined) return null;
       decay(counter, nowMs);
-      noteBusy(counter, nowMs);
       const fast = rate(counter.fast, FAST_MS, nowMs);
       const slow = rate(counter.slow, SLOW_MS, nowMs);
       const deviation = Math.sqrt((fast * MS_PER_SECOND) / (2 * FAST_MS));
@@ -119,7 +103,6 @@
         isFalling: fast < FALLING_SHARE * slow,
         lastAskedMs: counter.lastAskedMs,
         missedCount: counter.missed,
-        lastedMs: counter.busySinceMs === null ? 0 : nowMs - counter.busySinceMs,
       };
     },
     hasDemand: () => startedMs !== null,
