Log what a planned stop cuts off

Change: the calls that are open when a stop's time is up are logged as cut, cause stopping, before the connections go.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -5,6 +5,7 @@
 
 import * as configHolder from './server/control/config-holder.js';
 import * as connectionsModule from './server/forwarding/connections.js';
+import * as openCallsModule from './server/forwarding/open-calls.js';
 import * as serving from './server/forwarding/serve.js';
 import * as measuredStores from './server/metrics/measured-store.js';
 import * as metricsModule from './server/metrics/metrics.js';
@@ -44,8 +45,6 @@
 /** What the running daemon knows of itself. */
 export type GatewayStatus = {
   isStopping: () => boolean;
-  /** Requests that have been read and are not answered yet. */
-  openCallCount: () => number;
   isStoreConnected: () => boolean;
   hasListing: () => boolean;
   onUpstreamsLearned: () => void;
@@ -69,6 +68,7 @@
   connections: connectionsModule.Connections;
   configuration: configHolder.ConfigHolder;
   placement: placementTypes.Placement;
+  openCalls: openCallsModule.OpenCalls;
   book: peerBooks.PeerBook;
   demand: demandCounters.DemandCounters;
   view: placementViews.PlacementView;
@@ -89,7 +89,7 @@
       beliefsModule.isAvoided(beliefs.belief(upstreamId, nowMs)),
     );
     return {
-      openCallCount: parts.status.openCallCount(),
+      openCallCount: parts.openCalls.count(),
       configVersion: configuration.version(),
       configAgeMs: configuration.ageMs(),
       upstreamsRevision: directory.revision(),
@@ -207,6 +207,9 @@
     configuration: awilix
       .asFunction((parts: GatewayParts) => configHolder.createConfigHolder(parts.log, parts.clock))
       .singleton(),
+    openCalls: awilix
+      .asFunction((parts: GatewayParts) => openCallsModule.createOpenCalls(parts.clock, parts.log))
+      .singleton(),
     retryShare: awilix
       .asFunction(() =>
         retryShares.createRetryShare({
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -51,13 +51,11 @@
 ): Promise<RunningGateway> {
   let isStopping = false;
   let hasListing = false;
-  const openCalls = { count: 0 };
   const { cradle } = containers.createContainer(
     settings,
     (clock, log) => createPlatform(clock, log, settings),
     {
       isStopping: () => isStopping,
-      openCallCount: () => openCalls.count,
       hasListing: () => hasListing,
       isStoreConnected: () => upstreamFollower.isConnected(),
       onUpstreamsLearned: () => {
@@ -66,7 +64,7 @@
       },
     },
   );
-  const { clock, log, directory, configuration } = cradle;
+  const { clock, log, directory, configuration, openCalls } = cradle;
 
   /** One gateway has to notice a silent connection in time; the others learn from it. */
   function watchWaitMs(): number {
@@ -237,18 +235,19 @@
 
   async function stop(): Promise<void> {
     isStopping = true;
-    log.info('stopping', { openCallCount: openCalls.count });
+    log.info('stopping', { openCallCount: openCalls.count() });
     const endMs = stops.exitByMs(clock.nowMs(), settings.stopTimeoutS * 1_000);
     const drained = stops.drain({
       clock,
       server: callers.server,
       connections,
-      openCallCount: () => openCalls.count,
+      openCallCount: () => openCalls.count(),
       endMs,
     });
     await stops.handBackLast({ clock, drained, handBack: cradle.lease.handBack, endMs });
+    openCalls.logCut();
     await tree.stop();
-    log.info('stopped', { openCallCount: openCalls.count });
+    log.info('stopped', { openCallCount: openCalls.count() });
   }
 
   await tree.start();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -14,6 +14,7 @@
 import type * as metricsModule from '../metrics/metrics.js';
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
+import type * as openCallsModule from './open-calls.js';
 import type * as serving from './serve.js';
 
 export type CallersDeps = {
@@ -24,8 +25,7 @@
   configuration: () => InForce | null;
   isStopping: () => boolean;
   metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded'>;
-  /** Requests that have been read and are not answered yet, waiting ones among them. */
-  openCalls: { count: number };
+  openCalls: openCallsModule.OpenCalls;
 };
 
 /** A configuration with its route table. */
@@ -149,14 +149,14 @@
     return;
   }
   const call = buildCall(deps, request, route, body.bytes, arrivedAtMs);
-  deps.openCalls.count += 1;
+  deps.openCalls.add(call);
   try {
     const ending = await deps.serve(call, sink);
     answerEnding(deps, sink, ending);
     logEnding(deps, call, ending);
     deps.metrics.requestEnded(call.route, ending, deps.clock.nowMs() - call.arrivedAtMs);
   } finally {
-    deps.openCalls.count -= 1;
+    deps.openCalls.remove(call);
   }
 }
 
