--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,7 @@
 import * as commander from 'commander';
 
 import * as config from './commands/config.js';
+import * as explain from './commands/explain.js';
 import * as fleet from './commands/fleet.js';
 import * as trace from './commands/trace.js';
 import * as contexts from './context.js';
@@ -105,6 +106,13 @@
   .argument('<id>', 'the x-request-id of its answer')
   .action((id: string) => run((context) => trace.showTrace(context, id)));
 
+program
+  .command('explain')
+  .description("tell a request's story from gateways' logs")
+  .argument('<id>', 'its x-request-id')
+  .argument('[logs...]', 'log files; standard input without any')
+  .action((id: string, logs: string[]) => run((context) => explain.explain(context, id, logs)));
+
 // Without a command there is only `--check`: the options have been read by now.
 program.action((options: { check?: boolean }) => {
   if (options.check !== true) program.help({ error: true });
--- /dev/null
+++ b/packages/cli/src/shared/story.test.ts
@@ -0,0 +1,71 @@
+import { logLines } from '@copperlever/runtime';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as story from './story.js';
+
+const test = suite('story');
+
+function read(lines: readonly string[]): logLines.LogLine[] {
+  return lines.flatMap((text) => logLines.parseLine(text) ?? []);
+}
+
+function at(second: number, rest: string): string {
+  return `time=2030-01-01T00:00:${String(second).padStart(2, '0')}.000Z level=info ${rest}`;
+}
+
+// A draft is refused because the only copy of its model made way eight seconds before; its caller comes back
+// through another gateway under an id of its own. Asked for the first id, the story holds why, and not more.
+const LINES = read([
+  at(1, 'event=change-started daemonId=g2 upstreamId=u7 load=other unload=m3 loadFrom=disk'),
+  at(2, 'event=change-started daemonId=g2 upstreamId=u8 load=else unload=more loadFrom=disk'),
+  at(5, 'event=config-in-force daemonId=g1 configVersion=14 before=12 source=store'),
+  at(5, 'event=config-in-force daemonId=g3 configVersion=14 before=12 source=store'),
+  at(9, 'event=request-not-placed daemonId=g1 requestId=r1 model=m3 cause=model-not-ready'),
+  at(9, 'event=request-failed daemonId=g1 requestId=r1 model=m3 outcome=not-run retryAfterMs=2400'),
+  at(12, 'event=request-ended daemonId=g3 requestId=r2 model=m3 outcome=answered status=200'),
+  at(40, 'event=change-started daemonId=g2 upstreamId=u7 load=m3 unload=other loadFrom=host'),
+]);
+
+test('a refusal is told with the change that made the model go', () => {
+  const told = story.tellStory('r1', LINES);
+  assert.equal(
+    told?.lines.map(({ line, isOwn }) => `${line.event} ${isOwn}`),
+    [
+      'change-started false',
+      'config-in-force false',
+      'request-not-placed true',
+      'request-failed true',
+    ],
+  );
+});
+
+// Refused at one gateway, tried at two upstreams by the next: one id, two processes.
+test('a request that was refused, tried again and answered is told from the lines alone', () => {
+  const lines = read([
+    at(
+      1,
+      'event=request-failed daemonId=g1 requestId=r5 model=m1 outcome=not-run cause=overloaded',
+    ),
+    at(
+      2,
+      'event=attempt-ended daemonId=g2 requestId=r5 upstreamId=u1 result=lost reason=connection',
+    ),
+    at(2, 'event=upstream-avoided daemonId=g2 upstreamId=u1 brokenInRow=2 forMs=400'),
+    at(2, 'event=upstream-avoided daemonId=g1 upstreamId=u1 brokenInRow=2 forMs=400'),
+    at(3, 'event=attempt-ended daemonId=g2 requestId=r5 upstreamId=u2 result=answered'),
+    at(3, 'event=request-ended daemonId=g2 requestId=r5 model=m1 outcome=answered status=200'),
+  ]);
+  const told = story.tellStory('r5', lines);
+  assert.ok(told !== null);
+  assert.is(told.lines.length, 6);
+  const text = story.formatStory(told);
+  assert.match(text[0] ?? '', /^ {6}\+0 ms > {2}g1 {2}request-failed/);
+  assert.match(text.at(-1) ?? '', /\+2000 ms > {2}g2 {2}request-ended .*status=200/);
+});
+
+test('of an id that no line carries there is no story', () => {
+  assert.is(story.tellStory('r9', LINES), null);
+});
+
+test.run();
