--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -31,6 +31,8 @@
     adaptersMax: 4,
     /** An adapter that requests use goes when they have ended. */
     adaptersInUse: false,
+    /** Unloads wait for runs that last so long. */
+    unloadMs: 100,
   };
   const orders: string[] = [];
   const snapshots: Snapshot[] = [];
@@ -72,7 +74,7 @@
         break;
       case 'unload-model':
         state.isBusy = true;
-        clock.schedule(clock.nowMs() + 100, () => {
+        clock.schedule(clock.nowMs() + state.unloadMs, () => {
           held.delete(order.model);
           state.isBusy = false;
           snap();
@@ -163,6 +165,26 @@
   steward.stop();
 });
 
+// What makes way runs streams for five seconds more. Callers who were told that its place is free at once would come
+// back to a refusal, and most of them come back only once.
+test('the ready time that callers are told is put off while an unload waits for its runs', async () => {
+  const { clock, upstream, create } = createRig(['a', 'b', 'c']);
+  upstream.state.unloadMs = 5_000;
+  const steward = create();
+  await clock.advance(500);
+  const startedMs = clock.nowMs();
+  steward.startChange(change('d', 'a'));
+  const toldAtFirstMs = (steward.arrival()?.readyAtMs ?? 0) - startedMs;
+  assert.ok(toldAtFirstMs > LOAD_MS && toldAtFirstMs < LOAD_MS + 1_500, `${toldAtFirstMs}`);
+  await clock.advance(4_000);
+  const toldLaterMs = (steward.arrival()?.readyAtMs ?? 0) - startedMs;
+  assert.ok(toldLaterMs > 4_000 + LOAD_MS, `${toldLaterMs}`);
+  await clock.advance(10_000);
+  assert.equal(modelsOf(steward), ['b', 'c', 'd']);
+  assert.is(steward.arrival(), null);
+  steward.stop();
+});
+
 // A holder dies while a load that it ordered is on its way. Its successor's report lacks the model, so a
 // place looks free; the next load would be one too many and crash the upstream.
 test("an upstream that carries out an earlier holder's load is left alone until it has done", async () => {
