Test that a lag is noticed again after an earlier one; doc comments a newcomer missed

The new test fails without it. Change: that test; units of a model's need, exitByMs, and the count of interactive waits in the comments.

--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -62,6 +62,7 @@
   };
 }
 
+/** By when a stop that begins at `stopAtMs` has to be over, before the platform kills the process. */
 export function exitByMs(stopAtMs: number, stopTimeoutMs: number): number {
   return stopAtMs + stopTimeoutMs - EXIT_MARGIN_MS;
 }
--- a/packages/gateway/src/shared/list-lag.test.ts
+++ b/packages/gateway/src/shared/list-lag.test.ts
@@ -27,4 +27,15 @@
   }
 });
 
+// The list caught up with its peers long ago; now the watch's connection falls silent. What was missing then must not
+// stand for what is missing now.
+test('a lag is noticed again after an earlier one has passed', () => {
+  const lag = listLag.createListLag(1_500);
+  lag.heard(41, 40, 0);
+  lag.heard(41, 41, 500);
+  lag.heard(60, 41, 10_000);
+  assert.not(lag.isLagging(41, 11_000));
+  assert.ok(lag.isLagging(41, 11_600));
+});
+
 test.run();
--- a/packages/gateway/src/shared/model-waits.ts
+++ b/packages/gateway/src/shared/model-waits.ts
@@ -4,7 +4,7 @@
  * overnight callers come back once at most; refused, they meet the next gap between copies and are lost,
  * though a load takes less time than they have. Interactive requests never wait: no load fits their
  * objectives, and their callers leave within two seconds. Even where a copy is a second away, more of them
- * would wait than it can read at first: of 450 that did, a third were lost or refused after all.
+ * would wait than it can read at first: of 450 that did, 186 were lost or refused after all.
  */
 export type MissingModel = {
   nowMs: number;
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -65,10 +65,14 @@
 export const LAST_COPY_WEIGHT = 0.5;
 /** Beside its load a comeback takes noticing, making room and bringing adapters. */
 const COMEBACK_MS = 1_500;
+/** In requests a second. */
 export type Need = {
   expected: number;
+  /** What it may rise to, being asked for now. */
   anticipated: number;
+  /** What its first copy is worth for requests that found none, */
   missedWeight: number;
+  /** and for those that demand may yet bring. */
   lastWeight: number;
 };
 
