Tell the starts of an upstream apart; entries of other writers name no upstream; places counted by what is held

Loads of the start before that got no answer keep their room for as long as they may come. Unreadable entries end what stood under their name; the others hold. Plain upstreams without an answer were expected to take 30 ms whatever the others take: one that joined a service of two milliseconds got nothing. They are expected to take as long as the others.

A place for an adapter was taken for free once its unload was sent, and send() asks for a lost count of orders by itself: an unload without an answer, a missing report and the next load made one adapter too many. Places are counted after the count is known, and a place whose unload was not taken stays taken. The same for loads of models: a plan ends when the count has moved on.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -197,7 +197,13 @@
       .singleton(),
     upstreamControl: awilix.asValue(platform.upstreamControl),
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
-    directory: awilix.asFunction(directories.createUpstreamDirectory).singleton(),
+    directory: awilix
+      .asFunction((parts: GatewayParts) =>
+        directories.createUpstreamDirectory((beforeId, { upstreamId, address }) => {
+          parts.log.info('upstream-restarted', { beforeId, upstreamId, address });
+        }),
+      )
+      .singleton(),
     beliefs: awilix.asFunction(beliefsModule.createUpstreamBeliefs).singleton(),
     suspects: awilix.asFunction(suspectsModule.createSuspects).singleton(),
     inFlight: awilix.asFunction(inFlightModule.createInFlight).singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -10,9 +10,11 @@
 import * as metricsApp from './server/metrics/app.js';
 import * as peers from './server/peers/server.js';
 import * as stops from './server/health/stop.js';
+import type * as fleet from './types/fleet.js';
 import type * as logEvents from './types/log-events.js';
 import * as watchPauses from './shared/watch-pauses.js';
 import type * as settingsModule from './types/settings.js';
+import type * as stores from './types/stores.js';
 
 /** An absence shorter than this lets no entry of the platform's list lapse. */
 const LAPSE_ABSENCE_MS = 1_000;
@@ -34,6 +36,17 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
+function describeChange(change: stores.Change<fleet.UpstreamRecord>) {
+  switch (change.kind) {
+    case 'written':
+      return { upstreamId: change.record.value.upstreamId, state: change.record.value.state };
+    case 'unreadable':
+      return { upstreamId: change.name, state: 'unreadable' };
+    case 'deleted':
+      return { upstreamId: change.name, state: 'gone' };
+  }
+}
+
 async function listen(app: fastify.FastifyInstance, address: string): Promise<void> {
   await app.listen(splitAddress(address));
 }
@@ -108,9 +121,7 @@
     },
     onChange: (change) => {
       directory.applyChange(change, clock.nowMs());
-      const name = change.kind === 'written' ? change.record.name : change.name;
-      const state = change.kind === 'written' ? change.record.value.state : 'gone';
-      log.info('upstream-changed', { upstreamId: name, state, revision: directory.revision() });
+      log.info('upstream-changed', { ...describeChange(change), revision: directory.revision() });
       afterDirectoryChange();
     },
     onRegained: (awayMs) => {
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -97,7 +97,7 @@
       { clock, dialect: testDialects.createTestDialect() },
       {
         call,
-        upstreamId: 'u1',
+        upstreamName: 'u1',
         connection,
         sink,
         priority: 0,
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -18,7 +18,7 @@
 
 export type AttemptInput = {
   call: calls.Call;
-  upstreamId: string;
+  upstreamName: string;
   connection: connectionsModule.LentConnection;
   sink: answers.AnswerSink;
   priority: number;
@@ -200,7 +200,7 @@
     if (isSettled) return;
 
     const attemptHeaders = dialect.attemptHeaders({
-      upstreamId: input.upstreamId,
+      upstreamName: input.upstreamName,
       remainingMs: call.deadlineMs - clock.nowMs(),
       priority: input.priority,
       resumeAfterId: input.resumeAfterId,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -118,7 +118,7 @@
     let firstPieceMs: number | null = null;
     const result = await attempts.runAttempt(deps, {
       call,
-      upstreamId,
+      upstreamName: record.name,
       sink,
       connection,
       priority,
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -121,7 +121,7 @@
 test('a list that a peer has had for longer than the watch pauses is asked of the peer', async () => {
   const { clock, holder, follower } = createPair();
   const records = [{ name: 'u1', revision: 7, value: fixtures.upstreamRecord('u1') }];
-  holder.directory.applyListing({ records, revision: 7 }, clock.nowMs());
+  holder.directory.applyListing({ records, unreadable: [], revision: 7 }, clock.nowMs());
   follower.exchange.start();
   await clock.advance(1_000);
   assert.is(follower.directory.revision(), 0);
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -6,6 +6,7 @@
 import * as copyPlan from '../../shared/placing/copy-plan.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
 import * as demandMeters from '../../shared/placing/demand-meter.js';
+import * as lateLoads from '../../shared/placing/late-loads.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
 import * as storeLoadsModule from '../../shared/placing/store-loads.js';
 import type * as directories from '../../shared/upstream-directory.js';
@@ -66,6 +67,8 @@
   const adapterAskedMs = new Map<string, number>();
   const heard = new Map<string, { incarnation: number; counts: Map<string, [number, number]> }>();
   const byUpstream = new Map<string, stewards.Steward>();
+  /** By the upstream's name: of its start before. */
+  const inheritedLateLoads = new Map<string, readonly lateLoads.LateLoad[]>();
   let storeLoads = storeLoadsModule.createStoreLoads(deps.storeLoadLimits);
   let servedTerm: number | null = null;
   let version = 0;
@@ -116,10 +119,11 @@
       onFenced: deps.lease.fenced,
       onStoreLoad: (isCertain) => {
         if (isCertain) storeLoads.began(clock.nowMs());
-        else storeLoads.uncertain(clock.nowMs() + stewards.UNCERTAIN_LOAD_MS);
+        else storeLoads.uncertain(clock.nowMs() + lateLoads.LATE_ORDER_MS);
       },
       adapterLastAskedMs: (model, adapter) => adapterAskedMs.get(`${model}/${adapter}`) ?? 0,
       onChanged: publish,
+      inheritedLateLoads: inheritedLateLoads.get(record.name) ?? [],
       metrics: deps.metrics,
     });
   }
@@ -136,6 +140,10 @@
       if (ids.has(id)) continue;
       steward.stop();
       byUpstream.delete(id);
+      inheritedLateLoads.set(steward.name, steward.lateLoads());
+    }
+    for (const [name, late] of inheritedLateLoads) {
+      if (lateLoads.pending(late, clock.nowMs()).length === 0) inheritedLateLoads.delete(name);
     }
     records.forEach((record) => {
       const known = byUpstream.get(record.upstreamId);
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'uvu/assert';
 
 import type * as copyPlan from '../../shared/placing/copy-plan.js';
+import * as lateLoads from '../../shared/placing/late-loads.js';
 import * as fixtures from '../../testing/fleet-fixtures.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
@@ -28,6 +29,10 @@
     isBusy: false,
     crashed: false,
     losesAnswers: false,
+    /** So many of the next orders get no answer and are not carried out, */
+    dropsOrders: 0,
+    /** and so many of the next reports get none. */
+    missingReports: 0,
     adaptersMax: 4,
     /** An adapter that requests use goes when they have ended. */
     adaptersInUse: false,
@@ -105,12 +110,20 @@
   snap();
   const control: dialects.UpstreamControl = {
     report: () => {
+      if (state.missingReports > 0) {
+        state.missingReports -= 1;
+        return Promise.resolve(results.Err({ kind: 'no-answer', reason: 'silent' } as const));
+      }
       const asOfMs = clock.nowMs() - REPORT_LAG_MS;
       const known = snapshots.filter(({ atMs }) => atMs <= asOfMs).at(-1) ?? snapshots[0];
       return Promise.resolve(results.Ok((known as Snapshot).report));
     },
     order: (_target, order, context) => {
       orders.push(`${order.kind} ${order.model}${'adapter' in order ? `/${order.adapter}` : ''}`);
+      if (state.dropsOrders > 0) {
+        state.dropsOrders -= 1;
+        return Promise.resolve(results.Err({ kind: 'no-answer', reason: 'silent' } as const));
+      }
       if (state.isBusy || context.expectedOrderCount !== state.orderCount) {
         return Promise.resolve(results.Ok({ kind: 'conflict' } as const));
       }
@@ -129,7 +142,7 @@
 function createRig(models: readonly string[]) {
   const clock = fakeClocks.createFakeClock();
   const upstream = createUpstream(clock, models);
-  const create = () =>
+  const create = (inheritedLateLoads: readonly lateLoads.LateLoad[] = []) =>
     stewards.createSteward(fixtures.upstreamRecord('u1'), {
       clock,
       log: logs.createSilentLogger(),
@@ -140,6 +153,7 @@
       onStoreLoad: () => {},
       adapterLastAskedMs: (_model, adapter) => Number(adapter.slice(1)),
       onChanged: () => {},
+      inheritedLateLoads,
       metrics: { orderGiven: () => {}, changeEnded: () => {} },
     });
   return { clock, upstream, create };
@@ -313,4 +327,69 @@
   steward.stop();
 });
 
+// All places for adapters are taken. The order that frees one gets no answer and was not carried out, and the
+// report that is asked for next does not come either. The place still is taken, so nothing may be loaded into it.
+test('a place that may not have been freed is not given away', async () => {
+  const { clock, upstream, create } = createRig(['m1']);
+  const steward = create();
+  await clock.advance(10);
+  for (const adapter of ['a1', 'a2', 'a3', 'a4']) {
+    void steward.ensureAdapter('m1', adapter, 4);
+    await clock.advance(300);
+  }
+  upstream.state.dropsOrders = 1;
+  upstream.state.missingReports = 1;
+  void steward.ensureAdapter('m1', 'a5', 4);
+  await clock.advance(1_000);
+  assert.is(upstream.state.crashed, false);
+});
+
+// The answer to a load is lost and the load never comes. Meanwhile another's late order has been taken, which the
+// report shows by its count: the plan was made for what the upstream held before, and must not go on.
+test('a load whose answer was lost is not sent again once the upstream has taken another order', async () => {
+  const { clock, upstream, create } = createRig(['m1', 'm2']);
+  const steward = create();
+  await clock.advance(10);
+  upstream.state.dropsOrders = 1;
+  steward.startChange(change('m3', null));
+  await clock.advance(20);
+  upstream.carryOut({ kind: 'load-model', model: 'm4' });
+  await clock.advance(LOAD_MS * 3);
+  assert.is(upstream.state.crashed, false);
+  assert.ok(upstream.held.has('m4'));
+});
+
+// An order to load is not answered, and the upstream starts again under its name, empty, its count anew. The
+// late order may meet that count by chance. Were its room given away, one model more than fits would be ordered.
+test('the room of a load that may still come is kept by the next start', async () => {
+  const { clock, upstream, create } = createRig(['m1', 'm2']);
+  const before = create();
+  await clock.advance(10);
+  upstream.state.losesAnswers = true;
+  before.startChange(change('m3', null));
+  await clock.advance(500);
+  const late = before.lateLoads();
+  assert.equal(
+    late.map(({ model }) => model),
+    ['m3'],
+  );
+  const again = createRig(['m1', 'm2']);
+  const after = again.create(late);
+  await again.clock.advance(10);
+  const held = () => (after.view(() => 0)?.copies ?? []).map(({ model }) => model).sort();
+  assert.equal(held(), ['m1', 'm2', 'm3']);
+  await again.clock.advance(lateLoads.LATE_ORDER_MS);
+  assert.equal(held(), ['m1', 'm2']);
+});
+
+test('a place for an adapter that may still come is kept as well', async () => {
+  const { clock, create } = createRig(['m1']);
+  const untilMs = clock.nowMs() + 5_000;
+  const steward = create([{ model: 'm1', adapter: 'a1', untilMs }]);
+  await clock.advance(10);
+  assert.is(steward.adapterCount(), 1);
+  await clock.advance(5_000);
+  assert.is(steward.adapterCount(), 0);
+});
+
 test.run();
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -8,6 +8,7 @@
 
 import type * as copyNeeds from '../../shared/placing/copy-needs.js';
 import type * as copyPlan from '../../shared/placing/copy-plan.js';
+import * as lateLoads from '../../shared/placing/late-loads.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
@@ -27,17 +28,23 @@
   /** When an adapter was last asked for, to choose the one that gives way. */
   adapterLastAskedMs: (model: string, adapter: string) => number;
   onChanged: () => void;
+  /** Of the start before, when the upstream has started again under its name. */
+  inheritedLateLoads: readonly lateLoads.LateLoad[];
   metrics: Pick<metricsModule.GatewayMetrics, 'orderGiven' | 'changeEnded'>;
 };
 
 export type Steward = {
   upstreamId: string;
+  /** What the platform calls it. */
+  name: string;
   /** Null until the upstream has told what it holds. */
   view: (inFlightOf: (model: string) => number) => copyNeeds.UpstreamView | null;
   placed: () => placementViews.PlacedUpstream | null;
   arrival: () => { model: string; readyAtMs: number } | null;
   startChange: (change: copyPlan.CopyChange) => void;
   ensureAdapter: (model: string, adapter: string, adaptersMax: number) => Promise<boolean>;
+  /** Loads without an answer, which may still begin. */
+  lateLoads: () => readonly lateLoads.LateLoad[];
   /** Adapters that are held, or being loaded. */
   adapterCount: () => number;
   hasAdapter: (model: string, adapter: string) => boolean;
@@ -75,8 +82,6 @@
 const ADAPTER_LOAD_MS = 32;
 /** A report may be some orders old; the next one is not. */
 const ADAPTER_TRIES = 3;
-/** How long an order without an answer may still be carried out. */
-const LATE_ORDER_MS = 13_000;
 
 type Copy = { adapters: Set<string>; readyAtMs: number; isClosing: boolean };
 
@@ -85,8 +90,8 @@
 
 export function createSteward(record: fleet.UpstreamRecord, deps: StewardDeps): Steward {
   const { clock, log } = deps;
-  const { upstreamId, address, failureDomain } = record;
-  const target: dialects.OrderTarget = { upstreamId, address };
+  const { upstreamId, name, address, failureDomain } = record;
+  const target: dialects.OrderTarget = { name, address };
   const stopping = new AbortController();
   let copies = new Map<string, Copy>();
   let hostModels = new Set(record.hostModels);
@@ -109,6 +114,17 @@
   let turn: Promise<unknown> = Promise.resolve();
   const places = adapterPlaces.createAdapterPlaces(clock);
   const adapterLoads = new Map<string, Promise<boolean>>();
+  let ownLateLoads: readonly lateLoads.LateLoad[] = [];
+
+  function inheritedLoads(): readonly lateLoads.LateLoad[] {
+    return lateLoads.pending(deps.inheritedLateLoads, clock.nowMs());
+  }
+
+  function noteUnanswered(order: dialects.Order): void {
+    orderCount = null;
+    const late = lateLoads.toLateLoad(order, clock.nowMs());
+    if (late !== null) ownLateLoads = [...lateLoads.pending(ownLateLoads, clock.nowMs()), late];
+  }
 
   function inTurn<Value>(task: () => Promise<Value>): Promise<Value> {
     const done = turn.then(task);
@@ -159,7 +175,7 @@
       log.info('upstream-holds', {
         upstreamId,
         orderCount,
-        models: report.val.models.map(({ name }) => name).join(','),
+        models: report.val.models.map((model) => model.name).join(','),
         adapters: report.val.models.map(({ adapters }) => adapters.length).join(','),
         host: report.val.hostModels.join(','),
         disk: report.val.diskModels.join(','),
@@ -233,7 +249,7 @@
     );
     lastOrderMs = clock.nowMs();
     const result = answer.ok ? noteOutcome(order, answer.val) : 'unknown';
-    if (answer.err) orderCount = null;
+    if (answer.err) noteUnanswered(order);
     deps.metrics.orderGiven(order.kind, answer.ok ? answer.val.kind : 'unknown');
     log.info('order-given', {
       upstreamId,
@@ -247,6 +263,20 @@
     return result;
   }
 
+  /**
+   * Sends an order that was planned when the upstream had taken `plannedCount` orders. Failure: the answer to an
+   * order is lost, and the count that is asked for next has grown by an order of another's. Symptom: a load on
+   * top of one that nobody planned with.
+   */
+  async function sendPlanned(
+    order: dialects.Order,
+    plannedCount: number | null,
+  ): Promise<Sent | 'overtaken'> {
+    if (!(await ensureKnown())) return 'unknown';
+    if (plannedCount !== null && orderCount !== plannedCount) return 'overtaken';
+    return send(order);
+  }
+
   /**
    * Sends until the upstream takes it: behind an unload, that is when the unload is done. Given up once
    * the upstream has taken someone else's order, since the plan was made before that.
@@ -259,10 +289,8 @@
     const plannedCount = orderCount;
     let waitMs = FIRST_RETRY_MS;
     for (;;) {
-      if (orderCount !== null && plannedCount !== null && orderCount !== plannedCount) {
-        return 'conflict';
-      }
-      const sent = await inTurn(() => send(order));
+      const sent = await inTurn(() => sendPlanned(order, plannedCount));
+      if (sent === 'overtaken') return 'conflict';
       if (sent === 'accepted' || sent === 'pending' || sent === 'not-allowed') return sent;
       if (clock.nowMs() >= untilMs || stopping.signal.aborted) return sent;
       onDelayed();
@@ -342,10 +370,12 @@
   }
 
   function isAlike(listed: fleet.UpstreamRecord): boolean {
-    const name = ({ model, adapters }: { model: string; adapters: Iterable<string> }) =>
+    const describe = ({ model, adapters }: { model: string; adapters: Iterable<string> }) =>
       `${model}:${[...adapters].sort().join(',')}`;
-    const held = [...copies].map(([model, { adapters }]) => name({ model, adapters }));
-    const told = listed.models.map(({ name: model, adapters }) => name({ model, adapters }));
+    const held = [...copies].map(([model, { adapters }]) => describe({ model, adapters }));
+    const told = listed.models.map((resident) =>
+      describe({ model: resident.name, adapters: resident.adapters }),
+    );
     return held.sort().join(' ') === told.sort().join(' ');
   }
 
@@ -362,7 +392,22 @@
   }
 
   function takenPlaces(): number {
-    return places.takenCount(heldAdapters());
+    const late = inheritedLoads().flatMap(({ model, adapter }) =>
+      adapter === null ? [] : [{ model, adapter }],
+    );
+    return places.takenCount([...heldAdapters(), ...late]);
+  }
+
+  /** Room for models that nobody can use, and that may come all the same. */
+  function lateCopies(): copyNeeds.CopyView[] {
+    return inheritedLoads()
+      .filter(({ model, adapter }) => adapter === null && !copies.has(model))
+      .map(({ model }) => ({
+        model,
+        inFlightCount: 0,
+        isClosing: true,
+        readyAtMs: -Infinity,
+      }));
   }
 
   /** Makes one place free, at the cost of the adapter that was asked for longest ago. */
@@ -373,7 +418,12 @@
     if (oldest === undefined) return false;
     copies.get(oldest.model)?.adapters.delete(oldest.adapter);
     deps.onChanged();
-    return (await send({ kind: 'unload-adapter', ...oldest })) === 'accepted';
+    const sent = await send({ kind: 'unload-adapter', ...oldest });
+    // What was not taken may be in its place still.
+    if (sent !== 'accepted' && sent !== 'pending') {
+      copies.get(oldest.model)?.adapters.add(oldest.adapter);
+    }
+    return sent === 'accepted';
   }
 
   /** Orders the load, with as many tries as a report that is some orders old needs. */
@@ -383,12 +433,14 @@
     adaptersMax: number,
   ): Promise<boolean> {
     for (let tries = 0; tries < ADAPTER_TRIES; tries += 1) {
+      // Places are counted by what the upstream holds at this count of orders; a later look may find others.
+      await ensureKnown();
       const copy = copies.get(model);
       // While it loads a model it refuses orders for adapters.
       if (copy === undefined || copy.isClosing || isChanging || isForeignBusy) return false;
       if (copy.adapters.has(adapter)) return true;
       const isFull = takenPlaces() >= adaptersMax;
-      const hasRoom = !isFull || (await freeAdapterPlace());
+      const hasRoom = orderCount !== null && (!isFull || (await freeAdapterPlace()));
       const sent = hasRoom ? await send({ kind: 'load-adapter', model, adapter }) : 'conflict';
       if (sent === 'accepted') return true;
       if (sent === 'not-allowed') return false;
@@ -420,6 +472,7 @@
 
   return {
     upstreamId,
+    name,
     view: (inFlightOf) => {
       if (!isKnown) return null;
       return {
@@ -430,13 +483,15 @@
         isChanging: isChanging || isForeignBusy,
         arriving: arriving?.model ?? null,
         freeAtMs: isChanging ? (arriving?.readyAtMs ?? null) : null,
-        copies: [...copies].map(([model, copy]) => ({
-          model,
-          // Also while its unload is only planned: the next plan must not take another copy of it as well.
-          isClosing: copy.isClosing || model === leaving,
-          readyAtMs: copy.readyAtMs,
-          inFlightCount: inFlightOf(model),
-        })),
+        copies: [...copies]
+          .map(([model, copy]) => ({
+            model,
+            // Also while its unload is only planned: the next plan must not take another copy of it as well.
+            isClosing: copy.isClosing || model === leaving,
+            readyAtMs: copy.readyAtMs,
+            inFlightCount: inFlightOf(model),
+          }))
+          .concat(lateCopies()),
       };
     },
     placed: () =>
@@ -450,6 +505,7 @@
             })),
           }
         : null,
+    lateLoads: () => [...inheritedLoads(), ...lateLoads.pending(ownLateLoads, clock.nowMs())],
     adapterCount: () => takenPlaces() + adapterLoads.size - places.arrivingCount(),
     hasAdapter: (model, adapter) =>
       copies.get(model)?.adapters.has(adapter) === true || adapterLoads.has(`${model}/${adapter}`),
@@ -506,6 +562,3 @@
     stop: () => stopping.abort(),
   };
 }
-
-/** How long an order that was not answered may still begin a load. */
-export const UNCERTAIN_LOAD_MS = LATE_ORDER_MS;
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -161,7 +161,9 @@
   }
 
   function toPlace(upstream: copyNeeds.UpstreamView): Place {
-    const movable = upstream.copies.filter((copy) => nowMs - copy.readyAtMs >= LEAST_STAY_MS);
+    const movable = upstream.copies.filter(
+      (copy) => !copy.isClosing && nowMs - copy.readyAtMs >= LEAST_STAY_MS,
+    );
     return {
       upstream,
       blockedPerSecond: blockedPerSecond(upstream),
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -150,4 +150,18 @@
   assert.equal([...counts.values()], [6, 6, 6]);
 });
 
+// Calls take two milliseconds at the upstreams that are known. One that has just joined and has answered none yet
+// must not be taken for slower than they are, or it idles beside their queues.
+test('an upstream without an answer yet is expected to be as quick as the others', () => {
+  const beliefs = beliefsModule.createUpstreamBeliefs();
+  beliefs.ended('known', { kind: 'good', firstPieceMs: 2, predictedMs: 2 }, 900);
+  const known = candidate('known', {
+    belief: beliefs.belief('known', 950),
+    inFlightCount: 6,
+    slots: 8,
+  });
+  const joined = candidate('joined', { slots: 8 });
+  assert.is(idOf(choose([known, joined], { kind: 'plain' })), 'joined');
+});
+
 test.run();
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -48,7 +48,7 @@
 const FIRST_STEP_MS = 30;
 /** Each running request lengthens a step by about this much. */
 const STEP_MS_PER_REQUEST = 0.05;
-/** What a plain call takes before anything has been measured. */
+/** What a plain call takes before anything has been measured at any upstream: any figure is the same for all. */
 const PLAIN_CALL_MS = 30;
 /** A near upstream saves about two milliseconds of a round trip, and bytes between failure domains. */
 const FAR_MS = 3;
@@ -62,7 +62,17 @@
 /** What a failed attempt costs a caller: at best it comes back once. */
 const FAILURE_MS = 400;
 
-function predictMs(request: ChoiceRequest, candidate: Candidate): number {
+/**
+ * What a plain call is expected to take at an upstream that has answered none yet: as long as at the others. Failure:
+ * a fixed figure above what the service takes. Symptom: an upstream that has joined gets nothing while the others
+ * have queues.
+ */
+function usualCallMs(candidates: readonly Candidate[]): number {
+  const known = candidates.flatMap(({ belief }) => belief.firstPieceMs ?? []).sort((a, b) => a - b);
+  return known[Math.floor(known.length / 2)] ?? PLAIN_CALL_MS;
+}
+
+function predictMs(request: ChoiceRequest, candidate: Candidate, usualMs: number): number {
   switch (request.kind) {
     case 'model': {
       const unread = Math.max(0, request.promptTokens - candidate.cachedTokens);
@@ -77,20 +87,25 @@
       );
     }
     case 'plain': {
-      const callMs = candidate.belief.firstPieceMs ?? PLAIN_CALL_MS;
+      const callMs = candidate.belief.firstPieceMs ?? usualMs;
       const ahead = Math.max(0, candidate.inFlightCount + 1 - candidate.slots);
       return callMs * (1 + ahead / Math.max(1, candidate.slots));
     }
   }
 }
 
-function costMs(request: ChoiceRequest, candidate: Candidate, fraction: number): number {
+function costMs(
+  request: ChoiceRequest,
+  candidate: Candidate,
+  usualMs: number,
+  fraction: number,
+): number {
   const { belief } = candidate;
   const isNear = candidate.failureDomain === request.localFailureDomain;
   const occupancy = candidate.inFlightCount / Math.max(1, candidate.slots);
   return (
-    predictMs(request, candidate) * (1 + NOISE_SHARE * fraction) +
-    (request.kind === 'plain' ? occupancy * (belief.firstPieceMs ?? PLAIN_CALL_MS) : 0) +
+    predictMs(request, candidate, usualMs) * (1 + NOISE_SHARE * fraction) +
+    (request.kind === 'plain' ? occupancy * (belief.firstPieceMs ?? usualMs) : 0) +
     belief.excessMs +
     belief.failureShare * FAILURE_MS +
     (candidate.copy === 'no-adapter' ? ADAPTER_MS : 0) +
@@ -133,11 +148,12 @@
   }
   const allowed = open.filter(({ upstreamId }) => !request.excludedIds.has(upstreamId));
   if (allowed.length === 0) return { kind: 'no-upstream' };
+  const usualMs = usualCallMs(candidates);
   const ranked = preferUsable(allowed, nowMs)
-    .map((candidate) => ({ candidate, cost: costMs(request, candidate, random()) }))
+    .map((candidate) => ({ candidate, cost: costMs(request, candidate, usualMs, random()) }))
     .sort((a, b) => a.cost - b.cost);
   const best = ranked[0]?.candidate as Candidate;
-  const predictedMs = predictMs(request, best);
+  const predictedMs = predictMs(request, best, usualMs);
   // What waits for nobody is sent however long it takes: a refusal could not make it any quicker.
   if (hasQueue(best) && predictedMs > request.queueLimitMs) {
     return { kind: 'overloaded', predictedMs };
--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -22,7 +22,10 @@
 
 test('what drains gets nothing new from the moment that it is known', () => {
   const directory = directories.createUpstreamDirectory();
-  directory.applyListing({ records: [stored('u1', 3), stored('u2', 4)], revision: 4 }, 0);
+  directory.applyListing(
+    { records: [stored('u1', 3), stored('u2', 4)], unreadable: [], revision: 4 },
+    0,
+  );
   const record = stored('u1', 5, { state: 'draining' });
   directory.applyChange({ kind: 'written', record }, 0);
   assert.equal(ids(directory), ['u2']);
@@ -32,9 +35,12 @@
 // upstream serves. Were all given up, every request would be refused for two seconds.
 test('after an absence of the store what is missing stays for the grace, then goes', () => {
   const directory = directories.createUpstreamDirectory();
-  directory.applyListing({ records: [stored('u1', 3), stored('u2', 4)], revision: 4 }, 0);
+  directory.applyListing(
+    { records: [stored('u1', 3), stored('u2', 4)], unreadable: [], revision: 4 },
+    0,
+  );
   directory.storeRegained(10_000);
-  directory.applyListing({ records: [], revision: 9 }, 10_000);
+  directory.applyListing({ records: [], unreadable: [], revision: 9 }, 10_000);
   assert.equal(ids(directory, 10_000), ['u1', 'u2']);
   directory.applyChange({ kind: 'written', record: stored('u2', 10) }, 11_000);
   const afterMs = 10_000 + directories.LAPSE_GRACE_MS;
@@ -45,17 +51,59 @@
 // that has gone must not come back by them: its address may belong to another service by now.
 test('changes older than a listing bring nothing back', () => {
   const directory = directories.createUpstreamDirectory();
-  directory.applyListing({ records: [stored('u1', 3)], revision: 3 }, 0);
-  directory.applyListing({ records: [], revision: 9 }, 0);
+  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], revision: 3 }, 0);
+  directory.applyListing({ records: [], unreadable: [], revision: 9 }, 0);
   directory.applyChange({ kind: 'written', record: stored('u1', 7) }, 0);
   assert.equal(ids(directory), []);
 });
 
 test('an older listing changes nothing', () => {
   const directory = directories.createUpstreamDirectory();
-  directory.applyListing({ records: [stored('u1', 3)], revision: 9 }, 0);
-  directory.applyListing({ records: [stored('u2', 2)], revision: 5 }, 0);
+  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], revision: 9 }, 0);
+  directory.applyListing({ records: [stored('u2', 2)], unreadable: [], revision: 5 }, 0);
   assert.equal(ids(directory), ['u1']);
 });
 
+// An upstream crashes and is listed again under its name, empty. What was believed of the start before, its
+// copies first of all, would send requests where nothing is.
+test('another start under the same name is another upstream', () => {
+  const restarts: string[] = [];
+  const directory = directories.createUpstreamDirectory((beforeId, { upstreamId }) => {
+    restarts.push(`${beforeId} ${upstreamId}`);
+  });
+  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], revision: 3 }, 0);
+  const record = stored('u1', 5, { upstreamId: 'u1@7' });
+  directory.applyChange({ kind: 'written', record }, 0);
+  assert.equal(ids(directory), ['u1@7']);
+  assert.is(directory.find('u1'), undefined);
+  assert.is(directory.find('u1@7')?.name, 'u1');
+  assert.equal(restarts, ['u1 u1@7']);
+  directory.noteMisdirected('u1@7');
+  assert.equal(ids(directory), []);
+});
+
+// Another writer leaves something that nobody can read in the place of an entry. The entry from before is void:
+// believed on, it would name an upstream that nobody has vouched for since.
+test('an entry that became unreadable names no upstream; the others hold', () => {
+  const directory = directories.createUpstreamDirectory();
+  const records = [stored('u1', 3), stored('u2', 4)];
+  directory.applyListing({ records, unreadable: [], revision: 4 }, 0);
+  directory.applyChange({ kind: 'unreadable', name: 'u1', revision: 6 }, 0);
+  assert.equal(ids(directory), ['u2']);
+  directory.applyChange({ kind: 'written', record: stored('u1', 5) }, 0);
+  assert.equal(ids(directory), ['u2']);
+  directory.applyChange({ kind: 'written', record: stored('u1', 8) }, 0);
+  assert.equal(ids(directory).sort(), ['u1', 'u2']);
+});
+
+test('an unreadable entry of a listing has no grace after an outage, unlike one that is missing', () => {
+  const directory = directories.createUpstreamDirectory();
+  const records = [stored('u1', 3), stored('u2', 4)];
+  directory.applyListing({ records, unreadable: [], revision: 4 }, 0);
+  directory.storeRegained(100);
+  const unreadable = [{ name: 'u1', revision: 8 }];
+  directory.applyListing({ records: [], unreadable, revision: 9 }, 100);
+  assert.equal(ids(directory, 100), ['u2']);
+});
+
 test.run();
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -31,8 +31,12 @@
 
 type Known = { stored: UpstreamStored; goneAtMs: number | null };
 
-export function createUpstreamDirectory(): UpstreamDirectory {
+/** The platform lists another start under the name of the one before. */
+export type OnRestarted = (beforeId: string, record: fleet.UpstreamRecord) => void;
+
+export function createUpstreamDirectory(onRestarted: OnRestarted = () => {}): UpstreamDirectory {
   const known = new Map<string, Known>();
+  const names = new Map<string, string>();
   /** Names that were deleted, so that an older listing does not bring them back. */
   const deletedRevisions = new Map<string, number>();
   let revision = 0;
@@ -40,37 +44,64 @@
   let listedRevision = 0;
   let graceUntilMs = 0;
 
+  function forget(name: string): void {
+    const before = known.get(name);
+    if (before !== undefined) names.delete(before.stored.value.upstreamId);
+    known.delete(name);
+  }
+
   function write(record: UpstreamStored): void {
     const before = known.get(record.name);
     if (before === undefined && record.revision <= listedRevision) return;
     if (before !== undefined && before.stored.revision > record.revision) return;
     if ((deletedRevisions.get(record.name) ?? -1) >= record.revision) return;
+    const beforeId = before?.stored.value.upstreamId;
+    const { upstreamId } = record.value;
+    if (beforeId !== undefined) names.delete(beforeId);
     known.set(record.name, { stored: record, goneAtMs: null });
+    names.set(upstreamId, record.name);
+    if (beforeId !== undefined && beforeId !== upstreamId) onRestarted(beforeId, record.value);
   }
 
   function remove(name: string, nowMs: number): void {
     const before = known.get(name);
     if (before === undefined) return;
-    if (nowMs >= graceUntilMs) known.delete(name);
+    if (nowMs >= graceUntilMs) forget(name);
     else before.goneAtMs ??= graceUntilMs;
   }
 
+  /**
+   * Failure: another writer replaces an upstream's entry. Symptom: the entry from before is believed for as long
+   * as the new one stands. The upstream's own next heartbeat brings it back, so no grace is needed.
+   */
+  function discard(record: stores.UnreadableRecord): void {
+    if ((known.get(record.name)?.stored.revision ?? 0) > record.revision) return;
+    deletedRevisions.set(record.name, record.revision);
+    forget(record.name);
+  }
+
   function isGone(entry: Known, nowMs: number): boolean {
     return entry.goneAtMs !== null && entry.goneAtMs <= nowMs;
   }
 
   function sweep(nowMs: number): void {
-    for (const [name, entry] of known) if (isGone(entry, nowMs)) known.delete(name);
+    for (const [name, entry] of known) if (isGone(entry, nowMs)) forget(name);
+  }
+
+  function find(upstreamId: string): fleet.UpstreamRecord | undefined {
+    const name = names.get(upstreamId);
+    return name === undefined ? undefined : known.get(name)?.stored.value;
   }
 
   return {
     applyListing: (listing, nowMs) => {
       if (listing.revision < revision) return;
       revision = listing.revision;
-      const names = new Set(listing.records.map((record) => record.name));
+      const listed = new Set(listing.records.map((record) => record.name));
       listing.records.forEach(write);
+      listing.unreadable.forEach(discard);
       listedRevision = listing.revision;
-      for (const name of [...known.keys()]) if (!names.has(name)) remove(name, nowMs);
+      for (const name of [...known.keys()]) if (!listed.has(name)) remove(name, nowMs);
       sweep(nowMs);
     },
     applyChange: (change, nowMs) => {
@@ -79,6 +110,10 @@
           revision = Math.max(revision, change.record.revision);
           write(change.record);
           return;
+        case 'unreadable':
+          revision = Math.max(revision, change.revision);
+          discard(change);
+          return;
         case 'deleted':
           revision = Math.max(revision, change.revision);
           if ((known.get(change.name)?.stored.revision ?? 0) > change.revision) return;
@@ -90,9 +125,10 @@
       graceUntilMs = nowMs + LAPSE_GRACE_MS;
     },
     noteMisdirected: (upstreamId) => {
-      known.delete(upstreamId);
+      const name = names.get(upstreamId);
+      if (name !== undefined) forget(name);
     },
-    find: (upstreamId) => known.get(upstreamId)?.stored.value,
+    find,
     eligible: (service, nowMs) =>
       [...known.values()]
         .filter((entry) => !isGone(entry, nowMs))
@@ -100,6 +136,10 @@
         .filter((record) => record.service === service && record.state === 'ready'),
     all: () => [...known.values()].map((entry) => entry.stored.value),
     revision: () => revision,
-    listing: () => ({ records: [...known.values()].map((entry) => entry.stored), revision }),
+    listing: () => ({
+      records: [...known.values()].map((entry) => entry.stored),
+      unreadable: [],
+      revision,
+    }),
   };
 }
--- a/packages/gateway/src/testing/fleet-fixtures.ts
+++ b/packages/gateway/src/testing/fleet-fixtures.ts
@@ -8,6 +8,7 @@
 ): fleet.UpstreamRecord {
   return {
     upstreamId,
+    name: upstreamId,
     service: 'pool',
     address: `10.0.0.${upstreamId.replace(/\D/g, '') || '1'}:8000`,
     failureDomain: 'north',
--- a/packages/gateway/src/testing/memory-records.ts
+++ b/packages/gateway/src/testing/memory-records.ts
@@ -29,7 +29,7 @@
       if (fault === 'down') return unavailable();
       const found = [...records.values()].filter((stored) => stored.kind === kind);
       const listed = found.map(({ record }) => record as stores.StoredRecord<stores.KindValues[K]>);
-      return Promise.resolve(results.Ok({ records: listed, revision }));
+      return Promise.resolve(results.Ok({ records: listed, unreadable: [], revision }));
     },
     watch: () => unavailable(),
     get: <K extends stores.Kind>(kind: K, name: string) => {
--- a/packages/gateway/src/testing/test-dialect.ts
+++ b/packages/gateway/src/testing/test-dialect.ts
@@ -20,7 +20,7 @@
     isReserved: (name) => name === 't-wait' || name === 't-steer',
     attemptHeaders: (facts) => [
       ['t-wait', String(Math.round(facts.remainingMs))],
-      ['t-upstream', facts.upstreamId],
+      ['t-upstream', facts.upstreamName],
       ...(facts.resumeAfterId === null
         ? []
         : [['last-event-id', facts.resumeAfterId] as dialects.HeaderPair]),
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -31,7 +31,8 @@
 
 /** What the gateway tells the upstream about one attempt. */
 export type AttemptFacts = {
-  upstreamId: string;
+  /** What the platform calls the upstream. */
+  upstreamName: string;
   remainingMs: number;
   priority: number;
   /** The last event that the caller has; null for a stream from its beginning. */
@@ -55,7 +56,8 @@
   | { kind: 'load-model' | 'unload-model'; model: string }
   | { kind: 'load-adapter' | 'unload-adapter'; model: string; adapter: string };
 
-export type OrderTarget = { upstreamId: string; address: string };
+/** An upstream by what the platform calls it, and where it is. */
+export type OrderTarget = { name: string; address: string };
 
 export type OrderContext = {
   holderId: string;
--- a/packages/gateway/src/types/fleet.ts
+++ b/packages/gateway/src/types/fleet.ts
@@ -71,9 +71,15 @@
 
 export type ResidentModel = { name: string; version: number; adapters: readonly string[] };
 
-/** An upstream as it describes itself in the platform's list. Each start has its own id. */
+/** An upstream as it describes itself in the platform's list. */
 export type UpstreamRecord = {
+  /**
+   * One start of the upstream: one that starts again has another id, whatever the platform calls it. So nothing
+   * that was believed of the start before is believed of this one: copies, order counts, caches, connections.
+   */
   upstreamId: string;
+  /** What the platform calls it; may stay the same from one start to the next. */
+  name: string;
   service: string;
   address: string;
   failureDomain: string;
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -33,12 +33,19 @@
   'upstreams-listed': { count: number; revision: number };
   'upstreams-learned': { source: string; revision: number };
   'upstream-changed': { upstreamId: string; state: string; revision: number };
+  /** The platform lists another start under the same name: all that was believed of the one before is dropped. */
+  'upstream-restarted': { beforeId: string; upstreamId: string; address: string };
   /** It broke attempts in a row: new requests go elsewhere until a single one has shown that it answers. */
   'upstream-avoided': { upstreamId: string; brokenInRow: number; forMs: number };
   'upstream-trusted': { upstreamId: string };
   'store-lost': { kind: stores.Kind; error: string; reason: string; revision: number | null };
   'store-regained': { kind: stores.Kind; awayMs: number; revision: number | null };
-  'record-unreadable': { kind: stores.Kind; name: string; revision: number; reason: string };
+  'record-unreadable': {
+    kind: stores.Kind;
+    recordName: string;
+    revision: number;
+    reason: string;
+  };
   'lease-taken': { term: number; before: string; ordersInMs: number };
   'lease-lost': { term: number; reason: string };
   'lease-unknown': { term: number; reason: string };
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -36,10 +36,18 @@
   /** The changes since that revision are no longer known. */
   | { kind: 'history-gone' };
 
-export type Listing<Value> = { records: readonly StoredRecord<Value>[]; revision: number };
+/** A record that another writer left in a form that nobody can read: it stands for nothing. */
+export type UnreadableRecord = { name: string; revision: number };
+
+export type Listing<Value> = {
+  records: readonly StoredRecord<Value>[];
+  unreadable: readonly UnreadableRecord[];
+  revision: number;
+};
 
 export type Change<Value> =
   | { kind: 'written'; record: StoredRecord<Value> }
+  | ({ kind: 'unreadable' } & UnreadableRecord)
   | { kind: 'deleted'; name: string; revision: number };
 
 export type Changes<Value> = { changes: readonly Change<Value>[]; revision: number };
