Count demand that can wait apart from demand that cannot

Excluded: the rate of reading alone (a hand-set rate moved nothing); too few loads allowed (they were not used). Change: gateways tell which requests can wait (their objective leaves time for a near load); these count for a first copy only, and no rate rests on fewer than three requests.

--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -157,7 +157,8 @@
           placement.copyAt(record, model, adapter) !== 'none' &&
           !beliefsModule.isAvoided(beliefs.belief(record.upstreamId, clock.nowMs())),
       );
-    placement.noteDemand({ service: call.service, model, adapter, isServed });
+    const isPatient = urgency.isBatch(call.route);
+    placement.noteDemand({ service: call.service, model, adapter, isServed, isPatient });
   }
 
   return { needsModel, priorityOf, choose, overloadRetryMs, noteDemand, noteNotPlaced };
--- a/packages/gateway/src/server/placing/placement-client.ts
+++ b/packages/gateway/src/server/placing/placement-client.ts
@@ -62,8 +62,8 @@
       view.noteAbsent(upstreamId, model, adapter, clock.nowMs());
       deps.hurry();
     },
-    noteDemand: ({ service, model, adapter, isServed }) => {
-      deps.demand.add({ service, model, adapter }, isServed, clock.nowMs());
+    noteDemand: ({ service, model, adapter, isServed, isPatient }) => {
+      deps.demand.add({ service, model, adapter }, { isServed, isPatient }, clock.nowMs());
       if (!isServed) deps.hurry();
     },
     expectedReady: (service, model) => {
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -65,7 +65,10 @@
   const stopping = new AbortController();
   const meter = demandMeters.createDemandMeter();
   const adapterAskedMs = new Map<string, number>();
-  const heard = new Map<string, { incarnation: number; counts: Map<string, [number, number]> }>();
+  const heard = new Map<
+    string,
+    { incarnation: number; counts: Map<string, demandMeters.DemandCounts> }
+  >();
   const byUpstream = new Map<string, stewards.Steward>();
   /** By the upstream's name: of its start before. */
   const inheritedLateLoads = new Map<string, readonly lateLoads.LateLoad[]>();
@@ -81,9 +84,9 @@
     return `${service} ${model}`;
   }
 
-  function note(count: demandCounters.DemandCount, requests: number, missed: number): void {
+  function note(count: demandCounters.DemandCount, counts: demandMeters.DemandCounts): void {
     const nowMs = clock.nowMs();
-    meter.add(modelKey(count.service, count.model), requests, missed, nowMs);
+    meter.add(modelKey(count.service, count.model), counts, nowMs);
     if (count.adapter !== null) adapterAskedMs.set(`${count.model}/${count.adapter}`, nowMs);
   }
 
@@ -199,6 +202,8 @@
     if (expected === 0) return figures;
     return {
       recentPerSecond: expected,
+      recentCount: expected,
+      patientPerSecond: 0,
       isFalling: false,
       lastAskedMs: nowMs,
       missedCount: 0,
@@ -296,13 +301,17 @@
       const known =
         before !== undefined && before.incarnation === incarnation
           ? before
-          : { incarnation, counts: new Map<string, [number, number]>() };
+          : { incarnation, counts: new Map<string, demandMeters.DemandCounts>() };
       heard.set(sourceId, known);
       counts.forEach((count) => {
         const key = `${count.service} ${count.model}/${count.adapter ?? ''}`;
-        const [requests, missed] = known.counts.get(key) ?? [0, 0];
-        known.counts.set(key, [count.requestCount, count.missedCount]);
-        note(count, count.requestCount - requests, count.missedCount - missed);
+        const told = known.counts.get(key);
+        known.counts.set(key, count);
+        note(count, {
+          requestCount: count.requestCount - (told?.requestCount ?? 0),
+          missedCount: count.missedCount - (told?.missedCount ?? 0),
+          patientCount: count.patientCount - (told?.patientCount ?? 0),
+        });
       });
     },
     news: () => published,
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -51,6 +51,13 @@
 const NEXT_TO_RISE_SHARE = 0.8;
 const NEXT_TO_RISE_WEIGHT = 0.3;
 const HOT_PER_SECOND = 1;
+/** With fewer requests a rate says little: one in the first moments reads as several a second. */
+const HOT_COUNT = 3;
+/**
+ * Who can wait for a copy is served without one as well, after a swap that disturbs others. Keeping the copy is
+ * worth this part of a request.
+ */
+const PATIENT_WORTH = 0.5;
 /**
  * A request that found no copy comes back once, and others of its session follow. Misses add up, so that
  * a model which is asked for seldom gets its turn before it has starved.
@@ -68,6 +75,8 @@
 /** In requests a second. */
 export type Need = {
   expected: number;
+  /** What its first copy is worth to those who can wait. */
+  patient: number;
   /** What it may rise to, being asked for now. */
   anticipated: number;
   /** What its first copy is worth for requests that found none, */
@@ -76,7 +85,13 @@
   lastWeight: number;
 };
 
-export const NO_NEED: Need = { expected: 0, anticipated: 0, missedWeight: 0, lastWeight: 0 };
+export const NO_NEED: Need = {
+  expected: 0,
+  patient: 0,
+  anticipated: 0,
+  missedWeight: 0,
+  lastWeight: 0,
+};
 
 function clamp(value: number, least: number, most: number): number {
   return Math.min(most, Math.max(least, value));
@@ -130,11 +145,15 @@
       if (known === null) {
         return [spec.name, { ...NO_NEED, lastWeight }];
       }
-      const isHot = known.recentPerSecond >= HOT_PER_SECOND && !known.isFalling;
+      const isHot =
+        known.recentPerSecond >= HOT_PER_SECOND &&
+        known.recentCount >= HOT_COUNT &&
+        !known.isFalling;
       return [
         spec.name,
         {
           expected: known.expectedPerSecond,
+          patient: PATIENT_WORTH * known.patientPerSecond,
           anticipated: isHot ? NEXT_TO_RISE_SHARE * top : 0,
           missedWeight: Math.min(MISSED_WEIGHT_MAX, MISSED_WEIGHT * known.missedCount),
           lastWeight,
@@ -157,7 +176,7 @@
 export function marginal(need: Need, count: number): number {
   if (count < 1) return 0;
   const served = servedBy(need.expected, count) - servedBy(need.expected, count - 1);
-  if (count === 1) return served + need.missedWeight + need.lastWeight;
+  if (count === 1) return served + need.patient + need.missedWeight + need.lastWeight;
   const risen = Math.max(need.expected, need.anticipated);
   const foreseen = servedBy(risen, count) - servedBy(risen, count - 1);
   return served + NEXT_TO_RISE_WEIGHT * Math.max(0, foreseen - served);
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -17,6 +17,8 @@
   return {
     expectedPerSecond: perSecond,
     recentPerSecond: perSecond,
+    recentCount: 4 * perSecond,
+    patientPerSecond: 0,
     isFalling: false,
     lastAskedMs: NOW_MS,
     missedCount: 0,
--- a/packages/gateway/src/shared/placing/demand-counters.ts
+++ b/packages/gateway/src/shared/placing/demand-counters.ts
@@ -5,12 +5,16 @@
   adapter: string | null;
   requestCount: number;
   missedCount: number;
+  /** Requests whose objective leaves time for a copy to be brought. */
+  patientCount: number;
 };
 
+export type Asked = { isServed: boolean; isPatient: boolean };
+
 export type DemandCounters = {
   add: (
-    demand: Omit<DemandCount, 'requestCount' | 'missedCount'>,
-    isServed: boolean,
+    demand: Pick<DemandCount, 'service' | 'model' | 'adapter'>,
+    asked: Asked,
     nowMs: number,
   ) => void;
   /** What was asked for lately; older counts have reached everyone. */
@@ -23,11 +27,18 @@
 export function createDemandCounters(): DemandCounters {
   const counts = new Map<string, DemandCount & { lastMs: number }>();
   return {
-    add: (demand, isServed, nowMs) => {
+    add: (demand, { isServed, isPatient }, nowMs) => {
       const key = `${demand.service} ${demand.model}/${demand.adapter ?? ''}`;
-      const count = counts.get(key) ?? { ...demand, requestCount: 0, missedCount: 0, lastMs: 0 };
+      const count = counts.get(key) ?? {
+        ...demand,
+        requestCount: 0,
+        missedCount: 0,
+        patientCount: 0,
+        lastMs: 0,
+      };
       count.requestCount += 1;
       if (!isServed) count.missedCount += 1;
+      if (isPatient) count.patientCount += 1;
       count.lastMs = nowMs;
       counts.set(key, count);
     },
--- a/packages/gateway/src/shared/placing/demand-meter.ts
+++ b/packages/gateway/src/shared/placing/demand-meter.ts
@@ -1,14 +1,19 @@
 /**
- * How often each model is asked for, and where that is heading. Load: demand that moves on to other
+ * How often each model is asked for by callers who cannot wait, and where that is heading; callers who can wait for
+ * a copy to be brought are counted apart, since more copies gain them nothing. Load: demand that moves on to other
  * models within a few seconds, beside many models that are asked for now and then. Harm prevented: a
  * rising model whose second copy is ordered only when the first is saturated, seconds too late.
  */
 
 export type DemandFigures = {
-  /** Requests a second, expected within the next seconds. */
+  /** Urgent requests a second, expected within the next seconds. */
   expectedPerSecond: number;
-  /** Requests a second over the last seconds. */
+  /** Urgent requests a second over the last seconds. */
   recentPerSecond: number;
+  /** Urgent requests of the last seconds, older ones counted in part: what the figures rest on. */
+  recentCount: number;
+  /** Requests a second over the last seconds that can wait. */
+  patientPerSecond: number;
   /** Asked for much less than a moment ago. */
   isFalling: boolean;
   lastAskedMs: number;
@@ -16,8 +21,10 @@
   missedCount: number;
 };
 
+export type DemandCounts = { requestCount: number; missedCount: number; patientCount: number };
+
 export type DemandMeter = {
-  add: (key: string, requestCount: number, missedCount: number, nowMs: number) => void;
+  add: (key: string, counts: DemandCounts, nowMs: number) => void;
   figures: (key: string, nowMs: number) => DemandFigures | null;
   hasDemand: () => boolean;
   /** Since the first request; 0 before it. */
@@ -28,6 +35,8 @@
 /** Short enough to see a ramp of five seconds in its first, long enough for some requests. */
 const FAST_MS = 1_500;
 const SLOW_MS = 4_000;
+/** Those who can wait ask for each model every few seconds at most. */
+const PATIENT_MS = 15_000;
 /**
  * A ramp of slope s puts the fast window 1.5 s and the slow one 4 s behind; this factor on their
  * difference leads from the slow one to two seconds ahead, about the time that a near copy takes to come.
@@ -46,6 +55,7 @@
 type Counter = {
   fast: number;
   slow: number;
+  patient: number;
   atMs: number;
   lastAskedMs: number;
   missed: number;
@@ -55,6 +65,7 @@
   const sinceMs = Math.max(0, nowMs - counter.atMs);
   counter.fast *= Math.exp(-sinceMs / FAST_MS);
   counter.slow *= Math.exp(-sinceMs / SLOW_MS);
+  counter.patient *= Math.exp(-sinceMs / PATIENT_MS);
   counter.missed *= Math.exp(-sinceMs / MISSED_MS);
   counter.atMs = nowMs;
 }
@@ -70,20 +81,22 @@
   }
 
   return {
-    add: (key, requestCount, missedCount, nowMs) => {
+    add: (key, { requestCount, missedCount, patientCount }, nowMs) => {
       if (requestCount <= 0) return;
       startedMs ??= nowMs;
       const counter = counters.get(key) ?? {
         fast: 0,
         slow: 0,
+        patient: 0,
         atMs: nowMs,
         lastAskedMs: nowMs,
         missed: 0,
       };
       counters.set(key, counter);
       decay(counter, nowMs);
-      counter.fast += requestCount;
-      counter.slow += requestCount;
+      counter.fast += requestCount - patientCount;
+      counter.slow += requestCount - patientCount;
+      counter.patient += patientCount;
       counter.lastAskedMs = nowMs;
       counter.missed += missedCount;
     },
@@ -100,6 +113,8 @@
       return {
         expectedPerSecond: Math.max(0, slow + TREND_FACTOR * trend),
         recentPerSecond: slow,
+        recentCount: counter.slow,
+        patientPerSecond: rate(counter.patient, PATIENT_MS, nowMs),
         isFalling: fast < FALLING_SHARE * slow,
         lastAskedMs: counter.lastAskedMs,
         missedCount: counter.missed,
--- a/packages/gateway/src/shared/urgency.ts
+++ b/packages/gateway/src/shared/urgency.ts
@@ -9,6 +9,11 @@
 /** Below interactive work that may still be in time, above overnight work. */
 const LATE_STEPS = 2;
 
+/** Whether its objective leaves time for a copy to be brought from near, which takes seconds. */
+export function isBatch(route: Pick<fleet.Route, 'latencyObjectiveMs'>): boolean {
+  return route.latencyObjectiveMs >= BATCH_OBJECTIVE_MS;
+}
+
 /**
  * Made for overnight work beside interactive work of the same priority: admitted alike, its long prompts
  * make others miss objectives of half a second, while it has ten seconds itself. It starves nobody and
@@ -17,7 +22,6 @@
  * late behind them.
  */
 export function enginePriority(route: fleet.Route, isLate: boolean): number {
-  const isBatch = route.latencyObjectiveMs >= BATCH_OBJECTIVE_MS;
-  const steps = (isBatch ? BATCH_STEPS : 0) + (isLate ? LATE_STEPS : 0);
+  const steps = (isBatch(route) ? BATCH_STEPS : 0) + (isLate ? LATE_STEPS : 0);
   return Math.min(LEAST_URGENT, Math.max(0, route.priority) + steps);
 }
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -19,6 +19,8 @@
   adapter: string | null;
   /** Whether an upstream with a copy could take it. */
   isServed: boolean;
+  /** Its objective leaves time for a copy to be brought. */
+  isPatient: boolean;
 };
 
 /** What is known of the placing, and how old it is. */
