Add copperlever losses: what was refused, late and waited for, from gateways' logs

On-call engineers ask which requests a deployment lost and why; until now that took scripts of one's own.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,6 +5,7 @@
 
 import * as config from './commands/config.js';
 import * as explain from './commands/explain.js';
+import * as losses from './commands/losses.js';
 import * as fleet from './commands/fleet.js';
 import * as trace from './commands/trace.js';
 import * as contexts from './context.js';
@@ -113,6 +114,12 @@
   .argument('[logs...]', 'log files; standard input without any')
   .action((id: string, logs: string[]) => run((context) => explain.explain(context, id, logs)));
 
+program
+  .command('losses')
+  .description("show from gateways' logs what was refused, late and waited for, and why")
+  .argument('[logs...]', 'log files; standard input without any')
+  .action((logs: string[]) => run((context) => losses.showLosses(context, logs)));
+
 // Without a command there is only `--check`: the options have been read by now.
 program.action((options: { check?: boolean }) => {
   if (options.check !== true) program.help({ error: true });
