Learn what engines take, plan copies by it, and spread models over disks before demand moves to them

Predictions were two to three times too long, with figures of two deployments written into the product. Excluded: capacity (all eight together would be half busy); more changes at once (each came from the store). Answers that callers did not wait for count as at least so late. (3) A copy that the store brings late no longer keeps a model from being brought from near. (4) Models stand for what their placed copies serve until demand itself tells. (5) Overnight work waits for a load that has been ordered as long as its caller stays.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -18,6 +18,7 @@
 import * as peerBooks from './shared/peer-book.js';
 import * as demandCounters from './shared/placing/demand-counters.js';
 import * as placementViews from './shared/placing/placement-view.js';
+import * as pacesModule from './shared/paces.js';
 import * as promptCaches from './shared/prompt-caches.js';
 import * as retryShares from './shared/retry-share.js';
 import * as watchPauses from './shared/watch-pauses.js';
@@ -63,6 +64,7 @@
   suspects: suspectsModule.Suspects;
   inFlight: inFlightModule.InFlight;
   caches: promptCaches.PromptCaches;
+  paces: pacesModule.Paces;
   retryShare: retryShares.RetryShare;
   quarantine: quarantineModule.Quarantine;
   connections: connectionsModule.Connections;
@@ -125,6 +127,7 @@
     control: parts.upstreamControl,
     lease: parts.lease,
     directory: parts.directory,
+    paces: parts.paces,
     config: () => configuration.current()?.config ?? null,
     gatewayId: settings.gatewayId,
     storeLoadLimits: {
@@ -207,6 +210,7 @@
     beliefs: awilix.asFunction(beliefsModule.createUpstreamBeliefs).singleton(),
     suspects: awilix.asFunction(suspectsModule.createSuspects).singleton(),
     inFlight: awilix.asFunction(inFlightModule.createInFlight).singleton(),
+    paces: awilix.asFunction(pacesModule.createPaces).singleton(),
     caches: awilix.asFunction(promptCaches.createPromptCaches).singleton(),
     quarantine: awilix.asFunction(quarantineModule.createQuarantine).singleton(),
     connections: awilix.asFunction(connectionsModule.createConnections).singleton(),
@@ -262,6 +266,7 @@
           beliefs: parts.beliefs,
           inFlight: parts.inFlight,
           caches: parts.caches,
+          paces: parts.paces,
           retryShare: parts.retryShare,
           quarantine: parts.quarantine,
           connections: parts.connections,
--- a/packages/gateway/src/server/forwarding/attempt-notes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.ts
@@ -1,18 +1,23 @@
 /** What the end of an attempt says of its upstream. */
 import type { clocks } from '@copperlever/runtime';
 
+import type * as pacesModule from '../../shared/paces.js';
 import type * as beliefsModule from '../../shared/upstream-beliefs.js';
+import type * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
 
+import * as paceReports from './pace-reports.js';
+
 export type AttemptNotesDeps = {
   clock: clocks.Clock;
   log: logEvents.GatewayLog;
   directory: directories.UpstreamDirectory;
   beliefs: beliefsModule.UpstreamBeliefs;
   placement: placementTypes.Placement;
+  paces: pacesModule.Paces;
   needsModel: (call: calls.Call) => boolean;
 };
 
@@ -22,11 +27,19 @@
   result: calls.AttemptResult;
   /** Null when no piece came. */
   firstPieceMs: number | null;
-  predictedMs: number;
+  tookMs: number;
+  /** It went on after the events that its caller had. */
+  isResumed: boolean;
+  choice: Extract<upstreamChoice.Choice, { kind: 'send' }>;
 };
 
+/** Longer than any caller of a stream waits for its first piece. */
+const GOOD_KEPT_MS = 30_000;
+
 export function createAttemptNotes(deps: AttemptNotesDeps): (attempt: EndedAttempt) => void {
   const { clock, log, directory, beliefs, placement } = deps;
+  const lastGoodMs = new Map<string, number>();
+  const reportPace = paceReports.createPaceReports(deps);
 
   function noteBelief(upstreamId: string, end: beliefsModule.AttemptEnd, nowMs: number): void {
     const change = beliefs.ended(upstreamId, end, nowMs);
@@ -71,10 +84,42 @@
     else directory.noteMisdirected(upstreamId);
   }
 
-  return ({ call, upstreamId, result, firstPieceMs, predictedMs }) => {
+  /** A stream that was resumed has a part of its work behind it and says nothing of a whole one. */
+  function notePace({ call, isResumed, choice, tookMs }: EndedAttempt, firstPieceMs: number): void {
+    if (isResumed || !deps.needsModel(call)) return;
+    const { service, facts } = call;
+    const sample = { ...choice.work, service, model: facts.model ?? '', firstPieceMs, tookMs };
+    deps.paces.answered(sample, clock.nowMs());
+    reportPace(service, sample.model);
+  }
+
+  /**
+   * Failure: under overload the answers that take longest are those whose callers leave before. Symptom: what is
+   * learnt from answers alone is too short, and more are let in to wait in vain. An upstream that answered others
+   * meanwhile is at work; its caller's patience is the least that the answer would have taken.
+   */
+  function noteWaitedInVain(attempt: EndedAttempt): void {
+    const { upstreamId, result, tookMs, choice } = attempt;
+    const isEndedByCaller = result.kind === 'caller-gone' || result.kind === 'deadline';
+    const startedMs = clock.nowMs() - tookMs;
+    const isAtWork = (lastGoodMs.get(upstreamId) ?? -Infinity) > startedMs;
+    if (isEndedByCaller && isAtWork && tookMs > choice.predictedMs) notePace(attempt, tookMs);
+  }
+
+  return (attempt) => {
+    const { call, upstreamId, result, firstPieceMs, choice } = attempt;
     const isGood = result.kind === 'answered' && result.status < 500;
-    if (firstPieceMs !== null && isGood) {
-      noteBelief(upstreamId, { kind: 'good', firstPieceMs, predictedMs }, clock.nowMs());
-    } else noteEnd(call, upstreamId, result);
+    if (firstPieceMs === null || !isGood) {
+      if (firstPieceMs === null) noteWaitedInVain(attempt);
+      noteEnd(call, upstreamId, result);
+      return;
+    }
+    const { predictedMs } = choice;
+    noteBelief(upstreamId, { kind: 'good', firstPieceMs, predictedMs }, clock.nowMs());
+    notePace(attempt, firstPieceMs);
+    lastGoodMs.set(upstreamId, clock.nowMs());
+    for (const [id, atMs] of lastGoodMs) {
+      if (clock.nowMs() - atMs > GOOD_KEPT_MS) lastGoodMs.delete(id);
+    }
   };
 }
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -2,6 +2,7 @@
 import type { clocks, randoms } from '@copperlever/runtime';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
+import type * as pacesModule from '../../shared/paces.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import * as queueLimits from '../../shared/queue-limits.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
@@ -21,6 +22,7 @@
   directory: directories.UpstreamDirectory;
   beliefs: beliefsModule.UpstreamBeliefs;
   inFlight: inFlightModule.InFlight;
+  paces: pacesModule.Paces;
   caches: promptCaches.PromptCaches;
   placement: placementTypes.Placement;
   serviceOf: (name: string) => fleet.Service | null;
@@ -47,6 +49,10 @@
     return call.facts.model !== null && deps.serviceOf(call.service)?.engine != null;
   }
 
+  function readMs(service: string): (model: string, tokens: number) => number {
+    return (model, tokens) => tokens * deps.paces.pace(service, model).msPerToken;
+  }
+
   function toCandidate(
     call: calls.Call,
     priority: number,
@@ -54,7 +60,7 @@
   ): upstreamChoice.Candidate {
     const { model, adapter, promptParts } = call.facts;
     const { upstreamId, failureDomain, slots } = record;
-    const load = inFlight.total(upstreamId, priority, clock.nowMs());
+    const load = inFlight.ahead(upstreamId, priority, clock.nowMs(), readMs(call.service));
     const copy =
       model !== null && needsModel(call) ? placement.copyAt(record, model, adapter) : 'ready';
     return {
@@ -65,7 +71,8 @@
       blockedForMs: copy === 'blocked' ? placement.blockedForMs(upstreamId) : 0,
       inFlightCount: load.inFlightCount,
       ownInFlightCount: inFlight.ownCount(upstreamId),
-      unreadPromptTokens: load.unreadPromptTokens,
+      urgentCount: load.urgentCount,
+      readAheadMs: load.readMs,
       cachedTokens: deps.caches.cachedTokens(upstreamId, runs.cacheScope(call), promptParts),
       belief: beliefs.belief(upstreamId, clock.nowMs()),
     };
@@ -105,6 +112,7 @@
     const request: upstreamChoice.ChoiceRequest = {
       kind: needsModel(call) ? 'model' : 'plain',
       promptTokens: call.facts.promptTokens,
+      pace: deps.paces.pace(call.service, call.facts.model ?? ''),
       localFailureDomain: deps.failureDomain,
       excludedIds: run.excludedIds,
       queueLimitMs: queueLimitMs(call, run),
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -4,6 +4,7 @@
 import type { clocks, randoms } from '@copperlever/runtime';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
+import type * as pacesModule from '../../shared/paces.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import * as deadlineNorms from '../../shared/deadline-norms.js';
 import type * as retryShares from '../../shared/retry-share.js';
@@ -34,6 +35,7 @@
   beliefs: beliefsModule.UpstreamBeliefs;
   inFlight: inFlightModule.InFlight;
   caches: promptCaches.PromptCaches;
+  paces: pacesModule.Paces;
   retryShare: retryShares.RetryShare;
   quarantine: quarantine.Quarantine;
   connections: connectionsModule.Connections;
@@ -135,7 +137,9 @@
     started.ended();
     deps.metrics.attemptEnded(result.kind);
     connection.giveBack(result.kind !== 'not-sent');
-    noteAttempt({ call, upstreamId, result, firstPieceMs, predictedMs: choice.predictedMs });
+    const tookMs = clock.nowMs() - startedAtMs;
+    const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
+    noteAttempt({ call, upstreamId, result, firstPieceMs, tookMs, isResumed, choice });
     log.info('attempt-ended', {
       requestId: call.requestId,
       upstreamId,
@@ -144,7 +148,7 @@
       priority,
       predictedMs: Math.round(choice.predictedMs),
       firstPieceMs: firstPieceMs === null ? undefined : Math.round(firstPieceMs),
-      tookMs: Math.round(clock.nowMs() - startedAtMs),
+      tookMs: Math.round(tookMs),
     });
     return result;
   }
@@ -215,6 +219,7 @@
       deadlineMs: call.deadlineMs,
       latencyObjectiveMs: call.route.latencyObjectiveMs,
       readyInMs: expected.inMs,
+      isOrdered: expected.kind === 'on-its-way',
       waitingCount,
       isStopping: deps.isStopping(),
     });
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -3,10 +3,12 @@
 import type { clocks } from '@copperlever/runtime';
 
 import * as adapterPlan from '../../shared/placing/adapter-plan.js';
+import * as copyNeeds from '../../shared/placing/copy-needs.js';
 import * as copyPlan from '../../shared/placing/copy-plan.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
 import * as demandMeters from '../../shared/placing/demand-meter.js';
 import * as lateLoads from '../../shared/placing/late-loads.js';
+import * as pacesModule from '../../shared/paces.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
 import * as storeLoadsModule from '../../shared/placing/store-loads.js';
 import type * as directories from '../../shared/upstream-directory.js';
@@ -23,6 +25,7 @@
   control: dialects.UpstreamControl;
   lease: leaseKeepers.LeaseKeeper;
   directory: directories.UpstreamDirectory;
+  paces: pacesModule.Paces;
   config: () => fleet.FleetConfig | null;
   gatewayId: string;
   storeLoadLimits: storeLoadsModule.StoreLoadLimits;
@@ -53,9 +56,7 @@
 const CHANGES_PER_TICK = 4;
 const KNOWN_SHARE = 0.75;
 /** Upstreams register one after the other; before any demand there is time to wait for all. */
-const SETTLE_MS = 2_500;
-/** Requests a second that each copy beyond the first stands for, until demand itself tells. */
-const PRIOR_PER_COPY = 3;
+const SETTLE_MS = 1_500;
 const PRIOR_VALID_MS = 3_000;
 /** Adapters load within some tens of milliseconds, four at once at one upstream. */
 const ADAPTER_LOADS_AT_ONCE = 2;
@@ -176,18 +177,23 @@
     if (term > 1) storeLoads.assumeUsed(clock.nowMs());
   }
 
+  function requestSOf(service: fleet.Service, engine: fleet.EngineSpec, model: string): number {
+    return pacesModule.requestS(deps.paces.pace(service.name, model), engine.slots);
+  }
+
   /**
    * Before any demand is known, what was placed says what the operators expect: models that stand on
-   * several upstreams are the busy ones, and the first requests are theirs.
+   * several upstreams are the busy ones, each with what so many copies serve.
    */
-  function notePrior(service: fleet.Service): void {
+  function notePrior(service: fleet.Service, engine: fleet.EngineSpec): void {
     const counts = new Map<string, number>();
     directory
       .eligible(service.name, clock.nowMs())
       .flatMap(({ upstreamId }) => byUpstream.get(upstreamId)?.placed()?.copies ?? [])
       .forEach(({ model }) => counts.set(model, (counts.get(model) ?? 0) + 1));
     counts.forEach((count, model) => {
-      if (count > 1) prior.set(modelKey(service.name, model), (count - 1) * PRIOR_PER_COPY);
+      const perCopy = copyNeeds.inTimePerSecond(requestSOf(service, engine, model));
+      if (count > 1) prior.set(modelKey(service.name, model), count * perCopy);
     });
   }
 
@@ -229,6 +235,9 @@
         engine,
         upstreams: views,
         demand: (model) => demandFor(service.name, model, nowMs),
+        requestS: (model) => requestSOf(service, engine, model),
+        holdMs: (model) => deps.paces.pace(service.name, model).holdMs,
+        hasDemand: meter.hasDemand(),
         storeLoadsLeft: storeLoads.left(engine.loadsPerSecond, nowMs),
         nowMs,
       });
@@ -271,13 +280,18 @@
     if (!isSettled()) return;
     if (!hasPrior) {
       hasPrior = true;
-      if (!meter.hasDemand()) engineServices().forEach(notePrior);
+      if (!meter.hasDemand()) {
+        engineServices().forEach((service) => {
+          if (service.engine !== null) notePrior(service, service.engine);
+        });
+      }
     }
     if (deps.lease.orderTerm() === null) return;
     engineServices().forEach((service) => {
       if (service.engine === null) return;
-      planFor(service, service.engine);
+      // An upstream that loads a model takes no adapters: those that are missing already go first.
       fillAdapters(service, service.engine);
+      planFor(service, service.engine);
     });
   }
 
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -104,6 +104,7 @@
   let lastOrderMs = -Infinity;
   let arriving: { model: string; readyAtMs: number } | null = null;
   let isChanging = false;
+  let isStoreLoad = false;
   /** What the change under way unloads. */
   let leaving: string | null = null;
   let isForeignBusy = false;
@@ -350,7 +351,6 @@
     if (!(await isStillRight(wanted))) return false;
     if (wanted.unload !== null && !(await unload(wanted.unload))) return false;
     const patienceMs = wanted.unload === null ? CALL_TIMEOUT_MS : UNLOAD_PATIENCE_MS;
-    const isStoreLoad = wanted.level === 'store';
     const order = { kind: 'load-model', model: wanted.load } as const;
     if (isStoreLoad) deps.onStoreLoad(true);
     const sent = await sendUntilTaken(order, clock.nowMs() + patienceMs, () => {
@@ -482,6 +482,7 @@
         diskModels,
         isChanging: isChanging || isForeignBusy,
         arriving: arriving?.model ?? null,
+        isLoadingFromStore: isChanging && isStoreLoad,
         freeAtMs: isChanging ? (arriving?.readyAtMs ?? null) : null,
         copies: [...copies]
           .map(([model, copy]) => ({
@@ -512,6 +513,7 @@
     arrival: () => arriving,
     startChange: (wanted) => {
       isChanging = true;
+      isStoreLoad = wanted.level === 'store';
       leaving = wanted.unload;
       const unloadMs = wanted.unload === null ? 0 : CLOSE_NOTICE_MS + UNLOAD_MS;
       const readyAtMs = clock.nowMs() + unloadMs + wanted.loadMs + REPORTED_AFTER_MS;
--- a/packages/gateway/src/shared/in-flight.test.ts
+++ b/packages/gateway/src/shared/in-flight.test.ts
@@ -5,6 +5,15 @@
 
 const test = suite('in flight');
 
+const MS_PER_TOKEN = 0.01;
+
+/** Reading takes ten times as long for the model `slow`. */
+function ahead(inFlight: inFlightModule.InFlight, priority: number, nowMs: number) {
+  const readMs = (model: string, tokens: number) =>
+    tokens * MS_PER_TOKEN * (model === 'slow' ? 10 : 1);
+  return inFlight.ahead('u1', priority, nowMs, readMs);
+}
+
 const URGENT = { upstreamId: 'u1', model: 'm', priority: 0, promptTokens: 600 };
 const USUAL = { upstreamId: 'u1', model: 'm', priority: 1, promptTokens: 1_500 };
 
@@ -14,8 +23,8 @@
   const inFlight = inFlightModule.createInFlight();
   for (let count = 0; count < 10; count += 1) inFlight.started(USUAL);
   inFlight.started(URGENT);
-  assert.equal(inFlight.total('u1', 0, 0), { inFlightCount: 11, unreadPromptTokens: 600 });
-  assert.equal(inFlight.total('u1', 1, 0), { inFlightCount: 11, unreadPromptTokens: 15_600 });
+  assert.equal(ahead(inFlight, 0, 0), { inFlightCount: 11, urgentCount: 1, readMs: 6 });
+  assert.equal(ahead(inFlight, 1, 0), { inFlightCount: 11, urgentCount: 11, readMs: 156 });
 });
 
 test('what has been read, or has ended, counts no more', () => {
@@ -23,10 +32,10 @@
   const first = inFlight.started(URGENT);
   const second = inFlight.started(USUAL);
   first.promptRead();
-  assert.equal(inFlight.total('u1', 9, 0), { inFlightCount: 2, unreadPromptTokens: 1_500 });
+  assert.equal(ahead(inFlight, 9, 0), { inFlightCount: 2, urgentCount: 2, readMs: 15 });
   first.ended();
   second.ended();
-  assert.equal(inFlight.total('u1', 9, 0), { inFlightCount: 0, unreadPromptTokens: 0 });
+  assert.equal(ahead(inFlight, 9, 0), { inFlightCount: 0, urgentCount: 0, readMs: 0 });
   assert.equal(inFlight.ownLoads(), []);
 });
 
@@ -34,12 +43,20 @@
   const inFlight = inFlightModule.createInFlight();
   const load = { upstreamId: 'u1', model: 'm', inFlightCount: 2, unreadPromptTokens: 3_000 };
   inFlight.heard('holder', [{ ...load, priority: 1 }], 1_000);
-  assert.is(inFlight.total('u1', 0, 1_500).unreadPromptTokens, 0);
-  assert.is(inFlight.total('u1', 1, 1_500).unreadPromptTokens, 3_000);
-  assert.is(inFlight.total('u1', 1, 9_000).inFlightCount, 0);
+  assert.is(ahead(inFlight, 0, 1_500).readMs, 0);
+  assert.is(ahead(inFlight, 1, 1_500).readMs, 30);
+  assert.is(ahead(inFlight, 1, 9_000).inFlightCount, 0);
   inFlight.started(USUAL);
   const told = inFlight.loadsWithout('asker', 1_500);
   assert.equal(told, [{ ...load, priority: 1, inFlightCount: 3, unreadPromptTokens: 4_500 }]);
 });
 
+// Models differ in pace by a factor of eight: the same tokens of another model take another time.
+test('unread prompts count by the time that their models take', () => {
+  const inFlight = inFlightModule.createInFlight();
+  inFlight.started(USUAL);
+  inFlight.started({ ...USUAL, model: 'slow', promptTokens: 1_000 });
+  assert.equal(ahead(inFlight, 1, 0), { inFlightCount: 2, urgentCount: 2, readMs: 115 });
+});
+
 test.run();
--- a/packages/gateway/src/shared/in-flight.ts
+++ b/packages/gateway/src/shared/in-flight.ts
@@ -5,12 +5,26 @@
 /** The load of one model and priority at one upstream; the model is empty for plain services. */
 export type ModelLoad = UpstreamLoad & { upstreamId: string; model: string; priority: number };
 
+/** What an upstream has before a request of one model and priority. */
+export type LoadAhead = {
+  inFlightCount: number;
+  /** Those among them as urgent as the asking request or more: the others give way to it. */
+  urgentCount: number;
+  /** What the unread prompts of these take to read. */
+  readMs: number;
+};
+
 export type InFlight = {
   started: (request: StartedRequest) => Started;
   /** This gateway's requests at the upstream. */
   ownCount: (upstreamId: string) => number;
-  /** All gateways' requests at the upstream, and the prompts that are read before one of `priority`. */
-  total: (upstreamId: string, priority: number, nowMs: number) => UpstreamLoad;
+  /** All gateways' requests at the upstream, and the prompts that are read before the asking one. */
+  ahead: (
+    upstreamId: string,
+    priority: number,
+    nowMs: number,
+    readMs: (model: string, tokens: number) => number,
+  ) => LoadAhead;
   /** All gateways' requests at the upstream for one model. */
   modelCount: (upstreamId: string, model: string, nowMs: number) => number;
   /** What another source has in flight; replaces what was heard from it before. */
@@ -93,13 +107,15 @@
         if (load.upstreamId === upstreamId) sum += load.inFlightCount;
       return sum;
     },
-    total: (upstreamId, priority, nowMs) => {
-      const sum = { inFlightCount: 0, unreadPromptTokens: 0 };
+    ahead: (upstreamId, priority, nowMs, readMs) => {
+      const sum = { inFlightCount: 0, urgentCount: 0, readMs: 0 };
       for (const load of allLoads(nowMs, null)) {
         if (load.upstreamId !== upstreamId) continue;
         sum.inFlightCount += load.inFlightCount;
-        // Engines read the prompts of more urgent requests first, whenever these came.
-        if (load.priority <= priority) sum.unreadPromptTokens += load.unreadPromptTokens;
+        // Engines admit and read more urgent requests first, whenever these came.
+        if (load.priority > priority) continue;
+        sum.urgentCount += load.inFlightCount;
+        sum.readMs += readMs(load.model, load.unreadPromptTokens);
       }
       return sum;
     },
--- a/packages/gateway/src/shared/model-waits.test.ts
+++ b/packages/gateway/src/shared/model-waits.test.ts
@@ -11,6 +11,7 @@
   deadlineMs: 31_000,
   latencyObjectiveMs: 10_000,
   readyInMs: 3_000,
+  isOrdered: false,
   waitingCount: 0,
   isStopping: false,
 };
@@ -59,6 +60,20 @@
   assert.is(play(OVERNIGHT, 11_000).kind, 'refused');
 });
 
+// Refused, its caller comes back once after a third of its time, late at best, and may find the model gone again.
+test('overnight work waits beyond its objective for a load that has been ordered', () => {
+  const ended = play({ ...OVERNIGHT, isOrdered: true }, 13_000);
+  assert.equal(ended, { kind: 'served', nowMs: 13_000 });
+  const late = play({ ...OVERNIGHT, isOrdered: true }, 25_000);
+  assert.is(late.kind, 'refused');
+  assert.ok(late.nowMs < 20_000);
+});
+
+test('interactive work does not wait for a load that has been ordered', () => {
+  const request = { ...OVERNIGHT, isOrdered: true, latencyObjectiveMs: 500 };
+  assert.is(modelWaits.afterMissingModel(request).kind, 'refuse');
+});
+
 // A burst of overnight work for one model that nobody has: what waits is bounded.
 test('only so many wait at once', () => {
   const crowd = { ...OVERNIGHT, waitingCount: 1_000 };
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -25,6 +25,8 @@
   isChanging: boolean;
   /** The model that the change brings; counted as a copy. */
   arriving: string | null;
+  /** The change under way brings it from the weight store. */
+  isLoadingFromStore: boolean;
   /** When the change under way is expected to end; null while none is, or nobody knows. */
   freeAtMs: number | null;
 };
@@ -35,16 +37,20 @@
   engine: fleet.EngineSpec;
   upstreams: readonly UpstreamView[];
   demand: (model: string) => demandMeters.DemandFigures | null;
+  /** Seconds of one copy that a request of the model takes, as learnt. */
+  requestS: (model: string) => number;
+  /** For how long its requests keep their slots, as learnt: an unload waits for them. */
+  holdMs: (model: string) => number;
+  /** Requests have come; before, every upstream may be busy without harm. */
+  hasDemand: boolean;
   /** Loads from the weight store that may begin now. */
   storeLoadsLeft: number;
   nowMs: number;
 };
 
-/** What a request keeps its upstream busy for, most of it reading the prompt. */
-const REQUEST_S = 0.055;
 /** Up to this part of its time a copy answers nearly all within half a second; at the other, hardly any. */
-const EASY_SHARE = 0.2;
-const FULL_SHARE = 0.8;
+const EASY_SHARE = 0.3;
+const FULL_SHARE = 1;
 /** What a late answer loses of a timely one's worth. */
 const LATE_LOSS = 0.7;
 /** A model that is asked for now may be asked for more: what the busiest has is a measure of how much. */
@@ -74,6 +80,7 @@
 const COMEBACK_MS = 1_500;
 /** In requests a second. */
 export type Need = {
+  requestS: number;
   expected: number;
   /** What its first copy is worth to those who can wait. */
   patient: number;
@@ -86,6 +93,7 @@
 };
 
 export const NO_NEED: Need = {
+  requestS: 0,
   expected: 0,
   patient: 0,
   anticipated: 0,
@@ -97,13 +105,17 @@
   return Math.min(most, Math.max(least, value));
 }
 
-/** Copies of each model, those on their way among them and those about to go left out. */
-export function copyCounts(upstreams: readonly UpstreamView[]): Map<string, number> {
+/** Copies of each model, those among them that are on their way by `untilMs`, and those about to go left out. */
+export function copyCounts(
+  upstreams: readonly UpstreamView[],
+  untilMs: number,
+): Map<string, number> {
   const counts = new Map<string, number>();
   const add = (model: string) => counts.set(model, (counts.get(model) ?? 0) + 1);
   upstreams.forEach((upstream) => {
     upstream.copies.filter((copy) => !copy.isClosing).forEach((copy) => add(copy.model));
-    if (upstream.arriving !== null) add(upstream.arriving);
+    const { arriving, freeAtMs } = upstream;
+    if (arriving !== null && (freeAtMs ?? -Infinity) <= untilMs) add(arriving);
   });
   return counts;
 }
@@ -142,8 +154,9 @@
   return new Map(
     figures.map(({ spec, figures: known }): [string, Need] => {
       const lastWeight = lastCopyWeight(input, spec);
+      const requestS = input.requestS(spec.name);
       if (known === null) {
-        return [spec.name, { ...NO_NEED, lastWeight }];
+        return [spec.name, { ...NO_NEED, requestS, lastWeight }];
       }
       const isHot =
         known.recentPerSecond >= HOT_PER_SECOND &&
@@ -152,6 +165,7 @@
       return [
         spec.name,
         {
+          requestS,
           expected: known.expectedPerSecond,
           patient: PATIENT_WORTH * known.patientPerSecond,
           anticipated: isHot ? NEXT_TO_RISE_SHARE * top : 0,
@@ -163,22 +177,37 @@
   );
 }
 
+/** Guards a division: no engine serves a thousand requests a second. */
+const LEAST_REQUEST_S = 0.001;
+/** A copy serves nearly all in time up to this part of its time. */
+const IN_TIME_SHARE = 0.6;
+
+/** Requests a second that one copy serves in time. */
+export function inTimePerSecond(requestS: number): number {
+  return IN_TIME_SHARE / Math.max(LEAST_REQUEST_S, requestS);
+}
+
 /** Requests a second that are served in time, late ones counted in part, by `count` copies. */
-function servedBy(perSecond: number, count: number): number {
+function servedBy(perSecond: number, requestS: number, count: number): number {
   if (count < 1) return 0;
-  const busyShare = (perSecond * REQUEST_S) / count;
+  const busyShare = (perSecond * requestS) / count;
   const lateShare = clamp((busyShare - EASY_SHARE) / (FULL_SHARE - EASY_SHARE), 0, 1);
   // Beyond their capacity copies answer late what they can, and the rest not at all.
-  return Math.min(perSecond, count / REQUEST_S) * (1 - LATE_LOSS * lateShare);
+  return (
+    Math.min(perSecond, count / Math.max(LEAST_REQUEST_S, requestS)) * (1 - LATE_LOSS * lateShare)
+  );
 }
 
 /** What the copy number `count` of a model adds, in requests a second. */
 export function marginal(need: Need, count: number): number {
   if (count < 1) return 0;
-  const served = servedBy(need.expected, count) - servedBy(need.expected, count - 1);
+  const { requestS } = need;
+  const added = (perSecond: number) =>
+    servedBy(perSecond, requestS, count) - servedBy(perSecond, requestS, count - 1);
+  const served = added(need.expected);
   if (count === 1) return served + need.patient + need.missedWeight + need.lastWeight;
   const risen = Math.max(need.expected, need.anticipated);
-  const foreseen = servedBy(risen, count) - servedBy(risen, count - 1);
+  const foreseen = added(risen);
   return served + NEXT_TO_RISE_WEIGHT * Math.max(0, foreseen - served);
 }
 
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -9,6 +9,8 @@
 const test = suite('copy plan');
 
 const NOW_MS = 100_000;
+/** A copy serves some eighteen requests a second. */
+const REQUEST_S = 0.055;
 
 function asked(
   perSecond: number,
@@ -36,6 +38,9 @@
     engine: fixtures.engineSpec(names.map((name) => fixtures.modelSpec(name))),
     upstreams,
     demand: (model) => demand[model] ?? null,
+    requestS: () => REQUEST_S,
+    holdMs: () => 1_500,
+    hasDemand: true,
     storeLoadsLeft,
     nowMs: NOW_MS,
   });
@@ -127,7 +132,9 @@
     diskModels: new Set(['old', 'cold', 'hot']),
   });
   const free = fixtures.upstreamView('u2', ['old', 'cold', 'lone']);
-  const demand = { hot: asked(6) };
+  // The others are asked for by those who can wait, so none is spread ahead of need.
+  const patient = asked(0, { patientPerSecond: 0.01 });
+  const demand = { hot: asked(6), next: patient, rare: patient };
   assert.is(plan([busy, free], demand), null);
   const isFree = { ...busy, isChanging: false, arriving: null, freeAtMs: null };
   assert.is(plan([isFree, free], demand)?.upstreamId, 'u1');
@@ -149,6 +156,9 @@
         }),
       ],
       demand: (model) => (model === 'hot' ? asked(5) : asked(0.5, { missedCount: 2 })),
+      requestS: () => REQUEST_S,
+      holdMs: () => 1_500,
+      hasDemand: true,
       storeLoadsLeft: 2,
       nowMs: NOW_MS,
     });
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -6,6 +6,7 @@
  */
 import type * as fleet from '../../types/fleet.js';
 import * as copyNeeds from './copy-needs.js';
+import * as nearCopies from './near-copies.js';
 
 export type CopyChange = {
   upstreamId: string;
@@ -38,6 +39,19 @@
 const DISTURBED_COST = 0.3;
 /** Requests for a model with adapters that need one which is not there. */
 const BLOCKED_SHARE = 0.25;
+/**
+ * A copy that the store brings later than this does not keep a model from being brought from near meanwhile.
+ * Failure: the first load of a rising model comes from the store. Symptom: it counts as a copy for nine seconds, and
+ * upstreams that have the model on their disks idle.
+ */
+const SOON_MS = 3_500;
+/**
+ * Once there is demand, this part of the upstreams at most loads from the store what pays only by being near later:
+ * one that does brings nothing else for seconds, nor adapters.
+ */
+const SPREADING_SHARE = 0.25;
+/** What spreading has to win, in requests: below it is within what the guesses behind it are off. */
+const SPREAD_BENEFIT_MIN = 1;
 const MS_PER_SECOND = 1_000;
 
 /**
@@ -68,10 +82,20 @@
   return residentMb + sizeOf(load) <= roomMb;
 }
 
-type Scored = { change: CopyChange; benefit: number };
+type Scored = {
+  change: CopyChange;
+  benefit: number;
+  /** It pays by having the model near from then on, not by the copy itself. */
+  isSpread: boolean;
+};
+
+/** What one more copy adds, in requests a second: one that comes soon, and one that the store brings. */
+type Gains = { soon: number; late: number };
 
 type Victim = {
   copy: copyNeeds.CopyView;
+  /** How long its unload waits for what runs. */
+  drainMs: number;
   /** What is lost with it when it makes way for a load from near, and for one from the store. */
   nearLoss: number;
   storeLoss: number;
@@ -81,6 +105,8 @@
   upstream: copyNeeds.UpstreamView;
   blockedPerSecond: number;
   hotShare: number;
+  /** What its disk loses by a load from the store. */
+  evictionLoss: number;
   victims: readonly Victim[];
 };
 
@@ -99,7 +125,11 @@
 export function planNext(input: copyNeeds.PlanInput): CopyChange | null {
   const { engine, upstreams, nowMs } = input;
   const needs = copyNeeds.needsOf(input);
-  const counts = copyNeeds.copyCounts(upstreams);
+  const counts = copyNeeds.copyCounts(upstreams, Infinity);
+  const soonCounts = copyNeeds.copyCounts(upstreams, nowMs + SOON_MS);
+  const near = nearCopies.createNearCopies(input, needs);
+  const loadingCount = upstreams.filter(({ isLoadingFromStore }) => isLoadingFromStore).length;
+  const maySpread = !input.hasDemand || loadingCount < upstreams.length * SPREADING_SHARE;
   const needOf = (model: string): copyNeeds.Need => needs.get(model) ?? copyNeeds.NO_NEED;
   const hotShare = (upstream: copyNeeds.UpstreamView): number =>
     upstream.copies.reduce(
@@ -127,11 +157,11 @@
   const nearOnly = new Map<string, number>();
   engine.models.forEach(({ name }) => {
     if ((counts.get(name) ?? 0) > 0) return;
-    const near = upstreams.filter(
+    const havingIt = upstreams.filter(
       (upstream) => !upstream.isChanging && copyNeeds.levelAt(upstream, name) !== 'store',
     );
-    const [only] = near;
-    if (near.length !== 1 || only === undefined) return;
+    const [only] = havingIt;
+    if (havingIt.length !== 1 || only === undefined) return;
     nearOnly.set(only.upstreamId, (nearOnly.get(only.upstreamId) ?? 0) + 1);
   });
 
@@ -150,6 +180,7 @@
    * meanwhile, nor brings what only it has near, should that be the next to be asked for.
    */
   function blockedPerSecond(upstream: copyNeeds.UpstreamView): number {
+    if (!input.hasDemand) return 0;
     const nearOnlyHere = nearOnly.get(upstream.upstreamId) ?? 0;
     return BLOCKED_SHARE * adapterRate(upstream.copies) + copyNeeds.LAST_COPY_WEIGHT * nearOnlyHere;
   }
@@ -168,8 +199,10 @@
       upstream,
       blockedPerSecond: blockedPerSecond(upstream),
       hotShare: hotShare(upstream),
+      evictionLoss: near.evictionLoss(upstream),
       victims: movable.map((copy) => ({
         copy,
+        drainMs: copy.inFlightCount > 0 ? input.holdMs(copy.model) : 0,
         nearLoss: lossOf(upstream, copy, 'disk'),
         storeLoss: lossOf(upstream, copy, 'store'),
       })),
@@ -180,12 +213,13 @@
   function score(
     place: Place,
     spec: fleet.ModelSpec,
-    gain: number,
+    gains: Gains,
     victim: Victim | null,
     delayMs: number,
   ): Scored | null {
     const { upstream } = place;
     const level = copyNeeds.levelAt(upstream, spec.name);
+    const gain = level === 'store' ? gains.late : gains.soon;
     if (level === 'store' && input.storeLoadsLeft < 1) return null;
     const unload = victim?.copy.model ?? null;
     if (!fits(specs, roomMb, upstream, spec.name, unload)) return null;
@@ -197,19 +231,26 @@
       (loss ?? 0) + (level === 'store' ? STORE_COST : 0) + place.blockedPerSecond * loadS;
     // Of two places alike, the one beside less work.
     const beside = 0.01 * place.hotShare;
-    const usedS = Math.max(0, HORIZON_S - loadS - delayMs / MS_PER_SECOND);
-    const benefit = gain * usedS - cost - SWAP_COST - beside;
-    if (benefit <= 0) return null;
+    const startMs = delayMs + (victim?.drainMs ?? 0);
+    const usedS = Math.max(0, HORIZON_S - loadS - startMs / MS_PER_SECOND);
+    const served = gain * usedS - cost - SWAP_COST - beside;
+    const isSpread = served <= 0;
+    if (isSpread && (level !== 'store' || !maySpread)) return null;
+    const spread = isSpread ? near.worthOfNext(spec.name) - place.evictionLoss : 0;
+    const benefit = served + spread;
+    if (benefit <= (isSpread ? SPREAD_BENEFIT_MIN : 0)) return null;
     const change = { upstreamId: upstream.upstreamId, load: spec.name, unload, level, loadMs };
-    return { benefit, change };
+    return { benefit, isSpread, change };
   }
 
   function better(left: Scored | null, right: Scored | null): Scored | null {
     if (left === null || right === null) return left ?? right;
+    // What callers wait for now goes first.
+    if (left.isSpread !== right.isSpread) return left.isSpread ? right : left;
     return right.benefit > left.benefit ? right : left;
   }
 
-  function bestAt(place: Place, spec: fleet.ModelSpec, gain: number, delayMs: number) {
+  function bestAt(place: Place, spec: fleet.ModelSpec, gain: Gains, delayMs: number) {
     if (place.upstream.copies.some(({ model }) => model === spec.name)) return null;
     return place.victims.reduce(
       (best, victim) => better(best, score(place, spec, gain, victim, delayMs)),
@@ -217,11 +258,12 @@
     );
   }
 
-  /** What one more copy of the model adds, in requests a second. */
-  function gainOf(model: string): number {
+  function gainsOf(model: string): Gains {
     const need = needOf(model);
     const asked = { ...need, lastWeight: UNASKED_SHARE * need.lastWeight };
-    return copyNeeds.marginal(asked, (counts.get(model) ?? 0) + 1);
+    const gain = (known: ReadonlyMap<string, number>) =>
+      copyNeeds.marginal(asked, (known.get(model) ?? 0) + 1);
+    return { soon: gain(soonCounts), late: gain(counts) };
   }
 
   /**
@@ -229,8 +271,8 @@
    * two. Harm: a load from the store, begun at once, takes nine seconds; it counts as a copy all the while,
    * and keeps its upstream from all other changes.
    */
-  function isSoonerNear(planned: Scored, spec: fleet.ModelSpec, gain: number): boolean {
-    if (planned.change.level !== 'store') return false;
+  function isSoonerNear(planned: Scored, spec: fleet.ModelSpec, gain: Gains): boolean {
+    if (planned.change.level !== 'store' || planned.isSpread) return false;
     return upstreams.some((upstream) => {
       const { freeAtMs } = upstream;
       const level = copyNeeds.levelAt(upstream, spec.name);
@@ -239,7 +281,7 @@
       const readyMs = delayMs + copyNeeds.loadMsAt(spec, level) + NEAR_MARGIN_MS;
       if (readyMs > planned.change.loadMs) return false;
       const later = bestAt(toPlace(afterChange(upstream, nowMs)), spec, gain, delayMs);
-      return later !== null && later.benefit > planned.benefit;
+      return later !== null && !later.isSpread && later.benefit > planned.benefit;
     });
   }
 
@@ -247,8 +289,8 @@
     .filter((upstream) => !upstream.isChanging && !isSettling(upstream))
     .map(toPlace);
   const ranked = engine.models
-    .map((spec) => ({ spec, gain: gainOf(spec.name) }))
-    .filter(({ gain }) => gain > 0)
+    .map((spec) => ({ spec, gain: gainsOf(spec.name) }))
+    .filter(({ spec, gain }) => gain.soon > 0 || near.worthOfNext(spec.name) > 0)
     .flatMap(({ spec, gain }) => {
       const best = places.reduce<Scored | null>(
         (found, place) => better(found, bestAt(place, spec, gain, 0)),
@@ -256,7 +298,11 @@
       );
       return best === null ? [] : [{ spec, gain, best }];
     })
-    .sort((left, right) => right.best.benefit - left.best.benefit);
+    .sort(
+      (left, right) =>
+        Number(left.best.isSpread) - Number(right.best.isSpread) ||
+        right.best.benefit - left.best.benefit,
+    );
   const chosen = ranked.find(({ spec, gain, best }) => !isSoonerNear(best, spec, gain));
   return chosen?.best.change ?? null;
 }
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -2,6 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import type * as paces from './paces.js';
 import * as beliefsModule from './upstream-beliefs.js';
 import * as upstreamChoice from './upstream-choice.js';
 
@@ -9,6 +10,21 @@
 
 const FRESH = beliefsModule.createUpstreamBeliefs().belief('nobody', 0);
 
+const READ_MS_PER_TOKEN = 1 / 18;
+
+/** Engines that read 18 tokens in a millisecond. */
+const PACE: paces.Pace = {
+  baseMs: 30,
+  msPerToken: READ_MS_PER_TOKEN,
+  aheadShare: 1,
+  slotWaitShare: 1,
+  msPerRequest: 0.05,
+  holdMs: 1_500,
+  promptTokens: 1_500,
+  sampleCount: 100,
+  atMs: 0,
+};
+
 function candidate(
   upstreamId: string,
   overrides: Partial<upstreamChoice.Candidate> = {},
@@ -19,7 +35,8 @@
     slots: 32,
     inFlightCount: 0,
     ownInFlightCount: 0,
-    unreadPromptTokens: 0,
+    urgentCount: 0,
+    readAheadMs: 0,
     cachedTokens: 0,
     belief: FRESH,
     copy: 'ready',
@@ -35,6 +52,7 @@
   const request: upstreamChoice.ChoiceRequest = {
     kind: 'model',
     promptTokens: 1_500,
+    pace: PACE,
     localFailureDomain: 'north',
     excludedIds: new Set(),
     queueLimitMs: 1_600,
@@ -51,7 +69,10 @@
 // the first piece by their whole reading time.
 test('unread prompts weigh more than requests in flight', () => {
   const busy = candidate('busy', { inFlightCount: 20 });
-  const reading = candidate('reading', { inFlightCount: 2, unreadPromptTokens: 12_000 });
+  const reading = candidate('reading', {
+    inFlightCount: 2,
+    readAheadMs: READ_MS_PER_TOKEN * 12_000,
+  });
   assert.is(idOf(choose([reading, busy])), 'busy');
 });
 
@@ -59,7 +80,10 @@
   const cached = candidate('cached', { cachedTokens: 1_400 });
   const other = candidate('other');
   assert.is(idOf(choose([other, cached])), 'cached');
-  const queued = candidate('cached', { cachedTokens: 1_400, unreadPromptTokens: 6_000 });
+  const queued = candidate('cached', {
+    cachedTokens: 1_400,
+    readAheadMs: READ_MS_PER_TOKEN * 6_000,
+  });
   assert.is(idOf(choose([other, queued])), 'other');
 });
 
@@ -68,7 +92,7 @@
   const beliefs = beliefsModule.createUpstreamBeliefs();
   for (let count = 0; count < 6; count += 1) beliefs.ended('grey', { kind: 'failed' }, 900);
   const grey = candidate('grey', { belief: beliefs.belief('grey', 950) });
-  const sound = candidate('sound', { inFlightCount: 4, unreadPromptTokens: 1_000 });
+  const sound = candidate('sound', { inFlightCount: 4, readAheadMs: READ_MS_PER_TOKEN * 1_000 });
   assert.is(idOf(choose([grey, sound])), 'sound');
 });
 
@@ -79,9 +103,9 @@
   for (let count = 0; count < 8; count += 1) {
     beliefs.ended('late', { kind: 'good', firstPieceMs: 3_300, predictedMs: 300 }, 1_000);
   }
-  const queued = candidate('queued', { unreadPromptTokens: 9_000 });
+  const queued = candidate('queued', { readAheadMs: READ_MS_PER_TOKEN * 9_000 });
   const lateAt = (nowMs: number) => candidate('late', { belief: beliefs.belief('late', nowMs) });
-  const shorter = candidate('shorter', { unreadPromptTokens: 2_000 });
+  const shorter = candidate('shorter', { readAheadMs: READ_MS_PER_TOKEN * 2_000 });
   assert.is(idOf(choose([lateAt(1_000), shorter])), 'shorter');
   assert.is(idOf(choose([lateAt(4_000), queued])), 'late');
 });
@@ -91,14 +115,17 @@
   beliefs.ended('dark', { kind: 'broken' }, 900);
   beliefs.ended('dark', { kind: 'broken' }, 900);
   const dark = candidate('dark', { belief: beliefs.belief('dark', 950) });
-  const loaded = candidate('loaded', { inFlightCount: 30, unreadPromptTokens: 20_000 });
+  const loaded = candidate('loaded', {
+    inFlightCount: 30,
+    readAheadMs: READ_MS_PER_TOKEN * 20_000,
+  });
   assert.is(idOf(choose([dark, loaded], { queueLimitMs: 60_000 })), 'loaded');
   assert.is(idOf(choose([dark])), 'dark');
 });
 
 // Saturation: the first piece would come after the caller has left. It is told at once, not held.
 test('a wait beyond the patience is refused at once, with the predicted time', () => {
-  const full = candidate('full', { unreadPromptTokens: 60_000 });
+  const full = candidate('full', { readAheadMs: READ_MS_PER_TOKEN * 60_000 });
   const choice = choose([full]);
   assert.ok(choice.kind === 'overloaded' && choice.predictedMs > 3_000);
 });
@@ -108,15 +135,15 @@
 test('what waits for nobody is sent however long it takes', () => {
   const idle = candidate('idle');
   assert.is(idOf(choose([idle], { promptTokens: 30_000, queueLimitMs: 300 })), 'idle');
-  const queued = candidate('queued', { unreadPromptTokens: 6_000 });
+  const queued = candidate('queued', { readAheadMs: READ_MS_PER_TOKEN * 6_000 });
   assert.is(idOf(choose([queued], { queueLimitMs: 300 })), 'overloaded');
 });
 
 test('an adapter is brought where the queues are shorter, not beside a short one', () => {
-  const holding = candidate('holding', { unreadPromptTokens: 900 });
+  const holding = candidate('holding', { readAheadMs: READ_MS_PER_TOKEN * 900 });
   const free = candidate('free', { copy: 'no-adapter' });
   assert.is(idOf(choose([holding, free])), 'holding');
-  const queued = candidate('holding', { unreadPromptTokens: 6_000 });
+  const queued = candidate('holding', { readAheadMs: READ_MS_PER_TOKEN * 6_000 });
   const choice = choose([queued, free]);
   assert.ok(choice.kind === 'send' && choice.upstreamId === 'free' && choice.needsAdapter);
 });
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -5,6 +5,7 @@
  * prompts beside an idle upstream, and one that is held until its caller leaves.
  */
 import type * as placementTypes from '../types/placement.js';
+import * as paces from './paces.js';
 import * as beliefs from './upstream-beliefs.js';
 
 export type Candidate = {
@@ -15,8 +16,10 @@
   inFlightCount: number;
   /** Requests of this gateway there. */
   ownInFlightCount: number;
-  /** Prompt tokens there that are read before this request's: unread ones of requests as urgent or more. */
-  unreadPromptTokens: number;
+  /** Those as urgent as this request or more, */
+  urgentCount: number;
+  /** and what the unread prompts of these take to read. */
+  readAheadMs: number;
   /** Tokens of this request's prompt that are probably cached there. */
   cachedTokens: number;
   belief: beliefs.Belief;
@@ -28,6 +31,8 @@
 export type ChoiceRequest = {
   kind: 'model' | 'plain';
   promptTokens: number;
+  /** What engines have shown to take for its model. */
+  pace: paces.Pace;
   localFailureDomain: string;
   excludedIds: ReadonlySet<string>;
   /** The longest predicted time to the first piece with which it may join a queue. */
@@ -35,19 +40,20 @@
 };
 
 export type Choice =
-  | { kind: 'send'; upstreamId: string; predictedMs: number; needsAdapter: boolean }
+  | {
+      kind: 'send';
+      upstreamId: string;
+      predictedMs: number;
+      needsAdapter: boolean;
+      /** What the prediction was made from. */
+      work: paces.Work;
+    }
   | { kind: 'model-missing' }
   /** Copies are there, but the adapter can be loaded at none of them for now. */
   | { kind: 'adapter-blocked'; forMs: number }
   | { kind: 'overloaded'; predictedMs: number }
   | { kind: 'no-upstream' };
 
-/** Prompt tokens that an engine reads in a millisecond while it also generates; the published rate is 20. */
-const PREFILL_TOKENS_PER_MS = 18;
-/** An engine's batch step and its set-up of a request, before any prompt is read. */
-const FIRST_STEP_MS = 30;
-/** Each running request lengthens a step by about this much. */
-const STEP_MS_PER_REQUEST = 0.05;
 /** What a plain call takes before anything has been measured at any upstream: any figure is the same for all. */
 const PLAIN_CALL_MS = 30;
 /** A near upstream saves about two milliseconds of a round trip, and bytes between failure domains. */
@@ -72,20 +78,22 @@
   return known[Math.floor(known.length / 2)] ?? PLAIN_CALL_MS;
 }
 
+function workAt(request: ChoiceRequest, candidate: Candidate): paces.Work {
+  const { readAheadMs, inFlightCount, urgentCount } = candidate;
+  const slots = Math.max(1, candidate.slots);
+  return {
+    ownTokens: Math.max(0, request.promptTokens - candidate.cachedTokens),
+    readAheadMs,
+    inFlightCount,
+    overCount: Math.max(0, urgentCount + 1 - slots),
+    slots,
+  };
+}
+
 function predictMs(request: ChoiceRequest, candidate: Candidate, usualMs: number): number {
   switch (request.kind) {
-    case 'model': {
-      const unread = Math.max(0, request.promptTokens - candidate.cachedTokens);
-      const readMs = (candidate.unreadPromptTokens + unread) / PREFILL_TOKENS_PER_MS;
-      const over = Math.max(0, candidate.inFlightCount + 1 - candidate.slots);
-      return (
-        FIRST_STEP_MS +
-        readMs +
-        candidate.inFlightCount * STEP_MS_PER_REQUEST +
-        // Beyond its slots a request waits for another to end: seconds shared by all that run.
-        (over * 1_500) / Math.max(1, candidate.slots)
-      );
-    }
+    case 'model':
+      return paces.firstPieceMs(request.pace, workAt(request, candidate));
     case 'plain': {
       const callMs = candidate.belief.firstPieceMs ?? usualMs;
       const ahead = Math.max(0, candidate.inFlightCount + 1 - candidate.slots);
@@ -120,8 +128,8 @@
   return !beliefs.isAvoided(belief) || candidate.ownInFlightCount === 0;
 }
 
-function hasQueue({ unreadPromptTokens, inFlightCount, slots }: Candidate): boolean {
-  return unreadPromptTokens > 0 || inFlightCount >= slots;
+function hasQueue({ readAheadMs, inFlightCount, slots }: Candidate): boolean {
+  return readAheadMs > 0 || inFlightCount >= slots;
 }
 
 function preferUsable(candidates: readonly Candidate[], nowMs: number): readonly Candidate[] {
@@ -159,5 +167,6 @@
     return { kind: 'overloaded', predictedMs };
   }
   const needsAdapter = best.copy === 'no-adapter';
-  return { kind: 'send', upstreamId: best.upstreamId, predictedMs, needsAdapter };
+  const { upstreamId } = best;
+  return { kind: 'send', upstreamId, predictedMs, needsAdapter, work: workAt(request, best) };
 }
--- a/packages/gateway/src/testing/fleet-fixtures.ts
+++ b/packages/gateway/src/testing/fleet-fixtures.ts
@@ -58,6 +58,7 @@
     diskModels: new Set(models),
     isChanging: false,
     arriving: null,
+    isLoadingFromStore: false,
     freeAtMs: null,
     copies: models.map((model) => ({
       model,
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -81,6 +81,18 @@
     expected: string;
     expectedInMs: number;
   };
+  /** What answers have shown of a model's engine; written when it has changed by a quarter. */
+  'pace-learnt': {
+    service: string;
+    model: string;
+    baseMs: number;
+    msPerToken: number;
+    aheadShare: number;
+    msPerRequest: number;
+    slotWaitShare: number;
+    holdMs: number;
+    sampleCount: number;
+  };
   /** No upstream was chosen: why, and by what. */
   'request-not-placed': { requestId: string; model: string | null; cause: string } & ChoiceInputs;
   'attempt-ended': {
