Late callers wait for a copy that comes in time; orders are sent again; predictions follow the median

Change: who has come back waits for an ordered copy as long as 0.6 of its patience; orders are sent again after 0.3 s, the count of orders voiding one of the two; late outliers are cut at 1.5 times the prediction. Models with adapters count for more among those that nobody has asked for. Requests in flight are kept by upstream, so that a choice looks only at the loads of its candidates. Tests: an order without an answer is sent again; late callers wait; the others hold.

--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -35,6 +35,8 @@
   needsModel: (call: calls.Call) => boolean;
   /** 0 is the most urgent. */
   priorityOf: (call: calls.Call, run: runs.Run) => number;
+  /** Its objective has passed. */
+  isLate: (call: calls.Call, run: runs.Run) => boolean;
   choose: (call: calls.Call, run: runs.Run) => upstreamChoice.Choice;
   overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
   /** Tells the placing what is asked for. */
@@ -169,5 +171,5 @@
     placement.noteDemand({ service: call.service, model, adapter, isServed, isPatient });
   }
 
-  return { needsModel, priorityOf, choose, overloadRetryMs, noteDemand, noteNotPlaced };
+  return { needsModel, priorityOf, isLate, choose, overloadRetryMs, noteDemand, noteNotPlaced };
 }
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -220,6 +220,7 @@
       latencyObjectiveMs: call.route.latencyObjectiveMs,
       readyInMs: expected.inMs,
       isOrdered: expected.kind === 'on-its-way',
+      isLate: router.isLate(call, run),
       waitingCount,
       isStopping: deps.isStopping(),
     });
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -344,6 +344,19 @@
   assert.is(upstream.state.crashed, false);
 });
 
+// Three orders in ten get no answer and come seconds late. Given up at the first of them, every other change failed
+// and began anew a second later, while callers of the rising model were refused.
+test('an order without an answer is sent again, and the change goes on', async () => {
+  const { clock, upstream, create } = createRig(['m1', 'm2', 'm3']);
+  const steward = create();
+  await clock.advance(10);
+  upstream.state.dropsOrders = 2;
+  steward.startChange(change('m4', 'm3'));
+  await clock.advance(LOAD_MS + 3_000);
+  assert.ok(upstream.held.has('m4'));
+  assert.is(upstream.state.crashed, false);
+});
+
 // The answer to a load is lost and the load never comes. Meanwhile another's late order has been taken, which the
 // report shows by its count: the plan was made for what the upstream held before, and must not go on.
 test('a load whose answer was lost is not sent again once the upstream has taken another order', async () => {
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -58,6 +58,10 @@
 
 /** Answers come within a round trip; more is an upstream that does not answer. */
 const CALL_TIMEOUT_MS = 700;
+/** An order that gets no answer is sent again: its count voids whichever of the two comes second. */
+const ORDER_TIMEOUT_MS = 300;
+/** Some orders in a row may get no answer; a plan is given up only after this. */
+const ORDER_PATIENCE_MS = 2_000;
 /** Gateways learn of a closing copy with their next exchange; requests sent before are at the upstream then. */
 const CLOSE_NOTICE_MS = 300;
 /** What an unload takes when nothing runs there. */
@@ -246,7 +250,7 @@
       target,
       order,
       context,
-      clock.nowMs() + CALL_TIMEOUT_MS,
+      clock.nowMs() + ORDER_TIMEOUT_MS,
     );
     lastOrderMs = clock.nowMs();
     const result = answer.ok ? noteOutcome(order, answer.val) : 'unknown';
@@ -308,7 +312,7 @@
     unloading = model;
     deps.onChanged();
     await sleep(CLOSE_NOTICE_MS);
-    const untilMs = clock.nowMs() + CALL_TIMEOUT_MS;
+    const untilMs = clock.nowMs() + ORDER_PATIENCE_MS;
     const sent = await sendUntilTaken({ kind: 'unload-model', model }, untilMs);
     if (sent === 'accepted') return true;
     unloading = null;
@@ -350,7 +354,7 @@
   async function carryOut(wanted: copyPlan.CopyChange): Promise<boolean> {
     if (!(await isStillRight(wanted))) return false;
     if (wanted.unload !== null && !(await unload(wanted.unload))) return false;
-    const patienceMs = wanted.unload === null ? CALL_TIMEOUT_MS : UNLOAD_PATIENCE_MS;
+    const patienceMs = wanted.unload === null ? ORDER_PATIENCE_MS : UNLOAD_PATIENCE_MS;
     const order = { kind: 'load-model', model: wanted.load } as const;
     if (isStoreLoad) deps.onStoreLoad(true);
     const sent = await sendUntilTaken(order, clock.nowMs() + patienceMs, () => {
--- a/packages/gateway/src/shared/in-flight.ts
+++ b/packages/gateway/src/shared/in-flight.ts
@@ -52,35 +52,56 @@
 /** Older news says nothing about requests that take a second or two. */
 const HEARD_VALID_MS = 1_500;
 
-type Source = { loads: readonly ModelLoad[]; atMs: number };
+type LoadsByUpstream = Map<string, ModelLoad[]>;
 
-export function createInFlight(): InFlight {
-  const own = new Map<string, ModelLoad>();
-  const others = new Map<string, Source>();
+type Source = { byUpstream: LoadsByUpstream; atMs: number };
 
-  type LoadKey = Omit<StartedRequest, 'promptTokens'>;
+type LoadKey = Omit<StartedRequest, 'promptTokens'>;
 
-  function toKey({ upstreamId, model, priority }: LoadKey): string {
-    return `${upstreamId} ${model} ${priority}`;
-  }
+function isSameKey(load: ModelLoad, key: LoadKey): boolean {
+  return load.model === key.model && load.priority === key.priority;
+}
+
+function groupByUpstream(loads: readonly ModelLoad[]): LoadsByUpstream {
+  const groups: LoadsByUpstream = new Map();
+  loads.forEach((load) => {
+    const group = groups.get(load.upstreamId);
+    if (group === undefined) groups.set(load.upstreamId, [load]);
+    else group.push(load);
+  });
+  return groups;
+}
+
+/** Loads are kept by upstream: each request looks at those of every upstream that it may go to. */
+export function createInFlight(): InFlight {
+  const own: LoadsByUpstream = new Map();
+  const others = new Map<string, Source>();
 
-  function add(load: LoadKey, countChange: number, tokensChange: number): void {
-    const { upstreamId, model, priority } = load;
-    const key = toKey(load);
-    const before = own.get(key);
+  function add(key: LoadKey, countChange: number, tokensChange: number): void {
+    const { upstreamId, model, priority } = key;
+    const loads = own.get(upstreamId) ?? [];
+    const before = loads.find((load) => isSameKey(load, key));
     const inFlightCount = (before?.inFlightCount ?? 0) + countChange;
     const unreadPromptTokens = (before?.unreadPromptTokens ?? 0) + tokensChange;
-    if (inFlightCount <= 0) own.delete(key);
-    else own.set(key, { upstreamId, model, priority, inFlightCount, unreadPromptTokens });
+    const rest = loads.filter((load) => load !== before);
+    if (inFlightCount > 0) {
+      rest.push({ upstreamId, model, priority, inFlightCount, unreadPromptTokens });
+    }
+    if (rest.length > 0) own.set(upstreamId, rest);
+    else own.delete(upstreamId);
   }
 
-  function* allLoads(nowMs: number, exceptId: string | null): Iterable<ModelLoad> {
-    yield* own.values();
-    for (const [sourceId, { loads, atMs }] of others) {
-      if (sourceId !== exceptId && nowMs - atMs <= HEARD_VALID_MS) yield* loads;
+  function* sources(nowMs: number, exceptId: string | null): Iterable<LoadsByUpstream> {
+    yield own;
+    for (const [sourceId, { byUpstream, atMs }] of others) {
+      if (sourceId !== exceptId && nowMs - atMs <= HEARD_VALID_MS) yield byUpstream;
     }
   }
 
+  function* loadsAt(upstreamId: string, nowMs: number): Iterable<ModelLoad> {
+    for (const byUpstream of sources(nowMs, null)) yield* byUpstream.get(upstreamId) ?? [];
+  }
+
   return {
     started: (request) => {
       let unreadTokens = request.promptTokens;
@@ -101,43 +122,42 @@
         },
       };
     },
-    ownCount: (upstreamId) => {
-      let sum = 0;
-      for (const load of own.values())
-        if (load.upstreamId === upstreamId) sum += load.inFlightCount;
-      return sum;
-    },
+    ownCount: (upstreamId) =>
+      (own.get(upstreamId) ?? []).reduce((sum, load) => sum + load.inFlightCount, 0),
     ahead: (upstreamId, priority, nowMs, readMs) => {
       const sum = { inFlightCount: 0, urgentCount: 0, readMs: 0 };
-      for (const load of allLoads(nowMs, null)) {
-        if (load.upstreamId !== upstreamId) continue;
+      for (const load of loadsAt(upstreamId, nowMs)) {
         sum.inFlightCount += load.inFlightCount;
         // Engines admit and read more urgent requests first, whenever these came.
         if (load.priority > priority) continue;
         sum.urgentCount += load.inFlightCount;
-        sum.readMs += readMs(load.model, load.unreadPromptTokens);
+        if (load.unreadPromptTokens > 0) sum.readMs += readMs(load.model, load.unreadPromptTokens);
       }
       return sum;
     },
     modelCount: (upstreamId, model, nowMs) => {
       let sum = 0;
-      for (const load of allLoads(nowMs, null)) {
-        if (load.upstreamId === upstreamId && load.model === model) sum += load.inFlightCount;
+      for (const load of loadsAt(upstreamId, nowMs)) {
+        if (load.model === model) sum += load.inFlightCount;
       }
       return sum;
     },
     heard: (sourceId, loads, nowMs) => {
-      others.set(sourceId, { loads, atMs: nowMs });
+      others.set(sourceId, { byUpstream: groupByUpstream(loads), atMs: nowMs });
     },
-    ownLoads: () => [...own.values()],
+    ownLoads: () => [...own.values()].flat(),
     loadsWithout: (exceptId, nowMs) => {
       const sums = new Map<string, ModelLoad>();
-      for (const load of allLoads(nowMs, exceptId)) {
-        const key = toKey(load);
-        const sum = sums.get(key) ?? { ...load, inFlightCount: 0, unreadPromptTokens: 0 };
-        sum.inFlightCount += load.inFlightCount;
-        sum.unreadPromptTokens += load.unreadPromptTokens;
-        sums.set(key, sum);
+      for (const byUpstream of sources(nowMs, exceptId)) {
+        for (const load of [...byUpstream.values()].flat()) {
+          const key = `${load.upstreamId} ${load.model} ${load.priority}`;
+          const sum = sums.get(key);
+          sums.set(key, {
+            ...load,
+            inFlightCount: load.inFlightCount + (sum?.inFlightCount ?? 0),
+            unreadPromptTokens: load.unreadPromptTokens + (sum?.unreadPromptTokens ?? 0),
+          });
+        }
       }
       return [...sums.values()];
     },
--- a/packages/gateway/src/shared/model-waits.test.ts
+++ b/packages/gateway/src/shared/model-waits.test.ts
@@ -12,6 +12,7 @@
   latencyObjectiveMs: 10_000,
   readyInMs: 3_000,
   isOrdered: false,
+  isLate: false,
   waitingCount: 0,
   isStopping: false,
 };
@@ -74,6 +75,15 @@
   assert.is(modelWaits.afterMissingModel(request).kind, 'refuse');
 });
 
+// It was refused once and told when the model would be there; the load has taken a second longer. Refused again it is
+// lost, and its caller stays for two seconds.
+test('interactive work that has come back waits for a copy that comes before its caller leaves', () => {
+  const back = { ...OVERNIGHT, isOrdered: true, isLate: true, latencyObjectiveMs: 500 };
+  assert.is(play(back, 1_700).kind, 'served');
+  assert.is(play(back, 4_000).kind, 'refused');
+  assert.is(play({ ...back, isOrdered: false }, 1_700).kind, 'refused');
+});
+
 // A burst of overnight work for one model that nobody has: what waits is bounded.
 test('only so many wait at once', () => {
   const crowd = { ...OVERNIGHT, waitingCount: 1_000 };
--- a/packages/gateway/src/shared/model-waits.ts
+++ b/packages/gateway/src/shared/model-waits.ts
@@ -6,8 +6,10 @@
  * objectives, and their callers leave within two seconds. Even where a copy is a second away, more of them
  * would wait than it can read at first: of 450 that did, 186 were lost or refused after all. Where the load has been
  * ordered, overnight work waits for it beyond its objective too, as long as its caller stays: refused, it would come
- * back late at best, and may meet the model gone again.
+ * back late at best, and may meet the model gone again. Who has come back already is told no more after this attempt:
+ * a copy that is there before its caller leaves is waited for.
  */
+import * as queueLimits from './queue-limits.js';
 import * as urgency from './urgency.js';
 
 export type MissingModel = {
@@ -19,6 +21,8 @@
   readyInMs: number;
   /** The load that brings it has been ordered. */
   isOrdered: boolean;
+  /** Its objective has passed: the caller has asked before. */
+  isLate: boolean;
   /** Requests that wait at this gateway, this one left out. */
   waitingCount: number;
   /** The gateway is about to leave: what waits would be given up with it. */
@@ -30,8 +34,8 @@
 
 /** The part of its latency objective that a request may wait for its model; the rest is for its answer. */
 const WAIT_SHARE = 0.8;
-/** Callers of a stream leave after four objectives without an event; a part of that is left for the answer. */
-const PATIENCE_OBJECTIVES = 3;
+/** The part of a caller's patience that the model may take to come; the rest is for its answer. */
+const PATIENCE_SHARE = 0.6;
 /** The part of its time that a request may wait; the rest is for its answer, or to come back. */
 const DEADLINE_SHARE = 0.6;
 /** How often it is looked whether the model has come. */
@@ -41,12 +45,18 @@
 /** A gateway hears of a copy with its next exchange; a caller that comes back before finds none. */
 const READY_MARGIN_MS = 400;
 
+function longestWaitMs(request: MissingModel): number {
+  const { latencyObjectiveMs, isOrdered, isLate } = request;
+  const timeMs = DEADLINE_SHARE * (request.deadlineMs - request.arrivedAtMs);
+  const patienceMs = PATIENCE_SHARE * queueLimits.streamPatienceMs(latencyObjectiveMs);
+  const staysOn = isOrdered && (isLate || urgency.isBatch(request));
+  const ownMs = staysOn ? patienceMs : WAIT_SHARE * latencyObjectiveMs;
+  return Math.min(ownMs, timeMs);
+}
+
 export function afterMissingModel(request: MissingModel): MissingModelVerdict {
   const { nowMs } = request;
-  const objectives = request.isOrdered && urgency.isBatch(request) ? PATIENCE_OBJECTIVES : 1;
-  const longestMs = WAIT_SHARE * objectives * request.latencyObjectiveMs;
-  const timeMs = request.deadlineMs - request.arrivedAtMs;
-  const latestMs = request.arrivedAtMs + Math.min(longestMs, DEADLINE_SHARE * timeMs);
+  const latestMs = request.arrivedAtMs + longestWaitMs(request);
   const readyMs = nowMs + request.readyInMs + READY_MARGIN_MS;
   const fits = readyMs < Math.min(latestMs, request.deadlineMs);
   if (fits && !request.isStopping && request.waitingCount < WAITING_MAX) {
--- a/packages/gateway/src/shared/paces.ts
+++ b/packages/gateway/src/shared/paces.ts
@@ -72,10 +72,11 @@
 const HOLD_SMOOTHING = 0.05;
 /**
  * An answer later than this many times what was expected says something of its upstream, which may be slow or grey,
- * not of its model.
+ * not of its model. Late answers are later by far than early ones are early: cut close, the fit comes to what half of
+ * the answers take.
  */
-const OUTLIER_FACTOR = 2;
-const OUTLIER_MS = 40;
+const OUTLIER_FACTOR = 1.5;
+const OUTLIER_MS = 15;
 const LEAST_BASE_MS = 1;
 const MS_PER_SECOND = 1_000;
 
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -76,6 +76,7 @@
  * come from the store; less in proportion where another upstream has it at hand.
  */
 export const LAST_COPY_WEIGHT = 0.5;
+const ADAPTERS_WEIGHT = 3;
 /** Beside its load a comeback takes noticing, making room and bringing adapters. */
 const COMEBACK_MS = 1_500;
 /** In requests a second. */
@@ -139,13 +140,22 @@
   return Math.min(1, (quickestMs + COMEBACK_MS) / spec.storeLoadMs);
 }
 
+/**
+ * How likely a model that nobody has asked for is to be asked for, against others: adapters are made for the tasks of
+ * single callers.
+ */
+export function unaskedWeight(spec: fleet.ModelSpec): number {
+  return spec.adapterCount > 0 ? ADAPTERS_WEIGHT : 1;
+}
+
 /** What the last copy of a model is worth for the requests that demand may yet bring. */
 export function lastCopyWeight(
   input: PlanInput,
   spec: fleet.ModelSpec,
   exceptId: string | null = null,
 ): number {
-  return LAST_COPY_WEIGHT * comebackShare(input, spec, exceptId);
+  const weight = input.demand(spec.name) === null ? unaskedWeight(spec) : 1;
+  return LAST_COPY_WEIGHT * weight * comebackShare(input, spec, exceptId);
 }
 
 export function needsOf(input: PlanInput): Map<string, Need> {
--- a/packages/gateway/src/shared/placing/near-copies.ts
+++ b/packages/gateway/src/shared/placing/near-copies.ts
@@ -17,8 +17,6 @@
 /** One or two of all that nobody has asked for come up at a move. */
 const UNASKED_RISE = 1.5;
 const UNASKED_RISES_MAX = 0.25;
-/** Adapters are made for the tasks of single callers: a model with some is more likely to be asked for. */
-const ADAPTERS_WEIGHT = 4;
 /** Of upstreams that have a model near some are away or busy with another change when it rises. */
 const USABLE_SHARE = 0.65;
 /** What a late answer loses of a timely one's worth. */
@@ -41,10 +39,6 @@
   );
 }
 
-function weightOf(spec: fleet.ModelSpec): number {
-  return spec.adapterCount > 0 ? ADAPTERS_WEIGHT : 1;
-}
-
 function diskPlaces(engine: fleet.EngineSpec): number {
   const largestMb = Math.max(1, ...engine.models.map(({ sizeMb }) => sizeMb));
   return Math.floor(engine.diskMb / largestMb);
@@ -59,7 +53,7 @@
   const top = Math.max(0, ...[...needs.values()].map(({ expected }) => expected));
   const unaskedWeight = engine.models
     .filter(({ name }) => input.demand(name) === null)
-    .reduce((sum, spec) => sum + weightOf(spec), 0);
+    .reduce((sum, spec) => sum + copyNeeds.unaskedWeight(spec), 0);
   const places = diskPlaces(engine);
   const nearCounts = new Map(
     engine.models.map(({ name }) => [
@@ -74,7 +68,7 @@
     const spec = specs.get(model);
     if (need === undefined || spec === undefined) return 0;
     if (figures === null) {
-      const share = weightOf(spec) / Math.max(1, unaskedWeight);
+      const share = copyNeeds.unaskedWeight(spec) / Math.max(1, unaskedWeight);
       return Math.min(UNASKED_RISES_MAX, UNASKED_RISE * share);
     }
     if (need.anticipated > 0) return HOT_RISES;
--- a/packages/gateway/src/shared/queue-limits.ts
+++ b/packages/gateway/src/shared/queue-limits.ts
@@ -25,12 +25,14 @@
 /** A prediction beyond this part of the caller's patience is a wait in vain. */
 const PATIENCE_SHARE = 0.8;
 
-/** How long the caller of a stream still stays without a piece. */
+/** How long the caller of a stream stays without a piece. */
+export function streamPatienceMs(latencyObjectiveMs: number): number {
+  return Math.max(STREAM_PATIENCE_MIN_MS, STREAM_PATIENCE_OBJECTIVES * latencyObjectiveMs);
+}
+
+/** How long it still stays. */
 function patienceMs(input: Omit<QueueLimitInput, 'isStream' | 'isLate'>): number {
-  const gapMs = Math.max(
-    STREAM_PATIENCE_MIN_MS,
-    STREAM_PATIENCE_OBJECTIVES * input.latencyObjectiveMs,
-  );
+  const gapMs = streamPatienceMs(input.latencyObjectiveMs);
   return Math.max(0, Math.min(input.leftMs, gapMs - input.waitedMs));
 }
 
