--- /dev/null
+++ b/packages/gateway/src/server/forwarding/pace-reports.test.ts
@@ -0,0 +1,46 @@
+import { logs } from '@copperlever/runtime';
+import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as pacesModule from '../../shared/paces.js';
+import type * as logEvents from '../../types/log-events.js';
+import * as paceReports from './pace-reports.js';
+
+const test = suite('pace reports');
+
+function createRig() {
+  const clock = fakeClocks.createFakeClock();
+  const paces = pacesModule.createPaces();
+  const models: string[] = [];
+  const log: logEvents.GatewayLog = {
+    ...logs.createSilentLogger(),
+    info: (event, fields) => {
+      if (event === 'pace-learnt' && 'model' in fields) models.push(String(fields.model));
+    },
+  };
+  const report = paceReports.createPaceReports({ clock, log, paces });
+  const answer = (firstPieceMs: number) => {
+    const work = { ownTokens: 800, readAheadMs: 0, inFlightCount: 4, overCount: 0, slots: 32 };
+    paces.answered({ ...work, service: 's', model: 'm', firstPieceMs, tookMs: 1_500 }, 0);
+    report('s', 'm');
+  };
+  return { clock, models, answer };
+}
+
+// A busy model is answered some twenty times a second: a line for each would fill the logs and say nothing.
+test('a pace is written at first, and again once it has changed', async () => {
+  const { clock, models, answer } = createRig();
+  for (let index = 0; index < 200; index += 1) answer(60);
+  await clock.advance(6_000);
+  for (let index = 0; index < 50; index += 1) answer(60);
+  const settled = models.length;
+  assert.ok(settled >= 1 && settled <= 2);
+  await clock.advance(6_000);
+  for (let index = 0; index < 400; index += 1) answer(300);
+  await clock.advance(6_000);
+  answer(300);
+  assert.ok(models.length > settled);
+});
+
+test.run();
