Read connections once more before taking up requests that may have lain unread

Gateway front-oslo-a-1 had started again at 10.4 s in a rolled restart; a request sent at 11.87 s, given up by its caller at 12.18 s, was sent on at 13.08 s. The close of a connection lies behind its request and is read one turn of the event loop later, while the request is sent on in the same turn. Change: after a lag of the event loop two turns pass before a request is taken up, and one whose connection has closed meanwhile is not served.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -5,6 +5,7 @@
 
 import * as configHolder from './server/control/config-holder.js';
 import * as connectionsModule from './server/forwarding/connections.js';
+import * as loopLagModule from './server/forwarding/loop-lag.js';
 import * as openCallsModule from './server/forwarding/open-calls.js';
 import * as serving from './server/forwarding/serve.js';
 import * as measuredStores from './server/metrics/measured-store.js';
@@ -71,6 +72,7 @@
   configuration: configHolder.ConfigHolder;
   placement: placementTypes.Placement;
   openCalls: openCallsModule.OpenCalls;
+  loopLag: loopLagModule.LoopLag;
   book: peerBooks.PeerBook;
   demand: demandCounters.DemandCounters;
   view: placementViews.PlacementView;
@@ -217,6 +219,9 @@
     configuration: awilix
       .asFunction((parts: GatewayParts) => configHolder.createConfigHolder(parts.log, parts.clock))
       .singleton(),
+    loopLag: awilix
+      .asFunction((parts: GatewayParts) => loopLagModule.createLoopLag(parts.clock))
+      .singleton(),
     openCalls: awilix
       .asFunction((parts: GatewayParts) => openCallsModule.createOpenCalls(parts.clock, parts.log))
       .singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -153,6 +153,7 @@
     metrics: cradle.metrics,
     isStopping: () => isStopping,
     openCalls,
+    loopLag: cradle.loopLag,
   });
   const connections = stops.trackConnections(callers.server);
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
@@ -233,6 +234,7 @@
         start: async () => {
           await listen(callers, settings.callerAddress);
           const stopCallers = async () => {
+            cradle.loopLag.stop();
             callers.server.closeAllConnections();
             await callers.close();
             await cradle.connections.close();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -1,5 +1,6 @@
 /** The callers' side of the gateway: reads requests, has them served and answers what cannot be served. */
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 
 import type { clocks } from '@copperlever/runtime';
 import * as hashes from '@copperlever/runtime/hashes';
@@ -14,6 +15,7 @@
 import type * as metricsModule from '../metrics/metrics.js';
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
+import type * as loopLagModule from './loop-lag.js';
 import type * as openCallsModule from './open-calls.js';
 import type * as serving from './serve.js';
 
@@ -26,6 +28,7 @@
   isStopping: () => boolean;
   metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded'>;
   openCalls: openCallsModule.OpenCalls;
+  loopLag: Pick<loopLagModule.LoopLag, 'settle'>;
 };
 
 /** A configuration with its route table. */
@@ -113,16 +116,19 @@
   });
 }
 
+/** A request that crossed the close of its connection cannot be answered: it must not run either. */
+function isClosed(socket: net.Socket): boolean {
+  if (!socket.writableEnded && !socket.destroyed) return false;
+  socket.destroy();
+  return true;
+}
+
 async function handle(
   deps: CallersDeps,
   request: http.IncomingMessage,
   raw: http.ServerResponse,
 ): Promise<void> {
-  // A request that crossed the close of its connection cannot be answered: it must not run either.
-  if (request.socket.writableEnded || request.socket.destroyed) {
-    request.socket.destroy();
-    return;
-  }
+  if (isClosed(request.socket)) return;
   const arrivedAtMs = deps.clock.nowMs();
   const { requestId } = deps.dialect.readCall(request.headers);
   const sink = answers.createAnswerSink({ raw, requestId, isStopping: deps.isStopping });
@@ -130,6 +136,8 @@
   const bodyBytesMax = inForce?.config.limits.bodyBytes ?? HEADER_BYTES_MAX;
   const body = await bodies.readBody(request, bodyBytesMax);
   if (body.kind === 'caller-gone') return;
+  await deps.loopLag.settle();
+  if (isClosed(request.socket)) return;
   if (body.kind === 'too-large') {
     refuseEarly(sink, 413, 'body-too-large');
     return;
