Say in comments what is guessed, what is measured and in which unit

Read as a newcomer: weights of near copies did not say that they are guesses; the gain beside near-copies.ts was that of several changes together; a doc comment of copyCounts said the opposite of what it does for copies on their way out; ADAPTERS_WEIGHT had no reason; one import stood apart.

--- a/packages/gateway/src/server/forwarding/attempt-notes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.ts
@@ -8,7 +8,6 @@
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
-
 import * as paceReports from './pace-reports.js';
 
 export type AttemptNotesDeps = {
--- a/packages/gateway/src/server/forwarding/loop-lag.ts
+++ b/packages/gateway/src/server/forwarding/loop-lag.ts
@@ -13,13 +13,13 @@
   stop: () => void;
 };
 
-/** Often enough to notice a lag of which callers would, and twenty wake-ups a second. */
+/** Notices a lag before callers do, at the cost of twenty wake-ups a second. */
 const BEAT_MS = 50;
-/** A beat that is later than this came behind much else: callers leave after some hundred milliseconds at the least. */
+/** Well below the shortest time after which callers leave, some hundred milliseconds; above the jitter of a timer. */
 const LAG_MS = 60;
-/** What was read late is taken up within this time. */
+/** For so long after a late beat requests are still taken up that lay unread before it. */
 const KEPT_MS = 250;
-/** One to end the present turn, one in which connections are read. */
+/** The first ends the present turn; connections are read in the second. */
 const TURNS = 2;
 
 function nextTurn(): Promise<void> {
--- a/packages/gateway/src/shared/model-waits.ts
+++ b/packages/gateway/src/shared/model-waits.ts
@@ -2,12 +2,12 @@
  * What becomes of a request whose model stands nowhere. Load: overnight work with an objective of ten
  * seconds beside interactive work with one of half a second, while models come and go. Harm prevented:
  * overnight callers come back once at most; refused, they meet the next gap between copies and are lost,
- * though a load takes less time than they have. Interactive requests never wait: no load fits their
+ * though a load takes less time than they have. Interactive requests do not wait at first: no load fits their
  * objectives, and their callers leave within two seconds. Even where a copy is a second away, more of them
  * would wait than it can read at first: of 450 that did, 186 were lost or refused after all. Where the load has been
  * ordered, overnight work waits for it beyond its objective too, as long as its caller stays: refused, it would come
- * back late at best, and may meet the model gone again. Who has come back already is told no more after this attempt:
- * a copy that is there before its caller leaves is waited for.
+ * back late at best, and may meet the model gone again. Who has come back already does not come again: a
+ * copy that is there before its caller leaves is waited for.
  */
 import * as queueLimits from './queue-limits.js';
 import * as urgency from './urgency.js';
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -76,11 +76,16 @@
  * come from the store; less in proportion where another upstream has it at hand.
  */
 export const LAST_COPY_WEIGHT = 0.5;
+/**
+ * Against a model without adapters that nobody has asked for: a guess. Adapters are made for the tasks of single
+ * callers, so somebody means to ask for it.
+ */
 const ADAPTERS_WEIGHT = 3;
 /** Beside its load a comeback takes noticing, making room and bringing adapters. */
 const COMEBACK_MS = 1_500;
-/** In requests a second. */
+/** What a model is asked for; in requests a second, but for `requestS`. */
 export type Need = {
+  /** Seconds of one copy that a request takes. */
   requestS: number;
   expected: number;
   /** What its first copy is worth to those who can wait. */
@@ -106,7 +111,7 @@
   return Math.min(most, Math.max(least, value));
 }
 
-/** Copies of each model, those among them that are on their way by `untilMs`, and those about to go left out. */
+/** Copies of each model, with those that are on their way and there by `untilMs`, without those about to go. */
 export function copyCounts(
   upstreams: readonly UpstreamView[],
   untilMs: number,
@@ -140,10 +145,7 @@
   return Math.min(1, (quickestMs + COMEBACK_MS) / spec.storeLoadMs);
 }
 
-/**
- * How likely a model that nobody has asked for is to be asked for, against others: adapters are made for the tasks of
- * single callers.
- */
+/** How likely a model that nobody has asked for is to be asked for, against others of that kind. */
 export function unaskedWeight(spec: fleet.ModelSpec): number {
   return spec.adapterCount > 0 ? ADAPTERS_WEIGHT : 1;
 }
@@ -189,7 +191,7 @@
 
 /** Guards a division: no engine serves a thousand requests a second. */
 const LEAST_REQUEST_S = 0.001;
-/** A copy serves nearly all in time up to this part of its time. */
+/** A copy serves most in time up to this part of its time: about the middle of the easy and the full share. */
 const IN_TIME_SHARE = 0.6;
 
 /** Requests a second that one copy serves in time. */
--- a/packages/gateway/src/shared/placing/near-copies.ts
+++ b/packages/gateway/src/shared/placing/near-copies.ts
@@ -4,21 +4,22 @@
  * rises within seconds to what half of the upstreams can serve. Harm prevented: while a load from the store takes its
  * time most upstreams idle, two or three serve the whole demand, and nearly all answers are late; when the copies
  * have come, demand has moved on. A model that was loaded once comes from the disk from then on, so the store, which
- * idles while nothing is missing, spreads models ahead of need. With learnt paces, on ten played days with faults:
- * 0.515 of the worth that callers bring was earned, 0.474 without both.
+ * idles while nothing is missing, spreads models ahead of need. Together with learnt paces, longer waits and near loads
+ * beside those from the store, on ten played days with faults, 0.515 of the worth that callers bring was earned, 0.474
+ * without them; its own part was not measured.
  */
 import type * as fleet from '../../types/fleet.js';
 import * as copyNeeds from './copy-needs.js';
 
-/** How likely a model is to be what demand moves to next, by what is known of it. */
+/** How likely a model is to be what demand moves to next, from 0 to 1, by what is known of it: guesses, not measured. */
 const HOT_RISES = 0.5;
 const ASKED_RISES = 0.2;
 /** What is asked for by those who can wait keeps being asked for by them. */
 const PATIENT_RISES = 0.02;
-/** One or two of all that nobody has asked for come up at a move. */
+/** Of all that nobody has asked for one or two come up at a move, so many on average; a guess too. */
 const UNASKED_RISE = 1.5;
 const UNASKED_RISES_MAX = 0.25;
-/** Of upstreams that have a model near some are away or busy with another change when it rises. */
+/** Of upstreams that have a model near some are away or busy with another change when it rises; a guess. */
 const USABLE_SHARE = 0.65;
 const MS_PER_SECOND = 1_000;
 
