--- a/packages/gateway/src/shared/placing/adapter-plan.ts
+++ b/packages/gateway/src/shared/placing/adapter-plan.ts
@@ -40,35 +40,69 @@
   );
 }
 
+type Asked = { adapter: string; askedMs: number };
+
+/** The first `count` of `items` in the order of `compare`, the earlier of equals first. */
+function takeFirst(items: readonly Wanted[], count: number): Wanted[] {
+  const taken: Wanted[] = [];
+  items.forEach((item) => {
+    const at = taken.findIndex((other) => compare(item, other) < 0);
+    if (at >= 0) taken.splice(at, 0, item);
+    else if (taken.length < count) taken.push(item);
+    if (taken.length > count) taken.pop();
+  });
+  return taken;
+}
+
 export function planAdapters(input: AdapterPlanInput): AdapterLoad[] {
   const specs = new Map(input.engine.models.map((spec) => [spec.name, spec]));
+  const holdersOf = new Map<string, AdapterHolder[]>();
+  input.holders.forEach((holder) => {
+    holder.models.forEach(({ model }) => {
+      const known = holdersOf.get(model);
+      if (known === undefined) holdersOf.set(model, [holder]);
+      else known.push(holder);
+    });
+  });
   const holderCounts = new Map<string, number>();
   const countOf = (model: string, adapter: string): number => {
     const key = `${model}/${adapter}`;
     const known = holderCounts.get(key);
     if (known !== undefined) return known;
-    const count = input.holders.filter((holder) => holder.has(model, adapter)).length;
+    // Without the model nobody holds an adapter of it.
+    const holders = holdersOf.get(model) ?? [];
+    const count = holders.filter((holder) => holder.has(model, adapter)).length;
     holderCounts.set(key, count);
     return count;
   };
+  const askedByModel = new Map<string, readonly Asked[]>();
+  const askedOf = (model: string): readonly Asked[] => {
+    const known = askedByModel.get(model);
+    if (known !== undefined) return known;
+    const count = specs.get(model)?.adapterCount ?? 0;
+    const asked = Array.from({ length: count }, (_, index) => adapterName(index)).map(
+      (adapter) => ({ adapter, askedMs: input.lastAskedMs(model, adapter) ?? -Infinity }),
+    );
+    askedByModel.set(model, asked);
+    return asked;
+  };
   const loads: AdapterLoad[] = [];
   input.holders.forEach((holder) => {
     if (holder.isBlocked || holder.freePlaces <= 0) return;
-    const wanted = holder.models.flatMap(({ model }): Wanted[] => {
-      const count = specs.get(model)?.adapterCount ?? 0;
-      return Array.from({ length: count }, (_, index) => adapterName(index))
-        .filter((adapter) => !holder.has(model, adapter))
-        .map((adapter) => ({
+    const wanted = holder.models.flatMap(({ model }): Wanted[] =>
+      askedOf(model)
+        .filter(({ adapter }) => !holder.has(model, adapter))
+        .map(({ adapter, askedMs }) => ({
           upstreamId: holder.upstreamId,
           model,
           adapter,
           holderCount: countOf(model, adapter),
-          askedMs: input.lastAskedMs(model, adapter) ?? -Infinity,
+          askedMs,
         }))
-        .filter(({ holderCount, askedMs }) => holderCount === 0 || askedMs > -Infinity);
-    });
-    const taken = wanted.sort(compare).slice(0, Math.min(input.perUpstream, holder.freePlaces));
-    taken.forEach(({ upstreamId, model, adapter }) => {
+        .filter(({ holderCount, askedMs }) => holderCount === 0 || askedMs > -Infinity),
+    );
+    const count = Math.min(input.perUpstream, holder.freePlaces);
+    takeFirst(wanted, count).forEach(({ upstreamId, model, adapter }) => {
       loads.push({ upstreamId, model, adapter });
       holderCounts.set(`${model}/${adapter}`, countOf(model, adapter) + 1);
     });
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -5,6 +5,7 @@
  */
 import type * as fleet from '../../types/fleet.js';
 import type * as demandMeters from './demand-meter.js';
+import type * as nearIndexes from './near-index.js';
 
 export type CopyView = {
   model: string;
@@ -131,17 +132,11 @@
  * loads from the store itself brings nothing else meanwhile.
  */
 function comebackShare(
-  input: PlanInput,
+  near: nearIndexes.NearIndex,
   spec: fleet.ModelSpec,
-  exceptId: string | null = null,
+  exceptId: string | null,
 ): number {
-  const usable = input.upstreams.filter(
-    ({ upstreamId, isChanging }) => upstreamId !== exceptId && !isChanging,
-  );
-  const quickestMs = Math.min(
-    spec.storeLoadMs,
-    ...usable.map((upstream) => loadMsAt(spec, levelAt(upstream, spec.name))),
-  );
+  const quickestMs = near.quickestLoadMs(spec, exceptId);
   return Math.min(1, (quickestMs + COMEBACK_MS) / spec.storeLoadMs);
 }
 
@@ -153,19 +148,20 @@
 /** What the last copy of a model is worth for the requests that demand may yet bring. */
 export function lastCopyWeight(
   input: PlanInput,
+  near: nearIndexes.NearIndex,
   spec: fleet.ModelSpec,
   exceptId: string | null = null,
 ): number {
   const weight = input.demand(spec.name) === null ? unaskedWeight(spec) : 1;
-  return LAST_COPY_WEIGHT * weight * comebackShare(input, spec, exceptId);
+  return LAST_COPY_WEIGHT * weight * comebackShare(near, spec, exceptId);
 }
 
-export function needsOf(input: PlanInput): Map<string, Need> {
+export function needsOf(input: PlanInput, near: nearIndexes.NearIndex): Map<string, Need> {
   const figures = input.engine.models.map((spec) => ({ spec, figures: input.demand(spec.name) }));
   const top = Math.max(0, ...figures.map((entry) => entry.figures?.recentPerSecond ?? 0));
   return new Map(
     figures.map(({ spec, figures: known }): [string, Need] => {
-      const lastWeight = lastCopyWeight(input, spec);
+      const lastWeight = lastCopyWeight(input, near, spec);
       const requestS = input.requestS(spec.name);
       if (known === null) {
         return [spec.name, { ...NO_NEED, requestS, lastWeight }];
--- a/packages/gateway/src/shared/placing/near-copies.test.ts
+++ b/packages/gateway/src/shared/placing/near-copies.test.ts
@@ -6,6 +6,7 @@
 import * as copyPlan from './copy-plan.js';
 import type * as demandMeters from './demand-meter.js';
 import * as nearCopies from './near-copies.js';
+import * as nearIndexes from './near-index.js';
 
 const test = suite('near copies');
 
@@ -44,7 +45,8 @@
 }
 
 function worths(plan: copyNeeds.PlanInput): nearCopies.NearCopies {
-  return nearCopies.createNearCopies(plan, copyNeeds.needsOf(plan));
+  const index = nearIndexes.createNearIndex(plan.upstreams);
+  return nearCopies.createNearCopies(plan, index, copyNeeds.needsOf(plan, index));
 }
 
 const BUSY = { busy: asked(40), second: asked(20), night: asked(0, 0.1) };
--- a/packages/gateway/src/shared/placing/near-copies.ts
+++ b/packages/gateway/src/shared/placing/near-copies.ts
@@ -10,6 +10,7 @@
  */
 import type * as fleet from '../../types/fleet.js';
 import * as copyNeeds from './copy-needs.js';
+import type * as nearIndexes from './near-index.js';
 
 /** How likely a model is to be what demand moves to next, from 0 to 1, by what is known of it: guesses, not measured. */
 const HOT_RISES = 0.5;
@@ -30,15 +31,6 @@
   evictionLoss: (upstream: copyNeeds.UpstreamView) => number;
 };
 
-function isNear(upstream: copyNeeds.UpstreamView, model: string): boolean {
-  return (
-    upstream.diskModels.has(model) ||
-    upstream.hostModels.has(model) ||
-    upstream.arriving === model ||
-    upstream.copies.some((copy) => copy.model === model)
-  );
-}
-
 function diskPlaces(engine: fleet.EngineSpec): number {
   const largestMb = Math.max(1, ...engine.models.map(({ sizeMb }) => sizeMb));
   return Math.floor(engine.diskMb / largestMb);
@@ -46,22 +38,16 @@
 
 export function createNearCopies(
   input: copyNeeds.PlanInput,
+  index: nearIndexes.NearIndex,
   needs: ReadonlyMap<string, copyNeeds.Need>,
 ): NearCopies {
-  const { engine, upstreams } = input;
+  const { engine } = input;
   const specs = new Map(engine.models.map((spec) => [spec.name, spec]));
   const top = Math.max(0, ...[...needs.values()].map(({ expected }) => expected));
   const unaskedWeight = engine.models
     .filter(({ name }) => input.demand(name) === null)
     .reduce((sum, spec) => sum + copyNeeds.unaskedWeight(spec), 0);
   const places = diskPlaces(engine);
-  const nearCounts = new Map(
-    engine.models.map(({ name }) => [
-      name,
-      upstreams.filter((upstream) => isNear(upstream, name)).length,
-    ]),
-  );
-
   function risesShare(model: string): number {
     const need = needs.get(model);
     const figures = input.demand(model);
@@ -89,13 +75,13 @@
   }
 
   return {
-    worthOfNext: (model) => worthOf(model, (nearCounts.get(model) ?? 0) + 1),
+    worthOfNext: (model) => worthOf(model, index.nearCount(model) + 1),
     evictionLoss: (upstream) => {
       if (upstream.diskModels.size < places) return 0;
       const resident = new Set(upstream.copies.map(({ model }) => model));
       const losses = [...upstream.diskModels]
         .filter((model) => !resident.has(model))
-        .map((model) => worthOf(model, nearCounts.get(model) ?? 1));
+        .map((model) => worthOf(model, index.nearCount(model)));
       // Which of them goes is the upstream's to decide: the one that it used longest ago.
       return losses.reduce((sum, loss) => sum + loss, 0) / Math.max(1, losses.length);
     },
