--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -19,6 +19,7 @@
 import * as peerBooks from './shared/peer-book.js';
 import * as demandCounters from './shared/placing/demand-counters.js';
 import * as placementViews from './shared/placing/placement-view.js';
+import * as listFeeds from './shared/list-feed.js';
 import * as pacesModule from './shared/paces.js';
 import * as promptCaches from './shared/prompt-caches.js';
 import * as retryShares from './shared/retry-share.js';
@@ -48,6 +49,8 @@
 export type GatewayStatus = {
   isStopping: () => boolean;
   isStoreConnected: () => boolean;
+  /** This gateway's own watch of the upstreams is answered. */
+  isListLive: () => boolean;
   hasListing: () => boolean;
   onUpstreamsLearned: () => void;
 };
@@ -74,6 +77,7 @@
   openCalls: openCallsModule.OpenCalls;
   loopLag: loopLagModule.LoopLag;
   book: peerBooks.PeerBook;
+  listFeed: listFeeds.ListFeed;
   demand: demandCounters.DemandCounters;
   view: placementViews.PlacementView;
   link: peerLinks.PeerLink;
@@ -117,6 +121,7 @@
     address: settings.peerAddress,
     leaseMs: settings.leaseMs,
     upstreamsCheckFences: settings.upstreamsCheckFences,
+    cores: settings.processorShare * settings.processorCores,
     isEligible: () => status.hasListing() && configuration.current() !== null,
   });
 }
@@ -141,7 +146,7 @@
       const gatewayCount = parts.book.live(clock.nowMs()).length + 1;
       return parts.suspects.isSuspect(upstreamId, gatewayCount, clock.nowMs());
     },
-    onNews: parts.view.apply,
+    ownView: parts.view,
     metrics: parts.metrics,
   });
 }
@@ -170,6 +175,8 @@
     seedAddresses: settings.seedAddresses,
     isStopping: status.isStopping,
     isStoreConnected: status.isStoreConnected,
+    isListLive: status.isListLive,
+    listFeed: parts.listFeed,
     onUpstreamsLearned: status.onUpstreamsLearned,
     watchPauseMs: watchPauses.followerPauseMs(settings.drainTimeoutMs),
   });
@@ -236,6 +243,7 @@
       .singleton(),
     status: awilix.asValue(status),
     book: awilix.asFunction(() => peerBooks.createPeerBook(settings.gatewayId)).singleton(),
+    listFeed: awilix.asFunction(listFeeds.createListFeed).singleton(),
     demand: awilix.asFunction(demandCounters.createDemandCounters).singleton(),
     view: awilix.asFunction(placementViews.createPlacementView).singleton(),
     link: awilix
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -18,8 +18,6 @@
 
 /** An absence shorter than this lets no entry of the platform's list lapse. */
 const LAPSE_ABSENCE_MS = 1_000;
-/** A change must be in force within two seconds also when the connection that it comes on falls silent. */
-const HOLDER_WAIT_MS = 2_000;
 const FOLLOWER_WAIT_MS = 15_000;
 const HOLDER_HEARD_MS = 1_000;
 /** The record of the configuration within its kind. */
@@ -71,6 +69,7 @@
       isStopping: () => isStopping,
       hasListing: () => hasListing,
       isStoreConnected: () => upstreamFollower.isConnected(),
+      isListLive: () => upstreamFollower.isLive(),
       onUpstreamsLearned: () => {
         hasListing = true;
         afterDirectoryChange();
@@ -84,7 +83,11 @@
     const lease = cradle.book.lease();
     const heardMs = lease === null ? null : cradle.book.lastHeardMs(lease.holderId);
     const hearsHolder = heardMs !== null && clock.nowMs() - heardMs < HOLDER_HEARD_MS;
-    return hearsHolder ? FOLLOWER_WAIT_MS : HOLDER_WAIT_MS;
+    return hearsHolder ? FOLLOWER_WAIT_MS : watchPauses.holderWaitMs(settings.drainTimeoutMs);
+  }
+
+  function isFed(): boolean {
+    return cradle.lease.heldTerm() === null && cradle.listFeed.isFed(clock.nowMs());
   }
 
   function upstreamPauseMs(): number {
@@ -113,6 +116,11 @@
     ...common,
     kind: 'upstreams',
     pauseMs: upstreamPauseMs,
+    isFed,
+    onFed: (isFedNow, fedMs) => {
+      if (isFedNow) log.info('list-feed-began', { revision: directory.revision() });
+      else log.info('list-feed-ended', { fedMs });
+    },
     onListing: (listing) => {
       directory.applyListing(listing, clock.nowMs());
       hasListing = true;
@@ -133,6 +141,9 @@
     ...common,
     kind: 'configuration',
     pauseMs: () => 0,
+    // Rare, and wanted at once by each: the store itself is asked, by few calls that wait long.
+    isFed: () => false,
+    onFed: () => {},
     onListing: (listing) => {
       const main = listing.records.find((record) => record.name === CONFIG_RECORD);
       if (main !== undefined) configuration.offer(main.value, 'store');
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -19,6 +19,9 @@
   waitMs: () => number;
   /** After changes the next watch waits this long, so that one call brings several. */
   pauseMs: () => number;
+  /** Others tell of all changes: meanwhile nothing is asked of the store. */
+  isFed: () => boolean;
+  onFed: (isFed: boolean, forMs: number) => void;
 };
 
 export type Follower = {
@@ -27,11 +30,15 @@
   /** Others have heard more: what waits now is given up, and the store asked anew. */
   renew: () => void;
   isConnected: () => boolean;
+  /** The store has answered its latest watch in time, and it is not fed by others. */
+  isLive: () => boolean;
 };
 
 const LIST_TIMEOUT_MS = 2_000;
 /** What the answer itself may take; a connection that went silent is given up after it. */
 const WATCH_GRACE_MS = 400;
+/** How often it is looked whether others still tell of changes: small against the time in which one must be in force. */
+const FED_STEP_MS = 50;
 const FIRST_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1_000;
 
@@ -44,9 +51,12 @@
   let revision: number | null = null;
   let lostAtMs: number | null = null;
   let failureCount = 0;
+  /** Until when the latest answer shows that the store is followed. */
+  let liveUntilMs = -Infinity;
 
   function noteFailure(error: stores.StoreError): Step {
     failureCount += 1;
+    liveUntilMs = -Infinity;
     if (lostAtMs === null) {
       lostAtMs = clock.nowMs();
       const reason = 'reason' in error ? error.reason : '';
@@ -57,6 +67,7 @@
 
   function noteSuccess(): void {
     failureCount = 0;
+    liveUntilMs = clock.nowMs() + options.pauseMs() + options.waitMs() + 2 * WATCH_GRACE_MS;
     if (lostAtMs === null) return;
     const awayMs = clock.nowMs() - lostAtMs;
     lostAtMs = null;
@@ -95,8 +106,23 @@
     return watched.val.changes.length > 0 ? 'changed' : 'ok';
   }
 
+  /** Changes that came meanwhile are more than a listing. */
+  async function awaitOwnTurn(): Promise<void> {
+    if (revision === null || !options.isFed()) return;
+    const startedMs = clock.nowMs();
+    liveUntilMs = -Infinity;
+    options.onFed(true, 0);
+    while (options.isFed() && !stopping.signal.aborted) {
+      await clocks.sleepUntil(clock, clock.nowMs() + FED_STEP_MS, stopping.signal);
+    }
+    options.onFed(false, Math.round(clock.nowMs() - startedMs));
+    revision = null;
+  }
+
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
+      await awaitOwnTurn();
+      if (stopping.signal.aborted) return;
       const step = revision === null ? await list() : await watch(revision);
       if (step === 'list-again') revision = null;
       const pauseMs = step === 'changed' ? options.pauseMs() : 0;
@@ -121,5 +147,6 @@
     },
     renew: () => renewWaiting(),
     isConnected: () => lostAtMs === null,
+    isLive: () => clock.nowMs() < liveUntilMs,
   };
 }
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -5,6 +5,7 @@
 import * as assert from 'uvu/assert';
 
 import * as inFlightModule from '../../shared/in-flight.js';
+import * as listFeeds from '../../shared/list-feed.js';
 import * as peerBooks from '../../shared/peer-book.js';
 import * as demandCounters from '../../shared/placing/demand-counters.js';
 import * as placementViews from '../../shared/placing/placement-view.js';
@@ -39,12 +40,15 @@
       heldTerm: null as number | null,
       isStopping: false,
       avoidedIds: [] as string[],
+      isListLive: false,
     };
     const book = peerBooks.createPeerBook(gatewayId);
     const suspects = suspectsModule.createSuspects();
+    const listFeed = listFeeds.createListFeed();
+    const inFlight = inFlightModule.createInFlight();
     const directory = directories.createUpstreamDirectory();
     const log = logs.createSilentLogger();
-    const placer = { heardDemand: () => {}, news: () => null } as Partial<placers.Placer>;
+    const placer = { heardDemand: () => {}, newsSince: () => null } as Partial<placers.Placer>;
     const lease = { heldTerm: () => state.heldTerm } as Partial<leaseKeepers.LeaseKeeper>;
     const exchange = exchanges.createExchange({
       clock,
@@ -54,7 +58,7 @@
       book,
       configuration: configHolders.createConfigHolder(log, clock),
       directory,
-      inFlight: inFlightModule.createInFlight(),
+      inFlight,
       quarantine: quarantine.createQuarantine(),
       demand: demandCounters.createDemandCounters(),
       view: placementViews.createPlacementView(),
@@ -68,12 +72,14 @@
       seedAddresses: ['g1:1', 'g2:1'],
       isStopping: () => state.isStopping,
       isStoreConnected: () => true,
+      isListLive: () => state.isListLive,
+      listFeed,
       onUpstreamsLearned: () => {},
       watchPauseMs: 1_200,
     });
     handlers.set(`${gatewayId}:1`, exchange);
     book.noteLease(HOLDER);
-    return { state, book, suspects, directory, exchange };
+    return { state, book, suspects, directory, exchange, inFlight, listFeed };
   }
 
   const holder = create('g1');
@@ -117,9 +123,10 @@
   follower.exchange.stop();
 });
 
-// The follower's own watch has fallen silent: the holder has had a newer list for longer than the watch pauses.
+// The follower's own watch has fallen silent: a peer has had a newer list for longer than the watch pauses.
 test('a list that a peer has had for longer than the watch pauses is asked of the peer', async () => {
   const { clock, holder, follower } = createPair();
+  holder.state.heldTerm = null;
   const records = [{ name: 'u1', revision: 7, value: fixtures.upstreamRecord('u1') }];
   holder.directory.applyListing({ records, unreadable: [], revision: 7 }, clock.nowMs());
   follower.exchange.start();
@@ -131,4 +138,47 @@
   follower.exchange.stop();
 });
 
+function listed(name: string, revision: number, state: 'ready' | 'draining' = 'ready') {
+  return { name, revision, value: fixtures.upstreamRecord(name, { state }) };
+}
+
+// Followers leave the watching to the holder. An upstream that leaves must get nothing new from them as soon as the
+// holder knows, and when the holder's own watch is no longer answered they have to watch again.
+test('followers get what changes in the list from the holder while its watch is answered', async () => {
+  const { clock, holder, follower } = createPair();
+  const records = [listed('u1', 7), listed('u2', 6)];
+  holder.directory.applyListing({ records, unreadable: [], revision: 7 }, clock.nowMs());
+  holder.state.isListLive = true;
+  follower.exchange.start();
+  await clock.advance(600);
+  assert.is(follower.directory.revision(), 7);
+  assert.ok(follower.listFeed.isFed(clock.nowMs()));
+  const record = listed('u1', 9, 'draining');
+  holder.directory.applyChange({ kind: 'written', record }, clock.nowMs());
+  holder.directory.applyChange({ kind: 'deleted', name: 'u2', revision: 11 }, clock.nowMs());
+  await clock.advance(600);
+  assert.equal(follower.directory.eligible('pool', clock.nowMs()), []);
+  assert.is(follower.directory.revision(), 11);
+  holder.state.isListLive = false;
+  await clock.advance(600);
+  assert.not(follower.listFeed.isFed(clock.nowMs()));
+  follower.exchange.stop();
+});
+
+// The holder sums the loads of all once for many askers. Its sum holds what the asker told before, or with this
+// question: taken off wrongly, an asker counts its own requests twice or takes those of others for its own.
+test('a follower sees the loads of others, without its own', async () => {
+  const { clock, holder, follower } = createPair();
+  const request = { upstreamId: 'u1', model: 'm', priority: 1, promptTokens: 100 };
+  holder.inFlight.started(request);
+  follower.exchange.start();
+  for (let round = 0; round < 8; round += 1) {
+    follower.inFlight.started(request);
+    await clock.advance(250);
+    // Its own, exactly, and the holder's one.
+    assert.is(follower.inFlight.modelCount('u1', 'm', clock.nowMs()), round + 2);
+  }
+  follower.exchange.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -1,14 +1,17 @@
 /**
  * Exchanges news with other gateways: with the holder of the lease several times a second, with others
  * at random. So the cost of a gateway does not grow with their number, and one that the store turns away
- * still learns of configurations and of upstreams that leave.
+ * still learns of configurations and of upstreams that leave. The holder answers all; what it tells all alike is
+ * encoded once for many answers, and what an asker has already is left out.
  */
 import type { quarantine } from '@copperlever/decisions';
 import type { gatewayPeer } from '@copperlever/protocol';
 import { clocks as clocksModule, randoms as randomsModule } from '@copperlever/runtime';
 import type { clocks, randoms } from '@copperlever/runtime';
 
-import type * as inFlightModule from '../../shared/in-flight.js';
+import * as exchangePace from '../../shared/exchange-pace.js';
+import * as inFlightModule from '../../shared/in-flight.js';
+import type * as listFeeds from '../../shared/list-feed.js';
 import * as listLag from '../../shared/list-lag.js';
 import type * as peerBooks from '../../shared/peer-book.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
@@ -47,6 +50,9 @@
   seedAddresses: readonly string[];
   isStopping: () => boolean;
   isStoreConnected: () => boolean;
+  /** This gateway's own watch of the upstreams is answered. */
+  isListLive: () => boolean;
+  listFeed: listFeeds.ListFeed;
   onUpstreamsLearned: () => void;
   /** The longest that this gateway's own watch pauses after changes. */
   watchPauseMs: number;
@@ -60,13 +66,17 @@
   hurry: () => void;
 };
 
-/** Loads and copies change within some hundred milliseconds. */
-const HOLDER_PERIOD_MS = 250;
+type SharedLoads = { encoded: Buffer; atMs: number };
+
 /** How often one other gateway, drawn at random, is asked. */
 const PEER_PERIOD_MS = 1_000;
 const CALL_TIMEOUT_MS = 600;
 /** Misses come in groups; the first one's message tells of those that follow within this time. */
 const HURRY_MS = 40;
+/** How often the gateways that others know of are told again: well before they are taken for gone. */
+const GATEWAYS_PERIOD_MS = 2_000;
+/** Loads are summed and encoded once for all that ask within this time. */
+const LOADS_SHARED_MS = 100;
 /** What the answer to a watch may take beside its pause. */
 const WATCH_ANSWER_MS = 300;
 /** The source of what the holder tells of all others. */
@@ -77,7 +87,14 @@
   const stopping = new AbortController();
   let wake: () => void = () => {};
   let isHurried = false;
+  let roundStartedMs = -Infinity;
   let lastPeerMs = -Infinity;
+  let lastGatewaysMs = -Infinity;
+  let shared: SharedLoads = { encoded: Buffer.alloc(0), atMs: -Infinity };
+  /** The loads that the holder was told with the question before. */
+  let toldBefore: readonly inFlightModule.ModelLoad[] = [];
+  /** Since when the holder has not answered; null while it does. */
+  let holderSilentMs: number | null = null;
   const lag = listLag.createListLag(deps.watchPauseMs + WATCH_ANSWER_MS);
 
   /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
@@ -86,9 +103,14 @@
     return lag.isLagging(directory.revision(), nowMs);
   }
 
-  function ownNews(): gatewayPeer.GatewayNews {
+  function gatewayCount(nowMs: number): number {
+    return book.live(nowMs).length + 1;
+  }
+
+  function ownNews(tellsGateways: boolean): gatewayPeer.GatewayNews {
     const nowMs = clock.nowMs();
     const lease = book.lease();
+    const basis = deps.listFeed.basis();
     return {
       gatewayId: deps.gatewayId,
       address: deps.address,
@@ -97,7 +119,11 @@
       upstreamsRevision: directory.revision(),
       wantsUpstreams: wantsUpstreams(nowMs),
       lease: lease === null ? undefined : lease,
-      gateways: [...book.heard(nowMs)],
+      gateways: tellsGateways ? [...book.heard(nowMs)] : [],
+      wantsGateways: false,
+      isListLive: deps.isListLive(),
+      knownMembersIncarnation: basis.incarnation,
+      knownMembersVersion: basis.version,
       quarantined: deps.quarantine.refused(nowMs).map(({ fingerprint, untilMs }) => ({
         fingerprint,
         remainingMs: Math.round(untilMs - nowMs),
@@ -137,34 +163,71 @@
     }
   }
 
-  function takePlacement(reply: gatewayPeer.ExchangeReply): void {
+  /** `asked`: the loads that the holder has been told with the question. */
+  function takeFromHolder(
+    reply: gatewayPeer.ExchangeReply,
+    asked: readonly inFlightModule.ModelLoad[],
+  ): void {
     const lease = book.lease();
     const isHolder = lease !== null && reply.news?.gatewayId === lease.holderId;
     if (!isHolder) return;
     const nowMs = clock.nowMs();
+    takeMembers(reply, nowMs);
     if (reply.placement !== undefined) {
       view.apply(newsCodec.fromPlacementNews(reply.placement, nowMs));
     }
     view.confirm(nowMs);
-    inFlight.heard(HOLDER_SOURCE, reply.loads, nowMs);
+    const loads = newsCodec.fromLoadTable(reply.loads);
+    const told = reply.loadsIncludeQuestion ? asked : toldBefore;
+    toldBefore = asked;
+    inFlight.heard(HOLDER_SOURCE, inFlightModule.withoutLoads(loads, told), nowMs);
+  }
+
+  function takeMembers(reply: gatewayPeer.ExchangeReply, nowMs: number): void {
+    const { members } = reply;
+    if (members !== undefined && members.revision > 0) {
+      directory.applyMembers(newsCodec.fromMembersNews(members), nowMs);
+      if (members.written.length > 0 || members.removed.length > 0) deps.onUpstreamsLearned();
+    }
+    const basis =
+      members === undefined ? null : { incarnation: members.incarnation, version: members.version };
+    deps.listFeed.heard({ isListLive: reply.news?.isListLive === true, basis }, nowMs);
+  }
+
+  function noteHolder(reason: string | null): void {
+    const nowMs = clock.nowMs();
+    const holderId = book.lease()?.holderId ?? '';
+    if (reason !== null && holderSilentMs === null) {
+      holderSilentMs = nowMs;
+      deps.log.warn('holder-lost', { holderId, reason });
+    }
+    if (reason === null && holderSilentMs !== null) {
+      const awayMs = Math.round(nowMs - holderSilentMs);
+      holderSilentMs = null;
+      deps.log.info('holder-regained', { holderId, awayMs });
+    }
   }
 
   async function exchangeWith(address: string, isHolder: boolean): Promise<void> {
     const nowMs = clock.nowMs();
+    const wantsGateways = !isHolder || nowMs - lastGatewaysMs >= GATEWAYS_PERIOD_MS;
+    const loads = isHolder ? newsCodec.toLoadNews(inFlight.ownLoads()) : [];
     const request: gatewayPeer.ExchangeRequest = {
-      news: ownNews(),
-      loads: isHolder ? newsCodec.toLoadNews(inFlight.ownLoads()) : [],
+      news: { ...ownNews(!isHolder), wantsGateways },
+      loads,
       demands: isHolder ? deps.demand.recent(nowMs).map(newsCodec.toDemandNews) : [],
       avoidedUpstreamIds: isHolder ? [...deps.beliefs.avoidedIds()] : [],
     };
     const reply = await deps.link.exchange(address, request, nowMs + CALL_TIMEOUT_MS);
+    if (isHolder) noteHolder(reply.ok ? null : reply.val.kind);
     if (reply.err) {
       book.missed(address, nowMs);
       return;
     }
+    if (isHolder && wantsGateways) lastGatewaysMs = nowMs;
     takeNews(reply.val.news);
     takeDocuments(reply.val);
-    takePlacement(reply.val);
+    takeFromHolder(reply.val, loads);
   }
 
   /** The holder's own counts and copies need no message. */
@@ -172,11 +235,24 @@
     const nowMs = clock.nowMs();
     deps.placer.heardDemand(deps.gatewayId, deps.incarnation, deps.demand.recent(nowMs));
     deps.suspects.heard(deps.gatewayId, deps.beliefs.avoidedIds(), nowMs);
-    const news = deps.placer.news();
-    if (news !== null) view.apply(news);
     view.confirm(nowMs);
   }
 
+  /** The sum of all loads, and whether it was made for this question. */
+  function sharedLoads(nowMs: number): { encoded: Buffer; isNew: boolean } {
+    const isNew = nowMs - shared.atMs >= LOADS_SHARED_MS;
+    if (isNew) shared = { encoded: newsCodec.toLoadTable(inFlight.allLoads(nowMs)), atMs: nowMs };
+    return { encoded: shared.encoded, isNew };
+  }
+
+  function membersFor(news: gatewayPeer.GatewayNews, nowMs: number): gatewayPeer.MembersNews {
+    const isKnown = news.knownMembersIncarnation === deps.incarnation;
+    const members = isKnown
+      ? directory.membersAfter(news.knownMembersVersion, nowMs)
+      : directory.membersAfterRevision(news.upstreamsRevision, nowMs);
+    return newsCodec.toMembersNews(members, deps.incarnation);
+  }
+
   function holderAddress(): string | null {
     const lease = book.lease();
     return lease === null ? null : book.addressOf(lease.holderId);
@@ -205,8 +281,11 @@
     await Promise.all(calls);
   }
 
-  async function nextRound(atMs: number): Promise<void> {
-    const waitUntilMs = isHurried ? clock.nowMs() + HURRY_MS : atMs;
+  async function nextRound(startedMs: number): Promise<void> {
+    const nowMs = clock.nowMs();
+    const count = gatewayCount(nowMs);
+    const pauseMs = isHurried ? exchangePace.hurryMs(count) : exchangePace.periodMs(count);
+    const waitUntilMs = startedMs + pauseMs;
     const hurried = new Promise<void>((resolve) => {
       wake = resolve;
     });
@@ -215,10 +294,10 @@
 
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
-      const nextMs = clock.nowMs() + HOLDER_PERIOD_MS;
+      roundStartedMs = clock.nowMs();
       isHurried = false;
       await round();
-      await nextRound(nextMs);
+      await nextRound(roundStartedMs);
     }
   }
 
@@ -247,26 +326,26 @@
         current !== null && current.config.version > (news?.configVersion ?? 0);
       const hasNewerList = directory.revision() > (news?.upstreamsRevision ?? 0);
       const mayWantList = news?.wantsUpstreams === true && hasNewerList;
-      const placement = isHolder ? deps.placer.news() : null;
-      const isPlacementNewer =
-        placement !== null &&
-        (placement.version !== news?.knownPlacementVersion ||
-          placement.term !== news.knownPlacementTerm);
+      const placement = isHolder
+        ? deps.placer.newsSince(news?.knownPlacementTerm ?? 0, news?.knownPlacementVersion ?? 0)
+        : null;
+      const loads = isHolder ? sharedLoads(nowMs) : null;
       return {
-        news: ownNews(),
+        news: ownNews(news?.wantsGateways === true),
         config: hasNewerConfig ? Buffer.from(JSON.stringify(current.config)) : Buffer.alloc(0),
         upstreams: mayWantList ? Buffer.from(JSON.stringify(directory.listing())) : Buffer.alloc(0),
-        loads: isHolder ? newsCodec.toLoadNews(inFlight.loadsWithout(sourceId, nowMs)) : [],
-        placement:
-          isPlacementNewer && placement !== null
-            ? newsCodec.toPlacementNews(placement, nowMs)
-            : undefined,
+        loads: loads?.encoded ?? Buffer.alloc(0),
+        loadsIncludeQuestion: loads?.isNew ?? false,
+        placement: placement === null ? undefined : newsCodec.toPlacementNews(placement, nowMs),
+        members: isHolder && news !== undefined ? membersFor(news, nowMs) : undefined,
       };
     },
     hurry: () => {
       if (isHurried) return;
       isHurried = true;
-      clock.schedule(clock.nowMs() + HURRY_MS, () => wake());
+      const nowMs = clock.nowMs();
+      const pauseMs = exchangePace.hurryMs(gatewayCount(nowMs));
+      clock.schedule(Math.max(nowMs + HURRY_MS, roundStartedMs + pauseMs), () => wake());
     },
   };
 }
--- a/packages/gateway/src/server/peers/news-codec.ts
+++ b/packages/gateway/src/server/peers/news-codec.ts
@@ -1,9 +1,12 @@
 /** The gateways' messages and the types that the rest of the gateway works with. */
-import type { gatewayPeer } from '@copperlever/protocol';
+import { gatewayPeer } from '@copperlever/protocol';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
+import type * as directories from '../../shared/upstream-directory.js';
+import type * as fleet from '../../types/fleet.js';
+import type * as stores from '../../types/stores.js';
 
 export function toDemandNews(count: demandCounters.DemandCount): gatewayPeer.DemandNews {
   return { ...count, adapter: count.adapter ?? '' };
@@ -20,6 +23,58 @@
   }));
 }
 
+/** Numbers for each model and priority in a table of loads. */
+const CELL_SIZE = 4;
+
+export function toLoadTable(loads: readonly inFlightModule.ModelLoad[]): Buffer {
+  const indexes = new Map<string, number>();
+  const cells = new Map<string, number[]>();
+  loads.forEach(({ upstreamId, model, priority, inFlightCount, unreadPromptTokens }) => {
+    const index = indexes.get(model) ?? indexes.size;
+    indexes.set(model, index);
+    const cell = [index, priority, inFlightCount, Math.max(0, Math.round(unreadPromptTokens))];
+    const known = cells.get(upstreamId);
+    if (known === undefined) cells.set(upstreamId, cell);
+    else known.push(...cell);
+  });
+  const table = {
+    models: [...indexes.keys()],
+    upstreams: [...cells].map(([upstreamId, numbers]) => ({ upstreamId, cells: numbers })),
+  };
+  return Buffer.from(gatewayPeer.LoadTable.encode(table).finish());
+}
+
+export function fromLoadTable(encoded: Uint8Array): inFlightModule.ModelLoad[] {
+  const table = gatewayPeer.LoadTable.decode(encoded);
+  return table.upstreams.flatMap(({ upstreamId, cells }) =>
+    Array.from({ length: Math.floor(cells.length / CELL_SIZE) }, (_, at) => {
+      const [index = 0, priority = 0, inFlightCount = 0, unreadPromptTokens = 0] = cells.slice(
+        at * CELL_SIZE,
+        (at + 1) * CELL_SIZE,
+      );
+      const model = table.models[index] ?? '';
+      return { upstreamId, model, priority, inFlightCount, unreadPromptTokens };
+    }),
+  );
+}
+
+function toArrivalNews(
+  arrival: placementViews.Arrival | null,
+  nowMs: number,
+): gatewayPeer.ArrivalNews | undefined {
+  if (arrival === null) return undefined;
+  const { service, model, readyAtMs } = arrival;
+  return { service, model, readyInMs: Math.max(0, Math.round(readyAtMs - nowMs)) };
+}
+
+function fromArrivalNews(
+  news: gatewayPeer.ArrivalNews | undefined,
+  nowMs: number,
+): placementViews.Arrival | null {
+  if (news === undefined) return null;
+  return { service: news.service, model: news.model, readyAtMs: nowMs + news.readyInMs };
+}
+
 export function toPlacementNews(
   news: placementViews.PlacementNews,
   nowMs: number,
@@ -27,20 +82,18 @@
   return {
     term: news.term,
     version: news.version,
-    upstreams: [...news.upstreams].map(([upstreamId, { copies, blockedUntilMs }]) => ({
+    isWhole: news.isWhole,
+    removedUpstreamIds: [...news.removedIds],
+    upstreams: [...news.upstreams].map(([upstreamId, { copies, blockedUntilMs, arrival }]) => ({
       upstreamId,
       blockedForMs: Math.max(0, Math.round(blockedUntilMs - nowMs)),
+      arrival: toArrivalNews(arrival, nowMs),
       copies: copies.map(({ model, adapters, isClosing }) => ({
         model,
         adapters: [...adapters],
         isClosing,
       })),
     })),
-    arrivals: news.arrivals.map(({ service, model, readyAtMs }) => ({
-      service,
-      model,
-      readyInMs: Math.max(0, Math.round(readyAtMs - nowMs)),
-    })),
   };
 }
 
@@ -51,16 +104,43 @@
   return {
     term: news.term,
     version: news.version,
+    isWhole: news.isWhole,
+    removedIds: news.removedUpstreamIds,
     upstreams: new Map(
-      news.upstreams.map(({ upstreamId, copies, blockedForMs }) => [
+      news.upstreams.map(({ upstreamId, copies, blockedForMs, arrival }) => [
         upstreamId,
-        { copies, blockedUntilMs: nowMs + blockedForMs },
+        {
+          copies,
+          blockedUntilMs: nowMs + blockedForMs,
+          arrival: fromArrivalNews(arrival, nowMs),
+        },
       ]),
     ),
-    arrivals: news.arrivals.map(({ service, model, readyInMs }) => ({
-      service,
-      model,
-      readyAtMs: nowMs + readyInMs,
-    })),
   };
 }
+
+export function toMembersNews(
+  members: directories.Members,
+  incarnation: number,
+): gatewayPeer.MembersNews {
+  const { version, revision, isWhole, written, removed } = members;
+  return {
+    incarnation,
+    version,
+    revision,
+    isWhole,
+    written: written.length === 0 ? Buffer.alloc(0) : Buffer.from(JSON.stringify(written)),
+    removed: [...removed],
+  };
+}
+
+export function fromMembersNews(news: gatewayPeer.MembersNews): directories.Members {
+  const { version, revision, isWhole, removed } = news;
+  const written =
+    news.written.length === 0
+      ? []
+      : (JSON.parse(
+          Buffer.from(news.written).toString('utf8'),
+        ) as stores.StoredRecord<fleet.UpstreamRecord>[]);
+  return { version, revision, isWhole, written, removed };
+}
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -18,6 +18,8 @@
   address: string;
   leaseMs: number;
   upstreamsCheckFences: boolean;
+  /** What this gateway may use of processors. */
+  cores: number;
   /** Only a gateway that knows what there is may place. */
   isEligible: () => boolean;
 };
@@ -65,6 +67,7 @@
   /** The release is on its way: an order now could cross those of the next holder. */
   let isReleasing = false;
   const startedAtMs = clock.nowMs();
+  const takeDelayMs = leaseDecisions.takeDelayMs(deps.cores);
 
   function deadlineMs(): number {
     return clock.nowMs() + CALL_TIMEOUT_MS;
@@ -229,7 +232,13 @@
       return;
     }
     if (isLeaving || !deps.isEligible()) return;
-    if (!leaseDecisions.shouldLook(holderHeardMs(), startedAtMs - TICK_MS, nowMs)) return;
+    const input = {
+      startedAtMs,
+      lastHeardMs: holderHeardMs(),
+      seenAtMs: seen?.atMs ?? null,
+      takeDelayMs,
+    };
+    if (!leaseDecisions.shouldLook(input, nowMs)) return;
     await look();
   }
 
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -2,6 +2,7 @@
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
 
+import * as changeLedgers from '../../shared/change-ledger.js';
 import * as adapterPlan from '../../shared/placing/adapter-plan.js';
 import * as copyNeeds from '../../shared/placing/copy-needs.js';
 import * as copyPlan from '../../shared/placing/copy-plan.js';
@@ -33,7 +34,7 @@
   /** Whether it is taken for dead though the platform lists it. */
   isSuspect: (upstreamId: string) => boolean;
   /** This gateway's own view of the placing, kept without a message. */
-  onNews: (news: placementViews.PlacementNews) => void;
+  ownView: Pick<placementViews.PlacementView, 'apply' | 'version'>;
   metrics: Pick<metricsModule.GatewayMetrics, 'orderGiven' | 'changeEnded'>;
 };
 
@@ -46,7 +47,8 @@
     incarnation: number,
     counts: readonly demandCounters.DemandCount[],
   ) => void;
-  news: () => placementViews.PlacementNews | null;
+  /** What one that knows `version` of `term` lacks; null when that is nothing, or the lease is not held. */
+  newsSince: (term: number, version: number) => placementViews.PlacementNews | null;
   ensureAdapter: (upstreamId: string, model: string, adapter: string) => Promise<boolean>;
 };
 
@@ -61,6 +63,13 @@
 /** Adapters load within some tens of milliseconds, four at once at one upstream. */
 const ADAPTER_LOADS_AT_ONCE = 2;
 
+function isSamePlaced(
+  left: placementViews.PlacedUpstream,
+  right: placementViews.PlacedUpstream,
+): boolean {
+  return JSON.stringify(left) === JSON.stringify(right);
+}
+
 export function createPlacer(deps: PlacerDeps): Placer {
   const { clock, log, directory } = deps;
   const stopping = new AbortController();
@@ -75,11 +84,12 @@
   const inheritedLateLoads = new Map<string, readonly lateLoads.LateLoad[]>();
   let storeLoads = storeLoadsModule.createStoreLoads(deps.storeLoadLimits);
   let servedTerm: number | null = null;
-  let version = 0;
   let lastArrivalMs = 0;
   const prior = new Map<string, number>();
   let hasPrior = false;
-  let published: placementViews.PlacementNews | null = null;
+  const ledger = changeLedgers.createChangeLedger<placementViews.PlacedUpstream, null>(
+    isSamePlaced,
+  );
 
   function modelKey(service: string, model: string): string {
     return `${service} ${model}`;
@@ -91,26 +101,25 @@
     if (count.adapter !== null) adapterAskedMs.set(`${count.model}/${count.adapter}`, nowMs);
   }
 
-  function publish(): void {
+  function newsSince(knownTerm: number, knownVersion: number): placementViews.PlacementNews | null {
     const term = deps.lease.heldTerm();
-    if (term === null) {
-      published = null;
-      return;
-    }
-    version += 1;
-    const placed = [...byUpstream.values()].flatMap(
-      (steward): [string, placementViews.PlacedUpstream][] => {
-        const held = steward.placed();
-        return held === null ? [] : [[steward.upstreamId, held]];
-      },
-    );
-    const arrivals = [...byUpstream.values()].flatMap((steward) => {
-      const arrival = steward.arrival();
-      const service = directory.find(steward.upstreamId)?.service;
-      return arrival === null || service === undefined ? [] : [{ service, ...arrival }];
-    });
-    published = { term, version, upstreams: new Map(placed), arrivals };
-    deps.onNews(published);
+    if (term === null || term !== servedTerm) return null;
+    const isSameTerm = knownTerm === term;
+    if (isSameTerm && knownVersion === ledger.version()) return null;
+    const { version, isWhole, written, removed } = ledger.since(isSameTerm ? knownVersion : null);
+    return { term, version, isWhole, upstreams: written, removedIds: [...removed.keys()] };
+  }
+
+  /** This gateway's own requests see each change at once. */
+  function tellSelf(): void {
+    const { term, version } = deps.ownView.version();
+    const news = newsSince(term, version);
+    if (news !== null) deps.ownView.apply(news);
+  }
+
+  function publish(upstreamId: string): void {
+    const placed = byUpstream.get(upstreamId)?.placed() ?? null;
+    if (placed !== null && ledger.put(upstreamId, placed)) tellSelf();
   }
 
   function createSteward(record: fleet.UpstreamRecord): stewards.Steward {
@@ -126,7 +135,7 @@
         else storeLoads.uncertain(clock.nowMs() + lateLoads.LATE_ORDER_MS);
       },
       adapterLastAskedMs: (model, adapter) => adapterAskedMs.get(`${model}/${adapter}`) ?? 0,
-      onChanged: publish,
+      onChanged: () => publish(record.upstreamId),
       inheritedLateLoads: inheritedLateLoads.get(record.name) ?? [],
       metrics: deps.metrics,
     });
@@ -144,6 +153,7 @@
       if (ids.has(id)) continue;
       steward.stop();
       byUpstream.delete(id);
+      if (ledger.remove(id, null)) tellSelf();
       inheritedLateLoads.set(steward.name, steward.lateLoads());
     }
     for (const [name, late] of inheritedLateLoads) {
@@ -165,13 +175,13 @@
   function endTerm(): void {
     byUpstream.forEach((steward) => steward.stop());
     byUpstream.clear();
-    published = null;
     servedTerm = null;
   }
 
   function beginTerm(term: number): void {
     endTerm();
     servedTerm = term;
+    ledger.clear();
     storeLoads = storeLoadsModule.createStoreLoads(deps.storeLoadLimits);
     // The first holder of all has no predecessor.
     if (term > 1) storeLoads.assumeUsed(clock.nowMs());
@@ -328,7 +338,7 @@
         });
       });
     },
-    news: () => published,
+    newsSince,
     ensureAdapter: async (upstreamId, model, adapter) => {
       const service = directory.find(upstreamId)?.service;
       const engine = engineServices().find(({ name }) => name === service)?.engine;
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -188,14 +188,14 @@
   await clock.advance(500);
   const startedMs = clock.nowMs();
   steward.startChange(change('d', 'a'));
-  const toldAtFirstMs = (steward.arrival()?.readyAtMs ?? 0) - startedMs;
+  const toldAtFirstMs = (steward.placed()?.arrival?.readyAtMs ?? 0) - startedMs;
   assert.ok(toldAtFirstMs > LOAD_MS && toldAtFirstMs < LOAD_MS + 1_500, `${toldAtFirstMs}`);
   await clock.advance(4_000);
-  const toldLaterMs = (steward.arrival()?.readyAtMs ?? 0) - startedMs;
+  const toldLaterMs = (steward.placed()?.arrival?.readyAtMs ?? 0) - startedMs;
   assert.ok(toldLaterMs > 4_000 + LOAD_MS, `${toldLaterMs}`);
   await clock.advance(10_000);
   assert.equal(modelsOf(steward), ['b', 'c', 'd']);
-  assert.is(steward.arrival(), null);
+  assert.is(steward.placed()?.arrival, null);
   steward.stop();
 });
 
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -40,7 +40,6 @@
   /** Null until the upstream has told what it holds. */
   view: (inFlightOf: (model: string) => number) => copyNeeds.UpstreamView | null;
   placed: () => placementViews.PlacedUpstream | null;
-  arrival: () => { model: string; readyAtMs: number } | null;
   startChange: (change: copyPlan.CopyChange) => void;
   ensureAdapter: (model: string, adapter: string, adaptersMax: number) => Promise<boolean>;
   /** Loads without an answer, which may still begin. */
@@ -503,6 +502,7 @@
       isKnown
         ? {
             blockedUntilMs: blockedUntilMs(),
+            arrival: arriving === null ? null : { service: record.service, ...arriving },
             copies: [...copies].map(([model, { adapters, isClosing }]) => ({
               model,
               adapters: [...adapters],
@@ -514,7 +514,6 @@
     adapterCount: () => takenPlaces() + adapterLoads.size - places.arrivingCount(),
     hasAdapter: (model, adapter) =>
       copies.get(model)?.adapters.has(adapter) === true || adapterLoads.has(`${model}/${adapter}`),
-    arrival: () => arriving,
     startChange: (wanted) => {
       isChanging = true;
       isStoreLoad = wanted.level === 'store';
--- a/packages/gateway/src/shared/in-flight.test.ts
+++ b/packages/gateway/src/shared/in-flight.test.ts
@@ -45,10 +45,50 @@
   inFlight.heard('holder', [{ ...load, priority: 1 }], 1_000);
   assert.is(ahead(inFlight, 0, 1_500).readMs, 0);
   assert.is(ahead(inFlight, 1, 1_500).readMs, 30);
-  assert.is(ahead(inFlight, 1, 9_000).inFlightCount, 0);
   inFlight.started(USUAL);
-  const told = inFlight.loadsWithout('asker', 1_500);
+  const told = inFlight.allLoads(1_500);
   assert.equal(told, [{ ...load, priority: 1, inFlightCount: 3, unreadPromptTokens: 4_500 }]);
+  // What is left is its own.
+  assert.is(ahead(inFlight, 1, 9_000).inFlightCount, 1);
+});
+
+// The holder sums once for all askers. Were an asker's own requests left in the sum, it would see each of them twice
+// and keep away from upstreams that are free.
+test('an asker takes off what it has told itself', () => {
+  const told = {
+    upstreamId: 'u1',
+    model: 'm',
+    priority: 1,
+    inFlightCount: 2,
+    unreadPromptTokens: 9,
+  };
+  const other = { ...told, priority: 0 };
+  const all = [{ ...told, inFlightCount: 5, unreadPromptTokens: 20 }, other];
+  assert.equal(inFlightModule.withoutLoads(all, [told]), [
+    { ...told, inFlightCount: 3, unreadPromptTokens: 11 },
+    other,
+  ]);
+  assert.equal(inFlightModule.withoutLoads([told, other], [told]), [other]);
+});
+
+// Sums are kept as news comes in. An error that stayed behind would keep requests away from an upstream for good.
+test('what was heard is replaced, and leaves nothing behind', () => {
+  const inFlight = inFlightModule.createInFlight();
+  const load = {
+    upstreamId: 'u1',
+    model: 'm',
+    priority: 1,
+    inFlightCount: 2,
+    unreadPromptTokens: 9,
+  };
+  inFlight.heard('g1', [load, { ...load, upstreamId: 'u2' }], 1_000);
+  inFlight.heard('g2', [load], 1_100);
+  assert.is(inFlight.modelCount('u1', 'm', 1_200), 4);
+  inFlight.heard('g1', [{ ...load, inFlightCount: 1, unreadPromptTokens: 0 }], 1_300);
+  assert.is(inFlight.modelCount('u1', 'm', 1_400), 3);
+  assert.is(inFlight.modelCount('u2', 'm', 1_400), 0);
+  assert.is(inFlight.modelCount('u1', 'm', 2_700), 1);
+  assert.equal(inFlight.allLoads(9_000), []);
 });
 
 // Models differ in pace by a factor of eight: the same tokens of another model take another time.
--- a/packages/gateway/src/shared/in-flight.ts
+++ b/packages/gateway/src/shared/in-flight.ts
@@ -30,8 +30,8 @@
   /** What another source has in flight; replaces what was heard from it before. */
   heard: (sourceId: string, loads: readonly ModelLoad[], nowMs: number) => void;
   ownLoads: () => readonly ModelLoad[];
-  /** What was heard from all sources but `exceptId`, and this gateway's own. */
-  loadsWithout: (exceptId: string, nowMs: number) => readonly ModelLoad[];
+  /** What was heard from all sources, and this gateway's own. */
+  allLoads: (nowMs: number) => readonly ModelLoad[];
 };
 
 export type StartedRequest = {
@@ -51,10 +51,12 @@
 
 /** Older news says nothing about requests that take a second or two. */
 const HEARD_VALID_MS = 1_500;
+/** How often it is looked for old news: each request asks for the loads of many upstreams. */
+const SWEEP_MS = 100;
 
 type LoadsByUpstream = Map<string, ModelLoad[]>;
 
-type Source = { byUpstream: LoadsByUpstream; atMs: number };
+type Source = { loads: readonly ModelLoad[]; atMs: number };
 
 type LoadKey = Omit<StartedRequest, 'promptTokens'>;
 
@@ -62,54 +64,88 @@
   return load.model === key.model && load.priority === key.priority;
 }
 
-function groupByUpstream(loads: readonly ModelLoad[]): LoadsByUpstream {
-  const groups: LoadsByUpstream = new Map();
-  loads.forEach((load) => {
-    const group = groups.get(load.upstreamId);
-    if (group === undefined) groups.set(load.upstreamId, [load]);
-    else group.push(load);
+/** Adds to the load of one model and priority; what has come to nothing is dropped. */
+function addTo(
+  groups: LoadsByUpstream,
+  key: LoadKey,
+  countChange: number,
+  tokensChange: number,
+): void {
+  const { upstreamId, model, priority } = key;
+  const loads = groups.get(upstreamId) ?? [];
+  const before = loads.find((load) => isSameKey(load, key));
+  const inFlightCount = (before?.inFlightCount ?? 0) + countChange;
+  const unreadPromptTokens = (before?.unreadPromptTokens ?? 0) + tokensChange;
+  const rest = loads.filter((load) => load !== before);
+  if (inFlightCount > 0) {
+    rest.push({ upstreamId, model, priority, inFlightCount, unreadPromptTokens });
+  }
+  if (rest.length > 0) groups.set(upstreamId, rest);
+  else groups.delete(upstreamId);
+}
+
+/** The asker's loads taken off from those of all, as it had told them. */
+export function withoutLoads(
+  all: readonly ModelLoad[],
+  told: readonly ModelLoad[],
+): readonly ModelLoad[] {
+  const keyOf = ({ upstreamId, model, priority }: LoadKey) => `${upstreamId} ${model} ${priority}`;
+  const toldByKey = new Map(told.map((load) => [keyOf(load), load]));
+  return all.flatMap((load) => {
+    const own = toldByKey.get(keyOf(load));
+    if (own === undefined) return [load];
+    const inFlightCount = load.inFlightCount - own.inFlightCount;
+    if (inFlightCount <= 0) return [];
+    const unreadPromptTokens = Math.max(0, load.unreadPromptTokens - own.unreadPromptTokens);
+    return [{ ...load, inFlightCount, unreadPromptTokens }];
   });
-  return groups;
 }
 
-/** Loads are kept by upstream: each request looks at those of every upstream that it may go to. */
+/**
+ * Loads are kept by upstream: each request looks at those of every upstream that it may go to. What others have told
+ * is summed when it is heard, not when it is asked for: the holder hears from each gateway several times a second, and
+ * is asked as often for the sum by every other.
+ */
 export function createInFlight(): InFlight {
   const own: LoadsByUpstream = new Map();
   const others = new Map<string, Source>();
+  const othersSum: LoadsByUpstream = new Map();
+  let sweptMs = -Infinity;
 
-  function add(key: LoadKey, countChange: number, tokensChange: number): void {
-    const { upstreamId, model, priority } = key;
-    const loads = own.get(upstreamId) ?? [];
-    const before = loads.find((load) => isSameKey(load, key));
-    const inFlightCount = (before?.inFlightCount ?? 0) + countChange;
-    const unreadPromptTokens = (before?.unreadPromptTokens ?? 0) + tokensChange;
-    const rest = loads.filter((load) => load !== before);
-    if (inFlightCount > 0) {
-      rest.push({ upstreamId, model, priority, inFlightCount, unreadPromptTokens });
-    }
-    if (rest.length > 0) own.set(upstreamId, rest);
-    else own.delete(upstreamId);
+  function addAll(loads: readonly ModelLoad[], sign: 1 | -1): void {
+    loads.forEach((load) => {
+      addTo(othersSum, load, sign * load.inFlightCount, sign * load.unreadPromptTokens);
+    });
   }
 
-  function* sources(nowMs: number, exceptId: string | null): Iterable<LoadsByUpstream> {
-    yield own;
-    for (const [sourceId, { byUpstream, atMs }] of others) {
-      if (sourceId !== exceptId && nowMs - atMs <= HEARD_VALID_MS) yield byUpstream;
+  function forget(sourceId: string): void {
+    addAll(others.get(sourceId)?.loads ?? [], -1);
+    others.delete(sourceId);
+  }
+
+  /** What is old ends here. */
+  function heardSum(nowMs: number): LoadsByUpstream {
+    if (nowMs - sweptMs < SWEEP_MS) return othersSum;
+    sweptMs = nowMs;
+    for (const [sourceId, { atMs }] of others) {
+      if (nowMs - atMs > HEARD_VALID_MS) forget(sourceId);
     }
+    return othersSum;
   }
 
   function* loadsAt(upstreamId: string, nowMs: number): Iterable<ModelLoad> {
-    for (const byUpstream of sources(nowMs, null)) yield* byUpstream.get(upstreamId) ?? [];
+    yield* own.get(upstreamId) ?? [];
+    yield* heardSum(nowMs).get(upstreamId) ?? [];
   }
 
   return {
     started: (request) => {
       let unreadTokens = request.promptTokens;
       let isOpen = true;
-      add(request, 1, unreadTokens);
+      addTo(own, request, 1, unreadTokens);
       const promptRead = () => {
         if (!isOpen) return;
-        add(request, 0, -unreadTokens);
+        addTo(own, request, 0, -unreadTokens);
         unreadTokens = 0;
       };
       return {
@@ -118,7 +154,7 @@
           if (!isOpen) return;
           promptRead();
           isOpen = false;
-          add(request, -1, 0);
+          addTo(own, request, -1, 0);
         },
       };
     },
@@ -143,23 +179,19 @@
       return sum;
     },
     heard: (sourceId, loads, nowMs) => {
-      others.set(sourceId, { byUpstream: groupByUpstream(loads), atMs: nowMs });
+      forget(sourceId);
+      const taken = loads.filter(({ inFlightCount }) => inFlightCount > 0);
+      others.set(sourceId, { loads: taken, atMs: nowMs });
+      addAll(taken, 1);
     },
     ownLoads: () => [...own.values()].flat(),
-    loadsWithout: (exceptId, nowMs) => {
-      const sums = new Map<string, ModelLoad>();
-      for (const byUpstream of sources(nowMs, exceptId)) {
-        for (const load of [...byUpstream.values()].flat()) {
-          const key = `${load.upstreamId} ${load.model} ${load.priority}`;
-          const sum = sums.get(key);
-          sums.set(key, {
-            ...load,
-            inFlightCount: load.inFlightCount + (sum?.inFlightCount ?? 0),
-            unreadPromptTokens: load.unreadPromptTokens + (sum?.unreadPromptTokens ?? 0),
-          });
-        }
-      }
-      return [...sums.values()];
+    allLoads: (nowMs) => {
+      const sums: LoadsByUpstream = new Map();
+      const add = (load: ModelLoad) =>
+        addTo(sums, load, load.inFlightCount, load.unreadPromptTokens);
+      [...own.values()].flat().forEach(add);
+      [...heardSum(nowMs).values()].flat().forEach(add);
+      return [...sums.values()].flat();
     },
   };
 }
--- a/packages/gateway/src/shared/lease-decisions.test.ts
+++ b/packages/gateway/src/shared/lease-decisions.test.ts
@@ -51,4 +51,35 @@
   assert.not(leaseDecisions.mayOrder({ ...held, isStoreAway: false }, true, 60_000));
 });
 
+const LOOK: leaseDecisions.LookInput = {
+  startedAtMs: 0,
+  lastHeardMs: 5_000,
+  seenAtMs: null,
+  takeDelayMs: 0,
+};
+
+// The holder answers late and 17 followers take it for silent. Looking again before the lease can have ended tells
+// nothing, and each look of each follower is a call to the store that is paid for.
+test('who has looked at the lease looks again when it can have ended', () => {
+  assert.not(leaseDecisions.shouldLook(LOOK, 5_900));
+  assert.ok(leaseDecisions.shouldLook(LOOK, 6_100));
+  const looked = { ...LOOK, seenAtMs: 6_100 };
+  assert.not(leaseDecisions.shouldLook(looked, 6_400));
+  assert.not(leaseDecisions.shouldLook(looked, 6_100 + leaseDecisions.VALID_MS));
+  assert.ok(leaseDecisions.shouldLook(looked, 8_600));
+  // It has been heard again meanwhile.
+  assert.not(leaseDecisions.shouldLook({ ...looked, lastHeardMs: 8_000 }, 8_600));
+});
+
+// All gateways start together, or miss the holder together: the one with the largest processor is to be first.
+test('a small gateway leaves the lease to a larger one for a while', () => {
+  const small = leaseDecisions.takeDelayMs(0.12);
+  assert.is(leaseDecisions.takeDelayMs(1.35), 0);
+  assert.ok(small > leaseDecisions.takeDelayMs(0.5) && small < 500);
+  const starting = { ...LOOK, lastHeardMs: null };
+  assert.ok(leaseDecisions.shouldLook(starting, 0));
+  assert.not(leaseDecisions.shouldLook({ ...starting, takeDelayMs: small }, 200));
+  assert.ok(leaseDecisions.shouldLook({ ...starting, takeDelayMs: small }, 500));
+});
+
 test.run();
--- a/packages/gateway/src/shared/lease-decisions.ts
+++ b/packages/gateway/src/shared/lease-decisions.ts
@@ -26,6 +26,20 @@
 /** A holder that answers its peers is alive, also when it cannot reach the store. */
 const HEARD_MS = 1_000;
 
+/** A gateway with this much of a processor, in cores, takes the lease at once. */
+const AMPLE_CORES = 1;
+/** How much later the smallest gateway does: time enough for a larger one to have taken it and be seen. */
+const SMALLEST_WAITS_MS = 500;
+
+/**
+ * How much later than others a gateway of `cores` takes a lease that is free. Load: gateways of a tenth of a core
+ * beside such of a whole one. Harm prevented: plans and answers to dozens of followers on the smallest processor, where
+ * they take so long that followers hear nothing.
+ */
+export function takeDelayMs(cores: number): number {
+  return SMALLEST_WAITS_MS * Math.max(0, 1 - cores / AMPLE_CORES);
+}
+
 /** Whether to try to take the lease over now. */
 export function mayTakeOver(sight: HolderSight, nowMs: number): boolean {
   if (sight.isReleased || sight.isOwn) return true;
@@ -33,16 +47,26 @@
   return !isHeard && nowMs - sight.seenAtMs >= EXPIRY_MS;
 }
 
+/** What decides whether to look at the record; times are of this gateway's steady clock. */
+export type LookInput = {
+  startedAtMs: number;
+  /** When the holder itself was last heard; null while nobody is known to hold the lease, or it has left. */
+  lastHeardMs: number | null;
+  /** When the record was first seen at its present revision; null if it never was. */
+  seenAtMs: number | null;
+  takeDelayMs: number;
+};
+
 /**
  * Whether it is time to look at the record at all: each look is paid for. One that has heard nobody yet may hold the
- * lease from before, or finds the holder's address there.
+ * lease from before, or finds the holder's address there. Who has just looked has to see the same revision for a while
+ * before it may take the lease over. Load: a holder that answers late, or has gone, and dozens of followers. Harm
+ * prevented: 17 gateways that looked three times a second each made 1,411 of 2,065 calls to the store on a quiet day.
  */
-export function shouldLook(
-  lastHeardMs: number | null,
-  startedAtMs: number,
-  nowMs: number,
-): boolean {
-  if (lastHeardMs === null) return nowMs >= startedAtMs;
+export function shouldLook(input: LookInput, nowMs: number): boolean {
+  const { lastHeardMs, startedAtMs, seenAtMs } = input;
+  if (seenAtMs !== null && nowMs < seenAtMs + EXPIRY_MS + input.takeDelayMs) return false;
+  if (lastHeardMs === null) return nowMs >= startedAtMs + input.takeDelayMs;
   return nowMs - lastHeardMs >= HEARD_MS;
 }
 
--- a/packages/gateway/src/shared/placing/placement-view.ts
+++ b/packages/gateway/src/shared/placing/placement-view.ts
@@ -4,19 +4,24 @@
 
 export type PlacedCopy = { model: string; adapters: readonly string[]; isClosing: boolean };
 
+export type Arrival = { service: string; model: string; readyAtMs: number };
+
 export type PlacedUpstream = {
   copies: readonly PlacedCopy[];
   /** Until when it loads a model, and no adapter. */
   blockedUntilMs: number;
+  /** The model that is on its way there. */
+  arrival: Arrival | null;
 };
 
-export type Arrival = { service: string; model: string; readyAtMs: number };
-
+/** What has changed of the placing since a version that the asker has. */
 export type PlacementNews = {
   term: number;
   version: number;
+  /** All upstreams are in it: what is not has gone. */
+  isWhole: boolean;
   upstreams: ReadonlyMap<string, PlacedUpstream>;
-  arrivals: readonly Arrival[];
+  removedIds: readonly string[];
 };
 
 export type PlacementView = {
@@ -45,10 +50,12 @@
 const ABSENT_MS = 1_500;
 
 export function createPlacementView(): PlacementView {
-  let news: PlacementNews = { term: 0, version: 0, upstreams: new Map(), arrivals: [] };
+  let known = { term: 0, version: 0 };
+  const upstreams = new Map<string, PlacedUpstream>();
   let confirmedMs = -Infinity;
   const absentUntilMs = new Map<string, number>();
-  const addedAdapters = new Set<string>();
+  /** By upstream: what has been loaded since its news. */
+  const addedAdapters = new Map<string, Set<string>>();
 
   const keyOf = (upstreamId: string, model: string, adapter: string | null) =>
     `${upstreamId} ${model}/${adapter ?? ''}`;
@@ -58,7 +65,7 @@
     model: string,
     nowMs: number,
   ): PlacedCopy | undefined {
-    const placed = news.upstreams.get(upstream.upstreamId);
+    const placed = upstreams.get(upstream.upstreamId);
     if (placed !== undefined && nowMs - confirmedMs < VALID_MS) {
       return placed.copies.find((copy) => copy.model === model);
     }
@@ -73,17 +80,29 @@
 
   function blockedUntilMs(upstreamId: string, nowMs: number): number {
     if (nowMs - confirmedMs >= VALID_MS) return 0;
-    return news.upstreams.get(upstreamId)?.blockedUntilMs ?? 0;
+    return upstreams.get(upstreamId)?.blockedUntilMs ?? 0;
   }
 
   return {
     blockedForMs: (upstreamId, nowMs) => Math.max(0, blockedUntilMs(upstreamId, nowMs) - nowMs),
     apply: (next) => {
-      const isNewer =
-        next.term > news.term || (next.term === news.term && next.version > news.version);
-      if (!isNewer) return;
-      news = next;
-      addedAdapters.clear();
+      const isSameTerm = next.term === known.term;
+      const isNewer = next.term > known.term || (isSameTerm && next.version > known.version);
+      // Changes alone say nothing of what stood before them.
+      if (!isNewer || (!isSameTerm && !next.isWhole)) return;
+      known = { term: next.term, version: next.version };
+      if (next.isWhole) {
+        upstreams.clear();
+        addedAdapters.clear();
+      }
+      next.upstreams.forEach((placed, upstreamId) => {
+        upstreams.set(upstreamId, placed);
+        addedAdapters.delete(upstreamId);
+      });
+      next.removedIds.forEach((upstreamId) => {
+        upstreams.delete(upstreamId);
+        addedAdapters.delete(upstreamId);
+      });
     },
     confirm: (nowMs) => {
       confirmedMs = nowMs;
@@ -96,28 +115,30 @@
       if (adapter === null) return 'ready';
       if (isAbsent(upstreamId, model, adapter, nowMs)) return 'no-adapter';
       const has =
-        copy.adapters.includes(adapter) || addedAdapters.has(keyOf(upstreamId, model, adapter));
+        copy.adapters.includes(adapter) ||
+        addedAdapters.get(upstreamId)?.has(`${model}/${adapter}`) === true;
       if (has) return 'ready';
       return blockedUntilMs(upstreamId, nowMs) > nowMs ? 'blocked' : 'no-adapter';
     },
     noteAbsent: (upstreamId, model, adapter, nowMs) => {
       const key = keyOf(upstreamId, model, adapter);
-      addedAdapters.delete(key);
+      addedAdapters.get(upstreamId)?.delete(`${model}/${adapter ?? ''}`);
       absentUntilMs.set(key, nowMs + ABSENT_MS);
-      for (const [known, untilMs] of absentUntilMs) {
-        if (untilMs <= nowMs) absentUntilMs.delete(known);
+      for (const [other, untilMs] of absentUntilMs) {
+        if (untilMs <= nowMs) absentUntilMs.delete(other);
       }
     },
     noteAdapter: (upstreamId, model, adapter) => {
-      const key = keyOf(upstreamId, model, adapter);
-      absentUntilMs.delete(key);
-      addedAdapters.add(key);
+      absentUntilMs.delete(keyOf(upstreamId, model, adapter));
+      const added = addedAdapters.get(upstreamId) ?? new Set();
+      addedAdapters.set(upstreamId, added.add(`${model}/${adapter}`));
     },
     arrival: (service, model) =>
-      news.arrivals
+      [...upstreams.values()]
+        .flatMap(({ arrival }) => arrival ?? [])
         .filter((entry) => entry.service === service && entry.model === model)
         .sort((left, right) => left.readyAtMs - right.readyAtMs)[0] ?? null,
-    version: () => ({ term: news.term, version: news.version }),
+    version: () => known,
     ageMs: (nowMs) => nowMs - confirmedMs,
   };
 }
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -4,6 +4,7 @@
  */
 import type * as fleet from '../types/fleet.js';
 import type * as stores from '../types/stores.js';
+import * as changeLedgers from './change-ledger.js';
 
 type UpstreamStored = stores.StoredRecord<fleet.UpstreamRecord>;
 
@@ -20,6 +21,12 @@
   eligible: (service: string, nowMs: number) => readonly fleet.UpstreamRecord[];
   all: () => readonly fleet.UpstreamRecord[];
   revision: () => number;
+  /** What one lacks that has the changes up to `version`. */
+  membersAfter: (version: number, nowMs: number) => Members;
+  /** What one lacks that has the platform's list as of `revision`. */
+  membersAfterRevision: (revision: number, nowMs: number) => Members;
+  /** Takes over what another gateway's list has and this one lacks. */
+  applyMembers: (members: Members, nowMs: number) => void;
   listing: () => stores.Listing<fleet.UpstreamRecord>;
 };
 
@@ -29,7 +36,39 @@
  */
 export const LAPSE_GRACE_MS = 2_000;
 
-type Known = { stored: UpstreamStored; goneAtMs: number | null };
+/** Changes of what matters to others, and the revision of the platform's list that holds with them. */
+export type Members = {
+  version: number;
+  revision: number;
+  isWhole: boolean;
+  written: readonly UpstreamStored[];
+  removed: readonly { name: string; revision: number }[];
+};
+
+type Known = {
+  stored: UpstreamStored;
+  goneAtMs: number | null;
+  /** Revision of the platform's list that lacked it. */
+  goneRevision: number;
+};
+
+/**
+ * Whether two records are alike to those who place nothing. Load: each order that an upstream takes changes what it
+ * lists as resident, dozens of times a second over all; where copies are the holder tells by itself.
+ */
+function isSameMember(left: UpstreamStored, right: UpstreamStored): boolean {
+  const describe = ({ value }: UpstreamStored) =>
+    JSON.stringify([
+      value.upstreamId,
+      value.service,
+      value.address,
+      value.failureDomain,
+      value.slots,
+      value.state,
+      value.diskModels,
+    ]);
+  return describe(left) === describe(right);
+}
 
 /** The platform lists another start under the name of the one before. */
 export type OnRestarted = (beforeId: string, record: fleet.UpstreamRecord) => void;
@@ -43,6 +82,7 @@
   /** The newest whole listing; what it lacks, and is older, has gone. */
   let listedRevision = 0;
   let graceUntilMs = 0;
+  const members = changeLedgers.createChangeLedger<UpstreamStored, number>(isSameMember);
 
   function forget(name: string): void {
     const before = known.get(name);
@@ -50,6 +90,12 @@
     known.delete(name);
   }
 
+  function forgetRemoved(name: string): void {
+    const before = known.get(name);
+    if (before !== undefined) members.remove(name, before.goneRevision);
+    forget(name);
+  }
+
   function write(record: UpstreamStored): void {
     const before = known.get(record.name);
     if (before === undefined && record.revision <= listedRevision) return;
@@ -58,15 +104,17 @@
     const beforeId = before?.stored.value.upstreamId;
     const { upstreamId } = record.value;
     if (beforeId !== undefined) names.delete(beforeId);
-    known.set(record.name, { stored: record, goneAtMs: null });
+    known.set(record.name, { stored: record, goneAtMs: null, goneRevision: 0 });
     names.set(upstreamId, record.name);
+    members.put(record.name, record);
     if (beforeId !== undefined && beforeId !== upstreamId) onRestarted(beforeId, record.value);
   }
 
-  function remove(name: string, nowMs: number): void {
+  function remove(name: string, atRevision: number, nowMs: number): void {
     const before = known.get(name);
     if (before === undefined) return;
-    if (nowMs >= graceUntilMs) forget(name);
+    before.goneRevision = atRevision;
+    if (nowMs >= graceUntilMs) forgetRemoved(name);
     else before.goneAtMs ??= graceUntilMs;
   }
 
@@ -77,7 +125,9 @@
   function discard(record: stores.UnreadableRecord): void {
     if ((known.get(record.name)?.stored.revision ?? 0) > record.revision) return;
     deletedRevisions.set(record.name, record.revision);
-    forget(record.name);
+    const before = known.get(record.name);
+    if (before !== undefined) before.goneRevision = record.revision;
+    forgetRemoved(record.name);
   }
 
   function isGone(entry: Known, nowMs: number): boolean {
@@ -85,7 +135,7 @@
   }
 
   function sweep(nowMs: number): void {
-    for (const [name, entry] of known) if (isGone(entry, nowMs)) forget(name);
+    for (const [name, entry] of known) if (isGone(entry, nowMs)) forgetRemoved(name);
   }
 
   function find(upstreamId: string): fleet.UpstreamRecord | undefined {
@@ -93,6 +143,33 @@
     return name === undefined ? undefined : known.get(name)?.stored.value;
   }
 
+  function applyChange(change: stores.Change<fleet.UpstreamRecord>, nowMs: number): void {
+    switch (change.kind) {
+      case 'written':
+        revision = Math.max(revision, change.record.revision);
+        write(change.record);
+        return;
+      case 'unreadable':
+        revision = Math.max(revision, change.revision);
+        discard(change);
+        return;
+      case 'deleted':
+        revision = Math.max(revision, change.revision);
+        if ((known.get(change.name)?.stored.revision ?? 0) > change.revision) return;
+        deletedRevisions.set(change.name, change.revision);
+        remove(change.name, change.revision, nowMs);
+    }
+  }
+
+  /** The records as they are now: what matters of them is as old as the change. */
+  function current(written: ReadonlyMap<string, UpstreamStored>): UpstreamStored[] {
+    return [...written.keys()].flatMap((name) => known.get(name)?.stored ?? []);
+  }
+
+  function toRemoved(removed: ReadonlyMap<string, number>) {
+    return [...removed].map(([name, removedRevision]) => ({ name, revision: removedRevision }));
+  }
+
   return {
     applyListing: (listing, nowMs) => {
       if (listing.revision < revision) return;
@@ -101,26 +178,11 @@
       listing.records.forEach(write);
       listing.unreadable.forEach(discard);
       listedRevision = listing.revision;
-      for (const name of [...known.keys()]) if (!listed.has(name)) remove(name, nowMs);
+      for (const name of [...known.keys()])
+        if (!listed.has(name)) remove(name, listing.revision, nowMs);
       sweep(nowMs);
     },
-    applyChange: (change, nowMs) => {
-      switch (change.kind) {
-        case 'written':
-          revision = Math.max(revision, change.record.revision);
-          write(change.record);
-          return;
-        case 'unreadable':
-          revision = Math.max(revision, change.revision);
-          discard(change);
-          return;
-        case 'deleted':
-          revision = Math.max(revision, change.revision);
-          if ((known.get(change.name)?.stored.revision ?? 0) > change.revision) return;
-          deletedRevisions.set(change.name, change.revision);
-          remove(change.name, nowMs);
-      }
-    },
+    applyChange,
     storeRegained: (nowMs) => {
       graceUntilMs = nowMs + LAPSE_GRACE_MS;
     },
@@ -136,6 +198,43 @@
         .filter((record) => record.service === service && record.state === 'ready'),
     all: () => [...known.values()].map((entry) => entry.stored.value),
     revision: () => revision,
+    membersAfter: (version, nowMs) => {
+      sweep(nowMs);
+      const changes = members.since(version);
+      const { isWhole, written, removed } = changes;
+      return {
+        version: changes.version,
+        revision,
+        isWhole,
+        written: current(written),
+        removed: toRemoved(removed),
+      };
+    },
+    membersAfterRevision: (knownRevision, nowMs) => {
+      sweep(nowMs);
+      const { version, isWhole, written, removed } = members.since(0);
+      const records = current(written);
+      const later = records.filter((record) => record.revision > knownRevision);
+      return {
+        version,
+        revision,
+        isWhole,
+        written: isWhole ? records : later,
+        removed: toRemoved(removed).filter((gone) => gone.revision > knownRevision),
+      };
+    },
+    applyMembers: (told, nowMs) => {
+      told.written.forEach((record) => applyChange({ kind: 'written', record }, nowMs));
+      told.removed.forEach((removed) => applyChange({ kind: 'deleted', ...removed }, nowMs));
+      if (told.isWhole) {
+        const listed = new Set(told.written.map(({ name }) => name));
+        for (const [name, { stored }] of [...known]) {
+          if (!listed.has(name) && stored.revision <= told.revision)
+            remove(name, told.revision, nowMs);
+        }
+      }
+      revision = Math.max(revision, told.revision);
+    },
     listing: () => ({
       records: [...known.values()].map((entry) => entry.stored),
       unreadable: [],
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -47,6 +47,12 @@
     revision: number;
     reason: string;
   };
+  /** The holder of the lease did not answer, and answers again: without it loads and copies are as last heard. */
+  'holder-lost': { holderId: string; reason: string };
+  'holder-regained': { holderId: string; awayMs: number };
+  /** The list of upstreams comes from the holder; the store is watched again. */
+  'list-feed-began': { revision: number | null };
+  'list-feed-ended': { fedMs: number };
   'lease-taken': { term: number; before: string; ordersInMs: number };
   'lease-lost': { term: number; reason: string };
   'lease-unknown': { term: number; reason: string };
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -17,6 +17,9 @@
   metricsAddress: address.optional(),
   seedAddresses: zod.array(address).default([]),
   logLevel: zod.enum(['info', 'warn', 'error']).default('info'),
+  /** The part that this process may use of each of so many processors: the largest gateways place models. */
+  processorShare: positive.default(1),
+  processorCores: positive.default(1),
   /** How long a planned stop may take before the process is killed. */
   stopTimeoutS: positive,
   /** How long an upstream that leaves may still get new work. */
