Leave the lease to a larger gateway only where one is known

Cause: an absolute delay for gateways under one core delays every takeover of a fleet of equals by a quarter of a second. Change: gateways tell what they may use of processors; who knows a larger live one waits in proportion, equals do not; before there is any lease, half a second is for learning of one another. The list's feed lasts 0.4 of the time in which an upstream that leaves may get work, instead of a second.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -34,6 +34,7 @@
 import type * as stores from './types/stores.js';
 
 const MS_PER_SECOND = 1_000;
+const MILLICORES = 1_000;
 
 /** At some tens of microseconds a line, the two lines of a request take about a hundredth of a core. */
 const LOG_BOUNDS: boundedLogs.LogBounds = { infoPerSecond: 150, warnPerSecond: 300 };
@@ -109,6 +110,10 @@
   });
 }
 
+function millicoresOf({ processorShare, processorCores }: settingsModule.Settings): number {
+  return Math.round(processorShare * processorCores * MILLICORES);
+}
+
 function createLease(parts: GatewayParts): leaseKeepers.LeaseKeeper {
   const { settings, status, configuration } = parts;
   return leaseKeepers.createLeaseKeeper({
@@ -121,7 +126,7 @@
     address: settings.peerAddress,
     leaseMs: settings.leaseMs,
     upstreamsCheckFences: settings.upstreamsCheckFences,
-    cores: settings.processorShare * settings.processorCores,
+    millicores: millicoresOf(settings),
     isEligible: () => status.hasListing() && configuration.current() !== null,
   });
 }
@@ -170,6 +175,7 @@
     suspects: parts.suspects,
     placer: parts.placer,
     gatewayId: settings.gatewayId,
+    millicores: millicoresOf(settings),
     incarnation: Math.trunc(parts.random.fraction() * Number.MAX_SAFE_INTEGER),
     address: settings.peerAddress,
     seedAddresses: settings.seedAddresses,
@@ -243,7 +249,9 @@
       .singleton(),
     status: awilix.asValue(status),
     book: awilix.asFunction(() => peerBooks.createPeerBook(settings.gatewayId)).singleton(),
-    listFeed: awilix.asFunction(listFeeds.createListFeed).singleton(),
+    listFeed: awilix
+      .asFunction(() => listFeeds.createListFeed(settings.drainTimeoutMs))
+      .singleton(),
     demand: awilix.asFunction(demandCounters.createDemandCounters).singleton(),
     view: awilix.asFunction(placementViews.createPlacementView).singleton(),
     link: awilix
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -20,6 +20,7 @@
 
 const test = suite('exchange');
 
+const DRAIN_TIMEOUT_MS = 2_000;
 const HOLDER = { holderId: 'g1', term: 4 };
 
 /** Two gateways that reach each other without a network; g1 holds the lease. */
@@ -44,7 +45,7 @@
     };
     const book = peerBooks.createPeerBook(gatewayId);
     const suspects = suspectsModule.createSuspects();
-    const listFeed = listFeeds.createListFeed();
+    const listFeed = listFeeds.createListFeed(DRAIN_TIMEOUT_MS);
     const inFlight = inFlightModule.createInFlight();
     const directory = directories.createUpstreamDirectory();
     const log = logs.createSilentLogger();
@@ -68,6 +69,7 @@
       placer: placer as placers.Placer,
       gatewayId,
       incarnation: 1,
+      millicores: 500,
       address: `${gatewayId}:1`,
       seedAddresses: ['g1:1', 'g2:1'],
       isStopping: () => state.isStopping,
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -45,6 +45,7 @@
   suspects: suspectsModule.Suspects;
   placer: placers.Placer;
   gatewayId: string;
+  millicores: number;
   incarnation: number;
   address: string;
   seedAddresses: readonly string[];
@@ -124,6 +125,7 @@
       isListLive: deps.isListLive(),
       knownMembersIncarnation: basis.incarnation,
       knownMembersVersion: basis.version,
+      millicores: deps.millicores,
       quarantined: deps.quarantine.refused(nowMs).map(({ fingerprint, untilMs }) => ({
         fingerprint,
         remainingMs: Math.round(untilMs - nowMs),
--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -16,7 +16,7 @@
   const state = { sleptMs: 0 };
   const clock = { ...steady, wallMs: () => steady.wallMs() + state.sleptMs };
   const store = memoryRecords.createMemoryRecords();
-  const join = (gatewayId: string, upstreamsCheckFences = true, cores = 1) => {
+  const join = (gatewayId: string, upstreamsCheckFences = true, millicores = 1_000) => {
     const book = peerBooks.createPeerBook(gatewayId);
     const keeper = leaseKeepers.createLeaseKeeper({
       clock,
@@ -28,7 +28,7 @@
       address: `${gatewayId}:7000`,
       leaseMs: LEASE_MS,
       upstreamsCheckFences,
-      cores,
+      millicores,
       isEligible: () => true,
     });
     return { book, keeper };
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -19,7 +19,7 @@
   leaseMs: number;
   upstreamsCheckFences: boolean;
   /** What this gateway may use of processors. */
-  cores: number;
+  millicores: number;
   /** Only a gateway that knows what there is may place. */
   isEligible: () => boolean;
 };
@@ -55,6 +55,8 @@
 const RECORD_NAME = 'placing';
 const TICK_MS = 200;
 const CALL_TIMEOUT_MS = 800;
+/** Before there is any lease gateways first learn of one another: one of the largest is to take it. */
+const FIRST_TAKE_MS = 500;
 /** Gateways that start or miss the holder together do not all ask at the same moment. */
 const JITTER_MS = 150;
 
@@ -67,7 +69,6 @@
   /** The release is on its way: an order now could cross those of the next holder. */
   let isReleasing = false;
   const startedAtMs = clock.nowMs();
-  const takeDelayMs = leaseDecisions.takeDelayMs(deps.cores);
 
   function deadlineMs(): number {
     return clock.nowMs() + CALL_TIMEOUT_MS;
@@ -206,7 +207,7 @@
     const found = await store.get('leases', RECORD_NAME, deadlineMs());
     if (found.err) return;
     if (found.val === null) {
-      await take(null, null);
+      if (clock.nowMs() - startedAtMs >= FIRST_TAKE_MS) await take(null, null);
       return;
     }
     noteSeen(found.val);
@@ -236,7 +237,7 @@
       startedAtMs,
       lastHeardMs: holderHeardMs(),
       seenAtMs: seen?.atMs ?? null,
-      takeDelayMs,
+      takeDelayMs: leaseDecisions.takeDelayMs(deps.millicores, book.largestMillicores(nowMs)),
     };
     if (!leaseDecisions.shouldLook(input, nowMs)) return;
     await look();
--- a/packages/gateway/src/shared/lease-decisions.test.ts
+++ b/packages/gateway/src/shared/lease-decisions.test.ts
@@ -73,9 +73,11 @@
 
 // All gateways start together, or miss the holder together: the one with the largest processor is to be first.
 test('a small gateway leaves the lease to a larger one for a while', () => {
-  const small = leaseDecisions.takeDelayMs(0.12);
-  assert.is(leaseDecisions.takeDelayMs(1.35), 0);
-  assert.ok(small > leaseDecisions.takeDelayMs(0.5) && small < 500);
+  const small = leaseDecisions.takeDelayMs(120, 1_350);
+  assert.is(leaseDecisions.takeDelayMs(1_350, 1_350), 0);
+  assert.is(leaseDecisions.takeDelayMs(120, 120), 0);
+  assert.is(leaseDecisions.takeDelayMs(120, 0), 0);
+  assert.ok(small > leaseDecisions.takeDelayMs(500, 1_350) && small < 500);
   const starting = { ...LOOK, lastHeardMs: null };
   assert.ok(leaseDecisions.shouldLook(starting, 0));
   assert.not(leaseDecisions.shouldLook({ ...starting, takeDelayMs: small }, 200));
--- a/packages/gateway/src/shared/lease-decisions.ts
+++ b/packages/gateway/src/shared/lease-decisions.ts
@@ -26,18 +26,17 @@
 /** A holder that answers its peers is alive, also when it cannot reach the store. */
 const HEARD_MS = 1_000;
 
-/** A gateway with this much of a processor, in cores, takes the lease at once. */
-const AMPLE_CORES = 1;
-/** How much later the smallest gateway does: time enough for a larger one to have taken it and be seen. */
+/** How much later the smallest gateway takes it: time enough for a larger one to have taken it and be seen. */
 const SMALLEST_WAITS_MS = 500;
 
 /**
- * How much later than others a gateway of `cores` takes a lease that is free. Load: gateways of a tenth of a core
- * beside such of a whole one. Harm prevented: plans and answers to dozens of followers on the smallest processor, where
- * they take so long that followers hear nothing.
+ * How much later than others a gateway takes a lease that is free. Load: gateways of a tenth of a core beside such of
+ * a whole one. Harm prevented: plans and answers to dozens of followers on the smallest processor, where they take so
+ * long that followers hear nothing. Among equals nobody waits.
  */
-export function takeDelayMs(cores: number): number {
-  return SMALLEST_WAITS_MS * Math.max(0, 1 - cores / AMPLE_CORES);
+export function takeDelayMs(millicores: number, largestMillicores: number): number {
+  if (millicores >= largestMillicores) return 0;
+  return SMALLEST_WAITS_MS * (1 - millicores / largestMillicores);
 }
 
 /** Whether to try to take the lease over now. */
--- a/packages/gateway/src/shared/list-feed.test.ts
+++ b/packages/gateway/src/shared/list-feed.test.ts
@@ -5,12 +5,13 @@
 
 const test = suite('list feed');
 
+const DRAIN_TIMEOUT_MS = 2_500;
 const BASIS = { incarnation: 7, version: 3 };
 
 // The holder's own watch falls silent, or the holder does. Whoever went on relying on it would send requests to
 // upstreams that have left.
 test('it lasts only while the holder answers and says that its watch is answered', () => {
-  const feed = listFeeds.createListFeed();
+  const feed = listFeeds.createListFeed(DRAIN_TIMEOUT_MS);
   assert.not(feed.isFed(0));
   feed.heard({ isListLive: true, basis: BASIS }, 1_000);
   assert.ok(feed.isFed(1_900));
--- a/packages/gateway/src/shared/list-feed.ts
+++ b/packages/gateway/src/shared/list-feed.ts
@@ -21,17 +21,21 @@
   basis: ListBasis | null;
 };
 
-/** Some exchanges: one that is lost or late starts no watch. */
-const FED_MS = 1_000;
+/**
+ * The part of the time in which an upstream that leaves may still get work: several exchanges, so that one that is
+ * lost or late starts no watch, and enough left to ask the store after it.
+ */
+const FED_SHARE = 0.4;
 const NO_BASIS: ListBasis = { incarnation: 0, version: 0 };
 
-export function createListFeed(): ListFeed {
+export function createListFeed(drainTimeoutMs: number): ListFeed {
   let basis = NO_BASIS;
   let fedUntilMs = -Infinity;
   return {
     heard: (answer, nowMs) => {
       basis = answer.basis ?? basis;
-      fedUntilMs = answer.isListLive && answer.basis !== null ? nowMs + FED_MS : -Infinity;
+      fedUntilMs =
+        answer.isListLive && answer.basis !== null ? nowMs + FED_SHARE * drainTimeoutMs : -Infinity;
     },
     isFed: (nowMs) => nowMs < fedUntilMs,
     knownVersion: (incarnation) =>
--- a/packages/gateway/src/shared/peer-book.ts
+++ b/packages/gateway/src/shared/peer-book.ts
@@ -1,11 +1,14 @@
 /** The other gateways: who they are, when each was last heard of, and who holds the lease. */
 export type PeerAddress = { gatewayId: string; address: string };
 
+/** `millicores`: what it may use of processors. */
+export type HeardPeer = PeerAddress & { millicores: number };
+
 export type LeaseHolder = { holderId: string; term: number };
 
 export type PeerBook = {
   /** A peer answered or asked: it lives. */
-  heardFrom: (peer: PeerAddress, nowMs: number) => void;
+  heardFrom: (peer: HeardPeer, nowMs: number) => void;
   /** Another peer has heard of it lately. */
   learned: (peers: readonly PeerAddress[], nowMs: number) => void;
   /** It did not answer. */
@@ -17,6 +20,8 @@
   /** Peers that were heard themselves lately, to tell others of. */
   heard: (nowMs: number) => readonly PeerAddress[];
   live: (nowMs: number) => readonly PeerAddress[];
+  /** The most that a live peer other than the holder of the lease may use of processors; 0 if none is known. */
+  largestMillicores: (nowMs: number) => number;
   /** When the peer itself last answered or asked; null if never. */
   lastHeardMs: (gatewayId: string) => number | null;
   /** Since when it has not answered, though asked; null while it answers. */
@@ -29,6 +34,7 @@
 
 type Entry = {
   address: string;
+  millicores: number;
   heardMs: number | null;
   knownMs: number;
   silentSinceMs: number | null;
@@ -43,16 +49,28 @@
   }
 
   return {
-    heardFrom: ({ gatewayId, address }, nowMs) => {
+    heardFrom: ({ gatewayId, address, millicores }, nowMs) => {
       if (gatewayId === selfId || gatewayId === '') return;
-      entries.set(gatewayId, { address, heardMs: nowMs, knownMs: nowMs, silentSinceMs: null });
+      entries.set(gatewayId, {
+        address,
+        millicores,
+        heardMs: nowMs,
+        knownMs: nowMs,
+        silentSinceMs: null,
+      });
     },
     learned: (peers, nowMs) => {
       peers.forEach(({ gatewayId, address }) => {
         if (gatewayId === selfId) return;
         const before = entries.get(gatewayId);
         if (before === undefined) {
-          entries.set(gatewayId, { address, heardMs: null, knownMs: nowMs, silentSinceMs: null });
+          entries.set(gatewayId, {
+            address,
+            millicores: 0,
+            heardMs: null,
+            knownMs: nowMs,
+            silentSinceMs: null,
+          });
           return;
         }
         before.knownMs = nowMs;
@@ -78,6 +96,10 @@
         .map(toAddress),
     live: (nowMs) =>
       [...entries].filter(([, entry]) => nowMs - entry.knownMs < LIVE_MS).map(toAddress),
+    largestMillicores: (nowMs) =>
+      [...entries]
+        .filter(([id, entry]) => id !== lease?.holderId && nowMs - entry.knownMs < LIVE_MS)
+        .reduce((largest, [, { millicores }]) => Math.max(largest, millicores), 0),
     lastHeardMs: (gatewayId) => entries.get(gatewayId)?.heardMs ?? null,
     silentSinceMs: (gatewayId) => entries.get(gatewayId)?.silentSinceMs ?? null,
   };
