Split the steward: orders of one upstream, loads of adapters, changes of copies

One change of behaviour: how long a closing copy waits before its unload follows the pause between exchanges, which grows with the fleet (300 ms with a few gateways, as before; 390 ms with 68), since requests sent before the news must be at the upstream by then. Shown by the steward's tests, unchanged but for the new dependency.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -15,6 +15,7 @@
 import * as leaseKeepers from './server/placing/lease-keeper.js';
 import * as placementClients from './server/placing/placement-client.js';
 import * as placers from './server/placing/placer.js';
+import * as exchangePace from './shared/exchange-pace.js';
 import * as inFlightModule from './shared/in-flight.js';
 import * as peerBooks from './shared/peer-book.js';
 import * as demandCounters from './shared/placing/demand-counters.js';
@@ -152,6 +153,7 @@
       return parts.suspects.isSuspect(upstreamId, gatewayCount, clock.nowMs());
     },
     ownView: parts.view,
+    closeNoticeMs: () => exchangePace.noticeMs(parts.book.live(clock.nowMs()).length + 1),
     metrics: parts.metrics,
   });
 }
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -35,6 +35,8 @@
   isSuspect: (upstreamId: string) => boolean;
   /** This gateway's own view of the placing, kept without a message. */
   ownView: Pick<placementViews.PlacementView, 'apply' | 'version'>;
+  /** How long it takes until all gateways know that a copy is closing. */
+  closeNoticeMs: () => number;
   metrics: Pick<metricsModule.GatewayMetrics, 'orderGiven' | 'changeEnded'>;
 };
 
@@ -136,6 +138,7 @@
       },
       adapterLastAskedMs: (model, adapter) => adapterAskedMs.get(`${model}/${adapter}`) ?? 0,
       onChanged: () => publish(record.upstreamId),
+      closeNoticeMs: deps.closeNoticeMs,
       inheritedLateLoads: inheritedLateLoads.get(record.name) ?? [],
       metrics: deps.metrics,
     });
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -153,6 +153,7 @@
       onStoreLoad: () => {},
       adapterLastAskedMs: (_model, adapter) => Number(adapter.slice(1)),
       onChanged: () => {},
+      closeNoticeMs: () => 300,
       inheritedLateLoads,
       metrics: { orderGiven: () => {}, changeEnded: () => {} },
     });
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -1,7 +1,6 @@
 /**
- * Gives one upstream its orders, one at a time, and keeps what it holds. Every order says after how many
- * others it counts, so that one which is carried out late, after newer ones, is void: what an upstream
- * holds follows from the orders that it has taken, and memory is never promised twice.
+ * Keeps what one upstream holds, and carries out changes of its copies: what makes way is closed and unloaded, what
+ * takes its place is loaded and awaited. Memory is never promised twice.
  */
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
@@ -14,7 +13,9 @@
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import * as adapterLoads from './adapter-loads.js';
 import * as adapterPlaces from './adapter-places.js';
+import * as orderDesks from './order-desk.js';
 
 export type StewardDeps = {
   clock: clocks.Clock;
@@ -28,6 +29,8 @@
   /** When an adapter was last asked for, to choose the one that gives way. */
   adapterLastAskedMs: (model: string, adapter: string) => number;
   onChanged: () => void;
+  /** How long it takes until all gateways know that a copy is closing; requests sent before are at the upstream then. */
+  closeNoticeMs: () => number;
   /** Of the start before, when the upstream has started again under its name. */
   inheritedLateLoads: readonly lateLoads.LateLoad[];
   metrics: Pick<metricsModule.GatewayMetrics, 'orderGiven' | 'changeEnded'>;
@@ -55,56 +58,31 @@
   stop: () => void;
 };
 
-/** Answers come within a round trip; more is an upstream that does not answer. */
-const CALL_TIMEOUT_MS = 700;
-/** An order that gets no answer is sent again: its count voids whichever of the two comes second. */
-const ORDER_TIMEOUT_MS = 300;
 /** Some orders in a row may get no answer; a plan is given up only after this. */
 const ORDER_PATIENCE_MS = 2_000;
-/** Gateways learn of a closing copy with their next exchange; requests sent before are at the upstream then. */
-const CLOSE_NOTICE_MS = 300;
 /** What an unload takes when nothing runs there. */
 const UNLOAD_MS = 150;
 /** A copy is in use once a report shows it. */
 const REPORTED_AFTER_MS = 300;
-/** An unload waits for its runs; how often the load behind it is tried. */
-const FIRST_RETRY_MS = 40;
-const LONGEST_RETRY_MS = 250;
 /** Longer than the longest stream runs; then the copy that would not go is taken back into use. */
 const UNLOAD_PATIENCE_MS = 12_000;
-/** Reports are some hundred milliseconds old; asked more often they say the same again. */
-const REPORT_PAUSE_MS = 150;
-const REPORT_LAG_MS = 1_000;
 /** Streams that an unload waits for run for seconds: how far its end is put off at a time. */
 const DELAY_STEP_MS = 800;
 /** Another holder's load takes seconds. */
 const FOREIGN_PAUSE_MS = 400;
 /** Beyond its usual time a load may be slowed by others; after this it is taken for failed. */
 const LOAD_PATIENCE_FACTOR = 4;
-/** An adapter loads within 30 ms while the store is not crowded. */
-const ADAPTER_LOAD_MS = 32;
-/** A report may be some orders old; the next one is not. */
-const ADAPTER_TRIES = 3;
 
 type Copy = { adapters: Set<string>; readyAtMs: number; isClosing: boolean };
 
-/** `pending`: taken, and done once the requests that use it have ended. */
-type Sent = 'accepted' | 'pending' | 'conflict' | 'unknown' | 'not-allowed';
-
 export function createSteward(record: fleet.UpstreamRecord, deps: StewardDeps): Steward {
   const { clock, log } = deps;
   const { upstreamId, name, address, failureDomain } = record;
-  const target: dialects.OrderTarget = { name, address };
   const stopping = new AbortController();
   let copies = new Map<string, Copy>();
   let hostModels = new Set(record.hostModels);
   let diskModels = new Set(record.diskModels);
   let isKnown = false;
-  /** Orders taken by the upstream; null when that has to be asked. */
-  let orderCount: number | null = null;
-  /** A report that counts fewer is older than what is known already. */
-  let leastOrderCount = 0;
-  let lastOrderMs = -Infinity;
   let arriving: { model: string; readyAtMs: number } | null = null;
   let isChanging = false;
   let isStoreLoad = false;
@@ -114,30 +92,32 @@
   let lastListed = record;
   /** Ordered to go; the upstream lists it until its runs have ended. */
   let unloading: string | null = null;
-  /** Orders and reports are sent one after the other. */
-  let turn: Promise<unknown> = Promise.resolve();
   const places = adapterPlaces.createAdapterPlaces(clock);
-  const adapterLoads = new Map<string, Promise<boolean>>();
-  let ownLateLoads: readonly lateLoads.LateLoad[] = [];
+  const desk = orderDesks.createOrderDesk({
+    ...deps,
+    upstreamId,
+    target: { name, address },
+    onReport: noteReport,
+    onAdapterLeaves: places.leaves,
+    stopping: stopping.signal,
+  });
+  const adapterLoading = adapterLoads.createAdapterLoads({
+    clock,
+    desk,
+    places,
+    copy: (model) => copies.get(model),
+    held: heldAdapters,
+    takenCount: takenPlaces,
+    isBlocked: () => isChanging || isForeignBusy,
+    lastAskedMs: deps.adapterLastAskedMs,
+    onChanged: deps.onChanged,
+    stopping: stopping.signal,
+  });
 
   function inheritedLoads(): readonly lateLoads.LateLoad[] {
     return lateLoads.pending(deps.inheritedLateLoads, clock.nowMs());
   }
 
-  function noteUnanswered(order: dialects.Order): void {
-    orderCount = null;
-    const late = lateLoads.toLateLoad(order, clock.nowMs());
-    if (late !== null) ownLateLoads = [...lateLoads.pending(ownLateLoads, clock.nowMs()), late];
-  }
-
-  function inTurn<Value>(task: () => Promise<Value>): Promise<Value> {
-    const done = turn.then(task);
-    turn = done.catch((cause: unknown) => {
-      log.error('steward-broken', { upstreamId, reason: String(cause) });
-    });
-    return done;
-  }
-
   function sleep(durationMs: number): Promise<'elapsed' | 'aborted'> {
     return clocksModule.sleepUntil(clock, clock.nowMs() + durationMs, stopping.signal);
   }
@@ -163,32 +143,22 @@
     deps.onChanged();
   }
 
-  /** Asks what the upstream holds; a report older than our own orders is asked for again. */
-  async function refresh(): Promise<fleet.UpstreamReport | null> {
-    const report = await deps.control.report(target, clock.nowMs() + CALL_TIMEOUT_MS);
-    if (report.err) {
-      log.warn('report-missing', { upstreamId, reason: report.val.reason });
-      return null;
-    }
-    const mayBeOld = clock.nowMs() - lastOrderMs < REPORT_LAG_MS;
-    if (mayBeOld && report.val.orderCount < leastOrderCount) return null;
-    orderCount = report.val.orderCount;
-    if (report.val.hostModels.length > 0) hostModels = new Set(report.val.hostModels);
-    if (report.val.diskModels.length > 0) diskModels = new Set(report.val.diskModels);
+  function noteReport(report: fleet.UpstreamReport): void {
+    if (report.hostModels.length > 0) hostModels = new Set(report.hostModels);
+    if (report.diskModels.length > 0) diskModels = new Set(report.diskModels);
     if (!isKnown) {
       log.info('upstream-holds', {
         upstreamId,
-        orderCount,
-        models: report.val.models.map((model) => model.name).join(','),
-        adapters: report.val.models.map(({ adapters }) => adapters.length).join(','),
-        host: report.val.hostModels.join(','),
-        disk: report.val.diskModels.join(','),
+        orderCount: report.orderCount,
+        models: report.models.map((model) => model.name).join(','),
+        adapters: report.models.map(({ adapters }) => adapters.length).join(','),
+        host: report.hostModels.join(','),
+        disk: report.diskModels.join(','),
       });
     }
-    takeResident(report.val.models);
-    places.reported(report.val);
-    noteBusy(report.val.isBusy);
-    return report.val;
+    takeResident(report.models);
+    places.reported(report);
+    noteBusy(report.isBusy);
   }
 
   /**
@@ -205,118 +175,23 @@
   async function awaitForeign(): Promise<void> {
     do {
       if ((await sleep(FOREIGN_PAUSE_MS)) === 'aborted') return;
-      await inTurn(refresh);
+      await desk.inTurn(desk.refresh);
     } while (isForeignBusy);
   }
 
-  async function ensureKnown(): Promise<boolean> {
-    if (orderCount !== null) return true;
-    return (await refresh()) !== null;
-  }
-
-  function noteOutcome(order: dialects.Order, outcome: dialects.OrderOutcome): Sent {
-    switch (outcome.kind) {
-      case 'accepted':
-        orderCount = (orderCount ?? 0) + 1;
-        leastOrderCount = orderCount;
-        if (order.kind !== 'unload-adapter') return 'accepted';
-        places.leaves(order.model, order.adapter);
-        return 'pending';
-      case 'holds-already':
-        // An adapter that nobody uses goes at once, which counts as an order taken; one that had gone
-        // before does not. The next report tells.
-        if (order.kind === 'unload-adapter') orderCount = (orderCount ?? 0) + 1;
-        return 'accepted';
-      case 'conflict':
-        return 'conflict';
-      case 'fenced':
-        deps.onFenced();
-        return 'not-allowed';
-      case 'other-upstream':
-      case 'invalid':
-        orderCount = null;
-        return 'not-allowed';
-    }
-  }
-
-  async function send(order: dialects.Order): Promise<Sent> {
-    if (!(await ensureKnown())) return 'unknown';
-    const term = deps.orderTerm();
-    if (term === null || stopping.signal.aborted) return 'not-allowed';
-    const expectedOrderCount = orderCount ?? 0;
-    const context = { holderId: deps.holderId, fence: term, expectedOrderCount };
-    const answer = await deps.control.order(
-      target,
-      order,
-      context,
-      clock.nowMs() + ORDER_TIMEOUT_MS,
-    );
-    lastOrderMs = clock.nowMs();
-    const result = answer.ok ? noteOutcome(order, answer.val) : 'unknown';
-    if (answer.err) noteUnanswered(order);
-    deps.metrics.orderGiven(order.kind, answer.ok ? answer.val.kind : 'unknown');
-    log.info('order-given', {
-      upstreamId,
-      order: order.kind,
-      model: order.model,
-      adapter: 'adapter' in order ? order.adapter : undefined,
-      term,
-      expectedOrderCount,
-      outcome: answer.ok ? answer.val.kind : answer.val.reason,
-    });
-    return result;
-  }
-
-  /**
-   * Sends an order that was planned when the upstream had taken `plannedCount` orders. Failure: the answer to an
-   * order is lost, and the count that is asked for next has grown by an order of another's. Symptom: a load on
-   * top of one that nobody planned with.
-   */
-  async function sendPlanned(
-    order: dialects.Order,
-    plannedCount: number | null,
-  ): Promise<Sent | 'overtaken'> {
-    if (!(await ensureKnown())) return 'unknown';
-    if (plannedCount !== null && orderCount !== plannedCount) return 'overtaken';
-    return send(order);
-  }
-
-  /**
-   * Sends until the upstream takes it: behind an unload, that is when the unload is done. Given up once
-   * the upstream has taken someone else's order, since the plan was made before that.
-   */
-  async function sendUntilTaken(
-    order: dialects.Order,
-    untilMs: number,
-    onDelayed = () => {},
-  ): Promise<Sent> {
-    const plannedCount = orderCount;
-    let waitMs = FIRST_RETRY_MS;
-    for (;;) {
-      const sent = await inTurn(() => sendPlanned(order, plannedCount));
-      if (sent === 'overtaken') return 'conflict';
-      if (sent === 'accepted' || sent === 'pending' || sent === 'not-allowed') return sent;
-      if (clock.nowMs() >= untilMs || stopping.signal.aborted) return sent;
-      onDelayed();
-      await sleep(sent === 'unknown' ? REPORT_PAUSE_MS : waitMs);
-      waitMs = Math.min(LONGEST_RETRY_MS, waitMs * 2);
-      if (waitMs >= LONGEST_RETRY_MS) await inTurn(refresh);
-    }
-  }
-
   async function unload(model: string): Promise<boolean> {
     const copy = copies.get(model);
     if (copy === undefined) return true;
     copy.isClosing = true;
     unloading = model;
     deps.onChanged();
-    await sleep(CLOSE_NOTICE_MS);
+    await sleep(deps.closeNoticeMs());
     const untilMs = clock.nowMs() + ORDER_PATIENCE_MS;
-    const sent = await sendUntilTaken({ kind: 'unload-model', model }, untilMs);
+    const sent = await desk.sendUntilTaken({ kind: 'unload-model', model }, untilMs);
     if (sent === 'accepted') return true;
     unloading = null;
     copy.isClosing = false;
-    if (sent === 'unknown') await inTurn(refresh);
+    if (sent === 'unknown') await desk.inTurn(desk.refresh);
     deps.onChanged();
     return !copies.has(model);
   }
@@ -328,10 +203,10 @@
     deps.onChanged();
     await sleep(change.loadMs);
     while (clock.nowMs() < untilMs && !stopping.signal.aborted) {
-      const report = await inTurn(refresh);
+      const report = await desk.inTurn(desk.refresh);
       if (report !== null && copies.has(change.load)) return true;
       if (report !== null && !report.isBusy) return false;
-      await sleep(REPORT_PAUSE_MS);
+      await sleep(orderDesks.REPORT_PAUSE_MS);
     }
     return false;
   }
@@ -339,11 +214,12 @@
   /** Whether the plan was made for what the upstream holds, and it is free to carry it out. */
   async function isStillRight(wanted: copyPlan.CopyChange): Promise<boolean> {
     const planned = [...copies.keys()].sort().join(' ');
-    const untilMs = clock.nowMs() + CALL_TIMEOUT_MS;
-    let report = await inTurn(refresh);
+    const untilMs = clock.nowMs() + orderDesks.CALL_TIMEOUT_MS;
+    let report = await desk.inTurn(desk.refresh);
     while (report === null) {
-      if (clock.nowMs() >= untilMs || (await sleep(REPORT_PAUSE_MS)) === 'aborted') return false;
-      report = await inTurn(refresh);
+      if (clock.nowMs() >= untilMs || (await sleep(orderDesks.REPORT_PAUSE_MS)) === 'aborted')
+        return false;
+      report = await desk.inTurn(desk.refresh);
     }
     if (report.isBusy) return false;
     const held = [...copies.keys()].sort().join(' ');
@@ -356,7 +232,7 @@
     const patienceMs = wanted.unload === null ? ORDER_PATIENCE_MS : UNLOAD_PATIENCE_MS;
     const order = { kind: 'load-model', model: wanted.load } as const;
     if (isStoreLoad) deps.onStoreLoad(true);
-    const sent = await sendUntilTaken(order, clock.nowMs() + patienceMs, () => {
+    const sent = await desk.sendUntilTaken(order, clock.nowMs() + patienceMs, () => {
       // The runs that the unload waits for last longer: callers are told to come back accordingly.
       const soonestMs = clock.nowMs() + wanted.loadMs + REPORTED_AFTER_MS;
       if (arriving === null || arriving.readyAtMs >= soonestMs) return;
@@ -366,7 +242,7 @@
     if (sent === 'accepted' && wanted.unload !== null) copies.delete(wanted.unload);
     if (sent === 'unknown' && isStoreLoad) deps.onStoreLoad(false);
     if (sent !== 'accepted') {
-      await inTurn(refresh);
+      await desk.inTurn(desk.refresh);
       return false;
     }
     return awaitLoaded(wanted);
@@ -413,65 +289,7 @@
       }));
   }
 
-  /** Makes one place free, at the cost of the adapter that was asked for longest ago. */
-  async function freeAdapterPlace(): Promise<boolean> {
-    const lastAskedMs = (held: { model: string; adapter: string }) =>
-      deps.adapterLastAskedMs(held.model, held.adapter);
-    const oldest = heldAdapters().sort((a, b) => lastAskedMs(a) - lastAskedMs(b))[0];
-    if (oldest === undefined) return false;
-    copies.get(oldest.model)?.adapters.delete(oldest.adapter);
-    deps.onChanged();
-    const sent = await send({ kind: 'unload-adapter', ...oldest });
-    // What was not taken may be in its place still.
-    if (sent !== 'accepted' && sent !== 'pending') {
-      copies.get(oldest.model)?.adapters.add(oldest.adapter);
-    }
-    return sent === 'accepted';
-  }
-
-  /** Orders the load, with as many tries as a report that is some orders old needs. */
-  async function orderAdapter(
-    model: string,
-    adapter: string,
-    adaptersMax: number,
-  ): Promise<boolean> {
-    for (let tries = 0; tries < ADAPTER_TRIES; tries += 1) {
-      // Places are counted by what the upstream holds at this count of orders; a later look may find others.
-      await ensureKnown();
-      const copy = copies.get(model);
-      // While it loads a model it refuses orders for adapters.
-      if (copy === undefined || copy.isClosing || isChanging || isForeignBusy) return false;
-      if (copy.adapters.has(adapter)) return true;
-      const isFull = takenPlaces() >= adaptersMax;
-      const hasRoom = orderCount !== null && (!isFull || (await freeAdapterPlace()));
-      const sent = hasRoom ? await send({ kind: 'load-adapter', model, adapter }) : 'conflict';
-      if (sent === 'accepted') return true;
-      if (sent === 'not-allowed') return false;
-      await sleep(REPORT_PAUSE_MS);
-      await refresh();
-    }
-    return false;
-  }
-
-  async function loadAdapter(
-    model: string,
-    adapter: string,
-    adaptersMax: number,
-  ): Promise<boolean> {
-    const isOrdered = await inTurn(async () => {
-      const isTaken = await orderAdapter(model, adapter, adaptersMax);
-      if (isTaken) places.arrives(model, adapter);
-      return isTaken;
-    });
-    if (!isOrdered) return false;
-    await sleep(ADAPTER_LOAD_MS);
-    places.arrived(model, adapter);
-    copies.get(model)?.adapters.add(adapter);
-    deps.onChanged();
-    return true;
-  }
-
-  void inTurn(refresh);
+  void desk.inTurn(desk.refresh);
 
   return {
     upstreamId,
@@ -510,15 +328,15 @@
             })),
           }
         : null,
-    lateLoads: () => [...inheritedLoads(), ...lateLoads.pending(ownLateLoads, clock.nowMs())],
-    adapterCount: () => takenPlaces() + adapterLoads.size - places.arrivingCount(),
+    lateLoads: () => [...inheritedLoads(), ...desk.lateLoads()],
+    adapterCount: () => takenPlaces() + adapterLoading.loadingCount() - places.arrivingCount(),
     hasAdapter: (model, adapter) =>
-      copies.get(model)?.adapters.has(adapter) === true || adapterLoads.has(`${model}/${adapter}`),
+      copies.get(model)?.adapters.has(adapter) === true || adapterLoading.isLoading(model, adapter),
     startChange: (wanted) => {
       isChanging = true;
       isStoreLoad = wanted.level === 'store';
       leaving = wanted.unload;
-      const unloadMs = wanted.unload === null ? 0 : CLOSE_NOTICE_MS + UNLOAD_MS;
+      const unloadMs = wanted.unload === null ? 0 : deps.closeNoticeMs() + UNLOAD_MS;
       const readyAtMs = clock.nowMs() + unloadMs + wanted.loadMs + REPORTED_AFTER_MS;
       arriving = { model: wanted.load, readyAtMs };
       deps.onChanged();
@@ -536,8 +354,8 @@
         })
         .then((isDone) => {
           isChanging = false;
-          void inTurn(refresh);
-          lastOrderMs = clock.nowMs();
+          void desk.inTurn(desk.refresh);
+          desk.noteChanged();
           unloading = null;
           leaving = null;
           arriving = null;
@@ -547,22 +365,14 @@
           deps.onChanged();
         });
     },
-    ensureAdapter: (model, adapter, adaptersMax) => {
-      if (copies.get(model)?.adapters.has(adapter) === true) return Promise.resolve(true);
-      const key = `${model}/${adapter}`;
-      const running = adapterLoads.get(key);
-      if (running !== undefined) return running;
-      const load = loadAdapter(model, adapter, adaptersMax).finally(() => adapterLoads.delete(key));
-      adapterLoads.set(key, load);
-      return load;
-    },
+    ensureAdapter: adapterLoading.ensure,
     heardList: (listed) => {
       // While the store is away the same old record is seen again and again.
       if (listed === lastListed) return;
       lastListed = listed;
       if (listed.hostModels.length > 0) hostModels = new Set(listed.hostModels);
       if (listed.diskModels.length > 0) diskModels = new Set(listed.diskModels);
-      if (isKnown && !isChanging && !isAlike(listed)) void inTurn(refresh);
+      if (isKnown && !isChanging && !isAlike(listed)) void desk.inTurn(desk.refresh);
     },
     stop: () => stopping.abort(),
   };
--- a/packages/gateway/src/shared/exchange-pace.ts
+++ b/packages/gateway/src/shared/exchange-pace.ts
@@ -25,3 +25,11 @@
 export function hurryMs(gatewayCount: number): number {
   return Math.min(HURRY_MAX_MS, Math.max(HURRY_MS, gatewayCount * HURRY_PER_GATEWAY_MS));
 }
+
+/** What an answer takes on its way, beside the pause before the question. */
+const ANSWER_MS = 50;
+
+/** After which all gateways that hear the holder know what it has changed. */
+export function noticeMs(gatewayCount: number): number {
+  return periodMs(gatewayCount) + ANSWER_MS;
+}
