Let queues beside streams grow no longer than the pause that these may make

Engines read prompts between the tokens of others; a queue of 350 ms (0.7 of the objective) is read without a break. Excluded: the gateway's own lag (19 beats more than 80 ms late in 34 s over four gateways, five more than 120 ms). Change: routes decode their longest pause; interactive requests join queues up to 0.9 of it. Callers' patience counts eight pauses, as they do.

--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -22,6 +22,7 @@
   maxAttempts: 1,
   timeoutMs: 5_000,
   latencyObjectiveMs: 100,
+  pauseObjectiveMs: null,
   priority: 0,
   isResumable: false,
 };
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -66,6 +66,7 @@
       maxAttempts: 1,
       timeoutMs: 30_000,
       latencyObjectiveMs: 100,
+      pauseObjectiveMs: null,
       priority: 0,
       isResumable,
     },
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -93,6 +93,7 @@
     const nowMs = clock.nowMs();
     return {
       latencyObjectiveMs: call.route.latencyObjectiveMs,
+      pauseObjectiveMs: call.route.pauseObjectiveMs,
       leftMs: call.deadlineMs - nowMs,
       waitedMs: nowMs - call.arrivedAtMs,
     };
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -218,6 +218,7 @@
       arrivedAtMs: call.arrivedAtMs,
       deadlineMs: call.deadlineMs,
       latencyObjectiveMs: call.route.latencyObjectiveMs,
+      pauseObjectiveMs: call.route.pauseObjectiveMs,
       readyInMs: expected.inMs,
       isOrdered: expected.kind === 'on-its-way',
       isLate: router.isLate(call, run),
--- a/packages/gateway/src/shared/model-waits.test.ts
+++ b/packages/gateway/src/shared/model-waits.test.ts
@@ -10,6 +10,7 @@
   arrivedAtMs: 1_000,
   deadlineMs: 31_000,
   latencyObjectiveMs: 10_000,
+  pauseObjectiveMs: null,
   readyInMs: 3_000,
   isOrdered: false,
   isLate: false,
--- a/packages/gateway/src/shared/model-waits.ts
+++ b/packages/gateway/src/shared/model-waits.ts
@@ -17,6 +17,7 @@
   arrivedAtMs: number;
   deadlineMs: number;
   latencyObjectiveMs: number;
+  pauseObjectiveMs: number | null;
   /** When the model is expected to be ready. */
   readyInMs: number;
   /** The load that brings it has been ordered. */
@@ -48,7 +49,7 @@
 function longestWaitMs(request: MissingModel): number {
   const { latencyObjectiveMs, isOrdered, isLate } = request;
   const timeMs = DEADLINE_SHARE * (request.deadlineMs - request.arrivedAtMs);
-  const patienceMs = PATIENCE_SHARE * queueLimits.streamPatienceMs(latencyObjectiveMs);
+  const patienceMs = PATIENCE_SHARE * queueLimits.streamPatienceMs(request);
   const staysOn = isOrdered && (isLate || urgency.isBatch(request));
   const ownMs = staysOn ? patienceMs : WAIT_SHARE * latencyObjectiveMs;
   return Math.min(ownMs, timeMs);
--- a/packages/gateway/src/shared/queue-limits.test.ts
+++ b/packages/gateway/src/shared/queue-limits.test.ts
@@ -40,6 +40,7 @@
   return queueLimits.queueLimitMs({
     isStream: true,
     latencyObjectiveMs: OBJECTIVE_MS,
+    pauseObjectiveMs: null,
     leftMs,
     waitedMs: 0,
     isLate,
@@ -70,7 +71,13 @@
 });
 
 test('what was waited for a model is time that the caller no longer has', () => {
-  const input = { isStream: true, latencyObjectiveMs: 500, leftMs: 12_000, isLate: true };
+  const input = {
+    isStream: true,
+    latencyObjectiveMs: 500,
+    pauseObjectiveMs: null,
+    leftMs: 12_000,
+    isLate: true,
+  };
   const limitAfterMs = (waitedMs: number) => queueLimits.queueLimitMs({ ...input, waitedMs });
   assert.ok(limitAfterMs(1_500) <= limitAfterMs(0) - 1_000);
   assert.is(limitAfterMs(2_500), 0);
@@ -80,6 +87,7 @@
   const input = {
     isStream: true,
     latencyObjectiveMs: 10_000,
+    pauseObjectiveMs: null,
     leftMs: 800,
     waitedMs: 0,
     isLate: false,
@@ -94,4 +102,76 @@
   assert.is(queueLimits.overloadRetryMs({ predictedMs: 900, nextCopyInMs: 9_000 }), 900);
 });
 
+/** What an engine with streams takes for a step, and for the prompts that it reads with each. */
+const STEP_MS = 6;
+const CHUNK_MS = 25;
+/** Events of its streams hold this many tokens. */
+const TOKENS_PER_EVENT = 6;
+const PROMPT_MS = 30;
+const PAUSE_OBJECTIVE_MS = 200;
+
+/**
+ * Replays bursts of prompts at an engine that runs streams: each step reads a chunk of what waits, beside one token of
+ * each stream. Counts events that came later than their route allows, and prompts that were refused.
+ */
+function replayBursts(longestMs: number) {
+  const random = createRandom(5);
+  const outcome = { events: 0, pauses: 0, taken: 0, refused: 0 };
+  let unreadMs = 0;
+  let nowMs = 0;
+  let nextBurstMs = 0;
+  while (nowMs < 60_000) {
+    const eventStartMs = nowMs;
+    for (let token = 0; token < TOKENS_PER_EVENT; token += 1) {
+      if (nowMs >= nextBurstMs) {
+        nextBurstMs = nowMs + 500 + random.fraction() * 1_000;
+        const count = random.below(16);
+        for (let index = 0; index < count; index += 1) {
+          const isTaken = unreadMs + PROMPT_MS <= longestMs;
+          if (isTaken) unreadMs += PROMPT_MS;
+          outcome[isTaken ? 'taken' : 'refused'] += 1;
+        }
+      }
+      const readMs = Math.min(CHUNK_MS, unreadMs);
+      unreadMs -= readMs;
+      nowMs += STEP_MS + readMs;
+    }
+    outcome.events += 1;
+    if (nowMs - eventStartMs > PAUSE_OBJECTIVE_MS * 0.85) outcome.pauses += 1;
+  }
+  return outcome;
+}
+
+// Prompts come in bursts to an engine that runs streams. Read without a break, a queue as long as the objective bears
+// makes every stream beside it pause for longer than its caller finds in time: one late first piece is saved by many
+// late answers.
+test('a queue beside streams is no longer than the pause that these may make', () => {
+  const input = {
+    isStream: true,
+    latencyObjectiveMs: 500,
+    pauseObjectiveMs: null,
+    leftMs: 12_000,
+    waitedMs: 0,
+    isLate: false,
+  };
+  const longMs = queueLimits.queueLimitMs(input);
+  const shortMs = queueLimits.queueLimitMs({ ...input, pauseObjectiveMs: PAUSE_OBJECTIVE_MS });
+  const long = replayBursts(longMs);
+  const short = replayBursts(shortMs);
+  assert.ok(short.pauses < long.pauses / 2, JSON.stringify({ long, short }));
+  assert.ok(short.taken > long.taken * 0.6, JSON.stringify({ long, short }));
+});
+
+test('overnight work queues for as long as its objective bears', () => {
+  const input = { isStream: true, leftMs: 30_000, waitedMs: 0, isLate: false };
+  const overnight = { ...input, latencyObjectiveMs: 10_000, pauseObjectiveMs: 300 };
+  assert.ok(queueLimits.queueLimitMs(overnight) > 5_000);
+});
+
+test('a caller stays for as many pauses as its route allows, if that is longest', () => {
+  const route = { latencyObjectiveMs: 500, pauseObjectiveMs: 300 };
+  assert.is(queueLimits.streamPatienceMs(route), 2_400);
+  assert.is(queueLimits.streamPatienceMs({ ...route, pauseObjectiveMs: 200 }), 2_000);
+});
+
 test.run();
--- a/packages/gateway/src/shared/queue-limits.ts
+++ b/packages/gateway/src/shared/queue-limits.ts
@@ -4,11 +4,18 @@
  * long as callers bear makes every answer late, the first as well as the last, while as many are served; one
  * no longer than the latency objective has those that are let in served in time, and tells the others at
  * once. What has missed its objective already, having come back after a refusal, may queue for as long as its
- * caller stays: to it a late answer is all there is to gain.
+ * caller stays: to it a late answer is all there is to gain. Beside running streams a queue has another harm: engines
+ * read prompts between the tokens of other requests, so that those pause for as long as prompts are read without a
+ * break, and a pause makes an answer late that was in time at first. With queues up to 0.7 of the objective a quarter of
+ * the answered streams had a pause beyond what their route allows.
  */
+import * as urgency from './urgency.js';
+
 export type QueueLimitInput = {
   isStream: boolean;
   latencyObjectiveMs: number;
+  /** The longest pause between events that its route allows; null where none is declared. */
+  pauseObjectiveMs: number | null;
   /** Until the caller's deadline. */
   leftMs: number;
   /** Since the request came: its caller has had nothing for so long. */
@@ -17,22 +24,36 @@
   isLate: boolean;
 };
 
-/** Callers of a stream leave after the longest of two seconds and four objectives without an event. */
+type Patience = Pick<QueueLimitInput, 'latencyObjectiveMs' | 'pauseObjectiveMs'>;
+
+/** Callers of a stream leave after the longest of these without an event. */
 const STREAM_PATIENCE_MIN_MS = 2_000;
 const STREAM_PATIENCE_OBJECTIVES = 4;
+const STREAM_PATIENCE_PAUSES = 8;
 /** One in ten first pieces takes 1.4 times its prediction or longer, as measured at saturated upstreams. */
 const PREDICTED_SHARE = 0.7;
 /** A prediction beyond this part of the caller's patience is a wait in vain. */
 const PATIENCE_SHARE = 0.8;
 
+/**
+ * What may wait to be read before an interactive request, against the longest pause allowed to the streams beside it.
+ * Overnight work is read after all others. Mean worth of three days of one deployment with faults (one play each,
+ * processor time not counted): 0.555, without it 0.536, with 0.6 0.539.
+ */
+const PAUSE_SHARE = 0.9;
+
 /** How long the caller of a stream stays without a piece. */
-export function streamPatienceMs(latencyObjectiveMs: number): number {
-  return Math.max(STREAM_PATIENCE_MIN_MS, STREAM_PATIENCE_OBJECTIVES * latencyObjectiveMs);
+export function streamPatienceMs(route: Patience): number {
+  return Math.max(
+    STREAM_PATIENCE_MIN_MS,
+    STREAM_PATIENCE_OBJECTIVES * route.latencyObjectiveMs,
+    STREAM_PATIENCE_PAUSES * (route.pauseObjectiveMs ?? 0),
+  );
 }
 
 /** How long it still stays. */
 function patienceMs(input: Omit<QueueLimitInput, 'isStream' | 'isLate'>): number {
-  const gapMs = streamPatienceMs(input.latencyObjectiveMs);
+  const gapMs = streamPatienceMs(input);
   return Math.max(0, Math.min(input.leftMs, gapMs - input.waitedMs));
 }
 
@@ -41,7 +62,9 @@
   if (!input.isStream) return input.leftMs * PATIENCE_SHARE;
   const longestMs = patienceMs(input) * PREDICTED_SHARE;
   if (input.isLate) return longestMs;
-  return Math.min(longestMs, input.latencyObjectiveMs * PREDICTED_SHARE);
+  const inTimeMs = Math.min(longestMs, input.latencyObjectiveMs * PREDICTED_SHARE);
+  if (input.pauseObjectiveMs === null || urgency.isBatch(input)) return inTimeMs;
+  return Math.min(inTimeMs, input.pauseObjectiveMs * PAUSE_SHARE);
 }
 
 export type OverloadInput = {
--- a/packages/gateway/src/shared/route-table.test.ts
+++ b/packages/gateway/src/shared/route-table.test.ts
@@ -16,6 +16,7 @@
     maxAttempts: 1,
     timeoutMs: 1_000,
     latencyObjectiveMs: 100,
+    pauseObjectiveMs: null,
     priority: 0,
     isResumable: false,
   };
--- a/packages/gateway/src/types/fleet.ts
+++ b/packages/gateway/src/types/fleet.ts
@@ -19,6 +19,8 @@
   maxAttempts: number;
   timeoutMs: number;
   latencyObjectiveMs: number;
+  /** The longest pause between events with which an answer is in time; null where none is declared. */
+  pauseObjectiveMs: number | null;
   /** 0 is the most urgent. */
   priority: number;
   isResumable: boolean;
