Take an upstream that is silent for far longer than a first piece takes for dark

Callers of streams leave after two seconds without a piece, and an attempt whose caller has left says nothing of its upstream: one that has gone dark goes on getting requests while the platform lists it, three heartbeats more. Excluded: connections that cannot be opened (noticed after 300 ms, counted as broken); idempotent calls (a deadline of their own for the first byte). Change: 0.6 s after it was sent, or three times the predicted first piece, an attempt is looked at: if nothing at all has come from the upstream since, it is avoided like one that broke twice, until anything comes from it; others are told after 0.7 s more.

--- a/packages/gateway/src/server/forwarding/attempt-notes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.ts
@@ -4,6 +4,7 @@
 import type * as pacesModule from '../../shared/paces.js';
 import type * as beliefsModule from '../../shared/upstream-beliefs.js';
 import type * as upstreamChoice from '../../shared/upstream-choice.js';
+import * as silences from '../../shared/silences.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -32,16 +33,29 @@
   choice: Extract<upstreamChoice.Choice, { kind: 'send' }>;
 };
 
+/** A few turns of the loop. */
+const SECOND_LOOK_MS = 40;
 /** Longer than any caller of a stream waits for its first piece. */
 const GOOD_KEPT_MS = 30_000;
 
-export function createAttemptNotes(deps: AttemptNotesDeps): (attempt: EndedAttempt) => void {
+export type AttemptNotes = {
+  ended: (attempt: EndedAttempt) => void;
+  /** Any part of an answer has come from the upstream. */
+  heard: (upstreamId: string) => void;
+  /** Looks, once an answer is far overdue, whether the upstream is silent; returns how to call that off. */
+  watch: (upstreamId: string, predictedMs: number) => clocks.Cancel;
+};
+
+export function createAttemptNotes(deps: AttemptNotesDeps): AttemptNotes {
   const { clock, log, directory, beliefs, placement } = deps;
   const lastGoodMs = new Map<string, number>();
   const reportPace = paceReports.createPaceReports(deps);
 
-  function noteBelief(upstreamId: string, end: beliefsModule.AttemptEnd, nowMs: number): void {
-    const change = beliefs.ended(upstreamId, end, nowMs);
+  function noteChange(
+    upstreamId: string,
+    change: beliefsModule.BeliefChange | null,
+    nowMs: number,
+  ): void {
     if (change === null) return;
     const { brokenInRow, avoidUntilMs } = change.belief;
     if (change.kind === 'trusted') log.info('upstream-trusted', { upstreamId });
@@ -51,6 +65,24 @@
     }
   }
 
+  function noteBelief(upstreamId: string, end: beliefsModule.AttemptEnd, nowMs: number): void {
+    noteChange(upstreamId, beliefs.ended(upstreamId, end, nowMs), nowMs);
+  }
+
+  function watch(upstreamId: string, predictedMs: number): clocks.Cancel {
+    const sent = { sentMs: clock.nowMs(), predictedMs, lastHeardMs: null };
+    const isSilent = () =>
+      silences.isSilent({ ...sent, lastHeardMs: beliefs.lastHeardMs(upstreamId) });
+    let cancel = clock.schedule(silences.silentAtMs(sent), () => {
+      if (!isSilent()) return;
+      // This process itself may have stood still: what came meanwhile is read before the second look.
+      cancel = clock.schedule(clock.nowMs() + SECOND_LOOK_MS, () => {
+        if (isSilent()) noteBelief(upstreamId, { kind: 'silent' }, clock.nowMs());
+      });
+    });
+    return () => cancel();
+  }
+
   function noteEnd(call: calls.Call, upstreamId: string, result: calls.AttemptResult): void {
     const nowMs = clock.nowMs();
     switch (result.kind) {
@@ -105,7 +137,7 @@
     if (isEndedByCaller && isAtWork && tookMs > choice.predictedMs) notePace(attempt, tookMs);
   }
 
-  return (attempt) => {
+  function ended(attempt: EndedAttempt): void {
     const { call, upstreamId, result, firstPieceMs, choice } = attempt;
     const isGood = result.kind === 'answered' && result.status < 500;
     if (firstPieceMs === null || !isGood) {
@@ -120,5 +152,14 @@
     for (const [id, atMs] of lastGoodMs) {
       if (clock.nowMs() - atMs > GOOD_KEPT_MS) lastGoodMs.delete(id);
     }
+  }
+
+  return {
+    ended,
+    heard: (upstreamId) => {
+      const nowMs = clock.nowMs();
+      noteChange(upstreamId, beliefs.heard(upstreamId, nowMs), nowMs);
+    },
+    watch,
   };
 }
