--- a/packages/gateway/src/server/forwarding/attempt-notes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.ts
@@ -4,7 +4,6 @@
 import type * as pacesModule from '../../shared/paces.js';
 import type * as beliefsModule from '../../shared/upstream-beliefs.js';
 import type * as upstreamChoice from '../../shared/upstream-choice.js';
-import * as silences from '../../shared/silences.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -33,29 +32,16 @@
   choice: Extract<upstreamChoice.Choice, { kind: 'send' }>;
 };
 
-/** A few turns of the loop. */
-const SECOND_LOOK_MS = 40;
 /** Longer than any caller of a stream waits for its first piece. */
 const GOOD_KEPT_MS = 30_000;
 
-export type AttemptNotes = {
-  ended: (attempt: EndedAttempt) => void;
-  /** Any part of an answer has come from the upstream. */
-  heard: (upstreamId: string) => void;
-  /** Looks, once an answer is far overdue, whether the upstream is silent; returns how to call that off. */
-  watch: (upstreamId: string, predictedMs: number) => clocks.Cancel;
-};
-
-export function createAttemptNotes(deps: AttemptNotesDeps): AttemptNotes {
+export function createAttemptNotes(deps: AttemptNotesDeps): (attempt: EndedAttempt) => void {
   const { clock, log, directory, beliefs, placement } = deps;
   const lastGoodMs = new Map<string, number>();
   const reportPace = paceReports.createPaceReports(deps);
 
-  function noteChange(
-    upstreamId: string,
-    change: beliefsModule.BeliefChange | null,
-    nowMs: number,
-  ): void {
+  function noteBelief(upstreamId: string, end: beliefsModule.AttemptEnd, nowMs: number): void {
+    const change = beliefs.ended(upstreamId, end, nowMs);
     if (change === null) return;
     const { brokenInRow, avoidUntilMs } = change.belief;
     if (change.kind === 'trusted') log.info('upstream-trusted', { upstreamId });
@@ -65,24 +51,6 @@
     }
   }
 
-  function noteBelief(upstreamId: string, end: beliefsModule.AttemptEnd, nowMs: number): void {
-    noteChange(upstreamId, beliefs.ended(upstreamId, end, nowMs), nowMs);
-  }
-
-  function watch(upstreamId: string, predictedMs: number): clocks.Cancel {
-    const sent = { sentMs: clock.nowMs(), predictedMs, lastHeardMs: null };
-    const isSilent = () =>
-      silences.isSilent({ ...sent, lastHeardMs: beliefs.lastHeardMs(upstreamId) });
-    let cancel = clock.schedule(silences.silentAtMs(sent), () => {
-      if (!isSilent()) return;
-      // This process itself may have stood still: what came meanwhile is read before the second look.
-      cancel = clock.schedule(clock.nowMs() + SECOND_LOOK_MS, () => {
-        if (isSilent()) noteBelief(upstreamId, { kind: 'silent' }, clock.nowMs());
-      });
-    });
-    return () => cancel();
-  }
-
   function noteEnd(call: calls.Call, upstreamId: string, result: calls.AttemptResult): void {
     const nowMs = clock.nowMs();
     switch (result.kind) {
@@ -137,7 +105,7 @@
     if (isEndedByCaller && isAtWork && tookMs > choice.predictedMs) notePace(attempt, tookMs);
   }
 
-  function ended(attempt: EndedAttempt): void {
+  return (attempt) => {
     const { call, upstreamId, result, firstPieceMs, choice } = attempt;
     const isGood = result.kind === 'answered' && result.status < 500;
     if (firstPieceMs === null || !isGood) {
@@ -152,14 +120,5 @@
     for (const [id, atMs] of lastGoodMs) {
       if (clock.nowMs() - atMs > GOOD_KEPT_MS) lastGoodMs.delete(id);
     }
-  }
-
-  return {
-    ended,
-    heard: (upstreamId) => {
-      const nowMs = clock.nowMs();
-      noteChange(upstreamId, beliefs.heard(upstreamId, nowMs), nowMs);
-    },
-    watch,
   };
 }
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -106,7 +106,6 @@
         holdsFailure: false,
         sendByMs: clock.nowMs() + 10_000,
         firstByteByMs: clock.nowMs() + 20_000,
-        onHeard: () => {},
         onFirstPiece: () => {},
       },
     );
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -30,8 +30,6 @@
   /** Give up, as silent, when no byte of an answer has come by then. */
   firstByteByMs: number;
   onFirstPiece: () => void;
-  /** Any part of an answer has come. */
-  onHeard: () => void;
 };
 
 /** A whole answer up to this size is held, so that one that breaks off can still become a typed failure. */
@@ -151,7 +149,6 @@
       },
       onResponseStart: (_controller, statusCode, responseHeaders) => {
         if (statusCode < 200 || isSettled) return;
-        input.onHeard();
         hasStatus = true;
         status = statusCode;
         framing = framingOf(status, responseHeaders);
@@ -170,7 +167,6 @@
       },
       onResponseData: (_controller, chunk) => {
         if (isSettled) return;
-        input.onHeard();
         if (isPassing) {
           passOn(chunk);
           return;
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -67,7 +67,7 @@
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
   const router = routers.createRouter(deps);
-  const notes = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
+  const noteAttempt = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
   const norms = deadlineNorms.createDeadlineNorms();
   let waitingCount = 0;
 
@@ -118,7 +118,6 @@
     });
     deps.caches.sent(upstreamId, scope, call.facts.promptParts);
     let firstPieceMs: number | null = null;
-    const endWatch = notes.watch(upstreamId, choice.predictedMs);
     const result = await attempts.runAttempt(deps, {
       call,
       upstreamName: record.name,
@@ -134,15 +133,13 @@
         firstPieceMs = clock.nowMs() - startedAtMs;
         deps.metrics.firstPiece(call.route, clock.nowMs() - call.arrivedAtMs);
       },
-      onHeard: () => notes.heard(upstreamId),
     });
-    endWatch();
     started.ended();
     deps.metrics.attemptEnded(result.kind);
     connection.giveBack(result.kind !== 'not-sent');
     const tookMs = clock.nowMs() - startedAtMs;
     const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
-    notes.ended({ call, upstreamId, result, firstPieceMs, tookMs, isResumed, choice });
+    noteAttempt({ call, upstreamId, result, firstPieceMs, tookMs, isResumed, choice });
     log.info('attempt-ended', {
       requestId: call.requestId,
       upstreamId,
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -218,7 +218,7 @@
       news: { ...ownNews(!isHolder), wantsGateways },
       loads,
       demands: isHolder ? deps.demand.recent(nowMs).map(newsCodec.toDemandNews) : [],
-      avoidedUpstreamIds: isHolder ? [...deps.beliefs.avoidedIds(nowMs)] : [],
+      avoidedUpstreamIds: isHolder ? [...deps.beliefs.avoidedIds()] : [],
     };
     const reply = await deps.link.exchange(address, request, nowMs + CALL_TIMEOUT_MS);
     if (isHolder) noteHolder(reply.ok ? null : reply.val.kind);
@@ -236,7 +236,7 @@
   function exchangeWithSelf(): void {
     const nowMs = clock.nowMs();
     deps.placer.heardDemand(deps.gatewayId, deps.incarnation, deps.demand.recent(nowMs));
-    deps.suspects.heard(deps.gatewayId, deps.beliefs.avoidedIds(nowMs), nowMs);
+    deps.suspects.heard(deps.gatewayId, deps.beliefs.avoidedIds(), nowMs);
     view.confirm(nowMs);
   }
 
--- a/packages/gateway/src/shared/upstream-beliefs.ts
+++ b/packages/gateway/src/shared/upstream-beliefs.ts
@@ -11,9 +11,7 @@
   /** It said itself that the request failed. */
   | { kind: 'failed' }
   /** No connection, a broken one, silence, or bytes that are no answer. */
-  | { kind: 'broken' }
-  /** Nothing has come from it, to this attempt or another one, for far longer than the first piece takes. */
-  | { kind: 'silent' };
+  | { kind: 'broken' };
 
 export type Belief = {
   /** Gets no requests but single probes until then. */
@@ -28,8 +26,6 @@
   brokenInRow: number;
   /** When an attempt there last ended. */
   endedMs: number;
-  /** Since when it is avoided for its silence alone; null if it is not. */
-  silentSinceMs: number | null;
 };
 
 export type BeliefChange = { kind: 'avoided' | 'trusted'; belief: Belief };
@@ -38,11 +34,7 @@
   /** Says whether the end changed what the upstream gets: `avoided` after breaks in a row, `trusted` again. */
   ended: (upstreamId: string, end: AttemptEnd, nowMs: number) => BeliefChange | null;
   belief: (upstreamId: string, nowMs: number) => Belief;
-  /** Something has come from it, be it a part of an answer: it is not silent. */
-  heard: (upstreamId: string, nowMs: number) => BeliefChange | null;
-  lastHeardMs: (upstreamId: string) => number | null;
-  /** Those that others should know of. */
-  avoidedIds: (nowMs: number) => readonly string[];
+  avoidedIds: () => readonly string[];
   /** Forgets upstreams that are no longer listed. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
 };
@@ -61,10 +53,6 @@
 /** A first pause after a broken attempt; it doubles while probes fail as well. */
 const FIRST_AVOID_MS = 200;
 const LONGEST_AVOID_MS = 3_000;
-/** Then a single request shows whether it is back; whatever comes from it before ends the silence at once. */
-const SILENT_AVOID_MS = 1_000;
-/** How long a silence has to last beyond its notice before others are told: a copy under overload may take so long. */
-const SILENT_TOLD_MS = 700;
 /** A full upstream has room again after about one service time. */
 const REJECTED_AVOID_MS = 60;
 
@@ -75,7 +63,6 @@
   excessMs: 0,
   brokenInRow: 0,
   endedMs: 0,
-  silentSinceMs: null,
 };
 
 function smooth(before: number, sample: number): number {
@@ -107,19 +94,11 @@
         ),
         brokenInRow: 0,
         endedMs: nowMs,
-        silentSinceMs: null,
       };
     case 'rejected':
       return { ...state, avoidUntilMs: Math.max(state.avoidUntilMs, nowMs + REJECTED_AVOID_MS) };
     case 'failed':
       return { ...state, failureShare: smooth(state.failureShare, 1), brokenInRow: 0 };
-    case 'silent':
-      return {
-        ...state,
-        avoidUntilMs: nowMs + SILENT_AVOID_MS,
-        brokenInRow: Math.max(AVOIDED_FROM, state.brokenInRow),
-        silentSinceMs: state.silentSinceMs ?? nowMs,
-      };
     case 'broken': {
       const pauseMs = Math.min(LONGEST_AVOID_MS, FIRST_AVOID_MS * 2 ** state.brokenInRow);
       return {
@@ -129,7 +108,6 @@
           ? nowMs + pauseMs
           : state.avoidUntilMs,
         brokenInRow: state.brokenInRow + 1,
-        silentSinceMs: null,
       };
     }
   }
@@ -140,12 +118,6 @@
   return belief.brokenInRow >= AVOIDED_FROM;
 }
 
-/** One that is only slow would be told of too soon: others count its copies no more. */
-function isTold(belief: Belief, nowMs: number): boolean {
-  const { silentSinceMs } = belief;
-  return isAvoided(belief) && (silentSinceMs === null || nowMs - silentSinceMs >= SILENT_TOLD_MS);
-}
-
 function changeOf(before: Belief, after: Belief): BeliefChange | null {
   if (isAvoided(before) === isAvoided(after)) return null;
   return { kind: isAvoided(after) ? 'avoided' : 'trusted', belief: after };
@@ -153,7 +125,6 @@
 
 export function createUpstreamBeliefs(): UpstreamBeliefs {
   const states = new Map<string, Belief>();
-  const heardMs = new Map<string, number>();
   return {
     ended: (upstreamId, end, nowMs) => {
       const before = faded(states.get(upstreamId) ?? FRESH, nowMs);
@@ -162,20 +133,9 @@
       return changeOf(before, after);
     },
     belief: (upstreamId, nowMs) => faded(states.get(upstreamId) ?? FRESH, nowMs),
-    heard: (upstreamId, nowMs) => {
-      heardMs.set(upstreamId, nowMs);
-      const before = states.get(upstreamId);
-      if (before === undefined || before.silentSinceMs === null) return null;
-      const after = { ...before, brokenInRow: 0, avoidUntilMs: 0, silentSinceMs: null };
-      states.set(upstreamId, after);
-      return changeOf(before, after);
-    },
-    lastHeardMs: (upstreamId) => heardMs.get(upstreamId) ?? null,
-    avoidedIds: (nowMs) =>
-      [...states].filter(([, state]) => isTold(state, nowMs)).map(([id]) => id),
+    avoidedIds: () => [...states].filter(([, state]) => isAvoided(state)).map(([id]) => id),
     retain: (upstreamIds) => {
       for (const id of [...states.keys()]) if (!upstreamIds.has(id)) states.delete(id);
-      for (const id of [...heardMs.keys()]) if (!upstreamIds.has(id)) heardMs.delete(id);
     },
   };
 }
