Answers of the holder in a module of their own; what followers learn of the list is logged by upstream

What a follower learns of the list from the holder writes an upstream-changed line for each upstream, so that a request's log shows what its gateway believed. The loads told with the question before are kept from the moment of sending, also when its answer is lost.

--- /dev/null
+++ b/packages/gateway/src/server/peers/exchange-replies.ts
@@ -0,0 +1,90 @@
+/**
+ * Answers other gateways. The holder answers all of them several times a second, on the loop that forwards requests: what
+ * it tells all alike is encoded once for many answers, and what an asker has already is left out.
+ */
+import type { gatewayPeer } from '@copperlever/protocol';
+
+import * as newsCodec from './news-codec.js';
+import type * as exchanges from './exchange.js';
+
+export type RepliesDeps = Pick<
+  exchanges.ExchangeDeps,
+  | 'clock'
+  | 'configuration'
+  | 'directory'
+  | 'inFlight'
+  | 'incarnation'
+  | 'lease'
+  | 'placer'
+  | 'suspects'
+> & {
+  takeNews: (news: gatewayPeer.GatewayNews | undefined) => void;
+  ownNews: (tellsGateways: boolean) => gatewayPeer.GatewayNews;
+};
+
+export type Replies = {
+  replyTo: (request: gatewayPeer.ExchangeRequest) => gatewayPeer.ExchangeReply;
+};
+
+type SharedLoads = { encoded: Buffer; atMs: number };
+
+/** Loads are summed and encoded once for all that ask within this time. */
+const LOADS_SHARED_MS = 100;
+
+export function createReplies(deps: RepliesDeps): Replies {
+  const { clock, configuration, directory, inFlight } = deps;
+  let shared: SharedLoads = { encoded: Buffer.alloc(0), atMs: -Infinity };
+
+  function noteTold(
+    request: gatewayPeer.ExchangeRequest,
+    { gatewayId, incarnation }: gatewayPeer.GatewayNews,
+    nowMs: number,
+  ): void {
+    inFlight.heard(gatewayId, request.loads, nowMs);
+    deps.suspects.heard(gatewayId, request.avoidedUpstreamIds, nowMs);
+    const counts = request.demands.map(newsCodec.fromDemandNews);
+    deps.placer.heardDemand(gatewayId, incarnation, counts);
+  }
+
+  /** The sum of all loads, and whether it was made for this question. */
+  function sharedLoads(nowMs: number): { encoded: Buffer; isNew: boolean } {
+    const isNew = nowMs - shared.atMs >= LOADS_SHARED_MS;
+    if (isNew) shared = { encoded: newsCodec.toLoadTable(inFlight.allLoads(nowMs)), atMs: nowMs };
+    return { encoded: shared.encoded, isNew };
+  }
+
+  function membersFor(news: gatewayPeer.GatewayNews, nowMs: number): gatewayPeer.MembersNews {
+    const isKnown = news.knownMembersIncarnation === deps.incarnation;
+    const members = isKnown
+      ? directory.membersAfter(news.knownMembersVersion, nowMs)
+      : directory.membersAfterRevision(news.upstreamsRevision, nowMs);
+    return newsCodec.toMembersNews(members, deps.incarnation);
+  }
+
+  function replyTo(request: gatewayPeer.ExchangeRequest): gatewayPeer.ExchangeReply {
+    const { news } = request;
+    deps.takeNews(news);
+    const nowMs = clock.nowMs();
+    const isHolder = deps.lease.heldTerm() !== null;
+    if (isHolder && news !== undefined) noteTold(request, news, nowMs);
+    const current = configuration.current();
+    const hasNewerConfig = current !== null && current.config.version > (news?.configVersion ?? 0);
+    const hasNewerList = directory.revision() > (news?.upstreamsRevision ?? 0);
+    const mayWantList = news?.wantsUpstreams === true && hasNewerList;
+    const placement = isHolder
+      ? deps.placer.newsSince(news?.knownPlacementTerm ?? 0, news?.knownPlacementVersion ?? 0)
+      : null;
+    const loads = isHolder ? sharedLoads(nowMs) : null;
+    return {
+      news: deps.ownNews(news?.wantsGateways === true),
+      config: hasNewerConfig ? Buffer.from(JSON.stringify(current.config)) : Buffer.alloc(0),
+      upstreams: mayWantList ? Buffer.from(JSON.stringify(directory.listing())) : Buffer.alloc(0),
+      loads: loads?.encoded ?? Buffer.alloc(0),
+      loadsIncludeQuestion: loads?.isNew ?? false,
+      placement: placement === null ? undefined : newsCodec.toPlacementNews(placement, nowMs),
+      members: isHolder && news !== undefined ? membersFor(news, nowMs) : undefined,
+    };
+  }
+
+  return { replyTo };
+}
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -1,8 +1,7 @@
 /**
  * Exchanges news with other gateways: with the holder of the lease several times a second, with others
  * at random. So the cost of a gateway does not grow with their number, and one that the store turns away
- * still learns of configurations and of upstreams that leave. The holder answers all; what it tells all alike is
- * encoded once for many answers, and what an asker has already is left out.
+ * still learns of configurations and of upstreams that leave.
  */
 import type { quarantine } from '@copperlever/decisions';
 import type { gatewayPeer } from '@copperlever/protocol';
@@ -25,6 +24,7 @@
 import type * as configHolders from '../control/config-holder.js';
 import type * as leaseKeepers from '../placing/lease-keeper.js';
 import type * as placers from '../placing/placer.js';
+import * as exchangeReplies from './exchange-replies.js';
 import * as newsCodec from './news-codec.js';
 import type * as peerLinks from './peer-link.js';
 
@@ -67,7 +67,11 @@
   hurry: () => void;
 };
 
-type SharedLoads = { encoded: Buffer; atMs: number };
+/** This gateway's loads as the holder was told them with a question, and with the one before. */
+type ToldLoads = {
+  now: readonly inFlightModule.ModelLoad[];
+  before: readonly inFlightModule.ModelLoad[];
+};
 
 /** How often one other gateway, drawn at random, is asked. */
 const PEER_PERIOD_MS = 1_000;
@@ -76,8 +80,6 @@
 const HURRY_MS = 40;
 /** How often the gateways that others know of are told again: well before they are taken for gone. */
 const GATEWAYS_PERIOD_MS = 2_000;
-/** Loads are summed and encoded once for all that ask within this time. */
-const LOADS_SHARED_MS = 100;
 /** What the answer to a watch may take beside its pause. */
 const WATCH_ANSWER_MS = 300;
 /** The source of what the holder tells of all others. */
@@ -91,7 +93,6 @@
   let roundStartedMs = -Infinity;
   let lastPeerMs = -Infinity;
   let lastGatewaysMs = -Infinity;
-  let shared: SharedLoads = { encoded: Buffer.alloc(0), atMs: -Infinity };
   /** The loads that the holder was told with the question before. */
   let toldBefore: readonly inFlightModule.ModelLoad[] = [];
   /** Since when the holder has not answered; null while it does. */
@@ -150,6 +151,8 @@
     });
   }
 
+  const replies = exchangeReplies.createReplies({ ...deps, takeNews, ownNews });
+
   function takeDocuments(reply: gatewayPeer.ExchangeReply): void {
     const source = reply.news?.gatewayId ?? 'peer';
     if (reply.config.length > 0) {
@@ -165,11 +168,7 @@
     }
   }
 
-  /** `asked`: the loads that the holder has been told with the question. */
-  function takeFromHolder(
-    reply: gatewayPeer.ExchangeReply,
-    asked: readonly inFlightModule.ModelLoad[],
-  ): void {
+  function takeFromHolder(reply: gatewayPeer.ExchangeReply, told: ToldLoads): void {
     const lease = book.lease();
     const isHolder = lease !== null && reply.news?.gatewayId === lease.holderId;
     if (!isHolder) return;
@@ -180,22 +179,32 @@
     }
     view.confirm(nowMs);
     const loads = newsCodec.fromLoadTable(reply.loads);
-    const told = reply.loadsIncludeQuestion ? asked : toldBefore;
-    toldBefore = asked;
-    inFlight.heard(HOLDER_SOURCE, inFlightModule.withoutLoads(loads, told), nowMs);
+    const own = reply.loadsIncludeQuestion ? told.now : told.before;
+    inFlight.heard(HOLDER_SOURCE, inFlightModule.withoutLoads(loads, own), nowMs);
   }
 
   function takeMembers(reply: gatewayPeer.ExchangeReply, nowMs: number): void {
     const { members } = reply;
     if (members !== undefined && members.revision > 0) {
-      directory.applyMembers(newsCodec.fromMembersNews(members), nowMs);
-      if (members.written.length > 0 || members.removed.length > 0) deps.onUpstreamsLearned();
+      const told = newsCodec.fromMembersNews(members);
+      directory.applyMembers(told, nowMs);
+      logMembers(told);
+      if (told.written.length > 0 || told.removed.length > 0) deps.onUpstreamsLearned();
     }
     const basis =
       members === undefined ? null : { incarnation: members.incarnation, version: members.version };
     deps.listFeed.heard({ isListLive: reply.news?.isListLive === true, basis }, nowMs);
   }
 
+  function logMembers({ written, removed, revision }: directories.Members): void {
+    written.forEach(({ value: { upstreamId, state } }) => {
+      deps.log.info('upstream-changed', { upstreamId, state, revision });
+    });
+    removed.forEach(({ name }) => {
+      deps.log.info('upstream-changed', { upstreamId: name, state: 'gone', revision });
+    });
+  }
+
   function noteHolder(reason: string | null): void {
     const nowMs = clock.nowMs();
     const holderId = book.lease()?.holderId ?? '';
@@ -220,6 +229,8 @@
       demands: isHolder ? deps.demand.recent(nowMs).map(newsCodec.toDemandNews) : [],
       avoidedUpstreamIds: isHolder ? [...deps.beliefs.avoidedIds()] : [],
     };
+    const told = { now: loads, before: toldBefore };
+    if (isHolder) toldBefore = loads;
     const reply = await deps.link.exchange(address, request, nowMs + CALL_TIMEOUT_MS);
     if (isHolder) noteHolder(reply.ok ? null : reply.val.kind);
     if (reply.err) {
@@ -229,7 +240,7 @@
     if (isHolder && wantsGateways) lastGatewaysMs = nowMs;
     takeNews(reply.val.news);
     takeDocuments(reply.val);
-    takeFromHolder(reply.val, loads);
+    takeFromHolder(reply.val, told);
   }
 
   /** The holder's own counts and copies need no message. */
@@ -240,21 +251,6 @@
     view.confirm(nowMs);
   }
 
-  /** The sum of all loads, and whether it was made for this question. */
-  function sharedLoads(nowMs: number): { encoded: Buffer; isNew: boolean } {
-    const isNew = nowMs - shared.atMs >= LOADS_SHARED_MS;
-    if (isNew) shared = { encoded: newsCodec.toLoadTable(inFlight.allLoads(nowMs)), atMs: nowMs };
-    return { encoded: shared.encoded, isNew };
-  }
-
-  function membersFor(news: gatewayPeer.GatewayNews, nowMs: number): gatewayPeer.MembersNews {
-    const isKnown = news.knownMembersIncarnation === deps.incarnation;
-    const members = isKnown
-      ? directory.membersAfter(news.knownMembersVersion, nowMs)
-      : directory.membersAfterRevision(news.upstreamsRevision, nowMs);
-    return newsCodec.toMembersNews(members, deps.incarnation);
-  }
-
   function holderAddress(): string | null {
     const lease = book.lease();
     return lease === null ? null : book.addressOf(lease.holderId);
@@ -311,37 +307,7 @@
       stopping.abort();
       wake();
     },
-    handle: (request) => {
-      const { news } = request;
-      takeNews(news);
-      const nowMs = clock.nowMs();
-      const sourceId = news?.gatewayId ?? '';
-      const isHolder = deps.lease.heldTerm() !== null;
-      if (isHolder && news !== undefined) {
-        inFlight.heard(sourceId, request.loads, nowMs);
-        deps.suspects.heard(sourceId, request.avoidedUpstreamIds, nowMs);
-        const counts = request.demands.map(newsCodec.fromDemandNews);
-        deps.placer.heardDemand(sourceId, news.incarnation, counts);
-      }
-      const current = configuration.current();
-      const hasNewerConfig =
-        current !== null && current.config.version > (news?.configVersion ?? 0);
-      const hasNewerList = directory.revision() > (news?.upstreamsRevision ?? 0);
-      const mayWantList = news?.wantsUpstreams === true && hasNewerList;
-      const placement = isHolder
-        ? deps.placer.newsSince(news?.knownPlacementTerm ?? 0, news?.knownPlacementVersion ?? 0)
-        : null;
-      const loads = isHolder ? sharedLoads(nowMs) : null;
-      return {
-        news: ownNews(news?.wantsGateways === true),
-        config: hasNewerConfig ? Buffer.from(JSON.stringify(current.config)) : Buffer.alloc(0),
-        upstreams: mayWantList ? Buffer.from(JSON.stringify(directory.listing())) : Buffer.alloc(0),
-        loads: loads?.encoded ?? Buffer.alloc(0),
-        loadsIncludeQuestion: loads?.isNew ?? false,
-        placement: placement === null ? undefined : newsCodec.toPlacementNews(placement, nowMs),
-        members: isHolder && news !== undefined ? membersFor(news, nowMs) : undefined,
-      };
-    },
+    handle: replies.replyTo,
     hurry: () => {
       if (isHurried) return;
       isHurried = true;
--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -106,4 +106,70 @@
   assert.equal(ids(directory, 100), ['u2']);
 });
 
+/** A follower that has the list as of some revision, and a holder that has gone on. */
+function createPair() {
+  const holder = directories.createUpstreamDirectory();
+  const follower = directories.createUpstreamDirectory();
+  const listing = { records: [stored('u1', 3), stored('u2', 4)], unreadable: [], revision: 4 };
+  holder.applyListing(listing, 0);
+  follower.applyListing(listing, 0);
+  return { holder, follower };
+}
+
+// Each order that an upstream takes changes its entry, dozens of times a second over all. Told to every follower, that
+// would be most of what the holder says.
+test('what has changed of an entry is told only where it matters to routing', () => {
+  const { holder } = createPair();
+  const { version } = holder.membersAfter(0, 0);
+  const models = [{ name: 'm1', version: 1, adapters: [] }];
+  holder.applyChange({ kind: 'written', record: stored('u1', 5, { models }) }, 0);
+  assert.equal(holder.membersAfter(version, 0).written, []);
+  holder.applyChange({ kind: 'written', record: stored('u1', 6, { state: 'draining' }) }, 0);
+  const { written } = holder.membersAfter(version, 0);
+  assert.equal(
+    written.map(({ name, revision }) => `${name}@${revision}`),
+    ['u1@6'],
+  );
+});
+
+// A new holder knows nothing of what its followers were told before, but the revision of the list that they have.
+test('a follower of a new holder gets what has come and gone since its own list', () => {
+  const { holder, follower } = createPair();
+  holder.applyChange({ kind: 'deleted', name: 'u1', revision: 6 }, 0);
+  holder.applyChange({ kind: 'written', record: stored('u3', 7) }, 0);
+  const members = holder.membersAfterRevision(follower.revision(), 0);
+  assert.equal(
+    members.written.map(({ name }) => name),
+    ['u3'],
+  );
+  follower.applyMembers(members, 0);
+  assert.equal(ids(follower), ['u2', 'u3']);
+  assert.is(follower.revision(), 7);
+  assert.equal(holder.membersAfterRevision(7, 0).written, []);
+});
+
+// The holder lists anew after an absence, and an entry is missing from the listing: nobody has told of its removal.
+test('what a listing lacks is told as removed, once its grace has passed', () => {
+  const { holder, follower } = createPair();
+  const { version } = holder.membersAfter(0, 0);
+  holder.storeRegained(1_000);
+  holder.applyListing({ records: [stored('u2', 4)], unreadable: [], revision: 9 }, 1_000);
+  assert.equal(holder.membersAfter(version, 1_500).removed, []);
+  const afterMs = 1_000 + directories.LAPSE_GRACE_MS;
+  const members = holder.membersAfter(version, afterMs);
+  assert.equal(members.removed, [{ name: 'u1', revision: 9 }]);
+  follower.applyMembers(members, afterMs);
+  assert.equal(ids(follower, afterMs), ['u2']);
+});
+
+// A follower's own watch is ahead of what the holder tells.
+test('what the holder tells never brings back what is newer here', () => {
+  const { holder, follower } = createPair();
+  follower.applyChange({ kind: 'deleted', name: 'u1', revision: 8 }, 0);
+  follower.applyChange({ kind: 'written', record: stored('u2', 9, { state: 'draining' }) }, 0);
+  follower.applyMembers(holder.membersAfterRevision(0, 0), 0);
+  assert.equal(ids(follower), []);
+  assert.is(follower.revision(), 9);
+});
+
 test.run();
