--- /dev/null
+++ b/packages/gateway/src/server/peers/news-codec.test.ts
@@ -0,0 +1,61 @@
+import * as fc from 'fast-check';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type * as inFlightModule from '../../shared/in-flight.js';
+import * as newsCodec from './news-codec.js';
+
+const test = suite('news codec');
+
+/** The smallest link of a large fleet, and how often its holder is asked at most for regular news. */
+const LINK_BYTES_PER_S = 14_000_000 / 8;
+const ANSWERS_PER_S = 200;
+
+function keyOf({ upstreamId, model, priority }: inFlightModule.ModelLoad): string {
+  return `${upstreamId} ${model} ${priority}`;
+}
+
+const loads = fc.uniqueArray(
+  fc.record(
+    {
+      upstreamId: fc.constantFrom('u1', 'u2', 'u3'),
+      model: fc.constantFrom('', 'm1', 'm2'),
+      priority: fc.integer({ min: 0, max: 9 }),
+      inFlightCount: fc.integer({ min: 1, max: 5_000 }),
+      unreadPromptTokens: fc.integer({ min: 0, max: 1_000_000 }),
+    },
+    { noNullPrototype: true },
+  ),
+  { selector: keyOf, maxLength: 40 },
+);
+
+test('a table of loads says what was put into it', () => {
+  fc.assert(
+    fc.property(loads, (told) => {
+      const read = newsCodec.fromLoadTable(newsCodec.toLoadTable(told));
+      const sorted = (list: readonly inFlightModule.ModelLoad[]) =>
+        [...list].sort((left, right) => keyOf(left).localeCompare(keyOf(right)));
+      assert.equal(sorted(read), sorted(told));
+    }),
+  );
+});
+
+// The holder tells the loads of all upstreams to each gateway several times a second. With every name in every load an
+// answer for 84 upstreams had some 30 kB, more than a small link carries to all that ask.
+test('the loads of a large fleet fit into the smallest link of its holder', () => {
+  const told = Array.from({ length: 84 }, (_, upstream) =>
+    Array.from({ length: 3 }, (__, model) =>
+      Array.from({ length: 3 }, (___, priority) => ({
+        upstreamId: `i-${String(upstream).padStart(10, '0')}@1782000000000`,
+        model: `model${(upstream + model * 7) % 198}`,
+        priority: priority * 2,
+        inFlightCount: 4,
+        unreadPromptTokens: 1_460,
+      })),
+    ),
+  ).flat(2);
+  const bytes = newsCodec.toLoadTable(told).length;
+  assert.ok(bytes < LINK_BYTES_PER_S / ANSWERS_PER_S, `${bytes}`);
+});
+
+test.run();
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -1,7 +1,9 @@
+import { randoms } from '@copperlever/runtime';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import * as fixtures from '../../testing/fleet-fixtures.js';
+import * as randomPlans from '../../testing/random-plans.js';
 import type * as copyNeeds from './copy-needs.js';
 import * as copyPlan from './copy-plan.js';
 import type * as demandMeters from './demand-meter.js';
@@ -216,4 +218,21 @@
   ['next', 'cold', 'rare', 'lone'].forEach((model) => assert.ok(count(model) >= 1, model));
 });
 
+// A large fleet is planned several times a second on the loop that forwards requests. Each model weighed at each place
+// took tens of milliseconds, while requests and the questions of other gateways lay unread.
+test('of a large fleet only a small part of all placements is weighed', () => {
+  const size = { upstreamCount: 84, modelCount: 198 };
+  const random = randoms.createRandom(3);
+  const counts = Array.from({ length: 20 }, () => {
+    let weighedCount = 0;
+    copyPlan.planNext(randomPlans.randomPlan(random, size), () => {
+      weighedCount += 1;
+    });
+    return weighedCount;
+  });
+  const sorted = counts.sort((left, right) => left - right);
+  const allCount = size.upstreamCount * size.modelCount;
+  assert.ok((sorted[10] ?? Infinity) < allCount / 20, sorted.join(' '));
+});
+
 test.run();
