--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -106,7 +106,7 @@
     return watched.val.changes.length > 0 ? 'changed' : 'ok';
   }
 
-  /** Changes that came meanwhile are more than a listing. */
+  /** Rests while others tell of changes. Those of that time are listed: as events they may be gone from the history. */
   async function awaitOwnTurn(): Promise<void> {
     if (revision === null || !options.isFed()) return;
     const startedMs = clock.nowMs();
--- a/packages/gateway/src/shared/exchange-pace.ts
+++ b/packages/gateway/src/shared/exchange-pace.ts
@@ -6,13 +6,13 @@
 
 /** Loads and copies change within some hundred milliseconds. */
 const PERIOD_MS = 250;
-/** So that the holder answers two hundred times a second at most for its followers' regular questions. */
+/** So that the holder of up to a hundred gateways answers their regular questions two hundred times a second at most. */
 const PERIOD_PER_GATEWAY_MS = 5;
 /** A gateway that has not heard of the holder for a second takes it for gone. */
 const PERIOD_MAX_MS = 500;
 /** Misses come in groups; the first one's message tells of those that follow within this time. */
 const HURRY_MS = 40;
-/** Five hundred questions a second at most, should all gateways have misses all the time. */
+/** Five hundred questions a second at most, should up to a hundred gateways have misses all the time. */
 const HURRY_PER_GATEWAY_MS = 2;
 const HURRY_MAX_MS = 250;
 
--- a/packages/gateway/src/shared/list-feed.ts
+++ b/packages/gateway/src/shared/list-feed.ts
@@ -8,11 +8,11 @@
   /** An answer of the holder has come. */
   heard: (answer: HolderAnswer, nowMs: number) => void;
   isFed: (nowMs: number) => boolean;
-  /** Up to which change of that process's list this gateway has all; null for none. */
-  knownVersion: (incarnation: number) => number | null;
+  /** Up to which change of the holder's list this gateway has all. */
   basis: () => ListBasis;
 };
 
+/** Changes are counted by one life of a holder, its `incarnation`; 0 is nobody's. */
 export type ListBasis = { incarnation: number; version: number };
 
 export type HolderAnswer = {
@@ -38,8 +38,6 @@
         answer.isListLive && answer.basis !== null ? nowMs + FED_SHARE * drainTimeoutMs : -Infinity;
     },
     isFed: (nowMs) => nowMs < fedUntilMs,
-    knownVersion: (incarnation) =>
-      basis.incarnation === incarnation && incarnation !== 0 ? basis.version : null,
     basis: () => basis,
   };
 }
