Tell callers apart by API keys and hold organisations to their quotas

Cause: the code knew no organisations.

Change: the key names the organisation at each request (401 otherwise), is never passed on, and its name is set instead; an organisation's priority goes before the route's. Quotas are one bucket at the holder of the lease, out of which gateways are lent credits with the exchanges that there are; a gateway that does not hear the holder gains its part of the rate, which the holder leaves to it. A request that finds no credits while the bucket has some waits for the next answer (100 ms at most). What did not run is given back. A starting gateway learns from the lease how many share.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -15,6 +15,7 @@
 import * as leaseKeepers from './server/placing/lease-keeper.js';
 import * as placementClients from './server/placing/placement-client.js';
 import * as placers from './server/placing/placer.js';
+import * as quotasModule from './server/quotas/quotas.js';
 import * as exchangePace from './shared/exchange-pace.js';
 import * as inFlightModule from './shared/in-flight.js';
 import * as peerBooks from './shared/peer-book.js';
@@ -77,6 +78,7 @@
   configuration: configHolder.ConfigHolder;
   placement: placementTypes.Placement;
   openCalls: openCallsModule.OpenCalls;
+  quotas: quotasModule.Quotas;
   loopLag: loopLagModule.LoopLag;
   book: peerBooks.PeerBook;
   listFeed: listFeeds.ListFeed;
@@ -158,6 +160,16 @@
   });
 }
 
+function createQuotas(parts: GatewayParts): quotasModule.Quotas {
+  return quotasModule.createQuotas({
+    clock: parts.clock,
+    organisations: () => parts.configuration.current()?.config.organisations ?? [],
+    gatewayCount: () => parts.book.fleetSize(parts.clock.nowMs()),
+    slack: parts.settings.quotaSlack,
+    hurry: () => parts.exchange.hurry(),
+  });
+}
+
 function createExchange(parts: GatewayParts): exchanges.Exchange {
   const { settings, status } = parts;
   return exchanges.createExchange({
@@ -176,6 +188,7 @@
     beliefs: parts.beliefs,
     suspects: parts.suspects,
     placer: parts.placer,
+    quotas: parts.quotas,
     gatewayId: settings.gatewayId,
     millicores: millicoresOf(settings),
     incarnation: Math.trunc(parts.random.fraction() * Number.MAX_SAFE_INTEGER),
@@ -261,6 +274,7 @@
       .singleton(),
     lease: awilix.asFunction(createLease).singleton(),
     placer: awilix.asFunction(createPlacer).singleton(),
+    quotas: awilix.asFunction(createQuotas).singleton(),
     exchange: awilix.asFunction(createExchange).singleton(),
     placement: awilix
       .asFunction((parts: GatewayParts) =>
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -164,6 +164,7 @@
     metrics: cradle.metrics,
     isStopping: () => isStopping,
     openCalls,
+    quotas: cradle.quotas,
     loopLag: cradle.loopLag,
   });
   const connections = stops.trackConnections(callers.server);
--- a/packages/gateway/src/server/control/config-holder.ts
+++ b/packages/gateway/src/server/control/config-holder.ts
@@ -2,6 +2,7 @@
 
 import type { clocks } from '@copperlever/runtime';
 
+import * as access from '../../shared/access.js';
 import * as routeTables from '../../shared/route-table.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -35,7 +36,11 @@
       const before = inForce?.config.version ?? 0;
       if (config.version <= before) return false;
       sinceMs = clock.nowMs();
-      inForce = { config, routes: routeTables.createRouteTable(config.routes) };
+      inForce = {
+        config,
+        routes: routeTables.createRouteTable(config.routes),
+        access: access.createAccessTable(config.organisations),
+      };
       services = new Map(config.services.map((service) => [service.name, service]));
       log.info('config-in-force', { configVersion: config.version, before, source });
       listeners.forEach((listener) => listener(config));
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -1,12 +1,16 @@
 import * as net from 'node:net';
 
 import { clocks, logs } from '@copperlever/runtime';
+import * as undici from 'undici';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import * as access from '../../shared/access.js';
 import * as routeTables from '../../shared/route-table.js';
 import * as testDialects from '../../testing/test-dialect.js';
+import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
+import * as quotasModule from '../quotas/quotas.js';
 import * as callersApp from './app.js';
 import * as loopLagModule from './loop-lag.js';
 import * as openCallsModule from './open-calls.js';
@@ -25,6 +29,7 @@
   pauseObjectiveMs: null,
   priority: 0,
   isResumable: false,
+  isPublic: false,
 };
 
 const CONFIG: fleet.FleetConfig = {
@@ -32,13 +37,33 @@
   routes: [ROUTE],
   services: [{ name: 's', connectionsMax: 10, engine: null }],
   limits: { bodyBytes: 1_000, headerTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
+  organisations: null,
 };
 
-async function startApp() {
+const ORGANISATION: fleet.Organisation = {
+  name: 'o1',
+  apiKeys: ['k1', 'k2'],
+  priority: 3,
+  quota: { unit: 'tokens', perSecond: 100, burst: 100, plainTokens: 10 },
+};
+
+const GOOD: calls.Ending = { kind: 'answered', status: 200, upstreamId: 'u1' };
+
+type AppOptions = {
+  organisations?: readonly fleet.Organisation[];
+  isPublic?: boolean;
+  ending?: calls.Ending;
+  quotas?: quotasModule.Quotas;
+};
+
+async function startApp(options: AppOptions = {}) {
+  const { organisations = null, isPublic = false, ending = GOOD } = options;
+  const config = { ...CONFIG, routes: [{ ...ROUTE, isPublic }], organisations };
   const clock = clocks.createSystemClock();
   const log = logs.createSilentLogger();
   const loopLag = loopLagModule.createLoopLag(clock);
   const served: string[] = [];
+  const servedCalls: calls.Call[] = [];
   const app = callersApp.createCallersApp({
     clock,
     log,
@@ -46,12 +71,19 @@
     dialect: testDialects.createTestDialect(),
     serve: (call, sink) => {
       served.push(call.path);
-      sink.sendWhole({ status: 200, framing: 'length', headers: [], body: Buffer.from('ok') });
-      return Promise.resolve({ kind: 'answered', status: 200, upstreamId: 'u1' });
+      servedCalls.push(call);
+      const answer = { status: 200, headers: [], body: Buffer.from('ok') };
+      if (ending.kind === 'answered') sink.sendWhole({ ...answer, framing: 'length' });
+      return Promise.resolve(ending);
     },
-    configuration: () => ({ config: CONFIG, routes: routeTables.createRouteTable(CONFIG.routes) }),
+    configuration: () => ({
+      config,
+      routes: routeTables.createRouteTable(config.routes),
+      access: access.createAccessTable(config.organisations),
+    }),
     isStopping: () => false,
-    metrics: { requestEnded: () => {} },
+    metrics: { requestEnded: () => {}, denied: () => {} },
+    quotas: options.quotas ?? createQuotas([]),
     openCalls: openCallsModule.createOpenCalls(clock, log),
   });
   await app.listen({ host: '127.0.0.1', port: 0 });
@@ -61,7 +93,28 @@
     app.server.closeAllConnections();
     await app.close();
   };
-  return { port, served, close };
+  return { port, served, servedCalls, close };
+}
+
+function createQuotas(organisations: readonly fleet.Organisation[]): quotasModule.Quotas {
+  return quotasModule.createQuotas({
+    clock: { nowMs: () => 0, schedule: () => () => {} },
+    organisations: () => organisations,
+    gatewayCount: () => 1,
+    slack: 0,
+    hurry: () => {},
+  });
+}
+
+async function ask(
+  port: number,
+  headers: Record<string, string>,
+): Promise<undici.Dispatcher.ResponseData> {
+  const answer = await undici.request(`http://127.0.0.1:${port}/x`, {
+    headers: { host: 'a.example', 't-id': 'r1', ...headers },
+  });
+  await answer.body.dump();
+  return answer;
 }
 
 function send(socket: net.Socket, path: string): void {
@@ -125,4 +178,71 @@
   loopLag.stop();
 });
 
+// A key was taken away, or never given: its caller is told so, and no upstream hears of the request. Passed on, a
+// stranger's request would run in nobody's name, and the key would be known to whoever reads it there.
+test('only keys that the configuration names are let in, and the key itself goes no further', async () => {
+  const app = await startApp({
+    organisations: [ORGANISATION],
+    quotas: createQuotas([ORGANISATION]),
+  });
+  try {
+    assert.is((await ask(app.port, { 't-key': 'taken-away' })).statusCode, 401);
+    assert.is((await ask(app.port, {})).statusCode, 401);
+    assert.equal(app.served, []);
+    const known = await ask(app.port, { 't-key': 'k2', 't-organisation': 'someone-else' });
+    assert.is(known.statusCode, 200);
+    const [call] = app.servedCalls;
+    assert.is(call?.organisation, 'o1');
+    assert.is(call?.priority, 3);
+    const names = call?.headers.map(([name]) => name.toLowerCase()) ?? [];
+    assert.not(names.includes('t-key'));
+    assert.not(names.includes('t-organisation'));
+  } finally {
+    await app.close();
+  }
+});
+
+test('a public route asks for no key', async () => {
+  const app = await startApp({ organisations: [ORGANISATION], isPublic: true });
+  try {
+    assert.is((await ask(app.port, {})).statusCode, 200);
+    assert.is(app.servedCalls[0]?.organisation, null);
+  } finally {
+    await app.close();
+  }
+});
+
+test('beyond its quota an organisation is told when to come back, others are served', async () => {
+  const other = { ...ORGANISATION, name: 'o2', apiKeys: ['k3'] };
+  const organisations = [ORGANISATION, other];
+  const app = await startApp({ organisations, quotas: createQuotas(organisations) });
+  try {
+    const statuses = [];
+    for (let count = 0; count < 10; count += 1) {
+      const answer = await ask(app.port, { 't-key': 'k1', 't-tokens': '30' });
+      statuses.push(answer.statusCode);
+      if (answer.statusCode === 429) assert.ok(Number(answer.headers['retry-after']) > 0);
+    }
+    assert.equal([...new Set(statuses)], [200, 429]);
+    assert.is((await ask(app.port, { 't-key': 'k3', 't-tokens': '30' })).statusCode, 200);
+  } finally {
+    await app.close();
+  }
+});
+
+// Every upstream is full: what was refused has not run, and must not use up the quota of its organisation.
+test('what did not run does not count against the quota', async () => {
+  const ending: calls.Ending = { kind: 'not-run', cause: 'overloaded', retryAfterMs: 100 };
+  const quotas = createQuotas([ORGANISATION]);
+  const app = await startApp({ organisations: [ORGANISATION], ending, quotas });
+  try {
+    for (let count = 0; count < 10; count += 1) {
+      const answer = await ask(app.port, { 't-key': 'k1', 't-tokens': '30' });
+      assert.is(answer.statusCode, 503);
+    }
+  } finally {
+    await app.close();
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -6,6 +6,7 @@
 import * as hashes from '@copperlever/runtime/hashes';
 import * as fastify from 'fastify';
 
+import * as accessTables from '../../shared/access.js';
 import * as connectionHeaders from '../../shared/connection-headers.js';
 import * as routeTables from '../../shared/route-table.js';
 import type * as calls from '../../types/calls.js';
@@ -13,6 +14,7 @@
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import type * as quotasModule from '../quotas/quotas.js';
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
 import type * as loopLagModule from './loop-lag.js';
@@ -26,13 +28,18 @@
   serve: serving.Serve;
   configuration: () => InForce | null;
   isStopping: () => boolean;
-  metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded'>;
+  metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded' | 'denied'>;
+  quotas: Pick<quotasModule.Quotas, 'admit'>;
   openCalls: openCallsModule.OpenCalls;
   loopLag: Pick<loopLagModule.LoopLag, 'settle'>;
 };
 
-/** A configuration with its route table. */
-export type InForce = { config: fleet.FleetConfig; routes: routeTables.RouteTable };
+/** A configuration with its tables. */
+export type InForce = {
+  config: fleet.FleetConfig;
+  routes: routeTables.RouteTable;
+  access: accessTables.AccessTable;
+};
 
 const HEADER_BYTES_MAX = 65_536;
 const STARTING_RETRY_MS = 1_000;
@@ -45,19 +52,27 @@
   sink.refuse(status, [], cause);
 }
 
+type OverQuota = Extract<quotasModule.QuotaDecision, { kind: 'refused' }>;
+
+/** What is known of a request once it has a route. */
+type Admitted = {
+  route: fleet.Route;
+  facts: dialects.CallFacts;
+  organisation: fleet.Organisation | null;
+};
+
 function buildCall(
   deps: CallersDeps,
   request: http.IncomingMessage,
-  route: fleet.Route,
+  { route, facts, organisation }: Admitted,
   body: Buffer,
   arrivedAtMs: number,
 ): calls.Call {
-  const facts = deps.dialect.readCall(request.headers);
   const path = request.url ?? '/';
   const waitMs = Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs);
   const fraction = hashes.hash32(facts.requestId) / HASH_RANGE;
   const service = routeTables.chooseService(route.targets, fraction);
-  const scope = `${service}\n${request.method}\n${path}\n${facts.model}/${facts.adapter}`;
+  const scope = `${organisation?.name}\n${service}\n${request.method}\n${path}\n${facts.model}/${facts.adapter}`;
   const lastEventId = request.headers['last-event-id'];
   return {
     requestId: facts.requestId,
@@ -71,6 +86,8 @@
     ),
     body,
     facts,
+    organisation: organisation?.name ?? null,
+    priority: accessTables.priorityOf(route, organisation),
     arrivedAtMs,
     deadlineMs: arrivedAtMs + waitMs,
     fingerprint: hashes.hash64Hex(`${scope}\n${body.toString('latin1')}`),
@@ -123,6 +140,52 @@
   return true;
 }
 
+/** Finds the route and the caller's organisation, or refuses. */
+function admit(
+  deps: CallersDeps,
+  inForce: InForce,
+  request: http.IncomingMessage,
+  sink: answers.AnswerSink,
+): Admitted | null {
+  const facts = deps.dialect.readCall(request.headers);
+  const { requestId } = facts;
+  const configVersion = inForce.config.version;
+  const path = (request.url ?? '/').split('?')[0] ?? '/';
+  const route = inForce.routes.find(request.headers.host ?? '', path);
+  if (route === null) {
+    deps.log.info('route-unknown', { requestId, path, configVersion });
+    refuseEarly(sink, 404, 'route-unknown');
+    deps.metrics.denied('route-unknown');
+    return null;
+  }
+  const access = inForce.access.accessOf(route, facts.apiKey);
+  if (access.kind === 'unknown-key') {
+    deps.log.info('key-unknown', { requestId, route: route.name, configVersion });
+    refuseEarly(sink, 401, 'key-unknown');
+    deps.metrics.denied('key-unknown');
+    return null;
+  }
+  return { route, facts, organisation: access.organisation };
+}
+
+function refuseOverQuota(
+  deps: CallersDeps,
+  sink: answers.AnswerSink,
+  { requestId, organisation }: calls.Call,
+  { cost, creditLeft, retryAfterMs, creditsAgeMs }: OverQuota,
+): void {
+  deps.log.info('over-quota', {
+    requestId,
+    organisation,
+    cost,
+    creditLeft: Math.round(creditLeft),
+    creditsAgeMs: creditsAgeMs === null ? null : Math.round(creditsAgeMs),
+    retryAfterMs: Math.round(retryAfterMs),
+  });
+  sink.refuse(429, [['retry-after', deps.dialect.retryAfter(retryAfterMs)]], 'over-quota');
+  deps.metrics.denied('over-quota');
+}
+
 async function handle(
   deps: CallersDeps,
   request: http.IncomingMessage,
@@ -147,19 +210,19 @@
     answerEnding(deps, sink, { ...ending, retryAfterMs: STARTING_RETRY_MS });
     return;
   }
-  const path = (request.url ?? '/').split('?')[0] ?? '/';
   // The newest configuration counts, also when it came while the body was read.
-  const { routes } = deps.configuration() ?? inForce;
-  const route = routes.find(request.headers.host ?? '', path);
-  if (route === null) {
-    deps.log.info('route-unknown', { requestId, path, configVersion: inForce.config.version });
-    refuseEarly(sink, 404, 'route-unknown');
+  const admitted = admit(deps, deps.configuration() ?? inForce, request, sink);
+  if (admitted === null) return;
+  const call = buildCall(deps, request, admitted, body.bytes, arrivedAtMs);
+  const quota = await deps.quotas.admit(admitted.organisation, admitted.facts);
+  if (quota.kind === 'refused') {
+    refuseOverQuota(deps, sink, call, quota);
     return;
   }
-  const call = buildCall(deps, request, route, body.bytes, arrivedAtMs);
   deps.openCalls.add(call);
   try {
     const ending = await deps.serve(call, sink);
+    if (ending.kind === 'not-run') quota.giveBack();
     answerEnding(deps, sink, ending);
     logEnding(deps, call, ending);
     deps.metrics.requestEnded(call.route, ending, deps.clock.nowMs() - call.arrivedAtMs);
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -204,6 +204,7 @@
       remainingMs: call.deadlineMs - clock.nowMs(),
       priority: input.priority,
       resumeAfterId: input.resumeAfterId,
+      organisation: call.organisation,
     });
     const isResumed = input.resumeAfterId !== null;
     const passed = isResumed
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -86,7 +86,7 @@
   }
 
   function priorityOf(call: calls.Call, run: runs.Run): number {
-    return urgency.enginePriority(call.route, isLate(call, run));
+    return urgency.enginePriority(call.priority, call.route, isLate(call, run));
   }
 
   function patienceOf(call: calls.Call) {
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -10,6 +10,8 @@
 
 export type RequestClass = { kind: fleet.RouteKind; priority: number };
 
+export type DenialCause = 'route-unknown' | 'key-unknown' | 'over-quota';
+
 /** What is read when somebody asks, and kept by others. */
 export type Readings = {
   openCallCount: number;
@@ -24,6 +26,8 @@
 
 export type GatewayMetrics = {
   requestEnded: (of: RequestClass, ending: calls.Ending, tookMs: number) => void;
+  /** Refused before it was taken up: no route, no key, or no quota left. */
+  denied: (cause: DenialCause) => void;
   firstPiece: (of: RequestClass, sinceArrivalMs: number) => void;
   waited: (tookMs: number) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
@@ -75,6 +79,7 @@
     'outcome',
     'cause',
   ]);
+  const denials = counter('denied_total', 'Requests refused before they were taken up', ['cause']);
   const byClass = ['kind', 'priority'];
   const requestSeconds = histogram(
     'request_seconds',
@@ -137,6 +142,7 @@
       requests.inc({ ...classLabels(of), outcome: ending.kind, cause });
       requestSeconds.observe(classLabels(of), tookMs / MS_PER_SECOND);
     },
+    denied: (cause) => denials.inc({ cause }),
     firstPiece: (of, sinceArrivalMs) => {
       firstPieceSeconds.observe(classLabels(of), sinceArrivalMs / MS_PER_SECOND);
     },
--- a/packages/gateway/src/server/peers/exchange-replies.ts
+++ b/packages/gateway/src/server/peers/exchange-replies.ts
@@ -16,6 +16,7 @@
   | 'incarnation'
   | 'lease'
   | 'placer'
+  | 'quotas'
   | 'suspects'
 > & {
   takeNews: (news: gatewayPeer.GatewayNews | undefined) => void;
@@ -65,7 +66,8 @@
     const { news } = request;
     deps.takeNews(news);
     const nowMs = clock.nowMs();
-    const isHolder = deps.lease.heldTerm() !== null;
+    const heldTerm = deps.lease.heldTerm();
+    const isHolder = heldTerm !== null;
     if (isHolder && news !== undefined) noteTold(request, news, nowMs);
     const current = configuration.current();
     const hasNewerConfig = current !== null && current.config.version > (news?.configVersion ?? 0);
@@ -82,6 +84,10 @@
       loads: loads?.encoded ?? Buffer.alloc(0),
       loadsIncludeQuestion: loads?.isNew ?? false,
       placement: placement === null ? undefined : newsCodec.toPlacementNews(placement, nowMs),
+      quotaGrants:
+        isHolder && news !== undefined
+          ? [...deps.quotas.lend(heldTerm, news, request.quotaUses)]
+          : [],
       members: isHolder && news !== undefined ? membersFor(news, nowMs) : undefined,
     };
   }
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -12,9 +12,11 @@
 import * as suspectsModule from '../../shared/suspects.js';
 import * as directories from '../../shared/upstream-directory.js';
 import * as fixtures from '../../testing/fleet-fixtures.js';
+import type * as fleet from '../../types/fleet.js';
 import * as configHolders from '../control/config-holder.js';
 import type * as leaseKeepers from '../placing/lease-keeper.js';
 import type * as placers from '../placing/placer.js';
+import * as quotasModule from '../quotas/quotas.js';
 import * as exchanges from './exchange.js';
 import type * as peerLinks from './peer-link.js';
 
@@ -22,6 +24,12 @@
 
 const DRAIN_TIMEOUT_MS = 2_000;
 const HOLDER = { holderId: 'g1', term: 4 };
+const ORGANISATION: fleet.Organisation = {
+  name: 'o1',
+  apiKeys: ['k1'],
+  priority: null,
+  quota: { unit: 'requests', perSecond: 20, burst: 40, plainTokens: 0 },
+};
 
 /** Two gateways that reach each other without a network; g1 holds the lease. */
 function createPair() {
@@ -42,6 +50,7 @@
       isStopping: false,
       avoidedIds: [] as string[],
       isListLive: false,
+      gatewayCount: 2,
     };
     const book = peerBooks.createPeerBook(gatewayId);
     const suspects = suspectsModule.createSuspects();
@@ -51,6 +60,13 @@
     const log = logs.createSilentLogger();
     const placer = { heardDemand: () => {}, newsSince: () => null } as Partial<placers.Placer>;
     const lease = { heldTerm: () => state.heldTerm } as Partial<leaseKeepers.LeaseKeeper>;
+    const quotas = quotasModule.createQuotas({
+      clock,
+      organisations: () => [ORGANISATION],
+      gatewayCount: () => state.gatewayCount,
+      slack: 0,
+      hurry: () => exchange.hurry(),
+    });
     const exchange = exchanges.createExchange({
       clock,
       random: randoms.createRandom(5),
@@ -67,6 +83,7 @@
       beliefs: { avoidedIds: () => state.avoidedIds },
       suspects,
       placer: placer as placers.Placer,
+      quotas,
       gatewayId,
       incarnation: 1,
       millicores: 500,
@@ -81,7 +98,7 @@
     });
     handlers.set(`${gatewayId}:1`, exchange);
     book.noteLease(HOLDER);
-    return { state, book, suspects, directory, exchange, inFlight, listFeed };
+    return { state, book, suspects, directory, exchange, inFlight, listFeed, quotas };
   }
 
   const holder = create('g1');
@@ -183,4 +200,19 @@
   follower.exchange.stop();
 });
 
+// All callers of an organisation come to one of two gateways, and no more than its quota allows. An equal part for each
+// gateway would refuse half of them, though nobody else asks.
+test('credits follow the gateway at which an organisation is asked for', async () => {
+  const { clock, holder, follower } = createPair();
+  [holder, follower].forEach(({ exchange }) => exchange.start());
+  let refused = 0;
+  for (let count = 0; count < 60; count += 1) {
+    await clock.advance(50);
+    const decision = await follower.quotas.admit(ORGANISATION, { tokenCount: null });
+    if (decision.kind === 'refused') refused += 1;
+  }
+  assert.is(refused, 0);
+  [holder, follower].forEach(({ exchange }) => exchange.stop());
+});
+
 test.run();
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -24,6 +24,7 @@
 import type * as configHolders from '../control/config-holder.js';
 import type * as leaseKeepers from '../placing/lease-keeper.js';
 import type * as placers from '../placing/placer.js';
+import type * as quotasModule from '../quotas/quotas.js';
 import * as exchangeReplies from './exchange-replies.js';
 import * as newsCodec from './news-codec.js';
 import type * as peerLinks from './peer-link.js';
@@ -44,6 +45,7 @@
   beliefs: Pick<beliefsModule.UpstreamBeliefs, 'avoidedIds'>;
   suspects: suspectsModule.Suspects;
   placer: placers.Placer;
+  quotas: Pick<quotasModule.Quotas, 'recentUses' | 'granted' | 'lend'>;
   gatewayId: string;
   millicores: number;
   incarnation: number;
@@ -178,6 +180,7 @@
       view.apply(newsCodec.fromPlacementNews(reply.placement, nowMs));
     }
     view.confirm(nowMs);
+    deps.quotas.granted(reply.quotaGrants);
     const loads = newsCodec.fromLoadTable(reply.loads);
     const own = reply.loadsIncludeQuestion ? told.now : told.before;
     inFlight.heard(HOLDER_SOURCE, inFlightModule.withoutLoads(loads, own), nowMs);
@@ -228,6 +231,7 @@
       loads,
       demands: isHolder ? deps.demand.recent(nowMs).map(newsCodec.toDemandNews) : [],
       avoidedUpstreamIds: isHolder ? [...deps.beliefs.avoidedIds()] : [],
+      quotaUses: isHolder ? [...deps.quotas.recentUses()] : [],
     };
     const told = { now: loads, before: toldBefore };
     if (isHolder) toldBefore = loads;
@@ -244,10 +248,11 @@
   }
 
   /** The holder's own counts and copies need no message. */
-  function exchangeWithSelf(): void {
+  function exchangeWithSelf(term: number): void {
     const nowMs = clock.nowMs();
     deps.placer.heardDemand(deps.gatewayId, deps.incarnation, deps.demand.recent(nowMs));
     deps.suspects.heard(deps.gatewayId, deps.beliefs.avoidedIds(), nowMs);
+    deps.quotas.granted(deps.quotas.lend(term, deps, deps.quotas.recentUses()));
     view.confirm(nowMs);
   }
 
@@ -265,10 +270,11 @@
 
   async function round(): Promise<void> {
     const nowMs = clock.nowMs();
-    const isHolder = deps.lease.heldTerm() !== null;
+    const heldTerm = deps.lease.heldTerm();
+    const isHolder = heldTerm !== null;
     const calls: Promise<void>[] = [];
     const holder = isHolder ? null : holderAddress();
-    if (isHolder) exchangeWithSelf();
+    if (isHolder) exchangeWithSelf(heldTerm);
     else if (holder !== null) calls.push(exchangeWith(holder, true));
     const isPeerDue = nowMs - lastPeerMs >= PEER_PERIOD_MS || (!isHolder && holder === null);
     const peer = isPeerDue ? somePeerAddress() : null;
--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -68,7 +68,14 @@
 // cannot know that it was killed.
 test('a gateway that starts again takes its own lease at once, another waits', async () => {
   const { clock, store, join } = createRig();
-  const value = { holderId: 'g1', address: 'g1:7000', term: 4, renewals: 9, isReleased: false };
+  const value = {
+    holderId: 'g1',
+    address: 'g1:7000',
+    term: 4,
+    gatewayCount: 2,
+    renewals: 9,
+    isReleased: false,
+  };
   await store.put('leases', 'placing', value, null, 0);
   const other = join('g2');
   other.keeper.start();
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -99,7 +99,8 @@
     if (seen === null || seen.record.revision !== record.revision) {
       seen = { record, atMs: clock.nowMs() };
     }
-    const { holderId, address, term } = record.value;
+    const { holderId, address, term, gatewayCount } = record.value;
+    book.noteFleetSize(gatewayCount, clock.nowMs());
     book.noteLease({ holderId, term });
     book.learned([{ gatewayId: holderId, address }], clock.nowMs());
   }
@@ -111,7 +112,8 @@
   async function renew(lease: Held): Promise<void> {
     const sentAtMs = clock.nowMs();
     const { value, revision } = lease.record;
-    const next = { ...value, renewals: value.renewals + 1 };
+    const gatewayCount = book.fleetSize(sentAtMs);
+    const next = { ...value, gatewayCount, renewals: value.renewals + 1 };
     const put = await store.put('leases', RECORD_NAME, next, revision, deadlineMs());
     if (held !== lease) return;
     if (put.ok) {
@@ -173,6 +175,7 @@
       holderId: deps.gatewayId,
       address: deps.address,
       term,
+      gatewayCount: book.fleetSize(clock.nowMs()),
       renewals: 0,
       isReleased: false,
     };
--- a/packages/gateway/src/shared/peer-book.ts
+++ b/packages/gateway/src/shared/peer-book.ts
@@ -20,6 +20,10 @@
   /** Peers that were heard themselves lately, to tell others of. */
   heard: (nowMs: number) => readonly PeerAddress[];
   live: (nowMs: number) => readonly PeerAddress[];
+  /** What a holder has written down: gateways that start together have not heard of one another yet. */
+  noteFleetSize: (gatewayCount: number, nowMs: number) => void;
+  /** Gateways that live, this one among them; at least as many as were written down lately. */
+  fleetSize: (nowMs: number) => number;
   /** The most that a live peer other than the holder of the lease may use of processors; 0 if none is known. */
   largestMillicores: (nowMs: number) => number;
   /** When the peer itself last answered or asked; null if never. */
@@ -31,6 +35,8 @@
 /** Several exchanges, so that one that is lost makes nobody dead. */
 const LIVE_MS = 6_000;
 const TELL_MS = 3_000;
+/** By then those that live have been heard of. */
+const WRITTEN_MS = 10_000;
 
 type Entry = {
   address: string;
@@ -43,6 +49,11 @@
 export function createPeerBook(selfId: string): PeerBook {
   const entries = new Map<string, Entry>();
   let lease: LeaseHolder | null = null;
+  let written = { gatewayCount: 1, atMs: -Infinity };
+
+  function liveEntries(nowMs: number): [string, Entry][] {
+    return [...entries].filter(([, entry]) => nowMs - entry.knownMs < LIVE_MS);
+  }
 
   function toAddress([gatewayId, { address }]: [string, Entry]): PeerAddress {
     return { gatewayId, address };
@@ -94,11 +105,18 @@
       [...entries]
         .filter(([, entry]) => nowMs - (entry.heardMs ?? -Infinity) < TELL_MS)
         .map(toAddress),
-    live: (nowMs) =>
-      [...entries].filter(([, entry]) => nowMs - entry.knownMs < LIVE_MS).map(toAddress),
+    live: (nowMs) => liveEntries(nowMs).map(toAddress),
+    noteFleetSize: (gatewayCount, nowMs) => {
+      written = { gatewayCount, atMs: nowMs };
+    },
+    fleetSize: (nowMs) => {
+      const liveCount = liveEntries(nowMs).length + 1;
+      const isRecent = nowMs - written.atMs < WRITTEN_MS;
+      return isRecent ? Math.max(written.gatewayCount, liveCount) : liveCount;
+    },
     largestMillicores: (nowMs) =>
-      [...entries]
-        .filter(([id, entry]) => id !== lease?.holderId && nowMs - entry.knownMs < LIVE_MS)
+      liveEntries(nowMs)
+        .filter(([id]) => id !== lease?.holderId)
         .reduce((largest, [, { millicores }]) => Math.max(largest, millicores), 0),
     lastHeardMs: (gatewayId) => entries.get(gatewayId)?.heardMs ?? null,
     silentSinceMs: (gatewayId) => entries.get(gatewayId)?.silentSinceMs ?? null,
--- /dev/null
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -0,0 +1,124 @@
+import { randoms } from '@copperlever/runtime';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as quotaFleets from '../testing/quota-fleet.js';
+import * as quotaCosts from './quota-cost.js';
+
+const test = suite('quotas');
+
+const WINDOW_MS = 8_000;
+const OVERAGE = 0.1;
+const SLACK = 10_000;
+const LENT_SLACK_SHARE = 0.4;
+const GATEWAYS = 23;
+const SEEDS = [1, 2, 3, 4, 5, 6];
+/** A small, a middling and a large organisation: few of their callers' connections meet few gateways. */
+const ORGANISATIONS = [
+  { perSecond: 2_600, connections: 3 },
+  { perSecond: 10_000, connections: 6 },
+  { perSecond: 40_000, connections: 25 },
+  { perSecond: 104_000, connections: 66 },
+];
+/** What an organisation usually asks for, as a part of its quota. */
+const USUAL = 0.55;
+
+type Scenario = Pick<quotaFleets.QuotaLoad, 'isCut' | 'restartsMs'> & {
+  /** As multiples of the quota's rate. */
+  askedAt: (atMs: number) => number;
+};
+
+const CALM = { isCut: () => false, restartsMs: [] };
+
+function isHot(atMs: number): boolean {
+  return atMs > 5_000 && atMs < 16_000;
+}
+
+const hotAt = (atMs: number) => (isHot(atMs) ? 6 * USUAL : USUAL);
+
+function play(
+  { perSecond, connections }: (typeof ORGANISATIONS)[number],
+  scenario: Scenario,
+  policy: quotaFleets.QuotaPolicy,
+) {
+  const outcomes = SEEDS.map((seed) => {
+    const random = randoms.createRandom(seed);
+    const weights = new Array<number>(GATEWAYS).fill(0);
+    for (let count = 0; count < connections; count += 1) {
+      const gateway = random.below(GATEWAYS);
+      weights[gateway] = (weights[gateway] ?? 0) + 1;
+    }
+    const load: quotaFleets.QuotaLoad = {
+      gatewayCount: GATEWAYS,
+      weights,
+      limit: { perSecond, capacity: perSecond + LENT_SLACK_SHARE * SLACK },
+      meanCost: 1_400,
+      askedPerSecond: (atMs) => perSecond * scenario.askedAt(atMs),
+      isCut: scenario.isCut,
+      restartsMs: scenario.restartsMs,
+      lengthMs: 24_000,
+    };
+    return quotaFleets.playQuota(load, policy, random);
+  });
+  const allowed = (perSecond * (WINDOW_MS / 1_000) + perSecond) * (1 + OVERAGE) + SLACK;
+  const worst = Math.max(
+    ...outcomes.map(({ admitted }) => quotaFleets.worstWindow(admitted, WINDOW_MS)),
+  );
+  const total = (of: (outcome: quotaFleets.QuotaOutcome) => number) =>
+    outcomes.reduce((sum, outcome) => sum + of(outcome), 0);
+  return {
+    worstShare: worst / allowed,
+    refusedShare: total((o) => o.refused) / total((o) => o.asked),
+  };
+}
+
+function assertKept(scenario: Scenario): void {
+  ORGANISATIONS.forEach((organisation) => {
+    const { worstShare } = play(organisation, scenario, 'credits');
+    assert.ok(worstShare <= 1, `${organisation.perSecond}: ${worstShare} of what is allowed`);
+  });
+}
+
+// Callers of a small organisation meet three of 23 gateways. With equal parts most of them would be refused far below
+// the quota, and the more the smaller their organisation is.
+test('below its quota an organisation is hardly ever refused, wherever its callers come', () => {
+  ORGANISATIONS.forEach((organisation) => {
+    const scenario = { ...CALM, askedAt: () => USUAL };
+    const lent = play(organisation, scenario, 'credits').refusedShare;
+    assert.ok(lent < 0.05, `${organisation.perSecond}: ${lent} refused`);
+    const equal = play(organisation, scenario, 'equal-parts').refusedShare;
+    assert.ok(equal > 2 * lent, `${organisation.perSecond}: ${equal} with equal parts`);
+  });
+});
+
+test('several times its usual is held to the quota, over all gateways and in any window', () => {
+  assertKept({ ...CALM, askedAt: hotAt });
+});
+
+// A third of the gateways is cut off from the holder for twelve seconds and goes on admitting. With the whole rate each
+// side would admit it once.
+test('gateways that are cut off keep to their part, and the others to the rest', () => {
+  const isCut = (gateway: number, atMs: number) => gateway < 8 && atMs > 3_000 && atMs < 15_000;
+  assertKept({ ...CALM, askedAt: hotAt, isCut });
+});
+
+test('while there is no holder all keep to their parts', () => {
+  const isCut = (_gateway: number, atMs: number) => atMs > 7_000 && atMs < 11_000;
+  assertKept({ ...CALM, askedAt: hotAt, isCut });
+});
+
+// All gateways are killed at once in the middle of the rush, the holder among them, and nobody knows what was admitted.
+test('a restart of all gateways does not give out the quota once more', () => {
+  const isDown = (atMs: number) => atMs > 10_000 && atMs < 11_000;
+  const askedAt = (atMs: number) => (isDown(atMs) ? 0 : hotAt(atMs));
+  assertKept({ ...CALM, askedAt, restartsMs: [11_000] });
+});
+
+test('requests count by their tokens or by their number, as the quota says', () => {
+  const quota = { plainTokens: 200 };
+  assert.is(quotaCosts.costOf({ ...quota, unit: 'tokens' }, { tokenCount: 1_540 }), 1_540);
+  assert.is(quotaCosts.costOf({ ...quota, unit: 'tokens' }, { tokenCount: null }), 200);
+  assert.is(quotaCosts.costOf({ ...quota, unit: 'requests' }, { tokenCount: 1_540 }), 1);
+});
+
+test.run();
--- a/packages/gateway/src/shared/route-table.test.ts
+++ b/packages/gateway/src/shared/route-table.test.ts
@@ -19,6 +19,7 @@
     pauseObjectiveMs: null,
     priority: 0,
     isResumable: false,
+    isPublic: false,
   };
 }
 
--- a/packages/gateway/src/shared/urgency.ts
+++ b/packages/gateway/src/shared/urgency.ts
@@ -21,7 +21,11 @@
  * together once a model has its copy: they are late already, and those that ask for the first time would be
  * late behind them.
  */
-export function enginePriority(route: fleet.Route, isLate: boolean): number {
+export function enginePriority(
+  priority: number,
+  route: Pick<fleet.Route, 'latencyObjectiveMs'>,
+  isLate: boolean,
+): number {
   const steps = (isBatch(route) ? BATCH_STEPS : 0) + (isLate ? LATE_STEPS : 0);
-  return Math.min(LEAST_URGENT, Math.max(0, route.priority) + steps);
+  return Math.min(LEAST_URGENT, Math.max(0, priority) + steps);
 }
--- /dev/null
+++ b/packages/gateway/src/testing/quota-fleet.ts
@@ -0,0 +1,164 @@
+/** Gateways that admit for one organisation on a virtual clock, by way of what an enforcement of its quota gives. */
+import type { randoms } from '@copperlever/runtime';
+
+import * as quotaCredits from '../shared/quota-credits.js';
+import * as quotaLedger from '../shared/quota-ledger.js';
+
+const ORGANISATION = 'o1';
+const STEP_MS = 10;
+const EXCHANGE_MS = 250;
+const HURRY_MS = 50;
+const MS_PER_SECOND = 1_000;
+
+export type QuotaPolicy =
+  /** Credits out of one ledger. */
+  | 'credits'
+  /** Each gateway has an equal part, and nobody is told anything. */
+  | 'equal-parts';
+
+export type QuotaLoad = {
+  gatewayCount: number;
+  /** The part of the requests that each gateway gets; drawn anew where left out. */
+  weights: readonly number[];
+  limit: quotaCredits.OrganisationLimit;
+  meanCost: number;
+  /** What callers ask for at a time, in units of cost per second. */
+  askedPerSecond: (atMs: number) => number;
+  /** Gateways that cannot reach the holder at a time. */
+  isCut: (gateway: number, atMs: number) => boolean;
+  /** All gateways restart at these times and have lost what they knew; so has the holder. */
+  restartsMs: readonly number[];
+  lengthMs: number;
+};
+
+export type Admitted = { atMs: number; cost: number };
+
+export type QuotaOutcome = { admitted: readonly Admitted[]; asked: number; refused: number };
+
+type Gateway = {
+  credits: quotaCredits.QuotaCredits;
+  nextExchangeMs: number;
+  /** What its requests cost that wait for credits. */
+  waiting: number[];
+};
+
+function startGateways(load: QuotaLoad, random: randoms.Random, atMs: number): Gateway[] {
+  return Array.from({ length: load.gatewayCount }, () => ({
+    credits: quotaCredits.createQuotaCredits(() => load.gatewayCount),
+    nextExchangeMs: atMs + random.below(EXCHANGE_MS),
+    waiting: [],
+  }));
+}
+
+function startLedger(load: QuotaLoad): quotaLedger.QuotaLedger {
+  return quotaLedger.createQuotaLedger({
+    limitOf: () => load.limit,
+    gatewayCount: () => load.gatewayCount,
+    unheardMs: quotaCredits.UNHEARD_MS,
+  });
+}
+
+/** Its credits are used up: the holder is asked as soon as it may be asked again. */
+function hurry(gateway: Gateway, nowMs: number): void {
+  const soonestMs = Math.max(nowMs, gateway.nextExchangeMs - EXCHANGE_MS) + HURRY_MS;
+  gateway.nextExchangeMs = Math.min(gateway.nextExchangeMs, soonestMs);
+}
+
+function pickWeighted(random: randoms.Random, weights: readonly number[]): number {
+  let rest = random.fraction() * weights.reduce((sum, weight) => sum + weight, 0);
+  const at = weights.findIndex((weight) => {
+    rest -= weight;
+    return rest < 0;
+  });
+  return Math.max(0, at);
+}
+
+/** Costs are spread as prompts are: many small ones, few that are several times the mean. */
+function drawCost(random: randoms.Random, meanCost: number): number {
+  return Math.min(3, -Math.log(1 - random.fraction())) * meanCost;
+}
+
+type Fleet = { gateways: Gateway[]; ledger: quotaLedger.QuotaLedger; incarnation: number };
+
+function startFleet(
+  load: QuotaLoad,
+  random: randoms.Random,
+  incarnation: number,
+  atMs: number,
+): Fleet {
+  return { gateways: startGateways(load, random, atMs), ledger: startLedger(load), incarnation };
+}
+
+/** The gateways whose exchange has come. */
+function exchangeDue(
+  { gateways, ledger, incarnation }: Fleet,
+  load: QuotaLoad,
+  nowMs: number,
+): Gateway[] {
+  return gateways.filter((gateway, index) => {
+    if (nowMs < gateway.nextExchangeMs) return false;
+    gateway.nextExchangeMs = nowMs + EXCHANGE_MS;
+    if (load.isCut(index, nowMs)) return true;
+    const uses = gateway.credits.recentUses(nowMs);
+    const grants = ledger.report({ gatewayId: `g${index}`, incarnation }, uses, nowMs);
+    gateway.credits.granted(grants, nowMs);
+    return true;
+  });
+}
+
+/** Asks gateways on behalf of callers, and counts what becomes of it. */
+function createCallers(load: QuotaLoad) {
+  const admitted: Admitted[] = [];
+  const counts = { asked: 0, refused: 0 };
+  const ask = (gateway: Gateway, cost: number, isAgain: boolean, nowMs: number): void => {
+    const verdict = gateway.credits.take(ORGANISATION, load.limit, { cost, isAgain }, nowMs);
+    if (!isAgain) counts.asked += cost;
+    if (verdict.kind === 'refused' || verdict.isLast) hurry(gateway, nowMs);
+    if (verdict.kind === 'admitted') admitted.push({ atMs: nowMs, cost });
+    else if (verdict.mayGain && !isAgain) gateway.waiting.push(cost);
+    else counts.refused += cost;
+  };
+  return { ask, outcome: (): QuotaOutcome => ({ admitted, ...counts }) };
+}
+
+export function playQuota(
+  load: QuotaLoad,
+  policy: QuotaPolicy,
+  random: randoms.Random,
+): QuotaOutcome {
+  const callers = createCallers(load);
+  let fleet = startFleet(load, random, 1, 0);
+  let untilNextMs = 0;
+  for (let nowMs = 0; nowMs < load.lengthMs; nowMs += STEP_MS) {
+    if (load.restartsMs.includes(nowMs)) {
+      fleet = startFleet(load, random, fleet.incarnation + 1, nowMs);
+    }
+    const due = policy === 'credits' ? exchangeDue(fleet, load, nowMs) : [];
+    for (const gateway of due) {
+      for (const cost of gateway.waiting.splice(0)) callers.ask(gateway, cost, true, nowMs);
+    }
+    const requestsPerMs = load.askedPerSecond(nowMs) / load.meanCost / MS_PER_SECOND;
+    for (untilNextMs -= STEP_MS; untilNextMs < 0 && requestsPerMs > 0;) {
+      untilNextMs += -Math.log(1 - random.fraction()) / requestsPerMs;
+      const gateway = fleet.gateways[pickWeighted(random, load.weights)] as Gateway;
+      callers.ask(gateway, drawCost(random, load.meanCost), false, nowMs);
+    }
+  }
+  return callers.outcome();
+}
+
+/** The most that was admitted in any window of that length. */
+export function worstWindow(admitted: readonly Admitted[], windowMs: number): number {
+  let first = 0;
+  let total = 0;
+  let worst = 0;
+  admitted.forEach(({ atMs, cost }) => {
+    total += cost;
+    while (atMs - (admitted[first]?.atMs ?? atMs) > windowMs) {
+      total -= admitted[first]?.cost ?? 0;
+      first += 1;
+    }
+    worst = Math.max(worst, total);
+  });
+  return worst;
+}
--- a/packages/gateway/src/testing/test-dialect.ts
+++ b/packages/gateway/src/testing/test-dialect.ts
@@ -16,11 +16,16 @@
       promptTokens: Number(headers['t-tokens'] ?? 0),
       outputTokens: 0,
       promptParts: [],
+      tokenCount: headers['t-tokens'] === undefined ? null : Number(headers['t-tokens']),
+      apiKey: text(headers['t-key']),
     }),
-    isReserved: (name) => name === 't-wait' || name === 't-steer',
+    isReserved: (name) => ['t-wait', 't-steer', 't-key', 't-organisation'].includes(name),
     attemptHeaders: (facts) => [
       ['t-wait', String(Math.round(facts.remainingMs))],
       ['t-upstream', facts.upstreamName],
+      ...(facts.organisation === null
+        ? []
+        : [['t-organisation', facts.organisation] as dialects.HeaderPair]),
       ...(facts.resumeAfterId === null
         ? []
         : [['last-event-id', facts.resumeAfterId] as dialects.HeaderPair]),
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -12,10 +12,14 @@
   headers: readonly dialects.HeaderPair[];
   body: Buffer;
   facts: dialects.CallFacts;
+  /** On whose behalf it is; null where callers are not told apart. */
+  organisation: string | null;
+  /** 0 is the most urgent. */
+  priority: number;
   arrivedAtMs: number;
   /** When the caller gives up or the route's timeout is reached, whichever is first. */
   deadlineMs: number;
-  /** The same for a request that comes again: service, path, caller's model and body. */
+  /** The same for a request that comes again: organisation, service, path, model and body. */
   fingerprint: string;
   /** The client's own event to resume after; null otherwise. */
   resumeAfterId: string | null;
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -17,6 +17,9 @@
   promptTokens: number;
   outputTokens: number;
   promptParts: readonly PromptPart[];
+  /** Prompt and output tokens together; null when it does not say. */
+  tokenCount: number | null;
+  apiKey: string | null;
 };
 
 /** What an upstream's headers say about its answer. */
@@ -37,6 +40,8 @@
   priority: number;
   /** The last event that the caller has; null for a stream from its beginning. */
   resumeAfterId: string | null;
+  /** On whose behalf it is; null where callers are not told apart. */
+  organisation: string | null;
 };
 
 export type HeaderPair = readonly [name: string, value: string];
--- a/packages/gateway/src/types/fleet.ts
+++ b/packages/gateway/src/types/fleet.ts
@@ -24,6 +24,28 @@
   /** 0 is the most urgent. */
   priority: number;
   isResumable: boolean;
+  /** Anyone may call it: no API key is asked for. */
+  isPublic: boolean;
+};
+
+/** What an organisation may have run by all gateways together. */
+export type Quota = {
+  unit: 'requests' | 'tokens';
+  perSecond: number;
+  /** What it may have at once on top of that. */
+  burst: number;
+  /** What a request counts that says nothing of its tokens. */
+  plainTokens: number;
+};
+
+/** On whose behalf requests come: known by the API keys that callers send. */
+export type Organisation = {
+  name: string;
+  apiKeys: readonly string[];
+  /** Goes before the priority of a route; null where the route's own holds. */
+  priority: number | null;
+  /** Null without a limit. */
+  quota: Quota | null;
 };
 
 export type ModelSpec = {
@@ -69,6 +91,8 @@
   routes: readonly Route[];
   services: readonly Service[];
   limits: ClientLimits;
+  /** Null where callers are not told apart and need no key. */
+  organisations: readonly Organisation[] | null;
 };
 
 export type ResidentModel = { name: string; version: number; adapters: readonly string[] };
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -81,6 +81,17 @@
   'change-broken': { upstreamId: string; reason: string };
   'steward-broken': { upstreamId: string; reason: string };
   'route-unknown': { requestId: string; path: string; configVersion: number };
+  /** No configuration in force names the caller's key. */
+  'key-unknown': { requestId: string; route: string; configVersion: number };
+  /** Its organisation has no credits left here; `creditsAgeMs`: since the holder told of them. */
+  'over-quota': {
+    requestId: string;
+    organisation: string | null;
+    cost: number;
+    creditLeft: number;
+    creditsAgeMs: number | null;
+    retryAfterMs: number;
+  };
   'request-broken': { requestId: string; reason: string };
   'request-waits': {
     requestId: string;
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -35,6 +35,8 @@
   /** Loads from the weight store are counted over this window, and may exceed the rate by this factor. */
   loadWindowS: positive,
   loadOverage: positive,
+  /** By how much all gateways together may exceed an organisation's quota, in its unit. */
+  quotaSlack: zod.number().nonnegative().default(0),
 });
 
 export type Settings = zod.infer<typeof settingsSchema>;
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -9,6 +9,8 @@
   /** Where the holder answers other gateways: one whose seeds are all gone finds it here. */
   address: string;
   term: number;
+  /** Gateways that the holder knew of, itself among them: one that starts learns how many share what there is. */
+  gatewayCount: number;
   /** Counts renewals, so that each one changes the record. */
   renewals: number;
   /** Set by a holder that stops: nothing of its own is under way. */
