Quotas: late requests yield, debts are halved, silent gateways keep their part of the capacity

Change: a request whose objective has passed is admitted only while the organisation's bucket is not scarce; a request needs half of its cost (or of its gateway's part) as credit; what waits for credits is lent first; unheard gateways keep their part of the capacity as well as of the rate.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -12,6 +12,7 @@
 import * as stops from './server/health/stop.js';
 import type * as fleet from './types/fleet.js';
 import type * as logEvents from './types/log-events.js';
+import * as deadlineNorms from './shared/deadline-norms.js';
 import * as watchPauses from './shared/watch-pauses.js';
 import type * as settingsModule from './types/settings.js';
 import type * as stores from './types/stores.js';
@@ -166,6 +167,7 @@
     openCalls,
     quotas: cradle.quotas,
     loopLag: cradle.loopLag,
+    norms: deadlineNorms.createDeadlineNorms(),
   });
   const connections = stops.trackConnections(callers.server);
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -6,6 +6,7 @@
 import * as assert from 'uvu/assert';
 
 import * as access from '../../shared/access.js';
+import * as deadlineNorms from '../../shared/deadline-norms.js';
 import * as routeTables from '../../shared/route-table.js';
 import * as testDialects from '../../testing/test-dialect.js';
 import type * as calls from '../../types/calls.js';
@@ -68,6 +69,7 @@
     clock,
     log,
     loopLag,
+    norms: deadlineNorms.createDeadlineNorms(),
     dialect: testDialects.createTestDialect(),
     serve: (call, sink) => {
       served.push(call.path);
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -8,6 +8,7 @@
 
 import * as accessTables from '../../shared/access.js';
 import * as connectionHeaders from '../../shared/connection-headers.js';
+import type * as deadlineNorms from '../../shared/deadline-norms.js';
 import * as routeTables from '../../shared/route-table.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
@@ -32,6 +33,7 @@
   quotas: Pick<quotasModule.Quotas, 'admit'>;
   openCalls: openCallsModule.OpenCalls;
   loopLag: Pick<loopLagModule.LoopLag, 'settle'>;
+  norms: deadlineNorms.DeadlineNorms;
 };
 
 /** A configuration with its tables. */
@@ -89,6 +91,7 @@
     organisation: organisation?.name ?? null,
     priority: accessTables.priorityOf(route, organisation),
     arrivedAtMs,
+    elapsedBeforeMs: deps.norms.elapsedMs(route.name, facts.remainingMs, arrivedAtMs),
     deadlineMs: arrivedAtMs + waitMs,
     fingerprint: hashes.hash64Hex(`${scope}\n${body.toString('latin1')}`),
     resumeAfterId: typeof lastEventId === 'string' ? lastEventId : null,
@@ -214,7 +217,8 @@
   const admitted = admit(deps, deps.configuration() ?? inForce, request, sink);
   if (admitted === null) return;
   const call = buildCall(deps, request, admitted, body.bytes, arrivedAtMs);
-  const quota = await deps.quotas.admit(admitted.organisation, admitted.facts);
+  const isLate = call.elapsedBeforeMs > call.route.latencyObjectiveMs;
+  const quota = await deps.quotas.admit(admitted.organisation, admitted.facts, isLate);
   if (quota.kind === 'refused') {
     refuseOverQuota(deps, sink, call, quota);
     return;
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -80,6 +80,7 @@
     organisation: null,
     priority: 0,
     arrivedAtMs: 0,
+    elapsedBeforeMs: 0,
     deadlineMs: performance.now() + 30_000,
     fingerprint: 'f',
     resumeAfterId: null,
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -34,9 +34,9 @@
 export type Router = {
   needsModel: (call: calls.Call) => boolean;
   /** 0 is the most urgent. */
-  priorityOf: (call: calls.Call, run: runs.Run) => number;
+  priorityOf: (call: calls.Call) => number;
   /** Its objective has passed. */
-  isLate: (call: calls.Call, run: runs.Run) => boolean;
+  isLate: (call: calls.Call) => boolean;
   choose: (call: calls.Call, run: runs.Run) => upstreamChoice.Choice;
   overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
   /** Tells the placing what is asked for. */
@@ -80,13 +80,13 @@
     };
   }
 
-  function isLate(call: calls.Call, run: runs.Run): boolean {
-    const elapsedMs = run.elapsedBeforeMs + clock.nowMs() - call.arrivedAtMs;
+  function isLate(call: calls.Call): boolean {
+    const elapsedMs = call.elapsedBeforeMs + clock.nowMs() - call.arrivedAtMs;
     return elapsedMs > call.route.latencyObjectiveMs;
   }
 
-  function priorityOf(call: calls.Call, run: runs.Run): number {
-    return urgency.enginePriority(call.priority, call.route, isLate(call, run));
+  function priorityOf(call: calls.Call): number {
+    return urgency.enginePriority(call.priority, call.route, isLate(call));
   }
 
   function patienceOf(call: calls.Call) {
@@ -105,7 +105,7 @@
     return queueLimits.queueLimitMs({
       ...patienceOf(call),
       isStream: call.route.kind === 'stream',
-      isLate: isLate(call, run),
+      isLate: isLate(call),
     });
   }
 
@@ -120,7 +120,7 @@
       excludedIds: run.excludedIds,
       queueLimitMs: queueLimitMs(call, run),
     };
-    const priority = priorityOf(call, run);
+    const priority = priorityOf(call);
     const candidates = records.map((record) => toCandidate(call, priority, record));
     return upstreamChoice.chooseUpstream(request, candidates, nowMs, deps.random.fraction);
   }
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -14,11 +14,9 @@
   adapterAsks: number;
   /** For its model. */
   hasWaited: boolean;
-  /** How long the caller had been waiting when the request came, at least. */
-  elapsedBeforeMs: number;
 };
 
-export function createRun(elapsedBeforeMs: number): Run {
+export function createRun(): Run {
   return {
     ranCount: 0,
     sentCount: 0,
@@ -29,7 +27,6 @@
     resumeAfterId: null,
     adapterAsks: 0,
     hasWaited: false,
-    elapsedBeforeMs,
   };
 }
 
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -6,7 +6,6 @@
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
-import * as deadlineNorms from '../../shared/deadline-norms.js';
 import type * as retryShares from '../../shared/retry-share.js';
 import * as modelWaits from '../../shared/model-waits.js';
 import * as runVerdicts from '../../shared/run-verdicts.js';
@@ -68,7 +67,6 @@
 
   const router = routers.createRouter(deps);
   const noteAttempt = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
-  const norms = deadlineNorms.createDeadlineNorms();
   let waitingCount = 0;
 
   function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
@@ -109,7 +107,7 @@
     const scope = runs.cacheScope(call);
     const cachedTokens = deps.caches.cachedTokens(upstreamId, scope, call.facts.promptParts);
     const unreadTokens = Math.max(0, call.facts.promptTokens - cachedTokens);
-    const priority = router.priorityOf(call, run);
+    const priority = router.priorityOf(call);
     const started = inFlight.started({
       upstreamId,
       model: call.facts.model ?? '',
@@ -221,7 +219,7 @@
       pauseObjectiveMs: call.route.pauseObjectiveMs,
       readyInMs: expected.inMs,
       isOrdered: expected.kind === 'on-its-way',
-      isLate: router.isLate(call, run),
+      isLate: router.isLate(call),
       waitingCount,
       isStopping: deps.isStopping(),
     });
@@ -287,8 +285,7 @@
   return async (call, sink) => {
     deps.retryShare.noteRequest(call.service, clock.nowMs());
     router.noteDemand(call);
-    const elapsedBeforeMs = norms.elapsedMs(call.route.name, call.facts.remainingMs, clock.nowMs());
-    const run = runs.createRun(elapsedBeforeMs);
+    const run = runs.createRun();
     const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
     if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
     for (;;) {
--- a/packages/gateway/src/server/quotas/quotas.ts
+++ b/packages/gateway/src/server/quotas/quotas.ts
@@ -24,6 +24,7 @@
   admit: (
     organisation: fleet.Organisation | null,
     facts: Pick<dialects.CallFacts, 'tokenCount'>,
+    isLate: boolean,
   ) => Promise<QuotaDecision>;
   recentUses: () => readonly quotaCredits.QuotaUse[];
   granted: (grants: readonly quotaCredits.QuotaGrant[]) => void;
@@ -46,7 +47,7 @@
 };
 
 /** Lent like a burst, so that a request larger than a small burst can run; the rest is for what is told late. */
-const LENT_SLACK_SHARE = 0.4;
+const LENT_SLACK_SHARE = 0.5;
 /** Two hurried questions to the holder of a fleet of some tens of gateways. */
 const ANSWER_WAIT_MS = 100;
 /** A quota without a burst has this much at once: requests do not come evenly. */
@@ -96,23 +97,23 @@
   async function charge(
     name: string,
     limit: quotaCredits.OrganisationLimit,
-    cost: number,
+    request: Omit<quotaCredits.Charge, 'isAgain'>,
   ): Promise<quotaCredits.Verdict> {
-    const first = credits.take(name, limit, { cost, isAgain: false }, clock.nowMs());
+    const first = credits.take(name, limit, { ...request, isAgain: false }, clock.nowMs());
     if (first.kind === 'admitted' && !first.isLast) return first;
     deps.hurry();
     if (first.kind === 'admitted' || !first.mayGain) return first;
     await nextAnswer();
-    return credits.take(name, limit, { cost, isAgain: true }, clock.nowMs());
+    return credits.take(name, limit, { ...request, isAgain: true }, clock.nowMs());
   }
 
   return {
-    admit: async (organisation, facts) => {
+    admit: async (organisation, facts, isLate) => {
       const quota = organisation?.quota ?? null;
       if (organisation === null || quota === null) return UNLIMITED;
       const { name } = organisation;
       const cost = quotaCosts.costOf(quota, facts);
-      const verdict = await charge(name, limitOf(quota), cost);
+      const verdict = await charge(name, limitOf(quota), { cost, isLate });
       if (verdict.kind === 'admitted') {
         return { kind: 'admitted', giveBack: () => credits.giveBack(name, cost) };
       }
--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -25,6 +25,8 @@
   spent: number;
   /** What has been asked for, refused or not. */
   asked: number;
+  /** What waits for credits now. */
+  waiting: number;
 };
 
 export type QuotaGrant = {
@@ -37,8 +39,16 @@
   hasMore: boolean;
 };
 
-/** `isAgain`: it has been refused here, and waited for credits. */
-export type Charge = { cost: number; isAgain: boolean };
+export type Charge = {
+  cost: number;
+  /** It has been refused here, and waited for credits. */
+  isAgain: boolean;
+  /**
+   * Its latency objective has passed. Load: an organisation at several times its quota, whose refused callers come
+   * back. Harm prevented: each of these that is admitted is late, and takes the credits of one that would be in time.
+   */
+  isLate: boolean;
+};
 
 export type QuotaCredits = {
   take: (organisation: string, limit: OrganisationLimit, request: Charge, nowMs: number) => Verdict;
@@ -56,6 +66,11 @@
 export const UNHEARD_MS = 1_000;
 /** What a gateway may start with, as a part of what it would have if all were given out: others may start too. */
 const START_SHARE = 0.5;
+/**
+ * A request is admitted with this much of its cost, or of its gateway's part where that is less: the rest is a debt.
+ * Without debts a request of some thousand tokens would be admitted nowhere where the part of a gateway is some hundred.
+ */
+const NEEDED_SHARE = 0.5;
 /** Told in several exchanges by then. */
 const RECENT_MS = 5_000;
 const MS_PER_SECOND = 1_000;
@@ -65,6 +80,7 @@
 type Account = {
   spent: number;
   asked: number;
+  waiting: number;
   granted: number;
   share: number;
   hasMore: boolean;
@@ -85,6 +101,7 @@
     const account = {
       spent: 0,
       asked: 0,
+      waiting: 0,
       granted: START_SHARE * share * limit.capacity,
       share,
       hasMore: true,
@@ -106,21 +123,25 @@
   }
 
   return {
-    take: (organisation, limit, { cost, isAgain }, nowMs) => {
+    take: (organisation, limit, { cost, isAgain, isLate }, nowMs) => {
       const account = accountOf(organisation, limit, nowMs);
-      if (!isAgain) account.asked += cost;
+      if (isAgain) account.waiting -= cost;
+      else account.asked += cost;
       account.lastMs = nowMs;
       refill(account, limit, nowMs);
       const credit = account.granted - account.spent;
-      if (credit > 0) {
+      const needed = NEEDED_SHARE * Math.min(cost, account.share * limit.capacity);
+      const yields = isLate && !account.hasMore;
+      if (credit >= needed && !yields) {
         account.spent += cost;
         return { kind: 'admitted', isLast: cost >= credit };
       }
       const perMs = (limit.perSecond * account.share) / MS_PER_SECOND;
-      const inMs = -credit / Math.max(perMs, Number.MIN_VALUE);
+      const inMs = (needed - credit) / Math.max(perMs, Number.MIN_VALUE);
       const retryAfterMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, inMs));
       const isHolderHeard = heardMs !== null && nowMs - heardMs < UNHEARD_MS;
-      const mayGain = isHolderHeard && account.hasMore;
+      const mayGain = isHolderHeard && account.hasMore && !isAgain;
+      if (mayGain) account.waiting += cost;
       return { kind: 'refused', retryAfterMs, creditLeft: credit, mayGain };
     },
     giveBack: (organisation, cost) => {
@@ -130,7 +151,12 @@
     recentUses: (nowMs) =>
       [...accounts]
         .filter(([, { lastMs }]) => nowMs - lastMs < RECENT_MS)
-        .map(([organisation, { spent, asked }]) => ({ organisation, spent, asked })),
+        .map(([organisation, { spent, asked, waiting }]) => ({
+          organisation,
+          spent,
+          asked,
+          waiting,
+        })),
     granted: (grants, nowMs) => {
       heardMs = nowMs;
       grants.forEach(({ organisation, granted, share, hasMore }) => {
--- a/packages/gateway/src/shared/quota-ledger.ts
+++ b/packages/gateway/src/shared/quota-ledger.ts
@@ -37,6 +37,8 @@
 const EVEN_SHARE = 0.3;
 /** A gateway that has not been heard for so long has gone for good. */
 const FORGOTTEN_MS = 20_000;
+/** With less than this part of its capacity unspent an organisation asks for more than it may. */
+const SCARCE_SHARE = 0.2;
 const MS_PER_SECOND = 1_000;
 
 type Account = {
@@ -68,6 +70,12 @@
   return Math.max(0, account.granted - account.spent);
 }
 
+/** Lent or not, what has not been spent. */
+function thereIs({ level, accounts }: Bucket, { capacity }: Limit): number {
+  const unspent = level + sum([...accounts.values()], lentTo);
+  return Math.min(capacity, Math.max(0, unspent));
+}
+
 function askedPerSecond({ perSecond, toldMs }: Account, nowMs: number): number {
   return perSecond * Math.exp(-(nowMs - toldMs) / RATE_TIME_MS);
 }
@@ -108,7 +116,7 @@
     return bucket;
   }
 
-  /** Gateways that are not heard gain their part themselves. */
+  /** Gateways that are not heard gain their part themselves, and may keep as much of what fits. */
   function refill(bucket: Bucket, limit: Limit, nowMs: number): void {
     const accounts = [...bucket.accounts];
     const silent = accounts.filter(([gatewayId]) => silentMs(gatewayId, nowMs) > 0);
@@ -117,7 +125,8 @@
       sum(silent, ([, { share }]) => share),
     );
     const gained = (limit.perSecond * (1 - kept) * (nowMs - bucket.atMs)) / MS_PER_SECOND;
-    const room = limit.capacity - sum(accounts, ([, account]) => lentTo(account));
+    const heard = accounts.filter(([gatewayId]) => silentMs(gatewayId, nowMs) === 0);
+    const room = limit.capacity * (1 - kept) - sum(heard, ([, account]) => lentTo(account));
     bucket.level = Math.min(bucket.level + gained, Math.max(0, room));
     bucket.atMs = nowMs;
   }
@@ -147,16 +156,21 @@
     return account;
   }
 
-  function grant(bucket: Bucket, account: Account, limit: Limit, nowMs: number): void {
+  function grant(
+    bucket: Bucket,
+    account: Account,
+    limit: Limit,
+    waiting: number,
+    nowMs: number,
+  ): void {
     const accounts = [...bucket.accounts.values()];
     const count = Math.max(options.gatewayCount(nowMs), accounts.length);
     const idle = (IDLE_SHARE * limit.capacity) / count;
     const wantedBy = (other: Account) =>
       (askedPerSecond(other, nowMs) * HORIZON_MS) / MS_PER_SECOND + idle;
-    const thereIs = Math.min(limit.capacity, bucket.level + sum(accounts, lentTo));
     const part = wantedBy(account) / sum(accounts, wantedBy);
     const before = lentTo(account);
-    const target = LENT_SHARE * part * Math.max(0, thereIs);
+    const target = Math.max(waiting, LENT_SHARE * part * thereIs(bucket, limit));
     const lent = Math.min(target, before + Math.max(0, bucket.level));
     bucket.level -= lent - before;
     account.granted = account.spent + lent;
@@ -179,10 +193,12 @@
     const isSame = known !== undefined && known.incarnation === gateway.incarnation;
     const account = isSame ? known : openAccount(bucket, limit, gateway, use, nowMs);
     const gainedS = silentMs(gateway.gatewayId, nowMs) / MS_PER_SECOND;
-    account.granted += account.share * limit.perSecond * gainedS;
+    const gained = account.share * limit.perSecond * gainedS;
+    const mostGranted = use.spent + account.share * limit.capacity;
+    account.granted = Math.max(account.granted, Math.min(account.granted + gained, mostGranted));
     noteUse(bucket, account, use, nowMs);
-    grant(bucket, account, limit, nowMs);
-    const hasMore = bucket.level > 0;
+    grant(bucket, account, limit, use.waiting, nowMs);
+    const hasMore = thereIs(bucket, limit) > SCARCE_SHARE * limit.capacity;
     return [{ organisation, granted: account.granted, share: account.share, hasMore }];
   }
 
--- a/packages/gateway/src/testing/quota-fleet.ts
+++ b/packages/gateway/src/testing/quota-fleet.ts
@@ -14,7 +14,9 @@
   /** Credits out of one ledger. */
   | 'credits'
   /** Each gateway has an equal part, and nobody is told anything. */
-  | 'equal-parts';
+  | 'equal-parts'
+  /** All requests come to one place, which knows everything: what the others are measured against. */
+  | 'one-place';
 
 export type QuotaLoad = {
   gatewayCount: number;
@@ -111,25 +113,66 @@
   const admitted: Admitted[] = [];
   const counts = { asked: 0, refused: 0 };
   const ask = (gateway: Gateway, cost: number, isAgain: boolean, nowMs: number): void => {
-    const verdict = gateway.credits.take(ORGANISATION, load.limit, { cost, isAgain }, nowMs);
+    const verdict = gateway.credits.take(
+      ORGANISATION,
+      load.limit,
+      { cost, isAgain, isLate: false },
+      nowMs,
+    );
     if (!isAgain) counts.asked += cost;
     if (verdict.kind === 'refused' || verdict.isLast) hurry(gateway, nowMs);
     if (verdict.kind === 'admitted') admitted.push({ atMs: nowMs, cost });
-    else if (verdict.mayGain && !isAgain) gateway.waiting.push(cost);
+    else if (verdict.mayGain) gateway.waiting.push(cost);
     else counts.refused += cost;
   };
   return { ask, outcome: (): QuotaOutcome => ({ admitted, ...counts }) };
 }
 
-export function playQuota(
+/** Requests in order, and each step of the clock before those that come in it. */
+function forEachRequest(
   load: QuotaLoad,
-  policy: QuotaPolicy,
+  random: randoms.Random,
+  take: (cost: number, nowMs: number) => void,
+  step: (nowMs: number) => void = () => {},
+): void {
+  let untilNextMs = 0;
+  for (let nowMs = 0; nowMs < load.lengthMs; nowMs += STEP_MS) {
+    step(nowMs);
+    const requestsPerMs = load.askedPerSecond(nowMs) / load.meanCost / MS_PER_SECOND;
+    for (untilNextMs -= STEP_MS; untilNextMs < 0 && requestsPerMs > 0;) {
+      untilNextMs += -Math.log(1 - random.fraction()) / requestsPerMs;
+      take(drawCost(random, load.meanCost), nowMs);
+    }
+  }
+}
+
+function playInOnePlace(load: QuotaLoad, random: randoms.Random): QuotaOutcome {
+  const admitted: Admitted[] = [];
+  let asked = 0;
+  let refused = 0;
+  let level = load.limit.capacity;
+  let lastMs = 0;
+  forEachRequest(load, random, (cost, nowMs) => {
+    const gained = (load.limit.perSecond * (nowMs - lastMs)) / MS_PER_SECOND;
+    level = Math.min(load.limit.capacity, level + gained);
+    lastMs = nowMs;
+    asked += cost;
+    if (level >= cost / 2) {
+      level -= cost;
+      admitted.push({ atMs: nowMs, cost });
+    } else refused += cost;
+  });
+  return { admitted, asked, refused };
+}
+
+function playAtGateways(
+  load: QuotaLoad,
+  policy: 'credits' | 'equal-parts',
   random: randoms.Random,
 ): QuotaOutcome {
   const callers = createCallers(load);
   let fleet = startFleet(load, random, 1, 0);
-  let untilNextMs = 0;
-  for (let nowMs = 0; nowMs < load.lengthMs; nowMs += STEP_MS) {
+  const step = (nowMs: number): void => {
     if (load.restartsMs.includes(nowMs)) {
       fleet = startFleet(load, random, fleet.incarnation + 1, nowMs);
     }
@@ -137,16 +180,29 @@
     for (const gateway of due) {
       for (const cost of gateway.waiting.splice(0)) callers.ask(gateway, cost, true, nowMs);
     }
-    const requestsPerMs = load.askedPerSecond(nowMs) / load.meanCost / MS_PER_SECOND;
-    for (untilNextMs -= STEP_MS; untilNextMs < 0 && requestsPerMs > 0;) {
-      untilNextMs += -Math.log(1 - random.fraction()) / requestsPerMs;
-      const gateway = fleet.gateways[pickWeighted(random, load.weights)] as Gateway;
-      callers.ask(gateway, drawCost(random, load.meanCost), false, nowMs);
-    }
-  }
+  };
+  const take = (cost: number, nowMs: number): void => {
+    const gateway = fleet.gateways[pickWeighted(random, load.weights)] as Gateway;
+    callers.ask(gateway, cost, false, nowMs);
+  };
+  forEachRequest(load, random, take, step);
   return callers.outcome();
 }
 
+export function playQuota(
+  load: QuotaLoad,
+  policy: QuotaPolicy,
+  random: randoms.Random,
+): QuotaOutcome {
+  switch (policy) {
+    case 'credits':
+    case 'equal-parts':
+      return playAtGateways(load, policy, random);
+    case 'one-place':
+      return playInOnePlace(load, random);
+  }
+}
+
 /** The most that was admitted in any window of that length. */
 export function worstWindow(admitted: readonly Admitted[], windowMs: number): number {
   let first = 0;
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -17,6 +17,8 @@
   /** 0 is the most urgent. */
   priority: number;
   arrivedAtMs: number;
+  /** How long the caller had been waiting when the request came, at least. */
+  elapsedBeforeMs: number;
   /** When the caller gives up or the route's timeout is reached, whichever is first. */
   deadlineMs: number;
   /** The same for a request that comes again: organisation, service, path, model and body. */
