Quotas: a gateway that starts reads in the lease which are scarce, and may admit more of the others

Change: the holder writes the scarce organisations (and how many gateways there are) into the lease that it renews anyway; of those that are not scarce a starting gateway may admit three times its part before it hears the holder.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -125,6 +125,7 @@
     random: parts.random,
     store: parts.store,
     book: parts.book,
+    quotas: parts.quotas,
     gatewayId: settings.gatewayId,
     address: settings.peerAddress,
     leaseMs: settings.leaseMs,
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -190,6 +190,10 @@
   deps.metrics.denied('over-quota');
 }
 
+function classOf({ route, priority }: calls.Call): metricsModule.RequestClass {
+  return { kind: route.kind, priority };
+}
+
 async function handle(
   deps: CallersDeps,
   request: http.IncomingMessage,
@@ -230,7 +234,7 @@
     if (ending.kind === 'not-run') quota.giveBack();
     answerEnding(deps, sink, ending);
     logEnding(deps, call, ending);
-    deps.metrics.requestEnded(call.route, ending, deps.clock.nowMs() - call.arrivedAtMs);
+    deps.metrics.requestEnded(classOf(call), ending, deps.clock.nowMs() - call.arrivedAtMs);
   } finally {
     deps.openCalls.remove(call);
   }
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -129,7 +129,11 @@
       onFirstPiece: () => {
         started.promptRead();
         firstPieceMs = clock.nowMs() - startedAtMs;
-        deps.metrics.firstPiece(call.route, clock.nowMs() - call.arrivedAtMs);
+        const { kind } = call.route;
+        deps.metrics.firstPiece(
+          { kind, priority: call.priority },
+          clock.nowMs() - call.arrivedAtMs,
+        );
       },
     });
     started.ended();
--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -18,12 +18,20 @@
   const store = memoryRecords.createMemoryRecords();
   const join = (gatewayId: string, upstreamsCheckFences = true, millicores = 1_000) => {
     const book = peerBooks.createPeerBook(gatewayId);
+    const scarce: string[] = [];
+    const written: string[][] = [];
     const keeper = leaseKeepers.createLeaseKeeper({
       clock,
       log: logs.createSilentLogger(),
       random: randoms.createRandom(3),
       store,
       book,
+      quotas: {
+        scarce: () => scarce,
+        noteWritten: (names) => {
+          written.push([...names]);
+        },
+      },
       gatewayId,
       address: `${gatewayId}:7000`,
       leaseMs: LEASE_MS,
@@ -31,7 +39,7 @@
       millicores,
       isEligible: () => true,
     });
-    return { book, keeper };
+    return { book, keeper, scarce, written };
   };
   return { clock, state, store, join };
 }
@@ -64,6 +72,24 @@
   await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
 });
 
+// All gateways are killed at once in a rush of one organisation. Those that start know nobody yet: without a word of the
+// rush each would admit what it may of an organisation that asks for little.
+test('who looks at the lease learns whose quota is nearly used up, and how many gateways there are', async () => {
+  const { clock, join } = createRig();
+  const first = join('g1');
+  first.keeper.start();
+  await clock.advance(1_500);
+  first.scarce.push('o1');
+  first.book.learned([{ gatewayId: 'g3', address: 'g3:7000' }], clock.nowMs());
+  await clock.advance(1_500);
+  const second = join('g2');
+  second.keeper.start();
+  await clock.advance(1_500);
+  assert.equal(second.written.at(-1), ['o1']);
+  assert.is(second.book.fleetSize(clock.nowMs()), 2);
+  await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
+});
+
 // All gateways are killed at once and start again. The one whose lease it was need not wait for itself; the others
 // cannot know that it was killed.
 test('a gateway that starts again takes its own lease at once, another waits', async () => {
@@ -73,6 +99,7 @@
     address: 'g1:7000',
     term: 4,
     gatewayCount: 2,
+    scarceOrganisations: [],
     renewals: 9,
     isReleased: false,
   };
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -6,6 +6,7 @@
 import type * as peerBooks from '../../shared/peer-book.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
+import type * as quotasModule from '../quotas/quotas.js';
 
 export type LeaseKeeperDeps = {
   clock: clocks.Clock;
@@ -13,6 +14,7 @@
   random: randoms.Random;
   store: stores.RecordStore;
   book: peerBooks.PeerBook;
+  quotas: Pick<quotasModule.Quotas, 'scarce' | 'noteWritten'>;
   gatewayId: string;
   /** Where this gateway answers others. */
   address: string;
@@ -99,6 +101,7 @@
     }
     const { holderId, address, term, gatewayCount } = record.value;
     book.noteFleetSize(gatewayCount, clock.nowMs());
+    deps.quotas.noteWritten(record.value.scarceOrganisations);
     book.noteLease({ holderId, term });
     book.learned([{ gatewayId: holderId, address }], clock.nowMs());
   }
@@ -111,7 +114,12 @@
     const sentAtMs = clock.nowMs();
     const { value, revision } = lease.record;
     const gatewayCount = book.fleetSize(sentAtMs);
-    const next = { ...value, gatewayCount, renewals: value.renewals + 1 };
+    const next = {
+      ...value,
+      gatewayCount,
+      scarceOrganisations: deps.quotas.scarce(),
+      renewals: value.renewals + 1,
+    };
     const put = await store.put('leases', RECORD_NAME, next, revision, deadlineMs());
     if (held !== lease) return;
     if (put.ok) {
@@ -174,6 +182,7 @@
       address: deps.address,
       term,
       gatewayCount: book.fleetSize(clock.nowMs()),
+      scarceOrganisations: present?.value.scarceOrganisations ?? [],
       renewals: 0,
       isReleased: false,
     };
--- a/packages/gateway/src/server/quotas/quotas.ts
+++ b/packages/gateway/src/server/quotas/quotas.ts
@@ -28,6 +28,9 @@
   ) => QuotaDecision;
   takeReport: () => quotaCredits.QuotaReport;
   heard: (loan: quotaCredits.QuotaLoan) => void;
+  /** For the record of the lease, and from it. */
+  scarce: () => readonly string[];
+  noteWritten: (scarce: readonly string[]) => void;
   /** As the holder of the lease with that term. */
   lend: (
     term: number,
@@ -94,6 +97,8 @@
     },
     takeReport: () => credits.takeReport(clock.nowMs()),
     heard: (loan) => credits.heard(loan, clock.nowMs()),
+    scarce: () => ledger?.lends.scarce() ?? [],
+    noteWritten: credits.noteWritten,
     lend: (term, gateway, report) => {
       // Another holder has lent meanwhile: what was known of its time is void.
       if (ledger?.term !== term) ledger = { term, lends: createLedger(term) };
--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -69,6 +69,8 @@
   /** What has been used lately, to tell the holder, which knows of the rest. */
   takeReport: (nowMs: number) => QuotaReport;
   heard: (loan: QuotaLoan, nowMs: number) => void;
+  /** What a holder has written down as scarce: a gateway that starts reads it before it hears anyone. */
+  noteWritten: (scarce: readonly string[]) => void;
   /** Since the holder last answered; null if never. */
   ageMs: (nowMs: number) => number | null;
 };
@@ -77,6 +79,11 @@
 export const UNHEARD_MS = 1_000;
 /** What a gateway that has not heard of the holder may start with, as a part of what it would have if all were given out: others may start too. */
 const START_SHARE = 1;
+/**
+ * The same where the quota was not scarce before. Load: all gateways start again at once, and callers come unevenly while
+ * nobody lends. Harm prevented: hundreds are refused below their quotas, and come back late.
+ */
+const START_PLENTY_SHARE = 3;
 /**
  * The part of the capacity by which a gateway may go beyond what it has been lent while the quota is not scarce. Load:
  * organisations whose parts at some tens of gateways are smaller than a request. Harm prevented: two requests that come to
@@ -102,6 +109,8 @@
   lacking: number;
   granted: number;
   share: number;
+  /** It has got what a gateway that starts may have of a quota that is not scarce. */
+  hasStartPlenty: boolean;
   /** Until when the part of the rate has been added. */
   refilledMs: number;
   lastMs: number;
@@ -116,6 +125,7 @@
   let heardMs: number | null = null;
   let heardTerm = 0;
   let scarce: ReadonlySet<string> = new Set();
+  let writtenScarce: ReadonlySet<string> | null = null;
 
   function isHeard(nowMs: number): boolean {
     return heardMs !== null && nowMs - heardMs < UNHEARD_MS;
@@ -131,6 +141,7 @@
       lacking: 0,
       granted: isHeard(nowMs) ? 0 : START_SHARE * share * limit.capacity,
       share,
+      hasStartPlenty: false,
       refilledMs: nowMs,
       lastMs: nowMs,
     };
@@ -158,6 +169,13 @@
     account.granted = account.spent + (isDrawn ? cost : 0);
   }
 
+  function addStartPlenty(organisation: string, account: Account, limit: OrganisationLimit): void {
+    const isPlenty = writtenScarce !== null && !writtenScarce.has(organisation);
+    if (heardTerm !== 0 || !isPlenty || account.hasStartPlenty) return;
+    account.granted += (START_PLENTY_SHARE - START_SHARE) * account.share * limit.capacity;
+    account.hasStartPlenty = true;
+  }
+
   /** Adds the part of the rate for the time in which the holder was not heard. */
   function refill(account: Account, limit: OrganisationLimit, nowMs: number): void {
     const fromMs = Math.max(account.refilledMs, (heardMs ?? -Infinity) + UNHEARD_MS);
@@ -178,6 +196,7 @@
       account.asked += cost;
       account.lastMs = nowMs;
       refill(account, limit, nowMs);
+      addStartPlenty(organisation, account, limit);
       if (!isHeard(nowMs)) drawWhole(account, limit, cost);
       const isScarce = isHeard(nowMs) && scarce.has(organisation);
       const isPlenty = isHeard(nowMs) && !isScarce;
@@ -222,6 +241,9 @@
         account.share = share;
       });
     },
+    noteWritten: (written) => {
+      writtenScarce = new Set(written);
+    },
     ageMs: (nowMs) => (heardMs === null ? null : nowMs - heardMs),
   };
 }
--- a/packages/gateway/src/shared/quota-ledger.ts
+++ b/packages/gateway/src/shared/quota-ledger.ts
@@ -15,6 +15,8 @@
     report: quotaCredits.QuotaReport,
     nowMs: number,
   ) => quotaCredits.QuotaLoan;
+  /** Organisations whose quota is nearly used up. */
+  scarce: () => readonly string[];
 };
 
 export type QuotaLedgerOptions = {
@@ -103,5 +105,6 @@
       heardMs.set(gateway.gatewayId, nowMs);
       return { term: options.term, grants, scarce: look.scarce };
     },
+    scarce: () => look.scarce,
   };
 }
--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -123,6 +123,27 @@
   assertKept({ ...CALM, askedAt, restartsMs: [11_000] });
 });
 
+/** The part of all that is asked which falls into the time in which nobody lends. */
+const UNLENT_SHARE = 1_500 / 23_000;
+
+// All gateways start again at once, and the holder is heard a second later. Callers below their quotas are let in
+// meanwhile, as far as no more than the quota is given out.
+test('after a restart of all, those that ask for little are let in before anyone lends', () => {
+  const isDown = (atMs: number) => atMs > 10_000 && atMs < 11_000;
+  const scenario = {
+    askedAt: (atMs: number) => (isDown(atMs) ? 0 : USUAL),
+    isCut: (_gateway: number, atMs: number) => atMs >= 11_000 && atMs < 12_500,
+  };
+  const spread = ORGANISATIONS.filter(({ perSecond }) => perSecond >= 10_000);
+  spread.forEach((organisation) => {
+    const kept = play(organisation, { ...scenario, restartsMs: [11_000] }, 'credits');
+    const calm = play(organisation, { ...scenario, ...CALM }, 'credits');
+    const more = kept.refusedShare - calm.refusedShare;
+    assert.ok(more < UNLENT_SHARE, `${JSON.stringify(organisation)}: ${more} more refused`);
+    assert.ok(kept.worstShare <= 1, `${JSON.stringify(organisation)}: ${kept.worstShare}`);
+  });
+});
+
 test('requests count by their tokens or by their number, as the quota says', () => {
   const quota = { plainTokens: 200 };
   assert.is(quotaCosts.costOf({ ...quota, unit: 'tokens' }, { tokenCount: 1_540 }), 1_540);
--- a/packages/gateway/src/testing/quota-fleet.ts
+++ b/packages/gateway/src/testing/quota-fleet.ts
@@ -169,7 +169,9 @@
   let fleet = startFleet(load, random, 1, 0);
   const step = (nowMs: number): void => {
     if (load.restartsMs.includes(nowMs)) {
+      const scarce = fleet.ledger.scarce();
       fleet = startFleet(load, random, fleet.incarnation + 1, nowMs);
+      fleet.gateways.forEach(({ credits }) => credits.noteWritten(scarce));
     }
     if (policy === 'credits') exchangeDue(fleet, load, nowMs);
   };
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -11,6 +11,8 @@
   term: number;
   /** Gateways that the holder knew of, itself among them: one that starts learns how many share what there is. */
   gatewayCount: number;
+  /** Organisations whose quota was nearly used up: of the others one that starts may admit more before it is lent any. */
+  scarceOrganisations: readonly string[];
   /** Counts renewals, so that each one changes the record. */
   renewals: number;
   /** Set by a holder that stops: nothing of its own is under way. */
