Quotas: where a quota is not scarce the largest request is admitted too

Cause: what a gateway may go beyond its credits is an eighth of the capacity; a request larger than twice that was refused with no debt there at all.

--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -209,7 +209,8 @@
       const spare = isPlenty ? SPARE_SHARE * limit.capacity : 0;
       const credit = account.granted - account.spent;
       const part = isScarce ? cost : Math.min(cost, account.share * limit.capacity);
-      const needed = NEEDED_SHARE * part;
+      // Without a debt yet the largest request is admitted too, where the quota is not scarce.
+      const needed = Math.min(NEEDED_SHARE * part, isPlenty ? spare : Infinity);
       const yields = isLate && !isPlenty;
       if (credit + spare >= needed && !yields) {
         account.spent += cost;
--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -26,6 +26,8 @@
 ];
 /** Gateways have heard of one another by then. */
 const TRAFFIC_FROM_MS = 1_000;
+/** Below it the whole capacity is fewer than five requests, which more gateways than that want to lend on. */
+const SMALL_PER_SECOND = 5_000;
 /** What an organisation usually asks for, as a part of its quota. */
 const USUAL = 0.55;
 
@@ -90,9 +92,14 @@
 test('below its quota an organisation is hardly ever refused, wherever its callers come', () => {
   ORGANISATIONS.forEach((organisation) => {
     const scenario = { ...CALM, askedAt: () => USUAL };
+    const { perSecond } = organisation;
     const lent = play(organisation, scenario, 'credits').refusedShare;
     const inOnePlace = play(organisation, scenario, 'one-place').refusedShare;
-    assert.ok(lent < inOnePlace + 0.1, `${JSON.stringify(organisation)}: ${lent}, ${inOnePlace}`);
+    const allowed = perSecond < SMALL_PER_SECOND ? 0.12 : 0.03;
+    assert.ok(
+      lent < inOnePlace + allowed,
+      `${JSON.stringify(organisation)}: ${lent}, ${inOnePlace}`,
+    );
     const equal = play(organisation, scenario, 'equal-parts').refusedShare;
     assert.ok(equal > lent, `${JSON.stringify(organisation)}: ${equal} with equal parts`);
   });
@@ -131,7 +138,10 @@
       { ...CALM, askedAt: () => USUAL, isCut },
       'credits',
     );
-    assert.ok(refusedShare < HOLDERLESS_SHARE / 4, `${JSON.stringify(organisation)}: ${refusedShare}`);
+    assert.ok(
+      refusedShare < HOLDERLESS_SHARE / 4,
+      `${JSON.stringify(organisation)}: ${refusedShare}`,
+    );
   });
 });
 
