--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -15,6 +15,7 @@
 import type * as logEvents from './types/log-events.js';
 import * as deadlineNorms from './shared/deadline-norms.js';
 import * as watchPauses from './shared/watch-pauses.js';
+import type * as partTypes from './types/parts.js';
 import type * as settingsModule from './types/settings.js';
 import type * as stores from './types/stores.js';
 
@@ -29,7 +30,7 @@
   clock: clocks.Clock,
   log: logEvents.GatewayLog,
   settings: settingsModule.Settings,
-) => containers.PlatformParts;
+) => partTypes.PlatformParts;
 
 function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(':');
