--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -86,6 +86,7 @@
 export function createQuotas(parts: partTypes.GatewayParts): quotasModule.Quotas {
   return quotasModule.createQuotas({
     clock: parts.clock,
+    log: parts.log,
     random: parts.random,
     organisations: () => parts.configuration.current()?.config.organisations ?? [],
     gatewayCount: () => parts.book.fleetSize(parts.clock.nowMs()),
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -103,6 +103,7 @@
 function createQuotas(organisations: readonly fleet.Organisation[]): quotasModule.Quotas {
   return quotasModule.createQuotas({
     clock: { nowMs: () => 0 },
+    log: logs.createSilentLogger(),
     random: randoms.createRandom(6),
     organisations: () => organisations,
     gatewayCount: () => 1,
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -62,6 +62,7 @@
     const lease = { heldTerm: () => state.heldTerm } as Partial<leaseKeepers.LeaseKeeper>;
     const quotas = quotasModule.createQuotas({
       clock,
+      log,
       random: randoms.createRandom(6),
       organisations: () => [ORGANISATION],
       gatewayCount: () => state.gatewayCount,
--- a/packages/gateway/src/server/quotas/quotas.ts
+++ b/packages/gateway/src/server/quotas/quotas.ts
@@ -7,6 +7,7 @@
 import * as quotaLedgers from '../../shared/quota-ledger.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
 
 export type QuotaDecision =
   /** `giveBack` once it is known that the request did not run. */
@@ -41,6 +42,7 @@
 
 export type QuotasDeps = {
   clock: Pick<clocks.Clock, 'nowMs'>;
+  log: logEvents.GatewayLog;
   random: Pick<randoms.Random, 'fraction'>;
   organisations: () => readonly fleet.Organisation[];
   gatewayCount: () => number;
@@ -80,6 +82,15 @@
     });
   }
 
+  function logScarce(term: number, before: readonly string[], now: readonly string[]): void {
+    now
+      .filter((organisation) => !before.includes(organisation))
+      .forEach((organisation) => deps.log.info('quota-scarce', { organisation, term }));
+    before
+      .filter((organisation) => !now.includes(organisation))
+      .forEach((organisation) => deps.log.info('quota-plenty', { organisation, term }));
+  }
+
   return {
     admit: (organisation, facts, isLate) => {
       const quota = organisation?.quota ?? null;
@@ -102,7 +113,10 @@
     lend: (term, gateway, report) => {
       // Another holder has lent meanwhile: what was known of its time is void.
       if (ledger?.term !== term) ledger = { term, lends: createLedger(term) };
-      return ledger.lends.report(gateway, report, clock.nowMs());
+      const before = ledger.lends.scarce();
+      const loan = ledger.lends.report(gateway, report, clock.nowMs());
+      if (loan.scarce !== before) logScarce(term, before, loan.scarce);
+      return loan;
     },
   };
 }
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -92,6 +92,9 @@
     creditsAgeMs: number | null;
     retryAfterMs: number;
   };
+  /** At the holder: the organisation's quota is nearly used up, or no longer. */
+  'quota-scarce': { organisation: string; term: number };
+  'quota-plenty': { organisation: string; term: number };
   'request-broken': { requestId: string; reason: string };
   'request-waits': {
     requestId: string;
