Quotas: late requests yield only where a quota is known to be scarce

Cause: a gateway that has heard no holder yet took every quota for scarce where late requests are concerned, so that after a restart of all each caller that came back late was refused once more (found by reading, not in a trace; not played before this commit). Test 'late requests are let in at a gateway that has heard nobody yet' failed before, passes now.

--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -3,8 +3,8 @@
  * usual through all gateways, or a few requests a second through few of them. Harm prevented: gateways that each
  * enforce an equal part refuse the callers of an organisation whose few connections meet few gateways; gateways that
  * enforce the whole admit it once each. The holder of the lease lends each gateway credits out of the one quota
- * (`quota-ledger.ts`); a request is admitted while there are some. While the holder is not heard, a gateway gains its
- * part of the rate, which the holder leaves to it.
+ * (`quota-bucket.ts`); a request is admitted while there are some, and a little beyond as long as the quota is not scarce.
+ * While the holder is not heard, a gateway gains its part of the rate, which the holder leaves to it.
  */
 import type { randoms } from '@copperlever/runtime';
 
@@ -77,10 +77,10 @@
 
 /** After so long without the holder a gateway counts on its part of the rate, and the holder leaves it alone. */
 export const UNHEARD_MS = 1_000;
-/** What a gateway that has not heard of the holder may start with, as a part of what it would have if all were given out: others may start too. */
+/** What a gateway that has not heard of the holder starts with: this many equal parts of the capacity. */
 const START_SHARE = 1;
 /**
- * The same where the quota was not scarce before. Load: all gateways start again at once, and callers come unevenly while
+ * The same of a quota that was not scarce before. Load: all gateways start again at once, and callers come unevenly while
  * nobody lends. Harm prevented: hundreds are refused below their quotas, and come back late.
  */
 const START_PLENTY_SHARE = 3;
@@ -116,6 +116,15 @@
   lastMs: number;
 };
 
+/** On which a request is admitted. */
+type Terms = {
+  isPlenty: boolean;
+  /** How far the gateway may go beyond its credits. */
+  spare: number;
+  /** The credit, with what may be gone beyond it, that the request needs. */
+  needed: number;
+};
+
 /** Its part is a fraction of the request. */
 function isCrumb({ share }: Account, { capacity }: OrganisationLimit, cost: number): boolean {
   return share * capacity < CRUMB_SHARE * cost;
@@ -174,8 +183,8 @@
   }
 
   function addStartPlenty(organisation: string, account: Account, limit: OrganisationLimit): void {
-    const isPlenty = writtenScarce !== null && !writtenScarce.has(organisation);
-    if (heardTerm !== 0 || !isPlenty || account.hasStartPlenty) return;
+    const isStarting = heardTerm === 0 && writtenScarce !== null;
+    if (!isStarting || isKnownScarce(organisation) || account.hasStartPlenty) return;
     account.granted += (START_PLENTY_SHARE - START_SHARE) * account.share * limit.capacity;
     account.hasStartPlenty = true;
   }
@@ -190,6 +199,38 @@
     account.refilledMs = nowMs;
   }
 
+  /** As last heard, or read by a gateway that has heard nobody yet. */
+  function isKnownScarce(organisation: string): boolean {
+    const known = heardTerm === 0 ? writtenScarce : scarce;
+    return known?.has(organisation) ?? false;
+  }
+
+  function termsFor(
+    organisation: string,
+    account: Account,
+    limit: OrganisationLimit,
+    cost: number,
+    nowMs: number,
+  ): Terms {
+    const ownPart = Math.min(cost, account.share * limit.capacity);
+    // While nobody lends, what it may go beyond its credits is not renewed.
+    const mayGoBeyond = isHeard(nowMs) || !isCrumb(account, limit, cost);
+    const isPlenty = heardTerm !== 0 && !isKnownScarce(organisation) && mayGoBeyond;
+    if (isPlenty) {
+      const spare = SPARE_SHARE * limit.capacity;
+      // Without a debt yet the largest request is admitted too.
+      return { isPlenty, spare, needed: Math.min(NEEDED_SHARE * ownPart, spare) };
+    }
+    return { isPlenty, spare: 0, needed: NEEDED_SHARE * (isHeard(nowMs) ? cost : ownPart) };
+  }
+
+  /** Until its part of the rate has made up for what is lacking. */
+  function retryAfterMs(account: Account, limit: OrganisationLimit, lacking: number): number {
+    const perMs = (limit.perSecond * account.share) / MS_PER_SECOND;
+    const inMs = lacking / Math.max(perMs, Number.MIN_VALUE);
+    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, inMs));
+  }
+
   return {
     take: (organisation, limit, { cost, isLate }, nowMs) => {
       const account = accountOf(organisation, limit, nowMs);
@@ -201,26 +242,21 @@
       account.lastMs = nowMs;
       refill(account, limit, nowMs);
       addStartPlenty(organisation, account, limit);
-      // As last heard: while nobody lends, what it may go beyond its credits is not renewed.
-      const mayGoBeyond = isHeard(nowMs) || !isCrumb(account, limit, cost);
-      const isPlenty = heardTerm !== 0 && !scarce.has(organisation) && mayGoBeyond;
-      const isScarce = isHeard(nowMs) && !isPlenty;
+      const { isPlenty, spare, needed } = termsFor(organisation, account, limit, cost, nowMs);
       if (!isHeard(nowMs) && !isPlenty) drawWhole(account, limit, cost);
-      const spare = isPlenty ? SPARE_SHARE * limit.capacity : 0;
-      const credit = account.granted - account.spent;
-      const part = isScarce ? cost : Math.min(cost, account.share * limit.capacity);
-      // Without a debt yet the largest request is admitted too, where the quota is not scarce.
-      const needed = Math.min(NEEDED_SHARE * part, isPlenty ? spare : Infinity);
-      const yields = isLate && !isPlenty;
-      if (credit + spare >= needed && !yields) {
+      const creditLeft = account.granted - account.spent;
+      const yields = isLate && isKnownScarce(organisation);
+      if (creditLeft + spare >= needed && !yields) {
         account.spent += cost;
         return { kind: 'admitted' };
       }
       if (!yields) account.lacking = cost;
-      const perMs = (limit.perSecond * account.share) / MS_PER_SECOND;
-      const inMs = (needed - credit) / Math.max(perMs, Number.MIN_VALUE);
-      const retryAfterMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, inMs));
-      return { kind: 'refused', retryAfterMs, creditLeft: credit, mayGain: isPlenty };
+      return {
+        kind: 'refused',
+        retryAfterMs: retryAfterMs(account, limit, needed - creditLeft),
+        creditLeft,
+        mayGain: isPlenty,
+      };
     },
     giveBack: (organisation, cost) => {
       const account = accounts.get(organisation);
--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -155,6 +155,18 @@
 /** The part of all that is asked which falls into the time in which nobody lends. */
 const UNLENT_SHARE = 1_500 / 23_000;
 
+// All gateways have started again, and callers come back late, with nobody lending yet. Taken for callers of an
+// organisation that asks for more than it may, each would be refused once more.
+test('late requests are let in at a gateway that has heard nobody yet', () => {
+  const limit = { perSecond: 100, capacity: 100 };
+  const request = { cost: 10, isLate: true };
+  const credits = quotaCredits.createQuotaCredits(() => 1, randoms.createRandom(1));
+  assert.is(credits.take('o1', limit, request, 0).kind, 'admitted');
+  credits.noteWritten(['o2']);
+  assert.is(credits.take('o1', limit, request, 0).kind, 'admitted');
+  assert.is(credits.take('o2', limit, request, 0).kind, 'refused');
+});
+
 // All gateways start again at once, and the holder is heard a second later. Callers below their quotas are let in
 // meanwhile, as far as no more than the quota is given out.
 test('after a restart of all, those that ask for little are let in before anyone lends', () => {
