Quotas: a gateway that starts counts on as many others as it knows of by then, and reads the lease at once

The lease, which tells how many there are, was read 0.2 to 0.35 s after the list of upstreams. Change: until the lease or a peer has told, a fleet of 32 is assumed; what a gateway starts with follows what it learns; it looks at the lease within 25 ms of being able to, once. A new holder takes 0.35 of a capacity for unspent (0.25 made every quota scarce at first, and late requests yield then). Tests: 'what a gateway starts with follows what it learns of the others' (failed before), 'a gateway that starts looks at the lease as soon as it may, and then no more often than others'.

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -83,13 +83,21 @@
   });
 }
 
+/** Until the lease or a peer has told: with too few each gateway would take too large a part of a quota for its own. */
+const UNKNOWN_FLEET_SIZE = 32;
+
+function fleetSize({ book, clock }: partTypes.GatewayParts): number {
+  const known = book.fleetSize(clock.nowMs());
+  return book.lease() === null ? Math.max(UNKNOWN_FLEET_SIZE, known) : known;
+}
+
 export function createQuotas(parts: partTypes.GatewayParts): quotasModule.Quotas {
   return quotasModule.createQuotas({
     clock: parts.clock,
     log: parts.log,
     random: parts.random,
     organisations: () => parts.configuration.current()?.config.organisations ?? [],
-    gatewayCount: () => parts.book.fleetSize(parts.clock.nowMs()),
+    gatewayCount: () => fleetSize(parts),
     slack: parts.settings.quotaSlack,
     hurry: () => parts.exchange.hurry(),
   });
--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -15,8 +15,21 @@
   const steady = fakeClocks.createFakeClock();
   const state = { sleptMs: 0 };
   const clock = { ...steady, wallMs: () => steady.wallMs() + state.sleptMs };
-  const store = memoryRecords.createMemoryRecords();
-  const join = (gatewayId: string, upstreamsCheckFences = true, millicores = 1_000) => {
+  const records = memoryRecords.createMemoryRecords();
+  const gets: number[] = [];
+  const store: memoryRecords.MemoryRecords = {
+    ...records,
+    get: (...args) => {
+      gets.push(steady.nowMs());
+      return records.get(...args);
+    },
+  };
+  const join = (
+    gatewayId: string,
+    upstreamsCheckFences = true,
+    millicores = 1_000,
+    eligibleFromMs = 0,
+  ) => {
     const book = peerBooks.createPeerBook(gatewayId);
     const scarce: string[] = [];
     const written: string[][] = [];
@@ -37,11 +50,11 @@
       leaseMs: LEASE_MS,
       upstreamsCheckFences,
       millicores,
-      isEligible: () => true,
+      isEligible: () => clock.nowMs() >= eligibleFromMs,
     });
     return { book, keeper, scarce, written };
   };
-  return { clock, state, store, join };
+  return { clock, state, store, gets, join };
 }
 
 test('one takes the lease and keeps it', async () => {
@@ -90,6 +103,19 @@
   await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
 });
 
+// A gateway has started and knows the configuration; callers wait. The lease's record tells it what it may admit: it is
+// read at once, and each further look is a call that is paid for.
+test('a gateway that starts looks at the lease as soon as it may, and then no more often than others', async () => {
+  const { clock, gets, join } = createRig();
+  const startMs = clock.nowMs();
+  const { keeper } = join('g1', true, 243, startMs + 110);
+  keeper.start();
+  await clock.advance(1_000);
+  assert.ok((gets[0] ?? Infinity) <= startMs + 160, `${gets[0]}`);
+  assert.ok(gets.length <= 6, `${gets.length} looks`);
+  await keeper.handBack(clock.nowMs());
+});
+
 // All gateways are killed at once and start again. The one whose lease it was need not wait for itself; the others
 // cannot know that it was killed.
 test('a gateway that starts again takes its own lease at once, another waits', async () => {
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -56,6 +56,8 @@
 const SUSPENSION_MS = 300;
 const RECORD_NAME = 'placing';
 const TICK_MS = 200;
+const STARTING_TICK_MS = 25;
+const STARTING_MS = 3_000;
 const CALL_TIMEOUT_MS = 800;
 /** Gateways that start or miss the holder together do not all ask at the same moment. */
 const JITTER_MS = 150;
@@ -65,6 +67,7 @@
   const stopping = new AbortController();
   let held: Held | null = null;
   let seen: { record: StoredLease; atMs: number } | null = null;
+  let hasLooked = false;
   let isLeaving = false;
   /** The release is on its way: an order now could cross those of the next holder. */
   let isReleasing = false;
@@ -214,6 +217,7 @@
   }
 
   async function look(): Promise<void> {
+    hasLooked = true;
     const found = await store.get('leases', RECORD_NAME, deadlineMs());
     if (found.err) return;
     if (found.val === null) {
@@ -286,10 +290,17 @@
     } while (clock.nowMs() < untilMs);
   }
 
+  /** A gateway that has just started looks at the lease as soon as it may: the record tells it of the others. */
+  function nextStepMs(): number {
+    const isStarting = !hasLooked && clock.nowMs() - startedAtMs < STARTING_MS;
+    if (isStarting) return STARTING_TICK_MS;
+    return held === null ? TICK_MS + deps.random.below(JITTER_MS) : TICK_MS;
+  }
+
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
       await step();
-      const waitMs = held === null ? TICK_MS + deps.random.below(JITTER_MS) : TICK_MS;
+      const waitMs = nextStepMs();
       await clocksModule.sleepUntil(clock, clock.nowMs() + waitMs, stopping.signal);
     }
   }
--- a/packages/gateway/src/shared/quota-bucket.ts
+++ b/packages/gateway/src/shared/quota-bucket.ts
@@ -26,7 +26,7 @@
 };
 
 /** A new holder knows nothing of what was admitted just before. */
-const START_LEVEL_SHARE = 0.25;
+const START_LEVEL_SHARE = 0.35;
 /** The rest is kept for gateways that are asked next. */
 const LENT_SHARE = 0.8;
 /** The part of the capacity that is dealt evenly, beside what is asked in a second. */
--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -109,8 +109,8 @@
   lacking: number;
   granted: number;
   share: number;
-  /** It has got what a gateway that starts may have of a quota that is not scarce. */
-  hasStartPlenty: boolean;
+  /** The part of `granted` that a gateway starts with. */
+  startGranted: number;
   /** Until when the part of the rate has been added. */
   refilledMs: number;
   lastMs: number;
@@ -145,17 +145,16 @@
     return heardMs !== null && nowMs - heardMs < UNHEARD_MS;
   }
 
-  function accountOf(organisation: string, limit: OrganisationLimit, nowMs: number): Account {
+  function accountOf(organisation: string, nowMs: number): Account {
     const known = accounts.get(organisation);
     if (known !== undefined) return known;
-    const share = 1 / gatewayCount(nowMs);
     const account = {
       spent: 0,
       asked: 0,
       lacking: 0,
-      granted: isHeard(nowMs) ? 0 : START_SHARE * share * limit.capacity,
-      share,
-      hasStartPlenty: false,
+      granted: 0,
+      share: 1 / gatewayCount(nowMs),
+      startGranted: 0,
       refilledMs: nowMs,
       lastMs: nowMs,
     };
@@ -182,11 +181,22 @@
     account.granted = account.spent + (isDrawn ? cost : 0);
   }
 
-  function addStartPlenty(organisation: string, account: Account, limit: OrganisationLimit): void {
-    const isStarting = heardTerm === 0 && writtenScarce !== null;
-    if (!isStarting || isKnownScarce(organisation) || account.hasStartPlenty) return;
-    account.granted += (START_PLENTY_SHARE - START_SHARE) * account.share * limit.capacity;
-    account.hasStartPlenty = true;
+  /**
+   * What a gateway has before it has heard any holder. It learns meanwhile how many others there are and whose quota is
+   * scarce: with the first guess for good, one that knew of nobody else would count on the whole for itself.
+   */
+  function grantStart(
+    organisation: string,
+    account: Account,
+    limit: OrganisationLimit,
+    nowMs: number,
+  ): void {
+    account.share = 1 / gatewayCount(nowMs);
+    const isPlenty = writtenScarce !== null && !isKnownScarce(organisation);
+    const parts = isPlenty ? START_PLENTY_SHARE : START_SHARE;
+    const startGranted = parts * account.share * limit.capacity;
+    account.granted += startGranted - account.startGranted;
+    account.startGranted = startGranted;
   }
 
   /** Adds the part of the rate for the time in which the holder was not heard. */
@@ -233,7 +243,7 @@
 
   return {
     take: (organisation, limit, { cost, isLate }, nowMs) => {
-      const account = accountOf(organisation, limit, nowMs);
+      const account = accountOf(organisation, nowMs);
       // The holder has taken back what lay unused.
       if (isHeard(nowMs) && nowMs - account.lastMs > RECENT_MS) {
         account.granted = Math.min(account.granted, account.spent);
@@ -241,7 +251,7 @@
       account.asked += cost;
       account.lastMs = nowMs;
       refill(account, limit, nowMs);
-      addStartPlenty(organisation, account, limit);
+      if (heardTerm === 0) grantStart(organisation, account, limit, nowMs);
       const { isPlenty, spare, needed } = termsFor(organisation, account, limit, cost, nowMs);
       if (!isHeard(nowMs) && !isPlenty) drawWhole(account, limit, cost);
       const creditLeft = account.granted - account.spent;
--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -167,6 +167,18 @@
   assert.is(credits.take('o2', limit, request, 0).kind, 'refused');
 });
 
+// A gateway has started and knows of nobody else; then it learns how many there are. Kept to its first guess, each of them
+// would admit the whole quota.
+test('what a gateway starts with follows what it learns of the others', () => {
+  let gatewayCount = 1;
+  const limit = { perSecond: 100, capacity: 100 };
+  const request = { cost: 10, isLate: false };
+  const credits = quotaCredits.createQuotaCredits(() => gatewayCount, randoms.createRandom(1));
+  assert.is(credits.take('o1', limit, request, 0).kind, 'admitted');
+  gatewayCount = 50;
+  assert.is(credits.take('o1', limit, request, 0).kind, 'refused');
+});
+
 // All gateways start again at once, and the holder is heard a second later. Callers below their quotas are let in
 // meanwhile, as far as no more than the quota is given out.
 test('after a restart of all, those that ask for little are let in before anyone lends', () => {
