Pass on bodies of any type

Cause: the library looks at the body's type before the gateway takes the request over, and answers 415 to one that it cannot parse ('content-type: odd'). A proper request was refused for a header that concerns its upstream alone. Change: a request is taken over in the first hook, before that. Test 'bodies of any type and of none are passed on' failed before with the odd type (a body without a type and one of a well-formed type passed), passes now.

--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -184,6 +184,34 @@
   loopLag.stop();
 });
 
+// A caller sends a body and does not say of which type it is, or writes the type as it likes. That concerns the upstream
+// alone: refused here, a proper request never runs.
+test('bodies of any type and of none are passed on', async () => {
+  const app = await startApp();
+  try {
+    const types: Record<string, string>[] = [
+      {},
+      { 'content-type': 'odd' },
+      { 'content-type': 'a/b' },
+    ];
+    for (const headers of types) {
+      const answer = await undici.request(`http://127.0.0.1:${app.port}/x`, {
+        method: 'POST',
+        headers: { host: 'a.example', 't-id': 'r1', ...headers },
+        body: 'body',
+      });
+      await answer.body.dump();
+      assert.is(answer.statusCode, 200, JSON.stringify(headers));
+    }
+    assert.equal(
+      app.servedCalls.map(({ body }) => body.toString()),
+      ['body', 'body', 'body'],
+    );
+  } finally {
+    await app.close();
+  }
+});
+
 // A key was taken away, or never given: its caller is told so, and no upstream hears of the request. Passed on, a
 // stranger's request would run in nobody's name, and the key would be known to whoever reads it there.
 test('only keys that the configuration names are let in, and the key itself goes no further', async () => {
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -248,10 +248,12 @@
     forceCloseConnections: false,
     http: { maxHeaderSize: HEADER_BYTES_MAX, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS },
   });
-  app.removeAllContentTypeParsers();
-  // Bodies are read by `handle`, with the limit that is in force.
-  app.addContentTypeParser('*', (_request, _payload, done) => done(null));
-  app.all('/', (request, reply) => {
+  /**
+   * Taken over before the library looks at the body's type. Failure: it answers 415 to a type that it cannot parse.
+   * Symptom: a proper request is refused for a header that concerns its upstream alone. Bodies are read by `handle`, with
+   * the limit that is in force.
+   */
+  app.addHook('onRequest', (request, reply) => {
     reply.hijack();
     request.raw.url = request.originalUrl;
     handle(deps, request.raw, reply.raw).catch((cause: unknown) => {
@@ -260,6 +262,8 @@
       reply.raw.socket?.resetAndDestroy();
     });
   });
+  // Hooks run for routes only.
+  app.all('/', () => {});
   return app;
 }
 
