--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -26,8 +26,22 @@
 ];
 /** Gateways have heard of one another by then. */
 const TRAFFIC_FROM_MS = 1_000;
+type Organisation = (typeof ORGANISATIONS)[number];
+
 /** Below it the whole capacity is fewer than five requests, which more gateways than that want to lend on. */
 const SMALL_PER_SECOND = 5_000;
+/** From here on the part of each gateway is more than one request. */
+const LARGE_PER_SECOND = 40_000;
+
+function isLarge({ perSecond }: Organisation): boolean {
+  return perSecond >= LARGE_PER_SECOND;
+}
+
+/** Each gateway has so few of its callers that its part is less than a request. */
+function isThinlySpread(organisation: Organisation): boolean {
+  return !isLarge(organisation) && organisation.connections > GATEWAYS;
+}
+
 /** What an organisation usually asks for, as a part of its quota. */
 const USUAL = 0.55;
 
@@ -45,7 +59,7 @@
 const hotAt = (atMs: number) => (isHot(atMs) ? 6 * USUAL : USUAL);
 
 function play(
-  { perSecond, connections }: (typeof ORGANISATIONS)[number],
+  { perSecond, connections }: Organisation,
   scenario: Scenario,
   policy: quotaFleets.QuotaPolicy,
 ) {
@@ -87,24 +101,34 @@
   });
 }
 
-// Callers of a small organisation meet three of 23 gateways. With equal parts most of them would be refused far below
-// the quota, and the more the smaller their organisation is.
+const SMALL = ORGANISATIONS.filter(({ perSecond }) => perSecond < SMALL_PER_SECOND);
+const LARGER = ORGANISATIONS.filter(({ perSecond }) => perSecond >= SMALL_PER_SECOND);
+
+function assertHardlyRefused(organisation: Organisation): void {
+  const scenario = { ...CALM, askedAt: () => USUAL };
+  const lent = play(organisation, scenario, 'credits').refusedShare;
+  assert.ok(lent < 0.05, `${JSON.stringify(organisation)}: ${lent} refused`);
+  const equal = play(organisation, scenario, 'equal-parts').refusedShare;
+  assert.ok(equal > 2 * lent, `${JSON.stringify(organisation)}: ${equal} with equal parts`);
+}
+
+// Callers of an organisation meet a few of 23 gateways. With equal parts most of them would be refused far below the
+// quota, and the more the smaller their organisation is.
 test('below its quota an organisation is hardly ever refused, wherever its callers come', () => {
-  ORGANISATIONS.forEach((organisation) => {
+  LARGER.forEach((organisation) => {
+    assertHardlyRefused(organisation);
     const scenario = { ...CALM, askedAt: () => USUAL };
-    const { perSecond } = organisation;
     const lent = play(organisation, scenario, 'credits').refusedShare;
     const inOnePlace = play(organisation, scenario, 'one-place').refusedShare;
-    const allowed = perSecond < SMALL_PER_SECOND ? 0.12 : 0.03;
-    assert.ok(
-      lent < inOnePlace + allowed,
-      `${JSON.stringify(organisation)}: ${lent}, ${inOnePlace}`,
-    );
-    const equal = play(organisation, scenario, 'equal-parts').refusedShare;
-    assert.ok(equal > lent, `${JSON.stringify(organisation)}: ${equal} with equal parts`);
+    assert.ok(lent < inOnePlace + 0.03, `${JSON.stringify(organisation)}: ${lent}, ${inOnePlace}`);
   });
 });
 
+// The same where all that may be lent at once is fewer than five requests.
+test('below its quota a small organisation is hardly ever refused', () => {
+  SMALL.forEach(assertHardlyRefused);
+});
+
 test('several times its usual is held to the quota, over all gateways and in any window', () => {
   assertKept({ ...CALM, askedAt: hotAt });
 });
@@ -125,24 +149,24 @@
   assertKept({ ...CALM, askedAt: laterAt, isCut });
 });
 
-/** The part of all that is asked which falls into the time without a holder. */
-const HOLDERLESS_SHARE = 4_500 / 23_000;
+function assertHardlyRefusedWithoutHolder(organisation: Organisation): void {
+  const isCut = (_gateway: number, atMs: number) => atMs > 7_000 && atMs < 11_500;
+  const scenario = { ...CALM, askedAt: () => USUAL, isCut };
+  const { refusedShare } = play(organisation, scenario, 'credits');
+  assert.ok(refusedShare < 0.03, `${JSON.stringify(organisation)}: ${refusedShare}`);
+}
 
 // The holder has gone, and its successor is heard four seconds later. Gateways had gone a little beyond their credits, as
 // they may where a quota is not scarce; were that a debt at once, they would refuse all until it is paid.
 test('while there is no holder those that ask for little are hardly refused', () => {
-  const isCut = (_gateway: number, atMs: number) => atMs > 7_000 && atMs < 11_500;
-  ORGANISATIONS.filter(({ perSecond }) => perSecond >= 40_000).forEach((organisation) => {
-    const { refusedShare } = play(
-      organisation,
-      { ...CALM, askedAt: () => USUAL, isCut },
-      'credits',
-    );
-    assert.ok(
-      refusedShare < HOLDERLESS_SHARE / 4,
-      `${JSON.stringify(organisation)}: ${refusedShare}`,
-    );
-  });
+  ORGANISATIONS.filter(isLarge).forEach(assertHardlyRefusedWithoutHolder);
+});
+
+// The same where the part of a gateway is a fraction of a request, or little more than one.
+test('while there is no holder small organisations that ask for little are hardly refused', () => {
+  ORGANISATIONS.filter((organisation) => !isLarge(organisation)).forEach(
+    assertHardlyRefusedWithoutHolder,
+  );
 });
 
 // All gateways are killed at once in the middle of the rush, the holder among them, and nobody knows what was admitted.
@@ -152,9 +176,6 @@
   assertKept({ ...CALM, askedAt, restartsMs: [11_000] });
 });
 
-/** The part of all that is asked which falls into the time in which nobody lends. */
-const UNLENT_SHARE = 1_500 / 23_000;
-
 // All gateways have started again, and callers come back late, with nobody lending yet. Taken for callers of an
 // organisation that asks for more than it may, each would be refused once more.
 test('late requests are let in at a gateway that has heard nobody yet', () => {
@@ -179,22 +200,29 @@
   assert.is(credits.take('o1', limit, request, 0).kind, 'refused');
 });
 
-// All gateways start again at once, and the holder is heard a second later. Callers below their quotas are let in
-// meanwhile, as far as no more than the quota is given out.
-test('after a restart of all, those that ask for little are let in before anyone lends', () => {
+function assertLetInAfterRestart(organisation: Organisation): void {
   const isDown = (atMs: number) => atMs > 10_000 && atMs < 11_000;
   const scenario = {
     askedAt: (atMs: number) => (isDown(atMs) ? 0 : USUAL),
     isCut: (_gateway: number, atMs: number) => atMs >= 11_000 && atMs < 12_500,
   };
-  const spread = ORGANISATIONS.filter(({ perSecond }) => perSecond >= 10_000);
-  spread.forEach((organisation) => {
-    const kept = play(organisation, { ...scenario, restartsMs: [11_000] }, 'credits');
-    const calm = play(organisation, { ...scenario, ...CALM }, 'credits');
-    const more = kept.refusedShare - calm.refusedShare;
-    assert.ok(more < UNLENT_SHARE, `${JSON.stringify(organisation)}: ${more} more refused`);
-    assert.ok(kept.worstShare <= 1, `${JSON.stringify(organisation)}: ${kept.worstShare}`);
-  });
+  const restarted = play(organisation, { ...scenario, restartsMs: [11_000] }, 'credits');
+  const calm = play(organisation, { ...scenario, ...CALM }, 'credits');
+  const more = restarted.refusedShare - calm.refusedShare;
+  assert.ok(more < 0.04, `${JSON.stringify(organisation)}: ${more} more refused`);
+  assert.ok(restarted.worstShare <= 1, `${JSON.stringify(organisation)}: ${restarted.worstShare}`);
+}
+
+// All gateways start again at once, and the holder is heard a second later. Callers below their quotas are let in
+// meanwhile, as far as no more than the quota is given out.
+test('after a restart of all, those that ask for little are let in before anyone lends', () => {
+  LARGER.filter((organisation) => !isThinlySpread(organisation)).forEach(assertLetInAfterRestart);
+});
+
+// The same where the callers of a small organisation come to all gateways alike.
+test('after a restart of all, small organisations that ask for little are let in too', () => {
+  SMALL.forEach(assertLetInAfterRestart);
+  LARGER.filter(isThinlySpread).forEach(assertLetInAfterRestart);
 });
 
 test('requests count by their tokens or by their number, as the quota says', () => {
