--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -13,6 +13,8 @@
 
 const MS_PER_SECOND = 1_000;
 const MILLICORES = 1_000;
+/** Until the lease or a peer has told: with too few each gateway would take too large a part of a quota for its own. */
+const UNKNOWN_FLEET_SIZE = 32;
 
 export function createMetrics(parts: partTypes.GatewayParts): metricsModule.GatewayMetrics {
   const { clock, configuration, directory, beliefs } = parts;
@@ -83,9 +85,6 @@
   });
 }
 
-/** Until the lease or a peer has told: with too few each gateway would take too large a part of a quota for its own. */
-const UNKNOWN_FLEET_SIZE = 32;
-
 function fleetSize({ book, clock }: partTypes.GatewayParts): number {
   const known = book.fleetSize(clock.nowMs());
   return book.lease() === null ? Math.max(UNKNOWN_FLEET_SIZE, known) : known;
--- a/packages/gateway/src/shared/quota-bucket.ts
+++ b/packages/gateway/src/shared/quota-bucket.ts
@@ -83,16 +83,16 @@
   account.asked = asked;
 }
 
-/** `unaskedMs`: for so long nobody has asked for it. */
+/** `startLimit`: in force as it is made; a later configuration may change it. `unaskedMs`: nobody has asked for so long. */
 export function createQuotaBucket(
-  limit: quotaCredits.OrganisationLimit,
+  startLimit: quotaCredits.OrganisationLimit,
   unaskedMs: number,
   startMs: number,
 ): QuotaBucket {
   const accounts = new Map<string, Account>();
-  const gainedBefore = (limit.perSecond * unaskedMs) / MS_PER_SECOND;
+  const gainedBefore = (startLimit.perSecond * unaskedMs) / MS_PER_SECOND;
   /** Neither lent nor spent; below zero after debts. */
-  let level = Math.min(limit.capacity, START_LEVEL_SHARE * limit.capacity + gainedBefore);
+  let level = Math.min(startLimit.capacity, START_LEVEL_SHARE * startLimit.capacity + gainedBefore);
   let filledMs = startMs;
   let isScarce = false;
   let sums: Sums = { atMs: -Infinity, lent: 0, askedPerSecond: 0, keptShare: 0 };
@@ -174,14 +174,14 @@
   }
 
   function lend(account: Account, lacking: number, view: BucketView): void {
-    const { limit: now, nowMs } = view;
+    const { limit, nowMs } = view;
     const count = Math.max(view.gatewayCount, accounts.size);
-    const idleOfAll = IDLE_SHARE * now.capacity;
+    const idleOfAll = IDLE_SHARE * limit.capacity;
     const wanted = askedPerSecond(account, nowMs) + idleOfAll / count;
     const part = Math.min(1, wanted / (sums.askedPerSecond + idleOfAll));
     const before = lentTo(account);
     // Where there is little it goes to who can run a request with it, in place of crumbs to all.
-    const target = Math.max(lacking, LENT_SHARE * part * unspent(now));
+    const target = Math.max(lacking, LENT_SHARE * part * unspent(limit));
     const lent = Math.min(target, before + Math.max(0, level));
     level -= lent - before;
     sums.lent += lent - before;
