Log what limit an upstream names, when, and by whose answer

Cause: nothing read an upstream's limit of requests a second, so the logs of the incident could not tell "nobody reads it" from "each gateway keeps it alone" or "only earlier choices come late". Change: the adapter decodes the header into a typed word (a rate, none, or unreadable); what is believed of each upstream is kept by the time at which it was said, since answers overtake each other; upstream-limited and upstream-unlimited say what changed and by whose answer; the gauge upstreams_limited counts them. Nothing is decided by it yet.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -8,6 +8,7 @@
 import * as loopLagModule from './server/forwarding/loop-lag.js';
 import * as openCallsModule from './server/forwarding/open-calls.js';
 import * as serving from './server/forwarding/serve.js';
+import * as upstreamWords from './server/forwarding/upstream-words.js';
 import * as measuredStores from './server/metrics/measured-store.js';
 import * as peerLinks from './server/peers/peer-link.js';
 import * as placementClients from './server/placing/placement-client.js';
@@ -21,6 +22,7 @@
 import * as retryShares from './shared/retry-share.js';
 import * as suspectsModule from './shared/suspects.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
+import * as upstreamLimits from './shared/upstream-limits.js';
 import * as directories from './shared/upstream-directory.js';
 import type * as logEvents from './types/log-events.js';
 import type * as settingsModule from './types/settings.js';
@@ -68,6 +70,10 @@
       .singleton(),
     beliefs: awilix.asFunction(beliefsModule.createUpstreamBeliefs).singleton(),
     suspects: awilix.asFunction(suspectsModule.createSuspects).singleton(),
+    limits: awilix.asFunction(upstreamLimits.createUpstreamLimits).singleton(),
+    words: awilix
+      .asFunction((parts: partTypes.GatewayParts) => upstreamWords.createUpstreamWords(parts))
+      .singleton(),
     inFlight: awilix.asFunction(inFlightModule.createInFlight).singleton(),
     paces: awilix.asFunction(pacesModule.createPaces).singleton(),
     caches: awilix.asFunction(promptCaches.createPromptCaches).singleton(),
@@ -140,6 +146,7 @@
           retryShare: parts.retryShare,
           quarantine: parts.quarantine,
           connections: parts.connections,
+          words: parts.words,
           placement: parts.placement,
           metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -31,6 +31,7 @@
       upstreamsRevision: directory.revision(),
       upstreamCount: upstreams.length,
       avoidedCount: avoided.length,
+      limitedCount: parts.limits.limitedIds().length,
       placementAgeMs: parts.view.ageMs(nowMs),
       heldTerm: parts.lease.heldTerm(),
     };
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -113,6 +113,7 @@
     cradle.connections.retain(ids);
     cradle.beliefs.retain(ids);
     cradle.caches.retain(ids);
+    cradle.limits.retain(ids);
   }
 
   const upstreamFollower = followers.createFollower({
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -108,6 +108,7 @@
         priority: 0,
         resumeAfterId: null,
         holdsFailure: false,
+        onHead: () => {},
         sendByMs: clock.nowMs() + 10_000,
         firstByteByMs: clock.nowMs() + 20_000,
         onFirstPiece: () => {},
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -30,6 +30,8 @@
   /** Give up, as silent, when no byte of an answer has come by then. */
   firstByteByMs: number;
   onFirstPiece: () => void;
+  /** The head of an answer to this request has come. */
+  onHead: (facts: dialects.AnswerFacts) => void;
 };
 
 /** A whole answer up to this size is held, so that one that breaks off can still become a typed failure. */
@@ -103,6 +105,7 @@
       // A late answer to another request may come where this one's is due; the id tells.
       const isOwn = headFacts.requestId === null || headFacts.requestId === call.requestId;
       if (!isOwn) return lost('garbled');
+      input.onHead(headFacts);
       if (headFacts.didNotRun) {
         return { kind: 'rejected', isMisdirected: headFacts.isMisdirected, retryAfterMs: null };
       }
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -24,6 +24,7 @@
 import * as routers from './router.js';
 import * as runs from './run.js';
 import type * as connectionsModule from './connections.js';
+import type * as upstreamWords from './upstream-words.js';
 
 export type ServeDeps = {
   clock: clocks.Clock;
@@ -38,6 +39,7 @@
   retryShare: retryShares.RetryShare;
   quarantine: quarantine.Quarantine;
   connections: connectionsModule.Connections;
+  words: upstreamWords.UpstreamWords;
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   serviceOf: (name: string) => fleet.Service | null;
@@ -126,6 +128,10 @@
       holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
       sendByMs: startedAtMs + SEND_PATIENCE_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
+      onHead: (facts) => {
+        const source = call.requestId;
+        deps.words.heard({ upstreamId, facts, sentMs: startedAtMs, source });
+      },
       onFirstPiece: () => {
         started.promptRead();
         firstPieceMs = clock.nowMs() - startedAtMs;
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -15,6 +15,7 @@
   upstreamsRevision: 40,
   upstreamCount: 11,
   avoidedCount: 1,
+  limitedCount: 0,
   placementAgeMs: 250,
   heldTerm: null,
 };
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -20,6 +20,7 @@
   upstreamsRevision: number;
   upstreamCount: number;
   avoidedCount: number;
+  limitedCount: number;
   placementAgeMs: number;
   heldTerm: number | null;
 };
@@ -120,6 +121,11 @@
     'Listed upstreams that broke attempts in a row',
     () => readings().avoidedCount,
   );
+  gauge(
+    'upstreams_limited',
+    'Upstreams that name a limit of requests a second',
+    () => readings().limitedCount,
+  );
   gauge('placement_age_seconds', 'Since the holder of the lease was heard', () =>
     seconds(readings().placementAgeMs),
   );
--- /dev/null
+++ b/packages/gateway/src/shared/upstream-limits.test.ts
@@ -0,0 +1,76 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type * as dialects from '../types/dialects.js';
+import * as upstreamLimits from './upstream-limits.js';
+
+const test = suite('upstream limits');
+
+const UNLIMITED: dialects.LimitWord = { kind: 'unlimited' };
+const UNREADABLE: dialects.LimitWord = { kind: 'unreadable' };
+
+function named(perSecond: number): dialects.LimitWord {
+  return { kind: 'named', perSecond };
+}
+
+test('a limit is named, falls, rises and ends', () => {
+  const limits = upstreamLimits.createUpstreamLimits();
+  assert.is(limits.answered('u1', UNLIMITED, 0, 10), null);
+  assert.equal(limits.answered('u1', named(4), 10, 20), {
+    kind: 'named',
+    perSecond: 4,
+    before: null,
+  });
+  assert.is(limits.answered('u1', named(4), 20, 30), null);
+  limits.answered('u1', named(1.5), 30, 40);
+  assert.is(limits.perSecond('u1'), 1.5);
+  limits.answered('u1', named(0), 40, 50);
+  assert.is(limits.perSecond('u1'), 0);
+  assert.equal(limits.limitedIds(), ['u1']);
+  limits.answered('u1', named(9), 50, 60);
+  assert.is(limits.perSecond('u1'), 9);
+  assert.equal(limits.answered('u1', UNLIMITED, 60, 70), { kind: 'ended', before: 9 });
+  assert.is(limits.perSecond('u1'), null);
+});
+
+// Failure: an answer from before the limit comes after it, and lifts it.
+test('an answer to a request that was sent before the limit was named does not lift or raise it', () => {
+  const limits = upstreamLimits.createUpstreamLimits();
+  limits.answered('u1', named(2), 0, 100);
+  limits.answered('u1', UNLIMITED, 50, 110);
+  limits.answered('u1', named(8), 60, 120);
+  assert.is(limits.perSecond('u1'), 2);
+  limits.answered('u1', named(1), 70, 130);
+  assert.is(limits.perSecond('u1'), 1);
+});
+
+// Failure: a value that nobody can read is taken for the end of the limit.
+test('a value that is no rate changes nothing', () => {
+  const limits = upstreamLimits.createUpstreamLimits();
+  limits.answered('u1', named(2), 0, 100);
+  assert.is(limits.answered('u1', UNREADABLE, 200, 300), null);
+  assert.is(limits.perSecond('u1'), 2);
+  assert.is(limits.answered('u2', UNREADABLE, 200, 300), null);
+  assert.is(limits.perSecond('u2'), null);
+});
+
+// Failure: two gateways tell each other of one answer again and again, and a limit that has ended never does.
+test('what another gateway tells counts if it is news, and does not go round', () => {
+  const first = upstreamLimits.createUpstreamLimits();
+  const second = upstreamLimits.createUpstreamLimits();
+  first.answered('u1', named(3), 0, 100);
+  first.known(200).forEach((limit) => second.told(limit, 220));
+  assert.is(second.perSecond('u1'), 3);
+  for (let atMs = 300; atMs < 5_000; atMs += 100) {
+    second.known(atMs).forEach((limit) => first.told(limit, atMs + 20));
+    first.known(atMs).forEach((limit) => second.told(limit, atMs + 20));
+  }
+  assert.ok((first.ageMs('u1', 5_000) ?? 0) >= 4_900);
+  second.answered('u1', UNLIMITED, 5_000, 5_100);
+  second.known(5_200).forEach((limit) => first.told(limit, 5_210));
+  assert.is(first.perSecond('u1'), null);
+  first.retain(new Set());
+  assert.equal(first.known(5_300), []);
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/shared/upstream-limits.ts
@@ -0,0 +1,97 @@
+/**
+ * What upstreams have said of the requests that they take. Answers on different connections overtake each other, and
+ * the head of an answer may be older than what came since: only an answer to a request that was sent after the last
+ * word came is surely newer than it.
+ */
+import type * as dialects from '../types/dialects.js';
+
+export type UpstreamLimit = {
+  /** Requests a second from all gateways together; null when a limit that was named has ended. */
+  perSecond: number | null;
+  /** When it was last said, here or to another gateway. */
+  saidMs: number;
+};
+
+/** What another gateway knows; `ageMs`: since it was said. */
+export type ToldLimit = { upstreamId: string; perSecond: number | null; ageMs: number };
+
+export type LimitChange =
+  { kind: 'named'; perSecond: number; before: number | null } | { kind: 'ended'; before: number };
+
+export type UpstreamLimits = {
+  /** The head of an answer to a request that was sent at `sentMs`; says what it changed. */
+  answered: (
+    upstreamId: string,
+    word: dialects.LimitWord,
+    sentMs: number,
+    nowMs: number,
+  ) => LimitChange | null;
+  /** What another gateway knows. */
+  told: (limit: ToldLimit, nowMs: number) => LimitChange | null;
+  /** Requests a second; null without a limit. */
+  perSecond: (upstreamId: string) => number | null;
+  /** Since it was last said; null where nothing was ever said. */
+  ageMs: (upstreamId: string, nowMs: number) => number | null;
+  limitedIds: () => readonly string[];
+  /** To tell other gateways. */
+  known: (nowMs: number) => readonly ToldLimit[];
+  /** Forgets upstreams that are no longer listed. */
+  retain: (upstreamIds: ReadonlySet<string>) => void;
+};
+
+/** What two gateways know of the same answer differs by what a message takes: no news. */
+const SAME_WORD_MS = 500;
+
+function changeOf(before: number | null, after: number | null): LimitChange | null {
+  if (before === after) return null;
+  if (after !== null) return { kind: 'named', perSecond: after, before };
+  return before === null ? null : { kind: 'ended', before };
+}
+
+export function createUpstreamLimits(): UpstreamLimits {
+  const limits = new Map<string, UpstreamLimit>();
+
+  function set(upstreamId: string, perSecond: number | null, saidMs: number): LimitChange | null {
+    const before = limits.get(upstreamId);
+    limits.set(upstreamId, { perSecond, saidMs });
+    return changeOf(before?.perSecond ?? null, perSecond);
+  }
+
+  return {
+    answered: (upstreamId, word, sentMs, nowMs) => {
+      if (word.kind === 'unreadable') return null;
+      const perSecond = word.kind === 'named' ? word.perSecond : null;
+      const before = limits.get(upstreamId);
+      if (before === undefined) {
+        return perSecond === null ? null : set(upstreamId, perSecond, nowMs);
+      }
+      if (sentMs >= before.saidMs) return set(upstreamId, perSecond, nowMs);
+      // Either word may be the newer one: the lower limit holds until a later answer tells.
+      const known = before.perSecond;
+      const isLower = perSecond !== null && (known === null || perSecond < known);
+      return isLower ? set(upstreamId, perSecond, nowMs) : null;
+    },
+    told: ({ upstreamId, perSecond, ageMs }, nowMs) => {
+      const saidMs = nowMs - ageMs;
+      const before = limits.get(upstreamId);
+      if (before === undefined && perSecond === null) return null;
+      if (before !== undefined && saidMs <= before.saidMs + SAME_WORD_MS) return null;
+      return set(upstreamId, perSecond, saidMs);
+    },
+    perSecond: (upstreamId) => limits.get(upstreamId)?.perSecond ?? null,
+    ageMs: (upstreamId, nowMs) => {
+      const limit = limits.get(upstreamId);
+      return limit === undefined ? null : nowMs - limit.saidMs;
+    },
+    limitedIds: () => [...limits].flatMap(([id, { perSecond }]) => (perSecond === null ? [] : id)),
+    known: (nowMs) =>
+      [...limits].map(([upstreamId, { perSecond, saidMs }]) => ({
+        upstreamId,
+        perSecond,
+        ageMs: nowMs - saidMs,
+      })),
+    retain: (upstreamIds) => {
+      for (const id of [...limits.keys()]) if (!upstreamIds.has(id)) limits.delete(id);
+    },
+  };
+}
--- a/packages/gateway/src/testing/test-dialect.ts
+++ b/packages/gateway/src/testing/test-dialect.ts
@@ -35,6 +35,10 @@
       isSigned: headers['t-signed'] !== undefined,
       didNotRun: headers['t-not-run'] !== undefined || status === 421,
       isMisdirected: status === 421,
+      limit:
+        headers['t-limit'] === undefined
+          ? { kind: 'unlimited' }
+          : { kind: 'named', perSecond: Number(headers['t-limit']) },
     }),
     retryAfter: (waitMs) => (waitMs / 1_000).toFixed(2),
   };
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -22,6 +22,13 @@
   apiKey: string | null;
 };
 
+/** What an answer says of the requests that its upstream takes a second, from all gateways together. */
+export type LimitWord =
+  | { kind: 'unlimited' }
+  | { kind: 'named'; perSecond: number }
+  /** Not a rate: it says neither that there is a limit nor that there is none. */
+  | { kind: 'unreadable' };
+
 /** What an upstream's headers say about its answer. */
 export type AnswerFacts = {
   requestId: string | null;
@@ -30,6 +37,7 @@
   didNotRun: boolean;
   /** Another upstream has this address now. */
   isMisdirected: boolean;
+  limit: LimitWord;
 };
 
 /** What the gateway tells the upstream about one attempt. */
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -39,6 +39,9 @@
   /** It broke attempts in a row: new requests go elsewhere until a single one has shown that it answers. */
   'upstream-avoided': { upstreamId: string; brokenInRow: number; forMs: number };
   'upstream-trusted': { upstreamId: string };
+  /** It says how many requests a second it takes from all gateways together; `source`: a request's id or a gateway's. */
+  'upstream-limited': { upstreamId: string; perSecond: number; before: Amount; source: string };
+  'upstream-unlimited': { upstreamId: string; before: number; source: string };
   'store-lost': { kind: stores.Kind; error: string; reason: string; revision: number | null };
   'store-regained': { kind: stores.Kind; awayMs: number; revision: number | null };
   'record-unreadable': {
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -20,6 +20,8 @@
 import type * as pacesModule from '../shared/paces.js';
 import type * as promptCaches from '../shared/prompt-caches.js';
 import type * as retryShares from '../shared/retry-share.js';
+import type * as upstreamLimits from '../shared/upstream-limits.js';
+import type * as upstreamWords from '../server/forwarding/upstream-words.js';
 import type * as suspectsModule from '../shared/suspects.js';
 import type * as beliefsModule from '../shared/upstream-beliefs.js';
 import type * as directories from '../shared/upstream-directory.js';
@@ -61,6 +63,8 @@
   caches: promptCaches.PromptCaches;
   paces: pacesModule.Paces;
   retryShare: retryShares.RetryShare;
+  limits: upstreamLimits.UpstreamLimits;
+  words: upstreamWords.UpstreamWords;
   quarantine: quarantineModule.Quarantine;
   connections: connectionsModule.Connections;
   configuration: configHolder.ConfigHolder;
