Keep all gateways together to the limit that an upstream names

Callers saw nothing yet: upstreams in need were sent eight times what they said they take. Cause: the limit was in each answer and nobody read it. Class: what an upstream says of itself in answers was read from one place only, the platform's list. Excluded: that each gateway kept it alone, and that only earlier choices came late: arrivals at the upstream did not fall at all. Change: a request to a limited upstream needs a permit of the holder of the lease, which counts for all gateways at one place; denied, the upstream is closed to that gateway until its turn, the request goes elsewhere or is refused at once with when to come back. The word goes round with the exchange and with each question for a permit; of two words whose order cannot be told the lower holds. The holder doesn't count on copies at an upstream of which more is asked than it takes. The credits of quotas were no base: they may be gone beyond by what a quota's slack covers.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -70,7 +70,8 @@
       .singleton(),
     beliefs: awilix.asFunction(beliefsModule.createUpstreamBeliefs).singleton(),
     suspects: awilix.asFunction(suspectsModule.createSuspects).singleton(),
-    limits: awilix.asFunction(upstreamLimits.createUpstreamLimits).singleton(),
+    upstreamLimits: awilix.asFunction(upstreamLimits.createUpstreamLimits).singleton(),
+    limits: awilix.asFunction(controlParts.createLimits).singleton(),
     words: awilix
       .asFunction((parts: partTypes.GatewayParts) => upstreamWords.createUpstreamWords(parts))
       .singleton(),
@@ -147,6 +148,7 @@
           quarantine: parts.quarantine,
           connections: parts.connections,
           words: parts.words,
+          limits: parts.limits,
           placement: parts.placement,
           metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -1,7 +1,9 @@
 /** Makes the parts that place, lend and tell others, which take their settings apart. */
 
+import * as limitsModule from './server/limits/limits.js';
 import * as metricsModule from './server/metrics/metrics.js';
 import * as exchanges from './server/peers/exchange.js';
+import * as newsCodec from './server/peers/news-codec.js';
 import * as leaseKeepers from './server/placing/lease-keeper.js';
 import * as placers from './server/placing/placer.js';
 import * as quotasModule from './server/quotas/quotas.js';
@@ -13,6 +15,8 @@
 
 const MS_PER_SECOND = 1_000;
 const MILLICORES = 1_000;
+/** Many times what the holder's answer takes; a request that waits longer is better off elsewhere. */
+const PERMIT_PATIENCE_MS = 100;
 /** Until the lease or a peer has told: with too few each gateway would take too large a part of a quota for its own. */
 const UNKNOWN_FLEET_SIZE = 32;
 
@@ -31,7 +35,7 @@
       upstreamsRevision: directory.revision(),
       upstreamCount: upstreams.length,
       avoidedCount: avoided.length,
-      limitedCount: parts.limits.limitedIds().length,
+      limitedCount: parts.upstreamLimits.limitedIds().length,
       placementAgeMs: parts.view.ageMs(nowMs),
       heldTerm: parts.lease.heldTerm(),
     };
@@ -76,9 +80,10 @@
       overage: settings.loadOverage,
     },
     inFlight: (upstreamId, model) => inFlight.modelCount(upstreamId, model, clock.nowMs()),
-    isSuspect: (upstreamId) => {
+    isUnreliable: (upstreamId) => {
       const gatewayCount = parts.book.live(clock.nowMs()).length + 1;
-      return parts.suspects.isSuspect(upstreamId, gatewayCount, clock.nowMs());
+      const isSuspect = parts.suspects.isSuspect(upstreamId, gatewayCount, clock.nowMs());
+      return isSuspect || parts.limits.isStarved(upstreamId);
     },
     ownView: parts.view,
     closeNoticeMs: () => exchangePace.noticeMs(parts.book.live(clock.nowMs()).length + 1),
@@ -91,6 +96,31 @@
   return book.lease() === null ? Math.max(UNKNOWN_FLEET_SIZE, known) : known;
 }
 
+export function createLimits(parts: partTypes.GatewayParts): limitsModule.Limits {
+  const { book, clock, settings } = parts;
+  return limitsModule.createLimits({
+    clock,
+    upstreamLimits: parts.upstreamLimits,
+    gatewayId: settings.gatewayId,
+    fleet: (nowMs) => ({
+      knownIds: [settings.gatewayId, ...book.live(nowMs).map(({ gatewayId }) => gatewayId)],
+      size: fleetSize(parts),
+    }),
+    heldTerm: parts.lease.heldTerm,
+    holderAgeMs: parts.view.ageMs,
+    told: (limit, source) => parts.words.told([limit], source),
+    ask: async (asked) => {
+      const holderId = book.lease()?.holderId;
+      const address = holderId === undefined ? null : book.addressOf(holderId);
+      if (address === null) return null;
+      const deadlineMs = clock.nowMs() + PERMIT_PATIENCE_MS;
+      const request = { ...asked, limit: newsCodec.toLimitNews(asked.limit) };
+      const reply = await parts.link.takePermit(address, request, deadlineMs);
+      return reply.ok ? newsCodec.fromPermitReply(reply.val) : null;
+    },
+  });
+}
+
 export function createQuotas(parts: partTypes.GatewayParts): quotasModule.Quotas {
   return quotasModule.createQuotas({
     clock: parts.clock,
@@ -122,6 +152,8 @@
     suspects: parts.suspects,
     placer: parts.placer,
     quotas: parts.quotas,
+    upstreamLimits: parts.upstreamLimits,
+    words: parts.words,
     gatewayId: settings.gatewayId,
     millicores: millicoresOf(settings),
     incarnation: Math.trunc(parts.random.fraction() * Number.MAX_SAFE_INTEGER),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -9,6 +9,7 @@
 import * as forwarding from './server/forwarding/app.js';
 import * as healthApp from './server/health/app.js';
 import * as metricsApp from './server/metrics/app.js';
+import * as newsCodec from './server/peers/news-codec.js';
 import * as peers from './server/peers/server.js';
 import * as stops from './server/health/stop.js';
 import type * as fleet from './types/fleet.js';
@@ -113,7 +114,7 @@
     cradle.connections.retain(ids);
     cradle.beliefs.retain(ids);
     cradle.caches.retain(ids);
-    cradle.limits.retain(ids);
+    cradle.upstreamLimits.retain(ids);
   }
 
   const upstreamFollower = followers.createFollower({
@@ -206,6 +207,11 @@
               isReady: await cradle.placer.ensureAdapter(upstreamId, model, adapter),
               retryAfterMs: 0,
             }),
+            takePermit: ({ gatewayId, limit }) => {
+              if (limit === undefined) return newsCodec.NO_PERMIT;
+              const asked = { gatewayId, limit: newsCodec.fromLimitNews(limit) };
+              return newsCodec.toPermitReply(cradle.limits.give(asked));
+            },
           });
           cradle.exchange.start();
           return {
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -12,6 +12,7 @@
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
+import type * as limitsModule from '../limits/limits.js';
 import type * as placementTypes from '../../types/placement.js';
 import * as runs from './run.js';
 
@@ -25,6 +26,7 @@
   paces: pacesModule.Paces;
   caches: promptCaches.PromptCaches;
   placement: placementTypes.Placement;
+  limits: limitsModule.Limits;
   serviceOf: (name: string) => fleet.Service | null;
   failureDomain: string;
 };
@@ -39,11 +41,17 @@
   isLate: (call: calls.Call) => boolean;
   choose: (call: calls.Call, run: runs.Run) => upstreamChoice.Choice;
   overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
+  /** Until an upstream takes requests again, or another copy is there. */
+  closedRetryMs: (call: calls.Call, forMs: number) => number;
   /** Tells the placing what is asked for. */
   noteDemand: (call: calls.Call) => void;
   noteNotPlaced: (call: calls.Call, run: runs.Run, choice: NoChoice, ending: calls.Ending) => void;
 };
 
+function roundedOrNone(value: number | undefined): number | undefined {
+  return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
+}
+
 export function createRouter(deps: RouterDeps): Router {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
@@ -55,6 +63,11 @@
     return (model, tokens) => tokens * deps.paces.pace(service, model).msPerToken;
   }
 
+  function closedOf(upstreamId: string): upstreamChoice.Closed | null {
+    const limitedForMs = deps.limits.closedForMs(upstreamId);
+    return limitedForMs === null ? null : { reason: 'limited', forMs: limitedForMs };
+  }
+
   function toCandidate(
     call: calls.Call,
     priority: number,
@@ -71,6 +84,8 @@
       slots,
       copy,
       blockedForMs: copy === 'blocked' ? placement.blockedForMs(upstreamId) : 0,
+      closed: copy === 'none' ? null : closedOf(upstreamId),
+      isLimited: deps.limits.isLimited(upstreamId),
       inFlightCount: load.inFlightCount,
       ownInFlightCount: inFlight.ownCount(upstreamId),
       urgentCount: load.urgentCount,
@@ -122,7 +137,26 @@
     };
     const priority = priorityOf(call);
     const candidates = records.map((record) => toCandidate(call, priority, record));
-    return upstreamChoice.chooseUpstream(request, candidates, nowMs, deps.random.fraction);
+    const choice = upstreamChoice.chooseUpstream(request, candidates, nowMs, deps.random.fraction);
+    if ('passedOverIds' in choice) {
+      choice.passedOverIds.forEach((upstreamId) => notePassedOver(call, upstreamId));
+    }
+    return choice;
+  }
+
+  function notePassedOver({ requestId }: calls.Call, upstreamId: string): void {
+    const closed = closedOf(upstreamId);
+    if (closed === null) return;
+    const basis = deps.limits.basis(upstreamId);
+    log.info('upstream-passed-over', {
+      requestId,
+      upstreamId,
+      reason: closed.reason,
+      forMs: Math.round(closed.forMs),
+      perSecond: basis?.perSecond,
+      limitAgeMs: roundedOrNone(basis?.limitAgeMs),
+      holderAgeMs: roundedOrNone(basis?.holderAgeMs),
+    });
   }
 
   function overloadRetryMs(call: calls.Call, predictedMs: number): number {
@@ -131,6 +165,12 @@
     return queueLimits.overloadRetryMs({ predictedMs, nextCopyInMs });
   }
 
+  function closedRetryMs(call: calls.Call, forMs: number): number {
+    const { model } = call.facts;
+    const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
+    return Math.min(forMs, nextCopyInMs ?? forMs);
+  }
+
   function noteNotPlaced(
     call: calls.Call,
     run: runs.Run,
@@ -149,6 +189,7 @@
       cause: 'cause' in ending ? ending.cause : ending.kind,
       upstreamCount: records.length,
       withModelCount: withModel.length,
+      closedCount: withModel.filter(({ upstreamId }) => closedOf(upstreamId) !== null).length,
       predictedMs: choice.kind === 'overloaded' ? Math.round(choice.predictedMs) : undefined,
       queueLimitMs: Math.round(queueLimitMs(call, run)),
       upstreamsRevision: directory.revision(),
@@ -166,11 +207,21 @@
       .some(
         (record) =>
           placement.copyAt(record, model, adapter) !== 'none' &&
+          closedOf(record.upstreamId) === null &&
           !beliefsModule.isAvoided(beliefs.belief(record.upstreamId, clock.nowMs())),
       );
     const isPatient = urgency.isBatch(call.route);
     placement.noteDemand({ service: call.service, model, adapter, isServed, isPatient });
   }
 
-  return { needsModel, priorityOf, isLate, choose, overloadRetryMs, noteDemand, noteNotPlaced };
+  return {
+    needsModel,
+    priorityOf,
+    isLate,
+    choose,
+    overloadRetryMs,
+    closedRetryMs,
+    noteDemand,
+    noteNotPlaced,
+  };
 }
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -17,6 +17,7 @@
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as limitsModule from '../limits/limits.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as answers from './answers.js';
 import * as attemptNotes from './attempt-notes.js';
@@ -40,6 +41,7 @@
   quarantine: quarantine.Quarantine;
   connections: connectionsModule.Connections;
   words: upstreamWords.UpstreamWords;
+  limits: limitsModule.Limits;
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   serviceOf: (name: string) => fleet.Service | null;
@@ -265,6 +267,11 @@
       return ending;
     }
     if (choice.needsAdapter) return ensureAdapter(call, run, choice.upstreamId);
+    // Denied, it is closed for a while, and the next choice is another one or none.
+    if (deps.limits.isLimited(choice.upstreamId)) {
+      if (!(await deps.limits.take(choice.upstreamId))) return null;
+      if (sink.isCallerGone()) return { kind: 'caller-gone' };
+    }
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, choice);
@@ -282,6 +289,8 @@
         return afterMissingModel(call, run, 'model-not-ready');
       case 'adapter-blocked':
         return refuse(call, run, 'adapter-not-ready', choice.forMs);
+      case 'closed':
+        return refuse(call, run, 'upstreams-closed', router.closedRetryMs(call, choice.forMs));
       case 'overloaded':
         return refuse(call, run, 'overloaded', router.overloadRetryMs(call, choice.predictedMs));
       case 'no-upstream':
--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -1,14 +1,14 @@
 /** What upstreams say of themselves in the heads of their answers, taken over and logged. */
 import type { clocks } from '@copperlever/runtime';
 
-import type * as upstreamLimits from '../../shared/upstream-limits.js';
+import type * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as logEvents from '../../types/log-events.js';
 
 export type UpstreamWordsDeps = {
   clock: clocks.Clock;
   log: logEvents.GatewayLog;
-  limits: upstreamLimits.UpstreamLimits;
+  upstreamLimits: upstreamLimitsModule.UpstreamLimits;
 };
 
 /** Where a word came from: `source` is a request's id. */
@@ -22,15 +22,15 @@
 export type UpstreamWords = {
   heard: (head: Head) => void;
   /** Another gateway told. */
-  told: (limits: readonly upstreamLimits.ToldLimit[], source: string) => void;
+  told: (limits: readonly upstreamLimitsModule.ToldLimit[], source: string) => void;
 };
 
 export function createUpstreamWords(deps: UpstreamWordsDeps): UpstreamWords {
-  const { clock, log, limits } = deps;
+  const { clock, log, upstreamLimits } = deps;
 
   function logLimit(
     upstreamId: string,
-    change: upstreamLimits.LimitChange | null,
+    change: upstreamLimitsModule.LimitChange | null,
     source: string,
   ): void {
     if (change === null) return;
@@ -50,11 +50,15 @@
     heard: ({ upstreamId, facts, sentMs, source }) => {
       // Another upstream may have the address: its word is not this one's.
       if (facts.isMisdirected) return;
-      logLimit(upstreamId, limits.answered(upstreamId, facts.limit, sentMs, clock.nowMs()), source);
+      logLimit(
+        upstreamId,
+        upstreamLimits.answered(upstreamId, facts.limit, sentMs, clock.nowMs()),
+        source,
+      );
     },
     told: (told, source) => {
       told.forEach((limit) => {
-        logLimit(limit.upstreamId, limits.told(limit, clock.nowMs()), source);
+        logLimit(limit.upstreamId, upstreamLimits.told(limit, clock.nowMs()), source);
       });
     },
   };
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -10,10 +10,12 @@
 import * as demandCounters from '../../shared/placing/demand-counters.js';
 import * as placementViews from '../../shared/placing/placement-view.js';
 import * as suspectsModule from '../../shared/suspects.js';
+import * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import * as directories from '../../shared/upstream-directory.js';
 import * as fixtures from '../../testing/fleet-fixtures.js';
 import type * as fleet from '../../types/fleet.js';
 import * as configHolders from '../control/config-holder.js';
+import * as upstreamWords from '../forwarding/upstream-words.js';
 import type * as leaseKeepers from '../placing/lease-keeper.js';
 import type * as placers from '../placing/placer.js';
 import * as quotasModule from '../quotas/quotas.js';
@@ -69,6 +71,7 @@
       slack: 0,
       hurry: () => exchange.hurry(),
     });
+    const upstreamLimits = upstreamLimitsModule.createUpstreamLimits();
     const exchange = exchanges.createExchange({
       clock,
       random: randoms.createRandom(5),
@@ -86,6 +89,8 @@
       suspects,
       placer: placer as placers.Placer,
       quotas,
+      upstreamLimits,
+      words: upstreamWords.createUpstreamWords({ clock, log, upstreamLimits }),
       gatewayId,
       incarnation: 1,
       millicores: 500,
@@ -100,7 +105,17 @@
     });
     handlers.set(`${gatewayId}:1`, exchange);
     book.noteLease(HOLDER);
-    return { state, book, suspects, directory, exchange, inFlight, listFeed, quotas };
+    return {
+      state,
+      book,
+      suspects,
+      directory,
+      exchange,
+      inFlight,
+      listFeed,
+      quotas,
+      upstreamLimits,
+    };
   }
 
   const holder = create('g1');
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -15,6 +15,7 @@
 import type * as peerBooks from '../../shared/peer-book.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
+import type * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import type * as suspectsModule from '../../shared/suspects.js';
 import type * as beliefsModule from '../../shared/upstream-beliefs.js';
 import type * as directories from '../../shared/upstream-directory.js';
@@ -22,6 +23,7 @@
 import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
 import type * as configHolders from '../control/config-holder.js';
+import type * as upstreamWords from '../forwarding/upstream-words.js';
 import type * as leaseKeepers from '../placing/lease-keeper.js';
 import type * as placers from '../placing/placer.js';
 import type * as quotasModule from '../quotas/quotas.js';
@@ -46,6 +48,9 @@
   suspects: suspectsModule.Suspects;
   placer: placers.Placer;
   quotas: Pick<quotasModule.Quotas, 'takeReport' | 'heard' | 'lend'>;
+  /** What upstreams have said of their limits. */
+  upstreamLimits: Pick<upstreamLimitsModule.UpstreamLimits, 'known'>;
+  words: Pick<upstreamWords.UpstreamWords, 'told'>;
   gatewayId: string;
   millicores: number;
   incarnation: number;
@@ -133,6 +138,7 @@
         fingerprint,
         remainingMs: Math.round(untilMs - nowMs),
       })),
+      limits: deps.upstreamLimits.known(nowMs).map(newsCodec.toLimitNews),
       knownPlacementVersion: view.version().version,
       knownPlacementTerm: view.version().term,
       // A holder that stops is asked for copies until it has given its lease back.
@@ -148,6 +154,7 @@
     book.learned(news.gateways, nowMs);
     lag.heard(news.upstreamsRevision, directory.revision(), nowMs);
     if (news.lease !== undefined) book.noteLease(news.lease);
+    deps.words.told(news.limits.map(newsCodec.fromLimitNews), news.gatewayId);
     news.quarantined.forEach(({ fingerprint, remainingMs }) => {
       deps.quarantine.learned(fingerprint, nowMs + remainingMs);
     });
--- a/packages/gateway/src/server/peers/news-codec.ts
+++ b/packages/gateway/src/server/peers/news-codec.ts
@@ -4,6 +4,8 @@
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
 import type * as placementViews from '../../shared/placing/placement-view.js';
+import type * as permitLedgers from '../../shared/permit-ledger.js';
+import type * as upstreamLimits from '../../shared/upstream-limits.js';
 import type * as quotaCredits from '../../shared/quota-credits.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as fleet from '../../types/fleet.js';
@@ -39,6 +41,29 @@
   return { term, grants: [...grants], scarce: [...scarce] };
 }
 
+export const NO_PERMIT: gatewayPeer.TakePermitReply = { isTaken: false, retryAfterMs: 0 };
+
+export function toPermitReply(reply: permitLedgers.PermitReply): gatewayPeer.TakePermitReply {
+  const isTaken = reply.kind === 'taken';
+  return { isTaken, retryAfterMs: isTaken ? 0 : Math.round(reply.retryAfterMs) };
+}
+
+export function fromPermitReply(reply: gatewayPeer.TakePermitReply): permitLedgers.PermitReply {
+  const { isTaken, retryAfterMs } = reply;
+  return isTaken ? { kind: 'taken' } : { kind: 'denied', retryAfterMs };
+}
+
+export function toLimitNews(limit: upstreamLimits.ToldLimit): gatewayPeer.LimitNews {
+  const { upstreamId, perSecond, ageMs } = limit;
+  const hasEnded = perSecond === null;
+  return { upstreamId, perSecond: perSecond ?? 0, hasEnded, ageMs: Math.round(ageMs) };
+}
+
+export function fromLimitNews(news: gatewayPeer.LimitNews): upstreamLimits.ToldLimit {
+  const { upstreamId, perSecond, hasEnded, ageMs } = news;
+  return { upstreamId, perSecond: hasEnded ? null : perSecond, ageMs };
+}
+
 /** Numbers for each model and priority in a table of loads. */
 const CELL_SIZE = 4;
 
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -14,6 +14,11 @@
     request: gatewayPeer.EnsureAdapterRequest,
     deadlineMs: number,
   ) => Promise<results.Result<gatewayPeer.EnsureAdapterReply, channelsModule.PeerError>>;
+  takePermit: (
+    address: string,
+    request: gatewayPeer.TakePermitRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.TakePermitReply, channelsModule.PeerError>>;
   close: () => void;
 };
 
@@ -22,6 +27,7 @@
   ensureAdapter: (
     request: gatewayPeer.EnsureAdapterRequest,
   ) => Promise<gatewayPeer.EnsureAdapterReply>;
+  takePermit: (request: gatewayPeer.TakePermitRequest) => gatewayPeer.TakePermitReply;
 };
 
 /** The holder is called several times a second; other peers at random, about once. */
@@ -41,6 +47,8 @@
       channels.call(address, request, deadlineMs, (client, ...rest) =>
         client.ensureAdapter(...rest),
       ),
+    takePermit: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.takePermit(...rest)),
     close: channels.close,
   };
 }
@@ -49,5 +57,6 @@
   server.addService(gatewayPeer.GatewayPeerServiceService, {
     exchange: channelsModule.toUnary(handlers.exchange),
     ensureAdapter: channelsModule.toUnary(handlers.ensureAdapter),
+    takePermit: channelsModule.toUnary(handlers.takePermit),
   });
 }
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -31,8 +31,8 @@
   gatewayId: string;
   storeLoadLimits: storeLoadsModule.StoreLoadLimits;
   inFlight: (upstreamId: string, model: string) => number;
-  /** Whether it is taken for dead though the platform lists it. */
-  isSuspect: (upstreamId: string) => boolean;
+  /** Taken for dead, or asked for more than it takes by its own word. */
+  isUnreliable: (upstreamId: string) => boolean;
   /** This gateway's own view of the placing, kept without a message. */
   ownView: Pick<placementViews.PlacementView, 'apply' | 'version'>;
   /** How long it takes until all gateways know that a copy is closing. */
@@ -234,10 +234,10 @@
   function planFor(service: fleet.Service, engine: fleet.EngineSpec): void {
     for (let count = 0; count < CHANGES_PER_TICK; count += 1) {
       const nowMs = clock.nowMs();
-      // The copies of what is taken for dead do not count, and nothing is planned there.
+      // The copies of such upstreams do not count, and nothing is planned there.
       const records = directory
         .eligible(service.name, nowMs)
-        .filter(({ upstreamId }) => !deps.isSuspect(upstreamId));
+        .filter(({ upstreamId }) => !deps.isUnreliable(upstreamId));
       const views = records.flatMap(({ upstreamId }) => {
         const view = byUpstream.get(upstreamId)?.view((model) => deps.inFlight(upstreamId, model));
         return view === null || view === undefined ? [] : [view];
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -41,6 +41,8 @@
     belief: FRESH,
     copy: 'ready',
     blockedForMs: 0,
+    closed: null,
+    isLimited: false,
     ...overrides,
   };
 }
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -26,6 +26,17 @@
   copy: placementTypes.CopyState;
   /** For how long a `blocked` copy stays so. */
   blockedForMs: number;
+  /** Why it takes nothing from this gateway for now; null where it does. */
+  closed: Closed | null;
+  /** Asks for a permit first. */
+  isLimited: boolean;
+};
+
+export type Closed = {
+  /** `limited`: nothing is left of the requests that it takes a second. */
+  reason: 'limited';
+  /** For how long, by what is known. */
+  forMs: number;
 };
 
 export type ChoiceRequest = {
@@ -47,11 +58,15 @@
       needsAdapter: boolean;
       /** What the prediction was made from. */
       work: paces.Work;
+      /** Better ones that are closed. */
+      passedOverIds: readonly string[];
     }
   | { kind: 'model-missing' }
   /** Copies are there, but the adapter can be loaded at none of them for now. */
   | { kind: 'adapter-blocked'; forMs: number }
   | { kind: 'overloaded'; predictedMs: number }
+  /** All that could run it are closed. */
+  | ({ kind: 'closed'; passedOverIds: readonly string[] } & Closed)
   | { kind: 'no-upstream' };
 
 /** What a plain call takes before anything has been measured at any upstream: any figure is the same for all. */
@@ -65,6 +80,8 @@
  * takes from another. Below the queues that a second place for the adapter relieves.
  */
 const ADAPTER_MS = 90;
+/** What asking the holder for a permit takes, and the chance that there is none. */
+const PERMIT_MS = 20;
 /** What a failed attempt costs a caller: at best it comes back once. */
 const FAILURE_MS = 400;
 
@@ -117,6 +134,7 @@
     belief.excessMs +
     belief.failureShare * FAILURE_MS +
     (candidate.copy === 'no-adapter' ? ADAPTER_MS : 0) +
+    (candidate.isLimited ? PERMIT_MS : 0) +
     (isNear ? 0 : FAR_MS)
   );
 }
@@ -140,6 +158,18 @@
   return candidates.filter(({ belief }) => belief.avoidUntilMs <= soonestMs);
 }
 
+type Ranked = { candidate: Candidate; cost: number };
+
+/** The one that takes requests again first says when to come back. */
+function allClosed(candidates: readonly Candidate[]): Choice {
+  const [soonest] = candidates
+    .flatMap(({ closed }) => closed ?? [])
+    .sort((left, right) => left.forMs - right.forMs);
+  if (soonest === undefined) return { kind: 'no-upstream' };
+  const passedOverIds = candidates.map(({ upstreamId }) => upstreamId);
+  return { kind: 'closed', passedOverIds, ...soonest };
+}
+
 export function chooseUpstream(
   request: ChoiceRequest,
   candidates: readonly Candidate[],
@@ -156,11 +186,15 @@
   }
   const allowed = open.filter(({ upstreamId }) => !request.excludedIds.has(upstreamId));
   if (allowed.length === 0) return { kind: 'no-upstream' };
+  const taking = allowed.filter(({ closed }) => closed === null);
+  if (taking.length === 0) return allClosed(allowed);
   const usualMs = usualCallMs(candidates);
-  const ranked = preferUsable(allowed, nowMs)
-    .map((candidate) => ({ candidate, cost: costMs(request, candidate, usualMs, random()) }))
-    .sort((a, b) => a.cost - b.cost);
-  const best = ranked[0]?.candidate as Candidate;
+  const rank = (some: readonly Candidate[]) =>
+    some
+      .map((candidate) => ({ candidate, cost: costMs(request, candidate, usualMs, random()) }))
+      .sort((a, b) => a.cost - b.cost);
+  const [first] = rank(preferUsable(taking, nowMs));
+  const { candidate: best, cost } = first as Ranked;
   const predictedMs = predictMs(request, best, usualMs);
   // What waits for nobody is sent however long it takes: a refusal could not make it any quicker.
   if (hasQueue(best) && predictedMs > request.queueLimitMs) {
@@ -168,5 +202,12 @@
   }
   const needsAdapter = best.copy === 'no-adapter';
   const { upstreamId } = best;
-  return { kind: 'send', upstreamId, predictedMs, needsAdapter, work: workAt(request, best) };
+  const closed = allowed.filter(
+    (candidate) => candidate.closed !== null && isUsable(candidate, nowMs),
+  );
+  const passedOverIds = rank(closed)
+    .filter((other) => other.cost < cost)
+    .map(({ candidate }) => candidate.upstreamId);
+  const work = workAt(request, best);
+  return { kind: 'send', upstreamId, predictedMs, needsAdapter, work, passedOverIds };
 }
--- a/packages/gateway/src/shared/upstream-limits.ts
+++ b/packages/gateway/src/shared/upstream-limits.ts
@@ -39,7 +39,7 @@
   retain: (upstreamIds: ReadonlySet<string>) => void;
 };
 
-/** What two gateways know of the same answer differs by what a message takes: no news. */
+/** What two gateways know of one answer differs by what a message takes: which of two words is newer cannot be told. */
 const SAME_WORD_MS = 500;
 
 function changeOf(before: number | null, after: number | null): LimitChange | null {
@@ -48,6 +48,11 @@
   return before === null ? null : { kind: 'ended', before };
 }
 
+/** Where either word may be the newer one, the lower limit holds until a later answer tells. */
+function isLower(perSecond: number | null, { perSecond: known }: UpstreamLimit): boolean {
+  return perSecond !== null && (known === null || perSecond < known);
+}
+
 export function createUpstreamLimits(): UpstreamLimits {
   const limits = new Map<string, UpstreamLimit>();
 
@@ -66,17 +71,17 @@
         return perSecond === null ? null : set(upstreamId, perSecond, nowMs);
       }
       if (sentMs >= before.saidMs) return set(upstreamId, perSecond, nowMs);
-      // Either word may be the newer one: the lower limit holds until a later answer tells.
-      const known = before.perSecond;
-      const isLower = perSecond !== null && (known === null || perSecond < known);
-      return isLower ? set(upstreamId, perSecond, nowMs) : null;
+      return isLower(perSecond, before) ? set(upstreamId, perSecond, nowMs) : null;
     },
     told: ({ upstreamId, perSecond, ageMs }, nowMs) => {
       const saidMs = nowMs - ageMs;
       const before = limits.get(upstreamId);
-      if (before === undefined && perSecond === null) return null;
-      if (before !== undefined && saidMs <= before.saidMs + SAME_WORD_MS) return null;
-      return set(upstreamId, perSecond, saidMs);
+      if (before === undefined) {
+        return perSecond === null ? null : set(upstreamId, perSecond, saidMs);
+      }
+      if (saidMs > before.saidMs + SAME_WORD_MS) return set(upstreamId, perSecond, saidMs);
+      const isOld = saidMs < before.saidMs - SAME_WORD_MS;
+      return !isOld && isLower(perSecond, before) ? set(upstreamId, perSecond, saidMs) : null;
     },
     perSecond: (upstreamId) => limits.get(upstreamId)?.perSecond ?? null,
     ageMs: (upstreamId, nowMs) => {
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -34,6 +34,8 @@
   /** The model is there, its adapter is not, and cannot be loaded for now. */
   | 'adapter-not-ready'
   | 'overloaded'
+  /** Every upstream that could run it takes nothing more for now, by its own word. */
+  | 'upstreams-closed'
   | 'retries-spent'
   | 'quarantined'
   | 'deadline-near';
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -17,6 +17,8 @@
   withModelCount: number;
   predictedMs: Amount;
   queueLimitMs: number;
+  /** Of those that have the model, those that take nothing for now. */
+  closedCount: number;
   /** The list of upstreams that was used. */
   upstreamsRevision: number;
   /** The placing that was used, and since when its holder has not been heard. */
@@ -98,6 +100,17 @@
   /** At the holder: the organisation's quota is nearly used up, or no longer. */
   'quota-scarce': { organisation: string; term: number };
   'quota-plenty': { organisation: string; term: number };
+  /** A request went elsewhere, or nowhere: what the upstream has said, and how old that is. */
+  'upstream-passed-over': {
+    requestId: string;
+    upstreamId: string;
+    reason: string;
+    forMs: number;
+    perSecond: Amount;
+    /** Since the limit was last said, and since the holder, which counts for all, was heard. */
+    limitAgeMs: Amount;
+    holderAgeMs: Amount;
+  };
   'request-broken': { requestId: string; reason: string };
   'request-waits': {
     requestId: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -22,6 +22,7 @@
 import type * as retryShares from '../shared/retry-share.js';
 import type * as upstreamLimits from '../shared/upstream-limits.js';
 import type * as upstreamWords from '../server/forwarding/upstream-words.js';
+import type * as limitsModule from '../server/limits/limits.js';
 import type * as suspectsModule from '../shared/suspects.js';
 import type * as beliefsModule from '../shared/upstream-beliefs.js';
 import type * as directories from '../shared/upstream-directory.js';
@@ -63,7 +64,8 @@
   caches: promptCaches.PromptCaches;
   paces: pacesModule.Paces;
   retryShare: retryShares.RetryShare;
-  limits: upstreamLimits.UpstreamLimits;
+  upstreamLimits: upstreamLimits.UpstreamLimits;
+  limits: limitsModule.Limits;
   words: upstreamWords.UpstreamWords;
   quarantine: quarantineModule.Quarantine;
   connections: connectionsModule.Connections;
