Log when an upstream says in an answer that it leaves

Cause: nothing read the word, so the logs of the incident could not tell "nobody reads it" from "known, and chosen before". Change: the adapter decodes it; the directory keeps since when each upstream is known to leave by its own word; upstream-leaving says by whose answer, with the revision of the list that still called it ready; the gauge upstreams_leaving counts them. Nothing is decided by it yet.

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -28,6 +28,8 @@
     const avoided = upstreams.filter(({ upstreamId }) =>
       beliefsModule.isAvoided(beliefs.belief(upstreamId, nowMs)),
     );
+    const leavingIds = directory.leavingIds();
+    const leaving = upstreams.filter(({ upstreamId }) => leavingIds.includes(upstreamId));
     return {
       openCallCount: parts.openCalls.count(),
       configVersion: configuration.version(),
@@ -35,6 +37,7 @@
       upstreamsRevision: directory.revision(),
       upstreamCount: upstreams.length,
       avoidedCount: avoided.length,
+      leavingCount: leaving.length,
       limitedCount: parts.upstreamLimits.limitedIds().length,
       placementAgeMs: parts.view.ageMs(nowMs),
       heldTerm: parts.lease.heldTerm(),
--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -1,6 +1,7 @@
 /** What upstreams say of themselves in the heads of their answers, taken over and logged. */
 import type { clocks } from '@copperlever/runtime';
 
+import type * as directories from '../../shared/upstream-directory.js';
 import type * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -9,6 +10,7 @@
   clock: clocks.Clock;
   log: logEvents.GatewayLog;
   upstreamLimits: upstreamLimitsModule.UpstreamLimits;
+  directory: Pick<directories.UpstreamDirectory, 'noteLeaving' | 'revision'>;
 };
 
 /** Where a word came from: `source` is a request's id. */
@@ -46,10 +48,18 @@
     }
   }
 
+  function noteLeaving(upstreamId: string, source: string): void {
+    const isNew = deps.directory.noteLeaving(upstreamId, clock.nowMs());
+    if (!isNew) return;
+    const upstreamsRevision = deps.directory.revision();
+    log.info('upstream-leaving', { upstreamId, source, upstreamsRevision });
+  }
+
   return {
     heard: ({ upstreamId, facts, sentMs, source }) => {
       // Another upstream may have the address: its word is not this one's.
       if (facts.isMisdirected) return;
+      if (facts.isLeaving) noteLeaving(upstreamId, source);
       logLimit(
         upstreamId,
         upstreamLimits.answered(upstreamId, facts.limit, sentMs, clock.nowMs()),
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -16,6 +16,7 @@
   upstreamCount: 11,
   avoidedCount: 1,
   limitedCount: 0,
+  leavingCount: 0,
   placementAgeMs: 250,
   heldTerm: null,
 };
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -21,6 +21,7 @@
   upstreamCount: number;
   avoidedCount: number;
   limitedCount: number;
+  leavingCount: number;
   placementAgeMs: number;
   heldTerm: number | null;
 };
@@ -126,6 +127,11 @@
     'Upstreams that name a limit of requests a second',
     () => readings().limitedCount,
   );
+  gauge(
+    'upstreams_leaving',
+    'Listed upstreams that said in an answer that they leave',
+    () => readings().leavingCount,
+  );
   gauge('placement_age_seconds', 'Since the holder of the lease was heard', () =>
     seconds(readings().placementAgeMs),
   );
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -90,7 +90,7 @@
       placer: placer as placers.Placer,
       quotas,
       upstreamLimits,
-      words: upstreamWords.createUpstreamWords({ clock, log, upstreamLimits }),
+      words: upstreamWords.createUpstreamWords({ clock, log, upstreamLimits, directory }),
       gatewayId,
       incarnation: 1,
       millicores: 500,
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -16,6 +16,10 @@
   storeRegained: (nowMs: number) => void;
   /** The upstream itself said that it is not the one that was meant. */
   noteMisdirected: (upstreamId: string) => void;
+  /** The upstream itself said that it leaves; false where that was known. */
+  noteLeaving: (upstreamId: string, nowMs: number) => boolean;
+  /** Those that have said so, as far as this gateway knows. */
+  leavingIds: () => readonly string[];
   find: (upstreamId: string) => fleet.UpstreamRecord | undefined;
   /** The upstreams of a service that may get new work. */
   eligible: (service: string, nowMs: number) => readonly fleet.UpstreamRecord[];
@@ -36,6 +40,9 @@
  */
 export const LAPSE_GRACE_MS = 2_000;
 
+/** Longer than an upstream stays that leaves; one that starts again has another id. */
+const LEAVING_KEPT_MS = 600_000;
+
 /** Changes of what matters to others, and the revision of the platform's list that holds with them. */
 export type Members = {
   version: number;
@@ -78,6 +85,8 @@
   const names = new Map<string, string>();
   /** Names that were deleted, so that an older listing does not bring them back. */
   const deletedRevisions = new Map<string, number>();
+  /** Since when each is known to leave by its own word. */
+  const leavingMs = new Map<string, number>();
   let revision = 0;
   /** The newest whole listing; what it lacks, and is older, has gone. */
   let listedRevision = 0;
@@ -190,6 +199,15 @@
       const name = names.get(upstreamId);
       if (name !== undefined) forget(name);
     },
+    noteLeaving: (upstreamId, nowMs) => {
+      for (const [id, atMs] of leavingMs) {
+        if (nowMs - atMs > LEAVING_KEPT_MS) leavingMs.delete(id);
+      }
+      if (leavingMs.has(upstreamId)) return false;
+      leavingMs.set(upstreamId, nowMs);
+      return true;
+    },
+    leavingIds: () => [...leavingMs.keys()],
     find,
     eligible: (service, nowMs) =>
       [...known.values()]
--- a/packages/gateway/src/testing/test-dialect.ts
+++ b/packages/gateway/src/testing/test-dialect.ts
@@ -35,6 +35,7 @@
       isSigned: headers['t-signed'] !== undefined,
       didNotRun: headers['t-not-run'] !== undefined || status === 421,
       isMisdirected: status === 421,
+      isLeaving: headers['t-leaving'] !== undefined,
       limit:
         headers['t-limit'] === undefined
           ? { kind: 'unlimited' }
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -38,6 +38,8 @@
   /** Another upstream has this address now. */
   isMisdirected: boolean;
   limit: LimitWord;
+  /** The upstream says that it leaves. */
+  isLeaving: boolean;
 };
 
 /** What the gateway tells the upstream about one attempt. */
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -43,6 +43,8 @@
   'upstream-trusted': { upstreamId: string };
   /** It says how many requests a second it takes from all gateways together; `source`: a request's id or a gateway's. */
   'upstream-limited': { upstreamId: string; perSecond: number; before: Amount; source: string };
+  /** It said in an answer that it leaves, whatever the platform's list says; `source`: a request's id or a gateway's. */
+  'upstream-leaving': { upstreamId: string; source: string; upstreamsRevision: number };
   'upstream-unlimited': { upstreamId: string; before: number; source: string };
   'store-lost': { kind: stores.Kind; error: string; reason: string; revision: number | null };
   'store-regained': { kind: stores.Kind; awayMs: number; revision: number | null };
