Send nothing new to an upstream that has said in an answer that it leaves

Callers saw nothing yet: requests went to upstreams that were about to end, up to 3.7 s after their own answers had said so. Class: what an upstream says of itself was read from one place only. Excluded: requests chosen earlier (they reached the upstream 5 and 7 ms after their callers had sent them) and one gateway alone (all four sent). Change: the directory offers no upstream for new work that has said so, whatever the list says: choosing, retries, resumed streams, adapters and placing all go by it, and a model whose last copy stands there is loaded elsewhere. The word outlasts the upstream's entry; its next start has another id. Gateways tell each other, so that the holder places elsewhere at once; the rule holds for one that hears nobody.

--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -25,6 +25,7 @@
   heard: (head: Head) => void;
   /** Another gateway told. */
   told: (limits: readonly upstreamLimitsModule.ToldLimit[], source: string) => void;
+  toldLeaving: (upstreamIds: readonly string[], source: string) => void;
 };
 
 export function createUpstreamWords(deps: UpstreamWordsDeps): UpstreamWords {
@@ -66,6 +67,9 @@
         source,
       );
     },
+    toldLeaving: (upstreamIds, source) => {
+      upstreamIds.forEach((upstreamId) => noteLeaving(upstreamId, source));
+    },
     told: (told, source) => {
       told.forEach((limit) => {
         logLimit(limit.upstreamId, upstreamLimits.told(limit, clock.nowMs()), source);
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -201,6 +201,24 @@
   follower.exchange.stop();
 });
 
+// Failure: one gateway alone knows that an upstream leaves or is limited, and the holder goes on placing models there.
+test('what an upstream said to one gateway reaches the holder and all others', async () => {
+  const { clock, holder, follower } = createPair();
+  const records = [listed('u1', 7), listed('u2', 6)];
+  holder.directory.applyListing({ records, unreadable: [], revision: 7 }, clock.nowMs());
+  follower.directory.noteLeaving('u1', clock.nowMs());
+  follower.upstreamLimits.answered('u2', { kind: 'named', perSecond: 2 }, 0, clock.nowMs());
+  follower.exchange.start();
+  await clock.advance(600);
+  const eligible = holder.directory.eligible('pool', clock.nowMs());
+  assert.equal(
+    eligible.map(({ upstreamId }) => upstreamId),
+    ['u2'],
+  );
+  assert.is(holder.upstreamLimits.perSecond('u2'), 2);
+  follower.exchange.stop();
+});
+
 // The holder sums the loads of all once for many askers. Its sum holds what the asker told before, or with this
 // question: taken off wrongly, an asker counts its own requests twice or takes those of others for its own.
 test('a follower sees the loads of others, without its own', async () => {
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -50,7 +50,7 @@
   quotas: Pick<quotasModule.Quotas, 'takeReport' | 'heard' | 'lend'>;
   /** What upstreams have said of their limits. */
   upstreamLimits: Pick<upstreamLimitsModule.UpstreamLimits, 'known'>;
-  words: Pick<upstreamWords.UpstreamWords, 'told'>;
+  words: Pick<upstreamWords.UpstreamWords, 'told' | 'toldLeaving'>;
   gatewayId: string;
   millicores: number;
   incarnation: number;
@@ -139,6 +139,7 @@
         remainingMs: Math.round(untilMs - nowMs),
       })),
       limits: deps.upstreamLimits.known(nowMs).map(newsCodec.toLimitNews),
+      leavingUpstreamIds: [...directory.newlyLeavingIds(nowMs)],
       knownPlacementVersion: view.version().version,
       knownPlacementTerm: view.version().term,
       // A holder that stops is asked for copies until it has given its lease back.
@@ -154,6 +155,7 @@
     book.learned(news.gateways, nowMs);
     lag.heard(news.upstreamsRevision, directory.revision(), nowMs);
     if (news.lease !== undefined) book.noteLease(news.lease);
+    deps.words.toldLeaving(news.leavingUpstreamIds, news.gatewayId);
     deps.words.told(news.limits.map(newsCodec.fromLimitNews), news.gatewayId);
     news.quarantined.forEach(({ fingerprint, remainingMs }) => {
       deps.quarantine.learned(fingerprint, nowMs + remainingMs);
--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -31,6 +31,35 @@
   assert.equal(ids(directory), ['u2']);
 });
 
+// Failure: an upstream that said it leaves is listed again, as ready, and gets requests until it ends.
+test('the own word of an upstream that leaves outlasts its entry; its next start is another one', () => {
+  const directory = directories.createUpstreamDirectory();
+  const records = [stored('u1', 3), stored('u2', 4)];
+  directory.applyListing({ records, unreadable: [], revision: 4 }, 0);
+  assert.ok(directory.noteLeaving('u1', 0));
+  assert.not(directory.noteLeaving('u1', 10));
+  assert.equal(ids(directory), ['u2']);
+  directory.applyChange({ kind: 'deleted', name: 'u1', revision: 5 }, 20);
+  directory.applyChange({ kind: 'written', record: stored('u1', 6) }, 30);
+  assert.equal(ids(directory), ['u2']);
+  const nextStart = stored('u1', 7, { upstreamId: 'u1@2' });
+  directory.applyChange({ kind: 'written', record: nextStart }, 40);
+  assert.equal(ids(directory).sort(), ['u1@2', 'u2']);
+});
+
+// Failure: two gateways tell each other of an upstream for ever that has gone long ago.
+test('what is known of upstreams that leave ends', () => {
+  const first = directories.createUpstreamDirectory();
+  const second = directories.createUpstreamDirectory();
+  first.noteLeaving('u1', 0);
+  for (let atMs = 0; atMs < 1_000_000; atMs += 10_000) {
+    first.newlyLeavingIds(atMs).forEach((id) => second.noteLeaving(id, atMs));
+    second.newlyLeavingIds(atMs).forEach((id) => first.noteLeaving(id, atMs));
+  }
+  first.noteLeaving('u9', 1_000_000);
+  assert.equal(first.leavingIds(), ['u9']);
+});
+
 // The store was away and its entries lapsed meanwhile: for a moment its list is empty, although every
 // upstream serves. Were all given up, every request would be refused for two seconds.
 test('after an absence of the store what is missing stays for the grace, then goes', () => {
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -20,6 +20,8 @@
   noteLeaving: (upstreamId: string, nowMs: number) => boolean;
   /** Those that have said so, as far as this gateway knows. */
   leavingIds: () => readonly string[];
+  /** Of these, those to tell other gateways of. */
+  newlyLeavingIds: (nowMs: number) => readonly string[];
   find: (upstreamId: string) => fleet.UpstreamRecord | undefined;
   /** The upstreams of a service that may get new work. */
   eligible: (service: string, nowMs: number) => readonly fleet.UpstreamRecord[];
@@ -42,6 +44,8 @@
 
 /** Longer than an upstream stays that leaves; one that starts again has another id. */
 const LEAVING_KEPT_MS = 600_000;
+/** Others are told for so long only: else what one has forgotten another would tell it anew, for ever. */
+const LEAVING_TOLD_MS = 300_000;
 
 /** Changes of what matters to others, and the revision of the platform's list that holds with them. */
 export type Members = {
@@ -147,6 +151,11 @@
     for (const [name, entry] of known) if (isGone(entry, nowMs)) forgetRemoved(name);
   }
 
+  /** Its own word binds also while the platform's list is late. */
+  function mayGetWork({ upstreamId, state }: fleet.UpstreamRecord): boolean {
+    return state === 'ready' && !leavingMs.has(upstreamId);
+  }
+
   function find(upstreamId: string): fleet.UpstreamRecord | undefined {
     const name = names.get(upstreamId);
     return name === undefined ? undefined : known.get(name)?.stored.value;
@@ -208,12 +217,14 @@
       return true;
     },
     leavingIds: () => [...leavingMs.keys()],
+    newlyLeavingIds: (nowMs) =>
+      [...leavingMs].flatMap(([id, atMs]) => (nowMs - atMs < LEAVING_TOLD_MS ? id : [])),
     find,
     eligible: (service, nowMs) =>
       [...known.values()]
         .filter((entry) => !isGone(entry, nowMs))
         .map((entry) => entry.stored.value)
-        .filter((record) => record.service === service && record.state === 'ready'),
+        .filter((record) => record.service === service && mayGetWork(record)),
     all: () => [...known.values()].map((entry) => entry.stored.value),
     revision: () => revision,
     membersAfter: (version, nowMs) => {
