Log when an upstream turns a request away and says for how long

Cause: Retry-After of an upstream's 503 was passed on to the caller and read by nobody, and no line told of it. Nothing is decided by it yet.

--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -2,6 +2,7 @@
 import type { clocks } from '@copperlever/runtime';
 
 import type * as directories from '../../shared/upstream-directory.js';
+import type * as upstreamPauses from '../../shared/upstream-pauses.js';
 import type * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -10,6 +11,7 @@
   clock: clocks.Clock;
   log: logEvents.GatewayLog;
   upstreamLimits: upstreamLimitsModule.UpstreamLimits;
+  pauses: upstreamPauses.UpstreamPauses;
   directory: Pick<directories.UpstreamDirectory, 'noteLeaving' | 'revision'>;
 };
 
@@ -56,11 +58,19 @@
     log.info('upstream-leaving', { upstreamId, source, upstreamsRevision });
   }
 
+  function notePause(upstreamId: string, pauseMs: number, source: string): void {
+    const nowMs = clock.nowMs();
+    const isLonger = deps.pauses.turnedAway(upstreamId, pauseMs, nowMs);
+    const forMs = Math.round(deps.pauses.leftMs(upstreamId, nowMs));
+    if (isLonger) log.info('upstream-paused', { upstreamId, forMs, source });
+  }
+
   return {
     heard: ({ upstreamId, facts, sentMs, source }) => {
       // Another upstream may have the address: its word is not this one's.
       if (facts.isMisdirected) return;
       if (facts.isLeaving) noteLeaving(upstreamId, source);
+      if (facts.pauseMs !== null) notePause(upstreamId, facts.pauseMs, source);
       logLimit(
         upstreamId,
         upstreamLimits.answered(upstreamId, facts.limit, sentMs, clock.nowMs()),
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -11,6 +11,7 @@
 import * as placementViews from '../../shared/placing/placement-view.js';
 import * as suspectsModule from '../../shared/suspects.js';
 import * as upstreamLimitsModule from '../../shared/upstream-limits.js';
+import * as upstreamPauses from '../../shared/upstream-pauses.js';
 import * as directories from '../../shared/upstream-directory.js';
 import * as fixtures from '../../testing/fleet-fixtures.js';
 import type * as fleet from '../../types/fleet.js';
@@ -90,7 +91,13 @@
       placer: placer as placers.Placer,
       quotas,
       upstreamLimits,
-      words: upstreamWords.createUpstreamWords({ clock, log, upstreamLimits, directory }),
+      words: upstreamWords.createUpstreamWords({
+        clock,
+        log,
+        upstreamLimits,
+        directory,
+        pauses: upstreamPauses.createUpstreamPauses(),
+      }),
       gatewayId,
       incarnation: 1,
       millicores: 500,
--- a/packages/gateway/src/testing/test-dialect.ts
+++ b/packages/gateway/src/testing/test-dialect.ts
@@ -35,6 +35,8 @@
       isSigned: headers['t-signed'] !== undefined,
       didNotRun: headers['t-not-run'] !== undefined || status === 421,
       isMisdirected: status === 421,
+      pauseMs:
+        status === 503 && headers['t-pause'] !== undefined ? Number(headers['t-pause']) : null,
       isLeaving: headers['t-leaving'] !== undefined,
       limit:
         headers['t-limit'] === undefined
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -40,6 +40,8 @@
   limit: LimitWord;
   /** The upstream says that it leaves. */
   isLeaving: boolean;
+  /** It turned the request away and wants no other from this gateway for so long; null where it says no such thing. */
+  pauseMs: number | null;
 };
 
 /** What the gateway tells the upstream about one attempt. */
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -45,6 +45,8 @@
   'upstream-limited': { upstreamId: string; perSecond: number; before: Amount; source: string };
   /** It said in an answer that it leaves, whatever the platform's list says; `source`: a request's id or a gateway's. */
   'upstream-leaving': { upstreamId: string; source: string; upstreamsRevision: number };
+  /** It turned a request away and wants none from this gateway for so long; `source`: the request's id. */
+  'upstream-paused': { upstreamId: string; forMs: number; source: string };
   'upstream-unlimited': { upstreamId: string; before: number; source: string };
   'store-lost': { kind: stores.Kind; error: string; reason: string; revision: number | null };
   'store-regained': { kind: stores.Kind; awayMs: number; revision: number | null };
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -22,6 +22,7 @@
 import type * as retryShares from '../shared/retry-share.js';
 import type * as upstreamLimits from '../shared/upstream-limits.js';
 import type * as upstreamWords from '../server/forwarding/upstream-words.js';
+import type * as upstreamPauses from '../shared/upstream-pauses.js';
 import type * as limitsModule from '../server/limits/limits.js';
 import type * as suspectsModule from '../shared/suspects.js';
 import type * as beliefsModule from '../shared/upstream-beliefs.js';
@@ -66,6 +67,7 @@
   retryShare: retryShares.RetryShare;
   upstreamLimits: upstreamLimits.UpstreamLimits;
   limits: limitsModule.Limits;
+  pauses: upstreamPauses.UpstreamPauses;
   words: upstreamWords.UpstreamWords;
   quarantine: quarantineModule.Quarantine;
   connections: connectionsModule.Connections;
