Leave alone for as long as it says an upstream that turned a request away

Callers were turned away by upstreams that had said they want nothing for now, and asked to come back within 0.4 s. Cause: Retry-After of an upstream's 503 was read by nobody; a rejection kept requests away for 60 ms. Class: what an upstream says of itself was read from one place only. Change: until the time is over the upstream is closed to this gateway, also where it is the only one: requests go elsewhere, or are refused at once with when to come back; nothing is planned there. An earlier longer word outlasts a later shorter one.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -151,6 +151,7 @@
           connections: parts.connections,
           words: parts.words,
           limits: parts.limits,
+          pauses: parts.pauses,
           placement: parts.placement,
           metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -86,7 +86,8 @@
     isUnreliable: (upstreamId) => {
       const gatewayCount = parts.book.live(clock.nowMs()).length + 1;
       const isSuspect = parts.suspects.isSuspect(upstreamId, gatewayCount, clock.nowMs());
-      return isSuspect || parts.limits.isStarved(upstreamId);
+      const isPaused = parts.pauses.leftMs(upstreamId, clock.nowMs()) > 0;
+      return isSuspect || isPaused || parts.limits.isStarved(upstreamId);
     },
     ownView: parts.view,
     closeNoticeMs: () => exchangePace.noticeMs(parts.book.live(clock.nowMs()).length + 1),
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -7,6 +7,7 @@
 import * as queueLimits from '../../shared/queue-limits.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
+import type * as upstreamPauses from '../../shared/upstream-pauses.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import * as urgency from '../../shared/urgency.js';
 import type * as calls from '../../types/calls.js';
@@ -27,6 +28,7 @@
   caches: promptCaches.PromptCaches;
   placement: placementTypes.Placement;
   limits: limitsModule.Limits;
+  pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
   serviceOf: (name: string) => fleet.Service | null;
   failureDomain: string;
 };
@@ -48,6 +50,9 @@
   noteNotPlaced: (call: calls.Call, run: runs.Run, choice: NoChoice, ending: calls.Ending) => void;
 };
 
+/** Another gateway, which callers meet when they come back, may still be let in. */
+const CLOSED_RETRY_MAX_MS = 5_000;
+
 function roundedOrNone(value: number | undefined): number | undefined {
   return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
 }
@@ -64,6 +69,8 @@
   }
 
   function closedOf(upstreamId: string): upstreamChoice.Closed | null {
+    const pausedForMs = deps.pauses.leftMs(upstreamId, clock.nowMs());
+    if (pausedForMs > 0) return { reason: 'paused', forMs: pausedForMs };
     const limitedForMs = deps.limits.closedForMs(upstreamId);
     return limitedForMs === null ? null : { reason: 'limited', forMs: limitedForMs };
   }
@@ -168,7 +175,7 @@
   function closedRetryMs(call: calls.Call, forMs: number): number {
     const { model } = call.facts;
     const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
-    return Math.min(forMs, nextCopyInMs ?? forMs);
+    return Math.min(CLOSED_RETRY_MAX_MS, forMs, nextCopyInMs ?? forMs);
   }
 
   function noteNotPlaced(
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -11,6 +11,7 @@
 import * as runVerdicts from '../../shared/run-verdicts.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
+import type * as upstreamPauses from '../../shared/upstream-pauses.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
@@ -42,6 +43,7 @@
   connections: connectionsModule.Connections;
   words: upstreamWords.UpstreamWords;
   limits: limitsModule.Limits;
+  pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   serviceOf: (name: string) => fleet.Service | null;
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -31,7 +31,7 @@
   gatewayId: string;
   storeLoadLimits: storeLoadsModule.StoreLoadLimits;
   inFlight: (upstreamId: string, model: string) => number;
-  /** Taken for dead, or asked for more than it takes by its own word. */
+  /** Taken for dead, asked for more than it takes by its own word, or wanting nothing from this gateway for now. */
   isUnreliable: (upstreamId: string) => boolean;
   /** This gateway's own view of the placing, kept without a message. */
   ownView: Pick<placementViews.PlacementView, 'apply' | 'version'>;
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -33,8 +33,11 @@
 };
 
 export type Closed = {
-  /** `limited`: nothing is left of the requests that it takes a second. */
-  reason: 'limited';
+  /**
+   * `limited`: nothing is left of the requests that it takes a second. `paused`: it turned a request away and wants no
+   * other from this gateway for a while.
+   */
+  reason: 'limited' | 'paused';
   /** For how long, by what is known. */
   forMs: number;
 };
--- /dev/null
+++ b/packages/gateway/src/shared/upstream-pauses.test.ts
@@ -0,0 +1,28 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as upstreamPauses from './upstream-pauses.js';
+
+const test = suite('upstream pauses');
+
+// Failure: a second answer that names a shorter time, or none, lifts the pause that the first one asked for.
+test('the longest time that was named holds, and ends', () => {
+  const pauses = upstreamPauses.createUpstreamPauses();
+  assert.is(pauses.leftMs('u1', 0), 0);
+  assert.ok(pauses.turnedAway('u1', 3_000, 0));
+  assert.not(pauses.turnedAway('u1', 500, 100));
+  assert.not(pauses.turnedAway('u1', 0, 200));
+  assert.is(pauses.leftMs('u1', 1_000), 2_000);
+  assert.ok(pauses.turnedAway('u1', 2_500, 1_000));
+  assert.is(pauses.leftMs('u1', 3_500), 0);
+  assert.is(pauses.leftMs('u2', 0), 0);
+});
+
+// Failure: a mistaken value keeps an upstream out for days.
+test('a huge time ends within the hour', () => {
+  const pauses = upstreamPauses.createUpstreamPauses();
+  pauses.turnedAway('u1', 1e12, 0);
+  assert.ok(pauses.leftMs('u1', 0) <= 3_600_000);
+});
+
+test.run();
