A limit outlasts the entry of the upstream that named it

Callers saw nothing. Cause: what was known of a limit went with the upstream's entry in the platform's list, which lapses while the store is away and comes back; until an answer named the limit again the upstream was sent to without one. Found by reading. Change: it is kept for ten minutes unlisted; a limit that has ended is told to other gateways for half a minute only.

--- a/packages/gateway/src/shared/upstream-limits.ts
+++ b/packages/gateway/src/shared/upstream-limits.ts
@@ -35,13 +35,18 @@
   limitedIds: () => readonly string[];
   /** To tell other gateways. */
   known: (nowMs: number) => readonly ToldLimit[];
-  /** Forgets upstreams that are no longer listed. */
-  retain: (upstreamIds: ReadonlySet<string>) => void;
+  /** Forgets upstreams that have not been listed for long. */
+  retain: (upstreamIds: ReadonlySet<string>, nowMs: number) => void;
 };
 
 /** What two gateways know of one answer differs by what a message takes: which of two words is newer cannot be told. */
 const SAME_WORD_MS = 500;
 
+/** By then all gateways know that a limit has ended. */
+const ENDED_TOLD_MS = 30_000;
+/** Entries lapse while the store is away, and come back. */
+const UNLISTED_KEPT_MS = 600_000;
+
 function changeOf(before: number | null, after: number | null): LimitChange | null {
   if (before === after) return null;
   if (after !== null) return { kind: 'named', perSecond: after, before };
@@ -90,13 +95,17 @@
     },
     limitedIds: () => [...limits].flatMap(([id, { perSecond }]) => (perSecond === null ? [] : id)),
     known: (nowMs) =>
-      [...limits].map(([upstreamId, { perSecond, saidMs }]) => ({
-        upstreamId,
-        perSecond,
-        ageMs: nowMs - saidMs,
-      })),
-    retain: (upstreamIds) => {
-      for (const id of [...limits.keys()]) if (!upstreamIds.has(id)) limits.delete(id);
+      [...limits]
+        .map(([upstreamId, { perSecond, saidMs }]) => ({
+          upstreamId,
+          perSecond,
+          ageMs: nowMs - saidMs,
+        }))
+        .filter(({ perSecond, ageMs }) => perSecond !== null || ageMs < ENDED_TOLD_MS),
+    retain: (upstreamIds, nowMs) => {
+      for (const [id, { saidMs }] of limits) {
+        if (!upstreamIds.has(id) && nowMs - saidMs > UNLISTED_KEPT_MS) limits.delete(id);
+      }
     },
   };
 }
