--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -62,8 +62,9 @@
   { perSecond, connections }: Organisation,
   scenario: Scenario,
   policy: quotaFleets.QuotaPolicy,
+  seeds: readonly number[] = SEEDS,
 ) {
-  const outcomes = SEEDS.map((seed) => {
+  const outcomes = seeds.map((seed) => {
     const random = randoms.createRandom(seed);
     const weights = new Array<number>(GATEWAYS).fill(0);
     for (let count = 0; count < connections; count += 1) {
@@ -225,6 +226,27 @@
   LARGER.filter(isThinlySpread).forEach(assertLetInAfterRestart);
 });
 
+// Failure: each of many gateways admits a request beyond its part of a small quota in the same second.
+test('a small quota over many gateways is kept on the seeds on which it was exceeded', () => {
+  const isCut = (_gateway: number, atMs: number) => atMs > 7_000 && atMs < 11_500;
+  const isDown = (atMs: number) => atMs > 10_000 && atMs < 11_000;
+  const withoutHolder = { ...CALM, askedAt: hotAt, isCut };
+  const askedAround = (atMs: number) => (isDown(atMs) ? 0 : hotAt(atMs));
+  const restarted = { ...CALM, askedAt: askedAround, restartsMs: [11_000] };
+  const cases = [
+    { perSecond: 2_600, scenario: withoutHolder, seed: 19 },
+    { perSecond: 10_000, scenario: withoutHolder, seed: 77 },
+    { perSecond: 2_600, scenario: restarted, seed: 65 },
+  ];
+  cases.forEach(({ perSecond, scenario, seed }) => {
+    const { worstShare } = play({ perSecond, connections: 400 }, scenario, 'credits', [seed]);
+    assert.ok(
+      worstShare <= 1,
+      `${perSecond} a second, seed ${seed}: ${worstShare} of what is allowed`,
+    );
+  });
+});
+
 test('requests count by their tokens or by their number, as the quota says', () => {
   const quota = { plainTokens: 200 };
   assert.is(quotaCosts.costOf({ ...quota, unit: 'tokens' }, { tokenCount: 1_540 }), 1_540);
