Hear in reports that an upstream names a limit

Callers saw nothing. Cause: the holder asks upstreams for reports, whose answers name a limit as others do, and read only their bodies. The tests are of what is new: without the change no report carries a word (they do not compile). A test with the stand-in fleet was tried and dropped: it passed without the change too, since a rush at one upstream is refused for its queue.

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -73,6 +73,7 @@
     clock,
     log: parts.log,
     control: parts.upstreamControl,
+    words: parts.words,
     lease: parts.lease,
     directory: parts.directory,
     paces: parts.paces,
--- /dev/null
+++ b/packages/gateway/src/server/forwarding/upstream-words.test.ts
@@ -0,0 +1,65 @@
+import { logs } from '@copperlever/runtime';
+import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as directories from '../../shared/upstream-directory.js';
+import * as upstreamLimitsModule from '../../shared/upstream-limits.js';
+import * as upstreamPauses from '../../shared/upstream-pauses.js';
+import type * as dialects from '../../types/dialects.js';
+import * as upstreamWords from './upstream-words.js';
+
+const test = suite('upstream words');
+
+const PLAIN: dialects.AnswerFacts = {
+  requestId: 'r1',
+  isSigned: true,
+  didNotRun: false,
+  isMisdirected: false,
+  limit: { kind: 'unlimited' },
+  isLeaving: false,
+  pauseMs: null,
+};
+
+function createWords() {
+  const clock = fakeClocks.createFakeClock();
+  const upstreamLimits = upstreamLimitsModule.createUpstreamLimits();
+  const directory = directories.createUpstreamDirectory();
+  const pauses = upstreamPauses.createUpstreamPauses();
+  const log = logs.createSilentLogger();
+  const words = upstreamWords.createUpstreamWords({
+    clock,
+    log,
+    upstreamLimits,
+    directory,
+    pauses,
+  });
+  const heard = (facts: Partial<dialects.AnswerFacts>) =>
+    words.heard({
+      upstreamId: 'u1',
+      facts: { ...PLAIN, ...facts },
+      sentMs: clock.nowMs(),
+      source: 'r1',
+    });
+  return { clock, upstreamLimits, directory, pauses, words, heard };
+}
+
+// Failure: a report without a word on the limit lifts one that answers to requests go on naming.
+test('a report names a limit, and its silence lifts none', () => {
+  const { clock, upstreamLimits, words } = createWords();
+  words.reported('u1', { limit: { kind: 'named', perSecond: 3 } }, clock.nowMs());
+  assert.is(upstreamLimits.perSecond('u1'), 3);
+  words.reported('u1', { limit: { kind: 'unlimited' } }, clock.nowMs() + 1);
+  assert.is(upstreamLimits.perSecond('u1'), 3);
+});
+
+// Failure: another upstream has the address now, and its limit is taken for that of the one before.
+test('the limit of an upstream that was not meant counts for nobody', () => {
+  const { upstreamLimits, heard } = createWords();
+  heard({ limit: { kind: 'named', perSecond: 1 }, isMisdirected: true });
+  assert.is(upstreamLimits.perSecond('u1'), null);
+  heard({ limit: { kind: 'named', perSecond: 1 } });
+  assert.is(upstreamLimits.perSecond('u1'), 1);
+});
+
+test.run();
--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -25,11 +25,19 @@
 
 export type UpstreamWords = {
   heard: (head: Head) => void;
+  /** In the answer to a report that was asked for at `sentMs`. */
+  reported: (
+    upstreamId: string,
+    words: Pick<dialects.ReportAnswer, 'limit'>,
+    sentMs: number,
+  ) => void;
   /** Another gateway told. */
   told: (limits: readonly upstreamLimitsModule.ToldLimit[], source: string) => void;
   toldLeaving: (upstreamIds: readonly string[], source: string) => void;
 };
 
+const REPORT_SOURCE = 'report';
+
 export function createUpstreamWords(deps: UpstreamWordsDeps): UpstreamWords {
   const { clock, log, upstreamLimits } = deps;
 
@@ -77,6 +85,12 @@
         source,
       );
     },
+    reported: (upstreamId, { limit }, sentMs) => {
+      // Not every server repeats in reports what it says in answers: silence lifts no limit.
+      if (limit.kind !== 'named') return;
+      const change = upstreamLimits.answered(upstreamId, limit, sentMs, clock.nowMs());
+      logLimit(upstreamId, change, REPORT_SOURCE);
+    },
     toldLeaving: (upstreamIds, source) => {
       upstreamIds.forEach((upstreamId) => noteLeaving(upstreamId, source));
     },
--- a/packages/gateway/src/server/placing/order-desk.ts
+++ b/packages/gateway/src/server/placing/order-desk.ts
@@ -10,12 +10,14 @@
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
+import type * as upstreamWords from '../forwarding/upstream-words.js';
 import type * as metricsModule from '../metrics/metrics.js';
 
 export type OrderDeskDeps = {
   clock: clocks.Clock;
   log: logEvents.GatewayLog;
   control: dialects.UpstreamControl;
+  words: Pick<upstreamWords.UpstreamWords, 'reported'>;
   upstreamId: string;
   target: dialects.OrderTarget;
   holderId: string;
@@ -81,16 +83,19 @@
   }
 
   async function refresh(): Promise<fleet.UpstreamReport | null> {
-    const report = await deps.control.report(target, clock.nowMs() + CALL_TIMEOUT_MS);
-    if (report.err) {
-      log.warn('report-missing', { upstreamId, reason: report.val.reason });
+    const sentMs = clock.nowMs();
+    const answer = await deps.control.report(target, sentMs + CALL_TIMEOUT_MS);
+    if (answer.err) {
+      log.warn('report-missing', { upstreamId, reason: answer.val.reason });
       return null;
     }
+    const { report } = answer.val;
+    deps.words.reported(upstreamId, answer.val, sentMs);
     const mayBeOld = clock.nowMs() - changedMs < REPORT_LAG_MS;
-    if (mayBeOld && report.val.orderCount < leastOrderCount) return null;
-    orderCount = report.val.orderCount;
-    deps.onReport(report.val);
-    return report.val;
+    if (mayBeOld && report.orderCount < leastOrderCount) return null;
+    orderCount = report.orderCount;
+    deps.onReport(report);
+    return report;
   }
 
   async function ensureKnown(): Promise<boolean> {
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -16,6 +16,7 @@
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
+import type * as upstreamWords from '../forwarding/upstream-words.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as leaseKeepers from './lease-keeper.js';
 import * as stewards from './steward.js';
@@ -24,6 +25,7 @@
   clock: clocks.Clock;
   log: logEvents.GatewayLog;
   control: dialects.UpstreamControl;
+  words: Pick<upstreamWords.UpstreamWords, 'reported'>;
   lease: leaseKeepers.LeaseKeeper;
   directory: directories.UpstreamDirectory;
   paces: pacesModule.Paces;
@@ -129,6 +131,7 @@
       clock,
       log,
       control: deps.control,
+      words: deps.words,
       holderId: deps.gatewayId,
       orderTerm: deps.lease.orderTerm,
       onFenced: deps.lease.fenced,
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -116,7 +116,8 @@
       }
       const asOfMs = clock.nowMs() - REPORT_LAG_MS;
       const known = snapshots.filter(({ atMs }) => atMs <= asOfMs).at(-1) ?? snapshots[0];
-      return Promise.resolve(results.Ok((known as Snapshot).report));
+      const { report } = known as Snapshot;
+      return Promise.resolve(results.Ok({ report, limit: { kind: 'unlimited' } } as const));
     },
     order: (_target, order, context) => {
       orders.push(`${order.kind} ${order.model}${'adapter' in order ? `/${order.adapter}` : ''}`);
@@ -147,6 +148,7 @@
       clock,
       log: logs.createSilentLogger(),
       control: upstream.control,
+      words: { reported: () => {} },
       holderId: 'g1',
       orderTerm: () => 1,
       onFenced: () => {},
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -12,6 +12,7 @@
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
+import type * as upstreamWords from '../forwarding/upstream-words.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import * as adapterLoads from './adapter-loads.js';
 import * as adapterPlaces from './adapter-places.js';
@@ -21,6 +22,7 @@
   clock: clocks.Clock;
   log: logEvents.GatewayLog;
   control: dialects.UpstreamControl;
+  words: Pick<upstreamWords.UpstreamWords, 'reported'>;
   holderId: string;
   /** The term for orders given now; null while none may be given. */
   orderTerm: () => number | null;
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -96,12 +96,15 @@
 /** No answer, or none that can be read: an order may be carried out later. */
 export type UpstreamCallError = { kind: 'no-answer'; reason: string };
 
+/** A report, and what its answer says beside it. */
+export type ReportAnswer = { report: fleet.UpstreamReport; limit: LimitWord };
+
 /** Reports and orders, at one upstream. */
 export type UpstreamControl = {
   report: (
     target: OrderTarget,
     deadlineMs: number,
-  ) => Promise<results.Result<fleet.UpstreamReport, UpstreamCallError>>;
+  ) => Promise<results.Result<ReportAnswer, UpstreamCallError>>;
   order: (
     target: OrderTarget,
     order: Order,
