--- a/packages/gateway/src/server/forwarding/upstream-words.test.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.test.ts
@@ -62,4 +62,13 @@
   assert.is(upstreamLimits.perSecond('u1'), 1);
 });
 
+// Failure: another upstream has the address now and leaves, and the one before is taken out.
+test('the leaving of an upstream that was not meant counts for nobody', () => {
+  const { directory, heard } = createWords();
+  heard({ isLeaving: true, isMisdirected: true });
+  assert.equal(directory.leavingIds(), []);
+  heard({ isLeaving: true });
+  assert.equal(directory.leavingIds(), ['u1']);
+});
+
 test.run();
