--- a/packages/gateway/src/server/forwarding/upstream-words.test.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.test.ts
@@ -71,4 +71,13 @@
   assert.equal(directory.leavingIds(), ['u1']);
 });
 
+// Failure: another upstream has the address now and wants nothing, and the one before is left alone.
+test('the pause of an upstream that was not meant counts for nobody', () => {
+  const { clock, pauses, heard } = createWords();
+  heard({ pauseMs: 5_000, isMisdirected: true });
+  assert.is(pauses.leftMs('u1', clock.nowMs()), 0);
+  heard({ pauseMs: 5_000 });
+  assert.is(pauses.leftMs('u1', clock.nowMs()), 5_000);
+});
+
 test.run();
