Pass on an upstream's own failure when no second try brings an answer

Callers got 502 without a word of the upstream, where an upstream had answered 500 and another was to be tried: if no other was left, or the second try broke, the held answer was dropped. Seen by reading; upstreams that leave, pause or are limited make it more likely. Change: a held failure goes to the caller when the request would else end as failed by the gateway; where nothing has run, refusals stay as they are. The test failed before: 502 in place of the upstream's 500.

--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -9,6 +9,8 @@
   upstreamId: string;
   /** An upstream was full: what has to be waited for is a place there, not another copy. */
   wasFull: boolean;
+  /** An upstream's own failure, while another upstream is looked for. */
+  heldFailure: { answer: calls.HeldAnswer; upstreamId: string } | null;
   excludedIds: Set<string>;
   resumeAfterId: string | null;
   adapterAsks: number;
@@ -23,6 +25,7 @@
     hasBegun: false,
     upstreamId: '',
     wasFull: false,
+    heldFailure: null,
     excludedIds: new Set(),
     resumeAfterId: null,
     adapterAsks: 0,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -165,6 +165,25 @@
     return result;
   }
 
+  function passOn(
+    sink: answers.AnswerSink,
+    answer: calls.HeldAnswer,
+    upstreamId: string,
+  ): calls.Ending {
+    sink.sendWhole(answer);
+    return { kind: 'answered', status: answer.status, upstreamId };
+  }
+
+  /** Where no second try brought an answer, an upstream's own failure says more than one of the gateway's. */
+  function preferHeld(
+    run: runs.Run,
+    sink: answers.AnswerSink,
+    ending: calls.Ending | null,
+  ): calls.Ending | null {
+    if (ending?.kind !== 'failed' || run.heldFailure === null || sink.isCallerGone()) return ending;
+    return passOn(sink, run.heldFailure.answer, run.heldFailure.upstreamId);
+  }
+
   /** The end after an attempt, or null when another attempt follows. */
   function settle(
     call: calls.Call,
@@ -181,9 +200,11 @@
     }
     if (result.kind === 'held-failure') {
       const mayRetry = takeRetry(call);
-      if (mayRetry && run.ranCount < call.route.maxAttempts && !sink.hasBegun()) return null;
-      sink.sendWhole(result.answer);
-      return { kind: 'answered', status: result.answer.status, upstreamId: run.upstreamId };
+      if (mayRetry && run.ranCount < call.route.maxAttempts && !sink.hasBegun()) {
+        run.heldFailure = { answer: result.answer, upstreamId: run.upstreamId };
+        return null;
+      }
+      return passOn(sink, result.answer, run.upstreamId);
     }
     if (result.kind === 'answered') deps.quarantine.cleared(call.fingerprint);
     const verdict = runVerdicts.afterAttempt(factsOf(call, run), result);
@@ -266,7 +287,7 @@
     if (choice.kind !== 'send') {
       const ending = await afterNoChoice(call, run, choice);
       if (ending !== null) router.noteNotPlaced(call, run, choice, ending);
-      return ending;
+      return preferHeld(run, sink, ending);
     }
     if (choice.needsAdapter) return ensureAdapter(call, run, choice.upstreamId);
     // Denied, it is closed for a while, and the next choice is another one or none.
@@ -277,7 +298,7 @@
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, choice);
-    return settle(call, run, sink, result);
+    return preferHeld(run, sink, settle(call, run, sink, result));
   }
 
   /** What becomes of a request that no upstream was chosen for; null when it is to be routed anew. */
