Ask a silent store again soon: a watch waits long only while the store answers

Excluded: limits, leaving and pauses, which touch no configuration. Change: while the store does not answer a watch waits 0.4 s. The test failed before: not connected two seconds after the store's return.

--- a/packages/gateway/src/server/control/follower.test.ts
+++ b/packages/gateway/src/server/control/follower.test.ts
@@ -12,9 +12,15 @@
 
 const WAIT_MS = 1_000;
 
-function createRig() {
+function createRig({ waitMs, answersAfterMs } = { waitMs: WAIT_MS, answersAfterMs: WAIT_MS }) {
   const clock = fakeClocks.createFakeClock();
-  const state = { isFed: false, calls: 0, names: ['u1'], listedNames: [] as string[] };
+  const state = {
+    isFed: false,
+    isSilent: false,
+    calls: 0,
+    names: ['u1'],
+    listedNames: [] as string[],
+  };
   const records = memoryRecords.createMemoryRecords();
   const store: stores.RecordStore = {
     ...records,
@@ -27,10 +33,14 @@
       }));
       return Promise.resolve(results.Ok({ records: listed, unreadable: [], revision: 3 }) as never);
     },
-    // Nothing changes while it waits.
-    watch: async () => {
+    // Nothing changes while it waits. What has been asked while the store is silent is never answered.
+    watch: async (_kind, _revision, _waitMs, deadlineMs) => {
       state.calls += 1;
-      await clocks.sleepUntil(clock, clock.nowMs() + WAIT_MS);
+      if (state.isSilent) {
+        await clocks.sleepUntil(clock, deadlineMs);
+        return results.Err({ kind: 'unavailable', reason: 'deadline' });
+      }
+      await clocks.sleepUntil(clock, clock.nowMs() + answersAfterMs);
       return results.Ok({ changes: [], revision: 3 });
     },
   };
@@ -45,7 +55,7 @@
     },
     onChange: () => {},
     onRegained: () => {},
-    waitMs: () => WAIT_MS,
+    waitMs: () => waitMs,
     pauseMs: () => 600,
     isFed: () => state.isFed,
     onFed: () => {},
@@ -75,4 +85,19 @@
   follower.stop();
 });
 
+// Failure: the store falls silent, and what is asked of it meanwhile waits long for nothing after its return.
+test('a change is found soon after the store has been silent, however long a watch may wait', async () => {
+  const { clock, state, follower } = createRig({ waitMs: 15_000, answersAfterMs: 400 });
+  follower.start();
+  await clock.advance(1_000);
+  state.isSilent = true;
+  await clock.advance(22_000);
+  assert.not(follower.isConnected());
+  state.isSilent = false;
+  state.names = ['u9'];
+  await clock.advance(2_000);
+  assert.ok(follower.isConnected());
+  follower.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -35,6 +35,8 @@
 };
 
 const LIST_TIMEOUT_MS = 2_000;
+/** How long a watch waits while the store does not answer. */
+const LOST_WAIT_MS = 400;
 /** What the answer itself may take; a connection that went silent is given up after it. */
 const WATCH_GRACE_MS = 400;
 /** How often it is looked whether others still tell of changes: small against the time in which one must be in force. */
@@ -85,7 +87,8 @@
   }
 
   async function watch(afterRevision: number): Promise<Step> {
-    const waitMs = options.waitMs();
+    // What is asked while the store is silent is not answered after its return either.
+    const waitMs = lostAtMs === null ? options.waitMs() : Math.min(LOST_WAIT_MS, options.waitMs());
     const deadlineMs = clock.nowMs() + waitMs + WATCH_GRACE_MS;
     const renewed = new Promise<'renewed'>((resolve) => {
       renewWaiting = () => resolve('renewed');
