--- a/packages/gateway/src/shared/permit-ledger.ts
+++ b/packages/gateway/src/shared/permit-ledger.ts
@@ -96,7 +96,7 @@
     return bucket;
   }
 
-  /** What nobody has asked of for so long is full again. */
+  /** What nobody has asked of for so long begins anew, with nothing. */
   function forgetOld(nowMs: number): void {
     for (const [id, bucket] of buckets) {
       const fullAfterMs = (capacityOf(bucket.rate) * MS_PER_SECOND) / bucket.rate;
