--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -113,7 +113,7 @@
     }),
     heldTerm: parts.lease.heldTerm,
     holderAgeMs: parts.view.ageMs,
-    told: (limit, source) => parts.words.told([limit], source),
+    told: (limit, source) => parts.words.toldLimits([limit], source),
     ask: async (asked) => {
       const holderId = book.lease()?.holderId;
       const address = holderId === undefined ? null : book.addressOf(holderId);
--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -31,8 +31,8 @@
     words: Pick<dialects.ReportAnswer, 'limit'>,
     sentMs: number,
   ) => void;
-  /** Another gateway told. */
-  told: (limits: readonly upstreamLimitsModule.ToldLimit[], source: string) => void;
+  /** Another gateway told, `source` by name. */
+  toldLimits: (limits: readonly upstreamLimitsModule.ToldLimit[], source: string) => void;
   toldLeaving: (upstreamIds: readonly string[], source: string) => void;
 };
 
@@ -94,7 +94,7 @@
     toldLeaving: (upstreamIds, source) => {
       upstreamIds.forEach((upstreamId) => noteLeaving(upstreamId, source));
     },
-    told: (told, source) => {
+    toldLimits: (told, source) => {
       told.forEach((limit) => {
         logLimit(limit.upstreamId, upstreamLimits.told(limit, clock.nowMs()), source);
       });
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -50,7 +50,7 @@
   quotas: Pick<quotasModule.Quotas, 'takeReport' | 'heard' | 'lend'>;
   /** What upstreams have said of their limits. */
   upstreamLimits: Pick<upstreamLimitsModule.UpstreamLimits, 'known'>;
-  words: Pick<upstreamWords.UpstreamWords, 'told' | 'toldLeaving'>;
+  words: Pick<upstreamWords.UpstreamWords, 'toldLimits' | 'toldLeaving'>;
   gatewayId: string;
   millicores: number;
   incarnation: number;
@@ -156,7 +156,7 @@
     lag.heard(news.upstreamsRevision, directory.revision(), nowMs);
     if (news.lease !== undefined) book.noteLease(news.lease);
     deps.words.toldLeaving(news.leavingUpstreamIds, news.gatewayId);
-    deps.words.told(news.limits.map(newsCodec.fromLimitNews), news.gatewayId);
+    deps.words.toldLimits(news.limits.map(newsCodec.fromLimitNews), news.gatewayId);
     news.quarantined.forEach(({ fingerprint, remainingMs }) => {
       deps.quarantine.learned(fingerprint, nowMs + remainingMs);
     });
