--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -23,6 +23,7 @@
 import * as suspectsModule from './shared/suspects.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
 import * as upstreamPauses from './shared/upstream-pauses.js';
+import * as upstreamStates from './shared/upstream-states.js';
 import * as upstreamLimits from './shared/upstream-limits.js';
 import * as directories from './shared/upstream-directory.js';
 import type * as logEvents from './types/log-events.js';
@@ -73,6 +74,7 @@
     suspects: awilix.asFunction(suspectsModule.createSuspects).singleton(),
     upstreamLimits: awilix.asFunction(upstreamLimits.createUpstreamLimits).singleton(),
     pauses: awilix.asFunction(upstreamPauses.createUpstreamPauses).singleton(),
+    states: awilix.asFunction(upstreamStates.createUpstreamStates).singleton(),
     limits: awilix.asFunction(controlParts.createLimits).singleton(),
     words: awilix
       .asFunction((parts: partTypes.GatewayParts) => upstreamWords.createUpstreamWords(parts))
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -114,6 +114,7 @@
     cradle.connections.retain(ids);
     cradle.beliefs.retain(ids);
     cradle.caches.retain(ids);
+    cradle.states.retain(ids);
     cradle.upstreamLimits.retain(ids, clock.nowMs());
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,3 +5,4 @@
 export type * as fleet from './types/fleet.js';
 export * as settings from './types/settings.js';
 export type * as stores from './types/stores.js';
+export type * as upstreamStates from './types/upstream-states.js';
--- a/packages/gateway/src/server/forwarding/upstream-words.test.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.test.ts
@@ -7,6 +7,7 @@
 import * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import * as upstreamPauses from '../../shared/upstream-pauses.js';
 import type * as dialects from '../../types/dialects.js';
+import * as upstreamStates from '../../shared/upstream-states.js';
 import * as upstreamWords from './upstream-words.js';
 
 const test = suite('upstream words');
@@ -19,6 +20,7 @@
   limit: { kind: 'unlimited' },
   isLeaving: false,
   pauseMs: null,
+  load: null,
 };
 
 function createWords() {
@@ -26,6 +28,7 @@
   const upstreamLimits = upstreamLimitsModule.createUpstreamLimits();
   const directory = directories.createUpstreamDirectory();
   const pauses = upstreamPauses.createUpstreamPauses();
+  const states = upstreamStates.createUpstreamStates();
   const log = logs.createSilentLogger();
   const words = upstreamWords.createUpstreamWords({
     clock,
@@ -33,6 +36,7 @@
     upstreamLimits,
     directory,
     pauses,
+    states,
   });
   const heard = (facts: Partial<dialects.AnswerFacts>) =>
     words.heard({
@@ -41,7 +45,7 @@
       sentMs: clock.nowMs(),
       source: 'r1',
     });
-  return { clock, upstreamLimits, directory, pauses, words, heard };
+  return { clock, upstreamLimits, directory, pauses, states, words, heard };
 }
 
 // Failure: a report without a word on the limit lifts one that answers to requests go on naming.
--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -6,12 +6,14 @@
 import type * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as logEvents from '../../types/log-events.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 
 export type UpstreamWordsDeps = {
   clock: clocks.Clock;
   log: logEvents.GatewayLog;
   upstreamLimits: upstreamLimitsModule.UpstreamLimits;
   pauses: upstreamPauses.UpstreamPauses;
+  states: Pick<upstreamStates.UpstreamStates, 'told'>;
   directory: Pick<directories.UpstreamDirectory, 'noteLeaving' | 'revision'>;
 };
 
@@ -77,6 +79,9 @@
     heard: ({ upstreamId, facts, sentMs, source }) => {
       // Another upstream may have the address: its word is not this one's.
       if (facts.isMisdirected) return;
+      if (facts.load !== null) {
+        deps.states.told(upstreamId, facts.load, sentMs, clock.nowMs());
+      }
       if (facts.isLeaving) noteLeaving(upstreamId, source);
       if (facts.pauseMs !== null) notePause(upstreamId, facts.pauseMs, source);
       logLimit(
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -12,6 +12,7 @@
 import * as suspectsModule from '../../shared/suspects.js';
 import * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import * as upstreamPauses from '../../shared/upstream-pauses.js';
+import * as upstreamStates from '../../shared/upstream-states.js';
 import * as directories from '../../shared/upstream-directory.js';
 import * as fixtures from '../../testing/fleet-fixtures.js';
 import type * as fleet from '../../types/fleet.js';
@@ -97,6 +98,7 @@
         upstreamLimits,
         directory,
         pauses: upstreamPauses.createUpstreamPauses(),
+        states: upstreamStates.createUpstreamStates(),
       }),
       gatewayId,
       incarnation: 1,
--- a/packages/gateway/src/testing/test-dialect.ts
+++ b/packages/gateway/src/testing/test-dialect.ts
@@ -35,6 +35,7 @@
       isSigned: headers['t-signed'] !== undefined,
       didNotRun: headers['t-not-run'] !== undefined || status === 421,
       isMisdirected: status === 421,
+      load: null,
       pauseMs:
         status === 503 && headers['t-pause'] !== undefined ? Number(headers['t-pause']) : null,
       isLeaving: headers['t-leaving'] !== undefined,
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -4,6 +4,7 @@
 import type { results } from '@copperlever/runtime';
 
 import type * as fleet from './fleet.js';
+import type * as upstreamStates from './upstream-states.js';
 
 export type PromptPart = { id: string; tokens: number };
 
@@ -42,6 +43,8 @@
   isLeaving: boolean;
   /** It turned the request away and wants no other from this gateway for so long; null where it says no such thing. */
   pauseMs: number | null;
+  /** What it says of its load; null where that is not told or cannot be read. */
+  load: upstreamStates.LoadWord | null;
 };
 
 /** What the gateway tells the upstream about one attempt. */
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -32,6 +32,7 @@
 import type * as placementTypes from './placement.js';
 import type * as settingsModule from './settings.js';
 import type * as stores from './stores.js';
+import type * as upstreamStates from './upstream-states.js';
 
 /** What the platform that the gateway runs on brings along. */
 export type PlatformParts = {
@@ -68,6 +69,7 @@
   upstreamLimits: upstreamLimits.UpstreamLimits;
   limits: limitsModule.Limits;
   pauses: upstreamPauses.UpstreamPauses;
+  states: upstreamStates.UpstreamStates;
   words: upstreamWords.UpstreamWords;
   quarantine: quarantineModule.Quarantine;
   connections: connectionsModule.Connections;
--- /dev/null
+++ b/packages/gateway/src/types/upstream-states.ts
@@ -0,0 +1,38 @@
+/** What is known of the speed and the load of upstreams. */
+
+/** Each figure with its age. */
+export type UpstreamState = {
+  /** How long work takes there against the usual of its service, learnt over many answers; 1 is usual, 1.6 slow. */
+  slowness: number;
+  /** How long work takes there at this moment against its own usual; 1 where nothing recent is known. */
+  momentFactor: number;
+  /** Since `momentFactor` was told or observed; null when that says nothing of this moment any more. */
+  momentAgeMs: number | null;
+  /** It has told how long work takes at the moment, at least once: its machine is shared. */
+  tellsMoment: boolean;
+  /** What it last told of its requests; null when it has not. */
+  load: { runningCount: number; waitingCount: number; slots: number; ageMs: number } | null;
+  /** Token memory in use and in all; null when unknown. */
+  tokens: { used: number; total: number; ageMs: number } | null;
+};
+
+/** What an upstream says of its load in the head of an answer. */
+export type LoadWord = {
+  runningCount: number;
+  waitingCount: number;
+  slots: number;
+  /** How long work takes at the moment against its usual; 1 is usual, null where it is not told. */
+  momentFactor: number | null;
+};
+
+export type UpstreamStates = {
+  state: (upstreamId: string, nowMs: number) => UpstreamState;
+  /** In the head of an answer to a request that was sent at `sentMs`. */
+  told: (upstreamId: string, word: LoadWord, sentMs: number, nowMs: number) => void;
+  /** A first event came: the prediction for an upstream of usual speed, and what it took. */
+  answered: (upstreamId: string, predictedMs: number, tookMs: number, nowMs: number) => void;
+  /** In a report; both in tokens. */
+  reported: (upstreamId: string, tokens: { used: number; total: number }, nowMs: number) => void;
+  /** Forgets upstreams that are no longer listed. */
+  retain: (upstreamIds: ReadonlySet<string>) => void;
+};
