Keep one copy of a busy model taking adapters while others load from the store

Cause: before demand the placer began loads from the store, nine seconds each, at all upstreams that held the busiest model; they end three seconds after traffic begins, and an upstream that loads takes no adapters. They began with two of eight places for adapters filled, since the same tick fills two places and plans the change. Excluded: the order desk (all loads of adapters at free upstreams were accepted), the plan of adapters (it had places left). Change: no load from the store where the upstream is the last that takes adapters for a model of several copies; before demand a change waits for the adapters that are on their way.

--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -306,6 +306,7 @@
         isChanging: isChanging || isForeignBusy,
         arriving: arriving?.model ?? null,
         isLoadingFromStore: isChanging && isStoreLoad,
+        isLoadingAdapters: adapterLoading.loadingCount() > 0,
         freeAtMs: isChanging ? (arriving?.readyAtMs ?? null) : null,
         copies: [...copies]
           .map(([model, copy]) => ({
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -28,6 +28,8 @@
   arriving: string | null;
   /** The change under way brings it from the weight store. */
   isLoadingFromStore: boolean;
+  /** Adapters are on their way there; a change would keep the others away until it ends. */
+  isLoadingAdapters: boolean;
   /** When the change under way is expected to end; null while none is, or nobody knows. */
   freeAtMs: number | null;
 };
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -235,4 +235,45 @@
   assert.ok((sorted[10] ?? Infinity) < allCount / 20, sorted.join(' '));
 });
 
+/** Before any demand: `busy` stands on all upstreams and has adapters, `next` nowhere. */
+function planBeforeDemand(
+  upstreams: readonly copyNeeds.UpstreamView[],
+): copyPlan.CopyChange | null {
+  const models = [
+    fixtures.modelSpec('busy', { adapterCount: 20 }),
+    fixtures.modelSpec('next'),
+    fixtures.modelSpec('cold'),
+  ];
+  const demand: Record<string, demandMeters.DemandFigures> = { busy: asked(20), next: asked(12) };
+  return copyPlan.planNext({
+    engine: fixtures.engineSpec(models),
+    upstreams,
+    demand: (model) => demand[model] ?? null,
+    requestS: () => REQUEST_S,
+    holdMs: () => 1_500,
+    hasDemand: false,
+    storeLoadsLeft: 9,
+    nowMs: NOW_MS,
+  });
+}
+
+// Failure: all copies of a busy model load from the store at once, and its adapters are refused for seconds.
+test('one copy of a model of several goes on taking adapters while others load from the store', () => {
+  const changing = { isChanging: true, isLoadingFromStore: true, arriving: 'cold' };
+  const upstreams = ['u1', 'u2', 'u3'].map((id) => fixtures.upstreamView(id, ['busy']));
+  assert.is(planBeforeDemand(upstreams)?.level, 'store');
+  const others = ['u1', 'u2'].map((id) => fixtures.upstreamView(id, ['busy'], changing));
+  assert.is(planBeforeDemand([...others, fixtures.upstreamView('u3', ['busy'])]), null);
+});
+
+// Failure: a change begins before the adapters of the copies there have come, and keeps them away until it ends.
+test('before demand a change waits for the adapters that are on their way', () => {
+  const view = (isLoadingAdapters: boolean) => [
+    fixtures.upstreamView('u1', ['busy'], { isLoadingAdapters }),
+    fixtures.upstreamView('u2', ['busy'], { isLoadingAdapters }),
+  ];
+  assert.is(planBeforeDemand(view(true)), null);
+  assert.is.not(planBeforeDemand(view(false)), null);
+});
+
 test.run();
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -141,7 +141,7 @@
     onWeighed();
     const { upstream } = place;
     const level = copyNeeds.levelAt(upstream, spec.name);
-    if (level === 'store' && input.storeLoadsLeft < 1) return null;
+    if (level === 'store' && (input.storeLoadsLeft < 1 || place.isLastForAdapters)) return null;
     if (place.residentMb - (victim?.sizeMb ?? 0) + spec.sizeMb > roomMb) return null;
     const gain = level === 'store' ? gains.late : gains.soon;
     const unload = victim?.copy.model ?? null;
--- a/packages/gateway/src/shared/placing/plan-places.ts
+++ b/packages/gateway/src/shared/placing/plan-places.ts
@@ -18,6 +18,11 @@
   upstream: copyNeeds.UpstreamView;
   residentMb: number;
   blockedPerSecond: number;
+  /**
+   * It is the only one that takes adapters for a model of several copies: the others are busy with changes. A load from
+   * the store there would have all requests for adapters of the model refused for seconds.
+   */
+  isLastForAdapters: boolean;
   hotShare: number;
   /** What its disk loses by a load from the store. */
   evictionLoss: number;
@@ -37,7 +42,7 @@
 
 export type Places = {
   toPlace: (upstream: copyNeeds.UpstreamView) => Place;
-  /** A copy has just come, and adapters for it are on their way. */
+  /** Adapters for its copies are on their way. */
   isSettling: (upstream: copyNeeds.UpstreamView) => boolean;
 };
 
@@ -69,6 +74,16 @@
   return { ...upstream, isChanging: false, copies: [...kept, ...come] };
 }
 
+/** How many upstreams take adapters for each model. */
+function countAdapterTakers(upstreams: readonly copyNeeds.UpstreamView[]): Map<string, number> {
+  const takers = new Map<string, number>();
+  upstreams
+    .filter(({ isChanging }) => !isChanging)
+    .flatMap(({ copies }) => copies.filter(({ isClosing }) => !isClosing))
+    .forEach(({ model }) => takers.set(model, (takers.get(model) ?? 0) + 1));
+  return takers;
+}
+
 /** Upstreams by the one model without a copy that only they have near, counted. */
 function countNearOnly(
   engine: fleet.EngineSpec,
@@ -89,6 +104,7 @@
   const { input, index, needs, counts, near, specs, roomMb } = deps;
   const { nowMs } = input;
   const nearOnly = countNearOnly(input.engine, index, counts);
+  const adapterTakers = countAdapterTakers(input.upstreams);
   const sizeOf = (model: string): number => specs.get(model)?.sizeMb ?? roomMb;
 
   /** Requests a second that one copy of the model gets. */
@@ -127,6 +143,14 @@
     return BLOCKED_SHARE * adapterRate(upstream.copies) + copyNeeds.LAST_COPY_WEIGHT * nearOnlyHere;
   }
 
+  function isLastForAdapters(upstream: copyNeeds.UpstreamView): boolean {
+    return upstream.copies.some(({ model, isClosing }) => {
+      const hasAdapters = (specs.get(model)?.adapterCount ?? 0) > 0;
+      const isSpread = (counts.get(model) ?? 0) > 1;
+      return !isClosing && hasAdapters && isSpread && adapterTakers.get(model) === 1;
+    });
+  }
+
   function toVictim(upstream: copyNeeds.UpstreamView, copy: copyNeeds.CopyView): Victim {
     return {
       copy,
@@ -142,6 +166,7 @@
       upstream,
       residentMb: upstream.copies.reduce((sumMb, { model }) => sumMb + sizeOf(model), 0),
       blockedPerSecond: blockedPerSecond(upstream),
+      isLastForAdapters: isLastForAdapters(upstream),
       hotShare: upstream.copies.reduce((sum, { model }) => sum + perCopy(model), 0),
       evictionLoss: near.evictionLoss(upstream),
       victims: upstream.copies
@@ -149,6 +174,8 @@
         .map((copy) => toVictim(upstream, copy)),
     }),
     isSettling: (upstream) => {
+      // Before demand there is time: what starts with adapters in place refuses nobody while it loads.
+      if (!input.hasDemand && upstream.isLoadingAdapters) return true;
       const young = upstream.copies.filter(
         ({ readyAtMs }) => nowMs - readyAtMs < ADAPTER_SETTLE_MS,
       );
--- a/packages/gateway/src/testing/fleet-fixtures.ts
+++ b/packages/gateway/src/testing/fleet-fixtures.ts
@@ -59,6 +59,7 @@
     isChanging: false,
     arriving: null,
     isLoadingFromStore: false,
+    isLoadingAdapters: false,
     freeAtMs: null,
     copies: models.map((model) => ({
       model,
--- a/packages/gateway/src/testing/random-plans.ts
+++ b/packages/gateway/src/testing/random-plans.ts
@@ -47,6 +47,7 @@
       ...names.several(random.below(NEAR_MODELS)),
     ]),
     isChanging,
+    isLoadingAdapters: false,
     arriving: isChanging ? names.some() : null,
     isLoadingFromStore,
     freeAtMs: isChanging && random.fraction() < 0.8 ? NOW_MS + random.below(longestMs) : null,
