Ask the holder for what a request lacks of its quota, in place of going beyond credits

Each of 23 gateways might go beyond its credits by an eighth of the capacity, with a request of any size once that eighth covered half of its part: in sum 23 eighths of the capacity and a request each, between two exchanges.

Change: while the holder is heard nothing is admitted beyond credits. A request that lacks some asks the holder (LendCredits, 100 ms at most), which keeps half of what is unused for that and grants a request whole or not at all; a gateway that was denied asks no more before its next exchange. What may be gone beyond credits is left for the loss of the holder: a second's rate over all gateways, unless scarce; a question without an answer counts as that loss. A caller that left while its gateway asked is not served, and its cost given back.

"late requests yield": the first admission while the holder is heard needs credits now, so they are granted before it; what it checks is unchanged. exchange.test.ts awaits the decision and app.test.ts passes `ask` for `hurry`. The fleet of the test asks as gateways do; the holder answers within a step of 10 ms.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -106,6 +106,11 @@
         }),
       )
       .singleton(),
+    incarnation: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        Math.trunc(parts.random.fraction() * Number.MAX_SAFE_INTEGER),
+      )
+      .singleton(),
     status: awilix.asValue(status),
     book: awilix.asFunction(() => peerBooks.createPeerBook(settings.gatewayId)).singleton(),
     listFeed: awilix
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -16,7 +16,7 @@
 const MS_PER_SECOND = 1_000;
 const MILLICORES = 1_000;
 /** Many times what the holder's answer takes; a request that waits longer is better off elsewhere. */
-const PERMIT_PATIENCE_MS = 100;
+const HOLDER_PATIENCE_MS = 100;
 /** Until the lease or a peer has told: with too few each gateway would take too large a part of a quota for its own. */
 const UNKNOWN_FLEET_SIZE = 32;
 
@@ -101,6 +101,11 @@
   return book.lease() === null ? Math.max(UNKNOWN_FLEET_SIZE, known) : known;
 }
 
+function holderAddress({ book }: partTypes.GatewayParts): string | null {
+  const holderId = book.lease()?.holderId;
+  return holderId === undefined ? null : book.addressOf(holderId);
+}
+
 export function createLimits(parts: partTypes.GatewayParts): limitsModule.Limits {
   const { book, clock, settings } = parts;
   return limitsModule.createLimits({
@@ -115,10 +120,9 @@
     holderAgeMs: parts.view.ageMs,
     told: (limit, source) => parts.words.toldLimits([limit], source),
     ask: async (asked) => {
-      const holderId = book.lease()?.holderId;
-      const address = holderId === undefined ? null : book.addressOf(holderId);
+      const address = holderAddress(parts);
       if (address === null) return null;
-      const deadlineMs = clock.nowMs() + PERMIT_PATIENCE_MS;
+      const deadlineMs = clock.nowMs() + HOLDER_PATIENCE_MS;
       const request = { ...asked, limit: newsCodec.toLimitNews(asked.limit) };
       const reply = await parts.link.takePermit(address, request, deadlineMs);
       return reply.ok ? newsCodec.fromPermitReply(reply.val) : null;
@@ -134,7 +138,17 @@
     organisations: () => parts.configuration.current()?.config.organisations ?? [],
     gatewayCount: () => fleetSize(parts),
     slack: parts.settings.quotaSlack,
-    hurry: () => parts.exchange.hurry(),
+    ask: async (report) => {
+      const self = { gatewayId: parts.settings.gatewayId, incarnation: parts.incarnation };
+      const heldTerm = parts.lease.heldTerm();
+      if (heldTerm !== null) return parts.quotas.lend(heldTerm, self, report);
+      const address = holderAddress(parts);
+      if (address === null) return null;
+      const deadlineMs = parts.clock.nowMs() + HOLDER_PATIENCE_MS;
+      const request = { ...self, report: newsCodec.toQuotaReportNews(report) };
+      const reply = await parts.link.lendCredits(address, request, deadlineMs);
+      return reply.ok ? (reply.val.loan ?? null) : null;
+    },
   });
 }
 
@@ -161,7 +175,7 @@
     words: parts.words,
     gatewayId: settings.gatewayId,
     millicores: millicoresOf(settings),
-    incarnation: Math.trunc(parts.random.fraction() * Number.MAX_SAFE_INTEGER),
+    incarnation: parts.incarnation,
     address: settings.peerAddress,
     seedAddresses: settings.seedAddresses,
     isStopping: status.isStopping,
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -213,6 +213,12 @@
               const asked = { gatewayId, limit: newsCodec.fromLimitNews(limit) };
               return newsCodec.toPermitReply(cradle.limits.give(asked));
             },
+            lendCredits: ({ gatewayId, incarnation, report }) => {
+              const term = cradle.lease.heldTerm();
+              if (term === null || report === undefined) return { loan: undefined };
+              const loan = cradle.quotas.lend(term, { gatewayId, incarnation }, report);
+              return { loan: newsCodec.toQuotaLoanNews(loan) };
+            },
           });
           cradle.exchange.start();
           return {
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -108,7 +108,7 @@
     organisations: () => organisations,
     gatewayCount: () => 1,
     slack: 0,
-    hurry: () => {},
+    ask: () => Promise.resolve(null),
   });
 }
 
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -223,11 +223,15 @@
   if (admitted === null) return;
   const call = buildCall(deps, request, admitted, body.bytes, arrivedAtMs);
   const isLate = call.elapsedBeforeMs > call.route.latencyObjectiveMs;
-  const quota = deps.quotas.admit(admitted.organisation, admitted.facts, isLate);
+  const quota = await deps.quotas.admit(admitted.organisation, admitted.facts, isLate);
   if (quota.kind === 'refused') {
     refuseOverQuota(deps, sink, call, quota);
     return;
   }
+  if (isClosed(request.socket)) {
+    quota.giveBack();
+    return;
+  }
   deps.openCalls.add(call);
   try {
     const ending = await deps.serve(call, sink);
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -40,6 +40,8 @@
   const clock = fakeClocks.createFakeClock();
   const handlers = new Map<string, exchanges.Exchange>();
   const calls: string[] = [];
+  /** The holder's come first. */
+  const lenders: quotasModule.Quotas[] = [];
   const link = {
     exchange: (address, request) => {
       calls.push(`${request.news?.gatewayId}>${address}`);
@@ -71,8 +73,13 @@
       organisations: () => [ORGANISATION],
       gatewayCount: () => state.gatewayCount,
       slack: 0,
-      hurry: () => exchange.hurry(),
+      ask: (report) => {
+        const [holderQuotas] = lenders;
+        const asker = { gatewayId, incarnation: 1 };
+        return Promise.resolve(holderQuotas?.lend(HOLDER.term, asker, report) ?? null);
+      },
     });
+    lenders.push(quotas);
     const upstreamLimits = upstreamLimitsModule.createUpstreamLimits();
     const exchange = exchanges.createExchange({
       clock,
@@ -252,7 +259,7 @@
   let refused = 0;
   for (let count = 0; count < 60; count += 1) {
     await clock.advance(50);
-    const decision = follower.quotas.admit(ORGANISATION, { tokenCount: null }, false);
+    const decision = await follower.quotas.admit(ORGANISATION, { tokenCount: null }, false);
     if (decision.kind === 'refused') refused += 1;
   }
   assert.is(refused, 0);
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -47,7 +47,7 @@
   beliefs: Pick<beliefsModule.UpstreamBeliefs, 'avoidedIds'>;
   suspects: suspectsModule.Suspects;
   placer: placers.Placer;
-  quotas: Pick<quotasModule.Quotas, 'takeReport' | 'heard' | 'lend'>;
+  quotas: Pick<quotasModule.Quotas, 'report' | 'heard' | 'lend'>;
   /** What upstreams have said of their limits. */
   upstreamLimits: Pick<upstreamLimitsModule.UpstreamLimits, 'known'>;
   words: Pick<upstreamWords.UpstreamWords, 'toldLimits' | 'toldLeaving'>;
@@ -240,7 +240,7 @@
       loads,
       demands: isHolder ? deps.demand.recent(nowMs).map(newsCodec.toDemandNews) : [],
       avoidedUpstreamIds: isHolder ? [...deps.beliefs.avoidedIds()] : [],
-      quotas: isHolder ? newsCodec.toQuotaReportNews(deps.quotas.takeReport()) : undefined,
+      quotas: isHolder ? newsCodec.toQuotaReportNews(deps.quotas.report()) : undefined,
     };
     const told = { now: loads, before: toldBefore };
     if (isHolder) toldBefore = loads;
@@ -261,7 +261,7 @@
     const nowMs = clock.nowMs();
     deps.placer.heardDemand(deps.gatewayId, deps.incarnation, deps.demand.recent(nowMs));
     deps.suspects.heard(deps.gatewayId, deps.beliefs.avoidedIds(), nowMs);
-    deps.quotas.heard(deps.quotas.lend(term, deps, deps.quotas.takeReport()));
+    deps.quotas.heard(deps.quotas.lend(term, deps, deps.quotas.report()));
     view.confirm(nowMs);
   }
 
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -19,6 +19,11 @@
     request: gatewayPeer.TakePermitRequest,
     deadlineMs: number,
   ) => Promise<results.Result<gatewayPeer.TakePermitReply, channelsModule.PeerError>>;
+  lendCredits: (
+    address: string,
+    request: gatewayPeer.LendCreditsRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.LendCreditsReply, channelsModule.PeerError>>;
   close: () => void;
 };
 
@@ -28,6 +33,7 @@
     request: gatewayPeer.EnsureAdapterRequest,
   ) => Promise<gatewayPeer.EnsureAdapterReply>;
   takePermit: (request: gatewayPeer.TakePermitRequest) => gatewayPeer.TakePermitReply;
+  lendCredits: (request: gatewayPeer.LendCreditsRequest) => gatewayPeer.LendCreditsReply;
 };
 
 /** The holder is called several times a second; other peers at random, about once. */
@@ -49,6 +55,8 @@
       ),
     takePermit: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.takePermit(...rest)),
+    lendCredits: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.lendCredits(...rest)),
     close: channels.close,
   };
 }
@@ -58,5 +66,6 @@
     exchange: channelsModule.toUnary(handlers.exchange),
     ensureAdapter: channelsModule.toUnary(handlers.ensureAdapter),
     takePermit: channelsModule.toUnary(handlers.takePermit),
+    lendCredits: channelsModule.toUnary(handlers.lendCredits),
   });
 }
--- a/packages/gateway/src/server/quotas/quotas.ts
+++ b/packages/gateway/src/server/quotas/quotas.ts
@@ -26,8 +26,8 @@
     organisation: fleet.Organisation | null,
     facts: Pick<dialects.CallFacts, 'tokenCount'>,
     isLate: boolean,
-  ) => QuotaDecision;
-  takeReport: () => quotaCredits.QuotaReport;
+  ) => Promise<QuotaDecision>;
+  report: () => quotaCredits.QuotaReport;
   heard: (loan: quotaCredits.QuotaLoan) => void;
   /** For the record of the lease, and from it. */
   scarce: () => readonly string[];
@@ -48,15 +48,10 @@
   gatewayCount: () => number;
   /** What all gateways together may exceed a quota by: requests are counted where they come, not in one place. */
   slack: number;
-  /** Asks the holder soon. */
-  hurry: () => void;
+  /** Asks the holder for what a request lacks; null without an answer. */
+  ask: (report: quotaCredits.QuotaReport) => Promise<quotaCredits.QuotaLoan | null>;
 };
 
-/** Lent like a burst, so that a request larger than a small burst can run; the rest is for what is told late. */
-const LENT_SLACK_SHARE = 0.4;
-/** A quota without a burst has this much at once: requests do not come evenly. */
-const LEAST_BURST_S = 0.5;
-
 const UNLIMITED: QuotaDecision = { kind: 'admitted', giveBack: () => {} };
 
 export function createQuotas(deps: QuotasDeps): Quotas {
@@ -64,18 +59,13 @@
   const credits = quotaCredits.createQuotaCredits(deps.gatewayCount, deps.random);
   let ledger: { term: number; lends: quotaLedgers.QuotaLedger } | null = null;
 
-  function limitOf(quota: fleet.Quota): quotaCredits.OrganisationLimit {
-    const burst = Math.max(quota.burst, LEAST_BURST_S * quota.perSecond);
-    return { perSecond: quota.perSecond, capacity: burst + LENT_SLACK_SHARE * deps.slack };
-  }
-
   function createLedger(term: number): quotaLedgers.QuotaLedger {
     return quotaLedgers.createQuotaLedger({
       term,
       startedMs: clock.nowMs(),
       limitOf: (name) => {
         const quota = deps.organisations().find((other) => other.name === name)?.quota ?? null;
-        return quota === null ? null : limitOf(quota);
+        return quota === null ? null : quotaCosts.limitOf(quota, deps.slack);
       },
       gatewayCount: deps.gatewayCount,
       unheardMs: quotaCredits.UNHEARD_MS,
@@ -91,22 +81,34 @@
       .forEach((organisation) => deps.log.info('quota-plenty', { organisation, term }));
   }
 
+  async function settle(
+    organisation: string,
+    limit: quotaCredits.OrganisationLimit,
+    cost: number,
+  ): Promise<ReturnType<quotaCredits.QuotaCredits['settle']>> {
+    const loan = await deps.ask(credits.question(organisation));
+    if (loan !== null) credits.heard(loan, clock.nowMs());
+    const answer = loan === null ? 'silent' : 'answered';
+    return credits.settle(organisation, limit, cost, answer, clock.nowMs());
+  }
+
   return {
-    admit: (organisation, facts, isLate) => {
+    admit: async (organisation, facts, isLate) => {
       const quota = organisation?.quota ?? null;
       if (organisation === null || quota === null) return UNLIMITED;
       const { name } = organisation;
       const cost = quotaCosts.costOf(quota, facts);
-      const verdict = credits.take(name, limitOf(quota), { cost, isLate }, clock.nowMs());
+      const limit = quotaCosts.limitOf(quota, deps.slack);
+      const first = credits.take(name, limit, { cost, isLate }, clock.nowMs());
+      const verdict = first.kind === 'undecided' ? await settle(name, limit, cost) : first;
       if (verdict.kind === 'admitted') {
         return { kind: 'admitted', giveBack: () => credits.giveBack(name, cost) };
       }
-      if (verdict.mayGain) deps.hurry();
       const { creditLeft, retryAfterMs } = verdict;
       const creditsAgeMs = credits.ageMs(clock.nowMs());
       return { kind: 'refused', cost, creditLeft, retryAfterMs, creditsAgeMs };
     },
-    takeReport: () => credits.takeReport(clock.nowMs()),
+    report: () => credits.report(clock.nowMs()),
     heard: (loan) => credits.heard(loan, clock.nowMs()),
     scarce: () => ledger?.lends.scarce() ?? [],
     noteWritten: credits.noteWritten,
--- a/packages/gateway/src/shared/quota-bucket.ts
+++ b/packages/gateway/src/shared/quota-bucket.ts
@@ -20,21 +20,19 @@
     use: quotaCredits.QuotaUse,
     view: BucketView,
   ) => Omit<quotaCredits.QuotaGrant, 'organisation'>;
-  /** Nearly used up: nothing is to be admitted but what has been lent. */
+  /** Nearly used up. */
   isScarce: (view: BucketView) => boolean;
   forget: (gatewayId: string) => void;
 };
 
-/** A new holder knows nothing of what was admitted just before. */
-const START_LEVEL_SHARE = 0.35;
-/** The rest is kept for gateways that are asked next. */
-const LENT_SHARE = 0.8;
-/** The part of the capacity that is dealt evenly, beside what is asked in a second. */
-const IDLE_SHARE = 0.2;
-/** The smoothing of what is asked: bursts of a second count. */
-const RATE_TIME_MS = 1_000;
-/** The part of the rate that is dealt evenly: what a gateway will be asked may change while it is not heard. */
-const EVEN_SHARE = 0.3;
+/** A new holder knows nothing of what was admitted just before: it counts on half of the capacity. */
+const START_LEVEL_SHARE = 0.5;
+/** The rest stays at the holder, for requests that find too few credits at their gateway. */
+const LENT_SHARE = 0.5;
+/** A gateway is lent what it will be asked for within two exchanges. */
+const LENT_AHEAD_MS = 500;
+/** The smoothing of what is asked: in a second a gateway has one or two requests of a small organisation, or none. */
+const RATE_TIME_MS = 5_000;
 /** With less than this part of the capacity unspent the quota is scarce, */
 const SCARCE_SHARE = 0.3;
 /** and until this much is: in a rush it hovers, and a gateway that last heard of a moment of plenty would go on from it. */
@@ -97,12 +95,22 @@
   let isScarce = false;
   let sums: Sums = { atMs: -Infinity, lent: 0, askedPerSecond: 0, keptShare: 0 };
 
+  function fleetSize({ gatewayCount }: BucketView): number {
+    return Math.max(gatewayCount, accounts.size);
+  }
+
+  function evenShare(view: BucketView): number {
+    return quotaCredits.EVEN_SHARE / fleetSize(view);
+  }
+
   /** What lies where nobody has asked for long; that gateway counts on it no longer. */
-  function reclaimUnused({ silences, nowMs }: BucketView): void {
+  function reclaimUnused(view: BucketView): void {
+    const { silences, nowMs } = view;
     for (const [gatewayId, account] of accounts) {
       if (nowMs - account.toldMs <= UNUSED_MS || silences.has(gatewayId)) continue;
       level += lentTo(account);
       account.granted = account.spent;
+      account.share = evenShare(view);
     }
   }
 
@@ -117,7 +125,7 @@
     }
     let keptShare = 0;
     for (const gatewayId of silences.keys()) {
-      keptShare += accounts.get(gatewayId)?.share ?? 1 / view.gatewayCount;
+      keptShare += accounts.get(gatewayId)?.share ?? evenShare(view);
     }
     sums = { atMs: nowMs, lent, askedPerSecond: asked, keptShare: Math.min(1, keptShare) };
   }
@@ -173,26 +181,31 @@
     account.granted += debt;
   }
 
+  /** What it will be asked for soon, up to its part of what there is; the whole of what its requests lack, or nothing. */
   function lend(account: Account, lacking: number, view: BucketView): void {
-    const { limit, nowMs } = view;
-    const count = Math.max(view.gatewayCount, accounts.size);
-    const idleOfAll = IDLE_SHARE * limit.capacity;
-    const wanted = askedPerSecond(account, nowMs) + idleOfAll / count;
-    const part = Math.min(1, wanted / (sums.askedPerSecond + idleOfAll));
+    const asked = askedPerSecond(account, view.nowMs);
+    const part = sums.askedPerSecond > 0 ? Math.min(1, asked / sums.askedPerSecond) : 0;
+    const soonAsked = (asked * LENT_AHEAD_MS) / MS_PER_SECOND;
+    const ahead = Math.min(soonAsked, LENT_SHARE * part * unspent(view.limit));
     const before = lentTo(account);
-    // Where there is little it goes to who can run a request with it, in place of crumbs to all.
-    const target = Math.max(lacking, LENT_SHARE * part * unspent(limit));
-    const lent = Math.min(target, before + Math.max(0, level));
+    const most = before + Math.max(0, level);
+    const lent = Math.min(most, lacking <= most ? Math.max(lacking, ahead) : ahead);
     level -= lent - before;
     sums.lent += lent - before;
     account.granted = account.spent + lent;
   }
 
-  function noteShare(account: Account, { gatewayCount, nowMs }: BucketView): void {
-    const count = Math.max(gatewayCount, accounts.size);
+  /** By demand, as far as all parts together are no more than the whole. */
+  function noteShare(account: Account, view: BucketView): void {
+    const even = evenShare(view);
     const isAsked = sums.askedPerSecond > 0;
-    const byDemand = isAsked ? askedPerSecond(account, nowMs) / sums.askedPerSecond : 1 / count;
-    account.share = EVEN_SHARE / count + (1 - EVEN_SHARE) * Math.min(1, byDemand);
+    const byDemand = isAsked ? askedPerSecond(account, view.nowMs) / sums.askedPerSecond : even;
+    const wanted = even + (1 - quotaCredits.EVEN_SHARE) * Math.min(1, byDemand);
+    let others = even * (fleetSize(view) - accounts.size);
+    accounts.forEach((other) => {
+      if (other !== account) others += other.share;
+    });
+    account.share = Math.max(even, Math.min(wanted, 1 - others));
   }
 
   return {
--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -3,8 +3,8 @@
  * usual through all gateways, or a few requests a second through few of them. Harm prevented: gateways that each
  * enforce an equal part refuse the callers of an organisation whose few connections meet few gateways; gateways that
  * enforce the whole admit it once each. The holder of the lease lends each gateway credits out of the one quota
- * (`quota-bucket.ts`); a request is admitted while there are some, and a little beyond as long as the quota is not scarce.
- * While the holder is not heard, a gateway gains its part of the rate, which the holder leaves to it.
+ * (`quota-bucket.ts`); a request that finds too few asks the holder for what it lacks. While the holder does not answer, a
+ * gateway gains its part of the rate, which the holder leaves to it.
  */
 import type { randoms } from '@copperlever/runtime';
 
@@ -14,10 +14,16 @@
   capacity: number;
 };
 
+export type Refusal = { kind: 'refused'; retryAfterMs: number; creditLeft: number };
+
 export type Verdict =
   | { kind: 'admitted' }
-  /** `mayGain`: the quota was not used up when the holder last told; its next answer may bring credits. */
-  | { kind: 'refused'; retryAfterMs: number; creditLeft: number; mayGain: boolean };
+  | Refusal
+  /** The holder is to be asked; `settle` decides by its answer. */
+  | { kind: 'undecided' };
+
+/** What came of the question to the holder. */
+export type HolderAnswer = 'answered' | 'silent';
 
 /** Counters of a holder's term, so that a lost message loses nothing. */
 export type QuotaUse = {
@@ -26,7 +32,7 @@
   spent: number;
   /** What has been asked for, refused or not. */
   asked: number;
-  /** What the latest request lacked that was refused since the holder was last told; 0 if none was. */
+  /** The cost of the requests that wait for the holder's answer. */
   lacking: number;
 };
 
@@ -49,7 +55,7 @@
   term: number;
   /** For the organisations that it was told of. */
   grants: readonly QuotaGrant[];
-  /** Those whose quota is nearly used up: no more of it is admitted than has been lent. */
+  /** Those whose quota is nearly used up. */
   scarce: readonly string[];
 };
 
@@ -64,10 +70,20 @@
 
 export type QuotaCredits = {
   take: (organisation: string, limit: OrganisationLimit, request: Charge, nowMs: number) => Verdict;
+  /** The report to ask the holder with, for an undecided request. */
+  question: (organisation: string) => QuotaReport;
+  /** Decides an undecided request; the answer, if there was one, has been passed to `heard`. */
+  settle: (
+    organisation: string,
+    limit: OrganisationLimit,
+    cost: number,
+    answer: HolderAnswer,
+    nowMs: number,
+  ) => Exclude<Verdict, { kind: 'undecided' }>;
   /** What was admitted did not run. */
   giveBack: (organisation: string, cost: number) => void;
   /** What has been used lately, to tell the holder, which knows of the rest. */
-  takeReport: (nowMs: number) => QuotaReport;
+  report: (nowMs: number) => QuotaReport;
   heard: (loan: QuotaLoan, nowMs: number) => void;
   /** What a holder has written down as scarce: a gateway that starts reads it before it hears anyone. */
   noteWritten: (scarce: readonly string[]) => void;
@@ -77,31 +93,20 @@
 
 /** After so long without the holder a gateway counts on its part of the rate, and the holder leaves it alone. */
 export const UNHEARD_MS = 1_000;
-/** What a gateway that has not heard of the holder starts with: this many equal parts of the capacity. */
-const START_SHARE = 1;
-/**
- * The same of a quota that was not scarce before. Load: all gateways start again at once, and callers come unevenly while
- * nobody lends. Harm prevented: hundreds are refused below their quotas, and come back late.
- */
-const START_PLENTY_SHARE = 3;
-/**
- * The part of the capacity by which a gateway may go beyond what it has been lent while the quota is not scarce. Load:
- * organisations whose parts at some tens of gateways are smaller than a request. Harm prevented: two requests that come to
- * one gateway between two answers of the holder are not both admitted, though the quota is hardly used.
- */
-const SPARE_SHARE = 0.125;
+/** The part of the rate that is dealt evenly: what a gateway will be asked for while it is not heard may change. */
+export const EVEN_SHARE = 0.5;
 /**
- * A request is admitted with this much of its cost, or of its gateway's part where that is less: the rest is a debt.
- * Without debts a request of some thousand tokens would be admitted nowhere where the part of a gateway is some hundred.
+ * What a gateway that loses the holder may go beyond its credits, once, as the time in which its part of the rate makes up
+ * for it. Much more would break the quota: all gateways together go beyond it by a second's rate then.
  */
-const NEEDED_SHARE = 0.5;
-/** A part below this share of a request is too little to be admitted on credit. */
-const CRUMB_SHARE = 0.25;
+const SPARE_MS = 1_000;
 /** Told in several exchanges by then. */
 export const RECENT_MS = 5_000;
 const MS_PER_SECOND = 1_000;
 const MIN_RETRY_MS = 250;
 const MAX_RETRY_MS = 10_000;
+/** Sums of fractions miss a cost by less. */
+const ROUNDING = 1e-6;
 
 type Account = {
   spent: number;
@@ -109,6 +114,8 @@
   lacking: number;
   granted: number;
   share: number;
+  /** The holder had too little for a request; not asked again before the next exchange. */
+  isDenied: boolean;
   /** The part of `granted` that a gateway starts with. */
   startGranted: number;
   /** Until when the part of the rate has been added. */
@@ -116,18 +123,13 @@
   lastMs: number;
 };
 
-/** On which a request is admitted. */
-type Terms = {
-  isPlenty: boolean;
-  /** How far the gateway may go beyond its credits. */
-  spare: number;
-  /** The credit, with what may be gone beyond it, that the request needs. */
-  needed: number;
-};
+/** Its part of the capacity. */
+function partOf({ share }: Account, { capacity }: OrganisationLimit): number {
+  return share * capacity;
+}
 
-/** Its part is a fraction of the request. */
-function isCrumb({ share }: Account, { capacity }: OrganisationLimit, cost: number): boolean {
-  return share * capacity < CRUMB_SHARE * cost;
+function creditOf({ granted, spent }: Account): number {
+  return granted - spent;
 }
 
 /** `gatewayCount`: gateways that live, this one among them. */
@@ -138,11 +140,18 @@
   const accounts = new Map<string, Account>();
   let heardMs: number | null = null;
   let heardTerm = 0;
+  /** The holder left a question unanswered, and has not been heard since. */
+  let isSilent = false;
   let scarce: ReadonlySet<string> = new Set();
   let writtenScarce: ReadonlySet<string> | null = null;
 
   function isHeard(nowMs: number): boolean {
-    return heardMs !== null && nowMs - heardMs < UNHEARD_MS;
+    return heardMs !== null && !isSilent && nowMs - heardMs < UNHEARD_MS;
+  }
+
+  /** Where the holder has given no share. Once it is heard it deals the rest by demand. */
+  function evenShare(nowMs: number): number {
+    return (heardTerm === 0 ? 1 : EVEN_SHARE) / gatewayCount(nowMs);
   }
 
   function accountOf(organisation: string, nowMs: number): Account {
@@ -153,7 +162,8 @@
       asked: 0,
       lacking: 0,
       granted: 0,
-      share: 1 / gatewayCount(nowMs),
+      share: evenShare(nowMs),
+      isDenied: false,
       startGranted: 0,
       refilledMs: nowMs,
       lastMs: nowMs,
@@ -162,6 +172,15 @@
     return account;
   }
 
+  function usesOf(organisations: readonly string[]): readonly QuotaUse[] {
+    return organisations.flatMap((organisation) => {
+      const account = accounts.get(organisation);
+      if (account === undefined) return [];
+      const { spent, asked, lacking } = account;
+      return [{ organisation, spent, asked, lacking }];
+    });
+  }
+
   /** A new holder knows nothing of the time before: what is left is kept, and what is spent counts from now on. */
   function countAnew(account: Account): void {
     account.granted -= account.spent;
@@ -170,41 +189,21 @@
   }
 
   /**
-   * Load: gateways without a holder, and a rush of an organisation whose part at each of them is a fraction of a
-   * request. Harm prevented: each gateway admits one on credit, and together several times the quota. So the credit buys
-   * a chance of a whole request, and all together admit what they should.
-   */
-  function drawWhole(account: Account, limit: OrganisationLimit, cost: number): void {
-    const credit = account.granted - account.spent;
-    if (!isCrumb(account, limit, cost) || credit <= 0 || credit >= cost) return;
-    const isDrawn = random.fraction() < credit / cost;
-    account.granted = account.spent + (isDrawn ? cost : 0);
-  }
-
-  /**
-   * What a gateway has before it has heard any holder. It learns meanwhile how many others there are and whose quota is
-   * scarce: with the first guess for good, one that knew of nobody else would count on the whole for itself.
+   * What a gateway has before it has heard any holder. It learns meanwhile how many others there are: with the first
+   * guess for good, one that knew of nobody else would count on the whole for itself.
    */
-  function grantStart(
-    organisation: string,
-    account: Account,
-    limit: OrganisationLimit,
-    nowMs: number,
-  ): void {
-    account.share = 1 / gatewayCount(nowMs);
-    const isPlenty = writtenScarce !== null && !isKnownScarce(organisation);
-    const parts = isPlenty ? START_PLENTY_SHARE : START_SHARE;
-    const startGranted = parts * account.share * limit.capacity;
-    account.granted += startGranted - account.startGranted;
-    account.startGranted = startGranted;
+  function grantStart(account: Account, limit: OrganisationLimit, nowMs: number): void {
+    account.share = evenShare(nowMs);
+    account.granted += partOf(account, limit) - account.startGranted;
+    account.startGranted = partOf(account, limit);
   }
 
-  /** Adds the part of the rate for the time in which the holder was not heard. */
+  /** Adds the part of the rate for the time since the holder was heard. */
   function refill(account: Account, limit: OrganisationLimit, nowMs: number): void {
-    const fromMs = Math.max(account.refilledMs, (heardMs ?? -Infinity) + UNHEARD_MS);
+    const fromMs = Math.max(account.refilledMs, heardMs ?? -Infinity);
     if (nowMs <= fromMs) return;
     const gained = (limit.perSecond * account.share * (nowMs - fromMs)) / MS_PER_SECOND;
-    const mostGranted = account.spent + account.share * limit.capacity;
+    const mostGranted = account.spent + partOf(account, limit);
     account.granted = Math.max(account.granted, Math.min(mostGranted, account.granted + gained));
     account.refilledMs = nowMs;
   }
@@ -215,23 +214,26 @@
     return known?.has(organisation) ?? false;
   }
 
-  function termsFor(
-    organisation: string,
-    account: Account,
-    limit: OrganisationLimit,
-    cost: number,
-    nowMs: number,
-  ): Terms {
-    const ownPart = Math.min(cost, account.share * limit.capacity);
-    // While nobody lends, what it may go beyond its credits is not renewed.
-    const mayGoBeyond = isHeard(nowMs) || !isCrumb(account, limit, cost);
-    const isPlenty = heardTerm !== 0 && !isKnownScarce(organisation) && mayGoBeyond;
-    if (isPlenty) {
-      const spare = SPARE_SHARE * limit.capacity;
-      // Without a debt yet the largest request is admitted too.
-      return { isPlenty, spare, needed: Math.min(NEEDED_SHARE * ownPart, spare) };
-    }
-    return { isPlenty, spare: 0, needed: NEEDED_SHARE * (isHeard(nowMs) ? cost : ownPart) };
+  /**
+   * How far a gateway on its own may go below zero, once, unless the quota was scarce: half of what was not used lay at
+   * the holder (`quota-bucket.ts`), and is out of reach.
+   */
+  function spareOf(organisation: string, account: Account, limit: OrganisationLimit): number {
+    const isKnown = heardTerm !== 0 || writtenScarce !== null;
+    if (!isKnown || isKnownScarce(organisation)) return 0;
+    return (limit.perSecond * account.share * SPARE_MS) / MS_PER_SECOND;
+  }
+
+  /**
+   * Load: gateways without a holder, and a rush of an organisation whose part at each of them is less than a request.
+   * Harm prevented: each gateway admits one on credit, and together several times the quota; or none ever does. So the
+   * credit buys a chance of a whole request, and all together admit what they should.
+   */
+  function drawWhole(account: Account, spare: number, cost: number): void {
+    const left = creditOf(account) + spare;
+    if (left <= 0 || left >= cost) return;
+    const isDrawn = random.fraction() < left / cost;
+    account.granted = account.spent - spare + (isDrawn ? cost : 0);
   }
 
   /** Until its part of the rate has made up for what is lacking. */
@@ -241,57 +243,88 @@
     return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, inMs));
   }
 
+  function refuse(account: Account, limit: OrganisationLimit, cost: number): Refusal {
+    const creditLeft = creditOf(account);
+    const inMs = retryAfterMs(account, limit, cost - creditLeft);
+    return { kind: 'refused', retryAfterMs: inMs, creditLeft };
+  }
+
+  function isCovered(account: Account, spare: number, cost: number): boolean {
+    return creditOf(account) + spare >= cost - ROUNDING;
+  }
+
+  function spend(account: Account, cost: number): { kind: 'admitted' } {
+    account.spent += cost;
+    return { kind: 'admitted' };
+  }
+
+  /** Without the holder. */
+  function decideAlone(
+    organisation: string,
+    account: Account,
+    limit: OrganisationLimit,
+    cost: number,
+    nowMs: number,
+  ): { kind: 'admitted' } | Refusal {
+    refill(account, limit, nowMs);
+    if (heardTerm === 0) grantStart(account, limit, nowMs);
+    const spare = spareOf(organisation, account, limit);
+    if (cost > partOf(account, limit)) drawWhole(account, spare, cost);
+    return isCovered(account, spare, cost) ? spend(account, cost) : refuse(account, limit, cost);
+  }
+
+  /** The holder takes back what lies unused for so long. */
+  function dropUnused(account: Account, nowMs: number): void {
+    if (nowMs - account.lastMs <= RECENT_MS) return;
+    account.granted = Math.min(account.granted, account.spent);
+    account.share = evenShare(nowMs);
+  }
+
   return {
     take: (organisation, limit, { cost, isLate }, nowMs) => {
       const account = accountOf(organisation, nowMs);
-      // The holder has taken back what lay unused.
-      if (isHeard(nowMs) && nowMs - account.lastMs > RECENT_MS) {
-        account.granted = Math.min(account.granted, account.spent);
-      }
+      if (isHeard(nowMs)) dropUnused(account, nowMs);
       account.asked += cost;
       account.lastMs = nowMs;
-      refill(account, limit, nowMs);
-      if (heardTerm === 0) grantStart(organisation, account, limit, nowMs);
-      const { isPlenty, spare, needed } = termsFor(organisation, account, limit, cost, nowMs);
-      if (!isHeard(nowMs) && !isPlenty) drawWhole(account, limit, cost);
-      const creditLeft = account.granted - account.spent;
-      const yields = isLate && isKnownScarce(organisation);
-      if (creditLeft + spare >= needed && !yields) {
-        account.spent += cost;
-        return { kind: 'admitted' };
+      if (isLate && isKnownScarce(organisation)) return refuse(account, limit, cost);
+      if (!isHeard(nowMs)) return decideAlone(organisation, account, limit, cost, nowMs);
+      if (isCovered(account, 0, cost)) return spend(account, cost);
+      if (account.isDenied) return refuse(account, limit, cost);
+      account.lacking += cost;
+      return { kind: 'undecided' };
+    },
+    question: (organisation) => ({ term: heardTerm, uses: usesOf([organisation]) }),
+    settle: (organisation, limit, cost, answer, nowMs) => {
+      const account = accountOf(organisation, nowMs);
+      account.lacking = Math.max(0, account.lacking - cost);
+      if (answer === 'silent') {
+        isSilent = true;
+        return decideAlone(organisation, account, limit, cost, nowMs);
       }
-      if (!yields) account.lacking = cost;
-      return {
-        kind: 'refused',
-        retryAfterMs: retryAfterMs(account, limit, needed - creditLeft),
-        creditLeft,
-        mayGain: isPlenty,
-      };
+      if (isCovered(account, 0, cost)) return spend(account, cost);
+      account.isDenied = true;
+      return refuse(account, limit, cost);
     },
     giveBack: (organisation, cost) => {
       const account = accounts.get(organisation);
       if (account !== undefined) account.spent -= cost;
     },
-    takeReport: (nowMs) => ({
-      term: heardTerm,
-      uses: [...accounts]
-        .filter(([, { lastMs }]) => nowMs - lastMs < RECENT_MS)
-        .map(([organisation, account]) => {
-          const { spent, asked, lacking } = account;
-          account.lacking = 0;
-          return { organisation, spent, asked, lacking };
-        }),
-    }),
+    report: (nowMs) => {
+      const recent = [...accounts].filter(([, { lastMs }]) => nowMs - lastMs < RECENT_MS);
+      return { term: heardTerm, uses: usesOf(recent.map(([organisation]) => organisation)) };
+    },
     heard: (loan, nowMs) => {
       if (heardTerm !== 0 && loan.term !== heardTerm) accounts.forEach(countAnew);
       heardTerm = loan.term;
       heardMs = nowMs;
+      isSilent = false;
       scarce = new Set(loan.scarce);
       loan.grants.forEach(({ organisation, granted, share }) => {
         const account = accounts.get(organisation);
         if (account === undefined) return;
         account.granted = granted;
         account.share = share;
+        account.isDenied = false;
       });
     },
     noteWritten: (written) => {
--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -11,7 +11,6 @@
 const WINDOW_MS = 8_000;
 const OVERAGE = 0.1;
 const SLACK = 10_000;
-const LENT_SLACK_SHARE = 0.4;
 const GATEWAYS = 23;
 const SEEDS = [1, 2, 3, 4, 5, 6];
 /** Small and large organisations, whose callers' connections meet a few gateways or all alike. */
@@ -74,7 +73,7 @@
     const load: quotaFleets.QuotaLoad = {
       gatewayCount: GATEWAYS,
       weights,
-      limit: { perSecond, capacity: perSecond + LENT_SLACK_SHARE * SLACK },
+      limit: quotaCosts.limitOf({ perSecond, burst: perSecond }, SLACK),
       meanCost: 1_400,
       askedPerSecond: (atMs) => (atMs < TRAFFIC_FROM_MS ? 0 : perSecond * scenario.askedAt(atMs)),
       isCut: scenario.isCut,
@@ -247,6 +246,65 @@
   });
 });
 
+// Failure: each gateway goes beyond its credits by as much as one may, and in a rush all of them do between two exchanges.
+test('a rush of many times the quota is held to it, also when the holder is lost in it', () => {
+  const rushFrom = (fromMs: number) => (atMs: number) =>
+    atMs > fromMs && atMs < 16_000 ? 12 : USUAL;
+  assertKept({ ...CALM, askedAt: rushFrom(5_000) });
+  const isCut = (_gateway: number, atMs: number) => atMs > 7_000 && atMs < 11_500;
+  assertKept({ ...CALM, askedAt: rushFrom(6_000), isCut });
+  assertKept({ ...CALM, askedAt: rushFrom(8_000), isCut });
+});
+
+// Failure: gateways that have just started take a quota for unused by what was written down, and give it out once more.
+test('a rush right after a restart of all is held to the quota', () => {
+  const isDown = (atMs: number) => atMs > 10_000 && atMs < 11_000;
+  const rushAt = (atMs: number) => (atMs > 11_000 ? 12 : USUAL);
+  assertKept({
+    askedAt: (atMs) => (isDown(atMs) ? 0 : rushAt(atMs)),
+    isCut: (_gateway, atMs) => atMs >= 11_000 && atMs < 12_500,
+    restartsMs: [11_000],
+  });
+});
+
+// Failure: a gateway admits on credit what the holder has lent to others, or asks it for each request of a rush.
+test('what a gateway lacks it asks the holder for, and once denied not before the next exchange', () => {
+  const credits = quotaCredits.createQuotaCredits(() => 23, randoms.createRandom(1));
+  const limit = { perSecond: 100, capacity: 100 };
+  const request = { cost: 50, isLate: false };
+  const take = () => credits.take('o1', limit, request, 0).kind;
+  const grant = (granted: number) => {
+    const grants = [{ organisation: 'o1', granted, share: 1 / 23 }];
+    credits.heard({ term: 1, grants, scarce: [] }, 0);
+  };
+  grant(0);
+  assert.is(take(), 'undecided');
+  assert.is(credits.question('o1').uses[0]?.lacking, 50);
+  grant(50);
+  assert.is(credits.settle('o1', limit, 50, 'answered', 0).kind, 'admitted');
+  assert.is(take(), 'undecided');
+  grant(60);
+  assert.is(credits.settle('o1', limit, 50, 'answered', 0).kind, 'refused');
+  assert.is(take(), 'refused');
+  grant(60);
+  assert.is(take(), 'undecided');
+});
+
+// Failure: the holder does not answer, and each request waits for it in vain.
+test('a holder that leaves a question unanswered is not asked again until it is heard', () => {
+  const credits = quotaCredits.createQuotaCredits(() => 1, randoms.createRandom(1));
+  const limit = { perSecond: 100, capacity: 100 };
+  const request = { cost: 50, isLate: false };
+  const take = () => credits.take('o1', limit, request, 0).kind;
+  credits.heard({ term: 1, grants: [], scarce: [] }, 0);
+  assert.is(take(), 'undecided');
+  assert.is(credits.settle('o1', limit, 50, 'silent', 0).kind, 'admitted');
+  assert.is.not(take(), 'undecided');
+  const grants = [{ organisation: 'o1', granted: 50, share: 1 }];
+  credits.heard({ term: 1, grants, scarce: [] }, 0);
+  assert.is(take(), 'undecided');
+});
+
 test('requests count by their tokens or by their number, as the quota says', () => {
   const quota = { plainTokens: 200 };
   assert.is(quotaCosts.costOf({ ...quota, unit: 'tokens' }, { tokenCount: 1_540 }), 1_540);
@@ -259,9 +317,10 @@
   const credits = quotaCredits.createQuotaCredits(() => 1, randoms.createRandom(1));
   const limit = { perSecond: 100, capacity: 100 };
   const take = (isLate: boolean) => credits.take('o1', limit, { cost: 10, isLate }, 0).kind;
-  credits.heard({ term: 1, grants: [], scarce: [] }, 0);
-  assert.is(take(true), 'admitted');
   const grants = [{ organisation: 'o1', granted: 60, share: 1 }];
+  take(true);
+  credits.heard({ term: 1, grants, scarce: [] }, 0);
+  assert.is(take(true), 'admitted');
   credits.heard({ term: 1, grants, scarce: ['o1'] }, 0);
   assert.is(take(true), 'refused');
   assert.is(take(false), 'admitted');
--- a/packages/gateway/src/testing/quota-fleet.ts
+++ b/packages/gateway/src/testing/quota-fleet.ts
@@ -7,7 +7,6 @@
 const ORGANISATION = 'o1';
 const STEP_MS = 10;
 const EXCHANGE_MS = 250;
-const HURRY_MS = 50;
 const MS_PER_SECOND = 1_000;
 
 export type QuotaPolicy =
@@ -59,12 +58,6 @@
   });
 }
 
-/** Its credits are used up: the holder is asked as soon as it may be asked again. */
-function hurry(gateway: Gateway, nowMs: number): void {
-  const soonestMs = Math.max(nowMs, gateway.nextExchangeMs - EXCHANGE_MS) + HURRY_MS;
-  gateway.nextExchangeMs = Math.min(gateway.nextExchangeMs, soonestMs);
-}
-
 function pickWeighted(random: randoms.Random, weights: readonly number[]): number {
   let rest = random.fraction() * weights.reduce((sum, weight) => sum + weight, 0);
   const at = weights.findIndex((weight) => {
@@ -94,32 +87,70 @@
   };
 }
 
-function exchangeDue({ gateways, ledger, incarnation }: Fleet, load: QuotaLoad, nowMs: number) {
-  gateways.forEach((gateway, index) => {
+function lendTo(
+  { ledger, incarnation }: Fleet,
+  index: number,
+  report: quotaCredits.QuotaReport,
+  nowMs: number,
+): quotaCredits.QuotaLoan {
+  return ledger.report({ gatewayId: `g${index}`, incarnation }, report, nowMs);
+}
+
+function exchangeDue(fleet: Fleet, load: QuotaLoad, nowMs: number): void {
+  fleet.gateways.forEach((gateway, index) => {
     if (nowMs < gateway.nextExchangeMs) return;
     gateway.nextExchangeMs = nowMs + EXCHANGE_MS;
     if (load.isCut(index, nowMs)) return;
-    const report = gateway.credits.takeReport(nowMs);
-    const loan = ledger.report({ gatewayId: `g${index}`, incarnation }, report, nowMs);
+    const loan = lendTo(fleet, index, gateway.credits.report(nowMs), nowMs);
     gateway.credits.heard(loan, nowMs);
   });
 }
 
-/** Asks gateways on behalf of callers, and counts what becomes of it. */
+/** A request that waits for the holder's answer. */
+type Waiting = {
+  gateway: Gateway;
+  index: number;
+  cost: number;
+  question: quotaCredits.QuotaReport;
+};
+
+/** Asks gateways on behalf of callers, and counts what becomes of it; the holder answers within a step. */
 function createCallers(load: QuotaLoad) {
   const admitted: Admitted[] = [];
   const counts = { asked: 0, refused: 0 };
-  const ask = (gateway: Gateway, cost: number, nowMs: number): void => {
+  let waiting: readonly Waiting[] = [];
+  const note = (kind: 'admitted' | 'refused', cost: number, nowMs: number): void => {
+    if (kind === 'admitted') admitted.push({ atMs: nowMs, cost });
+    else counts.refused += cost;
+  };
+  const ask = (fleet: Fleet, index: number, cost: number, nowMs: number): void => {
+    const gateway = fleet.gateways[index] as Gateway;
     const charge = { cost, isLate: false };
     const verdict = gateway.credits.take(ORGANISATION, load.limit, charge, nowMs);
     counts.asked += cost;
-    if (verdict.kind === 'admitted') admitted.push({ atMs: nowMs, cost });
-    else {
-      counts.refused += cost;
-      if (verdict.mayGain) hurry(gateway, nowMs);
+    if (verdict.kind === 'undecided') {
+      const question = gateway.credits.question(ORGANISATION);
+      waiting = [...waiting, { gateway, index, cost, question }];
+    } else note(verdict.kind, cost, nowMs);
+  };
+  const settleOne = (fleet: Fleet, { gateway, index, cost, question }: Waiting, nowMs: number) => {
+    // Its gateway was killed, and its caller's connection with it.
+    if (fleet.gateways[index] !== gateway) {
+      note('refused', cost, nowMs);
+      return;
     }
+    const isCut = load.isCut(index, nowMs);
+    if (!isCut) gateway.credits.heard(lendTo(fleet, index, question, nowMs), nowMs);
+    const answer = isCut ? 'silent' : 'answered';
+    const verdict = gateway.credits.settle(ORGANISATION, load.limit, cost, answer, nowMs);
+    note(verdict.kind, cost, nowMs);
+  };
+  const settle = (fleet: Fleet, nowMs: number): void => {
+    const due = waiting;
+    waiting = [];
+    due.forEach((request) => settleOne(fleet, request, nowMs));
   };
-  return { ask, outcome: (): QuotaOutcome => ({ admitted, ...counts }) };
+  return { ask, settle, outcome: (): QuotaOutcome => ({ admitted, ...counts }) };
 }
 
 /** Requests in order, and each step of the clock before those that come in it. */
@@ -173,11 +204,11 @@
       fleet = startFleet(load, random, fleet.incarnation + 1, nowMs);
       fleet.gateways.forEach(({ credits }) => credits.noteWritten(scarce));
     }
+    callers.settle(fleet, nowMs);
     if (policy === 'credits') exchangeDue(fleet, load, nowMs);
   };
   const take = (cost: number, nowMs: number): void => {
-    const gateway = fleet.gateways[pickWeighted(random, load.weights)] as Gateway;
-    callers.ask(gateway, cost, nowMs);
+    callers.ask(fleet, pickWeighted(random, load.weights), cost, nowMs);
   };
   forEachRequest(load, random, take, step);
   return callers.outcome();
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -56,6 +56,8 @@
   metrics: metricsModule.GatewayMetrics;
   clock: clocks.Clock;
   random: randoms.Random;
+  /** Differs from one start of this gateway to the next. */
+  incarnation: number;
   log: logEvents.GatewayLog;
   /** For parts of the runtime, whose lines are their own. */
   runtimeLog: logs.Logger;
