Leave credits to the requests that wait for the holder's answer

Cause: while a request waited for what it lacked, those that came after it spent the credits that lay at the gateway, which the holder had counted towards it. It was refused though nothing was scarce, and the gateway asked no more until its next exchange.

Change: credits that count towards what waits are not spent on others, which ask too.

Test failed before: "what a request that waits counts on is not spent on those that come after it": expected undecided, actual admitted.

--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -288,7 +288,8 @@
       account.lastMs = nowMs;
       if (isLate && isKnownScarce(organisation)) return refuse(account, limit, cost);
       if (!isHeard(nowMs)) return decideAlone(organisation, account, limit, cost, nowMs);
-      if (isCovered(account, 0, cost)) return spend(account, cost);
+      // What lies here counts towards what those that wait lack.
+      if (isCovered(account, -account.lacking, cost)) return spend(account, cost);
       if (account.isDenied) return refuse(account, limit, cost);
       account.lacking += cost;
       return { kind: 'undecided' };
--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -290,6 +290,27 @@
   assert.is(take(), 'undecided');
 });
 
+// Failure: a request waits for the holder's answer while small ones use up the credits that it counts on, and is refused.
+test('what a request that waits counts on is not spent on those that come after it', () => {
+  const credits = quotaCredits.createQuotaCredits(() => 23, randoms.createRandom(1));
+  const limit = { perSecond: 100, capacity: 100 };
+  const take = (cost: number) => credits.take('o1', limit, { cost, isLate: false }, 0).kind;
+  const grant = (granted: number) => {
+    const grants = [{ organisation: 'o1', granted, share: 1 / 23 }];
+    credits.heard({ term: 1, grants, scarce: [] }, 0);
+  };
+  take(50);
+  grant(30);
+  const before = credits.question('o1').uses[0]?.spent ?? 0;
+  assert.is(take(50), 'undecided');
+  assert.is(take(10), 'undecided');
+  assert.is(credits.question('o1').uses[0]?.lacking, 60);
+  grant(before + 50);
+  assert.is(credits.settle('o1', limit, 50, 'answered', 0).kind, 'admitted');
+  grant(before + 60);
+  assert.is(credits.settle('o1', limit, 10, 'answered', 0).kind, 'admitted');
+});
+
 // Failure: the holder does not answer, and each request waits for it in vain.
 test('a holder that leaves a question unanswered is not asked again until it is heard', () => {
   const credits = quotaCredits.createQuotaCredits(() => 1, randoms.createRandom(1));
