Leave an upstream alone that refuses orders for adapters; one adapter makes way for one

Cause, from the code, three faults in one loop: (1) an order for an adapter that was refused was sent three times 150 ms apart, and again by the plan each 100 ms and by each request that wanted one, however long the upstream refused; (2) a load for which the adapter that makes way was still in use sent away a second and a third one; (3) the pauses were part of the upstream's turn, so a change of models waited behind them.

Excluded: places given away twice (turns still keep looks and orders together; the tests of places hold).

Change: after two refusals in a row nothing is asked for adapters for 250 ms, then 500 ms and so on up to 2 s, and gateways are told (`blockedUntilMs`), as while a model is on its way. No more adapters are sent away than loads wait for. Each try is a turn of its own.

No existing check changed.

--- a/packages/gateway/src/server/placing/adapter-places.ts
+++ b/packages/gateway/src/server/placing/adapter-places.ts
@@ -12,6 +12,7 @@
   /** Its unload was taken, and is done once the requests that use it have ended. */
   leaves: (model: string, adapter: string) => void;
   isLeaving: (model: string, adapter: string) => boolean;
+  leavingCount: () => number;
   reported: (report: fleet.UpstreamReport) => void;
   /** Places taken by `held` and by all that is on its way in or out. */
   takenCount: (held: readonly HeldAdapter[]) => number;
@@ -50,6 +51,7 @@
       leaving.set(keyOf(model, adapter), clock.nowMs());
     },
     isLeaving: (model, adapter) => leaving.has(keyOf(model, adapter)),
+    leavingCount: () => leaving.size,
     reported: (report) => {
       coming = new Set(report.arrivingAdapters);
       const listed = new Set(
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -34,6 +34,8 @@
     /** and so many of the next reports get none. */
     missingReports: 0,
     adaptersMax: 4,
+    /** Orders for adapters are refused until then. */
+    refusesAdaptersUntilMs: 0,
     /** An adapter that requests use goes when they have ended. */
     adaptersInUse: false,
     /** Unloads wait for runs that last so long. */
@@ -134,7 +136,8 @@
         state.dropsOrders -= 1;
         return Promise.resolve(results.Err({ kind: 'no-answer', reason: 'silent' } as const));
       }
-      if (state.isBusy || context.expectedOrderCount !== state.orderCount) {
+      const isRefused = 'adapter' in order && clock.nowMs() < state.refusesAdaptersUntilMs;
+      if (isRefused || state.isBusy || context.expectedOrderCount !== state.orderCount) {
         state.refusedCount += 1;
         return Promise.resolve(results.Ok({ kind: 'conflict' } as const));
       }
@@ -377,6 +380,61 @@
   steward.stop();
 });
 
+// Failure: while the adapter that makes way is in use, a second and a third one are sent away for the same load, and
+// all who ask for them meet an upstream without them.
+test('one adapter makes way for one', async () => {
+  const { clock, upstream, create } = createRig(['a']);
+  const steward = create();
+  await clock.advance(500);
+  ['a1', 'a2', 'a3', 'a4'].forEach((adapter) => {
+    void steward.ensureAdapter('a', adapter, 4);
+  });
+  await clock.advance(1_000);
+  upstream.state.adaptersInUse = true;
+  void steward.ensureAdapter('a', 'a5', 4);
+  await clock.advance(1_000);
+  const unloads = upstream.orders.filter((order) => order.startsWith('unload-adapter'));
+  assert.equal(unloads, ['unload-adapter a/a1']);
+  steward.stop();
+});
+
+// Failure: an upstream that refuses orders for adapters for some seconds gets them all the time, from requests and from
+// the plan.
+test('an upstream that refuses orders for adapters is soon left alone, and asked again in time', async () => {
+  const { clock, upstream, create } = createRig(['a']);
+  const steward = create();
+  await clock.advance(500);
+  const startedMs = clock.nowMs();
+  upstream.state.refusesAdaptersUntilMs = startedMs + 2_000;
+  const ask = async (durationMs: number) => {
+    for (let askedMs = 0; askedMs < durationMs; askedMs += 100) {
+      ['a1', 'a2'].forEach((adapter) => void steward.ensureAdapter('a', adapter, 4));
+      await clock.advance(100);
+    }
+  };
+  await ask(1_000);
+  assert.ok((steward.placed()?.blockedUntilMs ?? 0) > clock.nowMs());
+  await ask(3_000);
+  assert.equal([...(upstream.held.get('a') ?? [])].sort(), ['a1', 'a2']);
+  assert.ok(upstream.state.refusedCount <= 6, `${upstream.state.refusedCount} refused`);
+  steward.stop();
+});
+
+// Failure: the wait between two orders for an adapter holds up the orders for models behind it.
+test('a change does not wait for an adapter that is tried again', async () => {
+  const { clock, upstream, create } = createRig(['a', 'b']);
+  const steward = create();
+  await clock.advance(500);
+  upstream.state.refusesAdaptersUntilMs = clock.nowMs() + 1_000;
+  void steward.ensureAdapter('a', 'a1', 4);
+  await clock.advance(10);
+  const startedMs = clock.nowMs();
+  steward.startChange(change('c', null));
+  await clock.advance(3_000);
+  assert.ok(upstream.state.loadBeganMs - startedMs < 50, `${upstream.state.loadBeganMs}`);
+  steward.stop();
+});
+
 // The store was away while adapters were loaded, and its list shows the upstream as it was before. Believed, it
 // shows places that are taken, and one more adapter crashes the upstream.
 test('a list from before the last orders frees no places', async () => {
--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -295,7 +295,9 @@
   /** Until when it takes no orders for adapters, as far as that can be told. */
   function blockedUntilMs(): number {
     if (isChanging) return arriving?.readyAtMs ?? 0;
-    return isForeignBusy ? clock.nowMs() + FOREIGN_PAUSE_MS : 0;
+    if (isForeignBusy) return clock.nowMs() + FOREIGN_PAUSE_MS;
+    const refusedUntilMs = adapterLoading.refusedUntilMs();
+    return refusedUntilMs > clock.nowMs() ? refusedUntilMs : 0;
   }
 
   function heldAdapters(): { model: string; adapter: string }[] {
