Plain calls go to the upstream that finishes them first

Cause: upstreams of plain services share their machines; for 600 ms at a time work takes 2.5 times as long there. The choice knew only the mean of the answers of each upstream, waits included, and calls were spread evenly.

Change: where upstreams tell of themselves a call is predicted to take the learnt time of its service (plain-times.ts, from answers that found a free slot) times slowness and moment factor, behind the larger of the calls that gateways know of and those that the upstream told of, the latter fading within 600 ms (plain-finish.ts). Gateways choose with a probability in proportion to 1 / cost², since 23 of them with the same old news sent to the same upstream with a tenth of noise. A call is never refused for what upstreams tell alone. Where none tells anything the choice is as before.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -18,6 +18,7 @@
 import * as placementViews from './shared/placing/placement-view.js';
 import * as listFeeds from './shared/list-feed.js';
 import * as pacesModule from './shared/paces.js';
+import * as plainTimesModule from './shared/plain-times.js';
 import * as promptCaches from './shared/prompt-caches.js';
 import * as retryShares from './shared/retry-share.js';
 import * as suspectsModule from './shared/suspects.js';
@@ -81,6 +82,7 @@
       .singleton(),
     inFlight: awilix.asFunction(inFlightModule.createInFlight).singleton(),
     paces: awilix.asFunction(pacesModule.createPaces).singleton(),
+    plainTimes: awilix.asFunction(plainTimesModule.createPlainTimes).singleton(),
     caches: awilix.asFunction(promptCaches.createPromptCaches).singleton(),
     quarantine: awilix.asFunction(quarantineModule.createQuarantine).singleton(),
     connections: awilix.asFunction(connectionsModule.createConnections).singleton(),
@@ -148,6 +150,8 @@
           inFlight: parts.inFlight,
           caches: parts.caches,
           paces: parts.paces,
+          plainTimes: parts.plainTimes,
+          states: parts.states,
           retryShare: parts.retryShare,
           quarantine: parts.quarantine,
           connections: parts.connections,
--- a/packages/gateway/src/server/forwarding/attempt-notes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.ts
@@ -2,12 +2,14 @@
 import type { clocks } from '@copperlever/runtime';
 
 import type * as pacesModule from '../../shared/paces.js';
+import type * as plainTimesModule from '../../shared/plain-times.js';
 import type * as beliefsModule from '../../shared/upstream-beliefs.js';
 import type * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import * as paceReports from './pace-reports.js';
 
 export type AttemptNotesDeps = {
@@ -17,6 +19,8 @@
   beliefs: beliefsModule.UpstreamBeliefs;
   placement: placementTypes.Placement;
   paces: pacesModule.Paces;
+  plainTimes: plainTimesModule.PlainTimes;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
   needsModel: (call: calls.Call) => boolean;
 };
 
@@ -92,6 +96,16 @@
     reportPace(service, sample.model);
   }
 
+  /** What waited for a slot says nothing of the time that the call itself took. */
+  function notePlainTime({ call, upstreamId, choice }: EndedAttempt, firstPieceMs: number): void {
+    if (choice.isQueued || deps.needsModel(call)) return;
+    const nowMs = clock.nowMs();
+    const { momentFactor } = deps.states.state(upstreamId, nowMs);
+    const usual = deps.plainTimes.time(call.service);
+    if (usual !== null) deps.states.answered(upstreamId, usual.usualMs, firstPieceMs, nowMs);
+    deps.plainTimes.answered(call.service, firstPieceMs, momentFactor);
+  }
+
   /**
    * Failure: under overload the answers that take longest are those whose callers leave before. Symptom: what is
    * learnt from answers alone is too short, and more are let in to wait in vain. An upstream that answered others
@@ -116,6 +130,7 @@
     const { predictedMs } = choice;
     noteBelief(upstreamId, { kind: 'good', firstPieceMs, predictedMs }, clock.nowMs());
     notePace(attempt, firstPieceMs);
+    notePlainTime(attempt, firstPieceMs);
     lastGoodMs.set(upstreamId, clock.nowMs());
     for (const [id, atMs] of lastGoodMs) {
       if (clock.nowMs() - atMs > GOOD_KEPT_MS) lastGoodMs.delete(id);
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -3,6 +3,7 @@
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
+import type * as plainTimes from '../../shared/plain-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import * as queueLimits from '../../shared/queue-limits.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
@@ -15,6 +16,7 @@
 import type * as logEvents from '../../types/log-events.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import * as runs from './run.js';
 
 export type RouterDeps = {
@@ -25,6 +27,8 @@
   beliefs: beliefsModule.UpstreamBeliefs;
   inFlight: inFlightModule.InFlight;
   paces: pacesModule.Paces;
+  plainTimes: Pick<plainTimes.PlainTimes, 'time'>;
+  states: Pick<upstreamStates.UpstreamStates, 'state'>;
   caches: promptCaches.PromptCaches;
   placement: placementTypes.Placement;
   limits: limitsModule.Limits;
@@ -99,6 +103,7 @@
       readAheadMs: load.readMs,
       cachedTokens: deps.caches.cachedTokens(upstreamId, runs.cacheScope(call), promptParts),
       belief: beliefs.belief(upstreamId, clock.nowMs()),
+      state: deps.states.state(upstreamId, clock.nowMs()),
     };
   }
 
@@ -138,6 +143,7 @@
       kind: needsModel(call) ? 'model' : 'plain',
       promptTokens: call.facts.promptTokens,
       pace: deps.paces.pace(call.service, call.facts.model ?? ''),
+      plainTime: deps.plainTimes.time(call.service),
       localFailureDomain: deps.failureDomain,
       excludedIds: run.excludedIds,
       queueLimitMs: queueLimitMs(call, run),
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -5,6 +5,7 @@
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
+import type * as plainTimes from '../../shared/plain-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import type * as retryShares from '../../shared/retry-share.js';
 import * as modelWaits from '../../shared/model-waits.js';
@@ -18,6 +19,7 @@
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as answers from './answers.js';
@@ -38,6 +40,8 @@
   inFlight: inFlightModule.InFlight;
   caches: promptCaches.PromptCaches;
   paces: pacesModule.Paces;
+  plainTimes: plainTimes.PlainTimes;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
   retryShare: retryShares.RetryShare;
   quarantine: quarantine.Quarantine;
   connections: connectionsModule.Connections;
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -5,11 +5,15 @@
 import type * as paces from './paces.js';
 import * as beliefsModule from './upstream-beliefs.js';
 import * as upstreamChoice from './upstream-choice.js';
+import * as upstreamStates from './upstream-states.js';
 
 const test = suite('upstream choice');
 
 const FRESH = beliefsModule.createUpstreamBeliefs().belief('nobody', 0);
 
+/** An upstream that has told nothing of itself. */
+const SILENT = upstreamStates.createUpstreamStates().state('nobody', 0);
+
 const READ_MS_PER_TOKEN = 1 / 18;
 
 /** Engines that read 18 tokens in a millisecond. */
@@ -39,6 +43,7 @@
     readAheadMs: 0,
     cachedTokens: 0,
     belief: FRESH,
+    state: SILENT,
     copy: 'ready',
     blockedForMs: 0,
     closed: null,
@@ -55,6 +60,7 @@
     kind: 'model',
     promptTokens: 1_500,
     pace: PACE,
+    plainTime: null,
     localFailureDomain: 'north',
     excludedIds: new Set(),
     queueLimitMs: 1_600,
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -5,7 +5,10 @@
  * prompts beside an idle upstream, and one that is held until its caller leaves.
  */
 import type * as placementTypes from '../types/placement.js';
+import type * as upstreamStates from '../types/upstream-states.js';
 import * as paces from './paces.js';
+import * as plainFinish from './plain-finish.js';
+import type * as plainTimes from './plain-times.js';
 import * as beliefs from './upstream-beliefs.js';
 
 export type Candidate = {
@@ -23,6 +26,8 @@
   /** Tokens of this request's prompt that are probably cached there. */
   cachedTokens: number;
   belief: beliefs.Belief;
+  /** What it tells of its speed and its load. */
+  state: upstreamStates.UpstreamState;
   copy: placementTypes.CopyState;
   /** For how long a `blocked` copy stays so. */
   blockedForMs: number;
@@ -47,6 +52,8 @@
   promptTokens: number;
   /** What engines have shown to take for its model. */
   pace: paces.Pace;
+  /** What calls of its service have shown to take at an upstream of usual speed; null before the first answer. */
+  plainTime: plainTimes.PlainTime | null;
   localFailureDomain: string;
   excludedIds: ReadonlySet<string>;
   /** The longest predicted time to the first piece with which it may join a queue. */
@@ -59,6 +66,8 @@
       upstreamId: string;
       predictedMs: number;
       needsAdapter: boolean;
+      /** It finds other requests waiting there. */
+      isQueued: boolean;
       /** What the prediction was made from. */
       work: paces.Work;
       /** Better ones that are closed. */
@@ -98,6 +107,32 @@
   return known[Math.floor(known.length / 2)] ?? PLAIN_CALL_MS;
 }
 
+/** What plain calls are compared by. */
+type PlainBasis = {
+  /** Assumed of an upstream that has answered none yet. */
+  usualMs: number;
+  /** Null where no upstream tells of itself: then only what their answers took counts. */
+  time: plainTimes.PlainTime | null;
+};
+
+function plainBasis(request: ChoiceRequest, candidates: readonly Candidate[]): PlainBasis {
+  const isTold = candidates.some(({ state }) => plainFinish.isTelling(state));
+  const time = isTold ? request.plainTime : null;
+  return { usualMs: time?.meanMs ?? usualCallMs(candidates), time };
+}
+
+/** Once the call has a slot; where the upstream tells nothing, with the waits that its earlier answers had. */
+function plainCallMs({ usualMs, time }: PlainBasis, candidate: Candidate): number {
+  if (time === null || !plainFinish.isTelling(candidate.state)) {
+    return candidate.belief.firstPieceMs ?? usualMs;
+  }
+  return plainFinish.callMs(time.meanMs, candidate);
+}
+
+function plainCount({ time }: PlainBasis, candidate: Candidate): number {
+  return time === null ? candidate.inFlightCount : plainFinish.callsThere(candidate);
+}
+
 function workAt(request: ChoiceRequest, candidate: Candidate): paces.Work {
   const { readAheadMs, inFlightCount, urgentCount } = candidate;
   const slots = Math.max(1, candidate.slots);
@@ -110,36 +145,50 @@
   };
 }
 
-function predictMs(request: ChoiceRequest, candidate: Candidate, usualMs: number): number {
+function predictMs(request: ChoiceRequest, candidate: Candidate, basis: PlainBasis): number {
   switch (request.kind) {
     case 'model':
       return paces.firstPieceMs(request.pace, workAt(request, candidate));
     case 'plain': {
-      const callMs = candidate.belief.firstPieceMs ?? usualMs;
-      const ahead = Math.max(0, candidate.inFlightCount + 1 - candidate.slots);
+      const callMs = plainCallMs(basis, candidate);
+      const ahead = Math.max(0, plainCount(basis, candidate) + 1 - candidate.slots);
       return callMs * (1 + ahead / Math.max(1, candidate.slots));
     }
   }
 }
 
+/**
+ * What an upstream tells never leads to a refusal by itself: of the predictions with and without it, the shorter one
+ * counts. One that always tells absurd figures would otherwise have every call refused.
+ */
+function refusalMs(request: ChoiceRequest, candidate: Candidate, basis: PlainBasis): number {
+  const predictedMs = predictMs(request, candidate, basis);
+  if (request.kind === 'model' || basis.time === null) return predictedMs;
+  const untold = predictMs(request, candidate, { usualMs: basis.usualMs, time: null });
+  return Math.min(predictedMs, untold);
+}
+
 function costMs(
   request: ChoiceRequest,
   candidate: Candidate,
-  usualMs: number,
+  basis: PlainBasis,
   fraction: number,
 ): number {
   const { belief } = candidate;
   const isNear = candidate.failureDomain === request.localFailureDomain;
-  const occupancy = candidate.inFlightCount / Math.max(1, candidate.slots);
-  return (
-    predictMs(request, candidate, usualMs) * (1 + NOISE_SHARE * fraction) +
-    (request.kind === 'plain' ? occupancy * (belief.firstPieceMs ?? usualMs) : 0) +
+  const occupancy = plainCount(basis, candidate) / Math.max(1, candidate.slots);
+  const predictedMs = predictMs(request, candidate, basis);
+  const otherMs =
+    (request.kind === 'plain' ? occupancy * plainCallMs(basis, candidate) : 0) +
     belief.excessMs +
     belief.failureShare * FAILURE_MS +
     (candidate.copy === 'no-adapter' ? ADAPTER_MS : 0) +
     (candidate.isLimited ? PERMIT_MS : 0) +
-    (isNear ? 0 : FAR_MS)
-  );
+    (isNear ? 0 : FAR_MS);
+  if (request.kind === 'plain' && basis.time !== null) {
+    return plainFinish.spreadMs(predictedMs + otherMs, fraction);
+  }
+  return predictedMs * (1 + NOISE_SHARE * fraction) + otherMs;
 }
 
 /** An upstream that broke twice gets one request at a time until it has answered one. */
@@ -149,8 +198,10 @@
   return !beliefs.isAvoided(belief) || candidate.ownInFlightCount === 0;
 }
 
-function hasQueue({ readAheadMs, inFlightCount, slots }: Candidate): boolean {
-  return readAheadMs > 0 || inFlightCount >= slots;
+function hasQueue(request: ChoiceRequest, candidate: Candidate, basis: PlainBasis): boolean {
+  const { readAheadMs, inFlightCount, slots } = candidate;
+  const count = request.kind === 'plain' ? plainCount(basis, candidate) : inFlightCount;
+  return readAheadMs > 0 || count >= slots;
 }
 
 function preferUsable(candidates: readonly Candidate[], nowMs: number): readonly Candidate[] {
@@ -191,16 +242,17 @@
   if (allowed.length === 0) return { kind: 'no-upstream' };
   const taking = allowed.filter(({ closed }) => closed === null);
   if (taking.length === 0) return allClosed(allowed);
-  const usualMs = usualCallMs(candidates);
+  const basis = plainBasis(request, candidates);
   const rank = (some: readonly Candidate[]) =>
     some
-      .map((candidate) => ({ candidate, cost: costMs(request, candidate, usualMs, random()) }))
+      .map((candidate) => ({ candidate, cost: costMs(request, candidate, basis, random()) }))
       .sort((a, b) => a.cost - b.cost);
   const [first] = rank(preferUsable(taking, nowMs));
   const { candidate: best, cost } = first as Ranked;
-  const predictedMs = predictMs(request, best, usualMs);
+  const predictedMs = predictMs(request, best, basis);
   // What waits for nobody is sent however long it takes: a refusal could not make it any quicker.
-  if (hasQueue(best) && predictedMs > request.queueLimitMs) {
+  const isQueued = hasQueue(request, best, basis);
+  if (isQueued && refusalMs(request, best, basis) > request.queueLimitMs) {
     return { kind: 'overloaded', predictedMs };
   }
   const needsAdapter = best.copy === 'no-adapter';
@@ -212,5 +264,5 @@
     .filter((other) => other.cost < cost)
     .map(({ candidate }) => candidate.upstreamId);
   const work = workAt(request, best);
-  return { kind: 'send', upstreamId, predictedMs, needsAdapter, work, passedOverIds };
+  return { kind: 'send', upstreamId, predictedMs, needsAdapter, isQueued, work, passedOverIds };
 }
--- /dev/null
+++ b/packages/gateway/src/testing/plain-fleet.ts
@@ -0,0 +1,375 @@
+/** Gateways before a few small upstreams of short calls, on a virtual clock: what becomes of each call. */
+import type { clocks, randoms } from '@copperlever/runtime';
+import { clocks as clocksModule } from '@copperlever/runtime';
+import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
+
+import * as inFlightModule from '../shared/in-flight.js';
+import * as paces from '../shared/paces.js';
+import * as plainTimesModule from '../shared/plain-times.js';
+import * as queueLimits from '../shared/queue-limits.js';
+import * as retryShares from '../shared/retry-share.js';
+import * as runVerdicts from '../shared/run-verdicts.js';
+import * as beliefsModule from '../shared/upstream-beliefs.js';
+import * as upstreamChoice from '../shared/upstream-choice.js';
+import * as statesModule from '../shared/upstream-states.js';
+import * as plainUpstreams from './plain-upstream.js';
+
+export type PlainWay = 'as-before' | 'by-finish';
+
+export type PlainFleetLoad = {
+  way: PlainWay;
+  gatewayCount: number;
+  upstreamCount: number;
+  slots: number;
+  queuePlaces: number;
+  perSecond: number;
+  lengthMs: number;
+  /** Beside the words in its own answers, each gateway has words of all upstreams of an age up to this; null: none. */
+  wordAgeMs: number | null;
+  /** The age of what is known of the other gateways' calls. */
+  newsAgeMs: { least: number; most: number };
+  slownesses: readonly number[];
+  disturbedShare: number;
+};
+
+export const TARGET_LOAD: PlainFleetLoad = {
+  way: 'as-before',
+  gatewayCount: 23,
+  upstreamCount: 3,
+  slots: 6,
+  queuePlaces: 24,
+  perSecond: 84,
+  lengthMs: 65_000,
+  wordAgeMs: null,
+  newsAgeMs: { least: 250, most: 500 },
+  slownesses: [1, 1, 1],
+  disturbedShare: 0.15,
+};
+
+export type PlainOutcome = {
+  asked: number;
+  inTime: number;
+  late: number;
+  /** Given up by the caller, or failed. */
+  lost: number;
+  /** Callers that were told to come back in the end. */
+  refused: number;
+  /** Rejections by full upstreams. */
+  rejected: number;
+  /** Sends beyond a call's first. */
+  sentAgain: number;
+  /** Refusals told, of which some callers came back. */
+  toldBack: number;
+  latenciesMs: number[];
+  /** Calls that each upstream served. */
+  served: number[];
+};
+
+type Gateway = {
+  id: string;
+  inFlight: inFlightModule.InFlight;
+  beliefs: beliefsModule.UpstreamBeliefs;
+  states: ReturnType<typeof statesModule.createUpstreamStates>;
+  plainTimes: plainTimesModule.PlainTimes;
+  retryShare: retryShares.RetryShare;
+};
+
+type FleetCall = {
+  arrivedAtMs: number;
+  deadlineMs: number;
+  elapsedBeforeMs: number;
+  workMs: number;
+  priority: number;
+  fails: boolean;
+};
+
+type Ending = { kind: 'answered' | 'gone' | 'failed' } | { kind: 'refused'; retryAfterMs: number };
+
+const SERVICE = 's';
+const MEAN_WORK_MS = 60;
+const SPREAD = 0.5;
+const TAIL_SHARE = 0.01;
+const TAIL_FACTOR = 5;
+const SPELL_MS = 600;
+const DISTURBED_FACTOR = 2.5;
+const WAVE_FACTOR = 1.55;
+const WAVE_MS = 13_000;
+export const OBJECTIVE_MS = 300;
+const PATIENCE_MS = 3_000;
+/** One in so many calls is of the class of which some fail, */
+const FAILING_CLASS = 3;
+/** and one in so many of these fails and may be sent once more. */
+const FAILS_ONE_IN = 7;
+const NETWORK_MS = 1;
+const NEWS_MS = 250;
+const MAX_ATTEMPTS = 2;
+const MS_PER_SECOND = 1_000;
+const NO_ROOM_RETRY_MS = 500;
+/** Figures begin when the gateways have learnt something. */
+const WARM_UP_MS = 5_000;
+const PRIORITIES = 2;
+
+function gaussian(random: randoms.Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.fraction()));
+  return radius * Math.cos(2 * Math.PI * random.fraction());
+}
+
+function drawWorkMs(random: randoms.Random): number {
+  const ms = MEAN_WORK_MS * Math.exp(SPREAD * gaussian(random) - SPREAD ** 2 / 2);
+  return random.fraction() < TAIL_SHARE ? ms * TAIL_FACTOR : ms;
+}
+
+export async function playPlainFleet(
+  load: PlainFleetLoad,
+  random: randoms.Random,
+): Promise<PlainOutcome> {
+  const clock = fakeClocks.createFakeClock();
+  const outcome: PlainOutcome = {
+    asked: 0,
+    inTime: 0,
+    late: 0,
+    lost: 0,
+    refused: 0,
+    rejected: 0,
+    sentAgain: 0,
+    toldBack: 0,
+    latenciesMs: [],
+    served: Array.from({ length: load.upstreamCount }, () => 0),
+  };
+  const upstreams = Array.from({ length: load.upstreamCount }, (_unused, index) =>
+    plainUpstreams.createPlainUpstream(clock, {
+      slots: load.slots,
+      queuePlaces: load.queuePlaces,
+      slowness: load.slownesses[index] ?? 1,
+      spellMs: SPELL_MS,
+      spellFactorAt: plainUpstreams.drawSpells(random, {
+        share: load.disturbedShare,
+        factor: DISTURBED_FACTOR,
+        spellMs: SPELL_MS,
+        lengthMs: load.lengthMs,
+      }),
+    }),
+  );
+  const ids = upstreams.map((_unused, index) => `u${index}`);
+  const gateways = Array.from({ length: load.gatewayCount }, (_unused, index): Gateway => ({
+    id: `g${index}`,
+    inFlight: inFlightModule.createInFlight(),
+    beliefs: beliefsModule.createUpstreamBeliefs(),
+    states: statesModule.createUpstreamStates(),
+    plainTimes: plainTimesModule.createPlainTimes(),
+    retryShare: retryShares.createRetryShare({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
+  }));
+  const tells = load.way !== 'as-before';
+
+  function candidatesOf(gateway: Gateway, priority: number): upstreamChoice.Candidate[] {
+    const nowMs = clock.nowMs();
+    return ids.map((upstreamId) => {
+      const ahead = gateway.inFlight.ahead(upstreamId, priority, nowMs, () => 0);
+      return {
+        upstreamId,
+        failureDomain: 'd',
+        slots: load.slots,
+        copy: 'ready',
+        blockedForMs: 0,
+        closed: null,
+        isLimited: false,
+        inFlightCount: ahead.inFlightCount,
+        ownInFlightCount: gateway.inFlight.ownCount(upstreamId),
+        urgentCount: ahead.urgentCount,
+        readAheadMs: 0,
+        cachedTokens: 0,
+        belief: gateway.beliefs.belief(upstreamId, nowMs),
+        state: gateway.states.state(upstreamId, nowMs),
+      };
+    });
+  }
+
+  function choose(gateway: Gateway, call: FleetCall, excludedIds: ReadonlySet<string>) {
+    const nowMs = clock.nowMs();
+    const request: upstreamChoice.ChoiceRequest = {
+      kind: 'plain',
+      promptTokens: 0,
+      pace: paces.createPaces().pace(SERVICE, ''),
+      plainTime: gateway.plainTimes.time(SERVICE),
+      localFailureDomain: 'd',
+      excludedIds,
+      queueLimitMs: queueLimits.queueLimitMs({
+        isStream: false,
+        latencyObjectiveMs: OBJECTIVE_MS,
+        pauseObjectiveMs: null,
+        leftMs: call.deadlineMs - nowMs,
+        waitedMs: nowMs - call.arrivedAtMs,
+        isLate: false,
+      }),
+    };
+    const candidates = candidatesOf(gateway, call.priority);
+    return upstreamChoice.chooseUpstream(request, candidates, nowMs, random.fraction);
+  }
+
+  function noteGood(
+    gateway: Gateway,
+    choice: Extract<upstreamChoice.Choice, { kind: 'send' }>,
+    tookMs: number,
+  ): void {
+    const nowMs = clock.nowMs();
+    const { upstreamId, predictedMs, isQueued } = choice;
+    const end = { kind: 'good' as const, firstPieceMs: tookMs, predictedMs };
+    gateway.beliefs.ended(upstreamId, end, nowMs);
+    if (isQueued || !tells) return;
+    const { momentFactor } = gateway.states.state(upstreamId, nowMs);
+    const usual = gateway.plainTimes.time(SERVICE);
+    if (usual !== null) gateway.states.answered(upstreamId, usual.usualMs, tookMs, nowMs);
+    gateway.plainTimes.answered(SERVICE, tookMs, momentFactor);
+  }
+
+  function tryAgain(gateway: Gateway): boolean {
+    if (!gateway.retryShare.tryTake(SERVICE, load.gatewayCount, clock.nowMs())) return false;
+    outcome.sentAgain += 1;
+    return true;
+  }
+
+  async function serve(gateway: Gateway, call: FleetCall): Promise<Ending> {
+    gateway.retryShare.noteRequest(SERVICE, clock.nowMs());
+    const excludedIds = new Set<string>();
+    let ranCount = 0;
+    let sentCount = 0;
+    let { fails } = call;
+    for (;;) {
+      if (clock.nowMs() >= call.deadlineMs) return { kind: 'gone' };
+      const choice = choose(gateway, call, excludedIds);
+      if (choice.kind !== 'send') {
+        if (ranCount > 0) return { kind: 'failed' };
+        const predictedMs = choice.kind === 'overloaded' ? choice.predictedMs : NO_ROOM_RETRY_MS;
+        return { kind: 'refused', retryAfterMs: predictedMs };
+      }
+      const index = ids.indexOf(choice.upstreamId);
+      const upstream = upstreams[index] as plainUpstreams.PlainUpstream;
+      excludedIds.add(choice.upstreamId);
+      const sentMs = clock.nowMs();
+      const started = gateway.inFlight.started({
+        upstreamId: choice.upstreamId,
+        model: '',
+        priority: call.priority,
+        promptTokens: 0,
+      });
+      await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+      const isServed = await upstream.serve(call.workMs, call.priority);
+      const word = upstream.word();
+      await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+      started.ended();
+      if (tells) gateway.states.told(choice.upstreamId, word, sentMs, clock.nowMs());
+      sentCount += 1;
+      if (isServed) {
+        ranCount += 1;
+        outcome.served[index] = (outcome.served[index] ?? 0) + 1;
+        if (!fails) {
+          noteGood(gateway, choice, clock.nowMs() - sentMs);
+          return { kind: 'answered' };
+        }
+        fails = false;
+        gateway.beliefs.ended(choice.upstreamId, { kind: 'failed' }, clock.nowMs());
+        if (ranCount >= MAX_ATTEMPTS || !tryAgain(gateway)) return { kind: 'failed' };
+      } else {
+        outcome.rejected += 1;
+        gateway.beliefs.ended(choice.upstreamId, { kind: 'rejected' }, clock.nowMs());
+        const verdict = runVerdicts.afterAttempt(
+          {
+            route: { kind: 'idempotent', isResumable: false, maxAttempts: MAX_ATTEMPTS },
+            ranCount,
+            sentCount,
+            hasBegun: false,
+            upstreamId: choice.upstreamId,
+          },
+          { kind: 'rejected', isMisdirected: false, retryAfterMs: null },
+        );
+        const isEnd = verdict.kind === 'end' || !tryAgain(gateway);
+        if (isEnd) {
+          const retryAfterMs = verdict.kind === 'end' ? 400 : NO_ROOM_RETRY_MS;
+          return ranCount > 0 ? { kind: 'failed' } : { kind: 'refused', retryAfterMs };
+        }
+      }
+    }
+  }
+
+  /** A caller comes back once, if it is not told to stay away for more than a third of the time that it has. */
+  async function ask(firstGateway: Gateway, call: FleetCall): Promise<void> {
+    let ending = await serve(firstGateway, call);
+    if (ending.kind === 'refused') {
+      outcome.toldBack += 1;
+      const leftMs = call.deadlineMs - clock.nowMs();
+      if (ending.retryAfterMs <= leftMs / 3) {
+        await clocksModule.sleepUntil(clock, clock.nowMs() + ending.retryAfterMs);
+        const gateway = gateways[random.below(gateways.length)] as Gateway;
+        const arrivedAtMs = clock.nowMs();
+        const elapsedBeforeMs = arrivedAtMs - call.arrivedAtMs;
+        ending = await serve(gateway, { ...call, arrivedAtMs, elapsedBeforeMs });
+      }
+    }
+    if (call.arrivedAtMs < WARM_UP_MS) return;
+    outcome.asked += 1;
+    const tookMs = clock.nowMs() - call.arrivedAtMs;
+    if (ending.kind === 'refused') outcome.refused += 1;
+    else if (ending.kind !== 'answered' || clock.nowMs() > call.deadlineMs) outcome.lost += 1;
+    else {
+      if (tookMs <= OBJECTIVE_MS) outcome.inTime += 1;
+      else outcome.late += 1;
+      outcome.latenciesMs.push(tookMs);
+    }
+  }
+
+  function tellLoads(): void {
+    const told = gateways.map(({ id, inFlight }) => ({ id, loads: [...inFlight.ownLoads()] }));
+    const { least, most } = load.newsAgeMs;
+    gateways.forEach((gateway) => {
+      const afterMs = least + random.fraction() * Math.max(0, most - least - NEWS_MS);
+      clock.schedule(clock.nowMs() + afterMs, () => {
+        told
+          .filter(({ id }) => id !== gateway.id)
+          .forEach(({ id, loads }) => gateway.inFlight.heard(id, loads, clock.nowMs()));
+      });
+    });
+  }
+
+  /** Words of an even age between nothing and `wordAgeMs`: told every so often, at once. */
+  function tellWords(): void {
+    if (!tells || load.wordAgeMs === null) return;
+    const words = upstreams.map((upstream) => upstream.word());
+    gateways.forEach((gateway) => {
+      ids.forEach((id, index) => {
+        const word = words[index];
+        const nowMs = clock.nowMs();
+        if (word !== undefined) gateway.states.told(id, word, nowMs, nowMs);
+      });
+    });
+  }
+
+  function every(periodMs: number, task: () => void): void {
+    task();
+    clock.schedule(clock.nowMs() + periodMs, () => every(periodMs, task));
+  }
+
+  function arrive(source: clocks.Clock): void {
+    const wave = 1 + (WAVE_FACTOR - 1) * Math.sin((2 * Math.PI * source.nowMs()) / WAVE_MS);
+    const gapMs = (-Math.log(1 - random.fraction()) * MS_PER_SECOND) / (load.perSecond * wave);
+    clock.schedule(clock.nowMs() + gapMs, () => {
+      if (clock.nowMs() < load.lengthMs) arrive(source);
+      const isFailingClass = random.below(FAILING_CLASS) === 0;
+      const gateway = gateways[random.below(gateways.length)] as Gateway;
+      const nowMs = clock.nowMs();
+      void ask(gateway, {
+        arrivedAtMs: nowMs,
+        deadlineMs: nowMs + PATIENCE_MS,
+        elapsedBeforeMs: 0,
+        workMs: drawWorkMs(random),
+        priority: random.below(PRIORITIES),
+        fails: isFailingClass && random.below(FAILS_ONE_IN) === 0,
+      });
+    });
+  }
+
+  every(NEWS_MS, tellLoads);
+  if (load.wordAgeMs !== null) every(Math.max(NETWORK_MS, load.wordAgeMs), tellWords);
+  arrive(clock);
+  await clock.advance(load.lengthMs + 2 * PATIENCE_MS);
+  return outcome;
+}
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -18,6 +18,7 @@
 import type * as placementViews from '../shared/placing/placement-view.js';
 import type * as listFeeds from '../shared/list-feed.js';
 import type * as pacesModule from '../shared/paces.js';
+import type * as plainTimes from '../shared/plain-times.js';
 import type * as promptCaches from '../shared/prompt-caches.js';
 import type * as retryShares from '../shared/retry-share.js';
 import type * as upstreamLimits from '../shared/upstream-limits.js';
@@ -65,6 +66,7 @@
   inFlight: inFlightModule.InFlight;
   caches: promptCaches.PromptCaches;
   paces: pacesModule.Paces;
+  plainTimes: plainTimes.PlainTimes;
   retryShare: retryShares.RetryShare;
   upstreamLimits: upstreamLimits.UpstreamLimits;
   limits: limitsModule.Limits;
