Plain calls wait in the gateway for a slot, and are refused at once when none is free in time

Cause: an upstream queues 24 calls beyond its 6 slots; there a call can be neither overtaken nor sent elsewhere, and in an overload all wait behind calls that are late already, or are rejected and sent again.

Change: a gate before plain upstreams (plain-gate.ts, plain-queue.ts). A gateway has a share of the calls at each upstream (twice its slots over the gateways, at least one) that it may use whatever it knows; beyond it a call goes only while the upstreams together are expected to have a free slot. Others wait in order of priority and latest start time, until an own call ends or every 10 ms a look at the news finds room. A call that cannot start in time is refused with the time until a slot. Bounded at 128 calls and 16 MB for each service. What an upstream takes at most is learnt from its rejections (plain-places.ts). Setting plainQueues: auto (where upstreams tell a moment factor), on, off.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -7,6 +7,7 @@
 import * as connectionsModule from './server/forwarding/connections.js';
 import * as loopLagModule from './server/forwarding/loop-lag.js';
 import * as openCallsModule from './server/forwarding/open-calls.js';
+import * as plainGates from './server/forwarding/plain-gate.js';
 import * as serving from './server/forwarding/serve.js';
 import * as upstreamWords from './server/forwarding/upstream-words.js';
 import * as measuredStores from './server/metrics/measured-store.js';
@@ -18,6 +19,7 @@
 import * as placementViews from './shared/placing/placement-view.js';
 import * as listFeeds from './shared/list-feed.js';
 import * as pacesModule from './shared/paces.js';
+import * as plainPlaces from './shared/plain-places.js';
 import * as plainTimesModule from './shared/plain-times.js';
 import * as promptCaches from './shared/prompt-caches.js';
 import * as retryShares from './shared/retry-share.js';
@@ -83,6 +85,12 @@
     inFlight: awilix.asFunction(inFlightModule.createInFlight).singleton(),
     paces: awilix.asFunction(pacesModule.createPaces).singleton(),
     plainTimes: awilix.asFunction(plainTimesModule.createPlainTimes).singleton(),
+    plainPlaces: awilix.asFunction(plainPlaces.createPlainPlaces).singleton(),
+    plainGate: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        plainGates.createPlainGate({ clock: parts.clock }),
+      )
+      .singleton(),
     caches: awilix.asFunction(promptCaches.createPromptCaches).singleton(),
     quarantine: awilix.asFunction(quarantineModule.createQuarantine).singleton(),
     connections: awilix.asFunction(connectionsModule.createConnections).singleton(),
@@ -151,6 +159,9 @@
           caches: parts.caches,
           paces: parts.paces,
           plainTimes: parts.plainTimes,
+          plainPlaces: parts.plainPlaces,
+          plainGate: parts.plainGate,
+          plainQueues: settings.plainQueues,
           states: parts.states,
           retryShare: parts.retryShare,
           quarantine: parts.quarantine,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -40,6 +40,7 @@
       leavingCount: leaving.length,
       limitedCount: parts.upstreamLimits.limitedIds().length,
       placementAgeMs: parts.view.ageMs(nowMs),
+      plainWaitingCount: parts.plainGate.waitingCount(),
       heldTerm: parts.lease.heldTerm(),
     };
   });
--- a/packages/gateway/src/server/forwarding/attempt-notes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.ts
@@ -2,6 +2,7 @@
 import type { clocks } from '@copperlever/runtime';
 
 import type * as pacesModule from '../../shared/paces.js';
+import type * as plainPlacesModule from '../../shared/plain-places.js';
 import type * as plainTimesModule from '../../shared/plain-times.js';
 import type * as beliefsModule from '../../shared/upstream-beliefs.js';
 import type * as upstreamChoice from '../../shared/upstream-choice.js';
@@ -20,6 +21,7 @@
   placement: placementTypes.Placement;
   paces: pacesModule.Paces;
   plainTimes: plainTimesModule.PlainTimes;
+  plainPlaces: Pick<plainPlacesModule.PlainPlaces, 'rejected'>;
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
   needsModel: (call: calls.Call) => boolean;
 };
@@ -55,6 +57,12 @@
     }
   }
 
+  function noteRejected(call: calls.Call, upstreamId: string, nowMs: number): void {
+    noteBelief(upstreamId, { kind: 'rejected' }, nowMs);
+    if (deps.needsModel(call)) return;
+    deps.plainPlaces.rejected(upstreamId, deps.states.state(upstreamId, nowMs).load, nowMs);
+  }
+
   function noteEnd(call: calls.Call, upstreamId: string, result: calls.AttemptResult): void {
     const nowMs = clock.nowMs();
     switch (result.kind) {
@@ -64,7 +72,7 @@
         break;
       case 'rejected':
         if (result.isMisdirected) noteMisdirected(call, upstreamId);
-        else noteBelief(upstreamId, { kind: 'rejected' }, nowMs);
+        else noteRejected(call, upstreamId, nowMs);
         break;
       case 'held-failure':
         noteBelief(upstreamId, { kind: 'failed' }, nowMs);
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -3,6 +3,8 @@
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
+import type * as plainPlaces from '../../shared/plain-places.js';
+import * as plainQueues from '../../shared/plain-queue.js';
 import type * as plainTimes from '../../shared/plain-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import * as queueLimits from '../../shared/queue-limits.js';
@@ -28,12 +30,14 @@
   inFlight: inFlightModule.InFlight;
   paces: pacesModule.Paces;
   plainTimes: Pick<plainTimes.PlainTimes, 'time'>;
+  plainPlaces: Pick<plainPlaces.PlainPlaces, 'places'>;
   states: Pick<upstreamStates.UpstreamStates, 'state'>;
   caches: promptCaches.PromptCaches;
   placement: placementTypes.Placement;
   limits: limitsModule.Limits;
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
   serviceOf: (name: string) => fleet.Service | null;
+  gatewayCount: () => number;
   failureDomain: string;
 };
 
@@ -45,7 +49,7 @@
   priorityOf: (call: calls.Call) => number;
   /** Its objective has passed. */
   isLate: (call: calls.Call) => boolean;
-  choose: (call: calls.Call, run: runs.Run) => upstreamChoice.Choice;
+  choose: (call: calls.Call, run: runs.Run, room?: upstreamChoice.Room) => upstreamChoice.Choice;
   overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
   /** Until an upstream takes requests again, or another copy is there. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
@@ -82,6 +86,7 @@
   function toCandidate(
     call: calls.Call,
     priority: number,
+    gatewayCount: number,
     record: fleet.UpstreamRecord,
   ): upstreamChoice.Candidate {
     const { model, adapter, promptParts } = call.facts;
@@ -104,6 +109,8 @@
       cachedTokens: deps.caches.cachedTokens(upstreamId, runs.cacheScope(call), promptParts),
       belief: beliefs.belief(upstreamId, clock.nowMs()),
       state: deps.states.state(upstreamId, clock.nowMs()),
+      places: deps.plainPlaces.places(upstreamId, clock.nowMs()),
+      ownShare: plainQueues.ownShare({ slots, gatewayCount }),
     };
   }
 
@@ -136,7 +143,11 @@
     });
   }
 
-  function choose(call: calls.Call, run: runs.Run): upstreamChoice.Choice {
+  function choose(
+    call: calls.Call,
+    run: runs.Run,
+    room: upstreamChoice.Room = 'any',
+  ): upstreamChoice.Choice {
     const nowMs = clock.nowMs();
     const records = directory.eligible(call.service, nowMs);
     const request: upstreamChoice.ChoiceRequest = {
@@ -144,12 +155,15 @@
       promptTokens: call.facts.promptTokens,
       pace: deps.paces.pace(call.service, call.facts.model ?? ''),
       plainTime: deps.plainTimes.time(call.service),
+      room,
       localFailureDomain: deps.failureDomain,
       excludedIds: run.excludedIds,
       queueLimitMs: queueLimitMs(call, run),
     };
     const priority = priorityOf(call);
-    const candidates = records.map((record) => toCandidate(call, priority, record));
+    // Only plain calls are chosen by it, and to count some hundred gateways for each request is dear.
+    const gatewayCount = request.kind === 'plain' ? deps.gatewayCount() : 1;
+    const candidates = records.map((record) => toCandidate(call, priority, gatewayCount, record));
     const choice = upstreamChoice.chooseUpstream(request, candidates, nowMs, deps.random.fraction);
     if ('passedOverIds' in choice) {
       choice.passedOverIds.forEach((upstreamId) => notePassedOver(call, upstreamId));
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -5,6 +5,7 @@
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
+import type * as plainPlaces from '../../shared/plain-places.js';
 import type * as plainTimes from '../../shared/plain-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import type * as retryShares from '../../shared/retry-share.js';
@@ -19,12 +20,15 @@
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as settingsModule from '../../types/settings.js';
 import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as answers from './answers.js';
 import * as attemptNotes from './attempt-notes.js';
 import * as attempts from './attempt.js';
+import type * as plainGates from './plain-gate.js';
+import * as plainPassages from './plain-passage.js';
 import * as routers from './router.js';
 import * as runs from './run.js';
 import type * as connectionsModule from './connections.js';
@@ -41,6 +45,9 @@
   caches: promptCaches.PromptCaches;
   paces: pacesModule.Paces;
   plainTimes: plainTimes.PlainTimes;
+  plainPlaces: plainPlaces.PlainPlaces;
+  plainGate: plainGates.PlainGate;
+  plainQueues: settingsModule.Settings['plainQueues'];
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
   retryShare: retryShares.RetryShare;
   quarantine: quarantine.Quarantine;
@@ -77,6 +84,12 @@
 
   const router = routers.createRouter(deps);
   const noteAttempt = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
+  const plain = plainPassages.createPlainPassage({
+    ...deps,
+    router,
+    gate: deps.plainGate,
+    setting: deps.plainQueues,
+  });
   let waitingCount = 0;
 
   function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
@@ -287,7 +300,29 @@
     run: runs.Run,
     sink: answers.AnswerSink,
   ): Promise<calls.Ending | null> {
-    const choice = router.choose(call, run);
+    const passing = plain.pass(call, run, sink);
+    if (passing === null) return proceed(call, run, sink, router.choose(call, run));
+    const passage = await passing;
+    switch (passage.kind) {
+      case 'caller-gone':
+        return passage;
+      case 'refused':
+        return preferHeld(run, sink, refuse(call, run, 'overloaded', passage.retryAfterMs));
+      case 'passed':
+        try {
+          return await proceed(call, run, sink, passage.choice);
+        } finally {
+          passage.ended();
+        }
+    }
+  }
+
+  async function proceed(
+    call: calls.Call,
+    run: runs.Run,
+    sink: answers.AnswerSink,
+    choice: upstreamChoice.Choice,
+  ): Promise<calls.Ending | null> {
     if (choice.kind !== 'send') {
       const ending = await afterNoChoice(call, run, choice);
       if (ending !== null) router.noteNotPlaced(call, run, choice, ending);
@@ -320,6 +355,8 @@
         return refuse(call, run, 'upstreams-closed', router.closedRetryMs(call, choice.forMs));
       case 'overloaded':
         return refuse(call, run, 'overloaded', router.overloadRetryMs(call, choice.predictedMs));
+      case 'no-room':
+        return refuse(call, run, 'overloaded', choice.freeInMs);
       case 'no-upstream':
         // Every upstream with the model has failed this request: it comes back elsewhere, or with a new one.
         if (router.needsModel(call) && !run.wasFull)
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -18,6 +18,7 @@
   limitedCount: 0,
   leavingCount: 0,
   placementAgeMs: 250,
+  plainWaitingCount: 0,
   heldTerm: null,
 };
 
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -23,15 +23,21 @@
   limitedCount: number;
   leavingCount: number;
   placementAgeMs: number;
+  /** Plain calls that wait in the gateway for a slot. */
+  plainWaitingCount: number;
   heldTerm: number | null;
 };
 
+export type PlainCallOutcome = 'passed' | 'held' | 'refused' | 'caller-gone';
+
 export type GatewayMetrics = {
   requestEnded: (of: RequestClass, ending: calls.Ending, tookMs: number) => void;
   /** Refused before it was taken up: no route, no key, or no quota left. */
   denied: (cause: DenialCause) => void;
   firstPiece: (of: RequestClass, sinceArrivalMs: number) => void;
   waited: (tookMs: number) => void;
+  /** A plain call passed the gate at once, was held first, or did not pass. */
+  plainCall: (outcome: PlainCallOutcome, waitedMs: number) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   retry: (isTaken: boolean) => void;
   storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
@@ -96,6 +102,15 @@
     LATENCY_BUCKETS_S,
   );
   const waitSeconds = histogram('wait_seconds', 'Waits for a model', [], LATENCY_BUCKETS_S);
+  const plainCalls = counter('plain_calls_total', 'Plain calls at the gate before upstreams', [
+    'outcome',
+  ]);
+  const plainWaitSeconds = histogram(
+    'plain_wait_seconds',
+    'Waits of plain calls for a slot',
+    [],
+    LATENCY_BUCKETS_S,
+  );
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
   const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
   const storeCalls = counter('store_calls_total', "Calls to the platform's store", [
@@ -140,6 +155,7 @@
     'Term of the lease held here; 0 when it is not',
     () => readings().heldTerm ?? 0,
   );
+  gauge('plain_waiting', 'Plain calls that wait for a slot', () => readings().plainWaitingCount);
   let lastUse = perfHooks.performance.eventLoopUtilization();
   gauge('event_loop_utilization', 'Share of time the event loop was busy since last asked', () => {
     const use = perfHooks.performance.eventLoopUtilization();
@@ -159,6 +175,10 @@
       firstPieceSeconds.observe(classLabels(of), sinceArrivalMs / MS_PER_SECOND);
     },
     waited: (tookMs) => waitSeconds.observe(tookMs / MS_PER_SECOND),
+    plainCall: (outcome, waitedMs) => {
+      plainCalls.inc({ outcome });
+      if (waitedMs > 0) plainWaitSeconds.observe(waitedMs / MS_PER_SECOND);
+    },
     attemptEnded: (result) => attempts.inc({ result }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
     storeCalled: (call, result) => storeCalls.inc({ call, result }),
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -28,6 +28,10 @@
   belief: beliefs.Belief;
   /** What it tells of its speed and its load. */
   state: upstreamStates.UpstreamState;
+  /** Calls that it takes, running and waiting, as far as its rejections have shown; null where it rejected none. */
+  places: number | null;
+  /** Calls that this gateway may have there whatever it knows of those of others. */
+  ownShare: number;
   copy: placementTypes.CopyState;
   /** For how long a `blocked` copy stays so. */
   blockedForMs: number;
@@ -47,6 +51,12 @@
   forMs: number;
 };
 
+/**
+ * `any`: wherever it is done first. `place`: where it is not expected to be rejected. `slot`: of these, where this
+ * gateway has not used up its share, and beyond it while the upstreams together are expected to have a free slot.
+ */
+export type Room = 'any' | 'place' | 'slot';
+
 export type ChoiceRequest = {
   kind: 'model' | 'plain';
   promptTokens: number;
@@ -54,6 +64,8 @@
   pace: paces.Pace;
   /** What calls of its service have shown to take at an upstream of usual speed; null before the first answer. */
   plainTime: plainTimes.PlainTime | null;
+  /** Which upstreams a plain call may go to. */
+  room: Room;
   localFailureDomain: string;
   excludedIds: ReadonlySet<string>;
   /** The longest predicted time to the first piece with which it may join a queue. */
@@ -77,6 +89,8 @@
   /** Copies are there, but the adapter can be loaded at none of them for now. */
   | { kind: 'adapter-blocked'; forMs: number }
   | { kind: 'overloaded'; predictedMs: number }
+  /** None has room of the kind that was asked for. `freeInMs`: until one is expected to have a slot. */
+  | { kind: 'no-room'; freeInMs: number }
   /** All that could run it are closed. */
   | ({ kind: 'closed'; passedOverIds: readonly string[] } & Closed)
   | { kind: 'no-upstream' };
@@ -212,6 +226,39 @@
   return candidates.filter(({ belief }) => belief.avoidUntilMs <= soonestMs);
 }
 
+function hasPlace(candidate: Candidate, basis: PlainBasis): boolean {
+  return candidate.places === null || plainCount(basis, candidate) < candidate.places;
+}
+
+/**
+ * Slots are counted over all upstreams, since what is known of each alone is older than a call takes: 23 gateways that
+ * send only where a slot looks free all send to the same upstream until the next news.
+ */
+function hasSlot(candidates: readonly Candidate[], basis: PlainBasis): boolean {
+  const sum = (of: (candidate: Candidate) => number) =>
+    candidates.reduce((total, candidate) => total + of(candidate), 0);
+  return sum((candidate) => plainCount(basis, candidate)) < sum(({ slots }) => slots);
+}
+
+function withRoom(
+  { kind, room }: ChoiceRequest,
+  candidates: readonly Candidate[],
+  basis: PlainBasis,
+): readonly Candidate[] {
+  if (kind === 'model' || room === 'any') return candidates;
+  const withPlace = candidates.filter((candidate) => hasPlace(candidate, basis));
+  if (room === 'place') return withPlace;
+  const within = withPlace.filter(({ ownInFlightCount, ownShare }) => ownInFlightCount < ownShare);
+  if (within.length > 0) return within;
+  return hasSlot(candidates, basis) ? withPlace : [];
+}
+
+function freeInMs(candidate: Candidate, basis: PlainBasis): number {
+  const slots = Math.max(1, candidate.slots);
+  const ahead = Math.max(0, plainCount(basis, candidate) + 1 - slots);
+  return (ahead * plainCallMs(basis, candidate)) / slots;
+}
+
 type Ranked = { candidate: Candidate; cost: number };
 
 /** The one that takes requests again first says when to come back. */
@@ -247,7 +294,13 @@
     some
       .map((candidate) => ({ candidate, cost: costMs(request, candidate, basis, random()) }))
       .sort((a, b) => a.cost - b.cost);
-  const [first] = rank(preferUsable(taking, nowMs));
+  const usable = preferUsable(taking, nowMs);
+  const roomy = withRoom(request, usable, basis);
+  if (roomy.length === 0) {
+    const soonestMs = Math.min(...usable.map((candidate) => freeInMs(candidate, basis)));
+    return { kind: 'no-room', freeInMs: soonestMs };
+  }
+  const [first] = rank(roomy);
   const { candidate: best, cost } = first as Ranked;
   const predictedMs = predictMs(request, best, basis);
   // What waits for nobody is sent however long it takes: a refusal could not make it any quicker.
--- a/packages/gateway/src/testing/plain-fleet.ts
+++ b/packages/gateway/src/testing/plain-fleet.ts
@@ -3,8 +3,11 @@
 import { clocks as clocksModule } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 
+import * as plainGates from '../server/forwarding/plain-gate.js';
 import * as inFlightModule from '../shared/in-flight.js';
 import * as paces from '../shared/paces.js';
+import * as plainPlaces from '../shared/plain-places.js';
+import * as plainQueues from '../shared/plain-queue.js';
 import * as plainTimesModule from '../shared/plain-times.js';
 import * as queueLimits from '../shared/queue-limits.js';
 import * as retryShares from '../shared/retry-share.js';
@@ -14,11 +17,13 @@
 import * as statesModule from '../shared/upstream-states.js';
 import * as plainUpstreams from './plain-upstream.js';
 
-export type PlainWay = 'as-before' | 'by-finish';
+export type PlainWay = 'as-before' | 'by-finish' | 'queue';
 
 export type PlainFleetLoad = {
   way: PlainWay;
   gatewayCount: number;
+  /** Gateways that callers reach; the others are idle. */
+  askedGatewayCount: number;
   upstreamCount: number;
   slots: number;
   queuePlaces: number;
@@ -35,6 +40,7 @@
 export const TARGET_LOAD: PlainFleetLoad = {
   way: 'as-before',
   gatewayCount: 23,
+  askedGatewayCount: 23,
   upstreamCount: 3,
   slots: 6,
   queuePlaces: 24,
@@ -72,6 +78,8 @@
   states: ReturnType<typeof statesModule.createUpstreamStates>;
   plainTimes: plainTimesModule.PlainTimes;
   retryShare: retryShares.RetryShare;
+  gate: plainGates.PlainGate;
+  places: plainPlaces.PlainPlaces;
 };
 
 type FleetCall = {
@@ -100,10 +108,13 @@
 const FAILING_CLASS = 3;
 /** and one in so many of these fails and may be sent once more. */
 const FAILS_ONE_IN = 7;
+/** As by `urgency.enginePriority`. */
+const LATE_STEPS = 2;
 const NETWORK_MS = 1;
 const NEWS_MS = 250;
 const MAX_ATTEMPTS = 2;
 const MS_PER_SECOND = 1_000;
+const LEAST_RETRY_MS = 100;
 const NO_ROOM_RETRY_MS = 500;
 /** Figures begin when the gateways have learnt something. */
 const WARM_UP_MS = 5_000;
@@ -158,6 +169,8 @@
     states: statesModule.createUpstreamStates(),
     plainTimes: plainTimesModule.createPlainTimes(),
     retryShare: retryShares.createRetryShare({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
+    gate: plainGates.createPlainGate({ clock }),
+    places: plainPlaces.createPlainPlaces(),
   }));
   const tells = load.way !== 'as-before';
 
@@ -180,17 +193,25 @@
         cachedTokens: 0,
         belief: gateway.beliefs.belief(upstreamId, nowMs),
         state: gateway.states.state(upstreamId, nowMs),
+        ownShare: plainQueues.ownShare({ slots: load.slots, gatewayCount: load.gatewayCount }),
+        places: load.way === 'queue' ? gateway.places.places(upstreamId, nowMs) : null,
       };
     });
   }
 
-  function choose(gateway: Gateway, call: FleetCall, excludedIds: ReadonlySet<string>) {
+  function choose(
+    gateway: Gateway,
+    call: FleetCall,
+    excludedIds: ReadonlySet<string>,
+    room: upstreamChoice.Room,
+  ) {
     const nowMs = clock.nowMs();
     const request: upstreamChoice.ChoiceRequest = {
       kind: 'plain',
       promptTokens: 0,
       pace: paces.createPaces().pace(SERVICE, ''),
       plainTime: gateway.plainTimes.time(SERVICE),
+      room,
       localFailureDomain: 'd',
       excludedIds,
       queueLimitMs: queueLimits.queueLimitMs({
@@ -206,6 +227,29 @@
     return upstreamChoice.chooseUpstream(request, candidates, nowMs, random.fraction);
   }
 
+  async function pass(
+    gateway: Gateway,
+    call: FleetCall,
+    excludedIds: ReadonlySet<string>,
+    hasRun: boolean,
+  ): Promise<plainGates.Passage> {
+    const time = gateway.plainTimes.time(SERVICE);
+    if (load.way !== 'queue' || time === null) {
+      const choice = choose(gateway, call, excludedIds, 'any');
+      return { kind: 'passed', choice, waitedMs: 0, ended: () => {} };
+    }
+    return gateway.gate.pass({
+      service: SERVICE,
+      priority: call.priority,
+      latestStartMs: call.arrivedAtMs - call.elapsedBeforeMs + OBJECTIVE_MS - time.meanMs,
+      bodyBytes: 0,
+      callMs: time.meanMs,
+      hasRun,
+      choose: (room) => choose(gateway, call, excludedIds, room),
+      isCallerGone: () => clock.nowMs() >= call.deadlineMs,
+    });
+  }
+
   function noteGood(
     gateway: Gateway,
     choice: Extract<upstreamChoice.Choice, { kind: 'send' }>,
@@ -236,7 +280,13 @@
     let { fails } = call;
     for (;;) {
       if (clock.nowMs() >= call.deadlineMs) return { kind: 'gone' };
-      const choice = choose(gateway, call, excludedIds);
+      const passage = await pass(gateway, call, excludedIds, ranCount > 0);
+      if (passage.kind === 'caller-gone') return { kind: 'gone' };
+      if (passage.kind === 'refused') {
+        if (ranCount > 0) return { kind: 'failed' };
+        return { kind: 'refused', retryAfterMs: Math.max(LEAST_RETRY_MS, passage.retryAfterMs) };
+      }
+      const { choice } = passage;
       if (choice.kind !== 'send') {
         if (ranCount > 0) return { kind: 'failed' };
         const predictedMs = choice.kind === 'overloaded' ? choice.predictedMs : NO_ROOM_RETRY_MS;
@@ -252,11 +302,14 @@
         priority: call.priority,
         promptTokens: 0,
       });
+      const isLate = clock.nowMs() - call.arrivedAtMs + call.elapsedBeforeMs > OBJECTIVE_MS;
+      const priority = call.priority + (isLate ? LATE_STEPS : 0);
       await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
-      const isServed = await upstream.serve(call.workMs, call.priority);
+      const isServed = await upstream.serve(call.workMs, priority);
       const word = upstream.word();
       await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
       started.ended();
+      passage.ended();
       if (tells) gateway.states.told(choice.upstreamId, word, sentMs, clock.nowMs());
       sentCount += 1;
       if (isServed) {
@@ -271,7 +324,10 @@
         if (ranCount >= MAX_ATTEMPTS || !tryAgain(gateway)) return { kind: 'failed' };
       } else {
         outcome.rejected += 1;
-        gateway.beliefs.ended(choice.upstreamId, { kind: 'rejected' }, clock.nowMs());
+        const nowMs = clock.nowMs();
+        gateway.beliefs.ended(choice.upstreamId, { kind: 'rejected' }, nowMs);
+        const { load: toldLoad } = gateway.states.state(choice.upstreamId, nowMs);
+        gateway.places.rejected(choice.upstreamId, toldLoad, nowMs);
         const verdict = runVerdicts.afterAttempt(
           {
             route: { kind: 'idempotent', isResumable: false, maxAttempts: MAX_ATTEMPTS },
@@ -299,7 +355,7 @@
       const leftMs = call.deadlineMs - clock.nowMs();
       if (ending.retryAfterMs <= leftMs / 3) {
         await clocksModule.sleepUntil(clock, clock.nowMs() + ending.retryAfterMs);
-        const gateway = gateways[random.below(gateways.length)] as Gateway;
+        const gateway = gateways[random.below(load.askedGatewayCount)] as Gateway;
         const arrivedAtMs = clock.nowMs();
         const elapsedBeforeMs = arrivedAtMs - call.arrivedAtMs;
         ending = await serve(gateway, { ...call, arrivedAtMs, elapsedBeforeMs });
@@ -354,7 +410,7 @@
     clock.schedule(clock.nowMs() + gapMs, () => {
       if (clock.nowMs() < load.lengthMs) arrive(source);
       const isFailingClass = random.below(FAILING_CLASS) === 0;
-      const gateway = gateways[random.below(gateways.length)] as Gateway;
+      const gateway = gateways[random.below(load.askedGatewayCount)] as Gateway;
       const nowMs = clock.nowMs();
       void ask(gateway, {
         arrivedAtMs: nowMs,
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -122,6 +122,19 @@
     expected: string;
     expectedInMs: number;
   };
+  /** It waited in the gateway for a slot, and then went to an upstream or lost its caller. */
+  'plain-call-held': { requestId: string; service: string; waitedMs: number; outcome: string };
+  /** No slot is free in time; what is known of the gateway's own calls and of the other gateways. */
+  'plain-call-refused': {
+    requestId: string;
+    service: string;
+    waitedMs: number;
+    retryAfterMs: number;
+    /** Calls that wait in this gateway, and its calls at upstreams. */
+    waitingCount: number;
+    ownCount: number;
+    gatewayCount: number;
+  };
   /** What answers have shown of a model's engine; written when it has changed by a quarter. */
   'pace-learnt': {
     service: string;
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -37,6 +37,11 @@
   loadOverage: positive,
   /** By how much all gateways together may exceed an organisation's quota, in its unit. */
   quotaSlack: zod.number().nonnegative().default(0),
+  /**
+   * Whether plain calls wait in the gateway for a slot rather than in the queues of upstreams. `auto`: where upstreams
+   * tell how long work takes at the moment.
+   */
+  plainQueues: zod.enum(['auto', 'on', 'off']).default('auto'),
 });
 
 export type Settings = zod.infer<typeof settingsSchema>;
