Batch work is held in its gateway while more urgent work needs its model's upstreams

Cause: batch requests (objective of 5 s or more) are sent as they come. At the peak of a wave they occupy slots and prefill beside urgent streams that are refused, and those that come during the peak are refused although they could wait until it has passed.

Change: a batch request for a model waits in its gateway (shared/batch-holding.ts decides, held-requests.ts waits) until upstreams with its model have room by what in-flight.ts knows of all gateways: free slots beyond a reserve and few prompts to prefill. Gateways divide the room that all of them see. Order: earliest latest start first. A caller that leaves frees its place; a gateway that stops releases all. Nothing is held where no more urgent request is at the model's upstreams. Setting batchHolding: auto (on where the configuration has organisations), on, off.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -27,7 +27,7 @@
 import * as upstreamLimits from './shared/upstream-limits.js';
 import * as directories from './shared/upstream-directory.js';
 import type * as logEvents from './types/log-events.js';
-import type * as settingsModule from './types/settings.js';
+import * as settingsModule from './types/settings.js';
 import * as controlParts from './control-parts.js';
 import type * as partTypes from './types/parts.js';
 
@@ -159,6 +159,11 @@
           serviceOf: parts.configuration.serviceOf,
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
           failureDomain: settings.failureDomain,
+          holdsBatch: () =>
+            settingsModule.isSwitchedOn(
+              settings.batchHolding,
+              (parts.configuration.current()?.config.organisations ?? null) !== null,
+            ),
           isStopping: status.isStopping,
         }),
       )
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -4,6 +4,7 @@
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
+import * as batchHolding from '../../shared/batch-holding.js';
 import * as queueLimits from '../../shared/queue-limits.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
@@ -42,6 +43,10 @@
   /** Its objective has passed. */
   isLate: (call: calls.Call) => boolean;
   choose: (call: calls.Call, run: runs.Run) => upstreamChoice.Choice;
+  /** The upstreams that could run a batch request, and what they have before it. */
+  places: (call: calls.Call, run: runs.Run) => readonly batchHolding.Place[];
+  /** Time to what its objective is measured by, from the predicted time to its first piece. */
+  answerMs: (call: calls.Call, predictedMs: number) => number;
   overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
   /** Until an upstream takes requests again, or another copy is there. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
@@ -52,6 +57,7 @@
 
 /** Another gateway, which callers meet when they come back, may still be let in. */
 const CLOSED_RETRY_MAX_MS = 5_000;
+const LEAST_URGENT = 9;
 
 function roundedOrNone(value: number | undefined): number | undefined {
   return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
@@ -102,9 +108,13 @@
     };
   }
 
-  function isLate(call: calls.Call): boolean {
+  function objectiveLeftMs(call: calls.Call): number {
     const elapsedMs = call.elapsedBeforeMs + clock.nowMs() - call.arrivedAtMs;
-    return elapsedMs > call.route.latencyObjectiveMs;
+    return call.route.latencyObjectiveMs - elapsedMs;
+  }
+
+  function isLate(call: calls.Call): boolean {
+    return objectiveLeftMs(call) < 0;
   }
 
   function priorityOf(call: calls.Call): number {
@@ -124,11 +134,49 @@
   function queueLimitMs(call: calls.Call, run: runs.Run): number {
     // What its caller has a part of already is finished.
     if (run.hasBegun) return call.deadlineMs - clock.nowMs();
-    return queueLimits.queueLimitMs({
+    const limitMs = queueLimits.queueLimitMs({
       ...patienceOf(call),
       isStream: call.route.kind === 'stream',
       isLate: isLate(call),
     });
+    // The time that it was held is time that it no longer has to queue.
+    return run.heldSinceMs === null || isLate(call)
+      ? limitMs
+      : Math.min(limitMs, objectiveLeftMs(call));
+  }
+
+  function places(call: calls.Call, run: runs.Run): readonly batchHolding.Place[] {
+    const nowMs = clock.nowMs();
+    const { model, adapter } = call.facts;
+    if (model === null) return [];
+    const priority = priorityOf(call);
+    const toReadMs = readMs(call.service);
+    return directory.eligible(call.service, nowMs).flatMap((record) => {
+      const { upstreamId, slots } = record;
+      const copy = placement.copyAt(record, model, adapter);
+      const isOpen = (copy === 'ready' || copy === 'no-adapter') && closedOf(upstreamId) === null;
+      const isAvoided = beliefsModule.isAvoided(beliefs.belief(upstreamId, nowMs));
+      if (!isOpen || isAvoided || run.excludedIds.has(upstreamId)) return [];
+      const all = inFlight.ahead(upstreamId, LEAST_URGENT, nowMs, toReadMs);
+      const moreUrgent = inFlight.ahead(upstreamId, priority - 1, nowMs, toReadMs);
+      const ownTokens =
+        call.facts.promptTokens -
+        deps.caches.cachedTokens(upstreamId, runs.cacheScope(call), call.facts.promptParts);
+      return [
+        {
+          slots,
+          inFlightCount: all.inFlightCount,
+          moreUrgentCount: moreUrgent.urgentCount,
+          unreadMs: all.readMs,
+          ownReadMs: toReadMs(model, Math.max(0, ownTokens)),
+        },
+      ];
+    });
+  }
+
+  function answerMs(call: calls.Call, predictedMs: number): number {
+    if (call.route.kind === 'stream') return predictedMs;
+    return predictedMs + deps.paces.pace(call.service, call.facts.model ?? '').holdMs;
   }
 
   function choose(call: calls.Call, run: runs.Run): upstreamChoice.Choice {
@@ -226,6 +274,8 @@
     priorityOf,
     isLate,
     choose,
+    places,
+    answerMs,
     overloadRetryMs,
     closedRetryMs,
     noteDemand,
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -16,6 +16,9 @@
   adapterAsks: number;
   /** For its model. */
   hasWaited: boolean;
+  /** When it was first held as batch work, and by when it has to be sent; null where it never was. */
+  heldSinceMs: number | null;
+  latestStartMs: number | null;
 };
 
 export function createRun(): Run {
@@ -30,6 +33,8 @@
     resumeAfterId: null,
     adapterAsks: 0,
     hasWaited: false,
+    heldSinceMs: null,
+    latestStartMs: null,
   };
 }
 
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -23,6 +23,7 @@
 import type * as answers from './answers.js';
 import * as attemptNotes from './attempt-notes.js';
 import * as attempts from './attempt.js';
+import * as heldRequests from './held-requests.js';
 import * as routers from './router.js';
 import * as runs from './run.js';
 import type * as connectionsModule from './connections.js';
@@ -49,6 +50,8 @@
   serviceOf: (name: string) => fleet.Service | null;
   gatewayCount: () => number;
   isStopping: () => boolean;
+  /** Whether batch work is held while more urgent work needs its model's upstreams. */
+  holdsBatch: () => boolean;
   failureDomain: string;
 };
 
@@ -73,6 +76,7 @@
 
   const router = routers.createRouter(deps);
   const noteAttempt = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
+  const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
   let waitingCount = 0;
 
   function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
@@ -284,6 +288,7 @@
     sink: answers.AnswerSink,
   ): Promise<calls.Ending | null> {
     const choice = router.choose(call, run);
+    if (await held.hold(call, run, sink, choice)) return null;
     if (choice.kind !== 'send') {
       const ending = await afterNoChoice(call, run, choice);
       if (ending !== null) router.noteNotPlaced(call, run, choice, ending);
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -32,6 +32,8 @@
   denied: (cause: DenialCause) => void;
   firstPiece: (of: RequestClass, sinceArrivalMs: number) => void;
   waited: (tookMs: number) => void;
+  /** Batch work was held, and why that ended; `full`: there was no memory left to hold it. */
+  held: (cause: string, tookMs: number) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   retry: (isTaken: boolean) => void;
   storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
@@ -96,6 +98,12 @@
     LATENCY_BUCKETS_S,
   );
   const waitSeconds = histogram('wait_seconds', 'Waits for a model', [], LATENCY_BUCKETS_S);
+  const heldSeconds = histogram(
+    'held_seconds',
+    'Batch requests held while more urgent work needed their upstreams',
+    ['cause'],
+    LATENCY_BUCKETS_S,
+  );
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
   const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
   const storeCalls = counter('store_calls_total', "Calls to the platform's store", [
@@ -159,6 +167,7 @@
       firstPieceSeconds.observe(classLabels(of), sinceArrivalMs / MS_PER_SECOND);
     },
     waited: (tookMs) => waitSeconds.observe(tookMs / MS_PER_SECOND),
+    held: (cause, tookMs) => heldSeconds.observe({ cause }, tookMs / MS_PER_SECOND),
     attemptEnded: (result) => attempts.inc({ result }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
     storeCalled: (call, result) => storeCalls.inc({ call, result }),
--- /dev/null
+++ b/packages/gateway/src/shared/batch-holding.test.ts
@@ -0,0 +1,203 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as scarcityFleet from '../testing/scarcity-fleet.js';
+import * as batchHolding from './batch-holding.js';
+
+const test = suite('batch holding');
+
+const GROUP = 's m';
+const NO_ROOM = { room: 0, gatewayCount: 1 };
+
+function heldRequest(key: string, latestStartMs: number, sizeBytes = 10): batchHolding.HeldRequest {
+  return { key, group: GROUP, latestStartMs, sizeBytes };
+}
+
+function keysOf(releases: readonly batchHolding.Release[]): string[] {
+  return releases.map(({ key }) => key);
+}
+
+function place(overrides: Partial<batchHolding.Place> = {}): batchHolding.Place {
+  return {
+    slots: 48,
+    inFlightCount: 10,
+    moreUrgentCount: 8,
+    unreadMs: 0,
+    ownReadMs: 100,
+    ...overrides,
+  };
+}
+
+test('nothing is held where no more urgent request is at the upstreams', () => {
+  const full = place({ inFlightCount: 48, moreUrgentCount: 0, unreadMs: 900 });
+  const room = batchHolding.roomAmong([full, full]);
+  const holding = batchHolding.createBatchHolding();
+  assert.is(holding.arrived(heldRequest('a', 4_000), { room, gatewayCount: 3 }, 0), 'send');
+});
+
+test('there is no room where the last slots or the next prefill would be taken from urgent requests', () => {
+  assert.ok(batchHolding.roomAt(place()) >= 1);
+  assert.is(batchHolding.roomAt(place({ inFlightCount: 46 })), 0);
+  assert.is(batchHolding.roomAt(place({ unreadMs: 150 })), 0);
+  // A prompt that takes longer to read than the bound is admitted where nothing else waits to be read.
+  assert.ok(batchHolding.roomAt(place({ ownReadMs: 2_000 })) >= 1);
+  assert.is(batchHolding.roomAt(place({ ownReadMs: 2_000, unreadMs: 1 })), 0);
+});
+
+test('the earliest latest start is sent first, as many as there is room for', () => {
+  const holding = batchHolding.createBatchHolding();
+  holding.arrived(heldRequest('late', 5_000), NO_ROOM, 0);
+  holding.arrived(heldRequest('early', 2_000), NO_ROOM, 0);
+  holding.arrived(heldRequest('middle', 3_000), NO_ROOM, 0);
+  assert.equal(holding.due(GROUP, NO_ROOM, 100), []);
+  const room = { room: 2, gatewayCount: 1 };
+  const sent = [400, 500, 600, 700, 800].flatMap((nowMs) => holding.due(GROUP, room, nowMs));
+  assert.equal(keysOf(sent).slice(0, 2), ['early', 'middle']);
+});
+
+// Upstreams become free and every gateway hears of it at the same moment: without the division by the gateways, all
+// send at once what only one of them has room for.
+test('gateways divide the room that all of them see', () => {
+  const gateways = Array.from({ length: 30 }, () => batchHolding.createBatchHolding());
+  gateways.forEach((holding) => {
+    for (let index = 0; index < 20; index += 1) {
+      holding.arrived(heldRequest(String(index), 60_000 + index), NO_ROOM, 0);
+    }
+    holding.due(GROUP, NO_ROOM, 0);
+  });
+  const room = { room: 45, gatewayCount: 30 };
+  const sentCounts = [50, 100, 150, 200, 250, 300].flatMap((nowMs) =>
+    gateways.map((holding) => holding.due(GROUP, room, nowMs).length),
+  );
+  const sentCount = sentCounts.reduce((sum, count) => sum + count, 0);
+  assert.ok(sentCount > 0 && sentCount <= 45, `${sentCount}`);
+});
+
+// Urgent load that never ends: without the bound, batch requests wait until their callers leave.
+test('a held request is released at its latest start whatever room there is', () => {
+  const holding = batchHolding.createBatchHolding();
+  holding.arrived(heldRequest('a', 2_000), NO_ROOM, 0);
+  assert.equal(holding.due(GROUP, NO_ROOM, 1_999), []);
+  assert.equal(holding.due(GROUP, NO_ROOM, 2_000), [{ key: 'a', cause: 'latest-start' }]);
+  assert.is(holding.count(), 0);
+  assert.is(holding.arrived(heldRequest('b', 2_000), NO_ROOM, 2_000), 'send');
+});
+
+test('a request that comes while others are held takes its place behind those that start earlier', () => {
+  const holding = batchHolding.createBatchHolding();
+  holding.arrived(heldRequest('a', 2_000), NO_ROOM, 0);
+  const room = { room: 1, gatewayCount: 1 };
+  assert.is(holding.arrived(heldRequest('b', 3_000), room, 400), 'hold');
+  assert.is(holding.first(GROUP), 'a');
+});
+
+test('the latest start leaves time for the answer, also where predictions exceed the objective', () => {
+  const input = {
+    arrivedAtMs: 1_000,
+    elapsedBeforeMs: 0,
+    deadlineMs: 21_000,
+    latencyObjectiveMs: 6_000,
+    answerMs: 500,
+  };
+  const usualMs = batchHolding.latestStartMs(input);
+  assert.ok(usualMs > 3_000 && usualMs + 500 < 7_000, `${usualMs}`);
+  assert.ok(batchHolding.latestStartMs({ ...input, answerMs: 9_000 }) > 3_000);
+  // A caller that has come back late, or is about to leave, is not held.
+  assert.ok(batchHolding.latestStartMs({ ...input, elapsedBeforeMs: 6_000 }) < 1_000);
+  assert.ok(batchHolding.latestStartMs({ ...input, deadlineMs: 1_500 }) < 1_000);
+});
+
+test('memory is bounded by requests and by bytes, and freed when callers leave', () => {
+  const holding = batchHolding.createBatchHolding({ requestsMax: 3, bytesMax: 100 });
+  assert.is(holding.arrived(heldRequest('a', 2_000, 60), NO_ROOM, 0), 'hold');
+  assert.is(holding.arrived(heldRequest('b', 2_000, 60), NO_ROOM, 0), 'full');
+  assert.is(holding.arrived(heldRequest('c', 2_000, 20), NO_ROOM, 0), 'hold');
+  assert.is(holding.arrived(heldRequest('d', 2_000, 10), NO_ROOM, 0), 'hold');
+  assert.is(holding.arrived(heldRequest('e', 2_000, 1), NO_ROOM, 0), 'full');
+  holding.withdraw('a');
+  holding.withdraw('a');
+  assert.is(holding.arrived(heldRequest('f', 2_000, 60), NO_ROOM, 0), 'hold');
+  assert.is(holding.count(), 3);
+});
+
+test('a stop releases all that is held', () => {
+  const holding = batchHolding.createBatchHolding();
+  holding.arrived(heldRequest('a', 2_000), NO_ROOM, 0);
+  holding.arrived({ ...heldRequest('b', 2_000), group: 's other' }, NO_ROOM, 0);
+  assert.equal(keysOf(holding.releaseAll()).sort(), ['a', 'b']);
+  assert.is(holding.count(), 0);
+  assert.equal(holding.groups(), []);
+});
+
+const SEEDS = [1, 2, 3, 4];
+
+/** Sums over seeds; the same requests are asked for with either decision. */
+function play(holdsBatch: boolean, promptTokens: number, outputTokens: number) {
+  const outcomes = SEEDS.map((seed) =>
+    scarcityFleet.playScarcity(
+      {
+        gatewayCount: 4,
+        upstreamCount: 4,
+        slots: 48,
+        classes: scarcityFleet.threeClasses(promptTokens, outputTokens),
+        demandAt: scarcityFleet.wavesAndBursts,
+        lengthMs: 60_000,
+        holdsBatch,
+      },
+      seed,
+    ),
+  );
+  const shareOf = (name: string, key: Exclude<keyof scarcityFleet.ClassOutcome, 'asked'>) => {
+    const classes = outcomes.map(({ classes: byName }) => byName[name]);
+    const asked = classes.reduce((sum, of) => sum + (of?.asked ?? 0), 0);
+    return classes.reduce((sum, of) => sum + (of?.[key] ?? 0), 0) / asked;
+  };
+  const sharesOf = (name: string) => ({
+    inTime: shareOf(name, 'inTime'),
+    refusedOnce: shareOf(name, 'refusedOnce'),
+    served: shareOf(name, 'inTime') + shareOf(name, 'late'),
+  });
+  return {
+    urgent: sharesOf('urgent'),
+    standard: sharesOf('standard'),
+    batch: sharesOf('batch'),
+    longestHeldMs: Math.max(...outcomes.map(({ longestHeldMs }) => longestHeldMs)),
+  };
+}
+
+// Waves and bursts beyond the capacity: without holding, batch requests are prefilled and run at the peak, beside
+// urgent ones that are refused.
+test('in waves beyond the capacity fewer urgent requests are refused, and batch work is in time', () => {
+  const today = play(false, 2_300, 300);
+  const held = play(true, 2_300, 300);
+  const told = JSON.stringify({ today, held });
+  assert.ok(held.urgent.refusedOnce < 0.7 * today.urgent.refusedOnce, told);
+  assert.ok(held.standard.refusedOnce < today.standard.refusedOnce, told);
+  assert.ok(held.urgent.inTime > today.urgent.inTime + 0.03, told);
+  assert.ok(held.standard.inTime > today.standard.inTime + 0.03, told);
+  assert.ok(held.batch.refusedOnce <= today.batch.refusedOnce, told);
+  assert.ok(held.batch.inTime > 0.95, told);
+  assert.ok(held.longestHeldMs < 6_000, told);
+});
+
+// A day on which the mean demand is beyond the capacity: there is never room, and batch work must not starve.
+test('batch work is served also where there is never room', () => {
+  const today = play(false, 3_000, 300);
+  const held = play(true, 3_000, 300);
+  const told = JSON.stringify({ today, held });
+  assert.ok(held.batch.served > 0.95, told);
+  assert.ok(held.batch.refusedOnce < today.batch.refusedOnce, told);
+  assert.ok(held.urgent.inTime > today.urgent.inTime, told);
+  assert.ok(held.longestHeldMs < 6_000, told);
+});
+
+test('where slots are what lacks in waves, fewer urgent requests are refused and batch work is in time', () => {
+  const today = play(false, 1_000, 700);
+  const held = play(true, 1_000, 700);
+  const told = JSON.stringify({ today, held });
+  assert.ok(held.urgent.refusedOnce < today.urgent.refusedOnce, told);
+  assert.ok(held.standard.refusedOnce < today.standard.refusedOnce, told);
+  assert.ok(held.batch.inTime > 0.98, told);
+});
+
+test.run();
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -122,6 +122,16 @@
     expected: string;
     expectedInMs: number;
   };
+  /** Batch work waits in its gateway while more urgent work needs its model's upstreams. */
+  'request-held': {
+    requestId: string;
+    model: string | null;
+    /** Batch requests that the upstreams can take now from all gateways. */
+    room: number;
+    latestStartInMs: number;
+    heldCount: number;
+  };
+  'request-hold-ended': { requestId: string; cause: string; heldMs: number };
   /** What answers have shown of a model's engine; written when it has changed by a quarter. */
   'pace-learnt': {
     service: string;
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -3,6 +3,8 @@
 
 const address = zod.string().regex(/^[^\s:]+:\d{1,5}$/, 'must be HOST:PORT');
 const positive = zod.number().positive();
+/** `auto`: on where the configuration has organisations. */
+const featureSwitch = zod.enum(['auto', 'on', 'off']).default('auto');
 
 export const settingsSchema = zod.strictObject({
   gatewayId: zod.string().min(1),
@@ -35,8 +37,16 @@
   /** Loads from the weight store are counted over this window, and may exceed the rate by this factor. */
   loadWindowS: positive,
   loadOverage: positive,
+  /** Whether batch work waits in its gateway while more urgent work needs its model's upstreams. */
+  batchHolding: featureSwitch,
   /** By how much all gateways together may exceed an organisation's quota, in its unit. */
   quotaSlack: zod.number().nonnegative().default(0),
 });
 
 export type Settings = zod.infer<typeof settingsSchema>;
+
+export type FeatureSwitch = zod.infer<typeof featureSwitch>;
+
+export function isSwitchedOn(value: FeatureSwitch, hasOrganisations: boolean): boolean {
+  return value === 'auto' ? hasOrganisations : value === 'on';
+}
