--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -2,12 +2,14 @@
 import type { clocks, randoms } from '@copperlever/runtime';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
-import type * as pacesModule from '../../shared/paces.js';
+import * as pacesModule from '../../shared/paces.js';
 import type * as plainPlaces from '../../shared/plain-places.js';
 import * as plainQueues from '../../shared/plain-queue.js';
 import type * as plainTimes from '../../shared/plain-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
+import * as batchHolding from '../../shared/batch-holding.js';
 import * as queueLimits from '../../shared/queue-limits.js';
+import * as retryTimes from '../../shared/retry-times.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as upstreamPauses from '../../shared/upstream-pauses.js';
@@ -39,6 +41,8 @@
   serviceOf: (name: string) => fleet.Service | null;
   gatewayCount: () => number;
   failureDomain: string;
+  /** Whether refused callers come back spread over what the copies serve, and late ones leave slots to others. */
+  spreadsReturns: () => boolean;
 };
 
 export type NoChoice = Exclude<upstreamChoice.Choice, { kind: 'send' }>;
@@ -50,6 +54,10 @@
   /** Its objective has passed. */
   isLate: (call: calls.Call) => boolean;
   choose: (call: calls.Call, run: runs.Run, room?: upstreamChoice.Room) => upstreamChoice.Choice;
+  /** The upstreams that could run a batch request, and what they have before it. */
+  places: (call: calls.Call, run: runs.Run) => readonly batchHolding.Place[];
+  /** Time to what its objective is measured by, from the predicted time to its first piece. */
+  answerMs: (call: calls.Call, predictedMs: number) => number;
   overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
   /** Until an upstream takes requests again, or another copy is there. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
@@ -60,6 +68,9 @@
 
 /** Another gateway, which callers meet when they come back, may still be let in. */
 const CLOSED_RETRY_MAX_MS = 5_000;
+const LEAST_URGENT = 9;
+/** Callers keep to the time that they are told up to this part of the time that they have left. */
+const HONOURED_SHARE = 1 / 3;
 
 function roundedOrNone(value: number | undefined): number | undefined {
   return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
@@ -68,6 +79,8 @@
 export function createRouter(deps: RouterDeps): Router {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
+  const returns = retryTimes.createRetryTimes();
+
   function needsModel(call: calls.Call): boolean {
     return call.facts.model !== null && deps.serviceOf(call.service)?.engine != null;
   }
@@ -114,9 +127,13 @@
     };
   }
 
-  function isLate(call: calls.Call): boolean {
+  function objectiveLeftMs(call: calls.Call): number {
     const elapsedMs = call.elapsedBeforeMs + clock.nowMs() - call.arrivedAtMs;
-    return elapsedMs > call.route.latencyObjectiveMs;
+    return call.route.latencyObjectiveMs - elapsedMs;
+  }
+
+  function isLate(call: calls.Call): boolean {
+    return objectiveLeftMs(call) < 0;
   }
 
   function priorityOf(call: calls.Call): number {
@@ -136,13 +153,52 @@
   function queueLimitMs(call: calls.Call, run: runs.Run): number {
     // What its caller has a part of already is finished.
     if (run.hasBegun) return call.deadlineMs - clock.nowMs();
-    return queueLimits.queueLimitMs({
+    const limitMs = queueLimits.queueLimitMs({
       ...patienceOf(call),
       isStream: call.route.kind === 'stream',
       isLate: isLate(call),
+      boundsLate: deps.spreadsReturns() && needsModel(call),
+    });
+    // The time that it was held is time that it no longer has to queue.
+    return run.heldSinceMs === null || isLate(call)
+      ? limitMs
+      : Math.min(limitMs, objectiveLeftMs(call));
+  }
+
+  function places(call: calls.Call, run: runs.Run): readonly batchHolding.Place[] {
+    const nowMs = clock.nowMs();
+    const { model, adapter } = call.facts;
+    if (model === null) return [];
+    const priority = priorityOf(call);
+    const toReadMs = readMs(call.service);
+    return directory.eligible(call.service, nowMs).flatMap((record) => {
+      const { upstreamId, slots } = record;
+      const copy = placement.copyAt(record, model, adapter);
+      const isOpen = (copy === 'ready' || copy === 'no-adapter') && closedOf(upstreamId) === null;
+      const isAvoided = beliefsModule.isAvoided(beliefs.belief(upstreamId, nowMs));
+      if (!isOpen || isAvoided || run.excludedIds.has(upstreamId)) return [];
+      const all = inFlight.ahead(upstreamId, LEAST_URGENT, nowMs, toReadMs);
+      const moreUrgent = inFlight.ahead(upstreamId, priority - 1, nowMs, toReadMs);
+      const ownTokens =
+        call.facts.promptTokens -
+        deps.caches.cachedTokens(upstreamId, runs.cacheScope(call), call.facts.promptParts);
+      return [
+        {
+          slots,
+          inFlightCount: all.inFlightCount,
+          moreUrgentCount: moreUrgent.urgentCount,
+          unreadMs: all.readMs,
+          ownReadMs: toReadMs(model, Math.max(0, ownTokens)),
+        },
+      ];
     });
   }
 
+  function answerMs(call: calls.Call, predictedMs: number): number {
+    if (call.route.kind === 'stream') return predictedMs;
+    return predictedMs + deps.paces.pace(call.service, call.facts.model ?? '').holdMs;
+  }
+
   function choose(
     call: calls.Call,
     run: runs.Run,
@@ -168,7 +224,19 @@
     if ('passedOverIds' in choice) {
       choice.passedOverIds.forEach((upstreamId) => notePassedOver(call, upstreamId));
     }
-    return choice;
+    return isOutOfSlots(call, run, choice)
+      ? { kind: 'overloaded', predictedMs: choice.predictedMs }
+      : choice;
+  }
+
+  /** A late request joins no queue for a slot, which those that may still be in time need. */
+  function isOutOfSlots(
+    call: calls.Call,
+    run: runs.Run,
+    choice: upstreamChoice.Choice,
+  ): choice is Extract<upstreamChoice.Choice, { kind: 'send' }> {
+    if (choice.kind !== 'send' || run.sentCount > 0 || !needsModel(call)) return false;
+    return deps.spreadsReturns() && isLate(call) && !queueLimits.hasFreeSlot(choice.work);
   }
 
   function notePassedOver({ requestId }: calls.Call, upstreamId: string): void {
@@ -189,7 +257,30 @@
   function overloadRetryMs(call: calls.Call, predictedMs: number): number {
     const { model } = call.facts;
     const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
-    return queueLimits.overloadRetryMs({ predictedMs, nextCopyInMs });
+    const aloneMs = queueLimits.overloadRetryMs({ predictedMs, nextCopyInMs });
+    // A late caller has come back already, and does not again.
+    if (model === null || !needsModel(call) || !deps.spreadsReturns() || isLate(call)) {
+      return aloneMs;
+    }
+    const nowMs = clock.nowMs();
+    const records = directory.eligible(call.service, nowMs);
+    const copies = records.filter((record) => placement.copyAt(record, model, null) !== 'none');
+    const slots = copies[0]?.slots ?? 1;
+    const atMs = returns.next(
+      {
+        group: `${call.service} ${model}`,
+        priority: priorityOf(call),
+        earliestMs: nowMs + aloneMs,
+        latestMs: nowMs + HONOURED_SHARE * (call.deadlineMs - nowMs),
+        intervalMs: retryTimes.returnIntervalMs({
+          requestS: pacesModule.requestS(deps.paces.pace(call.service, model), slots),
+          copyCount: copies.length,
+          gatewayCount: deps.gatewayCount(),
+        }),
+      },
+      nowMs,
+    );
+    return atMs - nowMs;
   }
 
   function closedRetryMs(call: calls.Call, forMs: number): number {
@@ -246,6 +337,8 @@
     priorityOf,
     isLate,
     choose,
+    places,
+    answerMs,
     overloadRetryMs,
     closedRetryMs,
     noteDemand,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -29,6 +29,7 @@
 import * as attempts from './attempt.js';
 import type * as plainGates from './plain-gate.js';
 import * as plainPassages from './plain-passage.js';
+import * as heldRequests from './held-requests.js';
 import * as routers from './router.js';
 import * as runs from './run.js';
 import type * as connectionsModule from './connections.js';
@@ -60,6 +61,10 @@
   serviceOf: (name: string) => fleet.Service | null;
   gatewayCount: () => number;
   isStopping: () => boolean;
+  /** Whether batch work is held while more urgent work needs its model's upstreams. */
+  holdsBatch: () => boolean;
+  /** Whether refused callers come back spread over what the copies serve, and late ones leave slots to others. */
+  spreadsReturns: () => boolean;
   failureDomain: string;
 };
 
@@ -90,6 +95,7 @@
     gate: deps.plainGate,
     setting: deps.plainQueues,
   });
+  const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
   let waitingCount = 0;
 
   function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
@@ -323,6 +329,7 @@
     sink: answers.AnswerSink,
     choice: upstreamChoice.Choice,
   ): Promise<calls.Ending | null> {
+    if (await held.hold(call, run, sink, choice)) return null;
     if (choice.kind !== 'send') {
       const ending = await afterNoChoice(call, run, choice);
       if (ending !== null) router.noteNotPlaced(call, run, choice, ending);
