Streams take a prefill turn from the owner of their upstream before they are sent

Cause: each gateway decides by loads that it heard 50 to 500 ms ago, and prompts of several gateways coincide at one engine. Change: messages TakeTurn and EndTurns; server/turns asks the owner (itself without a call), sends without a turn when it is silent for 20 ms, waits within the latency objective, tries the next best upstream on a long wait, and gives back what it does not use. After a wait the upstream is looked at again, so that nothing goes to one that drains. Requests that are late already, and streams that are resumed after their caller has a part, wait 150 ms at most and are sent in any case. Setting promptTurns (auto, on, off); auto asks only at upstreams that tell their machine's present speed. Log events turn-waited and turn-owner-silent, metrics turn_answers_total and turn_wait_seconds. The owners are found with sha256 as in own-permits.ts: the runtime's hashes come by a top-level await, with which the deployed bundle does not build ('the deployed program starts as the deploy file says' failed, 0 of 1). Run: platform/src/turns.test.ts, nine prompts of 100 ms at once through three gateways. Before, and now where the upstream tells no present speed: 9 unread at a time (6 of 6 runs). With turns: 2 or 3 at a time (6 of 6 runs), all answered.

--- a/packages/cli/src/shared/story.ts
+++ b/packages/cli/src/shared/story.ts
@@ -57,6 +57,7 @@
     case 'started':
     case 'stopping':
     case 'stopped':
+    case 'turn-owner-silent':
     case 'lines-dropped':
       return of.daemonIds.has(daemonId);
     default:
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -76,6 +76,7 @@
     pauses: awilix.asFunction(upstreamPauses.createUpstreamPauses).singleton(),
     states: awilix.asFunction(upstreamStates.createUpstreamStates).singleton(),
     limits: awilix.asFunction(controlParts.createLimits).singleton(),
+    turns: awilix.asFunction(controlParts.createTurns).singleton(),
     words: awilix
       .asFunction((parts: partTypes.GatewayParts) => upstreamWords.createUpstreamWords(parts))
       .singleton(),
@@ -153,6 +154,8 @@
           connections: parts.connections,
           words: parts.words,
           limits: parts.limits,
+          turns: parts.turns,
+          states: parts.states,
           pauses: parts.pauses,
           placement: parts.placement,
           metrics: parts.metrics,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -7,6 +7,8 @@
 import * as leaseKeepers from './server/placing/lease-keeper.js';
 import * as placers from './server/placing/placer.js';
 import * as quotasModule from './server/quotas/quotas.js';
+import * as turnCodec from './server/turns/turn-codec.js';
+import * as turnsModule from './server/turns/turns.js';
 import * as exchangePace from './shared/exchange-pace.js';
 import * as watchPauses from './shared/watch-pauses.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
@@ -17,6 +19,8 @@
 const MILLICORES = 1_000;
 /** Many times what the holder's answer takes; a request that waits longer is better off elsewhere. */
 const PERMIT_PATIENCE_MS = 100;
+/** An end that is told later is of no use: its turn has expired. */
+const ENDS_TOLD_MS = 1_000;
 /** Until the lease or a peer has told: with too few each gateway would take too large a part of a quota for its own. */
 const UNKNOWN_FLEET_SIZE = 32;
 
@@ -126,6 +130,36 @@
   });
 }
 
+export function createTurns(parts: partTypes.GatewayParts): turnsModule.Turns {
+  const { book, clock, inFlight, settings } = parts;
+  return turnsModule.createTurns({
+    clock,
+    random: parts.random,
+    log: parts.log,
+    metrics: parts.metrics,
+    states: parts.states,
+    mode: settings.promptTurns,
+    gatewayId: settings.gatewayId,
+    liveIds: (nowMs) => [settings.gatewayId, ...book.live(nowMs).map(({ gatewayId }) => gatewayId)],
+    unreadTokens: (upstreamId, nowMs) =>
+      inFlight.ahead(upstreamId, Infinity, nowMs, (_model, tokens) => tokens).readMs,
+    takeFrom: async (ownerId, asked, deadlineMs) => {
+      const address = book.addressOf(ownerId);
+      if (address === null) return null;
+      const request = turnCodec.toTakeTurnRequest(asked);
+      const reply = await parts.link.takeTurn(address, request, deadlineMs);
+      return reply.ok ? turnCodec.fromTakeTurnReply(reply.val) : null;
+    },
+    tellEnded: (ownerId, ended) => {
+      const address = book.addressOf(ownerId);
+      if (address === null) return;
+      const request = turnCodec.toEndTurnsRequest(settings.gatewayId, ended);
+      // Lost, the turns expire at their owner.
+      void parts.link.endTurns(address, request, clock.nowMs() + ENDS_TOLD_MS);
+    },
+  });
+}
+
 export function createQuotas(parts: partTypes.GatewayParts): quotasModule.Quotas {
   return quotasModule.createQuotas({
     clock: parts.clock,
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -11,6 +11,7 @@
 import * as metricsApp from './server/metrics/app.js';
 import * as newsCodec from './server/peers/news-codec.js';
 import * as peers from './server/peers/server.js';
+import * as turnCodec from './server/turns/turn-codec.js';
 import * as stops from './server/health/stop.js';
 import type * as fleet from './types/fleet.js';
 import type * as logEvents from './types/log-events.js';
@@ -213,6 +214,12 @@
               const asked = { gatewayId, limit: newsCodec.fromLimitNews(limit) };
               return newsCodec.toPermitReply(cradle.limits.give(asked));
             },
+            takeTurn: (request) =>
+              turnCodec.toTakeTurnReply(cradle.turns.take(turnCodec.fromTakeTurnRequest(request))),
+            endTurns: (request) => {
+              cradle.turns.ended(turnCodec.fromEndTurnsRequest(request));
+              return {};
+            },
           });
           cradle.exchange.start();
           return {
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -42,6 +42,8 @@
   /** Its objective has passed. */
   isLate: (call: calls.Call) => boolean;
   choose: (call: calls.Call, run: runs.Run) => upstreamChoice.Choice;
+  /** Whether it may still go to this upstream, whatever queue is predicted there. */
+  chooseOnly: (call: calls.Call, run: runs.Run, upstreamId: string) => upstreamChoice.Choice;
   overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
   /** Until an upstream takes requests again, or another copy is there. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
@@ -131,16 +133,20 @@
     });
   }
 
-  function choose(call: calls.Call, run: runs.Run): upstreamChoice.Choice {
+  function chooseAmong(
+    call: calls.Call,
+    run: runs.Run,
+    records: readonly fleet.UpstreamRecord[],
+    limitMs: number,
+  ): upstreamChoice.Choice {
     const nowMs = clock.nowMs();
-    const records = directory.eligible(call.service, nowMs);
     const request: upstreamChoice.ChoiceRequest = {
       kind: needsModel(call) ? 'model' : 'plain',
       promptTokens: call.facts.promptTokens,
       pace: deps.paces.pace(call.service, call.facts.model ?? ''),
       localFailureDomain: deps.failureDomain,
       excludedIds: run.excludedIds,
-      queueLimitMs: queueLimitMs(call, run),
+      queueLimitMs: limitMs,
     };
     const priority = priorityOf(call);
     const candidates = records.map((record) => toCandidate(call, priority, record));
@@ -151,6 +157,18 @@
     return choice;
   }
 
+  function choose(call: calls.Call, run: runs.Run): upstreamChoice.Choice {
+    const records = directory.eligible(call.service, clock.nowMs());
+    return chooseAmong(call, run, records, queueLimitMs(call, run));
+  }
+
+  function chooseOnly(call: calls.Call, run: runs.Run, upstreamId: string): upstreamChoice.Choice {
+    const records = directory
+      .eligible(call.service, clock.nowMs())
+      .filter((record) => record.upstreamId === upstreamId);
+    return chooseAmong(call, run, records, Infinity);
+  }
+
   function notePassedOver({ requestId }: calls.Call, upstreamId: string): void {
     const closed = closedOf(upstreamId);
     if (closed === null) return;
@@ -226,6 +244,7 @@
     priorityOf,
     isLate,
     choose,
+    chooseOnly,
     overloadRetryMs,
     closedRetryMs,
     noteDemand,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -18,8 +18,11 @@
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import * as turnTakers from '../turns/turn-taker.js';
+import type * as turnsModule from '../turns/turns.js';
 import type * as answers from './answers.js';
 import * as attemptNotes from './attempt-notes.js';
 import * as attempts from './attempt.js';
@@ -43,6 +46,8 @@
   connections: connectionsModule.Connections;
   words: upstreamWords.UpstreamWords;
   limits: limitsModule.Limits;
+  turns: Pick<turnsModule.Turns, 'isWanted' | 'nextTurnId' | 'ask' | 'end'>;
+  states: Pick<upstreamStates.UpstreamStates, 'state'>;
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
@@ -72,6 +77,7 @@
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
   const router = routers.createRouter(deps);
+  const takeTurn = turnTakers.createTurnTaker({ ...deps, router });
   const noteAttempt = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
   let waitingCount = 0;
 
@@ -101,6 +107,7 @@
     run: runs.Run,
     sink: answers.AnswerSink,
     choice: Extract<upstreamChoice.Choice, { kind: 'send' }>,
+    turn: turnTakers.HeldTurn,
   ): Promise<calls.AttemptResult> {
     const { upstreamId } = choice;
     const record = directory.find(upstreamId);
@@ -122,6 +129,7 @@
     });
     deps.caches.sent(upstreamId, scope, call.facts.promptParts);
     let firstPieceMs: number | null = null;
+    let load: upstreamStates.LoadWord | null = null;
     const result = await attempts.runAttempt(deps, {
       call,
       upstreamName: record.name,
@@ -133,11 +141,13 @@
       sendByMs: startedAtMs + SEND_PATIENCE_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
       onHead: (facts) => {
+        load = facts.load;
         const source = call.requestId;
         deps.words.heard({ upstreamId, facts, sentMs: startedAtMs, source });
       },
       onFirstPiece: () => {
         started.promptRead();
+        turn.ended(true, load);
         firstPieceMs = clock.nowMs() - startedAtMs;
         const { kind } = call.route;
         deps.metrics.firstPiece(
@@ -290,14 +300,42 @@
       return preferHeld(run, sink, ending);
     }
     if (choice.needsAdapter) return ensureAdapter(call, run, choice.upstreamId);
+    const verdict = await takeTurn(call, run, sink, choice);
+    switch (verdict.kind) {
+      case 'send':
+        return send(call, run, sink, verdict);
+      case 'refuse': {
+        const noTurn = { kind: 'overloaded', predictedMs: verdict.predictedMs } as const;
+        const ending = await afterNoChoice(call, run, noTurn);
+        if (ending !== null) router.noteNotPlaced(call, run, noTurn, ending);
+        return preferHeld(run, sink, ending);
+      }
+      case 'choose-again':
+        return null;
+      case 'caller-gone':
+        return { kind: 'caller-gone' };
+    }
+  }
+
+  async function send(
+    call: calls.Call,
+    run: runs.Run,
+    sink: answers.AnswerSink,
+    { choice, turn }: Extract<turnTakers.TurnVerdict, { kind: 'send' }>,
+  ): Promise<calls.Ending | null> {
     // Denied, it is closed for a while, and the next choice is another one or none.
     if (deps.limits.isLimited(choice.upstreamId)) {
-      if (!(await deps.limits.take(choice.upstreamId))) return null;
-      if (sink.isCallerGone()) return { kind: 'caller-gone' };
+      const isTaken = await deps.limits.take(choice.upstreamId);
+      if (!isTaken || sink.isCallerGone()) {
+        turn.ended(false, null);
+        return isTaken ? { kind: 'caller-gone' } : null;
+      }
     }
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
-    const result = await attempt(call, run, sink, choice);
+    const result = await attempt(call, run, sink, choice, turn);
+    // Without a first event: it was not sent, or broke off before.
+    turn.ended(false, null);
     return preferHeld(run, sink, settle(call, run, sink, result));
   }
 
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -32,6 +32,12 @@
   denied: (cause: DenialCause) => void;
   firstPiece: (of: RequestClass, sinceArrivalMs: number) => void;
   waited: (tookMs: number) => void;
+  /** An owner's answer to a question for a prefill turn. */
+  turnAnswered: (answer: 'given' | 'wait' | 'full' | 'unanswered') => void;
+  turnWaited: (
+    outcome: 'given' | 'full' | 'unanswered' | 'caller-gone' | 'closed',
+    waitedMs: number,
+  ) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   retry: (isTaken: boolean) => void;
   storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
@@ -44,6 +50,8 @@
 const MS_PER_SECOND = 1_000;
 /** Around the objectives of half a second and ten seconds, and the patience of callers of streams. */
 const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.4, 0.5, 1, 2, 5, 10, 30];
+/** From a question within the process to the longest interactive objectives. */
+const TURN_BUCKETS_S = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 2, 5];
 /** From a load out of host memory to one from the store behind others. */
 const CHANGE_BUCKETS_S = [1, 1.5, 2, 3, 5, 10, 20];
 
@@ -96,6 +104,15 @@
     LATENCY_BUCKETS_S,
   );
   const waitSeconds = histogram('wait_seconds', 'Waits for a model', [], LATENCY_BUCKETS_S);
+  const turnAnswers = counter('turn_answers_total', 'Answers to questions for a prefill turn', [
+    'answer',
+  ]);
+  const turnWaitSeconds = histogram(
+    'turn_wait_seconds',
+    'From the first question for a prefill turn to its end',
+    ['outcome'],
+    TURN_BUCKETS_S,
+  );
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
   const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
   const storeCalls = counter('store_calls_total', "Calls to the platform's store", [
@@ -159,6 +176,10 @@
       firstPieceSeconds.observe(classLabels(of), sinceArrivalMs / MS_PER_SECOND);
     },
     waited: (tookMs) => waitSeconds.observe(tookMs / MS_PER_SECOND),
+    turnAnswered: (answer) => turnAnswers.inc({ answer }),
+    turnWaited: (outcome, waitedMs) => {
+      turnWaitSeconds.observe({ outcome }, waitedMs / MS_PER_SECOND);
+    },
     attemptEnded: (result) => attempts.inc({ result }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
     storeCalled: (call, result) => storeCalls.inc({ call, result }),
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -19,6 +19,16 @@
     request: gatewayPeer.TakePermitRequest,
     deadlineMs: number,
   ) => Promise<results.Result<gatewayPeer.TakePermitReply, channelsModule.PeerError>>;
+  takeTurn: (
+    address: string,
+    request: gatewayPeer.TakeTurnRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.TakeTurnReply, channelsModule.PeerError>>;
+  endTurns: (
+    address: string,
+    request: gatewayPeer.EndTurnsRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.EndTurnsReply, channelsModule.PeerError>>;
   close: () => void;
 };
 
@@ -28,6 +38,8 @@
     request: gatewayPeer.EnsureAdapterRequest,
   ) => Promise<gatewayPeer.EnsureAdapterReply>;
   takePermit: (request: gatewayPeer.TakePermitRequest) => gatewayPeer.TakePermitReply;
+  takeTurn: (request: gatewayPeer.TakeTurnRequest) => gatewayPeer.TakeTurnReply;
+  endTurns: (request: gatewayPeer.EndTurnsRequest) => gatewayPeer.EndTurnsReply;
 };
 
 /** The holder is called several times a second; other peers at random, about once. */
@@ -49,6 +61,10 @@
       ),
     takePermit: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.takePermit(...rest)),
+    takeTurn: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.takeTurn(...rest)),
+    endTurns: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.endTurns(...rest)),
     close: channels.close,
   };
 }
@@ -58,5 +74,7 @@
     exchange: channelsModule.toUnary(handlers.exchange),
     ensureAdapter: channelsModule.toUnary(handlers.ensureAdapter),
     takePermit: channelsModule.toUnary(handlers.takePermit),
+    takeTurn: channelsModule.toUnary(handlers.takeTurn),
+    endTurns: channelsModule.toUnary(handlers.endTurns),
   });
 }
--- a/packages/gateway/src/shared/prefill-turns.ts
+++ b/packages/gateway/src/shared/prefill-turns.ts
@@ -265,9 +265,13 @@
 
   function placeOf(upstream: Upstream, asked: AskedTurn, isLong: boolean, nowMs: number): Place {
     const known = upstream.places.get(keyOf(asked));
-    if (known !== undefined) return known;
-    const usualMs = usualMsOf(asked);
     const canWaitMs = Math.max(0, asked.canWaitMs);
+    if (known !== undefined) {
+      // The asker knows better what is left: its messages take time.
+      known.latestStartMs = Math.min(known.latestStartMs, nowMs + canWaitMs);
+      return known;
+    }
+    const usualMs = usualMsOf(asked);
     return {
       key: keyOf(asked),
       usualMs,
--- a/packages/gateway/src/shared/turn-owners.test.ts
+++ b/packages/gateway/src/shared/turn-owners.test.ts
@@ -23,6 +23,14 @@
   assert.equal(ownersAt('g77', 730, [...live].reverse()), first);
 });
 
+// Failure: a hash that tells ids hardly apart makes a few gateways the owners of all upstreams.
+test('upstreams are spread over the gateways', () => {
+  const counts = new Map<string, number>();
+  ownersAt('g0', 2_300, ids(23)).forEach((id) => counts.set(id, (counts.get(id) ?? 0) + 1));
+  assert.is(counts.size, 23);
+  assert.ok(Math.max(...counts.values()) < 150, String(Math.max(...counts.values())));
+});
+
 // Failure: one gateway that leaves moves the upstreams of all, and every owner starts without knowledge.
 test('only the upstreams of a gateway that leaves get another owner', () => {
   const before = ownersAt('g0', 29, ids(23));
--- a/packages/gateway/src/shared/turn-owners.ts
+++ b/packages/gateway/src/shared/turn-owners.ts
@@ -3,7 +3,7 @@
  * that live. Failure: an owner that was killed, is paused or cut off stays in the list of live gateways for seconds, and
  * each request that asks it loses time. A silent owner is passed over for a while in favour of the next in order.
  */
-import * as hashes from '@copperlever/runtime/hashes';
+import * as crypto from 'node:crypto';
 
 export type TurnOwners = {
   /** `liveIds`: the gateways that live, this one among them. */
@@ -22,18 +22,18 @@
 const OWNERS_KEY = 'turn owners';
 /** How long an owner is kept before the list of live gateways is looked at again. */
 const KEPT_MS = 250;
+/** Upstreams get another id with each start: those that have gone are forgotten at some time. */
+const KEPT_MAX = 4_000;
 
-function scoreOf(key: string, id: string): number {
-  return hashes.hash32(`${key}\n${id}`);
+function scoreOf(key: string, id: string): string {
+  return crypto.createHash('sha256').update(`${key}\n${id}`).digest('hex');
 }
 
 function first(key: string, ids: readonly string[]): string | undefined {
-  let best: { id: string; score: number } | undefined;
+  let best: { id: string; score: string } | undefined;
   ids.forEach((id) => {
     const score = scoreOf(key, id);
-    const isBetter =
-      best === undefined || score > best.score || (score === best.score && id < best.id);
-    if (isBetter) best = { id, score };
+    if (best === undefined || score > best.score) best = { id, score };
   });
   return best?.id;
 }
@@ -42,25 +42,36 @@
   if (ids.length <= OWNERS_MAX) return ids;
   return ids
     .map((id) => ({ id, score: scoreOf(OWNERS_KEY, id) }))
-    .sort((left, right) => right.score - left.score || (left.id < right.id ? -1 : 1))
+    .sort((left, right) => (left.score > right.score ? -1 : 1))
     .slice(0, OWNERS_MAX)
     .map(({ id }) => id);
 }
 
+function isSame(left: readonly string[], right: readonly string[]): boolean {
+  return left.length === right.length && left.every((id, index) => id === right[index]);
+}
+
 export function createTurnOwners(selfId: string): TurnOwners {
   const silentUntilMs = new Map<string, number>();
   const kept = new Map<string, string>();
+  let knownIds: readonly string[] = [];
+  let candidateIds: readonly string[] = [];
   let ownerIds: readonly string[] = [];
   let keptUntilMs = -Infinity;
 
   function refresh(liveIds: () => readonly string[], nowMs: number): void {
     if (nowMs < keptUntilMs) return;
-    kept.clear();
     keptUntilMs = nowMs + KEPT_MS;
     for (const [id, untilMs] of silentUntilMs) {
       if (untilMs <= nowMs) silentUntilMs.delete(id);
     }
-    ownerIds = chooseOwners(liveIds()).filter((id) => !silentUntilMs.has(id));
+    const live = liveIds();
+    if (!isSame(live, knownIds)) candidateIds = chooseOwners(live);
+    knownIds = live;
+    const nextIds = candidateIds.filter((id) => !silentUntilMs.has(id));
+    // Hundreds of hashes for each upstream: only where the owners have changed.
+    if (!isSame(nextIds, ownerIds) || kept.size > KEPT_MAX) kept.clear();
+    ownerIds = nextIds;
   }
 
   return {
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -122,6 +122,22 @@
     expected: string;
     expectedInMs: number;
   };
+  /**
+   * A stream waited for its prefill turn or was not given one; `outcome`: `given`, `full` (it would have waited too long),
+   * `unanswered` (sent without), `closed` (the upstream took nothing any more), `caller-gone`. `upstreamCount`: upstreams at
+   * which it asked.
+   */
+  'turn-waited': {
+    requestId: string;
+    upstreamId: string;
+    ownerId: Text;
+    outcome: string;
+    waitedMs: number;
+    askCount: number;
+    upstreamCount: number;
+  };
+  /** It did not answer a question for a turn; the next owner in order is asked for so long. */
+  'turn-owner-silent': { ownerId: string; upstreamId: string; forMs: number };
   /** What answers have shown of a model's engine; written when it has changed by a quarter. */
   'pace-learnt': {
     service: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -23,6 +23,7 @@
 import type * as upstreamLimits from '../shared/upstream-limits.js';
 import type * as upstreamWords from '../server/forwarding/upstream-words.js';
 import type * as upstreamPauses from '../shared/upstream-pauses.js';
+import type * as turnsModule from '../server/turns/turns.js';
 import type * as limitsModule from '../server/limits/limits.js';
 import type * as suspectsModule from '../shared/suspects.js';
 import type * as beliefsModule from '../shared/upstream-beliefs.js';
@@ -68,6 +69,7 @@
   retryShare: retryShares.RetryShare;
   upstreamLimits: upstreamLimits.UpstreamLimits;
   limits: limitsModule.Limits;
+  turns: turnsModule.Turns;
   pauses: upstreamPauses.UpstreamPauses;
   states: upstreamStates.UpstreamStates;
   words: upstreamWords.UpstreamWords;
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -35,6 +35,11 @@
   /** Loads from the weight store are counted over this window, and may exceed the rate by this factor. */
   loadWindowS: positive,
   loadOverage: positive,
+  /**
+   * Whether streams ask for a prefill turn before they are sent. `auto`: at upstreams that tell their machine's present
+   * speed, which means that it varies.
+   */
+  promptTurns: zod.enum(['auto', 'on', 'off']).default('auto'),
   /** By how much all gateways together may exceed an organisation's quota, in its unit. */
   quotaSlack: zod.number().nonnegative().default(0),
 });
