--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -58,6 +58,8 @@
   places: (call: calls.Call, run: runs.Run) => readonly batchHolding.Place[];
   /** Time to what its objective is measured by, from the predicted time to its first piece. */
   answerMs: (call: calls.Call, predictedMs: number) => number;
+  /** Whether it may still go to this upstream, whatever queue is predicted there. */
+  chooseOnly: (call: calls.Call, run: runs.Run, upstreamId: string) => upstreamChoice.Choice;
   overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
   /** Until an upstream takes requests again, or another copy is there. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
@@ -199,13 +201,14 @@
     return predictedMs + deps.paces.pace(call.service, call.facts.model ?? '').holdMs;
   }
 
-  function choose(
+  function chooseAmong(
     call: calls.Call,
     run: runs.Run,
+    records: readonly fleet.UpstreamRecord[],
+    limitMs: number,
     room: upstreamChoice.Room = 'any',
   ): upstreamChoice.Choice {
     const nowMs = clock.nowMs();
-    const records = directory.eligible(call.service, nowMs);
     const request: upstreamChoice.ChoiceRequest = {
       kind: needsModel(call) ? 'model' : 'plain',
       promptTokens: call.facts.promptTokens,
@@ -214,7 +217,7 @@
       room,
       localFailureDomain: deps.failureDomain,
       excludedIds: run.excludedIds,
-      queueLimitMs: queueLimitMs(call, run),
+      queueLimitMs: limitMs,
     };
     const priority = priorityOf(call);
     // Only plain calls are chosen by it, and to count some hundred gateways for each request is dear.
@@ -239,6 +242,22 @@
     return deps.spreadsReturns() && isLate(call) && !queueLimits.hasFreeSlot(choice.work);
   }
 
+  function choose(
+    call: calls.Call,
+    run: runs.Run,
+    room?: upstreamChoice.Room,
+  ): upstreamChoice.Choice {
+    const records = directory.eligible(call.service, clock.nowMs());
+    return chooseAmong(call, run, records, queueLimitMs(call, run), room);
+  }
+
+  function chooseOnly(call: calls.Call, run: runs.Run, upstreamId: string): upstreamChoice.Choice {
+    const records = directory
+      .eligible(call.service, clock.nowMs())
+      .filter((record) => record.upstreamId === upstreamId);
+    return chooseAmong(call, run, records, Infinity);
+  }
+
   function notePassedOver({ requestId }: calls.Call, upstreamId: string): void {
     const closed = closedOf(upstreamId);
     if (closed === null) return;
@@ -339,6 +358,7 @@
     choose,
     places,
     answerMs,
+    chooseOnly,
     overloadRetryMs,
     closedRetryMs,
     noteDemand,
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -24,6 +24,16 @@
     request: gatewayPeer.LendCreditsRequest,
     deadlineMs: number,
   ) => Promise<results.Result<gatewayPeer.LendCreditsReply, channelsModule.PeerError>>;
+  takeTurn: (
+    address: string,
+    request: gatewayPeer.TakeTurnRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.TakeTurnReply, channelsModule.PeerError>>;
+  endTurns: (
+    address: string,
+    request: gatewayPeer.EndTurnsRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.EndTurnsReply, channelsModule.PeerError>>;
   close: () => void;
 };
 
@@ -34,6 +44,8 @@
   ) => Promise<gatewayPeer.EnsureAdapterReply>;
   takePermit: (request: gatewayPeer.TakePermitRequest) => gatewayPeer.TakePermitReply;
   lendCredits: (request: gatewayPeer.LendCreditsRequest) => gatewayPeer.LendCreditsReply;
+  takeTurn: (request: gatewayPeer.TakeTurnRequest) => gatewayPeer.TakeTurnReply;
+  endTurns: (request: gatewayPeer.EndTurnsRequest) => gatewayPeer.EndTurnsReply;
 };
 
 /** The holder is called several times a second; other peers at random, about once. */
@@ -57,6 +69,10 @@
       channels.call(address, request, deadlineMs, (client, ...rest) => client.takePermit(...rest)),
     lendCredits: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.lendCredits(...rest)),
+    takeTurn: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.takeTurn(...rest)),
+    endTurns: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.endTurns(...rest)),
     close: channels.close,
   };
 }
@@ -67,5 +83,7 @@
     ensureAdapter: channelsModule.toUnary(handlers.ensureAdapter),
     takePermit: channelsModule.toUnary(handlers.takePermit),
     lendCredits: channelsModule.toUnary(handlers.lendCredits),
+    takeTurn: channelsModule.toUnary(handlers.takeTurn),
+    endTurns: channelsModule.toUnary(handlers.endTurns),
   });
 }
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -41,6 +41,11 @@
   batchHolding: featureSwitch,
   /** Whether organisations below their quotas share what capacity there is, where it does not suffice. */
   fairShares: featureSwitch,
+  /**
+   * Whether streams ask for a prefill turn before they are sent. `auto`: at upstreams that tell their machine's present
+   * speed, which means that it varies.
+   */
+  promptTurns: zod.enum(['auto', 'on', 'off']).default('auto'),
   /** By how much all gateways together may exceed an organisation's quota, in its unit. */
   quotaSlack: zod.number().nonnegative().default(0),
   /**
