Model upstreams are chosen by their learnt speed and their machine's moment

Cause: one pace for all upstreams of a model. On a small virtual-clock fleet (9 upstreams at 0.6, 1 and 1.6 times the usual service time, disturbed 15% of the time, 3 gateways) predictions ignored both, and prompts went to machines that were slow. Change: prediction, cost and queue limits scale with the slowness and the moment factor of each upstream (speeds.ts; 3 ms on the way are not scaled, a moment counts for at most 600 ms). The samples of paces.ts are brought to the usual speed first. Slowness is an average of logarithms over about thirty answers with a fading prior; the median of a service is held at 1; late answers weigh 0.3, deviations within noise count as none, bounds are 1/3 and 3. A factor that first events contradict is distrusted for 5 s (doubling up to 60 s), one that is told all the time is the upstream's usual, one that five or more upstreams of a service report together counts for none. `upstreamStates: off` keeps the earlier choice. With the modules upstream-states.ts and upstream-choice.ts of before, the new tests of these two fail: "a quick upstream is chosen until its queue outweighs its speed", "a factor adds to a prediction for no longer than a moment lasts", "queue limits are compared with what the upstream itself takes", and 6 of upstream-states.test.ts.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -74,7 +74,13 @@
     suspects: awilix.asFunction(suspectsModule.createSuspects).singleton(),
     upstreamLimits: awilix.asFunction(upstreamLimits.createUpstreamLimits).singleton(),
     pauses: awilix.asFunction(upstreamPauses.createUpstreamPauses).singleton(),
-    states: awilix.asFunction(upstreamStates.createUpstreamStates).singleton(),
+    states: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        upstreamStates.createUpstreamStates({
+          serviceOf: (upstreamId) => parts.directory.find(upstreamId)?.service ?? null,
+        }),
+      )
+      .singleton(),
     limits: awilix.asFunction(controlParts.createLimits).singleton(),
     words: awilix
       .asFunction((parts: partTypes.GatewayParts) => upstreamWords.createUpstreamWords(parts))
@@ -154,6 +160,7 @@
           words: parts.words,
           limits: parts.limits,
           pauses: parts.pauses,
+          states: settings.upstreamStates === 'on' ? parts.states : upstreamStates.UNKNOWN_STATES,
           placement: parts.placement,
           metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/server/forwarding/attempt-notes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.ts
@@ -2,12 +2,14 @@
 import type { clocks } from '@copperlever/runtime';
 
 import type * as pacesModule from '../../shared/paces.js';
+import * as speeds from '../../shared/speeds.js';
 import type * as beliefsModule from '../../shared/upstream-beliefs.js';
 import type * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import * as paceReports from './pace-reports.js';
 
 export type AttemptNotesDeps = {
@@ -17,25 +19,38 @@
   beliefs: beliefsModule.UpstreamBeliefs;
   placement: placementTypes.Placement;
   paces: pacesModule.Paces;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
   needsModel: (call: calls.Call) => boolean;
 };
 
-export type EndedAttempt = {
+type Attempt = {
   call: calls.Call;
   upstreamId: string;
-  result: calls.AttemptResult;
-  /** Null when no piece came. */
-  firstPieceMs: number | null;
-  tookMs: number;
   /** It went on after the events that its caller had. */
   isResumed: boolean;
   choice: Extract<upstreamChoice.Choice, { kind: 'send' }>;
 };
 
+/** The speed of the upstream, as it was known when the piece came. */
+export type FirstPiece = { tookMs: number; speed: speeds.Speed };
+
+export type EndedAttempt = Attempt & {
+  result: calls.AttemptResult;
+  /** Null when no piece came. */
+  firstPiece: FirstPiece | null;
+  tookMs: number;
+};
+
+export type AttemptNotes = {
+  /** The first event of a stream, or a whole answer, has come. */
+  firstPiece: (attempt: Attempt, piece: 'event' | 'whole', tookMs: number) => FirstPiece;
+  ended: (attempt: EndedAttempt) => void;
+};
+
 /** Longer than any caller of a stream waits for its first piece. */
 const GOOD_KEPT_MS = 30_000;
 
-export function createAttemptNotes(deps: AttemptNotesDeps): (attempt: EndedAttempt) => void {
+export function createAttemptNotes(deps: AttemptNotesDeps): AttemptNotes {
   const { clock, log, directory, beliefs, placement } = deps;
   const lastGoodMs = new Map<string, number>();
   const reportPace = paceReports.createPaceReports(deps);
@@ -84,10 +99,14 @@
   }
 
   /** A stream that was resumed has a part of its work behind it and says nothing of a whole one. */
-  function notePace({ call, isResumed, choice, tookMs }: EndedAttempt, firstPieceMs: number): void {
+  function notePace(
+    { call, isResumed, choice, tookMs }: EndedAttempt,
+    { tookMs: firstPieceMs, speed }: FirstPiece,
+  ): void {
     if (isResumed || !deps.needsModel(call)) return;
     const { service, facts } = call;
-    const sample = { ...choice.work, service, model: facts.model ?? '', firstPieceMs, tookMs };
+    const model = facts.model ?? '';
+    const sample = { ...choice.work, service, model, firstPieceMs, tookMs, speed };
     deps.paces.answered(sample, clock.nowMs());
     reportPace(service, sample.model);
   }
@@ -102,23 +121,56 @@
     const isEndedByCaller = result.kind === 'caller-gone' || result.kind === 'deadline';
     const startedMs = clock.nowMs() - tookMs;
     const isAtWork = (lastGoodMs.get(upstreamId) ?? -Infinity) > startedMs;
-    if (isEndedByCaller && isAtWork && tookMs > choice.predictedMs) notePace(attempt, tookMs);
+    if (!isEndedByCaller || !isAtWork || tookMs <= choice.predictedMs) return;
+    notePace(attempt, { tookMs, speed: speedOf(upstreamId) });
+  }
+
+  function speedOf(upstreamId: string): speeds.Speed {
+    const { slowness, momentFactor } = deps.states.state(upstreamId, clock.nowMs());
+    return { slowness, momentFactor };
+  }
+
+  function noteFirstPiece(
+    { call, upstreamId, isResumed, choice }: Attempt,
+    piece: 'event' | 'whole',
+    tookMs: number,
+  ): FirstPiece {
+    const speed = speedOf(upstreamId);
+    // What a whole answer takes depends on its length, which is not predicted.
+    const { work, usualPredictedMs } = choice;
+    const { msPerToken } = deps.paces.pace(call.service, call.facts.model ?? '');
+    // What was read before it is known from news, and may have been read by then.
+    const isMostlyOwn = work.readAheadMs <= work.ownTokens * msPerToken && work.overCount === 0;
+    if (piece === 'event' && isMostlyOwn && !isResumed && deps.needsModel(call)) {
+      deps.states.answered(upstreamId, usualPredictedMs, tookMs, clock.nowMs());
+    }
+    return { tookMs, speed };
+  }
+
+  /** An answer that took as long as its upstream says that work takes at the moment is not unexpectedly late. */
+  function expectedMs({ call, choice }: EndedAttempt, speed: speeds.Speed): number {
+    const { usualPredictedMs, predictedMs } = choice;
+    if (!deps.needsModel(call)) return predictedMs;
+    return Math.max(predictedMs, speeds.atSpeed(usualPredictedMs, speed));
   }
 
-  return (attempt) => {
-    const { call, upstreamId, result, firstPieceMs, choice } = attempt;
+  function noteEnded(attempt: EndedAttempt): void {
+    const { call, upstreamId, result, firstPiece } = attempt;
     const isGood = result.kind === 'answered' && result.status < 500;
-    if (firstPieceMs === null || !isGood) {
-      if (firstPieceMs === null) noteWaitedInVain(attempt);
+    if (firstPiece === null || !isGood) {
+      if (firstPiece === null) noteWaitedInVain(attempt);
       noteEnd(call, upstreamId, result);
       return;
     }
-    const { predictedMs } = choice;
+    const predictedMs = expectedMs(attempt, firstPiece.speed);
+    const firstPieceMs = firstPiece.tookMs;
     noteBelief(upstreamId, { kind: 'good', firstPieceMs, predictedMs }, clock.nowMs());
-    notePace(attempt, firstPieceMs);
+    notePace(attempt, firstPiece);
     lastGoodMs.set(upstreamId, clock.nowMs());
     for (const [id, atMs] of lastGoodMs) {
       if (clock.nowMs() - atMs > GOOD_KEPT_MS) lastGoodMs.delete(id);
     }
-  };
+  }
+
+  return { firstPiece: noteFirstPiece, ended: noteEnded };
 }
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -12,6 +12,7 @@
 import * as urgency from '../../shared/urgency.js';
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as placementTypes from '../../types/placement.js';
@@ -29,6 +30,7 @@
   placement: placementTypes.Placement;
   limits: limitsModule.Limits;
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
+  states: Pick<upstreamStates.UpstreamStates, 'state'>;
   serviceOf: (name: string) => fleet.Service | null;
   failureDomain: string;
 };
@@ -99,6 +101,7 @@
       readAheadMs: load.readMs,
       cachedTokens: deps.caches.cachedTokens(upstreamId, runs.cacheScope(call), promptParts),
       belief: beliefs.belief(upstreamId, clock.nowMs()),
+      state: deps.states.state(upstreamId, clock.nowMs()),
     };
   }
 
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -18,6 +18,7 @@
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as answers from './answers.js';
@@ -44,6 +45,7 @@
   words: upstreamWords.UpstreamWords;
   limits: limitsModule.Limits;
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   serviceOf: (name: string) => fleet.Service | null;
@@ -72,7 +74,7 @@
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
   const router = routers.createRouter(deps);
-  const noteAttempt = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
+  const notes = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
   let waitingCount = 0;
 
   function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
@@ -121,7 +123,9 @@
       promptTokens: unreadTokens,
     });
     deps.caches.sent(upstreamId, scope, call.facts.promptParts);
-    let firstPieceMs: number | null = null;
+    const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
+    const noted = { call, upstreamId, isResumed, choice };
+    let firstPiece: attemptNotes.FirstPiece | null = null;
     const result = await attempts.runAttempt(deps, {
       call,
       upstreamName: record.name,
@@ -136,9 +140,9 @@
         const source = call.requestId;
         deps.words.heard({ upstreamId, facts, sentMs: startedAtMs, source });
       },
-      onFirstPiece: () => {
+      onFirstPiece: (piece) => {
         started.promptRead();
-        firstPieceMs = clock.nowMs() - startedAtMs;
+        firstPiece = notes.firstPiece(noted, piece, clock.nowMs() - startedAtMs);
         const { kind } = call.route;
         deps.metrics.firstPiece(
           { kind, priority: call.priority },
@@ -150,8 +154,9 @@
     deps.metrics.attemptEnded(result.kind);
     connection.giveBack(result.kind !== 'not-sent');
     const tookMs = clock.nowMs() - startedAtMs;
-    const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
-    noteAttempt({ call, upstreamId, result, firstPieceMs, tookMs, isResumed, choice });
+    const firstPieceMs =
+      firstPiece === null ? null : (firstPiece as attemptNotes.FirstPiece).tookMs;
+    notes.ended({ ...noted, result, firstPiece, tookMs });
     log.info('attempt-ended', {
       requestId: call.requestId,
       upstreamId,
--- a/packages/gateway/src/shared/paces.test.ts
+++ b/packages/gateway/src/shared/paces.test.ts
@@ -141,4 +141,29 @@
   );
 });
 
+// Failure: the pace of a model follows whichever upstream answers most, and is wrong for all others.
+test('the pace of uneven upstreams is that of one of usual speed', () => {
+  const paces = pacesModule.createPaces();
+  const random = createRandom(7);
+  for (let index = 0; index < 600; index += 1) {
+    const speed = {
+      slowness: [0.6, 1, 1.6][index % 3] ?? 1,
+      momentFactor: index % 7 === 0 ? 2.5 : 1,
+    };
+    const work = { ...USUAL, ownTokens: 100 + random.below(1_500), readAheadMs: 0 };
+    const usualMs = truthMs(QUICK, work);
+    const factor = speed.slowness * speed.momentFactor;
+    const firstPieceMs = 3 + (usualMs - 3) * factor;
+    const tookMs = 1_000 * speed.slowness;
+    paces.answered({ ...work, service: 's', model: 'm', firstPieceMs, tookMs, speed }, index);
+  }
+  const pace = paces.pace('s', 'm');
+  const work = { ...USUAL, readAheadMs: 0 };
+  const ratio = pacesModule.firstPieceMs(pace, work) / truthMs(QUICK, work);
+  assert.ok(ratio > 0.95 && ratio < 1.05, `off by ${ratio}`);
+  assert.ok(Math.abs(pace.holdMs - 1_000) < 50, `${pace.holdMs}`);
+  const slowMs = pacesModule.firstPieceMsAt(pace, work, { slowness: 1.6, momentFactor: 1 });
+  assert.ok(Math.abs(slowMs / truthMs(QUICK, work) - 1.6) < 0.1, `${slowMs}`);
+});
+
 test.run();
--- a/packages/gateway/src/shared/paces.ts
+++ b/packages/gateway/src/shared/paces.ts
@@ -6,6 +6,7 @@
  * slower. A model without answers of its own starts with what its service has shown.
  */
 import * as regressions from './regressions.js';
+import * as speeds from './speeds.js';
 
 export type Pace = {
   /** Time to the first piece on an idle engine with nothing to read. */
@@ -41,6 +42,8 @@
   model: string;
   firstPieceMs: number;
   tookMs: number;
+  /** The speed of its upstream, so that the pace learnt is that of an upstream of usual speed; usual if left out. */
+  speed?: speeds.Speed;
 };
 
 export type Paces = {
@@ -78,6 +81,13 @@
 const OUTLIER_FACTOR = 1.5;
 const OUTLIER_MS = 15;
 const LEAST_BASE_MS = 1;
+/** The part of the base that is spent on the way and not by the engine, whose speed doesn't scale it. */
+const ROUND_TRIP_MS = 3;
+/**
+ * A pace is that of all upstreams of a service: a reported factor counts only up to this, and one of less than the usual
+ * not at all, so that a false one changes it little. With 0.2 reported everywhere it became five times too slow.
+ */
+const MOST_MOMENT_FACTOR = 3;
 const MS_PER_SECOND = 1_000;
 
 type Fit = { regression: regressions.Regression; pace: Pace };
@@ -138,8 +148,33 @@
   );
 }
 
-function learn(fit: Fit, sample: AnswerSample, nowMs: number): void {
+function fixedMs(pace: Pace): number {
+  return Math.min(ROUND_TRIP_MS, pace.baseMs);
+}
+
+/** The prediction for an upstream of that speed. */
+export function firstPieceMsAt(pace: Pace, work: Work, speed: speeds.Speed): number {
+  const onTheWayMs = fixedMs(pace);
+  return onTheWayMs + speeds.atSpeed(firstPieceMs(pace, work) - onTheWayMs, speed);
+}
+
+/** What the answer would have taken at an upstream of usual speed. */
+function atUsualSpeed(pace: Pace, sample: AnswerSample): AnswerSample {
+  if (sample.speed === undefined) return sample;
+  const momentFactor = Math.min(MOST_MOMENT_FACTOR, Math.max(1, sample.speed.momentFactor));
+  const speed = { ...sample.speed, momentFactor };
+  const onTheWayMs = Math.min(fixedMs(pace), sample.firstPieceMs);
+  return {
+    ...sample,
+    firstPieceMs: onTheWayMs + speeds.atUsualSpeed(sample.firstPieceMs - onTheWayMs, speed),
+    // An answer lasts longer than a moment: only the learnt speed holds for all of it.
+    tookMs: sample.tookMs / speed.slowness,
+  };
+}
+
+function learn(fit: Fit, observed: AnswerSample, nowMs: number): void {
   const { pace, regression } = fit;
+  const sample = atUsualSpeed(pace, observed);
   const smooth = (before: number, value: number) => before + HOLD_SMOOTHING * (value - before);
   const longestMs = OUTLIER_FACTOR * firstPieceMs(pace, sample) + OUTLIER_MS;
   regression.add(featuresOf(pace, sample), Math.min(sample.firstPieceMs, longestMs));
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -5,6 +5,7 @@
 import type * as paces from './paces.js';
 import * as beliefsModule from './upstream-beliefs.js';
 import * as upstreamChoice from './upstream-choice.js';
+import * as upstreamStates from './upstream-states.js';
 
 const test = suite('upstream choice');
 
@@ -39,6 +40,7 @@
     readAheadMs: 0,
     cachedTokens: 0,
     belief: FRESH,
+    state: upstreamStates.UNKNOWN_STATE,
     copy: 'ready',
     blockedForMs: 0,
     closed: null,
@@ -193,4 +195,45 @@
   assert.is(idOf(choose([known, joined], { kind: 'plain' })), 'joined');
 });
 
+const known = (slowness: number, momentFactor = 1) => ({
+  ...upstreamStates.UNKNOWN_STATE,
+  slowness,
+  momentFactor,
+});
+
+// Failure: upstreams that differ in speed by two or three times get the same predictions, and the slow ones as many
+// prompts as the quick ones.
+test('a quick upstream is chosen until its queue outweighs its speed', () => {
+  const slow = candidate('slow', { state: known(1.6) });
+  const quick = candidate('quick', { state: known(0.6) });
+  assert.is(idOf(choose([slow, quick])), 'quick');
+  const queued = (tokens: number) => ({ ...quick, readAheadMs: READ_MS_PER_TOKEN * tokens });
+  assert.is(idOf(choose([slow, queued(1_500)])), 'quick');
+  assert.is(idOf(choose([slow, queued(4_500)])), 'slow');
+});
+
+test('a disturbed upstream is passed over, and not when it is all there is', () => {
+  const disturbed = candidate('disturbed', { state: known(1, 2.5) });
+  assert.is(idOf(choose([disturbed, candidate('usual')])), 'usual');
+  assert.is(idOf(choose([disturbed])), 'disturbed');
+});
+
+// Failure: a nonsensical factor makes any queue at its upstream look endless.
+test('a factor adds to a prediction for no longer than a moment lasts', () => {
+  const predictedMs = (momentFactor: number, tokens: number) => {
+    const state = known(1, momentFactor);
+    const choice = choose([candidate('u', { state })], { promptTokens: tokens });
+    return choice.kind === 'send' ? choice.predictedMs : NaN;
+  };
+  assert.ok(predictedMs(10, 18_000) - predictedMs(1, 18_000) < 600);
+  assert.ok(predictedMs(10, 100) > 3 * predictedMs(1, 100));
+});
+
+test('queue limits are compared with what the upstream itself takes', () => {
+  const queued = (slowness: number) =>
+    candidate('u', { readAheadMs: 100, inFlightCount: 5, state: known(slowness) });
+  assert.is(idOf(choose([queued(1)], { queueLimitMs: 250 })), 'u');
+  assert.is(idOf(choose([queued(1.6)], { queueLimitMs: 250 })), 'overloaded');
+});
+
 test.run();
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -5,6 +5,7 @@
  * prompts beside an idle upstream, and one that is held until its caller leaves.
  */
 import type * as placementTypes from '../types/placement.js';
+import type * as upstreamStates from '../types/upstream-states.js';
 import * as paces from './paces.js';
 import * as beliefs from './upstream-beliefs.js';
 
@@ -23,6 +24,8 @@
   /** Tokens of this request's prompt that are probably cached there. */
   cachedTokens: number;
   belief: beliefs.Belief;
+  /** Its speed and load; usual speed where nothing is known. */
+  state: upstreamStates.UpstreamState;
   copy: placementTypes.CopyState;
   /** For how long a `blocked` copy stays so. */
   blockedForMs: number;
@@ -58,6 +61,8 @@
       kind: 'send';
       upstreamId: string;
       predictedMs: number;
+      /** The same at an upstream of usual speed. */
+      usualPredictedMs: number;
       needsAdapter: boolean;
       /** What the prediction was made from. */
       work: paces.Work;
@@ -113,7 +118,7 @@
 function predictMs(request: ChoiceRequest, candidate: Candidate, usualMs: number): number {
   switch (request.kind) {
     case 'model':
-      return paces.firstPieceMs(request.pace, workAt(request, candidate));
+      return paces.firstPieceMsAt(request.pace, workAt(request, candidate), candidate.state);
     case 'plain': {
       const callMs = candidate.belief.firstPieceMs ?? usualMs;
       const ahead = Math.max(0, candidate.inFlightCount + 1 - candidate.slots);
@@ -122,6 +127,16 @@
   }
 }
 
+/** The prediction without what is known of the upstream's speed. */
+function usualPredictMs(request: ChoiceRequest, candidate: Candidate, usualMs: number): number {
+  switch (request.kind) {
+    case 'model':
+      return paces.firstPieceMs(request.pace, workAt(request, candidate));
+    case 'plain':
+      return predictMs(request, candidate, usualMs);
+  }
+}
+
 function costMs(
   request: ChoiceRequest,
   candidate: Candidate,
@@ -212,5 +227,13 @@
     .filter((other) => other.cost < cost)
     .map(({ candidate }) => candidate.upstreamId);
   const work = workAt(request, best);
-  return { kind: 'send', upstreamId, predictedMs, needsAdapter, work, passedOverIds };
+  return {
+    kind: 'send',
+    upstreamId,
+    predictedMs,
+    usualPredictedMs: usualPredictMs(request, best, usualMs),
+    needsAdapter,
+    work,
+    passedOverIds,
+  };
 }
--- a/packages/gateway/src/shared/upstream-states.test.ts
+++ b/packages/gateway/src/shared/upstream-states.test.ts
@@ -51,4 +51,86 @@
   assert.ok(Math.abs(slowness - 1.6) < 0.05, `${slowness}`);
 });
 
+const ofOneService = { serviceOf: () => 's' };
+
+function answer(
+  states: ReturnType<typeof upstreamStates.createUpstreamStates>,
+  upstreamId: string,
+  count: number,
+  ratio: number,
+): void {
+  for (let index = 0; index < count; index += 1) {
+    states.answered(upstreamId, 100, 100 * ratio, index);
+  }
+}
+
+// Failure: an upstream whose first answers came late behind prompts that crossed them is left out for good.
+test('few answers and outliers teach little, and what is learnt is bounded', () => {
+  const states = upstreamStates.createUpstreamStates();
+  answer(states, 'few', 2, 30);
+  assert.is(states.state('few', 2).slowness, 1);
+  answer(states, 'outliers', 60, 1);
+  answer(states, 'outliers', 3, 30);
+  assert.is(states.state('outliers', 60).slowness, 1);
+  answer(states, 'always', 1_000, 30);
+  assert.is(states.state('always', 1_000).slowness, 3);
+  answer(states, 'never', 1_000, 1e-6);
+  assert.is(states.state('never', 1_000).slowness, 1 / 3);
+});
+
+test('what an upstream has shown fades while it gets no requests', () => {
+  const states = upstreamStates.createUpstreamStates();
+  answer(states, 'u1', 100, 1.6);
+  assert.ok(states.state('u1', 100).slowness > 1.4);
+  assert.is(states.state('u1', 300_000).slowness, 1);
+});
+
+// Failure: the pace of a model and the slowness of all its upstreams grow against each other without an end.
+test('what all upstreams of a service have in common is no slowness', () => {
+  const states = upstreamStates.createUpstreamStates(ofOneService);
+  ['a', 'b', 'c', 'd', 'e'].forEach((id) => answer(states, id, 100, 1.6));
+  answer(states, 'slow', 100, 3.2);
+  assert.is(states.state('a', 100).slowness, 1);
+  const { slowness } = states.state('slow', 100);
+  assert.ok(slowness > 1.5 && slowness < 2.1, `${slowness}`);
+});
+
+// Failure: a report that is wrong everywhere makes every prediction too long, and all requests are refused.
+test('a factor that most upstreams of a service report at once counts for none of them', () => {
+  const states = upstreamStates.createUpstreamStates(ofOneService);
+  const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+  ids.forEach((id) => states.told(id, word(8), 0, 0));
+  ids.forEach((id) => assert.ok(Math.abs(states.state(id, 0).momentFactor - 1) < 1e-9));
+});
+
+// Failure: an upstream that reports ten times the usual, and answers as usual, gets no requests.
+test('a factor that first events contradict is not trusted for a while', () => {
+  const states = upstreamStates.createUpstreamStates();
+  for (let nowMs = 0; nowMs < 400; nowMs += 100) {
+    states.told('u1', word(10), nowMs, nowMs);
+    states.answered('u1', 100, 110, nowMs);
+  }
+  states.told('u1', word(10), 500, 500);
+  assert.is(states.state('u1', 500).momentFactor, 1);
+  assert.is(states.state('u1', 500).momentAgeMs, null);
+  states.told('u1', word(2.5), 20_000, 20_000);
+  assert.is(states.state('u1', 20_000).momentFactor, 2.5);
+});
+
+test('a factor that first events confirm stays trusted', () => {
+  const states = upstreamStates.createUpstreamStates();
+  for (let nowMs = 0; nowMs < 3_000; nowMs += 100) {
+    states.told('u1', word(2.5), nowMs, nowMs);
+    states.answered('u1', 100, 250, nowMs);
+  }
+  assert.is(states.state('u1', 2_900).momentFactor, 2.5);
+});
+
+test('a factor that is reported all the time is the usual of its upstream', () => {
+  const states = upstreamStates.createUpstreamStates();
+  for (let nowMs = 0; nowMs <= 60_000; nowMs += 200) states.told('u1', word(2.5), nowMs, nowMs);
+  const { momentFactor } = states.state('u1', 60_000);
+  assert.ok(momentFactor < 1.2, `${momentFactor}`);
+});
+
 test.run();
--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -1,52 +1,176 @@
 /**
- * The speed and the load of each upstream, from what it tells and from what its answers take. Load: upstreams that differ
- * in speed, on machines that others slow down for half a second at a time. Harm prevented: with one figure for all, work
- * goes evenly to upstreams that are uneven, and prompts to those that read slowly at this moment.
+ * The speed and the load of each upstream, from what it reports and from what its answers take. Load: upstreams that
+ * differ in speed, on machines that others slow down for half a second at a time. Harm prevented: with one figure for
+ * all, work goes evenly to upstreams that are uneven, and prompts to those that read slowly at this moment.
+ *
+ * The pace of a model (paces.ts) and the slowness of its upstreams are learnt from the same answers, and only their
+ * product can be observed. The median slowness of a service is therefore held at 1: what all upstreams of a service
+ * have in common is a matter of the pace.
  */
 import type * as upstreamStates from '../types/upstream-states.js';
+import * as speeds from './speeds.js';
 
 /** Told figures outside of this range are cut to it, so that an absurd one does bounded harm. */
 const LEAST_FACTOR = 0.2;
 const MOST_FACTOR = 10;
+/** Upstreams of one service differ in speed by less; whoever looks slower is broken and not slow. */
+const LEAST_SLOWNESS = 1 / 3;
+const MOST_SLOWNESS = 3;
 /** What disturbs an upstream for the moment seldom lasts longer. */
 const MOMENT_VALID_MS = 600;
-/** Some thirty answers make up what is learnt: a few seconds of a busy upstream. */
-const LEARNING_SHARE = 0.03;
-/** One answer that was late or early by more says no more of the next. */
-const SAMPLE_RANGE = 3;
+/** Whoever has reported a factor within this time shares its machine, also where the latest answer reports none. */
+const SHARED_MS = 30_000;
+/** Some thirty answers make up what is learnt: a few seconds of a busy upstream, far longer than a moment. */
+const KEPT_SHARE = 0.97;
+/** The usual speed counts as much as this many answers at the start, so that the first few change little. */
+const PRIOR_ANSWERS = 8;
+/** It gives way as answers add up; ten late ones are all that is kept of those. */
+const PRIOR_FADE_ANSWERS = 3;
+/**
+ * Late answers weigh less than early ones: what made them late is mostly a queue of prompts that had not been heard
+ * of. Learnt with equal weights, the quickest upstreams, which get the most requests, looked like all others.
+ */
+const LATE_WEIGHT = 0.3;
+/** An answer that was late or early by a larger factor says no more than one that was by this. */
+const SAMPLE_RANGE = 2;
 /** Predictions below this are mostly round trips, which say nothing of speed. */
 const LEAST_PREDICTED_MS = 5;
+/**
+ * Deviations below the first, as logarithms, are within the noise of thirty answers and count as none; those above the
+ * second count in full. Upstreams that are alike are thus predicted alike.
+ */
+const NOISE_LOG = 0.08;
+const CLEAR_LOG = 0.2;
+/** Without answers what was learnt fades, so that an upstream that is passed over for its slowness is tried again. */
+const FADE_MS = 60_000;
+const MEDIANS_KEPT_MS = 100;
+
+/** From here on a told factor differs enough from the usual to be contradicted by a first event. */
+const CLEAR_FACTOR = 1.8;
+/** Answers that contradict a factor, less those that agree, until it is no longer trusted. */
+const CONTRADICTIONS_MAX = 3;
+const FIRST_DISTRUST_MS = 5_000;
+const LONGEST_DISTRUST_MS = 60_000;
+/** A factor told all the time is the usual of its upstream; disturbances of 15% of the time come to 0.14 on this scale. */
+const CONSTANT_LOG = Math.log(1.6);
+const CONSTANT_MS = 20_000;
+/** Fewer upstreams may well be disturbed at the same time. */
+const COMMON_LEAST_COUNT = 5;
+
+type Answer = { predictedMs: number; tookMs: number };
 
 type Moment = { factor: number; atMs: number };
 
 type Entry = {
-  slowness: number;
-  moment: Moment | null;
+  service: string | null;
+  /** Sum of the logarithms of what answers took against their predictions: half and twice the time weigh alike. */
+  logSum: number;
+  weight: number;
+  answeredMs: number;
+  others: (upstreamStates.LearntSlowness & { atMs: number }) | null;
+  told: Moment | null;
   toldSentMs: number;
+  /** Average logarithm of the told factors. */
+  toldLog: number;
+  contradictions: number;
+  distrustedUntilMs: number;
+  distrustMs: number;
   load: { runningCount: number; waitingCount: number; slots: number; atMs: number } | null;
   tokens: { used: number; total: number; atMs: number } | null;
 };
 
+/** What the upstreams of a service have in common. */
+type Common = { slownessLog: number; momentLog: number; atMs: number };
+
+const NOTHING_COMMON: Common = { slownessLog: 0, momentLog: 0, atMs: -Infinity };
+
+/** Where nothing is known. */
+export const UNKNOWN_STATE: upstreamStates.UpstreamState = {
+  slowness: 1,
+  momentFactor: 1,
+  momentAgeMs: null,
+  tellsMoment: false,
+  load: null,
+  tokens: null,
+};
+
+/** Takes all upstreams for alike, and learns nothing. */
+export const UNKNOWN_STATES: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'> = {
+  state: () => UNKNOWN_STATE,
+  answered: () => {},
+};
+
+export type UpstreamStatesOptions = {
+  /** The service whose upstreams it is compared with; null while unknown, and then it is compared with none. */
+  serviceOf: (upstreamId: string) => string | null;
+};
+
 function clamp(value: number, least: number, most: number): number {
   return Math.min(most, Math.max(least, value));
 }
 
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const upper = sorted[Math.floor(sorted.length / 2)] ?? 0;
+  const lower = sorted[Math.ceil(sorted.length / 2) - 1] ?? upper;
+  return (lower + upper) / 2;
+}
+
 /** What was told fades towards the usual, since it says less of each later moment. */
 function factorNow({ factor, atMs }: Moment, nowMs: number): number {
   const validShare = clamp(1 - (nowMs - atMs) / MOMENT_VALID_MS, 0, 1);
   return 1 + (factor - 1) * validShare;
 }
 
-export function createUpstreamStates(): upstreamStates.UpstreamStates {
+function isRecent(moment: Moment | null, nowMs: number): moment is Moment {
+  return moment !== null && nowMs - moment.atMs < MOMENT_VALID_MS;
+}
+
+function fadedWeight(weight: number, atMs: number, nowMs: number): number {
+  return weight * Math.exp(-Math.max(0, nowMs - atMs) / FADE_MS);
+}
+
+/** What the answers of all gateways have shown. */
+function averageLog({ logSum, weight, answeredMs, others }: Entry, nowMs: number): number {
+  const kept = fadedWeight(1, answeredMs, nowMs);
+  const othersWeight = others === null ? 0 : fadedWeight(others.weight, others.atMs, nowMs);
+  const sum = kept * logSum + (others?.deviationLog ?? 0) * othersWeight;
+  const knownWeight = kept * weight + othersWeight;
+  const priorWeight = PRIOR_ANSWERS * Math.exp(-knownWeight / PRIOR_FADE_ANSWERS);
+  return sum / (knownWeight + priorWeight);
+}
+
+function withoutNoise(deviationLog: number): number {
+  const share = clamp((Math.abs(deviationLog) - NOISE_LOG) / (CLEAR_LOG - NOISE_LOG), 0, 1);
+  return deviationLog * share;
+}
+
+/** Of a figure that is told all the time whatever happens, what remains above the upstream's own usual. */
+function constantLog({ toldLog }: Entry): number {
+  return Math.abs(toldLog) < CONSTANT_LOG ? 0 : toldLog;
+}
+
+export function createUpstreamStates(
+  options: UpstreamStatesOptions = { serviceOf: () => null },
+): upstreamStates.UpstreamStates {
   const entries = new Map<string, Entry>();
+  const commons = new Map<string, Common>();
 
   function entryOf(upstreamId: string): Entry {
     const known = entries.get(upstreamId);
     if (known !== undefined) return known;
     const entry: Entry = {
-      slowness: 1,
-      moment: null,
+      service: options.serviceOf(upstreamId),
+      logSum: 0,
+      weight: 0,
+      answeredMs: 0,
+      others: null,
+      told: null,
       toldSentMs: -Infinity,
+      toldLog: 0,
+      contradictions: 0,
+      distrustedUntilMs: -Infinity,
+      distrustMs: FIRST_DISTRUST_MS,
       load: null,
       tokens: null,
     };
@@ -54,18 +178,92 @@
     return entry;
   }
 
+  function isTrusted(entry: Entry, nowMs: number): boolean {
+    return nowMs >= entry.distrustedUntilMs;
+  }
+
+  /** Several upstreams that are all told to be slow at once are no slower than one another. */
+  function commonMomentLog(members: readonly Entry[], nowMs: number): number {
+    const logs = members
+      .filter((entry) => isRecent(entry.told, nowMs) && isTrusted(entry, nowMs))
+      .map((entry) => Math.log(entry.told?.factor ?? 1) - constantLog(entry));
+    if (logs.length < COMMON_LEAST_COUNT) return 0;
+    const common = median(logs);
+    return Math.abs(common) < Math.log(CLEAR_FACTOR) ? 0 : common;
+  }
+
+  function commonOf({ service }: Entry, nowMs: number): Common {
+    if (service === null) return NOTHING_COMMON;
+    const known = commons.get(service);
+    if (known !== undefined && nowMs - known.atMs < MEDIANS_KEPT_MS) return known;
+    const members = [...entries.values()].filter((other) => other.service === service);
+    const common = {
+      slownessLog: median(members.map((entry) => averageLog(entry, nowMs))),
+      momentLog: commonMomentLog(members, nowMs),
+      atMs: nowMs,
+    };
+    commons.set(service, common);
+    return common;
+  }
+
+  function slownessOf(entry: Entry, nowMs: number): number {
+    const log = withoutNoise(averageLog(entry, nowMs) - commonOf(entry, nowMs).slownessLog);
+    return clamp(Math.exp(log), LEAST_SLOWNESS, MOST_SLOWNESS);
+  }
+
+  function momentOf(entry: Entry, nowMs: number): Moment | null {
+    if (!isRecent(entry.told, nowMs) || !isTrusted(entry, nowMs)) return null;
+    const { factor, atMs } = entry.told;
+    const ownLog = constantLog(entry) + commonOf(entry, nowMs).momentLog;
+    const ownFactor = clamp(factor * Math.exp(-ownLog), LEAST_FACTOR, MOST_FACTOR);
+    return { factor: factorNow({ factor: ownFactor, atMs }, nowMs), atMs };
+  }
+
+  function distrust(entry: Entry, nowMs: number): void {
+    entry.contradictions = 0;
+    entry.distrustedUntilMs = nowMs + entry.distrustMs;
+    entry.distrustMs = Math.min(LONGEST_DISTRUST_MS, 2 * entry.distrustMs);
+  }
+
+  /** Whether an answer took about what is usual there although the told factor is clearly another, or the contrary. */
+  function check(
+    entry: Entry,
+    momentFactor: number,
+    { predictedMs, tookMs }: Answer,
+    nowMs: number,
+  ): void {
+    const usualMs = predictedMs * slownessOf(entry, nowMs);
+    const toldMs = speeds.atSpeed(usualMs, { slowness: 1, momentFactor });
+    const isClear = toldMs >= usualMs * CLEAR_FACTOR || toldMs <= usualMs / CLEAR_FACTOR;
+    if (!isClear) return;
+    const middleMs = Math.sqrt(usualMs * toldMs);
+    const isContradicted = toldMs > usualMs ? tookMs < middleMs : tookMs > middleMs;
+    entry.contradictions = Math.max(0, entry.contradictions + (isContradicted ? 1 : -1));
+    if (entry.contradictions >= CONTRADICTIONS_MAX) distrust(entry, nowMs);
+  }
+
+  function learn(entry: Entry, ratio: number, nowMs: number): void {
+    const expectedLog = averageLog(entry, nowMs) - commonOf(entry, nowMs).slownessLog;
+    const range = Math.log(SAMPLE_RANGE);
+    const sampleLog = clamp(Math.log(ratio), expectedLog - range, expectedLog + range);
+    const sampleWeight = sampleLog > expectedLog ? LATE_WEIGHT : 1;
+    const kept = KEPT_SHARE * fadedWeight(1, entry.answeredMs, nowMs);
+    entry.logSum = kept * entry.logSum + sampleWeight * sampleLog;
+    entry.weight = kept * entry.weight + sampleWeight;
+    entry.answeredMs = nowMs;
+  }
+
   return {
     state: (upstreamId, nowMs) => {
       const entry = entries.get(upstreamId);
-      const moment = entry?.moment ?? null;
-      const load = entry?.load ?? null;
-      const tokens = entry?.tokens ?? null;
-      const isRecent = moment !== null && nowMs - moment.atMs < MOMENT_VALID_MS;
+      if (entry === undefined) return UNKNOWN_STATE;
+      const { load, tokens } = entry;
+      const moment = momentOf(entry, nowMs);
       return {
-        slowness: entry?.slowness ?? 1,
-        momentFactor: isRecent ? factorNow(moment, nowMs) : 1,
-        momentAgeMs: isRecent ? nowMs - moment.atMs : null,
-        tellsMoment: moment !== null,
+        slowness: slownessOf(entry, nowMs),
+        momentFactor: moment?.factor ?? 1,
+        momentAgeMs: moment === null ? null : nowMs - moment.atMs,
+        tellsMoment: entry.told !== null,
         load: load === null ? null : { ...load, ageMs: nowMs - load.atMs },
         tokens: tokens === null ? null : { ...tokens, ageMs: nowMs - tokens.atMs },
       };
@@ -77,25 +275,39 @@
       entry.toldSentMs = sentMs;
       const { runningCount, waitingCount, slots, momentFactor } = word;
       entry.load = { runningCount, waitingCount, slots, atMs: nowMs };
-      if (momentFactor === null) return;
-      entry.moment = { factor: clamp(momentFactor, LEAST_FACTOR, MOST_FACTOR), atMs: nowMs };
+      if (momentFactor === null || !(momentFactor > 0)) return;
+      const factor = clamp(momentFactor, LEAST_FACTOR, MOST_FACTOR);
+      const sinceMs = entry.told === null ? 0 : nowMs - entry.told.atMs;
+      const share = Math.min(sinceMs, MOMENT_VALID_MS) / CONSTANT_MS;
+      entry.toldLog += share * (Math.log(factor) - entry.toldLog);
+      entry.told = { factor, atMs: nowMs };
     },
     answered: (upstreamId, predictedMs, tookMs, nowMs) => {
-      if (predictedMs < LEAST_PREDICTED_MS) return;
+      const isMeasured = predictedMs >= LEAST_PREDICTED_MS && tookMs > 0;
+      if (!isMeasured || !Number.isFinite(predictedMs * tookMs)) return;
       const entry = entryOf(upstreamId);
-      const momentFactor = entry.moment === null ? 1 : factorNow(entry.moment, nowMs);
-      const ratio = tookMs / (predictedMs * momentFactor);
-      const sample = clamp(ratio, entry.slowness / SAMPLE_RANGE, entry.slowness * SAMPLE_RANGE);
-      // Averaged as a factor: half the time and twice the time weigh alike.
-      entry.slowness = clamp(
-        Math.exp(Math.log(entry.slowness) + LEARNING_SHARE * Math.log(sample / entry.slowness)),
-        LEAST_FACTOR,
-        MOST_FACTOR,
-      );
+      const moment = momentOf(entry, nowMs);
+      const momentFactor = moment?.factor ?? 1;
+      if (moment !== null) check(entry, momentFactor, { predictedMs, tookMs }, nowMs);
+      // On a shared machine an answer says nothing of the upstream unless it is known how the machine was.
+      const isShared = entry.told !== null && nowMs - entry.told.atMs < SHARED_MS;
+      if (isShared && moment === null) return;
+      const usualMs = speeds.atUsualSpeed(tookMs, { slowness: 1, momentFactor });
+      learn(entry, usualMs / predictedMs, nowMs);
     },
     reported: (upstreamId, tokens, nowMs) => {
       entryOf(upstreamId).tokens = { ...tokens, atMs: nowMs };
     },
+    learnt: (nowMs) =>
+      [...entries].flatMap(([upstreamId, entry]) => {
+        const { weight, logSum, answeredMs } = entry;
+        if (weight === 0) return [];
+        const told = { upstreamId, deviationLog: logSum / weight };
+        return [{ ...told, weight: fadedWeight(weight, answeredMs, nowMs) }];
+      }),
+    heard: (upstreamId, others, nowMs) => {
+      entryOf(upstreamId).others = { ...others, atMs: nowMs };
+    },
     retain: (upstreamIds) => {
       for (const id of [...entries.keys()]) if (!upstreamIds.has(id)) entries.delete(id);
     },
--- /dev/null
+++ b/packages/gateway/src/testing/uneven-fleet.ts
@@ -0,0 +1,271 @@
+/**
+ * Upstreams of uneven speed on shared machines, and gateways that choose among them, on a virtual clock. An engine reads
+ * its prompts one after the other; between events its streams pause for as long as it does so. No part of a platform is
+ * imitated beyond that.
+ */
+import { randoms } from '@copperlever/runtime';
+
+import * as inFlightModule from '../shared/in-flight.js';
+import * as pacesModule from '../shared/paces.js';
+import * as speeds from '../shared/speeds.js';
+import * as beliefsModule from '../shared/upstream-beliefs.js';
+import * as upstreamChoice from '../shared/upstream-choice.js';
+import * as statesModule from '../shared/upstream-states.js';
+import type * as upstreamStates from '../types/upstream-states.js';
+
+export type Machine = {
+  /** Service time relative to the usual; 1 is usual. */
+  slowness: number;
+  /** What it reports of the moment, given the true factor; null for nothing. */
+  reports: (trueFactor: number, nowMs: number) => number | null;
+};
+
+export type FleetPlan = {
+  seed: number;
+  machines: readonly Machine[];
+  gatewayCount: number;
+  perSecond: number;
+  forMs: number;
+  /** Part of the time in which a machine takes 2.5 times as long. */
+  disturbedShare: number;
+  usesStates: boolean;
+  queueLimitMs: number;
+};
+
+export type FleetOutcome = {
+  /** From the second half of the time, when all has been learnt. */
+  firstEventsMs: readonly number[];
+  /** First event against its prediction. */
+  ratios: readonly number[];
+  refusedCount: number;
+  /** Prompts that ended a run of reading of more than 300 ms: streams beside them paused for as long. */
+  longRunCount: number;
+  countByUpstream: readonly number[];
+  /** As the first gateway has learnt it. */
+  slowness: readonly number[];
+};
+
+type Prompt = { leftMs: number; done: () => void };
+
+type Engine = {
+  machine: Machine;
+  factor: number;
+  changesAtMs: number;
+  prompts: Prompt[];
+  busySinceMs: number | null;
+};
+
+type Gateway = {
+  inFlight: inFlightModule.InFlight;
+  paces: pacesModule.Paces;
+  beliefs: beliefsModule.UpstreamBeliefs;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'told'>;
+};
+
+const STEP_MS = 1;
+const DISTURBED_FACTOR = 2.5;
+const DISTURBED_MS = 600;
+const NEWS_MS = 250;
+const MS_PER_TOKEN = 1 / 22;
+/** Steps of the engine before the first event, which are not taken one after the other. */
+const STEPS_MS = 20;
+const HOLD_MS = 1_500;
+const LONG_RUN_MS = 300;
+const SLOTS = 64;
+const MS_PER_SECOND = 1_000;
+const PRIORITY = 1;
+
+export function run(plan: FleetPlan): FleetOutcome {
+  const random = randoms.createRandom(plan.seed);
+  const ids = plan.machines.map((_, index) => `u${index}`);
+  const engines: Engine[] = plan.machines.map((machine) => ({
+    machine,
+    factor: 1,
+    changesAtMs: random.fraction() * DISTURBED_MS,
+    prompts: [],
+    busySinceMs: null,
+  }));
+  const gateways: Gateway[] = Array.from({ length: plan.gatewayCount }, () => ({
+    inFlight: inFlightModule.createInFlight(),
+    paces: pacesModule.createPaces(),
+    beliefs: beliefsModule.createUpstreamBeliefs(),
+    states: plan.usesStates
+      ? statesModule.createUpstreamStates({ serviceOf: () => 's' })
+      : { ...statesModule.UNKNOWN_STATES, told: () => {} },
+  }));
+  const firstEventsMs: number[] = [];
+  const ratios: number[] = [];
+  const countByUpstream = ids.map(() => 0);
+  const outcome = { refusedCount: 0, longRunCount: 0 };
+  const ends: { atMs: number; end: () => void }[] = [];
+  let nowMs = 0;
+
+  function candidateOf(gateway: Gateway, upstreamId: string): upstreamChoice.Candidate {
+    const { msPerToken } = gateway.paces.pace('s', 'm');
+    const ahead = gateway.inFlight.ahead(
+      upstreamId,
+      PRIORITY,
+      nowMs,
+      (_model, tokens) => tokens * msPerToken,
+    );
+    return {
+      upstreamId,
+      failureDomain: 'north',
+      slots: SLOTS,
+      inFlightCount: ahead.inFlightCount,
+      ownInFlightCount: gateway.inFlight.ownCount(upstreamId),
+      urgentCount: ahead.urgentCount,
+      readAheadMs: ahead.readMs,
+      cachedTokens: 0,
+      belief: gateway.beliefs.belief(upstreamId, nowMs),
+      state: gateway.states.state(upstreamId, nowMs),
+      copy: 'ready',
+      blockedForMs: 0,
+      closed: null,
+      isLimited: false,
+    };
+  }
+
+  function send(
+    gateway: Gateway,
+    promptTokens: number,
+    choice: Extract<upstreamChoice.Choice, { kind: 'send' }>,
+  ): void {
+    const index = ids.indexOf(choice.upstreamId);
+    const engine = engines[index] as Engine;
+    const { upstreamId, usualPredictedMs, predictedMs, work } = choice;
+    const startedMs = nowMs;
+    const isCounted = startedMs > plan.forMs / 2;
+    if (isCounted) countByUpstream[index] = (countByUpstream[index] ?? 0) + 1;
+    const started = gateway.inFlight.started({
+      upstreamId,
+      model: 'm',
+      priority: PRIORITY,
+      promptTokens,
+    });
+    const firstEvent = () => {
+      const tookMs = nowMs - startedMs;
+      const momentFactor = engine.machine.reports(engine.factor, nowMs);
+      const word = { runningCount: 0, waitingCount: 0, slots: SLOTS, momentFactor };
+      gateway.states.told(upstreamId, word, startedMs, nowMs);
+      const speed = gateway.states.state(upstreamId, nowMs);
+      if (work.readAheadMs <= promptTokens * MS_PER_TOKEN) {
+        gateway.states.answered(upstreamId, usualPredictedMs, tookMs, nowMs);
+      }
+      started.promptRead();
+      if (isCounted) {
+        firstEventsMs.push(tookMs);
+        ratios.push(tookMs / predictedMs);
+      }
+      const holdMs = HOLD_MS * engine.machine.slowness;
+      const end = () => {
+        started.ended();
+        const expectedMs = Math.max(predictedMs, speeds.atSpeed(usualPredictedMs, speed));
+        gateway.beliefs.ended(
+          upstreamId,
+          { kind: 'good', firstPieceMs: tookMs, predictedMs: expectedMs },
+          nowMs,
+        );
+        const sample = { ...work, service: 's', model: 'm', firstPieceMs: tookMs, speed };
+        gateway.paces.answered({ ...sample, tookMs: tookMs + holdMs }, nowMs);
+      };
+      ends.push({ atMs: nowMs + holdMs, end });
+    };
+    const done = () => {
+      const stepsMs = STEPS_MS * engine.machine.slowness * engine.factor;
+      ends.push({ atMs: nowMs + stepsMs, end: firstEvent });
+    };
+    engine.prompts.push({ leftMs: promptTokens * MS_PER_TOKEN, done });
+  }
+
+  function arrive(): void {
+    const gateway = gateways[random.below(gateways.length)] as Gateway;
+    const promptTokens = 220 + random.fraction() ** 2 * 3_720;
+    const choice = upstreamChoice.chooseUpstream(
+      {
+        kind: 'model',
+        promptTokens,
+        pace: gateway.paces.pace('s', 'm'),
+        localFailureDomain: 'north',
+        excludedIds: new Set(),
+        queueLimitMs: plan.queueLimitMs,
+      },
+      ids.map((id) => candidateOf(gateway, id)),
+      nowMs,
+      random.fraction,
+    );
+    if (choice.kind === 'send') send(gateway, promptTokens, choice);
+    else if (nowMs > plan.forMs / 2) outcome.refusedCount += 1;
+  }
+
+  function disturb(engine: Engine): void {
+    if (nowMs < engine.changesAtMs) return;
+    engine.factor = random.fraction() < plan.disturbedShare ? DISTURBED_FACTOR : 1;
+    engine.changesAtMs = nowMs + DISTURBED_MS * (0.5 + random.fraction());
+  }
+
+  function read(engine: Engine): void {
+    let budgetMs = STEP_MS / (engine.machine.slowness * engine.factor);
+    while (budgetMs > 0) {
+      const [prompt] = engine.prompts;
+      if (prompt === undefined) {
+        engine.busySinceMs = null;
+        return;
+      }
+      engine.busySinceMs ??= nowMs;
+      const readMs = Math.min(budgetMs, prompt.leftMs);
+      prompt.leftMs -= readMs;
+      budgetMs -= readMs;
+      if (prompt.leftMs <= 0) {
+        engine.prompts.shift();
+        const isLong = nowMs - engine.busySinceMs > LONG_RUN_MS && nowMs > plan.forMs / 2;
+        if (isLong) outcome.longRunCount += 1;
+        prompt.done();
+      }
+    }
+  }
+
+  function runEnds(): void {
+    for (let index = ends.length - 1; index >= 0; index -= 1) {
+      const due = ends[index];
+      if (due !== undefined && due.atMs <= nowMs) {
+        ends.splice(index, 1);
+        due.end();
+      }
+    }
+  }
+
+  function tellOthers(): void {
+    gateways.forEach((gateway, at) => {
+      gateways.forEach((other, index) => {
+        if (index !== at) gateway.inFlight.heard(`g${index}`, other.inFlight.ownLoads(), nowMs);
+      });
+    });
+  }
+
+  let nextArrivalMs = 0;
+  while (nowMs < plan.forMs) {
+    engines.forEach(disturb);
+    if (nowMs % NEWS_MS === 0) tellOthers();
+    while (nextArrivalMs <= nowMs) {
+      nextArrivalMs -= Math.log(1 - random.fraction()) * (MS_PER_SECOND / plan.perSecond);
+      arrive();
+    }
+    engines.forEach(read);
+    runEnds();
+    nowMs += STEP_MS;
+  }
+  const first = gateways[0] as Gateway;
+  return {
+    ...outcome,
+    firstEventsMs,
+    ratios,
+    countByUpstream,
+    slowness: ids.map((id) => first.states.state(id, nowMs).slowness),
+  };
+}
+
+export function quantile(values: readonly number[], share: number): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
+}
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -37,6 +37,8 @@
   loadOverage: positive,
   /** By how much all gateways together may exceed an organisation's quota, in its unit. */
   quotaSlack: zod.number().nonnegative().default(0),
+  /** Whether upstreams are chosen by the speed that they report and show; `off` takes all for alike. */
+  upstreamStates: zod.enum(['on', 'off']).default('on'),
 });
 
 export type Settings = zod.infer<typeof settingsSchema>;
--- a/packages/gateway/src/types/upstream-states.ts
+++ b/packages/gateway/src/types/upstream-states.ts
@@ -25,6 +25,14 @@
   momentFactor: number | null;
 };
 
+/** What answers have shown of an upstream's slowness, as told among gateways. */
+export type LearntSlowness = {
+  /** Logarithm of its slowness. */
+  deviationLog: number;
+  /** In answers. */
+  weight: number;
+};
+
 export type UpstreamStates = {
   state: (upstreamId: string, nowMs: number) => UpstreamState;
   /** In the head of an answer to a request that was sent at `sentMs`. */
@@ -33,6 +41,10 @@
   answered: (upstreamId: string, predictedMs: number, tookMs: number, nowMs: number) => void;
   /** In a report; both in tokens. */
   reported: (upstreamId: string, tokens: { used: number; total: number }, nowMs: number) => void;
+  /** What this gateway's own answers have shown. */
+  learnt: (nowMs: number) => readonly (LearntSlowness & { upstreamId: string })[];
+  /** What those of all other gateways have shown. */
+  heard: (upstreamId: string, others: LearntSlowness, nowMs: number) => void;
   /** Forgets upstreams that are no longer listed. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
 };
