--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -85,7 +85,13 @@
     suspects: awilix.asFunction(suspectsModule.createSuspects).singleton(),
     upstreamLimits: awilix.asFunction(upstreamLimits.createUpstreamLimits).singleton(),
     pauses: awilix.asFunction(upstreamPauses.createUpstreamPauses).singleton(),
-    states: awilix.asFunction(upstreamStates.createUpstreamStates).singleton(),
+    states: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        upstreamStates.createUpstreamStates({
+          serviceOf: (upstreamId) => parts.directory.find(upstreamId)?.service ?? null,
+        }),
+      )
+      .singleton(),
     limits: awilix.asFunction(controlParts.createLimits).singleton(),
     turns: awilix.asFunction(controlParts.createTurns).singleton(),
     words: awilix
@@ -176,7 +182,6 @@
           plainPlaces: parts.plainPlaces,
           plainGate: parts.plainGate,
           plainQueues: settings.plainQueues,
-          states: parts.states,
           retryShare: parts.retryShare,
           quarantine: parts.quarantine,
           connections: parts.connections,
@@ -184,6 +189,7 @@
           limits: parts.limits,
           turns: parts.turns,
           pauses: parts.pauses,
+          states: settings.upstreamStates === 'on' ? parts.states : upstreamStates.UNKNOWN_STATES,
           placement: parts.placement,
           metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/server/forwarding/plain-gate.test.ts
+++ b/packages/gateway/src/server/forwarding/plain-gate.test.ts
@@ -14,6 +14,7 @@
   kind: 'send',
   upstreamId: 'u1',
   predictedMs: CALL_MS,
+  usualPredictedMs: CALL_MS,
   needsAdapter: false,
   isQueued: false,
   work: { ownTokens: 0, readAheadMs: 0, inFlightCount: 0, overCount: 0, slots: 6 },
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -17,10 +17,10 @@
 import * as urgency from '../../shared/urgency.js';
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as placementTypes from '../../types/placement.js';
-import type * as upstreamStates from '../../types/upstream-states.js';
 import * as runs from './run.js';
 
 export type RouterDeps = {
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -92,7 +92,6 @@
 
   const router = routers.createRouter(deps);
   const takeTurn = turnTakers.createTurnTaker({ ...deps, router });
-  const noteAttempt = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
   const plain = plainPassages.createPlainPassage({
     ...deps,
     router,
@@ -100,6 +99,7 @@
     setting: deps.plainQueues,
   });
   const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
+  const notes = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
   let waitingCount = 0;
 
   function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
@@ -149,8 +149,10 @@
       promptTokens: unreadTokens,
     });
     deps.caches.sent(upstreamId, scope, call.facts.promptParts);
-    let firstPieceMs: number | null = null;
     let load: upstreamStates.LoadWord | null = null;
+    const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
+    const noted = { call, upstreamId, isResumed, choice };
+    let firstPiece: attemptNotes.FirstPiece | null = null;
     const result = await attempts.runAttempt(deps, {
       call,
       upstreamName: record.name,
@@ -166,10 +168,10 @@
         const source = call.requestId;
         deps.words.heard({ upstreamId, facts, sentMs: startedAtMs, source });
       },
-      onFirstPiece: () => {
+      onFirstPiece: (piece) => {
         started.promptRead();
         turn.ended(true, load);
-        firstPieceMs = clock.nowMs() - startedAtMs;
+        firstPiece = notes.firstPiece(noted, piece, clock.nowMs() - startedAtMs);
         const { kind } = call.route;
         deps.metrics.firstPiece(
           { kind, priority: call.priority },
@@ -181,8 +183,9 @@
     deps.metrics.attemptEnded(result.kind);
     connection.giveBack(result.kind !== 'not-sent');
     const tookMs = clock.nowMs() - startedAtMs;
-    const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
-    noteAttempt({ call, upstreamId, result, firstPieceMs, tookMs, isResumed, choice });
+    const firstPieceMs =
+      firstPiece === null ? null : (firstPiece as attemptNotes.FirstPiece).tookMs;
+    notes.ended({ ...noted, result, firstPiece, tookMs });
     log.info('attempt-ended', {
       requestId: call.requestId,
       upstreamId,
--- a/packages/gateway/src/server/turns/turn-taker.test.ts
+++ b/packages/gateway/src/server/turns/turn-taker.test.ts
@@ -65,6 +65,7 @@
     kind: 'send',
     upstreamId,
     predictedMs: 100,
+    usualPredictedMs: 100,
     needsAdapter: false,
     isQueued: false,
     work: { ownTokens, readAheadMs: 0, inFlightCount: 0, overCount: 0, slots: 64 },
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -77,6 +77,8 @@
       kind: 'send';
       upstreamId: string;
       predictedMs: number;
+      /** The same at an upstream of usual speed. */
+      usualPredictedMs: number;
       needsAdapter: boolean;
       /** It finds other requests waiting there. */
       isQueued: boolean;
@@ -162,7 +164,7 @@
 function predictMs(request: ChoiceRequest, candidate: Candidate, basis: PlainBasis): number {
   switch (request.kind) {
     case 'model':
-      return paces.firstPieceMs(request.pace, workAt(request, candidate));
+      return paces.firstPieceMsAt(request.pace, workAt(request, candidate), candidate.state);
     case 'plain': {
       const callMs = plainCallMs(basis, candidate);
       const ahead = Math.max(0, plainCount(basis, candidate) + 1 - candidate.slots);
@@ -182,6 +184,16 @@
   return Math.min(predictedMs, untold);
 }
 
+/** The prediction without what is known of the upstream's speed. */
+function usualPredictMs(request: ChoiceRequest, candidate: Candidate, basis: PlainBasis): number {
+  switch (request.kind) {
+    case 'model':
+      return paces.firstPieceMs(request.pace, workAt(request, candidate));
+    case 'plain':
+      return predictMs(request, candidate, basis);
+  }
+}
+
 function costMs(
   request: ChoiceRequest,
   candidate: Candidate,
@@ -317,5 +329,14 @@
     .filter((other) => other.cost < cost)
     .map(({ candidate }) => candidate.upstreamId);
   const work = workAt(request, best);
-  return { kind: 'send', upstreamId, predictedMs, needsAdapter, isQueued, work, passedOverIds };
+  return {
+    kind: 'send',
+    upstreamId,
+    predictedMs,
+    usualPredictedMs: usualPredictMs(request, best, basis),
+    needsAdapter,
+    isQueued,
+    work,
+    passedOverIds,
+  };
 }
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -53,6 +53,8 @@
    * tell how long work takes at the moment.
    */
   plainQueues: zod.enum(['auto', 'on', 'off']).default('auto'),
+  /** Whether upstreams are chosen by the speed that they report and show; `off` takes all for alike. */
+  upstreamStates: zod.enum(['on', 'off']).default('on'),
 });
 
 export type Settings = zod.infer<typeof settingsSchema>;
