What an upstream usually tells of its machine is its slowness; a service whose upstreams tell takes turns everywhere

A gateway asked for turns only where it had heard that upstream itself, so that in the first seconds most prompts went without. Change: the usual of what an upstream tells, once told three times, counts as its slowness, and the moment is told from it; an upstream whose answers contradict it starts anew. Turns are asked for at all upstreams of a service of which one tells. The owner corrects the known speed instead of learning one of its own. Result: upstream-states.test.ts 'what an upstream usually tells outlasts the moment' (failed before: slowness 1). The test of confirmed factors asserts the product of slowness and moment factor now, which stays 2.5: a factor told all the time is the usual. False reports do bounded harm as before (uneven-upstreams.test.ts).

--- a/packages/gateway/src/server/turns/turns.ts
+++ b/packages/gateway/src/server/turns/turns.ts
@@ -39,7 +39,7 @@
   random: randoms.Random;
   log: logEvents.GatewayLog;
   metrics: Pick<metricsModule.GatewayMetrics, 'turnAnswered'>;
-  states: Pick<upstreamStates.UpstreamStates, 'state' | 'told'>;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'told' | 'isShared'>;
   mode: settingsModule.Settings['promptTurns'];
   gatewayId: string;
   /** Gateways that live, this one among them. */
@@ -109,7 +109,7 @@
         case 'off':
           return false;
         case 'auto':
-          return states.state(upstreamId, clock.nowMs()).tellsMoment;
+          return states.isShared(upstreamId);
       }
     },
     nextTurnId: () => {
--- a/packages/gateway/src/shared/prefill-turns.ts
+++ b/packages/gateway/src/shared/prefill-turns.ts
@@ -62,8 +62,9 @@
 
 /** Of the shortest pause objective; the rest is for the decoding steps between two events. */
 const BOUND_SHARE = 0.9;
-/** Four decoding steps of an upstream of usual speed take 27 to 35 ms, of a slow one up to 56 ms. */
-const EVENT_INTERVAL_MS = 50;
+/** Four decoding steps of an upstream of usual speed take 27 to 35 ms. */
+const USUAL_INTERVAL_MS = 35;
+const LEAST_INTERVAL_MS = 50;
 /** How long a stream that had a turn is taken to run there. */
 const STREAM_MS = 3_000;
 /** A prompt longer than the bound waits for so long, while its asker may look for another upstream. */
@@ -119,8 +120,8 @@
   prefilled: Prefilled[];
   /** When a turn was last given to a stream with this pause objective. */
   objectives: Map<number, number>;
-  /** Prefill time against the usual, the moment's factor left out. */
-  slowness: number;
+  /** Prefill time against what the upstream's known speed predicts. */
+  correction: number;
   askedMs: number;
 };
 
@@ -169,11 +170,11 @@
 }
 
 /** Recent prefills count until an event interval of decoding has passed since, in which nothing was prefilled. */
-function loadOf(upstream: Upstream, momentFactor: number, nowMs: number): Load {
-  const factor = upstream.slowness * momentFactor;
+function loadOf(upstream: Upstream, speedFactor: number, nowMs: number): Load {
+  const factor = upstream.correction * speedFactor;
   let unreadMs = 0;
   for (const { usualMs } of upstream.turns.values()) unreadMs += usualMs * factor;
-  const intervalMs = EVENT_INTERVAL_MS * Math.max(1, momentFactor);
+  const intervalMs = Math.max(LEAST_INTERVAL_MS, USUAL_INTERVAL_MS * speedFactor);
   let windowMs = intervalMs + underWayMs(upstream, unreadMs, nowMs);
   let recentMs = 0;
   let index = upstream.prefilled.length - 1;
@@ -200,6 +201,11 @@
   const upstreams = new Map<string, Upstream>();
   let sweptMs = -Infinity;
 
+  function speedFactorOf(upstreamId: string, nowMs: number): number {
+    const { slowness, momentFactor } = deps.speed(upstreamId, nowMs);
+    return slowness * momentFactor;
+  }
+
   function sweep(nowMs: number): void {
     if (nowMs - sweptMs < SWEEP_MS) return;
     sweptMs = nowMs;
@@ -209,12 +215,12 @@
   }
 
   /** An owner that has just become one does not know what is under way: it goes by the loads that it has heard of. */
-  function addHeard(upstream: Upstream, asked: AskedTurn, momentFactor: number, nowMs: number) {
+  function addHeard(upstream: Upstream, asked: AskedTurn, speedFactor: number, nowMs: number) {
     let knownMs = 0;
     for (const { usualMs } of upstream.turns.values()) knownMs += usualMs;
     const heardMs = deps.unreadTokens(asked.upstreamId, nowMs) * asked.msPerToken - knownMs;
     if (!(heardMs > 0)) return;
-    const lastsMs = Math.min(HEARD_MAX_MS, heardMs * upstream.slowness * momentFactor);
+    const lastsMs = Math.min(HEARD_MAX_MS, heardMs * upstream.correction * speedFactor);
     upstream.turns.set(HEARD_KEY, {
       usualMs: heardMs,
       givenMs: nowMs,
@@ -223,7 +229,7 @@
     });
   }
 
-  function upstreamOf(asked: AskedTurn, momentFactor: number, nowMs: number): Upstream {
+  function upstreamOf(asked: AskedTurn, speedFactor: number, nowMs: number): Upstream {
     const { upstreamId } = asked;
     let upstream = upstreams.get(upstreamId);
     if (upstream === undefined) {
@@ -232,13 +238,13 @@
         places: new Map(),
         prefilled: [],
         objectives: new Map(),
-        slowness: deps.speed(upstreamId, nowMs).slowness,
+        correction: 1,
         askedMs: -Infinity,
       };
       upstreams.set(upstreamId, upstream);
     }
     dropExpired(upstream, nowMs);
-    if (nowMs - upstream.askedMs > UNASKED_MS) addHeard(upstream, asked, momentFactor, nowMs);
+    if (nowMs - upstream.askedMs > UNASKED_MS) addHeard(upstream, asked, speedFactor, nowMs);
     upstream.askedMs = nowMs;
     return upstream;
   }
@@ -347,11 +353,11 @@
 
   function take(asked: AskedTurn, nowMs: number): TurnReply {
     sweep(nowMs);
-    const { momentFactor } = deps.speed(asked.upstreamId, nowMs);
-    const upstream = upstreamOf(asked, momentFactor, nowMs);
+    const speedFactor = speedFactorOf(asked.upstreamId, nowMs);
+    const upstream = upstreamOf(asked, speedFactor, nowMs);
     // The answer was lost, or the same question came twice.
     if (upstream.turns.has(keyOf(asked))) return { kind: 'given' };
-    const load = loadOf(upstream, momentFactor, nowMs);
+    const load = loadOf(upstream, speedFactor, nowMs);
     const boundMs = boundOf(upstream, asked.pauseObjectiveMs, nowMs);
     if (boundMs === Infinity) return give(upstream, asked, load, nowMs);
     const ownMs = usualMsOf(asked) * load.factor;
@@ -377,15 +383,15 @@
     return queue(upstream, place, asked, estimateMs, nowMs);
   }
 
-  function learn(upstream: Upstream, turn: Turn, ended: EndedTurn, momentFactor: number): void {
+  function learn(upstream: Upstream, turn: Turn, ended: EndedTurn, speedFactor: number): void {
     if (!turn.isAlone || turn.usualMs < LEARNT_FROM_MS || !Number.isFinite(ended.tookMs)) return;
-    const factor = upstream.slowness * momentFactor;
+    const factor = upstream.correction * speedFactor;
     const readMs = Math.max(0, ended.tookMs - FIRST_EVENT_MS * factor);
-    const sample = readMs / (turn.usualMs * momentFactor);
-    const { slowness } = upstream;
-    const bounded = clamp(sample, slowness / SAMPLE_RANGE, slowness * SAMPLE_RANGE);
-    upstream.slowness = clamp(
-      slowness * (bounded / slowness) ** LEARNING_SHARE,
+    const sample = readMs / (turn.usualMs * speedFactor);
+    const { correction } = upstream;
+    const bounded = clamp(sample, correction / SAMPLE_RANGE, correction * SAMPLE_RANGE);
+    upstream.correction = clamp(
+      correction * (bounded / correction) ** LEARNING_SHARE,
       LEAST_SPEED,
       MOST_SPEED,
     );
@@ -400,14 +406,10 @@
     if (turn === undefined) return;
     upstream.turns.delete(key);
     if (!ended.isPrefilled) return;
-    const momentFactor = clamp(
-      ended.load?.momentFactor ?? deps.speed(ended.upstreamId, nowMs).momentFactor,
-      LEAST_SPEED,
-      MOST_SPEED,
-    );
-    const factor = upstream.slowness * momentFactor;
+    const speedFactor = speedFactorOf(ended.upstreamId, nowMs);
+    const factor = upstream.correction * speedFactor;
     upstream.prefilled.push({ atMs: nowMs, tookMs: turn.usualMs * factor });
-    learn(upstream, turn, ended, momentFactor);
+    learn(upstream, turn, ended, speedFactor);
   }
 
   return {
--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -9,6 +9,7 @@
  */
 import type * as upstreamStates from '../types/upstream-states.js';
 import * as speeds from './speeds.js';
+import * as usualFactors from './usual-factors.js';
 
 /** Told figures outside of this range are cut to it, so that an absurd one does bounded harm. */
 const LEAST_FACTOR = 0.2;
@@ -51,9 +52,6 @@
 const CONTRADICTIONS_MAX = 3;
 const FIRST_DISTRUST_MS = 5_000;
 const LONGEST_DISTRUST_MS = 60_000;
-/** A factor told all the time is the usual of its upstream; disturbances of 15% of the time come to 0.14 on this scale. */
-const CONSTANT_LOG = Math.log(1.6);
-const CONSTANT_MS = 20_000;
 /** Fewer upstreams may well be disturbed at the same time. */
 const COMMON_LEAST_COUNT = 5;
 
@@ -70,8 +68,7 @@
   others: (upstreamStates.LearntSlowness & { atMs: number }) | null;
   told: Moment | null;
   toldSentMs: number;
-  /** Average logarithm of the told factors. */
-  toldLog: number;
+  usualTold: usualFactors.UsualFactors;
   contradictions: number;
   distrustedUntilMs: number;
   distrustMs: number;
@@ -145,16 +142,13 @@
   return deviationLog * share;
 }
 
-/** Of a figure that is told all the time whatever happens, what remains above the upstream's own usual. */
-function constantLog({ toldLog }: Entry): number {
-  return Math.abs(toldLog) < CONSTANT_LOG ? 0 : toldLog;
-}
-
 export function createUpstreamStates(
   options: UpstreamStatesOptions = { serviceOf: () => null },
 ): upstreamStates.UpstreamStates {
   const entries = new Map<string, Entry>();
   const commons = new Map<string, Common>();
+  /** Services whose upstreams tell of their machines. */
+  const sharedServices = new Set<string>();
 
   function entryOf(upstreamId: string): Entry {
     const known = entries.get(upstreamId);
@@ -167,7 +161,7 @@
       others: null,
       told: null,
       toldSentMs: -Infinity,
-      toldLog: 0,
+      usualTold: usualFactors.createUsualFactors(),
       contradictions: 0,
       distrustedUntilMs: -Infinity,
       distrustMs: FIRST_DISTRUST_MS,
@@ -186,7 +180,7 @@
   function commonMomentLog(members: readonly Entry[], nowMs: number): number {
     const logs = members
       .filter((entry) => isRecent(entry.told, nowMs) && isTrusted(entry, nowMs))
-      .map((entry) => Math.log(entry.told?.factor ?? 1) - constantLog(entry));
+      .map((entry) => Math.log((entry.told?.factor ?? 1) / entry.usualTold.usual()));
     if (logs.length < COMMON_LEAST_COUNT) return 0;
     const common = median(logs);
     return Math.abs(common) < Math.log(CLEAR_FACTOR) ? 0 : common;
@@ -206,21 +200,33 @@
     return common;
   }
 
-  function slownessOf(entry: Entry, nowMs: number): number {
+  /** What it usually tells of its machine, as far as that is trusted. */
+  function usualOf(entry: Entry, nowMs: number): number {
+    if (!isTrusted(entry, nowMs)) return 1;
+    return clamp(entry.usualTold.usual(), LEAST_SLOWNESS, MOST_SLOWNESS);
+  }
+
+  /** What its answers took beyond what it tells. */
+  function learntSlowness(entry: Entry, nowMs: number): number {
     const log = withoutNoise(averageLog(entry, nowMs) - commonOf(entry, nowMs).slownessLog);
     return clamp(Math.exp(log), LEAST_SLOWNESS, MOST_SLOWNESS);
   }
 
+  function slownessOf(entry: Entry, nowMs: number): number {
+    return learntSlowness(entry, nowMs) * usualOf(entry, nowMs);
+  }
+
   function momentOf(entry: Entry, nowMs: number): Moment | null {
     if (!isRecent(entry.told, nowMs) || !isTrusted(entry, nowMs)) return null;
     const { factor, atMs } = entry.told;
-    const ownLog = constantLog(entry) + commonOf(entry, nowMs).momentLog;
-    const ownFactor = clamp(factor * Math.exp(-ownLog), LEAST_FACTOR, MOST_FACTOR);
+    const commonFactor = usualOf(entry, nowMs) * Math.exp(commonOf(entry, nowMs).momentLog);
+    const ownFactor = clamp(factor / commonFactor, LEAST_FACTOR, MOST_FACTOR);
     return { factor: factorNow({ factor: ownFactor, atMs }, nowMs), atMs };
   }
 
   function distrust(entry: Entry, nowMs: number): void {
     entry.contradictions = 0;
+    entry.usualTold = usualFactors.createUsualFactors();
     entry.distrustedUntilMs = nowMs + entry.distrustMs;
     entry.distrustMs = Math.min(LONGEST_DISTRUST_MS, 2 * entry.distrustMs);
   }
@@ -232,8 +238,8 @@
     { predictedMs, tookMs }: Answer,
     nowMs: number,
   ): void {
-    const usualMs = predictedMs * slownessOf(entry, nowMs);
-    const toldMs = speeds.atSpeed(usualMs, { slowness: 1, momentFactor });
+    const usualMs = predictedMs * learntSlowness(entry, nowMs);
+    const toldMs = speeds.atSpeed(usualMs, { slowness: usualOf(entry, nowMs), momentFactor });
     const isClear = toldMs >= usualMs * CLEAR_FACTOR || toldMs <= usualMs / CLEAR_FACTOR;
     if (!isClear) return;
     const middleMs = Math.sqrt(usualMs * toldMs);
@@ -277,9 +283,8 @@
       entry.load = { runningCount, waitingCount, slots, atMs: nowMs };
       if (momentFactor === null || !(momentFactor > 0)) return;
       const factor = clamp(momentFactor, LEAST_FACTOR, MOST_FACTOR);
-      const sinceMs = entry.told === null ? 0 : nowMs - entry.told.atMs;
-      const share = Math.min(sinceMs, MOMENT_VALID_MS) / CONSTANT_MS;
-      entry.toldLog += share * (Math.log(factor) - entry.toldLog);
+      if (isTrusted(entry, nowMs)) entry.usualTold.told(factor, nowMs);
+      if (entry.service !== null) sharedServices.add(entry.service);
       entry.told = { factor, atMs: nowMs };
     },
     answered: (upstreamId, predictedMs, tookMs, nowMs) => {
@@ -292,7 +297,10 @@
       // On a shared machine an answer says nothing of the upstream unless it is known how the machine was.
       const isShared = entry.told !== null && nowMs - entry.told.atMs < SHARED_MS;
       if (isShared && moment === null) return;
-      const usualMs = speeds.atUsualSpeed(tookMs, { slowness: 1, momentFactor });
+      const usualMs = speeds.atUsualSpeed(tookMs, {
+        slowness: usualOf(entry, nowMs),
+        momentFactor,
+      });
       learn(entry, usualMs / predictedMs, nowMs);
     },
     reported: (upstreamId, tokens, nowMs) => {
@@ -308,6 +316,12 @@
     heard: (upstreamId, others, nowMs) => {
       entryOf(upstreamId).others = { ...others, atMs: nowMs };
     },
+    isShared: (upstreamId) => {
+      const entry = entries.get(upstreamId);
+      if (entry !== undefined && entry.told !== null) return true;
+      const service = entry?.service ?? options.serviceOf(upstreamId);
+      return service !== null && sharedServices.has(service);
+    },
     retain: (upstreamIds) => {
       for (const id of [...entries.keys()]) if (!upstreamIds.has(id)) entries.delete(id);
     },
--- a/packages/gateway/src/types/upstream-states.ts
+++ b/packages/gateway/src/types/upstream-states.ts
@@ -45,6 +45,8 @@
   learnt: (nowMs: number) => readonly (LearntSlowness & { upstreamId: string })[];
   /** What those of all other gateways have shown. */
   heard: (upstreamId: string, others: LearntSlowness, nowMs: number) => void;
+  /** An upstream of the same service has told how long work takes at the moment: their machines are shared. */
+  isShared: (upstreamId: string) => boolean;
   /** Forgets upstreams that are no longer listed. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
 };
