--- a/packages/gateway/src/server/turns/turns.ts
+++ b/packages/gateway/src/server/turns/turns.ts
@@ -86,8 +86,27 @@
     asked: prefillTurns.AskedTurn,
   ): Promise<prefillTurns.TurnReply | null> {
     if (ownerId === gatewayId) return given.take(asked, clock.nowMs());
-    const reply = await inTime(deps.takeFrom(ownerId, asked, clock.nowMs() + CALL_MS));
-    return reply === 'deadline' ? null : reply;
+    const call = deps.takeFrom(ownerId, asked, clock.nowMs() + CALL_MS);
+    const reply = await inTime(call);
+    if (reply !== 'deadline') return reply;
+    void call.then((lateReply) => noteLate(ownerId, asked, lateReply));
+    return null;
+  }
+
+  /**
+   * The request has been sent without a turn. Failure: an owner that is late now and then is passed over for as long as one
+   * that is gone, two owners give turns at one upstream, and neither counts this prompt.
+   */
+  function noteLate(
+    ownerId: string,
+    asked: prefillTurns.AskedTurn,
+    reply: prefillTurns.TurnReply | null,
+  ): void {
+    if (reply === null) return;
+    owners.noteHeard(ownerId);
+    if (reply.kind === 'given') return;
+    const sent = { ...asked, canWaitMs: 0, mustStart: true };
+    void deps.takeFrom(ownerId, sent, clock.nowMs() + CALL_MS);
   }
 
   function noteSilent(ownerId: string, upstreamId: string): void {
--- a/packages/gateway/src/shared/prefill-turns.ts
+++ b/packages/gateway/src/shared/prefill-turns.ts
@@ -60,19 +60,27 @@
   counts: () => { givenCount: number; waitingCount: number };
 };
 
-/** Of the shortest pause objective; the rest is for the decoding steps between two events. */
-const BOUND_SHARE = 0.9;
-/** Four decoding steps of an upstream of usual speed take 27 to 35 ms, of a slow one up to 56 ms. */
-const EVENT_INTERVAL_MS = 50;
+/**
+ * Of the shortest pause objective. With 0.9 most pauses beyond it came of machines that became slow after the turns had been
+ * given: 0.237 of the streams were late for one, with 0.7 0.180, with 0.5 0.181 and longer waits.
+ */
+const BOUND_SHARE = 0.7;
+/** What a pause has beside prefill: four decoding steps, 27 to 35 ms on an upstream of usual speed. */
+const EVENT_INTERVAL_MS = 35;
+/** The bound leaves room for them, and for a step that prefill begins in. */
+const INTERVALS_KEPT = 1.2;
+/** Where the steps alone take nearly as long, prompts go one after the other. */
+const BOUND_MIN_SHARE = 0.3;
 /** How long a stream that had a turn is taken to run there. */
 const STREAM_MS = 3_000;
 /** A prompt longer than the bound waits for so long, while its asker may look for another upstream. */
-const LONG_PROMPT_WAIT_MS = 120;
+const LONG_PROMPT_WAIT_MS = 400;
 const MIN_WAIT_MS = 5;
 /** Estimates of waits are rough; what ended early is noticed by then. */
 const MAX_WAIT_MS = 100;
 /** How long a place is kept beyond the time to ask again: a message, and a short pause of the asker. */
 const PLACE_KEPT_MS = 60;
+const ASKER_LATE_MS = 20;
 /** By how much an estimate may exceed what a request that is in the queue can wait. */
 const ESTIMATE_SLACK_MS = 30;
 /** An end that is this much later than predicted has been lost. */
@@ -91,6 +99,8 @@
 const LEARNING_SHARE = 0.1;
 const LEARNT_FROM_MS = 15;
 const SAMPLE_RANGE = 3;
+/** An end is told after a step, a message and a batch. */
+const OVERDUE_INTERVALS = 1;
 const LEAST_SPEED = 0.2;
 const MOST_SPEED = 10;
 /** From the sending to the first event beside prefill, about two decoding steps. */
@@ -125,7 +135,13 @@
 };
 
 /** At one moment, in milliseconds of the upstream's present speed. */
-type Load = { unreadMs: number; recentMs: number; factor: number; intervalMs: number };
+type Load = {
+  unreadMs: number;
+  recentMs: number;
+  factor: number;
+  intervalMs: number;
+  underWayMs: number;
+};
 
 const HEARD_KEY = 'heard';
 
@@ -142,13 +158,22 @@
   return Number.isFinite(usualMs) ? Math.max(0, usualMs) : 0;
 }
 
-function boundOf(upstream: Upstream, ownObjectiveMs: number | null, nowMs: number): number {
+function boundOf(
+  upstream: Upstream,
+  ownObjectiveMs: number | null,
+  intervalMs: number,
+  nowMs: number,
+): number {
   let shortestMs = ownObjectiveMs ?? Infinity;
   for (const [objectiveMs, atMs] of upstream.objectives) {
     if (nowMs - atMs > STREAM_MS) upstream.objectives.delete(objectiveMs);
     else shortestMs = Math.min(shortestMs, objectiveMs);
   }
-  return BOUND_SHARE * shortestMs;
+  const spareMs = INTERVALS_KEPT * intervalMs;
+  return Math.max(
+    BOUND_MIN_SHARE * shortestMs,
+    Math.min(BOUND_SHARE * shortestMs, shortestMs - spareMs),
+  );
 }
 
 function dropExpired(upstream: Upstream, nowMs: number): void {
@@ -160,21 +185,27 @@
   }
 }
 
-/** How long the prefill that is under way has gone on, by what was given. */
-function underWayMs(upstream: Upstream, unreadMs: number, nowMs: number): number {
-  const lastMs = upstream.prefilled.at(-1)?.atMs ?? -Infinity;
-  let sinceMs = Infinity;
-  for (const { givenMs } of upstream.turns.values()) sinceMs = Math.min(sinceMs, givenMs);
-  return sinceMs === Infinity ? 0 : Math.min(unreadMs, nowMs - Math.max(sinceMs, lastMs));
+/** Since the prefill that is under way began, by what was given; 0 where none is. */
+function sinceBeginMs({ turns, prefilled }: Upstream, nowMs: number): number {
+  let fromMs = Infinity;
+  for (const { givenMs } of turns.values()) fromMs = Math.min(fromMs, givenMs);
+  return fromMs === Infinity ? 0 : nowMs - Math.max(fromMs, prefilled.at(-1)?.atMs ?? -Infinity);
 }
 
 /** Recent prefills count until an event interval of decoding has passed since, in which nothing was prefilled. */
 function loadOf(upstream: Upstream, momentFactor: number, nowMs: number): Load {
-  const factor = upstream.slowness * momentFactor;
-  let unreadMs = 0;
-  for (const { usualMs } of upstream.turns.values()) unreadMs += usualMs * factor;
-  const intervalMs = EVENT_INTERVAL_MS * Math.max(1, momentFactor);
-  let windowMs = intervalMs + underWayMs(upstream, unreadMs, nowMs);
+  let usualMs = 0;
+  for (const turn of upstream.turns.values()) usualMs += turn.usualMs;
+  const toldFactor = upstream.slowness * momentFactor;
+  const sinceMs = sinceBeginMs(upstream, nowMs);
+  // What takes longer than predicted shows a slow moment before any answer tells of it.
+  const overdueMs = sinceMs - OVERDUE_INTERVALS * EVENT_INTERVAL_MS * toldFactor;
+  const shownFactor = usualMs < LEARNT_FROM_MS ? 0 : overdueMs / usualMs;
+  const factor = clamp(shownFactor, toldFactor, MOST_SPEED);
+  const unreadMs = usualMs * factor;
+  const intervalMs = EVENT_INTERVAL_MS * factor;
+  const underWayMs = Math.min(unreadMs, sinceMs);
+  let windowMs = intervalMs + underWayMs;
   let recentMs = 0;
   let index = upstream.prefilled.length - 1;
   for (; index >= 0; index -= 1) {
@@ -184,7 +215,7 @@
     windowMs += tookMs;
   }
   upstream.prefilled.splice(0, index + 1);
-  return { unreadMs, recentMs, factor, intervalMs };
+  return { unreadMs, recentMs, factor, intervalMs, underWayMs };
 }
 
 /** More urgent first, then who must start first; who was passed over goes first shortly before its latest start. */
@@ -269,6 +300,7 @@
     if (known !== undefined) {
       // The asker knows better what is left: its messages take time.
       known.latestStartMs = Math.min(known.latestStartMs, nowMs + canWaitMs);
+      known.mustStart = asked.mustStart;
       return known;
     }
     const usualMs = usualMsOf(asked);
@@ -289,6 +321,8 @@
     let sumMs = 0;
     for (const other of upstream.places.values()) {
       if (other.key === place.key || other.fromMs > nowMs) continue;
+      // Its asker is late or gone: the engine is not left idle for it.
+      if (nowMs > other.keptUntilMs - PLACE_KEPT_MS + ASKER_LATE_MS) continue;
       if (!isBefore(other, place, boundMs, nowMs)) continue;
       sumMs += Math.min(boundMs, other.usualMs * load.factor);
     }
@@ -303,8 +337,8 @@
     boundMs: number,
     nowMs: number,
   ): number {
-    const { unreadMs, intervalMs } = load;
-    const leftMs = unreadMs - underWayMs(upstream, unreadMs, nowMs);
+    const { unreadMs, intervalMs, underWayMs } = load;
+    const leftMs = unreadMs - underWayMs;
     const lastMs = upstream.prefilled.at(-1)?.atMs ?? -Infinity;
     const decodedMs = unreadMs > 0 ? 0 : Math.min(intervalMs, nowMs - lastMs);
     const fullRounds = Math.max(0, Math.ceil(needMs / boundMs) - 1);
@@ -352,7 +386,7 @@
     // The answer was lost, or the same question came twice.
     if (upstream.turns.has(keyOf(asked))) return { kind: 'given' };
     const load = loadOf(upstream, momentFactor, nowMs);
-    const boundMs = boundOf(upstream, asked.pauseObjectiveMs, nowMs);
+    const boundMs = boundOf(upstream, asked.pauseObjectiveMs, load.intervalMs, nowMs);
     if (boundMs === Infinity) return give(upstream, asked, load, nowMs);
     const ownMs = usualMsOf(asked) * load.factor;
     const hasStreams = upstream.objectives.size > 0;
--- a/packages/gateway/src/shared/turn-owners.ts
+++ b/packages/gateway/src/shared/turn-owners.ts
@@ -8,6 +8,8 @@
 export type TurnOwners = {
   /** `liveIds`: the gateways that live, this one among them. */
   ownerOf: (upstreamId: string, liveIds: () => readonly string[], nowMs: number) => string;
+  /** It answered after all: it was only late. */
+  noteHeard: (gatewayId: string) => void;
   /** It did not answer in time; true if it was not known to be silent. */
   noteSilent: (gatewayId: string, nowMs: number) => boolean;
 };
@@ -83,6 +85,9 @@
       kept.set(upstreamId, ownerId);
       return ownerId;
     },
+    noteHeard: (gatewayId) => {
+      if (silentUntilMs.delete(gatewayId)) keptUntilMs = -Infinity;
+    },
     noteSilent: (gatewayId, nowMs) => {
       if (gatewayId === selfId) return false;
       const isNew = (silentUntilMs.get(gatewayId) ?? -Infinity) <= nowMs;
