Gaps between events tell how a machine is at the moment

Cause: a machine's moment was known from reports alone: from none where none come, and for as long as the next answer takes. Change: event-gaps.ts reduces the events of a relayed stream to the smallest gap of each four (numbers only, nothing is allocated for an event); usual-gaps.ts learns the usual gap of each upstream and model as a low quantile. A factor above 1.6 counts as a slow moment, a run of usual gaps as none; whichever is later holds, a report or the gaps, and gaps of usual length contradict a report. Gaps of a model's streams only; time that a caller held its stream back is left out.

--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -4,6 +4,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import type * as eventGaps from '../../shared/event-gaps.js';
 import * as rawUpstreams from '../../testing/raw-upstream.js';
 import * as testDialects from '../../testing/test-dialect.js';
 import type * as calls from '../../types/calls.js';
@@ -90,6 +91,7 @@
 async function attempt(
   answer: (socket: net.Socket, request: string) => void,
   call: calls.Call = createCall('at-most-once'),
+  gaps?: eventGaps.EventGaps,
 ) {
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const connections = connectionsModule.createConnections();
@@ -109,6 +111,7 @@
         resumeAfterId: null,
         holdsFailure: false,
         onHead: () => {},
+        ...(gaps === undefined ? {} : { gaps }),
         sendByMs: clock.nowMs() + 10_000,
         firstByteByMs: clock.nowMs() + 20_000,
         onFirstPiece: () => {},
@@ -259,4 +262,36 @@
   upstream.close();
 });
 
+// Failure: the gaps of streams are not seen, or those of answers that are held whole are.
+test('the events of a stream that is passed on are counted, and no whole answer', async () => {
+  let count = 0;
+  const gaps = {
+    event: () => {
+      count += 1;
+    },
+    interrupted: () => {},
+  };
+  const event = '5\r\ndata\n\r\n';
+  const stream = await attempt(
+    (socket) => {
+      socket.write(`${OK}Transfer-Encoding: chunked\r\n\r\n${event}${event}0\r\n\r\n`);
+    },
+    createCall('stream'),
+    gaps,
+  );
+  assert.is(stream.result.kind, 'answered');
+  assert.is(count, 2);
+  stream.upstream.close();
+  const whole = await attempt(
+    (socket) => {
+      socket.write(`${OK}Content-Length: 5\r\n\r\nhello`);
+    },
+    createCall('at-most-once'),
+    gaps,
+  );
+  assert.is(whole.result.kind, 'answered');
+  assert.is(count, 2);
+  whole.upstream.close();
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -8,6 +8,7 @@
 import type * as undici from 'undici';
 
 import * as connectionHeaders from '../../shared/connection-headers.js';
+import type * as eventGaps from '../../shared/event-gaps.js';
 import * as eventFramer from '../../shared/event-framer.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
@@ -31,6 +32,8 @@
   firstByteByMs: number;
   /** `event`: of a stream that is passed on as it comes. `whole`: all of the answer at once. */
   onFirstPiece: (piece: 'event' | 'whole') => void;
+  /** Gets the events of a stream that is passed on. */
+  gaps?: eventGaps.EventGaps;
   /** The head of an answer to this request has come. */
   onHead: (facts: dialects.AnswerFacts) => void;
 };
@@ -93,7 +96,10 @@
       }
       if (sink.write(bytes)) return;
       controller?.pause();
-      sink.onceDrained(() => controller?.resume());
+      sink.onceDrained(() => {
+        input.gaps?.interrupted();
+        controller?.resume();
+      });
     }
 
     function startPassing(): void {
@@ -172,6 +178,7 @@
       onResponseData: (_controller, chunk) => {
         if (isSettled) return;
         if (isPassing) {
+          input.gaps?.event(clock.nowMs());
           passOn(chunk);
           return;
         }
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -3,6 +3,7 @@
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks, randoms } from '@copperlever/runtime';
 
+import * as eventGaps from '../../shared/event-gaps.js';
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
@@ -45,7 +46,7 @@
   words: upstreamWords.UpstreamWords;
   limits: limitsModule.Limits;
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
-  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'observed'>;
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   serviceOf: (name: string) => fleet.Service | null;
@@ -98,6 +99,15 @@
     );
   }
 
+  /** Streams of models have their events at the pace of an engine; those of other services at any. */
+  function gapsOf(call: calls.Call, upstreamId: string): eventGaps.EventGaps | undefined {
+    if (call.route.kind !== 'stream' || !router.needsModel(call)) return undefined;
+    const model = call.facts.model ?? '';
+    return eventGaps.createEventGaps((gapMs, nowMs) => {
+      deps.states.observed(upstreamId, model, gapMs, nowMs);
+    });
+  }
+
   async function attempt(
     call: calls.Call,
     run: runs.Run,
@@ -136,6 +146,7 @@
       holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
       sendByMs: startedAtMs + SEND_PATIENCE_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
+      gaps: gapsOf(call, upstreamId),
       onHead: (facts) => {
         const source = call.requestId;
         deps.words.heard({ upstreamId, facts, sentMs: startedAtMs, source });
--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -4,11 +4,13 @@
  * all, work goes evenly to upstreams that are uneven, and prompts to those that read slowly at this moment.
  *
  * The pace of a model (paces.ts) and the slowness of its upstreams are learnt from the same answers, and only their
- * product can be observed. The median slowness of a service is therefore held at 1: what all upstreams of a service
- * have in common is a matter of the pace.
+ * product can be observed. The mean slowness of a service, over answers, is therefore held at 1: what all its upstreams
+ * have in common is a matter of the pace. Were it the mean over upstreams, the few that get most requests and the pace
+ * would drift apart without an end, since upstreams without answers stay where they are.
  */
 import type * as upstreamStates from '../types/upstream-states.js';
 import * as speeds from './speeds.js';
+import * as usualGaps from './usual-gaps.js';
 
 /** Told figures outside of this range are cut to it, so that an absurd one does bounded harm. */
 const LEAST_FACTOR = 0.2;
@@ -23,9 +25,9 @@
 /** Some thirty answers make up what is learnt: a few seconds of a busy upstream, far longer than a moment. */
 const KEPT_SHARE = 0.97;
 /** The usual speed counts as much as this many answers at the start, so that the first few change little. */
-const PRIOR_ANSWERS = 8;
-/** It gives way as answers add up; ten late ones are all that is kept of those. */
-const PRIOR_FADE_ANSWERS = 3;
+const PRIOR_ANSWERS = 20;
+/** It gives way as answers add up. */
+const PRIOR_FADE_ANSWERS = 10;
 /**
  * Late answers weigh less than early ones: what made them late is mostly a queue of prompts that had not been heard
  * of. Learnt with equal weights, the quickest upstreams, which get the most requests, looked like all others.
@@ -57,6 +59,13 @@
 /** Fewer upstreams may well be disturbed at the same time. */
 const COMMON_LEAST_COUNT = 5;
 
+/** Gaps longer by less come from more requests beside the stream and count as usual. */
+const CLEAR_GAP_FACTOR = 1.6;
+/** Gaps say what was until now; a report that is younger than the run of gaps knows better. */
+const RUN_MS = 100;
+/** Runs of gaps contradict a report at most this often, since several streams see the same. */
+const CONTRADICTION_PAUSE_MS = 150;
+
 type Answer = { predictedMs: number; tookMs: number };
 
 type Moment = { factor: number; atMs: number };
@@ -66,12 +75,17 @@
   /** Sum of the logarithms of what answers took against their predictions: half and twice the time weigh alike. */
   logSum: number;
   weight: number;
+  answerCount: number;
   answeredMs: number;
   others: (upstreamStates.LearntSlowness & { atMs: number }) | null;
   told: Moment | null;
   toldSentMs: number;
   /** Average logarithm of the told factors. */
   toldLog: number;
+  /** From the gaps between events. */
+  seen: Moment | null;
+  gaps: usualGaps.UsualGaps;
+  contradictedMs: number;
   contradictions: number;
   distrustedUntilMs: number;
   distrustMs: number;
@@ -95,9 +109,13 @@
 };
 
 /** Takes all upstreams for alike, and learns nothing. */
-export const UNKNOWN_STATES: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'> = {
+export const UNKNOWN_STATES: Pick<
+  upstreamStates.UpstreamStates,
+  'state' | 'answered' | 'observed'
+> = {
   state: () => UNKNOWN_STATE,
   answered: () => {},
+  observed: () => {},
 };
 
 export type UpstreamStatesOptions = {
@@ -126,18 +144,31 @@
   return moment !== null && nowMs - moment.atMs < MOMENT_VALID_MS;
 }
 
-function fadedWeight(weight: number, atMs: number, nowMs: number): number {
-  return weight * Math.exp(-Math.max(0, nowMs - atMs) / FADE_MS);
+function faded(value: number, atMs: number, nowMs: number): number {
+  return value * Math.exp(-Math.max(0, nowMs - atMs) / FADE_MS);
+}
+
+/** Over answers; 0 without any. */
+function meanLog(entries: readonly Entry[], nowMs: number): number {
+  let sum = 0;
+  let answerCount = 0;
+  entries.forEach((entry) => {
+    const average = averageLog(entry, nowMs);
+    sum += average.log * average.answerCount;
+    answerCount += average.answerCount;
+  });
+  return answerCount === 0 ? 0 : sum / answerCount;
 }
 
-/** What the answers of all gateways have shown. */
-function averageLog({ logSum, weight, answeredMs, others }: Entry, nowMs: number): number {
-  const kept = fadedWeight(1, answeredMs, nowMs);
-  const othersWeight = others === null ? 0 : fadedWeight(others.weight, others.atMs, nowMs);
-  const sum = kept * logSum + (others?.deviationLog ?? 0) * othersWeight;
-  const knownWeight = kept * weight + othersWeight;
-  const priorWeight = PRIOR_ANSWERS * Math.exp(-knownWeight / PRIOR_FADE_ANSWERS);
-  return sum / (knownWeight + priorWeight);
+/** What the answers of all gateways have shown, and how many there were. */
+function averageLog(entry: Entry, nowMs: number): { log: number; answerCount: number } {
+  const { logSum, weight, answeredMs, others } = entry;
+  const ownCount = faded(entry.answerCount, answeredMs, nowMs);
+  const othersCount = others === null ? 0 : faded(others.answerCount, others.atMs, nowMs);
+  const answerCount = ownCount + othersCount;
+  const ownLog = weight === 0 ? 0 : logSum / weight;
+  const sum = ownLog * ownCount + (others?.slownessLog ?? 0) * othersCount;
+  return { log: answerCount === 0 ? 0 : sum / answerCount, answerCount };
 }
 
 function withoutNoise(deviationLog: number): number {
@@ -163,11 +194,15 @@
       service: options.serviceOf(upstreamId),
       logSum: 0,
       weight: 0,
+      answerCount: 0,
       answeredMs: 0,
       others: null,
       told: null,
       toldSentMs: -Infinity,
       toldLog: 0,
+      seen: null,
+      gaps: usualGaps.createUsualGaps(),
+      contradictedMs: -Infinity,
       contradictions: 0,
       distrustedUntilMs: -Infinity,
       distrustMs: FIRST_DISTRUST_MS,
@@ -198,7 +233,7 @@
     if (known !== undefined && nowMs - known.atMs < MEDIANS_KEPT_MS) return known;
     const members = [...entries.values()].filter((other) => other.service === service);
     const common = {
-      slownessLog: median(members.map((entry) => averageLog(entry, nowMs))),
+      slownessLog: meanLog(members, nowMs),
       momentLog: commonMomentLog(members, nowMs),
       atMs: nowMs,
     };
@@ -206,17 +241,33 @@
     return common;
   }
 
+  /** Against the others, drawn to the usual while there are few answers. */
+  function deviationLog(entry: Entry, nowMs: number): number {
+    const { log, answerCount } = averageLog(entry, nowMs);
+    const priorCount = PRIOR_ANSWERS * Math.exp(-answerCount / PRIOR_FADE_ANSWERS);
+    const share = answerCount / (answerCount + priorCount);
+    return (log - commonOf(entry, nowMs).slownessLog) * share;
+  }
+
   function slownessOf(entry: Entry, nowMs: number): number {
-    const log = withoutNoise(averageLog(entry, nowMs) - commonOf(entry, nowMs).slownessLog);
+    const log = withoutNoise(deviationLog(entry, nowMs));
     return clamp(Math.exp(log), LEAST_SLOWNESS, MOST_SLOWNESS);
   }
 
-  function momentOf(entry: Entry, nowMs: number): Moment | null {
+  /** What it reported, as far as that is trusted. */
+  function toldMoment(entry: Entry, nowMs: number): Moment | null {
     if (!isRecent(entry.told, nowMs) || !isTrusted(entry, nowMs)) return null;
     const { factor, atMs } = entry.told;
     const ownLog = constantLog(entry) + commonOf(entry, nowMs).momentLog;
-    const ownFactor = clamp(factor * Math.exp(-ownLog), LEAST_FACTOR, MOST_FACTOR);
-    return { factor: factorNow({ factor: ownFactor, atMs }, nowMs), atMs };
+    return { factor: clamp(factor * Math.exp(-ownLog), LEAST_FACTOR, MOST_FACTOR), atMs };
+  }
+
+  /** The later of what it reported and what its streams showed. */
+  function momentOf(entry: Entry, nowMs: number): Moment | null {
+    const told = toldMoment(entry, nowMs);
+    const seen = isRecent(entry.seen, nowMs) ? entry.seen : null;
+    if (told === null || seen === null) return told ?? seen;
+    return seen.atMs > told.atMs + RUN_MS ? seen : told;
   }
 
   function distrust(entry: Entry, nowMs: number): void {
@@ -225,6 +276,11 @@
     entry.distrustMs = Math.min(LONGEST_DISTRUST_MS, 2 * entry.distrustMs);
   }
 
+  function weigh(entry: Entry, isContradicted: boolean, nowMs: number): void {
+    entry.contradictions = Math.max(0, entry.contradictions + (isContradicted ? 1 : -1));
+    if (entry.contradictions >= CONTRADICTIONS_MAX) distrust(entry, nowMs);
+  }
+
   /** Whether an answer took about what is usual there although the told factor is clearly another, or the contrary. */
   function check(
     entry: Entry,
@@ -238,18 +294,27 @@
     if (!isClear) return;
     const middleMs = Math.sqrt(usualMs * toldMs);
     const isContradicted = toldMs > usualMs ? tookMs < middleMs : tookMs > middleMs;
-    entry.contradictions = Math.max(0, entry.contradictions + (isContradicted ? 1 : -1));
-    if (entry.contradictions >= CONTRADICTIONS_MAX) distrust(entry, nowMs);
+    weigh(entry, isContradicted, nowMs);
+  }
+
+  /** Compares a run of gaps with a factor that was reported shortly before it began, and seems to hold still. */
+  function checkGaps(entry: Entry, seenFactor: number, nowMs: number): void {
+    const told = toldMoment(entry, nowMs);
+    if (told === null || nowMs - entry.contradictedMs < CONTRADICTION_PAUSE_MS) return;
+    if (told.factor < CLEAR_FACTOR || nowMs - told.atMs > RUN_MS) return;
+    entry.contradictedMs = nowMs;
+    weigh(entry, seenFactor < Math.sqrt(told.factor), nowMs);
   }
 
   function learn(entry: Entry, ratio: number, nowMs: number): void {
-    const expectedLog = averageLog(entry, nowMs) - commonOf(entry, nowMs).slownessLog;
+    const expectedLog = deviationLog(entry, nowMs);
     const range = Math.log(SAMPLE_RANGE);
     const sampleLog = clamp(Math.log(ratio), expectedLog - range, expectedLog + range);
     const sampleWeight = sampleLog > expectedLog ? LATE_WEIGHT : 1;
-    const kept = KEPT_SHARE * fadedWeight(1, entry.answeredMs, nowMs);
+    const kept = KEPT_SHARE * faded(1, entry.answeredMs, nowMs);
     entry.logSum = kept * entry.logSum + sampleWeight * sampleLog;
     entry.weight = kept * entry.weight + sampleWeight;
+    entry.answerCount = kept * entry.answerCount + 1;
     entry.answeredMs = nowMs;
   }
 
@@ -261,7 +326,7 @@
       const moment = momentOf(entry, nowMs);
       return {
         slowness: slownessOf(entry, nowMs),
-        momentFactor: moment?.factor ?? 1,
+        momentFactor: moment === null ? 1 : factorNow(moment, nowMs),
         momentAgeMs: moment === null ? null : nowMs - moment.atMs,
         tellsMoment: entry.told !== null,
         load: load === null ? null : { ...load, ageMs: nowMs - load.atMs },
@@ -287,23 +352,37 @@
       if (!isMeasured || !Number.isFinite(predictedMs * tookMs)) return;
       const entry = entryOf(upstreamId);
       const moment = momentOf(entry, nowMs);
-      const momentFactor = moment?.factor ?? 1;
-      if (moment !== null) check(entry, momentFactor, { predictedMs, tookMs }, nowMs);
+      const momentFactor = moment === null ? 1 : factorNow(moment, nowMs);
+      if (moment !== null && moment !== entry.seen) {
+        check(entry, momentFactor, { predictedMs, tookMs }, nowMs);
+      }
       // On a shared machine an answer says nothing of the upstream unless it is known how the machine was.
       const isShared = entry.told !== null && nowMs - entry.told.atMs < SHARED_MS;
       if (isShared && moment === null) return;
+      // Gaps tell a slow machine from prompts that are read between any two events only most of the time.
+      if (moment === entry.seen && momentFactor > 1) return;
       const usualMs = speeds.atUsualSpeed(tookMs, { slowness: 1, momentFactor });
       learn(entry, usualMs / predictedMs, nowMs);
     },
     reported: (upstreamId, tokens, nowMs) => {
       entryOf(upstreamId).tokens = { ...tokens, atMs: nowMs };
     },
+    observed: (upstreamId, model, gapMs, nowMs) => {
+      if (!(gapMs > 0)) return;
+      const entry = entryOf(upstreamId);
+      const factor = entry.gaps.observed(model, gapMs, nowMs);
+      if (factor === null) return;
+      checkGaps(entry, factor, nowMs);
+      const seenFactor = factor < CLEAR_GAP_FACTOR ? 1 : Math.min(MOST_FACTOR, factor);
+      entry.seen = { factor: seenFactor, atMs: nowMs };
+    },
+    usualGapMs: (upstreamId) => entries.get(upstreamId)?.gaps.usualMs() ?? null,
     learnt: (nowMs) =>
       [...entries].flatMap(([upstreamId, entry]) => {
-        const { weight, logSum, answeredMs } = entry;
-        if (weight === 0) return [];
-        const told = { upstreamId, deviationLog: logSum / weight };
-        return [{ ...told, weight: fadedWeight(weight, answeredMs, nowMs) }];
+        if (entry.weight === 0) return [];
+        const slownessLog = entry.logSum / entry.weight;
+        const answerCount = faded(entry.answerCount, entry.answeredMs, nowMs);
+        return [{ upstreamId, slownessLog, answerCount }];
       }),
     heard: (upstreamId, others, nowMs) => {
       entryOf(upstreamId).others = { ...others, atMs: nowMs };
--- a/packages/gateway/src/testing/uneven-fleet.ts
+++ b/packages/gateway/src/testing/uneven-fleet.ts
@@ -5,6 +5,7 @@
  */
 import { randoms } from '@copperlever/runtime';
 
+import * as eventGaps from '../shared/event-gaps.js';
 import * as inFlightModule from '../shared/in-flight.js';
 import * as pacesModule from '../shared/paces.js';
 import * as speeds from '../shared/speeds.js';
@@ -47,7 +48,10 @@
 
 type Prompt = { leftMs: number; done: () => void };
 
+type Stream = { decodedMs: number; endsMs: number; gaps: eventGaps.EventGaps };
+
 type Engine = {
+  streams: Stream[];
   machine: Machine;
   factor: number;
   changesAtMs: number;
@@ -59,7 +63,7 @@
   inFlight: inFlightModule.InFlight;
   paces: pacesModule.Paces;
   beliefs: beliefsModule.UpstreamBeliefs;
-  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'told'>;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'told' | 'observed'>;
 };
 
 const STEP_MS = 1;
@@ -69,6 +73,7 @@
 const MS_PER_TOKEN = 1 / 22;
 /** Steps of the engine before the first event, which are not taken one after the other. */
 const STEPS_MS = 20;
+const EVENT_MS = 27;
 const HOLD_MS = 1_500;
 const LONG_RUN_MS = 300;
 const SLOTS = 64;
@@ -83,6 +88,7 @@
     factor: 1,
     changesAtMs: random.fraction() * DISTURBED_MS,
     prompts: [],
+    streams: [],
     busySinceMs: null,
   }));
   const gateways: Gateway[] = Array.from({ length: plan.gatewayCount }, () => ({
@@ -170,6 +176,10 @@
         gateway.paces.answered({ ...sample, tookMs: tookMs + holdMs }, nowMs);
       };
       ends.push({ atMs: nowMs + holdMs, end });
+      const gaps = eventGaps.createEventGaps((gapMs, atMs) => {
+        gateway.states.observed(upstreamId, 'm', gapMs, atMs);
+      });
+      engine.streams.push({ decodedMs: 0, endsMs: nowMs + holdMs, gaps });
     };
     const done = () => {
       const stepsMs = STEPS_MS * engine.machine.slowness * engine.factor;
@@ -225,6 +235,18 @@
     }
   }
 
+  /** Streams pause while prompts are read. */
+  function decode(engine: Engine): void {
+    if (engine.prompts.length > 0) return;
+    engine.streams = engine.streams.filter(({ endsMs }) => endsMs > nowMs);
+    engine.streams.forEach((stream) => {
+      stream.decodedMs += STEP_MS / (engine.machine.slowness * engine.factor);
+      if (stream.decodedMs < EVENT_MS) return;
+      stream.decodedMs -= EVENT_MS;
+      stream.gaps.event(nowMs);
+    });
+  }
+
   function runEnds(): void {
     for (let index = ends.length - 1; index >= 0; index -= 1) {
       const due = ends[index];
@@ -252,6 +274,7 @@
       arrive();
     }
     engines.forEach(read);
+    engines.forEach(decode);
     runEnds();
     nowMs += STEP_MS;
   }
--- a/packages/gateway/src/types/upstream-states.ts
+++ b/packages/gateway/src/types/upstream-states.ts
@@ -28,9 +28,9 @@
 /** What answers have shown of an upstream's slowness, as told among gateways. */
 export type LearntSlowness = {
   /** Logarithm of its slowness. */
-  deviationLog: number;
-  /** In answers. */
-  weight: number;
+  slownessLog: number;
+  /** Answers that it stands for; older ones count less. */
+  answerCount: number;
 };
 
 export type UpstreamStates = {
@@ -41,6 +41,10 @@
   answered: (upstreamId: string, predictedMs: number, tookMs: number, nowMs: number) => void;
   /** In a report; both in tokens. */
   reported: (upstreamId: string, tokens: { used: number; total: number }, nowMs: number) => void;
+  /** The smallest gap of a run of events of a stream of the model. */
+  observed: (upstreamId: string, model: string, gapMs: number, nowMs: number) => void;
+  /** The smallest usual gap between events there; null while unknown. */
+  usualGapMs: (upstreamId: string) => number | null;
   /** What this gateway's own answers have shown. */
   learnt: (nowMs: number) => readonly (LearntSlowness & { upstreamId: string })[];
   /** What those of all other gateways have shown. */
