--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -3,6 +3,7 @@
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks, randoms } from '@copperlever/runtime';
 
+import * as eventGaps from '../../shared/event-gaps.js';
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
 import type * as plainPlaces from '../../shared/plain-places.js';
@@ -51,7 +52,7 @@
   plainPlaces: plainPlaces.PlainPlaces;
   plainGate: plainGates.PlainGate;
   plainQueues: settingsModule.Settings['plainQueues'];
-  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
+  states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'observed'>;
   retryShare: retryShares.RetryShare;
   quarantine: quarantine.Quarantine;
   connections: connectionsModule.Connections;
@@ -123,6 +124,15 @@
     );
   }
 
+  /** Streams of models have their events at the pace of an engine; those of other services at any. */
+  function gapsOf(call: calls.Call, upstreamId: string): eventGaps.EventGaps | undefined {
+    if (call.route.kind !== 'stream' || !router.needsModel(call)) return undefined;
+    const model = call.facts.model ?? '';
+    return eventGaps.createEventGaps((gapMs, nowMs) => {
+      deps.states.observed(upstreamId, model, gapMs, nowMs);
+    });
+  }
+
   async function attempt(
     call: calls.Call,
     run: runs.Run,
@@ -163,6 +173,7 @@
       holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
       sendByMs: startedAtMs + SEND_PATIENCE_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
+      gaps: gapsOf(call, upstreamId),
       onHead: (facts) => {
         load = facts.load;
         const source = call.requestId;
