Urgent requests before less urgent ones, and fair shares among organisations below their quotas

Cause: the longer an objective, the longer the queue that its requests may join, so batch requests are let in while the most urgent ones are refused. And an organisation that surges below its quota has the others refused as often as itself.

Change, where batchHolding or fairShares is on: a request for a model gives way, as overloaded, for 500 ms after a more urgent one for the same model was refused at this gateway (shared/class-order.ts). Where fairShares is on (auto: where the configuration has organisations), it also gives way to an organisation that was refused within the last second, no less urgent, and whose virtual token counter is behind by more than two requests of usual size (shared/token-shares.ts, after start-time fair queueing and VTC). Weights: setting shareWeights, else the quotas. Nobody gives way where no other was refused. A held batch request waits on while it would give way. request-not-placed says gaveWay; metric gave_way_total.

The specification's "never" is not reached: what is decided before the first refusal remains. Cost: batch work.

The tests compare with the decisions of before, which fail their bounds.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -20,6 +20,7 @@
 import * as pacesModule from './shared/paces.js';
 import * as promptCaches from './shared/prompt-caches.js';
 import * as retryShares from './shared/retry-share.js';
+import * as tokenShares from './shared/token-shares.js';
 import * as suspectsModule from './shared/suspects.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
 import * as upstreamPauses from './shared/upstream-pauses.js';
@@ -168,8 +169,15 @@
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
           failureDomain: settings.failureDomain,
           holdsBatch: () => isOn(parts, settings.batchHolding),
-          spreadsReturns: () =>
+          ordersAdmission: () =>
             isOn(parts, settings.batchHolding) || isOn(parts, settings.fairShares),
+          sharesFairly: () => isOn(parts, settings.fairShares),
+          weightOf: (organisation) =>
+            tokenShares.weightOf(
+              organisation,
+              parts.configuration.current()?.config.organisations ?? [],
+              settings.shareWeights,
+            ),
           isStopping: status.isStopping,
         }),
       )
--- /dev/null
+++ b/packages/gateway/src/server/forwarding/admission.ts
@@ -0,0 +1,59 @@
+/** Who gives way where a model's copies cannot serve all: to more urgent requests, and to organisations behind. */
+import type { clocks } from '@copperlever/runtime';
+
+import * as classOrder from '../../shared/class-order.js';
+import * as tokenShares from '../../shared/token-shares.js';
+import * as urgency from '../../shared/urgency.js';
+import type * as calls from '../../types/calls.js';
+import type * as runs from './run.js';
+
+export type Admission = {
+  /** Why a request for a model gives way although an upstream would take it; null where it need not. */
+  givesWay: (call: calls.Call) => runs.GaveWay | null;
+  /** A request was sent, or refused because its upstreams were overloaded. */
+  decided: (call: calls.Call, isRefused: boolean) => void;
+};
+
+export type AdmissionDeps = {
+  clock: Pick<clocks.Clock, 'nowMs'>;
+  ordersAdmission: () => boolean;
+  sharesFairly: () => boolean;
+  weightOf: (organisation: string) => number;
+};
+
+export function createAdmission(deps: AdmissionDeps): Admission {
+  const { clock } = deps;
+  const order = classOrder.createClassOrder();
+  const shares = tokenShares.createTokenShares();
+
+  function classKey(call: calls.Call): classOrder.ClassKey {
+    const rank = urgency.enginePriority(call.priority, call.route, false);
+    return { group: `${call.service} ${call.facts.model}`, rank };
+  }
+
+  function shareKey(call: calls.Call): tokenShares.ShareKey | null {
+    const { organisation } = call;
+    if (organisation === null || !deps.sharesFairly()) return null;
+    return { ...classKey(call), organisation, weight: deps.weightOf(organisation) };
+  }
+
+  return {
+    givesWay: (call) => {
+      if (!deps.ordersAdmission()) return null;
+      const nowMs = clock.nowMs();
+      if (order.givesWayTo(classKey(call), nowMs) !== null) return 'more-urgent';
+      const key = shareKey(call);
+      if (key === null || shares.givesWayTo(key, nowMs) === null) return null;
+      return 'organisation-behind';
+    },
+    decided: (call, isRefused) => {
+      if (!deps.ordersAdmission()) return;
+      const nowMs = clock.nowMs();
+      if (isRefused) order.refused(classKey(call), nowMs);
+      const key = shareKey(call);
+      const { tokenCount, promptTokens, outputTokens } = call.facts;
+      const tokens = tokenCount ?? promptTokens + outputTokens;
+      if (key !== null) shares.decided(key, Math.max(1, tokens), isRefused, nowMs);
+    },
+  };
+}
--- a/packages/gateway/src/server/forwarding/held-requests.test.ts
+++ b/packages/gateway/src/server/forwarding/held-requests.test.ts
@@ -53,7 +53,13 @@
 
 function createRig(options: { isOn?: boolean } = {}) {
   const clock = fakeClocks.createFakeClock();
-  const state = { places: [FULL], isStopping: false, ends: [] as string[], lines: [] as string[] };
+  const state = {
+    places: [FULL],
+    isStopping: false,
+    givesWay: false,
+    ends: [] as string[],
+    lines: [] as string[],
+  };
   const held = heldRequests.createHeldRequests({
     clock,
     log: {
@@ -66,6 +72,7 @@
       needsModel: () => true,
       places: () => state.places,
       answerMs: (_call, predictedMs) => predictedMs,
+      givesWay: () => state.givesWay,
     },
     isOn: () => options.isOn ?? true,
     gatewayCount: () => 3,
@@ -98,6 +105,18 @@
   assert.is(rig.clock.nextTimerMs(), null);
 });
 
+test('it waits on while it gives way to others, whatever room there is', async () => {
+  const rig = createRig();
+  rig.state.places = [FREE];
+  rig.state.givesWay = true;
+  const { outcome } = rig.hold(SEND);
+  await rig.clock.advance(1_000);
+  assert.is(outcome.wasHeld, null);
+  rig.state.givesWay = false;
+  await rig.clock.advance(400);
+  assert.is(outcome.wasHeld, true);
+});
+
 test('interactive work, and all work where it is switched off, is decided on at once', async () => {
   const interactive = createRig();
   const first = interactive.hold(OVERLOADED, 600);
--- a/packages/gateway/src/server/forwarding/held-requests.ts
+++ b/packages/gateway/src/server/forwarding/held-requests.ts
@@ -28,7 +28,7 @@
   clock: clocks.Clock;
   log: Pick<logEvents.GatewayLog, 'info'>;
   metrics: Pick<metricsModule.GatewayMetrics, 'held'>;
-  router: Pick<routers.Router, 'needsModel' | 'places' | 'answerMs'>;
+  router: Pick<routers.Router, 'needsModel' | 'places' | 'answerMs' | 'givesWay'>;
   isOn: () => boolean;
   gatewayCount: () => number;
   isStopping: () => boolean;
@@ -50,7 +50,7 @@
   let nextKey = 0;
 
   function capacityFor(call: calls.Call, run: runs.Run): batchHolding.Capacity {
-    const room = batchHolding.roomAmong(router.places(call, run));
+    const room = router.givesWay(call) ? 0 : batchHolding.roomAmong(router.places(call, run));
     return { room, gatewayCount: deps.gatewayCount() };
   }
 
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -17,6 +17,8 @@
 import type * as logEvents from '../../types/log-events.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as placementTypes from '../../types/placement.js';
+import type * as metricsModule from '../metrics/metrics.js';
+import * as admissions from './admission.js';
 import * as runs from './run.js';
 
 export type RouterDeps = {
@@ -33,10 +35,9 @@
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
   serviceOf: (name: string) => fleet.Service | null;
   failureDomain: string;
+  metrics: Pick<metricsModule.GatewayMetrics, 'gaveWay'>;
   gatewayCount: () => number;
-  /** Whether refused callers come back spread over what the copies serve, and late ones leave slots to others. */
-  spreadsReturns: () => boolean;
-};
+} & Omit<admissions.AdmissionDeps, 'clock'>;
 
 export type NoChoice = Exclude<upstreamChoice.Choice, { kind: 'send' }>;
 
@@ -51,7 +52,12 @@
   places: (call: calls.Call, run: runs.Run) => readonly batchHolding.Place[];
   /** Time to what its objective is measured by, from the predicted time to its first piece. */
   answerMs: (call: calls.Call, predictedMs: number) => number;
-  overloadRetryMs: (call: calls.Call, predictedMs: number) => number;
+  /** Whether a request that an upstream would take gives way to others. */
+  givesWay: (call: calls.Call) => boolean;
+  /** It is sent for the first time. */
+  noteSent: (call: calls.Call, run: runs.Run) => void;
+  /** The request is refused. */
+  overloadRetryMs: (call: calls.Call, run: runs.Run, predictedMs: number) => number;
   /** Until an upstream takes requests again, or another copy is there. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
   /** Tells the placing what is asked for. */
@@ -72,6 +78,7 @@
 export function createRouter(deps: RouterDeps): Router {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
+  const admission = admissions.createAdmission(deps);
   const returns = retryTimes.createRetryTimes();
 
   function needsModel(call: calls.Call): boolean {
@@ -146,7 +153,7 @@
       ...patienceOf(call),
       isStream: call.route.kind === 'stream',
       isLate: isLate(call),
-      boundsLate: deps.spreadsReturns() && needsModel(call),
+      boundsLate: deps.ordersAdmission() && needsModel(call),
     });
     // The time that it was held is time that it no longer has to queue.
     return run.heldSinceMs === null || isLate(call)
@@ -205,19 +212,21 @@
     if ('passedOverIds' in choice) {
       choice.passedOverIds.forEach((upstreamId) => notePassedOver(call, upstreamId));
     }
-    return isOutOfSlots(call, run, choice)
-      ? { kind: 'overloaded', predictedMs: choice.predictedMs }
-      : choice;
+    run.gaveWay = null;
+    if (choice.kind !== 'send' || run.sentCount > 0 || !needsModel(call)) return choice;
+    run.gaveWay = gaveWay(call, choice.work);
+    return run.gaveWay === null ? choice : { kind: 'overloaded', predictedMs: choice.predictedMs };
   }
 
-  /** A late request joins no queue for a slot, which those that may still be in time need. */
-  function isOutOfSlots(
-    call: calls.Call,
-    run: runs.Run,
-    choice: upstreamChoice.Choice,
-  ): choice is Extract<upstreamChoice.Choice, { kind: 'send' }> {
-    if (choice.kind !== 'send' || run.sentCount > 0 || !needsModel(call)) return false;
-    return deps.spreadsReturns() && isLate(call) && !queueLimits.hasFreeSlot(choice.work);
+  function gaveWay(call: calls.Call, work: pacesModule.Work): runs.GaveWay | null {
+    if (deps.ordersAdmission() && isLate(call) && !queueLimits.hasFreeSlot(work)) {
+      return 'free-slots';
+    }
+    return admission.givesWay(call);
+  }
+
+  function noteSent(call: calls.Call, run: runs.Run): void {
+    if (run.sentCount === 0 && needsModel(call)) admission.decided(call, false);
   }
 
   function notePassedOver({ requestId }: calls.Call, upstreamId: string): void {
@@ -235,12 +244,14 @@
     });
   }
 
-  function overloadRetryMs(call: calls.Call, predictedMs: number): number {
+  function overloadRetryMs(call: calls.Call, run: runs.Run, predictedMs: number): number {
+    if (run.sentCount === 0 && needsModel(call)) admission.decided(call, true);
+    if (run.gaveWay !== null) deps.metrics.gaveWay(run.gaveWay);
     const { model } = call.facts;
     const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
     const aloneMs = queueLimits.overloadRetryMs({ predictedMs, nextCopyInMs });
     // A late caller has come back already, and does not again.
-    if (model === null || !needsModel(call) || !deps.spreadsReturns() || isLate(call)) {
+    if (model === null || !needsModel(call) || !deps.ordersAdmission() || isLate(call)) {
       return aloneMs;
     }
     const nowMs = clock.nowMs();
@@ -291,6 +302,7 @@
       closedCount: withModel.filter(({ upstreamId }) => closedOf(upstreamId) !== null).length,
       predictedMs: choice.kind === 'overloaded' ? Math.round(choice.predictedMs) : undefined,
       queueLimitMs: Math.round(queueLimitMs(call, run)),
+      gaveWay: choice.kind === 'overloaded' ? (run.gaveWay ?? undefined) : undefined,
       upstreamsRevision: directory.revision(),
       placementTerm: basis.term,
       placementVersion: basis.version,
@@ -320,6 +332,8 @@
     choose,
     places,
     answerMs,
+    givesWay: (call) => admission.givesWay(call) !== null,
+    noteSent,
     overloadRetryMs,
     closedRetryMs,
     noteDemand,
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -1,6 +1,12 @@
 /** What one request has been through so far. */
 import type * as calls from '../../types/calls.js';
 
+/**
+ * What a request gave way to although an upstream would have taken it. `free-slots`: it was late, and no slot was free
+ * beside those that may still be in time.
+ */
+export type GaveWay = 'more-urgent' | 'organisation-behind' | 'free-slots';
+
 export type Run = {
   ranCount: number;
   sentCount: number;
@@ -19,6 +25,8 @@
   /** When it was first held as batch work, and by when it has to be sent; null where it never was. */
   heldSinceMs: number | null;
   latestStartMs: number | null;
+  /** At its latest choice of an upstream. */
+  gaveWay: GaveWay | null;
 };
 
 export function createRun(): Run {
@@ -35,6 +43,7 @@
     hasWaited: false,
     heldSinceMs: null,
     latestStartMs: null,
+    gaveWay: null,
   };
 }
 
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -20,6 +20,7 @@
 import type * as placementTypes from '../../types/placement.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import type * as admissions from './admission.js';
 import type * as answers from './answers.js';
 import * as attemptNotes from './attempt-notes.js';
 import * as attempts from './attempt.js';
@@ -52,10 +53,8 @@
   isStopping: () => boolean;
   /** Whether batch work is held while more urgent work needs its model's upstreams. */
   holdsBatch: () => boolean;
-  /** Whether refused callers come back spread over what the copies serve, and late ones leave slots to others. */
-  spreadsReturns: () => boolean;
   failureDomain: string;
-};
+} & Omit<admissions.AdmissionDeps, 'clock'>;
 
 export type Serve = (call: calls.Call, sink: answers.AnswerSink) => Promise<calls.Ending>;
 
@@ -302,6 +301,7 @@
       if (!(await deps.limits.take(choice.upstreamId))) return null;
       if (sink.isCallerGone()) return { kind: 'caller-gone' };
     }
+    router.noteSent(call, run);
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, choice);
@@ -322,7 +322,12 @@
       case 'closed':
         return refuse(call, run, 'upstreams-closed', router.closedRetryMs(call, choice.forMs));
       case 'overloaded':
-        return refuse(call, run, 'overloaded', router.overloadRetryMs(call, choice.predictedMs));
+        return refuse(
+          call,
+          run,
+          'overloaded',
+          router.overloadRetryMs(call, run, choice.predictedMs),
+        );
       case 'no-upstream':
         // Every upstream with the model has failed this request: it comes back elsewhere, or with a new one.
         if (router.needsModel(call) && !run.wasFull)
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -34,6 +34,8 @@
   waited: (tookMs: number) => void;
   /** Batch work was held, and why that ended; `full`: there was no memory left to hold it. */
   held: (cause: string, tookMs: number) => void;
+  /** A request was refused although an upstream would have taken it. */
+  gaveWay: (to: string) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   retry: (isTaken: boolean) => void;
   storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
@@ -104,6 +106,9 @@
     ['cause'],
     LATENCY_BUCKETS_S,
   );
+  const gaveWay = counter('gave_way_total', 'Requests refused so that others can be served', [
+    'to',
+  ]);
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
   const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
   const storeCalls = counter('store_calls_total', "Calls to the platform's store", [
@@ -168,6 +173,7 @@
     },
     waited: (tookMs) => waitSeconds.observe(tookMs / MS_PER_SECOND),
     held: (cause, tookMs) => heldSeconds.observe({ cause }, tookMs / MS_PER_SECOND),
+    gaveWay: (to) => gaveWay.inc({ to }),
     attemptEnded: (result) => attempts.inc({ result }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
     storeCalled: (call, result) => storeCalls.inc({ call, result }),
--- a/packages/gateway/src/shared/batch-holding.test.ts
+++ b/packages/gateway/src/shared/batch-holding.test.ts
@@ -144,6 +144,8 @@
         lengthMs: 60_000,
         holdsBatch,
         spreadsReturns: false,
+        ordersClasses: false,
+        sharesFairly: false,
       },
       seed,
     ),
--- /dev/null
+++ b/packages/gateway/src/shared/class-order.test.ts
@@ -0,0 +1,107 @@
+import { createRandom } from '@copperlever/runtime/randoms';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as refusalExcess from '../testing/refusal-excess.js';
+import * as scarcityFleet from '../testing/scarcity-fleet.js';
+import * as classOrder from './class-order.js';
+
+const test = suite('class order');
+
+const URGENT = { group: 's m', rank: 0 };
+const BATCH = { group: 's m', rank: 5 };
+
+test('a less urgent request gives way while a more urgent one was refused lately', () => {
+  const order = classOrder.createClassOrder();
+  assert.is(order.givesWayTo(BATCH, 0), null);
+  order.refused(URGENT, 100);
+  assert.equal(order.givesWayTo(BATCH, 150), { rank: 0, sinceMs: 50 });
+  assert.is(order.givesWayTo(BATCH, 2_000), null);
+});
+
+test('a request gives way neither to its own class nor to a less urgent one, nor to another model', () => {
+  const order = classOrder.createClassOrder();
+  order.refused(BATCH, 100);
+  assert.is(order.givesWayTo(URGENT, 110), null);
+  assert.is(order.givesWayTo(BATCH, 110), null);
+  order.refused({ group: 's other', rank: 0 }, 100);
+  assert.is(order.givesWayTo(BATCH, 110), null);
+});
+
+const CLASS_NAMES = ['urgent', 'standard', 'batch'];
+const LENGTH_MS = 30_000;
+/** What is decided before the first refusal of a more urgent request is known. */
+const UNKNOWN_REQUESTS = 4;
+
+/** Demand between eight tenths and twice the capacity, in waves; prompts, answers, objectives and slots of any size. */
+function randomLoad(seed: number, isOn: boolean): scarcityFleet.ScarcityLoad {
+  const random = createRandom(seed);
+  const loadShare = 0.8 + random.fraction();
+  const slots = 16 + random.below(48);
+  const createClass = (
+    name: string,
+    priority: number,
+    latencyObjectiveMs: number,
+    perSecond: number,
+  ): scarcityFleet.RequestClass => ({
+    name,
+    priority,
+    latencyObjectiveMs,
+    perSecond,
+    patienceMs: Math.max(6_000, 3 * latencyObjectiveMs),
+    promptTokens: 800 + random.below(2_400),
+    outputTokens: 100 + random.below(400),
+  });
+  const classes = [
+    createClass('urgent', 0, 400 + random.below(600), 2 + 6 * random.fraction()),
+    createClass('standard', 1, 400 + random.below(1_200), 2 + 8 * random.fraction()),
+    createClass('batch', 1, 5_000 + random.below(5_000), 1 + 4 * random.fraction()),
+  ];
+  const needed = classes.reduce(
+    (sum, { perSecond, promptTokens, outputTokens }) =>
+      sum + perSecond * (promptTokens / 19_000 + (0.009 * outputTokens) / slots),
+    0,
+  );
+  const waveMs = 4_000 + random.below(10_000);
+  return {
+    gatewayCount: 1 + random.below(3),
+    upstreamCount: Math.max(2, Math.round(needed / loadShare)),
+    slots,
+    classes,
+    lengthMs: LENGTH_MS,
+    demandAt: (atMs) => 1 + 0.6 * Math.sin((2 * Math.PI * atMs) / waveMs),
+    holdsBatch: isOn,
+    spreadsReturns: isOn,
+    ordersClasses: isOn,
+    sharesFairly: false,
+  };
+}
+
+/** How many more urgent requests were refused beyond the allowed difference, for each two seconds of each load. */
+function excessesOf(seedCount: number, isOn: boolean): number[] {
+  return Array.from({ length: seedCount }, (_, index) => index + 1).flatMap((seed) => {
+    const { decisions } = scarcityFleet.playScarcity(randomLoad(seed, isOn), seed);
+    const all = refusalExcess.excesses(decisions, CLASS_NAMES, LENGTH_MS);
+    return all.map(({ byRequests }) => byRequests);
+  });
+}
+
+function shareBeyond(values: readonly number[], bound: number): number {
+  return values.filter((value) => value > bound).length / values.length;
+}
+
+// The longer an objective, the longer the queue that its requests may join: without the order batch requests are let in
+// while the most urgent ones are refused.
+test('at any load, in any two seconds, a more urgent class is refused no more than a less urgent one', () => {
+  const before = excessesOf(8, false);
+  const after = excessesOf(24, true);
+  const worst = { before: Math.max(...before), after: Math.max(...after) };
+  const shares = { before: shareBeyond(before, 1), after: shareBeyond(after, 1) };
+  const told = JSON.stringify({ worst, shares });
+  assert.ok(worst.before > 2 * UNKNOWN_REQUESTS, told);
+  assert.ok(worst.after <= UNKNOWN_REQUESTS, told);
+  assert.ok(shares.before > 0.1, told);
+  assert.ok(shares.after < 0.005, told);
+});
+
+test.run();
--- a/packages/gateway/src/shared/retry-times.test.ts
+++ b/packages/gateway/src/shared/retry-times.test.ts
@@ -161,6 +161,8 @@
         lengthMs: 60_000,
         holdsBatch: true,
         spreadsReturns,
+        ordersClasses: false,
+        sharesFairly: false,
       },
       seed,
     ),
--- /dev/null
+++ b/packages/gateway/src/shared/token-shares.test.ts
@@ -0,0 +1,203 @@
+import { createRandom } from '@copperlever/runtime/randoms';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as scarcityFleet from '../testing/scarcity-fleet.js';
+import type * as fleet from '../types/fleet.js';
+import * as tokenShares from './token-shares.js';
+
+const test = suite('token shares');
+
+const TOKENS = 2_000;
+
+function keyOf(organisation: string, weight = 1, rank = 1): tokenShares.ShareKey {
+  return { group: 's m', organisation, weight, rank };
+}
+
+test('where no other organisation was refused, none gives way, however much it asks for', () => {
+  const shares = tokenShares.createTokenShares();
+  for (let nowMs = 0; nowMs < 5_000; nowMs += 10) {
+    assert.is(shares.givesWayTo(keyOf('large'), nowMs), null);
+    shares.decided(keyOf('large'), TOKENS, false, nowMs);
+    if (nowMs % 500 === 0) shares.decided(keyOf('small'), TOKENS, false, nowMs);
+  }
+  // Its own refusals are nothing to give way to either.
+  shares.decided(keyOf('large'), TOKENS, true, 5_000);
+  assert.is(shares.givesWayTo(keyOf('large'), 5_010), null);
+});
+
+/** For a second one organisation is sent twenty requests, the other one. */
+function playAhead(rank: number): tokenShares.TokenShares {
+  const shares = tokenShares.createTokenShares();
+  shares.decided(keyOf('small', 1, rank), TOKENS, false, 0);
+  for (let nowMs = 0; nowMs < 1_000; nowMs += 50) {
+    shares.decided(keyOf('large', 1, rank), TOKENS, false, nowMs);
+  }
+  return shares;
+}
+
+test('who is ahead gives way to an organisation that was refused lately, not the other way round', () => {
+  const shares = playAhead(1);
+  shares.decided(keyOf('small'), TOKENS, true, 1_000);
+  assert.is(shares.givesWayTo(keyOf('large'), 1_010)?.organisation, 'small');
+  assert.is(shares.givesWayTo(keyOf('small'), 1_010), null);
+  assert.is(shares.givesWayTo(keyOf('large'), 5_000), null);
+});
+
+test('a more urgent request does not give way to a less urgent one of another organisation', () => {
+  const shares = playAhead(0);
+  shares.decided(keyOf('small', 1, 5), TOKENS, true, 1_000);
+  assert.is(shares.givesWayTo(keyOf('large', 1, 0), 1_010), null);
+  assert.not.equal(shares.givesWayTo(keyOf('large', 1, 5), 1_010), null);
+});
+
+/** An upstream that serves a request of 2,000 tokens each 20 ms; organisations ask at random for more than that. */
+function contend(weights: Record<string, number>, asksPerMs: number, seed: number) {
+  const random = createRandom(seed);
+  const shares = tokenShares.createTokenShares();
+  const names = Object.keys(weights);
+  const tokens = Object.fromEntries(names.map((name) => [name, 0]));
+  const windows: Record<string, number>[] = [];
+  let freeAtMs = 0;
+
+  function ask(name: string, nowMs: number): void {
+    const asked = 500 + random.below(3_000);
+    const key = keyOf(name, weights[name] ?? 1);
+    const isRefused = freeAtMs > nowMs || shares.givesWayTo(key, nowMs) !== null;
+    shares.decided(key, asked, isRefused, nowMs);
+    if (isRefused) return;
+    freeAtMs = nowMs + 20;
+    tokens[name] = (tokens[name] ?? 0) + asked;
+  }
+
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 1) {
+    const asking = names.filter(() => random.fraction() < asksPerMs);
+    asking.forEach((name) => ask(name, nowMs));
+    if (nowMs % 100 === 0) windows.push({ ...tokens });
+  }
+  return { tokens, windows };
+}
+
+// The bound: while two organisations ask for all that they can get, their tokens over their weights are apart by no more
+// than two requests of usual size, and one that is let in at the bound.
+test('organisations that contend stay within the bound of each other, over any time', () => {
+  [1, 2, 3].forEach((seed) => {
+    const weights = { a: 1, b: 1, c: 2 };
+    const { windows } = contend(weights, 0.2, seed);
+    const meanTokens = 2_000;
+    const meanWeight = 4 / 3;
+    const bound = 2 * (2 * meanTokens + 3_500 * meanWeight) * 1.25;
+    const paid = (of: Record<string, number>, name: 'a' | 'b' | 'c') =>
+      ((of[name] ?? 0) * meanWeight) / weights[name];
+    let worst = 0;
+    windows.slice(10).forEach((to, index) => {
+      const from = windows[Math.max(0, index - 100)] as Record<string, number>;
+      const [a, b, c] = (['a', 'b', 'c'] as const).map((name) => paid(to, name) - paid(from, name));
+      const all = [a, b, c] as number[];
+      worst = Math.max(worst, Math.max(...all) - Math.min(...all));
+    });
+    assert.ok(worst <= bound, `${worst} tokens of ${bound}`);
+  });
+});
+
+test('capacity that others do not use goes to whoever asks', () => {
+  const alone = contend({ a: 1 }, 0.2, 4);
+  const both = contend({ a: 1, b: 1 }, 0.2, 4);
+  const total = (both.tokens.a ?? 0) + (both.tokens.b ?? 0);
+  assert.ok(
+    total > 0.85 * (alone.tokens.a ?? 0),
+    JSON.stringify({ alone: alone.tokens, both: both.tokens }),
+  );
+});
+
+test('the memory is that of the organisations which ask', () => {
+  const shares = tokenShares.createTokenShares();
+  for (let index = 0; index < 100; index += 1) {
+    shares.decided(keyOf(`o${index}`), TOKENS, false, 0);
+  }
+  shares.decided({ ...keyOf('o1'), group: 's other' }, TOKENS, false, 60_000);
+  shares.decided(keyOf('late'), TOKENS, true, 60_000);
+  // Of those that asked a minute ago nothing is left to give way to.
+  assert.is(shares.givesWayTo(keyOf('o1'), 60_000), null);
+});
+
+test('a weight comes from the settings, else from the quota, else from the quotas of the others', () => {
+  const organisation = (name: string, quota: fleet.Quota | null): fleet.Organisation => ({
+    name,
+    apiKeys: [],
+    priority: null,
+    quota,
+  });
+  const quota = (unit: fleet.Quota['unit'], perSecond: number): fleet.Quota => ({
+    unit,
+    perSecond,
+    burst: 1,
+    plainTokens: 100,
+  });
+  const organisations = [
+    organisation('a', quota('tokens', 5_000)),
+    organisation('b', quota('requests', 10)),
+    organisation('c', null),
+  ];
+  assert.is(tokenShares.weightOf('a', organisations, {}), 5_000);
+  assert.is(tokenShares.weightOf('a', organisations, { a: 7 }), 7);
+  assert.is(tokenShares.weightOf('b', organisations, {}), 1_000);
+  assert.is(tokenShares.weightOf('c', organisations, {}), 3_000);
+  assert.is(tokenShares.weightOf('c', [], {}), 1);
+});
+
+const ORGANISATIONS = 8;
+const SURGE = { fromMs: 20_000, toMs: 50_000, factor: 4 };
+
+/** One of eight organisations asks for four times its usual; shares of refused requests from a second later on. */
+function playSurge(sharesFairly: boolean, factor: number) {
+  const refused = { surging: 0, others: 0 };
+  const asked = { surging: 0, others: 0 };
+  [1, 2, 3, 4].forEach((seed) => {
+    const { decisions } = scarcityFleet.playScarcity(
+      {
+        gatewayCount: 4,
+        upstreamCount: 4,
+        slots: 48,
+        classes: scarcityFleet.threeClasses(1_700, 300),
+        organisations: Array.from({ length: ORGANISATIONS }, (_, index) => ({
+          name: `o${index}`,
+          share: 1 / ORGANISATIONS,
+          demandAt: (atMs: number) =>
+            index === 0 && atMs >= SURGE.fromMs && atMs < SURGE.toMs ? factor : 1,
+        })),
+        demandAt: scarcityFleet.wavesAndBursts,
+        lengthMs: 60_000,
+        holdsBatch: true,
+        spreadsReturns: true,
+        ordersClasses: true,
+        sharesFairly,
+      },
+      seed,
+    );
+    decisions.forEach(({ atMs, organisation, isRefused }) => {
+      if (atMs < SURGE.fromMs + 1_000 || atMs > SURGE.toMs) return;
+      const of = organisation === 'o0' ? 'surging' : 'others';
+      asked[of] += 1;
+      if (isRefused) refused[of] += 1;
+    });
+  });
+  const admitted = asked.surging + asked.others - refused.surging - refused.others;
+  return {
+    surging: refused.surging / asked.surging,
+    others: refused.others / asked.others,
+    admitted,
+  };
+}
+
+// An organisation below its quota asks for four times its usual, and the others are refused as often as it is.
+test('of an organisation that surges below its quota more is refused, of the others less', () => {
+  const before = playSurge(false, SURGE.factor);
+  const after = playSurge(true, SURGE.factor);
+  const told = JSON.stringify({ before, after, usual: playSurge(true, 1) });
+  assert.ok(after.others < 0.85 * before.others, told);
+  assert.ok(after.surging > 1.5 * after.others, told);
+  assert.ok(after.admitted > 0.97 * before.admitted, told);
+});
+
+test.run();
--- a/packages/gateway/src/testing/scarcity-fleet.ts
+++ b/packages/gateway/src/testing/scarcity-fleet.ts
@@ -6,10 +6,12 @@
 import { createRandom } from '@copperlever/runtime/randoms';
 
 import * as batchHolding from '../shared/batch-holding.js';
+import * as classOrder from '../shared/class-order.js';
 import * as inFlightModule from '../shared/in-flight.js';
 import * as pacesModule from '../shared/paces.js';
 import * as queueLimits from '../shared/queue-limits.js';
 import * as retryTimes from '../shared/retry-times.js';
+import * as tokenShares from '../shared/token-shares.js';
 import * as upstreamBeliefs from '../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../shared/upstream-choice.js';
 import * as urgency from '../shared/urgency.js';
@@ -36,6 +38,17 @@
   lengthMs: number;
   holdsBatch: boolean;
   spreadsReturns: boolean;
+  ordersClasses: boolean;
+  sharesFairly: boolean;
+  /** One that asks for all where none are named. */
+  organisations?: readonly Organisation[];
+};
+
+export type Organisation = {
+  name: string;
+  /** Its part of the demand of each class, and its demand relative to usual. */
+  share: number;
+  demandAt: (atMs: number) => number;
 };
 
 export type ClassOutcome = {
@@ -58,11 +71,24 @@
   /** The longest that a request was held, and the most that a gateway held at once. */
   longestHeldMs: number;
   mostHeld: number;
+  decisions: readonly Decision[];
+};
+
+/** What a gateway decided about a request that came. */
+export type Decision = {
+  atMs: number;
+  gateway: number;
+  className: string;
+  organisation: string;
+  isRefused: boolean;
+  /** More urgent classes of which a usual request would have been refused at that moment. */
+  refusedNow: readonly string[];
 };
 
 type Request = {
   key: string;
   of: RequestClass;
+  organisation: string;
   askedAtMs: number;
   arrivedAtMs: number;
   tries: number;
@@ -93,6 +119,8 @@
   paces: pacesModule.Paces;
   holding: batchHolding.BatchHolding;
   returns: retryTimes.RetryTimes;
+  order: classOrder.ClassOrder;
+  shares: tokenShares.TokenShares;
   held: Map<string, Request>;
 };
 
@@ -137,6 +165,8 @@
     paces: pacesModule.createPaces(),
     holding: batchHolding.createBatchHolding(),
     returns: retryTimes.createRetryTimes(),
+    order: classOrder.createClassOrder(),
+    shares: tokenShares.createTokenShares(),
     held: new Map(),
   };
 }
@@ -145,15 +175,21 @@
   return { asked: 0, inTime: 0, late: 0, refusedOnce: 0, refusedTwice: 0, left: 0 };
 }
 
+const ONLY_ORGANISATION: Organisation = { name: 'only', share: 1, demandAt: () => 1 };
+
 /** Drawn before the play, so that the same load can be replayed with other decisions. */
 function drawArrivals(load: ScarcityLoad, random: randoms.Random): Request[] {
   const arrivals: Request[] = [];
   for (let atMs = 0; atMs < load.lengthMs; atMs += 1) {
-    load.classes.forEach((of) => {
-      if (!happens(random, of.perSecond * load.demandAt(atMs))) return;
+    const organisations = load.organisations ?? [ONLY_ORGANISATION];
+    const pairs = load.classes.flatMap((of) => organisations.map((from) => ({ of, from })));
+    pairs.forEach(({ of, from }) => {
+      const demand = load.demandAt(atMs) * from.share * from.demandAt(atMs);
+      if (!happens(random, of.perSecond * demand)) return;
       arrivals.push({
         key: String(arrivals.length),
         of,
+        organisation: from.name,
         askedAtMs: atMs,
         arrivedAtMs: atMs,
         tries: 0,
@@ -177,7 +213,9 @@
     running: [],
     stepEndMs: 0,
   }));
+  const decisions: Decision[] = [];
   const outcome: ScarcityOutcome = {
+    decisions,
     classes: Object.fromEntries(load.classes.map(({ name }) => [name, emptyOutcome()])),
     longGaps: 0,
     gaps: 0,
@@ -207,7 +245,11 @@
     return request.askedAtMs + request.of.patienceMs;
   }
 
-  function choose(gateway: Gateway, request: Request): upstreamChoice.Choice {
+  function choose(
+    gateway: Gateway,
+    request: Request,
+    fraction: () => number,
+  ): upstreamChoice.Choice {
     const priority = priorityOf(request);
     const limitMs = queueLimits.queueLimitMs({
       isStream: true,
@@ -249,10 +291,12 @@
       },
       candidates,
       nowMs,
-      random.fraction,
+      fraction,
     );
-    const isBounded = load.spreadsReturns && isLate(request) && choice.kind === 'send';
-    if (!isBounded || queueLimits.hasFreeSlot(choice.work)) return choice;
+    if (choice.kind !== 'send') return choice;
+    const isBounded = load.spreadsReturns && isLate(request);
+    const isOutOfSlots = isBounded && !queueLimits.hasFreeSlot(choice.work);
+    if (!isOutOfSlots && !givesWay(gateway, request)) return choice;
     return { kind: 'overloaded', predictedMs: choice.predictedMs };
   }
 
@@ -270,7 +314,8 @@
         ownReadMs: toReadMs(MODEL, request.promptTokens),
       };
     });
-    return { room: batchHolding.roomAmong(places), gatewayCount: gateways.length };
+    const room = givesWay(gateway, request) ? 0 : batchHolding.roomAmong(places);
+    return { room, gatewayCount: gateways.length };
   }
 
   function returnAtMs(gateway: Gateway, request: Request, predictedMs: number): number {
@@ -287,7 +332,59 @@
     return gateway.returns.next(of, nowMs);
   }
 
+  function classKey({ of }: Request): classOrder.ClassKey {
+    return { group: GROUP, rank: urgency.enginePriority(of.priority, of, false) };
+  }
+
+  function shareKey(request: Request): tokenShares.ShareKey {
+    return { ...classKey(request), organisation: request.organisation, weight: 1 };
+  }
+
+  /** Looking at what might have been decided must not change the play. */
+  const noFraction = () => 0.5;
+
+  /** What would have been decided about usual requests of more urgent classes. */
+  function refusedNow(gateway: Gateway, request: Request): readonly string[] {
+    const { rank } = classKey(request);
+    return load.classes
+      .map((of): Request => ({
+        ...request,
+        of,
+        askedAtMs: nowMs,
+        arrivedAtMs: nowMs,
+        heldAtMs: null,
+        promptTokens: of.promptTokens,
+      }))
+      .filter(
+        (other) =>
+          classKey(other).rank < rank && choose(gateway, other, noFraction).kind !== 'send',
+      )
+      .map(({ of }) => of.name);
+  }
+
+  function noteDecided(gateway: Gateway, request: Request, isRefused: boolean): void {
+    if (isRefused) gateway.order.refused(classKey(request), nowMs);
+    const tokens = request.promptTokens + request.outputTokens;
+    gateway.shares.decided(shareKey(request), tokens, isRefused, nowMs);
+    decisions.push({
+      atMs: nowMs,
+      gateway: gateway.index,
+      className: request.of.name,
+      organisation: request.organisation,
+      isRefused,
+      refusedNow: isRefused ? [] : refusedNow(gateway, request),
+    });
+  }
+
+  function givesWay(gateway: Gateway, request: Request): boolean {
+    if (load.sharesFairly && gateway.shares.givesWayTo(shareKey(request), nowMs) !== null) {
+      return true;
+    }
+    return load.ordersClasses && gateway.order.givesWayTo(classKey(request), nowMs) !== null;
+  }
+
   function refuse(gateway: Gateway, request: Request, predictedMs: number): void {
+    noteDecided(gateway, request, true);
     if (request.tries > 1) {
       resultOf(request).refusedTwice += 1;
       return;
@@ -301,6 +398,7 @@
     request: Request,
     choice: Extract<upstreamChoice.Choice, { kind: 'send' }>,
   ): void {
+    noteDecided(gateway, request, false);
     const priority = priorityOf(request);
     const { upstreamId, work } = choice;
     const { promptTokens, outputTokens } = request;
@@ -322,7 +420,7 @@
 
   /** Sent, refused or, where the load says so, held. */
   function decide(gateway: Gateway, request: Request, mayHold: boolean): void {
-    const choice = choose(gateway, request);
+    const choice = choose(gateway, request, random.fraction);
     const isHoldable = choice.kind === 'send' || choice.kind === 'overloaded';
     if (mayHold && load.holdsBatch && urgency.isBatch(request.of) && isHoldable) {
       request.latestStartMs = batchHolding.latestStartMs({
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -17,6 +17,8 @@
   withModelCount: number;
   predictedMs: Amount;
   queueLimitMs: number;
+  /** What it gave way to although an upstream would have taken it. */
+  gaveWay: Text;
   /** Of those that have the model, those that take nothing for now. */
   closedCount: number;
   /** The list of upstreams that was used. */
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -41,6 +41,8 @@
   batchHolding: featureSwitch,
   /** Whether organisations below their quotas share what capacity there is, where it does not suffice. */
   fairShares: featureSwitch,
+  /** Shares of organisations relative to each other; their quotas where none is given. */
+  shareWeights: zod.record(zod.string(), positive).default({}),
   /** By how much all gateways together may exceed an organisation's quota, in its unit. */
   quotaSlack: zod.number().nonnegative().default(0),
 });
