--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -27,6 +27,7 @@
 import type * as metricsModule from '../metrics/metrics.js';
 import * as turnTakers from '../turns/turn-taker.js';
 import type * as turnsModule from '../turns/turns.js';
+import type * as admissions from './admission.js';
 import type * as answers from './answers.js';
 import * as attemptNotes from './attempt-notes.js';
 import * as attempts from './attempt.js';
@@ -67,10 +68,8 @@
   isStopping: () => boolean;
   /** Whether batch work is held while more urgent work needs its model's upstreams. */
   holdsBatch: () => boolean;
-  /** Whether refused callers come back spread over what the copies serve, and late ones leave slots to others. */
-  spreadsReturns: () => boolean;
   failureDomain: string;
-};
+} & Omit<admissions.AdmissionDeps, 'clock'>;
 
 export type Serve = (call: calls.Call, sink: answers.AnswerSink) => Promise<calls.Ending>;
 
@@ -389,6 +388,7 @@
         return isTaken ? { kind: 'caller-gone' } : null;
       }
     }
+    router.noteSent(call, run);
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, choice, turn);
@@ -411,7 +411,12 @@
       case 'closed':
         return refuse(call, run, 'upstreams-closed', router.closedRetryMs(call, choice.forMs));
       case 'overloaded':
-        return refuse(call, run, 'overloaded', router.overloadRetryMs(call, choice.predictedMs));
+        return refuse(
+          call,
+          run,
+          'overloaded',
+          router.overloadRetryMs(call, run, choice.predictedMs),
+        );
       case 'no-room':
         return refuse(call, run, 'overloaded', choice.freeInMs);
       case 'no-upstream':
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -46,6 +46,8 @@
     outcome: 'given' | 'full' | 'unanswered' | 'caller-gone' | 'closed',
     waitedMs: number,
   ) => void;
+  /** A request was refused although an upstream would have taken it. */
+  gaveWay: (to: string) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   retry: (isTaken: boolean) => void;
   storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
@@ -136,6 +138,9 @@
     ['outcome'],
     TURN_BUCKETS_S,
   );
+  const gaveWay = counter('gave_way_total', 'Requests refused so that others can be served', [
+    'to',
+  ]);
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
   const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
   const storeCalls = counter('store_calls_total', "Calls to the platform's store", [
@@ -209,6 +214,7 @@
     turnWaited: (outcome, waitedMs) => {
       turnWaitSeconds.observe({ outcome }, waitedMs / MS_PER_SECOND);
     },
+    gaveWay: (to) => gaveWay.inc({ to }),
     attemptEnded: (result) => attempts.inc({ result }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
     storeCalled: (call, result) => storeCalls.inc({ call, result }),
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -46,6 +46,8 @@
    * speed, which means that it varies.
    */
   promptTurns: zod.enum(['auto', 'on', 'off']).default('auto'),
+  /** Shares of organisations relative to each other; their quotas where none is given. */
+  shareWeights: zod.record(zod.string(), positive).default({}),
   /** By how much all gateways together may exceed an organisation's quota, in its unit. */
   quotaSlack: zod.number().nonnegative().default(0),
   /**
