Count copies by what their upstreams carry

Cause: the plan counted copies, whatever the upstream: two copies at upstreams that take 1.6 times as long counted for two, and a busy model got a place at a slow upstream as soon as at a fast one.

Change: a copy counts as a part of what the service's upstreams carry in the mean, by their learnt slowness (`UpstreamStates.state`), in steps of a tenth since learnt speeds waver; for what a further copy adds, for what is lost with one, and for the part of the requests that it gets. That a model has its last copy goes by their number as before. Near copies and what was placed before any demand are counted by number still.

Tests: "copies at slow upstreams are fewer than they look" and "a busy model goes to the upstream that carries more" fail with all counted alike (expected hot, actual rare; u3 for u4). The inputs of copy-plan.test.ts, near-copies.test.ts and random-plans.ts name a slowness of 1; no check changed.

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -77,6 +77,7 @@
     lease: parts.lease,
     directory: parts.directory,
     paces: parts.paces,
+    states: parts.states,
     config: () => configuration.current()?.config ?? null,
     gatewayId: settings.gatewayId,
     storeLoadLimits: {
--- a/packages/gateway/src/server/placing/placer.ts
+++ b/packages/gateway/src/server/placing/placer.ts
@@ -16,6 +16,7 @@
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
+import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as upstreamWords from '../forwarding/upstream-words.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as leaseKeepers from './lease-keeper.js';
@@ -29,6 +30,7 @@
   lease: leaseKeepers.LeaseKeeper;
   directory: directories.UpstreamDirectory;
   paces: pacesModule.Paces;
+  states: Pick<upstreamStates.UpstreamStates, 'state'>;
   config: () => fleet.FleetConfig | null;
   gatewayId: string;
   storeLoadLimits: storeLoadsModule.StoreLoadLimits;
@@ -253,6 +255,7 @@
         upstreams: views,
         demand: (model) => demandFor(service.name, model, nowMs),
         requestS: (model) => requestSOf(service, engine, model),
+        slowness: (upstreamId) => deps.states.state(upstreamId, nowMs).slowness,
         holdMs: (model) => deps.paces.pace(service.name, model).holdMs,
         hasDemand: meter.hasDemand(),
         storeLoadsLeft: storeLoads.left(engine.loadsPerSecond, nowMs),
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -40,6 +40,8 @@
   demand: (model: string) => demandMeters.DemandFigures | null;
   /** Seconds of one copy that a request of the model takes, as learnt. */
   requestS: (model: string) => number;
+  /** Of the upstream's work against the usual of its service, as learnt; 1 is usual. */
+  slowness: (upstreamId: string) => number;
   /** For how long its requests keep their slots, as learnt: an unload waits for them. */
   holdMs: (model: string) => number;
   /** Requests have come; before, every upstream may be busy without harm. */
@@ -112,19 +114,37 @@
   return Math.min(most, Math.max(least, value));
 }
 
+/** Copies of a model: how many, and for how many copies at a mean upstream they count. */
+export type Copies = { count: number; capacity: number };
+
+export const NO_COPIES: Copies = { count: 0, capacity: 0 };
+
+export function withoutCopy({ count, capacity }: Copies, copyCapacity: number): Copies {
+  return count <= 1 ? NO_COPIES : { count: count - 1, capacity: capacity - copyCapacity };
+}
+
 /** Copies of each model, with those that are on their way and there by `untilMs`, without those about to go. */
-export function copyCounts(
+export function copiesOf(
   upstreams: readonly UpstreamView[],
+  capacities: ReadonlyMap<string, number>,
   untilMs: number,
-): Map<string, number> {
-  const counts = new Map<string, number>();
-  const add = (model: string) => counts.set(model, (counts.get(model) ?? 0) + 1);
+): Map<string, Copies> {
+  const known = new Map<string, Copies>();
+  const add = (model: string, capacity: number): void => {
+    const before = known.get(model) ?? NO_COPIES;
+    known.set(model, { count: before.count + 1, capacity: before.capacity + capacity });
+  };
   upstreams.forEach((upstream) => {
-    upstream.copies.filter((copy) => !copy.isClosing).forEach((copy) => add(copy.model));
+    const capacity = capacities.get(upstream.upstreamId) ?? 1;
+    upstream.copies
+      .filter((copy) => !copy.isClosing)
+      .forEach((copy) => {
+        add(copy.model, capacity);
+      });
     const { arriving, freeAtMs } = upstream;
-    if (arriving !== null && (freeAtMs ?? -Infinity) <= untilMs) add(arriving);
+    if (arriving !== null && (freeAtMs ?? -Infinity) <= untilMs) add(arriving, capacity);
   });
-  return counts;
+  return known;
 }
 
 /**
@@ -195,25 +215,26 @@
   return IN_TIME_SHARE / Math.max(LEAST_REQUEST_S, requestS);
 }
 
-/** Requests a second that are served in time, late ones counted in part, by `count` copies. */
-function servedBy(perSecond: number, requestS: number, count: number): number {
-  if (count < 1) return 0;
-  const busyShare = (perSecond * requestS) / count;
+/** Requests a second that are served in time, late ones counted in part, by copies of that capacity. */
+function servedBy(perSecond: number, requestS: number, capacity: number): number {
+  if (capacity <= 0) return 0;
+  const busyShare = (perSecond * requestS) / capacity;
   const lateShare = clamp((busyShare - EASY_SHARE) / (FULL_SHARE - EASY_SHARE), 0, 1);
   // Beyond their capacity copies answer late what they can, and the rest not at all.
   return (
-    Math.min(perSecond, count / Math.max(LEAST_REQUEST_S, requestS)) * (1 - LATE_LOSS * lateShare)
+    Math.min(perSecond, capacity / Math.max(LEAST_REQUEST_S, requestS)) *
+    (1 - LATE_LOSS * lateShare)
   );
 }
 
-/** What the copy number `count` of a model adds, in requests a second. */
-export function marginal(need: Need, count: number): number {
-  if (count < 1) return 0;
+/** What one more copy of that capacity adds beside the others of its model, in requests a second. */
+export function marginal(need: Need, others: Copies, capacity: number): number {
   const { requestS } = need;
   const added = (perSecond: number) =>
-    servedBy(perSecond, requestS, count) - servedBy(perSecond, requestS, count - 1);
+    servedBy(perSecond, requestS, others.capacity + capacity) -
+    servedBy(perSecond, requestS, others.capacity);
   const served = added(need.expected);
-  if (count === 1) return served + need.patient + need.missedWeight + need.lastWeight;
+  if (others.count === 0) return served + need.patient + need.missedWeight + need.lastWeight;
   const risen = Math.max(need.expected, need.anticipated);
   const foreseen = added(risen);
   return served + NEXT_TO_RISE_WEIGHT * Math.max(0, foreseen - served);
--- a/packages/gateway/src/shared/placing/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.test.ts
@@ -34,6 +34,7 @@
   upstreams: readonly copyNeeds.UpstreamView[],
   demand: Record<string, demandMeters.DemandFigures>,
   storeLoadsLeft = 4,
+  slowness: (upstreamId: string) => number = () => 1,
 ): copyPlan.CopyChange | null {
   const names = ['hot', 'next', 'cold', 'rare', 'old', 'lone'];
   return copyPlan.planNext({
@@ -41,6 +42,7 @@
     upstreams,
     demand: (model) => demand[model] ?? null,
     requestS: () => REQUEST_S,
+    slowness,
     holdMs: () => 1_500,
     hasDemand: true,
     storeLoadsLeft,
@@ -159,6 +161,7 @@
       ],
       demand: (model) => (model === 'hot' ? asked(5) : asked(0.5, { missedCount: 2 })),
       requestS: () => REQUEST_S,
+      slowness: () => 1,
       holdMs: () => 1_500,
       hasDemand: true,
       storeLoadsLeft: 2,
@@ -235,4 +238,47 @@
   assert.ok((sorted[10] ?? Infinity) < allCount / 20, sorted.join(' '));
 });
 
+/** Four upstreams with room, two of which have a copy of the model in question. */
+function twoHotCopies(): copyNeeds.UpstreamView[] {
+  const near = { diskModels: new Set(['hot', 'next', 'old', 'cold', 'lone']) };
+  return [
+    fixtures.upstreamView('u1', ['hot', 'old', 'lone'], near),
+    fixtures.upstreamView('u2', ['hot', 'old', 'cold'], near),
+    fixtures.upstreamView('u3', ['next', 'old', 'lone'], near),
+    fixtures.upstreamView('u4', ['next', 'old', 'cold'], near),
+  ];
+}
+
+// Failure: a model whose copies all stand at slow upstreams is taken for served as well as one at usual ones.
+test('copies at slow upstreams are fewer than they look', () => {
+  const demand = { hot: asked(9), next: asked(2) };
+  assert.is.not(plan(twoHotCopies(), demand)?.load, 'hot');
+  const isSlow = (upstreamId: string) => ['u1', 'u2'].includes(upstreamId);
+  const change = plan(twoHotCopies(), demand, 4, (id) => (isSlow(id) ? 1.6 : 0.8));
+  assert.is(change?.load, 'hot');
+});
+
+// Failure: of two upstreams that could take a busy model it goes to the slow one.
+test('a busy model goes to the upstream that carries more', () => {
+  const demand = { hot: asked(25), next: asked(2) };
+  ['u3', 'u4'].forEach((fastId) => {
+    const change = plan(twoHotCopies(), demand, 4, (id) => (id === fastId ? 0.6 : 1.2));
+    assert.equal([change?.load, change?.upstreamId], ['hot', fastId]);
+  });
+});
+
+// Failure: speeds that are learnt as one and a half times the usual everywhere, or that waver by some hundredths, change
+// plans for upstreams that are equal.
+test('upstreams of equal speed are planned for as if speeds were not known', () => {
+  const size = { upstreamCount: 29, modelCount: 40 };
+  for (let seed = 1; seed <= 60; seed += 1) {
+    const input = randomPlans.randomPlan(randoms.createRandom(seed), size);
+    const usual = copyPlan.planNext(input);
+    assert.equal(copyPlan.planNext({ ...input, slowness: () => 1.37 }), usual);
+    const wavering = randoms.createRandom(seed);
+    const slowness = () => 1.2 * (0.98 + 0.04 * wavering.fraction());
+    assert.equal(copyPlan.planNext({ ...input, slowness }), usual);
+  }
+});
+
 test.run();
--- a/packages/gateway/src/shared/placing/copy-plan.ts
+++ b/packages/gateway/src/shared/placing/copy-plan.ts
@@ -10,6 +10,7 @@
 import * as nearCopies from './near-copies.js';
 import * as nearIndexes from './near-index.js';
 import * as planPlaces from './plan-places.js';
+import * as upstreamCapacity from './upstream-capacity.js';
 
 export type CopyChange = {
   upstreamId: string;
@@ -71,7 +72,8 @@
 /** What one more copy adds, in requests a second: one that comes soon, and one that the store brings. */
 type Gains = { soon: number; late: number };
 
-type Wanted = { spec: fleet.ModelSpec; gains: Gains };
+/** `most`: at the upstream that carries most. */
+type Wanted = { spec: fleet.ModelSpec; most: Gains };
 
 type Found = Scored & { wanted: Wanted };
 
@@ -117,24 +119,51 @@
   const { engine, upstreams, nowMs } = input;
   const index = nearIndexes.createNearIndex(upstreams);
   const needs = copyNeeds.needsOf(input, index);
-  const counts = copyNeeds.copyCounts(upstreams, Infinity);
-  const soonCounts = copyNeeds.copyCounts(upstreams, nowMs + SOON_MS);
+  const upstreamIds = upstreams.map(({ upstreamId }) => upstreamId);
+  const capacities = upstreamCapacity.capacitiesOf(upstreamIds, input.slowness);
+  const mostCapacity = Math.max(...capacities.values());
+  const copies = copyNeeds.copiesOf(upstreams, capacities, Infinity);
+  const soonCopies = copyNeeds.copiesOf(upstreams, capacities, nowMs + SOON_MS);
   const near = nearCopies.createNearCopies(input, index, needs);
   const loadingCount = upstreams.filter(({ isLoadingFromStore }) => isLoadingFromStore).length;
   const maySpread = !input.hasDemand || loadingCount < upstreams.length * SPREADING_SHARE;
   // All adapters that may come have their room already.
   const roomMb = engine.weightsMb - reservedMb(engine);
   const specs = new Map(engine.models.map((spec) => [spec.name, spec]));
-  const placing = planPlaces.createPlaces({ input, index, needs, counts, near, specs, roomMb });
+  const placing = planPlaces.createPlaces({
+    input,
+    index,
+    needs,
+    copies,
+    capacities,
+    near,
+    specs,
+    roomMb,
+  });
   const places = upstreams
     .filter((upstream) => !upstream.isChanging && !placing.isSettling(upstream))
     .map(placing.toPlace);
   const least = leastCosts(places);
 
+  const knownGains = new Map<number, Map<string, Gains>>();
+  function gainsAt(model: string, capacity: number): Gains {
+    const byModel = knownGains.get(capacity) ?? new Map<string, Gains>();
+    knownGains.set(capacity, byModel);
+    const before = byModel.get(model);
+    if (before !== undefined) return before;
+    const need = needs.get(model) ?? copyNeeds.NO_NEED;
+    const asked = { ...need, lastWeight: UNASKED_SHARE * need.lastWeight };
+    const gain = (held: ReadonlyMap<string, copyNeeds.Copies>) =>
+      copyNeeds.marginal(asked, held.get(model) ?? copyNeeds.NO_COPIES, capacity);
+    const gains = { soon: gain(soonCopies), late: gain(copies) };
+    byModel.set(model, gains);
+    return gains;
+  }
+
   /** What the change brings if it starts after `delayMs`; null where it cannot be made. */
   function score(
     place: planPlaces.Place,
-    { spec, gains }: Wanted,
+    { spec }: Wanted,
     victim: planPlaces.Victim | null,
     delayMs: number,
   ): Scored | null {
@@ -143,6 +172,7 @@
     const level = copyNeeds.levelAt(upstream, spec.name);
     if (level === 'store' && input.storeLoadsLeft < 1) return null;
     if (place.residentMb - (victim?.sizeMb ?? 0) + spec.sizeMb > roomMb) return null;
+    const gains = gainsAt(spec.name, place.capacity);
     const gain = level === 'store' ? gains.late : gains.soon;
     const unload = victim?.copy.model ?? null;
     const loadMs =
@@ -180,22 +210,14 @@
     return best === null ? null : { ...best, wanted };
   }
 
-  function gainsOf(model: string): Gains {
-    const need = needs.get(model) ?? copyNeeds.NO_NEED;
-    const asked = { ...need, lastWeight: UNASKED_SHARE * need.lastWeight };
-    const gain = (known: ReadonlyMap<string, number>) =>
-      copyNeeds.marginal(asked, (known.get(model) ?? 0) + 1);
-    return { soon: gain(soonCounts), late: gain(counts) };
-  }
-
   /** The most that callers who wait now can gain by a change for the model, in requests. */
-  function servedBound({ spec, gains }: Wanted): number {
+  function servedBound({ spec, most }: Wanted): number {
     const boundOf = (gain: number, loadMs: number, cost: number) =>
       Math.max(0, gain) * Math.max(0, planPlaces.HORIZON_S - loadMs / MS_PER_SECOND) - cost;
-    const fromStore = boundOf(gains.late, spec.storeLoadMs, least.store);
+    const fromStore = boundOf(most.late, spec.storeLoadMs, least.store);
     if (index.usable(spec.name).length === 0) return fromStore;
     const nearLoadMs = Math.min(spec.hostLoadMs, spec.diskLoadMs);
-    return Math.max(fromStore, boundOf(gains.soon, nearLoadMs, least.near));
+    return Math.max(fromStore, boundOf(most.soon, nearLoadMs, least.near));
   }
 
   /**
@@ -227,12 +249,12 @@
   }
 
   const options = engine.models
-    .map((spec) => ({ spec, gains: gainsOf(spec.name) }))
+    .map((spec) => ({ spec, most: gainsAt(spec.name, mostCapacity) }))
     .map((item) => ({ item, boundValue: servedBound(item) }));
   const served = bestFirst.pickBest(
     options.filter(
       ({ item, boundValue }) =>
-        boundValue > 0 && (item.gains.soon > 0 || near.worthOfNext(item.spec.name) > 0),
+        boundValue > 0 && (item.most.soon > 0 || near.worthOfNext(item.spec.name) > 0),
     ),
     (wanted) => {
       const found = weigh(wanted);
--- a/packages/gateway/src/shared/placing/near-copies.test.ts
+++ b/packages/gateway/src/shared/placing/near-copies.test.ts
@@ -36,6 +36,7 @@
     upstreams,
     demand: (model) => demand[model] ?? null,
     requestS: () => REQUEST_S,
+    slowness: () => 1,
     holdMs: () => 1_500,
     hasDemand: true,
     storeLoadsLeft: 4,
--- a/packages/gateway/src/shared/placing/plan-places.ts
+++ b/packages/gateway/src/shared/placing/plan-places.ts
@@ -16,6 +16,8 @@
 
 export type Place = {
   upstream: copyNeeds.UpstreamView;
+  /** What a copy counts for there. */
+  capacity: number;
   residentMb: number;
   blockedPerSecond: number;
   hotShare: number;
@@ -28,7 +30,8 @@
   input: copyNeeds.PlanInput;
   index: nearIndexes.NearIndex;
   needs: ReadonlyMap<string, copyNeeds.Need>;
-  counts: ReadonlyMap<string, number>;
+  copies: ReadonlyMap<string, copyNeeds.Copies>;
+  capacities: ReadonlyMap<string, number>;
   near: nearCopies.NearCopies;
   specs: ReadonlyMap<string, fleet.ModelSpec>;
   /** Room for weights: it stands for a model whose size nobody knows. */
@@ -73,11 +76,11 @@
 function countNearOnly(
   engine: fleet.EngineSpec,
   index: nearIndexes.NearIndex,
-  counts: ReadonlyMap<string, number>,
+  copies: ReadonlyMap<string, copyNeeds.Copies>,
 ): Map<string, number> {
   const nearOnly = new Map<string, number>();
   engine.models.forEach(({ name }) => {
-    if ((counts.get(name) ?? 0) > 0) return;
+    if (copies.has(name)) return;
     const [only, ...others] = index.usable(name);
     if (only === undefined || others.length > 0) return;
     nearOnly.set(only.upstreamId, (nearOnly.get(only.upstreamId) ?? 0) + 1);
@@ -86,14 +89,20 @@
 }
 
 export function createPlaces(deps: PlaceInput): Places {
-  const { input, index, needs, counts, near, specs, roomMb } = deps;
+  const { input, index, needs, copies, capacities, near, specs, roomMb } = deps;
   const { nowMs } = input;
-  const nearOnly = countNearOnly(input.engine, index, counts);
+  const nearOnly = countNearOnly(input.engine, index, copies);
   const sizeOf = (model: string): number => specs.get(model)?.sizeMb ?? roomMb;
 
-  /** Requests a second that one copy of the model gets. */
-  function perCopy(model: string): number {
-    return (needs.get(model)?.expected ?? 0) / Math.max(1, counts.get(model) ?? 1);
+  function capacityAt({ upstreamId }: copyNeeds.UpstreamView): number {
+    return capacities.get(upstreamId) ?? 1;
+  }
+
+  /** Requests a second that the copy of the model there gets: its part by what the copies carry. */
+  function perCopy(model: string, upstream: copyNeeds.UpstreamView): number {
+    const expected = needs.get(model)?.expected ?? 0;
+    const known = copies.get(model);
+    return known === undefined ? expected : (expected * capacityAt(upstream)) / known.capacity;
   }
 
   function lossOf(
@@ -106,15 +115,20 @@
     const exceptId = level === 'store' ? upstream.upstreamId : null;
     const lastWeight =
       spec === undefined ? 0 : copyNeeds.lastCopyWeight(input, index, spec, exceptId);
-    const loss = copyNeeds.marginal({ ...need, lastWeight }, counts.get(copy.model) ?? 1);
+    const capacity = capacityAt(upstream);
+    const others = copyNeeds.withoutCopy(copies.get(copy.model) ?? copyNeeds.NO_COPIES, capacity);
+    const loss = copyNeeds.marginal({ ...need, lastWeight }, others, capacity);
     return loss * HORIZON_S + copy.inFlightCount * DISTURBED_COST;
   }
 
   /** Requests a second for models with adapters that the upstream's copies get. */
-  function adapterRate(copies: readonly copyNeeds.CopyView[]): number {
-    return copies
+  function adapterRate(
+    upstream: copyNeeds.UpstreamView,
+    those: readonly copyNeeds.CopyView[],
+  ): number {
+    return those
       .filter(({ model }) => (specs.get(model)?.adapterCount ?? 0) > 0)
-      .reduce((sum, { model }) => sum + perCopy(model), 0);
+      .reduce((sum, { model }) => sum + perCopy(model, upstream), 0);
   }
 
   /**
@@ -124,7 +138,10 @@
   function blockedPerSecond(upstream: copyNeeds.UpstreamView): number {
     if (!input.hasDemand) return 0;
     const nearOnlyHere = nearOnly.get(upstream.upstreamId) ?? 0;
-    return BLOCKED_SHARE * adapterRate(upstream.copies) + copyNeeds.LAST_COPY_WEIGHT * nearOnlyHere;
+    return (
+      BLOCKED_SHARE * adapterRate(upstream, upstream.copies) +
+      copyNeeds.LAST_COPY_WEIGHT * nearOnlyHere
+    );
   }
 
   function toVictim(upstream: copyNeeds.UpstreamView, copy: copyNeeds.CopyView): Victim {
@@ -140,9 +157,10 @@
   return {
     toPlace: (upstream) => ({
       upstream,
+      capacity: capacityAt(upstream),
       residentMb: upstream.copies.reduce((sumMb, { model }) => sumMb + sizeOf(model), 0),
       blockedPerSecond: blockedPerSecond(upstream),
-      hotShare: upstream.copies.reduce((sum, { model }) => sum + perCopy(model), 0),
+      hotShare: upstream.copies.reduce((sum, { model }) => sum + perCopy(model, upstream), 0),
       evictionLoss: near.evictionLoss(upstream),
       victims: upstream.copies
         .filter((copy) => !copy.isClosing && nowMs - copy.readyAtMs >= LEAST_STAY_MS)
@@ -152,7 +170,7 @@
       const young = upstream.copies.filter(
         ({ readyAtMs }) => nowMs - readyAtMs < ADAPTER_SETTLE_MS,
       );
-      return adapterRate(young) > 0;
+      return adapterRate(upstream, young) > 0;
     },
   };
 }
--- a/packages/gateway/src/testing/random-plans.ts
+++ b/packages/gateway/src/testing/random-plans.ts
@@ -88,6 +88,7 @@
     ),
     demand: (model) => figures.get(model) ?? null,
     requestS: () => REQUEST_S,
+    slowness: () => 1,
     holdMs: () => 1_500,
     hasDemand: true,
     storeLoadsLeft: random.below(20),
