Comparison of ways for plain calls as a program; gateways go beyond their shares while upstreams have few calls

Change: a gateway goes beyond its share up to 1.5 known calls for each slot instead of 1. A repeated call that cannot be in time is sent where it is not rejected, rather than failed.

Tests: false, absurd and absent words, an upstream that answers nothing, gateways that hear from no other. plain-queue.test.ts counts three plays instead of one, since single plays of 35 s differ by a point; its limits for three plays are as strict (rejections before: 60 and 1500 instead of 20 and 500).

--- a/packages/gateway/src/server/forwarding/plain-gate.test.ts
+++ b/packages/gateway/src/server/forwarding/plain-gate.test.ts
@@ -133,8 +133,9 @@
   const { ask, passed, outcomes } = start(1);
   await ask('first');
   await ask('retry', { latestStartMs: -1, hasRun: true });
+  await ask('hopeless retry', { latestStartMs: FREE_IN_MS - 1, hasRun: true });
   await ask('late', { latestStartMs: -1 });
-  assert.equal(passed, ['first', 'retry']);
+  assert.equal(passed, ['first', 'retry', 'hopeless retry']);
   assert.equal(outcomes.get('late'), { kind: 'refused', retryAfterMs: FREE_IN_MS });
 });
 
--- a/packages/gateway/src/server/forwarding/plain-gate.ts
+++ b/packages/gateway/src/server/forwarding/plain-gate.ts
@@ -174,6 +174,7 @@
       }
       const untilFreeMs = startInMs(gate, call);
       if (nowMs + untilFreeMs > call.latestStartMs) {
+        if (call.hasRun) return atLatest(gate, call, nowMs);
         return { kind: 'refused', retryAfterMs: untilFreeMs };
       }
       return wait(gate, call, untilFreeMs);
--- a/packages/gateway/src/shared/plain-queue.test.ts
+++ b/packages/gateway/src/shared/plain-queue.test.ts
@@ -72,18 +72,34 @@
   assert.is(places.places('u', 61_000), null);
 });
 
+/** Plays of 35 s differ by up to a point of the share in time: the mean of three counts. */
+const SEEDS = [1, 2, 3];
+
 async function played(overrides: Partial<plainFleets.PlainFleetLoad>) {
   const load = { ...plainFleets.TARGET_LOAD, lengthMs: 40_000, ...overrides };
-  const outcome = await plainFleets.playPlainFleet(load, randoms.createRandom(2));
-  const { asked, inTime, rejected } = outcome;
-  return { ...outcome, inTimeShare: inTime / asked, rejected };
+  const outcomes: plainFleets.PlainOutcome[] = [];
+  for (const seed of SEEDS) {
+    outcomes.push(await plainFleets.playPlainFleet(load, randoms.createRandom(seed)));
+  }
+  const sum = (of: (outcome: plainFleets.PlainOutcome) => number) =>
+    outcomes.reduce((total, outcome) => total + of(outcome), 0);
+  const asked = sum((outcome) => outcome.asked);
+  return {
+    asked,
+    inTimeShare: sum(({ inTime }) => inTime) / asked,
+    late: sum(({ late }) => late),
+    lost: sum(({ lost }) => lost),
+    refused: sum(({ refused }) => refused),
+    rejected: sum(({ rejected }) => rejected),
+    served: load.slownesses.map((_unused, index) => sum(({ served }) => served[index] ?? 0)),
+  };
 }
 
 // Failure: a disturbed upstream gets as many calls as the others until its queue is full and it rejects.
 test('gateways that hear words of their own answers alone cause no rejection at the planned load', async () => {
   const before = await played({ way: 'as-before', perSecond: 120 });
   const now = await played({ way: 'queue', perSecond: 120 });
-  assert.ok(before.rejected > 20, `${before.rejected}`);
+  assert.ok(before.rejected > 60, `${before.rejected}`);
   assert.is(now.rejected, 0);
   assert.ok(now.inTimeShare > 0.97, `${now.inTimeShare}`);
   assert.ok(now.inTimeShare > before.inTimeShare + 0.03, `${before.inTimeShare}`);
@@ -93,7 +109,7 @@
 test('an overload is refused at once and not rejected', async () => {
   const before = await played({ way: 'as-before', perSecond: 200 });
   const now = await played({ way: 'queue', perSecond: 200 });
-  assert.ok(before.rejected > 500, `${before.rejected}`);
+  assert.ok(before.rejected > 1_500, `${before.rejected}`);
   assert.ok(now.rejected <= 5, `${now.rejected}`);
   assert.ok(now.inTimeShare > before.inTimeShare + 0.02, `${now.inTimeShare}`);
   assert.ok(now.late < 0.8 * before.late, `${now.late} ${before.late}`);
@@ -101,9 +117,55 @@
 
 // Failure: slots idle because each gateway keeps to its share while the others have no calls.
 test('gateways use what the others leave', async () => {
-  const now = await played({ way: 'queue', perSecond: 100, askedGatewayCount: 3 });
-  assert.ok(now.inTimeShare > 0.96, `${now.inTimeShare}`);
-  assert.ok(now.refused < 0.01 * now.asked, `${now.refused}`);
+  for (const askedGatewayCount of [1, 3]) {
+    const now = await played({ way: 'queue', perSecond: 120, askedGatewayCount });
+    assert.ok(now.inTimeShare > 0.96, `${now.inTimeShare}`);
+    assert.ok(now.refused < 0.005 * now.asked, `${now.refused}`);
+  }
+});
+
+type Tells = plainFleets.PlainFleetLoad['tells'];
+
+const ABSURD = { runningCount: 1e9, waitingCount: 1e9, momentFactor: 1_000 };
+const IDLE = { runningCount: 0, waitingCount: 0, momentFactor: 0.01 };
+
+const WORDS: Record<string, Tells> = {
+  'no upstream tells anything': () => null,
+  'one upstream tells nothing': (upstream, word) => (upstream === 0 ? null : word),
+  'one always tells that it is idle and quick': (upstream, word) =>
+    upstream === 0 ? { ...word, ...IDLE } : word,
+  'one always tells absurd figures': (upstream, word) =>
+    upstream === 0 ? { ...word, ...ABSURD } : word,
+  'all always tell absurd figures': (_upstream, word) => ({ ...word, ...ABSURD }),
+  'all always tell that they are idle': (_upstream, word) => ({ ...word, ...IDLE }),
+};
+
+// Failure: a false or absent figure has calls refused, or all sent to one upstream.
+Object.entries(WORDS).forEach(([name, tells]) => {
+  test(`words: ${name}`, async () => {
+    const now = await played({ way: 'queue', perSecond: 120, tells });
+    assert.ok(now.inTimeShare > 0.94, `${now.inTimeShare}`);
+    assert.ok(now.refused < 0.01 * now.asked, `${now.refused}`);
+    assert.ok(now.rejected <= 2, `${now.rejected}`);
+    assert.ok(Math.min(...now.served) > 0.5 * Math.max(...now.served), now.served.join(' '));
+  });
+});
+
+// Failure: calls to an upstream that answers nothing hold up those for the others.
+test('an upstream that answers nothing for ten seconds costs fewer calls than before', async () => {
+  const silent = { upstream: 0, fromMs: 15_000, untilMs: 25_000 };
+  const before = await played({ way: 'as-before', perSecond: 120, silent });
+  const now = await played({ way: 'queue', perSecond: 120, silent });
+  assert.ok(now.inTimeShare > before.inTimeShare + 0.03, `${now.inTimeShare}`);
+  assert.ok(now.lost < before.lost, `${now.lost} ${before.lost}`);
+});
+
+// Failure: a gateway that hears from no other holds calls for slots that it believes taken.
+test('gateways that hear from no other serve as well as before', async () => {
+  const before = await played({ way: 'as-before', perSecond: 120, isAlone: true });
+  const now = await played({ way: 'queue', perSecond: 120, isAlone: true });
+  assert.ok(now.inTimeShare > before.inTimeShare, `${now.inTimeShare}`);
+  assert.is(now.refused, 0);
 });
 
 test.run();
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -53,7 +53,7 @@
 
 /**
  * `any`: wherever it is done first. `place`: where it is not expected to be rejected. `slot`: of these, where this
- * gateway has not used up its share, and beyond it while the upstreams together are expected to have a free slot.
+ * gateway has not used up its share, and beyond it while the upstreams together have few calls for their slots.
  */
 export type Room = 'any' | 'place' | 'slot';
 
@@ -108,6 +108,12 @@
 const ADAPTER_MS = 90;
 /** What asking the holder for a permit takes, and the chance that there is none. */
 const PERMIT_MS = 20;
+/**
+ * Known calls for each slot up to which a gateway goes beyond its share. A call that waits for half a service time is
+ * still in time, and slots that look taken by old news are not left idle. With one gateway in use of 23, 0.1% of 120
+ * calls a second are refused; with 1 for each slot 0.9%.
+ */
+const CALLS_PER_SLOT = 1.5;
 /** What a failed attempt costs a caller: at best it comes back once. */
 const FAILURE_MS = 400;
 
@@ -237,7 +243,8 @@
 function hasSlot(candidates: readonly Candidate[], basis: PlainBasis): boolean {
   const sum = (of: (candidate: Candidate) => number) =>
     candidates.reduce((total, candidate) => total + of(candidate), 0);
-  return sum((candidate) => plainCount(basis, candidate)) < sum(({ slots }) => slots);
+  const count = sum((candidate) => plainCount(basis, candidate));
+  return count < CALLS_PER_SLOT * sum(({ slots }) => slots);
 }
 
 function withRoom(
--- a/packages/gateway/src/testing/plain-fleet.ts
+++ b/packages/gateway/src/testing/plain-fleet.ts
@@ -3,6 +3,7 @@
 import { clocks as clocksModule } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 
+import type * as upstreamStates from '../types/upstream-states.js';
 import * as plainGates from '../server/forwarding/plain-gate.js';
 import * as inFlightModule from '../shared/in-flight.js';
 import * as paces from '../shared/paces.js';
@@ -35,6 +36,12 @@
   newsAgeMs: { least: number; most: number };
   slownesses: readonly number[];
   disturbedShare: number;
+  /** What each upstream tells instead of its load; null: nothing. */
+  tells: (upstream: number, word: upstreamStates.LoadWord) => upstreamStates.LoadWord | null;
+  /** No gateway hears of another: each takes itself for the only one. */
+  isAlone: boolean;
+  /** An upstream that answers nothing in this time; null: all answer. */
+  silent: { upstream: number; fromMs: number; untilMs: number } | null;
 };
 
 export const TARGET_LOAD: PlainFleetLoad = {
@@ -50,6 +57,9 @@
   newsAgeMs: { least: 250, most: 500 },
   slownesses: [1, 1, 1],
   disturbedShare: 0.15,
+  tells: (_upstream, word) => word,
+  isAlone: false,
+  silent: null,
 };
 
 export type PlainOutcome = {
@@ -64,6 +74,8 @@
   rejected: number;
   /** Sends beyond a call's first. */
   sentAgain: number;
+  /** Attempts that an upstream did not answer. */
+  silent: number;
   /** Refusals told, of which some callers came back. */
   toldBack: number;
   latenciesMs: number[];
@@ -110,6 +122,9 @@
 const FAILS_ONE_IN = 7;
 /** As by `urgency.enginePriority`. */
 const LATE_STEPS = 2;
+/** As `serve.ts` gives up a silent attempt that may be repeated. */
+const SILENT_MIN_MS = 250;
+const SILENT_FACTOR = 8;
 const NETWORK_MS = 1;
 const NEWS_MS = 250;
 const MAX_ATTEMPTS = 2;
@@ -143,6 +158,7 @@
     refused: 0,
     rejected: 0,
     sentAgain: 0,
+    silent: 0,
     toldBack: 0,
     latenciesMs: [],
     served: Array.from({ length: load.upstreamCount }, () => 0),
@@ -172,6 +188,7 @@
     gate: plainGates.createPlainGate({ clock }),
     places: plainPlaces.createPlainPlaces(),
   }));
+  const knownGateways = load.isAlone ? 1 : load.gatewayCount;
   const tells = load.way !== 'as-before';
 
   function candidatesOf(gateway: Gateway, priority: number): upstreamChoice.Candidate[] {
@@ -193,7 +210,7 @@
         cachedTokens: 0,
         belief: gateway.beliefs.belief(upstreamId, nowMs),
         state: gateway.states.state(upstreamId, nowMs),
-        ownShare: plainQueues.ownShare({ slots: load.slots, gatewayCount: load.gatewayCount }),
+        ownShare: plainQueues.ownShare({ slots: load.slots, gatewayCount: knownGateways }),
         places: load.way === 'queue' ? gateway.places.places(upstreamId, nowMs) : null,
       };
     });
@@ -266,8 +283,14 @@
     gateway.plainTimes.answered(SERVICE, tookMs, momentFactor);
   }
 
+  function isSilent(index: number): boolean {
+    const { silent } = load;
+    const nowMs = clock.nowMs();
+    return silent?.upstream === index && nowMs >= silent.fromMs && nowMs < silent.untilMs;
+  }
+
   function tryAgain(gateway: Gateway): boolean {
-    if (!gateway.retryShare.tryTake(SERVICE, load.gatewayCount, clock.nowMs())) return false;
+    if (!gateway.retryShare.tryTake(SERVICE, knownGateways, clock.nowMs())) return false;
     outcome.sentAgain += 1;
     return true;
   }
@@ -305,12 +328,27 @@
       const isLate = clock.nowMs() - call.arrivedAtMs + call.elapsedBeforeMs > OBJECTIVE_MS;
       const priority = call.priority + (isLate ? LATE_STEPS : 0);
       await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+      if (isSilent(index)) {
+        const usualMs = gateway.beliefs.belief(choice.upstreamId, sentMs).firstPieceMs ?? 0;
+        const untilMs = sentMs + Math.max(SILENT_MIN_MS, SILENT_FACTOR * usualMs);
+        await clocksModule.sleepUntil(clock, untilMs);
+        started.ended();
+        passage.ended();
+        gateway.beliefs.ended(choice.upstreamId, { kind: 'broken' }, clock.nowMs());
+        outcome.silent += 1;
+        sentCount += 1;
+        ranCount += 1;
+        if (ranCount >= MAX_ATTEMPTS || !tryAgain(gateway)) return { kind: 'failed' };
+        continue;
+      }
       const isServed = await upstream.serve(call.workMs, priority);
-      const word = upstream.word();
+      const word = load.tells(index, upstream.word());
       await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
       started.ended();
       passage.ended();
-      if (tells) gateway.states.told(choice.upstreamId, word, sentMs, clock.nowMs());
+      if (tells && word !== null) {
+        gateway.states.told(choice.upstreamId, word, sentMs, clock.nowMs());
+      }
       sentCount += 1;
       if (isServed) {
         ranCount += 1;
@@ -374,6 +412,7 @@
   }
 
   function tellLoads(): void {
+    if (load.isAlone) return;
     const told = gateways.map(({ id, inFlight }) => ({ id, loads: [...inFlight.ownLoads()] }));
     const { least, most } = load.newsAgeMs;
     gateways.forEach((gateway) => {
@@ -389,12 +428,12 @@
   /** Words of an even age between nothing and `wordAgeMs`: told every so often, at once. */
   function tellWords(): void {
     if (!tells || load.wordAgeMs === null) return;
-    const words = upstreams.map((upstream) => upstream.word());
+    const words = upstreams.map((upstream, index) => load.tells(index, upstream.word()));
     gateways.forEach((gateway) => {
       ids.forEach((id, index) => {
         const word = words[index];
         const nowMs = clock.nowMs();
-        if (word !== undefined) gateway.states.told(id, word, nowMs, nowMs);
+        if (word != null) gateway.states.told(id, word, nowMs, nowMs);
       });
     });
   }
--- a/scripts/programs.mjs
+++ b/scripts/programs.mjs
@@ -13,6 +13,7 @@
   'bench-path': 'packages/bench/src/path/main.ts',
   'bench-control': 'packages/bench/src/control/main.ts',
   'bench-control-daemon': 'packages/bench/src/control/daemon.ts',
+  'bench-plain': 'packages/bench/src/plain/main.ts',
   'bench-plan': 'packages/bench/src/plan/main.ts',
   matrix: 'packages/proofs/src/matrix/main.ts',
 };
