A holder that does not know a quota yet denies nothing of it; one of a new term is asked once more

Callers saw: below a quota that had just come with a configuration 429, in 2 of 5 runs of platform/src/path.test.ts 'callers are known by their keys until these are taken away' beside other load. Cause: the gateway had the configuration before the holder of the lease; the holder lent nothing of a quota that it did not know, and the gateway took that for a denial. The same after a change of the holder, whose first answer only tells of its term. Change: without a grant in the answer the holder is asked once more; then the gateway has what it would start with of a quota of which nobody has lent yet.

--- a/packages/gateway/src/server/quotas/quotas.ts
+++ b/packages/gateway/src/server/quotas/quotas.ts
@@ -52,6 +52,7 @@
   ask: (report: quotaCredits.QuotaReport) => Promise<quotaCredits.QuotaLoan | null>;
 };
 
+const ASKS_MAX = 2;
 const UNLIMITED: QuotaDecision = { kind: 'admitted', giveBack: () => {} };
 
 export function createQuotas(deps: QuotasDeps): Quotas {
@@ -86,9 +87,15 @@
     limit: quotaCredits.OrganisationLimit,
     cost: number,
   ): Promise<ReturnType<quotaCredits.QuotaCredits['settle']>> {
-    const loan = await deps.ask(credits.question(organisation));
-    if (loan !== null) credits.heard(loan, clock.nowMs());
-    const answer = loan === null ? 'silent' : 'answered';
+    let answer: quotaCredits.HolderAnswer = 'silent';
+    // A new holder's first answer only tells of its term.
+    for (let asked = 0; asked < ASKS_MAX && answer !== 'answered'; asked += 1) {
+      const loan = await deps.ask(credits.question(organisation));
+      if (loan === null) break;
+      credits.heard(loan, clock.nowMs());
+      const isKnown = loan.grants.some((grant) => grant.organisation === organisation);
+      answer = isKnown ? 'answered' : 'unknown';
+    }
     return credits.settle(organisation, limit, cost, answer, clock.nowMs());
   }
 
--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -22,8 +22,8 @@
   /** The holder is to be asked; `settle` decides by its answer. */
   | { kind: 'undecided' };
 
-/** What came of the question to the holder. */
-export type HolderAnswer = 'answered' | 'silent';
+/** What came of the question to the holder; `unknown`: it has not got the configuration with this quota yet. */
+export type HolderAnswer = 'answered' | 'unknown' | 'silent';
 
 /** Counters of a holder's term, so that a lost message loses nothing. */
 export type QuotaUse = {
@@ -302,8 +302,10 @@
         isSilent = true;
         return decideAlone(organisation, account, limit, cost, nowMs);
       }
+      // Of a quota that nobody has lent of yet a gateway has what it would start with.
+      if (answer === 'unknown') grantStart(account, limit, nowMs);
       if (isCovered(account, 0, cost)) return spend(account, cost);
-      account.isDenied = true;
+      account.isDenied = answer === 'answered';
       return refuse(account, limit, cost);
     },
     giveBack: (organisation, cost) => {
