--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -84,7 +84,9 @@
       .singleton(),
     inFlight: awilix.asFunction(inFlightModule.createInFlight).singleton(),
     paces: awilix.asFunction(pacesModule.createPaces).singleton(),
-    plainTimes: awilix.asFunction(plainTimesModule.createPlainTimes).singleton(),
+    plainTimes: awilix
+      .asFunction(() => plainTimesModule.createPlainTimes(settings.plainQueues !== 'off'))
+      .singleton(),
     plainPlaces: awilix.asFunction(plainPlaces.createPlainPlaces).singleton(),
     plainGate: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
--- a/packages/gateway/src/shared/plain-finish.test.ts
+++ b/packages/gateway/src/shared/plain-finish.test.ts
@@ -150,6 +150,23 @@
   }
 });
 
+// Failure: switched off, calls still go by what upstreams tell.
+test('switched off nothing is learnt, and what upstreams tell does not count', () => {
+  const times = plainTimes.createPlainTimes(false);
+  times.answered('s', 60, 1);
+  assert.is(times.time('s'), null);
+  const random = randoms.createRandom(9);
+  for (let draw = 0; draw < 50; draw += 1) {
+    const counts = ['a', 'b', 'c'].map((id) => ({ id, inFlightCount: random.below(12) }));
+    const silent = counts.map(({ id, inFlightCount }) => candidate(id, { inFlightCount }));
+    const telling = counts.map(({ id, inFlightCount }) => {
+      const state = told({ runningCount: 6, waitingCount: random.below(24) }, 2.5);
+      return candidate(id, { inFlightCount, state });
+    });
+    assert.equal(shares(telling, times.time('s')), shares(silent, null));
+  }
+});
+
 // Failure: one absurd word, kept for ever, has every call refused although the upstream is idle.
 test('a call is not refused for what upstreams tell alone', () => {
   const absurd = ['a', 'b'].map((id) =>
--- a/packages/gateway/src/shared/plain-times.ts
+++ b/packages/gateway/src/shared/plain-times.ts
@@ -25,10 +25,12 @@
 
 type Entry = { logMs: number; meanMs: number; count: number };
 
-export function createPlainTimes(): PlainTimes {
+/** Off, nothing is learnt, and calls are sent as if upstreams told nothing. */
+export function createPlainTimes(isOn = true): PlainTimes {
   const entries = new Map<string, Entry>();
   return {
     answered: (service, tookMs, momentFactor) => {
+      if (!isOn) return;
       const before = entries.get(service);
       const usualMs = before === undefined ? Infinity : Math.exp(before.logMs);
       const sampleMs = Math.min(
