--- a/packages/cli/src/shared/story.test.ts
+++ b/packages/cli/src/shared/story.test.ts
@@ -64,6 +64,25 @@
   assert.match(text.at(-1) ?? '', /\+2000 ms > {2}g2 {2}request-ended .*status=200/);
 });
 
+// Failure: the story of a late request does not say that it waited for its prefill turn, and why it went without one.
+test('waits for prefill turns are told, with owners that were silent', () => {
+  const lines = read([
+    at(1, 'event=turn-owner-silent daemonId=g1 ownerId=g4 upstreamId=u1 forMs=1500'),
+    at(1, 'event=turn-owner-silent daemonId=g2 ownerId=g4 upstreamId=u1 forMs=1500'),
+    at(1, 'event=turn-owner-silent daemonId=g1 ownerId=g5 upstreamId=u2 forMs=1500'),
+    at(
+      1,
+      'event=turn-waited daemonId=g1 requestId=r6 upstreamId=u1 outcome=unanswered waitedMs=90',
+    ),
+    at(2, 'event=request-ended daemonId=g1 requestId=r6 upstreamId=u1 outcome=answered status=200'),
+  ]);
+  const told = story.tellStory('r6', lines);
+  assert.equal(
+    told?.lines.map(({ line, isOwn }) => `${line.event} ${line.daemonId} ${isOwn}`),
+    ['turn-waited g1 true', 'turn-owner-silent g1 false', 'request-ended g1 true'],
+  );
+});
+
 test('of an id that no line carries there is no story', () => {
   assert.is(story.tellStory('r9', LINES), null);
 });
--- a/packages/cli/src/shared/story.ts
+++ b/packages/cli/src/shared/story.ts
@@ -45,6 +45,7 @@
     case 'upstream-unlimited':
     case 'upstream-leaving':
     case 'upstream-paused':
+    case 'turn-owner-silent':
       return isOfUpstream && of.daemonIds.has(daemonId);
     case 'lease-taken':
     case 'lease-lost':
@@ -57,7 +58,6 @@
     case 'started':
     case 'stopping':
     case 'stopped':
-    case 'turn-owner-silent':
     case 'lines-dropped':
       return of.daemonIds.has(daemonId);
     default:
--- /dev/null
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -0,0 +1,308 @@
+import type * as net from 'node:net';
+
+import * as quarantineModule from '@copperlever/decisions/quarantine';
+import { clocks, logs, randoms } from '@copperlever/runtime';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as inFlightModule from '../../shared/in-flight.js';
+import * as pacesModule from '../../shared/paces.js';
+import * as promptCaches from '../../shared/prompt-caches.js';
+import * as retryShares from '../../shared/retry-share.js';
+import * as beliefsModule from '../../shared/upstream-beliefs.js';
+import * as directories from '../../shared/upstream-directory.js';
+import * as upstreamPauses from '../../shared/upstream-pauses.js';
+import * as statesModule from '../../shared/upstream-states.js';
+import * as rawUpstreams from '../../testing/raw-upstream.js';
+import * as testDialects from '../../testing/test-dialect.js';
+import type * as calls from '../../types/calls.js';
+import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
+import * as metricsModule from '../metrics/metrics.js';
+import type * as turnsModule from '../turns/turns.js';
+import type * as answers from './answers.js';
+import * as connectionsModule from './connections.js';
+import * as serving from './serve.js';
+
+const test = suite('serving streams with prefill turns');
+
+const STREAM =
+  'HTTP/1.1 200 OK\r\nt-id: r1\r\nt-signed: 1\r\ncontent-type: text/event-stream\r\n' +
+  'content-length: 15\r\n\r\ndata: one event';
+const REJECTED = 'HTTP/1.1 503 Full\r\nt-id: r1\r\nt-not-run: 1\r\ncontent-length: 0\r\n\r\n';
+
+type Answer = (socket: net.Socket) => void;
+
+type Ask = (question: turnsModule.TurnQuestion, count: number) => Promise<turnsModule.TurnAnswer>;
+
+const GIVEN = async () => ({ kind: 'given', ownerId: 'g2' }) as const;
+
+async function createRig(setup: { ask?: Ask; isWanted?: boolean; answer?: Answer } = {}) {
+  const { ask = GIVEN, isWanted = true, answer = (socket) => socket.write(STREAM) } = setup;
+  const upstream = await rawUpstreams.startRawUpstream(answer);
+  const clock = clocks.createSystemClock();
+  const log = logs.createSilentLogger() as logEvents.GatewayLog;
+  const directory = directories.createUpstreamDirectory();
+  const service: fleet.Service = {
+    name: 'pool',
+    connectionsMax: 20,
+    engine: {
+      slots: 8,
+      weightsMb: 1,
+      adaptersMax: 1,
+      hostMb: 1,
+      diskMb: 1,
+      loadsPerSecond: 1,
+      models: [],
+    },
+  };
+  const list = (records: readonly fleet.UpstreamRecord[], revision: number) => {
+    const stored = records.map((value) => ({ name: value.name, revision, value }));
+    directory.applyListing({ records: stored, unreadable: [], revision }, clock.nowMs());
+  };
+  list([upstream.record], 1);
+  const asked: turnsModule.TurnQuestion[] = [];
+  const ended: turnsModule.TurnEnd[] = [];
+  let lastTurnId = 0;
+  const connections = connectionsModule.createConnections();
+  const serve = serving.createServe({
+    clock,
+    log,
+    directory,
+    connections,
+    random: randoms.createRandom(3),
+    dialect: testDialects.createTestDialect(),
+    beliefs: beliefsModule.createUpstreamBeliefs(),
+    inFlight: inFlightModule.createInFlight(),
+    caches: promptCaches.createPromptCaches(),
+    paces: pacesModule.createPaces(),
+    retryShare: retryShares.createRetryShare({ ratio: 1, slack: 10, windowMs: 1_000 }),
+    quarantine: quarantineModule.createQuarantine(),
+    words: { heard: () => {}, reported: () => {}, toldLimits: () => {}, toldLeaving: () => {} },
+    limits: {
+      isLimited: () => false,
+      closedForMs: () => null,
+      basis: () => null,
+      take: async () => true,
+      give: () => ({ kind: 'taken' }),
+      isStarved: () => false,
+    },
+    turns: {
+      isWanted: () => isWanted,
+      nextTurnId: () => {
+        lastTurnId += 1;
+        return lastTurnId;
+      },
+      ask: (question) => {
+        asked.push(question);
+        return ask(question, asked.length);
+      },
+      end: (_ownerId, one) => ended.push(one),
+    },
+    states: statesModule.createUpstreamStates(),
+    pauses: upstreamPauses.createUpstreamPauses(),
+    placement: {
+      basis: () => ({ term: 1, version: 1, ageMs: 0 }),
+      copyAt: () => 'ready',
+      noteAbsent: () => {},
+      noteDemand: () => {},
+      expectedReady: () => ({ kind: 'not-ordered', inMs: 1_000 }),
+      nextCopyInMs: () => null,
+      ensureAdapter: async () => false,
+      blockedForMs: () => 0,
+    },
+    metrics: metricsModule.createGatewayMetrics(() => {
+      throw new Error('nobody reads');
+    }),
+    serviceOf: () => service,
+    gatewayCount: () => 1,
+    isStopping: () => false,
+    failureDomain: 'north',
+  });
+  const close = async () => {
+    upstream.close();
+    await connections.close();
+  };
+  return { serve, upstream, asked, ended, list, close };
+}
+
+function createSink() {
+  const state = { hasBegun: false, body: '', isGone: false };
+  let callerGone: (() => void) | null = null;
+  const sink: answers.AnswerSink = {
+    hasBegun: () => state.hasBegun,
+    begin: () => {
+      state.hasBegun = true;
+    },
+    write: (chunk) => {
+      state.body += chunk.toString();
+      return true;
+    },
+    onceDrained: (task) => task(),
+    end: () => {},
+    sendWhole: (answer) => {
+      state.hasBegun = true;
+      state.body = answer.body.toString();
+    },
+    refuse: () => {},
+    cut: () => {},
+    onCallerGone: (task) => {
+      callerGone = task;
+      if (task !== null && state.isGone) task();
+    },
+    isCallerGone: () => state.isGone,
+  };
+  const leave = () => {
+    state.isGone = true;
+    callerGone?.();
+  };
+  return { sink, state, leave };
+}
+
+function createCall(): calls.Call {
+  const nowMs = performance.now();
+  const headers = { 't-id': 'r1', 't-model': 'm1', 't-tokens': '2000' };
+  return {
+    requestId: 'r1',
+    route: {
+      name: 'chat',
+      host: 'a.example',
+      pathPrefix: '/',
+      kind: 'stream',
+      targets: [],
+      maxAttempts: 2,
+      timeoutMs: 30_000,
+      latencyObjectiveMs: 1_000,
+      pauseObjectiveMs: 300,
+      priority: 0,
+      isResumable: false,
+      isPublic: false,
+    },
+    service: 'pool',
+    method: 'POST',
+    path: '/x',
+    headers: [['T-Id', 'r1']],
+    body: Buffer.from('body'),
+    facts: testDialects.createTestDialect().readCall(headers),
+    organisation: null,
+    priority: 0,
+    arrivedAtMs: nowMs,
+    elapsedBeforeMs: 0,
+    deadlineMs: nowMs + 30_000,
+    fingerprint: 'f',
+    resumeAfterId: null,
+  };
+}
+
+test('a stream asks for a turn, and ends it with its first event', async () => {
+  const { serve, upstream, asked, ended, close } = await createRig();
+  try {
+    const { sink, state } = createSink();
+    const ending = await serve(createCall(), sink);
+    assert.is(ending.kind, 'answered');
+    assert.is(state.body, 'data: one event');
+    assert.is(upstream.requests.length, 1);
+    assert.equal(
+      asked.map(({ upstreamId, promptTokens }) => ({ upstreamId, promptTokens })),
+      [{ upstreamId: 'u1', promptTokens: 2_000 }],
+    );
+    assert.equal(
+      ended.map(({ isPrefilled }) => isPrefilled),
+      [true],
+    );
+  } finally {
+    await close();
+  }
+});
+
+// Failure: the part changes how a deployment is served that does not call for it.
+test('where no turn is wanted the upstream gets the same request, and no owner is asked', async () => {
+  const without = await createRig({ isWanted: false });
+  const withTurns = await createRig();
+  try {
+    await without.serve(createCall(), createSink().sink);
+    await withTurns.serve(createCall(), createSink().sink);
+    const normal = (text: string | undefined) => text?.replace(/t-wait: \d+|host: \S+/gi, '');
+    assert.is(
+      normal(without.upstream.requests[0]?.toLowerCase()),
+      normal(withTurns.upstream.requests[0]?.toLowerCase()),
+    );
+    assert.equal([without.asked, without.ended], [[], []]);
+  } finally {
+    await without.close();
+    await withTurns.close();
+  }
+});
+
+// Failure: a request runs for a caller that left while it waited for its turn.
+test('a request whose caller leaves during the wait reaches no upstream', async () => {
+  const { sink, leave } = createSink();
+  const rig = await createRig({
+    ask: async () => {
+      setImmediate(leave);
+      return { kind: 'wait', waitMs: 15_000, ownerId: 'g2' };
+    },
+  });
+  try {
+    assert.equal(await rig.serve(createCall(), sink), { kind: 'caller-gone' });
+    assert.equal(rig.upstream.requests, []);
+    assert.equal(
+      rig.ended.map(({ isPrefilled }) => isPrefilled),
+      [false],
+    );
+  } finally {
+    await rig.close();
+  }
+});
+
+// Failure: an upstream that began to drain while a request waited for its turn there gets it all the same.
+test('a draining upstream gets nothing that has waited for it', async () => {
+  const rig = await createRig({
+    ask: async (_question, count) => {
+      if (count === 1) return { kind: 'wait', waitMs: 10, ownerId: 'g2' };
+      rig.list([{ ...rig.upstream.record, state: 'draining' }], 2);
+      return { kind: 'given', ownerId: 'g2' };
+    },
+  });
+  try {
+    const ending = await rig.serve(createCall(), createSink().sink);
+    assert.is(ending.kind, 'not-run');
+    assert.equal(rig.upstream.requests, []);
+    assert.equal(
+      rig.ended.map(({ isPrefilled }) => isPrefilled),
+      [false],
+    );
+  } finally {
+    await rig.close();
+  }
+});
+
+test('with no turn in time anywhere it is refused as overloaded, with the time', async () => {
+  const rig = await createRig({
+    ask: async () => ({ kind: 'full', retryAfterMs: 700, ownerId: 'g2' }),
+  });
+  try {
+    const ending = await rig.serve(createCall(), createSink().sink);
+    assert.equal(ending, { kind: 'not-run', cause: 'overloaded', retryAfterMs: 700 });
+    assert.equal(rig.upstream.requests, []);
+  } finally {
+    await rig.close();
+  }
+});
+
+// Failure: a turn of a request that its upstream turned away is counted until it expires.
+test('a turn ends when the upstream has not run the request', async () => {
+  const rig = await createRig({ answer: (socket) => socket.write(REJECTED) });
+  try {
+    const ending = await rig.serve(createCall(), createSink().sink);
+    assert.is(ending.kind, 'not-run');
+    assert.equal(
+      rig.ended.map(({ isPrefilled }) => isPrefilled),
+      [false],
+    );
+  } finally {
+    await rig.close();
+  }
+});
+
+test.run();
--- a/packages/gateway/src/shared/prefill-turns.ts
+++ b/packages/gateway/src/shared/prefill-turns.ts
@@ -77,7 +77,7 @@
 const LONG_PROMPT_WAIT_MS = 400;
 const MIN_WAIT_MS = 5;
 /** Estimates of waits are rough; what ended early is noticed by then. */
-const MAX_WAIT_MS = 100;
+const MAX_WAIT_MS = 200;
 /** How long a place is kept beyond the time to ask again: a message, and a short pause of the asker. */
 const PLACE_KEPT_MS = 60;
 const ASKER_LATE_MS = 20;
