Admit a gateway's own part where the holder knows of no quota yet

Cause: a new configuration reaches the holder later than others, and its answer then names no credits for the new organisation. That was taken for a denial, so all callers of the organisation were refused until the holder had it.

Change: an answer without credits for the organisation leaves the decision to the gateway's own part, without taking the holder for silent.

Test: "where the holder knows of no quota yet a gateway admits its own part" (new; before, `settle` had no such case).

--- a/packages/gateway/src/server/quotas/quotas.ts
+++ b/packages/gateway/src/server/quotas/quotas.ts
@@ -54,6 +54,16 @@
 
 const UNLIMITED: QuotaDecision = { kind: 'admitted', giveBack: () => {} };
 
+function answerOf(
+  loan: quotaCredits.QuotaLoan | null,
+  organisation: string,
+): quotaCredits.HolderAnswer {
+  if (loan === null) return 'silent';
+  // A configuration reaches the holder later than others.
+  const isAware = loan.grants.some((grant) => grant.organisation === organisation);
+  return isAware ? 'answered' : 'unaware';
+}
+
 export function createQuotas(deps: QuotasDeps): Quotas {
   const { clock } = deps;
   const credits = quotaCredits.createQuotaCredits(deps.gatewayCount, deps.random);
@@ -88,8 +98,7 @@
   ): Promise<ReturnType<quotaCredits.QuotaCredits['settle']>> {
     const loan = await deps.ask(credits.question(organisation));
     if (loan !== null) credits.heard(loan, clock.nowMs());
-    const answer = loan === null ? 'silent' : 'answered';
-    return credits.settle(organisation, limit, cost, answer, clock.nowMs());
+    return credits.settle(organisation, limit, cost, answerOf(loan, organisation), clock.nowMs());
   }
 
   return {
--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -22,8 +22,8 @@
   /** The holder is to be asked; `settle` decides by its answer. */
   | { kind: 'undecided' };
 
-/** What came of the question to the holder. */
-export type HolderAnswer = 'answered' | 'silent';
+/** What came of the question to the holder. `unaware`: it answered, and knows of no quota of that organisation yet. */
+export type HolderAnswer = 'answered' | 'unaware' | 'silent';
 
 /** Counters of a holder's term, so that a lost message loses nothing. */
 export type QuotaUse = {
@@ -298,8 +298,8 @@
     settle: (organisation, limit, cost, answer, nowMs) => {
       const account = accountOf(organisation, nowMs);
       account.lacking = Math.max(0, account.lacking - cost);
-      if (answer === 'silent') {
-        isSilent = true;
+      if (answer === 'silent') isSilent = true;
+      if (answer !== 'answered') {
         return decideAlone(organisation, account, limit, cost, nowMs);
       }
       if (isCovered(account, 0, cost)) return spend(account, cost);
--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -311,6 +311,19 @@
   assert.is(credits.settle('o1', limit, 10, 'answered', 0).kind, 'admitted');
 });
 
+// Failure: a new configuration reaches the holder later than others, and all callers of a new organisation are refused until
+// then.
+test('where the holder knows of no quota yet a gateway admits its own part', () => {
+  const credits = quotaCredits.createQuotaCredits(() => 2, randoms.createRandom(1));
+  const limit = { perSecond: 100, capacity: 100 };
+  const take = () => credits.take('o1', limit, { cost: 20, isLate: false }, 0).kind;
+  credits.heard({ term: 1, grants: [], scarce: [] }, 0);
+  assert.is(take(), 'undecided');
+  assert.is(credits.settle('o1', limit, 20, 'unaware', 0).kind, 'admitted');
+  assert.is(take(), 'undecided');
+  assert.is(credits.settle('o1', limit, 20, 'unaware', 0).kind, 'refused');
+});
+
 // Failure: the holder does not answer, and each request waits for it in vain.
 test('a holder that leaves a question unanswered is not asked again until it is heard', () => {
   const credits = quotaCredits.createQuotaCredits(() => 1, randoms.createRandom(1));
