Charge drawn requests in full, and admit the first ones of a new fleet

Two faults of gateways that hear no holder.

(1) The quota was exceeded in long outages. Cause: where the part of a gateway is less than a request its credit bought a chance of a whole one, and a drawn request cost the credit only. Change: a drawn request is charged in full; the gateway makes up for it out of its part of the rate before it draws again. Excluded as the cause: what may be gone beyond credits, which is none in a rush, and the parts of the rate, which sum up to one.

Change: while no holder has been heard nor has any written down what is scarce, a request of up to four parts is admitted with half a part left, as it was.

--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -100,6 +100,11 @@
  * for it. Much more would break the quota: all gateways together go beyond it by a second's rate then.
  */
 const SPARE_MS = 1_000;
+/**
+ * In a fleet that has just been set up, with little used yet, a request of so many parts is admitted on credit. Until the
+ * lease is taken, each gateway assumes that the fleet is large, and a small organisation's first request is more than its part.
+ */
+const NEW_FLEET_PARTS = 4;
 /** Told in several exchanges by then. */
 export const RECENT_MS = 5_000;
 const MS_PER_SECOND = 1_000;
@@ -227,13 +232,15 @@
   /**
    * Load: gateways without a holder, and a rush of an organisation whose part at each of them is less than a request.
    * Harm prevented: each gateway admits one on credit, and together several times the quota; or none ever does. So the
-   * credit buys a chance of a whole request, and all together admit what they should.
+   * credit buys a chance of a whole request. What is admitted is a debt: with credit made up to its cost instead, chance
+   * alone exceeded the quota in an outage of eight seconds.
    */
-  function drawWhole(account: Account, spare: number, cost: number): void {
+  function isDrawn(account: Account, spare: number, cost: number): boolean {
     const left = creditOf(account) + spare;
-    if (left <= 0 || left >= cost) return;
-    const isDrawn = random.fraction() < left / cost;
-    account.granted = account.spent - spare + (isDrawn ? cost : 0);
+    if (left <= 0) return false;
+    if (random.fraction() < left / cost) return true;
+    account.granted = account.spent - spare;
+    return false;
   }
 
   /** Until its part of the rate has made up for what is lacking. */
@@ -258,6 +265,11 @@
     return { kind: 'admitted' };
   }
 
+  /** No holder has been heard, nor has any written down what was scarce: nothing has been admitted before. */
+  function isNewFleet(): boolean {
+    return heardTerm === 0 && writtenScarce === null;
+  }
+
   /** Without the holder. */
   function decideAlone(
     organisation: string,
@@ -269,8 +281,12 @@
     refill(account, limit, nowMs);
     if (heardTerm === 0) grantStart(account, limit, nowMs);
     const spare = spareOf(organisation, account, limit);
-    if (cost > partOf(account, limit)) drawWhole(account, spare, cost);
-    return isCovered(account, spare, cost) ? spend(account, cost) : refuse(account, limit, cost);
+    const part = partOf(account, limit);
+    const isAdmitted =
+      isCovered(account, spare, cost) ||
+      (isNewFleet() && cost <= NEW_FLEET_PARTS * part && creditOf(account) >= part / 2) ||
+      (cost > part && isDrawn(account, spare, cost));
+    return isAdmitted ? spend(account, cost) : refuse(account, limit, cost);
   }
 
   /** The holder takes back what lies unused for so long. */
--- a/packages/gateway/src/shared/quotas.test.ts
+++ b/packages/gateway/src/shared/quotas.test.ts
@@ -256,6 +256,41 @@
   assertKept({ ...CALM, askedAt: rushFrom(8_000), isCut });
 });
 
+// Failure: in a long outage of the holder the gateways' chances for whole requests add up to more than the quota.
+test('a quota is kept through a long outage of the holder', () => {
+  const isCut = (_gateway: number, atMs: number) => atMs > 7_000 && atMs < 20_000;
+  const rushFrom = (fromMs: number) => (atMs: number) =>
+    atMs > fromMs && atMs < 20_000 ? 12 : USUAL;
+  assertKept({ ...CALM, askedAt: rushFrom(6_000), isCut });
+  assertKept({ ...CALM, askedAt: rushFrom(12_000), isCut });
+  const cases = [
+    { perSecond: 2_600, fromMs: 12_000, seed: 19 },
+    { perSecond: 10_000, fromMs: 6_000, seed: 22 },
+  ];
+  cases.forEach(({ perSecond, fromMs, seed }) => {
+    const scenario = { ...CALM, askedAt: rushFrom(fromMs), isCut };
+    const { worstShare } = play({ perSecond, connections: 400 }, scenario, 'credits', [seed]);
+    assert.ok(worstShare <= 1, `${perSecond} a second, seed ${seed}: ${worstShare}`);
+  });
+});
+
+// Failure: nobody has ever lent, and each gateway gives out the quota of a new organisation.
+test('a new fleet without a holder keeps to the quota', () => {
+  const askedAt = () => 12;
+  [2_500, 9_500].forEach((untilMs) => {
+    assertKept({ ...CALM, askedAt, isCut: (_gateway, atMs) => atMs < untilMs });
+  });
+});
+
+// Failure: in a fleet that has just been set up the first request of a small organisation is refused.
+test("a new fleet admits a small organisation's first request", () => {
+  const limit = { perSecond: 1_000, capacity: 2_000 };
+  const credits = quotaCredits.createQuotaCredits(() => 32, randoms.createRandom(1));
+  const take = () => credits.take('o1', limit, { cost: 200, isLate: false }, 0).kind;
+  assert.is(take(), 'admitted');
+  assert.is(take(), 'refused');
+});
+
 // Failure: gateways that have just started take a quota for unused by what was written down, and give it out once more.
 test('a rush right after a restart of all is held to the quota', () => {
   const isDown = (atMs: number) => atMs > 10_000 && atMs < 11_000;
