--- a/packages/gateway/src/server/placing/steward.ts
+++ b/packages/gateway/src/server/placing/steward.ts
@@ -2,6 +2,8 @@
  * Keeps what one upstream holds, and carries out changes of its copies: what makes way is closed and unloaded, what
  * takes its place is loaded and awaited. Memory is never promised twice.
  */
+import * as events from 'node:events';
+
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
 
@@ -85,6 +87,8 @@
   const { clock, log } = deps;
   const { upstreamId, name, address, failureDomain } = record;
   const stopping = new AbortController();
+  // Any number of loads of adapters wait at the same time; the runtime takes more than ten listeners for a leak.
+  events.setMaxListeners(0, stopping.signal);
   let copies = new Map<string, Copy>();
   let hostModels = new Set(record.hostModels);
   let diskModels = new Set(record.diskModels);
