--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -17,11 +17,14 @@
 import * as testDialects from '../../testing/test-dialect.js';
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
+import * as plainPlaces from '../../shared/plain-places.js';
+import * as plainTimes from '../../shared/plain-times.js';
 import type * as logEvents from '../../types/log-events.js';
 import * as metricsModule from '../metrics/metrics.js';
 import type * as turnsModule from '../turns/turns.js';
 import type * as answers from './answers.js';
 import * as connectionsModule from './connections.js';
+import * as plainGates from './plain-gate.js';
 import * as serving from './serve.js';
 
 const test = suite('serving streams with prefill turns');
@@ -100,6 +103,14 @@
       end: (_ownerId, one) => ended.push(one),
     },
     states: statesModule.createUpstreamStates(),
+    plainTimes: plainTimes.createPlainTimes(false),
+    plainPlaces: plainPlaces.createPlainPlaces(),
+    plainGate: plainGates.createPlainGate({ clock }),
+    plainQueues: 'off',
+    holdsBatch: () => false,
+    ordersAdmission: () => false,
+    sharesFairly: () => false,
+    weightOf: () => 1,
     pauses: upstreamPauses.createUpstreamPauses(),
     placement: {
       basis: () => ({ term: 1, version: 1, ageMs: 0 }),
--- a/packages/gateway/src/server/quotas/quotas.ts
+++ b/packages/gateway/src/server/quotas/quotas.ts
@@ -55,6 +55,16 @@
 const ASKS_MAX = 2;
 const UNLIMITED: QuotaDecision = { kind: 'admitted', giveBack: () => {} };
 
+function answerOf(
+  loan: quotaCredits.QuotaLoan | null,
+  organisation: string,
+): quotaCredits.HolderAnswer {
+  if (loan === null) return 'silent';
+  // A configuration reaches the holder later than others.
+  const isAware = loan.grants.some((grant) => grant.organisation === organisation);
+  return isAware ? 'answered' : 'unaware';
+}
+
 export function createQuotas(deps: QuotasDeps): Quotas {
   const { clock } = deps;
   const credits = quotaCredits.createQuotaCredits(deps.gatewayCount, deps.random);
@@ -87,14 +97,12 @@
     limit: quotaCredits.OrganisationLimit,
     cost: number,
   ): Promise<ReturnType<quotaCredits.QuotaCredits['settle']>> {
-    let answer: quotaCredits.HolderAnswer = 'silent';
+    let answer: quotaCredits.HolderAnswer = 'unaware';
     // A new holder's first answer only tells of its term.
-    for (let asked = 0; asked < ASKS_MAX && answer !== 'answered'; asked += 1) {
+    for (let asked = 0; asked < ASKS_MAX && answer === 'unaware'; asked += 1) {
       const loan = await deps.ask(credits.question(organisation));
-      if (loan === null) break;
-      credits.heard(loan, clock.nowMs());
-      const isKnown = loan.grants.some((grant) => grant.organisation === organisation);
-      answer = isKnown ? 'answered' : 'unknown';
+      if (loan !== null) credits.heard(loan, clock.nowMs());
+      answer = answerOf(loan, organisation);
     }
     return credits.settle(organisation, limit, cost, answer, clock.nowMs());
   }
--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -22,8 +22,8 @@
   /** The holder is to be asked; `settle` decides by its answer. */
   | { kind: 'undecided' };
 
-/** What came of the question to the holder; `unknown`: it has not got the configuration with this quota yet. */
-export type HolderAnswer = 'answered' | 'unknown' | 'silent';
+/** What came of the question to the holder. `unaware`: it answered, and knows of no quota of that organisation yet. */
+export type HolderAnswer = 'answered' | 'unaware' | 'silent';
 
 /** Counters of a holder's term, so that a lost message loses nothing. */
 export type QuotaUse = {
@@ -100,6 +100,11 @@
  * for it. Much more would break the quota: all gateways together go beyond it by a second's rate then.
  */
 const SPARE_MS = 1_000;
+/**
+ * In a fleet that has just been set up, with little used yet, a request of so many parts is admitted on credit. Until the
+ * lease is taken, each gateway assumes that the fleet is large, and a small organisation's first request is more than its part.
+ */
+const NEW_FLEET_PARTS = 4;
 /** Told in several exchanges by then. */
 export const RECENT_MS = 5_000;
 const MS_PER_SECOND = 1_000;
@@ -227,13 +232,15 @@
   /**
    * Load: gateways without a holder, and a rush of an organisation whose part at each of them is less than a request.
    * Harm prevented: each gateway admits one on credit, and together several times the quota; or none ever does. So the
-   * credit buys a chance of a whole request, and all together admit what they should.
+   * credit buys a chance of a whole request. What is admitted is a debt: with credit made up to its cost instead, chance
+   * alone exceeded the quota in an outage of eight seconds.
    */
-  function drawWhole(account: Account, spare: number, cost: number): void {
+  function isDrawn(account: Account, spare: number, cost: number): boolean {
     const left = creditOf(account) + spare;
-    if (left <= 0 || left >= cost) return;
-    const isDrawn = random.fraction() < left / cost;
-    account.granted = account.spent - spare + (isDrawn ? cost : 0);
+    if (left <= 0) return false;
+    if (random.fraction() < left / cost) return true;
+    account.granted = account.spent - spare;
+    return false;
   }
 
   /** Until its part of the rate has made up for what is lacking. */
@@ -258,6 +265,11 @@
     return { kind: 'admitted' };
   }
 
+  /** No holder has been heard, nor has any written down what was scarce: nothing has been admitted before. */
+  function isNewFleet(): boolean {
+    return heardTerm === 0 && writtenScarce === null;
+  }
+
   /** Without the holder. */
   function decideAlone(
     organisation: string,
@@ -265,12 +277,18 @@
     limit: OrganisationLimit,
     cost: number,
     nowMs: number,
+    isUnaware = false,
   ): { kind: 'admitted' } | Refusal {
     refill(account, limit, nowMs);
-    if (heardTerm === 0) grantStart(account, limit, nowMs);
-    const spare = spareOf(organisation, account, limit);
-    if (cost > partOf(account, limit)) drawWhole(account, spare, cost);
-    return isCovered(account, spare, cost) ? spend(account, cost) : refuse(account, limit, cost);
+    // Of a quota that the holder has not got yet nobody has lent: a gateway has what it would start with.
+    if (heardTerm === 0 || isUnaware) grantStart(account, limit, nowMs);
+    const spare = isUnaware ? 0 : spareOf(organisation, account, limit);
+    const part = partOf(account, limit);
+    const isAdmitted =
+      isCovered(account, spare, cost) ||
+      (isNewFleet() && cost <= NEW_FLEET_PARTS * part && creditOf(account) >= part / 2) ||
+      (cost > part && isDrawn(account, spare, cost));
+    return isAdmitted ? spend(account, cost) : refuse(account, limit, cost);
   }
 
   /** The holder takes back what lies unused for so long. */
@@ -298,14 +316,12 @@
     settle: (organisation, limit, cost, answer, nowMs) => {
       const account = accountOf(organisation, nowMs);
       account.lacking = Math.max(0, account.lacking - cost);
-      if (answer === 'silent') {
-        isSilent = true;
-        return decideAlone(organisation, account, limit, cost, nowMs);
+      if (answer === 'silent') isSilent = true;
+      if (answer !== 'answered') {
+        return decideAlone(organisation, account, limit, cost, nowMs, answer === 'unaware');
       }
-      // Of a quota that nobody has lent of yet a gateway has what it would start with.
-      if (answer === 'unknown') grantStart(account, limit, nowMs);
       if (isCovered(account, 0, cost)) return spend(account, cost);
-      account.isDenied = answer === 'answered';
+      account.isDenied = true;
       return refuse(account, limit, cost);
     },
     giveBack: (organisation, cost) => {
