--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -29,7 +29,8 @@
   sendByMs: number;
   /** Give up, as silent, when no byte of an answer has come by then. */
   firstByteByMs: number;
-  onFirstPiece: () => void;
+  /** Of the answer, whatever its status. */
+  onFirstPiece: (status: number) => void;
   /** The head of an answer to this request has come. */
   onHead: (facts: dialects.AnswerFacts) => void;
 };
@@ -88,7 +89,7 @@
     function write(bytes: Buffer): void {
       if (!sink.hasBegun()) {
         sink.begin(status, headers, framing);
-        input.onFirstPiece();
+        input.onFirstPiece(status);
       }
       if (sink.write(bytes)) return;
       controller?.pause();
@@ -136,7 +137,7 @@
         settle({ kind: 'held-failure', answer });
         return;
       }
-      input.onFirstPiece();
+      input.onFirstPiece(status);
       sink.sendWhole(answer);
       settle({ kind: 'answered', status });
     }
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -29,6 +29,7 @@
 const STREAM =
   'HTTP/1.1 200 OK\r\nt-id: r1\r\nt-signed: 1\r\ncontent-type: text/event-stream\r\n' +
   'content-length: 15\r\n\r\ndata: one event';
+const INVALID = 'HTTP/1.1 400 Bad\r\nt-id: r1\r\nt-signed: 1\r\ncontent-length: 2\r\n\r\nno';
 const REJECTED = 'HTTP/1.1 503 Full\r\nt-id: r1\r\nt-not-run: 1\r\ncontent-length: 0\r\n\r\n';
 
 type Answer = (socket: net.Socket) => void;
@@ -305,4 +306,19 @@
   }
 });
 
+// Failure: answers to invalid requests come at once, and the owner learns from them that the upstream prefills quickly.
+test('a turn that ends with an error is not told as prefilled', async () => {
+  const rig = await createRig({ answer: (socket) => socket.write(INVALID) });
+  try {
+    const ending = await rig.serve(createCall(), createSink().sink);
+    assert.equal(ending, { kind: 'answered', status: 400, upstreamId: 'u1' });
+    assert.equal(
+      rig.ended.map(({ isPrefilled }) => isPrefilled),
+      [false],
+    );
+  } finally {
+    await rig.close();
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -70,6 +70,7 @@
 const ADAPTER_ASKS_MAX = 3;
 const NO_UPSTREAM_RETRY_MS = 500;
 const MIN_RETRY_AFTER_MS = 100;
+const FIRST_ERROR_STATUS = 300;
 /** A connection is kept for what all gateways together may hold; the rest is for those that join. */
 const CONNECTION_SHARE = 0.8;
 
@@ -145,9 +146,10 @@
         const source = call.requestId;
         deps.words.heard({ upstreamId, facts, sentMs: startedAtMs, source });
       },
-      onFirstPiece: () => {
+      onFirstPiece: (status) => {
         started.promptRead();
-        turn.ended(true, load);
+        // An error tells nothing of prefill.
+        turn.ended(status < FIRST_ERROR_STATUS, load);
         firstPieceMs = clock.nowMs() - startedAtMs;
         const { kind } = call.route;
         deps.metrics.firstPiece(
--- a/packages/gateway/src/shared/prefill-turns.test.ts
+++ b/packages/gateway/src/shared/prefill-turns.test.ts
@@ -279,6 +279,25 @@
   assert.ok(kinds.includes('given'), kinds.join());
 });
 
+// Failure: an upstream that always tells that it is ten times slower gets one prompt at a time for ever.
+test('what is always told and never true is learnt around', () => {
+  const { turns } = createTurns({ momentFactor: 10 });
+  const load = { runningCount: 1, waitingCount: 0, slots: 8, momentFactor: 10 };
+  const question = { promptTokens: 1_000 };
+  assert.is(turns.take(asked(1, question), 0).kind, 'given');
+  assert.is(turns.take(asked(2, question), 0).kind, 'full');
+  for (let turnId = 10; turnId < 70; turnId += 1) {
+    const nowMs = turnId * 1_000;
+    assert.is(
+      turns.take(asked(turnId, { ...question, canWaitMs: 0, mustStart: true }), nowMs).kind,
+      'given',
+    );
+    turns.end(ended(turnId, { tookMs: 66, load }), nowMs + 66);
+  }
+  assert.is(turns.take(asked(100, question), 80_000).kind, 'given');
+  assert.is(turns.take(asked(101, question), 80_000).kind, 'given');
+});
+
 // Failure: the bound holds for each gateway, not for all together; the memory of the owner grows without end.
 test('under random load of many gateways what is under way stays within the bound', () => {
   const random = randoms.createRandom(7);
