--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -31,7 +31,7 @@
   /** Give up, as silent, when no byte of an answer has come by then. */
   firstByteByMs: number;
   /** `event`: of a stream that is passed on as it comes. `whole`: all of the answer at once. */
-  onFirstPiece: (piece: 'event' | 'whole') => void;
+  onFirstPiece: (piece: 'event' | 'whole', status: number) => void;
   /** Gets the events of a stream that is passed on. */
   gaps?: eventGaps.EventGaps;
   /** The head of an answer to this request has come. */
@@ -92,7 +92,7 @@
     function write(bytes: Buffer): void {
       if (!sink.hasBegun()) {
         sink.begin(status, headers, framing);
-        input.onFirstPiece(isStream ? 'event' : 'whole');
+        input.onFirstPiece(isStream ? 'event' : 'whole', status);
       }
       if (sink.write(bytes)) return;
       controller?.pause();
@@ -143,7 +143,7 @@
         settle({ kind: 'held-failure', answer });
         return;
       }
-      input.onFirstPiece('whole');
+      input.onFirstPiece('whole', status);
       sink.sendWhole(answer);
       settle({ kind: 'answered', status });
     }
