--- a/packages/gateway/src/server/forwarding/upstream-words.test.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.test.ts
@@ -84,4 +84,32 @@
   assert.is(pauses.leftMs('u1', clock.nowMs()), 5_000);
 });
 
+const REPORT = {
+  models: [],
+  isBusy: false,
+  orderCount: 0,
+  runningCount: 7,
+  waitingCount: 4,
+  tokens: { used: 300, total: 900 },
+  arrivingAdapters: [],
+  hostModels: [],
+  diskModels: [],
+};
+
+test('what a report says of tokens is kept, and its counts stand in for older ones only', async () => {
+  const { clock, states, words, heard } = createWords();
+  const limit = { kind: 'unlimited' as const };
+  words.reported('u1', { limit, report: { ...REPORT, tokens: null } }, clock.nowMs());
+  assert.is(states.state('u1', clock.nowMs()).tokens, null);
+  words.reported('u1', { limit, report: REPORT }, clock.nowMs());
+  assert.is(states.state('u1', clock.nowMs()).tokens?.used, 300);
+  heard({ load: { runningCount: 1, waitingCount: 0, slots: 8, momentFactor: null } });
+  words.reported('u1', { limit, report: REPORT }, clock.nowMs());
+  assert.is(states.state('u1', clock.nowMs()).load?.runningCount, 1);
+  await clock.advance(1_000);
+  words.reported('u1', { limit, report: REPORT }, clock.nowMs());
+  const { load } = states.state('u1', clock.nowMs());
+  assert.equal([load?.runningCount, load?.waitingCount, load?.slots], [7, 4, 8]);
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -5,6 +5,7 @@
 import type * as upstreamPauses from '../../shared/upstream-pauses.js';
 import type * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 import type * as dialects from '../../types/dialects.js';
+import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as upstreamStates from '../../types/upstream-states.js';
 
@@ -13,7 +14,7 @@
   log: logEvents.GatewayLog;
   upstreamLimits: upstreamLimitsModule.UpstreamLimits;
   pauses: upstreamPauses.UpstreamPauses;
-  states: Pick<upstreamStates.UpstreamStates, 'told'>;
+  states: Pick<upstreamStates.UpstreamStates, 'told' | 'reported' | 'reportedLoad'>;
   directory: Pick<directories.UpstreamDirectory, 'noteLeaving' | 'revision'>;
 };
 
@@ -30,7 +31,7 @@
   /** In the answer to a report that was asked for at `sentMs`. */
   reported: (
     upstreamId: string,
-    words: Pick<dialects.ReportAnswer, 'limit'>,
+    words: Pick<dialects.ReportAnswer, 'limit'> & Partial<Pick<dialects.ReportAnswer, 'report'>>,
     sentMs: number,
   ) => void;
   /** Another gateway told, `source` by name. */
@@ -75,6 +76,12 @@
     if (isLonger) log.info('upstream-paused', { upstreamId, forMs, source });
   }
 
+  function noteReport(upstreamId: string, report: fleet.UpstreamReport): void {
+    const nowMs = clock.nowMs();
+    deps.states.reportedLoad(upstreamId, report, nowMs);
+    if (report.tokens !== null) deps.states.reported(upstreamId, report.tokens, nowMs);
+  }
+
   return {
     heard: ({ upstreamId, facts, sentMs, source }) => {
       // Another upstream may have the address: its word is not this one's.
@@ -90,7 +97,8 @@
         source,
       );
     },
-    reported: (upstreamId, { limit }, sentMs) => {
+    reported: (upstreamId, { limit, report }, sentMs) => {
+      if (report !== undefined) noteReport(upstreamId, report);
       // Not every server repeats in reports what it says in answers: silence lifts no limit.
       if (limit.kind !== 'named') return;
       const change = upstreamLimits.answered(upstreamId, limit, sentMs, clock.nowMs());
--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -63,6 +63,8 @@
 const CONSTANT_MS = 20_000;
 /** For how long it is news that an upstream is back at its usual. */
 const RETURN_NEWS_MS = 1_000;
+/** Reports describe what was so much earlier. */
+const REPORTED_AGE_MS = 300;
 /** Fewer upstreams may well be disturbed at the same time. */
 const COMMON_LEAST_COUNT = 5;
 
@@ -399,6 +401,13 @@
     reported: (upstreamId, tokens, nowMs) => {
       entryOf(upstreamId).tokens = { ...tokens, atMs: nowMs };
     },
+    reportedLoad: (upstreamId, { runningCount, waitingCount }, nowMs) => {
+      const { load } = entryOf(upstreamId);
+      const atMs = nowMs - REPORTED_AGE_MS;
+      // Only answers tell the slots.
+      if (load === null || load.atMs >= atMs) return;
+      entryOf(upstreamId).load = { ...load, runningCount, waitingCount, atMs };
+    },
     observed: (upstreamId, model, gapMs, nowMs) => {
       if (!(gapMs > 0)) return;
       const entry = entryOf(upstreamId);
--- a/packages/gateway/src/types/fleet.ts
+++ b/packages/gateway/src/types/fleet.ts
@@ -126,6 +126,8 @@
   orderCount: number;
   runningCount: number;
   waitingCount: number;
+  /** KV cache in use that cannot be reclaimed, and in total; null where it is not reported. */
+  tokens: { used: number; total: number } | null;
   /** Adapters that are being fetched, as `model/adapter`. */
   arrivingAdapters: readonly string[];
   hostModels: readonly string[];
--- a/packages/gateway/src/types/upstream-states.ts
+++ b/packages/gateway/src/types/upstream-states.ts
@@ -44,6 +44,12 @@
   answered: (upstreamId: string, predictedMs: number, tookMs: number, nowMs: number) => void;
   /** In a report; both in tokens. */
   reported: (upstreamId: string, tokens: { used: number; total: number }, nowMs: number) => void;
+  /** In a report, whose counts are some hundred milliseconds old: they stand in for older ones of answers. */
+  reportedLoad: (
+    upstreamId: string,
+    counts: { runningCount: number; waitingCount: number },
+    nowMs: number,
+  ) => void;
   /** The smallest gap of a run of events of a stream of the model. */
   observed: (upstreamId: string, model: string, gapMs: number, nowMs: number) => void;
   /** The smallest usual gap between events there; null while unknown. */
