Lines and metrics of upstreams' speeds; the setting upstreamStates

Change: upstream-slow and upstream-usual (from 1.5 and below 1.2 times the usual; one line for an upstream in 5 s, five in all in a second); attempt-ended names the slowness and the moment factor that its prediction was made with, where not usual; gauges upstreams_slow, upstreams_disturbed and upstreams_distrusted; histogram first_piece_ratio in five bands of predictions. `explain` shows the two lines for upstreams of a request. `upstreamStates: off` is put in force by forChoice.

--- a/packages/cli/src/shared/story.ts
+++ b/packages/cli/src/shared/story.ts
@@ -41,6 +41,8 @@
     case 'upstream-changed':
     case 'upstream-avoided':
     case 'upstream-trusted':
+    case 'upstream-slow':
+    case 'upstream-usual':
     case 'upstream-limited':
     case 'upstream-unlimited':
     case 'upstream-leaving':
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -174,7 +174,7 @@
           words: parts.words,
           limits: parts.limits,
           pauses: parts.pauses,
-          states: settings.upstreamStates === 'on' ? parts.states : upstreamStates.UNKNOWN_STATES,
+          states: upstreamStates.forChoice(settings.upstreamStates, parts.states),
           placement: parts.placement,
           metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -37,6 +37,7 @@
       upstreamsRevision: directory.revision(),
       upstreamCount: upstreams.length,
       avoidedCount: avoided.length,
+      speeds: parts.states.counts(nowMs),
       leavingCount: leaving.length,
       limitedCount: parts.upstreamLimits.limitedIds().length,
       placementAgeMs: parts.view.ageMs(nowMs),
--- a/packages/gateway/src/server/forwarding/attempt-notes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.ts
@@ -10,6 +10,8 @@
 import type * as logEvents from '../../types/log-events.js';
 import type * as placementTypes from '../../types/placement.js';
 import type * as upstreamStates from '../../types/upstream-states.js';
+import type * as metricsModule from '../metrics/metrics.js';
+import * as speedReports from './speed-reports.js';
 import * as paceReports from './pace-reports.js';
 
 export type AttemptNotesDeps = {
@@ -20,6 +22,7 @@
   placement: placementTypes.Placement;
   paces: pacesModule.Paces;
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered'>;
+  metrics: Pick<metricsModule.GatewayMetrics, 'predicted'>;
   needsModel: (call: calls.Call) => boolean;
 };
 
@@ -53,6 +56,7 @@
 export function createAttemptNotes(deps: AttemptNotesDeps): AttemptNotes {
   const { clock, log, directory, beliefs, placement } = deps;
   const lastGoodMs = new Map<string, number>();
+  const speedLines = speedReports.createSpeedReports(deps);
   const reportPace = paceReports.createPaceReports(deps);
 
   function noteBelief(upstreamId: string, end: beliefsModule.AttemptEnd, nowMs: number): void {
@@ -136,6 +140,8 @@
     tookMs: number,
   ): FirstPiece {
     const speed = speedOf(upstreamId);
+    speedLines.note(upstreamId, speed);
+    if (piece === 'event') deps.metrics.predicted(choice.predictedMs, tookMs);
     // What a whole answer takes depends on its length, which is not predicted.
     const { work, usualPredictedMs } = choice;
     const { msPerToken } = deps.paces.pace(call.service, call.facts.model ?? '');
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -72,6 +72,10 @@
 /** A connection is kept for what all gateways together may hold; the rest is for those that join. */
 const CONNECTION_SHARE = 0.8;
 
+function unlessUsual(factor: number): number | undefined {
+  return factor === 1 ? undefined : Math.round(factor * 100) / 100;
+}
+
 export function createServe(deps: ServeDeps): Serve {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
@@ -176,6 +180,8 @@
       reason: 'reason' in result ? result.reason : undefined,
       priority,
       predictedMs: Math.round(choice.predictedMs),
+      slowness: unlessUsual(choice.speed.slowness),
+      momentFactor: unlessUsual(choice.speed.momentFactor),
       firstPieceMs: firstPieceMs === null ? undefined : Math.round(firstPieceMs),
       tookMs: Math.round(tookMs),
     });
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -15,6 +15,7 @@
   upstreamsRevision: 40,
   upstreamCount: 11,
   avoidedCount: 1,
+  speeds: { slowCount: 2, disturbedCount: 3, distrustedCount: 0 },
   limitedCount: 0,
   leavingCount: 0,
   placementAgeMs: 250,
@@ -51,6 +52,19 @@
   assert.ok(text.includes('copperlever_lease_term 0'));
 });
 
+// Failure: predictions are off for long prompts only, and a figure over all hides it.
+test('first events are compared with their predictions by band', async () => {
+  const metrics = createMetrics();
+  metrics.predicted(40, 44);
+  metrics.predicted(900, 2_000);
+  metrics.predicted(0, 10);
+  const text = await metrics.text();
+  assert.ok(text.includes('copperlever_first_piece_ratio_bucket{le="1.25",band="below-50ms"} 1'));
+  assert.ok(text.includes('copperlever_first_piece_ratio_bucket{le="1.25",band="longer"} 0'));
+  assert.ok(text.includes('copperlever_upstreams_slow 2'));
+  assert.ok(text.includes('copperlever_upstreams_disturbed 3'));
+});
+
 test('store calls are counted with their results, and passed on', async () => {
   const metrics = createMetrics();
   const records = memoryRecords.createMemoryRecords();
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -20,6 +20,8 @@
   upstreamsRevision: number;
   upstreamCount: number;
   avoidedCount: number;
+  /** Of the upstreams' speeds. */
+  speeds: { slowCount: number; disturbedCount: number; distrustedCount: number };
   limitedCount: number;
   leavingCount: number;
   placementAgeMs: number;
@@ -30,6 +32,8 @@
   requestEnded: (of: RequestClass, ending: calls.Ending, tookMs: number) => void;
   /** Refused before it was taken up: no route, no key, or no quota left. */
   denied: (cause: DenialCause) => void;
+  /** The first event of a stream against its prediction. */
+  predicted: (predictedMs: number, tookMs: number) => void;
   firstPiece: (of: RequestClass, sinceArrivalMs: number) => void;
   waited: (tookMs: number) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
@@ -44,6 +48,9 @@
 const MS_PER_SECOND = 1_000;
 /** Around the objectives of half a second and ten seconds, and the patience of callers of streams. */
 const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.4, 0.5, 1, 2, 5, 10, 30];
+/** What the target of predictions names, and twice as far off. */
+const RATIO_BUCKETS = [0.4, 0.8, 1.25, 2.5];
+const BAND_ENDS_MS = [50, 100, 200, 400];
 /** From a load out of host memory to one from the store behind others. */
 const CHANGE_BUCKETS_S = [1, 1.5, 2, 3, 5, 10, 20];
 
@@ -51,6 +58,11 @@
   return { kind, priority: String(priority) };
 }
 
+function bandOf(predictedMs: number): string {
+  const endMs = BAND_ENDS_MS.find((end) => predictedMs < end);
+  return endMs === undefined ? 'longer' : `below-${endMs}ms`;
+}
+
 export function createGatewayMetrics(readings: () => Readings): GatewayMetrics {
   const registry = new prometheus.Registry();
   const registers = [registry];
@@ -95,6 +107,12 @@
     byClass,
     LATENCY_BUCKETS_S,
   );
+  const firstPieceRatio = histogram(
+    'first_piece_ratio',
+    'First event of a stream against its prediction, by what was predicted',
+    ['band'],
+    RATIO_BUCKETS,
+  );
   const waitSeconds = histogram('wait_seconds', 'Waits for a model', [], LATENCY_BUCKETS_S);
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
   const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
@@ -122,6 +140,21 @@
     'Listed upstreams that broke attempts in a row',
     () => readings().avoidedCount,
   );
+  gauge(
+    'upstreams_slow',
+    'Upstreams that have shown to take 1.25 times as long as usual, or longer',
+    () => readings().speeds.slowCount,
+  );
+  gauge(
+    'upstreams_disturbed',
+    'Upstreams whose machines are slow at the moment',
+    () => readings().speeds.disturbedCount,
+  );
+  gauge(
+    'upstreams_distrusted',
+    'Upstreams whose reports of the moment were contradicted',
+    () => readings().speeds.distrustedCount,
+  );
   gauge(
     'upstreams_limited',
     'Upstreams that name a limit of requests a second',
@@ -158,6 +191,10 @@
     firstPiece: (of, sinceArrivalMs) => {
       firstPieceSeconds.observe(classLabels(of), sinceArrivalMs / MS_PER_SECOND);
     },
+    predicted: (predictedMs, tookMs) => {
+      if (predictedMs <= 0) return;
+      firstPieceRatio.observe({ band: bandOf(predictedMs) }, tookMs / predictedMs);
+    },
     waited: (tookMs) => waitSeconds.observe(tookMs / MS_PER_SECOND),
     attemptEnded: (result) => attempts.inc({ result }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import type * as paces from './paces.js';
+import * as pacesModule from './paces.js';
 import * as beliefsModule from './upstream-beliefs.js';
 import * as upstreamChoice from './upstream-choice.js';
 import * as upstreamStates from './upstream-states.js';
@@ -14,7 +14,7 @@
 const READ_MS_PER_TOKEN = 1 / 18;
 
 /** Engines that read 18 tokens in a millisecond. */
-const PACE: paces.Pace = {
+const PACE: pacesModule.Pace = {
   baseMs: 30,
   msPerToken: READ_MS_PER_TOKEN,
   aheadShare: 1,
@@ -236,4 +236,26 @@
   assert.is(idOf(choose([queued(1.6)], { queueLimitMs: 250 })), 'overloaded');
 });
 
+// Failure: the setting that takes speeds out of the choice leaves a part of them in.
+test('without states uneven upstreams are chosen as if they were alike', () => {
+  const states = upstreamStates.createUpstreamStates({ serviceOf: () => 's' });
+  for (let nowMs = 0; nowMs < 100; nowMs += 1) {
+    states.answered('slow', 100, 190, nowMs);
+    states.answered('quick', 100, 60, nowMs);
+  }
+  const word = { runningCount: 0, waitingCount: 0, slots: 8, momentFactor: 2.5 };
+  states.told('slow', word, 100, 100);
+  const upstreams = (setting: 'on' | 'off') => {
+    const inUse = upstreamStates.forChoice(setting, states);
+    const of = (id: string, readAheadMs: number) =>
+      candidate(id, { readAheadMs, preference: 0.9, state: inUse.state(id, 100) });
+    return [of('quick', 30), of('slow', 0)];
+  };
+  assert.is(idOf(choose(upstreams('on'))), 'quick');
+  const choice = choose(upstreams('off'));
+  assert.ok(choice.kind === 'send' && choice.upstreamId === 'slow');
+  assert.is(choice.predictedMs, pacesModule.firstPieceMs(PACE, choice.work));
+  assert.is(choice.predictedMs, choice.usualPredictedMs);
+});
+
 test.run();
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -7,6 +7,7 @@
 import type * as placementTypes from '../types/placement.js';
 import type * as upstreamStates from '../types/upstream-states.js';
 import * as paces from './paces.js';
+import type * as speeds from './speeds.js';
 import * as beliefs from './upstream-beliefs.js';
 
 export type Candidate = {
@@ -65,6 +66,8 @@
       predictedMs: number;
       /** The same at an upstream of usual speed. */
       usualPredictedMs: number;
+      /** The speed that the prediction took its upstream for. */
+      speed: speeds.Speed;
       needsAdapter: boolean;
       /** What the prediction was made from. */
       work: paces.Work;
@@ -253,6 +256,7 @@
     upstreamId,
     predictedMs,
     usualPredictedMs: usualPredictMs(request, best, usualMs),
+    speed: { slowness: best.state.slowness, momentFactor: best.state.momentFactor },
     needsAdapter,
     work,
     passedOverIds,
--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -65,6 +65,8 @@
 const RETURN_NEWS_MS = 1_000;
 /** Reports describe what was so much earlier. */
 const REPORTED_AGE_MS = 300;
+/** For those who watch: upstreams from here on count as slow. */
+const SLOW_FROM = 1.25;
 /** Fewer upstreams may well be disturbed at the same time. */
 const COMMON_LEAST_COUNT = 5;
 
@@ -131,6 +133,13 @@
   observed: () => {},
 };
 
+type ForChoice = Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'observed'>;
+
+/** What the choice of an upstream is made by. */
+export function forChoice(setting: 'on' | 'off', states: ForChoice): ForChoice {
+  return setting === 'on' ? states : UNKNOWN_STATES;
+}
+
 export type UpstreamStatesOptions = {
   /** The service whose upstreams it is compared with; null while unknown, and then it is compared with none. */
   serviceOf: (upstreamId: string) => string | null;
@@ -448,6 +457,16 @@
       if (isClearly(told)) entry.clearMs = nowMs;
       entry.told = { factor: told, atMs, heardAtMs: nowMs };
     },
+    counts: (nowMs) => {
+      const all = [...entries.values()];
+      const isDisturbed = (entry: Entry) =>
+        (momentOf(entry, nowMs)?.factor ?? 1) >= CLEAR_GAP_FACTOR;
+      return {
+        slowCount: all.filter((entry) => slownessOf(entry, nowMs) >= SLOW_FROM).length,
+        disturbedCount: all.filter(isDisturbed).length,
+        distrustedCount: all.filter((entry) => !isTrusted(entry, nowMs)).length,
+      };
+    },
     retain: (upstreamIds) => {
       for (const id of [...entries.keys()]) if (!upstreamIds.has(id)) entries.delete(id);
     },
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -41,6 +41,12 @@
   /** It broke attempts in a row: new requests go elsewhere until a single one has shown that it answers. */
   'upstream-avoided': { upstreamId: string; brokenInRow: number; forMs: number };
   'upstream-trusted': { upstreamId: string };
+  /**
+   * Work takes longer there than usual by the learnt speed (`slowness`) and that of the moment (`momentFactor`), and no
+   * longer does; at most one line in some seconds for an upstream.
+   */
+  'upstream-slow': { upstreamId: string; slowness: number; momentFactor: number };
+  'upstream-usual': { upstreamId: string; slowness: number; momentFactor: number; slowMs: number };
   /** It says how many requests a second it takes from all gateways together; `source`: a request's id or a gateway's. */
   'upstream-limited': { upstreamId: string; perSecond: number; before: Amount; source: string };
   /** It said in an answer that it leaves, whatever the platform's list says; `source`: a request's id or a gateway's. */
@@ -136,6 +142,9 @@
     reason: Text;
     priority: number;
     predictedMs: number;
+    /** What the prediction took the upstream's speed for; left out where that is the usual one. */
+    slowness: Amount;
+    momentFactor: Amount;
     firstPieceMs: Amount;
     tookMs: number;
   };
--- a/packages/gateway/src/types/upstream-states.ts
+++ b/packages/gateway/src/types/upstream-states.ts
@@ -64,6 +64,12 @@
   moments: (nowMs: number) => readonly KnownMoment[];
   /** Another gateway knew of a moment. */
   heardMoment: (upstreamId: string, factor: number, atMs: number, nowMs: number) => void;
+  /** Upstreams that are slow by what was learnt, at the moment, and whose reports are not trusted. */
+  counts: (nowMs: number) => {
+    slowCount: number;
+    disturbedCount: number;
+    distrustedCount: number;
+  };
   /** Forgets upstreams that are no longer listed. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
 };
