--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -201,7 +201,7 @@
           limits: parts.limits,
           turns: parts.turns,
           pauses: parts.pauses,
-          states: settings.upstreamStates === 'on' ? parts.states : upstreamStates.UNKNOWN_STATES,
+          states: upstreamStates.forChoice(settings.upstreamStates, parts.states),
           placement: parts.placement,
           metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/server/forwarding/plain-gate.test.ts
+++ b/packages/gateway/src/server/forwarding/plain-gate.test.ts
@@ -15,6 +15,7 @@
   upstreamId: 'u1',
   predictedMs: CALL_MS,
   usualPredictedMs: CALL_MS,
+  speed: { slowness: 1, momentFactor: 1 },
   needsAdapter: false,
   isQueued: false,
   work: { ownTokens: 0, readAheadMs: 0, inFlightCount: 0, overCount: 0, slots: 6 },
--- a/packages/gateway/src/server/turns/turn-taker.test.ts
+++ b/packages/gateway/src/server/turns/turn-taker.test.ts
@@ -66,6 +66,7 @@
     upstreamId,
     predictedMs: 100,
     usualPredictedMs: 100,
+    speed: { slowness: 1, momentFactor: 1 },
     needsAdapter: false,
     isQueued: false,
     work: { ownTokens, readAheadMs: 0, inFlightCount: 0, overCount: 0, slots: 64 },
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -9,6 +9,7 @@
 import * as paces from './paces.js';
 import * as plainFinish from './plain-finish.js';
 import type * as plainTimes from './plain-times.js';
+import type * as speeds from './speeds.js';
 import * as beliefs from './upstream-beliefs.js';
 
 export type Candidate = {
@@ -81,6 +82,8 @@
       predictedMs: number;
       /** The same at an upstream of usual speed. */
       usualPredictedMs: number;
+      /** The speed that the prediction took its upstream for. */
+      speed: speeds.Speed;
       needsAdapter: boolean;
       /** It finds other requests waiting there. */
       isQueued: boolean;
@@ -362,6 +365,7 @@
     upstreamId,
     predictedMs,
     usualPredictedMs: usualPredictMs(request, best, basis),
+    speed: { slowness: best.state.slowness, momentFactor: best.state.momentFactor },
     needsAdapter,
     isQueued,
     work,
--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -61,6 +61,10 @@
 const LONGEST_DISTRUST_MS = 60_000;
 /** For how long it is news that an upstream is back at its usual. */
 const RETURN_NEWS_MS = 1_000;
+/** Reports describe what was so much earlier. */
+const REPORTED_AGE_MS = 300;
+/** For those who watch: upstreams from here on count as slow. */
+const SLOW_FROM = 1.25;
 /** Fewer upstreams may well be disturbed at the same time. */
 const COMMON_LEAST_COUNT = 5;
 
@@ -126,6 +130,13 @@
   observed: () => {},
 };
 
+type ForChoice = Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'observed'>;
+
+/** What the choice of an upstream is made by. */
+export function forChoice(setting: 'on' | 'off', states: ForChoice): ForChoice {
+  return setting === 'on' ? states : UNKNOWN_STATES;
+}
+
 export type UpstreamStatesOptions = {
   /** The service whose upstreams it is compared with; null while unknown, and then it is compared with none. */
   serviceOf: (upstreamId: string) => string | null;
@@ -407,6 +418,13 @@
     reported: (upstreamId, tokens, nowMs) => {
       entryOf(upstreamId).tokens = { ...tokens, atMs: nowMs };
     },
+    reportedLoad: (upstreamId, { runningCount, waitingCount }, nowMs) => {
+      const { load } = entryOf(upstreamId);
+      const atMs = nowMs - REPORTED_AGE_MS;
+      // Only answers tell the slots.
+      if (load === null || load.atMs >= atMs) return;
+      entryOf(upstreamId).load = { ...load, runningCount, waitingCount, atMs };
+    },
     observed: (upstreamId, model, gapMs, nowMs) => {
       if (!(gapMs > 0)) return;
       const entry = entryOf(upstreamId);
@@ -453,6 +471,16 @@
       if (isClearly(factor)) entry.clearMs = nowMs;
       entry.told = { factor: told, atMs, heardAtMs: nowMs };
     },
+    counts: (nowMs) => {
+      const all = [...entries.values()];
+      const isDisturbed = (entry: Entry) =>
+        (momentOf(entry, nowMs)?.factor ?? 1) >= CLEAR_GAP_FACTOR;
+      return {
+        slowCount: all.filter((entry) => slownessOf(entry, nowMs) >= SLOW_FROM).length,
+        disturbedCount: all.filter(isDisturbed).length,
+        distrustedCount: all.filter((entry) => !isTrusted(entry, nowMs)).length,
+      };
+    },
     retain: (upstreamIds) => {
       for (const id of [...entries.keys()]) if (!upstreamIds.has(id)) entries.delete(id);
     },
