Tests: admission in the router, held requests at random, a held request in explain

The router's test guards the joining of return times, late requests, the order of classes and the room; the one at random guards that a held request is released once, by its latest start, within the memory.

--- a/packages/cli/src/shared/story.test.ts
+++ b/packages/cli/src/shared/story.test.ts
@@ -68,4 +68,18 @@
   assert.is(story.tellStory('r9', LINES), null);
 });
 
+// Batch work that waited in its gateway: without its lines nothing tells a held request from a slow upstream.
+test('a held request is told with how long it was held, and why that ended', () => {
+  const lines = read([
+    at(1, 'event=request-held daemonId=g1 requestId=r6 model=m1 room=0 latestStartInMs=3900'),
+    at(4, 'event=request-hold-ended daemonId=g1 requestId=r6 cause=capacity heldMs=2600'),
+    at(4, 'event=attempt-ended daemonId=g1 requestId=r6 upstreamId=u1 result=answered'),
+  ]);
+  const told = story.tellStory('r6', lines);
+  assert.ok(told !== null);
+  const text = story.formatStory(told).join('\n');
+  assert.match(text, /request-held .*latestStartInMs=3900/);
+  assert.match(text, /request-hold-ended .*cause=capacity .*heldMs=2600/);
+});
+
 test.run();
--- /dev/null
+++ b/packages/gateway/src/server/forwarding/router.test.ts
@@ -0,0 +1,161 @@
+import { createRandom } from '@copperlever/runtime/randoms';
+import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as inFlightModule from '../../shared/in-flight.js';
+import * as pacesModule from '../../shared/paces.js';
+import * as promptCaches from '../../shared/prompt-caches.js';
+import * as beliefsModule from '../../shared/upstream-beliefs.js';
+import * as directories from '../../shared/upstream-directory.js';
+import * as fixtures from '../../testing/fleet-fixtures.js';
+import type * as calls from '../../types/calls.js';
+import type * as fleet from '../../types/fleet.js';
+import type * as placementTypes from '../../types/placement.js';
+import type * as limitsModule from '../limits/limits.js';
+import * as routers from './router.js';
+import * as runs from './run.js';
+
+const test = suite('router');
+
+const SLOTS = 8;
+const SERVICE: fleet.Service = {
+  name: 'pool',
+  connectionsMax: 40,
+  engine: fixtures.engineSpec([fixtures.modelSpec('m')]),
+};
+
+type CallOptions = { priority?: number; objectiveMs?: number; elapsedMs?: number };
+
+function createCall(nowMs: number, options: CallOptions = {}): calls.Call {
+  const { priority = 1, objectiveMs = 500, elapsedMs = 0 } = options;
+  return {
+    requestId: 'r1',
+    service: 'pool',
+    route: { kind: 'stream', latencyObjectiveMs: objectiveMs, pauseObjectiveMs: 300 },
+    facts: {
+      model: 'm',
+      adapter: null,
+      promptTokens: 1_000,
+      outputTokens: 200,
+      promptParts: [],
+      tokenCount: null,
+    },
+    organisation: null,
+    priority,
+    arrivedAtMs: nowMs,
+    elapsedBeforeMs: elapsedMs,
+    deadlineMs: nowMs + 12_000,
+  } as unknown as calls.Call;
+}
+
+function createRig(isOn: boolean) {
+  const clock = fakeClocks.createFakeClock();
+  const directory = directories.createUpstreamDirectory();
+  const value = fixtures.upstreamRecord('u1', { slots: SLOTS });
+  directory.applyListing(
+    { records: [{ name: 'u1', revision: 1, value }], unreadable: [], revision: 1 },
+    0,
+  );
+  const inFlight = inFlightModule.createInFlight();
+  const gaveWay: string[] = [];
+  const router = routers.createRouter({
+    clock,
+    log: { info: () => {}, warn: () => {}, error: () => {} },
+    random: createRandom(1),
+    directory,
+    beliefs: beliefsModule.createUpstreamBeliefs(),
+    inFlight,
+    paces: pacesModule.createPaces(),
+    caches: promptCaches.createPromptCaches(),
+    placement: {
+      copyAt: () => 'ready',
+      nextCopyInMs: () => null,
+    } as unknown as placementTypes.Placement,
+    limits: {
+      closedForMs: () => null,
+      isLimited: () => false,
+    } as unknown as limitsModule.Limits,
+    pauses: { leftMs: () => 0 },
+    serviceOf: () => SERVICE,
+    failureDomain: 'north',
+    metrics: { gaveWay: (to) => gaveWay.push(to) },
+    gatewayCount: () => 4,
+    ordersAdmission: () => isOn,
+    sharesFairly: () => false,
+    weightOf: () => 1,
+  });
+  function fill(count: number, priority: number): void {
+    for (let index = 0; index < count; index += 1) {
+      const request = { upstreamId: 'u1', model: 'm', priority, promptTokens: 0 };
+      inFlight.started(request).promptRead();
+    }
+  }
+  return { clock, router, fill, gaveWay };
+}
+
+// Told the same time, callers that are refused together come back together.
+test('callers that are refused together are told times one after the other, where that is switched on', () => {
+  const timesOf = (isOn: boolean) => {
+    const { router } = createRig(isOn);
+    return [1, 2, 3].map(() => router.overloadRetryMs(createCall(0), runs.createRun(), 900));
+  };
+  const [first = 0, second = 0, third = 0] = timesOf(true);
+  assert.is(first, 900);
+  assert.ok(second > first && third > second && third <= 4_000, `${second} ${third}`);
+  assert.equal(timesOf(false), [900, 900, 900]);
+});
+
+test('a late request waits for no slot where admission is ordered, and does as before where it is not', () => {
+  const late = createCall(0, { elapsedMs: 900 });
+  const kindsOf = (isOn: boolean) => {
+    const rig = createRig(isOn);
+    rig.fill(SLOTS - 1, 1);
+    const before = rig.router.choose(late, runs.createRun()).kind;
+    rig.fill(1, 1);
+    const run = runs.createRun();
+    const after = rig.router.choose(late, run).kind;
+    if (after === 'overloaded') rig.router.overloadRetryMs(late, run, 900);
+    return [before, after, ...rig.gaveWay];
+  };
+  assert.equal(kindsOf(true), ['send', 'overloaded', 'free-slots']);
+  assert.equal(kindsOf(false), ['send', 'send']);
+});
+
+test('a less urgent request gives way after a more urgent one was refused, a retry of it does not', () => {
+  const { router, gaveWay } = createRig(true);
+  router.overloadRetryMs(createCall(0, { priority: 0 }), runs.createRun(), 900);
+  const run = runs.createRun();
+  assert.is(router.choose(createCall(0), run).kind, 'overloaded');
+  assert.is(run.gaveWay, 'more-urgent');
+  router.overloadRetryMs(createCall(0), run, 900);
+  assert.equal(gaveWay, ['more-urgent']);
+  // Once an upstream has had it, refusing it would lose what was done.
+  const retry = { ...runs.createRun(), sentCount: 1 };
+  assert.is(router.choose(createCall(0), retry).kind, 'send');
+});
+
+test('the room of a batch request counts all that is in flight, and what is more urgent', () => {
+  const rig = createRig(true);
+  const batch = createCall(0, { objectiveMs: 6_000 });
+  rig.fill(2, 1);
+  rig.fill(1, 5);
+  const [place] = rig.router.places(batch, runs.createRun());
+  assert.is(place?.inFlightCount, 3);
+  assert.is(place?.moreUrgentCount, 2);
+  const excluded = { ...runs.createRun(), excludedIds: new Set(['u1']) };
+  assert.equal(rig.router.places(batch, excluded), []);
+});
+
+// Held for most of its objective, a request that may queue for all of it again is late.
+test('the time that a request was held is not left for the queue', async () => {
+  const rig = createRig(true);
+  const batch = createCall(0, { objectiveMs: 6_000 });
+  await rig.clock.advance(5_900);
+  rig.fill(SLOTS + 40, 1);
+  const held = { ...runs.createRun(), heldSinceMs: 0 };
+  assert.is(rig.router.choose(batch, held).kind, 'overloaded');
+  assert.is(rig.router.choose(batch, runs.createRun()).kind, 'send');
+});
+
+test.run();
--- a/packages/gateway/src/shared/batch-holding.test.ts
+++ b/packages/gateway/src/shared/batch-holding.test.ts
@@ -1,3 +1,4 @@
+import { createRandom } from '@copperlever/runtime/randoms';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -129,6 +130,54 @@
   assert.equal(holding.groups(), []);
 });
 
+/** Requests come and callers leave at random, while the room changes; what became of each request, and when. */
+function playRandomly(seed: number) {
+  const random = createRandom(seed);
+  const limits = { requestsMax: 20, bytesMax: 4_000 };
+  const holding = batchHolding.createBatchHolding(limits);
+  const held = new Map<string, batchHolding.HeldRequest>();
+  const faults: string[] = [];
+  let room = 0;
+
+  function release(nowMs: number, { key, cause }: batchHolding.Release): void {
+    const request = held.get(key);
+    if (request === undefined) faults.push(`${key} released twice, or after its caller left`);
+    else if (nowMs > request.latestStartMs + 50) faults.push(`${key} released too late`);
+    else if (cause === 'latest-start' && nowMs < request.latestStartMs) faults.push(`${key} early`);
+    held.delete(key);
+  }
+
+  function arrive(nowMs: number): void {
+    const key = String(nowMs);
+    const latestStartMs = nowMs + random.below(5_000);
+    const group = `s m${random.below(3)}`;
+    const request = { key, group, latestStartMs, sizeBytes: random.below(600) };
+    const verdict = holding.arrived(request, { room, gatewayCount: 3 }, nowMs);
+    if (verdict === 'hold') held.set(key, request);
+  }
+
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 50) {
+    if (random.below(40) === 0) room = random.below(3) * random.below(10);
+    if (random.below(3) > 0) arrive(nowMs);
+    const [leaving] = held.keys();
+    if (leaving !== undefined && random.below(20) === 0) {
+      holding.withdraw(leaving);
+      held.delete(leaving);
+    }
+    const capacity = { room, gatewayCount: 3 };
+    const releases = holding.groups().flatMap((group) => holding.due(group, capacity, nowMs));
+    releases.forEach((one) => release(nowMs, one));
+    const bytes = [...held.values()].reduce((sum, { sizeBytes }) => sum + sizeBytes, 0);
+    if (held.size > limits.requestsMax || bytes > limits.bytesMax) faults.push('beyond the memory');
+    if (holding.count() !== held.size) faults.push('a request was lost');
+  }
+  return faults;
+}
+
+test('at random, each held request is released once and by its latest start, within the memory', () => {
+  for (let seed = 1; seed <= 20; seed += 1) assert.equal(playRandomly(seed), [], `seed ${seed}`);
+});
+
 const SEEDS = [1, 2, 3, 4];
 
 /** Sums over seeds; the same requests are asked for with either decision. */
