--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -67,7 +67,6 @@
       orderCount: state.orderCount,
       runningCount: 0,
       waitingCount: 0,
-      tokens: null,
       arrivingAdapters: [...coming],
       hostModels: [],
       diskModels: [],
@@ -290,11 +289,11 @@
       clock.schedule(clock.nowMs() + 20 + random.below(160), askForAdapters);
     };
     askForAdapters();
-    for (let change = 0; change < 6; change += 1) {
+    for (let swap = 0; swap < 6; swap += 1) {
       upstream.state.adaptersInUse = random.fraction() < 0.5;
       const unload = [...upstream.held.keys()][0] ?? '';
       const runsMs = random.below(4_000);
-      await swapBehindRuns(rig, steward, { load: `m${change}`, unload, runsMs, areTold: true });
+      await swapBehindRuns(rig, steward, { load: `m${swap}`, unload, runsMs, areTold: true });
       await clock.advance(random.below(2_000));
     }
     isAsking = false;
