--- a/packages/gateway/src/server/forwarding/router.test.ts
+++ b/packages/gateway/src/server/forwarding/router.test.ts
@@ -5,9 +5,12 @@
 
 import * as inFlightModule from '../../shared/in-flight.js';
 import * as pacesModule from '../../shared/paces.js';
+import * as plainPlaces from '../../shared/plain-places.js';
+import * as plainTimes from '../../shared/plain-times.js';
 import * as promptCaches from '../../shared/prompt-caches.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as directories from '../../shared/upstream-directory.js';
+import * as upstreamStates from '../../shared/upstream-states.js';
 import * as fixtures from '../../testing/fleet-fixtures.js';
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
@@ -77,6 +80,10 @@
       isLimited: () => false,
     } as unknown as limitsModule.Limits,
     pauses: { leftMs: () => 0 },
+    plainTimes: plainTimes.createPlainTimes(false),
+    plainPlaces: plainPlaces.createPlainPlaces(),
+    states: upstreamStates.createUpstreamStates(),
+    gatewayId: 'g1',
     serviceOf: () => SERVICE,
     failureDomain: 'north',
     metrics: { gaveWay: (to) => gaveWay.push(to) },
--- a/packages/gateway/src/server/placing/steward.test.ts
+++ b/packages/gateway/src/server/placing/steward.test.ts
@@ -67,6 +67,7 @@
       orderCount: state.orderCount,
       runningCount: 0,
       waitingCount: 0,
+      tokens: null,
       arrivingAdapters: [...coming],
       hostModels: [],
       diskModels: [],
