--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -269,6 +269,7 @@
           copyCount: copies.length,
           gatewayCount: deps.gatewayCount(),
         }),
+        phase: deps.random.fraction(),
       },
       nowMs,
     );
--- a/packages/gateway/src/shared/retry-times.ts
+++ b/packages/gateway/src/shared/retry-times.ts
@@ -16,6 +16,8 @@
   latestMs: number;
   /** Between two returns that can both be served. */
   intervalMs: number;
+  /** From 0 to 1: gateways that begin to refuse at the same moment begin at different parts of the interval. */
+  phase: number;
 };
 
 export type RetryTimes = {
@@ -54,16 +56,18 @@
   }
 
   return {
-    next: ({ group, priority, earliestMs, latestMs, intervalMs }, nowMs) => {
+    next: ({ group, priority, earliestMs, latestMs, intervalMs, phase }, nowMs) => {
       const own = Math.min(PRIORITIES - 1, Math.max(0, Math.trunc(priority)));
       if (!nextByGroup.has(group)) forgetPast(nowMs);
       const next = nextByGroup.get(group) ?? { atMs: new Array<number>(PRIORITIES).fill(0) };
       nextByGroup.set(group, next);
-      const atMs = Math.min(latestMs, Math.max(earliestMs, next.atMs[own] ?? 0));
+      const ownNextMs = next.atMs[own] ?? 0;
+      const firstMs = ownNextMs > earliestMs ? ownNextMs : earliestMs + phase * intervalMs;
+      const atMs = Math.min(latestMs, firstMs);
       next.atMs = next.atMs.map((value, index) => {
         if (index < own) return value;
         // The returns of callers that left no time for theirs do not delay others without end.
-        return Math.min(latestMs, Math.max(value, earliestMs)) + intervalMs;
+        return Math.min(latestMs, Math.max(value, index === own ? atMs : earliestMs)) + intervalMs;
       });
       return Math.max(atMs, nowMs);
     },
--- a/packages/gateway/src/testing/scarcity-fleet.ts
+++ b/packages/gateway/src/testing/scarcity-fleet.ts
@@ -327,7 +327,14 @@
       gatewayCount: gateways.length,
     });
     const { priority } = request.of;
-    const of = { group: GROUP, priority, earliestMs, latestMs, intervalMs };
+    const of = {
+      group: GROUP,
+      priority,
+      earliestMs,
+      latestMs,
+      intervalMs,
+      phase: random.fraction(),
+    };
     return gateway.returns.next(of, nowMs);
   }
 
