Preferences without the runtime's hashes, which the bundled program cannot load

Cause: preferences.ts imported @copperlever/runtime/hashes, whose first line awaits; deploy.test.ts failed ("Top-level await is currently not supported with the cjs output format"). Change: a seeded draw of the runtime's generator, kept for each upstream; its first draws are left out, since they are alike for all seeds: without that preferences.test.ts failed (23 gateways had 3 favourites among 29 upstreams).

--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -64,6 +64,8 @@
 export function createRouter(deps: RouterDeps): Router {
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
+  const preferenceFor = preferences.createPreferences(deps.gatewayId);
+
   function needsModel(call: calls.Call): boolean {
     return call.facts.model !== null && deps.serviceOf(call.service)?.engine != null;
   }
@@ -104,7 +106,7 @@
       cachedTokens: deps.caches.cachedTokens(upstreamId, runs.cacheScope(call), promptParts),
       belief: beliefs.belief(upstreamId, clock.nowMs()),
       state: deps.states.state(upstreamId, clock.nowMs()),
-      preference: preferences.preference(deps.gatewayId, upstreamId),
+      preference: preferenceFor(upstreamId),
     };
   }
 
--- a/packages/gateway/src/testing/uneven-fleet.ts
+++ b/packages/gateway/src/testing/uneven-fleet.ts
@@ -64,6 +64,7 @@
 
 type Gateway = {
   id: string;
+  preference: (upstreamId: string) => number;
   inFlight: inFlightModule.InFlight;
   paces: pacesModule.Paces;
   beliefs: beliefsModule.UpstreamBeliefs;
@@ -99,6 +100,7 @@
   function createGateway(index: number): Gateway & { shared: speedSharing.SharedStates | null } {
     const common = {
       id: `g${index}`,
+      preference: preferences.createPreferences(`g${index}`),
       inFlight: inFlightModule.createInFlight(),
       paces: pacesModule.createPaces(),
       beliefs: beliefsModule.createUpstreamBeliefs(),
@@ -145,7 +147,7 @@
       cachedTokens: 0,
       belief: gateway.beliefs.belief(upstreamId, nowMs),
       state: gateway.states.state(upstreamId, nowMs),
-      preference: preferences.preference(gateway.id, upstreamId),
+      preference: gateway.preference(upstreamId),
       copy: 'ready',
       blockedForMs: 0,
       closed: null,
