--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -91,6 +91,7 @@
 
   const admission = admissions.createAdmission(deps);
   const returns = retryTimes.createRetryTimes();
+  const preferenceFor = preferences.createPreferences(deps.gatewayId);
 
   function needsModel(call: calls.Call): boolean {
     return call.facts.model !== null && deps.serviceOf(call.service)?.engine != null;
@@ -135,7 +136,7 @@
       state: deps.states.state(upstreamId, clock.nowMs()),
       places: deps.plainPlaces.places(upstreamId, clock.nowMs()),
       ownShare: plainQueues.ownShare({ slots, gatewayCount }),
-      preference: preferences.preference(deps.gatewayId, upstreamId),
+      preference: preferenceFor(upstreamId),
     };
   }
 
