--- a/packages/gateway/src/server/forwarding/attempt-notes.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt-notes.test.ts
@@ -6,6 +6,8 @@
 import * as pacesModule from '../../shared/paces.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as directories from '../../shared/upstream-directory.js';
+import * as plainPlaces from '../../shared/plain-places.js';
+import * as plainTimes from '../../shared/plain-times.js';
 import * as upstreamStates from '../../shared/upstream-states.js';
 import type * as calls from '../../types/calls.js';
 import type * as placementTypes from '../../types/placement.js';
@@ -39,6 +41,8 @@
       answered: (_upstreamId, predictedMs) => answered.push(predictedMs),
     },
     metrics: { predicted: () => {} },
+    plainTimes: plainTimes.createPlainTimes(false),
+    plainPlaces: plainPlaces.createPlainPlaces(),
     needsModel: () => true,
   });
   const attempt = (readAheadMs = 0, isResumed = false) => ({
@@ -52,6 +56,7 @@
       usualPredictedMs: 100,
       speed: { slowness: 1.6, momentFactor: 1 },
       needsAdapter: false,
+      isQueued: false,
       work: { ...WORK, readAheadMs },
       passedOverIds: [],
     },
