Preferences among uneven upstreams are for models only

Cause: a gateway's preference changed the cost of plain calls too where plain upstreams report their moment; their prediction does not use it yet. Change: preferences are in force for requests that need a model.

--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -258,4 +258,21 @@
   assert.is(choice.predictedMs, choice.usualPredictedMs);
 });
 
+// Failure: all gateways know the same upstreams to be quick, and send to the same one of them between two news.
+test('among uneven upstreams each gateway has its own preference, which no queue is worth', () => {
+  const slow = candidate('slow', { state: known(1.6) });
+  const quick = (id: string, preference: number, readAheadMs = 0) =>
+    candidate(id, { preference, readAheadMs, state: known(0.6) });
+  assert.is(idOf(choose([slow, quick('a', 0.9), quick('b', 0.1)])), 'b');
+  assert.is(idOf(choose([slow, quick('a', 0.1), quick('b', 0.9)])), 'a');
+  assert.is(idOf(choose([slow, quick('a', 0.1, 150), quick('b', 0.9)])), 'b');
+});
+
+test('plain calls know no preference', () => {
+  const of = (id: string, preference: number, inFlightCount: number, momentFactor: number) =>
+    candidate(id, { preference, slots: 6, inFlightCount, state: known(1, momentFactor) });
+  const candidates = [of('a', 0, 2, 1), of('b', 1, 1, 1), of('c', 0, 5, 2.5)];
+  assert.is(idOf(choose(candidates, { kind: 'plain', promptTokens: 0 })), 'b');
+});
+
 test.run();
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -227,7 +227,8 @@
   const taking = allowed.filter(({ closed }) => closed === null);
   if (taking.length === 0) return allClosed(allowed);
   const usualMs = usualCallMs(candidates);
-  const preferenceShare = isUneven(candidates) ? PREFERENCE_SHARE : 0;
+  const hasPreference = request.kind === 'model' && isUneven(candidates);
+  const preferenceShare = hasPreference ? PREFERENCE_SHARE : 0;
   const rank = (some: readonly Candidate[]) =>
     some
       .map((candidate) => ({
