Late requests wait for their prefill turn as far as their callers' patience allows

Cause: requests that came back late, mostly while their model was on its way, waited 150 ms at most and were then sent without a turn, all of those that came back together at the same time. Change: they wait for half of their caller's patience. What its caller has a part of goes on waiting 150 ms.

--- a/packages/gateway/src/server/turns/turn-taker.ts
+++ b/packages/gateway/src/server/turns/turn-taker.ts
@@ -5,6 +5,7 @@
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
 
+import * as queueLimits from '../../shared/queue-limits.js';
 import type * as pacesModule from '../../shared/paces.js';
 import type * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as calls from '../../types/calls.js';
@@ -57,8 +58,14 @@
 const UPSTREAMS_MAX = 4;
 /** One in ten first events takes 1.4 times its prediction or longer, as measured at saturated upstreams. */
 const PREDICTED_SHARE = 0.7;
-/** What is late already gains nothing by a wait, but spares the streams beside it a pause. */
-const LATE_WAIT_MS = 150;
+/** A caller that has a part of its stream already waits for the rest. */
+const RESUMED_WAIT_MS = 150;
+/**
+ * Of its caller's patience, which a request that is late already may wait. Load: callers that were refused while their
+ * model was on its way come back together once it is there. Harm prevented: their prompts are read at once, and all
+ * streams that run there pause for as long.
+ */
+const LATE_PATIENCE_SHARE = 0.5;
 /** Bounds the memory of requests that wait; each keeps its body. */
 const WAITING_MAX = 200;
 /** What was chosen longer ago is chosen anew before it is sent: the upstream may have closed. */
@@ -95,6 +102,12 @@
     return run.hasBegun || router.isLate(call);
   }
 
+  function lateWaitMs(call: calls.Call, run: runs.Run, nowMs: number): number {
+    if (run.hasBegun) return RESUMED_WAIT_MS;
+    const patienceMs = queueLimits.streamPatienceMs(call.route);
+    return LATE_PATIENCE_SHARE * patienceMs - (nowMs - call.arrivedAtMs);
+  }
+
   function canWaitMs(call: calls.Call, run: runs.Run, choice: SendChoice): number {
     const nowMs = clock.nowMs();
     const { slowness, momentFactor } = deps.states.state(choice.upstreamId, nowMs);
@@ -103,7 +116,7 @@
     const ownMs = (baseMs + prefillMs) / PREDICTED_SHARE;
     const elapsedMs = call.elapsedBeforeMs + nowMs - call.arrivedAtMs;
     const inTimeMs = mustStart(call, run)
-      ? LATE_WAIT_MS
+      ? lateWaitMs(call, run, nowMs)
       : call.route.latencyObjectiveMs - elapsedMs - ownMs;
     return Math.max(0, Math.min(inTimeMs, call.deadlineMs - nowMs - ownMs));
   }
