A figure beyond what upstreams of one service differ by is not taken for their usual

Cause: upstreams that always tell ten times the usual passed for three times as slow, which holds for longer than a moment, and requests were refused for it: uneven-upstreams.test.ts 'a few upstreams that all report nonsense are not refused for it' failed on the merged code (5 refused, 1 without states, 4 allowed). Change: such a figure counts for the moment alone, as before.

--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -292,7 +292,9 @@
   /** What it usually tells of its machine, as far as that is trusted. */
   function usualOf(entry: Entry, nowMs: number): number {
     if (!isTrusted(entry, nowMs)) return 1;
-    return clamp(entry.usualTold.usual(), LEAST_SLOWNESS, MOST_SLOWNESS);
+    const usual = entry.usualTold.usual();
+    // Beyond what upstreams of one service differ by it is nonsense, and counts for the moment alone.
+    return usual >= LEAST_SLOWNESS && usual <= MOST_SLOWNESS ? usual : 1;
   }
 
   /** What its answers took beyond what it tells. */
