--- a/packages/gateway/src/server/turns/turn-taker.ts
+++ b/packages/gateway/src/server/turns/turn-taker.ts
@@ -56,7 +56,7 @@
 /** Questions of one request that are open at a time, and upstreams that it asks for in all. */
 const PLACES_MAX = 2;
 const UPSTREAMS_MAX = 4;
-/** One in ten first events takes 1.4 times its prediction or longer, as measured at saturated upstreams. */
+/** One in ten first events takes 1.4 times its prediction or longer. */
 const PREDICTED_SHARE = 0.7;
 /** A caller that has a part of its stream already waits for the rest. */
 const RESUMED_WAIT_MS = 150;
--- a/packages/gateway/src/shared/batch-holding.ts
+++ b/packages/gateway/src/shared/batch-holding.ts
@@ -69,16 +69,13 @@
 export const DEFAULT_LIMITS: HoldingLimits = { requestsMax: 200, bytesMax: 16 * 1024 * 1024 };
 
 /**
- * How often it is looked whether there is room. A look over 38 upstreams took 0.2 ms, once for each model with held
+ * How often it is looked whether there is room. Each look goes over the upstreams of each model with held
  * requests; room lasts for some hundred milliseconds, until the other gateways' news have come.
  */
 export const LOOK_EVERY_MS = 100;
-/**
- * Slots that batch work leaves free for more urgent requests. With 0.1 or 0.2 fewer requests of every class were in
- * time in plays that lack slots, with none more urgent ones were refused.
- */
+/** Slots that batch work leaves free for more urgent requests that come before the other gateways have heard of it. */
 const RESERVED_SHARE = 0.05;
-/** Batch prompts join no queue of prompts longer than this; 60 to 180 ms made no difference in plays. */
+/** Batch prompts join no queue of prompts longer than this. */
 const UNREAD_MAX_MS = 120;
 /** Within this time the other gateways hear of what this one sent. */
 const NEWS_MS = 300;
@@ -91,7 +88,7 @@
 const ANSWER_SHARE_MAX = 0.2;
 /**
  * The part of the objective that may be spent on holding and answering; the rest is for more urgent requests that come
- * after it was sent. With 0.85, 6% of the batch requests of the replayed waves were late or refused, with 0.7 2%.
+ * after it was sent.
  */
 const OBJECTIVE_SHARE = 0.7;
 
--- a/packages/gateway/src/shared/class-order.ts
+++ b/packages/gateway/src/shared/class-order.ts
@@ -29,13 +29,12 @@
 const WINDOW_MS = 2_000;
 const BUCKET_MS = 250;
 const BUCKETS = WINDOW_MS / BUCKET_MS;
-/** A refusal says so long that the class lacks capacity; with 300 ms more less urgent requests passed ahead of it. */
+/** A refusal says so long that the class lacks capacity. */
 const VALID_MS = 500;
 /**
  * Refusal rates may differ by 0.05, and what is decided at the same moment adds to that: a class gives way until its own
- * rate is above by so much. Over 48 random loads, more urgent requests were refused beyond the allowed difference, by more
- * than one, in 0.75% of all two seconds with 0, in 0.58% with 0.1, and in 0.24% where there is no bound; of the batch
- * requests 0.24, 0.27 and 0.31 were refused at first.
+ * rate is above by so much. Without a bound
+ * batch requests would be refused as long as anything more urgent is.
  */
 const REFUSED_MORE = 0.1;
 
--- a/packages/gateway/src/shared/paces.ts
+++ b/packages/gateway/src/shared/paces.ts
@@ -85,7 +85,7 @@
 const ROUND_TRIP_MS = 3;
 /**
  * A pace is that of all upstreams of a service: a reported factor counts only up to this, and one of less than the usual
- * not at all, so that a false one changes it little. With 0.2 reported everywhere it became five times too slow.
+ * not at all, so that a false one changes it little.
  */
 const MOST_MOMENT_FACTOR = 3;
 const MS_PER_SECOND = 1_000;
--- a/packages/gateway/src/shared/plain-finish.ts
+++ b/packages/gateway/src/shared/plain-finish.ts
@@ -48,7 +48,7 @@
  * Decorrelates gateways that compare the same figures at the same time: the least spread cost is that of an upstream
  * with a probability in proportion to 1 / cost². Each of 23 gateways knows the others' calls only as they were 250 to
  * 500 ms ago, several times as long as a call takes: by the least cost alone all send to the same upstream until the
- * next news. With words from its own answers alone, 95% of 120 calls a second are in time, and 91 to 92% with a tenth of noise.
+ * next news.
  */
 export function spreadMs(costMs: number, fraction: number): number {
   return costMs * Math.sqrt(-Math.log(1 - fraction));
--- a/packages/gateway/src/shared/queue-limits.ts
+++ b/packages/gateway/src/shared/queue-limits.ts
@@ -6,8 +6,7 @@
  * once. What has missed its objective already, having come back after a refusal, may queue for as long as its
  * caller stays: to it a late answer is all there is to gain. Beside running streams a queue has another harm: engines
  * read prompts between the tokens of other requests, so that those pause for as long as prompts are read without a
- * break, and a pause makes an answer late that was in time at first. With queues up to 0.7 of the objective a quarter of
- * the answered streams had a pause beyond what their route allows.
+ * break, and a pause makes an answer late that was in time at first.
  */
 import type * as paces from './paces.js';
 import * as urgency from './urgency.js';
@@ -33,15 +32,14 @@
 const STREAM_PATIENCE_MIN_MS = 2_000;
 const STREAM_PATIENCE_OBJECTIVES = 4;
 const STREAM_PATIENCE_PAUSES = 8;
-/** One in ten first pieces takes 1.4 times its prediction or longer, as measured at saturated upstreams. */
+/** One in ten first pieces takes 1.4 times its prediction or longer. */
 const PREDICTED_SHARE = 0.7;
 /** A prediction beyond this part of the caller's patience is a wait in vain. */
 const PATIENCE_SHARE = 0.8;
 
 /**
  * What may wait to be read before an interactive request, against the longest pause allowed to the streams beside it.
- * Overnight work is read after all others. Worth of three days of one deployment with faults, mean of two plays each:
- * 0.569, 0.469, 0.547; without it 0.545, 0.450, 0.527.
+ * Overnight work is read after all others.
  */
 const PAUSE_SHARE = 0.9;
 
@@ -71,8 +69,7 @@
 }
 
 /**
- * Late requests that wait for slots take them from those that may still be in time. In replayed waves that lack slots,
- * 0.58 of the most urgent requests were in time while late ones joined such queues, 0.72 while they did not.
+ * Late requests that wait for slots take them from those that may still be in time.
  */
 export function hasFreeSlot(work: Pick<paces.Work, 'inFlightCount' | 'slots'>): boolean {
   return work.inFlightCount < work.slots;
--- a/packages/gateway/src/shared/token-shares.ts
+++ b/packages/gateway/src/shared/token-shares.ts
@@ -46,9 +46,7 @@
 const ACTIVE_MS = 3_000;
 /**
  * An organisation that was refused takes what others leave for so long. At the size designed for, a gateway gets a
- * request of an organisation every two seconds. Where one of eight asked for four times its usual, of the others 0.205 were
- * refused without fair shares, 0.165 with one second and half of the slack below, 0.134 with two seconds; with three no
- * fewer, and fewer requests were served in all.
+ * request of an organisation every two seconds.
  */
 const VALID_MS = 2_000;
 /** How far two organisations may be apart, in requests of usual size. */
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -125,8 +125,7 @@
 const PERMIT_MS = 20;
 /**
  * Known calls for each slot up to which a gateway goes beyond its share. A call that waits for half a service time is
- * still in time, and slots that look taken by old news are not left idle. With one gateway in use of 23, 0.1% of 120
- * calls a second are refused; with 1 for each slot 0.9%.
+ * still in time, and slots that look taken by old news are not left idle.
  */
 const CALLS_PER_SLOT = 1.5;
 /** What a failed attempt costs a caller: at best it comes back once. */
