Split the waits for missing models and adapters from serve.ts

The tests of server/forwarding (72) and of the platform's path, deploy, batch-holding and turns (20) hold.

--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -1,6 +1,5 @@
 /** The life of one request: choose an upstream, attempt, repeat where that is allowed, end truthfully. */
 import type * as quarantine from '@copperlever/decisions/quarantine';
-import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks, randoms } from '@copperlever/runtime';
 
 import * as eventGaps from '../../shared/event-gaps.js';
@@ -10,7 +9,6 @@
 import type * as plainTimes from '../../shared/plain-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import type * as retryShares from '../../shared/retry-share.js';
-import * as modelWaits from '../../shared/model-waits.js';
 import * as runVerdicts from '../../shared/run-verdicts.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
@@ -34,6 +32,7 @@
 import type * as plainGates from './plain-gate.js';
 import * as plainPassages from './plain-passage.js';
 import * as heldRequests from './held-requests.js';
+import * as missingCopies from './missing-copies.js';
 import * as routers from './router.js';
 import * as runs from './run.js';
 import type * as connectionsModule from './connections.js';
@@ -79,10 +78,6 @@
 /** An idempotent call that is this many times later than usual is tried elsewhere. */
 const SILENT_FACTOR = 8;
 const SILENT_MIN_MS = 250;
-/** How long a request waits for an adapter, which loads within some tens of milliseconds. */
-const ADAPTER_WAIT_MS = 400;
-/** One upstream may be busy with another order; a second one seldom is too. */
-const ADAPTER_ASKS_MAX = 3;
 const NO_UPSTREAM_RETRY_MS = 500;
 const MIN_RETRY_AFTER_MS = 100;
 const FIRST_ERROR_STATUS = 300;
@@ -94,7 +89,7 @@
 }
 
 export function createServe(deps: ServeDeps): Serve {
-  const { clock, log, directory, beliefs, inFlight, placement } = deps;
+  const { clock, log, directory, beliefs, inFlight } = deps;
 
   const router = routers.createRouter(deps);
   const takeTurn = turnTakers.createTurnTaker({ ...deps, router });
@@ -106,7 +101,7 @@
   });
   const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
   const notes = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
-  let waitingCount = 0;
+  const missing = missingCopies.createMissingCopies({ ...deps, router, refuse });
 
   function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
     const { ranCount, sentCount, hasBegun, upstreamId } = run;
@@ -275,62 +270,6 @@
     return isTaken;
   }
 
-  /** Null when the request can be routed anew, the adapter being there or another upstream to be tried. */
-  async function ensureAdapter(
-    call: calls.Call,
-    run: runs.Run,
-    upstreamId: string,
-  ): Promise<calls.Ending | null> {
-    const { model, adapter } = call.facts;
-    if (run.adapterAsks >= ADAPTER_ASKS_MAX || model === null || adapter === null) {
-      return refuse(call, run, 'adapter-not-ready', NO_UPSTREAM_RETRY_MS);
-    }
-    run.adapterAsks += 1;
-    const byMs = Math.min(call.deadlineMs, clock.nowMs() + ADAPTER_WAIT_MS);
-    const isReady = await placement.ensureAdapter(upstreamId, model, adapter, byMs);
-    if (!isReady) run.excludedIds.add(upstreamId);
-    return null;
-  }
-
-  /** Waits for the model where that is worth it, or tells the caller when to come back. */
-  async function afterMissingModel(
-    call: calls.Call,
-    run: runs.Run,
-    cause: calls.RefusalCause,
-  ): Promise<calls.Ending | null> {
-    const expected = placement.expectedReady(call.service, call.facts.model ?? '');
-    const verdict = modelWaits.afterMissingModel({
-      nowMs: clock.nowMs(),
-      arrivedAtMs: call.arrivedAtMs,
-      deadlineMs: call.deadlineMs,
-      latencyObjectiveMs: call.route.latencyObjectiveMs,
-      pauseObjectiveMs: call.route.pauseObjectiveMs,
-      readyInMs: expected.inMs,
-      isOrdered: expected.kind === 'on-its-way',
-      isLate: router.isLate(call),
-      waitingCount,
-      isStopping: deps.isStopping(),
-    });
-    if (verdict.kind === 'refuse') {
-      return refuse(call, run, cause, verdict.retryAfterMs);
-    }
-    if (!run.hasWaited) {
-      log.info('request-waits', {
-        requestId: call.requestId,
-        model: call.facts.model,
-        expected: expected.kind,
-        expectedInMs: Math.round(expected.inMs),
-      });
-    }
-    run.hasWaited = true;
-    waitingCount += 1;
-    const startedAtMs = clock.nowMs();
-    await clocksModule.sleepUntil(clock, verdict.untilMs);
-    waitingCount -= 1;
-    deps.metrics.waited(clock.nowMs() - startedAtMs);
-    return null;
-  }
-
   async function step(
     call: calls.Call,
     run: runs.Run,
@@ -365,7 +304,7 @@
       if (ending !== null) router.noteNotPlaced(call, run, choice, ending);
       return preferHeld(run, sink, ending);
     }
-    if (choice.needsAdapter) return ensureAdapter(call, run, choice.upstreamId);
+    if (choice.needsAdapter) return missing.ensureAdapter(call, run, choice.upstreamId);
     const verdict = await takeTurn(call, run, sink, choice);
     switch (verdict.kind) {
       case 'send':
@@ -414,7 +353,7 @@
   ): Promise<calls.Ending | null> {
     switch (choice.kind) {
       case 'model-missing':
-        return afterMissingModel(call, run, 'model-not-ready');
+        return missing.awaitModel(call, run, 'model-not-ready');
       case 'adapter-blocked':
         return refuse(call, run, 'adapter-not-ready', choice.forMs);
       case 'closed':
@@ -431,7 +370,7 @@
       case 'no-upstream':
         // Every upstream with the model has failed this request: it comes back elsewhere, or with a new one.
         if (router.needsModel(call) && !run.wasFull)
-          return afterMissingModel(call, run, 'no-upstream');
+          return missing.awaitModel(call, run, 'no-upstream');
         return refuse(call, run, 'no-upstream', NO_UPSTREAM_RETRY_MS);
     }
   }
