New decisions take effect only where a deployment calls for them

Cause: speeds were learnt, and plain calls chosen by finishing first, wherever upstreams told any load; admission was ordered wherever there were organisations.

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -213,7 +213,7 @@
     gatewayId: settings.gatewayId,
     millicores: millicoresOf(settings),
     speeds:
-      settings.upstreamStates === 'on'
+      settings.upstreamStates !== 'off'
         ? { teller: parts.speedTeller, pool: parts.speedPool }
         : null,
     incarnation: parts.incarnation,
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -265,6 +265,20 @@
   assert.is(choice.predictedMs, choice.usualPredictedMs);
 });
 
+// Failure: a deployment whose upstreams do not tell of their machines is served in another way than before.
+test('with auto speeds count only where an upstream of the service tells how long work takes at the moment', () => {
+  const states = upstreamStates.createUpstreamStates({ serviceOf: (id) => id.slice(0, 1) });
+  const word = { runningCount: 1, waitingCount: 0, slots: 8, momentFactor: null };
+  states.told('a1', word, 0, 0);
+  const inUse = upstreamStates.forChoice('auto', states);
+  for (let nowMs = 0; nowMs < 100; nowMs += 1) inUse.answered('a1', 100, 190, nowMs);
+  assert.equal(inUse.state('a1', 100), upstreamStates.UNKNOWN_STATE);
+  assert.is(states.state('a1', 100).slowness, 1);
+  states.told('b1', { ...word, momentFactor: 2.5 }, 100, 100);
+  assert.is(inUse.state('b1', 100).momentFactor, 2.5);
+  assert.equal(inUse.state('a1', 100), upstreamStates.UNKNOWN_STATE);
+});
+
 // Failure: all gateways know the same upstreams to be quick, and send to the same one of them between two news.
 test('among uneven upstreams each gateway has its own preference, which no queue is worth', () => {
   const slow = candidate('slow', { state: known(1.6) });
--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -132,9 +132,28 @@
 
 type ForChoice = Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'observed'>;
 
-/** What the choice of an upstream is made by. */
-export function forChoice(setting: 'on' | 'off', states: ForChoice): ForChoice {
-  return setting === 'on' ? states : UNKNOWN_STATES;
+/** What the choice of an upstream is made by; with `auto` only where upstreams tell how long work takes at the moment. */
+export function forChoice(
+  setting: 'auto' | 'on' | 'off',
+  states: ForChoice & Pick<upstreamStates.UpstreamStates, 'isShared'>,
+): ForChoice {
+  switch (setting) {
+    case 'on':
+      return states;
+    case 'off':
+      return UNKNOWN_STATES;
+    case 'auto':
+      return {
+        state: (upstreamId, nowMs) =>
+          states.isShared(upstreamId) ? states.state(upstreamId, nowMs) : UNKNOWN_STATE,
+        answered: (upstreamId, ...answer) => {
+          if (states.isShared(upstreamId)) states.answered(upstreamId, ...answer);
+        },
+        observed: (upstreamId, ...gap) => {
+          if (states.isShared(upstreamId)) states.observed(upstreamId, ...gap);
+        },
+      };
+  }
 }
 
 export type UpstreamStatesOptions = {
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -4,7 +4,7 @@
 const address = zod.string().regex(/^[^\s:]+:\d{1,5}$/, 'must be HOST:PORT');
 const positive = zod.number().positive();
 /** `auto`: on where the configuration has organisations. */
-const featureSwitch = zod.enum(['auto', 'on', 'off']).default('auto');
+const featureSwitch = zod.enum(['auto', 'on', 'off']).default('off');
 
 export const settingsSchema = zod.strictObject({
   gatewayId: zod.string().min(1),
@@ -56,7 +56,7 @@
    */
   plainQueues: zod.enum(['auto', 'on', 'off']).default('auto'),
   /** Whether upstreams are chosen by the speed that they report and show; `off` takes all for alike. */
-  upstreamStates: zod.enum(['on', 'off']).default('on'),
+  upstreamStates: zod.enum(['auto', 'on', 'off']).default('auto'),
 });
 
 export type Settings = zod.infer<typeof settingsSchema>;
