--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -108,19 +108,24 @@
   return book.lease() === null ? Math.max(UNKNOWN_FLEET_SIZE, known) : known;
 }
 
+/** Of the gateways that live, this one among them. */
+function liveIds({ book, settings }: partTypes.GatewayParts, nowMs: number): readonly string[] {
+  return [settings.gatewayId, ...book.live(nowMs).map(({ gatewayId }) => gatewayId)];
+}
+
 function holderAddress({ book }: partTypes.GatewayParts): string | null {
   const holderId = book.lease()?.holderId;
   return holderId === undefined ? null : book.addressOf(holderId);
 }
 
 export function createLimits(parts: partTypes.GatewayParts): limitsModule.Limits {
-  const { book, clock, settings } = parts;
+  const { clock, settings } = parts;
   return limitsModule.createLimits({
     clock,
     upstreamLimits: parts.upstreamLimits,
     gatewayId: settings.gatewayId,
     fleet: (nowMs) => ({
-      knownIds: [settings.gatewayId, ...book.live(nowMs).map(({ gatewayId }) => gatewayId)],
+      knownIds: liveIds(parts, nowMs),
       size: fleetSize(parts),
     }),
     heldTerm: parts.lease.heldTerm,
@@ -147,7 +152,7 @@
     states: parts.states,
     mode: settings.promptTurns,
     gatewayId: settings.gatewayId,
-    liveIds: (nowMs) => [settings.gatewayId, ...book.live(nowMs).map(({ gatewayId }) => gatewayId)],
+    liveIds: (nowMs) => liveIds(parts, nowMs),
     unreadTokens: (upstreamId, nowMs) =>
       inFlight.ahead(upstreamId, Infinity, nowMs, (_model, tokens) => tokens).readMs,
     takeFrom: async (ownerId, asked, deadlineMs) => {
--- a/packages/gateway/src/server/forwarding/held-requests.ts
+++ b/packages/gateway/src/server/forwarding/held-requests.ts
@@ -74,33 +74,53 @@
     clock.schedule(clock.nowMs() + batchHolding.LOOK_EVERY_MS, tick);
   }
 
-  function mayHold(call: calls.Call, run: runs.Run, choice: upstreamChoice.Choice): boolean {
+  function mayHold(call: calls.Call, run: runs.Run): boolean {
     if (!deps.isOn() || deps.isStopping()) return false;
-    if (!urgency.isBatch(call.route) || !router.needsModel(call) || run.sentCount > 0) return false;
-    // Sent at once after its release, or held again where another request took its place.
-    if (run.heldSinceMs !== null && choice.kind === 'send') return false;
-    return choice.kind === 'send' || choice.kind === 'overloaded';
+    return urgency.isBatch(call.route) && router.needsModel(call) && run.sentCount === 0;
+  }
+
+  /** By when it has to be sent; it stays what it was when the request came. */
+  function latestStartMs(call: calls.Call, run: runs.Run, predictedMs: number): number {
+    run.latestStartMs ??= batchHolding.latestStartMs({
+      arrivedAtMs: call.arrivedAtMs,
+      elapsedBeforeMs: call.elapsedBeforeMs,
+      deadlineMs: call.deadlineMs,
+      latencyObjectiveMs: call.route.latencyObjectiveMs,
+      answerMs: router.answerMs(call, predictedMs),
+    });
+    return run.latestStartMs;
+  }
+
+  async function untilEnd(
+    key: string,
+    call: calls.Call,
+    run: runs.Run,
+    sink: Pick<answers.AnswerSink, 'onCallerGone'>,
+  ): Promise<EndCause> {
+    const cause = await new Promise<EndCause>((resolve) => {
+      held.set(key, { call, run, end: resolve });
+      sink.onCallerGone(() => resolve('caller-gone'));
+    });
+    sink.onCallerGone(null);
+    holding.withdraw(key);
+    held.delete(key);
+    return cause;
   }
 
   return {
     hold: async (call, run, sink, choice) => {
-      if (!mayHold(call, run, choice)) return false;
+      if (!mayHold(call, run)) return false;
       if (choice.kind !== 'send' && choice.kind !== 'overloaded') return false;
+      // Sent at once after its release; held again only where another request took its place.
+      if (run.heldSinceMs !== null && choice.kind === 'send') return false;
       const nowMs = clock.nowMs();
-      run.latestStartMs ??= batchHolding.latestStartMs({
-        arrivedAtMs: call.arrivedAtMs,
-        elapsedBeforeMs: call.elapsedBeforeMs,
-        deadlineMs: call.deadlineMs,
-        latencyObjectiveMs: call.route.latencyObjectiveMs,
-        answerMs: router.answerMs(call, choice.predictedMs),
-      });
+      const startByMs = latestStartMs(call, run, choice.predictedMs);
       const capacity = capacityFor(call, run);
       if (choice.kind === 'overloaded') capacity.room = 0;
-      const { latestStartMs } = run;
       const key = String(nextKey);
       nextKey += 1;
       const group = `${call.service} ${call.facts.model}`;
-      const request = { key, group, latestStartMs, sizeBytes: call.body.length };
+      const request = { key, group, latestStartMs: startByMs, sizeBytes: call.body.length };
       const verdict = holding.arrived(request, capacity, nowMs);
       if (verdict === 'full') deps.metrics.held('full', 0);
       if (verdict !== 'hold') return false;
@@ -109,17 +129,11 @@
         requestId: call.requestId,
         model: call.facts.model,
         room: Math.floor(capacity.room),
-        latestStartInMs: Math.round(latestStartMs - nowMs),
+        latestStartInMs: Math.round(startByMs - nowMs),
         heldCount: holding.count(),
       });
       scheduleTick();
-      const cause = await new Promise<EndCause>((resolve) => {
-        held.set(key, { call, run, end: resolve });
-        sink.onCallerGone(() => resolve('caller-gone'));
-      });
-      sink.onCallerGone(null);
-      holding.withdraw(key);
-      held.delete(key);
+      const cause = await untilEnd(key, call, run, sink);
       const heldMs = clock.nowMs() - nowMs;
       deps.metrics.held(cause, heldMs);
       log.info('request-hold-ended', {
--- a/packages/gateway/src/server/forwarding/plain-gate.ts
+++ b/packages/gateway/src/server/forwarding/plain-gate.ts
@@ -40,9 +40,9 @@
 
 /** Between two looks at what is known of the upstreams: a fraction of a call. */
 const LOOK_MS = 10;
-/** A service of 18 slots has some hundred calls waiting at 23 gateways before the last one would be late. */
+/** Far more calls than can still be in time at one gateway; their bodies are kept while they wait. */
 const BOUNDS: plainQueues.PlainQueueBounds = { entriesMax: 128, bytesMax: 16 * 1024 * 1024 };
-/** Beyond the first that cannot go, such as one that failed at the upstream with the free slot. */
+/** The first of the queue may be unable to use a free slot, having failed at that upstream: so many are tried. */
 const LOOKED_AT_MAX = 4;
 
 type Entry = plainQueues.WaitingCall & {
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -10,7 +10,6 @@
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import * as batchHolding from '../../shared/batch-holding.js';
 import * as queueLimits from '../../shared/queue-limits.js';
-import * as retryTimes from '../../shared/retry-times.js';
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as upstreamPauses from '../../shared/upstream-pauses.js';
@@ -24,6 +23,7 @@
 import type * as placementTypes from '../../types/placement.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import * as admissions from './admission.js';
+import * as retryAfters from './retry-after.js';
 import * as runs from './run.js';
 
 export type RouterDeps = {
@@ -61,27 +61,22 @@
   places: (call: calls.Call, run: runs.Run) => readonly batchHolding.Place[];
   /** Time to what its objective is measured by, from the predicted time to its first piece. */
   answerMs: (call: calls.Call, predictedMs: number) => number;
-  /** Whether it may still go to this upstream, whatever queue is predicted there. */
+  /** Whether it may still go to this upstream, whatever queue is predicted there: `send` if so. */
   chooseOnly: (call: calls.Call, run: runs.Run, upstreamId: string) => upstreamChoice.Choice;
-  /** Whether a request that an upstream would take gives way to others. */
+  /** Whether it would be refused although an upstream would take it, for others to be served. */
   givesWay: (call: calls.Call) => boolean;
-  /** It is sent for the first time. */
+  /** It is about to be sent; only the first time counts. */
   noteSent: (call: calls.Call, run: runs.Run) => void;
-  /** The request is refused. */
+  /** When to come back, for a request that is being refused as overloaded; takes note of the refusal. */
   overloadRetryMs: (call: calls.Call, run: runs.Run, predictedMs: number) => number;
-  /** Until an upstream takes requests again, or another copy is there. */
+  /** When to come back, for a request whose upstreams are all closed: when one opens, or another copy is there. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
   /** Tells the placing what is asked for. */
   noteDemand: (call: calls.Call) => void;
   noteNotPlaced: (call: calls.Call, run: runs.Run, choice: NoChoice, ending: calls.Ending) => void;
 };
 
-/** Another gateway, which callers meet when they come back, may still be let in. */
-const CLOSED_RETRY_MAX_MS = 5_000;
 const LEAST_URGENT = 9;
-/** Callers keep to the time that they are told up to this part of the time that they have left. */
-const HONOURED_SHARE = 1 / 3;
-
 function roundedOrNone(value: number | undefined): number | undefined {
   return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
 }
@@ -90,7 +85,7 @@
   const { clock, log, directory, beliefs, inFlight, placement } = deps;
 
   const admission = admissions.createAdmission(deps);
-  const returns = retryTimes.createRetryTimes();
+  const retryAfter = retryAfters.createRetryAfter({ ...deps, needsModel, isLate, priorityOf });
   const preferenceFor = preferences.createPreferences(deps.gatewayId);
 
   function needsModel(call: calls.Call): boolean {
@@ -289,39 +284,7 @@
   function overloadRetryMs(call: calls.Call, run: runs.Run, predictedMs: number): number {
     if (run.sentCount === 0 && needsModel(call)) admission.decided(call, true);
     if (run.gaveWay !== null) deps.metrics.gaveWay(run.gaveWay);
-    const { model } = call.facts;
-    const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
-    const aloneMs = queueLimits.overloadRetryMs({ predictedMs, nextCopyInMs });
-    // A late caller has come back already, and does not again.
-    if (model === null || !needsModel(call) || !deps.ordersAdmission() || isLate(call)) {
-      return aloneMs;
-    }
-    const nowMs = clock.nowMs();
-    const records = directory.eligible(call.service, nowMs);
-    const copies = records.filter((record) => placement.copyAt(record, model, null) !== 'none');
-    const slots = copies[0]?.slots ?? 1;
-    const atMs = returns.next(
-      {
-        group: `${call.service} ${model}`,
-        priority: priorityOf(call),
-        earliestMs: nowMs + aloneMs,
-        latestMs: nowMs + HONOURED_SHARE * (call.deadlineMs - nowMs),
-        intervalMs: retryTimes.returnIntervalMs({
-          requestS: pacesModule.requestS(deps.paces.pace(call.service, model), slots),
-          copyCount: copies.length,
-          gatewayCount: deps.gatewayCount(),
-        }),
-        phase: deps.random.fraction(),
-      },
-      nowMs,
-    );
-    return atMs - nowMs;
-  }
-
-  function closedRetryMs(call: calls.Call, forMs: number): number {
-    const { model } = call.facts;
-    const nextCopyInMs = model === null ? null : placement.nextCopyInMs(call.service, model);
-    return Math.min(CLOSED_RETRY_MAX_MS, forMs, nextCopyInMs ?? forMs);
+    return retryAfter.overloadMs(call, predictedMs);
   }
 
   function noteNotPlaced(
@@ -379,7 +342,7 @@
     givesWay: (call) => admission.givesWay(call) !== null,
     noteSent,
     overloadRetryMs,
-    closedRetryMs,
+    closedRetryMs: retryAfter.closedMs,
     noteDemand,
     noteNotPlaced,
   };
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -2,7 +2,6 @@
 import type * as quarantine from '@copperlever/decisions/quarantine';
 import type { clocks, randoms } from '@copperlever/runtime';
 
-import * as eventGaps from '../../shared/event-gaps.js';
 import type * as inFlightModule from '../../shared/in-flight.js';
 import type * as pacesModule from '../../shared/paces.js';
 import type * as plainPlaces from '../../shared/plain-places.js';
@@ -27,8 +26,7 @@
 import type * as turnsModule from '../turns/turns.js';
 import type * as admissions from './admission.js';
 import type * as answers from './answers.js';
-import * as attemptNotes from './attempt-notes.js';
-import * as attempts from './attempt.js';
+import * as attemptSenders from './attempt-sender.js';
 import type * as plainGates from './plain-gate.js';
 import * as plainPassages from './plain-passage.js';
 import * as heldRequests from './held-requests.js';
@@ -73,23 +71,11 @@
 
 export type Serve = (call: calls.Call, sink: answers.AnswerSink) => Promise<calls.Ending>;
 
-/** A connection that has not taken the request by then is taken for dark, and another upstream tried. */
-const SEND_PATIENCE_MS = 300;
-/** An idempotent call that is this many times later than usual is tried elsewhere. */
-const SILENT_FACTOR = 8;
-const SILENT_MIN_MS = 250;
 const NO_UPSTREAM_RETRY_MS = 500;
 const MIN_RETRY_AFTER_MS = 100;
-const FIRST_ERROR_STATUS = 300;
-/** A connection is kept for what all gateways together may hold; the rest is for those that join. */
-const CONNECTION_SHARE = 0.8;
-
-function unlessUsual(factor: number): number | undefined {
-  return factor === 1 ? undefined : Math.round(factor * 100) / 100;
-}
 
 export function createServe(deps: ServeDeps): Serve {
-  const { clock, log, directory, beliefs, inFlight } = deps;
+  const { clock } = deps;
 
   const router = routers.createRouter(deps);
   const takeTurn = turnTakers.createTurnTaker({ ...deps, router });
@@ -100,7 +86,7 @@
     setting: deps.plainQueues,
   });
   const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
-  const notes = attemptNotes.createAttemptNotes({ ...deps, needsModel: router.needsModel });
+  const attempt = attemptSenders.createAttemptSender({ ...deps, router });
   const missing = missingCopies.createMissingCopies({ ...deps, router, refuse });
 
   function factsOf(call: calls.Call, run: runs.Run): runVerdicts.RunFacts {
@@ -113,106 +99,6 @@
     return runVerdicts.refusalOrFailure(factsOf(call, run), cause, retryAfterMs);
   }
 
-  /** A silent attempt is given up early only where another one may follow. */
-  function firstByteByMs(call: calls.Call, run: runs.Run, upstreamId: string): number {
-    const isLast = run.ranCount + 1 >= call.route.maxAttempts;
-    if (call.route.kind !== 'idempotent' || isLast) return call.deadlineMs;
-    const usualMs = beliefs.belief(upstreamId, clock.nowMs()).firstPieceMs ?? SILENT_MIN_MS;
-    return Math.min(
-      call.deadlineMs,
-      clock.nowMs() + Math.max(SILENT_MIN_MS, usualMs * SILENT_FACTOR),
-    );
-  }
-
-  /** Streams of models have their events at the pace of an engine; those of other services at any. */
-  function gapsOf(call: calls.Call, upstreamId: string): eventGaps.EventGaps | undefined {
-    if (call.route.kind !== 'stream' || !router.needsModel(call)) return undefined;
-    const model = call.facts.model ?? '';
-    return eventGaps.createEventGaps((gapMs, nowMs) => {
-      deps.states.observed(upstreamId, model, gapMs, nowMs);
-    });
-  }
-
-  async function attempt(
-    call: calls.Call,
-    run: runs.Run,
-    sink: answers.AnswerSink,
-    choice: Extract<upstreamChoice.Choice, { kind: 'send' }>,
-    turn: turnTakers.HeldTurn,
-  ): Promise<calls.AttemptResult> {
-    const { upstreamId } = choice;
-    const record = directory.find(upstreamId);
-    const service = deps.serviceOf(call.service);
-    if (record === undefined || service === null) return { kind: 'not-sent', reason: 'gone' };
-    const connectionsMax = (service.connectionsMax / deps.gatewayCount()) * CONNECTION_SHARE;
-    const connection = deps.connections.lend(record, connectionsMax);
-    if (connection === null) return { kind: 'not-sent', reason: 'connections in use' };
-    const startedAtMs = clock.nowMs();
-    const scope = runs.cacheScope(call);
-    const cachedTokens = deps.caches.cachedTokens(upstreamId, scope, call.facts.promptParts);
-    const unreadTokens = Math.max(0, call.facts.promptTokens - cachedTokens);
-    const priority = router.priorityOf(call);
-    const started = inFlight.started({
-      upstreamId,
-      model: call.facts.model ?? '',
-      priority,
-      promptTokens: unreadTokens,
-    });
-    deps.caches.sent(upstreamId, scope, call.facts.promptParts);
-    let load: upstreamStates.LoadWord | null = null;
-    const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
-    const noted = { call, upstreamId, isResumed, choice };
-    let firstPiece: attemptNotes.FirstPiece | null = null;
-    const result = await attempts.runAttempt(deps, {
-      call,
-      upstreamName: record.name,
-      sink,
-      connection,
-      priority,
-      resumeAfterId: run.resumeAfterId,
-      holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
-      sendByMs: startedAtMs + SEND_PATIENCE_MS,
-      firstByteByMs: firstByteByMs(call, run, upstreamId),
-      gaps: gapsOf(call, upstreamId),
-      onHead: (facts) => {
-        load = facts.load;
-        const source = call.requestId;
-        deps.words.heard({ upstreamId, facts, sentMs: startedAtMs, source });
-      },
-      onFirstPiece: (piece, status) => {
-        started.promptRead();
-        // An error tells nothing of prefill.
-        turn.ended(status < FIRST_ERROR_STATUS, load);
-        firstPiece = notes.firstPiece(noted, piece, clock.nowMs() - startedAtMs);
-        const { kind } = call.route;
-        deps.metrics.firstPiece(
-          { kind, priority: call.priority },
-          clock.nowMs() - call.arrivedAtMs,
-        );
-      },
-    });
-    started.ended();
-    deps.metrics.attemptEnded(result.kind);
-    connection.giveBack(result.kind !== 'not-sent');
-    const tookMs = clock.nowMs() - startedAtMs;
-    const firstPieceMs =
-      firstPiece === null ? null : (firstPiece as attemptNotes.FirstPiece).tookMs;
-    notes.ended({ ...noted, result, firstPiece, tookMs });
-    log.info('attempt-ended', {
-      requestId: call.requestId,
-      upstreamId,
-      result: result.kind,
-      reason: 'reason' in result ? result.reason : undefined,
-      priority,
-      predictedMs: Math.round(choice.predictedMs),
-      slowness: unlessUsual(choice.speed.slowness),
-      momentFactor: unlessUsual(choice.speed.momentFactor),
-      firstPieceMs: firstPieceMs === null ? undefined : Math.round(firstPieceMs),
-      tookMs: Math.round(tookMs),
-    });
-    return result;
-  }
-
   function passOn(
     sink: answers.AnswerSink,
     answer: calls.HeldAnswer,
@@ -326,8 +212,9 @@
     call: calls.Call,
     run: runs.Run,
     sink: answers.AnswerSink,
-    { choice, turn }: Extract<turnTakers.TurnVerdict, { kind: 'send' }>,
+    to: Extract<turnTakers.TurnVerdict, { kind: 'send' }>,
   ): Promise<calls.Ending | null> {
+    const { choice, turn } = to;
     // Denied, it is closed for a while, and the next choice is another one or none.
     if (deps.limits.isLimited(choice.upstreamId)) {
       const isTaken = await deps.limits.take(choice.upstreamId);
@@ -339,7 +226,7 @@
     router.noteSent(call, run);
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
-    const result = await attempt(call, run, sink, choice, turn);
+    const result = await attempt(call, run, sink, to);
     // Without a first event: it was not sent, or broke off before.
     turn.ended(false, null);
     return preferHeld(run, sink, settle(call, run, sink, result));
--- a/packages/gateway/src/server/placing/order-desk.ts
+++ b/packages/gateway/src/server/placing/order-desk.ts
@@ -186,8 +186,8 @@
 
   /**
    * Sends until the upstream takes it. Given up once the upstream has taken someone else's order, since the plan was made
-   * before that. A refused order is sent again when the upstream is free: tried all the time behind an unload that waits
-   * for its runs, five of six orders were refused.
+   * before that. A refused order is sent again when the upstream is free: behind an unload that waits for its runs every
+   * earlier try is refused.
    */
   async function sendUntilTaken(
     order: dialects.Order,
--- a/packages/gateway/src/shared/class-order.ts
+++ b/packages/gateway/src/shared/class-order.ts
@@ -32,9 +32,8 @@
 /** A refusal says so long that the class lacks capacity. */
 const VALID_MS = 500;
 /**
- * Refusal rates may differ by 0.05, and what is decided at the same moment adds to that: a class gives way until its own
- * rate is above by so much. Without a bound
- * batch requests would be refused as long as anything more urgent is.
+ * A class gives way until its own refusal rate is above that of the more urgent class by this much. Rates may differ by
+ * 0.05, and requests that are decided on at the same moment add to that.
  */
 const REFUSED_MORE = 0.1;
 
--- a/packages/gateway/src/shared/own-permits.ts
+++ b/packages/gateway/src/shared/own-permits.ts
@@ -2,7 +2,7 @@
  * What this gateway may send to a limited upstream while it hears no holder of the lease. A few gateways, on which all
  * that know each other agree, count on an equal part of half of the limit; the others send nothing.
  */
-import * as crypto from 'node:crypto';
+import * as rendezvous from './rendezvous.js';
 
 /** The gateways that share what there is. */
 export type FleetView = {
@@ -30,10 +30,8 @@
 
 /** The same at every gateway that knows the same ones. */
 function rank(upstreamId: string, gatewayIds: readonly string[]): string[] {
-  const scoreOf = (id: string) =>
-    crypto.createHash('sha256').update(`${upstreamId}\n${id}`).digest('hex');
   return gatewayIds
-    .map((id) => ({ id, score: scoreOf(id) }))
+    .map((id) => ({ id, score: rendezvous.scoreOf(upstreamId, id) }))
     .sort((left, right) => (left.score < right.score ? -1 : 1))
     .map(({ id }) => id);
 }
--- a/packages/gateway/src/shared/placing/copy-needs.ts
+++ b/packages/gateway/src/shared/placing/copy-needs.ts
@@ -6,6 +6,7 @@
 import type * as fleet from '../../types/fleet.js';
 import type * as demandMeters from './demand-meter.js';
 import type * as nearIndexes from './near-index.js';
+import * as clamps from '../clamp.js';
 
 export type CopyView = {
   model: string;
@@ -112,10 +113,6 @@
   lastWeight: 0,
 };
 
-function clamp(value: number, least: number, most: number): number {
-  return Math.min(most, Math.max(least, value));
-}
-
 /** Copies of a model: how many, and for how many copies at a mean upstream they count. */
 export type Copies = { count: number; capacity: number };
 
@@ -221,7 +218,7 @@
 function servedBy(perSecond: number, requestS: number, capacity: number): number {
   if (capacity <= 0) return 0;
   const busyShare = (perSecond * requestS) / capacity;
-  const lateShare = clamp((busyShare - EASY_SHARE) / (FULL_SHARE - EASY_SHARE), 0, 1);
+  const lateShare = clamps.clamp((busyShare - EASY_SHARE) / (FULL_SHARE - EASY_SHARE), 0, 1);
   // Beyond their capacity copies answer late what they can, and the rest not at all.
   return (
     Math.min(perSecond, capacity / Math.max(LEAST_REQUEST_S, requestS)) *
--- a/packages/gateway/src/shared/plain-finish.test.ts
+++ b/packages/gateway/src/shared/plain-finish.test.ts
@@ -2,12 +2,12 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import * as candidateFixtures from '../testing/candidates.js';
 import * as plainFleets from '../testing/plain-fleet.js';
 import type * as upstreamStateTypes from '../types/upstream-states.js';
 import * as paces from './paces.js';
 import * as plainFinish from './plain-finish.js';
 import * as plainTimes from './plain-times.js';
-import * as beliefsModule from './upstream-beliefs.js';
 import * as upstreamChoice from './upstream-choice.js';
 import * as upstreamStates from './upstream-states.js';
 
@@ -15,14 +15,12 @@
 
 const NOW_MS = 10_000;
 const DRAWS = 400;
-const FRESH = beliefsModule.createUpstreamBeliefs().belief('nobody', 0);
-const SILENT = upstreamStates.createUpstreamStates().state('nobody', 0);
 
 type Load = NonNullable<upstreamStateTypes.UpstreamState['load']>;
 
 function told(load: Partial<Load>, momentFactor = 1): upstreamStateTypes.UpstreamState {
   return {
-    ...SILENT,
+    ...upstreamStates.UNKNOWN_STATE,
     tellsMoment: true,
     momentFactor,
     momentAgeMs: 0,
@@ -30,29 +28,10 @@
   };
 }
 
-function candidate(
-  upstreamId: string,
-  overrides: Partial<upstreamChoice.Candidate> = {},
-): upstreamChoice.Candidate {
-  return {
-    upstreamId,
-    failureDomain: 'north',
-    slots: 6,
-    inFlightCount: 0,
-    ownInFlightCount: 0,
-    urgentCount: 0,
-    readAheadMs: 0,
-    cachedTokens: 0,
-    belief: FRESH,
-    state: SILENT,
-    places: null,
-    ownShare: 1,
-    copy: 'ready',
-    blockedForMs: 0,
-    closed: null,
-    isLimited: false,
-    ...overrides,
-  };
+const SLOTS = 6;
+
+function candidate(upstreamId: string, overrides: Partial<upstreamChoice.Candidate> = {}) {
+  return candidateFixtures.createCandidate(upstreamId, SLOTS, overrides);
 }
 
 /** How often each is chosen, of `DRAWS` calls that meet the same figures. */
@@ -144,7 +123,10 @@
   const random = randoms.createRandom(9);
   for (let draw = 0; draw < 50; draw += 1) {
     const some = ['a', 'b', 'c'].map((id) =>
-      candidate(id, { inFlightCount: random.below(12), state: { ...SILENT, slowness: 3 } }),
+      candidate(id, {
+        inFlightCount: random.below(12),
+        state: { ...upstreamStates.UNKNOWN_STATE, slowness: 3 },
+      }),
     );
     assert.equal(shares(some), shares(some, null));
   }
--- a/packages/gateway/src/shared/plain-finish.ts
+++ b/packages/gateway/src/shared/plain-finish.ts
@@ -46,9 +46,8 @@
 
 /**
  * Decorrelates gateways that compare the same figures at the same time: the least spread cost is that of an upstream
- * with a probability in proportion to 1 / cost². Each of 23 gateways knows the others' calls only as they were 250 to
- * 500 ms ago, several times as long as a call takes: by the least cost alone all send to the same upstream until the
- * next news.
+ * with a probability in proportion to 1 / cost². Each gateway knows the others' calls only as they were several service
+ * times ago: by the least cost alone all send to the same upstream until the next news.
  */
 export function spreadMs(costMs: number, fraction: number): number {
   return costMs * Math.sqrt(-Math.log(1 - fraction));
--- a/packages/gateway/src/shared/plain-queue.ts
+++ b/packages/gateway/src/shared/plain-queue.ts
@@ -66,8 +66,8 @@
 const CALLS_PER_SLOT = 2;
 
 /**
- * The calls that a gateway may have at one upstream whatever it knows of its slots. Of 18 slots before 23 gateways each
- * sees few calls: were it to wait until it knows of a free slot, slots would idle while each waits for the others. At
+ * The calls that a gateway may have at one upstream whatever it knows of its slots. Where many gateways share few slots
+ * each sees few calls: were it to wait until it knows of a free slot, slots would idle while each waits for the others. At
  * an upstream that is slow at the moment the share stays in use for longer, so that it gets fewer calls without any
  * news of it.
  */
--- a/packages/gateway/src/shared/preferences.ts
+++ b/packages/gateway/src/shared/preferences.ts
@@ -1,5 +1,5 @@
 /** Which of several equal upstreams a gateway prefers: others than most other gateways do, and always the same. */
-import * as crypto from 'node:crypto';
+import * as rendezvous from './rendezvous.js';
 
 const KEPT_MAX = 10_000;
 const HEX_DIGITS = 8;
@@ -7,7 +7,7 @@
 
 /** From 0 to 1, evenly spread over gateways and over upstreams. */
 export function preference(gatewayId: string, upstreamId: string): number {
-  const digest = crypto.createHash('sha256').update(`${gatewayId}\n${upstreamId}`).digest('hex');
+  const digest = rendezvous.scoreOf(gatewayId, upstreamId);
   return Number.parseInt(digest.slice(0, HEX_DIGITS), 16) / HEX_RANGE;
 }
 
--- a/packages/gateway/src/shared/prefill-turns.ts
+++ b/packages/gateway/src/shared/prefill-turns.ts
@@ -5,6 +5,8 @@
  * One gateway, the upstream's owner, gives turns for all of them.
  */
 import type * as upstreamStates from '../types/upstream-states.js';
+import * as clamps from './clamp.js';
+import * as prefillLoad from './prefill-load.js';
 
 export type AskedTurn = {
   gatewayId: string;
@@ -56,20 +58,10 @@
   take: (asked: AskedTurn, nowMs: number) => TurnReply;
   /** A turn has ended, or a request gives up its place in the queue. */
   end: (ended: EndedTurn, nowMs: number) => void;
-  /** Prefill time given and not ended, for metrics. */
+  /** Turns that were given and have not ended, and requests in the queue, over all upstreams. */
   counts: () => { givenCount: number; waitingCount: number };
 };
 
-/** Of the shortest pause objective; the rest is for machines that become slow after turns have been given. */
-const BOUND_SHARE = 0.7;
-/** What a pause has beside prefill: four decoding steps, 27 to 35 ms on an upstream of usual speed. */
-const EVENT_INTERVAL_MS = 35;
-/** The bound leaves room for them, and for a step that prefill begins in. */
-const INTERVALS_KEPT = 1.2;
-/** Where the steps alone take nearly as long, prompts go one after the other. */
-const BOUND_MIN_SHARE = 0.3;
-/** How long a stream that had a turn is taken to run there. */
-const STREAM_MS = 3_000;
 /** A prompt longer than the bound waits for so long, while its asker may look for another upstream. */
 const LONG_PROMPT_WAIT_MS = 400;
 const MIN_WAIT_MS = 5;
@@ -94,17 +86,11 @@
 const WAITING_MAX = 256;
 /** Speed is learnt from turns during which nothing else was prefilled there, so that the time is their own. */
 const LEARNING_SHARE = 0.1;
-const LEARNT_FROM_MS = 15;
 const SAMPLE_RANGE = 3;
-/** An end is told after a step, a message and a batch. */
-const OVERDUE_INTERVALS = 1;
 const LEAST_SPEED = 0.2;
-const MOST_SPEED = 10;
 /** From the sending to the first event beside prefill, about two decoding steps. */
 const FIRST_EVENT_MS = 16;
 
-type Turn = { usualMs: number; givenMs: number; expiresMs: number; isAlone: boolean };
-
 type Place = {
   key: string;
   usualMs: number;
@@ -117,62 +103,22 @@
   mustStart: boolean;
 };
 
-type Prefilled = { atMs: number; tookMs: number };
-
-type Upstream = {
-  turns: Map<string, Turn>;
+type Upstream = prefillLoad.PrefillState & {
   places: Map<string, Place>;
-  /** The latest last. */
-  prefilled: Prefilled[];
-  /** When a turn was last given to a stream with this pause objective. */
-  objectives: Map<number, number>;
-  /** Prefill time against what the upstream's known speed predicts. */
-  correction: number;
   askedMs: number;
 };
 
-/** At one moment, in milliseconds of the upstream's present speed. */
-type Load = {
-  unreadMs: number;
-  recentMs: number;
-  factor: number;
-  intervalMs: number;
-  underWayMs: number;
-};
-
 const HEARD_KEY = 'heard';
 
 function keyOf({ gatewayId, turnId }: { gatewayId: string; turnId: number }): string {
   return `${gatewayId} ${turnId}`;
 }
 
-function clamp(value: number, least: number, most: number): number {
-  return Math.min(most, Math.max(least, value));
-}
-
 function usualMsOf({ promptTokens, msPerToken }: AskedTurn): number {
   const usualMs = promptTokens * msPerToken;
   return Number.isFinite(usualMs) ? Math.max(0, usualMs) : 0;
 }
 
-function boundOf(
-  upstream: Upstream,
-  ownObjectiveMs: number | null,
-  intervalMs: number,
-  nowMs: number,
-): number {
-  let shortestMs = ownObjectiveMs ?? Infinity;
-  for (const [objectiveMs, atMs] of upstream.objectives) {
-    if (nowMs - atMs > STREAM_MS) upstream.objectives.delete(objectiveMs);
-    else shortestMs = Math.min(shortestMs, objectiveMs);
-  }
-  const spareMs = INTERVALS_KEPT * intervalMs;
-  return Math.max(
-    BOUND_MIN_SHARE * shortestMs,
-    Math.min(BOUND_SHARE * shortestMs, shortestMs - spareMs),
-  );
-}
-
 function dropExpired(upstream: Upstream, nowMs: number): void {
   for (const [key, turn] of upstream.turns) {
     if (turn.expiresMs <= nowMs) upstream.turns.delete(key);
@@ -182,39 +128,6 @@
   }
 }
 
-/** Since the prefill that is under way began, by what was given; 0 where none is. */
-function sinceBeginMs({ turns, prefilled }: Upstream, nowMs: number): number {
-  let fromMs = Infinity;
-  for (const { givenMs } of turns.values()) fromMs = Math.min(fromMs, givenMs);
-  return fromMs === Infinity ? 0 : nowMs - Math.max(fromMs, prefilled.at(-1)?.atMs ?? -Infinity);
-}
-
-/** Recent prefills count until an event interval of decoding has passed since, in which nothing was prefilled. */
-function loadOf(upstream: Upstream, speedFactor: number, nowMs: number): Load {
-  let usualMs = 0;
-  for (const turn of upstream.turns.values()) usualMs += turn.usualMs;
-  const toldFactor = upstream.correction * speedFactor;
-  const sinceMs = sinceBeginMs(upstream, nowMs);
-  // What takes longer than predicted shows a slow moment before any answer tells of it.
-  const overdueMs = sinceMs - OVERDUE_INTERVALS * EVENT_INTERVAL_MS * toldFactor;
-  const shownFactor = usualMs < LEARNT_FROM_MS ? 0 : overdueMs / usualMs;
-  const factor = clamp(shownFactor, toldFactor, MOST_SPEED);
-  const unreadMs = usualMs * factor;
-  const intervalMs = EVENT_INTERVAL_MS * factor;
-  const underWayMs = Math.min(unreadMs, sinceMs);
-  let windowMs = intervalMs + underWayMs;
-  let recentMs = 0;
-  let index = upstream.prefilled.length - 1;
-  for (; index >= 0; index -= 1) {
-    const { atMs, tookMs } = upstream.prefilled[index] as Prefilled;
-    if (nowMs - atMs >= windowMs) break;
-    recentMs += tookMs;
-    windowMs += tookMs;
-  }
-  upstream.prefilled.splice(0, index + 1);
-  return { unreadMs, recentMs, factor, intervalMs, underWayMs };
-}
-
 /** More urgent first, then who must start first; who was passed over goes first shortly before its latest start. */
 function isBefore(left: Place, right: Place, boundMs: number, nowMs: number): boolean {
   const isDue = (place: Place) => place.isPassedOver && place.latestStartMs - nowMs <= boundMs;
@@ -276,7 +189,12 @@
     return upstream;
   }
 
-  function give(upstream: Upstream, asked: AskedTurn, load: Load, nowMs: number): TurnReply {
+  function give(
+    upstream: Upstream,
+    asked: AskedTurn,
+    load: prefillLoad.Load,
+    nowMs: number,
+  ): TurnReply {
     const usualMs = usualMsOf(asked);
     const ownMs = usualMs * load.factor;
     const lastsMs = (load.unreadMs + ownMs) * EXPIRY_FACTOR + EXPIRY_SLACK_MS;
@@ -319,7 +237,13 @@
   }
 
   /** Prefill time of those that go before it, each as far as the bound lets it weigh. */
-  function aheadMs(upstream: Upstream, place: Place, load: Load, boundMs: number, nowMs: number) {
+  function aheadMs(
+    upstream: Upstream,
+    place: Place,
+    load: prefillLoad.Load,
+    boundMs: number,
+    nowMs: number,
+  ) {
     let sumMs = 0;
     for (const other of upstream.places.values()) {
       if (other.key === place.key || other.fromMs > nowMs) continue;
@@ -334,7 +258,7 @@
   /** What is under way is prefilled first; each bound's worth of prefill is followed by an event interval. */
   function estimateWaitMs(
     upstream: Upstream,
-    load: Load,
+    load: prefillLoad.Load,
     needMs: number,
     boundMs: number,
     nowMs: number,
@@ -347,7 +271,13 @@
     return leftMs + intervalMs - decodedMs + fullRounds * (boundMs + intervalMs);
   }
 
-  function mayStart(place: Place, load: Load, ahead: number, boundMs: number, nowMs: number) {
+  function mayStart(
+    place: Place,
+    load: prefillLoad.Load,
+    ahead: number,
+    boundMs: number,
+    nowMs: number,
+  ) {
     const ownMs = place.usualMs * load.factor;
     if (ownMs <= boundMs) return load.unreadMs + load.recentMs + ahead + ownMs <= boundMs;
     const isFree = load.unreadMs + load.recentMs === 0 && ahead === 0;
@@ -355,7 +285,12 @@
   }
 
   /** What has waited its time out goes on where others were let past it; the pause is then at most one prompt longer. */
-  function startsAnyway(place: Place, load: Load, boundMs: number, nowMs: number): boolean {
+  function startsAnyway(
+    place: Place,
+    load: prefillLoad.Load,
+    boundMs: number,
+    nowMs: number,
+  ): boolean {
     if (nowMs < place.latestStartMs) return false;
     return place.mustStart || (place.isPassedOver && load.unreadMs + load.recentMs <= boundMs);
   }
@@ -375,7 +310,7 @@
       upstream.places.delete(place.key);
       return { kind: 'full', retryAfterMs: estimateMs };
     }
-    const waitMs = clamp(Math.min(estimateMs, leftMs), MIN_WAIT_MS, MAX_WAIT_MS);
+    const waitMs = clamps.clamp(Math.min(estimateMs, leftMs), MIN_WAIT_MS, MAX_WAIT_MS);
     place.keptUntilMs = nowMs + waitMs + PLACE_KEPT_MS;
     upstream.places.set(place.key, place);
     return { kind: 'wait', waitMs };
@@ -387,8 +322,8 @@
     const upstream = upstreamOf(asked, speedFactor, nowMs);
     // The answer was lost, or the same question came twice.
     if (upstream.turns.has(keyOf(asked))) return { kind: 'given' };
-    const load = loadOf(upstream, speedFactor, nowMs);
-    const boundMs = boundOf(upstream, asked.pauseObjectiveMs, load.intervalMs, nowMs);
+    const load = prefillLoad.loadOf(upstream, speedFactor, nowMs);
+    const boundMs = prefillLoad.boundOf(upstream, asked.pauseObjectiveMs, load.intervalMs, nowMs);
     if (boundMs === Infinity) return give(upstream, asked, load, nowMs);
     const ownMs = usualMsOf(asked) * load.factor;
     const hasStreams = upstream.objectives.size > 0;
@@ -413,17 +348,27 @@
     return queue(upstream, place, asked, estimateMs, nowMs);
   }
 
-  function learn(upstream: Upstream, turn: Turn, ended: EndedTurn, speedFactor: number): void {
-    if (!turn.isAlone || turn.usualMs < LEARNT_FROM_MS || !Number.isFinite(ended.tookMs)) return;
+  function learn(
+    upstream: Upstream,
+    turn: prefillLoad.Turn,
+    ended: EndedTurn,
+    speedFactor: number,
+  ): void {
+    if (
+      !turn.isAlone ||
+      turn.usualMs < prefillLoad.LEARNT_FROM_MS ||
+      !Number.isFinite(ended.tookMs)
+    )
+      return;
     const factor = upstream.correction * speedFactor;
     const readMs = Math.max(0, ended.tookMs - FIRST_EVENT_MS * factor);
     const sample = readMs / (turn.usualMs * speedFactor);
     const { correction } = upstream;
-    const bounded = clamp(sample, correction / SAMPLE_RANGE, correction * SAMPLE_RANGE);
-    upstream.correction = clamp(
+    const bounded = clamps.clamp(sample, correction / SAMPLE_RANGE, correction * SAMPLE_RANGE);
+    upstream.correction = clamps.clamp(
       correction * (bounded / correction) ** LEARNING_SHARE,
       LEAST_SPEED,
-      MOST_SPEED,
+      prefillLoad.MOST_SPEED,
     );
   }
 
--- a/packages/gateway/src/shared/quota-credits.ts
+++ b/packages/gateway/src/shared/quota-credits.ts
@@ -232,8 +232,8 @@
   /**
    * Load: gateways without a holder, and a rush of an organisation whose part at each of them is less than a request.
    * Harm prevented: each gateway admits one on credit, and together several times the quota; or none ever does. So the
-   * credit buys a chance of a whole request. What is admitted is a debt: with credit made up to its cost instead, chance
-   * alone exceeded the quota in an outage of eight seconds.
+   * credit buys a chance of a whole request. What is admitted is a debt: were its credit made up to its cost instead,
+   * chance alone could exceed the quota in an outage of some seconds.
    */
   function isDrawn(account: Account, spare: number, cost: number): boolean {
     const left = creditOf(account) + spare;
--- a/packages/gateway/src/shared/retry-times.ts
+++ b/packages/gateway/src/shared/retry-times.ts
@@ -35,7 +35,7 @@
 
 const MS_PER_SECOND = 1_000;
 const PRIORITIES = 10;
-/** Callers that ask for the first time take the rest of what the copies serve; 0.25 to 1 made little difference. */
+/** Callers that ask for the first time take the rest of what the copies serve. */
 const RETURN_SHARE = 0.5;
 
 /** Between the returns that one gateway gives out, so that those of all gateways together can be served. */
--- a/packages/gateway/src/shared/turn-owners.ts
+++ b/packages/gateway/src/shared/turn-owners.ts
@@ -3,7 +3,7 @@
  * that live. Failure: an owner that was killed, is paused or cut off stays in the list of live gateways for seconds, and
  * each request that asks it loses time. A silent owner is passed over for a while in favour of the next in order.
  */
-import * as crypto from 'node:crypto';
+import * as rendezvous from './rendezvous.js';
 
 export type TurnOwners = {
   /** `liveIds`: the gateways that live, this one among them. */
@@ -27,14 +27,10 @@
 /** Upstreams get another id with each start: those that have gone are forgotten at some time. */
 const KEPT_MAX = 4_000;
 
-function scoreOf(key: string, id: string): string {
-  return crypto.createHash('sha256').update(`${key}\n${id}`).digest('hex');
-}
-
 function first(key: string, ids: readonly string[]): string | undefined {
   let best: { id: string; score: string } | undefined;
   ids.forEach((id) => {
-    const score = scoreOf(key, id);
+    const score = rendezvous.scoreOf(key, id);
     if (best === undefined || score > best.score) best = { id, score };
   });
   return best?.id;
@@ -43,7 +39,7 @@
 function chooseOwners(ids: readonly string[]): readonly string[] {
   if (ids.length <= OWNERS_MAX) return ids;
   return ids
-    .map((id) => ({ id, score: scoreOf(OWNERS_KEY, id) }))
+    .map((id) => ({ id, score: rendezvous.scoreOf(OWNERS_KEY, id) }))
     .sort((left, right) => (left.score > right.score ? -1 : 1))
     .slice(0, OWNERS_MAX)
     .map(({ id }) => id);
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -2,6 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import * as candidateFixtures from '../testing/candidates.js';
 import * as pacesModule from './paces.js';
 import * as beliefsModule from './upstream-beliefs.js';
 import * as upstreamChoice from './upstream-choice.js';
@@ -9,11 +10,6 @@
 
 const test = suite('upstream choice');
 
-const FRESH = beliefsModule.createUpstreamBeliefs().belief('nobody', 0);
-
-/** An upstream that has told nothing of itself. */
-const SILENT = upstreamStates.createUpstreamStates().state('nobody', 0);
-
 const READ_MS_PER_TOKEN = 1 / 18;
 
 /** Engines that read 18 tokens in a millisecond. */
@@ -29,29 +25,10 @@
   atMs: 0,
 };
 
-function candidate(
-  upstreamId: string,
-  overrides: Partial<upstreamChoice.Candidate> = {},
-): upstreamChoice.Candidate {
-  return {
-    upstreamId,
-    failureDomain: 'north',
-    slots: 32,
-    inFlightCount: 0,
-    ownInFlightCount: 0,
-    urgentCount: 0,
-    readAheadMs: 0,
-    cachedTokens: 0,
-    belief: FRESH,
-    state: SILENT,
-    places: null,
-    ownShare: 1,
-    copy: 'ready',
-    blockedForMs: 0,
-    closed: null,
-    isLimited: false,
-    ...overrides,
-  };
+const SLOTS = 32;
+
+function candidate(upstreamId: string, overrides: Partial<upstreamChoice.Candidate> = {}) {
+  return candidateFixtures.createCandidate(upstreamId, SLOTS, overrides);
 }
 
 function choose(
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -110,8 +110,7 @@
 const NOISE_SHARE = 0.1;
 /**
  * Gateways that know which upstreams are quick all choose the same few between two news of each other's requests. Each
- * therefore prefers other ones. On the virtual-clock fleet, at 110 requests a second before alike upstreams on shared
- * machines, 678 of 6,497 prompts were behind 300 ms of reading without this and 439 with it; 511 before speeds were known.
+ * therefore prefers other ones.
  */
 const PREFERENCE_SHARE = 0.6;
 /** Upstreams whose slowness at the moment differs by less are taken for alike, and need no preference. */
@@ -268,8 +267,8 @@
 }
 
 /**
- * Slots are counted over all upstreams, since what is known of each alone is older than a call takes: 23 gateways that
- * send only where a slot looks free all send to the same upstream until the next news.
+ * Slots are counted over all upstreams, since what is known of each alone is older than a call takes: gateways that send
+ * only where a slot looks free all send to the same upstream until the next news.
  */
 function hasSlot(candidates: readonly Candidate[], basis: PlainBasis): boolean {
   const sum = (of: (candidate: Candidate) => number) =>
--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -12,6 +12,7 @@
 import * as speeds from './speeds.js';
 import * as usualFactors from './usual-factors.js';
 import * as usualGaps from './usual-gaps.js';
+import * as clamps from './clamp.js';
 
 /** Told figures outside of this range are cut to it, so that an absurd one does bounded harm. */
 const LEAST_FACTOR = 0.2;
@@ -31,12 +32,12 @@
 const PRIOR_FADE_ANSWERS = 10;
 /**
  * What all other gateways have shown counts for no more answers than this, and for less as this gateway has its own: it is
- * where a gateway starts from. With full weight all held the same estimates and chose the same upstreams.
+ * where a gateway starts from. With full weight all would hold the same estimates and choose the same upstreams.
  */
 const OTHERS_ANSWERS_MAX = 8;
 /**
  * Late answers weigh less than early ones: what made them late is mostly a queue of prompts that had not been heard
- * of. Learnt with equal weights, the quickest upstreams, which get the most requests, looked like all others.
+ * of. With equal weights the quickest upstreams, which get the most requests, would look like all others.
  */
 const LATE_WEIGHT = 0.3;
 /** An answer that was late or early by a larger factor says no more than one that was by this. */
@@ -161,10 +162,6 @@
   serviceOf: (upstreamId: string) => string | null;
 };
 
-function clamp(value: number, least: number, most: number): number {
-  return Math.min(most, Math.max(least, value));
-}
-
 function median(values: readonly number[]): number {
   const sorted = [...values].sort((left, right) => left - right);
   const upper = sorted[Math.floor(sorted.length / 2)] ?? 0;
@@ -174,7 +171,7 @@
 
 /** What was told fades towards the usual, since it says less of each later moment. */
 function factorNow({ factor, atMs }: Pick<Moment, 'factor' | 'atMs'>, nowMs: number): number {
-  const validShare = clamp(1 - (nowMs - atMs) / MOMENT_VALID_MS, 0, 1);
+  const validShare = clamps.clamp(1 - (nowMs - atMs) / MOMENT_VALID_MS, 0, 1);
   return 1 + (factor - 1) * validShare;
 }
 
@@ -222,7 +219,7 @@
 }
 
 function withoutNoise(deviationLog: number): number {
-  const share = clamp((Math.abs(deviationLog) - NOISE_LOG) / (CLEAR_LOG - NOISE_LOG), 0, 1);
+  const share = clamps.clamp((Math.abs(deviationLog) - NOISE_LOG) / (CLEAR_LOG - NOISE_LOG), 0, 1);
   return deviationLog * share;
 }
 
@@ -319,7 +316,7 @@
   /** What its answers took beyond what it tells. */
   function learntSlowness(entry: Entry, nowMs: number): number {
     const log = withoutNoise(deviationLog(entry, nowMs));
-    return clamp(Math.exp(log), LEAST_SLOWNESS, MOST_SLOWNESS);
+    return clamps.clamp(Math.exp(log), LEAST_SLOWNESS, MOST_SLOWNESS);
   }
 
   function slownessOf(entry: Entry, nowMs: number): number {
@@ -331,7 +328,10 @@
     if (!isRecent(entry.told, nowMs) || !isTrusted(entry, nowMs)) return null;
     const { factor } = entry.told;
     const commonFactor = usualOf(entry, nowMs) * Math.exp(commonOf(entry, nowMs).momentLog);
-    return { ...entry.told, factor: clamp(factor / commonFactor, LEAST_FACTOR, MOST_FACTOR) };
+    return {
+      ...entry.told,
+      factor: clamps.clamp(factor / commonFactor, LEAST_FACTOR, MOST_FACTOR),
+    };
   }
 
   /** The later of what it reported and what its streams showed. */
@@ -382,7 +382,7 @@
   function learn(entry: Entry, ratio: number, nowMs: number): void {
     const expectedLog = deviationLog(entry, nowMs);
     const range = Math.log(SAMPLE_RANGE);
-    const sampleLog = clamp(Math.log(ratio), expectedLog - range, expectedLog + range);
+    const sampleLog = clamps.clamp(Math.log(ratio), expectedLog - range, expectedLog + range);
     const sampleWeight = sampleLog > expectedLog ? LATE_WEIGHT : 1;
     const kept = KEPT_SHARE * faded(1, entry.answeredMs, nowMs);
     entry.logSum = kept * entry.logSum + sampleWeight * sampleLog;
@@ -414,7 +414,7 @@
       const { runningCount, waitingCount, slots, momentFactor } = word;
       entry.load = { runningCount, waitingCount, slots, atMs: nowMs };
       if (momentFactor === null || !(momentFactor > 0)) return;
-      const factor = clamp(momentFactor, LEAST_FACTOR, MOST_FACTOR);
+      const factor = clamps.clamp(momentFactor, LEAST_FACTOR, MOST_FACTOR);
       if (isTrusted(entry, nowMs)) entry.usualTold.told(factor, nowMs);
       if (entry.service !== null) sharedServices.add(entry.service);
       if (isClearly(factor / usualOf(entry, nowMs))) entry.clearMs = nowMs;
@@ -470,7 +470,7 @@
     heard: (upstreamId, { slownessLog, answerCount }, nowMs) => {
       if (!Number.isFinite(slownessLog) || !(answerCount >= 0)) return;
       const least = Math.log(LEAST_SLOWNESS);
-      const others = { slownessLog: clamp(slownessLog, least, -least), answerCount };
+      const others = { slownessLog: clamps.clamp(slownessLog, least, -least), answerCount };
       entryOf(upstreamId).others = { ...others, atMs: nowMs };
     },
     isShared: (upstreamId) => {
@@ -492,7 +492,7 @@
     heardMoment: (upstreamId, factor, atMs, nowMs) => {
       const entry = entryOf(upstreamId);
       if (!(factor > 0) || atMs > nowMs || (entry.told !== null && entry.told.atMs >= atMs)) return;
-      const told = clamp(factor * usualOf(entry, nowMs), LEAST_FACTOR, MOST_FACTOR);
+      const told = clamps.clamp(factor * usualOf(entry, nowMs), LEAST_FACTOR, MOST_FACTOR);
       if (isClearly(factor)) entry.clearMs = nowMs;
       entry.told = { factor: told, atMs, heardAtMs: nowMs };
     },
--- a/packages/gateway/src/testing/plain-fleet.ts
+++ b/packages/gateway/src/testing/plain-fleet.ts
@@ -122,7 +122,7 @@
 const FAILS_ONE_IN = 7;
 /** As by `urgency.enginePriority`. */
 const LATE_STEPS = 2;
-/** As `serve.ts` gives up a silent attempt that may be repeated. */
+/** As `attempt-sender.ts` gives up a silent attempt that may be repeated. */
 const SILENT_MIN_MS = 250;
 const SILENT_FACTOR = 8;
 const NETWORK_MS = 1;
--- a/packages/gateway/src/testing/scarcity-fleet.ts
+++ b/packages/gateway/src/testing/scarcity-fleet.ts
@@ -12,10 +12,9 @@
 import * as queueLimits from '../shared/queue-limits.js';
 import * as retryTimes from '../shared/retry-times.js';
 import * as tokenShares from '../shared/token-shares.js';
-import * as upstreamBeliefs from '../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../shared/upstream-choice.js';
-import * as upstreamStates from '../shared/upstream-states.js';
 import * as urgency from '../shared/urgency.js';
+import * as candidateFixtures from './candidates.js';
 
 export type RequestClass = {
   name: string;
@@ -146,8 +145,6 @@
 const LEAST_RETRY_MS = 100;
 /** What happens in the play is drawn apart from the arrivals. */
 const SEED_STEP = 1_000;
-const STATE = upstreamStates.createUpstreamStates().state('nobody', 0);
-const BELIEF = upstreamBeliefs.createUpstreamBeliefs().belief('any', 0);
 
 /** Between half and one and a half times the mean. */
 function around(random: randoms.Random, mean: number): number {
@@ -262,26 +259,14 @@
       boundsLate: load.spreadsReturns,
     });
     const objectiveLeftMs = request.askedAtMs + request.of.latencyObjectiveMs - nowMs;
-    const candidates = engines.map(({ id }): upstreamChoice.Candidate => {
+    const candidates = engines.map(({ id }) => {
       const ahead = gateway.inFlight.ahead(id, priority, nowMs, readMs(gateway));
-      return {
-        upstreamId: id,
-        failureDomain: 'north',
-        slots: load.slots,
+      return candidateFixtures.createCandidate(id, load.slots, {
         inFlightCount: ahead.inFlightCount,
         ownInFlightCount: gateway.inFlight.ownCount(id),
         urgentCount: ahead.urgentCount,
         readAheadMs: ahead.readMs,
-        cachedTokens: 0,
-        belief: BELIEF,
-        state: STATE,
-        places: null,
-        ownShare: 1,
-        copy: 'ready',
-        blockedForMs: 0,
-        closed: null,
-        isLimited: false,
-      };
+      });
     });
     const wasHeld = request.heldAtMs !== null;
     const choice = upstreamChoice.chooseUpstream(
