--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -42,11 +42,15 @@
 function describeChange(change: stores.Change<fleet.UpstreamRecord>) {
   switch (change.kind) {
     case 'written':
-      return { upstreamId: change.record.value.upstreamId, state: change.record.value.state };
+      return {
+        upstreamId: change.record.value.upstreamId,
+        state: change.record.value.state,
+        revision: change.record.revision,
+      };
     case 'unreadable':
-      return { upstreamId: change.name, state: 'unreadable' };
+      return { upstreamId: change.name, state: 'unreadable', revision: change.revision };
     case 'deleted':
-      return { upstreamId: change.name, state: 'gone' };
+      return { upstreamId: change.name, state: 'gone', revision: change.revision };
   }
 }
 
@@ -130,14 +134,17 @@
       else log.info('list-feed-ended', { fedMs });
     },
     onListing: (listing) => {
-      directory.applyListing(listing, clock.nowMs());
+      const before = directory.revision();
+      const isTaken = directory.applyListing(listing, clock.nowMs());
       hasListing = true;
-      log.info('upstreams-listed', { count: listing.records.length, revision: listing.revision });
+      const { records, revision } = listing;
+      log.info('upstreams-listed', { count: records.length, revision, before, isTaken });
       afterDirectoryChange();
     },
     onChange: (change) => {
-      directory.applyChange(change, clock.nowMs());
-      log.info('upstream-changed', { ...describeChange(change), revision: directory.revision() });
+      const before = directory.revision();
+      const isTaken = directory.applyChange(change, clock.nowMs());
+      log.info('upstream-changed', { ...describeChange(change), source: 'watch', before, isTaken });
       afterDirectoryChange();
     },
     onRegained: (awayMs) => {
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -176,8 +176,10 @@
       const listing = JSON.parse(
         reply.upstreams.toString('utf8'),
       ) as stores.Listing<fleet.UpstreamRecord>;
-      directory.applyListing(listing, clock.nowMs());
-      deps.log.info('upstreams-learned', { source, revision: listing.revision });
+      const before = directory.revision();
+      const isTaken = directory.applyListing(listing, clock.nowMs());
+      const { revision } = listing;
+      deps.log.info('upstreams-learned', { source, revision, before, isTaken });
       deps.onUpstreamsLearned();
     }
   }
@@ -205,8 +207,9 @@
     const { members } = reply;
     if (members !== undefined && members.revision > 0) {
       const told = newsCodec.fromMembersNews(members);
-      directory.applyMembers(told, nowMs);
-      logMembers(told);
+      const before = directory.revision();
+      const taken = directory.applyMembers(told, nowMs);
+      logMembers(told, { source: reply.news?.gatewayId ?? HOLDER_SOURCE, before, taken });
       if (told.written.length > 0 || told.removed.length > 0) deps.onUpstreamsLearned();
     }
     const basis =
@@ -214,12 +217,18 @@
     deps.listFeed.heard({ isListLive: reply.news?.isListLive === true, basis }, nowMs);
   }
 
-  function logMembers({ written, removed, revision }: directories.Members): void {
-    written.forEach(({ value: { upstreamId, state } }) => {
-      deps.log.info('upstream-changed', { upstreamId, state, revision });
+  function logMembers(
+    { written, removed }: directories.Members,
+    { source, before, taken }: { source: string; before: number; taken: ReadonlySet<string> },
+  ): void {
+    written.forEach(({ name, revision, value: { upstreamId, state } }) => {
+      const isTaken = taken.has(name);
+      deps.log.info('upstream-changed', { upstreamId, state, source, revision, before, isTaken });
     });
-    removed.forEach(({ name }) => {
-      deps.log.info('upstream-changed', { upstreamId: name, state: 'gone', revision });
+    removed.forEach(({ name, revision }) => {
+      const gone = { upstreamId: name, state: 'gone' };
+      const isTaken = taken.has(name);
+      deps.log.info('upstream-changed', { ...gone, source, revision, before, isTaken });
     });
   }
 
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -9,9 +9,10 @@
 type UpstreamStored = stores.StoredRecord<fleet.UpstreamRecord>;
 
 export type UpstreamDirectory = {
-  /** Takes over a whole listing; one that is older than what is known changes nothing. */
-  applyListing: (listing: stores.Listing<fleet.UpstreamRecord>, nowMs: number) => void;
-  applyChange: (change: stores.Change<fleet.UpstreamRecord>, nowMs: number) => void;
+  /** Takes over a whole listing; one that is older than what is known changes nothing. Says whether it was taken. */
+  applyListing: (listing: stores.Listing<fleet.UpstreamRecord>, nowMs: number) => boolean;
+  /** Says whether it was taken: what is older than what is known is not. */
+  applyChange: (change: stores.Change<fleet.UpstreamRecord>, nowMs: number) => boolean;
   /** The store answers again after it was away: what it lacks may still come back for a while. */
   storeRegained: (nowMs: number) => void;
   /** The upstream itself said that it is not the one that was meant. */
@@ -31,8 +32,8 @@
   membersAfter: (version: number, nowMs: number) => Members;
   /** What one lacks that has the platform's list as of `revision`. */
   membersAfterRevision: (revision: number, nowMs: number) => Members;
-  /** Takes over what another gateway's list has and this one lacks. */
-  applyMembers: (members: Members, nowMs: number) => void;
+  /** Takes over what another gateway's list has and this one lacks; returns the names of what was taken. */
+  applyMembers: (members: Members, nowMs: number) => ReadonlySet<string>;
   listing: () => stores.Listing<fleet.UpstreamRecord>;
 };
 
@@ -109,11 +110,11 @@
     forget(name);
   }
 
-  function write(record: UpstreamStored): void {
+  function write(record: UpstreamStored): boolean {
     const before = known.get(record.name);
-    if (before === undefined && record.revision <= listedRevision) return;
-    if (before !== undefined && before.stored.revision > record.revision) return;
-    if ((deletedRevisions.get(record.name) ?? -1) >= record.revision) return;
+    if (before === undefined && record.revision <= listedRevision) return false;
+    if (before !== undefined && before.stored.revision > record.revision) return false;
+    if ((deletedRevisions.get(record.name) ?? -1) >= record.revision) return false;
     const beforeId = before?.stored.value.upstreamId;
     const { upstreamId } = record.value;
     if (beforeId !== undefined) names.delete(beforeId);
@@ -121,6 +122,7 @@
     names.set(upstreamId, record.name);
     members.put(record.name, record);
     if (beforeId !== undefined && beforeId !== upstreamId) onRestarted(beforeId, record.value);
+    return true;
   }
 
   function remove(name: string, atRevision: number, nowMs: number): void {
@@ -135,12 +137,13 @@
    * Failure: another writer replaces an upstream's entry. Symptom: the entry from before is believed for as long
    * as the new one stands. The upstream's own next heartbeat brings it back, so no grace is needed.
    */
-  function discard(record: stores.UnreadableRecord): void {
-    if ((known.get(record.name)?.stored.revision ?? 0) > record.revision) return;
+  function discard(record: stores.UnreadableRecord): boolean {
+    if ((known.get(record.name)?.stored.revision ?? 0) > record.revision) return false;
     deletedRevisions.set(record.name, record.revision);
     const before = known.get(record.name);
     if (before !== undefined) before.goneRevision = record.revision;
     forgetRemoved(record.name);
+    return true;
   }
 
   function isGone(entry: Known, nowMs: number): boolean {
@@ -161,21 +164,20 @@
     return name === undefined ? undefined : known.get(name)?.stored.value;
   }
 
-  function applyChange(change: stores.Change<fleet.UpstreamRecord>, nowMs: number): void {
+  function applyChange(change: stores.Change<fleet.UpstreamRecord>, nowMs: number): boolean {
     switch (change.kind) {
       case 'written':
         revision = Math.max(revision, change.record.revision);
-        write(change.record);
-        return;
+        return write(change.record);
       case 'unreadable':
         revision = Math.max(revision, change.revision);
-        discard(change);
-        return;
+        return discard(change);
       case 'deleted':
         revision = Math.max(revision, change.revision);
-        if ((known.get(change.name)?.stored.revision ?? 0) > change.revision) return;
+        if ((known.get(change.name)?.stored.revision ?? 0) > change.revision) return false;
         deletedRevisions.set(change.name, change.revision);
         remove(change.name, change.revision, nowMs);
+        return true;
     }
   }
 
@@ -190,7 +192,7 @@
 
   return {
     applyListing: (listing, nowMs) => {
-      if (listing.revision < revision) return;
+      if (listing.revision < revision) return false;
       revision = listing.revision;
       const listed = new Set(listing.records.map((record) => record.name));
       listing.records.forEach(write);
@@ -199,6 +201,7 @@
       for (const name of [...known.keys()])
         if (!listed.has(name)) remove(name, listing.revision, nowMs);
       sweep(nowMs);
+      return true;
     },
     applyChange,
     storeRegained: (nowMs) => {
@@ -253,8 +256,13 @@
       };
     },
     applyMembers: (told, nowMs) => {
-      told.written.forEach((record) => applyChange({ kind: 'written', record }, nowMs));
-      told.removed.forEach((removed) => applyChange({ kind: 'deleted', ...removed }, nowMs));
+      const taken = new Set<string>();
+      told.written.forEach((record) => {
+        if (applyChange({ kind: 'written', record }, nowMs)) taken.add(record.name);
+      });
+      told.removed.forEach((removed) => {
+        if (applyChange({ kind: 'deleted', ...removed }, nowMs)) taken.add(removed.name);
+      });
       if (told.isWhole) {
         const listed = new Set(told.written.map(({ name }) => name));
         for (const [name, { stored }] of [...known]) {
@@ -263,6 +271,7 @@
         }
       }
       revision = Math.max(revision, told.revision);
+      return taken;
     },
     listing: () => ({
       records: [...known.values()].map((entry) => entry.stored),
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -35,9 +35,18 @@
   stopped: { openCallCount: number };
   'settings-changed': { inForceFrom: string };
   'config-in-force': { configVersion: number; before: number; source: string };
-  'upstreams-listed': { count: number; revision: number };
-  'upstreams-learned': { source: string; revision: number };
-  'upstream-changed': { upstreamId: string; state: string; revision: number };
+  /** `before`: the revision known until then. One that is not taken is older than that. */
+  'upstreams-listed': { count: number; revision: number; before: number; isTaken: boolean };
+  'upstreams-learned': { source: string; revision: number; before: number; isTaken: boolean };
+  /** `source`: the store's watch, or the gateway that told. `revision`: of the change; `before`: known until then. */
+  'upstream-changed': {
+    upstreamId: string;
+    state: string;
+    source: string;
+    revision: number;
+    before: number;
+    isTaken: boolean;
+  };
   /** The platform lists another start under the same name: all that was believed of the one before is dropped. */
   'upstream-restarted': { beforeId: string; upstreamId: string; address: string };
   /** It broke attempts in a row: new requests go elsewhere until a single one has shown that it answers. */
