--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -38,7 +38,7 @@
       openCallCount: parts.openCalls.count(),
       configVersion: configuration.version(),
       configAgeMs: configuration.ageMs(),
-      upstreamsRevision: directory.revision(),
+      storePosition: directory.position(),
       upstreamCount: upstreams.length,
       avoidedCount: avoided.length,
       speeds: parts.states.counts(nowMs),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -15,6 +15,7 @@
 import * as stops from './server/health/stop.js';
 import type * as fleet from './types/fleet.js';
 import type * as logEvents from './types/log-events.js';
+import * as storePositions from './shared/store-positions.js';
 import * as deadlineNorms from './shared/deadline-norms.js';
 import * as watchPauses from './shared/watch-pauses.js';
 import type * as partTypes from './types/parts.js';
@@ -45,12 +46,16 @@
       return {
         upstreamId: change.record.value.upstreamId,
         state: change.record.value.state,
-        revision: change.record.revision,
+        position: storePositions.format(change.record),
       };
     case 'unreadable':
-      return { upstreamId: change.name, state: 'unreadable', revision: change.revision };
+      return {
+        upstreamId: change.name,
+        state: 'unreadable',
+        position: storePositions.format(change),
+      };
     case 'deleted':
-      return { upstreamId: change.name, state: 'gone', revision: change.revision };
+      return { upstreamId: change.name, state: 'gone', position: storePositions.format(change) };
   }
 }
 
@@ -124,25 +129,29 @@
     cradle.upstreamLimits.retain(ids, clock.nowMs());
   }
 
+  function describePosition(): string {
+    return storePositions.format(directory.position());
+  }
+
   const upstreamFollower = followers.createFollower({
     ...common,
     kind: 'upstreams',
     pauseMs: upstreamPauseMs,
     isFed,
     onFed: (isFedNow, fedMs) => {
-      if (isFedNow) log.info('list-feed-began', { revision: directory.revision() });
+      if (isFedNow) log.info('list-feed-began', { position: describePosition() });
       else log.info('list-feed-ended', { fedMs });
     },
     onListing: (listing) => {
-      const before = directory.revision();
+      const before = describePosition();
       const isTaken = directory.applyListing(listing, clock.nowMs());
       hasListing = true;
-      const { records, revision } = listing;
-      log.info('upstreams-listed', { count: records.length, revision, before, isTaken });
+      const position = storePositions.format(listing);
+      log.info('upstreams-listed', { count: listing.records.length, position, before, isTaken });
       afterDirectoryChange();
     },
     onChange: (change) => {
-      const before = directory.revision();
+      const before = describePosition();
       const isTaken = directory.applyChange(change, clock.nowMs());
       log.info('upstream-changed', { ...describeChange(change), source: 'watch', before, isTaken });
       afterDirectoryChange();
--- a/packages/gateway/src/server/control/follower.test.ts
+++ b/packages/gateway/src/server/control/follower.test.ts
@@ -20,18 +20,25 @@
     calls: 0,
     names: ['u1'],
     listedNames: [] as string[],
+    era: 0,
+    /** All answers are of the era before the latest. */
+    isBehind: false,
   };
   const records = memoryRecords.createMemoryRecords();
   const store: stores.RecordStore = {
     ...records,
+    era: () => (state.isBehind ? state.era + 1 : state.era),
     list: () => {
       state.calls += 1;
       const listed = state.names.map((name) => ({
         name,
+        era: state.era,
         revision: 3,
         value: fixtures.upstreamRecord(name),
       }));
-      return Promise.resolve(results.Ok({ records: listed, unreadable: [], revision: 3 }) as never);
+      return Promise.resolve(
+        results.Ok({ records: listed, unreadable: [], era: state.era, revision: 3 }) as never,
+      );
     },
     // Nothing changes while it waits. What has been asked while the store is silent is never answered.
     watch: async (_kind, _revision, _waitMs, deadlineMs) => {
@@ -41,7 +48,7 @@
         return results.Err({ kind: 'unavailable', reason: 'deadline' });
       }
       await clocks.sleepUntil(clock, clock.nowMs() + answersAfterMs);
-      return results.Ok({ changes: [], revision: 3 });
+      return results.Ok({ changes: [], era: state.era, revision: 3 });
     },
   };
   const follower = followers.createFollower({
@@ -99,4 +106,32 @@
   follower.stop();
 });
 
+// Failure: a watch goes on after a revision that the store has given out again, and what was written before it is missed.
+test('a watch that is answered in a later era is followed by a listing', async () => {
+  const { clock, state, follower } = createRig();
+  follower.start();
+  await clock.advance(1_500);
+  assert.equal(state.listedNames, ['u1']);
+  state.era = 1;
+  state.names = ['u1', 'u7'];
+  await clock.advance(1_000);
+  assert.equal(state.listedNames, ['u1', 'u7']);
+  follower.stop();
+});
+
+// Failure: answers of an earlier era are taken for the present list, or asked for again without a pause.
+test('answers of an earlier era are not taken, and the store is not flooded for better ones', async () => {
+  const { clock, state, follower } = createRig();
+  follower.start();
+  await clock.advance(1_500);
+  state.names = ['u9'];
+  const { calls } = state;
+  state.isBehind = true;
+  await clock.advance(5_000);
+  assert.equal(state.listedNames, ['u1']);
+  assert.not(follower.isConnected());
+  assert.ok(state.calls - calls < 20, `${state.calls - calls} calls`);
+  follower.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -2,6 +2,7 @@
 import { clocks } from '@copperlever/runtime';
 import type { randoms, results } from '@copperlever/runtime';
 
+import * as storePositions from '../../shared/store-positions.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
 
@@ -44,25 +45,32 @@
 const FIRST_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1_000;
 
+/** What was asked before the store went away and is answered after its return says nothing of it. */
+const EARLIER_ERA: stores.StoreError = { kind: 'unavailable', reason: 'answer of an earlier era' };
+
 type Step = 'ok' | 'changed' | 'failed' | 'list-again';
 
 export function createFollower<K extends stores.Kind>(options: FollowerOptions<K>): Follower {
   const { kind, store, clock, log } = options;
   const stopping = new AbortController();
   let renewWaiting: () => void = () => {};
-  let revision: number | null = null;
+  let position: storePositions.Position | null = null;
   let lostAtMs: number | null = null;
   let failureCount = 0;
   /** Until when the latest answer shows that the store is followed. */
   let liveUntilMs = -Infinity;
 
+  function describePosition(): string | undefined {
+    return position === null ? undefined : storePositions.format(position);
+  }
+
   function noteFailure(error: stores.StoreError): Step {
     failureCount += 1;
     liveUntilMs = -Infinity;
     if (lostAtMs === null) {
       lostAtMs = clock.nowMs();
       const reason = 'reason' in error ? error.reason : '';
-      log.warn('store-lost', { kind, error: error.kind, reason, revision });
+      log.warn('store-lost', { kind, error: error.kind, reason, position: describePosition() });
     }
     return error.kind === 'history-gone' ? 'list-again' : 'failed';
   }
@@ -73,45 +81,54 @@
     if (lostAtMs === null) return;
     const awayMs = clock.nowMs() - lostAtMs;
     lostAtMs = null;
-    log.info('store-regained', { kind, awayMs: Math.round(awayMs), revision });
+    const rounded = Math.round(awayMs);
+    log.info('store-regained', { kind, awayMs: rounded, position: describePosition() });
     options.onRegained(awayMs);
   }
 
   async function list(): Promise<Step> {
     const listed = await store.list(kind, clock.nowMs() + LIST_TIMEOUT_MS);
     if (listed.err) return noteFailure(listed.val);
+    if (listed.val.era < store.era()) return noteFailure(EARLIER_ERA);
     noteSuccess();
-    revision = listed.val.revision;
+    position = listed.val;
     options.onListing(listed.val);
     return 'ok';
   }
 
-  async function watch(afterRevision: number): Promise<Step> {
+  async function watch(after: storePositions.Position): Promise<Step> {
     // What is asked while the store is silent is not answered after its return either.
     const waitMs = lostAtMs === null ? options.waitMs() : Math.min(LOST_WAIT_MS, options.waitMs());
     const deadlineMs = clock.nowMs() + waitMs + WATCH_GRACE_MS;
     const renewed = new Promise<'renewed'>((resolve) => {
       renewWaiting = () => resolve('renewed');
     });
-    const watched = store.watch(kind, afterRevision, waitMs, deadlineMs);
+    const watched = store.watch(kind, after.revision, waitMs, deadlineMs);
     const first = await Promise.race([watched, renewed]);
     if (first === 'renewed') return 'list-again';
-    return takeChanges(first);
+    return takeChanges(first, after);
   }
 
   function takeChanges(
     watched: results.Result<stores.Changes<stores.KindValues[K]>, stores.StoreError>,
+    after: storePositions.Position,
   ): Step {
     if (watched.err) return noteFailure(watched.val);
+    if (watched.val.era < store.era()) {
+      position = null;
+      return noteFailure(EARLIER_ERA);
+    }
     noteSuccess();
+    // There the revision that was asked for means another change.
+    if (watched.val.era > after.era) return 'list-again';
     watched.val.changes.forEach(options.onChange);
-    revision = watched.val.revision;
+    position = watched.val;
     return watched.val.changes.length > 0 ? 'changed' : 'ok';
   }
 
   /** Rests while others tell of changes. Those of that time are listed: as events they may be gone from the history. */
   async function awaitOwnTurn(): Promise<void> {
-    if (revision === null || !options.isFed()) return;
+    if (position === null || !options.isFed()) return;
     const startedMs = clock.nowMs();
     liveUntilMs = -Infinity;
     options.onFed(true, 0);
@@ -119,15 +136,15 @@
       await clocks.sleepUntil(clock, clock.nowMs() + FED_STEP_MS, stopping.signal);
     }
     options.onFed(false, Math.round(clock.nowMs() - startedMs));
-    revision = null;
+    position = null;
   }
 
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
       await awaitOwnTurn();
       if (stopping.signal.aborted) return;
-      const step = revision === null ? await list() : await watch(revision);
-      if (step === 'list-again') revision = null;
+      const step = position === null ? await list() : await watch(position);
+      if (step === 'list-again') position = null;
       const pauseMs = step === 'changed' ? options.pauseMs() : 0;
       if (pauseMs > 0) {
         await clocks.sleepUntil(clock, clock.nowMs() + pauseMs, stopping.signal);
--- a/packages/gateway/src/server/forwarding/router.test.ts
+++ b/packages/gateway/src/server/forwarding/router.test.ts
@@ -57,7 +57,7 @@
   const directory = directories.createUpstreamDirectory();
   const value = fixtures.upstreamRecord('u1', { slots: SLOTS });
   directory.applyListing(
-    { records: [{ name: 'u1', revision: 1, value }], unreadable: [], revision: 1 },
+    { records: [{ name: 'u1', era: 0, revision: 1, value }], unreadable: [], era: 0, revision: 1 },
     0,
   );
   const inFlight = inFlightModule.createInFlight();
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -13,6 +13,7 @@
 import * as beliefsModule from '../../shared/upstream-beliefs.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
 import type * as upstreamPauses from '../../shared/upstream-pauses.js';
+import * as storePositions from '../../shared/store-positions.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import * as urgency from '../../shared/urgency.js';
 import type * as calls from '../../types/calls.js';
@@ -309,7 +310,7 @@
       predictedMs: choice.kind === 'overloaded' ? Math.round(choice.predictedMs) : undefined,
       queueLimitMs: Math.round(queueLimitMs(call, run)),
       gaveWay: choice.kind === 'overloaded' ? (run.gaveWay ?? undefined) : undefined,
-      upstreamsRevision: directory.revision(),
+      upstreamsPosition: storePositions.format(directory.position()),
       placementTerm: basis.term,
       placementVersion: basis.version,
       placementAgeMs: Math.round(basis.ageMs),
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -61,8 +61,8 @@
     },
   };
   const list = (records: readonly fleet.UpstreamRecord[], revision: number) => {
-    const stored = records.map((value) => ({ name: value.name, revision, value }));
-    directory.applyListing({ records: stored, unreadable: [], revision }, clock.nowMs());
+    const stored = records.map((value) => ({ name: value.name, era: 0, revision, value }));
+    directory.applyListing({ records: stored, unreadable: [], era: 0, revision }, clock.nowMs());
   };
   list([upstream.record], 1);
   const asked: turnsModule.TurnQuestion[] = [];
--- a/packages/gateway/src/server/forwarding/upstream-words.ts
+++ b/packages/gateway/src/server/forwarding/upstream-words.ts
@@ -1,6 +1,7 @@
 /** What upstreams say of themselves in the heads of their answers, taken over and logged. */
 import type { clocks } from '@copperlever/runtime';
 
+import * as storePositions from '../../shared/store-positions.js';
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as upstreamPauses from '../../shared/upstream-pauses.js';
 import type * as upstreamLimitsModule from '../../shared/upstream-limits.js';
@@ -15,7 +16,7 @@
   upstreamLimits: upstreamLimitsModule.UpstreamLimits;
   pauses: upstreamPauses.UpstreamPauses;
   states: Pick<upstreamStates.UpstreamStates, 'told' | 'reported' | 'reportedLoad'>;
-  directory: Pick<directories.UpstreamDirectory, 'noteLeaving' | 'revision'>;
+  directory: Pick<directories.UpstreamDirectory, 'noteLeaving' | 'position'>;
 };
 
 /** Where a word came from: `source` is a request's id. */
@@ -65,8 +66,8 @@
   function noteLeaving(upstreamId: string, source: string): void {
     const isNew = deps.directory.noteLeaving(upstreamId, clock.nowMs());
     if (!isNew) return;
-    const upstreamsRevision = deps.directory.revision();
-    log.info('upstream-leaving', { upstreamId, source, upstreamsRevision });
+    const upstreamsPosition = storePositions.format(deps.directory.position());
+    log.info('upstream-leaving', { upstreamId, source, upstreamsPosition });
   }
 
   function notePause(upstreamId: string, pauseMs: number, source: string): void {
--- a/packages/gateway/src/server/metrics/measured-store.ts
+++ b/packages/gateway/src/server/metrics/measured-store.ts
@@ -9,7 +9,7 @@
   metrics: Pick<metricsModule.GatewayMetrics, 'storeCalled'>,
 ): stores.RecordStore {
   async function counted<Value>(
-    call: keyof stores.RecordStore,
+    call: Exclude<keyof stores.RecordStore, 'era'>,
     pending: Promise<results.Result<Value, stores.StoreError>>,
   ): Promise<results.Result<Value, stores.StoreError>> {
     const result = await pending;
@@ -18,6 +18,7 @@
   }
 
   return {
+    era: store.era,
     list: (...args) => counted('list', store.list(...args)),
     watch: (...args) => counted('watch', store.watch(...args)),
     get: (...args) => counted('get', store.get(...args)),
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -12,7 +12,7 @@
   openCallCount: 3,
   configVersion: 12,
   configAgeMs: 2_500,
-  upstreamsRevision: 40,
+  storePosition: { era: 0, revision: 40 },
   upstreamCount: 11,
   avoidedCount: 1,
   speeds: { slowCount: 2, disturbedCount: 3, distrustedCount: 0 },
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -3,6 +3,7 @@
 
 import * as prometheus from 'prom-client';
 
+import type * as storePositions from '../../shared/store-positions.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
@@ -17,7 +18,7 @@
   openCallCount: number;
   configVersion: number;
   configAgeMs: number | null;
-  upstreamsRevision: number;
+  storePosition: storePositions.Position;
   upstreamCount: number;
   avoidedCount: number;
   /** Of the upstreams' speeds. */
@@ -178,7 +179,12 @@
   gauge('config_age_seconds', 'Since the configuration came into force', () =>
     seconds(readings().configAgeMs),
   );
-  gauge('upstreams_revision', 'Revision of the list', () => readings().upstreamsRevision);
+  gauge('upstreams_revision', 'Revision of the list', () => readings().storePosition.revision);
+  gauge(
+    'store_era',
+    'Returns of the store from a copy, as of the list',
+    () => readings().storePosition.era,
+  );
   gauge('upstreams', 'Upstreams listed', () => readings().upstreamCount);
   gauge(
     'upstreams_avoided',
--- a/packages/gateway/src/server/peers/exchange-replies.ts
+++ b/packages/gateway/src/server/peers/exchange-replies.ts
@@ -5,6 +5,7 @@
 import type { gatewayPeer } from '@copperlever/protocol';
 
 import * as exchangePace from '../../shared/exchange-pace.js';
+import * as storePositions from '../../shared/store-positions.js';
 import * as newsCodec from './news-codec.js';
 import type * as exchanges from './exchange.js';
 
@@ -61,7 +62,7 @@
     const isKnown = news.knownMembersIncarnation === deps.incarnation;
     const members = isKnown
       ? directory.membersAfter(news.knownMembersVersion, nowMs)
-      : directory.membersAfterRevision(news.upstreamsRevision, nowMs);
+      : directory.membersAfterPosition(newsCodec.positionOf(news), nowMs);
     return newsCodec.toMembersNews(members, deps.incarnation);
   }
 
@@ -87,7 +88,8 @@
     if (isHolder && news !== undefined) noteTold(request, news, nowMs);
     const current = configuration.current();
     const hasNewerConfig = current !== null && current.config.version > (news?.configVersion ?? 0);
-    const hasNewerList = directory.revision() > (news?.upstreamsRevision ?? 0);
+    const knownAt = news === undefined ? storePositions.ORIGIN : newsCodec.positionOf(news);
+    const hasNewerList = storePositions.isAfter(directory.position(), knownAt);
     const mayWantList = news?.wantsUpstreams === true && hasNewerList;
     const placement = isHolder
       ? deps.placer.newsSince(news?.knownPlacementTerm ?? 0, news?.knownPlacementVersion ?? 0)
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -186,19 +186,19 @@
 test('a list that a peer has had for longer than the watch pauses is asked of the peer', async () => {
   const { clock, holder, follower } = createPair();
   holder.state.heldTerm = null;
-  const records = [{ name: 'u1', revision: 7, value: fixtures.upstreamRecord('u1') }];
-  holder.directory.applyListing({ records, unreadable: [], revision: 7 }, clock.nowMs());
+  const records = [{ name: 'u1', era: 0, revision: 7, value: fixtures.upstreamRecord('u1') }];
+  holder.directory.applyListing({ records, unreadable: [], era: 0, revision: 7 }, clock.nowMs());
   follower.exchange.start();
   await clock.advance(1_000);
-  assert.is(follower.directory.revision(), 0);
+  assert.is(follower.directory.position().revision, 0);
   await clock.advance(1_200);
-  assert.is(follower.directory.revision(), 7);
+  assert.is(follower.directory.position().revision, 7);
   assert.is(follower.directory.find('u1')?.upstreamId, 'u1');
   follower.exchange.stop();
 });
 
 function listed(name: string, revision: number, state: 'ready' | 'draining' = 'ready') {
-  return { name, revision, value: fixtures.upstreamRecord(name, { state }) };
+  return { name, era: 0, revision, value: fixtures.upstreamRecord(name, { state }) };
 }
 
 // Followers leave the watching to the holder. An upstream that leaves must get nothing new from them as soon as the
@@ -206,18 +206,21 @@
 test('followers get what changes in the list from the holder while its watch is answered', async () => {
   const { clock, holder, follower } = createPair();
   const records = [listed('u1', 7), listed('u2', 6)];
-  holder.directory.applyListing({ records, unreadable: [], revision: 7 }, clock.nowMs());
+  holder.directory.applyListing({ records, unreadable: [], era: 0, revision: 7 }, clock.nowMs());
   holder.state.isListLive = true;
   follower.exchange.start();
   await clock.advance(600);
-  assert.is(follower.directory.revision(), 7);
+  assert.is(follower.directory.position().revision, 7);
   assert.ok(follower.listFeed.isFed(clock.nowMs()));
   const record = listed('u1', 9, 'draining');
   holder.directory.applyChange({ kind: 'written', record }, clock.nowMs());
-  holder.directory.applyChange({ kind: 'deleted', name: 'u2', revision: 11 }, clock.nowMs());
+  holder.directory.applyChange(
+    { kind: 'deleted', name: 'u2', era: 0, revision: 11 },
+    clock.nowMs(),
+  );
   await clock.advance(600);
   assert.equal(follower.directory.eligible('pool', clock.nowMs()), []);
-  assert.is(follower.directory.revision(), 11);
+  assert.is(follower.directory.position().revision, 11);
   holder.state.isListLive = false;
   await clock.advance(600);
   assert.not(follower.listFeed.isFed(clock.nowMs()));
@@ -228,7 +231,7 @@
 test('what an upstream said to one gateway reaches the holder and all others', async () => {
   const { clock, holder, follower } = createPair();
   const records = [listed('u1', 7), listed('u2', 6)];
-  holder.directory.applyListing({ records, unreadable: [], revision: 7 }, clock.nowMs());
+  holder.directory.applyListing({ records, unreadable: [], era: 0, revision: 7 }, clock.nowMs());
   follower.directory.noteLeaving('u1', clock.nowMs());
   follower.upstreamLimits.answered('u2', { kind: 'named', perSecond: 2 }, 0, clock.nowMs());
   follower.exchange.start();
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -11,6 +11,7 @@
 import * as exchangePace from '../../shared/exchange-pace.js';
 import * as inFlightModule from '../../shared/in-flight.js';
 import type * as listFeeds from '../../shared/list-feed.js';
+import * as storePositions from '../../shared/store-positions.js';
 import * as listLag from '../../shared/list-lag.js';
 import type * as peerBooks from '../../shared/peer-book.js';
 import type * as demandCounters from '../../shared/placing/demand-counters.js';
@@ -112,7 +113,7 @@
   /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
   function wantsUpstreams(nowMs: number): boolean {
     if (!deps.isStoreConnected()) return true;
-    return lag.isLagging(directory.revision(), nowMs);
+    return lag.isLagging(directory.position(), nowMs);
   }
 
   function gatewayCount(nowMs: number): number {
@@ -123,12 +124,14 @@
     const nowMs = clock.nowMs();
     const lease = book.lease();
     const basis = deps.listFeed.basis();
+    const position = directory.position();
     return {
       gatewayId: deps.gatewayId,
       address: deps.address,
       incarnation: deps.incarnation,
       configVersion: configuration.version(),
-      upstreamsRevision: directory.revision(),
+      upstreamsRevision: position.revision,
+      storeEra: position.era,
       wantsUpstreams: wantsUpstreams(nowMs),
       lease: lease === null ? undefined : lease,
       gateways: tellsGateways ? [...book.heard(nowMs)] : [],
@@ -156,7 +159,7 @@
     if (news.isStopping) book.left(news.gatewayId);
     else book.heardFrom(news, nowMs);
     book.learned(news.gateways, nowMs);
-    lag.heard(news.upstreamsRevision, directory.revision(), nowMs);
+    lag.heard(newsCodec.positionOf(news), directory.position(), nowMs);
     if (news.lease !== undefined) book.noteLease(news.lease);
     deps.words.toldLeaving(news.leavingUpstreamIds, news.gatewayId);
     deps.words.toldLimits(news.limits.map(newsCodec.fromLimitNews), news.gatewayId);
@@ -176,10 +179,10 @@
       const listing = JSON.parse(
         reply.upstreams.toString('utf8'),
       ) as stores.Listing<fleet.UpstreamRecord>;
-      const before = directory.revision();
+      const before = storePositions.format(directory.position());
       const isTaken = directory.applyListing(listing, clock.nowMs());
-      const { revision } = listing;
-      deps.log.info('upstreams-learned', { source, revision, before, isTaken });
+      const position = storePositions.format(listing);
+      deps.log.info('upstreams-learned', { source, position, before, isTaken });
       deps.onUpstreamsLearned();
     }
   }
@@ -207,7 +210,7 @@
     const { members } = reply;
     if (members !== undefined && members.revision > 0) {
       const told = newsCodec.fromMembersNews(members);
-      const before = directory.revision();
+      const before = storePositions.format(directory.position());
       const taken = directory.applyMembers(told, nowMs);
       logMembers(told, { source: reply.news?.gatewayId ?? HOLDER_SOURCE, before, taken });
       if (told.written.length > 0 || told.removed.length > 0) deps.onUpstreamsLearned();
@@ -219,16 +222,24 @@
 
   function logMembers(
     { written, removed }: directories.Members,
-    { source, before, taken }: { source: string; before: number; taken: ReadonlySet<string> },
+    { source, before, taken }: { source: string; before: string; taken: ReadonlySet<string> },
   ): void {
-    written.forEach(({ name, revision, value: { upstreamId, state } }) => {
-      const isTaken = taken.has(name);
-      deps.log.info('upstream-changed', { upstreamId, state, source, revision, before, isTaken });
-    });
-    removed.forEach(({ name, revision }) => {
-      const gone = { upstreamId: name, state: 'gone' };
+    const changes = [
+      ...written.map((record) => {
+        const { upstreamId, state } = record.value;
+        return { upstreamId, state, name: record.name, at: record };
+      }),
+      ...removed.map((gone) => ({
+        upstreamId: gone.name,
+        state: 'gone',
+        name: gone.name,
+        at: gone,
+      })),
+    ];
+    changes.forEach(({ upstreamId, state, name, at }) => {
       const isTaken = taken.has(name);
-      deps.log.info('upstream-changed', { ...gone, source, revision, before, isTaken });
+      const position = storePositions.format(at);
+      deps.log.info('upstream-changed', { upstreamId, state, source, position, before, isTaken });
     });
   }
 
--- a/packages/gateway/src/server/peers/news-codec.ts
+++ b/packages/gateway/src/server/peers/news-codec.ts
@@ -11,6 +11,7 @@
 import type * as directories from '../../shared/upstream-directory.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as stores from '../../types/stores.js';
+import type * as storePositions from '../../shared/store-positions.js';
 
 export function toDemandNews(count: demandCounters.DemandCount): gatewayPeer.DemandNews {
   return { ...count, adapter: count.adapter ?? '' };
@@ -209,28 +210,46 @@
   };
 }
 
+/** Where the store stood with the sender's list of upstreams. */
+export function positionOf({
+  storeEra,
+  upstreamsRevision,
+}: gatewayPeer.GatewayNews): storePositions.Position {
+  return { era: storeEra, revision: upstreamsRevision };
+}
+
 export function toMembersNews(
   members: directories.Members,
   incarnation: number,
 ): gatewayPeer.MembersNews {
-  const { version, revision, isWhole, written, removed } = members;
+  const { version, era, revision, isWhole, written, removed } = members;
   return {
     incarnation,
     version,
+    storeEra: era,
     revision,
     isWhole,
     written: written.length === 0 ? Buffer.alloc(0) : Buffer.from(JSON.stringify(written)),
-    removed: [...removed],
+    removed: removed.map(({ name, era: storeEra, revision: at }) => ({
+      name,
+      storeEra,
+      revision: at,
+    })),
   };
 }
 
 export function fromMembersNews(news: gatewayPeer.MembersNews): directories.Members {
-  const { version, revision, isWhole, removed } = news;
+  const { version, storeEra, revision, isWhole } = news;
   const written =
     news.written.length === 0
       ? []
       : (JSON.parse(
           Buffer.from(news.written).toString('utf8'),
         ) as stores.StoredRecord<fleet.UpstreamRecord>[]);
-  return { version, revision, isWhole, written, removed };
+  const removed = news.removed.map((gone) => ({
+    name: gone.name,
+    era: gone.storeEra,
+    revision: gone.revision,
+  }));
+  return { version, era: storeEra, revision, isWhole, written, removed };
 }
--- a/packages/gateway/src/shared/list-lag.test.ts
+++ b/packages/gateway/src/shared/list-lag.test.ts
@@ -2,17 +2,22 @@
 import * as assert from 'uvu/assert';
 
 import * as listLag from './list-lag.js';
+import type * as storePositions from './store-positions.js';
 
 const test = suite('list lag');
 
+function at(revision: number): storePositions.Position {
+  return { era: 0, revision };
+}
+
 // The watch's connection has fallen silent; a peer has had a newer list for longer than the watch pauses.
 test('what a peer has had for longer than the pause is missing', () => {
   const lag = listLag.createListLag(1_500);
-  lag.heard(41, 40, 0);
-  lag.heard(44, 40, 1_000);
-  assert.not(lag.isLagging(40, 1_400));
-  assert.ok(lag.isLagging(40, 1_600));
-  assert.not(lag.isLagging(44, 1_600));
+  lag.heard(at(41), at(40), 0);
+  lag.heard(at(44), at(40), 1_000);
+  assert.not(lag.isLagging(at(40), 1_400));
+  assert.ok(lag.isLagging(at(40), 1_600));
+  assert.not(lag.isLagging(at(44), 1_600));
 });
 
 // Upstreams change all the time, so that a peer is nearly always a revision ahead. Were that lagging, each gateway
@@ -22,8 +27,8 @@
   for (let nowMs = 0; nowMs < 20_000; nowMs += 250) {
     const peerRevision = Math.floor(nowMs / 100) + 1;
     const ownRevision = Math.floor((nowMs - (nowMs % 1_250)) / 100);
-    lag.heard(peerRevision, ownRevision, nowMs);
-    assert.not(lag.isLagging(ownRevision, nowMs), `${nowMs}`);
+    lag.heard(at(peerRevision), at(ownRevision), nowMs);
+    assert.not(lag.isLagging(at(ownRevision), nowMs), `${nowMs}`);
   }
 });
 
@@ -31,11 +36,11 @@
 // stand for what is missing now.
 test('a lag is noticed again after an earlier one has passed', () => {
   const lag = listLag.createListLag(1_500);
-  lag.heard(41, 40, 0);
-  lag.heard(41, 41, 500);
-  lag.heard(60, 41, 10_000);
-  assert.not(lag.isLagging(41, 11_000));
-  assert.ok(lag.isLagging(41, 11_600));
+  lag.heard(at(41), at(40), 0);
+  lag.heard(at(41), at(41), 500);
+  lag.heard(at(60), at(41), 10_000);
+  assert.not(lag.isLagging(at(41), 11_000));
+  assert.ok(lag.isLagging(at(41), 11_600));
 });
 
 test.run();
--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -4,6 +4,7 @@
 import * as fixtures from '../testing/fleet-fixtures.js';
 import type * as stores from '../types/stores.js';
 import type * as fleet from '../types/fleet.js';
+import * as storePositions from './store-positions.js';
 import * as directories from './upstream-directory.js';
 
 const test = suite('upstream directory');
@@ -13,7 +14,7 @@
   revision: number,
   overrides: Partial<fleet.UpstreamRecord> = {},
 ): stores.StoredRecord<fleet.UpstreamRecord> {
-  return { name, revision, value: fixtures.upstreamRecord(name, overrides) };
+  return { name, era: 0, revision, value: fixtures.upstreamRecord(name, overrides) };
 }
 
 function ids(directory: directories.UpstreamDirectory, nowMs = 0): string[] {
@@ -23,7 +24,7 @@
 test('what drains gets nothing new from the moment that it is known', () => {
   const directory = directories.createUpstreamDirectory();
   directory.applyListing(
-    { records: [stored('u1', 3), stored('u2', 4)], unreadable: [], revision: 4 },
+    { records: [stored('u1', 3), stored('u2', 4)], unreadable: [], era: 0, revision: 4 },
     0,
   );
   const record = stored('u1', 5, { state: 'draining' });
@@ -35,11 +36,11 @@
 test('the own word of an upstream that leaves outlasts its entry; its next start is another one', () => {
   const directory = directories.createUpstreamDirectory();
   const records = [stored('u1', 3), stored('u2', 4)];
-  directory.applyListing({ records, unreadable: [], revision: 4 }, 0);
+  directory.applyListing({ records, unreadable: [], era: 0, revision: 4 }, 0);
   assert.ok(directory.noteLeaving('u1', 0));
   assert.not(directory.noteLeaving('u1', 10));
   assert.equal(ids(directory), ['u2']);
-  directory.applyChange({ kind: 'deleted', name: 'u1', revision: 5 }, 20);
+  directory.applyChange({ kind: 'deleted', name: 'u1', era: 0, revision: 5 }, 20);
   directory.applyChange({ kind: 'written', record: stored('u1', 6) }, 30);
   assert.equal(ids(directory), ['u2']);
   const nextStart = stored('u1', 7, { upstreamId: 'u1@2' });
@@ -65,11 +66,11 @@
 test('after an absence of the store what is missing stays for the grace, then goes', () => {
   const directory = directories.createUpstreamDirectory();
   directory.applyListing(
-    { records: [stored('u1', 3), stored('u2', 4)], unreadable: [], revision: 4 },
+    { records: [stored('u1', 3), stored('u2', 4)], unreadable: [], era: 0, revision: 4 },
     0,
   );
   directory.storeRegained(10_000);
-  directory.applyListing({ records: [], unreadable: [], revision: 9 }, 10_000);
+  directory.applyListing({ records: [], unreadable: [], era: 0, revision: 9 }, 10_000);
   assert.equal(ids(directory, 10_000), ['u1', 'u2']);
   directory.applyChange({ kind: 'written', record: stored('u2', 10) }, 11_000);
   const afterMs = 10_000 + directories.LAPSE_GRACE_MS;
@@ -80,16 +81,32 @@
 // that has gone must not come back by them: its address may belong to another service by now.
 test('changes older than a listing bring nothing back', () => {
   const directory = directories.createUpstreamDirectory();
-  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], revision: 3 }, 0);
-  directory.applyListing({ records: [], unreadable: [], revision: 9 }, 0);
+  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], era: 0, revision: 3 }, 0);
+  directory.applyListing({ records: [], unreadable: [], era: 0, revision: 9 }, 0);
   directory.applyChange({ kind: 'written', record: stored('u1', 7) }, 0);
   assert.equal(ids(directory), []);
 });
 
+// Failure: the store comes back from an older copy, and what is new there is dropped as older than what was known.
+test('what a store says in a later era goes before higher revisions of an earlier one', () => {
+  const directory = directories.createUpstreamDirectory();
+  const records = [stored('u1', 184), stored('u2', 90)];
+  directory.applyListing({ records, unreadable: [], era: 0, revision: 193 }, 0);
+  const again = records.map((record) => ({ ...record, era: 1, revision: 85 }));
+  assert.ok(directory.applyListing({ records: again, unreadable: [], era: 1, revision: 169 }, 0));
+  const record = { ...stored('u1', 170, { state: 'draining' }), era: 1 };
+  assert.ok(directory.applyChange({ kind: 'written', record }, 0));
+  assert.equal(ids(directory), ['u2']);
+  const late = { ...stored('u1', 400), era: 0 };
+  assert.not(directory.applyChange({ kind: 'written', record: late }, 0));
+  assert.equal(ids(directory), ['u2']);
+  assert.equal(directory.position(), { era: 1, revision: 170 });
+});
+
 test('an older listing changes nothing', () => {
   const directory = directories.createUpstreamDirectory();
-  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], revision: 9 }, 0);
-  directory.applyListing({ records: [stored('u2', 2)], unreadable: [], revision: 5 }, 0);
+  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], era: 0, revision: 9 }, 0);
+  directory.applyListing({ records: [stored('u2', 2)], unreadable: [], era: 0, revision: 5 }, 0);
   assert.equal(ids(directory), ['u1']);
 });
 
@@ -100,7 +117,7 @@
   const directory = directories.createUpstreamDirectory((beforeId, { upstreamId }) => {
     restarts.push(`${beforeId} ${upstreamId}`);
   });
-  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], revision: 3 }, 0);
+  directory.applyListing({ records: [stored('u1', 3)], unreadable: [], era: 0, revision: 3 }, 0);
   const record = stored('u1', 5, { upstreamId: 'u1@7' });
   directory.applyChange({ kind: 'written', record }, 0);
   assert.equal(ids(directory), ['u1@7']);
@@ -116,8 +133,8 @@
 test('an entry that became unreadable names no upstream; the others hold', () => {
   const directory = directories.createUpstreamDirectory();
   const records = [stored('u1', 3), stored('u2', 4)];
-  directory.applyListing({ records, unreadable: [], revision: 4 }, 0);
-  directory.applyChange({ kind: 'unreadable', name: 'u1', revision: 6 }, 0);
+  directory.applyListing({ records, unreadable: [], era: 0, revision: 4 }, 0);
+  directory.applyChange({ kind: 'unreadable', name: 'u1', era: 0, revision: 6 }, 0);
   assert.equal(ids(directory), ['u2']);
   directory.applyChange({ kind: 'written', record: stored('u1', 5) }, 0);
   assert.equal(ids(directory), ['u2']);
@@ -128,10 +145,10 @@
 test('an unreadable entry of a listing has no grace after an outage, unlike one that is missing', () => {
   const directory = directories.createUpstreamDirectory();
   const records = [stored('u1', 3), stored('u2', 4)];
-  directory.applyListing({ records, unreadable: [], revision: 4 }, 0);
+  directory.applyListing({ records, unreadable: [], era: 0, revision: 4 }, 0);
   directory.storeRegained(100);
-  const unreadable = [{ name: 'u1', revision: 8 }];
-  directory.applyListing({ records: [], unreadable, revision: 9 }, 100);
+  const unreadable = [{ name: 'u1', era: 0, revision: 8 }];
+  directory.applyListing({ records: [], unreadable, era: 0, revision: 9 }, 100);
   assert.equal(ids(directory, 100), ['u2']);
 });
 
@@ -139,7 +156,12 @@
 function createPair() {
   const holder = directories.createUpstreamDirectory();
   const follower = directories.createUpstreamDirectory();
-  const listing = { records: [stored('u1', 3), stored('u2', 4)], unreadable: [], revision: 4 };
+  const listing = {
+    records: [stored('u1', 3), stored('u2', 4)],
+    unreadable: [],
+    era: 0,
+    revision: 4,
+  };
   holder.applyListing(listing, 0);
   follower.applyListing(listing, 0);
   return { holder, follower };
@@ -164,17 +186,17 @@
 // A new holder knows nothing of what its followers were told before, but the revision of the list that they have.
 test('a follower of a new holder gets what has come and gone since its own list', () => {
   const { holder, follower } = createPair();
-  holder.applyChange({ kind: 'deleted', name: 'u1', revision: 6 }, 0);
+  holder.applyChange({ kind: 'deleted', name: 'u1', era: 0, revision: 6 }, 0);
   holder.applyChange({ kind: 'written', record: stored('u3', 7) }, 0);
-  const members = holder.membersAfterRevision(follower.revision(), 0);
+  const members = holder.membersAfterPosition(follower.position(), 0);
   assert.equal(
     members.written.map(({ name }) => name),
     ['u3'],
   );
   follower.applyMembers(members, 0);
   assert.equal(ids(follower), ['u2', 'u3']);
-  assert.is(follower.revision(), 7);
-  assert.equal(holder.membersAfterRevision(7, 0).written, []);
+  assert.is(follower.position().revision, 7);
+  assert.equal(holder.membersAfterPosition({ era: 0, revision: 7 }, 0).written, []);
 });
 
 // The holder lists anew after an absence, and an entry is missing from the listing: nobody has told of its removal.
@@ -182,11 +204,11 @@
   const { holder, follower } = createPair();
   const { version } = holder.membersAfter(0, 0);
   holder.storeRegained(1_000);
-  holder.applyListing({ records: [stored('u2', 4)], unreadable: [], revision: 9 }, 1_000);
+  holder.applyListing({ records: [stored('u2', 4)], unreadable: [], era: 0, revision: 9 }, 1_000);
   assert.equal(holder.membersAfter(version, 1_500).removed, []);
   const afterMs = 1_000 + directories.LAPSE_GRACE_MS;
   const members = holder.membersAfter(version, afterMs);
-  assert.equal(members.removed, [{ name: 'u1', revision: 9 }]);
+  assert.equal(members.removed, [{ name: 'u1', era: 0, revision: 9 }]);
   follower.applyMembers(members, afterMs);
   assert.equal(ids(follower, afterMs), ['u2']);
 });
@@ -194,11 +216,11 @@
 // A follower's own watch is ahead of what the holder tells.
 test('what the holder tells never brings back what is newer here', () => {
   const { holder, follower } = createPair();
-  follower.applyChange({ kind: 'deleted', name: 'u1', revision: 8 }, 0);
+  follower.applyChange({ kind: 'deleted', name: 'u1', era: 0, revision: 8 }, 0);
   follower.applyChange({ kind: 'written', record: stored('u2', 9, { state: 'draining' }) }, 0);
-  follower.applyMembers(holder.membersAfterRevision(0, 0), 0);
+  follower.applyMembers(holder.membersAfterPosition(storePositions.ORIGIN, 0), 0);
   assert.equal(ids(follower), []);
-  assert.is(follower.revision(), 9);
+  assert.is(follower.position().revision, 9);
 });
 
 test.run();
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -5,6 +5,7 @@
 import type * as fleet from '../types/fleet.js';
 import type * as stores from '../types/stores.js';
 import * as changeLedgers from './change-ledger.js';
+import * as storePositions from './store-positions.js';
 
 type UpstreamStored = stores.StoredRecord<fleet.UpstreamRecord>;
 
@@ -27,11 +28,12 @@
   /** The upstreams of a service that may get new work. */
   eligible: (service: string, nowMs: number) => readonly fleet.UpstreamRecord[];
   all: () => readonly fleet.UpstreamRecord[];
-  revision: () => number;
+  /** Where the store stood when it vouched for the list. */
+  position: () => storePositions.Position;
   /** What one lacks that has the changes up to `version`. */
   membersAfter: (version: number, nowMs: number) => Members;
-  /** What one lacks that has the platform's list as of `revision`. */
-  membersAfterRevision: (revision: number, nowMs: number) => Members;
+  /** What one lacks that has the platform's list as of `position`. */
+  membersAfterPosition: (position: storePositions.Position, nowMs: number) => Members;
   /** Takes over what another gateway's list has and this one lacks; returns the names of what was taken. */
   applyMembers: (members: Members, nowMs: number) => ReadonlySet<string>;
   listing: () => stores.Listing<fleet.UpstreamRecord>;
@@ -48,20 +50,19 @@
 /** Others are told for so long only: else what one has forgotten another would tell it anew, for ever. */
 const LEAVING_TOLD_MS = 300_000;
 
-/** Changes of what matters to others, and the revision of the platform's list that holds with them. */
-export type Members = {
+/** Changes of what matters to others, and the position of the platform's list that holds with them. */
+export type Members = storePositions.Position & {
   version: number;
-  revision: number;
   isWhole: boolean;
   written: readonly UpstreamStored[];
-  removed: readonly { name: string; revision: number }[];
+  removed: readonly (storePositions.Position & { name: string })[];
 };
 
 type Known = {
   stored: UpstreamStored;
   goneAtMs: number | null;
-  /** Revision of the platform's list that lacked it. */
-  goneRevision: number;
+  /** Position of the platform's list that lacked it. */
+  goneAt: storePositions.Position;
 };
 
 /**
@@ -82,21 +83,27 @@
   return describe(left) === describe(right);
 }
 
+function positionOf({ era, revision }: storePositions.Position): storePositions.Position {
+  return { era, revision };
+}
+
 /** The platform lists another start under the name of the one before. */
 export type OnRestarted = (beforeId: string, record: fleet.UpstreamRecord) => void;
 
 export function createUpstreamDirectory(onRestarted: OnRestarted = () => {}): UpstreamDirectory {
   const known = new Map<string, Known>();
   const names = new Map<string, string>();
-  /** Names that were deleted, so that an older listing does not bring them back. */
-  const deletedRevisions = new Map<string, number>();
+  /** Where names were deleted, so that an older listing does not bring them back. */
+  const deletedAt = new Map<string, storePositions.Position>();
   /** Since when each is known to leave by its own word. */
   const leavingMs = new Map<string, number>();
-  let revision = 0;
+  let position = storePositions.ORIGIN;
   /** The newest whole listing; what it lacks, and is older, has gone. */
-  let listedRevision = 0;
+  let listedAt = storePositions.ORIGIN;
   let graceUntilMs = 0;
-  const members = changeLedgers.createChangeLedger<UpstreamStored, number>(isSameMember);
+  const members = changeLedgers.createChangeLedger<UpstreamStored, storePositions.Position>(
+    isSameMember,
+  );
 
   function forget(name: string): void {
     const before = known.get(name);
@@ -106,29 +113,36 @@
 
   function forgetRemoved(name: string): void {
     const before = known.get(name);
-    if (before !== undefined) members.remove(name, before.goneRevision);
+    if (before !== undefined) members.remove(name, before.goneAt);
     forget(name);
   }
 
   function write(record: UpstreamStored): boolean {
     const before = known.get(record.name);
-    if (before === undefined && record.revision <= listedRevision) return false;
-    if (before !== undefined && before.stored.revision > record.revision) return false;
-    if ((deletedRevisions.get(record.name) ?? -1) >= record.revision) return false;
+    if (before === undefined && storePositions.isAtLeast(listedAt, record)) return false;
+    if (before !== undefined && storePositions.isAfter(before.stored, record)) return false;
+    const deleted = deletedAt.get(record.name);
+    if (deleted !== undefined && storePositions.isAtLeast(deleted, record)) return false;
     const beforeId = before?.stored.value.upstreamId;
     const { upstreamId } = record.value;
     if (beforeId !== undefined) names.delete(beforeId);
-    known.set(record.name, { stored: record, goneAtMs: null, goneRevision: 0 });
+    known.set(record.name, { stored: record, goneAtMs: null, goneAt: storePositions.ORIGIN });
     names.set(upstreamId, record.name);
     members.put(record.name, record);
     if (beforeId !== undefined && beforeId !== upstreamId) onRestarted(beforeId, record.value);
     return true;
   }
 
-  function remove(name: string, atRevision: number, nowMs: number): void {
+  /** What is known of the name is newer. */
+  function isKnownLater(change: stores.UnreadableRecord): boolean {
+    const before = known.get(change.name);
+    return before !== undefined && storePositions.isAfter(before.stored, change);
+  }
+
+  function remove(name: string, at: storePositions.Position, nowMs: number): void {
     const before = known.get(name);
     if (before === undefined) return;
-    before.goneRevision = atRevision;
+    before.goneAt = at;
     if (nowMs >= graceUntilMs) forgetRemoved(name);
     else before.goneAtMs ??= graceUntilMs;
   }
@@ -138,10 +152,10 @@
    * as the new one stands. The upstream's own next heartbeat brings it back, so no grace is needed.
    */
   function discard(record: stores.UnreadableRecord): boolean {
-    if ((known.get(record.name)?.stored.revision ?? 0) > record.revision) return false;
-    deletedRevisions.set(record.name, record.revision);
+    if (isKnownLater(record)) return false;
+    deletedAt.set(record.name, positionOf(record));
     const before = known.get(record.name);
-    if (before !== undefined) before.goneRevision = record.revision;
+    if (before !== undefined) before.goneAt = positionOf(record);
     forgetRemoved(record.name);
     return true;
   }
@@ -167,16 +181,16 @@
   function applyChange(change: stores.Change<fleet.UpstreamRecord>, nowMs: number): boolean {
     switch (change.kind) {
       case 'written':
-        revision = Math.max(revision, change.record.revision);
+        position = storePositions.later(position, change.record);
         return write(change.record);
       case 'unreadable':
-        revision = Math.max(revision, change.revision);
+        position = storePositions.later(position, change);
         return discard(change);
       case 'deleted':
-        revision = Math.max(revision, change.revision);
-        if ((known.get(change.name)?.stored.revision ?? 0) > change.revision) return false;
-        deletedRevisions.set(change.name, change.revision);
-        remove(change.name, change.revision, nowMs);
+        position = storePositions.later(position, change);
+        if (isKnownLater(change)) return false;
+        deletedAt.set(change.name, positionOf(change));
+        remove(change.name, positionOf(change), nowMs);
         return true;
     }
   }
@@ -186,20 +200,19 @@
     return [...written.keys()].flatMap((name) => known.get(name)?.stored ?? []);
   }
 
-  function toRemoved(removed: ReadonlyMap<string, number>) {
-    return [...removed].map(([name, removedRevision]) => ({ name, revision: removedRevision }));
+  function toRemoved(removed: ReadonlyMap<string, storePositions.Position>) {
+    return [...removed].map(([name, at]) => ({ name, ...at }));
   }
 
   return {
     applyListing: (listing, nowMs) => {
-      if (listing.revision < revision) return false;
-      revision = listing.revision;
+      if (storePositions.isAfter(position, listing)) return false;
+      position = positionOf(listing);
       const listed = new Set(listing.records.map((record) => record.name));
       listing.records.forEach(write);
       listing.unreadable.forEach(discard);
-      listedRevision = listing.revision;
-      for (const name of [...known.keys()])
-        if (!listed.has(name)) remove(name, listing.revision, nowMs);
+      listedAt = position;
+      for (const name of [...known.keys()]) if (!listed.has(name)) remove(name, position, nowMs);
       sweep(nowMs);
       return true;
     },
@@ -229,30 +242,30 @@
         .map((entry) => entry.stored.value)
         .filter((record) => record.service === service && mayGetWork(record)),
     all: () => [...known.values()].map((entry) => entry.stored.value),
-    revision: () => revision,
+    position: () => position,
     membersAfter: (version, nowMs) => {
       sweep(nowMs);
       const changes = members.since(version);
       const { isWhole, written, removed } = changes;
       return {
         version: changes.version,
-        revision,
+        ...position,
         isWhole,
         written: current(written),
         removed: toRemoved(removed),
       };
     },
-    membersAfterRevision: (knownRevision, nowMs) => {
+    membersAfterPosition: (knownAt, nowMs) => {
       sweep(nowMs);
       const { version, isWhole, written, removed } = members.since(0);
       const records = current(written);
-      const later = records.filter((record) => record.revision > knownRevision);
+      const later = records.filter((record) => storePositions.isAfter(record, knownAt));
       return {
         version,
-        revision,
+        ...position,
         isWhole,
         written: isWhole ? records : later,
-        removed: toRemoved(removed).filter((gone) => gone.revision > knownRevision),
+        removed: toRemoved(removed).filter((gone) => storePositions.isAfter(gone, knownAt)),
       };
     },
     applyMembers: (told, nowMs) => {
@@ -266,17 +279,17 @@
       if (told.isWhole) {
         const listed = new Set(told.written.map(({ name }) => name));
         for (const [name, { stored }] of [...known]) {
-          if (!listed.has(name) && stored.revision <= told.revision)
-            remove(name, told.revision, nowMs);
+          if (!listed.has(name) && storePositions.isAtLeast(told, stored))
+            remove(name, positionOf(told), nowMs);
         }
       }
-      revision = Math.max(revision, told.revision);
+      position = storePositions.later(position, told);
       return taken;
     },
     listing: () => ({
       records: [...known.values()].map((entry) => entry.stored),
       unreadable: [],
-      revision,
+      ...position,
     }),
   };
 }
--- a/packages/gateway/src/testing/memory-records.ts
+++ b/packages/gateway/src/testing/memory-records.ts
@@ -25,11 +25,12 @@
       fault = wanted;
     },
     writeCount: () => writes,
+    era: () => 0,
     list: <K extends stores.Kind>(kind: K) => {
       if (fault === 'down') return unavailable();
       const found = [...records.values()].filter((stored) => stored.kind === kind);
       const listed = found.map(({ record }) => record as stores.StoredRecord<stores.KindValues[K]>);
-      return Promise.resolve(results.Ok({ records: listed, unreadable: [], revision }));
+      return Promise.resolve(results.Ok({ records: listed, unreadable: [], era: 0, revision }));
     },
     watch: () => unavailable(),
     get: <K extends stores.Kind>(kind: K, name: string) => {
@@ -51,7 +52,7 @@
       }
       revision += 1;
       writes += 1;
-      const record = { name, revision, value };
+      const record = { name, era: 0, revision, value };
       records.set(key, { kind, record });
       if (fault === 'lose-answers') {
         return Promise.resolve(results.Err({ kind: 'outcome-unknown', reason: 'lost' } as const));
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -22,7 +22,7 @@
   /** Of those that have the model, those that take nothing for now. */
   closedCount: number;
   /** The list of upstreams that was used. */
-  upstreamsRevision: number;
+  upstreamsPosition: string;
   /** The placing that was used, and since when its holder has not been heard. */
   placementTerm: number;
   placementVersion: number;
@@ -35,16 +35,16 @@
   stopped: { openCallCount: number };
   'settings-changed': { inForceFrom: string };
   'config-in-force': { configVersion: number; before: number; source: string };
-  /** `before`: the revision known until then. One that is not taken is older than that. */
-  'upstreams-listed': { count: number; revision: number; before: number; isTaken: boolean };
-  'upstreams-learned': { source: string; revision: number; before: number; isTaken: boolean };
-  /** `source`: the store's watch, or the gateway that told. `revision`: of the change; `before`: known until then. */
+  /** Positions of the store, as ERA.REVISION. `before`: known until then; one that is not taken is older than that. */
+  'upstreams-listed': { count: number; position: string; before: string; isTaken: boolean };
+  'upstreams-learned': { source: string; position: string; before: string; isTaken: boolean };
+  /** `source`: the store's watch, or the gateway that told. `position`: of the change; `before`: known until then. */
   'upstream-changed': {
     upstreamId: string;
     state: string;
     source: string;
-    revision: number;
-    before: number;
+    position: string;
+    before: string;
     isTaken: boolean;
   };
   /** The platform lists another start under the same name: all that was believed of the one before is dropped. */
@@ -61,12 +61,12 @@
   /** It says how many requests a second it takes from all gateways together; `source`: a request's id or a gateway's. */
   'upstream-limited': { upstreamId: string; perSecond: number; before: Amount; source: string };
   /** It said in an answer that it leaves, whatever the platform's list says; `source`: a request's id or a gateway's. */
-  'upstream-leaving': { upstreamId: string; source: string; upstreamsRevision: number };
+  'upstream-leaving': { upstreamId: string; source: string; upstreamsPosition: string };
   /** It turned a request away and wants none from this gateway for so long; `source`: the request's id. */
   'upstream-paused': { upstreamId: string; forMs: number; source: string };
   'upstream-unlimited': { upstreamId: string; before: number; source: string };
-  'store-lost': { kind: stores.Kind; error: string; reason: string; revision: number | null };
-  'store-regained': { kind: stores.Kind; awayMs: number; revision: number | null };
+  'store-lost': { kind: stores.Kind; error: string; reason: string; position: Text };
+  'store-regained': { kind: stores.Kind; awayMs: number; position: Text };
   'record-unreadable': {
     kind: stores.Kind;
     recordName: string;
@@ -77,7 +77,7 @@
   'holder-lost': { holderId: string; reason: string };
   'holder-regained': { holderId: string; awayMs: number };
   /** The list of upstreams comes from the holder; the store is watched again. */
-  'list-feed-began': { revision: number | null };
+  'list-feed-began': { position: string };
   'list-feed-ended': { fedMs: number };
   'lease-taken': { term: number; before: string; ordersInMs: number };
   'lease-lost': { term: number; reason: string };
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -1,6 +1,7 @@
 /** The platform's store as the gateway uses it: records by kind and name, with conditions and watches. */
 import type { results } from '@copperlever/runtime';
 
+import type * as storePositions from '../shared/store-positions.js';
 import type * as fleet from './fleet.js';
 
 /** Who may give orders to upstreams. The term grows with each new holder and fences older ones. */
@@ -28,7 +29,8 @@
 
 export type Kind = keyof KindValues;
 
-export type StoredRecord<Value> = { name: string; revision: number; value: Value };
+/** At the position of its last change. */
+export type StoredRecord<Value> = storePositions.Position & { name: string; value: Value };
 
 export type StoreError =
   /** Nothing was done. */
@@ -41,28 +43,29 @@
   | { kind: 'history-gone' };
 
 /** A record that another writer left in a form that nobody can read: it stands for nothing. */
-export type UnreadableRecord = { name: string; revision: number };
+export type UnreadableRecord = storePositions.Position & { name: string };
 
-export type Listing<Value> = {
+export type Listing<Value> = storePositions.Position & {
   records: readonly StoredRecord<Value>[];
   unreadable: readonly UnreadableRecord[];
-  revision: number;
 };
 
 export type Change<Value> =
   | { kind: 'written'; record: StoredRecord<Value> }
   | ({ kind: 'unreadable' } & UnreadableRecord)
-  | { kind: 'deleted'; name: string; revision: number };
+  | (storePositions.Position & { kind: 'deleted'; name: string });
 
-export type Changes<Value> = { changes: readonly Change<Value>[]; revision: number };
+export type Changes<Value> = storePositions.Position & { changes: readonly Change<Value>[] };
 
 /** All calls end by `deadlineMs` on the local monotonic clock. */
 export type RecordStore = {
+  /** The latest era of the store that an answer has named. */
+  era: () => number;
   list: <K extends Kind>(
     kind: K,
     deadlineMs: number,
   ) => Promise<results.Result<Listing<KindValues[K]>, StoreError>>;
-  /** Waits up to `waitMs` for changes after `revision`. */
+  /** Waits up to `waitMs` for changes after `revision`; those of another era than that of the revision are not whole. */
   watch: <K extends Kind>(
     kind: K,
     revision: number,
