What left before the store's return from a copy does not come back by it

A copy some seconds old lists upstreams as ready that have said since that they leave, or that have gone, and lacks those that came since.

A start that was draining in an earlier era goes on leaving, and other gateways are told; one that had gone counts again when it is written anew, or 6 s after the return; what the copy lacks stays for the 2 s in which it is written again.

--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -5,6 +5,7 @@
 import type * as stores from '../types/stores.js';
 import type * as fleet from '../types/fleet.js';
 import * as storePositions from './store-positions.js';
+import * as departures from './departures.js';
 import * as directories from './upstream-directory.js';
 
 const test = suite('upstream directory');
@@ -103,6 +104,56 @@
   assert.equal(directory.position(), { era: 1, revision: 170 });
 });
 
+function inEra(era: number, records: readonly stores.StoredRecord<fleet.UpstreamRecord>[]) {
+  return records.map((record) => ({ ...record, era }));
+}
+
+// Failure: an upstream says that it leaves, the store comes back from a copy of before, and it is ready there.
+test('what was leaving before the return of the store leaves after it, and others are told', () => {
+  const directory = directories.createUpstreamDirectory();
+  const records = [stored('u1', 3), stored('u2', 4)];
+  directory.applyListing({ records, unreadable: [], era: 0, revision: 9 }, 0);
+  const draining = stored('u1', 10, { state: 'draining' });
+  directory.applyChange({ kind: 'written', record: draining }, 1_000);
+  const copied = { records: inEra(1, records), unreadable: [], era: 1, revision: 9 };
+  directory.applyListing(copied, 2_000);
+  assert.equal(ids(directory, 2_000), ['u2']);
+  assert.equal(ids(directory, 60_000), ['u2']);
+  assert.equal(directory.newlyLeavingIds(2_000), ['u1']);
+});
+
+// Failure: an upstream has gone, the copy still lists it, and requests are sent to its address.
+test('what had gone before the return is not used until it is written anew, or outlasts the lapse of entries', () => {
+  const directory = directories.createUpstreamDirectory();
+  const records = [stored('u1', 3), stored('u2', 4), stored('u3', 5)];
+  directory.applyListing({ records, unreadable: [], era: 0, revision: 9 }, 0);
+  directory.applyChange({ kind: 'deleted', name: 'u1', era: 0, revision: 10 }, 1_000);
+  directory.applyChange({ kind: 'deleted', name: 'u2', era: 0, revision: 11 }, 1_000);
+  const copied = { records: inEra(1, records), unreadable: [], era: 1, revision: 9 };
+  directory.applyListing(copied, 2_000);
+  assert.equal(ids(directory, 2_000), ['u3']);
+  const [anew] = inEra(1, [stored('u1', 10)]);
+  assert.ok(anew);
+  directory.applyChange({ kind: 'written', record: anew }, 2_500);
+  assert.equal(ids(directory, 2_500).sort(), ['u1', 'u3']);
+  assert.equal(ids(directory, 2_000 + departures.RETURN_SETTLED_MS).sort(), ['u1', 'u2', 'u3']);
+});
+
+// Failure: upstreams that came after the copy was made are given up although they serve.
+test('what the copy lacks stays until it could be written again', () => {
+  const directory = directories.createUpstreamDirectory();
+  const records = [stored('u1', 3), stored('u2', 8)];
+  directory.applyListing({ records, unreadable: [], era: 0, revision: 9 }, 0);
+  const [first] = inEra(1, records);
+  assert.ok(first);
+  directory.applyListing({ records: [first], unreadable: [], era: 1, revision: 5 }, 2_000);
+  assert.equal(ids(directory, 2_000), ['u1', 'u2']);
+  const [again] = inEra(1, [stored('u2', 6)]);
+  assert.ok(again);
+  directory.applyChange({ kind: 'written', record: again }, 3_000);
+  assert.equal(ids(directory, 10_000), ['u1', 'u2']);
+});
+
 test('an older listing changes nothing', () => {
   const directory = directories.createUpstreamDirectory();
   directory.applyListing({ records: [stored('u1', 3)], unreadable: [], era: 0, revision: 9 }, 0);
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -5,6 +5,7 @@
 import type * as fleet from '../types/fleet.js';
 import type * as stores from '../types/stores.js';
 import * as changeLedgers from './change-ledger.js';
+import * as departuresModule from './departures.js';
 import * as storePositions from './store-positions.js';
 
 type UpstreamStored = stores.StoredRecord<fleet.UpstreamRecord>;
@@ -61,6 +62,8 @@
 type Known = {
   stored: UpstreamStored;
   goneAtMs: number | null;
+  /** Its record counts from then on. */
+  countsFromMs: number;
   /** Position of the platform's list that lacked it. */
   goneAt: storePositions.Position;
 };
@@ -97,6 +100,7 @@
   const deletedAt = new Map<string, storePositions.Position>();
   /** Since when each is known to leave by its own word. */
   const leavingMs = new Map<string, number>();
+  const departures = departuresModule.createDepartures();
   let position = storePositions.ORIGIN;
   /** The newest whole listing; what it lacks, and is older, has gone. */
   let listedAt = storePositions.ORIGIN;
@@ -117,7 +121,23 @@
     forget(name);
   }
 
-  function write(record: UpstreamStored): boolean {
+  /** What the store lacks after its return from an older copy may still be written again for a while. */
+  function advanceTo(reached: storePositions.Position, nowMs: number): void {
+    if (reached.era > position.era && position.revision > 0) {
+      graceUntilMs = Math.max(graceUntilMs, nowMs + LAPSE_GRACE_MS);
+      departures.noteReturn(positionOf(reached), nowMs);
+    }
+    position = storePositions.later(position, reached);
+  }
+
+  /** An older copy of the list has a record from before the upstream said that it leaves. */
+  function hasForgottenLeaving(before: Known | undefined, record: UpstreamStored): boolean {
+    if (before === undefined || record.era === before.stored.era) return false;
+    const { upstreamId, state } = before.stored.value;
+    return state === 'draining' && upstreamId === record.value.upstreamId;
+  }
+
+  function write(record: UpstreamStored, nowMs: number): boolean {
     const before = known.get(record.name);
     if (before === undefined && storePositions.isAtLeast(listedAt, record)) return false;
     if (before !== undefined && storePositions.isAfter(before.stored, record)) return false;
@@ -126,7 +146,14 @@
     const beforeId = before?.stored.value.upstreamId;
     const { upstreamId } = record.value;
     if (beforeId !== undefined) names.delete(beforeId);
-    known.set(record.name, { stored: record, goneAtMs: null, goneAt: storePositions.ORIGIN });
+    if (hasForgottenLeaving(before, record)) noteLeaving(upstreamId, nowMs);
+    const countsFromMs = departures.countsFromMs(upstreamId, record);
+    known.set(record.name, {
+      stored: record,
+      countsFromMs,
+      goneAtMs: null,
+      goneAt: storePositions.ORIGIN,
+    });
     names.set(upstreamId, record.name);
     members.put(record.name, record);
     if (beforeId !== undefined && beforeId !== upstreamId) onRestarted(beforeId, record.value);
@@ -143,6 +170,7 @@
     const before = known.get(name);
     if (before === undefined) return;
     before.goneAt = at;
+    departures.noteGone(before.stored.value.upstreamId, at);
     if (nowMs >= graceUntilMs) forgetRemoved(name);
     else before.goneAtMs ??= graceUntilMs;
   }
@@ -168,6 +196,15 @@
     for (const [name, entry] of known) if (isGone(entry, nowMs)) forgetRemoved(name);
   }
 
+  function noteLeaving(upstreamId: string, nowMs: number): boolean {
+    for (const [id, atMs] of leavingMs) {
+      if (nowMs - atMs > LEAVING_KEPT_MS) leavingMs.delete(id);
+    }
+    if (leavingMs.has(upstreamId)) return false;
+    leavingMs.set(upstreamId, nowMs);
+    return true;
+  }
+
   /** Its own word binds also while the platform's list is late. */
   function mayGetWork({ upstreamId, state }: fleet.UpstreamRecord): boolean {
     return state === 'ready' && !leavingMs.has(upstreamId);
@@ -181,13 +218,13 @@
   function applyChange(change: stores.Change<fleet.UpstreamRecord>, nowMs: number): boolean {
     switch (change.kind) {
       case 'written':
-        position = storePositions.later(position, change.record);
-        return write(change.record);
+        advanceTo(change.record, nowMs);
+        return write(change.record, nowMs);
       case 'unreadable':
-        position = storePositions.later(position, change);
+        advanceTo(change, nowMs);
         return discard(change);
       case 'deleted':
-        position = storePositions.later(position, change);
+        advanceTo(change, nowMs);
         if (isKnownLater(change)) return false;
         deletedAt.set(change.name, positionOf(change));
         remove(change.name, positionOf(change), nowMs);
@@ -207,9 +244,9 @@
   return {
     applyListing: (listing, nowMs) => {
       if (storePositions.isAfter(position, listing)) return false;
-      position = positionOf(listing);
+      advanceTo(listing, nowMs);
       const listed = new Set(listing.records.map((record) => record.name));
-      listing.records.forEach(write);
+      listing.records.forEach((record) => write(record, nowMs));
       listing.unreadable.forEach(discard);
       listedAt = position;
       for (const name of [...known.keys()]) if (!listed.has(name)) remove(name, position, nowMs);
@@ -224,21 +261,14 @@
       const name = names.get(upstreamId);
       if (name !== undefined) forget(name);
     },
-    noteLeaving: (upstreamId, nowMs) => {
-      for (const [id, atMs] of leavingMs) {
-        if (nowMs - atMs > LEAVING_KEPT_MS) leavingMs.delete(id);
-      }
-      if (leavingMs.has(upstreamId)) return false;
-      leavingMs.set(upstreamId, nowMs);
-      return true;
-    },
+    noteLeaving,
     leavingIds: () => [...leavingMs.keys()],
     newlyLeavingIds: (nowMs) =>
       [...leavingMs].flatMap(([id, atMs]) => (nowMs - atMs < LEAVING_TOLD_MS ? id : [])),
     find,
     eligible: (service, nowMs) =>
       [...known.values()]
-        .filter((entry) => !isGone(entry, nowMs))
+        .filter((entry) => !isGone(entry, nowMs) && nowMs >= entry.countsFromMs)
         .map((entry) => entry.stored.value)
         .filter((record) => record.service === service && mayGetWork(record)),
     all: () => [...known.values()].map((entry) => entry.stored.value),
@@ -270,6 +300,7 @@
     },
     applyMembers: (told, nowMs) => {
       const taken = new Set<string>();
+      advanceTo(told, nowMs);
       told.written.forEach((record) => {
         if (applyChange({ kind: 'written', record }, nowMs)) taken.add(record.name);
       });
@@ -283,7 +314,6 @@
             remove(name, positionOf(told), nowMs);
         }
       }
-      position = storePositions.later(position, told);
       return taken;
     },
     listing: () => ({
