The lease and its fence hold across a store that comes back from a copy

A copy may lack the latest renewals, takeovers, or the lease itself, and gives revisions out again. On the code before, shown by three tests that failed: - the copy is of before the lease: whoever starts finds none and does not learn of the holder, which goes on without a record (lease-keeper.test.ts); - a renewal of the era before lands on the next holder's record at a revision given out again, and both give orders (at 16.6 s of the test); - terms 1, 2, 3 are followed by 1, 1, 1: upstreams refuse, or two holders share one.

Each era has a record of its own. A holder that lives writes its lease down in the new era as soon as an answer names it, under its term; a new holder's term is above all that are known and above a million for each era. Who may still hold the lease comes from earlier records and other gateways (earlier-lease.ts), and even a gateway's own earlier lease is waited for.

Also held, not red before: a holder that was away beside one that has taken over (without fences).

--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -1,4 +1,4 @@
-import { logs, randoms } from '@copperlever/runtime';
+import { logs, randoms, results } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -13,7 +13,7 @@
 
 function createRig() {
   const steady = fakeClocks.createFakeClock();
-  const state = { sleptMs: 0 };
+  const state = { sleptMs: 0, cutOffIds: new Set<string>() };
   const clock = { ...steady, wallMs: () => steady.wallMs() + state.sleptMs };
   const records = memoryRecords.createMemoryRecords();
   const gets: number[] = [];
@@ -31,13 +31,19 @@
     eligibleFromMs = 0,
   ) => {
     const book = peerBooks.createPeerBook(gatewayId);
+    const cutOff = () => Promise.resolve(results.Err({ kind: 'unavailable', reason: '' } as const));
+    const ownStore: memoryRecords.MemoryRecords = {
+      ...store,
+      get: (...args) => (state.cutOffIds.has(gatewayId) ? cutOff() : store.get(...args)),
+      put: (...args) => (state.cutOffIds.has(gatewayId) ? cutOff() : store.put(...args)),
+    };
     const scarce: string[] = [];
     const written: string[][] = [];
     const keeper = leaseKeepers.createLeaseKeeper({
       clock,
       log: logs.createSilentLogger(),
       random: randoms.createRandom(3),
-      store,
+      store: ownStore,
       book,
       quotas: {
         scarce: () => scarce,
@@ -57,6 +63,129 @@
   return { clock, state, store, gets, join };
 }
 
+// Failure: the store comes back from a copy without the latest renewals, or without the lease; its holder gives it up or goes on
+// beside another, and the term, which fences orders, is given out again.
+for (const [age, takenBefore] of [
+  ['of before the lease', false],
+  ['of before the latest renewals', true],
+] as const) {
+  test(`a holder that lives keeps the lease when the store comes back from a copy ${age}`, async () => {
+    const { clock, store, join } = createRig();
+    const first = join('g1');
+    const second = join('g2');
+    const copyOfStart = store.copy();
+    first.keeper.start();
+    await clock.advance(1_500);
+    const goBack = takenBefore ? store.copy() : copyOfStart;
+    second.keeper.start();
+    await clock.advance(5_000);
+    goBack();
+    for (let atMs = 0; atMs < 6_000; atMs += 100) {
+      first.book.heardFrom({ gatewayId: 'g2', address: 'g2:7000', millicores: 1 }, clock.nowMs());
+      second.book.heardFrom({ gatewayId: 'g1', address: 'g1:7000', millicores: 1 }, clock.nowMs());
+      await clock.advance(100);
+      assert.is(first.keeper.orderTerm(), 1);
+      assert.is(second.keeper.heldTerm(), null);
+    }
+    // One that hears nobody yet has only the store to go by.
+    const third = join('g3');
+    third.keeper.start();
+    await clock.advance(2_000);
+    assert.is(third.book.addressOf('g1'), 'g1:7000');
+    assert.is(third.keeper.heldTerm(), null);
+    assert.is(first.keeper.orderTerm(), 1);
+    await third.keeper.handBack(clock.nowMs());
+    await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
+  });
+}
+
+// Failure: a renewal that was meant for a lease of the era before lands on another holder's, at a revision given out again.
+test('a renewal of the era before does not land on the record of the next holder', async () => {
+  const { clock, state, store, join } = createRig();
+  const revisions = async () => {
+    const listed = await store.list('leases', 0);
+    return listed.ok ? listed.val.records.map(({ revision }) => revision) : [];
+  };
+  const first = join('g1', false);
+  first.keeper.start();
+  await clock.advance(1_500);
+  const goBack = store.copy();
+  await clock.advance(15_000);
+  const [known = 0] = await revisions();
+  state.cutOffIds.add('g1');
+  goBack();
+  const second = join('g2', false);
+  second.keeper.start();
+  let isReused = false;
+  for (let atMs = 0; atMs < 40_000; atMs += 50) {
+    await clock.advance(50);
+    if (second.keeper.orderTerm() !== null && (await revisions()).includes(known)) {
+      isReused = true;
+      state.cutOffIds.delete('g1');
+    }
+    assert.not(first.keeper.orderTerm() !== null && second.keeper.orderTerm() !== null, `${atMs}`);
+    if (isReused) assert.ok(second.keeper.orderTerm() !== null, `${atMs}`);
+  }
+  assert.ok(isReused);
+  await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
+});
+
+// Failure: all gateways start again when the store is back from a copy of before the last holders, and a term that
+// upstreams have seen is given out once more.
+test('whoever holds the lease after a return has a higher term than all before, whatever the copy has', async () => {
+  const { clock, store, join } = createRig();
+  const goBack = store.copy();
+  const terms: number[] = [];
+  for (const gatewayId of ['g1', 'g2', 'g3']) {
+    const { keeper } = join(gatewayId);
+    keeper.start();
+    await clock.advance(12_000);
+    terms.push(keeper.orderTerm() ?? -1);
+    await keeper.handBack(clock.nowMs());
+  }
+  for (let returns = 0; returns < 3; returns += 1) {
+    goBack();
+    const { keeper } = join('g4');
+    keeper.start();
+    await clock.advance(12_000);
+    terms.push(keeper.orderTerm() ?? -1);
+    await keeper.handBack(clock.nowMs());
+  }
+  assert.equal(
+    terms,
+    [...terms].sort((left, right) => left - right),
+  );
+  assert.is(new Set(terms).size, terms.length);
+  assert.ok(terms.every((term) => term > 0));
+});
+
+// Failure: a holder that was cut off believes in its lease of the era before, renews a record that is another's by now, and
+// both give orders.
+test('after a return a holder that was away does not take the lease from the one that holds it', async () => {
+  const { clock, store, join } = createRig();
+  const first = join('g1', false);
+  first.keeper.start();
+  await clock.advance(1_500);
+  const goBack = store.copy();
+  store.setFault('down');
+  await clock.advance(3_000);
+  goBack();
+  store.setFault('none');
+  const second = join('g2', false);
+  const orders: string[] = [];
+  second.keeper.start();
+  for (let atMs = 0; atMs < 15_000; atMs += 50) {
+    await clock.advance(50);
+    const holders = [first, second].filter(({ keeper }) => keeper.orderTerm() !== null);
+    assert.ok(holders.length <= 1, `${atMs}`);
+    holders.forEach(({ keeper }) => orders.push(String(keeper.orderTerm())));
+  }
+  assert.ok(orders.length > 0);
+  const changes = orders.filter((term, index) => index > 0 && term !== orders[index - 1]);
+  assert.ok(changes.length <= 1, orders.join(' ').slice(0, 80));
+  await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
+});
+
 test('one takes the lease and keeps it', async () => {
   const { clock, join } = createRig();
   const first = join('g1');
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -7,6 +7,7 @@
 import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
 import type * as quotasModule from '../quotas/quotas.js';
+import * as earlierLeases from './earlier-lease.js';
 
 export type LeaseKeeperDeps = {
   clock: clocks.Clock;
@@ -44,6 +45,7 @@
 type StoredLease = stores.StoredRecord<stores.LeaseValue>;
 
 type Held = {
+  /** Of the era that it was written in. */
   record: StoredLease;
   ordersFromMs: number;
   renewedAtMs: number;
@@ -54,7 +56,6 @@
 
 /** The two clocks of one VM drift apart by far less between renewals. */
 const SUSPENSION_MS = 300;
-const RECORD_NAME = 'placing';
 const TICK_MS = 200;
 const STARTING_TICK_MS = 25;
 const STARTING_MS = 3_000;
@@ -67,6 +68,8 @@
   const stopping = new AbortController();
   let held: Held | null = null;
   let seen: { record: StoredLease; atMs: number } | null = null;
+  /** Since when there is no lease in the present era, though there was one in an earlier. */
+  let missing: { era: number; sinceMs: number } | null = null;
   let hasLooked = false;
   let isLeaving = false;
   /** The release is on its way: an order now could cross those of the next holder. */
@@ -99,9 +102,8 @@
   }
 
   function noteSeen(record: StoredLease): void {
-    if (seen === null || seen.record.revision !== record.revision) {
-      seen = { record, atMs: clock.nowMs() };
-    }
+    const isSame = seen?.record.revision === record.revision && seen.record.era === record.era;
+    if (seen === null || !isSame) seen = { record, atMs: clock.nowMs() };
     const { holderId, address, term, gatewayCount } = record.value;
     book.noteFleetSize(gatewayCount, clock.nowMs());
     deps.quotas.noteWritten(record.value.scarceOrganisations);
@@ -113,6 +115,10 @@
     return record.value.holderId === deps.gatewayId && record.value.term === term;
   }
 
+  function renewedNow(sentAtMs: number) {
+    return { renewedAtMs: sentAtMs, aheadMs: aheadMs(), isStoreAway: false };
+  }
+
   async function renew(lease: Held): Promise<void> {
     const sentAtMs = clock.nowMs();
     const { value, revision } = lease.record;
@@ -123,16 +129,11 @@
       scarceOrganisations: deps.quotas.scarce(),
       renewals: value.renewals + 1,
     };
-    const put = await store.put('leases', RECORD_NAME, next, revision, deadlineMs());
-    if (held !== lease) return;
+    const name = leaseDecisions.recordName(lease.record.era);
+    const put = await store.put('leases', name, next, revision, deadlineMs());
+    if (held !== lease || hasReturned(lease)) return;
     if (put.ok) {
-      held = {
-        ...lease,
-        record: put.val,
-        renewedAtMs: sentAtMs,
-        aheadMs: aheadMs(),
-        isStoreAway: false,
-      };
+      held = { ...lease, record: put.val, ...renewedNow(sentAtMs) };
       return;
     }
     switch (put.val.kind) {
@@ -151,8 +152,9 @@
    * it, and the holder would give up its own lease. The record itself says whose it is.
    */
   async function settle(lease: Held, failure: string): Promise<void> {
-    const found = await store.get('leases', RECORD_NAME, deadlineMs());
-    if (held !== lease) return;
+    const name = leaseDecisions.recordName(lease.record.era);
+    const found = await store.get('leases', name, deadlineMs());
+    if (held !== lease || hasReturned(lease)) return;
     if (found.err || found.val === null) {
       lease.isStoreAway = true;
       return;
@@ -165,8 +167,46 @@
     lose('another holder');
   }
 
-  function sightOf(record: StoredLease, seenAtMs: number): leaseDecisions.HolderSight {
-    const { holderId, address, isReleased } = record.value;
+  /** The store has come back from a copy: what it has of the lease says nothing any more. */
+  function hasReturned(lease: Held): boolean {
+    return store.era() > lease.record.era;
+  }
+
+  /**
+   * Writes the lease down in the present era, under the same term: nobody else can hold it there before having missed
+   * this gateway for longer than its lease lasts.
+   */
+  async function carryOver(lease: Held): Promise<void> {
+    const era = store.era();
+    const sentAtMs = clock.nowMs();
+    const name = leaseDecisions.recordName(era);
+    const next = { ...lease.record.value, renewals: lease.record.value.renewals + 1 };
+    const put = await store.put('leases', name, next, null, deadlineMs());
+    if (held !== lease || store.era() !== era) return;
+    if (put.ok) {
+      const { term } = lease.record.value;
+      log.info('lease-carried-over', { term, era });
+      held = { record: put.val, ordersFromMs: lease.ordersFromMs, ...renewedNow(sentAtMs) };
+      return;
+    }
+    const found = await store.get('leases', name, deadlineMs());
+    if (held !== lease || store.era() !== era) return;
+    if (found.err || found.val === null) {
+      lease.isStoreAway = true;
+      return;
+    }
+    if (isOwn(found.val, lease.record.value.term)) {
+      held = { ...lease, record: found.val };
+      return;
+    }
+    noteSeen(found.val);
+    lose('another holder');
+  }
+
+  function sightOf(
+    { holderId, address, isReleased }: stores.LeaseValue,
+    seenAtMs: number,
+  ): leaseDecisions.HolderSight {
     const isSelf = holderId === deps.gatewayId && address === deps.address;
     return {
       seenAtMs,
@@ -178,20 +218,29 @@
     };
   }
 
-  async function take(present: StoredLease | null, sight: leaseDecisions.HolderSight | null) {
-    const term = (present?.value.term ?? 0) + 1;
+  /** `before`: the lease as it was last known, in this era (`present`) or an earlier. */
+  async function take(
+    present: StoredLease | null,
+    before: stores.LeaseValue | null,
+    sight: leaseDecisions.HolderSight | null,
+  ) {
+    const era = store.era();
+    const knownTerms = [before?.term ?? 0, book.lease()?.term ?? 0];
+    const term = leaseDecisions.nextTerm(era, knownTerms);
     const value = {
       holderId: deps.gatewayId,
       address: deps.address,
       term,
       gatewayCount: book.fleetSize(clock.nowMs()),
-      scarceOrganisations: present?.value.scarceOrganisations ?? [],
+      scarceOrganisations: before?.scarceOrganisations ?? [],
       renewals: 0,
       isReleased: false,
     };
     const sentAtMs = clock.nowMs();
     const revision = present?.revision ?? null;
-    const put = await store.put('leases', RECORD_NAME, value, revision, deadlineMs());
+    const name = leaseDecisions.recordName(era);
+    const put = await store.put('leases', name, value, revision, deadlineMs());
+    if (store.era() !== era) return;
     if (put.err) {
       if (put.val.kind !== 'outcome-unknown') return;
       // It may be ours after all: the next look tells, and then it is taken over from ourselves.
@@ -204,30 +253,47 @@
       deps.leaseMs,
       deps.upstreamsCheckFences,
     );
-    held = {
-      record: put.val,
-      ordersFromMs,
-      renewedAtMs: sentAtMs,
-      aheadMs: aheadMs(),
-      isStoreAway: false,
-    };
+    held = { record: put.val, ordersFromMs, ...renewedNow(sentAtMs) };
     book.noteLease({ holderId: deps.gatewayId, term });
     const ordersInMs = Math.round(ordersFromMs - clock.nowMs());
-    log.info('lease-taken', { term, before: present?.value.holderId ?? '', ordersInMs });
+    log.info('lease-taken', { term, before: before?.holderId ?? '', ordersInMs });
+  }
+
+  async function takeFirst(): Promise<void> {
+    const firstTakeMs = leaseDecisions.firstTakeMs(deps.millicores);
+    if (clock.nowMs() - startedAtMs >= firstTakeMs) await take(null, null, null);
+  }
+
+  /** The store has come back from a copy, and nobody has written the lease down since. */
+  async function lookAtEarlier(era: number): Promise<void> {
+    const earlier = await earlierLeases.find(store, book, deadlineMs());
+    if (earlier.err || store.era() !== era) return;
+    const { stored, value } = earlier.val;
+    if (value === null) {
+      await takeFirst();
+      return;
+    }
+    if (stored !== null) noteSeen(stored);
+    const nowMs = clock.nowMs();
+    if (missing?.era !== era) missing = { era, sinceMs: nowMs };
+    // Not even a lease of this gateway's own is known to have been the last.
+    const sight = { ...sightOf(value, missing.sinceMs), isOwn: false };
+    if (leaseDecisions.mayTakeOver(sight, nowMs)) await take(null, value, sight);
   }
 
   async function look(): Promise<void> {
     hasLooked = true;
-    const found = await store.get('leases', RECORD_NAME, deadlineMs());
-    if (found.err) return;
+    const era = store.era();
+    const found = await store.get('leases', leaseDecisions.recordName(era), deadlineMs());
+    if (found.err || store.era() !== era) return;
     if (found.val === null) {
-      const firstTakeMs = leaseDecisions.firstTakeMs(deps.millicores);
-      if (clock.nowMs() - startedAtMs >= firstTakeMs) await take(null, null);
+      await (era === 0 ? takeFirst() : lookAtEarlier(era));
       return;
     }
     noteSeen(found.val);
-    const sight = sightOf(found.val, seen?.atMs ?? clock.nowMs());
-    if (leaseDecisions.mayTakeOver(sight, clock.nowMs())) await take(found.val, sight);
+    const sight = sightOf(found.val.value, seen?.atMs ?? clock.nowMs());
+    if (!leaseDecisions.mayTakeOver(sight, clock.nowMs())) return;
+    await take(found.val, found.val.value, sight);
   }
 
   function holderHeardMs(): number | null {
@@ -244,7 +310,8 @@
         return;
       }
       const isDue = nowMs - held.renewedAtMs >= leaseDecisions.RENEW_MS;
-      if (isDue || mayHaveSlept(held)) await renew(held);
+      if (hasReturned(held)) await carryOver(held);
+      else if (isDue || mayHaveSlept(held)) await renew(held);
       return;
     }
     if (isLeaving || !deps.isEligible()) return;
@@ -266,10 +333,11 @@
     isReleasing = true;
     const value = { ...lease.record.value, isReleased: true };
     const { revision } = lease.record;
-    const put = await store.put('leases', RECORD_NAME, value, revision, deadlineMs());
-    if (put.ok) held = null;
-    else if (put.val.kind === 'unavailable') lease.isStoreAway = true;
-    else await settle(lease, put.val.kind);
+    const name = leaseDecisions.recordName(lease.record.era);
+    const put = await store.put('leases', name, value, revision, deadlineMs());
+    if (put.ok && !hasReturned(lease)) held = null;
+    else if (put.err && put.val.kind === 'unavailable') lease.isStoreAway = true;
+    else if (put.err) await settle(lease, put.val.kind);
     const isUnknown = put.err && put.val.kind === 'outcome-unknown';
     isReleasing = held !== null && isUnknown && !deps.upstreamsCheckFences;
     log.info('lease-released', {
--- a/packages/gateway/src/shared/lease-decisions.ts
+++ b/packages/gateway/src/shared/lease-decisions.ts
@@ -55,6 +55,22 @@
   return FIRST_TAKE_MS + FIRST_SMALLEST_WAITS_MS * lacking;
 }
 
+/** More takeovers than an era lasts for; with any era that the store can name a term still is an exact number. */
+const TERMS_PER_ERA = 1_000_000;
+
+/** The lease of one era. One record for all eras could be renewed at a revision that the store has given out again. */
+export function recordName(era: number): string {
+  return era === 0 ? 'placing' : `placing-${era}`;
+}
+
+/**
+ * The term of a new holder: above all that have been used, those of earlier eras too that the store has lost and
+ * nobody remembers. `knownTerms`: of the records and gateways that are known.
+ */
+export function nextTerm(era: number, knownTerms: readonly number[]): number {
+  return Math.max(era * TERMS_PER_ERA, ...knownTerms) + 1;
+}
+
 /** Whether to try to take the lease over now. */
 export function mayTakeOver(sight: HolderSight, nowMs: number): boolean {
   if (sight.isReleased || sight.isOwn) return true;
--- a/packages/gateway/src/testing/memory-records.ts
+++ b/packages/gateway/src/testing/memory-records.ts
@@ -7,6 +7,8 @@
   /** `down`: nothing is done. `lose-answers`: writes are done and not answered. */
   setFault: (fault: 'none' | 'down' | 'lose-answers') => void;
   writeCount: () => number;
+  /** Keeps a copy of what it has now; the function that is returned takes the store back to it, in a new era. */
+  copy: () => () => void;
 };
 
 type Stored = { kind: stores.Kind; record: stores.StoredRecord<unknown> };
@@ -15,6 +17,7 @@
   const records = new Map<string, Stored>();
   let revision = 1;
   let writes = 0;
+  let era = 0;
   let fault: 'none' | 'down' | 'lose-answers' = 'none';
 
   const unavailable = () =>
@@ -25,18 +28,31 @@
       fault = wanted;
     },
     writeCount: () => writes,
-    era: () => 0,
+    era: () => era,
+    copy: () => {
+      const kept = new Map(records);
+      const keptRevision = revision;
+      return () => {
+        records.clear();
+        kept.forEach((stored, key) => records.set(key, stored));
+        revision = keptRevision;
+        era += 1;
+      };
+    },
     list: <K extends stores.Kind>(kind: K) => {
       if (fault === 'down') return unavailable();
       const found = [...records.values()].filter((stored) => stored.kind === kind);
       const listed = found.map(({ record }) => record as stores.StoredRecord<stores.KindValues[K]>);
-      return Promise.resolve(results.Ok({ records: listed, unreadable: [], era: 0, revision }));
+      return Promise.resolve(results.Ok({ records: listed, unreadable: [], era, revision }));
     },
     watch: () => unavailable(),
     get: <K extends stores.Kind>(kind: K, name: string) => {
       if (fault === 'down') return unavailable();
       const found = records.get(`${kind}/${name}`)?.record ?? null;
-      return Promise.resolve(results.Ok(found as stores.StoredRecord<stores.KindValues[K]> | null));
+      const record = found === null ? null : { ...found, era };
+      return Promise.resolve(
+        results.Ok(record as stores.StoredRecord<stores.KindValues[K]> | null),
+      );
     },
     put: <K extends 'leases'>(
       kind: K,
@@ -52,7 +68,7 @@
       }
       revision += 1;
       writes += 1;
-      const record = { name, era: 0, revision, value };
+      const record = { name, era, revision, value };
       records.set(key, { kind, record });
       if (fault === 'lose-answers') {
         return Promise.resolve(results.Err({ kind: 'outcome-unknown', reason: 'lost' } as const));
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -80,6 +80,8 @@
   'list-feed-began': { position: string };
   'list-feed-ended': { fedMs: number };
   'lease-taken': { term: number; before: string; ordersInMs: number };
+  /** The store came back from a copy, and the lease is written down in its new era. */
+  'lease-carried-over': { term: number; era: number };
   'lease-lost': { term: number; reason: string };
   'lease-unknown': { term: number; reason: string };
   'lease-released': { term: number; isStored: boolean; reason: Text };
