--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -229,6 +229,8 @@
     isListLive: status.isListLive,
     listFeed: parts.listFeed,
     onUpstreamsLearned: status.onUpstreamsLearned,
+    storeEra: parts.store.era,
+    onLaterEra: status.onLaterEra,
     watchPauseMs: watchPauses.followerPauseMs(settings.drainTimeoutMs),
   });
 }
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -88,6 +88,10 @@
         hasListing = true;
         afterDirectoryChange();
       },
+      onLaterEra: () => {
+        upstreamFollower.renew();
+        configFollower.renew();
+      },
     },
   );
   const { clock, log, directory, configuration, openCalls } = cradle;
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -58,6 +58,8 @@
       avoidedIds: [] as string[],
       isListLive: false,
       gatewayCount: 2,
+      storeEra: 0,
+      renewals: 0,
     };
     const book = peerBooks.createPeerBook(gatewayId);
     const suspects = suspectsModule.createSuspects();
@@ -123,6 +125,10 @@
       isListLive: () => state.isListLive,
       listFeed,
       onUpstreamsLearned: () => {},
+      storeEra: () => state.storeEra,
+      onLaterEra: () => {
+        state.renewals += 1;
+      },
       watchPauseMs: 1_200,
     });
     handlers.set(`${gatewayId}:1`, exchange);
@@ -227,6 +233,43 @@
   follower.exchange.stop();
 });
 
+// Failure: the store has come back from a copy, the holder's watch still waits at the one from before, and its followers rely on it.
+test('a holder that has not heard of the return feeds nobody who has', async () => {
+  const { clock, holder, follower } = createPair();
+  const listing = { records: [listed('u1', 7)], unreadable: [], era: 0, revision: 7 };
+  holder.directory.applyListing(listing, clock.nowMs());
+  holder.state.isListLive = true;
+  follower.exchange.start();
+  await clock.advance(600);
+  assert.ok(follower.listFeed.isFed(clock.nowMs()));
+  follower.directory.applyListing({ ...listing, era: 1, revision: 5 }, clock.nowMs());
+  await clock.advance(600);
+  assert.not(follower.listFeed.isFed(clock.nowMs()));
+  holder.directory.applyListing({ ...listing, era: 1, revision: 6 }, clock.nowMs());
+  await clock.advance(600);
+  assert.ok(follower.listFeed.isFed(clock.nowMs()));
+  follower.exchange.stop();
+});
+
+// Failure: a watch waits for fifteen seconds at a store that has come back from a copy without a word to it.
+test('who hears of a later era asks the store itself, and not with every word of it', async () => {
+  const { clock, holder, follower } = createPair();
+  const listing = { records: [], unreadable: [], era: 1, revision: 7 };
+  follower.directory.applyListing(listing, clock.nowMs());
+  follower.state.storeEra = 1;
+  follower.exchange.start();
+  await clock.advance(600);
+  assert.is(holder.state.renewals, 1);
+  await clock.advance(10_000);
+  assert.ok(holder.state.renewals <= 11, `${holder.state.renewals}`);
+  const { renewals } = holder.state;
+  holder.state.storeEra = 1;
+  await clock.advance(3_000);
+  assert.is(holder.state.renewals, renewals);
+  assert.is(follower.state.renewals, 0);
+  follower.exchange.stop();
+});
+
 // Failure: one gateway alone knows that an upstream leaves or is limited, and the holder goes on placing models there.
 test('what an upstream said to one gateway reaches the holder and all others', async () => {
   const { clock, holder, follower } = createPair();
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -66,6 +66,10 @@
   isListLive: () => boolean;
   listFeed: listFeeds.ListFeed;
   onUpstreamsLearned: () => void;
+  /** The latest era that the store itself has named to this gateway. */
+  storeEra: () => number;
+  /** Another gateway has heard of a later one. */
+  onLaterEra: () => void;
   /** The longest that this gateway's own watch pauses after changes. */
   watchPauseMs: number;
 };
@@ -91,6 +95,8 @@
 const HURRY_MS = 40;
 /** How often the gateways that others know of are told again: well before they are taken for gone. */
 const GATEWAYS_PERIOD_MS = 2_000;
+/** How often the store is asked because of a later era: one that a peer only believes in must cost little. */
+const LATER_ERA_PERIOD_MS = 1_000;
 /** What the answer to a watch may take beside its pause. */
 const WATCH_ANSWER_MS = 300;
 /** The source of what the holder tells of all others. */
@@ -108,6 +114,7 @@
   let toldBefore: readonly inFlightModule.ModelLoad[] = [];
   /** Since when the holder has not answered; null while it does. */
   let holderSilentMs: number | null = null;
+  let laterEraHeardMs = -Infinity;
   const lag = listLag.createListLag(deps.watchPauseMs + WATCH_ANSWER_MS);
 
   /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
@@ -159,6 +166,7 @@
     if (news.isStopping) book.left(news.gatewayId);
     else book.heardFrom(news, nowMs);
     book.learned(news.gateways, nowMs);
+    noteEra(news, nowMs);
     lag.heard(newsCodec.positionOf(news), directory.position(), nowMs);
     if (news.lease !== undefined) book.noteLease(news.lease);
     deps.words.toldLeaving(news.leavingUpstreamIds, news.gatewayId);
@@ -168,6 +176,14 @@
     });
   }
 
+  /** A watch may wait at a store that has come back from a copy without a word to it. */
+  function noteEra({ storeEra, gatewayId }: gatewayPeer.GatewayNews, nowMs: number): void {
+    if (storeEra <= deps.storeEra() || nowMs - laterEraHeardMs < LATER_ERA_PERIOD_MS) return;
+    laterEraHeardMs = nowMs;
+    deps.log.info('store-era-heard', { era: storeEra, before: deps.storeEra(), source: gatewayId });
+    deps.onLaterEra();
+  }
+
   const replies = exchangeReplies.createReplies({ ...deps, takeNews, ownNews });
 
   function takeDocuments(reply: gatewayPeer.ExchangeReply): void {
@@ -217,7 +233,13 @@
     }
     const basis =
       members === undefined ? null : { incarnation: members.incarnation, version: members.version };
-    deps.listFeed.heard({ isListLive: reply.news?.isListLive === true, basis }, nowMs);
+    deps.listFeed.heard({ isListLive: isHolderListLive(reply.news), basis }, nowMs);
+  }
+
+  /** A holder that has not heard of the store's return yet watches what is no more. */
+  function isHolderListLive(news: gatewayPeer.GatewayNews | undefined): boolean {
+    if (news === undefined || news.storeEra < directory.position().era) return false;
+    return news.isListLive;
   }
 
   function logMembers(
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -80,6 +80,8 @@
   'list-feed-began': { position: string };
   'list-feed-ended': { fedMs: number };
   'lease-taken': { term: number; before: string; ordersInMs: number };
+  /** Another gateway (`source`) knows of a later era of the store than this one, which asks it now. */
+  'store-era-heard': { era: number; before: number; source: string };
   /** The store came back from a copy, and the lease is written down in its new era. */
   'lease-carried-over': { term: number; era: number };
   'lease-lost': { term: number; reason: string };
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -54,6 +54,8 @@
   isListLive: () => boolean;
   hasListing: () => boolean;
   onUpstreamsLearned: () => void;
+  /** Another gateway has heard of a later era of the store. */
+  onLaterEra: () => void;
 };
 
 export type GatewayParts = PlatformParts & {
