The following of the list of upstreams in a module of its own

No change of behaviour: waits, pauses, the feed and the log lines of the list leave daemon.ts, so that a fleet of them can be played on a virtual clock.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -6,6 +6,7 @@
 
 import * as containers from './container.js';
 import * as followers from './server/control/follower.js';
+import * as upstreamLists from './server/control/upstream-list.js';
 import * as forwarding from './server/forwarding/app.js';
 import * as healthApp from './server/health/app.js';
 import * as metricsApp from './server/metrics/app.js';
@@ -13,19 +14,11 @@
 import * as peers from './server/peers/server.js';
 import * as turnCodec from './server/turns/turn-codec.js';
 import * as stops from './server/health/stop.js';
-import type * as fleet from './types/fleet.js';
 import type * as logEvents from './types/log-events.js';
-import * as storePositions from './shared/store-positions.js';
 import * as deadlineNorms from './shared/deadline-norms.js';
-import * as watchPauses from './shared/watch-pauses.js';
 import type * as partTypes from './types/parts.js';
 import type * as settingsModule from './types/settings.js';
-import type * as stores from './types/stores.js';
 
-/** An absence shorter than this lets no entry of the platform's list lapse. */
-const LAPSE_ABSENCE_MS = 1_000;
-const FOLLOWER_WAIT_MS = 15_000;
-const HOLDER_HEARD_MS = 1_000;
 /** The record of the configuration within its kind. */
 const CONFIG_RECORD = 'main';
 
@@ -40,25 +33,6 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
-function describeChange(change: stores.Change<fleet.UpstreamRecord>) {
-  switch (change.kind) {
-    case 'written':
-      return {
-        upstreamId: change.record.value.upstreamId,
-        state: change.record.value.state,
-        position: storePositions.format(change.record),
-      };
-    case 'unreadable':
-      return {
-        upstreamId: change.name,
-        state: 'unreadable',
-        position: storePositions.format(change),
-      };
-    case 'deleted':
-      return { upstreamId: change.name, state: 'gone', position: storePositions.format(change) };
-  }
-}
-
 async function listen(app: fastify.FastifyInstance, address: string): Promise<void> {
   await app.listen(splitAddress(address));
 }
@@ -96,33 +70,6 @@
   );
   const { clock, log, directory, configuration, openCalls } = cradle;
 
-  /** One gateway has to notice a silent connection in time; the others learn from it. */
-  function watchWaitMs(): number {
-    const lease = cradle.book.lease();
-    const heardMs = lease === null ? null : cradle.book.lastHeardMs(lease.holderId);
-    const hearsHolder = heardMs !== null && clock.nowMs() - heardMs < HOLDER_HEARD_MS;
-    return hearsHolder ? FOLLOWER_WAIT_MS : watchPauses.holderWaitMs(settings.drainTimeoutMs);
-  }
-
-  function isFed(): boolean {
-    return cradle.lease.heldTerm() === null && cradle.listFeed.isFed(clock.nowMs());
-  }
-
-  function upstreamPauseMs(): number {
-    const isHolder = cradle.lease.heldTerm() !== null;
-    return isHolder
-      ? watchPauses.HOLDER_PAUSE_MS
-      : watchPauses.followerPauseMs(settings.drainTimeoutMs);
-  }
-
-  const common = {
-    store: cradle.store,
-    clock,
-    random: cradle.random,
-    log,
-    waitMs: watchWaitMs,
-  };
-
   function afterDirectoryChange(): void {
     const ids = new Set(directory.all().map((record) => record.upstreamId));
     cradle.connections.retain(ids);
@@ -133,41 +80,34 @@
     cradle.upstreamLimits.retain(ids, clock.nowMs());
   }
 
-  function describePosition(): string {
-    return storePositions.format(directory.position());
-  }
-
-  const upstreamFollower = followers.createFollower({
-    ...common,
-    kind: 'upstreams',
-    pauseMs: upstreamPauseMs,
-    isFed,
-    onFed: (isFedNow, fedMs) => {
-      if (isFedNow) log.info('list-feed-began', { position: describePosition() });
-      else log.info('list-feed-ended', { fedMs });
-    },
-    onListing: (listing) => {
-      const before = describePosition();
-      const isTaken = directory.applyListing(listing, clock.nowMs());
+  const upstreamFollower = upstreamLists.createUpstreamList({
+    store: cradle.store,
+    clock,
+    random: cradle.random,
+    log,
+    directory,
+    listFeed: cradle.listFeed,
+    book: cradle.book,
+    isHolder: () => cradle.lease.heldTerm() !== null,
+    drainTimeoutMs: settings.drainTimeoutMs,
+    onListed: () => {
       hasListing = true;
-      const position = storePositions.format(listing);
-      log.info('upstreams-listed', { count: listing.records.length, position, before, isTaken });
-      afterDirectoryChange();
-    },
-    onChange: (change) => {
-      const before = describePosition();
-      const isTaken = directory.applyChange(change, clock.nowMs());
-      log.info('upstream-changed', { ...describeChange(change), source: 'watch', before, isTaken });
-      afterDirectoryChange();
-    },
-    onRegained: (awayMs) => {
-      if (awayMs > LAPSE_ABSENCE_MS) directory.storeRegained(clock.nowMs());
     },
+    onChanged: afterDirectoryChange,
   });
 
   const configFollower = followers.createFollower({
-    ...common,
     kind: 'configuration',
+    store: cradle.store,
+    clock,
+    random: cradle.random,
+    log,
+    waitMs: () =>
+      upstreamLists.watchWaitMs({
+        book: cradle.book,
+        clock,
+        drainTimeoutMs: settings.drainTimeoutMs,
+      }),
     pauseMs: () => 0,
     // Rare, and wanted at once by each: the store itself is asked, by few calls that wait long.
     isFed: () => false,
