The age of the list travels with it, and each way of its news ends within the bound

The word of an upstream that leaves passes the holder's pause and watch, its answers to followers and a follower's own listing; each had a time of its own, and together they exceeded the bound: a holder called its list live for 1,900 ms after its last answer, a follower took that as good for 800 ms more, and then listed with a deadline of 2,000 ms. A gateway that was not fed but heard the holder waited 15 s on a connection that had fallen silent.

Change: a gateway knows as of when the store vouched for its list; the holder tells that age with each answer, and nobody starts it anew. list-budget.ts owns pause, wait, grace, the listing's deadline and the age at which a gateway asks the store itself. attempt-ended, request-not-placed and a gauge tell the age. The configuration's watch keeps its times.

Shown by upstream-list.test.ts (gateways, store and links on a virtual clock under random faults). Three tests went by the times before: of the follower and the feed, which now hold the age that the store vouches for, and of the lag (asked for after 0.5 to 1.5 s instead of 1 to 2.2).

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -17,6 +17,7 @@
 import * as peerBooks from './shared/peer-book.js';
 import * as demandCounters from './shared/placing/demand-counters.js';
 import * as placementViews from './shared/placing/placement-view.js';
+import * as listBudgets from './shared/list-budget.js';
 import * as listFeeds from './shared/list-feed.js';
 import * as pacesModule from './shared/paces.js';
 import * as plainPlaces from './shared/plain-places.js';
@@ -151,7 +152,7 @@
     status: awilix.asValue(status),
     book: awilix.asFunction(() => peerBooks.createPeerBook(settings.gatewayId)).singleton(),
     listFeed: awilix
-      .asFunction(() => listFeeds.createListFeed(settings.drainTimeoutMs))
+      .asFunction(() => listFeeds.createListFeed(listBudgets.listBudget(settings.drainTimeoutMs)))
       .singleton(),
     demand: awilix.asFunction(demandCounters.createDemandCounters).singleton(),
     view: awilix.asFunction(placementViews.createPlacementView).singleton(),
@@ -205,6 +206,7 @@
           placement: parts.placement,
           metrics: parts.metrics,
           serviceOf: parts.configuration.serviceOf,
+          listAgeMs: () => parts.listFeed.ageMs(parts.clock.nowMs()),
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
           gatewayId: settings.gatewayId,
           failureDomain: settings.failureDomain,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -10,7 +10,7 @@
 import * as turnCodec from './server/turns/turn-codec.js';
 import * as turnsModule from './server/turns/turns.js';
 import * as exchangePace from './shared/exchange-pace.js';
-import * as watchPauses from './shared/watch-pauses.js';
+import * as listBudgets from './shared/list-budget.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
 import type * as settingsModule from './types/settings.js';
 import type * as partTypes from './types/parts.js';
@@ -39,6 +39,7 @@
       configVersion: configuration.version(),
       configAgeMs: configuration.ageMs(),
       storePosition: directory.position(),
+      listAgeMs: parts.listFeed.ageMs(nowMs),
       upstreamCount: upstreams.length,
       avoidedCount: avoided.length,
       speeds: parts.states.counts(nowMs),
@@ -226,11 +227,10 @@
     seedAddresses: settings.seedAddresses,
     isStopping: status.isStopping,
     isStoreConnected: status.isStoreConnected,
-    isListLive: status.isListLive,
     listFeed: parts.listFeed,
     onUpstreamsLearned: status.onUpstreamsLearned,
     storeEra: parts.store.era,
     onLaterEra: status.onLaterEra,
-    watchPauseMs: watchPauses.followerPauseMs(settings.drainTimeoutMs),
+    listBudget: listBudgets.listBudget(settings.drainTimeoutMs),
   });
 }
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -19,6 +19,13 @@
 import type * as partTypes from './types/parts.js';
 import type * as settingsModule from './types/settings.js';
 
+/** Watches of the configuration: of a gateway that hears the holder, and of others. */
+const CONFIG_FOLLOWER_WAIT_MS = 15_000;
+const CONFIG_WAIT_MAX_MS = 2_000;
+const CONFIG_WAIT_SHARE = 0.25;
+const CONFIG_GRACE_MS = 400;
+const CONFIG_LIST_TIMEOUT_MS = 2_000;
+const HOLDER_HEARD_MS = 1_000;
 /** The record of the configuration within its kind. */
 const CONFIG_RECORD = 'main';
 
@@ -57,7 +64,6 @@
       isStopping: () => isStopping,
       hasListing: () => hasListing,
       isStoreConnected: () => upstreamFollower.isConnected(),
-      isListLive: () => upstreamFollower.isLive(),
       onUpstreamsLearned: () => {
         hasListing = true;
         afterDirectoryChange();
@@ -87,7 +93,6 @@
     log,
     directory,
     listFeed: cradle.listFeed,
-    book: cradle.book,
     isHolder: () => cradle.lease.heldTerm() !== null,
     drainTimeoutMs: settings.drainTimeoutMs,
     onListed: () => {
@@ -96,18 +101,25 @@
     onChanged: afterDirectoryChange,
   });
 
+  /** One gateway has to notice a silent connection in time; the others learn of configurations from it. */
+  function configWaitMs(): number {
+    const lease = cradle.book.lease();
+    const heardMs = lease === null ? null : cradle.book.lastHeardMs(lease.holderId);
+    const hearsHolder = heardMs !== null && clock.nowMs() - heardMs < HOLDER_HEARD_MS;
+    const ownWaitMs = Math.min(CONFIG_WAIT_MAX_MS, settings.drainTimeoutMs * CONFIG_WAIT_SHARE);
+    return hearsHolder ? CONFIG_FOLLOWER_WAIT_MS : ownWaitMs;
+  }
+
   const configFollower = followers.createFollower({
     kind: 'configuration',
     store: cradle.store,
     clock,
     random: cradle.random,
     log,
-    waitMs: () =>
-      upstreamLists.watchWaitMs({
-        book: cradle.book,
-        clock,
-        drainTimeoutMs: settings.drainTimeoutMs,
-      }),
+    waitMs: configWaitMs,
+    graceMs: CONFIG_GRACE_MS,
+    listTimeoutMs: CONFIG_LIST_TIMEOUT_MS,
+    onVouched: () => {},
     pauseMs: () => 0,
     // Rare, and wanted at once by each: the store itself is asked, by few calls that wait long.
     isFed: () => false,
--- a/packages/gateway/src/server/control/follower.test.ts
+++ b/packages/gateway/src/server/control/follower.test.ts
@@ -23,6 +23,8 @@
     era: 0,
     /** All answers are of the era before the latest. */
     isBehind: false,
+    /** As of when the store has last vouched for what it answered. */
+    asOfMs: -Infinity,
   };
   const records = memoryRecords.createMemoryRecords();
   const store: stores.RecordStore = {
@@ -62,8 +64,13 @@
     },
     onChange: () => {},
     onRegained: () => {},
+    onVouched: (asOfMs) => {
+      state.asOfMs = asOfMs;
+    },
     waitMs: () => waitMs,
     pauseMs: () => 600,
+    graceMs: 400,
+    listTimeoutMs: 300,
     isFed: () => state.isFed,
     onFed: () => {},
   });
@@ -77,18 +84,18 @@
   follower.start();
   await clock.advance(3_000);
   assert.ok(state.calls >= 2);
-  assert.ok(follower.isLive());
+  assert.ok(clock.nowMs() - state.asOfMs <= WAIT_MS, `${clock.nowMs() - state.asOfMs}`);
   state.isFed = true;
   await clock.advance(2_000);
-  assert.not(follower.isLive());
   state.calls = 0;
   await clock.advance(20_000);
   assert.is(state.calls, 0);
+  assert.ok(clock.nowMs() - state.asOfMs >= 20_000);
   state.names = ['u9'];
   state.isFed = false;
   await clock.advance(200);
   assert.equal(state.listedNames, ['u9']);
-  assert.ok(follower.isLive());
+  assert.ok(clock.nowMs() - state.asOfMs <= 200);
   follower.stop();
 });
 
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -2,6 +2,7 @@
 import { clocks } from '@copperlever/runtime';
 import type { randoms, results } from '@copperlever/runtime';
 
+import * as listBudgets from '../../shared/list-budget.js';
 import * as storePositions from '../../shared/store-positions.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
@@ -16,10 +17,15 @@
   onChange: (change: stores.Change<stores.KindValues[K]>) => void;
   /** The store answers again after it did not for `awayMs`. */
   onRegained: (awayMs: number) => void;
+  /** The store's answer shows the state as of then at least. */
+  onVouched: (asOfMs: number) => void;
   /** How long a watch waits: each call is paid for, and one that fell silent is noticed only at its end. */
   waitMs: () => number;
   /** After changes the next watch waits this long, so that one call brings several. */
   pauseMs: () => number;
+  /** What the answer to a watch may take on top; a connection that went silent is given up after it. */
+  graceMs: number;
+  listTimeoutMs: number;
   /** Others tell of all changes: meanwhile nothing is asked of the store. */
   isFed: () => boolean;
   onFed: (isFed: boolean, forMs: number) => void;
@@ -31,18 +37,10 @@
   /** Others have heard more: what waits now is given up, and the store asked anew. */
   renew: () => void;
   isConnected: () => boolean;
-  /** The store has answered its latest watch in time, and it is not fed by others. */
-  isLive: () => boolean;
 };
 
-const LIST_TIMEOUT_MS = 2_000;
 /** How long a watch waits while the store does not answer. */
 const LOST_WAIT_MS = 400;
-/** What the answer itself may take; a connection that went silent is given up after it. */
-const WATCH_GRACE_MS = 400;
-/** How often it is looked whether others still tell of changes: small against the time in which one must be in force. */
-const FED_STEP_MS = 50;
-const FIRST_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1_000;
 
 /** What was asked before the store went away and is answered after its return says nothing of it. */
@@ -57,8 +55,6 @@
   let position: storePositions.Position | null = null;
   let lostAtMs: number | null = null;
   let failureCount = 0;
-  /** Until when the latest answer shows that the store is followed. */
-  let liveUntilMs = -Infinity;
 
   function describePosition(): string | undefined {
     return position === null ? undefined : storePositions.format(position);
@@ -66,7 +62,6 @@
 
   function noteFailure(error: stores.StoreError): Step {
     failureCount += 1;
-    liveUntilMs = -Infinity;
     if (lostAtMs === null) {
       lostAtMs = clock.nowMs();
       const reason = 'reason' in error ? error.reason : '';
@@ -77,7 +72,6 @@
 
   function noteSuccess(): void {
     failureCount = 0;
-    liveUntilMs = clock.nowMs() + options.pauseMs() + options.waitMs() + 2 * WATCH_GRACE_MS;
     if (lostAtMs === null) return;
     const awayMs = clock.nowMs() - lostAtMs;
     lostAtMs = null;
@@ -87,26 +81,33 @@
   }
 
   async function list(): Promise<Step> {
-    const listed = await store.list(kind, clock.nowMs() + LIST_TIMEOUT_MS);
+    const askedAtMs = clock.nowMs();
+    const listed = await store.list(kind, askedAtMs + options.listTimeoutMs);
     if (listed.err) return noteFailure(listed.val);
     if (listed.val.era < store.era()) return noteFailure(EARLIER_ERA);
     noteSuccess();
     position = listed.val;
     options.onListing(listed.val);
+    options.onVouched(askedAtMs);
     return 'ok';
   }
 
   async function watch(after: storePositions.Position): Promise<Step> {
     // What is asked while the store is silent is not answered after its return either.
     const waitMs = lostAtMs === null ? options.waitMs() : Math.min(LOST_WAIT_MS, options.waitMs());
-    const deadlineMs = clock.nowMs() + waitMs + WATCH_GRACE_MS;
+    const askedAtMs = clock.nowMs();
+    const deadlineMs = askedAtMs + waitMs + options.graceMs;
     const renewed = new Promise<'renewed'>((resolve) => {
       renewWaiting = () => resolve('renewed');
     });
     const watched = store.watch(kind, after.revision, waitMs, deadlineMs);
     const first = await Promise.race([watched, renewed]);
     if (first === 'renewed') return 'list-again';
-    return takeChanges(first, after);
+    const step = takeChanges(first, after);
+    // Without changes it was answered at the end of its wait; with some at any moment since it was asked for.
+    if (step === 'ok') options.onVouched(Math.min(askedAtMs + waitMs, clock.nowMs()));
+    if (step === 'changed') options.onVouched(askedAtMs);
+    return step;
   }
 
   function takeChanges(
@@ -130,10 +131,9 @@
   async function awaitOwnTurn(): Promise<void> {
     if (position === null || !options.isFed()) return;
     const startedMs = clock.nowMs();
-    liveUntilMs = -Infinity;
     options.onFed(true, 0);
     while (options.isFed() && !stopping.signal.aborted) {
-      await clocks.sleepUntil(clock, clock.nowMs() + FED_STEP_MS, stopping.signal);
+      await clocks.sleepUntil(clock, clock.nowMs() + listBudgets.FED_STEP_MS, stopping.signal);
     }
     options.onFed(false, Math.round(clock.nowMs() - startedMs));
     position = null;
@@ -150,7 +150,10 @@
         await clocks.sleepUntil(clock, clock.nowMs() + pauseMs, stopping.signal);
       }
       if (step === 'failed') {
-        const limitMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failureCount - 1));
+        const limitMs = Math.min(
+          MAX_BACKOFF_MS,
+          listBudgets.FIRST_BACKOFF_MS * 2 ** (failureCount - 1),
+        );
         const waitMs = limitMs * (0.5 + options.random.fraction() / 2);
         await clocks.sleepUntil(clock, clock.nowMs() + waitMs, stopping.signal);
       }
@@ -167,6 +170,5 @@
     },
     renew: () => renewWaiting(),
     isConnected: () => lostAtMs === null,
-    isLive: () => clock.nowMs() < liveUntilMs,
   };
 }
--- a/packages/gateway/src/server/control/upstream-list.ts
+++ b/packages/gateway/src/server/control/upstream-list.ts
@@ -1,11 +1,10 @@
 /** Keeps this gateway's list of upstreams: by its own listing and watch, or by what the holder of the lease tells. */
 import type { clocks, randoms } from '@copperlever/runtime';
 
+import * as listBudgets from '../../shared/list-budget.js';
 import type * as listFeeds from '../../shared/list-feed.js';
-import type * as peerBooks from '../../shared/peer-book.js';
 import * as storePositions from '../../shared/store-positions.js';
 import type * as directories from '../../shared/upstream-directory.js';
-import * as watchPauses from '../../shared/watch-pauses.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
@@ -17,8 +16,7 @@
   random: randoms.Random;
   log: logEvents.GatewayLog;
   directory: directories.UpstreamDirectory;
-  listFeed: Pick<listFeeds.ListFeed, 'isFed'>;
-  book: Pick<peerBooks.PeerBook, 'lease' | 'lastHeardMs'>;
+  listFeed: Pick<listFeeds.ListFeed, 'isFed' | 'vouched'>;
   isHolder: () => boolean;
   /** How long an upstream that leaves may still get work. */
   drainTimeoutMs: number;
@@ -28,20 +26,6 @@
 
 /** An absence shorter than this lets no entry of the platform's list lapse. */
 const LAPSE_ABSENCE_MS = 1_000;
-const FOLLOWER_WAIT_MS = 15_000;
-const HOLDER_HEARD_MS = 1_000;
-
-/** One gateway has to notice a silent connection in time; the others learn from it. */
-export function watchWaitMs({
-  book,
-  clock,
-  drainTimeoutMs,
-}: Pick<UpstreamListDeps, 'book' | 'clock' | 'drainTimeoutMs'>): number {
-  const lease = book.lease();
-  const heardMs = lease === null ? null : book.lastHeardMs(lease.holderId);
-  const hearsHolder = heardMs !== null && clock.nowMs() - heardMs < HOLDER_HEARD_MS;
-  return hearsHolder ? FOLLOWER_WAIT_MS : watchPauses.holderWaitMs(drainTimeoutMs);
-}
 
 function describeChange(change: stores.Change<fleet.UpstreamRecord>) {
   switch (change.kind) {
@@ -62,6 +46,7 @@
 
 export function createUpstreamList(deps: UpstreamListDeps): followers.Follower {
   const { clock, directory, log } = deps;
+  const budget = listBudgets.listBudget(deps.drainTimeoutMs);
 
   function describePosition(): string {
     return storePositions.format(directory.position());
@@ -73,11 +58,11 @@
     clock,
     random: deps.random,
     log,
-    waitMs: () => watchWaitMs(deps),
-    pauseMs: () =>
-      deps.isHolder()
-        ? watchPauses.HOLDER_PAUSE_MS
-        : watchPauses.followerPauseMs(deps.drainTimeoutMs),
+    waitMs: () => budget.waitMs,
+    pauseMs: () => budget.pauseMs,
+    graceMs: budget.graceMs,
+    listTimeoutMs: budget.listTimeoutMs,
+    onVouched: deps.listFeed.vouched,
     isFed: () => !deps.isHolder() && deps.listFeed.isFed(clock.nowMs()),
     onFed: (isFedNow, fedMs) => {
       if (isFedNow) log.info('list-feed-began', { position: describePosition() });
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -34,6 +34,7 @@
   metrics: Pick<metricsModule.GatewayMetrics, 'predicted' | 'firstPiece' | 'attemptEnded'>;
   router: Pick<routers.Router, 'needsModel' | 'priorityOf'>;
   serviceOf: (name: string) => fleet.Service | null;
+  listAgeMs: () => number | null;
   gatewayCount: () => number;
 };
 
@@ -56,6 +57,13 @@
 /** A connection is kept for what all gateways together may hold; the rest is for those that join. */
 const CONNECTION_SHARE = 0.8;
 
+/** The list is older than it usually gets. */
+const OLD_LIST_MS = 1_000;
+
+function unlessYoung(ageMs: number | null): number | undefined {
+  return ageMs === null || ageMs < OLD_LIST_MS ? undefined : Math.round(ageMs);
+}
+
 function unlessUsual(factor: number): number | undefined {
   return factor === 1 ? undefined : Math.round(factor * 100) / 100;
 }
@@ -107,6 +115,7 @@
     const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
     const noted = { call, upstreamId, isResumed, choice };
     const heard: Heard = { load: null, firstPiece: null };
+    const listAgeMs = unlessYoung(deps.listAgeMs());
     const result = await attempts.runAttempt(deps, {
       call,
       upstreamName: record.name,
@@ -150,6 +159,7 @@
       predictedMs: Math.round(choice.predictedMs),
       slowness: unlessUsual(choice.speed.slowness),
       momentFactor: unlessUsual(choice.speed.momentFactor),
+      listAgeMs,
       firstPieceMs: firstPiece === null ? undefined : Math.round(firstPiece.tookMs),
       tookMs: Math.round(tookMs),
     });
--- a/packages/gateway/src/server/forwarding/router.test.ts
+++ b/packages/gateway/src/server/forwarding/router.test.ts
@@ -87,6 +87,7 @@
     serviceOf: () => SERVICE,
     failureDomain: 'north',
     metrics: { gaveWay: (to) => gaveWay.push(to) },
+    listAgeMs: () => 0,
     gatewayCount: () => 1,
     ordersAdmission: () => isOn,
     sharesFairly: () => false,
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -43,6 +43,8 @@
   limits: limitsModule.Limits;
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
   serviceOf: (name: string) => fleet.Service | null;
+  /** Since the store vouched for the list of upstreams; null before the first. */
+  listAgeMs: () => number | null;
   gatewayId: string;
   failureDomain: string;
   metrics: Pick<metricsModule.GatewayMetrics, 'gaveWay'>;
@@ -311,6 +313,7 @@
       queueLimitMs: Math.round(queueLimitMs(call, run)),
       gaveWay: choice.kind === 'overloaded' ? (run.gaveWay ?? undefined) : undefined,
       upstreamsPosition: storePositions.format(directory.position()),
+      listAgeMs: roundedOrNone(deps.listAgeMs() ?? undefined),
       placementTerm: basis.term,
       placementVersion: basis.version,
       placementAgeMs: Math.round(basis.ageMs),
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -127,6 +127,7 @@
       throw new Error('nobody reads');
     }),
     serviceOf: () => service,
+    listAgeMs: () => 0,
     gatewayCount: () => 1,
     isStopping: () => false,
     gatewayId: 'g1',
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -61,6 +61,8 @@
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   serviceOf: (name: string) => fleet.Service | null;
+  /** Since the store vouched for the list of upstreams; null before the first. */
+  listAgeMs: () => number | null;
   gatewayCount: () => number;
   isStopping: () => boolean;
   /** Whether batch work is held while more urgent work needs its model's upstreams. */
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -13,6 +13,7 @@
   configVersion: 12,
   configAgeMs: 2_500,
   storePosition: { era: 0, revision: 40 },
+  listAgeMs: 300,
   upstreamCount: 11,
   avoidedCount: 1,
   speeds: { slowCount: 2, disturbedCount: 3, distrustedCount: 0 },
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -19,6 +19,8 @@
   configVersion: number;
   configAgeMs: number | null;
   storePosition: storePositions.Position;
+  /** Since the store vouched for the list of upstreams; null before the first. */
+  listAgeMs: number | null;
   upstreamCount: number;
   avoidedCount: number;
   /** Of the upstreams' speeds. */
@@ -185,6 +187,9 @@
     'Returns of the store from a copy, as of the list',
     () => readings().storePosition.era,
   );
+  gauge('upstreams_list_age_seconds', 'Since the store vouched for the list', () =>
+    seconds(readings().listAgeMs),
+  );
   gauge('upstreams', 'Upstreams listed', () => readings().upstreamCount);
   gauge(
     'upstreams_avoided',
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -1,26 +1,10 @@
-import * as quarantine from '@copperlever/decisions/quarantine';
-import { logs, randoms, results } from '@copperlever/runtime';
+import { results } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import * as inFlightModule from '../../shared/in-flight.js';
-import * as listFeeds from '../../shared/list-feed.js';
-import * as peerBooks from '../../shared/peer-book.js';
-import * as demandCounters from '../../shared/placing/demand-counters.js';
-import * as placementViews from '../../shared/placing/placement-view.js';
-import * as speedSharing from '../../shared/speed-sharing.js';
-import * as suspectsModule from '../../shared/suspects.js';
-import * as upstreamLimitsModule from '../../shared/upstream-limits.js';
-import * as upstreamPauses from '../../shared/upstream-pauses.js';
-import * as upstreamStates from '../../shared/upstream-states.js';
-import * as directories from '../../shared/upstream-directory.js';
+import * as exchangeGateways from '../../testing/exchange-gateway.js';
 import * as fixtures from '../../testing/fleet-fixtures.js';
-import type * as fleet from '../../types/fleet.js';
-import * as configHolders from '../control/config-holder.js';
-import * as upstreamWords from '../forwarding/upstream-words.js';
-import type * as leaseKeepers from '../placing/lease-keeper.js';
-import type * as placers from '../placing/placer.js';
 import * as quotasModule from '../quotas/quotas.js';
 import * as exchanges from './exchange.js';
 import type * as peerLinks from './peer-link.js';
@@ -28,13 +12,6 @@
 const test = suite('exchange');
 
 const DRAIN_TIMEOUT_MS = 2_000;
-const HOLDER = { holderId: 'g1', term: 4 };
-const ORGANISATION: fleet.Organisation = {
-  name: 'o1',
-  apiKeys: ['k1'],
-  priority: null,
-  quota: { unit: 'requests', perSecond: 20, burst: 40, plainTokens: 0 },
-};
 
 /** Two gateways that reach each other without a network; g1 holds the lease. */
 function createPair() {
@@ -52,103 +29,21 @@
   } as Partial<peerLinks.PeerLink> as peerLinks.PeerLink;
 
   function create(gatewayId: string) {
-    const state = {
-      heldTerm: null as number | null,
-      isStopping: false,
-      avoidedIds: [] as string[],
-      isListLive: false,
-      gatewayCount: 2,
-      storeEra: 0,
-      renewals: 0,
-    };
-    const book = peerBooks.createPeerBook(gatewayId);
-    const suspects = suspectsModule.createSuspects();
-    const listFeed = listFeeds.createListFeed(DRAIN_TIMEOUT_MS);
-    const inFlight = inFlightModule.createInFlight();
-    const directory = directories.createUpstreamDirectory();
-    const log = logs.createSilentLogger();
-    const placer = { heardDemand: () => {}, newsSince: () => null } as Partial<placers.Placer>;
-    const lease = { heldTerm: () => state.heldTerm } as Partial<leaseKeepers.LeaseKeeper>;
-    const quotas = quotasModule.createQuotas({
-      clock,
-      log,
-      random: randoms.createRandom(6),
-      organisations: () => [ORGANISATION],
-      gatewayCount: () => state.gatewayCount,
-      slack: 0,
-      ask: (report) => {
-        const [holderQuotas] = lenders;
-        const asker = { gatewayId, incarnation: 1 };
-        return Promise.resolve(holderQuotas?.lend(HOLDER.term, asker, report) ?? null);
-      },
-    });
-    lenders.push(quotas);
-    const upstreamLimits = upstreamLimitsModule.createUpstreamLimits();
-    const states = upstreamStates.createUpstreamStates({ serviceOf: () => 'pool' });
-    const exchange = exchanges.createExchange({
+    const gateway = exchangeGateways.createExchangeGateway({
+      gatewayId,
       clock,
-      random: randoms.createRandom(5),
-      log,
       link,
-      book,
-      configuration: configHolders.createConfigHolder(log, clock),
-      directory,
-      inFlight,
-      quarantine: quarantine.createQuarantine(),
-      demand: demandCounters.createDemandCounters(),
-      view: placementViews.createPlacementView(),
-      lease: lease as leaseKeepers.LeaseKeeper,
-      beliefs: { avoidedIds: () => state.avoidedIds },
-      suspects,
-      placer: placer as placers.Placer,
-      quotas,
-      upstreamLimits,
-      words: upstreamWords.createUpstreamWords({
-        clock,
-        log,
-        upstreamLimits,
-        directory,
-        pauses: upstreamPauses.createUpstreamPauses(),
-        states,
-      }),
-      speeds: {
-        teller: speedSharing.createSpeedTeller(states),
-        pool: speedSharing.createSpeedPool(states, 1),
-      },
-      gatewayId,
-      incarnation: 1,
-      millicores: 500,
-      address: `${gatewayId}:1`,
+      lenders,
+      drainTimeoutMs: DRAIN_TIMEOUT_MS,
+      seed: 5,
       seedAddresses: ['g1:1', 'g2:1'],
-      isStopping: () => state.isStopping,
-      isStoreConnected: () => true,
-      isListLive: () => state.isListLive,
-      listFeed,
-      onUpstreamsLearned: () => {},
-      storeEra: () => state.storeEra,
-      onLaterEra: () => {
-        state.renewals += 1;
-      },
-      watchPauseMs: 1_200,
     });
-    handlers.set(`${gatewayId}:1`, exchange);
-    book.noteLease(HOLDER);
-    return {
-      state,
-      book,
-      suspects,
-      directory,
-      exchange,
-      inFlight,
-      listFeed,
-      quotas,
-      upstreamLimits,
-      states,
-    };
+    handlers.set(exchangeGateways.addressOf(gatewayId), gateway.exchange);
+    return gateway;
   }
 
   const holder = create('g1');
-  holder.state.heldTerm = HOLDER.term;
+  holder.state.heldTerm = exchangeGateways.HOLDER.term;
   const follower = create('g2');
   follower.book.learned([{ gatewayId: 'g1', address: 'g1:1' }], clock.nowMs());
   return { clock, calls, holder, follower };
@@ -195,9 +90,9 @@
   const records = [{ name: 'u1', era: 0, revision: 7, value: fixtures.upstreamRecord('u1') }];
   holder.directory.applyListing({ records, unreadable: [], era: 0, revision: 7 }, clock.nowMs());
   follower.exchange.start();
-  await clock.advance(1_000);
+  await clock.advance(500);
   assert.is(follower.directory.position().revision, 0);
-  await clock.advance(1_200);
+  await clock.advance(1_000);
   assert.is(follower.directory.position().revision, 7);
   assert.is(follower.directory.find('u1')?.upstreamId, 'u1');
   follower.exchange.stop();
@@ -213,7 +108,7 @@
   const { clock, holder, follower } = createPair();
   const records = [listed('u1', 7), listed('u2', 6)];
   holder.directory.applyListing({ records, unreadable: [], era: 0, revision: 7 }, clock.nowMs());
-  holder.state.isListLive = true;
+  holder.listFeed.vouched(clock.nowMs());
   follower.exchange.start();
   await clock.advance(600);
   assert.is(follower.directory.position().revision, 7);
@@ -227,8 +122,8 @@
   await clock.advance(600);
   assert.equal(follower.directory.eligible('pool', clock.nowMs()), []);
   assert.is(follower.directory.position().revision, 11);
-  holder.state.isListLive = false;
-  await clock.advance(600);
+  // The store has not vouched for the holder's list since.
+  await clock.advance(200);
   assert.not(follower.listFeed.isFed(clock.nowMs()));
   follower.exchange.stop();
 });
@@ -238,14 +133,16 @@
   const { clock, holder, follower } = createPair();
   const listing = { records: [listed('u1', 7)], unreadable: [], era: 0, revision: 7 };
   holder.directory.applyListing(listing, clock.nowMs());
-  holder.state.isListLive = true;
+  holder.listFeed.vouched(clock.nowMs());
   follower.exchange.start();
   await clock.advance(600);
   assert.ok(follower.listFeed.isFed(clock.nowMs()));
   follower.directory.applyListing({ ...listing, era: 1, revision: 5 }, clock.nowMs());
+  holder.listFeed.vouched(clock.nowMs());
   await clock.advance(600);
   assert.not(follower.listFeed.isFed(clock.nowMs()));
   holder.directory.applyListing({ ...listing, era: 1, revision: 6 }, clock.nowMs());
+  holder.listFeed.vouched(clock.nowMs());
   await clock.advance(600);
   assert.ok(follower.listFeed.isFed(clock.nowMs()));
   follower.exchange.stop();
@@ -331,7 +228,11 @@
   let refused = 0;
   for (let count = 0; count < 60; count += 1) {
     await clock.advance(50);
-    const decision = await follower.quotas.admit(ORGANISATION, { tokenCount: null }, false);
+    const decision = await follower.quotas.admit(
+      exchangeGateways.ORGANISATION,
+      { tokenCount: null },
+      false,
+    );
     if (decision.kind === 'refused') refused += 1;
   }
   assert.is(refused, 0);
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -10,6 +10,7 @@
 
 import * as exchangePace from '../../shared/exchange-pace.js';
 import * as inFlightModule from '../../shared/in-flight.js';
+import type * as listBudgets from '../../shared/list-budget.js';
 import type * as listFeeds from '../../shared/list-feed.js';
 import * as storePositions from '../../shared/store-positions.js';
 import * as listLag from '../../shared/list-lag.js';
@@ -62,16 +63,13 @@
   seedAddresses: readonly string[];
   isStopping: () => boolean;
   isStoreConnected: () => boolean;
-  /** This gateway's own watch of the upstreams is answered. */
-  isListLive: () => boolean;
   listFeed: listFeeds.ListFeed;
   onUpstreamsLearned: () => void;
   /** The latest era that the store itself has named to this gateway. */
   storeEra: () => number;
   /** Another gateway has heard of a later one. */
   onLaterEra: () => void;
-  /** The longest that this gateway's own watch pauses after changes. */
-  watchPauseMs: number;
+  listBudget: Pick<listBudgets.ListBudget, 'pauseMs' | 'askAtAgeMs'>;
 };
 
 export type Exchange = {
@@ -115,7 +113,7 @@
   /** Since when the holder has not answered; null while it does. */
   let holderSilentMs: number | null = null;
   let laterEraHeardMs = -Infinity;
-  const lag = listLag.createListLag(deps.watchPauseMs + WATCH_ANSWER_MS);
+  const lag = listLag.createListLag(deps.listBudget.pauseMs + WATCH_ANSWER_MS);
 
   /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
   function wantsUpstreams(nowMs: number): boolean {
@@ -132,6 +130,7 @@
     const lease = book.lease();
     const basis = deps.listFeed.basis();
     const position = directory.position();
+    const listAgeMs = deps.listFeed.ownAgeMs(nowMs);
     return {
       gatewayId: deps.gatewayId,
       address: deps.address,
@@ -143,7 +142,8 @@
       lease: lease === null ? undefined : lease,
       gateways: tellsGateways ? [...book.heard(nowMs)] : [],
       wantsGateways: false,
-      isListLive: deps.isListLive(),
+      isListLive: listAgeMs !== null && listAgeMs < deps.listBudget.askAtAgeMs,
+      listAgeMs: Math.round(listAgeMs ?? 0),
       knownMembersIncarnation: basis.incarnation,
       knownMembersVersion: basis.version,
       millicores: deps.millicores,
@@ -203,12 +203,15 @@
     }
   }
 
-  function takeFromHolder(reply: gatewayPeer.ExchangeReply, told: ToldLoads): void {
+  function takeFromHolder(
+    reply: gatewayPeer.ExchangeReply,
+    { told, askedAtMs }: { told: ToldLoads; askedAtMs: number },
+  ): void {
     const lease = book.lease();
     const isHolder = lease !== null && reply.news?.gatewayId === lease.holderId;
     if (!isHolder) return;
     const nowMs = clock.nowMs();
-    takeMembers(reply, nowMs);
+    takeMembers(reply, askedAtMs);
     if (reply.placement !== undefined) {
       view.apply(newsCodec.fromPlacementNews(reply.placement, nowMs));
     }
@@ -222,8 +225,9 @@
     inFlight.heard(HOLDER_SOURCE, inFlightModule.withoutLoads(loads, own), nowMs);
   }
 
-  function takeMembers(reply: gatewayPeer.ExchangeReply, nowMs: number): void {
+  function takeMembers(reply: gatewayPeer.ExchangeReply, askedAtMs: number): void {
     const { members } = reply;
+    const nowMs = clock.nowMs();
     if (members !== undefined && members.revision > 0) {
       const told = newsCodec.fromMembersNews(members);
       const before = storePositions.format(directory.position());
@@ -233,13 +237,17 @@
     }
     const basis =
       members === undefined ? null : { incarnation: members.incarnation, version: members.version };
-    deps.listFeed.heard({ isListLive: isHolderListLive(reply.news), basis }, nowMs);
+    deps.listFeed.heard({ asOfMs: holderListAsOfMs(reply.news, askedAtMs), basis });
   }
 
   /** A holder that has not heard of the store's return yet watches what is no more. */
-  function isHolderListLive(news: gatewayPeer.GatewayNews | undefined): boolean {
-    if (news === undefined || news.storeEra < directory.position().era) return false;
-    return news.isListLive;
+  function holderListAsOfMs(
+    news: gatewayPeer.GatewayNews | undefined,
+    askedAtMs: number,
+  ): number | null {
+    if (news === undefined || news.storeEra < directory.position().era) return null;
+    // It answered after it was asked, so its list is no older than that.
+    return news.isListLive ? askedAtMs - news.listAgeMs : null;
   }
 
   function logMembers(
@@ -308,7 +316,7 @@
     if (isHolder && wantsGateways) lastGatewaysMs = nowMs;
     takeNews(reply.val.news);
     takeDocuments(reply.val);
-    takeFromHolder(reply.val, told);
+    takeFromHolder(reply.val, { told, askedAtMs: nowMs });
   }
 
   /** The holder's own counts and copies need no message. */
--- /dev/null
+++ b/packages/gateway/src/testing/list-store.ts
@@ -0,0 +1,118 @@
+/** The list of upstreams in a store on a virtual clock, reached over a link of each gateway that can fail. */
+import { clocks as clocksModule, results } from '@copperlever/runtime';
+import type { clocks } from '@copperlever/runtime';
+
+import type * as fleet from '../types/fleet.js';
+import type * as stores from '../types/stores.js';
+
+/** `refused`: an error at once. `silent`: nothing until the caller's deadline. */
+export type StoreLink = 'works' | 'refused' | 'silent';
+
+export type ListStore = {
+  put: (record: fleet.UpstreamRecord) => void;
+  /** The store as one gateway reaches it. */
+  reachedBy: (link: () => StoreLink) => stores.RecordStore;
+  callCount: () => number;
+  /** Watches that wait now are never answered. */
+  silenceWatches: () => void;
+  /** Keeps a copy of what it has now; the function that is returned takes the store back to it, in a new era. */
+  copy: () => () => void;
+};
+
+type Stored = stores.StoredRecord<fleet.UpstreamRecord>;
+
+const ANSWER_MS = 2;
+
+export function createListStore(clock: clocks.Clock): ListStore {
+  let records = new Map<string, Stored>();
+  let history: Stored[] = [];
+  let era = 0;
+  let revision = 10;
+  let calls = 0;
+  let waiting = new Set<() => void>();
+
+  function wakeAll(): void {
+    [...waiting].forEach((wake) => wake());
+  }
+
+  /** Null once the caller has given up. */
+  async function answered<Value>(
+    link: () => StoreLink,
+    deadlineMs: number,
+    answer: () => Promise<Value>,
+  ): Promise<results.Result<Value, stores.StoreError>> {
+    calls += 1;
+    await clocksModule.sleepUntil(clock, clock.nowMs() + ANSWER_MS);
+    if (link() === 'refused') return results.Err({ kind: 'unavailable', reason: 'refused' });
+    const value = await clocksModule.raceDeadline(clock, deadlineMs, answer());
+    const isLost = value === 'deadline' || link() !== 'works';
+    if (!isLost) return results.Ok(value);
+    await clocksModule.sleepUntil(clock, deadlineMs);
+    return results.Err({ kind: 'unavailable', reason: 'deadline' });
+  }
+
+  function changesAfter(after: number) {
+    const changes = history
+      .filter((record) => record.revision > after)
+      .map((record) => ({ kind: 'written' as const, record: { ...record, era } }));
+    return { changes, era, revision };
+  }
+
+  async function waitForChange(waitMs: number): Promise<void> {
+    const waits = waiting;
+    await new Promise<void>((resolve) => {
+      const cancel = clock.schedule(clock.nowMs() + waitMs, () => {
+        waits.delete(wake);
+        resolve();
+      });
+      const wake = () => {
+        waits.delete(wake);
+        cancel();
+        resolve();
+      };
+      waits.add(wake);
+    });
+  }
+
+  return {
+    put: (value) => {
+      revision += 1;
+      const record = { name: value.name, era, revision, value };
+      records.set(value.name, record);
+      history.push(record);
+      wakeAll();
+    },
+    callCount: () => calls,
+    silenceWatches: () => {
+      // Those that wait are woken by nothing any more, not even by their own end.
+      waiting = new Set();
+    },
+    copy: () => {
+      const kept = new Map(records);
+      const keptHistory = [...history];
+      const keptRevision = revision;
+      return () => {
+        records = new Map(kept);
+        history = [...keptHistory];
+        revision = keptRevision;
+        era += 1;
+        wakeAll();
+      };
+    },
+    reachedBy: (link) => ({
+      era: () => era,
+      list: (_kind, deadlineMs) =>
+        answered(link, deadlineMs, async () => {
+          const listed = [...records.values()].map((record) => ({ ...record, era }));
+          return { records: listed, unreadable: [], era, revision } as never;
+        }),
+      watch: (_kind, after, waitMs, deadlineMs) =>
+        answered(link, deadlineMs, async () => {
+          if (changesAfter(after).changes.length === 0) await waitForChange(waitMs);
+          return changesAfter(after) as never;
+        }),
+      get: () => Promise.resolve(results.Err({ kind: 'unavailable', reason: 'not here' })),
+      put: () => Promise.resolve(results.Err({ kind: 'unavailable', reason: 'not here' })),
+    }),
+  };
+}
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -23,6 +23,8 @@
   closedCount: number;
   /** The list of upstreams that was used. */
   upstreamsPosition: string;
+  /** Since the store vouched for it, by whichever way. */
+  listAgeMs?: number | undefined;
   /** The placing that was used, and since when its holder has not been heard. */
   placementTerm: number;
   placementVersion: number;
@@ -199,6 +201,8 @@
     /** What the prediction took the upstream's speed for; left out where that is the usual one. */
     slowness: Amount;
     momentFactor: Amount;
+    /** Of the list of upstreams when it was sent; left out where that is as young as usual. */
+    listAgeMs: Amount;
     firstPieceMs: Amount;
     tookMs: number;
   };
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -50,8 +50,6 @@
 export type GatewayStatus = {
   isStopping: () => boolean;
   isStoreConnected: () => boolean;
-  /** This gateway's own watch of the upstreams is answered. */
-  isListLive: () => boolean;
   hasListing: () => boolean;
   onUpstreamsLearned: () => void;
   /** Another gateway has heard of a later era of the store. */
