Ask again whether an upstream may get work when a connection takes the request

A request that was chosen may wait up to 300 ms for its connection to open (longer with the event loop busy); an upstream that left meanwhile got it all the same. The attempt now asks when its connection takes the request, before a byte is sent, and ends as not sent, so that another upstream is tried.

attempt.test.ts: without the check the request was sent and the attempt ended `lost`; with it `not-sent`, and the upstream saw nothing.

--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -124,6 +124,7 @@
       priority,
       resumeAfterId: run.resumeAfterId,
       holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
+      mayStart: () => directory.mayGetWork(upstreamId, clock.nowMs()),
       sendByMs: startedAtMs + SEND_PATIENCE_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
       gaps: gapsOf(call, upstreamId),
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -92,6 +92,7 @@
   answer: (socket: net.Socket, request: string) => void,
   call: calls.Call = createCall('at-most-once'),
   gaps?: eventGaps.EventGaps,
+  mayStart: () => boolean = () => true,
 ) {
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const connections = connectionsModule.createConnections();
@@ -111,6 +112,7 @@
         resumeAfterId: null,
         holdsFailure: false,
         onHead: () => {},
+        mayStart,
         ...(gaps === undefined ? {} : { gaps }),
         sendByMs: clock.nowMs() + 10_000,
         firstByteByMs: clock.nowMs() + 20_000,
@@ -232,6 +234,32 @@
   closed.upstream.close();
 });
 
+// Failure: an upstream leaves while the connection to it is being opened, and the request goes there all the same.
+test('nothing is sent to an upstream that has left since it was chosen', async () => {
+  const requests: string[] = [];
+  let askedCount = 0;
+  const { result, passed, upstream } = await attempt(
+    (socket, request) => {
+      requests.push(request);
+      socket.end();
+    },
+    createCall('idempotent'),
+    undefined,
+    () => {
+      askedCount += 1;
+      return false;
+    },
+  );
+  assert.equal(result, { kind: 'not-sent', reason: 'upstream left' });
+  assert.is(askedCount, 1);
+  assert.is(passed.status, 0);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  assert.equal(requests, []);
+  upstream.close();
+});
+
 test('a refused connection never had the request', async () => {
   const first = await attempt((socket) => {
     socket.end(`${OK}Connection: close\r\nContent-Length: 0\r\n\r\n`);
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -26,6 +26,8 @@
   resumeAfterId: string | null;
   /** Hold an upstream's own failure back instead of passing it on. */
   holdsFailure: boolean;
+  /** Asked when a connection takes the request: false where the upstream must get nothing new by now. */
+  mayStart: () => boolean;
   /** Give up when no connection has taken the request by then. */
   sendByMs: number;
   /** Give up, as silent, when no byte of an answer has come by then. */
@@ -155,6 +157,10 @@
           started.abort(new AttemptAborted('attempt abandoned'));
           return;
         }
+        if (!input.mayStart()) {
+          abandon({ kind: 'not-sent', reason: 'upstream left' });
+          return;
+        }
         isSent = true;
       },
       onResponseStart: (_controller, statusCode, responseHeaders) => {
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -28,6 +28,7 @@
   find: (upstreamId: string) => fleet.UpstreamRecord | undefined;
   /** The upstreams of a service that may get new work. */
   eligible: (service: string, nowMs: number) => readonly fleet.UpstreamRecord[];
+  mayGetWork: (upstreamId: string, nowMs: number) => boolean;
   all: () => readonly fleet.UpstreamRecord[];
   /** Where the store stood when it vouched for the list. */
   position: () => storePositions.Position;
@@ -206,8 +207,10 @@
   }
 
   /** Its own word binds also while the platform's list is late. */
-  function mayGetWork({ upstreamId, state }: fleet.UpstreamRecord): boolean {
-    return state === 'ready' && !leavingMs.has(upstreamId);
+  function isEligible(entry: Known, nowMs: number): boolean {
+    const { upstreamId, state } = entry.stored.value;
+    const isListed = !isGone(entry, nowMs) && nowMs >= entry.countsFromMs;
+    return isListed && state === 'ready' && !leavingMs.has(upstreamId);
   }
 
   function find(upstreamId: string): fleet.UpstreamRecord | undefined {
@@ -268,9 +271,13 @@
     find,
     eligible: (service, nowMs) =>
       [...known.values()]
-        .filter((entry) => !isGone(entry, nowMs) && nowMs >= entry.countsFromMs)
-        .map((entry) => entry.stored.value)
-        .filter((record) => record.service === service && mayGetWork(record)),
+        .filter((entry) => entry.stored.value.service === service && isEligible(entry, nowMs))
+        .map((entry) => entry.stored.value),
+    mayGetWork: (upstreamId, nowMs) => {
+      const name = names.get(upstreamId);
+      const entry = name === undefined ? undefined : known.get(name);
+      return entry !== undefined && isEligible(entry, nowMs);
+    },
     all: () => [...known.values()].map((entry) => entry.stored.value),
     position: () => position,
     membersAfter: (version, nowMs) => {
