--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -252,7 +252,10 @@
       listing.records.forEach((record) => write(record, nowMs));
       listing.unreadable.forEach(discard);
       listedAt = position;
-      for (const name of [...known.keys()]) if (!listed.has(name)) remove(name, position, nowMs);
+      for (const [name, { stored }] of [...known]) {
+        const isOlder = storePositions.isAtLeast(position, stored);
+        if (!listed.has(name) && isOlder) remove(name, position, nowMs);
+      }
       sweep(nowMs);
       return true;
     },
