--- a/packages/gateway/src/server/control/upstream-list.test.ts
+++ b/packages/gateway/src/server/control/upstream-list.test.ts
@@ -223,8 +223,9 @@
       if (random.below(2) === 0) fleet.moveLease();
       written.forEach((state, id) => {
         later(random.below(WRITTEN_AGAIN_MS), () => {
-          if (written.get(id) === state)
-            store.put(listFleets.upstream(id, state, random.below(60)));
+          if (written.get(id) !== state) return;
+          if (saidMs.get(id) === Infinity) saidMs.set(id, clock.nowMs());
+          store.put(listFleets.upstream(id, state, random.below(60)));
         });
       });
     });
