--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -17,6 +17,7 @@
 import * as peerBooks from './shared/peer-book.js';
 import * as demandCounters from './shared/placing/demand-counters.js';
 import * as placementViews from './shared/placing/placement-view.js';
+import * as storePositions from './shared/store-positions.js';
 import * as listBudgets from './shared/list-budget.js';
 import * as listFeeds from './shared/list-feed.js';
 import * as pacesModule from './shared/paces.js';
@@ -79,9 +80,15 @@
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
     directory: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
-        directories.createUpstreamDirectory((beforeId, { upstreamId, address }) => {
-          parts.log.info('upstream-restarted', { beforeId, upstreamId, address });
-        }),
+        directories.createUpstreamDirectory(
+          (beforeId, { upstreamId, address }) => {
+            parts.log.info('upstream-restarted', { beforeId, upstreamId, address });
+          },
+          (upstreamId) => {
+            const upstreamsPosition = storePositions.format(parts.directory.position());
+            parts.log.info('upstream-leaving', { upstreamId, source: 'store', upstreamsPosition });
+          },
+        ),
       )
       .singleton(),
     beliefs: awilix.asFunction(beliefsModule.createUpstreamBeliefs).singleton(),
--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -110,7 +110,8 @@
 
 // Failure: an upstream says that it leaves, the store comes back from a copy of before, and it is ready there.
 test('what was leaving before the return of the store leaves after it, and others are told', () => {
-  const directory = directories.createUpstreamDirectory();
+  const kept: string[] = [];
+  const directory = directories.createUpstreamDirectory(undefined, (id) => kept.push(id));
   const records = [stored('u1', 3), stored('u2', 4)];
   directory.applyListing({ records, unreadable: [], era: 0, revision: 9 }, 0);
   const draining = stored('u1', 10, { state: 'draining' });
@@ -120,6 +121,7 @@
   assert.equal(ids(directory, 2_000), ['u2']);
   assert.equal(ids(directory, 60_000), ['u2']);
   assert.equal(directory.newlyLeavingIds(2_000), ['u1']);
+  assert.equal(kept, ['u1']);
 });
 
 // Failure: an upstream has gone, the copy still lists it, and requests are sent to its address.
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -94,7 +94,13 @@
 /** The platform lists another start under the name of the one before. */
 export type OnRestarted = (beforeId: string, record: fleet.UpstreamRecord) => void;
 
-export function createUpstreamDirectory(onRestarted: OnRestarted = () => {}): UpstreamDirectory {
+/** It was leaving before the store came back from a copy that has it from before that. */
+export type OnLeavingKept = (upstreamId: string) => void;
+
+export function createUpstreamDirectory(
+  onRestarted: OnRestarted = () => {},
+  onLeavingKept: OnLeavingKept = () => {},
+): UpstreamDirectory {
   const known = new Map<string, Known>();
   const names = new Map<string, string>();
   /** Where names were deleted, so that an older listing does not bring them back. */
@@ -147,7 +153,9 @@
     const beforeId = before?.stored.value.upstreamId;
     const { upstreamId } = record.value;
     if (beforeId !== undefined) names.delete(beforeId);
-    if (hasForgottenLeaving(before, record)) noteLeaving(upstreamId, nowMs);
+    if (hasForgottenLeaving(before, record) && noteLeaving(upstreamId, nowMs)) {
+      onLeavingKept(upstreamId);
+    }
     const countsFromMs = departures.countsFromMs(upstreamId, record);
     known.set(record.name, {
       stored: record,
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -62,7 +62,10 @@
   'upstream-usual': { upstreamId: string; slowness: number; momentFactor: number; slowMs: number };
   /** It says how many requests a second it takes from all gateways together; `source`: a request's id or a gateway's. */
   'upstream-limited': { upstreamId: string; perSecond: number; before: Amount; source: string };
-  /** It said in an answer that it leaves, whatever the platform's list says; `source`: a request's id or a gateway's. */
+  /**
+   * It said that it leaves, whatever the platform's list says; `source`: a request's id or a gateway's, or
+   * `store` where it was leaving before the store came back from an older copy.
+   */
   'upstream-leaving': { upstreamId: string; source: string; upstreamsPosition: string };
   /** It turned a request away and wants none from this gateway for so long; `source`: the request's id. */
   'upstream-paused': { upstreamId: string; forMs: number; source: string };
