A holder that slept does not carry its lease over a return of the store

Without fences: it sleeps through its lease, another takes it over, the store comes back from a copy that has neither, and the sleeper wrote its own lease down on waking and gave orders under the lower term. The list's property names its sets for what they hold.

--- a/packages/gateway/src/server/control/upstream-list.test.ts
+++ b/packages/gateway/src/server/control/upstream-list.test.ts
@@ -18,19 +18,20 @@
 /** Faults that come and go, one every few seconds, and upstreams that leave at any moment. */
 function createTrouble(fleet: listFleets.ListFleet, random: randoms.Random) {
   const { clock, store } = fleet;
-  const brokenUntilMs = new Map<string, number>();
+  /** Gateways that do not reach the store. */
+  const cutOffIds = new Set<string>();
   /** Since when each gateway reaches the store. */
   const reachesSinceMs = new Map<string, number>();
   const endings: { atMs: number; end: () => void }[] = [];
 
   function breakStore(gateway: listFleets.ListGateway, how: listStores.StoreLink, forMs: number) {
     gateway.faults.store = how;
-    brokenUntilMs.set(gateway.gatewayId, Infinity);
+    cutOffIds.add(gateway.gatewayId);
     endings.push({
       atMs: clock.nowMs() + forMs,
       end: () => {
         gateway.faults.store = 'works';
-        brokenUntilMs.delete(gateway.gatewayId);
+        cutOffIds.delete(gateway.gatewayId);
         reachesSinceMs.set(gateway.gatewayId, clock.nowMs());
       },
     });
@@ -76,7 +77,7 @@
         isolate(isolated, forMs);
         return;
       case 3:
-        // Loses the store first, and then everybody.
+        // The holder loses the store, and soon after one of them loses all others.
         breakStore(fleet.holder(), 'silent', forMs + 1_500);
         endings.push({
           atMs: clock.nowMs() + random.below(1_500),
@@ -111,7 +112,7 @@
     },
     /** Reaches the store for long enough to be bound by its word. */
     isInTouch: ({ gatewayId }: listFleets.ListGateway) =>
-      !brokenUntilMs.has(gatewayId) &&
+      !cutOffIds.has(gatewayId) &&
       clock.nowMs() - (reachesSinceMs.get(gatewayId) ?? 0) >= CONTACT_MS,
   };
 }
--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -130,6 +130,21 @@
   await Promise.all([first, second].map(({ keeper }) => keeper.handBack(clock.nowMs())));
 });
 
+// Failure: a holder sleeps through its lease, another takes it over, the copy has neither, and both give orders on waking.
+test('a holder that slept does not carry its lease over a return', async () => {
+  const { clock, state, store, join } = createRig();
+  const first = join('g1', false);
+  first.keeper.start();
+  await clock.advance(1_500);
+  assert.is(first.keeper.orderTerm(), 1);
+  const goBack = store.copy();
+  state.sleptMs += 8_000;
+  goBack();
+  await clock.advance(1_000);
+  assert.is(first.keeper.heldTerm(), null);
+  await first.keeper.handBack(clock.nowMs());
+});
+
 // Failure: all gateways start again when the store is back from a copy of before the last holders, and a term that
 // upstreams have seen is given out once more.
 test('whoever holds the lease after a return has a higher term than all before, whatever the copy has', async () => {
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -177,6 +177,10 @@
    * this gateway for longer than its lease lasts.
    */
   async function carryOver(lease: Held): Promise<void> {
+    if (mayHaveSlept(lease)) {
+      lose('suspended before the store returned');
+      return;
+    }
     const era = store.era();
     const sentAtMs = clock.nowMs();
     const name = leaseDecisions.recordName(era);
