Say how long a request may have lain unread, on which connection, and where it was when its caller left

Accepted connections are chained while each poll brings one.

Lines: caller-left; unreadMs in request-ended and request-failed from 100 ms on. Metrics: loop_turn_seconds, unread_seconds, callers_left_total, cancel_seconds. What is decided is as before; the test of a caller that leaves in a turn now also names the stage.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -5,7 +5,7 @@
 
 import * as configHolder from './server/control/config-holder.js';
 import * as connectionsModule from './server/forwarding/connections.js';
-import * as loopLagModule from './server/forwarding/loop-lag.js';
+import * as loopAgesModule from './server/forwarding/loop-ages.js';
 import * as openCallsModule from './server/forwarding/open-calls.js';
 import * as plainGates from './server/forwarding/plain-gate.js';
 import * as serving from './server/forwarding/serve.js';
@@ -134,8 +134,10 @@
         configHolder.createConfigHolder(parts.log, parts.clock),
       )
       .singleton(),
-    loopLag: awilix
-      .asFunction((parts: partTypes.GatewayParts) => loopLagModule.createLoopLag(parts.clock))
+    loopAges: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        loopAgesModule.createLoopAges(parts.clock, parts.metrics.loopTurn),
+      )
       .singleton(),
     openCalls: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -145,7 +145,7 @@
     isStopping: () => isStopping,
     openCalls,
     quotas: cradle.quotas,
-    loopLag: cradle.loopLag,
+    loopAges: cradle.loopAges,
     hasher: await hashers.createHasher(),
     norms: deadlineNorms.createDeadlineNorms(),
   });
@@ -245,7 +245,7 @@
         start: async () => {
           await listen(callers, settings.callerAddress);
           const stopCallers = async () => {
-            cradle.loopLag.stop();
+            cradle.loopAges.stop();
             callers.server.closeAllConnections();
             await callers.close();
             await cradle.connections.close();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -18,7 +18,7 @@
 import type * as quotasModule from '../quotas/quotas.js';
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
-import type * as loopLagModule from './loop-lag.js';
+import type * as loopAgesModule from './loop-ages.js';
 import type * as openCallsModule from './open-calls.js';
 import type * as serving from './serve.js';
 
@@ -29,10 +29,10 @@
   serve: serving.Serve;
   configuration: () => InForce | null;
   isStopping: () => boolean;
-  metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded' | 'denied'>;
+  metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded' | 'denied' | 'read' | 'callerLeft'>;
   quotas: Pick<quotasModule.Quotas, 'admit'>;
   openCalls: openCallsModule.OpenCalls;
-  loopLag: Pick<loopLagModule.LoopLag, 'settle'>;
+  loopAges: Pick<loopAgesModule.LoopAges, 'accepted' | 'readAge' | 'turnMs' | 'settle'>;
   norms: deadlineNorms.DeadlineNorms;
   hasher: hashers.Hasher;
 };
@@ -50,6 +50,8 @@
 /** Until a configuration says otherwise. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 5_000;
+/** A tenth of the shortest latency objective or so; what is read sooner needs no word. */
+const LONG_UNREAD_MS = 100;
 
 function refuseEarly(sink: answers.AnswerSink, status: number, cause: string): void {
   sink.refuse(status, [], cause);
@@ -64,12 +66,15 @@
   organisation: fleet.Organisation | null;
 };
 
+/** When a request was read, and how long it may have lain unread before. */
+type Arrival = loopAgesModule.ReadAge & { arrivedAtMs: number };
+
 function buildCall(
   deps: CallersDeps,
   request: http.IncomingMessage,
   { route, facts, organisation }: Admitted,
   body: Buffer,
-  arrivedAtMs: number,
+  { arrivedAtMs, unreadMs }: Arrival,
 ): calls.Call {
   const path = request.url ?? '/';
   const waitMs = Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs);
@@ -92,6 +97,7 @@
     organisation: organisation?.name ?? null,
     priority: accessTables.priorityOf(route, organisation),
     arrivedAtMs,
+    unreadMs,
     elapsedBeforeMs: deps.norms.elapsedMs(route.name, facts.remainingMs, arrivedAtMs),
     deadlineMs: arrivedAtMs + waitMs,
     fingerprint: deps.hasher.hash64Hex(`${scope}\n${body.toString('latin1')}`),
@@ -134,6 +140,24 @@
     retryAfterMs: 'retryAfterMs' in ending ? Math.round(ending.retryAfterMs) : undefined,
     upstreamId: 'upstreamId' in ending ? ending.upstreamId : undefined,
     tookMs: Math.round(deps.clock.nowMs() - call.arrivedAtMs),
+    unreadMs: call.unreadMs < LONG_UNREAD_MS ? undefined : Math.round(call.unreadMs),
+  });
+}
+
+function noteCallerLeft(
+  deps: CallersDeps,
+  requestId: string,
+  stage: calls.Stage,
+  { arrivedAtMs, unreadMs, isNewConnection }: Arrival,
+): void {
+  deps.metrics.callerLeft(stage);
+  deps.log.info('caller-left', {
+    requestId,
+    stage,
+    unreadMs: Math.round(unreadMs),
+    connection: isNewConnection ? 'new' : 'kept',
+    sinceReadMs: Math.round(deps.clock.nowMs() - arrivedAtMs),
+    turnMs: Math.round(deps.loopAges.turnMs()),
   });
 }
 
@@ -200,15 +224,18 @@
   raw: http.ServerResponse,
 ): Promise<void> {
   if (isClosed(request.socket)) return;
-  const arrivedAtMs = deps.clock.nowMs();
+  const arrival = { arrivedAtMs: deps.clock.nowMs(), ...deps.loopAges.readAge(request.socket) };
+  deps.metrics.read(arrival.isNewConnection, arrival.unreadMs);
   const { requestId } = deps.dialect.readCall(request.headers);
   const sink = answers.createAnswerSink({ raw, requestId, isStopping: deps.isStopping });
   const inForce = deps.configuration();
   const bodyBytesMax = inForce?.config.limits.bodyBytes ?? HEADER_BYTES_MAX;
   const body = await bodies.readBody(request, bodyBytesMax);
-  if (body.kind === 'caller-gone') return;
-  await deps.loopLag.settle();
-  if (isClosed(request.socket)) return;
+  if (body.kind !== 'caller-gone') await deps.loopAges.settle();
+  if (body.kind === 'caller-gone' || isClosed(request.socket)) {
+    noteCallerLeft(deps, requestId, 'unread', arrival);
+    return;
+  }
   if (body.kind === 'too-large') {
     refuseEarly(sink, 413, 'body-too-large');
     return;
@@ -221,7 +248,7 @@
   // The newest configuration counts, also when it came while the body was read.
   const admitted = admit(deps, deps.configuration() ?? inForce, request, sink);
   if (admitted === null) return;
-  const call = buildCall(deps, request, admitted, body.bytes, arrivedAtMs);
+  const call = buildCall(deps, request, admitted, body.bytes, arrival);
   const isLate = call.elapsedBeforeMs > call.route.latencyObjectiveMs;
   const quota = await deps.quotas.admit(admitted.organisation, admitted.facts, isLate);
   if (quota.kind === 'refused') {
@@ -230,6 +257,7 @@
   }
   if (isClosed(request.socket)) {
     quota.giveBack();
+    noteCallerLeft(deps, requestId, 'quota', arrival);
     return;
   }
   deps.openCalls.add(call);
@@ -238,6 +266,7 @@
     if (ending.kind === 'not-run') quota.giveBack();
     answerEnding(deps, sink, ending);
     logEnding(deps, call, ending);
+    if (ending.kind === 'caller-gone') noteCallerLeft(deps, requestId, ending.stage, arrival);
     deps.metrics.requestEnded(classOf(call), ending, deps.clock.nowMs() - call.arrivedAtMs);
   } finally {
     deps.openCalls.remove(call);
@@ -266,6 +295,7 @@
       reply.raw.socket?.resetAndDestroy();
     });
   });
+  app.server.on('connection', deps.loopAges.accepted);
   // Hooks run for routes only.
   app.all('/', () => {});
   return app;
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -31,7 +31,10 @@
   connections: connectionsModule.Connections;
   words: Pick<upstreamWords.UpstreamWords, 'heard'>;
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'answered' | 'observed'>;
-  metrics: Pick<metricsModule.GatewayMetrics, 'predicted' | 'firstPiece' | 'attemptEnded'>;
+  metrics: Pick<
+    metricsModule.GatewayMetrics,
+    'predicted' | 'firstPiece' | 'attemptEnded' | 'cancelled'
+  >;
   router: Pick<routers.Router, 'needsModel' | 'priorityOf'>;
   serviceOf: (name: string) => fleet.Service | null;
   listAgeMs: () => number | null;
@@ -133,6 +136,7 @@
         const source = call.requestId;
         deps.words.heard({ upstreamId, facts, sentMs: startedAtMs, source });
       },
+      onCancelled: deps.metrics.cancelled,
       onFirstPiece: (piece, status) => {
         started.promptRead();
         // An error tells nothing of prefill.
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -38,6 +38,8 @@
   gaps?: eventGaps.EventGaps;
   /** The head of an answer to this request has come. */
   onHead: (facts: dialects.AnswerFacts) => void;
+  /** The connection has been closed, its caller having left. */
+  onCancelled: (tookMs: number) => void;
 };
 
 /** A whole answer up to this size is held, so that one that breaks off can still become a typed failure. */
@@ -65,6 +67,7 @@
     let isPassing = false;
     const cancels: clocks.Cancel[] = [];
     const abortBeforeStart = { wanted: false };
+    let callerGoneAtMs: number | null = null;
 
     function settle(result: calls.AttemptResult): void {
       if (isSettled) return;
@@ -196,6 +199,7 @@
         if (hasStatus) endWhole();
       },
       onResponseError: (_controller, error) => {
+        if (callerGoneAtMs !== null) input.onCancelled(clock.nowMs() - callerGoneAtMs);
         if (!isSent) settle({ kind: 'not-sent', reason: error.message });
         else settle(lost('connection'));
       },
@@ -213,7 +217,10 @@
         else abandon({ kind: 'not-sent', reason: 'deadline' });
       }),
     );
-    sink.onCallerGone(() => abandon({ kind: 'caller-gone' }));
+    sink.onCallerGone(() => {
+      callerGoneAtMs = clock.nowMs();
+      abandon({ kind: 'caller-gone' });
+    });
     if (isSettled) return;
 
     const attemptHeaders = dialect.attemptHeaders({
--- a/packages/gateway/src/server/forwarding/held-requests.ts
+++ b/packages/gateway/src/server/forwarding/held-requests.ts
@@ -125,6 +125,7 @@
       if (verdict === 'full') deps.metrics.held('full', 0);
       if (verdict !== 'hold') return false;
       run.heldSinceMs ??= nowMs;
+      run.stage = 'held';
       log.info('request-held', {
         requestId: call.requestId,
         model: call.facts.model,
--- /dev/null
+++ b/packages/gateway/src/server/forwarding/loop-ages.ts
@@ -0,0 +1,152 @@
+/**
+ * How old what has just been read from a connection can be. Load: a small gateway in a burst, or one that has just started
+ * again, reads late, and accepts one new connection in each turn of its loop. Failure: what is read is taken for of now.
+ * Symptom: requests of callers that have left are sent on, and deadlines begin when requests were read. Connections
+ * are read in each poll, so what was not there in an earlier poll came after that one had begun.
+ */
+import * as perfHooks from 'node:perf_hooks';
+
+import type { clocks } from '@copperlever/runtime';
+
+/** What the event loop counts of itself. */
+export type LoopCounters = {
+  /** Polls that have begun. */
+  pollCount: () => number;
+  /** Time that was spent waiting in polls, all of it. */
+  idleMs: () => number;
+};
+
+/** The age of a request as it is read, at most; and whether its connection was new. */
+export type ReadAge = { unreadMs: number; isNewConnection: boolean };
+
+export type LoopAges = {
+  /** A connection was accepted, and is kept in mind by `key` until it is closed. */
+  accepted: (key: object) => void;
+  /** A request is read on that connection. */
+  readAge: (key: object) => ReadAge;
+  /** The longest time for which a close on an open connection may lie unread. */
+  unreadMs: () => number;
+  /** The mean length of the loop's turns lately, without its waits. */
+  turnMs: () => number;
+  /** After a late beat: waits until connections have been read once more. */
+  settle: () => Promise<void>;
+  stop: () => void;
+};
+
+/** Twenty wake-ups a second: a tenth of the time after which work for a caller that has left counts as such. */
+const BEAT_MS = 50;
+const BEATS_KEPT = 4;
+/** A poll that returned at once also counts as a wait, of some microseconds. */
+const IDLE_MIN_MS = 1;
+/** A poll that has begun after a moment is known to have been over once another has begun. */
+const POLLS_AFTER = 2;
+
+/** Well below the shortest time after which callers leave, some hundred milliseconds; above the jitter of a timer. */
+const LAG_MS = 60;
+/** For so long after a late beat requests are still taken up that lay unread before it. */
+const KEPT_MS = 250;
+
+/** A moment between two polls, or at which it is known that nothing older lay unread. */
+type Mark = { atMs: number; pollCount: number; idleMs: number };
+
+type Accepted = Mark & { waitedMs: number };
+
+const systemCounters: LoopCounters = {
+  pollCount: () => {
+    // Missing in the types of this version of Node.
+    const { uvMetricsInfo } = perfHooks.performance.nodeTiming as unknown as {
+      uvMetricsInfo: { loopCount: number };
+    };
+    return uvMetricsInfo.loopCount;
+  },
+  idleMs: () => perfHooks.performance.nodeTiming.idleTime,
+};
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+export function createLoopAges(
+  clock: Pick<clocks.Clock, 'nowMs'>,
+  onBeat: (turnMs: number) => void = () => {},
+  counters: LoopCounters = systemCounters,
+): LoopAges {
+  const accepted = new WeakMap<object, Accepted>();
+  const started = mark();
+  let beats: readonly Mark[] = [];
+  let meanTurnMs = 0;
+  let lateMs = -Infinity;
+  let lastAccept: Mark | null = null;
+  /** No connection that waits to be accepted is older than this. */
+  let queueEmpty = mark();
+
+  function mark(): Mark {
+    return { atMs: clock.nowMs(), pollCount: counters.pollCount(), idleMs: counters.idleMs() };
+  }
+
+  /** Time that the loop did not spend waiting: whatever comes while it waits is read at once. */
+  function busyMs(since: Mark, now: Mark): number {
+    return Math.max(0, now.atMs - since.atMs - (now.idleMs - since.idleMs));
+  }
+
+  /** The latest beat after which a whole poll has passed. */
+  function passedBeat(now: Mark): Mark {
+    const passed = beats.findLast((beat) => beat.pollCount + POLLS_AFTER <= now.pollCount);
+    return passed ?? beats[0] ?? started;
+  }
+
+  function unreadAt(now: Mark): number {
+    return busyMs(passedBeat(now), now);
+  }
+
+  function noteQueue(now: Mark): void {
+    const last = lastAccept;
+    const hasPolled = last === null || now.pollCount >= last.pollCount + POLLS_AFTER;
+    const hasWaited = last !== null && now.idleMs - last.idleMs > IDLE_MIN_MS;
+    if (!hasPolled && !hasWaited) return;
+    const beat = passedBeat(now);
+    queueEmpty = last !== null && last.atMs > beat.atMs ? last : beat;
+  }
+
+  function isLateBy(nowMs: number): boolean {
+    return nowMs - (beats.at(-1) ?? started).atMs > BEAT_MS + LAG_MS;
+  }
+
+  const timer = setInterval(() => {
+    const now = mark();
+    const last = beats.at(-1) ?? started;
+    if (isLateBy(now.atMs)) lateMs = now.atMs;
+    meanTurnMs = busyMs(last, now) / Math.max(1, now.pollCount - last.pollCount);
+    beats = [...beats.slice(1 - BEATS_KEPT), now];
+    onBeat(meanTurnMs);
+  }, BEAT_MS);
+  timer.unref();
+
+  return {
+    accepted: (key) => {
+      const now = mark();
+      noteQueue(now);
+      lastAccept = now;
+      accepted.set(key, { ...now, waitedMs: busyMs(queueEmpty, now) });
+    },
+    readAge: (key) => {
+      const now = mark();
+      const kept = unreadAt(now);
+      const since = accepted.get(key);
+      // A connection that was accepted in this poll or the one before had its bytes with it.
+      const isNewConnection = since !== undefined && now.pollCount < since.pollCount + POLLS_AFTER;
+      if (!isNewConnection) return { unreadMs: kept, isNewConnection };
+      return { unreadMs: since.waitedMs + busyMs(since, now), isNewConnection };
+    },
+    unreadMs: () => unreadAt(mark()),
+    turnMs: () => meanTurnMs,
+    settle: async () => {
+      const nowMs = clock.nowMs();
+      if (!isLateBy(nowMs) && nowMs - lateMs > KEPT_MS) return;
+      for (let turn = 0; turn < POLLS_AFTER; turn += 1) await nextTurn();
+    },
+    stop: () => clearInterval(timer),
+  };
+}
--- a/packages/gateway/src/server/forwarding/missing-copies.ts
+++ b/packages/gateway/src/server/forwarding/missing-copies.ts
@@ -66,6 +66,7 @@
         return refuse(call, run, 'adapter-not-ready', ADAPTER_RETRY_MS);
       }
       run.adapterAsks += 1;
+      run.stage = 'adapter';
       const byMs = Math.min(call.deadlineMs, clock.nowMs() + ADAPTER_WAIT_MS);
       const isReady = await placement.ensureAdapter(upstreamId, model, adapter, byMs);
       if (!isReady) run.excludedIds.add(upstreamId);
@@ -88,6 +89,7 @@
       if (verdict.kind === 'refuse') return refuse(call, run, cause, verdict.retryAfterMs);
       if (!run.hasWaited) noteWait(call, expected);
       run.hasWaited = true;
+      run.stage = 'model';
       waitingCount += 1;
       const startedAtMs = clock.nowMs();
       await clocksModule.sleepUntil(clock, verdict.untilMs);
--- a/packages/gateway/src/server/forwarding/open-calls.ts
+++ b/packages/gateway/src/server/forwarding/open-calls.ts
@@ -29,7 +29,7 @@
     },
     count: () => open.size,
     logCut: () => {
-      open.forEach(({ requestId, route, facts, arrivedAtMs }) => {
+      open.forEach(({ requestId, route, facts, arrivedAtMs, unreadMs }) => {
         log.warn('request-failed', {
           requestId,
           route: route.name,
@@ -41,6 +41,7 @@
           retryAfterMs: undefined,
           upstreamId: undefined,
           tookMs: Math.round(clock.nowMs() - arrivedAtMs),
+          unreadMs: Math.round(unreadMs),
         });
       });
     },
--- a/packages/gateway/src/server/forwarding/plain-passage.test.ts
+++ b/packages/gateway/src/server/forwarding/plain-passage.test.ts
@@ -47,6 +47,7 @@
   organisation: null,
   priority: 0,
   arrivedAtMs: 0,
+  unreadMs: 0,
   elapsedBeforeMs: 0,
   deadlineMs: 3_000,
   fingerprint: 'f',
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -27,6 +27,8 @@
   latestStartMs: number | null;
   /** At its latest choice of an upstream. */
   gaveWay: GaveWay | null;
+  /** What it waits for, or has last waited for. */
+  stage: calls.Stage;
 };
 
 export function createRun(): Run {
@@ -44,6 +46,7 @@
     heldSinceMs: null,
     latestStartMs: null,
     gaveWay: null,
+    stage: 'quota',
   };
 }
 
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -201,6 +201,7 @@
     organisation: null,
     priority: 0,
     arrivedAtMs: nowMs,
+    unreadMs: 0,
     elapsedBeforeMs: 0,
     deadlineMs: nowMs + 30_000,
     fingerprint: 'f',
@@ -258,7 +259,7 @@
     },
   });
   try {
-    assert.equal(await rig.serve(createCall(), sink), { kind: 'caller-gone' });
+    assert.equal(await rig.serve(createCall(), sink), { kind: 'caller-gone', stage: 'turn' });
     assert.equal(rig.upstream.requests, []);
     assert.equal(
       rig.ended.map(({ isPrefilled }) => isPrefilled),
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -165,10 +165,11 @@
   ): Promise<calls.Ending | null> {
     const passing = plain.pass(call, run, sink);
     if (passing === null) return proceed(call, run, sink, router.choose(call, run));
+    run.stage = 'gate';
     const passage = await passing;
     switch (passage.kind) {
       case 'caller-gone':
-        return passage;
+        return { kind: 'caller-gone', stage: run.stage };
       case 'refused':
         return preferHeld(run, sink, refuse(call, run, 'overloaded', passage.retryAfterMs));
       case 'passed':
@@ -193,6 +194,7 @@
       return preferHeld(run, sink, ending);
     }
     if (choice.needsAdapter) return missing.ensureAdapter(call, run, choice.upstreamId);
+    run.stage = 'turn';
     const verdict = await takeTurn(call, run, sink, choice);
     switch (verdict.kind) {
       case 'send':
@@ -206,7 +208,7 @@
       case 'choose-again':
         return null;
       case 'caller-gone':
-        return { kind: 'caller-gone' };
+        return { kind: 'caller-gone', stage: run.stage };
     }
   }
 
@@ -219,10 +221,11 @@
     const { choice, turn } = to;
     // Denied, it is closed for a while, and the next choice is another one or none.
     if (deps.limits.isLimited(choice.upstreamId)) {
+      run.stage = 'permit';
       const isTaken = await deps.limits.take(choice.upstreamId);
       if (!isTaken || sink.isCallerGone()) {
         turn.ended(false, null);
-        return isTaken ? { kind: 'caller-gone' } : null;
+        return isTaken ? { kind: 'caller-gone', stage: run.stage } : null;
       }
     }
     router.noteSent(call, run);
@@ -271,7 +274,7 @@
     const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
     if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
     for (;;) {
-      if (sink.isCallerGone()) return { kind: 'caller-gone' };
+      if (sink.isCallerGone()) return { kind: 'caller-gone', stage: run.stage };
       if (clock.nowMs() >= call.deadlineMs) {
         const { upstreamId } = run;
         if (sink.hasBegun()) return { kind: 'cut', cause: 'timeout', upstreamId };
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -39,6 +39,13 @@
   requestEnded: (of: RequestClass, ending: calls.Ending, tookMs: number) => void;
   /** Refused before it was taken up: no route, no key, or no quota left. */
   denied: (cause: DenialCause) => void;
+  /** A request was read, and may have lain unread for so long. */
+  read: (isNewConnection: boolean, unreadMs: number) => void;
+  /** A caller left before its answer was whole. */
+  callerLeft: (stage: calls.Stage) => void;
+  /** From the close of a caller's connection, as read, to that of its upstream's. */
+  cancelled: (tookMs: number) => void;
+  loopTurn: (turnMs: number) => void;
   /** The first event of a stream against its prediction. */
   predicted: (predictedMs: number, tookMs: number) => void;
   firstPiece: (of: RequestClass, sinceArrivalMs: number) => void;
@@ -69,6 +76,8 @@
 const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.4, 0.5, 1, 2, 5, 10, 30];
 /** From a question within the process to the longest interactive objectives. */
 const TURN_BUCKETS_S = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 2, 5];
+/** From an idle loop to the patience of callers that are not read. */
+const LOOP_BUCKETS_S = [0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2];
 /** What the target of predictions names, and twice as far off. */
 const RATIO_BUCKETS = [0.4, 0.8, 1.25, 2.5];
 const BAND_ENDS_MS = [50, 100, 200, 400];
@@ -115,6 +124,27 @@
     'cause',
   ]);
   const denials = counter('denied_total', 'Requests refused before they were taken up', ['cause']);
+  const loopTurnSeconds = histogram(
+    'loop_turn_seconds',
+    'Turns of the event loop without its waits, their mean in 50 ms',
+    [],
+    LOOP_BUCKETS_S,
+  );
+  const unreadSeconds = histogram(
+    'unread_seconds',
+    'For how long requests may have lain unread, at most',
+    ['connection'],
+    LOOP_BUCKETS_S,
+  );
+  const callersLeft = counter('callers_left_total', 'Callers that left before their answer', [
+    'stage',
+  ]);
+  const cancelSeconds = histogram(
+    'cancel_seconds',
+    "From a caller's close, as read, to the close of its upstream's connection",
+    [],
+    LOOP_BUCKETS_S,
+  );
   const byClass = ['kind', 'priority'];
   const requestSeconds = histogram(
     'request_seconds',
@@ -245,6 +275,13 @@
       requestSeconds.observe(classLabels(of), tookMs / MS_PER_SECOND);
     },
     denied: (cause) => denials.inc({ cause }),
+    read: (isNewConnection, unreadMs) => {
+      const connection = isNewConnection ? 'new' : 'kept';
+      unreadSeconds.observe({ connection }, unreadMs / MS_PER_SECOND);
+    },
+    callerLeft: (stage) => callersLeft.inc({ stage }),
+    cancelled: (tookMs) => cancelSeconds.observe(tookMs / MS_PER_SECOND),
+    loopTurn: (turnMs) => loopTurnSeconds.observe(turnMs / MS_PER_SECOND),
     firstPiece: (of, sinceArrivalMs) => {
       firstPieceSeconds.observe(classLabels(of), sinceArrivalMs / MS_PER_SECOND);
     },
--- a/packages/gateway/src/server/turns/turn-taker.test.ts
+++ b/packages/gateway/src/server/turns/turn-taker.test.ts
@@ -52,6 +52,7 @@
     organisation: null,
     priority: 1,
     arrivedAtMs: 0,
+    unreadMs: 0,
     elapsedBeforeMs: 0,
     deadlineMs: 10_000,
     fingerprint: 'f',
--- a/packages/gateway/src/shared/run-verdicts.ts
+++ b/packages/gateway/src/shared/run-verdicts.ts
@@ -79,7 +79,7 @@
     case 'answered':
       return { kind: 'end', ending: { kind: 'answered', status: result.status, upstreamId } };
     case 'caller-gone':
-      return { kind: 'end', ending: { kind: 'caller-gone' } };
+      return { kind: 'end', ending: { kind: 'caller-gone', stage: 'upstream' } };
     case 'not-sent':
       if (facts.sentCount <= REJECTED_SENDS_MAX) {
         return { kind: 'retry', isRepeat: facts.sentCount > 0, resumeAfterId: null };
--- /dev/null
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -0,0 +1,114 @@
+/** The callers' side of a gateway on loopback, with real sockets; what it would serve is noted and answered. */
+import type * as net from 'node:net';
+
+import { clocks, logs, randoms } from '@copperlever/runtime';
+import * as hashers from '@copperlever/runtime/hasher';
+
+import * as callersApp from '../server/forwarding/app.js';
+import * as loopAgesModule from '../server/forwarding/loop-ages.js';
+import * as openCallsModule from '../server/forwarding/open-calls.js';
+import * as quotasModule from '../server/quotas/quotas.js';
+import * as access from '../shared/access.js';
+import * as deadlineNorms from '../shared/deadline-norms.js';
+import * as routeTables from '../shared/route-table.js';
+import type * as calls from '../types/calls.js';
+import type * as fleet from '../types/fleet.js';
+import * as testDialects from './test-dialect.js';
+
+const ROUTE: fleet.Route = {
+  name: 'r',
+  host: 'a.example',
+  pathPrefix: '/',
+  kind: 'idempotent',
+  targets: [{ service: 's', weight: 1 }],
+  maxAttempts: 1,
+  timeoutMs: 5_000,
+  latencyObjectiveMs: 100,
+  pauseObjectiveMs: null,
+  priority: 0,
+  isResumable: false,
+  isPublic: false,
+};
+
+const CONFIG: fleet.FleetConfig = {
+  version: 1,
+  routes: [ROUTE],
+  services: [{ name: 's', connectionsMax: 10, engine: null }],
+  limits: { bodyBytes: 1_000, headerTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
+  organisations: null,
+};
+
+export const ORGANISATION: fleet.Organisation = {
+  name: 'o1',
+  apiKeys: ['k1', 'k2'],
+  priority: 3,
+  quota: { unit: 'tokens', perSecond: 100, burst: 100, plainTokens: 10 },
+};
+
+const GOOD: calls.Ending = { kind: 'answered', status: 200, upstreamId: 'u1' };
+
+export type AppOptions = {
+  organisations?: readonly fleet.Organisation[];
+  isPublic?: boolean;
+  ending?: calls.Ending;
+  quotas?: quotasModule.Quotas;
+};
+
+export async function startCallersApp(options: AppOptions = {}) {
+  const { organisations = null, isPublic = false, ending = GOOD } = options;
+  const config = { ...CONFIG, routes: [{ ...ROUTE, isPublic }], organisations };
+  const clock = clocks.createSystemClock();
+  const log = logs.createSilentLogger();
+  const loopAges = loopAgesModule.createLoopAges(clock);
+  const served: { path: string; atMs: number }[] = [];
+  const servedCalls: calls.Call[] = [];
+  const app = callersApp.createCallersApp({
+    clock,
+    log,
+    loopAges,
+    hasher: await hashers.createHasher(),
+    norms: deadlineNorms.createDeadlineNorms(),
+    dialect: testDialects.createTestDialect(),
+    serve: (call, sink) => {
+      served.push({ path: call.path, atMs: clock.nowMs() });
+      servedCalls.push(call);
+      const answer = { status: 200, headers: [], body: Buffer.from('ok') };
+      if (ending.kind === 'answered') sink.sendWhole({ ...answer, framing: 'length' });
+      return Promise.resolve(ending);
+    },
+    configuration: () => ({
+      config,
+      routes: routeTables.createRouteTable(config.routes),
+      access: access.createAccessTable(config.organisations),
+    }),
+    isStopping: () => false,
+    metrics: { requestEnded: () => {}, denied: () => {}, read: () => {}, callerLeft: () => {} },
+    quotas: options.quotas ?? createQuotas([]),
+    openCalls: openCallsModule.createOpenCalls(clock, log),
+  });
+  await app.listen({ host: '127.0.0.1', port: 0 });
+  const { port } = app.server.address() as net.AddressInfo;
+  const close = async () => {
+    loopAges.stop();
+    app.server.closeAllConnections();
+    await app.close();
+  };
+  return { port, served, servedCalls, close };
+}
+
+export function createQuotas(organisations: readonly fleet.Organisation[]): quotasModule.Quotas {
+  return quotasModule.createQuotas({
+    clock: { nowMs: () => 0 },
+    log: logs.createSilentLogger(),
+    random: randoms.createRandom(6),
+    organisations: () => organisations,
+    gatewayCount: () => 1,
+    slack: 0,
+    ask: () => Promise.resolve(null),
+  });
+}
+
+/** A request as it is written to a connection. */
+export function requestText(path: string): string {
+  return `GET ${path} HTTP/1.1\r\nHost: a.example\r\nt-id: ${path}\r\n\r\n`;
+}
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -17,6 +17,8 @@
   /** 0 is the most urgent. */
   priority: number;
   arrivedAtMs: number;
+  /** For how long it may have lain unread before, at most. */
+  unreadMs: number;
   /** How long the caller had been waiting when the request came, at least. */
   elapsedBeforeMs: number;
   /** When the caller gives up or the route's timeout is reached, whichever is first. */
@@ -40,6 +42,10 @@
   | 'quarantined'
   | 'deadline-near';
 
+/** What a request had come to when its caller left. */
+export type Stage =
+  'unread' | 'quota' | 'gate' | 'held' | 'model' | 'adapter' | 'turn' | 'permit' | 'upstream';
+
 /** How a request ended at the gateway. */
 export type Ending =
   | { kind: 'answered'; status: number; upstreamId: string }
@@ -49,7 +55,7 @@
   | { kind: 'failed'; cause: 'upstream-lost' | 'timeout'; upstreamId: string }
   /** The answer had begun and was cut off. */
   | { kind: 'cut'; cause: 'upstream-lost' | 'timeout'; upstreamId: string }
-  | { kind: 'caller-gone' };
+  | { kind: 'caller-gone'; stage: Stage };
 
 /** How one attempt at one upstream ended. */
 export type AttemptResult =
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -141,6 +141,18 @@
     limitAgeMs: Amount;
     holderAgeMs: Amount;
   };
+  /**
+   * Its caller left before it was answered. `stage`: what it had come to; `unreadMs`: for how long it may have lain unread
+   * before it was read; `sinceReadMs`: since then; `turnMs`: what a turn of the loop takes.
+   */
+  'caller-left': {
+    requestId: string;
+    stage: calls.Stage;
+    unreadMs: number;
+    connection: 'new' | 'kept';
+    sinceReadMs: number;
+    turnMs: number;
+  };
   'request-broken': { requestId: string; reason: string };
   'request-waits': {
     requestId: string;
@@ -224,6 +236,8 @@
   retryAfterMs: Amount;
   upstreamId: Text;
   tookMs: number;
+  /** Before it was read, at most; left out where that is short. */
+  unreadMs: Amount;
 };
 
 type Write = <Event extends keyof LogEvents>(event: Event, fields: LogEvents[Event]) => void;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -3,7 +3,7 @@
 import type { clocks, logs, randoms } from '@copperlever/runtime';
 import type * as configHolder from '../server/control/config-holder.js';
 import type * as connectionsModule from '../server/forwarding/connections.js';
-import type * as loopLagModule from '../server/forwarding/loop-lag.js';
+import type * as loopAgesModule from '../server/forwarding/loop-ages.js';
 import type * as openCallsModule from '../server/forwarding/open-calls.js';
 import type * as plainGates from '../server/forwarding/plain-gate.js';
 import type * as serving from '../server/forwarding/serve.js';
@@ -90,7 +90,7 @@
   placement: placementTypes.Placement;
   openCalls: openCallsModule.OpenCalls;
   quotas: quotasModule.Quotas;
-  loopLag: loopLagModule.LoopLag;
+  loopAges: loopAgesModule.LoopAges;
   book: peerBooks.PeerBook;
   listFeed: listFeeds.ListFeed;
   demand: demandCounters.DemandCounters;
