Failing tests: requests sent on for callers that left unread, and deadlines that begin when they are read

What callers saw (GONE): work was begun for callers that had left half a second before and longer.

serve.test.ts: the loop stands for 600 ms while a request waits for a turn or a permit, and its caller's close lies unread behind what ends the wait; it is sent on in three of three.

--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -41,8 +41,17 @@
 
 const GIVEN = async () => ({ kind: 'given', ownerId: 'g2' }) as const;
 
-async function createRig(setup: { ask?: Ask; isWanted?: boolean; answer?: Answer } = {}) {
+type Setup = {
+  ask?: Ask;
+  isWanted?: boolean;
+  answer?: Answer;
+  /** The upstream names a limit; a permit is waited for so. */
+  takePermit?: () => Promise<boolean>;
+};
+
+async function createRig(setup: Setup = {}) {
   const { ask = GIVEN, isWanted = true, answer = (socket) => socket.write(STREAM) } = setup;
+  const { takePermit } = setup;
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
   const log = logs.createSilentLogger() as logEvents.GatewayLog;
@@ -84,10 +93,10 @@
     quarantine: quarantineModule.createQuarantine(),
     words: { heard: () => {}, reported: () => {}, toldLimits: () => {}, toldLeaving: () => {} },
     limits: {
-      isLimited: () => false,
+      isLimited: () => takePermit !== undefined,
       closedForMs: () => null,
       basis: () => null,
-      take: async () => true,
+      take: takePermit ?? (async () => true),
       give: () => ({ kind: 'taken' }),
       isStarved: () => false,
     },
@@ -270,6 +279,53 @@
   }
 });
 
+/** Longer than the half second after which work for a caller that has left counts as such. */
+const STALL_MS = 600;
+
+/** The loop stands, and the caller's close, which came at its start, is read in the next poll. */
+function stallWhile(leave: () => void): void {
+  const untilMs = performance.now() + STALL_MS;
+  while (performance.now() < untilMs);
+  setImmediate(() => setImmediate(leave));
+}
+
+const STALLS: Record<string, (leave: () => void) => Setup> = {
+  'the answer to its turn': (leave) => ({
+    ask: async () => {
+      stallWhile(leave);
+      return { kind: 'given', ownerId: 'g2' };
+    },
+  }),
+  'the end of its wait for a turn': (leave) => ({
+    ask: async (_question, count) => {
+      if (count === 1) return { kind: 'wait', waitMs: 20, ownerId: 'g2' };
+      stallWhile(leave);
+      return { kind: 'given', ownerId: 'g2' };
+    },
+  }),
+  'a permit': (leave) => ({
+    takePermit: async () => {
+      stallWhile(leave);
+      return true;
+    },
+  }),
+};
+
+// A request is sent on for a caller that left while the loop stood: its close lies unread behind whatever ended the wait.
+Object.entries(STALLS).forEach(([name, setupFor]) => {
+  test(`a request whose caller left in a stall before ${name} reaches no upstream`, async () => {
+    const { sink, leave } = createSink();
+    const rig = await createRig(setupFor(leave));
+    try {
+      const ending = await rig.serve(createCall(), sink);
+      assert.is(ending.kind, 'caller-gone');
+      assert.equal(rig.upstream.requests, []);
+    } finally {
+      await rig.close();
+    }
+  });
+});
+
 // Failure: an upstream that began to drain while a request waited for its turn there gets it all the same.
 test('a draining upstream gets nothing that has waited for it', async () => {
   const rig = await createRig({
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -60,7 +60,7 @@
   const clock = clocks.createSystemClock();
   const log = logs.createSilentLogger();
   const loopAges = loopAgesModule.createLoopAges(clock);
-  const served: { path: string; atMs: number }[] = [];
+  const served: { path: string; atMs: number; deadlineMs: number }[] = [];
   const servedCalls: calls.Call[] = [];
   const app = callersApp.createCallersApp({
     clock,
@@ -70,7 +70,7 @@
     norms: deadlineNorms.createDeadlineNorms(),
     dialect: testDialects.createTestDialect(),
     serve: (call, sink) => {
-      served.push({ path: call.path, atMs: clock.nowMs() });
+      served.push({ path: call.path, atMs: clock.nowMs(), deadlineMs: call.deadlineMs });
       servedCalls.push(call);
       const answer = { status: 200, headers: [], body: Buffer.from('ok') };
       if (ending.kind === 'answered') sink.sendWhole({ ...answer, framing: 'length' });
@@ -109,6 +109,7 @@
 }
 
 /** A request as it is written to a connection. */
-export function requestText(path: string): string {
-  return `GET ${path} HTTP/1.1\r\nHost: a.example\r\nt-id: ${path}\r\n\r\n`;
+export function requestText(path: string, headers: Record<string, string> = {}): string {
+  const lines = Object.entries({ host: 'a.example', 't-id': path, ...headers });
+  return `GET ${path} HTTP/1.1\r\n${lines.map((line) => `${line.join(': ')}\r\n`).join('')}\r\n`;
 }
