Look at the caller right before a request is sent, reading connections once more where the last look may be too old

What callers saw (GONE): upstreams worked for callers that had left half a second before and longer, and whose close lay unread behind whatever had the request sent.

Cause: what is read from a connection was taken for of now. The look before a request was taken up waited for another poll only after a beat that was 60 ms late, which says nothing of a connection that waited to be accepted behind others; and after a wait in the gateway (turn, permit, gate, model) nothing asked how old the last look was.

Before a request is taken up, connections are read once more where it may have lain unread for more than 100 ms, accept queue included (loop-ages); before it is sent, where a close may have. One module owns the second look, and every way of sending passes it: last-look.ts, asked in send() of serve.ts by first attempts, retries and resumes of streams and calls alike. An idle loop waits for nothing.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -5,6 +5,7 @@
 
 import * as configHolder from './server/control/config-holder.js';
 import * as connectionsModule from './server/forwarding/connections.js';
+import * as lastLooks from './server/forwarding/last-look.js';
 import * as loopAgesModule from './server/forwarding/loop-ages.js';
 import * as openCallsModule from './server/forwarding/open-calls.js';
 import * as plainGates from './server/forwarding/plain-gate.js';
@@ -214,6 +215,7 @@
           states: upstreamStates.forChoice(settings.upstreamStates, parts.states),
           placement: parts.placement,
           metrics: parts.metrics,
+          lastLook: lastLooks.createLastLook(parts),
           serviceOf: parts.configuration.serviceOf,
           listAgeMs: () => parts.listFeed.ageMs(parts.clock.nowMs()),
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -18,7 +18,7 @@
 import type * as quotasModule from '../quotas/quotas.js';
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
-import type * as loopAgesModule from './loop-ages.js';
+import * as loopAgesModule from './loop-ages.js';
 import type * as openCallsModule from './open-calls.js';
 import type * as serving from './serve.js';
 
@@ -32,7 +32,7 @@
   metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded' | 'denied' | 'read' | 'callerLeft'>;
   quotas: Pick<quotasModule.Quotas, 'admit'>;
   openCalls: openCallsModule.OpenCalls;
-  loopAges: Pick<loopAgesModule.LoopAges, 'accepted' | 'readAge' | 'turnMs' | 'settle'>;
+  loopAges: Pick<loopAgesModule.LoopAges, 'accepted' | 'readAge' | 'turnMs' | 'readAgain'>;
   norms: deadlineNorms.DeadlineNorms;
   hasher: hashers.Hasher;
 };
@@ -231,7 +231,8 @@
   const inForce = deps.configuration();
   const bodyBytesMax = inForce?.config.limits.bodyBytes ?? HEADER_BYTES_MAX;
   const body = await bodies.readBody(request, bodyBytesMax);
-  if (body.kind !== 'caller-gone') await deps.loopAges.settle();
+  // Its caller's close may lie behind it in the connection.
+  if (arrival.unreadMs > loopAgesModule.STALE_MS) await deps.loopAges.readAgain();
   if (body.kind === 'caller-gone' || isClosed(request.socket)) {
     noteCallerLeft(deps, requestId, 'unread', arrival);
     return;
--- a/packages/gateway/src/server/forwarding/loop-ages.ts
+++ b/packages/gateway/src/server/forwarding/loop-ages.ts
@@ -24,12 +24,12 @@
   accepted: (key: object) => void;
   /** A request is read on that connection. */
   readAge: (key: object) => ReadAge;
-  /** The longest time for which a close on an open connection may lie unread. */
-  unreadMs: () => number;
+  /** The close of a connection may have lain unread for too long for anything new to be begun on its behalf. */
+  isStale: () => boolean;
+  /** Resolves once all that has come by now has been read. */
+  readAgain: () => Promise<void>;
   /** The mean length of the loop's turns lately, without its waits. */
   turnMs: () => number;
-  /** After a late beat: waits until connections have been read once more. */
-  settle: () => Promise<void>;
   stop: () => void;
 };
 
@@ -41,10 +41,8 @@
 /** A poll that has begun after a moment is known to have been over once another has begun. */
 const POLLS_AFTER = 2;
 
-/** Well below the shortest time after which callers leave, some hundred milliseconds; above the jitter of a timer. */
-const LAG_MS = 60;
-/** For so long after a late beat requests are still taken up that lay unread before it. */
-const KEPT_MS = 250;
+/** A fifth of the half second after which work for a caller that has left counts as such. */
+export const STALE_MS = 100;
 
 /** A moment between two polls, or at which it is known that nothing older lay unread. */
 type Mark = { atMs: number; pollCount: number; idleMs: number };
@@ -77,7 +75,6 @@
   const started = mark();
   let beats: readonly Mark[] = [];
   let meanTurnMs = 0;
-  let lateMs = -Infinity;
   let lastAccept: Mark | null = null;
   /** No connection that waits to be accepted is older than this. */
   let queueEmpty = mark();
@@ -110,14 +107,9 @@
     queueEmpty = last !== null && last.atMs > beat.atMs ? last : beat;
   }
 
-  function isLateBy(nowMs: number): boolean {
-    return nowMs - (beats.at(-1) ?? started).atMs > BEAT_MS + LAG_MS;
-  }
-
   const timer = setInterval(() => {
     const now = mark();
     const last = beats.at(-1) ?? started;
-    if (isLateBy(now.atMs)) lateMs = now.atMs;
     meanTurnMs = busyMs(last, now) / Math.max(1, now.pollCount - last.pollCount);
     beats = [...beats.slice(1 - BEATS_KEPT), now];
     onBeat(meanTurnMs);
@@ -140,13 +132,12 @@
       if (!isNewConnection) return { unreadMs: kept, isNewConnection };
       return { unreadMs: since.waitedMs + busyMs(since, now), isNewConnection };
     },
-    unreadMs: () => unreadAt(mark()),
-    turnMs: () => meanTurnMs,
-    settle: async () => {
-      const nowMs = clock.nowMs();
-      if (!isLateBy(nowMs) && nowMs - lateMs > KEPT_MS) return;
+    isStale: () => unreadAt(mark()) > STALE_MS,
+    // The first ends the present turn; connections are read in the second.
+    readAgain: async () => {
       for (let turn = 0; turn < POLLS_AFTER; turn += 1) await nextTurn();
     },
+    turnMs: () => meanTurnMs,
     stop: () => clearInterval(timer),
   };
 }
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -24,6 +24,8 @@
 import type * as turnsModule from '../turns/turns.js';
 import type * as answers from './answers.js';
 import * as connectionsModule from './connections.js';
+import * as lastLooks from './last-look.js';
+import * as loopAgesModule from './loop-ages.js';
 import * as plainGates from './plain-gate.js';
 import * as serving from './serve.js';
 
@@ -78,6 +80,7 @@
   const ended: turnsModule.TurnEnd[] = [];
   let lastTurnId = 0;
   const connections = connectionsModule.createConnections();
+  const loopAges = loopAgesModule.createLoopAges(clock);
   const serve = serving.createServe({
     clock,
     log,
@@ -135,6 +138,7 @@
     metrics: metricsModule.createGatewayMetrics(() => {
       throw new Error('nobody reads');
     }),
+    lastLook: lastLooks.createLastLook({ clock, loopAges }),
     serviceOf: () => service,
     listAgeMs: () => 0,
     gatewayCount: () => 1,
@@ -143,6 +147,7 @@
     failureDomain: 'north',
   });
   const close = async () => {
+    loopAges.stop();
     upstream.close();
     await connections.close();
   };
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -29,6 +29,7 @@
 import * as attemptSenders from './attempt-sender.js';
 import type * as plainGates from './plain-gate.js';
 import * as plainPassages from './plain-passage.js';
+import type * as lastLooks from './last-look.js';
 import * as heldRequests from './held-requests.js';
 import * as missingCopies from './missing-copies.js';
 import * as routers from './router.js';
@@ -60,6 +61,7 @@
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
+  lastLook: lastLooks.LastLook;
   serviceOf: (name: string) => fleet.Service | null;
   /** Since the store vouched for the list of upstreams; null before the first. */
   listAgeMs: () => number | null;
@@ -223,11 +225,16 @@
     if (deps.limits.isLimited(choice.upstreamId)) {
       run.stage = 'permit';
       const isTaken = await deps.limits.take(choice.upstreamId);
-      if (!isTaken || sink.isCallerGone()) {
+      if (!isTaken) {
         turn.ended(false, null);
-        return isTaken ? { kind: 'caller-gone', stage: run.stage } : null;
+        return null;
       }
     }
+    const look = await deps.lastLook(call, sink);
+    if (look !== 'may-send') {
+      turn.ended(false, null);
+      return look === 'caller-gone' ? { kind: 'caller-gone', stage: run.stage } : null;
+    }
     router.noteSent(call, run);
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
