Count a request's deadline and objective from when it came, not from when it was read

Cause: arrivedAtMs was the moment of reading. It is now the earliest moment at which the request can have come, which the loop's ages bound; admission, queue limits, retries and latency figures count from it as well.

--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -66,7 +66,7 @@
   organisation: fleet.Organisation | null;
 };
 
-/** When a request was read, and how long it may have lain unread before. */
+/** When a request came, at the earliest, and how long it may have lain unread. */
 type Arrival = loopAgesModule.ReadAge & { arrivedAtMs: number };
 
 function buildCall(
@@ -156,7 +156,7 @@
     stage,
     unreadMs: Math.round(unreadMs),
     connection: isNewConnection ? 'new' : 'kept',
-    sinceReadMs: Math.round(deps.clock.nowMs() - arrivedAtMs),
+    sinceReadMs: Math.round(deps.clock.nowMs() - arrivedAtMs - unreadMs),
     turnMs: Math.round(deps.loopAges.turnMs()),
   });
 }
@@ -224,7 +224,8 @@
   raw: http.ServerResponse,
 ): Promise<void> {
   if (isClosed(request.socket)) return;
-  const arrival = { arrivedAtMs: deps.clock.nowMs(), ...deps.loopAges.readAge(request.socket) };
+  const age = deps.loopAges.readAge(request.socket);
+  const arrival = { ...age, arrivedAtMs: deps.clock.nowMs() - age.unreadMs };
   deps.metrics.read(arrival.isNewConnection, arrival.unreadMs);
   const { requestId } = deps.dialect.readCall(request.headers);
   const sink = answers.createAnswerSink({ raw, requestId, isStopping: deps.isStopping });
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -16,8 +16,8 @@
   organisation: string | null;
   /** 0 is the most urgent. */
   priority: number;
+  /** At the earliest: it may have lain unread for `unreadMs`. Its deadline and objective count from here. */
   arrivedAtMs: number;
-  /** For how long it may have lain unread before, at most. */
   unreadMs: number;
   /** How long the caller had been waiting when the request came, at least. */
   elapsedBeforeMs: number;
