Read what has come before an upstream is called silent or a connection too slow

What callers saw: after a stall of the loop an upstream that had answered in time was taken for silent; its request was tried again elsewhere (idempotent calls ran twice, the retry budget and the belief in the upstream paid), or refused for want of a connection.

A loop runs its timers before it reads what came while it stood.

Evidence: attempt.test.ts, an upstream that answers at once and a stall of 400 ms after it: lost, silent, before; answered now. Judgements by these two timers wait for one more poll where what is known may be too old.

The loop's ages count from their start until four beats have passed: the first beat after a stall was taken for older than the stall.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -216,6 +216,7 @@
           placement: parts.placement,
           metrics: parts.metrics,
           lastLook: lastLooks.createLastLook(parts),
+          loopAges: parts.loopAges,
           serviceOf: parts.configuration.serviceOf,
           listAgeMs: () => parts.listFeed.ageMs(parts.clock.nowMs()),
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -24,6 +24,7 @@
   'needsModel' | 'states' | 'metrics'
 > & {
   clock: clocks.Clock;
+  loopAges: attempts.AttemptDeps['loopAges'];
   log: logEvents.GatewayLog;
   dialect: dialects.Dialect;
   inFlight: inFlightModule.InFlight;
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -12,6 +12,7 @@
 import type * as answers from './answers.js';
 import * as attempts from './attempt.js';
 import * as connectionsModule from './connections.js';
+import * as loopAgesModule from './loop-ages.js';
 
 const test = suite('attempt');
 
@@ -94,16 +95,18 @@
   call: calls.Call = createCall('at-most-once'),
   gaps?: eventGaps.EventGaps,
   mayStart: () => boolean = () => true,
+  firstByteInMs = 20_000,
 ) {
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const connections = connectionsModule.createConnections();
   const clock = clocks.createSystemClock();
+  const loopAges = loopAgesModule.createLoopAges(clock);
   const { sink, passed } = createSink();
   const run = async () => {
     const connection = connections.lend(upstream.record, 4);
     assert.ok(connection);
     const result = await attempts.runAttempt(
-      { clock, dialect: testDialects.createTestDialect() },
+      { clock, loopAges, dialect: testDialects.createTestDialect() },
       {
         call,
         upstreamName: 'u1',
@@ -117,11 +120,12 @@
         mayStart,
         ...(gaps === undefined ? {} : { gaps }),
         sendByMs: clock.nowMs() + 10_000,
-        firstByteByMs: clock.nowMs() + 20_000,
+        firstByteByMs: clock.nowMs() + firstByteInMs,
         onFirstPiece: () => {},
       },
     );
     connection.giveBack(result.kind !== 'not-sent');
+    loopAges.stop();
     return result;
   };
   const result = await run();
@@ -144,6 +148,24 @@
   await connections.close();
 });
 
+// Timers run before what has come is read: after a stall an upstream that has answered is taken for silent, and asked twice.
+test('an answer that came during a stall of the loop is read before its upstream is called silent', async () => {
+  const { result, upstream, connections } = await attempt(
+    (socket) => {
+      socket.write(`${OK}Content-Length: 5\r\n\r\nhello`);
+      const untilMs = performance.now() + 400;
+      while (performance.now() < untilMs);
+    },
+    createCall('idempotent'),
+    undefined,
+    undefined,
+    100,
+  );
+  assert.equal(result, { kind: 'answered', status: 200 });
+  upstream.close();
+  await connections.close();
+});
+
 // An upstream breaks off an answer that has a length. Passed on, the caller would wait for the rest, or take
 // a part for the whole.
 test('an answer that is cut short is lost, and may have run', async () => {
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -14,8 +14,13 @@
 import type * as dialects from '../../types/dialects.js';
 import type * as answers from './answers.js';
 import type * as connectionsModule from './connections.js';
+import type * as loopAgesModule from './loop-ages.js';
 
-export type AttemptDeps = { clock: clocks.Clock; dialect: dialects.Dialect };
+export type AttemptDeps = {
+  clock: clocks.Clock;
+  dialect: dialects.Dialect;
+  loopAges: Pick<loopAgesModule.LoopAges, 'isStale' | 'readAgain'>;
+};
 
 export type AttemptInput = {
   call: calls.Call;
@@ -79,6 +84,7 @@
 
     /** Ends the attempt and its connection: nothing that still comes on it may reach anyone. */
     function abandon(result: calls.AttemptResult): void {
+      if (isSettled) return;
       settle(result);
       if (controller === null) abortBeforeStart.wanted = true;
       else controller.abort(new AttemptAborted('attempt abandoned'));
@@ -153,6 +159,12 @@
       settle({ kind: 'answered', status });
     }
 
+    /** Timers run before what has come is read: what lies there unread may say that the upstream was in time. */
+    function onceRead(judge: () => void): void {
+      if (deps.loopAges.isStale()) void deps.loopAges.readAgain().then(judge);
+      else judge();
+    }
+
     const handler: undici.Dispatcher.DispatchHandler = {
       onRequestStart: (started) => {
         controller = started;
@@ -207,10 +219,14 @@
 
     cancels.push(
       clock.schedule(input.sendByMs, () => {
-        if (!isSent) abandon({ kind: 'not-sent', reason: 'no connection in time' });
+        onceRead(() => {
+          if (!isSent) abandon({ kind: 'not-sent', reason: 'no connection in time' });
+        });
       }),
       clock.schedule(input.firstByteByMs, () => {
-        if (!hasStatus) abandon(lost('silent'));
+        onceRead(() => {
+          if (!hasStatus) abandon(lost('silent'));
+        });
       }),
       clock.schedule(call.deadlineMs, () => {
         if (isSent) abandon({ kind: 'deadline', hasBegun: sink.hasBegun() });
--- a/packages/gateway/src/server/forwarding/loop-ages.ts
+++ b/packages/gateway/src/server/forwarding/loop-ages.ts
@@ -73,7 +73,7 @@
 ): LoopAges {
   const accepted = new WeakMap<object, Accepted>();
   const started = mark();
-  let beats: readonly Mark[] = [];
+  let beats: readonly Mark[] = [started];
   let meanTurnMs = 0;
   let lastAccept: Mark | null = null;
   /** No connection that waits to be accepted is older than this. */
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -139,6 +139,7 @@
       throw new Error('nobody reads');
     }),
     lastLook: lastLooks.createLastLook({ clock, loopAges }),
+    loopAges,
     serviceOf: () => service,
     listAgeMs: () => 0,
     gatewayCount: () => 1,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -62,6 +62,7 @@
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   lastLook: lastLooks.LastLook;
+  loopAges: attemptSenders.AttemptSenderDeps['loopAges'];
   serviceOf: (name: string) => fleet.Service | null;
   /** Since the store vouched for the list of upstreams; null before the first. */
   listAgeMs: () => number | null;
