Ask for prefill turns only gateways that have processor time for others

What callers saw: streams at small gateways waited 20 ms and more for a turn that nobody gave, and all else there with them.

Cause: owners of upstreams were taken by hash over all gateways, the smallest too.

Owners are the live gateways with at least half of the mean processor time, all where they are alike or nothing is known.

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -13,6 +13,7 @@
 import * as listBudgets from './shared/list-budget.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
 import type * as settingsModule from './types/settings.js';
+import * as turnOwners from './shared/turn-owners.js';
 import type * as partTypes from './types/parts.js';
 
 const MS_PER_SECOND = 1_000;
@@ -153,7 +154,10 @@
     states: parts.states,
     mode: settings.promptTurns,
     gatewayId: settings.gatewayId,
-    liveIds: (nowMs) => liveIds(parts, nowMs),
+    ownerIds: (nowMs) => {
+      const self = { gatewayId: settings.gatewayId, millicores: millicoresOf(settings) };
+      return turnOwners.mayOwn([self, ...book.live(nowMs)]);
+    },
     unreadTokens: (upstreamId, nowMs) =>
       inFlight.ahead(upstreamId, Infinity, nowMs, (_model, tokens) => tokens).readMs,
     takeFrom: async (ownerId, asked, deadlineMs) => {
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -45,7 +45,7 @@
   const holder = create('g1');
   holder.state.heldTerm = exchangeGateways.HOLDER.term;
   const follower = create('g2');
-  follower.book.learned([{ gatewayId: 'g1', address: 'g1:1' }], clock.nowMs());
+  follower.book.learned([{ gatewayId: 'g1', address: 'g1:1', millicores: 0 }], clock.nowMs());
   return { clock, calls, holder, follower };
 }
 
--- a/packages/gateway/src/server/placing/lease-keeper.test.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.test.ts
@@ -237,7 +237,7 @@
   first.keeper.start();
   await clock.advance(1_500);
   first.scarce.push('o1');
-  first.book.learned([{ gatewayId: 'g3', address: 'g3:7000' }], clock.nowMs());
+  first.book.learned([{ gatewayId: 'g3', address: 'g3:7000', millicores: 0 }], clock.nowMs());
   await clock.advance(1_500);
   const second = join('g2');
   second.keeper.start();
--- a/packages/gateway/src/server/placing/lease-keeper.ts
+++ b/packages/gateway/src/server/placing/lease-keeper.ts
@@ -108,7 +108,7 @@
     book.noteFleetSize(gatewayCount, clock.nowMs());
     deps.quotas.noteWritten(record.value.scarceOrganisations);
     book.noteLease({ holderId, term });
-    book.learned([{ gatewayId: holderId, address }], clock.nowMs());
+    book.learned([{ gatewayId: holderId, address, millicores: 0 }], clock.nowMs());
   }
 
   function isOwn(record: StoredLease, term: number): boolean {
--- a/packages/gateway/src/server/turns/turns.test.ts
+++ b/packages/gateway/src/server/turns/turns.test.ts
@@ -43,7 +43,7 @@
       states,
       mode,
       gatewayId,
-      liveIds: () => ids,
+      ownerIds: () => ids,
       unreadTokens: () => 0,
       takeFrom: async (ownerId, asked) => {
         messages.taken += 1;
--- a/packages/gateway/src/server/turns/turns.ts
+++ b/packages/gateway/src/server/turns/turns.ts
@@ -42,8 +42,8 @@
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'told' | 'isShared'>;
   mode: settingsModule.Settings['promptTurns'];
   gatewayId: string;
-  /** Gateways that live, this one among them. */
-  liveIds: (nowMs: number) => readonly string[];
+  /** Gateways that live and have time for questions. */
+  ownerIds: (nowMs: number) => readonly string[];
   /** Tokens that are not prefilled at the upstream, by what is known of all gateways. */
   unreadTokens: (upstreamId: string, nowMs: number) => number;
   /** Null without an answer. */
@@ -138,7 +138,7 @@
     ask: async (question) => {
       const nowMs = clock.nowMs();
       const { upstreamId } = question;
-      const ownerId = owners.ownerOf(upstreamId, () => deps.liveIds(nowMs), nowMs);
+      const ownerId = owners.ownerOf(upstreamId, () => deps.ownerIds(nowMs), nowMs);
       const reply = await askOwner(ownerId, { ...question, gatewayId });
       deps.metrics.turnAnswered(reply?.kind ?? 'unanswered');
       if (reply !== null) return { ownerId, ...reply };
--- a/packages/gateway/src/shared/peer-book.ts
+++ b/packages/gateway/src/shared/peer-book.ts
@@ -1,7 +1,7 @@
 /** The other gateways: who they are, when each was last heard of, and who holds the lease. */
 export type PeerAddress = { gatewayId: string; address: string };
 
-/** `millicores`: what it may use of processors. */
+/** `millicores`: what it may use of processors; 0 where nobody has told yet. */
 export type HeardPeer = PeerAddress & { millicores: number };
 
 export type LeaseHolder = { holderId: string; term: number };
@@ -10,7 +10,7 @@
   /** A peer answered or asked: it lives. */
   heardFrom: (peer: HeardPeer, nowMs: number) => void;
   /** Another peer has heard of it lately. */
-  learned: (peers: readonly PeerAddress[], nowMs: number) => void;
+  learned: (peers: readonly HeardPeer[], nowMs: number) => void;
   /** It did not answer. */
   missed: (address: string, nowMs: number) => void;
   left: (gatewayId: string) => void;
@@ -18,8 +18,8 @@
   lease: () => LeaseHolder | null;
   addressOf: (gatewayId: string) => string | null;
   /** Peers that were heard themselves lately, to tell others of. */
-  heard: (nowMs: number) => readonly PeerAddress[];
-  live: (nowMs: number) => readonly PeerAddress[];
+  heard: (nowMs: number) => readonly HeardPeer[];
+  live: (nowMs: number) => readonly HeardPeer[];
   /** What a holder has written down: gateways that start together have not heard of one another yet. */
   noteFleetSize: (gatewayCount: number, nowMs: number) => void;
   /** Gateways that live, this one among them; at least as many as were written down lately. */
@@ -55,8 +55,8 @@
     return [...entries].filter(([, entry]) => nowMs - entry.knownMs < LIVE_MS);
   }
 
-  function toAddress([gatewayId, { address }]: [string, Entry]): PeerAddress {
-    return { gatewayId, address };
+  function toPeer([gatewayId, { address, millicores }]: [string, Entry]): HeardPeer {
+    return { gatewayId, address, millicores };
   }
 
   return {
@@ -71,13 +71,13 @@
       });
     },
     learned: (peers, nowMs) => {
-      peers.forEach(({ gatewayId, address }) => {
+      peers.forEach(({ gatewayId, address, millicores }) => {
         if (gatewayId === selfId) return;
         const before = entries.get(gatewayId);
         if (before === undefined) {
           entries.set(gatewayId, {
             address,
-            millicores: 0,
+            millicores,
             heardMs: null,
             knownMs: nowMs,
             silentSinceMs: null,
@@ -85,6 +85,7 @@
           return;
         }
         before.knownMs = nowMs;
+        if (before.millicores === 0) before.millicores = millicores;
       });
     },
     missed: (address, nowMs) => {
@@ -104,8 +105,8 @@
     heard: (nowMs) =>
       [...entries]
         .filter(([, entry]) => nowMs - (entry.heardMs ?? -Infinity) < TELL_MS)
-        .map(toAddress),
-    live: (nowMs) => liveEntries(nowMs).map(toAddress),
+        .map(toPeer),
+    live: (nowMs) => liveEntries(nowMs).map(toPeer),
     noteFleetSize: (gatewayCount, nowMs) => {
       written = { gatewayCount, atMs: nowMs };
     },
