Ask for no prefill turn whose answer this gateway's own loop would read too late

A gateway whose turns take more than 10 ms lately sends streams without asking, unless it owns the upstream itself; what it sends counts at the owner with the loads that gateways tell each other. Test: turns.test.ts (all four asked before).

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -153,6 +153,7 @@
     metrics: parts.metrics,
     states: parts.states,
     mode: settings.promptTurns,
+    loopTurnMs: parts.loopAges.turnMs,
     gatewayId: settings.gatewayId,
     ownerIds: (nowMs) => {
       const self = { gatewayId: settings.gatewayId, millicores: millicoresOf(settings) };
--- a/packages/gateway/src/server/turns/turns.test.ts
+++ b/packages/gateway/src/server/turns/turns.test.ts
@@ -26,6 +26,8 @@
   const silentIds = new Set<string>();
   /** Answers come after so long. */
   const delay = { ms: 1 };
+  /** Of every gateway. */
+  const loopTurn = { ms: 1 };
 
   function afterDelay(): Promise<void> {
     return new Promise((resolve) => {
@@ -44,6 +46,7 @@
       mode,
       gatewayId,
       ownerIds: () => ids,
+      loopTurnMs: () => loopTurn.ms,
       unreadTokens: () => 0,
       takeFrom: async (ownerId, asked) => {
         messages.taken += 1;
@@ -79,7 +82,7 @@
     return answer as turnsModule.TurnAnswer | null;
   }
 
-  return { clock, ids, member, messages, silentIds, delay, ask };
+  return { clock, ids, member, messages, silentIds, delay, loopTurn, ask };
 }
 
 function question(turnId: number, overrides: Partial<turnsModule.TurnQuestion> = {}) {
@@ -104,6 +107,15 @@
   assert.equal(kinds, ['given', 'given', 'wait', 'wait', 'wait', 'wait']);
 });
 
+// Failure: a gateway whose loop is slow waits in vain for each answer, and both sides pay for the question.
+test('a gateway that would read the answer too late asks nobody but itself', () => {
+  const { ids, member, loopTurn } = createFleet(4);
+  const wanting = () => ids.filter((id) => member(id).turns.isWanted('u1'));
+  assert.equal(wanting(), ids);
+  loopTurn.ms = 40;
+  assert.is(wanting().length, 1);
+});
+
 test('the owner asks itself without a call', async () => {
   const { ids, ask, messages } = createFleet(4);
   const ownerId = (await ask('g0'))?.ownerId as string;
--- a/packages/gateway/src/server/turns/turns.ts
+++ b/packages/gateway/src/server/turns/turns.ts
@@ -40,6 +40,8 @@
   log: logEvents.GatewayLog;
   metrics: Pick<metricsModule.GatewayMetrics, 'turnAnswered'>;
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'told' | 'isShared'>;
+  /** The mean length of this process's own turns of the loop, lately. */
+  loopTurnMs: () => number;
   mode: settingsModule.Settings['promptTurns'];
   gatewayId: string;
   /** Gateways that live and have time for questions. */
@@ -58,6 +60,8 @@
 const ANSWER_MS = 20;
 /** A call that is given up closes its channel: an owner that only pauses keeps its own for longer than it is waited for. */
 const CALL_MS = 500;
+/** An answer that comes within a longer turn of the loop is read too late: the question would cost both sides a call for nothing. */
+const ASKING_TURN_MAX_MS = ANSWER_MS / 2;
 /** This process itself had no time: the answer may have come and not been read. */
 const OWN_LAG_MS = 5;
 const BATCH_MS = 10;
@@ -109,6 +113,15 @@
     void deps.takeFrom(ownerId, sent, clock.nowMs() + CALL_MS);
   }
 
+  function ownerOf(upstreamId: string, nowMs: number): string {
+    return owners.ownerOf(upstreamId, () => deps.ownerIds(nowMs), nowMs);
+  }
+
+  function canAsk(upstreamId: string): boolean {
+    if (deps.loopTurnMs() <= ASKING_TURN_MAX_MS) return true;
+    return ownerOf(upstreamId, clock.nowMs()) === gatewayId;
+  }
+
   function noteSilent(ownerId: string, upstreamId: string): void {
     if (!owners.noteSilent(ownerId, clock.nowMs())) return;
     log.warn('turn-owner-silent', { ownerId, upstreamId, forMs: turnOwners.SILENT_MS });
@@ -124,11 +137,11 @@
     isWanted: (upstreamId) => {
       switch (deps.mode) {
         case 'on':
-          return true;
+          return canAsk(upstreamId);
         case 'off':
           return false;
         case 'auto':
-          return states.isShared(upstreamId);
+          return states.isShared(upstreamId) && canAsk(upstreamId);
       }
     },
     nextTurnId: () => {
@@ -138,7 +151,7 @@
     ask: async (question) => {
       const nowMs = clock.nowMs();
       const { upstreamId } = question;
-      const ownerId = owners.ownerOf(upstreamId, () => deps.ownerIds(nowMs), nowMs);
+      const ownerId = ownerOf(upstreamId, nowMs);
       const reply = await askOwner(ownerId, { ...question, gatewayId });
       deps.metrics.turnAnswered(reply?.kind ?? 'unanswered');
       if (reply !== null) return { ownerId, ...reply };
