Have small gateways that are saturated ask the balancer for no new connections

What callers saw: the balancer gives each gateway the same share of callers, whatever its size; at small ones connections waited to be accepted while the busiest large one beside them used 0.31 of its 1.35 cores.

A gateway whose loop was busy for 0.9 of two seconds is not ready, and closes connections with its answers, until it is down to 0.5. Only one that has far less processor time than others (processor-shares.ts) does so: where all are alike, what one leaves comes to others that are as busy, so nothing changes there.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -138,9 +138,13 @@
       .singleton(),
     loopAges: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
-        loopAgesModule.createLoopAges(parts.clock, parts.metrics.loopTurn),
+        loopAgesModule.createLoopAges(parts.clock, ({ turnMs, busyShare, elapsedMs }) => {
+          parts.metrics.loopTurn(turnMs);
+          parts.shedding.noteBusy(busyShare, elapsedMs);
+        }),
       )
       .singleton(),
+    shedding: awilix.asFunction(controlParts.createShedding).singleton(),
     intake: awilix
       .asFunction(({ clock: time, loopAges }: partTypes.GatewayParts) =>
         intakes.createIntake({ clock: time, loopAges }),
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -13,7 +13,8 @@
 import * as listBudgets from './shared/list-budget.js';
 import * as beliefsModule from './shared/upstream-beliefs.js';
 import type * as settingsModule from './types/settings.js';
-import * as turnOwners from './shared/turn-owners.js';
+import * as processorShares from './shared/processor-shares.js';
+import * as sheddings from './server/health/shedding.js';
 import type * as partTypes from './types/parts.js';
 
 const MS_PER_SECOND = 1_000;
@@ -144,6 +145,19 @@
   });
 }
 
+/** The live gateways that have processor time to spare for others, by what is known of all. */
+function ampleIds({ book, settings }: partTypes.GatewayParts, nowMs: number): readonly string[] {
+  const self = { gatewayId: settings.gatewayId, millicores: millicoresOf(settings) };
+  return processorShares.withAmple([self, ...book.live(nowMs)]);
+}
+
+export function createShedding(parts: partTypes.GatewayParts): sheddings.Shedding {
+  return sheddings.createShedding({
+    log: parts.log,
+    hasLarger: () => !ampleIds(parts, parts.clock.nowMs()).includes(parts.settings.gatewayId),
+  });
+}
+
 export function createTurns(parts: partTypes.GatewayParts): turnsModule.Turns {
   const { book, clock, inFlight, settings } = parts;
   return turnsModule.createTurns({
@@ -155,10 +169,7 @@
     mode: settings.promptTurns,
     loopTurnMs: parts.loopAges.turnMs,
     gatewayId: settings.gatewayId,
-    ownerIds: (nowMs) => {
-      const self = { gatewayId: settings.gatewayId, millicores: millicoresOf(settings) };
-      return turnOwners.mayOwn([self, ...book.live(nowMs)]);
-    },
+    ownerIds: (nowMs) => ampleIds(parts, nowMs),
     unreadTokens: (upstreamId, nowMs) =>
       inFlight.ahead(upstreamId, Infinity, nowMs, (_model, tokens) => tokens).readMs,
     takeFrom: async (ownerId, asked, deadlineMs) => {
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -142,7 +142,7 @@
     serve: cradle.serve,
     configuration: configuration.current,
     metrics: cradle.metrics,
-    isStopping: () => isStopping,
+    closesConnections: () => isStopping || cradle.shedding.isShedding(),
     openCalls,
     quotas: cradle.quotas,
     loopAges: cradle.loopAges,
@@ -154,7 +154,8 @@
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
 
   function isReady(): boolean {
-    return !isStopping && hasListing && configuration.current() !== null;
+    const isServing = !isStopping && hasListing && configuration.current() !== null;
+    return isServing && !cradle.shedding.isShedding();
   }
   const readiness = healthApp.createReadinessApp(cradle.dialect.readinessPath, isReady);
 
--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -24,7 +24,7 @@
 export type SinkOptions = {
   raw: http.ServerResponse;
   requestId: string;
-  isStopping: () => boolean;
+  closesConnections: () => boolean;
 };
 
 export function createAnswerSink(options: SinkOptions): AnswerSink {
@@ -41,7 +41,7 @@
 
   function writeHead(status: number, headers: readonly dialects.HeaderPair[]): void {
     // A balancer that keeps its connections would go on using a gateway that is about to leave.
-    if (options.isStopping()) raw.setHeader('connection', 'close');
+    if (options.closesConnections()) raw.setHeader('connection', 'close');
     const grouped = new Map<string, string[]>();
     headers.forEach(([name, value]) => grouped.set(name, [...(grouped.get(name) ?? []), value]));
     grouped.forEach((values, name) => {
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -29,7 +29,8 @@
   dialect: dialects.Dialect;
   serve: serving.Serve;
   configuration: () => InForce | null;
-  isStopping: () => boolean;
+  /** Callers are to come back on new connections, to wherever the balancer sends them. */
+  closesConnections: () => boolean;
   metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded' | 'denied' | 'read' | 'callerLeft'>;
   quotas: Pick<quotasModule.Quotas, 'admit'>;
   openCalls: openCallsModule.OpenCalls;
@@ -255,7 +256,11 @@
   const arrival = { ...age, arrivedAtMs: deps.clock.nowMs() - age.unreadMs };
   deps.metrics.read(arrival.isNewConnection, arrival.unreadMs);
   const { requestId } = deps.dialect.readCall(request.headers);
-  const sink = answers.createAnswerSink({ raw, requestId, isStopping: deps.isStopping });
+  const sink = answers.createAnswerSink({
+    raw,
+    requestId,
+    closesConnections: deps.closesConnections,
+  });
   const inForce = deps.configuration();
   const bodyBytesMax = inForce?.config.limits.bodyBytes ?? HEADER_BYTES_MAX;
   const body = await bodies.readBody(request, bodyBytesMax);
--- a/packages/gateway/src/server/forwarding/loop-ages.ts
+++ b/packages/gateway/src/server/forwarding/loop-ages.ts
@@ -19,6 +19,9 @@
 /** The age of a request as it is read, at most; and whether its connection was new. */
 export type ReadAge = { unreadMs: number; isNewConnection: boolean };
 
+/** What the loop did between two beats: the mean length of its turns, and the share of the time in which it did not wait. */
+export type Beat = { turnMs: number; busyShare: number; elapsedMs: number };
+
 export type LoopAges = {
   /** A connection was accepted, and is kept in mind by `key` until it is closed. */
   accepted: (key: object) => void;
@@ -72,7 +75,7 @@
 
 export function createLoopAges(
   clock: Pick<clocks.Clock, 'nowMs'>,
-  onBeat: (turnMs: number) => void = () => {},
+  onBeat: (beat: Beat) => void = () => {},
   counters: LoopCounters = systemCounters,
 ): LoopAges {
   const accepted = new WeakMap<object, Accepted>();
@@ -116,7 +119,12 @@
     const last = beats.at(-1) ?? started;
     meanTurnMs = busyMs(last, now) / Math.max(1, now.pollCount - last.pollCount);
     beats = [...beats.slice(1 - BEATS_KEPT), now];
-    onBeat(meanTurnMs);
+    const elapsedMs = now.atMs - last.atMs;
+    onBeat({
+      turnMs: meanTurnMs,
+      busyShare: busyMs(last, now) / Math.max(1, elapsedMs),
+      elapsedMs,
+    });
   }, BEAT_MS);
   timer.unref();
 
--- /dev/null
+++ b/packages/gateway/src/shared/processor-shares.test.ts
@@ -0,0 +1,24 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as processorShares from './processor-shares.js';
+
+const test = suite('processor shares');
+
+function ids(count: number): string[] {
+  return Array.from({ length: count }, (_unused, index) => `g${index}`);
+}
+
+// Failure: a small gateway is asked for turns, and answers when its askers have long sent without.
+test('gateways with little processor time are asked for nothing where there are larger ones', () => {
+  const small = ids(15).map((gatewayId) => ({ gatewayId, millicores: 184 }));
+  const large = ids(8).map((id) => ({ gatewayId: `large-${id}`, millicores: 1_350 }));
+  const largeIds = large.map(({ gatewayId }) => gatewayId);
+  assert.equal(processorShares.withAmple([...small, ...large]), largeIds);
+  assert.is(processorShares.withAmple(small).length, 15);
+  const unknown = ids(4).map((id) => ({ gatewayId: `unknown-${id}`, millicores: 0 }));
+  assert.equal(processorShares.withAmple([...unknown, ...large]), largeIds);
+  assert.is(processorShares.withAmple(unknown).length, 4);
+});
+
+test.run();
--- a/packages/gateway/src/shared/turn-owners.test.ts
+++ b/packages/gateway/src/shared/turn-owners.test.ts
@@ -85,16 +85,4 @@
   assert.is(owners.noteSilent('g0', 0), false);
 });
 
-// Failure: a small gateway is asked for turns, and answers when its askers have long sent without.
-test('gateways with little processor time own no upstream, where there are larger ones', () => {
-  const small = ids(15).map((gatewayId) => ({ gatewayId, millicores: 184 }));
-  const large = ids(8).map((id) => ({ gatewayId: `large-${id}`, millicores: 1_350 }));
-  const largeIds = large.map(({ gatewayId }) => gatewayId);
-  assert.equal(turnOwners.mayOwn([...small, ...large]), largeIds);
-  assert.is(turnOwners.mayOwn(small).length, 15);
-  const unknown = ids(4).map((id) => ({ gatewayId: `unknown-${id}`, millicores: 0 }));
-  assert.equal(turnOwners.mayOwn([...unknown, ...large]), largeIds);
-  assert.is(turnOwners.mayOwn(unknown).length, 4);
-});
-
 test.run();
--- a/packages/gateway/src/shared/turn-owners.ts
+++ b/packages/gateway/src/shared/turn-owners.ts
@@ -5,9 +5,6 @@
  */
 import * as rendezvous from './rendezvous.js';
 
-/** A gateway that lives; `millicores`: what it may use of processors, 0 where that is not known. */
-export type Candidate = { gatewayId: string; millicores: number };
-
 export type TurnOwners = {
   /** `liveIds`: the gateways that live, this one among them. */
   ownerOf: (upstreamId: string, liveIds: () => readonly string[], nowMs: number) => string;
@@ -30,20 +27,6 @@
 /** Upstreams get another id with each start: those that have gone are forgotten at some time. */
 const KEPT_MAX = 4_000;
 
-/**
- * Load: a small gateway in a burst, whose loop takes longer for a turn than an owner is waited for. Harm prevented: it
- * answers too late, and each request that asks it waits in vain and costs both of them a call.
- */
-const LEAST_SHARE_OF_MEAN = 0.5;
-
-/** The gateways that have processor time for the questions of others: all where they are alike or nothing is known. */
-export function mayOwn(live: readonly Candidate[]): readonly string[] {
-  const known = live.filter(({ millicores }) => millicores > 0);
-  const sum = known.reduce((total, { millicores }) => total + millicores, 0);
-  const least = known.length === 0 ? 0 : (sum / known.length) * LEAST_SHARE_OF_MEAN;
-  return live.filter(({ millicores }) => millicores >= least).map(({ gatewayId }) => gatewayId);
-}
-
 function first(key: string, ids: readonly string[]): string | undefined {
   let best: { id: string; score: string } | undefined;
   ids.forEach((id) => {
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -83,7 +83,7 @@
       routes: routeTables.createRouteTable(config.routes),
       access: access.createAccessTable(config.organisations),
     }),
-    isStopping: () => false,
+    closesConnections: () => false,
     metrics: { requestEnded: () => {}, denied: () => {}, read: () => {}, callerLeft: () => {} },
     quotas: options.quotas ?? createQuotas([]),
     openCalls: openCallsModule.createOpenCalls(clock, log),
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -8,6 +8,7 @@
 import type * as openCallsModule from '../server/forwarding/open-calls.js';
 import type * as plainGates from '../server/forwarding/plain-gate.js';
 import type * as serving from '../server/forwarding/serve.js';
+import type * as sheddings from '../server/health/shedding.js';
 import type * as metricsModule from '../server/metrics/metrics.js';
 import type * as exchanges from '../server/peers/exchange.js';
 import type * as peerLinks from '../server/peers/peer-link.js';
@@ -93,6 +94,7 @@
   quotas: quotasModule.Quotas;
   loopAges: loopAgesModule.LoopAges;
   intake: intakes.Intake;
+  shedding: sheddings.Shedding;
   book: peerBooks.PeerBook;
   listFeed: listFeeds.ListFeed;
   demand: demandCounters.DemandCounters;
