Look again at the caller where the loop stood while it looked

What callers saw (GONE): the same as before, rarer: the loop stands a second time between the look at the caller and the sending.

Cause: one more poll was taken for enough, however long the turn after it. readAgain now says how old what is known then can be, and the last look repeats until that is under 250 ms, four times at most.

The loop's hooks are handed in, so that the property plays beats, polls and turn ends.

--- a/packages/gateway/src/server/forwarding/last-look.ts
+++ b/packages/gateway/src/server/forwarding/last-look.ts
@@ -22,9 +22,18 @@
   loopAges: Pick<loopAgesModule.LoopAges, 'isStale' | 'readAgain'>;
 };
 
+/** Half of the time after which work for a caller that has left counts as such: the bytes are on their way for the rest. */
+const KNOWN_MAX_MS = 250;
+/** A loop that stands as often as this would hold a request back for good. */
+const LOOKS_MAX = 4;
+
 export function createLastLook({ clock, loopAges }: LastLookDeps): LastLook {
   return async (call, sink) => {
-    if (!sink.isCallerGone() && loopAges.isStale()) await loopAges.readAgain();
+    let knownMs = loopAges.isStale() ? Infinity : 0;
+    for (let looks = 0; knownMs > KNOWN_MAX_MS && looks < LOOKS_MAX; looks += 1) {
+      if (sink.isCallerGone()) break;
+      knownMs = await loopAges.readAgain();
+    }
     if (sink.isCallerGone()) return 'caller-gone';
     return clock.nowMs() >= call.deadlineMs ? 'deadline' : 'may-send';
   };
--- a/packages/gateway/src/server/forwarding/loop-ages.test.ts
+++ b/packages/gateway/src/server/forwarding/loop-ages.test.ts
@@ -7,7 +7,7 @@
 
 const TURN_MS = 40;
 
-/** A loop whose polls, waits and time are set by hand; beats come by the real timer and are not waited for. */
+/** A loop whose polls, waits and time are set by hand; there are no beats. */
 function startLoop() {
   let nowMs = 0;
   let pollCount = 1;
@@ -15,6 +15,8 @@
   const ages = loopAgesModule.createLoopAges({ nowMs: () => nowMs }, undefined, {
     pollCount: () => pollCount,
     idleMs: () => idleMs,
+    atTurnEnd: () => {},
+    every: () => () => {},
   });
   return {
     ages,
--- a/packages/gateway/src/server/forwarding/loop-ages.ts
+++ b/packages/gateway/src/server/forwarding/loop-ages.ts
@@ -8,12 +8,16 @@
 
 import type { clocks } from '@copperlever/runtime';
 
-/** What the event loop counts of itself. */
-export type LoopCounters = {
+/** What is asked of the event loop. */
+export type EventLoop = {
   /** Polls that have begun. */
   pollCount: () => number;
   /** Time that was spent waiting in polls, all of it. */
   idleMs: () => number;
+  /** Runs `task` at the end of a turn, after what has been read in it. */
+  atTurnEnd: (task: () => void) => void;
+  /** Runs `task` each `periodMs`, until the function that is returned is called. */
+  every: (periodMs: number, task: () => void) => () => void;
 };
 
 /** The age of a request as it is read, at most; and whether its connection was new. */
@@ -29,8 +33,8 @@
   readAge: (key: object) => ReadAge;
   /** The close of a connection may have lain unread for too long for anything new to be begun on its behalf. */
   isStale: () => boolean;
-  /** Resolves once all that has come by now has been read. */
-  readAgain: () => Promise<void>;
+  /** Once all that has come by now has been read: how old what is known then can be. */
+  readAgain: () => Promise<number>;
   /** Polls that have begun. */
   pollCount: () => number;
   /** In this turn a connection was accepted: others may wait. */
@@ -56,7 +60,7 @@
 
 type Accepted = Mark & { waitedMs: number };
 
-const systemCounters: LoopCounters = {
+const systemLoop: EventLoop = {
   pollCount: () => {
     // Missing in the types of this version of Node.
     const { uvMetricsInfo } = perfHooks.performance.nodeTiming as unknown as {
@@ -65,18 +69,18 @@
     return uvMetricsInfo.loopCount;
   },
   idleMs: () => perfHooks.performance.nodeTiming.idleTime,
+  atTurnEnd: setImmediate,
+  every: (periodMs, task) => {
+    const timer = setInterval(task, periodMs);
+    timer.unref();
+    return () => clearInterval(timer);
+  },
 };
 
-function nextTurn(): Promise<void> {
-  return new Promise((resolve) => {
-    setImmediate(resolve);
-  });
-}
-
 export function createLoopAges(
   clock: Pick<clocks.Clock, 'nowMs'>,
   onBeat: (beat: Beat) => void = () => {},
-  counters: LoopCounters = systemCounters,
+  loop: EventLoop = systemLoop,
 ): LoopAges {
   const accepted = new WeakMap<object, Accepted>();
   const started = mark();
@@ -87,7 +91,13 @@
   let queueEmpty = mark();
 
   function mark(): Mark {
-    return { atMs: clock.nowMs(), pollCount: counters.pollCount(), idleMs: counters.idleMs() };
+    return { atMs: clock.nowMs(), pollCount: loop.pollCount(), idleMs: loop.idleMs() };
+  }
+
+  function turnEnd(): Promise<void> {
+    return new Promise((resolve) => {
+      loop.atTurnEnd(resolve);
+    });
   }
 
   /** Time that the loop did not spend waiting: whatever comes while it waits is read at once. */
@@ -114,7 +124,7 @@
     queueEmpty = last !== null && last.atMs > beat.atMs ? last : beat;
   }
 
-  const timer = setInterval(() => {
+  const stop = loop.every(BEAT_MS, () => {
     const now = mark();
     const last = beats.at(-1) ?? started;
     meanTurnMs = busyMs(last, now) / Math.max(1, now.pollCount - last.pollCount);
@@ -125,8 +135,7 @@
       busyShare: busyMs(last, now) / Math.max(1, elapsedMs),
       elapsedMs,
     });
-  }, BEAT_MS);
-  timer.unref();
+  });
 
   return {
     accepted: (key) => {
@@ -145,13 +154,15 @@
       return { unreadMs: since.waitedMs + busyMs(since, now), isNewConnection };
     },
     isStale: () => unreadAt(mark()) > STALE_MS,
-    // The first ends the present turn; connections are read in the second.
     readAgain: async () => {
-      for (let turn = 0; turn < POLLS_AFTER; turn += 1) await nextTurn();
+      await turnEnd();
+      const beforePoll = mark();
+      await turnEnd();
+      return busyMs(beforePoll, mark());
     },
-    pollCount: counters.pollCount,
-    hasJustAccepted: () => lastAccept?.pollCount === counters.pollCount(),
+    pollCount: loop.pollCount,
+    hasJustAccepted: () => lastAccept?.pollCount === loop.pollCount(),
     turnMs: () => meanTurnMs,
-    stop: () => clearInterval(timer),
+    stop,
   };
 }
