Put gaps between events that the own loop has stretched down to nobody

What callers saw: a gateway that is late itself takes its upstreams for slow and tells the other gateways so; requests go to worse ones.

Gaps are not counted while the loop's turns take more than 10 ms.

Evidence: attempt.test.ts, a stream at a gateway with turns of 40 ms: the gap was counted before.

--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -96,6 +96,7 @@
   gaps?: eventGaps.EventGaps,
   mayStart: () => boolean = () => true,
   firstByteInMs = 20_000,
+  turnMs = 1,
 ) {
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const connections = connectionsModule.createConnections();
@@ -106,7 +107,11 @@
     const connection = connections.lend(upstream.record, 4);
     assert.ok(connection);
     const result = await attempts.runAttempt(
-      { clock, loopAges, dialect: testDialects.createTestDialect() },
+      {
+        clock,
+        loopAges: { ...loopAges, turnMs: () => turnMs },
+        dialect: testDialects.createTestDialect(),
+      },
       {
         call,
         upstreamName: 'u1',
@@ -314,6 +319,26 @@
   upstream.close();
 });
 
+// A gateway that is late itself takes its upstreams for slow, tells the others so, and sends them less.
+test('gaps that the own loop has stretched are not put down to the upstream', async () => {
+  const seen: string[] = [];
+  const gaps = { event: () => seen.push('event'), interrupted: () => seen.push('interrupted') };
+  const { upstream, connections } = await attempt(
+    (socket) => {
+      socket.write(`${OK}Content-Length: 10\r\n\r\ndata: `);
+      setTimeout(() => socket.write('one\n'), 30);
+    },
+    createCall('stream'),
+    gaps,
+    undefined,
+    undefined,
+    40,
+  );
+  assert.equal(seen, ['interrupted', 'event', 'interrupted', 'event']);
+  upstream.close();
+  await connections.close();
+});
+
 // Failure: the gaps of streams are not seen, or those of answers that are held whole are.
 test('the events of a stream that is passed on are counted, and no whole answer', async () => {
   let count = 0;
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -19,7 +19,7 @@
 export type AttemptDeps = {
   clock: clocks.Clock;
   dialect: dialects.Dialect;
-  loopAges: Pick<loopAgesModule.LoopAges, 'isStale' | 'readAgain'>;
+  loopAges: Pick<loopAgesModule.LoopAges, 'isStale' | 'readAgain' | 'turnMs'>;
 };
 
 export type AttemptInput = {
@@ -50,6 +50,9 @@
 /** A whole answer up to this size is held, so that one that breaks off can still become a typed failure. */
 const HELD_BYTES_MAX = 256 * 1024;
 
+/** A quarter of a usual gap or so: longer turns of this process's own loop stretch what it sees of upstreams. */
+const GAP_TURN_MAX_MS = 10;
+
 class AttemptAborted extends Error {}
 
 export function runAttempt(deps: AttemptDeps, input: AttemptInput): Promise<calls.AttemptResult> {
@@ -199,6 +202,7 @@
       onResponseData: (_controller, chunk) => {
         if (isSettled) return;
         if (isPassing) {
+          if (deps.loopAges.turnMs() > GAP_TURN_MAX_MS) input.gaps?.interrupted();
           input.gaps?.event(clock.nowMs());
           passOn(chunk);
           return;
