--- a/packages/proofs/src/matrix/cells.ts
+++ b/packages/proofs/src/matrix/cells.ts
@@ -3,6 +3,7 @@
 import * as configJourney from './config-journey.js';
 import * as faults from './faults.js';
 import * as limitJourney from './limit-journey.js';
+import * as listJourney from './list-journey.js';
 import type * as invariants from './invariants.js';
 import * as modelJourney from './model-journey.js';
 import * as requestJourney from './request-journey.js';
@@ -133,6 +134,17 @@
   );
 }
 
+function listJourneyCells(): Cell[] {
+  return listJourney.FAULTS.flatMap((fault) =>
+    listJourney.STEPS.map((step) => ({
+      journey: 'list of upstreams',
+      fault: fault.name,
+      step: `word ${step}`,
+      work: { kind: 'run', run: () => listJourney.runCell(fault, step) },
+    })),
+  );
+}
+
 /** What upstreams say of themselves is played by gateways and stand-ins on sockets. */
 function wordCells(): Cell[] {
   const reasons = {
@@ -154,6 +166,7 @@
     ...configCells(),
     ...pairCells(),
     ...limitCells(),
+    ...listJourneyCells(),
     ...wordCells(),
   ];
 }
