Take requests up at the pace at which connections are accepted

What callers saw: in a burst of 60 calls on new connections some were refused (503 no-upstream) though their upstream had room: all its connections were in use for the moment.

Cause: while connections waited, requests were held for up to 50 ms and then taken up sixteen a turn, faster than an upstream answers and frees its connections. Before the intake the accepting of one connection a turn had paced them.

A portion takes at least one request a turn, so the queue does not grow by this.

--- a/packages/gateway/src/server/forwarding/intake.ts
+++ b/packages/gateway/src/server/forwarding/intake.ts
@@ -19,7 +19,7 @@
 
 export type IntakeDeps = {
   clock: Pick<clocks.Clock, 'nowMs'>;
-  loopAges: Pick<loopAgesModule.LoopAges, 'pollCount' | 'hasJustAccepted'>;
+  loopAges: Pick<loopAgesModule.LoopAges, 'pollCount'>;
   /** Runs `task` at the end of a turn of the loop, after what has been read in it. */
   atTurnEnd?: (task: () => void) => void;
 };
@@ -28,8 +28,6 @@
 const PORTION_MS = 10;
 /** Requests that are looked for in one turn, where each takes less than a part of its portion. */
 const TAKEN_MAX = 16;
-/** Connections that wait are accepted first, for so long. */
-const ACCEPTING_MAX_MS = 50;
 
 type Waiting = { latestStartMs: number; pollCount: number; resolve: () => void };
 
@@ -51,7 +49,6 @@
   let isScheduled = false;
   let portionPoll = -1;
   let portionStartMs = 0;
-  let acceptingSinceMs: number | null = null;
 
   function schedule(): void {
     if (isScheduled) return;
@@ -65,15 +62,6 @@
     });
   }
 
-  function isAcceptingFirst(nowMs: number): boolean {
-    if (!loopAges.hasJustAccepted()) {
-      acceptingSinceMs = null;
-      return false;
-    }
-    acceptingSinceMs ??= nowMs;
-    return nowMs - acceptingSinceMs < ACCEPTING_MAX_MS;
-  }
-
   /** The most pressing of those whose connections have been read once more since they were. */
   function findNext(nowMs: number, pollCount: number): number {
     return waiting.reduce((best, entry, index) => {
@@ -86,7 +74,7 @@
   function beginPortion(): void {
     const nowMs = clock.nowMs();
     const pollCount = loopAges.pollCount();
-    if (pollCount !== portionPoll) portionStartMs = isAcceptingFirst(nowMs) ? -Infinity : nowMs;
+    if (pollCount !== portionPoll) portionStartMs = nowMs;
     portionPoll = pollCount;
   }
 
--- a/packages/gateway/src/server/forwarding/loop-ages.ts
+++ b/packages/gateway/src/server/forwarding/loop-ages.ts
@@ -37,8 +37,6 @@
   readAgain: () => Promise<number>;
   /** Polls that have begun. */
   pollCount: () => number;
-  /** In this turn a connection was accepted: others may wait. */
-  hasJustAccepted: () => boolean;
   /** The mean length of the loop's turns lately, without its waits. */
   turnMs: () => number;
   stop: () => void;
@@ -161,7 +159,6 @@
       return busyMs(beforePoll, mark());
     },
     pollCount: loop.pollCount,
-    hasJustAccepted: () => lastAccept?.pollCount === loop.pollCount(),
     turnMs: () => meanTurnMs,
     stop,
   };
