--- a/scripts/programs.mjs
+++ b/scripts/programs.mjs
@@ -15,6 +15,7 @@
   'bench-control-daemon': 'packages/bench/src/control/daemon.ts',
   'bench-plain': 'packages/bench/src/plain/main.ts',
   'bench-plan': 'packages/bench/src/plan/main.ts',
+  'bench-request': 'platform/src/testing/request-cost.ts',
   matrix: 'packages/proofs/src/matrix/main.ts',
 };
 
