Let go of requests that wait to be taken up when their callers leave or their time is up

What callers saw: nothing yet; found when the diff was read. What is late is taken up last, so beside a stream of others it could wait, with its body, until long after its caller had left, and a planned stop did not count it among what is open.

A caller that leaves and a deadline that passes end the wait at once (then nothing is begun, or it is refused), 500 wait at the most, and a stop counts them. intake.test.ts.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -267,7 +267,7 @@
       clock,
       server: callers.server,
       connections,
-      openCallCount: () => openCalls.count(),
+      openCallCount: () => openCalls.count() + cradle.intake.waitingCount(),
       endMs,
     });
     await stops.handBackLast({ clock, drained, handBack: cradle.lease.handBack, endMs });
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -234,8 +234,13 @@
     const admitted = inForce === null ? null : admit(deps, inForce, request, sink);
     if (admitted === null) return null;
     const call = buildCall(deps, request, admitted, body, arrival);
-    const latestStartMs = call.arrivedAtMs - call.elapsedBeforeMs + call.route.latencyObjectiveMs;
-    await deps.intake.takeUp(latestStartMs, call.unreadMs);
+    await deps.intake.takeUp({
+      dueMs: call.arrivedAtMs - call.elapsedBeforeMs + call.route.latencyObjectiveMs,
+      deadlineMs: call.deadlineMs,
+      unreadMs: call.unreadMs,
+      onceLeft: sink.onCallerGone,
+    });
+    sink.onCallerGone(null);
     if (isClosed(request.socket)) {
       noteCallerLeft(deps, call.requestId, 'unread', arrival);
       return null;
--- a/packages/gateway/src/server/forwarding/intake.test.ts
+++ b/packages/gateway/src/server/forwarding/intake.test.ts
@@ -9,6 +9,10 @@
 const REQUEST_MS = 16;
 const TURN_COUNT = 80;
 
+function arrived(overrides: Partial<intakes.Arrived> = {}): intakes.Arrived {
+  return { dueMs: 1_000, deadlineMs: 60_000, unreadMs: 0, onceLeft: () => {}, ...overrides };
+}
+
 /** A loop on a virtual clock: each turn reads, and runs what waits for its end. */
 function startLoop() {
   let nowMs = 0;
@@ -49,7 +53,7 @@
   const loop = startLoop();
   const takenIn: number[] = [];
   const take = async () => {
-    await loop.intake.takeUp(1_000, 0);
+    await loop.intake.takeUp(arrived());
     takenIn.push(loop.pollCount());
     loop.work(REQUEST_MS);
   };
@@ -64,7 +68,7 @@
   const loop = startLoop();
   let isTaken = false;
   await loop.turn(() => {
-    void loop.intake.takeUp(1_000, 0).then(() => {
+    void loop.intake.takeUp(arrived()).then(() => {
       isTaken = true;
     });
   });
@@ -75,8 +79,8 @@
 test('the most pressing that can be in time goes first, what is late goes last', async () => {
   const loop = startLoop();
   const order: string[] = [];
-  const take = async (name: string, latestStartMs: number) => {
-    await loop.intake.takeUp(latestStartMs, 0);
+  const take = async (name: string, dueMs: number) => {
+    await loop.intake.takeUp(arrived({ dueMs }));
     order.push(name);
     loop.work(REQUEST_MS);
   };
@@ -91,6 +95,26 @@
   assert.equal(order, ['first', 'pressing', 'patient', 'late']);
 });
 
+// Load: late requests wait behind a stream of others. Harm prevented: they keep their bodies, and their callers waiting, for nothing.
+test('whose caller leaves or whose time is up waits no longer', async () => {
+  const loop = startLoop();
+  const ended: string[] = [];
+  let leave = () => {};
+  const onceLeft = (task: () => void) => {
+    leave = task;
+  };
+  await loop.turn(() => {
+    void loop.intake.takeUp(arrived());
+    void loop.intake.takeUp(arrived({ dueMs: 0, onceLeft })).then(() => ended.push('left'));
+    void loop.intake.takeUp(arrived({ dueMs: 0, deadlineMs: 5 })).then(() => ended.push('time up'));
+    leave();
+    loop.work(REQUEST_MS);
+  });
+  await loop.turn();
+  assert.equal(ended.sort(), ['left', 'time up']);
+  assert.is(loop.intake.waitingCount(), 0);
+});
+
 // Failure: a request is begun before the close that lay behind it in its connection is read.
 test('what may have lain unread is taken up a poll later at the earliest', async () => {
   await fastCheck.assert(
@@ -98,7 +122,7 @@
       fastCheck.array(
         fastCheck.record({
           atTurn: fastCheck.integer({ min: 0, max: 12 }),
-          latestStartMs: fastCheck.integer({ min: 0, max: 800 }),
+          dueMs: fastCheck.integer({ min: 0, max: 800 }),
           unreadMs: fastCheck.integer({ min: 101, max: 3_000 }),
           workMs: fastCheck.integer({ min: 0, max: 60 }),
         }),
@@ -111,9 +135,9 @@
           await loop.turn(() => {
             requests
               .filter(({ atTurn }) => atTurn === turn)
-              .forEach(async ({ latestStartMs, unreadMs, workMs }) => {
+              .forEach(async ({ dueMs, unreadMs, workMs }) => {
                 const readIn = loop.pollCount();
-                await loop.intake.takeUp(latestStartMs, unreadMs);
+                await loop.intake.takeUp(arrived({ dueMs, unreadMs }));
                 taken.push({ readIn, takenIn: loop.pollCount() });
                 loop.work(workMs);
               });
--- a/packages/gateway/src/server/forwarding/intake.ts
+++ b/packages/gateway/src/server/forwarding/intake.ts
@@ -8,12 +8,22 @@
 
 import * as loopAgesModule from './loop-ages.js';
 
+export type Arrived = {
+  /** When its latency objective ends, and when its caller gives up. */
+  dueMs: number;
+  deadlineMs: number;
+  /** For how long it may have lain unread, at most. */
+  unreadMs: number;
+  /** Runs `task` once its caller has left. */
+  onceLeft: (task: () => void) => void;
+};
+
 export type Intake = {
   /**
-   * Resolves when a request may be taken up that is in time if it is begun by `latestStartMs`. What may have lain unread for
-   * long is taken up once connections have been read again: its caller's close may lie behind it.
+   * Resolves when a request may be taken up, or need not be any more: its caller has left, or its time is up. What may have
+   * lain unread for long is taken up once connections have been read again: its caller's close may lie behind it.
    */
-  takeUp: (latestStartMs: number, unreadMs: number) => Promise<void>;
+  takeUp: (arrived: Arrived) => Promise<void>;
   waitingCount: () => number;
 };
 
@@ -24,23 +34,26 @@
   atTurnEnd?: (task: () => void) => void;
 };
 
-/** Of a turn, for what is taken up in it: a connection that waits to be accepted waits no longer for each before it. */
+/** What a turn may take for new requests: a connection that waits to be accepted waits as long for each before it. */
 const PORTION_MS = 10;
-/** Requests that are looked for in one turn, where each takes less than a part of its portion. */
+/** In one portion, where each takes a fraction of it. */
 const TAKEN_MAX = 16;
 
-type Waiting = { latestStartMs: number; pollCount: number; resolve: () => void };
+/** Each keeps its body. Beyond, requests are taken up at once. */
+const WAITING_MAX = 500;
+
+type Waiting = Pick<Arrived, 'dueMs' | 'deadlineMs'> & { pollCount: number; resolve: () => void };
 
 /** Those that can still be in time come first, the most pressing before others; then the rest as they came. */
 export function isBefore(
-  left: Pick<Waiting, 'latestStartMs'>,
-  right: Pick<Waiting, 'latestStartMs'>,
+  left: Pick<Waiting, 'dueMs'>,
+  right: Pick<Waiting, 'dueMs'>,
   nowMs: number,
 ): boolean {
-  const isLeftLate = left.latestStartMs < nowMs;
-  const isRightLate = right.latestStartMs < nowMs;
+  const isLeftLate = left.dueMs < nowMs;
+  const isRightLate = right.dueMs < nowMs;
   if (isLeftLate !== isRightLate) return isRightLate;
-  return left.latestStartMs < right.latestStartMs;
+  return left.dueMs < right.dueMs;
 }
 
 export function createIntake(deps: IntakeDeps): Intake {
@@ -63,12 +76,13 @@
   }
 
   /** The most pressing of those whose connections have been read once more since they were. */
-  function findNext(nowMs: number, pollCount: number): number {
-    return waiting.reduce((best, entry, index) => {
-      if (entry.pollCount >= pollCount) return best;
-      const known = waiting[best];
-      return known === undefined || isBefore(entry, known, nowMs) ? index : best;
-    }, -1);
+  function findNext(nowMs: number, pollCount: number): Waiting | undefined {
+    return waiting
+      .filter((entry) => entry.pollCount < pollCount)
+      .reduce<Waiting | undefined>(
+        (best, entry) => (best === undefined || isBefore(entry, best, nowMs) ? entry : best),
+        undefined,
+      );
   }
 
   function beginPortion(): void {
@@ -76,20 +90,26 @@
     const pollCount = loopAges.pollCount();
     if (pollCount !== portionPoll) portionStartMs = nowMs;
     portionPoll = pollCount;
+    // To be refused is cheap, and sooner told is better.
+    waiting.filter(({ deadlineMs }) => deadlineMs <= nowMs).forEach(leave);
+  }
+
+  function leave(entry: Waiting): void {
+    const index = waiting.indexOf(entry);
+    if (index >= 0) waiting.splice(index, 1);
+    entry.resolve();
   }
 
   function takeNext(): void {
     if (waiting.length === 0) return;
     const nowMs = clock.nowMs();
     if (nowMs - portionStartMs > PORTION_MS) return;
-    const index = findNext(nowMs, portionPoll);
-    if (index < 0) return;
-    const [next] = waiting.splice(index, 1);
-    next?.resolve();
+    const next = findNext(nowMs, portionPoll);
+    if (next !== undefined) leave(next);
   }
 
   return {
-    takeUp: async (latestStartMs, unreadMs) => {
+    takeUp: async ({ dueMs, deadlineMs, unreadMs, onceLeft }) => {
       const pollCount = loopAges.pollCount();
       const isFirst = waiting.length === 0 && pollCount !== portionPoll;
       if (isFirst && unreadMs <= loopAgesModule.STALE_MS) {
@@ -98,8 +118,11 @@
         portionStartMs = clock.nowMs();
         return;
       }
+      if (waiting.length >= WAITING_MAX) return;
       await new Promise<void>((resolve) => {
-        waiting.push({ latestStartMs, pollCount, resolve });
+        const entry = { dueMs, deadlineMs, pollCount, resolve };
+        waiting.push(entry);
+        onceLeft(() => leave(entry));
         schedule();
       });
     },
--- a/packages/gateway/src/server/forwarding/loop-ages.ts
+++ b/packages/gateway/src/server/forwarding/loop-ages.ts
@@ -27,7 +27,7 @@
 export type Beat = { turnMs: number; busyShare: number; elapsedMs: number };
 
 export type LoopAges = {
-  /** A connection was accepted, and is kept in mind by `key` until it is closed. */
+  /** A connection was accepted; `key` stands for it. */
   accepted: (key: object) => void;
   /** A request is read on that connection. */
   readAge: (key: object) => ReadAge;
@@ -47,7 +47,7 @@
 const BEATS_KEPT = 4;
 /** A poll that returned at once also counts as a wait, of some microseconds. */
 const IDLE_MIN_MS = 1;
-/** A poll that has begun after a moment is known to have been over once another has begun. */
+/** The poll that began after a moment is over once the next has begun. */
 const POLLS_AFTER = 2;
 
 /** A fifth of the half second after which work for a caller that has left counts as such. */
