Take requests up by priority before by when they are due

Cause: the intake put all that is late last, whatever it is. It goes by the priority that engines go by (urgency.ts): late interactive work below what may still be in time, overnight work below both. intake.test.ts failed before.

--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -10,6 +10,7 @@
 import * as connectionHeaders from '../../shared/connection-headers.js';
 import type * as deadlineNorms from '../../shared/deadline-norms.js';
 import * as routeTables from '../../shared/route-table.js';
+import * as urgency from '../../shared/urgency.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
@@ -237,6 +238,7 @@
     await deps.intake.takeUp({
       dueMs: call.arrivedAtMs - call.elapsedBeforeMs + call.route.latencyObjectiveMs,
       deadlineMs: call.deadlineMs,
+      priorityOf: (isLate) => urgency.enginePriority(call.priority, call.route, isLate),
       unreadMs: call.unreadMs,
       onceLeft: sink.onCallerGone,
     });
--- a/packages/gateway/src/server/forwarding/intake.test.ts
+++ b/packages/gateway/src/server/forwarding/intake.test.ts
@@ -10,7 +10,14 @@
 const TURN_COUNT = 80;
 
 function arrived(overrides: Partial<intakes.Arrived> = {}): intakes.Arrived {
-  return { dueMs: 1_000, deadlineMs: 60_000, unreadMs: 0, onceLeft: () => {}, ...overrides };
+  return {
+    dueMs: 1_000,
+    deadlineMs: 60_000,
+    priorityOf: (isLate) => (isLate ? 2 : 0),
+    unreadMs: 0,
+    onceLeft: () => {},
+    ...overrides,
+  };
 }
 
 /** A loop on a virtual clock: each turn reads, and runs what waits for its end. */
@@ -95,6 +102,24 @@
   assert.equal(order, ['first', 'pressing', 'patient', 'late']);
 });
 
+// Load: drafts that somebody waits for are late, and overnight work is not due for long. Harm prevented: the drafts wait behind it.
+test('what is late goes before work that nobody watches', async () => {
+  const loop = startLoop();
+  const order: string[] = [];
+  const take = async (name: string, overrides: Partial<intakes.Arrived>) => {
+    await loop.intake.takeUp(arrived(overrides));
+    order.push(name);
+    loop.work(REQUEST_MS);
+  };
+  await loop.turn(() => {
+    void take('first', {});
+    void take('overnight', { dueMs: 9_000, priorityOf: () => 4 });
+    void take('late', { dueMs: 5 });
+  });
+  for (let count = 0; count < 5; count += 1) await loop.turn();
+  assert.equal(order, ['first', 'late', 'overnight']);
+});
+
 // Load: late requests wait behind a stream of others. Harm prevented: they keep their bodies, and their callers waiting, for nothing.
 test('whose caller leaves or whose time is up waits no longer', async () => {
   const loop = startLoop();
--- a/packages/gateway/src/server/forwarding/intake.ts
+++ b/packages/gateway/src/server/forwarding/intake.ts
@@ -12,6 +12,8 @@
   /** When its latency objective ends, and when its caller gives up. */
   dueMs: number;
   deadlineMs: number;
+  /** 0 is the most urgent. */
+  priorityOf: (isLate: boolean) => number;
   /** For how long it may have lain unread, at most. */
   unreadMs: number;
   /** Runs `task` once its caller has left. */
@@ -42,18 +44,18 @@
 /** Each keeps its body. Beyond, requests are taken up at once. */
 const WAITING_MAX = 500;
 
-type Waiting = Pick<Arrived, 'dueMs' | 'deadlineMs'> & { pollCount: number; resolve: () => void };
-
-/** Those that can still be in time come first, the most pressing before others; then the rest as they came. */
-export function isBefore(
-  left: Pick<Waiting, 'dueMs'>,
-  right: Pick<Waiting, 'dueMs'>,
-  nowMs: number,
-): boolean {
-  const isLeftLate = left.dueMs < nowMs;
-  const isRightLate = right.dueMs < nowMs;
-  if (isLeftLate !== isRightLate) return isRightLate;
-  return left.dueMs < right.dueMs;
+type Waiting = Pick<Arrived, 'dueMs' | 'deadlineMs' | 'priorityOf'> & {
+  pollCount: number;
+  resolve: () => void;
+};
+
+type Urgency = Pick<Arrived, 'dueMs' | 'priorityOf'>;
+
+/** By priority, which is lower for what is late and for work that nobody watches; then by when they are due. */
+export function isBefore(left: Urgency, right: Urgency, nowMs: number): boolean {
+  const leftPriority = left.priorityOf(left.dueMs < nowMs);
+  const rightPriority = right.priorityOf(right.dueMs < nowMs);
+  return leftPriority === rightPriority ? left.dueMs < right.dueMs : leftPriority < rightPriority;
 }
 
 export function createIntake(deps: IntakeDeps): Intake {
@@ -109,7 +111,7 @@
   }
 
   return {
-    takeUp: async ({ dueMs, deadlineMs, unreadMs, onceLeft }) => {
+    takeUp: async ({ unreadMs, onceLeft, ...urgency }) => {
       const pollCount = loopAges.pollCount();
       const isFirst = waiting.length === 0 && pollCount !== portionPoll;
       if (isFirst && unreadMs <= loopAgesModule.STALE_MS) {
@@ -120,7 +122,7 @@
       }
       if (waiting.length >= WAITING_MAX) return;
       await new Promise<void>((resolve) => {
-        const entry = { dueMs, deadlineMs, pollCount, resolve };
+        const entry = { ...urgency, pollCount, resolve };
         waiting.push(entry);
         onceLeft(() => leave(entry));
         schedule();
