Hold requests back for another look only where a close may lie unread for 250 ms

What callers saw: plain calls at busy gateways were answered later than before.

Cause, suspected: every request waited for two turns more where what is known may be older than 100 ms, which a loop with turns of 30 ms always says, and again before it was sent. Work counts as work for nobody after 500 ms; half of that is the bound now, for taking up as for sending. Timers of attempts go on asking at 100 ms. The property of last-look.test.ts (nothing is sent for a caller that left half a second before) holds unchanged; that of the intake plays what may have lain unread for more than the new bound.

--- a/packages/gateway/src/server/forwarding/intake.ts
+++ b/packages/gateway/src/server/forwarding/intake.ts
@@ -114,7 +114,7 @@
     takeUp: async ({ unreadMs, onceLeft, ...urgency }) => {
       const pollCount = loopAges.pollCount();
       const isFirst = waiting.length === 0 && pollCount !== portionPoll;
-      if (isFirst && unreadMs <= loopAgesModule.STALE_MS) {
+      if (isFirst && unreadMs <= loopAgesModule.LOOK_AFTER_MS) {
         // The others that were read in this turn wait for the next one.
         portionPoll = pollCount;
         portionStartMs = clock.nowMs();
--- a/packages/gateway/src/server/forwarding/last-look.ts
+++ b/packages/gateway/src/server/forwarding/last-look.ts
@@ -8,7 +8,7 @@
 
 import type * as calls from '../../types/calls.js';
 import type * as answers from './answers.js';
-import type * as loopAgesModule from './loop-ages.js';
+import * as loopAgesModule from './loop-ages.js';
 
 export type LastLook = (
   call: Pick<calls.Call, 'deadlineMs'>,
@@ -19,20 +19,18 @@
 
 export type LastLookDeps = {
   clock: Pick<clocks.Clock, 'nowMs'>;
-  loopAges: Pick<loopAgesModule.LoopAges, 'isStale' | 'readAgain'>;
+  loopAges: Pick<loopAgesModule.LoopAges, 'unreadMs' | 'readAgain'>;
 };
 
-/** Half of the time after which work for a caller that has left counts as such: the bytes are on their way for the rest. */
-const KNOWN_MAX_MS = 250;
 /** A loop that stands as often as this would hold a request back for good. */
 const LOOKS_MAX = 4;
 
 export function createLastLook({ clock, loopAges }: LastLookDeps): LastLook {
   return async (call, sink) => {
-    let knownMs = loopAges.isStale() ? Infinity : 0;
-    for (let looks = 0; knownMs > KNOWN_MAX_MS && looks < LOOKS_MAX; looks += 1) {
+    let unreadMs = loopAges.unreadMs();
+    for (let looks = 0; unreadMs > loopAgesModule.LOOK_AFTER_MS && looks < LOOKS_MAX; looks += 1) {
       if (sink.isCallerGone()) break;
-      knownMs = await loopAges.readAgain();
+      unreadMs = await loopAges.readAgain();
     }
     if (sink.isCallerGone()) return 'caller-gone';
     return clock.nowMs() >= call.deadlineMs ? 'deadline' : 'may-send';
--- a/packages/gateway/src/server/forwarding/loop-ages.ts
+++ b/packages/gateway/src/server/forwarding/loop-ages.ts
@@ -31,7 +31,9 @@
   accepted: (key: object) => void;
   /** A request is read on that connection. */
   readAge: (key: object) => ReadAge;
-  /** The close of a connection may have lain unread for too long for anything new to be begun on its behalf. */
+  /** For how long what has come on a connection that was open before may lie unread, at most. */
+  unreadMs: () => number;
+  /** It may be too long to judge an upstream by what has not come. */
   isStale: () => boolean;
   /** Once all that has come by now has been read: how old what is known then can be. */
   readAgain: () => Promise<number>;
@@ -50,8 +52,13 @@
 /** The poll that began after a moment is over once the next has begun. */
 const POLLS_AFTER = 2;
 
-/** A fifth of the half second after which work for a caller that has left counts as such. */
-export const STALE_MS = 100;
+/** Below the shortest time that an upstream is given. */
+const STALE_MS = 100;
+/**
+ * Half of the time after which work for a caller that has left counts as such: the rest is for the turn in which its request
+ * is begun, and for the way.
+ */
+export const LOOK_AFTER_MS = 250;
 
 /** A moment between two polls, or at which it is known that nothing older lay unread. */
 type Mark = { atMs: number; pollCount: number; idleMs: number };
@@ -151,6 +158,7 @@
       if (!isNewConnection) return { unreadMs: kept, isNewConnection };
       return { unreadMs: since.waitedMs + busyMs(since, now), isNewConnection };
     },
+    unreadMs: () => unreadAt(mark()),
     isStale: () => unreadAt(mark()) > STALE_MS,
     readAgain: async () => {
       await turnEnd();
