Read as a newcomer: what a call is made of and a request's lines in files of their own; pages that said too much

Lines of cut requests leave a short unreadMs out as the others do. Constants and types without a word have one; nothing else of what the gateway does is changed.

--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -7,7 +7,6 @@
 import * as fastify from 'fastify';
 
 import * as accessTables from '../../shared/access.js';
-import * as connectionHeaders from '../../shared/connection-headers.js';
 import type * as deadlineNorms from '../../shared/deadline-norms.js';
 import * as routeTables from '../../shared/route-table.js';
 import * as urgency from '../../shared/urgency.js';
@@ -19,9 +18,11 @@
 import type * as quotasModule from '../quotas/quotas.js';
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
+import * as callBuilding from './call-building.js';
 import type * as intakes from './intake.js';
 import type * as loopAgesModule from './loop-ages.js';
 import type * as openCallsModule from './open-calls.js';
+import * as requestLines from './request-lines.js';
 import type * as serving from './serve.js';
 
 export type CallersDeps = {
@@ -50,12 +51,9 @@
 
 const HEADER_BYTES_MAX = 65_536;
 const STARTING_RETRY_MS = 1_000;
-const HASH_RANGE = 2 ** 32;
 /** Until a configuration says otherwise. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 5_000;
-/** A tenth of the shortest latency objective or so; what is read sooner needs no word. */
-const LONG_UNREAD_MS = 100;
 
 function refuseEarly(sink: answers.AnswerSink, status: number, cause: string): void {
   sink.refuse(status, [], cause);
@@ -63,52 +61,6 @@
 
 type OverQuota = Extract<quotasModule.QuotaDecision, { kind: 'refused' }>;
 
-/** What is known of a request once it has a route. */
-type Admitted = {
-  route: fleet.Route;
-  facts: dialects.CallFacts;
-  organisation: fleet.Organisation | null;
-};
-
-/** When a request came, at the earliest, and how long it may have lain unread. */
-type Arrival = loopAgesModule.ReadAge & { arrivedAtMs: number };
-
-function buildCall(
-  deps: CallersDeps,
-  request: http.IncomingMessage,
-  { route, facts, organisation }: Admitted,
-  body: Buffer,
-  { arrivedAtMs, unreadMs }: Arrival,
-): calls.Call {
-  const path = request.url ?? '/';
-  const waitMs = Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs);
-  const fraction = deps.hasher.hash32(facts.requestId) / HASH_RANGE;
-  const service = routeTables.chooseService(route.targets, fraction);
-  const scope = `${organisation?.name}\n${service}\n${request.method}\n${path}\n${facts.model}/${facts.adapter}`;
-  const lastEventId = request.headers['last-event-id'];
-  return {
-    requestId: facts.requestId,
-    route,
-    service,
-    method: request.method ?? 'GET',
-    path,
-    headers: connectionHeaders.forwarded(
-      connectionHeaders.toPairs(request.rawHeaders),
-      deps.dialect.isReserved,
-    ),
-    body,
-    facts,
-    organisation: organisation?.name ?? null,
-    priority: accessTables.priorityOf(route, organisation),
-    arrivedAtMs,
-    unreadMs,
-    elapsedBeforeMs: deps.norms.elapsedMs(route.name, facts.remainingMs, arrivedAtMs),
-    deadlineMs: arrivedAtMs + waitMs,
-    fingerprint: deps.hasher.hash64Hex(`${scope}\n${body.toString('latin1')}`),
-    resumeAfterId: typeof lastEventId === 'string' ? lastEventId : null,
-  };
-}
-
 function answerEnding(deps: CallersDeps, sink: answers.AnswerSink, ending: calls.Ending): void {
   switch (ending.kind) {
     case 'answered':
@@ -129,42 +81,6 @@
   }
 }
 
-function logEnding(deps: CallersDeps, call: calls.Call, ending: calls.Ending): void {
-  // Requests that went well are the most and are missed least.
-  const isGood = ending.kind === 'answered' && ending.status < 500;
-  const write = isGood ? deps.log.info : deps.log.warn;
-  write(isGood ? 'request-ended' : 'request-failed', {
-    requestId: call.requestId,
-    route: call.route.name,
-    model: call.facts.model,
-    adapter: call.facts.adapter,
-    outcome: ending.kind,
-    status: ending.kind === 'answered' ? ending.status : undefined,
-    cause: 'cause' in ending ? ending.cause : undefined,
-    retryAfterMs: 'retryAfterMs' in ending ? Math.round(ending.retryAfterMs) : undefined,
-    upstreamId: 'upstreamId' in ending ? ending.upstreamId : undefined,
-    tookMs: Math.round(deps.clock.nowMs() - call.arrivedAtMs),
-    unreadMs: call.unreadMs < LONG_UNREAD_MS ? undefined : Math.round(call.unreadMs),
-  });
-}
-
-function noteCallerLeft(
-  deps: CallersDeps,
-  requestId: string,
-  stage: calls.Stage,
-  { arrivedAtMs, unreadMs, isNewConnection }: Arrival,
-): void {
-  deps.metrics.callerLeft(stage);
-  deps.log.info('caller-left', {
-    requestId,
-    stage,
-    unreadMs: Math.round(unreadMs),
-    connection: isNewConnection ? 'new' : 'kept',
-    sinceReadMs: Math.round(deps.clock.nowMs() - arrivedAtMs - unreadMs),
-    turnMs: Math.round(deps.loopAges.turnMs()),
-  });
-}
-
 /** A request that crossed the close of its connection cannot be answered: it must not run either. */
 function isClosed(socket: net.Socket): boolean {
   if (!socket.writableEnded && !socket.destroyed) return false;
@@ -178,7 +94,7 @@
   inForce: InForce,
   request: http.IncomingMessage,
   sink: answers.AnswerSink,
-): Admitted | null {
+): callBuilding.Admitted | null {
   const facts = deps.dialect.readCall(request.headers);
   const { requestId } = facts;
   const configVersion = inForce.config.version;
@@ -228,13 +144,13 @@
   request: http.IncomingMessage,
   sink: answers.AnswerSink,
   body: Buffer,
-  arrival: Arrival,
-): Promise<(Admitted & { call: calls.Call }) | null> {
+  arrival: callBuilding.Arrival,
+): Promise<(callBuilding.Admitted & { call: calls.Call }) | null> {
   for (;;) {
     const inForce = deps.configuration();
     const admitted = inForce === null ? null : admit(deps, inForce, request, sink);
     if (admitted === null) return null;
-    const call = buildCall(deps, request, admitted, body, arrival);
+    const call = callBuilding.buildCall(deps, request, admitted, body, arrival);
     await deps.intake.takeUp({
       dueMs: call.arrivedAtMs - call.elapsedBeforeMs + call.route.latencyObjectiveMs,
       deadlineMs: call.deadlineMs,
@@ -244,7 +160,7 @@
     });
     sink.onCallerGone(null);
     if (isClosed(request.socket)) {
-      noteCallerLeft(deps, call.requestId, 'unread', arrival);
+      requestLines.noteCallerLeft(deps, call.requestId, 'unread', arrival);
       return null;
     }
     // The newest configuration counts, also when it came meanwhile.
@@ -272,7 +188,7 @@
   const bodyBytesMax = inForce?.config.limits.bodyBytes ?? HEADER_BYTES_MAX;
   const body = await bodies.readBody(request, bodyBytesMax);
   if (body.kind === 'caller-gone') {
-    noteCallerLeft(deps, requestId, 'unread', arrival);
+    requestLines.noteCallerLeft(deps, requestId, 'unread', arrival);
     return;
   }
   if (body.kind === 'too-large') {
@@ -295,7 +211,7 @@
   }
   if (isClosed(request.socket)) {
     quota.giveBack();
-    noteCallerLeft(deps, requestId, 'quota', arrival);
+    requestLines.noteCallerLeft(deps, requestId, 'quota', arrival);
     return;
   }
   deps.openCalls.add(call);
@@ -303,8 +219,9 @@
     const ending = await deps.serve(call, sink);
     if (ending.kind === 'not-run') quota.giveBack();
     answerEnding(deps, sink, ending);
-    logEnding(deps, call, ending);
-    if (ending.kind === 'caller-gone') noteCallerLeft(deps, requestId, ending.stage, arrival);
+    requestLines.logEnding(deps, call, ending);
+    if (ending.kind === 'caller-gone')
+      requestLines.noteCallerLeft(deps, requestId, ending.stage, arrival);
     deps.metrics.requestEnded(classOf(call), ending, deps.clock.nowMs() - call.arrivedAtMs);
   } finally {
     deps.openCalls.remove(call);
--- /dev/null
+++ b/packages/gateway/src/server/forwarding/call-building.ts
@@ -0,0 +1,67 @@
+/** Makes a call of a request that has been read whole and admitted. */
+import type * as http from 'node:http';
+
+import type * as hashers from '@copperlever/runtime/hasher';
+
+import * as accessTables from '../../shared/access.js';
+import * as connectionHeaders from '../../shared/connection-headers.js';
+import type * as deadlineNorms from '../../shared/deadline-norms.js';
+import * as routeTables from '../../shared/route-table.js';
+import type * as calls from '../../types/calls.js';
+import type * as dialects from '../../types/dialects.js';
+import type * as fleet from '../../types/fleet.js';
+import type * as loopAgesModule from './loop-ages.js';
+
+export type CallBuildingDeps = {
+  dialect: dialects.Dialect;
+  norms: deadlineNorms.DeadlineNorms;
+  hasher: hashers.Hasher;
+};
+
+/** What is known of a request once it has a route. */
+export type Admitted = {
+  route: fleet.Route;
+  facts: dialects.CallFacts;
+  organisation: fleet.Organisation | null;
+};
+
+/** When a request came, at the earliest, and how long it may have lain unread. */
+export type Arrival = loopAgesModule.ReadAge & { arrivedAtMs: number };
+
+const HASH_RANGE = 2 ** 32;
+
+export function buildCall(
+  deps: CallBuildingDeps,
+  request: http.IncomingMessage,
+  { route, facts, organisation }: Admitted,
+  body: Buffer,
+  { arrivedAtMs, unreadMs }: Arrival,
+): calls.Call {
+  const path = request.url ?? '/';
+  const waitMs = Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs);
+  const fraction = deps.hasher.hash32(facts.requestId) / HASH_RANGE;
+  const service = routeTables.chooseService(route.targets, fraction);
+  const scope = `${organisation?.name}\n${service}\n${request.method}\n${path}\n${facts.model}/${facts.adapter}`;
+  const lastEventId = request.headers['last-event-id'];
+  return {
+    requestId: facts.requestId,
+    route,
+    service,
+    method: request.method ?? 'GET',
+    path,
+    headers: connectionHeaders.forwarded(
+      connectionHeaders.toPairs(request.rawHeaders),
+      deps.dialect.isReserved,
+    ),
+    body,
+    facts,
+    organisation: organisation?.name ?? null,
+    priority: accessTables.priorityOf(route, organisation),
+    arrivedAtMs,
+    unreadMs,
+    elapsedBeforeMs: deps.norms.elapsedMs(route.name, facts.remainingMs, arrivedAtMs),
+    deadlineMs: arrivedAtMs + waitMs,
+    fingerprint: deps.hasher.hash64Hex(`${scope}\n${body.toString('latin1')}`),
+    resumeAfterId: typeof lastEventId === 'string' ? lastEventId : null,
+  };
+}
--- a/packages/gateway/src/server/forwarding/intake.ts
+++ b/packages/gateway/src/server/forwarding/intake.ts
@@ -41,7 +41,7 @@
 /** In one portion, where each takes a fraction of it. */
 const TAKEN_MAX = 16;
 
-/** Each keeps its body. Beyond, requests are taken up at once. */
+/** Each keeps its body. Beyond, requests are taken up at once; the last look still stands before the sending. */
 const WAITING_MAX = 500;
 
 type Waiting = Pick<Arrived, 'dueMs' | 'deadlineMs' | 'priorityOf'> & {
@@ -77,7 +77,7 @@
     });
   }
 
-  /** The most pressing of those whose connections have been read once more since they were. */
+  /** The most pressing of those that came before the latest poll: their connections have been read once more. */
   function findNext(nowMs: number, pollCount: number): Waiting | undefined {
     return waiting
       .filter((entry) => entry.pollCount < pollCount)
--- a/packages/gateway/src/server/forwarding/open-calls.ts
+++ b/packages/gateway/src/server/forwarding/open-calls.ts
@@ -3,6 +3,7 @@
 
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
+import * as requestLines from './request-lines.js';
 
 export type OpenCalls = {
   add: (call: calls.Call) => void;
@@ -41,7 +42,7 @@
           retryAfterMs: undefined,
           upstreamId: undefined,
           tookMs: Math.round(clock.nowMs() - arrivedAtMs),
-          unreadMs: Math.round(unreadMs),
+          unreadMs: requestLines.longUnreadMs(unreadMs),
         });
       });
     },
--- a/packages/gateway/src/shared/processor-shares.ts
+++ b/packages/gateway/src/shared/processor-shares.ts
@@ -1,10 +1,12 @@
 /**
- * Which gateways have processor time for the sake of others. Load: gateways of uneven size with as many callers each. Harm
+ * Which gateways have processor time to spare for others. Load: gateways of uneven size with as many callers each. Harm
  * prevented: a small one in a burst is asked by others, answers too late, and each question costs both of them a call.
  */
+
 /** A gateway that lives; `millicores`: what it may use of processors, 0 where that is not known. */
 export type ProcessorShare = { gatewayId: string; millicores: number };
 
+/** With an even share of the callers, a gateway of half the mean is twice as busy as the mean one. */
 const LEAST_SHARE_OF_MEAN = 0.5;
 
 /** All where they are alike or nothing is known. */
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -18,6 +18,7 @@
   priority: number;
   /** At the earliest: it may have lain unread for `unreadMs`. Its deadline and objective count from here. */
   arrivedAtMs: number;
+  /** For how long it may have lain unread, at most. */
   unreadMs: number;
   /** How long the caller had been waiting when the request came, at least. */
   elapsedBeforeMs: number;
