Log which software version began a stream that goes on, and at which it does

An upstream's software version was dropped when the list was read, and no line said that a request takes a stream up, or which.

Change: the version is decoded (softwareVersion), as is the request that began the stream (originRequestId, from the header Resumes). A gateway keeps the versions of the streams that it began in bounded memory, for the log only: stream-resumed has one line a resumed stream with the version that began it, whose record that is and how old, and the version that goes on; attempt-ended and upstream-changed have the version; the counter streams_resumed_total counts by match. Nothing is chosen by any of this yet.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -15,11 +15,13 @@
 import * as measuredStores from './server/metrics/measured-store.js';
 import * as peerLinks from './server/peers/peer-link.js';
 import * as placementClients from './server/placement/placement-client.js';
+import * as resumedStreams from './server/streams/resumed-streams.js';
 import * as inFlightModule from './shared/in-flight.js';
 import * as peerRegistries from './shared/peer-registry.js';
 import * as demandCounters from './shared/placement/demand-counters.js';
 import * as placementViews from './shared/placement/placement-view.js';
 import * as storePositions from './shared/store-positions.js';
+import * as streamOrigins from './shared/stream-origins.js';
 import * as listBudgets from './shared/list-budget.js';
 import * as relayedLists from './shared/relayed-list.js';
 import * as serviceTimesModule from './shared/service-times.js';
@@ -205,6 +207,16 @@
         }),
       )
       .singleton(),
+    streams: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        resumedStreams.createResumedStreams({
+          clock: parts.clock,
+          log: parts.log,
+          metrics: parts.metrics,
+          origins: streamOrigins.createStreamOrigins(),
+        }),
+      )
+      .singleton(),
     serve: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
         serving.createServe({
@@ -231,6 +243,7 @@
           states: upstreamStates.forChoice(settings.upstreamStates, parts.states),
           placement: parts.placement,
           metrics: parts.metrics,
+          streams: parts.streams,
           preSendCheck: preSendChecks.createPreSendCheck(parts),
           loopAges: parts.loopAges,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/server/control/upstream-list.ts
+++ b/packages/gateway/src/server/control/upstream-list.ts
@@ -33,8 +33,8 @@
 function describeChange(change: stores.Change<fleet.UpstreamRecord>) {
   switch (change.kind) {
     case 'written': {
-      const { upstreamId, state } = change.record.value;
-      return { upstreamId, state, position: storePositions.format(change.record) };
+      const { upstreamId, state, softwareVersion: version } = change.record.value;
+      return { upstreamId, state, version, position: storePositions.format(change.record) };
     }
     case 'unreadable':
       return {
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -15,6 +15,7 @@
 import * as attemptOutcomes from './attempt-outcomes.js';
 import * as attempts from './attempt.js';
 import type * as connectionsModule from './connections.js';
+import * as resumedStreams from '../streams/resumed-streams.js';
 import type * as routers from './router.js';
 import * as runs from './run.js';
 import type * as upstreamSignals from './upstream-signals.js';
@@ -37,6 +38,7 @@
     'predicted' | 'firstPiece' | 'attemptEnded' | 'cancelled'
   >;
   router: Pick<routers.Router, 'needsModel' | 'priorityOf'>;
+  streams: resumedStreams.ResumedStreams;
   serviceOf: (name: string) => fleet.Service | null;
   listAgeMs: () => number | null;
   gatewayCount: () => number;
@@ -130,6 +132,8 @@
     const attempt = { call, upstreamId, isResumed, choice };
     const answer: AnswerSoFar = { load: null, firstChunk: null };
     const listAgeMs = loggedListAgeMs(deps.listAgeMs());
+    const lastEventId = run.resumeAfterId ?? call.resumeAfterId;
+    if (lastEventId !== null) deps.streams.noteSentOn(call, record, lastEventId);
     const result = await attempts.runAttempt(deps, {
       call,
       upstreamName: record.name,
@@ -150,6 +154,7 @@
       onCancelled: deps.metrics.cancelled,
       onFirstChunk: (chunk, status) => {
         started.promptPrefilled();
+        if (chunk === 'event') deps.streams.noteBegun(call, record);
         // An error answer doesn't show that the prompt was prefilled.
         turn.ended(status < FIRST_ERROR_STATUS, answer.load);
         answer.firstChunk = outcomes.recordFirstChunk(attempt, chunk, clock.nowMs() - startedAtMs);
@@ -178,6 +183,7 @@
       listAgeMs,
       firstPieceMs: firstChunk === null ? undefined : Math.round(firstChunk.tookMs),
       tookMs: Math.round(tookMs),
+      version: resumedStreams.isResumable(call) ? record.softwareVersion : undefined,
     });
     return result;
   };
--- a/packages/gateway/src/server/forwarding/plain-call-path.test.ts
+++ b/packages/gateway/src/server/forwarding/plain-call-path.test.ts
@@ -63,6 +63,7 @@
   slots: 6,
   state: 'ready',
   models: [],
+  softwareVersion: 'v1',
   hostModels: [],
   diskModels: [],
 };
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -25,6 +25,7 @@
 import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import type * as resumedStreams from '../streams/resumed-streams.js';
 import * as turnTakers from '../turns/turn-taker.js';
 import type * as turnsModule from '../turns/turns.js';
 import type * as admissions from './admission.js';
@@ -64,6 +65,7 @@
   pauses: Pick<upstreamPauses.UpstreamPauses, 'leftMs'>;
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
+  streams: resumedStreams.ResumedStreams;
   preSendCheck: preSendChecks.PreSendCheck;
   loopAges: attemptSenders.AttemptSenderDeps['loopAges'];
   serviceOf: (name: string) => fleet.Service | null;
--- a/packages/gateway/src/server/forwarding/upstream-signals.test.ts
+++ b/packages/gateway/src/server/forwarding/upstream-signals.test.ts
@@ -92,6 +92,7 @@
   waitingCount: 4,
   tokens: { used: 300, total: 900 },
   arrivingAdapters: [],
+  softwareVersion: 'v1',
   hostModels: [],
   diskModels: [],
 };
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -63,6 +63,8 @@
   /** A request was refused although an upstream would have taken it. */
   gaveWay: (to: string) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
+  /** A stream that had begun was sent to an upstream; whether its software is of the version that began the stream. */
+  streamResumed: (match: 'same' | 'other' | 'unknown') => void;
   retry: (isTaken: boolean) => void;
   storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
   orderGiven: (order: dialects.Order['kind'], outcome: string) => void;
@@ -193,6 +195,11 @@
     'to',
   ]);
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
+  const streamsResumed = counter(
+    'streams_resumed_total',
+    'Streams sent on after their first event, by the version that began them',
+    ['match'],
+  );
   const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
   const storeCalls = counter('store_calls_total', "Calls to the platform's store", [
     'call',
@@ -301,6 +308,7 @@
     },
     gaveWay: (to) => gaveWay.inc({ to }),
     attemptEnded: (result) => attempts.inc({ result }),
+    streamResumed: (match) => streamsResumed.inc({ match }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
     storeCalled: (call, result) => storeCalls.inc({ call, result }),
     orderGiven: (order, outcome) => orders.inc({ order, outcome }),
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -259,20 +259,21 @@
   ): void {
     const changes = [
       ...written.map((record) => {
-        const { upstreamId, state } = record.value;
-        return { upstreamId, state, name: record.name, at: record };
+        const { upstreamId, state, softwareVersion: version } = record.value;
+        return { upstreamId, state, version, name: record.name, at: record };
       }),
       ...removed.map((gone) => ({
         upstreamId: gone.name,
         state: 'gone',
+        version: undefined,
         name: gone.name,
         at: gone,
       })),
     ];
-    changes.forEach(({ upstreamId, state, name, at }) => {
+    changes.forEach(({ name, at, ...change }) => {
       const isTaken = taken.has(name);
       const position = storePositions.format(at);
-      deps.log.info('upstream-changed', { upstreamId, state, source, position, before, isTaken });
+      deps.log.info('upstream-changed', { ...change, source, position, before, isTaken });
     });
   }
 
--- a/packages/gateway/src/server/placement/copy-controller.test.ts
+++ b/packages/gateway/src/server/placement/copy-controller.test.ts
@@ -69,6 +69,7 @@
       waitingCount: 0,
       tokens: null,
       arrivingAdapters: [...loading],
+      softwareVersion: 'v1',
       hostModels: [],
       diskModels: [],
     };
--- a/packages/gateway/src/server/turns/turn-taker.test.ts
+++ b/packages/gateway/src/server/turns/turn-taker.test.ts
@@ -48,6 +48,7 @@
       promptParts: [],
       tokenCount: null,
       apiKey: null,
+      originRequestId: null,
     },
     organisation: null,
     priority: 1,
--- a/packages/gateway/src/testing/fleet-fixtures.ts
+++ b/packages/gateway/src/testing/fleet-fixtures.ts
@@ -15,6 +15,7 @@
     slots: 8,
     state: 'ready',
     models: [],
+    softwareVersion: 'v1',
     hostModels: [],
     diskModels: [],
     ...overrides,
--- a/packages/gateway/src/testing/test-dialect.ts
+++ b/packages/gateway/src/testing/test-dialect.ts
@@ -18,6 +18,7 @@
       promptParts: [],
       tokenCount: headers['t-tokens'] === undefined ? null : Number(headers['t-tokens']),
       apiKey: text(headers['t-key']),
+      originRequestId: text(headers['t-origin']),
     }),
     isReserved: (name) => ['t-wait', 't-steer', 't-key', 't-organisation'].includes(name),
     attemptHeaders: (facts) => [
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -22,6 +22,8 @@
   /** Prompt and output tokens together; null when the caller sends no such header. */
   tokenCount: number | null;
   apiKey: string | null;
+  /** The id of the caller's request that brought the first event of the stream to resume; null if none is named. */
+  originRequestId: string | null;
 };
 
 /** The rate limit that an answer states: requests a second that its upstream accepts from all gateways together. */
--- a/packages/gateway/src/types/fleet.ts
+++ b/packages/gateway/src/types/fleet.ts
@@ -107,6 +107,11 @@
   /** What the platform calls it; may stay the same from one start to the next. */
   name: string;
   service: string;
+  /**
+   * Of its software, not of weights; empty where it states none. Versions have no order. Streams of two versions cannot be
+   * joined.
+   */
+  softwareVersion: string;
   address: string;
   failureDomain: string;
   slots: number;
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -47,6 +47,8 @@
   'upstream-changed': {
     upstreamId: string;
     state: string;
+    /** Of its software; left out for one that is gone. */
+    version?: string | undefined;
     source: string;
     position: string;
     before: string;
@@ -223,6 +225,24 @@
     listAgeMs: Amount;
     firstPieceMs: Amount;
     tookMs: number;
+    /** Of the upstream's software; only for streams that may be resumed. */
+    version: Text;
+  };
+  /**
+   * A stream that has begun goes on, or is to: which version of the upstreams' software began it, and whose record of that was
+   * used. `source`: `answer` within the same answer, `own` this gateway's memory; left out where nothing is known.
+   */
+  'stream-resumed': {
+    requestId: string;
+    /** The request that brought the first event, as its caller names it. */
+    originRequestId: Text;
+    lastEventId: Text;
+    source: Text;
+    originVersion: Text;
+    /** Since the first event. */
+    originAgeMs: Amount;
+    upstreamId: string;
+    version: string;
   };
   'request-ended': RequestEnd;
   'request-failed': RequestEnd;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -15,6 +15,7 @@
 import type * as leaseManagers from '../server/placement/lease-manager.js';
 import type * as placementControllers from '../server/placement/placement-controller.js';
 import type * as quotasModule from '../server/quotas/quotas.js';
+import type * as resumedStreams from '../server/streams/resumed-streams.js';
 import type * as inFlightModule from '../shared/in-flight.js';
 import type * as peerRegistries from '../shared/peer-registry.js';
 import type * as demandCounters from '../shared/placement/demand-counters.js';
@@ -104,5 +105,6 @@
   placer: placementControllers.PlacementController;
   exchange: exchanges.Exchange;
   status: GatewayStatus;
+  streams: resumedStreams.ResumedStreams;
   serve: serving.Serve;
 };
