A stream goes on within its answer only at the version that began it

Cause: a stream that lost its upstream was chosen another one like a new request. Change: once an event has been forwarded the request is bound to the version that wrote it; upstreams of other versions are no candidates, also for turns and held requests, and the version is looked at once more when the connection is ready. Where no upstream of that version gets new work, the answer is cut at once, so that its caller can come back. The log names the version that a stream is bound to where none was found.

--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -108,6 +108,13 @@
     });
   }
 
+  /** The list of upstreams may have changed since the choice. */
+  function mayStart(run: runs.Run, upstreamId: string): boolean {
+    if (!directory.mayGetWork(upstreamId, clock.nowMs())) return false;
+    const version = directory.find(upstreamId)?.softwareVersion;
+    return run.boundVersion === null || version === run.boundVersion;
+  }
+
   return async (call, run, sink, { choice, turn }) => {
     const { upstreamId } = choice;
     const record = directory.find(upstreamId);
@@ -142,7 +149,7 @@
       priority,
       resumeAfterId: run.resumeAfterId,
       holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
-      mayStart: () => directory.mayGetWork(upstreamId, clock.nowMs()),
+      mayStart: () => mayStart(run, upstreamId),
       sendByMs: startedAtMs + SEND_TIMEOUT_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
       eventIntervals: eventIntervalsOf(call, upstreamId),
@@ -154,7 +161,7 @@
       onCancelled: deps.metrics.cancelled,
       onFirstChunk: (chunk, status) => {
         started.promptPrefilled();
-        if (chunk === 'event') deps.streams.noteBegun(call, record);
+        if (chunk === 'event') deps.streams.noteBegun(call, run, record);
         // An error answer doesn't show that the prompt was prefilled.
         turn.ended(status < FIRST_ERROR_STATUS, answer.load);
         answer.firstChunk = outcomes.recordFirstChunk(attempt, chunk, clock.nowMs() - startedAtMs);
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -65,6 +65,8 @@
   isLate: (call: calls.Call) => boolean;
   /** Chooses among all upstreams of the service; `room` limits which of them a plain call may go to. */
   choose: (call: calls.Call, run: runs.Run, room?: upstreamChoice.Room) => upstreamChoice.Choice;
+  /** Whether any upstream may get it, with its model or without. */
+  hasEligible: (call: calls.Call, run: runs.Run) => boolean;
   /** The requests and pending prompts at each upstream that could run a batch request. */
   upstreamLoads: (call: calls.Call, run: runs.Run) => readonly batchHolding.UpstreamLoad[];
   /**
@@ -193,13 +195,21 @@
       : Math.min(limitMs, objectiveLeftMs(call));
   }
 
+  /** The upstreams of its service that may get the request. A stream goes on only at the version that began it. */
+  function eligibleFor(call: calls.Call, run: runs.Run): readonly fleet.UpstreamRecord[] {
+    const records = directory.eligible(call.service, clock.nowMs());
+    const { boundVersion } = run;
+    if (boundVersion === null) return records;
+    return records.filter(({ softwareVersion }) => softwareVersion === boundVersion);
+  }
+
   function upstreamLoads(call: calls.Call, run: runs.Run): readonly batchHolding.UpstreamLoad[] {
     const nowMs = clock.nowMs();
     const { model, adapter } = call.facts;
     if (model === null) return [];
     const priority = priorityOf(call);
     const prefillMs = prefillTimes(call.service);
-    return directory.eligible(call.service, nowMs).flatMap((record) => {
+    return eligibleFor(call, run).flatMap((record) => {
       const { upstreamId, slots } = record;
       const copy = placement.copyAt(record, model, adapter);
       const isOpen = (copy === 'ready' || copy === 'no-adapter') && closedOf(upstreamId) === null;
@@ -281,14 +291,11 @@
     run: runs.Run,
     room?: upstreamChoice.Room,
   ): upstreamChoice.Choice {
-    const records = directory.eligible(call.service, clock.nowMs());
-    return chooseAmong(call, run, records, queueLimitMs(call, run), room);
+    return chooseAmong(call, run, eligibleFor(call, run), queueLimitMs(call, run), room);
   }
 
   function chooseOnly(call: calls.Call, run: runs.Run, upstreamId: string): upstreamChoice.Choice {
-    const records = directory
-      .eligible(call.service, clock.nowMs())
-      .filter((record) => record.upstreamId === upstreamId);
+    const records = eligibleFor(call, run).filter((record) => record.upstreamId === upstreamId);
     return chooseAmong(call, run, records, Infinity);
   }
 
@@ -321,7 +328,7 @@
     ending: calls.Ending,
   ): void {
     const { model, adapter } = call.facts;
-    const records = directory.eligible(call.service, clock.nowMs());
+    const records = eligibleFor(call, run);
     const withModel = records.filter(
       (record) => model !== null && placement.copyAt(record, model, adapter) !== 'none',
     );
@@ -330,6 +337,7 @@
       requestId: call.requestId,
       model,
       cause: 'cause' in ending ? ending.cause : ending.kind,
+      boundVersion: run.boundVersion ?? undefined,
       upstreamCount: records.length,
       withModelCount: withModel.length,
       closedCount: withModel.filter(({ upstreamId }) => closedOf(upstreamId) !== null).length,
@@ -370,6 +378,7 @@
     priorityOf,
     isLate,
     choose,
+    hasEligible: (call, run) => eligibleFor(call, run).length > 0,
     upstreamLoads,
     answerMs,
     chooseOnly,
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -25,6 +25,10 @@
   excludedIds: Set<string>;
   /** The last event that the caller received from this gateway, after which the next attempt resumes the stream. */
   resumeAfterId: string | null;
+  /**
+   * The software version that the stream has to go on at, once the caller has events of it; null while it may begin at any.
+   */
+  boundVersion: string | null;
   /** How often an upstream was asked to load the adapter. */
   adapterRequestCount: number;
   /** It has waited for a copy of its model at least once. */
@@ -48,6 +52,7 @@
     heldFailure: null,
     excludedIds: new Set(),
     resumeAfterId: null,
+    boundVersion: null,
     adapterRequestCount: 0,
     hasWaitedForModel: false,
     heldSinceMs: null,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -82,6 +82,8 @@
 export type Serve = (call: calls.Call, sink: answers.AnswerSink) => Promise<calls.Ending>;
 
 const NO_UPSTREAM_RETRY_MS = 500;
+/** An upstream that crashed is back after some seconds; callers of streams seldom wait longer. */
+const VERSION_GONE_RETRY_MS = 2_000;
 const MIN_RETRY_AFTER_MS = 100;
 
 export function createServe(deps: ServeDeps): Serve {
@@ -260,6 +262,9 @@
     run: runs.Run,
     choice: routers.NoChoice,
   ): Promise<calls.Ending | null> {
+    if (run.boundVersion !== null && !router.hasEligible(call, run)) {
+      return refuse(call, run, 'version-gone', VERSION_GONE_RETRY_MS);
+    }
     switch (choice.kind) {
       case 'model-missing':
         return missing.awaitModel(call, run, 'model-not-ready');
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -5,6 +5,7 @@
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
+import type * as runs from '../forwarding/run.js';
 import type * as metricsModule from '../metrics/metrics.js';
 
 export type ResumedStreamsDeps = {
@@ -16,7 +17,7 @@
 
 export type ResumedStreams = {
   /** The first event of a stream has been forwarded. */
-  noteBegun: (call: calls.Call, upstream: fleet.UpstreamRecord) => void;
+  noteBegun: (call: calls.Call, run: runs.Run, upstream: fleet.UpstreamRecord) => void;
   /** A stream after `lastEventId` is sent to this upstream. */
   noteSentOn: (call: calls.Call, upstream: fleet.UpstreamRecord, lastEventId: string) => void;
 };
@@ -34,8 +35,10 @@
   const { clock, origins } = deps;
 
   return {
-    noteBegun: (call, { service, softwareVersion: version }) => {
-      if (!isResumable(call) || isTakenUp(call)) return;
+    noteBegun: (call, run, { service, softwareVersion: version }) => {
+      if (!isResumable(call)) return;
+      run.boundVersion ??= version;
+      if (isTakenUp(call)) return;
       const nowMs = clock.nowMs();
       origins.note(call.requestId, { service, version, begunAtMs: nowMs }, nowMs);
     },
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -45,6 +45,8 @@
   | 'upstreams-closed'
   /** The retry budget of its service is used up. */
   | 'retries-spent'
+  /** No upstream of the software version that began the stream gets new work. */
+  | 'version-gone'
   /** The request is suspected of crashing upstreams: connections were lost while it ran. */
   | 'quarantined'
   | 'deadline-near';
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -12,7 +12,9 @@
 
 /** What a decision about a request was based on. */
 type ChoiceInputs = {
-  /** Upstreams of the service, and those of them that have the model. */
+  /** The software version that a stream has to go on at; left out where any will do. */
+  boundVersion: Text;
+  /** Upstreams of the service that may get it, and those of them that have the model. */
   upstreamCount: number;
   withModelCount: number;
   predictedMs: Amount;
