A stream that is taken up goes on only at the version that began it, at any gateway

Cause: nothing read which request began the stream; which version an upstream has was not known at all, and at another gateway, or after a start, nobody could know. Class: state of a stream that has to outlive the gateway that made it.

Change: when the first event of a stream that may be resumed is forwarded, its version is noted, and told to two more gateways that any gateway works out from the request's id (10 ms batches, no wait); keepers that end are replaced. A gateway that lacks the record asks up to four others for at most 250 ms. Where a service had only one version for as long as streams live, nothing is told or asked: any stream began at it. This is only relied on with a list younger than 0.9 of drainTimeoutMs, streams begin at a new version only drainTimeoutMs after it was first listed, and a gateway that has just started asks. What nobody knows is refused (stream-unknown), not run. A gateway of the build before answers that it does not know the calls.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -15,13 +15,11 @@
 import * as measuredStores from './server/metrics/measured-store.js';
 import * as peerLinks from './server/peers/peer-link.js';
 import * as placementClients from './server/placement/placement-client.js';
-import * as resumedStreams from './server/streams/resumed-streams.js';
 import * as inFlightModule from './shared/in-flight.js';
 import * as peerRegistries from './shared/peer-registry.js';
 import * as demandCounters from './shared/placement/demand-counters.js';
 import * as placementViews from './shared/placement/placement-view.js';
 import * as storePositions from './shared/store-positions.js';
-import * as streamOrigins from './shared/stream-origins.js';
 import * as listBudgets from './shared/list-budget.js';
 import * as relayedLists from './shared/relayed-list.js';
 import * as serviceTimesModule from './shared/service-times.js';
@@ -40,6 +38,7 @@
 import type * as logEvents from './types/log-events.js';
 import * as settingsModule from './types/settings.js';
 import * as controlParts from './control-parts.js';
+import * as streamParts from './stream-parts.js';
 import type * as partTypes from './types/parts.js';
 
 const MS_PER_SECOND = 1_000;
@@ -207,16 +206,10 @@
         }),
       )
       .singleton(),
-    streams: awilix
-      .asFunction((parts: partTypes.GatewayParts) =>
-        resumedStreams.createResumedStreams({
-          clock: parts.clock,
-          log: parts.log,
-          metrics: parts.metrics,
-          origins: streamOrigins.createStreamOrigins(),
-        }),
-      )
-      .singleton(),
+    origins: awilix.asFunction(streamParts.createOrigins).singleton(),
+    versions: awilix.asFunction(streamParts.createVersionHistory).singleton(),
+    originPeers: awilix.asFunction(streamParts.createOriginPeers).singleton(),
+    streams: awilix.asFunction(streamParts.createStreams).singleton(),
     serve: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
         serving.createServe({
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -77,7 +77,9 @@
   const { clock, log, directory, configuration, openCalls } = cradle;
 
   function afterDirectoryChange(): void {
-    const ids = new Set(directory.all().map((record) => record.upstreamId));
+    const records = directory.all();
+    const ids = new Set(records.map((record) => record.upstreamId));
+    cradle.streams.noteListed(records);
     cradle.connections.retain(ids);
     cradle.beliefs.retain(ids);
     cradle.caches.retain(ids);
@@ -201,12 +203,16 @@
               cradle.turns.ended(turnCodec.fromEndTurnsRequest(request));
               return {};
             },
+            keepOrigins: cradle.originPeers.keep,
+            findOrigins: cradle.originPeers.answer,
           });
           cradle.exchange.start();
+          cradle.streams.start();
           return {
             failed: supervisor.neverFails(),
             stop: async () => {
               cradle.exchange.stop();
+              cradle.streams.stop();
               cradle.link.close();
               server.forceShutdown();
             },
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -140,7 +140,7 @@
     const answer: AnswerSoFar = { load: null, firstChunk: null };
     const listAgeMs = loggedListAgeMs(deps.listAgeMs());
     const lastEventId = run.resumeAfterId ?? call.resumeAfterId;
-    if (lastEventId !== null) deps.streams.noteSentOn(call, record, lastEventId);
+    if (lastEventId !== null) deps.streams.noteSentOn(call, run, record, lastEventId);
     const result = await attempts.runAttempt(deps, {
       call,
       upstreamName: record.name,
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -26,6 +26,7 @@
 import type * as limitsModule from '../limits/limits.js';
 import type * as placementTypes from '../../types/placement.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import * as resumedStreams from '../streams/resumed-streams.js';
 import * as admissions from './admission.js';
 import * as retryAfters from './retry-after.js';
 import * as runs from './run.js';
@@ -51,6 +52,7 @@
   gatewayId: string;
   failureDomain: string;
   metrics: Pick<metricsModule.GatewayMetrics, 'gaveWay'>;
+  streams: Pick<resumedStreams.ResumedStreams, 'mayBegin'>;
   gatewayCount: () => number;
 } & Omit<admissions.AdmissionDeps, 'clock'>;
 
@@ -195,11 +197,15 @@
       : Math.min(limitMs, objectiveLeftMs(call));
   }
 
-  /** The upstreams of its service that may get the request. A stream goes on only at the version that began it. */
+  /**
+   * The upstreams of its service that may get the request. A stream goes on only at the version that began it, and begins only
+   * at one that all gateways know of.
+   */
   function eligibleFor(call: calls.Call, run: runs.Run): readonly fleet.UpstreamRecord[] {
     const records = directory.eligible(call.service, clock.nowMs());
+    if (!resumedStreams.isResumable(call)) return records;
     const { boundVersion } = run;
-    if (boundVersion === null) return records;
+    if (boundVersion === null) return records.filter(deps.streams.mayBegin);
     return records.filter(({ softwareVersion }) => softwareVersion === boundVersion);
   }
 
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -14,7 +14,7 @@
 import * as upstreamPauses from '../../shared/upstream-pauses.js';
 import * as statesModule from '../../shared/upstream-states.js';
 import * as rawUpstreams from '../../testing/raw-upstream.js';
-import * as streamOrigins from '../../shared/stream-origins.js';
+import * as streamCalls from '../../testing/stream-calls.js';
 import * as testDialects from '../../testing/test-dialect.js';
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
@@ -23,7 +23,6 @@
 import type * as logEvents from '../../types/log-events.js';
 import * as metricsModule from '../metrics/metrics.js';
 import type * as turnsModule from '../turns/turns.js';
-import * as resumedStreams from '../streams/resumed-streams.js';
 import type * as answers from './answers.js';
 import * as connectionsModule from './connections.js';
 import * as preSendChecks from './pre-send-check.js';
@@ -86,10 +85,6 @@
   let lastTurnId = 0;
   const connections = connectionsModule.createConnections();
   const loopAges = readDelays.createReadDelay(clock);
-  const metrics = metricsModule.createGatewayMetrics(() => {
-    throw new Error('metrics are not read in this test');
-  });
-  const origins = streamOrigins.createStreamOrigins();
   const serve = serving.createServe({
     clock,
     log,
@@ -149,8 +144,10 @@
       ensureAdapter: async () => false,
       blockedForMs: () => 0,
     },
-    metrics,
-    streams: resumedStreams.createResumedStreams({ clock, log, metrics, origins }),
+    metrics: metricsModule.createGatewayMetrics(() => {
+      throw new Error('metrics are not read in this test');
+    }),
+    streams: streamCalls.createUnboundStreams(),
     preSendCheck: preSendChecks.createPreSendCheck({ clock, loopAges }),
     loopAges,
     serviceOf: () => service,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -289,10 +289,33 @@
     }
   }
 
-  return async (call, sink) => {
+  /** The request at the service that began its stream, bound to its version; an ending where that is not known. */
+  async function bind(
+    call: calls.Call,
+    run: runs.Run,
+  ): Promise<{ call: calls.Call; ending: calls.Ending | null }> {
+    run.stage = 'origin';
+    const match = await deps.streams.match(call);
+    switch (match.kind) {
+      case 'free':
+        return { call, ending: null };
+      case 'unknown':
+        return { call, ending: refuse(call, run, 'stream-unknown', match.retryAfterMs) };
+      case 'bound': {
+        run.boundVersion = match.version;
+        const isRouted = call.route.targets.some(({ service }) => service === match.service);
+        const ending = isRouted ? null : refuse(call, run, 'version-gone', VERSION_GONE_RETRY_MS);
+        return { call: { ...call, service: match.service }, ending };
+      }
+    }
+  }
+
+  return async (received, sink) => {
+    const run = runs.createRun();
+    const { call, ending: unbound } = await bind(received, run);
     deps.retryShare.recordRequest(call.service, clock.nowMs());
+    if (unbound !== null) return unbound;
     router.recordDemand(call);
-    const run = runs.createRun();
     const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
     if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
     for (;;) {
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -64,7 +64,9 @@
   gaveWay: (to: string) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   /** A stream that had begun was sent to an upstream; whether its software is of the version that began the stream. */
-  streamResumed: (match: 'same' | 'other' | 'unknown') => void;
+  streamResumed: (match: 'same' | 'other') => void;
+  /** A caller took a stream up; who knew which version began it. */
+  originFound: (source: 'local' | 'peer' | 'unknown') => void;
   retry: (isTaken: boolean) => void;
   storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
   orderGiven: (order: dialects.Order['kind'], outcome: string) => void;
@@ -200,6 +202,11 @@
     'Streams sent on after their first event, by the version that began them',
     ['match'],
   );
+  const originsFound = counter(
+    'stream_origins_total',
+    'Streams taken up by callers, by who knew which version began them',
+    ['source'],
+  );
   const retries = counter('retries_total', 'Retries asked of the shared budget', ['outcome']);
   const storeCalls = counter('store_calls_total', "Calls to the platform's store", [
     'call',
@@ -308,6 +315,7 @@
     },
     gaveWay: (to) => gaveWay.inc({ to }),
     attemptEnded: (result) => attempts.inc({ result }),
+    originFound: (source) => originsFound.inc({ source }),
     streamResumed: (match) => streamsResumed.inc({ match }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
     storeCalled: (call, result) => storeCalls.inc({ call, result }),
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -34,6 +34,16 @@
     request: gatewayPeer.EndTurnsRequest,
     deadlineMs: number,
   ) => Promise<results.Result<gatewayPeer.EndTurnsReply, channelsModule.PeerError>>;
+  keepOrigins: (
+    address: string,
+    request: gatewayPeer.KeepOriginsRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.KeepOriginsReply, channelsModule.PeerError>>;
+  findOrigins: (
+    address: string,
+    request: gatewayPeer.FindOriginsRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.FindOriginsReply, channelsModule.PeerError>>;
   close: () => void;
 };
 
@@ -46,6 +56,8 @@
   lendCredits: (request: gatewayPeer.LendCreditsRequest) => gatewayPeer.LendCreditsReply;
   takeTurn: (request: gatewayPeer.TakeTurnRequest) => gatewayPeer.TakeTurnReply;
   endTurns: (request: gatewayPeer.EndTurnsRequest) => gatewayPeer.EndTurnsReply;
+  keepOrigins: (request: gatewayPeer.KeepOriginsRequest) => gatewayPeer.KeepOriginsReply;
+  findOrigins: (request: gatewayPeer.FindOriginsRequest) => gatewayPeer.FindOriginsReply;
 };
 
 /** The holder is called several times a second; other peers at random, about once. */
@@ -73,6 +85,10 @@
       channels.call(address, request, deadlineMs, (client, ...rest) => client.takeTurn(...rest)),
     endTurns: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.endTurns(...rest)),
+    keepOrigins: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.keepOrigins(...rest)),
+    findOrigins: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.findOrigins(...rest)),
     close: channels.close,
   };
 }
@@ -85,5 +101,7 @@
     lendCredits: channelsModule.toUnary(handlers.lendCredits),
     takeTurn: channelsModule.toUnary(handlers.takeTurn),
     endTurns: channelsModule.toUnary(handlers.endTurns),
+    keepOrigins: channelsModule.toUnary(handlers.keepOrigins),
+    findOrigins: channelsModule.toUnary(handlers.findOrigins),
   });
 }
--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -1,72 +1,150 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import type * as originPeers from './origin-peers.js';
 import * as streamOrigins from '../../shared/stream-origins.js';
 import * as fixtures from '../../testing/fleet-fixtures.js';
 import * as streamCalls from '../../testing/stream-calls.js';
 import * as runs from '../forwarding/run.js';
 import * as resumedStreams from './resumed-streams.js';
 
-const test = suite('log of resumed streams');
+const test = suite('streams that go on');
 
-function createFixture() {
+type Setup = { onlyVersion?: string | null; answer?: Partial<originPeers.PeerAnswer> };
+
+function createFixture({ onlyVersion = null, answer = {} }: Setup = {}) {
   let nowMs = 1_000;
   const lines: Record<string, unknown>[] = [];
   const matches: string[] = [];
+  const sources: string[] = [];
+  const asked: string[] = [];
+  const write = (event: string, fields: object) => lines.push({ event, ...fields });
   const streams = resumedStreams.createResumedStreams({
-    clock: { nowMs: () => nowMs },
-    log: { info: (event, fields) => lines.push({ event, ...fields }) },
-    metrics: { streamResumed: (match) => matches.push(match) },
-    origins: streamOrigins.createStreamOrigins(),
+    clock: { nowMs: () => nowMs, wallMs: () => nowMs, schedule: () => () => {} },
+    log: { info: write, warn: write },
+    metrics: {
+      streamResumed: (match) => matches.push(match),
+      originFound: (source) => sources.push(source),
+    },
+    origins: streamOrigins.createStreamOrigins(() => 120_000),
+    peers: {
+      replicate: () => {},
+      replaceKeepers: () => {},
+      find: async (requestId) => {
+        asked.push(requestId);
+        nowMs += 7;
+        const found = { kind: 'unknown' } as const;
+        return { found, source: undefined, askedCount: 2, answeredCount: 2, ...answer };
+      },
+    },
+    versions: { note: () => {}, onlyVersion: () => onlyVersion, mayBegin: () => true },
+    listAgeMs: () => 0,
   });
   const pass = (ms: number) => {
     nowMs += ms;
   };
-  return { streams, lines, matches, pass };
+  return { streams, lines, matches, sources, asked, pass };
 }
 
 const upstream = (softwareVersion: string) => fixtures.upstreamRecord('u1', { softwareVersion });
 
-test('one line tells which version began a stream, whose record that is, its age and what goes on with it', () => {
-  const { streams, lines, matches, pass } = createFixture();
+test('one line tells which version began a stream that is taken up, who knew it and how old that is', async () => {
+  const { streams, lines, sources, asked, pass } = createFixture();
   streams.noteBegun(streamCalls.streamCall('r1'), runs.createRun(), upstream('v1'));
   pass(700);
-  streams.noteSentOn(streamCalls.takenUp('r2', 'r1'), upstream('v2'), '3');
+  const match = await streams.match(streamCalls.takenUp('r2', 'r1'));
+  assert.equal(match, { kind: 'bound', service: 'pool', version: 'v1' });
   assert.equal(lines, [
     {
-      event: 'stream-resumed',
+      event: 'stream-taken-up',
       requestId: 'r2',
       originRequestId: 'r1',
       lastEventId: '3',
-      source: 'own',
+      service: 'pool',
       originVersion: 'v1',
+      source: 'own',
       originAgeMs: 700,
-      upstreamId: 'u1',
-      version: 'v2',
+      askedCount: undefined,
+      answeredCount: undefined,
+      lookupMs: 0,
     },
   ]);
-  assert.equal(matches, ['other']);
+  assert.equal(sources, ['local']);
+  assert.equal(asked, []);
 });
 
-test('a stream that goes on within its answer is told from one that its caller takes up', () => {
-  const { streams, lines, matches } = createFixture();
-  const call = streamCalls.streamCall('r1');
-  streams.noteBegun(call, runs.createRun(), upstream('v1'));
-  streams.noteSentOn(call, upstream('v1'), '3');
-  streams.noteSentOn(streamCalls.takenUp('r2', 'unheard-of'), upstream('v1'), '3');
+test('another gateway is asked once, and its answer is kept for the next try', async () => {
+  const origin = { service: 'pool', version: 'v2', begunAtMs: 100 };
+  const found = { kind: 'record', origin } as const;
+  const { streams, lines, asked } = createFixture({ answer: { found, source: 'g2' } });
+  for (const requestId of ['r2', 'r3']) {
+    const match = await streams.match(streamCalls.takenUp(requestId, 'r1'));
+    assert.equal(match, { kind: 'bound', service: 'pool', version: 'v2' });
+  }
+  assert.equal(asked, ['r1']);
   assert.equal(
     lines.map(({ source }) => source),
-    ['answer', undefined],
+    ['g2', 'own'],
   );
-  assert.equal(matches, ['same', 'unknown']);
+  assert.is(lines[0]?.lookupMs, 7);
+});
+
+test('a stream that nobody knows is refused, sooner to come back where somebody did not answer', async () => {
+  const call = streamCalls.takenUp('r2', 'r1');
+  const allAnswered = await createFixture().streams.match(call);
+  const oneSilent = await createFixture({ answer: { answeredCount: 1 } }).streams.match(call);
+  assert.is(allAnswered.kind, 'unknown');
+  assert.is(oneSilent.kind, 'unknown');
+  if (allAnswered.kind !== 'unknown' || oneSilent.kind !== 'unknown') return;
+  assert.ok(oneSilent.retryAfterMs < allAnswered.retryAfterMs);
 });
 
-test('a stream that is taken up keeps the version that began it, not that of the later try', () => {
+test('a caller that names no request, or garbles it, goes on only where there is one version', async () => {
+  for (const originRequestId of [null, '']) {
+    const call = streamCalls.takenUp('r2', originRequestId);
+    const several = createFixture();
+    assert.is((await several.streams.match(call)).kind, 'unknown');
+    assert.equal(several.asked, []);
+    const { streams } = createFixture({ onlyVersion: 'v1' });
+    assert.equal(await streams.match(call), { kind: 'bound', service: 'pool', version: 'v1' });
+  }
+});
+
+test('new streams, and routes whose streams cannot be resumed, are bound to nothing', async () => {
   const { streams, lines } = createFixture();
-  streams.noteBegun(streamCalls.streamCall('r1'), runs.createRun(), upstream('v1'));
+  const route = { ...streamCalls.RESUMABLE_ROUTE, isResumable: false };
+  assert.equal(await streams.match(streamCalls.streamCall('r1')), { kind: 'free' });
+  assert.equal(await streams.match(streamCalls.takenUp('r2', 'r1', { route })), { kind: 'free' });
+  const run = runs.createRun();
+  streams.noteBegun(streamCalls.streamCall('r3', { route }), run, upstream('v1'));
+  assert.is(run.boundVersion, null);
+  assert.is(lines.length, 0);
+});
+
+test('a stream is bound to the version of its first event, and its record stays that of the first try', async () => {
+  const { streams } = createFixture();
+  const first = runs.createRun();
+  streams.noteBegun(streamCalls.streamCall('r1'), first, upstream('v1'));
+  assert.is(first.boundVersion, 'v1');
   streams.noteBegun(streamCalls.takenUp('r2', 'r1'), runs.createRun(), upstream('v2'));
-  streams.noteSentOn(streamCalls.takenUp('r3', 'r1'), upstream('v1'), '3');
-  assert.is(lines[0]?.originVersion, 'v1');
+  const match = await streams.match(streamCalls.takenUp('r3', 'r1'));
+  assert.equal(match, { kind: 'bound', service: 'pool', version: 'v1' });
+});
+
+test('a stream that goes on at another version than it is bound to is counted', () => {
+  const { streams, matches, lines } = createFixture();
+  const run = { ...runs.createRun(), boundVersion: 'v1', resumeAfterId: '4' };
+  streams.noteSentOn(streamCalls.streamCall('r1'), run, upstream('v1'), '4');
+  streams.noteSentOn(streamCalls.streamCall('r1'), run, upstream('v2'), '4');
+  assert.equal(matches, ['same', 'other']);
+  assert.equal(lines[0], {
+    event: 'stream-resumed',
+    requestId: 'r1',
+    lastEventId: '4',
+    boundVersion: 'v1',
+    upstreamId: 'u1',
+    version: 'v1',
+  });
 });
 
 test.run();
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -1,27 +1,63 @@
-/** Keeps which software version began each stream, and logs the version at which one goes on. */
+/**
+ * Which software version a stream goes on at. What two versions write cannot be joined, and upstreams don't check it; so a
+ * stream that its caller takes up is matched with the version that began it, at any gateway, or is refused.
+ */
 import type { clocks } from '@copperlever/runtime';
 
 import type * as streamOrigins from '../../shared/stream-origins.js';
+import type * as versionHistories from '../../shared/version-history.js';
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as runs from '../forwarding/run.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import type * as originPeers from './origin-peers.js';
 
 export type ResumedStreamsDeps = {
-  clock: Pick<clocks.Clock, 'nowMs'>;
-  log: Pick<logEvents.GatewayLog, 'info'>;
-  metrics: Pick<metricsModule.GatewayMetrics, 'streamResumed'>;
+  clock: clocks.Clock;
+  log: Pick<logEvents.GatewayLog, 'info' | 'warn'>;
+  metrics: Pick<metricsModule.GatewayMetrics, 'streamResumed' | 'originFound'>;
   origins: streamOrigins.StreamOrigins;
+  peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceKeepers'>;
+  versions: versionHistories.VersionHistory;
+  /** Time since the store confirmed the list of upstreams; null before the first list. */
+  listAgeMs: () => number | null;
 };
 
+export type Match =
+  /** A stream of its own, which may begin at any version. */
+  | { kind: 'free' }
+  | { kind: 'bound'; service: string; version: string }
+  /** Nobody that was reached knows which version began it. */
+  | { kind: 'unknown'; retryAfterMs: number };
+
 export type ResumedStreams = {
+  /** What a request is bound to, before an upstream is chosen for it. */
+  match: (call: calls.Call) => Promise<Match>;
+  /** Whether streams may begin at the upstream's version already. */
+  mayBegin: (upstream: fleet.UpstreamRecord) => boolean;
   /** The first event of a stream has been forwarded. */
   noteBegun: (call: calls.Call, run: runs.Run, upstream: fleet.UpstreamRecord) => void;
   /** A stream after `lastEventId` is sent to this upstream. */
-  noteSentOn: (call: calls.Call, upstream: fleet.UpstreamRecord, lastEventId: string) => void;
+  noteSentOn: (
+    call: calls.Call,
+    run: runs.Run,
+    upstream: fleet.UpstreamRecord,
+    lastEventId: string,
+  ) => void;
+  /** The upstreams that are listed now. */
+  noteListed: (records: readonly fleet.UpstreamRecord[]) => void;
+  start: () => void;
+  stop: () => void;
 };
 
+/** How soon origins that nobody else keeps yet are told once more than one version may have begun streams. */
+const CHECK_INTERVAL_MS = 250;
+/** Gateways that did not answer may do so by then. */
+const SILENT_RETRY_MS = 500;
+/** Nobody has a record, and a caller that comes back finds none either, unless another gateway joins. */
+const UNKNOWN_RETRY_MS = 2_000;
+
 export function isResumable({ route }: calls.Call): boolean {
   return route.kind === 'stream' && route.isResumable;
 }
@@ -32,34 +68,124 @@
 }
 
 export function createResumedStreams(deps: ResumedStreamsDeps): ResumedStreams {
-  const { clock, origins } = deps;
+  const { clock, log, origins, peers, versions } = deps;
+  /** Services that had only one version when last checked: their origins are kept here alone. */
+  const uniformServices = new Set<string>();
+  let cancelCheck: clocks.Cancel = () => {};
+
+  function onlyVersion(service: string): string | null {
+    return versions.onlyVersion(service, deps.listAgeMs(), clock.nowMs());
+  }
+
+  type Lookup = {
+    origin: { service: string; version: string; begunAtMs?: number } | null;
+    source?: string | undefined;
+    askedCount?: number;
+    answeredCount?: number;
+  };
+
+  async function lookUp(call: calls.Call): Promise<Lookup> {
+    const { service } = call;
+    const originRequestId = call.facts.originRequestId ?? '';
+    const own = origins.find(originRequestId, clock.nowMs());
+    if (own !== null) return { origin: own, source: 'own' };
+    const only = onlyVersion(service);
+    if (only !== null) return { origin: { service, version: only }, source: 'only-version' };
+    if (originRequestId === '') return { origin: null };
+    const { found, source, ...counts } = await peers.find(originRequestId, service);
+    switch (found.kind) {
+      case 'record':
+        origins.note(originRequestId, found.origin, clock.nowMs());
+        return { origin: found.origin, source, ...counts };
+      case 'only-version':
+        return { origin: { service, version: found.version }, source, ...counts };
+      case 'unknown':
+        return { origin: null, ...counts };
+    }
+  }
+
+  function logLookup(call: calls.Call, lookup: Lookup, startedMs: number): void {
+    const { origin, source, askedCount, answeredCount } = lookup;
+    const nowMs = clock.nowMs();
+    const begunAtMs = origin?.begunAtMs;
+    const write = origin === null ? log.warn : log.info;
+    write('stream-taken-up', {
+      requestId: call.requestId,
+      originRequestId: call.facts.originRequestId,
+      lastEventId: call.resumeAfterId,
+      service: origin?.service ?? call.service,
+      originVersion: origin?.version,
+      source,
+      originAgeMs: begunAtMs === undefined ? undefined : Math.round(nowMs - begunAtMs),
+      askedCount,
+      answeredCount,
+      lookupMs: Math.round(nowMs - startedMs),
+    });
+  }
+
+  /** Of all origins that nobody else keeps and that have become needed elsewhere. */
+  function replicateMissing(): void {
+    for (const origin of origins.all()) {
+      const isNeeded = origin.keepers.size === 0 && !uniformServices.has(origin.service);
+      if (isNeeded) peers.replicate(origin);
+    }
+  }
+
+  function checkVersions(): void {
+    const before = uniformServices.size;
+    uniformServices.forEach((service) => {
+      if (onlyVersion(service) === null) uniformServices.delete(service);
+    });
+    if (uniformServices.size < before) replicateMissing();
+  }
+
+  function check(): void {
+    checkVersions();
+    peers.replaceKeepers();
+    cancelCheck = clock.schedule(clock.nowMs() + CHECK_INTERVAL_MS, check);
+  }
 
   return {
+    match: async (call) => {
+      if (!isResumable(call) || !isTakenUp(call)) return { kind: 'free' };
+      const startedMs = clock.nowMs();
+      const lookup = await lookUp(call);
+      logLookup(call, lookup, startedMs);
+      const { origin, askedCount = 0, answeredCount = 0 } = lookup;
+      if (origin === null) {
+        deps.metrics.originFound('unknown');
+        const retryAfterMs = answeredCount < askedCount ? SILENT_RETRY_MS : UNKNOWN_RETRY_MS;
+        return { kind: 'unknown', retryAfterMs };
+      }
+      const isLocal = lookup.source === 'own' || lookup.source === 'only-version';
+      deps.metrics.originFound(isLocal ? 'local' : 'peer');
+      return { kind: 'bound', service: origin.service, version: origin.version };
+    },
+    mayBegin: ({ service, softwareVersion }) =>
+      versions.mayBegin(service, softwareVersion, clock.nowMs()),
     noteBegun: (call, run, { service, softwareVersion: version }) => {
       if (!isResumable(call)) return;
       run.boundVersion ??= version;
       if (isTakenUp(call)) return;
       const nowMs = clock.nowMs();
-      origins.note(call.requestId, { service, version, begunAtMs: nowMs }, nowMs);
+      const kept = origins.note(call.requestId, { service, version, begunAtMs: nowMs }, nowMs);
+      if (kept === null) return;
+      if (onlyVersion(service) === null) peers.replicate(kept);
+      else uniformServices.add(service);
     },
-    noteSentOn: (call, upstream, lastEventId) => {
-      const nowMs = clock.nowMs();
-      const originRequestId = isTakenUp(call) ? call.facts.originRequestId : call.requestId;
-      const origin = originRequestId === null ? null : origins.find(originRequestId, nowMs);
-      const { upstreamId, softwareVersion: version } = upstream;
-      const source = isTakenUp(call) ? 'own' : 'answer';
-      deps.log.info('stream-resumed', {
-        requestId: call.requestId,
-        originRequestId,
-        lastEventId,
-        source: origin === null ? undefined : source,
-        originVersion: origin?.version,
-        originAgeMs: origin === null ? undefined : Math.round(nowMs - origin.begunAtMs),
-        upstreamId,
-        version,
-      });
-      if (origin === null) deps.metrics.streamResumed('unknown');
-      else deps.metrics.streamResumed(origin.version === version ? 'same' : 'other');
+    noteSentOn: (call, run, { upstreamId, softwareVersion: version }, lastEventId) => {
+      const { requestId } = call;
+      const { boundVersion } = run;
+      if (boundVersion === null) return;
+      deps.metrics.streamResumed(boundVersion === version ? 'same' : 'other');
+      if (run.resumeAfterId === null) return;
+      log.info('stream-resumed', { requestId, lastEventId, boundVersion, upstreamId, version });
+    },
+    noteListed: (records) => {
+      versions.note(records, clock.nowMs());
+      checkVersions();
     },
+    start: check,
+    stop: () => cancelCheck(),
   };
 }
--- a/packages/gateway/src/shared/list-budget.ts
+++ b/packages/gateway/src/shared/list-budget.ts
@@ -16,6 +16,10 @@
   listTimeoutMs: number;
   /** A gateway with a relayed list asks the store itself once that list is this old. */
   maxRelayedAgeMs: number;
+  /** A list that is older may lack a software version at which another gateway has begun streams. */
+  maxOnlyVersionAgeMs: number;
+  /** How long after a software version was first listed streams begin at it. Longer than `maxOnlyVersionAgeMs`. */
+  newVersionHoldMs: number;
 };
 
 /** How often a gateway checks whether changes are still relayed to it. */
@@ -29,6 +33,7 @@
 const GRACE_SHARE = 0.15;
 const LIST_SHARE = 0.15;
 const RELAYED_AGE_SHARE = 0.65;
+const ONLY_VERSION_AGE_SHARE = 0.9;
 /** The lease holder plans by the list, which limits its age. */
 const PAUSE_MAX_MS = 600;
 const WAIT_MAX_MS = 2_000;
@@ -41,6 +46,8 @@
     graceMs: drainTimeoutMs * GRACE_SHARE,
     listTimeoutMs: Math.min(LIST_MAX_MS, drainTimeoutMs * LIST_SHARE),
     maxRelayedAgeMs: drainTimeoutMs * RELAYED_AGE_SHARE,
+    maxOnlyVersionAgeMs: drainTimeoutMs * ONLY_VERSION_AGE_SHARE,
+    newVersionHoldMs: drainTimeoutMs,
   };
 }
 
--- a/packages/gateway/src/shared/peer-registry.ts
+++ b/packages/gateway/src/shared/peer-registry.ts
@@ -8,7 +8,7 @@
 
 export type PeerRegistry = {
   /** A peer answered or asked, so it is alive. */
-  noteContact: (peer: KnownPeer, nowMs: number) => void;
+  noteContact: (peer: KnownPeer & { incarnation?: number }, nowMs: number) => void;
   /** Applies peers that another peer was recently in contact with. */
   applyPeers: (peers: readonly KnownPeer[], nowMs: number) => void;
   /** The peer at this address did not answer. */
@@ -17,6 +17,8 @@
   applyLease: (lease: LeaseHolder) => void;
   lease: () => LeaseHolder | null;
   addressOf: (gatewayId: string) => string | null;
+  /** Tells its starts apart; null until it has answered or asked itself. */
+  incarnationOf: (gatewayId: string) => number | null;
   /** Peers that were recently in contact with this gateway itself, to report to others. */
   recentContacts: (nowMs: number) => readonly KnownPeer[];
   live: (nowMs: number) => readonly KnownPeer[];
@@ -43,6 +45,7 @@
 type Entry = {
   address: string;
   millicores: number;
+  incarnation: number | null;
   lastReceivedMs: number | null;
   lastKnownMs: number;
   silentSinceMs: number | null;
@@ -62,11 +65,12 @@
   }
 
   return {
-    noteContact: ({ gatewayId, address, millicores }, nowMs) => {
+    noteContact: ({ gatewayId, address, millicores, incarnation = null }, nowMs) => {
       if (gatewayId === selfId || gatewayId === '') return;
       entries.set(gatewayId, {
         address,
         millicores,
+        incarnation,
         lastReceivedMs: nowMs,
         lastKnownMs: nowMs,
         silentSinceMs: null,
@@ -80,6 +84,7 @@
           entries.set(gatewayId, {
             address,
             millicores,
+            incarnation: null,
             lastReceivedMs: null,
             lastKnownMs: nowMs,
             silentSinceMs: null,
@@ -103,6 +108,7 @@
       lease = update;
     },
     lease: () => lease,
+    incarnationOf: (gatewayId) => entries.get(gatewayId)?.incarnation ?? null,
     addressOf: (gatewayId) => entries.get(gatewayId)?.address ?? null,
     recentContacts: (nowMs) =>
       [...entries]
--- a/packages/gateway/src/shared/stream-origins.ts
+++ b/packages/gateway/src/shared/stream-origins.ts
@@ -1,38 +1,41 @@
 /**
- * Which software version began each stream that may be resumed. Bounded memory: an origin is kept for as long as a caller may
- * come back for its stream, and the oldest are dropped first.
+ * Which software version began each stream that may be resumed, as far as this gateway knows: its own streams, and those that
+ * other gateways have it keep. Bounded memory: an origin is kept for as long as a caller may come back for its stream, and the
+ * oldest are dropped first.
  */
 export type StreamOrigin = {
   service: string;
   /** Of the upstream's software. */
   version: string;
-};
-
-export type KnownOrigin = StreamOrigin & {
   /** When the first event of the stream was forwarded. */
   begunAtMs: number;
 };
 
+export type KeptOrigin = StreamOrigin & {
+  requestId: string;
+  /** The other gateways that keep it, by their id and start. */
+  keepers: Set<string>;
+};
+
 export type StreamOrigins = {
-  /** Does nothing for an origin that is known already: the first event comes once. */
-  note: (requestId: string, origin: KnownOrigin, nowMs: number) => void;
-  find: (requestId: string, nowMs: number) => KnownOrigin | null;
+  /** Null if nothing new was noted: the first event comes once, so that an origin never changes. */
+  note: (requestId: string, origin: StreamOrigin, nowMs: number) => KeptOrigin | null;
+  find: (requestId: string, nowMs: number) => KeptOrigin | null;
+  /** Oldest first. */
+  all: () => Iterable<KeptOrigin>;
   count: () => number;
 };
 
-/** Twice the longest deadlines of callers: each of a stream's tries ends within one. */
-export const ORIGIN_KEPT_MS = 120_000;
 /** Some 10 MB, and three minutes of the largest share of streams that a gateway is designed for. */
 const ORIGINS_MAX = 20_000;
 /** Longer ids than callers make, which would take up the memory of others. */
 const ID_LENGTH_MAX = 128;
 
-export function createStreamOrigins(): StreamOrigins {
-  /** In the order in which they were noted. */
-  const origins = new Map<string, KnownOrigin>();
+export function createStreamOrigins(streamLifeMs: () => number): StreamOrigins {
+  const origins = new Map<string, KeptOrigin>();
 
-  function isExpired({ begunAtMs }: KnownOrigin, nowMs: number): boolean {
-    return nowMs - begunAtMs > ORIGIN_KEPT_MS;
+  function isExpired({ begunAtMs }: KeptOrigin, nowMs: number): boolean {
+    return nowMs - begunAtMs > streamLifeMs();
   }
 
   function dropOld(nowMs: number): void {
@@ -45,14 +48,17 @@
   return {
     note: (requestId, origin, nowMs) => {
       const isUsable = requestId !== '' && requestId.length <= ID_LENGTH_MAX;
-      if (!isUsable || origins.has(requestId)) return;
-      origins.set(requestId, origin);
+      if (!isUsable || origins.has(requestId)) return null;
+      const kept = { ...origin, requestId, keepers: new Set<string>() };
+      origins.set(requestId, kept);
       dropOld(nowMs);
+      return kept;
     },
     find: (requestId, nowMs) => {
       const origin = origins.get(requestId);
       return origin === undefined || isExpired(origin, nowMs) ? null : origin;
     },
+    all: () => origins.values(),
     count: () => origins.size,
   };
 }
--- a/packages/gateway/src/shared/turn-owners.ts
+++ b/packages/gateway/src/shared/turn-owners.ts
@@ -43,11 +43,7 @@
 
 function chooseOwners(ids: readonly string[]): readonly string[] {
   if (ids.length <= OWNERS_MAX) return ids;
-  return ids
-    .map((id) => ({ id, score: rendezvous.scoreOf(OWNERS_KEY, id) }))
-    .sort((left, right) => (left.score > right.score ? -1 : 1))
-    .slice(0, OWNERS_MAX)
-    .map(({ id }) => id);
+  return rendezvous.highest(OWNERS_KEY, ids, (id) => id, OWNERS_MAX);
 }
 
 function isSame(left: readonly string[], right: readonly string[]): boolean {
--- /dev/null
+++ b/packages/gateway/src/stream-parts.ts
@@ -0,0 +1,64 @@
+/** Makes the parts that keep streams at the software version that began them. */
+import * as originPeers from './server/streams/origin-peers.js';
+import * as resumedStreams from './server/streams/resumed-streams.js';
+import * as listBudgets from './shared/list-budget.js';
+import * as streamOrigins from './shared/stream-origins.js';
+import * as versionHistories from './shared/version-history.js';
+import type * as partTypes from './types/parts.js';
+
+/** Several times the deadlines in use. */
+const STREAM_LIFE_MIN_MS = 120_000;
+/** Each try ends by its route's time-out, and the last one begins before the first one's. */
+const LIFE_TIMEOUTS = 2;
+
+/** How long after its first event a stream may still be taken up. */
+function streamLifeMs({ configuration }: partTypes.GatewayParts): number {
+  const routes = configuration.current()?.config.routes ?? [];
+  const timeoutsMs = routes.filter((route) => route.isResumable).map((route) => route.timeoutMs);
+  return Math.max(STREAM_LIFE_MIN_MS, LIFE_TIMEOUTS * Math.max(0, ...timeoutsMs));
+}
+
+export function createOrigins(parts: partTypes.GatewayParts): streamOrigins.StreamOrigins {
+  return streamOrigins.createStreamOrigins(() => streamLifeMs(parts));
+}
+
+export function createVersionHistory(
+  parts: partTypes.GatewayParts,
+): versionHistories.VersionHistory {
+  const { settings, clock } = parts;
+  return versionHistories.createVersionHistory({
+    sinceMs: settings.isFirstStart ? -Infinity : clock.nowMs(),
+    streamLifeMs: () => streamLifeMs(parts),
+    listBudget: listBudgets.listBudget(settings.drainTimeoutMs),
+  });
+}
+
+export function createOriginPeers(parts: partTypes.GatewayParts): originPeers.OriginPeers {
+  const { clock, versions, listFeed, settings } = parts;
+  return originPeers.createOriginPeers({
+    clock,
+    link: parts.link,
+    book: parts.book,
+    origins: parts.origins,
+    onlyVersion: (service) => {
+      const nowMs = clock.nowMs();
+      return versions.onlyVersion(service, listFeed.ageMs(nowMs), nowMs);
+    },
+    gatewayId: settings.gatewayId,
+    address: settings.peerAddress,
+    seedAddresses: settings.seedAddresses,
+  });
+}
+
+export function createStreams(parts: partTypes.GatewayParts): resumedStreams.ResumedStreams {
+  const { clock, log, metrics, origins, versions, listFeed } = parts;
+  return resumedStreams.createResumedStreams({
+    clock,
+    log,
+    metrics,
+    origins,
+    versions,
+    peers: parts.originPeers,
+    listAgeMs: () => listFeed.ageMs(clock.nowMs()),
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -0,0 +1,233 @@
+/**
+ * Gateways that keep the origins of streams, on a virtual clock: they end and start again, are cut off from each other and from
+ * the list of upstreams, which each of them gets at a time of its own.
+ */
+import { clocks as clocksModule, logs, randoms, results } from '@copperlever/runtime';
+import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
+
+import * as runs from '../server/forwarding/run.js';
+import type * as peerLinks from '../server/peers/peer-link.js';
+import * as originPeers from '../server/streams/origin-peers.js';
+import * as resumedStreams from '../server/streams/resumed-streams.js';
+import * as listBudgets from '../shared/list-budget.js';
+import * as peerRegistries from '../shared/peer-registry.js';
+import * as streamOrigins from '../shared/stream-origins.js';
+import * as versionHistories from '../shared/version-history.js';
+import type * as fleet from '../types/fleet.js';
+import * as fixtures from './fleet-fixtures.js';
+import * as streamCalls from './stream-calls.js';
+
+export const STREAM_LIFE_MS = 120_000;
+const DRAIN_TIMEOUT_MS = 2_000;
+const NETWORK_MS = 2;
+/** How often gateways hear of each other and of the list while they are reached. */
+const EXCHANGE_MS = 200;
+const MODEL = 'm1';
+
+export type GatewayNode = {
+  gatewayId: string;
+  book: peerRegistries.PeerRegistry;
+  origins: streamOrigins.StreamOrigins;
+  peers: originPeers.OriginPeers;
+  streams: resumedStreams.ResumedStreams;
+  /** Its list of upstreams and when the store confirmed that. */
+  list: { records: readonly fleet.UpstreamRecord[]; asOfMs: number | null };
+  incarnation: number;
+};
+
+export type Begun = { requestId: string; version: string };
+
+/** How a caller's try to take a stream up ended. */
+export type TakeUp = { kind: 'went-on'; version: string } | { kind: 'refused' | 'no-upstream' };
+
+export type OriginFleet = ReturnType<typeof createOriginFleet>;
+
+export type OriginFleetOptions = { gatewayCount: number; seed: number };
+
+export function createOriginFleet({ gatewayCount, seed }: OriginFleetOptions) {
+  const clock = fakeClocks.createFakeClock();
+  const random = randoms.createRandom(seed);
+  const nodes = new Map<string, GatewayNode>();
+  const isolated = new Set<string>();
+  const withoutStore = new Set<string>();
+  /** What the store lists. */
+  const listed = new Map<string, fleet.UpstreamRecord>();
+  const seedAddresses = ['g1:1', 'g2:1', 'g3:1'];
+  let nextStream = 0;
+  let nextIncarnation = 1;
+  let messageCount = 0;
+
+  function isCut(from: string, to: string): boolean {
+    return isolated.has(from) || isolated.has(to) || !nodes.has(to) || !nodes.has(from);
+  }
+
+  function createLink(gatewayId: string): OriginLink {
+    async function call<Reply>(address: string, deadlineMs: number, reply: Answer<Reply>) {
+      messageCount += 1;
+      const to = address.split(':')[0] ?? '';
+      const before = nodes.get(to)?.incarnation;
+      await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+      const node = nodes.get(to);
+      const isLost = node === undefined || isCut(gatewayId, to) || node.incarnation !== before;
+      if (isLost) {
+        await clocksModule.sleepUntil(clock, deadlineMs);
+        return results.Err({ kind: 'deadline', address } as const);
+      }
+      const value = reply(node);
+      await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+      return results.Ok(value);
+    }
+    return {
+      keepOrigins: (address, request, deadlineMs) =>
+        call(address, deadlineMs, ({ peers }) => peers.keep(request)),
+      findOrigins: (address, request, deadlineMs) =>
+        call(address, deadlineMs, ({ peers }) => peers.answer(request)),
+    };
+  }
+
+  function createNode(gatewayId: string, isFirstStart: boolean): GatewayNode {
+    const book = peerRegistries.createPeerRegistry(gatewayId);
+    const origins = streamOrigins.createStreamOrigins(() => STREAM_LIFE_MS);
+    const versions = versionHistories.createVersionHistory({
+      sinceMs: isFirstStart ? -Infinity : clock.nowMs(),
+      streamLifeMs: () => STREAM_LIFE_MS,
+      listBudget: listBudgets.listBudget(DRAIN_TIMEOUT_MS),
+    });
+    const ownList: GatewayNode['list'] = { records: [], asOfMs: null };
+    const listAgeMs = () => (ownList.asOfMs === null ? null : clock.nowMs() - ownList.asOfMs);
+    const peers = originPeers.createOriginPeers({
+      clock,
+      link: createLink(gatewayId),
+      book,
+      origins,
+      onlyVersion: (service) => versions.onlyVersion(service, listAgeMs(), clock.nowMs()),
+      gatewayId,
+      address: `${gatewayId}:1`,
+      seedAddresses,
+    });
+    const streams = resumedStreams.createResumedStreams({
+      clock,
+      log: logs.createSilentLogger(),
+      metrics: { streamResumed: () => {}, originFound: () => {} },
+      origins,
+      peers,
+      versions,
+      listAgeMs,
+    });
+    const incarnation = nextIncarnation;
+    nextIncarnation += 1;
+    return { gatewayId, book, origins, peers, streams, list: ownList, incarnation };
+  }
+
+  function hear(node: GatewayNode): void {
+    const nowMs = clock.nowMs();
+    nodes.forEach((other) => {
+      if (other === node || isCut(node.gatewayId, other.gatewayId)) return;
+      const { gatewayId, incarnation } = other;
+      node.book.noteContact(
+        { gatewayId, address: `${gatewayId}:1`, millicores: 1, incarnation },
+        nowMs,
+      );
+    });
+  }
+
+  function fetchList(node: GatewayNode): void {
+    if (withoutStore.has(node.gatewayId)) return;
+    node.list.records = [...listed.values()];
+    node.list.asOfMs = clock.nowMs();
+    node.streams.noteListed(node.list.records);
+  }
+
+  /** Gateways do so at times of their own. */
+  function follow(node: GatewayNode): void {
+    if (nodes.get(node.gatewayId) !== node) return;
+    hear(node);
+    fetchList(node);
+    const waitMs = EXCHANGE_MS + random.below(EXCHANGE_MS);
+    clock.schedule(clock.nowMs() + waitMs, () => follow(node));
+  }
+
+  function start(gatewayId: string, isFirstStart = false): void {
+    const node = createNode(gatewayId, isFirstStart);
+    nodes.set(gatewayId, node);
+    follow(node);
+    node.streams.start();
+  }
+
+  function kill(gatewayId: string): void {
+    nodes.get(gatewayId)?.streams.stop();
+    nodes.delete(gatewayId);
+  }
+
+  function list(upstreamId: string, softwareVersion: string): void {
+    const models = [{ name: MODEL, version: 1, adapters: [] }];
+    listed.set(upstreamId, fixtures.upstreamRecord(upstreamId, { softwareVersion, models }));
+  }
+
+  function pickUpstream(records: readonly fleet.UpstreamRecord[]): fleet.UpstreamRecord | null {
+    return randoms.pick(random, records) ?? null;
+  }
+
+  /** Null where no upstream may begin a stream. What is listed no longer does not answer. */
+  function begin(gatewayId: string): Begun | null {
+    const node = nodes.get(gatewayId);
+    if (node === undefined) return null;
+    const eligible = node.list.records.filter(node.streams.mayBegin);
+    const upstream = pickUpstream(eligible.filter((record) => listed.get(record.name) === record));
+    if (upstream === null) return null;
+    nextStream += 1;
+    const requestId = `r${nextStream}`;
+    node.streams.noteBegun(streamCalls.streamCall(requestId), runs.createRun(), upstream);
+    return { requestId, version: upstream.softwareVersion };
+  }
+
+  async function takeUp(
+    gatewayId: string,
+    { requestId }: Pick<Begun, 'requestId'>,
+  ): Promise<TakeUp> {
+    const node = nodes.get(gatewayId);
+    if (node === undefined) return { kind: 'refused' };
+    nextStream += 1;
+    const match = await node.streams.match(streamCalls.takenUp(`r${nextStream}`, requestId));
+    if (match.kind !== 'bound') return { kind: 'refused' };
+    const upstream = pickUpstream(
+      node.list.records
+        .filter(({ softwareVersion }) => softwareVersion === match.version)
+        .filter((record) => listed.get(record.name) === record),
+    );
+    if (upstream === null) return { kind: 'no-upstream' };
+    return { kind: 'went-on', version: upstream.softwareVersion };
+  }
+
+  for (let index = 1; index <= gatewayCount; index += 1)
+    nodes.set(`g${index}`, createNode(`g${index}`, true));
+
+  return {
+    clock,
+    random,
+    nodes,
+    isolated,
+    withoutStore,
+    listed,
+    /** Has all gateways follow the list; call it once the first upstreams are listed. */
+    startAll: () => {
+      nodes.forEach((node) => {
+        follow(node);
+        node.streams.start();
+      });
+    },
+    start,
+    kill,
+    list,
+    unlist: (upstreamId: string) => {
+      listed.delete(upstreamId);
+    },
+    begin,
+    takeUp,
+    messageCount: () => messageCount,
+    stop: () => [...nodes.keys()].forEach(kill),
+  };
+}
+
+type OriginLink = Pick<peerLinks.PeerLink, 'keepOrigins' | 'findOrigins'>;
+type Answer<Reply> = (node: GatewayNode) => Reply;
--- a/packages/gateway/src/testing/stream-calls.ts
+++ b/packages/gateway/src/testing/stream-calls.ts
@@ -1,5 +1,6 @@
 /** Calls of a stream that may be resumed. */
 import type * as calls from '../types/calls.js';
+import type * as resumedStreams from '../server/streams/resumed-streams.js';
 import type * as fleet from '../types/fleet.js';
 
 export const RESUMABLE_ROUTE: fleet.Route = {
@@ -59,3 +60,16 @@
   const call = streamCall(requestId, { resumeAfterId: '3', ...overrides });
   return { ...call, facts: { ...call.facts, originRequestId } };
 }
+
+/** For tests of requests that are bound to no version. */
+export function createUnboundStreams(): resumedStreams.ResumedStreams {
+  return {
+    match: async () => ({ kind: 'free' }),
+    mayBegin: () => true,
+    noteBegun: () => {},
+    noteSentOn: () => {},
+    noteListed: () => {},
+    start: () => {},
+    stop: () => {},
+  };
+}
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -45,6 +45,8 @@
   | 'upstreams-closed'
   /** The retry budget of its service is used up. */
   | 'retries-spent'
+  /** Which software version began the stream that its caller takes up is not known. */
+  | 'stream-unknown'
   /** No upstream of the software version that began the stream gets new work. */
   | 'version-gone'
   /** The request is suspected of crashing upstreams: connections were lost while it ran. */
@@ -53,7 +55,16 @@
 
 /** What a request was waiting for when its caller left. */
 export type Stage =
-  'unread' | 'quota' | 'gate' | 'held' | 'model' | 'adapter' | 'turn' | 'permit' | 'upstream';
+  | 'unread'
+  | 'quota'
+  | 'origin'
+  | 'gate'
+  | 'held'
+  | 'model'
+  | 'adapter'
+  | 'turn'
+  | 'permit'
+  | 'upstream';
 
 /** How a request ended at the gateway. */
 export type Ending =
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -231,18 +231,30 @@
     version: Text;
   };
   /**
-   * A stream that has begun goes on, or is to: which version of the upstreams' software began it, and whose record of that was
-   * used. `source`: `answer` within the same answer, `own` this gateway's memory; left out where nothing is known.
+   * Its caller asks for the rest of a stream: which software version began it, and who knew. `source`: `own` (this gateway has a
+   * record), `only-version` (its service had no other for as long as streams live), or the gateway that answered; left out with
+   * `originVersion` where nobody knew, and the request is refused.
    */
-  'stream-resumed': {
+  'stream-taken-up': {
     requestId: string;
     /** The request that brought the first event, as its caller names it. */
     originRequestId: Text;
     lastEventId: Text;
-    source: Text;
+    service: string;
     originVersion: Text;
-    /** Since the first event. */
+    source: Text;
+    /** Since the first event, where there is a record. */
     originAgeMs: Amount;
+    /** Other gateways; left out where none had to be asked. */
+    askedCount: Amount;
+    answeredCount: Amount;
+    lookupMs: number;
+  };
+  /** A stream that broke off goes on within its answer, at the version that it is bound to. */
+  'stream-resumed': {
+    requestId: string;
+    lastEventId: string;
+    boundVersion: string;
     upstreamId: string;
     version: string;
   };
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -46,6 +46,8 @@
    * speed, which means that it varies.
    */
   promptTurns: zod.enum(['auto', 'on', 'off']).default('auto'),
+  /** No gateway of this fleet ran before: no stream can have begun. */
+  isFirstStart: zod.boolean().default(false),
   /** Shares of organisations relative to each other; their quotas where none is given. */
   shareWeights: zod.record(zod.string(), positive).default({}),
   /** By how much all gateways together may exceed an organisation's quota, in its unit. */
