A stream that is taken up goes to the service of its route at which it began

On a split route the service was chosen by a hash of the request's id, and each try of a caller has an id of its own: a stream could go on at another service, which is the same class as another version. Found while looking for the same cause elsewhere, not seen by callers. Change: the split is computed from the request that began the stream, so that any gateway comes to the same service; the record of a stream, which has its service, goes before. Without a usable id, a split route is refused.

--- a/packages/gateway/src/server/forwarding/call-building.ts
+++ b/packages/gateway/src/server/forwarding/call-building.ts
@@ -39,7 +39,9 @@
 ): calls.Call {
   const path = request.url ?? '/';
   const waitMs = Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs);
-  const fraction = deps.hasher.hash32(facts.requestId) / HASH_RANGE;
+  // Each try of a caller has an id of its own; a stream has to go on at the service that began it.
+  const splitKey = facts.originRequestId ?? facts.requestId;
+  const fraction = deps.hasher.hash32(splitKey) / HASH_RANGE;
   const service = routeTables.chooseService(route.targets, fraction);
   const scope = `${organisation?.name}\n${service}\n${request.method}\n${path}\n${facts.model}/${facts.adapter}`;
   const lastEventId = request.headers['last-event-id'];
--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -110,6 +110,15 @@
   }
 });
 
+test('a caller that names no request goes on at no service of a split route', async () => {
+  const targets = ['pool', 'other'].map((service) => ({ service, weight: 1 }));
+  const route = { ...streamCalls.RESUMABLE_ROUTE, targets };
+  const { streams } = createFixture({ onlyVersion: 'v1' });
+  assert.is((await streams.match(streamCalls.takenUp('r2', null, { route }))).kind, 'unknown');
+  const named = streamCalls.takenUp('r2', 'r1', { route });
+  assert.equal(await streams.match(named), { kind: 'bound', service: 'pool', version: 'v1' });
+});
+
 test('new streams, and routes whose streams cannot be resumed, are bound to nothing', async () => {
   const { streams, lines } = createFixture();
   const route = { ...streamCalls.RESUMABLE_ROUTE, isResumable: false };
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -89,7 +89,9 @@
     const originRequestId = call.facts.originRequestId ?? '';
     const own = origins.find(originRequestId, clock.nowMs());
     if (own !== null) return { origin: own, source: 'own' };
-    const only = onlyVersion(service);
+    // The service of a split route is worked out from the request that began the stream.
+    const isServiceKnown = originRequestId !== '' || call.route.targets.length === 1;
+    const only = isServiceKnown ? onlyVersion(service) : null;
     if (only !== null) return { origin: { service, version: only }, source: 'only-version' };
     if (originRequestId === '') return { origin: null };
     const { found, source, ...counts } = await peers.find(originRequestId, service);
