A request keeps its fingerprint whichever service of a split route its tries go to

A request that crashes upstreams is refused after two crashes, by its fingerprint, which held the service that a hash of the try's id had chosen: on a split route each service could be crashed twice. The class of postmortem 016: what outlives a try was keyed by what changes between tries. Not seen by callers. Change: the fingerprint holds the route instead of the service. Result: call-building.test.ts failed before (three fingerprints for 40 tries, one expected) and passes.

--- a/packages/gateway/src/server/forwarding/call-building.test.ts
+++ b/packages/gateway/src/server/forwarding/call-building.test.ts
@@ -40,4 +40,11 @@
   assert.is(new Set(services).size, 3);
 });
 
+// Guards against a request that crashes upstreams and, tried again, reaches another service under another fingerprint.
+test('a request that is tried again keeps its fingerprint whichever service of a split route it goes to', () => {
+  const tries = Array.from({ length: 40 }, (_, index) => build({ 't-id': `r${index}` }));
+  assert.is(new Set(tries.map(({ service }) => service)).size, 3);
+  assert.is(new Set(tries.map(({ fingerprint }) => fingerprint)).size, 1);
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/call-building.ts
+++ b/packages/gateway/src/server/forwarding/call-building.ts
@@ -43,7 +43,7 @@
   const splitKey = facts.originRequestId ?? facts.requestId;
   const fraction = deps.hasher.hash32(splitKey) / HASH_RANGE;
   const service = routeTables.chooseService(route.targets, fraction);
-  const scope = `${organisation?.name}\n${service}\n${request.method}\n${path}\n${facts.model}/${facts.adapter}`;
+  const scope = `${organisation?.name}\n${route.name}\n${request.method}\n${path}\n${facts.model}/${facts.adapter}`;
   const lastEventId = request.headers['last-event-id'];
   return {
     requestId: facts.requestId,
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -27,7 +27,7 @@
   elapsedBeforeMs: number;
   /** When the caller gives up or the route's timeout expires, whichever is first. */
   deadlineMs: number;
-  /** Hash of organisation, service, method, path, model, adapter and body: equal when a caller repeats its request. */
+  /** Hash of organisation, route, method, path, model, adapter and body: equal when a caller repeats its request. */
   fingerprint: string;
   /** The event after which the caller itself asked to resume a stream (`Last-Event-ID`); null otherwise. */
   resumeAfterId: string | null;
