A change of an upstream's software version under its name reaches all gateways

A gateway that gets the list of upstreams from the holder kept the version before when an entry changed its version under the same start: a stream would have gone on at another version than the list says. Cause: the version did not count among what matters to routing. From a gateway of the build before, records without a version arrived as undefined, which equals nothing. Found while looking for the same cause elsewhere. Change: the version is part of what is compared; a record that tells none keeps the known version of the same start, or has the empty one.

--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -238,6 +238,35 @@
 });
 
 // A new holder knows nothing of what its followers received before, except the revision of their list.
+// Guards against a gateway that keeps the version before, since its list comes from one to which that change did not matter.
+test('a change of the software version under a name is reported to other gateways', () => {
+  const holder = directories.createUpstreamDirectory();
+  holder.applyListing({ records: [stored('u1', 3)], unreadable: [], era: 0, revision: 3 }, 0);
+  const { version } = holder.membersAfter(0, 0);
+  const record = stored('u1', 4, { softwareVersion: 'v2' });
+  holder.applyChange({ kind: 'written', record }, 0);
+  assert.equal(
+    holder.membersAfter(version, 0).written.map(({ value }) => value.softwareVersion),
+    ['v2'],
+  );
+});
+
+// Guards against versions that are lost where the list comes from a gateway of the build before, which did not read them.
+test('a record from a gateway that does not tell versions leaves the known one as it is', () => {
+  const follower = directories.createUpstreamDirectory();
+  const known = stored('u1', 3, { softwareVersion: 'v2' });
+  follower.applyListing({ records: [known], unreadable: [], era: 0, revision: 3 }, 0);
+  const { softwareVersion, ...untold } = stored('u1', 4).value;
+  assert.is(softwareVersion, 'v1');
+  const changes = { version: 1, era: 0, revision: 4, isWhole: false, removed: [] };
+  const told = { ...stored('u1', 4), value: untold as fleet.UpstreamRecord };
+  follower.applyMembers({ ...changes, written: [told] }, 0);
+  assert.is(follower.find('u1')?.softwareVersion, 'v2');
+  const other = { ...stored('u2', 5), value: { ...untold, upstreamId: 'u2' } };
+  follower.applyMembers({ ...changes, written: [other as typeof told] }, 0);
+  assert.is(follower.find('u2')?.softwareVersion, '');
+});
+
 test('a follower of a new holder receives what was added and removed since its own list', () => {
   const { holder, follower } = createPair();
   holder.applyChange({ kind: 'deleted', name: 'u1', era: 0, revision: 6 }, 0);
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -85,6 +85,7 @@
     JSON.stringify([
       value.upstreamId,
       value.service,
+      value.softwareVersion,
       value.address,
       value.failureDomain,
       value.slots,
@@ -155,8 +156,22 @@
     return state === 'draining' && upstreamId === record.value.upstreamId;
   }
 
-  function write(record: UpstreamStored, nowMs: number): boolean {
-    const before = known.get(record.name);
+  /** Gateways of the build before tell no versions. */
+  function withVersion(
+    record: UpstreamStored,
+    before: fleet.UpstreamRecord | undefined,
+  ): UpstreamStored {
+    const { value } = record;
+    const told: string | undefined = value.softwareVersion;
+    if (told !== undefined) return record;
+    const isSameStart = before?.upstreamId === value.upstreamId;
+    const softwareVersion = isSameStart ? before.softwareVersion : '';
+    return { ...record, value: { ...value, softwareVersion } };
+  }
+
+  function write(told: UpstreamStored, nowMs: number): boolean {
+    const before = known.get(told.name);
+    const record = withVersion(told, before?.stored.value);
     if (before === undefined && storePositions.isAtLeast(listedAt, record)) return false;
     if (before !== undefined && storePositions.isAfter(before.stored, record)) return false;
     const deleted = deletedAt.get(record.name);
