A stream is not noted at a version that its upstream may have left already

Where an upstream starts again under its name, the list has its entry of before for a second or two. Streams that the new software began were noted at the listed version, and would have gone on there: two versions in one stream. Change: an upstream that took no connection is doubted until the list is surely of its new start (2.5 s after its first answer, plus the list's age), and so is one whose listed version has changed between the sending and the first event. Its new streams are bound to nothing and do not go on; streams of that version do not go on there. Where each start has a name of its own nothing changes, since the request names it.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -27,6 +27,7 @@
 import * as plainServiceTimesModule from './shared/plain-service-times.js';
 import * as promptCaches from './shared/prompt-caches.js';
 import * as speedSharing from './shared/speed-sharing.js';
+import * as restartDoubts from './shared/restart-doubts.js';
 import * as retryBudgets from './shared/retry-budget.js';
 import * as tokenShares from './shared/token-shares.js';
 import * as sharedEjectionsModule from './shared/shared-ejections.js';
@@ -207,6 +208,7 @@
       )
       .singleton(),
     origins: awilix.asFunction(streamParts.createOrigins).singleton(),
+    doubts: awilix.asFunction(restartDoubts.createRestartDoubts).singleton(),
     versions: awilix.asFunction(streamParts.createVersionHistory).singleton(),
     originPeers: awilix.asFunction(streamParts.createOriginPeers).singleton(),
     streams: awilix.asFunction(streamParts.createStreams).singleton(),
@@ -237,6 +239,7 @@
           placement: parts.placement,
           metrics: parts.metrics,
           streams: parts.streams,
+          doubts: parts.doubts,
           preSendCheck: preSendChecks.createPreSendCheck(parts),
           loopAges: parts.loopAges,
           serviceOf: parts.configuration.serviceOf,
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -85,6 +85,7 @@
     cradle.caches.retain(ids);
     cradle.states.retain(ids);
     cradle.speedPool.retain(ids);
+    cradle.doubts.retain(ids);
     cradle.upstreamLimits.retain(ids, clock.nowMs());
   }
 
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -8,6 +8,7 @@
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
+import type * as restartDoubts from '../../shared/restart-doubts.js';
 import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as turnTakers from '../turns/turn-taker.js';
@@ -39,6 +40,7 @@
   >;
   router: Pick<routers.Router, 'needsModel' | 'priorityOf'>;
   streams: resumedStreams.ResumedStreams;
+  doubts: Pick<restartDoubts.RestartDoubts, 'noteUnreachable' | 'noteAnswered'>;
   serviceOf: (name: string) => fleet.Service | null;
   listAgeMs: () => number | null;
   gatewayCount: () => number;
@@ -111,8 +113,10 @@
   /** The list of upstreams may have changed since the choice. */
   function mayStart(run: runs.Run, upstreamId: string): boolean {
     if (!directory.mayGetWork(upstreamId, clock.nowMs())) return false;
-    const version = directory.find(upstreamId)?.softwareVersion;
-    return run.boundVersion === null || version === run.boundVersion;
+    const { boundVersion } = run;
+    const record = directory.find(upstreamId);
+    if (boundVersion === null || record === undefined) return true;
+    return deps.streams.mayGoOn(record, boundVersion);
   }
 
   return async (call, run, sink, { choice, turn }) => {
@@ -155,6 +159,7 @@
       eventIntervals: eventIntervalsOf(call, upstreamId),
       onResponseHead: (facts) => {
         answer.load = facts.load;
+        deps.doubts.noteAnswered(upstreamId, clock.nowMs());
         const source = call.requestId;
         deps.words.applyAnswerHead({ upstreamId, facts, sentMs: startedAtMs, source });
       },
@@ -173,6 +178,7 @@
       },
     });
     started.end();
+    if (result.kind === 'not-sent') deps.doubts.noteUnreachable(upstreamId);
     deps.metrics.attemptEnded(result.kind);
     connection.release(result.kind !== 'not-sent');
     const tookMs = clock.nowMs() - startedAtMs;
--- a/packages/gateway/src/server/forwarding/router.test.ts
+++ b/packages/gateway/src/server/forwarding/router.test.ts
@@ -87,7 +87,7 @@
     serviceOf: () => SERVICE,
     failureDomain: 'north',
     metrics: { gaveWay: (to) => gaveWay.push(to) },
-    streams: { mayBegin: () => true },
+    streams: { mayBegin: () => true, mayGoOn: () => true },
     listAgeMs: () => 0,
     gatewayCount: () => 1,
     ordersAdmission: () => isOn,
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -52,7 +52,7 @@
   gatewayId: string;
   failureDomain: string;
   metrics: Pick<metricsModule.GatewayMetrics, 'gaveWay'>;
-  streams: Pick<resumedStreams.ResumedStreams, 'mayBegin'>;
+  streams: Pick<resumedStreams.ResumedStreams, 'mayBegin' | 'mayGoOn'>;
   gatewayCount: () => number;
 } & Omit<admissions.AdmissionDeps, 'clock'>;
 
@@ -206,7 +206,7 @@
     if (!resumedStreams.isResumable(call)) return records;
     const { boundVersion } = run;
     if (boundVersion === null) return records.filter(deps.streams.mayBegin);
-    return records.filter(({ softwareVersion }) => softwareVersion === boundVersion);
+    return records.filter((record) => deps.streams.mayGoOn(record, boundVersion));
   }
 
   function upstreamLoads(call: calls.Call, run: runs.Run): readonly batchHolding.UpstreamLoad[] {
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -29,6 +29,8 @@
    * The software version that the stream has to go on at, once the caller has events of it; null while it may begin at any.
    */
   boundVersion: string | null;
+  /** Events of it have been forwarded, and which software version wrote them is not certain: it must not go on anywhere. */
+  isVersionUnknown: boolean;
   /** How often an upstream was asked to load the adapter. */
   adapterRequestCount: number;
   /** It has waited for a copy of its model at least once. */
@@ -53,6 +55,7 @@
     excludedIds: new Set(),
     resumeAfterId: null,
     boundVersion: null,
+    isVersionUnknown: false,
     adapterRequestCount: 0,
     hasWaitedForModel: false,
     heldSinceMs: null,
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -8,6 +8,7 @@
 import * as inFlightModule from '../../shared/in-flight.js';
 import * as serviceTimesModule from '../../shared/service-times.js';
 import * as promptCaches from '../../shared/prompt-caches.js';
+import * as restartDoubts from '../../shared/restart-doubts.js';
 import * as retryBudgets from '../../shared/retry-budget.js';
 import * as upstreamHealthModule from '../../shared/upstream-health.js';
 import * as directories from '../../shared/upstream-directory.js';
@@ -148,6 +149,7 @@
       throw new Error('metrics are not read in this test');
     }),
     streams: streamCalls.createUnboundStreams(),
+    doubts: restartDoubts.createRestartDoubts(),
     preSendCheck: preSendChecks.createPreSendCheck({ clock, loopAges }),
     loopAges,
     serviceOf: () => service,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -11,6 +11,7 @@
 import type * as plainServiceTimes from '../../shared/plain-service-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import type * as retryBudgets from '../../shared/retry-budget.js';
+import type * as restartDoubts from '../../shared/restart-doubts.js';
 import * as retryDecisions from '../../shared/retry-decisions.js';
 import * as upstreamHealthModule from '../../shared/upstream-health.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
@@ -66,6 +67,7 @@
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   streams: resumedStreams.ResumedStreams;
+  doubts: restartDoubts.RestartDoubts;
   preSendCheck: preSendChecks.PreSendCheck;
   loopAges: attemptSenders.AttemptSenderDeps['loopAges'];
   serviceOf: (name: string) => fleet.Service | null;
@@ -103,7 +105,9 @@
 
   function factsOf(call: calls.Call, run: runs.Run): retryDecisions.RequestFacts {
     const { ranCount, sentCount, hasBegun, upstreamId } = run;
-    return { route: call.route, possiblyRunCount: ranCount, sentCount, hasBegun, upstreamId };
+    const isResumable = call.route.isResumable && !run.isVersionUnknown;
+    const route = { ...call.route, isResumable };
+    return { route, possiblyRunCount: ranCount, sentCount, hasBegun, upstreamId };
   }
 
   function refuse(call: calls.Call, run: runs.Run, cause: calls.RefusalCause, waitMs: number) {
--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -10,9 +10,15 @@
 
 const test = suite('streams that go on');
 
-type Setup = { onlyVersion?: string | null; answer?: Partial<originPeers.PeerAnswer> };
+type Setup = {
+  onlyVersion?: string | null;
+  answer?: Partial<originPeers.PeerAnswer>;
+  isDoubtful?: boolean;
+  listedVersion?: string;
+};
 
-function createFixture({ onlyVersion = null, answer = {} }: Setup = {}) {
+function createFixture(setup: Setup = {}) {
+  const { onlyVersion = null, answer = {}, isDoubtful = false } = setup;
   let nowMs = 1_000;
   const lines: Record<string, unknown>[] = [];
   const matches: string[] = [];
@@ -38,6 +44,8 @@
       },
     },
     versions: { note: () => {}, onlyVersion: () => onlyVersion, mayBegin: () => true },
+    doubts: { isDoubtful: () => isDoubtful },
+    findUpstream: () => upstream(setup.listedVersion ?? 'v1'),
     listAgeMs: () => 0,
   });
   const pass = (ms: number) => {
@@ -140,6 +148,23 @@
   assert.equal(match, { kind: 'bound', service: 'pool', version: 'v1' });
 });
 
+// Guards against a record of the version that the list had, where the upstream has started again with another.
+test('a stream whose upstream may run other software than is listed is bound to nothing and noted nowhere', async () => {
+  const renamed = { ...upstream('v1'), name: 'server-1', upstreamId: 'server-1@17' };
+  for (const setup of [{ isDoubtful: true }, { listedVersion: 'v2' }]) {
+    const { streams, lines } = createFixture(setup);
+    const run = runs.createRun();
+    streams.noteBegun(streamCalls.streamCall('r1'), run, renamed);
+    assert.is(run.boundVersion, null);
+    assert.ok(run.isVersionUnknown);
+    assert.is(lines[0]?.event, 'stream-version-unknown');
+    assert.is((await streams.match(streamCalls.takenUp('r2', 'r1'))).kind, 'unknown');
+  }
+  const { streams } = createFixture({ isDoubtful: true });
+  assert.not.ok(streams.mayGoOn(renamed, 'v1'));
+  assert.ok(streams.mayGoOn(upstream('v1'), 'v1'));
+});
+
 test('a stream that goes on at another version than it is bound to is counted', () => {
   const { streams, matches, lines } = createFixture();
   const run = { ...runs.createRun(), boundVersion: 'v1', resumeAfterId: '4' };
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -4,6 +4,7 @@
  */
 import type { clocks } from '@copperlever/runtime';
 
+import type * as restartDoubts from '../../shared/restart-doubts.js';
 import type * as streamOrigins from '../../shared/stream-origins.js';
 import type * as versionHistories from '../../shared/version-history.js';
 import type * as calls from '../../types/calls.js';
@@ -20,6 +21,9 @@
   origins: streamOrigins.StreamOrigins;
   peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceKeepers'>;
   versions: versionHistories.VersionHistory;
+  doubts: Pick<restartDoubts.RestartDoubts, 'isDoubtful'>;
+  /** What the list says of the upstream now. */
+  findUpstream: (upstreamId: string) => fleet.UpstreamRecord | undefined;
   /** Time since the store confirmed the list of upstreams; null before the first list. */
   listAgeMs: () => number | null;
 };
@@ -36,7 +40,9 @@
   match: (call: calls.Call) => Promise<Match>;
   /** Whether streams may begin at the upstream's version already. */
   mayBegin: (upstream: fleet.UpstreamRecord) => boolean;
-  /** The first event of a stream has been forwarded. */
+  /** Whether streams of this version may go on at the upstream: its software is certainly of that. */
+  mayGoOn: (upstream: fleet.UpstreamRecord, version: string) => boolean;
+  /** The first event of a stream has been forwarded; `upstream` is its record as of when the request was sent. */
   noteBegun: (call: calls.Call, run: runs.Run, upstream: fleet.UpstreamRecord) => void;
   /** A stream after `lastEventId` is sent to this upstream. */
   noteSentOn: (
@@ -77,6 +83,19 @@
     return versions.onlyVersion(service, deps.listAgeMs(), clock.nowMs());
   }
 
+  /** The upstream may have started again under its name, while the list still has its entry of before. */
+  function isDoubtful({ upstreamId, name }: fleet.UpstreamRecord): boolean {
+    // Where each start has a name of its own, a request that names the one before is not run.
+    if (upstreamId === name) return false;
+    return deps.doubts.isDoubtful(upstreamId, deps.listAgeMs(), clock.nowMs());
+  }
+
+  function isCertain(upstream: fleet.UpstreamRecord): boolean {
+    const listed = deps.findUpstream(upstream.upstreamId);
+    const isUnchanged = listed?.softwareVersion === upstream.softwareVersion;
+    return isUnchanged && !isDoubtful(upstream);
+  }
+
   type Lookup = {
     origin: { service: string; version: string; begunAtMs?: number } | null;
     source?: string | undefined;
@@ -165,8 +184,20 @@
     },
     mayBegin: ({ service, softwareVersion }) =>
       versions.mayBegin(service, softwareVersion, clock.nowMs()),
-    noteBegun: (call, run, { service, softwareVersion: version }) => {
+    mayGoOn: (upstream, version) => upstream.softwareVersion === version && !isDoubtful(upstream),
+    noteBegun: (call, run, upstream) => {
       if (!isResumable(call)) return;
+      const { service, softwareVersion: version } = upstream;
+      if (run.boundVersion === null && !isCertain(upstream)) {
+        // Nobody can tell at which version it may go on.
+        run.isVersionUnknown = true;
+        log.info('stream-version-unknown', {
+          requestId: call.requestId,
+          upstreamId: upstream.upstreamId,
+          version,
+        });
+        return;
+      }
       run.boundVersion ??= version;
       if (isTakenUp(call)) return;
       const nowMs = clock.nowMs();
--- a/packages/gateway/src/stream-parts.ts
+++ b/packages/gateway/src/stream-parts.ts
@@ -58,6 +58,8 @@
     metrics,
     origins,
     versions,
+    doubts: parts.doubts,
+    findUpstream: parts.directory.find,
     peers: parts.originPeers,
     listAgeMs: () => listFeed.ageMs(clock.nowMs()),
   });
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -112,6 +112,9 @@
       origins,
       peers,
       versions,
+      doubts: { isDoubtful: () => false },
+      findUpstream: (upstreamId) =>
+        ownList.records.find((record) => record.upstreamId === upstreamId),
       listAgeMs,
     });
     const incarnation = nextIncarnation;
--- a/packages/gateway/src/testing/stream-calls.ts
+++ b/packages/gateway/src/testing/stream-calls.ts
@@ -66,6 +66,7 @@
   return {
     match: async () => ({ kind: 'free' }),
     mayBegin: () => true,
+    mayGoOn: () => true,
     noteBegun: () => {},
     noteSentOn: () => {},
     noteListed: () => {},
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -250,6 +250,8 @@
     answeredCount: Amount;
     lookupMs: number;
   };
+  /** The upstream that began it may run other software than is listed: nobody can tell where it may go on. */
+  'stream-version-unknown': { requestId: string; upstreamId: string; version: string };
   /** A stream that broke off goes on within its answer, at the version that it is bound to. */
   'stream-resumed': {
     requestId: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -35,6 +35,7 @@
 import type * as limitsModule from '../server/limits/limits.js';
 import type * as sharedEjectionsModule from '../shared/shared-ejections.js';
 import type * as upstreamHealthModule from '../shared/upstream-health.js';
+import type * as restartDoubts from '../shared/restart-doubts.js';
 import type * as streamOrigins from '../shared/stream-origins.js';
 import type * as versionHistories from '../shared/version-history.js';
 import type * as directories from '../shared/upstream-directory.js';
@@ -109,6 +110,7 @@
   exchange: exchanges.Exchange;
   status: GatewayStatus;
   origins: streamOrigins.StreamOrigins;
+  doubts: restartDoubts.RestartDoubts;
   versions: versionHistories.VersionHistory;
   originPeers: originPeers.OriginPeers;
   streams: resumedStreams.ResumedStreams;
