Streams that are bound to a version get a copy of their model there

Change: a miss of a bound stream is told to the holder with its version (optional field; a gateway of the build before counts it as any miss); the holder plans a copy at the upstreams of that version as if there were none elsewhere, while the miss is younger than 4 s; the expected time of a copy counts only loads at that version. A test of the whole path did not tell the builds apart (the model was loaded there in both, as one in demand), so none is kept.

--- a/packages/gateway/src/server/forwarding/missing-copies.ts
+++ b/packages/gateway/src/server/forwarding/missing-copies.ts
@@ -76,7 +76,11 @@
       return null;
     },
     awaitModel: async (call, run, cause) => {
-      const expected = placement.expectedReady(call.service, call.facts.model ?? '');
+      const expected = placement.expectedReady(
+        call.service,
+        call.facts.model ?? '',
+        run.boundVersion,
+      );
       const decision = modelWaits.decideMissingModel({
         nowMs: clock.nowMs(),
         arrivedAtMs: call.arrivedAtMs,
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -86,8 +86,8 @@
   overloadRetryMs: (call: calls.Call, run: runs.Run, predictedMs: number) => number;
   /** Retry time for a request whose upstreams are all closed: until one opens or another copy of its model is ready. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
-  /** Reports the demand for its model to the placement. */
-  recordDemand: (call: calls.Call) => void;
+  /** Reports the demand for its model to the placement; `missing`: only if no copy can serve it now. */
+  recordDemand: (call: calls.Call, run: runs.Run, when: 'always' | 'missing') => void;
   /** Logs a request for which no upstream was chosen, with the inputs of that decision. */
   logNotPlaced: (call: calls.Call, run: runs.Run, choice: NoChoice, ending: calls.Ending) => void;
 };
@@ -358,24 +358,31 @@
     });
   }
 
-  function recordDemand(call: calls.Call): void {
+  /** Whether an upstream with a copy could take it now. */
+  function isServed(call: calls.Call, run: runs.Run, model: string): boolean {
+    const nowMs = clock.nowMs();
+    const records =
+      run.boundVersion === null ? directory.eligible(call.service, nowMs) : eligibleFor(call, run);
+    return records.some(
+      (record) =>
+        placement.copyAt(record, model, call.facts.adapter) !== 'none' &&
+        closedOf(record.upstreamId) === null &&
+        !upstreamHealthModule.isEjected(beliefs.health(record.upstreamId, nowMs)),
+    );
+  }
+
+  function recordDemand(call: calls.Call, run: runs.Run, when: 'always' | 'missing'): void {
     const { model, adapter } = call.facts;
     if (model === null || !needsModel(call)) return;
-    const isServed = directory
-      .eligible(call.service, clock.nowMs())
-      .some(
-        (record) =>
-          placement.copyAt(record, model, adapter) !== 'none' &&
-          closedOf(record.upstreamId) === null &&
-          !upstreamHealthModule.isEjected(beliefs.health(record.upstreamId, clock.nowMs())),
-      );
-    const isPatient = urgency.isBatch(call.route);
+    const hasCopy = isServed(call, run, model);
+    if (hasCopy && when === 'missing') return;
     placement.noteDemand({
       service: call.service,
       model,
       adapter,
-      isServed,
-      isDelayTolerant: isPatient,
+      softwareVersion: hasCopy ? null : run.boundVersion,
+      isServed: hasCopy,
+      isDelayTolerant: urgency.isBatch(call.route),
     });
   }
 
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -163,6 +163,8 @@
       return refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
     }
     run.resumeAfterId = decision.resumeAfterId ?? run.resumeAfterId;
+    // Its model may have other copies, but none at the version that it is bound to.
+    if (run.hasBegun) router.recordDemand(call, run, 'missing');
     return null;
   }
 
@@ -319,7 +321,7 @@
     const { call, ending: unbound } = await bind(received, run);
     deps.retryShare.recordRequest(call.service, clock.nowMs());
     if (unbound !== null) return unbound;
-    router.recordDemand(call);
+    router.recordDemand(call, run, 'always');
     const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
     if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
     for (;;) {
--- a/packages/gateway/src/server/peers/news-codec.ts
+++ b/packages/gateway/src/server/peers/news-codec.ts
@@ -14,11 +14,13 @@
 import type * as storePositions from '../../shared/store-positions.js';
 
 export function toDemandNews(count: demandCounters.DemandCount): gatewayPeer.DemandNews {
-  return { ...count, adapter: count.adapter ?? '' };
+  const softwareVersion = count.softwareVersion ?? undefined;
+  return { ...count, adapter: count.adapter ?? '', softwareVersion };
 }
 
 export function fromDemandNews(news: gatewayPeer.DemandNews): demandCounters.DemandCount {
-  return { ...news, adapter: news.adapter === '' ? null : news.adapter };
+  const adapter = news.adapter === '' ? null : news.adapter;
+  return { ...news, adapter, softwareVersion: news.softwareVersion ?? null };
 }
 
 export function toLoadNews(loads: readonly inFlightModule.ModelLoad[]): gatewayPeer.LoadNews[] {
--- a/packages/gateway/src/server/placement/placement-client.ts
+++ b/packages/gateway/src/server/placement/placement-client.ts
@@ -54,8 +54,12 @@
     return reply.ok && reply.val.isReady;
   }
 
-  function nextCopyInMs(service: string, model: string): number | null {
-    const nextCopy = view.nextLoadingCopy(service, model);
+  function nextCopyInMs(
+    service: string,
+    model: string,
+    isAmong?: (upstreamId: string) => boolean,
+  ): number | null {
+    const nextCopy = view.nextLoadingCopy(service, model, isAmong);
     return nextCopy === null ? null : Math.max(0, nextCopy.readyAtMs - clock.nowMs());
   }
 
@@ -66,18 +70,21 @@
       view.markAbsent(upstreamId, model, adapter, clock.nowMs());
       deps.expediteExchange();
     },
-    noteDemand: ({ service, model, adapter, isServed, isDelayTolerant }) => {
-      deps.demand.add({ service, model, adapter }, { isServed, isDelayTolerant }, clock.nowMs());
+    noteDemand: ({ isServed, isDelayTolerant, ...demand }) => {
+      deps.demand.add(demand, { isServed, isDelayTolerant }, clock.nowMs());
       if (!isServed) deps.expediteExchange();
     },
-    expectedReady: (service, model) => {
-      const nextInMs = nextCopyInMs(service, model);
+    expectedReady: (service, model, softwareVersion) => {
+      const records = deps.directory
+        .eligible(service, clock.nowMs())
+        .filter((record) => softwareVersion === null || record.softwareVersion === softwareVersion);
+      const ids = new Set(records.map(({ upstreamId }) => upstreamId));
+      const nextInMs = nextCopyInMs(service, model, (upstreamId) => ids.has(upstreamId));
       if (nextInMs !== null) return { kind: 'on-its-way', inMs: nextInMs };
       const spec = deps.serviceOf(service)?.engine?.models.find(({ name }) => name === model);
-      const records = deps.directory.eligible(service, clock.nowMs());
       return { kind: 'not-ordered', inMs: loadTimes.expectedLoadMs(spec, records) };
     },
-    nextCopyInMs,
+    nextCopyInMs: (service, model) => nextCopyInMs(service, model),
     blockedForMs: (upstreamId) => view.blockedForMs(upstreamId, clock.nowMs()),
     ensureAdapter: async (upstreamId, model, adapter, deadlineMs) => {
       const key = `${upstreamId} ${model}/${adapter}`;
--- a/packages/gateway/src/server/placement/placement-controller.ts
+++ b/packages/gateway/src/server/placement/placement-controller.ts
@@ -7,6 +7,7 @@
 
 import * as changeLedgers from '../../shared/change-ledger.js';
 import * as adapterPlan from '../../shared/placement/adapter-plan.js';
+import * as boundMissesModule from '../../shared/placement/bound-misses.js';
 import * as copyNeeds from '../../shared/placement/copy-needs.js';
 import * as copyPlan from '../../shared/placement/copy-plan.js';
 import type * as demandCounters from '../../shared/placement/demand-counters.js';
@@ -87,6 +88,7 @@
   const { clock, log, directory } = deps;
   const stopping = new AbortController();
   const meter = demandMeters.createDemandMeter();
+  const boundMisses = boundMissesModule.createBoundMisses();
   const adapterRequestedMs = new Map<string, number>();
   const receivedCounts = new Map<
     string,
@@ -111,6 +113,10 @@
   function addDemand(count: demandCounters.DemandCount, counts: demandMeters.DemandCounts): void {
     const nowMs = clock.nowMs();
     meter.add(modelKey(count.service, count.model), counts, nowMs);
+    const { service, model, softwareVersion } = count;
+    if (softwareVersion !== null && counts.missedCount > 0) {
+      boundMisses.note({ service, model, softwareVersion, count: counts.missedCount }, nowMs);
+    }
     if (count.adapter !== null) adapterRequestedMs.set(`${count.model}/${count.adapter}`, nowMs);
   }
 
@@ -251,35 +257,72 @@
     };
   }
 
+  /** What a plan for the service goes by; null while too little is known of its upstreams. */
+  function planInputFor(
+    service: fleet.Service,
+    engine: fleet.EngineSpec,
+  ): copyNeeds.PlanInput | null {
+    const nowMs = clock.nowMs();
+    // Copies at unreliable upstreams do not count, and nothing is planned for these.
+    const records = directory
+      .eligible(service.name, nowMs)
+      .filter(({ upstreamId }) => !deps.isUnreliable(upstreamId));
+    const views = records.flatMap(({ upstreamId }) => {
+      const view = controllers.get(upstreamId)?.view((model) => deps.inFlight(upstreamId, model));
+      return view === null || view === undefined ? [] : [view];
+    });
+    // A plan made before most upstreams have reported would load models that are loaded already.
+    if (views.length < records.length * MIN_KNOWN_SHARE) return null;
+    return {
+      engine,
+      upstreams: views,
+      demand: (model) => demandFor(service.name, model, nowMs),
+      requestS: (model) => requestSOf(service, engine, model),
+      latencyRatio: (upstreamId) => deps.states.state(upstreamId, nowMs).latencyRatio,
+      holdMs: (model) => deps.serviceTimes.estimate(service.name, model).holdMs,
+      hasDemand: meter.hasDemand(),
+      storeLoadsLeft: storeLoads.remaining(engine.loadsPerSecond, nowMs),
+      nowMs,
+    };
+  }
+
   function planFor(service: fleet.Service, engine: fleet.EngineSpec): void {
     for (let count = 0; count < CHANGES_PER_TICK; count += 1) {
-      const nowMs = clock.nowMs();
-      // Copies at unreliable upstreams do not count, and nothing is planned for these.
-      const records = directory
-        .eligible(service.name, nowMs)
-        .filter(({ upstreamId }) => !deps.isUnreliable(upstreamId));
-      const views = records.flatMap(({ upstreamId }) => {
-        const view = controllers.get(upstreamId)?.view((model) => deps.inFlight(upstreamId, model));
-        return view === null || view === undefined ? [] : [view];
-      });
-      // A plan made before most upstreams have reported would load models that are loaded already.
-      if (views.length < records.length * MIN_KNOWN_SHARE) return;
-      const change = copyPlan.planNext({
-        engine,
-        upstreams: views,
-        demand: (model) => demandFor(service.name, model, nowMs),
-        requestS: (model) => requestSOf(service, engine, model),
-        latencyRatio: (upstreamId) => deps.states.state(upstreamId, nowMs).latencyRatio,
-        holdMs: (model) => deps.serviceTimes.estimate(service.name, model).holdMs,
-        hasDemand: meter.hasDemand(),
-        storeLoadsLeft: storeLoads.remaining(engine.loadsPerSecond, nowMs),
-        nowMs,
-      });
+      const input = planInputFor(service, engine);
+      const change = input === null ? null : copyPlan.planNext(input);
       if (change === null) return;
       controllers.get(change.upstreamId)?.startChange(change);
     }
   }
 
+  /** A copy at the version that streams are bound to, though the model may have copies at other versions. */
+  function planBoundCopy(
+    service: fleet.Service,
+    engine: fleet.EngineSpec,
+    { model, softwareVersion, count }: boundMissesModule.BoundMiss,
+  ): void {
+    const input = planInputFor(service, engine);
+    if (input === null) return;
+    const ofVersion = input.upstreams.filter(
+      ({ upstreamId }) => directory.find(upstreamId)?.softwareVersion === softwareVersion,
+    );
+    const hasCopy = ofVersion.some(
+      ({ copies, loadingModel }) =>
+        loadingModel === model || copies.some((copy) => copy.model === model && !copy.isClosing),
+    );
+    if (hasCopy) return;
+    const upstreamIds = new Set(ofVersion.map(({ upstreamId }) => upstreamId));
+    const figures = input.demand(model);
+    const missedCount = Math.max(count, figures?.missedCount ?? 0);
+    const change = copyPlan.planNext({
+      ...input,
+      only: { model, upstreamIds },
+      demand: (name) =>
+        name === model && figures !== null ? { ...figures, missedCount } : input.demand(name),
+    });
+    if (change !== null) controllers.get(change.upstreamId)?.startChange(change);
+  }
+
   /** Loads adapters at copies before requests need them there. */
   function fillAdapters(service: fleet.Service, engine: fleet.EngineSpec): void {
     const serviceControllers = directory
@@ -325,6 +368,9 @@
       if (service.engine === null) return;
       // While an upstream loads a model it accepts no adapters, so missing adapters are loaded first.
       fillAdapters(service, service.engine);
+      for (const miss of boundMisses.of(service.name, clock.nowMs())) {
+        planBoundCopy(service, service.engine, miss);
+      }
       planFor(service, service.engine);
     });
   }
@@ -352,7 +398,8 @@
           : { incarnation, counts: new Map<string, demandMeters.DemandCounts>() };
       receivedCounts.set(sourceId, known);
       counts.forEach((count) => {
-        const key = `${count.service} ${count.model}/${count.adapter ?? ''}`;
+        const { service, model, adapter, softwareVersion } = count;
+        const key = JSON.stringify([service, model, adapter, softwareVersion]);
         const reported = known.counts.get(key);
         known.counts.set(key, count);
         addDemand(count, {
--- a/packages/gateway/src/shared/placement/copy-needs.ts
+++ b/packages/gateway/src/shared/placement/copy-needs.ts
@@ -53,6 +53,8 @@
   /** Loads from the weight store that may start now. */
   storeLoadsLeft: number;
   nowMs: number;
+  /** Plan only for this model, and only at these upstreams, as if it had copies nowhere else; null to plan for all. */
+  only?: { model: string; upstreamIds: ReadonlySet<string> } | null;
 };
 
 /**
--- a/packages/gateway/src/shared/placement/copy-plan.test.ts
+++ b/packages/gateway/src/shared/placement/copy-plan.test.ts
@@ -35,6 +35,7 @@
   demand: Record<string, demandMeters.DemandFigures>,
   storeLoadsLeft = 4,
   latencyRatio: (upstreamId: string) => number = () => 1,
+  only: copyNeeds.PlanInput['only'] = null,
 ): copyPlan.CopyChange | null {
   const names = ['hot', 'next', 'cold', 'rare', 'old', 'lone'];
   return copyPlan.planNext({
@@ -47,6 +48,7 @@
     hasDemand: true,
     storeLoadsLeft,
     nowMs: NOW_MS,
+    only,
   });
 }
 
@@ -84,6 +86,29 @@
   assert.is.not(change?.unload, 'hot');
 });
 
+// Guards against streams that are bound to a software version, at whose upstreams their model is never loaded since another
+// version has a copy.
+test('a model is loaded at the upstreams of a version that lacks it though others have copies', () => {
+  const disk = new Set(['hot', 'next', 'cold', 'rare', 'old', 'lone']);
+  const upstreams = [
+    fixtures.upstreamView('u1', ['hot', 'rare', 'cold'], { diskModels: disk }),
+    fixtures.upstreamView('u2', ['hot', 'rare', 'cold'], { diskModels: disk }),
+    fixtures.upstreamView('u3', ['next', 'old', 'lone'], { diskModels: disk }),
+  ];
+  const demand = { hot: figures(3), rare: figures(0.2, { missedCount: 3 }), next: figures(3) };
+  assert.is.not(plan(upstreams, demand)?.load, 'rare');
+  const only = { model: 'rare', upstreamIds: new Set(['u3']) };
+  const change = plan(upstreams, demand, 4, () => 1, only);
+  assert.is(change?.load, 'rare');
+  assert.is(change?.upstreamId, 'u3');
+  assert.is.not(change?.unload, 'next');
+  const full = { ...only, upstreamIds: new Set(['u1', 'u3']) };
+  assert.is(
+    plan(upstreams, demand, 4, () => 1, full),
+    null,
+  );
+});
+
 test('a requested model without a copy is loaded where it loads fastest', () => {
   const upstreams = [
     fixtures.upstreamView('u1', ['hot', 'old', 'lone']),
--- a/packages/gateway/src/shared/placement/copy-plan.ts
+++ b/packages/gateway/src/shared/placement/copy-plan.ts
@@ -148,7 +148,15 @@
     specs,
     roomMb,
   });
-  const candidates = upstreams
+  const only = input.only ?? null;
+  const allowed =
+    only === null
+      ? upstreams
+      : upstreams.filter(({ upstreamId }) => only.upstreamIds.has(upstreamId));
+  const ownCopies = only === null ? copies : copyNeeds.copiesOf(allowed, capacities, Infinity);
+  const ownSoonCopies =
+    only === null ? soonCopies : copyNeeds.copiesOf(allowed, capacities, nowMs + SOON_READY_MS);
+  const candidates = allowed
     .filter((upstream) => !upstream.isChanging && !candidateBuilder.awaitsAdapters(upstream))
     .map(candidateBuilder.toCandidate);
   const lowestCosts = minCosts(candidates);
@@ -163,7 +171,7 @@
     const discounted = { ...need, lastCopyValue: UNREQUESTED_SHARE * need.lastCopyValue };
     const gain = (held: ReadonlyMap<string, copyNeeds.Copies>) =>
       copyNeeds.marginalValue(discounted, held.get(model) ?? copyNeeds.NO_COPIES, capacity);
-    const gains = { soon: gain(soonCopies), eventual: gain(copies) };
+    const gains = { soon: gain(ownSoonCopies), eventual: gain(ownCopies) };
     byModel.set(model, gains);
     return gains;
   }
@@ -267,6 +275,7 @@
   }
 
   const options = engine.models
+    .filter(({ name }) => only === null || name === only.model)
     .map((spec) => ({ spec, most: gainsAt(spec.name, maxCapacity) }))
     .map((item) => ({ item, boundValue: servedUpperBound(item) }));
   const best = bestFirst.pickBest(
--- a/packages/gateway/src/shared/placement/demand-counters.ts
+++ b/packages/gateway/src/shared/placement/demand-counters.ts
@@ -3,6 +3,8 @@
   service: string;
   model: string;
   adapter: string | null;
+  /** Only upstreams of this software version can serve them; null if any can. */
+  softwareVersion: string | null;
   requestCount: number;
   missedCount: number;
   /** Requests whose objective leaves time for a copy to be loaded. */
@@ -13,7 +15,7 @@
 
 export type DemandCounters = {
   add: (
-    demand: Pick<DemandCount, 'service' | 'model' | 'adapter'>,
+    demand: Pick<DemandCount, 'service' | 'model' | 'adapter' | 'softwareVersion'>,
     kind: RequestKind,
     nowMs: number,
   ) => void;
@@ -28,7 +30,8 @@
   const counts = new Map<string, DemandCount & { lastMs: number }>();
   return {
     add: (demand, { isServed, isDelayTolerant }, nowMs) => {
-      const key = `${demand.service} ${demand.model}/${demand.adapter ?? ''}`;
+      const { service, model, adapter, softwareVersion } = demand;
+      const key = JSON.stringify([service, model, adapter, softwareVersion]);
       const count = counts.get(key) ?? {
         ...demand,
         requestCount: 0,
--- a/packages/gateway/src/shared/placement/placement-view.ts
+++ b/packages/gateway/src/shared/placement/placement-view.ts
@@ -37,8 +37,12 @@
   markAbsent: (upstreamId: string, model: string, adapter: string | null, nowMs: number) => void;
   markAdapterLoaded: (upstreamId: string, model: string, adapter: string) => void;
   blockedForMs: (upstreamId: string, nowMs: number) => number;
-  /** The copy of the model that will be loaded next. */
-  nextLoadingCopy: (service: string, model: string) => LoadingCopy | null;
+  /** The copy of the model that will be loaded next, among these upstreams. */
+  nextLoadingCopy: (
+    service: string,
+    model: string,
+    isAmong?: (upstreamId: string) => boolean,
+  ) => LoadingCopy | null;
   version: () => { term: number; version: number };
   /** Time since a message of the holder was received. */
   ageMs: (nowMs: number) => number;
@@ -139,9 +143,9 @@
       const added = addedAdapters.get(upstreamId) ?? new Set();
       addedAdapters.set(upstreamId, added.add(`${model}/${adapter}`));
     },
-    nextLoadingCopy: (service, model) =>
-      [...upstreams.values()]
-        .flatMap(({ arrival }) => arrival ?? [])
+    nextLoadingCopy: (service, model, isAmong = () => true) =>
+      [...upstreams]
+        .flatMap(([upstreamId, { arrival }]) => (isAmong(upstreamId) ? (arrival ?? []) : []))
         .filter((entry) => entry.service === service && entry.model === model)
         .sort((left, right) => left.readyAtMs - right.readyAtMs)[0] ?? null,
     version: () => known,
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -17,6 +17,8 @@
   service: string;
   model: string;
   adapter: string | null;
+  /** Only upstreams of this software version can serve it; null if any can. */
+  softwareVersion: string | null;
   /** Whether an upstream with a copy could take the request. */
   isServed: boolean;
   /** Whether the request's objective leaves time for a copy to be loaded. */
@@ -33,8 +35,8 @@
   /** Notes that the upstream reported that it does not hold the model or adapter. */
   noteAbsent: (upstreamId: string, model: string, adapter: string | null) => void;
   noteDemand: (demand: Demand) => void;
-  /** When the next copy of the model is expected to be ready at any upstream. */
-  expectedReady: (service: string, model: string) => ExpectedReady;
+  /** When the next copy of the model is expected to be ready, at an upstream of this software version if one is given. */
+  expectedReady: (service: string, model: string, softwareVersion: string | null) => ExpectedReady;
   /** Time until the next copy is ready; null if none is loading. */
   nextCopyInMs: (service: string, model: string) => number | null;
   /** Has the adapter loaded at an upstream that holds its model; resolves to whether it is loaded. */
