A stream begins where a second upstream of its version could take it up

Change: where versions stand side by side and one of them has several copies of the model, a copy that is alone at its version costs 20 ms more in the choice for a stream that may be resumed. Nothing changes with one version, or where no version has two copies. Result: upstream-choice.test.ts: chosen before although alone (the first assertion of the new test), not chosen with the mark, chosen again where the others are 300 ms behind.

--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -264,7 +264,10 @@
     const priority = priorityOf(call);
     // Only the choice for plain calls uses it, and counting some hundred gateways for each request is expensive.
     const gatewayCount = request.kind === 'plain' ? deps.gatewayCount() : 1;
-    const candidates = records.map((record) => toCandidate(call, priority, gatewayCount, record));
+    const all = records.map((record) => toCandidate(call, priority, gatewayCount, record));
+    const versions = records.map(({ softwareVersion }) => softwareVersion);
+    const mayBreakOff = resumedStreams.isResumable(call) && run.boundVersion === null;
+    const candidates = mayBreakOff ? upstreamChoice.withVersionPeers(all, versions) : all;
     const choice = upstreamChoice.chooseUpstream(request, candidates, nowMs, deps.random.fraction);
     if ('passedOverIds' in choice) {
       choice.passedOverIds.forEach((upstreamId) => logPassedOver(call, upstreamId));
--- a/packages/gateway/src/shared/upstream-choice.test.ts
+++ b/packages/gateway/src/shared/upstream-choice.test.ts
@@ -64,6 +64,28 @@
   assert.is(idOf(choose([prefilling, busy])), 'busy');
 });
 
+// Guards against streams that begin where nobody could take them up, though another version has an equal and two copies.
+test('a stream begins where a second upstream of its version could take it up, if that costs little', () => {
+  const lone = candidate('lone');
+  const peers = [
+    candidate('one', { prefillAheadMs: 13 }),
+    candidate('two', { prefillAheadMs: 13 }),
+  ];
+  const versions = ['v2', 'v1', 'v1'];
+  assert.is(idOf(choose([lone, ...peers])), 'lone');
+  const marked = upstreamChoice.withVersionPeers([lone, ...peers], versions);
+  assert.is.not(idOf(choose(marked)), 'lone');
+  const busy = peers.map((peer) => ({ ...peer, prefillAheadMs: 300 }));
+  const withBusy = upstreamChoice.withVersionPeers([lone, ...busy], versions);
+  assert.is(idOf(choose(withBusy)), 'lone');
+});
+
+test('copies that are alone at all versions, or of one version, are chosen among as before', () => {
+  const all = [candidate('one'), candidate('two'), candidate('none', { copy: 'none' })];
+  assert.is(upstreamChoice.withVersionPeers(all, ['v1', 'v2', 'v2']), all);
+  assert.is(upstreamChoice.withVersionPeers(all, ['v1', 'v1', 'v2']), all);
+});
+
 test('a cached prompt attracts its requests until the queue there outweighs it', () => {
   const cached = candidate('cached', { cachedTokens: 1_400 });
   const other = candidate('other');
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -45,6 +45,8 @@
   closed: Closed | null;
   /** Requests to it need a permit. */
   isLimited: boolean;
+  /** No other upstream with a copy could take its streams up, and there are upstreams of which others could. */
+  isAloneAtVersion?: boolean;
 };
 
 export type Closed = {
@@ -137,6 +139,8 @@
  * still in time, and slots that only look taken because of old updates are not left idle.
  */
 const MAX_CALLS_PER_SLOT = 1.5;
+/** Some streams in a hundred break off, and each that cannot go on costs its caller about as much as a failed attempt. */
+const ALONE_AT_VERSION_COST_MS = 20;
 /** Cost of a failed attempt to the caller, which at best has to come back once. */
 const FAILURE_COST_MS = 400;
 
@@ -269,6 +273,7 @@
     belief.failureRate * FAILURE_COST_MS +
     (candidate.copy === 'no-adapter' ? ADAPTER_LOAD_COST_MS : 0) +
     (candidate.isLimited ? PERMIT_COST_MS : 0) +
+    (candidate.isAloneAtVersion === true ? ALONE_AT_VERSION_COST_MS : 0) +
     (isSameDomain ? 0 : CROSS_DOMAIN_MS);
   if (request.kind === 'plain' && plainInputs.time !== null) {
     return plainCompletion.randomizedCostMs(predictedMs + otherMs, fraction);
@@ -413,3 +418,21 @@
     passedOverIds,
   };
 }
+
+/** Marks candidates whose streams nobody else could take up; `versions` are those of their software, in the same order. */
+export function withVersionPeers(
+  candidates: readonly Candidate[],
+  versions: readonly string[],
+): readonly Candidate[] {
+  const counts = new Map<string, number>();
+  candidates.forEach(({ copy }, index) => {
+    const version = versions[index] ?? '';
+    if (copy !== 'none') counts.set(version, (counts.get(version) ?? 0) + 1);
+  });
+  const hasPeers = counts.size > 1 && [...counts.values()].some((count) => count > 1);
+  if (!hasPeers) return candidates;
+  return candidates.map((candidate, index) => {
+    const isAloneAtVersion = counts.get(versions[index] ?? '') === 1;
+    return { ...candidate, isAloneAtVersion };
+  });
+}
