Records of streams that nobody else keeps are told to gateways that join

A gateway that was alone when a stream began had nobody to keep its record, and told it to nobody later: with the gateway the version was lost, and the stream refused. Found in reading the code for what happens after all gateways are killed. Change: whenever other gateways are known than before, records that nobody else keeps are told, not only those whose keepers have ended; where the same are known, nothing is gone through.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -284,7 +284,8 @@
   }
 
   await tree.start();
-  log.info('started', { callerAddress: settings.callerAddress });
+  const { callerAddress, isFirstStart } = settings;
+  log.info('started', { callerAddress, isFirstStart });
   return {
     stop,
     reload: () => {
--- a/packages/gateway/src/server/streams/origin-peers.ts
+++ b/packages/gateway/src/server/streams/origin-peers.ts
@@ -41,8 +41,8 @@
   keep: (request: gatewayPeer.KeepOriginsRequest) => gatewayPeer.KeepOriginsReply;
   /** Another gateway asks. */
   answer: (request: gatewayPeer.FindOriginsRequest) => gatewayPeer.FindOriginsReply;
-  /** Replaces keepers that have ended or started again. */
-  replaceKeepers: () => void;
+  /** Replaces keepers that have ended or started again. Returns whether other gateways are known than the last time. */
+  replaceKeepers: () => boolean;
 };
 
 type Peer = { gatewayId: string; address: string };
@@ -90,6 +90,8 @@
 
 export function createOriginPeers(deps: OriginPeersDeps): OriginPeers {
   const { clock, link, book, origins, gatewayId } = deps;
+  /** The live gateways when keepers were last replaced. */
+  let knownKeys: ReadonlySet<string> = new Set();
 
   /** The gateways that may keep the origin of this request, this one left out; those that should come first. */
   function candidates(requestId: string, count: number): Peer[] {
@@ -225,11 +227,16 @@
     },
     replaceKeepers: () => {
       const liveKeys = new Set(book.live(clock.nowMs()).map(keyOf));
+      const isSame =
+        liveKeys.size === knownKeys.size && [...liveKeys].every((key) => knownKeys.has(key));
+      if (isSame) return false;
+      knownKeys = liveKeys;
       for (const origin of origins.all()) {
         const lost = [...origin.keepers].filter((key) => !liveKeys.has(key));
         lost.forEach((key) => origin.keepers.delete(key));
         if (lost.length > 0) replicate(origin);
       }
+      return true;
     },
   };
 }
--- a/packages/gateway/src/server/streams/origins.test.ts
+++ b/packages/gateway/src/server/streams/origins.test.ts
@@ -80,6 +80,20 @@
   });
 });
 
+// Guards against records that nobody else keeps, since no other gateway was there when their streams began.
+test('gateways that join later keep the records of one that was alone', async () => {
+  await withFleet(3, ['v1', 'v2'], async (fleet) => {
+    ['g2', 'g3'].forEach(fleet.kill);
+    await fleet.clock.advance(10_000);
+    const begun = beginAt(fleet, 'g1');
+    ['g2', 'g3'].forEach((gatewayId) => fleet.start(gatewayId));
+    await fleet.clock.advance(1_500);
+    fleet.kill('g1');
+    const taken = await takeUpAt(fleet, 'g2', begun);
+    assert.equal(taken, { kind: 'went-on', version: begun.version });
+  });
+});
+
 // Guards against streams that began before a release, of which nobody but their gateway has a record.
 test('streams that began before a release go on at the old version when their gateway ends during it', async () => {
   await withFleet(3, ['v1', 'v1'], async (fleet) => {
--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -35,7 +35,7 @@
     origins: streamOrigins.createStreamOrigins(() => 120_000),
     peers: {
       replicate: () => {},
-      replaceKeepers: () => {},
+      replaceKeepers: () => false,
       find: async (requestId) => {
         asked.push(requestId);
         nowMs += 7;
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -162,7 +162,7 @@
 
   function check(): void {
     checkVersions();
-    peers.replaceKeepers();
+    if (peers.replaceKeepers()) replicateMissing();
     cancelCheck = clock.schedule(clock.nowMs() + CHECK_INTERVAL_MS, check);
   }
 
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -162,16 +162,16 @@
     before: fleet.UpstreamRecord | undefined,
   ): UpstreamStored {
     const { value } = record;
-    const told: string | undefined = value.softwareVersion;
-    if (told !== undefined) return record;
+    const version: string | undefined = value.softwareVersion;
+    if (version !== undefined) return record;
     const isSameStart = before?.upstreamId === value.upstreamId;
     const softwareVersion = isSameStart ? before.softwareVersion : '';
     return { ...record, value: { ...value, softwareVersion } };
   }
 
-  function write(told: UpstreamStored, nowMs: number): boolean {
-    const before = known.get(told.name);
-    const record = withVersion(told, before?.stored.value);
+  function write(received: UpstreamStored, nowMs: number): boolean {
+    const before = known.get(received.name);
+    const record = withVersion(received, before?.stored.value);
     if (before === undefined && storePositions.isAtLeast(listedAt, record)) return false;
     if (before !== undefined && storePositions.isAfter(before.stored, record)) return false;
     const deleted = deletedAt.get(record.name);
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -34,7 +34,8 @@
 };
 
 export type LogEvents = {
-  started: { callerAddress: string };
+  /** `isFirstStart`: no gateway of this fleet ran before. */
+  started: { callerAddress: string; isFirstStart: boolean };
   stopping: { openCallCount: number };
   stopped: { openCallCount: number };
   /** Too little processor time: it asks the balancer for no new connections, and does again. `busyShare`: of the loop's time. */
