The fault matrix plays streams that are taken up while versions stand side by side

21 cells: seven faults (another gateway, the first one ended, the first and another, all started again in turn or at once, one that has just started, one that is cut off with an old list) against streams that began before, during and after a release. A cell is red if a stream goes on at another version, or does not go on where the gateway can know its version.

--- a/packages/proofs/src/matrix/cells.ts
+++ b/packages/proofs/src/matrix/cells.ts
@@ -7,6 +7,7 @@
 import type * as invariants from './invariants.js';
 import * as modelJourney from './model-journey.js';
 import * as requestJourney from './request-journey.js';
+import * as streamJourney from './stream-journey.js';
 
 export type Cell = {
   journey: string;
@@ -145,6 +146,17 @@
   );
 }
 
+function streamCells(): Cell[] {
+  return streamJourney.FAULTS.flatMap((fault) =>
+    streamJourney.STEPS.map((step) => ({
+      journey: 'stream taken up',
+      fault: fault.name,
+      step: `begun ${step}`,
+      work: { kind: 'run', run: () => streamJourney.runCell(fault, step) },
+    })),
+  );
+}
+
 /** What upstreams say of themselves is played by gateways and stand-ins on sockets. */
 function wordCells(): Cell[] {
   const reasons = {
@@ -167,6 +179,7 @@
     ...pairCells(),
     ...limitCells(),
     ...listJourneyCells(),
+    ...streamCells(),
     ...wordCells(),
   ];
 }
--- a/packages/proofs/src/matrix/invariants.ts
+++ b/packages/proofs/src/matrix/invariants.ts
@@ -13,6 +13,7 @@
   | 'overcommitted'
   | 'unreachable'
   | 'work-for-leaving'
+  | 'mixed-versions'
   | 'over-limit'
   | 'cut-off'
   | 'reverted'
