Name the origins' replicas and the peers' messages in the terms of the field

The two new calls between gateways are renamed before any build has them (ReplicateOrigins); names in logs, metrics and older messages stay. Behaviour is unchanged.

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -3,7 +3,7 @@
 import * as limitsModule from './server/limits/limits.js';
 import * as metricsModule from './server/metrics/metrics.js';
 import * as exchanges from './server/peers/exchange.js';
-import * as newsCodec from './server/peers/news-codec.js';
+import * as messageCodec from './server/peers/message-codec.js';
 import * as leaseManagers from './server/placement/lease-manager.js';
 import * as placementControllers from './server/placement/placement-controller.js';
 import * as quotasModule from './server/quotas/quotas.js';
@@ -140,9 +140,9 @@
       const address = holderAddress(parts);
       if (address === null) return null;
       const deadlineMs = clock.nowMs() + HOLDER_PATIENCE_MS;
-      const request = { ...asked, limit: newsCodec.toLimitNews(asked.limit) };
+      const request = { ...asked, limit: messageCodec.toLimitMessage(asked.limit) };
       const reply = await parts.link.takePermit(address, request, deadlineMs);
-      return reply.ok ? newsCodec.fromPermitReply(reply.val) : null;
+      return reply.ok ? messageCodec.fromPermitReply(reply.val) : null;
     },
   });
 }
@@ -206,7 +206,7 @@
       const address = holderAddress(parts);
       if (address === null) return null;
       const deadlineMs = parts.clock.nowMs() + HOLDER_PATIENCE_MS;
-      const request = { ...self, report: newsCodec.toQuotaReportNews(report) };
+      const request = { ...self, report: messageCodec.toQuotaReportMessage(report) };
       const reply = await parts.link.lendCredits(address, request, deadlineMs);
       return reply.ok ? (reply.val.loan ?? null) : null;
     },
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -10,7 +10,7 @@
 import * as forwarding from './server/forwarding/app.js';
 import * as healthApp from './server/health/app.js';
 import * as metricsApp from './server/metrics/app.js';
-import * as newsCodec from './server/peers/news-codec.js';
+import * as messageCodec from './server/peers/message-codec.js';
 import * as peers from './server/peers/server.js';
 import * as turnCodec from './server/turns/turn-codec.js';
 import * as stops from './server/health/stop.js';
@@ -107,8 +107,8 @@
   /** One gateway has to notice a silent connection in time; the others learn of configurations from it. */
   function configWaitMs(): number {
     const lease = cradle.book.lease();
-    const heardMs = lease === null ? null : cradle.book.lastReceivedMs(lease.holderId);
-    const hearsHolder = heardMs !== null && clock.nowMs() - heardMs < HOLDER_HEARD_MS;
+    const receivedMs = lease === null ? null : cradle.book.lastReceivedMs(lease.holderId);
+    const hearsHolder = receivedMs !== null && clock.nowMs() - receivedMs < HOLDER_HEARD_MS;
     const ownWaitMs = Math.min(CONFIG_WAIT_MAX_MS, settings.drainTimeoutMs * CONFIG_WAIT_SHARE);
     return hearsHolder ? CONFIG_FOLLOWER_WAIT_MS : ownWaitMs;
   }
@@ -188,15 +188,15 @@
               retryAfterMs: 0,
             }),
             takePermit: ({ gatewayId, limit }) => {
-              if (limit === undefined) return newsCodec.NO_PERMIT;
-              const asked = { gatewayId, limit: newsCodec.fromLimitNews(limit) };
-              return newsCodec.toPermitReply(cradle.limits.give(asked));
+              if (limit === undefined) return messageCodec.NO_PERMIT;
+              const asked = { gatewayId, limit: messageCodec.fromLimitMessage(limit) };
+              return messageCodec.toPermitReply(cradle.limits.give(asked));
             },
             lendCredits: ({ gatewayId, incarnation, report }) => {
               const term = cradle.lease.heldTerm();
               if (term === null || report === undefined) return { loan: undefined };
               const loan = cradle.quotas.lend(term, { gatewayId, incarnation }, report);
-              return { loan: newsCodec.toQuotaLoanNews(loan) };
+              return { loan: messageCodec.toQuotaLoanMessage(loan) };
             },
             takeTurn: (request) =>
               turnCodec.toTakeTurnReply(cradle.turns.take(turnCodec.fromTakeTurnRequest(request))),
@@ -204,8 +204,8 @@
               cradle.turns.ended(turnCodec.fromEndTurnsRequest(request));
               return {};
             },
-            keepOrigins: cradle.originPeers.keep,
-            findOrigins: cradle.originPeers.answer,
+            replicateOrigins: cradle.originPeers.storeReplicas,
+            findOrigins: cradle.originPeers.findLocal,
           });
           cradle.exchange.start();
           cradle.streams.start();
--- a/packages/gateway/src/server/limits/limits.ts
+++ b/packages/gateway/src/server/limits/limits.ts
@@ -6,7 +6,7 @@
 import type * as upstreamLimitsModule from '../../shared/upstream-limits.js';
 
 /** What is known of an upstream's limit, for the logs; `holderAgeMs`: since the holder was last heard. */
-export type LimitBasis = { perSecond: number; limitAgeMs: number; holderAgeMs: number };
+export type LimitInputs = { perSecond: number; limitAgeMs: number; holderAgeMs: number };
 
 /** `limit`: what the asker knows. */
 export type AskedPermit = { gatewayId: string; limit: upstreamLimitsModule.ReportedLimit };
@@ -16,7 +16,7 @@
   /** For how long nothing may be sent there, probably; null when something may be. */
   closedForMs: (upstreamId: string) => number | null;
   /** Null without a limit. */
-  basis: (upstreamId: string) => LimitBasis | null;
+  basis: (upstreamId: string) => LimitInputs | null;
   /** Whether a request may be sent there; takes no longer than a call to the holder. */
   take: (upstreamId: string) => Promise<boolean>;
   /** As the holder: another gateway asks. */
--- a/packages/gateway/src/server/peers/exchange-replies.ts
+++ b/packages/gateway/src/server/peers/exchange-replies.ts
@@ -6,7 +6,7 @@
 
 import * as exchangeIntervals from '../../shared/exchange-interval.js';
 import * as storePositions from '../../shared/store-positions.js';
-import * as newsCodec from './news-codec.js';
+import * as messageCodec from './message-codec.js';
 import type * as exchanges from './exchange.js';
 
 export type RepliesDeps = Pick<
@@ -23,8 +23,8 @@
   | 'speeds'
   | 'suspects'
 > & {
-  takeNews: (news: gatewayPeer.GatewayNews | undefined) => void;
-  ownNews: (tellsGateways: boolean) => gatewayPeer.GatewayNews;
+  applyUpdates: (news: gatewayPeer.GatewayNews | undefined) => void;
+  localUpdates: (tellsGateways: boolean) => gatewayPeer.GatewayNews;
 };
 
 export type Replies = {
@@ -40,21 +40,22 @@
   const { clock, configuration, directory, inFlight } = deps;
   let shared: SharedLoads = { encoded: Buffer.alloc(0), atMs: -Infinity };
 
-  function noteTold(
+  function applyReport(
     request: gatewayPeer.ExchangeRequest,
     { gatewayId, incarnation }: gatewayPeer.GatewayNews,
     nowMs: number,
   ): void {
     inFlight.applyRemoteLoads(gatewayId, request.loads, nowMs);
     deps.suspects.applyReport(gatewayId, request.avoidedUpstreamIds, nowMs);
-    const counts = request.demands.map(newsCodec.fromDemandNews);
+    const counts = request.demands.map(messageCodec.fromDemandMessage);
     deps.placer.applyDemand(gatewayId, incarnation, counts);
   }
 
   /** The sum of all loads, and whether it was made for this question. */
   function sharedLoads(nowMs: number): { encoded: Buffer; isNew: boolean } {
     const isNew = nowMs - shared.atMs >= LOADS_SHARED_MS;
-    if (isNew) shared = { encoded: newsCodec.toLoadTable(inFlight.allLoads(nowMs)), atMs: nowMs };
+    if (isNew)
+      shared = { encoded: messageCodec.toLoadTable(inFlight.allLoads(nowMs)), atMs: nowMs };
     return { encoded: shared.encoded, isNew };
   }
 
@@ -62,8 +63,8 @@
     const isKnown = news.knownMembersIncarnation === deps.incarnation;
     const members = isKnown
       ? directory.membersAfter(news.knownMembersVersion, nowMs)
-      : directory.membersAfterPosition(newsCodec.positionOf(news), nowMs);
-    return newsCodec.toMembersNews(members, deps.incarnation);
+      : directory.membersAfterPosition(messageCodec.positionOf(news), nowMs);
+    return messageCodec.toMembersMessage(members, deps.incarnation);
   }
 
   function speedsFor(
@@ -72,23 +73,23 @@
     nowMs: number,
   ): gatewayPeer.SpeedsReply | undefined {
     if (speeds === undefined || deps.speeds === null) return undefined;
-    const question = newsCodec.fromSpeedsQuestion(speeds);
+    const question = messageCodec.fromSpeedsQuestion(speeds);
     deps.speeds.pool.applySpeeds(gatewayId, question.speeds, nowMs);
     const periodMs = exchangeIntervals.regularIntervalMs(deps.book.live(nowMs).length + 1);
     const news = deps.speeds.pool.updatesFor(gatewayId, question.known, periodMs, nowMs);
-    return newsCodec.toSpeedsReply(news);
+    return messageCodec.toSpeedsReply(news);
   }
 
   function replyTo(request: gatewayPeer.ExchangeRequest): gatewayPeer.ExchangeReply {
     const { news } = request;
-    deps.takeNews(news);
+    deps.applyUpdates(news);
     const nowMs = clock.nowMs();
     const heldTerm = deps.lease.heldTerm();
     const isHolder = heldTerm !== null;
-    if (isHolder && news !== undefined) noteTold(request, news, nowMs);
+    if (isHolder && news !== undefined) applyReport(request, news, nowMs);
     const current = configuration.current();
     const hasNewerConfig = current !== null && current.config.version > (news?.configVersion ?? 0);
-    const knownAt = news === undefined ? storePositions.ORIGIN : newsCodec.positionOf(news);
+    const knownAt = news === undefined ? storePositions.ORIGIN : messageCodec.positionOf(news);
     const hasNewerList = storePositions.isAfter(directory.position(), knownAt);
     const mayWantList = news?.wantsUpstreams === true && hasNewerList;
     const placement = isHolder
@@ -100,13 +101,13 @@
     const mayLend = isHolder && news !== undefined && quotas !== undefined;
     const loan = mayLend ? deps.quotas.lend(heldTerm, news, quotas) : null;
     return {
-      news: deps.ownNews(news?.wantsGateways === true),
+      news: deps.localUpdates(news?.wantsGateways === true),
       config: hasNewerConfig ? Buffer.from(JSON.stringify(current.config)) : Buffer.alloc(0),
       upstreams: mayWantList ? Buffer.from(JSON.stringify(directory.listing())) : Buffer.alloc(0),
       loads: loads?.encoded ?? Buffer.alloc(0),
       loadsIncludeQuestion: loads?.isNew ?? false,
-      placement: placement === null ? undefined : newsCodec.toPlacementNews(placement, nowMs),
-      quotas: loan === null ? undefined : newsCodec.toQuotaLoanNews(loan),
+      placement: placement === null ? undefined : messageCodec.toPlacementMessage(placement, nowMs),
+      quotas: loan === null ? undefined : messageCodec.toQuotaLoanMessage(loan),
       speeds,
       members: isHolder && news !== undefined ? membersFor(news, nowMs) : undefined,
     };
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -31,7 +31,7 @@
 import type * as placementControllers from '../placement/placement-controller.js';
 import type * as quotasModule from '../quotas/quotas.js';
 import * as exchangeReplies from './exchange-replies.js';
-import * as newsCodec from './news-codec.js';
+import * as messageCodec from './message-codec.js';
 import type * as peerLinks from './peer-link.js';
 
 export type ExchangeDeps = {
@@ -81,7 +81,7 @@
 };
 
 /** This gateway's loads as the holder was told them with a question, and with the one before. */
-type ToldLoads = {
+type ReportedLoads = {
   now: readonly inFlightModule.ModelLoad[];
   before: readonly inFlightModule.ModelLoad[];
 };
@@ -109,10 +109,10 @@
   let lastPeerMs = -Infinity;
   let lastGatewaysMs = -Infinity;
   /** The loads that the holder was told with the question before. */
-  let toldBefore: readonly inFlightModule.ModelLoad[] = [];
+  let reportedBefore: readonly inFlightModule.ModelLoad[] = [];
   /** Since when the holder has not answered; null while it does. */
   let holderSilentMs: number | null = null;
-  let laterEraHeardMs = -Infinity;
+  let laterEraReceivedMs = -Infinity;
   const lag = listLag.createListLag(deps.listBudget.pauseMs + WATCH_ANSWER_MS);
 
   /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
@@ -125,7 +125,7 @@
     return book.live(nowMs).length + 1;
   }
 
-  function ownNews(tellsGateways: boolean): gatewayPeer.GatewayNews {
+  function localUpdates(tellsGateways: boolean): gatewayPeer.GatewayNews {
     const nowMs = clock.nowMs();
     const lease = book.lease();
     const basis = deps.listFeed.version();
@@ -151,7 +151,7 @@
         fingerprint,
         remainingMs: Math.round(untilMs - nowMs),
       })),
-      limits: deps.upstreamLimits.reportedLimits(nowMs).map(newsCodec.toLimitNews),
+      limits: deps.upstreamLimits.reportedLimits(nowMs).map(messageCodec.toLimitMessage),
       leavingUpstreamIds: [...directory.newlyLeavingIds(nowMs)],
       knownPlacementVersion: view.version().version,
       knownPlacementTerm: view.version().term,
@@ -160,17 +160,17 @@
     };
   }
 
-  function takeNews(news: gatewayPeer.GatewayNews | undefined): void {
+  function applyUpdates(news: gatewayPeer.GatewayNews | undefined): void {
     if (news === undefined) return;
     const nowMs = clock.nowMs();
     if (news.isStopping) book.noteLeft(news.gatewayId);
     else book.noteContact(news, nowMs);
     book.applyPeers(news.gateways, nowMs);
     noteEra(news, nowMs);
-    lag.applyPeerPosition(newsCodec.positionOf(news), directory.position(), nowMs);
+    lag.applyPeerPosition(messageCodec.positionOf(news), directory.position(), nowMs);
     if (news.lease !== undefined) book.applyLease(news.lease);
     deps.words.applyRemoteLeaving(news.leavingUpstreamIds, news.gatewayId);
-    deps.words.applyRemoteLimits(news.limits.map(newsCodec.fromLimitNews), news.gatewayId);
+    deps.words.applyRemoteLimits(news.limits.map(messageCodec.fromLimitMessage), news.gatewayId);
     news.quarantined.forEach(({ fingerprint, remainingMs }) => {
       deps.quarantine.applyQuarantine(fingerprint, nowMs + remainingMs);
     });
@@ -178,13 +178,17 @@
 
   /** A watch may wait at a store that has come back from a copy without a word to it. */
   function noteEra({ storeEra, gatewayId }: gatewayPeer.GatewayNews, nowMs: number): void {
-    if (storeEra <= deps.storeEra() || nowMs - laterEraHeardMs < LATER_ERA_PERIOD_MS) return;
-    laterEraHeardMs = nowMs;
+    if (storeEra <= deps.storeEra() || nowMs - laterEraReceivedMs < LATER_ERA_PERIOD_MS) return;
+    laterEraReceivedMs = nowMs;
     deps.log.info('store-era-heard', { era: storeEra, before: deps.storeEra(), source: gatewayId });
     deps.onLaterEra();
   }
 
-  const replies = exchangeReplies.createReplies({ ...deps, takeNews, ownNews });
+  const replies = exchangeReplies.createReplies({
+    ...deps,
+    applyUpdates,
+    localUpdates,
+  });
 
   function takeDocuments(reply: gatewayPeer.ExchangeReply): void {
     const source = reply.news?.gatewayId ?? 'peer';
@@ -205,7 +209,7 @@
 
   function takeFromHolder(
     reply: gatewayPeer.ExchangeReply,
-    { told, askedAtMs }: { told: ToldLoads; askedAtMs: number },
+    { told, askedAtMs }: { told: ReportedLoads; askedAtMs: number },
   ): void {
     const lease = book.lease();
     const isHolder = lease !== null && reply.news?.gatewayId === lease.holderId;
@@ -213,14 +217,14 @@
     const nowMs = clock.nowMs();
     takeMembers(reply, askedAtMs);
     if (reply.placement !== undefined) {
-      view.apply(newsCodec.fromPlacementNews(reply.placement, nowMs));
+      view.apply(messageCodec.fromPlacementMessage(reply.placement, nowMs));
     }
     view.confirm(nowMs);
     if (reply.quotas !== undefined) deps.quotas.heard(reply.quotas);
     if (reply.speeds !== undefined && deps.speeds !== null) {
-      deps.speeds.teller.applyReply(newsCodec.fromSpeedsReply(reply.speeds), nowMs);
+      deps.speeds.teller.applyReply(messageCodec.fromSpeedsReply(reply.speeds), nowMs);
     }
-    const loads = newsCodec.fromLoadTable(reply.loads);
+    const loads = messageCodec.fromLoadTable(reply.loads);
     const own = reply.loadsIncludeQuestion ? told.now : told.before;
     inFlight.applyRemoteLoads(HOLDER_SOURCE, inFlightModule.withoutLoads(loads, own), nowMs);
   }
@@ -229,7 +233,7 @@
     const { members } = reply;
     const nowMs = clock.nowMs();
     if (members !== undefined && members.revision > 0) {
-      const told = newsCodec.fromMembersNews(members);
+      const told = messageCodec.fromMembersMessage(members);
       const before = storePositions.format(directory.position());
       const taken = directory.applyMembers(told, nowMs);
       logMembers(told, { source: reply.news?.gatewayId ?? HOLDER_SOURCE, before, taken });
@@ -294,23 +298,23 @@
   function speedsQuestion(nowMs: number): gatewayPeer.SpeedsQuestion | undefined {
     if (deps.speeds === null) return undefined;
     const periodMs = exchangeIntervals.regularIntervalMs(gatewayCount(nowMs));
-    return newsCodec.toSpeedsQuestion(deps.speeds.teller.createRequest(periodMs, nowMs));
+    return messageCodec.toSpeedsQuestion(deps.speeds.teller.createRequest(periodMs, nowMs));
   }
 
   async function exchangeWith(address: string, isHolder: boolean): Promise<void> {
     const nowMs = clock.nowMs();
     const wantsGateways = !isHolder || nowMs - lastGatewaysMs >= GATEWAYS_PERIOD_MS;
-    const loads = isHolder ? newsCodec.toLoadNews(inFlight.localLoads()) : [];
+    const loads = isHolder ? messageCodec.toLoadMessages(inFlight.localLoads()) : [];
     const request: gatewayPeer.ExchangeRequest = {
-      news: { ...ownNews(!isHolder), wantsGateways },
+      news: { ...localUpdates(!isHolder), wantsGateways },
       loads,
-      demands: isHolder ? deps.demand.recent(nowMs).map(newsCodec.toDemandNews) : [],
+      demands: isHolder ? deps.demand.recent(nowMs).map(messageCodec.toDemandMessage) : [],
       avoidedUpstreamIds: isHolder ? [...deps.beliefs.ejectedIds()] : [],
-      quotas: isHolder ? newsCodec.toQuotaReportNews(deps.quotas.report()) : undefined,
+      quotas: isHolder ? messageCodec.toQuotaReportMessage(deps.quotas.report()) : undefined,
       speeds: isHolder ? speedsQuestion(nowMs) : undefined,
     };
-    const told = { now: loads, before: toldBefore };
-    if (isHolder) toldBefore = loads;
+    const told = { now: loads, before: reportedBefore };
+    if (isHolder) reportedBefore = loads;
     const reply = await deps.link.exchange(address, request, nowMs + CALL_TIMEOUT_MS);
     if (isHolder) noteHolder(reply.ok ? null : reply.val.kind);
     if (reply.err) {
@@ -318,7 +322,7 @@
       return;
     }
     if (isHolder && wantsGateways) lastGatewaysMs = nowMs;
-    takeNews(reply.val.news);
+    applyUpdates(reply.val.news);
     takeDocuments(reply.val);
     takeFromHolder(reply.val, { told, askedAtMs: nowMs });
   }
--- a/packages/gateway/src/server/peers/news-codec.test.ts
+++ b/packages/gateway/src/server/peers/message-codec.test.ts
@@ -5,7 +5,7 @@
 
 import type * as inFlightModule from '../../shared/in-flight.js';
 import * as speedSharing from '../../shared/speed-sharing.js';
-import * as newsCodec from './news-codec.js';
+import * as messageCodec from './message-codec.js';
 
 const test = suite('news codec');
 
@@ -34,7 +34,7 @@
 test('a table of loads says what was put into it', () => {
   fc.assert(
     fc.property(loads, (told) => {
-      const read = newsCodec.fromLoadTable(newsCodec.toLoadTable(told));
+      const read = messageCodec.fromLoadTable(messageCodec.toLoadTable(told));
       const sorted = (list: readonly inFlightModule.ModelLoad[]) =>
         [...list].sort((left, right) => keyOf(left).localeCompare(keyOf(right)));
       assert.equal(sorted(read), sorted(told));
@@ -56,7 +56,7 @@
       })),
     ),
   ).flat(2);
-  const bytes = newsCodec.toLoadTable(told).length;
+  const bytes = messageCodec.toLoadTable(told).length;
   assert.ok(bytes < LINK_BYTES_PER_S / ANSWERS_PER_S, `${bytes}`);
 });
 
@@ -68,13 +68,13 @@
     slowdown: { factor: 2.5, ageMs: 180 },
   }));
   const question = { speeds, known: { incarnation: 2 ** 52, version: 5 } };
-  const news = newsCodec.toSpeedsQuestion(question);
-  assert.equal(newsCodec.fromSpeedsQuestion(news), question);
+  const news = messageCodec.toSpeedsQuestion(question);
+  assert.equal(messageCodec.fromSpeedsQuestion(news), question);
   const { length } = gatewayPeer.SpeedsQuestion.encode(news).finish();
   assert.ok(length < speedSharing.MAX_SPEEDS_PER_MESSAGE * 44 + 16, `${length} bytes`);
   const part = [{ upstreamId: 'u1', learned: null, slowdown: null }];
   const reply = { speeds: part, incarnation: 1, version: 2 };
-  assert.equal(newsCodec.fromSpeedsReply(newsCodec.toSpeedsReply(reply)), reply);
+  assert.equal(messageCodec.fromSpeedsReply(messageCodec.toSpeedsReply(reply)), reply);
 });
 
 test.run();
--- a/packages/gateway/src/server/peers/news-codec.ts
+++ b/packages/gateway/src/server/peers/message-codec.ts
@@ -13,31 +13,31 @@
 import type * as stores from '../../types/stores.js';
 import type * as storePositions from '../../shared/store-positions.js';
 
-export function toDemandNews(count: demandCounters.DemandCount): gatewayPeer.DemandNews {
+export function toDemandMessage(count: demandCounters.DemandCount): gatewayPeer.DemandNews {
   const softwareVersion = count.softwareVersion ?? undefined;
   return { ...count, adapter: count.adapter ?? '', softwareVersion };
 }
 
-export function fromDemandNews(news: gatewayPeer.DemandNews): demandCounters.DemandCount {
+export function fromDemandMessage(news: gatewayPeer.DemandNews): demandCounters.DemandCount {
   const adapter = news.adapter === '' ? null : news.adapter;
   return { ...news, adapter, softwareVersion: news.softwareVersion ?? null };
 }
 
-export function toLoadNews(loads: readonly inFlightModule.ModelLoad[]): gatewayPeer.LoadNews[] {
+export function toLoadMessages(loads: readonly inFlightModule.ModelLoad[]): gatewayPeer.LoadNews[] {
   return loads.map((load) => ({
     ...load,
     unreadPromptTokens: Math.round(load.unreadPromptTokens),
   }));
 }
 
-export function toQuotaReportNews({
+export function toQuotaReportMessage({
   term,
   uses,
 }: quotaCredits.QuotaReport): gatewayPeer.QuotaReportNews {
   return { term, uses: [...uses] };
 }
 
-export function toQuotaLoanNews({
+export function toQuotaLoanMessage({
   term,
   grants,
   scarce,
@@ -57,13 +57,13 @@
   return isTaken ? { kind: 'taken' } : { kind: 'denied', retryAfterMs };
 }
 
-export function toLimitNews(limit: upstreamLimits.ReportedLimit): gatewayPeer.LimitNews {
+export function toLimitMessage(limit: upstreamLimits.ReportedLimit): gatewayPeer.LimitNews {
   const { upstreamId, perSecond, ageMs } = limit;
   const hasEnded = perSecond === null;
   return { upstreamId, perSecond: perSecond ?? 0, hasEnded, ageMs: Math.round(ageMs) };
 }
 
-export function fromLimitNews(news: gatewayPeer.LimitNews): upstreamLimits.ReportedLimit {
+export function fromLimitMessage(news: gatewayPeer.LimitNews): upstreamLimits.ReportedLimit {
   const { upstreamId, perSecond, hasEnded, ageMs } = news;
   return { upstreamId, perSecond: hasEnded ? null : perSecond, ageMs };
 }
@@ -155,7 +155,7 @@
   );
 }
 
-function toArrivalNews(
+function toArrivalMessage(
   arrival: placementViews.LoadingCopy | null,
   nowMs: number,
 ): gatewayPeer.ArrivalNews | undefined {
@@ -164,7 +164,7 @@
   return { service, model, readyInMs: Math.max(0, Math.round(readyAtMs - nowMs)) };
 }
 
-function fromArrivalNews(
+function fromArrivalMessage(
   news: gatewayPeer.ArrivalNews | undefined,
   nowMs: number,
 ): placementViews.LoadingCopy | null {
@@ -172,7 +172,7 @@
   return { service: news.service, model: news.model, readyAtMs: nowMs + news.readyInMs };
 }
 
-export function toPlacementNews(
+export function toPlacementMessage(
   news: placementViews.PlacementUpdate,
   nowMs: number,
 ): gatewayPeer.PlacementNews {
@@ -184,7 +184,7 @@
     upstreams: [...news.upstreams].map(([upstreamId, { copies, blockedUntilMs, arrival }]) => ({
       upstreamId,
       blockedForMs: Math.max(0, Math.round(blockedUntilMs - nowMs)),
-      arrival: toArrivalNews(arrival, nowMs),
+      arrival: toArrivalMessage(arrival, nowMs),
       copies: copies.map(({ model, adapters, isClosing }) => ({
         model,
         adapters: [...adapters],
@@ -194,7 +194,7 @@
   };
 }
 
-export function fromPlacementNews(
+export function fromPlacementMessage(
   news: gatewayPeer.PlacementNews,
   nowMs: number,
 ): placementViews.PlacementUpdate {
@@ -209,7 +209,7 @@
         {
           copies,
           blockedUntilMs: nowMs + blockedForMs,
-          arrival: fromArrivalNews(arrival, nowMs),
+          arrival: fromArrivalMessage(arrival, nowMs),
         },
       ]),
     ),
@@ -224,7 +224,7 @@
   return { era: storeEra, revision: upstreamsRevision };
 }
 
-export function toMembersNews(
+export function toMembersMessage(
   members: directories.MemberChanges,
   incarnation: number,
 ): gatewayPeer.MembersNews {
@@ -244,7 +244,7 @@
   };
 }
 
-export function fromMembersNews(news: gatewayPeer.MembersNews): directories.MemberChanges {
+export function fromMembersMessage(news: gatewayPeer.MembersNews): directories.MemberChanges {
   const { version, storeEra, revision, isWhole } = news;
   const written =
     news.written.length === 0
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -34,11 +34,11 @@
     request: gatewayPeer.EndTurnsRequest,
     deadlineMs: number,
   ) => Promise<results.Result<gatewayPeer.EndTurnsReply, channelsModule.PeerError>>;
-  keepOrigins: (
+  replicateOrigins: (
     address: string,
-    request: gatewayPeer.KeepOriginsRequest,
+    request: gatewayPeer.ReplicateOriginsRequest,
     deadlineMs: number,
-  ) => Promise<results.Result<gatewayPeer.KeepOriginsReply, channelsModule.PeerError>>;
+  ) => Promise<results.Result<gatewayPeer.ReplicateOriginsReply, channelsModule.PeerError>>;
   findOrigins: (
     address: string,
     request: gatewayPeer.FindOriginsRequest,
@@ -56,7 +56,9 @@
   lendCredits: (request: gatewayPeer.LendCreditsRequest) => gatewayPeer.LendCreditsReply;
   takeTurn: (request: gatewayPeer.TakeTurnRequest) => gatewayPeer.TakeTurnReply;
   endTurns: (request: gatewayPeer.EndTurnsRequest) => gatewayPeer.EndTurnsReply;
-  keepOrigins: (request: gatewayPeer.KeepOriginsRequest) => gatewayPeer.KeepOriginsReply;
+  replicateOrigins: (
+    request: gatewayPeer.ReplicateOriginsRequest,
+  ) => gatewayPeer.ReplicateOriginsReply;
   findOrigins: (request: gatewayPeer.FindOriginsRequest) => gatewayPeer.FindOriginsReply;
 };
 
@@ -85,8 +87,10 @@
       channels.call(address, request, deadlineMs, (client, ...rest) => client.takeTurn(...rest)),
     endTurns: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.endTurns(...rest)),
-    keepOrigins: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) => client.keepOrigins(...rest)),
+    replicateOrigins: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) =>
+        client.replicateOrigins(...rest),
+      ),
     findOrigins: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.findOrigins(...rest)),
     close: channels.close,
@@ -101,7 +105,7 @@
     lendCredits: channelsModule.toUnary(handlers.lendCredits),
     takeTurn: channelsModule.toUnary(handlers.takeTurn),
     endTurns: channelsModule.toUnary(handlers.endTurns),
-    keepOrigins: channelsModule.toUnary(handlers.keepOrigins),
+    replicateOrigins: channelsModule.toUnary(handlers.replicateOrigins),
     findOrigins: channelsModule.toUnary(handlers.findOrigins),
   });
 }
--- a/packages/gateway/src/server/streams/origin-codec.ts
+++ b/packages/gateway/src/server/streams/origin-codec.ts
@@ -10,29 +10,29 @@
   | { kind: 'only-version'; version: string }
   | { kind: 'unknown' };
 
-export function toOriginNews(
+export function toOriginMessage(
   requestId: string,
   { service, version, begunAtMs }: streamOrigins.StreamOrigin,
   nowMs: number,
-): gatewayPeer.OriginNews {
+): gatewayPeer.StreamOriginMessage {
   return { requestId, service, version, ageMs: Math.max(0, Math.round(nowMs - begunAtMs)) };
 }
 
-export function fromOriginNews(
-  { service, version, ageMs }: gatewayPeer.OriginNews,
+export function fromOriginMessage(
+  { service, version, ageMs }: gatewayPeer.StreamOriginMessage,
   nowMs: number,
 ): streamOrigins.StreamOrigin {
   return { service, version, begunAtMs: nowMs - ageMs };
 }
 
-export function toFoundNews(
+export function toFoundMessage(
   requestId: string,
   found: FoundOrigin,
   nowMs: number,
 ): gatewayPeer.FoundOrigin {
   switch (found.kind) {
     case 'record':
-      return { record: toOriginNews(requestId, found.origin, nowMs), onlyVersion: undefined };
+      return { record: toOriginMessage(requestId, found.origin, nowMs), onlyVersion: undefined };
     case 'only-version':
       return { record: undefined, onlyVersion: found.version };
     case 'unknown':
@@ -40,13 +40,14 @@
   }
 }
 
-export function fromFoundNews(
-  news: gatewayPeer.FoundOrigin | undefined,
+export function fromFoundMessage(
+  message: gatewayPeer.FoundOrigin | undefined,
   nowMs: number,
 ): FoundOrigin {
-  if (news?.record !== undefined) {
-    return { kind: 'record', origin: fromOriginNews(news.record, nowMs) };
+  if (message?.record !== undefined) {
+    return { kind: 'record', origin: fromOriginMessage(message.record, nowMs) };
   }
-  if (news?.onlyVersion !== undefined) return { kind: 'only-version', version: news.onlyVersion };
+  if (message?.onlyVersion !== undefined)
+    return { kind: 'only-version', version: message.onlyVersion };
   return { kind: 'unknown' };
 }
--- a/packages/gateway/src/server/streams/origins.test.ts
+++ b/packages/gateway/src/server/streams/origins.test.ts
@@ -38,7 +38,7 @@
   fleet: Fleet,
   gatewayId: string,
   begun: Pick<originFleets.Begun, 'requestId'>,
-): Promise<originFleets.TakeUp> {
+): Promise<originFleets.Resumption> {
   const taken = fleet.takeUp(gatewayId, begun);
   await fleet.clock.advance(300);
   return taken;
@@ -62,7 +62,7 @@
   });
 });
 
-// Guards against records that are lost one keeper after the other while all gateways are started again in turn.
+// Guards against records that are lost one replica after the other while all gateways are started again in turn.
 test('records outlive all gateways when these start again in turn', async () => {
   await withFleet(4, ['v1', 'v2'], async (fleet) => {
     const begun = Array.from({ length: 20 }, () => beginAt(fleet, 'g1'));
@@ -171,7 +171,7 @@
 test('while a new version becomes known no gateway takes its streams for those of the old one', async () => {
   await withFleet(4, ['v1', 'v1'], async (fleet) => {
     fleet.list('u9', 'v2');
-    const tries: { begun: originFleets.Begun; taken: Promise<originFleets.TakeUp> }[] = [];
+    const tries: { begun: originFleets.Begun; taken: Promise<originFleets.Resumption> }[] = [];
     for (let count = 0; count < 300; count += 1) {
       const begun = beginAt(fleet, 'g1');
       tries.push({ begun, taken: fleet.takeUp(`g${2 + (count % 3)}`, begun) });
--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -35,7 +35,7 @@
     origins: streamOrigins.createStreamOrigins(() => 120_000),
     peers: {
       replicate: () => {},
-      replaceKeepers: () => false,
+      replaceReplicas: () => false,
       find: async (requestId) => {
         asked.push(requestId);
         nowMs += 7;
@@ -60,7 +60,7 @@
   const { streams, lines, sources, asked, pass } = createFixture();
   streams.noteBegun(streamCalls.streamCall('r1'), runs.createRun(), upstream('v1'));
   pass(700);
-  const match = await streams.match(streamCalls.takenUp('r2', 'r1'));
+  const match = await streams.match(streamCalls.resumptionOf('r2', 'r1'));
   assert.equal(match, { kind: 'bound', service: 'pool', version: 'v1' });
   assert.equal(lines, [
     {
@@ -86,7 +86,7 @@
   const found = { kind: 'record', origin } as const;
   const { streams, lines, asked } = createFixture({ answer: { found, source: 'g2' } });
   for (const requestId of ['r2', 'r3']) {
-    const match = await streams.match(streamCalls.takenUp(requestId, 'r1'));
+    const match = await streams.match(streamCalls.resumptionOf(requestId, 'r1'));
     assert.equal(match, { kind: 'bound', service: 'pool', version: 'v2' });
   }
   assert.equal(asked, ['r1']);
@@ -98,7 +98,7 @@
 });
 
 test('a stream that nobody knows is refused, sooner to come back where somebody did not answer', async () => {
-  const call = streamCalls.takenUp('r2', 'r1');
+  const call = streamCalls.resumptionOf('r2', 'r1');
   const allAnswered = await createFixture().streams.match(call);
   const oneSilent = await createFixture({ answer: { answeredCount: 1 } }).streams.match(call);
   assert.is(allAnswered.kind, 'unknown');
@@ -109,7 +109,7 @@
 
 test('a caller that names no request, or garbles it, goes on only where there is one version', async () => {
   for (const originRequestId of [null, '']) {
-    const call = streamCalls.takenUp('r2', originRequestId);
+    const call = streamCalls.resumptionOf('r2', originRequestId);
     const several = createFixture();
     assert.is((await several.streams.match(call)).kind, 'unknown');
     assert.equal(several.asked, []);
@@ -122,8 +122,8 @@
   const targets = ['pool', 'other'].map((service) => ({ service, weight: 1 }));
   const route = { ...streamCalls.RESUMABLE_ROUTE, targets };
   const { streams } = createFixture({ onlyVersion: 'v1' });
-  assert.is((await streams.match(streamCalls.takenUp('r2', null, { route }))).kind, 'unknown');
-  const named = streamCalls.takenUp('r2', 'r1', { route });
+  assert.is((await streams.match(streamCalls.resumptionOf('r2', null, { route }))).kind, 'unknown');
+  const named = streamCalls.resumptionOf('r2', 'r1', { route });
   assert.equal(await streams.match(named), { kind: 'bound', service: 'pool', version: 'v1' });
 });
 
@@ -131,7 +131,9 @@
   const { streams, lines } = createFixture();
   const route = { ...streamCalls.RESUMABLE_ROUTE, isResumable: false };
   assert.equal(await streams.match(streamCalls.streamCall('r1')), { kind: 'free' });
-  assert.equal(await streams.match(streamCalls.takenUp('r2', 'r1', { route })), { kind: 'free' });
+  assert.equal(await streams.match(streamCalls.resumptionOf('r2', 'r1', { route })), {
+    kind: 'free',
+  });
   const run = runs.createRun();
   streams.noteBegun(streamCalls.streamCall('r3', { route }), run, upstream('v1'));
   assert.is(run.boundVersion, null);
@@ -143,8 +145,8 @@
   const first = runs.createRun();
   streams.noteBegun(streamCalls.streamCall('r1'), first, upstream('v1'));
   assert.is(first.boundVersion, 'v1');
-  streams.noteBegun(streamCalls.takenUp('r2', 'r1'), runs.createRun(), upstream('v2'));
-  const match = await streams.match(streamCalls.takenUp('r3', 'r1'));
+  streams.noteBegun(streamCalls.resumptionOf('r2', 'r1'), runs.createRun(), upstream('v2'));
+  const match = await streams.match(streamCalls.resumptionOf('r3', 'r1'));
   assert.equal(match, { kind: 'bound', service: 'pool', version: 'v1' });
 });
 
@@ -158,7 +160,7 @@
     assert.is(run.boundVersion, null);
     assert.ok(run.isVersionUnknown);
     assert.is(lines[0]?.event, 'stream-version-unknown');
-    assert.is((await streams.match(streamCalls.takenUp('r2', 'r1'))).kind, 'unknown');
+    assert.is((await streams.match(streamCalls.resumptionOf('r2', 'r1'))).kind, 'unknown');
   }
   const { streams } = createFixture({ isDoubtful: true });
   assert.not.ok(streams.mayGoOn(renamed, 'v1'));
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -1,6 +1,6 @@
 /**
- * Which software version a stream goes on at. What two versions write cannot be joined, and upstreams don't check it; so a
- * stream that its caller takes up is matched with the version that began it, at any gateway, or is refused.
+ * Keeps streams at the software version that began them. The events of two versions cannot be joined, and upstreams don't check
+ * that. A stream that its caller resumes is therefore bound to the version that began it, at any gateway, or is refused.
  */
 import type { clocks } from '@copperlever/runtime';
 
@@ -19,7 +19,7 @@
   log: Pick<logEvents.GatewayLog, 'info' | 'warn'>;
   metrics: Pick<metricsModule.GatewayMetrics, 'streamResumed' | 'originFound'>;
   origins: streamOrigins.StreamOrigins;
-  peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceKeepers'>;
+  peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceReplicas'>;
   versions: versionHistories.VersionHistory;
   doubts: Pick<restartDoubts.RestartDoubts, 'isDoubtful'>;
   /** What the list says of the upstream now. */
@@ -29,10 +29,10 @@
 };
 
 export type Match =
-  /** A stream of its own, which may begin at any version. */
+  /** A new stream, which may begin at any version. */
   | { kind: 'free' }
   | { kind: 'bound'; service: string; version: string }
-  /** Nobody that was reached knows which version began it. */
+  /** No gateway that answered knows which version began it. */
   | { kind: 'unknown'; retryAfterMs: number };
 
 export type ResumedStreams = {
@@ -57,25 +57,25 @@
   stop: () => void;
 };
 
-/** How soon origins that nobody else keeps yet are told once more than one version may have begun streams. */
+/** Interval between checks whether origins need replicas because a second version may have begun streams. */
 const CHECK_INTERVAL_MS = 250;
-/** Gateways that did not answer may do so by then. */
+/** Gateways that did not answer may do so on the next try. */
 const SILENT_RETRY_MS = 500;
-/** Nobody has a record, and a caller that comes back finds none either, unless another gateway joins. */
+/** No gateway has a record, so an earlier retry would be refused as well. */
 const UNKNOWN_RETRY_MS = 2_000;
 
 export function isResumable({ route }: calls.Call): boolean {
   return route.kind === 'stream' && route.isResumable;
 }
 
-/** The caller asks for the rest of a stream that an earlier request of its began. */
-export function isTakenUp(call: calls.Call): boolean {
+/** The request asks for the rest of a stream that an earlier request of the caller began. */
+export function isResumption(call: calls.Call): boolean {
   return call.resumeAfterId !== null || call.facts.originRequestId !== null;
 }
 
 export function createResumedStreams(deps: ResumedStreamsDeps): ResumedStreams {
   const { clock, log, origins, peers, versions } = deps;
-  /** Services that had only one version when last checked: their origins are kept here alone. */
+  /** Services that had only one version when last checked. Their origins have no replicas. */
   const uniformServices = new Set<string>();
   let cancelCheck: clocks.Cancel = () => {};
 
@@ -83,9 +83,9 @@
     return versions.onlyVersion(service, deps.listAgeMs(), clock.nowMs());
   }
 
-  /** The upstream may have started again under its name, while the list still has its entry of before. */
+  /** Whether the upstream may have restarted under its name while the list still has the entry of its previous start. */
   function isDoubtful({ upstreamId, name }: fleet.UpstreamRecord): boolean {
-    // Where each start has a name of its own, a request that names the one before is not run.
+    // If each start has its own name, a request that names the previous one is not run.
     if (upstreamId === name) return false;
     return deps.doubts.isDoubtful(upstreamId, deps.listAgeMs(), clock.nowMs());
   }
@@ -108,7 +108,7 @@
     const originRequestId = call.facts.originRequestId ?? '';
     const own = origins.find(originRequestId, clock.nowMs());
     if (own !== null) return { origin: own, source: 'own' };
-    // The service of a split route is worked out from the request that began the stream.
+    // The service of a split route is computed from the request that began the stream.
     const isServiceKnown = originRequestId !== '' || call.route.targets.length === 1;
     const only = isServiceKnown ? onlyVersion(service) : null;
     if (only !== null) return { origin: { service, version: only }, source: 'only-version' };
@@ -144,10 +144,10 @@
     });
   }
 
-  /** Of all origins that nobody else keeps and that have become needed elsewhere. */
+  /** Replicates all origins that have no replica and need one. */
   function replicateMissing(): void {
     for (const origin of origins.all()) {
-      const isNeeded = origin.keepers.size === 0 && !uniformServices.has(origin.service);
+      const isNeeded = origin.replicaKeys.size === 0 && !uniformServices.has(origin.service);
       if (isNeeded) peers.replicate(origin);
     }
   }
@@ -162,13 +162,13 @@
 
   function check(): void {
     checkVersions();
-    if (peers.replaceKeepers()) replicateMissing();
+    if (peers.replaceReplicas()) replicateMissing();
     cancelCheck = clock.schedule(clock.nowMs() + CHECK_INTERVAL_MS, check);
   }
 
   return {
     match: async (call) => {
-      if (!isResumable(call) || !isTakenUp(call)) return { kind: 'free' };
+      if (!isResumable(call) || !isResumption(call)) return { kind: 'free' };
       const startedMs = clock.nowMs();
       const lookup = await lookUp(call);
       logLookup(call, lookup, startedMs);
@@ -189,7 +189,7 @@
       if (!isResumable(call)) return;
       const { service, softwareVersion: version } = upstream;
       if (run.boundVersion === null && !isCertain(upstream)) {
-        // Nobody can tell at which version it may go on.
+        // The version at which it may go on cannot be known.
         run.isVersionUnknown = true;
         log.info('stream-version-unknown', {
           requestId: call.requestId,
@@ -199,7 +199,7 @@
         return;
       }
       run.boundVersion ??= version;
-      if (isTakenUp(call)) return;
+      if (isResumption(call)) return;
       const nowMs = clock.nowMs();
       const kept = origins.note(call.requestId, { service, version, begunAtMs: nowMs }, nowMs);
       if (kept === null) return;
--- a/packages/gateway/src/server/turns/turn-codec.ts
+++ b/packages/gateway/src/server/turns/turn-codec.ts
@@ -48,7 +48,7 @@
   return isFull ? { kind: 'full', retryAfterMs: waitMs } : { kind: 'wait', waitMs };
 }
 
-function toLoadWordNews(word: upstreamStates.LoadSignal): gatewayPeer.LoadWordNews {
+function toLoadSignalMessage(word: upstreamStates.LoadSignal): gatewayPeer.LoadWordNews {
   return {
     runningCount: toUint32(word.runningCount),
     waitingCount: toUint32(word.waitingCount),
@@ -57,7 +57,7 @@
   };
 }
 
-function fromLoadWordNews(news: gatewayPeer.LoadWordNews): upstreamStates.LoadSignal {
+function fromLoadSignalMessage(news: gatewayPeer.LoadWordNews): upstreamStates.LoadSignal {
   const { runningCount, waitingCount, slots, momentPercent } = news;
   const momentFactor = momentPercent === 0 ? null : momentPercent / PERCENT;
   return { runningCount, waitingCount, slots, transientFactor: momentFactor };
@@ -74,7 +74,7 @@
       upstreamId,
       isPrefilled,
       tookMs: toUint32(tookMs),
-      load: load === null ? undefined : toLoadWordNews(load),
+      load: load === null ? undefined : toLoadSignalMessage(load),
     })),
   };
 }
@@ -89,6 +89,6 @@
     upstreamId,
     isPrefilled,
     tookMs,
-    load: load === undefined ? null : fromLoadWordNews(load),
+    load: load === undefined ? null : fromLoadSignalMessage(load),
   }));
 }
--- a/packages/gateway/src/shared/restart-doubts.ts
+++ b/packages/gateway/src/shared/restart-doubts.ts
@@ -1,22 +1,22 @@
 /**
- * Upstreams that may have started again under their name, with other software, before the platform's list says so. One that took
- * no connection has probably ended; it is back after some seconds, and writes its entry anew some time after it has begun to
- * answer.
+ * Upstreams that may have restarted under their name, with other software, before the platform's list shows it. An upstream that
+ * refused a connection has probably crashed. It is back after some seconds, and renews its entry some time after it has begun
+ * to answer.
  */
 export type RestartDoubts = {
-  /** It took no connection. */
+  /** The upstream accepted no connection. */
   noteUnreachable: (upstreamId: string) => void;
   noteAnswered: (upstreamId: string, nowMs: number) => void;
-  /** Whether what the list says of the upstream may be of an earlier start. */
+  /** Whether the upstream's entry in the list may belong to its previous start. */
   isDoubtful: (upstreamId: string, listAgeMs: number | null, nowMs: number) => boolean;
   retain: (upstreamIds: ReadonlySet<string>) => void;
 };
 
-/** Upstreams write their entries about every second; what is missing after two is taken for gone. */
+/** Upstreams renew their entries about once a second; an entry that is missing for two is taken for gone. */
 const REGISTERED_WITHIN_MS = 2_500;
 
 export function createRestartDoubts(): RestartDoubts {
-  /** When each of them first answered again; null until then. */
+  /** When each first answered again; null until then. */
   const answeredMs = new Map<string, number | null>();
   return {
     noteUnreachable: (upstreamId) => {
--- a/packages/gateway/src/shared/stream-origins.ts
+++ b/packages/gateway/src/shared/stream-origins.ts
@@ -14,7 +14,7 @@
 export type KeptOrigin = StreamOrigin & {
   requestId: string;
   /** The other gateways that keep it, by their id and start. */
-  keepers: Set<string>;
+  replicaKeys: Set<string>;
 };
 
 export type StreamOrigins = {
@@ -49,7 +49,7 @@
     note: (requestId, origin, nowMs) => {
       const isUsable = requestId !== '' && requestId.length <= ID_LENGTH_MAX;
       if (!isUsable || origins.has(requestId)) return null;
-      const kept = { ...origin, requestId, keepers: new Set<string>() };
+      const kept = { ...origin, requestId, replicaKeys: new Set<string>() };
       origins.set(requestId, kept);
       dropOld(nowMs);
       return kept;
--- a/packages/gateway/src/shared/version-history.ts
+++ b/packages/gateway/src/shared/version-history.ts
@@ -1,7 +1,7 @@
 /**
- * Which software versions the upstreams of each service have had lately, as far as this gateway knows. If there was only one for
- * as long as streams live, any stream began at it, whoever began it. For this to be true, no stream may begin at a new version
- * before the lists of all other gateways have it, or are too old to be relied on.
+ * The software versions that the upstreams of each service recently had, as far as this gateway knows. If a service had only one
+ * version for as long as streams live, every stream began at it, at whichever gateway. This holds because no gateway begins
+ * streams at a new version before the lists of all others have it or are too old to be relied on.
  */
 import type * as listBudgets from './list-budget.js';
 
@@ -10,7 +10,7 @@
 export type VersionHistory = {
   /** The versions that are listed now. */
   note: (listed: readonly ListedVersion[], nowMs: number) => void;
-  /** The only version at which a stream of the service that still lives can have begun; null if there may be several. */
+  /** The only version at which a stream of the service that still lives can have begun; null if several are possible. */
   onlyVersion: (service: string, listAgeMs: number | null, nowMs: number) => string | null;
   /** Whether streams may begin at the version already: other gateways may not have heard of it yet. */
   mayBegin: (service: string, version: string, nowMs: number) => boolean;
@@ -55,7 +55,7 @@
       );
       const knownServices = new Set(services.keys());
       listed.forEach((entry) => {
-        // How long the versions of a service that is new here have been listed is not known; it is taken for long.
+        // It is not known how long the versions of a service have been listed when it is first seen: assumed to be long.
         noteListed(entry, knownServices.has(entry.service) ? nowMs : -Infinity);
       });
       noteGone(keys, nowMs);
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -38,7 +38,7 @@
 export type Begun = { requestId: string; version: string };
 
 /** How a caller's try to take a stream up ended. */
-export type TakeUp = { kind: 'went-on'; version: string } | { kind: 'refused' | 'no-upstream' };
+export type Resumption = { kind: 'went-on'; version: string } | { kind: 'refused' | 'no-upstream' };
 
 export type OriginFleet = ReturnType<typeof createOriginFleet>;
 
@@ -78,10 +78,10 @@
       return results.Ok(value);
     }
     return {
-      keepOrigins: (address, request, deadlineMs) =>
-        call(address, deadlineMs, ({ peers }) => peers.keep(request)),
+      replicateOrigins: (address, request, deadlineMs) =>
+        call(address, deadlineMs, ({ peers }) => peers.storeReplicas(request)),
       findOrigins: (address, request, deadlineMs) =>
-        call(address, deadlineMs, ({ peers }) => peers.answer(request)),
+        call(address, deadlineMs, ({ peers }) => peers.findLocal(request)),
     };
   }
 
@@ -184,14 +184,14 @@
     return { requestId, version: upstream.softwareVersion };
   }
 
-  async function takeUp(
+  async function resume(
     gatewayId: string,
     { requestId }: Pick<Begun, 'requestId'>,
-  ): Promise<TakeUp> {
+  ): Promise<Resumption> {
     const node = nodes.get(gatewayId);
     if (node === undefined) return { kind: 'refused' };
     nextStream += 1;
-    const match = await node.streams.match(streamCalls.takenUp(`r${nextStream}`, requestId));
+    const match = await node.streams.match(streamCalls.resumptionOf(`r${nextStream}`, requestId));
     if (match.kind !== 'bound') return { kind: 'refused' };
     const upstream = pickUpstream(
       node.list.records
@@ -226,11 +226,11 @@
       listed.delete(upstreamId);
     },
     begin,
-    takeUp,
+    takeUp: resume,
     messageCount: () => messageCount,
     stop: () => [...nodes.keys()].forEach(kill),
   };
 }
 
-type OriginLink = Pick<peerLinks.PeerLink, 'keepOrigins' | 'findOrigins'>;
+type OriginLink = Pick<peerLinks.PeerLink, 'replicateOrigins' | 'findOrigins'>;
 type Answer<Reply> = (node: GatewayNode) => Reply;
--- a/packages/gateway/src/testing/stream-calls.ts
+++ b/packages/gateway/src/testing/stream-calls.ts
@@ -52,7 +52,7 @@
 }
 
 /** The caller's try that asks for what follows event 3 of the stream that `originRequestId` began. */
-export function takenUp(
+export function resumptionOf(
   requestId: string,
   originRequestId: string | null,
   overrides: Partial<calls.Call> = {},
