The pool for replicas of origins is chosen four times a second, not for each stream

Change: the pool is kept for 250 ms where there are more gateways than it holds. With fewer nothing changes. Result: origins.test.ts 11 of 11.

--- a/packages/gateway/src/server/streams/origin-peers.ts
+++ b/packages/gateway/src/server/streams/origin-peers.ts
@@ -63,6 +63,8 @@
 const ASKED_MAX = 4;
 /** Each gateway keeps a connection to every gateway of the pool. */
 const REPLICA_POOL_MAX = 64;
+/** Hashing the ids of hundreds of gateways for each stream would take about a millisecond. */
+const POOL_CACHED_MS = 250;
 const REPLICA_POOL_KEY = 'replicas of origins';
 /** Streams that begin within this time share a message. No caller resumes a stream sooner. */
 const REPLICATE_DELAY_MS = 10;
@@ -74,19 +76,27 @@
 
 export function createOriginPeers(deps: OriginPeersDeps): OriginPeers {
   const { clock, link, book, origins, gatewayId } = deps;
+  let pool: { peers: readonly Peer[]; atMs: number } = { peers: [], atMs: -Infinity };
   /** The live gateways when replicas were last replaced. */
   let knownKeys: ReadonlySet<string> = new Set();
 
+  /** The gateways among which replicas are placed, this one included. */
+  function replicaPool(): readonly Peer[] {
+    const nowMs = clock.nowMs();
+    const gateways: Peer[] = [{ gatewayId, address: deps.address }, ...book.live(nowMs)];
+    if (gateways.length <= REPLICA_POOL_MAX) return gateways;
+    if (nowMs - pool.atMs >= POOL_CACHED_MS) {
+      const idOf = (peer: Peer) => peer.gatewayId;
+      const peers = rendezvous.highest(REPLICA_POOL_KEY, gateways, idOf, REPLICA_POOL_MAX);
+      pool = { peers, atMs: nowMs };
+    }
+    return pool.peers;
+  }
+
   /** The first `count` other gateways for the replicas of this request's origin. */
   function candidates(requestId: string, count: number): Peer[] {
-    const gateways: Peer[] = [{ gatewayId, address: deps.address }, ...book.live(clock.nowMs())];
-    const idOf = (peer: Peer) => peer.gatewayId;
-    const pool =
-      gateways.length <= REPLICA_POOL_MAX
-        ? gateways
-        : rendezvous.highest(REPLICA_POOL_KEY, gateways, idOf, REPLICA_POOL_MAX);
     return rendezvous
-      .highest(requestId, pool, idOf, count + 1)
+      .highest(requestId, replicaPool(), (peer) => peer.gatewayId, count + 1)
       .filter((peer) => peer.gatewayId !== gatewayId)
       .slice(0, count);
   }
