With one version the model of a bound stream is planned for like any other

Streams are bound within their answers also where there is one version; a miss of one then had its model planned for alone, ahead of what is worth more. Change: a miss names a version only where upstreams of another one get work too. Result: router.test.ts 'a bound stream asks for a copy at its version only where there are others' fails without the condition (v1 told, none expected) and passes, 6 of 6.

--- a/packages/gateway/src/server/forwarding/router.test.ts
+++ b/packages/gateway/src/server/forwarding/router.test.ts
@@ -17,6 +17,7 @@
 import type * as placementTypes from '../../types/placement.js';
 import type * as limitsModule from '../limits/limits.js';
 import * as routers from './router.js';
+import * as streamCalls from '../../testing/stream-calls.js';
 import * as runs from './run.js';
 
 const test = suite('router');
@@ -52,16 +53,19 @@
   } as unknown as calls.Call;
 }
 
-function createFixture(isOn: boolean) {
+function createFixture(isOn: boolean, versions: readonly string[] = ['v1']) {
   const clock = fakeClocks.createFakeClock();
   const directory = directories.createUpstreamDirectory();
-  const value = fixtures.upstreamRecord('u1', { slots: SLOTS });
-  directory.applyListing(
-    { records: [{ name: 'u1', era: 0, revision: 1, value }], unreadable: [], era: 0, revision: 1 },
-    0,
-  );
+  const records = versions.map((softwareVersion, index) => {
+    const name = `u${index + 1}`;
+    const value = fixtures.upstreamRecord(name, { slots: SLOTS, softwareVersion });
+    return { name, era: 0, revision: 1, value };
+  });
+  directory.applyListing({ records, unreadable: [], era: 0, revision: 1 }, 0);
   const inFlight = inFlightModule.createInFlight();
   const gaveWay: string[] = [];
+  const hasCopies = new Set(records.map(({ name }) => name));
+  const demands: placementTypes.Demand[] = [];
   const router = routers.createRouter({
     clock,
     log: { info: () => {}, warn: () => {}, error: () => {} },
@@ -72,7 +76,9 @@
     paces: serviceTimesModule.createServiceTimeEstimator(),
     caches: promptCaches.createPromptCaches(),
     placement: {
-      copyAt: () => 'ready',
+      copyAt: ({ upstreamId }: fleet.UpstreamRecord) =>
+        hasCopies.has(upstreamId) ? 'ready' : 'none',
+      noteDemand: (noted: placementTypes.Demand) => demands.push(noted),
       nextCopyInMs: () => null,
     } as unknown as placementTypes.Placement,
     limits: {
@@ -87,7 +93,10 @@
     serviceOf: () => SERVICE,
     failureDomain: 'north',
     metrics: { gaveWay: (to) => gaveWay.push(to) },
-    streams: { mayBegin: () => true, mayGoOn: () => true },
+    streams: {
+      mayBegin: () => true,
+      mayGoOn: ({ softwareVersion }, version) => softwareVersion === version,
+    },
     listAgeMs: () => 0,
     gatewayCount: () => 1,
     ordersAdmission: () => isOn,
@@ -100,7 +109,7 @@
       inFlight.start(request).promptPrefilled();
     }
   }
-  return { clock, router, fill, gaveWay };
+  return { clock, router, fill, gaveWay, hasCopies, demands };
 }
 
 // With equal retry times, callers that are refused together retry together and are refused again.
@@ -167,4 +176,18 @@
   assert.is(fixture.router.choose(batch, runs.createRun()).kind, 'send');
 });
 
+// Guards against a plan for one model alone, ahead of all others, where a copy at any upstream would serve the stream.
+test('a bound stream asks for a copy at its version only where there are others', () => {
+  const askedAt = (versions: readonly string[]) => {
+    const { router, hasCopies, demands } = createFixture(false, versions);
+    hasCopies.delete('u1');
+    const call = { ...createCall(0), route: streamCalls.RESUMABLE_ROUTE };
+    router.recordDemand(call, { ...runs.createRun(), boundVersion: 'v1' }, 'missing');
+    return demands.map(({ softwareVersion, isServed }) => [softwareVersion, isServed]);
+  };
+  assert.equal(askedAt(['v1']), [[null, false]]);
+  assert.equal(askedAt(['v1', 'v2']), [['v1', false]]);
+  assert.equal(askedAt(['v1', 'v1', 'v2']), []);
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -379,11 +379,15 @@
     if (model === null || !needsModel(call)) return;
     const hasCopy = isServed(call, run, model);
     if (hasCopy && when === 'missing') return;
+    // With one version, a copy anywhere serves the stream, and its model is planned for like any other.
+    const hasOtherVersions = directory
+      .eligible(call.service, clock.nowMs())
+      .some(({ softwareVersion }) => softwareVersion !== run.boundVersion);
     placement.noteDemand({
       service: call.service,
       model,
       adapter,
-      softwareVersion: hasCopy ? null : run.boundVersion,
+      softwareVersion: hasCopy || !hasOtherVersions ? null : run.boundVersion,
       isServed: hasCopy,
       isDelayTolerant: urgency.isBatch(call.route),
     });
