--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -28,6 +28,7 @@
 import type * as metricsModule from '../metrics/metrics.js';
 import * as resumedStreams from '../streams/resumed-streams.js';
 import * as admissions from './admission.js';
+import * as demandReports from './demand-reports.js';
 import * as retryAfters from './retry-after.js';
 import * as runs from './run.js';
 
@@ -86,8 +87,7 @@
   overloadRetryMs: (call: calls.Call, run: runs.Run, predictedMs: number) => number;
   /** Retry time for a request whose upstreams are all closed: until one opens or another copy of its model is ready. */
   closedRetryMs: (call: calls.Call, forMs: number) => number;
-  /** Reports the demand for its model to the placement; `missing`: only if no copy can serve it now. */
-  recordDemand: (call: calls.Call, run: runs.Run, when: 'always' | 'missing') => void;
+  recordDemand: demandReports.RecordDemand;
   /** Logs a request for which no upstream was chosen, with the inputs of that decision. */
   logNotPlaced: (call: calls.Call, run: runs.Run, choice: NoChoice, ending: calls.Ending) => void;
 };
@@ -361,38 +361,6 @@
     });
   }
 
-  /** Whether an upstream with a copy could take it now. */
-  function isServed(call: calls.Call, run: runs.Run, model: string): boolean {
-    const nowMs = clock.nowMs();
-    const records =
-      run.boundVersion === null ? directory.eligible(call.service, nowMs) : eligibleFor(call, run);
-    return records.some(
-      (record) =>
-        placement.copyAt(record, model, call.facts.adapter) !== 'none' &&
-        closedOf(record.upstreamId) === null &&
-        !upstreamHealthModule.isEjected(beliefs.health(record.upstreamId, nowMs)),
-    );
-  }
-
-  function recordDemand(call: calls.Call, run: runs.Run, when: 'always' | 'missing'): void {
-    const { model, adapter } = call.facts;
-    if (model === null || !needsModel(call)) return;
-    const hasCopy = isServed(call, run, model);
-    if (hasCopy && when === 'missing') return;
-    // With one version, a copy anywhere serves the stream, and its model is planned for like any other.
-    const hasOtherVersions = directory
-      .eligible(call.service, clock.nowMs())
-      .some(({ softwareVersion }) => softwareVersion !== run.boundVersion);
-    placement.noteDemand({
-      service: call.service,
-      model,
-      adapter,
-      softwareVersion: hasCopy || !hasOtherVersions ? null : run.boundVersion,
-      isServed: hasCopy,
-      isDelayTolerant: urgency.isBatch(call.route),
-    });
-  }
-
   return {
     needsModel,
     priorityOf,
@@ -406,7 +374,12 @@
     recordSent,
     overloadRetryMs,
     closedRetryMs: retryAfter.closedMs,
-    recordDemand,
+    recordDemand: demandReports.createDemandReports({
+      ...deps,
+      needsModel,
+      closedOf,
+      eligibleFor,
+    }),
     logNotPlaced,
   };
 }
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -39,6 +39,7 @@
 import * as missingCopies from './missing-copies.js';
 import * as routers from './router.js';
 import * as runs from './run.js';
+import * as streamBindings from './stream-binding.js';
 import type * as connectionsModule from './connections.js';
 import type * as upstreamSignals from './upstream-signals.js';
 
@@ -84,8 +85,6 @@
 export type Serve = (call: calls.Call, sink: answers.AnswerSink) => Promise<calls.Ending>;
 
 const NO_UPSTREAM_RETRY_MS = 500;
-/** An upstream that crashed is back after some seconds; callers of streams seldom wait longer. */
-const VERSION_GONE_RETRY_MS = 2_000;
 const MIN_RETRY_AFTER_MS = 100;
 
 export function createServe(deps: ServeDeps): Serve {
@@ -102,6 +101,7 @@
   const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
   const attempt = attemptSenders.createAttemptSender({ ...deps, router });
   const missing = missingCopies.createMissingCopies({ ...deps, router, refuse });
+  const bindStream = streamBindings.createStreamBinding({ ...deps, refuse });
 
   function factsOf(call: calls.Call, run: runs.Run): retryDecisions.RequestFacts {
     const { ranCount, sentCount, hasBegun, upstreamId } = run;
@@ -269,7 +269,7 @@
     choice: routers.NoChoice,
   ): Promise<calls.Ending | null> {
     if (run.boundVersion !== null && !router.hasEligible(call, run)) {
-      return refuse(call, run, 'version-gone', VERSION_GONE_RETRY_MS);
+      return refuse(call, run, 'version-gone', streamBindings.VERSION_GONE_RETRY_MS);
     }
     switch (choice.kind) {
       case 'model-missing':
@@ -295,30 +295,9 @@
     }
   }
 
-  /** The request at the service that began its stream, bound to its version; an ending where that is not known. */
-  async function bind(
-    call: calls.Call,
-    run: runs.Run,
-  ): Promise<{ call: calls.Call; ending: calls.Ending | null }> {
-    run.stage = 'origin';
-    const match = await deps.streams.match(call);
-    switch (match.kind) {
-      case 'free':
-        return { call, ending: null };
-      case 'unknown':
-        return { call, ending: refuse(call, run, 'stream-unknown', match.retryAfterMs) };
-      case 'bound': {
-        run.boundVersion = match.version;
-        const isRouted = call.route.targets.some(({ service }) => service === match.service);
-        const ending = isRouted ? null : refuse(call, run, 'version-gone', VERSION_GONE_RETRY_MS);
-        return { call: { ...call, service: match.service }, ending };
-      }
-    }
-  }
-
   return async (received, sink) => {
     const run = runs.createRun();
-    const { call, ending: unbound } = await bind(received, run);
+    const { call, ending: unbound } = await bindStream(received, run);
     deps.retryShare.recordRequest(call.service, clock.nowMs());
     if (unbound !== null) return unbound;
     router.recordDemand(call, run, 'always');
