A stream whose upstream has left the list is bound to the version that it had

An upstream serves on for a while after its entry is gone. Change: a version is uncertain where another one is listed for the upstream, not where none is. Result: resumed-streams.test.ts 'a stream of an upstream that is listed no longer is bound to the version that it had' failed (null, v1 expected) and passes, 10 of 10.

--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -14,7 +14,8 @@
   onlyVersion?: string | null;
   answer?: Partial<originPeers.PeerAnswer>;
   isDoubtful?: boolean;
-  listedVersion?: string;
+  /** Null where it is listed no longer. */
+  listedVersion?: string | null;
 };
 
 function createFixture(setup: Setup = {}) {
@@ -45,7 +46,8 @@
     },
     versions: { note: () => {}, onlyVersion: () => onlyVersion, mayBegin: () => true },
     doubts: { isDoubtful: () => isDoubtful },
-    findUpstream: () => upstream(setup.listedVersion ?? 'v1'),
+    findUpstream: () =>
+      setup.listedVersion === null ? undefined : upstream(setup.listedVersion ?? 'v1'),
     listAgeMs: () => 0,
   });
   const pass = (ms: number) => {
@@ -167,6 +169,14 @@
   assert.ok(streams.mayGoOn(upstream('v1'), 'v1'));
 });
 
+// Guards against streams that do not go on because their upstream left the list just before their first event.
+test('a stream of an upstream that is listed no longer is bound to the version that it had', async () => {
+  const { streams } = createFixture({ listedVersion: null });
+  const run = runs.createRun();
+  streams.noteBegun(streamCalls.streamCall('r1'), run, upstream('v1'));
+  assert.is(run.boundVersion, 'v1');
+});
+
 test('a stream that goes on at another version than it is bound to is counted', () => {
   const { streams, matches, lines } = createFixture();
   const run = { ...runs.createRun(), boundVersion: 'v1', resumeAfterId: '4' };
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -92,7 +92,8 @@
 
   function isCertain(upstream: fleet.UpstreamRecord): boolean {
     const listed = deps.findUpstream(upstream.upstreamId);
-    const isUnchanged = listed?.softwareVersion === upstream.softwareVersion;
+    // An upstream that is listed no longer serves on for a while, with the software that it had.
+    const isUnchanged = listed === undefined || listed.softwareVersion === upstream.softwareVersion;
     return isUnchanged && !isDoubtful(upstream);
   }
 
