--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -65,7 +65,7 @@
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   /** A stream that had begun was sent to an upstream; whether its software is of the version that began the stream. */
   streamResumed: (match: 'same' | 'other') => void;
-  /** A caller took a stream up; who knew which version began it. */
+  /** A caller resumes a stream; where the version that began it was found. */
   originFound: (source: 'local' | 'peer' | 'unknown') => void;
   retry: (isTaken: boolean) => void;
   storeCalled: (call: keyof stores.RecordStore, result: 'ok' | stores.StoreError['kind']) => void;
--- a/packages/gateway/src/shared/placement/bound-misses.ts
+++ b/packages/gateway/src/shared/placement/bound-misses.ts
@@ -1,6 +1,6 @@
 /**
- * Models that streams lack at the software version to which they are bound, while other versions may have copies. Kept until a
- * copy is planned or their callers have left.
+ * Models that streams lack at the software version to which they are bound, while other versions may have copies. A miss is
+ * dropped when it has not been reported again for some seconds.
  */
 export type BoundMiss = { service: string; model: string; softwareVersion: string; count: number };
 
--- a/packages/gateway/src/shared/stream-origins.ts
+++ b/packages/gateway/src/shared/stream-origins.ts
@@ -1,7 +1,7 @@
 /**
- * Which software version began each stream that may be resumed, as far as this gateway knows: its own streams, and those that
- * other gateways have it keep. Bounded memory: an origin is kept for as long as a caller may come back for its stream, and the
- * oldest are dropped first.
+ * Which software version began each stream that may be resumed, as far as this gateway knows: those of its own streams, and
+ * replicas from other gateways. Memory is bounded: an origin is kept for as long as a caller may resume its stream, and the oldest
+ * are dropped first.
  */
 export type StreamOrigin = {
   service: string;
@@ -13,7 +13,7 @@
 
 export type KeptOrigin = StreamOrigin & {
   requestId: string;
-  /** How many other gateways are to have it: fewer where it is a replica itself. */
+  /** Number of other gateways that should have it; one less if this is a replica. */
   replicasWanted: number;
   /** Those that have it or are about to, by their id and start. */
   replicaKeys: Set<string>;
@@ -35,9 +35,9 @@
 
 /** Two, so that the gateway that began a stream and one more may end at the same time. */
 export const REPLICA_COUNT = 2;
-/** Some 10 MB, and three minutes of the largest share of streams that a gateway is designed for. */
+/** An estimated 10 MB, and two minutes of what a gateway with replicas receives at the size to design for. */
 const ORIGINS_MAX = 20_000;
-/** Longer ids than callers make, which would take up the memory of others. */
+/** Origins with longer ids are not kept, so that ids of any length take a bounded part of the memory. */
 const ID_LENGTH_MAX = 128;
 
 export function createStreamOrigins(streamLifeMs: () => number): StreamOrigins {
--- a/packages/gateway/src/shared/upstream-choice.ts
+++ b/packages/gateway/src/shared/upstream-choice.ts
@@ -45,7 +45,7 @@
   closed: Closed | null;
   /** Requests to it need a permit. */
   isLimited: boolean;
-  /** No other upstream with a copy could take its streams up, and there are upstreams of which others could. */
+  /** No other upstream with a copy has its software version, while some version has several such upstreams. */
   isAloneAtVersion?: boolean;
 };
 
@@ -139,7 +139,7 @@
  * still in time, and slots that only look taken because of old updates are not left idle.
  */
 const MAX_CALLS_PER_SLOT = 1.5;
-/** Some streams in a hundred break off, and each that cannot go on costs its caller about as much as a failed attempt. */
+/** A twentieth of the cost of a failed attempt: an estimate of how many streams break off and cannot go on. */
 const ALONE_AT_VERSION_COST_MS = 20;
 /** Cost of a failed attempt to the caller, which at best has to come back once. */
 const FAILURE_COST_MS = 400;
@@ -419,7 +419,7 @@
   };
 }
 
-/** Marks candidates whose streams nobody else could take up; `versions` are those of their software, in the same order. */
+/** Marks candidates whose streams no other candidate could resume; `versions` are their software versions, in the same order. */
 export function withVersionPeers(
   candidates: readonly Candidate[],
   versions: readonly string[],
--- a/packages/gateway/src/shared/version-history.ts
+++ b/packages/gateway/src/shared/version-history.ts
@@ -19,7 +19,7 @@
 export type VersionHistoryOptions = {
   /** Before this nothing was observed; -Infinity if no stream can have begun before. */
   sinceMs: number;
-  /** How long after its first event a stream may be taken up. */
+  /** How long after its first event a stream may be resumed by its caller. */
   streamLifeMs: () => number;
   listBudget: Pick<listBudgets.ListBudget, 'maxOnlyVersionAgeMs' | 'newVersionHoldMs'>;
 };
--- a/packages/gateway/src/stream-parts.ts
+++ b/packages/gateway/src/stream-parts.ts
@@ -8,10 +8,10 @@
 
 /** Several times the deadlines in use. */
 const STREAM_LIFE_MIN_MS = 120_000;
-/** Each try ends by its route's time-out, and the last one begins before the first one's. */
+/** Assumed: a caller resumes its stream within a time-out of its route after the end of the first try. */
 const LIFE_TIMEOUTS = 2;
 
-/** How long after its first event a stream may still be taken up. */
+/** How long after its first event a stream may still be resumed by its caller. */
 function streamLifeMs({ configuration }: partTypes.GatewayParts): number {
   const routes = configuration.current()?.config.routes ?? [];
   const timeoutsMs = routes.filter((route) => route.isResumable).map((route) => route.timeoutMs);
