An upstream's end is told from a broken answer, and its log line names what was beside it

Change: a gateway follows which requests run at each upstream. When answers are lost it opens one connection: a port that refuses means that the process has ended. upstream-ended and answers-lost name the traits of the suspects (fingerprint, parts but the last), beside how many ends each was, and when an answer with it last went on; answers_lost_total counts them. Nothing is decided by it.

--- a/packages/cli/src/shared/timeline.ts
+++ b/packages/cli/src/shared/timeline.ts
@@ -44,6 +44,9 @@
     case 'upstream-changed':
     case 'upstream-avoided':
     case 'upstream-trusted':
+    case 'upstream-ended':
+    case 'answers-lost':
+    case 'upstream-returned':
     case 'upstream-slow':
     case 'upstream-usual':
     case 'upstream-limited':
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -38,6 +38,7 @@
 import * as directories from './shared/upstream-directory.js';
 import type * as logEvents from './types/log-events.js';
 import * as settingsModule from './types/settings.js';
+import * as crashParts from './crash-parts.js';
 import * as controlParts from './control-parts.js';
 import * as streamParts from './stream-parts.js';
 import type * as partTypes from './types/parts.js';
@@ -207,6 +208,7 @@
         }),
       )
       .singleton(),
+    crashes: awilix.asFunction(crashParts.createCrashes).singleton(),
     origins: awilix.asFunction(streamParts.createOrigins).singleton(),
     doubts: awilix.asFunction(restartDoubts.createRestartDoubts).singleton(),
     versions: awilix.asFunction(streamParts.createVersionHistory).singleton(),
@@ -239,6 +241,7 @@
           placement: parts.placement,
           metrics: parts.metrics,
           streams: parts.streams,
+          crashWatch: parts.crashes.watch,
           doubts: parts.doubts,
           preSendCheck: preSendChecks.createPreSendCheck(parts),
           loopAges: parts.loopAges,
--- /dev/null
+++ b/packages/gateway/src/crash-parts.ts
@@ -0,0 +1,19 @@
+/** Makes the parts that find out which requests crash upstreams. */
+import * as crashTrackers from './server/crashes/crash-tracker.js';
+import * as livenessProbes from './server/crashes/liveness-probe.js';
+import * as crashEvidence from './shared/crashes/crash-evidence.js';
+import * as soundTimes from './shared/crashes/sound-times.js';
+import type * as partTypes from './types/parts.js';
+
+export function createCrashes(parts: partTypes.GatewayParts): crashTrackers.CrashTracker {
+  const { clock, log, metrics, directory } = parts;
+  return crashTrackers.createCrashTracker({
+    clock,
+    log,
+    metrics,
+    evidence: crashEvidence.createCrashEvidence(),
+    sound: soundTimes.createSoundTimes(),
+    probe: livenessProbes.probe,
+    isLeaving: (upstreamId) => !directory.mayGetWork(upstreamId, clock.nowMs()),
+  });
+}
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -86,6 +86,7 @@
     cradle.states.retain(ids);
     cradle.speedPool.retain(ids);
     cradle.doubts.retain(ids);
+    cradle.crashes.watch.retain(ids);
     cradle.upstreamLimits.retain(ids, clock.nowMs());
   }
 
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -16,6 +16,7 @@
 import * as attemptOutcomes from './attempt-outcomes.js';
 import * as attempts from './attempt.js';
 import type * as connectionsModule from './connections.js';
+import type * as crashWatches from '../crashes/crash-watch.js';
 import * as resumedStreams from '../streams/resumed-streams.js';
 import type * as routers from './router.js';
 import * as runs from './run.js';
@@ -40,6 +41,7 @@
   >;
   router: Pick<routers.Router, 'needsModel' | 'priorityOf'>;
   streams: resumedStreams.ResumedStreams;
+  crashWatch: Pick<crashWatches.CrashWatch, 'started' | 'noteAnswered'>;
   doubts: Pick<restartDoubts.RestartDoubts, 'noteUnreachable' | 'noteAnswered'>;
   serviceOf: (name: string) => fleet.Service | null;
   listAgeMs: () => number | null;
@@ -55,6 +57,7 @@
 
 /** What is known of the answer so far. */
 type AnswerSoFar = {
+  framing: calls.Framing | null;
   load: upstreamStates.LoadSignal | null;
   firstChunk: attemptOutcomes.FirstChunk | null;
 };
@@ -80,6 +83,16 @@
   return factor === 1 ? undefined : Math.round(factor * 100) / 100;
 }
 
+/** What the end of an attempt shows about its upstream. */
+function evidenceOf(
+  result: calls.AttemptResult,
+  framing: calls.Framing | null,
+): crashWatches.AttemptEvidence {
+  if (result.kind === 'lost') return result.reason === 'connection' ? 'lost' : 'other';
+  if (result.kind !== 'answered' || result.status >= FIRST_ERROR_STATUS) return 'other';
+  return framing === 'until-close' ? 'unframed' : 'whole';
+}
+
 export function createAttemptSender(deps: AttemptSenderDeps): AttemptSender {
   const { clock, log, directory, beliefs, inFlight, router } = deps;
   const outcomes = attemptOutcomes.createAttemptOutcomes({
@@ -141,7 +154,8 @@
     deps.caches.recordSent(upstreamId, scope, call.facts.promptParts);
     const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
     const attempt = { call, upstreamId, isResumed, choice };
-    const answer: AnswerSoFar = { load: null, firstChunk: null };
+    const answer: AnswerSoFar = { framing: null, load: null, firstChunk: null };
+    const watched = deps.crashWatch.started(upstreamId, record.address, run.traits);
     const listAgeMs = loggedListAgeMs(deps.listAgeMs());
     const lastEventId = run.resumeAfterId ?? call.resumeAfterId;
     if (lastEventId !== null) deps.streams.noteSentOn(call, run, record, lastEventId);
@@ -157,8 +171,10 @@
       sendByMs: startedAtMs + SEND_TIMEOUT_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
       eventIntervals: eventIntervalsOf(call, upstreamId),
-      onResponseHead: (facts) => {
+      onResponseHead: (facts, framing) => {
         answer.load = facts.load;
+        answer.framing = framing;
+        if (!facts.isMisdirected) deps.crashWatch.noteAnswered(upstreamId, startedAtMs);
         deps.doubts.noteAnswered(upstreamId, clock.nowMs());
         const source = call.requestId;
         deps.words.applyAnswerHead({ upstreamId, facts, sentMs: startedAtMs, source });
@@ -166,6 +182,7 @@
       onCancelled: deps.metrics.cancelled,
       onFirstChunk: (chunk, status) => {
         started.promptPrefilled();
+        if (status < FIRST_ERROR_STATUS) watched.began();
         if (chunk === 'event') deps.streams.noteBegun(call, run, record);
         // An error answer doesn't show that the prompt was prefilled.
         turn.ended(status < FIRST_ERROR_STATUS, answer.load);
@@ -178,6 +195,7 @@
       },
     });
     started.end();
+    watched.ended(evidenceOf(result, answer.framing));
     if (result.kind === 'not-sent') deps.doubts.noteUnreachable(upstreamId);
     deps.metrics.attemptEnded(result.kind);
     connection.release(result.kind !== 'not-sent');
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -42,7 +42,7 @@
   /** Receives the times of a stream's events, to measure the intervals between them. */
   eventIntervals?: eventIntervals.EventIntervals;
   /** Called when the head of an answer to this request has arrived. */
-  onResponseHead: (facts: dialects.AnswerFacts) => void;
+  onResponseHead: (facts: dialects.AnswerFacts, framing: calls.Framing) => void;
   /** Called when the connection to the upstream has been closed because the caller left. */
   onCancelled: (tookMs: number) => void;
 };
@@ -127,7 +127,7 @@
       // A late answer to another request may arrive in place of this one's; the request id shows it.
       const isOwn = headFacts.requestId === null || headFacts.requestId === call.requestId;
       if (!isOwn) return lost('garbled');
-      input.onResponseHead(headFacts);
+      input.onResponseHead(headFacts, framing);
       if (headFacts.didNotRun) {
         return { kind: 'rejected', isMisdirected: headFacts.isMisdirected, retryAfterMs: null };
       }
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -21,6 +21,8 @@
   wasFull: boolean;
   /** An error answer of an upstream, kept while another upstream is tried. */
   heldFailure: { answer: calls.HeldAnswer; upstreamId: string } | null;
+  /** What it can have in common with other requests that crash upstreams. */
+  traits: readonly string[];
   /** Upstreams that are not tried again for this request. */
   excludedIds: Set<string>;
   /** The last event that the caller received from this gateway, after which the next attempt resumes the stream. */
@@ -52,6 +54,7 @@
     upstreamId: '',
     wasFull: false,
     heldFailure: null,
+    traits: [],
     excludedIds: new Set(),
     resumeAfterId: null,
     boundVersion: null,
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -17,6 +17,7 @@
 import * as rawUpstreams from '../../testing/raw-upstream.js';
 import * as streamCalls from '../../testing/stream-calls.js';
 import * as testDialects from '../../testing/test-dialect.js';
+import * as unwatched from '../../testing/unwatched.js';
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
 import * as plainCapacity from '../../shared/plain-capacity.js';
@@ -91,6 +92,7 @@
     log,
     directory,
     connections,
+    crashWatch: unwatched.createUnwatched(),
     random: randoms.createRandom(3),
     dialect: testDialects.createTestDialect(),
     beliefs: upstreamHealthModule.createUpstreamHealthTracker(),
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -25,6 +25,7 @@
 import type * as settingsModule from '../../types/settings.js';
 import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
+import * as requestTraits from '../../shared/crashes/request-traits.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as resumedStreams from '../streams/resumed-streams.js';
 import * as turnTakers from '../turns/turn-taker.js';
@@ -68,6 +69,7 @@
   placement: placementTypes.Placement;
   metrics: metricsModule.GatewayMetrics;
   streams: resumedStreams.ResumedStreams;
+  crashWatch: attemptSenders.AttemptSenderDeps['crashWatch'];
   doubts: restartDoubts.RestartDoubts;
   preSendCheck: preSendChecks.PreSendCheck;
   loopAges: attemptSenders.AttemptSenderDeps['loopAges'];
@@ -296,7 +298,7 @@
   }
 
   return async (received, sink) => {
-    const run = runs.createRun();
+    const run = { ...runs.createRun(), traits: requestTraits.of(received) };
     const { call, ending: unbound } = await bindStream(received, run);
     deps.retryShare.recordRequest(call.service, clock.nowMs());
     if (unbound !== null) return unbound;
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -3,6 +3,7 @@
 
 import * as prometheus from 'prom-client';
 
+import type * as livenessProbes from '../crashes/liveness-probe.js';
 import type * as storePositions from '../../shared/store-positions.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
@@ -63,6 +64,8 @@
   /** A request was refused although an upstream would have taken it. */
   gaveWay: (to: string) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
+  /** An upstream lost answers; whether it still accepts connections. */
+  answersLost: (liveness: livenessProbes.Liveness) => void;
   /** A stream that had begun was sent to an upstream; whether its software is of the version that began the stream. */
   streamResumed: (match: 'same' | 'other') => void;
   /** A caller resumes a stream; where the version that began it was found. */
@@ -197,6 +200,11 @@
     'to',
   ]);
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
+  const answersLost = counter(
+    'answers_lost_total',
+    'Upstreams that lost answers, by whether they accepted a connection afterwards',
+    ['liveness'],
+  );
   const streamsResumed = counter(
     'streams_resumed_total',
     'Streams sent on after their first event, by the version that began them',
@@ -315,6 +323,7 @@
     },
     gaveWay: (to) => gaveWay.inc({ to }),
     attemptEnded: (result) => attempts.inc({ result }),
+    answersLost: (liveness) => answersLost.inc({ liveness }),
     originFound: (source) => originsFound.inc({ source }),
     streamResumed: (match) => streamsResumed.inc({ match }),
     retry: (isTaken) => retries.inc({ outcome: isTaken ? 'taken' : 'denied' }),
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -2,6 +2,7 @@
  * Every line that a gateway writes, and the fields it carries. A line's name and fields are what operators
  * search for: both are checked wherever one is written.
  */
+import type * as livenessProbes from '../server/crashes/liveness-probe.js';
 import type * as serviceTimes from '../shared/service-times.js';
 import type * as calls from './calls.js';
 import type * as dialects from './dialects.js';
@@ -62,6 +63,16 @@
   /** It broke attempts in a row: new requests go elsewhere until a single one has shown that it answers. */
   'upstream-avoided': { upstreamId: string; brokenInRow: number; forMs: number };
   'upstream-trusted': { upstreamId: string };
+  /**
+   * It lost answers and its port refuses connections: its process has ended. `suspectCount`: of the lost requests those whose
+   * answer had not begun, or only just. `traits`: what they have in common or not, as `TRAIT=CRASHES/AGE`: beside how many ends
+   * each was since an answer with it last went on, and how many ms ago that began. `source`: `own`, or the gateway that told.
+   */
+  'upstream-ended': LostAnswers;
+  /** It lost answers and accepts connections, or does not answer at all. */
+  'answers-lost': LostAnswers;
+  /** An upstream that was taken for ended answers. */
+  'upstream-returned': { upstreamId: string };
   /**
    * Work takes longer there than usual by the learnt speed (`slowness`) and that of the moment (`momentFactor`), and no
    * longer does; at most one line in some seconds for an upstream.
@@ -265,6 +276,17 @@
   'request-failed': RequestEnd;
 };
 
+type LostAnswers = {
+  upstreamId: string;
+  liveness: livenessProbes.Liveness;
+  lostCount: number;
+  suspectCount: number;
+  traits: string;
+  source: string;
+  /** Since the first answer was lost. */
+  ageMs: number;
+};
+
 type RequestEnd = {
   requestId: string;
   route: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -33,6 +33,7 @@
 import type * as upstreamPauses from '../shared/upstream-pauses.js';
 import type * as turnsModule from '../server/turns/turns.js';
 import type * as limitsModule from '../server/limits/limits.js';
+import type * as crashTrackers from '../server/crashes/crash-tracker.js';
 import type * as sharedEjectionsModule from '../shared/shared-ejections.js';
 import type * as upstreamHealthModule from '../shared/upstream-health.js';
 import type * as restartDoubts from '../shared/restart-doubts.js';
@@ -109,6 +110,7 @@
   placer: placementControllers.PlacementController;
   exchange: exchanges.Exchange;
   status: GatewayStatus;
+  crashes: crashTrackers.CrashTracker;
   origins: streamOrigins.StreamOrigins;
   doubts: restartDoubts.RestartDoubts;
   versions: versionHistories.VersionHistory;
