What ends upstreams is found by pooling what all gateways saw about what requests share

Cause: evidence was keyed to the fingerprint of one request and kept by the gateway that saw it. Requests that share a part never met. Any lost connection counted, a broken answer or a cut as well, so that an innocent request beside two of them was refused everywhere for 15 minutes; whom to exclude and when to refuse, as the old module advised, nobody asked. Change: an end of an upstream (answers lost, and its port refuses) is told at once, with the traits of its suspects, to three gateways that follow from the fleet and to the holder. A trait beside three ends at different moments, with which no answer has gone on since the first, is refused, together with what all its suspects share and nobody has shown to be sound: requests need all of them, so those with the same first part are served. Others are asked before the decision when the traits were last sound, told of it at once, and hear of it with each exchange (a digest; entries only where it differs). Repeats of one request are a case of the same: the separate quarantine is removed.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,7 +4,6 @@
 export * as fairShares from './fair-shares.js';
 export * as loadAllowance from './load-allowance.js';
 export * as placement from './placement.js';
-export * as quarantine from './quarantine.js';
 export * as queues from './queues.js';
 export * as rendezvous from './rendezvous.js';
 export * as retryBudgets from './retry-budgets.js';
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -1,5 +1,4 @@
 /** Joins the parts of a gateway; each part gets only what it names. */
-import * as quarantineModule from '@copperlever/decisions/quarantine';
 import { boundedLogs, clocks, logs, randoms } from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
@@ -19,6 +18,7 @@
 import * as peerRegistries from './shared/peer-registry.js';
 import * as demandCounters from './shared/placement/demand-counters.js';
 import * as placementViews from './shared/placement/placement-view.js';
+import * as quarantines from './shared/crashes/quarantine.js';
 import * as storePositions from './shared/store-positions.js';
 import * as listBudgets from './shared/list-budget.js';
 import * as relayedLists from './shared/relayed-list.js';
@@ -134,7 +134,7 @@
       )
       .singleton(),
     caches: awilix.asFunction(promptCaches.createPromptCaches).singleton(),
-    quarantine: awilix.asFunction(quarantineModule.createQuarantine).singleton(),
+    quarantine: awilix.asFunction(quarantines.createQuarantine).singleton(),
     connections: awilix.asFunction(connectionsModule.createConnections).singleton(),
     configuration: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
--- a/packages/gateway/src/crash-parts.ts
+++ b/packages/gateway/src/crash-parts.ts
@@ -6,11 +6,16 @@
 import type * as partTypes from './types/parts.js';
 
 export function createCrashes(parts: partTypes.GatewayParts): crashTrackers.CrashTracker {
-  const { clock, log, metrics, directory } = parts;
+  const { clock, log, metrics, directory, quarantine, link, book, settings } = parts;
   return crashTrackers.createCrashTracker({
     clock,
     log,
     metrics,
+    quarantine,
+    link,
+    book,
+    gatewayId: settings.gatewayId,
+    address: settings.peerAddress,
     evidence: crashEvidence.createCrashEvidence(),
     sound: soundTimes.createSoundTimes(),
     probe: livenessProbes.probe,
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -207,6 +207,7 @@
             },
             replicateOrigins: cradle.originPeers.storeReplicas,
             findOrigins: cradle.originPeers.findLocal,
+            shareCrashes: cradle.crashes.handle,
           });
           cradle.exchange.start();
           cradle.streams.start();
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -2,7 +2,6 @@
  * Serves one request: chooses an upstream, makes an attempt, and retries where that is allowed. The ending never claims that
  * a request did not run if an upstream may have run it.
  */
-import type * as quarantine from '@copperlever/decisions/quarantine';
 import type { clocks, randoms } from '@copperlever/runtime';
 
 import type * as inFlightModule from '../../shared/in-flight.js';
@@ -25,6 +24,7 @@
 import type * as settingsModule from '../../types/settings.js';
 import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
+import type * as quarantines from '../../shared/crashes/quarantine.js';
 import * as requestTraits from '../../shared/crashes/request-traits.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as resumedStreams from '../streams/resumed-streams.js';
@@ -60,7 +60,7 @@
   plainQueues: settingsModule.Settings['plainQueues'];
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'recordFirstChunk' | 'recordEventInterval'>;
   retryShare: retryBudgets.RetryBudget;
-  quarantine: quarantine.Quarantine;
+  quarantine: Pick<quarantines.Quarantine, 'match'>;
   connections: connectionsModule.Connections;
   words: upstreamSignals.UpstreamSignals;
   limits: limitsModule.Limits;
@@ -88,6 +88,8 @@
 
 const NO_UPSTREAM_RETRY_MS = 500;
 const MIN_RETRY_AFTER_MS = 100;
+/** While a quarantine is on trial at one gateway, the others refuse on. */
+const QUARANTINE_RETRY_MIN_MS = 30_000;
 
 export function createServe(deps: ServeDeps): Serve {
   const { clock } = deps;
@@ -117,6 +119,23 @@
     return retryDecisions.refusalOrFailure(factsOf(call, run), cause, retryAfterMs);
   }
 
+  /** The ending of a request with traits that end upstreams; null for any other. */
+  function refuseQuarantined(call: calls.Call, run: runs.Run): calls.Ending | null {
+    const nowMs = clock.nowMs();
+    const entry = deps.quarantine.match(run.traits, nowMs);
+    if (entry === null) return null;
+    const { traits, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
+    deps.log.info('request-quarantined', {
+      requestId: call.requestId,
+      traits: traits.join(','),
+      crashCount,
+      decidedBy,
+      ageMs: Math.round(nowMs - decidedAtMs),
+      remainingMs: Math.round(untilMs - nowMs),
+    });
+    return refuse(call, run, 'quarantined', Math.max(QUARANTINE_RETRY_MIN_MS, untilMs - nowMs));
+  }
+
   function forwardHeldFailure(
     sink: answers.AnswerSink,
     answer: calls.HeldAnswer,
@@ -147,9 +166,6 @@
     if (result.kind !== 'not-sent' && result.kind !== 'rejected') run.ranCount += 1;
     run.hasBegun = sink.hasBegun();
     if (result.kind === 'rejected' && !result.isMisdirected) run.wasFull = true;
-    if (result.kind === 'lost' && result.reason === 'connection') {
-      deps.quarantine.recordCrash(call.fingerprint, run.upstreamId, clock.nowMs());
-    }
     if (result.kind === 'held-failure') {
       const mayRetry = acquireRetry(call);
       if (mayRetry && run.ranCount < call.route.maxAttempts && !sink.hasBegun()) {
@@ -158,7 +174,6 @@
       }
       return forwardHeldFailure(sink, result.answer, run.upstreamId);
     }
-    if (result.kind === 'answered') deps.quarantine.clearSuspicion(call.fingerprint);
     const decision = retryDecisions.decideAfterAttempt(factsOf(call, run), result);
     if (decision.kind === 'end') return decision.ending;
     if (decision.isRepeat && !acquireRetry(call)) {
@@ -302,9 +317,9 @@
     const { call, ending: unbound } = await bindStream(received, run);
     deps.retryShare.recordRequest(call.service, clock.nowMs());
     if (unbound !== null) return unbound;
+    const refused = refuseQuarantined(call, run);
+    if (refused !== null) return refused;
     router.recordDemand(call, run, 'always');
-    const untilMs = deps.quarantine.refusedUntilMs(call.fingerprint, clock.nowMs());
-    if (untilMs !== null) return refuse(call, run, 'quarantined', untilMs - clock.nowMs());
     for (;;) {
       if (sink.isCallerGone()) return { kind: 'caller-gone', stage: run.stage };
       if (clock.nowMs() >= call.deadlineMs) {
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -64,6 +64,8 @@
   /** A request was refused although an upstream would have taken it. */
   gaveWay: (to: string) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
+  /** Requests with certain traits are refused from now on, or no longer. */
+  quarantineChanged: (change: 'refused' | 'lifted') => void;
   /** An upstream lost answers; whether it still accepts connections. */
   answersLost: (liveness: livenessProbes.Liveness) => void;
   /** A stream that had begun was sent to an upstream; whether its software is of the version that began the stream. */
@@ -205,6 +207,11 @@
     'Upstreams that lost answers, by whether they accepted a connection afterwards',
     ['liveness'],
   );
+  const quarantineChanges = counter(
+    'quarantine_changes_total',
+    'Traits of requests that were refused from then on, or no longer, as this gateway heard',
+    ['change'],
+  );
   const streamsResumed = counter(
     'streams_resumed_total',
     'Streams sent on after their first event, by the version that began them',
@@ -323,6 +330,7 @@
     },
     gaveWay: (to) => gaveWay.inc({ to }),
     attemptEnded: (result) => attempts.inc({ result }),
+    quarantineChanged: (change) => quarantineChanges.inc({ change }),
     answersLost: (liveness) => answersLost.inc({ liveness }),
     originFound: (source) => originsFound.inc({ source }),
     streamResumed: (match) => streamsResumed.inc({ match }),
--- a/packages/gateway/src/server/peers/exchange-replies.ts
+++ b/packages/gateway/src/server/peers/exchange-replies.ts
@@ -24,7 +24,7 @@
   | 'suspects'
 > & {
   applyUpdates: (news: gatewayPeer.GatewayNews | undefined) => void;
-  localUpdates: (tellsGateways: boolean) => gatewayPeer.GatewayNews;
+  localUpdates: (tellsGateways: boolean, knownDigest: string) => gatewayPeer.GatewayNews;
 };
 
 export type Replies = {
@@ -101,7 +101,7 @@
     const mayLend = isHolder && news !== undefined && quotas !== undefined;
     const loan = mayLend ? deps.quotas.lend(heldTerm, news, quotas) : null;
     return {
-      news: deps.localUpdates(news?.wantsGateways === true),
+      news: deps.localUpdates(news?.wantsGateways === true, news?.quarantineDigest ?? ''),
       config: hasNewerConfig ? Buffer.from(JSON.stringify(current.config)) : Buffer.alloc(0),
       upstreams: mayWantList ? Buffer.from(JSON.stringify(directory.listing())) : Buffer.alloc(0),
       loads: loads?.encoded ?? Buffer.alloc(0),
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -3,7 +3,6 @@
  * at random. So the cost of a gateway does not grow with their number, and one that the store turns away
  * still learns of configurations and of upstreams that leave.
  */
-import type * as quarantine from '@copperlever/decisions/quarantine';
 import type { gatewayPeer } from '@copperlever/protocol';
 import { clocks as clocksModule, randoms as randomsModule } from '@copperlever/runtime';
 import type { clocks, randoms } from '@copperlever/runtime';
@@ -31,6 +30,9 @@
 import type * as placementControllers from '../placement/placement-controller.js';
 import type * as quotasModule from '../quotas/quotas.js';
 import * as exchangeReplies from './exchange-replies.js';
+import * as crashCodec from '../crashes/crash-codec.js';
+import type * as crashTrackers from '../crashes/crash-tracker.js';
+import type * as quarantines from '../../shared/crashes/quarantine.js';
 import * as messageCodec from './message-codec.js';
 import type * as peerLinks from './peer-link.js';
 
@@ -43,7 +45,12 @@
   configuration: configHolders.ConfigHolder;
   directory: directories.UpstreamDirectory;
   inFlight: inFlightModule.InFlight;
-  quarantine: quarantine.Quarantine;
+  quarantine: Pick<quarantines.Quarantine, 'entries' | 'digest'>;
+  crashes: Pick<crashTrackers.CrashTracker, 'applyEntries' | 'tellEntries'>;
+  /** Whether this gateway has heard of all entries of the quarantine since its start. */
+  isQuarantineKnown: () => boolean;
+  /** Another gateway, which had heard of all, has told them. */
+  onQuarantineKnown: () => void;
   demand: demandCounters.DemandCounters;
   view: placementViews.PlacementView;
   lease: leaseManagers.LeaseManager;
@@ -125,9 +132,12 @@
     return book.live(nowMs).length + 1;
   }
 
-  function localUpdates(tellsGateways: boolean): gatewayPeer.GatewayNews {
+  /** `knownDigest`: of the quarantine of the gateway that gets this. */
+  function localUpdates(tellsGateways: boolean, knownDigest: string): gatewayPeer.GatewayNews {
     const nowMs = clock.nowMs();
     const lease = book.lease();
+    const digest = deps.quarantine.digest();
+    const entries = digest === knownDigest ? [] : deps.quarantine.entries(nowMs);
     const basis = deps.listFeed.version();
     const position = directory.position();
     const listAgeMs = deps.listFeed.directAgeMs(nowMs);
@@ -147,10 +157,10 @@
       knownMembersIncarnation: basis.incarnation,
       knownMembersVersion: basis.version,
       millicores: deps.millicores,
-      quarantined: deps.quarantine.activeQuarantines(nowMs).map(({ fingerprint, untilMs }) => ({
-        fingerprint,
-        remainingMs: Math.round(untilMs - nowMs),
-      })),
+      quarantined: crashCodec.toEarlierMessages(deps.quarantine.entries(nowMs), nowMs),
+      quarantine: entries.map((entry) => crashCodec.toEntryMessage(entry, nowMs)),
+      quarantineDigest: digest,
+      isQuarantineKnown: deps.isQuarantineKnown(),
       limits: deps.upstreamLimits.reportedLimits(nowMs).map(messageCodec.toLimitMessage),
       leavingUpstreamIds: [...directory.newlyLeavingIds(nowMs)],
       knownPlacementVersion: view.version().version,
@@ -171,9 +181,14 @@
     if (news.lease !== undefined) book.applyLease(news.lease);
     deps.words.applyRemoteLeaving(news.leavingUpstreamIds, news.gatewayId);
     deps.words.applyRemoteLimits(news.limits.map(messageCodec.fromLimitMessage), news.gatewayId);
-    news.quarantined.forEach(({ fingerprint, remainingMs }) => {
-      deps.quarantine.applyQuarantine(fingerprint, nowMs + remainingMs);
-    });
+    deps.crashes.applyEntries(crashCodec.fromNews(news, nowMs), news.gatewayId);
+    if (news.isQuarantineKnown) deps.onQuarantineKnown();
+  }
+
+  /** The other gateway lacks entries that this one has. Gateways of the build before take none. */
+  function tellQuarantine(news: gatewayPeer.GatewayNews | undefined, address: string): void {
+    if (news === undefined || !news.isQuarantineKnown) return;
+    if (news.quarantineDigest !== deps.quarantine.digest()) deps.crashes.tellEntries(address);
   }
 
   /** A watch may wait at a store that has come back from a copy without a word to it. */
@@ -306,7 +321,7 @@
     const wantsGateways = !isHolder || nowMs - lastGatewaysMs >= GATEWAYS_PERIOD_MS;
     const loads = isHolder ? messageCodec.toLoadMessages(inFlight.localLoads()) : [];
     const request: gatewayPeer.ExchangeRequest = {
-      news: { ...localUpdates(!isHolder), wantsGateways },
+      news: { ...localUpdates(!isHolder, deps.quarantine.digest()), wantsGateways },
       loads,
       demands: isHolder ? deps.demand.recent(nowMs).map(messageCodec.toDemandMessage) : [],
       avoidedUpstreamIds: isHolder ? [...deps.beliefs.ejectedIds()] : [],
@@ -323,6 +338,7 @@
     }
     if (isHolder && wantsGateways) lastGatewaysMs = nowMs;
     applyUpdates(reply.val.news);
+    tellQuarantine(reply.val.news, address);
     takeDocuments(reply.val);
     takeFromHolder(reply.val, { told, askedAtMs: nowMs });
   }
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -44,6 +44,11 @@
     request: gatewayPeer.FindOriginsRequest,
     deadlineMs: number,
   ) => Promise<results.Result<gatewayPeer.FindOriginsReply, channelsModule.PeerError>>;
+  shareCrashes: (
+    address: string,
+    request: gatewayPeer.ShareCrashesRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.ShareCrashesReply, channelsModule.PeerError>>;
   close: () => void;
 };
 
@@ -60,6 +65,7 @@
     request: gatewayPeer.ReplicateOriginsRequest,
   ) => gatewayPeer.ReplicateOriginsReply;
   findOrigins: (request: gatewayPeer.FindOriginsRequest) => gatewayPeer.FindOriginsReply;
+  shareCrashes: (request: gatewayPeer.ShareCrashesRequest) => gatewayPeer.ShareCrashesReply;
 };
 
 /** The holder is called several times a second; other peers at random, about once. */
@@ -93,6 +99,10 @@
       ),
     findOrigins: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.findOrigins(...rest)),
+    shareCrashes: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) =>
+        client.shareCrashes(...rest),
+      ),
     close: channels.close,
   };
 }
@@ -107,5 +117,6 @@
     endTurns: channelsModule.toUnary(handlers.endTurns),
     replicateOrigins: channelsModule.toUnary(handlers.replicateOrigins),
     findOrigins: channelsModule.toUnary(handlers.findOrigins),
+    shareCrashes: channelsModule.toUnary(handlers.shareCrashes),
   });
 }
--- a/packages/gateway/src/shared/crashes/crash-evidence.ts
+++ b/packages/gateway/src/shared/crashes/crash-evidence.ts
@@ -83,6 +83,13 @@
   return suspects.length <= RARE_SUSPECTS_MAX * crashes.length;
 }
 
+/** Most ends first, then fewest suspects; all gateways have to come to the same order. */
+function byStrength(left: Case, right: Case): number {
+  const difference = right.count - left.count || left.suspects.length - right.suspects.length;
+  if (difference !== 0) return difference;
+  return left.trait < right.trait ? -1 : 1;
+}
+
 export function createCrashEvidence(): CrashEvidence {
   const crashes = new Map<string, Known>();
   /** The ends with a trait among their suspects. */
@@ -177,9 +184,7 @@
     find: (known, nowMs) => {
       const [strongest] = casesOf(known, CRASHES_MIN)
         .filter((one) => isRare(one) || nowMs - firstMs(one) >= COMMON_AFTER_MS)
-        .sort(
-          (left, right) => right.count - left.count || left.suspects.length - right.suspects.length,
-        );
+        .sort(byStrength);
       if (strongest === undefined) return null;
       return {
         traits: sharedTraits(strongest).sort(),
--- a/packages/gateway/src/shared/crashes/request-traits.ts
+++ b/packages/gateway/src/shared/crashes/request-traits.ts
@@ -21,12 +21,19 @@
   return crypto.createHash('sha256').update(text).digest('hex').slice(0, HASH_LENGTH);
 }
 
+const FINGERPRINT_PREFIX = 'request:';
+
 export function ofPart(id: string): string {
   return `part:${normalized(id)}`;
 }
 
 export function ofFingerprint(fingerprint: string): string {
-  return `request:${fingerprint}`;
+  return `${FINGERPRINT_PREFIX}${fingerprint}`;
+}
+
+/** Null for the trait of a part. */
+export function toFingerprint(trait: string): string | null {
+  return trait.startsWith(FINGERPRINT_PREFIX) ? trait.slice(FINGERPRINT_PREFIX.length) : null;
 }
 
 export function of({
--- a/packages/gateway/src/testing/exchange-gateway.ts
+++ b/packages/gateway/src/testing/exchange-gateway.ts
@@ -1,8 +1,8 @@
 /** The exchange of one gateway with the parts that it tells of, without a network. */
 import type { clocks } from '@copperlever/runtime';
-import * as quarantine from '@copperlever/decisions/quarantine';
 import { logs, randoms } from '@copperlever/runtime';
 import * as inFlightModule from '../shared/in-flight.js';
+import * as quarantines from '../shared/crashes/quarantine.js';
 import * as relayedLists from '../shared/relayed-list.js';
 import * as peerRegistries from '../shared/peer-registry.js';
 import * as demandCounters from '../shared/placement/demand-counters.js';
@@ -102,6 +102,7 @@
   });
   lenders.push(quotas);
   const upstreamLimits = upstreamLimitsModule.createUpstreamLimits();
+  const quarantine = quarantines.createQuarantine();
   const states = upstreamStates.createUpstreamStates({ serviceOf: () => 'pool' });
   const exchange = exchanges.createExchange({
     clock,
@@ -112,7 +113,13 @@
     configuration: configHolders.createConfigHolder(log, clock),
     directory,
     inFlight,
-    quarantine: quarantine.createQuarantine(),
+    quarantine,
+    crashes: {
+      applyEntries: (entries) => entries.forEach((entry) => quarantine.apply(entry, clock.nowMs())),
+      tellEntries: () => {},
+    },
+    isQuarantineKnown: () => true,
+    onQuarantineKnown: () => {},
     demand: demandCounters.createDemandCounters(),
     view: placementViews.createPlacementView(),
     lease: lease as leaseManagers.LeaseManager,
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -49,7 +49,7 @@
   | 'stream-unknown'
   /** No upstream of the software version that began the stream gets new work. */
   | 'version-gone'
-  /** The request is suspected of crashing upstreams: connections were lost while it ran. */
+  /** It has what the requests have in common under which several upstreams ended. */
   | 'quarantined'
   | 'deadline-near';
 
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -73,6 +73,15 @@
   'answers-lost': LostAnswers;
   /** An upstream that was taken for ended answers. */
   'upstream-returned': { upstreamId: string };
+  /**
+   * Requests with all of these traits are refused from now on, since `crashCount` upstreams ended under them; `decidedBy`: the
+   * gateway that found it, `source`: who told this one (`own`, `store` or a gateway), `epoch`: decisions about these traits before.
+   */
+  quarantined: QuarantineChange;
+  /** They are no longer refused: a request was answered, or an operator has lifted it. */
+  'quarantine-lifted': QuarantineChange;
+  /** A request is refused since it has all of these traits. */
+  'request-quarantined': { requestId: string } & Quarantined;
   /**
    * Work takes longer there than usual by the learnt speed (`slowness`) and that of the moment (`momentFactor`), and no
    * longer does; at most one line in some seconds for an upstream.
@@ -287,6 +296,17 @@
   ageMs: number;
 };
 
+type Quarantined = {
+  traits: string;
+  crashCount: number;
+  decidedBy: string;
+  /** Since the decision, and until it is on trial. */
+  ageMs: number;
+  remainingMs: number;
+};
+
+type QuarantineChange = Quarantined & { epoch: number; source: string };
+
 type RequestEnd = {
   requestId: string;
   route: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -1,5 +1,4 @@
 /** The parts of a gateway; each is made from those that it names. */
-import type * as quarantineModule from '@copperlever/decisions/quarantine';
 import type { clocks, logs, randoms } from '@copperlever/runtime';
 import type * as configHolder from '../server/control/config-holder.js';
 import type * as connectionsModule from '../server/forwarding/connections.js';
@@ -34,6 +33,7 @@
 import type * as turnsModule from '../server/turns/turns.js';
 import type * as limitsModule from '../server/limits/limits.js';
 import type * as crashTrackers from '../server/crashes/crash-tracker.js';
+import type * as quarantines from '../shared/crashes/quarantine.js';
 import type * as sharedEjectionsModule from '../shared/shared-ejections.js';
 import type * as upstreamHealthModule from '../shared/upstream-health.js';
 import type * as restartDoubts from '../shared/restart-doubts.js';
@@ -92,7 +92,7 @@
   speedTeller: speedSharing.SpeedReporter;
   speedPool: speedSharing.SpeedAggregator;
   words: upstreamSignals.UpstreamSignals;
-  quarantine: quarantineModule.Quarantine;
+  quarantine: quarantines.Quarantine;
   connections: connectionsModule.Connections;
   configuration: configHolder.ConfigHolder;
   placement: placementTypes.Placement;
