What is refused outlives the gateways that found it, and a gateway that starts knows it before it serves

Callers saw: after all gateways had started again, requests with the part went to upstreams until it was found anew (9 ended, 3 before). Cause: the decision was kept by gateways alone. Change: a decision is written to the platform's store at once by the gateway that made it, again by the holder of the lease where that failed or the store came back from an older copy, and read at the start. A gateway serves (and is ready) only once the store, or another gateway that knows, has told it; after 8 s without either it serves without and says so (quarantine-unknown). The holder reads the entries each 10 s while there are any, so that an operator can lift one there.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -209,6 +209,7 @@
       )
       .singleton(),
     crashes: awilix.asFunction(crashParts.createCrashes).singleton(),
+    quarantineKeeper: awilix.asFunction(crashParts.createQuarantineKeeper).singleton(),
     origins: awilix.asFunction(streamParts.createOrigins).singleton(),
     doubts: awilix.asFunction(restartDoubts.createRestartDoubts).singleton(),
     versions: awilix.asFunction(streamParts.createVersionHistory).singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -139,12 +139,17 @@
     onRegained: () => {},
   });
 
+  /** None is served before this gateway knows what all others refuse. */
+  function servedConfiguration(): forwarding.ActiveConfiguration | null {
+    return cradle.quarantineKeeper.isKnown() ? configuration.current() : null;
+  }
+
   const callers = forwarding.createCallersApp({
     clock,
     log,
     dialect: cradle.dialect,
     serve: cradle.serve,
-    configuration: configuration.current,
+    configuration: servedConfiguration,
     metrics: cradle.metrics,
     closesConnections: () => isStopping || cradle.shedding.isShedding(),
     openCalls,
@@ -158,7 +163,7 @@
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
 
   function isReady(): boolean {
-    const isServing = !isStopping && hasListing && configuration.current() !== null;
+    const isServing = !isStopping && hasListing && servedConfiguration() !== null;
     return isServing && !cradle.shedding.isShedding();
   }
   const readiness = healthApp.createReadinessApp(cradle.dialect.readinessPath, isReady);
@@ -210,11 +215,13 @@
             shareCrashes: cradle.crashes.handle,
           });
           cradle.exchange.start();
+          cradle.quarantineKeeper.start();
           cradle.streams.start();
           return {
             failed: supervisor.neverFails(),
             stop: async () => {
               cradle.exchange.stop();
+              cradle.quarantineKeeper.stop();
               cradle.streams.stop();
               cradle.link.close();
               server.forceShutdown();
--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -30,6 +30,8 @@
   book: Pick<peerRegistries.PeerRegistry, 'live' | 'lease' | 'addressOf'>;
   gatewayId: string;
   address: string;
+  /** Something was decided here. */
+  onDecided: () => void;
 };
 
 export type CrashTracker = {
@@ -222,6 +224,7 @@
 
   function decide(entry: quarantines.QuarantineEntry): void {
     applyEntries([entry], 'own');
+    deps.onDecided();
     someLive().forEach((target) => void share(target, [], []));
   }
 
--- a/packages/gateway/src/testing/memory-records.ts
+++ b/packages/gateway/src/testing/memory-records.ts
@@ -54,7 +54,7 @@
         results.Ok(record as stores.StoredRecord<stores.KindValues[K]> | null),
       );
     },
-    put: <K extends 'leases'>(
+    put: <K extends stores.OwnKind>(
       kind: K,
       name: string,
       value: stores.KindValues[K],
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -80,6 +80,8 @@
   quarantined: QuarantineChange;
   /** They are no longer refused: a request was answered, or an operator has lifted it. */
   'quarantine-lifted': QuarantineChange;
+  /** Neither the store nor another gateway has told what is refused: this one serves without. */
+  'quarantine-unknown': { waitedMs: number };
   /** A request is refused since it has all of these traits. */
   'request-quarantined': { requestId: string } & Quarantined;
   /**
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -32,6 +32,7 @@
 import type * as upstreamPauses from '../shared/upstream-pauses.js';
 import type * as turnsModule from '../server/turns/turns.js';
 import type * as limitsModule from '../server/limits/limits.js';
+import type * as quarantineKeepers from '../server/crashes/quarantine-keeper.js';
 import type * as crashTrackers from '../server/crashes/crash-tracker.js';
 import type * as quarantines from '../shared/crashes/quarantine.js';
 import type * as sharedEjectionsModule from '../shared/shared-ejections.js';
@@ -111,6 +112,7 @@
   exchange: exchanges.Exchange;
   status: GatewayStatus;
   crashes: crashTrackers.CrashTracker;
+  quarantineKeeper: quarantineKeepers.QuarantineKeeper;
   origins: streamOrigins.StreamOrigins;
   doubts: restartDoubts.RestartDoubts;
   versions: versionHistories.VersionHistory;
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -20,13 +20,29 @@
   isReleased: boolean;
 };
 
+/** Requests with all of these traits are refused, since upstreams end under them; see `QuarantineEntry`. Times of day. */
+export type QuarantineValue = {
+  traits: readonly string[];
+  epoch: number;
+  /** An operator may set it. */
+  isLifted: boolean;
+  crashCount: number;
+  decidedBy: string;
+  decidedAtWallMs: number;
+  untilWallMs: number;
+};
+
 /** What is kept under each kind. */
 export type KindValues = {
   upstreams: fleet.UpstreamRecord;
   configuration: fleet.FleetConfig;
   leases: LeaseValue;
+  quarantine: QuarantineValue;
 };
 
+/** The kinds that gateways write. */
+export type OwnKind = 'leases' | 'quarantine';
+
 export type Kind = keyof KindValues;
 
 /** At the position of its last change. */
@@ -78,7 +94,7 @@
     deadlineMs: number,
   ) => Promise<results.Result<StoredRecord<KindValues[K]> | null, StoreError>>;
   /** Creates a record that must be absent (`revision` null), or replaces it at that revision. */
-  put: <K extends 'leases'>(
+  put: <K extends OwnKind>(
     kind: K,
     name: string,
     value: KindValues[K],
