Requests that were admitted before their part was found are refused before they are sent

Callers saw: nothing by itself; upstreams got requests that were known to end them. Cause: a request was checked once, as it came. It may then wait for seconds for a copy, a turn or a permit, or have an attempt lost and go on to the next upstream. Change: it is checked in each round, and right before it is sent. A refused request is no demand for copies of its model any more.

--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -85,6 +85,13 @@
   const asked: turnsModule.TurnQuestion[] = [];
   const ended: turnsModule.TurnEnd[] = [];
   let lastTurnId = 0;
+  const quarantine = quarantines.createQuarantine();
+  const refuseAll = () => {
+    const entry = { traits: ['request:f'], epoch: 0, isLifted: false, crashCount: 3 };
+    const untilMs = clock.nowMs() + 60_000;
+    const decided = { decidedBy: 'g2', decidedAtMs: clock.nowMs(), untilMs };
+    quarantine.apply({ ...entry, ...decided }, clock.nowMs());
+  };
   const connections = connectionsModule.createConnections();
   const loopAges = readDelays.createReadDelay(clock);
   const serve = serving.createServe({
@@ -100,7 +107,7 @@
     caches: promptCaches.createPromptCaches(),
     paces: serviceTimesModule.createServiceTimeEstimator(),
     retryShare: retryBudgets.createRetryBudget({ ratio: 1, slack: 10, windowMs: 1_000 }),
-    quarantine: quarantines.createQuarantine(),
+    quarantine,
     words: {
       applyAnswerHead: () => {},
       applyReport: () => {},
@@ -166,7 +173,7 @@
     upstream.close();
     await connections.close();
   };
-  return { serve, upstream, asked, ended, list, close };
+  return { serve, upstream, asked, ended, list, refuseAll, close };
 }
 
 function createSink() {
@@ -411,4 +418,52 @@
   }
 });
 
+// Guards against requests that were admitted before it was known what ends upstreams, and are sent afterwards.
+test('a request that waits for its turn or permit is not sent if it is refused meanwhile', async () => {
+  for (const waitsFor of ['turn', 'permit']) {
+    const refuse = { now: () => {} };
+    const fixture = await createFixture({
+      ask: async () => {
+        if (waitsFor === 'turn') refuse.now();
+        return GRANTED();
+      },
+      takePermit: async () => {
+        if (waitsFor === 'permit') refuse.now();
+        return true;
+      },
+    });
+    refuse.now = fixture.refuseAll;
+    try {
+      const ending = await fixture.serve(createCall(), createSink().sink);
+      assert.equal([ending.kind, 'cause' in ending && ending.cause], ['not-run', 'quarantined']);
+      assert.is(fixture.upstream.requests.length, 0);
+    } finally {
+      await fixture.close();
+    }
+  }
+});
+
+// Guards against an attempt after a crash by a request that is known to cause them.
+test('a request whose attempt was lost is not sent again if it is refused meanwhile', async () => {
+  const refuse = { now: () => {} };
+  const fixture = await createFixture({
+    answer: (socket) => {
+      refuse.now();
+      socket.destroy();
+    },
+  });
+  refuse.now = fixture.refuseAll;
+  const { record } = fixture.upstream;
+  fixture.list([record, { ...record, upstreamId: 'u2', name: 'u2' }], 2);
+  try {
+    const call = createCall();
+    const route = { ...call.route, kind: 'idempotent', maxAttempts: 3 } as const;
+    const ending = await fixture.serve({ ...call, route }, createSink().sink);
+    assert.equal([ending.kind, 'cause' in ending && ending.cause], ['failed', 'upstream-lost']);
+    assert.is(fixture.upstream.requests.length, 1);
+  } finally {
+    await fixture.close();
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -270,6 +270,12 @@
       turn.ended(false, null);
       return check === 'caller-gone' ? { kind: 'caller-gone', stage: run.stage } : null;
     }
+    // It may have waited for its turn, a permit or a copy since it was checked last.
+    const refused = refuseQuarantined(call, run);
+    if (refused !== null) {
+      turn.ended(false, null);
+      return preferHeldFailure(run, sink, refused);
+    }
     router.recordSent(call, run);
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
@@ -317,9 +323,10 @@
     const { call, ending: unbound } = await bindStream(received, run);
     deps.retryShare.recordRequest(call.service, clock.nowMs());
     if (unbound !== null) return unbound;
-    const refused = refuseQuarantined(call, run);
-    if (refused !== null) return refused;
-    router.recordDemand(call, run, 'always');
+    // A request that is refused is no demand for copies of its model.
+    if (deps.quarantine.match(run.traits, clock.nowMs()) === null) {
+      router.recordDemand(call, run, 'always');
+    }
     for (;;) {
       if (sink.isCallerGone()) return { kind: 'caller-gone', stage: run.stage };
       if (clock.nowMs() >= call.deadlineMs) {
@@ -328,6 +335,8 @@
         if (run.ranCount > 0) return { kind: 'failed', cause: 'timeout', upstreamId };
         return refuse(call, run, 'deadline-near', MIN_RETRY_AFTER_MS);
       }
+      const refused = refuseQuarantined(call, run);
+      if (refused !== null) return preferHeldFailure(run, sink, refused) ?? refused;
       const ending = await serveOnce(call, run, sink);
       if (ending !== null) return ending;
     }
