--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -243,6 +243,7 @@
           metrics: parts.metrics,
           streams: parts.streams,
           crashWatch: parts.crashes.watch,
+          crashTrials: parts.crashes,
           doubts: parts.doubts,
           preSendCheck: preSendChecks.createPreSendCheck(parts),
           loopAges: parts.loopAges,
--- a/packages/gateway/src/crash-parts.ts
+++ b/packages/gateway/src/crash-parts.ts
@@ -3,7 +3,7 @@
 import * as quarantineKeepers from './server/crashes/quarantine-keeper.js';
 import * as livenessProbes from './server/crashes/liveness-probe.js';
 import * as crashEvidence from './shared/crashes/crash-evidence.js';
-import * as soundTimes from './shared/crashes/sound-times.js';
+import * as requestCensus from './shared/crashes/request-census.js';
 import type * as partTypes from './types/parts.js';
 
 export function createQuarantineKeeper(
@@ -34,7 +34,7 @@
     address: settings.peerAddress,
     onDecided: () => parts.quarantineKeeper.wake(),
     evidence: crashEvidence.createCrashEvidence(),
-    sound: soundTimes.createSoundTimes(),
+    census: requestCensus.createRequestCensus(),
     probe: livenessProbes.probe,
     isLeaving: (upstreamId) => !directory.mayGetWork(upstreamId, clock.nowMs()),
   });
--- a/packages/gateway/src/server/crashes/crash-codec.ts
+++ b/packages/gateway/src/server/crashes/crash-codec.ts
@@ -37,9 +37,9 @@
 /** The traits of the reports' suspects, and of what is asked about, each once. */
 export function toCrashMessages(
   reports: readonly CrashReport[],
-  asked: readonly string[],
+  asked: readonly crashEvidence.Candidate[],
   nowMs: number,
-): Pick<gatewayPeer.ShareCrashesRequest, 'traits' | 'crashes'> {
+): Pick<gatewayPeer.ShareCrashesRequest, 'traits' | 'crashes' | 'useSinceAgeMs'> {
   const positions = new Map<string, number>();
   const positionOf = (trait: string): number[] => {
     const known = positions.get(trait);
@@ -48,14 +48,15 @@
     positions.set(trait, positions.size);
     return [positions.size - 1];
   };
-  asked.forEach(positionOf);
+  asked.forEach(({ trait }) => positionOf(trait));
   const crashes = reports.map(({ crash: { upstreamId, atMs, suspects }, isWithdrawn }) => ({
     upstreamId,
     ageMs: Math.max(0, Math.round(nowMs - atMs)),
     suspects: suspects.map((traits) => ({ traits: traits.flatMap(positionOf) })),
     isWithdrawn,
   }));
-  return { traits: [...positions.keys()], crashes };
+  const useSinceAgeMs = asked.map(({ sinceMs }) => Math.max(0, Math.round(nowMs - sinceMs)));
+  return { traits: [...positions.keys()], crashes, useSinceAgeMs };
 }
 
 export function fromCrashMessages(
--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -10,7 +10,7 @@
 import type * as peerRegistries from '../../shared/peer-registry.js';
 import * as quarantines from '../../shared/crashes/quarantine.js';
 import * as rendezvous from '../../shared/rendezvous.js';
-import type * as soundTimes from '../../shared/crashes/sound-times.js';
+import type * as requestCensus from '../../shared/crashes/request-census.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as peerLinks from '../peers/peer-link.js';
@@ -23,7 +23,7 @@
   metrics: Pick<metricsModule.GatewayMetrics, 'answersLost' | 'quarantineChanged'>;
   evidence: crashEvidence.CrashEvidence;
   quarantine: quarantines.Quarantine;
-  sound: soundTimes.SoundTimes;
+  census: requestCensus.RequestCensus;
   probe: crashWatches.CrashWatchDeps['probe'];
   isLeaving: crashWatches.CrashWatchDeps['isLeaving'];
   link: Pick<peerLinks.PeerLink, 'shareCrashes'>;
@@ -40,8 +40,10 @@
   handle: (request: gatewayPeer.ShareCrashesRequest) => gatewayPeer.ShareCrashesReply;
   /** Applies entries that another gateway, or the store, has told. */
   applyEntries: (entries: readonly quarantines.QuarantineEntry[], source: string) => void;
-  /** Decides here, and tells others. */
-  decide: (entry: quarantines.QuarantineEntry) => void;
+  /** Whether this request, which the entry refuses, is let through to see whether its upstream survives it. */
+  startTrial: (entry: quarantines.QuarantineEntry, traits: readonly string[]) => boolean;
+  /** The request has ended that was let through at `startedMs`. */
+  endTrial: (key: string, startedMs: number) => void;
   /** Another gateway lacks entries that this one has. */
   tellEntries: (address: string) => void;
 };
@@ -55,18 +57,23 @@
 /** A hundred round trips. */
 const SHARE_TIMEOUT_MS = 300;
 const RETRY_AFTER_MS = 200;
+const DECIDE_AFTER_MS = [60, 700, crashEvidence.SETTLED_AFTER_MS] as const;
+const TRIAL_RESULT_MS = 100;
+/** More are beside ends in an outage of the whole fleet, of which no decision can be made. */
+const CANDIDATES_MAX = 200;
 /** Each decision needs others to be asked: bounds what evidence from a bad source can cause. */
 const DECISIONS_MAX = 20;
 
 type Target = Pick<peerRegistries.KnownPeer, 'gatewayId' | 'address'>;
 
 export function createCrashTracker(deps: CrashTrackerDeps): CrashTracker {
-  const { clock, log, evidence, sound, quarantine, book, gatewayId } = deps;
+  const { clock, log, evidence, census, quarantine, book, gatewayId } = deps;
   let isDeciding = false;
   let isDecidingAgain = false;
+  const decisionsDue = new Set<number>();
 
   function soundMs(trait: string): number | null {
-    const times = [sound.lastMs(trait), watch.runningSoundMs(trait)];
+    const times = [census.lastSoundMs(trait), watch.runningSoundMs(trait)];
     const known = times.flatMap((time) => time ?? []);
     return known.length === 0 ? null : Math.max(...known);
   }
@@ -96,12 +103,17 @@
     });
   }
 
+  /** The gateways that hear of all ends, this one perhaps among them. */
   function collectors(): Target[] {
-    const live = book.live(clock.nowMs());
-    const all: Target[] = [{ gatewayId, address: deps.address }, ...live];
+    const all: Target[] = [{ gatewayId, address: deps.address }, ...book.live(clock.nowMs())];
     const chosen = rendezvous.highest(COLLECTORS_KEY, all, (one) => one.gatewayId, COLLECTORS);
-    const holder = live.filter((one) => one.gatewayId === book.lease()?.holderId);
-    return [...new Set([...chosen, ...holder])].filter((one) => one.gatewayId !== gatewayId);
+    const holder = all.filter((one) => one.gatewayId === book.lease()?.holderId);
+    return [...new Set([...chosen, ...holder])];
+  }
+
+  /** One that hears only of its own suspects would take what is common among these for the cause. */
+  function mayDecide(): boolean {
+    return collectors().some((one) => one.gatewayId === gatewayId);
   }
 
   /** The holder, from which all others hear, goes first. */
@@ -114,11 +126,12 @@
     return live.slice(0, ASKED_MAX);
   }
 
+  /** Null if it did not answer. */
   async function share(
     { address, gatewayId: source }: Target,
     reports: readonly crashCodec.CrashReport[],
-    asked: readonly string[],
-  ): Promise<boolean> {
+    asked: readonly crashEvidence.Candidate[],
+  ): Promise<readonly requestCensus.Usage[] | null> {
     const sentMs = clock.nowMs();
     const request: gatewayPeer.ShareCrashesRequest = {
       gatewayId,
@@ -126,7 +139,7 @@
       quarantine: quarantine.entries(sentMs).map((one) => crashCodec.toEntryMessage(one, sentMs)),
     };
     const reply = await deps.link.shareCrashes(address, request, sentMs + SHARE_TIMEOUT_MS);
-    if (reply.err) return false;
+    if (reply.err) return null;
     const nowMs = clock.nowMs();
     request.traits.forEach((trait, index) => {
       const age = reply.val.soundAgeMs[index] ?? 0;
@@ -136,13 +149,14 @@
       reply.val.quarantine.map((one) => crashCodec.fromEntryMessage(one, nowMs)),
       source,
     );
-    return true;
+    return reply.val.uses;
   }
 
   function report(reports: readonly crashCodec.CrashReport[]): void {
-    collectors().forEach((target) => {
-      void share(target, reports, []).then((isTold) => {
-        if (isTold) return;
+    const others = collectors().filter((one) => one.gatewayId !== gatewayId);
+    others.forEach((target) => {
+      void share(target, reports, []).then((answer) => {
+        if (answer !== null) return;
         clock.schedule(clock.nowMs() + RETRY_AFTER_MS, () => void share(target, reports, []));
       });
     });
@@ -152,8 +166,8 @@
     const before = quarantine.find(quarantines.keyOf(finding));
     const epoch = before === undefined ? 0 : before.epoch + 1;
     const nowMs = clock.nowMs();
-    const untilMs = nowMs + quarantines.refusalMs(epoch);
-    const { traits, crashCount } = finding;
+    const { traits, crashCount, isClear } = finding;
+    const untilMs = nowMs + (isClear ? quarantines.refusalMs(epoch) : quarantines.GUESS_MS);
     return {
       traits,
       epoch,
@@ -165,15 +179,49 @@
     };
   }
 
+  /**
+   * How all gateways use the candidates: this one, those that answer, and in proportion those that are not asked. Their answers
+   * tell as well when the candidates were last sound. Null if this one is cut off from most: what it sees alone misleads.
+   */
+  async function usageByAll(
+    candidates: readonly crashEvidence.Candidate[],
+  ): Promise<Map<string, requestCensus.Usage> | null> {
+    const targets = someLive();
+    const answers = await Promise.all(targets.map((target) => share(target, [], candidates)));
+    const heard = answers.flatMap((answer) => (answer === null ? [] : [answer]));
+    if (heard.length < targets.length / 2) return null;
+    const fleetShare = (book.live(clock.nowMs()).length + 1) / (targets.length + 1);
+    return new Map(
+      candidates.map(({ trait, sinceMs }, index) => {
+        const own = census.usage(trait, sinceMs);
+        const all = [own, ...heard.flatMap((uses) => uses[index] ?? [])];
+        const sumOf = (field: keyof requestCensus.Usage) =>
+          all.reduce((sum, one) => sum + one[field], 0) * fleetShare;
+        return [
+          trait,
+          {
+            sentCount: sumOf('sentCount'),
+            sentTotal: sumOf('sentTotal'),
+            soundTotal: sumOf('soundTotal'),
+          },
+        ];
+      }),
+    );
+  }
+
   /** Returns whether there may be more to decide. */
   async function decideOnce(): Promise<boolean> {
-    const refused = quarantine.refusedSets();
-    const candidates = evidence.candidates(refused, crashEvidence.CRASHES_MIN);
-    noteOwnSound(candidates);
-    if (evidence.find(refused, clock.nowMs()) === null) return false;
-    await Promise.all(someLive().map((target) => share(target, [], candidates)));
-    noteOwnSound(candidates);
-    const finding = evidence.find(quarantine.refusedSets(), clock.nowMs());
+    if (!mayDecide()) return false;
+    const candidates = evidence.candidates(quarantine.refusedSets()).slice(0, CANDIDATES_MAX);
+    if (candidates.length === 0) return false;
+    const usage = await usageByAll(candidates);
+    if (usage === null) return false;
+    noteOwnSound(candidates.map(({ trait }) => trait));
+    const finding = evidence.find(
+      quarantine.refusedSets(),
+      ({ trait, sinceMs }) => usage.get(trait) ?? census.usage(trait, sinceMs),
+      clock.nowMs(),
+    );
     if (finding === null) return false;
     decide(entryFor(finding));
     return true;
@@ -191,10 +239,16 @@
     isDeciding = false;
   }
 
-  /** A trait that many use is decided on only after a while. */
-  function decideNowAndLater(): void {
-    void decideAll();
-    clock.schedule(clock.nowMs() + crashEvidence.COMMON_AFTER_MS, () => void decideAll());
+  /** Other gateways tell of the same end at about the same time; later answers that went on make a case clearer. */
+  function decideSoon(): void {
+    DECIDE_AFTER_MS.forEach((afterMs) => {
+      if (decisionsDue.has(afterMs)) return;
+      decisionsDue.add(afterMs);
+      clock.schedule(clock.nowMs() + afterMs, () => {
+        decisionsDue.delete(afterMs);
+        void decideAll();
+      });
+    });
   }
 
   function logChange(entry: quarantines.QuarantineEntry, source: string): void {
@@ -228,6 +282,38 @@
     someLive().forEach((target) => void share(target, [], []));
   }
 
+  function rank(key: string): number {
+    const all = [{ gatewayId }, ...book.live(clock.nowMs())];
+    const order = rendezvous.highest(key, all, (one) => one.gatewayId, all.length);
+    return order.findIndex((one) => one.gatewayId === gatewayId);
+  }
+
+  function startTrial(entry: quarantines.QuarantineEntry, traits: readonly string[]): boolean {
+    const nowMs = clock.nowMs();
+    const key = quarantines.keyOf(entry);
+    // With another entry's traits as well, its upstream's end would show nothing.
+    if (nowMs < entry.untilMs || quarantine.match(traits, nowMs, key) !== null) return false;
+    const tried = quarantines.onTrial(entry, rank(key), nowMs);
+    if (tried === null) return false;
+    decide(tried);
+    return true;
+  }
+
+  /** An upstream that ends is known for that a moment after the request. */
+  function endTrial(key: string, startedMs: number): void {
+    clock.schedule(clock.nowMs() + TRIAL_RESULT_MS, () => judgeTrial(key, startedMs));
+  }
+
+  function judgeTrial(key: string, startedMs: number): void {
+    const entry = quarantine.find(key);
+    if (entry === undefined || entry.isLifted) return;
+    const isSound = entry.traits.every((trait) => (soundMs(trait) ?? -Infinity) >= startedMs);
+    const hasCrashed = entry.traits.every((trait) => evidence.hasCrashSince(trait, startedMs));
+    const nowMs = clock.nowMs();
+    if (isSound) decide({ ...entry, isLifted: true });
+    else if (!hasCrashed) decide({ ...entry, untilMs: nowMs + quarantines.UNDECIDED_MS });
+  }
+
   function logLost(lost: crashWatches.LostUpstream, source: string): void {
     const { upstreamId, liveness, lostCount, suspects, atMs } = lost;
     log.warn(liveness === 'refuses' ? 'upstream-ended' : 'answers-lost', {
@@ -252,7 +338,7 @@
       logLost(lost, 'own');
       if (liveness !== 'refuses' || suspects.length === 0) return;
       report([{ crash, isWithdrawn: false }]);
-      decideNowAndLater();
+      decideSoon();
     },
     onReturned: (upstreamId) => {
       evidence.withdraw(upstreamId);
@@ -271,13 +357,14 @@
     noteOwnSound(suspects.flat());
     const liveness = 'refuses';
     logLost({ upstreamId, liveness, atMs, lostCount: suspects.length, suspects }, source);
-    decideNowAndLater();
+    decideSoon();
   }
 
   return {
     watch,
     applyEntries,
-    decide,
+    startTrial,
+    endTrial,
     tellEntries: (address) => void share({ gatewayId: address, address }, [], []),
     handle: (request) => {
       const nowMs = clock.nowMs();
@@ -293,6 +380,9 @@
           return beganMs === null ? 0 : Math.max(0, Math.round(nowMs - beganMs)) + 1;
         }),
         quarantine: quarantine.entries(nowMs).map((one) => crashCodec.toEntryMessage(one, nowMs)),
+        uses: request.useSinceAgeMs.map((ageMs, index) =>
+          census.usage(request.traits[index] ?? '', nowMs - ageMs),
+        ),
       };
     },
   };
--- a/packages/gateway/src/server/crashes/crash-watch.ts
+++ b/packages/gateway/src/server/crashes/crash-watch.ts
@@ -4,7 +4,7 @@
  */
 import type { clocks } from '@copperlever/runtime';
 
-import type * as soundTimes from '../../shared/crashes/sound-times.js';
+import type * as requestCensus from '../../shared/crashes/request-census.js';
 import type * as livenessProbes from './liveness-probe.js';
 
 /**
@@ -44,7 +44,7 @@
   probe: livenessProbes.LivenessProbe;
   /** Whether an end of the upstream is expected, since it leaves. */
   isLeaving: (upstreamId: string) => boolean;
-  sound: soundTimes.SoundTimes;
+  census: requestCensus.RequestCensus;
   onLost: (lost: LostUpstream) => void;
   /** An upstream that was taken for ended answers. */
   onReturned: (upstreamId: string) => void;
@@ -61,14 +61,16 @@
 };
 
 /** Requests that crash upstreams were seen to do so within 0.15 s of their first token. */
-export const SOUND_AFTER_MS = 1_000;
+export const SOUND_AFTER_MS = 500;
+/** Of answers that began earlier the upstream's end shows nothing. */
+export const SUSPECT_BEFORE_MS = 300;
 /** A trait that was sound so lately needs no proof. */
 const PROVEN_MS = 60_000;
 /** Unframed answers that end within this time share a probe. */
 const UNFRAMED_DELAY_MS = 50;
 
 export function createCrashWatch(deps: CrashWatchDeps): CrashWatch {
-  const { clock, sound } = deps;
+  const { clock, census } = deps;
   const upstreams = new Map<string, Watched>();
 
   function watchedOf(upstreamId: string): Watched {
@@ -89,13 +91,17 @@
     return beganMs !== null && untilMs - beganMs >= SOUND_AFTER_MS;
   }
 
+  function maySuspect({ beganMs }: Attempt, endedMs: number): boolean {
+    return beganMs === null || endedMs - beganMs < SUSPECT_BEFORE_MS;
+  }
+
   function noteSound({ traits, beganMs, startedMs }: Attempt): void {
-    sound.note(traits, beganMs ?? startedMs);
+    census.noteSound(traits, beganMs ?? startedMs);
   }
 
   function needsProof({ traits }: Attempt): boolean {
     const provenFromMs = clock.nowMs() - PROVEN_MS;
-    return traits.some((trait) => (sound.lastMs(trait) ?? -Infinity) < provenFromMs);
+    return traits.some((trait) => (census.lastSoundMs(trait) ?? -Infinity) < provenFromMs);
   }
 
   /** The probe was sent at `atMs`, when the first answer was lost. */
@@ -116,7 +122,7 @@
     }
     if (lost.length === 0 && liveness !== 'refuses') return;
     const suspects = gone
-      .filter((attempt) => !hasGoneOn(attempt, atMs))
+      .filter((attempt) => maySuspect(attempt, atMs))
       .map(({ traits }) => traits);
     deps.onLost({ upstreamId, liveness, atMs, lostCount: gone.length, suspects });
   }
@@ -143,6 +149,7 @@
       const watched = watchedOf(upstreamId);
       const attempt: Attempt = { traits, startedMs: clock.nowMs(), beganMs: null };
       watched.open.add(attempt);
+      census.noteSent(traits, attempt.startedMs);
       return {
         began: () => {
           attempt.beganMs ??= clock.nowMs();
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -23,6 +23,8 @@
   heldFailure: { answer: calls.HeldAnswer; upstreamId: string } | null;
   /** What it can have in common with other requests that crash upstreams. */
   traits: readonly string[];
+  /** It is let through, since then, to see whether its upstream survives it: the key of the quarantine's entry. */
+  trial: { key: string; startedMs: number } | null;
   /** Upstreams that are not tried again for this request. */
   excludedIds: Set<string>;
   /** The last event that the caller received from this gateway, after which the next attempt resumes the stream. */
@@ -55,6 +57,7 @@
     wasFull: false,
     heldFailure: null,
     traits: [],
+    trial: null,
     excludedIds: new Set(),
     resumeAfterId: null,
     boundVersion: null,
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -108,6 +108,7 @@
     paces: serviceTimesModule.createServiceTimeEstimator(),
     retryShare: retryBudgets.createRetryBudget({ ratio: 1, slack: 10, windowMs: 1_000 }),
     quarantine,
+    crashTrials: { startTrial: () => false, endTrial: () => {} },
     words: {
       applyAnswerHead: () => {},
       applyReport: () => {},
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -24,8 +24,9 @@
 import type * as settingsModule from '../../types/settings.js';
 import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
-import type * as quarantines from '../../shared/crashes/quarantine.js';
+import * as quarantines from '../../shared/crashes/quarantine.js';
 import * as requestTraits from '../../shared/crashes/request-traits.js';
+import type * as crashTrackers from '../crashes/crash-tracker.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as resumedStreams from '../streams/resumed-streams.js';
 import * as turnTakers from '../turns/turn-taker.js';
@@ -61,6 +62,7 @@
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'recordFirstChunk' | 'recordEventInterval'>;
   retryShare: retryBudgets.RetryBudget;
   quarantine: Pick<quarantines.Quarantine, 'match'>;
+  crashTrials: Pick<crashTrackers.CrashTracker, 'startTrial' | 'endTrial'>;
   connections: connectionsModule.Connections;
   words: upstreamSignals.UpstreamSignals;
   limits: limitsModule.Limits;
@@ -122,8 +124,12 @@
   /** The ending of a request with traits that end upstreams; null for any other. */
   function refuseQuarantined(call: calls.Call, run: runs.Run): calls.Ending | null {
     const nowMs = clock.nowMs();
-    const entry = deps.quarantine.match(run.traits, nowMs);
+    const entry = deps.quarantine.match(run.traits, nowMs, run.trial?.key);
     if (entry === null) return null;
+    if (run.trial === null && deps.crashTrials.startTrial(entry, run.traits)) {
+      run.trial = { key: quarantines.keyOf(entry), startedMs: nowMs };
+      return null;
+    }
     const { traits, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
     deps.log.info('request-quarantined', {
       requestId: call.requestId,
@@ -318,11 +324,11 @@
     }
   }
 
-  return async (received, sink) => {
-    const run = { ...runs.createRun(), traits: requestTraits.of(received) };
-    const { call, ending: unbound } = await bindStream(received, run);
-    deps.retryShare.recordRequest(call.service, clock.nowMs());
-    if (unbound !== null) return unbound;
+  async function serveBound(
+    call: calls.Call,
+    run: runs.Run,
+    sink: answers.AnswerSink,
+  ): Promise<calls.Ending> {
     // A request that is refused is no demand for copies of its model.
     if (deps.quarantine.match(run.traits, clock.nowMs()) === null) {
       router.recordDemand(call, run, 'always');
@@ -340,5 +346,17 @@
       const ending = await serveOnce(call, run, sink);
       if (ending !== null) return ending;
     }
+  }
+
+  return async (received, sink) => {
+    const run = { ...runs.createRun(), traits: requestTraits.of(received) };
+    const { call, ending: unbound } = await bindStream(received, run);
+    deps.retryShare.recordRequest(call.service, clock.nowMs());
+    if (unbound !== null) return unbound;
+    try {
+      return await serveBound(call, run, sink);
+    } finally {
+      if (run.trial !== null) deps.crashTrials.endTrial(run.trial.key, run.trial.startedMs);
+    }
   };
 }
--- a/packages/gateway/src/shared/crashes/crash-evidence.ts
+++ b/packages/gateway/src/shared/crashes/crash-evidence.ts
@@ -1,9 +1,12 @@
 /**
  * Finds what ends upstreams, from the ends that several gateways saw. Each end has suspects: requests whose answer had not begun,
- * or only just, when the upstream ended. A trait that is among the suspects of several ends, and with which no answer has gone on
- * since the first of them, is what these requests have in common. Load: requests with one part of a prompt that crashes each
- * upstream come at any gateway, no two alike. Harm prevented: one upstream after the other ends until the service is down.
+ * or only just, when the upstream ended. Load: requests with one part of a prompt that crashes each upstream come at any gateway,
+ * no two alike. Harm prevented: one upstream after the other ends until the service is down.
+ *
+ * A trait is found if chance does not explain what is seen of it: that it was beside so many ends, as often as it is used, and
+ * that no answer with it has gone on since the first of them, though answers without it have.
  */
+import type * as requestCensus from './request-census.js';
 
 /** One upstream's end, as far as it is known; gateways add the suspects that they know. */
 export type Crash = {
@@ -20,8 +23,15 @@
   traits: TraitSet;
   crashCount: number;
   firstCrashMs: number;
+  /** How unlikely chance is, as a natural logarithm. */
+  score: number;
+  /** Else it is only the best guess: it has to be tried. */
+  isClear: boolean;
 };
 
+/** A trait that may be found, and since when its use matters. */
+export type Candidate = { trait: string; sinceMs: number };
+
 export type CrashEvidence = {
   /** Adds a report, in any order, once or more often. Returns whether it told anything new. */
   add: (crash: Crash) => boolean;
@@ -31,20 +41,38 @@
   noteSound: (trait: string, beganMs: number) => void;
   /** The ends beside which it was since it was last sound. */
   crashCount: (trait: string) => number;
-  /** What best explains the ends that no set of `known` explains; `known` is refused already. */
-  find: (known: readonly TraitSet[], nowMs: number) => Finding | null;
-  /** Traits of suspects in ends that are not explained, which were in at least `countMin` ends. */
-  candidates: (known: readonly TraitSet[], countMin: number) => readonly string[];
+  hasCrashSince: (trait: string, sinceMs: number) => boolean;
+  /** What may explain ends that no set of `known`, which is refused already, explains. */
+  candidates: (known: readonly TraitSet[]) => readonly Candidate[];
+  /** The clearest explanation; `usageOf`: the use of a candidate by all gateways. */
+  find: (
+    known: readonly TraitSet[],
+    usageOf: (candidate: Candidate) => requestCensus.Usage,
+    nowMs: number,
+  ) => Finding | null;
 };
 
-/** Two ends beside the same request may be chance; a request that ends upstreams is allowed a third. */
-export const CRASHES_MIN = 3;
+/**
+ * Fewer may be chance: many requests are beside an end, and some of them are sent again and are beside the next. More would cost
+ * another upstream: a part is to be refused before it has ended five.
+ */
+export const CRASHES_MIN = 4;
 /** Upstreams that end within this time may have had one cause, such as the loss of a failure domain: they count once. */
 export const TOGETHER_MS = 150;
-/** A part that few use is in one or two suspects of each end; one that many use is in many, whatever the cause. */
-const RARE_SUSPECTS_MAX = 3;
-/** With a trait that many use, an answer goes on within this time unless the trait prevents it. */
-export const COMMON_AFTER_MS = 2_500;
+/** Where upstreams end quickly one after the other, no answer with a sound trait may have gone on yet. */
+export const SETTLED_AFTER_MS = 1_200;
+/** One in twenty: chance must not explain easily what is tried. */
+const GUESS_SCORE_MIN = 3;
+/** One in 3,000, and more for each of the ends that it takes: nothing sound may be refused for ordinary ends. */
+const CLEAR_SCORE_MIN = 8;
+/** Refusing a guess that many requests have would do more harm than another end. */
+const GUESS_SHARE_MAX = 0.25;
+/** So many ends must not wait for a clear explanation, which may never come where all upstreams end. */
+const UNCLEAR_CRASHES_MIN = 5;
+/** What speaks against a trait in each end without it: upstreams end for other reasons as well. */
+const ABSENCE_COST = 1.5;
+/** A rare trait is no proof by itself. */
+const PRESENCE_MIN = 0.02;
 /** Requests that end an upstream only now and then must be found too. */
 const KEPT_MS = 6 * 3_600_000;
 const CRASHES_MAX = 500;
@@ -54,42 +82,75 @@
 
 type Known = { upstreamId: string; atMs: number; suspects: Map<string, Suspect> };
 
-/** The ends that count against a trait, and the suspects with it. */
-type Case = { trait: string; crashes: Known[]; count: number; suspects: Suspect[] };
+/** The ends that count against a trait, those since the first of them that nothing explains, and the suspects with the trait. */
+type Case = {
+  trait: string;
+  crashes: Known[];
+  open: Known[];
+  count: number;
+  suspects: Suspect[];
+  /** Of all requests that have the trait, and how unlikely chance is. */
+  share: number;
+  score: number;
+};
+
+/** A set that is refused already, and the ends that it explains. */
+type Explanation = { traits: Suspect; crashes: ReadonlySet<Known>; count: number };
 
-/** Ends close together count once. */
-function countApart(crashes: readonly Known[]): number {
-  let count = 0;
+/** Of ends close together one is left. */
+function apart(crashes: readonly Known[]): Known[] {
   let lastMs = -Infinity;
-  const times = crashes.map(({ atMs }) => atMs).sort((left, right) => left - right);
-  times.forEach((atMs) => {
-    if (atMs - lastMs < TOGETHER_MS) return;
-    lastMs = atMs;
-    count += 1;
-  });
-  return count;
+  return [...crashes]
+    .sort((left, right) => left.atMs - right.atMs)
+    .filter(({ atMs }) => {
+      if (atMs - lastMs < TOGETHER_MS) return false;
+      lastMs = atMs;
+      return true;
+    });
 }
 
-function isExplained({ suspects }: Known, known: readonly TraitSet[]): boolean {
-  const all = [...suspects.values()];
-  return known.some((set) => all.some((suspect) => set.every((trait) => suspect.has(trait))));
+function hasSuspectWith({ suspects }: Known, traits: TraitSet): boolean {
+  return [...suspects.values()].some((suspect) => traits.every((trait) => suspect.has(trait)));
 }
 
-function firstMs({ crashes }: Case): number {
+function firstMs({ crashes }: Pick<Case, 'crashes'>): number {
   return Math.min(...crashes.map(({ atMs }) => atMs));
 }
 
-function isRare({ suspects, crashes }: Case): boolean {
-  return suspects.length <= RARE_SUSPECTS_MAX * crashes.length;
-}
-
-/** Most ends first, then fewest suspects; all gateways have to come to the same order. */
+/** Most ends first, then the least likely by chance; all gateways have to come to the same order. */
 function byStrength(left: Case, right: Case): number {
-  const difference = right.count - left.count || left.suspects.length - right.suspects.length;
+  const difference = right.count - left.count || right.score - left.score;
   if (difference !== 0) return difference;
   return left.trait < right.trait ? -1 : 1;
 }
 
+/** Whether a trait is in all suspects with the other, so that the evidence can't tell them apart. */
+function isCompanion(left: Case, right: Case): boolean {
+  return left.suspects.every((suspect) => suspect.has(right.trait));
+}
+
+/**
+ * How unlikely it is that chance put the trait beside these ends and let none of its answers go on, as a natural logarithm: a
+ * suspect has the trait as often as requests have it, and so have answers that go on.
+ */
+function scoreOf(
+  { trait, crashes, open }: Pick<Case, 'trait' | 'crashes' | 'open'>,
+  { sentCount, sentTotal, soundTotal }: requestCensus.Usage,
+): Pick<Case, 'share' | 'score'> {
+  const share = Math.min(1, sentCount / Math.max(1, sentTotal));
+  const presence = apart(open).reduce((sum, crash) => {
+    if (!crashes.includes(crash)) return sum - ABSENCE_COST;
+    const chance = 1 - (1 - share) ** crash.suspects.size;
+    return sum - Math.log(Math.max(PRESENCE_MIN, chance));
+  }, 0);
+  const isAlone = open.every(({ suspects }) =>
+    [...suspects.values()].every((one) => one.has(trait)),
+  );
+  // Nothing to compare with, and nobody else to harm.
+  const score = isAlone ? Math.max(CLEAR_SCORE_MIN, presence) : presence + share * soundTotal;
+  return { share, score };
+}
+
 export function createCrashEvidence(): CrashEvidence {
   const crashes = new Map<string, Known>();
   /** The ends with a trait among their suspects. */
@@ -127,25 +188,50 @@
     });
   }
 
-  /** An end that is explained counts only against members of a known set, which may be narrowed down further. */
-  function caseOf(trait: string, known: readonly TraitSet[], explained: ReadonlySet<Known>): Case {
-    const isMember = known.some((set) => set.includes(trait));
+  /** Since it was last sound. */
+  function crashesWith(trait: string): Known[] {
     const soundAtMs = soundMs.get(trait) ?? -Infinity;
-    const counted = [...(byTrait.get(trait) ?? [])].filter(
-      (crash) => crash.atMs > soundAtMs && (isMember || !explained.has(crash)),
+    return [...(byTrait.get(trait) ?? [])].filter(({ atMs }) => atMs > soundAtMs);
+  }
+
+  function explanationsBy(known: readonly TraitSet[]): Explanation[] {
+    return known.map((traits) => {
+      const explained = [...crashes.values()].filter((crash) => hasSuspectWith(crash, traits));
+      const count = apart(explained).length;
+      return { traits: new Set(traits), crashes: new Set(explained), count };
+    });
+  }
+
+  /**
+   * An end that a known set explains does not count against other traits, unless these explain more ends than the set. Members of
+   * the set go on counting, since it may be narrowed down.
+   */
+  function caseOf(trait: string, explanations: readonly Explanation[]): Case | null {
+    const all = crashesWith(trait);
+    const total = apart(all).length;
+    const better = explanations.filter(({ count, traits }) => count >= total && !traits.has(trait));
+    const isExplained = (crash: Known) => better.some((one) => one.crashes.has(crash));
+    const counted = all.filter((crash) => !isExplained(crash));
+    const isNew = counted.some((crash) => !explanations.some((one) => one.crashes.has(crash)));
+    const count = apart(counted).length;
+    if (!isNew) return null;
+    const sinceMs = firstMs({ crashes: counted });
+    const open = [...crashes.values()].filter(
+      (crash) => crash.atMs >= sinceMs && !isExplained(crash),
     );
     const suspects = counted.flatMap((crash) =>
       [...crash.suspects.values()].filter((traits) => traits.has(trait)),
     );
-    return { trait, crashes: counted, count: countApart(counted), suspects };
+    return { trait, crashes: counted, open, count, suspects, share: 0, score: 0 };
   }
 
-  function casesOf(known: readonly TraitSet[], countMin: number): Case[] {
-    const explained = new Set([...crashes.values()].filter((crash) => isExplained(crash, known)));
+  function casesOf(known: readonly TraitSet[]): Case[] {
+    const explanations = explanationsBy(known);
+    const single = new Set(known.filter((set) => set.length === 1).flat());
     return [...byTrait]
-      .filter(([, found]) => found.size >= countMin)
-      .map(([trait]) => caseOf(trait, known, explained))
-      .filter((one) => one.count >= countMin && one.crashes.some((crash) => !explained.has(crash)));
+      .filter(([trait, found]) => found.size >= CRASHES_MIN && !single.has(trait))
+      .flatMap(([trait]) => caseOf(trait, explanations) ?? [])
+      .filter(({ count }) => count >= CRASHES_MIN);
   }
 
   /** What all suspects with the trait share, except what has been sound since. */
@@ -158,6 +244,12 @@
     );
   }
 
+  function toFinding(one: Case, isClear: boolean): Finding {
+    const { count: crashCount, score } = one;
+    const firstCrashMs = firstMs(one);
+    return { traits: sharedTraits(one).sort(), crashCount, firstCrashMs, score, isClear };
+  }
+
   return {
     add: ({ upstreamId, atMs, suspects }) => {
       const before = crashes.get(upstreamId);
@@ -180,18 +272,27 @@
       if (!byTrait.has(trait)) return;
       soundMs.set(trait, Math.max(beganMs, soundMs.get(trait) ?? -Infinity));
     },
-    crashCount: (trait) => caseOf(trait, [], new Set()).count,
-    find: (known, nowMs) => {
-      const [strongest] = casesOf(known, CRASHES_MIN)
-        .filter((one) => isRare(one) || nowMs - firstMs(one) >= COMMON_AFTER_MS)
+    crashCount: (trait) => apart(crashesWith(trait)).length,
+    hasCrashSince: (trait, sinceMs) => crashesWith(trait).some(({ atMs }) => atMs >= sinceMs),
+    candidates: (known) =>
+      casesOf(known).map((one) => ({ trait: one.trait, sinceMs: firstMs(one) })),
+    find: (known, usageOf, nowMs) => {
+      const [best, ...others] = casesOf(known)
+        .map((one) => ({
+          ...one,
+          ...scoreOf(one, usageOf({ trait: one.trait, sinceMs: firstMs(one) })),
+        }))
         .sort(byStrength);
-      if (strongest === undefined) return null;
-      return {
-        traits: sharedTraits(strongest).sort(),
-        crashCount: strongest.count,
-        firstCrashMs: firstMs(strongest),
-      };
+      if (best === undefined) return null;
+      const isSettled = (one: Case) => nowMs - firstMs(one) >= SETTLED_AFTER_MS;
+      // Where ends follow each other quickly chance companions are beside as many; the next end tells them apart.
+      const rivals = others.filter((one) => one.count >= best.count && !isCompanion(best, one));
+      const isClear = best.score >= CLEAR_SCORE_MIN && rivals.length === 0 && isSettled(best);
+      if (isClear) return toFinding(best, true);
+      const isLikely = best.score >= GUESS_SCORE_MIN && rivals.length === 0;
+      if (!isLikely && best.count < UNCLEAR_CRASHES_MIN) return null;
+      const guess = [best, ...rivals].find((one) => one.share <= GUESS_SHARE_MAX && isSettled(one));
+      return guess === undefined ? null : toFinding(guess, false);
     },
-    candidates: (known, countMin) => casesOf(known, countMin).map(({ trait }) => trait),
   };
 }
--- a/packages/gateway/src/shared/crashes/quarantine.ts
+++ b/packages/gateway/src/shared/crashes/quarantine.ts
@@ -29,7 +29,12 @@
   /** Returns whether it changed anything. */
   apply: (entry: QuarantineEntry, nowMs: number) => boolean;
   /** The entry for which a request with these traits is refused, on trial or not; null if it is not. */
-  match: (traits: readonly string[], nowMs: number) => QuarantineEntry | null;
+  match: (
+    traits: readonly string[],
+    nowMs: number,
+    /** The entry for which the request is let through on trial. */
+    exceptKey?: string | null,
+  ) => QuarantineEntry | null;
   /** Refused or lifted. */
   entries: (nowMs: number) => readonly QuarantineEntry[];
   /** The traits that are refused. */
@@ -41,7 +46,13 @@
 
 /** Long enough that callers stop sending, short enough to recover from a wrong decision or after the engine was fixed. */
 const FIRST_REFUSAL_MS = 15 * 60_000;
-export const TRIALS_MAX = 2;
+export const TRIALS_MAX = 3;
+/** A guess is tried as soon as all gateways refuse it and the requests under way have shown what they do. */
+export const GUESS_MS = 3_000;
+/** After a trial that showed nothing, since its caller left or it was turned away. */
+export const UNDECIDED_MS = 2_000;
+/** From the gateway that may try first to the next one, to which such a request may come sooner. */
+const TRIAL_STEP_MS = 1_000;
 /** After the last trial, and without any, it stands for a day. */
 const LAST_REFUSAL_MS = 24 * 3_600_000;
 /** Longer than a gateway that knows it as refused can be out of touch. */
@@ -50,6 +61,20 @@
 const ENTRIES_MAX = 1_000;
 const DIGEST_LENGTH = 16;
 
+/**
+ * The entry as it stands while one request is tried; null if none may be. `rank`: this gateway's place among those that may try,
+ * from 0.
+ */
+export function onTrial(
+  entry: QuarantineEntry,
+  rank: number,
+  nowMs: number,
+): QuarantineEntry | null {
+  if (entry.epoch >= TRIALS_MAX || nowMs < entry.untilMs + rank * TRIAL_STEP_MS) return null;
+  const epoch = entry.epoch + 1;
+  return { ...entry, epoch, untilMs: nowMs + refusalMs(epoch) };
+}
+
 /** Each trial that fails doubles the time to the next one. */
 export function refusalMs(epoch: number): number {
   return epoch < TRIALS_MAX ? FIRST_REFUSAL_MS * 2 ** epoch : LAST_REFUSAL_MS;
@@ -107,13 +132,18 @@
       reindex();
       return isChanged;
     },
-    match: (traits, nowMs) => {
+    match: (traits, nowMs, exceptKey = null) => {
       if (byTrait.size === 0) return null;
       const own = new Set(traits);
       for (const trait of traits) {
         const found = byTrait
           .get(trait)
-          ?.find((entry) => entry.traits.every((one) => own.has(one)) && !isOver(entry, nowMs));
+          ?.find(
+            (entry) =>
+              entry.traits.every((one) => own.has(one)) &&
+              !isOver(entry, nowMs) &&
+              keyOf(entry) !== exceptKey,
+          );
         if (found !== undefined) return found;
       }
       return null;
--- /dev/null
+++ b/packages/gateway/src/testing/crash-fleet.ts
@@ -0,0 +1,431 @@
+/**
+ * Gateways before upstreams that end, on a virtual clock: under requests with a bad part, by themselves, several at once, as planned,
+ * or only as it seems. Gateways end and start again, are cut off from each other and from the store, and get the requests of many
+ * callers, of which some come back after a loss.
+ */
+import { clocks as clocksModule, logs, randoms, results } from '@copperlever/runtime';
+import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
+
+import * as crashTrackers from '../server/crashes/crash-tracker.js';
+import type * as crashWatches from '../server/crashes/crash-watch.js';
+import type * as livenessProbes from '../server/crashes/liveness-probe.js';
+import * as quarantineKeepers from '../server/crashes/quarantine-keeper.js';
+import type * as peerLinks from '../server/peers/peer-link.js';
+import * as crashEvidence from '../shared/crashes/crash-evidence.js';
+import * as quarantines from '../shared/crashes/quarantine.js';
+import * as requestTraits from '../shared/crashes/request-traits.js';
+import * as requestCensus from '../shared/crashes/request-census.js';
+import * as peerRegistries from '../shared/peer-registry.js';
+import * as memoryRecords from './memory-records.js';
+
+/** A gateway that was in touch for so long has heard of what was found. */
+export const CONTACT_MS = 3_000;
+/** From then on a part that ends upstreams may reach them only so often. */
+export const LATE_MAX = 3;
+const CRASHES_COUNTED = 5;
+const NETWORK_MS = 2;
+const EXCHANGE_MS = 250;
+const RESTART_MS = 400;
+/** What is refused for longer was taken for certain. */
+const HELD_MS = 60_000;
+const FIRST_PARTS = ['part:a1', 'part:a2', 'part:a3'];
+
+export type Request = { id: number; traits: readonly string[]; badPart: string | null };
+
+type Running = {
+  request: Request;
+  gatewayId: string;
+  watched: crashWatches.WatchedAttempt;
+  ended: () => void;
+  isOver: boolean;
+};
+
+export type Upstream = {
+  position: number;
+  domain: number;
+  startCount: number;
+  /** `dark`: nothing answers, connections to it hang. */
+  state: 'up' | 'down' | 'dark';
+  isLeaving: boolean;
+  running: Set<Running>;
+};
+
+export type GatewayNode = {
+  gatewayId: string;
+  startedMs: number;
+  /** When it was last cut off, from peers or the store. */
+  cutMs: number;
+  book: peerRegistries.PeerRegistry;
+  quarantine: quarantines.Quarantine;
+  tracker: crashTrackers.CrashTracker;
+  keeper: quarantineKeepers.QuarantineKeeper;
+};
+
+export type CrashFleetOptions = {
+  gatewayCount: number;
+  upstreamCount: number;
+  seed: number;
+  exchangeMs?: number;
+};
+
+export type CrashFleet = ReturnType<typeof createCrashFleet>;
+
+export function createCrashFleet({
+  gatewayCount,
+  upstreamCount,
+  seed,
+  exchangeMs = EXCHANGE_MS,
+}: CrashFleetOptions) {
+  const clock = fakeClocks.createFakeClock();
+  const random = randoms.createRandom(seed);
+  const store = memoryRecords.createMemoryRecords();
+  const nodes = new Map<string, GatewayNode>();
+  const isolated = new Set<string>();
+  const between = (from: number, to: number) => from + random.fraction() * (to - from);
+  const upstreams: Upstream[] = Array.from({ length: upstreamCount }, (_, position) => ({
+    position,
+    domain: position % 3,
+    startCount: 1,
+    state: 'up',
+    isLeaving: false,
+    running: new Set(),
+  }));
+  /** Parts that were bad and no longer are. */
+  const cured = new Set<string>();
+  /** For each bad part the times of the ends that it caused. */
+  const crashesMs = new Map<string, number[]>();
+  const arrivals: { badPart: string; atMs: number; isInTouch: boolean }[] = [];
+  const counts = { sound: 0, soundRefused: 0, bad: 0, badRefused: 0, crashes: 0, messages: 0 };
+  let nextRequest = 0;
+
+  const idOf = ({ position, startCount }: Upstream) => `u${position}.${startCount}`;
+  const addressOf = (gatewayId: string) => `${gatewayId}:1`;
+
+  function isCut(from: string, to: string): boolean {
+    return isolated.has(from) || isolated.has(to) || !nodes.has(to) || !nodes.has(from);
+  }
+
+  function createLink(gatewayId: string): Pick<peerLinks.PeerLink, 'shareCrashes'> {
+    return {
+      shareCrashes: async (address, request, deadlineMs) => {
+        counts.messages += 1;
+        const to = address.split(':')[0] ?? '';
+        await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+        const node = nodes.get(to);
+        if (node === undefined || isCut(gatewayId, to)) {
+          await clocksModule.sleepUntil(clock, deadlineMs);
+          return results.Err({ kind: 'deadline', address } as const);
+        }
+        const reply = node.tracker.handle(request);
+        await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+        return results.Ok(reply);
+      },
+    };
+  }
+
+  function probe(address: string): Promise<livenessProbes.Liveness> {
+    const upstream = upstreams[Number(address)];
+    const liveness = { up: 'accepts', down: 'refuses', dark: 'unknown' } as const;
+    return Promise.resolve(liveness[upstream?.state ?? 'dark']);
+  }
+
+  function start(gatewayId: string): GatewayNode {
+    const log = logs.createSilentLogger();
+    const book = peerRegistries.createPeerRegistry(gatewayId);
+    const quarantine = quarantines.createQuarantine();
+    const tracker = crashTrackers.createCrashTracker({
+      clock,
+      log,
+      metrics: { answersLost: () => {}, quarantineChanged: () => {} },
+      evidence: crashEvidence.createCrashEvidence(),
+      census: requestCensus.createRequestCensus(),
+      quarantine,
+      probe,
+      isLeaving: (upstreamId) => {
+        const upstream = upstreams.find((one) => idOf(one) === upstreamId);
+        return upstream === undefined || upstream.isLeaving;
+      },
+      link: createLink(gatewayId),
+      book,
+      gatewayId,
+      address: addressOf(gatewayId),
+      onDecided: () => keeper.wake(),
+    });
+    const keeper = quarantineKeepers.createQuarantineKeeper({
+      clock,
+      log,
+      store,
+      quarantine,
+      applyEntries: tracker.applyEntries,
+      isHolder: () => gatewayId === holderId(),
+      gatewayId,
+    });
+    keeper.start();
+    const startedMs = clock.nowMs();
+    const node = { gatewayId, startedMs, cutMs: -Infinity, book, quarantine, tracker, keeper };
+    nodes.set(gatewayId, node);
+    exchange(node);
+    return node;
+  }
+
+  function holderId(): string {
+    return [...nodes.keys()].sort()[0] ?? '';
+  }
+
+  /** Gateways hear of each other, and of entries, from whichever they reach. */
+  function exchange(node: GatewayNode): void {
+    const nowMs = clock.nowMs();
+    if (nodes.get(node.gatewayId) !== node) return;
+    if (isolated.has(node.gatewayId)) nodes.get(node.gatewayId)!.cutMs = nowMs;
+    const others = [...nodes.values()].filter((one) => !isCut(node.gatewayId, one.gatewayId));
+    others
+      .filter((one) => one !== node)
+      .forEach(({ gatewayId, book }) => {
+        book.noteContact(contactOf(node.gatewayId), nowMs);
+        node.book.noteContact(contactOf(gatewayId), nowMs);
+      });
+    const holder = others.find(({ gatewayId }) => gatewayId === holderId());
+    if (holder !== undefined && holder !== node) {
+      node.tracker.applyEntries(holder.quarantine.entries(nowMs), holder.gatewayId);
+      holder.tracker.applyEntries(node.quarantine.entries(nowMs), node.gatewayId);
+      if (holder.keeper.isKnown()) node.keeper.noteKnown();
+    }
+    clock.schedule(nowMs + exchangeMs, () => exchange(node));
+  }
+
+  function contactOf(gatewayId: string) {
+    return { gatewayId, address: addressOf(gatewayId), millicores: 500 };
+  }
+
+  function kill(gatewayId: string): void {
+    nodes.get(gatewayId)?.keeper.stop();
+    nodes.delete(gatewayId);
+    upstreams.forEach(({ running }) => {
+      running.forEach((one) => {
+        if (one.gatewayId === gatewayId) end(one, running, 'gone');
+      });
+    });
+  }
+
+  async function restart(gatewayId: string): Promise<void> {
+    kill(gatewayId);
+    await clocksModule.sleepUntil(clock, clock.nowMs() + RESTART_MS);
+    if (!nodes.has(gatewayId)) start(gatewayId);
+  }
+
+  /** `gone`: its gateway has ended, and records nothing. */
+  function end(
+    one: Running,
+    running: Set<Running>,
+    evidence: crashWatches.AttemptEvidence | 'gone',
+  ): void {
+    if (one.isOver) return;
+    const attempt = one;
+    attempt.isOver = true;
+    running.delete(one);
+    if (evidence === 'gone') return;
+    one.watched.ended(evidence);
+    one.ended();
+    if (evidence !== 'lost') return;
+    // Its caller, or the gateway itself, tries again.
+    if (random.fraction() < 0.6) {
+      clock.schedule(clock.nowMs() + between(5, 200), () => arrive(one.request));
+    }
+  }
+
+  function loseAll({ running }: Upstream, evidence: crashWatches.AttemptEvidence): void {
+    [...running].forEach((one) => {
+      clock.schedule(clock.nowMs() + NETWORK_MS, () => end(one, running, evidence));
+    });
+  }
+
+  function comeBack(upstream: Upstream): void {
+    const changed = upstream;
+    clock.schedule(clock.nowMs() + between(1_500, 5_000), () => {
+      changed.startCount += 1;
+      changed.state = 'up';
+      changed.isLeaving = false;
+    });
+  }
+
+  function crash(upstream: Upstream): void {
+    if (upstream.state !== 'up') return;
+    const changed = upstream;
+    counts.crashes += 1;
+    changed.state = 'down';
+    loseAll(upstream, 'lost');
+    comeBack(upstream);
+  }
+
+  /** Its machine has lost power, or the path to it is cut: nothing answers any more. */
+  function darken(upstream: Upstream): void {
+    if (upstream.state !== 'up') return;
+    const changed = upstream;
+    changed.state = 'dark';
+    loseAll(upstream, random.fraction() < 0.5 ? 'lost' : 'other');
+    comeBack(upstream);
+  }
+
+  /** It announces that it leaves, and ends with requests under way. */
+  function leave(upstream: Upstream): void {
+    const changed = upstream;
+    changed.isLeaving = true;
+    clock.schedule(clock.nowMs() + 500, () => {
+      if (changed.state !== 'up') return;
+      changed.state = 'down';
+      loseAll(changed, 'lost');
+      comeBack(changed);
+    });
+  }
+
+  /** Some of its answers break off; it goes on. */
+  function breakAnswers({ running }: Upstream, share: number): void {
+    [...running]
+      .filter(() => random.fraction() < share)
+      .forEach((one) => end(one, running, random.fraction() < 0.5 ? 'lost' : 'unframed'));
+  }
+
+  function crashBy(badPart: string, upstream: Upstream): void {
+    const times = crashesMs.get(badPart) ?? [];
+    times.push(clock.nowMs());
+    crashesMs.set(badPart, times);
+    crash(upstream);
+  }
+
+  function badPartOf({ badPart }: Request): string | null {
+    return badPart === null || cured.has(badPart) ? null : badPart;
+  }
+
+  function run(one: Running, upstream: Upstream): void {
+    const { running } = upstream;
+    const begunMs = clock.nowMs() + between(30, 500);
+    clock.schedule(begunMs, () => {
+      if (one.isOver) return;
+      const badPart = badPartOf(one.request);
+      if (badPart === null || random.fraction() < 0.5) one.watched.began();
+      if (badPart !== null) {
+        clock.schedule(clock.nowMs() + between(0, 120), () => {
+          if (!one.isOver && upstream.state === 'up') crashBy(badPart, upstream);
+        });
+        return;
+      }
+      clock.schedule(clock.nowMs() + between(200, 3_000), () => {
+        if (one.isOver || upstream.state !== 'up') return;
+        end(one, running, random.fraction() < 0.1 ? 'unframed' : 'whole');
+      });
+    });
+  }
+
+  function isInTouch({ gatewayId, startedMs, cutMs }: GatewayNode): boolean {
+    const sinceMs = clock.nowMs() - Math.max(startedMs, cutMs);
+    return !isolated.has(gatewayId) && sinceMs > CONTACT_MS;
+  }
+
+  /** A request comes to a gateway, and is refused there or sent to an upstream. */
+  function arrive(request: Request): void {
+    const serving = [...nodes.values()].filter(({ keeper }) => keeper.isKnown());
+    const node = randoms.pick(random, serving);
+    if (node === undefined) return;
+    const kind = request.badPart === null ? 'sound' : 'bad';
+    counts[kind] += 1;
+    const refused = node.quarantine.match(request.traits, clock.nowMs());
+    if (refused !== null && !node.tracker.startTrial(refused, request.traits)) {
+      counts[`${kind}Refused`] += 1;
+      return;
+    }
+    const trial = refused === null ? null : quarantines.keyOf(refused);
+    const upstream = randoms.pick(
+      random,
+      upstreams.filter(({ state, isLeaving }) => state === 'up' && !isLeaving),
+    );
+    if (upstream === undefined) return;
+    if (request.badPart !== null) {
+      const { badPart } = request;
+      arrivals.push({ badPart, atMs: clock.nowMs(), isInTouch: isInTouch(node) });
+    }
+    const { gatewayId, tracker } = node;
+    const address = String(upstream.position);
+    const watched = tracker.watch.started(idOf(upstream), address, request.traits);
+    const startedMs = clock.nowMs();
+    const ended = () => {
+      if (trial !== null) tracker.endTrial(trial, startedMs);
+    };
+    const one: Running = { request, gatewayId, watched, ended, isOver: false };
+    upstream.running.add(one);
+    run(one, upstream);
+  }
+
+  function createRequest(badPart: string | null): Request {
+    nextRequest += 1;
+    const first = randoms.pick(random, FIRST_PARTS) ?? '';
+    // Few subjects get most of the requests.
+    const subject = `part:s${Math.floor(random.fraction() ** 3 * 200)}`;
+    const own = requestTraits.ofFingerprint(`f${nextRequest}`);
+    const parts = badPart === null ? [first, subject] : [first, badPart, subject];
+    return { id: nextRequest, traits: [own, ...parts], badPart };
+  }
+
+  /** Sends requests at that rate until `untilMs`; `badPart`: all of them have it. */
+  function flow(perSecond: number, untilMs: number, badPart: string | null = null): void {
+    if (clock.nowMs() >= untilMs) return;
+    arrive(createRequest(badPart));
+    const pauseMs = (-Math.log(1 - random.fraction()) * 1_000) / perSecond;
+    clock.schedule(clock.nowMs() + pauseMs, () => flow(perSecond, untilMs, badPart));
+  }
+
+  /** The most requests with one bad part that gateways in touch sent later than the bound. */
+  function lateCount(): number {
+    return Math.max(
+      0,
+      ...[...crashesMs].map(([badPart, times]) => {
+        const fifthMs = times[CRASHES_COUNTED - 1] ?? Infinity;
+        return arrivals.filter(
+          (one) => one.badPart === badPart && one.isInTouch && one.atMs > fifthMs + CONTACT_MS,
+        ).length;
+      }),
+    );
+  }
+
+  /** Sets of traits that are refused although no bad request has all of them; `held`: or were for a moment. */
+  function wrongSets(badParts: readonly string[]): { refused: string[]; held: string[] } {
+    const entries = [...nodes.values()].flatMap(({ quarantine }) => [
+      ...quarantine.entries(clock.nowMs()),
+    ]);
+    const wrong = entries.filter(({ traits }) => !badParts.some((part) => traits.includes(part)));
+    const keysOf = (some: readonly quarantines.QuarantineEntry[]) => [
+      ...new Set(some.map(quarantines.keyOf)),
+    ];
+    const refused = wrong.filter(
+      ({ isLifted, untilMs }) => !isLifted && untilMs - clock.nowMs() > HELD_MS,
+    );
+    return { refused: keysOf(refused), held: keysOf(wrong) };
+  }
+
+  for (let index = 1; index <= gatewayCount; index += 1) start(`g${index}`);
+
+  return {
+    clock,
+    random,
+    store,
+    nodes,
+    isolated,
+    upstreams,
+    counts,
+    crashesMs,
+    cured,
+    arrivals,
+    kill,
+    start,
+    restart,
+    crash,
+    darken,
+    leave,
+    breakAnswers,
+    flow,
+    createRequest,
+    arrive,
+    lateCount,
+    wrongSets,
+    stop: () => nodes.forEach(({ keeper }) => keeper.stop()),
+  };
+}
