A stream without length or chunks that ends inside an event has broken off

Callers got half an event as the end of a whole stream, where an upstream's answer has neither length nor chunks and its connection ended regularly in the middle of an event, as it does when the upstream ends. Cause: the end of the connection was taken for the end of the answer; events were framed on resumable routes alone, and there the rest was given out at the end. Change: such a stream must end with a blank line (any line ends). Else it is lost: a resumable one goes on elsewhere after its last whole event, on other routes the caller's connection is reset. One that ends before its first event is lost as well.

--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -375,4 +375,44 @@
   whole.upstream.close();
 });
 
+const UNFRAMED = `${OK}Connection: close\r\nContent-Type: text/event-stream\r\n\r\n`;
+const EVENT = 'id: 1\ndata: one\n\n';
+
+// Guards against half an event that is passed on as the end of a whole stream, since its connection ended regularly.
+test('a stream without length or chunks that ends inside an event has broken off', async () => {
+  for (const rest of ['id: 2\nda', 'id: 2\ndata: two', 'id: 2\ndata: two\n']) {
+    const answer = (socket: net.Socket) => socket.end(`${UNFRAMED}${EVENT}${rest}`);
+    const resumable = await attempt(answer, createCall('stream', true));
+    assert.equal(resumable.result, {
+      kind: 'lost',
+      reason: 'connection',
+      hasBegun: true,
+      lastEventId: '1',
+    });
+    assert.equal([resumable.passed.body, resumable.passed.hasEnded], [EVENT, false]);
+    const other = await attempt(answer, createCall('stream'));
+    assert.is(other.result.kind, 'lost');
+    assert.is(other.passed.hasEnded, false);
+  }
+});
+
+// Guards against a stream that is taken for broken off although its last event is whole.
+test('a stream without length or chunks that ends after an event is whole, whatever its line ends', async () => {
+  for (const events of [EVENT, `${EVENT}id: 2\ndata: two\n\n`, 'id: 1\r\ndata: one\r\n\r\n']) {
+    const answer = (socket: net.Socket) => socket.end(`${UNFRAMED}${events}`);
+    const { result, passed } = await attempt(answer, createCall('stream'));
+    assert.equal(result, { kind: 'answered', status: 200 });
+    assert.equal([passed.body, passed.hasEnded], [events, true]);
+  }
+});
+
+// Guards against an empty stream that is passed on as an answer, when its upstream ended before the first event.
+test('a stream without length or chunks that ends before its first event has broken off', async () => {
+  const { result, passed } = await attempt(
+    (socket) => socket.end(UNFRAMED),
+    createCall('stream', true),
+  );
+  assert.equal([result.kind, passed.status], ['lost', 0]);
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -9,6 +9,7 @@
 
 import * as connectionHeaders from '../../shared/connection-headers.js';
 import type * as eventIntervals from '../../shared/event-intervals.js';
+import * as eventEnds from '../../shared/event-ends.js';
 import * as eventFramer from '../../shared/event-framer.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
@@ -60,6 +61,7 @@
   const { call, sink } = input;
   const isStream = call.route.kind === 'stream';
   const framer = isStream && call.route.isResumable ? eventFramer.createEventFramer() : null;
+  const ends = eventEnds.createEventEnds();
 
   return new Promise((resolve) => {
     let controller: undici.Dispatcher.DispatchController | null = null;
@@ -99,6 +101,7 @@
     }
 
     function forward(chunk: Buffer): void {
+      ends.push(chunk);
       const bytes = framer === null ? chunk : framer.push(chunk);
       if (bytes.length > 0) write(bytes);
     }
@@ -141,7 +144,11 @@
     function finishAnswer(): void {
       if (isSettled) return;
       const connectionEnd = input.connection.end();
-      if (connectionEnd === 'reset' || (connectionEnd === 'closed' && framing === 'chunked')) {
+      const hasBrokenOff =
+        connectionEnd === 'reset' ||
+        (connectionEnd === 'closed' && framing === 'chunked') ||
+        (isStream && isForwarding && framing === 'until-close' && ends.isInsideEvent());
+      if (hasBrokenOff) {
         settle(lost('connection'));
         return;
       }
