The fault matrix plays a part that ends upstreams while other things fail

21 cells: nothing else, a gateway or all start again, one is cut off and back, the store is away, a domain of upstreams ends or goes dark; before, while the part is found, and once it is refused. A cell is red if more than three such requests are sent after the bound, or something sound is refused.

--- a/packages/proofs/src/matrix/cells.ts
+++ b/packages/proofs/src/matrix/cells.ts
@@ -1,5 +1,6 @@
 /** The cells of the matrix: one for each fault, or pair of faults, and step of a journey. */
 import type * as fleets from '../harness/fleet.js';
+import * as crashJourney from './crash-journey.js';
 import * as configJourney from './config-journey.js';
 import * as faults from './faults.js';
 import * as limitJourney from './limit-journey.js';
@@ -157,6 +158,17 @@
   );
 }
 
+function crashCells(): Cell[] {
+  return crashJourney.FAULTS.flatMap((fault) =>
+    crashJourney.STEPS.map((step) => ({
+      journey: 'part that ends upstreams',
+      fault: fault.name,
+      step,
+      work: { kind: 'run', run: () => crashJourney.runCell(fault, step) },
+    })),
+  );
+}
+
 /** What upstreams say of themselves is played by gateways and stand-ins on sockets. */
 function wordCells(): Cell[] {
   const reasons = {
@@ -180,6 +192,7 @@
     ...limitCells(),
     ...listJourneyCells(),
     ...streamCells(),
+    ...crashCells(),
     ...wordCells(),
   ];
 }
