A connection is no older than the accept queue is long

Cause: while the accept queue is never seen empty, the age of a new connection was bounded only by the busy time since it last was, and grew without end. Change: connections are accepted in order from a queue of at most 511 (now set for the listening socket), so that none is older than the accept of the one 512 before it. Result: new test in read-delay.test.ts, 2,043 ms before with turns of 1 ms, at most 513 now. A flood on sockets was not measured again; how much the gateway then reads beyond what it can serve is open.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -8,6 +8,7 @@
 import * as followers from './server/control/follower.js';
 import * as upstreamLists from './server/control/upstream-list.js';
 import * as forwarding from './server/forwarding/app.js';
+import * as readDelays from './server/forwarding/read-delay.js';
 import * as healthApp from './server/health/app.js';
 import * as metricsApp from './server/metrics/app.js';
 import * as messageCodec from './server/peers/message-codec.js';
@@ -41,7 +42,7 @@
 }
 
 async function listen(app: fastify.FastifyInstance, address: string): Promise<void> {
-  await app.listen(splitAddress(address));
+  await app.listen({ ...splitAddress(address), backlog: readDelays.ACCEPT_QUEUE_MAX });
 }
 
 export type RunningGateway = {
--- a/packages/gateway/src/server/forwarding/read-delay.test.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.test.ts
@@ -73,4 +73,19 @@
   loop.readDelay.stop();
 });
 
+// Guards against a gateway that refuses all new connections as late once more come than it accepts, although none waits for long.
+test('a connection is no older than the accept queue is long', () => {
+  const loop = startLoop();
+  let lastMs = 0;
+  for (let count = 0; count < 4 * readDelays.ACCEPT_QUEUE_MAX; count += 1) {
+    const key = {};
+    loop.readDelay.accepted(key);
+    lastMs = loop.readDelay.requestAge(key).bufferedMs;
+    loop.turn(1);
+  }
+  assert.ok(lastMs >= readDelays.ACCEPT_QUEUE_MAX, `${lastMs}`);
+  assert.ok(lastMs <= readDelays.ACCEPT_QUEUE_MAX + 2, `${lastMs}`);
+  loop.readDelay.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/read-delay.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.ts
@@ -62,6 +62,12 @@
  */
 export const RECHECK_AFTER_MS = 250;
 
+/**
+ * Connections that the system keeps until they are accepted. They are accepted in order, so that none of them is older than the
+ * accept of the one so many before it.
+ */
+export const ACCEPT_QUEUE_MAX = 511;
+
 /** A point in time, with the state of the event loop at it. */
 type Mark = { atMs: number; pollCount: number; idleMs: number };
 
@@ -94,6 +100,9 @@
   let samples: readonly Mark[] = [started];
   let meanTurnMs = 0;
   let lastAccept: Mark | null = null;
+  /** The latest accepts, one more than the queue can hold; written round and round. */
+  const accepts: Mark[] = [];
+  let acceptCount = 0;
   /** The latest time at which no connection was waiting to be accepted, as far as known: none that waits now is older. */
   let acceptQueueEmpty = mark();
 
@@ -150,7 +159,12 @@
       const now = mark();
       updateAcceptQueue(now);
       lastAccept = now;
-      accepted.set(key, { ...now, waitedMs: busyMs(acceptQueueEmpty, now) });
+      const slot = acceptCount % (ACCEPT_QUEUE_MAX + 1);
+      const earlier = accepts[slot] ?? acceptQueueEmpty;
+      accepts[slot] = now;
+      acceptCount += 1;
+      const waitedMs = Math.min(busyMs(acceptQueueEmpty, now), busyMs(earlier, now));
+      accepted.set(key, { ...now, waitedMs });
     },
     requestAge: (key) => {
       const now = mark();
