--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -56,8 +56,11 @@
 const ASKED_MAX = 32;
 /** A hundred round trips. */
 const SHARE_TIMEOUT_MS = 300;
+/** Once more for a gateway that did not answer, since reports are not repeated otherwise. */
 const RETRY_AFTER_MS = 200;
+/** After an end: when the reports of others have come, and twice when answers have had time to go on. */
 const DECIDE_AFTER_MS = [60, 700, crashEvidence.SETTLED_AFTER_MS] as const;
+/** A probe and a report take less. */
 const TRIAL_RESULT_MS = 100;
 /** More are beside ends in an outage of the whole fleet, of which no decision can be made. */
 const CANDIDATES_MAX = 200;
--- a/packages/gateway/src/server/crashes/crash-watch.ts
+++ b/packages/gateway/src/server/crashes/crash-watch.ts
@@ -60,9 +60,9 @@
   endedMs: number | null;
 };
 
-/** Requests that crash upstreams were seen to do so within 0.15 s of their first token. */
+/** A request that ends its upstream does so as its answer begins. An answer that has gone on for so long is sound. */
 export const SOUND_AFTER_MS = 500;
-/** Of answers that began earlier the upstream's end shows nothing. */
+/** One that began earlier did not end its upstream. Between the two the end shows neither. */
 export const SUSPECT_BEFORE_MS = 300;
 /** A trait that was sound so lately needs no proof. */
 const PROVEN_MS = 60_000;
