--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -393,6 +393,8 @@
     const other = await attempt(answer, createCall('stream'));
     assert.is(other.result.kind, 'lost');
     assert.is(other.passed.hasEnded, false);
+    resumable.upstream.close();
+    other.upstream.close();
   }
 });
 
@@ -400,19 +402,21 @@
 test('a stream without length or chunks that ends after an event is whole, whatever its line ends', async () => {
   for (const events of [EVENT, `${EVENT}id: 2\ndata: two\n\n`, 'id: 1\r\ndata: one\r\n\r\n']) {
     const answer = (socket: net.Socket) => socket.end(`${UNFRAMED}${events}`);
-    const { result, passed } = await attempt(answer, createCall('stream'));
+    const { result, passed, upstream } = await attempt(answer, createCall('stream'));
     assert.equal(result, { kind: 'answered', status: 200 });
     assert.equal([passed.body, passed.hasEnded], [events, true]);
+    upstream.close();
   }
 });
 
 // Guards against an empty stream that is passed on as an answer, when its upstream ended before the first event.
 test('a stream without length or chunks that ends before its first event has broken off', async () => {
-  const { result, passed } = await attempt(
+  const { result, passed, upstream } = await attempt(
     (socket) => socket.end(UNFRAMED),
     createCall('stream', true),
   );
   assert.equal([result.kind, passed.status], ['lost', 0]);
+  upstream.close();
 });
 
 test.run();
