A part that most requests have is tried once it was beside eight ends

Cause: traced on a busy machine, the scenario of 'a part is found if connections end regularly when servers do' with its lines: the part was beside all 17 ends, and nothing was decided. Nearly all requests had it, so that there was nothing to compare with (no score), and a guess was ruled out for a share above a quarter. On a quiet machine sound requests of the first two seconds made it clear in time. Change: from eight ends without a sound answer in between a guess is tried whatever its share: hardly anything is served any more that it could harm. Result: new test in crash-evidence.test.ts, null before, found now.

--- a/packages/gateway/src/shared/crashes/crash-evidence.test.ts
+++ b/packages/gateway/src/shared/crashes/crash-evidence.test.ts
@@ -133,6 +133,15 @@
   );
 });
 
+// Guards against a part that nearly all requests have, which goes on ending upstreams while nothing else is sent to compare with.
+test('a part that most requests have is tried once it was beside very many ends', () => {
+  const ends = Array.from({ length: 8 }, (_, index) => [`r${index} bad`]);
+  const evidence = evidenceOf(endsOf(['r0 bad', 'q0 x'], ...ends.slice(1)));
+  const usage = () => ({ sentCount: 40, sentTotal: 45, soundTotal: 2 });
+  assert.is(findIn(evidence, [], usage), 'bad ?');
+  assert.is(findIn(evidenceOf(endsOf(['r0 bad', 'q0 x'], ...ends.slice(1, 7))), [], usage), null);
+});
+
 // Guards against trust in what was sound before the software of the upstreams changed.
 test('a part that was sound for long and ends upstreams from now on is found', () => {
   const evidence = evidenceOf(endsOf(['r1 p'], ['r2 p'], ['r3 p'], ['r4 p']));
--- a/packages/gateway/src/shared/crashes/crash-evidence.ts
+++ b/packages/gateway/src/shared/crashes/crash-evidence.ts
@@ -67,6 +67,8 @@
 const CLEAR_SCORE_MIN = 8;
 /** Refusing a guess that many requests have would do more harm than another end. */
 const GUESS_SHARE_MAX = 0.25;
+/** Unless so many ended without a sound answer in between: little is served any more that a guess could harm. */
+const COMMON_GUESS_CRASHES_MIN = 8;
 /** So many ends must not wait for a clear explanation, which may never come where all upstreams end. */
 const UNCLEAR_CRASHES_MIN = 5;
 /** What speaks against a trait in each end without it: upstreams end for other reasons as well. */
@@ -291,7 +293,9 @@
       if (isClear) return toFinding(best, true);
       const isLikely = best.score >= GUESS_SCORE_MIN && rivals.length === 0;
       if (!isLikely && best.count < UNCLEAR_CRASHES_MIN) return null;
-      const guess = [best, ...rivals].find((one) => one.share <= GUESS_SHARE_MAX && isSettled(one));
+      const isHarmless = ({ share, count }: Case) =>
+        share <= GUESS_SHARE_MAX || count >= COMMON_GUESS_CRASHES_MIN;
+      const guess = [best, ...rivals].find((one) => isHarmless(one) && isSettled(one));
       return guess === undefined ? null : toFinding(guess, false);
     },
   };
