--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -11,9 +11,8 @@
 import * as readDelays from './server/forwarding/read-delay.js';
 import * as healthApp from './server/health/app.js';
 import * as metricsApp from './server/metrics/app.js';
-import * as messageCodec from './server/peers/message-codec.js';
 import * as peers from './server/peers/server.js';
-import * as turnCodec from './server/turns/turn-codec.js';
+import * as peerParts from './peer-parts.js';
 import * as stops from './server/health/stop.js';
 import type * as logEvents from './types/log-events.js';
 import * as deadlineBaselines from './shared/deadline-baselines.js';
@@ -188,33 +187,10 @@
       {
         name: 'peers',
         start: async () => {
-          const server = await peers.listen(settings.peerAddress, {
-            exchange: cradle.exchange.handle,
-            ensureAdapter: async ({ upstreamId, model, adapter }) => ({
-              isReady: await cradle.placer.ensureAdapter(upstreamId, model, adapter),
-              retryAfterMs: 0,
-            }),
-            takePermit: ({ gatewayId, limit }) => {
-              if (limit === undefined) return messageCodec.NO_PERMIT;
-              const asked = { gatewayId, limit: messageCodec.fromLimitMessage(limit) };
-              return messageCodec.toPermitReply(cradle.limits.give(asked));
-            },
-            lendCredits: ({ gatewayId, incarnation, report }) => {
-              const term = cradle.lease.heldTerm();
-              if (term === null || report === undefined) return { loan: undefined };
-              const loan = cradle.quotas.lend(term, { gatewayId, incarnation }, report);
-              return { loan: messageCodec.toQuotaLoanMessage(loan) };
-            },
-            takeTurn: (request) =>
-              turnCodec.toTakeTurnReply(cradle.turns.take(turnCodec.fromTakeTurnRequest(request))),
-            endTurns: (request) => {
-              cradle.turns.ended(turnCodec.fromEndTurnsRequest(request));
-              return {};
-            },
-            replicateOrigins: cradle.originPeers.storeReplicas,
-            findOrigins: cradle.originPeers.findLocal,
-            shareCrashes: cradle.crashes.handle,
-          });
+          const server = await peers.listen(
+            settings.peerAddress,
+            peerParts.createPeerHandlers(cradle),
+          );
           cradle.exchange.start();
           cradle.quarantineKeeper.start();
           cradle.streams.start();
--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -1,20 +1,17 @@
 /**
- * Pools what gateways see of upstreams that end, and refuses the requests that end them. Each gateway tells a few others, which
- * follow from the fleet, of each end and its suspects. One that finds what the suspects of several ends share asks others when
- * that was last sound before it decides, and tells all.
+ * Finds out which requests end upstreams, and has them refused: gathers the ends that this gateway and others saw, decides what
+ * explains them, tells that, and judges trials of what is refused.
  */
 import type { gatewayPeer } from '@copperlever/protocol';
 import type { clocks } from '@copperlever/runtime';
 
 import * as crashEvidence from '../../shared/crashes/crash-evidence.js';
-import type * as peerRegistries from '../../shared/peer-registry.js';
 import * as quarantines from '../../shared/crashes/quarantine.js';
-import * as rendezvous from '../../shared/rendezvous.js';
 import type * as requestCensus from '../../shared/crashes/request-census.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as metricsModule from '../metrics/metrics.js';
-import type * as peerLinks from '../peers/peer-link.js';
 import * as crashCodec from './crash-codec.js';
+import * as crashPeers from './crash-peers.js';
 import * as crashWatches from './crash-watch.js';
 
 export type CrashTrackerDeps = {
@@ -26,8 +23,8 @@
   census: requestCensus.RequestCensus;
   probe: crashWatches.CrashWatchDeps['probe'];
   isLeaving: crashWatches.CrashWatchDeps['isLeaving'];
-  link: Pick<peerLinks.PeerLink, 'shareCrashes'>;
-  book: Pick<peerRegistries.PeerRegistry, 'live' | 'lease' | 'addressOf'>;
+  link: crashPeers.CrashPeersDeps['link'];
+  book: crashPeers.CrashPeersDeps['book'];
   gatewayId: string;
   address: string;
   /** Something was decided here. */
@@ -49,15 +46,6 @@
 };
 
 const LOGGED_TRAITS_MAX = 12;
-/** Gateways that gather all ends; beside them the holder of the lease, if there is one. */
-const COLLECTORS = 3;
-const COLLECTORS_KEY = 'ends of upstreams';
-/** Gateways that are asked before a decision, and told of it at once; the others hear of it with their next exchange. */
-const ASKED_MAX = 32;
-/** A hundred round trips. */
-const SHARE_TIMEOUT_MS = 300;
-/** Once more for a gateway that did not answer, since reports are not repeated otherwise. */
-const RETRY_AFTER_MS = 200;
 /** After an end: when the reports of others have come, and twice when answers have had time to go on. */
 const DECIDE_AFTER_MS = [60, 700, crashEvidence.SETTLED_AFTER_MS] as const;
 /** A probe and a report take less. */
@@ -67,10 +55,9 @@
 /** Each decision needs others to be asked: bounds what evidence from a bad source can cause. */
 const DECISIONS_MAX = 20;
 
-type Target = Pick<peerRegistries.KnownPeer, 'gatewayId' | 'address'>;
-
 export function createCrashTracker(deps: CrashTrackerDeps): CrashTracker {
-  const { clock, log, evidence, census, quarantine, book, gatewayId } = deps;
+  const { clock, log, evidence, census, quarantine, gatewayId } = deps;
+  const peers = crashPeers.createCrashPeers({ ...deps, applyEntries });
   let isDeciding = false;
   let isDecidingAgain = false;
   const decisionsDue = new Set<number>();
@@ -106,65 +93,6 @@
     });
   }
 
-  /** The gateways that hear of all ends, this one perhaps among them. */
-  function collectors(): Target[] {
-    const all: Target[] = [{ gatewayId, address: deps.address }, ...book.live(clock.nowMs())];
-    const chosen = rendezvous.highest(COLLECTORS_KEY, all, (one) => one.gatewayId, COLLECTORS);
-    const holder = all.filter((one) => one.gatewayId === book.lease()?.holderId);
-    return [...new Set([...chosen, ...holder])];
-  }
-
-  /** One that hears only of its own suspects would take what is common among these for the cause. */
-  function mayDecide(): boolean {
-    return collectors().some((one) => one.gatewayId === gatewayId);
-  }
-
-  /** The holder, from which all others hear, goes first. */
-  function someLive(): Target[] {
-    const holderId = book.lease()?.holderId;
-    const live = [...book.live(clock.nowMs())];
-    live.sort(
-      (left, right) => Number(right.gatewayId === holderId) - Number(left.gatewayId === holderId),
-    );
-    return live.slice(0, ASKED_MAX);
-  }
-
-  /** Null if it did not answer. */
-  async function share(
-    { address, gatewayId: source }: Target,
-    reports: readonly crashCodec.CrashReport[],
-    asked: readonly crashEvidence.Candidate[],
-  ): Promise<readonly requestCensus.Usage[] | null> {
-    const sentMs = clock.nowMs();
-    const request: gatewayPeer.ShareCrashesRequest = {
-      gatewayId,
-      ...crashCodec.toCrashMessages(reports, asked, sentMs),
-      quarantine: quarantine.entries(sentMs).map((one) => crashCodec.toEntryMessage(one, sentMs)),
-    };
-    const reply = await deps.link.shareCrashes(address, request, sentMs + SHARE_TIMEOUT_MS);
-    if (reply.err) return null;
-    const nowMs = clock.nowMs();
-    request.traits.forEach((trait, index) => {
-      const age = reply.val.soundAgeMs[index] ?? 0;
-      if (age > 0) evidence.noteSound(trait, nowMs - (age - 1));
-    });
-    applyEntries(
-      reply.val.quarantine.map((one) => crashCodec.fromEntryMessage(one, nowMs)),
-      source,
-    );
-    return reply.val.uses;
-  }
-
-  function report(reports: readonly crashCodec.CrashReport[]): void {
-    const others = collectors().filter((one) => one.gatewayId !== gatewayId);
-    others.forEach((target) => {
-      void share(target, reports, []).then((answer) => {
-        if (answer !== null) return;
-        clock.schedule(clock.nowMs() + RETRY_AFTER_MS, () => void share(target, reports, []));
-      });
-    });
-  }
-
   function entryFor(finding: crashEvidence.Finding): quarantines.QuarantineEntry {
     const before = quarantine.find(quarantines.keyOf(finding));
     const epoch = before === undefined ? 0 : before.epoch + 1;
@@ -182,42 +110,12 @@
     };
   }
 
-  /**
-   * How all gateways use the candidates: this one, those that answer, and in proportion those that are not asked. Their answers
-   * tell as well when the candidates were last sound. Null if this one is cut off from most: what it sees alone misleads.
-   */
-  async function usageByAll(
-    candidates: readonly crashEvidence.Candidate[],
-  ): Promise<Map<string, requestCensus.Usage> | null> {
-    const targets = someLive();
-    const answers = await Promise.all(targets.map((target) => share(target, [], candidates)));
-    const heard = answers.flatMap((answer) => (answer === null ? [] : [answer]));
-    if (heard.length < targets.length / 2) return null;
-    const fleetShare = (book.live(clock.nowMs()).length + 1) / (targets.length + 1);
-    return new Map(
-      candidates.map(({ trait, sinceMs }, index) => {
-        const own = census.usage(trait, sinceMs);
-        const all = [own, ...heard.flatMap((uses) => uses[index] ?? [])];
-        const sumOf = (field: keyof requestCensus.Usage) =>
-          all.reduce((sum, one) => sum + one[field], 0) * fleetShare;
-        return [
-          trait,
-          {
-            sentCount: sumOf('sentCount'),
-            sentTotal: sumOf('sentTotal'),
-            soundTotal: sumOf('soundTotal'),
-          },
-        ];
-      }),
-    );
-  }
-
   /** Returns whether there may be more to decide. */
   async function decideOnce(): Promise<boolean> {
-    if (!mayDecide()) return false;
+    if (!peers.isCollector()) return false;
     const candidates = evidence.candidates(quarantine.refusedSets()).slice(0, CANDIDATES_MAX);
     if (candidates.length === 0) return false;
-    const usage = await usageByAll(candidates);
+    const usage = await peers.usageByAll(candidates);
     if (usage === null) return false;
     noteOwnSound(candidates.map(({ trait }) => trait));
     const finding = evidence.find(
@@ -282,13 +180,7 @@
   function decide(entry: quarantines.QuarantineEntry): void {
     applyEntries([entry], 'own');
     deps.onDecided();
-    someLive().forEach((target) => void share(target, [], []));
-  }
-
-  function rank(key: string): number {
-    const all = [{ gatewayId }, ...book.live(clock.nowMs())];
-    const order = rendezvous.highest(key, all, (one) => one.gatewayId, all.length);
-    return order.findIndex((one) => one.gatewayId === gatewayId);
+    peers.tellAll();
   }
 
   function startTrial(entry: quarantines.QuarantineEntry, traits: readonly string[]): boolean {
@@ -296,7 +188,7 @@
     const key = quarantines.keyOf(entry);
     // With another entry's traits as well, its upstream's end would show nothing.
     if (nowMs < entry.untilMs || quarantine.match(traits, nowMs, key) !== null) return false;
-    const tried = quarantines.onTrial(entry, rank(key), nowMs);
+    const tried = quarantines.onTrial(entry, peers.rank(key), nowMs);
     if (tried === null) return false;
     decide(tried);
     return true;
@@ -340,13 +232,15 @@
       noteOwnSound(suspects.flat());
       logLost(lost, 'own');
       if (liveness !== 'refuses' || suspects.length === 0) return;
-      report([{ crash, isWithdrawn: false }]);
+      peers.report([{ crash, isWithdrawn: false }]);
       decideSoon();
     },
     onReturned: (upstreamId) => {
       evidence.withdraw(upstreamId);
       log.info('upstream-returned', { upstreamId });
-      report([{ crash: { upstreamId, atMs: clock.nowMs(), suspects: [] }, isWithdrawn: true }]);
+      peers.report([
+        { crash: { upstreamId, atMs: clock.nowMs(), suspects: [] }, isWithdrawn: true },
+      ]);
     },
   });
 
@@ -368,7 +262,7 @@
     applyEntries,
     startTrial,
     endTrial,
-    tellEntries: (address) => void share({ gatewayId: address, address }, [], []),
+    tellEntries: peers.tellEntries,
     handle: (request) => {
       const nowMs = clock.nowMs();
       const source = request.gatewayId;
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -24,9 +24,7 @@
 import type * as settingsModule from '../../types/settings.js';
 import type * as upstreamStates from '../../types/upstream-states.js';
 import type * as limitsModule from '../limits/limits.js';
-import * as quarantines from '../../shared/crashes/quarantine.js';
 import * as requestTraits from '../../shared/crashes/request-traits.js';
-import type * as crashTrackers from '../crashes/crash-tracker.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as resumedStreams from '../streams/resumed-streams.js';
 import * as turnTakers from '../turns/turn-taker.js';
@@ -37,6 +35,7 @@
 import type * as plainAdmissions from './plain-admission.js';
 import * as plainCallPaths from './plain-call-path.js';
 import type * as preSendChecks from './pre-send-check.js';
+import * as quarantineChecks from './quarantine-check.js';
 import * as heldRequests from './held-requests.js';
 import * as missingCopies from './missing-copies.js';
 import * as routers from './router.js';
@@ -61,8 +60,8 @@
   plainQueues: settingsModule.Settings['plainQueues'];
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'recordFirstChunk' | 'recordEventInterval'>;
   retryShare: retryBudgets.RetryBudget;
-  quarantine: Pick<quarantines.Quarantine, 'match'>;
-  crashTrials: Pick<crashTrackers.CrashTracker, 'startTrial' | 'endTrial'>;
+  quarantine: quarantineChecks.QuarantineCheckDeps['quarantine'];
+  crashTrials: quarantineChecks.QuarantineCheckDeps['crashTrials'];
   connections: connectionsModule.Connections;
   words: upstreamSignals.UpstreamSignals;
   limits: limitsModule.Limits;
@@ -90,8 +89,6 @@
 
 const NO_UPSTREAM_RETRY_MS = 500;
 const MIN_RETRY_AFTER_MS = 100;
-/** While a quarantine is on trial at one gateway, the others refuse on. */
-const QUARANTINE_RETRY_MIN_MS = 30_000;
 
 export function createServe(deps: ServeDeps): Serve {
   const { clock } = deps;
@@ -107,6 +104,7 @@
   const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
   const attempt = attemptSenders.createAttemptSender({ ...deps, router });
   const missing = missingCopies.createMissingCopies({ ...deps, router, refuse });
+  const quarantined = quarantineChecks.createQuarantineCheck({ ...deps, refuse });
   const bindStream = streamBindings.createStreamBinding({ ...deps, refuse });
 
   function factsOf(call: calls.Call, run: runs.Run): retryDecisions.RequestFacts {
@@ -121,27 +119,6 @@
     return retryDecisions.refusalOrFailure(factsOf(call, run), cause, retryAfterMs);
   }
 
-  /** The ending of a request with traits that end upstreams; null for any other. */
-  function refuseQuarantined(call: calls.Call, run: runs.Run): calls.Ending | null {
-    const nowMs = clock.nowMs();
-    const entry = deps.quarantine.match(run.traits, nowMs, run.trial?.key);
-    if (entry === null) return null;
-    if (run.trial === null && deps.crashTrials.startTrial(entry, run.traits)) {
-      run.trial = { key: quarantines.keyOf(entry), startedMs: nowMs };
-      return null;
-    }
-    const { traits, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
-    deps.log.info('request-quarantined', {
-      requestId: call.requestId,
-      traits: traits.join(','),
-      crashCount,
-      decidedBy,
-      ageMs: Math.round(nowMs - decidedAtMs),
-      remainingMs: Math.round(untilMs - nowMs),
-    });
-    return refuse(call, run, 'quarantined', Math.max(QUARANTINE_RETRY_MIN_MS, untilMs - nowMs));
-  }
-
   function forwardHeldFailure(
     sink: answers.AnswerSink,
     answer: calls.HeldAnswer,
@@ -277,7 +254,7 @@
       return check === 'caller-gone' ? { kind: 'caller-gone', stage: run.stage } : null;
     }
     // It may have waited for its turn, a permit or a copy since it was checked last.
-    const refused = refuseQuarantined(call, run);
+    const refused = quarantined.ending(call, run);
     if (refused !== null) {
       turn.ended(false, null);
       return preferHeldFailure(run, sink, refused);
@@ -324,15 +301,14 @@
     }
   }
 
+  /** Rounds of choices and attempts, until one of them ends the request. */
   async function serveBound(
     call: calls.Call,
     run: runs.Run,
     sink: answers.AnswerSink,
   ): Promise<calls.Ending> {
     // A request that is refused is no demand for copies of its model.
-    if (deps.quarantine.match(run.traits, clock.nowMs()) === null) {
-      router.recordDemand(call, run, 'always');
-    }
+    if (!quarantined.isRefused(run)) router.recordDemand(call, run, 'always');
     for (;;) {
       if (sink.isCallerGone()) return { kind: 'caller-gone', stage: run.stage };
       if (clock.nowMs() >= call.deadlineMs) {
@@ -341,7 +317,7 @@
         if (run.ranCount > 0) return { kind: 'failed', cause: 'timeout', upstreamId };
         return refuse(call, run, 'deadline-near', MIN_RETRY_AFTER_MS);
       }
-      const refused = refuseQuarantined(call, run);
+      const refused = quarantined.ending(call, run);
       if (refused !== null) return preferHeldFailure(run, sink, refused) ?? refused;
       const ending = await serveOnce(call, run, sink);
       if (ending !== null) return ending;
@@ -356,7 +332,7 @@
     try {
       return await serveBound(call, run, sink);
     } finally {
-      if (run.trial !== null) deps.crashTrials.endTrial(run.trial.key, run.trial.startedMs);
+      quarantined.ended(run);
     }
   };
 }
