--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -36,6 +36,9 @@
     );
     const leavingIds = directory.leavingIds();
     const leaving = upstreams.filter(({ upstreamId }) => leavingIds.includes(upstreamId));
+    const kept = upstreams.filter(
+      ({ upstreamId }) => directory.keptForMs(upstreamId, nowMs) !== null,
+    );
     return {
       openCallCount: parts.openCalls.count(),
       configVersion: configuration.version(),
@@ -46,6 +49,7 @@
       avoidedCount: avoided.length,
       speeds: parts.states.counts(nowMs),
       leavingCount: leaving.length,
+      keptCount: kept.length,
       limitedCount: parts.upstreamLimits.limitedIds().length,
       placementAgeMs: parts.view.ageMs(nowMs),
       plainWaitingCount: parts.plainGate.waitingCount(),
--- a/packages/gateway/src/server/control/upstream-list.ts
+++ b/packages/gateway/src/server/control/upstream-list.ts
@@ -55,6 +55,11 @@
     return storePositions.format(directory.position());
   }
 
+  function keptFor(upstreamId: string): number | undefined {
+    const forMs = directory.keptForMs(upstreamId, clock.nowMs());
+    return forMs === null ? undefined : Math.round(forMs);
+  }
+
   return followers.createFollower({
     kind: 'upstreams',
     store: deps.store,
@@ -82,7 +87,9 @@
     onChange: (change) => {
       const before = describePosition();
       const isTaken = directory.applyChange(change, clock.nowMs());
-      log.info('upstream-changed', { ...describeChange(change), source: 'watch', before, isTaken });
+      const described = describeChange(change);
+      const keptForMs = keptFor(described.upstreamId);
+      log.info('upstream-changed', { ...described, source: 'watch', before, isTaken, keptForMs });
       deps.onChanged();
     },
     onRegained: (awayMs) => {
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -157,6 +157,7 @@
     const answer: AnswerSoFar = { framing: null, load: null, firstChunk: null };
     const watched = deps.crashWatch.started(upstreamId, record.address, run.traits);
     const listAgeMs = loggedListAgeMs(deps.listAgeMs());
+    const keptForMs = directory.keptForMs(upstreamId, clock.nowMs());
     const lastEventId = run.resumeAfterId ?? call.resumeAfterId;
     if (lastEventId !== null) deps.streams.noteSentOn(call, run, record, lastEventId);
     const result = await attempts.runAttempt(deps, {
@@ -212,6 +213,7 @@
       slowness: loggedFactor(choice.speed.latencyRatio),
       momentFactor: loggedFactor(choice.speed.transientFactor),
       listAgeMs,
+      keptForMs: keptForMs === null ? undefined : Math.round(keptForMs),
       firstPieceMs: firstChunk === null ? undefined : Math.round(firstChunk.tookMs),
       tookMs: Math.round(tookMs),
       version: resumedStreams.isResumable(call) ? record.softwareVersion : undefined,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -170,9 +170,21 @@
 
   /** Whether the retry budget of the service allows another attempt. */
   function acquireRetry(call: calls.Call): boolean {
-    const isAcquired = deps.retryShare.tryAcquire(call.service, deps.gatewayCount(), clock.nowMs());
-    deps.metrics.retry(isAcquired);
-    return isAcquired;
+    const { requestId, service } = call;
+    const gatewayCount = deps.gatewayCount();
+    const basis = deps.retryShare.basis(service, gatewayCount, clock.nowMs());
+    const isAllowed = deps.retryShare.tryAcquire(service, gatewayCount, clock.nowMs());
+    deps.metrics.retry(isAllowed);
+    const allowedCount = Math.floor(basis.allowedCount);
+    deps.log.info('retry-decided', {
+      requestId,
+      service,
+      isAllowed,
+      ...basis,
+      allowedCount,
+      gatewayCount,
+    });
+    return isAllowed;
   }
 
   /** One round: chooses an upstream and makes an attempt there. Null if another round follows. */
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -19,6 +19,7 @@
   speeds: { slowCount: 2, disturbedCount: 3, distrustedCount: 0 },
   limitedCount: 0,
   leavingCount: 0,
+  keptCount: 0,
   placementAgeMs: 250,
   plainWaitingCount: 0,
   heldTerm: null,
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -28,6 +28,7 @@
   speeds: { slowCount: number; disturbedCount: number; distrustedCount: number };
   limitedCount: number;
   leavingCount: number;
+  keptCount: number;
   placementAgeMs: number;
   /** Plain calls that wait in the gateway for a slot. */
   plainWaitingCount: number;
@@ -280,6 +281,11 @@
     'Listed upstreams that said in an answer that they leave',
     () => readings().leavingCount,
   );
+  gauge(
+    'upstreams_kept',
+    'Upstreams that the list lacks and that are still offered, since their entries may have lapsed in an outage',
+    () => readings().keptCount,
+  );
   gauge('placement_age_seconds', 'Since the holder of the lease was heard', () =>
     seconds(readings().placementAgeMs),
   );
--- a/packages/gateway/src/shared/retry-budget.ts
+++ b/packages/gateway/src/shared/retry-budget.ts
@@ -7,8 +7,13 @@
   recordRequest: (service: string, nowMs: number) => void;
   /** Takes one retry from the budget; false when none is left. */
   tryAcquire: (service: string, gatewayCount: number, nowMs: number) => boolean;
+  /** What the next retry is decided by. */
+  basis: (service: string, gatewayCount: number, nowMs: number) => RetryBasis;
 };
 
+/** Counts of this gateway in the window, and the retries that it may make in it. */
+export type RetryBasis = { requestCount: number; retryCount: number; allowedCount: number };
+
 export type RetryLimits = { ratio: number; slack: number; windowMs: number };
 
 /** A part is held back, since the other gateways' clocks and gateway counts differ slightly from this one's. */
@@ -35,18 +40,24 @@
     return { list, step };
   }
 
+  function basis(service: string, gatewayCount: number, nowMs: number): RetryBasis {
+    const { list } = currentStep(service, nowMs);
+    const requestCount = list.reduce((sum, { requests }) => sum + requests, 0);
+    const retryCount = list.reduce((sum, { retries }) => sum + retries, 0);
+    const limit = limits.ratio * requestCount + limits.slack / Math.max(1, gatewayCount);
+    return { requestCount, retryCount, allowedCount: USABLE_SHARE * limit };
+  }
+
   return {
     recordRequest: (service, nowMs) => {
       currentStep(service, nowMs).step.requests += 1;
     },
     tryAcquire: (service, gatewayCount, nowMs) => {
-      const { list, step } = currentStep(service, nowMs);
-      const requests = list.reduce((sum, { requests: count }) => sum + count, 0);
-      const retries = list.reduce((sum, { retries: count }) => sum + count, 0);
-      const limit = limits.ratio * requests + limits.slack / Math.max(1, gatewayCount);
-      if (retries + 1 > USABLE_SHARE * limit) return false;
-      step.retries += 1;
+      const { retryCount, allowedCount } = basis(service, gatewayCount, nowMs);
+      if (retryCount + 1 > allowedCount) return false;
+      currentStep(service, nowMs).step.retries += 1;
       return true;
     },
+    basis,
   };
 }
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -57,6 +57,8 @@
     position: string;
     before: string;
     isTaken: boolean;
+    /** Of one that is gone: for how much longer it is offered, since its entry may only have lapsed in an outage. */
+    keptForMs?: number | undefined;
   };
   /** The platform lists another start under the same name: all that was believed of the one before is dropped. */
   'upstream-restarted': { beforeId: string; upstreamId: string; address: string };
@@ -248,11 +250,26 @@
     momentFactor: Amount;
     /** Of the list of upstreams when it was sent; left out where that is as young as usual. */
     listAgeMs: Amount;
+    /** Sent though the list lacked the upstream: for how much longer it was kept; see `upstream-changed`. */
+    keptForMs: Amount;
     firstPieceMs: Amount;
     tookMs: number;
     /** Of the upstream's software; only for streams that may be resumed. */
     version: Text;
   };
+  /**
+   * Whether a request may be sent once more, by the retry budget of its service. `requestCount` and `retryCount`: of this
+   * gateway in the budget's window; `allowedCount`: the retries that it may make in it; `gatewayCount`: as far as it knows.
+   */
+  'retry-decided': {
+    requestId: string;
+    service: string;
+    isAllowed: boolean;
+    requestCount: number;
+    retryCount: number;
+    allowedCount: number;
+    gatewayCount: number;
+  };
   /**
    * Its caller asks for the rest of a stream: which software version began it, and who knew. `source`: `own` (this gateway has a
    * record), `only-version` (its service had no other for as long as streams live), or the gateway that answered; left out with
