--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -1,4 +1,5 @@
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 
 import { clocks, logs, randoms } from '@copperlever/runtime';
 import { suite } from 'uvu';
@@ -55,11 +56,14 @@
   answer?: Answer;
   /** Set if the upstream has a rate limit: waits for a permit. */
   takePermit?: () => Promise<boolean>;
+  retryLimits?: retryBudgets.RetryLimits;
 };
 
+const RETRY_LIMITS = { ratio: 1, slack: 10, windowMs: 1_000 };
+
 async function createFixture(setup: Setup = {}) {
   const { ask = GRANTED, isWanted = true, answer = (socket) => socket.write(STREAM) } = setup;
-  const { takePermit } = setup;
+  const { takePermit, retryLimits = RETRY_LIMITS } = setup;
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
   const log = logs.createSilentLogger() as logEvents.GatewayLog;
@@ -106,7 +110,7 @@
     inFlight: inFlightModule.createInFlight(),
     caches: promptCaches.createPromptCaches(),
     paces: serviceTimesModule.createServiceTimeEstimator(),
-    retryShare: retryBudgets.createRetryBudget({ ratio: 1, slack: 10, windowMs: 1_000 }),
+    retryShare: retryBudgets.createRetryBudget(retryLimits),
     quarantine,
     crashTrials: { startTrial: () => false, endTrial: () => {} },
     words: {
@@ -467,4 +471,41 @@
   }
 });
 
+// Guards against retries that are counted when they are decided and arrive later, those of several windows at once.
+test('retries that waited are counted when they are sent', async () => {
+  const retryLimits = { ratio: 0, slack: 6, windowMs: 300 };
+  const firstCount = 8;
+  let permitCount = 0;
+  let open: () => void = () => {};
+  const opened = new Promise<void>((resolve) => {
+    open = resolve;
+  });
+  const fixture = await createFixture({
+    isWanted: false,
+    retryLimits,
+    answer: (socket) => socket.write(REJECTED),
+    takePermit: async () => {
+      permitCount += 1;
+      if (permitCount > firstCount) await opened;
+      return true;
+    },
+  });
+  try {
+    const { record } = fixture.upstream;
+    fixture.list([record, { ...record, upstreamId: 'u2', name: 'u2' }], 2);
+    const serveHalf = () =>
+      Array.from({ length: firstCount / 2 }, () => fixture.serve(createCall(), createSink().sink));
+    const early = serveHalf();
+    await timers.setTimeout(2 * retryLimits.windowMs);
+    const late = serveHalf();
+    await timers.setTimeout(retryLimits.windowMs / 2);
+    open();
+    await Promise.all([...early, ...late]);
+    const retryCount = fixture.upstream.requests.length - firstCount;
+    assert.ok(retryCount <= retryLimits.slack, `${retryCount}`);
+  } finally {
+    await fixture.close();
+  }
+});
+
 test.run();
--- a/packages/gateway/src/shared/retry-budget.test.ts
+++ b/packages/gateway/src/shared/retry-budget.test.ts
@@ -37,4 +37,15 @@
   assert.ok(acquireAll(budget, 4, 0) >= 8);
 });
 
+// Guards against a slack that is divided by the gateways that each one knows, when they have lost one another.
+test('gateways that know no other stay together within the limit in every window', () => {
+  const gateways = Array.from({ length: 4 }, () => retryBudgets.createRetryBudget(LIMITS));
+  let retries = 0;
+  gateways.forEach((budget) => {
+    for (let count = 0; count < 100; count += 1) budget.recordRequest('desk', 0);
+    retries += acquireAll(budget, 1, 0);
+  });
+  assert.ok(retries <= LIMITS.ratio * 400 + LIMITS.slack, `${retries}`);
+});
+
 test.run();
--- a/packages/gateway/src/testing/list-store.ts
+++ b/packages/gateway/src/testing/list-store.ts
@@ -10,6 +10,7 @@
 
 export type ListStore = {
   put: (record: fleet.UpstreamRecord) => void;
+  remove: (name: string) => void;
   /** The store as one gateway reaches it. */
   reachedBy: (link: () => StoreLink) => stores.RecordStore;
   callCount: () => number;
@@ -20,12 +21,13 @@
 };
 
 type Stored = stores.StoredRecord<fleet.UpstreamRecord>;
+type Change = { revision: number; record: Stored | null; name: string };
 
 const ANSWER_MS = 2;
 
 export function createListStore(clock: clocks.Clock): ListStore {
   let records = new Map<string, Stored>();
-  let history: Stored[] = [];
+  let history: Change[] = [];
   let era = 0;
   let revision = 10;
   let calls = 0;
@@ -53,8 +55,12 @@
 
   function changesAfter(after: number) {
     const changes = history
-      .filter((record) => record.revision > after)
-      .map((record) => ({ kind: 'written' as const, record: { ...record, era } }));
+      .filter((change) => change.revision > after)
+      .map(({ record, name, revision: at }) =>
+        record === null
+          ? { kind: 'deleted' as const, name, era, revision: at }
+          : { kind: 'written' as const, record: { ...record, era } },
+      );
     return { changes, era, revision };
   }
 
@@ -79,7 +85,13 @@
       revision += 1;
       const record = { name: value.name, era, revision, value };
       records.set(value.name, record);
-      history.push(record);
+      history.push({ revision, record, name: value.name });
+      wakeAll();
+    },
+    remove: (name) => {
+      if (!records.delete(name)) return;
+      revision += 1;
+      history.push({ revision, record: null, name });
       wakeAll();
     },
     callCount: () => calls,
