A removal is told to other gateways at once; each keeps the upstream by its own outage alone

The holder of the lease, which had been cut off alone, kept a removed upstream that way and told the others nothing of it, while it vouched for their lists. The class: an exemption that holds for one gateway alone is passed on as the store's word.

The directory's change ledger now has a removal when it is known; followers keep the upstream only by an outage of their own, and hear of it again when it is written again: before, an entry that came back unchanged was told to nobody, and gateways that had dropped it stayed without it until their next listing. An older list of another gateway brings back nothing that a listing lacked.

The test "reported as removed once its grace has passed" demanded the fault; it is replaced by one that demands the report at once, the grace of each gateway, and its end at the same time as before.

--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -282,18 +282,45 @@
   assert.equal(holder.membersAfterPosition({ era: 0, revision: 7 }, 0).written, []);
 });
 
-// The holder lists again after an outage and an entry is missing, although no removal was reported.
-test('an entry that a listing lacks is reported as removed once its grace has passed', () => {
+// Guards against a holder that keeps what an outage may have made lapse and hides the removal from gateways that saw none.
+test('an entry that a listing lacks is reported at once, and kept by each for its own outage alone', () => {
   const { holder, follower } = createPair();
+  const second = createPair().follower;
   const { version } = holder.membersAfter(0, 0);
   holder.noteStoreReturn(1_000);
+  second.noteStoreReturn(1_200);
   holder.applyListing({ records: [stored('u2', 4)], unreadable: [], era: 0, revision: 9 }, 1_000);
-  assert.equal(holder.membersAfter(version, 1_500).removed, []);
-  const afterMs = 1_000 + directories.LAPSE_GRACE_MS;
-  const members = holder.membersAfter(version, afterMs);
+  const members = holder.membersAfter(version, 1_100);
   assert.equal(members.removed, [{ name: 'u1', era: 0, revision: 9 }]);
-  follower.applyMembers(members, afterMs);
-  assert.equal(ids(follower, afterMs), ['u2']);
+  follower.applyMembers(members, 1_300);
+  second.applyMembers(members, 1_300);
+  const afterMs = 1_000 + directories.LAPSE_GRACE_MS;
+  assert.equal(ids(follower, 1_300), ['u2']);
+  assert.equal([ids(holder, afterMs - 1), ids(holder, afterMs)], [['u1', 'u2'], ['u2']]);
+  assert.equal([ids(second, afterMs), ids(second, afterMs + 200)], [['u1', 'u2'], ['u2']]);
+});
+
+// Guards against gateways that stay without an upstream, since the list of the one that tells them has it unchanged.
+test('an entry that was written again unchanged is reported again', () => {
+  const { holder, follower } = createPair();
+  const { version } = holder.membersAfter(0, 0);
+  holder.noteStoreReturn(1_000);
+  holder.applyChange({ kind: 'deleted', name: 'u1', era: 0, revision: 9 }, 1_000);
+  const removed = holder.membersAfter(version, 1_000);
+  follower.applyMembers(removed, 1_000);
+  holder.applyChange({ kind: 'written', record: stored('u1', 10) }, 1_500);
+  follower.applyMembers(holder.membersAfter(removed.version, 1_500), 1_500);
+  assert.equal(ids(holder, 5_000).sort(), ['u1', 'u2']);
+  assert.equal(ids(follower, 5_000).sort(), ['u1', 'u2']);
+});
+
+// Guards against a gateway whose older list brings back what the list has lacked since.
+test('an entry that a listing lacks is not brought back by an older list of another gateway', () => {
+  const { holder, follower } = createPair();
+  holder.noteStoreReturn(1_000);
+  holder.applyListing({ records: [stored('u2', 4)], unreadable: [], era: 0, revision: 9 }, 1_000);
+  holder.applyMembers(follower.membersAfter(0, 1_000), 1_000);
+  assert.equal(ids(holder, 1_000 + directories.LAPSE_GRACE_MS), ['u2']);
 });
 
 // A follower's own watch is ahead of what the holder reports.
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -16,9 +16,10 @@
   /** Returns false, and changes nothing, if the change is older than what is known. */
   applyChange: (change: stores.Change<fleet.UpstreamRecord>, nowMs: number) => boolean;
   /**
-   * The store answers again after an outage. Entries that it lacks may still be written again for a while.
+   * The store answered again after an outage, as of then. Entries that it lacks are kept for a while, since they may still be
+   * written again.
    */
-  noteStoreReturn: (nowMs: number) => void;
+  noteStoreReturn: (returnedMs: number) => void;
   /** The upstream at this address reported that it is not the intended one. */
   noteMisdirected: (upstreamId: string) => void;
   /** The upstream itself reported that it is leaving. Returns false if that was known. */
@@ -71,11 +72,10 @@
 
 type KnownUpstream = {
   stored: UpstreamStored;
-  goneFromMs: number | null;
+  /** The list lacks it. It is told to others at once: each keeps it by what it knows of the store's outages. */
+  isRemoved: boolean;
   /** The record is not used before. */
   usableFromMs: number;
-  /** Position of the platform's list that lacked the entry. */
-  removedAt: storePositions.Position;
 };
 
 /**
@@ -121,7 +121,9 @@
   let position = storePositions.ORIGIN;
   /** Position of the newest whole listing. An entry that it lacks, and that is older, is gone. */
   let listedAt = storePositions.ORIGIN;
-  let lapseGraceUntilMs = 0;
+  let returnedMs = -Infinity;
+  /** The same by a later era, whose first position shows a return. */
+  let eraReturnedMs = -Infinity;
   const members = changeLedgers.createChangeLedger<UpstreamStored, storePositions.Position>(
     isSameMember,
   );
@@ -132,18 +134,12 @@
     known.delete(name);
   }
 
-  function forgetRemoved(name: string): void {
-    const before = known.get(name);
-    if (before !== undefined) members.remove(name, before.removedAt);
-    forget(name);
-  }
-
   /**
    * Entries that the store lacks after it returned with an older copy may still be written again for a while.
    */
   function advanceTo(reached: storePositions.Position, nowMs: number): void {
     if (reached.era > position.era && position.revision > 0) {
-      lapseGraceUntilMs = Math.max(lapseGraceUntilMs, nowMs + LAPSE_GRACE_MS);
+      eraReturnedMs = nowMs;
       removals.noteStoreReturn(positionOf(reached), nowMs);
     }
     position = storePositions.later(position, reached);
@@ -185,12 +181,7 @@
       onLeavingKept(upstreamId);
     }
     const usableFromMs = removals.usableFromMs(upstreamId, record);
-    known.set(record.name, {
-      stored: record,
-      usableFromMs,
-      goneFromMs: null,
-      removedAt: storePositions.ORIGIN,
-    });
+    known.set(record.name, { stored: record, usableFromMs, isRemoved: false });
     names.set(upstreamId, record.name);
     members.put(record.name, record);
     if (beforeId !== undefined && beforeId !== upstreamId) onRestarted(beforeId, record.value);
@@ -206,10 +197,11 @@
   function remove(name: string, at: storePositions.Position, nowMs: number): void {
     const before = known.get(name);
     if (before === undefined) return;
-    before.removedAt = at;
     removals.noteRemoved(before.stored.value.upstreamId, at);
-    if (nowMs >= lapseGraceUntilMs) forgetRemoved(name);
-    else before.goneFromMs ??= lapseGraceUntilMs;
+    deletedAt.set(name, at);
+    members.remove(name, at);
+    before.isRemoved = true;
+    if (nowMs >= keptUntilMs()) forget(name);
   }
 
   /**
@@ -219,18 +211,22 @@
   function discard(record: stores.UnreadableRecord): boolean {
     if (isKnownLater(record)) return false;
     deletedAt.set(record.name, positionOf(record));
-    const before = known.get(record.name);
-    if (before !== undefined) before.removedAt = positionOf(record);
-    forgetRemoved(record.name);
+    if (known.has(record.name)) members.remove(record.name, positionOf(record));
+    forget(record.name);
     return true;
   }
 
+  /** Until when entries are kept that the list lacks. */
+  function keptUntilMs(): number {
+    return Math.max(returnedMs, eraReturnedMs) + LAPSE_GRACE_MS;
+  }
+
   function isGone(entry: KnownUpstream, nowMs: number): boolean {
-    return entry.goneFromMs !== null && entry.goneFromMs <= nowMs;
+    return entry.isRemoved && nowMs >= keptUntilMs();
   }
 
   function sweep(nowMs: number): void {
-    for (const [name, entry] of known) if (isGone(entry, nowMs)) forgetRemoved(name);
+    for (const [name, entry] of known) if (isGone(entry, nowMs)) forget(name);
   }
 
   function noteLeaving(upstreamId: string, nowMs: number): boolean {
@@ -296,8 +292,8 @@
       return true;
     },
     applyChange,
-    noteStoreReturn: (nowMs) => {
-      lapseGraceUntilMs = nowMs + LAPSE_GRACE_MS;
+    noteStoreReturn: (atMs) => {
+      returnedMs = atMs;
     },
     noteMisdirected: (upstreamId) => {
       const name = names.get(upstreamId);
@@ -319,8 +315,8 @@
     },
     keptForMs: (upstreamId, nowMs) => {
       const name = names.get(upstreamId);
-      const goneFromMs = name === undefined ? null : (known.get(name)?.goneFromMs ?? null);
-      return goneFromMs === null ? null : Math.max(0, goneFromMs - nowMs);
+      const isRemoved = name !== undefined && known.get(name)?.isRemoved === true;
+      return isRemoved ? Math.max(0, keptUntilMs() - nowMs) : null;
     },
     all: () => [...known.values()].map((entry) => entry.stored.value),
     position: () => position,
@@ -368,7 +364,9 @@
       return applied;
     },
     listing: () => ({
-      records: [...known.values()].map((entry) => entry.stored),
+      records: [...known.values()]
+        .filter(({ isRemoved }) => !isRemoved)
+        .map(({ stored }) => stored),
       unreadable: [],
       ...position,
     }),
