A retry counts in the budget when it is sent

A retry was taken from the budget when an attempt ended, and sent when a copy, an adapter, a turn or a permit was there, up to a caller's deadline later: retries of several windows arrived in one. It is taken right before it is sent; where the budget is used up when the attempt ends, the request is still refused at once.

It now lets the first sends of both batches pass, holds all retries, and counts what arrives in the window after they are let go; it fails on the code before and passes here.

--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -474,7 +474,7 @@
 // Guards against retries that are counted when they are decided and arrive later, those of several windows at once.
 test('retries that waited are counted when they are sent', async () => {
   const retryLimits = { ratio: 0, slack: 6, windowMs: 300 };
-  const firstCount = 8;
+  const callCount = 4;
   let permitCount = 0;
   let open: () => void = () => {};
   const opened = new Promise<void>((resolve) => {
@@ -486,22 +486,27 @@
     answer: (socket) => socket.write(REJECTED),
     takePermit: async () => {
       permitCount += 1;
-      if (permitCount > firstCount) await opened;
+      // In turn, the first sends and the retries of the early calls, and those of the late ones.
+      const isRetry = Math.ceil(permitCount / callCount) % 2 === 0;
+      if (isRetry) await opened;
       return true;
     },
   });
   try {
     const { record } = fixture.upstream;
     fixture.list([record, { ...record, upstreamId: 'u2', name: 'u2' }], 2);
-    const serveHalf = () =>
-      Array.from({ length: firstCount / 2 }, () => fixture.serve(createCall(), createSink().sink));
-    const early = serveHalf();
+    const serveAll = () =>
+      Array.from({ length: callCount }, () => fixture.serve(createCall(), createSink().sink));
+    const early = serveAll();
     await timers.setTimeout(2 * retryLimits.windowMs);
-    const late = serveHalf();
+    const late = serveAll();
     await timers.setTimeout(retryLimits.windowMs / 2);
+    const firstCount = fixture.upstream.requests.length;
     open();
-    await Promise.all([...early, ...late]);
+    await timers.setTimeout(retryLimits.windowMs / 2);
     const retryCount = fixture.upstream.requests.length - firstCount;
+    assert.is(firstCount, 2 * callCount);
+    await Promise.all([...early, ...late]);
     assert.ok(retryCount <= retryLimits.slack, `${retryCount}`);
   } finally {
     await fixture.close();
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -150,8 +150,7 @@
     run.hasBegun = sink.hasBegun();
     if (result.kind === 'rejected' && !result.isMisdirected) run.wasFull = true;
     if (result.kind === 'held-failure') {
-      const mayRetry = acquireRetry(call);
-      if (mayRetry && run.ranCount < call.route.maxAttempts && !sink.hasBegun()) {
+      if (run.ranCount < call.route.maxAttempts && !sink.hasBegun()) {
         run.heldFailure = { answer: result.answer, upstreamId: run.upstreamId };
         return null;
       }
@@ -159,7 +158,7 @@
     }
     const decision = retryDecisions.decideAfterAttempt(factsOf(call, run), result);
     if (decision.kind === 'end') return decision.ending;
-    if (decision.isRepeat && !acquireRetry(call)) {
+    if (decision.isRepeat && !mayRetry(call)) {
       return refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
     }
     run.resumeAfterId = decision.resumeAfterId ?? run.resumeAfterId;
@@ -168,8 +167,15 @@
     return null;
   }
 
-  /** Whether the retry budget of the service allows another attempt. */
-  function acquireRetry(call: calls.Call): boolean {
+  /** Whether another attempt need be prepared. */
+  function mayRetry({ service }: calls.Call): boolean {
+    const basis = deps.retryShare.basis(service, deps.gatewayCount(), clock.nowMs());
+    return basis.retryCount + 1 <= basis.allowedCount;
+  }
+
+  /** Whether the request may be sent now, by the retry budget of its service. The first send needs nothing. */
+  function acquireRetry(call: calls.Call, run: runs.Run): boolean {
+    if (run.sentCount === 0) return true;
     const { requestId, service } = call;
     const gatewayCount = deps.gatewayCount();
     const basis = deps.retryShare.basis(service, gatewayCount, clock.nowMs());
@@ -260,6 +266,11 @@
         return null;
       }
     }
+    if (!acquireRetry(call, run)) {
+      turn.ended(false, null);
+      const spent = refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
+      return preferHeldFailure(run, sink, spent);
+    }
     const check = await deps.preSendCheck(call, sink);
     if (check !== 'may-send') {
       turn.ended(false, null);
