The retry budget is shared by tokens that are used once, and no longer divided by the gateways that each one knows

The slack was divided by the gateways that one knew; four that had lost one another made 196 retries at once, 130 allowed, and a start had its share anew. Each also had only the part of its own requests, so that one gateway with all the losses could use 0.4 of what was allowed.

Each request makes 0.9 of the ratio in tokens, used within half a second at its gateway or passed on to the holder of the lease, where they live as long again; a retry takes one, right before it is sent. A token is used once wherever it is, so no cut, kill or start adds any. The slack is the holder's alone, while its lease is secure (renewed lately, by both clocks), and a holder that follows another begins with it a window later. Without a holder a gateway has its own tokens. TakeRetry costs a call for a retry that its own tokens do not cover; gateways of the build before answer it with an error and count as silent.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -29,7 +29,6 @@
 import * as promptCaches from './shared/prompt-caches.js';
 import * as speedSharing from './shared/speed-sharing.js';
 import * as restartDoubts from './shared/restart-doubts.js';
-import * as retryBudgets from './shared/retry-budget.js';
 import * as tokenShares from './shared/token-shares.js';
 import * as sharedEjectionsModule from './shared/shared-ejections.js';
 import * as upstreamHealthModule from './shared/upstream-health.js';
@@ -44,8 +43,6 @@
 import * as streamParts from './stream-parts.js';
 import type * as partTypes from './types/parts.js';
 
-const MS_PER_SECOND = 1_000;
-
 /** At some tens of microseconds a line, the two lines of a request take about a hundredth of a core. */
 const LOG_BOUNDS: boundedLogs.LogBounds = { infoPerSecond: 150, warnPerSecond: 300 };
 
@@ -161,15 +158,7 @@
         openCallsModule.createOpenCalls(parts.clock, parts.log),
       )
       .singleton(),
-    retryShare: awilix
-      .asFunction(() =>
-        retryBudgets.createRetryBudget({
-          ratio: settings.retryRatio,
-          slack: settings.retrySlack,
-          windowMs: settings.retryWindowS * MS_PER_SECOND,
-        }),
-      )
-      .singleton(),
+    retries: awilix.asFunction(controlParts.createRetries).singleton(),
     incarnation: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
         Math.trunc(parts.random.fraction() * Number.MAX_SAFE_INTEGER),
@@ -235,7 +224,7 @@
           plainPlaces: parts.plainPlaces,
           plainAdmission: parts.plainGate,
           plainQueues: settings.plainQueues,
-          retryShare: parts.retryShare,
+          retries: parts.retries,
           quarantine: parts.quarantine,
           connections: parts.connections,
           words: parts.words,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -6,6 +6,7 @@
 import * as messageCodec from './server/peers/message-codec.js';
 import * as leaseManagers from './server/placement/lease-manager.js';
 import * as placementControllers from './server/placement/placement-controller.js';
+import * as retriesModule from './server/retries/retries.js';
 import * as quotasModule from './server/quotas/quotas.js';
 import * as turnCodec from './server/turns/turn-codec.js';
 import * as turnsModule from './server/turns/turns.js';
@@ -217,6 +218,35 @@
   });
 }
 
+export function createRetries(parts: partTypes.GatewayParts): retriesModule.Retries {
+  const { clock, settings, lease } = parts;
+  return retriesModule.createRetries({
+    clock,
+    log: parts.log,
+    limits: {
+      ratio: settings.retryRatio,
+      slack: settings.retrySlack,
+      windowMs: settings.retryWindowS * MS_PER_SECOND,
+    },
+    gatewayId: settings.gatewayId,
+    incarnation: parts.incarnation,
+    heldTerm: lease.heldTerm,
+    secureLease: lease.secureLease,
+    holderAgeMs: parts.view.ageMs,
+    ask: async (asked) => {
+      const address = holderAddress(parts);
+      if (address === null) return null;
+      const request = { ...asked, passed: [...asked.passed] };
+      const reply = await parts.link.takeRetry(
+        address,
+        request,
+        clock.nowMs() + HOLDER_PATIENCE_MS,
+      );
+      return reply.ok ? reply.val : null;
+    },
+  });
+}
+
 export function createExchange(parts: partTypes.GatewayParts): exchanges.Exchange {
   const { settings, status } = parts;
   return exchanges.createExchange({
@@ -239,6 +269,7 @@
     suspects: parts.suspects,
     placer: parts.placer,
     quotas: parts.quotas,
+    retries: parts.retries,
     upstreamLimits: parts.upstreamLimits,
     words: parts.words,
     gatewayId: settings.gatewayId,
--- a/packages/gateway/src/peer-parts.ts
+++ b/packages/gateway/src/peer-parts.ts
@@ -22,6 +22,7 @@
       const loan = parts.quotas.lend(term, { gatewayId, incarnation }, report);
       return { loan: messageCodec.toQuotaLoanMessage(loan) };
     },
+    takeRetry: (asked) => parts.retries.give(asked),
     takeTurn: (request) =>
       turnCodec.toTakeTurnReply(parts.turns.take(turnCodec.fromTakeTurnRequest(request))),
     endTurns: (request) => {
--- a/packages/gateway/src/server/control/list-removals.test.ts
+++ b/packages/gateway/src/server/control/list-removals.test.ts
@@ -37,7 +37,7 @@
     const nowMs = clock.nowMs();
     if (nowMs >= BACK_MS) cut.faults.store = 'works';
     if (nowMs % 400 < STEP_MS) {
-      store.put(listFleets.upstream(`u${2 + (((nowMs / 400) % 5) | 0)}`, 'ready', nowMs % 60));
+      store.put(listFleets.upstream(`u${2 + (Math.floor(nowMs / 400) % 5)}`, 'ready', nowMs % 60));
     }
     if (nowMs >= removedMs && !isRemoved) {
       isRemoved = true;
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -10,7 +10,7 @@
 import * as quarantines from '../../shared/crashes/quarantine.js';
 import * as promptCaches from '../../shared/prompt-caches.js';
 import * as restartDoubts from '../../shared/restart-doubts.js';
-import * as retryBudgets from '../../shared/retry-budget.js';
+import * as retryLedgers from '../../shared/retries/retry-ledger.js';
 import * as upstreamHealthModule from '../../shared/upstream-health.js';
 import * as directories from '../../shared/upstream-directory.js';
 import * as upstreamPauses from '../../shared/upstream-pauses.js';
@@ -25,6 +25,7 @@
 import * as plainServiceTimes from '../../shared/plain-service-times.js';
 import type * as logEvents from '../../types/log-events.js';
 import * as metricsModule from '../metrics/metrics.js';
+import * as retriesModule from '../retries/retries.js';
 import type * as turnsModule from '../turns/turns.js';
 import type * as answers from './answers.js';
 import * as connectionsModule from './connections.js';
@@ -56,11 +57,29 @@
   answer?: Answer;
   /** Set if the upstream has a rate limit: waits for a permit. */
   takePermit?: () => Promise<boolean>;
-  retryLimits?: retryBudgets.RetryLimits;
+  retryLimits?: retryLedgers.RetryLimits;
 };
 
 const RETRY_LIMITS = { ratio: 1, slack: 10, windowMs: 1_000 };
 
+/** Of a gateway that holds the lease. */
+function createRetries(
+  clock: Pick<clocks.Clock, 'nowMs'>,
+  limits: retryLedgers.RetryLimits,
+): retriesModule.Retries {
+  return retriesModule.createRetries({
+    clock,
+    limits,
+    log: logs.createSilentLogger() as logEvents.GatewayLog,
+    gatewayId: 'g1',
+    incarnation: 1,
+    heldTerm: () => 1,
+    secureLease: () => ({ sinceMs: 0, isFirst: true }),
+    holderAgeMs: () => 0,
+    ask: async () => null,
+  });
+}
+
 async function createFixture(setup: Setup = {}) {
   const { ask = GRANTED, isWanted = true, answer = (socket) => socket.write(STREAM) } = setup;
   const { takePermit, retryLimits = RETRY_LIMITS } = setup;
@@ -110,7 +129,7 @@
     inFlight: inFlightModule.createInFlight(),
     caches: promptCaches.createPromptCaches(),
     paces: serviceTimesModule.createServiceTimeEstimator(),
-    retryShare: retryBudgets.createRetryBudget(retryLimits),
+    retries: createRetries(clock, retryLimits),
     quarantine,
     crashTrials: { startTrial: () => false, endTrial: () => {} },
     words: {
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -9,7 +9,6 @@
 import type * as plainCapacity from '../../shared/plain-capacity.js';
 import type * as plainServiceTimes from '../../shared/plain-service-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
-import type * as retryBudgets from '../../shared/retry-budget.js';
 import type * as restartDoubts from '../../shared/restart-doubts.js';
 import * as retryDecisions from '../../shared/retry-decisions.js';
 import * as upstreamHealthModule from '../../shared/upstream-health.js';
@@ -26,6 +25,7 @@
 import type * as limitsModule from '../limits/limits.js';
 import * as requestTraits from '../../shared/crashes/request-traits.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import type * as retriesModule from '../retries/retries.js';
 import type * as resumedStreams from '../streams/resumed-streams.js';
 import * as turnTakers from '../turns/turn-taker.js';
 import type * as turnsModule from '../turns/turns.js';
@@ -59,7 +59,7 @@
   plainAdmission: plainAdmissions.PlainAdmission;
   plainQueues: settingsModule.Settings['plainQueues'];
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'recordFirstChunk' | 'recordEventInterval'>;
-  retryShare: retryBudgets.RetryBudget;
+  retries: Pick<retriesModule.Retries, 'recordRequest' | 'mayRetry' | 'take'>;
   quarantine: quarantineChecks.QuarantineCheckDeps['quarantine'];
   crashTrials: quarantineChecks.QuarantineCheckDeps['crashTrials'];
   connections: connectionsModule.Connections;
@@ -150,7 +150,11 @@
     run.hasBegun = sink.hasBegun();
     if (result.kind === 'rejected' && !result.isMisdirected) run.wasFull = true;
     if (result.kind === 'held-failure') {
-      if (run.ranCount < call.route.maxAttempts && !sink.hasBegun()) {
+      if (
+        deps.retries.mayRetry(call.service) &&
+        run.ranCount < call.route.maxAttempts &&
+        !sink.hasBegun()
+      ) {
         run.heldFailure = { answer: result.answer, upstreamId: run.upstreamId };
         return null;
       }
@@ -158,7 +162,7 @@
     }
     const decision = retryDecisions.decideAfterAttempt(factsOf(call, run), result);
     if (decision.kind === 'end') return decision.ending;
-    if (decision.isRepeat && !mayRetry(call)) {
+    if (decision.isRepeat && !deps.retries.mayRetry(call.service)) {
       return refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
     }
     run.resumeAfterId = decision.resumeAfterId ?? run.resumeAfterId;
@@ -167,29 +171,11 @@
     return null;
   }
 
-  /** Whether another attempt need be prepared. */
-  function mayRetry({ service }: calls.Call): boolean {
-    const basis = deps.retryShare.basis(service, deps.gatewayCount(), clock.nowMs());
-    return basis.retryCount + 1 <= basis.allowedCount;
-  }
-
   /** Whether the request may be sent now, by the retry budget of its service. The first send needs nothing. */
-  function acquireRetry(call: calls.Call, run: runs.Run): boolean {
+  async function acquireRetry(call: calls.Call, run: runs.Run): Promise<boolean> {
     if (run.sentCount === 0) return true;
-    const { requestId, service } = call;
-    const gatewayCount = deps.gatewayCount();
-    const basis = deps.retryShare.basis(service, gatewayCount, clock.nowMs());
-    const isAllowed = deps.retryShare.tryAcquire(service, gatewayCount, clock.nowMs());
+    const isAllowed = await deps.retries.take(call);
     deps.metrics.retry(isAllowed);
-    const allowedCount = Math.floor(basis.allowedCount);
-    deps.log.info('retry-decided', {
-      requestId,
-      service,
-      isAllowed,
-      ...basis,
-      allowedCount,
-      gatewayCount,
-    });
     return isAllowed;
   }
 
@@ -249,7 +235,10 @@
     }
   }
 
-  /** Acquires a permit where the upstream is limited, checks the caller again and makes the attempt. */
+  /**
+   * Acquires a permit where the upstream is limited, and a retry if it was sent before, checks the caller again and makes the
+   * attempt.
+   */
   async function send(
     call: calls.Call,
     run: runs.Run,
@@ -266,7 +255,7 @@
         return null;
       }
     }
-    if (!acquireRetry(call, run)) {
+    if (!(await acquireRetry(call, run))) {
       turn.ended(false, null);
       const spent = refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
       return preferHeldFailure(run, sink, spent);
@@ -350,7 +339,7 @@
   return async (received, sink) => {
     const run = { ...runs.createRun(), traits: requestTraits.of(received) };
     const { call, ending: unbound } = await bindStream(received, run);
-    deps.retryShare.recordRequest(call.service, clock.nowMs());
+    deps.retries.recordRequest(call.service);
     if (unbound !== null) return unbound;
     try {
       return await serveBound(call, run, sink);
--- a/packages/gateway/src/server/peers/exchange-replies.ts
+++ b/packages/gateway/src/server/peers/exchange-replies.ts
@@ -20,6 +20,7 @@
   | 'lease'
   | 'placer'
   | 'quotas'
+  | 'retries'
   | 'speeds'
   | 'suspects'
 > & {
@@ -49,6 +50,7 @@
     deps.suspects.applyReport(gatewayId, request.avoidedUpstreamIds, nowMs);
     const counts = request.demands.map(messageCodec.fromDemandMessage);
     deps.placer.applyDemand(gatewayId, incarnation, counts);
+    deps.retries.receive({ gatewayId, incarnation }, request.retryTokens);
   }
 
   /** The sum of all loads, and whether it was made for this question. */
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -29,6 +29,7 @@
 import type * as upstreamSignals from '../forwarding/upstream-signals.js';
 import type * as leaseManagers from '../placement/lease-manager.js';
 import type * as placementControllers from '../placement/placement-controller.js';
+import type * as retriesModule from '../retries/retries.js';
 import type * as quotasModule from '../quotas/quotas.js';
 import * as exchangeReplies from './exchange-replies.js';
 import * as crashCodec from '../crashes/crash-codec.js';
@@ -59,6 +60,7 @@
   suspects: sharedEjectionsModule.SharedEjections;
   placer: placementControllers.PlacementController;
   quotas: Pick<quotasModule.Quotas, 'report' | 'heard' | 'lend'>;
+  retries: Pick<retriesModule.Retries, 'passOn' | 'receive'>;
   /** What upstreams have said of their limits. */
   upstreamLimits: Pick<upstreamLimitsModule.UpstreamLimits, 'reportedLimits'>;
   words: Pick<upstreamSignals.UpstreamSignals, 'applyRemoteLimits' | 'applyRemoteLeaving'>;
@@ -335,6 +337,7 @@
       avoidedUpstreamIds: isHolder ? [...deps.beliefs.ejectedIds()] : [],
       quotas: isHolder ? messageCodec.toQuotaReportMessage(deps.quotas.report()) : undefined,
       speeds: isHolder ? speedsQuestion(nowMs) : undefined,
+      retryTokens: isHolder ? [...deps.retries.passOn()] : [],
     };
     const told = { now: loads, before: reportedBefore };
     if (isHolder) reportedBefore = loads;
@@ -357,6 +360,7 @@
   function exchangeWithSelf(term: number): void {
     const nowMs = clock.nowMs();
     deps.placer.applyDemand(deps.gatewayId, deps.incarnation, deps.demand.recent(nowMs));
+    deps.retries.receive(deps, deps.retries.passOn());
     deps.suspects.applyReport(deps.gatewayId, deps.beliefs.ejectedIds(), nowMs);
     deps.quotas.heard(deps.quotas.lend(term, deps, deps.quotas.report()));
     if (deps.speeds !== null) shareSpeedsWithSelf(deps.speeds, nowMs);
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -24,6 +24,11 @@
     request: gatewayPeer.LendCreditsRequest,
     deadlineMs: number,
   ) => Promise<results.Result<gatewayPeer.LendCreditsReply, channelsModule.PeerError>>;
+  takeRetry: (
+    address: string,
+    request: gatewayPeer.TakeRetryRequest,
+    deadlineMs: number,
+  ) => Promise<results.Result<gatewayPeer.TakeRetryReply, channelsModule.PeerError>>;
   takeTurn: (
     address: string,
     request: gatewayPeer.TakeTurnRequest,
@@ -59,6 +64,7 @@
   ) => Promise<gatewayPeer.EnsureAdapterReply>;
   takePermit: (request: gatewayPeer.TakePermitRequest) => gatewayPeer.TakePermitReply;
   lendCredits: (request: gatewayPeer.LendCreditsRequest) => gatewayPeer.LendCreditsReply;
+  takeRetry: (request: gatewayPeer.TakeRetryRequest) => gatewayPeer.TakeRetryReply;
   takeTurn: (request: gatewayPeer.TakeTurnRequest) => gatewayPeer.TakeTurnReply;
   endTurns: (request: gatewayPeer.EndTurnsRequest) => gatewayPeer.EndTurnsReply;
   replicateOrigins: (
@@ -89,6 +95,8 @@
       channels.call(address, request, deadlineMs, (client, ...rest) => client.takePermit(...rest)),
     lendCredits: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.lendCredits(...rest)),
+    takeRetry: (address, request, deadlineMs) =>
+      channels.call(address, request, deadlineMs, (client, ...rest) => client.takeRetry(...rest)),
     takeTurn: (address, request, deadlineMs) =>
       channels.call(address, request, deadlineMs, (client, ...rest) => client.takeTurn(...rest)),
     endTurns: (address, request, deadlineMs) =>
@@ -113,6 +121,7 @@
     ensureAdapter: channelsModule.toUnary(handlers.ensureAdapter),
     takePermit: channelsModule.toUnary(handlers.takePermit),
     lendCredits: channelsModule.toUnary(handlers.lendCredits),
+    takeRetry: channelsModule.toUnary(handlers.takeRetry),
     takeTurn: channelsModule.toUnary(handlers.takeTurn),
     endTurns: channelsModule.toUnary(handlers.endTurns),
     replicateOrigins: channelsModule.toUnary(handlers.replicateOrigins),
--- a/packages/gateway/src/server/placement/lease-manager.test.ts
+++ b/packages/gateway/src/server/placement/lease-manager.test.ts
@@ -442,4 +442,39 @@
   await manager.release(clock.nowMs());
 });
 
+// Guards against two gateways that each take the lease for theirs, while what only one may give is given.
+test('a lease is secure only while no other gateway can have taken it over', async () => {
+  const { clock, state, join } = createHarness();
+  const first = join('g1');
+  const second = join('g2');
+  first.manager.start();
+  await clock.advance(1_500);
+  assert.is(first.manager.secureLease()?.isFirst, true);
+  second.manager.start();
+  state.cutOffIds.add('g1');
+  let secondSinceMs: number | null = null;
+  for (let atMs = 0; atMs < 8_000; atMs += 50) {
+    await clock.advance(50);
+    const secure = [first, second].map(({ manager }) => manager.secureLease());
+    assert.ok(secure.filter((lease) => lease !== null).length <= 1, `${atMs}`);
+    secondSinceMs ??= secure[1]?.sinceMs ?? null;
+  }
+  assert.ok(secondSinceMs !== null);
+  assert.is(first.manager.secureLease(), null);
+  assert.equal(second.manager.secureLease(), { sinceMs: secondSinceMs, isFirst: false });
+  await Promise.all([first, second].map(({ manager }) => manager.release(clock.nowMs())));
+});
+
+test('a lease is not secure after a suspension until it has been renewed', async () => {
+  const { clock, state, join } = createHarness();
+  const { manager } = join('g1');
+  manager.start();
+  await clock.advance(1_500);
+  state.suspendedMs = 4_000;
+  assert.is(manager.secureLease(), null);
+  await clock.advance(1_500);
+  assert.is.not(manager.secureLease(), null);
+  await manager.release(clock.nowMs());
+});
+
 test.run();
--- a/packages/gateway/src/server/placement/lease-manager.ts
+++ b/packages/gateway/src/server/placement/lease-manager.ts
@@ -38,16 +38,22 @@
   orderTerm: () => number | null;
   /** The term held, also while no orders may be given yet. */
   heldTerm: () => number | null;
+  /** The lease while no other gateway can hold it; null if one may. */
+  secureLease: () => SecureLease | null;
   /** Drops the lease after an upstream refused an order because it has seen a higher term. */
   fenced: () => void;
 };
 
+/** `isFirst`: no gateway held the lease before. */
+export type SecureLease = { sinceMs: number; isFirst: boolean };
+
 type StoredLease = stores.StoredRecord<stores.LeaseValue>;
 
 type HeldLease = {
   /** The lease as last written, in the store's era of that write. */
   record: StoredLease;
   ordersFromMs: number;
+  acquired: SecureLease;
   renewedAtMs: number;
   /** Wall clock minus steady clock at the latest renewal. */
   wallOffsetMs: number;
@@ -92,7 +98,10 @@
    * costs one renewal. Upstreams that check fences refuse such orders themselves.
    */
   function mayHaveBeenSuspended(lease: HeldLease): boolean {
-    if (deps.upstreamsCheckFences) return false;
+    return !deps.upstreamsCheckFences && hasClockMoved(lease);
+  }
+
+  function hasClockMoved(lease: HeldLease): boolean {
     return Math.abs(wallOffsetMs() - lease.wallOffsetMs) > SUSPENSION_THRESHOLD_MS;
   }
 
@@ -192,7 +201,7 @@
     if (put.ok) {
       const { term } = lease.record.value;
       log.info('lease-carried-over', { term, era });
-      held = { record: put.val, ordersFromMs: lease.ordersFromMs, ...renewalFields(sentAtMs) };
+      held = { ...lease, record: put.val, ...renewalFields(sentAtMs) };
       return;
     }
     const found = await store.get('leases', name, deadlineMs());
@@ -262,7 +271,8 @@
       deps.leaseMs,
       deps.upstreamsCheckFences,
     );
-    held = { record: put.val, ordersFromMs, ...renewalFields(sentAtMs) };
+    const acquired = { sinceMs: clock.nowMs(), isFirst: before === null };
+    held = { record: put.val, ordersFromMs, acquired, ...renewalFields(sentAtMs) };
     peers.applyLease({ holderId: deps.gatewayId, term });
     const ordersInMs = Math.round(ordersFromMs - clock.nowMs());
     log.info('lease-taken', { term, before: before?.holderId ?? '', ordersInMs });
@@ -404,6 +414,10 @@
       return may ? held.record.value.term : null;
     },
     heldTerm: () => held?.record.value.term ?? null,
+    secureLease: () => {
+      if (held === null || isReleasing || hasClockMoved(held)) return null;
+      return clock.nowMs() < held.renewedAtMs + leaseDecisions.VALID_MS ? held.acquired : null;
+    },
     fenced: () => loseLease('an upstream has seen a higher term'),
   };
 }
--- a/packages/gateway/src/testing/exchange-gateway.ts
+++ b/packages/gateway/src/testing/exchange-gateway.ts
@@ -129,6 +129,7 @@
     suspects,
     placer: placer as placementControllers.PlacementController,
     quotas,
+    retries: { passOn: () => [], receive: () => {} },
     upstreamLimits,
     words: upstreamSignals.createUpstreamSignals({
       clock,
--- a/packages/gateway/src/testing/plain-fleet.ts
+++ b/packages/gateway/src/testing/plain-fleet.ts
@@ -11,7 +11,8 @@
 import * as plainQueues from '../shared/plain-queue.js';
 import * as plainServiceTimesModule from '../shared/plain-service-times.js';
 import * as queueLimits from '../shared/queue-limits.js';
-import * as retryBudgets from '../shared/retry-budget.js';
+import * as ownTokens from '../shared/retries/own-tokens.js';
+import * as retryLedgers from '../shared/retries/retry-ledger.js';
 import * as retryDecisions from '../shared/retry-decisions.js';
 import * as upstreamHealthModule from '../shared/upstream-health.js';
 import * as upstreamChoice from '../shared/upstream-choice.js';
@@ -83,13 +84,17 @@
   served: number[];
 };
 
+const RETRY_LIMITS = { ratio: 0.2, slack: 50, windowMs: 10_000 };
+
 type Gateway = {
   id: string;
   inFlight: inFlightModule.InFlight;
   beliefs: upstreamHealthModule.UpstreamHealthTracker;
   states: ReturnType<typeof statesModule.createUpstreamStates>;
   plainTimes: plainServiceTimesModule.PlainServiceTimes;
-  retryShare: retryBudgets.RetryBudget;
+  incarnation: number;
+  ownTokens: ownTokens.OwnTokens;
+  retryLedger: retryLedgers.RetryLedger;
   gate: plainAdmissions.PlainAdmission;
   capacity: plainCapacity.PlainCapacity;
 };
@@ -178,13 +183,17 @@
     }),
   );
   const ids = upstreams.map((_unused, index) => `u${index}`);
+  const sharedLedger = retryLedgers.createRetryLedger(RETRY_LIMITS);
   const gateways = Array.from({ length: load.gatewayCount }, (_unused, index): Gateway => ({
     id: `g${index}`,
     inFlight: inFlightModule.createInFlight(),
     beliefs: upstreamHealthModule.createUpstreamHealthTracker(),
     states: statesModule.createUpstreamStates(),
     plainTimes: plainServiceTimesModule.createPlainServiceTimes(),
-    retryShare: retryBudgets.createRetryBudget({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
+    incarnation: 1,
+    ownTokens: ownTokens.createOwnTokens(RETRY_LIMITS),
+    // One that knows no other gateway holds its own lease.
+    retryLedger: load.isAlone ? retryLedgers.createRetryLedger(RETRY_LIMITS) : sharedLedger,
     gate: plainAdmissions.createPlainAdmission({ clock }),
     capacity: plainCapacity.createPlainCapacity(),
   }));
@@ -290,14 +299,22 @@
     return silent?.upstream === index && nowMs >= silent.fromMs && nowMs < silent.untilMs;
   }
 
+  function takeRetry(gateway: Gateway, nowMs: number): boolean {
+    if (gateway.ownTokens.take(SERVICE, nowMs)) return true;
+    gateways.forEach(({ id, incarnation, ownTokens: tokens, retryLedger }) =>
+      retryLedger.receive({ gatewayId: id, incarnation }, tokens.passOn(nowMs), nowMs),
+    );
+    return gateway.retryLedger.take(SERVICE, true, nowMs);
+  }
+
   function tryAgain(gateway: Gateway): boolean {
-    if (!gateway.retryShare.tryAcquire(SERVICE, knownGateways, clock.nowMs())) return false;
+    if (!takeRetry(gateway, clock.nowMs())) return false;
     outcome.sentAgain += 1;
     return true;
   }
 
   async function serve(gateway: Gateway, call: FleetCall): Promise<Ending> {
-    gateway.retryShare.recordRequest(SERVICE, clock.nowMs());
+    gateway.ownTokens.recordRequest(SERVICE, clock.nowMs());
     const excludedIds = new Set<string>();
     let ranCount = 0;
     let sentCount = 0;
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -258,17 +258,16 @@
     version: Text;
   };
   /**
-   * Whether a request may be sent once more, by the retry budget of its service. `requestCount` and `retryCount`: of this
-   * gateway in the budget's window; `allowedCount`: the retries that it may make in it; `gatewayCount`: as far as it knows.
+   * Whether a request may be sent once more now, by the retry budget of its service. `source`: `own` (a token of this gateway's
+   * own requests), `holder` (one of all gateways), `refused` (the holder had none, just now or for the request before) or
+   * `unanswered`. `holderAgeMs`: since the holder was heard.
    */
   'retry-decided': {
     requestId: string;
     service: string;
     isAllowed: boolean;
-    requestCount: number;
-    retryCount: number;
-    allowedCount: number;
-    gatewayCount: number;
+    source: string;
+    holderAgeMs: number;
   };
   /**
    * Its caller asks for the rest of a stream: which software version began it, and who knew. `source`: `own` (this gateway has a
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -27,7 +27,7 @@
 import type * as plainServiceTimes from '../shared/plain-service-times.js';
 import type * as promptCaches from '../shared/prompt-caches.js';
 import type * as speedSharing from '../shared/speed-sharing.js';
-import type * as retryBudgets from '../shared/retry-budget.js';
+import type * as retriesModule from '../server/retries/retries.js';
 import type * as upstreamLimits from '../shared/upstream-limits.js';
 import type * as upstreamSignals from '../server/forwarding/upstream-signals.js';
 import type * as upstreamPauses from '../shared/upstream-pauses.js';
@@ -85,7 +85,7 @@
   plainTimes: plainServiceTimes.PlainServiceTimes;
   plainPlaces: plainCapacity.PlainCapacity;
   plainGate: plainAdmissions.PlainAdmission;
-  retryShare: retryBudgets.RetryBudget;
+  retries: retriesModule.Retries;
   upstreamLimits: upstreamLimits.UpstreamLimits;
   limits: limitsModule.Limits;
   turns: turnsModule.Turns;
