Probes tell how long new connections wait to be accepted, and requests are taken for no older than that

Node accepts one connection a turn; while one comes in each turn, the queue is never seen empty, and its age was bounded by the last time at which it was: the bound grows by a second a second.

--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -16,6 +16,7 @@
 import type * as logEvents from '../../types/log-events.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as quotasModule from '../quotas/quotas.js';
+import * as acceptProbes from './accept-probe.js';
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
 import * as callBuilding from './call-building.js';
@@ -36,7 +37,7 @@
   metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded' | 'denied' | 'read' | 'callerLeft'>;
   quotas: Pick<quotasModule.Quotas, 'admit'>;
   openCalls: openCallsModule.OpenCalls;
-  loopAges: Pick<readDelays.ReadDelay, 'accepted' | 'requestAge' | 'turnMs'>;
+  loopAges: Pick<readDelays.ReadDelay, 'accepted' | 'probeWith' | 'requestAge' | 'turnMs'>;
   requestQueue: Pick<requestQueues.RequestQueue, 'waitForStart'>;
   norms: deadlineBaselines.DeadlineBaselines;
   hasher: hashers.Hasher;
@@ -250,6 +251,7 @@
     });
   });
   app.server.on('connection', deps.loopAges.accepted);
+  deps.loopAges.probeWith(acceptProbes.openTo(app.server));
   // Hooks run only for requests that match a route.
   app.all('/', () => {});
   return app;
--- a/packages/gateway/src/server/forwarding/read-delay.test.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.test.ts
@@ -88,4 +88,40 @@
   loop.readDelay.stop();
 });
 
+/** One connection is accepted in each turn, and each waited for the last ten; the oldest age that is taken for a request's. */
+function oldestAgeOfSteadyQueue(isProbed: boolean): number {
+  const queueTurns = 10;
+  const loop = startLoop();
+  const probes: { atTurn: number; port: number; onOpened: (localPort: number) => void }[] = [];
+  let turnCount = 0;
+  if (isProbed) {
+    loop.readDelay.probeWith((onOpened) => {
+      probes.push({ atTurn: turnCount + queueTurns, port: 50_000 + turnCount, onOpened });
+      return () => {};
+    });
+  }
+  let oldestMs = 0;
+  for (; turnCount < 150; turnCount += 1) {
+    const [probe] = probes;
+    const isProbe = probe?.atTurn === turnCount;
+    const key = { remotePort: isProbe ? probe.port : 1_000 + turnCount };
+    loop.readDelay.accepted(key);
+    if (isProbe) {
+      probes.shift();
+      probe.onOpened(probe.port);
+    }
+    oldestMs = Math.max(oldestMs, loop.readDelay.requestAge(key).bufferedMs);
+    loop.turn(TURN_MS);
+  }
+  loop.readDelay.stop();
+  return oldestMs;
+}
+
+// Guards against ages that grow for as long as connections come one a turn: requests refused as too late, answers cut early.
+test('the age of a connection in a queue that is never empty is known by probes', () => {
+  const oldestMs = oldestAgeOfSteadyQueue(true);
+  assert.ok(oldestMs >= 10 * TURN_MS && oldestMs <= 25 * TURN_MS, `${oldestMs}`);
+  assert.ok(oldestAgeOfSteadyQueue(false) > 140 * TURN_MS);
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/read-delay.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.ts
@@ -8,6 +8,8 @@
 
 import type { clocks } from '@copperlever/runtime';
 
+import * as acceptProbes from './accept-probe.js';
+
 /** The event loop, as far as it is used here. */
 export type EventLoop = {
   /** Number of polls that have begun. */
@@ -28,7 +30,9 @@
 
 export type ReadDelay = {
   /** Records that a connection was accepted; `key` identifies it. */
-  accepted: (key: object) => void;
+  accepted: (key: object & { remotePort?: number | undefined }) => void;
+  /** Has probes opened where connections may wait long to be accepted. */
+  probeWith: (open: acceptProbes.OpenProbe) => void;
   /** The age of a request that is being read from that connection. */
   requestAge: (key: object) => RequestAge;
   /** Upper bound for the time that data on an already open connection may have been unread. */
@@ -71,6 +75,9 @@
 /** A point in time, with the state of the event loop at it. */
 type Mark = { atMs: number; pollCount: number; idleMs: number };
 
+/** Connections that may wait longer than this are worth a probe. */
+const PROBED_WAIT_MS = 100;
+
 type Accepted = Mark & { waitedMs: number };
 
 const systemLoop: EventLoop = {
@@ -99,6 +106,7 @@
   const started = mark();
   let samples: readonly Mark[] = [started];
   let meanTurnMs = 0;
+  let probe: acceptProbes.AcceptProbe | null = null;
   let lastAccept: Mark | null = null;
   /** The latest accepts, one more than the queue can hold; written round and round. */
   const accepts: Mark[] = [];
@@ -163,8 +171,14 @@
       const earlier = accepts[slot] ?? acceptQueueEmpty;
       accepts[slot] = now;
       acceptCount += 1;
-      const waitedMs = Math.min(busyMs(acceptQueueEmpty, now), busyMs(earlier, now));
-      accepted.set(key, { ...now, waitedMs });
+      const unprobedMs = Math.min(busyMs(acceptQueueEmpty, now), busyMs(earlier, now));
+      const openedAfterMs = probe?.openedAfterMs() ?? -Infinity;
+      accepted.set(key, { ...now, waitedMs: Math.min(unprobedMs, now.atMs - openedAfterMs) });
+      if (unprobedMs > PROBED_WAIT_MS) probe?.send();
+      probe?.accepted(key.remotePort);
+    },
+    probeWith: (open) => {
+      probe = acceptProbes.createAcceptProbe(clock, open);
     },
     requestAge: (key) => {
       const now = mark();
