A watch begins where the last changes were told, not where an answer without changes stood

After an answer without changes the watches of the list of upstreams begin where the one before began for 5 s more. list-plays.ts plays what the property of upstream-list.test.ts lacked: watches that hear nothing and history that goes, lost and late single answers, loops that stand, restarts, removals without a word, outages of all, 4 to 40 gateways.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -124,6 +124,8 @@
     waitMs: configWaitMs,
     graceMs: CONFIG_GRACE_MS,
     listTimeoutMs: CONFIG_LIST_TIMEOUT_MS,
+    // Its watches wait for long: what trails them is gone from the store's history.
+    trailMs: 0,
     onConfirmed: () => {},
     pauseMs: () => 0,
     // Rare, and wanted at once by each: the store itself is asked, by few calls that wait long.
--- a/packages/gateway/src/server/control/follower.test.ts
+++ b/packages/gateway/src/server/control/follower.test.ts
@@ -64,6 +64,7 @@
     },
     onChange: () => {},
     onLost: () => {},
+    trailMs: 0,
     onRegained: () => {},
     onConfirmed: (asOfMs) => {
       state.asOfMs = asOfMs;
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -32,6 +32,11 @@
    */
   graceMs: number;
   listTimeoutMs: number;
+  /**
+   * For so long after an answer without changes the next watches begin where that one began. A store whose watches hear nothing
+   * while changes are made, and that then drops its history, so reports the gap.
+   */
+  trailMs: number;
   /** Whether the records are relayed by another gateway; the store is not called meanwhile. */
   isRelayed: () => boolean;
   /** Relaying has begun, or has ended after `forMs`. */
@@ -60,6 +65,8 @@
   const stopping = new AbortController();
   let abortWatch: () => void = () => {};
   let position: storePositions.Position | null = null;
+  /** Where the store stood by answers without changes, from which watches do not begin yet. */
+  let trailing: readonly { at: storePositions.Position; atMs: number }[] = [];
   let unavailableSinceMs: number | null = null;
   let failureCount = 0;
 
@@ -95,6 +102,7 @@
     if (listed.val.era < store.era()) return noteFailure(EARLIER_ERA);
     noteSuccess();
     position = listed.val;
+    trailing = [];
     options.onConfirmed(requestedAtMs);
     options.onListing(listed.val);
     return 'ok';
@@ -135,10 +143,23 @@
     const unchangedMs = Math.min(requestedAtMs + waitMs, clock.nowMs());
     options.onConfirmed(isChanged ? requestedAtMs : unchangedMs);
     watched.val.changes.forEach(options.onChange);
-    position = watched.val;
+    advance(watched.val, isChanged);
     return isChanged ? 'changed' : 'ok';
   }
 
+  function advance(reached: storePositions.Position, isChanged: boolean): void {
+    if (isChanged) {
+      position = reached;
+      trailing = [];
+      return;
+    }
+    const nowMs = clock.nowMs();
+    trailing = [...trailing, { at: reached, atMs: nowMs }];
+    const settled = trailing.filter(({ atMs }) => nowMs - atMs >= options.trailMs);
+    position = settled.at(-1)?.at ?? position;
+    trailing = trailing.slice(settled.length);
+  }
+
   /**
    * Waits while another gateway relays the records. Afterwards they are listed, since the changes of that time may be
    * gone from the store's history.
--- /dev/null
+++ b/packages/gateway/src/server/control/list-plays.test.ts
@@ -0,0 +1,18 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as listPlays from '../../testing/list-plays.js';
+
+const test = suite('upstreams that leave, under all faults');
+
+const BOUNDS = { drainTimeoutMs: 2_000, contactMs: 3_000 };
+
+// Guards against a list that vouches for itself after watches heard nothing of changes, and never hears of them.
+for (const seed of [8, 10, 11, 18, 20, 23, 24, 27]) {
+  test(`a gateway in contact with the store offers no upstream that has left (seed ${seed})`, async () => {
+    const { worstMs, detail } = await listPlays.play({ seed, ...BOUNDS });
+    assert.ok(worstMs <= BOUNDS.drainTimeoutMs, `${worstMs} ms: ${detail}`);
+  });
+}
+
+test.run();
--- a/packages/gateway/src/server/control/upstream-list.ts
+++ b/packages/gateway/src/server/control/upstream-list.ts
@@ -29,6 +29,9 @@
   onChanged: () => void;
 };
 
+/** Some times longer than watches hear nothing while changes are made, and far shorter than the store's history. */
+const TRAIL_MS = 5_000;
+
 function describeChange(change: stores.Change<fleet.UpstreamRecord>) {
   switch (change.kind) {
     case 'written': {
@@ -69,6 +72,7 @@
     pauseMs: () => budget.pauseMs,
     graceMs: budget.graceMs,
     listTimeoutMs: budget.listTimeoutMs,
+    trailMs: TRAIL_MS,
     onConfirmed: (asOfMs) => {
       deps.listFeed.noteConfirmed(asOfMs);
       deps.contact.noteAnswered(asOfMs);
--- a/packages/gateway/src/testing/list-fleet.ts
+++ b/packages/gateway/src/testing/list-fleet.ts
@@ -24,6 +24,8 @@
   /** The lease goes to another gateway. */
   moveLease: () => void;
   addGateway: () => ListGateway;
+  /** The gateway is killed, and starts again under its name. */
+  restart: (gateway: ListGateway) => ListGateway;
   stop: () => void;
 };
 
@@ -46,6 +48,8 @@
   isIsolated: boolean;
   /** What its answers to others take on top. */
   slowMs: number;
+  /** Its event loop stands until then. */
+  stalledUntilMs: number;
 };
 
 function createLink(rig: Rig, self: () => ListGateway | undefined): peerLinks.PeerLink {
@@ -68,9 +72,29 @@
   return { exchange } as Partial<peerLinks.PeerLink> as peerLinks.PeerLink;
 }
 
-function createListGateway(rig: Rig, gatewayId: string): ListGateway {
-  const { clock } = rig;
-  const faults: Faults = { store: 'works', isIsolated: false, slowMs: 0 };
+/** What is due while the event loop stands happens afterwards. */
+function createStallingClock(clock: fakeClocks.FakeClock, faults: Faults): fakeClocks.FakeClock {
+  return {
+    ...clock,
+    schedule: (atMs, task) => {
+      let cancel = clock.schedule(atMs, () => {
+        if (clock.nowMs() < faults.stalledUntilMs) {
+          cancel = clock.schedule(faults.stalledUntilMs, task);
+        } else task();
+      });
+      return () => cancel();
+    },
+  };
+}
+
+function createListGateway(rig: Rig, gatewayId: string, life = 0): ListGateway {
+  const faults: Faults = {
+    store: 'works',
+    isIsolated: false,
+    slowMs: 0,
+    stalledUntilMs: -Infinity,
+  };
+  const clock = createStallingClock(rig.clock, faults);
   const store = rig.store.reachedBy(() => faults.store);
   const own: { gateway: ListGateway | undefined } = { gateway: undefined };
   const gateway = exchangeGateways.createExchangeGateway({
@@ -79,7 +103,7 @@
     link: createLink(rig, () => own.gateway),
     lenders: rig.lenders,
     drainTimeoutMs: rig.drainTimeoutMs,
-    seed: rig.seed + rig.byAddress.size,
+    seed: rig.seed + rig.byAddress.size + life,
     seedAddresses: rig.seedAddresses,
     status: {
       isStoreConnected: () => list.isConnected(),
@@ -120,6 +144,7 @@
   };
   const gateways: ListGateway[] = [];
   let { term } = exchangeGateways.HOLDER;
+  let restartCount = 0;
 
   function addGateway(): ListGateway {
     const gateway = createListGateway(rig, `g${gateways.length + 1}`);
@@ -129,6 +154,17 @@
     return gateway;
   }
 
+  function restart(gateway: ListGateway): ListGateway {
+    gateway.list.stop();
+    gateway.exchange.stop();
+    restartCount += 1;
+    const started = createListGateway(rig, gateway.gatewayId, restartCount * 1_000);
+    gateways.splice(gateways.indexOf(gateway), 1, started);
+    started.list.start();
+    started.exchange.start();
+    return started;
+  }
+
   function giveLease(to: ListGateway): void {
     gateways.forEach(({ state }) => {
       state.heldTerm = null;
@@ -160,6 +196,7 @@
       giveLease(next);
     },
     addGateway,
+    restart,
     stop: () => {
       gateways.forEach(({ list, exchange }) => {
         list.stop();
--- a/packages/gateway/src/testing/list-store.ts
+++ b/packages/gateway/src/testing/list-store.ts
@@ -5,8 +5,11 @@
 import type * as fleet from '../types/fleet.js';
 import type * as stores from '../types/stores.js';
 
-/** `refused`: an error at once. `silent`: nothing until the caller's deadline. */
-export type StoreLink = 'works' | 'refused' | 'silent';
+/**
+ * `refused`: an error at once. `silent`: nothing until the caller's deadline. `late`: answered shortly before the caller's deadline.
+ * `lost`: the answer to a call is lost.
+ */
+export type StoreLink = 'works' | 'refused' | 'silent' | 'late' | 'lost';
 
 export type ListStore = {
   put: (record: fleet.UpstreamRecord) => void;
@@ -14,6 +17,8 @@
   /** The store as one gateway reaches it. */
   reachedBy: (link: () => StoreLink) => stores.RecordStore;
   callCount: () => number;
+  /** For so long watches are answered without changes; then the history is gone and they are cut. */
+  compact: (forMs: number) => void;
   /** Watches that wait now are never answered. */
   silenceWatches: () => void;
   /** Keeps a copy of what it has now; the function that is returned takes the store back to it, in a new era. */
@@ -32,8 +37,12 @@
   let revision = 10;
   let calls = 0;
   let waiting = new Set<() => void>();
+  let mutedUntilMs = -Infinity;
+  /** Changes up to it are forgotten. */
+  let compactedTo = 0;
 
   function wakeAll(): void {
+    if (clock.nowMs() < mutedUntilMs) return;
     [...waiting].forEach((wake) => wake());
   }
 
@@ -41,21 +50,24 @@
   async function answered<Value>(
     link: () => StoreLink,
     deadlineMs: number,
-    answer: () => Promise<Value>,
+    answer: () => Promise<results.Result<Value, stores.StoreError>>,
   ): Promise<results.Result<Value, stores.StoreError>> {
     calls += 1;
     await clocksModule.sleepUntil(clock, clock.nowMs() + ANSWER_MS);
     if (link() === 'refused') return results.Err({ kind: 'unavailable', reason: 'refused' });
+    const isLost = link() === 'lost';
     const value = await clocksModule.raceDeadline(clock, deadlineMs, answer());
-    const isLost = value === 'deadline' || link() !== 'works';
-    if (!isLost) return results.Ok(value);
+    if (link() === 'late') await clocksModule.sleepUntil(clock, deadlineMs - ANSWER_MS);
+    const isAnswered = value !== 'deadline' && link() !== 'silent' && link() !== 'refused';
+    if (isAnswered && !isLost) return value;
     await clocksModule.sleepUntil(clock, deadlineMs);
     return results.Err({ kind: 'unavailable', reason: 'deadline' });
   }
 
   function changesAfter(after: number) {
+    const isMuted = clock.nowMs() < mutedUntilMs;
     const changes = history
-      .filter((change) => change.revision > after)
+      .filter((change) => !isMuted && change.revision > after)
       .map(({ record, name, revision: at }) =>
         record === null
           ? { kind: 'deleted' as const, name, era, revision: at }
@@ -95,6 +107,14 @@
       wakeAll();
     },
     callCount: () => calls,
+    compact: (forMs) => {
+      mutedUntilMs = clock.nowMs() + forMs;
+      clock.schedule(mutedUntilMs, () => {
+        compactedTo = revision;
+        history = [];
+        wakeAll();
+      });
+    },
     silenceWatches: () => {
       // Those that wait are woken by nothing any more, not even by their own end.
       waiting = new Set();
@@ -116,12 +136,14 @@
       list: (_kind, deadlineMs) =>
         answered(link, deadlineMs, async () => {
           const listed = [...records.values()].map((record) => ({ ...record, era }));
-          return { records: listed, unreadable: [], era, revision } as never;
+          return results.Ok({ records: listed, unreadable: [], era, revision } as never);
         }),
       watch: (_kind, after, waitMs, deadlineMs) =>
         answered(link, deadlineMs, async () => {
-          if (changesAfter(after).changes.length === 0) await waitForChange(waitMs);
-          return changesAfter(after) as never;
+          const isGone = () => after < compactedTo;
+          if (!isGone() && changesAfter(after).changes.length === 0) await waitForChange(waitMs);
+          if (isGone()) return results.Err({ kind: 'history-gone' } as const);
+          return results.Ok(changesAfter(after) as never);
         }),
       get: () => Promise.resolve(results.Err({ kind: 'unavailable', reason: 'not here' })),
       put: () => Promise.resolve(results.Err({ kind: 'unavailable', reason: 'not here' })),
