A list that is told by the holder is compared with the holder's by a digest

A gateway that takes the lease lists the store, or was told a list, and tells others what changed after their position; of an upstream that it never knew, which came and left in between, it has no removal to tell.

Each answer of the holder has a digest of its list: starts and states. A gateway that stands at the same position with another digest asks the store itself (list-mismatch), once for each pair of digests. Costs 12 bytes an answer, and a hash where a start or a state changes.

--- a/packages/gateway/src/server/control/list-plays.test.ts
+++ b/packages/gateway/src/server/control/list-plays.test.ts
@@ -15,4 +15,12 @@
   });
 }
 
+// Guards against a holder that never knew an upstream which came and left before it was told of the list, and tells nobody that it left.
+for (const seed of [116, 265, 374, 467]) {
+  test(`a gateway whose list is told by a new holder offers no upstream that has left (seed ${seed})`, async () => {
+    const { worstMs, detail } = await listPlays.play({ seed, ...BOUNDS });
+    assert.ok(worstMs <= BOUNDS.drainTimeoutMs, `${worstMs} ms: ${detail}`);
+  });
+}
+
 test.run();
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -73,7 +73,7 @@
   seedAddresses: readonly string[];
   isStopping: () => boolean;
   isStoreConnected: () => boolean;
-  listFeed: relayedLists.RelayedList;
+  listFeed: Omit<relayedLists.RelayedList, 'noteConfirmed'>;
   contact: storeContacts.StoreContact;
   onUpstreamsLearned: () => void;
   /** The latest era that the store itself has named to this gateway. */
@@ -124,6 +124,7 @@
   /** Since when the holder has not answered; null while it does. */
   let holderSilentMs: number | null = null;
   let laterEraReceivedMs = -Infinity;
+  let lastMismatch = '';
   const lag = listLag.createListLag(deps.listBudget.pauseMs + WATCH_ANSWER_MS);
 
   /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
@@ -270,6 +271,26 @@
       asOfMs: holderListAsOfMs(reply.news, askedAtMs),
       listVersion: basis,
     });
+    if (members !== undefined) checkDigest(members);
+  }
+
+  /**
+   * A holder whose list is newer than its watch never knew what came and went before, and cannot tell that it is gone. Both digests
+   * stay as they are where this gateway has dropped an entry for its own reasons: they are acted on once.
+   */
+  function checkDigest(members: gatewayPeer.MembersNews): void {
+    const own = directory.digest();
+    const position = { era: members.storeEra, revision: members.revision };
+    const isSamePosition =
+      storePositions.isAtLeast(position, directory.position()) &&
+      storePositions.isAtLeast(directory.position(), position);
+    if (!isSamePosition || members.digest === '' || members.digest === own) return;
+    const mismatch = `${own} ${members.digest}`;
+    if (mismatch === lastMismatch) return;
+    lastMismatch = mismatch;
+    const source = book.lease()?.holderId ?? HOLDER_SOURCE;
+    deps.log.warn('list-mismatch', { source, position: storePositions.format(position) });
+    deps.listFeed.distrust();
   }
 
   /** A holder that has not heard of the store's return yet watches what is no more. */
--- a/packages/gateway/src/server/peers/message-codec.ts
+++ b/packages/gateway/src/server/peers/message-codec.ts
@@ -247,13 +247,14 @@
   members: directories.MemberChanges,
   incarnation: number,
 ): gatewayPeer.MembersNews {
-  const { version, era, revision, isWhole, written, removed } = members;
+  const { version, era, revision, isWhole, written, removed, digest } = members;
   return {
     incarnation,
     version,
     storeEra: era,
     revision,
     isWhole,
+    digest,
     written: written.length === 0 ? Buffer.alloc(0) : Buffer.from(JSON.stringify(written)),
     removed: removed.map(({ name, era: storeEra, revision: at }) => ({
       name,
@@ -264,7 +265,7 @@
 }
 
 export function fromMembersMessage(news: gatewayPeer.MembersNews): directories.MemberChanges {
-  const { version, storeEra, revision, isWhole } = news;
+  const { version, storeEra, revision, isWhole, digest } = news;
   const written =
     news.written.length === 0
       ? []
@@ -276,5 +277,5 @@
     era: gone.storeEra,
     revision: gone.revision,
   }));
-  return { version, era: storeEra, revision, isWhole, written, removed };
+  return { version, era: storeEra, revision, isWhole, written, removed, digest };
 }
--- a/packages/gateway/src/shared/relayed-list.ts
+++ b/packages/gateway/src/shared/relayed-list.ts
@@ -12,6 +12,8 @@
   /** Applies a reply of the holder. */
   applyReply: (reply: HolderReply) => void;
   isRelayed: (nowMs: number) => boolean;
+  /** This gateway's list is not the holder's though it should be: the store is to be asked. */
+  distrust: () => void;
   /** Time since the store confirmed the list, directly or through the holder; null if it never did. */
   ageMs: (nowMs: number) => number | null;
   /** The same by the store's answers to this gateway alone, which is what other gateways may rely on. */
@@ -56,6 +58,9 @@
       if (reply.listVersion === null || reply.asOfMs === null) relayedAsOfMs = null;
       else relayedAsOfMs = Math.max(relayedAsOfMs ?? -Infinity, reply.asOfMs);
     },
+    distrust: () => {
+      relayedAsOfMs = null;
+    },
     isRelayed: (nowMs) => relayedAsOfMs !== null && nowMs - relayedAsOfMs < askAtAgeMs,
     ageMs: (nowMs) => {
       const known = [directAsOfMs, relayedAsOfMs].filter((asOfMs) => asOfMs !== null);
--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -259,7 +259,7 @@
   follower.applyListing({ records: [known], unreadable: [], era: 0, revision: 3 }, 0);
   const { softwareVersion, ...untold } = stored('u1', 4).value;
   assert.is(softwareVersion, 'v1');
-  const changes = { version: 1, era: 0, revision: 4, isWhole: false, removed: [] };
+  const changes = { version: 1, era: 0, revision: 4, isWhole: false, removed: [], digest: '' };
   const told = { ...stored('u1', 4), value: untold as fleet.UpstreamRecord };
   follower.applyMembers({ ...changes, written: [told] }, 0);
   assert.is(follower.find('u1')?.softwareVersion, 'v2');
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -2,6 +2,8 @@
  * The known upstreams, from the platform's list and from peers, and which of them may get new work. An upstream that
  * drains or is gone gets none from the time that this process knows of it.
  */
+import * as crypto from 'node:crypto';
+
 import type * as fleet from '../types/fleet.js';
 import type * as stores from '../types/stores.js';
 import * as changeLedgers from './change-ledger.js';
@@ -47,8 +49,13 @@
    */
   applyMembers: (members: MemberChanges, nowMs: number) => ReadonlySet<string>;
   listing: () => stores.Listing<fleet.UpstreamRecord>;
+  /** Which starts of upstreams are listed, in which state: the same at all gateways that have the list of a position. */
+  digest: () => string;
 };
 
+/** 72 bits. */
+const DIGEST_LENGTH = 12;
+
 /** Longer than a leaving upstream stays. One that starts again has another id. */
 const LEAVING_KEPT_MS = 600_000;
 /**
@@ -63,6 +70,8 @@
   isWhole: boolean;
   written: readonly UpstreamStored[];
   removed: readonly (storePositions.Position & { name: string })[];
+  /** Of the whole list at this position; empty from a gateway of the build before. */
+  digest: string;
 };
 
 type KnownUpstream = {
@@ -107,6 +116,7 @@
   onLeavingKept: OnLeavingKept = () => {},
 ): UpstreamDirectory {
   const known = new Map<string, KnownUpstream>();
+  let knownDigest: string | null = null;
   const names = new Map<string, string>();
   /** Positions at which names were deleted, so that an older listing does not bring them back. */
   const deletedAt = new Map<string, storePositions.Position>();
@@ -123,7 +133,18 @@
     isSameMember,
   );
 
+  function digest(): string {
+    if (knownDigest !== null) return knownDigest;
+    const lines = [...known.values()]
+      .filter(({ isRemoved }) => !isRemoved)
+      .map(({ stored: { name, value } }) => `${name}\n${value.upstreamId}\n${value.state}`);
+    const hash = crypto.createHash('sha1').update(lines.sort().join('\n\n'));
+    knownDigest = hash.digest('base64').slice(0, DIGEST_LENGTH);
+    return knownDigest;
+  }
+
   function forget(name: string): void {
+    knownDigest = null;
     const before = known.get(name);
     if (before !== undefined) names.delete(before.stored.value.upstreamId);
     known.delete(name);
@@ -175,6 +196,11 @@
     if (hasForgottenLeaving(before, record) && noteLeaving(upstreamId, nowMs)) {
       onLeavingKept(upstreamId);
     }
+    const isListedAlike =
+      before?.isRemoved === false &&
+      before.stored.value.upstreamId === upstreamId &&
+      before.stored.value.state === record.value.state;
+    if (!isListedAlike) knownDigest = null;
     const usableFromMs = removals.usableFromMs(upstreamId, record);
     known.set(record.name, { stored: record, usableFromMs, isRemoved: false });
     names.set(upstreamId, record.name);
@@ -196,6 +222,7 @@
     deletedAt.set(name, at);
     members.remove(name, at);
     before.isRemoved = true;
+    knownDigest = null;
     if (nowMs >= keptUntilMs()) forget(name);
   }
 
@@ -325,6 +352,7 @@
         isWhole,
         written: current(written),
         removed: toRemoved(removed),
+        digest: digest(),
       };
     },
     membersAfterPosition: (knownAt, nowMs) => {
@@ -338,6 +366,7 @@
         isWhole,
         written: isWhole ? records : later,
         removed: toRemoved(removed).filter((gone) => storePositions.isAfter(gone, knownAt)),
+        digest: digest(),
       };
     },
     applyMembers: (changes, nowMs) => {
@@ -365,5 +394,6 @@
       unreadable: [],
       ...position,
     }),
+    digest,
   };
 }
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -47,6 +47,8 @@
   /** Positions of the store, as ERA.REVISION. `before`: known until then; one that is not taken is older than that. */
   'upstreams-listed': { count: number; position: string; before: string; isTaken: boolean };
   'upstreams-learned': { source: string; position: string; before: string; isTaken: boolean };
+  /** This gateway's list is another than the holder's of the same position: the store is asked. */
+  'list-mismatch': { source: string; position: string };
   /** `source`: the store's watch, or the gateway that told. `position`: of the change; `before`: known until then. */
   'upstream-changed': {
     upstreamId: string;
