--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -139,8 +139,7 @@
       if (change.kind !== 'written' || change.record.name !== CONFIG_RECORD) return;
       configuration.offer(change.record.value, 'store');
     },
-    onLost: () => {},
-    onRegained: () => {},
+    onFailed: () => {},
   });
 
   /** None is served before this gateway knows what all others refuse. */
--- a/packages/gateway/src/server/control/follower.test.ts
+++ b/packages/gateway/src/server/control/follower.test.ts
@@ -63,9 +63,8 @@
       state.listedNames = listing.records.map(({ name }) => name);
     },
     onChange: () => {},
-    onLost: () => {},
+    onFailed: () => {},
     trailMs: 0,
-    onRegained: () => {},
     onConfirmed: (asOfMs) => {
       state.asOfMs = asOfMs;
     },
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -18,9 +18,8 @@
   log: logEvents.GatewayLog;
   onListing: (listing: stores.Listing<stores.KindValues[K]>) => void;
   onChange: (change: stores.Change<stores.KindValues[K]>) => void;
-  /** The store has become unavailable, and answers again. */
-  onLost: () => void;
-  onRegained: () => void;
+  /** A call failed. */
+  onFailed: () => void;
   /** An answer of the store confirms that the records are complete up to this time; called before they are applied. */
   onConfirmed: (asOfMs: number) => void;
   /** How long a watch waits. Each call is paid for, but a connection that fell silent is noticed only at its end. */
@@ -76,11 +75,11 @@
 
   function noteFailure(error: stores.StoreError): StepResult {
     failureCount += 1;
+    options.onFailed();
     if (unavailableSinceMs === null) {
       unavailableSinceMs = clock.nowMs();
       const reason = 'reason' in error ? error.reason : '';
       log.warn('store-lost', { kind, error: error.kind, reason, position: describePosition() });
-      options.onLost();
     }
     return error.kind === 'history-gone' ? 'list-again' : 'failed';
   }
@@ -92,7 +91,6 @@
     unavailableSinceMs = null;
     const rounded = Math.round(awayMs);
     log.info('store-regained', { kind, awayMs: rounded, position: describePosition() });
-    options.onRegained();
   }
 
   async function list(): Promise<StepResult> {
--- a/packages/gateway/src/server/control/list-plays.test.ts
+++ b/packages/gateway/src/server/control/list-plays.test.ts
@@ -23,4 +23,13 @@
   });
 }
 
+// Guards against a later outage that brings back what was kept in an earlier one and then dropped.
+for (const seed of [7, 14]) {
+  test(`an upstream that was dropped stays dropped where an upstream may serve on for longer (seed ${seed})`, async () => {
+    const bounds = { drainTimeoutMs: 4_000, contactMs: 5_000 };
+    const { worstMs, detail } = await listPlays.play({ seed, ...bounds });
+    assert.ok(worstMs <= bounds.drainTimeoutMs, `${worstMs} ms: ${detail}`);
+  });
+}
+
 test.run();
--- a/packages/gateway/src/server/control/upstream-list.ts
+++ b/packages/gateway/src/server/control/upstream-list.ts
@@ -76,7 +76,7 @@
     onConfirmed: (asOfMs) => {
       deps.listFeed.noteConfirmed(asOfMs);
       deps.contact.noteAnswered(asOfMs);
-      directory.noteStoreReturn(deps.contact.returnedMs(clock.nowMs()));
+      directory.noteStoreReturn(deps.contact.returnedMs());
     },
     isRelayed: () => !deps.isHolder() && deps.listFeed.isRelayed(clock.nowMs()),
     onRelayed: (isRelayedNow, relayedMs) => {
@@ -99,7 +99,6 @@
       log.info('upstream-changed', { ...described, source: 'watch', before, isTaken, keptForMs });
       deps.onChanged();
     },
-    onLost: () => deps.contact.noteLost(clock.nowMs()),
-    onRegained: () => deps.contact.noteRegained(clock.nowMs()),
+    onFailed: () => deps.contact.noteFailed(clock.nowMs()),
   });
 }
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -193,7 +193,7 @@
 
   function noteContact(span: storeContacts.ContactSpan | null): void {
     if (span !== null) deps.contact.noteSpan(span);
-    directory.noteStoreReturn(deps.contact.returnedMs(clock.nowMs()));
+    directory.noteStoreReturn(deps.contact.returnedMs());
   }
 
   /** The other gateway lacks entries that this one has. Gateways of the build before take none. */
--- a/packages/gateway/src/shared/upstream-directory.test.ts
+++ b/packages/gateway/src/shared/upstream-directory.test.ts
@@ -301,6 +301,25 @@
   assert.equal([ids(second, afterMs), ids(second, afterMs + 200)], [['u1', 'u2'], ['u2']]);
 });
 
+// Guards against a later return of the store that brings back what was dropped after an earlier one.
+test('an entry that was kept in an outage and dropped is not offered in the next one', () => {
+  const { holder } = createPair();
+  holder.noteStoreReturn(1_000);
+  holder.applyChange({ kind: 'deleted', name: 'u1', era: 0, revision: 9 }, 1_100);
+  assert.equal(ids(holder, 1_200), ['u1', 'u2']);
+  holder.noteStoreReturn(9_000);
+  assert.equal(ids(holder, 9_100), ['u2']);
+});
+
+// Guards against keeping what was really removed once it is known that the store was never away.
+test('an entry is dropped at once when it is heard that the store was not away', () => {
+  const { holder } = createPair();
+  holder.noteStoreReturn(1_000);
+  holder.applyChange({ kind: 'deleted', name: 'u1', era: 0, revision: 9 }, 1_100);
+  holder.noteStoreReturn(-Infinity);
+  assert.equal(ids(holder, 1_200), ['u2']);
+});
+
 // Guards against gateways that stay without an upstream, since the list of the one that tells them has it unchanged.
 test('an entry that was written again unchanged is reported again', () => {
   const { holder, follower } = createPair();
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -76,8 +76,11 @@
 
 type KnownUpstream = {
   stored: UpstreamStored;
-  /** The list lacks it. It is told to others at once: each keeps it by what it knows of the store's outages. */
-  isRemoved: boolean;
+  /**
+   * From when on it is not offered, though the list lacks it already; null if the list has it. Others are told of the removal at once:
+   * each keeps it by what it knows of the store's outages.
+   */
+  goneFromMs: number | null;
   /** The record is not used before. */
   usableFromMs: number;
 };
@@ -136,7 +139,7 @@
   function digest(): string {
     if (knownDigest !== null) return knownDigest;
     const lines = [...known.values()]
-      .filter(({ isRemoved }) => !isRemoved)
+      .filter(({ goneFromMs }) => goneFromMs === null)
       .map(({ stored: { name, value } }) => `${name}\n${value.upstreamId}\n${value.state}`);
     const hash = crypto.createHash('sha1').update(lines.sort().join('\n\n'));
     knownDigest = hash.digest('base64').slice(0, DIGEST_LENGTH);
@@ -197,12 +200,12 @@
       onLeavingKept(upstreamId);
     }
     const isListedAlike =
-      before?.isRemoved === false &&
+      before?.goneFromMs === null &&
       before.stored.value.upstreamId === upstreamId &&
       before.stored.value.state === record.value.state;
     if (!isListedAlike) knownDigest = null;
     const usableFromMs = removals.usableFromMs(upstreamId, record);
-    known.set(record.name, { stored: record, usableFromMs, isRemoved: false });
+    known.set(record.name, { stored: record, usableFromMs, goneFromMs: null });
     names.set(upstreamId, record.name);
     members.put(record.name, record);
     if (beforeId !== undefined && beforeId !== upstreamId) onRestarted(beforeId, record.value);
@@ -221,9 +224,9 @@
     removals.noteRemoved(before.stored.value.upstreamId, at);
     deletedAt.set(name, at);
     members.remove(name, at);
-    before.isRemoved = true;
+    before.goneFromMs ??= keptUntilMs();
     knownDigest = null;
-    if (nowMs >= keptUntilMs()) forget(name);
+    if (isGone(before, nowMs)) forget(name);
   }
 
   /**
@@ -244,7 +247,7 @@
   }
 
   function isGone(entry: KnownUpstream, nowMs: number): boolean {
-    return entry.isRemoved && nowMs >= keptUntilMs();
+    return entry.goneFromMs !== null && nowMs >= entry.goneFromMs;
   }
 
   function sweep(nowMs: number): void {
@@ -316,6 +319,11 @@
     applyChange,
     noteStoreReturn: (atMs) => {
       returnedMs = atMs;
+      // By what was heard since, the store was back earlier, or never away. A later return keeps nothing that is gone.
+      const untilMs = keptUntilMs();
+      known.forEach((entry) => {
+        if (entry.goneFromMs !== null) entry.goneFromMs = Math.min(entry.goneFromMs, untilMs);
+      });
     },
     noteMisdirected: (upstreamId) => {
       const name = names.get(upstreamId);
@@ -337,8 +345,8 @@
     },
     keptForMs: (upstreamId, nowMs) => {
       const name = names.get(upstreamId);
-      const isRemoved = name !== undefined && known.get(name)?.isRemoved === true;
-      return isRemoved ? Math.max(0, keptUntilMs() - nowMs) : null;
+      const goneFromMs = name === undefined ? null : (known.get(name)?.goneFromMs ?? null);
+      return goneFromMs === null ? null : Math.max(0, goneFromMs - nowMs);
     },
     all: () => [...known.values()].map((entry) => entry.stored.value),
     position: () => position,
@@ -389,7 +397,7 @@
     },
     listing: () => ({
       records: [...known.values()]
-        .filter(({ isRemoved }) => !isRemoved)
+        .filter(({ goneFromMs }) => goneFromMs === null)
         .map(({ stored }) => stored),
       unreadable: [],
       ...position,
