--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -38,7 +38,7 @@
     const leavingIds = directory.leavingIds();
     const leaving = upstreams.filter(({ upstreamId }) => leavingIds.includes(upstreamId));
     const kept = upstreams.filter(
-      ({ upstreamId }) => directory.keptForMs(upstreamId, nowMs) !== null,
+      ({ upstreamId }) => directory.keptForMs(upstreamId, nowMs) !== undefined,
     );
     return {
       openCallCount: parts.openCalls.count(),
--- a/packages/gateway/src/server/control/upstream-list.ts
+++ b/packages/gateway/src/server/control/upstream-list.ts
@@ -57,11 +57,6 @@
     return storePositions.format(directory.position());
   }
 
-  function keptFor(upstreamId: string): number | undefined {
-    const forMs = directory.keptForMs(upstreamId, clock.nowMs());
-    return forMs === null ? undefined : Math.round(forMs);
-  }
-
   return followers.createFollower({
     kind: 'upstreams',
     store: deps.store,
@@ -95,7 +90,7 @@
       const before = describePosition();
       const isTaken = directory.applyChange(change, clock.nowMs());
       const described = describeChange(change);
-      const keptForMs = keptFor(described.upstreamId);
+      const keptForMs = directory.keptForMs(described.upstreamId, clock.nowMs());
       log.info('upstream-changed', { ...described, source: 'watch', before, isTaken, keptForMs });
       deps.onChanged();
     },
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -213,7 +213,7 @@
       slowness: loggedFactor(choice.speed.latencyRatio),
       momentFactor: loggedFactor(choice.speed.transientFactor),
       listAgeMs,
-      keptForMs: keptForMs === null ? undefined : Math.round(keptForMs),
+      keptForMs,
       firstPieceMs: firstChunk === null ? undefined : Math.round(firstChunk.tookMs),
       tookMs: Math.round(tookMs),
       version: resumedStreams.isResumable(call) ? record.softwareVersion : undefined,
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -35,6 +35,7 @@
 import * as crashCodec from '../crashes/crash-codec.js';
 import type * as crashTrackers from '../crashes/crash-tracker.js';
 import type * as quarantines from '../../shared/crashes/quarantine.js';
+import * as holderLists from './holder-list.js';
 import * as messageCodec from './message-codec.js';
 import type * as peerLinks from './peer-link.js';
 
@@ -124,7 +125,7 @@
   /** Since when the holder has not answered; null while it does. */
   let holderSilentMs: number | null = null;
   let laterEraReceivedMs = -Infinity;
-  let lastMismatch = '';
+  const holderList = holderLists.createHolderList(deps);
   const lag = listLag.createListLag(deps.listBudget.pauseMs + WATCH_ANSWER_MS);
 
   /** Whether this gateway's own list lags behind what peers have, for longer than its watch pauses. */
@@ -241,7 +242,7 @@
     const isHolder = lease !== null && reply.news?.gatewayId === lease.holderId;
     if (!isHolder) return;
     const nowMs = clock.nowMs();
-    takeMembers(reply, askedAtMs);
+    holderList.apply(reply, askedAtMs);
     if (reply.placement !== undefined) {
       view.apply(messageCodec.fromPlacementMessage(reply.placement, nowMs));
     }
@@ -255,78 +256,6 @@
     inFlight.applyRemoteLoads(HOLDER_SOURCE, inFlightModule.withoutLoads(loads, own), nowMs);
   }
 
-  function takeMembers(reply: gatewayPeer.ExchangeReply, askedAtMs: number): void {
-    const { members } = reply;
-    const nowMs = clock.nowMs();
-    if (members !== undefined && members.revision > 0) {
-      const told = messageCodec.fromMembersMessage(members);
-      const before = storePositions.format(directory.position());
-      const taken = directory.applyMembers(told, nowMs);
-      logMembers(told, { source: reply.news?.gatewayId ?? HOLDER_SOURCE, before, taken });
-      if (told.written.length > 0 || told.removed.length > 0) deps.onUpstreamsLearned();
-    }
-    const basis =
-      members === undefined ? null : { incarnation: members.incarnation, version: members.version };
-    deps.listFeed.applyReply({
-      asOfMs: holderListAsOfMs(reply.news, askedAtMs),
-      listVersion: basis,
-    });
-    if (members !== undefined) checkDigest(members);
-  }
-
-  /**
-   * A holder whose list is newer than its watch never knew what came and went before, and cannot tell that it is gone. Both digests
-   * stay as they are where this gateway has dropped an entry for its own reasons: they are acted on once.
-   */
-  function checkDigest(members: gatewayPeer.MembersNews): void {
-    const own = directory.digest();
-    const position = { era: members.storeEra, revision: members.revision };
-    const isSamePosition =
-      storePositions.isAtLeast(position, directory.position()) &&
-      storePositions.isAtLeast(directory.position(), position);
-    if (!isSamePosition || members.digest === '' || members.digest === own) return;
-    const mismatch = `${own} ${members.digest}`;
-    if (mismatch === lastMismatch) return;
-    lastMismatch = mismatch;
-    const source = book.lease()?.holderId ?? HOLDER_SOURCE;
-    deps.log.warn('list-mismatch', { source, position: storePositions.format(position) });
-    deps.listFeed.distrust();
-  }
-
-  /** A holder that has not heard of the store's return yet watches what is no more. */
-  function holderListAsOfMs(
-    news: gatewayPeer.GatewayNews | undefined,
-    askedAtMs: number,
-  ): number | null {
-    if (news === undefined || news.storeEra < directory.position().era) return null;
-    // It answered after it was asked, so its list is no older than that.
-    return news.isListLive ? askedAtMs - news.listAgeMs : null;
-  }
-
-  function logMembers(
-    { written, removed }: directories.MemberChanges,
-    { source, before, taken }: { source: string; before: string; taken: ReadonlySet<string> },
-  ): void {
-    const changes = [
-      ...written.map((record) => {
-        const { upstreamId, state, softwareVersion: version } = record.value;
-        return { upstreamId, state, version, name: record.name, at: record };
-      }),
-      ...removed.map((gone) => ({
-        upstreamId: gone.name,
-        state: 'gone',
-        version: undefined,
-        name: gone.name,
-        at: gone,
-      })),
-    ];
-    changes.forEach(({ name, at, ...change }) => {
-      const isTaken = taken.has(name);
-      const position = storePositions.format(at);
-      deps.log.info('upstream-changed', { ...change, source, position, before, isTaken });
-    });
-  }
-
   function noteHolder(reason: string | null): void {
     const nowMs = clock.nowMs();
     const holderId = book.lease()?.holderId ?? '';
--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -35,8 +35,8 @@
   /** The upstreams of a service that may get new work. */
   eligible: (service: string, nowMs: number) => readonly fleet.UpstreamRecord[];
   mayGetWork: (upstreamId: string, nowMs: number) => boolean;
-  /** For how much longer an upstream that the list lacks is kept; null if the list has it, or it is not known. */
-  keptForMs: (upstreamId: string, nowMs: number) => number | null;
+  /** For how much longer an upstream that the list lacks is kept; undefined if the list has it, or it is not known. */
+  keptForMs: (upstreamId: string, nowMs: number) => number | undefined;
   all: () => readonly fleet.UpstreamRecord[];
   /** The store's position when it confirmed the list. */
   position: () => storePositions.Position;
@@ -346,7 +346,7 @@
     keptForMs: (upstreamId, nowMs) => {
       const name = names.get(upstreamId);
       const goneFromMs = name === undefined ? null : (known.get(name)?.goneFromMs ?? null);
-      return goneFromMs === null ? null : Math.max(0, goneFromMs - nowMs);
+      return goneFromMs === null ? undefined : Math.max(0, Math.round(goneFromMs - nowMs));
     },
     all: () => [...known.values()].map((entry) => entry.stored.value),
     position: () => position,
