--- a/packages/gateway/src/shared/upstream-directory.ts
+++ b/packages/gateway/src/shared/upstream-directory.ts
@@ -35,7 +35,7 @@
   /** The upstreams of a service that may get new work. */
   eligible: (service: string, nowMs: number) => readonly fleet.UpstreamRecord[];
   mayGetWork: (upstreamId: string, nowMs: number) => boolean;
-  /** For how much longer an upstream that the list lacks is kept; undefined if the list has it, or it is not known. */
+  /** For how much longer an upstream that the list lacks is offered; undefined if the list has it, or it is not offered. */
   keptForMs: (upstreamId: string, nowMs: number) => number | undefined;
   all: () => readonly fleet.UpstreamRecord[];
   /** The store's position when it confirmed the list. */
@@ -346,7 +346,8 @@
     keptForMs: (upstreamId, nowMs) => {
       const name = names.get(upstreamId);
       const goneFromMs = name === undefined ? null : (known.get(name)?.goneFromMs ?? null);
-      return goneFromMs === null ? undefined : Math.max(0, Math.round(goneFromMs - nowMs));
+      const isKept = goneFromMs !== null && goneFromMs > nowMs;
+      return isKept ? Math.round(goneFromMs - nowMs) : undefined;
     },
     all: () => [...known.values()].map((entry) => entry.stored.value),
     position: () => position,
@@ -380,6 +381,7 @@
     applyMembers: (changes, nowMs) => {
       const applied = new Set<string>();
       advanceTo(changes, nowMs);
+      sweep(nowMs);
       changes.written.forEach((record) => {
         if (applyChange({ kind: 'written', record }, nowMs)) applied.add(record.name);
       });
