A gateway is ready once it knows the lease, and asks its holder for retries before it has heard of it

A gateway counts as ready once the lease is known, or after 3 s; and it asks the holder without waiting for the first exchange with it. A question that is not answered closes the way for half a second.

pauses.test.ts (1 and 3 gateways), plain-queues.test.ts and stream-versions.test.ts pass; retries.test.ts as before.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -26,6 +26,8 @@
 const CONFIG_GRACE_MS = 400;
 const CONFIG_LIST_TIMEOUT_MS = 2_000;
 const HOLDER_HEARD_MS = 1_000;
+/** A new fleet takes its lease within this time; where it is not known by then, the gateway serves without. */
+const LEASE_WAIT_MS = 3_000;
 /** The record of the configuration within its kind. */
 const CONFIG_RECORD = 'main';
 
@@ -75,6 +77,7 @@
     },
   );
   const { clock, log, directory, configuration, openCalls } = cradle;
+  const leaseKnownByMs = clock.nowMs() + LEASE_WAIT_MS;
 
   function afterDirectoryChange(): void {
     const records = directory.all();
@@ -165,9 +168,14 @@
   const connections = stops.trackConnections(callers.server);
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
 
+  /** Without a holder no request is sent once more after a failure, beyond what the requests here have made tokens for. */
+  function knowsLease(): boolean {
+    return cradle.book.lease() !== null || clock.nowMs() >= leaseKnownByMs;
+  }
+
   function isReady(): boolean {
     const isServing = !isStopping && hasListing && servedConfiguration() !== null;
-    return isServing && !cradle.shedding.isShedding();
+    return isServing && knowsLease() && !cradle.shedding.isShedding();
   }
   const readiness = healthApp.createReadinessApp(cradle.dialect.readinessPath, isReady);
 
--- a/packages/gateway/src/server/retries/retries.ts
+++ b/packages/gateway/src/server/retries/retries.ts
@@ -46,11 +46,12 @@
   ask: (asked: AskedRetry) => Promise<RetryReply | null>;
 };
 
-/** After so long the holder gives nothing, and tokens passed on to it may be lost. */
+/** After so long tokens that are passed on to the holder may be lost. */
 const UNHEARD_MS = 1_000;
 /** How long a gateway that was refused does not ask. Others' requests make tokens meanwhile. */
 const REFUSED_MS = 50;
-const UNANSWERED_MS = 200;
+/** Each question that the holder does not answer holds its request up. */
+const UNANSWERED_MS = 500;
 
 type Source = 'own' | 'holder' | 'refused' | 'unanswered';
 
@@ -107,7 +108,6 @@
   async function decide(service: string): Promise<Source> {
     const nowMs = clock.nowMs();
     if (own.take(service, nowMs)) return 'own';
-    if (!isHolderHeard(nowMs)) return 'unanswered';
     return (closedUntilMs.get(service) ?? 0) > nowMs ? 'refused' : askHolder(service);
   }
 
@@ -115,8 +115,7 @@
     recordRequest: (service) => own.recordRequest(service, clock.nowMs()),
     mayRetry: (service) => {
       const nowMs = clock.nowMs();
-      const isClosed = (closedUntilMs.get(service) ?? 0) > nowMs || !isHolderHeard(nowMs);
-      return !isClosed || own.level(service, nowMs) >= 1;
+      return (closedUntilMs.get(service) ?? 0) <= nowMs || own.level(service, nowMs) >= 1;
     },
     take: async ({ requestId, service }) => {
       const source = await decide(service);
