--- a/packages/gateway/src/server/retries/retries.ts
+++ b/packages/gateway/src/server/retries/retries.ts
@@ -120,8 +120,8 @@
     take: async ({ requestId, service }) => {
       const source = await decide(service);
       const isAllowed = source === 'own' || source === 'holder';
-      const nowMs = clock.nowMs();
-      const holderAgeMs = Math.round(deps.holderAgeMs(nowMs));
+      const ageMs = deps.holderAgeMs(clock.nowMs());
+      const holderAgeMs = Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
       deps.log.info('retry-decided', { requestId, service, isAllowed, source, holderAgeMs });
       return isAllowed;
     },
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -262,14 +262,14 @@
   /**
    * Whether a request may be sent once more now, by the retry budget of its service. `source`: `own` (a token of this gateway's
    * own requests), `holder` (one of all gateways), `refused` (the holder had none, just now or for the request before) or
-   * `unanswered`. `holderAgeMs`: since the holder was heard.
+   * `unanswered`. `holderAgeMs`: since the holder was heard; left out if it never was.
    */
   'retry-decided': {
     requestId: string;
     service: string;
     isAllowed: boolean;
     source: string;
-    holderAgeMs: number;
+    holderAgeMs: Amount;
   };
   /**
    * Its caller asks for the rest of a stream: which software version began it, and who knew. `source`: `own` (this gateway has a
