Read as a newcomer: what is not used is gone, and comments that misled say what is meant

holder-list.ts said why digests differ in a way that only its author could read; retry-fleet.ts said that groups share the store, which they do not, and had an option that nobody set; retry-ledger.ts and accept-probe.ts offered more than is used. Nothing is decided differently.

--- a/packages/gateway/src/server/forwarding/accept-probe.ts
+++ b/packages/gateway/src/server/forwarding/accept-probe.ts
@@ -20,7 +20,7 @@
 export type OpenProbe = (onOpened: (localPort: number) => void, onFailed: () => void) => () => void;
 
 /** Each probe takes the place of a caller's connection in a turn of the loop. */
-export const PROBE_INTERVAL_MS = 100;
+const PROBE_INTERVAL_MS = 100;
 /** A probe that was not accepted by then is given up: its opening was lost, as where the queue is full. */
 const PROBE_TIMEOUT_MS = 3_000;
 
--- a/packages/gateway/src/server/peers/holder-list.ts
+++ b/packages/gateway/src/server/peers/holder-list.ts
@@ -49,8 +49,8 @@
   }
 
   /**
-   * A holder whose list is newer than its watch never knew what came and went before, and cannot tell that it is gone. Both digests
-   * stay as they are where this gateway has dropped an entry for its own reasons: they are acted on once.
+   * A holder cannot report the removal of an upstream that it never knew, as one that came and went before it had the list. Each
+   * pair of digests is acted on once: they stay different where this gateway has dropped an entry for reasons of its own.
    */
   function checkDigest(members: gatewayPeer.MembersNews, source: string): void {
     const own = directory.digest();
--- a/packages/gateway/src/shared/retries/retry-ledger.ts
+++ b/packages/gateway/src/shared/retries/retry-ledger.ts
@@ -16,9 +16,7 @@
   /** Takes over what the gateway has passed on since it told last. The first time, nothing: it may be old. */
   receive: (giver: Giver, passed: readonly PassedTokens[], nowMs: number) => void;
   /** Gives one retry. The slack is only used if no other holder may have given any of it within the window. */
-  take: (service: string, maySlack: boolean, nowMs: number) => boolean;
-  /** Units of the slack that are left. */
-  slackLeft: (service: string, nowMs: number) => number;
+  take: (service: string, mayUseSlack: boolean, nowMs: number) => boolean;
 };
 
 /** A token is used within this time of being made, and within as much again of being passed on. */
@@ -61,6 +59,7 @@
     return giver;
   }
 
+  /** Units of the slack that are left. */
   function slackLeft(service: string, nowMs: number): number {
     const sinceMs = nowMs - limits.windowMs - ARRIVAL_MS;
     const recent = (givenMs.get(service) ?? []).filter((atMs) => atMs > sinceMs);
@@ -78,12 +77,11 @@
         poolOf(service).add((total - before) / THOUSAND, nowMs);
       });
     },
-    take: (service, maySlack, nowMs) => {
+    take: (service, mayUseSlack, nowMs) => {
       if (poolOf(service).take(nowMs)) return true;
-      if (!maySlack || slackLeft(service, nowMs) < 1) return false;
+      if (!mayUseSlack || slackLeft(service, nowMs) < 1) return false;
       givenMs.get(service)?.push(nowMs);
       return true;
     },
-    slackLeft,
   };
 }
--- a/packages/gateway/src/testing/retry-fleet.ts
+++ b/packages/gateway/src/testing/retry-fleet.ts
@@ -10,7 +10,7 @@
 
 export type RetryGateway = {
   gatewayId: string;
-  /** Gateways reach those with the same number, and the store with it. */
+  /** Gateways reach those of the same group. */
   group: number;
   reachesStore: boolean;
   heldTerm: number | null;
@@ -35,8 +35,6 @@
 export type RetryFleetOptions = {
   gatewayCount: number;
   limits: retryLedgers.RetryLimits;
-  /** Whether a holder before the first one may have given retries; none by default. */
-  isFirstLease?: boolean;
 };
 
 const NETWORK_MS = 2;
@@ -130,7 +128,7 @@
   }
 
   function acquire(entry: Entry, nowMs: number): void {
-    const isFirst = lease.holder === null && (options.isFirstLease ?? true);
+    const isFirst = lease.holder === null;
     lease.term += 1;
     Object.assign(lease, { holder: entry, renewedMs: nowMs });
     Object.assign(entry, {
