Logs tell why a candidate for what ends upstreams is not refused, and which ends count

Change: quarantine-open with the reason; traits of upstream-ended tell ends as counted and each for itself; attempt-ended tells a second try and a trial. Nothing is decided differently.

--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -68,20 +68,21 @@
     return known.length === 0 ? null : Math.max(...known);
   }
 
-  /** `TRAIT=CRASHES/AGE`: the ends beside which it was since it was last sound, and how long ago that is. */
+  /** `TRAIT=CRASHES:ENDS/AGE`: the ends beside which it was since it was last sound, and how long ago that is. */
   function describe(traits: readonly string[]): string {
     const nowMs = clock.nowMs();
     const histories = traits.map((trait) => ({
       trait,
       crashCount: evidence.crashCount(trait),
+      endCount: evidence.endCount(trait),
       atMs: soundMs(trait),
     }));
     return histories
       .sort((left, right) => right.crashCount - left.crashCount)
       .slice(0, LOGGED_TRAITS_MAX)
-      .map(({ trait, crashCount, atMs }) => {
+      .map(({ trait, crashCount, endCount, atMs }) => {
         const age = atMs === null ? 'never' : String(Math.round(nowMs - atMs));
-        return `${trait}=${crashCount}/${age}`;
+        return `${trait}=${crashCount}:${endCount}/${age}`;
       })
       .join(',');
   }
@@ -118,13 +119,18 @@
     const usage = await peers.usageByAll(candidates);
     if (usage === null) return false;
     noteOwnSound(candidates.map(({ trait }) => trait));
-    const finding = evidence.find(
+    const judged = evidence.judge(
       quarantine.refusedSets(),
       ({ trait, sinceMs }) => usage.get(trait) ?? census.usage(trait, sinceMs),
       clock.nowMs(),
     );
-    if (finding === null) return false;
-    decide(entryFor(finding));
+    if (judged === null) return false;
+    if (judged.kind === 'open') {
+      const { kind, score, ...rest } = judged;
+      log.info('quarantine-open', { ...rest, score: Math.round(score * 10) / 10 });
+      return false;
+    }
+    decide(entryFor(judged.finding));
     return true;
   }
 
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -83,6 +83,12 @@
   return factor === 1 ? undefined : Math.round(factor * 100) / 100;
 }
 
+/** Undefined, which isn't logged, for a first attempt. */
+function againOf({ trial, sentCount }: runs.Run): 'second' | 'trial' | undefined {
+  if (trial !== null) return 'trial';
+  return sentCount > 0 ? 'second' : undefined;
+}
+
 /** What the end of an attempt shows about its upstream. */
 function evidenceOf(
   result: calls.AttemptResult,
@@ -208,6 +214,7 @@
       upstreamId,
       result: result.kind,
       reason: 'reason' in result ? result.reason : undefined,
+      again: againOf(run),
       priority,
       predictedMs: Math.round(choice.predictedMs),
       slowness: loggedFactor(choice.speed.latencyRatio),
--- a/packages/gateway/src/shared/crashes/crash-evidence.test.ts
+++ b/packages/gateway/src/shared/crashes/crash-evidence.test.ts
@@ -36,8 +36,10 @@
   usage: (trait: string) => requestCensus.Usage = () => RARE,
   nowMs = 20 * SECOND_MS,
 ): string | null {
-  const found = evidence.find(known, ({ trait }) => usage(trait), nowMs);
-  return found === null ? null : `${found.traits.join(' ')}${found.isClear ? '' : ' ?'}`;
+  const judged = evidence.judge(known, ({ trait }) => usage(trait), nowMs);
+  if (judged?.kind !== 'found') return null;
+  const { traits, isClear } = judged.finding;
+  return `${traits.join(' ')}${isClear ? '' : ' ?'}`;
 }
 
 // Guards against evidence that only repeats of one request add up.
--- a/packages/gateway/src/shared/crashes/crash-evidence.ts
+++ b/packages/gateway/src/shared/crashes/crash-evidence.ts
@@ -29,6 +29,25 @@
   isClear: boolean;
 };
 
+/**
+ * Why the strongest candidate is not found. `chance`: chance explains it well enough. `rivals`: others are as strong. `unsettled`:
+ * answers have not had the time to go on. `common`: a guess that most requests have.
+ */
+export type OpenReason = 'chance' | 'rivals' | 'unsettled' | 'common';
+
+/** The strongest candidate, and what was made of it. `endCount`: with ends that count as one. */
+export type Judgement =
+  | { kind: 'found'; finding: Finding }
+  | {
+      kind: 'open';
+      reason: OpenReason;
+      trait: string;
+      crashCount: number;
+      endCount: number;
+      score: number;
+      rivalCount: number;
+    };
+
 /** A trait that may be found, and since when its use matters. */
 export type Candidate = { trait: string; sinceMs: number };
 
@@ -39,17 +58,19 @@
   withdraw: (upstreamId: string) => void;
   /** An answer with the trait began then, and went on. */
   noteSound: (trait: string, beganMs: number) => void;
-  /** The ends beside which it was since it was last sound. */
+  /** The ends beside which it was since it was last sound, those close together as one. */
   crashCount: (trait: string) => number;
+  /** The same, each for itself. */
+  endCount: (trait: string) => number;
   hasCrashSince: (trait: string, sinceMs: number) => boolean;
   /** What may explain ends that no set of `known`, which is refused already, explains. */
   candidates: (known: readonly TraitSet[]) => readonly Candidate[];
-  /** The clearest explanation; `usageOf`: the use of a candidate by all gateways. */
-  find: (
+  /** The clearest explanation; null without a candidate. `usageOf`: the use of a candidate by all gateways. */
+  judge: (
     known: readonly TraitSet[],
     usageOf: (candidate: Candidate) => requestCensus.Usage,
     nowMs: number,
-  ) => Finding | null;
+  ) => Judgement | null;
 };
 
 /**
@@ -252,6 +273,11 @@
     return { traits: sharedTraits(one).sort(), crashCount, firstCrashMs, score, isClear };
   }
 
+  function toOpen(best: Case, rivalCount: number, reason: OpenReason): Judgement {
+    const { trait, count: crashCount, crashes: ends, score } = best;
+    return { kind: 'open', reason, trait, crashCount, endCount: ends.length, score, rivalCount };
+  }
+
   return {
     add: ({ upstreamId, atMs, suspects }) => {
       const before = crashes.get(upstreamId);
@@ -275,10 +301,11 @@
       soundMs.set(trait, Math.max(beganMs, soundMs.get(trait) ?? -Infinity));
     },
     crashCount: (trait) => apart(crashesWith(trait)).length,
+    endCount: (trait) => crashesWith(trait).length,
     hasCrashSince: (trait, sinceMs) => crashesWith(trait).some(({ atMs }) => atMs >= sinceMs),
     candidates: (known) =>
       casesOf(known).map((one) => ({ trait: one.trait, sinceMs: firstMs(one) })),
-    find: (known, usageOf, nowMs) => {
+    judge: (known, usageOf, nowMs) => {
       const [best, ...others] = casesOf(known)
         .map((one) => ({
           ...one,
@@ -290,13 +317,18 @@
       // Where ends follow each other quickly chance companions are beside as many; the next end tells them apart.
       const rivals = others.filter((one) => one.count >= best.count && !isCompanion(best, one));
       const isClear = best.score >= CLEAR_SCORE_MIN && rivals.length === 0 && isSettled(best);
-      if (isClear) return toFinding(best, true);
+      if (isClear) return { kind: 'found', finding: toFinding(best, true) };
+      const open = (reason: OpenReason) => toOpen(best, rivals.length, reason);
       const isLikely = best.score >= GUESS_SCORE_MIN && rivals.length === 0;
-      if (!isLikely && best.count < UNCLEAR_CRASHES_MIN) return null;
+      if (!isLikely && best.count < UNCLEAR_CRASHES_MIN) {
+        return open(rivals.length > 0 ? 'rivals' : 'chance');
+      }
       const isHarmless = ({ share, count }: Case) =>
         share <= GUESS_SHARE_MAX || count >= COMMON_GUESS_CRASHES_MIN;
-      const guess = [best, ...rivals].find((one) => isHarmless(one) && isSettled(one));
-      return guess === undefined ? null : toFinding(guess, false);
+      const harmless = [best, ...rivals].filter(isHarmless);
+      const guess = harmless.find(isSettled);
+      if (guess === undefined) return open(harmless.length === 0 ? 'common' : 'unsettled');
+      return { kind: 'found', finding: toFinding(guess, false) };
     },
   };
 }
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -2,6 +2,7 @@
  * Every line that a gateway writes, and the fields it carries. A line's name and fields are what operators
  * search for: both are checked wherever one is written.
  */
+import type * as crashEvidence from '../shared/crashes/crash-evidence.js';
 import type * as livenessProbes from '../server/crashes/liveness-probe.js';
 import type * as serviceTimes from '../shared/service-times.js';
 import type * as calls from './calls.js';
@@ -69,8 +70,8 @@
   'upstream-trusted': { upstreamId: string };
   /**
    * It lost answers and its port refuses connections: its process has ended. `suspectCount`: of the lost requests those whose
-   * answer had not begun, or only just. `traits`: what they have in common or not, as `TRAIT=CRASHES/AGE`: beside how many ends
-   * each was since an answer with it last went on, and how many ms ago that began. `source`: `own`, or the gateway that told.
+   * answer had not begun, or only just. `traits`: what they have in common or not, as `TRAIT=CRASHES:ENDS/AGE`: beside how many ends
+   * each was since an answer with it last went on, those close together as one and each for itself, and how many ms ago that began. `source`: `own`, or the gateway that told.
    */
   'upstream-ended': LostAnswers;
   /** It lost answers and accepts connections, or does not answer at all. */
@@ -82,6 +83,18 @@
    * gateway that found it, `source`: who told this one (`own`, `store` or a gateway), `epoch`: decisions about these traits before.
    */
   quarantined: QuarantineChange;
+  /**
+   * The strongest candidate for what ends upstreams is not refused yet, and why; `crashCount` of `endCount` ends count, those
+   * close together as one, `rivalCount` candidates are as strong. `score`: how unlikely chance is, as a natural logarithm.
+   */
+  'quarantine-open': {
+    trait: string;
+    reason: crashEvidence.OpenReason;
+    crashCount: number;
+    endCount: number;
+    score: number;
+    rivalCount: number;
+  };
   /** They are no longer refused: a request was answered, or an operator has lifted it. */
   'quarantine-lifted': QuarantineChange;
   /** Neither the store nor another gateway has told what is refused: this one serves without. */
@@ -245,6 +258,8 @@
     upstreamId: string;
     result: calls.AttemptResult['kind'];
     reason: Text;
+    /** The gateway had sent the request before, or lets it through to see whether its upstream survives it; see `quarantined`. */
+    again: 'second' | 'trial' | undefined;
     priority: number;
     predictedMs: number;
     /** What the prediction took the upstream's speed for; left out where that is the usual one. */
