--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -58,6 +58,8 @@
   /** Set if the upstream has a rate limit: waits for a permit. */
   takePermit?: () => Promise<boolean>;
   retryLimits?: retryLedgers.RetryLimits;
+  /** Whether what is refused is let through on trial. */
+  isOnTrial?: boolean;
 };
 
 const RETRY_LIMITS = { ratio: 1, slack: 10, windowMs: 1_000 };
@@ -82,7 +84,7 @@
 
 async function createFixture(setup: Setup = {}) {
   const { ask = GRANTED, isWanted = true, answer = (socket) => socket.write(STREAM) } = setup;
-  const { takePermit, retryLimits = RETRY_LIMITS } = setup;
+  const { takePermit, retryLimits = RETRY_LIMITS, isOnTrial = false } = setup;
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
   const log = logs.createSilentLogger() as logEvents.GatewayLog;
@@ -131,7 +133,7 @@
     paces: serviceTimesModule.createServiceTimeEstimator(),
     retries: createRetries(clock, retryLimits),
     quarantine,
-    crashTrials: { startTrial: () => false, endTrial: () => {} },
+    crashTrials: { startTrial: () => isOnTrial, endTrial: () => {} },
     words: {
       applyAnswerHead: () => {},
       applyReport: () => {},
@@ -490,6 +492,23 @@
   }
 });
 
+// Guards against a trial that ends two upstreams: that of its attempt, and that of the retry after it.
+test('a request on trial is sent once', async () => {
+  const fixture = await createFixture({ isOnTrial: true, answer: (socket) => socket.destroy() });
+  fixture.refuseAll();
+  const { record } = fixture.upstream;
+  fixture.list([record, { ...record, upstreamId: 'u2', name: 'u2' }], 2);
+  try {
+    const call = createCall();
+    const route = { ...call.route, kind: 'idempotent', maxAttempts: 3 } as const;
+    const ending = await fixture.serve({ ...call, route }, createSink().sink);
+    assert.is(ending.kind, 'failed');
+    assert.is(fixture.upstream.requests.length, 1);
+  } finally {
+    await fixture.close();
+  }
+});
+
 // Guards against retries that are counted when they are decided and arrive later, those of several windows at once.
 test('retries that waited are counted when they are sent', async () => {
   const retryLimits = { ratio: 0, slack: 6, windowMs: 300 };
