A trial is over with its attempt, and ends one upstream at most

What callers saw: a request that is refused since it ends upstreams, and is let through to see whether that still holds, ended two: its upstream, and the one to which the gateway sent it on. Cause: the run kept its trial for its whole life, so the next round passed the check with the same key and sent again. Change: the trial ends with its attempt; the next round is refused like any other request.

--- a/packages/gateway/src/server/forwarding/quarantine-check.ts
+++ b/packages/gateway/src/server/forwarding/quarantine-check.ts
@@ -24,8 +24,8 @@
   isRefused: (run: runs.Run) => boolean;
   /** The ending of a request that is refused; null for one that may be sent, perhaps on trial from now on. */
   ending: (call: calls.Call, run: runs.Run) => calls.Ending | null;
-  /** The request has ended: if it was on trial, that shows something. */
-  ended: (run: runs.Run) => void;
+  /** An attempt has ended: if it was on trial, that shows something, and the trial is over. */
+  attemptEnded: (run: runs.Run) => void;
 };
 
 /** While one gateway tries what is refused, the others refuse on. */
@@ -60,8 +60,12 @@
       });
       return deps.refuse(call, run, 'quarantined', Math.max(RETRY_MIN_MS, untilMs - nowMs));
     },
-    ended: ({ trial }) => {
-      if (trial !== null) deps.crashTrials.endTrial(trial.key, trial.startedMs);
+    attemptEnded: (run) => {
+      const { trial } = run;
+      if (trial === null) return;
+      deps.crashTrials.endTrial(trial.key, trial.startedMs);
+      const tried = run;
+      tried.trial = null;
     },
   };
 }
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -58,7 +58,7 @@
   /** Set if the upstream has a rate limit: waits for a permit. */
   takePermit?: () => Promise<boolean>;
   retryLimits?: retryLedgers.RetryLimits;
-  /** Whether what is refused is let through on trial. */
+  /** Whether the first request that is refused is let through on trial. */
   isOnTrial?: boolean;
 };
 
@@ -110,6 +110,7 @@
   const asked: turnsModule.TurnQuestion[] = [];
   const ended: turnsModule.TurnEnd[] = [];
   let lastTurnId = 0;
+  let trialCount = 0;
   const quarantine = quarantines.createQuarantine();
   const refuseAll = () => {
     const entry = { traits: ['request:f'], epoch: 0, isLifted: false, crashCount: 3 };
@@ -133,7 +134,13 @@
     paces: serviceTimesModule.createServiceTimeEstimator(),
     retries: createRetries(clock, retryLimits),
     quarantine,
-    crashTrials: { startTrial: () => isOnTrial, endTrial: () => {} },
+    crashTrials: {
+      startTrial: () => {
+        trialCount += 1;
+        return isOnTrial && trialCount === 1;
+      },
+      endTrial: () => {},
+    },
     words: {
       applyAnswerHead: () => {},
       applyReport: () => {},
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -275,6 +275,7 @@
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, to);
+    quarantined.attemptEnded(run);
     // Has an effect only if the first event never arrived: the turn then ends without a prefill.
     turn.ended(false, null);
     return preferHeldFailure(run, sink, afterAttempt(call, run, sink, result));
@@ -344,7 +345,8 @@
     try {
       return await serveBound(call, run, sink);
     } finally {
-      quarantined.ended(run);
+      // It may have been let through, and found no upstream.
+      quarantined.attemptEnded(run);
     }
   };
 }
