--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -236,7 +236,7 @@
           metrics: parts.metrics,
           streams: parts.streams,
           crashWatch: parts.crashes.watch,
-          crashTrials: parts.crashes,
+          crashTrials: parts.crashes.trials,
           doubts: parts.doubts,
           preSendCheck: preSendChecks.createPreSendCheck(parts),
           loopAges: parts.loopAges,
--- a/packages/gateway/src/crash-parts.ts
+++ b/packages/gateway/src/crash-parts.ts
@@ -33,6 +33,7 @@
     gatewayId: settings.gatewayId,
     address: settings.peerAddress,
     onDecided: () => parts.quarantineKeeper.wake(),
+    claim: (entry) => parts.quarantineKeeper.claim(entry),
     evidence: crashEvidence.createCrashEvidence(),
     census: requestCensus.createRequestCensus(),
     probe: livenessProbes.probe,
--- a/packages/gateway/src/server/crashes/crash-codec.ts
+++ b/packages/gateway/src/server/crashes/crash-codec.ts
@@ -4,19 +4,23 @@
 import type * as crashEvidence from '../../shared/crashes/crash-evidence.js';
 import type * as quarantines from '../../shared/crashes/quarantine.js';
 import * as requestTraits from '../../shared/crashes/request-traits.js';
+import type * as trialArbiters from '../../shared/crashes/trial-arbiter.js';
 
 /** Traits that one message names; more of them tell no more of what ended an upstream. */
 const TRAITS_MAX = 2_000;
 
-export function toEntryMessage(
+type EntryLists = Pick<gatewayPeer.GatewayNews, 'quarantine' | 'suspected'>;
+
+function toEntryMessage(
   entry: quarantines.QuarantineEntry,
   nowMs: number,
 ): gatewayPeer.QuarantineEntryNews {
-  const { traits, epoch, isLifted, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
+  const { traits, epoch, state, trialCount, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
   return {
     traits: [...traits],
     epoch,
-    isLifted,
+    isLifted: state === 'lifted',
+    trialCount,
     crashCount,
     decidedBy,
     ageMs: Math.max(0, Math.round(nowMs - decidedAtMs)),
@@ -24,12 +28,41 @@
   };
 }
 
-export function fromEntryMessage(
-  { ageMs, remainingMs, ...news }: gatewayPeer.QuarantineEntryNews,
+/** Suspected ones apart: gateways of the build before would refuse them. */
+export function toEntryLists(
+  entries: readonly quarantines.QuarantineEntry[],
+  nowMs: number,
+): EntryLists {
+  const listOf = (isSuspected: boolean) =>
+    entries
+      .filter(({ state }) => (state === 'suspected') === isSuspected)
+      .map((entry) => toEntryMessage(entry, nowMs));
+  return { quarantine: listOf(false), suspected: listOf(true) };
+}
+
+function fromEntryMessage(
+  { ageMs, remainingMs, isLifted, ...news }: gatewayPeer.QuarantineEntryNews,
+  unlifted: 'suspected' | 'refused',
   nowMs: number,
 ): quarantines.QuarantineEntry {
-  const traits = [...news.traits].sort();
-  return { ...news, traits, decidedAtMs: nowMs - ageMs, untilMs: nowMs + remainingMs };
+  return {
+    ...news,
+    traits: [...news.traits].sort(),
+    state: isLifted ? 'lifted' : unlifted,
+    trialCount: news.trialCount ?? news.epoch,
+    decidedAtMs: nowMs - ageMs,
+    untilMs: nowMs + remainingMs,
+  };
+}
+
+export function fromEntryLists(
+  { quarantine, suspected }: EntryLists,
+  nowMs: number,
+): quarantines.QuarantineEntry[] {
+  return [
+    ...quarantine.map((one) => fromEntryMessage(one, 'refused', nowMs)),
+    ...suspected.map((one) => fromEntryMessage(one, 'suspected', nowMs)),
+  ];
 }
 
 export type CrashReport = { crash: crashEvidence.Crash; isWithdrawn: boolean };
@@ -49,10 +82,11 @@
     return [positions.size - 1];
   };
   asked.forEach(({ trait }) => positionOf(trait));
-  const crashes = reports.map(({ crash: { upstreamId, atMs, suspects }, isWithdrawn }) => ({
-    upstreamId,
-    ageMs: Math.max(0, Math.round(nowMs - atMs)),
-    suspects: suspects.map((traits) => ({ traits: traits.flatMap(positionOf) })),
+  const crashes = reports.map(({ crash, isWithdrawn }) => ({
+    upstreamId: crash.upstreamId,
+    trialTrait: crash.trialTrait,
+    ageMs: Math.max(0, Math.round(nowMs - crash.atMs)),
+    suspects: crash.suspects.map((traits) => ({ traits: traits.flatMap(positionOf) })),
     isWithdrawn,
   }));
   const useSinceAgeMs = asked.map(({ sinceMs }) => Math.max(0, Math.round(nowMs - sinceMs)));
@@ -63,9 +97,10 @@
   { traits, crashes }: gatewayPeer.ShareCrashesRequest,
   nowMs: number,
 ): CrashReport[] {
-  return crashes.map(({ upstreamId, ageMs, suspects, isWithdrawn }) => ({
+  return crashes.map(({ upstreamId, ageMs, suspects, isWithdrawn, trialTrait }) => ({
     crash: {
       upstreamId,
+      trialTrait,
       atMs: nowMs - ageMs,
       suspects: suspects.map((suspect) => suspect.traits.flatMap((index) => traits[index] ?? [])),
     },
@@ -78,9 +113,9 @@
   entries: readonly quarantines.QuarantineEntry[],
   nowMs: number,
 ): gatewayPeer.QuarantineNews[] {
-  return entries.flatMap(({ traits, isLifted, untilMs }) => {
+  return entries.flatMap(({ traits, state, untilMs }) => {
     const fingerprint = traits.length === 1 ? requestTraits.toFingerprint(traits[0] ?? '') : null;
-    if (isLifted || fingerprint === null) return [];
+    if (state !== 'refused' || fingerprint === null) return [];
     return { fingerprint, remainingMs: Math.max(0, Math.floor(untilMs - nowMs)) };
   });
 }
@@ -91,15 +126,68 @@
   nowMs: number,
 ): quarantines.QuarantineEntry[] {
   if (news.quarantineDigest !== '') {
-    return news.quarantine.map((entry) => fromEntryMessage(entry, nowMs));
+    return fromEntryLists(news, nowMs);
   }
   return news.quarantined.map(({ fingerprint, remainingMs }) => ({
     traits: [requestTraits.ofFingerprint(fingerprint)],
     epoch: 0,
-    isLifted: false,
+    state: 'refused',
+    trialCount: 0,
     crashCount: 0,
     decidedBy: news.gatewayId,
     decidedAtMs: nowMs,
     untilMs: nowMs + remainingMs,
   }));
 }
+
+export type TrialMessage =
+  ({ phase: 'ask' } & trialArbiters.TrialQuestion) | ({ phase: 'ended' } & trialArbiters.TrialEnd);
+
+const OUTCOMES: readonly trialArbiters.TrialOutcome[] = ['sound', 'crashed', 'undecided'];
+
+export function toTrialMessage(message: TrialMessage, nowMs: number): gatewayPeer.TrialNews {
+  const { trait, upstreamId } = message;
+  switch (message.phase) {
+    case 'ask': {
+      const { service, otherIds, crashCount, untilMs } = message;
+      const remainingMs = Math.max(0, Math.round(untilMs - nowMs));
+      const asked = { service, otherIds: [...otherIds], crashCount, remainingMs };
+      return { trait, upstreamId, phase: 'ask', ...asked };
+    }
+    case 'ended': {
+      const none = { service: '', otherIds: [], crashCount: 0, remainingMs: 0 };
+      return { trait, upstreamId, phase: message.outcome, ...none };
+    }
+  }
+}
+
+export function fromTrialMessage(news: gatewayPeer.TrialNews, nowMs: number): TrialMessage {
+  const { trait, upstreamId, phase } = news;
+  if (phase === 'ask') {
+    const { service, otherIds, crashCount, remainingMs } = news;
+    const untilMs = nowMs + remainingMs;
+    return { phase, trait, upstreamId, service, otherIds, crashCount, untilMs };
+  }
+  const outcome = OUTCOMES.find((one) => one === phase) ?? 'undecided';
+  return { phase: 'ended', trait, upstreamId, outcome };
+}
+
+export function toTrialReply(verdict: trialArbiters.TrialVerdict): gatewayPeer.TrialReply {
+  const retryAfterMs = 'retryAfterMs' in verdict ? verdict.retryAfterMs : 0;
+  return { verdict: verdict.kind, retryAfterMs };
+}
+
+/** A gateway of the build before suspects nothing. */
+export function fromTrialReply(
+  reply: gatewayPeer.TrialReply | undefined,
+): trialArbiters.TrialVerdict {
+  switch (reply?.verdict) {
+    case 'alone':
+      return { kind: 'alone' };
+    case 'busy':
+    case 'last-up':
+      return { kind: reply.verdict, retryAfterMs: reply.retryAfterMs };
+    default:
+      return { kind: 'free' };
+  }
+}
--- a/packages/gateway/src/server/crashes/crash-peers.ts
+++ b/packages/gateway/src/server/crashes/crash-peers.ts
@@ -9,6 +9,7 @@
 import type * as quarantines from '../../shared/crashes/quarantine.js';
 import type * as requestCensus from '../../shared/crashes/request-census.js';
 import type * as peerRegistries from '../../shared/peer-registry.js';
+import type * as trialArbiters from '../../shared/crashes/trial-arbiter.js';
 import * as rendezvous from '../../shared/rendezvous.js';
 import type * as peerLinks from '../peers/peer-link.js';
 import * as crashCodec from './crash-codec.js';
@@ -20,6 +21,8 @@
   evidence: Pick<crashEvidence.CrashEvidence, 'noteSound'>;
   census: Pick<requestCensus.RequestCensus, 'usage'>;
   quarantine: Pick<quarantines.Quarantine, 'entries'>;
+  /** Asks or tells this gateway's own arbiter. */
+  ownTrial: (message: crashCodec.TrialMessage) => trialArbiters.TrialVerdict;
   /** Applies entries that another gateway has told. */
   applyEntries: (entries: readonly quarantines.QuarantineEntry[], source: string) => void;
   gatewayId: string;
@@ -31,6 +34,10 @@
   report: (reports: readonly crashCodec.CrashReport[]) => void;
   /** Whether this gateway hears of all ends. One that knows only its own suspects would take what these share for the cause. */
   isCollector: () => boolean;
+  /** Whether it decides which suspected requests may be sent. */
+  isArbiter: () => boolean;
+  /** Asks the gateway that decides about trials, or tells it. Null if neither it nor the next one answers. */
+  tellTrial: (message: crashCodec.TrialMessage) => Promise<trialArbiters.TrialVerdict | null>;
   /**
    * How all gateways use the candidates: this one, those that answer, and in proportion those that are not asked. Their answers
    * tell as well when the candidates were last sound. Null if this one is cut off from most: what it sees alone misleads.
@@ -54,8 +61,17 @@
 const SHARE_TIMEOUT_MS = 300;
 /** Once more for a gateway that did not answer, since reports are not repeated otherwise. */
 const RETRY_AFTER_MS = 200;
+/** The second one while the first has ended, and is not missed yet. */
+const ARBITERS_ASKED_MAX = 2;
+
 type Target = Pick<peerRegistries.KnownPeer, 'gatewayId' | 'address'>;
 
+type Shared = {
+  reports?: readonly crashCodec.CrashReport[];
+  asked?: readonly crashEvidence.Candidate[];
+  trial?: crashCodec.TrialMessage;
+};
+
 export function createCrashPeers(deps: CrashPeersDeps): CrashPeers {
   const { clock, book, gatewayId } = deps;
 
@@ -84,16 +100,14 @@
   /** Null if it did not answer. */
   async function share(
     { address, gatewayId: source }: Target,
-    reports: readonly crashCodec.CrashReport[],
-    asked: readonly crashEvidence.Candidate[],
-  ): Promise<readonly requestCensus.Usage[] | null> {
+    { reports = [], asked = [], trial }: Shared,
+  ): Promise<gatewayPeer.ShareCrashesReply | null> {
     const sentMs = clock.nowMs();
     const request: gatewayPeer.ShareCrashesRequest = {
       gatewayId,
       ...crashCodec.toCrashMessages(reports, asked, sentMs),
-      quarantine: deps.quarantine
-        .entries(sentMs)
-        .map((one) => crashCodec.toEntryMessage(one, sentMs)),
+      ...crashCodec.toEntryLists(deps.quarantine.entries(sentMs), sentMs),
+      trial: trial === undefined ? undefined : crashCodec.toTrialMessage(trial, sentMs),
     };
     const reply = await deps.link.shareCrashes(address, request, sentMs + SHARE_TIMEOUT_MS);
     if (reply.err) return null;
@@ -102,19 +116,27 @@
       const age = reply.val.soundAgeMs[index] ?? 0;
       if (age > 0) deps.evidence.noteSound(trait, nowMs - (age - 1));
     });
-    deps.applyEntries(
-      reply.val.quarantine.map((one) => crashCodec.fromEntryMessage(one, nowMs)),
-      source,
-    );
-    return reply.val.uses;
+    deps.applyEntries(crashCodec.fromEntryLists(reply.val, nowMs), source);
+    return reply.val;
+  }
+
+  async function tellTrial(
+    message: crashCodec.TrialMessage,
+  ): Promise<trialArbiters.TrialVerdict | null> {
+    for (const target of collectors().slice(0, ARBITERS_ASKED_MAX)) {
+      if (target.gatewayId === gatewayId) return deps.ownTrial(message);
+      const reply = await share(target, { trial: message });
+      if (reply !== null) return crashCodec.fromTrialReply(reply.trial);
+    }
+    return null;
   }
 
   function report(reports: readonly crashCodec.CrashReport[]): void {
     const others = collectors().filter((one) => one.gatewayId !== gatewayId);
     others.forEach((target) => {
-      void share(target, reports, []).then((answer) => {
+      void share(target, { reports }).then((answer) => {
         if (answer !== null) return;
-        clock.schedule(clock.nowMs() + RETRY_AFTER_MS, () => void share(target, reports, []));
+        clock.schedule(clock.nowMs() + RETRY_AFTER_MS, () => void share(target, { reports }));
       });
     });
   }
@@ -123,8 +145,10 @@
     candidates: readonly crashEvidence.Candidate[],
   ): Promise<ReadonlyMap<string, requestCensus.Usage> | null> {
     const targets = someLive();
-    const answers = await Promise.all(targets.map((target) => share(target, [], candidates)));
-    const heard = answers.flatMap((answer) => (answer === null ? [] : [answer]));
+    const answers = await Promise.all(
+      targets.map((target) => share(target, { asked: candidates })),
+    );
+    const heard = answers.flatMap((answer) => (answer === null ? [] : [answer.uses]));
     if (heard.length < targets.length / 2) return null;
     const fleetShare = (book.live(clock.nowMs()).length + 1) / (targets.length + 1);
     return new Map(
@@ -154,9 +178,11 @@
   return {
     report,
     isCollector,
+    isArbiter: () => collectors()[0]?.gatewayId === gatewayId,
+    tellTrial,
     usageByAll,
-    tellEntries: (address) => void share({ gatewayId: address, address }, [], []),
-    tellAll: () => someLive().forEach((target) => void share(target, [], [])),
+    tellEntries: (address) => void share({ gatewayId: address, address }, {}),
+    tellAll: () => someLive().forEach((target) => void share(target, {})),
     rank,
   };
 }
--- a/packages/gateway/src/server/crashes/crash-plays.test.ts
+++ b/packages/gateway/src/server/crashes/crash-plays.test.ts
@@ -12,8 +12,8 @@
 /** More by hand: `CRASH_PLAYS=200`. */
 const PLAYS = Number(process.env.CRASH_PLAYS ?? 24);
 /** Plays in which most upstreams are down at once and bad requests are many. */
-const LATE_SEEDS = [28, 33, 37, 39, 61, 63, 69, 72, 78, 79, 85, 93, 94, 96];
-const WRONG_SEEDS = [2_004, 2_011, 2_032, 2_051, 2_091, 2_097];
+const LATE_SEEDS = [28, 33, 36, 37, 39, 61, 63, 69, 72, 77, 78, 79, 81, 82, 85, 89, 93, 94, 96];
+const WRONG_SEEDS = [2_004, 2_011, 2_032, 2_051, 2_061, 2_074, 2_083, 2_090, 2_091, 2_095, 2_097];
 
 type Fleet = crashFleets.CrashFleet;
 
--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -8,16 +8,21 @@
 import * as crashEvidence from '../../shared/crashes/crash-evidence.js';
 import * as quarantines from '../../shared/crashes/quarantine.js';
 import type * as requestCensus from '../../shared/crashes/request-census.js';
+import * as requestEvidence from '../../shared/crashes/request-evidence.js';
+import * as requestTraits from '../../shared/crashes/request-traits.js';
+import * as trialArbiters from '../../shared/crashes/trial-arbiter.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import * as crashCodec from './crash-codec.js';
 import * as crashPeers from './crash-peers.js';
 import * as crashWatches from './crash-watch.js';
+import * as trialsModule from './trials.js';
 
 export type CrashTrackerDeps = {
-  clock: Pick<clocks.Clock, 'nowMs' | 'schedule'>;
+  clock: clocks.Clock;
   log: logEvents.GatewayLog;
-  metrics: Pick<metricsModule.GatewayMetrics, 'answersLost' | 'quarantineChanged'>;
+  metrics: trialsModule.TrialsDeps['metrics'] &
+    Pick<metricsModule.GatewayMetrics, 'answersLost' | 'quarantineChanged'>;
   evidence: crashEvidence.CrashEvidence;
   quarantine: quarantines.Quarantine;
   census: requestCensus.RequestCensus;
@@ -29,6 +34,7 @@
   address: string;
   /** Something was decided here. */
   onDecided: () => void;
+  claim: trialsModule.TrialsDeps['claim'];
 };
 
 export type CrashTracker = {
@@ -37,19 +43,25 @@
   handle: (request: gatewayPeer.ShareCrashesRequest) => gatewayPeer.ShareCrashesReply;
   /** Applies entries that another gateway, or the store, has told. */
   applyEntries: (entries: readonly quarantines.QuarantineEntry[], source: string) => void;
-  /** Whether this request, which the entry refuses, is let through to see whether its upstream survives it. */
-  startTrial: (entry: quarantines.QuarantineEntry, traits: readonly string[]) => boolean;
-  /** The request has ended that was let through at `startedMs`. */
-  endTrial: (key: string, startedMs: number) => void;
+  trials: trialsModule.Trials;
   /** Another gateway lacks entries that this one has. */
   tellEntries: (address: string) => void;
 };
 
 const LOGGED_TRAITS_MAX = 12;
+const CHANGE_EVENTS = {
+  suspected: 'request-suspected',
+  refused: 'quarantined',
+  lifted: 'quarantine-lifted',
+} as const;
 /** After an end: when the reports of others have come, and twice when answers have had time to go on. */
-const DECIDE_AFTER_MS = [60, 700, crashEvidence.SETTLED_AFTER_MS] as const;
-/** A probe and a report take less. */
-const TRIAL_RESULT_MS = 100;
+const DECIDE_AFTER_MS = [
+  trialArbiters.POOLED_AFTER_MS,
+  700,
+  crashEvidence.SETTLED_AFTER_MS,
+] as const;
+/** Requests beside ends of this time are judged again when the reports of others have come. */
+const JUDGED_AGAIN_MS = 2_000;
 /** More are beside ends in an outage of the whole fleet, of which no decision can be made. */
 const CANDIDATES_MAX = 200;
 /** Each decision needs others to be asked: bounds what evidence from a bad source can cause. */
@@ -57,7 +69,8 @@
 
 export function createCrashTracker(deps: CrashTrackerDeps): CrashTracker {
   const { clock, log, evidence, census, quarantine, gatewayId } = deps;
-  const peers = crashPeers.createCrashPeers({ ...deps, applyEntries });
+  const arbiter = trialArbiters.createTrialArbiter(evidence, quarantine.refusedSets);
+  const peers = crashPeers.createCrashPeers({ ...deps, applyEntries, ownTrial });
   let isDeciding = false;
   let isDecidingAgain = false;
   const decisionsDue = new Set<number>();
@@ -96,21 +109,74 @@
 
   function entryFor(finding: crashEvidence.Finding): quarantines.QuarantineEntry {
     const before = quarantine.find(quarantines.keyOf(finding));
+    const trialCount = before === undefined ? 0 : before.trialCount + 1;
+    const { traits, crashCount, isClear } = finding;
+    const forMs = isClear ? quarantines.refusalMs(trialCount) : quarantines.GUESS_MS;
+    return nextEntry(before, { traits, state: 'refused', trialCount, crashCount, forMs });
+  }
+
+  function nextEntry(
+    before: quarantines.QuarantineEntry | undefined,
+    {
+      forMs,
+      ...decided
+    }: Pick<quarantines.QuarantineEntry, 'traits' | 'state' | 'trialCount' | 'crashCount'> & {
+      forMs: number;
+    },
+  ): quarantines.QuarantineEntry {
     const epoch = before === undefined ? 0 : before.epoch + 1;
     const nowMs = clock.nowMs();
-    const { traits, crashCount, isClear } = finding;
-    const untilMs = nowMs + (isClear ? quarantines.refusalMs(epoch) : quarantines.GUESS_MS);
     return {
-      traits,
+      ...decided,
       epoch,
-      isLifted: false,
-      crashCount,
       decidedBy: gatewayId,
       decidedAtMs: nowMs,
-      untilMs,
+      untilMs: nowMs + forMs,
     };
   }
 
+  /** What speaks against a whole request since an end that it was beside. */
+  function judgeRequest(trait: string, mayRefuse: boolean): void {
+    const before = quarantine.find(trait);
+    const stands = before !== undefined && before.state !== 'lifted';
+    const told = quarantines.toldEnds(before);
+    const { state, crashCount } = evidence.judgeRequest(trait, told, quarantine.refusedSets());
+    const isRefused = stands && before.state === 'refused';
+    const trialCount = Math.max(0, crashCount - requestEvidence.REFUSED_ENDS_MIN);
+    const traits = [trait];
+    if (state === 'refused' && mayRefuse && !isRefused) {
+      const forMs = quarantines.refusalMs(trialCount);
+      decide(nextEntry(before, { traits, state, trialCount, crashCount, forMs }));
+      return;
+    }
+    const isNew = !stands || crashCount > before.crashCount;
+    if (state === 'free' || isRefused || !isNew || !peers.isArbiter()) return;
+    const forMs = quarantines.SUSPECTED_MS;
+    decide(nextEntry(before, { traits, state: 'suspected', trialCount: 0, crashCount, forMs }));
+  }
+
+  /** Requests that were refused for ends which something else explains. */
+  function liftExplained(): void {
+    quarantine.refusedSets().forEach(([trait = '', ...others]) => {
+      const entry = quarantine.find(trait);
+      const isWholeRequest = others.length === 0 && requestTraits.toFingerprint(trait) !== null;
+      if (!isWholeRequest || entry === undefined) return;
+      const knowsAll = evidence.endCount(trait) >= entry.crashCount;
+      const { state } = evidence.judgeRequest(trait, null, quarantine.refusedSets());
+      if (!knowsAll || state === 'refused') return;
+      decide({ ...entry, state: 'lifted', decidedAtMs: clock.nowMs() });
+    });
+  }
+
+  /** After one more end. It is no proof before the reports of others have come. */
+  function suspect({ suspects }: crashEvidence.Crash): void {
+    if (!peers.isCollector()) return;
+    suspects
+      .map(([trait = '']) => trait)
+      .filter((trait) => requestTraits.toFingerprint(trait) !== null)
+      .forEach((trait) => judgeRequest(trait, false));
+  }
+
   /** Returns whether there may be more to decide. */
   async function decideOnce(): Promise<boolean> {
     if (!peers.isCollector()) return false;
@@ -131,6 +197,7 @@
       return false;
     }
     decide(entryFor(judged.finding));
+    liftExplained();
     return true;
   }
 
@@ -146,6 +213,12 @@
     isDeciding = false;
   }
 
+  function judgeAgain(): void {
+    if (!peers.isCollector()) return;
+    const sinceMs = clock.nowMs() - JUDGED_AGAIN_MS;
+    evidence.requestsSince(sinceMs).forEach((trait) => judgeRequest(trait, true));
+  }
+
   /** Other gateways tell of the same end at about the same time; later answers that went on make a case clearer. */
   function decideSoon(): void {
     DECIDE_AFTER_MS.forEach((afterMs) => {
@@ -153,18 +226,20 @@
       decisionsDue.add(afterMs);
       clock.schedule(clock.nowMs() + afterMs, () => {
         decisionsDue.delete(afterMs);
+        judgeAgain();
         void decideAll();
       });
     });
   }
 
   function logChange(entry: quarantines.QuarantineEntry, source: string): void {
-    const { traits, epoch, isLifted, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
+    const { traits, epoch, state, trialCount, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
     const nowMs = clock.nowMs();
-    deps.metrics.quarantineChanged(isLifted ? 'lifted' : 'refused');
-    log.warn(isLifted ? 'quarantine-lifted' : 'quarantined', {
+    deps.metrics.quarantineChanged(state);
+    log.warn(CHANGE_EVENTS[state], {
       traits: traits.join(','),
       epoch,
+      trialCount,
       crashCount,
       decidedBy,
       ageMs: Math.round(nowMs - decidedAtMs),
@@ -179,7 +254,8 @@
       .forEach((entry) => {
         logChange(entry, source);
         // What counted against them before they were lifted does not count again.
-        if (entry.isLifted) entry.traits.forEach((one) => evidence.noteSound(one, clock.nowMs()));
+        if (entry.state === 'lifted')
+          entry.traits.forEach((one) => evidence.noteSound(one, clock.nowMs()));
       });
   }
 
@@ -189,30 +265,18 @@
     peers.tellAll();
   }
 
-  function startTrial(entry: quarantines.QuarantineEntry, traits: readonly string[]): boolean {
-    const nowMs = clock.nowMs();
-    const key = quarantines.keyOf(entry);
-    // With another entry's traits as well, its upstream's end would show nothing.
-    if (nowMs < entry.untilMs || quarantine.match(traits, nowMs, key) !== null) return false;
-    const tried = quarantines.onTrial(entry, peers.rank(key), nowMs);
-    if (tried === null) return false;
-    decide(tried);
-    return true;
-  }
-
-  /** An upstream that ends is known for that a moment after the request. */
-  function endTrial(key: string, startedMs: number): void {
-    clock.schedule(clock.nowMs() + TRIAL_RESULT_MS, () => judgeTrial(key, startedMs));
-  }
-
-  function judgeTrial(key: string, startedMs: number): void {
-    const entry = quarantine.find(key);
-    if (entry === undefined || entry.isLifted) return;
-    const isSound = entry.traits.every((trait) => (soundMs(trait) ?? -Infinity) >= startedMs);
-    const hasCrashed = entry.traits.every((trait) => evidence.hasCrashSince(trait, startedMs));
+  /** Asks or tells this gateway about a trial. */
+  function ownTrial(message: crashCodec.TrialMessage): trialArbiters.TrialVerdict {
     const nowMs = clock.nowMs();
-    if (isSound) decide({ ...entry, isLifted: true });
-    else if (!hasCrashed) decide({ ...entry, untilMs: nowMs + quarantines.UNDECIDED_MS });
+    if (message.phase === 'ask') return arbiter.ask(message, nowMs);
+    arbiter.ended(message, nowMs);
+    const { trait, outcome } = message;
+    const entry = quarantine.find(trait);
+    if (outcome === 'crashed') decideSoon();
+    if (outcome !== 'sound') return { kind: 'free' };
+    evidence.noteSound(trait, nowMs);
+    if (entry?.state === 'suspected') decide({ ...entry, state: 'lifted', decidedAtMs: nowMs });
+    return { kind: 'free' };
   }
 
   function logLost(lost: crashWatches.LostUpstream, source: string): void {
@@ -233,12 +297,14 @@
     onLost: (lost) => {
       const { upstreamId, liveness, atMs, suspects } = lost;
       deps.metrics.answersLost(liveness);
-      const crash = { upstreamId, atMs, suspects };
+      const trialTrait = lost.trialTrait ?? arbiter.traitAt(upstreamId);
+      const crash = { upstreamId, atMs, suspects, trialTrait };
       if (liveness === 'refuses') evidence.add(crash);
       noteOwnSound(suspects.flat());
       logLost(lost, 'own');
       if (liveness !== 'refuses' || suspects.length === 0) return;
       peers.report([{ crash, isWithdrawn: false }]);
+      suspect(crash);
       decideSoon();
     },
     onReturned: (upstreamId) => {
@@ -250,8 +316,15 @@
     },
   });
 
-  function handleReport({ crash, isWithdrawn }: crashCodec.CrashReport, source: string): void {
-    const { upstreamId, suspects, atMs } = crash;
+  const trials = trialsModule.createTrials({ ...deps, peers, watch, soundMs, decide });
+
+  function handleReport(
+    { crash: told, isWithdrawn }: crashCodec.CrashReport,
+    source: string,
+  ): void {
+    const { upstreamId, suspects, atMs } = told;
+    const trialTrait = told.trialTrait ?? arbiter.traitAt(upstreamId);
+    const crash = { ...told, trialTrait };
     if (isWithdrawn) {
       evidence.withdraw(upstreamId);
       return;
@@ -259,30 +332,33 @@
     if (!evidence.add(crash)) return;
     noteOwnSound(suspects.flat());
     const liveness = 'refuses';
-    logLost({ upstreamId, liveness, atMs, lostCount: suspects.length, suspects }, source);
+    const lostCount = suspects.length;
+    logLost({ upstreamId, liveness, atMs, lostCount, suspects, trialTrait }, source);
+    suspect(crash);
     decideSoon();
   }
 
   return {
     watch,
     applyEntries,
-    startTrial,
-    endTrial,
+    trials,
     tellEntries: peers.tellEntries,
     handle: (request) => {
       const nowMs = clock.nowMs();
       const source = request.gatewayId;
-      applyEntries(
-        request.quarantine.map((one) => crashCodec.fromEntryMessage(one, nowMs)),
-        source,
-      );
+      applyEntries(crashCodec.fromEntryLists(request, nowMs), source);
       crashCodec.fromCrashMessages(request, nowMs).forEach((one) => handleReport(one, source));
+      const trial =
+        request.trial === undefined
+          ? undefined
+          : ownTrial(crashCodec.fromTrialMessage(request.trial, nowMs));
       return {
+        trial: trial === undefined ? undefined : crashCodec.toTrialReply(trial),
         soundAgeMs: request.traits.map((trait) => {
           const beganMs = soundMs(trait);
           return beganMs === null ? 0 : Math.max(0, Math.round(nowMs - beganMs)) + 1;
         }),
-        quarantine: quarantine.entries(nowMs).map((one) => crashCodec.toEntryMessage(one, nowMs)),
+        ...crashCodec.toEntryLists(quarantine.entries(nowMs), nowMs),
         uses: request.useSinceAgeMs.map((ageMs, index) =>
           census.usage(request.traits[index] ?? '', nowMs - ageMs),
         ),
--- a/packages/gateway/src/server/crashes/crash-watch.ts
+++ b/packages/gateway/src/server/crashes/crash-watch.ts
@@ -28,10 +28,20 @@
   lostCount: number;
   /** The traits of each request that may have ended it. */
   suspects: readonly (readonly string[])[];
+  /** The trait of the whole request that was there on trial; undefined if none was. */
+  trialTrait: string | undefined;
 };
 
 export type CrashWatch = {
-  started: (upstreamId: string, address: string, traits: readonly string[]) => WatchedAttempt;
+  /** `trialTrait`: of a request on trial. */
+  started: (
+    upstreamId: string,
+    address: string,
+    traits: readonly string[],
+    trialTrait?: string,
+  ) => WatchedAttempt;
+  /** Resolves once it is known whether the upstream, which may have lost answers, has ended. */
+  settled: (upstreamId: string) => Promise<void>;
   /** It answered a request that was sent at `sentMs`. */
   noteAnswered: (upstreamId: string, sentMs: number) => void;
   /** Begin times of answers with the trait that have gone on for long enough, of those that still run. */
@@ -50,13 +60,19 @@
   onReturned: (upstreamId: string) => void;
 };
 
-type Attempt = { traits: readonly string[]; startedMs: number; beganMs: number | null };
+type Attempt = {
+  traits: readonly string[];
+  trialTrait: string | undefined;
+  startedMs: number;
+  beganMs: number | null;
+};
 
 type Watched = {
   open: Set<Attempt>;
   lost: Attempt[];
   unframed: Attempt[];
   isProbing: boolean;
+  onSettled: (() => void)[];
   endedMs: number | null;
 };
 
@@ -81,6 +97,7 @@
       lost: [],
       unframed: [],
       isProbing: false,
+      onSettled: [],
       endedMs: null,
     };
     upstreams.set(upstreamId, watched);
@@ -121,10 +138,10 @@
       gone.filter((attempt) => hasGoneOn(attempt, atMs)).forEach(noteSound);
     }
     if (lost.length === 0 && liveness !== 'refuses') return;
-    const suspects = gone
-      .filter((attempt) => maySuspect(attempt, atMs))
-      .map(({ traits }) => traits);
-    deps.onLost({ upstreamId, liveness, atMs, lostCount: gone.length, suspects });
+    const suspected = gone.filter((attempt) => maySuspect(attempt, atMs));
+    const suspects = suspected.map(({ traits }) => traits);
+    const trialTrait = suspected.find((attempt) => attempt.trialTrait !== undefined)?.trialTrait;
+    deps.onLost({ upstreamId, liveness, atMs, lostCount: gone.length, suspects, trialTrait });
   }
 
   function probe(upstreamId: string, address: string, watched: Watched): void {
@@ -135,6 +152,7 @@
     void deps.probe(address).then((liveness) => {
       state.isProbing = false;
       settle(upstreamId, state, liveness, atMs);
+      state.onSettled.splice(0).forEach((resolve) => resolve());
     });
   }
 
@@ -145,9 +163,9 @@
   }
 
   return {
-    started: (upstreamId, address, traits) => {
+    started: (upstreamId, address, traits, trialTrait) => {
       const watched = watchedOf(upstreamId);
-      const attempt: Attempt = { traits, startedMs: clock.nowMs(), beganMs: null };
+      const attempt: Attempt = { traits, trialTrait, startedMs: clock.nowMs(), beganMs: null };
       watched.open.add(attempt);
       census.noteSent(traits, attempt.startedMs);
       return {
@@ -169,6 +187,12 @@
         },
       };
     },
+    settled: (upstreamId) =>
+      new Promise((resolve) => {
+        const watched = upstreams.get(upstreamId);
+        if (watched?.isProbing === true) watched.onSettled.push(resolve);
+        else resolve();
+      }),
     noteAnswered: (upstreamId, sentMs) => {
       const watched = upstreams.get(upstreamId);
       if (watched?.endedMs == null || sentMs <= watched.endedMs) return;
--- a/packages/gateway/src/server/crashes/quarantine-keeper.test.ts
+++ b/packages/gateway/src/server/crashes/quarantine-keeper.test.ts
@@ -31,7 +31,10 @@
     const nowMs = clock.nowMs();
     const untilMs = nowMs + quarantines.refusalMs(epoch);
     const entry = { traits: traits.split(' '), epoch, crashCount: 3, decidedBy: gatewayId };
-    quarantine.apply({ ...entry, isLifted: false, decidedAtMs: nowMs, untilMs }, nowMs);
+    quarantine.apply(
+      { ...entry, state: 'refused', trialCount: epoch, decidedAtMs: nowMs, untilMs },
+      nowMs,
+    );
     keeper.wake();
   };
   keeper.start();
@@ -154,4 +157,23 @@
   }
 });
 
+// Guards against trials that are counted by one gateway alone, and made again by others or after a start.
+test('a trial is claimed once, and not while the store does not take it down', async () => {
+  const store = memoryRecords.createMemoryRecords();
+  const first = createGateway(store, 'g1');
+  const second = createGateway(store, 'g2', first.clock);
+  await first.clock.advance(10);
+  first.decide('bad');
+  await first.clock.advance(10);
+  const tried = { ...first.quarantine.entries(0)[0]!, epoch: 1, trialCount: 1 };
+  store.setFault('down');
+  assert.is(await first.keeper.claim(tried), false);
+  store.setFault('none');
+  assert.is(await first.keeper.claim(tried), true);
+  assert.is(await second.keeper.claim({ ...tried, decidedBy: 'g2' }), false);
+  assert.is(second.quarantine.find('bad')?.trialCount, 1);
+  first.keeper.stop();
+  second.keeper.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/crashes/quarantine-keeper.ts
+++ b/packages/gateway/src/server/crashes/quarantine-keeper.ts
@@ -30,6 +30,11 @@
   noteKnown: () => void;
   /** Something was decided here: it is written down at once. */
   wake: () => void;
+  /**
+   * Writes down that one more request is let through, unless another gateway has done so: what is not counted could be let through
+   * again after a start. Returns whether it may be.
+   */
+  claim: (entry: quarantines.QuarantineEntry) => Promise<boolean>;
 };
 
 const CALL_TIMEOUT_MS = 1_000;
@@ -40,16 +45,27 @@
 /** How soon the fleet hears that an operator has lifted an entry; one call of one gateway, while there are entries. */
 const POLL_MS = 10_000;
 const NAME_LENGTH = 32;
+const KEPT_CRASHES_MIN = 2;
 
 function nameOf(key: string): string {
   return rendezvous.scoreOf('quarantine', key).slice(0, NAME_LENGTH);
 }
 
-function stateOf({
-  epoch,
+function stateOf({ epoch, state }: Pick<quarantines.QuarantineEntry, 'epoch' | 'state'>): string {
+  return `${epoch} ${state}`;
+}
+
+function stateFrom({
   isLifted,
-}: Pick<quarantines.QuarantineEntry, 'epoch' | 'isLifted'>): string {
-  return `${epoch} ${isLifted}`;
+  isSuspected,
+}: Pick<stores.QuarantineValue, 'isLifted' | 'isSuspected'>): quarantines.EntryState {
+  if (isLifted) return 'lifted';
+  return isSuspected ? 'suspected' : 'refused';
+}
+
+/** A single end is hardly ever more than chance, and not worth a call to the store. */
+function isKept({ state, crashCount }: quarantines.QuarantineEntry): boolean {
+  return state !== 'suspected' || crashCount >= KEPT_CRASHES_MIN;
 }
 
 export function createQuarantineKeeper(deps: QuarantineKeeperDeps): QuarantineKeeper {
@@ -63,10 +79,12 @@
   let wakeUp: () => void = () => {};
 
   function toValue(entry: quarantines.QuarantineEntry): stores.QuarantineValue {
-    const { decidedAtMs, untilMs, ...rest } = entry;
+    const { decidedAtMs, untilMs, state, ...rest } = entry;
     const offsetMs = clock.wallMs() - clock.nowMs();
     return {
       ...rest,
+      isLifted: state === 'lifted',
+      isSuspected: state === 'suspected',
       decidedAtWallMs: Math.round(decidedAtMs + offsetMs),
       untilWallMs: Math.round(untilMs + offsetMs),
     };
@@ -74,13 +92,14 @@
 
   /** The time of day may have been changed since: nothing is refused for longer than a decision allows. */
   function fromValue(value: stores.QuarantineValue): quarantines.QuarantineEntry {
-    const { decidedAtWallMs, untilWallMs, ...rest } = value;
+    const { decidedAtWallMs, untilWallMs, isLifted, isSuspected, ...rest } = value;
     const nowMs = clock.nowMs();
     const wallMs = clock.wallMs();
-    const remainingMs = Math.min(untilWallMs - wallMs, quarantines.refusalMs(value.epoch));
+    const remainingMs = Math.min(untilWallMs - wallMs, quarantines.refusalMs(value.trialCount));
     const ageMs = Math.max(0, wallMs - decidedAtWallMs);
     const traits = [...value.traits].sort();
-    return { ...rest, traits, decidedAtMs: nowMs - ageMs, untilMs: nowMs + remainingMs };
+    const state = stateFrom(value);
+    return { ...rest, state, traits, decidedAtMs: nowMs - ageMs, untilMs: nowMs + remainingMs };
   }
 
   function take(value: stores.QuarantineValue): void {
@@ -96,25 +115,22 @@
     return true;
   }
 
-  /** What the store has may be later, since another gateway decided or an operator lifted it. */
-  async function save(entry: quarantines.QuarantineEntry): Promise<void> {
+  /** What the store has may be later, since another gateway decided or an operator lifted it. Returns whether it was written. */
+  async function save(entry: quarantines.QuarantineEntry): Promise<boolean> {
     const key = quarantines.keyOf(entry);
     const name = nameOf(key);
     const found = await store.get('quarantine', name, clock.nowMs() + CALL_TIMEOUT_MS);
-    if (found.err) return;
+    if (found.err) return false;
     const present = found.val;
-    const isLater =
-      present !== null &&
-      (present.value.epoch > entry.epoch ||
-        (present.value.epoch === entry.epoch && (present.value.isLifted || !entry.isLifted)));
-    if (isLater) {
+    if (present !== null && !quarantines.isLater(entry, fromValue(present.value))) {
       take(present.value);
-      return;
+      return false;
     }
     const revision = present?.revision ?? null;
     const deadlineMs = clock.nowMs() + CALL_TIMEOUT_MS;
     const put = await store.put('quarantine', name, toValue(entry), revision, deadlineMs);
     if (put.ok) saved.set(key, stateOf(entry));
+    return put.ok;
   }
 
   async function saveAll(): Promise<void> {
@@ -125,7 +141,7 @@
     }
     const unsaved = deps.quarantine
       .entries(clock.nowMs())
-      .filter((entry) => entry.decidedBy === deps.gatewayId || deps.isHolder())
+      .filter((entry) => isKept(entry) && (entry.decidedBy === deps.gatewayId || deps.isHolder()))
       .filter((entry) => saved.get(quarantines.keyOf(entry)) !== stateOf(entry));
     for (const entry of unsaved) await save(entry);
   }
@@ -157,8 +173,7 @@
     const woken = new Promise<void>((resolve) => {
       wakeUp = resolve;
     });
-    const untilMs = clock.nowMs() + SAVE_PAUSE_MS;
-    await Promise.race([woken, clocksModule.sleepUntil(clock, untilMs, stopping.signal)]);
+    await clocksModule.raceDeadline(clock, clock.nowMs() + SAVE_PAUSE_MS, woken);
   }
 
   async function run(): Promise<void> {
@@ -181,5 +196,6 @@
       isKnown = true;
     },
     wake: () => wakeUp(),
+    claim: save,
   };
 }
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -161,7 +161,12 @@
     const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
     const attempt = { call, upstreamId, isResumed, choice };
     const answer: AnswerSoFar = { framing: null, load: null, firstChunk: null };
-    const watched = deps.crashWatch.started(upstreamId, record.address, run.traits);
+    const watched = deps.crashWatch.started(
+      upstreamId,
+      record.address,
+      run.traits,
+      run.trial?.trait,
+    );
     const listAgeMs = loggedListAgeMs(deps.listAgeMs());
     const keptForMs = directory.keptForMs(upstreamId, clock.nowMs());
     const lastEventId = run.resumeAfterId ?? call.resumeAfterId;
--- a/packages/gateway/src/server/forwarding/quarantine-check.ts
+++ b/packages/gateway/src/server/forwarding/quarantine-check.ts
@@ -1,17 +1,19 @@
-/** Refuses requests with traits that end upstreams, and lets one through where these are on trial. */
+/** Refuses requests that end upstreams, and sends those that may do so only alone. */
 import type { clocks } from '@copperlever/runtime';
 
-import * as quarantines from '../../shared/crashes/quarantine.js';
+import type * as quarantines from '../../shared/crashes/quarantine.js';
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
-import type * as crashTrackers from '../crashes/crash-tracker.js';
+import type * as trials from '../crashes/trials.js';
+import type * as routers from './router.js';
 import type * as runs from './run.js';
 
 export type QuarantineCheckDeps = {
   clock: Pick<clocks.Clock, 'nowMs'>;
   log: logEvents.GatewayLog;
   quarantine: Pick<quarantines.Quarantine, 'match'>;
-  crashTrials: Pick<crashTrackers.CrashTracker, 'startTrial' | 'endTrial'>;
+  crashTrials: trials.Trials;
+  router: Pick<routers.Router, 'otherUpstreamIds'>;
   refuse: (
     call: calls.Call,
     run: runs.Run,
@@ -22,9 +24,11 @@
 
 export type QuarantineCheck = {
   isRefused: (run: runs.Run) => boolean;
-  /** The ending of a request that is refused; null for one that may be sent, perhaps on trial from now on. */
+  /** The ending of a request that is refused; null for one that may be sent, perhaps alone. */
   ending: (call: calls.Call, run: runs.Run) => calls.Ending | null;
-  /** An attempt has ended: if it was on trial, that shows something, and the trial is over. */
+  /** The same for one that is about to be sent to the upstream: it is on trial from then on if it is sent alone. */
+  admit: (call: calls.Call, run: runs.Run, upstreamId: string) => Promise<calls.Ending | null>;
+  /** An attempt has ended, or is not made: if it was on trial, that is over. */
   attemptEnded: (run: runs.Run) => void;
 };
 
@@ -32,38 +36,62 @@
 const RETRY_MIN_MS = 30_000;
 
 export function createQuarantineCheck(deps: QuarantineCheckDeps): QuarantineCheck {
-  const { clock } = deps;
+  const { clock, crashTrials } = deps;
 
-  function matching(run: runs.Run): quarantines.QuarantineEntry | null {
-    return deps.quarantine.match(run.traits, clock.nowMs(), run.trial?.key);
+  function refusedBy(run: runs.Run): quarantines.QuarantineEntry | null {
+    const entry = deps.quarantine.match(run.traits, clock.nowMs(), run.trial?.key);
+    return entry?.state === 'refused' ? entry : null;
+  }
+
+  function refuse(call: calls.Call, run: runs.Run, entry: quarantines.QuarantineEntry) {
+    const nowMs = clock.nowMs();
+    const { traits, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
+    deps.log.info('request-quarantined', {
+      requestId: call.requestId,
+      traits: traits.join(','),
+      crashCount,
+      decidedBy,
+      ageMs: Math.round(nowMs - decidedAtMs),
+      remainingMs: Math.round(untilMs - nowMs),
+    });
+    return deps.refuse(call, run, 'quarantined', Math.max(RETRY_MIN_MS, untilMs - nowMs));
   }
 
   return {
-    isRefused: (run) => matching(run) !== null,
+    isRefused: (run) => refusedBy(run) !== null,
     ending: (call, run) => {
-      const entry = matching(run);
-      if (entry === null) return null;
-      const nowMs = clock.nowMs();
-      if (run.trial === null && deps.crashTrials.startTrial(entry, run.traits)) {
-        const tried = run;
-        tried.trial = { key: quarantines.keyOf(entry), startedMs: nowMs };
-        return null;
-      }
-      const { traits, crashCount, decidedBy, decidedAtMs, untilMs } = entry;
-      deps.log.info('request-quarantined', {
+      const entry = refusedBy(run);
+      if (entry === null || (run.trial === null && crashTrials.mayTry(entry))) return null;
+      return refuse(call, run, entry);
+    },
+    admit: async (call, run, upstreamId) => {
+      const admission = await crashTrials.admit({
         requestId: call.requestId,
-        traits: traits.join(','),
-        crashCount,
-        decidedBy,
-        ageMs: Math.round(nowMs - decidedAtMs),
-        remainingMs: Math.round(untilMs - nowMs),
+        traits: run.traits,
+        service: call.service,
+        upstreamId,
+        otherIds: () => deps.router.otherUpstreamIds(call, run, upstreamId),
+        deadlineMs: call.deadlineMs,
+        lostUpstreamId: run.lostUpstreamId,
       });
-      return deps.refuse(call, run, 'quarantined', Math.max(RETRY_MIN_MS, untilMs - nowMs));
+      switch (admission.kind) {
+        case 'free':
+          return null;
+        case 'trial': {
+          const tried = run;
+          tried.trial = admission.trial;
+          return null;
+        }
+        case 'refused':
+          return refuse(call, run, admission.entry);
+        case 'suspected':
+          return deps.refuse(call, run, 'suspected', admission.retryAfterMs);
+      }
     },
     attemptEnded: (run) => {
       const { trial } = run;
       if (trial === null) return;
-      deps.crashTrials.endTrial(trial.key, trial.startedMs);
+      crashTrials.ended(trial);
       const tried = run;
       tried.trial = null;
     },
--- a/packages/gateway/src/server/forwarding/router.ts
+++ b/packages/gateway/src/server/forwarding/router.ts
@@ -70,6 +70,8 @@
   choose: (call: calls.Call, run: runs.Run, room?: upstreamChoice.Room) => upstreamChoice.Choice;
   /** Whether any upstream may get it, with its model or without. */
   hasEligible: (call: calls.Call, run: runs.Run) => boolean;
+  /** Some of the upstreams besides this one that could run it now. */
+  otherUpstreamIds: (call: calls.Call, run: runs.Run, upstreamId: string) => readonly string[];
   /** The requests and pending prompts at each upstream that could run a batch request. */
   upstreamLoads: (call: calls.Call, run: runs.Run) => readonly batchHolding.UpstreamLoad[];
   /**
@@ -93,6 +95,8 @@
 };
 
 const LEAST_URGENT_PRIORITY = 9;
+/** Named when a suspect is to be sent: more than can have ended at once, in most cases. */
+const OTHER_UPSTREAMS_MAX = 32;
 
 function roundedOrUndefined(value: number | undefined): number | undefined {
   return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
@@ -209,6 +213,15 @@
     return records.filter((record) => deps.streams.mayGoOn(record, boundVersion));
   }
 
+  function otherUpstreamIds(call: calls.Call, run: runs.Run, exceptId: string): readonly string[] {
+    const { model, adapter } = call.facts;
+    const hasModel = (record: fleet.UpstreamRecord) =>
+      model === null || !needsModel(call) || placement.copyAt(record, model, adapter) !== 'none';
+    const others = eligibleFor(call, run).filter(({ upstreamId }) => upstreamId !== exceptId);
+    const able = others.filter(hasModel).map(({ upstreamId }) => upstreamId);
+    return able.slice(0, OTHER_UPSTREAMS_MAX);
+  }
+
   function upstreamLoads(call: calls.Call, run: runs.Run): readonly batchHolding.UpstreamLoad[] {
     const nowMs = clock.nowMs();
     const { model, adapter } = call.facts;
@@ -367,6 +380,7 @@
     isLate,
     choose,
     hasEligible: (call, run) => eligibleFor(call, run).length > 0,
+    otherUpstreamIds,
     upstreamLoads,
     answerMs,
     chooseOnly,
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -1,5 +1,6 @@
 /** The state of one request while it is being served: its attempts so far, and what it has waited for. */
 import type * as calls from '../../types/calls.js';
+import type * as trials from '../crashes/trials.js';
 
 /**
  * Why a request was refused although an upstream would have accepted it. `more-urgent`: more urgent requests were refused.
@@ -23,8 +24,10 @@
   heldFailure: { answer: calls.HeldAnswer; upstreamId: string } | null;
   /** What it can have in common with other requests that crash upstreams. */
   traits: readonly string[];
-  /** It is let through, since then, to see whether its upstream survives it: the key of the quarantine's entry. */
-  trial: { key: string; startedMs: number } | null;
+  /** Its next attempt shows whether its upstream survives it. */
+  trial: trials.Trial | null;
+  /** The upstream at which its latest attempt was lost; null before the first loss. */
+  lostUpstreamId: string | null;
   /** Upstreams that are not tried again for this request. */
   excludedIds: Set<string>;
   /** The last event that the caller received from this gateway, after which the next attempt resumes the stream. */
@@ -58,6 +61,7 @@
     heldFailure: null,
     traits: [],
     trial: null,
+    lostUpstreamId: null,
     excludedIds: new Set(),
     resumeAfterId: null,
     boundVersion: null,
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -113,7 +113,13 @@
   let trialCount = 0;
   const quarantine = quarantines.createQuarantine();
   const refuseAll = () => {
-    const entry = { traits: ['request:f'], epoch: 0, isLifted: false, crashCount: 3 };
+    const entry = {
+      traits: ['request:f'],
+      epoch: 0,
+      state: 'refused',
+      trialCount: 0,
+      crashCount: 3,
+    } as const;
     const untilMs = clock.nowMs() + 60_000;
     const decided = { decidedBy: 'g2', decidedAtMs: clock.nowMs(), untilMs };
     quarantine.apply({ ...entry, ...decided }, clock.nowMs());
@@ -135,11 +141,14 @@
     retries: createRetries(clock, retryLimits),
     quarantine,
     crashTrials: {
-      startTrial: () => {
+      mayTry: () => isOnTrial && trialCount === 0,
+      admit: async ({ upstreamId }) => {
+        if (!isOnTrial || trialCount > 0) return { kind: 'free' };
         trialCount += 1;
-        return isOnTrial && trialCount === 1;
+        const trial = { key: 'request:f', trait: 'request:f', upstreamId, startedMs: 0 };
+        return { kind: 'trial', trial };
       },
-      endTrial: () => {},
+      ended: () => {},
     },
     words: {
       applyAnswerHead: () => {},
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -104,7 +104,7 @@
   const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
   const attempt = attemptSenders.createAttemptSender({ ...deps, router });
   const missing = missingCopies.createMissingCopies({ ...deps, router, refuse });
-  const quarantined = quarantineChecks.createQuarantineCheck({ ...deps, refuse });
+  const quarantined = quarantineChecks.createQuarantineCheck({ ...deps, router, refuse });
   const bindStream = streamBindings.createStreamBinding({ ...deps, refuse });
 
   function factsOf(call: calls.Call, run: runs.Run): retryDecisions.RequestFacts {
@@ -260,22 +260,29 @@
       const spent = refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
       return preferHeldFailure(run, sink, spent);
     }
+    const refused = await quarantined.admit(call, run, choice.upstreamId);
+    if (refused !== null) {
+      turn.ended(false, null);
+      return preferHeldFailure(run, sink, refused);
+    }
     const check = await deps.preSendCheck(call, sink);
     if (check !== 'may-send') {
       turn.ended(false, null);
+      quarantined.attemptEnded(run);
       return check === 'caller-gone' ? { kind: 'caller-gone', stage: run.stage } : null;
     }
-    // It may have waited for its turn, a permit or a copy since it was checked last.
-    const refused = quarantined.ending(call, run);
-    if (refused !== null) {
+    // It may have been refused while the caller was looked for.
+    const refusedSince = quarantined.ending(call, run);
+    if (refusedSince !== null) {
       turn.ended(false, null);
-      return preferHeldFailure(run, sink, refused);
+      return preferHeldFailure(run, sink, refusedSince);
     }
     router.recordSent(call, run);
     run.upstreamId = choice.upstreamId;
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, to);
     quarantined.attemptEnded(run);
+    if (result.kind === 'lost') run.lostUpstreamId = choice.upstreamId;
     // Has an effect only if the first event never arrived: the turn then ends without a prefill.
     turn.ended(false, null);
     return preferHeldFailure(run, sink, afterAttempt(call, run, sink, result));
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -3,6 +3,8 @@
 
 import * as prometheus from 'prom-client';
 
+import type * as quarantines from '../../shared/crashes/quarantine.js';
+import type * as trialArbiters from '../../shared/crashes/trial-arbiter.js';
 import type * as livenessProbes from '../crashes/liveness-probe.js';
 import type * as storePositions from '../../shared/store-positions.js';
 import type * as calls from '../../types/calls.js';
@@ -66,7 +68,10 @@
   gaveWay: (to: string) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   /** Requests with certain traits are refused from now on, or no longer. */
-  quarantineChanged: (change: 'refused' | 'lifted') => void;
+  quarantineChanged: (change: quarantines.EntryState) => void;
+  /** Whether a suspected or refused request may be sent, and what its trial showed. */
+  trialDecided: (outcome: string) => void;
+  trialEnded: (outcome: trialArbiters.TrialOutcome) => void;
   /** An upstream lost answers; whether it still accepts connections. */
   answersLost: (liveness: livenessProbes.Liveness) => void;
   /** A stream that had begun was sent to an upstream; whether its software is of the version that began the stream. */
@@ -210,9 +215,17 @@
   );
   const quarantineChanges = counter(
     'quarantine_changes_total',
-    'Traits of requests that were refused from then on, or no longer, as this gateway heard',
+    'Traits of requests that were suspected, refused or neither from then on, as this gateway heard',
     ['change'],
   );
+  const trialDecisions = counter(
+    'trials_decided_total',
+    'Whether a request that may end upstreams was sent: alone, or why not',
+    ['outcome'],
+  );
+  const trialEnds = counter('trials_ended_total', 'What the attempts of such requests showed', [
+    'outcome',
+  ]);
   const streamsResumed = counter(
     'streams_resumed_total',
     'Streams sent on after their first event, by the version that began them',
@@ -337,6 +350,8 @@
     gaveWay: (to) => gaveWay.inc({ to }),
     attemptEnded: (result) => attempts.inc({ result }),
     quarantineChanged: (change) => quarantineChanges.inc({ change }),
+    trialDecided: (outcome) => trialDecisions.inc({ outcome }),
+    trialEnded: (outcome) => trialEnds.inc({ outcome }),
     answersLost: (liveness) => answersLost.inc({ liveness }),
     originFound: (source) => originsFound.inc({ source }),
     streamResumed: (match) => streamsResumed.inc({ match }),
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -165,7 +165,7 @@
       knownMembersVersion: basis.version,
       millicores: deps.millicores,
       quarantined: crashCodec.toEarlierMessages(deps.quarantine.entries(nowMs), nowMs),
-      quarantine: entries.map((entry) => crashCodec.toEntryMessage(entry, nowMs)),
+      ...crashCodec.toEntryLists(entries, nowMs),
       quarantineDigest: digest,
       isQuarantineKnown: deps.isQuarantineKnown(),
       limits: deps.upstreamLimits.reportedLimits(nowMs).map(messageCodec.toLimitMessage),
--- a/packages/gateway/src/shared/crashes/crash-evidence.ts
+++ b/packages/gateway/src/shared/crashes/crash-evidence.ts
@@ -7,6 +7,8 @@
  * that no answer with it has gone on since the first of them, though answers without it have.
  */
 import type * as requestCensus from './request-census.js';
+import * as requestEvidence from './request-evidence.js';
+import * as requestTraits from './request-traits.js';
 
 /** One upstream's end, as far as it is known; gateways add the suspects that they know. */
 export type Crash = {
@@ -14,6 +16,8 @@
   atMs: number;
   /** The traits of each suspect. */
   suspects: readonly (readonly string[])[];
+  /** The trait of the request that was there on trial. */
+  trialTrait?: string | undefined;
 };
 
 /** Traits that explain ends only together: a request is suspected if it has all of them. */
@@ -51,6 +55,9 @@
 /** A trait that may be found, and since when its use matters. */
 export type Candidate = { trait: string; sinceMs: number };
 
+/** So many ends of upstreams under a request were known somewhere then. */
+export type ToldEnds = { crashCount: number; atMs: number };
+
 export type CrashEvidence = {
   /** Adds a report, in any order, once or more often. Returns whether it told anything new. */
   add: (crash: Crash) => boolean;
@@ -63,6 +70,16 @@
   /** The same, each for itself. */
   endCount: (trait: string) => number;
   hasCrashSince: (trait: string, sinceMs: number) => boolean;
+  latestCrashMs: (trait: string) => number | null;
+  hasEnded: (upstreamId: string) => boolean;
+  /** The traits of whole requests beside ends since then. */
+  requestsSince: (sinceMs: number) => readonly string[];
+  /** Judges a whole request by its trait; `known`: sets that are refused already. */
+  judgeRequest: (
+    trait: string,
+    told: ToldEnds | null,
+    known: readonly TraitSet[],
+  ) => requestEvidence.RequestJudgement;
   /** What may explain ends that no set of `known`, which is refused already, explains. */
   candidates: (known: readonly TraitSet[]) => readonly Candidate[];
   /** The clearest explanation; null without a candidate. `usageOf`: the use of a candidate by all gateways. */
@@ -103,7 +120,12 @@
 
 type Suspect = ReadonlySet<string>;
 
-type Known = { upstreamId: string; atMs: number; suspects: Map<string, Suspect> };
+type Known = {
+  upstreamId: string;
+  atMs: number;
+  suspects: Map<string, Suspect>;
+  trialTrait: string | undefined;
+};
 
 /** The ends that count against a trait, those since the first of them that nothing explains, and the suspects with the trait. */
 type Case = {
@@ -217,6 +239,15 @@
     return [...(byTrait.get(trait) ?? [])].filter(({ atMs }) => atMs > soundAtMs);
   }
 
+  /** Whether other suspects of the end have a trait that is beside as many ends, and that the request has not. */
+  function hasRival({ suspects }: Known, trait: string, count: number): boolean {
+    const all = [...suspects.values()];
+    const own = new Set(all.filter((one) => one.has(trait)).flatMap((one) => [...one]));
+    return all.some((one) =>
+      [...one].some((other) => !own.has(other) && crashesWith(other).length >= count),
+    );
+  }
+
   function explanationsBy(known: readonly TraitSet[]): Explanation[] {
     return known.map((traits) => {
       const explained = [...crashes.values()].filter((crash) => hasSuspectWith(crash, traits));
@@ -251,10 +282,14 @@
   function casesOf(known: readonly TraitSet[]): Case[] {
     const explanations = explanationsBy(known);
     const single = new Set(known.filter((set) => set.length === 1).flat());
-    return [...byTrait]
-      .filter(([trait, found]) => found.size >= CRASHES_MIN && !single.has(trait))
-      .flatMap(([trait]) => caseOf(trait, explanations) ?? [])
-      .filter(({ count }) => count >= CRASHES_MIN);
+    return (
+      [...byTrait]
+        .filter(([trait, found]) => found.size >= CRASHES_MIN && !single.has(trait))
+        // Whole requests are judged by their attempts.
+        .filter(([trait]) => requestTraits.toFingerprint(trait) === null)
+        .flatMap(([trait]) => caseOf(trait, explanations) ?? [])
+        .filter(({ count }) => count >= CRASHES_MIN)
+    );
   }
 
   /** What all suspects with the trait share, except what has been sound since. */
@@ -279,9 +314,11 @@
   }
 
   return {
-    add: ({ upstreamId, atMs, suspects }) => {
+    add: ({ upstreamId, atMs, suspects, trialTrait }) => {
       const before = crashes.get(upstreamId);
-      const crash = before ?? { upstreamId, atMs, suspects: new Map<string, Suspect>() };
+      const none = { suspects: new Map<string, Suspect>(), trialTrait: undefined };
+      const crash: Known = before ?? { upstreamId, atMs, ...none };
+      crash.trialTrait ??= trialTrait;
       const sizeBefore = crash.suspects.size;
       crash.atMs = Math.min(crash.atMs, atMs);
       crashes.set(upstreamId, crash);
@@ -302,6 +339,40 @@
     },
     crashCount: (trait) => apart(crashesWith(trait)).length,
     endCount: (trait) => crashesWith(trait).length,
+    latestCrashMs: (trait) => {
+      const times = [...(byTrait.get(trait) ?? [])].map(({ atMs }) => atMs);
+      return times.length === 0 ? null : Math.max(...times);
+    },
+    hasEnded: (upstreamId) => crashes.has(upstreamId),
+    requestsSince: (sinceMs) => {
+      const late = [...crashes.values()].filter(({ atMs }) => atMs >= sinceMs);
+      const traits = late.flatMap(({ suspects }) =>
+        [...suspects.values()].flatMap((one) => [...one]),
+      );
+      return [...new Set(traits)].filter((trait) => requestTraits.toFingerprint(trait) !== null);
+    },
+    judgeRequest: (trait, told, known) => {
+      const beside = byTrait.get(trait);
+      if (beside === undefined && told === null) return requestEvidence.NOTHING;
+      const toldBy = told?.atMs ?? -Infinity;
+      const knownCount = [...(beside ?? [])].filter(({ atMs }) => atMs <= toldBy).length;
+      const sets = known.filter((set) => !set.includes(trait));
+      const own = crashesWith(trait);
+      const ends = own.map((crash) => ({
+        atMs: crash.atMs,
+        isTrial: crash.trialTrait === trait,
+        isOtherTrial: crash.trialTrait !== undefined && crash.trialTrait !== trait,
+        suspectCount: crash.suspects.size,
+        hasRival: hasRival(crash, trait, own.length),
+        isExplained: sets.some((set) => hasSuspectWith(crash, set)),
+      }));
+      const others = [...crashes.values()].filter((crash) => beside?.has(crash) !== true);
+      return requestEvidence.judge(
+        ends,
+        others.map(({ atMs }) => atMs),
+        Math.max(0, (told?.crashCount ?? 0) - knownCount),
+      );
+    },
     hasCrashSince: (trait, sinceMs) => crashesWith(trait).some(({ atMs }) => atMs >= sinceMs),
     candidates: (known) =>
       casesOf(known).map((one) => ({ trait: one.trait, sinceMs: firstMs(one) })),
--- a/packages/gateway/src/shared/crashes/quarantine.test.ts
+++ b/packages/gateway/src/shared/crashes/quarantine.test.ts
@@ -15,7 +15,8 @@
   return {
     traits: traits.split(' '),
     epoch: 0,
-    isLifted: false,
+    state: 'refused',
+    trialCount: 0,
     crashCount: 3,
     decidedBy: 'g1',
     decidedAtMs: 0,
@@ -46,7 +47,7 @@
 test('what was lifted stays lifted until it is decided anew', () => {
   const quarantine = quarantines.createQuarantine();
   quarantine.apply(entryOf('bad'), 0);
-  assert.is(quarantine.apply(entryOf('bad', { isLifted: true }), 1), true);
+  assert.is(quarantine.apply(entryOf('bad', { state: 'lifted' }), 1), true);
   assert.is(quarantine.apply(entryOf('bad'), 2), false);
   assert.is(quarantine.match(['bad'], 3), null);
   assert.is(quarantine.apply(entryOf('bad', { epoch: 1 }), 4), true);
@@ -58,7 +59,8 @@
   const entry = fc.record({
     traits: fc.constantFrom(['a'], ['a', 'b']),
     epoch: fc.nat(2),
-    isLifted: fc.boolean(),
+    state: fc.constantFrom('suspected' as const, 'refused' as const, 'lifted' as const),
+    trialCount: fc.nat(2),
     untilMs: fc.integer({ min: 1_000, max: 9_000 }),
   });
   const resultOf = (told: readonly Partial<quarantines.QuarantineEntry>[]) => {
@@ -67,7 +69,13 @@
     const entries = quarantine.entries(0);
     return JSON.stringify(
       entries
-        .map(({ traits, epoch, isLifted, untilMs }) => [traits, epoch, isLifted, untilMs])
+        .map(({ traits, epoch, state, trialCount, untilMs }) => [
+          traits,
+          epoch,
+          state,
+          trialCount,
+          untilMs,
+        ])
         .sort(),
     );
   };
--- a/packages/gateway/src/testing/crash-fleet.ts
+++ b/packages/gateway/src/testing/crash-fleet.ts
@@ -26,20 +26,33 @@
 const NETWORK_MS = 2;
 const EXCHANGE_MS = 250;
 const RESTART_MS = 400;
+const DEADLINE_MS = 4_000;
 /** What is refused for longer was taken for certain. */
 const HELD_MS = 60_000;
 const FIRST_PARTS = ['part:a1', 'part:a2', 'part:a3'];
 
-export type Request = { id: number; traits: readonly string[]; badPart: string | null };
+export type Request = {
+  id: number;
+  traits: readonly string[];
+  badPart: string | null;
+  /** The play sends it again itself. */
+  isRepeated?: boolean;
+};
+
+/** `refused`: by a verdict. `held`: it may not be sent alone just now. `unserved`: no gateway or upstream took it. */
+export type Outcome = 'served' | 'lost' | 'refused' | 'held' | 'unserved';
 
 type Running = {
   request: Request;
   gatewayId: string;
+  upstreamId: string;
   watched: crashWatches.WatchedAttempt;
-  ended: () => void;
+  ended: (outcome: Outcome) => void;
   isOver: boolean;
 };
 
+type Range = readonly [number, number];
+
 export type Upstream = {
   position: number;
   domain: number;
@@ -50,6 +63,11 @@
   running: Set<Running>;
 };
 
+/** The gateway and the upstream of an attempt that was lost. */
+type LostAt = { node: GatewayNode; upstreamId: string };
+
+type Arrived = { outcome: Outcome; lostAt: LostAt | null };
+
 export type GatewayNode = {
   gatewayId: string;
   startedMs: number;
@@ -66,6 +84,11 @@
   upstreamCount: number;
   seed: number;
   exchangeMs?: number;
+  /** From an end to the next start. */
+  backMs?: Range;
+  /** From a request to the beginning of its answer, and from there to its end. */
+  beginMs?: Range;
+  answerMs?: Range;
 };
 
 export type CrashFleet = ReturnType<typeof createCrashFleet>;
@@ -75,6 +98,9 @@
   upstreamCount,
   seed,
   exchangeMs = EXCHANGE_MS,
+  backMs = [1_500, 5_000],
+  beginMs = [30, 500],
+  answerMs = [200, 3_000],
 }: CrashFleetOptions) {
   const clock = fakeClocks.createFakeClock();
   const random = randoms.createRandom(seed);
@@ -82,6 +108,7 @@
   const nodes = new Map<string, GatewayNode>();
   const isolated = new Set<string>();
   const between = (from: number, to: number) => from + random.fraction() * (to - from);
+  const within = ([from, to]: Range) => between(from, to);
   const upstreams: Upstream[] = Array.from({ length: upstreamCount }, (_, position) => ({
     position,
     domain: position % 3,
@@ -94,8 +121,19 @@
   const cured = new Set<string>();
   /** For each bad part the times of the ends that it caused. */
   const crashesMs = new Map<string, number[]>();
+  /** The traits of whole requests with a bad part. */
+  const badRequests = new Set<string>();
   const arrivals: { badPart: string; atMs: number; isInTouch: boolean }[] = [];
-  const counts = { sound: 0, soundRefused: 0, bad: 0, badRefused: 0, crashes: 0, messages: 0 };
+  const counts = {
+    sound: 0,
+    soundRefused: 0,
+    soundSuspected: 0,
+    bad: 0,
+    badRefused: 0,
+    badSuspected: 0,
+    crashes: 0,
+    messages: 0,
+  };
   let nextRequest = 0;
 
   const idOf = ({ position, startCount }: Upstream) => `u${position}.${startCount}`;
@@ -136,7 +174,12 @@
     const tracker = crashTrackers.createCrashTracker({
       clock,
       log,
-      metrics: { answersLost: () => {}, quarantineChanged: () => {} },
+      metrics: {
+        answersLost: () => {},
+        quarantineChanged: () => {},
+        trialDecided: () => {},
+        trialEnded: () => {},
+      },
       evidence: crashEvidence.createCrashEvidence(),
       census: requestCensus.createRequestCensus(),
       quarantine,
@@ -150,6 +193,7 @@
       gatewayId,
       address: addressOf(gatewayId),
       onDecided: () => keeper.wake(),
+      claim: (entry) => keeper.claim(entry),
     });
     const keeper = quarantineKeepers.createQuarantineKeeper({
       clock,
@@ -223,13 +267,13 @@
     const attempt = one;
     attempt.isOver = true;
     running.delete(one);
-    if (evidence === 'gone') return;
-    one.watched.ended(evidence);
-    one.ended();
-    if (evidence !== 'lost') return;
+    const isServed = evidence === 'whole' || evidence === 'unframed';
+    if (evidence !== 'gone') one.watched.ended(evidence);
+    one.ended(isServed ? 'served' : 'lost');
     // Its caller, or the gateway itself, tries again.
+    if (evidence !== 'lost' || one.request.isRepeated === true) return;
     if (random.fraction() < 0.6) {
-      clock.schedule(clock.nowMs() + between(5, 200), () => arrive(one.request));
+      clock.schedule(clock.nowMs() + between(5, 200), () => void arrive(one.request));
     }
   }
 
@@ -241,7 +285,7 @@
 
   function comeBack(upstream: Upstream): void {
     const changed = upstream;
-    clock.schedule(clock.nowMs() + between(1_500, 5_000), () => {
+    clock.schedule(clock.nowMs() + within(backMs), () => {
       changed.startCount += 1;
       changed.state = 'up';
       changed.isLeaving = false;
@@ -298,7 +342,7 @@
 
   function run(one: Running, upstream: Upstream): void {
     const { running } = upstream;
-    const begunMs = clock.nowMs() + between(30, 500);
+    const begunMs = clock.nowMs() + within(beginMs);
     clock.schedule(begunMs, () => {
       if (one.isOver) return;
       const badPart = badPartOf(one.request);
@@ -309,7 +353,7 @@
         });
         return;
       }
-      clock.schedule(clock.nowMs() + between(200, 3_000), () => {
+      clock.schedule(clock.nowMs() + within(answerMs), () => {
         if (one.isOver || upstream.state !== 'up') return;
         end(one, running, random.fraction() < 0.1 ? 'unframed' : 'whole');
       });
@@ -322,37 +366,72 @@
   }
 
   /** A request comes to a gateway, and is refused there or sent to an upstream. */
-  function arrive(request: Request): void {
+  async function arrive(request: Request, lostAt: LostAt | null = null): Promise<Arrived> {
     const serving = [...nodes.values()].filter(({ keeper }) => keeper.isKnown());
-    const node = randoms.pick(random, serving);
-    if (node === undefined) return;
+    const node = lostAt === null ? randoms.pick(random, serving) : lostAt.node;
+    const unserved: Arrived = { outcome: 'unserved', lostAt: null };
+    if (node === undefined) return unserved;
     const kind = request.badPart === null ? 'sound' : 'bad';
     counts[kind] += 1;
-    const refused = node.quarantine.match(request.traits, clock.nowMs());
-    if (refused !== null && !node.tracker.startTrial(refused, request.traits)) {
-      counts[`${kind}Refused`] += 1;
-      return;
+    const listed = upstreams.filter(({ state, isLeaving }) => state === 'up' && !isLeaving);
+    const upstream = randoms.pick(random, listed);
+    if (upstream === undefined) return unserved;
+    const upstreamId = idOf(upstream);
+    const { gatewayId, tracker } = node;
+    const admission = await tracker.trials.admit({
+      requestId: `r${request.id}`,
+      traits: request.traits,
+      service: 'pool',
+      upstreamId,
+      otherIds: () => listed.map(idOf).filter((id) => id !== upstreamId),
+      deadlineMs: clock.nowMs() + DEADLINE_MS,
+      lostUpstreamId: lostAt?.upstreamId ?? null,
+    });
+    if (admission.kind === 'refused') counts[`${kind}Refused`] += 1;
+    if (admission.kind === 'suspected') counts[`${kind}Suspected`] += 1;
+    if (admission.kind === 'refused') return { outcome: 'refused', lostAt: null };
+    if (admission.kind === 'suspected') return { outcome: 'held', lostAt: null };
+    const trial = admission.kind === 'trial' ? admission.trial : null;
+    const endTrial = () => {
+      if (trial !== null) tracker.trials.ended(trial);
+    };
+    if (upstream.state !== 'up' || idOf(upstream) !== upstreamId || nodes.get(gatewayId) !== node) {
+      endTrial();
+      return unserved;
     }
-    const trial = refused === null ? null : quarantines.keyOf(refused);
-    const upstream = randoms.pick(
-      random,
-      upstreams.filter(({ state, isLeaving }) => state === 'up' && !isLeaving),
-    );
-    if (upstream === undefined) return;
     if (request.badPart !== null) {
       const { badPart } = request;
       arrivals.push({ badPart, atMs: clock.nowMs(), isInTouch: isInTouch(node) });
     }
-    const { gatewayId, tracker } = node;
     const address = String(upstream.position);
-    const watched = tracker.watch.started(idOf(upstream), address, request.traits);
-    const startedMs = clock.nowMs();
-    const ended = () => {
-      if (trial !== null) tracker.endTrial(trial, startedMs);
-    };
-    const one: Running = { request, gatewayId, watched, ended, isOver: false };
-    upstream.running.add(one);
-    run(one, upstream);
+    const { traits } = request;
+    const watched = tracker.watch.started(upstreamId, address, traits, trial?.trait);
+    return new Promise((resolve) => {
+      const ended = (outcome: Outcome) => {
+        if (nodes.get(gatewayId) === node) endTrial();
+        resolve({ outcome, lostAt: outcome === 'lost' ? { node, upstreamId } : null });
+      };
+      const one: Running = { request, gatewayId, upstreamId, watched, ended, isOver: false };
+      upstream.running.add(one);
+      run(one, upstream);
+    });
+  }
+
+  /** The outcome for its caller, after up to two attempts of one gateway. */
+  async function ask(request: Request): Promise<Outcome> {
+    const first = await arrive(request);
+    const { lostAt } = first;
+    if (lostAt === null || nodes.get(lostAt.node.gatewayId) !== lostAt.node) return first.outcome;
+    const second = await arrive(request, lostAt);
+    return second.outcome;
+  }
+
+  /** Ends each upstream that runs it, and shares its parts with sound requests. */
+  function createBadRequest(): Request {
+    const request = createRequest(null);
+    const [own = ''] = request.traits;
+    badRequests.add(own);
+    return { ...request, badPart: own, isRepeated: true };
   }
 
   function createRequest(badPart: string | null): Request {
@@ -361,6 +440,7 @@
     // Few subjects get most of the requests.
     const subject = `part:s${Math.floor(random.fraction() ** 3 * 200)}`;
     const own = requestTraits.ofFingerprint(`f${nextRequest}`);
+    if (badPart !== null) badRequests.add(own);
     const parts = badPart === null ? [first, subject] : [first, badPart, subject];
     return { id: nextRequest, traits: [own, ...parts], badPart };
   }
@@ -368,37 +448,39 @@
   /** Sends requests at that rate until `untilMs`; `badPart`: all of them have it. */
   function flow(perSecond: number, untilMs: number, badPart: string | null = null): void {
     if (clock.nowMs() >= untilMs) return;
-    arrive(createRequest(badPart));
+    void arrive(createRequest(badPart));
     const pauseMs = (-Math.log(1 - random.fraction()) * 1_000) / perSecond;
     clock.schedule(clock.nowMs() + pauseMs, () => flow(perSecond, untilMs, badPart));
   }
 
-  /** The most requests with one bad part that gateways in touch sent later than the bound. */
-  function lateCount(): number {
+  /** The most requests with one bad part that gateways in touch sent later than the bound, which counts from so many ends on. */
+  function lateCount(countedFrom = CRASHES_COUNTED): number {
     return Math.max(
       0,
       ...[...crashesMs].map(([badPart, times]) => {
-        const fifthMs = times[CRASHES_COUNTED - 1] ?? Infinity;
+        const boundingMs = times[countedFrom - 1] ?? Infinity;
         return arrivals.filter(
-          (one) => one.badPart === badPart && one.isInTouch && one.atMs > fifthMs + CONTACT_MS,
+          (one) => one.badPart === badPart && one.isInTouch && one.atMs > boundingMs + CONTACT_MS,
         ).length;
       }),
     );
   }
 
-  /** Sets of traits that are refused although no bad request has all of them; `held`: or were for a moment. */
+  /** Sets of traits that are refused with neither a bad part nor a bad request among them; `held`: or were for a moment. */
   function wrongSets(badParts: readonly string[]): { refused: string[]; held: string[] } {
     const entries = [...nodes.values()].flatMap(({ quarantine }) => [
       ...quarantine.entries(clock.nowMs()),
     ]);
-    const wrong = entries.filter(({ traits }) => !badParts.some((part) => traits.includes(part)));
+    const bad = new Set([...badParts, ...badRequests]);
+    const wrong = entries.filter(({ traits }) => !traits.some((trait) => bad.has(trait)));
     const keysOf = (some: readonly quarantines.QuarantineEntry[]) => [
       ...new Set(some.map(quarantines.keyOf)),
     ];
     const refused = wrong.filter(
-      ({ isLifted, untilMs }) => !isLifted && untilMs - clock.nowMs() > HELD_MS,
+      ({ state, untilMs }) => state === 'refused' && untilMs - clock.nowMs() > HELD_MS,
     );
-    return { refused: keysOf(refused), held: keysOf(wrong) };
+    const held = wrong.filter(({ state, trialCount }) => state === 'refused' || trialCount > 0);
+    return { refused: keysOf(refused), held: keysOf(held) };
   }
 
   for (let index = 1; index <= gatewayCount; index += 1) start(`g${index}`);
@@ -423,7 +505,9 @@
     breakAnswers,
     flow,
     createRequest,
+    createBadRequest,
     arrive,
+    ask,
     lateCount,
     wrongSets,
     stop: () => nodes.forEach(({ keeper }) => keeper.stop()),
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -51,6 +51,8 @@
   | 'version-gone'
   /** It has what the requests have in common under which several upstreams ended. */
   | 'quarantined'
+  /** An upstream ended under it, and it may not be sent alone just now. */
+  | 'suspected'
   | 'deadline-near';
 
 /** What a request was waiting for when its caller left. */
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -3,6 +3,7 @@
  * search for: both are checked wherever one is written.
  */
 import type * as crashEvidence from '../shared/crashes/crash-evidence.js';
+import type * as trialArbiters from '../shared/crashes/trial-arbiter.js';
 import type * as livenessProbes from '../server/crashes/liveness-probe.js';
 import type * as serviceTimes from '../shared/service-times.js';
 import type * as calls from './calls.js';
@@ -95,6 +96,25 @@
     score: number;
     rivalCount: number;
   };
+  /** Such a request is sent only alone from now on, to see whether its upstream survives it. */
+  'request-suspected': QuarantineChange;
+  /**
+   * Whether a suspected request, or one that is tried again, may be sent: `alone`, `free` (nothing speaks against it any more), `busy`
+   * (another one is tried there), `last-up` (no other upstream is up), `unreachable` (no gateway that decides answered) or
+   * `not-counted` (the store did not take down that it is tried). `crashCount`: ends that this gateway knows of.
+   */
+  'trial-decided': {
+    requestId: string;
+    upstreamId: string;
+    crashCount: number;
+    outcome: trialArbiters.TrialVerdict['kind'] | 'unreachable' | 'not-counted';
+  };
+  'trial-ended': {
+    traits: string;
+    upstreamId: string;
+    outcome: trialArbiters.TrialOutcome;
+    tookMs: number;
+  };
   /** They are no longer refused: a request was answered, or an operator has lifted it. */
   'quarantine-lifted': QuarantineChange;
   /** Neither the store nor another gateway has told what is refused: this one serves without. */
@@ -340,7 +360,7 @@
   remainingMs: number;
 };
 
-type QuarantineChange = Quarantined & { epoch: number; source: string };
+type QuarantineChange = Quarantined & { epoch: number; trialCount: number; source: string };
 
 type RequestEnd = {
   requestId: string;
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -26,6 +26,9 @@
   epoch: number;
   /** An operator may set it. */
   isLifted: boolean;
+  /** It is only suspected: it may be sent alone. */
+  isSuspected: boolean;
+  trialCount: number;
   crashCount: number;
   decidedBy: string;
   decidedAtWallMs: number;
