--- a/packages/gateway/src/server/crashes/crash-codec.ts
+++ b/packages/gateway/src/server/crashes/crash-codec.ts
@@ -149,13 +149,13 @@
   const { trait, upstreamId } = message;
   switch (message.phase) {
     case 'ask': {
-      const { service, otherIds, crashCount, untilMs } = message;
+      const { otherIds, crashCount, untilMs } = message;
       const remainingMs = Math.max(0, Math.round(untilMs - nowMs));
-      const asked = { service, otherIds: [...otherIds], crashCount, remainingMs };
+      const asked = { otherIds: [...otherIds], crashCount, remainingMs };
       return { trait, upstreamId, phase: 'ask', ...asked };
     }
     case 'ended': {
-      const none = { service: '', otherIds: [], crashCount: 0, remainingMs: 0 };
+      const none = { otherIds: [], crashCount: 0, remainingMs: 0 };
       return { trait, upstreamId, phase: message.outcome, ...none };
     }
   }
@@ -164,9 +164,9 @@
 export function fromTrialMessage(news: gatewayPeer.TrialNews, nowMs: number): TrialMessage {
   const { trait, upstreamId, phase } = news;
   if (phase === 'ask') {
-    const { service, otherIds, crashCount, remainingMs } = news;
+    const { otherIds, crashCount, remainingMs } = news;
     const untilMs = nowMs + remainingMs;
-    return { phase, trait, upstreamId, service, otherIds, crashCount, untilMs };
+    return { phase, trait, upstreamId, otherIds, crashCount, untilMs };
   }
   const outcome = OUTCOMES.find((one) => one === phase) ?? 'undecided';
   return { phase: 'ended', trait, upstreamId, outcome };
--- a/packages/gateway/src/server/crashes/trials.ts
+++ b/packages/gateway/src/server/crashes/trials.ts
@@ -18,7 +18,6 @@
   requestId: string;
   /** That of the whole request comes first. */
   traits: readonly string[];
-  service: string;
   upstreamId: string;
   /** Some of the other upstreams that could run it. */
   otherIds: () => readonly string[];
@@ -89,9 +88,9 @@
     request: TrialRequest,
     crashCount: number,
   ): Promise<trialArbiters.TrialVerdict | null> {
-    const { traits, service, upstreamId, otherIds, deadlineMs: untilMs } = request;
+    const { traits, upstreamId, otherIds, deadlineMs: untilMs } = request;
     const [trait = ''] = traits;
-    const question = { trait, service, upstreamId, otherIds: otherIds(), crashCount, untilMs };
+    const question = { trait, upstreamId, otherIds: otherIds(), crashCount, untilMs };
     const verdict = await deps.peers.tellTrial({ phase: 'ask', ...question });
     logDecision(request, crashCount, verdict?.kind ?? 'unreachable');
     return verdict;
--- a/packages/gateway/src/server/forwarding/quarantine-check.ts
+++ b/packages/gateway/src/server/forwarding/quarantine-check.ts
@@ -68,7 +68,6 @@
       const admission = await crashTrials.admit({
         requestId: call.requestId,
         traits: run.traits,
-        service: call.service,
         upstreamId,
         otherIds: () => deps.router.otherUpstreamIds(call, run, upstreamId),
         deadlineMs: call.deadlineMs,
--- a/packages/gateway/src/shared/crashes/trial-arbiter.test.ts
+++ b/packages/gateway/src/shared/crashes/trial-arbiter.test.ts
@@ -15,7 +15,7 @@
   evidence.add({ upstreamId: 'u1', atMs: 0, suspects: [[BAD], [SOUND]] });
   const arbiter = trialArbiters.createTrialArbiter(evidence, () => []);
   const ask = (trait: string, upstreamId: string, otherIds: readonly string[], nowMs: number) => {
-    const question = { trait, service: 'desk', upstreamId, otherIds };
+    const question = { trait, upstreamId, otherIds };
     return arbiter.ask({ ...question, crashCount: 1, untilMs: nowMs + 1_000 }, nowMs).kind;
   };
   return { evidence, arbiter, ask };
--- a/packages/gateway/src/shared/crashes/trial-arbiter.ts
+++ b/packages/gateway/src/shared/crashes/trial-arbiter.ts
@@ -10,7 +10,6 @@
 export type TrialQuestion = {
   /** The trait of the whole request. */
   trait: string;
-  service: string;
   upstreamId: string;
   /** Some of the other upstreams that could run it. */
   otherIds: readonly string[];
--- a/packages/gateway/src/testing/crash-fleet.ts
+++ b/packages/gateway/src/testing/crash-fleet.ts
@@ -45,7 +45,6 @@
 type Running = {
   request: Request;
   gatewayId: string;
-  upstreamId: string;
   watched: crashWatches.WatchedAttempt;
   ended: (outcome: Outcome) => void;
   isOver: boolean;
@@ -381,7 +380,6 @@
     const admission = await tracker.trials.admit({
       requestId: `r${request.id}`,
       traits: request.traits,
-      service: 'pool',
       upstreamId,
       otherIds: () => listed.map(idOf).filter((id) => id !== upstreamId),
       deadlineMs: clock.nowMs() + DEADLINE_MS,
@@ -411,7 +409,7 @@
         if (nodes.get(gatewayId) === node) endTrial();
         resolve({ outcome, lostAt: outcome === 'lost' ? { node, upstreamId } : null });
       };
-      const one: Running = { request, gatewayId, upstreamId, watched, ended, isOver: false };
+      const one: Running = { request, gatewayId, watched, ended, isOver: false };
       upstream.running.add(one);
       run(one, upstream);
     });
--- a/packages/proofs/src/matrix/cells.ts
+++ b/packages/proofs/src/matrix/cells.ts
@@ -159,13 +159,15 @@
 }
 
 function crashCells(): Cell[] {
-  return crashJourney.FAULTS.flatMap((fault) =>
-    crashJourney.STEPS.map((step) => ({
-      journey: 'part that ends upstreams',
-      fault: fault.name,
-      step,
-      work: { kind: 'run', run: () => crashJourney.runCell(fault, step) },
-    })),
+  return crashJourney.CULPRITS.flatMap((culprit) =>
+    crashJourney.FAULTS.flatMap((fault) =>
+      crashJourney.STEPS.map((step) => ({
+        journey: `${culprit} that ends upstreams`,
+        fault: fault.name,
+        step,
+        work: { kind: 'run', run: () => crashJourney.runCell(culprit, fault, step) },
+      })),
+    ),
   );
 }
 
--- a/packages/proofs/src/matrix/crash-journey.ts
+++ b/packages/proofs/src/matrix/crash-journey.ts
@@ -1,4 +1,6 @@
-/** Requests with a part of their prompts that ends each upstream, at any gateway, while other things fail as well. */
+/** Requests that end each upstream, at any gateway, while other things fail as well. */
+import { clocks } from '@copperlever/runtime';
+
 import * as crashFleets from '@copperlever/gateway/testing/crash-fleet';
 
 import type * as invariants from './invariants.js';
@@ -9,6 +11,11 @@
 };
 
 /** When the fault strikes, against the first such request. */
+/** No two alike, with one part of their prompts in common; or one that its caller sends again after each failure. */
+export const CULPRITS = ['part', 'request'] as const;
+
+export type Culprit = (typeof CULPRITS)[number];
+
 export const STEPS = ['before', 'while it is found', 'once it is refused'] as const;
 
 export type Step = (typeof STEPS)[number];
@@ -22,6 +29,9 @@
 const FIRST_BAD_MS = 8_000;
 const PLAY_MS = 30_000;
 const AWAY_MS = 4_000;
+const REPEAT_PAUSE_MS = 400;
+/** From so many ends on the bound counts. */
+const ENDS_COUNTED: Record<Culprit, number> = { part: 5, request: 3 };
 const STRIKE_MS: Record<Step, number> = {
   before: FIRST_BAD_MS - 1_000,
   'while it is found': FIRST_BAD_MS + 1_000,
@@ -63,19 +73,42 @@
   },
 ];
 
-export async function runCell(fault: CrashFault, step: Step): Promise<invariants.CellOutcome> {
+async function repeat(fleet: crashFleets.CrashFleet): Promise<void> {
+  const { clock } = fleet;
+  const request = fleet.createBadRequest();
+  while (clock.nowMs() < PLAY_MS) {
+    await fleet.ask(request);
+    await clocks.sleepUntil(clock, clock.nowMs() + REPEAT_PAUSE_MS);
+  }
+}
+
+function begin(fleet: crashFleets.CrashFleet, culprit: Culprit): void {
+  switch (culprit) {
+    case 'part':
+      fleet.flow(BAD_PER_SECOND, PLAY_MS, BAD_PART);
+      return;
+    case 'request':
+      void repeat(fleet);
+  }
+}
+
+export async function runCell(
+  culprit: Culprit,
+  fault: CrashFault,
+  step: Step,
+): Promise<invariants.CellOutcome> {
   const fleet = crashFleets.createCrashFleet({
     gatewayCount: GATEWAY_COUNT,
     upstreamCount: UPSTREAM_COUNT,
     seed: SEED,
   });
   fleet.flow(SOUND_PER_SECOND, PLAY_MS);
-  fleet.clock.schedule(FIRST_BAD_MS, () => fleet.flow(BAD_PER_SECOND, PLAY_MS, BAD_PART));
+  fleet.clock.schedule(FIRST_BAD_MS, () => begin(fleet, culprit));
   fleet.clock.schedule(STRIKE_MS[step], () => fault.strike(fleet));
   await fleet.clock.advance(PLAY_MS);
   fleet.stop();
   const violations: invariants.Violation[] = [];
-  const late = fleet.lateCount();
+  const late = fleet.lateCount(ENDS_COUNTED[culprit]);
   if (late > crashFleets.LATE_MAX) {
     violations.push({ kind: 'crashes', detail: `${late} bad requests sent after the bound` });
   }
