Suspicions of a single end are not written to the store, and told together

Cause, found in reading: a suspicion with one end is not stored, but its lifting was, two calls for each request beside an ordinary crash; and each of the hundreds of suspicions after the loss of a failure domain sent all of them to 32 gateways. Change: entries of one end are not written, lifted or not; what is decided within 5 ms is told together; the lifting of a suspicion waits for the exchange, since who asks is told that the request is free; suspicions leave half of the entries' room to refusals.

--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -49,6 +49,8 @@
 };
 
 const LOGGED_TRAITS_MAX = 12;
+/** Where a failure domain is lost hundreds of requests are suspected at a time: all of them are told at once. */
+const TELL_AFTER_MS = 5;
 const CHANGE_EVENTS = {
   suspected: 'request-suspected',
   refused: 'quarantined',
@@ -71,6 +73,7 @@
   const { clock, log, evidence, census, quarantine, gatewayId } = deps;
   const arbiter = trialArbiters.createTrialArbiter(evidence, quarantine.refusedSets);
   const peers = crashPeers.createCrashPeers({ ...deps, applyEntries, ownTrial });
+  let isTelling = false;
   let isDeciding = false;
   let isDecidingAgain = false;
   const decisionsDue = new Set<number>();
@@ -259,10 +262,20 @@
       });
   }
 
+  function tellSoon(): void {
+    if (isTelling) return;
+    isTelling = true;
+    clock.schedule(clock.nowMs() + TELL_AFTER_MS, () => {
+      isTelling = false;
+      peers.tellAll();
+    });
+  }
+
   function decide(entry: quarantines.QuarantineEntry): void {
     applyEntries([entry], 'own');
     deps.onDecided();
-    peers.tellAll();
+    // That a suspicion is over can wait for the next exchange: who asks about such a request is told that it is free.
+    if (entry.state !== 'lifted' || entry.trialCount > 0) tellSoon();
   }
 
   /** Asks or tells this gateway about a trial. */
--- a/packages/gateway/src/server/crashes/quarantine-keeper.ts
+++ b/packages/gateway/src/server/crashes/quarantine-keeper.ts
@@ -45,7 +45,6 @@
 /** How soon the fleet hears that an operator has lifted an entry; one call of one gateway, while there are entries. */
 const POLL_MS = 10_000;
 const NAME_LENGTH = 32;
-const KEPT_CRASHES_MIN = 2;
 
 function nameOf(key: string): string {
   return rendezvous.scoreOf('quarantine', key).slice(0, NAME_LENGTH);
@@ -63,9 +62,9 @@
   return isSuspected ? 'suspected' : 'refused';
 }
 
-/** A single end is hardly ever more than chance, and not worth a call to the store. */
-function isKept({ state, crashCount }: quarantines.QuarantineEntry): boolean {
-  return state !== 'suspected' || crashCount >= KEPT_CRASHES_MIN;
+/** A suspicion with a single end is hardly ever more than chance, and neither it nor its end is worth a call to the store. */
+function isKept({ crashCount }: quarantines.QuarantineEntry): boolean {
+  return crashCount !== 1;
 }
 
 export function createQuarantineKeeper(deps: QuarantineKeeperDeps): QuarantineKeeper {
--- a/packages/gateway/src/shared/crashes/quarantine.ts
+++ b/packages/gateway/src/shared/crashes/quarantine.ts
@@ -65,8 +65,8 @@
 const LAST_REFUSAL_MS = 24 * 3_600_000;
 /** Longer than a gateway that knows it as refused can be out of touch. */
 const LIFTED_KEPT_MS = 3_600_000;
-/** Decisions are rare; this is far more than a fleet can work with. */
-const ENTRIES_MAX = 1_000;
+/** Decisions are rare; this is far more than a fleet can work with. Suspicions leave room for refusals. */
+const ENTRIES_MAX: Record<EntryState, number> = { suspected: 500, refused: 1_000, lifted: 1_000 };
 const DIGEST_LENGTH = 16;
 
 /**
@@ -167,7 +167,7 @@
       const key = keyOf(told);
       const before = byKey.get(key);
       if (told.traits.length === 0 || isOver(told, nowMs)) return false;
-      if (before === undefined && byKey.size >= ENTRIES_MAX) return false;
+      if (before === undefined && byKey.size >= ENTRIES_MAX[told.state]) return false;
       const after = before === undefined ? told : merged(before, told);
       const isChanged = before?.epoch !== after.epoch || before.state !== after.state;
       byKey.set(key, after);
