Verdicts about whole requests have a file of their own

Change: what decides which whole requests are suspected or refused leaves crash-tracker.ts, which had grown to 381 lines.

--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -8,14 +8,13 @@
 import * as crashEvidence from '../../shared/crashes/crash-evidence.js';
 import * as quarantines from '../../shared/crashes/quarantine.js';
 import type * as requestCensus from '../../shared/crashes/request-census.js';
-import * as requestEvidence from '../../shared/crashes/request-evidence.js';
-import * as requestTraits from '../../shared/crashes/request-traits.js';
 import * as trialArbiters from '../../shared/crashes/trial-arbiter.js';
 import type * as logEvents from '../../types/log-events.js';
 import type * as metricsModule from '../metrics/metrics.js';
 import * as crashCodec from './crash-codec.js';
 import * as crashPeers from './crash-peers.js';
 import * as crashWatches from './crash-watch.js';
+import * as requestVerdicts from './request-verdicts.js';
 import * as trialsModule from './trials.js';
 
 export type CrashTrackerDeps = {
@@ -62,8 +61,6 @@
   700,
   crashEvidence.SETTLED_AFTER_MS,
 ] as const;
-/** Requests beside ends of this time are judged again when the reports of others have come. */
-const JUDGED_AGAIN_MS = 2_000;
 /** More are beside ends in an outage of the whole fleet, of which no decision can be made. */
 const CANDIDATES_MAX = 200;
 /** Each decision needs others to be asked: bounds what evidence from a bad source can cause. */
@@ -73,6 +70,7 @@
   const { clock, log, evidence, census, quarantine, gatewayId } = deps;
   const arbiter = trialArbiters.createTrialArbiter(evidence, quarantine.refusedSets);
   const peers = crashPeers.createCrashPeers({ ...deps, applyEntries, ownTrial });
+  const verdicts = requestVerdicts.createRequestVerdicts({ ...deps, peers, nextEntry, decide });
   let isTelling = false;
   let isDeciding = false;
   let isDecidingAgain = false;
@@ -120,12 +118,7 @@
 
   function nextEntry(
     before: quarantines.QuarantineEntry | undefined,
-    {
-      forMs,
-      ...decided
-    }: Pick<quarantines.QuarantineEntry, 'traits' | 'state' | 'trialCount' | 'crashCount'> & {
-      forMs: number;
-    },
+    { forMs, ...decided }: requestVerdicts.Decided,
   ): quarantines.QuarantineEntry {
     const epoch = before === undefined ? 0 : before.epoch + 1;
     const nowMs = clock.nowMs();
@@ -138,48 +131,6 @@
     };
   }
 
-  /** What speaks against a whole request since an end that it was beside. */
-  function judgeRequest(trait: string, mayRefuse: boolean): void {
-    const before = quarantine.find(trait);
-    const stands = before !== undefined && before.state !== 'lifted';
-    const told = quarantines.toldEnds(before);
-    const { state, crashCount } = evidence.judgeRequest(trait, told, quarantine.refusedSets());
-    const isRefused = stands && before.state === 'refused';
-    const trialCount = Math.max(0, crashCount - requestEvidence.REFUSED_ENDS_MIN);
-    const traits = [trait];
-    if (state === 'refused' && mayRefuse && !isRefused) {
-      const forMs = quarantines.refusalMs(trialCount);
-      decide(nextEntry(before, { traits, state, trialCount, crashCount, forMs }));
-      return;
-    }
-    const isNew = !stands || crashCount > before.crashCount;
-    if (state === 'free' || isRefused || !isNew || !peers.isArbiter()) return;
-    const forMs = quarantines.SUSPECTED_MS;
-    decide(nextEntry(before, { traits, state: 'suspected', trialCount: 0, crashCount, forMs }));
-  }
-
-  /** Requests that were refused for ends which something else explains. */
-  function liftExplained(): void {
-    quarantine.refusedSets().forEach(([trait = '', ...others]) => {
-      const entry = quarantine.find(trait);
-      const isWholeRequest = others.length === 0 && requestTraits.toFingerprint(trait) !== null;
-      if (!isWholeRequest || entry === undefined) return;
-      const knowsAll = evidence.endCount(trait) >= entry.crashCount;
-      const { state } = evidence.judgeRequest(trait, null, quarantine.refusedSets());
-      if (!knowsAll || state === 'refused') return;
-      decide({ ...entry, state: 'lifted', decidedAtMs: clock.nowMs() });
-    });
-  }
-
-  /** After one more end. It is no proof before the reports of others have come. */
-  function suspect({ suspects }: crashEvidence.Crash): void {
-    if (!peers.isCollector()) return;
-    suspects
-      .map(([trait = '']) => trait)
-      .filter((trait) => requestTraits.toFingerprint(trait) !== null)
-      .forEach((trait) => judgeRequest(trait, false));
-  }
-
   /** Returns whether there may be more to decide. */
   async function decideOnce(): Promise<boolean> {
     if (!peers.isCollector()) return false;
@@ -200,7 +151,7 @@
       return false;
     }
     decide(entryFor(judged.finding));
-    liftExplained();
+    verdicts.liftExplained();
     return true;
   }
 
@@ -216,12 +167,6 @@
     isDeciding = false;
   }
 
-  function judgeAgain(): void {
-    if (!peers.isCollector()) return;
-    const sinceMs = clock.nowMs() - JUDGED_AGAIN_MS;
-    evidence.requestsSince(sinceMs).forEach((trait) => judgeRequest(trait, true));
-  }
-
   /** Other gateways tell of the same end at about the same time; later answers that went on make a case clearer. */
   function decideSoon(): void {
     DECIDE_AFTER_MS.forEach((afterMs) => {
@@ -229,7 +174,7 @@
       decisionsDue.add(afterMs);
       clock.schedule(clock.nowMs() + afterMs, () => {
         decisionsDue.delete(afterMs);
-        judgeAgain();
+        verdicts.judgeAgain();
         void decideAll();
       });
     });
@@ -317,7 +262,7 @@
       logLost(lost, 'own');
       if (liveness !== 'refuses' || suspects.length === 0) return;
       peers.report([{ crash, isWithdrawn: false }]);
-      suspect(crash);
+      verdicts.suspect(crash);
       decideSoon();
     },
     onReturned: (upstreamId) => {
@@ -347,7 +292,7 @@
     const liveness = 'refuses';
     const lostCount = suspects.length;
     logLost({ upstreamId, liveness, atMs, lostCount, suspects, trialTrait }, source);
-    suspect(crash);
+    verdicts.suspect(crash);
     decideSoon();
   }
 
