The end of a trial that was reported is not added once more

Cause, found in reading: the end of a trial is told twice, by the report with all traits of the request and by the trial's end with that of the whole request alone. So one request counted as two suspects, the second without the parts that it has, and a part that all suspects of the ends have no longer looked as if it were alone. Change: the trial's end is added only where no report has come. Test: 'the end of a trial that was reported is not added once more' failed before (u2 and u3 added, u3 expected).

--- a/packages/gateway/src/shared/crashes/trial-arbiter.test.ts
+++ b/packages/gateway/src/shared/crashes/trial-arbiter.test.ts
@@ -59,6 +59,21 @@
   assert.is(evidence.endCount(BAD), 2);
 });
 
+// Guards against one request that counts as two suspects of its end, the second without the parts that it has.
+test('the end of a trial that was reported is not added once more', () => {
+  const evidence = crashEvidence.createCrashEvidence();
+  evidence.add({ upstreamId: 'u2', atMs: 0, suspects: [[BAD, 'part:x']], trialTrait: BAD });
+  const added: string[] = [];
+  const add = (crash: crashEvidence.Crash) => {
+    added.push(crash.upstreamId);
+    return evidence.add(crash);
+  };
+  const arbiter = trialArbiters.createTrialArbiter({ ...evidence, add }, () => []);
+  arbiter.ended({ trait: BAD, upstreamId: 'u2', outcome: 'crashed' }, 10);
+  arbiter.ended({ trait: BAD, upstreamId: 'u3', outcome: 'crashed' }, 20);
+  assert.equal(added, ['u3']);
+});
+
 // Guards against requests that wait for a trial after one of them was answered.
 test('a request that was sound since is free', () => {
   const { ask, evidence } = createFixture();
--- a/packages/gateway/src/shared/crashes/trial-arbiter.ts
+++ b/packages/gateway/src/shared/crashes/trial-arbiter.ts
@@ -93,7 +93,8 @@
     },
     ended: ({ trait, upstreamId, outcome }, nowMs) => {
       if (trials.get(trait)?.upstreamId === upstreamId) trials.delete(trait);
-      if (outcome !== 'crashed') return;
+      // Mostly its gateway has reported the end by then, with all traits of the request.
+      if (outcome !== 'crashed' || evidence.hasEnded(upstreamId)) return;
       evidence.add({ upstreamId, atMs: nowMs, suspects: [[trait]], trialTrait: trait });
     },
   };
