Read as a newcomer: names, comments and order in what judges repeated requests

Change: comments say what they stand for, a constant's comment stands with it, a boolean has a boolean's name, what nobody read is gone from the stand-in. Nothing is decided differently.

--- a/packages/gateway/src/server/crashes/request-verdicts.ts
+++ b/packages/gateway/src/server/crashes/request-verdicts.ts
@@ -33,7 +33,7 @@
   liftExplained: () => void;
 };
 
-/** Requests beside ends of this time are judged again when the reports of others have come. */
+/** From an end until its requests are no longer judged again: longer than the last of the looks at it. */
 const JUDGED_AGAIN_MS = 2_000;
 
 export function createRequestVerdicts(deps: RequestVerdictsDeps): RequestVerdicts {
@@ -42,10 +42,10 @@
   /** What speaks against a whole request since an end that it was beside. */
   function judgeRequest(trait: string, mayRefuse: boolean): void {
     const before = quarantine.find(trait);
-    const stands = before !== undefined && before.state !== 'lifted';
+    const isStanding = before !== undefined && before.state !== 'lifted';
     const told = quarantines.toldEnds(before);
     const { state, crashCount } = evidence.judgeRequest(trait, told, quarantine.refusedSets());
-    const isRefused = stands && before.state === 'refused';
+    const isRefused = isStanding && before.state === 'refused';
     const trialCount = Math.max(0, crashCount - requestEvidence.REFUSED_ENDS_MIN);
     const traits = [trait];
     if (state === 'refused' && mayRefuse && !isRefused) {
@@ -53,7 +53,7 @@
       decide(nextEntry(before, { traits, state, trialCount, crashCount, forMs }));
       return;
     }
-    const isNew = !stands || crashCount > before.crashCount;
+    const isNew = !isStanding || crashCount > before.crashCount;
     if (state === 'free' || isRefused || !isNew || !peers.isArbiter()) return;
     const forMs = quarantines.SUSPECTED_MS;
     decide(nextEntry(before, { traits, state: 'suspected', trialCount: 0, crashCount, forMs }));
--- a/packages/gateway/src/server/crashes/trials.ts
+++ b/packages/gateway/src/server/crashes/trials.ts
@@ -72,6 +72,8 @@
 
 export function createTrials(deps: TrialsDeps): Trials {
   const { clock, log, quarantine, evidence } = deps;
+  /** Those whose result is not known yet. */
+  const open = new Set<Trial>();
 
   const sleep = (durationMs: number) => clocksModule.sleepUntil(clock, clock.nowMs() + durationMs);
 
@@ -148,8 +150,9 @@
       // The answer may have told of a refusal.
       const refusal = quarantine.match(traits, clock.nowMs());
       if (refusal?.state === 'refused') {
-        if (verdict?.kind === 'alone')
+        if (verdict?.kind === 'alone') {
           tellEnd({ trait, upstreamId: request.upstreamId }, 'undecided');
+        }
         return { kind: 'refused', entry: refusal };
       }
       switch (verdict?.kind) {
@@ -177,8 +180,6 @@
     void deps.peers.tellTrial({ phase: 'ended', trait, upstreamId, outcome });
   }
 
-  const open = new Set<Trial>();
-
   function outcomeOf({ trait, startedMs }: Trial): trialArbiters.TrialOutcome {
     if ((deps.soundMs(trait) ?? -Infinity) >= startedMs) return 'sound';
     return evidence.hasCrashSince(trait, startedMs) ? 'crashed' : 'undecided';
--- a/packages/gateway/src/shared/crashes/request-evidence.ts
+++ b/packages/gateway/src/shared/crashes/request-evidence.ts
@@ -9,13 +9,13 @@
   atMs: number;
   /** It was there on trial: sent after the ends before, with no other suspect. */
   isTrial: boolean;
-  /** Another request was. */
+  /** Another request was there on trial. */
   isOtherTrial: boolean;
   /** Requests whose answer had not begun, this one among them. */
   suspectCount: number;
   /** Another one there has something in common with the suspects of as many ends as this one has. */
   hasRival: boolean;
-  /** By something that is refused already, and that another request there has. */
+  /** Another request there has what is refused already, which may have caused it. */
   isExplained: boolean;
 };
 
@@ -35,10 +35,10 @@
 const SUSPECTED_ENDS = 2;
 /** The promise counts from the third end on. */
 export const REFUSED_ENDS_MIN = 3;
-/** That explanation may be wrong: so many ends show it. */
-const UNEXPLAINED_ENDS_MIN = 2;
 /** Refused without proof: of the three sends that are allowed after the third end, one is left for a trial. */
 const REFUSED_ENDS_MAX = 5;
+/** What explains the others may be refused wrongly: so many ends without it show that. */
+const UNEXPLAINED_ENDS_MIN = 2;
 /** One in 3,000. */
 const REFUSED_SCORE_MIN = 8;
 /** One in 55: an upstream that ends by chance while the request runs there. */
