An answer without a length reaches callers in chunks, or with its length

Cause: answers.ts passed the upstream's framing on, although the gateway can say by itself where the answer ends. Change: callers get chunks, the last one only once the answer is known to be whole; an answer that is held until it is whole gets a length; one that is forwarded keeps the length that its upstream has stated, unless it may be resumed elsewhere (callers of HTTP/1.0, who know no chunks, had lost it). The replaced check of attempt.test.ts ("forwarded with the same framing") now asks for body and length.

--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -6,7 +6,15 @@
 
 export type AnswerSink = {
   hasBegun: () => boolean;
-  begin: (status: number, headers: readonly dialects.HeaderPair[], framing: calls.Framing) => void;
+  /**
+   * `bodyBytes`: the length of the body, if the upstream has stated it; null otherwise. The end of an answer without a length is the
+   * last chunk, so that a caller sees when it is missing; callers of HTTP/1.0 know no chunks, and get it until the connection closes.
+   */
+  begin: (
+    status: number,
+    headers: readonly dialects.HeaderPair[],
+    bodyBytes: number | null,
+  ) => void;
   /** False if the caller reads more slowly than the answer arrives. */
   write: (chunk: Buffer) => boolean;
   onceDrained: (task: () => void) => void;
@@ -51,16 +59,19 @@
     raw.writeHead(status);
   }
 
-  function endWithConnection(): void {
-    raw.useChunkedEncodingByDefault = false;
-    raw.shouldKeepAlive = false;
+  function writeHeadWithLength(
+    status: number,
+    headers: readonly dialects.HeaderPair[],
+    bodyBytes: number,
+  ): void {
+    writeHead(status, [...headers, ['content-length', String(bodyBytes)]]);
   }
 
   return {
     hasBegun: () => raw.headersSent,
-    begin: (status, headers, framing) => {
-      if (framing === 'until-close') endWithConnection();
-      writeHead(status, headers);
+    begin: (status, headers, bodyBytes) => {
+      if (bodyBytes === null) writeHead(status, headers);
+      else writeHeadWithLength(status, headers, bodyBytes);
     },
     write: (chunk) => raw.destroyed || raw.write(chunk),
     onceDrained: (task) => {
@@ -71,24 +82,18 @@
     },
     sendWhole: (answer) => {
       if (isGone) return;
-      if (answer.framing === 'until-close') {
-        endWithConnection();
-        writeHead(answer.status, answer.headers);
-      } else {
-        const length: dialects.HeaderPair = ['content-length', String(answer.body.length)];
-        writeHead(answer.status, [...answer.headers, length]);
-      }
+      writeHeadWithLength(answer.status, answer.headers, answer.body.length);
       raw.end(answer.body);
     },
     refuse: (status, headers, cause) => {
       if (isGone) return;
       const body = Buffer.from(JSON.stringify({ title: cause, status }));
-      writeHead(status, [
+      const ownHeaders: readonly dialects.HeaderPair[] = [
         ...headers,
         ['x-request-id', options.requestId],
         ['content-type', 'application/problem+json'],
-        ['content-length', String(body.length)],
-      ]);
+      ];
+      writeHeadWithLength(status, ownHeaders, body.length);
       raw.end(body);
     },
     cut: () => {
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -16,17 +16,17 @@
 
 const test = suite('attempt');
 
-type Passed = { status: number; framing: calls.Framing | null; body: string; hasEnded: boolean };
+type Passed = { status: number; bodyBytes: number | null; body: string; hasEnded: boolean };
 
 function createSink(): { sink: answers.AnswerSink; passed: Passed } {
-  const passed: Passed = { status: 0, framing: null, body: '', hasEnded: false };
+  const passed: Passed = { status: 0, bodyBytes: null, body: '', hasEnded: false };
   const begin = (
     status: number,
     _headers: readonly dialects.HeaderPair[],
-    framing: calls.Framing,
+    bodyBytes: number | null,
   ) => {
     passed.status = status;
-    passed.framing = framing;
+    passed.bodyBytes = bodyBytes;
   };
   const sink: answers.AnswerSink = {
     hasBegun: () => passed.status !== 0,
@@ -40,7 +40,7 @@
       passed.hasEnded = true;
     },
     sendWhole: (answer) => {
-      begin(answer.status, answer.headers, answer.framing);
+      begin(answer.status, answer.headers, answer.body.length);
       passed.body = answer.body.toString();
       passed.hasEnded = true;
     },
@@ -193,16 +193,16 @@
   upstream.close();
 });
 
-test('an answer that ends with its connection is forwarded with the same framing', async () => {
+test('an answer that ends with its connection is forwarded whole, with its length', async () => {
   const { result, passed, upstream } = await attempt((socket) => {
     socket.end(`${OK}Connection: close\r\n\r\nhello`);
   });
   assert.equal(result, { kind: 'answered', status: 200 });
-  assert.is(passed.framing, 'until-close');
+  assert.equal([passed.body, passed.bodyBytes], ['hello', 5]);
   upstream.close();
 });
 
-// Guards against a part of an answer that is forwarded as the whole, because a reset behind unread data looks like a regular end.
+// Guards against a part of an answer that is forwarded as the whole, because its connection has ended.
 test('an answer that is reset on the way is never forwarded as complete', async () => {
   const { result, passed, upstream } = await attempt((socket) => {
     socket.write(`${OK}Connection: close\r\n\r\nhel`, () => {
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -69,6 +69,7 @@
     let isSent = false;
     let hasStatus = false;
     let framing: calls.Framing = 'length';
+    let bodyBytes: number | null = null;
     let status = 0;
     let headers: dialects.HeaderPair[] = [];
     let facts: dialects.AnswerFacts | null = null;
@@ -108,7 +109,7 @@
 
     function write(bytes: Buffer): void {
       if (!sink.hasBegun()) {
-        sink.begin(status, headers, framing);
+        sink.begin(status, headers, bodyBytes);
         input.onFirstChunk(isStream ? 'event' : 'whole', status);
       }
       if (sink.write(bytes)) return;
@@ -159,7 +160,7 @@
         settle({ kind: 'answered', status });
         return;
       }
-      const answer = { status, framing, headers, body: Buffer.concat(buffered) };
+      const answer = { status, headers, body: Buffer.concat(buffered) };
       const isFailure = status >= 500;
       if (isFailure && (input.holdsFailure || facts?.isSigned !== true)) {
         settle({ kind: 'held-failure', answer });
@@ -197,6 +198,8 @@
         hasStatus = true;
         status = statusCode;
         framing = framingOf(status, responseHeaders);
+        // A stream that is resumed elsewhere may become longer or shorter than its first upstream has stated.
+        bodyBytes = framing === 'length' && framer === null ? lengthOf(responseHeaders) : null;
         facts = dialect.readAnswer(status, responseHeaders);
         headers = connectionHeaders.forwarded(toPairs(responseHeaders));
         const result = checkHead(facts);
@@ -290,6 +293,11 @@
   });
 }
 
+function lengthOf(headers: http.IncomingHttpHeaders): number | null {
+  const length = Number(headers['content-length']);
+  return Number.isSafeInteger(length) ? length : null;
+}
+
 function framingOf(status: number, headers: http.IncomingHttpHeaders): calls.Framing {
   if (headers['transfer-encoding'] !== undefined) return 'chunked';
   const hasNoBody = status === 204 || status === 304;
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -6,6 +6,7 @@
 
 import * as callersApp from '../server/forwarding/app.js';
 import * as requestQueues from '../server/forwarding/request-queue.js';
+import type * as serving from '../server/forwarding/serve.js';
 import * as readDelays from '../server/forwarding/read-delay.js';
 import * as openCallsModule from '../server/forwarding/open-calls.js';
 import * as quotasModule from '../server/quotas/quotas.js';
@@ -49,6 +50,9 @@
 const GOOD: calls.Ending = { kind: 'answered', status: 200, upstreamId: 'u1' };
 
 export type AppOptions = {
+  route?: Partial<fleet.Route>;
+  /** In place of one that answers at once. */
+  serve?: serving.Serve;
   organisations?: readonly fleet.Organisation[];
   isPublic?: boolean;
   ending?: calls.Ending;
@@ -57,7 +61,8 @@
 
 export async function startCallersApp(options: AppOptions = {}) {
   const { organisations = null, isPublic = false, ending = GOOD } = options;
-  const config = { ...CONFIG, routes: [{ ...ROUTE, isPublic }], organisations };
+  const route = { ...ROUTE, isPublic, ...options.route };
+  const config = { ...CONFIG, routes: [route], organisations };
   const clock = clocks.createSystemClock();
   const log = logs.createSilentLogger();
   const loopAges = readDelays.createReadDelay(clock);
@@ -74,8 +79,9 @@
     serve: (call, sink) => {
       served.push({ path: call.path, atMs: clock.nowMs(), deadlineMs: call.deadlineMs });
       servedCalls.push(call);
+      if (options.serve !== undefined) return options.serve(call, sink);
       const answer = { status: 200, headers: [], body: Buffer.from('ok') };
-      if (ending.kind === 'answered') sink.sendWhole({ ...answer, framing: 'length' });
+      if (ending.kind === 'answered') sink.sendWhole(answer);
       return Promise.resolve(ending);
     },
     configuration: () => ({
@@ -95,7 +101,7 @@
     app.server.closeAllConnections();
     await app.close();
   };
-  return { port, served, servedCalls, close };
+  return { port, server: app.server, served, servedCalls, close };
 }
 
 export function createQuotas(organisations: readonly fleet.Organisation[]): quotasModule.Quotas {
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -95,14 +95,13 @@
 export type LossReason = 'connection' | 'silent' | 'garbled';
 
 /**
- * What marks the end of an answer's body. A body that ends when the upstream closes its connection may have been
- * truncated there. It is forwarded with the same framing, so that the caller isn't led to believe that it is complete.
+ * What marks the end of an answer's body at its upstream. `until-close`: its connection, which a process that was killed closes in
+ * the same way as one that has written all.
  */
 export type Framing = 'length' | 'chunked' | 'until-close';
 
 export type HeldAnswer = {
   status: number;
-  framing: Framing;
   headers: readonly dialects.HeaderPair[];
   body: Buffer;
 };
