A planned stop resets the open answers of callers that know no chunks

Seen: callers of HTTP/1.0 get answers of unknown length until the connection closes. At its end a planned stop closed what was open regularly (server.closeAllConnections()), so that a part of such an answer looked whole. Cause: the stop is the one place that ends open answers without answers.ts, and it knew nothing of their framing. Change: stop.ts resets the connections of HTTP/1.0 with a request in progress before it closes the others; daemon.ts uses it. Other callers see the missing last chunk, or a part of the length. Result: answer-ends.test.ts, "an answer without a length that a stop cuts off ...", failed with 1.0 on the code before (complete), and passes.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -252,7 +252,7 @@
           await listen(callers, settings.callerAddress);
           const stopCallers = async () => {
             cradle.loopAges.stop();
-            callers.server.closeAllConnections();
+            stops.cutOff(callers.server, connections);
             await callers.close();
             await cradle.connections.close();
           };
--- a/packages/gateway/src/server/forwarding/answer-ends.test.ts
+++ b/packages/gateway/src/server/forwarding/answer-ends.test.ts
@@ -1,10 +1,15 @@
+import * as fc from 'fast-check';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import * as answerPlays from '../../testing/answer-plays.js';
+import type * as calls from '../../types/calls.js';
 
 const test = suite('answers that end early');
 
+const PLAY_COUNT = Number(process.env.ANSWER_PLAYS ?? 480);
+const PLAYS_AT_ONCE = 24;
+const FRAMINGS: readonly calls.Framing[] = ['length', 'chunked', 'until-close'];
 /** More than the gateway holds back before it forwards a plain answer. */
 const LARGE_BYTES = 300_000;
 
@@ -18,6 +23,29 @@
   ...changes,
 });
 
+/**
+ * What the sender itself has ended between two events, or without events, is whole by the protocol. A caller of HTTP/1.0 can't be told
+ * where an answer of unknown length ends, if its gateway is gone.
+ */
+function isUnprovable(
+  { kind, framing, httpVersion, cut, body }: answerPlays.AnswerPlay,
+  got: Buffer,
+) {
+  if (cut === 'upstream-closed' && framing === 'until-close') {
+    return kind === 'plain' || got.subarray(-2).toString() === '\n\n';
+  }
+  const isLengthKnown = kind !== 'resumable' && framing === 'length';
+  return cut === 'killed' && httpVersion === '1.0' && !isLengthKnown && body.length > 0;
+}
+
+// Guards against an answer without a length that a planned stop ends, and that looks complete.
+test('an answer without a length that a stop cuts off does not look complete', async () => {
+  for (const httpVersion of ['1.1', '1.0'] as const) {
+    const { status, isComplete } = await answerPlays.playAnswer(play({ httpVersion }));
+    assert.equal([status, isComplete], [200, false], httpVersion);
+  }
+});
+
 // Guards against an answer without a length that looks complete when its gateway was killed.
 test('an answer without a length does not look complete when its gateway is killed', async () => {
   for (const body of [play({}).body, Buffer.alloc(LARGE_BYTES * 2, 'x')]) {
@@ -38,4 +66,73 @@
   assert.ok(received.body.equals(body));
 });
 
+const events = fc
+  .array(fc.string({ unit: fc.constantFrom('a', 'b', ' '), maxLength: 30 }), {
+    minLength: 1,
+    maxLength: 6,
+  })
+  .map((texts) => texts.map((text, index) => `id: ${index + 1}\ndata: ${text}\n\n`).join(''))
+  .map((text) => Buffer.from(text));
+const plain = fc
+  .oneof(
+    { weight: 4, arbitrary: fc.integer({ min: 1, max: 2_000 }) },
+    { weight: 1, arbitrary: fc.integer({ min: LARGE_BYTES, max: LARGE_BYTES * 2 }) },
+  )
+  .map((length) => Buffer.alloc(length, 'xyz'));
+
+const plays = fc
+  .record({
+    kind: fc.constantFrom('plain' as const, 'stream' as const, 'resumable' as const),
+    framing: fc.constantFrom(...FRAMINGS),
+    httpVersion: fc.constantFrom('1.0' as const, '1.1' as const),
+    cut: fc.constantFrom(...answerPlays.CUTS),
+    cutPercent: fc.integer({ min: 0, max: 100 }),
+    events,
+    plain,
+  })
+  .map(({ kind, framing, httpVersion, cut, ...drawn }): answerPlays.AnswerPlay => {
+    const body = kind === 'plain' ? drawn.plain : drawn.events;
+    const cutAtBytes = Math.round((drawn.cutPercent / 100) * body.length);
+    return { kind, framing, httpVersion, cut, body, cutAtBytes };
+  });
+
+function describe({ body, ...rest }: answerPlays.AnswerPlay): string {
+  return JSON.stringify({ ...rest, bodyBytes: body.length });
+}
+
+// Guards against a part of an answer that a caller takes for the whole, whichever way it ends and however it is framed.
+test('whatever ends an answer early, the part never looks complete', async () => {
+  const drawn = fc.sample(plays, { numRuns: PLAY_COUNT, seed: 60 });
+  const counts = new Map<string, number>();
+  const wrong: string[] = [];
+  const playOne = async (one: answerPlays.AnswerPlay) => {
+    const { status, body, isComplete } = await answerPlays.playAnswer(one);
+    const isWhole = body.equals(one.body);
+    const hasEnded = one.cutAtBytes === one.body.length && one.cut !== 'none';
+    const isSuccess = status === 200 && isComplete;
+    const isUnproved = isSuccess && !isWhole && isUnprovable(one, body);
+    const outcome = isUnproved ? 'unprovable' : isSuccess ? 'whole' : 'seen to end early';
+    const key = `${one.cut} ${hasEnded ? 'at the end' : ''} ${outcome}`.replace(/ +/g, ' ');
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+    if (isSuccess && !isWhole && !isUnproved) wrong.push(describe(one));
+    if (one.cut === 'none' && !isSuccess) wrong.push(`not served: ${describe(one)}`);
+  };
+  const left = [...drawn];
+  const worker = async () => {
+    for (let one = left.pop(); one !== undefined; one = left.pop()) await playOne(one);
+  };
+  await Promise.all(Array.from({ length: PLAYS_AT_ONCE }, worker));
+  console.log(
+    [...counts]
+      .sort()
+      .map(([key, count]) => `  ${key}: ${count}`)
+      .join('\n'),
+  );
+  assert.equal(wrong.slice(0, 5), []);
+  for (const cut of answerPlays.CUTS) {
+    const playedCount = drawn.filter((one) => one.cut === cut).length;
+    assert.ok(playedCount >= PLAY_COUNT / 20, `${cut}: ${playedCount}`);
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -23,6 +23,7 @@
     closeIdle: () => {
       state.lastCloseIdleMs = clock.nowMs();
     },
+    resetUnframed: () => {},
   };
   void stops
     .drain({
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -30,6 +30,8 @@
 export type OpenConnections = {
   /** Closes connections without a request in progress: kept-alive ones, and those that have not sent one yet. */
   closeIdle: () => void;
+  /** Resets the connections whose open answer would otherwise look complete, since its caller knows no chunks. */
+  resetUnframed: () => void;
 };
 
 /**
@@ -38,6 +40,7 @@
  */
 export function trackConnections(server: http.Server): OpenConnections {
   const requestCounts = new Map<net.Socket, number>();
+  const withoutChunks = new WeakSet<net.Socket>();
   let isClosing = false;
   server.on('connection', (socket: net.Socket) => {
     requestCounts.set(socket, 0);
@@ -50,6 +53,7 @@
       if (before !== undefined) requestCounts.set(socket, before + count);
     };
     add(1);
+    if (request.httpVersion === '1.0') withoutChunks.add(socket);
     // An answer that began before the stop does not announce that its connection closes, so the caller would send its
     // next request at once.
     response.once('finish', () => {
@@ -62,6 +66,11 @@
       isClosing = true;
       for (const [socket, count] of requestCounts) if (count <= 0) socket.end();
     },
+    resetUnframed: () => {
+      for (const [socket, count] of requestCounts) {
+        if (count > 0 && withoutChunks.has(socket)) socket.resetAndDestroy();
+      }
+    },
   };
 }
 
@@ -106,3 +115,9 @@
   await Promise.race([drained, clocks.sleepUntil(clock, endMs - LEASE_RELEASE_MS)]);
   await Promise.all([drained, release(endMs)]);
 }
+
+/** Closes all connections at the end of a stop. An answer that is still open misses its last chunk or a part of its length. */
+export function cutOff(server: http.Server, connections: OpenConnections): void {
+  connections.resetUnframed();
+  server.closeAllConnections();
+}
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -8,6 +8,7 @@
 import * as attempts from '../server/forwarding/attempt.js';
 import * as connectionsModule from '../server/forwarding/connections.js';
 import * as readDelays from '../server/forwarding/read-delay.js';
+import * as stops from '../server/health/stop.js';
 import type * as calls from '../types/calls.js';
 import * as callersApps from './callers-app.js';
 import * as rawUpstreams from './raw-upstream.js';
@@ -243,12 +244,13 @@
     route: { kind: isStream ? 'stream' : 'idempotent', isResumable: play.kind === 'resumable' },
     serve: play.cut === 'broken' ? serveBroken : serve,
   });
+  const open = stops.trackConnections(app.server);
   const [firstBytes, onFirstBytes] = createSignal();
   const received = receive(app.port, play, onFirstBytes);
   if (play.cut === 'stopped' || play.cut === 'killed') {
     await Promise.race([firstBytes, timers.setTimeout(FIRST_BYTES_MS)]);
     await timers.setTimeout(PASSING_MS);
-    if (play.cut === 'stopped') app.server.closeAllConnections();
+    if (play.cut === 'stopped') stops.cutOff(app.server, open);
     else app.server.closeAllConnections();
   }
   const result = await received;
