A planned stop waits for the answers that are still in its own buffers

Seen: a stop cut the tail of an answer whose caller reads slowly, though the time of the stop wasn't over: at once when the gateway stopped accepting, or 0.3 s after the last call had ended. A call counts as over once its answer is handed to the socket, and the drain counted calls only. And http.Server.close() destroys each connection whose answer was ended by the application, flushed or not (closeIdleConnections() looks at finished). Change: the drain also waits for connections whose request is still read or whose answer isn't flushed, until its end; it stops accepting by the close of net.Server, and closes idle connections itself as before.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -269,7 +269,6 @@
     const endMs = stops.exitByMs(clock.nowMs(), settings.stopTimeoutS * 1_000);
     const drained = stops.drain({
       clock,
-      server: callers.server,
       connections,
       openCallCount: () => openCalls.count() + cradle.intake.waitingCount(),
       endMs,
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -1,4 +1,5 @@
-import type * as http from 'node:http';
+import * as http from 'node:http';
+import type * as net from 'node:net';
 
 import { clocks } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
@@ -10,25 +11,25 @@
 const test = suite('planned stop');
 
 const STOP_TIMEOUT_MS = 8_000;
+/** More than the buffers of both sockets hold. */
+const LARGE_BYTES = 32 * 1024 * 1024;
 
 function startDrain(openCallCount: () => number) {
   const clock = fakeClocks.createFakeClock();
   const state = { closedAtMs: -1, lastCloseIdleMs: -1, endedAtMs: -1 };
-  const server = {
-    close: () => {
+  const connections = {
+    stopAccepting: () => {
       state.closedAtMs = clock.nowMs();
     },
-  } as unknown as http.Server;
-  const connections = {
     closeIdle: () => {
       state.lastCloseIdleMs = clock.nowMs();
     },
     resetUnframed: () => {},
+    busyCount: () => 0,
   };
   void stops
     .drain({
       clock,
-      server,
       connections,
       openCallCount,
       endMs: stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS),
@@ -65,6 +66,35 @@
   assert.ok(state.lastCloseIdleMs >= 4_000);
 });
 
+// Guards against a stop that cuts the tail of an answer that is whole in its own buffer, while its caller still reads.
+test('the drain waits until callers that read slowly have been sent their whole answers', async () => {
+  const clock = fakeClocks.createFakeClock();
+  const body = Buffer.alloc(LARGE_BYTES, 'x');
+  const server = http.createServer((_request, response) => response.end(body));
+  const connections = stops.trackConnections(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const answer = await new Promise<http.IncomingMessage>((resolve) => {
+    http.get({ port, host: '127.0.0.1' }, resolve);
+  });
+  let hasEnded = false;
+  const endMs = stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
+  const drained = stops.drain({ clock, connections, openCallCount: () => 0, endMs }).then(() => {
+    hasEnded = true;
+    stops.cutOff(server, connections);
+  });
+  await clock.advance(5_000);
+  assert.is(hasEnded, false);
+  let sizeBytes = 0;
+  for await (const chunk of answer) sizeBytes += (chunk as Buffer).length;
+  assert.is(sizeBytes, LARGE_BYTES);
+  await clock.advance(1_000);
+  await drained;
+  assert.is(hasEnded, true);
+});
+
 // Gateways are restarted one after the other, two seconds apart. If the lease was released at once, it would go to the
 // next gateway to be stopped, and no orders could be given for the lease time after each change: models whose demand
 // rises would get no copy for most of the restart.
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -3,13 +3,12 @@
  * for running requests.
  */
 import type * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 
 import { clocks } from '@copperlever/runtime';
 
 export type DrainOptions = {
   clock: clocks.Clock;
-  server: http.Server;
   connections: OpenConnections;
   openCallCount: () => number;
   /** When the drain has to be over. */
@@ -28,8 +27,15 @@
 const LINGER_MS = 300;
 
 export type OpenConnections = {
+  /**
+   * Ends accepting connections. The close of an HTTP server also destroys connections whose answer has ended for the application
+   * and is still in this process's buffers.
+   */
+  stopAccepting: () => void;
   /** Closes connections without a request in progress: kept-alive ones, and those that have not sent one yet. */
   closeIdle: () => void;
+  /** Connections with a request that is still being read, or whose answer has not left this process's buffers. */
+  busyCount: () => number;
   /** Resets the connections whose open answer would otherwise look complete, since its caller knows no chunks. */
   resetUnframed: () => void;
 };
@@ -62,10 +68,14 @@
     response.once('close', () => add(-1));
   });
   return {
+    stopAccepting: () => {
+      net.Server.prototype.close.call(server);
+    },
     closeIdle: () => {
       isClosing = true;
       for (const [socket, count] of requestCounts) if (count <= 0) socket.end();
     },
+    busyCount: () => [...requestCounts.values()].filter((count) => count > 0).length,
     resetUnframed: () => {
       for (const [socket, count] of requestCounts) {
         if (count > 0 && withoutChunks.has(socket)) socket.resetAndDestroy();
@@ -80,12 +90,13 @@
 }
 
 export async function drain(options: DrainOptions): Promise<void> {
-  const { clock, server, connections, endMs } = options;
+  const { clock, connections, endMs } = options;
   await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + BALANCER_NOTICE_MS));
-  server.close();
+  connections.stopAccepting();
   connections.closeIdle();
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
-  while (options.openCallCount() > 0 && clock.nowMs() < endMs) {
+  const isBusy = () => options.openCallCount() > 0 || connections.busyCount() > 0;
+  while (isBusy() && clock.nowMs() < endMs) {
     connections.closeIdle();
     await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
   }
