An answer that breaks off behind another one ends its connection

Seen: a pipelined request whose answer broke off before the answer ahead of it had ended kept its connection open: the caller got the part and waited for good. Cause: cut() resets the response's socket, and a response behind another has none yet. Change: such a response is destroyed, which ends the connection once it gets its turn; the same for requests that fail by an error. Result: app.test.ts, "an answer that breaks off behind another one ...", failed on the code before (open after 1 s), and passes.

--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -22,7 +22,7 @@
   sendWhole: (answer: calls.HeldAnswer) => void;
   /** Answers with a refusal or an error of the gateway itself. */
   refuse: (status: number, headers: readonly dialects.HeaderPair[], cause: string) => void;
-  /** Resets the connection, so that the caller can't take the answer for complete. */
+  /** Ends the connection, so that the caller can't take the answer for complete. */
   cut: () => void;
   /** Sets the task that runs when the caller leaves, or at once if it has left; replaces the one set before. */
   onCallerGone: (task: (() => void) | null) => void;
@@ -36,6 +36,12 @@
   closesConnections: () => boolean;
 };
 
+/** Behind another answer on its connection, this one has no socket yet: nothing of it is sent once the other has ended. */
+export function cutAnswer(raw: http.ServerResponse): void {
+  if (raw.socket === null) raw.destroy();
+  else raw.socket.resetAndDestroy();
+}
+
 export function createAnswerSink(options: SinkOptions): AnswerSink {
   const { raw } = options;
   let callerGone: (() => void) | null = null;
@@ -96,9 +102,7 @@
       writeHeadWithLength(status, ownHeaders, body.length);
       raw.end(body);
     },
-    cut: () => {
-      raw.socket?.resetAndDestroy();
-    },
+    cut: () => cutAnswer(raw),
     onCallerGone: (task) => {
       callerGone = task;
       if (task !== null && isGone) task();
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -82,6 +82,40 @@
   loopAges.stop();
 });
 
+// Guards against a pipelined request whose answer breaks off before the answer ahead of it has ended: its connection stayed open.
+test('an answer that breaks off behind another one ends its connection once the other is whole', async () => {
+  const app = await callersApps.startCallersApp({
+    serve: async (call, sink) => {
+      if (call.path === '/first') await sleep(60);
+      if (call.path === '/second') {
+        sink.begin(200, [], null);
+        sink.write(Buffer.from('part'));
+        return { kind: 'cut', cause: 'upstream-lost', upstreamId: 'u1' };
+      }
+      sink.sendWhole({ status: 200, headers: [], body: Buffer.from('whole') });
+      return { kind: 'answered', status: 200, upstreamId: 'u1' };
+    },
+  });
+  try {
+    const socket = net.connect(app.port, '127.0.0.1');
+    let received = '';
+    socket.on('data', (data) => {
+      received += data.toString();
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.on('error', () => {});
+    socket.write(callersApps.requestText('/first') + callersApps.requestText('/second'));
+    const isClosed = await Promise.race([closed.then(() => true), sleep(1_000).then(() => false)]);
+    assert.equal([isClosed, received.includes('whole')], [true, true]);
+    assert.not(received.includes('0\r\n\r\n'));
+    socket.destroy();
+  } finally {
+    await app.close();
+  }
+});
+
 // The type of a body concerns only the upstream. A request with a missing or malformed type must not be refused here.
 test('bodies of any type, or without one, are forwarded', async () => {
   const app = await callersApps.startCallersApp();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -247,7 +247,7 @@
     handle(deps, request.raw, reply.raw).catch((cause: unknown) => {
       const { requestId } = deps.dialect.readCall(request.headers);
       deps.log.error('request-broken', { requestId, reason: String(cause) });
-      reply.raw.socket?.resetAndDestroy();
+      answers.cutAnswer(reply.raw);
     });
   });
   app.server.on('connection', deps.loopAges.accepted);
