The lease's record says from when its holder may give orders

Cause: ordersFromMs() took this gateway's own name in the record for orders of its own since then. Change: each write of the record states how much longer its holder waits (a duration: two lives have no clock in common, and wall clocks jump). Whoever takes over from it, the same gateway or another, waits at least that long from when it first read the record; a record that doesn't state it counts as one that waits the whole lease time. A holder that had given orders states 0, so after a kill of all gateways it goes on at once as before. Each renewal states less, so a row of killed lives gets through: as long as one of them lives until a renewal (1 s) the rest shrinks by it; lives that are all killed before that wait anew each time. The log says it (lease-taken, beforeDelayMs).

--- a/packages/gateway/src/server/placement/earlier-lease.ts
+++ b/packages/gateway/src/server/placement/earlier-lease.ts
@@ -24,6 +24,7 @@
   scarceOrganisations: [],
   renewals: 0,
   isReleased: false,
+  orderDelayMs: null,
 };
 
 async function findStored(
--- a/packages/gateway/src/server/placement/lease-manager.test.ts
+++ b/packages/gateway/src/server/placement/lease-manager.test.ts
@@ -31,11 +31,23 @@
     eligibleFromMs = 0,
   ) => {
     const peers = peerRegistries.createPeerRegistry(gatewayId);
+    let isKilled = false;
     const cutOff = () => Promise.resolve(results.Err({ kind: 'unavailable', reason: '' } as const));
+    const never = () => new Promise<never>(() => {});
+    const reach = <Answer>(call: () => Promise<Answer>) => {
+      if (isKilled) return never();
+      return state.cutOffIds.has(gatewayId) ? cutOff() : call();
+    };
     const ownStore: memoryRecords.MemoryRecords = {
       ...store,
-      get: (...args) => (state.cutOffIds.has(gatewayId) ? cutOff() : store.get(...args)),
-      put: (...args) => (state.cutOffIds.has(gatewayId) ? cutOff() : store.put(...args)),
+      get: (...args) => reach(() => store.get(...args)),
+      put: (...args) => reach(() => store.put(...args)),
+      list: (...args) => reach(() => store.list(...args)),
+    };
+    /** Ends it without a word, as a SIGKILL does. */
+    const kill = () => {
+      isKilled = true;
+      void manager.release(clock.nowMs());
     };
     const scarce: string[] = [];
     const written: string[][] = [];
@@ -58,7 +70,7 @@
       millicores,
       isEligible: () => clock.nowMs() >= eligibleFromMs,
     });
-    return { peers, manager, scarce, written };
+    return { peers, manager, scarce, written, kill };
   };
   return { clock, state, store, gets, join };
 }
@@ -283,6 +295,7 @@
     scarceOrganisations: [],
     renewals: 9,
     isReleased: false,
+    orderDelayMs: 0,
   };
   await store.put('leases', 'placing', value, null, 0);
   const other = join('g2');
@@ -296,6 +309,120 @@
   await Promise.all([again, other].map(({ manager }) => manager.release(clock.nowMs())));
 });
 
+/** `g1` gives orders until it releases its lease, and `g2` has just taken it over. */
+async function startHandOver(harness: ReturnType<typeof createHarness>, checksFences = false) {
+  const { clock, join } = harness;
+  const first = join('g1', checksFences);
+  first.manager.start();
+  await clock.advance(1_500);
+  const second = join('g2', checksFences);
+  second.manager.start();
+  await clock.advance(4_000);
+  assert.is(first.manager.orderTerm(), 1);
+  const lastOrderMs = clock.nowMs();
+  await first.manager.release(clock.nowMs() + 1_000);
+  while (second.manager.heldTerm() === null) await clock.advance(50);
+  return { second, lastOrderMs };
+}
+
+async function untilOrders(
+  { clock }: ReturnType<typeof createHarness>,
+  { manager }: { manager: leaseManagers.LeaseManager },
+): Promise<number> {
+  while (manager.orderTerm() === null) await clock.advance(25);
+  return clock.nowMs();
+}
+
+// Guards against a life that takes its own name in the record for orders of its own, while the life before was still waiting.
+test('a gateway that is killed while it must not give orders yet waits again when it is back', async () => {
+  for (const checksFences of [false, true]) {
+    const harness = createHarness();
+    const { second, lastOrderMs } = await startHandOver(harness, checksFences);
+    await harness.clock.advance(100);
+    second.kill();
+    await harness.clock.advance(200);
+    const again = harness.join('g2', checksFences);
+    again.manager.start();
+    const apartMs = (await untilOrders(harness, again)) - lastOrderMs;
+    assert.ok(apartMs >= LEASE_MS, `${apartMs}`);
+    assert.ok(apartMs <= 2 * LEASE_MS, `${apartMs}`);
+    await again.manager.release(harness.clock.nowMs());
+  }
+});
+
+// Guards against a wait that is forgotten, or that begins anew for good, in a row of lives that are each killed while they wait.
+test('the wait lasts over a row of killed lives, and gets shorter with each renewal', async () => {
+  const harness = createHarness();
+  const { second, lastOrderMs } = await startHandOver(harness);
+  let life = second;
+  const livesMs = 1_300;
+  let killAtMs = harness.clock.nowMs() + livesMs;
+  while (life.manager.orderTerm() === null) {
+    await harness.clock.advance(25);
+    if (harness.clock.nowMs() < killAtMs) continue;
+    life.kill();
+    killAtMs += livesMs;
+    life = harness.join('g2', false);
+    life.manager.start();
+  }
+  const apartMs = harness.clock.nowMs() - lastOrderMs;
+  assert.ok(apartMs >= LEASE_MS, `${apartMs}`);
+  assert.ok(apartMs <= 3 * LEASE_MS, `${apartMs}`);
+  await life.manager.release(harness.clock.nowMs());
+});
+
+// Guards against a delay after all gateways were killed at once, when no other one has given orders.
+test('a gateway that is killed while it gives orders goes on at once when it is back', async () => {
+  const harness = createHarness();
+  const { second } = await startHandOver(harness);
+  await harness.clock.advance(LEASE_MS + 1_500);
+  assert.is(second.manager.orderTerm(), 2);
+  second.kill();
+  await harness.clock.advance(200);
+  const startedMs = harness.clock.nowMs();
+  const again = harness.join('g2', false);
+  again.manager.start();
+  const tookMs = (await untilOrders(harness, again)) - startedMs;
+  assert.ok(tookMs <= 300, `${tookMs}`);
+  await again.manager.release(harness.clock.nowMs());
+});
+
+// Guards against a take-over whose answer was lost, and that is taken for an earlier lease of this gateway's own.
+test('a gateway that reads its own take-over, since its answer was lost, waits as after any take-over', async () => {
+  const harness = createHarness();
+  const { clock, store, join } = harness;
+  const first = join('g1', false);
+  first.manager.start();
+  await clock.advance(1_500);
+  const second = join('g2', false);
+  await clock.advance(4_000);
+  const lastOrderMs = clock.nowMs();
+  await first.manager.release(clock.nowMs() + 1_000);
+  store.setFault('lose-answers');
+  second.manager.start();
+  await clock.advance(100);
+  store.setFault('none');
+  const apartMs = (await untilOrders(harness, second)) - lastOrderMs;
+  assert.ok(apartMs >= LEASE_MS, `${apartMs}`);
+  await second.manager.release(clock.nowMs());
+});
+
+// Guards against a lease that is carried over to a new era while its holder still waits, and reads as one that has ordered.
+test('the wait lasts when the lease is carried over and its holder is killed', async () => {
+  const harness = createHarness();
+  const { clock, store } = harness;
+  const { second, lastOrderMs } = await startHandOver(harness);
+  store.copy()();
+  await clock.advance(300);
+  second.kill();
+  await clock.advance(100);
+  const again = harness.join('g2', false);
+  again.manager.start();
+  const apartMs = (await untilOrders(harness, again)) - lastOrderMs;
+  assert.ok(apartMs >= LEASE_MS, `${apartMs}`);
+  await again.manager.release(clock.nowMs());
+});
+
 // The holder releases its lease and stops. Its successor may give orders only once the lease time has passed since the
 // last order that the holder may have given; earlier, both could give orders to the same upstream.
 test('a successor takes over with a higher term, and waits before its first order', async () => {
--- a/packages/gateway/src/server/placement/lease-manager.ts
+++ b/packages/gateway/src/server/placement/lease-manager.ts
@@ -139,6 +139,7 @@
       gatewayCount,
       scarceOrganisations: deps.quotas.scarce(),
       renewals: value.renewals + 1,
+      orderDelayMs: leaseDecisions.orderDelayMs(lease, sentAtMs),
     };
     const name = leaseDecisions.recordName(lease.record.era);
     const put = await store.put('leases', name, next, revision, deadlineMs());
@@ -195,7 +196,11 @@
     const era = store.era();
     const sentAtMs = clock.nowMs();
     const name = leaseDecisions.recordName(era);
-    const next = { ...lease.record.value, renewals: lease.record.value.renewals + 1 };
+    const next = {
+      ...lease.record.value,
+      renewals: lease.record.value.renewals + 1,
+      orderDelayMs: leaseDecisions.orderDelayMs(lease, sentAtMs),
+    };
     const put = await store.put('leases', name, next, null, deadlineMs());
     if (held !== lease || store.era() !== era) return;
     if (put.ok) {
@@ -219,13 +224,14 @@
   }
 
   function holderStateOf(
-    { holderId, address, isReleased }: stores.LeaseValue,
+    { holderId, address, isReleased, orderDelayMs }: stores.LeaseValue,
     seenAtMs: number,
   ): leaseDecisions.HolderObservation {
     const isSelf = holderId === deps.gatewayId && address === deps.address;
     return {
       seenAtMs,
       isReleased,
+      orderDelayMs,
       isOwn: isSelf,
       // The lease of an earlier process of this gateway, from which nothing can be received any more.
       lastReceivedMs: isSelf ? null : peers.lastReceivedMs(holderId),
@@ -245,37 +251,39 @@
     const era = store.era();
     const knownTerms = [before?.term ?? 0, peers.lease()?.term ?? 0];
     const term = leaseDecisions.nextTerm(era, knownTerms);
+    const sentAtMs = clock.nowMs();
+    const ordersFromMs = leaseDecisions.ordersFromMs(
+      holderState,
+      sentAtMs,
+      deps.leaseMs,
+      deps.upstreamsCheckFences,
+    );
     const value = {
       holderId: deps.gatewayId,
       address: deps.address,
       term,
-      gatewayCount: peers.fleetSize(clock.nowMs()),
+      gatewayCount: peers.fleetSize(sentAtMs),
       scarceOrganisations: before?.scarceOrganisations ?? [],
       renewals: 0,
       isReleased: false,
+      orderDelayMs: leaseDecisions.orderDelayMs({ ordersFromMs }, sentAtMs),
     };
-    const sentAtMs = clock.nowMs();
     const revision = present?.revision ?? null;
     const name = leaseDecisions.recordName(era);
     const put = await store.put('leases', name, value, revision, deadlineMs());
     if (store.era() !== era) return;
     if (put.err) {
       if (put.val.kind !== 'outcome-unknown') return;
-      // The write may have taken effect: the next read shows it, and this gateway takes over from itself.
+      // The write may have taken effect: the next read shows it, and this gateway takes over from itself, after the same delay.
       log.warn('lease-unknown', { term, reason: put.val.reason });
       return;
     }
-    const ordersFromMs = leaseDecisions.ordersFromMs(
-      holderState,
-      clock.nowMs(),
-      deps.leaseMs,
-      deps.upstreamsCheckFences,
-    );
     const acquired = { sinceMs: clock.nowMs(), isFirst: before === null };
     held = { record: put.val, ordersFromMs, acquired, ...renewalFields(sentAtMs) };
     peers.applyLease({ holderId: deps.gatewayId, term });
     const ordersInMs = Math.round(ordersFromMs - clock.nowMs());
-    log.info('lease-taken', { term, before: before?.holderId ?? '', ordersInMs });
+    const beforeDelayMs = before?.orderDelayMs ?? undefined;
+    log.info('lease-taken', { term, before: before?.holderId ?? '', beforeDelayMs, ordersInMs });
   }
 
   async function acquireFirst(): Promise<void> {
@@ -351,7 +359,11 @@
    */
   async function writeRelease(lease: HeldLease): Promise<void> {
     isReleasing = true;
-    const value = { ...lease.record.value, isReleased: true };
+    const value = {
+      ...lease.record.value,
+      isReleased: true,
+      orderDelayMs: leaseDecisions.orderDelayMs(lease, clock.nowMs()),
+    };
     const { revision } = lease.record;
     const name = leaseDecisions.recordName(lease.record.era);
     const put = await store.put('leases', name, value, revision, deadlineMs());
--- a/packages/gateway/src/shared/lease-decisions.test.ts
+++ b/packages/gateway/src/shared/lease-decisions.test.ts
@@ -8,6 +8,7 @@
 const OBSERVATION: leaseDecisions.HolderObservation = {
   seenAtMs: 1_000,
   isReleased: false,
+  orderDelayMs: 0,
   isOwn: false,
   lastReceivedMs: null,
   silentSinceMs: null,
@@ -44,6 +45,16 @@
   assert.is(leaseDecisions.ordersFromMs(own, 1_100, 3_000, false), 1_100);
 });
 
+// Guards against orders within the lease time of another holder's, after a holder that was still waiting for it.
+test('orders also wait for what the holder before was waiting for itself', () => {
+  const own = { ...OBSERVATION, isOwn: true, orderDelayMs: 2_800 };
+  assert.is(leaseDecisions.ordersFromMs(own, 1_100, 3_000, false), 3_800);
+  const silent = { ...OBSERVATION, silentSinceMs: 100, orderDelayMs: 2_800 };
+  assert.is(leaseDecisions.ordersFromMs(silent, 3_500, 3_000, true), 3_800);
+  const unstated = { ...own, orderDelayMs: null };
+  assert.is(leaseDecisions.ordersFromMs(unstated, 1_100, 3_000, false), 4_000);
+});
+
 test('without the store a holder goes on only where upstreams refuse an older fence', () => {
   const held = { ordersFromMs: 0, renewedAtMs: 0, isStoreAway: true };
   assert.ok(leaseDecisions.mayOrder(held, true, 60_000));
--- a/packages/gateway/src/shared/lease-decisions.ts
+++ b/packages/gateway/src/shared/lease-decisions.ts
@@ -9,6 +9,8 @@
   /** When the lease record was first seen at its present revision. */
   seenAtMs: number;
   isReleased: boolean;
+  /** So long after `seenAtMs` the holder itself gives no orders; null if its record doesn't state it. */
+  orderDelayMs: number | null;
   /** The lease is this gateway's own, from an earlier life, so no other gateway can have used it since. */
   isOwn: boolean;
   /** When a message of the holder itself was last received, over any path. */
@@ -122,14 +124,22 @@
   checksFences: boolean,
 ): number {
   if (sight === null) return tookOverMs;
+  // The holder before may have been waiting itself, for the orders of another one.
+  const delayEndMs = sight.seenAtMs + (sight.orderDelayMs ?? leaseMs);
+  const earliestMs = Math.max(tookOverMs, delayEndMs);
   // All orders since then came from one VM, this one. Waiting delayed all adapters and loads for three more seconds
   // after all gateways had been killed at once.
-  if (sight.isOwn && !sight.isReleased) return tookOverMs;
+  if (sight.isOwn && !sight.isReleased) return earliestMs;
   const leaseEndMs = sight.seenAtMs + VALID_MS;
-  if (sight.isReleased) return Math.max(tookOverMs, sight.seenAtMs + leaseMs);
+  if (sight.isReleased) return Math.max(earliestMs, sight.seenAtMs + leaseMs);
   const silentMs = sight.silentSinceMs ?? leaseEndMs;
   const lastOrderMs = checksFences ? Math.min(silentMs, leaseEndMs) : leaseEndMs;
-  return Math.max(tookOverMs, lastOrderMs + leaseMs);
+  return Math.max(earliestMs, lastOrderMs + leaseMs);
+}
+
+/** What a holder that writes its record at `nowMs` states as `orderDelayMs`. */
+export function orderDelayMs(held: { ordersFromMs: number }, nowMs: number): number {
+  return Math.max(0, Math.ceil(held.ordersFromMs - nowMs));
 }
 
 /** Whether a holder may give orders at `nowMs`. */
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -151,7 +151,13 @@
   /** The list of upstreams comes from the holder; the store is watched again. */
   'list-feed-began': { position: string };
   'list-feed-ended': { fedMs: number };
-  'lease-taken': { term: number; before: string; ordersInMs: number };
+  /** `beforeDelayMs`: so long after its record was written the holder before gave no orders itself. */
+  'lease-taken': {
+    term: number;
+    before: string;
+    beforeDelayMs: number | undefined;
+    ordersInMs: number;
+  };
   /** Another gateway (`source`) knows of a later era of the store than this one, which asks it now. */
   'store-era-heard': { era: number; before: number; source: string };
   /** The store came back from a copy, and the lease is written down in its new era. */
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -18,6 +18,11 @@
   renewals: number;
   /** Set by a holder that stops: nothing of its own is under way. */
   isReleased: boolean;
+  /**
+   * So long after this record was written its holder still gives no orders, since another gateway may just have given some. A duration,
+   * because the next life of the holder has no clock in common with this one. Null in records of builds that don't write it.
+   */
+  orderDelayMs: number | null;
 };
 
 /** Requests with all of these traits are refused, since upstreams end under them; see `QuarantineEntry`. Times of day. */
