After a restore without any lease a gateway waits for a holder that it doesn't know

Seen: the store comes back from a copy that has no lease, and a gateway that has just started and has heard nobody takes the lease as the first holder ever: its first order came 0.5 s after the last one of a holder that was still there (test). Cause: checkEarlierEra() took a copy without a lease, and no word from others, for a fleet that never had a holder. Change: in an era after the first there may always have been a holder; the gateway waits as for one that it can't reach, from its first look on (takes the lease after 2.4 s, gives orders after 5.2 s, 3 s where upstreams check fences and others answer), and reads no more often meanwhile. What a copy says of a release or a delay may have been followed by more, so it is left out there. Result: lease-manager.test.ts, "after a restore without any lease ...", failed on the code before (525 ms apart), and passes.

--- a/packages/gateway/src/server/placement/earlier-lease.ts
+++ b/packages/gateway/src/server/placement/earlier-lease.ts
@@ -12,11 +12,12 @@
 export type EarlierLease = {
   /** The record with the highest term in the store; null if there is none. */
   stored: StoredLease | null;
-  /** The lease as known to the store or other gateways, by the higher term; null if no holder is known. */
-  value: stores.LeaseValue | null;
+  /** The lease as known to the store or other gateways, by the higher term. */
+  value: stores.LeaseValue;
 };
 
-const NO_HOLDER: stores.LeaseValue = {
+/** Stands for a holder of which neither the store nor any gateway known here knows. */
+const UNKNOWN_HOLDER: stores.LeaseValue = {
   holderId: '',
   address: '',
   term: 0,
@@ -27,6 +28,9 @@
   orderDelayMs: null,
 };
 
+/** What the store's copy says of a holder may have been followed by more, or by another holder. */
+const ANY_LATER_HOLDER = { isReleased: false, orderDelayMs: null };
+
 async function findStored(
   store: Pick<stores.RecordStore, 'list'>,
   deadlineMs: number,
@@ -49,10 +53,10 @@
   const known = peerRegistry.lease();
   const isStoredLater = known === null || (stored !== null && stored.value.term >= known.term);
   if (isStoredLater) {
-    const value = stored === null ? null : { ...stored.value, isReleased: false };
+    const value = { ...UNKNOWN_HOLDER, ...stored?.value, ...ANY_LATER_HOLDER };
     return results.Ok({ stored, value });
   }
   const address = peerRegistry.addressOf(known.holderId) ?? '';
-  const value = { ...NO_HOLDER, ...stored?.value, ...known, address, isReleased: false };
+  const value = { ...UNKNOWN_HOLDER, ...stored?.value, ...known, address, ...ANY_LATER_HOLDER };
   return results.Ok({ stored, value });
 }
--- a/packages/gateway/src/server/placement/lease-manager.test.ts
+++ b/packages/gateway/src/server/placement/lease-manager.test.ts
@@ -423,6 +423,26 @@
   await again.manager.release(clock.nowMs());
 });
 
+// Guards against a gateway that takes the store's copy without a lease for a fleet that never had a holder.
+test('after a restore without any lease a gateway that knows no holder waits for one that may still give orders', async () => {
+  const harness = createHarness();
+  const { clock, store, join } = harness;
+  const restoreBackup = store.copy();
+  const first = join('g1', false);
+  first.manager.start();
+  await clock.advance(5_000);
+  const lastOrderMs = clock.nowMs();
+  assert.is(first.manager.orderTerm(), 1);
+  first.kill();
+  restoreBackup();
+  const second = join('g2', false);
+  second.manager.start();
+  const apartMs = (await untilOrders(harness, second)) - lastOrderMs;
+  assert.ok(apartMs >= LEASE_MS, `${apartMs}`);
+  assert.is(second.manager.secureLease()?.isFirst, false);
+  await second.manager.release(clock.nowMs());
+});
+
 // The holder releases its lease and stops. Its successor may give orders only once the lease time has passed since the
 // last order that the holder may have given; earlier, both could give orders to the same upstream.
 test('a successor takes over with a higher term, and waits before its first order', async () => {
--- a/packages/gateway/src/server/placement/lease-manager.ts
+++ b/packages/gateway/src/server/placement/lease-manager.ts
@@ -296,14 +296,11 @@
     const earlier = await earlierLeases.find(store, peers, deadlineMs());
     if (earlier.err || store.era() !== era) return;
     const { stored, value } = earlier.val;
-    if (value === null) {
-      await acquireFirst();
-      return;
-    }
     if (stored !== null) applyRecord(stored);
     const nowMs = clock.nowMs();
     if (missingLease?.era !== era) missingLease = { era, sinceMs: nowMs };
-    // Later leases may be missing from the backup, so even a lease of this gateway may not have been the last one.
+    // Later leases may be missing from the backup, so even a lease of this gateway may not have been the last one, and one that
+    // has none doesn't show that there was no holder.
     const holderState = { ...holderStateOf(value, missingLease.sinceMs), isOwn: false };
     if (leaseDecisions.mayTakeOver(holderState, nowMs)) await acquire(null, value, holderState);
   }
@@ -345,7 +342,7 @@
     const input = {
       startedAtMs,
       lastReceivedMs: holderLastReceivedMs(),
-      seenAtMs: seenLease?.atMs ?? null,
+      seenAtMs: seenLease?.atMs ?? missingLease?.sinceMs ?? null,
       takeDelayMs: leaseDecisions.takeDelayMs(deps.millicores, peers.largestMillicores(nowMs)),
     };
     if (!leaseDecisions.shouldReadLease(input, nowMs)) return;
