A renewal's answer that comes after a suspension doesn't hide the suspension

Cause: the offset of the wall clock to the steady clock, by which a suspension is noticed, was taken when the answer to a renewal came. Where that was sent before the suspension and answered after it, the offset was the new one. Change: the offset is taken when a record is written, as the time of the renewal is.

--- a/packages/gateway/src/server/placement/lease-manager.test.ts
+++ b/packages/gateway/src/server/placement/lease-manager.test.ts
@@ -1,4 +1,4 @@
-import { logs, randoms, results } from '@copperlever/runtime';
+import { clocks, logs, randoms, results } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -13,7 +13,12 @@
 
 function createHarness() {
   const steady = fakeClocks.createFakeClock();
-  const state = { suspendedMs: 0, cutOffIds: new Set<string>() };
+  const state = {
+    suspendedMs: 0,
+    cutOffIds: new Set<string>(),
+    answersAfterMs: 0,
+    waitingCount: 0,
+  };
   const clock = { ...steady, wallMs: () => steady.wallMs() + state.suspendedMs };
   const records = memoryRecords.createMemoryRecords();
   const gets: number[] = [];
@@ -34,9 +39,16 @@
     let isKilled = false;
     const cutOff = () => Promise.resolve(results.Err({ kind: 'unavailable', reason: '' } as const));
     const never = () => new Promise<never>(() => {});
-    const reach = <Answer>(call: () => Promise<Answer>) => {
+    const reach = async <Answer>(call: () => Promise<Answer>) => {
       if (isKilled) return never();
-      return state.cutOffIds.has(gatewayId) ? cutOff() : call();
+      if (state.cutOffIds.has(gatewayId)) return cutOff();
+      const answer = await call();
+      if (state.answersAfterMs > 0) {
+        state.waitingCount += 1;
+        await clocks.sleepUntil(clock, clock.nowMs() + state.answersAfterMs);
+        state.waitingCount -= 1;
+      }
+      return answer;
     };
     const ownStore: memoryRecords.MemoryRecords = {
       ...store,
@@ -589,6 +601,22 @@
   await manager.release(clock.nowMs());
 });
 
+// Guards against a renewal that was sent before a suspension, and whose answer is taken as a sign that there was none.
+test('an answer that comes after a suspension does not hide it', async () => {
+  const { clock, state, join } = createHarness();
+  const { manager } = join('g1', false);
+  manager.start();
+  await clock.advance(1_500);
+  state.answersAfterMs = 100;
+  while (state.waitingCount === 0) await clock.advance(10);
+  state.suspendedMs = 5_000;
+  await clock.advance(120);
+  assert.is(manager.orderTerm(), null);
+  await clock.advance(600);
+  assert.is(manager.orderTerm(), 1);
+  await manager.release(clock.nowMs());
+});
+
 // Guards against two gateways that each take the lease for theirs, while what only one may give is given.
 test('a lease is secure only while no other gateway can have taken it over', async () => {
   const { clock, state, join } = createHarness();
--- a/packages/gateway/src/server/placement/lease-manager.ts
+++ b/packages/gateway/src/server/placement/lease-manager.ts
@@ -126,26 +126,27 @@
     return record.value.holderId === deps.gatewayId && record.value.term === term;
   }
 
-  function renewalFields(sentAtMs: number) {
-    return { renewedAtMs: sentAtMs, wallOffsetMs: wallOffsetMs(), isStoreAway: false };
+  /** To be taken before the record is written: the VM may be suspended until the answer comes. */
+  function renewalFields() {
+    return { renewedAtMs: clock.nowMs(), wallOffsetMs: wallOffsetMs(), isStoreAway: false };
   }
 
   async function renew(lease: HeldLease): Promise<void> {
-    const sentAtMs = clock.nowMs();
+    const renewal = renewalFields();
     const { value, revision } = lease.record;
-    const gatewayCount = peers.fleetSize(sentAtMs);
+    const gatewayCount = peers.fleetSize(renewal.renewedAtMs);
     const next = {
       ...value,
       gatewayCount,
       scarceOrganisations: deps.quotas.scarce(),
       renewals: value.renewals + 1,
-      orderDelayMs: leaseDecisions.orderDelayMs(lease, sentAtMs),
+      orderDelayMs: leaseDecisions.orderDelayMs(lease, renewal.renewedAtMs),
     };
     const name = leaseDecisions.recordName(lease.record.era);
     const put = await store.put('leases', name, next, revision, deadlineMs());
     if (held !== lease || isOfEarlierEra(lease)) return;
     if (put.ok) {
-      held = { ...lease, record: put.val, ...renewalFields(sentAtMs) };
+      held = { ...lease, record: put.val, ...renewal };
       return;
     }
     switch (put.val.kind) {
@@ -194,19 +195,19 @@
       return;
     }
     const era = store.era();
-    const sentAtMs = clock.nowMs();
+    const renewal = renewalFields();
     const name = leaseDecisions.recordName(era);
     const next = {
       ...lease.record.value,
       renewals: lease.record.value.renewals + 1,
-      orderDelayMs: leaseDecisions.orderDelayMs(lease, sentAtMs),
+      orderDelayMs: leaseDecisions.orderDelayMs(lease, renewal.renewedAtMs),
     };
     const put = await store.put('leases', name, next, null, deadlineMs());
     if (held !== lease || store.era() !== era) return;
     if (put.ok) {
       const { term } = lease.record.value;
       log.info('lease-carried-over', { term, era });
-      held = { ...lease, record: put.val, ...renewalFields(sentAtMs) };
+      held = { ...lease, record: put.val, ...renewal };
       return;
     }
     const found = await store.get('leases', name, deadlineMs());
@@ -251,7 +252,8 @@
     const era = store.era();
     const knownTerms = [before?.term ?? 0, peers.lease()?.term ?? 0];
     const term = leaseDecisions.nextTerm(era, knownTerms);
-    const sentAtMs = clock.nowMs();
+    const renewal = renewalFields();
+    const sentAtMs = renewal.renewedAtMs;
     const ordersFromMs = leaseDecisions.ordersFromMs(
       holderState,
       sentAtMs,
@@ -279,7 +281,7 @@
       return;
     }
     const acquired = { sinceMs: clock.nowMs(), isFirst: before === null };
-    held = { record: put.val, ordersFromMs, acquired, ...renewalFields(sentAtMs) };
+    held = { record: put.val, ordersFromMs, acquired, ...renewal };
     peers.applyLease({ holderId: deps.gatewayId, term });
     const ordersInMs = Math.round(ordersFromMs - clock.nowMs());
     const beforeDelayMs = before?.orderDelayMs ?? undefined;
