An event that comes in many pieces is joined once, whatever its line ends

Cause: event-framer.ts copied and searched the whole incomplete event with each chunk. It also knew one line end only: a stream with CR LF was held back until its end. Change: pieces are kept as they come and joined at the event's end; only the new bytes are searched, with the two before them.

--- a/packages/gateway/src/shared/event-framer.ts
+++ b/packages/gateway/src/shared/event-framer.ts
@@ -9,37 +9,68 @@
   lastEventId: () => string | null;
   /** Removes and returns the bytes of the last, incomplete event. */
   takeRest: () => Buffer;
+  /** The size of the last, incomplete event. */
+  restBytes: () => number;
 };
 
-const BLANK_LINE = '\n\n';
+/** The ends of an event, with each kind of line end; the last one also ends CR LF CR LF. */
+const EVENT_ENDS = ['\n\n', '\r\r', '\n\r\n'];
+/** An end may have begun in the bytes before. */
+const OVERLAP_BYTES = 2;
 const ID_FIELD = 'id:';
+const LINE_END = /\r\n|\r|\n/;
 
 function lastIdIn(events: string): string | null {
-  const lines = events.split('\n').filter((line) => line.startsWith(ID_FIELD));
+  const lines = events.split(LINE_END).filter((line) => line.startsWith(ID_FIELD));
   return lines.at(-1)?.slice(ID_FIELD.length).trim() ?? null;
 }
 
+/** Where the last event in `bytes` ends; 0 if none does. */
+function lastEndIn(bytes: Buffer): number {
+  const ends = EVENT_ENDS.map((end) => {
+    const at = bytes.lastIndexOf(end);
+    return at < 0 ? 0 : at + end.length;
+  });
+  return Math.max(...ends);
+}
+
 export function createEventFramer(): EventFramer {
-  let incomplete: Buffer = Buffer.alloc(0);
+  /** The incomplete event as it came: it is joined once, whatever the number of its pieces. */
+  let pieces: Buffer[] = [];
+  let restBytes = 0;
+  let overlap: Buffer = Buffer.alloc(0);
   let lastEventId: string | null = null;
+
+  function keep(piece: Buffer): void {
+    if (piece.length === 0) return;
+    // A copy, since the buffer that a piece lies in may be larger by far.
+    pieces.push(Buffer.from(piece));
+    restBytes += piece.length;
+    overlap = Buffer.concat([overlap, piece.subarray(-OVERLAP_BYTES)]).subarray(-OVERLAP_BYTES);
+  }
+
+  function takeRest(): Buffer {
+    const taken = Buffer.concat(pieces);
+    pieces = [];
+    restBytes = 0;
+    overlap = Buffer.alloc(0);
+    return taken;
+  }
+
   return {
     push: (chunk) => {
-      const joined = incomplete.length === 0 ? chunk : Buffer.concat([incomplete, chunk]);
-      const end = joined.lastIndexOf(BLANK_LINE);
-      if (end < 0) {
-        incomplete = joined;
+      const end = lastEndIn(Buffer.concat([overlap, chunk])) - overlap.length;
+      if (end <= 0) {
+        keep(chunk);
         return Buffer.alloc(0);
       }
-      const whole = joined.subarray(0, end + BLANK_LINE.length);
-      incomplete = joined.subarray(end + BLANK_LINE.length);
+      const whole = Buffer.concat([takeRest(), chunk.subarray(0, end)]);
+      keep(chunk.subarray(end));
       lastEventId = lastIdIn(whole.toString('latin1')) ?? lastEventId;
       return whole;
     },
     lastEventId: () => lastEventId,
-    takeRest: () => {
-      const taken = incomplete;
-      incomplete = Buffer.alloc(0);
-      return taken;
-    },
+    takeRest,
+    restBytes: () => restBytes,
   };
 }
