An event that is longer than allowed ends its stream as broken off

On a VM of 128 MB the process is killed. Cause: such an event is held until its end, and nothing bounded it. Result: attempt.test.ts, "an event of a resumable stream that is too long ...": without the bound it never ended (25 s), now lost and closed within 100 ms, at most ten times the bound sent.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -244,6 +244,7 @@
           listAgeMs: () => parts.listFeed.ageMs(parts.clock.nowMs()),
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
           gatewayId: settings.gatewayId,
+          eventBytesMax: settings.eventBytesMax,
           failureDomain: settings.failureDomain,
           holdsBatch: () => isOn(parts, settings.batchHolding),
           ordersAdmission: () =>
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -28,6 +28,7 @@
 > & {
   clock: clocks.Clock;
   loopAges: attempts.AttemptDeps['loopAges'];
+  eventBytesMax: attempts.AttemptDeps['eventBytesMax'];
   log: logEvents.GatewayLog;
   dialect: dialects.Dialect;
   inFlight: inFlightModule.InFlight;
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -16,6 +16,8 @@
 
 const test = suite('attempt');
 
+const EVENT_BYTES_MAX = 100_000;
+
 type Passed = { status: number; bodyBytes: number | null; body: string; hasEnded: boolean };
 
 function createSink(): { sink: answers.AnswerSink; passed: Passed } {
@@ -111,6 +113,7 @@
         clock,
         loopAges: { ...loopAges, turnMs: () => turnMs },
         dialect: testDialects.createTestDialect(),
+        eventBytesMax: EVENT_BYTES_MAX,
       },
       {
         call,
@@ -137,6 +140,7 @@
   return { result, passed, upstream, run, connections };
 }
 
+const EVENT = 'id: 1\ndata: one\n\n';
 const OK = 'HTTP/1.1 200 OK\r\nT-Id: r1\r\nT-Signed: s\r\n';
 
 test('a whole answer is forwarded; the request is sent unchanged, with the deadline and the name of the upstream', async () => {
@@ -319,6 +323,35 @@
   upstream.close();
 });
 
+// Guards against an event that never ends, and that is held until the gateway has no memory or processor time left.
+test('an event of a resumable stream that is too long ends the stream as broken off, and its connection', async () => {
+  let sentBytes = 0;
+  let isClosed = false;
+  const { result, passed, upstream } = await attempt(
+    (socket) => {
+      socket.write(`${OK}Connection: close\r\n\r\n${EVENT}id: 2\ndata: `);
+      const piece = Buffer.alloc(10_000, 'x');
+      const timer = setInterval(() => {
+        socket.write(piece);
+        sentBytes += piece.length;
+      }, 1);
+      socket.once('close', () => {
+        clearInterval(timer);
+        isClosed = true;
+      });
+    },
+    createCall('stream', true),
+  );
+  assert.equal(result, { kind: 'lost', reason: 'oversized', hasBegun: true, lastEventId: '1' });
+  assert.is(passed.body, EVENT);
+  assert.ok(sentBytes <= 10 * EVENT_BYTES_MAX, `${sentBytes}`);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+  assert.ok(isClosed);
+  upstream.close();
+});
+
 // A gateway whose own event loop is late would take its upstreams for slow, report that to the others and send them less.
 test('intervals that the local event loop has stretched are not attributed to the upstream', async () => {
   const seen: string[] = [];
@@ -375,7 +408,6 @@
 });
 
 const UNFRAMED = `${OK}Connection: close\r\nContent-Type: text/event-stream\r\n\r\n`;
-const EVENT = 'id: 1\ndata: one\n\n';
 
 // Guards against half an event that is passed on as the end of a whole stream, since its connection ended regularly.
 test('a stream without length or chunks that ends inside an event has broken off', async () => {
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -21,6 +21,8 @@
   clock: clocks.Clock;
   dialect: dialects.Dialect;
   loopAges: Pick<readDelays.ReadDelay, 'mayBeStale' | 'readPending' | 'turnMs'>;
+  /** A longer event of a resumable stream is none: it would have to be held until its end. */
+  eventBytesMax: number;
 };
 
 export type AttemptInput = {
@@ -102,9 +104,11 @@
     }
 
     function forward(chunk: Buffer): void {
+      if (isSettled) return;
       ends.push(chunk);
       const bytes = framer === null ? chunk : framer.push(chunk);
       if (bytes.length > 0) write(bytes);
+      if (framer !== null && framer.restBytes() > deps.eventBytesMax) abandon(lost('oversized'));
     }
 
     function write(bytes: Buffer): void {
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -203,6 +203,7 @@
     doubts: restartDoubts.createRestartDoubts(),
     preSendCheck: preSendChecks.createPreSendCheck({ clock, loopAges }),
     loopAges,
+    eventBytesMax: 100_000,
     serviceOf: () => service,
     listAgeMs: () => 0,
     gatewayCount: () => 1,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -74,6 +74,7 @@
   doubts: restartDoubts.RestartDoubts;
   preSendCheck: preSendChecks.PreSendCheck;
   loopAges: attemptSenders.AttemptSenderDeps['loopAges'];
+  eventBytesMax: attemptSenders.AttemptSenderDeps['eventBytesMax'];
   serviceOf: (name: string) => fleet.Service | null;
   /** Time since the store confirmed the list of upstreams; null before the first list. */
   listAgeMs: () => number | null;
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -48,6 +48,7 @@
 };
 
 const PIECE_BYTES = 1_000;
+const EVENT_BYTES_MAX = 100_000;
 const DEADLINE_MS = 120;
 /** Until what the upstream has written has reached the caller. */
 const PASSING_MS = 20;
@@ -206,7 +207,7 @@
     if (connection === null) return { kind: 'not-sent', reason: 'no connection' };
     const untilMs = play.cut === 'deadline' ? call.deadlineMs : clock.nowMs() + GIVE_UP_MS;
     const result = await attempts.runAttempt(
-      { clock, dialect, loopAges },
+      { clock, dialect, loopAges, eventBytesMax: EVENT_BYTES_MAX },
       {
         call: { ...call, deadlineMs: untilMs },
         upstreamName: 'u1',
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -92,7 +92,8 @@
   | { kind: 'deadline'; hasBegun: boolean }
   | { kind: 'caller-gone' };
 
-export type LossReason = 'connection' | 'silent' | 'garbled';
+/** `oversized`: an event, which has to be held until its end, is longer than allowed. */
+export type LossReason = 'connection' | 'silent' | 'garbled' | 'oversized';
 
 /**
  * What marks the end of an answer's body at its upstream. `until-close`: its connection, which a process that was killed closes in
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -57,6 +57,8 @@
    * tell how long work takes at the moment.
    */
   plainQueues: zod.enum(['auto', 'on', 'off']).default('auto'),
+  /** The longest event of a stream that may be resumed, which is held until its end. */
+  eventBytesMax: positive.default(262_144),
   /** Whether upstreams are chosen by the speed that they report and show; `off` takes all for alike. */
   upstreamStates: zod.enum(['auto', 'on', 'off']).default('auto'),
 });
