A connection is free only when the answer on it was read to its end

Cause: a rejection settles at its head, and connections.ts took the connection for free while the body was still coming. Change: what is left of such an answer is read for 50 ms and 16 KB at most, with the connection counted as used; then it is free, or closed. Rejections that end soon leave their connection to the next request as before. Result: attempt.test.ts, "a rejection whose body never ends ...", failed on the code before (the next request on the connection was not sent within 10 s), now closed within 150 ms; "... whose body ends soon ..." passed before and after.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -133,7 +133,11 @@
       .singleton(),
     caches: awilix.asFunction(promptCaches.createPromptCaches).singleton(),
     quarantine: awilix.asFunction(quarantines.createQuarantine).singleton(),
-    connections: awilix.asFunction(connectionsModule.createConnections).singleton(),
+    connections: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        connectionsModule.createConnections(parts.clock),
+      )
+      .singleton(),
     configuration: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
         configHolder.createConfigHolder(parts.log, parts.clock),
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -101,8 +101,8 @@
   turnMs = 1,
 ) {
   const upstream = await rawUpstreams.startRawUpstream(answer);
-  const connections = connectionsModule.createConnections();
   const clock = clocks.createSystemClock();
+  const connections = connectionsModule.createConnections(clock);
   const loopAges = readDelays.createReadDelay(clock);
   const { sink, passed } = createSink();
   const run = async () => {
@@ -267,6 +267,53 @@
   closed.upstream.close();
 });
 
+// Guards against a connection that is read on, and counted as free, after its request was rejected in a body that never ends.
+test('a rejection whose body never ends is settled at once, and its connection is closed soon', async () => {
+  let isClosed = false;
+  let sentBytes = 0;
+  const { result, upstream, run } = await attempt((socket) => {
+    socket.write('HTTP/1.1 503 No\r\nT-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n');
+    const piece = Buffer.alloc(10_000, 'x');
+    const timer = setInterval(() => {
+      socket.write(Buffer.concat([Buffer.from('2710\r\n'), piece, Buffer.from('\r\n')]));
+      sentBytes += piece.length;
+    }, 1);
+    socket.once('close', () => {
+      clearInterval(timer);
+      isClosed = true;
+    });
+  });
+  assert.is(result.kind, 'rejected');
+  assert.is((await run()).kind, 'rejected');
+  await new Promise((resolve) => {
+    setTimeout(resolve, 150);
+  });
+  assert.ok(isClosed);
+  const sentBeforeBytes = sentBytes;
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  assert.is(sentBytes, sentBeforeBytes);
+  upstream.close();
+});
+
+// Guards against new connections for each rejection: upstreams that are full reject often.
+test('a rejection whose body ends soon leaves its connection to the next request', async () => {
+  const ports = new Set<number | undefined>();
+  const { run, upstream, connections } = await attempt((socket) => {
+    ports.add(socket.remotePort);
+    socket.write('HTTP/1.1 503 No\r\nT-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfu');
+    setTimeout(() => socket.write('ll'), 10);
+  });
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  assert.is((await run()).kind, 'rejected');
+  assert.is(ports.size, 1);
+  upstream.close();
+  await connections.close();
+});
+
 // Guards against sending to an upstream that leaves while the connection to it is being opened.
 test('nothing is sent to an upstream that has left since it was chosen', async () => {
   const requests: string[] = [];
--- a/packages/gateway/src/server/forwarding/connections.ts
+++ b/packages/gateway/src/server/forwarding/connections.ts
@@ -1,6 +1,7 @@
 /** Connections to upstreams. Each carries one request at a time, so that no answer can be matched to another request. */
 import type * as net from 'node:net';
 
+import type { clocks } from '@copperlever/runtime';
 import * as undici from 'undici';
 
 import type * as fleet from '../../types/fleet.js';
@@ -19,7 +20,10 @@
    * complete. The socket's own events come before those of the library.
    */
   end: () => ConnectionEnd | null;
-  /** A connection that never sent its request must not be reused: it may still be opening. */
+  /**
+   * A connection that never sent its request must not be reused: it may still be opening. One whose answer is still being read is free
+   * once that has ended, and is closed if it doesn't end soon.
+   */
   release: (isReusable: boolean) => void;
 };
 
@@ -39,12 +43,24 @@
 /** Two hundred times the round trip within a region; an upstream that takes longer counts as unreachable. */
 const CONNECT_TIMEOUT_MS = 1_000;
 const CONNECTIONS_MIN = 2;
+/** The body of a rejection is read so long and so far for its connection to be used again: a word or two, sent with the head. */
+const REST_MS = 50;
+const REST_BYTES_MAX = 16_384;
 
-type Connection = { client: undici.Client; end: ConnectionEnd | null };
+type Connection = {
+  client: undici.Client;
+  end: ConnectionEnd | null;
+  /** An answer is on its way. */
+  isReading: boolean;
+  /** Of an answer that nobody waits for any more: what has come since, and what happens at its end. */
+  rest: { bytes: number; onEnded: () => void } | null;
+};
 
 /** The connection that was released last is reused first, so that surplus connections become idle and close. */
 type Pool = { free: Connection[]; usedCount: number; isGone: boolean };
 
+class AnswerUnwanted extends Error {}
+
 const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
 /**
@@ -58,6 +74,8 @@
 function createConnection(address: string): Connection {
   const connection: Connection = {
     end: null,
+    isReading: false,
+    rest: null,
     client: new undici.Client(`http://${address}`, {
       pipelining: 1,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -84,7 +102,46 @@
   return connection;
 }
 
-export function createConnections(): Connections {
+/** Follows the answer on the connection, and reads to its end what is left of one that was released before. */
+function watched(
+  connection: Connection,
+  handler: undici.Dispatcher.DispatchHandler,
+): undici.Dispatcher.DispatchHandler {
+  const ended = () => {
+    connection.isReading = false;
+    const { rest } = connection;
+    connection.rest = null;
+    rest?.onEnded();
+  };
+  return {
+    onRequestStart: (controller, context) => {
+      connection.isReading = true;
+      handler.onRequestStart?.(controller, context);
+    },
+    onResponseStart: (controller, status, headers, message) => {
+      handler.onResponseStart?.(controller, status, headers, message);
+    },
+    onResponseData: (controller, chunk) => {
+      const { rest } = connection;
+      if (rest === null) {
+        handler.onResponseData?.(controller, chunk);
+        return;
+      }
+      rest.bytes += chunk.length;
+      if (rest.bytes > REST_BYTES_MAX) controller.abort(new AnswerUnwanted('rest too long'));
+    },
+    onResponseEnd: (controller, trailers) => {
+      handler.onResponseEnd?.(controller, trailers);
+      ended();
+    },
+    onResponseError: (controller, error) => {
+      handler.onResponseError?.(controller, error);
+      ended();
+    },
+  };
+}
+
+export function createConnections(clock: Pick<clocks.Clock, 'nowMs' | 'schedule'>): Connections {
   const pools = new Map<string, Pool>();
 
   function poolOf(upstreamId: string): Pool {
@@ -96,12 +153,28 @@
   }
 
   function release(pool: Pool, connection: Connection, isReusable: boolean): void {
+    if (isReusable && connection.isReading) {
+      readRest(pool, connection);
+      return;
+    }
     pool.usedCount -= 1;
     if (!isReusable) void connection.client.destroy();
     else if (pool.isGone) void connection.client.close();
     else pool.free.push(connection);
   }
 
+  function readRest(pool: Pool, connection: Connection): void {
+    const cancel = clock.schedule(clock.nowMs() + REST_MS, () => {
+      connection.rest = null;
+      release(pool, connection, false);
+    });
+    const onEnded = () => {
+      cancel();
+      release(pool, connection, true);
+    };
+    connection.rest = { bytes: 0, onEnded };
+  }
+
   return {
     acquire: (upstream, connectionsMax) => {
       const pool = poolOf(upstream.upstreamId);
@@ -111,7 +184,7 @@
       let isInUse = true;
       return {
         dispatch: (options, handler) => {
-          connection.client.dispatch(options, handler);
+          connection.client.dispatch(options, watched(connection, handler));
         },
         end: () => connection.end,
         release: (isReusable) => {
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -124,7 +124,7 @@
     const decided = { decidedBy: 'g2', decidedAtMs: clock.nowMs(), untilMs };
     quarantine.apply({ ...entry, ...decided }, clock.nowMs());
   };
-  const connections = connectionsModule.createConnections();
+  const connections = connectionsModule.createConnections(clock);
   const loopAges = readDelays.createReadDelay(clock);
   const serve = serving.createServe({
     clock,
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -195,7 +195,7 @@
   });
   const clock = clocks.createSystemClock();
   const loopAges = readDelays.createReadDelay(clock);
-  const connections = connectionsModule.createConnections();
+  const connections = connectionsModule.createConnections(clock);
   const dialect = testDialects.createTestDialect();
 
   async function attempt(
