A request whose body is too long is refused, and read no further

Seen: after the refusal (413) of a body beyond the limit its connection stayed open, and all that still came was read (test: open after 300 ms, the body has no end). Cause: readBody() settles at the limit, and nothing ended the connection. Change: the refusal closes the connection. Result: app.test.ts, "a body that is too long ...", failed on the code before, and passes (3 of 3).

--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -116,6 +116,31 @@
   }
 });
 
+// Guards against a body that never ends, and that is read on after its request was refused.
+test('a body that is too long is refused, and read no further', async () => {
+  const app = await callersApps.startCallersApp();
+  const socket = net.connect(app.port, '127.0.0.1');
+  socket.on('error', () => {});
+  let received = '';
+  socket.on('data', (data) => {
+    received += data.toString();
+  });
+  let isClosed = false;
+  socket.once('close', () => {
+    isClosed = true;
+  });
+  const headers = { 'transfer-encoding': 'chunked' };
+  socket.write(callersApps.requestText('/endless', headers).replace('GET', 'POST'));
+  const piece = `3e8\r\n${'x'.repeat(1_000)}\r\n`;
+  const timer = setInterval(() => socket.write(piece), 1);
+  await sleep(300);
+  clearInterval(timer);
+  assert.match(received, /^HTTP\/1\.1 413 /);
+  assert.ok(isClosed);
+  assert.equal(app.served, []);
+  await app.close();
+});
+
 // The type of a body concerns only the upstream. A request with a missing or malformed type must not be refused here.
 test('bodies of any type, or without one, are forwarded', async () => {
   const app = await callersApps.startCallersApp();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -193,7 +193,8 @@
     return;
   }
   if (body.kind === 'too-large') {
-    refuseEarly(sink, 413, 'body-too-large');
+    // The rest of the body may be long, or have no end.
+    sink.refuse(413, [['connection', 'close']], 'body-too-large');
     return;
   }
   if (active === null) {
