One waiter for a caller that reads slowly

Cause: each piece that came while the caller's buffer was full added a listener for its drain (MaxListenersExceededWarning in the random plays of answers). Change: one at a time.

--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -78,6 +78,7 @@
     let buffered: Buffer[] = [];
     let bufferedBytes = 0;
     let isForwarding = false;
+    let isPaused = false;
     const cancels: clocks.Cancel[] = [];
     const abortBeforeStart = { wanted: false };
     let callerGoneAtMs: number | null = null;
@@ -116,9 +117,11 @@
         sink.begin(status, headers, bodyBytes);
         input.onFirstChunk(isStream ? 'event' : 'whole', status);
       }
-      if (sink.write(bytes)) return;
+      if (sink.write(bytes) || isPaused) return;
+      isPaused = true;
       controller?.pause();
       sink.onceDrained(() => {
+        isPaused = false;
         input.eventIntervals?.interrupted();
         controller?.resume();
       });
