An agent tells a reset of its engine from the end of an answer without a length

Seen: on the related path of the first stage, an answer without length or chunks that was reset on the way was passed on as whole (test: head, data, end). Cause: undici takes a reset for the regular end of such an answer, and libuv reports a reset behind unread data as one; the agent had nothing beside it. Change: connection-ends.ts (moved from the gateway, used by both) says how a connection has ended, and the agent's client ends an answer whose connection was reset by an error. Result: http-upstream.test.ts, "an answer without a length that is reset on the way ...", failed on the code before, and passes; a regular end and a refused connection are as before.

--- /dev/null
+++ b/packages/agent/src/server/upstream/http-upstream.test.ts
@@ -0,0 +1,67 @@
+import * as net from 'node:net';
+
+import { clocks } from '@copperlever/runtime';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as httpUpstreams from './http-upstream.js';
+
+const test = suite('calls to an upstream over HTTP');
+
+const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+const CALL = {
+  requestId: 'r1',
+  method: 'POST',
+  path: '/x',
+  headers: [],
+  body: Buffer.from('body'),
+  priority: 0,
+};
+
+/** The kinds of the parts that come of an answer without length or chunks. */
+async function partKinds(end: (socket: net.Socket) => void): Promise<string[]> {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => {
+      socket.write(`${HEAD}part`, () => setImmediate(() => end(socket)));
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const clock = clocks.createSystemClock();
+  const upstream = httpUpstreams.createHttpUpstream({ baseUrl: `http://127.0.0.1:${port}`, clock });
+  const kinds: string[] = [];
+  for await (const { kind } of upstream.run(CALL, new AbortController().signal)) kinds.push(kind);
+  await upstream.close();
+  server.close();
+  return kinds;
+}
+
+test('an answer that its upstream ends regularly is whole', async () => {
+  assert.equal(await partKinds((socket) => socket.end()), ['head', 'data', 'end']);
+});
+
+test('a call whose connection is refused was not sent', async () => {
+  const clock = clocks.createSystemClock();
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  server.close();
+  const upstream = httpUpstreams.createHttpUpstream({ baseUrl: `http://127.0.0.1:${port}`, clock });
+  const kinds: string[] = [];
+  for await (const { kind } of upstream.run(CALL, new AbortController().signal)) kinds.push(kind);
+  assert.equal(kinds, ['not-sent']);
+  await upstream.close();
+});
+
+// Guards against a part of an answer that is passed on as the whole, since its connection was reset.
+test('an answer without a length that is reset on the way has broken off', async () => {
+  const kinds = await partKinds((socket) => socket.resetAndDestroy());
+  assert.is(kinds.at(-1), 'broken', kinds.join(' '));
+});
+
+test.run();
--- a/packages/agent/src/server/upstream/http-upstream.ts
+++ b/packages/agent/src/server/upstream/http-upstream.ts
@@ -3,6 +3,7 @@
 import * as undici from 'undici';
 
 import type * as upstreams from '../../types/upstreams.js';
+import * as resetAwareClients from './reset-aware-client.js';
 
 export type HttpUpstreamOptions = { baseUrl: string; clock: clocks.Clock };
 
@@ -44,7 +45,11 @@
   const { baseUrl, clock } = options;
   // Answers may stream for minutes; the attempt's own deadline ends them.
   const pool = new undici.Pool(baseUrl, {
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    factory: (origin, clientOptions) =>
+      resetAwareClients.createResetAwareClient(origin, {
+        ...(clientOptions as undici.Client.Options),
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+      }),
     headersTimeout: 0,
     bodyTimeout: 0,
     pipelining: 1,
--- a/packages/gateway/src/server/forwarding/connections.ts
+++ b/packages/gateway/src/server/forwarding/connections.ts
@@ -1,13 +1,9 @@
 /** Connections to upstreams. Each carries one request at a time, so that no answer can be matched to another request. */
-import type * as net from 'node:net';
-
-import type { clocks } from '@copperlever/runtime';
+import { type clocks, connectionEnds } from '@copperlever/runtime';
 import * as undici from 'undici';
 
 import type * as fleet from '../../types/fleet.js';
 
-export type ConnectionEnd = 'reset' | 'closed';
-
 /** A connection in use by one attempt. */
 export type AcquiredConnection = {
   dispatch: (
@@ -19,7 +15,7 @@
    * reports a reset, and an early end of a chunked answer, as a regular end: a truncated answer would be forwarded as
    * complete. The socket's own events come before those of the library.
    */
-  end: () => ConnectionEnd | null;
+  end: () => connectionEnds.ConnectionEnd | null;
   /**
    * A connection that never sent its request must not be reused: it may still be opening. One whose answer is still being read is free
    * once that has ended, and is closed if it doesn't end soon.
@@ -49,7 +45,7 @@
 
 type Connection = {
   client: undici.Client;
-  end: ConnectionEnd | null;
+  end: connectionEnds.ConnectionEnd | null;
   /** An answer is on its way. */
   isReading: boolean;
   /** Of an answer that nobody waits for any more: what has come since, and what happens at its end. */
@@ -63,14 +59,6 @@
 
 const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
-/**
- * A reset that arrives together with data is reported as a regular end (libuv, on POLLHUP after a partial read). The kernel knows
- * no peer of a connection that was reset, and still knows it where the peer has only ended its side.
- */
-function endOf(socket: net.Socket): ConnectionEnd {
-  return socket.remoteAddress === undefined ? 'reset' : 'closed';
-}
-
 function createConnection(address: string): Connection {
   const connection: Connection = {
     end: null,
@@ -86,14 +74,13 @@
       bodyTimeout: 0,
       connect: (options, done) => {
         connect(options, (...result) => {
-          const [, socket] = result;
+          const [error, socket] = result;
           connection.end = null;
-          socket?.prependListener('error', () => {
-            connection.end = 'reset';
-          });
-          socket?.prependListener('end', () => {
-            connection.end ??= endOf(socket);
-          });
+          if (error === null) {
+            connectionEnds.watchEnd(socket, (end) => {
+              connection.end ??= end;
+            });
+          }
           done(...result);
         });
       },
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 /** Modules shared by all daemons, exported as namespaces: `import { clocks } from '@copperlever/runtime'`. */
 export * as boundedLogs from './bounded-logs.js';
 export * as clocks from './clocks.js';
+export * as connectionEnds from './connection-ends.js';
 export * as daemon from './daemon.js';
 export * as logLines from './log-lines.js';
 export * as logs from './logs.js';
