--- a/packages/gateway/src/server/placement/lease-manager.test.ts
+++ b/packages/gateway/src/server/placement/lease-manager.test.ts
@@ -614,6 +614,7 @@
   assert.is(manager.orderTerm(), null);
   await clock.advance(600);
   assert.is(manager.orderTerm(), 1);
+  state.answersAfterMs = 0;
   await manager.release(clock.nowMs());
 });
 
