--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -52,6 +52,9 @@
   },
 );
 process.stdout.write(done.stdout);
+if (!/Total:/.test(done.stdout)) {
+  console.log(`The tests ended early: status ${done.status}, signal ${done.signal}, ${done.error}`);
+}
 const total = Number(/Total:\s+(\d+)/.exec(done.stdout)?.[1] ?? 0);
 const passed = Number(/Passed:\s+(\d+)/.exec(done.stdout)?.[1] ?? 0);
 const failed = listFailed(done.stdout);
