Random plays of the lease in three modules: machines, check of orders, troubles

lease-plays.ts was 404 lines, nearly all one function. The clock and store of a machine are in lease-machines.ts, what must hold of the orders in lease-order-check.ts.

--- a/packages/gateway/src/testing/lease-plays.ts
+++ b/packages/gateway/src/testing/lease-plays.ts
@@ -1,10 +1,11 @@
 /** Random plays of the placement lease: gateways that end, stop and are suspended, before a store that loses and delays answers. */
-import { clocks, logs, randoms, results } from '@copperlever/runtime';
+import { logs, randoms } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 
 import * as leaseManagers from '../server/placement/lease-manager.js';
 import * as peerRegistries from '../shared/peer-registry.js';
-import type * as stores from '../types/stores.js';
+import * as leaseMachines from './lease-machines.js';
+import * as orderChecks from './lease-order-check.js';
 import * as memoryRecords from './memory-records.js';
 
 export type LeasePlayOptions = { seed: number; checksFences: boolean };
@@ -29,34 +30,8 @@
 const QUIET_MS = 15_000;
 const ORDER_EVERY_MS = 25;
 const CONTACT_EVERY_MS = 100;
-const STORE_LATENCY_MS = 4;
-const CALL_LOST_MS = 800;
 /** A machine that was ended, suspended or cut off within this time, or whose store was disturbed, is not in touch. */
 const IN_TOUCH_MS = 3_000;
-const STEP_MS = 5;
-
-type Life = {
-  manager: leaseManagers.LeaseManager;
-  peers: peerRegistries.PeerRegistry;
-  isEnded: boolean;
-};
-
-type Machine = {
-  id: string;
-  life: Life | null;
-  suspendedSinceMs: number | null;
-  suspendedMs: number;
-  isCutOff: boolean;
-  isAlone: boolean;
-  /** When it was last ended, suspended, resumed or cut off. */
-  disturbedMs: number;
-};
-
-type Order = { machineId: string; term: number; atMs: number; isInTouch: boolean };
-
-type StoreTrouble = { losesShare: number; delaysShare: number; isDown: boolean };
-
-const SOUND: StoreTrouble = { losesShare: 0, delaysShare: 0, isDown: false };
 
 export async function playLease({
   seed,
@@ -66,105 +41,31 @@
   const random = randoms.createRandom(seed);
   const records = memoryRecords.createMemoryRecords();
   const troubles = new Map<string, number>();
-  const violations: string[] = [];
-  const orders: Order[] = [];
-  const changeGapsMs: number[] = [];
-  const returnGapsMs: number[] = [];
-  const lastOrderAt = new Map<string, Order>();
-  let trouble = SOUND;
+  const check = orderChecks.createOrderCheck(checksFences, LEASE_MS);
+  let trouble: leaseMachines.StoreTrouble = leaseMachines.SOUND;
   let storeDisturbedMs = -Infinity;
   let restore: (() => void) | null = null;
-  let highestTerm = 0;
-  let lastOrder: Order | null = null;
-  let hasLifeChanged = false;
 
-  const machines = Array.from({ length: MACHINE_COUNT }, (_, index): Machine => ({
-    id: `g${index + 1}`,
-    life: null,
-    suspendedSinceMs: null,
-    suspendedMs: 0,
-    isCutOff: false,
-    isAlone: false,
-    disturbedMs: -Infinity,
-  }));
+  const machines = Array.from({ length: MACHINE_COUNT }, (_, index) =>
+    leaseMachines.createMachine(`g${index + 1}`),
+  );
 
   const between = (least: number, most: number) => least + random.below(most - least);
   const happens = (share: number) => random.below(1_000) < share * 1_000;
-  const isRunning = (machine: Machine) =>
+  const isRunning = (machine: leaseMachines.Machine) =>
     machine.life !== null && machine.suspendedSinceMs === null;
 
-  /** Its monotonic time stands still while it is suspended; the time of day goes on. */
-  function clockOf(machine: Machine, isEnded: () => boolean): clocks.Clock {
-    const nowMs = () => (machine.suspendedSinceMs ?? world.nowMs()) - machine.suspendedMs;
-    const schedule = (atMs: number, task: () => void): clocks.Cancel => {
-      let isCancelled = false;
-      const check = () => {
-        if (isCancelled || isEnded()) return;
-        if (machine.suspendedSinceMs === null && nowMs() >= atMs) task();
-        else world.schedule(world.nowMs() + Math.max(STEP_MS, atMs - nowMs()), check);
-      };
-      world.schedule(world.nowMs() + Math.max(0, atMs - nowMs()), check);
-      return () => {
-        isCancelled = true;
-      };
-    };
-    return { nowMs, wallMs: world.wallMs, schedule };
-  }
-
-  function storeOf(machine: Machine, clock: clocks.Clock): stores.RecordStore {
-    let era = 0;
-    const later = (forMs: number) => clocks.sleepUntil(clock, clock.nowMs() + forMs);
-    const unavailable = async () => {
-      await later(STORE_LATENCY_MS);
-      return results.Err({ kind: 'unavailable', reason: '' } as const);
-    };
-    const unknown = async () => {
-      await later(CALL_LOST_MS);
-      return results.Err({ kind: 'outcome-unknown', reason: '' } as const);
-    };
-    async function read<Answer>(call: () => Promise<Answer>) {
-      if (trouble.isDown || machine.isCutOff) return unavailable();
-      if (happens(trouble.losesShare)) return unknown();
-      await later(STORE_LATENCY_MS / 2);
-      const answer = await call();
-      const answerEra = records.era();
-      await later(STORE_LATENCY_MS / 2);
-      era = Math.max(era, answerEra);
-      return answer;
-    }
-    return {
-      era: () => era,
-      list: (kind, deadlineMs) => read(() => records.list(kind, deadlineMs)),
-      get: (kind, name, deadlineMs) => read(() => records.get(kind, name, deadlineMs)),
-      watch: () => unavailable(),
-      put: async (...call) => {
-        if (trouble.isDown || machine.isCutOff) return unavailable();
-        if (happens(trouble.delaysShare)) {
-          const eraThen = records.era();
-          world.schedule(world.nowMs() + between(500, 4_000), () => {
-            // What was on its way when the store came back from a copy is gone.
-            if (records.era() === eraThen) void records.put(...call);
-          });
-          return unknown();
-        }
-        if (happens(trouble.losesShare)) {
-          void records.put(...call);
-          return unknown();
-        }
-        return read(() => records.put(...call));
-      },
-    };
-  }
+  const storeDeps = { world, chances: { between, happens }, records, trouble: () => trouble };
 
-  function start(machine: Machine): void {
-    let life: Life | null = null;
-    const clock = clockOf(machine, () => life?.isEnded ?? false);
+  function start(machine: leaseMachines.Machine): void {
+    let life: leaseMachines.Life | null = null;
+    const clock = leaseMachines.createMachineClock(world, machine, () => life?.isEnded ?? false);
     const peers = peerRegistries.createPeerRegistry(machine.id);
     const manager = leaseManagers.createLeaseManager({
       clock,
       log: logs.createSilentLogger(),
       random: randoms.createRandom(between(1, 1_000_000)),
-      store: storeOf(machine, clock),
+      store: leaseMachines.createMachineStore({ ...storeDeps, machine, clock }),
       peerRegistry: peers,
       quotas: { scarce: () => [], noteWritten: () => {} },
       gatewayId: machine.id,
@@ -180,18 +81,18 @@
     manager.start();
   }
 
-  function kill(machine: Machine): void {
+  function kill(machine: leaseMachines.Machine): void {
     if (machine.life === null) return;
     machine.life.isEnded = true;
     machine.life = null;
     machine.disturbedMs = world.nowMs();
-    hasLifeChanged = true;
+    check.noteKill();
     world.schedule(world.nowMs() + between(100, 2_000), () => {
       if (machine.life === null) start(machine);
     });
   }
 
-  function stop(machine: Machine): void {
+  function stop(machine: leaseMachines.Machine): void {
     const { life } = machine;
     if (life === null) return;
     machine.disturbedMs = world.nowMs();
@@ -206,11 +107,11 @@
     world.schedule(world.nowMs() + forMs, end);
   }
 
-  function disturb(machine: Machine): void {
+  function disturb(machine: leaseMachines.Machine): void {
     machine.disturbedMs = world.nowMs();
   }
 
-  function suspend(machine: Machine): void {
+  function suspend(machine: leaseMachines.Machine): void {
     if (machine.suspendedSinceMs !== null) return;
     const sinceMs = world.nowMs();
     during(
@@ -227,14 +128,14 @@
     );
   }
 
-  function setTrouble(next: StoreTrouble): void {
+  function setTrouble(next: leaseMachines.StoreTrouble): void {
     storeDisturbedMs = world.nowMs();
     trouble = next;
   }
 
   const holder = () =>
     machines.find(({ life }) => life !== null && life.manager.heldTerm() !== null) ?? null;
-  const anyMachine = () => machines[random.below(machines.length)] as Machine;
+  const anyMachine = () => machines[random.below(machines.length)] as leaseMachines.Machine;
   const victim = () => (happens(0.6) ? (holder() ?? anyMachine()) : anyMachine());
 
   const kinds: Record<string, () => void> = {
@@ -273,20 +174,20 @@
     down: () =>
       during(
         between(300, 6_000),
-        () => setTrouble({ ...SOUND, isDown: true }),
-        () => setTrouble(SOUND),
+        () => setTrouble({ ...leaseMachines.SOUND, isDown: true }),
+        () => setTrouble(leaseMachines.SOUND),
       ),
     'lost-answers': () =>
       during(
         between(300, 6_000),
-        () => setTrouble({ ...SOUND, losesShare: 0.5 }),
-        () => setTrouble(SOUND),
+        () => setTrouble({ ...leaseMachines.SOUND, losesShare: 0.5 }),
+        () => setTrouble(leaseMachines.SOUND),
       ),
     'late-writes': () =>
       during(
         between(300, 6_000),
-        () => setTrouble({ ...SOUND, delaysShare: 0.5 }),
-        () => setTrouble(SOUND),
+        () => setTrouble({ ...leaseMachines.SOUND, delaysShare: 0.5 }),
+        () => setTrouble(leaseMachines.SOUND),
       ),
     copy: () => {
       restore = records.copy();
@@ -299,58 +200,36 @@
     'kill-next-holder': () => {
       const before = holder();
       if (before !== null) stop(before);
-      const check = () => {
+      const look = () => {
         const present = holder();
-        if (present === null || present === before) world.schedule(world.nowMs() + 20, check);
+        if (present === null || present === before) world.schedule(world.nowMs() + 20, look);
         else world.schedule(world.nowMs() + between(0, 1_500), () => kill(present));
       };
-      check();
+      look();
     },
   };
 
-  function isInTouch(machine: Machine): boolean {
+  function isInTouch(machine: leaseMachines.Machine): boolean {
     const nowMs = world.nowMs();
-    const isDisturbed = machine.isCutOff || machine.isAlone || trouble !== SOUND;
+    const isDisturbed = machine.isCutOff || machine.isAlone || trouble !== leaseMachines.SOUND;
     const lastMs = Math.max(machine.disturbedMs, storeDisturbedMs);
     return !isDisturbed && nowMs - lastMs > IN_TOUCH_MS;
   }
 
-  function giveOrder(machine: Machine): void {
+  function giveOrder(machine: leaseMachines.Machine): void {
     const term = machine.life?.manager.orderTerm() ?? null;
     if (term === null || !isRunning(machine)) return;
-    if (checksFences && term < highestTerm) {
+    if (checksFences && term < check.highestTerm()) {
       machine.life?.manager.fenced();
       return;
     }
-    const atMs = world.nowMs();
-    const given = { machineId: machine.id, term, atMs, isInTouch: isInTouch(machine) };
-    if (term < highestTerm) {
-      violations.push(`${atMs} ${machine.id} term ${term} after ${highestTerm}`);
-    }
-    const others = [...lastOrderAt.values()].filter(({ machineId }) => machineId !== machine.id);
-    others.forEach((other) => {
-      const isJudged = !checksFences || (given.isInTouch && other.isInTouch);
-      if (!isJudged || atMs - other.atMs >= LEASE_MS) return;
-      const apartMs = atMs - other.atMs;
-      violations.push(
-        `${atMs} ${machine.id} (${term}) ${apartMs} ms after ${other.machineId} (${other.term})`,
-      );
-    });
-    if (lastOrder !== null && lastOrder.machineId !== machine.id) {
-      changeGapsMs.push(atMs - lastOrder.atMs);
-    } else if (lastOrder !== null && hasLifeChanged && lastOrder.term !== term) {
-      returnGapsMs.push(atMs - lastOrder.atMs);
-    }
-    hasLifeChanged = false;
-    lastOrder = given;
-    highestTerm = Math.max(highestTerm, term);
-    lastOrderAt.set(machine.id, given);
-    orders.push(given);
+    const given = { machineId: machine.id, term, atMs: world.nowMs() };
+    check.note({ ...given, isInTouch: isInTouch(machine) });
   }
 
-  function contact(from: Machine, to: Machine): void {
+  function contact(from: leaseMachines.Machine, to: leaseMachines.Machine): void {
     if (!isRunning(from) || from.isAlone) return;
-    const asker = from.life as Life;
+    const asker = from.life as leaseMachines.Life;
     const nowMs = world.nowMs() - from.suspendedMs;
     const address = `${to.id}:7000`;
     if (!isRunning(to) || to.isAlone) {
@@ -358,7 +237,7 @@
       return;
     }
     asker.peers.noteContact({ gatewayId: to.id, address, millicores: 1_000 }, nowMs);
-    const known = (to.life as Life).peers.lease();
+    const known = (to.life as leaseMachines.Life).peers.lease();
     if (known !== null) asker.peers.applyLease(known);
   }
 
@@ -388,17 +267,17 @@
   order();
   world.schedule(4_000, nextTrouble);
   await world.advance(TROUBLED_MS + 20_000);
-  const countBefore = orders.length;
+  const countBefore = check.orderCount();
   await world.advance(QUIET_MS);
   machines.forEach(({ life }) => {
     if (life !== null) life.isEnded = true;
   });
   return {
-    violations,
-    changeGapsMs,
-    returnGapsMs,
-    orderCount: orders.length,
+    violations: check.violations,
+    changeGapsMs: check.changeGapsMs,
+    returnGapsMs: check.returnGapsMs,
+    orderCount: check.orderCount(),
     troubles,
-    hasRecovered: orders.length > countBefore,
+    hasRecovered: check.orderCount() > countBefore,
   };
 }
