--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,5 +1,5 @@
 // Runs every test file in a process of its own, several at once, and closes with one plain line:
-// "N passed, N failed". Files that start programs run one after the other at the end, alone.
+// "N passed, N failed". Files that start programs, or gateways that work in real time, run one after the other at the end, alone.
 import * as esbuild from 'esbuild';
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
@@ -9,6 +9,8 @@
 
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 const TEST_FOLDERS = ['packages', 'platform'];
+/** Its tests run whole gateways in real time. */
+const REAL_TIME_FOLDER = 'platform/';
 const SLOWEST_COUNT = 10;
 /** A file that takes longer hangs. */
 const FILE_TIMEOUT_MS = 600_000;
@@ -40,8 +42,8 @@
     .filter((line) => line.trim() !== '' && !line.startsWith('#'));
 }
 
-/** Those of `files` that can start a process, themselves or by a module of ours. */
-async function listStarters(files) {
+/** Those of `files` that work in real time, or can start a process, themselves or by a module of ours. */
+async function listAlone(files) {
   const built = await esbuild.build({
     entryPoints: files,
     bundle: true,
@@ -61,7 +63,7 @@
       .filter(([, input]) => input.imports.some(({ path }) => starters.has(path)))
       .forEach(([path]) => starters.add(path));
   }
-  return files.filter((file) => starters.has(file));
+  return files.filter((file) => starters.has(file) || file.startsWith(REAL_TIME_FOLDER));
 }
 
 /** The names of the failed tests, as uvu prints them: FAIL  suite  "name". */
@@ -131,15 +133,15 @@
 refuseSilentFiles(allFiles);
 const namePattern = new RegExp(`${process.argv[2] ?? '.*'}\\.test\\.ts$`);
 const files = allFiles.filter((file) => namePattern.test(file));
-const starters = await listStarters(files);
-const besideOthers = files.filter((file) => !starters.includes(file));
+const alone = await listAlone(files);
+const besideOthers = files.filter((file) => !alone.includes(file));
 // Random plays take longest: begun first, they hold nobody up at the end.
 const [plays, others] = [true, false].map((isPlay) =>
   besideOthers.filter((file) => file.endsWith('-plays.test.ts') === isPlay),
 );
 const outcomes = [
   ...(await runAll([...plays, ...others], PROCESS_COUNT)),
-  ...(await runAll(starters, 1)),
+  ...(await runAll(alone, 1)),
 ];
 
 const slowest = outcomes.toSorted((a, b) => b.tookMs - a.tookMs).slice(0, SLOWEST_COUNT);
