--- a/packages/gateway/src/testing/lease-machines.ts
+++ b/packages/gateway/src/testing/lease-machines.ts
@@ -8,7 +8,9 @@
 import type * as memoryRecords from './memory-records.js';
 
 const STORE_LATENCY_MS = 4;
+/** After so long a call without an answer is given up. */
 const CALL_LOST_MS = 800;
+/** How often a timer of a suspended machine is looked at again. */
 const STEP_MS = 5;
 
 export type Life = {
@@ -21,16 +23,20 @@
   id: string;
   life: Life | null;
   suspendedSinceMs: number | null;
+  /** All suspensions that are over. */
   suspendedMs: number;
+  /** From the store. */
   isCutOff: boolean;
+  /** From the other machines. */
   isAlone: boolean;
   /** When it was last ended, suspended, resumed or cut off. */
   disturbedMs: number;
 };
 
+/** Shares of calls whose answers are lost, and of writes that take effect later. */
 export type StoreTrouble = { losesShare: number; delaysShare: number; isDown: boolean };
 
-export const SOUND: StoreTrouble = { losesShare: 0, delaysShare: 0, isDown: false };
+export const NO_TROUBLE: StoreTrouble = { losesShare: 0, delaysShare: 0, isDown: false };
 
 /** What a play draws from its seed. */
 export type Chances = {
--- a/packages/gateway/src/testing/lease-plays.ts
+++ b/packages/gateway/src/testing/lease-plays.ts
@@ -10,13 +10,10 @@
 
 export type LeasePlayOptions = { seed: number; checksFences: boolean };
 
-export type LeasePlayResult = {
-  /** Orders at one upstream of two machines within the lease time, or with a lower term after a higher one. */
-  violations: readonly string[];
-  /** Between the last order of a machine and the first one of the next, another machine. */
-  changeGapsMs: readonly number[];
-  /** Between the last order of a life that was killed and the first one of the same machine. */
-  returnGapsMs: readonly number[];
+export type LeasePlayResult = Pick<
+  orderChecks.OrderCheck,
+  'violations' | 'changeGapsMs' | 'returnGapsMs'
+> & {
   orderCount: number;
   /** How often each trouble came. */
   troubles: ReadonlyMap<string, number>;
@@ -42,7 +39,7 @@
   const records = memoryRecords.createMemoryRecords();
   const troubles = new Map<string, number>();
   const check = orderChecks.createOrderCheck(checksFences, LEASE_MS);
-  let trouble: leaseMachines.StoreTrouble = leaseMachines.SOUND;
+  let trouble: leaseMachines.StoreTrouble = leaseMachines.NO_TROUBLE;
   let storeDisturbedMs = -Infinity;
   let restore: (() => void) | null = null;
 
@@ -138,56 +135,43 @@
   const anyMachine = () => machines[random.below(machines.length)] as leaseMachines.Machine;
   const victim = () => (happens(0.6) ? (holder() ?? anyMachine()) : anyMachine());
 
+  function separate(flag: 'isCutOff' | 'isAlone'): void {
+    const machine = victim();
+    const set = (isSeparate: boolean) => {
+      machine[flag] = isSeparate;
+      disturb(machine);
+    };
+    during(
+      between(300, 8_000),
+      () => set(true),
+      () => set(false),
+    );
+  }
+
   const kinds: Record<string, () => void> = {
     kill: () => kill(victim()),
     stop: () => stop(victim()),
     suspend: () => suspend(victim()),
     'kill-all': () => machines.forEach(kill),
-    'cut-off': () => {
-      const machine = victim();
-      during(
-        between(300, 8_000),
-        () => {
-          machine.isCutOff = true;
-          disturb(machine);
-        },
-        () => {
-          machine.isCutOff = false;
-          disturb(machine);
-        },
-      );
-    },
-    alone: () => {
-      const machine = victim();
-      during(
-        between(300, 8_000),
-        () => {
-          machine.isAlone = true;
-          disturb(machine);
-        },
-        () => {
-          machine.isAlone = false;
-          disturb(machine);
-        },
-      );
-    },
+    'cut-off': () => separate('isCutOff'),
+    alone: () => separate('isAlone'),
     down: () =>
       during(
         between(300, 6_000),
-        () => setTrouble({ ...leaseMachines.SOUND, isDown: true }),
-        () => setTrouble(leaseMachines.SOUND),
+        () => setTrouble({ ...leaseMachines.NO_TROUBLE, isDown: true }),
+        () => setTrouble(leaseMachines.NO_TROUBLE),
       ),
     'lost-answers': () =>
       during(
         between(300, 6_000),
-        () => setTrouble({ ...leaseMachines.SOUND, losesShare: 0.5 }),
-        () => setTrouble(leaseMachines.SOUND),
+        () => setTrouble({ ...leaseMachines.NO_TROUBLE, losesShare: 0.5 }),
+        () => setTrouble(leaseMachines.NO_TROUBLE),
       ),
     'late-writes': () =>
       during(
         between(300, 6_000),
-        () => setTrouble({ ...leaseMachines.SOUND, delaysShare: 0.5 }),
-        () => setTrouble(leaseMachines.SOUND),
+        () => setTrouble({ ...leaseMachines.NO_TROUBLE, delaysShare: 0.5 }),
+        () => setTrouble(leaseMachines.NO_TROUBLE),
       ),
     copy: () => {
       restore = records.copy();
@@ -211,7 +195,7 @@
 
   function isInTouch(machine: leaseMachines.Machine): boolean {
     const nowMs = world.nowMs();
-    const isDisturbed = machine.isCutOff || machine.isAlone || trouble !== leaseMachines.SOUND;
+    const isDisturbed = machine.isCutOff || machine.isAlone || trouble !== leaseMachines.NO_TROUBLE;
     const lastMs = Math.max(machine.disturbedMs, storeDisturbedMs);
     return !isDisturbed && nowMs - lastMs > IN_TOUCH_MS;
   }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -12,7 +12,7 @@
 /** Its tests run whole gateways in real time. */
 const REAL_TIME_FOLDER = 'platform/';
 const SLOWEST_COUNT = 10;
-/** A file that takes longer hangs. */
+/** A file that takes longer is taken to hang, and ended. */
 const FILE_TIMEOUT_MS = 600_000;
 /** Half of the cores: files with random plays or sockets need more than one. */
 const PROCESS_COUNT = Number(
@@ -57,6 +57,7 @@
     logLevel: 'error',
   });
   const { inputs } = built.metafile;
+  // Grows by the modules that import one of its members, until none is added.
   const starters = new Set(['node:child_process']);
   for (let size = 0; size < starters.size;) {
     size = starters.size;
