Review case 6: after ordinary crashes all requests are refused for 15 minutes

Cause: a part of prompts that all requests have counts as a clear cause of four ends, if no answer went on in between. Done: a script with four servers that crash within a second, and a part that crashes servers beside. The stand-in servers can crash and take orders now.

--- a/review/rig-2/rig.mjs
+++ b/review/rig-2/rig.mjs
@@ -52,9 +52,14 @@
   return port;
 }
 
+/** Null if the caller has left before its end. */
 async function bodyOf(request) {
   const chunks = [];
-  for await (const chunk of request) chunks.push(chunk);
+  try {
+    for await (const chunk of request) chunks.push(chunk);
+  } catch {
+    return null;
+  }
   return Buffer.concat(chunks);
 }
 
@@ -161,6 +166,7 @@
 
   const server = http.createServer(async (request, response) => {
     const body = await bodyOf(request);
+    if (body === null) return;
     if (state.fault === 'silent') return;
     const [status, value] = state.fault === 'busy' ? [503, {}] : await answer(request, body);
     if (state.fault === 'silent') return;
@@ -182,11 +188,14 @@
  * A server: `serve(call)` answers the requests that clients sent. Others (reports, orders, health) are answered soundly.
  * `state.ran` holds the ids of the requests that it began to run.
  */
-export async function startServer(id, { service, models = [], slots = 8, serve }) {
-  const state = { id, ran: [], orders: [], sequence: 0, born: Date.now() };
+export async function startServer(id, { service, models = [], slots = 8, serve, engine }) {
+  const state = { id, ran: [], sequence: 0, born: Date.now() };
+  const held = () =>
+    engine?.held() ?? { models: models.map((name) => ({ name, version: 1, adapters: [] })) };
   const sockets = new Set();
   const server = http.createServer(async (request, response) => {
     const body = await bodyOf(request);
+    if (body === null) return;
     const expected = request.headers['x-expect-instance'];
     if (expected !== undefined && expected !== id) {
       response.writeHead(421, { 'x-instance-id': id, 'content-length': 0 });
@@ -196,8 +205,8 @@
     if (request.url === '/v1/report') {
       const said = {
         stage: 'colocated',
-        models: models.map((name) => ({ name, version: 1, adapters: [] })),
-        busy: false,
+        ...held(),
+        busy: engine?.isBusy() ?? false,
         sequence: state.sequence,
         waiting: 0,
         running: 0,
@@ -211,9 +220,9 @@
       return;
     }
     if (request.url === '/v1/order') {
-      // Nothing is to be placed in these cases: each server has its model, and another order is always in progress.
-      state.orders.push(JSON.parse(body.toString('utf8')));
-      response.writeHead(409, { 'content-length': 0 });
+      // Without an engine nothing is to be placed: another order is always in progress.
+      const status = engine?.order(JSON.parse(body.toString('utf8')), state) ?? 409;
+      response.writeHead(status, { 'content-length': 0 });
       response.end();
       return;
     }
@@ -242,9 +251,20 @@
       coldLeftMs: 0,
       born: state.born,
       stage: 'colocated',
-      models: models.map((name) => ({ name, version: 1, adapters: [] })),
+      ...held(),
       sequence: state.sequence,
     }),
+    /** Its process ends: its channels are reset, and new ones refused until `start`. */
+    crash: () => {
+      server.close();
+      sockets.forEach((socket) => socket.resetAndDestroy());
+    },
+    /** It starts again under its id. */
+    start: async () => {
+      state.born = Date.now();
+      state.sequence = 0;
+      await listen(server, port);
+    },
     close: () => {
       server.close();
       sockets.forEach((socket) => socket.destroy());
@@ -313,10 +333,10 @@
   };
 }
 
-/** Entries of the servers, written again as they change and about every 1.2 s. */
-export function keepListed(store, servers) {
+/** Entries of the servers that are up, written again as they change and about every 1.2 s. */
+export function keepListed(store, servers, isUp = () => true) {
   const write = () => {
-    servers.forEach((server) => store.put('servers', server.id, server.description()));
+    servers.filter(isUp).forEach((server) => store.put('servers', server.id, server.description()));
   };
   write();
   const timer = setInterval(write, 1_200);
