Review cases 5 and 6: more users in the one, shorter gaps in the other

Done: case 5 has a clump of users every 100 ms, case 6 crashes 170 ms apart and 20 requests a second.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -20,7 +20,7 @@
 const WORK_MS = 60;
 /** Users come together: more than there are places for, so that full servers reject some. */
 const CLUMP = 40;
-const CLUMP_EVERY_MS = 150;
+const CLUMP_EVERY_MS = 100;
 /** "These statuses promise: not run, and never will be." */
 const PROMISES = [408, 421, 429, 503];
 
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -17,11 +17,11 @@
 const BAD_EVERY_MS = 10_000;
 /** Four times `srv_crash` with `share = 0.25`, one of the four servers each. */
 const CRASHES_FROM_MS = 13_000;
-const CRASHES_EVERY_MS = 250;
+const CRASHES_EVERY_MS = 170;
 const LENGTH_MS = 48_000;
 /** Long after the servers are back, and have loaded their model from disk in 2.4 s. */
 const JUDGED_FROM_MS = 28_000;
-const ASK_EVERY_MS = 80;
+const ASK_EVERY_MS = 50;
 /** Prompts of 15,000 tokens, of which a server reads some 20 in a millisecond, and what waits before them. */
 const FIRST_EVENT_MS = { least: 800, spread: 400 };
 const EVENTS = 30;
