--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -12,9 +12,8 @@
 const BAD_PART = 'dead0bad:400';
 const CONTACT_MS = 3_000;
 const DOWN_MS = 3_000;
-/** Requests with the bad part: one in ten seconds. */
-const BAD_FROM_MS = 4_500;
-const BAD_EVERY_MS = 10_000;
+/** Requests with the bad part. */
+const BAD_AT_MS = [4_500, 14_500, 16_500, 24_500, 34_500, 44_500];
 /** Four times `srv_crash` with `share = 0.25`, one of the four servers each. */
 const CRASHES_FROM_MS = 13_000;
 const CRASHES_EVERY_MS = 170;
@@ -23,7 +22,7 @@
 const JUDGED_FROM_MS = 28_000;
 const ASK_EVERY_MS = 50;
 /** Prompts of 15,000 tokens, of which a server reads some 20 in a millisecond, and what waits before them. */
-const FIRST_EVENT_MS = { least: 800, spread: 400 };
+const FIRST_EVENT_MS = { least: 1_200, spread: 400 };
 const EVENTS = 30;
 const EVENT_MS = 30;
 /** LOST: "less than half as often as outside unplanned impairment (20 or more of each ...)". */
@@ -144,11 +143,11 @@
     });
   }
   const asked = [];
-  let nextBadMs = BAD_FROM_MS;
+  const badAtMs = rig.hasTrouble ? [...BAD_AT_MS] : [];
   for (let count = 0; performance.now() - startedMs < LENGTH_MS; count += 1) {
     const nowMs = performance.now() - startedMs;
-    if (rig.hasTrouble && nowMs >= nextBadMs) {
-      nextBadMs += BAD_EVERY_MS;
+    if (nowMs >= (badAtMs[0] ?? Infinity)) {
+      badAtMs.shift();
       asked.push(ask(count, true));
     }
     asked.push(ask(count, false));
@@ -167,7 +166,7 @@
     .forEach(({ spec }) => record.note(`in the store: ${JSON.stringify(spec)}`));
   const lastBadMs = (badCrashesMs.slice(0, 5).at(-1) ?? startedMs) - startedMs;
   const judgedFromMs = Math.max(JUDGED_FROM_MS, lastBadMs + 2 * CONTACT_MS);
-  const before = sound.filter(({ atMs }) => atMs < BAD_FROM_MS);
+  const before = sound.filter(({ atMs }) => atMs < BAD_AT_MS[0]);
   const after = sound.filter(({ atMs }) => atMs >= judgedFromMs);
   const shareOf = (all) => all.filter(({ hasBegun }) => hasBegun).length / Math.max(1, all.length);
   record.note(`crashes by the bad part ${badCrashesMs.length}`);
