--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -11,7 +11,9 @@
 /** The part that crashes each server that begins an answer on it. */
 const BAD_PART = 'dead0bad:400';
 const CONTACT_MS = 3_000;
-const DOWN_MS = 3_000;
+/** After the bad part, and after a crash of its own. */
+const BAD_DOWN_MS = 3_000;
+const DOWN_MS = 2_000;
 /** Requests with the bad part. */
 const BAD_AT_MS = [4_500, 14_500, 16_500, 24_500, 34_500, 44_500];
 /** Four times `srv_crash` with `share = 0.25`, one of the four servers each. */
@@ -62,7 +64,7 @@
       if (!isOpen) return;
       if (request.headers['x-prompt-prefix'].includes(BAD_PART)) {
         badCrashesMs.push(performance.now());
-        crash(`by ${requestId}, which has the bad part`);
+        crash(`by ${requestId}, which has the bad part`, BAD_DOWN_MS);
         return;
       }
       const head = { ...rig.signedHead(requestId), 'content-type': 'text/event-stream' };
@@ -77,7 +79,7 @@
     const server = await rig.startServer(id, { service: 'huvo11a', slots: 32, serve, engine });
     onEnd(server.close);
 
-    function crash(why) {
+    function crash(why, downMs) {
       if (down.has(id)) return;
       down.add(id);
       record.note(`${id} crashes ${why}`);
@@ -88,7 +90,7 @@
         down.delete(id);
         store.put('servers', id, server.description());
         record.note(`${id} is back`);
-      }, DOWN_MS);
+      }, downMs);
     }
 
     return { ...server, crash };
@@ -139,7 +141,7 @@
 
   if (rig.hasTrouble) {
     servers.forEach(({ crash }, index) => {
-      setTimeout(() => crash('by itself'), CRASHES_FROM_MS + index * CRASHES_EVERY_MS);
+      setTimeout(() => crash('by itself', DOWN_MS), CRASHES_FROM_MS + index * CRASHES_EVERY_MS);
     });
   }
   const asked = [];
