Answers: a stream that ends without a byte keeps its upstream's head

Cause: the head was written with the first bytes of a body. Where none came, finishAnswer() ended a response that had not begun, and Node sends 200 with a head of its own.

Change: a sink gives what can be written to and ended only with the head (begin()), or for an answer that has begun (begun()); so an answer can't end before its head.

Excluded: the header filter (streams with events keep their headers).

--- a/packages/gateway/src/server/forwarding/answer-ends.test.ts
+++ b/packages/gateway/src/server/forwarding/answer-ends.test.ts
@@ -17,6 +17,9 @@
   kind: 'stream',
   framing: 'until-close',
   httpVersion: '1.1',
+  method: 'POST',
+  status: 200,
+  takenUpAfter: null,
   body: Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\n'),
   cut: 'stopped',
   cutAtBytes: 'id: 1\ndata: a\n\n'.length,
@@ -93,7 +96,25 @@
   .map(({ kind, framing, httpVersion, cut, ...drawn }): answerPlays.AnswerPlay => {
     const body = kind === 'plain' ? drawn.plain : drawn.events;
     const cutAtBytes = Math.round((drawn.cutPercent / 100) * body.length);
-    return { kind, framing, httpVersion, cut, body, cutAtBytes };
+    return play({ kind, framing, httpVersion, cut, body, cutAtBytes });
+  });
+
+/** Answers with few bytes or none, and those that have no body by the protocol. */
+const shortPlays = fc
+  .record({
+    kind: fc.constantFrom('plain' as const, 'stream' as const, 'resumable' as const),
+    framing: fc.constantFrom(...FRAMINGS),
+    httpVersion: fc.constantFrom('1.0' as const, '1.1' as const),
+    method: fc.constantFrom('POST' as const, 'POST' as const, 'HEAD' as const),
+    status: fc.constantFrom(200 as const, 200 as const, 204 as const),
+    cut: fc.constantFrom(...answerPlays.CUTS),
+    eventCount: fc.integer({ min: 0, max: 2 }),
+    takenUpAfter: fc.constantFrom(null, 0, 1, 2),
+    cutAtBytes: fc.integer({ min: 0, max: 2 }),
+  })
+  .map(({ eventCount, ...drawn }) => {
+    const texts = Array.from({ length: eventCount }, (_, index) => `id: ${index + 1}\ndata: a\n\n`);
+    return play({ ...drawn, body: Buffer.from(texts.join('')) });
   });
 
 function describe({ body, ...rest }: answerPlays.AnswerPlay): string {
@@ -131,4 +152,39 @@
   }
 });
 
+// Guards against a success of the gateway's own making, in place of an answer that has no body or breaks off before it.
+test('no success comes without the signature of its upstream, however short the answer is', async () => {
+  const drawn = fc.sample(shortPlays, { numRuns: PLAY_COUNT, seed: 68 });
+  const counts = new Map<string, number>();
+  const wrong: string[] = [];
+  const playOne = async (one: answerPlays.AnswerPlay) => {
+    const { status, isSigned } = await answerPlays.playAnswer(one);
+    const isSuccess = status >= 200 && status < 300;
+    const outcome = isSuccess ? 'success' : `${status}`;
+    counts.set(`${one.cut} ${outcome}`, (counts.get(`${one.cut} ${outcome}`) ?? 0) + 1);
+    if (isSuccess && !isSigned) wrong.push(describe(one));
+    const isEndKnown = one.framing !== 'until-close' || one.status === 204;
+    if (one.cut === 'none' && isEndKnown && status !== one.status) {
+      wrong.push(`not served: ${describe(one)}`);
+    }
+  };
+  const left = [...drawn];
+  const worker = async () => {
+    for (let one = left.pop(); one !== undefined; one = left.pop()) await playOne(one);
+  };
+  await Promise.all(Array.from({ length: PLAYS_AT_ONCE }, worker));
+  const counted = [...counts].sort().map(([key, count]) => `${key} ${count}`);
+  process.stdout.write(`${drawn.length} short answers: ${counted.join(', ')}\n`);
+  assert.equal([wrong.length, ...wrong.slice(0, 5)], [0]);
+});
+
+// Guards against an empty answer without a head, in place of the whole answer to a stream that has nothing left to send.
+test('a stream that is taken up after its last event ends with the head of its upstream', async () => {
+  for (const framing of ['length', 'chunked'] as const) {
+    const one = play({ kind: 'resumable', framing, cut: 'none', takenUpAfter: 2 });
+    const { status, isSigned, isComplete, body } = await answerPlays.playAnswer(one);
+    assert.equal([status, isSigned, isComplete, body.length], [200, true, true, 0], framing);
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -4,9 +4,18 @@
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
 
+/** The body of an answer whose head has been written. */
+export type AnswerBody = {
+  /** False if the caller reads more slowly than the answer arrives. */
+  write: (chunk: Buffer) => boolean;
+  onceDrained: (task: () => void) => void;
+  end: () => void;
+};
+
 export type AnswerSink = {
   hasBegun: () => boolean;
   /**
+   * Writes the head. Only its result can be written to and ended: Node would answer 200 in place of a head that is missing.
    * `bodyBytes`: the length of the body, if the upstream has stated it; null otherwise. The end of an answer without a length is the
    * last chunk, so that a caller sees when it is missing; callers of HTTP/1.0 know no chunks, and get it until the connection closes.
    */
@@ -14,11 +23,9 @@
     status: number,
     headers: readonly dialects.HeaderPair[],
     bodyBytes: number | null,
-  ) => void;
-  /** False if the caller reads more slowly than the answer arrives. */
-  write: (chunk: Buffer) => boolean;
-  onceDrained: (task: () => void) => void;
-  end: () => void;
+  ) => AnswerBody;
+  /** The body of the answer that `begin` has begun, for another attempt to go on with; null before. */
+  begun: () => AnswerBody | null;
   sendWhole: (answer: calls.HeldAnswer) => void;
   /** Answers with a refusal or an error of the gateway itself. */
   refuse: (status: number, headers: readonly dialects.HeaderPair[], cause: string) => void;
@@ -46,6 +53,7 @@
   const { raw } = options;
   let callerGone: (() => void) | null = null;
   let isGone = false;
+  let begun: AnswerBody | null = null;
   raw.once('close', () => {
     if (raw.writableFinished) return;
     isGone = true;
@@ -78,14 +86,18 @@
     begin: (status, headers, bodyBytes) => {
       if (bodyBytes === null) writeHead(status, headers);
       else writeHeadWithLength(status, headers, bodyBytes);
+      begun = {
+        write: (chunk) => raw.destroyed || raw.write(chunk),
+        onceDrained: (task) => {
+          raw.once('drain', task);
+        },
+        end: () => {
+          raw.end();
+        },
+      };
+      return begun;
     },
-    write: (chunk) => raw.destroyed || raw.write(chunk),
-    onceDrained: (task) => {
-      raw.once('drain', task);
-    },
-    end: () => {
-      raw.end();
-    },
+    begun: () => begun,
     sendWhole: (answer) => {
       if (isGone) return;
       writeHeadWithLength(answer.status, answer.headers, answer.body.length);
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -88,8 +88,7 @@
     serve: async (call, sink) => {
       if (call.path === '/first') await sleep(60);
       if (call.path === '/second') {
-        sink.begin(200, [], null);
-        sink.write(Buffer.from('part'));
+        sink.begin(200, [], null).write(Buffer.from('part'));
         return { kind: 'cut', cause: 'upstream-lost', upstreamId: 'u1' };
       }
       sink.sendWhole({ status: 200, headers: [], body: Buffer.from('whole') });
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -22,6 +22,16 @@
 
 function createSink(): { sink: answers.AnswerSink; passed: Passed } {
   const passed: Passed = { status: 0, bodyBytes: null, body: '', hasEnded: false };
+  const body: answers.AnswerBody = {
+    write: (chunk) => {
+      passed.body += chunk.toString();
+      return true;
+    },
+    onceDrained: (task) => task(),
+    end: () => {
+      passed.hasEnded = true;
+    },
+  };
   const begin = (
     status: number,
     _headers: readonly dialects.HeaderPair[],
@@ -29,18 +39,12 @@
   ) => {
     passed.status = status;
     passed.bodyBytes = bodyBytes;
+    return body;
   };
   const sink: answers.AnswerSink = {
     hasBegun: () => passed.status !== 0,
     begin,
-    write: (chunk) => {
-      passed.body += chunk.toString();
-      return true;
-    },
-    onceDrained: (task) => task(),
-    end: () => {
-      passed.hasEnded = true;
-    },
+    begun: () => (passed.status === 0 ? null : body),
     sendWhole: (answer) => {
       begin(answer.status, answer.headers, answer.body.length);
       passed.body = answer.body.toString();
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -112,15 +112,21 @@
       if (framer !== null && framer.restBytes() > deps.eventBytesMax) abandon(lost('oversized'));
     }
 
+    /** The body of the answer; its head is written if no attempt has written one. */
+    function openBody(): answers.AnswerBody {
+      const begun = sink.begun();
+      if (begun !== null) return begun;
+      const body = sink.begin(status, headers, bodyBytes);
+      input.onFirstChunk(isStream ? 'event' : 'whole', status);
+      return body;
+    }
+
     function write(bytes: Buffer): void {
-      if (!sink.hasBegun()) {
-        sink.begin(status, headers, bodyBytes);
-        input.onFirstChunk(isStream ? 'event' : 'whole', status);
-      }
-      if (sink.write(bytes) || isPaused) return;
+      const body = openBody();
+      if (body.write(bytes) || isPaused) return;
       isPaused = true;
       controller?.pause();
-      sink.onceDrained(() => {
+      body.onceDrained(() => {
         isPaused = false;
         input.eventIntervals?.interrupted();
         controller?.resume();
@@ -163,7 +169,7 @@
       if (isForwarding) {
         const rest = framer?.takeRest();
         if (rest !== undefined && rest.length > 0) write(rest);
-        sink.end();
+        openBody().end();
         settle({ kind: 'answered', status });
         return;
       }
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -222,17 +222,21 @@
 function createSink() {
   const state = { hasBegun: false, body: '', isGone: false };
   let callerGone: (() => void) | null = null;
-  const sink: answers.AnswerSink = {
-    hasBegun: () => state.hasBegun,
-    begin: () => {
-      state.hasBegun = true;
-    },
+  const body: answers.AnswerBody = {
     write: (chunk) => {
       state.body += chunk.toString();
       return true;
     },
     onceDrained: (task) => task(),
     end: () => {},
+  };
+  const sink: answers.AnswerSink = {
+    hasBegun: () => state.hasBegun,
+    begin: () => {
+      state.hasBegun = true;
+      return body;
+    },
+    begun: () => (state.hasBegun ? body : null),
     sendWhole: (answer) => {
       state.hasBegun = true;
       state.body = answer.body.toString();
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -34,6 +34,10 @@
   kind: 'plain' | 'stream' | 'resumable';
   framing: calls.Framing;
   httpVersion: '1.0' | '1.1';
+  method: 'POST' | 'HEAD';
+  status: 200 | 204;
+  /** The caller takes the stream up after this event; null if it asks for the whole. */
+  takenUpAfter: number | null;
   body: Buffer;
   cut: Cut;
   /** The upstream writes so many bytes of the body before the cut. */
@@ -42,6 +46,10 @@
 
 export type Received = {
   status: number;
+  /** The head has the signature and the request's id from the upstream. */
+  isSigned: boolean;
+  /** Its `Content-Length`. */
+  statedBytes: number | null;
   body: Buffer;
   isComplete: boolean;
   framing: calls.Framing;
@@ -56,18 +64,23 @@
 const FIRST_BYTES_MS = 150;
 const GIVE_UP_MS = 5_000;
 
+/** By the protocol, such an answer ends with its head, whatever that states. */
+function hasNoBody({ method, status }: AnswerPlay): boolean {
+  return method === 'HEAD' || status === 204;
+}
+
 function framed({ framing }: AnswerPlay, bytes: Buffer): Buffer {
   if (framing !== 'chunked' || bytes.length === 0) return bytes;
   const head = Buffer.from(`${bytes.length.toString(16)}\r\n`);
   return Buffer.concat([head, bytes, Buffer.from('\r\n')]);
 }
 
-function headOf({ framing, kind }: AnswerPlay, length: number): string {
-  const lines = ['HTTP/1.1 200 OK', 'T-Id: r1', 'T-Signed: s'];
+function headOf({ framing, kind, status }: AnswerPlay, length: number): string {
+  const lines = [`HTTP/1.1 ${status} OK`, 'T-Id: r1', 'T-Signed: s'];
   if (kind !== 'plain') lines.push('Content-Type: text/event-stream');
   switch (framing) {
     case 'length':
-      lines.push(`Content-Length: ${length}`);
+      if (status !== 204) lines.push(`Content-Length: ${length}`);
       break;
     case 'chunked':
       lines.push('Transfer-Encoding: chunked');
@@ -90,6 +103,10 @@
   const isWhole = play.cut === 'none';
   const bytes = isWhole ? body : body.subarray(0, play.cutAtBytes);
   socket.write(headOf(play, body.length));
+  if (hasNoBody(play)) {
+    if (play.framing === 'until-close') socket.end();
+    return;
+  }
   piecesOf(bytes).forEach((piece) => socket.write(framed(play, piece)));
   if (isWhole) {
     if (play.framing === 'chunked') socket.write('0\r\n\r\n');
@@ -126,19 +143,33 @@
 }
 
 /** What the body is by the framing, and whether it is complete by it. */
-function judge(bytes: Buffer, hasEnded: boolean): Received {
+function judge(play: AnswerPlay, bytes: Buffer, hasEnded: boolean): Received {
   const headEnd = bytes.indexOf('\r\n\r\n');
-  const nothing = { status: 0, body: Buffer.alloc(0), isComplete: false } as const;
-  if (headEnd < 0) return { ...nothing, framing: 'until-close' };
+  const body = Buffer.alloc(0);
+  if (headEnd < 0) {
+    return {
+      status: 0,
+      isSigned: false,
+      statedBytes: null,
+      body,
+      isComplete: false,
+      framing: 'until-close',
+    };
+  }
   const head = bytes.subarray(0, headEnd).toString('latin1').toLowerCase();
   const status = Number(head.slice(9, 12));
+  const isSigned = head.includes('\r\nt-signed: s') && head.includes('\r\nt-id: r1');
   const rest = bytes.subarray(headEnd + 4);
   const [, length] = /\r\ncontent-length: (\d+)/.exec(head) ?? [];
-  if (length !== undefined) {
-    return { status, body: rest, isComplete: rest.length >= Number(length), framing: 'length' };
+  const statedBytes = length === undefined ? null : Number(length);
+  const facts = { status, isSigned, statedBytes };
+  if (hasNoBody(play)) return { ...facts, body, isComplete: true, framing: 'length' };
+  if (statedBytes !== null) {
+    const isComplete = rest.length >= statedBytes;
+    return { ...facts, body: rest, isComplete, framing: 'length' };
   }
   if (!head.includes('transfer-encoding: chunked')) {
-    return { status, body: rest, isComplete: hasEnded, framing: 'until-close' };
+    return { ...facts, body: rest, isComplete: hasEnded, framing: 'until-close' };
   }
   const parts: Buffer[] = [];
   for (let from = 0; ;) {
@@ -147,37 +178,35 @@
     const next = sizeEnd + 2 + size + 2;
     const isComplete = size === 0;
     if (isComplete || !(next <= rest.length)) {
-      return { status, body: Buffer.concat(parts), isComplete, framing: 'chunked' };
+      return { ...facts, body: Buffer.concat(parts), isComplete, framing: 'chunked' };
     }
     parts.push(rest.subarray(sizeEnd + 2, next - 2));
     from = next;
   }
 }
 
-function receive(
-  port: number,
-  { httpVersion }: AnswerPlay,
-  onFirstBytes: () => void,
-): Promise<Received> {
+function receive(port: number, play: AnswerPlay, onFirstBytes: () => void): Promise<Received> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     const socket = net.connect(port, '127.0.0.1');
     const finish = (hasEnded: boolean) => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(judge(Buffer.concat(chunks), hasEnded));
+      resolve(judge(play, Buffer.concat(chunks), hasEnded));
     };
     const timer = setTimeout(() => finish(false), GIVE_UP_MS);
     socket.on('data', (chunk) => {
       chunks.push(chunk);
       onFirstBytes();
-      if (judge(Buffer.concat(chunks), false).isComplete) finish(false);
+      if (judge(play, Buffer.concat(chunks), false).isComplete) finish(false);
     });
     // Behind data that is still unread, a reset is reported as a regular end; its socket has no peer any more.
     socket.once('end', () => finish(socket.remoteAddress !== undefined));
     socket.once('error', () => finish(false));
-    const headers = `host: a.example\r\nt-id: r1\r\nt-wait: ${DEADLINE_MS}\r\ncontent-length: 4`;
-    socket.write(`POST /x HTTP/${httpVersion}\r\n${headers}\r\n\r\nbody`);
+    const headers = ['host: a.example', 't-id: r1', `t-wait: ${DEADLINE_MS}`, 'content-length: 4'];
+    if (play.takenUpAfter !== null) headers.push(`last-event-id: ${play.takenUpAfter}`);
+    const { method, httpVersion } = play;
+    socket.write(`${method} /x HTTP/${httpVersion}\r\n${headers.join('\r\n')}\r\n\r\nbody`);
   });
 }
 
