Attempts: an error in answer to a stream that goes on is a lost attempt

Callers of a resumed stream could get an error's body in place of events: one over 256 KiB was written into their stream and ended as a whole answer, a shorter one was thrown at the sink, which closed the upstream's connection.

Cause: finishAnswer() and the limit for held answers didn't ask whether the caller already has a part of a success.

Change: checkHead() ends the attempt as lost ('failed'), so that the stream goes on elsewhere or ends visibly.

--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -501,4 +501,24 @@
   upstream.close();
 });
 
+// Guards against an error that is written into the caller's stream as if it were events.
+test('an error in answer to a stream that goes on is none of its caller', async () => {
+  for (const [head, bytes] of [
+    ['500 No', 300_000],
+    ['500 No', 12],
+    ['400 Bad', 12],
+  ] as const) {
+    const failure = `HTTP/1.1 ${head}\r\nT-Id: r1\r\nT-Signed: s\r\nContent-Length: ${bytes}\r\n\r\n`;
+    const writes = [`${UNFRAMED}${EVENT}id: 2`, failure + 'no\n\n'.repeat(bytes / 4)];
+    const { upstream, run, passed, connections } = await attempt(
+      (socket) => socket.end(writes.shift() ?? ''),
+      createCall('stream', true),
+    );
+    const { kind } = await run();
+    assert.equal([kind, passed.body, passed.hasEnded], ['lost', EVENT, false], head);
+    upstream.close();
+    await connections.close();
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -152,6 +152,8 @@
       if (isSuccess && (!headFacts.isSigned || headFacts.requestId === null))
         return lost('garbled');
       if (status < 200 || (status >= 300 && status < 400)) return lost('garbled');
+      // Its caller has a part of a success already.
+      if (!isSuccess && sink.hasBegun()) return lost('failed');
       return null;
     }
 
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -92,8 +92,11 @@
   | { kind: 'deadline'; hasBegun: boolean }
   | { kind: 'caller-gone' };
 
-/** `oversized`: an event, which has to be held until its end, is longer than allowed. */
-export type LossReason = 'connection' | 'silent' | 'garbled' | 'oversized';
+/**
+ * `oversized`: an event, which has to be held until its end, is longer than allowed. `failed`: an error in answer to a stream that
+ * goes on, of which the caller has a part.
+ */
+export type LossReason = 'connection' | 'silent' | 'garbled' | 'oversized' | 'failed';
 
 /**
  * What marks the end of an answer's body at its upstream. `until-close`: its connection, which a process that was killed closes in
