Answers: HEAD, 204 and 304 keep the length that their upstream stated

Callers of HEAD got Content-Length: 0 in place of the upstream's, those of a 204 got one at all, and an answer to HEAD without a length on a stream route counted as broken off (502).

Cause: the length of a held answer was that of its bytes, and its framing was read without the method.

Evidence: answer-ends.test.ts, 'an answer without a body keeps the length' (0 in place of 300 before), and HEAD answers until the connection's end in the random short answers.

--- a/packages/gateway/src/server/forwarding/answer-ends.test.ts
+++ b/packages/gateway/src/server/forwarding/answer-ends.test.ts
@@ -163,7 +163,7 @@
     const outcome = isSuccess ? 'success' : `${status}`;
     counts.set(`${one.cut} ${outcome}`, (counts.get(`${one.cut} ${outcome}`) ?? 0) + 1);
     if (isSuccess && !isSigned) wrong.push(describe(one));
-    const isEndKnown = one.framing !== 'until-close' || one.status === 204;
+    const isEndKnown = one.framing !== 'until-close' || one.method === 'HEAD' || one.status === 204;
     if (one.cut === 'none' && isEndKnown && status !== one.status) {
       wrong.push(`not served: ${describe(one)}`);
     }
@@ -187,4 +187,13 @@
   }
 });
 
+// Guards against a length of 0 in answers to HEAD and a length in answers that can't have one.
+test('an answer without a body keeps the length that its upstream has stated, and gets none of its own', async () => {
+  const body = Buffer.alloc(300, 'x');
+  const options = { kind: 'plain', framing: 'length', cut: 'none', body } as const;
+  assert.is((await answerPlays.playAnswer(play({ ...options, method: 'HEAD' }))).statedBytes, 300);
+  const noContent = play({ ...options, framing: 'chunked', status: 204 });
+  assert.is((await answerPlays.playAnswer(noContent)).statedBytes, null);
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -100,7 +100,8 @@
     begun: () => begun,
     sendWhole: (answer) => {
       if (isGone) return;
-      writeHeadWithLength(answer.status, answer.headers, answer.body.length);
+      if (answer.statedBytes === null) writeHead(answer.status, answer.headers);
+      else writeHeadWithLength(answer.status, answer.headers, answer.statedBytes);
       raw.end(answer.body);
     },
     refuse: (status, headers, cause) => {
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -91,7 +91,8 @@
         sink.begin(200, [], null).write(Buffer.from('part'));
         return { kind: 'cut', cause: 'upstream-lost', upstreamId: 'u1' };
       }
-      sink.sendWhole({ status: 200, headers: [], body: Buffer.from('whole') });
+      const body = Buffer.from('whole');
+      sink.sendWhole({ status: 200, headers: [], body, statedBytes: body.length });
       return { kind: 'answered', status: 200, upstreamId: 'u1' };
     },
   });
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -175,7 +175,9 @@
         settle({ kind: 'answered', status });
         return;
       }
-      const answer = { status, headers, body: Buffer.concat(buffered) };
+      const body = Buffer.concat(buffered);
+      const statedBytes = hasNoBody(call.method, status) ? bodyBytes : body.length;
+      const answer = { status, headers, body, statedBytes };
       const isFailure = status >= 500;
       if (isFailure && (input.holdsFailure || facts?.isSigned !== true)) {
         settle({ kind: 'held-failure', answer });
@@ -212,7 +214,7 @@
         if (statusCode < 200 || isSettled) return;
         hasStatus = true;
         status = statusCode;
-        framing = framingOf(status, responseHeaders);
+        framing = framingOf(call.method, status, responseHeaders);
         // A stream that is resumed elsewhere may become longer or shorter than its first upstream has stated.
         bodyBytes = framing === 'length' && framer === null ? lengthOf(responseHeaders) : null;
         facts = dialect.readAnswer(status, responseHeaders);
@@ -313,8 +315,17 @@
   return Number.isSafeInteger(length) ? length : null;
 }
 
-function framingOf(status: number, headers: http.IncomingHttpHeaders): calls.Framing {
+/** By the protocol, such an answer ends with its head, whatever that states. */
+function hasNoBody(method: string, status: number): boolean {
+  return method === 'HEAD' || status === 204 || status === 304;
+}
+
+function framingOf(
+  method: string,
+  status: number,
+  headers: http.IncomingHttpHeaders,
+): calls.Framing {
+  if (hasNoBody(method, status)) return 'length';
   if (headers['transfer-encoding'] !== undefined) return 'chunked';
-  const hasNoBody = status === 204 || status === 304;
-  return headers['content-length'] !== undefined || hasNoBody ? 'length' : 'until-close';
+  return headers['content-length'] !== undefined ? 'length' : 'until-close';
 }
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -80,7 +80,7 @@
       served.push({ path: call.path, atMs: clock.nowMs(), deadlineMs: call.deadlineMs });
       servedCalls.push(call);
       if (options.serve !== undefined) return options.serve(call, sink);
-      const answer = { status: 200, headers: [], body: Buffer.from('ok') };
+      const answer = { status: 200, headers: [], body: Buffer.from('ok'), statedBytes: 2 };
       if (ending.kind === 'answered') sink.sendWhole(answer);
       return Promise.resolve(ending);
     },
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -108,4 +108,6 @@
   status: number;
   headers: readonly dialects.HeaderPair[];
   body: Buffer;
+  /** The length that its head states. Without a body by the protocol, the upstream's, or none. */
+  statedBytes: number | null;
 };
