Retries: one place decides what may be sent again, for failures too

Cause: an unsigned failure was held on any route, and serve.ts made another attempt after a held failure before the decision that asks for the route's kind.

Change: an attempt only reports the error; decideAfterAttempt() decides for all results from whether the request may have run and whether it may run again. The signed error of a stream is forwarded as before. Beside it: an exception after the send no longer counts as not sent; an error that isn't passed on is no first piece in the metrics.

Excluded: that the 500 was taken for a rejection (held failures count as run).

--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -179,7 +179,6 @@
       connection,
       priority,
       resumeAfterId: run.resumeAfterId,
-      holdsFailure: call.route.kind === 'idempotent' && run.ranCount + 1 < call.route.maxAttempts,
       mayStart: () => mayStart(run, upstreamId),
       sendByMs: startedAtMs + SEND_TIMEOUT_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
@@ -207,6 +206,7 @@
         );
       },
     });
+    if (result.kind === 'held-failure') turn.ended(false, answer.load);
     started.end();
     watched.ended(evidenceOf(result, answer.framing));
     if (result.kind === 'not-sent') deps.doubts.noteUnreachable(upstreamId);
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -126,7 +126,6 @@
         sink,
         priority: 0,
         resumeAfterId: null,
-        holdsFailure: false,
         onResponseHead: () => {},
         onCancelled: () => {},
         mayStart,
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -32,8 +32,6 @@
   sink: answers.AnswerSink;
   priority: number;
   resumeAfterId: string | null;
-  /** Hold back an error answer of the upstream instead of forwarding it. */
-  holdsFailure: boolean;
   /** Called when a connection is ready to send the request: false if the upstream must receive no new requests by then. */
   mayStart: () => boolean;
   /** Give up if no connection has started to send the request by then. */
@@ -53,6 +51,8 @@
 /** Answers other than streams are buffered up to this size, so that one that breaks off can still be answered with an error. */
 const BUFFERED_BYTES_MAX = 256 * 1024;
 
+const FIRST_FAILURE_STATUS = 500;
+
 /** About a quarter of a typical inter-event interval. Longer turns of this gateway's event loop distort the measured intervals. */
 const INTERVAL_TURN_MAX_MS = 10;
 
@@ -178,9 +178,8 @@
       const body = Buffer.concat(buffered);
       const statedBytes = hasNoBody(call.method, status) ? bodyBytes : body.length;
       const answer = { status, headers, body, statedBytes };
-      const isFailure = status >= 500;
-      if (isFailure && (input.holdsFailure || facts?.isSigned !== true)) {
-        settle({ kind: 'held-failure', answer });
+      if (status >= FIRST_FAILURE_STATUS) {
+        settle({ kind: 'held-failure', answer, isSigned: facts?.isSigned === true });
         return;
       }
       input.onFirstChunk('whole', status);
@@ -298,7 +297,7 @@
         handler,
       );
     } catch (cause) {
-      settle({ kind: 'not-sent', reason: String(cause) });
+      settle(isSent ? lost('connection') : { kind: 'not-sent', reason: String(cause) });
     }
   });
 }
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -42,6 +42,8 @@
 const INVALID = 'HTTP/1.1 400 Bad\r\nt-id: r1\r\nt-signed: 1\r\ncontent-length: 2\r\n\r\nno';
 const REJECTED = 'HTTP/1.1 503 Full\r\nt-id: r1\r\nt-not-run: 1\r\ncontent-length: 0\r\n\r\n';
 
+const GOOD_HEAD = 'HTTP/1.1 200 OK\r\nt-id: r1\r\nt-signed: 1';
+
 type Answer = (socket: net.Socket) => void;
 
 type RequestTurn = (
@@ -530,6 +532,67 @@
   }
 });
 
+/** Answers after which the request may have run: only the upstream's own word that it has not would show otherwise. */
+const POSSIBLY_RUN: Record<string, Answer> = {
+  '500 without a signature': answerWith('HTTP/1.1 500 Error\r\nt-id: r1'),
+  '502 without a signature': answerWith('HTTP/1.1 502 Error\r\nt-id: r1'),
+  '503 without a signature': answerWith('HTTP/1.1 503 Error\r\nt-id: r1'),
+  '504 without a signature': answerWith('HTTP/1.1 504 Error\r\nt-id: r1'),
+  '500 without an id': answerWith('HTTP/1.1 500 Error'),
+  'a signed 500': answerWith('HTTP/1.1 500 Error\r\nt-id: r1\r\nt-signed: 1'),
+  'a signed 504': answerWith('HTTP/1.1 504 Error\r\nt-id: r1\r\nt-signed: 1'),
+  '408 without a signature': answerWith('HTTP/1.1 408 Timeout\r\nt-id: r1'),
+  '429 without a word': answerWith('HTTP/1.1 429 Many\r\nt-id: r1'),
+  '200 without a signature': answerWith('HTTP/1.1 200 OK\r\nt-id: r1'),
+  'an answer to another': answerWith('HTTP/1.1 200 OK\r\nt-id: r0\r\nt-signed: 1'),
+  'bytes that are no answer': (socket) => socket.end('no answer\r\n\r\n'),
+  'a closed connection': (socket) => socket.end(),
+  'a reset': (socket) => socket.resetAndDestroy(),
+};
+
+function answerWith(head: string): Answer {
+  return (socket) => socket.write(`${head}\r\ncontent-length: 0\r\n\r\n`);
+}
+
+// Guards against a second run of what may run once, after any end of its first attempt.
+test('what may run once is sent once, however its attempt has ended', async () => {
+  for (const kind of ['at-most-once', 'stream'] as const) {
+    for (const [name, answer] of Object.entries(POSSIBLY_RUN)) {
+      const fixture = await createFixture({ isWanted: false, answer });
+      const { record } = fixture.upstream;
+      fixture.list([record, { ...record, upstreamId: 'u2', name: 'u2' }], 2);
+      try {
+        const call = createCall();
+        const route = { ...call.route, kind, isResumable: false, maxAttempts: 3 };
+        const ending = await fixture.serve({ ...call, route }, createSink().sink);
+        assert.is(fixture.upstream.requests.length, 1, `${kind}: ${name}`);
+        assert.is.not(ending.kind, 'not-run', `${kind}: ${name}`);
+      } finally {
+        await fixture.close();
+      }
+    }
+  }
+});
+
+// Guards against giving up what another upstream could serve.
+test('what may run again is sent to another upstream after a failure', async () => {
+  for (const kind of ['idempotent', 'stream'] as const) {
+    const answers = [POSSIBLY_RUN['500 without a signature'], answerWith(GOOD_HEAD)];
+    const answer: Answer = (socket) => answers.shift()?.(socket);
+    const fixture = await createFixture({ isWanted: false, answer });
+    const { record } = fixture.upstream;
+    fixture.list([record, { ...record, upstreamId: 'u2', name: 'u2' }], 2);
+    try {
+      const call = createCall();
+      const route = { ...call.route, kind, isResumable: true, maxAttempts: 2 };
+      const ending = await fixture.serve({ ...call, route }, createSink().sink);
+      assert.equal([ending.kind, fixture.upstream.requests.length], ['answered', 2], kind);
+    } finally {
+      await fixture.close();
+    }
+  }
+});
+
 // Guards against retries that are counted when they are decided and arrive later, those of several windows at once.
 test('retries that waited are counted when they are sent', async () => {
   const retryLimits = { ratio: 0, slack: 6, windowMs: 300 };
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -150,19 +150,14 @@
     if (result.kind !== 'not-sent' && result.kind !== 'rejected') run.ranCount += 1;
     run.hasBegun = sink.hasBegun();
     if (result.kind === 'rejected' && !result.isMisdirected) run.wasFull = true;
-    if (result.kind === 'held-failure') {
-      if (
-        deps.retries.mayRetry(call.service) &&
-        run.ranCount < call.route.maxAttempts &&
-        !sink.hasBegun()
-      ) {
-        run.heldFailure = { answer: result.answer, upstreamId: run.upstreamId };
-        return null;
-      }
-      return forwardHeldFailure(sink, result.answer, run.upstreamId);
-    }
     const decision = retryDecisions.decideAfterAttempt(factsOf(call, run), result);
     if (decision.kind === 'end') return decision.ending;
+    if (decision.kind === 'forward') {
+      return forwardHeldFailure(sink, decision.answer, run.upstreamId);
+    }
+    if (result.kind === 'held-failure') {
+      run.heldFailure = { answer: result.answer, upstreamId: run.upstreamId };
+    }
     if (decision.isRepeat && !deps.retries.mayRetry(call.service)) {
       return refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
     }
--- a/packages/gateway/src/shared/retry-decisions.test.ts
+++ b/packages/gateway/src/shared/retry-decisions.test.ts
@@ -89,6 +89,45 @@
   );
 });
 
+const failure: Result = {
+  kind: 'held-failure',
+  isSigned: false,
+  answer: { status: 500, headers: [], body: Buffer.alloc(0), statedBytes: 0 },
+};
+
+// Guards against a second run of an entry after any way in which an attempt can end, whoever has ended it.
+test('what may have run and may not run again is never sent again', () => {
+  const results: Result[] = [lost, failure, rejected, { kind: 'not-sent', reason: '' }];
+  fc.assert(
+    fc.property(
+      fc.constantFrom(...results),
+      fc.boolean(),
+      fc.constantFrom<'idempotent' | 'at-most-once' | 'stream'>(
+        'idempotent',
+        'at-most-once',
+        'stream',
+      ),
+      fc.boolean(),
+      fc.integer({ min: 1, max: 4 }),
+      fc.integer({ min: 1, max: 4 }),
+      fc.integer({ min: 0, max: 4 }),
+      (drawn, isSigned, kind, isResumable, maxAttempts, possiblyRunCount, rejectedCount) => {
+        const result = drawn.kind === 'held-failure' ? { ...drawn, isSigned } : drawn;
+        const route = { kind, isResumable, maxAttempts };
+        const sentCount = possiblyRunCount + rejectedCount;
+        const decision = retryDecisions.decideAfterAttempt(
+          facts(kind, { route, possiblyRunCount, sentCount }),
+          result,
+        );
+        const mayRunAgain = kind === 'idempotent' || (kind === 'stream' && isResumable);
+        const isAllowed = mayRunAgain && possiblyRunCount < maxAttempts;
+        if (decision.kind === 'retry') assert.ok(isAllowed);
+      },
+    ),
+    { seed: 68, numRuns: 2_000 },
+  );
+});
+
 test('rejected sends are bounded, and the final refusal gives a time to come back', () => {
   const firstRejection = facts('at-most-once', { possiblyRunCount: 0, sentCount: 1 });
   assert.is(retryDecisions.decideAfterAttempt(firstRejection, rejected).kind, 'retry');
--- a/packages/gateway/src/shared/retry-decisions.ts
+++ b/packages/gateway/src/shared/retry-decisions.ts
@@ -22,6 +22,8 @@
 
 export type RetryDecision =
   | { kind: 'retry'; isRepeat: boolean; resumeAfterId: string | null }
+  /** The caller gets the error of the upstream as it is. */
+  | { kind: 'forward'; answer: calls.HeldAnswer }
   | { kind: 'end'; ending: calls.Ending };
 
 /** Limit on rejected sends: they are not run, but each is work for an upstream that is full already. */
@@ -30,17 +32,23 @@
 const REJECTED_RETRY_AFTER_MS = 400;
 const NOT_SENT_RETRY_AFTER_MS = 250;
 
-function isRepeatAllowed(facts: RequestFacts): boolean {
-  switch (facts.route.kind) {
+function isIdempotent({ kind, isResumable }: RequestFacts['route']): boolean {
+  switch (kind) {
     case 'idempotent':
       return true;
     case 'at-most-once':
       return false;
     case 'stream':
-      return facts.route.isResumable;
+      return isResumable;
   }
 }
 
+/** Whatever an attempt has ended with: what an upstream may have run is sent again only if it may run again. */
+function maySendAgain({ route, possiblyRunCount }: RequestFacts): boolean {
+  if (possiblyRunCount === 0) return true;
+  return isIdempotent(route) && possiblyRunCount < route.maxAttempts;
+}
+
 /**
  * A refusal guarantees that the request has not run. Once any attempt may have run, only "failed" is true, however the
  * last attempt ended. After a part of an answer no other answer can follow: a resumed stream that finds no upstream
@@ -65,8 +73,7 @@
   const ending: calls.Ending = result.hasBegun
     ? { kind: 'cut', cause: 'upstream-lost', upstreamId }
     : { kind: 'failed', cause: 'upstream-lost', upstreamId };
-  if (!isRepeatAllowed(facts) || facts.possiblyRunCount >= route.maxAttempts)
-    return { kind: 'end', ending };
+  if (!maySendAgain(facts)) return { kind: 'end', ending };
   // A stream can resume only after an event that the caller has received completely.
   if (result.hasBegun && (route.kind !== 'stream' || result.lastEventId === null)) {
     return { kind: 'end', ending };
@@ -74,18 +81,29 @@
   return { kind: 'retry', isRepeat: true, resumeAfterId: result.lastEventId };
 }
 
+/** The signed error of a stream is an answer to its caller; elsewhere another upstream may succeed. */
+function decideAfterFailure(
+  facts: RequestFacts,
+  { answer, isSigned }: Extract<calls.AttemptResult, { kind: 'held-failure' }>,
+): RetryDecision {
+  const isFinal = isSigned && facts.route.kind === 'stream';
+  if (isFinal || !maySendAgain(facts)) return { kind: 'forward', answer };
+  return { kind: 'retry', isRepeat: true, resumeAfterId: null };
+}
+
 export function decideAfterAttempt(
   facts: RequestFacts,
-  result: Exclude<calls.AttemptResult, { kind: 'held-failure' }>,
+  result: calls.AttemptResult,
 ): RetryDecision {
   const { upstreamId } = facts;
+  const maySendRejected = facts.sentCount <= MAX_REJECTED_SENDS && maySendAgain(facts);
   switch (result.kind) {
     case 'answered':
       return { kind: 'end', ending: { kind: 'answered', status: result.status, upstreamId } };
     case 'caller-gone':
       return { kind: 'end', ending: { kind: 'caller-gone', stage: 'upstream' } };
     case 'not-sent':
-      if (facts.sentCount <= MAX_REJECTED_SENDS) {
+      if (maySendRejected) {
         return { kind: 'retry', isRepeat: facts.sentCount > 0, resumeAfterId: null };
       }
       return {
@@ -93,7 +111,7 @@
         ending: refusalOrFailure(facts, 'no-upstream', NOT_SENT_RETRY_AFTER_MS),
       };
     case 'rejected':
-      if (facts.sentCount <= MAX_REJECTED_SENDS) {
+      if (maySendRejected) {
         return { kind: 'retry', isRepeat: true, resumeAfterId: null };
       }
       return {
@@ -106,6 +124,8 @@
       };
     case 'lost':
       return decideAfterLoss(facts, result);
+    case 'held-failure':
+      return decideAfterFailure(facts, result);
     case 'deadline': {
       const kind = result.hasBegun ? 'cut' : 'failed';
       return { kind: 'end', ending: { kind, cause: 'timeout', upstreamId } };
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -244,7 +244,6 @@
         sink,
         priority: 0,
         resumeAfterId,
-        holdsFailure: false,
         mayStart: () => true,
         sendByMs: untilMs,
         firstByteByMs: untilMs,
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -82,8 +82,8 @@
 /** How one attempt at one upstream ended. */
 export type AttemptResult =
   | { kind: 'answered'; status: number }
-  /** The upstream answered with an error, which is held back so that another upstream can be tried. */
-  | { kind: 'held-failure'; answer: HeldAnswer }
+  /** The upstream answered with an error, which its caller has not been sent. The upstream may have run the request. */
+  | { kind: 'held-failure'; answer: HeldAnswer; isSigned: boolean }
   /** No byte of the request reached the upstream. */
   | { kind: 'not-sent'; reason: string }
   | { kind: 'rejected'; isMisdirected: boolean; retryAfterMs: number | null }
