--- a/packages/gateway/src/server/forwarding/call-building.ts
+++ b/packages/gateway/src/server/forwarding/call-building.ts
@@ -30,15 +30,21 @@
 
 const HASH_RANGE = 2 ** 32;
 
+/** When the caller gives up or the route's timeout expires, whichever is first. */
+export function deadlineOf({ route, facts }: Admitted, { arrivedAtMs }: Arrival): number {
+  return arrivedAtMs + Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs);
+}
+
 export function buildCall(
   deps: CallBuildingDeps,
   request: http.IncomingMessage,
-  { route, facts, organisation }: Admitted,
+  admitted: Admitted,
   body: Buffer,
-  { arrivedAtMs, bufferedMs }: Arrival,
+  arrival: Arrival,
 ): calls.Call {
+  const { route, facts, organisation } = admitted;
+  const { arrivedAtMs, bufferedMs } = arrival;
   const path = request.url ?? '/';
-  const waitMs = Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs);
   // Each try of a caller has an id of its own; a stream has to go on at the service that began it.
   const splitKey = facts.originRequestId ?? facts.requestId;
   const fraction = deps.hasher.hash32(splitKey) / HASH_RANGE;
@@ -62,8 +68,8 @@
     arrivedAtMs,
     bufferedMs,
     elapsedBeforeMs: deps.norms.elapsedMs(route.name, facts.remainingMs, arrivedAtMs),
-    deadlineMs: arrivedAtMs + waitMs,
-    fingerprint: deps.hasher.hash64Hex(`${scope}\n${body.toString('latin1')}`),
+    deadlineMs: deadlineOf(admitted, arrival),
+    fingerprint: deps.hasher.hash64HexOfBytes(`${scope}\n`, body),
     resumeAfterId: typeof lastEventId === 'string' ? lastEventId : null,
   };
 }
