Bodies: bounded in sum, and their room taken before they are read

Cause: bodies were held as pieces and as their copy until their answers had ended, whatever their sum; only the number of queued requests was bounded.

It rests on two related paths: what the head decides (404, 401, no configuration, too long) reads no body; a body that is too slow ends with its request's deadline (408), or its room would be held for good.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -15,6 +15,7 @@
 import * as peerLinks from './server/peers/peer-link.js';
 import * as placementClients from './server/placement/placement-client.js';
 import * as inFlightModule from './shared/in-flight.js';
+import * as byteBudgets from './shared/byte-budget.js';
 import * as peerRegistries from './shared/peer-registry.js';
 import * as demandCounters from './shared/placement/demand-counters.js';
 import * as placementViews from './shared/placement/placement-view.js';
@@ -37,6 +38,7 @@
 import * as upstreamLimits from './shared/upstream-limits.js';
 import * as directories from './shared/upstream-directory.js';
 import type * as logEvents from './types/log-events.js';
+import * as memory from './memory.js';
 import * as settingsModule from './types/settings.js';
 import * as crashParts from './crash-parts.js';
 import * as controlParts from './control-parts.js';
@@ -157,6 +159,9 @@
         requestQueues.createRequestQueue({ clock: time, loopAges }),
       )
       .singleton(),
+    bodyBudget: awilix
+      .asFunction(() => byteBudgets.createByteBudget(memory.bodyBytes(settings)))
+      .singleton(),
     openCalls: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
         openCallsModule.createOpenCalls(parts.clock, parts.log),
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -42,6 +42,7 @@
     );
     return {
       openCallCount: parts.openCalls.count(),
+      bodyBytes: parts.bodyBudget.heldBytes(),
       configVersion: configuration.version(),
       configAgeMs: configuration.ageMs(),
       storePosition: directory.position(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -160,6 +160,7 @@
     closesConnections: () => isStopping || cradle.shedding.isShedding(),
     openCalls,
     quotas: cradle.quotas,
+    bodyBudget: cradle.bodyBudget,
     loopAges: cradle.loopAges,
     requestQueue: cradle.intake,
     hasher: await hashers.createHasher(),
--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -29,6 +29,16 @@
   sendWhole: (answer: calls.HeldAnswer) => void;
   /** Answers with a refusal or an error of the gateway itself. */
   refuse: (status: number, headers: readonly dialects.HeaderPair[], cause: string) => void;
+  /**
+   * The same for a request whose body has not been read. What still comes of a long one is dropped for a moment before the connection
+   * is closed: a close with unread bytes is a reset, which may overtake the answer.
+   */
+  refuseUnread: (
+    request: http.IncomingMessage,
+    status: number,
+    headers: readonly dialects.HeaderPair[],
+    cause: string,
+  ) => void;
   /** Ends the connection, so that the caller can't take the answer for complete. */
   cut: () => void;
   /** Sets the task that runs when the caller leaves, or at once if it has left; replaces the one set before. */
@@ -43,6 +53,16 @@
   closesConnections: () => boolean;
 };
 
+/** The rest of a body up to this size is read to its end, and the connection kept. */
+const REST_BYTES_MAX = 65_536;
+const REST_MS = 200;
+
+function isRestShort(request: http.IncomingMessage): boolean {
+  if (request.complete) return true;
+  const isChunked = request.headers['transfer-encoding'] !== undefined;
+  return !isChunked && Number(request.headers['content-length'] ?? 0) <= REST_BYTES_MAX;
+}
+
 /** Behind another answer on its connection, this one has no socket yet: nothing of it is sent once the other has ended. */
 export function cutAnswer(raw: http.ServerResponse): void {
   if (raw.socket === null) raw.destroy();
@@ -81,6 +101,25 @@
     writeHead(status, [...headers, ['content-length', String(bodyBytes)]]);
   }
 
+  function writeRefusal(
+    status: number,
+    headers: readonly dialects.HeaderPair[],
+    cause: string,
+  ): Buffer {
+    const body = Buffer.from(JSON.stringify({ title: cause, status }));
+    const ownHeaders: readonly dialects.HeaderPair[] = [
+      ...headers,
+      ['x-request-id', options.requestId],
+      ['content-type', 'application/problem+json'],
+    ];
+    writeHeadWithLength(status, ownHeaders, body.length);
+    return body;
+  }
+
+  function refuse(status: number, headers: readonly dialects.HeaderPair[], cause: string): void {
+    if (!isGone) raw.end(writeRefusal(status, headers, cause));
+  }
+
   return {
     hasBegun: () => raw.headersSent,
     begin: (status, headers, bodyBytes) => {
@@ -104,16 +143,18 @@
       else writeHeadWithLength(answer.status, answer.headers, answer.statedBytes);
       raw.end(answer.body);
     },
-    refuse: (status, headers, cause) => {
+    refuse,
+    refuseUnread: (request, status, headers, cause) => {
       if (isGone) return;
-      const body = Buffer.from(JSON.stringify({ title: cause, status }));
-      const ownHeaders: readonly dialects.HeaderPair[] = [
-        ...headers,
-        ['x-request-id', options.requestId],
-        ['content-type', 'application/problem+json'],
-      ];
-      writeHeadWithLength(status, ownHeaders, body.length);
-      raw.end(body);
+      if (isRestShort(request)) {
+        refuse(status, headers, cause);
+        return;
+      }
+      raw.write(writeRefusal(status, [...headers, ['connection', 'close']], cause));
+      request.resume();
+      const timer = setTimeout(() => raw.end(), REST_MS);
+      request.once('end', () => raw.end());
+      raw.once('close', () => clearTimeout(timer));
     },
     cut: () => cutAnswer(raw),
     onCallerGone: (task) => {
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -2,6 +2,7 @@
 
 import { clocks } from '@copperlever/runtime';
 import * as undici from 'undici';
+import * as fc from 'fast-check';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -9,6 +10,8 @@
 import type * as calls from '../../types/calls.js';
 import * as readDelays from './read-delay.js';
 
+const UPLOAD_PLAYS = Number(process.env.UPLOAD_PLAYS ?? 400);
+
 const test = suite('callers app');
 
 async function request(
@@ -245,4 +248,195 @@
   }
 });
 
+type Exchange = { answer: string; isClosed: boolean };
+
+/** Writes the pieces, one each `everyMs`, and reads for a while. */
+async function exchange(
+  port: number,
+  pieces: readonly string[],
+  { everyMs = 1, forMs = 150 } = {},
+): Promise<Exchange> {
+  const socket = net.connect(port, '127.0.0.1');
+  const got = { answer: '', isClosed: false };
+  socket.on('error', () => {});
+  socket.on('data', (data) => {
+    got.answer += data.toString();
+  });
+  socket.once('close', () => {
+    got.isClosed = true;
+  });
+  for (const piece of pieces) {
+    socket.write(piece);
+    await sleep(everyMs);
+  }
+  await sleep(forMs);
+  const { answer, isClosed } = got;
+  socket.destroy();
+  return { answer, isClosed };
+}
+
+function postHead(path: string, headers: Record<string, string>): string {
+  return callersApps.requestText(path, headers).replace('GET', 'POST');
+}
+
+// Guards against bodies that together take all memory: the gateway is killed, and what it had accepted is lost.
+test('a body for which there is no room is refused at once, and those that were accepted are served', async () => {
+  let release = () => {};
+  const released = new Promise<void>((resolve) => {
+    release = resolve;
+  });
+  const app = await callersApps.startCallersApp({
+    bodyBytesMax: 2_500,
+    serve: async (_call, sink) => {
+      await released;
+      sink.sendWhole({ status: 200, headers: [], body: Buffer.from('ok'), statedBytes: 2 });
+      return { kind: 'answered', status: 200, upstreamId: 'u1' };
+    },
+  });
+  try {
+    const whole = [postHead('/a', { 'content-length': '1000' }), 'x'.repeat(1_000)];
+    const accepted = [1, 2].map(() => exchange(app.port, whole, { forMs: 400 }));
+    await sleep(50);
+    const [refused] = await Promise.all([exchange(app.port, whole.slice(0, 1))]);
+    assert.match(refused.answer, /^HTTP\/1\.1 503 /);
+    assert.match(refused.answer, /retry-after: 1\.00/);
+    release();
+    for (const { answer } of await Promise.all(accepted)) assert.match(answer, /^HTTP\/1\.1 200 /);
+    assert.equal([app.served.length, app.bodyBudget.heldBytes()], [2, 0]);
+  } finally {
+    await app.close();
+  }
+});
+
+// Guards against reading bodies of requests that their head alone has refused already.
+test('a request that its head decides is answered before its body has come', async () => {
+  const keyed = await callersApps.startCallersApp({ organisations: [callersApps.ORGANISATION] });
+  const starting = await callersApps.startCallersApp({ isConfigured: false });
+  const elsewhere = await callersApps.startCallersApp({ route: { pathPrefix: '/here/' } });
+  try {
+    for (const [app, status] of [
+      [keyed, 401],
+      [starting, 503],
+      [elsewhere, 404],
+    ] as const) {
+      for (const length of ['1000', '100000']) {
+        const { answer } = await exchange(app.port, [postHead('/x', { 'content-length': length })]);
+        assert.match(answer, new RegExp(`^HTTP/1\\.1 ${status} `), `${status} ${length}`);
+      }
+    }
+  } finally {
+    await Promise.all([keyed, starting, elsewhere].map((app) => app.close()));
+  }
+});
+
+// Guards against 413, after which no caller comes back, from a gateway that doesn't know yet what is allowed.
+test('a long body before the first configuration is told when to come back', async () => {
+  const app = await callersApps.startCallersApp({ isConfigured: false });
+  try {
+    const pieces = [postHead('/x', { 'content-length': '70000' }), 'x'.repeat(70_000)];
+    const { answer } = await exchange(app.port, pieces);
+    assert.match(answer, /^HTTP\/1\.1 503 /);
+    assert.match(answer, /retry-after/);
+  } finally {
+    await app.close();
+  }
+});
+
+// Guards against a reset that overtakes the refusal of a body that is still being sent.
+test('a caller that is still sending gets its refusal, and then the end of the connection', async () => {
+  const app = await callersApps.startCallersApp({ bodyBytesMax: 100 });
+  try {
+    const pieces = [postHead('/x', { 'content-length': '100000' })];
+    for (let count = 0; count < 100; count += 1) pieces.push('x'.repeat(1_000));
+    const { answer, isClosed } = await exchange(app.port, pieces, { forMs: 300 });
+    assert.match(answer, /^HTTP\/1\.1 413 /);
+    assert.ok(isClosed);
+  } finally {
+    await app.close();
+  }
+});
+
+// Guards against callers that hold room for bodies that never come to their end.
+test('a body that comes too slowly is given up at its deadline, and not run', async () => {
+  const app = await callersApps.startCallersApp();
+  try {
+    const head = postHead('/x', { 'content-length': '1000', 't-wait': '100' });
+    const pieces = [head, ...Array.from({ length: 20 }, () => 'x')];
+    const { answer, isClosed } = await exchange(app.port, pieces, { everyMs: 20 });
+    assert.match(answer, /^HTTP\/1\.1 408 /);
+    assert.ok(isClosed);
+    assert.equal([app.served, app.bodyBudget.heldBytes()], [[], 0]);
+  } finally {
+    await app.close();
+  }
+});
+
+const uploads = fc.record({
+  lengthBytes: fc.integer({ min: 0, max: 1_200 }),
+  isChunked: fc.boolean(),
+  pieceCount: fc.integer({ min: 1, max: 6 }),
+  /** It leaves after so many pieces. */
+  leavesAfter: fc.integer({ min: 0, max: 12 }),
+  everyMs: fc.constantFrom(0, 1, 30),
+  waitMs: fc.constantFrom('50', '1000'),
+  pauseMs: fc.integer({ min: 0, max: 10 }),
+});
+
+// Guards against room that is taken twice or never given back, however bodies come and end.
+test('the bodies that are held never exceed the bound, and none is held once all have ended', async () => {
+  const maxBytes = 5_000;
+  const app = await callersApps.startCallersApp({
+    bodyBytesMax: maxBytes,
+    serve: async (call, sink) => {
+      await sleep(call.body.length % 20);
+      sink.sendWhole({ status: 200, headers: [], body: Buffer.from('ok'), statedBytes: 2 });
+      return { kind: 'answered', status: 200, upstreamId: 'u1' };
+    },
+  });
+  let mostBytes = 0;
+  const statuses = new Map<string, number>();
+  const sampler = setInterval(() => {
+    mostBytes = Math.max(mostBytes, app.bodyBudget.heldBytes());
+  }, 1);
+  try {
+    const drawn = fc.sample(uploads, { numRuns: UPLOAD_PLAYS, seed: 68 });
+    const played: Promise<void>[] = [];
+    for (const one of drawn) {
+      const { isChunked, lengthBytes, pieceCount } = one;
+      const framing: Record<string, string> = isChunked
+        ? { 'transfer-encoding': 'chunked' }
+        : { 'content-length': String(lengthBytes) };
+      const sizeBytes = Math.ceil(lengthBytes / pieceCount);
+      const pieces = Array.from({ length: pieceCount }, (_, index) => {
+        const bytes = Math.max(0, Math.min(sizeBytes, lengthBytes - index * sizeBytes));
+        if (!isChunked) return 'x'.repeat(bytes);
+        return bytes === 0 ? '' : `${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`;
+      });
+      if (isChunked) pieces.push('0\r\n\r\n');
+      const head = postHead('/x', { ...framing, 't-wait': one.waitMs });
+      const sent = [head, ...pieces].slice(0, 1 + one.leavesAfter);
+      const forMs = one.leavesAfter > pieces.length ? 150 : 0;
+      played.push(
+        exchange(app.port, sent, { everyMs: one.everyMs, forMs }).then(({ answer }) => {
+          const status = answer.slice(9, 12) || 'none';
+          statuses.set(status, (statuses.get(status) ?? 0) + 1);
+        }),
+      );
+      await sleep(one.pauseMs);
+    }
+    await Promise.all(played);
+    await sleep(50);
+    const counted = [...statuses].sort().map((entry) => entry.join(': '));
+    process.stdout.write(
+      `${drawn.length} bodies, at most ${mostBytes} bytes: ${counted.join(', ')}\n`,
+    );
+    assert.ok(mostBytes > maxBytes / 2 && mostBytes <= maxBytes, `${mostBytes}`);
+    assert.is(app.bodyBudget.heldBytes(), 0);
+    for (const status of ['200', '503', '408', '413']) assert.ok(statuses.has(status), status);
+  } finally {
+    clearInterval(sampler);
+    await app.close();
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -7,6 +7,7 @@
 import * as fastify from 'fastify';
 
 import * as accessTables from '../../shared/access.js';
+import type * as byteBudgets from '../../shared/byte-budget.js';
 import type * as deadlineBaselines from '../../shared/deadline-baselines.js';
 import * as routeTables from '../../shared/route-table.js';
 import * as urgency from '../../shared/urgency.js';
@@ -36,6 +37,7 @@
   closesConnections: () => boolean;
   metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded' | 'denied' | 'read' | 'callerLeft'>;
   quotas: Pick<quotasModule.Quotas, 'admit'>;
+  bodyBudget: byteBudgets.ByteBudget;
   openCalls: openCallsModule.OpenCalls;
   loopAges: Pick<readDelays.ReadDelay, 'accepted' | 'probeWith' | 'requestAge' | 'turnMs'>;
   requestQueue: Pick<requestQueues.RequestQueue, 'waitForStart'>;
@@ -52,14 +54,12 @@
 
 const HEADER_BYTES_MAX = 65_536;
 const STARTING_RETRY_MS = 1_000;
+/** Bodies are held for about as long as their requests take. */
+const NO_ROOM_RETRY_MS = 1_000;
 /** Time-outs until the first configuration is applied. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 5_000;
 
-function refuseEarly(sink: answers.AnswerSink, status: number, cause: string): void {
-  sink.refuse(status, [], cause);
-}
-
 type OverQuota = Extract<quotasModule.QuotaDecision, { kind: 'refused' }>;
 
 function answerEnding(deps: CallersDeps, sink: answers.AnswerSink, ending: calls.Ending): void {
@@ -103,14 +103,14 @@
   const route = active.routes.find(request.headers.host ?? '', path);
   if (route === null) {
     deps.log.info('route-unknown', { requestId, path, configVersion });
-    refuseEarly(sink, 404, 'route-unknown');
+    sink.refuseUnread(request, 404, [], 'route-unknown');
     deps.metrics.denied('route-unknown');
     return null;
   }
   const access = active.access.accessOf(route, facts.apiKey);
   if (access.kind === 'unknown-key') {
     deps.log.info('key-unknown', { requestId, route: route.name, configVersion });
-    refuseEarly(sink, 401, 'key-unknown');
+    sink.refuseUnread(request, 401, [], 'key-unknown');
     deps.metrics.denied('key-unknown');
     return null;
   }
@@ -139,6 +139,60 @@
   return { kind: route.kind, priority };
 }
 
+/** Reads the body of a request that its head has admitted. Null if it was refused or its caller has left. */
+async function readAdmitted(
+  deps: CallersDeps,
+  active: ActiveConfiguration,
+  request: http.IncomingMessage,
+  sink: answers.AnswerSink,
+  admitted: callBuilding.Admitted,
+  arrival: callBuilding.Arrival,
+): Promise<Extract<bodies.Body, { kind: 'whole' }> | null> {
+  const { clock, bodyBudget: budget } = deps;
+  const { requestId } = admitted.facts;
+  const deadlineMs = callBuilding.deadlineOf(admitted, arrival);
+  const bytesMax = active.config.limits.bodyBytes;
+  const body = await bodies.readBody(request, { clock, budget, bytesMax, deadlineMs });
+  switch (body.kind) {
+    case 'whole':
+      return body;
+    case 'caller-gone':
+      requestLog.recordCallerLeft(deps, requestId, 'unread', arrival);
+      return null;
+    case 'too-large':
+      sink.refuseUnread(request, 413, [], 'body-too-large');
+      return null;
+    case 'too-slow':
+      // It has not run, and its caller may send it once more.
+      sink.refuseUnread(request, 408, [['connection', 'close']], 'body-too-slow');
+      return null;
+    case 'no-room':
+      refuseForRoom(deps, request, sink, requestId, body.wantedBytes);
+      return null;
+  }
+}
+
+function refuseForRoom(
+  deps: CallersDeps,
+  request: http.IncomingMessage,
+  sink: answers.AnswerSink,
+  requestId: string,
+  wantedBytes: number,
+): void {
+  const heldBytes = deps.bodyBudget.heldBytes();
+  const { maxBytes } = deps.bodyBudget;
+  deps.log.warn('body-refused', {
+    requestId,
+    wantedBytes,
+    heldBytes,
+    maxBytes,
+    retryAfterMs: NO_ROOM_RETRY_MS,
+  });
+  const retryAfter = deps.dialect.retryAfter(NO_ROOM_RETRY_MS);
+  sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'no-room');
+  deps.metrics.denied('no-room');
+}
+
 /** Waits until the request may be started. Null if it was refused or its caller has left. */
 async function waitForStart(
   deps: CallersDeps,
@@ -186,25 +240,35 @@
     closesConnections: deps.closesConnections,
   });
   const active = deps.configuration();
-  const bodyBytesMax = active?.config.limits.bodyBytes ?? HEADER_BYTES_MAX;
-  const body = await bodies.readBody(request, bodyBytesMax);
-  if (body.kind === 'caller-gone') {
-    requestLog.recordCallerLeft(deps, requestId, 'unread', arrival);
-    return;
-  }
-  if (body.kind === 'too-large') {
-    // The rest of the body may be long, or have no end.
-    sink.refuse(413, [['connection', 'close']], 'body-too-large');
-    return;
-  }
   if (active === null) {
-    const ending = { kind: 'not-run', cause: 'no-configuration' } as const;
-    answerEnding(deps, sink, { ...ending, retryAfterMs: STARTING_RETRY_MS });
+    const retryAfter = deps.dialect.retryAfter(STARTING_RETRY_MS);
+    sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'no-configuration');
     return;
   }
-  const started = await waitForStart(deps, request, sink, body.bytes, arrival);
+  // What the head decides needs no body.
+  const admitted = admit(deps, active, request, sink);
+  if (admitted === null) return;
+  const body = await readAdmitted(deps, active, request, sink, admitted, arrival);
+  if (body === null) return;
+  try {
+    await serveRead(deps, request, sink, body.bytes, arrival);
+  } finally {
+    body.release();
+  }
+}
+
+/** Serves a request that has been read. */
+async function serveRead(
+  deps: CallersDeps,
+  request: http.IncomingMessage,
+  sink: answers.AnswerSink,
+  body: Buffer,
+  arrival: callBuilding.Arrival,
+): Promise<void> {
+  const started = await waitForStart(deps, request, sink, body, arrival);
   if (started === null) return;
   const { call } = started;
+  const { requestId } = call;
   const isLate = call.elapsedBeforeMs > call.route.latencyObjectiveMs;
   const quota = await deps.quotas.admit(started.organisation, call.facts, isLate);
   if (quota.kind === 'refused') {
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -51,6 +51,7 @@
       passed.hasEnded = true;
     },
     refuse: () => {},
+    refuseUnread: () => {},
     cut: () => {},
     onCallerGone: () => {},
     isCallerGone: () => false,
--- a/packages/gateway/src/server/forwarding/bodies.ts
+++ b/packages/gateway/src/server/forwarding/bodies.ts
@@ -1,24 +1,113 @@
-/** Reads the whole body of a request, up to a size limit. */
+/**
+ * Reads the whole body of a request, up to a size limit and within the gateway's budget for bodies. Room is taken before the
+ * bytes are read: at once where the request states its length, as the body grows elsewhere.
+ */
 import type * as http from 'node:http';
 
+import type { clocks } from '@copperlever/runtime';
+
+import type * as byteBudgets from '../../shared/byte-budget.js';
+
+/** `release` gives the room of the bytes back, once the request has ended. */
 export type Body =
-  { kind: 'whole'; bytes: Buffer } | { kind: 'too-large' } | { kind: 'caller-gone' };
+  | { kind: 'whole'; bytes: Buffer; release: () => void }
+  | { kind: 'too-large' }
+  | { kind: 'no-room'; wantedBytes: number }
+  | { kind: 'too-slow' }
+  | { kind: 'caller-gone' };
+
+export type BodyLimits = {
+  clock: Pick<clocks.Clock, 'schedule'>;
+  bytesMax: number;
+  budget: byteBudgets.ByteBudget;
+  /** A body that isn't whole by then is given up. */
+  deadlineMs: number;
+};
+
+const FIRST_BUFFER_BYTES = 4_096;
+
+/** The length that the request states; null for one in chunks. */
+export function statedBytes(request: http.IncomingMessage): number | null {
+  if (request.headers['transfer-encoding'] !== undefined) return null;
+  return Number(request.headers['content-length'] ?? 0);
+}
+
+/** Bytes in one buffer, of the stated length or one that doubles; null if there is no room for it. */
+function createCollector({ budget, bytesMax }: BodyLimits, lengthBytes: number | null) {
+  let buffer: Buffer = Buffer.alloc(0);
+  let sizeBytes = 0;
+  let takenBytes = 0;
+
+  function take(bytes: number): boolean {
+    if (!budget.take(bytes, takenBytes)) return false;
+    takenBytes += bytes;
+    return true;
+  }
 
-export function readBody(request: http.IncomingMessage, bytesMax: number): Promise<Body> {
+  /** Room for both buffers is needed while one is copied into the other. */
+  function grow(neededBytes: number): boolean {
+    const doubledBytes = Math.max(FIRST_BUFFER_BYTES, 2 * buffer.length);
+    const grownBytes = Math.max(neededBytes, Math.min(bytesMax, doubledBytes));
+    if (!take(grownBytes)) return false;
+    const grown = Buffer.allocUnsafeSlow(grownBytes);
+    buffer.copy(grown, 0, 0, sizeBytes);
+    budget.give(buffer.length);
+    takenBytes -= buffer.length;
+    buffer = grown;
+    return true;
+  }
+
+  return {
+    hasRoom: () => lengthBytes === null || take(lengthBytes),
+    /** False if there is no room for the chunk. */
+    push: (chunk: Buffer): boolean => {
+      const isOnlyChunk = lengthBytes === chunk.length && sizeBytes === 0;
+      if (isOnlyChunk) buffer = chunk;
+      else if (lengthBytes !== null && sizeBytes === 0)
+        buffer = Buffer.allocUnsafeSlow(lengthBytes);
+      else if (sizeBytes + chunk.length > buffer.length && !grow(sizeBytes + chunk.length)) {
+        return false;
+      }
+      if (!isOnlyChunk) chunk.copy(buffer, sizeBytes);
+      sizeBytes += chunk.length;
+      return true;
+    },
+    bytes: () => buffer.subarray(0, sizeBytes),
+    sizeBytes: () => sizeBytes,
+    release: () => {
+      budget.give(takenBytes);
+      takenBytes = 0;
+    },
+  };
+}
+
+export function readBody(request: http.IncomingMessage, limits: BodyLimits): Promise<Body> {
+  const { bytesMax } = limits;
+  const lengthBytes = statedBytes(request);
+  if (lengthBytes !== null && lengthBytes > bytesMax) return Promise.resolve({ kind: 'too-large' });
+  const collector = createCollector(limits, lengthBytes);
+  if (!collector.hasRoom()) {
+    return Promise.resolve({ kind: 'no-room', wantedBytes: lengthBytes ?? 0 });
+  }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    let isSettled = false;
+    function settle(body: Body): void {
+      if (isSettled) return;
+      isSettled = true;
+      cancel();
+      if (body.kind !== 'whole') collector.release();
+      resolve(body);
+    }
+    const cancel = limits.clock.schedule(limits.deadlineMs, () => settle({ kind: 'too-slow' }));
     request.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > bytesMax) {
-        chunks.length = 0;
-        resolve({ kind: 'too-large' });
-        return;
-      }
-      chunks.push(chunk);
+      if (isSettled) return;
+      if (collector.sizeBytes() + chunk.length > bytesMax) settle({ kind: 'too-large' });
+      else if (!collector.push(chunk)) settle({ kind: 'no-room', wantedBytes: chunk.length });
+    });
+    request.once('end', () => {
+      settle({ kind: 'whole', bytes: collector.bytes(), release: collector.release });
     });
-    request.once('end', () => resolve({ kind: 'whole', bytes: Buffer.concat(chunks) }));
-    request.once('error', () => resolve({ kind: 'caller-gone' }));
-    request.once('close', () => resolve({ kind: 'caller-gone' }));
+    request.once('error', () => settle({ kind: 'caller-gone' }));
+    request.once('close', () => settle({ kind: 'caller-gone' }));
   });
 }
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -244,6 +244,7 @@
       state.body = answer.body.toString();
     },
     refuse: () => {},
+    refuseUnread: () => {},
     cut: () => {},
     onCallerGone: (task) => {
       callerGone = task;
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -10,6 +10,7 @@
 
 const READINGS: metricsModule.Readings = {
   openCallCount: 3,
+  bodyBytes: 70_000,
   configVersion: 12,
   configAgeMs: 2_500,
   storePosition: { era: 0, revision: 40 },
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -14,11 +14,13 @@
 
 export type RequestClass = { kind: fleet.RouteKind; priority: number };
 
-export type DenialCause = 'route-unknown' | 'key-unknown' | 'over-quota';
+export type DenialCause = 'route-unknown' | 'key-unknown' | 'over-quota' | 'no-room';
 
 /** What is read when somebody asks, and kept by others. */
 export type Readings = {
   openCallCount: number;
+  /** Bytes of request bodies that are held. */
+  bodyBytes: number;
   configVersion: number;
   configAgeMs: number | null;
   storePosition: storePositions.Position;
@@ -41,7 +43,7 @@
 
 export type GatewayMetrics = {
   requestEnded: (of: RequestClass, ending: calls.Ending, tookMs: number) => void;
-  /** Refused before it was taken up: no route, no key, or no quota left. */
+  /** Refused before it was taken up: no route, no key, no quota left, or no room for its body. */
   denied: (cause: DenialCause) => void;
   /** A request was read, and may have lain unread for so long. */
   read: (isNewConnection: boolean, unreadMs: number) => void;
@@ -249,6 +251,7 @@
     CHANGE_BUCKETS_S,
   );
   const seconds = (valueMs: number | null) => (valueMs === null ? null : valueMs / MS_PER_SECOND);
+  gauge('body_bytes', 'Bytes of request bodies that are held', () => readings().bodyBytes);
   gauge('open_requests', 'Requests read and not answered yet', () => readings().openCallCount);
   gauge('config_version', 'Configuration in force', () => readings().configVersion);
   gauge('config_age_seconds', 'Since the configuration came into force', () =>
--- /dev/null
+++ b/packages/gateway/src/shared/byte-budget.ts
@@ -0,0 +1,33 @@
+/**
+ * Bounds the bytes of request bodies that a gateway holds at a time, in sum. Large bodies get a part of it only, so that a burst of
+ * them does not have small requests refused as well.
+ */
+export type ByteBudget = {
+  /** Takes `bytes` for a body that holds `heldBytes` already; false, and nothing taken, if there is no room. */
+  take: (bytes: number, heldBytes: number) => boolean;
+  give: (bytes: number) => void;
+  heldBytes: () => number;
+  maxBytes: number;
+};
+
+/** A larger body counts as large: 50 times a prompt of 300 words. */
+const SMALL_BYTES_MAX = 65_536;
+const SHARE_OF_LARGE = 0.9;
+
+export function createByteBudget(maxBytes: number): ByteBudget {
+  let takenBytes = 0;
+  return {
+    take: (bytes, heldBytes) => {
+      const isLarge = heldBytes + bytes > SMALL_BYTES_MAX;
+      const limitBytes = isLarge ? maxBytes * SHARE_OF_LARGE : maxBytes;
+      if (takenBytes + bytes > limitBytes) return false;
+      takenBytes += bytes;
+      return true;
+    },
+    give: (bytes) => {
+      takenBytes -= bytes;
+    },
+    heldBytes: () => takenBytes,
+    maxBytes,
+  };
+}
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -10,6 +10,7 @@
 import * as readDelays from '../server/forwarding/read-delay.js';
 import * as openCallsModule from '../server/forwarding/open-calls.js';
 import * as quotasModule from '../server/quotas/quotas.js';
+import * as byteBudgets from '../shared/byte-budget.js';
 import * as access from '../shared/access.js';
 import * as deadlineBaselines from '../shared/deadline-baselines.js';
 import * as routeTables from '../shared/route-table.js';
@@ -51,6 +52,10 @@
 
 export type AppOptions = {
   route?: Partial<fleet.Route>;
+  /** Whether the first configuration has come. */
+  isConfigured?: boolean;
+  /** The bytes that all bodies may hold together. */
+  bodyBytesMax?: number;
   /** In place of one that answers at once. */
   serve?: serving.Serve;
   organisations?: readonly fleet.Organisation[];
@@ -60,7 +65,7 @@
 };
 
 export async function startCallersApp(options: AppOptions = {}) {
-  const { organisations = null, isPublic = false, ending = GOOD } = options;
+  const { organisations = null, isPublic = false, ending = GOOD, isConfigured = true } = options;
   const route = { ...ROUTE, isPublic, ...options.route };
   const config = { ...CONFIG, routes: [route], organisations };
   const clock = clocks.createSystemClock();
@@ -68,6 +73,12 @@
   const loopAges = readDelays.createReadDelay(clock);
   const served: { path: string; atMs: number; deadlineMs: number }[] = [];
   const servedCalls: calls.Call[] = [];
+  const active = {
+    config,
+    routes: routeTables.createRouteTable(config.routes),
+    access: access.createAccessTable(config.organisations),
+  };
+  const bodyBudget = byteBudgets.createByteBudget(options.bodyBytesMax ?? 1_000_000);
   const app = callersApp.createCallersApp({
     clock,
     log,
@@ -84,14 +95,11 @@
       if (ending.kind === 'answered') sink.sendWhole(answer);
       return Promise.resolve(ending);
     },
-    configuration: () => ({
-      config,
-      routes: routeTables.createRouteTable(config.routes),
-      access: access.createAccessTable(config.organisations),
-    }),
+    configuration: () => (isConfigured ? active : null),
     closesConnections: () => false,
     metrics: { requestEnded: () => {}, denied: () => {}, read: () => {}, callerLeft: () => {} },
     quotas: options.quotas ?? createQuotas([]),
+    bodyBudget,
     openCalls: openCallsModule.createOpenCalls(clock, log),
   });
   await app.listen({ host: '127.0.0.1', port: 0 });
@@ -101,7 +109,7 @@
     app.server.closeAllConnections();
     await app.close();
   };
-  return { port, server: app.server, served, servedCalls, close };
+  return { port, server: app.server, served, servedCalls, bodyBudget, close };
 }
 
 export function createQuotas(organisations: readonly fleet.Organisation[]): quotasModule.Quotas {
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -191,6 +191,14 @@
   'route-unknown': { requestId: string; path: string; configVersion: number };
   /** No configuration in force names the caller's key. */
   'key-unknown': { requestId: string; route: string; configVersion: number };
+  /** There was no room for its body: all bodies together may hold `maxBytes`, or a part of that if they are large. */
+  'body-refused': {
+    requestId: string;
+    wantedBytes: number;
+    heldBytes: number;
+    maxBytes: number;
+    retryAfterMs: number;
+  };
   /** Its organisation has no credits left here; `creditsAgeMs`: since the holder told of them. */
   'over-quota': {
     requestId: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -17,6 +17,7 @@
 import type * as originPeers from '../server/streams/origin-peers.js';
 import type * as resumedStreams from '../server/streams/resumed-streams.js';
 import type * as inFlightModule from '../shared/in-flight.js';
+import type * as byteBudgets from '../shared/byte-budget.js';
 import type * as peerRegistries from '../shared/peer-registry.js';
 import type * as demandCounters from '../shared/placement/demand-counters.js';
 import type * as placementViews from '../shared/placement/placement-view.js';
@@ -98,6 +99,7 @@
   connections: connectionsModule.Connections;
   configuration: configHolder.ConfigHolder;
   placement: placementTypes.Placement;
+  bodyBudget: byteBudgets.ByteBudget;
   openCalls: openCallsModule.OpenCalls;
   quotas: quotasModule.Quotas;
   loopAges: readDelays.ReadDelay;
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -22,6 +22,8 @@
   /** The part that this process may use of each of so many processors: the largest gateways place models. */
   processorShare: positive.default(1),
   processorCores: positive.default(1),
+  /** The memory of the VM that this process may use. Without it, that of the VM, or at most what the deploy file is made for. */
+  memoryMb: positive.optional(),
   /** How long a planned stop may take before the process is killed. */
   stopTimeoutS: positive,
   /** How long an upstream that leaves may still get new work. */
