Streams: the versions at which they may have begun are recorded in the store

A gateway that had just started knew of no version but by having watched the list for as long as streams live.

Cause: nothing that outlives all gateways said which versions streams had begun at. For the same reason the settings' word that no gateway ran before was believed after a kill (with it the only listed version was taken for that of streams whose version had just left: ORDER), and a gateway that started while a version was new took it for an old one.

Change: one record in the store. A version is in it before the first stream begins there, and after it was listed for drainTimeoutMs; a gateway that starts reads it, and one version in a complete record is that of any stream. A version leaves it after two lives of a stream, by the lease holder. A return of the store from a copy makes it doubtful until a gateway that ran through it has completed it. While the store was never read, versions wait drainTimeoutMs here.

The fleet of the tests lets a gateway that has ended send nothing any more. Open: with two versions in service streams are still refused after the end of all gateways.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -83,6 +83,7 @@
     const records = directory.all();
     const ids = new Set(records.map((record) => record.upstreamId));
     cradle.streams.noteListed(records);
+    cradle.versionRecorder.noteListed();
     cradle.connections.retain(ids);
     cradle.beliefs.retain(ids);
     cradle.caches.retain(ids);
@@ -176,7 +177,8 @@
 
   function isReady(): boolean {
     const isServing = !isStopping && hasListing && servedConfiguration() !== null;
-    return isServing && knowsLease() && !cradle.shedding.isShedding();
+    const isKnowing = knowsLease() && cradle.versionRecorder.isSettled();
+    return isServing && isKnowing && !cradle.shedding.isShedding();
   }
   const readiness = healthApp.createReadinessApp(cradle.dialect.readinessPath, isReady);
 
@@ -206,12 +208,14 @@
           cradle.exchange.start();
           cradle.quarantineKeeper.start();
           cradle.streams.start();
+          cradle.versionRecorder.start();
           return {
             failed: supervisor.neverFails(),
             stop: async () => {
               cradle.exchange.stop();
               cradle.quarantineKeeper.stop();
               cradle.streams.stop();
+              cradle.versionRecorder.stop();
               cradle.link.close();
               server.forceShutdown();
             },
--- a/packages/gateway/src/server/streams/origins.test.ts
+++ b/packages/gateway/src/server/streams/origins.test.ts
@@ -10,14 +10,16 @@
 
 /** Longer than gateways take to begin streams at a version that is new to them. */
 const SETTLE_MS = 3_000;
+const DISASTER_PLAYS = Number(process.env.DISASTER_PLAYS ?? 60);
 
 async function withFleet(
   gatewayCount: number,
   versions: readonly string[],
   run: (fleet: Fleet) => Promise<void>,
   seed = 1,
+  options: Partial<originFleets.OriginFleetOptions> = {},
 ): Promise<void> {
-  const fleet = originFleets.createOriginFleet({ gatewayCount, seed });
+  const fleet = originFleets.createOriginFleet({ gatewayCount, seed, ...options });
   versions.forEach((version, index) => fleet.list(`u${index}`, version));
   fleet.startAll();
   try {
@@ -28,6 +30,11 @@
   }
 }
 
+function killAll(fleet: Fleet, gatewayIds: readonly string[]): void {
+  gatewayIds.forEach(fleet.kill);
+  gatewayIds.forEach((gatewayId) => fleet.start(gatewayId));
+}
+
 function beginAt(fleet: Fleet, gatewayId: string): originFleets.Begun {
   const begun = fleet.begin(gatewayId);
   if (begun === null) throw new Error('no stream began');
@@ -211,6 +218,86 @@
   });
 });
 
+// Guards against refusing for as long as streams live what began before all gateways were killed.
+test('with one version streams go on after all gateways were killed at once, and again', async () => {
+  await withFleet(3, ['v1', 'v1'], async (fleet) => {
+    const begun = Array.from({ length: 24 }, () => beginAt(fleet, 'g1'));
+    for (let round = 0; round < 2; round += 1) {
+      killAll(fleet, ['g1', 'g2', 'g3']);
+      await fleet.clock.advance(1_000);
+      for (const stream of begun) {
+        const taken = await takeUpAt(fleet, 'g2', stream);
+        assert.equal(taken, { kind: 'went-on', version: 'v1' });
+      }
+    }
+  });
+});
+
+// Guards against streams of a version that has just left and go on at the only one that is listed, after all gateways were killed.
+test('no stream goes on at another version after all gateways were killed, whatever their settings say', async () => {
+  for (const isFirstFlagKept of [false, true]) {
+    for (const hasBegunBoth of [false, true]) {
+      const options = { isFirstFlagKept };
+      const play1 = async (fleet: Fleet) => {
+        const begun = Array.from({ length: 12 }, () => beginAt(fleet, 'g1'));
+        fleet.list('u2', 'v2');
+        await fleet.clock.advance(hasBegunBoth ? SETTLE_MS : 500);
+        begun.push(...Array.from({ length: 12 }, () => beginAt(fleet, 'g2')));
+        ['u0', 'u1'].forEach(fleet.unlist);
+        await fleet.clock.advance(300);
+        killAll(fleet, ['g1', 'g2', 'g3']);
+        await fleet.clock.advance(1_000);
+        for (const stream of begun) {
+          const taken = await takeUpAt(fleet, 'g3', stream);
+          if (taken.kind === 'went-on') assert.is(taken.version, stream.version);
+        }
+        await fleet.clock.advance(SETTLE_MS);
+        assert.is(beginAt(fleet, 'g1').version, 'v2');
+      };
+      await withFleet(3, ['v1', 'v1'], play1, 1, options);
+    }
+  }
+});
+
+// Guards against a record that a return of the store from a copy has taken back, and that is trusted by gateways that start then.
+test('after a return of the store from a copy no stream goes on at another version', async () => {
+  await withFleet(3, ['v1', 'v1'], async (fleet) => {
+    const comeBack = fleet.records.copy();
+    fleet.list('u2', 'v2');
+    await fleet.clock.advance(SETTLE_MS);
+    const begun = Array.from({ length: 40 }, () => beginAt(fleet, 'g1'));
+    assert.ok(begun.some(({ version }) => version === 'v2'));
+    comeBack();
+    fleet.unlist('u2');
+    killAll(fleet, ['g1', 'g2', 'g3']);
+    await fleet.clock.advance(1_000);
+    for (const stream of begun) {
+      const taken = await takeUpAt(fleet, 'g3', stream);
+      if (taken.kind === 'went-on') assert.is(taken.version, stream.version);
+    }
+  });
+});
+
+// Guards against a version in use that is missing in the record for good, after the store came back from a copy.
+test('a gateway that runs on completes the record after a return of the store', async () => {
+  await withFleet(3, ['v1', 'v1'], async (fleet) => {
+    const comeBack = fleet.records.copy();
+    fleet.list('u2', 'v2');
+    await fleet.clock.advance(SETTLE_MS);
+    comeBack();
+    await fleet.clock.advance(2 * SETTLE_MS);
+    fleet.unlist('u2');
+    await fleet.clock.advance(500);
+    const begun = beginAt(fleet, 'g1');
+    killAll(fleet, ['g1', 'g2', 'g3']);
+    await fleet.clock.advance(1_000);
+    assert.equal(await takeUpAt(fleet, 'g2', begun), { kind: 'refused' });
+    await fleet.clock.advance(originFleets.STREAM_LIFE_MS + 1_000);
+    const later = beginAt(fleet, 'g1');
+    assert.equal(await takeUpAt(fleet, 'g3', later), { kind: 'went-on', version: 'v1' });
+  });
+});
+
 type Step =
   | {
       kind: 'release' | 'crash' | 'kill' | 'isolate' | 'heal' | 'lose-store' | 'regain-store';
@@ -234,8 +321,12 @@
 
 type Tally = { taken: number; wentOn: number; tried: number; began: number };
 
-async function play(fleet: Fleet, plan: readonly Step[], tally: Tally): Promise<void> {
-  const open: originFleets.Begun[] = [];
+async function play(
+  fleet: Fleet,
+  plan: readonly Step[],
+  tally: Tally,
+  open: originFleets.Begun[] = [],
+): Promise<void> {
   for (const { kind, at } of plan) {
     const gatewayId = GATEWAYS[at % GATEWAYS.length] ?? '';
     const upstreamId = UPSTREAMS[at % UPSTREAMS.length] ?? '';
@@ -302,4 +393,78 @@
   assert.ok(wentOn / taken >= began / tried / 2, share);
 });
 
+const disasterKinds = [
+  ...['begin', 'begin', 'begin', 'begin', 'take-up', 'take-up', 'take-up', 'wait', 'wait'],
+  ...['release', 'crash', 'kill', 'kill-all', 'kill-all', 'heal', 'lose-store', 'regain-store'],
+  ...['store-down', 'store-up', 'store-up', 'copy', 'come-back'],
+] as const;
+
+const disasters = fc.array(
+  fc.record({ kind: fc.constantFrom(...disasterKinds), at: fc.nat(1_000) }),
+  { minLength: 40, maxLength: 120 },
+);
+
+type DisasterTally = Tally & { killedAll: number; returned: number };
+
+async function playDisasters(
+  fleet: Fleet,
+  plan: readonly { kind: (typeof disasterKinds)[number]; at: number }[],
+  tally: DisasterTally,
+): Promise<void> {
+  const open: originFleets.Begun[] = [];
+  let comeBack: (() => void) | null = null;
+  for (const step of plan) {
+    switch (step.kind) {
+      case 'kill-all':
+        killAll(fleet, GATEWAYS);
+        tally.killedAll += 1;
+        await fleet.clock.advance(step.at);
+        break;
+      case 'store-down':
+        fleet.records.setFault('down');
+        GATEWAYS.forEach((gatewayId) => fleet.withoutStore.add(gatewayId));
+        break;
+      case 'store-up':
+        fleet.records.setFault('none');
+        fleet.withoutStore.clear();
+        break;
+      case 'copy':
+        comeBack = fleet.records.copy();
+        break;
+      case 'come-back':
+        // A copy is some seconds old at most, which later steps may have made it.
+        if (comeBack === null) break;
+        comeBack();
+        comeBack = null;
+        tally.returned += 1;
+        break;
+      default: {
+        const { kind, at } = step;
+        await play(fleet, [{ kind, at }], tally, open);
+      }
+    }
+  }
+}
+
+// Guards against streams of two versions after the end of all gateways, beside a store that is away or comes back from a copy.
+test('no stream holds events of two versions, also after the end of all gateways', async () => {
+  const tally = { taken: 0, wentOn: 0, tried: 0, began: 0, killedAll: 0, returned: 0 };
+  const starts = fc.constantFrom(['v1', 'v1', 'v1'], ['v1', 'v1', 'v2'], ['v1', 'v2', 'v3']);
+  const property = fc.asyncProperty(
+    disasters,
+    starts,
+    fc.nat(1_000),
+    async (plan, versions, seed) => {
+      await withFleet(4, versions, (fleet) => playDisasters(fleet, plan, tally), seed);
+    },
+  );
+  await fc.assert(property, { numRuns: DISASTER_PLAYS, seed: 68 });
+  const { taken, wentOn, tried, began, killedAll, returned } = tally;
+  process.stdout.write(
+    `${DISASTER_PLAYS} plays, all killed ${killedAll} times, ${returned} returns of the store: ` +
+      `${wentOn} of ${taken} taken up went on; ${began} of ${tried} new ones began\n`,
+  );
+  assert.ok(killedAll >= DISASTER_PLAYS && returned >= DISASTER_PLAYS / 4);
+});
+
 test.run();
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -20,7 +20,7 @@
   metrics: Pick<metricsModule.GatewayMetrics, 'streamResumed' | 'originFound'>;
   origins: streamOrigins.StreamOrigins;
   peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceReplicas'>;
-  versions: versionHistories.VersionHistory;
+  versions: Pick<versionHistories.VersionHistory, 'note' | 'onlyVersion' | 'mayBegin'>;
   doubts: Pick<restartDoubts.RestartDoubts, 'isDoubtful'>;
   /** What the list says of the upstream now. */
   findUpstream: (upstreamId: string) => fleet.UpstreamRecord | undefined;
--- a/packages/gateway/src/shared/version-history.ts
+++ b/packages/gateway/src/shared/version-history.ts
@@ -1,76 +1,199 @@
 /**
- * The software versions that the upstreams of each service recently had, as far as this gateway knows. If a service had only one
- * version for as long as streams live, every stream began at it, at whichever gateway. This holds because no gateway begins
- * streams at a new version before the lists of all others have it or are too old to be relied on.
+ * The software versions at which streams that still live can have begun, as far as this gateway knows: those that it has seen listed,
+ * and those of the record that all gateways share. No gateway begins streams at a version before the record names it, so that the
+ * record tells a gateway that has just started what began before; and a version is recorded only once the lists of all others have it
+ * or are too old to be relied on. With one version, any stream began at it, at whichever gateway.
  */
 import type * as listBudgets from './list-budget.js';
 
 export type ListedVersion = { service: string; softwareVersion: string };
 
+/** `isComplete`: streams that live can have begun at no other version. */
+export type RecordedVersions = {
+  service: string;
+  versions: readonly string[];
+  isComplete: boolean;
+};
+
 export type VersionHistory = {
   /** The versions that are listed now. */
   note: (listed: readonly ListedVersion[], nowMs: number) => void;
+  /** The record as the store has it; empty if there is none. `isLossless`: nothing that was written to it can be missing. */
+  applyRecord: (recorded: readonly RecordedVersions[], isLossless: boolean, nowMs: number) => void;
+  isRecordKnown: () => boolean;
+  /** Whether the list has been seen here for so many lives of a stream. */
+  hasObservedLives: (lives: number, nowMs: number) => boolean;
   /** The only version at which a stream of the service that still lives can have begun; null if several are possible. */
   onlyVersion: (service: string, listAgeMs: number | null, nowMs: number) => string | null;
-  /** Whether streams may begin at the version already: other gateways may not have heard of it yet. */
+  /** Whether streams that live can have begun at no version but those that are known here. */
+  isComplete: (service: string, nowMs: number) => boolean;
+  /** Whether streams may begin at the version already. */
   mayBegin: (service: string, version: string, nowMs: number) => boolean;
+  /** Whether a version of the service could be used if the record named it. */
+  lacksRecord: (service: string, isUnheld: boolean, nowMs: number) => boolean;
+  /** What the record should say of the service by now, with what it already says; null if nothing is to be changed. */
+  wanted: (
+    service: string,
+    recorded: RecordedVersions | null,
+    options: WantedOptions,
+    nowMs: number,
+  ) => RecordedVersions | null;
 };
 
 export type VersionHistoryOptions = {
-  /** Before this nothing was observed; -Infinity if no stream can have begun before. */
+  /** Before this nothing was observed. */
   sinceMs: number;
   /** How long after its first event a stream may be resumed by its caller. */
   streamLifeMs: () => number;
   listBudget: Pick<listBudgets.ListBudget, 'maxOnlyVersionAgeMs' | 'newVersionHoldMs'>;
 };
 
-type Version = { firstMs: number; goneMs: number | null };
+/**
+ * `isFirst`: no stream of the service can have begun. `isUnheld`: its versions may be recorded at once. `mayMaintain`: one gateway of
+ * all removes what is long gone.
+ */
+export type WantedOptions = { mayMaintain: boolean; isFirst: boolean; isUnheld: boolean };
+
+type Version = {
+  firstMs: number;
+  goneMs: number | null;
+  /** The record names it, and not only because it did long ago. */
+  isRecorded: boolean;
+  /** That the record names it may be long out of date: it has to be listed for a while as if it were new. */
+  isStale: boolean;
+};
+
+type ServiceVersions = { versions: Map<string, Version>; isComplete: boolean };
+
+/** One that is gone for this part of a stream's life has to be recorded anew, long before the record may lack it. */
+const KEPT_SHARE = 0.5;
+/** Lives of a stream after which a version that isn't listed leaves the record. */
+const REMOVED_LIVES = 2;
 
 export function createVersionHistory(options: VersionHistoryOptions): VersionHistory {
   const { sinceMs, streamLifeMs, listBudget } = options;
-  const services = new Map<string, Map<string, Version>>();
-
-  function noteListed({ service, softwareVersion }: ListedVersion, firstMs: number): void {
-    const versions = services.get(service) ?? new Map<string, Version>();
-    services.set(service, versions);
-    const version = versions.get(softwareVersion);
-    if (version === undefined) versions.set(softwareVersion, { firstMs, goneMs: null });
-    else version.goneMs = null;
+  const services = new Map<string, ServiceVersions>();
+  let isRecordKnown = false;
+
+  function versionsOf(service: string): ServiceVersions {
+    const found = services.get(service);
+    if (found !== undefined) return found;
+    const created = { versions: new Map<string, Version>(), isComplete: false };
+    services.set(service, created);
+    return created;
+  }
+
+  function hasObservedLives(lives: number, nowMs: number): boolean {
+    return nowMs - sinceMs >= lives * streamLifeMs();
+  }
+
+  /** It has been listed for so long that each list that is relied on has it. */
+  function isHeld({ firstMs }: Version, nowMs: number): boolean {
+    return nowMs - firstMs >= listBudget.newVersionHoldMs;
   }
 
   function noteGone(listed: ReadonlySet<string>, nowMs: number): void {
-    services.forEach((versions, service) => {
+    services.forEach(({ versions }, service) => {
       versions.forEach((version, name) => {
         if (!listed.has(`${service}\n${name}`)) version.goneMs ??= nowMs;
-        const isForgotten = version.goneMs !== null && nowMs - version.goneMs > streamLifeMs();
-        if (isForgotten) versions.delete(name);
+        if (version.goneMs === null) return;
+        const goneForMs = nowMs - version.goneMs;
+        if (goneForMs > KEPT_SHARE * streamLifeMs()) {
+          version.isRecorded = false;
+          version.isStale = true;
+        }
+        if (goneForMs > streamLifeMs()) versions.delete(name);
       });
     });
   }
 
+  function applyService({ service, versions }: RecordedVersions, nowMs: number): void {
+    const known = versionsOf(service).versions;
+    versions.forEach((name) => {
+      const version = known.get(name);
+      if (version !== undefined) {
+        const isUpToDate = !version.isStale || isHeld(version, nowMs);
+        version.isRecorded ||= version.goneMs === null && isUpToDate;
+        return;
+      }
+      // Seen to be gone for as long as streams live, and not removed from the record yet.
+      if (hasObservedLives(1, nowMs)) return;
+      known.set(name, { firstMs: nowMs, goneMs: nowMs, isRecorded: false, isStale: true });
+    });
+  }
+
+  function isComplete(service: string, nowMs: number): boolean {
+    return hasObservedLives(1, nowMs) || services.get(service)?.isComplete === true;
+  }
+
+  function mayRecord(version: Version, isUnheld: boolean, nowMs: number): boolean {
+    if (version.goneMs !== null) return version.isRecorded;
+    return isUnheld || version.isRecorded || isHeld(version, nowMs);
+  }
+
   return {
     note: (listed, nowMs) => {
-      const keys = new Set(
-        listed.map(({ service, softwareVersion }) => `${service}\n${softwareVersion}`),
-      );
-      const knownServices = new Set(services.keys());
-      listed.forEach((entry) => {
-        // It is not known how long the versions of a service have been listed when it is first seen: assumed to be long.
-        noteListed(entry, knownServices.has(entry.service) ? nowMs : -Infinity);
+      listed.forEach(({ service, softwareVersion }) => {
+        const { versions } = versionsOf(service);
+        const version = versions.get(softwareVersion);
+        if (version === undefined) {
+          const added = { firstMs: nowMs, goneMs: null, isRecorded: false, isStale: false };
+          versions.set(softwareVersion, added);
+          return;
+        }
+        if (version.goneMs !== null && !version.isRecorded) version.firstMs = nowMs;
+        version.goneMs = null;
       });
-      noteGone(keys, nowMs);
+      const keys = listed.map(({ service, softwareVersion }) => `${service}\n${softwareVersion}`);
+      noteGone(new Set(keys), nowMs);
     },
+    applyRecord: (recorded, isLossless, nowMs) => {
+      recorded.forEach((one) => {
+        applyService(one, nowMs);
+        if (isLossless && one.isComplete) versionsOf(one.service).isComplete = true;
+      });
+      isRecordKnown = true;
+    },
+    isRecordKnown: () => isRecordKnown,
+    hasObservedLives,
+    isComplete,
     onlyVersion: (service, listAgeMs, nowMs) => {
       const isListRecent = listAgeMs !== null && listAgeMs <= listBudget.maxOnlyVersionAgeMs;
-      if (!isListRecent || nowMs - sinceMs < streamLifeMs()) return null;
-      const versions = [...(services.get(service) ?? [])].filter(
+      if (!isListRecent || !isComplete(service, nowMs)) return null;
+      const versions = [...(services.get(service)?.versions ?? [])].filter(
         ([, { goneMs }]) => goneMs === null || nowMs - goneMs <= streamLifeMs(),
       );
-      return versions.length === 1 ? (versions[0]?.[0] ?? null) : null;
+      const [only] = versions;
+      if (only === undefined || versions.length > 1) return null;
+      const [name, { isRecorded }] = only;
+      return isRecorded || hasObservedLives(1, nowMs) ? name : null;
     },
     mayBegin: (service, version, nowMs) => {
-      const known = services.get(service)?.get(version);
-      return known !== undefined && nowMs - known.firstMs >= listBudget.newVersionHoldMs;
+      const known = services.get(service)?.versions.get(version);
+      if (known === undefined) return false;
+      if (known.isRecorded) return true;
+      // A store that can't be read at the start must not keep this gateway from serving; the others have recorded what they use.
+      return !isRecordKnown && isHeld(known, nowMs);
+    },
+    lacksRecord: (service, isUnheld, nowMs) =>
+      [...(services.get(service)?.versions.values() ?? [])].some(
+        (version) =>
+          version.goneMs === null && !version.isRecorded && mayRecord(version, isUnheld, nowMs),
+      ),
+    wanted: (service, recorded, { mayMaintain, isFirst, isUnheld }, nowMs) => {
+      const own = services.get(service);
+      const before = recorded?.versions ?? [];
+      const added = [...(own?.versions ?? [])]
+        .filter(([name, version]) => !before.includes(name) && mayRecord(version, isUnheld, nowMs))
+        .map(([name]) => name);
+      const mayDrop = mayMaintain && hasObservedLives(REMOVED_LIVES, nowMs);
+      const kept = before.filter((name) => !mayDrop || own?.versions.has(name) === true);
+      const isCompleteNow = recorded?.isComplete === true || isFirst || isComplete(service, nowMs);
+      const isCompletion =
+        mayMaintain && recorded !== null && isCompleteNow !== recorded.isComplete;
+      const isSame = added.length === 0 && kept.length === before.length && !isCompletion;
+      const versions = [...kept, ...added].sort();
+      return isSame ? null : { service, versions, isComplete: isCompleteNow };
     },
   };
 }
--- a/packages/gateway/src/stream-parts.ts
+++ b/packages/gateway/src/stream-parts.ts
@@ -1,6 +1,7 @@
 /** Makes the parts that keep streams at the software version that began them. */
 import * as originPeers from './server/streams/origin-peers.js';
 import * as resumedStreams from './server/streams/resumed-streams.js';
+import * as versionRecorders from './server/streams/version-recorder.js';
 import * as listBudgets from './shared/list-budget.js';
 import * as streamOrigins from './shared/stream-origins.js';
 import * as versionHistories from './shared/version-history.js';
@@ -27,12 +28,36 @@
 ): versionHistories.VersionHistory {
   const { settings, clock } = parts;
   return versionHistories.createVersionHistory({
-    sinceMs: settings.isFirstStart ? -Infinity : clock.nowMs(),
+    sinceMs: clock.nowMs(),
     streamLifeMs: () => streamLifeMs(parts),
     listBudget: listBudgets.listBudget(settings.drainTimeoutMs),
   });
 }
 
+export function createVersionRecorder(
+  parts: partTypes.GatewayParts,
+): versionRecorders.VersionRecorder {
+  const { clock, log, random, store, versions, settings, configuration } = parts;
+  return versionRecorders.createVersionRecorder({
+    clock,
+    log,
+    random,
+    store,
+    history: versions,
+    isHolder: () => parts.lease.heldTerm() !== null,
+    services: () => {
+      const routes = configuration.current()?.config.routes;
+      if (routes === undefined) return null;
+      const resumable = routes.filter((route) => route.kind === 'stream' && route.isResumable);
+      return [
+        ...new Set(resumable.flatMap(({ targets }) => targets.map(({ service }) => service))),
+      ];
+    },
+    isFirstStart: settings.isFirstStart,
+    newVersionHoldMs: listBudgets.listBudget(settings.drainTimeoutMs).newVersionHoldMs,
+  });
+}
+
 export function createOriginPeers(parts: partTypes.GatewayParts): originPeers.OriginPeers {
   const { clock, versions, listFeed, settings } = parts;
   return originPeers.createOriginPeers({
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -8,13 +8,16 @@
 import * as runs from '../server/forwarding/run.js';
 import type * as peerLinks from '../server/peers/peer-link.js';
 import * as originPeers from '../server/streams/origin-peers.js';
+import * as versionRecorders from '../server/streams/version-recorder.js';
 import * as resumedStreams from '../server/streams/resumed-streams.js';
 import * as listBudgets from '../shared/list-budget.js';
 import * as peerRegistries from '../shared/peer-registry.js';
 import * as streamOrigins from '../shared/stream-origins.js';
 import * as versionHistories from '../shared/version-history.js';
 import type * as fleet from '../types/fleet.js';
+import type * as stores from '../types/stores.js';
 import * as fixtures from './fleet-fixtures.js';
+import * as memoryRecords from './memory-records.js';
 import * as streamCalls from './stream-calls.js';
 
 export const STREAM_LIFE_MS = 120_000;
@@ -30,6 +33,7 @@
   origins: streamOrigins.StreamOrigins;
   peers: originPeers.OriginPeers;
   streams: resumedStreams.ResumedStreams;
+  recorder: versionRecorders.VersionRecorder;
   /** Its list of upstreams and when the store confirmed that. */
   list: { records: readonly fleet.UpstreamRecord[]; asOfMs: number | null };
   incarnation: number;
@@ -42,13 +46,19 @@
 
 export type OriginFleet = ReturnType<typeof createOriginFleet>;
 
-export type OriginFleetOptions = { gatewayCount: number; seed: number };
+/** `isFirstFlagKept`: the settings of gateways that start again still say that none ran before. */
+export type OriginFleetOptions = { gatewayCount: number; seed: number; isFirstFlagKept?: boolean };
 
-export function createOriginFleet({ gatewayCount, seed }: OriginFleetOptions) {
+export function createOriginFleet({
+  gatewayCount,
+  seed,
+  isFirstFlagKept = false,
+}: OriginFleetOptions) {
   const clock = fakeClocks.createFakeClock();
   const random = randoms.createRandom(seed);
   const nodes = new Map<string, GatewayNode>();
   const isolated = new Set<string>();
+  const records = memoryRecords.createMemoryRecords();
   const withoutStore = new Set<string>();
   /** What the store lists. */
   const listed = new Map<string, fleet.UpstreamRecord>();
@@ -61,7 +71,8 @@
     return isolated.has(from) || isolated.has(to) || !nodes.has(to) || !nodes.has(from);
   }
 
-  function createLink(gatewayId: string): OriginLink {
+  /** Of one life of a gateway: nothing is sent after its end. */
+  function createLink(gatewayId: string, incarnation: number): OriginLink {
     async function call<Reply>(address: string, deadlineMs: number, reply: Answer<Reply>) {
       messageCount += 1;
       const to = address.split(':')[0] ?? '';
@@ -71,7 +82,8 @@
       // The port of a process that has ended refuses connections; a machine that is cut off does not answer.
       if (node === undefined)
         return results.Err({ kind: 'unreachable', address, reason: 'ended' } as const);
-      const isLost = isCut(gatewayId, to) || node.incarnation !== before;
+      const hasEnded = nodes.get(gatewayId)?.incarnation !== incarnation;
+      const isLost = isCut(gatewayId, to) || node.incarnation !== before || hasEnded;
       if (isLost) {
         await clocksModule.sleepUntil(clock, deadlineMs);
         return results.Err({ kind: 'deadline', address } as const);
@@ -88,11 +100,30 @@
     };
   }
 
+  /** The store as a gateway reaches it. */
+  function storeOf(gatewayId: string): Pick<stores.RecordStore, 'get' | 'put' | 'era'> {
+    const lost = { kind: 'unavailable', reason: 'cut off' } as const;
+    const isReached = () => !withoutStore.has(gatewayId) && !isolated.has(gatewayId);
+    return {
+      era: records.era,
+      get: async (...args) => {
+        await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+        return isReached() ? records.get(...args) : results.Err(lost);
+      },
+      put: async (...args) => {
+        await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+        return isReached() ? records.put(...args) : results.Err(lost);
+      },
+    };
+  }
+
   function createNode(gatewayId: string, isFirstStart: boolean): GatewayNode {
+    const incarnation = nextIncarnation;
+    nextIncarnation += 1;
     const book = peerRegistries.createPeerRegistry(gatewayId);
     const origins = streamOrigins.createStreamOrigins(() => STREAM_LIFE_MS);
     const versions = versionHistories.createVersionHistory({
-      sinceMs: isFirstStart ? -Infinity : clock.nowMs(),
+      sinceMs: clock.nowMs(),
       streamLifeMs: () => STREAM_LIFE_MS,
       listBudget: listBudgets.listBudget(DRAIN_TIMEOUT_MS),
     });
@@ -100,7 +131,7 @@
     const listAgeMs = () => (ownList.asOfMs === null ? null : clock.nowMs() - ownList.asOfMs);
     const peers = originPeers.createOriginPeers({
       clock,
-      link: createLink(gatewayId),
+      link: createLink(gatewayId, incarnation),
       book,
       origins,
       onlyVersion: (service) => versions.onlyVersion(service, listAgeMs(), clock.nowMs()),
@@ -120,9 +151,18 @@
         ownList.records.find((record) => record.upstreamId === upstreamId),
       listAgeMs,
     });
-    const incarnation = nextIncarnation;
-    nextIncarnation += 1;
-    return { gatewayId, book, origins, peers, streams, list: ownList, incarnation };
+    const recorder = versionRecorders.createVersionRecorder({
+      clock,
+      log: logs.createSilentLogger(),
+      random,
+      store: storeOf(gatewayId),
+      history: versions,
+      isHolder: () => [...nodes.keys()].sort()[0] === gatewayId,
+      services: () => ['pool'],
+      isFirstStart: isFirstStart || isFirstFlagKept,
+      newVersionHoldMs: listBudgets.listBudget(DRAIN_TIMEOUT_MS).newVersionHoldMs,
+    });
+    return { gatewayId, book, origins, peers, streams, recorder, list: ownList, incarnation };
   }
 
   function hear(node: GatewayNode): void {
@@ -142,6 +182,7 @@
     node.list.records = [...listed.values()];
     node.list.asOfMs = clock.nowMs();
     node.streams.noteListed(node.list.records);
+    node.recorder.noteListed();
   }
 
   /** Gateways do so at times of their own. */
@@ -158,10 +199,12 @@
     nodes.set(gatewayId, node);
     follow(node);
     node.streams.start();
+    node.recorder.start();
   }
 
   function kill(gatewayId: string): void {
     nodes.get(gatewayId)?.streams.stop();
+    nodes.get(gatewayId)?.recorder.stop();
     nodes.delete(gatewayId);
   }
 
@@ -220,6 +263,7 @@
       nodes.forEach((node) => {
         follow(node);
         node.streams.start();
+        node.recorder.start();
       });
     },
     start,
@@ -231,6 +275,8 @@
     begin,
     takeUp: resume,
     messageCount: () => messageCount,
+    /** The store that all of them use. */
+    records,
     stop: () => [...nodes.keys()].forEach(kill),
   };
 }
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -191,6 +191,9 @@
   'route-unknown': { requestId: string; path: string; configVersion: number };
   /** No configuration in force names the caller's key. */
   'key-unknown': { requestId: string; route: string; configVersion: number };
+  /** The record of versions at which streams may have begun, as `SERVICE=VERSION+VERSION`. `isLossless`: nothing can be missing. */
+  'stream-versions-read': { isPresent: boolean; isLossless: boolean; versions: string };
+  'stream-versions-recorded': { versions: string; isLossless: boolean };
   /** There was no room for its body: all bodies together may hold `maxBytes`, or a part of that if they are large. */
   'body-refused': {
     requestId: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -15,6 +15,7 @@
 import type * as placementControllers from '../server/placement/placement-controller.js';
 import type * as quotasModule from '../server/quotas/quotas.js';
 import type * as originPeers from '../server/streams/origin-peers.js';
+import type * as versionRecorders from '../server/streams/version-recorder.js';
 import type * as resumedStreams from '../server/streams/resumed-streams.js';
 import type * as inFlightModule from '../shared/in-flight.js';
 import type * as byteBudgets from '../shared/byte-budget.js';
@@ -120,6 +121,7 @@
   origins: streamOrigins.StreamOrigins;
   doubts: restartDoubts.RestartDoubts;
   versions: versionHistories.VersionHistory;
+  versionRecorder: versionRecorders.VersionRecorder;
   originPeers: originPeers.OriginPeers;
   streams: resumedStreams.ResumedStreams;
   serve: serving.Serve;
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -40,16 +40,26 @@
   untilWallMs: number;
 };
 
+/**
+ * The software versions at which streams that live may have begun, by service. `isComplete`: at no others. `era`: of the store when it
+ * was last known to lack nothing; another one means that a return from a copy may have lost a part of it.
+ */
+export type StreamVersionsValue = {
+  services: readonly { service: string; versions: readonly string[]; isComplete: boolean }[];
+  era: number;
+};
+
 /** What is kept under each kind. */
 export type KindValues = {
   upstreams: fleet.UpstreamRecord;
   configuration: fleet.FleetConfig;
   leases: LeaseValue;
   quarantine: QuarantineValue;
+  streamVersions: StreamVersionsValue;
 };
 
 /** The kinds that gateways write. */
-export type OwnKind = 'leases' | 'quarantine';
+export type OwnKind = 'leases' | 'quarantine' | 'streamVersions';
 
 export type Kind = keyof KindValues;
 
