Streams: origins are kept in the store while several versions count

With two versions in service no stream went on after all gateways were killed, though both versions stayed: the record of versions says what streams may have begun at, not which of two.

Cause: origins were kept in the memories of gateways alone.

Change: the lease holder, told of each origin as its other replicas are, writes them to the store once a second while streams of the service can have begun at several versions; a gateway reads them when neither it nor another knows a stream. Excluded: a write of each gateway (410 a second of 400 allowed); computing the version from the id (uneven where versions differ in size).

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -215,6 +215,7 @@
     origins: awilix.asFunction(streamParts.createOrigins).singleton(),
     doubts: awilix.asFunction(restartDoubts.createRestartDoubts).singleton(),
     versions: awilix.asFunction(streamParts.createVersionHistory).singleton(),
+    originArchive: awilix.asFunction(streamParts.createOriginArchive).singleton(),
     versionRecorder: awilix.asFunction(streamParts.createVersionRecorder).singleton(),
     originPeers: awilix.asFunction(streamParts.createOriginPeers).singleton(),
     streams: awilix.asFunction(streamParts.createStreams).singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -209,6 +209,7 @@
           cradle.quarantineKeeper.start();
           cradle.streams.start();
           cradle.versionRecorder.start();
+          cradle.originArchive.start();
           return {
             failed: supervisor.neverFails(),
             stop: async () => {
@@ -216,6 +217,7 @@
               cradle.quarantineKeeper.stop();
               cradle.streams.stop();
               cradle.versionRecorder.stop();
+              cradle.originArchive.stop();
               cradle.link.close();
               server.forceShutdown();
             },
--- a/packages/gateway/src/server/streams/origin-peers.ts
+++ b/packages/gateway/src/server/streams/origin-peers.ts
@@ -20,6 +20,8 @@
   origins: streamOrigins.StreamOrigins;
   /** The only version that streams of the service can have begun at; null if there may be several. */
   onlyVersion: (service: string) => string | null;
+  /** The lease holder, which keeps origins in the store; null if none is known. */
+  holder: () => Peer | null;
   gatewayId: string;
   address: string;
   seedAddresses: readonly string[];
@@ -79,6 +81,9 @@
   let pool: { peers: readonly Peer[]; atMs: number } = { peers: [], atMs: -Infinity };
   /** When gateways that did not answer get replicas again. */
   const silentUntilMs = new Map<string, number>();
+  /** The holder that has been told of an origin. */
+  const holderKeys = new WeakMap<streamOrigins.KeptOrigin, string>();
+  let knownHolderKey: string | null = null;
   /** The live gateways when replicas were last replaced. */
   let knownKeys: ReadonlySet<string> = new Set();
 
@@ -142,7 +147,32 @@
     return (silentUntilMs.get(peerId) ?? -Infinity) > clock.nowMs();
   }
 
+  const tellHolder = batches.createBatches<streamOrigins.KeptOrigin>(
+    clock,
+    REPLICATE_DELAY_MS,
+    async (peer, items) => {
+      const nowMs = clock.nowMs();
+      const told = items.map((one) => originCodec.toOriginMessage(one.requestId, one, nowMs));
+      const request = { gatewayId, origins: told };
+      const deadlineMs = nowMs + REPLICATE_TIMEOUT_MS;
+      const reply = await link.replicateOrigins(peer.address, request, deadlineMs);
+      if (reply.ok) return;
+      silentUntilMs.set(peer.gatewayId, clock.nowMs() + SILENT_MS);
+      items.forEach((origin) => holderKeys.delete(origin));
+    },
+  );
+
+  function replicateToHolder(origin: streamOrigins.KeptOrigin): void {
+    const holder = deps.holder();
+    if (holder === null || holder.gatewayId === gatewayId || isSilent(holder)) return;
+    const key = keyOf(holder);
+    if (holderKeys.get(origin) === key || origin.replicaKeys.has(key)) return;
+    holderKeys.set(origin, key);
+    tellHolder(holder, origin);
+  }
+
   function replicate(origin: streamOrigins.KeptOrigin): void {
+    replicateToHolder(origin);
     if (origin.replicaKeys.size >= origin.replicasWanted) return;
     candidates(origin.requestId, ASKED_MAX)
       .filter((peer) => !isSilent(peer) && !origin.replicaKeys.has(keyOf(peer)))
@@ -244,7 +274,10 @@
       const liveKeys = new Set(book.live(clock.nowMs()).map(keyOf));
       const isSame =
         liveKeys.size === knownKeys.size && [...liveKeys].every((key) => knownKeys.has(key));
-      const mayRetry = endSilences();
+      const holder = deps.holder();
+      const holderKey = holder === null ? null : keyOf(holder);
+      const mayRetry = endSilences() || (holderKey !== null && holderKey !== knownHolderKey);
+      knownHolderKey = holderKey;
       if (isSame) return mayRetry;
       knownKeys = liveKeys;
       for (const origin of origins.all()) {
--- a/packages/gateway/src/server/streams/origins.test.ts
+++ b/packages/gateway/src/server/streams/origins.test.ts
@@ -259,6 +259,37 @@
   }
 });
 
+// Guards against refusing streams after the end of all gateways although the version of each still serves.
+test('with two versions that stay streams go on after all gateways were killed', async () => {
+  await withFleet(3, ['v1', 'v2'], async (fleet) => {
+    const begun = Array.from({ length: 48 }, (_, index) => beginAt(fleet, `g${1 + (index % 3)}`));
+    await fleet.clock.advance(2_000);
+    for (let round = 0; round < 2; round += 1) {
+      killAll(fleet, ['g1', 'g2', 'g3']);
+      await fleet.clock.advance(1_000);
+      for (const stream of begun) {
+        const taken = await takeUpAt(fleet, `g${1 + round}`, stream);
+        assert.equal(taken, { kind: 'went-on', version: stream.version });
+      }
+    }
+  });
+});
+
+// Guards against streams from before a release that are refused because their origins were never needed until it came.
+test('streams that began before a release go on after all gateways were killed during it', async () => {
+  await withFleet(3, ['v1', 'v1'], async (fleet) => {
+    const begun = Array.from({ length: 24 }, (_, index) => beginAt(fleet, `g${1 + (index % 3)}`));
+    fleet.list('u2', 'v2');
+    await fleet.clock.advance(2_500);
+    killAll(fleet, ['g1', 'g2', 'g3']);
+    await fleet.clock.advance(1_000);
+    for (const stream of begun) {
+      const taken = await takeUpAt(fleet, 'g2', stream);
+      assert.equal(taken, { kind: 'went-on', version: 'v1' });
+    }
+  });
+});
+
 // Guards against a record that a return of the store from a copy has taken back, and that is trusted by gateways that start then.
 test('after a return of the store from a copy no stream goes on at another version', async () => {
   await withFleet(3, ['v1', 'v1'], async (fleet) => {
--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -44,6 +44,7 @@
         return { found, source: undefined, askedCount: 2, answeredCount: 2, ...answer };
       },
     },
+    archive: { read: async () => {} },
     versions: { note: () => {}, onlyVersion: () => onlyVersion, mayBegin: () => true },
     doubts: { isDoubtful: () => isDoubtful },
     findUpstream: () =>
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -12,6 +12,7 @@
 import type * as logEvents from '../../types/log-events.js';
 import type * as runs from '../forwarding/run.js';
 import type * as metricsModule from '../metrics/metrics.js';
+import type * as originArchives from './origin-archive.js';
 import type * as originPeers from './origin-peers.js';
 
 export type ResumedStreamsDeps = {
@@ -20,6 +21,7 @@
   metrics: Pick<metricsModule.GatewayMetrics, 'streamResumed' | 'originFound'>;
   origins: streamOrigins.StreamOrigins;
   peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceReplicas'>;
+  archive: Pick<originArchives.OriginArchive, 'read'>;
   versions: Pick<versionHistories.VersionHistory, 'note' | 'onlyVersion' | 'mayBegin'>;
   doubts: Pick<restartDoubts.RestartDoubts, 'isDoubtful'>;
   /** What the list says of the upstream now. */
@@ -121,8 +123,11 @@
         return { origin: found.origin, source, ...counts };
       case 'only-version':
         return { origin: { service, version: found.version }, source, ...counts };
-      case 'unknown':
-        return { origin: null, ...counts };
+      case 'unknown': {
+        await deps.archive.read();
+        const archived = origins.find(originRequestId, clock.nowMs());
+        return { origin: archived, source: archived === null ? undefined : 'store', ...counts };
+      }
     }
   }
 
--- a/packages/gateway/src/server/streams/version-recorder.ts
+++ b/packages/gateway/src/server/streams/version-recorder.ts
@@ -55,9 +55,10 @@
 
 function describe(services: readonly versionHistories.RecordedVersions[]): string {
   return services
-    .map(({ service, versions, isComplete }) => {
-      return `${service}=${versions.join('+')}${isComplete ? '' : '/incomplete'}`;
-    })
+    .map(
+      ({ service, versions, isComplete }) =>
+        `${service}=${versions.join('+')}${isComplete ? '' : '/incomplete'}`,
+    )
     .join(' ');
 }
 
--- a/packages/gateway/src/stream-parts.ts
+++ b/packages/gateway/src/stream-parts.ts
@@ -1,4 +1,5 @@
 /** Makes the parts that keep streams at the software version that began them. */
+import * as originArchives from './server/streams/origin-archive.js';
 import * as originPeers from './server/streams/origin-peers.js';
 import * as resumedStreams from './server/streams/resumed-streams.js';
 import * as versionRecorders from './server/streams/version-recorder.js';
@@ -69,12 +70,34 @@
       const nowMs = clock.nowMs();
       return versions.onlyVersion(service, listFeed.ageMs(nowMs), nowMs);
     },
+    holder: () => {
+      const lease = parts.book.lease();
+      if (lease === null) return null;
+      const address = parts.book.addressOf(lease.holderId);
+      return address === null ? null : { gatewayId: lease.holderId, address };
+    },
     gatewayId: settings.gatewayId,
     address: settings.peerAddress,
     seedAddresses: settings.seedAddresses,
   });
 }
 
+export function createOriginArchive(parts: partTypes.GatewayParts): originArchives.OriginArchive {
+  const { clock, log, store, origins, versions, listFeed, lease } = parts;
+  return originArchives.createOriginArchive({
+    clock,
+    log,
+    store,
+    origins,
+    onlyVersion: (service) => {
+      const nowMs = clock.nowMs();
+      return versions.onlyVersion(service, listFeed.ageMs(nowMs), nowMs);
+    },
+    heldTerm: lease.heldTerm,
+    streamLifeMs: () => streamLifeMs(parts),
+  });
+}
+
 export function createStreams(parts: partTypes.GatewayParts): resumedStreams.ResumedStreams {
   const { clock, log, metrics, origins, versions, listFeed } = parts;
   return resumedStreams.createResumedStreams({
@@ -86,6 +109,7 @@
     doubts: parts.doubts,
     findUpstream: parts.directory.find,
     peers: parts.originPeers,
+    archive: parts.originArchive,
     listAgeMs: () => listFeed.ageMs(clock.nowMs()),
   });
 }
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -7,6 +7,7 @@
 
 import * as runs from '../server/forwarding/run.js';
 import type * as peerLinks from '../server/peers/peer-link.js';
+import * as originArchives from '../server/streams/origin-archive.js';
 import * as originPeers from '../server/streams/origin-peers.js';
 import * as versionRecorders from '../server/streams/version-recorder.js';
 import * as resumedStreams from '../server/streams/resumed-streams.js';
@@ -34,6 +35,7 @@
   peers: originPeers.OriginPeers;
   streams: resumedStreams.ResumedStreams;
   recorder: versionRecorders.VersionRecorder;
+  archive: originArchives.OriginArchive;
   /** Its list of upstreams and when the store confirmed that. */
   list: { records: readonly fleet.UpstreamRecord[]; asOfMs: number | null };
   incarnation: number;
@@ -58,7 +60,7 @@
   const random = randoms.createRandom(seed);
   const nodes = new Map<string, GatewayNode>();
   const isolated = new Set<string>();
-  const records = memoryRecords.createMemoryRecords();
+  const storeRecords = memoryRecords.createMemoryRecords();
   const withoutStore = new Set<string>();
   /** What the store lists. */
   const listed = new Map<string, fleet.UpstreamRecord>();
@@ -100,19 +102,28 @@
     };
   }
 
+  /** The first that others reach. */
+  function holderId(): string | null {
+    return [...nodes.keys()].sort().find((id) => !isolated.has(id)) ?? null;
+  }
+
   /** The store as a gateway reaches it. */
-  function storeOf(gatewayId: string): Pick<stores.RecordStore, 'get' | 'put' | 'era'> {
+  function storeOf(gatewayId: string): Pick<stores.RecordStore, 'list' | 'get' | 'put' | 'era'> {
     const lost = { kind: 'unavailable', reason: 'cut off' } as const;
     const isReached = () => !withoutStore.has(gatewayId) && !isolated.has(gatewayId);
     return {
-      era: records.era,
+      era: storeRecords.era,
+      list: async (...args) => {
+        await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+        return isReached() ? storeRecords.list(...args) : results.Err(lost);
+      },
       get: async (...args) => {
         await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
-        return isReached() ? records.get(...args) : results.Err(lost);
+        return isReached() ? storeRecords.get(...args) : results.Err(lost);
       },
       put: async (...args) => {
         await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
-        return isReached() ? records.put(...args) : results.Err(lost);
+        return isReached() ? storeRecords.put(...args) : results.Err(lost);
       },
     };
   }
@@ -135,16 +146,30 @@
       book,
       origins,
       onlyVersion: (service) => versions.onlyVersion(service, listAgeMs(), clock.nowMs()),
+      holder: () => {
+        const id = holderId();
+        return id === null ? null : { gatewayId: id, address: `${id}:1` };
+      },
       gatewayId,
       address: `${gatewayId}:1`,
       seedAddresses,
     });
+    const archive = originArchives.createOriginArchive({
+      clock,
+      log: logs.createSilentLogger(),
+      store: storeOf(gatewayId),
+      origins,
+      onlyVersion: (service) => versions.onlyVersion(service, listAgeMs(), clock.nowMs()),
+      heldTerm: () => (holderId() === gatewayId ? incarnation : null),
+      streamLifeMs: () => STREAM_LIFE_MS,
+    });
     const streams = resumedStreams.createResumedStreams({
       clock,
       log: logs.createSilentLogger(),
       metrics: { streamResumed: () => {}, originFound: () => {} },
       origins,
       peers,
+      archive,
       versions,
       doubts: { isDoubtful: () => false },
       findUpstream: (upstreamId) =>
@@ -157,12 +182,22 @@
       random,
       store: storeOf(gatewayId),
       history: versions,
-      isHolder: () => [...nodes.keys()].sort()[0] === gatewayId,
+      isHolder: () => holderId() === gatewayId,
       services: () => ['pool'],
       isFirstStart: isFirstStart || isFirstFlagKept,
       newVersionHoldMs: listBudgets.listBudget(DRAIN_TIMEOUT_MS).newVersionHoldMs,
     });
-    return { gatewayId, book, origins, peers, streams, recorder, list: ownList, incarnation };
+    return {
+      gatewayId,
+      book,
+      origins,
+      peers,
+      streams,
+      recorder,
+      archive,
+      list: ownList,
+      incarnation,
+    };
   }
 
   function hear(node: GatewayNode): void {
@@ -200,11 +235,13 @@
     follow(node);
     node.streams.start();
     node.recorder.start();
+    node.archive.start();
   }
 
   function kill(gatewayId: string): void {
     nodes.get(gatewayId)?.streams.stop();
     nodes.get(gatewayId)?.recorder.stop();
+    nodes.get(gatewayId)?.archive.stop();
     nodes.delete(gatewayId);
   }
 
@@ -264,6 +301,7 @@
         follow(node);
         node.streams.start();
         node.recorder.start();
+        node.archive.start();
       });
     },
     start,
@@ -276,7 +314,7 @@
     takeUp: resume,
     messageCount: () => messageCount,
     /** The store that all of them use. */
-    records,
+    records: storeRecords,
     stop: () => [...nodes.keys()].forEach(kill),
   };
 }
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -193,6 +193,9 @@
   'key-unknown': { requestId: string; route: string; configVersion: number };
   /** The record of versions at which streams may have begun, as `SERVICE=VERSION+VERSION`. `isLossless`: nothing can be missing. */
   'stream-versions-read': { isPresent: boolean; isLossless: boolean; versions: string };
+  /** What the store has of the origins of streams was read, since no gateway knew one. */
+  'stream-origins-read': { batchCount: number; originCount: number; tookMs: number };
+  'stream-origins-unread': { reason: string };
   'stream-versions-recorded': { versions: string; isLossless: boolean };
   /** There was no room for its body: all bodies together may hold `maxBytes`, or a part of that if they are large. */
   'body-refused': {
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -14,6 +14,7 @@
 import type * as leaseManagers from '../server/placement/lease-manager.js';
 import type * as placementControllers from '../server/placement/placement-controller.js';
 import type * as quotasModule from '../server/quotas/quotas.js';
+import type * as originArchives from '../server/streams/origin-archive.js';
 import type * as originPeers from '../server/streams/origin-peers.js';
 import type * as versionRecorders from '../server/streams/version-recorder.js';
 import type * as resumedStreams from '../server/streams/resumed-streams.js';
@@ -121,6 +122,7 @@
   origins: streamOrigins.StreamOrigins;
   doubts: restartDoubts.RestartDoubts;
   versions: versionHistories.VersionHistory;
+  originArchive: originArchives.OriginArchive;
   versionRecorder: versionRecorders.VersionRecorder;
   originPeers: originPeers.OriginPeers;
   streams: resumedStreams.ResumedStreams;
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -49,6 +49,12 @@
   era: number;
 };
 
+/** Which version began each of these streams. By the time of day records of long ago are told from those of streams that live. */
+export type StreamOriginsValue = {
+  writtenAtWallMs: number;
+  origins: readonly { requestId: string; service: string; version: string }[];
+};
+
 /** What is kept under each kind. */
 export type KindValues = {
   upstreams: fleet.UpstreamRecord;
@@ -56,10 +62,11 @@
   leases: LeaseValue;
   quarantine: QuarantineValue;
   streamVersions: StreamVersionsValue;
+  streamOrigins: StreamOriginsValue;
 };
 
 /** The kinds that gateways write. */
-export type OwnKind = 'leases' | 'quarantine' | 'streamVersions';
+export type OwnKind = 'leases' | 'quarantine' | 'streamVersions' | 'streamOrigins';
 
 export type Kind = keyof KindValues;
 
