--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -329,6 +329,20 @@
   }
 });
 
+// Guards against the rest of a refused body that is taken for the next request, and against a new connection for each refusal.
+test('a connection goes on after a refusal whose short body was not read', async () => {
+  const app = await callersApps.startCallersApp({ route: { pathPrefix: '/here/' } });
+  try {
+    const refused = postHead('/x', { 'content-length': '1000' });
+    const pieces = [refused, 'x'.repeat(400), 'x'.repeat(600), callersApps.requestText('/here/1')];
+    const { answer, isClosed } = await exchange(app.port, pieces, { everyMs: 20 });
+    const statuses = [...answer.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status]) => status);
+    assert.equal([statuses, isClosed, app.served.length], [['404', '200'], false, 1]);
+  } finally {
+    await app.close();
+  }
+});
+
 // Guards against 413, after which no caller comes back, from a gateway that doesn't know yet what is allowed.
 test('a long body before the first configuration is told when to come back', async () => {
   const app = await callersApps.startCallersApp({ isConfigured: false });
--- a/packages/gateway/src/server/streams/version-recorder.ts
+++ b/packages/gateway/src/server/streams/version-recorder.ts
@@ -38,11 +38,11 @@
 const CALL_TIMEOUT_MS = 1_000;
 /** Of a record that may lack something. */
 const NO_ERA = -1;
-const STEP_MS = 250;
+const STEP_MS = 100;
 const START_MAX_MS = 3_000;
 /** So long the holder has for itself, and the others after it, so that few of them ask and one writes. */
 const OTHERS_AFTER_MS = 50;
-const SPREAD_MS = 250;
+const SPREAD_MS = 150;
 
 /** The record as it was last read. */
 type Read = {
