Streams: a version that comes back after a quiet time waits as a new one

A version that was gone for longer than half of a stream's life, and came back while nothing else had changed in the list, counted as recorded at once, so that a gateway whose list lacked it could take its streams for those of the only other one.

Cause: what was gone was dropped only after the new listing had been noted; and one that was forgotten was believed from the record without a wait.

Beside it: after a call that failed the record is asked for again after 0.5 to 1 s, not every 100 ms by all gateways, and a read of origins that failed is not repeated for a second, nor waited for longer than 0.5 s.

--- a/packages/gateway/src/server/streams/origin-archive.ts
+++ b/packages/gateway/src/server/streams/origin-archive.ts
@@ -32,6 +32,9 @@
 const CALL_TIMEOUT_MS = 1_000;
 /** Reads that many callers wait for are one. */
 const READ_AGAIN_MS = 5_000;
+/** Callers wait for it. */
+const READ_TIMEOUT_MS = 500;
+const FAILED_AGAIN_MS = 1_000;
 /** About 300 KB, of the megabyte that a record may have. */
 const BATCH_MAX = 4_000;
 /** More than are written while a stream lives. A new holder begins a ring of its own, and rings are used in turn. */
@@ -49,7 +52,7 @@
   let term: number | null = null;
   let archived = new WeakSet<streamOrigins.KeptOrigin>();
   let nextSlot = 0;
-  let readMs = -Infinity;
+  let nextReadMs = -Infinity;
   let reading: Promise<void> | null = null;
 
   function isNeeded({ service }: streamOrigins.StreamOrigin): boolean {
@@ -104,12 +107,14 @@
 
   async function readAll(): Promise<void> {
     const startedMs = clock.nowMs();
-    const listed = await store.list('streamOrigins', startedMs + CALL_TIMEOUT_MS);
+    const listed = await store.list('streamOrigins', startedMs + READ_TIMEOUT_MS);
     if (listed.err) {
+      nextReadMs = clock.nowMs() + FAILED_AGAIN_MS;
       log.warn('stream-origins-unread', { reason: listed.val.kind });
       return;
     }
-    readMs = clock.nowMs();
+    const readMs = clock.nowMs();
+    nextReadMs = readMs + READ_AGAIN_MS;
     const oldestWallMs = clock.wallMs() - deps.streamLifeMs() - CLOCK_MARGIN_MS;
     const batches = listed.val.records
       .map(({ value }) => value)
@@ -133,7 +138,7 @@
     stop: () => stopping.abort(),
     read: () => {
       if (reading !== null) return reading;
-      if (clock.nowMs() - readMs < READ_AGAIN_MS) return Promise.resolve();
+      if (clock.nowMs() < nextReadMs) return Promise.resolve();
       reading = readAll().finally(() => {
         reading = null;
       });
--- a/packages/gateway/src/server/streams/version-recorder.ts
+++ b/packages/gateway/src/server/streams/version-recorder.ts
@@ -40,6 +40,8 @@
 const NO_ERA = -1;
 const STEP_MS = 100;
 const START_MAX_MS = 3_000;
+/** After a call that failed, and up to twice as long, so that not all gateways ask a store that is short of capacity at once. */
+const RETRY_MS = 500;
 /** So long the holder has for itself, and the others after it, so that few of them ask and one writes. */
 const OTHERS_AFTER_MS = 50;
 const SPREAD_MS = 150;
@@ -76,6 +78,7 @@
   let vouchFromMs = 0;
   /** A record was read from which nothing could be missing. */
   let hasKnownAll = false;
+  let retryAtMs = -Infinity;
   let wakeUp: () => void = () => {};
 
   /** Nothing of the record can be missing: a return of the store from a copy may lose what was written in the era before. */
@@ -83,9 +86,16 @@
     return era === store.era();
   }
 
+  function retryLater(): void {
+    retryAtMs = clock.nowMs() + RETRY_MS + deps.random.below(RETRY_MS);
+  }
+
   async function read(): Promise<Read | null> {
     const found = await store.get('streamVersions', RECORD_NAME, clock.nowMs() + CALL_TIMEOUT_MS);
-    if (found.err) return null;
+    if (found.err) {
+      retryLater();
+      return null;
+    }
     const { revision = null, value = null } = found.val ?? {};
     const isBeforeFirst = value === null && deps.isFirstStart && store.era() === 0;
     latest = {
@@ -178,7 +188,10 @@
     };
     const deadlineMs = clock.nowMs() + CALL_TIMEOUT_MS;
     const put = await store.put('streamVersions', RECORD_NAME, value, known.revision, deadlineMs);
-    if (put.err) return false;
+    if (put.err) {
+      if (put.val.kind !== 'conflict') retryLater();
+      return false;
+    }
     const { era } = value;
     latest = { revision: put.val.revision, services: value.services, isPresent: true, era };
     const isLossless = isComplete(latest);
@@ -189,7 +202,7 @@
 
   async function step(): Promise<void> {
     const services = deps.services();
-    if (!isListed || services === null) return;
+    if (!isListed || services === null || clock.nowMs() < retryAtMs) return;
     const known = latest ?? (await read());
     if (known === null) return;
     if (!isDue(services, known)) {
--- a/packages/gateway/src/shared/version-history.test.ts
+++ b/packages/gateway/src/shared/version-history.test.ts
@@ -141,6 +141,19 @@
   assert.ok(history.mayBegin('pool', 'v2', heldMs));
 });
 
+// Guards against the same where nothing else was listed meanwhile, and where the record still names one that was forgotten.
+test('a version that comes back after a quiet time is new, however long that was', () => {
+  for (const goneForMs of [LIFE_MS / 2 + 1, LIFE_MS + 1]) {
+    const history = createInformed('v1', 'v2');
+    history.note(listed('v1'), 300);
+    history.note(listed('v1', 'v2'), 300 + goneForMs);
+    history.applyRecord([record('v1', 'v2')], true, 300 + goneForMs);
+    assert.not.ok(history.mayBegin('pool', 'v2', 300 + goneForMs), `${goneForMs}`);
+    history.applyRecord([record('v1', 'v2')], true, 300 + goneForMs + HOLD_MS);
+    assert.ok(history.mayBegin('pool', 'v2', 300 + goneForMs + HOLD_MS));
+  }
+});
+
 test('a version leaves the record after its streams have ended, by one gateway', () => {
   const history = createInformed('v1', 'v2');
   history.note(listed('v2'), 1_000);
--- a/packages/gateway/src/shared/version-history.ts
+++ b/packages/gateway/src/shared/version-history.ts
@@ -92,10 +92,9 @@
     return nowMs - firstMs >= listBudget.newVersionHoldMs;
   }
 
-  function noteGone(listed: ReadonlySet<string>, nowMs: number): void {
-    services.forEach(({ versions }, service) => {
+  function expire(nowMs: number): void {
+    services.forEach(({ versions }) => {
       versions.forEach((version, name) => {
-        if (!listed.has(`${service}\n${name}`)) version.goneMs ??= nowMs;
         if (version.goneMs === null) return;
         const goneForMs = nowMs - version.goneMs;
         if (goneForMs > KEPT_SHARE * streamLifeMs()) {
@@ -107,6 +106,14 @@
     });
   }
 
+  function noteGone(listed: ReadonlySet<string>, nowMs: number): void {
+    services.forEach(({ versions }, service) => {
+      versions.forEach((version, name) => {
+        if (!listed.has(`${service}\n${name}`)) version.goneMs ??= nowMs;
+      });
+    });
+  }
+
   function applyService({ service, versions }: RecordedVersions, nowMs: number): void {
     const known = versionsOf(service).versions;
     versions.forEach((name) => {
@@ -133,11 +140,14 @@
 
   return {
     note: (listed, nowMs) => {
+      // Before what is listed now is noted: one that comes back after long is new.
+      expire(nowMs);
       listed.forEach(({ service, softwareVersion }) => {
         const { versions } = versionsOf(service);
         const version = versions.get(softwareVersion);
         if (version === undefined) {
-          const added = { firstMs: nowMs, goneMs: null, isRecorded: false, isStale: false };
+          // Once the record is known here it may name it from before a time of which others know nothing.
+          const added = { firstMs: nowMs, goneMs: null, isRecorded: false, isStale: isRecordKnown };
           versions.set(softwareVersion, added);
           return;
         }
