--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -139,6 +139,17 @@
   return { kind: route.kind, priority };
 }
 
+function logRefusedBody(
+  deps: CallersDeps,
+  requestId: string,
+  cause: logEvents.RefusedBodyCause,
+  wantedBytes?: number,
+): void {
+  const heldBytes = deps.bodyBudget.heldBytes();
+  const { maxBytes } = deps.bodyBudget;
+  deps.log.warn('body-refused', { requestId, cause, wantedBytes, heldBytes, maxBytes });
+}
+
 /** Reads the body of a request that its head has admitted. Null if it was refused or its caller has left. */
 async function readAdmitted(
   deps: CallersDeps,
@@ -160,39 +171,27 @@
       requestLog.recordCallerLeft(deps, requestId, 'unread', arrival);
       return null;
     case 'too-large':
+      logRefusedBody(deps, requestId, 'too-large');
       sink.refuseUnread(request, 413, [], 'body-too-large');
       return null;
     case 'too-slow':
+      logRefusedBody(deps, requestId, 'too-slow');
       // It has not run, and its caller may send it once more.
       sink.refuseUnread(request, 408, [['connection', 'close']], 'body-too-slow');
       return null;
     case 'no-room':
-      refuseForRoom(deps, request, sink, requestId, body.wantedBytes);
+      logRefusedBody(deps, requestId, 'no-room', body.wantedBytes);
+      sink.refuseUnread(
+        request,
+        503,
+        [['retry-after', deps.dialect.retryAfter(NO_ROOM_RETRY_MS)]],
+        'no-room',
+      );
+      deps.metrics.denied('no-room');
       return null;
   }
 }
 
-function refuseForRoom(
-  deps: CallersDeps,
-  request: http.IncomingMessage,
-  sink: answers.AnswerSink,
-  requestId: string,
-  wantedBytes: number,
-): void {
-  const heldBytes = deps.bodyBudget.heldBytes();
-  const { maxBytes } = deps.bodyBudget;
-  deps.log.warn('body-refused', {
-    requestId,
-    wantedBytes,
-    heldBytes,
-    maxBytes,
-    retryAfterMs: NO_ROOM_RETRY_MS,
-  });
-  const retryAfter = deps.dialect.retryAfter(NO_ROOM_RETRY_MS);
-  sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'no-room');
-  deps.metrics.denied('no-room');
-}
-
 /** Waits until the request may be started. Null if it was refused or its caller has left. */
 async function waitForStart(
   deps: CallersDeps,
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -13,6 +13,8 @@
 type Text = string | null | undefined;
 type Amount = number | undefined;
 
+export type RefusedBodyCause = 'too-large' | 'too-slow' | 'no-room';
+
 /** What a decision about a request was based on. */
 type ChoiceInputs = {
   /** The software version that a stream has to go on at; left out where any will do. */
@@ -197,13 +199,14 @@
   'stream-origins-read': { batchCount: number; originCount: number; tookMs: number };
   'stream-origins-unread': { reason: string };
   'stream-versions-recorded': { versions: string; isLossless: boolean };
-  /** There was no room for its body: all bodies together may hold `maxBytes`, or a part of that if they are large. */
+  /** All bodies together hold `heldBytes`, and may hold `maxBytes`, or a part of that if they are large. */
   'body-refused': {
     requestId: string;
-    wantedBytes: number;
+    cause: RefusedBodyCause;
+    /** For which there was no room. */
+    wantedBytes: Amount;
     heldBytes: number;
     maxBytes: number;
-    retryAfterMs: number;
   };
   /** Its organisation has no credits left here; `creditsAgeMs`: since the holder told of them. */
   'over-quota': {
