--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -55,6 +55,7 @@
 
 /** The rest of a body up to this size is read to its end, and the connection kept. */
 const REST_BYTES_MAX = 65_536;
+/** So long the rest of a longer one is dropped; then its connection is closed. */
 const REST_MS = 200;
 
 function isRestShort(request: http.IncomingMessage): boolean {
--- a/packages/gateway/src/server/forwarding/bodies.ts
+++ b/packages/gateway/src/server/forwarding/bodies.ts
@@ -32,7 +32,7 @@
   return Number(request.headers['content-length'] ?? 0);
 }
 
-/** Bytes in one buffer, of the stated length or one that doubles; null if there is no room for it. */
+/** Collects a body in one buffer: of the stated length, or one that doubles as it fills. */
 function createCollector({ budget, bytesMax }: BodyLimits, lengthBytes: number | null) {
   let buffer: Buffer = Buffer.alloc(0);
   let sizeBytes = 0;
@@ -58,6 +58,7 @@
   }
 
   return {
+    /** Takes the room for a body whose length is stated; false if there is none. */
     hasRoom: () => lengthBytes === null || take(lengthBytes),
     /** False if there is no room for the chunk. */
     push: (chunk: Buffer): boolean => {
--- a/packages/gateway/src/server/streams/origin-archive.ts
+++ b/packages/gateway/src/server/streams/origin-archive.ts
@@ -37,8 +37,9 @@
 const FAILED_AGAIN_MS = 1_000;
 /** About 300 KB, of the megabyte that a record may have. */
 const BATCH_MAX = 4_000;
-/** More than are written while a stream lives. A new holder begins a ring of its own, and rings are used in turn. */
+/** More records than are written while a stream lives; the oldest is then written over. */
 const SLOTS = 256;
+/** Each term of a holder has a ring of its own, so that it need not know where the one before it stopped. */
 const RINGS = 4;
 /** Times of day differ by seconds. */
 const CLOCK_MARGIN_MS = 60_000;
--- a/packages/gateway/src/server/streams/origin-peers.ts
+++ b/packages/gateway/src/server/streams/origin-peers.ts
@@ -162,6 +162,7 @@
     },
   );
 
+  /** Beside the replicas: the holder keeps origins in the store. */
   function replicateToHolder(origin: streamOrigins.KeptOrigin): void {
     const holder = deps.holder();
     if (holder === null || holder.gatewayId === gatewayId || isSilent(holder)) return;
--- a/packages/gateway/src/server/streams/version-recorder.ts
+++ b/packages/gateway/src/server/streams/version-recorder.ts
@@ -81,7 +81,7 @@
   let retryAtMs = -Infinity;
   let wakeUp: () => void = () => {};
 
-  /** Nothing of the record can be missing: a return of the store from a copy may lose what was written in the era before. */
+  /** Whether nothing of the record can be missing: a return of the store from a copy may lose what was written in the era before. */
   function isComplete({ era }: Read): boolean {
     return era === store.era();
   }
@@ -124,7 +124,7 @@
     return isComplete(known) && known.services.every((one) => one.service !== service);
   }
 
-  /** Nor is anything known of it where no gateway of a build that records has run. */
+  /** Whether its versions may be recorded at once. They may too where no gateway that records has run: there is nobody to agree with. */
   function isUnheld(service: string, known: Read): boolean {
     return isFirst(service, known) || (!known.isPresent && store.era() === 0);
   }
@@ -139,7 +139,10 @@
     return history.wanted(service, recorded, options, clock.nowMs());
   }
 
-  /** After a return of the store from a copy the record may lack versions; those that are in use are known here by then. */
+  /**
+   * Whether the record is to be marked as complete in this era. After a return of the store from a copy it may lack versions; those that
+   * are in use are known here once they have been listed for `newVersionHoldMs`.
+   */
   function mustVouch(known: Read): boolean {
     const era = store.era();
     if (era !== vouchedEra) {
--- a/packages/gateway/src/shared/byte-budget.ts
+++ b/packages/gateway/src/shared/byte-budget.ts
@@ -10,7 +10,7 @@
   maxBytes: number;
 };
 
-/** A larger body counts as large: 50 times a prompt of 300 words. */
+/** A larger body counts as large; prompts of thousands of words are below it. */
 const SMALL_BYTES_MAX = 65_536;
 const SHARE_OF_LARGE = 0.9;
 
