Stop: what was unread at a close, and what is dropped behind one, is logged and counted

Cause: a request that is read behind the close of its connection left no line and no count, and neither did connections that were closed unread or never accepted. Change: request-dropped with the age of the request and of its connection, requests_dropped_total; at a stop accepting-ended with the longest time that connections may have waited, idle-closed with the longest time unread. No decision changes.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -276,6 +276,8 @@
     const endMs = stops.exitByMs(clock.nowMs(), settings.stopTimeoutS * 1_000);
     const drained = stops.drain({
       clock,
+      log,
+      loopAges: cradle.loopAges,
       connections,
       openCallCount: () => openCalls.count() + cradle.intake.waitingCount(),
       endMs,
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -35,7 +35,10 @@
   configuration: () => ActiveConfiguration | null;
   /** Whether callers are to open new connections, which their load balancer may send to another gateway. */
   closesConnections: () => boolean;
-  metrics: Pick<metricsModule.GatewayMetrics, 'requestEnded' | 'denied' | 'read' | 'callerLeft'>;
+  metrics: Pick<
+    metricsModule.GatewayMetrics,
+    'requestEnded' | 'denied' | 'read' | 'callerLeft' | 'dropped'
+  >;
   quotas: Pick<quotasModule.Quotas, 'admit'>;
   bodyBudget: byteBudgets.ByteBudget;
   openCalls: openCallsModule.OpenCalls;
@@ -228,8 +231,11 @@
   request: http.IncomingMessage,
   raw: http.ServerResponse,
 ): Promise<void> {
-  if (isClosed(request.socket)) return;
   const age = deps.loopAges.requestAge(request.socket);
+  if (isClosed(request.socket)) {
+    requestLog.recordDropped(deps, deps.dialect.readCall(request.headers).requestId, age);
+    return;
+  }
   const arrival = { ...age, arrivedAtMs: deps.clock.nowMs() - age.bufferedMs };
   deps.metrics.read(arrival.isNewConnection, arrival.bufferedMs);
   const { requestId } = deps.dialect.readCall(request.headers);
--- a/packages/gateway/src/server/forwarding/call-building.ts
+++ b/packages/gateway/src/server/forwarding/call-building.ts
@@ -26,7 +26,7 @@
 };
 
 /** The earliest time at which a request can have arrived, and how long it may have been buffered before it was read. */
-export type Arrival = readDelays.RequestAge & { arrivedAtMs: number };
+export type Arrival = Omit<readDelays.RequestAge, 'sinceAcceptMs'> & { arrivedAtMs: number };
 
 const HASH_RANGE = 2 ** 32;
 
--- a/packages/gateway/src/server/forwarding/read-delay.test.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.test.ts
@@ -88,6 +88,23 @@
   loop.readDelay.stop();
 });
 
+// Guards against a listener that is closed while connections wait, and a log that can't tell.
+test('for how long connections may wait that are not accepted yet', () => {
+  const loop = startLoop();
+  loop.turn(TURN_MS);
+  loop.turn(TURN_MS);
+  loop.wait(1_000);
+  for (let count = 0; count < 10; count += 1) {
+    loop.readDelay.accepted({});
+    loop.turn(TURN_MS);
+  }
+  assert.ok(loop.readDelay.acceptWaitMs() >= 10 * TURN_MS);
+  // A poll without a new connection.
+  loop.turn(TURN_MS);
+  assert.ok(loop.readDelay.acceptWaitMs() <= 2 * TURN_MS, `${loop.readDelay.acceptWaitMs()}`);
+  loop.readDelay.stop();
+});
+
 /** One connection is accepted in each turn, and each waited for the last ten; the oldest age that is taken for a request's. */
 function oldestAgeOfSteadyQueue(isProbed: boolean): number {
   const queueTurns = 10;
--- a/packages/gateway/src/server/forwarding/read-delay.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.ts
@@ -22,8 +22,11 @@
   every: (periodMs: number, task: () => void) => () => void;
 };
 
-/** Upper bound for the time that a request was buffered before it was read, and whether its connection was new. */
-export type RequestAge = { bufferedMs: number; isNewConnection: boolean };
+/**
+ * Upper bound for the time that a request was buffered before it was read, and whether its connection was new. `sinceAcceptMs`:
+ * since its connection was accepted.
+ */
+export type RequestAge = { bufferedMs: number; isNewConnection: boolean; sinceAcceptMs: number };
 
 /** The event loop between two samples: mean length of its turns, and the share of the time in which it was not waiting. */
 export type LoopSample = { turnMs: number; busyShare: number; elapsedMs: number };
@@ -37,6 +40,8 @@
   requestAge: (key: object) => RequestAge;
   /** Upper bound for the time that data on an already open connection may have been unread. */
   unreadMs: () => number;
+  /** Upper bound for how long the connections that are not accepted yet may have waited. */
+  acceptWaitMs: () => number;
   /** Whether data may have been unread for so long that an upstream's answer can't be called missing yet. */
   mayBeStale: () => boolean;
   /** Resolves when all data that has arrived by now has been read, to an upper bound for how long newer data is unread. */
@@ -139,6 +144,11 @@
     return busyMs(lastPolledSample(now), now);
   }
 
+  /** Since the latest probe that was accepted was opened. */
+  function sinceProbeMs(now: Mark): number {
+    return now.atMs - (probe?.openedAfterMs() ?? -Infinity);
+  }
+
   /** At an accept: moves `acceptQueueEmpty` forward if a poll has found no connection, or the loop has waited, since the last one. */
   function updateAcceptQueue(now: Mark): void {
     const last = lastAccept;
@@ -172,8 +182,7 @@
       accepts[slot] = now;
       acceptCount += 1;
       const unprobedMs = Math.min(busyMs(acceptQueueEmpty, now), busyMs(earlier, now));
-      const openedAfterMs = probe?.openedAfterMs() ?? -Infinity;
-      accepted.set(key, { ...now, waitedMs: Math.min(unprobedMs, now.atMs - openedAfterMs) });
+      accepted.set(key, { ...now, waitedMs: Math.min(unprobedMs, sinceProbeMs(now)) });
       if (unprobedMs > PROBED_WAIT_MS) probe?.send();
       probe?.accepted(key.remotePort);
     },
@@ -186,10 +195,20 @@
       const since = accepted.get(key);
       // On a connection that was accepted in this poll or the one before, the request may have waited with the connection.
       const isNewConnection = since !== undefined && now.pollCount < since.pollCount + POLLS_AFTER;
-      if (!isNewConnection) return { bufferedMs, isNewConnection };
-      return { bufferedMs: since.waitedMs + busyMs(since, now), isNewConnection };
+      const sinceAcceptMs = since === undefined ? 0 : now.atMs - since.atMs;
+      if (!isNewConnection) return { bufferedMs, isNewConnection, sinceAcceptMs };
+      return {
+        bufferedMs: since.waitedMs + busyMs(since, now),
+        isNewConnection,
+        sinceAcceptMs,
+      };
     },
     unreadMs: () => bufferedMsAt(mark()),
+    acceptWaitMs: () => {
+      const now = mark();
+      updateAcceptQueue(now);
+      return Math.min(busyMs(acceptQueueEmpty, now), sinceProbeMs(now));
+    },
     mayBeStale: () => bufferedMsAt(mark()) > STALE_MS,
     readPending: async () => {
       await turnEnd();
--- a/packages/gateway/src/server/forwarding/request-log.ts
+++ b/packages/gateway/src/server/forwarding/request-log.ts
@@ -10,7 +10,7 @@
 export type RequestLogDeps = {
   clock: Pick<clocks.Clock, 'nowMs'>;
   log: logEvents.GatewayLog;
-  metrics: Pick<metricsModule.GatewayMetrics, 'callerLeft'>;
+  metrics: Pick<metricsModule.GatewayMetrics, 'callerLeft' | 'dropped'>;
   loopAges: Pick<readDelays.ReadDelay, 'turnMs'>;
 };
 
@@ -57,3 +57,19 @@
     turnMs: Math.round(deps.loopAges.turnMs()),
   });
 }
+
+export function recordDropped(
+  deps: RequestLogDeps,
+  requestId: string,
+  { bufferedMs, isNewConnection, sinceAcceptMs }: readDelays.RequestAge,
+): void {
+  const connection = isNewConnection ? 'new' : 'kept';
+  deps.metrics.dropped(connection);
+  deps.log.warn('request-dropped', {
+    requestId,
+    connection,
+    unreadMs: Math.round(bufferedMs),
+    sinceAcceptMs: Math.round(sinceAcceptMs),
+    turnMs: Math.round(deps.loopAges.turnMs()),
+  });
+}
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
-import { clocks } from '@copperlever/runtime';
+import { clocks, logs } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -13,6 +13,9 @@
 const STOP_TIMEOUT_MS = 8_000;
 /** More than the buffers of both sockets hold. */
 const LARGE_BYTES = 32 * 1024 * 1024;
+const log = logs.createSilentLogger();
+/** Of a loop that reads all at once. */
+const loopAges = { unreadMs: () => 0, acceptWaitMs: () => 0, turnMs: () => 0 };
 
 function startDrain(openCallCount: () => number) {
   const clock = fakeClocks.createFakeClock();
@@ -23,6 +26,7 @@
     },
     closeIdle: () => {
       state.lastCloseIdleMs = clock.nowMs();
+      return 0;
     },
     resetUnframed: () => {},
     busyCount: () => 0,
@@ -30,6 +34,8 @@
   void stops
     .drain({
       clock,
+      log,
+      loopAges,
       connections,
       openCallCount,
       endMs: stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS),
@@ -81,7 +87,8 @@
   });
   let hasEnded = false;
   const endMs = stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
-  const drained = stops.drain({ clock, connections, openCallCount: () => 0, endMs }).then(() => {
+  const options = { clock, log, loopAges, connections, openCallCount: () => 0, endMs };
+  const drained = stops.drain(options).then(() => {
     hasEnded = true;
     stops.cutOff(server, connections);
   });
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -7,8 +7,13 @@
 
 import { clocks } from '@copperlever/runtime';
 
+import type * as logEvents from '../../types/log-events.js';
+import type * as readDelays from '../forwarding/read-delay.js';
+
 export type DrainOptions = {
   clock: clocks.Clock;
+  log: Pick<logEvents.GatewayLog, 'info'>;
+  loopAges: Pick<readDelays.ReadDelay, 'unreadMs' | 'acceptWaitMs' | 'turnMs'>;
   connections: OpenConnections;
   openCallCount: () => number;
   /** When the drain has to be over. */
@@ -32,8 +37,8 @@
    * and is still in this process's buffers.
    */
   stopAccepting: () => void;
-  /** Closes connections without a request in progress: kept-alive ones, and those that have not sent one yet. */
-  closeIdle: () => void;
+  /** Closes connections without a request in progress: kept-alive ones, and those that have not sent one yet. Returns their number. */
+  closeIdle: () => number;
   /** Connections with a request that is still being read, or whose answer has not left this process's buffers. */
   busyCount: () => number;
   /** Resets the connections whose open answer would otherwise look complete, since its caller knows no chunks. */
@@ -73,7 +78,11 @@
     },
     closeIdle: () => {
       isClosing = true;
-      for (const [socket, count] of requestCounts) if (count <= 0) socket.end();
+      const idle = [...requestCounts].filter(
+        ([socket, count]) => count <= 0 && !socket.writableEnded,
+      );
+      idle.forEach(([socket]) => socket.end());
+      return idle.length;
     },
     busyCount: () => [...requestCounts.values()].filter((count) => count > 0).length,
     resetUnframed: () => {
@@ -90,17 +99,25 @@
 }
 
 export async function drain(options: DrainOptions): Promise<void> {
-  const { clock, connections, endMs } = options;
+  const { clock, log, loopAges, connections, endMs } = options;
+  const turnMs = () => Math.round(loopAges.turnMs());
+  const closeIdle = () => {
+    const unreadMs = Math.round(loopAges.unreadMs());
+    const closedCount = connections.closeIdle();
+    if (closedCount > 0) log.info('idle-closed', { closedCount, unreadMs, turnMs: turnMs() });
+  };
   await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + BALANCER_NOTICE_MS));
+  const acceptWaitMs = Math.round(loopAges.acceptWaitMs());
   connections.stopAccepting();
-  connections.closeIdle();
+  log.info('accepting-ended', { acceptWaitMs, turnMs: turnMs() });
+  closeIdle();
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
   const isBusy = () => options.openCallCount() > 0 || connections.busyCount() > 0;
   while (isBusy() && clock.nowMs() < endMs) {
-    connections.closeIdle();
+    closeIdle();
     await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
   }
-  connections.closeIdle();
+  closeIdle();
   // The data written last is still on its way to the callers.
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
 }
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -49,6 +49,8 @@
   read: (isNewConnection: boolean, unreadMs: number) => void;
   /** A caller left before its answer was whole. */
   callerLeft: (stage: calls.Stage) => void;
+  /** A request was read behind the close of its connection and gets no answer. */
+  dropped: (connection: 'new' | 'kept') => void;
   /** From the close of a caller's connection, as read, to that of its upstream's. */
   cancelled: (tookMs: number) => void;
   loopTurn: (turnMs: number) => void;
@@ -156,6 +158,11 @@
   const callersLeft = counter('callers_left_total', 'Callers that left before their answer', [
     'stage',
   ]);
+  const requestsDropped = counter(
+    'requests_dropped_total',
+    'Requests read behind the close of their connection, without an answer',
+    ['connection'],
+  );
   const cancelSeconds = histogram(
     'cancel_seconds',
     "From a caller's close, as read, to the close of its upstream's connection",
@@ -331,6 +338,7 @@
       unreadSeconds.observe({ connection }, unreadMs / MS_PER_SECOND);
     },
     callerLeft: (stage) => callersLeft.inc({ stage }),
+    dropped: (connection) => requestsDropped.inc({ connection }),
     cancelled: (tookMs) => cancelSeconds.observe(tookMs / MS_PER_SECOND),
     loopTurn: (turnMs) => loopTurnSeconds.observe(turnMs / MS_PER_SECOND),
     firstPiece: (of, sinceArrivalMs) => {
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -42,6 +42,10 @@
   /** `isFirstStart`: no gateway of this fleet ran before. */
   started: { callerAddress: string; isFirstStart: boolean };
   stopping: { openCallCount: number };
+  /** The listener is closed; connections that wait to be accepted are reset, and have waited for at most `acceptWaitMs`. */
+  'accepting-ended': { acceptWaitMs: number; turnMs: number };
+  /** A stop closed connections without a request. Data on them may have lain unread for `unreadMs`, at most. */
+  'idle-closed': { closedCount: number; unreadMs: number; turnMs: number };
   stopped: { openCallCount: number };
   /** Too little processor time: it asks the balancer for no new connections, and does again. `busyShare`: of the loop's time. */
   'shedding-began': { busyShare: number };
@@ -243,6 +247,17 @@
     sinceReadMs: number;
     turnMs: number;
   };
+  /**
+   * It was read behind the close of its connection, has not run and gets no answer. `unreadMs`: for how long it may have lain unread, at
+   * most; `sinceAcceptMs`: since its connection was accepted.
+   */
+  'request-dropped': {
+    requestId: string;
+    connection: 'new' | 'kept';
+    unreadMs: number;
+    sinceAcceptMs: number;
+    turnMs: number;
+  };
   'request-broken': { requestId: string; reason: string };
   'request-waits': {
     requestId: string;
