Stop: connections are closed behind a poll that found nothing to read on them

What callers saw (LOST): a whole request on a kept connection, or on one that had just been accepted, ended without an answer or a refusal when its gateway was stopped. Cause: 2.5 s after SIGTERM a timer closed all connections without a counted request. Timers run before the poll that would have read what had arrived, and a half-close takes effect a turn later; what was read behind it was dropped. Class: something is closed by a clock while what has arrived on it is not read. Change: a step of the drain waits for a poll that began after its decision, closes only connections that this poll has read and found idle, at once instead of by a half-close, and not if more than 100 ms have passed since the poll began. Answers that had not announced the close leave their connection to the next step. The drain ends once no connection is open. Why it works: a request that arrived before that poll is read by it, and its connection isn't idle any more.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -13,6 +13,7 @@
 import * as metricsApp from './server/metrics/app.js';
 import * as peers from './server/peers/server.js';
 import * as peerParts from './peer-parts.js';
+import * as openConnections from './server/health/open-connections.js';
 import * as stops from './server/health/stop.js';
 import type * as logEvents from './types/log-events.js';
 import * as deadlineBaselines from './shared/deadline-baselines.js';
@@ -57,13 +58,14 @@
   settings: settingsModule.Settings,
   createPlatform: CreatePlatform,
 ): Promise<RunningGateway> {
-  let isStopping = false;
+  let hasStopBegun = false;
+  const isStopping = () => hasStopBegun;
   let hasListing = false;
   const { cradle } = containers.createContainer(
     settings,
     (clock, log) => createPlatform(clock, log, settings),
     {
-      isStopping: () => isStopping,
+      isStopping,
       hasListing: () => hasListing,
       isStoreConnected: () => upstreamFollower.isConnected(),
       onUpstreamsLearned: () => {
@@ -158,7 +160,7 @@
     serve: cradle.serve,
     configuration: servedConfiguration,
     metrics: cradle.metrics,
-    closesConnections: () => isStopping || cradle.shedding.isShedding(),
+    closesConnections: () => isStopping() || cradle.shedding.isShedding(),
     openCalls,
     quotas: cradle.quotas,
     bodyBudget: cradle.bodyBudget,
@@ -167,7 +169,7 @@
     hasher: await hashers.createHasher(),
     norms: deadlineBaselines.createDeadlineBaselines(),
   });
-  const connections = stops.trackConnections(callers.server);
+  const connections = openConnections.trackConnections(callers.server, cradle.loopAges);
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
 
   /** Without a holder no request is sent once more after a failure, beyond what the requests here have made tokens for. */
@@ -176,7 +178,7 @@
   }
 
   function isReady(): boolean {
-    const isServing = !isStopping && hasListing && servedConfiguration() !== null;
+    const isServing = !isStopping() && hasListing && servedConfiguration() !== null;
     const isKnowing = knowsLease() && cradle.versionRecorder.isSettled();
     return isServing && isKnowing && !cradle.shedding.isShedding();
   }
@@ -271,9 +273,9 @@
   );
 
   async function stop(): Promise<void> {
-    isStopping = true;
-    log.info('stopping', { openCallCount: openCalls.count() });
+    hasStopBegun = true;
     const endMs = stops.exitByMs(clock.nowMs(), settings.stopTimeoutS * 1_000);
+    log.info('stopping', { openCallCount: openCalls.count() });
     const drained = stops.drain({
       clock,
       log,
--- /dev/null
+++ b/packages/gateway/src/server/health/open-connections.ts
@@ -0,0 +1,67 @@
+/**
+ * The connections of callers at a planned stop. What has arrived on a connection may lie unread, and a connection may wait to be
+ * accepted: each is closed only behind a poll of the event loop that began after the decision to close and found nothing there.
+ */
+import type * as http from 'node:http';
+import * as net from 'node:net';
+
+export type OpenConnections = {
+  /**
+   * Ends accepting connections. The close of an HTTP server also destroys connections whose answer has ended for the application
+   * and is still in this process's buffers.
+   */
+  stopAccepting: () => void;
+  /** Closes connections that the poll with that number has read and found without a request. Returns how many. */
+  closeIdle: (pollNumber: number) => number;
+  /** Connections that are open, with a request or without. */
+  count: () => number;
+  /** Resets the connections whose open answer would otherwise look complete, since its caller knows no chunks. */
+  resetUnframed: () => void;
+};
+
+type Connection = { requestCount: number; acceptedInPoll: number };
+
+/**
+ * Counts the requests in progress on each connection. Node's own list of idle connections leaves out those on which no
+ * request has arrived yet: a request that arrives on one at the last moment would be accepted and then cut off.
+ */
+export function trackConnections(
+  server: http.Server,
+  loopAges: { pollCount: () => number },
+): OpenConnections {
+  const open = new Map<net.Socket, Connection>();
+  const withoutChunks = new WeakSet<net.Socket>();
+  server.on('connection', (socket: net.Socket) => {
+    open.set(socket, { requestCount: 0, acceptedInPoll: loopAges.pollCount() });
+    socket.once('close', () => open.delete(socket));
+  });
+  server.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
+    const { socket } = request;
+    const connection = open.get(socket);
+    if (connection === undefined) return;
+    connection.requestCount += 1;
+    if (request.httpVersion === '1.0') withoutChunks.add(socket);
+    response.once('close', () => {
+      connection.requestCount -= 1;
+    });
+  });
+  return {
+    stopAccepting: () => {
+      net.Server.prototype.close.call(server);
+    },
+    closeIdle: (pollNumber) => {
+      const idle = [...open].filter(
+        ([, { requestCount, acceptedInPoll }]) => requestCount <= 0 && acceptedInPoll < pollNumber,
+      );
+      // Closed at once: behind a half-close, which takes another turn, requests would be read that get no answer.
+      idle.forEach(([socket]) => socket.destroy());
+      return idle.length;
+    },
+    count: () => open.size,
+    resetUnframed: () => {
+      for (const [socket, { requestCount }] of open) {
+        if (requestCount > 0 && withoutChunks.has(socket)) socket.resetAndDestroy();
+      }
+    },
+  };
+}
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -6,6 +6,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import * as openConnections from './open-connections.js';
 import * as stops from './stop.js';
 
 const test = suite('planned stop');
@@ -14,8 +15,19 @@
 /** More than the buffers of both sockets hold. */
 const LARGE_BYTES = 32 * 1024 * 1024;
 const log = logs.createSilentLogger();
+
 /** Of a loop that reads all at once. */
-const loopAges = { unreadMs: () => 0, acceptWaitMs: () => 0, turnMs: () => 0 };
+function createLoopAges() {
+  let pollCount = 0;
+  return {
+    pollCount: () => pollCount,
+    readPending: async () => {
+      pollCount += 1;
+      return 0;
+    },
+    turnMs: () => 0,
+  };
+}
 
 function startDrain(openCallCount: () => number) {
   const clock = fakeClocks.createFakeClock();
@@ -28,14 +40,13 @@
       state.lastCloseIdleMs = clock.nowMs();
       return 0;
     },
-    resetUnframed: () => {},
-    busyCount: () => 0,
+    count: () => 0,
   };
   void stops
     .drain({
       clock,
       log,
-      loopAges,
+      loopAges: createLoopAges(),
       connections,
       openCallCount,
       endMs: stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS),
@@ -77,7 +88,8 @@
   const clock = fakeClocks.createFakeClock();
   const body = Buffer.alloc(LARGE_BYTES, 'x');
   const server = http.createServer((_request, response) => response.end(body));
-  const connections = stops.trackConnections(server);
+  const loopAges = createLoopAges();
+  const connections = openConnections.trackConnections(server, loopAges);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -3,121 +3,68 @@
  * for running requests.
  */
 import type * as http from 'node:http';
-import * as net from 'node:net';
 
 import { clocks } from '@copperlever/runtime';
 
 import type * as logEvents from '../../types/log-events.js';
 import type * as readDelays from '../forwarding/read-delay.js';
+import type * as openConnections from './open-connections.js';
 
 export type DrainOptions = {
   clock: clocks.Clock;
   log: Pick<logEvents.GatewayLog, 'info'>;
-  loopAges: Pick<readDelays.ReadDelay, 'unreadMs' | 'acceptWaitMs' | 'turnMs'>;
-  connections: OpenConnections;
+  loopAges: Pick<readDelays.ReadDelay, 'readPending' | 'pollCount' | 'turnMs'>;
+  connections: Omit<openConnections.OpenConnections, 'resetUnframed'>;
   openCallCount: () => number;
   /** When the drain has to be over. */
   endMs: number;
 };
 
-/**
- * The balancer polls once a second and stops sending connections after two failed polls. A request that is accepted
- * later than three seconds after the stop began may take too long to be answered before the end, so none is accepted.
- */
+/** The balancer polls once a second and stops sending connections after two failed polls. */
 const BALANCER_NOTICE_MS = 2_500;
 /** Time before the platform's kill at which the process exits by itself, since the kill would cut off open answers. */
 const EXIT_MARGIN_MS = 700;
 const CHECK_MS = 50;
-/** Time in which requests that were sent before their connection was closed still arrive and are answered. */
+/** Time in which the data written last reaches callers. */
 const LINGER_MS = 300;
-
-export type OpenConnections = {
-  /**
-   * Ends accepting connections. The close of an HTTP server also destroys connections whose answer has ended for the application
-   * and is still in this process's buffers.
-   */
-  stopAccepting: () => void;
-  /** Closes connections without a request in progress: kept-alive ones, and those that have not sent one yet. Returns their number. */
-  closeIdle: () => number;
-  /** Connections with a request that is still being read, or whose answer has not left this process's buffers. */
-  busyCount: () => number;
-  /** Resets the connections whose open answer would otherwise look complete, since its caller knows no chunks. */
-  resetUnframed: () => void;
-};
-
-/**
- * Counts the requests in progress on each connection. Node's own list of idle connections leaves out those on which no
- * request has arrived yet: a request that arrives on one at the last moment would be accepted and then cut off.
- */
-export function trackConnections(server: http.Server): OpenConnections {
-  const requestCounts = new Map<net.Socket, number>();
-  const withoutChunks = new WeakSet<net.Socket>();
-  let isClosing = false;
-  server.on('connection', (socket: net.Socket) => {
-    requestCounts.set(socket, 0);
-    socket.once('close', () => requestCounts.delete(socket));
-  });
-  server.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
-    const { socket } = request;
-    const add = (count: number) => {
-      const before = requestCounts.get(socket);
-      if (before !== undefined) requestCounts.set(socket, before + count);
-    };
-    add(1);
-    if (request.httpVersion === '1.0') withoutChunks.add(socket);
-    // An answer that began before the stop does not announce that its connection closes, so the caller would send its
-    // next request at once.
-    response.once('finish', () => {
-      if (isClosing) socket.end();
-    });
-    response.once('close', () => add(-1));
-  });
-  return {
-    stopAccepting: () => {
-      net.Server.prototype.close.call(server);
-    },
-    closeIdle: () => {
-      isClosing = true;
-      const idle = [...requestCounts].filter(
-        ([socket, count]) => count <= 0 && !socket.writableEnded,
-      );
-      idle.forEach(([socket]) => socket.end());
-      return idle.length;
-    },
-    busyCount: () => [...requestCounts.values()].filter((count) => count > 0).length,
-    resetUnframed: () => {
-      for (const [socket, count] of requestCounts) {
-        if (count > 0 && withoutChunks.has(socket)) socket.resetAndDestroy();
-      }
-    },
-  };
-}
+/** Nothing is closed that may have lain unread for longer; half of the time after which a caller counts its request as taken. */
+const UNREAD_MAX_MS = 100;
 
 /** When a stop that begins at `stopAtMs` has to be over, which is before the platform kills the process. */
 export function exitByMs(stopAtMs: number, stopTimeoutMs: number): number {
   return stopAtMs + stopTimeoutMs - EXIT_MARGIN_MS;
 }
 
+/**
+ * One step: closes what a whole poll has found without anything to read. Where the loop stood meanwhile, more may have arrived,
+ * and the next step looks again.
+ */
+async function closeUnused(options: DrainOptions, state: { isAccepting: boolean }): Promise<void> {
+  const { log, loopAges, connections } = options;
+  const unreadMs = await loopAges.readPending();
+  if (unreadMs > UNREAD_MAX_MS) return;
+  const pollNumber = loopAges.pollCount();
+  const fields = { unreadMs: Math.round(unreadMs), turnMs: Math.round(loopAges.turnMs()) };
+  if (state.isAccepting) {
+    connections.stopAccepting();
+    state.isAccepting = false;
+    log.info('accepting-ended', { acceptWaitMs: fields.unreadMs, turnMs: fields.turnMs });
+  }
+  const closedCount = connections.closeIdle(pollNumber);
+  if (closedCount > 0) log.info('idle-closed', { closedCount, ...fields });
+}
+
 export async function drain(options: DrainOptions): Promise<void> {
-  const { clock, log, loopAges, connections, endMs } = options;
-  const turnMs = () => Math.round(loopAges.turnMs());
-  const closeIdle = () => {
-    const unreadMs = Math.round(loopAges.unreadMs());
-    const closedCount = connections.closeIdle();
-    if (closedCount > 0) log.info('idle-closed', { closedCount, unreadMs, turnMs: turnMs() });
-  };
+  const { clock, connections, endMs } = options;
   await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + BALANCER_NOTICE_MS));
-  const acceptWaitMs = Math.round(loopAges.acceptWaitMs());
-  connections.stopAccepting();
-  log.info('accepting-ended', { acceptWaitMs, turnMs: turnMs() });
-  closeIdle();
-  await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
-  const isBusy = () => options.openCallCount() > 0 || connections.busyCount() > 0;
-  while (isBusy() && clock.nowMs() < endMs) {
-    closeIdle();
-    await clocks.sleepUntil(clock, clock.nowMs() + CHECK_MS);
+  const state = { isAccepting: true };
+  const isDone = () =>
+    !state.isAccepting && options.openCallCount() === 0 && connections.count() === 0;
+  for (;;) {
+    await closeUnused(options, state);
+    if (isDone() || clock.nowMs() >= endMs) break;
+    await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + CHECK_MS));
   }
-  closeIdle();
   // The data written last is still on its way to the callers.
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
 }
@@ -145,7 +92,10 @@
 }
 
 /** Closes all connections at the end of a stop. An answer that is still open misses its last chunk or a part of its length. */
-export function cutOff(server: http.Server, connections: OpenConnections): void {
+export function cutOff(
+  server: http.Server,
+  connections: Pick<openConnections.OpenConnections, 'resetUnframed'>,
+): void {
   connections.resetUnframed();
   server.closeAllConnections();
 }
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -8,6 +8,7 @@
 import * as attempts from '../server/forwarding/attempt.js';
 import * as connectionsModule from '../server/forwarding/connections.js';
 import * as readDelays from '../server/forwarding/read-delay.js';
+import * as openConnections from '../server/health/open-connections.js';
 import * as stops from '../server/health/stop.js';
 import type * as calls from '../types/calls.js';
 import * as callersApps from './callers-app.js';
@@ -273,7 +274,7 @@
     route: { kind: isStream ? 'stream' : 'idempotent', isResumable: play.kind === 'resumable' },
     serve: play.cut === 'broken' ? serveBroken : serve,
   });
-  const open = stops.trackConnections(app.server);
+  const open = openConnections.trackConnections(app.server, { pollCount: () => 0 });
   const [firstBytes, onFirstBytes] = createSignal();
   const received = receive(app.port, play, onFirstBytes);
   if (play.cut === 'stopped' || play.cut === 'killed') {
