Stop: the listener is closed once a poll finds no connection that waits

What callers saw (LOST): a whole request on a new connection ended with a reset when its gateway was stopped, without an answer or a refusal. Cause: Node accepts one connection in a turn of its loop; 2.5 s after SIGTERM a timer closed the listener, which resets all that wait in its queue. Change: the listener stays open until a poll that began after the decision has accepted none. What is read later than 3 s after SIGTERM, and would not be over before the end, is refused at once with 503 and Retry-After (stopping-refused).

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -58,8 +58,8 @@
   settings: settingsModule.Settings,
   createPlatform: CreatePlatform,
 ): Promise<RunningGateway> {
-  let hasStopBegun = false;
-  const isStopping = () => hasStopBegun;
+  let stopping: stops.StopTimes | null = null;
+  const isStopping = () => stopping !== null;
   let hasListing = false;
   const { cradle } = containers.createContainer(
     settings,
@@ -161,6 +161,7 @@
     configuration: servedConfiguration,
     metrics: cradle.metrics,
     closesConnections: () => isStopping() || cradle.shedding.isShedding(),
+    mayTake: (deadlineMs) => stops.mayTake(stopping, clock.nowMs(), deadlineMs),
     openCalls,
     quotas: cradle.quotas,
     bodyBudget: cradle.bodyBudget,
@@ -273,8 +274,9 @@
   );
 
   async function stop(): Promise<void> {
-    hasStopBegun = true;
-    const endMs = stops.exitByMs(clock.nowMs(), settings.stopTimeoutS * 1_000);
+    const times = stops.stopTimes(clock.nowMs(), settings.stopTimeoutS * 1_000);
+    const { endMs } = times;
+    stopping = times;
     log.info('stopping', { openCallCount: openCalls.count() });
     const drained = stops.drain({
       clock,
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -47,6 +47,19 @@
   while (Date.now() < untilMs);
 }
 
+// Guards against a stop that drops what it can't serve any more, so that a caller may not send it again.
+test('what a stop takes no more is refused, and may be sent again at once', async () => {
+  const { port, served, close } = await callersApps.startCallersApp({ mayTake: () => false });
+  try {
+    const answer = await request(port, {});
+    assert.is(answer.statusCode, 503);
+    assert.is(answer.headers['retry-after'], '0.10');
+    assert.is(served.length, 0);
+  } finally {
+    await close();
+  }
+});
+
 // A gateway that has just started reads a request half a second late, when its caller has already left. The close is read one
 // turn after the request, so a request that is forwarded at once would run for a caller that is gone.
 test('a request whose caller left while it was buffered is not served', async () => {
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -35,6 +35,8 @@
   configuration: () => ActiveConfiguration | null;
   /** Whether callers are to open new connections, which their load balancer may send to another gateway. */
   closesConnections: () => boolean;
+  /** False for a request that would not be over before a stop ends. */
+  mayTake: (deadlineMs: number) => boolean;
   metrics: Pick<
     metricsModule.GatewayMetrics,
     'requestEnded' | 'denied' | 'read' | 'callerLeft' | 'dropped'
@@ -57,6 +59,8 @@
 
 const HEADER_BYTES_MAX = 65_536;
 const STARTING_RETRY_MS = 1_000;
+/** Another gateway serves the request at once. */
+const STOPPING_RETRY_MS = 100;
 /** Bodies are held for about as long as their requests take. */
 const NO_ROOM_RETRY_MS = 1_000;
 /** Time-outs until the first configuration is applied. */
@@ -120,6 +124,20 @@
   return { route, facts, organisation: access.organisation };
 }
 
+function refuseStopping(
+  deps: CallersDeps,
+  request: http.IncomingMessage,
+  sink: answers.AnswerSink,
+  { facts: { requestId }, route }: callBuilding.Admitted,
+  deadlineMs: number,
+): void {
+  const remainingMs = Math.round(deadlineMs - deps.clock.nowMs());
+  deps.log.info('stopping-refused', { requestId, route: route.name, remainingMs });
+  const retryAfter = deps.dialect.retryAfter(STOPPING_RETRY_MS);
+  sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'stopping');
+  deps.metrics.denied('stopping');
+}
+
 function refuseOverQuota(
   deps: CallersDeps,
   sink: answers.AnswerSink,
@@ -253,6 +271,11 @@
   // What the head decides needs no body.
   const admitted = admit(deps, active, request, sink);
   if (admitted === null) return;
+  const deadlineMs = callBuilding.deadlineOf(admitted, arrival);
+  if (!deps.mayTake(deadlineMs)) {
+    refuseStopping(deps, request, sink, admitted, deadlineMs);
+    return;
+  }
   const body = await readAdmitted(deps, active, request, sink, admitted, arrival);
   if (body === null) return;
   try {
--- a/packages/gateway/src/server/health/open-connections.ts
+++ b/packages/gateway/src/server/health/open-connections.ts
@@ -6,6 +6,8 @@
 import * as net from 'node:net';
 
 export type OpenConnections = {
+  /** Whether connections were accepted in the poll with that number. */
+  hasAcceptedIn: (pollNumber: number) => boolean;
   /**
    * Ends accepting connections. The close of an HTTP server also destroys connections whose answer has ended for the application
    * and is still in this process's buffers.
@@ -31,8 +33,10 @@
 ): OpenConnections {
   const open = new Map<net.Socket, Connection>();
   const withoutChunks = new WeakSet<net.Socket>();
+  let lastAcceptPoll = -1;
   server.on('connection', (socket: net.Socket) => {
-    open.set(socket, { requestCount: 0, acceptedInPoll: loopAges.pollCount() });
+    lastAcceptPoll = loopAges.pollCount();
+    open.set(socket, { requestCount: 0, acceptedInPoll: lastAcceptPoll });
     socket.once('close', () => open.delete(socket));
   });
   server.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
@@ -46,6 +50,7 @@
     });
   });
   return {
+    hasAcceptedIn: (pollNumber) => lastAcceptPoll >= pollNumber,
     stopAccepting: () => {
       net.Server.prototype.close.call(server);
     },
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -25,6 +25,7 @@
       pollCount += 1;
       return 0;
     },
+    acceptWaitMs: () => 0,
     turnMs: () => 0,
   };
 }
@@ -40,6 +41,7 @@
       state.lastCloseIdleMs = clock.nowMs();
       return 0;
     },
+    hasAcceptedIn: () => false,
     count: () => 0,
   };
   void stops
@@ -66,6 +68,15 @@
   assert.ok(state.endedAtMs > state.closedAtMs);
 });
 
+// Guards against a stream that is taken up shortly before the end, and cut off by it.
+test('from three seconds on only what is over before the end is taken up', () => {
+  const stop = stops.stopTimes(1_000, STOP_TIMEOUT_MS);
+  assert.is(stops.mayTake(null, 9_000, 99_000), true);
+  assert.is(stops.mayTake(stop, 3_900, 99_000), true);
+  assert.is(stops.mayTake(stop, 4_100, 99_000), false);
+  assert.is(stops.mayTake(stop, 4_100, stop.endMs), true);
+});
+
 test('the drain waits for running requests until shortly before the kill', async () => {
   const { clock, state } = startDrain(() => 3);
   await clock.advance(STOP_TIMEOUT_MS);
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -13,7 +13,7 @@
 export type DrainOptions = {
   clock: clocks.Clock;
   log: Pick<logEvents.GatewayLog, 'info'>;
-  loopAges: Pick<readDelays.ReadDelay, 'readPending' | 'pollCount' | 'turnMs'>;
+  loopAges: Pick<readDelays.ReadDelay, 'readPending' | 'pollCount' | 'acceptWaitMs' | 'turnMs'>;
   connections: Omit<openConnections.OpenConnections, 'resetUnframed'>;
   openCallCount: () => number;
   /** When the drain has to be over. */
@@ -22,6 +22,8 @@
 
 /** The balancer polls once a second and stops sending connections after two failed polls. */
 const BALANCER_NOTICE_MS = 2_500;
+/** A stream that is taken up later may not be over before the end. */
+const TAKES_ALL_MS = 3_000;
 /** Time before the platform's kill at which the process exits by itself, since the kill would cut off open answers. */
 const EXIT_MARGIN_MS = 700;
 const CHECK_MS = 50;
@@ -30,11 +32,37 @@
 /** Nothing is closed that may have lain unread for longer; half of the time after which a caller counts its request as taken. */
 const UNREAD_MAX_MS = 100;
 
+/** A stop under way: what it still takes up, and when it has to be over. */
+export type StopTimes = { takesAllUntilMs: number; endMs: number };
+
+export function stopTimes(stopAtMs: number, stopTimeoutMs: number): StopTimes {
+  return {
+    takesAllUntilMs: stopAtMs + TAKES_ALL_MS,
+    endMs: exitByMs(stopAtMs, stopTimeoutMs),
+  };
+}
+
+/** Whether a request that is read now may be taken up: near its end a stop refuses what it might have to cut off. */
+export function mayTake(stop: StopTimes | null, nowMs: number, deadlineMs: number): boolean {
+  return stop === null || nowMs < stop.takesAllUntilMs || deadlineMs <= stop.endMs;
+}
+
 /** When a stop that begins at `stopAtMs` has to be over, which is before the platform kills the process. */
 export function exitByMs(stopAtMs: number, stopTimeoutMs: number): number {
   return stopAtMs + stopTimeoutMs - EXIT_MARGIN_MS;
 }
 
+function endAccepting(
+  { log, loopAges, connections }: DrainOptions,
+  state: { isAccepting: boolean },
+  acceptWaitMs: number,
+): void {
+  connections.stopAccepting();
+  state.isAccepting = false;
+  const turnMs = Math.round(loopAges.turnMs());
+  log.info('accepting-ended', { acceptWaitMs: Math.round(acceptWaitMs), turnMs });
+}
+
 /**
  * One step: closes what a whole poll has found without anything to read. Where the loop stood meanwhile, more may have arrived,
  * and the next step looks again.
@@ -45,17 +73,15 @@
   if (unreadMs > UNREAD_MAX_MS) return;
   const pollNumber = loopAges.pollCount();
   const fields = { unreadMs: Math.round(unreadMs), turnMs: Math.round(loopAges.turnMs()) };
-  if (state.isAccepting) {
-    connections.stopAccepting();
-    state.isAccepting = false;
-    log.info('accepting-ended', { acceptWaitMs: fields.unreadMs, turnMs: fields.turnMs });
+  if (state.isAccepting && !connections.hasAcceptedIn(pollNumber)) {
+    endAccepting(options, state, unreadMs);
   }
   const closedCount = connections.closeIdle(pollNumber);
   if (closedCount > 0) log.info('idle-closed', { closedCount, ...fields });
 }
 
 export async function drain(options: DrainOptions): Promise<void> {
-  const { clock, connections, endMs } = options;
+  const { clock, loopAges, connections, endMs } = options;
   await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + BALANCER_NOTICE_MS));
   const state = { isAccepting: true };
   const isDone = () =>
@@ -65,6 +91,7 @@
     if (isDone() || clock.nowMs() >= endMs) break;
     await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + CHECK_MS));
   }
+  if (state.isAccepting) endAccepting(options, state, loopAges.acceptWaitMs());
   // The data written last is still on its way to the callers.
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
 }
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -14,7 +14,7 @@
 
 export type RequestClass = { kind: fleet.RouteKind; priority: number };
 
-export type DenialCause = 'route-unknown' | 'key-unknown' | 'over-quota' | 'no-room';
+export type DenialCause = 'route-unknown' | 'key-unknown' | 'over-quota' | 'no-room' | 'stopping';
 
 /** What is read when somebody asks, and kept by others. */
 export type Readings = {
@@ -43,7 +43,7 @@
 
 export type GatewayMetrics = {
   requestEnded: (of: RequestClass, ending: calls.Ending, tookMs: number) => void;
-  /** Refused before it was taken up: no route, no key, no quota left, or no room for its body. */
+  /** Refused before it was taken up: no route, no key, no quota left, no room for its body, or a stop near its end. */
   denied: (cause: DenialCause) => void;
   /** A request was read, and may have lain unread for so long. */
   read: (isNewConnection: boolean, unreadMs: number) => void;
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -54,6 +54,8 @@
   route?: Partial<fleet.Route>;
   /** Whether the first configuration has come. */
   isConfigured?: boolean;
+  /** In place of one that takes all. */
+  mayTake?: (deadlineMs: number) => boolean;
   /** The bytes that all bodies may hold together. */
   bodyBytesMax?: number;
   /** In place of one that answers at once. */
@@ -97,6 +99,7 @@
     },
     configuration: () => (isConfigured ? active : null),
     closesConnections: () => false,
+    mayTake: options.mayTake ?? (() => true),
     metrics: {
       requestEnded: () => {},
       denied: () => {},
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -42,7 +42,7 @@
   /** `isFirstStart`: no gateway of this fleet ran before. */
   started: { callerAddress: string; isFirstStart: boolean };
   stopping: { openCallCount: number };
-  /** The listener is closed; connections that wait to be accepted are reset, and have waited for at most `acceptWaitMs`. */
+  /** The listener is closed. Connections that wait to be accepted are reset; they have waited for at most `acceptWaitMs`. */
   'accepting-ended': { acceptWaitMs: number; turnMs: number };
   /** A stop closed connections without a request. Data on them may have lain unread for `unreadMs`, at most. */
   'idle-closed': { closedCount: number; unreadMs: number; turnMs: number };
@@ -194,6 +194,8 @@
   'change-ended': { upstreamId: string; load: string; isDone: boolean; tookMs: number };
   'change-broken': { upstreamId: string; reason: string };
   'steward-broken': { upstreamId: string; reason: string };
+  /** A stop is near its end, and the request might not be over before it: another gateway may serve it. */
+  'stopping-refused': { requestId: string; route: string; remainingMs: number };
   'route-unknown': { requestId: string; path: string; configVersion: number };
   /** No configuration in force names the caller's key. */
   'key-unknown': { requestId: string; route: string; configVersion: number };
