--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -47,6 +47,33 @@
   while (Date.now() < untilMs);
 }
 
+// Guards against a time-out that closes a kept connection on which a whole request lies unread.
+test('a kept connection is not closed as idle while a request lies on it unread', async () => {
+  const { port, server, close } = await callersApps.startCallersApp();
+  server.keepAliveTimeout = 100;
+  try {
+    const socket = net.connect(port, '127.0.0.1');
+    send(socket, '/first');
+    await onceAnswered(socket);
+    // Node closes it a second after the time that callers are told.
+    await sleep(900);
+    const answered = new Promise((resolve) => {
+      socket.once('data', () => resolve('answered'));
+      socket.once('close', () => resolve('closed'));
+      socket.once('error', (error) => resolve(error.message));
+    });
+    // Timers that have become due at the end of a turn run before the next poll.
+    await new Promise(setImmediate);
+    send(socket, '/second');
+    block(400);
+    assert.is(await answered, 'answered');
+    await sleep(1_500);
+    assert.ok(socket.destroyed);
+  } finally {
+    await close();
+  }
+});
+
 // Guards against a stop that drops what it can't serve any more, so that a caller may not send it again.
 test('what a stop takes no more is refused, and may be sent again at once', async () => {
   const { port, served, close } = await callersApps.startCallersApp({ mayTake: () => false });
--- a/packages/gateway/src/server/forwarding/read-delay.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.ts
@@ -71,6 +71,9 @@
  */
 export const RECHECK_AFTER_MS = 250;
 
+/** Nothing is closed that may have lain unread for longer; half of the time after which a caller counts its request as taken. */
+export const UNREAD_AT_CLOSE_MAX_MS = 100;
+
 /**
  * Connections that the system keeps until they are accepted. They are accepted in order, so that none of them is older than the
  * accept of the one so many before it.
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -7,7 +7,7 @@
 import { clocks } from '@copperlever/runtime';
 
 import type * as logEvents from '../../types/log-events.js';
-import type * as readDelays from '../forwarding/read-delay.js';
+import * as readDelays from '../forwarding/read-delay.js';
 import type * as openConnections from './open-connections.js';
 
 export type DrainOptions = {
@@ -29,8 +29,6 @@
 const CHECK_MS = 50;
 /** Time in which the data written last reaches callers. */
 const LINGER_MS = 300;
-/** Nothing is closed that may have lain unread for longer; half of the time after which a caller counts its request as taken. */
-const UNREAD_MAX_MS = 100;
 
 /** A stop under way: what it still takes up, and when it has to be over. */
 export type StopTimes = { takesAllUntilMs: number; endMs: number };
@@ -70,7 +68,7 @@
 async function closeUnused(options: DrainOptions, state: { isAccepting: boolean }): Promise<void> {
   const { log, loopAges, connections } = options;
   const unreadMs = await loopAges.readPending();
-  if (unreadMs > UNREAD_MAX_MS) return;
+  if (unreadMs > readDelays.UNREAD_AT_CLOSE_MAX_MS) return;
   const pollNumber = loopAges.pollCount();
   const fields = { unreadMs: Math.round(unreadMs), turnMs: Math.round(loopAges.turnMs()) };
   if (state.isAccepting && !connections.hasAcceptedIn(pollNumber)) {
