Stop: what no upstream has been sent is refused before the end, not cut off

What callers saw: a whole request that still waited in the gateway when the time of a planned stop was up ended with its connection, without an answer or a refusal, although it had never been sent; so did a request whose body was still being read. Cause: the drain waits until its end for open requests, whatever they wait for, and cutOff() then closes their connections. Waits for a model and held batch work end at a stop, waits for a plain slot, for a prefill turn and for the rest of a body don't. What was read before a request became an open call (body, request queue, quota) left no line either. Change: 500 ms before the end (half of the time in a stop that is as short) the gateway refuses all that it has not sent, whatever it waits for, with 503, Retry-After 0.10 and cause `stopping`: before it is taken up with a stopping-refused line and denied_total{cause="stopping"}, afterwards as an ending not-run, which gives its quota back. Nothing is taken up from then on. Its sink is withdrawn, so that a permit or a turn that comes later sends nothing. An attempt that upstreams may have received goes on until the end; if it is rejected in that time, its request is refused. A request that may have run and waits for another attempt gets the failure that it has, 502 or the upstream's own.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -10,6 +10,7 @@
 import * as openCallsModule from './server/forwarding/open-calls.js';
 import * as plainAdmissions from './server/forwarding/plain-admission.js';
 import * as serving from './server/forwarding/serve.js';
+import * as unsentRequests from './server/forwarding/unsent-requests.js';
 import * as upstreamSignals from './server/forwarding/upstream-signals.js';
 import * as measuredStores from './server/metrics/measured-store.js';
 import * as peerLinks from './server/peers/peer-link.js';
@@ -167,6 +168,7 @@
         openCallsModule.createOpenCalls(parts.clock, parts.log),
       )
       .singleton(),
+    unsent: awilix.asFunction(unsentRequests.createUnsentRequests).singleton(),
     retries: awilix.asFunction(controlParts.createRetries).singleton(),
     incarnation: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
@@ -268,6 +270,7 @@
               settings.shareWeights,
             ),
           isStopping: status.isStopping,
+          unsent: parts.unsent,
         }),
       )
       .singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -163,6 +163,7 @@
     closesConnections: () => isStopping() || cradle.shedding.isShedding(),
     mayTake: (deadlineMs) => stops.mayTake(stopping, clock.nowMs(), deadlineMs),
     openCalls,
+    unsent: cradle.unsent,
     quotas: cradle.quotas,
     bodyBudget: cradle.bodyBudget,
     loopAges: cradle.loopAges,
@@ -275,9 +276,10 @@
 
   async function stop(): Promise<void> {
     const times = stops.stopTimes(clock.nowMs(), settings.stopTimeoutS * 1_000);
-    const { endMs } = times;
+    const { endMs, refusesUnsentMs } = times;
     stopping = times;
     log.info('stopping', { openCallCount: openCalls.count() });
+    const cancelRefusal = clock.schedule(refusesUnsentMs, cradle.unsent.refuseAll);
     const drained = stops.drain({
       clock,
       log,
@@ -287,6 +289,7 @@
       endMs,
     });
     await stops.releaseLeaseLast({ clock, drained, releaseLease: cradle.lease.release, endMs });
+    cancelRefusal();
     openCalls.logCut();
     await tree.stop();
     log.info('stopped', { openCallCount: openCalls.count() });
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -383,6 +383,43 @@
   }
 });
 
+function never<Value>(): Promise<Value> {
+  return new Promise(() => {});
+}
+
+const WAITS: Record<string, { options: callersApps.AppOptions; pieces: readonly string[] }> = {
+  'for its body': {
+    options: {},
+    pieces: [postHead('/x', { 'content-length': '1000' }), 'part'],
+  },
+  'for its start': {
+    options: { requestQueue: { waitForStart: never } },
+    pieces: [callersApps.requestText('/x')],
+  },
+  'for its quota': {
+    options: { quotas: { ...callersApps.createQuotas([]), admit: never } },
+    pieces: [callersApps.requestText('/x')],
+  },
+};
+
+// Guards against a stop that cuts off requests that it has read and could still refuse.
+for (const [what, { options, pieces }] of Object.entries(WAITS)) {
+  test(`a request that waits ${what} at the end of a stop is refused`, async () => {
+    const app = await callersApps.startCallersApp(options);
+    try {
+      const exchanged = exchange(app.port, pieces);
+      await sleep(50);
+      app.unsent.refuseAll();
+      const { answer } = await exchanged;
+      assert.match(answer, /^HTTP\/1\.1 503 /);
+      assert.match(answer, /retry-after: 0\.10/);
+      assert.equal([app.denied, app.served, app.bodyBudget.heldBytes()], [['stopping'], [], 0]);
+    } finally {
+      await app.close();
+    }
+  });
+}
+
 // Guards against 413, after which no caller comes back, from a gateway that doesn't know yet what is allowed.
 test('a long body before the first configuration is told when to come back', async () => {
   const app = await callersApps.startCallersApp({ isConfigured: false });
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -27,6 +27,7 @@
 import type * as openCallsModule from './open-calls.js';
 import * as requestLog from './request-log.js';
 import type * as serving from './serve.js';
+import * as unsentRequests from './unsent-requests.js';
 
 export type CallersDeps = {
   clock: clocks.Clock;
@@ -45,6 +46,7 @@
   quotas: Pick<quotasModule.Quotas, 'admit'>;
   bodyBudget: byteBudgets.ByteBudget;
   openCalls: openCallsModule.OpenCalls;
+  unsent: Pick<unsentRequests.UnsentRequests, 'add'>;
   loopAges: Pick<
     readDelays.ReadDelay,
     'accepted' | 'probeWith' | 'requestAge' | 'readPending' | 'turnMs'
@@ -188,7 +190,8 @@
   const { requestId } = admitted.facts;
   const deadlineMs = callBuilding.deadlineOf(admitted, arrival);
   const bytesMax = active.config.limits.bodyBytes;
-  const body = await bodies.readBody(request, { clock, budget, bytesMax, deadlineMs });
+  const { unsent } = deps;
+  const body = await bodies.readBody(request, { clock, budget, bytesMax, deadlineMs, unsent });
   switch (body.kind) {
     case 'whole':
       return body;
@@ -204,6 +207,9 @@
       // It has not run, and its caller may send it once more.
       sink.refuseUnread(request, 408, [['connection', 'close']], 'body-too-slow');
       return null;
+    case 'stopping':
+      refuseStopping(deps, request, sink, admitted, deadlineMs);
+      return null;
     case 'no-room':
       logRefusedBody(deps, requestId, 'no-room', body.wantedBytes);
       sink.refuseUnread(
@@ -230,18 +236,23 @@
     const admitted = active === null ? null : admit(deps, active, request, sink);
     if (admitted === null) return null;
     const call = callBuilding.buildCall(deps, request, admitted, body, arrival);
-    await deps.requestQueue.waitForStart({
+    const queued = deps.requestQueue.waitForStart({
       dueMs: call.arrivedAtMs - call.elapsedBeforeMs + call.route.latencyObjectiveMs,
       deadlineMs: call.deadlineMs,
       priorityOf: (isLate) => urgency.enginePriority(call.priority, call.route, isLate),
       bufferedMs: call.bufferedMs,
       onCallerGone: sink.onCallerGone,
     });
+    const result = await unsentRequests.orStopping(deps.unsent, queued);
     sink.onCallerGone(null);
     if (isClosed(request.socket)) {
       requestLog.recordCallerLeft(deps, call.requestId, 'unread', arrival);
       return null;
     }
+    if (result === 'stopping') {
+      refuseStopping(deps, request, sink, admitted, call.deadlineMs);
+      return null;
+    }
     // A configuration that became active during the wait applies: the request is admitted again under it.
     const isNewest = deps.configuration()?.config.version === active?.config.version;
     if (isNewest) return { ...admitted, call };
@@ -302,7 +313,14 @@
   const { call } = started;
   const { requestId } = call;
   const isLate = call.elapsedBeforeMs > call.route.latencyObjectiveMs;
-  const quota = await deps.quotas.admit(started.organisation, call.facts, isLate);
+  const quota = await unsentRequests.orStopping(
+    deps.unsent,
+    deps.quotas.admit(started.organisation, call.facts, isLate),
+  );
+  if (quota === 'stopping') {
+    refuseStopping(deps, request, sink, started, call.deadlineMs);
+    return;
+  }
   if (quota.kind === 'refused') {
     refuseOverQuota(deps, sink, call, quota);
     return;
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -179,7 +179,10 @@
       connection,
       priority,
       resumeAfterId: run.resumeAfterId,
-      mayStart: () => mayStart(run, upstreamId),
+      mayStart: () => {
+        run.isAtUpstream = mayStart(run, upstreamId);
+        return run.isAtUpstream;
+      },
       sendByMs: startedAtMs + SEND_TIMEOUT_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
       eventIntervals: eventIntervalsOf(call, upstreamId),
@@ -206,6 +209,7 @@
         );
       },
     });
+    run.isAtUpstream = false;
     if (result.kind === 'held-failure') turn.ended(false, answer.load);
     started.end();
     watched.ended(evidenceOf(result, answer.framing));
--- a/packages/gateway/src/server/forwarding/bodies.ts
+++ b/packages/gateway/src/server/forwarding/bodies.ts
@@ -7,6 +7,7 @@
 import type { clocks } from '@copperlever/runtime';
 
 import type * as byteBudgets from '../../shared/byte-budget.js';
+import type * as unsentRequests from './unsent-requests.js';
 
 /** `release` gives the room of the bytes back, once the request has ended. */
 export type Body =
@@ -14,6 +15,8 @@
   | { kind: 'too-large' }
   | { kind: 'no-room'; wantedBytes: number }
   | { kind: 'too-slow' }
+  /** A stop came to its end before. */
+  | { kind: 'stopping' }
   | { kind: 'caller-gone' };
 
 export type BodyLimits = {
@@ -22,6 +25,7 @@
   budget: byteBudgets.ByteBudget;
   /** A body that isn't whole by then is given up. */
   deadlineMs: number;
+  unsent: Pick<unsentRequests.UnsentRequests, 'add'>;
 };
 
 const FIRST_BUFFER_BYTES = 4_096;
@@ -96,10 +100,14 @@
       if (isSettled) return;
       isSettled = true;
       cancel();
+      remove();
       if (body.kind !== 'whole') collector.release();
       resolve(body);
     }
+    let remove = () => {};
     const cancel = limits.clock.schedule(limits.deadlineMs, () => settle({ kind: 'too-slow' }));
+    remove = limits.unsent.add(() => settle({ kind: 'stopping' }));
+    if (isSettled) return;
     request.on('data', (chunk: Buffer) => {
       if (isSettled) return;
       if (collector.sizeBytes() + chunk.length > bytesMax) settle({ kind: 'too-large' });
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -14,6 +14,8 @@
   ranCount: number;
   /** Attempts of which an upstream may have received a part, rejected ones included. */
   sentCount: number;
+  /** An attempt is under way of which an upstream may have received a part. */
+  isAtUpstream: boolean;
   /** The caller has received a part of an answer. */
   hasBegun: boolean;
   /** The upstream of the latest attempt. */
@@ -55,6 +57,7 @@
   return {
     ranCount: 0,
     sentCount: 0,
+    isAtUpstream: false,
     hasBegun: false,
     upstreamId: '',
     wasFull: false,
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -33,6 +33,7 @@
 import * as readDelays from './read-delay.js';
 import * as plainAdmissions from './plain-admission.js';
 import * as serving from './serve.js';
+import * as unsentRequests from './unsent-requests.js';
 
 const test = suite('serving streams with prefill turns');
 
@@ -128,6 +129,7 @@
   };
   const connections = connectionsModule.createConnections(clock);
   const loopAges = readDelays.createReadDelay(clock);
+  const unsent = unsentRequests.createUnsentRequests();
   const serve = serving.createServe({
     clock,
     log,
@@ -210,6 +212,7 @@
     listAgeMs: () => 0,
     gatewayCount: () => 1,
     isStopping: () => false,
+    unsent,
     gatewayId: 'g1',
     failureDomain: 'north',
   });
@@ -218,7 +221,7 @@
     upstream.close();
     await connections.close();
   };
-  return { serve, upstream, asked, ended, list, refuseAll, close };
+  return { serve, upstream, asked, ended, list, refuseAll, unsent, close };
 }
 
 function createSink() {
@@ -636,4 +639,50 @@
   }
 });
 
+const STOPPING: calls.Ending = { kind: 'not-run', cause: 'stopping', retryAfterMs: 100 };
+
+/** Serves a call that is under way when the end of a stop comes; `release` ends what it waits for after that. */
+async function serveAtStop(setup: Setup, release: () => void = () => {}) {
+  const fixture = await createFixture(setup);
+  const { sink, state } = createSink();
+  const served = fixture.serve(createCall(), sink);
+  await timers.setTimeout(50);
+  fixture.unsent.refuseAll();
+  release();
+  const ending = await Promise.race([served, timers.setTimeout(100, 'goes on' as const)]);
+  await timers.setTimeout(50);
+  const sentCount = fixture.upstream.requests.length;
+  await fixture.close();
+  return { ending, sentCount, body: state.body };
+}
+
+// Guards against a stop that cuts off a request that waits for an upstream, and against one that is refused and sent all the same.
+test('at the end of a stop a request that waits for a turn or a permit is refused, and never sent', async () => {
+  const waiting = async () => ({ kind: 'wait', ownerId: 'g2', waitMs: 60 }) as const;
+  assert.equal(await serveAtStop({ ask: waiting }), { ending: STOPPING, sentCount: 0, body: '' });
+  let grant: (isGranted: boolean) => void = () => {};
+  const takePermit = () =>
+    new Promise<boolean>((resolve) => {
+      grant = resolve;
+    });
+  const permitted = await serveAtStop({ takePermit }, () => grant(true));
+  assert.equal(permitted, { ending: STOPPING, sentCount: 0, body: '' });
+});
+
+// Guards against a refusal of what an upstream may be running, which its caller would send again.
+test('at the end of a stop a request at an upstream goes on, and is refused once that has rejected it', async () => {
+  const { ending, sentCount } = await serveAtStop({ answer: () => {} });
+  assert.equal([ending, sentCount], ['goes on', 1]);
+  let answer = () => {};
+  const rejected = await serveAtStop(
+    {
+      answer: (socket) => {
+        answer = () => socket.write(REJECTED);
+      },
+    },
+    () => answer(),
+  );
+  assert.equal(rejected, { ending: STOPPING, sentCount: 1, body: '' });
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -41,6 +41,7 @@
 import * as routers from './router.js';
 import * as runs from './run.js';
 import * as streamBindings from './stream-binding.js';
+import * as unsentRequests from './unsent-requests.js';
 import type * as connectionsModule from './connections.js';
 import type * as upstreamSignals from './upstream-signals.js';
 
@@ -80,6 +81,7 @@
   listAgeMs: () => number | null;
   gatewayCount: () => number;
   isStopping: () => boolean;
+  unsent: Pick<unsentRequests.UnsentRequests, 'add' | 'isRefusing'>;
   /** Whether batch requests are held while more urgent ones need the upstreams of their model. */
   holdsBatch: () => boolean;
   gatewayId: string;
@@ -90,6 +92,8 @@
 
 const NO_UPSTREAM_RETRY_MS = 500;
 const MIN_RETRY_AFTER_MS = 100;
+/** Another gateway serves the request at once. */
+const STOPPING_RETRY_MS = 100;
 
 export function createServe(deps: ServeDeps): Serve {
   const { clock } = deps;
@@ -333,6 +337,7 @@
         if (run.ranCount > 0) return { kind: 'failed', cause: 'timeout', upstreamId };
         return refuse(call, run, 'deadline-near', MIN_RETRY_AFTER_MS);
       }
+      if (deps.unsent.isRefusing() && !sink.hasBegun()) return stoppingEnding(call, run, sink);
       const refused = quarantined.ending(call, run);
       if (refused !== null) return preferHeldFailure(run, sink, refused) ?? refused;
       const ending = await serveOnce(call, run, sink);
@@ -340,8 +345,17 @@
     }
   }
 
-  return async (received, sink) => {
-    const run = { ...runs.createRun(), traits: requestTraits.of(received) };
+  /** The ending at the end of a stop: nothing of it is at an upstream. */
+  function stoppingEnding(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): calls.Ending {
+    const ending = refuse(call, run, 'stopping', STOPPING_RETRY_MS);
+    return preferHeldFailure(run, sink, ending) ?? ending;
+  }
+
+  async function bindAndServe(
+    received: calls.Call,
+    run: runs.Run,
+    sink: answers.AnswerSink,
+  ): Promise<calls.Ending> {
     const { call, ending: unbound } = await bindStream(received, run);
     deps.retries.recordRequest(call.service);
     if (unbound !== null) return unbound;
@@ -351,5 +365,24 @@
       // It may have been let through, and found no upstream.
       quarantined.attemptEnded(run);
     }
+  }
+
+  return async (call, sink) => {
+    const run = { ...runs.createRun(), traits: requestTraits.of(call) };
+    const withdrawable = unsentRequests.createWithdrawableSink(sink);
+    let remove = () => {};
+    // Whatever it waits for, it is refused at the end of a stop; what an upstream may be running goes on.
+    const refused = new Promise<calls.Ending>((resolve) => {
+      remove = deps.unsent.add(() => {
+        if (run.isAtUpstream || sink.hasBegun() || sink.isCallerGone()) return;
+        withdrawable.withdraw();
+        resolve(stoppingEnding(call, run, sink));
+      });
+    });
+    try {
+      return await Promise.race([refused, bindAndServe(call, run, withdrawable)]);
+    } finally {
+      remove();
+    }
   };
 }
--- /dev/null
+++ b/packages/gateway/src/server/forwarding/unsent-requests.ts
@@ -0,0 +1,78 @@
+/**
+ * Requests that no upstream has been sent. Shortly before the end of a planned stop they are refused: a refusal tells callers that
+ * they may send them again, while the end of a connection tells them nothing.
+ */
+import type * as answers from './answers.js';
+
+export type UnsentRequests = {
+  /** Has `refuse` called at the end of a stop, or at once if that has come; no more after the returned function is called. */
+  add: (refuse: () => void) => () => void;
+  /** Refuses what waits, and from then on what is added. */
+  refuseAll: () => void;
+  isRefusing: () => boolean;
+};
+
+export function createUnsentRequests(): UnsentRequests {
+  const waiting = new Set<() => void>();
+  let isRefusing = false;
+  return {
+    add: (refuse) => {
+      if (isRefusing) {
+        refuse();
+        return () => {};
+      }
+      // The same function may be added for several requests.
+      const entry = () => refuse();
+      waiting.add(entry);
+      return () => {
+        waiting.delete(entry);
+      };
+    },
+    refuseAll: () => {
+      isRefusing = true;
+      waiting.forEach((refuse) => refuse());
+      waiting.clear();
+    },
+    isRefusing: () => isRefusing,
+  };
+}
+
+/** Settles like `work`, or resolves to `'stopping'` if the end of a stop comes before. */
+export async function orStopping<Value>(
+  unsent: Pick<UnsentRequests, 'add'>,
+  work: Promise<Value>,
+): Promise<Value | 'stopping'> {
+  let remove = () => {};
+  const refused = new Promise<'stopping'>((resolve) => {
+    remove = unsent.add(() => resolve('stopping'));
+  });
+  try {
+    return await Promise.race([work, refused]);
+  } finally {
+    remove();
+  }
+}
+
+export type WithdrawableSink = answers.AnswerSink & { withdraw: () => void };
+
+/**
+ * A sink for all that works on a request which may be withdrawn: afterwards its caller counts as gone, so that waits end and nothing
+ * is sent or answered any more.
+ */
+export function createWithdrawableSink(sink: answers.AnswerSink): WithdrawableSink {
+  let isWithdrawn = false;
+  let callerGone: (() => void) | null = null;
+  return {
+    ...sink,
+    isCallerGone: () => isWithdrawn || sink.isCallerGone(),
+    onCallerGone: (task) => {
+      callerGone = task;
+      sink.onCallerGone(task);
+      if (isWithdrawn) task?.();
+    },
+    withdraw: () => {
+      isWithdrawn = true;
+      callerGone?.();
+    },
+  };
+}
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -77,6 +77,17 @@
   assert.is(stops.mayTake(stop, 4_100, stop.endMs), true);
 });
 
+// Guards against a request that is taken up when what waits has just been refused: it would be cut off.
+test('nothing is taken up once what no upstream has is refused', () => {
+  for (const stopTimeoutMs of [1_000, 3_000, STOP_TIMEOUT_MS]) {
+    const { endMs, refusesUnsentMs, ...stop } = stops.stopTimes(1_000, stopTimeoutMs);
+    assert.ok(refusesUnsentMs > 1_000 && refusesUnsentMs < endMs);
+    const isTaken = (atMs: number) =>
+      stops.mayTake({ ...stop, endMs, refusesUnsentMs }, atMs, endMs);
+    assert.equal([isTaken(refusesUnsentMs - 1), isTaken(refusesUnsentMs)], [true, false]);
+  }
+});
+
 test('the drain waits for running requests until shortly before the kill', async () => {
   const { clock, state } = startDrain(() => 3);
   await clock.advance(STOP_TIMEOUT_MS);
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -30,19 +30,27 @@
 /** Time in which the data written last reaches callers. */
 const LINGER_MS = 300;
 
-/** A stop under way: what it still takes up, and when it has to be over. */
-export type StopTimes = { takesAllUntilMs: number; endMs: number };
+/** Time before the end at which what no upstream has is refused: several turns of a slow loop, and the refusals' way to callers. */
+const UNSENT_REFUSAL_MS = 500;
+
+/** A stop under way: what it still takes up, when it refuses what it has not sent, and when it has to be over. */
+export type StopTimes = { takesAllUntilMs: number; refusesUnsentMs: number; endMs: number };
 
 export function stopTimes(stopAtMs: number, stopTimeoutMs: number): StopTimes {
+  const endMs = exitByMs(stopAtMs, stopTimeoutMs);
   return {
     takesAllUntilMs: stopAtMs + TAKES_ALL_MS,
-    endMs: exitByMs(stopAtMs, stopTimeoutMs),
+    // At half of a stop that is as short.
+    refusesUnsentMs: Math.max(endMs - UNSENT_REFUSAL_MS, (stopAtMs + endMs) / 2),
+    endMs,
   };
 }
 
 /** Whether a request that is read now may be taken up: near its end a stop refuses what it might have to cut off. */
 export function mayTake(stop: StopTimes | null, nowMs: number, deadlineMs: number): boolean {
-  return stop === null || nowMs < stop.takesAllUntilMs || deadlineMs <= stop.endMs;
+  if (stop === null) return true;
+  if (nowMs >= stop.refusesUnsentMs) return false;
+  return nowMs < stop.takesAllUntilMs || deadlineMs <= stop.endMs;
 }
 
 /** When a stop that begins at `stopAtMs` has to be over, which is before the platform kills the process. */
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -9,6 +9,7 @@
 import type * as serving from '../server/forwarding/serve.js';
 import * as readDelays from '../server/forwarding/read-delay.js';
 import * as openCallsModule from '../server/forwarding/open-calls.js';
+import * as unsentRequests from '../server/forwarding/unsent-requests.js';
 import * as quotasModule from '../server/quotas/quotas.js';
 import * as byteBudgets from '../shared/byte-budget.js';
 import * as access from '../shared/access.js';
@@ -58,6 +59,8 @@
   mayTake?: (deadlineMs: number) => boolean;
   /** The bytes that all bodies may hold together. */
   bodyBytesMax?: number;
+  /** In place of one that starts requests in turn. */
+  requestQueue?: Pick<requestQueues.RequestQueue, 'waitForStart'>;
   /** In place of one that answers at once. */
   serve?: serving.Serve;
   organisations?: readonly fleet.Organisation[];
@@ -75,17 +78,19 @@
   const loopAges = readDelays.createReadDelay(clock);
   const served: { path: string; atMs: number; deadlineMs: number }[] = [];
   const servedCalls: calls.Call[] = [];
+  const denied: string[] = [];
   const active = {
     config,
     routes: routeTables.createRouteTable(config.routes),
     access: access.createAccessTable(config.organisations),
   };
+  const unsent = unsentRequests.createUnsentRequests();
   const bodyBudget = byteBudgets.createByteBudget(options.bodyBytesMax ?? 1_000_000);
   const app = callersApp.createCallersApp({
     clock,
     log,
     loopAges,
-    requestQueue: requestQueues.createRequestQueue({ clock, loopAges }),
+    requestQueue: options.requestQueue ?? requestQueues.createRequestQueue({ clock, loopAges }),
     hasher: await hashers.createHasher(),
     norms: deadlineBaselines.createDeadlineBaselines(),
     dialect: testDialects.createTestDialect(),
@@ -102,7 +107,7 @@
     mayTake: options.mayTake ?? (() => true),
     metrics: {
       requestEnded: () => {},
-      denied: () => {},
+      denied: (cause) => denied.push(cause),
       read: () => {},
       callerLeft: () => {},
       dropped: () => {},
@@ -110,6 +115,7 @@
     quotas: options.quotas ?? createQuotas([]),
     bodyBudget,
     openCalls: openCallsModule.createOpenCalls(clock, log),
+    unsent,
   });
   await app.listen({ host: '127.0.0.1', port: 0 });
   const { port } = app.server.address() as net.AddressInfo;
@@ -118,7 +124,7 @@
     app.server.closeAllConnections();
     await app.close();
   };
-  return { port, server: app.server, served, servedCalls, bodyBudget, close };
+  return { port, server: app.server, served, servedCalls, bodyBudget, unsent, denied, close };
 }
 
 export function createQuotas(organisations: readonly fleet.Organisation[]): quotasModule.Quotas {
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -53,7 +53,9 @@
   | 'quarantined'
   /** An upstream ended under it, and it may not be sent alone just now. */
   | 'suspected'
-  | 'deadline-near';
+  | 'deadline-near'
+  /** A stop of the gateway came to its end before it was sent. */
+  | 'stopping';
 
 /** What a request was waiting for when its caller left. */
 export type Stage =
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -194,7 +194,7 @@
   'change-ended': { upstreamId: string; load: string; isDone: boolean; tookMs: number };
   'change-broken': { upstreamId: string; reason: string };
   'steward-broken': { upstreamId: string; reason: string };
-  /** A stop is near its end, and the request might not be over before it: another gateway may serve it. */
+  /** A stop is near its end, and the request might not be over before it or still waits: another gateway may serve it. */
   'stopping-refused': { requestId: string; route: string; remainingMs: number };
   'route-unknown': { requestId: string; path: string; configVersion: number };
   /** No configuration in force names the caller's key. */
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -7,6 +7,7 @@
 import type * as openCallsModule from '../server/forwarding/open-calls.js';
 import type * as plainAdmissions from '../server/forwarding/plain-admission.js';
 import type * as serving from '../server/forwarding/serve.js';
+import type * as unsentRequests from '../server/forwarding/unsent-requests.js';
 import type * as sheddings from '../server/health/shedding.js';
 import type * as metricsModule from '../server/metrics/metrics.js';
 import type * as exchanges from '../server/peers/exchange.js';
@@ -103,6 +104,7 @@
   placement: placementTypes.Placement;
   bodyBudget: byteBudgets.ByteBudget;
   openCalls: openCallsModule.OpenCalls;
+  unsent: unsentRequests.UnsentRequests;
   quotas: quotasModule.Quotas;
   loopAges: readDelays.ReadDelay;
   intake: requestQueues.RequestQueue;
