Requests behind an answer that announced the close are not run, and the last answer announces it

What callers saw: of requests pipelined on one connection to a gateway that stops (or sheds load) only the first was answered; the others ran, and their connection ended without an answer. Cause: each answer carries `Connection: close` while the gateway stops or sheds, and Node ends the connection behind the first of them. Requests that had been read behind it, or were read before it was whole, were served all the same. Change: an answer announces the close only if no request has been read behind its own, so that all that was read before it is answered; what is read behind an announced close does not run, and is logged and counted as request-dropped.

--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -159,6 +159,57 @@
   }
 });
 
+function statusesOf(received: string): string[] {
+  return [...received.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status = '']) => status);
+}
+
+// Guards against an answer that announces the close of its connection before one behind it, which runs and is never sent.
+test('of pipelined requests on a connection that is to be closed each is answered, and the last answer says so', async () => {
+  const app = await callersApps.startCallersApp({
+    closesConnections: () => true,
+    serve: async (call, sink) => {
+      await sleep(call.path === '/first' ? 60 : 20);
+      sink.sendWhole({ status: 200, headers: [], body: Buffer.from('ok'), statedBytes: 2 });
+      return { kind: 'answered', status: 200, upstreamId: 'u1' };
+    },
+  });
+  try {
+    const paths = ['/first', '/second', '/third'];
+    const requests = paths.map((path) => callersApps.requestText(path)).join('');
+    const { answer, isClosed } = await exchange(app.port, [requests]);
+    assert.equal([statusesOf(answer), app.served.length], [['200', '200', '200'], 3]);
+    assert.is(isClosed, true);
+    assert.is(answer.match(/connection: close/gi)?.length, 1);
+    assert.ok(answer.lastIndexOf('connection: close') > answer.lastIndexOf('HTTP/1.1'));
+  } finally {
+    await app.close();
+  }
+});
+
+// Guards against a request that runs although the answer before it has announced that its connection ends.
+test('a request behind an answer that has announced the close does not run, and the answer is whole', async () => {
+  const app = await callersApps.startCallersApp({
+    closesConnections: () => true,
+    serve: async (_call, sink) => {
+      const body = sink.begin(200, [], null);
+      body.write(Buffer.from('first part '));
+      await sleep(60);
+      body.write(Buffer.from('last part'));
+      body.end();
+      return { kind: 'answered', status: 200, upstreamId: 'u1' };
+    },
+  });
+  try {
+    const requests = ['/first', '/second'].map((path) => callersApps.requestText(path));
+    const { answer, isClosed } = await exchange(app.port, requests, { everyMs: 20 });
+    assert.equal([statusesOf(answer), app.served.length], [['200'], 1]);
+    assert.ok(answer.endsWith('last part\r\n0\r\n\r\n'));
+    assert.equal([isClosed, app.counts.dropped], [true, 1]);
+  } finally {
+    await app.close();
+  }
+});
+
 // Guards against a body that never ends, and that is read on after its request was refused.
 test('a body that is too long is refused, and read no further', async () => {
   const app = await callersApps.startCallersApp();
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -25,6 +25,7 @@
 import type * as requestQueues from './request-queue.js';
 import type * as readDelays from './read-delay.js';
 import type * as openCallsModule from './open-calls.js';
+import * as pipelinedRequests from './pipelined-requests.js';
 import * as requestLog from './request-log.js';
 import type * as serving from './serve.js';
 import * as unsentRequests from './unsent-requests.js';
@@ -261,11 +262,12 @@
 
 async function handle(
   deps: CallersDeps,
+  pipelined: pipelinedRequests.PipelinedRequests,
   request: http.IncomingMessage,
   raw: http.ServerResponse,
 ): Promise<void> {
   const age = deps.loopAges.requestAge(request.socket);
-  if (isClosed(request.socket)) {
+  if (isClosed(request.socket) || !pipelined.add(request, raw)) {
     requestLog.recordDropped(deps, deps.dialect.readCall(request.headers).requestId, age);
     return;
   }
@@ -275,7 +277,7 @@
   const sink = answers.createAnswerSink({
     raw,
     requestId,
-    closesConnections: deps.closesConnections,
+    closesConnections: () => deps.closesConnections() && pipelined.isLast(request),
   });
   const active = deps.configuration();
   if (active === null) {
@@ -345,6 +347,7 @@
 }
 
 export function createCallersApp(deps: CallersDeps): fastify.FastifyInstance {
+  const pipelined = pipelinedRequests.createPipelinedRequests();
   const app = fastify.fastify({
     // Paths are matched in `admit` against the configuration's prefixes, byte for byte, and not by the framework.
     rewriteUrl: () => '/',
@@ -359,7 +362,7 @@
   app.addHook('onRequest', (request, reply) => {
     reply.hijack();
     request.raw.url = request.originalUrl;
-    handle(deps, request.raw, reply.raw).catch((cause: unknown) => {
+    handle(deps, pipelined, request.raw, reply.raw).catch((cause: unknown) => {
       const { requestId } = deps.dialect.readCall(request.headers);
       deps.log.error('request-broken', { requestId, reason: String(cause) });
       answers.cutAnswer(reply.raw);
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -57,6 +57,8 @@
   isConfigured?: boolean;
   /** In place of one that takes all. */
   mayTake?: (deadlineMs: number) => boolean;
+  /** Whether answers announce the close of their connections. */
+  closesConnections?: () => boolean;
   /** The bytes that all bodies may hold together. */
   bodyBytesMax?: number;
   /** In place of one that starts requests in turn. */
@@ -79,6 +81,7 @@
   const served: { path: string; atMs: number; deadlineMs: number }[] = [];
   const servedCalls: calls.Call[] = [];
   const denied: string[] = [];
+  const counts = { dropped: 0 };
   const active = {
     config,
     routes: routeTables.createRouteTable(config.routes),
@@ -103,14 +106,16 @@
       return Promise.resolve(ending);
     },
     configuration: () => (isConfigured ? active : null),
-    closesConnections: () => false,
+    closesConnections: options.closesConnections ?? (() => false),
     mayTake: options.mayTake ?? (() => true),
     metrics: {
       requestEnded: () => {},
       denied: (cause) => denied.push(cause),
       read: () => {},
       callerLeft: () => {},
-      dropped: () => {},
+      dropped: () => {
+        counts.dropped += 1;
+      },
     },
     quotas: options.quotas ?? createQuotas([]),
     bodyBudget,
@@ -124,7 +129,17 @@
     app.server.closeAllConnections();
     await app.close();
   };
-  return { port, server: app.server, served, servedCalls, bodyBudget, unsent, denied, close };
+  return {
+    port,
+    server: app.server,
+    served,
+    servedCalls,
+    bodyBudget,
+    unsent,
+    denied,
+    counts,
+    close,
+  };
 }
 
 export function createQuotas(organisations: readonly fleet.Organisation[]): quotasModule.Quotas {
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -250,7 +250,7 @@
     turnMs: number;
   };
   /**
-   * It was read behind the close of its connection, has not run and gets no answer. `unreadMs`: for how long it may have lain unread, at
+   * It was read behind the close of its connection, or behind an answer that announced it, has not run and gets no answer. `unreadMs`: for how long it may have lain unread, at
    * most; `sinceAcceptMs`: since its connection was accepted.
    */
   'request-dropped': {
