--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -48,8 +48,11 @@
 }
 
 export type RunningGateway = {
-  /** A planned stop; resolves when all that was taken has been answered or its time is up. */
-  stop: () => Promise<void>;
+  /**
+   * A planned stop, whose time counts from `sinceMs` or from now; resolves when all that was taken has been answered or its time is
+   * up.
+   */
+  stop: (sinceMs?: number) => Promise<void>;
   /** The settings file has changed. */
   reload: () => void;
 };
@@ -274,8 +277,8 @@
     { clock, log: cradle.runtimeLog, onGiveUp: () => process.exit(1) },
   );
 
-  async function stop(): Promise<void> {
-    const times = stops.stopTimes(clock.nowMs(), settings.stopTimeoutS * 1_000);
+  async function stop(sinceMs = clock.nowMs()): Promise<void> {
+    const times = stops.stopTimes(sinceMs, settings.stopTimeoutS * 1_000);
     const { endMs, refusesUnsentMs } = times;
     stopping = times;
     log.info('stopping', { openCallCount: openCalls.count() });
