Attempts: what cannot be connected to ends no request

What callers saw (LOST): a request that was to go to an upstream whose address the client library could not read ended without an answer, though others could have served it. Cause: the constructor of the client throws, before the attempt's own handling of what is thrown, and the request ended with it. Class: one candidate's fault is taken for the request's. Change: a connection that cannot be made is a result of its own (`unusable`, with its cause). The attempt counts as not sent, is logged (upstream-unusable: address and reason), counts as a break of that upstream, and the request goes to another one. A dispatch that fails for an upstream's name was handled already (not-sent with its cause); it has its test now. Before: 'a request goes to another upstream where one cannot be connected to' ends with "TypeError: Invalid URL".

--- a/packages/gateway/src/server/forwarding/attempt-outcomes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-outcomes.ts
@@ -30,7 +30,7 @@
   needsModel: (call: calls.Call) => boolean;
 };
 
-type Attempt = {
+export type Attempt = {
   call: calls.Call;
   upstreamId: string;
   /** It resumed a stream after events that the caller already had. */
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -139,14 +139,38 @@
     return deps.streams.mayGoOn(record, boundVersion);
   }
 
+  /** What cannot be connected to counts as broken, so that other requests avoid it too. */
+  function notAcquired(
+    attempt: attemptOutcomes.Attempt,
+    { address }: fleet.UpstreamRecord,
+    error: connectionsModule.AcquireError,
+  ): calls.AttemptResult {
+    if (error.kind === 'in-use') return { kind: 'not-sent', reason: 'connections in use' };
+    const { call, upstreamId } = attempt;
+    const result = { kind: 'not-sent', reason: error.reason } as const;
+    log.warn('upstream-unusable', {
+      requestId: call.requestId,
+      upstreamId,
+      address,
+      reason: error.reason,
+    });
+    deps.doubts.noteUnreachable(upstreamId);
+    deps.metrics.attemptEnded(result.kind);
+    outcomes.ended({ ...attempt, result, firstChunk: null, tookMs: 0 });
+    return result;
+  }
+
   return async (call, run, sink, { choice, turn }) => {
     const { upstreamId } = choice;
     const record = directory.find(upstreamId);
     const service = deps.serviceOf(call.service);
     if (record === undefined || service === null) return { kind: 'not-sent', reason: 'gone' };
     const connectionsMax = (service.connectionsMax / deps.gatewayCount()) * CONNECTION_SHARE;
-    const connection = deps.connections.acquire(record, connectionsMax);
-    if (connection === null) return { kind: 'not-sent', reason: 'connections in use' };
+    const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
+    const attempt = { call, upstreamId, isResumed, choice };
+    const acquired = deps.connections.acquire(record, connectionsMax);
+    if (acquired.err) return notAcquired(attempt, record, acquired.val);
+    const connection = acquired.val;
     const startedAtMs = clock.nowMs();
     const scope = runs.cacheScope(call);
     const cachedTokens = deps.caches.cachedTokens(upstreamId, scope, call.facts.promptParts);
@@ -159,8 +183,6 @@
       promptTokens: uncachedTokens,
     });
     deps.caches.recordSent(upstreamId, scope, call.facts.promptParts);
-    const isResumed = run.resumeAfterId !== null || call.resumeAfterId !== null;
-    const attempt = { call, upstreamId, isResumed, choice };
     const answer: AnswerSoFar = { framing: null, load: null, firstChunk: null };
     const watched = deps.crashWatch.started(
       upstreamId,
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -111,8 +111,7 @@
   const loopAges = readDelays.createReadDelay(clock);
   const { sink, passed } = createSink();
   const run = async () => {
-    const connection = connections.acquire(upstream.record, 4);
-    assert.ok(connection);
+    const connection = connections.acquire(upstream.record, 4).unwrap();
     const result = await attempts.runAttempt(
       {
         clock,
--- a/packages/gateway/src/server/forwarding/connections.ts
+++ b/packages/gateway/src/server/forwarding/connections.ts
@@ -1,5 +1,5 @@
 /** Connections to upstreams. Each carries one request at a time, so that no answer can be matched to another request. */
-import { type clocks, connectionEnds } from '@copperlever/runtime';
+import { type clocks, connectionEnds, results } from '@copperlever/runtime';
 import * as undici from 'undici';
 
 import type * as fleet from '../../types/fleet.js';
@@ -23,9 +23,17 @@
   release: (isReusable: boolean) => void;
 };
 
+export type AcquireError =
+  /** This gateway already uses as many connections to the upstream as it may. */
+  | { kind: 'in-use' }
+  /** There is nothing to connect to, as with an address that the client library cannot read. */
+  | { kind: 'unusable'; reason: string };
+
 export type Connections = {
-  /** Null if this gateway already uses as many connections to the upstream as it may. */
-  acquire: (upstream: fleet.UpstreamRecord, connectionsMax: number) => AcquiredConnection | null;
+  acquire: (
+    upstream: fleet.UpstreamRecord,
+    connectionsMax: number,
+  ) => results.Result<AcquiredConnection, AcquireError>;
   /** Closes connections of upstreams that are gone, once their requests have ended. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
   close: () => Promise<void>;
@@ -139,6 +147,16 @@
     return pool;
   }
 
+  function takeConnection(pool: Pool, address: string): results.Result<Connection, AcquireError> {
+    const free = pool.free.pop();
+    if (free !== undefined) return results.Ok(free);
+    try {
+      return results.Ok(createConnection(address));
+    } catch (cause) {
+      return results.Err({ kind: 'unusable', reason: String(cause) });
+    }
+  }
+
   function release(pool: Pool, connection: Connection, isReusable: boolean): void {
     if (isReusable && connection.isReading) {
       readRest(pool, connection);
@@ -165,11 +183,15 @@
   return {
     acquire: (upstream, connectionsMax) => {
       const pool = poolOf(upstream.upstreamId);
-      if (pool.usedCount >= Math.max(CONNECTIONS_MIN, Math.floor(connectionsMax))) return null;
-      const connection = pool.free.pop() ?? createConnection(upstream.address);
+      if (pool.usedCount >= Math.max(CONNECTIONS_MIN, Math.floor(connectionsMax))) {
+        return results.Err({ kind: 'in-use' });
+      }
+      const created = takeConnection(pool, upstream.address);
+      if (created.err) return created;
+      const connection = created.val;
       pool.usedCount += 1;
       let isInUse = true;
-      return {
+      return results.Ok({
         dispatch: (options, handler) => {
           connection.client.dispatch(options, watched(connection, handler));
         },
@@ -178,7 +200,7 @@
           if (isInUse) release(pool, connection, isReusable);
           isInUse = false;
         },
-      };
+      });
     },
     retain: (upstreamIds) => {
       for (const [id, pool] of pools) {
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -90,7 +90,9 @@
   const { takePermit, retryLimits = RETRY_LIMITS, isOnTrial = false } = setup;
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
-  const log = logs.createSilentLogger() as logEvents.GatewayLog;
+  const lines: string[] = [];
+  const note = (event: string, fields: object) => lines.push(`${event} ${JSON.stringify(fields)}`);
+  const log: logEvents.GatewayLog = { info: note, warn: note, error: note };
   const directory = directories.createUpstreamDirectory();
   const service: fleet.Service = {
     name: 'pool',
@@ -221,7 +223,7 @@
     upstream.close();
     await connections.close();
   };
-  return { serve, upstream, asked, ended, list, refuseAll, unsent, close };
+  return { serve, upstream, asked, ended, list, refuseAll, unsent, lines, close };
 }
 
 function createSink() {
@@ -597,6 +599,43 @@
   }
 });
 
+// Guards against requests that end without an answer since what is thrown for one upstream ends them: the connection, or the dispatch.
+test('a request goes to another upstream where one cannot be connected to', async () => {
+  type Changes = (id: string) => Partial<fleet.UpstreamRecord>;
+  const unusable: [string, Changes, RegExp][] = [
+    ['address', (id) => ({ name: id, address: '999.0.0.1:80' }), /upstream-unusable.*Invalid URL/],
+    ['port', (id) => ({ name: id, address: '127.0.0.1:70000' }), /upstream-unusable.*Invalid URL/],
+    ['name', (id) => ({ name: `${id}\n` }), /attempt-ended.*not-sent.*invalid .* header/],
+  ];
+  for (const kind of ['idempotent', 'at-most-once', 'stream'] as const) {
+    for (const [label, odd, cause] of unusable) {
+      const fixture = await createFixture({ isWanted: false });
+      const { record } = fixture.upstream;
+      const others = ['u2', 'u3', 'u4'].map((id) => ({ ...record, upstreamId: id, ...odd(id) }));
+      fixture.list([record, ...others], 2);
+      try {
+        const call = createCall();
+        const route = { ...call.route, kind, maxAttempts: 1 };
+        const endings = [];
+        for (let count = 0; count < 4; count += 1) {
+          endings.push(await fixture.serve({ ...call, route }, createSink().sink));
+        }
+        assert.equal(
+          endings.map((ending) => [ending.kind, 'upstreamId' in ending && ending.upstreamId]),
+          endings.map(() => ['answered', 'u1']),
+          `${kind}: ${label}`,
+        );
+        assert.ok(
+          fixture.lines.some((line) => cause.test(line)),
+          `${kind}: ${label}`,
+        );
+      } finally {
+        await fixture.close();
+      }
+    }
+  }
+});
+
 // Guards against retries that are counted when they are decided and arrive later, those of several windows at once.
 test('retries that waited are counted when they are sent', async () => {
   const retryLimits = { ratio: 0, slack: 6, windowMs: 300 };
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -233,8 +233,9 @@
     sink: answers.AnswerSink,
     resumeAfterId: string | null,
   ): Promise<calls.AttemptResult> {
-    const connection = connections.acquire(upstream.record, 4);
-    if (connection === null) return { kind: 'not-sent', reason: 'no connection' };
+    const acquired = connections.acquire(upstream.record, 4);
+    if (acquired.err) return { kind: 'not-sent', reason: 'no connection' };
+    const connection = acquired.val;
     const untilMs = play.cut === 'deadline' ? call.deadlineMs : clock.nowMs() + GIVE_UP_MS;
     const result = await attempts.runAttempt(
       { clock, dialect, loopAges, eventBytesMax: EVENT_BYTES_MAX },
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -260,6 +260,8 @@
     sinceAcceptMs: number;
     turnMs: number;
   };
+  /** Nothing can be connected to at its address: the request goes to another upstream. */
+  'upstream-unusable': { requestId: string; upstreamId: string; address: string; reason: string };
   'request-broken': { requestId: string; reason: string };
   'request-waits': {
     requestId: string;
