Followers: a record that cannot be applied ends neither following nor process

What callers would see (LOST): the process ends, with all its requests. Cause: what is thrown while a change or a listing is applied rejects the follower's loop, which nobody waits for: Node ends the process. Class: one record's fault is taken for the list's. Change: each change is applied by itself; what it throws is logged with its name and cause (record-not-applied), and the next one follows. A listing that fails is logged and read again after the usual pause of a failed call.

--- a/packages/gateway/src/server/control/follower.test.ts
+++ b/packages/gateway/src/server/control/follower.test.ts
@@ -19,6 +19,11 @@
     isSilent: false,
     calls: 0,
     names: ['u1'],
+    /** Told by the next watch. */
+    changes: [] as stores.Change<never>[],
+    /** Records that cannot be applied: what applies them throws. */
+    refused: [] as string[],
+    appliedNames: [] as string[],
     listedNames: [] as string[],
     era: 0,
     /** Whether all answers are of the era before the latest. */
@@ -42,7 +47,7 @@
         results.Ok({ records: listed, unreadable: [], era: state.era, revision: 3 }) as never,
       );
     },
-    // No watch returns changes. Watches sent while the store is silent are never answered.
+    // Watches sent while the store is silent are never answered.
     watch: async (_kind, _revision, _waitMs, deadlineMs) => {
       state.calls += 1;
       if (state.isSilent) {
@@ -50,7 +55,8 @@
         return results.Err({ kind: 'unavailable', reason: 'deadline' });
       }
       await clocks.sleepUntil(clock, clock.nowMs() + answersAfterMs);
-      return results.Ok({ changes: [], era: state.era, revision: 3 });
+      const changes = state.changes.splice(0);
+      return results.Ok({ changes, era: state.era, revision: 3 });
     },
   };
   const follower = followers.createFollower({
@@ -61,8 +67,13 @@
     log: logs.createSilentLogger(),
     onListing: (listing) => {
       state.listedNames = listing.records.map(({ name }) => name);
+      if (state.listedNames.some((name) => state.refused.includes(name))) throw new Error('odd');
+    },
+    onChange: (change) => {
+      if (change.kind !== 'deleted') return;
+      if (state.refused.includes(change.name)) throw new Error('odd');
+      state.appliedNames.push(change.name);
     },
-    onChange: () => {},
     onFailed: () => {},
     trailMs: 0,
     onConfirmed: (asOfMs) => {
@@ -100,6 +111,26 @@
   follower.stop();
 });
 
+// Failure: what is thrown while one record is applied ends the following, and the process with it.
+test('a record that cannot be applied hides no other, and ends no following', async () => {
+  const { clock, state, follower } = createHarness();
+  state.refused = ['odd'];
+  state.names = ['odd'];
+  follower.start();
+  await clock.advance(3_000);
+  assert.ok(state.calls >= 3, `${state.calls}`);
+  state.names = ['u2'];
+  await clock.advance(2_000);
+  assert.equal(state.listedNames, ['u2']);
+  const gone = (name: string) => ({ kind: 'deleted', name, era: 0, revision: 4 }) as const;
+  state.changes = ['u3', 'odd', 'u4'].map(gone);
+  await clock.advance(4 * WAIT_MS);
+  state.changes = ['u5'].map(gone);
+  await clock.advance(4 * WAIT_MS);
+  assert.equal(state.appliedNames, ['u3', 'u4', 'u5']);
+  follower.stop();
+});
+
 // A watch that is sent while the store is silent is never answered. With a long wait, the gateway would miss changes
 // long after the outage.
 test('the store is followed again soon after it has been silent, however long a watch may wait', async () => {
--- a/packages/gateway/src/server/control/follower.ts
+++ b/packages/gateway/src/server/control/follower.ts
@@ -57,6 +57,8 @@
 /** A call that was sent before the store was restored and is answered after it does not show the present state. */
 const EARLIER_ERA: stores.StoreError = { kind: 'unavailable', reason: 'answer of an earlier era' };
 
+const NOT_APPLIED: stores.StoreError = { kind: 'unavailable', reason: 'listing not applied' };
+
 type StepResult = 'ok' | 'changed' | 'failed' | 'list-again';
 
 export function createFollower<K extends stores.Kind>(options: FollowerOptions<K>): Follower {
@@ -93,6 +95,17 @@
     log.info('store-regained', { kind, awayMs: rounded, position: describePosition() });
   }
 
+  /** What is thrown for one record ends neither the following nor the process. Returns whether it was applied. */
+  function isApplied(recordName: string, apply: () => void): boolean {
+    try {
+      apply();
+      return true;
+    } catch (cause) {
+      log.error('record-not-applied', { kind, recordName, reason: String(cause) });
+      return false;
+    }
+  }
+
   async function list(): Promise<StepResult> {
     const requestedAtMs = clock.nowMs();
     const listed = await store.list(kind, requestedAtMs + options.listTimeoutMs);
@@ -102,8 +115,9 @@
     position = listed.val;
     trailing = [];
     options.onConfirmed(requestedAtMs);
-    options.onListing(listed.val);
-    return 'ok';
+    if (isApplied('', () => options.onListing(listed.val))) return 'ok';
+    position = null;
+    return noteFailure(NOT_APPLIED);
   }
 
   async function watch(after: storePositions.Position): Promise<StepResult> {
@@ -140,7 +154,10 @@
     // Without changes the answer was sent at the end of the wait; with changes, at any time since the request.
     const unchangedMs = Math.min(requestedAtMs + waitMs, clock.nowMs());
     options.onConfirmed(isChanged ? requestedAtMs : unchangedMs);
-    watched.val.changes.forEach(options.onChange);
+    watched.val.changes.forEach((change) => {
+      const { name } = change.kind === 'written' ? change.record : change;
+      isApplied(name, () => options.onChange(change));
+    });
     advance(watched.val, isChanged);
     return isChanged ? 'changed' : 'ok';
   }
