Exchange: an answer that cannot be applied ends neither exchange nor process

What callers would see (LOST): the process ends, with all its requests. Cause: another gateway's answer carries a configuration and a list as JSON, and loads as a message of their own. What is thrown while they are read or applied rejects the loop of the exchange, which nobody waits for: Node ends the process. Change: what is thrown for one answer is logged with its address and cause (answer-not-applied), and the next exchange follows. A configuration is taken as a whole: its routes, keys and services are built before any of it is in force, so that one that cannot be used leaves the one before as it was. Before: 'an answer that cannot be applied ends no exchange' ends the test's process ("SyntaxError: Unexpected end of JSON input").

--- a/packages/gateway/src/server/control/config-holder.ts
+++ b/packages/gateway/src/server/control/config-holder.ts
@@ -35,13 +35,13 @@
     offer: (config, source) => {
       const before = inForce?.config.version ?? 0;
       if (config.version <= before) return false;
+      // All of it before any of it is in force: one that cannot be used leaves the one before whole.
+      const routes = routeTables.createRouteTable(config.routes);
+      const accessTable = access.createAccessTable(config.organisations);
+      const servicesByName = new Map(config.services.map((service) => [service.name, service]));
       sinceMs = clock.nowMs();
-      inForce = {
-        config,
-        routes: routeTables.createRouteTable(config.routes),
-        access: access.createAccessTable(config.organisations),
-      };
-      services = new Map(config.services.map((service) => [service.name, service]));
+      inForce = { config, routes, access: accessTable };
+      services = servicesByName;
       log.info('config-in-force', { configVersion: config.version, before, source });
       listeners.forEach((listener) => listener(config));
       return true;
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -1,3 +1,4 @@
+import type { gatewayPeer } from '@copperlever/protocol';
 import { results } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
@@ -18,13 +19,15 @@
   const clock = fakeClocks.createFakeClock();
   const handlers = new Map<string, exchanges.Exchange>();
   const calls: string[] = [];
+  /** In place of what the other gateway answers. */
+  const odd = { reply: {} as Partial<gatewayPeer.ExchangeReply> };
   /** The holder's come first. */
   const lenders: quotasModule.Quotas[] = [];
   const link = {
     exchange: (address, request) => {
       calls.push(`${request.news?.gatewayId}>${address}`);
       const other = handlers.get(address) as exchanges.Exchange;
-      return Promise.resolve(results.Ok(other.handle(request)));
+      return Promise.resolve(results.Ok({ ...other.handle(request), ...odd.reply }));
     },
   } as Partial<peerLinks.PeerLink> as peerLinks.PeerLink;
 
@@ -46,13 +49,34 @@
   holder.state.heldTerm = exchangeGateways.HOLDER.term;
   const follower = create('g2');
   follower.book.applyPeers([{ gatewayId: 'g1', address: 'g1:1', millicores: 0 }], clock.nowMs());
-  return { clock, calls, holder, follower };
+  return { clock, calls, odd, holder, follower };
 }
 
 function callsToHolder(calls: readonly string[]): number {
   return calls.filter((call) => call === 'g2>g1:1').length;
 }
 
+// Failure: an answer of another gateway that cannot be applied ends the exchange with all others, and the process with it.
+test('an answer that cannot be applied ends no exchange', async () => {
+  const { clock, calls, odd, follower } = createPair();
+  follower.exchange.start();
+  await clock.advance(1_000);
+  const replies: Partial<gatewayPeer.ExchangeReply>[] = [
+    { config: Buffer.from('{"version":') },
+    { config: Buffer.from('{"version":9,"routes":7}') },
+    { upstreams: Buffer.from('['.repeat(60_000)) },
+    { upstreams: Buffer.from('{"records":[{}],"unreadable":[],"era":0,"revision":9}') },
+    { loads: Buffer.from([255, 255, 255]) },
+  ];
+  for (const reply of replies) {
+    odd.reply = reply;
+    const before = callsToHolder(calls);
+    await clock.advance(2_000);
+    assert.ok(callsToHolder(calls) > before + 1, JSON.stringify(reply).slice(0, 100));
+  }
+  follower.exchange.stop();
+});
+
 // The holder is stopped and goes on placing through its drain. Were it taken for gone at once, nobody would tell it
 // of demand nor ask it for adapters, and its last seconds of placing would be blind.
 test('a holder that stops is asked until it has given its lease back', async () => {
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -298,12 +298,24 @@
       return;
     }
     if (isHolder && wantsGateways) lastGatewaysMs = nowMs;
+    try {
+      applyReply(reply.val, address, { told, askedAtMs: nowMs });
+    } catch (cause) {
+      deps.log.error('answer-not-applied', { address, reason: String(cause) });
+    }
+  }
+
+  function applyReply(
+    reply: gatewayPeer.ExchangeReply,
+    address: string,
+    asked: { told: ReportedLoads; askedAtMs: number },
+  ): void {
     // It answered after it was asked, so what it tells was no earlier on this gateway's clock.
-    noteContact(messageCodec.fromContactMessage(reply.val.news?.storeContact, nowMs));
-    applyUpdates(reply.val.news);
-    tellQuarantine(reply.val.news, address);
-    takeDocuments(reply.val);
-    takeFromHolder(reply.val, { told, askedAtMs: nowMs });
+    noteContact(messageCodec.fromContactMessage(reply.news?.storeContact, asked.askedAtMs));
+    applyUpdates(reply.news);
+    tellQuarantine(reply.news, address);
+    takeDocuments(reply);
+    takeFromHolder(reply, asked);
   }
 
   /** The holder's own counts and copies need no message. */
