Liveness probe: a port that is none ends no process

What callers would see (LOST): the process ends, with all its requests, once an answer is lost at an upstream whose entry has such a port meanwhile. Cause: node:net throws for a port above 65,535; the probe's promise rejects and nobody waits for it. Change: such an address is `unknown`, neither alive nor gone. Before: 'an address that is none is neither alive nor gone' fails with "Port should be >= 0 and < 65536. Received type number (70000)". After: liveness-probe.test 1 passed.

--- a/packages/gateway/src/server/crashes/liveness-probe.ts
+++ b/packages/gateway/src/server/crashes/liveness-probe.ts
@@ -10,12 +10,19 @@
 
 /** Two hundred times the round trip within a region. */
 const TIMEOUT_MS = 400;
+const PORT_MAX = 65_535;
 
 export const probe: LivenessProbe = (address) =>
   new Promise((resolve) => {
     const colon = address.lastIndexOf(':');
+    const port = Number(address.slice(colon + 1));
+    // For any other the socket throws, and nobody waits for a probe that fails.
+    if (!Number.isInteger(port) || port < 1 || port > PORT_MAX) {
+      resolve('unknown');
+      return;
+    }
     const host = address.slice(0, colon);
-    const socket = net.connect({ host, port: Number(address.slice(colon + 1)) });
+    const socket = net.connect({ host, port });
     const settle = (liveness: Liveness) => {
       clearTimeout(timer);
       socket.destroy();
