Streams: after a gap in a gateway's list the record of versions is read anew

Cause: a gateway took the only version that it knew for that of any stream. It knew versions by the record, which it reads at its start, and by having observed the list since. A version that was listed, recorded and used while the gateway did not see the list, and that had left when it saw it again, was in neither. The time of observation counted from the start, gaps included.

Change: two confirmations of the list that are further apart than a new version is held back end the observation. The record is then read again before a version is taken for the only one; meanwhile other gateways are asked. A record that was asked for before the end of the gap does not count. The unit tests of the history now tell it of confirmations, as the store does.

--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -45,7 +45,12 @@
       },
     },
     archive: { read: async () => {} },
-    versions: { note: () => {}, onlyVersion: () => onlyVersion, mayBegin: () => true },
+    versions: {
+      note: () => {},
+      noteConfirmed: () => {},
+      onlyVersion: () => onlyVersion,
+      mayBegin: () => true,
+    },
     doubts: { isDoubtful: () => isDoubtful },
     findUpstream: () =>
       setup.listedVersion === null ? undefined : upstream(setup.listedVersion ?? 'v1'),
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -22,7 +22,10 @@
   origins: streamOrigins.StreamOrigins;
   peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceReplicas'>;
   archive: Pick<originArchives.OriginArchive, 'read'>;
-  versions: Pick<versionHistories.VersionHistory, 'note' | 'onlyVersion' | 'mayBegin'>;
+  versions: Pick<
+    versionHistories.VersionHistory,
+    'note' | 'noteConfirmed' | 'onlyVersion' | 'mayBegin'
+  >;
   doubts: Pick<restartDoubts.RestartDoubts, 'isDoubtful'>;
   /** What the list says of the upstream now. */
   findUpstream: (upstreamId: string) => fleet.UpstreamRecord | undefined;
@@ -165,7 +168,13 @@
     if (uniformServices.size < before) replicateMissing();
   }
 
+  function noteConfirmed(): void {
+    const listAgeMs = deps.listAgeMs();
+    if (listAgeMs !== null) versions.noteConfirmed(clock.nowMs() - listAgeMs);
+  }
+
   function check(): void {
+    noteConfirmed();
     checkVersions();
     if (peers.replaceReplicas()) replicateMissing();
     cancelCheck = clock.schedule(clock.nowMs() + CHECK_INTERVAL_MS, check);
--- a/packages/gateway/src/server/streams/version-recorder.ts
+++ b/packages/gateway/src/server/streams/version-recorder.ts
@@ -91,11 +91,14 @@
   }
 
   async function read(): Promise<Read | null> {
+    const observedSinceMs = history.observedSinceMs();
     const found = await store.get('streamVersions', RECORD_NAME, clock.nowMs() + CALL_TIMEOUT_MS);
     if (found.err) {
       retryLater();
       return null;
     }
+    // What was asked before a gap in the list does not show what was recorded during it.
+    if (history.observedSinceMs() !== observedSinceMs) return null;
     const { revision = null, value = null } = found.val ?? {};
     const isBeforeFirst = value === null && deps.isFirstStart && store.era() === 0;
     latest = {
@@ -106,7 +109,7 @@
     };
     const isLossless = isComplete(latest);
     hasKnownAll ||= isLossless;
-    const isNew = !history.isRecordKnown();
+    const isNew = !history.isRecordCurrent();
     history.applyRecord(latest.services, isLossless, clock.nowMs());
     if (isNew) {
       const { isPresent } = latest;
@@ -190,11 +193,13 @@
       era: isComplete(known) || isVouching ? store.era() : NO_ERA,
     };
     const deadlineMs = clock.nowMs() + CALL_TIMEOUT_MS;
+    const observedSinceMs = history.observedSinceMs();
     const put = await store.put('streamVersions', RECORD_NAME, value, known.revision, deadlineMs);
     if (put.err) {
       if (put.val.kind !== 'conflict') retryLater();
       return false;
     }
+    if (history.observedSinceMs() !== observedSinceMs) return false;
     const { era } = value;
     latest = { revision: put.val.revision, services: value.services, isPresent: true, era };
     const isLossless = isComplete(latest);
@@ -206,7 +211,7 @@
   async function step(): Promise<void> {
     const services = deps.services();
     if (!isListed || services === null || clock.nowMs() < retryAtMs) return;
-    const known = latest ?? (await read());
+    const known = latest !== null && history.isRecordCurrent() ? latest : await read();
     if (known === null) return;
     if (!isDue(services, known)) {
       hasStepped = true;
--- a/packages/gateway/src/shared/version-history.test.ts
+++ b/packages/gateway/src/shared/version-history.test.ts
@@ -25,6 +25,11 @@
   return { service: 'pool', versions, isComplete: true };
 }
 
+/** The store confirms the list every second. */
+function confirm(history: versionHistories.VersionHistory, fromMs: number, untilMs: number): void {
+  for (let atMs = fromMs; atMs < untilMs; atMs += 1_000) history.noteConfirmed(atMs);
+}
+
 /** As of a gateway that was there when the record was begun, or that has read it whole. */
 function createInformed(...versions: string[]): versionHistories.VersionHistory {
   const history = createHistory();
@@ -40,6 +45,7 @@
   assert.is(history.onlyVersion('pool', 0, 1_000), null);
   history.note(listed('v2'), 2_000);
   history.applyRecord([record('v1', 'v2')], true, 3_000);
+  confirm(history, 1_000, 2_000 + LIFE_MS);
   assert.is(history.onlyVersion('pool', 0, 2_000 + LIFE_MS), null);
   assert.is(history.onlyVersion('pool', 0, 2_001 + LIFE_MS), 'v2');
 });
@@ -60,6 +66,7 @@
   history.note(listed('v2'), 5_000);
   history.applyRecord([record('v1', 'v2')], true, 5_010);
   assert.is(history.onlyVersion('pool', 0, 5_010), null);
+  confirm(history, 5_010, 5_011 + LIFE_MS);
   history.note(listed('v2'), 5_011 + LIFE_MS);
   assert.is(history.onlyVersion('pool', 0, 5_011 + LIFE_MS), 'v2');
 });
@@ -73,11 +80,27 @@
     const history = createHistory(5_000);
     history.note(listed('v1'), 5_000);
     history.applyRecord([one], isLossless, 5_000);
+    confirm(history, 5_000, 5_000 + LIFE_MS);
     assert.is(history.onlyVersion('pool', 0, 5_000 + LIFE_MS - 1), null);
     assert.is(history.onlyVersion('pool', 0, 5_000 + LIFE_MS), 'v1');
   }
 });
 
+// Guards against a version at which others began streams while this gateway could not see the list, and that has left before it could.
+test('after a gap in the list the record is needed anew', () => {
+  const gapMs = HOLD_MS + 1;
+  const history = createInformed('v1');
+  assert.is(history.onlyVersion('pool', 0, HOLD_MS), 'v1');
+  assert.is(history.onlyVersion('pool', 0, HOLD_MS + gapMs), null);
+  assert.not.ok(history.isRecordCurrent());
+  history.applyRecord([record('v1')], true, HOLD_MS + gapMs);
+  assert.is(history.onlyVersion('pool', 0, HOLD_MS + gapMs), 'v1');
+  assert.is(history.onlyVersion('pool', 0, HOLD_MS + 2 * gapMs), null);
+  history.applyRecord([record('v1', 'v2')], true, HOLD_MS + 2 * gapMs);
+  assert.is(history.onlyVersion('pool', 0, HOLD_MS + 2 * gapMs), null);
+  assert.ok(history.mayBegin('pool', 'v1', HOLD_MS + 2 * gapMs));
+});
+
 test('an old list does not show that there is only one version', () => {
   const history = createInformed('v1');
   assert.is(history.onlyVersion('pool', FRESH_MS + 1, 0), null);
--- a/packages/gateway/src/shared/version-history.ts
+++ b/packages/gateway/src/shared/version-history.ts
@@ -18,10 +18,16 @@
 export type VersionHistory = {
   /** The versions that are listed now. */
   note: (listed: readonly ListedVersion[], nowMs: number) => void;
+  /** The store has confirmed the list as of this time. */
+  noteConfirmed: (asOfMs: number) => void;
   /** The record as the store has it; empty if there is none. `isLossless`: nothing that was written to it can be missing. */
   applyRecord: (recorded: readonly RecordedVersions[], isLossless: boolean, nowMs: number) => void;
   isRecordKnown: () => boolean;
-  /** Whether the list has been seen here for so many lives of a stream. */
+  /** Whether the record has been applied since the list has been observed without a gap. */
+  isRecordCurrent: () => boolean;
+  /** Since when the list has been observed without a gap in which a version could have come and gone. */
+  observedSinceMs: () => number;
+  /** Whether the list has been observed here for so many lives of a stream, without a gap. */
   hasObservedLives: (lives: number, nowMs: number) => boolean;
   /** The only version at which a stream of the service that still lives can have begun; null if several are possible. */
   onlyVersion: (service: string, listAgeMs: number | null, nowMs: number) => string | null;
@@ -74,6 +80,9 @@
   const { sinceMs, streamLifeMs, listBudget } = options;
   const services = new Map<string, ServiceVersions>();
   let isRecordKnown = false;
+  let isRecordCurrent = false;
+  let observedSinceMs = sinceMs;
+  let confirmedMs: number | null = null;
 
   function versionsOf(service: string): ServiceVersions {
     const found = services.get(service);
@@ -84,7 +93,7 @@
   }
 
   function hasObservedLives(lives: number, nowMs: number): boolean {
-    return nowMs - sinceMs >= lives * streamLifeMs();
+    return nowMs - observedSinceMs >= lives * streamLifeMs();
   }
 
   /** It has been listed for so long that each list that is relied on has it. */
@@ -92,6 +101,34 @@
     return nowMs - firstMs >= listBudget.newVersionHoldMs;
   }
 
+  /**
+   * Streams may have begun at a version that came and went meanwhile, which only the record names. Shorter gaps hide none: a version is
+   * recorded once it has been listed for `newVersionHoldMs`.
+   */
+  function noteGap(asOfMs: number, gapMs: number): void {
+    observedSinceMs = asOfMs;
+    isRecordCurrent = false;
+    services.forEach((service) => {
+      service.isComplete = false;
+      service.versions.forEach((version) => {
+        // Others may have dropped it from the record, as after an absence of this length that is seen.
+        if (gapMs > KEPT_SHARE * streamLifeMs()) {
+          version.isRecorded = false;
+          version.isStale = true;
+        }
+        if (!version.isRecorded) version.firstMs = asOfMs;
+      });
+    });
+  }
+
+  function noteConfirmed(asOfMs: number): void {
+    if (confirmedMs === null) observedSinceMs = Math.max(sinceMs, asOfMs);
+    else if (asOfMs - confirmedMs > listBudget.newVersionHoldMs) {
+      noteGap(asOfMs, asOfMs - confirmedMs);
+    }
+    confirmedMs = Math.max(confirmedMs ?? -Infinity, asOfMs);
+  }
+
   function expire(nowMs: number): void {
     services.forEach(({ versions }) => {
       versions.forEach((version, name) => {
@@ -163,11 +200,16 @@
         if (isLossless && one.isComplete) versionsOf(one.service).isComplete = true;
       });
       isRecordKnown = true;
+      isRecordCurrent = true;
     },
     isRecordKnown: () => isRecordKnown,
+    isRecordCurrent: () => isRecordCurrent,
+    observedSinceMs: () => observedSinceMs,
+    noteConfirmed,
     hasObservedLives,
     isComplete,
     onlyVersion: (service, listAgeMs, nowMs) => {
+      if (listAgeMs !== null) noteConfirmed(nowMs - listAgeMs);
       const isListRecent = listAgeMs !== null && listAgeMs <= listBudget.maxOnlyVersionAgeMs;
       if (!isListRecent || !isComplete(service, nowMs)) return null;
       const versions = [...(services.get(service)?.versions ?? [])].filter(
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -3,6 +3,7 @@
  * the list of upstreams, which each of them gets at a time of its own.
  */
 import { clocks as clocksModule, logs, randoms, results } from '@copperlever/runtime';
+import type { clocks } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 
 import * as runs from '../server/forwarding/run.js';
@@ -37,7 +38,7 @@
   recorder: versionRecorders.VersionRecorder;
   archive: originArchives.OriginArchive;
   /** Its list of upstreams and when the store confirmed that. */
-  list: { records: readonly fleet.UpstreamRecord[]; asOfMs: number | null };
+  list: { records: readonly fleet.UpstreamRecord[]; asOfMs: number | null; revision: number };
   incarnation: number;
 };
 
@@ -46,6 +47,31 @@
 /** How a caller's try to take a stream up ended. */
 export type Resumption = { kind: 'went-on'; version: string } | { kind: 'refused' | 'no-upstream' };
 
+/** How a gateway is out of step with the others. */
+export type Disruption = {
+  /** It reaches no other gateway; `isolated` cuts it off from the records of the store as well. */
+  isAlone: boolean;
+  /** Its process is stopped: what is due and what arrives meanwhile is handled after it. */
+  isPaused: boolean;
+  /** Its timers run late by up to so much. */
+  slowMs: number;
+  /** Answers of the store take so much longer. */
+  lateMs: number;
+  /** The store answers it with what was true so long ago. */
+  behindMs: number;
+  /** It takes its list from this gateway, not from the store. */
+  relayedBy: string | null;
+};
+
+const IN_STEP: Disruption = {
+  isAlone: false,
+  isPaused: false,
+  slowMs: 0,
+  lateMs: 0,
+  behindMs: 0,
+  relayedBy: null,
+};
+
 export type OriginFleet = ReturnType<typeof createOriginFleet>;
 
 /** `isFirstFlagKept`: the settings of gateways that start again still say that none ran before. */
@@ -68,13 +94,64 @@
   let nextStream = 0;
   let nextIncarnation = 1;
   let messageCount = 0;
+  const disruptions = new Map<string, Disruption>();
+  /** What paused gateways do once they go on. */
+  const postponed = new Map<string, (() => void)[]>();
+  /** The list of the store over time, and its record of versions. */
+  let listings: { atMs: number; records: readonly fleet.UpstreamRecord[] }[] = [];
+  const versionRecords: { atMs: number; found: unknown }[] = [];
+
+  function disruptionOf(gatewayId: string): Disruption {
+    return disruptions.get(gatewayId) ?? IN_STEP;
+  }
 
   function isCut(from: string, to: string): boolean {
-    return isolated.has(from) || isolated.has(to) || !nodes.has(to) || !nodes.has(from);
+    const isAlone = disruptionOf(from).isAlone || disruptionOf(to).isAlone;
+    return isAlone || isolated.has(from) || isolated.has(to) || !nodes.has(to) || !nodes.has(from);
+  }
+
+  /** Runs the task now, or once the gateway's process goes on. */
+  function whenRunning(gatewayId: string, task: () => void): void {
+    if (!disruptionOf(gatewayId).isPaused) return task();
+    postponed.set(gatewayId, [...(postponed.get(gatewayId) ?? []), task]);
+    return undefined;
+  }
+
+  function createNodeClock(gatewayId: string): clocks.Clock {
+    const schedule = (atMs: number, task: () => void) => {
+      const { slowMs } = disruptionOf(gatewayId);
+      const dueMs = slowMs === 0 ? atMs : Math.max(atMs, clock.nowMs()) + random.below(slowMs);
+      let isCancelled = false;
+      const cancel = clock.schedule(dueMs, () =>
+        whenRunning(gatewayId, () => {
+          if (!isCancelled) task();
+        }),
+      );
+      return () => {
+        isCancelled = true;
+        cancel();
+      };
+    };
+    return { nowMs: clock.nowMs, wallMs: clock.wallMs, schedule };
+  }
+
+  /** What the store tells a gateway now. */
+  function listingFor(gatewayId: string): {
+    records: readonly fleet.UpstreamRecord[];
+    revision: number;
+  } {
+    const asOfMs = clock.nowMs() - disruptionOf(gatewayId).behindMs;
+    const known = listings.filter(({ atMs }) => atMs <= asOfMs);
+    return { records: known.at(-1)?.records ?? [], revision: known.length };
+  }
+
+  function noteListing(): void {
+    listings = [...listings, { atMs: clock.nowMs(), records: [...listed.values()] }];
   }
 
   /** Of one life of a gateway: nothing is sent after its end. */
   function createLink(gatewayId: string, incarnation: number): OriginLink {
+    const ownClock = createNodeClock(gatewayId);
     async function call<Reply>(address: string, deadlineMs: number, reply: Answer<Reply>) {
       messageCount += 1;
       const to = address.split(':')[0] ?? '';
@@ -87,11 +164,15 @@
       const hasEnded = nodes.get(gatewayId)?.incarnation !== incarnation;
       const isLost = isCut(gatewayId, to) || node.incarnation !== before || hasEnded;
       if (isLost) {
-        await clocksModule.sleepUntil(clock, deadlineMs);
+        await clocksModule.sleepUntil(ownClock, deadlineMs);
         return results.Err({ kind: 'deadline', address } as const);
       }
-      const value = reply(node);
-      await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+      const answered = new Promise<Reply>((resolve) => {
+        whenRunning(to, () => resolve(reply(node)));
+      });
+      const value = await clocksModule.raceDeadline(ownClock, deadlineMs, answered);
+      if (value === 'deadline') return results.Err({ kind: 'deadline', address } as const);
+      await clocksModule.sleepUntil(ownClock, clock.nowMs() + NETWORK_MS);
       return results.Ok(value);
     }
     return {
@@ -104,31 +185,60 @@
 
   /** The first that others reach. */
   function holderId(): string | null {
-    return [...nodes.keys()].sort().find((id) => !isolated.has(id)) ?? null;
+    // One that reaches neither the store nor the others has lost the lease.
+    const isReached = (id: string) => {
+      const { isPaused, isAlone } = disruptionOf(id);
+      return !isolated.has(id) && !isPaused && !(isAlone && withoutStore.has(id));
+    };
+    return [...nodes.keys()].sort().find(isReached) ?? null;
   }
 
   /** The store as a gateway reaches it. */
   function storeOf(gatewayId: string): Pick<stores.RecordStore, 'list' | 'get' | 'put' | 'era'> {
     const lost = { kind: 'unavailable', reason: 'cut off' } as const;
     const isReached = () => !withoutStore.has(gatewayId) && !isolated.has(gatewayId);
+    async function answered<Value>(deadlineMs: number, call: () => Promise<Value>) {
+      const { lateMs } = disruptionOf(gatewayId);
+      await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
+      if (!isReached()) return results.Err(lost);
+      const value = await call();
+      if (lateMs === 0) return value;
+      await clocksModule.sleepUntil(
+        createNodeClock(gatewayId),
+        Math.min(deadlineMs, clock.nowMs() + lateMs),
+      );
+      return clock.nowMs() >= deadlineMs ? results.Err(lost) : value;
+    }
+    async function getBehind<K extends stores.Kind>(
+      kind: K,
+      name: string,
+      deadlineMs: number,
+    ): ReturnType<typeof storeRecords.get<K>> {
+      const { behindMs } = disruptionOf(gatewayId);
+      if (kind !== 'streamVersions' || behindMs === 0)
+        return storeRecords.get(kind, name, deadlineMs);
+      const asOfMs = clock.nowMs() - behindMs;
+      const found = versionRecords.filter(({ atMs }) => atMs <= asOfMs).at(-1)?.found ?? null;
+      return results.Ok(found as stores.StoredRecord<stores.KindValues[K]> | null);
+    }
     return {
       era: storeRecords.era,
-      list: async (...args) => {
-        await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
-        return isReached() ? storeRecords.list(...args) : results.Err(lost);
-      },
-      get: async (...args) => {
-        await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
-        return isReached() ? storeRecords.get(...args) : results.Err(lost);
-      },
-      put: async (...args) => {
-        await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
-        return isReached() ? storeRecords.put(...args) : results.Err(lost);
-      },
+      list: (kind, deadlineMs) => answered(deadlineMs, () => storeRecords.list(kind, deadlineMs)),
+      get: (kind, name, deadlineMs) =>
+        answered(deadlineMs, () => getBehind(kind, name, deadlineMs)),
+      put: (kind, name, value, expected, deadlineMs) =>
+        answered(deadlineMs, async () => {
+          const put = await storeRecords.put(kind, name, value, expected, deadlineMs);
+          if (put.ok && kind === 'streamVersions') {
+            versionRecords.push({ atMs: clock.nowMs(), found: put.val });
+          }
+          return put;
+        }),
     };
   }
 
   function createNode(gatewayId: string, isFirstStart: boolean): GatewayNode {
+    const ownClock = createNodeClock(gatewayId);
     const incarnation = nextIncarnation;
     nextIncarnation += 1;
     const book = peerRegistries.createPeerRegistry(gatewayId);
@@ -138,10 +248,10 @@
       streamLifeMs: () => STREAM_LIFE_MS,
       listBudget: listBudgets.listBudget(DRAIN_TIMEOUT_MS),
     });
-    const ownList: GatewayNode['list'] = { records: [], asOfMs: null };
+    const ownList: GatewayNode['list'] = { records: [], asOfMs: null, revision: 0 };
     const listAgeMs = () => (ownList.asOfMs === null ? null : clock.nowMs() - ownList.asOfMs);
     const peers = originPeers.createOriginPeers({
-      clock,
+      clock: ownClock,
       link: createLink(gatewayId, incarnation),
       book,
       origins,
@@ -155,7 +265,7 @@
       seedAddresses,
     });
     const archive = originArchives.createOriginArchive({
-      clock,
+      clock: ownClock,
       log: logs.createSilentLogger(),
       store: storeOf(gatewayId),
       origins,
@@ -164,7 +274,7 @@
       streamLifeMs: () => STREAM_LIFE_MS,
     });
     const streams = resumedStreams.createResumedStreams({
-      clock,
+      clock: ownClock,
       log: logs.createSilentLogger(),
       metrics: { streamResumed: () => {}, originFound: () => {} },
       origins,
@@ -177,7 +287,7 @@
       listAgeMs,
     });
     const recorder = versionRecorders.createVersionRecorder({
-      clock,
+      clock: ownClock,
       log: logs.createSilentLogger(),
       random,
       store: storeOf(gatewayId),
@@ -212,21 +322,45 @@
     });
   }
 
-  function fetchList(node: GatewayNode): void {
-    if (withoutStore.has(node.gatewayId)) return;
-    node.list.records = [...listed.values()];
-    node.list.asOfMs = clock.nowMs();
-    node.streams.noteListed(node.list.records);
+  function applyList(node: GatewayNode, told: GatewayNode['list']): void {
+    const { list: own } = node;
+    if (told.asOfMs === null || told.revision < own.revision) return;
+    own.records = told.records;
+    own.revision = told.revision;
+    own.asOfMs = Math.max(own.asOfMs ?? -Infinity, told.asOfMs);
+    node.streams.noteListed(own.records);
     node.recorder.noteListed();
   }
 
+  async function fetchList(node: GatewayNode): Promise<void> {
+    const { gatewayId } = node;
+    const { lateMs, relayedBy } = disruptionOf(gatewayId);
+    const relaying = relayedBy === null ? undefined : nodes.get(relayedBy);
+    if (relaying !== undefined && relaying !== node) {
+      if (!isCut(gatewayId, relaying.gatewayId)) applyList(node, relaying.list);
+      return;
+    }
+    if (withoutStore.has(gatewayId)) return;
+    const told = { ...listingFor(gatewayId), asOfMs: clock.nowMs() };
+    if (lateMs > 0) {
+      await clocksModule.sleepUntil(createNodeClock(gatewayId), clock.nowMs() + lateMs);
+    }
+    if (nodes.get(gatewayId) === node) applyList(node, told);
+  }
+
   /** Gateways do so at times of their own. */
   function follow(node: GatewayNode): void {
     if (nodes.get(node.gatewayId) !== node) return;
     hear(node);
-    fetchList(node);
-    const waitMs = EXCHANGE_MS + random.below(EXCHANGE_MS);
-    clock.schedule(clock.nowMs() + waitMs, () => follow(node));
+    const again = () => {
+      const waitMs = EXCHANGE_MS + random.below(EXCHANGE_MS);
+      createNodeClock(node.gatewayId).schedule(clock.nowMs() + waitMs, () => follow(node));
+    };
+    if (disruptionOf(node.gatewayId).lateMs > 0) void fetchList(node).then(again);
+    else {
+      void fetchList(node);
+      again();
+    }
   }
 
   function start(gatewayId: string, isFirstStart = false): void {
@@ -243,11 +377,23 @@
     nodes.get(gatewayId)?.recorder.stop();
     nodes.get(gatewayId)?.archive.stop();
     nodes.delete(gatewayId);
+    postponed.delete(gatewayId);
+    disruptions.delete(gatewayId);
+  }
+
+  function disrupt(gatewayId: string, changes: Partial<Disruption>): void {
+    const before = disruptionOf(gatewayId);
+    disruptions.set(gatewayId, { ...before, ...changes });
+    if (!before.isPaused || disruptionOf(gatewayId).isPaused) return;
+    const tasks = postponed.get(gatewayId) ?? [];
+    postponed.delete(gatewayId);
+    tasks.forEach((task) => task());
   }
 
   function list(upstreamId: string, softwareVersion: string): void {
     const models = [{ name: MODEL, version: 1, adapters: [] }];
     listed.set(upstreamId, fixtures.upstreamRecord(upstreamId, { softwareVersion, models }));
+    noteListing();
   }
 
   function pickUpstream(records: readonly fleet.UpstreamRecord[]): fleet.UpstreamRecord | null {
@@ -257,7 +403,7 @@
   /** Null where no upstream may begin a stream. What is listed no longer does not answer. */
   function begin(gatewayId: string): Begun | null {
     const node = nodes.get(gatewayId);
-    if (node === undefined) return null;
+    if (node === undefined || disruptionOf(gatewayId).isPaused) return null;
     const eligible = node.list.records.filter(node.streams.mayBegin);
     const upstream = pickUpstream(eligible.filter((record) => listed.get(record.name) === record));
     if (upstream === null) return null;
@@ -273,6 +419,9 @@
   ): Promise<Resumption> {
     const node = nodes.get(gatewayId);
     if (node === undefined) return { kind: 'refused' };
+    await new Promise<void>((resolve) => {
+      whenRunning(gatewayId, resolve);
+    });
     nextStream += 1;
     const match = await node.streams.match(streamCalls.resumptionOf(`r${nextStream}`, requestId));
     if (match.kind !== 'bound') return { kind: 'refused' };
@@ -309,7 +458,10 @@
     list,
     unlist: (upstreamId: string) => {
       listed.delete(upstreamId);
+      noteListing();
     },
+    disrupt,
+    inStep: (gatewayId: string) => disrupt(gatewayId, IN_STEP),
     begin,
     takeUp: resume,
     messageCount: () => messageCount,
