Streams: a gateway that hears no other has the record confirmed by a write

Cause: the age of a list counts from when it was asked for. Where the store answers from a replica that is behind, nothing in the answer shows it; other gateways do, whose lists are newer, but only one that hears them learns it.

Change: a gateway that has heard no other for 750 ms, though there are others, reads the record of versions and writes it back before it takes a version for the only one. The write fails if the record has been changed since what was read, and no stream begins at a version that is not recorded. Otherwise it asks the others and the store for the stream's origin, as before. One confirmation serves all callers that wait before it begins; 500 ms at most.

--- a/packages/gateway/src/server/streams/origin-peers.ts
+++ b/packages/gateway/src/server/streams/origin-peers.ts
@@ -16,7 +16,7 @@
 export type OriginPeersDeps = {
   clock: clocks.Clock;
   link: Pick<peerLinks.PeerLink, 'replicateOrigins' | 'findOrigins'>;
-  book: Pick<peerRegistries.PeerRegistry, 'live' | 'incarnationOf'>;
+  book: Pick<peerRegistries.PeerRegistry, 'live' | 'incarnationOf' | 'lastReceivedMs'>;
   origins: streamOrigins.StreamOrigins;
   /** The only version that streams of the service can have begun at; null if there may be several. */
   onlyVersion: (service: string) => string | null;
@@ -51,6 +51,8 @@
    * lack replicas.
    */
   replaceReplicas: () => boolean;
+  /** There are other gateways, and none of them has been heard for a while. */
+  isAlone: () => boolean;
 };
 
 type Peer = batches.Peer;
@@ -73,11 +75,14 @@
 const REPLICATE_TIMEOUT_MS = 400;
 /** A gateway that did not answer gets no replicas for so long, or records would go to ended gateways in turn without end. */
 const SILENT_MS = 1_500;
+/** The longest interval between two exchanges with the lease holder, and time for the reply. */
+const CONTACT_MAX_AGE_MS = 750;
 /** A hundred round trips. The caller waits meanwhile, but only if a gateway that was asked does not answer. */
 const FIND_TIMEOUT_MS = 250;
 
 export function createOriginPeers(deps: OriginPeersDeps): OriginPeers {
   const { clock, link, book, origins, gatewayId } = deps;
+  let hasKnownOthers = deps.seedAddresses.some((address) => address !== deps.address);
   let pool: { peers: readonly Peer[]; atMs: number } = { peers: [], atMs: -Infinity };
   /** When gateways that did not answer get replicas again. */
   const silentUntilMs = new Map<string, number>();
@@ -208,8 +213,20 @@
     return [...peers, ...seeds].slice(0, ASKED_MAX);
   }
 
+  function isAlone(): boolean {
+    const nowMs = clock.nowMs();
+    const live = book.live(nowMs);
+    hasKnownOthers ||= live.length > 0;
+    const isHeard = live.some((peer) => {
+      const receivedMs = book.lastReceivedMs(peer.gatewayId);
+      return receivedMs !== null && nowMs - receivedMs <= CONTACT_MAX_AGE_MS;
+    });
+    return hasKnownOthers && !isHeard;
+  }
+
   return {
     replicate,
+    isAlone,
     find: (requestId, service) => {
       const peers = peersToAsk(requestId);
       const unknown = { kind: 'unknown' } as const;
--- a/packages/gateway/src/server/streams/resumed-streams.test.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.test.ts
@@ -14,6 +14,10 @@
   onlyVersion?: string | null;
   answer?: Partial<originPeers.PeerAnswer>;
   isDoubtful?: boolean;
+  /** It hears no other gateway. */
+  isAlone?: boolean;
+  /** The only version of the record that the store confirms. */
+  confirmedVersion?: string | null;
   /** Null where it is listed no longer. */
   listedVersion?: string | null;
 };
@@ -37,6 +41,7 @@
     peers: {
       replicate: () => {},
       replaceReplicas: () => false,
+      isAlone: () => setup.isAlone === true,
       find: async (requestId) => {
         asked.push(requestId);
         nowMs += 7;
@@ -45,6 +50,7 @@
       },
     },
     archive: { read: async () => {} },
+    recorder: { confirmOnly: async () => setup.confirmedVersion ?? null },
     versions: {
       note: () => {},
       noteConfirmed: () => {},
@@ -199,4 +205,13 @@
   });
 });
 
+// Guards against a gateway that hears no other, and whose list lacks the version at which others began the stream.
+test('a gateway that hears no other takes a version for the only one if the store confirms it', async () => {
+  for (const confirmedVersion of ['v1', 'v2', null]) {
+    const { streams } = createFixture({ onlyVersion: 'v1', isAlone: true, confirmedVersion });
+    const { kind } = await streams.match(streamCalls.resumptionOf('r2', 'r1'));
+    assert.is(kind, confirmedVersion === 'v1' ? 'bound' : 'unknown');
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -14,13 +14,15 @@
 import type * as metricsModule from '../metrics/metrics.js';
 import type * as originArchives from './origin-archive.js';
 import type * as originPeers from './origin-peers.js';
+import type * as versionRecorders from './version-recorder.js';
 
 export type ResumedStreamsDeps = {
   clock: clocks.Clock;
   log: Pick<logEvents.GatewayLog, 'info' | 'warn'>;
   metrics: Pick<metricsModule.GatewayMetrics, 'streamResumed' | 'originFound'>;
   origins: streamOrigins.StreamOrigins;
-  peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceReplicas'>;
+  peers: Pick<originPeers.OriginPeers, 'find' | 'replicate' | 'replaceReplicas' | 'isAlone'>;
+  recorder: Pick<versionRecorders.VersionRecorder, 'confirmOnly'>;
   archive: Pick<originArchives.OriginArchive, 'read'>;
   versions: Pick<
     versionHistories.VersionHistory,
@@ -102,6 +104,17 @@
     return isUnchanged && !isDoubtful(upstream);
   }
 
+  /**
+   * The only version at which the stream can have begun. A gateway that hears no other does not notice that the store's answers are out
+   * of date, so it confirms the record of versions.
+   */
+  async function findOnlyVersion(service: string): Promise<string | null> {
+    const only = onlyVersion(service);
+    if (only === null || !peers.isAlone()) return only;
+    const recorded = await deps.recorder.confirmOnly(service);
+    return recorded === only ? only : null;
+  }
+
   type Lookup = {
     origin: { service: string; version: string; begunAtMs?: number } | null;
     source?: string | undefined;
@@ -116,7 +129,7 @@
     if (own !== null) return { origin: own, source: 'own' };
     // The service of a split route is computed from the request that began the stream.
     const isServiceKnown = originRequestId !== '' || call.route.targets.length === 1;
-    const only = isServiceKnown ? onlyVersion(service) : null;
+    const only = isServiceKnown ? await findOnlyVersion(service) : null;
     if (only !== null) return { origin: { service, version: only }, source: 'only-version' };
     if (originRequestId === '') return { origin: null };
     const { found, source, ...counts } = await peers.find(originRequestId, service);
--- a/packages/gateway/src/server/streams/version-recorder.ts
+++ b/packages/gateway/src/server/streams/version-recorder.ts
@@ -31,11 +31,18 @@
   noteListed: () => void;
   /** Whether streams can begin, as far as the record matters; a store that doesn't answer holds a start up only for a while. */
   isSettled: () => boolean;
+  /**
+   * The only version that the record names for the service, confirmed by a write: reads may be answered with what was true before.
+   * Null if it names several, may lack some, or could not be written.
+   */
+  confirmOnly: (service: string) => Promise<string | null>;
 };
 
 /** One record for all services: they change by releases, a few times a day each. */
 const RECORD_NAME = 'main';
 const CALL_TIMEOUT_MS = 1_000;
+/** Some round trips to the store; callers wait for it. */
+const CONFIRM_TIMEOUT_MS = 500;
 /** Of a record that may lack something. */
 const NO_ERA = -1;
 const STEP_MS = 100;
@@ -80,6 +87,8 @@
   let hasKnownAll = false;
   let retryAtMs = -Infinity;
   let wakeUp: () => void = () => {};
+  let confirmation: Promise<Read | null> = Promise.resolve(null);
+  let nextConfirmation: Promise<Read | null> | null = null;
 
   /** Whether nothing of the record can be missing: a return of the store from a copy may lose what was written in the era before. */
   function isComplete({ era }: Read): boolean {
@@ -208,6 +217,36 @@
     return true;
   }
 
+  /** Writes the record as it was read, which fails if it has been changed since. */
+  async function confirmRecord(): Promise<Read | null> {
+    const present = await read();
+    if (present === null || !present.isPresent || !isComplete(present)) return null;
+    const { revision, services, era } = present;
+    const deadlineMs = clock.nowMs() + CALL_TIMEOUT_MS;
+    const put = await store.put(
+      'streamVersions',
+      RECORD_NAME,
+      { services: [...services], era },
+      revision,
+      deadlineMs,
+    );
+    if (put.err) return null;
+    latest = { ...present, revision: put.val.revision };
+    return latest;
+  }
+
+  /** One confirmation for all that ask before it begins: streams that begin after it may be missing in it. */
+  function confirm(): Promise<Read | null> {
+    if (nextConfirmation !== null) return nextConfirmation;
+    const next = confirmation.then(() => {
+      nextConfirmation = null;
+      return confirmRecord();
+    });
+    nextConfirmation = next;
+    confirmation = next;
+    return next;
+  }
+
   async function step(): Promise<void> {
     const services = deps.services();
     if (!isListed || services === null || clock.nowMs() < retryAtMs) return;
@@ -247,6 +286,15 @@
       isListed = true;
       wakeUp();
     },
+    confirmOnly: async (service) => {
+      const deadlineMs = clock.nowMs() + CONFIRM_TIMEOUT_MS;
+      const confirmed = await clocksModule.raceDeadline(clock, deadlineMs, confirm());
+      if (confirmed === 'deadline') return null;
+      const recorded = confirmed?.services.find((one) => one.service === service);
+      const [only] = recorded?.versions ?? [];
+      const isOnly = recorded?.versions.length === 1 && recorded.isComplete;
+      return isOnly ? (only ?? null) : null;
+    },
     isSettled: () => hasStepped || clock.nowMs() - startedMs >= START_MAX_MS,
   };
 }
--- a/packages/gateway/src/stream-parts.ts
+++ b/packages/gateway/src/stream-parts.ts
@@ -110,6 +110,7 @@
     findUpstream: parts.directory.find,
     peers: parts.originPeers,
     archive: parts.originArchive,
+    recorder: parts.versionRecorder,
     listAgeMs: () => listFeed.ageMs(clock.nowMs()),
   });
 }
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -27,6 +27,8 @@
 const NETWORK_MS = 2;
 /** How often gateways hear of each other and of the list while they are reached. */
 const EXCHANGE_MS = 200;
+/** How long a gateway's list may be older than another's before it asks for that. */
+const LAG_TOLERATED_MS = 500;
 const MODEL = 'm1';
 
 export type GatewayNode = {
@@ -94,6 +96,8 @@
   let nextStream = 0;
   let nextIncarnation = 1;
   let messageCount = 0;
+  /** By gateway, the oldest list of others that is newer than its own, and since when it has heard of it. */
+  const lags = new Map<string, { revision: number; sinceMs: number }>();
   const disruptions = new Map<string, Disruption>();
   /** What paused gateways do once they go on. */
   const postponed = new Map<string, (() => void)[]>();
@@ -273,6 +277,17 @@
       heldTerm: () => (holderId() === gatewayId ? incarnation : null),
       streamLifeMs: () => STREAM_LIFE_MS,
     });
+    const recorder = versionRecorders.createVersionRecorder({
+      clock: ownClock,
+      log: logs.createSilentLogger(),
+      random,
+      store: storeOf(gatewayId),
+      history: versions,
+      isHolder: () => holderId() === gatewayId,
+      services: () => ['pool'],
+      isFirstStart: isFirstStart || isFirstFlagKept,
+      newVersionHoldMs: listBudgets.listBudget(DRAIN_TIMEOUT_MS).newVersionHoldMs,
+    });
     const streams = resumedStreams.createResumedStreams({
       clock: ownClock,
       log: logs.createSilentLogger(),
@@ -280,23 +295,13 @@
       origins,
       peers,
       archive,
+      recorder,
       versions,
       doubts: { isDoubtful: () => false },
       findUpstream: (upstreamId) =>
         ownList.records.find((record) => record.upstreamId === upstreamId),
       listAgeMs,
     });
-    const recorder = versionRecorders.createVersionRecorder({
-      clock: ownClock,
-      log: logs.createSilentLogger(),
-      random,
-      store: storeOf(gatewayId),
-      history: versions,
-      isHolder: () => holderId() === gatewayId,
-      services: () => ['pool'],
-      isFirstStart: isFirstStart || isFirstFlagKept,
-      newVersionHoldMs: listBudgets.listBudget(DRAIN_TIMEOUT_MS).newVersionHoldMs,
-    });
     return {
       gatewayId,
       book,
@@ -319,15 +324,29 @@
         { gatewayId, address: `${gatewayId}:1`, millicores: 1, incarnation },
         nowMs,
       );
+      learnList(node, other);
     });
   }
 
+  /** A gateway that hears for longer than its watch pauses that its list is older than another's asks for that. */
+  function learnList(node: GatewayNode, other: GatewayNode): void {
+    const nowMs = clock.nowMs();
+    const { list: own, gatewayId } = node;
+    if (other.list.revision <= own.revision) return;
+    const lag = lags.get(gatewayId);
+    if (lag === undefined || lag.revision <= own.revision) {
+      lags.set(gatewayId, { revision: other.list.revision, sinceMs: nowMs });
+    } else if (nowMs - lag.sinceMs > LAG_TOLERATED_MS) {
+      applyList(node, { ...other.list, asOfMs: null });
+    }
+  }
+
   function applyList(node: GatewayNode, told: GatewayNode['list']): void {
     const { list: own } = node;
-    if (told.asOfMs === null || told.revision < own.revision) return;
+    if (told.asOfMs !== null) own.asOfMs = Math.max(own.asOfMs ?? -Infinity, told.asOfMs);
+    if (told.revision < own.revision) return;
     own.records = told.records;
     own.revision = told.revision;
-    own.asOfMs = Math.max(own.asOfMs ?? -Infinity, told.asOfMs);
     node.streams.noteListed(own.records);
     node.recorder.noteListed();
   }
