Half heads: no answer that stops inside its head is a success

A report named callers that got a 200 with an empty or short body when a server stopped in the middle of its answer's head.

--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -458,6 +458,31 @@
   }
 });
 
+// Guards against a turn that is held for a request whose upstream has stopped inside the head of its answer.
+test('a turn ends when the upstream ends within the head of its answer', async () => {
+  const half = `${GOOD_HEAD}\r\n`;
+  const endings: Answer[] = [
+    (socket) => socket.end(half),
+    (socket) => socket.write(half, () => setTimeout(() => socket.resetAndDestroy(), 20)),
+    (socket) => socket.write(half),
+  ];
+  for (const answer of endings) {
+    const { serve, ended, close } = await createFixture({ answer });
+    try {
+      const { sink, state } = createSink();
+      const deadlineMs = performance.now() + 300;
+      const ending = await serve({ ...createCall(), deadlineMs }, sink);
+      assert.equal([ending.kind, state.hasBegun], ['failed', false]);
+      assert.equal(
+        ended.map(({ isPrefilled }) => isPrefilled),
+        [false],
+      );
+    } finally {
+      await close();
+    }
+  }
+});
+
 // Answers to invalid requests arrive at once; the turn owner would learn from them that the upstream prefills quickly.
 test('a turn that ends with an error is not reported as prefilled', async () => {
   const fixture = await createFixture({ answer: (socket) => socket.write(INVALID) });
