--- a/packages/agent/src/server/upstream/http-upstream.test.ts
+++ b/packages/agent/src/server/upstream/http-upstream.test.ts
@@ -19,11 +19,14 @@
 };
 
 /** The kinds of the parts that come of an answer without length or chunks. */
-async function partKinds(end: (socket: net.Socket) => void): Promise<string[]> {
+async function partKinds(
+  end: (socket: net.Socket) => void,
+  bytes = `${HEAD}part`,
+): Promise<string[]> {
   const server = net.createServer((socket) => {
     socket.on('error', () => {});
     socket.once('data', () => {
-      socket.write(`${HEAD}part`, () => setImmediate(() => end(socket)));
+      socket.write(bytes, () => setImmediate(() => end(socket)));
     });
   });
   await new Promise<void>((resolve) => {
@@ -64,4 +67,31 @@
   assert.is(kinds.at(-1), 'broken', kinds.join(' '));
 });
 
+const STATUS_LINE = 'HTTP/1.1 200 OK\r\n';
+const HALF_HEADS = [
+  'HTTP/1.1 20',
+  STATUS_LINE,
+  `${STATUS_LINE}Content-Length: 5\r\n`,
+  `${STATUS_LINE}Connection: close\r\n`,
+  'HTTP/1.0 200 OK\r\n',
+  `HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n${STATUS_LINE}`,
+];
+
+// Guards against half a head that is passed on as an empty answer.
+test('an answer whose connection ends inside its head has no head', async () => {
+  for (const half of HALF_HEADS) {
+    assert.equal(await partKinds((socket) => socket.end(), half), ['broken'], half);
+    assert.equal(await partKinds((socket) => socket.resetAndDestroy(), half), ['broken'], half);
+  }
+});
+
+// Guards against the first chunks of an answer that are passed on as the whole, since its connection ended regularly.
+test('a chunked answer without its last chunk has broken off', async () => {
+  const chunked = `${STATUS_LINE}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n`;
+  for (const chunks of ['', '4\r\npa', '4\r\npart\r\n']) {
+    const kinds = await partKinds((socket) => socket.end(), `${chunked}${chunks}`);
+    assert.is(kinds.at(-1), 'broken', kinds.join(' '));
+  }
+});
+
 test.run();
