Refusals of bodies that are still being sent are not reset where the connection is closed

What callers saw: a caller that sent a short body in pieces to a gateway that stops (or sheds) got a reset in place of the 503. Cause: a refusal of an unread body of up to 64 KB relies on the connection being kept. Where answers announce the close, Node closes right behind the refusal, with bytes unread and on their way: that is a reset, which may overtake the answer. Change: where the connection is to be closed every unread body is dropped for a moment before that, as long ones were before.

--- a/packages/gateway/src/server/forwarding/answers.ts
+++ b/packages/gateway/src/server/forwarding/answers.ts
@@ -53,15 +53,16 @@
   closesConnections: () => boolean;
 };
 
-/** The rest of a body up to this size is read to its end, and the connection kept. */
+/** The rest of a body up to this size is read to its end, and the connection kept unless it is to be closed anyway. */
 const REST_BYTES_MAX = 65_536;
 /** So long the rest of a longer one is dropped; then its connection is closed. */
 const REST_MS = 200;
 
-function isRestShort(request: http.IncomingMessage): boolean {
+/** Whether the rest of the body, if any, has at most that many bytes. */
+function isRestWithin(request: http.IncomingMessage, bytes: number): boolean {
   if (request.complete) return true;
   const isChunked = request.headers['transfer-encoding'] !== undefined;
-  return !isChunked && Number(request.headers['content-length'] ?? 0) <= REST_BYTES_MAX;
+  return !isChunked && Number(request.headers['content-length'] ?? 0) <= bytes;
 }
 
 /** Behind another answer on its connection, this one has no socket yet: nothing of it is sent once the other has ended. */
@@ -147,7 +148,7 @@
     refuse,
     refuseUnread: (request, status, headers, cause) => {
       if (isGone) return;
-      if (isRestShort(request)) {
+      if (isRestWithin(request, options.closesConnections() ? 0 : REST_BYTES_MAX)) {
         refuse(status, headers, cause);
         return;
       }
--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -498,6 +498,28 @@
   }
 });
 
+const SLOW_CALLERS = 60;
+
+// Guards against a reset that overtakes the refusal of a short body which is still being sent, where the connection is closed.
+test('callers that still send short bodies to a gateway that stops get their refusals', async () => {
+  const app = await callersApps.startCallersApp({
+    mayTake: () => false,
+    closesConnections: () => true,
+  });
+  try {
+    const pieces = [postHead('/x', { 'content-length': '60000' })];
+    for (let count = 0; count < 30; count += 1) pieces.push('x'.repeat(2_000));
+    const exchanges = await Promise.all(
+      Array.from({ length: SLOW_CALLERS }, () => exchange(app.port, pieces, { everyMs: 2 })),
+    );
+    const refused = exchanges.filter(({ answer }) => answer.startsWith('HTTP/1.1 503 '));
+    assert.is(refused.length, SLOW_CALLERS);
+    assert.ok(exchanges.every(({ isClosed }) => isClosed));
+  } finally {
+    await app.close();
+  }
+});
+
 // Guards against callers that hold room for bodies that never come to their end.
 test('a body that comes too slowly is given up at its deadline, and not run', async () => {
   const app = await callersApps.startCallersApp();
