Stop: the listener waits for connections that found its queue full

What callers saw (LOST): more connections than the listener's queue holds came while a gateway was stopping and stood for 450 ms. For their callers they were open, with whole requests sent, but the system had no room for them and takes them up only when it is sent the data again; a poll that accepts none can't see them. Change: after as many accepts in a row as the queue holds the listener stays open for the time in which callers' systems send again for the fourth time. Later tries, after 3 and 6 s, come beyond what a stop may take.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -174,7 +174,7 @@
     hasher: await hashers.createHasher(),
     norms: deadlineBaselines.createDeadlineBaselines(),
   });
-  const connections = openConnections.trackConnections(callers.server, cradle.loopAges);
+  const connections = openConnections.trackConnections(callers.server, cradle.loopAges, clock);
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
 
   /** Without a holder no request is sent once more after a failure, beyond what the requests here have made tokens for. */
--- a/packages/gateway/src/server/health/open-connections.ts
+++ b/packages/gateway/src/server/health/open-connections.ts
@@ -5,9 +5,13 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
 
+import type { clocks } from '@copperlever/runtime';
+
+import * as readDelays from '../forwarding/read-delay.js';
+
 export type OpenConnections = {
-  /** Whether connections were accepted in the poll with that number. */
-  hasAcceptedIn: (pollNumber: number) => boolean;
+  /** Whether connections that are open for their callers may wait to be accepted, as far as the poll with that number can tell. */
+  mayWait: (pollNumber: number) => boolean;
   /**
    * Ends accepting connections. The close of an HTTP server also destroys connections whose answer has ended for the application
    * and is still in this process's buffers.
@@ -24,6 +28,11 @@
   cutOpen: () => void;
 };
 
+/** By then a caller's system has sent again what found the queue of the listener full; the longest interval is that of its fourth try. */
+const RETRANSMISSION_MS = 1_600;
+/** Some ten milliseconds of work; the next step closes the others. */
+const CLOSED_AT_ONCE_MAX = 500;
+
 type Connection = { requestCount: number; acceptedInPoll: number };
 
 /**
@@ -32,13 +41,20 @@
  */
 export function trackConnections(
   server: http.Server,
-  loopAges: { pollCount: () => number },
+  loopAges: Pick<readDelays.ReadDelay, 'pollCount'>,
+  clock: Pick<clocks.Clock, 'nowMs'>,
 ): OpenConnections {
   const open = new Map<net.Socket, Connection>();
   const withoutChunks = new WeakSet<net.Socket>();
   let lastAcceptPoll = -1;
+  let acceptedInRow = 0;
+  /** Latest accept at which the queue of the listener may have been full since it was last empty. */
+  let maybeFullMs = -Infinity;
   server.on('connection', (socket: net.Socket) => {
-    lastAcceptPoll = loopAges.pollCount();
+    const pollNumber = loopAges.pollCount();
+    acceptedInRow = pollNumber <= lastAcceptPoll + 1 ? acceptedInRow + 1 : 1;
+    lastAcceptPoll = pollNumber;
+    if (acceptedInRow >= readDelays.ACCEPT_QUEUE_MAX) maybeFullMs = clock.nowMs();
     open.set(socket, { requestCount: 0, acceptedInPoll: lastAcceptPoll });
     socket.once('close', () => open.delete(socket));
   });
@@ -53,14 +69,17 @@
     });
   });
   return {
-    hasAcceptedIn: (pollNumber) => lastAcceptPoll >= pollNumber,
+    mayWait: (pollNumber) =>
+      lastAcceptPoll >= pollNumber || clock.nowMs() - maybeFullMs < RETRANSMISSION_MS,
     stopAccepting: () => {
       net.Server.prototype.close.call(server);
     },
     closeIdle: (pollNumber) => {
-      const idle = [...open].filter(
-        ([, { requestCount, acceptedInPoll }]) => requestCount <= 0 && acceptedInPoll < pollNumber,
-      );
+      const isIdle = ({ requestCount, acceptedInPoll }: Connection) =>
+        requestCount <= 0 && acceptedInPoll < pollNumber;
+      const idle = [...open]
+        .filter(([, connection]) => isIdle(connection))
+        .slice(0, CLOSED_AT_ONCE_MAX);
       // Closed at once: behind a half-close, which takes another turn, requests would be read that get no answer.
       idle.forEach(([socket]) => socket.destroy());
       return idle.length;
--- a/packages/gateway/src/server/health/stop-plays.test.ts
+++ b/packages/gateway/src/server/health/stop-plays.test.ts
@@ -115,7 +115,7 @@
     atTurnEnd: (task) => immediates.push(task),
     every: () => () => {},
   });
-  const tracked = openConnections.trackConnections(server as never, loopAges);
+  const tracked = openConnections.trackConnections(server as never, loopAges, clock);
   const times = stops.stopTimes(clock.nowMs(), STOP_TIMEOUT_MS);
   const startMs = clock.nowMs();
   const now = () => clock.nowMs() - startMs;
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -41,7 +41,7 @@
       state.lastCloseIdleMs = clock.nowMs();
       return 0;
     },
-    hasAcceptedIn: () => false,
+    mayWait: () => false,
     count: () => 0,
   };
   void stops
@@ -112,7 +112,7 @@
   const body = Buffer.alloc(LARGE_BYTES, 'x');
   const server = http.createServer((_request, response) => response.end(body));
   const loopAges = createLoopAges();
-  const connections = openConnections.trackConnections(server, loopAges);
+  const connections = openConnections.trackConnections(server, loopAges, clock);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -82,7 +82,7 @@
   if (unreadMs > readDelays.UNREAD_AT_CLOSE_MAX_MS) return;
   const pollNumber = loopAges.pollCount();
   const fields = { unreadMs: Math.round(unreadMs), turnMs: Math.round(loopAges.turnMs()) };
-  if (state.isAccepting && !connections.hasAcceptedIn(pollNumber)) {
+  if (state.isAccepting && !connections.mayWait(pollNumber)) {
     endAccepting(options, state, unreadMs);
   }
   const closedCount = connections.closeIdle(pollNumber);
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -275,7 +275,7 @@
     route: { kind: isStream ? 'stream' : 'idempotent', isResumable: play.kind === 'resumable' },
     serve: play.cut === 'broken' ? serveBroken : serve,
   });
-  const open = openConnections.trackConnections(app.server, { pollCount: () => 0 });
+  const open = openConnections.trackConnections(app.server, { pollCount: () => 0 }, clock);
   const [firstBytes, onFirstBytes] = createSignal();
   const received = receive(app.port, play, onFirstBytes);
   if (play.cut === 'stopped' || play.cut === 'killed') {
