Streams: a version is recorded only by a gateway whose list is recent

What callers could see (ORDER; found by reading, not seen): a gateway that is stopped just after it first lists a version goes on after the version has left, counts the time that it stood still as time in which the version was listed, records it and begins streams at its servers while these drain. The lists of others need never have had the version, and they take its streams for those of the one that they know.

Cause: the hold of a new version was compared with the clock alone.

Change: the list has to be recent as well, by the age at which it is relied on for the only version. The first versions of a service are recorded at once, as before. The age is noted with each list, not only four times a second. Two unit tests now tell the history of confirmations, as the store does.

--- a/packages/gateway/src/server/streams/resumed-streams.ts
+++ b/packages/gateway/src/server/streams/resumed-streams.ts
@@ -242,6 +242,7 @@
       log.info('stream-resumed', { requestId, lastEventId, boundVersion, upstreamId, version });
     },
     noteListed: (records) => {
+      noteConfirmed();
       versions.note(records, clock.nowMs());
       checkVersions();
     },
--- a/packages/gateway/src/shared/version-history.test.ts
+++ b/packages/gateway/src/shared/version-history.test.ts
@@ -115,6 +115,7 @@
   history.note(listed('v1', 'v2'), 1_000);
   const wanted = (nowMs: number) => history.wanted('pool', record('v1'), LATER, nowMs)?.versions;
   assert.is(wanted(1_000 + FRESH_MS), undefined);
+  history.noteConfirmed(1_000 + HOLD_MS);
   assert.equal(wanted(1_000 + HOLD_MS), ['v1', 'v2']);
   assert.not.ok(history.mayBegin('pool', 'v2', 1_000 + HOLD_MS));
   history.applyRecord([record('v1', 'v2')], true, 1_000 + HOLD_MS);
@@ -122,6 +123,19 @@
   assert.not.ok(history.mayBegin('pool', 'v3', 1_000 + HOLD_MS));
 });
 
+// Guards against a gateway that was stopped and records a version that has left meanwhile, which the lists of others may never have had.
+test('a version is not recorded by an old list', () => {
+  const history = createInformed('v1');
+  history.note(listed('v1', 'v2'), 1_000);
+  history.noteConfirmed(1_000);
+  const heldMs = 1_000 + HOLD_MS;
+  assert.not.ok(history.lacksRecord('pool', false, heldMs));
+  assert.is(history.wanted('pool', record('v1'), LATER, heldMs), null);
+  history.noteConfirmed(heldMs - FRESH_MS);
+  assert.ok(history.lacksRecord('pool', false, heldMs));
+  assert.equal(history.wanted('pool', record('v1'), LATER, heldMs)?.versions, ['v1', 'v2']);
+});
+
 // Guards against a gateway that starts while a version is new, and takes it for one that has long been listed.
 test('a version that is listed and not recorded is new, also to a gateway that has just started', () => {
   const history = createHistory(5_000);
@@ -159,6 +173,7 @@
   history.applyRecord([record('v1', 'v2')], true, 302 + LIFE_MS / 2);
   assert.not.ok(history.mayBegin('pool', 'v2', 302 + LIFE_MS / 2));
   const heldMs = 302 + LIFE_MS / 2 + HOLD_MS;
+  history.noteConfirmed(heldMs);
   assert.ok(history.lacksRecord('pool', false, heldMs));
   history.applyRecord([record('v1', 'v2')], true, heldMs);
   assert.ok(history.mayBegin('pool', 'v2', heldMs));
