Entry: a stop closes no connection on which a request lies unread

The drain ends at a time, and behind it the server's close ends all connections without a request, and the listener, before the poll that would have read them: timers fire first.

The drain now closes what a whole poll has found unused, a step every 50 ms, and ends once no connection is left, as the gateway's does. The tracking of connections moves to the runtime for that, with the count of polls; the old path in the gateway passes it on.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -8,6 +8,7 @@
 import * as callsApp from './server/calls/app.js';
 import type * as contexts from './server/calls/context.js';
 import * as healthApp from './server/health/app.js';
+import * as callerConnections from './server/health/caller-connections.js';
 import * as drains from './server/health/drain.js';
 import * as gauges from './server/health/gauges.js';
 import * as operatorApp from './server/operator/app.js';
@@ -78,13 +79,15 @@
   return app;
 }
 
+const callerApp = createCallerApp();
+const connections = callerConnections.createCallerConnections(clock, callerApp.server);
+
 async function startCallers(): Promise<supervisor.RunningPart> {
-  const app = createCallerApp();
-  await app.listen({ host: settings.callerHost, port: settings.callerPort });
+  await callerApp.listen({ host: settings.callerHost, port: settings.callerPort });
   return {
     failed: supervisor.neverFails(),
     stop: async () => {
-      await app.close();
+      await callerApp.close();
       cradle.link.close();
     },
   };
@@ -126,6 +129,7 @@
       isStopping = true;
     },
     leaveMembership: control.membership.leave,
+    connections,
     openCallCount: () => openCalls.count,
     pendingClaimCount: cradle.settlements.pendingCount,
     timeoutMs: settings.drainTimeoutMs,
--- a/packages/entry/src/server/health/drain.test.ts
+++ b/packages/entry/src/server/health/drain.test.ts
@@ -16,6 +16,7 @@
     log: logs.createSilentLogger(),
     turnReadyOff: () => events.push('not ready'),
     leaveMembership: () => events.push('leaving'),
+    connections: { closeUnused: async () => {}, isClosed: () => true },
     openCallCount: () => open.calls,
     pendingClaimCount: () => open.claims,
     timeoutMs,
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -13,7 +13,7 @@
 import * as metricsApp from './server/metrics/app.js';
 import * as peers from './server/peers/server.js';
 import * as peerParts from './peer-parts.js';
-import * as openConnections from './server/health/open-connections.js';
+import * as openConnections from '@copperlever/runtime/open-connections';
 import * as stops from './server/health/stop.js';
 import type * as logEvents from './types/log-events.js';
 import * as deadlineBaselines from './shared/deadline-baselines.js';
--- a/packages/gateway/src/server/forwarding/read-delay.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.ts
@@ -7,6 +7,8 @@
 import * as perfHooks from 'node:perf_hooks';
 
 import type { clocks } from '@copperlever/runtime';
+import * as eventLoop from '@copperlever/runtime/event-loop';
+import * as openConnections from '@copperlever/runtime/open-connections';
 
 import * as acceptProbes from './accept-probe.js';
 
@@ -74,11 +76,8 @@
 /** Nothing is closed that may have lain unread for longer; half of the time after which a caller counts its request as taken. */
 export const UNREAD_AT_CLOSE_MAX_MS = 100;
 
-/**
- * Connections that the system keeps until they are accepted. They are accepted in order, so that none of them is older than the
- * accept of the one so many before it.
- */
-export const ACCEPT_QUEUE_MAX = 511;
+/** Connections are accepted in order, so that none of them is older than the accept of the one so many before it. */
+export const { ACCEPT_QUEUE_MAX } = openConnections;
 
 /** A point in time, with the state of the event loop at it. */
 type Mark = { atMs: number; pollCount: number; idleMs: number };
@@ -89,13 +88,7 @@
 type Accepted = Mark & { waitedMs: number };
 
 const systemLoop: EventLoop = {
-  pollCount: () => {
-    // The type definitions for this version of Node lack this property.
-    const { uvMetricsInfo } = perfHooks.performance.nodeTiming as unknown as {
-      uvMetricsInfo: { loopCount: number };
-    };
-    return uvMetricsInfo.loopCount;
-  },
+  pollCount: eventLoop.pollCount,
   idleMs: () => perfHooks.performance.nodeTiming.idleTime,
   atTurnEnd: setImmediate,
   every: (periodMs, task) => {
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -6,7 +6,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import * as openConnections from './open-connections.js';
+import * as openConnections from '@copperlever/runtime/open-connections';
 import * as stops from './stop.js';
 
 const test = suite('planned stop');
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -8,7 +8,7 @@
 
 import type * as logEvents from '../../types/log-events.js';
 import * as readDelays from '../forwarding/read-delay.js';
-import type * as openConnections from './open-connections.js';
+import type * as openConnections from '@copperlever/runtime/open-connections';
 
 export type DrainOptions = {
   clock: clocks.Clock;
--- a/packages/proofs/src/matrix/stops.ts
+++ b/packages/proofs/src/matrix/stops.ts
@@ -42,6 +42,9 @@
   fleet.kill(process);
 }
 
+/** Callers of the matrix call entries without a network. */
+const NO_CONNECTIONS = { closeUnused: async () => {}, isClosed: () => true };
+
 export async function stopEntry(fleet: fleets.Fleet, entryId: string): Promise<void> {
   const entry = fleet.entries.get(entryId);
   if (entry === undefined || !entry.process.isRunning()) return;
@@ -57,6 +60,7 @@
       stopping.isStopping = true;
     },
     leaveMembership: parts.control.membership.leave,
+    connections: NO_CONNECTIONS,
     openCallCount: () => openCalls.count,
     pendingClaimCount: parts.settlements.pendingCount,
     timeoutMs: DRAIN_TIMEOUT_MS,
--- a/packages/gateway/src/server/health/open-connections.ts
+++ b/packages/runtime/src/open-connections.ts
@@ -5,9 +5,7 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
 
-import type { clocks } from '@copperlever/runtime';
-
-import * as readDelays from '../forwarding/read-delay.js';
+import type * as clocks from './clocks.js';
 
 export type OpenConnections = {
   /** Whether connections that are open for their callers may wait to be accepted, as far as the poll with that number can tell. */
@@ -28,6 +26,8 @@
   cutOpen: () => void;
 };
 
+/** Connections that the system keeps until they are accepted, by default. */
+export const ACCEPT_QUEUE_MAX = 511;
 /** By then a caller's system has sent again what found the queue of the listener full; the longest interval is that of its fourth try. */
 const RETRANSMISSION_MS = 1_600;
 /** Some ten milliseconds of work; the next step closes the others. */
@@ -41,7 +41,7 @@
  */
 export function trackConnections(
   server: http.Server,
-  loopAges: Pick<readDelays.ReadDelay, 'pollCount'>,
+  loopAges: { pollCount: () => number },
   clock: Pick<clocks.Clock, 'nowMs'>,
 ): OpenConnections {
   const open = new Map<net.Socket, Connection>();
@@ -54,7 +54,7 @@
     const pollNumber = loopAges.pollCount();
     acceptedInRow = pollNumber <= lastAcceptPoll + 1 ? acceptedInRow + 1 : 1;
     lastAcceptPoll = pollNumber;
-    if (acceptedInRow >= readDelays.ACCEPT_QUEUE_MAX) maybeFullMs = clock.nowMs();
+    if (acceptedInRow >= ACCEPT_QUEUE_MAX) maybeFullMs = clock.nowMs();
     open.set(socket, { requestCount: 0, acceptedInPoll: lastAcceptPoll });
     socket.once('close', () => open.delete(socket));
   });
