Object API: a value whose connection was reset on the way is not whole

Readers of the object API got the first part of a value as the whole, and a write counted as answered, where the answer had neither a length nor chunks and its connection was reset: the client library reports such a reset as a regular end. The agent's calls to engines were guarded against that; the client that guards them moves to the runtime and is used for both.

Before: get 'ok', list 'unavailable', put 'ok'; now 'unavailable', 'unavailable' and 'outcome-unknown'.

--- a/packages/agent/src/server/upstream/http-upstream.ts
+++ b/packages/agent/src/server/upstream/http-upstream.ts
@@ -1,9 +1,9 @@
 /** Calls to the upstream over HTTP by undici; orders and reports too where it is an engine. */
 import { type clocks, results } from '@copperlever/runtime';
+import * as resetAwareClients from '@copperlever/runtime/reset-aware-client';
 import * as undici from 'undici';
 
 import type * as upstreams from '../../types/upstreams.js';
-import * as resetAwareClients from './reset-aware-client.js';
 
 export type HttpUpstreamOptions = { baseUrl: string; clock: clocks.Clock };
 
--- a/packages/coordination/src/object-store/http-store.ts
+++ b/packages/coordination/src/object-store/http-store.ts
@@ -1,6 +1,7 @@
 /** The platform's object API over HTTP. Each call makes one request; resilient-store adds retries. */
 import { results } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
+import * as resetAwareClients from '@copperlever/runtime/reset-aware-client';
 import * as undici from 'undici';
 
 import type * as types from './types.js';
@@ -53,6 +54,11 @@
   const { clock } = options;
   const retryAfterMs = options.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
   const pool = new undici.Pool(options.baseUrl, {
+    factory: (origin, clientOptions) =>
+      resetAwareClients.createResetAwareClient(origin, {
+        ...(clientOptions as undici.Client.Options),
+        connect: {},
+      }),
     connections: options.connectionsMax ?? DEFAULT_CONNECTIONS_MAX,
     // The deadline of each call is enforced in `send`, on the injected clock.
     headersTimeout: 0,
--- a/packages/agent/src/server/upstream/reset-aware-client.ts
+++ b/packages/runtime/src/reset-aware-client.ts
@@ -2,9 +2,10 @@
  * An HTTP client for which an answer that ends with its connection is whole only where that was not reset. The client library
  * takes a reset for the regular end of such an answer.
  */
-import { connectionEnds } from '@copperlever/runtime';
 import * as undici from 'undici';
 
+import * as connectionEnds from './connection-ends.js';
+
 export class ConnectionResetError extends Error {
   readonly code = 'ECONNRESET';
 
