--- a/packages/gateway/src/server/placement/lease-manager.ts
+++ b/packages/gateway/src/server/placement/lease-manager.ts
@@ -118,6 +118,8 @@
     const { holderId, address, term, gatewayCount } = record.value;
     peers.applyStoredFleetSize(gatewayCount, clock.nowMs());
     deps.quotas.noteWritten(record.value.scarceOrganisations);
+    // A record that nobody can read names no holder.
+    if (holderId === '') return;
     peers.applyLease({ holderId, term });
     peers.applyPeers([{ gatewayId: holderId, address, millicores: 0 }], clock.nowMs());
   }
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -6,6 +6,7 @@
 
 /** Who may give orders to upstreams. The term grows with each new holder and fences older ones. */
 export type LeaseValue = {
+  /** Empty for that of a record that cannot be read. */
   holderId: string;
   /** Where the holder answers other gateways: one whose seeds are all gone finds it here. */
   address: string;
