--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -4,6 +4,7 @@
 import * as hashers from '@copperlever/runtime/hasher';
 import type * as fastify from 'fastify';
 
+import * as openConnections from '@copperlever/runtime/open-connections';
 import * as containers from './container.js';
 import * as followers from './server/control/follower.js';
 import * as upstreamLists from './server/control/upstream-list.js';
@@ -13,7 +14,6 @@
 import * as metricsApp from './server/metrics/app.js';
 import * as peers from './server/peers/server.js';
 import * as peerParts from './peer-parts.js';
-import * as openConnections from '@copperlever/runtime/open-connections';
 import * as stops from './server/health/stop.js';
 import type * as logEvents from './types/log-events.js';
 import * as deadlineBaselines from './shared/deadline-baselines.js';
--- a/packages/gateway/src/server/health/stop-plays.test.ts
+++ b/packages/gateway/src/server/health/stop-plays.test.ts
@@ -7,8 +7,8 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import * as readDelays from '../forwarding/read-delay.js';
 import * as openConnections from '@copperlever/runtime/open-connections';
+import * as readDelays from '../forwarding/read-delay.js';
 import * as stops from './stop.js';
 
 const test = suite('planned stop beside callers');
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -4,11 +4,11 @@
 
 import { clocks } from '@copperlever/runtime';
 
+import * as openConnections from '@copperlever/runtime/open-connections';
 import type * as answers from '../server/forwarding/answers.js';
 import * as attempts from '../server/forwarding/attempt.js';
 import * as connectionsModule from '../server/forwarding/connections.js';
 import * as readDelays from '../server/forwarding/read-delay.js';
-import * as openConnections from '@copperlever/runtime/open-connections';
 import * as stops from '../server/health/stop.js';
 import type * as calls from '../types/calls.js';
 import * as callersApps from './callers-app.js';
