Late heads: a connection is refused behind a poll that read no request on it

What callers saw: a 408 to a whole request on a connection that they had opened some seconds before. Cause: the same class as at a stop: Node looks for late heads in a timer, every 30 s, which runs before the poll that would read what has arrived. Change: the refusal comes once a recent poll has brought no request; that of a head in parts is not put off further, since Node looks at each only once. The time-outs of connections stand in one module.

--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -21,7 +21,7 @@
 import * as answers from './answers.js';
 import * as bodies from './bodies.js';
 import * as callBuilding from './call-building.js';
-import * as idleTimeouts from './idle-timeouts.js';
+import * as connectionTimeouts from './connection-timeouts.js';
 import type * as requestQueues from './request-queue.js';
 import type * as readDelays from './read-delay.js';
 import type * as openCallsModule from './open-calls.js';
@@ -369,7 +369,7 @@
     });
   });
   app.server.on('connection', deps.loopAges.accepted);
-  idleTimeouts.closeIdleBehindPolls(app.server, deps.loopAges);
+  connectionTimeouts.judgeBehindPolls(app.server, deps.loopAges);
   deps.loopAges.probeWith(acceptProbes.openTo(app.server));
   // Hooks run only for requests that match a route.
   app.all('/', () => {});
