--- a/packages/gateway/src/server/forwarding/app.test.ts
+++ b/packages/gateway/src/server/forwarding/app.test.ts
@@ -1,6 +1,7 @@
 import * as net from 'node:net';
 
 import { clocks } from '@copperlever/runtime';
+import * as realTime from '@copperlever/runtime/testing/real-time';
 import * as undici from 'undici';
 import * as fc from 'fast-check';
 import { suite } from 'uvu';
@@ -35,18 +36,6 @@
   });
 }
 
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
-/** Blocks the event loop, as when the process gets no processor time. */
-function block(durationMs: number): void {
-  const untilMs = Date.now() + durationMs;
-  while (Date.now() < untilMs);
-}
-
 // Guards against a time-out that closes a kept connection on which a whole request lies unread.
 test('a kept connection is not closed as idle while a request lies on it unread', async () => {
   const { port, server, close } = await callersApps.startCallersApp();
@@ -56,7 +45,7 @@
     send(socket, '/first');
     await onceAnswered(socket);
     // Node closes it a second after the time that callers are told.
-    await sleep(900);
+    await realTime.sleep(900);
     const answered = new Promise((resolve) => {
       socket.once('data', () => resolve('answered'));
       socket.once('close', () => resolve('closed'));
@@ -65,9 +54,9 @@
     // Timers that have become due at the end of a turn run before the next poll.
     await new Promise(setImmediate);
     send(socket, '/second');
-    block(400);
+    realTime.block(400);
     assert.is(await answered, 'answered');
-    await sleep(1_500);
+    await realTime.sleep(1_500);
     assert.ok(socket.destroyed);
   } finally {
     await close();
@@ -102,9 +91,9 @@
     socket.destroy();
     const answered = onceAnswered(staying);
     send(staying, '/stays');
-    block(400);
+    realTime.block(400);
     await answered;
-    await sleep(50);
+    await realTime.sleep(50);
     assert.equal(
       served.map(({ path }) => path),
       ['/first', '/second', '/stays'],
@@ -118,9 +107,9 @@
 // A gateway that reads in time must not delay its time-outs for upstreams, and one that has stalled must.
 test('data counts as stale only after a stall of the event loop', async () => {
   const loopAges = readDelays.createReadDelay(clocks.createSystemClock());
-  await sleep(200);
+  await realTime.sleep(200);
   assert.is(loopAges.mayBeStale(), false);
-  block(400);
+  realTime.block(400);
   assert.is(loopAges.mayBeStale(), true);
   loopAges.stop();
 });
@@ -129,7 +118,7 @@
 test('an answer that breaks off behind another one ends its connection once the other is whole', async () => {
   const app = await callersApps.startCallersApp({
     serve: async (call, sink) => {
-      if (call.path === '/first') await sleep(60);
+      if (call.path === '/first') await realTime.sleep(60);
       if (call.path === '/second') {
         sink.begin(200, [], null).write(Buffer.from('part'));
         return { kind: 'cut', cause: 'upstream-lost', upstreamId: 'u1' };
@@ -150,7 +139,10 @@
     });
     socket.on('error', () => {});
     socket.write(callersApps.requestText('/first') + callersApps.requestText('/second'));
-    const isClosed = await Promise.race([closed.then(() => true), sleep(1_000).then(() => false)]);
+    const isClosed = await Promise.race([
+      closed.then(() => true),
+      realTime.sleep(1_000).then(() => false),
+    ]);
     assert.equal([isClosed, received.includes('whole')], [true, true]);
     assert.not(received.includes('0\r\n\r\n'));
     socket.destroy();
@@ -168,7 +160,7 @@
   const app = await callersApps.startCallersApp({
     closesConnections: () => true,
     serve: async (call, sink) => {
-      await sleep(call.path === '/first' ? 60 : 20);
+      await realTime.sleep(call.path === '/first' ? 60 : 20);
       sink.sendWhole({ status: 200, headers: [], body: Buffer.from('ok'), statedBytes: 2 });
       return { kind: 'answered', status: 200, upstreamId: 'u1' };
     },
@@ -193,7 +185,7 @@
     serve: async (_call, sink) => {
       const body = sink.begin(200, [], null);
       body.write(Buffer.from('first part '));
-      await sleep(60);
+      await realTime.sleep(60);
       body.write(Buffer.from('last part'));
       body.end();
       return { kind: 'answered', status: 200, upstreamId: 'u1' };
@@ -227,7 +219,7 @@
   socket.write(callersApps.requestText('/endless', headers).replace('GET', 'POST'));
   const piece = `3e8\r\n${'x'.repeat(1_000)}\r\n`;
   const timer = setInterval(() => socket.write(piece), 1);
-  await sleep(300);
+  await realTime.sleep(300);
   clearInterval(timer);
   assert.match(received, /^HTTP\/1\.1 413 /);
   assert.ok(isClosed);
@@ -358,9 +350,9 @@
   });
   for (const piece of pieces) {
     socket.write(piece);
-    await sleep(everyMs);
+    await realTime.sleep(everyMs);
   }
-  await sleep(forMs);
+  await realTime.sleep(forMs);
   const { answer, isClosed } = got;
   socket.destroy();
   return { answer, isClosed };
@@ -387,7 +379,7 @@
   try {
     const whole = [postHead('/a', { 'content-length': '1000' }), 'x'.repeat(1_000)];
     const accepted = [1, 2].map(() => exchange(app.port, whole, { forMs: 400 }));
-    await sleep(50);
+    await realTime.sleep(50);
     const [refused] = await Promise.all([exchange(app.port, whole.slice(0, 1))]);
     assert.match(refused.answer, /^HTTP\/1\.1 503 /);
     assert.match(refused.answer, /retry-after: 1\.00/);
@@ -459,7 +451,7 @@
     const app = await callersApps.startCallersApp(options);
     try {
       const exchanged = exchange(app.port, pieces);
-      await sleep(50);
+      await realTime.sleep(50);
       app.unsent.refuseAll();
       const { answer } = await exchanged;
       assert.match(answer, /^HTTP\/1\.1 503 /);
@@ -552,7 +544,7 @@
   const app = await callersApps.startCallersApp({
     bodyBytesMax: maxBytes,
     serve: async (call, sink) => {
-      await sleep(call.body.length % 20);
+      await realTime.sleep(call.body.length % 20);
       sink.sendWhole({ status: 200, headers: [], body: Buffer.from('ok'), statedBytes: 2 });
       return { kind: 'answered', status: 200, upstreamId: 'u1' };
     },
@@ -586,10 +578,10 @@
           statuses.set(status, (statuses.get(status) ?? 0) + 1);
         }),
       );
-      await sleep(one.pauseMs);
+      await realTime.sleep(one.pauseMs);
     }
     await Promise.all(played);
-    await sleep(50);
+    await realTime.sleep(50);
     const counted = [...statuses].sort().map((entry) => entry.join(': '));
     process.stdout.write(
       `${drawn.length} bodies, at most ${mostBytes} bytes: ${counted.join(', ')}\n`,
--- a/packages/gateway/src/server/forwarding/connection-timeouts.test.ts
+++ b/packages/gateway/src/server/forwarding/connection-timeouts.test.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 
+import * as realTime from '@copperlever/runtime/testing/real-time';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -7,18 +8,6 @@
 
 const test = suite('what lies unread when a connection is closed');
 
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
-/** Blocks the event loop, as when the process gets no processor time. */
-function block(durationMs: number): void {
-  const untilMs = Date.now() + durationMs;
-  while (Date.now() < untilMs);
-}
-
 /** Node looks for late heads once in this time after it has begun to listen. */
 const HEADER_CHECK_MS = 30_000;
 /** The timer's start is known to some milliseconds. */
@@ -30,7 +19,7 @@
   const listeningMs = performance.now();
   server.headersTimeout = 5_000;
   try {
-    await sleep(HEADER_CHECK_MS - 6_000);
+    await realTime.sleep(HEADER_CHECK_MS - 6_000);
     // As a load balancer does, the caller opens its connection some time before its first request.
     const socket = net.connect(port, '127.0.0.1');
     const ended = new Promise<string>((resolve) => {
@@ -38,10 +27,10 @@
       socket.once('close', () => resolve('closed'));
       socket.once('error', (error) => resolve(error.message));
     });
-    await sleep(HEADER_CHECK_MS - BEFORE_CHECK_MS - (performance.now() - listeningMs));
+    await realTime.sleep(HEADER_CHECK_MS - BEFORE_CHECK_MS - (performance.now() - listeningMs));
     await new Promise(setImmediate);
     socket.write(callersApps.requestText('/first'));
-    block(400);
+    realTime.block(400);
     assert.is(await ended, 'HTTP/1.1 200');
     socket.destroy();
   } finally {
