--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -5,8 +5,8 @@
 import type * as http from 'node:http';
 
 import { clocks } from '@copperlever/runtime';
-
 import type * as openConnections from '@copperlever/runtime/open-connections';
+
 import type * as logEvents from '../../types/log-events.js';
 import * as readDelays from '../forwarding/read-delay.js';
 
