--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -2,9 +2,9 @@
 import { supervisor } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
 import * as hashers from '@copperlever/runtime/hasher';
+import * as openConnections from '@copperlever/runtime/open-connections';
 import type * as fastify from 'fastify';
 
-import * as openConnections from '@copperlever/runtime/open-connections';
 import * as containers from './container.js';
 import * as followers from './server/control/follower.js';
 import * as upstreamLists from './server/control/upstream-list.js';
--- a/packages/gateway/src/server/health/stop-plays.test.ts
+++ b/packages/gateway/src/server/health/stop-plays.test.ts
@@ -3,11 +3,11 @@
 
 import { logs } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
+import * as openConnections from '@copperlever/runtime/open-connections';
 import * as fc from 'fast-check';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import * as openConnections from '@copperlever/runtime/open-connections';
 import * as readDelays from '../forwarding/read-delay.js';
 import * as stops from './stop.js';
 
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -3,8 +3,8 @@
 import * as timers from 'node:timers/promises';
 
 import { clocks } from '@copperlever/runtime';
-
 import * as openConnections from '@copperlever/runtime/open-connections';
+
 import type * as answers from '../server/forwarding/answers.js';
 import * as attempts from '../server/forwarding/attempt.js';
 import * as connectionsModule from '../server/forwarding/connections.js';
