Stop: the listener waits for the fifth try of connections that found its queue full

After 1.6 s a caller's system that tried for the fourth time 1.4 s after the connection was opened, and for the fifth 1.6 s after that, could just find the listener closed. Change: 3.2 s, the interval before its next try. Within a stop no later one can be waited for.

--- a/packages/runtime/src/open-connections.ts
+++ b/packages/runtime/src/open-connections.ts
@@ -28,8 +28,8 @@
 
 /** Connections that the system keeps until they are accepted, by default. */
 export const ACCEPT_QUEUE_MAX = 511;
-/** By then a caller's system has sent again what found the queue of the listener full; the longest interval is that of its fourth try. */
-const RETRANSMISSION_MS = 1_600;
+/** By then a caller's system has sent again what found the queue of the listener full: the interval before its fifth try. */
+const RETRANSMISSION_MS = 3_200;
 /** Some ten milliseconds of work; the next step closes the others. */
 const CLOSED_AT_ONCE_MAX = 500;
 
