--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -66,8 +66,6 @@
 
 const HEADER_BYTES_MAX = 65_536;
 const STARTING_RETRY_MS = 1_000;
-/** Another gateway serves the request at once. */
-const STOPPING_RETRY_MS = 100;
 /** Bodies are held for about as long as their requests take. */
 const NO_ROOM_RETRY_MS = 1_000;
 /** Time-outs until the first configuration is applied. */
@@ -140,7 +138,7 @@
 ): void {
   const remainingMs = Math.round(deadlineMs - deps.clock.nowMs());
   deps.log.info('stopping-refused', { requestId, route: route.name, remainingMs });
-  const retryAfter = deps.dialect.retryAfter(STOPPING_RETRY_MS);
+  const retryAfter = deps.dialect.retryAfter(unsentRequests.STOPPING_RETRY_MS);
   sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'stopping');
   deps.metrics.denied('stopping');
 }
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -92,8 +92,6 @@
 
 const NO_UPSTREAM_RETRY_MS = 500;
 const MIN_RETRY_AFTER_MS = 100;
-/** Another gateway serves the request at once. */
-const STOPPING_RETRY_MS = 100;
 
 export function createServe(deps: ServeDeps): Serve {
   const { clock } = deps;
@@ -347,7 +345,7 @@
 
   /** The ending at the end of a stop: nothing of it is at an upstream. */
   function stoppingEnding(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): calls.Ending {
-    const ending = refuse(call, run, 'stopping', STOPPING_RETRY_MS);
+    const ending = refuse(call, run, 'stopping', unsentRequests.STOPPING_RETRY_MS);
     return preferHeldFailure(run, sink, ending) ?? ending;
   }
 
--- a/packages/gateway/src/server/forwarding/unsent-requests.ts
+++ b/packages/gateway/src/server/forwarding/unsent-requests.ts
@@ -4,6 +4,9 @@
  */
 import type * as answers from './answers.js';
 
+/** Another gateway serves the request at once. */
+export const STOPPING_RETRY_MS = 100;
+
 export type UnsentRequests = {
   /** Has `refuse` called at the end of a stop, or at once if that has come; no more after the returned function is called. */
   add: (refuse: () => void) => () => void;
