Logs: a sink that fails or stands still neither ends the process nor fills it

What callers saw: connections that end without an answer, at any moment, for all that a process had accepted; at a stop of a whole process group the drain didn't take place. Cause: nothing listened for errors of standard output, so the first line after its reader had gone (EPIPE), or on a full disk (ENOSPC), was an uncaught error. And on this Node a pipe that nobody reads keeps all that is written in the process's memory. Change: log lines go through a sink that counts what cannot be written, tries a failed stream once a second, keeps at most 1,048,576 characters for a reader that stands still, and tells of the loss once lines are written again; three metrics show its state meanwhile, also in the first stage's programs (gauges move to the runtime for it). A stop writes its last lines within 100 ms, or leaves them.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -10,7 +10,7 @@
 } from '@copperlever/coordination';
 import { queues, serviceTimes } from '@copperlever/decisions';
 import { attributes } from '@copperlever/protocol';
-import { clocks, logs, metrics as metricsModule, randoms } from '@copperlever/runtime';
+import { clocks, logs, logSinks, metrics as metricsModule, randoms } from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
 import * as engineParts from './engine-parts.js';
@@ -36,6 +36,7 @@
   incarnation: number;
   clock: clocks.Clock;
   random: randoms.Random;
+  logSink: logSinks.LogSink;
   log: logs.Logger;
   metrics: metricsModule.Metrics;
   upstream: httpUpstream.HttpUpstream;
@@ -134,8 +135,17 @@
     incarnation: awilix.asValue(incarnation),
     clock: awilix.asFunction(clocks.createSystemClock).singleton(),
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
+    logSink: awilix
+      .asFunction(({ clock }: AgentParts) => logSinks.createLogSink(process.stdout, clock))
+      .singleton(),
     log: awilix
-      .asFunction(() => logs.createLogger({ daemonId: settings.agentId, level: settings.logLevel }))
+      .asFunction(({ logSink }: AgentParts) =>
+        logs.createLogger({
+          daemonId: settings.agentId,
+          level: settings.logLevel,
+          sink: logSink,
+        }),
+      )
       .singleton(),
     metrics: awilix.asFunction(createMetrics).singleton(),
     upstream: awilix
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,7 +1,7 @@
 /** The agent beside one upstream: the only process that gives it work and orders. */
 import { grpcTransport } from '@copperlever/coordination';
 import { agent } from '@copperlever/protocol';
-import { clocks, daemon, supervisor } from '@copperlever/runtime';
+import { clocks, daemon, gauges, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 
 import * as containers from './container.js';
@@ -124,6 +124,11 @@
   };
 }
 
+async function startReports(): Promise<supervisor.RunningPart> {
+  const sources = gauges.logSources('agent', cradle.logSink);
+  return gauges.startGauges({ clock, metrics: cradle.metrics, sources });
+}
+
 async function drain(): Promise<void> {
   cradle.control.membership.leave();
   if (!isConfigured()) return;
@@ -139,6 +144,7 @@
   [
     { name: 'control', start: startControl },
     { name: 'upstream', start: startUpstream },
+    { name: 'reports', start: startReports },
   ],
   { clock, log, onGiveUp: () => process.exit(1) },
 );
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -12,7 +12,7 @@
   resilientStore,
 } from '@copperlever/coordination';
 import { attributes } from '@copperlever/protocol';
-import { clocks, logs, metrics as metricsModule, randoms } from '@copperlever/runtime';
+import { clocks, logs, logSinks, metrics as metricsModule, randoms } from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
 import * as grpcLink from './server/links/grpc-link.js';
@@ -34,6 +34,7 @@
   incarnation: number;
   clock: clocks.Clock;
   random: randoms.Random;
+  logSink: logSinks.LogSink;
   log: logs.Logger;
   metrics: metricsModule.Metrics;
   rawStore: httpStore.HttpObjectStore;
@@ -112,8 +113,17 @@
     incarnation: awilix.asValue(incarnation),
     clock: awilix.asFunction(clocks.createSystemClock).singleton(),
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
+    logSink: awilix
+      .asFunction(({ clock }: EntryParts) => logSinks.createLogSink(process.stdout, clock))
+      .singleton(),
     log: awilix
-      .asFunction(() => logs.createLogger({ daemonId: memberId, level: settings.logLevel }))
+      .asFunction(({ logSink }: EntryParts) =>
+        logs.createLogger({
+          daemonId: memberId,
+          level: settings.logLevel,
+          sink: logSink,
+        }),
+      )
       .singleton(),
     metrics: awilix.asFunction(createMetrics).singleton(),
     rawStore: awilix
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
 /** The entry: takes calls from callers, routes them to agents and answers. */
 import { grpcTransport } from '@copperlever/coordination';
-import { daemon, supervisor } from '@copperlever/runtime';
+import { daemon, gauges, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 import type * as fastify from 'fastify';
 
@@ -10,7 +10,6 @@
 import * as healthApp from './server/health/app.js';
 import * as callerConnections from './server/health/caller-connections.js';
 import * as drains from './server/health/drain.js';
-import * as gauges from './server/health/gauges.js';
 import * as operatorApp from './server/operator/app.js';
 import * as settingsModule from './types/settings.js';
 
@@ -103,6 +102,7 @@
       { name: 'entry.journal_dropped', read: cradle.journal.droppedCount },
       { name: 'entry.claims_pending', read: cradle.settlements.pendingCount },
       { name: 'entry.open_calls', read: () => openCalls.count },
+      ...gauges.logSources('entry', cradle.logSink),
     ],
   });
 }
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -1,5 +1,5 @@
 /** Joins the parts of a gateway; each part gets only what it names. */
-import { boundedLogs, clocks, logs, randoms } from '@copperlever/runtime';
+import { boundedLogs, clocks, logs, logSinks, randoms } from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
 import * as configHolder from './server/control/config-holder.js';
@@ -64,8 +64,9 @@
 ) {
   const container = awilix.createContainer<partTypes.GatewayParts>({ strict: true });
   const clock = clocks.createSystemClock();
+  const logSink = logSinks.createLogSink(process.stdout, clock);
   const log = boundedLogs.createBoundedLogger(
-    logs.createLogger({ daemonId: settings.gatewayId, level: settings.logLevel }),
+    logs.createLogger({ daemonId: settings.gatewayId, level: settings.logLevel, sink: logSink }),
     clock,
     LOG_BOUNDS,
   );
@@ -74,6 +75,7 @@
     settings: awilix.asValue(settings),
     clock: awilix.asValue(clock),
     log: awilix.asValue(log),
+    logSink: awilix.asValue(logSink),
     runtimeLog: awilix.asValue(log),
     dialect: awilix.asValue(platform.dialect),
     metrics: awilix.asFunction(controlParts.createMetrics).singleton(),
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -56,6 +56,11 @@
       placementAgeMs: parts.view.ageMs(nowMs),
       plainWaitingCount: parts.plainGate.waitingCount(),
       heldTerm: parts.lease.heldTerm(),
+      logLines: {
+        lostCount: parts.logSink.lostLineCount(),
+        pendingCharacters: parts.logSink.pendingCharacters(),
+        isFailing: parts.logSink.state() === 'failed',
+      },
     };
   });
 }
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -24,6 +24,7 @@
   placementAgeMs: 250,
   plainWaitingCount: 0,
   heldTerm: null,
+  logLines: { lostCount: 7, pendingCharacters: 120, isFailing: true },
 };
 
 const STREAM = { kind: 'stream', priority: 1 } as const;
@@ -54,6 +55,8 @@
   assert.ok(text.includes('copperlever_config_age_seconds 2.5'));
   assert.ok(text.includes('copperlever_upstreams_avoided 1'));
   assert.ok(text.includes('copperlever_lease_term 0'));
+  assert.ok(text.includes('copperlever_log_lines_lost 7'));
+  assert.ok(text.includes('copperlever_log_failing 1'));
 });
 
 // Failure: predictions are off for long prompts only, and a figure over all hides it.
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -37,6 +37,8 @@
   /** Plain calls that wait in the gateway for a slot. */
   plainWaitingCount: number;
   heldTerm: number | null;
+  /** Log lines, whose reader may be gone. */
+  logLines: { lostCount: number; pendingCharacters: number; isFailing: boolean };
 };
 
 export type PlainCallOutcome = 'passed' | 'held' | 'refused' | 'caller-gone';
@@ -317,6 +319,15 @@
     'Term of the lease held here; 0 when it is not',
     () => readings().heldTerm ?? 0,
   );
+  gauge('log_lines_lost', 'Log lines dropped', () => readings().logLines.lostCount);
+  gauge(
+    'log_pending_characters',
+    'Of log lines that nobody has read yet',
+    () => readings().logLines.pendingCharacters,
+  );
+  gauge('log_failing', 'Whether the last log line could not be written', () =>
+    Number(readings().logLines.isFailing),
+  );
   gauge('plain_waiting', 'Plain calls that wait for a slot', () => readings().plainWaitingCount);
   let lastUse = perfHooks.performance.eventLoopUtilization();
   gauge('event_loop_utilization', 'Share of time the event loop was busy since last asked', () => {
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -1,5 +1,5 @@
 /** The parts of a gateway; each is made from those that it names. */
-import type { clocks, logs, randoms } from '@copperlever/runtime';
+import type { clocks, logs, logSinks, randoms } from '@copperlever/runtime';
 import type * as configHolder from '../server/control/config-holder.js';
 import type * as connectionsModule from '../server/forwarding/connections.js';
 import type * as requestQueues from '../server/forwarding/request-queue.js';
@@ -80,6 +80,7 @@
   log: logEvents.GatewayLog;
   /** For parts of the runtime, whose lines are their own. */
   runtimeLog: logs.Logger;
+  logSink: logSinks.LogSink;
   directory: directories.UpstreamDirectory;
   beliefs: upstreamHealthModule.UpstreamHealthTracker;
   suspects: sharedEjectionsModule.SharedEjections;
--- a/packages/runtime/src/daemon.ts
+++ b/packages/runtime/src/daemon.ts
@@ -2,6 +2,7 @@
 import * as commander from 'commander';
 import type * as zod from 'zod';
 
+import * as logSinks from './log-sink.js';
 import * as settingsModule from './settings.js';
 
 export type DaemonCommand = {
@@ -49,13 +50,18 @@
   return loaded.val;
 }
 
+/** The last lines of a stop are written within this time if somebody reads them. */
+const LAST_LINES_MS = 100;
+
 /** Runs `stop` on the first SIGTERM or SIGINT, then exits with status 0. */
 export function onStopSignal(stop: () => Promise<void>): void {
   let isStopping = false;
   const onSignal = () => {
     if (isStopping) return;
     isStopping = true;
-    void stop().finally(() => process.exit(0));
+    void stop()
+      .finally(() => logSinks.flush(process.stdout, LAST_LINES_MS))
+      .finally(() => process.exit(0));
   };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
--- a/packages/entry/src/server/health/gauges.ts
+++ b/packages/runtime/src/gauges.ts
@@ -1,5 +1,8 @@
 /** Reports at intervals what changes slowly, so that an operator sees it also in a quiet hour. */
-import { clocks, type metrics as metricsModule, type supervisor } from '@copperlever/runtime';
+import * as clocks from './clocks.js';
+import type * as logSinks from './log-sink.js';
+import type * as metricsModule from './metrics.js';
+import type * as supervisor from './supervisor.js';
 
 export type GaugeSource = { name: string; read: () => number };
 
@@ -11,6 +14,18 @@
 
 export const GAUGE_PERIOD_MS = 10_000;
 
+/** What becomes of the log lines of a daemon, whose reader may be gone. */
+export function logSources(
+  daemonKind: 'entry' | 'agent',
+  sink: Pick<logSinks.LogSink, 'lostLineCount' | 'pendingCharacters' | 'state'>,
+): GaugeSource[] {
+  return [
+    { name: `${daemonKind}.log_lines_lost`, read: sink.lostLineCount },
+    { name: `${daemonKind}.log_pending_characters`, read: sink.pendingCharacters },
+    { name: `${daemonKind}.log_failing`, read: () => (sink.state() === 'failed' ? 1 : 0) },
+  ];
+}
+
 /** Reports until it is stopped; a source that throws breaks the part, and its supervisor says so. */
 export function startGauges(deps: GaugesDeps): supervisor.RunningPart {
   const { clock, metrics, sources } = deps;
--- a/packages/runtime/src/logs.ts
+++ b/packages/runtime/src/logs.ts
@@ -1,6 +1,8 @@
 /** Logging through bunyan: one line of key=value pairs for each event. */
 import * as bunyan from 'bunyan';
 
+import type * as logSinks from './log-sink.js';
+
 /** The fields of a log line besides its event name. */
 export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>;
 
@@ -31,24 +33,30 @@
   return [head, ...pairs].join(' ');
 }
 
-export type LoggerOptions = { daemonId: string; level: 'info' | 'warn' | 'error' };
+export type LoggerOptions = {
+  daemonId: string;
+  level: 'info' | 'warn' | 'error';
+  sink: logSinks.LogSink;
+};
 
-export function createLogger(options: LoggerOptions): Logger {
+export function createLogger({ daemonId, level, sink }: LoggerOptions): Logger {
   const stream = {
-    write: (record: BunyanRecord) => process.stdout.write(`${formatLine(record)}\n`),
+    write: (record: BunyanRecord) => sink.write(formatLine(record)),
   };
   const log = bunyan.default.createLogger({
-    name: options.daemonId,
-    daemonId: options.daemonId,
-    streams: [
-      { type: 'raw', level: options.level, stream: stream as unknown as NodeJS.WritableStream },
-    ],
+    name: daemonId,
+    daemonId,
+    streams: [{ type: 'raw', level, stream: stream as unknown as NodeJS.WritableStream }],
   });
-  return {
+  const logger: Logger = {
     info: (event, fields = {}) => log.info(fields, event),
     warn: (event, fields = {}) => log.warn(fields, event),
     error: (event, fields = {}) => log.error(fields, event),
   };
+  sink.onResumed(({ count, state, reason }) => {
+    logger.warn('log-lines-lost', { count, state, reason });
+  });
+  return logger;
 }
 
 /** A logger that writes nothing, for tests. */
