Entries and agents beside logs without a reader: the test with real processes

The fleet of the tests can give its processes pipes or a file for their lines, and waiting until both entries serve stands once.

--- a/packages/proofs/src/processes/processes.test.ts
+++ b/packages/proofs/src/processes/processes.test.ts
@@ -36,15 +36,7 @@
 
 test.before(async () => {
   rig = await rigs.startRig();
-  for (const index of [0, 1]) {
-    await rigs.waitFor('an entry that serves both kinds', async () => {
-      const ready = await fetch(`${entryUrl(index)}/readyz`);
-      if (!ready.ok) return undefined;
-      const text = await rigs.stream(entryUrl(index), 2, () => {}, SHORT_MS);
-      return rigs.isWhole(text, 2) ? true : undefined;
-    });
-  }
-  await submitUntilDone(entryUrl(0), 'first');
+  await rigs.untilServing(rig);
 });
 
 test.after(async () => {
--- a/packages/proofs/src/processes/rig.ts
+++ b/packages/proofs/src/processes/rig.ts
@@ -1,10 +1,19 @@
 /** A small fleet of real processes on loopback, for what only the operating system can do. */
 import * as net from 'node:net';
 import * as path from 'node:path';
+import type * as streams from 'node:stream';
 import * as url from 'node:url';
 
 type Started = { url: string; controlUrl: string };
-type Child = { kill: (signal: NodeJS.Signals) => boolean; exitCode: number | null };
+type Child = {
+  kill: (signal: NodeJS.Signals) => boolean;
+  exitCode: number | null;
+  signalCode: NodeJS.Signals | null;
+  stdout: streams.Readable | null;
+};
+
+/** Where the log lines of the processes go. */
+export type Output = 'files' | 'pipe' | number;
 
 /** What scripts/fleet.mjs offers. */
 export type ProcessFleet = {
@@ -18,7 +27,7 @@
 };
 
 type FleetModule = {
-  createFleet: () => ProcessFleet;
+  createFleet: (output?: Output) => ProcessFleet;
   freePort: () => Promise<number>;
   waitFor: <Value>(what: string, probe: () => Promise<Value | undefined>) => Promise<Value>;
 };
@@ -29,6 +38,8 @@
 export const { waitFor, createFleet } = scripts;
 
 const GIGABYTE = 1_000_000_000;
+/** A caller that would rather ask again than wait for an agent that is not there yet. */
+const FIRST_ANSWER_MS = 3_000;
 const PLACE = { region: 'hanoi', failureDomain: 'long-bien', journalFlushIntervalMs: 500 };
 
 const engine = {
@@ -96,8 +107,8 @@
   };
 }
 
-export async function startRig() {
-  const fleet = createFleet();
+export async function startRig(output: Output = 'files') {
+  const fleet = createFleet(output);
   const platform = await fleet.startStandIn('stand-in-platform', 'platform');
   const relay = await startRelay(platform.url);
   const engineOptions = ['--memory-bytes', String(40 * GIGABYTE), '--token-gap-ms', '40'];
@@ -195,6 +206,22 @@
   return { status: response.status, body: await response.text() };
 }
 
+/** Once both entries serve streams and submissions. */
+export async function untilServing(rig: Rig): Promise<void> {
+  for (const { url: entryUrl } of rig.entries) {
+    await waitFor('an entry that serves both kinds', async () => {
+      const ready = await fetch(`${entryUrl}/readyz`);
+      if (!ready.ok) return undefined;
+      const text = await stream(entryUrl, 2, () => {}, FIRST_ANSWER_MS);
+      return isWhole(text, 2) ? true : undefined;
+    });
+    await waitFor('an answer to the first submission', async () => {
+      const { status } = await submit(entryUrl, 'first');
+      return status === 201 ? true : undefined;
+    });
+  }
+}
+
 /** Streams an answer; `onFirst` is told of its first bytes. */
 export async function stream(
   entryUrl: string,
--- a/scripts/fleet.d.mts
+++ b/scripts/fleet.d.mts
@@ -20,7 +20,7 @@
   stop: () => Promise<void>;
 };
 
-export function createFleet(): Fleet;
+export function createFleet(output?: 'files' | 'pipe' | number): Fleet;
 
 export function waitFor<Value>(
   what: string,
--- a/scripts/fleet.mjs
+++ b/scripts/fleet.mjs
@@ -34,15 +34,17 @@
   throw new Error(`timed out waiting for ${what}`);
 }
 
-export function createFleet() {
+/** `output`: where the log lines of the processes go, `files` of their own in the fleet's folder by default. */
+export function createFleet(output = 'files') {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'copperlever-'));
   const processes = new Map();
 
   function spawn(name, program, args) {
     const logFile = fs.openSync(path.join(folder, `${name}.log`), 'w');
     const child = childProcess.spawn(process.execPath, [`dist/${program}.js`, ...args], {
-      stdio: ['ignore', logFile, logFile],
+      stdio: ['ignore', output === 'files' ? logFile : output, logFile],
     });
+    child.stdout?.resume();
     processes.set(name, child);
     return child;
   }
