Upstream states: learned latency ratios and the trust in reports get modules of their own

Change: what answers show (averages, decay, prior) and whether reports are believed move to learned-latency-ratios.ts and report-trust.ts; no change of behaviour.

--- a/packages/gateway/src/shared/upstream-states.ts
+++ b/packages/gateway/src/shared/upstream-states.ts
@@ -15,6 +15,8 @@
 import * as baselineFactors from './baseline-factors.js';
 import * as baselineIntervals from './baseline-intervals.js';
 import * as clamps from './clamp.js';
+import * as latencyRatios from './learned-latency-ratios.js';
+import * as reportTrust from './report-trust.js';
 
 /** Reported factors are clamped to this range, which limits the harm that an absurd one can do. */
 const MIN_FACTOR = 0.2;
@@ -29,49 +31,12 @@
  * none.
  */
 const SHARED_MACHINE_MS = 30_000;
-/**
- * About thirty answers make up the estimate: a few seconds of a busy upstream, and far longer than a transient
- * slowdown.
- */
-const DECAY_PER_ANSWER = 0.97;
-/**
- * At the start the average speed counts as much as this many answers, so that the first few change the estimate little.
- */
-const PRIOR_ANSWERS = 20;
-/** The weight of that prior decays over this many answers. */
-const PRIOR_FADE_ANSWERS = 10;
-/**
- * Upper limit on the number of answers that the remote estimate counts for; it counts for less as this gateway collects
- * its own answers. It is only a starting point: with full weight all gateways would hold the same estimates and choose
- * the same upstreams.
- */
-const REMOTE_ANSWERS_MAX = 8;
-/**
- * Late answers get less weight than early ones, since most are late because of a queue of prompts that this gateway did
- * not know about yet. With equal weights the fastest upstreams, which get the most requests, would look like all
- * others.
- */
-const LATE_ANSWER_WEIGHT = 0.3;
-/** Answers that are late or early by a larger factor than this are clamped to it. */
-const SAMPLE_RATIO_RANGE = 2;
 /** Predictions below this consist mostly of network round trips, which say nothing about speed. */
 const MIN_PREDICTED_MS = 5;
-/**
- * Log deviations below NOISE_LOG are within the noise of thirty answers and count as none; those above SIGNIFICANT_LOG
- * count in full. Upstreams of equal speed thus get equal predictions.
- */
-const NOISE_LOG = 0.08;
-const SIGNIFICANT_LOG = 0.2;
-/** Estimates decay without new answers, so that an upstream that was avoided for being slow is tried again. */
-const DECAY_MS = 60_000;
 const COMMON_CACHE_MS = 100;
 
 /** A reported factor of at least this much differs enough from the baseline for a first chunk to contradict it. */
 const VERIFIABLE_FACTOR = 1.8;
-/** Number of contradicting answers, minus confirming ones, after which reports are no longer trusted. */
-const MAX_CONTRADICTIONS = 3;
-const FIRST_DISTRUST_MS = 5_000;
-const MAX_DISTRUST_MS = 60_000;
 /** For this long other gateways are informed that an upstream has returned to its baseline. */
 const RECOVERY_SHARING_MS = 1_000;
 /** Reports describe the state this long ago. */
@@ -94,20 +59,13 @@
 /** A report is checked against runs of intervals at most this often, since several streams show the same slowdown. */
 const CONTRADICTION_INTERVAL_MS = 150;
 
-type Learned = upstreamStates.LearnedLatencyRatio;
-
 type AnswerTimes = { predictedMs: number; tookMs: number };
 
 type Slowdown = { factor: number; atMs: number; receivedAtMs: number };
 
 type Entry = {
   service: string | null;
-  /** Sum of the logarithms of actual over predicted time, so that half and twice the time weigh alike. */
-  ratioLogSum: number;
-  weight: number;
-  answerCount: number;
-  lastAnswerMs: number;
-  remote: (Learned & { atMs: number }) | null;
+  learned: latencyRatios.LearnedRatio;
   reported: Slowdown | null;
   reportedSentMs: number;
   reportedBaseline: baselineFactors.BaselineFactors;
@@ -117,9 +75,7 @@
   lastDisturbedMs: number;
   baselineIntervals: baselineIntervals.BaselineIntervals;
   lastContradictedMs: number;
-  contradictions: number;
-  untrustedUntilMs: number;
-  distrustDurationMs: number;
+  trust: reportTrust.ReportTrust;
   load: { runningCount: number; waitingCount: number; slots: number; atMs: number } | null;
   tokens: { used: number; total: number; atMs: number } | null;
 };
@@ -207,55 +163,6 @@
   return slowdown !== null && nowMs - slowdown.atMs < TRANSIENT_VALID_MS;
 }
 
-function decayed(value: number, atMs: number, nowMs: number): number {
-  return value * Math.exp(-Math.max(0, nowMs - atMs) / DECAY_MS);
-}
-
-/** The log ratio of this gateway's answers to its own predictions. */
-function localRatioLog({ ratioLogSum, weight }: Entry): number {
-  return weight === 0 ? 0 : ratioLogSum / weight;
-}
-
-type Average = { log: number; answerCount: number };
-
-/** The mean weighted by answers; 0 without answers. */
-function meanLog(averages: readonly Average[]): number {
-  const answerCount = averages.reduce((sum, average) => sum + average.answerCount, 0);
-  const total = averages.reduce((sum, average) => sum + average.log * average.answerCount, 0);
-  return answerCount === 0 ? 0 : total / answerCount;
-}
-
-/** The average over this gateway's own answers. */
-function localAverage(entry: Entry, nowMs: number): Average {
-  const answerCount = decayed(entry.answerCount, entry.lastAnswerMs, nowMs);
-  return { log: localRatioLog(entry), answerCount };
-}
-
-function remoteWeight({ answerCount, atMs }: Learned & { atMs: number }, nowMs: number): number {
-  return decayed(Math.min(REMOTE_ANSWERS_MAX, answerCount), atMs, nowMs);
-}
-
-/** The average over the answers of all gateways, each relative to that gateway's own mean. */
-function fleetAverage(entry: Entry, localMeanLog: number, nowMs: number): Average {
-  const local = localAverage(entry, nowMs);
-  const { remote } = entry;
-  const startShare = Math.exp(-local.answerCount / PRIOR_FADE_ANSWERS);
-  const remoteCount = remote === null ? 0 : startShare * remoteWeight(remote, nowMs);
-  const answerCount = local.answerCount + remoteCount;
-  const total =
-    (local.log - localMeanLog) * local.answerCount + (remote?.latencyRatioLog ?? 0) * remoteCount;
-  return { log: answerCount === 0 ? 0 : total / answerCount, answerCount };
-}
-
-function withoutNoise(deviationLog: number): number {
-  const share = clamps.clamp(
-    (Math.abs(deviationLog) - NOISE_LOG) / (SIGNIFICANT_LOG - NOISE_LOG),
-    0,
-    1,
-  );
-  return deviationLog * share;
-}
-
 function isDisturbance(factor: number): boolean {
   return factor >= DISTURBED_FACTOR || factor <= 1 / DISTURBED_FACTOR;
 }
@@ -277,11 +184,7 @@
     }
     const entry: Entry = {
       service: options.serviceOf(upstreamId),
-      ratioLogSum: 0,
-      weight: 0,
-      answerCount: 0,
-      lastAnswerMs: 0,
-      remote: null,
+      learned: latencyRatios.createLearnedRatio(),
       reported: null,
       reportedSentMs: -Infinity,
       reportedBaseline: baselineFactors.createBaselineFactors(),
@@ -289,9 +192,7 @@
       lastDisturbedMs: -Infinity,
       baselineIntervals: baselineIntervals.createBaselineIntervals(),
       lastContradictedMs: -Infinity,
-      contradictions: 0,
-      untrustedUntilMs: -Infinity,
-      distrustDurationMs: FIRST_DISTRUST_MS,
+      trust: reportTrust.createReportTrust(),
       load: null,
       tokens: null,
     };
@@ -299,17 +200,13 @@
     return entry;
   }
 
-  function areReportsTrusted(entry: Entry, nowMs: number): boolean {
-    return nowMs >= entry.untrustedUntilMs;
-  }
-
   /**
    * If several upstreams report a slowdown at once, none is slower than the others: returns the log of what they have
    * in common.
    */
   function commonTransientLog(members: readonly Entry[], nowMs: number): number {
     const logs = members
-      .filter((entry) => isRecent(entry.reported, nowMs) && areReportsTrusted(entry, nowMs))
+      .filter((entry) => isRecent(entry.reported, nowMs) && entry.trust.isTrusted(nowMs))
       .map((entry) => Math.log((entry.reported?.factor ?? 1) / entry.reportedBaseline.baseline()));
     if (logs.length < COMMON_MIN_COUNT) return 0;
     const common = median(logs);
@@ -321,10 +218,9 @@
     const known = commons.get(service);
     if (known !== undefined && nowMs - known.atMs < COMMON_CACHE_MS) return known;
     const members = [...entries.values()].filter((other) => other.service === service);
-    const localLog = meanLog(members.map((entry) => localAverage(entry, nowMs)));
+    const ratios = members.map(({ learned }) => learned);
     const common = {
-      localLog,
-      fleetLog: meanLog(members.map((entry) => fleetAverage(entry, localLog, nowMs))),
+      ...latencyRatios.commonLogs(ratios, nowMs),
       transientLog: commonTransientLog(members, nowMs),
       atMs: nowMs,
     };
@@ -335,15 +231,12 @@
   /** The log ratio relative to the service's mean, drawn towards 0 while there are few answers. */
   function deviationLog(entry: Entry, nowMs: number): number {
     const common = commonOf(entry, nowMs);
-    const { log, answerCount } = fleetAverage(entry, common.localLog, nowMs);
-    const priorCount = PRIOR_ANSWERS * Math.exp(-answerCount / PRIOR_FADE_ANSWERS);
-    const share = answerCount / (answerCount + priorCount);
-    return (log - common.fleetLog) * share;
+    return latencyRatios.deviationLog(entry.learned, common, nowMs);
   }
 
   /** The factor that it normally reports; 1 while its reports are not trusted. */
   function reportedBaselineOf(entry: Entry, nowMs: number): number {
-    if (!areReportsTrusted(entry, nowMs)) return 1;
+    if (!entry.trust.isTrusted(nowMs)) return 1;
     const baseline = entry.reportedBaseline.baseline();
     // A baseline outside the range in which upstreams of one service differ is nonsense; it then counts only as a
     // transient factor.
@@ -352,7 +245,7 @@
 
   /** The latency ratio that its answers show beyond what it reports. */
   function learnedLatencyRatio(entry: Entry, nowMs: number): number {
-    const log = withoutNoise(deviationLog(entry, nowMs));
+    const log = latencyRatios.withoutNoise(deviationLog(entry, nowMs));
     return clamps.clamp(Math.exp(log), MIN_LATENCY_RATIO, MAX_LATENCY_RATIO);
   }
 
@@ -362,7 +255,7 @@
 
   /** The slowdown that it reported, unless that is too old or not trusted. */
   function reportedSlowdown(entry: Entry, nowMs: number): Slowdown | null {
-    if (!isRecent(entry.reported, nowMs) || !areReportsTrusted(entry, nowMs)) return null;
+    if (!isRecent(entry.reported, nowMs) || !entry.trust.isTrusted(nowMs)) return null;
     const { factor } = entry.reported;
     const baselineFactor =
       reportedBaselineOf(entry, nowMs) * Math.exp(commonOf(entry, nowMs).transientLog);
@@ -380,16 +273,9 @@
     return observed.atMs > reported.atMs + INTERVAL_RUN_MS ? observed : reported;
   }
 
-  function distrustReports(entry: Entry, nowMs: number): void {
-    entry.contradictions = 0;
-    entry.reportedBaseline = baselineFactors.createBaselineFactors();
-    entry.untrustedUntilMs = nowMs + entry.distrustDurationMs;
-    entry.distrustDurationMs = Math.min(MAX_DISTRUST_MS, 2 * entry.distrustDurationMs);
-  }
-
   function recordVerification(entry: Entry, isContradicted: boolean, nowMs: number): void {
-    entry.contradictions = Math.max(0, entry.contradictions + (isContradicted ? 1 : -1));
-    if (entry.contradictions >= MAX_CONTRADICTIONS) distrustReports(entry, nowMs);
+    const isTrustLost = entry.trust.verified(isContradicted, nowMs);
+    if (isTrustLost) entry.reportedBaseline = baselineFactors.createBaselineFactors();
   }
 
   /**
@@ -425,18 +311,6 @@
     recordVerification(entry, observedFactor < Math.sqrt(reported.factor), nowMs);
   }
 
-  function learnRatio(entry: Entry, ratio: number, nowMs: number): void {
-    const expectedLog = deviationLog(entry, nowMs);
-    const range = Math.log(SAMPLE_RATIO_RANGE);
-    const sampleLog = clamps.clamp(Math.log(ratio), expectedLog - range, expectedLog + range);
-    const sampleWeight = sampleLog > expectedLog ? LATE_ANSWER_WEIGHT : 1;
-    const decay = DECAY_PER_ANSWER * decayed(1, entry.lastAnswerMs, nowMs);
-    entry.ratioLogSum = decay * entry.ratioLogSum + sampleWeight * sampleLog;
-    entry.weight = decay * entry.weight + sampleWeight;
-    entry.answerCount = decay * entry.answerCount + 1;
-    entry.lastAnswerMs = nowMs;
-  }
-
   return {
     state: (upstreamId, nowMs) => {
       const entry = entries.get(upstreamId);
@@ -461,7 +335,7 @@
       entry.load = { runningCount, waitingCount, slots, atMs: nowMs };
       if (momentFactor === null || !(momentFactor > 0)) return;
       const factor = clamps.clamp(momentFactor, MIN_FACTOR, MAX_FACTOR);
-      if (areReportsTrusted(entry, nowMs)) entry.reportedBaseline.add(factor, nowMs);
+      if (entry.trust.isTrusted(nowMs)) entry.reportedBaseline.add(factor, nowMs);
       if (entry.service !== null) sharedServices.add(entry.service);
       if (isDisturbance(factor / reportedBaselineOf(entry, nowMs))) entry.lastDisturbedMs = nowMs;
       entry.reported = { factor, atMs: nowMs, receivedAtMs: nowMs };
@@ -485,7 +359,8 @@
         latencyRatio: reportedBaselineOf(entry, nowMs),
         transientFactor,
       });
-      learnRatio(entry, baselineMs / predictedMs, nowMs);
+      const ratio = baselineMs / predictedMs;
+      latencyRatios.learn(entry.learned, ratio, deviationLog(entry, nowMs), nowMs);
     },
     applyTokenReport: (upstreamId, tokens, nowMs) => {
       getOrCreateEntry(upstreamId).tokens = { ...tokens, atMs: nowMs };
@@ -511,8 +386,8 @@
       entries.get(upstreamId)?.baselineIntervals.baselineMs() ?? null,
     localLatencyRatios: (nowMs) =>
       [...entries].flatMap(([upstreamId, entry]) => {
-        if (entry.weight === 0) return [];
-        const { log, answerCount } = localAverage(entry, nowMs);
+        if (entry.learned.weight === 0) return [];
+        const { log, answerCount } = latencyRatios.localAverage(entry.learned, nowMs);
         return [
           { upstreamId, latencyRatioLog: log - commonOf(entry, nowMs).localLog, answerCount },
         ];
@@ -521,7 +396,7 @@
       if (!Number.isFinite(slownessLog) || !(answerCount >= 0)) return;
       const minLog = Math.log(MIN_LATENCY_RATIO);
       const remote = { latencyRatioLog: clamps.clamp(slownessLog, minLog, -minLog), answerCount };
-      getOrCreateEntry(upstreamId).remote = { ...remote, atMs: nowMs };
+      getOrCreateEntry(upstreamId).learned.remote = { ...remote, atMs: nowMs };
     },
     isOnSharedMachine: (upstreamId) => {
       const entry = entries.get(upstreamId);
@@ -530,7 +405,9 @@
       return service !== null && sharedServices.has(service);
     },
     confirmRemoteLatencyRatios: (nowMs) => {
-      for (const { remote } of entries.values()) if (remote !== null) remote.atMs = nowMs;
+      for (const { learned } of entries.values()) {
+        if (learned.remote !== null) learned.remote.atMs = nowMs;
+      }
     },
     recentSlowdowns: (nowMs) =>
       [...entries].flatMap(([upstreamId, entry]) => {
@@ -559,7 +436,7 @@
       return {
         slowCount: all.filter((entry) => latencyRatioOf(entry, nowMs) >= SLOW_MIN_RATIO).length,
         disturbedCount: all.filter(isDisturbed).length,
-        distrustedCount: all.filter((entry) => !areReportsTrusted(entry, nowMs)).length,
+        distrustedCount: all.filter((entry) => !entry.trust.isTrusted(nowMs)).length,
       };
     },
     retain: (upstreamIds) => {
