Log sink: what is lost is told whole, and one long line passes no bound

Change: the line carries the total since the start and is an error, so that it is written at any level; a long line is written once the reader has caught up, else counted; the first line after a failure begins a new one.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -136,7 +136,7 @@
     clock: awilix.asFunction(clocks.createSystemClock).singleton(),
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
     logSink: awilix
-      .asFunction(({ clock }: AgentParts) => logSinks.createLogSink(process.stdout, clock))
+      .asFunction(({ clock }: AgentParts) => logSinks.createLogSink(() => process.stdout, clock))
       .singleton(),
     log: awilix
       .asFunction(({ logSink }: AgentParts) =>
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -64,7 +64,7 @@
 ) {
   const container = awilix.createContainer<partTypes.GatewayParts>({ strict: true });
   const clock = clocks.createSystemClock();
-  const logSink = logSinks.createLogSink(process.stdout, clock);
+  const logSink = logSinks.createLogSink(() => process.stdout, clock);
   const log = boundedLogs.createBoundedLogger(
     logs.createLogger({ daemonId: settings.gatewayId, level: settings.logLevel, sink: logSink }),
     clock,
--- a/packages/runtime/src/log-sink.test.ts
+++ b/packages/runtime/src/log-sink.test.ts
@@ -24,7 +24,7 @@
     if (mode === 'stands') return;
     for (const { text, onWritten } of waiting.splice(0)) {
       if (mode === 'reads') {
-        lines.push(text.trimEnd());
+        lines.push(text.trim());
         onWritten();
       } else {
         const error = Object.assign(new Error('write EPIPE'), { code: 'EPIPE' });
@@ -36,6 +36,7 @@
 
   return {
     stream: {
+      destroyed: false,
       get writableLength() {
         return lengthOf();
       },
@@ -59,7 +60,7 @@
 function createSink() {
   const clock = fakeClocks.createFakeClock();
   const reader = createReader();
-  const sink = logSinks.createLogSink(reader.stream, clock);
+  const sink = logSinks.createLogSink(() => reader.stream, clock);
   const log = logs.createLogger({ daemonId: 'g1', level: 'info', sink });
   return { clock, reader, sink, log };
 }
@@ -82,7 +83,10 @@
   const [first = '', second = '', third = ''] = reader.lines();
   assert.match(first, 'event=before');
   assert.match(second, 'event=after');
-  assert.match(third, 'event=log-lines-lost daemonId=g1 count=101 state=failed reason=EPIPE');
+  assert.match(
+    third,
+    'event=log-lines-lost daemonId=g1 count=101 totalCount=101 state=failed reason=EPIPE',
+  );
   assert.is(sink.state(), 'writing');
 });
 
@@ -98,7 +102,7 @@
   log.info('after');
   assert.match(
     reader.lines()[1] ?? '',
-    'event=log-lines-lost daemonId=g1 count=9 state=backlogged',
+    'event=log-lines-lost daemonId=g1 count=9 totalCount=9 state=backlogged',
   );
   assert.match(reader.lines()[2] ?? '', 'event=after');
 });
@@ -113,6 +117,32 @@
   assert.is(sink.lostLineCount(), 5);
 });
 
+// Guards against lines that nobody is told of since the line that told so was lost too.
+test('a report that is lost is made good by the next', async () => {
+  const { clock, reader, sink, log } = createSink();
+  reader.become('stands');
+  for (let count = 0; count < 10; count += 1) sink.write(HALF);
+  reader.become('gone');
+  await clock.advance(logSinks.RETRY_PERIOD_MS);
+  reader.become('reads');
+  log.info('after');
+  assert.match(reader.lines()[1] ?? '', 'totalCount=10 state=failed reason=EPIPE');
+  assert.is(sink.lostLineCount(), 10);
+});
+
+// Guards against a line that passes the bound behind a backlog, and one that no reader would ever get.
+test('a line longer than the bound is written to a reader that has caught up', () => {
+  const { reader, sink } = createSink();
+  const long = HALF.repeat(4);
+  reader.become('stands');
+  sink.write('waiting');
+  sink.write(long);
+  assert.ok(sink.pendingCharacters() < logSinks.MAX_PENDING_CHARACTERS);
+  reader.become('reads');
+  sink.write(long);
+  assert.is(sink.lostLineCount(), 1);
+});
+
 // Guards against a stop that waits for a reader that never reads.
 test('a flush ends at its time', async () => {
   const { reader, sink } = createSink();
--- a/packages/runtime/src/log-sink.ts
+++ b/packages/runtime/src/log-sink.ts
@@ -6,6 +6,7 @@
 
 /** What a sink needs of a stream. A failed write is reported to its callback, and as an `error` event. */
 export type SinkStream = {
+  readonly destroyed: boolean;
   /** What waits to be written, in characters. */
   readonly writableLength: number;
   write: (text: string, onWritten: (error?: Error | null) => void) => boolean;
@@ -15,8 +16,13 @@
 /** `backlogged`: more waits to be written than is kept; `failed`: the last write failed. */
 export type SinkState = 'writing' | 'backlogged' | 'failed';
 
-/** Lines that were dropped since the last line that was written. */
-export type LostLines = { count: number; state: Exclude<SinkState, 'writing'>; reason: string };
+/** `count` since the last report, `totalCount` since the start: a report may be lost itself. */
+export type LostLines = {
+  count: number;
+  totalCount: number;
+  state: Exclude<SinkState, 'writing'>;
+  reason: string;
+};
 
 export type LogSink = {
   /** `line`: without its end. */
@@ -36,11 +42,19 @@
 /** A failed write costs as much as a good one, and a reader that has come back may miss lines for so long. */
 export const RETRY_PERIOD_MS = 1_000;
 
+/** Without a listener the event of a failed write would end the process; each failure is counted in its callback. */
+function listened(stream: SinkStream): SinkStream {
+  stream.on('error', () => {});
+  return stream;
+}
+
 function reasonOf(error: Error): string {
   return (error as NodeJS.ErrnoException).code ?? error.message;
 }
 
-export function createLogSink(stream: SinkStream, clock: Pick<clocks.Clock, 'nowMs'>): LogSink {
+/** `open`: gives the stream, or another one in place of one that is destroyed. */
+export function createLogSink(open: () => SinkStream, clock: Pick<clocks.Clock, 'nowMs'>): LogSink {
+  let stream = listened(open());
   let state: SinkState = 'writing';
   let retryAtMs = 0;
   let reason = '';
@@ -48,12 +62,10 @@
   let reportedCount = 0;
   let report: (lost: LostLines) => void = () => {};
 
-  // Without a listener the event would end the process. Each failed write is counted in its callback.
-  stream.on('error', () => {});
-
   function resume(): void {
     if (state === 'writing') return;
-    const lost = { count: lostLineCount - reportedCount, state, reason };
+    const count = lostLineCount - reportedCount;
+    const lost = { count, totalCount: lostLineCount, state, reason };
     state = 'writing';
     reportedCount = lostLineCount;
     report(lost);
@@ -70,30 +82,40 @@
     retryAtMs = clock.nowMs() + RETRY_PERIOD_MS;
   }
 
-  /** Whether a line may be written now. */
-  function isOpen(length: number): boolean {
+  function retry(line: string): void {
+    retryAtMs = clock.nowMs() + RETRY_PERIOD_MS;
+    if (stream.destroyed) stream = listened(open());
+    // A file that was full may end in a part of a line.
+    stream.write(`\n${line}\n`, onWritten);
+  }
+
+  function write(line: string): void {
+    const pendingCharacters = stream.writableLength;
     switch (state) {
       case 'writing':
-        if (stream.writableLength + length <= MAX_PENDING_CHARACTERS) return true;
+        // A line longer than the bound is for a reader that has caught up.
+        if (pendingCharacters === 0 || pendingCharacters + line.length < MAX_PENDING_CHARACTERS) {
+          stream.write(`${line}\n`, onWritten);
+          return;
+        }
         state = 'backlogged';
         reason = 'backlog';
-        return false;
+        break;
       case 'backlogged':
-        if (stream.writableLength > RESUME_CHARACTERS) return false;
+        if (pendingCharacters > RESUME_CHARACTERS) break;
         resume();
-        return true;
+        write(line);
+        return;
       case 'failed':
-        if (clock.nowMs() < retryAtMs || stream.writableLength > 0) return false;
-        retryAtMs = clock.nowMs() + RETRY_PERIOD_MS;
-        return true;
+        if (clock.nowMs() < retryAtMs || pendingCharacters > 0) break;
+        retry(line);
+        return;
     }
+    lostLineCount += 1;
   }
 
   return {
-    write: (line) => {
-      if (isOpen(line.length + 1)) stream.write(`${line}\n`, onWritten);
-      else lostLineCount += 1;
-    },
+    write,
     onResumed: (newReport) => {
       report = newReport;
     },
--- a/packages/runtime/src/logs.ts
+++ b/packages/runtime/src/logs.ts
@@ -53,8 +53,8 @@
     warn: (event, fields = {}) => log.warn(fields, event),
     error: (event, fields = {}) => log.error(fields, event),
   };
-  sink.onResumed(({ count, state, reason }) => {
-    logger.warn('log-lines-lost', { count, state, reason });
+  sink.onResumed((lost) => {
+    logger.error('log-lines-lost', lost);
   });
   return logger;
 }
