Logs: a blocking pipe or terminal that nobody reads holds the process up no more

Found by the review of the sink. What callers saw: all requests at a gateway stand still, and SIGTERM too, until somebody reads its lines. Cause: whether a pipe blocks belongs to all that share it, and Node makes it blocking again when a process that began earlier ends (several daemons started with one output, one of which is stopped); a terminal is blocking from the start. Change: standard output that is a pipe is opened again with flags of its own; a terminal is set not to block (Node has no public way for it).

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -10,7 +10,14 @@
 } from '@copperlever/coordination';
 import { queues, serviceTimes } from '@copperlever/decisions';
 import { attributes } from '@copperlever/protocol';
-import { clocks, logs, logSinks, metrics as metricsModule, randoms } from '@copperlever/runtime';
+import {
+  clocks,
+  logs,
+  logSinks,
+  metrics as metricsModule,
+  randoms,
+  standardOutputs,
+} from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
 import * as engineParts from './engine-parts.js';
@@ -136,7 +143,9 @@
     clock: awilix.asFunction(clocks.createSystemClock).singleton(),
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
     logSink: awilix
-      .asFunction(({ clock }: AgentParts) => logSinks.createLogSink(() => process.stdout, clock))
+      .asFunction(({ clock }: AgentParts) =>
+        logSinks.createLogSink(standardOutputs.standardOutput, clock),
+      )
       .singleton(),
     log: awilix
       .asFunction(({ logSink }: AgentParts) =>
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -12,7 +12,14 @@
   resilientStore,
 } from '@copperlever/coordination';
 import { attributes } from '@copperlever/protocol';
-import { clocks, logs, logSinks, metrics as metricsModule, randoms } from '@copperlever/runtime';
+import {
+  clocks,
+  logs,
+  logSinks,
+  metrics as metricsModule,
+  randoms,
+  standardOutputs,
+} from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
 import * as grpcLink from './server/links/grpc-link.js';
@@ -114,7 +121,9 @@
     clock: awilix.asFunction(clocks.createSystemClock).singleton(),
     random: awilix.asFunction(randoms.createSystemRandom).singleton(),
     logSink: awilix
-      .asFunction(({ clock }: EntryParts) => logSinks.createLogSink(() => process.stdout, clock))
+      .asFunction(({ clock }: EntryParts) =>
+        logSinks.createLogSink(standardOutputs.standardOutput, clock),
+      )
       .singleton(),
     log: awilix
       .asFunction(({ logSink }: EntryParts) =>
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -1,5 +1,12 @@
 /** Joins the parts of a gateway; each part gets only what it names. */
-import { boundedLogs, clocks, logs, logSinks, randoms } from '@copperlever/runtime';
+import {
+  boundedLogs,
+  clocks,
+  logs,
+  logSinks,
+  randoms,
+  standardOutputs,
+} from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
 import * as configHolder from './server/control/config-holder.js';
@@ -64,7 +71,7 @@
 ) {
   const container = awilix.createContainer<partTypes.GatewayParts>({ strict: true });
   const clock = clocks.createSystemClock();
-  const logSink = logSinks.createLogSink(() => process.stdout, clock);
+  const logSink = logSinks.createLogSink(standardOutputs.standardOutput, clock);
   const log = boundedLogs.createBoundedLogger(
     logs.createLogger({ daemonId: settings.gatewayId, level: settings.logLevel, sink: logSink }),
     clock,
--- a/packages/runtime/src/daemon.ts
+++ b/packages/runtime/src/daemon.ts
@@ -4,6 +4,7 @@
 
 import * as logSinks from './log-sink.js';
 import * as settingsModule from './settings.js';
+import * as standardOutputs from './standard-output.js';
 
 export type DaemonCommand = {
   name: string;
@@ -51,7 +52,7 @@
 }
 
 /** The last lines of a stop are written within this time if somebody reads them. */
-const LAST_LINES_MS = 100;
+const LAST_LINES_MS = 500;
 
 /** Runs `stop` on the first SIGTERM or SIGINT, then exits with status 0. */
 export function onStopSignal(stop: () => Promise<void>): void {
@@ -60,7 +61,7 @@
     if (isStopping) return;
     isStopping = true;
     void stop()
-      .finally(() => logSinks.flush(process.stdout, LAST_LINES_MS))
+      .finally(() => logSinks.flush(standardOutputs.standardOutput(), LAST_LINES_MS))
       .finally(() => process.exit(0));
   };
   process.on('SIGTERM', onSignal);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,4 +11,5 @@
 export * as randoms from './randoms.js';
 export * as results from './results.js';
 export * as settings from './settings.js';
+export * as standardOutputs from './standard-output.js';
 export * as supervisor from './supervisor.js';
