Signals: SIGHUP reads the settings again in every daemon, and no stray signal ends one

Callers saw: SIGHUP to an entry ended it with 12 open calls (6 submissions and 6 streams, ECONNRESET); SIGHUP to three agents in turn ended 3 streams with a last event `error` and 4 calls with a 502. SIGUSR2 and SIGQUIT ended gateways, entries and agents; SIGUSR1 opened Node's debugger on a port; SIGHUP and SIGTERM ended a gateway in its first 265 to 354 ms.

Cause: entries and agents had no handler for SIGHUP, no daemon had one for SIGUSR1, SIGUSR2 and SIGQUIT, and handlers were registered only after all modules had been evaluated. The gateway's handler for SIGHUP did not read the file.

Change: held-signals.ts, which imports nothing, keeps the signals from the first statement of a program on (start.ts of entry and agent, main.ts of the gateway, start.cjs of the deployed one); once the service has started daemon.handleSignals takes them over, in order. SIGTERM, SIGINT and SIGQUIT are planned stops, later ones change nothing; SIGHUP reads the settings file: logLevel and (entry, agent) drainTimeoutMs change at once, the line names the fields that wait for the next start, and a bad file changes nothing and is reported with its reason; SIGUSR1 and SIGUSR2 are ignored. Each leaves one line, signal-received, which replaces settings-changed. SIGPIPE is left to Node, which ignores it. A signal that comes during the start is handled when the start is over; a failed start still ends with 1.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -37,7 +37,7 @@
   clock: clocks.Clock;
   random: randoms.Random;
   logSink: logSinks.LogSink;
-  log: logs.Logger;
+  log: logs.LeveledLogger;
   metrics: metricsModule.Metrics;
   upstream: httpUpstream.HttpUpstream;
   rawStore: httpStore.HttpObjectStore;
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,7 +1,7 @@
 /** The agent beside one upstream: the only process that gives it work and orders. */
 import { grpcTransport } from '@copperlever/coordination';
 import { agent } from '@copperlever/protocol';
-import { clocks, daemon, gauges, supervisor } from '@copperlever/runtime';
+import { clocks, daemon, gauges, heldSignals, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 
 import * as containers from './container.js';
@@ -19,10 +19,12 @@
 const LEAVE_SPREAD_MS = 1_000;
 const ENGINE_REPORT_TIMEOUT_MS = 2_000;
 
-const settings = daemon.readSettings(
+const settingsFile = daemon.readSettings(
   { name: 'copperlever-agent', description: 'Gives one upstream its work and its orders' },
   settingsModule.settingsSchema,
 );
+const { settings } = settingsFile;
+let { drainTimeoutMs } = settings;
 
 /**
  * Grows with each start, and past every number that the engine has seen and every owner that the
@@ -133,7 +135,7 @@
   cradle.control.membership.leave();
   if (!isConfigured()) return;
   cradle.attempts.leave();
-  const deadlineMs = clock.nowMs() + settings.drainTimeoutMs;
+  const deadlineMs = clock.nowMs() + drainTimeoutMs;
   await clocks.sleepUntil(clock, clock.nowMs() + LEAVE_SPREAD_MS);
   while (cradle.attempts.openCount() > 0 && clock.nowMs() < deadlineMs) {
     await clocks.sleepUntil(clock, clock.nowMs() + DRAIN_CHECK_MS);
@@ -149,12 +151,22 @@
   { clock, log, onGiveUp: () => process.exit(1) },
 );
 
-daemon.onStopSignal(async () => {
+async function stop(): Promise<void> {
   log.info('stopping', {});
   await drain();
   await tree.stop();
   log.info('stopped', {});
-});
+}
 
 await tree.start();
 log.info('started', { upstream: settings.upstreamId, incarnation });
+daemon.handleSignals(heldSignals.ofThisProcess(), settingsFile, {
+  log,
+  live: {
+    logLevel: log.setLevel,
+    drainTimeoutMs: (timeoutMs) => {
+      drainTimeoutMs = timeoutMs;
+    },
+  },
+  stop,
+});
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -35,7 +35,7 @@
   clock: clocks.Clock;
   random: randoms.Random;
   logSink: logSinks.LogSink;
-  log: logs.Logger;
+  log: logs.LeveledLogger;
   metrics: metricsModule.Metrics;
   rawStore: httpStore.HttpObjectStore;
   store: ReturnType<typeof resilientStore.createResilientStore>;
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
 /** The entry: takes calls from callers, routes them to agents and answers. */
 import { grpcTransport } from '@copperlever/coordination';
-import { daemon, gauges, supervisor } from '@copperlever/runtime';
+import { daemon, gauges, heldSignals, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 import type * as fastify from 'fastify';
 
@@ -15,15 +15,17 @@
 
 const STOP_TIMEOUT_MS = 5_000;
 
-const settings = daemon.readSettings(
+const settingsFile = daemon.readSettings(
   { name: 'copperlever-entry', description: 'Takes calls, routes them and answers' },
   settingsModule.settingsSchema,
 );
+const { settings } = settingsFile;
 const container = containers.createContainer(settings, Date.now());
 const { cradle } = container;
 const { clock, log, control } = cradle;
 const openCalls = { count: 0 };
 let isStopping = false;
+let { drainTimeoutMs } = settings;
 
 function readiness(): healthApp.Readiness {
   if (isStopping) return { ready: false, reason: 'stopping' };
@@ -120,7 +122,7 @@
   { clock, log, onGiveUp: () => process.exit(1) },
 );
 
-daemon.onStopSignal(async () => {
+async function stop(): Promise<void> {
   log.info('stopping', { openCallCount: openCalls.count });
   await drains.drain({
     clock,
@@ -132,11 +134,21 @@
     connections,
     openCallCount: () => openCalls.count,
     pendingClaimCount: cradle.settlements.pendingCount,
-    timeoutMs: settings.drainTimeoutMs,
+    timeoutMs: drainTimeoutMs,
   });
   await tree.stop();
   log.info('stopped', {});
-});
+}
 
 await tree.start();
 log.info('started', { callerPort: settings.callerPort });
+daemon.handleSignals(heldSignals.ofThisProcess(), settingsFile, {
+  log,
+  live: {
+    logLevel: log.setLevel,
+    drainTimeoutMs: (timeoutMs) => {
+      drainTimeoutMs = timeoutMs;
+    },
+  },
+  stop,
+});
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -65,11 +65,12 @@
   const container = awilix.createContainer<partTypes.GatewayParts>({ strict: true });
   const clock = clocks.createSystemClock();
   const logSink = logSinks.createLogSink(process.stdout, clock);
-  const log = boundedLogs.createBoundedLogger(
-    logs.createLogger({ daemonId: settings.gatewayId, level: settings.logLevel, sink: logSink }),
-    clock,
-    LOG_BOUNDS,
-  );
+  const unboundedLog = logs.createLogger({
+    daemonId: settings.gatewayId,
+    level: settings.logLevel,
+    sink: logSink,
+  });
+  const log = boundedLogs.createBoundedLogger(unboundedLog, clock, LOG_BOUNDS);
   const platform = createPlatform(clock, log);
   container.register({
     settings: awilix.asValue(settings),
@@ -77,6 +78,7 @@
     log: awilix.asValue(log),
     logSink: awilix.asValue(logSink),
     runtimeLog: awilix.asValue(log),
+    setLogLevel: awilix.asValue(unboundedLog.setLevel),
     dialect: awilix.asValue(platform.dialect),
     metrics: awilix.asFunction(controlParts.createMetrics).singleton(),
     store: awilix
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,6 +1,6 @@
 /** Runs a gateway: its parts in a supervisor tree, and its planned stop. */
 import { supervisor } from '@copperlever/runtime';
-import type { clocks } from '@copperlever/runtime';
+import type { clocks, logs } from '@copperlever/runtime';
 import * as hashers from '@copperlever/runtime/hasher';
 import * as openConnections from '@copperlever/runtime/open-connections';
 import type * as fastify from 'fastify';
@@ -53,8 +53,8 @@
    * up.
    */
   stop: (sinceMs?: number) => Promise<void>;
-  /** The settings file has changed. */
-  reload: () => void;
+  log: logs.Logger;
+  setLogLevel: logs.LeveledLogger['setLevel'];
 };
 
 export async function startGateway(
@@ -306,9 +306,7 @@
   log.info('started', { callerAddress, isFirstStart });
   return {
     stop,
-    reload: () => {
-      // Addresses and limits of the running process stand until its next start.
-      log.info('settings-changed', { inForceFrom: 'next start' });
-    },
+    log: cradle.runtimeLog,
+    setLogLevel: cradle.setLogLevel,
   };
 }
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -50,7 +50,6 @@
   /** Too little processor time: it asks the balancer for no new connections, and does again. `busyShare`: of the loop's time. */
   'shedding-began': { busyShare: number };
   'shedding-ended': { busyShare: number };
-  'settings-changed': { inForceFrom: string };
   'config-in-force': { configVersion: number; before: number; source: string };
   /** Positions of the store, as ERA.REVISION. `before`: known until then; one that is not taken is older than that. */
   'upstreams-listed': { count: number; position: string; before: string; isTaken: boolean };
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -80,6 +80,7 @@
   log: logEvents.GatewayLog;
   /** For parts of the runtime, whose lines are their own. */
   runtimeLog: logs.Logger;
+  setLogLevel: logs.LeveledLogger['setLevel'];
   logSink: logSinks.LogSink;
   directory: directories.UpstreamDirectory;
   beliefs: upstreamHealthModule.UpstreamHealthTracker;
--- a/packages/proofs/src/processes/rig.ts
+++ b/packages/proofs/src/processes/rig.ts
@@ -6,6 +6,7 @@
 
 type Started = { url: string; controlUrl: string };
 type Child = {
+  pid?: number;
   kill: (signal: NodeJS.Signals) => boolean;
   exitCode: number | null;
   signalCode: NodeJS.Signals | null;
@@ -17,6 +18,7 @@
 
 /** What scripts/fleet.mjs offers. */
 export type ProcessFleet = {
+  folder: string;
   processes: Map<string, Child>;
   writeFile: (name: string, value: unknown) => string;
   startStandIn: (name: string, kind: string, options?: string[]) => Promise<Started>;
@@ -35,7 +37,7 @@
 const script = url.pathToFileURL(path.resolve('scripts/fleet.mjs')).href;
 const scripts = (await import(script)) as FleetModule;
 
-export const { waitFor, createFleet } = scripts;
+export const { waitFor, createFleet, freePort } = scripts;
 
 const GIGABYTE = 1_000_000_000;
 /** A caller that would rather ask again than wait for an agent that is not there yet. */
--- a/packages/runtime/src/daemon.ts
+++ b/packages/runtime/src/daemon.ts
@@ -2,8 +2,11 @@
 import * as commander from 'commander';
 import type * as zod from 'zod';
 
+import type * as heldSignals from './held-signals.js';
 import * as logSinks from './log-sink.js';
+import type * as results from './results.js';
 import * as settingsModule from './settings.js';
+import * as signals from './signals.js';
 
 export type DaemonCommand = {
   name: string;
@@ -14,6 +17,13 @@
 
 type Options = { settings: string; check?: boolean };
 
+export type SettingsFile<Settings> = {
+  /** Those of the start. */
+  settings: Settings;
+  /** Reads the file again. */
+  read: () => results.Result<Settings, settingsModule.SettingsError[]>;
+};
+
 /**
  * Reads and checks the settings file given by `--settings FILE`; with `--check` the process then exits. Invalid settings
  * end the process with status 2 and one line for each error: file, line, field, reason.
@@ -22,7 +32,7 @@
   command: DaemonCommand,
   schema: zod.ZodType<Settings>,
   argv: readonly string[] = process.argv,
-): Settings {
+): SettingsFile<Settings> {
   const settingsOption = new commander.Option(
     '--settings <file>',
     'settings file: JSON with comments',
@@ -37,7 +47,8 @@
     })
     .parse([...argv]);
   const options = program.opts<Options>();
-  const loaded = settingsModule.loadSettings(options.settings, schema);
+  const read = () => settingsModule.loadSettings(options.settings, schema);
+  const loaded = read();
   if (loaded.err) {
     const lines = loaded.val.map(settingsModule.describeError);
     process.stderr.write(`${lines.join('\n')}\n`);
@@ -47,27 +58,26 @@
     process.stdout.write(`${options.settings}: ok\n`);
     process.exit(0);
   }
-  return loaded.val;
+  return { settings: loaded.val, read };
 }
 
 /** The last lines of a stop are written within this time if somebody reads them. */
 const LAST_LINES_MS = 100;
 
-/** Runs `stop` on the first SIGTERM or SIGINT, then exits with status 0. */
-export function onStopSignal(stop: () => Promise<void>): void {
-  let isStopping = false;
-  const onSignal = () => {
-    if (isStopping) return;
-    isStopping = true;
-    void stop()
-      .finally(() => logSinks.flush(process.stdout, LAST_LINES_MS))
-      .finally(() => process.exit(0));
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
-}
+export type Service<Settings> = Pick<signals.Service<Settings>, 'log' | 'live' | 'stop'>;
 
-/** Runs `reload` on SIGHUP, which reports a changed settings file. Without a handler SIGHUP would end the process. */
-export function onReload(reload: () => void): void {
-  process.on('SIGHUP', reload);
+/** Handles the signals of a service that has started: the only way in which one of them ends it is its planned stop. */
+export function handleSignals<Settings extends object>(
+  held: heldSignals.HeldSignals,
+  file: SettingsFile<Settings>,
+  service: Service<Settings>,
+): void {
+  signals.handleSignals(held, {
+    ...service,
+    settings: file.settings,
+    readSettings: file.read,
+    exit: (status) => {
+      void logSinks.flush(process.stdout, LAST_LINES_MS).finally(() => process.exit(status));
+    },
+  });
 }
--- a/packages/runtime/src/logs.test.ts
+++ b/packages/runtime/src/logs.test.ts
@@ -19,4 +19,22 @@
   assert.is(line, `${head} detail="two\\nlines and = \\"quotes\\"" cause=""`);
 });
 
+// Guards against a level that is said to be in force and keeps lines from operators who ask for them.
+test('a new level holds for the next line', () => {
+  const lines: string[] = [];
+  const sink = {
+    write: (line: string) => lines.push(line),
+    onResumed: () => {},
+    state: () => 'writing' as const,
+    lostLineCount: () => 0,
+    pendingCharacters: () => 0,
+  };
+  const log = logs.createLogger({ daemonId: 'g1', level: 'warn', sink });
+  log.info('hidden');
+  log.setLevel('info');
+  log.info('shown');
+  assert.is(lines.length, 1);
+  assert.match(lines[0] ?? '', 'event=shown');
+});
+
 test.run();
--- a/packages/runtime/src/logs.ts
+++ b/packages/runtime/src/logs.ts
@@ -12,6 +12,11 @@
   error: (event: string, fields?: LogFields) => void;
 };
 
+export type LogLevel = 'info' | 'warn' | 'error';
+
+/** A logger whose level can change. */
+export type LeveledLogger = Logger & { setLevel: (level: LogLevel) => void };
+
 type BunyanRecord = Record<string, unknown> & { time: Date; level: number; msg: string };
 
 /** Fields of a bunyan record that are left out: those already at the head of the line, and those that nobody needs. */
@@ -35,11 +40,11 @@
 
 export type LoggerOptions = {
   daemonId: string;
-  level: 'info' | 'warn' | 'error';
+  level: LogLevel;
   sink: logSinks.LogSink;
 };
 
-export function createLogger({ daemonId, level, sink }: LoggerOptions): Logger {
+export function createLogger({ daemonId, level, sink }: LoggerOptions): LeveledLogger {
   const stream = {
     write: (record: BunyanRecord) => sink.write(formatLine(record)),
   };
@@ -48,10 +53,11 @@
     daemonId,
     streams: [{ type: 'raw', level, stream: stream as unknown as NodeJS.WritableStream }],
   });
-  const logger: Logger = {
+  const logger: LeveledLogger = {
     info: (event, fields = {}) => log.info(fields, event),
     warn: (event, fields = {}) => log.warn(fields, event),
     error: (event, fields = {}) => log.error(fields, event),
+    setLevel: (newLevel) => log.level(newLevel),
   };
   sink.onResumed(({ count, state, reason }) => {
     logger.warn('log-lines-lost', { count, state, reason });
--- a/scripts/build-deploy.mjs
+++ b/scripts/build-deploy.mjs
@@ -14,7 +14,10 @@
 }
 
 await esbuild.build({
-  entryPoints: { 'gateway-bundle': 'platform/src/gateway.ts' },
+  entryPoints: {
+    'gateway-bundle': 'platform/src/gateway.ts',
+    'held-signals': 'packages/runtime/src/held-signals.ts',
+  },
   outdir: 'target',
   outExtension: { '.js': '.cjs' },
   bundle: true,
--- a/scripts/deploy/start.cjs
+++ b/scripts/deploy/start.cjs
@@ -6,6 +6,11 @@
 const path = require('node:path');
 const vm = require('node:vm');
 
+const heldSignals = require('./held-signals.cjs');
+
+// Kept before all else: a signal without a handler ends the process.
+const held = require.main === module ? heldSignals.ofThisProcess() : null;
+
 /** Evaluates the bundle beside this file. */
 function loadBundle() {
   const file = path.join(__dirname, 'gateway-bundle.cjs');
@@ -21,4 +26,4 @@
 
 module.exports = { loadBundle };
 
-if (require.main === module) void loadBundle().exports.run();
+if (require.main === module) void loadBundle().exports.run(held);
--- a/scripts/programs.mjs
+++ b/scripts/programs.mjs
@@ -2,8 +2,8 @@
 import * as fs from 'node:fs/promises';
 
 const programs = {
-  'copperlever-entry': 'packages/entry/src/main.ts',
-  'copperlever-agent': 'packages/agent/src/main.ts',
+  'copperlever-entry': 'packages/entry/src/start.ts',
+  'copperlever-agent': 'packages/agent/src/start.ts',
   'copperlever-gateway': 'platform/src/main.ts',
   copperlever: 'packages/cli/src/main.ts',
   'stand-in-platform': 'packages/stand-ins/src/platform/main.ts',
