Stops: one whose work fails says why and ends with status 1

Seen by operators: a planned stop whose work rejected (a part that could not be stopped) left no line and ended with status 0, like a good one.

Cause: the exit hung on `finally`, so it came with status 0 before the rejection was reported. Shown on the code before by a program whose stop is `Promise.reject(new Error('no store'))`: SIGTERM, no output, status 0.

Change: the rejection is logged as stop-failed with its reason, and the status is 1.

Before, signals.test.ts of the runtime: "Exiting early before testing is finished", Error: no store at Object.stop (signals.test.ts:104). After: 3 of 3 pass.

--- a/packages/runtime/src/signals.test.ts
+++ b/packages/runtime/src/signals.test.ts
@@ -52,13 +52,18 @@
   return JSON.stringify({ event: 'signal-received', ...fields });
 }
 
+async function settle(): Promise<void> {
+  await new Promise(setImmediate);
+}
+
 // Guards against a stop that is asked for during the start and forgotten, and one that a later signal cuts short.
-test('signals that come while the service starts are handled in order once it has started', () => {
+test('signals that come while the service starts are handled in order once it has started', async () => {
   const fixture = createFixture(() => new Promise(() => {}));
   ['SIGHUP', 'SIGHUP', 'SIGUSR1', 'SIGINT'].forEach(fixture.signal);
   assert.equal(fixture.lines, []);
   fixture.start();
   ['SIGINT', 'SIGHUP', 'SIGQUIT'].forEach(fixture.signal);
+  await settle();
   assert.equal(fixture.lines, [
     received({ signal: 'SIGHUP', outcome: 'settings-unchanged' }),
     received({ signal: 'SIGUSR1', outcome: 'ignored' }),
@@ -94,4 +99,20 @@
   assert.equal(fixture.levels, ['warn']);
 });
 
+// Guards against a stop that fails with requests open and is taken for a good one.
+test('a stop whose work fails says why and ends with 1, a good one with 0', async () => {
+  const failing = createFixture(() => Promise.reject(new Error('no store')));
+  const good = createFixture(() => Promise.resolve());
+  for (const fixture of [failing, good]) {
+    fixture.start();
+    fixture.signal('SIGTERM');
+  }
+  await settle();
+  assert.equal([failing.exits, good.exits], [[1], [0]]);
+  assert.is(
+    failing.lines.at(-1),
+    JSON.stringify({ event: 'stop-failed', reason: 'Error: no store' }),
+  );
+});
+
 test.run();
--- a/packages/runtime/src/signals.ts
+++ b/packages/runtime/src/signals.ts
@@ -23,6 +23,7 @@
 };
 
 const STOPPED_STATUS = 0;
+const STOP_FAILED_STATUS = 1;
 
 function isSame(one: unknown, other: unknown): boolean {
   return JSON.stringify(one) === JSON.stringify(other);
@@ -69,6 +70,17 @@
     applied.forEach((field) => putInForce(field, read.val[field]));
   }
 
+  async function stop(sinceMs: number): Promise<void> {
+    try {
+      await service.stop(sinceMs);
+    } catch (cause) {
+      log.error('stop-failed', { reason: String(cause) });
+      service.exit(STOP_FAILED_STATUS);
+      return;
+    }
+    service.exit(STOPPED_STATUS);
+  }
+
   held.takeOver(({ name, receivedAtMs }) => {
     switch (name) {
       case 'SIGTERM':
@@ -80,7 +92,7 @@
         });
         if (isStopping) return;
         isStopping = true;
-        void service.stop(receivedAtMs).finally(() => service.exit(STOPPED_STATUS));
+        void stop(receivedAtMs);
         return;
       case 'SIGHUP':
         if (isStopping) log.info('signal-received', { signal: name, outcome: 'stopping-already' });
