--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -72,11 +72,12 @@
   const container = awilix.createContainer<partTypes.GatewayParts>({ strict: true });
   const clock = clocks.createSystemClock();
   const logSink = logSinks.createLogSink(standardOutputs.standardOutput, clock);
-  const log = boundedLogs.createBoundedLogger(
-    logs.createLogger({ daemonId: settings.gatewayId, level: settings.logLevel, sink: logSink }),
-    clock,
-    LOG_BOUNDS,
-  );
+  const unboundedLog = logs.createLogger({
+    daemonId: settings.gatewayId,
+    level: settings.logLevel,
+    sink: logSink,
+  });
+  const log = boundedLogs.createBoundedLogger(unboundedLog, clock, LOG_BOUNDS);
   const platform = createPlatform(clock, log);
   container.register({
     settings: awilix.asValue(settings),
@@ -84,6 +85,7 @@
     log: awilix.asValue(log),
     logSink: awilix.asValue(logSink),
     runtimeLog: awilix.asValue(log),
+    setLogLevel: awilix.asValue(unboundedLog.setLevel),
     dialect: awilix.asValue(platform.dialect),
     metrics: awilix.asFunction(controlParts.createMetrics).singleton(),
     store: awilix
