Logs: a flood of errors has a bound of its own

What callers saw: nothing measured here; a fault that each request meets (`request-broken`) writes a line for each, some tens of microseconds of processor time a line, without bound. Cause: errors were taken to be rare and were never limited. Change: each event has a bound for errors too, as high as that of warnings (300 lines a second at a gateway); its first lines are kept and the rest counted in `lines-dropped`.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -47,7 +47,11 @@
 import type * as partTypes from './types/parts.js';
 
 /** At some tens of microseconds a line, the two lines of a request take about a hundredth of a core. */
-const LOG_BOUNDS: boundedLogs.LogBounds = { infoPerSecond: 150, warnPerSecond: 300 };
+const LOG_BOUNDS: boundedLogs.LogBounds = {
+  infoPerSecond: 150,
+  warnPerSecond: 300,
+  errorPerSecond: 300,
+};
 
 function isOn(
   { configuration }: Pick<partTypes.GatewayParts, 'configuration'>,
--- a/packages/runtime/src/bounded-logs.ts
+++ b/packages/runtime/src/bounded-logs.ts
@@ -3,9 +3,10 @@
 import type * as logs from './logs.js';
 
 export type LogBounds = {
-  /** Maximum lines per second for one event, by level. Warnings get the higher limit; errors are not limited. */
+  /** Maximum lines per second for one event, by level. */
   infoPerSecond: number;
   warnPerSecond: number;
+  errorPerSecond: number;
 };
 
 const WINDOW_MS = 1_000;
@@ -48,7 +49,8 @@
     warn: (event, fields) => {
       if (isWithinLimit(event, bounds.warnPerSecond)) log.warn(event, fields);
     },
-    // Errors are rare and each may have a different cause, so they are never dropped.
-    error: (event, fields) => log.error(event, fields),
+    error: (event, fields) => {
+      if (isWithinLimit(event, bounds.errorPerSecond)) log.error(event, fields);
+    },
   };
 }
