Faults that nothing has handled are named, and end the process by its planned stop

What callers saw: an uncaught error or an unhandled rejection in any part, also one that no request waits for, cuts off all that a process has accepted; its reason goes to standard error only. A part that is given up did the same. Cause: Node ends the process at such an error; the supervisors' `onGiveUp` was process.exit(1). Change: the programs of entry, agent and gateway begin with watchProcess: such an error is one `process-fault` line (kind, name, message of at most 200 characters, code, first stack frames), and the planned stop begins, which ends with status 1 and is cut off after its own time. Further errors meanwhile change nothing but lines, ten a second at most. Before the start is over the line stands and the process ends at once. A planned stop that itself fails is named too; it ended with status 0 and no line before. A part that is given up ends the process in the same way. Values other than errors are told by type only, since they may hold anything of a request. Weighed: to log and go on, as many servers do: a process in an unknown state may have lost a promise that a request waits for, and would go on taking work, so it takes none; to end at once, as Node does: what is accepted would be lost for a fault that most of it has nothing to do with. The stop is the one that is tested for leaving nothing behind.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,7 +1,7 @@
 /** The agent beside one upstream: the only process that gives it work and orders. */
 import { grpcTransport } from '@copperlever/coordination';
 import { agent } from '@copperlever/protocol';
-import { clocks, daemon, gauges, supervisor } from '@copperlever/runtime';
+import { clocks, daemon, gauges, processFaults, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 
 import * as containers from './container.js';
@@ -19,6 +19,7 @@
 const LEAVE_SPREAD_MS = 1_000;
 const ENGINE_REPORT_TIMEOUT_MS = 2_000;
 
+const processEnd = processFaults.watchProcess('copperlever-agent');
 const settings = daemon.readSettings(
   { name: 'copperlever-agent', description: 'Gives one upstream its work and its orders' },
   settingsModule.settingsSchema,
@@ -146,15 +147,19 @@
     { name: 'upstream', start: startUpstream },
     { name: 'reports', start: startReports },
   ],
-  { clock, log, onGiveUp: () => process.exit(1) },
+  { clock, log, onGiveUp: processEnd.partGivenUp },
 );
 
-daemon.onStopSignal(async () => {
+async function stop(): Promise<void> {
   log.info('stopping', {});
   await drain();
   await tree.stop();
   log.info('stopped', {});
-});
+}
+
+processEnd.endBy({ run: stop, timeoutMs: settings.drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
+daemon.onStopSignal(processEnd.stop);
 
 await tree.start();
+processEnd.started(log);
 log.info('started', { upstream: settings.upstreamId, incarnation });
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
 /** The entry: takes calls from callers, routes them to agents and answers. */
 import { grpcTransport } from '@copperlever/coordination';
-import { daemon, gauges, supervisor } from '@copperlever/runtime';
+import { daemon, gauges, processFaults, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 import type * as fastify from 'fastify';
 
@@ -15,6 +15,7 @@
 
 const STOP_TIMEOUT_MS = 5_000;
 
+const processEnd = processFaults.watchProcess('copperlever-entry');
 const settings = daemon.readSettings(
   { name: 'copperlever-entry', description: 'Takes calls, routes them and answers' },
   settingsModule.settingsSchema,
@@ -117,10 +118,10 @@
     { name: 'callers', start: startCallers },
     { name: 'reports', start: startReports },
   ],
-  { clock, log, onGiveUp: () => process.exit(1) },
+  { clock, log, onGiveUp: processEnd.partGivenUp },
 );
 
-daemon.onStopSignal(async () => {
+async function stop(): Promise<void> {
   log.info('stopping', { openCallCount: openCalls.count });
   await drains.drain({
     clock,
@@ -136,7 +137,11 @@
   });
   await tree.stop();
   log.info('stopped', {});
-});
+}
+
+processEnd.endBy({ run: stop, timeoutMs: settings.drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
+daemon.onStopSignal(processEnd.stop);
 
 await tree.start();
+processEnd.started(log);
 log.info('started', { callerPort: settings.callerPort });
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,6 +1,6 @@
 /** Runs a gateway: its parts in a supervisor tree, and its planned stop. */
 import { supervisor } from '@copperlever/runtime';
-import type { clocks } from '@copperlever/runtime';
+import type { clocks, logs } from '@copperlever/runtime';
 import * as hashers from '@copperlever/runtime/hasher';
 import * as openConnections from '@copperlever/runtime/open-connections';
 import type * as fastify from 'fastify';
@@ -48,6 +48,7 @@
 }
 
 export type RunningGateway = {
+  log: logs.Logger;
   /**
    * A planned stop, whose time counts from `sinceMs` or from now; resolves when all that was taken has been answered or its time is
    * up.
@@ -60,6 +61,7 @@
 export async function startGateway(
   settings: settingsModule.Settings,
   createPlatform: CreatePlatform,
+  onGiveUp: (partName: string) => void,
 ): Promise<RunningGateway> {
   let stopping: stops.StopTimes | null = null;
   const isStopping = () => stopping !== null;
@@ -274,7 +276,7 @@
         },
       },
     ],
-    { clock, log: cradle.runtimeLog, onGiveUp: () => process.exit(1) },
+    { clock, log: cradle.runtimeLog, onGiveUp },
   );
 
   async function stop(sinceMs = clock.nowMs()): Promise<void> {
@@ -305,6 +307,7 @@
   const { callerAddress, isFirstStart } = settings;
   log.info('started', { callerAddress, isFirstStart });
   return {
+    log: cradle.runtimeLog,
     stop,
     reload: () => {
       // Addresses and limits of the running process stand until its next start.
--- a/packages/runtime/src/daemon.ts
+++ b/packages/runtime/src/daemon.ts
@@ -2,7 +2,6 @@
 import * as commander from 'commander';
 import type * as zod from 'zod';
 
-import * as logSinks from './log-sink.js';
 import * as settingsModule from './settings.js';
 
 export type DaemonCommand = {
@@ -50,21 +49,10 @@
   return loaded.val;
 }
 
-/** The last lines of a stop are written within this time if somebody reads them. */
-const LAST_LINES_MS = 100;
-
-/** Runs `stop` on the first SIGTERM or SIGINT, then exits with status 0. */
-export function onStopSignal(stop: () => Promise<void>): void {
-  let isStopping = false;
-  const onSignal = () => {
-    if (isStopping) return;
-    isStopping = true;
-    void stop()
-      .finally(() => logSinks.flush(process.stdout, LAST_LINES_MS))
-      .finally(() => process.exit(0));
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
+/** Runs `stop` on each SIGTERM and SIGINT. */
+export function onStopSignal(stop: () => void): void {
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
 }
 
 /** Runs `reload` on SIGHUP, which reports a changed settings file. Without a handler SIGHUP would end the process. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,6 +8,7 @@
 export * as logSinks from './log-sink.js';
 export * as logs from './logs.js';
 export * as metrics from './metrics.js';
+export * as processFaults from './process-faults.js';
 export * as randoms from './randoms.js';
 export * as results from './results.js';
 export * as settings from './settings.js';
--- /dev/null
+++ b/packages/runtime/src/process-faults.test.ts
@@ -0,0 +1,99 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as processFaults from './process-faults.js';
+import * as fakeClocks from './testing/fake-clock.js';
+
+const test = suite('faults of a process');
+
+const STOP_TIMEOUT_MS = 8_000;
+
+function createProcess() {
+  const clock = fakeClocks.createFakeClock();
+  const exits: number[] = [];
+  const faults: unknown[] = [];
+  const log = {
+    info: () => {},
+    warn: () => {},
+    error: (_event: string, fields = {}) => faults.push(fields),
+  };
+  const stopped = { count: 0, resolve: () => {}, reject: (_cause: Error) => {} };
+  const processEnd = processFaults.createProcessEnd({
+    clock,
+    log,
+    flush: () => Promise.resolve(),
+    exit: (status) => exits.push(status),
+  });
+  processEnd.endBy({
+    timeoutMs: STOP_TIMEOUT_MS,
+    run: () => {
+      stopped.count += 1;
+      return new Promise((resolve, reject) => {
+        Object.assign(stopped, { resolve, reject });
+      });
+    },
+  });
+  return { clock, log, exits, faults, stopped, processEnd };
+}
+
+// Guards against faults in a row that cut the planned stop short, or fill the log.
+test('further faults change nothing about the stop that the first one began', async () => {
+  const { clock, log, exits, faults, stopped, processEnd } = createProcess();
+  processEnd.started(log);
+  for (let count = 0; count < 1_000; count += 1)
+    processEnd.failed('exception', new Error('broken'));
+  processEnd.stop();
+  await clock.advance(STOP_TIMEOUT_MS - 1);
+  assert.equal(exits, []);
+  assert.is(stopped.count, 1);
+  assert.is(faults.length, 10);
+  stopped.resolve();
+  await clock.advance(0);
+  assert.equal(exits, [1]);
+});
+
+// Guards against a process in an unknown state whose stop waits for what is broken.
+test('a stop that a fault befalls ends after its time, with a failure', async () => {
+  const { clock, log, exits, processEnd } = createProcess();
+  processEnd.started(log);
+  processEnd.stop();
+  await clock.advance(1_000);
+  processEnd.failed('rejection', new Error('broken'));
+  await clock.advance(STOP_TIMEOUT_MS);
+  assert.equal(exits, [1]);
+});
+
+// Guards against a process that never starts, and that its service manager takes for a running one.
+test('a fault before the start is over ends the process at once', async () => {
+  const { clock, exits, faults, stopped, processEnd } = createProcess();
+  processEnd.failed('rejection', Object.create(null));
+  await clock.advance(0);
+  assert.equal(exits, [1]);
+  assert.equal(faults, [{ kind: 'rejection', isStarted: false, name: 'object' }]);
+  assert.is(stopped.count, 0);
+});
+
+// Guards against a stop that fails midway and is taken for a planned one.
+test('a planned stop that fails is named', async () => {
+  const { clock, log, exits, faults, stopped, processEnd } = createProcess();
+  processEnd.started(log);
+  processEnd.stop();
+  stopped.reject(new Error('not closed'));
+  await clock.advance(0);
+  assert.equal(exits, [1]);
+  assert.is(faults.length, 1);
+});
+
+// Guards against a part that is given up and cuts off all requests.
+test('a part that is given up begins the planned stop', async () => {
+  const { clock, log, exits, stopped, processEnd } = createProcess();
+  processEnd.started(log);
+  processEnd.partGivenUp();
+  await clock.advance(0);
+  assert.equal(exits, []);
+  stopped.resolve();
+  await clock.advance(0);
+  assert.equal(exits, [1]);
+});
+
+test.run();
--- /dev/null
+++ b/packages/runtime/src/process-faults.ts
@@ -0,0 +1,141 @@
+/**
+ * How a process ends: by a planned stop that a signal asks for, or by a fault that nothing has handled. A process in an unknown
+ * state takes no more work, and still answers what it has accepted: a fault is named in a line and begins the planned stop.
+ */
+import * as boundedLogs from './bounded-logs.js';
+import * as clocks from './clocks.js';
+import * as logSinks from './log-sink.js';
+import * as logs from './logs.js';
+
+export type PlannedStop = {
+  run: () => Promise<void>;
+  /** A stop that a fault has begun, or has befallen, is cut off after this time: it may wait for what is broken. */
+  timeoutMs: number;
+};
+
+export type ProcessEnd = {
+  /** From now on the process ends by `stop`. */
+  endBy: (stop: PlannedStop) => void;
+  /** The start is over: from now on faults begin the planned stop. Before that they end the process at once. */
+  started: (log: logs.Logger) => void;
+  /** Begins the planned stop; does nothing where it has begun. */
+  stop: () => void;
+  /** Ends the process because of an error that nothing has handled. */
+  failed: (kind: FaultKind, cause: unknown) => void;
+  /** Ends the process because a part of it keeps failing, which its supervisor has logged. */
+  partGivenUp: () => void;
+};
+
+export type FaultKind = 'exception' | 'rejection' | 'stop';
+
+export type ProcessEndOptions = {
+  clock: Pick<clocks.Clock, 'nowMs' | 'schedule'>;
+  /** For faults before the start is over. */
+  log: logs.Logger;
+  /** Writes the last lines. */
+  flush: () => Promise<void>;
+  exit: (status: number) => void;
+};
+
+const FAULT_EXIT_STATUS = 1;
+/** Lines a second: the first ones tell what is broken. */
+const LOG_BOUNDS: boundedLogs.LogBounds = {
+  infoPerSecond: 1,
+  warnPerSecond: 10,
+  errorPerSecond: 10,
+};
+const MESSAGE_LENGTH_MAX = 200;
+const FRAMES_MAX = 4;
+/** The last lines of a stop are written within this time if somebody reads them. */
+const LAST_LINES_MS = 100;
+
+/** What is thrown need not be an error. Values other than errors may hold anything of a request, so only their type is told. */
+function describe(cause: unknown): logs.LogFields {
+  if (!(cause instanceof Error)) return { name: typeof cause };
+  const stack = typeof cause.stack === 'string' ? cause.stack : '';
+  const frames = stack.split('\n').filter((line) => line.startsWith('    at '));
+  return {
+    name: cause.name,
+    message: String(cause.message).slice(0, MESSAGE_LENGTH_MAX),
+    code: (cause as NodeJS.ErrnoException).code,
+    frames: frames
+      .slice(0, FRAMES_MAX)
+      .map((frame) => frame.trim())
+      .join(', '),
+  };
+}
+
+export function createProcessEnd({ clock, log, flush, exit }: ProcessEndOptions): ProcessEnd {
+  let faultLog = boundedLogs.createBoundedLogger(log, clock, LOG_BOUNDS);
+  let planned: PlannedStop | null = null;
+  let isStarted = false;
+  let isStopping = false;
+  let isBounded = false;
+  let status = 0;
+
+  function end(): void {
+    void flush().finally(() => exit(status));
+  }
+
+  async function runStop({ run }: PlannedStop): Promise<void> {
+    try {
+      await run();
+    } catch (cause) {
+      status = FAULT_EXIT_STATUS;
+      faultLog.error('process-fault', { kind: 'stop', ...describe(cause) });
+    }
+    end();
+  }
+
+  function stop(): void {
+    if (isStopping) return;
+    isStopping = true;
+    if (planned === null) end();
+    else void runStop(planned);
+  }
+
+  function endFaulty(): void {
+    status = FAULT_EXIT_STATUS;
+    if (!isStarted || planned === null) {
+      end();
+      return;
+    }
+    if (!isBounded) clock.schedule(clock.nowMs() + planned.timeoutMs, end);
+    isBounded = true;
+    stop();
+  }
+
+  return {
+    endBy: (newStop) => {
+      planned = newStop;
+    },
+    started: (newLog) => {
+      isStarted = true;
+      faultLog = boundedLogs.createBoundedLogger(newLog, clock, LOG_BOUNDS);
+    },
+    stop,
+    failed: (kind, cause) => {
+      faultLog.error('process-fault', { kind, isStarted, ...describe(cause) });
+      endFaulty();
+    },
+    partGivenUp: endFaulty,
+  };
+}
+
+/**
+ * To be called in the first statement of a program: names each fault that nothing has handled, and ends the process. Node itself
+ * would cut off all requests. `name`: of the program, until it knows its settings.
+ */
+export function watchProcess(name: string): ProcessEnd {
+  const clock = clocks.createSystemClock();
+  const sink = logSinks.createLogSink(process.stdout, clock);
+  const processEnd = createProcessEnd({
+    clock,
+    log: logs.createLogger({ daemonId: name, level: 'info', sink }),
+    flush: () => logSinks.flush(process.stdout, LAST_LINES_MS),
+    exit: (status) => process.exit(status),
+  });
+  process.on('uncaughtException', (cause) => processEnd.failed('exception', cause));
+  process.on('unhandledRejection', (cause) => processEnd.failed('rejection', cause));
+  return processEnd;
+}
