Warnings of Node are lines of the log, and standard error may fail

What callers saw: a warning of Node itself (too many listeners, a deprecation) ended the process with all it had accepted where the reader of its standard error was gone or the disk behind it full. Cause: Node's own listener writes warnings to standard error, and nothing listened for that stream's errors. Change: the programs write warnings as `node-warning` lines, through the bounded log, and an error of standard error is survived. Nothing else of a running process writes there.

--- a/packages/runtime/src/process-faults.ts
+++ b/packages/runtime/src/process-faults.ts
@@ -22,6 +22,8 @@
   stop: () => void;
   /** Ends the process because of an error that nothing has handled. */
   failed: (kind: FaultKind, cause: unknown) => void;
+  /** Logs a warning of Node itself. */
+  warned: (warning: Error) => void;
   /** Ends the process because a part of it keeps failing, which its supervisor has logged. */
   partGivenUp: () => void;
 };
@@ -118,6 +120,7 @@
       faultLog.error('process-fault', { kind, isStarted, ...describe(cause) });
       endFaulty();
     },
+    warned: (warning) => faultLog.warn('node-warning', describe(warning)),
     partGivenUp: endFaulty,
   };
 }
@@ -135,6 +138,10 @@
     flush: () => logSinks.flush(process.stdout, LAST_LINES_MS),
     exit: (status) => process.exit(status),
   });
+  // Node's own listener writes to standard error, whose reader may be gone: its error would end the process.
+  process.removeAllListeners('warning');
+  process.on('warning', processEnd.warned);
+  process.stderr.on('error', () => {});
   process.on('uncaughtException', (cause) => processEnd.failed('exception', cause));
   process.on('unhandledRejection', (cause) => processEnd.failed('rejection', cause));
   return processEnd;
