Peers: an address that is none counts as that of an unreachable peer

What callers saw: a gateway ended, with all it had accepted, a moment after one message told it of another gateway without an address; agents and entries likewise. Cause: gRPC throws when a channel to an empty address is opened. The call then rejects in place of resolving to its failure, and the loops that make it (exchange, membership, the agents' coordinator) are awaited by nobody. Change: channels and the link between agents resolve to `unreachable` there, as for an address that leads nowhere. Excluded: other odd addresses ("http://a/b", ports above 65535, half an IPv6 address) are refused by the call and were sound.

--- a/packages/agent/src/server/placing/grpc-agent-link.ts
+++ b/packages/agent/src/server/placing/grpc-agent-link.ts
@@ -29,10 +29,15 @@
   ): Promise<results.Result<Message, types.AgentLinkError>> {
     const deadline = new Date(clock.wallMs() + deadlineMs - clock.nowMs());
     return new Promise((resolve) => {
-      send({ deadline }, (error, reply) => {
-        if (error === null) resolve(results.Ok(reply));
-        else resolve(results.Err({ kind: 'unreachable', detail: error.message }));
-      });
+      try {
+        send({ deadline }, (error, reply) => {
+          if (error === null) resolve(results.Ok(reply));
+          else resolve(results.Err({ kind: 'unreachable', detail: error.message }));
+        });
+      } catch (cause) {
+        // Addresses are told by members: one that is none counts as that of an agent that cannot be reached.
+        resolve(results.Err({ kind: 'unreachable', detail: String(cause) }));
+      }
     });
   }
 
--- a/packages/gateway/src/server/peers/peer-link.test.ts
+++ b/packages/gateway/src/server/peers/peer-link.test.ts
@@ -84,4 +84,17 @@
   link.close();
 });
 
+// Guards against a gateway that ends because a peer told it of another one without an address.
+test('a peer without an address that can be used counts as unreachable', async () => {
+  const clock = clocks.createSystemClock();
+  const link = peerLinks.createPeerLink(clock);
+  const request = gatewayPeer.TakeRetryRequest.fromPartial({});
+  for (const address of ['', '\n', 'http://a/b', '1.2.3.4:70000']) {
+    const taken = await link.takeRetry(address, request, clock.nowMs() + WAIT_MS);
+    assert.ok(taken.err, JSON.stringify(address));
+    assert.is(taken.val.kind, 'unreachable');
+  }
+  link.close();
+});
+
 test.run();
--- a/packages/protocol/src/channels.ts
+++ b/packages/protocol/src/channels.ts
@@ -63,13 +63,18 @@
   const channels = new Map<string, Channel<Client>>();
   const noMetadata = new grpc.Metadata();
 
-  function getOrOpen(address: string): Channel<Client> {
+  /** Addresses are told by peers: one that is none counts as that of a peer that cannot be reached. */
+  function getOrOpen(address: string): results.Result<Channel<Client>, PeerError> {
     const existing = channels.get(address);
-    if (existing !== undefined) return existing;
-    const client = options.connect(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
-    const channel = { client, activeCount: 0, cancelIdle: () => {} };
-    channels.set(address, channel);
-    return channel;
+    if (existing !== undefined) return results.Ok(existing);
+    try {
+      const client = options.connect(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
+      const channel = { client, activeCount: 0, cancelIdle: () => {} };
+      channels.set(address, channel);
+      return results.Ok(channel);
+    } catch (cause) {
+      return results.Err({ kind: 'unreachable', address, reason: String(cause) });
+    }
   }
 
   function closeChannel(address: string, channel: Channel<Client>): void {
@@ -98,8 +103,10 @@
   }
 
   return {
-    call: (address, request, deadlineMs, method) => {
-      const channel = getOrOpen(address);
+    call: async (address, request, deadlineMs, method) => {
+      const opened = getOrOpen(address);
+      if (opened.err) return opened;
+      const channel = opened.val;
       channel.cancelIdle();
       channel.activeCount += 1;
       const deadline = Date.now() + Math.max(1, deadlineMs - clock.nowMs());
