--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
 /** The entry: takes calls from callers, routes them to agents and answers. */
 import { grpcTransport } from '@copperlever/coordination';
-import { daemon, gauges, heldSignals, supervisor } from '@copperlever/runtime';
+import { daemon, gauges, heldSignals, processFaults, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 import type * as fastify from 'fastify';
 
@@ -15,6 +15,7 @@
 
 const STOP_TIMEOUT_MS = 5_000;
 
+const processEnd = processFaults.watchProcess('copperlever-entry');
 const settingsFile = daemon.readSettings(
   { name: 'copperlever-entry', description: 'Takes calls, routes them and answers' },
   settingsModule.settingsSchema,
@@ -119,7 +120,7 @@
     { name: 'callers', start: startCallers },
     { name: 'reports', start: startReports },
   ],
-  { clock, log, onGiveUp: () => process.exit(1) },
+  { clock, log, onGiveUp: processEnd.partGivenUp },
 );
 
 async function stop(): Promise<void> {
@@ -140,7 +141,10 @@
   log.info('stopped', {});
 }
 
+processEnd.endBy({ run: stop, timeoutMs: settings.drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
+
 await tree.start();
+processEnd.started(log);
 log.info('started', { callerPort: settings.callerPort });
 daemon.handleSignals(heldSignals.ofThisProcess(), settingsFile, {
   log,
@@ -150,5 +154,5 @@
       drainTimeoutMs = timeoutMs;
     },
   },
-  stop,
+  processEnd,
 });
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -60,6 +60,7 @@
 export async function startGateway(
   settings: settingsModule.Settings,
   createPlatform: CreatePlatform,
+  onGiveUp: (partName: string) => void,
 ): Promise<RunningGateway> {
   let stopping: stops.StopTimes | null = null;
   const isStopping = () => stopping !== null;
@@ -274,7 +275,7 @@
         },
       },
     ],
-    { clock, log: cradle.runtimeLog, onGiveUp: () => process.exit(1) },
+    { clock, log: cradle.runtimeLog, onGiveUp },
   );
 
   async function stop(sinceMs = clock.nowMs()): Promise<void> {
--- a/packages/runtime/src/daemon.ts
+++ b/packages/runtime/src/daemon.ts
@@ -3,11 +3,10 @@
 import type * as zod from 'zod';
 
 import type * as heldSignals from './held-signals.js';
-import * as logSinks from './log-sink.js';
+import type * as processFaults from './process-faults.js';
 import type * as results from './results.js';
 import * as settingsModule from './settings.js';
 import * as signals from './signals.js';
-import * as standardOutputs from './standard-output.js';
 
 export type DaemonCommand = {
   name: string;
@@ -62,10 +61,9 @@
   return { settings: loaded.val, read };
 }
 
-/** The last lines of a stop are written within this time if somebody reads them. */
-const LAST_LINES_MS = 500;
-
-export type Service<Settings> = Pick<signals.Service<Settings>, 'log' | 'live' | 'stop'>;
+export type Service<Settings> = Pick<signals.Service<Settings>, 'log' | 'live'> & {
+  processEnd: Pick<processFaults.ProcessEnd, 'stop' | 'isStopping'>;
+};
 
 /** Handles the signals of a service that has started: the only way in which one of them ends it is its planned stop. */
 export function handleSignals<Settings extends object>(
@@ -73,13 +71,13 @@
   file: SettingsFile<Settings>,
   service: Service<Settings>,
 ): void {
+  const { log, live, processEnd } = service;
   signals.handleSignals(held, {
-    ...service,
+    log,
+    live,
     settings: file.settings,
     readSettings: file.read,
-    exit: (status) => {
-      const output = standardOutputs.standardOutput();
-      void logSinks.flush(output, LAST_LINES_MS).finally(() => process.exit(status));
-    },
+    stop: processEnd.stop,
+    isStopping: processEnd.isStopping,
   });
 }
--- a/packages/runtime/src/signals.test.ts
+++ b/packages/runtime/src/signals.test.ts
@@ -20,17 +20,17 @@
   reason: 'not a number',
 };
 
-function createFixture(stop: () => Promise<void>) {
+function createFixture() {
   const listeners = new Map<string, () => void>();
   const lines: string[] = [];
-  const exits: number[] = [];
+  let stopCount = 0;
   const levels: string[] = [];
   let read: Read = results.Ok(SETTINGS);
   const held = heldSignals.holdSignals({ on: (name, listener) => listeners.set(name, listener) });
   const write = (event: string, fields = {}) => lines.push(JSON.stringify({ event, ...fields }));
   return {
     lines,
-    exits,
+    stopCount: () => stopCount,
     levels,
     signal: (name: string) => listeners.get(name)?.(),
     say: (next: Read) => {
@@ -42,8 +42,10 @@
         settings: SETTINGS,
         readSettings: () => read,
         live: { logLevel: (level) => levels.push(level) },
-        stop,
-        exit: (status) => exits.push(status),
+        stop: () => {
+          stopCount += 1;
+        },
+        isStopping: () => stopCount > 0,
       }),
   };
 }
@@ -52,18 +54,13 @@
   return JSON.stringify({ event: 'signal-received', ...fields });
 }
 
-async function settle(): Promise<void> {
-  await new Promise(setImmediate);
-}
-
 // Guards against a stop that is asked for during the start and forgotten, and one that a later signal cuts short.
-test('signals that come while the service starts are handled in order once it has started', async () => {
-  const fixture = createFixture(() => new Promise(() => {}));
+test('signals that come while the service starts are handled in order once it has started', () => {
+  const fixture = createFixture();
   ['SIGHUP', 'SIGHUP', 'SIGUSR1', 'SIGINT'].forEach(fixture.signal);
   assert.equal(fixture.lines, []);
   fixture.start();
   ['SIGINT', 'SIGHUP', 'SIGQUIT'].forEach(fixture.signal);
-  await settle();
   assert.equal(fixture.lines, [
     received({ signal: 'SIGHUP', outcome: 'settings-unchanged' }),
     received({ signal: 'SIGUSR1', outcome: 'ignored' }),
@@ -72,12 +69,12 @@
     received({ signal: 'SIGHUP', outcome: 'stopping-already' }),
     received({ signal: 'SIGQUIT', outcome: 'stopping-already' }),
   ]);
-  assert.equal(fixture.exits, []);
+  assert.ok(fixture.stopCount() > 0);
 });
 
 // Guards against a broken settings file that takes effect in part, and a setting that is said to be in force and isn't.
 test('settings are put in force as far as they can be, and a bad file changes nothing', () => {
-  const fixture = createFixture(() => Promise.resolve());
+  const fixture = createFixture();
   fixture.start();
   fixture.say(results.Err([UNREADABLE]));
   fixture.signal('SIGHUP');
@@ -99,20 +96,4 @@
   assert.equal(fixture.levels, ['warn']);
 });
 
-// Guards against a stop that fails with requests open and is taken for a good one.
-test('a stop whose work fails says why and ends with 1, a good one with 0', async () => {
-  const failing = createFixture(() => Promise.reject(new Error('no store')));
-  const good = createFixture(() => Promise.resolve());
-  for (const fixture of [failing, good]) {
-    fixture.start();
-    fixture.signal('SIGTERM');
-  }
-  await settle();
-  assert.equal([failing.exits, good.exits], [[1], [0]]);
-  assert.is(
-    failing.lines.at(-1),
-    JSON.stringify({ event: 'stop-failed', reason: 'Error: no store' }),
-  );
-});
-
 test.run();
--- a/packages/runtime/src/signals.ts
+++ b/packages/runtime/src/signals.ts
@@ -16,15 +16,11 @@
   /** Reads the settings file again. */
   readSettings: () => results.Result<Settings, settingsModule.SettingsError[]>;
   live: LiveSettings<Settings>;
-  /** A planned stop, whose time counts from `sinceMs`. */
-  stop: (sinceMs: number) => Promise<void>;
-  /** Ends the process. */
-  exit: (status: number) => void;
+  /** Begins a planned stop, whose time counts from `sinceMs`, and at whose end the process ends. */
+  stop: (sinceMs: number) => void;
+  isStopping: () => boolean;
 };
 
-const STOPPED_STATUS = 0;
-const STOP_FAILED_STATUS = 1;
-
 function isSame(one: unknown, other: unknown): boolean {
   return JSON.stringify(one) === JSON.stringify(other);
 }
@@ -40,7 +36,6 @@
 ): void {
   const { log } = service;
   let inForce = service.settings;
-  let isStopping = false;
 
   function putInForce<Field extends keyof Settings>(field: Field, value: Settings[Field]): void {
     service.live[field]?.(value);
@@ -70,17 +65,6 @@
     applied.forEach((field) => putInForce(field, read.val[field]));
   }
 
-  async function stop(sinceMs: number): Promise<void> {
-    try {
-      await service.stop(sinceMs);
-    } catch (cause) {
-      log.error('stop-failed', { reason: String(cause) });
-      service.exit(STOP_FAILED_STATUS);
-      return;
-    }
-    service.exit(STOPPED_STATUS);
-  }
-
   held.takeOver(({ name, receivedAtMs }) => {
     switch (name) {
       case 'SIGTERM':
@@ -88,14 +72,13 @@
       case 'SIGQUIT':
         log.info('signal-received', {
           signal: name,
-          outcome: isStopping ? 'stopping-already' : 'stopping',
+          outcome: service.isStopping() ? 'stopping-already' : 'stopping',
         });
-        if (isStopping) return;
-        isStopping = true;
-        void stop(receivedAtMs);
+        service.stop(receivedAtMs);
         return;
       case 'SIGHUP':
-        if (isStopping) log.info('signal-received', { signal: name, outcome: 'stopping-already' });
+        if (service.isStopping())
+          log.info('signal-received', { signal: name, outcome: 'stopping-already' });
         else reload(name);
         return;
       // Their defaults would open the debugger's port, and end the process.
