Descriptors: callers' connections leave those of the store, peers and upstreams

What callers saw: with more connections than the process has descriptors, whole requests ended by a reset without an answer, and others waited for upstreams that could not be connected to.

Cause: nothing bounded callers' connections. Without a descriptor left, libuv accepts and closes at once with its spare one. A script (plain Node 20, ulimit -n 60, 60 connections) showed: 60 connected, 20 closed, and no event for them: neither 'drop' nor 'error' nor a call of the handle's onconnection. So a lack can only be looked for: ten times a second a file is opened. Own connections that fail are seen on the diagnostics channel net.client.socket, whichever library opens them.

Change: a bound by the process's limit of open files (or `descriptorsMax` of the settings, from the template's limits.maxFds, where lower), less a stated reserve; callers get up to three quarters of the rest, and less where upstreams have taken more; new upstream connections are refused as 'in-use' where both together have taken it. From nine tenths on: not ready, answers close their connections. Beyond the bound: 503 `no-descriptors` and close, and connections idle for 500 ms, of which a poll has read all, are closed. The reserve was decided from one count of a process at work: 35 descriptors without callers, upstreams and probes; up to 16 probes of the accept queue.

Weighed: server.maxConnections accepts and closes, so requests are lost. Closing the listener resets its queue, and there is no other way to pause it in Node 20 (neither net nor the handle has one). A second process that keeps the listener's descriptor costs a runtime's memory. Since libuv here accepts one connection a turn, turns are made longer (up to 10 ms) while the reserve is in use: the rest waits in the system's queue.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -140,7 +140,7 @@
     quarantine: awilix.asFunction(quarantines.createQuarantine).singleton(),
     connections: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
-        connectionsModule.createConnections(parts.clock),
+        connectionsModule.createConnections(parts.clock, parts.status.upstreamConnectionsMax),
       )
       .singleton(),
     configuration: awilix
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -56,6 +56,7 @@
       placementAgeMs: parts.view.ageMs(nowMs),
       plainWaitingCount: parts.plainGate.waitingCount(),
       heldTerm: parts.lease.heldTerm(),
+      descriptors: parts.status.descriptors(),
       logLines: {
         lostCount: parts.logSink.lostLineCount(),
         pendingCharacters: parts.logSink.pendingCharacters(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,5 +1,5 @@
 /** Runs a gateway: its parts in a supervisor tree, and its planned stop. */
-import { supervisor } from '@copperlever/runtime';
+import { descriptors, supervisor } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
 import * as hashers from '@copperlever/runtime/hasher';
 import * as openConnections from '@copperlever/runtime/open-connections';
@@ -10,12 +10,14 @@
 import * as upstreamLists from './server/control/upstream-list.js';
 import * as forwarding from './server/forwarding/app.js';
 import * as readDelays from './server/forwarding/read-delay.js';
+import * as callerBounds from './server/health/caller-bound.js';
 import * as healthApp from './server/health/app.js';
 import * as metricsApp from './server/metrics/app.js';
 import * as peers from './server/peers/server.js';
 import * as peerParts from './peer-parts.js';
 import * as stops from './server/health/stop.js';
 import type * as logEvents from './types/log-events.js';
+import * as descriptorBounds from './shared/descriptor-bounds.js';
 import * as deadlineBaselines from './shared/deadline-baselines.js';
 import type * as partTypes from './types/parts.js';
 import type * as settingsModule from './types/settings.js';
@@ -29,6 +31,8 @@
 const HOLDER_HEARD_MS = 1_000;
 /** A new fleet takes its lease within this time; where it is not known by then, the gateway serves without. */
 const LEASE_WAIT_MS = 3_000;
+/** Gateways come and go over seconds, and counting hundreds of them takes time. */
+const FLEET_SIZE_AGE_MS = 1_000;
 /** The record of the configuration within its kind. */
 const CONFIG_RECORD = 'main';
 
@@ -47,6 +51,12 @@
   await app.listen({ ...splitAddress(address), backlog: readDelays.ACCEPT_QUEUE_MAX });
 }
 
+/** How many descriptors this process may have open; null if that isn't known or there is no limit. */
+function limitOf({ descriptorsMax }: settingsModule.Settings): number | null {
+  const limit = Math.min(descriptors.readLimit() ?? Infinity, descriptorsMax ?? Infinity);
+  return limit === Infinity ? null : limit;
+}
+
 export type RunningGateway = {
   /**
    * A planned stop, whose time counts from `sinceMs` or from now; resolves when all that was taken has been answered or its time is
@@ -75,6 +85,13 @@
         hasListing = true;
         afterDirectoryChange();
       },
+      upstreamConnectionsMax: () => (bounds()?.sharedMax ?? Infinity) - connections.count(),
+      descriptors: () => ({
+        callerCount: connections.count(),
+        callersMax: bounds()?.callersMax ?? null,
+        exhaustedCount: descriptorWatch.exhaustedCount(),
+        failedConnectCount: descriptorWatch.failedConnectCount(),
+      }),
       onLaterEra: () => {
         upstreamFollower.relist();
         configFollower.relist();
@@ -82,6 +99,31 @@
     },
   );
   const { clock, log, directory, configuration, openCalls } = cradle;
+  const descriptorLimit = limitOf(settings);
+  const descriptorWatch = descriptors.watchDescriptors({
+    clock,
+    onExhausted: () => {
+      log.error('descriptors-exhausted', { callerCount: connections.count() });
+    },
+    onAvailable: (exhaustedMs, failedConnectCount) => {
+      log.info('descriptors-available', {
+        exhaustedMs: Math.round(exhaustedMs),
+        failedConnectCount,
+      });
+    },
+  });
+
+  let fleetSize = { atMs: -Infinity, liveCount: 0 };
+  /** Asked at each request; null without a known limit. */
+  function bounds(): descriptorBounds.DescriptorBounds | null {
+    if (descriptorLimit === null) return null;
+    const nowMs = clock.nowMs();
+    if (nowMs - fleetSize.atMs > FLEET_SIZE_AGE_MS) {
+      fleetSize = { atMs: nowMs, liveCount: cradle.book.live(nowMs).length };
+    }
+    return descriptorBounds.descriptorBounds(descriptorLimit, fleetSize.liveCount);
+  }
+
   const leaseKnownByMs = clock.nowMs() + LEASE_WAIT_MS;
 
   function afterDirectoryChange(): void {
@@ -163,7 +205,8 @@
     serve: cradle.serve,
     configuration: servedConfiguration,
     metrics: cradle.metrics,
-    closesConnections: () => isStopping() || cradle.shedding.isShedding(),
+    closesConnections: () => isStopping() || cradle.shedding.isShedding() || callerBound.isNear(),
+    isBeyondBound: (socket) => callerBound.isBeyond(socket),
     mayTake: (deadlineMs) => stops.mayTake(stopping, clock.nowMs(), deadlineMs),
     openCalls,
     unsent: cradle.unsent,
@@ -175,6 +218,15 @@
     norms: deadlineBaselines.createDeadlineBaselines(),
   });
   const connections = openConnections.trackConnections(callers.server, cradle.loopAges, clock);
+  const callerBound = callerBounds.createCallerBound({
+    clock,
+    log,
+    server: callers.server,
+    connections,
+    loopAges: cradle.loopAges,
+    upstreamSocketCount: () => cradle.connections.socketCount(),
+    bounds,
+  });
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
 
   /** Without a holder no request is sent once more after a failure, beyond what the requests here have made tokens for. */
@@ -185,7 +237,7 @@
   function isReady(): boolean {
     const isServing = !isStopping() && hasListing && servedConfiguration() !== null;
     const isKnowing = knowsLease() && cradle.versionRecorder.isSettled();
-    return isServing && isKnowing && !cradle.shedding.isShedding();
+    return isServing && isKnowing && !cradle.shedding.isShedding() && !callerBound.isNear();
   }
   const readiness = healthApp.createReadinessApp(cradle.dialect.readinessPath, isReady);
 
@@ -266,6 +318,7 @@
           await listen(callers, settings.callerAddress);
           const stopCallers = async () => {
             cradle.loopAges.stop();
+            descriptorWatch.stop();
             stops.cutOff(callers.server, connections);
             await callers.close();
             await cradle.connections.close();
@@ -303,6 +356,12 @@
 
   await tree.start();
   const { callerAddress, isFirstStart } = settings;
+  if (descriptorLimit === null) {
+    log.warn('descriptors-unbounded', { reason: 'the limit of open files is not known' });
+  } else {
+    const callersMax = bounds()?.callersMax ?? 0;
+    log.info('descriptors-known', { limit: descriptorLimit, callersMax });
+  }
   log.info('started', { callerAddress, isFirstStart });
   return {
     stop,
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -38,6 +38,8 @@
   configuration: () => ActiveConfiguration | null;
   /** Whether callers are to open new connections, which their load balancer may send to another gateway. */
   closesConnections: () => boolean;
+  /** Whether the connection is one too many for this process's descriptors. */
+  isBeyondBound: (socket: net.Socket) => boolean;
   /** False for a request that would not be over before a stop ends. */
   mayTake: (deadlineMs: number) => boolean;
   metrics: Pick<
@@ -143,6 +145,18 @@
   deps.metrics.denied('stopping');
 }
 
+function refuseBeyondBound(
+  deps: CallersDeps,
+  request: http.IncomingMessage,
+  sink: answers.AnswerSink,
+  requestId: string,
+): void {
+  deps.log.info('connection-refused', { requestId });
+  const retryAfter = deps.dialect.retryAfter(NO_ROOM_RETRY_MS);
+  sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'no-descriptors');
+  deps.metrics.denied('no-descriptors');
+}
+
 function refuseOverQuota(
   deps: CallersDeps,
   sink: answers.AnswerSink,
@@ -272,11 +286,17 @@
   const arrival = { ...age, arrivedAtMs: deps.clock.nowMs() - age.bufferedMs };
   deps.metrics.read(arrival.isNewConnection, arrival.bufferedMs);
   const { requestId } = deps.dialect.readCall(request.headers);
+  const isBeyondBound = deps.isBeyondBound(request.socket);
   const sink = answers.createAnswerSink({
     raw,
     requestId,
-    closesConnections: () => deps.closesConnections() && pipelined.isLast(request),
+    closesConnections: () =>
+      (isBeyondBound || deps.closesConnections()) && pipelined.isLast(request),
   });
+  if (isBeyondBound) {
+    refuseBeyondBound(deps, request, sink, requestId);
+    return;
+  }
   const active = deps.configuration();
   if (active === null) {
     const retryAfter = deps.dialect.retryAfter(STARTING_RETRY_MS);
--- a/packages/gateway/src/server/forwarding/connections.ts
+++ b/packages/gateway/src/server/forwarding/connections.ts
@@ -24,7 +24,7 @@
 };
 
 export type AcquireError =
-  /** This gateway already uses as many connections to the upstream as it may. */
+  /** This gateway already uses as many connections to the upstream, or to all, as it may. */
   | { kind: 'in-use' }
   /** There is nothing to connect to, as with an address that the client library cannot read. */
   | { kind: 'unusable'; reason: string };
@@ -34,6 +34,8 @@
     upstream: fleet.UpstreamRecord,
     connectionsMax: number,
   ) => results.Result<AcquiredConnection, AcquireError>;
+  /** Sockets to all upstreams, open or opening. */
+  socketCount: () => number;
   /** Closes connections of upstreams that are gone, once their requests have ended. */
   retain: (upstreamIds: ReadonlySet<string>) => void;
   close: () => Promise<void>;
@@ -54,6 +56,8 @@
 type Connection = {
   client: undici.Client;
   end: connectionEnds.ConnectionEnd | null;
+  /** Its socket is open or opening. */
+  hasSocket: boolean;
   /** An answer is on its way. */
   isReading: boolean;
   /** Of an answer that nobody waits for any more: what has come since, and what happens at its end. */
@@ -67,9 +71,10 @@
 
 const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
-function createConnection(address: string): Connection {
+function createConnection(address: string, sockets: { count: number }): Connection {
   const connection: Connection = {
     end: null,
+    hasSocket: false,
     isReading: false,
     rest: null,
     client: new undici.Client(`http://${address}`, {
@@ -81,13 +86,22 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       connect: (options, done) => {
+        connection.hasSocket = true;
+        sockets.count += 1;
+        const onClosed = () => {
+          connection.hasSocket = false;
+          sockets.count -= 1;
+        };
         connect(options, (...result) => {
           const [error, socket] = result;
           connection.end = null;
           if (error === null) {
+            socket.once('close', onClosed);
             connectionEnds.watchEnd(socket, (end) => {
               connection.end ??= end;
             });
+          } else {
+            onClosed();
           }
           done(...result);
         });
@@ -136,7 +150,12 @@
   };
 }
 
-export function createConnections(clock: Pick<clocks.Clock, 'nowMs' | 'schedule'>): Connections {
+/** `socketsMax`: to all upstreams together. */
+export function createConnections(
+  clock: Pick<clocks.Clock, 'nowMs' | 'schedule'>,
+  socketsMax: () => number = () => Infinity,
+): Connections {
+  const sockets = { count: 0 };
   const pools = new Map<string, Pool>();
 
   function poolOf(upstreamId: string): Pool {
@@ -151,7 +170,7 @@
     const free = pool.free.pop();
     if (free !== undefined) return results.Ok(free);
     try {
-      return results.Ok(createConnection(address));
+      return results.Ok(createConnection(address, sockets));
     } catch (cause) {
       return results.Err({ kind: 'unusable', reason: String(cause) });
     }
@@ -186,6 +205,9 @@
       if (pool.usedCount >= Math.max(CONNECTIONS_MIN, Math.floor(connectionsMax))) {
         return results.Err({ kind: 'in-use' });
       }
+      // One that opens for want of a descriptor would count as a fault of the upstream.
+      const isOpen = pool.free.at(-1)?.hasSocket ?? false;
+      if (!isOpen && sockets.count >= socketsMax()) return results.Err({ kind: 'in-use' });
       const created = takeConnection(pool, upstream.address);
       if (created.err) return created;
       const connection = created.val;
@@ -202,6 +224,7 @@
         },
       });
     },
+    socketCount: () => sockets.count,
     retain: (upstreamIds) => {
       for (const [id, pool] of pools) {
         if (upstreamIds.has(id)) continue;
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -14,7 +14,7 @@
   clock: clocks.Clock;
   log: Pick<logEvents.GatewayLog, 'info'>;
   loopAges: Pick<readDelays.ReadDelay, 'readPending' | 'pollCount' | 'acceptWaitMs' | 'turnMs'>;
-  connections: Omit<openConnections.OpenConnections, 'cutOpen'>;
+  connections: Omit<openConnections.OpenConnections, 'cutOpen' | 'closeLongestIdle'>;
   openCallCount: () => number;
   /** Cuts the answers that are still open at the end. */
   cutOpen: () => void;
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -24,6 +24,7 @@
   placementAgeMs: 250,
   plainWaitingCount: 0,
   heldTerm: null,
+  descriptors: { callerCount: 5, callersMax: 6, exhaustedCount: 8, failedConnectCount: 9 },
   logLines: { lostCount: 7, pendingCharacters: 120, isFailing: true },
 };
 
@@ -55,6 +56,7 @@
   assert.ok(text.includes('copperlever_config_age_seconds 2.5'));
   assert.ok(text.includes('copperlever_upstreams_avoided 1'));
   assert.ok(text.includes('copperlever_lease_term 0'));
+  assert.ok(text.includes('copperlever_descriptors_exhausted 8'));
   assert.ok(text.includes('copperlever_log_lines_lost 7'));
   assert.ok(text.includes('copperlever_log_failing 1'));
 });
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -14,7 +14,8 @@
 
 export type RequestClass = { kind: fleet.RouteKind; priority: number };
 
-export type DenialCause = 'route-unknown' | 'key-unknown' | 'over-quota' | 'no-room' | 'stopping';
+export type DenialCause =
+  'route-unknown' | 'key-unknown' | 'over-quota' | 'no-room' | 'no-descriptors' | 'stopping';
 
 /** What is read when somebody asks, and kept by others. */
 export type Readings = {
@@ -37,6 +38,13 @@
   /** Plain calls that wait in the gateway for a slot. */
   plainWaitingCount: number;
   heldTerm: number | null;
+  /** Descriptors of the process; null without a known limit. */
+  descriptors: {
+    callerCount: number;
+    callersMax: number | null;
+    exhaustedCount: number;
+    failedConnectCount: number;
+  };
   /** Log lines, whose reader may be gone. */
   logLines: { lostCount: number; pendingCharacters: number; isFailing: boolean };
 };
@@ -328,6 +336,22 @@
   gauge('log_failing', 'Whether the last log line could not be written', () =>
     Number(readings().logLines.isFailing),
   );
+  gauge('caller_connections', "Callers' connections", () => readings().descriptors.callerCount);
+  gauge(
+    'caller_connections_max',
+    "Callers' connections that are served, by the limit of descriptors",
+    () => readings().descriptors.callersMax,
+  );
+  gauge(
+    'descriptors_exhausted',
+    'How often no descriptor was left, of ten looks a second',
+    () => readings().descriptors.exhaustedCount,
+  );
+  gauge(
+    'connects_without_descriptor',
+    'Own connections that could not be opened for want of a descriptor',
+    () => readings().descriptors.failedConnectCount,
+  );
   gauge('plain_waiting', 'Plain calls that wait for a slot', () => readings().plainWaitingCount);
   let lastUse = perfHooks.performance.eventLoopUtilization();
   gauge('event_loop_utilization', 'Share of time the event loop was busy since last asked', () => {
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -107,6 +107,7 @@
     },
     configuration: () => (isConfigured ? active : null),
     closesConnections: options.closesConnections ?? (() => false),
+    isBeyondBound: () => false,
     mayTake: options.mayTake ?? (() => true),
     metrics: {
       requestEnded: () => {},
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -47,6 +47,19 @@
   /** A stop closed connections without a request. Data on them may have lain unread for `unreadMs`, at most. */
   'idle-closed': { closedCount: number; unreadMs: number; turnMs: number };
   stopped: { openCallCount: number };
+  /** No limit of descriptors is known, so callers' connections have no bound. */
+  'descriptors-unbounded': { reason: string };
+  /** How many the process may have open, and how many callers' connections it serves. */
+  'descriptors-known': { limit: number; callersMax: number };
+  /** None is left: connections that are accepted are closed by the system's library, whatever is on them. */
+  'descriptors-exhausted': { callerCount: number };
+  /** `failedConnectCount`: own connections that could not be opened meanwhile. */
+  'descriptors-available': { exhaustedMs: number; failedConnectCount: number };
+  /** More callers' connections than it serves: those beyond are answered and closed, and idle ones make room. */
+  'callers-bounded': { callerCount: number; callersMax: Amount };
+  'callers-unbounded': { callerCount: number; closedCount: number };
+  /** A request on a connection beyond the bound. */
+  'connection-refused': { requestId: string };
   /** Too little processor time: it asks the balancer for no new connections, and does again. `busyShare`: of the loop's time. */
   'shedding-began': { busyShare: number };
   'shedding-ended': { busyShare: number };
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -66,6 +66,9 @@
   isStoreConnected: () => boolean;
   hasListing: () => boolean;
   onUpstreamsLearned: () => void;
+  /** To all upstreams together, beside the connections of callers. */
+  upstreamConnectionsMax: () => number;
+  descriptors: () => metricsModule.Readings['descriptors'];
   /** Another gateway has heard of a later era of the store. */
   onLaterEra: () => void;
 };
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -24,6 +24,8 @@
   processorCores: positive.default(1),
   /** The memory of the VM that this process may use. Without it, that of the VM, or at most what the deploy file is made for. */
   memoryMb: positive.optional(),
+  /** Files and sockets that this process may have open; the system's own limit counts where it is lower. */
+  descriptorsMax: positive.optional(),
   /** How long a planned stop may take before the process is killed. */
   stopTimeoutS: positive,
   /** How long an upstream that leaves may still get new work. */
--- a/packages/runtime/src/open-connections.ts
+++ b/packages/runtime/src/open-connections.ts
@@ -17,6 +17,11 @@
   stopAccepting: () => void;
   /** Closes connections that the poll with that number has read and found without a request. Returns how many. */
   closeIdle: (pollNumber: number) => number;
+  /**
+   * Closes connections that a poll has read and found without any part of a request, those first that were used longest ago. Returns
+   * how many.
+   */
+  closeLongestIdle: (which: IdleChoice) => number;
   /** Connections that are open, with a request or without. */
   count: () => number;
   /**
@@ -26,6 +31,9 @@
   cutOpen: () => void;
 };
 
+/** Opened, or last used, before that time; at most `max` of them. */
+export type IdleChoice = { pollNumber: number; usedBeforeMs: number; max: number };
+
 /** Connections that the system keeps until they are accepted, by default. */
 export const ACCEPT_QUEUE_MAX = 511;
 /** By then a caller's system has sent again what found the queue of the listener full: the interval before its fifth try. */
@@ -33,7 +41,13 @@
 /** Some ten milliseconds of work; the next step closes the others. */
 const CLOSED_AT_ONCE_MAX = 500;
 
-type Connection = { requestCount: number; acceptedInPoll: number };
+type Connection = {
+  requestCount: number;
+  acceptedInPoll: number;
+  /** When it was opened, or its latest request ended; what had been read from it by then. */
+  usedMs: number;
+  usedBytes: number;
+};
 
 /**
  * Counts the requests in progress on each connection. Node's own list of idle connections leaves out those on which no
@@ -55,7 +69,12 @@
     acceptedInRow = pollNumber <= lastAcceptPoll + 1 ? acceptedInRow + 1 : 1;
     lastAcceptPoll = pollNumber;
     if (acceptedInRow >= ACCEPT_QUEUE_MAX) maybeFullMs = clock.nowMs();
-    open.set(socket, { requestCount: 0, acceptedInPoll: lastAcceptPoll });
+    open.set(socket, {
+      requestCount: 0,
+      acceptedInPoll: lastAcceptPoll,
+      usedMs: clock.nowMs(),
+      usedBytes: 0,
+    });
     socket.once('close', () => open.delete(socket));
   });
   server.on('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
@@ -66,8 +85,15 @@
     if (request.httpVersion === '1.0') withoutChunks.add(socket);
     response.once('close', () => {
       connection.requestCount -= 1;
+      connection.usedMs = clock.nowMs();
+      connection.usedBytes = socket.bytesRead;
+      // Kept in the order of their latest use.
+      if (open.delete(socket)) open.set(socket, connection);
     });
   });
+  const isUnused = ({ requestCount, acceptedInPoll }: Connection, pollNumber: number) =>
+    requestCount <= 0 && acceptedInPoll < pollNumber;
+
   return {
     mayWait: (pollNumber) =>
       lastAcceptPoll >= pollNumber || clock.nowMs() - maybeFullMs < RETRANSMISSION_MS,
@@ -75,15 +101,24 @@
       net.Server.prototype.close.call(server);
     },
     closeIdle: (pollNumber) => {
-      const isIdle = ({ requestCount, acceptedInPoll }: Connection) =>
-        requestCount <= 0 && acceptedInPoll < pollNumber;
       const idle = [...open]
-        .filter(([, connection]) => isIdle(connection))
+        .filter(([, connection]) => isUnused(connection, pollNumber))
         .slice(0, CLOSED_AT_ONCE_MAX);
       // Closed at once: behind a half-close, which takes another turn, requests would be read that get no answer.
       idle.forEach(([socket]) => socket.destroy());
       return idle.length;
     },
+    closeLongestIdle: ({ pollNumber, usedBeforeMs, max }) => {
+      const isIdle = (socket: net.Socket, connection: Connection) =>
+        isUnused(connection, pollNumber) &&
+        connection.usedMs <= usedBeforeMs &&
+        socket.bytesRead === connection.usedBytes;
+      const idle = [...open]
+        .filter(([socket, connection]) => isIdle(socket, connection))
+        .slice(0, Math.min(max, CLOSED_AT_ONCE_MAX));
+      idle.forEach(([socket]) => socket.destroy());
+      return idle.length;
+    },
     count: () => open.size,
     cutOpen: () => {
       const cut = [...open].filter(([, { requestCount }]) => requestCount > 0);
