Failed accepts don't count as an empty queue

What callers may see: at a stop beside a lack of descriptors, a reset of connections that wait to be accepted, since the listener is closed as if nothing waited; and requests of new connections counted as younger than they are. Not seen with real processes; shown by tests.

Cause: both the stop (`mayWait`) and the bound for the wait (`acceptWaitMs`) take a poll without a new connection for an empty queue. Where no descriptor is left, an accept fails without an event.

Change: both ask whether a descriptor is left: the stop looks at that moment, the bound takes the last look. Looked at besides: a probe of the accept queue that can't be opened, or is closed unaccepted, is given up and counts for nothing, so it needs no change.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -150,10 +150,15 @@
       .singleton(),
     loopAges: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
-        readDelays.createReadDelay(parts.clock, ({ turnMs, busyShare, elapsedMs }) => {
-          parts.metrics.loopTurn(turnMs);
-          parts.shedding.noteBusy(busyShare, elapsedMs);
-        }),
+        readDelays.createReadDelay(
+          parts.clock,
+          ({ turnMs, busyShare, elapsedMs }) => {
+            parts.metrics.loopTurn(turnMs);
+            parts.shedding.noteBusy(busyShare, elapsedMs);
+          },
+          undefined,
+          parts.status.isOutOfDescriptors,
+        ),
       )
       .singleton(),
     shedding: awilix.asFunction(controlParts.createShedding).singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -86,6 +86,7 @@
         afterDirectoryChange();
       },
       upstreamConnectionsMax: () => (bounds()?.sharedMax ?? Infinity) - connections.count(),
+      isOutOfDescriptors: () => descriptorWatch.isExhausted(),
       descriptors: () => ({
         callerCount: connections.count(),
         callersMax: bounds()?.callersMax ?? null,
@@ -217,7 +218,12 @@
     hasher: await hashers.createHasher(),
     norms: deadlineBaselines.createDeadlineBaselines(),
   });
-  const connections = openConnections.trackConnections(callers.server, cradle.loopAges, clock);
+  const connections = openConnections.trackConnections(
+    callers.server,
+    cradle.loopAges,
+    clock,
+    descriptorWatch.look,
+  );
   const callerBound = callerBounds.createCallerBound({
     clock,
     log,
--- a/packages/gateway/src/server/forwarding/read-delay.test.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.test.ts
@@ -8,16 +8,21 @@
 const TURN_MS = 40;
 
 /** An event loop whose polls, waits and time are set by the test; no samples are taken. */
-function startLoop() {
+function startLoop(isExhausted = () => false) {
   let nowMs = 0;
   let pollCount = 1;
   let idleMs = 0;
-  const readDelay = readDelays.createReadDelay({ nowMs: () => nowMs }, undefined, {
-    pollCount: () => pollCount,
-    idleMs: () => idleMs,
-    atTurnEnd: () => {},
-    every: () => () => {},
-  });
+  const readDelay = readDelays.createReadDelay(
+    { nowMs: () => nowMs },
+    undefined,
+    {
+      pollCount: () => pollCount,
+      idleMs: () => idleMs,
+      atTurnEnd: () => {},
+      every: () => () => {},
+    },
+    isExhausted,
+  );
   return {
     readDelay,
     turn: (durationMs: number) => {
@@ -47,6 +52,20 @@
   loop.readDelay.stop();
 });
 
+// Guards against connections taken for new, which no descriptor was left to accept.
+test('polls that could not accept do not show an empty queue', () => {
+  let isExhausted = false;
+  const loop = startLoop(() => isExhausted);
+  for (let count = 0; count < 3; count += 1) loop.turn(TURN_MS);
+  loop.readDelay.accepted({});
+  isExhausted = true;
+  for (let count = 0; count < 10; count += 1) loop.turn(TURN_MS);
+  assert.is(loop.readDelay.acceptWaitMs(), 13 * TURN_MS);
+  isExhausted = false;
+  assert.is(loop.readDelay.acceptWaitMs(), 10 * TURN_MS);
+  loop.readDelay.stop();
+});
+
 test('after a poll without a new connection the age of the next one starts again', () => {
   const loop = startLoop();
   for (let count = 0; count < 10; count += 1) {
--- a/packages/gateway/src/server/forwarding/read-delay.ts
+++ b/packages/gateway/src/server/forwarding/read-delay.ts
@@ -102,6 +102,8 @@
   clock: Pick<clocks.Clock, 'nowMs'>,
   onSample: (sample: LoopSample) => void = () => {},
   loop: EventLoop = systemLoop,
+  /** Whether connections can't be accepted for want of a descriptor: a poll without one doesn't show an empty queue then. */
+  isExhausted: () => boolean = () => false,
 ): ReadDelay {
   const accepted = new WeakMap<object, Accepted>();
   const started = mark();
@@ -147,6 +149,7 @@
 
   /** At an accept: moves `acceptQueueEmpty` forward if a poll has found no connection, or the loop has waited, since the last one. */
   function updateAcceptQueue(now: Mark): void {
+    if (isExhausted()) return;
     const last = lastAccept;
     const hasPolled = last === null || now.pollCount >= last.pollCount + POLLS_AFTER;
     const hasWaited = last !== null && now.idleMs - last.idleMs > IDLE_MIN_MS;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -69,6 +69,7 @@
   /** To all upstreams together, beside the connections of callers. */
   upstreamConnectionsMax: () => number;
   descriptors: () => metricsModule.Readings['descriptors'];
+  isOutOfDescriptors: () => boolean;
   /** Another gateway has heard of a later era of the store. */
   onLaterEra: () => void;
 };
--- a/packages/runtime/src/descriptors.test.ts
+++ b/packages/runtime/src/descriptors.test.ts
@@ -1,7 +1,10 @@
+import * as events from 'node:events';
+
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import * as descriptors from './descriptors.js';
+import * as openConnections from './open-connections.js';
 import * as fakeClocks from './testing/fake-clock.js';
 
 const test = suite('descriptors');
@@ -47,4 +50,16 @@
   watch.stop();
 });
 
+// Guards against a stop that closes its listener over connections which no descriptor was left to accept.
+test('connections that cannot be accepted may wait', async () => {
+  const { clock, state, watch } = startWatch();
+  const server = new events.EventEmitter() as never;
+  const loop = { pollCount: () => 9 };
+  const open = openConnections.trackConnections(server, loop, clock, watch.look);
+  assert.is(open.mayWait(8), false);
+  state.code = 'ENFILE';
+  assert.is(open.mayWait(8), true);
+  watch.stop();
+});
+
 test.run();
--- a/packages/runtime/src/open-connections.ts
+++ b/packages/runtime/src/open-connections.ts
@@ -57,6 +57,8 @@
   server: http.Server,
   loopAges: { pollCount: () => number },
   clock: Pick<clocks.Clock, 'nowMs'>,
+  /** Whether connections can't be accepted for want of a descriptor: a poll without one says nothing then. */
+  isExhausted: () => boolean = () => false,
 ): OpenConnections {
   const open = new Map<net.Socket, Connection>();
   const withoutChunks = new WeakSet<net.Socket>();
@@ -96,7 +98,9 @@
 
   return {
     mayWait: (pollNumber) =>
-      lastAcceptPoll >= pollNumber || clock.nowMs() - maybeFullMs < RETRANSMISSION_MS,
+      lastAcceptPoll >= pollNumber ||
+      clock.nowMs() - maybeFullMs < RETRANSMISSION_MS ||
+      isExhausted(),
     stopAccepting: () => {
       net.Server.prototype.close.call(server);
     },
