Descriptors: entries and agents count and log when none is left

What callers saw: nothing is known to have been seen.

Change: the gateway's watch in both, with lines and two gauges each; the entry's stop takes a poll without descriptors no longer for an empty queue. A bound on callers' connections at the entry is not part of this. A count that the gateway's line got wrong is mended: the first failed connection, by which the lack was found, was left out.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,7 +1,7 @@
 /** The agent beside one upstream: the only process that gives it work and orders. */
 import { grpcTransport } from '@copperlever/coordination';
 import { agent } from '@copperlever/protocol';
-import { clocks, daemon, gauges, supervisor } from '@copperlever/runtime';
+import { clocks, daemon, descriptors, gauges, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 
 import * as containers from './container.js';
@@ -47,6 +47,7 @@
 const container = containers.createContainer(settings, incarnation);
 const { cradle } = container;
 const { clock, log } = cradle;
+const descriptorWatch = descriptors.watchAndLog(clock, log);
 const server = new grpc.Server({
   'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
   'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
@@ -125,7 +126,10 @@
 }
 
 async function startReports(): Promise<supervisor.RunningPart> {
-  const sources = gauges.logSources('agent', cradle.logSink);
+  const sources = [
+    ...gauges.logSources('agent', cradle.logSink),
+    ...gauges.descriptorSources('agent', descriptorWatch),
+  ];
   return gauges.startGauges({ clock, metrics: cradle.metrics, sources });
 }
 
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
 /** The entry: takes calls from callers, routes them to agents and answers. */
 import { grpcTransport } from '@copperlever/coordination';
-import { daemon, gauges, supervisor } from '@copperlever/runtime';
+import { daemon, descriptors, gauges, supervisor } from '@copperlever/runtime';
 import * as grpc from '@grpc/grpc-js';
 import type * as fastify from 'fastify';
 
@@ -79,7 +79,12 @@
 }
 
 const callerApp = createCallerApp();
-const connections = callerConnections.createCallerConnections(clock, callerApp.server);
+const descriptorWatch = descriptors.watchAndLog(clock, log);
+const connections = callerConnections.createCallerConnections(
+  clock,
+  callerApp.server,
+  descriptorWatch.look,
+);
 
 async function startCallers(): Promise<supervisor.RunningPart> {
   await callerApp.listen({ host: settings.callerHost, port: settings.callerPort });
@@ -103,6 +108,7 @@
       { name: 'entry.claims_pending', read: cradle.settlements.pendingCount },
       { name: 'entry.open_calls', read: () => openCalls.count },
       ...gauges.logSources('entry', cradle.logSink),
+      ...gauges.descriptorSources('entry', descriptorWatch),
     ],
   });
 }
--- a/packages/entry/src/server/health/caller-connections.ts
+++ b/packages/entry/src/server/health/caller-connections.ts
@@ -18,8 +18,15 @@
 export function createCallerConnections(
   clock: Pick<clocks.Clock, 'nowMs'>,
   server: http.Server,
+  /** Whether connections can't be accepted for want of a descriptor. */
+  isExhausted: () => boolean = () => false,
 ): CallerConnections {
-  const open = openConnections.trackConnections(server, { pollCount: eventLoop.pollCount }, clock);
+  const open = openConnections.trackConnections(
+    server,
+    { pollCount: eventLoop.pollCount },
+    clock,
+    isExhausted,
+  );
   let isAccepting = true;
   return {
     closeUnused: async () => {
--- a/packages/runtime/src/descriptors.test.ts
+++ b/packages/runtime/src/descriptors.test.ts
@@ -1,4 +1,6 @@
+import * as diagnosticsChannel from 'node:diagnostics_channel';
 import * as events from 'node:events';
+import * as net from 'node:net';
 
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -50,6 +52,20 @@
   watch.stop();
 });
 
+// Guards against a daemon that cannot connect anywhere without a word of why.
+test('own connections that fail for want of a descriptor are counted', () => {
+  const { watch } = startWatch();
+  const errors = ['EMFILE', 'ECONNREFUSED'].map((code) => {
+    const socket = new net.Socket();
+    socket.on('error', () => {});
+    diagnosticsChannel.channel('net.client.socket').publish({ socket });
+    return () => socket.emit('error', Object.assign(new Error(code), { code }));
+  });
+  errors.forEach((emit) => emit());
+  assert.is(watch.failedConnectCount(), 1);
+  watch.stop();
+});
+
 // Guards against a stop that closes its listener over connections which no descriptor was left to accept.
 test('connections that cannot be accepted may wait', async () => {
   const { clock, state, watch } = startWatch();
--- a/packages/runtime/src/descriptors.ts
+++ b/packages/runtime/src/descriptors.ts
@@ -8,6 +8,7 @@
 import type * as net from 'node:net';
 
 import type * as clocks from './clocks.js';
+import type * as logs from './logs.js';
 
 export type DescriptorWatch = {
   /** Whether there was none left when last looked. */
@@ -96,8 +97,8 @@
     const { socket } = message as { socket: net.Socket };
     socket.prependOnceListener(errorMonitor as unknown as 'error', (error) => {
       if (!OUT_OF_DESCRIPTORS.includes(codeOf(error))) return;
-      failedConnectCount += 1;
       look();
+      failedConnectCount += 1;
     });
   };
   diagnosticsChannel.subscribe('net.client.socket', onConnect);
@@ -114,3 +115,22 @@
     },
   };
 }
+
+/** The same, with a line at the begin and at the end of a lack. */
+export function watchAndLog(
+  clock: Pick<clocks.Clock, 'nowMs'>,
+  log: Pick<logs.Logger, 'info' | 'error'>,
+): DescriptorWatch {
+  // Without a descriptor left it can't be read.
+  const limit = readLimit();
+  return watchDescriptors({
+    clock,
+    onExhausted: () => log.error('descriptors-exhausted', { limit }),
+    onAvailable: (exhaustedMs, failedConnectCount) => {
+      log.info('descriptors-available', {
+        exhaustedMs: Math.round(exhaustedMs),
+        failedConnectCount,
+      });
+    },
+  });
+}
--- a/packages/runtime/src/gauges.ts
+++ b/packages/runtime/src/gauges.ts
@@ -1,5 +1,6 @@
 /** Reports at intervals what changes slowly, so that an operator sees it also in a quiet hour. */
 import * as clocks from './clocks.js';
+import type * as descriptorWatches from './descriptors.js';
 import type * as logSinks from './log-sink.js';
 import type * as metricsModule from './metrics.js';
 import type * as supervisor from './supervisor.js';
@@ -26,6 +27,17 @@
   ];
 }
 
+/** Whether a daemon has run out of descriptors. */
+export function descriptorSources(
+  daemonKind: 'entry' | 'agent',
+  watch: Pick<descriptorWatches.DescriptorWatch, 'exhaustedCount' | 'failedConnectCount'>,
+): GaugeSource[] {
+  return [
+    { name: `${daemonKind}.descriptors_exhausted`, read: watch.exhaustedCount },
+    { name: `${daemonKind}.connects_without_descriptor`, read: watch.failedConnectCount },
+  ];
+}
+
 /** Reports until it is stopped; a source that throws breaks the part, and its supervisor says so. */
 export function startGauges(deps: GaugesDeps): supervisor.RunningPart {
   const { clock, metrics, sources } = deps;
