--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -4,6 +4,7 @@
 import {
   clocks,
   daemon,
+  descriptors,
   gauges,
   heldSignals,
   processFaults,
@@ -57,6 +58,7 @@
 const container = containers.createContainer(settings, incarnation);
 const { cradle } = container;
 const { clock, log } = cradle;
+const descriptorWatch = descriptors.watchAndLog(clock, log);
 const server = new grpc.Server({
   'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
   'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
@@ -135,7 +137,10 @@
 }
 
 async function startReports(): Promise<supervisor.RunningPart> {
-  const sources = gauges.logSources('agent', cradle.logSink);
+  const sources = [
+    ...gauges.logSources('agent', cradle.logSink),
+    ...gauges.descriptorSources('agent', descriptorWatch),
+  ];
   return gauges.startGauges({ clock, metrics: cradle.metrics, sources });
 }
 
--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -153,7 +153,7 @@
     quarantine: awilix.asFunction(quarantines.createQuarantine).singleton(),
     connections: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
-        connectionsModule.createConnections(parts.clock),
+        connectionsModule.createConnections(parts.clock, parts.status.upstreamConnectionsMax),
       )
       .singleton(),
     configuration: awilix
@@ -163,10 +163,15 @@
       .singleton(),
     loopAges: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
-        readDelays.createReadDelay(parts.clock, ({ turnMs, busyShare, elapsedMs }) => {
-          parts.metrics.loopTurn(turnMs);
-          parts.shedding.noteBusy(busyShare, elapsedMs);
-        }),
+        readDelays.createReadDelay(
+          parts.clock,
+          ({ turnMs, busyShare, elapsedMs }) => {
+            parts.metrics.loopTurn(turnMs);
+            parts.shedding.noteBusy(busyShare, elapsedMs);
+          },
+          undefined,
+          parts.status.isOutOfDescriptors,
+        ),
       )
       .singleton(),
     shedding: awilix.asFunction(controlParts.createShedding).singleton(),
