A silent upstream is left only once another attempt is possible

What callers saw: with no trouble at all, a 502 upstream-lost 0.6 to 1.1 s after a request to an idempotent route was sent, 7 s before its deadline, while a sound upstream worked on it.

Cause: an attempt without an answer for 8 times its upstream's usual time was broken off first; only then was a retry token asked for and another upstream chosen. Where the budget was spent, its holder did not answer, no other upstream had room, or the gateway was at the end of a stop, the answer under way was lost and nothing took its place.

Change: at that time the attempt goes on while the gateway looks for another upstream and asks for the token, and is ended only if it has both (looked at again after the token). Otherwise it goes on to its deadline and asks again after intervals that double; an answer that comes meanwhile wins. What is silent counts as broken for the choice of upstreams at once, as before, and once. The token is held for the request, for 100 ms at most, so that its second send needs no other; one that is not used lapses, which can only make the count of retries smaller. The plays of the budget hold tokens so long at random, and plain-fleet.ts plays the same rule.

Weighed: letting the first attempt go on until the second has answered. Two attempts would race for one caller and each late request would hold two slots, most where slots are scarce, so the first is ended once the second can be sent. Giving an unused token back: it would live longer than the budget counts on.

Questions to a refusing holder at most 1.25 times those of requests that ask once (retries.test.ts).

--- a/packages/gateway/src/server/forwarding/attempt-outcomes.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt-outcomes.test.ts
@@ -86,6 +86,7 @@
       ...attempt(),
       result: { kind: 'answered', status: 200 },
       firstChunk,
+      wasSilent: false,
       tookMs: 1_500,
     });
     return beliefs.health('u1', clock.nowMs()).excessLatencyMs;
@@ -102,7 +103,7 @@
       states.applyLoadSignal('u1', load, count, clock.nowMs());
       const firstChunk = outcomes.recordFirstChunk(attempt(), 'event', tookMs);
       const result = { kind: 'answered' as const, status: 200 };
-      outcomes.ended({ ...attempt(), result, firstChunk, tookMs: 1_500 });
+      outcomes.ended({ ...attempt(), result, firstChunk, wasSilent: false, tookMs: 1_500 });
     }
     return serviceTimesModule.predictFirstChunkMs(paces.estimate('s', 'm'), WORK);
   };
--- a/packages/gateway/src/server/forwarding/attempt-outcomes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-outcomes.ts
@@ -45,12 +45,16 @@
   result: calls.AttemptResult;
   /** Null if no chunk arrived. */
   firstChunk: FirstChunk | null;
+  /** `recordSilence` has been called for it. */
+  wasSilent: boolean;
   tookMs: number;
 };
 
 export type AttemptOutcomes = {
   /** Records that the first event of a stream, or a whole answer, has arrived. */
   recordFirstChunk: (attempt: Attempt, chunk: 'event' | 'whole', tookMs: number) => FirstChunk;
+  /** An attempt has no answer for longer than one normally takes. */
+  recordSilence: (upstreamId: string) => void;
   ended: (attempt: EndedAttempt) => void;
 };
 
@@ -85,12 +89,12 @@
   }
 
   /** Records an attempt that did not end with a good answer. */
-  function recordFailure(call: calls.Call, upstreamId: string, result: calls.AttemptResult): void {
+  function recordFailure({ call, upstreamId, result, wasSilent }: EndedAttempt): void {
     const nowMs = clock.nowMs();
     switch (result.kind) {
       case 'not-sent':
       case 'lost':
-        updateHealth(upstreamId, { kind: 'broken' }, nowMs);
+        if (!wasSilent) updateHealth(upstreamId, { kind: 'broken' }, nowMs);
         break;
       case 'rejected':
         if (result.isMisdirected) recordMisdirected(call, upstreamId);
@@ -100,7 +104,7 @@
         updateHealth(upstreamId, { kind: 'failed' }, nowMs);
         break;
       case 'deadline':
-        if (!result.hasBegun) updateHealth(upstreamId, { kind: 'broken' }, nowMs);
+        if (!result.hasBegun && !wasSilent) updateHealth(upstreamId, { kind: 'broken' }, nowMs);
         break;
       case 'answered':
         if (result.status >= 500) updateHealth(upstreamId, { kind: 'failed' }, nowMs);
@@ -192,11 +196,11 @@
   }
 
   function recordEnd(attempt: EndedAttempt): void {
-    const { call, upstreamId, result, firstChunk } = attempt;
+    const { upstreamId, result, firstChunk } = attempt;
     const isGood = result.kind === 'answered' && result.status < 500;
     if (firstChunk === null || !isGood) {
       if (firstChunk === null) recordUnansweredWait(attempt);
-      recordFailure(call, upstreamId, result);
+      recordFailure(attempt);
       return;
     }
     const predictedMs = expectedMs(attempt, firstChunk.speed);
@@ -210,5 +214,9 @@
     }
   }
 
-  return { recordFirstChunk, ended: recordEnd };
+  function recordSilence(upstreamId: string): void {
+    updateHealth(upstreamId, { kind: 'broken' }, clock.nowMs());
+  }
+
+  return { recordFirstChunk, recordSilence, ended: recordEnd };
 }
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -44,6 +44,8 @@
   streams: resumedStreams.ResumedStreams;
   crashWatch: Pick<crashWatches.CrashWatch, 'started' | 'noteAnswered'>;
   doubts: Pick<restartDoubts.RestartDoubts, 'noteUnreachable' | 'noteAnswered'>;
+  /** Whether the request's attempt, which has no answer yet, may be ended for another one now. */
+  mayGiveUp: (call: calls.Call, run: runs.Run) => Promise<boolean>;
   serviceOf: (name: string) => fleet.Service | null;
   listAgeMs: () => number | null;
   gatewayCount: () => number;
@@ -61,11 +63,13 @@
   framing: calls.Framing | null;
   load: upstreamStates.LoadSignal | null;
   firstChunk: attemptOutcomes.FirstChunk | null;
+  /** It took so long that another upstream would be tried if that were possible. */
+  wasSilent: boolean;
 };
 
 /** If no connection has started to send the request by then, the upstream counts as unreachable and another one is tried. */
 const SEND_TIMEOUT_MS = 300;
-/** An idempotent call that takes this many times its usual time is retried at another upstream. */
+/** An idempotent call that takes this many times its usual time is retried at another upstream, if that is possible. */
 const SILENT_FACTOR = 8;
 const SILENT_MIN_MS = 250;
 const FIRST_ERROR_STATUS = 300;
@@ -107,7 +111,7 @@
     needsModel: router.needsModel,
   });
 
-  /** An attempt without an answer is given up before the deadline only if another attempt may follow. */
+  /** When an attempt without an answer counts as silent; only one that another may follow is given up before the deadline. */
   function firstByteByMs(call: calls.Call, run: runs.Run, upstreamId: string): number {
     const isLast = run.ranCount + 1 >= call.route.maxAttempts;
     if (call.route.kind !== 'idempotent' || isLast) return call.deadlineMs;
@@ -156,7 +160,7 @@
     });
     deps.doubts.noteUnreachable(upstreamId);
     deps.metrics.attemptEnded(result.kind);
-    outcomes.ended({ ...attempt, result, firstChunk: null, tookMs: 0 });
+    outcomes.ended({ ...attempt, result, firstChunk: null, wasSilent: false, tookMs: 0 });
     return result;
   }
 
@@ -183,7 +187,7 @@
       promptTokens: uncachedTokens,
     });
     deps.caches.recordSent(upstreamId, scope, call.facts.promptParts);
-    const answer: AnswerSoFar = { framing: null, load: null, firstChunk: null };
+    const answer: AnswerSoFar = { framing: null, load: null, firstChunk: null, wasSilent: false };
     const watched = deps.crashWatch.started(
       upstreamId,
       record.address,
@@ -207,6 +211,12 @@
       },
       sendByMs: startedAtMs + SEND_TIMEOUT_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
+      mayGiveUp: () => {
+        // Others avoid the upstream from now on, whether this attempt goes on or not.
+        if (!answer.wasSilent) outcomes.recordSilence(upstreamId);
+        answer.wasSilent = true;
+        return deps.mayGiveUp(call, run);
+      },
       eventIntervals: eventIntervalsOf(call, upstreamId),
       onResponseHead: (facts, framing) => {
         answer.load = facts.load;
@@ -239,8 +249,8 @@
     deps.metrics.attemptEnded(result.kind);
     connection.release(result.kind !== 'not-sent');
     const tookMs = clock.nowMs() - startedAtMs;
-    const { firstChunk } = answer;
-    outcomes.ended({ ...attempt, result, firstChunk, tookMs });
+    const { firstChunk, wasSilent } = answer;
+    outcomes.ended({ ...attempt, result, firstChunk, wasSilent, tookMs });
     log.info('attempt-ended', {
       requestId: call.requestId,
       upstreamId,
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -132,6 +132,7 @@
         ...(eventIntervals === undefined ? {} : { eventIntervals }),
         sendByMs: clock.nowMs() + 10_000,
         firstByteByMs: clock.nowMs() + firstByteInMs,
+        mayGiveUp: async () => true,
         onFirstChunk: () => {},
       },
     );
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -36,8 +36,10 @@
   mayStart: () => boolean;
   /** Give up if no connection has started to send the request by then. */
   sendByMs: number;
-  /** Give up, with the reason `silent`, if the head of an answer has not arrived by then. */
+  /** If the head of an answer has not arrived by then, `mayGiveUp` is called, and again after intervals that double. */
   firstByteByMs: number;
+  /** Whether to give up now, with the reason `silent`. The attempt goes on meanwhile, and if the answer is false. */
+  mayGiveUp: () => Promise<boolean>;
   /** `event`: the first bytes of a stream that is forwarded as it arrives. `whole`: an answer that isn't a stream. */
   onFirstChunk: (chunk: 'event' | 'whole', status: number) => void;
   /** Receives the times of a stream's events, to measure the intervals between them. */
@@ -191,9 +193,25 @@
      * Runs `check` once pending data has been read. After a stall of the event loop, timers fire before the sockets are read,
      * and the buffered data may show that the upstream was in time.
      */
-    function afterPendingReads(check: () => void): void {
+    function afterPendingReads(check: () => void | Promise<void>): void {
       if (deps.loopAges.mayBeStale()) void deps.loopAges.readPending().then(check);
-      else check();
+      else void check();
+    }
+
+    /** The upstream may still answer: it is left only for another attempt that is known to be possible. */
+    function leaveOnceSilent(waitMs: number): void {
+      const cancel = clock.schedule(clock.nowMs() + waitMs, () => {
+        afterPendingReads(async () => {
+          if (isSettled || hasStatus) return;
+          const isGivenUp = await input.mayGiveUp();
+          afterPendingReads(() => {
+            if (isSettled || hasStatus) return;
+            if (isGivenUp) abandon(lost('silent'));
+            else leaveOnceSilent(2 * waitMs);
+          });
+        });
+      });
+      cancels.push(cancel);
     }
 
     const handler: undici.Dispatcher.DispatchHandler = {
@@ -257,16 +275,14 @@
           if (!isSent) abandon({ kind: 'not-sent', reason: 'no connection in time' });
         });
       }),
-      clock.schedule(input.firstByteByMs, () => {
-        afterPendingReads(() => {
-          if (!hasStatus) abandon(lost('silent'));
-        });
-      }),
       clock.schedule(call.deadlineMs, () => {
         if (isSent) abandon({ kind: 'deadline', hasBegun: sink.hasBegun() });
         else abandon({ kind: 'not-sent', reason: 'deadline' });
       }),
     );
+    if (input.firstByteByMs < call.deadlineMs) {
+      leaveOnceSilent(Math.max(1, input.firstByteByMs - clock.nowMs()));
+    }
     sink.onCallerGone(() => {
       callerGoneAtMs = clock.nowMs();
       abandon({ kind: 'caller-gone' });
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -14,6 +14,8 @@
   ranCount: number;
   /** Attempts of which an upstream may have received a part, rejected ones included. */
   sentCount: number;
+  /** Until then its next send has a token of the retry budget; null without one. */
+  retryHeldUntilMs: number | null;
   /** An attempt is under way of which an upstream may have received a part. */
   isAtUpstream: boolean;
   /** The caller has received a part of an answer. */
@@ -57,6 +59,7 @@
   return {
     ranCount: 0,
     sentCount: 0,
+    retryHeldUntilMs: null,
     isAtUpstream: false,
     hasBegun: false,
     upstreamId: '',
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -1,7 +1,7 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 
-import { clocks, logs, randoms } from '@copperlever/runtime';
+import { clocks, randoms } from '@copperlever/runtime';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -63,31 +63,37 @@
   retryLimits?: retryLedgers.RetryLimits;
   /** Whether the first request that is refused is let through on trial. */
   isOnTrial?: boolean;
+  /** Set if another gateway holds the retry budget: its reply, after some time, to the question with that number. */
+  askHolder?: (count: number) => Promise<retriesModule.RetryReply | null>;
 };
 
 const RETRY_LIMITS = { ratio: 1, slack: 10, windowMs: 1_000 };
 
-/** Of a gateway that holds the lease. */
 function createRetries(
   clock: Pick<clocks.Clock, 'nowMs'>,
-  limits: retryLedgers.RetryLimits,
+  log: logEvents.GatewayLog,
+  { retryLimits: limits = RETRY_LIMITS, askHolder }: Setup,
 ): retriesModule.Retries {
+  let askedCount = 0;
   return retriesModule.createRetries({
     clock,
     limits,
-    log: logs.createSilentLogger() as logEvents.GatewayLog,
+    log,
     gatewayId: 'g1',
     incarnation: 1,
-    heldTerm: () => 1,
+    heldTerm: () => (askHolder === undefined ? 1 : null),
     secureLease: () => ({ sinceMs: 0, isFirst: true }),
     holderAgeMs: () => 0,
-    ask: async () => null,
+    ask: async () => {
+      askedCount += 1;
+      return askHolder === undefined ? null : askHolder(askedCount);
+    },
   });
 }
 
 async function createFixture(setup: Setup = {}) {
   const { ask = GRANTED, isWanted = true, answer = (socket) => socket.write(STREAM) } = setup;
-  const { takePermit, retryLimits = RETRY_LIMITS, isOnTrial = false } = setup;
+  const { takePermit, isOnTrial = false } = setup;
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
   const lines: string[] = [];
@@ -132,6 +138,7 @@
   const connections = connectionsModule.createConnections(clock);
   const loopAges = readDelays.createReadDelay(clock);
   const unsent = unsentRequests.createUnsentRequests();
+  const beliefs = upstreamHealthModule.createUpstreamHealthTracker();
   const serve = serving.createServe({
     clock,
     log,
@@ -140,11 +147,11 @@
     crashWatch: unwatched.createUnwatched(),
     random: randoms.createRandom(3),
     dialect: testDialects.createTestDialect(),
-    beliefs: upstreamHealthModule.createUpstreamHealthTracker(),
+    beliefs,
     inFlight: inFlightModule.createInFlight(),
     caches: promptCaches.createPromptCaches(),
     paces: serviceTimesModule.createServiceTimeEstimator(),
-    retries: createRetries(clock, retryLimits),
+    retries: createRetries(clock, log, setup),
     quarantine,
     crashTrials: {
       mayTry: () => isOnTrial && trialCount === 0,
@@ -223,7 +230,7 @@
     upstream.close();
     await connections.close();
   };
-  return { serve, upstream, asked, ended, list, refuseAll, unsent, lines, close };
+  return { serve, upstream, asked, ended, list, refuseAll, unsent, beliefs, lines, close };
 }
 
 function createSink() {
@@ -703,6 +710,122 @@
   }
 });
 
+const REFUSED_RETRY: retriesModule.RetryReply = { isAllowed: false, retryAfterMs: 50 };
+const ALLOWED_RETRY: retriesModule.RetryReply = { isAllowed: true, retryAfterMs: 0 };
+const NO_RETRIES = { ratio: 0, slack: 0, windowMs: 1_000 };
+
+function answerAfter(delayMs: number): Answer {
+  return (socket) => {
+    setTimeout(() => answerWith(GOOD_HEAD)(socket), delayMs);
+  };
+}
+
+/** Serves one call that may run again, beside as many upstreams at one address, of which the sends are answered in turn. */
+async function serveSilent(
+  setup: Omit<Setup, 'answer'> & { answers: Answer[]; upstreamCount?: number; timeoutMs?: number },
+  during: (
+    fixture: Awaited<ReturnType<typeof createFixture>>,
+    leave: () => void,
+  ) => void = () => {},
+) {
+  const { answers: pending, upstreamCount = 2, timeoutMs = 3_000 } = setup;
+  const answer: Answer = (socket) => pending.shift()?.(socket);
+  const fixture = await createFixture({ ...setup, isWanted: false, answer });
+  const { record } = fixture.upstream;
+  const ids = ['u1', 'u2'].slice(0, upstreamCount);
+  fixture.list(
+    ids.map((id) => ({ ...record, upstreamId: id, name: id })),
+    2,
+  );
+  // An answer that takes longer than the shortest such time is unusual there.
+  const usual = { kind: 'good', firstChunkMs: 10, predictedMs: 10 } as const;
+  ids.forEach((id) => fixture.beliefs.recordOutcome(id, usual, performance.now()));
+  try {
+    const call = createCall();
+    const route = { ...call.route, kind: 'idempotent', maxAttempts: 2 } as const;
+    const { sink, leave } = createSink();
+    const startedMs = performance.now();
+    const served = fixture.serve({ ...call, route, deadlineMs: startedMs + timeoutMs }, sink);
+    during(fixture, leave);
+    const ending = await served;
+    const cause = 'cause' in ending ? ending.cause : undefined;
+    const questionCount = fixture.lines.filter((line) => /^retry-decided/.test(line)).length;
+    const tookMs = performance.now() - startedMs;
+    const sentCount = fixture.upstream.requests.length;
+    return { kind: ending.kind, cause, sentCount, questionCount, tookMs };
+  } finally {
+    await fixture.close();
+  }
+}
+
+/** Why no other attempt can follow while an upstream is late. */
+const NO_OTHER: Record<string, Omit<Setup, 'answer'> & { upstreamCount?: number }> = {
+  'its budget is spent': { retryLimits: NO_RETRIES },
+  'the holder refuses': { askHolder: async () => REFUSED_RETRY },
+  'the holder does not answer': { askHolder: async () => null },
+  'the holder answers later than the upstream': {
+    askHolder: async () => {
+      await timers.setTimeout(400);
+      return ALLOWED_RETRY;
+    },
+  },
+  'there is no other upstream': { upstreamCount: 1 },
+};
+
+// Guards against breaking off an attempt for another one that can't be made: the caller got an error in place of a late answer.
+Object.entries(NO_OTHER).forEach(([name, setup]) => {
+  test(`a late answer reaches its caller if ${name}`, async () => {
+    const served = await serveSilent({ ...setup, answers: [answerAfter(500)] });
+    assert.equal([served.kind, served.sentCount], ['answered', 1]);
+  });
+});
+
+// Guards against an attempt that is broken off at the end of a stop, where it can't be followed by another.
+test('a late answer reaches its caller at the end of a stop', async () => {
+  const served = await serveSilent({ answers: [answerAfter(500)] }, ({ unsent }) => {
+    setTimeout(unsent.refuseAll, 100);
+  });
+  assert.equal([served.kind, served.sentCount], ['answered', 1]);
+});
+
+// Guards against waiting for the deadline at an upstream that is dead.
+test('a request at a silent upstream is sent to another as soon as it has a token', async () => {
+  const first = await serveSilent({ answers: [() => {}, answerAfter(0)] });
+  assert.equal([first.kind, first.sentCount, first.questionCount], ['answered', 2, 1]);
+  assert.ok(first.tookMs < 400, `${first.tookMs}`);
+  const later = await serveSilent({
+    answers: [() => {}, answerAfter(0)],
+    askHolder: async (count) => (count === 1 ? REFUSED_RETRY : ALLOWED_RETRY),
+  });
+  assert.equal([later.kind, later.sentCount, later.questionCount], ['answered', 2, 2]);
+  assert.ok(later.tookMs < 900, `${later.tookMs}`);
+});
+
+// Guards against a holder that is flooded by silent requests, and against a request without an answer at its deadline.
+test('a request that stays silent asks for a token at doubling intervals, and ends at its deadline', async () => {
+  const timeoutMs = 2_200;
+  const served = await serveSilent({
+    answers: [],
+    askHolder: async () => REFUSED_RETRY,
+    timeoutMs,
+  });
+  assert.equal([served.kind, served.cause, served.sentCount], ['failed', 'timeout', 1]);
+  assert.ok(served.questionCount >= 2 && served.questionCount <= 4, `${served.questionCount}`);
+  assert.ok(served.tookMs >= timeoutMs - 5 && served.tookMs < timeoutMs + 200, `${served.tookMs}`);
+});
+
+test('a caller that leaves while the token is asked for ends the attempt', async () => {
+  const askHolder = async () => {
+    await timers.setTimeout(300);
+    return ALLOWED_RETRY;
+  };
+  const served = await serveSilent({ answers: [], askHolder }, (_fixture, leave) => {
+    setTimeout(leave, 350);
+  });
+  assert.equal([served.kind, served.sentCount], ['caller-gone', 1]);
+  assert.ok(served.tookMs < 450, `${served.tookMs}`);
+});
+
 const STOPPING: calls.Ending = { kind: 'not-run', cause: 'stopping', retryAfterMs: 100 };
 
 /** Serves a call that is under way when the end of a stop comes; `release` ends what it waits for after that. */
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -10,6 +10,7 @@
 import type * as plainServiceTimes from '../../shared/plain-service-times.js';
 import type * as promptCaches from '../../shared/prompt-caches.js';
 import type * as restartDoubts from '../../shared/restart-doubts.js';
+import * as retryLedgers from '../../shared/retries/retry-ledger.js';
 import * as retryDecisions from '../../shared/retry-decisions.js';
 import * as upstreamHealthModule from '../../shared/upstream-health.js';
 import * as upstreamChoice from '../../shared/upstream-choice.js';
@@ -105,7 +106,7 @@
     setting: deps.plainQueues,
   });
   const held = heldRequests.createHeldRequests({ ...deps, router, isOn: deps.holdsBatch });
-  const attempt = attemptSenders.createAttemptSender({ ...deps, router });
+  const attempt = attemptSenders.createAttemptSender({ ...deps, router, mayGiveUp });
   const missing = missingCopies.createMissingCopies({ ...deps, router, refuse });
   const quarantined = quarantineChecks.createQuarantineCheck({ ...deps, router, refuse });
   const bindStream = streamBindings.createStreamBinding({ ...deps, refuse });
@@ -160,7 +161,7 @@
     if (result.kind === 'held-failure') {
       run.heldFailure = { answer: result.answer, upstreamId: run.upstreamId };
     }
-    if (decision.isRepeat && !deps.retries.mayRetry(call.service)) {
+    if (decision.isRepeat && !holdsRetry(run) && !deps.retries.mayRetry(call.service)) {
       return refuse(call, run, 'retries-spent', NO_UPSTREAM_RETRY_MS);
     }
     run.resumeAfterId = decision.resumeAfterId ?? run.resumeAfterId;
@@ -169,14 +170,46 @@
     return null;
   }
 
-  /** Whether the request may be sent now, by the retry budget of its service. The first send needs nothing. */
-  async function acquireRetry(call: calls.Call, run: runs.Run): Promise<boolean> {
-    if (run.sentCount === 0) return true;
+  function holdsRetry({ retryHeldUntilMs }: runs.Run): boolean {
+    return retryHeldUntilMs !== null && clock.nowMs() < retryHeldUntilMs;
+  }
+
+  async function takeRetry(call: calls.Call): Promise<boolean> {
     const isAllowed = await deps.retries.take(call);
     deps.metrics.retry(isAllowed);
     return isAllowed;
   }
 
+  /** Whether the request may be sent now, by the retry budget of its service. The first send needs nothing. */
+  async function acquireRetry(call: calls.Call, run: runs.Run): Promise<boolean> {
+    if (run.sentCount === 0) return true;
+    const isHeld = holdsRetry(run);
+    Object.assign(run, { retryHeldUntilMs: null });
+    return isHeld || takeRetry(call);
+  }
+
+  /** Whether an upstream could take the request next, besides the one that has it now. */
+  function hasNextUpstream(call: calls.Call, run: runs.Run): boolean {
+    const next = { ...run, ranCount: run.ranCount + 1, sentCount: run.sentCount + 1 };
+    if (deps.unsent.isRefusing() || quarantined.isRefused(next)) return false;
+    const choice = router.choose(call, next, router.needsModel(call) ? 'any' : 'place');
+    return choice.kind === 'send' && !choice.needsAdapter;
+  }
+
+  /**
+   * Load: upstreams answer some requests much later than others, while the retry budget is spent, its holder does not answer or
+   * no other upstream has room. Harm prevented: answers under way are thrown away for retries that can't be made.
+   * A token that the answer makes superfluous is not given back: it would live longer than the budget counts on.
+   */
+  async function mayGiveUp(call: calls.Call, run: runs.Run): Promise<boolean> {
+    if (!deps.retries.mayRetry(call.service) || !hasNextUpstream(call, run)) return false;
+    if (!holdsRetry(run)) {
+      if (!(await takeRetry(call))) return false;
+      Object.assign(run, { retryHeldUntilMs: clock.nowMs() + retryLedgers.TOKEN_HELD_MS });
+    }
+    return hasNextUpstream(call, run);
+  }
+
   /** One round: chooses an upstream and makes an attempt there. Null if another round follows. */
   async function serveOnce(
     call: calls.Call,
--- a/packages/gateway/src/server/retries/retries.test.ts
+++ b/packages/gateway/src/server/retries/retries.test.ts
@@ -1,8 +1,12 @@
+import { clocks as clocksModule, logs } from '@copperlever/runtime';
+import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import * as retryFleets from '../../testing/retry-fleet.js';
 import * as retryPlays from '../../testing/retry-plays.js';
+import type * as logEvents from '../../types/log-events.js';
+import * as retriesModule from './retries.js';
 
 const test = suite('retry budget');
 
@@ -94,6 +98,44 @@
   assertWithin(fleet);
 });
 
+/** Questions to a holder that has nothing left, where 100 requests a second all ask that long after they are silent. */
+async function questionCount(askedAfterMs: readonly number[]): Promise<number> {
+  const clock = fakeClocks.createFakeClock();
+  let count = 0;
+  const retries = retriesModule.createRetries({
+    clock,
+    limits: LIMITS,
+    log: logs.createSilentLogger() as logEvents.GatewayLog,
+    gatewayId: 'g1',
+    incarnation: 1,
+    heldTerm: () => null,
+    secureLease: () => null,
+    holderAgeMs: () => 0,
+    ask: async () => {
+      count += 1;
+      await clocksModule.sleepUntil(clock, clock.nowMs() + 2);
+      return { isAllowed: false, retryAfterMs: 50 };
+    },
+  });
+  for (let atMs = 0; atMs < 1_000; atMs += 10) {
+    askedAfterMs.forEach((afterMs) => {
+      clock.schedule(atMs + afterMs, () => {
+        if (retries.mayRetry('s')) void retries.take({ requestId: 'r', service: 's' });
+      });
+    });
+  }
+  await clock.advance(1_000);
+  return count;
+}
+
+// Guards against a holder that is flooded by the requests that stay silent, when the budget is spent.
+test('requests that ask again while they are silent hardly add to the questions to a holder that refuses', async () => {
+  const once = await questionCount([0]);
+  const again = await questionCount([0, 103, 306, 709]);
+  assert.ok(once >= 15, `${once}`);
+  assert.ok(again <= 1.25 * once, `${again} ${once}`);
+});
+
 const SEEDS = Array.from({ length: 6 }, (_unused, index) => index + 1);
 
 test('whatever is cut, killed or started, no window has more retries than the limit', async () => {
--- a/packages/gateway/src/shared/retries/retry-ledger.ts
+++ b/packages/gateway/src/shared/retries/retry-ledger.ts
@@ -21,6 +21,11 @@
 
 /** A token is used within this time of being made, and within as much again of being passed on. */
 export const TOKEN_LIFE_MS = 500;
+/**
+ * So long a request may hold a token before it is sent, while its earlier attempt ends: short beside the life of tokens, since it
+ * delays what they allow in the same way.
+ */
+export const TOKEN_HELD_MS = 100;
 /** Parts of the limit; the rest covers the life of tokens, and retries that take long to arrive. */
 const RATIO_SHARE = 0.9;
 const SLACK_SHARE = 0.95;
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -249,6 +249,7 @@
         mayStart: () => true,
         sendByMs: untilMs,
         firstByteByMs: untilMs,
+        mayGiveUp: async () => true,
         onFirstChunk: () => {},
         onResponseHead: () => {},
         onCancelled: () => {},
--- a/packages/gateway/src/testing/plain-fleet.ts
+++ b/packages/gateway/src/testing/plain-fleet.ts
@@ -348,15 +348,20 @@
       await clocksModule.sleepUntil(clock, clock.nowMs() + NETWORK_MS);
       if (isSilent(index)) {
         const usualMs = gateway.beliefs.health(choice.upstreamId, sentMs).firstChunkMs ?? 0;
-        const untilMs = sentMs + Math.max(SILENT_MIN_MS, SILENT_FACTOR * usualMs);
-        await clocksModule.sleepUntil(clock, untilMs);
-        started.end();
-        passage.ended();
+        let waitMs = Math.max(SILENT_MIN_MS, SILENT_FACTOR * usualMs);
+        await clocksModule.sleepUntil(clock, Math.min(call.deadlineMs, sentMs + waitMs));
         gateway.beliefs.recordOutcome(choice.upstreamId, { kind: 'broken' }, clock.nowMs());
         outcome.silent += 1;
         sentCount += 1;
         ranCount += 1;
-        if (ranCount >= MAX_ATTEMPTS || !tryAgain(gateway)) return { kind: 'failed' };
+        // It stays there until it may be sent elsewhere.
+        while (clock.nowMs() < call.deadlineMs) {
+          if (ranCount < MAX_ATTEMPTS && tryAgain(gateway)) break;
+          waitMs *= 2;
+          await clocksModule.sleepUntil(clock, Math.min(call.deadlineMs, clock.nowMs() + waitMs));
+        }
+        started.end();
+        passage.ended();
         continue;
       }
       const isServed = await upstream.serve(call.workMs, priority);
--- a/packages/gateway/src/testing/retry-fleet.ts
+++ b/packages/gateway/src/testing/retry-fleet.ts
@@ -35,6 +35,8 @@
 export type RetryFleetOptions = {
   gatewayCount: number;
   limits: retryLedgers.RetryLimits;
+  /** How long a request holds its token before it is sent. */
+  heldMs?: () => number;
 };
 
 const NETWORK_MS = 2;
@@ -189,7 +191,7 @@
     },
     retry: async (gateway) => {
       const isAllowed = await gateway.retries.take({ requestId: 'r', service: SERVICE });
-      if (isAllowed) retriesMs.push(clock.nowMs());
+      if (isAllowed) retriesMs.push(clock.nowMs() + (options.heldMs?.() ?? 0));
       return isAllowed;
     },
     restart: (gateway) => {
--- a/packages/gateway/src/testing/retry-plays.ts
+++ b/packages/gateway/src/testing/retry-plays.ts
@@ -1,6 +1,7 @@
 /** Plays of gateways that share a retry budget, with random loads, losses, waits, cuts, kills and starts. */
 import { randoms } from '@copperlever/runtime';
 
+import * as retryLedgers from '../shared/retries/retry-ledger.js';
 import * as retryFleets from './retry-fleet.js';
 
 export type RetryPlay = { retries: number; allowed: number; retryCount: number };
@@ -22,6 +23,8 @@
 const STEP_MS = 50;
 const LONG_WAIT_MS = 8_000;
 const SHORT_WAIT_MS = 300;
+/** Apart from the seeds of the plays. */
+const HELD_SEED = 1_000_000;
 const FAIL_SHARES = [0, 0.1, 1, 1];
 
 function injectFault(
@@ -89,11 +92,13 @@
 /** Returns the window nearest to its limit. */
 export async function play(seed: number): Promise<RetryPlay> {
   const random = randoms.createRandom(seed);
+  const held = randoms.createRandom(seed + HELD_SEED);
   const gatewayCount = 2 + random.below(9);
   const slack = 20 + random.below(100);
   const fleet = retryFleets.createRetryFleet({
     gatewayCount,
     limits: { ratio: RATIO, slack, windowMs: WINDOW_MS },
+    heldMs: () => held.below(retryLedgers.TOKEN_HELD_MS),
   });
   const { clock, gateways } = fleet;
   const weights = gateways.map(() => 0.2 + random.fraction());
