An error in a silent attempt's decision ends that attempt, not the process

What callers would see: if the decision whether a silent attempt may be left throws, the rejection has no handler and Node ends the process with all it holds.

Change: the error rejects the attempt, as errors in other choices of an upstream reach the request that they belong to.

--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -211,7 +211,7 @@
       },
       sendByMs: startedAtMs + SEND_TIMEOUT_MS,
       firstByteByMs: firstByteByMs(call, run, upstreamId),
-      mayGiveUp: () => {
+      mayGiveUp: async () => {
         // Others avoid the upstream from now on, whether this attempt goes on or not.
         if (!answer.wasSilent) outcomes.recordSilence(upstreamId);
         answer.wasSilent = true;
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -104,6 +104,7 @@
   mayStart: () => boolean = () => true,
   firstByteInMs = 20_000,
   turnMs = 1,
+  mayGiveUp: () => Promise<boolean> = async () => true,
 ) {
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
@@ -132,7 +133,7 @@
         ...(eventIntervals === undefined ? {} : { eventIntervals }),
         sendByMs: clock.nowMs() + 10_000,
         firstByteByMs: clock.nowMs() + firstByteInMs,
-        mayGiveUp: async () => true,
+        mayGiveUp,
         onFirstChunk: () => {},
       },
     );
@@ -140,7 +141,12 @@
     loopAges.stop();
     return result;
   };
-  const result = await run();
+  const result = await run().catch(async (cause: unknown) => {
+    loopAges.stop();
+    upstream.close();
+    await connections.close();
+    throw cause;
+  });
   return { result, passed, upstream, run, connections };
 }
 
@@ -161,6 +167,17 @@
   await connections.close();
 });
 
+// Guards against a process that ends by an error in a decision that is made while the attempt goes on.
+test('an error while another attempt is looked for ends the attempt alone', async () => {
+  const failing = () => Promise.reject(new Error('no choice'));
+  const call = createCall('idempotent');
+  const failed = await attempt(() => {}, call, undefined, undefined, 50, 1, failing).then(
+    () => 'none',
+    (error: Error) => error.message,
+  );
+  assert.is(failed, 'no choice');
+});
+
 // Timers fire before sockets are read: after a stall, an upstream that has answered would be called silent and the request
 // sent twice.
 test('an answer that came during a stall of the loop is read before its upstream is called silent', async () => {
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -67,7 +67,7 @@
   const framer = isStream && call.route.isResumable ? eventFramer.createEventFramer() : null;
   const ends = eventEnds.createEventEnds();
 
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     let controller: undici.Dispatcher.DispatchController | null = null;
     let isSettled = false;
     let isSent = false;
@@ -101,6 +101,12 @@
       else controller.abort(new AttemptAborted('attempt abandoned'));
     }
 
+    /** An error of a timer's task has no caller: it would end the process. */
+    function fail(cause: unknown): void {
+      reject(cause);
+      abandon(lost('silent'));
+    }
+
     function lost(reason: calls.LossReason): calls.AttemptResult {
       const hasBegun = sink.hasBegun();
       return { kind: 'lost', reason, hasBegun, lastEventId: framer?.lastEventId() ?? null };
@@ -193,22 +199,25 @@
      * Runs `check` once pending data has been read. After a stall of the event loop, timers fire before the sockets are read,
      * and the buffered data may show that the upstream was in time.
      */
-    function afterPendingReads(check: () => void | Promise<void>): void {
+    function afterPendingReads(check: () => void): void {
       if (deps.loopAges.mayBeStale()) void deps.loopAges.readPending().then(check);
-      else void check();
+      else check();
     }
 
     /** The upstream may still answer: it is left only for another attempt that is known to be possible. */
     function leaveOnceSilent(waitMs: number): void {
+      const decide = (isGivenUp: boolean) => {
+        if (isSettled || hasStatus) return;
+        if (isGivenUp) abandon(lost('silent'));
+        else leaveOnceSilent(2 * waitMs);
+      };
       const cancel = clock.schedule(clock.nowMs() + waitMs, () => {
-        afterPendingReads(async () => {
+        afterPendingReads(() => {
           if (isSettled || hasStatus) return;
-          const isGivenUp = await input.mayGiveUp();
-          afterPendingReads(() => {
-            if (isSettled || hasStatus) return;
-            if (isGivenUp) abandon(lost('silent'));
-            else leaveOnceSilent(2 * waitMs);
-          });
+          input
+            .mayGiveUp()
+            .then((isGivenUp) => afterPendingReads(() => decide(isGivenUp)))
+            .catch(fail);
         });
       });
       cancels.push(cancel);
