--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -36,8 +36,10 @@
   mayStart: () => boolean;
   /** Give up if no connection has started to send the request by then. */
   sendByMs: number;
-  /** Give up, with the reason `silent`, if the head of an answer has not arrived by then. */
+  /** If the head of an answer has not arrived by then, `mayGiveUp` is called, and again after intervals that double. */
   firstByteByMs: number;
+  /** Whether to give up now, with the reason `silent`. The attempt goes on meanwhile, and if the answer is false. */
+  mayGiveUp: () => Promise<boolean>;
   /** `event`: the first bytes of a stream that is forwarded as it arrives. `whole`: an answer that isn't a stream. */
   onFirstChunk: (chunk: 'event' | 'whole', status: number) => void;
   /** Receives the times of a stream's events, to measure the intervals between them. */
@@ -65,7 +67,7 @@
   const framer = isStream && call.route.isResumable ? eventFramer.createEventFramer() : null;
   const ends = eventEnds.createEventEnds();
 
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     let controller: undici.Dispatcher.DispatchController | null = null;
     let isSettled = false;
     let isSent = false;
@@ -99,6 +101,12 @@
       else controller.abort(new AttemptAborted('attempt abandoned'));
     }
 
+    /** An error of a timer's task has no caller: it would end the process. */
+    function fail(cause: unknown): void {
+      reject(cause);
+      abandon(lost('silent'));
+    }
+
     function lost(reason: calls.LossReason): calls.AttemptResult {
       const hasBegun = sink.hasBegun();
       return { kind: 'lost', reason, hasBegun, lastEventId: framer?.lastEventId() ?? null };
@@ -196,6 +204,25 @@
       else check();
     }
 
+    /** The upstream may still answer: it is left only for another attempt that is known to be possible. */
+    function leaveOnceSilent(waitMs: number): void {
+      const decide = (isGivenUp: boolean) => {
+        if (isSettled || hasStatus) return;
+        if (isGivenUp) abandon(lost('silent'));
+        else leaveOnceSilent(2 * waitMs);
+      };
+      const cancel = clock.schedule(clock.nowMs() + waitMs, () => {
+        afterPendingReads(() => {
+          if (isSettled || hasStatus) return;
+          input
+            .mayGiveUp()
+            .then((isGivenUp) => afterPendingReads(() => decide(isGivenUp)))
+            .catch(fail);
+        });
+      });
+      cancels.push(cancel);
+    }
+
     const handler: undici.Dispatcher.DispatchHandler = {
       onRequestStart: (started) => {
         controller = started;
@@ -257,16 +284,14 @@
           if (!isSent) abandon({ kind: 'not-sent', reason: 'no connection in time' });
         });
       }),
-      clock.schedule(input.firstByteByMs, () => {
-        afterPendingReads(() => {
-          if (!hasStatus) abandon(lost('silent'));
-        });
-      }),
       clock.schedule(call.deadlineMs, () => {
         if (isSent) abandon({ kind: 'deadline', hasBegun: sink.hasBegun() });
         else abandon({ kind: 'not-sent', reason: 'deadline' });
       }),
     );
+    if (input.firstByteByMs < call.deadlineMs) {
+      leaveOnceSilent(Math.max(1, input.firstByteByMs - clock.nowMs()));
+    }
     sink.onCallerGone(() => {
       callerGoneAtMs = clock.nowMs();
       abandon({ kind: 'caller-gone' });
