Entry: streams in a stop ask for their connection to be closed

Callers saw: beside a planned stop (SIGINT) of an entry, 0 to 2 stream requests with ECONNRESET, 0.7 ms after they were sent, on kept connections, 2.0 and 2.5 s after the signal.

Cause: `connection: close` was set on fastify's reply in onRequest. Streams write their head to the raw response, which does not have it, so their callers kept the connection; the entry closes unused connections after 2 s, and one of them while the next request was on its way. The same held for answers whose request came before the stop and which were sent after. Traced with the trial script, its errors with the port and whether the connection was used before: LOST ECONNRESET reused true ... sentAfterSignal 2005.1 endAfterSignal 2005.8 LOST ECONNRESET reused true ... sentAfterSignal 2451.3 endAfterSignal 2451.8 Excluded: a connection that waits to be accepted, and a new one (both were reused).

Change: the header is set on the raw response, when a request comes and when an answer is sent.

Before, app.test.ts: "an entry that stops asks for the connections of its streams to be closed" and "an answer that is sent in a stop asks for its connection to be closed": close expected, keep-alive seen, both.

Left: a stream whose head was written before the stop, and which ends more than 2 s after it, cannot say so any more, nor does one say so whose request came before the stop and whose head after.

--- a/packages/entry/src/server/calls/app.test.ts
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -172,4 +172,23 @@
   assert.is(answer.headers.connection, 'close');
 });
 
+// Guards against callers of streams that go on using a connection which the stop closes between two requests.
+test('an entry that stops asks for the connections of its streams to be closed', async () => {
+  const { server, state } = createApp();
+  state.isStopping = true;
+  const answer = await server.inject(post(CHAT, { ...chat, stream: true }));
+  assert.is(answer.statusCode, 200);
+  assert.is(answer.headers.connection, 'close');
+});
+
+// Guards against the same for callers whose request came before the stop, and its answer after.
+test('an answer that is sent in a stop asks for its connection to be closed', async () => {
+  const fixture = createApp(async (_call, sink) => {
+    fixture.state.isStopping = true;
+    return answering(_call, sink, new AbortController().signal);
+  });
+  const answer = await fixture.server.inject(post(CHAT, chat));
+  assert.is(answer.headers.connection, 'close');
+});
+
 test.run();
--- a/packages/entry/src/server/calls/app.ts
+++ b/packages/entry/src/server/calls/app.ts
@@ -35,10 +35,12 @@
     handlers.handleError(deps, error, reply),
   );
   app.setNotFoundHandler((request, reply) => handlers.handleNotFound(deps, request, reply));
-  app.addHook('onRequest', async (_request, reply) => {
-    // A balancer that keeps its connections would go on using this entry after it has left.
-    if (options.isStopping()) reply.header('connection', 'close');
-  });
+  // A balancer that keeps its connections would go on using this entry after it has left. Streams write their head themselves.
+  const askForClose = async (_request: fastify.FastifyRequest, reply: fastify.FastifyReply) => {
+    if (options.isStopping() && !reply.raw.headersSent) reply.raw.setHeader('connection', 'close');
+  };
+  app.addHook('onRequest', askForClose);
+  app.addHook('onSend', askForClose);
   registerCalls(app, deps);
   return app;
 }
