Orders: a report that cannot be applied counts as missing

Change: reading a report never rejects: it is logged and counts as missing, and the next poll reads again. Excluded: the other refreshes that nobody awaits are handled by the queue itself, which a first form of the test showed. Measured: copy-controller.test.ts ended by the unhandled "Error: broken" before; now 21 of 21 pass.

--- a/packages/gateway/src/server/placement/copy-controller.test.ts
+++ b/packages/gateway/src/server/placement/copy-controller.test.ts
@@ -33,6 +33,8 @@
     dropOrderCount: 0,
     /** Number of the next requests for a report that get no answer. */
     dropReportCount: 0,
+    /** Number of the next requests for a report that fail in a way that nobody expects. */
+    brokenReportCount: 0,
     adaptersMax: 4,
     /** Orders for adapters are refused until this time. */
     refuseAdaptersUntilMs: 0,
@@ -123,6 +125,10 @@
   snap();
   const control: dialects.UpstreamControl = {
     report: () => {
+      if (state.brokenReportCount > 0) {
+        state.brokenReportCount -= 1;
+        return Promise.reject(new Error('broken'));
+      }
       if (state.dropReportCount > 0) {
         state.dropReportCount -= 1;
         return Promise.resolve(results.Err({ kind: 'no-answer', reason: 'silent' } as const));
@@ -589,4 +595,18 @@
   assert.is(controller.adapterCount(), 0);
 });
 
+// Guards against a report that cannot be applied and ends the gateway that holds the lease.
+test('a report that breaks its reader counts as missing, and the next one is read', async () => {
+  const { clock, upstream, create } = createHarness(['a']);
+  upstream.carryOut({ kind: 'load-model', model: 'b' });
+  await clock.advance(REPORT_LAG_MS);
+  const controller = create();
+  await clock.advance(REPORT_LAG_MS);
+  assert.ok(controller.view(() => 0)?.isChanging);
+  upstream.state.brokenReportCount = 1;
+  await clock.advance(LOAD_MS * 3);
+  assert.equal(modelsOf(controller), ['a', 'b']);
+  controller.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/placement/order-queue.ts
+++ b/packages/gateway/src/server/placement/order-queue.ts
@@ -89,7 +89,7 @@
     return done;
   }
 
-  async function refresh(): Promise<fleet.UpstreamReport | null> {
+  async function readReport(): Promise<fleet.UpstreamReport | null> {
     const sentMs = clock.nowMs();
     const answer = await deps.control.report(target, sentMs + CALL_TIMEOUT_MS);
     if (answer.err) {
@@ -105,6 +105,16 @@
     return report;
   }
 
+  /** Never rejects, since nobody awaits the polls of an upstream. A report that cannot be applied counts as missing. */
+  async function refresh(): Promise<fleet.UpstreamReport | null> {
+    try {
+      return await readReport();
+    } catch (cause) {
+      log.error('steward-broken', { upstreamId, reason: String(cause) });
+      return null;
+    }
+  }
+
   async function ensureKnown(): Promise<boolean> {
     if (orderCount !== null) return true;
     return (await refresh()) !== null;
