Agent: what is thrown while one call is served ends that call

Cause: the frames of a call are written by a promise that nobody awaits, so what is thrown for one call was an unhandled rejection. Change: the call ends with INTERNAL, which the entry takes for a lost attempt. Excluded: the unary methods, whose exceptions gRPC itself turns into a status.

--- a/packages/agent/src/server/dispatch/app.ts
+++ b/packages/agent/src/server/dispatch/app.ts
@@ -1,6 +1,6 @@
 /** Registers the handlers of AgentService with gRPC. */
 import type { agent } from '@copperlever/protocol';
-import type * as grpc from '@grpc/grpc-js';
+import * as grpc from '@grpc/grpc-js';
 
 import * as handlers from './handlers.js';
 
@@ -30,6 +30,18 @@
   if (!gone.signal.aborted) call.end();
 }
 
+/** What is thrown while one call is served ends that call, and not the process. */
+async function serveFrames(
+  call: FrameCall,
+  read: (signal: AbortSignal) => AsyncIterable<agent.AnswerFrame>,
+): Promise<void> {
+  try {
+    await writeFrames(call, read);
+  } catch (cause) {
+    call.emit('error', { code: grpc.status.INTERNAL, details: String(cause) });
+  }
+}
+
 export type DispatchApp = Pick<
   agent.AgentServiceServer,
   'dispatch' | 'resume' | 'revoke' | 'acknowledge'
@@ -38,10 +50,10 @@
 export function createApp(deps: handlers.HandlerDeps): DispatchApp {
   return {
     dispatch: (call) => {
-      void writeFrames(call, (signal) => handlers.handleDispatch(deps, call.request, signal));
+      void serveFrames(call, (signal) => handlers.handleDispatch(deps, call.request, signal));
     },
     resume: (call) => {
-      void writeFrames(call, (signal) => handlers.handleResume(deps, call.request, signal));
+      void serveFrames(call, (signal) => handlers.handleResume(deps, call.request, signal));
     },
     revoke: (call, callback) => {
       callback(null, handlers.handleRevoke(deps, call.request));
