Command line: a reader that is gone is no failure, a full disk is told

What operators saw: `copperlever explain ID | head -1` could end in a stack trace with status 1, and a full disk behind the output too. Cause: nothing listened for errors of standard output. Change: EPIPE is the reader's choice and changes nothing, so a command that is under way comes to its end with its own status; any other error is one line on standard error, and status 1.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,11 +9,17 @@
 import * as fleet from './commands/fleet.js';
 import * as trace from './commands/trace.js';
 import * as contexts from './context.js';
+import * as outputs from './output.js';
 
 const DEFAULT_PLATFORM_URL = 'http://127.0.0.1:7000';
 const DEFAULT_ENTRY_URL = 'http://127.0.0.1:8080';
 const DEFAULT_HISTORY_LIMIT = 50;
 
+const output = outputs.watchOutput(process, (error) => {
+  process.exitCode = contexts.EXIT.failed;
+  process.stderr.write(`standard output: ${error.message}\n`);
+});
+
 const program = new commander.Command('copperlever')
   .description('Operates copperlever: configuration, fleet and the history of requests')
   .option(
@@ -51,7 +57,7 @@
   const context = contexts.createContext(program.opts<contexts.GlobalOptions>());
   const status = await command(context);
   await context.close();
-  process.exitCode = status;
+  process.exitCode = output.hasFailed() ? contexts.EXIT.failed : status;
 }
 
 const configCommand = program
