Metrics: they go out in few datagrams

What operators saw: nothing that was reported; where the StatsD host is a name that doesn't resolve, the memory of an entry or agent grows with its requests. Cause: each metric was a datagram with a look-up of its own, and waits in memory until that has failed; the look-ups take the threads that compression and files need too. Change: metrics are sent together, up to 1,400 bytes a datagram and at least once a second, and before the close is over. Excluded: a peer that is away and a full socket buffer neither fill nor block nor end the process; errors are taken by hot-shots' handler.

--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -12,12 +12,19 @@
 
 export type MetricsOptions = { host: string; port: number; daemonId: string };
 
+/** A datagram of that size passes any network whole. */
+const DATAGRAM_BYTES_MAX = 1_400;
+const FLUSH_INTERVAL_MS = 1_000;
+
 export function createMetrics(options: MetricsOptions): Metrics {
   const client = new hotShots.StatsD({
     host: options.host,
     port: options.port,
     prefix: 'copperlever.',
     globalTags: { daemon: options.daemonId },
+    // Sent one by one, each metric waits in memory for a look-up of its own where the host is a name.
+    maxBufferSize: DATAGRAM_BYTES_MAX,
+    bufferFlushInterval: FLUSH_INTERVAL_MS,
     // A lost metric must not fail a request.
     errorHandler: () => {},
   });
