Stops: one that hangs is cut off and named; their time counts from the signal

Found by the review of the merge. What callers saw: nothing yet. Cause: the time of a stop that a fault befell counted from the fault (a stop of 10 s ended after 18 s, past the platform's kill), a stop that hung without a fault had no bound, entries and agents counted from when they looked at the signal and bounded a stop by the drain time of their start, not by the one in force; an error whose text cannot be read threw within the handler of faults, which ends the process at once; signals that alternate during a start were kept without bound. Change: one bound from the signal for every stop; a fault that cannot be read is one all the same; one kept signal of each name.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -144,11 +144,11 @@
   return gauges.startGauges({ clock, metrics: cradle.metrics, sources });
 }
 
-async function drain(): Promise<void> {
+async function drain(sinceMs: number): Promise<void> {
   cradle.control.membership.leave();
   if (!isConfigured()) return;
   cradle.attempts.leave();
-  const deadlineMs = clock.nowMs() + drainTimeoutMs;
+  const deadlineMs = sinceMs + drainTimeoutMs;
   await clocks.sleepUntil(clock, clock.nowMs() + LEAVE_SPREAD_MS);
   while (cradle.attempts.openCount() > 0 && clock.nowMs() < deadlineMs) {
     await clocks.sleepUntil(clock, clock.nowMs() + DRAIN_CHECK_MS);
@@ -164,14 +164,14 @@
   { clock, log, onGiveUp: processEnd.partGivenUp },
 );
 
-async function stop(): Promise<void> {
+async function stop(sinceMs: number): Promise<void> {
   log.info('stopping', {});
-  await drain();
+  await drain(sinceMs);
   await tree.stop();
   log.info('stopped', {});
 }
 
-processEnd.endBy({ run: stop, timeoutMs: settings.drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
+processEnd.endBy({ run: stop, timeoutMs: () => drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
 
 await tree.start();
 processEnd.started(log);
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -136,7 +136,7 @@
   { clock, log, onGiveUp: processEnd.partGivenUp },
 );
 
-async function stop(): Promise<void> {
+async function stop(sinceMs: number): Promise<void> {
   log.info('stopping', { openCallCount: openCalls.count });
   await drains.drain({
     clock,
@@ -148,13 +148,13 @@
     connections,
     openCallCount: () => openCalls.count,
     pendingClaimCount: cradle.settlements.pendingCount,
-    timeoutMs: drainTimeoutMs,
+    timeoutMs: sinceMs + drainTimeoutMs - clock.nowMs(),
   });
   await tree.stop();
   log.info('stopped', {});
 }
 
-processEnd.endBy({ run: stop, timeoutMs: settings.drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
+processEnd.endBy({ run: stop, timeoutMs: () => drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
 
 await tree.start();
 processEnd.started(log);
--- a/packages/runtime/src/held-signals.ts
+++ b/packages/runtime/src/held-signals.ts
@@ -23,8 +23,8 @@
 export function holdSignals(source: SignalSource = process): HeldSignals {
   const kept: ReceivedSignal[] = [];
   let handle: SignalHandler = (signal) => {
-    // The order counts, and how often each came does not: a flood of them during a start stays small.
-    if (kept.at(-1)?.name !== signal.name) kept.push(signal);
+    // Which came first counts, and how often each came does not: a flood of them during a start stays small.
+    if (!kept.some(({ name }) => name === signal.name)) kept.push(signal);
   };
   SIGNALS.forEach((name) => {
     source.on(name, () => handle({ name, receivedAtMs: performance.now() }));
--- a/packages/runtime/src/process-faults.test.ts
+++ b/packages/runtime/src/process-faults.test.ts
@@ -25,7 +25,7 @@
     exit: (status) => exits.push(status),
   });
   processEnd.endBy({
-    timeoutMs: STOP_TIMEOUT_MS,
+    timeoutMs: () => STOP_TIMEOUT_MS,
     run: (sinceMs) => {
       stopped.count += 1;
       stopped.sinceMs = sinceMs;
@@ -53,14 +53,36 @@
   assert.equal(exits, [1]);
 });
 
-// Guards against a process in an unknown state whose stop waits for what is broken.
-test('a stop that a fault befalls ends after its time, with a failure', async () => {
+// Guards against a process in an unknown state whose stop waits for what is broken, until the platform kills it.
+test('a stop that a fault befalls ends after its time since the signal, with a failure', async () => {
   const { clock, log, exits, processEnd } = createProcess();
   processEnd.started(log);
   processEnd.stop();
-  await clock.advance(1_000);
+  await clock.advance(STOP_TIMEOUT_MS - 1);
   processEnd.failed('rejection', new Error('broken'));
-  await clock.advance(STOP_TIMEOUT_MS);
+  assert.equal(exits, []);
+  await clock.advance(1);
+  assert.equal(exits, [1]);
+});
+
+// Guards against a stop that hangs, says nothing and ends only by being killed.
+test('a stop that hangs is named and cut off', async () => {
+  const { clock, log, exits, faults, processEnd } = createProcess();
+  processEnd.started(log);
+  processEnd.stop(-100);
+  await clock.advance(STOP_TIMEOUT_MS - 100);
+  assert.equal(exits, [1]);
+  assert.equal(faults, [{ kind: 'stop', name: 'timeout' }]);
+});
+
+// Guards against an error that cannot be described and so cuts off all requests.
+test('a fault that cannot be read begins the planned stop', async () => {
+  const { clock, log, exits, stopped, processEnd } = createProcess();
+  processEnd.started(log);
+  processEnd.failed('exception', Object.assign(new Error('odd'), { message: Object.create(null) }));
+  assert.is(stopped.count, 1);
+  stopped.resolve();
+  await clock.advance(0);
   assert.equal(exits, [1]);
 });
 
--- a/packages/runtime/src/process-faults.ts
+++ b/packages/runtime/src/process-faults.ts
@@ -11,8 +11,8 @@
 export type PlannedStop = {
   /** Its time counts from `sinceMs`. */
   run: (sinceMs: number) => Promise<void>;
-  /** A stop that a fault has begun, or has befallen, is cut off after this time: it may wait for what is broken. */
-  timeoutMs: number;
+  /** A stop that takes longer is cut off: it may wait for what is broken. */
+  timeoutMs: () => number;
 };
 
 export type ProcessEnd = {
@@ -56,7 +56,15 @@
 
 /** What is thrown need not be an error. Values other than errors may hold anything of a request, so only their type is told. */
 function describe(cause: unknown): logs.LogFields {
-  if (!(cause instanceof Error)) return { name: typeof cause };
+  try {
+    return cause instanceof Error ? describeError(cause) : { name: typeof cause };
+  } catch {
+    // Its fields may be getters that throw; that would end the process at once.
+    return { name: 'unreadable' };
+  }
+}
+
+function describeError(cause: Error): logs.LogFields {
   const stack = typeof cause.stack === 'string' ? cause.stack : '';
   const frames = stack.split('\n').filter((line) => line.startsWith('    at '));
   return {
@@ -75,7 +83,6 @@
   let planned: PlannedStop | null = null;
   let isStarted = false;
   let isStopping = false;
-  let isBounded = false;
   let status = 0;
 
   function end(): void {
@@ -92,22 +99,27 @@
     end();
   }
 
+  function cutOff(): void {
+    status = FAULT_EXIT_STATUS;
+    faultLog.error('process-fault', { kind: 'stop', name: 'timeout' });
+    end();
+  }
+
   function stop(sinceMs = clock.nowMs()): void {
     if (isStopping) return;
     isStopping = true;
-    if (planned === null) end();
-    else void runStop(planned, sinceMs);
+    if (planned === null) {
+      end();
+      return;
+    }
+    clock.schedule(sinceMs + planned.timeoutMs(), cutOff);
+    void runStop(planned, sinceMs);
   }
 
   function endFaulty(): void {
     status = FAULT_EXIT_STATUS;
-    if (!isStarted || planned === null) {
-      end();
-      return;
-    }
-    if (!isBounded) clock.schedule(clock.nowMs() + planned.timeoutMs, end);
-    isBounded = true;
-    stop();
+    if (isStarted) stop();
+    else end();
   }
 
   return {
