Descriptors: a gateway is full at the bound, not at nine tenths of it

What callers saw: with a limit of 4,100 and three gateways a gateway was not ready from 2,560 callers on and closed connections behind its answers, although it serves 2,843. Gateways that are alike reached this together and then none was ready; near the threshold readiness changed with each connection. In a fleet of 300, a gateway with a limit of 256 served one caller.

Cause: one threshold, 0.9 of the bound, for readiness, closing answers and closing idle connections; and a reserve for peers that grows with the fleet without end.

Change: one state with two thresholds. A gateway is full from the bound on until fewer than nine tenths of it are left; while it is full it is not ready, answers close their connections and idle ones are closed. Below the bound nothing changes, until it has been reached. The part of the peers is at most a quarter of the limit.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -207,7 +207,7 @@
     serve: cradle.serve,
     configuration: servedConfiguration,
     metrics: cradle.metrics,
-    closesConnections: () => isStopping() || cradle.shedding.isShedding() || callerBound.isNear(),
+    closesConnections: () => isStopping() || cradle.shedding.isShedding() || callerBound.isFull(),
     isBeyondBound: (socket) => callerBound.isBeyond(socket),
     mayTake: (deadlineMs) => stops.mayTake(stopping, clock.nowMs(), deadlineMs),
     openCalls,
@@ -244,7 +244,7 @@
   function isReady(): boolean {
     const isServing = !isStopping() && hasListing && servedConfiguration() !== null;
     const isKnowing = knowsLease() && cradle.versionRecorder.isSettled();
-    return isServing && isKnowing && !cradle.shedding.isShedding() && !callerBound.isNear();
+    return isServing && isKnowing && !cradle.shedding.isShedding() && !callerBound.isFull();
   }
   const readiness = healthApp.createReadinessApp(cradle.dialect.readinessPath, isReady);
 
--- a/packages/gateway/src/server/health/caller-bound.ts
+++ b/packages/gateway/src/server/health/caller-bound.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps callers' connections within their part of the descriptors. A listener can't be paused in this runtime: it accepts one
  * connection in each turn of the loop. So those beyond the bound are accepted, their requests refused at once and they are closed.
- * Before it comes to that, callers are sent elsewhere, answers close their connections, and idle connections are closed.
+ * From the bound on, until there is room again, callers are sent elsewhere, answers close their connections, and idle ones are closed.
  */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
@@ -14,8 +14,8 @@
 import * as readDelays from '../forwarding/read-delay.js';
 
 export type CallerBound = {
-  /** Little room is left: callers are to open their connections at other gateways. */
-  isNear: () => boolean;
+  /** Callers are to open their connections at other gateways: from the bound on, until a tenth of its connections is gone. */
+  isFull: () => boolean;
   /** A request on that connection has to be refused. */
   isBeyond: (socket: net.Socket) => boolean;
 };
@@ -31,7 +31,8 @@
   bounds: () => descriptorBounds.DescriptorBounds | null;
 };
 
-const NEAR_SHARE = 0.9;
+/** Where a full gateway has room again: with one threshold alone readiness would change with each connection. */
+const ROOM_SHARE = 0.9;
 /** A caller's first or next request may be on its way for as long. */
 const IDLE_MIN_MS = 500;
 /** For one line at the begin and the end of a flood, not for each of its bursts. */
@@ -42,6 +43,7 @@
 export function createCallerBound(deps: CallerBoundDeps): CallerBound {
   const { clock, log, connections, loopAges, bounds } = deps;
   const beyond = new WeakSet<net.Socket>();
+  let wasFull = false;
   let isMakingRoom = false;
   let boundedUntilMs = -Infinity;
 
@@ -49,11 +51,16 @@
   function callersMax(): number {
     const known = bounds();
     if (known === null) return Infinity;
-    return Math.min(known.callersMax, known.sharedMax - deps.upstreamSocketCount());
+    return Math.max(1, Math.min(known.callersMax, known.sharedMax - deps.upstreamSocketCount()));
   }
 
-  function isAbove(share: number): boolean {
-    return connections.count() > callersMax() * share;
+  function isAbove(): boolean {
+    return connections.count() > callersMax();
+  }
+
+  function isFull(): boolean {
+    wasFull = connections.count() >= callersMax() * (wasFull ? ROOM_SHARE : 1);
+    return wasFull;
   }
 
   /** Connections of callers and upstreams beyond their shared part. */
@@ -68,7 +75,7 @@
     if (unreadMs > readDelays.UNREAD_AT_CLOSE_MAX_MS) return 0;
     const pollNumber = loopAges.pollCount();
     const nowMs = clock.nowMs();
-    const max = Math.max(0, Math.ceil(connections.count() - callersMax() * NEAR_SHARE));
+    const max = isFull() ? Math.floor(connections.count() - callersMax() * ROOM_SHARE) + 1 : 0;
     const usedBeforeMs = nowMs - IDLE_MIN_MS;
     const idleCount = connections.closeLongestIdle({ pollNumber, usedBeforeMs, max });
     // Without a descriptor left, the next ones would be closed with whole requests on them.
@@ -82,7 +89,7 @@
     let closedCount = 0;
     const callerCount = connections.count();
     log.warn('callers-bounded', { callerCount, callersMax: callersMax() });
-    while (isAbove(NEAR_SHARE) || clock.nowMs() < boundedUntilMs) {
+    while (isFull() || clock.nowMs() < boundedUntilMs) {
       closedCount += await closeIdle();
       await clocks.sleepUntil(clock, clock.nowMs() + LOOK_INTERVAL_MS);
     }
@@ -91,14 +98,16 @@
   }
 
   deps.server.on('connection', (socket: net.Socket) => {
-    if (!isAbove(1)) return;
-    beyond.add(socket);
-    boundedUntilMs = clock.nowMs() + BOUNDED_MIN_MS;
+    if (!isFull()) return;
+    if (isAbove()) {
+      beyond.add(socket);
+      boundedUntilMs = clock.nowMs() + BOUNDED_MIN_MS;
+    }
     if (!isMakingRoom) void makeRoom();
   });
 
   return {
-    isNear: () => isAbove(NEAR_SHARE),
-    isBeyond: (socket) => beyond.has(socket) && isAbove(1),
+    isFull,
+    isBeyond: (socket) => beyond.has(socket) && isAbove(),
   };
 }
--- a/packages/gateway/src/shared/descriptor-bounds.ts
+++ b/packages/gateway/src/shared/descriptor-bounds.ts
@@ -18,6 +18,8 @@
 export const SILENT_COUNT = 25;
 /** Each other gateway may be connected both ways. */
 const PER_GATEWAY = 2;
+/** Of the limit, for all of them: a large fleet would leave nothing for callers at a small limit. */
+const GATEWAYS_SHARE = 0.25;
 /** As large deployments set aside for files; smaller ones in proportion. */
 const FILES_MAX = 200;
 const FILES_SHARE = 0.05;
@@ -27,7 +29,8 @@
 export function descriptorBounds(limit: number, gatewayCount: number): DescriptorBounds {
   const filesCount = Math.min(FILES_MAX, limit * FILES_SHARE);
   const ownCount = OWN_COUNT + PROBE_COUNT + SILENT_COUNT;
-  const reserved = ownCount + PER_GATEWAY * gatewayCount + filesCount;
+  const gatewaysCount = Math.min(PER_GATEWAY * gatewayCount, limit * GATEWAYS_SHARE);
+  const reserved = ownCount + gatewaysCount + filesCount;
   const sharedMax = Math.max(2, Math.floor(limit - reserved));
   return { callersMax: Math.max(1, Math.floor(sharedMax * CALLERS_SHARE)), sharedMax };
 }
