Descriptors: the limit that the settings state holds

Cause: the bound took the lower of the stated limit and the process's own. Change: the stated limit is taken, the process's own without one.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -51,12 +51,6 @@
   await app.listen({ ...splitAddress(address), backlog: readDelays.ACCEPT_QUEUE_MAX });
 }
 
-/** How many descriptors this process may have open; null if that isn't known or there is no limit. */
-function limitOf({ descriptorsMax }: settingsModule.Settings): number | null {
-  const limit = Math.min(descriptors.readLimit() ?? Infinity, descriptorsMax ?? Infinity);
-  return limit === Infinity ? null : limit;
-}
-
 export type RunningGateway = {
   /**
    * A planned stop, whose time counts from `sinceMs` or from now; resolves when all that was taken has been answered or its time is
@@ -101,7 +95,8 @@
     },
   );
   const { clock, log, directory, configuration, openCalls } = cradle;
-  const descriptorLimit = limitOf(settings);
+  const { descriptorsMax } = settings;
+  const descriptorLimit = descriptorBounds.knownLimit(descriptorsMax, descriptors.readLimit());
   const descriptorWatch = descriptors.watchDescriptors({
     clock,
     onExhausted: () => {
--- a/packages/gateway/src/server/health/caller-bound.test.ts
+++ b/packages/gateway/src/server/health/caller-bound.test.ts
@@ -78,6 +78,14 @@
   assert.ok(large.callersMax > 2_000, JSON.stringify(large));
 });
 
+// Guards against a gateway with room for thousands of callers that serves some dozens, by a limit of files alone.
+test('the limit that the settings state holds over that of the process', () => {
+  assert.is(descriptorBounds.knownLimit(4_100, 200), 4_100);
+  assert.is(descriptorBounds.knownLimit(undefined, 200), 200);
+  assert.is(descriptorBounds.knownLimit(undefined, null), null);
+  assert.is(descriptorBounds.knownLimit(undefined, Infinity), null);
+});
+
 // Guards against a burst of connections that takes the reserve before its requests have been read.
 test('beyond the bound requests are refused, and silent connections closed before the reserve is gone', async () => {
   const { clock, state, bounds, bound, accept } = startBound(200);
--- a/packages/gateway/src/shared/descriptor-bounds.ts
+++ b/packages/gateway/src/shared/descriptor-bounds.ts
@@ -26,6 +26,15 @@
 /** The rest is for upstreams: idle callers' connections outnumber the requests that are at one. */
 const CALLERS_SHARE = 0.75;
 
+/**
+ * How many descriptors this process may have open; null if that isn't known or there is no limit. Where the settings tell, sockets may
+ * count apart from files, and the system's limit for the process be of files alone.
+ */
+export function knownLimit(stated: number | undefined, own: number | null): number | null {
+  const limit = stated ?? own ?? Infinity;
+  return limit === Infinity ? null : limit;
+}
+
 export function descriptorBounds(limit: number, gatewayCount: number): DescriptorBounds {
   const filesCount = Math.min(FILES_MAX, limit * FILES_SHARE);
   const ownCount = OWN_COUNT + PROBE_COUNT + SILENT_COUNT;
--- a/packages/gateway/src/types/settings.ts
+++ b/packages/gateway/src/types/settings.ts
@@ -24,7 +24,7 @@
   processorCores: positive.default(1),
   /** The memory of the VM that this process may use. Without it, that of the VM, or at most what the deploy file is made for. */
   memoryMb: positive.optional(),
-  /** Files and sockets that this process may have open; the system's own limit counts where it is lower. */
+  /** Files and sockets that this process may have open. Without it, the system's own limit. */
   descriptorsMax: positive.optional(),
   /** How long a planned stop may take before the process is killed. */
   stopTimeoutS: positive,
