A silent attempt is not left for a place in the queue of plain calls

What callers saw: where plain calls queue and no slot is free, a 502 upstream-lost, or a second run of the request, though the first upstream would have answered within its deadline.

Cause: whether another upstream could take the request was asked by 'place', but the second attempt passes the admission of plain calls, which wants a free slot and queued it. The token is held for 100 ms, so it had lapsed, and another was asked for once the attempt under way had been ended.

Change: the admission decides apart from what it does, and says whether it would send the call at once if its attempt ended now. If not, the attempt goes on. A free slot counts only while no call waits: the queue is checked before the call returns to it. A call past its latest start goes on as before.

Measured. serve.test.ts before, "a late answer reaches its caller if another attempt would be queued" (two upstreams of 8 slots with 32 other calls each, an answer after 700 ms): `--"failed" ++"answered"`, two questions for a token in place of none; 29 of 30. After: 30 of 30; serve, attempt, attempt-outcomes, plain-admission and plain-call-path together 71 of 71. retries.test.ts, which does not exercise this: the six tests before the plays passed; the plays did not end within 100 s and were stopped. plain-fleet.ts does not play the question to the admission.

--- a/packages/gateway/src/server/forwarding/plain-admission.ts
+++ b/packages/gateway/src/server/forwarding/plain-admission.ts
@@ -32,6 +32,8 @@
 
 export type PlainAdmission = {
   admit: (call: PlainAdmissionRequest) => Promise<PlainAdmissionResult>;
+  /** Whether a call that is at an upstream would be sent to another one at once if it ended there now. */
+  wouldSend: (call: PlainAdmissionRequest) => boolean;
   /** Removes a waiting call whose caller has left. */
   cancel: (call: PlainAdmissionRequest) => void;
   waitingCount: () => number;
@@ -55,6 +57,11 @@
   settle: (result: PlainAdmissionResult) => void;
 };
 
+type Decision =
+  | { kind: 'pass'; choice: upstreamChoice.Choice }
+  | { kind: 'refuse'; retryAfterMs: number }
+  | { kind: 'queue'; untilFreeMs: number };
+
 type ServiceState = {
   queue: plainQueues.PlainQueue<Entry>;
   /** Calls of this gateway that are at upstreams. */
@@ -128,7 +135,7 @@
     state.queue.entries().forEach((entry) => {
       if (entry.call.isCallerGone()) resolveEntry(state, entry, { kind: 'caller-gone' });
       else if (nowMs >= entry.latestStartMs)
-        resolveEntry(state, entry, decideNow(state, entry.call, entry.queuedAtMs));
+        resolveEntry(state, entry, resultOf(state, decideNow(entry.call), entry.queuedAtMs));
     });
     const next = findNext(state);
     if (next === null) {
@@ -144,14 +151,22 @@
    * Decides on a call that can't wait any longer, or that is late already when it arrives. It is sent only to a free slot, or,
    * if it has already run, wherever it isn't expected to be rejected.
    */
-  function decideNow(
+  function decideNow(call: PlainAdmissionRequest): Exclude<Decision, { kind: 'queue' }> {
+    const choice = call.choose(call.hasRun ? 'place' : 'slot');
+    return choice.kind === 'no-room'
+      ? { kind: 'refuse', retryAfterMs: choice.freeInMs }
+      : { kind: 'pass', choice };
+  }
+
+  function resultOf(
     state: ServiceState,
-    call: PlainAdmissionRequest,
+    decision: Exclude<Decision, { kind: 'queue' }>,
     queuedAtMs: number,
   ): PlainAdmissionResult {
-    const choice = call.choose(call.hasRun ? 'place' : 'slot');
-    if (choice.kind === 'no-room') return { kind: 'refused', retryAfterMs: choice.freeInMs };
-    return admitted(state, choice, clock.nowMs() - queuedAtMs);
+    if (decision.kind === 'refuse') {
+      return { kind: 'refused', retryAfterMs: decision.retryAfterMs };
+    }
+    return admitted(state, decision.choice, clock.nowMs() - queuedAtMs);
   }
 
   /** Predicted time until a slot is free for a call that joins the queue now. */
@@ -165,6 +180,21 @@
     });
   }
 
+  /** Decides on a call without changing anything. `mayTakeSlot`: whether a free slot would be left to it by those that wait. */
+  function decide(
+    state: ServiceState,
+    call: PlainAdmissionRequest,
+    mayTakeSlot: boolean,
+  ): Decision {
+    const nowMs = clock.nowMs();
+    if (nowMs >= call.latestStartMs) return decideNow(call);
+    const choice = mayTakeSlot ? chooseNow(call) : null;
+    if (choice !== null) return { kind: 'pass', choice };
+    const untilFreeMs = predictStartInMs(state, call);
+    if (nowMs + untilFreeMs <= call.latestStartMs) return { kind: 'queue', untilFreeMs };
+    return call.hasRun ? decideNow(call) : { kind: 'refuse', retryAfterMs: untilFreeMs };
+  }
+
   function enqueue(
     state: ServiceState,
     call: PlainAdmissionRequest,
@@ -182,20 +212,15 @@
   return {
     admit: async (call) => {
       const state = stateOf(call.service);
-      const nowMs = clock.nowMs();
-      if (nowMs >= call.latestStartMs) {
-        return decideNow(state, call, nowMs);
-      }
-      if (state.queue.aheadCount(call) === 0) {
-        const choice = chooseNow(call);
-        if (choice !== null) return admitted(state, choice, 0);
-      }
-      const untilFreeMs = predictStartInMs(state, call);
-      if (nowMs + untilFreeMs > call.latestStartMs) {
-        if (call.hasRun) return decideNow(state, call, nowMs);
-        return { kind: 'refused', retryAfterMs: untilFreeMs };
-      }
-      return enqueue(state, call, untilFreeMs);
+      const decision = decide(state, call, state.queue.aheadCount(call) === 0);
+      if (decision.kind === 'queue') return enqueue(state, call, decision.untilFreeMs);
+      return resultOf(state, decision, clock.nowMs());
+    },
+    wouldSend: (call) => {
+      const state = stateOf(call.service);
+      // Once its attempt ends the queue is checked first, and a call that goes after it could take the slot.
+      const decision = decide(state, call, state.queue.entries().length === 0);
+      return decision.kind === 'pass' && decision.choice.kind === 'send';
     },
     cancel: (call) => {
       const state = stateOf(call.service);
--- a/packages/gateway/src/server/forwarding/plain-call-path.ts
+++ b/packages/gateway/src/server/forwarding/plain-call-path.ts
@@ -33,6 +33,8 @@
     run: runs.Run,
     sink: Pick<answers.AnswerSink, 'isCallerGone' | 'onCallerGone'>,
   ) => Promise<plainAdmissions.PlainAdmissionResult> | null;
+  /** Whether it would be sent at once if its attempt ended now; null for a call that is never queued in the gateway. */
+  wouldSend: (call: calls.Call, run: runs.Run) => boolean | null;
 };
 
 export function createPlainCallPath(deps: PlainCallPathDeps): PlainCallPath {
@@ -74,16 +76,19 @@
     }
   }
 
-  async function runAdmission(
+  /** Null for a call that is never queued. */
+  function admissionRequest(
     call: calls.Call,
     run: runs.Run,
-    sink: Pick<answers.AnswerSink, 'isCallerGone' | 'onCallerGone'>,
-    callMs: number,
-  ): Promise<plainAdmissions.PlainAdmissionResult> {
-    const sinceMs = clock.nowMs();
+    isCallerGone: () => boolean,
+  ): plainAdmissions.PlainAdmissionRequest | null {
+    if (router.needsModel(call) || call.route.kind === 'stream') return null;
     const { service } = call;
+    const time = deps.plainTimes.serviceTime(service);
+    if (time === null || !isOn(service)) return null;
+    const callMs = time.meanMs;
     const requestedAtMs = call.arrivedAtMs - call.elapsedBeforeMs;
-    const plainCall: plainAdmissions.PlainAdmissionRequest = {
+    return {
       service,
       priority: router.priorityOf(call),
       latestStartMs:
@@ -92,8 +97,16 @@
       callMs,
       hasRun: run.ranCount > 0,
       choose: (room) => router.choose(call, run, room),
-      isCallerGone: sink.isCallerGone,
+      isCallerGone,
     };
+  }
+
+  async function runAdmission(
+    call: calls.Call,
+    plainCall: plainAdmissions.PlainAdmissionRequest,
+    sink: Pick<answers.AnswerSink, 'onCallerGone'>,
+  ): Promise<plainAdmissions.PlainAdmissionResult> {
+    const sinceMs = clock.nowMs();
     const pending = deps.gate.admit(plainCall);
     sink.onCallerGone(() => deps.gate.cancel(plainCall));
     const result = await pending;
@@ -104,10 +117,12 @@
 
   return {
     admit: (call, run, sink) => {
-      if (router.needsModel(call) || call.route.kind === 'stream') return null;
-      const time = deps.plainTimes.serviceTime(call.service);
-      if (time === null || !isOn(call.service)) return null;
-      return runAdmission(call, run, sink, time.meanMs);
+      const plainCall = admissionRequest(call, run, sink.isCallerGone);
+      return plainCall === null ? null : runAdmission(call, plainCall, sink);
+    },
+    wouldSend: (call, run) => {
+      const plainCall = admissionRequest(call, run, () => false);
+      return plainCall === null ? null : deps.gate.wouldSend(plainCall);
     },
   };
 }
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -65,6 +65,8 @@
   isOnTrial?: boolean;
   /** Set if another gateway holds the retry budget: its reply, after some time, to the question with that number. */
   askHolder?: (count: number) => Promise<retriesModule.RetryReply | null>;
+  /** Set if plain calls queue: what is known of their duration. */
+  plainCallMs?: number;
 };
 
 const RETRY_LIMITS = { ratio: 1, slack: 10, windowMs: 1_000 };
@@ -93,7 +95,7 @@
 
 async function createFixture(setup: Setup = {}) {
   const { ask = GRANTED, isWanted = true, answer = (socket) => socket.write(STREAM) } = setup;
-  const { takePermit, isOnTrial = false } = setup;
+  const { takePermit, isOnTrial = false, plainCallMs } = setup;
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
   const lines: string[] = [];
@@ -139,6 +141,9 @@
   const loopAges = readDelays.createReadDelay(clock);
   const unsent = unsentRequests.createUnsentRequests();
   const beliefs = upstreamHealthModule.createUpstreamHealthTracker();
+  const inFlight = inFlightModule.createInFlight();
+  const plainTimes = plainServiceTimes.createPlainServiceTimes(plainCallMs !== undefined);
+  plainTimes.recordAnswer('pool', plainCallMs ?? 0, 1);
   const serve = serving.createServe({
     clock,
     log,
@@ -148,7 +153,7 @@
     random: randoms.createRandom(3),
     dialect: testDialects.createTestDialect(),
     beliefs,
-    inFlight: inFlightModule.createInFlight(),
+    inFlight,
     caches: promptCaches.createPromptCaches(),
     paces: serviceTimesModule.createServiceTimeEstimator(),
     retries: createRetries(clock, log, setup),
@@ -190,10 +195,10 @@
       end: (_ownerId, one) => ended.push(one),
     },
     states: statesModule.createUpstreamStates(),
-    plainTimes: plainServiceTimes.createPlainServiceTimes(false),
+    plainTimes,
     plainPlaces: plainCapacity.createPlainCapacity(),
     plainAdmission: plainAdmissions.createPlainAdmission({ clock }),
-    plainQueues: 'off',
+    plainQueues: plainCallMs === undefined ? 'off' : 'on',
     holdsBatch: () => false,
     ordersAdmission: () => false,
     sharesFairly: () => false,
@@ -230,7 +235,19 @@
     upstream.close();
     await connections.close();
   };
-  return { serve, upstream, asked, ended, list, refuseAll, unsent, beliefs, lines, close };
+  return {
+    serve,
+    upstream,
+    asked,
+    ended,
+    list,
+    refuseAll,
+    unsent,
+    beliefs,
+    inFlight,
+    lines,
+    close,
+  };
 }
 
 function createSink() {
@@ -743,9 +760,14 @@
   try {
     const call = createCall();
     const route = { ...call.route, kind: 'idempotent', maxAttempts: 2 } as const;
+    const model = setup.plainCallMs === undefined ? call.facts.model : null;
+    const facts = { ...call.facts, model };
     const { sink, leave } = createSink();
     const startedMs = performance.now();
-    const served = fixture.serve({ ...call, route, deadlineMs: startedMs + timeoutMs }, sink);
+    const served = fixture.serve(
+      { ...call, route, facts, deadlineMs: startedMs + timeoutMs },
+      sink,
+    );
     during(fixture, leave);
     const ending = await served;
     const cause = 'cause' in ending ? ending.cause : undefined;
@@ -788,6 +810,23 @@
   assert.equal([served.kind, served.sentCount], ['answered', 1]);
 });
 
+// Guards against an attempt that is broken off for one that then waits in the queue of plain calls until its token has lapsed.
+test('a late answer reaches its caller if another attempt would be queued', async () => {
+  const setup = { plainCallMs: 60, retryLimits: { ratio: 0, slack: 2, windowMs: 60_000 } };
+  const served = await serveSilent({ ...setup, answers: [answerAfter(700)] }, ({ inFlight }) => {
+    const other = { model: '', priority: 0, promptTokens: 0 };
+    const crowd = () =>
+      ['u1', 'u2'].forEach((upstreamId) => {
+        for (let count = 0; count < 32; count += 1) inFlight.start({ ...other, upstreamId });
+      });
+    setTimeout(crowd, 50);
+  });
+  assert.equal([served.kind, served.sentCount, served.questionCount], ['answered', 1, 0]);
+  const free = await serveSilent({ plainCallMs: 60, answers: [() => {}, answerAfter(0)] });
+  assert.equal([free.kind, free.sentCount, free.questionCount], ['answered', 2, 1]);
+  assert.ok(free.tookMs < 400, `${free.tookMs}`);
+});
+
 // Guards against waiting for the deadline at an upstream that is dead.
 test('a request at a silent upstream is sent to another as soon as it has a token', async () => {
   const first = await serveSilent({ answers: [() => {}, answerAfter(0)] });
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -192,6 +192,8 @@
   function hasNextUpstream(call: calls.Call, run: runs.Run): boolean {
     const next = { ...run, ranCount: run.ranCount + 1, sentCount: run.sentCount + 1 };
     if (deps.unsent.isRefusing() || quarantined.isRefused(next)) return false;
+    const wouldSend = plainCallPath.wouldSend(call, next);
+    if (wouldSend !== null) return wouldSend;
     const choice = router.choose(call, next, router.needsModel(call) ? 'any' : 'place');
     return choice.kind === 'send' && !choice.needsAdapter;
   }
