An error in a silent attempt's decision leaves the attempt to its answer

What callers would see: if the decision whether a silent attempt may be left fails, the request ended although its upstream might still have answered, and what the attempt held stayed taken: its count in flight, its connection, its turn. No such error was seen.

Cause: the error rejected the attempt, whose sender releases all of that only after a result.

Change: a question that fails, by a rejection or by a throw, counts as "no", with an error line `give-up-not-decided`. The attempt goes on, asks again later, and ends with a result in every case, so the sender needs no other way out.

--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -111,11 +111,16 @@
   const connections = connectionsModule.createConnections(clock);
   const loopAges = readDelays.createReadDelay(clock);
   const { sink, passed } = createSink();
+  const errors: string[] = [];
+  const error = (event: string, fields: object) => {
+    errors.push(`${event} ${JSON.stringify(fields)}`);
+  };
   const run = async () => {
     const connection = connections.acquire(upstream.record, 4).unwrap();
     const result = await attempts.runAttempt(
       {
         clock,
+        log: { error },
         loopAges: { ...loopAges, turnMs: () => turnMs },
         dialect: testDialects.createTestDialect(),
         eventBytesMax: EVENT_BYTES_MAX,
@@ -141,13 +146,8 @@
     loopAges.stop();
     return result;
   };
-  const result = await run().catch(async (cause: unknown) => {
-    loopAges.stop();
-    upstream.close();
-    await connections.close();
-    throw cause;
-  });
-  return { result, passed, upstream, run, connections };
+  const result = await run();
+  return { result, passed, upstream, run, connections, errors };
 }
 
 const EVENT = 'id: 1\ndata: one\n\n';
@@ -167,15 +167,36 @@
   await connections.close();
 });
 
-// Guards against a process that ends by an error in a decision that is made while the attempt goes on.
-test('an error while another attempt is looked for ends the attempt alone', async () => {
-  const failing = () => Promise.reject(new Error('no choice'));
-  const call = createCall('idempotent');
-  const failed = await attempt(() => {}, call, undefined, undefined, 50, 1, failing).then(
-    () => 'none',
-    (error: Error) => error.message,
-  );
-  assert.is(failed, 'no choice');
+// Guards against an error in a decision made while the attempt goes on: it ended the process, or the request with its slot taken.
+test('an error while another attempt is looked for leaves the attempt to its answer', async () => {
+  const failures: [string, () => Promise<boolean>][] = [
+    ['rejects', () => Promise.reject(new Error('no choice'))],
+    [
+      'throws',
+      () => {
+        throw new Error('no choice');
+      },
+    ],
+  ];
+  for (const [label, failing] of failures) {
+    const late = (socket: net.Socket) => {
+      setTimeout(() => socket.write(`${OK}Content-Length: 5\r\n\r\nhello`), 120);
+    };
+    const call = createCall('idempotent');
+    const { result, passed, upstream, connections, errors } = await attempt(
+      late,
+      call,
+      undefined,
+      undefined,
+      50,
+      1,
+      failing,
+    );
+    assert.equal([result.kind, passed.body], ['answered', 'hello'], label);
+    assert.equal(errors, ['give-up-not-decided {"requestId":"r1","reason":"Error: no choice"}']);
+    upstream.close();
+    await connections.close();
+  }
 });
 
 // Timers fire before sockets are read: after a stall, an upstream that has answered would be called silent and the request
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -13,12 +13,14 @@
 import * as eventFramer from '../../shared/event-framer.js';
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
+import type * as logEvents from '../../types/log-events.js';
 import type * as answers from './answers.js';
 import type * as connectionsModule from './connections.js';
 import type * as readDelays from './read-delay.js';
 
 export type AttemptDeps = {
   clock: clocks.Clock;
+  log: Pick<logEvents.GatewayLog, 'error'>;
   dialect: dialects.Dialect;
   loopAges: Pick<readDelays.ReadDelay, 'mayBeStale' | 'readPending' | 'turnMs'>;
   /** A longer event of a resumable stream is none: it would have to be held until its end. */
@@ -67,7 +69,7 @@
   const framer = isStream && call.route.isResumable ? eventFramer.createEventFramer() : null;
   const ends = eventEnds.createEventEnds();
 
-  return new Promise((resolve, reject) => {
+  return new Promise((resolve) => {
     let controller: undici.Dispatcher.DispatchController | null = null;
     let isSettled = false;
     let isSent = false;
@@ -101,12 +103,6 @@
       else controller.abort(new AttemptAborted('attempt abandoned'));
     }
 
-    /** An error of a timer's task has no caller: it would end the process. */
-    function fail(cause: unknown): void {
-      reject(cause);
-      abandon(lost('silent'));
-    }
-
     function lost(reason: calls.LossReason): calls.AttemptResult {
       const hasBegun = sink.hasBegun();
       return { kind: 'lost', reason, hasBegun, lastEventId: framer?.lastEventId() ?? null };
@@ -204,20 +200,30 @@
       else check();
     }
 
+    /** An error is no reason to leave an upstream that may still answer. */
+    async function isGivenUp(): Promise<boolean> {
+      try {
+        return await input.mayGiveUp();
+      } catch (cause) {
+        deps.log.error('give-up-not-decided', {
+          requestId: call.requestId,
+          reason: String(cause),
+        });
+        return false;
+      }
+    }
+
     /** The upstream may still answer: it is left only for another attempt that is known to be possible. */
     function leaveOnceSilent(waitMs: number): void {
-      const decide = (isGivenUp: boolean) => {
+      const decide = (mayLeave: boolean) => {
         if (isSettled || hasStatus) return;
-        if (isGivenUp) abandon(lost('silent'));
+        if (mayLeave) abandon(lost('silent'));
         else leaveOnceSilent(2 * waitMs);
       };
       const cancel = clock.schedule(clock.nowMs() + waitMs, () => {
         afterPendingReads(() => {
           if (isSettled || hasStatus) return;
-          input
-            .mayGiveUp()
-            .then((isGivenUp) => afterPendingReads(() => decide(isGivenUp)))
-            .catch(fail);
+          void isGivenUp().then((mayLeave) => afterPendingReads(() => decide(mayLeave)));
         });
       });
       cancels.push(cancel);
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -2,7 +2,7 @@
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 
-import { clocks } from '@copperlever/runtime';
+import { clocks, logs } from '@copperlever/runtime';
 import * as openConnections from '@copperlever/runtime/open-connections';
 
 import type * as answers from '../server/forwarding/answers.js';
@@ -238,7 +238,7 @@
     const connection = acquired.val;
     const untilMs = play.cut === 'deadline' ? call.deadlineMs : clock.nowMs() + GIVE_UP_MS;
     const result = await attempts.runAttempt(
-      { clock, dialect, loopAges, eventBytesMax: EVENT_BYTES_MAX },
+      { clock, log: logs.createSilentLogger(), dialect, loopAges, eventBytesMax: EVENT_BYTES_MAX },
       {
         call: { ...call, deadlineMs: untilMs },
         upstreamName: 'u1',
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -279,6 +279,8 @@
   /** Nothing can be connected to at its address: the request goes to another upstream. */
   'upstream-unusable': { requestId: string; upstreamId: string; address: string; reason: string };
   'request-broken': { requestId: string; reason: string };
+  /** An error while another upstream was looked for in place of a silent one: the attempt there goes on. */
+  'give-up-not-decided': { requestId: string; reason: string };
   'request-waits': {
     requestId: string;
     model: string | null;
