A request that is not sent yet is not taken for silent

What callers would see (from the code, not from a run of the fleet): where a connection took more than 250 ms, a token of the retry budget was spent, and the attempt counted among those that an upstream may have run.

Cause: a silent attempt is looked at after 250 ms at the earliest, an attempt without a connection is ended after 300 ms. In between it was asked whether to leave an upstream that had received nothing.

Change: while the request is not sent nothing is asked; the same interval later it is looked at again. The wait for a connection stays bounded as before.

--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -105,6 +105,7 @@
   firstByteInMs = 20_000,
   turnMs = 1,
   mayGiveUp: () => Promise<boolean> = async () => true,
+  connectInMs = 0,
 ) {
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
@@ -116,7 +117,14 @@
     errors.push(`${event} ${JSON.stringify(fields)}`);
   };
   const run = async () => {
-    const connection = connections.acquire(upstream.record, 4).unwrap();
+    const acquired = connections.acquire(upstream.record, 4).unwrap();
+    const connection: connectionsModule.AcquiredConnection = {
+      ...acquired,
+      dispatch: (...request) => {
+        if (connectInMs === 0) acquired.dispatch(...request);
+        else setTimeout(() => acquired.dispatch(...request), connectInMs);
+      },
+    };
     const result = await attempts.runAttempt(
       {
         clock,
@@ -199,6 +207,35 @@
   }
 });
 
+// Guards against a token that is spent, and a run that is counted, for a request that no upstream has received.
+test('a request that is not sent yet is not taken for silent, and is once it was sent', async () => {
+  const ANSWER = `${OK}Content-Length: 5\r\n\r\nhello`;
+  for (const [answer, expected] of [
+    [(socket: net.Socket) => socket.write(ANSWER), ['answered', 0, 1]],
+    [() => {}, ['lost', 1, 1]],
+  ] as const) {
+    let questionCount = 0;
+    const mayGiveUp = async () => {
+      questionCount += 1;
+      return true;
+    };
+    const call = createCall('idempotent');
+    const { result, upstream, connections } = await attempt(
+      answer,
+      call,
+      undefined,
+      undefined,
+      50,
+      1,
+      mayGiveUp,
+      120,
+    );
+    assert.equal([result.kind, questionCount, upstream.requests.length], expected);
+    upstream.close();
+    await connections.close();
+  }
+});
+
 // Timers fire before sockets are read: after a stall, an upstream that has answered would be called silent and the request
 // sent twice.
 test('an answer that came during a stall of the loop is read before its upstream is called silent', async () => {
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -223,6 +223,11 @@
       const cancel = clock.schedule(clock.nowMs() + waitMs, () => {
         afterPendingReads(() => {
           if (isSettled || hasStatus) return;
+          if (!isSent) {
+            // Leaving it would spend a retry on what no upstream has received; `sendByMs` bounds the wait for a connection.
+            leaveOnceSilent(waitMs);
+            return;
+          }
           void isGivenUp().then((mayLeave) => afterPendingReads(() => decide(mayLeave)));
         });
       });
