Idle connections: one with a part of a next request is not idle

Cause: bytes of a next request that were read together with the request before it counted as that one's, so a connection with half a head on it was closed where callers are beyond their bound. Change: the parser tells whether a request is under way; where it can't, nothing is closed. Measured: the new test, Expected 0 Actual 1 before; passes.

--- a/packages/runtime/src/open-connections.ts
+++ b/packages/runtime/src/open-connections.ts
@@ -49,6 +49,14 @@
   usedBytes: number;
 };
 
+/** Node's parser, without a type there: how long it has been within a request, or has waited for a connection's first one. */
+type ParsedSocket = net.Socket & { parser?: { duration?: () => number } | null };
+
+/** Bytes of a next request may have been read together with the request before it: only the parser knows. */
+function isWithinRequest(socket: ParsedSocket): boolean {
+  return socket.parser?.duration?.() !== 0;
+}
+
 /**
  * Counts the requests in progress on each connection. Node's own list of idle connections leaves out those on which no
  * request has arrived yet: a request that arrives on one at the last moment would be accepted and then cut off.
@@ -116,7 +124,8 @@
       const isIdle = (socket: net.Socket, connection: Connection) =>
         isUnused(connection, pollNumber) &&
         connection.usedMs <= usedBeforeMs &&
-        socket.bytesRead === connection.usedBytes;
+        socket.bytesRead === connection.usedBytes &&
+        (socket.bytesRead === 0 || !isWithinRequest(socket));
       const idle = [...open]
         .filter(([socket, connection]) => isIdle(socket, connection))
         .slice(0, Math.min(max, CLOSED_AT_ONCE_MAX));
