Byte budgets, memory and the times of a stop move to the runtime package

Change: byte-budget.ts, the memory that the settings allow, and the times of a planned stop are modules of packages/runtime; nothing behaves otherwise. Measured: types, linter; stop, stop-plays and app tests, 34 of 34.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -9,6 +9,7 @@
 } from '@copperlever/runtime';
 import * as awilix from 'awilix';
 
+import * as byteBudgets from '@copperlever/runtime/byte-budget';
 import * as configHolder from './server/control/config-holder.js';
 import * as connectionsModule from './server/forwarding/connections.js';
 import * as requestQueues from './server/forwarding/request-queue.js';
@@ -23,7 +24,6 @@
 import * as peerLinks from './server/peers/peer-link.js';
 import * as placementClients from './server/placement/placement-client.js';
 import * as inFlightModule from './shared/in-flight.js';
-import * as byteBudgets from './shared/byte-budget.js';
 import * as peerRegistries from './shared/peer-registry.js';
 import * as demandCounters from './shared/placement/demand-counters.js';
 import * as placementViews from './shared/placement/placement-view.js';
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -3,6 +3,7 @@
 import type { clocks, logs } from '@copperlever/runtime';
 import * as hashers from '@copperlever/runtime/hasher';
 import * as openConnections from '@copperlever/runtime/open-connections';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import type * as fastify from 'fastify';
 
 import * as containers from './container.js';
@@ -66,7 +67,7 @@
   createPlatform: CreatePlatform,
   onGiveUp: (partName: string) => void,
 ): Promise<RunningGateway> {
-  let stopping: stops.StopTimes | null = null;
+  let stopping: stopTimes.StopTimes | null = null;
   const isStopping = () => stopping !== null;
   let hasListing = false;
   const { cradle } = containers.createContainer(
@@ -204,7 +205,7 @@
     metrics: cradle.metrics,
     closesConnections: () => isStopping() || cradle.shedding.isShedding() || callerBound.isFull(),
     isBeyondBound: (socket) => callerBound.isBeyond(socket),
-    mayTake: (deadlineMs) => stops.mayTake(stopping, clock.nowMs(), deadlineMs),
+    mayTake: (deadlineMs) => stopTimes.mayTake(stopping, clock.nowMs(), deadlineMs),
     openCalls,
     unsent: cradle.unsent,
     quotas: cradle.quotas,
@@ -333,7 +334,7 @@
   );
 
   async function stop(sinceMs = clock.nowMs()): Promise<void> {
-    const times = stops.stopTimes(sinceMs, settings.stopTimeoutS * 1_000);
+    const times = stopTimes.stopTimes(sinceMs, settings.stopTimeoutS * 1_000);
     const { endMs, refusesUnsentMs } = times;
     stopping = times;
     log.info('stopping', { openCallCount: openCalls.count() });
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -6,8 +6,8 @@
 import type * as hashers from '@copperlever/runtime/hasher';
 import * as fastify from 'fastify';
 
+import type * as byteBudgets from '@copperlever/runtime/byte-budget';
 import * as accessTables from '../../shared/access.js';
-import type * as byteBudgets from '../../shared/byte-budget.js';
 import type * as deadlineBaselines from '../../shared/deadline-baselines.js';
 import * as routeTables from '../../shared/route-table.js';
 import * as urgency from '../../shared/urgency.js';
--- a/packages/gateway/src/server/forwarding/bodies.ts
+++ b/packages/gateway/src/server/forwarding/bodies.ts
@@ -6,7 +6,7 @@
 
 import type { clocks } from '@copperlever/runtime';
 
-import type * as byteBudgets from '../../shared/byte-budget.js';
+import type * as byteBudgets from '@copperlever/runtime/byte-budget';
 import type * as unsentRequests from './unsent-requests.js';
 
 /** `release` gives the room of the bytes back, once the request has ended. */
--- a/packages/gateway/src/server/health/stop-plays.test.ts
+++ b/packages/gateway/src/server/health/stop-plays.test.ts
@@ -4,6 +4,7 @@
 import { logs } from '@copperlever/runtime';
 import * as fakeClocks from '@copperlever/runtime/testing/fake-clock';
 import * as openConnections from '@copperlever/runtime/open-connections';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import * as fc from 'fast-check';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -116,7 +117,7 @@
     every: () => () => {},
   });
   const tracked = openConnections.trackConnections(server as never, loopAges, clock);
-  const times = stops.stopTimes(clock.nowMs(), STOP_TIMEOUT_MS);
+  const times = stopTimes.stopTimes(clock.nowMs(), STOP_TIMEOUT_MS);
   const startMs = clock.nowMs();
   const now = () => clock.nowMs() - startMs;
 
@@ -139,7 +140,7 @@
       state.isAnswered ||= socket.isOpen();
       response.emit('close');
     };
-    if (!stops.mayTake(times, clock.nowMs(), clock.nowMs() + STOP_TIMEOUT_MS)) {
+    if (!stopTimes.mayTake(times, clock.nowMs(), clock.nowMs() + STOP_TIMEOUT_MS)) {
       answer();
       return;
     }
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -7,6 +7,7 @@
 import * as assert from 'uvu/assert';
 
 import * as openConnections from '@copperlever/runtime/open-connections';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import * as stops from './stop.js';
 
 const test = suite('planned stop');
@@ -52,7 +53,7 @@
       connections,
       openCallCount,
       cutOpen: () => {},
-      endMs: stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS),
+      endMs: stopTimes.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS),
     })
     .then(() => {
       state.endedAtMs = clock.nowMs();
@@ -71,20 +72,20 @@
 
 // Guards against a stream that is taken up shortly before the end, and cut off by it.
 test('from three seconds on only what is over before the end is taken up', () => {
-  const stop = stops.stopTimes(1_000, STOP_TIMEOUT_MS);
-  assert.is(stops.mayTake(null, 9_000, 99_000), true);
-  assert.is(stops.mayTake(stop, 3_900, 99_000), true);
-  assert.is(stops.mayTake(stop, 4_100, 99_000), false);
-  assert.is(stops.mayTake(stop, 4_100, stop.endMs), true);
+  const stop = stopTimes.stopTimes(1_000, STOP_TIMEOUT_MS);
+  assert.is(stopTimes.mayTake(null, 9_000, 99_000), true);
+  assert.is(stopTimes.mayTake(stop, 3_900, 99_000), true);
+  assert.is(stopTimes.mayTake(stop, 4_100, 99_000), false);
+  assert.is(stopTimes.mayTake(stop, 4_100, stop.endMs), true);
 });
 
 // Guards against a request that is taken up when what waits has just been refused: it would be cut off.
 test('nothing is taken up once what no upstream has is refused', () => {
   for (const stopTimeoutMs of [1_000, 3_000, STOP_TIMEOUT_MS]) {
-    const { endMs, refusesUnsentMs, ...stop } = stops.stopTimes(1_000, stopTimeoutMs);
+    const { endMs, refusesUnsentMs, ...stop } = stopTimes.stopTimes(1_000, stopTimeoutMs);
     assert.ok(refusesUnsentMs > 1_000 && refusesUnsentMs < endMs);
     const isTaken = (atMs: number) =>
-      stops.mayTake({ ...stop, endMs, refusesUnsentMs }, atMs, endMs);
+      stopTimes.mayTake({ ...stop, endMs, refusesUnsentMs }, atMs, endMs);
     assert.equal([isTaken(refusesUnsentMs - 1), isTaken(refusesUnsentMs)], [true, false]);
   }
 });
@@ -121,7 +122,7 @@
     http.get({ port, host: '127.0.0.1' }, resolve);
   });
   let hasEnded = false;
-  const endMs = stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
+  const endMs = stopTimes.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
   const openCallCount = () => 0;
   const { cutOpen } = connections;
   const options = { clock, log, loopAges, connections, openCallCount, cutOpen, endMs };
@@ -146,7 +147,7 @@
   for (const drainMs of [3_000, 60_000]) {
     const clock = fakeClocks.createFakeClock();
     const state = { releasedAtMs: -1 };
-    const endMs = stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
+    const endMs = stopTimes.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
     const drained = clocks
       .sleepUntil(clock, Math.min(endMs, clock.nowMs() + drainMs))
       .then(() => undefined);
@@ -168,7 +169,7 @@
 test('the end of a stop does not wait for a lease that is not released in time', async () => {
   const clock = fakeClocks.createFakeClock();
   const state = { endedAtMs: Infinity };
-  const endMs = stops.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
+  const endMs = stopTimes.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS);
   const drained = clocks.sleepUntil(clock, endMs).then(() => undefined);
   const releaseLease = () => new Promise<void>(() => {});
   void stops.releaseLeaseLast({ clock, drained, releaseLease, endMs }).then(() => {
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -4,6 +4,7 @@
 import { clocks, logs, randoms } from '@copperlever/runtime';
 import * as hashers from '@copperlever/runtime/hasher';
 
+import * as byteBudgets from '@copperlever/runtime/byte-budget';
 import * as callersApp from '../server/forwarding/app.js';
 import * as requestQueues from '../server/forwarding/request-queue.js';
 import type * as serving from '../server/forwarding/serve.js';
@@ -11,7 +12,6 @@
 import * as openCallsModule from '../server/forwarding/open-calls.js';
 import * as unsentRequests from '../server/forwarding/unsent-requests.js';
 import * as quotasModule from '../server/quotas/quotas.js';
-import * as byteBudgets from '../shared/byte-budget.js';
 import * as access from '../shared/access.js';
 import * as deadlineBaselines from '../shared/deadline-baselines.js';
 import * as routeTables from '../shared/route-table.js';
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -1,5 +1,6 @@
 /** The parts of a gateway; each is made from those that it names. */
 import type { clocks, logs, logSinks, randoms } from '@copperlever/runtime';
+import type * as byteBudgets from '@copperlever/runtime/byte-budget';
 import type * as configHolder from '../server/control/config-holder.js';
 import type * as connectionsModule from '../server/forwarding/connections.js';
 import type * as requestQueues from '../server/forwarding/request-queue.js';
@@ -20,7 +21,6 @@
 import type * as versionRecorders from '../server/streams/version-recorder.js';
 import type * as resumedStreams from '../server/streams/resumed-streams.js';
 import type * as inFlightModule from '../shared/in-flight.js';
-import type * as byteBudgets from '../shared/byte-budget.js';
 import type * as peerRegistries from '../shared/peer-registry.js';
 import type * as demandCounters from '../shared/placement/demand-counters.js';
 import type * as placementViews from '../shared/placement/placement-view.js';
--- a/packages/gateway/src/shared/byte-budget.ts
+++ b/packages/runtime/src/byte-budget.ts
@@ -1,16 +1,16 @@
 /**
- * Bounds the bytes of request bodies that a gateway holds at a time, in sum. Large bodies get a part of it only, so that a burst of
- * them does not have small requests refused as well.
+ * Bounds the bytes that a process holds for one purpose at a time, in sum. Large holders get a part of it only, so that a burst of
+ * them leaves room for small ones.
  */
 export type ByteBudget = {
-  /** Takes `bytes` for a body that holds `heldBytes` already; false, and nothing taken, if there is no room. */
+  /** Takes `bytes` for a holder of `heldBytes` already; false, and nothing taken, if there is no room. */
   take: (bytes: number, heldBytes: number) => boolean;
   give: (bytes: number) => void;
   heldBytes: () => number;
   maxBytes: number;
 };
 
-/** A larger body counts as large; prompts of thousands of words are below it. */
+/** More than this counts as large; prompts of thousands of words are below it. */
 const SMALL_BYTES_MAX = 65_536;
 const SHARE_OF_LARGE = 0.9;
 
