Gateway: connections that wait to be accepted, and requests not yet started, are told

What a caller sent on a connection that isn't accepted yet left no line and no figure: a request without an answer for 12 s couldn't be told from one that was read and never ended.

A line once a second while connections may have waited over a second (accepts-late), gauges accept_wait_seconds and requests_unstarted.

--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -42,6 +42,8 @@
     );
     return {
       openCallCount: parts.openCalls.count(),
+      unstartedCount: parts.intake.waitingCount(),
+      acceptWaitMs: parts.loopAges.acceptWaitMs(),
       bodyBytes: parts.bodyBudget.heldBytes(),
       configVersion: configuration.version(),
       configAgeMs: configuration.ageMs(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -11,6 +11,7 @@
 import * as upstreamLists from './server/control/upstream-list.js';
 import * as forwarding from './server/forwarding/app.js';
 import * as readDelays from './server/forwarding/read-delay.js';
+import * as acceptWatches from './server/health/accept-watch.js';
 import * as callerBounds from './server/health/caller-bound.js';
 import * as healthApp from './server/health/app.js';
 import * as metricsApp from './server/metrics/app.js';
@@ -230,6 +231,13 @@
     upstreamSocketCount: () => cradle.connections.socketCount(),
     bounds,
   });
+  acceptWatches.watchAccepts({
+    clock,
+    log,
+    server: callers.server,
+    loopAges: cradle.loopAges,
+    callerCount: connections.count,
+  });
   configuration.onChange((config) => forwarding.applyLimits(callers, config.limits));
 
   /** Without a holder no request is sent once more after a failure, beyond what the requests here have made tokens for. */
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -10,6 +10,8 @@
 
 const READINGS: metricsModule.Readings = {
   openCallCount: 3,
+  unstartedCount: 4,
+  acceptWaitMs: 20,
   bodyBytes: 70_000,
   configVersion: 12,
   configAgeMs: 2_500,
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -20,6 +20,10 @@
 /** What is read when somebody asks, and kept by others. */
 export type Readings = {
   openCallCount: number;
+  /** Requests that were read and wait to be started. */
+  unstartedCount: number;
+  /** For so long connections may have waited to be accepted. */
+  acceptWaitMs: number;
   /** Bytes of request bodies that are held. */
   bodyBytes: number;
   configVersion: number;
@@ -269,6 +273,14 @@
   );
   const seconds = (valueMs: number | null) => (valueMs === null ? null : valueMs / MS_PER_SECOND);
   gauge('body_bytes', 'Bytes of request bodies that are held', () => readings().bodyBytes);
+  gauge(
+    'requests_unstarted',
+    'Requests read that wait to be started',
+    () => readings().unstartedCount,
+  );
+  gauge('accept_wait_seconds', 'For how long connections may have waited to be accepted', () =>
+    seconds(readings().acceptWaitMs),
+  );
   gauge('open_requests', 'Requests read and not answered yet', () => readings().openCallCount);
   gauge('config_version', 'Configuration in force', () => readings().configVersion);
   gauge('config_age_seconds', 'Since the configuration came into force', () =>
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -58,6 +58,17 @@
   /** More callers' connections than it serves: those beyond are answered and closed, and idle ones make room. */
   'callers-bounded': { callerCount: number; callersMax: Amount };
   'callers-unbounded': { callerCount: number; closedCount: number };
+  /**
+   * Connections have waited for up to `acceptWaitMs` to be accepted, and what they sent lies unread; once a second. `acceptedCount`:
+   * since the line before.
+   */
+  'accepts-late': {
+    acceptWaitMs: number;
+    acceptedCount: number;
+    callerCount: number;
+    turnMs: number;
+  };
+  'accepts-in-time': { lateForMs: number };
   /** A request on a connection beyond the bound. */
   'connection-refused': { requestId: string };
   /** Too little processor time: it asks the balancer for no new connections, and does again. `busyShare`: of the loop's time. */
