Gateway: requests that are sent again at once keep no connection from being accepted

Not read and forgotten, not behind the bound on descriptors (callersMax 14,772, no callers-bounded line).

Change: the queue holds 4,000, since bodies have a bound in bytes of their own; those to start are selected once a turn, so that a long queue costs one pass; while connections have waited over 100 ms a turn starts 4 requests, not 16.

--- a/packages/gateway/src/server/forwarding/request-queue.test.ts
+++ b/packages/gateway/src/server/forwarding/request-queue.test.ts
@@ -25,13 +25,13 @@
 }
 
 /** An event loop on a virtual clock: each turn reads, then runs the tasks that wait for its end. */
-function startLoop() {
+function startLoop(acceptWaitMs = 0) {
   let nowMs = 0;
   let pollCount = 0;
   let tasks: (() => void)[] = [];
   const intake = requestQueues.createRequestQueue({
     clock: { nowMs: () => nowMs },
-    loopAges: { pollCount: () => pollCount },
+    loopAges: { pollCount: () => pollCount, acceptWaitMs: () => acceptWaitMs },
     atTurnEnd: (task) => tasks.push(task),
   });
   return {
@@ -190,4 +190,36 @@
   );
 });
 
+/** How many requests are started, and in one turn at most, if each caller sends again two turns after its answer. */
+async function playRefusals(callerCount: number, acceptWaitMs: number) {
+  const loop = startLoop(acceptWaitMs);
+  const startedIn = new Map<number, number>();
+  async function send(): Promise<void> {
+    await loop.intake.waitForStart(arrived({ dueMs: 1_000 + loop.nowMs() }));
+    const poll = loop.pollCount();
+    startedIn.set(poll, (startedIn.get(poll) ?? 0) + 1);
+    loop.work(0.3);
+    again.push(poll + 2);
+  }
+  let again = Array.from({ length: callerCount }, () => 1);
+  function read(): void {
+    const due = again.filter((poll) => poll <= loop.pollCount());
+    again = again.filter((poll) => poll > loop.pollCount());
+    due.forEach(() => void send());
+  }
+  for (let count = 0; count < 400; count += 1) await loop.turn(read);
+  const counts = [...startedIn.values()];
+  const startedCount = counts.reduce((sum, one) => sum + one, 0);
+  return { most: Math.max(...counts), startedCount };
+}
+
+// Guards against connections that are not accepted in time, since each turn starts all that a thousand refused callers have sent again.
+test('however many callers send again at once, a turn stays short, and shorter while connections wait', async () => {
+  const open = await playRefusals(1_200, 0);
+  assert.ok(open.most <= 16, JSON.stringify(open));
+  assert.ok(open.startedCount >= 400 * 15, JSON.stringify(open));
+  const late = await playRefusals(1_200, 500);
+  assert.ok(late.most <= 4, JSON.stringify(late));
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/request-queue.ts
+++ b/packages/gateway/src/server/forwarding/request-queue.ts
@@ -33,7 +33,7 @@
 
 export type RequestQueueDeps = {
   clock: Pick<clocks.Clock, 'nowMs'>;
-  loopAges: Pick<readDelays.ReadDelay, 'pollCount'>;
+  loopAges: Pick<readDelays.ReadDelay, 'pollCount' | 'acceptWaitMs'>;
   /** Runs `task` at the end of a turn of the event loop, after its reads have been handled. */
   atTurnEnd?: (task: () => void) => void;
 };
@@ -42,16 +42,24 @@
 const TURN_BUDGET_MS = 10;
 /** Requests started in one turn, if each takes only a fraction of the budget. */
 const STARTS_PER_TURN_MAX = 16;
+/**
+ * The same while connections wait to be accepted, of which a turn accepts one. Load: a thousand callers that send again as soon as
+ * they are refused. Harm prevented: connections beside them that are not accepted before their callers give up.
+ */
+const STARTS_BESIDE_ACCEPTS_MAX = 4;
+/** A shorter queue of connections is gone before its callers notice. */
+const ACCEPT_WAIT_MAX_MS = 100;
 
 /**
- * Each queued request keeps its body in memory. Beyond this number requests are started at once; the pre-send check still
- * catches those whose caller has left.
+ * Beyond this number requests are started at once, and a turn takes as long as all that were read in it; the pre-send check still
+ * catches those whose caller has left. Bodies have a bound of their own; the rest of a request takes some KB.
  */
-const QUEUE_LENGTH_MAX = 500;
+const QUEUE_LENGTH_MAX = 4_000;
 
 type Waiting = Pick<QueuedRequest, 'dueMs' | 'deadlineMs' | 'priorityOf'> & {
   pollCount: number;
   resolve: () => void;
+  isWaiting: boolean;
 };
 
 type Urgency = Pick<QueuedRequest, 'dueMs' | 'priorityOf'>;
@@ -69,6 +77,8 @@
   let isScheduled = false;
   let budgetPoll = -1;
   let budgetStartMs = 0;
+  /** To be started in this turn, the most urgent first. */
+  let selected: Waiting[] = [];
 
   function schedule(): void {
     if (isScheduled) return;
@@ -82,14 +92,18 @@
     });
   }
 
-  /** The most urgent request that was queued before the latest poll, in which its connection has been read once more. */
-  function findNext(nowMs: number, pollCount: number): Waiting | undefined {
-    return waiting
-      .filter((entry) => entry.pollCount < pollCount)
-      .reduce<Waiting | undefined>(
-        (best, entry) => (best === undefined || isBefore(entry, best, nowMs) ? entry : best),
-        undefined,
-      );
+  /** The most urgent requests that were queued before the latest poll, in which their connections have been read once more. */
+  function selectNext(nowMs: number, count: number): Waiting[] {
+    const best: Waiting[] = [];
+    waiting.forEach((entry) => {
+      if (entry.pollCount >= budgetPoll) return;
+      const last = best.length < count ? undefined : best.at(-1);
+      if (last !== undefined && !isBefore(entry, last, nowMs)) return;
+      const at = best.findIndex((other) => isBefore(entry, other, nowMs));
+      best.splice(at < 0 ? best.length : at, 0, entry);
+      if (best.length > count) best.pop();
+    });
+    return best;
   }
 
   function beginTurn(): void {
@@ -99,19 +113,23 @@
     budgetPoll = pollCount;
     // Expired requests don't wait for their turn: refusing them is cheap, and their callers learn of it sooner.
     waiting.filter(({ deadlineMs }) => deadlineMs <= nowMs).forEach(dequeue);
+    const isAcceptLate = loopAges.acceptWaitMs() > ACCEPT_WAIT_MAX_MS;
+    selected = selectNext(nowMs, isAcceptLate ? STARTS_BESIDE_ACCEPTS_MAX : STARTS_PER_TURN_MAX);
   }
 
   function dequeue(entry: Waiting): void {
     const index = waiting.indexOf(entry);
     if (index >= 0) waiting.splice(index, 1);
+    Object.assign(entry, { isWaiting: false });
     entry.resolve();
   }
 
   function startNext(): void {
-    if (waiting.length === 0) return;
     const nowMs = clock.nowMs();
     if (nowMs - budgetStartMs > TURN_BUDGET_MS) return;
-    const next = findNext(nowMs, budgetPoll);
+    // Callers of the others have left since.
+    selected = selected.filter(({ isWaiting }) => isWaiting);
+    const next = selected.shift();
     if (next !== undefined) dequeue(next);
   }
 
@@ -127,7 +145,7 @@
       }
       if (waiting.length >= QUEUE_LENGTH_MAX) return;
       await new Promise<void>((resolve) => {
-        const entry = { ...urgency, pollCount, resolve };
+        const entry = { ...urgency, pollCount, resolve, isWaiting: true };
         waiting.push(entry);
         onCallerGone(() => dequeue(entry));
         schedule();
