Gateway: the answers that it holds have a bound in sum

Cause: plain answers held until whole, failures held during retries, and the event of a resumable stream are bounded each. Pieces were kept in a buffer each, so that answers of single bytes took a hundred times their size beside that.

At the bound the largest lets go: a plain answer below 500 is passed on, a failure is kept as its head, a stream is given up as oversized and goes on elsewhere.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -12,6 +12,7 @@
 import * as byteBudgets from '@copperlever/runtime/byte-budget';
 import * as configHolder from './server/control/config-holder.js';
 import * as connectionsModule from './server/forwarding/connections.js';
+import * as heldAnswersModule from './server/forwarding/held-answers.js';
 import * as requestQueues from './server/forwarding/request-queue.js';
 import * as preSendChecks from './server/forwarding/pre-send-check.js';
 import * as readDelays from './server/forwarding/read-delay.js';
@@ -183,6 +184,15 @@
     bodyBudget: awilix
       .asFunction(() => byteBudgets.createByteBudget(memory.bodyBytes(settings)))
       .singleton(),
+    heldAnswers: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        heldAnswersModule.createHeldAnswers({
+          log: parts.log,
+          maxBytes: memory.answerBytes(settings),
+          onLetGo: parts.metrics.answerLetGo,
+        }),
+      )
+      .singleton(),
     openCalls: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
         openCallsModule.createOpenCalls(parts.clock, parts.log),
@@ -278,6 +288,7 @@
           gatewayCount: () => parts.book.live(parts.clock.nowMs()).length + 1,
           gatewayId: settings.gatewayId,
           eventBytesMax: settings.eventBytesMax,
+          heldAnswers: parts.heldAnswers,
           failureDomain: settings.failureDomain,
           holdsBatch: () => isOn(parts, settings.batchHolding),
           ordersAdmission: () =>
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -45,6 +45,7 @@
       unstartedCount: parts.intake.waitingCount(),
       acceptWaitMs: parts.loopAges.acceptWaitMs(),
       bodyBytes: parts.bodyBudget.heldBytes(),
+      answerBytes: parts.heldAnswers.heldBytes(),
       configVersion: configuration.version(),
       configAgeMs: configuration.ageMs(),
       storePosition: directory.position(),
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -202,6 +202,7 @@
       call,
       upstreamName: record.name,
       sink,
+      holds: run.holds,
       connection,
       priority,
       resumeAfterId: run.resumeAfterId,
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -12,6 +12,7 @@
 import type * as answers from './answers.js';
 import * as attempts from './attempt.js';
 import * as connectionsModule from './connections.js';
+import * as heldAnswers from './held-answers.js';
 import * as readDelays from './read-delay.js';
 
 const test = suite('attempt');
@@ -106,6 +107,7 @@
   turnMs = 1,
   mayGiveUp: () => Promise<boolean> = async () => true,
   connectInMs = 0,
+  heldBytesMax = 10_000_000,
 ) {
   const upstream = await rawUpstreams.startRawUpstream(answer);
   const clock = clocks.createSystemClock();
@@ -113,6 +115,7 @@
   const loopAges = readDelays.createReadDelay(clock);
   const { sink, passed } = createSink();
   const errors: string[] = [];
+  const held = heldAnswers.createHeldAnswers({ log: { warn: () => {} }, maxBytes: heldBytesMax });
   const error = (event: string, fields: object) => {
     errors.push(`${event} ${JSON.stringify(fields)}`);
   };
@@ -138,6 +141,7 @@
         upstreamName: 'u1',
         connection,
         sink,
+        holds: held.forCall(call.requestId),
         priority: 0,
         resumeAfterId: null,
         onResponseHead: () => {},
@@ -155,7 +159,7 @@
     return result;
   };
   const result = await run();
-  return { result, passed, upstream, run, connections, errors };
+  return { result, passed, upstream, run, connections, errors, held };
 }
 
 const EVENT = 'id: 1\ndata: one\n\n';
@@ -596,4 +600,44 @@
   }
 });
 
+/** An attempt whose answer may be held up to 4,000 bytes. */
+function attemptInLittleRoom(
+  answer: (socket: net.Socket) => void,
+  call = createCall('at-most-once'),
+) {
+  const mayGiveUp = async () => true;
+  const started = () => true;
+  return attempt(answer, call, undefined, started, 20_000, 1, mayGiveUp, 0, 4_000);
+}
+
+// Guards against answers that are held in sum until the gateway has no memory left.
+test('without room to hold it a plain answer is passed on, a failure kept as its head, a long event given up', async () => {
+  const piece = 'x'.repeat(3_000);
+  const sendTwo = (head: string) => (socket: net.Socket) => {
+    socket.write(`${head}${piece}`);
+    setTimeout(() => socket.end(piece), 50);
+  };
+  const length = `Content-Length: ${2 * piece.length}\r\n\r\n`;
+  const plain = await attemptInLittleRoom(sendTwo(`${OK}${length}`));
+  assert.equal(plain.result, { kind: 'answered', status: 200 });
+  assert.equal([plain.passed.body.length, plain.passed.hasEnded], [6_000, true]);
+  const failed = OK.replace('200 OK', '500 Bad').concat('Content-Encoding: gzip\r\n');
+  const failure = await attemptInLittleRoom(sendTwo(`${failed}${length}`));
+  assert.is(failure.result.kind, 'held-failure');
+  if (failure.result.kind === 'held-failure') {
+    const { status, statedBytes, headers, body } = failure.result.answer;
+    assert.equal([status, statedBytes, body.length], [500, 0, 0]);
+    assert.not.ok(headers.some(([name]) => name === 'content-encoding'));
+  }
+  const event = `${OK}Connection: close\r\n\r\n${EVENT}id: 2\ndata: `;
+  const streamed = await attemptInLittleRoom(sendTwo(event), createCall('stream', true));
+  const lost = { kind: 'lost', reason: 'oversized', hasBegun: true, lastEventId: '1' };
+  assert.equal(streamed.result, lost);
+  for (const { held, upstream, connections } of [plain, failure, streamed]) {
+    assert.is(held.heldBytes(), 0);
+    upstream.close();
+    await connections.close();
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -8,6 +8,7 @@
 import type * as undici from 'undici';
 
 import * as connectionHeaders from '../../shared/connection-headers.js';
+import * as byteBlocks from '../../shared/byte-blocks.js';
 import type * as eventIntervals from '../../shared/event-intervals.js';
 import * as eventEnds from '../../shared/event-ends.js';
 import * as eventFramer from '../../shared/event-framer.js';
@@ -16,6 +17,7 @@
 import type * as logEvents from '../../types/log-events.js';
 import type * as answers from './answers.js';
 import type * as connectionsModule from './connections.js';
+import type * as heldAnswers from './held-answers.js';
 import type * as readDelays from './read-delay.js';
 
 export type AttemptDeps = {
@@ -32,6 +34,8 @@
   upstreamName: string;
   connection: connectionsModule.AcquiredConnection;
   sink: answers.AnswerSink;
+  /** Counts what is held of answers to the request. */
+  holds: Pick<heldAnswers.CallHolds, 'open'>;
   priority: number;
   resumeAfterId: string | null;
   /** Called when a connection is ready to send the request: false if the upstream must receive no new requests by then. */
@@ -79,8 +83,8 @@
     let status = 0;
     let headers: dialects.HeaderPair[] = [];
     let facts: dialects.AnswerFacts | null = null;
-    let buffered: Buffer[] = [];
-    let bufferedBytes = 0;
+    const buffered = byteBlocks.createByteBlocks();
+    let hold: heldAnswers.Hold | null = null;
     let isForwarding = false;
     let isPaused = false;
     const cancels: clocks.Cancel[] = [];
@@ -92,6 +96,8 @@
       isSettled = true;
       cancels.forEach((cancel) => cancel());
       sink.onCallerGone(null);
+      // A held failure is kept until its request ends.
+      if (result.kind !== 'held-failure') hold?.release();
       resolve(result);
     }
 
@@ -113,7 +119,14 @@
       ends.push(chunk);
       const bytes = framer === null ? chunk : framer.push(chunk);
       if (bytes.length > 0) write(bytes);
-      if (framer !== null && framer.restBytes() > deps.eventBytesMax) abandon(lost('oversized'));
+      if (framer === null) return;
+      holdOf(letGoOfEvent).set(framer.heldBytes());
+      if (framer.restBytes() > deps.eventBytesMax) abandon(lost('oversized'));
+    }
+
+    function holdOf(letGo: heldAnswers.LetGo): heldAnswers.Hold {
+      hold ??= input.holds.open(letGo);
+      return hold;
     }
 
     /** The body of the answer; its head is written if no attempt has written one. */
@@ -139,8 +152,25 @@
 
     function startForwarding(): void {
       isForwarding = true;
-      buffered.forEach(forward);
-      buffered = [];
+      hold?.release();
+      hold = null;
+      buffered.takeAll().forEach(forward);
+    }
+
+    const letGoOfEvent: heldAnswers.LetGo = {
+      way: 'event-lost',
+      run: () => abandon(lost('oversized')),
+    };
+
+    /** There is no room to hold the answer until it is whole. */
+    function letGoOfAnswer(): heldAnswers.LetGo {
+      if (status < FIRST_FAILURE_STATUS) return { way: 'passed-on', run: startForwarding };
+      const answer = headOnly({ status, headers, body: Buffer.alloc(0), statedBytes: 0 });
+      const isSigned = facts?.isSigned === true;
+      return {
+        way: 'head-only',
+        run: () => abandon({ kind: 'held-failure', answer, isSigned }),
+      };
     }
 
     /** Checks the head of an answer; null if its body is to be read. */
@@ -179,10 +209,11 @@
         settle({ kind: 'answered', status });
         return;
       }
-      const body = Buffer.concat(buffered);
+      const body = Buffer.concat(buffered.takeAll());
       const statedBytes = hasNoBody(call.method, status) ? bodyBytes : body.length;
       const answer = { status, headers, body, statedBytes };
       if (status >= FIRST_FAILURE_STATUS) {
+        hold?.letGoBy({ way: 'head-only', run: () => Object.assign(answer, headOnly(answer)) });
         settle({ kind: 'held-failure', answer, isSigned: facts?.isSigned === true });
         return;
       }
@@ -275,9 +306,9 @@
           forward(chunk);
           return;
         }
-        buffered.push(Buffer.from(chunk));
-        bufferedBytes += chunk.length;
-        if (bufferedBytes > BUFFERED_BYTES_MAX) startForwarding();
+        buffered.push(chunk);
+        if (buffered.sizeBytes() > BUFFERED_BYTES_MAX) startForwarding();
+        else holdOf(letGoOfAnswer()).set(buffered.heldBytes());
       },
       onResponseEnd: () => {
         if (hasStatus) finishAnswer();
@@ -338,6 +369,12 @@
   });
 }
 
+/** A failure whose body there is no room to keep. An empty body is not encoded. */
+function headOnly({ status, headers }: calls.HeldAnswer): calls.HeldAnswer {
+  const kept = headers.filter(([name]) => name.toLowerCase() !== 'content-encoding');
+  return { status, headers: kept, body: Buffer.alloc(0), statedBytes: 0 };
+}
+
 function toPairs(headers: http.IncomingHttpHeaders): dialects.HeaderPair[] {
   return Object.entries(headers).flatMap(([name, value]): dialects.HeaderPair[] => {
     if (value === undefined) return [];
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -1,6 +1,7 @@
 /** The state of one request while it is being served: its attempts so far, and what it has waited for. */
 import type * as calls from '../../types/calls.js';
 import type * as trials from '../crashes/trials.js';
+import type * as heldAnswers from './held-answers.js';
 
 /**
  * Why a request was refused although an upstream would have accepted it. `more-urgent`: more urgent requests were refused.
@@ -26,6 +27,8 @@
   wasFull: boolean;
   /** An error answer of an upstream, kept while another upstream is tried. */
   heldFailure: { answer: calls.HeldAnswer; upstreamId: string } | null;
+  /** Counts what is held of its answers. */
+  holds: Pick<heldAnswers.CallHolds, 'open'>;
   /** What it can have in common with other requests that crash upstreams. */
   traits: readonly string[];
   /** Its next attempt shows whether its upstream survives it. */
@@ -55,7 +58,9 @@
   stage: calls.Stage;
 };
 
-export function createRun(): Run {
+const UNCOUNTED: heldAnswers.Hold = { set: () => {}, letGoBy: () => {}, release: () => {} };
+
+export function createRun(holds: Run['holds'] = { open: () => UNCOUNTED }): Run {
   return {
     ranCount: 0,
     sentCount: 0,
@@ -65,6 +70,7 @@
     upstreamId: '',
     wasFull: false,
     heldFailure: null,
+    holds,
     traits: [],
     trial: null,
     lostUpstreamId: null,
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -32,6 +32,7 @@
 import * as preSendChecks from './pre-send-check.js';
 import * as readDelays from './read-delay.js';
 import * as plainAdmissions from './plain-admission.js';
+import * as heldAnswersModule from './held-answers.js';
 import * as serving from './serve.js';
 import * as unsentRequests from './unsent-requests.js';
 
@@ -144,8 +145,10 @@
   const inFlight = inFlightModule.createInFlight();
   const plainTimes = plainServiceTimes.createPlainServiceTimes(plainCallMs !== undefined);
   plainTimes.recordAnswer('pool', plainCallMs ?? 0, 1);
+  const heldAnswers = heldAnswersModule.createHeldAnswers({ log, maxBytes: 1_000_000 });
   const serve = serving.createServe({
     clock,
+    heldAnswers,
     log,
     directory,
     connections,
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -37,6 +37,7 @@
 import * as plainCallPaths from './plain-call-path.js';
 import type * as preSendChecks from './pre-send-check.js';
 import * as quarantineChecks from './quarantine-check.js';
+import type * as heldAnswers from './held-answers.js';
 import * as heldRequests from './held-requests.js';
 import * as missingCopies from './missing-copies.js';
 import * as routers from './router.js';
@@ -77,6 +78,7 @@
   preSendCheck: preSendChecks.PreSendCheck;
   loopAges: attemptSenders.AttemptSenderDeps['loopAges'];
   eventBytesMax: attemptSenders.AttemptSenderDeps['eventBytesMax'];
+  heldAnswers: Pick<heldAnswers.HeldAnswers, 'forCall'>;
   serviceOf: (name: string) => fleet.Service | null;
   /** Time since the store confirmed the list of upstreams; null before the first list. */
   listAgeMs: () => number | null;
@@ -401,7 +403,8 @@
   }
 
   return async (call, sink) => {
-    const run = { ...runs.createRun(), traits: requestTraits.of(call) };
+    const holds = deps.heldAnswers.forCall(call.requestId);
+    const run = { ...runs.createRun(holds), traits: requestTraits.of(call) };
     const withdrawable = unsentRequests.createWithdrawableSink(sink);
     let remove = () => {};
     // Whatever it waits for, it is refused at the end of a stop; what an upstream may be running goes on.
@@ -416,6 +419,7 @@
       return await Promise.race([refused, bindAndServe(call, run, withdrawable)]);
     } finally {
       remove();
+      holds.close();
     }
   };
 }
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -13,6 +13,7 @@
   unstartedCount: 4,
   acceptWaitMs: 20,
   bodyBytes: 70_000,
+  answerBytes: 0,
   configVersion: 12,
   configAgeMs: 2_500,
   storePosition: { era: 0, revision: 40 },
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -10,6 +10,7 @@
 import type * as calls from '../../types/calls.js';
 import type * as dialects from '../../types/dialects.js';
 import type * as fleet from '../../types/fleet.js';
+import type * as logEvents from '../../types/log-events.js';
 import type * as stores from '../../types/stores.js';
 
 export type RequestClass = { kind: fleet.RouteKind; priority: number };
@@ -26,6 +27,8 @@
   acceptWaitMs: number;
   /** Bytes of request bodies that are held. */
   bodyBytes: number;
+  /** Bytes of answers that are held. */
+  answerBytes: number;
   configVersion: number;
   configAgeMs: number | null;
   storePosition: storePositions.Position;
@@ -84,6 +87,8 @@
   ) => void;
   /** A request was refused although an upstream would have taken it. */
   gaveWay: (to: string) => void;
+  /** An answer was held no longer, because all that are held have a bound. */
+  answerLetGo: (way: logEvents.LetGoWay) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
   /** Requests with certain traits are refused from now on, or no longer. */
   quarantineChanged: (change: quarantines.EntryState) => void;
@@ -231,6 +236,11 @@
     'to',
   ]);
   const attempts = counter('attempts_total', 'Attempts at upstreams that ended', ['result']);
+  const answersLetGo = counter(
+    'answers_let_go_total',
+    'Answers held no longer, at the bound of all',
+    ['way'],
+  );
   const answersLost = counter(
     'answers_lost_total',
     'Upstreams that lost answers, by whether they accepted a connection afterwards',
@@ -281,6 +291,7 @@
   gauge('accept_wait_seconds', 'For how long connections may have waited to be accepted', () =>
     seconds(readings().acceptWaitMs),
   );
+  gauge('answer_bytes', 'Bytes of answers that are held', () => readings().answerBytes);
   gauge('open_requests', 'Requests read and not answered yet', () => readings().openCallCount);
   gauge('config_version', 'Configuration in force', () => readings().configVersion);
   gauge('config_age_seconds', 'Since the configuration came into force', () =>
@@ -410,6 +421,7 @@
     quarantineChanged: (change) => quarantineChanges.inc({ change }),
     trialDecided: (outcome) => trialDecisions.inc({ outcome }),
     trialEnded: (outcome) => trialEnds.inc({ outcome }),
+    answerLetGo: (way) => answersLetGo.inc({ way }),
     answersLost: (liveness) => answersLost.inc({ liveness }),
     originFound: (source) => originsFound.inc({ source }),
     streamResumed: (match) => streamsResumed.inc({ match }),
--- a/packages/gateway/src/shared/event-framer.ts
+++ b/packages/gateway/src/shared/event-framer.ts
@@ -1,3 +1,5 @@
+import * as byteBlocks from './byte-blocks.js';
+
 /**
  * Splits an event stream into complete events. This is needed for streams that are resumed at another upstream: the
  * first one may stop in the middle of an event, and bytes of it that were forwarded could not be taken back.
@@ -11,6 +13,8 @@
   takeRest: () => Buffer;
   /** The size of the last, incomplete event. */
   restBytes: () => number;
+  /** What it takes in memory. */
+  heldBytes: () => number;
 };
 
 /** The ends of an event, with each kind of line end; the last one also ends CR LF CR LF. */
@@ -35,43 +39,26 @@
 }
 
 export function createEventFramer(): EventFramer {
-  /** The incomplete event at the start of a buffer that doubles as it fills: pieces may be single bytes. */
-  let held: Buffer = Buffer.alloc(0);
-  let restBytes = 0;
+  /** The incomplete event. */
+  const held = byteBlocks.createByteBlocks();
   let lastEventId: string | null = null;
 
-  function keep(piece: Buffer): void {
-    if (restBytes + piece.length > held.length) {
-      const grown = Buffer.alloc(Math.max(2 * held.length, restBytes + piece.length));
-      held.copy(grown, 0, 0, restBytes);
-      held = grown;
-    }
-    piece.copy(held, restBytes);
-    restBytes += piece.length;
-  }
-
-  function takeRest(): Buffer {
-    const taken = held.subarray(0, restBytes);
-    held = Buffer.alloc(0);
-    restBytes = 0;
-    return taken;
-  }
-
   return {
     push: (chunk) => {
-      const overlap = held.subarray(Math.max(0, restBytes - OVERLAP_BYTES), restBytes);
+      const overlap = held.tail(OVERLAP_BYTES);
       const end = lastEndIn(Buffer.concat([overlap, chunk])) - overlap.length;
       if (end <= 0) {
-        keep(chunk);
+        held.push(chunk);
         return Buffer.alloc(0);
       }
-      const whole = Buffer.concat([takeRest(), chunk.subarray(0, end)]);
-      keep(chunk.subarray(end));
+      const whole = Buffer.concat([...held.takeAll(), chunk.subarray(0, end)]);
+      held.push(chunk.subarray(end));
       lastEventId = lastIdIn(whole.toString('latin1')) ?? lastEventId;
       return whole;
     },
     lastEventId: () => lastEventId,
-    takeRest,
-    restBytes: () => restBytes,
+    takeRest: () => Buffer.concat(held.takeAll()),
+    restBytes: held.sizeBytes,
+    heldBytes: held.heldBytes,
   };
 }
--- a/packages/gateway/src/testing/answer-plays.ts
+++ b/packages/gateway/src/testing/answer-plays.ts
@@ -8,6 +8,7 @@
 import type * as answers from '../server/forwarding/answers.js';
 import * as attempts from '../server/forwarding/attempt.js';
 import * as connectionsModule from '../server/forwarding/connections.js';
+import * as heldAnswers from '../server/forwarding/held-answers.js';
 import * as readDelays from '../server/forwarding/read-delay.js';
 import * as stops from '../server/health/stop.js';
 import type * as calls from '../types/calls.js';
@@ -227,6 +228,8 @@
   const loopAges = readDelays.createReadDelay(clock);
   const connections = connectionsModule.createConnections(clock);
   const dialect = testDialects.createTestDialect();
+  const log = logs.createSilentLogger();
+  const held = heldAnswers.createHeldAnswers({ log, maxBytes: 10_000_000 });
 
   async function attempt(
     call: calls.Call,
@@ -244,6 +247,7 @@
         upstreamName: 'u1',
         connection,
         sink,
+        holds: held.forCall(call.requestId),
         priority: 0,
         resumeAfterId,
         mayStart: () => true,
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -13,6 +13,9 @@
 type Text = string | null | undefined;
 type Amount = number | undefined;
 
+/** How an answer that is held frees its bytes. */
+export type LetGoWay = 'passed-on' | 'head-only' | 'event-lost';
+
 export type RefusedBodyCause = 'too-large' | 'too-slow' | 'no-room';
 
 /** What a decision about a request was based on. */
@@ -241,6 +244,17 @@
     heldBytes: number;
     maxBytes: number;
   };
+  /**
+   * Answers held `heldBytes` of `maxBytes`, and the largest had to free `bytes`: it is passed on before it is whole, a failure kept as
+   * its head alone, or its stream taken up elsewhere.
+   */
+  'answer-let-go': {
+    requestId: string;
+    way: LetGoWay;
+    bytes: number;
+    heldBytes: number;
+    maxBytes: number;
+  };
   /** Its organisation has no credits left here; `creditsAgeMs`: since the holder told of them. */
   'over-quota': {
     requestId: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -3,6 +3,7 @@
 import type * as byteBudgets from '@copperlever/runtime/byte-budget';
 import type * as configHolder from '../server/control/config-holder.js';
 import type * as connectionsModule from '../server/forwarding/connections.js';
+import type * as heldAnswersModule from '../server/forwarding/held-answers.js';
 import type * as requestQueues from '../server/forwarding/request-queue.js';
 import type * as readDelays from '../server/forwarding/read-delay.js';
 import type * as openCallsModule from '../server/forwarding/open-calls.js';
@@ -109,6 +110,7 @@
   configuration: configHolder.ConfigHolder;
   placement: placementTypes.Placement;
   bodyBudget: byteBudgets.ByteBudget;
+  heldAnswers: heldAnswersModule.HeldAnswers;
   openCalls: openCallsModule.OpenCalls;
   unsent: unsentRequests.UnsentRequests;
   quotas: quotasModule.Quotas;
