Calls that the stop of an entry cuts off are named in the log

An entry's stop said how many calls its drain had cut (drain-timed-out), not which, when they had been read or passed on, or where they were. Each now has one line, call-at-stop. Nothing else changes.

--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -23,6 +23,7 @@
 import * as awilix from 'awilix';
 
 import * as grpcLink from './server/links/grpc-link.js';
+import * as openCalls from './server/requests/open-calls.js';
 import * as settlementsModule from './server/requests/settlements.js';
 import * as serving from './server/requests/serve.js';
 import * as directories from './shared/agent-directory.js';
@@ -55,6 +56,7 @@
   settlements: settlementsModule.Settlements;
   suspects: suspectsModule.Suspects;
   retryBudget: retryBudgets.RetryBudget;
+  calls: openCalls.OpenCalls;
   serve: serving.Serve;
   ids: ReturnType<typeof requestIds.createRequestIds>;
 };
@@ -104,6 +106,7 @@
     metrics: parts.metrics,
     settlements: parts.settlements,
     suspects: parts.suspects,
+    calls: parts.calls,
     retryBudget: parts.retryBudget,
     reportUnreachable: parts.control.membership.reportUnreachable,
     configuration: parts.control.follower.current,
@@ -193,6 +196,9 @@
     retryBudget: awilix
       .asFunction(({ clock }: EntryParts) => retryBudgets.createRetryBudget(clock.nowMs()))
       .singleton(),
+    calls: awilix
+      .asFunction(({ clock, log }: EntryParts) => openCalls.createOpenCalls(clock, log))
+      .singleton(),
     serve: awilix.asFunction(createServe).singleton(),
     ids: awilix
       .asFunction(({ clock }: EntryParts) =>
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -73,6 +73,7 @@
     configuration: control.follower.current,
     nextRequestId: cradle.ids.next,
     openCalls,
+    calls: cradle.calls,
   };
   const app = callsApp.createCallerApp(callDeps, {
     maxBodyBytes: settings.maxBodyBytes,
@@ -138,6 +139,7 @@
 
 async function stop(sinceMs: number): Promise<void> {
   log.info('stopping', { openCallCount: openCalls.count });
+  cradle.calls.noteStopBegan(sinceMs);
   await drains.drain({
     clock,
     log,
@@ -150,6 +152,7 @@
     pendingClaimCount: cradle.settlements.pendingCount,
     timeoutMs: sinceMs + drainTimeoutMs - clock.nowMs(),
   });
+  cradle.calls.logCut();
   await tree.stop();
   log.info('stopped', {});
 }
--- a/packages/entry/src/server/calls/app.test.ts
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -6,6 +6,7 @@
 import * as assert from 'uvu/assert';
 
 import type * as calls from '../../types/calls.js';
+import * as openCalls from '../requests/open-calls.js';
 import type * as serving from '../requests/serve.js';
 import * as app from './app.js';
 
@@ -64,6 +65,7 @@
       configuration: () => ({ version: 3, document }),
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
+      calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
     },
     { maxBodyBytes: MAX_BODY_BYTES, isStopping: () => state.isStopping },
   );
--- a/packages/entry/src/server/calls/context.ts
+++ b/packages/entry/src/server/calls/context.ts
@@ -4,6 +4,7 @@
 import type { clocks, logs, metrics as metricsModule } from '@copperlever/runtime';
 
 import type * as calls from '../../types/calls.js';
+import type * as openCallsModule from '../requests/open-calls.js';
 import type * as serving from '../requests/serve.js';
 
 export type CallDeps = {
@@ -15,6 +16,7 @@
   configuration: () => { version: number; document: schema.Document } | null;
   nextRequestId: () => string;
   openCalls: { count: number };
+  calls: openCallsModule.OpenCalls;
 };
 
 const STARTING_RETRY_MS = 1_000;
--- a/packages/entry/src/server/calls/serve-call.ts
+++ b/packages/entry/src/server/calls/serve-call.ts
@@ -86,6 +86,11 @@
     callerGroup: call.callerGroup,
     remainingMs: Math.round(call.deadlineMs - startedAtMs),
   });
+  deps.calls.add(call.requestId);
+  // Its answer is written, or its caller is gone.
+  const noteAnswered = () => deps.calls.noteAnswered(call.requestId);
+  reply.raw.once('finish', noteAnswered);
+  reply.raw.once('close', noteAnswered);
   deps.openCalls.count += 1;
   deps.metrics.gauge('entry.open_calls', deps.openCalls.count);
   try {
--- a/packages/entry/src/server/health/unread-at-stop.test.ts
+++ b/packages/entry/src/server/health/unread-at-stop.test.ts
@@ -8,6 +8,7 @@
 import * as assert from 'uvu/assert';
 
 import * as app from '../calls/app.js';
+import * as openCalls from '../requests/open-calls.js';
 import * as callerConnections from './caller-connections.js';
 import * as drains from './drain.js';
 
@@ -90,6 +91,7 @@
       configuration: () => null,
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
+      calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
     },
     { maxBodyBytes: 500, isStopping: () => isStopping },
   );
--- a/packages/entry/src/server/requests/attempt.ts
+++ b/packages/entry/src/server/requests/attempt.ts
@@ -35,6 +35,7 @@
   callerGone: AbortSignal;
   /** Opens the first stream: a dispatch, or a resume of what another entry dispatched. */
   open: (signal: AbortSignal) => AsyncIterable<links.LinkPart>;
+  onStarted?: () => void;
 };
 
 /**
@@ -129,7 +130,9 @@
       case 'accepted':
         return null;
       case 'started':
-        if (!progress.hadStarted) progress.startedAtMs = clock.nowMs();
+        if (progress.hadStarted) return null;
+        progress.startedAtMs = clock.nowMs();
+        input.onStarted?.();
         progress.hadStarted = true;
         return null;
       case 'head':
--- a/packages/entry/src/server/requests/serve.ts
+++ b/packages/entry/src/server/requests/serve.ts
@@ -11,6 +11,7 @@
 import * as attempts from './attempt.js';
 import * as join from './join.js';
 import * as once from './once.js';
+import type * as openCalls from './open-calls.js';
 import * as retries from './retries.js';
 import * as routes from './routes.js';
 import * as withdrawals from './withdraw.js';
@@ -20,6 +21,7 @@
     log: logs.Logger;
     claims: claimTypes.Claims;
     suspects: suspectsModule.Suspects;
+    calls: openCalls.OpenCalls;
     entryId: string;
   };
 
@@ -136,6 +138,7 @@
     const recorder = run.held === null ? null : once.createRecorder(run.sink);
     const isSuspect = run.crashCount > 0;
     journal.record(call.requestId, 'dispatched', { dispatchId, agentId: target.agentId });
+    deps.calls.notePassedOn(call.requestId, target.agentId);
     if (isSuspect) suspects.noteStarted(target.agentId);
     const result = await attempts.runAttempt(deps, {
       target,
@@ -144,6 +147,7 @@
       sink: recorder ?? run.sink,
       callerGone: run.callerGone,
       open: (signal) => deps.link.dispatch(target, request, signal),
+      onStarted: () => deps.calls.noteStarted(call.requestId),
     });
     if (isSuspect) suspects.noteEnded(target.agentId);
     journal.record(call.requestId, 'attempt-ended', { dispatchId, result: result.kind });
--- a/packages/entry/src/testing/rig.ts
+++ b/packages/entry/src/testing/rig.ts
@@ -7,6 +7,7 @@
 import { logs, metrics, randoms, results } from '@copperlever/runtime';
 import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 
+import * as openCalls from '../server/requests/open-calls.js';
 import * as serving from '../server/requests/serve.js';
 import * as settlementsModule from '../server/requests/settlements.js';
 import * as directories from '../shared/agent-directory.js';
@@ -125,6 +126,7 @@
       retryBudget: options.retryBudget ?? retryBudgets.createRetryBudget(0),
       reportUnreachable: (agentId) => reported.push(agentId),
       configuration: () => ({ version: 1, document }),
+      calls: openCalls.createOpenCalls(clock, log),
       entryId,
       region: 'r',
     });
