Gateway: documents and numbers that peers tell are checked before any of them is taken

Cause: configurations, listings and changed entries come from peers as JSON and were used unchecked. A listing with a record that is none moved the list's position and then threw, so that the store's own list was older from then on. Numbers up to 2^53 - 1 were taken and counted on.

Change: such documents are refused whole, with the field named; messages with NaN, or with numbers that leave no room to count on, are refused.

--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -22,9 +22,7 @@
 import type * as upstreamHealthModule from '../../shared/upstream-health.js';
 import type * as storeContacts from '../../shared/store-contact.js';
 import type * as directories from '../../shared/upstream-directory.js';
-import type * as fleet from '../../types/fleet.js';
 import type * as logEvents from '../../types/log-events.js';
-import type * as stores from '../../types/stores.js';
 import type * as configHolders from '../control/config-holder.js';
 import type * as upstreamSignals from '../forwarding/upstream-signals.js';
 import type * as leaseManagers from '../placement/lease-manager.js';
@@ -37,6 +35,7 @@
 import type * as quarantines from '../../shared/crashes/quarantine.js';
 import * as holderLists from './holder-list.js';
 import * as messageCodec from './message-codec.js';
+import * as peerDocuments from './peer-documents.js';
 import type * as peerLinks from './peer-link.js';
 
 export type ExchangeDeps = {
@@ -220,12 +219,10 @@
   function takeDocuments(reply: gatewayPeer.ExchangeReply): void {
     const source = reply.news?.gatewayId ?? 'peer';
     if (reply.config.length > 0) {
-      configuration.offer(JSON.parse(reply.config.toString('utf8')) as fleet.FleetConfig, source);
+      configuration.offer(peerDocuments.decodeConfig(reply.config), source);
     }
     if (reply.upstreams.length > 0) {
-      const listing = JSON.parse(
-        reply.upstreams.toString('utf8'),
-      ) as stores.Listing<fleet.UpstreamRecord>;
+      const listing = peerDocuments.decodeListing(reply.upstreams);
       const before = storePositions.format(directory.position());
       const isTaken = directory.applyListing(listing, clock.nowMs());
       const position = storePositions.format(listing);
--- a/packages/gateway/src/server/peers/message-codec.ts
+++ b/packages/gateway/src/server/peers/message-codec.ts
@@ -9,10 +9,9 @@
 import type * as upstreamLimits from '../../shared/upstream-limits.js';
 import type * as quotaCredits from '../../shared/quota-credits.js';
 import type * as directories from '../../shared/upstream-directory.js';
-import type * as fleet from '../../types/fleet.js';
-import type * as stores from '../../types/stores.js';
 import type * as storeContacts from '../../shared/store-contact.js';
 import type * as storePositions from '../../shared/store-positions.js';
+import * as peerDocuments from './peer-documents.js';
 
 export function toDemandMessage(count: demandCounters.DemandCount): gatewayPeer.DemandNews {
   const softwareVersion = count.softwareVersion ?? undefined;
@@ -266,12 +265,7 @@
 
 export function fromMembersMessage(news: gatewayPeer.MembersNews): directories.MemberChanges {
   const { version, storeEra, revision, isWhole, digest } = news;
-  const written =
-    news.written.length === 0
-      ? []
-      : (JSON.parse(
-          Buffer.from(news.written).toString('utf8'),
-        ) as stores.StoredRecord<fleet.UpstreamRecord>[]);
+  const written = news.written.length === 0 ? [] : peerDocuments.decodeRecords(news.written);
   const removed = news.removed.map((gone) => ({
     name: gone.name,
     era: gone.storeEra,
--- a/packages/gateway/src/server/peers/peer-link.ts
+++ b/packages/gateway/src/server/peers/peer-link.ts
@@ -1,7 +1,10 @@
 /** Calls other gateways, and offers them this one's service. */
 import type * as grpc from '@grpc/grpc-js';
 import { channels as channelsModule, gatewayPeer } from '@copperlever/protocol';
-import type { clocks, results } from '@copperlever/runtime';
+import { results } from '@copperlever/runtime';
+import type { clocks } from '@copperlever/runtime';
+
+import * as messageNumbers from './message-numbers.js';
 
 export type PeerLink = {
   exchange: (
@@ -84,48 +87,68 @@
     connect: (address, credentials, options) =>
       new gatewayPeer.GatewayPeerServiceClient(address, credentials, options),
   });
+  /** A reply with a number that cannot be used counts as none. */
+  async function call<Request, Reply>(
+    address: string,
+    request: Request,
+    deadlineMs: number,
+    method: channelsModule.UnaryCall<gatewayPeer.GatewayPeerServiceClient, Request, Reply>,
+  ): Promise<results.Result<Reply, channelsModule.PeerError>> {
+    const reply = await channels.call(address, request, deadlineMs, method);
+    if (reply.err) return reply;
+    try {
+      messageNumbers.check(reply.val);
+      return reply;
+    } catch (cause) {
+      return results.Err({ kind: 'unreachable', address, reason: String(cause) });
+    }
+  }
+
   return {
     exchange: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) => client.exchange(...rest)),
+      call(address, request, deadlineMs, (client, ...rest) => client.exchange(...rest)),
     ensureAdapter: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) =>
-        client.ensureAdapter(...rest),
-      ),
+      call(address, request, deadlineMs, (client, ...rest) => client.ensureAdapter(...rest)),
     takePermit: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) => client.takePermit(...rest)),
+      call(address, request, deadlineMs, (client, ...rest) => client.takePermit(...rest)),
     lendCredits: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) => client.lendCredits(...rest)),
+      call(address, request, deadlineMs, (client, ...rest) => client.lendCredits(...rest)),
     takeRetry: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) => client.takeRetry(...rest)),
+      call(address, request, deadlineMs, (client, ...rest) => client.takeRetry(...rest)),
     takeTurn: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) => client.takeTurn(...rest)),
+      call(address, request, deadlineMs, (client, ...rest) => client.takeTurn(...rest)),
     endTurns: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) => client.endTurns(...rest)),
+      call(address, request, deadlineMs, (client, ...rest) => client.endTurns(...rest)),
     replicateOrigins: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) =>
-        client.replicateOrigins(...rest),
-      ),
+      call(address, request, deadlineMs, (client, ...rest) => client.replicateOrigins(...rest)),
     findOrigins: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) => client.findOrigins(...rest)),
+      call(address, request, deadlineMs, (client, ...rest) => client.findOrigins(...rest)),
     shareCrashes: (address, request, deadlineMs) =>
-      channels.call(address, request, deadlineMs, (client, ...rest) =>
-        client.shareCrashes(...rest),
-      ),
+      call(address, request, deadlineMs, (client, ...rest) => client.shareCrashes(...rest)),
     close: channels.close,
   };
 }
 
+function unary<Request, Reply>(
+  handle: (request: Request) => Reply | Promise<Reply>,
+): grpc.handleUnaryCall<Request, Reply> {
+  return channelsModule.toUnary((request) => {
+    messageNumbers.check(request);
+    return handle(request);
+  });
+}
+
 export function addPeerService(server: grpc.Server, handlers: PeerHandlers): void {
   server.addService(gatewayPeer.GatewayPeerServiceService, {
-    exchange: channelsModule.toUnary(handlers.exchange),
-    ensureAdapter: channelsModule.toUnary(handlers.ensureAdapter),
-    takePermit: channelsModule.toUnary(handlers.takePermit),
-    lendCredits: channelsModule.toUnary(handlers.lendCredits),
-    takeRetry: channelsModule.toUnary(handlers.takeRetry),
-    takeTurn: channelsModule.toUnary(handlers.takeTurn),
-    endTurns: channelsModule.toUnary(handlers.endTurns),
-    replicateOrigins: channelsModule.toUnary(handlers.replicateOrigins),
-    findOrigins: channelsModule.toUnary(handlers.findOrigins),
-    shareCrashes: channelsModule.toUnary(handlers.shareCrashes),
+    exchange: unary(handlers.exchange),
+    ensureAdapter: unary(handlers.ensureAdapter),
+    takePermit: unary(handlers.takePermit),
+    lendCredits: unary(handlers.lendCredits),
+    takeRetry: unary(handlers.takeRetry),
+    takeTurn: unary(handlers.takeTurn),
+    endTurns: unary(handlers.endTurns),
+    replicateOrigins: unary(handlers.replicateOrigins),
+    findOrigins: unary(handlers.findOrigins),
+    shareCrashes: unary(handlers.shareCrashes),
   });
 }
