Gateway: a step that fails ends no loop, and no process

A step of the loops for the exchange, the lease, placing, the quarantine and the records of streams that threw was an unhandled rejection: process-fault, and the planned stop of each gateway that reads the same bytes. A failed decision of the quarantine left it deciding for good.

Each step is guarded by one function of the runtime: step-failed names the loop and the reason, the loop's own pause bounds it.

--- a/packages/gateway/src/server/crashes/crash-tracker.ts
+++ b/packages/gateway/src/server/crashes/crash-tracker.ts
@@ -4,6 +4,7 @@
  */
 import type { gatewayPeer } from '@copperlever/protocol';
 import type { clocks } from '@copperlever/runtime';
+import * as steps from '@copperlever/runtime/steps';
 
 import * as crashEvidence from '../../shared/crashes/crash-evidence.js';
 import * as quarantines from '../../shared/crashes/quarantine.js';
@@ -159,11 +160,13 @@
     isDecidingAgain = true;
     if (isDeciding) return;
     isDeciding = true;
-    for (let count = 0; isDecidingAgain && count < DECISIONS_MAX; count += 1) {
-      isDecidingAgain = false;
-      const hasMore = await decideOnce();
-      isDecidingAgain = isDecidingAgain || hasMore;
-    }
+    await steps.guard(log, 'quarantine-decide', async () => {
+      for (let count = 0; isDecidingAgain && count < DECISIONS_MAX; count += 1) {
+        isDecidingAgain = false;
+        const hasMore = await decideOnce();
+        isDecidingAgain = isDecidingAgain || hasMore;
+      }
+    });
     isDeciding = false;
   }
 
@@ -174,7 +177,7 @@
       decisionsDue.add(afterMs);
       clock.schedule(clock.nowMs() + afterMs, () => {
         decisionsDue.delete(afterMs);
-        verdicts.judgeAgain();
+        void steps.guard(log, 'quarantine-judge', verdicts.judgeAgain);
         void decideAll();
       });
     });
--- a/packages/gateway/src/server/crashes/quarantine-keeper.ts
+++ b/packages/gateway/src/server/crashes/quarantine-keeper.ts
@@ -4,6 +4,7 @@
  */
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
+import * as steps from '@copperlever/runtime/steps';
 
 import * as quarantines from '../../shared/crashes/quarantine.js';
 import * as rendezvous from '../../shared/rendezvous.js';
@@ -178,8 +179,8 @@
   async function run(): Promise<void> {
     await learn();
     while (!stopping.signal.aborted) {
-      await saveAll();
-      await poll();
+      await steps.guard(log, 'quarantine-save', saveAll);
+      await steps.guard(log, 'quarantine-poll', poll);
       await pause();
     }
   }
--- a/packages/gateway/src/server/peers/exchange.test.ts
+++ b/packages/gateway/src/server/peers/exchange.test.ts
@@ -263,4 +263,18 @@
   [holder, follower].forEach(({ exchange }) => exchange.stop());
 });
 
+// Guards against one value that a round cannot tell others, and that ends the exchange and the process with it.
+test('a round that fails ends no exchange', async () => {
+  const { clock, calls, follower } = createPair();
+  follower.exchange.start();
+  await clock.advance(500);
+  follower.state.avoidedIds = null as never;
+  await clock.advance(500);
+  follower.state.avoidedIds = [];
+  const before = callsToHolder(calls);
+  await clock.advance(1_000);
+  assert.ok(callsToHolder(calls) > before);
+  follower.exchange.stop();
+});
+
 test.run();
--- a/packages/gateway/src/server/peers/exchange.ts
+++ b/packages/gateway/src/server/peers/exchange.ts
@@ -6,6 +6,7 @@
 import type { gatewayPeer } from '@copperlever/protocol';
 import { clocks as clocksModule, randoms as randomsModule } from '@copperlever/runtime';
 import type { clocks, randoms } from '@copperlever/runtime';
+import * as steps from '@copperlever/runtime/steps';
 
 import * as exchangeIntervals from '../../shared/exchange-interval.js';
 import * as inFlightModule from '../../shared/in-flight.js';
@@ -383,7 +384,7 @@
     while (!stopping.signal.aborted) {
       roundStartedMs = clock.nowMs();
       isHurried = false;
-      await round();
+      await steps.guard(deps.log, 'exchange', round);
       await nextRound(roundStartedMs);
     }
   }
--- a/packages/gateway/src/server/placement/lease-manager.ts
+++ b/packages/gateway/src/server/placement/lease-manager.ts
@@ -1,6 +1,7 @@
 /** Acquires, renews and releases the placement lease. Only its holder plans where copies go and orders loads. */
 import type { clocks, randoms } from '@copperlever/runtime';
 import { clocks as clocksModule } from '@copperlever/runtime';
+import * as steps from '@copperlever/runtime/steps';
 
 import * as leaseDecisions from '../../shared/lease-decisions.js';
 import type * as peerRegistries from '../../shared/peer-registry.js';
@@ -400,7 +401,7 @@
 
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
-      await step();
+      await steps.guard(log, 'lease', step);
       const waitMs = nextStepMs();
       await clocksModule.sleepUntil(clock, clock.nowMs() + waitMs, stopping.signal);
     }
--- a/packages/gateway/src/server/placement/placement-controller.ts
+++ b/packages/gateway/src/server/placement/placement-controller.ts
@@ -4,6 +4,7 @@
  */
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
+import * as steps from '@copperlever/runtime/steps';
 
 import * as changeLedgers from '../../shared/change-ledger.js';
 import * as adapterPlan from '../../shared/placement/adapter-plan.js';
@@ -377,7 +378,7 @@
 
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
-      tick();
+      await steps.guard(deps.log, 'placing', tick);
       await clocksModule.sleepUntil(clock, clock.nowMs() + TICK_MS, stopping.signal);
     }
   }
--- a/packages/gateway/src/server/streams/origin-archive.ts
+++ b/packages/gateway/src/server/streams/origin-archive.ts
@@ -4,6 +4,7 @@
  */
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks } from '@copperlever/runtime';
+import * as steps from '@copperlever/runtime/steps';
 
 import type * as streamOrigins from '../../shared/stream-origins.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -11,7 +12,7 @@
 
 export type OriginArchiveDeps = {
   clock: clocks.Clock;
-  log: Pick<logEvents.GatewayLog, 'info' | 'warn'>;
+  log: Pick<logEvents.GatewayLog, 'info' | 'warn' | 'error'>;
   store: Pick<stores.RecordStore, 'list' | 'get' | 'put'>;
   origins: streamOrigins.StreamOrigins;
   /** The only version that streams of the service can have begun at; null if there may be several. */
@@ -101,7 +102,7 @@
 
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
-      await step();
+      await steps.guard(log, 'stream-origins', step);
       await clocksModule.sleepUntil(clock, clock.nowMs() + WRITE_MS, stopping.signal);
     }
   }
--- a/packages/gateway/src/server/streams/version-recorder.ts
+++ b/packages/gateway/src/server/streams/version-recorder.ts
@@ -5,6 +5,7 @@
  */
 import { clocks as clocksModule } from '@copperlever/runtime';
 import type { clocks, randoms } from '@copperlever/runtime';
+import * as steps from '@copperlever/runtime/steps';
 
 import type * as versionHistories from '../../shared/version-history.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -12,7 +13,7 @@
 
 export type VersionRecorderDeps = {
   clock: clocks.Clock;
-  log: Pick<logEvents.GatewayLog, 'info'>;
+  log: Pick<logEvents.GatewayLog, 'info' | 'error'>;
   random: randoms.Random;
   store: Pick<stores.RecordStore, 'get' | 'put' | 'era'>;
   history: versionHistories.VersionHistory;
@@ -270,7 +271,7 @@
   async function run(): Promise<void> {
     startedMs = clock.nowMs();
     while (!stopping.signal.aborted) {
-      await step();
+      await steps.guard(deps.log, 'stream-versions', step);
       await pause();
     }
   }
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -179,6 +179,8 @@
   };
   /** It could be read, and what uses it failed on it; `recordName` is empty for a whole listing, which is read again. */
   'record-not-applied': { kind: stores.Kind; recordName: string; reason: string };
+  /** A step of a loop failed, and the loop goes on. */
+  'step-failed': { loop: string; reason: string };
   /** An answer of another gateway in part or whole: the next one may be applied. */
   'answer-not-applied': { address: string; reason: string };
   /** The holder of the lease did not answer, and answers again: without it loads and copies are as last heard. */
