A start waits for addresses that are taken

What callers saw: a gateway, entry or agent that never came: where one of its ports was taken for a moment it ended with status 1 after 0.15 s, the gateway for the port of its metrics too.

Cause: each address was tried once, and any error ended the start. A port may be taken by the process's life before, or by an outgoing connection where it lies in the system's range for these.

Change: one module (listen-retry) for callers, readiness, peers, metrics and control. Readiness and metrics start first and are tried in the background. SIGTERM ends a start that waits, with status 0. A gateway isn't ready before it listens for callers and peers, since its readiness now answers earlier.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -7,6 +7,7 @@
   descriptors,
   gauges,
   heldSignals,
+  listenRetry,
   processFaults,
   supervisor,
 } from '@copperlever/runtime';
@@ -59,21 +60,13 @@
 const { cradle } = container;
 const { clock, log } = cradle;
 const descriptorWatch = descriptors.watchAndLog(clock, log);
-const server = new grpc.Server({
-  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
-  'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+const held = heldSignals.ofThisProcess();
+const listeners = listenRetry.createListenRetry({
+  clock,
+  log,
+  startEnd: { asked: held.stopAsked, end: processEnd.endStart },
 });
 
-function listen(): Promise<void> {
-  const address = `${settings.listenHost}:${settings.listenPort}`;
-  return new Promise((resolve, reject) => {
-    server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error) => {
-      if (error === null) resolve();
-      else reject(error);
-    });
-  });
-}
-
 /** Whether a configuration is in force here that names this agent's upstream. */
 function isConfigured(): boolean {
   return cradle.document().upstreams[settings.upstreamId] !== undefined;
@@ -92,7 +85,12 @@
   containers.publishAttributes(cradle);
 }
 
-async function startControl(): Promise<supervisor.RunningPart> {
+/** A server that could not listen is not used again. */
+function listen(address: string): Promise<grpc.Server> {
+  const server = new grpc.Server({
+    'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+    'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+  });
   grpcTransport.addPeerService(server, cradle.control.handlers);
   // Dispatches are refused until the first configuration is here.
   server.addService(agent.AgentServiceService, {
@@ -103,7 +101,19 @@
     }),
     ...placingApp.createPlacingApp(() => (isConfigured() ? (cradle.copies.placing ?? null) : null)),
   });
-  await listen();
+  return new Promise((resolve, reject) => {
+    server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error) => {
+      if (error === null) resolve(server);
+      else reject(error);
+    });
+  });
+}
+
+async function startControl(): Promise<supervisor.RunningPart> {
+  const address = `${settings.listenHost}:${settings.listenPort}`;
+  const server = await listeners.untilListening({ what: 'control', address }, () =>
+    listen(address),
+  );
   await cradle.control.start();
   cradle.journal.start();
   return {
@@ -138,6 +148,7 @@
 
 async function startReports(): Promise<supervisor.RunningPart> {
   const sources = [
+    { name: 'agent.start_waiting', read: listeners.waitingCount },
     ...gauges.logSources('agent', cradle.logSink),
     ...gauges.descriptorSources('agent', descriptorWatch),
   ];
@@ -157,9 +168,10 @@
 
 const tree = supervisor.createSupervisor(
   [
+    // First, so that a start that waits is reported.
+    { name: 'reports', start: startReports },
     { name: 'control', start: startControl },
     { name: 'upstream', start: startUpstream },
-    { name: 'reports', start: startReports },
   ],
   { clock, log, onGiveUp: processEnd.partGivenUp },
 );
@@ -176,7 +188,7 @@
 await tree.start();
 processEnd.started(log);
 log.info('started', { upstream: settings.upstreamId, incarnation });
-daemon.handleSignals(heldSignals.ofThisProcess(), settingsFile, {
+daemon.handleSignals(held, settingsFile, {
   log,
   live: {
     logLevel: log.setLevel,
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -5,6 +5,7 @@
   descriptors,
   gauges,
   heldSignals,
+  listenRetry,
   processFaults,
   supervisor,
 } from '@copperlever/runtime';
@@ -31,6 +32,12 @@
 const container = containers.createContainer(settings, Date.now());
 const { cradle } = container;
 const { clock, log, control } = cradle;
+const held = heldSignals.ofThisProcess();
+const listeners = listenRetry.createListenRetry({
+  clock,
+  log,
+  startEnd: { asked: held.stopAsked, end: processEnd.endStart },
+});
 const openCalls = { count: 0 };
 let isStopping = false;
 let { drainTimeoutMs } = settings;
@@ -41,16 +48,23 @@
   return { ready: true, reason: '' };
 }
 
-async function startControl(): Promise<supervisor.RunningPart> {
+/** A server that could not listen is not used again. */
+function listenForPeers(address: string): Promise<grpc.Server> {
   const server = new grpc.Server();
   grpcTransport.addPeerService(server, control.handlers);
-  await new Promise<void>((resolve, reject) => {
-    const address = `${settings.listenHost}:${settings.listenPort}`;
+  return new Promise((resolve, reject) => {
     server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error) => {
-      if (error === null) resolve();
+      if (error === null) resolve(server);
       else reject(error);
     });
   });
+}
+
+async function startControl(): Promise<supervisor.RunningPart> {
+  const address = `${settings.listenHost}:${settings.listenPort}`;
+  const server = await listeners.untilListening({ what: 'control', address }, () =>
+    listenForPeers(address),
+  );
   await control.start();
   cradle.journal.start();
   return {
@@ -97,7 +111,11 @@
 );
 
 async function startCallers(): Promise<supervisor.RunningPart> {
-  await callerApp.listen({ host: settings.callerHost, port: settings.callerPort });
+  const { callerHost, callerPort } = settings;
+  const address = `${callerHost}:${callerPort}`;
+  await listeners.untilListening({ what: 'callers', address }, () =>
+    callerApp.listen({ host: callerHost, port: callerPort }),
+  );
   return {
     failed: supervisor.neverFails(),
     stop: async () => {
@@ -117,6 +135,7 @@
       { name: 'entry.journal_dropped', read: cradle.journal.droppedCount },
       { name: 'entry.claims_pending', read: cradle.settlements.pendingCount },
       { name: 'entry.open_calls', read: () => openCalls.count },
+      { name: 'entry.start_waiting', read: listeners.waitingCount },
       ...gauges.logSources('entry', cradle.logSink),
       ...gauges.descriptorSources('entry', descriptorWatch),
     ],
@@ -129,9 +148,10 @@
 
 const tree = supervisor.createSupervisor(
   [
+    // First, so that a start that waits is reported.
+    { name: 'reports', start: startReports },
     { name: 'control', start: startControl },
     { name: 'callers', start: startCallers },
-    { name: 'reports', start: startReports },
   ],
   { clock, log, onGiveUp: processEnd.partGivenUp },
 );
@@ -159,7 +179,7 @@
 await tree.start();
 processEnd.started(log);
 log.info('started', { callerPort: settings.callerPort });
-daemon.handleSignals(heldSignals.ofThisProcess(), settingsFile, {
+daemon.handleSignals(held, settingsFile, {
   log,
   live: {
     logLevel: log.setLevel,
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -57,6 +57,7 @@
       plainWaitingCount: parts.plainGate.waitingCount(),
       heldTerm: parts.lease.heldTerm(),
       descriptors: parts.status.descriptors(),
+      startWaitingCount: parts.status.startWaitingCount(),
       logLines: {
         lostCount: parts.logSink.lostLineCount(),
         pendingCharacters: parts.logSink.pendingCharacters(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,5 +1,5 @@
 /** Runs a gateway: its parts in a supervisor tree, and its planned stop. */
-import { descriptors, supervisor } from '@copperlever/runtime';
+import { descriptors, listenRetry, supervisor } from '@copperlever/runtime';
 import type { clocks, logs } from '@copperlever/runtime';
 import * as hashers from '@copperlever/runtime/hasher';
 import * as openConnections from '@copperlever/runtime/open-connections';
@@ -48,8 +48,8 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
-async function listen(app: fastify.FastifyInstance, address: string): Promise<void> {
-  await app.listen({ ...splitAddress(address), backlog: readDelays.ACCEPT_QUEUE_MAX });
+function listen(app: fastify.FastifyInstance, address: string): Promise<string> {
+  return app.listen({ ...splitAddress(address), backlog: readDelays.ACCEPT_QUEUE_MAX });
 }
 
 export type RunningGateway = {
@@ -66,15 +66,18 @@
   settings: settingsModule.Settings,
   createPlatform: CreatePlatform,
   onGiveUp: (partName: string) => void,
+  startEnd?: listenRetry.StartEnd,
 ): Promise<RunningGateway> {
   let stopping: stopTimes.StopTimes | null = null;
   const isStopping = () => stopping !== null;
+  let hasStarted = false;
   let hasListing = false;
   const { cradle } = containers.createContainer(
     settings,
     (clock, log) => createPlatform(clock, log, settings),
     {
       isStopping,
+      startWaitingCount: () => listeners.waitingCount(),
       hasListing: () => hasListing,
       isStoreConnected: () => upstreamFollower.isConnected(),
       onUpstreamsLearned: () => {
@@ -96,6 +99,7 @@
     },
   );
   const { clock, log, directory, configuration, openCalls } = cradle;
+  const listeners = listenRetry.createListenRetry({ clock, log: cradle.runtimeLog, startEnd });
   const { descriptorsMax } = settings;
   const descriptorLimit = descriptorBounds.knownLimit(descriptorsMax, descriptors.readLimit());
   const descriptorWatch = descriptors.watchDescriptors({
@@ -238,7 +242,7 @@
   }
 
   function isReady(): boolean {
-    const isServing = !isStopping() && hasListing && servedConfiguration() !== null;
+    const isServing = hasStarted && !isStopping() && hasListing && servedConfiguration() !== null;
     const isKnowing = knowsLease() && cradle.versionRecorder.isSettled();
     return isServing && isKnowing && !cradle.shedding.isShedding() && !callerBound.isFull();
   }
@@ -246,6 +250,28 @@
 
   const tree = supervisor.createSupervisor(
     [
+      // First, so that a start that waits can be seen from outside; in the background, since requests need neither.
+      {
+        name: 'readiness',
+        start: async () => {
+          const address = settings.readinessAddress;
+          const target = { what: 'readiness', address, onMistake: 'reject' } as const;
+          await listeners.inBackground(target, () => listen(readiness, address));
+          return { failed: supervisor.neverFails(), stop: () => readiness.close() };
+        },
+      },
+      {
+        name: 'metrics',
+        start: async () => {
+          const app = metricsApp.createMetricsApp(cradle.metrics);
+          const address = settings.metricsAddress;
+          const target = { what: 'metrics', address: address ?? '', onMistake: 'retry' } as const;
+          if (address !== undefined) {
+            await listeners.inBackground(target, () => listen(app, address));
+          }
+          return { failed: supervisor.neverFails(), stop: () => app.close() };
+        },
+      },
       {
         name: 'control',
         start: async () => {
@@ -263,9 +289,10 @@
       {
         name: 'peers',
         start: async () => {
-          const server = await peers.listen(
-            settings.peerAddress,
-            peerParts.createPeerHandlers(cradle),
+          const handlers = peerParts.createPeerHandlers(cradle);
+          const address = settings.peerAddress;
+          const server = await listeners.untilListening({ what: 'peers', address }, () =>
+            peers.listen(address, handlers),
           );
           cradle.exchange.start();
           cradle.quarantineKeeper.start();
@@ -300,25 +327,13 @@
           };
         },
       },
-      {
-        name: 'readiness',
-        start: async () => {
-          await listen(readiness, settings.readinessAddress);
-          return { failed: supervisor.neverFails(), stop: () => readiness.close() };
-        },
-      },
-      {
-        name: 'metrics',
-        start: async () => {
-          const app = metricsApp.createMetricsApp(cradle.metrics);
-          if (settings.metricsAddress !== undefined) await listen(app, settings.metricsAddress);
-          return { failed: supervisor.neverFails(), stop: () => app.close() };
-        },
-      },
       {
         name: 'callers',
         start: async () => {
-          await listen(callers, settings.callerAddress);
+          const address = settings.callerAddress;
+          await listeners.untilListening({ what: 'callers', address }, () =>
+            listen(callers, address),
+          );
           const stopCallers = async () => {
             cradle.loopAges.stop();
             descriptorWatch.stop();
@@ -337,6 +352,7 @@
     const times = stopTimes.stopTimes(sinceMs, settings.stopTimeoutS * 1_000);
     const { endMs, refusesUnsentMs } = times;
     stopping = times;
+    listeners.stop();
     log.info('stopping', { openCallCount: openCalls.count() });
     const cancelRefusal = clock.schedule(refusesUnsentMs, cradle.unsent.refuseAll);
     const drained = stops.drain({
@@ -358,6 +374,7 @@
   }
 
   await tree.start();
+  hasStarted = true;
   const { callerAddress, isFirstStart } = settings;
   if (descriptorLimit === null) {
     log.warn('descriptors-unbounded', { reason: 'the limit of open files is not known' });
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -24,6 +24,7 @@
   placementAgeMs: 250,
   plainWaitingCount: 0,
   heldTerm: null,
+  startWaitingCount: 0,
   descriptors: { callerCount: 5, callersMax: 6, exhaustedCount: 8, failedConnectCount: 9 },
   logLines: { lostCount: 7, pendingCharacters: 120, isFailing: true },
 };
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -38,6 +38,8 @@
   /** Plain calls that wait in the gateway for a slot. */
   plainWaitingCount: number;
   heldTerm: number | null;
+  /** Addresses at which the process does not listen yet. */
+  startWaitingCount: number;
   /** Descriptors of the process; null without a known limit. */
   descriptors: {
     callerCount: number;
@@ -327,6 +329,11 @@
     'Term of the lease held here; 0 when it is not',
     () => readings().heldTerm ?? 0,
   );
+  gauge(
+    'start_waiting',
+    'Addresses that are taken, so that the process does not listen there yet',
+    () => readings().startWaitingCount,
+  );
   gauge('log_lines_lost', 'Log lines dropped', () => readings().logLines.lostCount);
   gauge(
     'log_pending_characters',
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -65,6 +65,8 @@
   isStopping: () => boolean;
   isStoreConnected: () => boolean;
   hasListing: () => boolean;
+  /** Addresses at which the process does not listen yet. */
+  startWaitingCount: () => number;
   onUpstreamsLearned: () => void;
   /** To all upstreams together, beside the connections of callers. */
   upstreamConnectionsMax: () => number;
--- a/packages/runtime/src/held-signals.ts
+++ b/packages/runtime/src/held-signals.ts
@@ -6,6 +6,9 @@
 /** SIGPIPE is not among them: Node ignores it, and a failed write is reported where it was made. */
 const SIGNALS = ['SIGHUP', 'SIGINT', 'SIGQUIT', 'SIGTERM', 'SIGUSR1', 'SIGUSR2'] as const;
 
+/** Those that ask for a planned stop. */
+const STOP_SIGNALS: readonly string[] = ['SIGINT', 'SIGQUIT', 'SIGTERM'];
+
 export type SignalName = (typeof SIGNALS)[number];
 
 /** `receivedAtMs`: by the monotonic clock. */
@@ -14,6 +17,8 @@
 export type SignalHandler = (signal: ReceivedSignal) => void;
 
 export type HeldSignals = {
+  /** Aborted once a stop has been asked for, kept or not: a start that waits ends then. */
+  stopAsked: AbortSignal;
   /** Gives `handler` the signals that were kept, and all later ones. */
   takeOver: (handler: SignalHandler) => void;
 };
@@ -22,14 +27,19 @@
 
 export function holdSignals(source: SignalSource = process): HeldSignals {
   const kept: ReceivedSignal[] = [];
+  const stopAsked = new AbortController();
   let handle: SignalHandler = (signal) => {
     // Which came first counts, and how often each came does not: a flood of them during a start stays small.
     if (!kept.some(({ name }) => name === signal.name)) kept.push(signal);
   };
   SIGNALS.forEach((name) => {
-    source.on(name, () => handle({ name, receivedAtMs: performance.now() }));
+    source.on(name, () => {
+      handle({ name, receivedAtMs: performance.now() });
+      if (STOP_SIGNALS.includes(name)) stopAsked.abort();
+    });
   });
   return {
+    stopAsked: stopAsked.signal,
     takeOver: (handler) => {
       handle = handler;
       kept.splice(0).forEach(handler);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,6 +6,7 @@
 export * as descriptors from './descriptors.js';
 export * as gauges from './gauges.js';
 export * as heldSignals from './held-signals.js';
+export * as listenRetry from './listen-retry.js';
 export * as logLines from './log-lines.js';
 export * as logSinks from './log-sink.js';
 export * as logs from './logs.js';
--- a/packages/runtime/src/process-faults.ts
+++ b/packages/runtime/src/process-faults.ts
@@ -23,6 +23,8 @@
   /** Begins the planned stop, whose time counts from `sinceMs` or from now; does nothing where it has begun. */
   stop: (sinceMs?: number) => void;
   isStopping: () => boolean;
+  /** Ends a start that waits, since a stop was asked for: there is nothing to stop yet. */
+  endStart: () => void;
   /** Ends the process because of an error that nothing has handled. */
   failed: (kind: FaultKind, cause: unknown) => void;
   /** Logs a warning of Node itself. */
@@ -132,6 +134,10 @@
     },
     stop,
     isStopping: () => isStopping,
+    endStart: () => {
+      isStopping = true;
+      end();
+    },
     failed: (kind, cause) => {
       faultLog.error('process-fault', { kind, isStarted, ...describe(cause) });
       endFaulty();
--- a/scripts/fleet.mjs
+++ b/scripts/fleet.mjs
@@ -65,7 +65,8 @@
   }
 
   async function startEntry(settings) {
-    const [callerPort, listenPort] = [await freePort(), await freePort()];
+    const callerPort = settings.callerPort ?? (await freePort());
+    const listenPort = await freePort();
     const file = writeFile(`${settings.entryId}.json`, {
       callerHost: HOST,
       callerPort,
@@ -73,9 +74,12 @@
       listenPort,
       ...settings,
     });
-    spawn(settings.entryId, 'copperlever-entry', ['--settings', file]);
+    const child = spawn(settings.entryId, 'copperlever-entry', ['--settings', file]);
     const url = `http://${HOST}:${callerPort}`;
-    await waitFor(settings.entryId, async () => (await fetch(`${url}/healthz`)).ok || undefined);
+    const isOver = async () =>
+      child.exitCode !== null || (await fetch(`${url}/healthz`)).ok || undefined;
+    await waitFor(settings.entryId, isOver);
+    if (child.exitCode !== null) throw new Error(`${settings.entryId} ended: ${child.exitCode}`);
     return { url, address: `${HOST}:${listenPort}` };
   }
 
