A settings file that is being written is read again at a start

What operators saw: status 2 after 0.1 s where the file was half written when it was read. Cause: one reading. Change: while it holds errors it is read again every 20 ms for 300 ms; an error that stays is told as before, with status 2. SIGHUP reads once: the settings in force stay.

--- a/packages/runtime/src/daemon.ts
+++ b/packages/runtime/src/daemon.ts
@@ -26,7 +26,7 @@
 
 /**
  * Reads and checks the settings file given by `--settings FILE`; with `--check` the process then exits. Invalid settings
- * end the process with status 2 and one line for each error: file, line, field, reason.
+ * end the process with status 2 and one line for each error (file, line, field, reason), once they have stayed so for a moment.
  */
 export function readSettings<Settings>(
   command: DaemonCommand,
@@ -48,7 +48,7 @@
     .parse([...argv]);
   const options = program.opts<Options>();
   const read = () => settingsModule.loadSettings(options.settings, schema);
-  const loaded = read();
+  const loaded = settingsModule.loadWrittenSettings(options.settings, schema);
   if (loaded.err) {
     const lines = loaded.val.map(settingsModule.describeError);
     process.stderr.write(`${lines.join('\n')}\n`);
--- a/packages/runtime/src/settings.test.ts
+++ b/packages/runtime/src/settings.test.ts
@@ -1,3 +1,7 @@
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import * as zod from 'zod';
@@ -41,4 +45,22 @@
   assert.is(loaded.err && loaded.val[0]?.field, '(file)');
 });
 
+// Guards against a start that ends since its settings are being written while it reads them.
+test('a file that is half written is read again, and an error that stays is told', () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'copperlever-settings-'));
+  const file = path.join(folder, 'entry.json');
+  let waits = 0;
+  fs.writeFileSync(file, '{ "entryId": "en');
+  const written = settings.loadWrittenSettings(file, schema, () => {
+    waits += 1;
+    if (waits === 3) fs.appendFileSync(file, 'try-1" }');
+  });
+  assert.equal(written.unwrap(), { entryId: 'entry-1' });
+  assert.is(waits, 3);
+  fs.writeFileSync(file, '{}');
+  const wrong = settings.loadWrittenSettings(file, schema, () => {});
+  assert.ok(wrong.err && wrong.val[0]?.field === 'entryId');
+  fs.rmSync(folder, { recursive: true });
+});
+
 test.run();
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -9,6 +9,10 @@
 /** Exit status of a program that was given invalid settings. */
 export const BAD_SETTINGS_EXIT_STATUS = 2;
 
+/** A writer is through with a file within milliseconds: an error that stays for 300 ms is one of the settings. */
+const READ_ATTEMPTS = 15;
+const READ_INTERVAL_MS = 20;
+
 /** Why a settings file was rejected: the position, the field and the reason. */
 export type SettingsError = {
   kind: 'settings-invalid';
@@ -90,3 +94,22 @@
   }
   return parseSettings(file, text, schema);
 }
+
+/** Blocks the thread: at a start there is nothing else to do. */
+function block(forMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, forMs);
+}
+
+/** The same at a start, beside which the file may still be written: half of it is no settings. */
+export function loadWrittenSettings<Settings>(
+  file: string,
+  schema: zod.ZodType<Settings>,
+  wait: (forMs: number) => void = block,
+): results.Result<Settings, SettingsError[]> {
+  let loaded = loadSettings(file, schema);
+  for (let attempt = 1; loaded.err && attempt < READ_ATTEMPTS; attempt += 1) {
+    wait(READ_INTERVAL_MS);
+    loaded = loadSettings(file, schema);
+  }
+  return loaded;
+}
