Builds of the deployed program beside each other leave it whole

What operators may see: a gateway that starts while its folder is built, or two builds there at once, reads files that are half written (suspected: it wasn't seen). Cause: the build wrote target/ in place. Change: each build has a folder of its own, and the program is pointed to it by a rename; folders older than a minute are removed.

--- a/scripts/build-deploy.mjs
+++ b/scripts/build-deploy.mjs
@@ -1,10 +1,16 @@
-// Bundles the gateway with its libraries into one file under target/, and compiles it, so that it starts fast.
+// Bundles the gateway with its libraries into one file under target/, and compiles it, so that it starts fast. Each build
+// has a folder of its own, to which the program is pointed once it is whole: a gateway may start meanwhile, or another build run.
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs/promises';
+import * as path from 'node:path';
 
 import * as esbuild from 'esbuild';
 
-const START = 'target/copperlever-gateway.cjs';
+const TARGET = 'target';
+const PROGRAM = 'copperlever-gateway.cjs';
+const START = 'start.cjs';
+/** A gateway that starts has read its files within this time. */
+const OLD_BUILD_MS = 60_000;
 
 /** The flags of Node with which the deploy file starts the gateway: code compiled with others is not taken. */
 async function nodeFlags() {
@@ -13,12 +19,32 @@
   return command.split(' ').filter((word) => word.startsWith('-'));
 }
 
+await fs.mkdir(TARGET, { recursive: true });
+const folder = await fs.mkdtemp(path.join(TARGET, 'build-'));
+
+/** Replaces the program in one step. */
+async function pointProgram() {
+  const text = `require('./${path.basename(folder)}/${START}').run();\n`;
+  const written = path.join(folder, PROGRAM);
+  await fs.writeFile(written, text);
+  await fs.rename(written, path.join(TARGET, PROGRAM));
+}
+
+async function removeOldBuilds() {
+  for (const name of await fs.readdir(TARGET)) {
+    const build = path.join(TARGET, name);
+    const stat = await fs.stat(build).catch(() => null);
+    const isOld = stat !== null && Date.now() - stat.mtimeMs > OLD_BUILD_MS;
+    if (name.startsWith('build-') && isOld) await fs.rm(build, { recursive: true, force: true });
+  }
+}
+
 await esbuild.build({
   entryPoints: {
     'gateway-bundle': 'platform/src/gateway.ts',
     'held-signals': 'packages/runtime/src/held-signals.ts',
   },
-  outdir: 'target',
+  outdir: folder,
   outExtension: { '.js': '.cjs' },
   bundle: true,
   // Half the source is half of what the engine keeps of it: some megabytes in each process.
@@ -39,6 +65,9 @@
     'source-map-support': './scripts/deploy/absent.cjs',
   },
 });
-await fs.copyFile('scripts/deploy/start.cjs', START);
-const compile = [...(await nodeFlags()), 'scripts/deploy/compile.mjs', START];
+const start = path.join(folder, START);
+await fs.copyFile('scripts/deploy/start.cjs', start);
+const compile = [...(await nodeFlags()), 'scripts/deploy/compile.mjs', start];
 childProcess.execFileSync(process.execPath, compile, { stdio: 'inherit' });
+await pointProgram();
+await removeOldBuilds();
--- a/scripts/deploy/start.cjs
+++ b/scripts/deploy/start.cjs
@@ -8,9 +8,6 @@
 
 const heldSignals = require('./held-signals.cjs');
 
-// Kept before all else: a signal without a handler ends the process.
-const held = require.main === module ? heldSignals.ofThisProcess() : null;
-
 /** Evaluates the bundle beside this file. */
 function loadBundle() {
   const file = path.join(__dirname, 'gateway-bundle.cjs');
@@ -24,6 +21,10 @@
   return { script, exports: bundle.exports };
 }
 
-module.exports = { loadBundle };
+function run() {
+  // Kept before all else: a signal without a handler ends the process.
+  const held = heldSignals.ofThisProcess();
+  void loadBundle().exports.run(held);
+}
 
-if (require.main === module) void loadBundle().exports.run(held);
+module.exports = { loadBundle, run };
