--- a/packages/runtime/src/process-faults.ts
+++ b/packages/runtime/src/process-faults.ts
@@ -2,6 +2,7 @@
  * How a process ends: by a planned stop that a signal asks for, or by a fault that nothing has handled. A process in an unknown
  * state takes no more work, and still answers what it has accepted: a fault is named in a line and begins the planned stop.
  */
+import * as addressSpace from './address-space.js';
 import * as boundedLogs from './bounded-logs.js';
 import * as clocks from './clocks.js';
 import * as logSinks from './log-sink.js';
@@ -33,7 +34,7 @@
   partGivenUp: () => void;
 };
 
-export type FaultKind = 'exception' | 'rejection' | 'stop';
+export type FaultKind = 'exception' | 'rejection' | 'stop' | 'memory';
 
 export type ProcessEndOptions = {
   clock: Pick<clocks.Clock, 'nowMs' | 'schedule'>;
@@ -166,5 +167,8 @@
   process.stderr.on('error', () => {});
   process.on('uncaughtException', (cause) => processEnd.failed('exception', cause));
   process.on('unhandledRejection', (cause) => processEnd.failed('rejection', cause));
+  // Without it the first connection fails, and each one after it, while the process waits for an answer.
+  const lack = addressSpace.findLack();
+  if (lack !== null) processEnd.failed('memory', lack);
   return processEnd;
 }
