An entry that stops passes on only what can be over, and answers what is not

Callers: a call that had waited since before the SIGTERM was started up to 7.9 s after it and cut without an answer with all that ran; nothing was refused, and the process was still there when the platform killed it, 1 s after drainTimeoutMs (the parts had 10 s of their own behind the drain).

One rule in the runtime's stop-times: work begins while it is over, by its deadline or by the longest recent answer of its target, half a second before the end of the drain; within the balancer's notice (2 s) all of it does. It is asked when a call is read (its body whole), before each dispatch, behind a claim and before a retry. What waits at an agent is taken back then; only the agent's word lets it be refused as not run. What is open at the end is withdrawn and answered 504 (a stream: event: error), its claim left open, so that a resend finds it; half-sent bodies are refused. Then connections close, and each part's stop has what is left until 400 ms behind the drain.

--- a/packages/coordination/src/journal/journal.ts
+++ b/packages/coordination/src/journal/journal.ts
@@ -1,6 +1,6 @@
 /** Records events in memory and writes them in compressed batches, one for each minute in which requests began. */
 import { clocks } from '@copperlever/runtime';
-import type { randoms } from '@copperlever/runtime';
+import type { logs, randoms } from '@copperlever/runtime';
 
 import * as resilientStore from '../object-store/resilient-store.js';
 import type * as objectStore from '../object-store/types.js';
@@ -21,6 +21,8 @@
   pendingMaxBytes?: number;
   /** Compresses a batch; tests on a fake clock use `batches.compressInline`. */
   compress?: (lines: readonly string[]) => Promise<Buffer>;
+  /** Told of what the end of a stop leaves unwritten. */
+  log?: Pick<logs.Logger, 'error'>;
 };
 
 /** Each process writes once per interval for each minute of requests: 38 writes a second at 1,140 processes. */
@@ -184,6 +186,8 @@
       stopping.abort();
       await clocks.raceDeadline(clock, deadlineMs, loopDone);
       await flush(deadlineMs);
+      const eventCount = unconfirmed.reduce((sum, batch) => sum + batch.eventCount, pending.length);
+      if (eventCount > 0) options.log?.error('journal-cut-off', { eventCount });
     },
   };
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * as retryBudgets from './retry-budgets.js';
 export * as routing from './routing.js';
 export * as serviceTimes from './service-times.js';
+export * as longestTimes from './longest-times.js';
 export * as moveGain from './move-gain.js';
 export * as modelRotation from './model-rotation.js';
 export * as types from './types.js';
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -11,6 +11,7 @@
   requestIds,
   resilientStore,
 } from '@copperlever/coordination';
+import { longestTimes } from '@copperlever/decisions';
 import { attributes } from '@copperlever/protocol';
 import {
   clocks,
@@ -24,6 +25,7 @@
 
 import * as grpcLink from './server/links/grpc-link.js';
 import * as openCalls from './server/requests/open-calls.js';
+import * as plannedStops from './server/requests/planned-stop.js';
 import * as settlementsModule from './server/requests/settlements.js';
 import * as serving from './server/requests/serve.js';
 import * as directories from './shared/agent-directory.js';
@@ -57,6 +59,7 @@
   suspects: suspectsModule.Suspects;
   retryBudget: retryBudgets.RetryBudget;
   calls: openCalls.OpenCalls;
+  stop: plannedStops.PlannedStop;
   serve: serving.Serve;
   ids: ReturnType<typeof requestIds.createRequestIds>;
 };
@@ -107,6 +110,7 @@
     settlements: parts.settlements,
     suspects: parts.suspects,
     calls: parts.calls,
+    stop: parts.stop,
     retryBudget: parts.retryBudget,
     reportUnreachable: parts.control.membership.reportUnreachable,
     configuration: parts.control.follower.current,
@@ -158,9 +162,10 @@
       .singleton(),
     control: awilix.asFunction(createControl).singleton(),
     journal: awilix
-      .asFunction(({ store, clock, random }: EntryParts) =>
+      .asFunction(({ store, clock, random, log }: EntryParts) =>
         journals.createJournal({
           store,
+          log,
           clock,
           random,
           incarnation,
@@ -199,6 +204,11 @@
     calls: awilix
       .asFunction(({ clock, log }: EntryParts) => openCalls.createOpenCalls(clock, log))
       .singleton(),
+    stop: awilix
+      .asFunction(({ clock }: EntryParts) =>
+        plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes()),
+      )
+      .singleton(),
     serve: awilix.asFunction(createServe).singleton(),
     ids: awilix
       .asFunction(({ clock }: EntryParts) =>
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -8,6 +8,7 @@
   processFaults,
   supervisor,
 } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import * as grpc from '@grpc/grpc-js';
 import type * as fastify from 'fastify';
 
@@ -20,7 +21,8 @@
 import * as operatorApp from './server/operator/app.js';
 import * as settingsModule from './types/settings.js';
 
-const STOP_TIMEOUT_MS = 5_000;
+/** The journal's last batch gets this long, where the stop has as much time left. */
+const LAST_BATCH_MS = 5_000;
 
 const processEnd = processFaults.watchProcess('copperlever-entry');
 const settingsFile = daemon.readSettings(
@@ -55,8 +57,8 @@
   cradle.journal.start();
   return {
     failed: supervisor.neverFails(),
-    stop: async () => {
-      await cradle.journal.stop(clock.nowMs() + STOP_TIMEOUT_MS);
+    stop: async (untilMs = Infinity) => {
+      await cradle.journal.stop(stopTimes.journalUntilMs(clock.nowMs() + LAST_BATCH_MS, untilMs));
       await control.stop();
       server.forceShutdown();
     },
@@ -74,6 +76,7 @@
     nextRequestId: cradle.ids.next,
     openCalls,
     calls: cradle.calls,
+    stop: cradle.stop,
   };
   const app = callsApp.createCallerApp(callDeps, {
     maxBodyBytes: settings.maxBodyBytes,
@@ -102,6 +105,7 @@
   return {
     failed: supervisor.neverFails(),
     stop: async () => {
+      callerApp.server.closeAllConnections();
       await callerApp.close();
       cradle.link.close();
     },
@@ -139,7 +143,9 @@
 
 async function stop(sinceMs: number): Promise<void> {
   log.info('stopping', { openCallCount: openCalls.count });
+  const times = stopTimes.drainTimes(sinceMs, drainTimeoutMs, drains.BALANCER_NOTICE_MS);
   cradle.calls.noteStopBegan(sinceMs);
+  cradle.stop.begin(times);
   await drains.drain({
     clock,
     log,
@@ -150,14 +156,14 @@
     connections,
     openCallCount: () => openCalls.count,
     pendingClaimCount: cradle.settlements.pendingCount,
-    timeoutMs: sinceMs + drainTimeoutMs - clock.nowMs(),
+    timeoutMs: times.endMs - clock.nowMs(),
   });
   cradle.calls.logCut();
-  await tree.stop();
+  await tree.stop(times.exitMs);
   log.info('stopped', {});
 }
 
-processEnd.endBy({ run: stop, timeoutMs: () => drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
+processEnd.endBy({ run: stop, timeoutMs: () => stopTimes.wholeStopMs(drainTimeoutMs) });
 
 await tree.start();
 processEnd.started(log);
--- a/packages/entry/src/server/calls/app.test.ts
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -1,5 +1,10 @@
+import * as net from 'node:net';
+import * as streamConsumers from 'node:stream/consumers';
+
+import { longestTimes } from '@copperlever/decisions';
 import { schema } from '@copperlever/configuration';
 import { logs, metrics } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 import type * as fastify from 'fastify';
 import { suite } from 'uvu';
@@ -7,6 +12,7 @@
 
 import type * as calls from '../../types/calls.js';
 import * as openCalls from '../requests/open-calls.js';
+import * as plannedStops from '../requests/planned-stop.js';
 import type * as serving from '../requests/serve.js';
 import * as app from './app.js';
 
@@ -43,6 +49,7 @@
 
 function createApp(serve = answering) {
   const clock = fakeClock.createFakeClock();
+  const stop = plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes());
   const served: calls.Call[] = [];
   const events: string[] = [];
   const state = { isStopping: false };
@@ -66,10 +73,11 @@
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
       calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
+      stop,
     },
     { maxBodyBytes: MAX_BODY_BYTES, isStopping: () => state.isStopping },
   );
-  return { server, served, events, state, clock };
+  return { server, served, events, state, clock, stop };
 }
 
 const chat = { model: 'draws', messages: [{ role: 'user', content: 'draw' }] };
@@ -193,4 +201,38 @@
   assert.is(answer.headers.connection, 'close');
 });
 
+const HALF = 'POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\n{';
+
+// Guards against a stop that closes the connection of a request whose body is still on its way, without a word.
+test('a request whose body has not come at the end of a stop is refused as not run', async () => {
+  const { server, state, stop, clock, served } = createApp();
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  const socket = net.connect((server.server.address() as net.AddressInfo).port, '127.0.0.1');
+  const read = new Promise<void>((resolve) => {
+    server.server.once('request', () => resolve());
+  });
+  socket.write(HALF);
+  await read;
+  state.isStopping = true;
+  stop.begin(stopTimes.drainTimes(0, 10_000, 2_000));
+  const answer = streamConsumers.text(socket);
+  await clock.advance(9_500);
+  const text = await answer;
+  assert.match(text, /^HTTP\/1.1 503 [^]*connection: close\r\nretry-after: 1\r\n[^]*"not-run"/i);
+  assert.equal(served, []);
+  await server.close();
+});
+
+// Guards against a call that never answers, as behind a caller that reads nothing, and that the stop leaves without a word.
+test('a call of which nothing is known by the end of a stop is told that it may have run', async () => {
+  const { server, stop, clock } = createApp(() => new Promise(() => {}));
+  const asked = server.inject(post(CHAT, chat));
+  await clock.settle();
+  stop.begin(stopTimes.drainTimes(0, 10_000, 2_000));
+  await clock.advance(10_000);
+  const answer = await asked;
+  assert.is(answer.statusCode, 504);
+  assert.is(answer.json<{ outcome: string }>().outcome, 'unknown');
+});
+
 test.run();
--- a/packages/entry/src/server/calls/app.ts
+++ b/packages/entry/src/server/calls/app.ts
@@ -4,6 +4,7 @@
 import type * as contexts from './context.js';
 import * as handlers from './handlers.js';
 import * as services from './services.js';
+import * as unreadBodies from './unread-bodies.js';
 
 export type CallerAppOptions = { maxBodyBytes: number; isStopping: () => boolean };
 
@@ -41,6 +42,7 @@
   };
   app.addHook('onRequest', askForClose);
   app.addHook('onSend', askForClose);
+  unreadBodies.refuseUnreadBodies(app, deps);
   registerCalls(app, deps);
   return app;
 }
--- a/packages/entry/src/server/calls/context.ts
+++ b/packages/entry/src/server/calls/context.ts
@@ -5,6 +5,7 @@
 
 import type * as calls from '../../types/calls.js';
 import type * as openCallsModule from '../requests/open-calls.js';
+import type * as plannedStops from '../requests/planned-stop.js';
 import type * as serving from '../requests/serve.js';
 
 export type CallDeps = {
@@ -17,6 +18,7 @@
   nextRequestId: () => string;
   openCalls: { count: number };
   calls: openCallsModule.OpenCalls;
+  stop: plannedStops.PlannedStop;
 };
 
 const STARTING_RETRY_MS = 1_000;
--- a/packages/entry/src/server/calls/serve-call.ts
+++ b/packages/entry/src/server/calls/serve-call.ts
@@ -1,6 +1,7 @@
 /** Serves one call to its caller, whole or streamed, and says in journal, log and metrics how it ended. */
 import type * as http from 'node:http';
 
+import type { clocks } from '@copperlever/runtime';
 import type * as fastify from 'fastify';
 
 import type * as calls from '../../types/calls.js';
@@ -16,13 +17,46 @@
   return controller.signal;
 }
 
+function logAtStop(deps: contexts.CallDeps, call: calls.Call, outcome: calls.Outcome): void {
+  if (outcome.kind === 'answered') return;
+  const { cause, kind } = outcome;
+  if (cause !== 'leaving' && cause !== 'stopping') return;
+  deps.calls.logAtStop(call.requestId, kind === 'not-run' ? 'refused' : 'answered', cause);
+}
+
+/** What became of `call`; where a stop has to answer before that is known, that it may have run. */
+async function outcomeOf(
+  deps: contexts.CallDeps,
+  call: calls.Call,
+  served: Promise<calls.Outcome>,
+): Promise<calls.Outcome> {
+  const { clock, stop } = deps;
+  let cancel: clocks.Cancel = () => {};
+  let remove = () => {};
+  const unanswered = new Promise<calls.Outcome>((resolve) => {
+    const detail = 'this entry stopped before it was known what became of the request';
+    const told = { kind: 'unknown', cause: 'stopping', retryAtMs: null, detail } as const;
+    const answerInTime = () => {
+      cancel = clock.schedule(stop.times()?.answeredMs ?? Infinity, () => resolve(told));
+    };
+    if (stop.times() === null) remove = stop.onBegin(answerInTime);
+    else answerInTime();
+  });
+  const outcome = await Promise.race([served, unanswered]);
+  cancel();
+  remove();
+  logAtStop(deps, call, outcome);
+  return outcome;
+}
+
 async function serveHeld(
   deps: contexts.CallDeps,
   reply: fastify.FastifyReply,
   call: calls.Call,
 ): Promise<calls.Outcome> {
   const sink = sinks.createHeldSink();
-  const outcome = await deps.serve(call, sink, callerGoneSignal(reply.raw));
+  const served = deps.serve(call, sink, callerGoneSignal(reply.raw));
+  const outcome = await outcomeOf(deps, call, served);
   if (outcome.kind === 'answered') {
     await answers.sendHeld(reply, sink.answer(), call.requestId, outcome.replayed);
   } else {
@@ -37,11 +71,15 @@
   call: calls.Call,
 ): Promise<calls.Outcome> {
   const startedAtMs = deps.clock.nowMs();
-  const sink = sinks.createStreamSink(reply.raw, call.requestId, () => {
+  let isOver = false;
+  const noteFirstByte = () => {
     const tookMs = deps.clock.nowMs() - startedAtMs;
     deps.metrics.timing('entry.first_byte_ms', tookMs, { class: call.priorityClass });
-  });
-  const outcome = await deps.serve(call, sink, callerGoneSignal(reply.raw));
+  };
+  const sink = sinks.createStreamSink(reply.raw, call.requestId, noteFirstByte, () => isOver);
+  const served = deps.serve(call, sink, callerGoneSignal(reply.raw));
+  const outcome = await outcomeOf(deps, call, served);
+  isOver = true;
   if (sink.hasBegun()) {
     reply.hijack();
     answers.endStream(reply, outcome, call.requestId);
--- a/packages/entry/src/server/calls/sinks.ts
+++ b/packages/entry/src/server/calls/sinks.ts
@@ -55,6 +55,8 @@
   raw: http.ServerResponse,
   requestId: string,
   onFirstByte: () => void = () => {},
+  /** Whether the answer was ended before it was whole. */
+  isOver: () => boolean = () => false,
 ): calls.AnswerSink {
   let status = 0;
   let headers: readonly calls.HeaderPair[] = [];
@@ -64,6 +66,7 @@
       headers = passedHeaders(headHeaders);
     },
     chunk: (data) => {
+      if (isOver()) return Promise.resolve();
       if (!raw.headersSent) {
         headers.forEach((header) => raw.setHeader(header.name, header.value));
         raw.setHeader('x-request-id', requestId);
--- a/packages/entry/src/server/health/drain.ts
+++ b/packages/entry/src/server/health/drain.ts
@@ -22,15 +22,15 @@
 
 /**
  * Callers that come before the balancer has noticed are served as ever. After that connections are closed as they are found unused,
- * so that the close of the server, which doesn't look for what lies unread, finds none. Requests in flight are cut off
- * only at the timeout, which an operator sets above the longest deadline.
+ * so that the close of the server, which doesn't look for what lies unread, finds none. Shortly before
+ * the timeout, which an operator sets above the longest deadline, requests in flight are answered that they may have run.
  */
 export async function drain(deps: DrainDeps): Promise<void> {
   const { clock } = deps;
   const deadlineMs = clock.nowMs() + deps.timeoutMs;
   deps.turnReadyOff();
   deps.leaveMembership();
-  await clocks.sleepUntil(clock, clock.nowMs() + BALANCER_NOTICE_MS);
+  await clocks.sleepUntil(clock, Math.min(deadlineMs, clock.nowMs() + BALANCER_NOTICE_MS));
   const isDone = () =>
     deps.connections.isClosed() && deps.openCallCount() + deps.pendingClaimCount() === 0;
   for (;;) {
--- a/packages/entry/src/server/health/unread-at-stop.test.ts
+++ b/packages/entry/src/server/health/unread-at-stop.test.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises';
 import * as workerThreads from 'node:worker_threads';
 
+import { longestTimes } from '@copperlever/decisions';
 import { clocks, logs, metrics } from '@copperlever/runtime';
 import * as eventLoop from '@copperlever/runtime/event-loop';
 import { suite } from 'uvu';
@@ -9,6 +10,7 @@
 
 import * as app from '../calls/app.js';
 import * as openCalls from '../requests/open-calls.js';
+import * as plannedStops from '../requests/planned-stop.js';
 import * as callerConnections from './caller-connections.js';
 import * as drains from './drain.js';
 
@@ -92,6 +94,7 @@
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
       calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
+      stop: plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes()),
     },
     { maxBodyBytes: 500, isStopping: () => isStopping },
   );
--- a/packages/entry/src/server/requests/attempt.test.ts
+++ b/packages/entry/src/server/requests/attempt.test.ts
@@ -46,6 +46,7 @@
     deadlineMs: 60_000,
     sink,
     callerGone: new AbortController().signal,
+    stop: attempts.NO_STOP,
     open,
   };
   const run = () => rigs.settle(rig, attempts.runAttempt(deps, input));
--- a/packages/entry/src/server/requests/attempt.ts
+++ b/packages/entry/src/server/requests/attempt.ts
@@ -16,6 +16,10 @@
   /** The agent cannot be reached any more; the attempt may have started. */
   | { kind: 'lost'; detail: string; hadStarted: boolean }
   | { kind: 'deadline-passed'; hadStarted: boolean }
+  /** Its agent gave it back, unstarted, since this entry stops. */
+  | { kind: 'withdrawn' }
+  /** This entry has to answer now, since it stops. */
+  | { kind: 'stopped' }
   /** The caller closed its connection. */
   | { kind: 'caller-gone' };
 
@@ -36,6 +40,19 @@
   /** Opens the first stream: a dispatch, or a resume of what another entry dispatched. */
   open: (signal: AbortSignal) => AsyncIterable<links.LinkPart>;
   onStarted?: () => void;
+  stop: AttemptStop;
+};
+
+/** What a planned stop means for one attempt. */
+export type AttemptStop = {
+  /** Until when it may wait at its agent; infinite while no stop is under way. */
+  waitsUntilMs: () => number;
+  /** When it has to be answered; infinite while no stop is under way. */
+  answerAtMs: () => number;
+  /** Calls `task` when one of these times may have changed. */
+  onChange: (task: () => void) => () => void;
+  /** Takes it back from its agent, if it has not started: resolves to whether it did not run. */
+  takeBack: () => Promise<boolean>;
 };
 
 /**
@@ -48,8 +65,16 @@
 /** New connections that bring nothing before the agent is given up. */
 const MAX_RECONNECTS = 4;
 const RECONNECT_PAUSE_MS = 100;
+/** No planned stop concerns the attempt. */
+export const NO_STOP: AttemptStop = {
+  waitsUntilMs: () => Infinity,
+  answerAtMs: () => Infinity,
+  onChange: () => () => {},
+  takeBack: async () => false,
+};
 /** The agent does not know the attempt: the dispatch never arrived, or its process was replaced. */
 const UNKNOWN_ATTEMPT: causes.FailureCause = 'attempt-unknown';
+const REVOKED: causes.RefusalCause = 'revoked';
 
 type Progress = { offsetBytes: number; status: number; hadStarted: boolean; startedAtMs: number };
 
@@ -58,19 +83,23 @@
   | { kind: 'silent' }
   | { kind: 'broken'; detail: string };
 
-type NextPart = links.LinkPart | 'deadline' | 'caller-gone' | 'closed';
+type NextPart = links.LinkPart | 'deadline' | 'caller-gone' | 'stop-changed' | 'closed';
 
-/** Calls the present waiter when the caller goes: one listener for the whole answer. */
-function createCallerWatch(callerGone: AbortSignal) {
-  let wake: () => void = () => {};
-  const onGone = () => wake();
+/** Calls the present waiter when the caller goes, or the times of a stop change: one listener each for the whole answer. */
+function createCallerWatch({ callerGone, stop }: AttemptInput) {
+  let wake: (why: 'caller-gone' | 'stop-changed') => void = () => {};
+  const onGone = () => wake('caller-gone');
   callerGone.addEventListener('abort', onGone);
+  const removeOnChange = stop.onChange(() => wake('stop-changed'));
   return {
-    onGone: (next: () => void) => {
+    onWake: (next: (why: 'caller-gone' | 'stop-changed') => void) => {
       wake = next;
-      if (callerGone.aborted) next();
+      if (callerGone.aborted) next('caller-gone');
+    },
+    stop: () => {
+      callerGone.removeEventListener('abort', onGone);
+      removeOnChange();
     },
-    stop: () => callerGone.removeEventListener('abort', onGone),
   };
 }
 
@@ -78,7 +107,7 @@
 
 /** The next part, or why there is none. */
 function nextPart(
-  iterator: AsyncIterator<links.LinkPart>,
+  next: Promise<IteratorResult<links.LinkPart>>,
   clock: clocks.Clock,
   untilMs: number,
   watch: CallerWatch,
@@ -89,8 +118,8 @@
       cancel();
       resolve(part);
     };
-    watch.onGone(() => settle('caller-gone'));
-    iterator.next().then(
+    watch.onWake(settle);
+    next.then(
       (step) => settle(step.done === true ? 'closed' : step.value),
       (cause: unknown) => settle({ kind: 'lost', detail: String(cause) }),
     );
@@ -105,7 +134,8 @@
     hadStarted: false,
     startedAtMs: clock.nowMs(),
   };
-  const watch = createCallerWatch(input.callerGone);
+  const watch = createCallerWatch(input);
+  let isTakingBack = false;
   const limitBytes = input.sink.limitBytes ?? Infinity;
 
   async function takeData(offsetBytes: number, data: Buffer): Promise<AttemptResult | null> {
@@ -132,8 +162,8 @@
       case 'started':
         if (progress.hadStarted) return null;
         progress.startedAtMs = clock.nowMs();
-        input.onStarted?.();
         progress.hadStarted = true;
+        input.onStarted?.();
         return null;
       case 'head':
         progress.status = frame.part.value.status;
@@ -154,6 +184,7 @@
         };
       case 'refused': {
         const { cause, detail, retryAfterMs } = frame.part.value;
+        if (isTakingBack && cause === REVOKED) return { kind: 'withdrawn' };
         return { kind: 'refused', cause, detail, retryAtMs: clock.nowMs() + retryAfterMs };
       }
       case 'failed': {
@@ -164,25 +195,47 @@
     }
   }
 
+  /** When the stop of this entry is next to be looked at. */
+  function stopDueMs(): number {
+    const isWaiting = !progress.hadStarted && !isTakingBack;
+    const waitsUntilMs = isWaiting ? input.stop.waitsUntilMs() : Infinity;
+    return Math.min(waitsUntilMs, input.stop.answerAtMs());
+  }
+
+  /** What a time that has come means; null where the attempt goes on. */
+  async function atTime(): Promise<AttemptResult | null> {
+    if (clock.nowMs() >= input.deadlineMs) {
+      return { kind: 'deadline-passed', hadStarted: progress.hadStarted };
+    }
+    if (clock.nowMs() >= input.stop.answerAtMs()) return { kind: 'stopped' };
+    isTakingBack = true;
+    return (await input.stop.takeBack()) ? { kind: 'withdrawn' } : null;
+  }
+
   async function readStream(
     parts: AsyncIterable<links.LinkPart>,
     silenceMs: number,
   ): Promise<StreamEnd> {
     const iterator = parts[Symbol.asyncIterator]();
+    let silentAtMs = clock.nowMs() + silenceMs;
+    let next = iterator.next();
     for (;;) {
-      const silentAtMs = clock.nowMs() + silenceMs;
-      const untilMs = Math.min(silentAtMs, input.deadlineMs);
-      const part = await nextPart(iterator, clock, untilMs, watch);
+      const dueMs = Math.min(input.deadlineMs, stopDueMs());
+      const part = await nextPart(next, clock, Math.min(silentAtMs, dueMs), watch);
+      if (part === 'stop-changed') continue;
       if (part === 'caller-gone') return { kind: 'closed', result: { kind: 'caller-gone' } };
       if (part === 'closed') return { kind: 'broken', detail: 'the stream ended early' };
       if (part === 'deadline') {
-        if (clock.nowMs() < input.deadlineMs) return { kind: 'silent' };
-        const { hadStarted } = progress;
-        return { kind: 'closed', result: { kind: 'deadline-passed', hadStarted } };
+        if (clock.nowMs() < dueMs) return { kind: 'silent' };
+        const result = await atTime();
+        if (result !== null) return { kind: 'closed', result };
+        continue;
       }
       if (part.kind === 'lost') return { kind: 'broken', detail: part.detail };
       const result = await takeFrame(part.frame);
       if (result !== null) return { kind: 'closed', result };
+      silentAtMs = clock.nowMs() + silenceMs;
+      next = iterator.next();
     }
   }
 
--- a/packages/entry/src/server/requests/join.ts
+++ b/packages/entry/src/server/requests/join.ts
@@ -10,6 +10,7 @@
 import type * as runs from '../../types/runs.js';
 import * as attempts from './attempt.js';
 import * as once from './once.js';
+import type * as plannedStops from './planned-stop.js';
 import type * as settlementsModule from './settlements.js';
 import * as withdrawals from './withdraw.js';
 
@@ -19,6 +20,7 @@
   directory: directories.AgentDirectory;
   journal: journals.Journal;
   settlements: settlementsModule.Settlements;
+  stop: Pick<plannedStops.PlannedStop, 'times' | 'onChange'>;
 };
 
 export type Joined =
@@ -47,6 +49,12 @@
     deadlineMs: run.call.deadlineMs,
     sink: recorder,
     callerGone: run.callerGone,
+    stop: {
+      // The request that dispatched it may want it still.
+      ...attempts.NO_STOP,
+      answerAtMs: () => deps.stop.times()?.lastAnswersMs ?? Infinity,
+      onChange: deps.stop.onChange,
+    },
     open: (signal) => {
       const request = {
         dispatchId: first.dispatchId,
@@ -81,6 +89,8 @@
         'the agent that had the first request with this key cannot tell what became of it',
       );
     }
+    case 'withdrawn':
+    case 'stopped':
     case 'deadline-passed':
     case 'caller-gone':
       return unknown('in-progress', comeBackMs, 'the first request with this key still runs');
--- a/packages/entry/src/server/requests/retries.ts
+++ b/packages/entry/src/server/requests/retries.ts
@@ -1,12 +1,13 @@
 /** Whether a request is tried once more after an attempt, where, and when; or how it ends. */
 import type * as journals from '@copperlever/coordination/journal/types';
-import { clocks, type metrics as metricsModule } from '@copperlever/runtime';
+import type { clocks, metrics as metricsModule } from '@copperlever/runtime';
 
 import * as endings from '../../shared/endings.js';
 import type * as retryBudgets from '../../shared/retry-budget.js';
 import type * as calls from '../../types/calls.js';
 import type * as links from '../../types/links.js';
 import * as runs from '../../types/runs.js';
+import type * as plannedStops from './planned-stop.js';
 import * as routes from './routes.js';
 import type * as settlementsModule from './settlements.js';
 
@@ -16,6 +17,7 @@
   metrics: metricsModule.Metrics;
   settlements: settlementsModule.Settlements;
   retryBudget: retryBudgets.RetryBudget;
+  stop: plannedStops.PlannedStop;
 };
 
 /** Attempts before the caller is told to come back; the budget ends them sooner under load. */
@@ -48,7 +50,7 @@
 async function waitForAny(deps: RetryDeps, run: runs.Run): Promise<links.AgentTarget | null> {
   const untilMs = run.soonestRetryMs ?? deps.clock.nowMs() + endings.DEFAULT_RETRY_MS;
   if (untilMs + LEAST_REMAINING_MS >= run.call.deadlineMs) return null;
-  await clocks.sleepUntil(deps.clock, untilMs, run.callerGone);
+  await deps.stop.sleepUntil(untilMs, run.call, run.callerGone);
   run.excludedIds.clear();
   run.soonestRetryMs = null;
   return routes.choose(deps, run);
@@ -83,6 +85,10 @@
 ): Promise<runs.Step> {
   if (verdict.ending.kind !== 'not-run') run.earlierEnding = verdict.ending;
   if (verdict.retry === 'no' || !hasTimeLeft(deps, run)) return end(deps, run, verdict.ending);
+  if (!deps.stop.mayBegin(run.call)) {
+    const { ending } = verdict;
+    return end(deps, run, ending.kind === 'not-run' ? deps.stop.refusal() : ending);
+  }
   if (verdict.retry === 'follow-claim') {
     return run.held === null ? end(deps, run, verdict.ending) : runs.FOLLOW;
   }
--- a/packages/entry/src/server/requests/serve.ts
+++ b/packages/entry/src/server/requests/serve.ts
@@ -33,6 +33,8 @@
 
 /** How often a resend follows a claim that others keep changing. */
 const MAX_FOLLOWS = 4;
+/** Time to write an answer once it is known. */
+const ANSWER_MS = 50;
 
 const { done } = runs;
 
@@ -73,6 +75,11 @@
     return done({ kind: 'answered', status, replayed: false });
   }
 
+  /** A stop has to answer, whether the agent says something or not. */
+  function withdrawUntilMs(): number {
+    return (deps.stop.times()?.answeredMs ?? Infinity) - ANSWER_MS;
+  }
+
   async function afterAttempt(
     run: runs.Run,
     dispatch: runs.Dispatch,
@@ -94,7 +101,7 @@
         if (quarantined !== null) return retries.end(deps, run, quarantined);
         // The upstream would go on for nobody.
         if (result.cause === 'answer-too-large')
-          await withdrawals.withdraw(deps, dispatch, !isOnce);
+          await withdrawals.withdraw(deps, dispatch, !isOnce, withdrawUntilMs());
         return retries.retryOrEnd(
           deps,
           run,
@@ -103,24 +110,32 @@
         );
       }
       case 'lost': {
-        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce);
+        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce, withdrawUntilMs());
         const verdict = endings.afterLoss(retries.factsOf(deps, run), result.detail, withdrawal);
         return retries.retryOrEnd(deps, run, target, verdict);
       }
       case 'deadline-passed': {
         // The caller is held back a little longer: "not run" needs the agent's word.
-        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce);
+        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce, withdrawUntilMs());
         return retries.end(
           deps,
           run,
           endings.afterDeadline(retries.factsOf(deps, run), withdrawal),
         );
       }
+      case 'withdrawn':
+        return retries.end(deps, run, deps.stop.refusal());
+      case 'stopped': {
+        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce, withdrawUntilMs());
+        return retries.end(deps, run, endings.afterStop(retries.factsOf(deps, run), withdrawal));
+      }
       case 'caller-gone':
         return retries.end(
           deps,
           run,
-          endings.afterCallerGone(await withdrawals.withdraw(deps, dispatch, true)),
+          endings.afterCallerGone(
+            await withdrawals.withdraw(deps, dispatch, true, withdrawUntilMs()),
+          ),
         );
     }
   }
@@ -148,11 +163,19 @@
       callerGone: run.callerGone,
       open: (signal) => deps.link.dispatch(target, request, signal),
       onStarted: () => deps.calls.noteStarted(call.requestId),
+      stop: {
+        waitsUntilMs: () => deps.stop.latestStartMs(call),
+        answerAtMs: () => deps.stop.times()?.lastAnswersMs ?? Infinity,
+        onChange: deps.stop.onChange,
+        takeBack: async () =>
+          (await withdrawals.withdraw(deps, dispatch, false, withdrawUntilMs())) === 'did-not-run',
+      },
     });
     if (isSuspect) suspects.noteEnded(target.agentId);
     journal.record(call.requestId, 'attempt-ended', { dispatchId, result: result.kind });
     deps.metrics.count('entry.attempts', 1, { result: result.kind });
     if (result.kind === 'ended') {
+      deps.stop.noteDuration(call.target.name, result.runMs);
       deps.directory.noteAnswer(target.agentId, { ...result, target: call.target.name });
       return afterEnd(run, dispatch, result.status, recorder);
     }
@@ -180,6 +203,7 @@
   }
 
   async function step(run: runs.Run, target: links.AgentTarget): Promise<runs.Step> {
+    if (!deps.stop.mayBegin(run.call)) return retries.end(deps, run, deps.stop.refusal());
     run.attemptCount += 1;
     const dispatch: runs.Dispatch = {
       target,
@@ -195,6 +219,8 @@
       case 'run':
         run.held = permit.held;
         journal.record(run.call.requestId, 'claimed', { dispatchId: dispatch.dispatchId });
+        // The store may have taken its time.
+        if (!deps.stop.mayBegin(run.call)) return retries.end(deps, run, deps.stop.refusal());
         return runAt(run, dispatch);
       case 'taken':
         return follow(run, permit.held);
--- a/packages/entry/src/server/requests/withdraw.ts
+++ b/packages/entry/src/server/requests/withdraw.ts
@@ -19,6 +19,7 @@
   deps: WithdrawDeps,
   dispatch: runs.Dispatch,
   cancelIfStarted: boolean,
+  untilMs = Infinity,
 ): Promise<endings.Withdrawal> {
   const { clock, link } = deps;
   const request = {
@@ -27,10 +28,11 @@
     agentTick: dispatch.agentTick,
     cancelIfStarted,
   };
-  const sharedDeadlineMs = clock.nowMs() + SHARED_TIMEOUT_MS;
+  const sharedDeadlineMs = Math.min(untilMs, clock.nowMs() + SHARED_TIMEOUT_MS);
   const first = await link.revoke(dispatch.target, request, sharedDeadlineMs, 'shared');
   if (first.ok) return endings.withdrawalOf(first.val.outcome);
-  const freshDeadlineMs = clock.nowMs() + FRESH_TIMEOUT_MS;
+  const freshDeadlineMs = Math.min(untilMs, clock.nowMs() + FRESH_TIMEOUT_MS);
+  if (freshDeadlineMs <= clock.nowMs()) return 'not-known';
   const second = await link.revoke(dispatch.target, request, freshDeadlineMs, 'fresh');
   return second.ok ? endings.withdrawalOf(second.val.outcome) : 'not-known';
 }
--- a/packages/entry/src/shared/endings.ts
+++ b/packages/entry/src/shared/endings.ts
@@ -121,6 +121,16 @@
     : { kind: 'failed', cause: 'deadline-passed', retryAtMs: null, detail };
 }
 
+/** This entry stops before the answer is whole. */
+export function afterStop(facts: Facts, withdrawal: Withdrawal): calls.Refusal {
+  const detail = 'this entry stopped before the answer was whole';
+  const retryAtMs = facts.nowMs + DEFAULT_RETRY_MS;
+  if (withdrawal === 'did-not-run') return notRun('leaving', retryAtMs, detail);
+  return facts.isOnce
+    ? { kind: 'unknown', cause: 'stopping', retryAtMs: askAgainMs(facts), detail }
+    : { kind: 'failed', cause: 'stopping', retryAtMs, detail };
+}
+
 export function afterCallerGone(withdrawal: Withdrawal): calls.Refusal {
   const detail = 'the caller closed its connection';
   return withdrawal === 'did-not-run'
--- a/packages/entry/src/shared/problems.ts
+++ b/packages/entry/src/shared/problems.ts
@@ -44,6 +44,7 @@
   'deadline-passed': 504,
   'in-progress': 409,
   'upstream-broken': 502,
+  stopping: 504,
 };
 
 const FAILED_STATUS: Readonly<Record<calls.FailedCause, number>> = {
@@ -54,6 +55,7 @@
   cancelled: 499,
   'answer-too-large': 502,
   quarantined: 422,
+  stopping: 504,
 };
 
 /** What each outcome means for the caller, in one sentence. */
--- a/packages/entry/src/testing/rig.ts
+++ b/packages/entry/src/testing/rig.ts
@@ -3,11 +3,13 @@
 import { claims as claimsModule, memoryStore } from '@copperlever/coordination';
 import type * as claimTypes from '@copperlever/coordination/claims/types';
 import type * as membership from '@copperlever/coordination/membership/types';
+import { longestTimes } from '@copperlever/decisions';
 import { attributes } from '@copperlever/protocol';
 import { logs, metrics, randoms, results } from '@copperlever/runtime';
 import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 
 import * as openCalls from '../server/requests/open-calls.js';
+import * as plannedStops from '../server/requests/planned-stop.js';
 import * as serving from '../server/requests/serve.js';
 import * as settlementsModule from '../server/requests/settlements.js';
 import * as directories from '../shared/agent-directory.js';
@@ -96,6 +98,7 @@
       log,
       metrics: silent,
     });
+    const stop = plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes());
     const serve = serving.createServe({
       clock,
       random,
@@ -127,10 +130,11 @@
       reportUnreachable: (agentId) => reported.push(agentId),
       configuration: () => ({ version: 1, document }),
       calls: openCalls.createOpenCalls(clock, log),
+      stop,
       entryId,
       region: 'r',
     });
-    return { serve, settlements };
+    return { serve, settlements, stop };
   }
 
   return { clock, agents, members, state, reported, events, store, createEntry };
--- a/packages/entry/src/types/calls.ts
+++ b/packages/entry/src/types/calls.ts
@@ -65,6 +65,8 @@
   | 'caller-gone';
 
 export type UnknownCause =
+  /** This entry stopped before the answer was whole. */
+  | 'stopping'
   | 'agent-lost'
   | 'claim-lost'
   | 'deadline-passed'
@@ -73,6 +75,7 @@
   | 'upstream-broken';
 
 export type FailedCause =
+  | 'stopping'
   | 'upstream-broken'
   | 'upstream-silent'
   | 'agent-lost'
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -244,6 +244,7 @@
         nextRequestId: parts.ids.next,
         openCalls,
         calls: parts.calls,
+        stop: parts.stop,
       },
       { maxBodyBytes: parts.settings.maxBodyBytes, isStopping: () => stopping.isStopping },
     );
--- a/packages/proofs/src/matrix/stops.ts
+++ b/packages/proofs/src/matrix/stops.ts
@@ -4,6 +4,7 @@
  */
 import * as drains from '@copperlever/entry/server/health/drain';
 import { clocks } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 
 import type * as fleets from '../harness/fleet.js';
 
@@ -53,6 +54,8 @@
     fleet.kill(process);
     return;
   }
+  const stopAtMs = process.clock.nowMs();
+  parts.stop.begin(stopTimes.drainTimes(stopAtMs, DRAIN_TIMEOUT_MS, drains.BALANCER_NOTICE_MS));
   await drains.drain({
     clock: process.clock,
     log: parts.log,
--- a/packages/proofs/src/processes/rig.ts
+++ b/packages/proofs/src/processes/rig.ts
@@ -109,7 +109,8 @@
   };
 }
 
-export async function startRig(output: Output = 'files') {
+/** `settings`: of all entries and agents. */
+export async function startRig(output: Output = 'files', settings: object = {}) {
   const fleet = createFleet(output);
   const platform = await fleet.startStandIn('stand-in-platform', 'platform');
   const relay = await startRelay(platform.url);
@@ -125,7 +126,7 @@
     'desk-1': service.url,
   };
   const seeds: string[] = [];
-  const place = { ...PLACE, platformUrl: relay.url };
+  const place = { ...PLACE, ...settings, platformUrl: relay.url };
 
   async function startEntry(entryId: string) {
     const entry = await fleet.startEntry({ ...place, entryId, seedAddresses: [...seeds] });
@@ -136,8 +137,8 @@
   async function startAgent(upstreamId: string): Promise<void> {
     const upstreamUrl = upstreamUrls[upstreamId] ?? '';
     const agentId = `agent-${upstreamId}`;
-    const settings = { ...place, agentId, upstreamId, upstreamUrl, seedAddresses: [...seeds] };
-    await fleet.startAgent(settings);
+    const seedAddresses = [...seeds];
+    await fleet.startAgent({ ...place, agentId, upstreamId, upstreamUrl, seedAddresses });
   }
 
   function signal(name: string, kind: NodeJS.Signals): void {
--- a/packages/proofs/src/properties/answers.test.ts
+++ b/packages/proofs/src/properties/answers.test.ts
@@ -107,6 +107,7 @@
         hasBegun: () => taken.length > 0,
       },
       callerGone: new AbortController().signal,
+      stop: attempts.NO_STOP,
       open: () => open(0),
     },
   );
--- a/packages/runtime/src/supervisor.test.ts
+++ b/packages/runtime/src/supervisor.test.ts
@@ -65,6 +65,26 @@
   assert.is(events.filter((event) => event === 'give up a').length, 1);
 });
 
+// Guards against a part that takes all the time of a stop, and its process with it.
+test('a stop goes on by its end without a part that does not stop', async () => {
+  const events: string[] = [];
+  const hanging = createPart('b', events);
+  const start = async () => ({
+    ...(await hanging.spec.start()),
+    stop: () => new Promise<void>(() => {}),
+  });
+  const { clock, tree } = createTree([createPart('a', events).spec, { name: 'b', start }], events);
+  await tree.start();
+  let isStopped = false;
+  void tree.stop(1_000).then(() => {
+    isStopped = true;
+  });
+  await clock.advance(999);
+  assert.is(isStopped, false);
+  await clock.advance(1);
+  assert.equal([isStopped, events.at(-1)], [true, 'stop a']);
+});
+
 test('a restart that fails is retried', async () => {
   let startCount = 0;
   let fail: (failure: Error) => void = () => {};
--- a/packages/runtime/src/supervisor.ts
+++ b/packages/runtime/src/supervisor.ts
@@ -5,7 +5,8 @@
 /** A running part. `failed` resolves with the error if the part fails while it runs. */
 export type RunningPart = {
   failed: Promise<Error>;
-  stop: () => Promise<void>;
+  /** Has to be over by `untilMs`; it is not waited for any longer. */
+  stop: (untilMs?: number) => Promise<void>;
 };
 
 export type PartSpec = {
@@ -23,8 +24,8 @@
 export type Supervisor = {
   /** Starts the parts in order; a part may depend on earlier ones. */
   start: () => Promise<void>;
-  /** Stops the parts in reverse order. */
-  stop: () => Promise<void>;
+  /** Stops the parts in reverse order, by `untilMs`. */
+  stop: (untilMs?: number) => Promise<void>;
 };
 
 /** After five restarts within a minute the fault is one that restarting does not fix. */
@@ -81,13 +82,25 @@
     });
   }
 
+  async function inTime(part: string, stopped: Promise<void>, untilMs?: number): Promise<void> {
+    if (untilMs === undefined) {
+      await stopped;
+      return;
+    }
+    const end = await clocks.raceDeadline(clock, untilMs, stopped);
+    if (end === 'deadline') log.error('part-stop-cut-off', { part });
+  }
+
   return {
     start: async () => {
       for (const spec of specs) await startPart(spec, []);
     },
-    stop: async () => {
+    stop: async (untilMs) => {
       stopping.abort();
-      for (const spec of [...specs].reverse()) await running.get(spec.name)?.stop();
+      for (const spec of [...specs].reverse()) {
+        const stopped = running.get(spec.name)?.stop(untilMs);
+        if (stopped !== undefined) await inTime(spec.name, stopped, untilMs);
+      }
     },
   };
 }
