Log when a request that a planned stop ended was read and passed on

A request that a stop refused or cut could not be told from one that was passed on too late: the lines had neither the time at which it was read nor that at which an upstream was sent it. Each request that a stop refuses or cuts, and each that it will answer at its end, has one line, ended-by-stop, in place of stopping-refused.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -18,6 +18,7 @@
 import * as openCallsModule from './server/forwarding/open-calls.js';
 import * as plainAdmissions from './server/forwarding/plain-admission.js';
 import * as serving from './server/forwarding/serve.js';
+import * as stopAdmissions from './server/forwarding/stop-admission.js';
 import * as unsentRequests from './server/forwarding/unsent-requests.js';
 import * as upstreamSignals from './server/forwarding/upstream-signals.js';
 import * as measuredStores from './server/metrics/measured-store.js';
@@ -189,6 +190,15 @@
       )
       .singleton(),
     unsent: awilix.asFunction(unsentRequests.createUnsentRequests).singleton(),
+    stopAdmission: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        stopAdmissions.createStopAdmission({
+          clock: parts.clock,
+          log: parts.log,
+          stopTimes: status.stopTimes,
+        }),
+      )
+      .singleton(),
     retries: awilix.asFunction(controlParts.createRetries).singleton(),
     incarnation: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
@@ -291,6 +301,7 @@
             ),
           isStopping: status.isStopping,
           unsent: parts.unsent,
+          stopAdmission: parts.stopAdmission,
         }),
       )
       .singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -75,6 +75,7 @@
     (clock, log) => createPlatform(clock, log, settings),
     {
       isStopping,
+      stopTimes: () => stopping,
       hasListing: () => hasListing,
       isStoreConnected: () => upstreamFollower.isConnected(),
       onUpstreamsLearned: () => {
@@ -208,6 +209,7 @@
     mayTake: (deadlineMs) => stopTimes.mayTake(stopping, clock.nowMs(), deadlineMs),
     openCalls,
     unsent: cradle.unsent,
+    stopAdmission: cradle.stopAdmission,
     quotas: cradle.quotas,
     bodyBudget: cradle.bodyBudget,
     loopAges: cradle.loopAges,
@@ -346,6 +348,7 @@
       connections,
       openCallCount: () => openCalls.count() + cradle.intake.waitingCount(),
       cutOpen: () => {
+        cradle.unsent.endAll();
         openCalls.logCut();
         connections.cutOpen();
       },
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -28,6 +28,7 @@
 import * as pipelinedRequests from './pipelined-requests.js';
 import * as requestLog from './request-log.js';
 import type * as serving from './serve.js';
+import type * as stopAdmissions from './stop-admission.js';
 import * as unsentRequests from './unsent-requests.js';
 
 export type CallersDeps = {
@@ -50,6 +51,7 @@
   bodyBudget: byteBudgets.ByteBudget;
   openCalls: openCallsModule.OpenCalls;
   unsent: Pick<unsentRequests.UnsentRequests, 'add'>;
+  stopAdmission: stopAdmissions.StopAdmission;
   loopAges: Pick<
     readDelays.ReadDelay,
     'accepted' | 'probeWith' | 'requestAge' | 'readPending' | 'turnMs'
@@ -135,11 +137,12 @@
   deps: CallersDeps,
   request: http.IncomingMessage,
   sink: answers.AnswerSink,
-  { facts: { requestId }, route }: callBuilding.Admitted,
+  { facts: { requestId } }: callBuilding.Admitted,
+  arrival: callBuilding.Arrival,
   deadlineMs: number,
 ): void {
-  const remainingMs = Math.round(deadlineMs - deps.clock.nowMs());
-  deps.log.info('stopping-refused', { requestId, route: route.name, remainingMs });
+  const progress = { ...arrival, requestId, deadlineMs, passedOnAtMs: null, upstreamId: null };
+  deps.stopAdmission.log(progress, 'refused');
   const retryAfter = deps.dialect.retryAfter(unsentRequests.STOPPING_RETRY_MS);
   sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'stopping');
   deps.metrics.denied('stopping');
@@ -221,7 +224,7 @@
       sink.refuseUnread(request, 408, [['connection', 'close']], 'body-too-slow');
       return null;
     case 'stopping':
-      refuseStopping(deps, request, sink, admitted, deadlineMs);
+      refuseStopping(deps, request, sink, admitted, arrival, deadlineMs);
       return null;
     case 'no-room':
       logRefusedBody(deps, requestId, 'no-room', body.wantedBytes);
@@ -263,7 +266,7 @@
       return null;
     }
     if (result === 'stopping') {
-      refuseStopping(deps, request, sink, admitted, call.deadlineMs);
+      refuseStopping(deps, request, sink, admitted, arrival, call.deadlineMs);
       return null;
     }
     // A configuration that became active during the wait applies: the request is admitted again under it.
@@ -308,7 +311,7 @@
   if (admitted === null) return;
   const deadlineMs = callBuilding.deadlineOf(admitted, arrival);
   if (!deps.mayTake(deadlineMs)) {
-    refuseStopping(deps, request, sink, admitted, deadlineMs);
+    refuseStopping(deps, request, sink, admitted, arrival, deadlineMs);
     return;
   }
   const body = await readAdmitted(deps, active, request, sink, admitted, arrival);
@@ -338,7 +341,7 @@
     deps.quotas.admit(started.organisation, call.facts, isLate),
   );
   if (quota === 'stopping') {
-    refuseStopping(deps, request, sink, started, call.deadlineMs);
+    refuseStopping(deps, request, sink, started, arrival, call.deadlineMs);
     return;
   }
   if (quota.kind === 'refused') {
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -22,6 +22,8 @@
   hasBegun: boolean;
   /** The upstream of the latest attempt. */
   upstreamId: string;
+  /** When the latest attempt began; null before the first. */
+  passedOnAtMs: number | null;
   /** An upstream rejected it for lack of capacity: it has to wait for capacity there, not for another copy of the model. */
   wasFull: boolean;
   /** An error answer of an upstream, kept while another upstream is tried. */
@@ -63,6 +65,7 @@
     isAtUpstream: false,
     hasBegun: false,
     upstreamId: '',
+    passedOnAtMs: null,
     wasFull: false,
     heldFailure: null,
     traits: [],
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -33,6 +33,7 @@
 import * as readDelays from './read-delay.js';
 import * as plainAdmissions from './plain-admission.js';
 import * as serving from './serve.js';
+import * as stopAdmissions from './stop-admission.js';
 import * as unsentRequests from './unsent-requests.js';
 
 const test = suite('serving streams with prefill turns');
@@ -227,6 +228,7 @@
     gatewayCount: () => 1,
     isStopping: () => false,
     unsent,
+    stopAdmission: stopAdmissions.createStopAdmission({ clock, log, stopTimes: () => null }),
     gatewayId: 'g1',
     failureDomain: 'north',
   });
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -41,6 +41,7 @@
 import * as missingCopies from './missing-copies.js';
 import * as routers from './router.js';
 import * as runs from './run.js';
+import type * as stopAdmissions from './stop-admission.js';
 import * as streamBindings from './stream-binding.js';
 import * as unsentRequests from './unsent-requests.js';
 import type * as connectionsModule from './connections.js';
@@ -83,6 +84,7 @@
   gatewayCount: () => number;
   isStopping: () => boolean;
   unsent: Pick<unsentRequests.UnsentRequests, 'add' | 'isRefusing'>;
+  stopAdmission: stopAdmissions.StopAdmission;
   /** Whether batch requests are held while more urgent ones need the upstreams of their model. */
   holdsBatch: () => boolean;
   gatewayId: string;
@@ -312,6 +314,7 @@
     }
     router.recordSent(call, run);
     run.upstreamId = choice.upstreamId;
+    run.passedOnAtMs = clock.nowMs();
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, to);
     quarantined.attemptEnded(run);
@@ -378,9 +381,16 @@
     }
   }
 
+  function logStop(call: calls.Call, run: runs.Run, outcome: logEvents.StopOutcome): void {
+    const { passedOnAtMs } = run;
+    const upstreamId = passedOnAtMs === null ? null : run.upstreamId;
+    deps.stopAdmission.log({ ...call, passedOnAtMs, upstreamId }, outcome);
+  }
+
   /** The ending at the end of a stop: nothing of it is at an upstream. */
   function stoppingEnding(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): calls.Ending {
     const ending = refuse(call, run, 'stopping', unsentRequests.STOPPING_RETRY_MS);
+    logStop(call, run, 'refused');
     return preferHeldFailure(run, sink, ending) ?? ending;
   }
 
@@ -404,13 +414,16 @@
     const run = { ...runs.createRun(), traits: requestTraits.of(call) };
     const withdrawable = unsentRequests.createWithdrawableSink(sink);
     let remove = () => {};
+    const end = () => {
+      if (!sink.isCallerGone()) logStop(call, run, 'cut');
+    };
     // Whatever it waits for, it is refused at the end of a stop; what an upstream may be running goes on.
     const refused = new Promise<calls.Ending>((resolve) => {
       remove = deps.unsent.add(() => {
         if (run.isAtUpstream || sink.hasBegun() || sink.isCallerGone()) return;
         withdrawable.withdraw();
         resolve(stoppingEnding(call, run, sink));
-      });
+      }, end);
     });
     try {
       return await Promise.race([refused, bindAndServe(call, run, withdrawable)]);
--- a/packages/gateway/src/server/forwarding/unsent-requests.ts
+++ b/packages/gateway/src/server/forwarding/unsent-requests.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that no upstream has been sent. Shortly before the end of a planned stop they are refused: a refusal tells callers that
+ * Requests at a planned stop. Shortly before its end those that no upstream has been sent are refused: a refusal tells callers that
  * they may send them again, while the end of a connection tells them nothing.
  */
 import type * as answers from './answers.js';
@@ -8,35 +8,43 @@
 export const STOPPING_RETRY_MS = 100;
 
 export type UnsentRequests = {
-  /** Has `refuse` called at the end of a stop, or at once if that has come; no more after the returned function is called. */
-  add: (refuse: () => void) => () => void;
+  /**
+   * Has `refuse` called shortly before the end of a stop, or at once if that has come, and `end` at its end; no more after the returned
+   * function is called.
+   */
+  add: (refuse: () => void, end?: () => void) => () => void;
   /** Refuses what waits, and from then on what is added. */
   refuseAll: () => void;
   isRefusing: () => boolean;
+  /** Tells all that are left that the stop has come to its end. */
+  endAll: () => void;
 };
 
 export function createUnsentRequests(): UnsentRequests {
-  const waiting = new Set<() => void>();
+  const waiting = new Set<{ refuse: () => void; end: (() => void) | undefined }>();
   let isRefusing = false;
   return {
-    add: (refuse) => {
+    add: (refuse, end) => {
       if (isRefusing) {
         refuse();
         return () => {};
       }
-      // The same function may be added for several requests.
-      const entry = () => refuse();
+      const entry = { refuse, end };
       waiting.add(entry);
       return () => {
         waiting.delete(entry);
       };
     },
     refuseAll: () => {
+      if (isRefusing) return;
       isRefusing = true;
-      waiting.forEach((refuse) => refuse());
-      waiting.clear();
+      waiting.forEach(({ refuse }) => refuse());
     },
     isRefusing: () => isRefusing,
+    endAll: () => {
+      waiting.forEach(({ end }) => end?.());
+      waiting.clear();
+    },
   };
 }
 
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -38,6 +38,9 @@
   placementAgeMs: number;
 };
 
+/** `answered`: at the end of the stop, with an error that says that it may have run. */
+export type StopOutcome = 'refused' | 'answered' | 'cut';
+
 export type LogEvents = {
   /** `isFirstStart`: no gateway of this fleet ran before. */
   started: { callerAddress: string; isFirstStart: boolean };
@@ -210,8 +213,18 @@
   'change-ended': { upstreamId: string; load: string; isDone: boolean; tookMs: number };
   'change-broken': { upstreamId: string; reason: string };
   'steward-broken': { upstreamId: string; reason: string };
-  /** A stop is near its end, and the request might not be over before it or still waits: another gateway may serve it. */
-  'stopping-refused': { requestId: string; route: string; remainingMs: number };
+  /**
+   * A planned stop decided how a request ended. Times count from the begin of the stop and are negative before; `passedOnSinceStopMs`:
+   * of its latest attempt. `remainingMs`: until its deadline.
+   */
+  'ended-by-stop': {
+    requestId: string;
+    outcome: StopOutcome;
+    readSinceStopMs: number;
+    passedOnSinceStopMs: Amount;
+    upstreamId: Text;
+    remainingMs: number;
+  };
   'route-unknown': { requestId: string; path: string; configVersion: number };
   /** No configuration in force names the caller's key. */
   'key-unknown': { requestId: string; route: string; configVersion: number };
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -1,5 +1,6 @@
 /** The parts of a gateway; each is made from those that it names. */
 import type { clocks, logs, logSinks, randoms } from '@copperlever/runtime';
+import type * as stopTimes from '@copperlever/runtime/stop-times';
 import type * as byteBudgets from '@copperlever/runtime/byte-budget';
 import type * as configHolder from '../server/control/config-holder.js';
 import type * as connectionsModule from '../server/forwarding/connections.js';
@@ -8,6 +9,7 @@
 import type * as openCallsModule from '../server/forwarding/open-calls.js';
 import type * as plainAdmissions from '../server/forwarding/plain-admission.js';
 import type * as serving from '../server/forwarding/serve.js';
+import type * as stopAdmissions from '../server/forwarding/stop-admission.js';
 import type * as unsentRequests from '../server/forwarding/unsent-requests.js';
 import type * as sheddings from '../server/health/shedding.js';
 import type * as metricsModule from '../server/metrics/metrics.js';
@@ -63,6 +65,8 @@
 /** What the running daemon knows of itself. */
 export type GatewayStatus = {
   isStopping: () => boolean;
+  /** Null until a stop begins. */
+  stopTimes: () => stopTimes.StopTimes | null;
   isStoreConnected: () => boolean;
   hasListing: () => boolean;
   onUpstreamsLearned: () => void;
@@ -111,6 +115,7 @@
   bodyBudget: byteBudgets.ByteBudget;
   openCalls: openCallsModule.OpenCalls;
   unsent: unsentRequests.UnsentRequests;
+  stopAdmission: stopAdmissions.StopAdmission;
   quotas: quotasModule.Quotas;
   loopAges: readDelays.ReadDelay;
   intake: requestQueues.RequestQueue;
--- a/packages/runtime/src/stop-times.ts
+++ b/packages/runtime/src/stop-times.ts
@@ -8,11 +8,17 @@
 const UNSENT_REFUSAL_MS = 500;
 
 /** A stop under way: what it still takes up, when it refuses what it has not sent, and when it has to be over. */
-export type StopTimes = { takesAllUntilMs: number; refusesUnsentMs: number; endMs: number };
+export type StopTimes = {
+  startedMs: number;
+  takesAllUntilMs: number;
+  refusesUnsentMs: number;
+  endMs: number;
+};
 
 export function stopTimes(stopAtMs: number, stopTimeoutMs: number): StopTimes {
   const endMs = exitByMs(stopAtMs, stopTimeoutMs);
   return {
+    startedMs: stopAtMs,
     takesAllUntilMs: stopAtMs + TAKES_ALL_MS,
     // At half of a stop that is as short.
     refusesUnsentMs: Math.max(endMs - UNSENT_REFUSAL_MS, (stopAtMs + endMs) / 2),
