A gateway that stops passes on only what can be over in time

Cause: whether a request can be over was asked once, when its head was read. A body that was whole later, a turn in a queue, a retry and a second attempt for a silent first one were passed on to the end. Change: one look in serve.ts directly before each send, the same when a body is whole and for all that waits, every 50 ms; an attempt is not given up for one that may not be made. The time up to which all is taken is the balancer's notice, 2.5 s instead of 3 s. Without the look in serve.ts 'a request is not sent again' and 'is refused as soon as' in serve.test.ts fail.

--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -24,6 +24,7 @@
 import * as measuredStores from './server/metrics/measured-store.js';
 import * as peerLinks from './server/peers/peer-link.js';
 import * as placementClients from './server/placement/placement-client.js';
+import * as answerTimes from './shared/answer-times.js';
 import * as inFlightModule from './shared/in-flight.js';
 import * as peerRegistries from './shared/peer-registry.js';
 import * as demandCounters from './shared/placement/demand-counters.js';
@@ -196,6 +197,7 @@
           clock: parts.clock,
           log: parts.log,
           stopTimes: status.stopTimes,
+          answerTimes: answerTimes.createAnswerTimes(),
         }),
       )
       .singleton(),
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -206,7 +206,6 @@
     metrics: cradle.metrics,
     closesConnections: () => isStopping() || cradle.shedding.isShedding() || callerBound.isFull(),
     isBeyondBound: (socket) => callerBound.isBeyond(socket),
-    mayTake: (deadlineMs) => stopTimes.mayTake(stopping, clock.nowMs(), deadlineMs),
     openCalls,
     unsent: cradle.unsent,
     stopAdmission: cradle.stopAdmission,
@@ -337,10 +336,10 @@
 
   async function stop(sinceMs = clock.nowMs()): Promise<void> {
     const times = stopTimes.stopTimes(sinceMs, settings.stopTimeoutS * 1_000);
-    const { endMs, refusesUnsentMs } = times;
+    const { endMs } = times;
     stopping = times;
     log.info('stopping', { openCallCount: openCalls.count() });
-    const cancelRefusal = clock.schedule(refusesUnsentMs, cradle.unsent.refuseAll);
+    const cancelRefusal = stops.refuseWaiting({ clock, unsent: cradle.unsent, times });
     const drained = stops.drain({
       clock,
       log,
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -41,8 +41,6 @@
   closesConnections: () => boolean;
   /** Whether the connection is one too many for this process's descriptors. */
   isBeyondBound: (socket: net.Socket) => boolean;
-  /** False for a request that would not be over before a stop ends. */
-  mayTake: (deadlineMs: number) => boolean;
   metrics: Pick<
     metricsModule.GatewayMetrics,
     'requestEnded' | 'denied' | 'read' | 'callerLeft' | 'dropped'
@@ -252,6 +250,11 @@
     const admitted = active === null ? null : admit(deps, active, request, sink);
     if (admitted === null) return null;
     const call = callBuilding.buildCall(deps, request, admitted, body, arrival);
+    const isTooLate = () => !deps.stopAdmission.mayPassOn(call);
+    if (isTooLate()) {
+      refuseStopping(deps, request, sink, admitted, arrival, call.deadlineMs);
+      return null;
+    }
     const queued = deps.requestQueue.waitForStart({
       dueMs: call.arrivedAtMs - call.elapsedBeforeMs + call.route.latencyObjectiveMs,
       deadlineMs: call.deadlineMs,
@@ -259,7 +262,7 @@
       bufferedMs: call.bufferedMs,
       onCallerGone: sink.onCallerGone,
     });
-    const result = await unsentRequests.orStopping(deps.unsent, queued);
+    const result = await unsentRequests.orStopping(deps.unsent, queued, isTooLate);
     sink.onCallerGone(null);
     if (isClosed(request.socket)) {
       requestLog.recordCallerLeft(deps, call.requestId, 'unread', arrival);
@@ -310,7 +313,7 @@
   const admitted = admit(deps, active, request, sink);
   if (admitted === null) return;
   const deadlineMs = callBuilding.deadlineOf(admitted, arrival);
-  if (!deps.mayTake(deadlineMs)) {
+  if (!deps.stopAdmission.mayPassOn({ ...admitted, deadlineMs })) {
     refuseStopping(deps, request, sink, admitted, arrival, deadlineMs);
     return;
   }
@@ -339,6 +342,7 @@
   const quota = await unsentRequests.orStopping(
     deps.unsent,
     deps.quotas.admit(started.organisation, call.facts, isLate),
+    () => !deps.stopAdmission.mayPassOn(call),
   );
   if (quota === 'stopping') {
     refuseStopping(deps, request, sink, started, arrival, call.deadlineMs);
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises';
 
 import { clocks, randoms } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -21,6 +22,7 @@
 import * as unwatched from '../../testing/unwatched.js';
 import type * as calls from '../../types/calls.js';
 import type * as fleet from '../../types/fleet.js';
+import * as answerTimes from '../../shared/answer-times.js';
 import * as plainCapacity from '../../shared/plain-capacity.js';
 import * as plainServiceTimes from '../../shared/plain-service-times.js';
 import type * as logEvents from '../../types/log-events.js';
@@ -141,6 +143,7 @@
   const connections = connectionsModule.createConnections(clock);
   const loopAges = readDelays.createReadDelay(clock);
   const unsent = unsentRequests.createUnsentRequests();
+  const stopping: { times: stopTimes.StopTimes | null } = { times: null };
   const beliefs = upstreamHealthModule.createUpstreamHealthTracker();
   const inFlight = inFlightModule.createInFlight();
   const plainTimes = plainServiceTimes.createPlainServiceTimes(plainCallMs !== undefined);
@@ -228,7 +231,12 @@
     gatewayCount: () => 1,
     isStopping: () => false,
     unsent,
-    stopAdmission: stopAdmissions.createStopAdmission({ clock, log, stopTimes: () => null }),
+    stopAdmission: stopAdmissions.createStopAdmission({
+      clock,
+      log,
+      stopTimes: () => stopping.times,
+      answerTimes: answerTimes.createAnswerTimes(),
+    }),
     gatewayId: 'g1',
     failureDomain: 'north',
   });
@@ -245,6 +253,7 @@
     list,
     refuseAll,
     unsent,
+    stopping,
     beliefs,
     inFlight,
     lines,
@@ -869,6 +878,53 @@
 
 const STOPPING: calls.Ending = { kind: 'not-run', cause: 'stopping', retryAfterMs: 100 };
 
+/** A stop that refuses what may take longer than what is left. */
+function lateStop(): stopTimes.StopTimes {
+  const nowMs = performance.now();
+  const endMs = nowMs + 1_500;
+  return { startedMs: nowMs - 5_000, takesAllUntilMs: nowMs, refusesUnsentMs: endMs - 500, endMs };
+}
+
+// Guards against another attempt that the end of a stop cuts off, whether the first one was lost, turned away or is only silent.
+test('a request is not sent again where a stop leaves no time for it', async () => {
+  const whileLate = (answer: Answer) =>
+    serveSilent({ answers: [answer, answerAfter(0)] }, ({ stopping }) => {
+      setTimeout(() => {
+        stopping.times = lateStop();
+      }, 100);
+    });
+  const later =
+    (act: Answer): Answer =>
+    (socket) =>
+      setTimeout(act, 300, socket);
+  const silent = await whileLate(answerAfter(600));
+  assert.equal([silent.kind, silent.sentCount], ['answered', 1]);
+  const lost = await whileLate(later((socket) => socket.destroy()));
+  assert.equal([lost.kind, lost.cause, lost.sentCount], ['failed', 'upstream-lost', 1]);
+  const rejected = await whileLate(later((socket) => socket.write(REJECTED)));
+  assert.equal([rejected.kind, rejected.cause, rejected.sentCount], ['not-run', 'stopping', 1]);
+});
+
+// Guards against a request that waits on until the end of a stop, although it could not be over by then any more.
+test('a request that waits is refused as soon as a stop leaves no time for it', async () => {
+  const waiting = async () => ({ kind: 'wait', ownerId: 'g2', waitMs: 10_000 }) as const;
+  const fixture = await createFixture({ ask: waiting });
+  try {
+    const served = fixture.serve(createCall(), createSink().sink);
+    await timers.setTimeout(50);
+    fixture.unsent.refuseLate();
+    await timers.setTimeout(20);
+    fixture.stopping.times = lateStop();
+    const early = await Promise.race([served, timers.setTimeout(20, 'goes on' as const)]);
+    fixture.unsent.refuseLate();
+    assert.equal([early, await served], ['goes on', STOPPING]);
+    const line = fixture.lines.find((one) => one.startsWith('ended-by-stop')) ?? '';
+    assert.match(line, /"requestId":"r1","outcome":"refused","readSinceStopMs":4\d\d\d,/);
+  } finally {
+    await fixture.close();
+  }
+});
+
 /** Serves a call that is under way when the end of a stop comes; `release` ends what it waits for after that. */
 async function serveAtStop(setup: Setup, release: () => void = () => {}) {
   const fixture = await createFixture(setup);
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -193,7 +193,7 @@
   /** Whether an upstream could take the request next, besides the one that has it now. */
   function hasNextUpstream(call: calls.Call, run: runs.Run): boolean {
     const next = { ...run, ranCount: run.ranCount + 1, sentCount: run.sentCount + 1 };
-    if (deps.unsent.isRefusing() || quarantined.isRefused(next)) return false;
+    if (mustNotPassOn(call) || quarantined.isRefused(next)) return false;
     const wouldSend = plainCallPath.wouldSend(call, next);
     if (wouldSend !== null) return wouldSend;
     const choice = router.choose(call, next, router.needsModel(call) ? 'any' : 'place');
@@ -312,11 +312,16 @@
       turn.ended(false, null);
       return preferHeldFailure(run, sink, refusedSince);
     }
+    if (isTooLate(call, sink)) {
+      turn.ended(false, null);
+      return null;
+    }
     router.recordSent(call, run);
     run.upstreamId = choice.upstreamId;
     run.passedOnAtMs = clock.nowMs();
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, to);
+    recordAnswerTime(call, run, result);
     quarantined.attemptEnded(run);
     if (result.kind === 'lost') run.lostUpstreamId = choice.upstreamId;
     // Has an effect only if the first event never arrived: the turn then ends without a prefill.
@@ -373,7 +378,7 @@
         if (run.ranCount > 0) return { kind: 'failed', cause: 'timeout', upstreamId };
         return refuse(call, run, 'deadline-near', MIN_RETRY_AFTER_MS);
       }
-      if (deps.unsent.isRefusing() && !sink.hasBegun()) return stoppingEnding(call, run, sink);
+      if (isTooLate(call, sink)) return stoppingEnding(call, run, sink);
       const refused = quarantined.ending(call, run);
       if (refused !== null) return preferHeldFailure(run, sink, refused) ?? refused;
       const ending = await serveOnce(call, run, sink);
@@ -381,13 +386,30 @@
     }
   }
 
+  function mustNotPassOn(call: calls.Call): boolean {
+    return deps.unsent.isRefusing() || !deps.stopAdmission.mayPassOn(call);
+  }
+
+  /** Whether the end of a stop would cut it off. A stream that has begun goes on: its end is cut off in any case. */
+  function isTooLate(call: calls.Call, sink: answers.AnswerSink): boolean {
+    return !sink.hasBegun() && mustNotPassOn(call);
+  }
+
+  /** Resumed streams are left out: they do only a part of the work. At its deadline an answer would have taken longer still. */
+  function recordAnswerTime(call: calls.Call, run: runs.Run, result: calls.AttemptResult): void {
+    const isWhole = run.resumeAfterId === null && call.resumeAfterId === null;
+    const isTold = result.kind === 'answered' || result.kind === 'deadline';
+    if (!isWhole || !isTold || run.passedOnAtMs === null) return;
+    deps.stopAdmission.recordAnswer(call, clock.nowMs() - run.passedOnAtMs);
+  }
+
   function logStop(call: calls.Call, run: runs.Run, outcome: logEvents.StopOutcome): void {
     const { passedOnAtMs } = run;
     const upstreamId = passedOnAtMs === null ? null : run.upstreamId;
     deps.stopAdmission.log({ ...call, passedOnAtMs, upstreamId }, outcome);
   }
 
-  /** The ending at the end of a stop: nothing of it is at an upstream. */
+  /** The ending if a stop leaves it no time: nothing of it is at an upstream. */
   function stoppingEnding(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): calls.Ending {
     const ending = refuse(call, run, 'stopping', unsentRequests.STOPPING_RETRY_MS);
     logStop(call, run, 'refused');
@@ -417,13 +439,14 @@
     const end = () => {
       if (!sink.isCallerGone()) logStop(call, run, 'cut');
     };
-    // Whatever it waits for, it is refused at the end of a stop; what an upstream may be running goes on.
+    // Whatever it waits for, it is refused once a stop leaves it no time; what an upstream may be running goes on.
     const refused = new Promise<calls.Ending>((resolve) => {
-      remove = deps.unsent.add(() => {
+      const refuseWaiting = () => {
         if (run.isAtUpstream || sink.hasBegun() || sink.isCallerGone()) return;
         withdrawable.withdraw();
         resolve(stoppingEnding(call, run, sink));
-      }, end);
+      };
+      remove = deps.unsent.add(refuseWaiting, { isTooLate: () => mustNotPassOn(call), end });
     });
     try {
       return await Promise.race([refused, bindAndServe(call, run, withdrawable)]);
--- a/packages/gateway/src/server/forwarding/unsent-requests.ts
+++ b/packages/gateway/src/server/forwarding/unsent-requests.ts
@@ -7,12 +7,20 @@
 /** Another gateway serves the request at once. */
 export const STOPPING_RETRY_MS = 100;
 
+export type AtStop = {
+  /** Whether it would not be over before the end if it was sent now, nor later. */
+  isTooLate?: () => boolean;
+  /** Called at the end of the stop. */
+  end?: () => void;
+};
+
 export type UnsentRequests = {
   /**
-   * Has `refuse` called shortly before the end of a stop, or at once if that has come, and `end` at its end; no more after the returned
-   * function is called.
+   * Has `refuse` called shortly before the end of a stop, or at once if that has come; no more after the returned function is called.
    */
-  add: (refuse: () => void, end?: () => void) => () => void;
+  add: (refuse: () => void, more?: AtStop) => () => void;
+  /** Refuses what is too late. */
+  refuseLate: () => void;
   /** Refuses what waits, and from then on what is added. */
   refuseAll: () => void;
   isRefusing: () => boolean;
@@ -21,20 +29,25 @@
 };
 
 export function createUnsentRequests(): UnsentRequests {
-  const waiting = new Set<{ refuse: () => void; end: (() => void) | undefined }>();
+  const waiting = new Set<AtStop & { refuse: () => void }>();
   let isRefusing = false;
   return {
-    add: (refuse, end) => {
+    add: (refuse, more) => {
       if (isRefusing) {
         refuse();
         return () => {};
       }
-      const entry = { refuse, end };
+      const entry = { refuse, ...more };
       waiting.add(entry);
       return () => {
         waiting.delete(entry);
       };
     },
+    refuseLate: () => {
+      waiting.forEach(({ isTooLate, refuse }) => {
+        if (isTooLate?.() === true) refuse();
+      });
+    },
     refuseAll: () => {
       if (isRefusing) return;
       isRefusing = true;
@@ -48,14 +61,15 @@
   };
 }
 
-/** Settles like `work`, or resolves to `'stopping'` if the end of a stop comes before. */
+/** Settles like `work`, or resolves to `'stopping'` if the end of a stop comes before, or it gets too late for it. */
 export async function orStopping<Value>(
   unsent: Pick<UnsentRequests, 'add'>,
   work: Promise<Value>,
+  isTooLate?: () => boolean,
 ): Promise<Value | 'stopping'> {
   let remove = () => {};
   const refused = new Promise<'stopping'>((resolve) => {
-    remove = unsent.add(() => resolve('stopping'));
+    remove = unsent.add(() => resolve('stopping'), isTooLate === undefined ? {} : { isTooLate });
   });
   try {
     return await Promise.race([work, refused]);
--- a/packages/gateway/src/server/health/stop.test.ts
+++ b/packages/gateway/src/server/health/stop.test.ts
@@ -31,9 +31,11 @@
   };
 }
 
-function startDrain(openCallCount: () => number) {
-  const clock = fakeClocks.createFakeClock();
-  const state = { closedAtMs: -1, lastCloseIdleMs: -1, endedAtMs: -1 };
+function startDrain(
+  openCallCount: () => number,
+  { clock = fakeClocks.createFakeClock(), stopTimeoutMs = STOP_TIMEOUT_MS } = {},
+) {
+  const state = { closedAtMs: -1, lastCloseIdleMs: -1, cutAtMs: -1, endedAtMs: -1 };
   const connections = {
     stopAccepting: () => {
       state.closedAtMs = clock.nowMs();
@@ -52,8 +54,10 @@
       loopAges: createLoopAges(),
       connections,
       openCallCount,
-      cutOpen: () => {},
-      endMs: stopTimes.exitByMs(clock.nowMs(), STOP_TIMEOUT_MS),
+      cutOpen: () => {
+        state.cutAtMs = clock.nowMs();
+      },
+      endMs: stopTimes.exitByMs(clock.nowMs(), stopTimeoutMs),
     })
     .then(() => {
       state.endedAtMs = clock.nowMs();
@@ -71,12 +75,36 @@
 });
 
 // Guards against a stream that is taken up shortly before the end, and cut off by it.
-test('from three seconds on only what is over before the end is taken up', () => {
+test('from the notice of the balancer on only what is over before the end is taken up', () => {
   const stop = stopTimes.stopTimes(1_000, STOP_TIMEOUT_MS);
+  const isTaken = (atMs: number, deadlineMs: number, usualMs: number | null = null) =>
+    stopTimes.mayTake(stop, atMs, deadlineMs, usualMs);
   assert.is(stopTimes.mayTake(null, 9_000, 99_000), true);
-  assert.is(stopTimes.mayTake(stop, 3_900, 99_000), true);
-  assert.is(stopTimes.mayTake(stop, 4_100, 99_000), false);
-  assert.is(stopTimes.mayTake(stop, 4_100, stop.endMs), true);
+  assert.equal([isTaken(3_400, 99_000), isTaken(3_400, 99_000, 9_000)], [true, true]);
+  assert.equal([isTaken(3_600, 99_000), isTaken(3_600, stop.endMs)], [false, true]);
+  assert.equal([isTaken(6_000, 99_000, 1_000), isTaken(6_000, 99_000, 3_000)], [true, false]);
+});
+
+// Guards against a stop that goes on behind its kill, or takes up what it then refuses, with one of the times that operators may set.
+test('the times of a stop fit for each time that operators may set', async () => {
+  for (let stopTimeoutS = 1; stopTimeoutS <= 60; stopTimeoutS += 1) {
+    const clock = fakeClocks.createFakeClock();
+    const startMs = clock.nowMs();
+    const times = stopTimes.stopTimes(startMs, stopTimeoutS * 1_000);
+    assert.ok(times.refusesUnsentMs > startMs && times.refusesUnsentMs < times.endMs);
+    const { state } = startDrain(() => 1, { clock, stopTimeoutMs: stopTimeoutS * 1_000 });
+    const calls: string[] = [];
+    const unsent = { refuseLate: () => calls.push('late'), refuseAll: () => calls.push('all') };
+    stops.refuseWaiting({ clock, unsent, times });
+    await clock.advance(stopTimeoutS * 1_000);
+    assert.is(calls.filter((one) => one === 'all').length, 1);
+    assert.is(calls.at(-1), 'all');
+    assert.ok(
+      state.cutAtMs >= times.endMs && state.cutAtMs < times.endMs + 100,
+      `${state.cutAtMs}`,
+    );
+    assert.ok(state.endedAtMs > 0 && state.endedAtMs < startMs + stopTimeoutS * 1_000 - 100);
+  }
 });
 
 // Guards against a request that is taken up when what waits has just been refused: it would be cut off.
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -6,9 +6,11 @@
 
 import { clocks } from '@copperlever/runtime';
 import type * as openConnections from '@copperlever/runtime/open-connections';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 
 import type * as logEvents from '../../types/log-events.js';
 import * as readDelays from '../forwarding/read-delay.js';
+import type * as unsentRequests from '../forwarding/unsent-requests.js';
 
 export type DrainOptions = {
   clock: clocks.Clock;
@@ -22,8 +24,6 @@
   endMs: number;
 };
 
-/** The balancer polls once a second and stops sending connections after two failed polls. */
-const BALANCER_NOTICE_MS = 2_500;
 const CHECK_MS = 50;
 /** Time in which the data written last reaches callers. */
 const LINGER_MS = 300;
@@ -60,7 +60,7 @@
 
 export async function drain(options: DrainOptions): Promise<void> {
   const { clock, loopAges, connections, endMs } = options;
-  await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + BALANCER_NOTICE_MS));
+  await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + stopTimes.BALANCER_NOTICE_MS));
   const state = { isAccepting: true };
   const isDone = () =>
     !state.isAccepting && options.openCallCount() === 0 && connections.count() === 0;
@@ -80,6 +80,28 @@
   await clocks.sleepUntil(clock, clock.nowMs() + LINGER_MS);
 }
 
+export type RefusalOptions = {
+  clock: clocks.Clock;
+  unsent: Pick<unsentRequests.UnsentRequests, 'refuseLate' | 'refuseAll'>;
+  times: stopTimes.StopTimes;
+};
+
+/** Refuses what waits as soon as it is too late for it, and all of it before the end. */
+export function refuseWaiting({ clock, unsent, times }: RefusalOptions): clocks.Cancel {
+  const { takesAllUntilMs, refusesUnsentMs } = times;
+  let cancel = () => {};
+  const look = () => {
+    if (clock.nowMs() >= refusesUnsentMs) {
+      unsent.refuseAll();
+      return;
+    }
+    unsent.refuseLate();
+    cancel = clock.schedule(Math.min(refusesUnsentMs, clock.nowMs() + CHECK_MS), look);
+  };
+  cancel = clock.schedule(Math.min(refusesUnsentMs, takesAllUntilMs), look);
+  return () => cancel();
+}
+
 export type ReleaseOptions = {
   clock: clocks.Clock;
   drained: Promise<void>;
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -10,7 +10,6 @@
 import type * as serving from '../server/forwarding/serve.js';
 import * as readDelays from '../server/forwarding/read-delay.js';
 import * as openCallsModule from '../server/forwarding/open-calls.js';
-import * as stopAdmissions from '../server/forwarding/stop-admission.js';
 import * as unsentRequests from '../server/forwarding/unsent-requests.js';
 import * as quotasModule from '../server/quotas/quotas.js';
 import * as access from '../shared/access.js';
@@ -109,7 +108,6 @@
     configuration: () => (isConfigured ? active : null),
     closesConnections: options.closesConnections ?? (() => false),
     isBeyondBound: () => false,
-    mayTake: options.mayTake ?? (() => true),
     metrics: {
       requestEnded: () => {},
       denied: (cause) => denied.push(cause),
@@ -123,7 +121,11 @@
     bodyBudget,
     openCalls: openCallsModule.createOpenCalls(clock, log),
     unsent,
-    stopAdmission: stopAdmissions.createStopAdmission({ clock, log, stopTimes: () => null }),
+    stopAdmission: {
+      mayPassOn: ({ deadlineMs }) => options.mayTake?.(deadlineMs) ?? true,
+      recordAnswer: () => {},
+      log: () => {},
+    },
   });
   await app.listen({ host: '127.0.0.1', port: 0 });
   const { port } = app.server.address() as net.AddressInfo;
--- a/packages/runtime/src/stop-times.ts
+++ b/packages/runtime/src/stop-times.ts
@@ -1,7 +1,10 @@
 /** The times of a planned stop: until when it takes up work, and when all of it has to be over. */
 
-/** What is taken up later may not be over before the end. */
-const TAKES_ALL_MS = 3_000;
+/**
+ * The balancer polls once a second and stops sending connections after two failed polls. Until then all is taken up, whatever time it
+ * needs.
+ */
+export const BALANCER_NOTICE_MS = 2_500;
 /** Time before the platform's kill at which the process exits by itself, since the kill would cut off open answers. */
 const EXIT_MARGIN_MS = 700;
 /** Time before the end at which what no upstream has is refused: several turns of a slow loop, and the refusals' way to callers. */
@@ -19,18 +22,27 @@
   const endMs = exitByMs(stopAtMs, stopTimeoutMs);
   return {
     startedMs: stopAtMs,
-    takesAllUntilMs: stopAtMs + TAKES_ALL_MS,
+    takesAllUntilMs: stopAtMs + BALANCER_NOTICE_MS,
     // At half of a stop that is as short.
     refusesUnsentMs: Math.max(endMs - UNSENT_REFUSAL_MS, (stopAtMs + endMs) / 2),
     endMs,
   };
 }
 
-/** Whether a request that is read now may be taken up: near its end a stop refuses what it might have to cut off. */
-export function mayTake(stop: StopTimes | null, nowMs: number, deadlineMs: number): boolean {
+/**
+ * Whether a request may be taken up or passed on now: later on a stop refuses what it might have to cut off. `usualMs`: what nearly
+ * all of its kind take; null if that isn't known.
+ */
+export function mayTake(
+  stop: StopTimes | null,
+  nowMs: number,
+  deadlineMs: number,
+  usualMs: number | null = null,
+): boolean {
   if (stop === null) return true;
   if (nowMs >= stop.refusesUnsentMs) return false;
-  return nowMs < stop.takesAllUntilMs || deadlineMs <= stop.endMs;
+  if (nowMs < stop.takesAllUntilMs || deadlineMs <= stop.endMs) return true;
+  return usualMs !== null && nowMs + usualMs <= stop.endMs;
 }
 
 /** When a stop that begins at `stopAtMs` has to be over, which is before the platform kills the process. */
