--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -5,9 +5,11 @@
   descriptors,
   gauges,
   heldSignals,
+  listenRetry,
   processFaults,
   supervisor,
 } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import * as grpc from '@grpc/grpc-js';
 import type * as fastify from 'fastify';
 
@@ -20,7 +22,8 @@
 import * as operatorApp from './server/operator/app.js';
 import * as settingsModule from './types/settings.js';
 
-const STOP_TIMEOUT_MS = 5_000;
+/** The journal's last batch gets this long, where the stop has as much time left. */
+const LAST_BATCH_MS = 5_000;
 
 const processEnd = processFaults.watchProcess('copperlever-entry');
 const settingsFile = daemon.readSettings(
@@ -31,6 +34,12 @@
 const container = containers.createContainer(settings, Date.now());
 const { cradle } = container;
 const { clock, log, control } = cradle;
+const held = heldSignals.ofThisProcess();
+const listeners = listenRetry.createListenRetry({
+  clock,
+  log,
+  startEnd: { asked: held.stopAsked, end: processEnd.endStart },
+});
 const openCalls = { count: 0 };
 let isStopping = false;
 let { drainTimeoutMs } = settings;
@@ -41,22 +50,29 @@
   return { ready: true, reason: '' };
 }
 
-async function startControl(): Promise<supervisor.RunningPart> {
+/** A server that could not listen is not used again. */
+function listenForPeers(address: string): Promise<grpc.Server> {
   const server = new grpc.Server();
   grpcTransport.addPeerService(server, control.handlers);
-  await new Promise<void>((resolve, reject) => {
-    const address = `${settings.listenHost}:${settings.listenPort}`;
+  return new Promise((resolve, reject) => {
     server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error) => {
-      if (error === null) resolve();
+      if (error === null) resolve(server);
       else reject(error);
     });
   });
+}
+
+async function startControl(): Promise<supervisor.RunningPart> {
+  const address = `${settings.listenHost}:${settings.listenPort}`;
+  const server = await listeners.untilListening({ what: 'control', address }, () =>
+    listenForPeers(address),
+  );
   await control.start();
   cradle.journal.start();
   return {
     failed: supervisor.neverFails(),
-    stop: async () => {
-      await cradle.journal.stop(clock.nowMs() + STOP_TIMEOUT_MS);
+    stop: async (untilMs = Infinity) => {
+      await cradle.journal.stop(stopTimes.journalUntilMs(clock.nowMs() + LAST_BATCH_MS, untilMs));
       await control.stop();
       server.forceShutdown();
     },
@@ -73,6 +89,8 @@
     configuration: control.follower.current,
     nextRequestId: cradle.ids.next,
     openCalls,
+    calls: cradle.calls,
+    stop: cradle.stop,
   };
   const app = callsApp.createCallerApp(callDeps, {
     maxBodyBytes: settings.maxBodyBytes,
@@ -97,10 +115,15 @@
 );
 
 async function startCallers(): Promise<supervisor.RunningPart> {
-  await callerApp.listen({ host: settings.callerHost, port: settings.callerPort });
+  const { callerHost, callerPort } = settings;
+  const address = `${callerHost}:${callerPort}`;
+  await listeners.untilListening({ what: 'callers', address }, () =>
+    callerApp.listen({ host: callerHost, port: callerPort }),
+  );
   return {
     failed: supervisor.neverFails(),
     stop: async () => {
+      callerApp.server.closeAllConnections();
       await callerApp.close();
       cradle.link.close();
     },
@@ -117,6 +140,7 @@
       { name: 'entry.journal_dropped', read: cradle.journal.droppedCount },
       { name: 'entry.claims_pending', read: cradle.settlements.pendingCount },
       { name: 'entry.open_calls', read: () => openCalls.count },
+      { name: 'entry.start_waiting', read: listeners.waitingCount },
       ...gauges.logSources('entry', cradle.logSink),
       ...gauges.descriptorSources('entry', descriptorWatch),
     ],
@@ -129,15 +153,19 @@
 
 const tree = supervisor.createSupervisor(
   [
+    // First, so that a start that waits is reported.
+    { name: 'reports', start: startReports },
     { name: 'control', start: startControl },
     { name: 'callers', start: startCallers },
-    { name: 'reports', start: startReports },
   ],
   { clock, log, onGiveUp: processEnd.partGivenUp },
 );
 
 async function stop(sinceMs: number): Promise<void> {
   log.info('stopping', { openCallCount: openCalls.count });
+  const times = stopTimes.drainTimes(sinceMs, drainTimeoutMs, drains.BALANCER_NOTICE_MS);
+  cradle.calls.noteStopBegan(sinceMs);
+  cradle.stop.begin(times);
   await drains.drain({
     clock,
     log,
@@ -148,18 +176,19 @@
     connections,
     openCallCount: () => openCalls.count,
     pendingClaimCount: cradle.settlements.pendingCount,
-    timeoutMs: sinceMs + drainTimeoutMs - clock.nowMs(),
+    timeoutMs: times.endMs - clock.nowMs(),
   });
-  await tree.stop();
+  cradle.calls.logCut();
+  await tree.stop(times.exitMs);
   log.info('stopped', {});
 }
 
-processEnd.endBy({ run: stop, timeoutMs: () => drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
+processEnd.endBy({ run: stop, timeoutMs: () => stopTimes.wholeStopMs(drainTimeoutMs) });
 
 await tree.start();
 processEnd.started(log);
 log.info('started', { callerPort: settings.callerPort });
-daemon.handleSignals(heldSignals.ofThisProcess(), settingsFile, {
+daemon.handleSignals(held, settingsFile, {
   log,
   live: {
     logLevel: log.setLevel,
--- a/packages/entry/src/server/health/unread-at-stop.test.ts
+++ b/packages/entry/src/server/health/unread-at-stop.test.ts
@@ -2,12 +2,15 @@
 import * as timers from 'node:timers/promises';
 import * as workerThreads from 'node:worker_threads';
 
+import { longestTimes } from '@copperlever/decisions';
 import { clocks, logs, metrics } from '@copperlever/runtime';
 import * as eventLoop from '@copperlever/runtime/event-loop';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import * as app from '../calls/app.js';
+import * as openCalls from '../requests/open-calls.js';
+import * as plannedStops from '../requests/planned-stop.js';
 import * as callerConnections from './caller-connections.js';
 import * as drains from './drain.js';
 
@@ -90,6 +93,8 @@
       configuration: () => null,
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
+      calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
+      stop: plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes()),
     },
     { maxBodyBytes: 500, isStopping: () => isStopping },
   );
--- a/packages/entry/src/server/requests/serve.ts
+++ b/packages/entry/src/server/requests/serve.ts
@@ -11,6 +11,7 @@
 import * as attempts from './attempt.js';
 import * as join from './join.js';
 import * as once from './once.js';
+import type * as openCalls from './open-calls.js';
 import * as retries from './retries.js';
 import * as routes from './routes.js';
 import * as withdrawals from './withdraw.js';
@@ -20,6 +21,7 @@
     log: logs.Logger;
     claims: claimTypes.Claims;
     suspects: suspectsModule.Suspects;
+    calls: openCalls.OpenCalls;
     entryId: string;
   };
 
@@ -31,6 +33,8 @@
 
 /** How often a resend follows a claim that others keep changing. */
 const MAX_FOLLOWS = 4;
+/** Time to write an answer once it is known. */
+const ANSWER_MS = 50;
 
 const { done } = runs;
 
@@ -71,6 +75,11 @@
     return done({ kind: 'answered', status, replayed: false });
   }
 
+  /** A stop has to answer, whether the agent says something or not. */
+  function withdrawUntilMs(): number {
+    return (deps.stop.times()?.answeredMs ?? Infinity) - ANSWER_MS;
+  }
+
   async function afterAttempt(
     run: runs.Run,
     dispatch: runs.Dispatch,
@@ -92,7 +101,7 @@
         if (quarantined !== null) return retries.end(deps, run, quarantined);
         // The upstream would go on for nobody.
         if (result.cause === 'answer-too-large')
-          await withdrawals.withdraw(deps, dispatch, !isOnce);
+          await withdrawals.withdraw(deps, dispatch, !isOnce, withdrawUntilMs());
         return retries.retryOrEnd(
           deps,
           run,
@@ -101,24 +110,32 @@
         );
       }
       case 'lost': {
-        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce);
+        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce, withdrawUntilMs());
         const verdict = endings.afterLoss(retries.factsOf(deps, run), result.detail, withdrawal);
         return retries.retryOrEnd(deps, run, target, verdict);
       }
       case 'deadline-passed': {
         // The caller is held back a little longer: "not run" needs the agent's word.
-        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce);
+        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce, withdrawUntilMs());
         return retries.end(
           deps,
           run,
           endings.afterDeadline(retries.factsOf(deps, run), withdrawal),
         );
       }
+      case 'withdrawn':
+        return retries.end(deps, run, deps.stop.refusal());
+      case 'stopped': {
+        const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce, withdrawUntilMs());
+        return retries.end(deps, run, endings.afterStop(retries.factsOf(deps, run), withdrawal));
+      }
       case 'caller-gone':
         return retries.end(
           deps,
           run,
-          endings.afterCallerGone(await withdrawals.withdraw(deps, dispatch, true)),
+          endings.afterCallerGone(
+            await withdrawals.withdraw(deps, dispatch, true, withdrawUntilMs()),
+          ),
         );
     }
   }
@@ -136,6 +153,7 @@
     const recorder = run.held === null ? null : once.createRecorder(run.sink);
     const isSuspect = run.crashCount > 0;
     journal.record(call.requestId, 'dispatched', { dispatchId, agentId: target.agentId });
+    deps.calls.notePassedOn(call.requestId, target.agentId);
     if (isSuspect) suspects.noteStarted(target.agentId);
     const result = await attempts.runAttempt(deps, {
       target,
@@ -144,11 +162,20 @@
       sink: recorder ?? run.sink,
       callerGone: run.callerGone,
       open: (signal) => deps.link.dispatch(target, request, signal),
+      onStarted: () => deps.calls.noteStarted(call.requestId),
+      stop: {
+        waitsUntilMs: () => deps.stop.latestStartMs(call),
+        answerAtMs: () => deps.stop.times()?.lastAnswersMs ?? Infinity,
+        onChange: deps.stop.onChange,
+        takeBack: async () =>
+          (await withdrawals.withdraw(deps, dispatch, false, withdrawUntilMs())) === 'did-not-run',
+      },
     });
     if (isSuspect) suspects.noteEnded(target.agentId);
     journal.record(call.requestId, 'attempt-ended', { dispatchId, result: result.kind });
     deps.metrics.count('entry.attempts', 1, { result: result.kind });
     if (result.kind === 'ended') {
+      deps.stop.noteDuration(call.target.name, result.runMs);
       deps.directory.noteAnswer(target.agentId, { ...result, target: call.target.name });
       return afterEnd(run, dispatch, result.status, recorder);
     }
@@ -176,6 +203,7 @@
   }
 
   async function step(run: runs.Run, target: links.AgentTarget): Promise<runs.Step> {
+    if (!deps.stop.mayBegin(run.call)) return retries.end(deps, run, deps.stop.refusal());
     run.attemptCount += 1;
     const dispatch: runs.Dispatch = {
       target,
@@ -191,6 +219,8 @@
       case 'run':
         run.held = permit.held;
         journal.record(run.call.requestId, 'claimed', { dispatchId: dispatch.dispatchId });
+        // The store may have taken its time.
+        if (!deps.stop.mayBegin(run.call)) return retries.end(deps, run, deps.stop.refusal());
         return runAt(run, dispatch);
       case 'taken':
         return follow(run, permit.held);
--- a/packages/gateway/src/control-parts.ts
+++ b/packages/gateway/src/control-parts.ts
@@ -42,7 +42,10 @@
     );
     return {
       openCallCount: parts.openCalls.count(),
+      unstartedCount: parts.intake.waitingCount(),
+      acceptWaitMs: parts.loopAges.acceptWaitMs(),
       bodyBytes: parts.bodyBudget.heldBytes(),
+      answerBytes: parts.heldAnswers.heldBytes(),
       configVersion: configuration.version(),
       configAgeMs: configuration.ageMs(),
       storePosition: directory.position(),
@@ -57,6 +60,7 @@
       plainWaitingCount: parts.plainGate.waitingCount(),
       heldTerm: parts.lease.heldTerm(),
       descriptors: parts.status.descriptors(),
+      startWaitingCount: parts.status.startWaitingCount(),
       logLines: {
         lostCount: parts.logSink.lostLineCount(),
         pendingCharacters: parts.logSink.pendingCharacters(),
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -34,6 +34,7 @@
 import * as preSendChecks from './pre-send-check.js';
 import * as readDelays from './read-delay.js';
 import * as plainAdmissions from './plain-admission.js';
+import * as heldAnswersModule from './held-answers.js';
 import * as serving from './serve.js';
 import * as stopAdmissions from './stop-admission.js';
 import * as unsentRequests from './unsent-requests.js';
@@ -148,8 +149,10 @@
   const inFlight = inFlightModule.createInFlight();
   const plainTimes = plainServiceTimes.createPlainServiceTimes(plainCallMs !== undefined);
   plainTimes.recordAnswer('pool', plainCallMs ?? 0, 1);
+  const heldAnswers = heldAnswersModule.createHeldAnswers({ log, maxBytes: 1_000_000 });
   const serve = serving.createServe({
     clock,
+    heldAnswers,
     log,
     directory,
     connections,
@@ -882,7 +885,7 @@
 function lateStop(): stopTimes.StopTimes {
   const nowMs = performance.now();
   const endMs = nowMs + 1_500;
-  return { startedMs: nowMs - 5_000, takesAllUntilMs: nowMs, refusesUnsentMs: endMs - 500, endMs };
+  return { stopAtMs: nowMs - 5_000, takesAllUntilMs: nowMs, refusesUnsentMs: endMs - 500, endMs };
 }
 
 // Guards against another attempt that the end of a stop cuts off, whether the first one was lost, turned away or is only silent.
--- a/packages/gateway/src/server/forwarding/stop-admission.ts
+++ b/packages/gateway/src/server/forwarding/stop-admission.ts
@@ -60,9 +60,9 @@
       deps.log.info('ended-by-stop', {
         requestId,
         outcome,
-        readSinceStopMs: Math.round(readAtMs - stop.startedMs),
+        readSinceStopMs: Math.round(readAtMs - stop.stopAtMs),
         passedOnSinceStopMs:
-          passedOnAtMs === null ? undefined : Math.round(passedOnAtMs - stop.startedMs),
+          passedOnAtMs === null ? undefined : Math.round(passedOnAtMs - stop.stopAtMs),
         upstreamId: upstreamId ?? undefined,
         remainingMs: Math.round(progress.deadlineMs - clock.nowMs()),
       });
--- a/packages/gateway/src/server/metrics/metrics.test.ts
+++ b/packages/gateway/src/server/metrics/metrics.test.ts
@@ -10,7 +10,10 @@
 
 const READINGS: metricsModule.Readings = {
   openCallCount: 3,
+  unstartedCount: 4,
+  acceptWaitMs: 20,
   bodyBytes: 70_000,
+  answerBytes: 0,
   configVersion: 12,
   configAgeMs: 2_500,
   storePosition: { era: 0, revision: 40 },
@@ -24,6 +27,7 @@
   placementAgeMs: 250,
   plainWaitingCount: 0,
   heldTerm: null,
+  startWaitingCount: 0,
   descriptors: { callerCount: 5, callersMax: 6, exhaustedCount: 8, failedConnectCount: 9 },
   logLines: { lostCount: 7, pendingCharacters: 120, isFailing: true },
 };
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -13,6 +13,9 @@
 type Text = string | null | undefined;
 type Amount = number | undefined;
 
+/** How an answer that is held frees its bytes. */
+export type LetGoWay = 'passed-on' | 'head-only' | 'event-lost';
+
 export type RefusedBodyCause = 'too-large' | 'too-slow' | 'no-room';
 
 /** What a decision about a request was based on. */
@@ -61,6 +64,17 @@
   /** More callers' connections than it serves: those beyond are answered and closed, and idle ones make room. */
   'callers-bounded': { callerCount: number; callersMax: Amount };
   'callers-unbounded': { callerCount: number; closedCount: number };
+  /**
+   * Connections have waited for up to `acceptWaitMs` to be accepted, and what they sent lies unread; once a second. `acceptedCount`:
+   * since the line before.
+   */
+  'accepts-late': {
+    acceptWaitMs: number;
+    acceptedCount: number;
+    callerCount: number;
+    turnMs: number;
+  };
+  'accepts-in-time': { lateForMs: number };
   /** A request on a connection beyond the bound. */
   'connection-refused': { requestId: string };
   /** Too little processor time: it asks the balancer for no new connections, and does again. `busyShare`: of the loop's time. */
@@ -243,6 +257,17 @@
     heldBytes: number;
     maxBytes: number;
   };
+  /**
+   * Answers held `heldBytes` of `maxBytes`, and the largest had to free `bytes`: it is passed on before it is whole, a failure kept as
+   * its head alone, or its stream taken up elsewhere.
+   */
+  'answer-let-go': {
+    requestId: string;
+    way: LetGoWay;
+    bytes: number;
+    heldBytes: number;
+    maxBytes: number;
+  };
   /** Its organisation has no credits left here; `creditsAgeMs`: since the holder told of them. */
   'over-quota': {
     requestId: string;
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -4,6 +4,7 @@
 import type * as byteBudgets from '@copperlever/runtime/byte-budget';
 import type * as configHolder from '../server/control/config-holder.js';
 import type * as connectionsModule from '../server/forwarding/connections.js';
+import type * as heldAnswersModule from '../server/forwarding/held-answers.js';
 import type * as requestQueues from '../server/forwarding/request-queue.js';
 import type * as readDelays from '../server/forwarding/read-delay.js';
 import type * as openCallsModule from '../server/forwarding/open-calls.js';
@@ -69,6 +70,8 @@
   stopTimes: () => stopTimes.StopTimes | null;
   isStoreConnected: () => boolean;
   hasListing: () => boolean;
+  /** Addresses at which the process does not listen yet. */
+  startWaitingCount: () => number;
   onUpstreamsLearned: () => void;
   /** To all upstreams together, beside the connections of callers. */
   upstreamConnectionsMax: () => number;
@@ -113,6 +116,7 @@
   configuration: configHolder.ConfigHolder;
   placement: placementTypes.Placement;
   bodyBudget: byteBudgets.ByteBudget;
+  heldAnswers: heldAnswersModule.HeldAnswers;
   openCalls: openCallsModule.OpenCalls;
   unsent: unsentRequests.UnsentRequests;
   stopAdmission: stopAdmissions.StopAdmission;
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -243,6 +243,8 @@
         configuration: parts.control.follower.current,
         nextRequestId: parts.ids.next,
         openCalls,
+        calls: parts.calls,
+        stop: parts.stop,
       },
       { maxBodyBytes: parts.settings.maxBodyBytes, isStopping: () => stopping.isStopping },
     );
