--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -23,6 +23,8 @@
   hasBegun: boolean;
   /** The upstream of the latest attempt. */
   upstreamId: string;
+  /** When the latest attempt began; null before the first. */
+  passedOnAtMs: number | null;
   /** An upstream rejected it for lack of capacity: it has to wait for capacity there, not for another copy of the model. */
   wasFull: boolean;
   /** An error answer of an upstream, kept while another upstream is tried. */
@@ -68,6 +70,7 @@
     isAtUpstream: false,
     hasBegun: false,
     upstreamId: '',
+    passedOnAtMs: null,
     wasFull: false,
     heldFailure: null,
     holds,
