An agent that stops refuses what can't be over, and ends what runs with a word

Callers: what waited at an agent that stopped was started to the end of its drain; at the end the agent went without a word, so entries could not say of any of it that it had not run.

Change: the rule of the runtime's stop-times, without a notice, when a turn comes and every 50 ms of the drain: what can't be over is refused as leaving.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -182,8 +182,9 @@
       .singleton(),
     control: awilix.asFunction(createControl).singleton(),
     journal: awilix
-      .asFunction(({ store, clock, random }: AgentParts) =>
+      .asFunction(({ store, clock, random, log }: AgentParts) =>
         journals.createJournal({
+          log,
           store,
           clock,
           random,
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -10,6 +10,7 @@
   processFaults,
   supervisor,
 } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import * as grpc from '@grpc/grpc-js';
 
 import * as containers from './container.js';
@@ -21,7 +22,8 @@
 import * as settingsModule from './types/settings.js';
 
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
-const STOP_TIMEOUT_MS = 5_000;
+/** The journal's last batch gets this long, where the stop has as much time left. */
+const LAST_BATCH_MS = 5_000;
 const DRAIN_CHECK_MS = 50;
 /** Entries learn from gossip within this time that the agent leaves; what still comes is refused. */
 const LEAVE_SPREAD_MS = 1_000;
@@ -108,8 +110,8 @@
   cradle.journal.start();
   return {
     failed: supervisor.neverFails(),
-    stop: async () => {
-      await cradle.journal.stop(clock.nowMs() + STOP_TIMEOUT_MS);
+    stop: async (untilMs = Infinity) => {
+      await cradle.journal.stop(stopTimes.journalUntilMs(clock.nowMs() + LAST_BATCH_MS, untilMs));
       await cradle.control.stop();
       server.forceShutdown();
     },
@@ -131,7 +133,8 @@
     stop: async () => {
       stopping.abort();
       link.close();
-      await cradle.upstream.close();
+      // What still runs there has been answered; its end would be waited for.
+      void cradle.upstream.close();
     },
   };
 }
@@ -144,15 +147,20 @@
   return gauges.startGauges({ clock, metrics: cradle.metrics, sources });
 }
 
-async function drain(sinceMs: number): Promise<void> {
+async function drain(times: stopTimes.DrainTimes): Promise<void> {
   cradle.control.membership.leave();
   if (!isConfigured()) return;
-  cradle.attempts.leave();
-  const deadlineMs = sinceMs + drainTimeoutMs;
-  await clocks.sleepUntil(clock, clock.nowMs() + LEAVE_SPREAD_MS);
-  while (cradle.attempts.openCount() > 0 && clock.nowMs() < deadlineMs) {
-    await clocks.sleepUntil(clock, clock.nowMs() + DRAIN_CHECK_MS);
+  const { attempts } = cradle;
+  attempts.leave();
+  const spreadAtMs = clock.nowMs() + LEAVE_SPREAD_MS;
+  const isDone = () => clock.nowMs() >= spreadAtMs && attempts.openCount() === 0;
+  for (;;) {
+    attempts.stopBy(times);
+    if (isDone() || clock.nowMs() >= times.endMs) break;
+    await clocks.sleepUntil(clock, Math.min(times.endMs, clock.nowMs() + DRAIN_CHECK_MS));
   }
+  const openCallCount = attempts.openCount();
+  if (openCallCount > 0) log.error('drain-timed-out', { openCallCount });
 }
 
 const tree = supervisor.createSupervisor(
@@ -166,12 +174,14 @@
 
 async function stop(sinceMs: number): Promise<void> {
   log.info('stopping', {});
-  await drain(sinceMs);
-  await tree.stop();
+  // Entries send nothing more to an agent that leaves.
+  const times = stopTimes.drainTimes(sinceMs, drainTimeoutMs, 0);
+  await drain(times);
+  await tree.stop(times.exitMs);
   log.info('stopped', {});
 }
 
-processEnd.endBy({ run: stop, timeoutMs: () => drainTimeoutMs + STOP_TIMEOUT_MS * 2 });
+processEnd.endBy({ run: stop, timeoutMs: () => stopTimes.wholeStopMs(drainTimeoutMs) });
 
 await tree.start();
 processEnd.started(log);
--- a/packages/agent/src/server/dispatch/attempts.test.ts
+++ b/packages/agent/src/server/dispatch/attempts.test.ts
@@ -1,6 +1,7 @@
 import { queues, serviceTimes } from '@copperlever/decisions';
 import { agent } from '@copperlever/protocol';
-import { logs, metrics, results } from '@copperlever/runtime';
+import { clocks, logs, metrics, results } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -328,4 +329,47 @@
   assert.is(world.clock.nextTimerMs(), null);
 });
 
+const DRAIN_MS = 10_000;
+
+// Guards against a stop that starts what it can't finish, and that goes while entries wait for what it runs.
+test('a stop refuses what can not be over, and ends what runs at its end', async () => {
+  for (const nonIdempotent of [false, true]) {
+    const world = createWorld(hanging);
+    const running = readAll(world.dispatch('r/1', { nonIdempotent }));
+    const waiting = readAll(world.dispatch('r/2', { nonIdempotent }));
+    const short = readAll(world.dispatch('r/3', { remainingMs: 4_000 }));
+    const times = stopTimes.drainTimes(world.clock.nowMs(), DRAIN_MS, 0);
+    world.attempts.leave();
+    world.attempts.stopBy(times);
+    await world.clock.settle();
+    assert.equal([running.at(-1)?.kind, short.at(-1)?.kind], ['chunk', 'accepted']);
+    assert.match(JSON.stringify(waiting.at(-1)), /"refused","cause":"leaving"/);
+    await world.clock.advance(9_500);
+    world.attempts.stopBy(times);
+    await world.clock.settle();
+    assert.match(JSON.stringify(running.at(-1)), /"failed","cause":"agent-stopping"/);
+    assert.equal([world.started, world.signals[0]?.aborted], [['r/1'], !nonIdempotent]);
+    assert.is(world.attempts.openCount(), 0);
+  }
+});
+
+// Guards against a queue that goes on in a stop with what takes too long by the answers seen.
+test('a turn that comes too late in a stop is refused', async () => {
+  const slowly = async function* slowly(this: void, signal: AbortSignal) {
+    await Promise.race([
+      untilAborted(signal),
+      clocks.sleepUntil(world.clock, world.clock.nowMs() + 3_000),
+    ]);
+    yield* answering();
+  };
+  const world: ReturnType<typeof createWorld> = createWorld(slowly);
+  const ended = ['r/1', 'r/2', 'r/3', 'r/4'].map((id) => readAll(world.dispatch(id)));
+  await world.clock.advance(3_100);
+  const times = stopTimes.drainTimes(world.clock.nowMs(), DRAIN_MS - 1_000, 0);
+  world.attempts.stopBy(times);
+  await world.clock.advance(6_000);
+  const kinds = ended.map((parts) => parts.at(-1)?.kind);
+  assert.equal(kinds, ['end', 'end', 'end', 'refused']);
+});
+
 test.run();
--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -1,8 +1,9 @@
 /** The attempts at this agent: from dispatch to the end of the answer. */
 import type * as journals from '@copperlever/coordination/journal/types';
-import type { queues, types as work } from '@copperlever/decisions';
+import { longestTimes, type queues, type types as work } from '@copperlever/decisions';
 import { agent } from '@copperlever/protocol';
 import type { clocks, logs, metrics } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 
 import * as answerLogs from '../../shared/answer-log.js';
 import type * as revocations from '../../shared/revocations.js';
@@ -45,6 +46,8 @@
   load: () => agent.AgentLoad;
   /** Refuses new work from now on. */
   leave: () => void;
+  /** To be called again and again in a drain: refuses what waits and can't be over in it, and ends what still runs at its end. */
+  stopBy: (times: stopTimes.DrainTimes) => void;
   /** Attempts that are not closed, and answers that their entries have not read whole yet. */
   openCount: () => number;
 };
@@ -73,7 +76,9 @@
 export function createAttempts(deps: AttemptsDeps): Attempts {
   const { clock, queue, copies: copyHolder, journal } = deps;
   const attempts = new Map<string, types.Attempt>();
+  const durations = longestTimes.createLongestTimes();
   let isLeaving = false;
+  let stopping: stopTimes.DrainTimes | null = null;
 
   function record(
     attempt: types.Attempt,
@@ -167,8 +172,61 @@
     return request.configVersion > deps.configVersion() ? 'config-behind' : 'unknown-target';
   }
 
+  function mayBegin(attempt: types.Attempt): boolean {
+    const longestMs = durations.longestMs(attempt.request.target);
+    return stopTimes.mayBegin(stopping, clock.nowMs(), {
+      deadlineMs: attempt.deadlineMs,
+      longestMs,
+    });
+  }
+
+  function logAtStop(attempt: types.Attempt, outcome: 'refused' | 'ended'): void {
+    const stopAtMs = stopping?.stopAtMs ?? 0;
+    const { request, deadlineMs, startedAtMs } = attempt;
+    deps.log.info('attempt-at-stop', {
+      requestId: request.requestId,
+      dispatchId: request.dispatchId,
+      outcome,
+      arrivedSinceStopMs: Math.round(deadlineMs - request.remainingMs - stopAtMs),
+      startedSinceStopMs: startedAtMs === null ? null : Math.round(startedAtMs - stopAtMs),
+      sinceStopMs: Math.round(clock.nowMs() - stopAtMs),
+    });
+  }
+
+  function refuseAtStop(attempt: types.Attempt): void {
+    logAtStop(attempt, 'refused');
+    refuse(attempt, 'leaving', clock.nowMs() + DEFAULT_RETRY_MS, 'it would not be over in time');
+  }
+
+  /** What is non-idempotent goes on at the upstream, which may finish it. */
+  function endAtStop(attempt: types.Attempt): void {
+    logAtStop(attempt, 'ended');
+    const detail = 'the agent stopped before the answer was whole';
+    close(attempt, { kind: 'failed', cause: 'agent-stopping', detail, upstreamCrashed: false });
+    if (!attempt.request.nonIdempotent) attempt.abort.abort('cancelled');
+  }
+
+  function lookAtStop(attempt: types.Attempt, times: stopTimes.DrainTimes): void {
+    switch (attempt.state) {
+      case 'waiting-for-copy':
+      case 'queued':
+        if (mayBegin(attempt)) return;
+        queue.withdraw(attempt.request.dispatchId);
+        refuseAtStop(attempt);
+        break;
+      case 'running':
+        if (clock.nowMs() >= times.lastAnswersMs) endAtStop(attempt);
+        break;
+      case 'closed':
+    }
+  }
+
   async function run(attempt: types.Attempt): Promise<void> {
-    close(attempt, await deps.runs.run(attempt));
+    const closing = await deps.runs.run(attempt);
+    if (closing.kind === 'end') {
+      durations.observe(attempt.request.target, clock.nowMs() - (attempt.startedAtMs ?? 0));
+    }
+    close(attempt, closing);
     queue.finish(attempt.request.dispatchId, clock.nowMs());
     startWaiting();
   }
@@ -191,8 +249,12 @@
     }
     for (let item = queue.startNext(nowMs); item !== null; item = queue.startNext(nowMs)) {
       const attempt = attempts.get(item.id);
-      if (attempt?.state === 'queued') start(attempt);
-      else queue.finish(item.id, nowMs);
+      if (attempt?.state === 'queued' && mayBegin(attempt)) {
+        start(attempt);
+      } else {
+        queue.finish(item.id, nowMs);
+        if (attempt?.state === 'queued') refuseAtStop(attempt);
+      }
     }
   }
 
@@ -354,6 +416,10 @@
     leave: () => {
       isLeaving = true;
     },
+    stopBy: (times) => {
+      stopping = times;
+      attempts.forEach((attempt) => lookAtStop(attempt, times));
+    },
     openCount: () => [...attempts.values()].filter(isAwaited).length,
   };
 }
--- a/packages/entry/src/shared/endings.ts
+++ b/packages/entry/src/shared/endings.ts
@@ -69,6 +69,7 @@
   'upstream-silent': { cause: 'upstream-silent', mayRetry: true, mayBeDone: true },
   'deadline-passed': { cause: 'deadline-passed', mayRetry: false, mayBeDone: true },
   cancelled: { cause: 'cancelled', mayRetry: false, mayBeDone: true },
+  'agent-stopping': { cause: 'agent-lost', mayRetry: true, mayBeDone: true },
   'answer-too-large': { cause: 'answer-too-large', mayRetry: false, mayBeDone: false },
 };
 
--- a/packages/proofs/src/matrix/stops.ts
+++ b/packages/proofs/src/matrix/stops.ts
@@ -2,6 +2,7 @@
  * Planned stops, in the order of the daemons' main modules. The journal is left out: it compresses
  * on a real thread, which no fake clock waits for.
  */
+import type * as agentAttempts from '@copperlever/agent/server/dispatch/attempts';
 import * as drains from '@copperlever/entry/server/health/drain';
 import { clocks } from '@copperlever/runtime';
 import * as stopTimes from '@copperlever/runtime/stop-times';
@@ -16,11 +17,13 @@
 async function drain(
   clock: clocks.Clock,
   noticeMs: number,
-  openCount: () => number,
+  attempts: Pick<agentAttempts.Attempts, 'openCount' | 'stopBy'>,
 ): Promise<void> {
-  const deadlineMs = clock.nowMs() + DRAIN_TIMEOUT_MS;
+  const times = stopTimes.drainTimes(clock.nowMs(), DRAIN_TIMEOUT_MS, 0);
+  attempts.stopBy(times);
   await clocks.sleepUntil(clock, clock.nowMs() + noticeMs);
-  while (openCount() > 0 && clock.nowMs() < deadlineMs) {
+  while (attempts.openCount() > 0 && clock.nowMs() < times.endMs) {
+    attempts.stopBy(times);
     await clocks.sleepUntil(clock, clock.nowMs() + DRAIN_CHECK_MS);
   }
 }
@@ -36,7 +39,7 @@
     parts.control.membership.leave();
     parts.attempts.leave();
   }
-  if (stopsAtOnce !== true) await drain(clock, LEAVE_SPREAD_MS, parts.attempts.openCount);
+  if (stopsAtOnce !== true) await drain(clock, LEAVE_SPREAD_MS, parts.attempts);
   // The VM takes a while to go; until then its agent answers.
   if (stopsAtOnce !== true) await clocks.sleepUntil(clock, clock.nowMs() + VM_GOES_MS);
   await parts.control.stop();
--- a/packages/proofs/src/processes/planned-stops.test.ts
+++ b/packages/proofs/src/processes/planned-stops.test.ts
@@ -117,4 +117,9 @@
   assert.is(new Set(ran).size, ran.length);
 });
 
+// Guards against a stop of an agent that starts what it can't finish, and leaves entries without a word of what it runs.
+test('the stop of an agent gives each attempt a truthful end, and is over before the kill', async () => {
+  check(await stopBeside('agent-desk-1', rig.entries[0]?.url ?? ''));
+});
+
 test.run();
--- a/packages/protocol/src/causes.ts
+++ b/packages/protocol/src/causes.ts
@@ -34,6 +34,8 @@
   'deadline-passed',
   'cancelled',
   'answer-too-large',
+  /** The agent stopped while the upstream ran it. */
+  'agent-stopping',
 ] as const;
 
 export type FailureCause = (typeof FAILURE_CAUSES)[number];
