--- a/packages/coordination/src/journal/journal.test.ts
+++ b/packages/coordination/src/journal/journal.test.ts
@@ -15,6 +15,7 @@
   const clock = fakeClock.createFakeClock();
   const memory = memoryStore.createMemoryStore(clock);
   const store = faultyStore.createFaultyStore(memory, clock);
+  const logged: string[] = [];
   const journalOf = (memberId: string, pendingMaxBytes?: number) =>
     journal.createJournal({
       store,
@@ -24,10 +25,11 @@
       random: randoms.createRandom(1),
       pendingMaxBytes,
       compress: batches.compressInline,
+      log: { error: (event, fields) => logged.push(`${event} ${JSON.stringify(fields)}`) },
     });
   const ids = requestIds.createRequestIds('entry-1', 1, clock.wallMs);
   const reader = journalReader.createJournalReader({ store });
-  return { clock, memory, store, journalOf, ids, reader };
+  return { clock, memory, store, journalOf, ids, reader, logged };
 }
 
 test('a request id contains its entry, incarnation and minute', () => {
@@ -96,4 +98,20 @@
   assert.is(memory.objectCount(), 1);
 });
 
+// Guards against a stop whose last events are lost and nobody is told.
+test('a stop tells how many events it leaves unwritten', async () => {
+  const { clock, store, journalOf, ids, logged } = createParts();
+  const written = journalOf('entry-1');
+  written.record(ids.next(), 'admitted');
+  await written.stop(clock.nowMs() + 1_000);
+  assert.equal(logged, []);
+  store.setFault({ kind: 'outage', retryAfterMs: 100 });
+  const cut = journalOf('entry-2');
+  cut.record(ids.next(), 'admitted');
+  const stopped = cut.stop(clock.nowMs() + 1_000);
+  await clock.advance(1_000);
+  await stopped;
+  assert.equal(logged, ['journal-cut-off {"eventCount":1}']);
+});
+
 test.run();
--- a/packages/proofs/src/processes/planned-stops.test.ts
+++ b/packages/proofs/src/processes/planned-stops.test.ts
@@ -122,4 +122,16 @@
   check(await stopBeside('agent-desk-1', rig.entries[0]?.url ?? ''));
 });
 
+// Guards against a stop that waits for the store and is not over before the kill.
+test('the stop of an entry is over in time while the store says nothing', async () => {
+  rig.signal('stand-in-platform', 'SIGSTOP');
+  const stop = await stopBeside('entry-1', rig.entries[0]?.url ?? '').finally(() =>
+    rig.signal('stand-in-platform', 'SIGCONT'),
+  );
+  assert.is(stop.exit, 0);
+  assert.ok(stop.goneMs < KILL_MS - 200, `gone after ${stop.goneMs} ms`);
+  assert.equal(stop.ends.filter(({ status }) => status === 0).length, 0);
+  assert.is(linesOf('entry-1', 'journal-cut-off').length, 1);
+});
+
 test.run();
