--- a/packages/gateway/src/server/forwarding/bodies.ts
+++ b/packages/gateway/src/server/forwarding/bodies.ts
@@ -7,6 +7,7 @@
 import type { clocks } from '@copperlever/runtime';
 
 import type * as byteBudgets from '@copperlever/runtime/byte-budget';
+import * as byteCollectors from '@copperlever/runtime/byte-collector';
 import type * as unsentRequests from './unsent-requests.js';
 
 /** `release` gives the room of the bytes back, once the request has ended. */
@@ -28,69 +29,17 @@
   unsent: Pick<unsentRequests.UnsentRequests, 'add'>;
 };
 
-const FIRST_BUFFER_BYTES = 4_096;
-
 /** The length that the request states; null for one in chunks. */
 export function statedBytes(request: http.IncomingMessage): number | null {
   if (request.headers['transfer-encoding'] !== undefined) return null;
   return Number(request.headers['content-length'] ?? 0);
 }
 
-/** Collects a body in one buffer: of the stated length, or one that doubles as it fills. */
-function createCollector({ budget, bytesMax }: BodyLimits, lengthBytes: number | null) {
-  let buffer: Buffer = Buffer.alloc(0);
-  let sizeBytes = 0;
-  let takenBytes = 0;
-
-  function take(bytes: number): boolean {
-    if (!budget.take(bytes, takenBytes)) return false;
-    takenBytes += bytes;
-    return true;
-  }
-
-  /** Room for both buffers is needed while one is copied into the other. */
-  function grow(neededBytes: number): boolean {
-    const doubledBytes = Math.max(FIRST_BUFFER_BYTES, 2 * buffer.length);
-    const grownBytes = Math.max(neededBytes, Math.min(bytesMax, doubledBytes));
-    if (!take(grownBytes)) return false;
-    const grown = Buffer.allocUnsafeSlow(grownBytes);
-    buffer.copy(grown, 0, 0, sizeBytes);
-    budget.give(buffer.length);
-    takenBytes -= buffer.length;
-    buffer = grown;
-    return true;
-  }
-
-  return {
-    /** Takes the room for a body whose length is stated; false if there is none. */
-    hasRoom: () => lengthBytes === null || take(lengthBytes),
-    /** False if there is no room for the chunk. */
-    push: (chunk: Buffer): boolean => {
-      const isOnlyChunk = lengthBytes === chunk.length && sizeBytes === 0;
-      if (isOnlyChunk) buffer = chunk;
-      else if (lengthBytes !== null && sizeBytes === 0)
-        buffer = Buffer.allocUnsafeSlow(lengthBytes);
-      else if (sizeBytes + chunk.length > buffer.length && !grow(sizeBytes + chunk.length)) {
-        return false;
-      }
-      if (!isOnlyChunk) chunk.copy(buffer, sizeBytes);
-      sizeBytes += chunk.length;
-      return true;
-    },
-    bytes: () => buffer.subarray(0, sizeBytes),
-    sizeBytes: () => sizeBytes,
-    release: () => {
-      budget.give(takenBytes);
-      takenBytes = 0;
-    },
-  };
-}
-
 export function readBody(request: http.IncomingMessage, limits: BodyLimits): Promise<Body> {
   const { bytesMax } = limits;
   const lengthBytes = statedBytes(request);
   if (lengthBytes !== null && lengthBytes > bytesMax) return Promise.resolve({ kind: 'too-large' });
-  const collector = createCollector(limits, lengthBytes);
+  const collector = byteCollectors.createByteCollector(limits, lengthBytes);
   if (!collector.hasRoom()) {
     return Promise.resolve({ kind: 'no-room', wantedBytes: lengthBytes ?? 0 });
   }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,6 +3,7 @@
 export * as clocks from './clocks.js';
 export * as connectionEnds from './connection-ends.js';
 export * as daemon from './daemon.js';
+export * as daemonHolds from './daemon-holds.js';
 export * as descriptors from './descriptors.js';
 export * as gauges from './gauges.js';
 export * as heldSignals from './held-signals.js';
