The object API's answers and an entry's status are read within bounds

Cause: answers were read whole, bounded by time alone; the command line reads an entry's status without any end, since only its silence was timed.

--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -1,5 +1,7 @@
 /** `copperlever status`, `models`, `upstreams`, `drain`: the fleet as reported by one entry. */
-import { results } from '@copperlever/runtime';
+import { clocks, results } from '@copperlever/runtime';
+import * as boundedCalls from '@copperlever/runtime/bounded-calls';
+import * as processMemory from '@copperlever/runtime/memory';
 import * as undici from 'undici';
 import * as zod from 'zod';
 
@@ -25,20 +27,34 @@
 
 /** A reachable entry answers much faster. */
 const ENTRY_TIMEOUT_MS = 5_000;
+/** The status of the largest fleet is a tenth of this. */
+const ANSWER_BYTES_MAX = 8 * 1024 * 1024;
+const SHARE_OF_READS = 0.2;
 
 type FleetStatus = zod.infer<typeof statusSchema>;
 
 type FleetError = { kind: 'entry-unreachable'; detail: string };
 
+function readEntry({ origin, pathname, search }: URL) {
+  const clock = clocks.createSystemClock();
+  const deadlineMs = clock.nowMs() + ENTRY_TIMEOUT_MS;
+  const budget = processMemory.budgetOf(undefined, SHARE_OF_READS);
+  return boundedCalls.call(
+    undici.getGlobalDispatcher(),
+    clock,
+    { origin, method: 'GET', path: `${pathname}${search}`, deadlineMs },
+    { reader: 'entry-status', bytesMax: ANSWER_BYTES_MAX, budget, noteClosed: () => {} },
+  );
+}
+
 async function readStatus(
   context: contexts.Context,
 ): Promise<results.Result<FleetStatus, FleetError>> {
   try {
-    const response = await undici.request(`${context.options.entry}/operator/status`, {
-      headersTimeout: ENTRY_TIMEOUT_MS,
-      bodyTimeout: ENTRY_TIMEOUT_MS,
-    });
-    return results.Ok(statusSchema.parse(await response.body.json()));
+    const answer = await readEntry(new URL(`${context.options.entry}/operator/status`));
+    if (answer.err) return results.Err({ kind: 'entry-unreachable', detail: answer.val.reason });
+    const status = JSON.parse(answer.val.body.toString('utf8')) as unknown;
+    return results.Ok(statusSchema.parse(status));
   } catch (cause) {
     const detail = cause instanceof Error ? cause.message : 'unknown';
     return results.Err({ kind: 'entry-unreachable', detail });
--- a/packages/coordination/src/object-store/http-store.ts
+++ b/packages/coordination/src/object-store/http-store.ts
@@ -1,6 +1,8 @@
 /** The platform's object API over HTTP. Each call makes one request; resilient-store adds retries. */
 import { results } from '@copperlever/runtime';
-import type { clocks } from '@copperlever/runtime';
+import type { clocks, daemonHolds } from '@copperlever/runtime';
+import * as boundedCalls from '@copperlever/runtime/bounded-calls';
+import * as processMemory from '@copperlever/runtime/memory';
 import * as resetAwareClients from '@copperlever/runtime/reset-aware-client';
 import * as undici from 'undici';
 
@@ -12,6 +14,8 @@
   clock: clocks.Clock;
   /** The maximum number of connections to the API; a waiting watch occupies one. */
   connectionsMax?: number;
+  /** Bounds the bytes of all answers that are being read; the default memory's share without it. */
+  reads?: Pick<daemonHolds.DaemonHolds, 'reads' | 'noteClosed'>;
   /** The delay before a retry when the API sends no `retry-after`. */
   retryAfterMs?: number;
 };
@@ -24,17 +28,11 @@
 const WATCH_GRACE_MS = 1_000;
 const VERSION_HEADER = 'x-object-version';
 
-type Reply = { status: number; headers: Record<string, string | undefined>; body: Buffer };
+/** Listings are the longest answers. */
+const ANSWER_BYTES_MAX = 8 * 1024 * 1024;
+const DEFAULT_SHARE_OF_READS = 0.1;
 
-type Failure = { kind: 'no-answer'; reason: string };
-
-type Call = {
-  method: 'GET' | 'PUT' | 'DELETE';
-  path: string;
-  headers?: Record<string, string>;
-  body?: Buffer;
-  deadlineMs: number;
-};
+type Reply = boundedCalls.Answer;
 
 /** The path of an object: each segment of the key is encoded, and the slashes are kept. */
 export function objectPath(key: string): string {
@@ -65,31 +63,15 @@
     bodyTimeout: 0,
   });
 
-  async function exchange(call: Call, signal: AbortSignal): Promise<Reply> {
-    const answer = await pool.request({
-      method: call.method,
-      path: call.path,
-      headers: call.headers ?? {},
-      body: call.body ?? null,
-      signal,
-    });
-    const body = Buffer.from(await answer.body.arrayBuffer());
-    const headers = answer.headers as Record<string, string | undefined>;
-    return { status: answer.statusCode, headers, body };
-  }
+  const limits = {
+    reader: 'object-api',
+    bytesMax: ANSWER_BYTES_MAX,
+    budget: options.reads?.reads ?? processMemory.budgetOf(undefined, DEFAULT_SHARE_OF_READS),
+    noteClosed: options.reads?.noteClosed ?? (() => {}),
+  };
 
-  /** Aborting a call closes its connection, so that a connection that went silent is not used again. */
-  async function send(call: Call): Promise<results.Result<Reply, Failure>> {
-    const abortController = new AbortController();
-    const cancel = clock.schedule(call.deadlineMs, () => abortController.abort());
-    try {
-      return results.Ok(await exchange(call, abortController.signal));
-    } catch (cause) {
-      const reason = abortController.signal.aborted ? 'deadline' : String(cause);
-      return results.Err({ kind: 'no-answer', reason });
-    } finally {
-      cancel();
-    }
+  function send(call: Omit<boundedCalls.BoundedCall, 'origin'>) {
+    return boundedCalls.call(pool, clock, { ...call, origin: options.baseUrl }, limits);
   }
 
   function unavailable(reason: string, headers: Reply['headers'] = {}): types.ObjectError {
