An agent bounds the answers that it keeps in sum, and reads reports and orders within bounds

Cause: each answer is bounded at 16 MB, but a finished one is kept for 60 s, failed ones too, and nothing bounds their sum; in pieces of one byte an answer of 16 MB takes gigabytes. Reports and answers to orders were bounded by time alone. Bodies of waiting requests had no sum. Reports 1 MiB, answers to orders 64 KiB. An upstream whose report is too long has not crashed: it would have put the request under quarantine.

--- a/packages/agent/src/container.ts
+++ b/packages/agent/src/container.ts
@@ -12,6 +12,7 @@
 import { attributes } from '@copperlever/protocol';
 import {
   clocks,
+  daemonHolds,
   logs,
   logSinks,
   metrics as metricsModule,
@@ -46,6 +47,7 @@
   logSink: logSinks.LogSink;
   log: logs.LeveledLogger;
   metrics: metricsModule.Metrics;
+  holds: daemonHolds.DaemonHolds;
   upstream: httpUpstream.HttpUpstream;
   rawStore: httpStore.HttpObjectStore;
   store: ReturnType<typeof resilientStore.createResilientStore>;
@@ -157,14 +159,24 @@
       )
       .singleton(),
     metrics: awilix.asFunction(createMetrics).singleton(),
+    holds: awilix
+      .asFunction(({ log, metrics }: AgentParts) =>
+        daemonHolds.createDaemonHolds({
+          daemonKind: 'agent',
+          memoryMb: settings.memoryMb,
+          log,
+          metrics,
+        }),
+      )
+      .singleton(),
     upstream: awilix
-      .asFunction(({ clock }: AgentParts) =>
-        httpUpstream.createHttpUpstream({ baseUrl: settings.upstreamUrl, clock }),
+      .asFunction(({ clock, holds }: AgentParts) =>
+        httpUpstream.createHttpUpstream({ baseUrl: settings.upstreamUrl, clock, holds }),
       )
       .singleton(),
     rawStore: awilix
-      .asFunction(({ clock }: AgentParts) =>
-        httpStore.createHttpObjectStore({ baseUrl: settings.platformUrl, clock }),
+      .asFunction(({ clock, holds }: AgentParts) =>
+        httpStore.createHttpObjectStore({ baseUrl: settings.platformUrl, clock, reads: holds }),
       )
       .singleton(),
     store: awilix
@@ -219,8 +231,8 @@
       )
       .singleton(),
     runs: awilix
-      .asFunction(({ clock, copies, lossJudge, metrics, times, upstream }: AgentParts) =>
-        runs.createRuns({ clock, copies, lossJudge, metrics, times, upstream }),
+      .asFunction(({ clock, copies, holds, lossJudge, metrics, times, upstream }: AgentParts) =>
+        runs.createRuns({ clock, copies, holds, lossJudge, metrics, times, upstream }),
       )
       .singleton(),
     attempts: awilix
@@ -238,6 +250,7 @@
           },
           revocations: parts.revoked,
           copies: parts.copies,
+          holds: parts.holds,
           incarnation,
           configVersion: () => parts.control.follower.version(),
         }),
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -4,6 +4,7 @@
 import {
   clocks,
   daemon,
+  daemonHolds,
   descriptors,
   gauges,
   heldSignals,
@@ -140,6 +141,7 @@
   const sources = [
     ...gauges.logSources('agent', cradle.logSink),
     ...gauges.descriptorSources('agent', descriptorWatch),
+    ...daemonHolds.holdSources('agent', cradle.holds),
   ];
   return gauges.startGauges({ clock, metrics: cradle.metrics, sources });
 }
--- a/packages/agent/src/server/dispatch/attempts.test.ts
+++ b/packages/agent/src/server/dispatch/attempts.test.ts
@@ -1,6 +1,7 @@
 import { queues, serviceTimes } from '@copperlever/decisions';
 import { agent } from '@copperlever/protocol';
 import { logs, metrics, results } from '@copperlever/runtime';
+import * as testHolds from '@copperlever/runtime/testing/daemon-holds';
 import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -24,7 +25,11 @@
   return { kind: 'data', data: Buffer.from(text) };
 }
 
-function createWorld(script: Script, report: 'same' | 'restarted' | 'down' = 'same') {
+function createWorld(
+  script: Script,
+  report: 'same' | 'restarted' | 'down' = 'same',
+  memoryMb?: number,
+) {
   const clock = fakeClock.createFakeClock();
   const events: string[] = [];
   const started: string[] = [];
@@ -59,6 +64,7 @@
     onChange: () => {},
   };
   const silent = metrics.createSilentMetrics();
+  const holds = testHolds.createTestHolds(memoryMb);
   const lossJudge = lossJudges.createLossJudge({ clock, upstream });
   const attempts = attemptsModule.createAttempts({
     clock,
@@ -72,9 +78,10 @@
       stop: async () => {},
     },
     queue: queues.createWorkQueue({ slotCount: 1, maxWaiting: 10 }, times),
-    runs: runs.createRuns({ clock, metrics: silent, times, upstream, copies, lossJudge }),
+    runs: runs.createRuns({ clock, metrics: silent, times, upstream, copies, lossJudge, holds }),
     revocations: revocations.createRevocations(0),
     copies,
+    holds,
     incarnation: 1,
     configVersion: () => 1,
   });
@@ -100,7 +107,7 @@
     return attempts.revoke({ dispatchId, agentIncarnation: 1, agentTick: TICK, cancelIfStarted });
   }
 
-  return { clock, attempts, events, started, signals, state, dispatch, revoke };
+  return { clock, attempts, events, started, signals, state, holds, dispatch, revoke };
 }
 
 /** Reads in the background, as an entry does. */
@@ -328,4 +335,61 @@
   assert.is(world.clock.nextTimerMs(), null);
 });
 
+/** Sends pieces of that length until it is cancelled. */
+async function* endless(signal: AbortSignal, pieceBytes: number) {
+  yield HEAD;
+  while (!signal.aborted) yield data('x'.repeat(pieceBytes));
+}
+
+// Guards against answers of calls that no reader slows down, which together fill the memory, in large pieces or in single bytes.
+test('answers are bounded in sum, and what has run is never told as not run', async () => {
+  for (const pieceBytes of [64 * 1024, 1]) {
+    const world = createWorld((signal) => endless(signal, pieceBytes), 'same', 1);
+    const parts = readAll(world.dispatch('r/1', { nonIdempotent: true }));
+    await world.clock.advance(1_000);
+    const last = parts.at(-1);
+    assert.is(last?.kind === 'failed' && last.cause, 'answer-too-large');
+    assert.is(world.holds.closed[0]?.bound, 'sum');
+    assert.ok(world.signals[0]?.aborted);
+    assert.is(world.revoke('r/1'), agent.RevokeOutcome.REVOKE_OUTCOME_FINISHED);
+    assert.is(world.holds.answers.heldBytes(), 0);
+  }
+});
+
+async function* breaking() {
+  yield HEAD;
+  yield data('a part');
+  yield { kind: 'broken', detail: 'reset' } as const;
+}
+
+// Guards against the bytes of failed answers, and of requests that are over, which stay for as long as their ids.
+test('a failed answer keeps no bytes, and its request none of its body', async () => {
+  const world = createWorld(breaking);
+  const log = world.dispatch('r/1', { body: Buffer.from('body') });
+  await world.clock.advance(2_000);
+  assert.equal([world.holds.answers.heldBytes(), world.holds.bodies.heldBytes()], [0, 0]);
+  const parts = readAll(log);
+  await world.clock.settle();
+  assert.equal(
+    parts.map(({ kind }) => kind),
+    ['failed'],
+  );
+});
+
+// Guards against bodies that wait in the queue and together fill the memory.
+test('a body without room is refused as not run, until another has ended', async () => {
+  const world = createWorld(hanging, 'same', 1);
+  const body = Buffer.alloc(150_000);
+  world.dispatch('r/1', { body });
+  const refused = readAll(world.dispatch('r/2', { body }));
+  await world.clock.advance(100);
+  const [part] = refused;
+  assert.is(part?.kind === 'refused' && part.cause, 'queue-full');
+  world.revoke('r/1', true);
+  await world.clock.advance(100);
+  world.dispatch('r/3', { body });
+  await world.clock.advance(100);
+  assert.equal(world.started, ['r/1', 'r/3']);
+});
+
 test.run();
--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -2,9 +2,10 @@
 import type * as journals from '@copperlever/coordination/journal/types';
 import type { queues, types as work } from '@copperlever/decisions';
 import { agent } from '@copperlever/protocol';
-import type { clocks, logs, metrics } from '@copperlever/runtime';
+import type { clocks, daemonHolds, logs, metrics } from '@copperlever/runtime';
 
 import * as answerLogs from '../../shared/answer-log.js';
+import * as answerRooms from '../../shared/answer-rooms.js';
 import type * as revocations from '../../shared/revocations.js';
 import type * as answers from '../../types/answers.js';
 import type * as causes from '../../types/causes.js';
@@ -21,6 +22,8 @@
 /** An entry that lives reads, or resumes within a few seconds; after this it is taken for dead. */
 const UNREAD_LIMIT_MS = 15_000;
 
+const EMPTY_BODY = Buffer.alloc(0);
+
 export type AttemptsDeps = {
   clock: clocks.Clock;
   log: logs.Logger;
@@ -30,6 +33,7 @@
   runs: runsModule.Runs;
   revocations: revocations.Revocations;
   copies: copies.Copies;
+  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'bodies' | 'noteClosed'>;
   incarnation: number;
   /** The newest configuration version in force here. */
   configVersion: () => number;
@@ -73,6 +77,7 @@
 export function createAttempts(deps: AttemptsDeps): Attempts {
   const { clock, queue, copies: copyHolder, journal } = deps;
   const attempts = new Map<string, types.Attempt>();
+  const rooms = answerRooms.createAnswerRooms(deps.holds.answers);
   let isLeaving = false;
 
   function record(
@@ -95,6 +100,7 @@
     if (!didRun) deps.revocations.revoke(dispatchId, clock.nowMs());
     else deps.revocations.noteRan(dispatchId, clock.nowMs());
     stopTimers(attempt);
+    attempt.room.release();
     attempts.delete(dispatchId);
   }
 
@@ -127,6 +133,19 @@
     deps.log.warn('attempt-failed', { requestId, cause, upstreamCrashed, fingerprint });
   }
 
+  /** The request's body is not needed any more, nor are the bytes of an answer that is none. */
+  function releaseBytes(attempt: types.Attempt, part: answers.ClosingPart): void {
+    deps.holds.bodies.give(attempt.bodyBytes);
+    attempt.bodyBytes = 0;
+    attempt.request = { ...attempt.request, body: EMPTY_BODY };
+    if (part.kind === 'end') {
+      attempt.room.finish();
+      return;
+    }
+    attempt.log.discard();
+    attempt.room.release();
+  }
+
   function close(attempt: types.Attempt, part: answers.ClosingPart): void {
     if (attempt.state === 'closed') return;
     attempt.state = 'closed';
@@ -135,6 +154,7 @@
     attempt.release();
     attempt.log.append(part);
     recordClosing(attempt, part);
+    releaseBytes(attempt, part);
     schedule(attempt, clock.nowMs() + KEEP_FINISHED_MS, () => forget(attempt.request.dispatchId));
   }
 
@@ -260,6 +280,19 @@
     return !attempt.log.isReadWhole() && sinceMs < UNREAD_LIMIT_MS;
   }
 
+  function takeBodyRoom(attempt: types.Attempt): boolean {
+    const { bodies } = deps.holds;
+    const { body, requestId: id } = attempt.request;
+    if (bodies.take(body.length, 0)) {
+      attempt.bodyBytes = body.length;
+      return true;
+    }
+    const sizeBytes = body.length;
+    const boundBytes = bodies.maxBytes;
+    deps.holds.noteClosed({ reader: 'request-body', id, sizeBytes, bound: 'sum', boundBytes });
+    return false;
+  }
+
   function begin(attempt: types.Attempt): void {
     const obstacle = findObstacle(attempt.request);
     if (obstacle !== null) {
@@ -267,6 +300,10 @@
       return;
     }
     deps.onDemand?.(toWorkItem(attempt, clock.nowMs()));
+    if (!takeBodyRoom(attempt)) {
+      refuse(attempt, 'queue-full', clock.nowMs() + DEFAULT_RETRY_MS);
+      return;
+    }
     if (copyHolder.isReady(attempt.request.target)) {
       enqueue(attempt);
       return;
@@ -281,11 +318,14 @@
   function dispatch(request: agent.DispatchRequest): answerLogs.AnswerLog {
     const known = attempts.get(request.dispatchId);
     if (known !== undefined) return known.log;
+    const log = answerLogs.createAnswerLog((readerCount) => noteReaders(attempt, readerCount));
     const attempt: types.Attempt = {
       request,
       state: 'waiting-for-copy',
       deadlineMs: clock.nowMs() + request.remainingMs,
-      log: answerLogs.createAnswerLog((readerCount) => noteReaders(attempt, readerCount)),
+      log,
+      room: rooms.open({ ...log, discard: () => forget(request.dispatchId) }),
+      bodyBytes: 0,
       abort: new AbortController(),
       startedAtMs: null,
       closedAtMs: null,
--- a/packages/agent/src/server/dispatch/runs.ts
+++ b/packages/agent/src/server/dispatch/runs.ts
@@ -1,7 +1,7 @@
 /** Runs one attempt on the upstream, from its call to the closing part of its answer. */
 import type { serviceTimes } from '@copperlever/decisions';
 import type { agent } from '@copperlever/protocol';
-import { clocks, type metrics } from '@copperlever/runtime';
+import { clocks, type daemonHolds, type metrics } from '@copperlever/runtime';
 
 import type * as answers from '../../types/answers.js';
 import type * as upstreams from '../../types/upstreams.js';
@@ -16,6 +16,7 @@
   upstream: upstreams.UpstreamPort;
   copies: Pick<copies.Copies, 'noteMissing' | 'engineIncarnation'>;
   lossJudge: lossJudges.LossJudge;
+  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'noteClosed'>;
 };
 
 export type Runs = {
@@ -37,6 +38,8 @@
 const UNREAD_LIMIT_BYTES = 256 * 1024;
 /** Kept whole until its entry has it; a chat answer is a hundredth of this. */
 export const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** What a part takes beside its bytes; the sum would not bound an answer in pieces of one byte. */
+const PART_OVERHEAD_BYTES = 256;
 /** When an agent cannot say when it will be better, callers come back after this. */
 const DEFAULT_RETRY_MS = 1_000;
 const NOT_FOUND_STATUS = 404;
@@ -110,6 +113,20 @@
     return { kind: 'failed', cause: 'upstream-broken', detail, upstreamCrashed };
   }
 
+  /** The upstream has run it: this is never told as a refusal. Aborting closes the connection. */
+  function closeTooLong(
+    attempt: types.Attempt,
+    sizeBytes: number,
+    bound: 'each' | 'sum',
+  ): answers.ClosingPart {
+    const boundBytes = bound === 'each' ? MAX_ANSWER_BYTES : deps.holds.answers.maxBytes;
+    const id = attempt.request.requestId;
+    attempt.abort.abort('answer-too-large');
+    deps.holds.noteClosed({ reader: 'upstream-answer', id, sizeBytes, bound, boundBytes });
+    const of = bound === 'each' ? '' : ' of all answers';
+    return failed('answer-too-large', `more than ${boundBytes} bytes${of}`);
+  }
+
   /** Takes a chunk and waits until its reader has caught up; a closing part when it is too much. */
   async function takeData(
     attempt: types.Attempt,
@@ -119,9 +136,10 @@
     const { log, abort, request } = attempt;
     progress.firstDataAtMs ??= clock.nowMs();
     progress.chunkCount += 1;
-    if (log.sizeBytes() + data.length > MAX_ANSWER_BYTES) {
-      abort.abort('answer-too-large');
-      return failed('answer-too-large', `more than ${MAX_ANSWER_BYTES} bytes`);
+    const sizeBytes = log.sizeBytes() + data.length;
+    if (sizeBytes > MAX_ANSWER_BYTES) return closeTooLong(attempt, sizeBytes, 'each');
+    if (!attempt.room.take(data.length + PART_OVERHEAD_BYTES)) {
+      return closeTooLong(attempt, sizeBytes, 'sum');
     }
     log.append({ kind: 'chunk', offsetBytes: log.sizeBytes(), data });
     // Its outcome has to get known even if nobody reads, so it never waits for a reader.
--- a/packages/agent/src/server/dispatch/types.ts
+++ b/packages/agent/src/server/dispatch/types.ts
@@ -3,6 +3,7 @@
 import type { clocks } from '@copperlever/runtime';
 
 import type * as answerLogs from '../../shared/answer-log.js';
+import type * as answerRooms from '../../shared/answer-rooms.js';
 
 /** Why an attempt that runs is cut short. */
 export type AbortCause = 'cancelled' | 'deadline-passed' | 'upstream-silent' | 'answer-too-large';
@@ -12,6 +13,10 @@
   state: 'waiting-for-copy' | 'queued' | 'running' | 'closed';
   deadlineMs: number;
   log: answerLogs.AnswerLog;
+  /** Of the bytes in its log. */
+  room: answerRooms.AnswerRoom;
+  /** Of the request's body, until the attempt is closed. */
+  bodyBytes: number;
   abort: AbortController;
   startedAtMs: number | null;
   closedAtMs: number | null;
--- a/packages/agent/src/server/upstream/http-upstream.test.ts
+++ b/packages/agent/src/server/upstream/http-upstream.test.ts
@@ -1,6 +1,7 @@
 import * as net from 'node:net';
 
 import { clocks } from '@copperlever/runtime';
+import * as testHolds from '@copperlever/runtime/testing/daemon-holds';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -34,7 +35,11 @@
   });
   const { port } = server.address() as net.AddressInfo;
   const clock = clocks.createSystemClock();
-  const upstream = httpUpstreams.createHttpUpstream({ baseUrl: `http://127.0.0.1:${port}`, clock });
+  const upstream = httpUpstreams.createHttpUpstream({
+    baseUrl: `http://127.0.0.1:${port}`,
+    clock,
+    holds: testHolds.createTestHolds(),
+  });
   const kinds: string[] = [];
   for await (const { kind } of upstream.run(CALL, new AbortController().signal)) kinds.push(kind);
   await upstream.close();
@@ -54,7 +59,11 @@
   });
   const { port } = server.address() as net.AddressInfo;
   server.close();
-  const upstream = httpUpstreams.createHttpUpstream({ baseUrl: `http://127.0.0.1:${port}`, clock });
+  const upstream = httpUpstreams.createHttpUpstream({
+    baseUrl: `http://127.0.0.1:${port}`,
+    clock,
+    holds: testHolds.createTestHolds(),
+  });
   const kinds: string[] = [];
   for await (const { kind } of upstream.run(CALL, new AbortController().signal)) kinds.push(kind);
   assert.equal(kinds, ['not-sent']);
--- a/packages/agent/src/server/upstream/http-upstream.ts
+++ b/packages/agent/src/server/upstream/http-upstream.ts
@@ -1,28 +1,31 @@
 /** Calls to the upstream over HTTP by undici; orders and reports too where it is an engine. */
-import { type clocks, results } from '@copperlever/runtime';
+import { type clocks, type daemonHolds, results } from '@copperlever/runtime';
+import * as boundedCalls from '@copperlever/runtime/bounded-calls';
 import * as resetAwareClients from '@copperlever/runtime/reset-aware-client';
 import * as undici from 'undici';
 
 import type * as upstreams from '../../types/upstreams.js';
 
-export type HttpUpstreamOptions = { baseUrl: string; clock: clocks.Clock };
+export type HttpUpstreamOptions = {
+  baseUrl: string;
+  clock: clocks.Clock;
+  holds: Pick<daemonHolds.DaemonHolds, 'reads' | 'noteClosed'>;
+};
 
-/** Failures before a byte was sent: the upstream cannot have seen the call. */
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 const CONNECT_TIMEOUT_MS = 1_000;
+/** A report names the copies that an engine holds: some 100 bytes each. */
+const REPORT_BYTES_MAX = 1024 * 1024;
+const ORDER_ANSWER_BYTES_MAX = 64 * 1024;
 const JSON_HEADERS = { 'content-type': 'application/json' };
 
-function codeOf(cause: unknown): string {
-  if (typeof cause !== 'object' || cause === null || !('code' in cause)) return '';
-  return String(cause.code);
-}
-
 function detailOf(cause: unknown): string {
-  return cause instanceof Error ? `${codeOf(cause)} ${cause.message}`.trim() : 'unknown';
+  return cause instanceof Error
+    ? `${boundedCalls.codeOf(cause)} ${cause.message}`.trim()
+    : 'unknown';
 }
 
 function lostPart(cause: unknown): upstreams.UpstreamPart {
-  const kind = NOT_SENT_CODES.has(codeOf(cause)) ? 'not-sent' : 'broken';
+  const kind = boundedCalls.wasNotSent(cause) ? 'not-sent' : 'broken';
   return { kind, detail: detailOf(cause) };
 }
 
@@ -33,10 +36,13 @@
   });
 }
 
-function abortAt(clock: clocks.Clock, deadlineMs: number) {
-  const controller = new AbortController();
-  const cancel = clock.schedule(deadlineMs, () => controller.abort());
-  return { signal: controller.signal, cancel };
+/** Null for what is no JSON. */
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8')) as unknown;
+  } catch {
+    return null;
+  }
 }
 
 export type HttpUpstream = upstreams.EnginePort & { close: () => Promise<void> };
@@ -81,48 +87,56 @@
     }
   }
 
+  function readAnswer(
+    request: Omit<boundedCalls.BoundedCall, 'origin'>,
+    limits: Pick<boundedCalls.AnswerLimits, 'reader' | 'bytesMax'>,
+  ) {
+    const { reads: budget, noteClosed } = options.holds;
+    const whole = { ...request, origin: baseUrl };
+    return boundedCalls.call(pool, clock, whole, { ...limits, budget, noteClosed });
+  }
+
   async function order(
     numbered: upstreams.NumberedOrder,
     deadlineMs: number,
   ): Promise<results.Result<void, upstreams.OrderError>> {
-    const expiry = abortAt(clock, deadlineMs);
-    try {
-      const response = await pool.request({
-        method: 'POST',
-        path: '/orders',
-        headers: JSON_HEADERS,
-        body: JSON.stringify(numbered),
-        signal: expiry.signal,
-      });
-      const reply = (await response.body.json()) as { verdict?: string };
-      if (response.statusCode < 300) return results.Ok(undefined);
-      if (reply.verdict === 'old-fencing-number') return results.Err({ kind: reply.verdict });
-      if (reply.verdict === 'no-memory') return results.Err({ kind: reply.verdict });
-      return results.Err({ kind: 'outcome-unknown', detail: `status ${response.statusCode}` });
-    } catch (cause) {
-      const kind = NOT_SENT_CODES.has(codeOf(cause)) ? 'not-sent' : 'outcome-unknown';
-      return results.Err({ kind, detail: detailOf(cause) });
-    } finally {
-      expiry.cancel();
+    const request = {
+      method: 'POST' as const,
+      path: '/orders',
+      headers: JSON_HEADERS,
+      body: JSON.stringify(numbered),
+      deadlineMs,
+    };
+    const limits = { reader: 'order-answer', bytesMax: ORDER_ANSWER_BYTES_MAX };
+    const answer = await readAnswer(request, limits);
+    if (answer.err) {
+      const kind = answer.val.kind === 'not-sent' ? 'not-sent' : 'outcome-unknown';
+      return results.Err({ kind, detail: answer.val.reason });
     }
+    const { status, body } = answer.val;
+    const reply = parseJson(body) as { verdict?: string } | null;
+    if (reply === null) return results.Err({ kind: 'outcome-unknown', detail: 'no JSON' });
+    if (status < 300) return results.Ok(undefined);
+    if (reply.verdict === 'old-fencing-number') return results.Err({ kind: reply.verdict });
+    if (reply.verdict === 'no-memory') return results.Err({ kind: reply.verdict });
+    return results.Err({ kind: 'outcome-unknown', detail: `status ${status}` });
   }
 
   async function report(
     deadlineMs: number,
   ): Promise<results.Result<upstreams.EngineReport, upstreams.ReportError>> {
-    const expiry = abortAt(clock, deadlineMs);
-    try {
-      const response = await pool.request({ method: 'GET', path: '/state', signal: expiry.signal });
-      if (response.statusCode === 200) {
-        return results.Ok((await response.body.json()) as upstreams.EngineReport);
-      }
-      await response.body.dump();
-      return results.Err({ kind: 'no-report', detail: `status ${response.statusCode}` });
-    } catch (cause) {
-      return results.Err({ kind: 'unreachable', detail: detailOf(cause) });
-    } finally {
-      expiry.cancel();
+    const limits = { reader: 'report', bytesMax: REPORT_BYTES_MAX };
+    const answer = await readAnswer({ method: 'GET', path: '/state', deadlineMs }, limits);
+    if (answer.err) {
+      // An upstream that sends too much has not crashed.
+      const kind = answer.val.kind === 'too-long' ? 'no-report' : 'unreachable';
+      return results.Err({ kind, detail: answer.val.reason });
     }
+    const { status, body } = answer.val;
+    if (status !== 200) return results.Err({ kind: 'no-report', detail: `status ${status}` });
+    const state = parseJson(body);
+    if (state === null) return results.Err({ kind: 'unreachable', detail: 'no JSON' });
+    return results.Ok(state as upstreams.EngineReport);
   }
 
   return { run, order, report, close: () => pool.close() };
--- a/packages/agent/src/shared/answer-log.ts
+++ b/packages/agent/src/shared/answer-log.ts
@@ -13,6 +13,8 @@
    * A slow reader so slows the upstream instead of filling this process's memory.
    */
   untilRoom: (limitBytes: number, signal?: AbortSignal) => Promise<void>;
+  /** Drops all parts but the closing one: readers get that next. */
+  discard: () => void;
   /** Whether a reader was handed everything, the closing part too. */
   isReadWhole: () => boolean;
   closing: () => answers.ClosingPart | null;
@@ -42,6 +44,7 @@
   const parts: answers.AnswerPart[] = [];
   const waiters = new Set<() => void>();
   const writers = new Set<() => void>();
+  let discardedCount = 0;
   let handedBytes = 0;
   let isHandedWhole = false;
   let sizeBytes = 0;
@@ -74,6 +77,10 @@
     wakeAll(writers);
   }
 
+  function endIndex(): number {
+    return discardedCount + parts.length;
+  }
+
   function changeReaders(by: number): void {
     readerCount += by;
     onReaderCount(readerCount);
@@ -83,8 +90,9 @@
     changeReaders(1);
     try {
       for (let index = 0; ; index += 1) {
-        while (index >= parts.length && !isAborted(signal)) await sleepIn(waiters, signal);
-        const part = parts[index];
+        while (index >= endIndex() && !isAborted(signal)) await sleepIn(waiters, signal);
+        index = Math.max(index, discardedCount);
+        const part = parts[index - discardedCount];
         if (part === undefined || isAborted(signal)) return;
         const wanted = partAfter(part, fromBytes);
         if (wanted !== null) {
@@ -112,6 +120,10 @@
         await sleepIn(writers, signal);
       }
     },
+    discard: () => {
+      const dropped = parts.splice(0, closing === null ? parts.length : parts.length - 1);
+      discardedCount += dropped.length;
+    },
     isReadWhole: () => isHandedWhole,
     closing: () => closing,
     sizeBytes: () => sizeBytes,
--- a/packages/agent/src/types/settings.ts
+++ b/packages/agent/src/types/settings.ts
@@ -20,6 +20,8 @@
   statsd: zod.strictObject({ host: name, port: zod.number().int().min(1).max(65_535) }).optional(),
   /** How long an event of a request waits before it is written; short only in demos and tests. */
   journalFlushIntervalMs: zod.number().int().positive().default(30_000),
+  /** The memory that this process may use; without it that of the machine, 350 MB at most. */
+  memoryMb: zod.number().int().positive().optional(),
   /** How long a planned stop waits for requests in flight. */
   drainTimeoutMs: zod.number().int().positive().default(120_000),
 });
