An entry bounds held answers and callers' bodies in sum

Cause: both were bounded each only. A body without room is refused before it is read as far as its length is stated: 503 no-room, not run, Retry-After, connection closed.

--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -14,6 +14,7 @@
 import { attributes } from '@copperlever/protocol';
 import {
   clocks,
+  daemonHolds,
   logs,
   logSinks,
   metrics as metricsModule,
@@ -44,6 +45,7 @@
   logSink: logSinks.LogSink;
   log: logs.LeveledLogger;
   metrics: metricsModule.Metrics;
+  holds: daemonHolds.DaemonHolds;
   rawStore: httpStore.HttpObjectStore;
   store: ReturnType<typeof resilientStore.createResilientStore>;
   transport: grpcTransport.GrpcTransport;
@@ -135,9 +137,19 @@
       )
       .singleton(),
     metrics: awilix.asFunction(createMetrics).singleton(),
+    holds: awilix
+      .asFunction(({ log, metrics }: EntryParts) =>
+        daemonHolds.createDaemonHolds({
+          daemonKind: 'entry',
+          memoryMb: settings.memoryMb,
+          log,
+          metrics,
+        }),
+      )
+      .singleton(),
     rawStore: awilix
-      .asFunction(({ clock }: EntryParts) =>
-        httpStore.createHttpObjectStore({ baseUrl: settings.platformUrl, clock }),
+      .asFunction(({ clock, holds }: EntryParts) =>
+        httpStore.createHttpObjectStore({ baseUrl: settings.platformUrl, clock, reads: holds }),
       )
       .singleton(),
     store: awilix
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -2,6 +2,7 @@
 import { grpcTransport } from '@copperlever/coordination';
 import {
   daemon,
+  daemonHolds,
   descriptors,
   gauges,
   heldSignals,
@@ -73,6 +74,7 @@
     configuration: control.follower.current,
     nextRequestId: cradle.ids.next,
     openCalls,
+    holds: cradle.holds,
   };
   const app = callsApp.createCallerApp(callDeps, {
     maxBodyBytes: settings.maxBodyBytes,
@@ -119,6 +121,7 @@
       { name: 'entry.open_calls', read: () => openCalls.count },
       ...gauges.logSources('entry', cradle.logSink),
       ...gauges.descriptorSources('entry', descriptorWatch),
+      ...daemonHolds.holdSources('entry', cradle.holds),
     ],
   });
 }
--- a/packages/entry/src/server/calls/app.test.ts
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -1,5 +1,8 @@
+import * as net from 'node:net';
+
 import { schema } from '@copperlever/configuration';
 import { logs, metrics } from '@copperlever/runtime';
+import * as testHolds from '@copperlever/runtime/testing/daemon-holds';
 import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 import type * as fastify from 'fastify';
 import { suite } from 'uvu';
@@ -40,11 +43,12 @@
   return { kind: 'answered', status: 200, replayed: false };
 };
 
-function createApp(serve = answering) {
+function createApp(serve = answering, memoryMb?: number) {
   const clock = fakeClock.createFakeClock();
   const served: calls.Call[] = [];
   const events: string[] = [];
   const state = { isStopping: false };
+  const holds = testHolds.createTestHolds(memoryMb);
   const server = app.createCallerApp(
     {
       clock,
@@ -64,10 +68,11 @@
       configuration: () => ({ version: 3, document }),
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
+      holds,
     },
     { maxBodyBytes: MAX_BODY_BYTES, isStopping: () => state.isStopping },
   );
-  return { server, served, events, state, clock };
+  return { server, served, events, state, clock, holds };
 }
 
 const chat = { model: 'draws', messages: [{ role: 'user', content: 'draw' }] };
@@ -191,4 +196,53 @@
   assert.is(answer.headers.connection, 'close');
 });
 
+// Guards against bodies of callers that together fill the memory of an entry.
+test('bodies are bounded in sum: what finds no room is refused as not run', async () => {
+  // Room for some 400 bytes.
+  const { server, served, holds } = createApp(answering, 0.002);
+  const large = { ...chat, user: 'x'.repeat(400) };
+  const refused = await server.inject(post('/v1/chat/completions', large));
+  assert.is(refused.statusCode, 503);
+  assert.is(refused.json<{ outcome: string }>().outcome, 'not-run');
+  assert.is(refused.headers['retry-after'], '1');
+  assert.is(refused.headers.connection, 'close');
+  assert.is(holds.closed[0]?.reader, 'caller-body');
+  for (let count = 0; count < 20; count += 1) {
+    assert.is((await server.inject(post('/v1/chat/completions', chat))).statusCode, 200);
+  }
+  assert.is(served.length, 20);
+  assert.is(holds.bodies.heldBytes(), 0);
+});
+
+/** Sends a body in chunks that has no end; the answer's head, and what was sent by the time the connection was closed. */
+async function sendEndlessly(server: ReturnType<typeof createApp>['server']) {
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  const { port } = server.server.address() as net.AddressInfo;
+  const socket = net.connect(port, '127.0.0.1');
+  let answer = '';
+  socket.on('data', (data) => {
+    answer += data.toString();
+  });
+  socket.on('error', () => {});
+  socket.write(
+    'POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n',
+  );
+  const timer = setInterval(() => socket.write(`64\r\n${'x'.repeat(100)}\r\n`), 1);
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  clearInterval(timer);
+  await server.close();
+  return answer;
+}
+
+// Guards against a body in chunks that is read without an end, and a refusal that its caller never gets.
+test('a body in chunks without end is refused at its bound, each or in sum, and its connection closed', async () => {
+  const tooLarge = createApp(answering);
+  assert.match(await sendEndlessly(tooLarge.server), /^HTTP\/1.1 413 [^]*"outcome":"not-run"/);
+  const noRoom = createApp(answering, 0.002);
+  assert.match(await sendEndlessly(noRoom.server), /^HTTP\/1.1 503 [^]*"outcome":"not-run"/);
+  assert.equal([tooLarge.holds.bodies.heldBytes(), noRoom.holds.bodies.heldBytes()], [0, 0]);
+});
+
 test.run();
--- a/packages/entry/src/server/calls/app.ts
+++ b/packages/entry/src/server/calls/app.ts
@@ -1,6 +1,7 @@
 /** The callers' side of the entry: its routes, and typed problems for all that is none. */
 import * as fastify from 'fastify';
 
+import * as bodyRooms from './body-rooms.js';
 import type * as contexts from './context.js';
 import * as handlers from './handlers.js';
 import * as services from './services.js';
@@ -41,6 +42,7 @@
   };
   app.addHook('onRequest', askForClose);
   app.addHook('onSend', askForClose);
+  bodyRooms.registerBodyRooms(app, deps, options.maxBodyBytes);
   registerCalls(app, deps);
   return app;
 }
--- a/packages/entry/src/server/calls/context.ts
+++ b/packages/entry/src/server/calls/context.ts
@@ -1,7 +1,7 @@
 /** What the handlers of callers' requests need. */
 import type { schema } from '@copperlever/configuration';
 import type * as journals from '@copperlever/coordination/journal/types';
-import type { clocks, logs, metrics as metricsModule } from '@copperlever/runtime';
+import type { clocks, daemonHolds, logs, metrics as metricsModule } from '@copperlever/runtime';
 
 import type * as calls from '../../types/calls.js';
 import type * as serving from '../requests/serve.js';
@@ -15,6 +15,7 @@
   configuration: () => { version: number; document: schema.Document } | null;
   nextRequestId: () => string;
   openCalls: { count: number };
+  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'bodies' | 'noteClosed'>;
 };
 
 const STARTING_RETRY_MS = 1_000;
--- a/packages/entry/src/server/calls/handlers.ts
+++ b/packages/entry/src/server/calls/handlers.ts
@@ -3,12 +3,14 @@
 import type * as fastify from 'fastify';
 
 import * as chatRequests from '../../shared/chat-requests.js';
+import * as bodyRooms from './body-rooms.js';
 import * as buildCalls from './build-call.js';
 import * as contexts from './context.js';
 import * as serveCalls from './serve-call.js';
 
 /** What a caller sent is repeated to it up to this length. */
 const MAX_ECHO_LENGTH = 200;
+const NO_ROOM_RETRY_MS = 1_000;
 
 export async function handleChat(
   deps: contexts.CallDeps,
@@ -68,9 +70,14 @@
 /** What fastify itself refuses: a body over the limit, or one that it cannot read. */
 export function handleError(
   deps: contexts.CallDeps,
-  error: { statusCode?: number; message: string },
+  error: { statusCode?: number; message: string; code?: string },
   reply: fastify.FastifyReply,
 ): fastify.FastifyReply {
+  if (error.code === bodyRooms.NO_ROOM) {
+    const retryAtMs = deps.clock.nowMs() + NO_ROOM_RETRY_MS;
+    const refused = contexts.refusal('no-room', error.message, retryAtMs);
+    return serveCalls.refuse(deps, reply, refused, deps.nextRequestId());
+  }
   const cause = error.statusCode === 413 ? 'body-too-large' : 'malformed-request';
   return serveCalls.refuse(
     deps,
--- a/packages/entry/src/server/calls/serve-call.ts
+++ b/packages/entry/src/server/calls/serve-call.ts
@@ -21,14 +21,18 @@
   reply: fastify.FastifyReply,
   call: calls.Call,
 ): Promise<calls.Outcome> {
-  const sink = sinks.createHeldSink();
-  const outcome = await deps.serve(call, sink, callerGoneSignal(reply.raw));
-  if (outcome.kind === 'answered') {
-    await answers.sendHeld(reply, sink.answer(), call.requestId, outcome.replayed);
-  } else {
-    await answers.sendRefusal(reply, outcome, call.requestId, deps.clock);
+  const sink = sinks.createHeldSink(deps.holds, call.requestId);
+  try {
+    const outcome = await deps.serve(call, sink, callerGoneSignal(reply.raw));
+    if (outcome.kind === 'answered') {
+      await answers.sendHeld(reply, sink.answer(), call.requestId, outcome.replayed);
+    } else {
+      await answers.sendRefusal(reply, outcome, call.requestId, deps.clock);
+    }
+    return outcome;
+  } finally {
+    sink.release();
   }
-  return outcome;
 }
 
 async function serveStreamed(
--- a/packages/entry/src/server/calls/sinks.ts
+++ b/packages/entry/src/server/calls/sinks.ts
@@ -1,6 +1,8 @@
 /** Where answers go: streamed to the caller as they come, or held until they are whole. */
 import type * as http from 'node:http';
 
+import type { daemonHolds } from '@copperlever/runtime';
+
 import type * as calls from '../../types/calls.js';
 
 /** Headers that belong to one connection, and those that this entry sets itself. */
@@ -20,7 +22,11 @@
   body: Buffer;
 };
 
-export type HeldSink = calls.AnswerSink & { answer: () => HeldAnswer };
+export type HeldSink = calls.AnswerSink & {
+  answer: () => HeldAnswer;
+  /** Gives its room back, once the caller has the answer. */
+  release: () => void;
+};
 
 export function passedHeaders(headers: readonly calls.HeaderPair[]): calls.HeaderPair[] {
   return headers.filter((header) => !DROPPED_HEADERS.has(header.name.toLowerCase()));
@@ -30,23 +36,55 @@
 const MAX_HELD_BYTES = 16 * 1024 * 1024;
 
 /** Holds the answer back until it is whole, so that a failure can still be told truthfully. */
-export function createHeldSink(): HeldSink {
+export function createHeldSink(
+  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'noteClosed'>,
+  requestId: string,
+): HeldSink {
   let status = 0;
   let headers: readonly calls.HeaderPair[] = [];
   let parts: Buffer[] = [];
+  let takenBytes = 0;
+
+  function release(): void {
+    holds.answers.give(takenBytes);
+    takenBytes = 0;
+  }
+
+  function refuse(sizeBytes: number, bound: 'each' | 'sum', boundBytes: number): void {
+    holds.noteClosed({ reader: 'held-answer', id: requestId, sizeBytes, bound, boundBytes });
+  }
+
   return {
     head: (headStatus, headHeaders) => {
       status = headStatus;
       headers = passedHeaders(headHeaders);
       parts = [];
+      release();
     },
     chunk: (data) => {
       parts.push(data);
       return Promise.resolve();
     },
     hasBegun: () => false,
-    limitBytes: MAX_HELD_BYTES,
-    answer: () => ({ status, headers, body: Buffer.concat(parts) }),
+    takeRoom: (bytes) => {
+      const sizeBytes = takenBytes + bytes;
+      if (sizeBytes > MAX_HELD_BYTES) {
+        refuse(sizeBytes, 'each', MAX_HELD_BYTES);
+        return 'too-large';
+      }
+      if (!holds.answers.take(bytes, takenBytes)) {
+        refuse(sizeBytes, 'sum', holds.answers.maxBytes);
+        return 'no-room';
+      }
+      takenBytes = sizeBytes;
+      return 'taken';
+    },
+    answer: () => {
+      const body = Buffer.concat(parts);
+      parts = [];
+      return { status, headers, body };
+    },
+    release,
   };
 }
 
--- a/packages/entry/src/server/health/unread-at-stop.test.ts
+++ b/packages/entry/src/server/health/unread-at-stop.test.ts
@@ -4,6 +4,7 @@
 
 import { clocks, logs, metrics } from '@copperlever/runtime';
 import * as eventLoop from '@copperlever/runtime/event-loop';
+import * as testHolds from '@copperlever/runtime/testing/daemon-holds';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -90,6 +91,7 @@
       configuration: () => null,
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
+      holds: testHolds.createTestHolds(),
     },
     { maxBodyBytes: 500, isStopping: () => isStopping },
   );
--- a/packages/entry/src/server/requests/attempt.test.ts
+++ b/packages/entry/src/server/requests/attempt.test.ts
@@ -16,14 +16,18 @@
   }
 }
 
-function createAttempt(open: () => AsyncIterable<links.LinkPart>, limitBytes?: number) {
+function createAttempt(open: () => AsyncIterable<links.LinkPart>, limitBytes = Infinity) {
   const rig = rigs.createRig();
   const kept: Buffer[] = [];
+  let heldBytes = 0;
   const sink: calls.AnswerSink = {
     head: () => {},
     chunk: async (data) => void kept.push(data),
     hasBegun: () => false,
-    limitBytes,
+    takeRoom: (bytes) => {
+      heldBytes += bytes;
+      return heldBytes > limitBytes ? 'too-large' : 'taken';
+    },
   };
   const directory = {
     find: () => [],
--- a/packages/entry/src/server/requests/attempt.ts
+++ b/packages/entry/src/server/requests/attempt.ts
@@ -13,6 +13,8 @@
   /** The agent says that it did not run. */
   | { kind: 'refused'; cause: string; retryAtMs: number; detail: string }
   | { kind: 'failed'; cause: string; detail: string; upstreamCrashed: boolean }
+  /** This entry could not hold the answer; the attempt has run. */
+  | { kind: 'no-room'; detail: string }
   /** The agent cannot be reached any more; the attempt may have started. */
   | { kind: 'lost'; detail: string; hadStarted: boolean }
   | { kind: 'deadline-passed'; hadStarted: boolean }
@@ -105,17 +107,23 @@
     startedAtMs: clock.nowMs(),
   };
   const watch = createCallerWatch(input.callerGone);
-  const limitBytes = input.sink.limitBytes ?? Infinity;
 
   async function takeData(offsetBytes: number, data: Buffer): Promise<AttemptResult | null> {
     // A frame of an earlier connection can arrive twice; only the next byte is ever passed on. A
     // body without its head would reach the caller without a status: it is asked for again.
     if (progress.status === 0 || offsetBytes !== progress.offsetBytes) return null;
-    progress.offsetBytes += data.length;
-    if (progress.offsetBytes > limitBytes) {
-      const detail = `the answer is longer than ${limitBytes} bytes`;
-      return { kind: 'failed', cause: 'answer-too-large', detail, upstreamCrashed: false };
+    const room = input.sink.takeRoom?.(data.length) ?? 'taken';
+    switch (room) {
+      case 'too-large': {
+        const detail = `the answer is longer than ${progress.offsetBytes} bytes`;
+        return { kind: 'failed', cause: 'answer-too-large', detail, upstreamCrashed: false };
+      }
+      case 'no-room':
+        return { kind: 'no-room', detail: 'this entry has no room for the answer now' };
+      case 'taken':
+        break;
     }
+    progress.offsetBytes += data.length;
     await input.sink.chunk(data);
     return null;
   }
--- a/packages/entry/src/server/requests/join.ts
+++ b/packages/entry/src/server/requests/join.ts
@@ -72,6 +72,9 @@
       deps.settlements.settle(held, { kind, cause }, () => {});
       return { kind: 'done', outcome: ending };
     }
+    // The first request's outcome is another entry's to tell, which may have room.
+    case 'no-room':
+      return unknown('in-progress', comeBackMs, result.detail);
     case 'lost': {
       const withdrawal = await withdrawals.withdraw(deps, first, false);
       if (withdrawal === 'did-not-run' && !run.sink.hasBegun()) return TAKE_OVER;
--- a/packages/entry/src/server/requests/once.ts
+++ b/packages/entry/src/server/requests/once.ts
@@ -128,7 +128,7 @@
       return sink.chunk(data);
     },
     hasBegun: sink.hasBegun,
-    limitBytes: sink.limitBytes,
+    takeRoom: sink.takeRoom,
     outcome: () => {
       if (sizeBytes > MAX_KEPT_BYTES) return { kind: 'finished-not-kept', status };
       const bodyBase64 = Buffer.concat(kept).toString('base64');
--- a/packages/entry/src/server/requests/serve-once.test.ts
+++ b/packages/entry/src/server/requests/serve-once.test.ts
@@ -190,4 +190,27 @@
   assert.is(second.outcome.kind === 'not-run' && second.outcome.cause, 'idempotency-key-reused');
 });
 
+// Guards against a submission that is told as failed, or not run, since the entry of its resend had no room for the answer.
+test('without room for its answer a submission is told as run, and a resend as in progress', async () => {
+  const rig = rigs.createRig({ agentCount: 1 });
+  scriptAll(rig, {
+    dispatch: () => [fakeAgents.started, 'hang'],
+    resume: () => fakeAgents.answer('lane 4'),
+    revoke: () => REVOKE_OUTCOME_STARTED,
+  });
+  const full = { ...rigs.createSink().sink, takeRoom: () => 'no-room' as const };
+  const first = rigs.createSink();
+  const firstDone = rig.createEntry('entry-1').serve(submission('r-1'), first.sink, never);
+  await rig.clock.advance(100);
+  const joined = rig.createEntry('entry-2').serve(submission('r-2'), full, never);
+  const told = await rigs.settle(rig, joined);
+  assert.is(told.kind === 'unknown' && told.cause, 'in-progress');
+  await rigs.settle(rig, firstDone);
+  assert.is(first.text(), 'lane 4');
+  scriptAll(rig, { dispatch: () => fakeAgents.answer('lane 5') });
+  const call = submission('r-3', { idempotencyKey: 'boat-8' });
+  const ran = await rigs.settle(rig, rig.createEntry('entry-3').serve(call, full, never));
+  assert.is(ran.kind === 'failed' && ran.cause, 'answer-too-large');
+});
+
 test.run();
--- a/packages/entry/src/server/requests/serve.ts
+++ b/packages/entry/src/server/requests/serve.ts
@@ -100,6 +100,12 @@
           endings.afterFailure(retries.factsOf(deps, run), result),
         );
       }
+      case 'no-room': {
+        await withdrawals.withdraw(deps, dispatch, !isOnce);
+        const failed = { cause: 'answer-too-large', detail: result.detail };
+        const { ending } = endings.afterFailure(retries.factsOf(deps, run), failed);
+        return retries.end(deps, run, ending);
+      }
       case 'lost': {
         const withdrawal = await withdrawals.withdraw(deps, dispatch, !isOnce);
         const verdict = endings.afterLoss(retries.factsOf(deps, run), result.detail, withdrawal);
--- a/packages/entry/src/shared/problems.ts
+++ b/packages/entry/src/shared/problems.ts
@@ -34,6 +34,7 @@
   'expired-waiting': 504,
   'config-behind': 503,
   starting: 503,
+  'no-room': 503,
   leaving: 503,
   'claim-store-unavailable': 503,
 };
--- a/packages/entry/src/types/calls.ts
+++ b/packages/entry/src/types/calls.ts
@@ -25,6 +25,9 @@
   fingerprint: string;
 };
 
+/** `no-room`: of what this process may hold in sum; the same answer may find room later. */
+export type Room = 'taken' | 'too-large' | 'no-room';
+
 /** Where the answer goes. Nothing has reached the caller before the first `chunk`. */
 export type AnswerSink = {
   head: (status: number, headers: readonly HeaderPair[]) => void;
@@ -32,8 +35,8 @@
   chunk: (data: Buffer) => Promise<void>;
   /** Whether the caller has received any of the answer. */
   hasBegun: () => boolean;
-  /** The longest body that it takes; undefined for one that passes everything on. */
-  limitBytes?: number;
+  /** Takes the room of bytes that it will hold; undefined for one that passes everything on. */
+  takeRoom?: (bytes: number) => Room;
 };
 
 /** Why a request did not run. */
@@ -43,6 +46,8 @@
   | 'unknown-service'
   | 'unknown-route'
   | 'body-too-large'
+  /** This entry holds as many bytes of bodies as it may. */
+  | 'no-room'
   | 'invalid-header'
   /** The deadline had passed when the request arrived. */
   | 'deadline-passed'
--- a/packages/entry/src/types/settings.ts
+++ b/packages/entry/src/types/settings.ts
@@ -23,6 +23,8 @@
   maxBodyBytes: zod.number().int().positive().default(4_000_000),
   /** How long an event of a request waits before it is written; short only in demos and tests. */
   journalFlushIntervalMs: zod.number().int().positive().default(30_000),
+  /** The memory that this process may use; without it that of the machine, 350 MB at most. */
+  memoryMb: zod.number().int().positive().optional(),
   /** How long a planned stop waits for requests in flight. */
   drainTimeoutMs: zod.number().int().positive().default(120_000),
 });
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -243,6 +243,7 @@
         configuration: parts.control.follower.current,
         nextRequestId: parts.ids.next,
         openCalls,
+        holds: parts.holds,
       },
       { maxBodyBytes: parts.settings.maxBodyBytes, isStopping: () => stopping.isStopping },
     );
