--- a/packages/proofs/src/processes/log-readers.test.ts
+++ b/packages/proofs/src/processes/log-readers.test.ts
@@ -9,7 +9,7 @@
 const test = suite('readers of the logs of entries and agents');
 
 async function withRig(output: rigs.Output, run: (rig: rigs.Rig) => Promise<void>): Promise<void> {
-  const rig = await rigs.startRig(output);
+  const rig = await rigs.startRig({ output });
   try {
     await rigs.untilServing(rig);
     await run(rig);
--- a/packages/proofs/src/processes/rig.ts
+++ b/packages/proofs/src/processes/rig.ts
@@ -109,10 +109,19 @@
   };
 }
 
-export async function startRig(output: Output = 'files') {
+export type RigOptions = {
+  output?: Output;
+  /** Settings of that daemon, beside the usual ones. */
+  settingsOf?: (daemonId: string) => object;
+  /** The URL under which the daemons know that stand-in. */
+  reroute?: (name: string, url: string) => Promise<string>;
+};
+
+export async function startRig(options: RigOptions = {}) {
+  const { output = 'files', settingsOf = () => ({}), reroute = async (_name, to) => to } = options;
   const fleet = createFleet(output);
   const platform = await fleet.startStandIn('stand-in-platform', 'platform');
-  const relay = await startRelay(platform.url);
+  const relay = await startRelay(await reroute('platform', platform.url));
   const engineOptions = ['--memory-bytes', String(40 * GIGABYTE), '--token-gap-ms', '40'];
   const engines = [
     await fleet.startStandIn('stand-in-engine-1', 'engine', engineOptions),
@@ -120,15 +129,20 @@
   ];
   const service = await fleet.startStandIn('stand-in-service', 'service', ['--work-ms', '1500']);
   const upstreamUrls: Record<string, string> = {
-    'jury-1': engines[0]?.url ?? '',
-    'jury-2': engines[1]?.url ?? '',
-    'desk-1': service.url,
+    'jury-1': await reroute('jury-1', engines[0]?.url ?? ''),
+    'jury-2': await reroute('jury-2', engines[1]?.url ?? ''),
+    'desk-1': await reroute('desk-1', service.url),
   };
   const seeds: string[] = [];
   const place = { ...PLACE, platformUrl: relay.url };
 
   async function startEntry(entryId: string) {
-    const entry = await fleet.startEntry({ ...place, entryId, seedAddresses: [...seeds] });
+    const entry = await fleet.startEntry({
+      ...place,
+      ...settingsOf(entryId),
+      entryId,
+      seedAddresses: [...seeds],
+    });
     seeds.push(entry.address);
     return entry;
   }
@@ -136,8 +150,14 @@
   async function startAgent(upstreamId: string): Promise<void> {
     const upstreamUrl = upstreamUrls[upstreamId] ?? '';
     const agentId = `agent-${upstreamId}`;
-    const settings = { ...place, agentId, upstreamId, upstreamUrl, seedAddresses: [...seeds] };
-    await fleet.startAgent(settings);
+    await fleet.startAgent({
+      ...place,
+      ...settingsOf(agentId),
+      agentId,
+      upstreamId,
+      upstreamUrl,
+      seedAddresses: [...seeds],
+    });
   }
 
   function signal(name: string, kind: NodeJS.Signals): void {
