--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -75,6 +75,7 @@
     nextRequestId: cradle.ids.next,
     openCalls,
     holds: cradle.holds,
+    calls: cradle.calls,
   };
   const app = callsApp.createCallerApp(callDeps, {
     maxBodyBytes: settings.maxBodyBytes,
@@ -141,6 +142,7 @@
 
 async function stop(sinceMs: number): Promise<void> {
   log.info('stopping', { openCallCount: openCalls.count });
+  cradle.calls.noteStopBegan(sinceMs);
   await drains.drain({
     clock,
     log,
@@ -153,6 +155,7 @@
     pendingClaimCount: cradle.settlements.pendingCount,
     timeoutMs: sinceMs + drainTimeoutMs - clock.nowMs(),
   });
+  cradle.calls.logCut();
   await tree.stop();
   log.info('stopped', {});
 }
--- a/packages/entry/src/server/calls/app.test.ts
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -9,6 +9,7 @@
 import * as assert from 'uvu/assert';
 
 import type * as calls from '../../types/calls.js';
+import * as openCalls from '../requests/open-calls.js';
 import type * as serving from '../requests/serve.js';
 import * as app from './app.js';
 
@@ -69,6 +70,7 @@
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
       holds,
+      calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
     },
     { maxBodyBytes: MAX_BODY_BYTES, isStopping: () => state.isStopping },
   );
--- a/packages/entry/src/server/calls/context.ts
+++ b/packages/entry/src/server/calls/context.ts
@@ -4,6 +4,7 @@
 import type { clocks, daemonHolds, logs, metrics as metricsModule } from '@copperlever/runtime';
 
 import type * as calls from '../../types/calls.js';
+import type * as openCallsModule from '../requests/open-calls.js';
 import type * as serving from '../requests/serve.js';
 
 export type CallDeps = {
@@ -16,6 +17,7 @@
   nextRequestId: () => string;
   openCalls: { count: number };
   holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'bodies' | 'noteClosed'>;
+  calls: openCallsModule.OpenCalls;
 };
 
 const STARTING_RETRY_MS = 1_000;
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -244,6 +244,7 @@
         nextRequestId: parts.ids.next,
         openCalls,
         holds: parts.holds,
+        calls: parts.calls,
       },
       { maxBodyBytes: parts.settings.maxBodyBytes, isStopping: () => stopping.isStopping },
     );
