Long answers wait for room instead of being closed for each other

Cause: each long answer held what the others wanted, at agent and entry, and what found no room was closed at once. Change: an answer takes its room as it grows up to 1 MiB, beyond that at once the room of the longest one (16 MB, or 0.8 of the sum), so that as many go on as can end; the others wait up to 5 s, and their upstream or agent is read no further meanwhile.

--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -10,7 +10,7 @@
 import type * as answers from '../../types/answers.js';
 import type * as causes from '../../types/causes.js';
 import type * as copies from '../copies/types.js';
-import type * as runsModule from './runs.js';
+import * as runsModule from './runs.js';
 import type * as types from './types.js';
 
 /** How long a finished answer is kept for a reader that lost its connection. */
@@ -77,7 +77,11 @@
 export function createAttempts(deps: AttemptsDeps): Attempts {
   const { clock, queue, copies: copyHolder, journal } = deps;
   const attempts = new Map<string, types.Attempt>();
-  const rooms = answerRooms.createAnswerRooms(deps.holds.answers);
+  const rooms = answerRooms.createAnswerRooms(
+    deps.clock,
+    deps.holds.answers,
+    runsModule.MAX_ANSWER_BYTES,
+  );
   let isLeaving = false;
 
   function record(
--- a/packages/agent/src/server/dispatch/runs.ts
+++ b/packages/agent/src/server/dispatch/runs.ts
@@ -138,8 +138,9 @@
     progress.chunkCount += 1;
     const sizeBytes = log.sizeBytes() + data.length;
     if (sizeBytes > MAX_ANSWER_BYTES) return closeTooLong(attempt, sizeBytes, 'each');
-    if (!attempt.room.take(data.length + PART_OVERHEAD_BYTES)) {
-      return closeTooLong(attempt, sizeBytes, 'sum');
+    if (!(await attempt.room.take(data.length + PART_OVERHEAD_BYTES, abort.signal))) {
+      if (!abort.signal.aborted) return closeTooLong(attempt, sizeBytes, 'sum');
+      return failed(abort.signal.reason as types.AbortCause, 'while it waited for room');
     }
     log.append({ kind: 'chunk', offsetBytes: log.sizeBytes(), data });
     // Its outcome has to get known even if nobody reads, so it never waits for a reader.
--- a/packages/agent/src/shared/answer-rooms.ts
+++ b/packages/agent/src/shared/answer-rooms.ts
@@ -3,6 +3,8 @@
  * again only while no open one needs its room: those that were read whole go first, the oldest first.
  */
 import type * as byteBudgets from '@copperlever/runtime/byte-budget';
+import type { clocks } from '@copperlever/runtime';
+import * as reservations from '@copperlever/runtime/reservations';
 
 export type Holder = {
   /** Whether a reader was handed everything. */
@@ -13,8 +15,8 @@
 };
 
 export type AnswerRoom = {
-  /** False, and nothing taken, if there is no room. */
-  take: (bytes: number) => boolean;
+  /** Waits for room a while; false, and nothing taken, if there is none. */
+  take: reservations.Reservation['take'];
   /** The answer has ended: it may be discarded from now on. */
   finish: () => void;
   release: () => void;
@@ -27,7 +29,11 @@
 /** At least so much is freed of what was read whole, so that not each part looks through all answers. */
 const FREED_BYTES_MIN = 1024 * 1024;
 
-export function createAnswerRooms(budget: byteBudgets.ByteBudget): AnswerRooms {
+export function createAnswerRooms(
+  clock: clocks.Clock,
+  budget: byteBudgets.ByteBudget,
+  bytesMax: number,
+): AnswerRooms {
   /** In the order of their ends. */
   const finished = new Set<Finished>();
 
@@ -48,21 +54,24 @@
   return {
     maxBytes: budget.maxBytes,
     open: (holder) => {
-      let takenBytes = 0;
-      const self = { holder, heldBytes: () => takenBytes };
+      const { take, usedBytes, trim, release } = reservations.createReservation({
+        clock,
+        take: (bytes, heldBytes) =>
+          budget.take(bytes, heldBytes) || takeByDiscarding(bytes, heldBytes),
+        give: budget.give,
+        bytesMax,
+        sumBytesMax: budget.maxBytes,
+      });
+      const self = { holder, heldBytes: usedBytes };
       return {
-        take: (bytes) => {
-          const hasTaken = budget.take(bytes, takenBytes) || takeByDiscarding(bytes, takenBytes);
-          if (hasTaken) takenBytes += bytes;
-          return hasTaken;
-        },
+        take,
         finish: () => {
-          if (takenBytes > 0) finished.add(self);
+          trim();
+          if (usedBytes() > 0) finished.add(self);
         },
         release: () => {
           finished.delete(self);
-          budget.give(takenBytes);
-          takenBytes = 0;
+          release();
         },
       };
     },
--- a/packages/entry/src/server/calls/serve-call.ts
+++ b/packages/entry/src/server/calls/serve-call.ts
@@ -21,7 +21,7 @@
   reply: fastify.FastifyReply,
   call: calls.Call,
 ): Promise<calls.Outcome> {
-  const sink = sinks.createHeldSink(deps.holds, call.requestId);
+  const sink = sinks.createHeldSink(deps.holds, call.requestId, deps.clock);
   try {
     const outcome = await deps.serve(call, sink, callerGoneSignal(reply.raw));
     if (outcome.kind === 'answered') {
--- a/packages/entry/src/server/calls/sinks.ts
+++ b/packages/entry/src/server/calls/sinks.ts
@@ -1,7 +1,8 @@
 /** Where answers go: streamed to the caller as they come, or held until they are whole. */
 import type * as http from 'node:http';
 
-import type { daemonHolds } from '@copperlever/runtime';
+import type { clocks, daemonHolds } from '@copperlever/runtime';
+import * as reservations from '@copperlever/runtime/reservations';
 
 import type * as calls from '../../types/calls.js';
 
@@ -39,16 +40,19 @@
 export function createHeldSink(
   holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'noteClosed'>,
   requestId: string,
+  clock: clocks.Clock,
 ): HeldSink {
   let status = 0;
   let headers: readonly calls.HeaderPair[] = [];
   let parts: Buffer[] = [];
-  let takenBytes = 0;
-
-  function release(): void {
-    holds.answers.give(takenBytes);
-    takenBytes = 0;
-  }
+  const { take, give, maxBytes: sumBytesMax } = holds.answers;
+  const room = reservations.createReservation({
+    clock,
+    take,
+    give,
+    bytesMax: MAX_HELD_BYTES,
+    sumBytesMax,
+  });
 
   function refuse(sizeBytes: number, bound: 'each' | 'sum', boundBytes: number): void {
     holds.noteClosed({ reader: 'held-answer', id: requestId, sizeBytes, bound, boundBytes });
@@ -59,32 +63,30 @@
       status = headStatus;
       headers = passedHeaders(headHeaders);
       parts = [];
-      release();
+      room.release();
     },
     chunk: (data) => {
       parts.push(data);
       return Promise.resolve();
     },
     hasBegun: () => false,
-    takeRoom: (bytes) => {
-      const sizeBytes = takenBytes + bytes;
+    takeRoom: async (bytes) => {
+      const sizeBytes = room.usedBytes() + bytes;
       if (sizeBytes > MAX_HELD_BYTES) {
         refuse(sizeBytes, 'each', MAX_HELD_BYTES);
         return 'too-large';
       }
-      if (!holds.answers.take(bytes, takenBytes)) {
-        refuse(sizeBytes, 'sum', holds.answers.maxBytes);
-        return 'no-room';
-      }
-      takenBytes = sizeBytes;
-      return 'taken';
+      if (await room.take(bytes)) return 'taken';
+      refuse(sizeBytes, 'sum', sumBytesMax);
+      return 'no-room';
     },
     answer: () => {
+      room.trim();
       const body = Buffer.concat(parts);
       parts = [];
       return { status, headers, body };
     },
-    release,
+    release: room.release,
   };
 }
 
--- a/packages/entry/src/server/requests/attempt.ts
+++ b/packages/entry/src/server/requests/attempt.ts
@@ -113,7 +113,7 @@
     // A frame of an earlier connection can arrive twice; only the next byte is ever passed on. A
     // body without its head would reach the caller without a status: it is asked for again.
     if (progress.status === 0 || offsetBytes !== progress.offsetBytes) return null;
-    const room = input.sink.takeRoom?.(data.length) ?? 'taken';
+    const room = (await input.sink.takeRoom?.(data.length)) ?? 'taken';
     switch (room) {
       case 'too-large': {
         const detail = `the answer is longer than ${progress.offsetBytes} bytes`;
