--- a/packages/entry/src/server/calls/app.ts
+++ b/packages/entry/src/server/calls/app.ts
@@ -5,6 +5,7 @@
 import type * as contexts from './context.js';
 import * as handlers from './handlers.js';
 import * as services from './services.js';
+import * as unreadBodies from './unread-bodies.js';
 
 export type CallerAppOptions = { maxBodyBytes: number; isStopping: () => boolean };
 
@@ -43,6 +44,7 @@
   app.addHook('onRequest', askForClose);
   app.addHook('onSend', askForClose);
   bodyRooms.registerBodyRooms(app, deps, options.maxBodyBytes);
+  unreadBodies.refuseUnreadBodies(app, deps);
   registerCalls(app, deps);
   return app;
 }
--- a/packages/entry/src/server/calls/context.ts
+++ b/packages/entry/src/server/calls/context.ts
@@ -5,6 +5,7 @@
 
 import type * as calls from '../../types/calls.js';
 import type * as openCallsModule from '../requests/open-calls.js';
+import type * as plannedStops from '../requests/planned-stop.js';
 import type * as serving from '../requests/serve.js';
 
 export type CallDeps = {
@@ -18,6 +19,7 @@
   openCalls: { count: number };
   holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'bodies' | 'noteClosed'>;
   calls: openCallsModule.OpenCalls;
+  stop: plannedStops.PlannedStop;
 };
 
 const STARTING_RETRY_MS = 1_000;
--- a/packages/entry/src/server/health/unread-at-stop.test.ts
+++ b/packages/entry/src/server/health/unread-at-stop.test.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises';
 import * as workerThreads from 'node:worker_threads';
 
+import { longestTimes } from '@copperlever/decisions';
 import { clocks, logs, metrics } from '@copperlever/runtime';
 import * as eventLoop from '@copperlever/runtime/event-loop';
 import * as testHolds from '@copperlever/runtime/testing/daemon-holds';
@@ -10,6 +11,7 @@
 
 import * as app from '../calls/app.js';
 import * as openCalls from '../requests/open-calls.js';
+import * as plannedStops from '../requests/planned-stop.js';
 import * as callerConnections from './caller-connections.js';
 import * as drains from './drain.js';
 
@@ -94,6 +96,7 @@
       openCalls: { count: 0 },
       holds: testHolds.createTestHolds(),
       calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
+      stop: plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes()),
     },
     { maxBodyBytes: 500, isStopping: () => isStopping },
   );
--- a/packages/entry/src/server/requests/attempt.test.ts
+++ b/packages/entry/src/server/requests/attempt.test.ts
@@ -50,6 +50,7 @@
     deadlineMs: 60_000,
     sink,
     callerGone: new AbortController().signal,
+    stop: attempts.NO_STOP,
     open,
   };
   const run = () => rigs.settle(rig, attempts.runAttempt(deps, input));
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -245,6 +245,7 @@
         openCalls,
         holds: parts.holds,
         calls: parts.calls,
+        stop: parts.stop,
       },
       { maxBodyBytes: parts.settings.maxBodyBytes, isStopping: () => stopping.isStopping },
     );
--- a/packages/proofs/src/processes/endless-answers.test.ts
+++ b/packages/proofs/src/processes/endless-answers.test.ts
@@ -117,16 +117,20 @@
 };
 
 test.before(async () => {
-  rig = await rigs.startRig({
-    settingsOf: (daemonId) => ({ memoryMb: memoryMbOf(daemonId) }),
-    reroute: async (name, url) => {
-      const proxy = await endless.startEndlessProxy(url);
-      proxies.set(name, proxy);
-      // Orders come with the first configuration.
-      if (name === 'jury-1') proxy.play = ORDERS;
-      return proxy.url;
+  rig = await rigs.startRig(
+    'files',
+    {},
+    {
+      settingsOf: (daemonId) => ({ memoryMb: memoryMbOf(daemonId) }),
+      reroute: async (name, url) => {
+        const proxy = await endless.startEndlessProxy(url);
+        proxies.set(name, proxy);
+        // Orders come with the first configuration.
+        if (name === 'jury-1') proxy.play = ORDERS;
+        return proxy.url;
+      },
     },
-  });
+  );
 });
 
 test.after(async () => {
--- a/packages/proofs/src/processes/rig.ts
+++ b/packages/proofs/src/processes/rig.ts
@@ -109,16 +109,19 @@
   };
 }
 
-export type RigOptions = {
-  output?: Output;
+export type RigChanges = {
   /** Settings of that daemon, beside the usual ones. */
   settingsOf?: (daemonId: string) => object;
   /** The URL under which the daemons know that stand-in. */
   reroute?: (name: string, url: string) => Promise<string>;
 };
 
-export async function startRig(options: RigOptions = {}) {
-  const { output = 'files', settingsOf = () => ({}), reroute = async (_name, to) => to } = options;
+/** `settings`: of all entries and agents. */
+export async function startRig(
+  output: Output = 'files',
+  settings: object = {},
+  { settingsOf = () => ({}), reroute = async (_name, to) => to }: RigChanges = {},
+) {
   const fleet = createFleet(output);
   const platform = await fleet.startStandIn('stand-in-platform', 'platform');
   const relay = await startRelay(await reroute('platform', platform.url));
@@ -134,7 +137,7 @@
     'desk-1': await reroute('desk-1', service.url),
   };
   const seeds: string[] = [];
-  const place = { ...PLACE, platformUrl: relay.url };
+  const place = { ...PLACE, ...settings, platformUrl: relay.url };
 
   async function startEntry(entryId: string) {
     const entry = await fleet.startEntry({
