--- a/packages/entry/src/server/calls/context.ts
+++ b/packages/entry/src/server/calls/context.ts
@@ -1,7 +1,7 @@
 /** What the handlers of callers' requests need. */
 import type { schema } from '@copperlever/configuration';
 import type * as journals from '@copperlever/coordination/journal/types';
-import type { clocks, logs, metrics as metricsModule } from '@copperlever/runtime';
+import type { clocks, daemonHolds, logs, metrics as metricsModule } from '@copperlever/runtime';
 
 import type * as calls from '../../types/calls.js';
 import type * as openCallsModule from '../requests/open-calls.js';
@@ -17,6 +17,7 @@
   configuration: () => { version: number; document: schema.Document } | null;
   nextRequestId: () => string;
   openCalls: { count: number };
+  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'bodies' | 'noteClosed'>;
   calls: openCallsModule.OpenCalls;
   stop: plannedStops.PlannedStop;
 };
--- a/packages/entry/src/server/health/unread-at-stop.test.ts
+++ b/packages/entry/src/server/health/unread-at-stop.test.ts
@@ -5,6 +5,7 @@
 import { longestTimes } from '@copperlever/decisions';
 import { clocks, logs, metrics } from '@copperlever/runtime';
 import * as eventLoop from '@copperlever/runtime/event-loop';
+import * as testHolds from '@copperlever/runtime/testing/daemon-holds';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -93,6 +94,7 @@
       configuration: () => null,
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
+      holds: testHolds.createTestHolds(),
       calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
       stop: plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes()),
     },
