Starts: half-written settings are waited for without shared memory; a build keeps the folder that was in use

Cause: the wait between two readings of the settings blocked the thread by shared memory, which the operators' machines don't have; a build removed the folder that the program had pointed to until then if it was older than a minute, while a gateway might be about to read it. Change: settings are read asynchronously at a start; the folder in use before counts as old from the moment it is replaced.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -32,7 +32,7 @@
 const ENGINE_REPORT_TIMEOUT_MS = 2_000;
 
 const processEnd = processFaults.watchProcess('copperlever-agent');
-const settingsFile = daemon.readSettings(
+const settingsFile = await daemon.readSettings(
   { name: 'copperlever-agent', description: 'Gives one upstream its work and its orders' },
   settingsModule.settingsSchema,
 );
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -27,7 +27,7 @@
 const LAST_BATCH_MS = 5_000;
 
 const processEnd = processFaults.watchProcess('copperlever-entry');
-const settingsFile = daemon.readSettings(
+const settingsFile = await daemon.readSettings(
   { name: 'copperlever-entry', description: 'Takes calls, routes them and answers' },
   settingsModule.settingsSchema,
 );
--- a/packages/runtime/src/daemon.ts
+++ b/packages/runtime/src/daemon.ts
@@ -28,11 +28,11 @@
  * Reads and checks the settings file given by `--settings FILE`; with `--check` the process then exits. Invalid settings
  * end the process with status 2 and one line for each error (file, line, field, reason), once they have stayed so for a moment.
  */
-export function readSettings<Settings>(
+export async function readSettings<Settings>(
   command: DaemonCommand,
   schema: zod.ZodType<Settings>,
   argv: readonly string[] = process.argv,
-): SettingsFile<Settings> {
+): Promise<SettingsFile<Settings>> {
   const settingsOption = new commander.Option(
     '--settings <file>',
     'settings file: JSON with comments',
@@ -48,7 +48,7 @@
     .parse([...argv]);
   const options = program.opts<Options>();
   const read = () => settingsModule.loadSettings(options.settings, schema);
-  const loaded = settingsModule.loadWrittenSettings(options.settings, schema);
+  const loaded = await settingsModule.loadWrittenSettings(options.settings, schema);
   if (loaded.err) {
     const lines = loaded.val.map(settingsModule.describeError);
     process.stderr.write(`${lines.join('\n')}\n`);
--- a/packages/runtime/src/settings.test.ts
+++ b/packages/runtime/src/settings.test.ts
@@ -46,19 +46,19 @@
 });
 
 // Guards against a start that ends since its settings are being written while it reads them.
-test('a file that is half written is read again, and an error that stays is told', () => {
+test('a file that is half written is read again, and an error that stays is told', async () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'copperlever-settings-'));
   const file = path.join(folder, 'entry.json');
   let waits = 0;
   fs.writeFileSync(file, '{ "entryId": "en');
-  const written = settings.loadWrittenSettings(file, schema, () => {
+  const written = await settings.loadWrittenSettings(file, schema, async () => {
     waits += 1;
     if (waits === 3) fs.appendFileSync(file, 'try-1" }');
   });
   assert.equal(written.unwrap(), { entryId: 'entry-1' });
   assert.is(waits, 3);
   fs.writeFileSync(file, '{}');
-  const wrong = settings.loadWrittenSettings(file, schema, () => {});
+  const wrong = await settings.loadWrittenSettings(file, schema, async () => {});
   assert.ok(wrong.err && wrong.val[0]?.field === 'entryId');
   fs.rmSync(folder, { recursive: true });
 });
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -1,5 +1,6 @@
 /** Reads settings files: JSON with comments, validated against a schema. */
 import * as fs from 'node:fs';
+import * as timers from 'node:timers/promises';
 
 import * as jsonc from 'jsonc-parser';
 import type * as zod from 'zod';
@@ -95,20 +96,15 @@
   return parseSettings(file, text, schema);
 }
 
-/** Blocks the thread: at a start there is nothing else to do. */
-function block(forMs: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, forMs);
-}
-
 /** The same at a start, beside which the file may still be written: half of it is no settings. */
-export function loadWrittenSettings<Settings>(
+export async function loadWrittenSettings<Settings>(
   file: string,
   schema: zod.ZodType<Settings>,
-  wait: (forMs: number) => void = block,
-): results.Result<Settings, SettingsError[]> {
+  wait: (forMs: number) => Promise<unknown> = timers.setTimeout,
+): Promise<results.Result<Settings, SettingsError[]>> {
   let loaded = loadSettings(file, schema);
   for (let attempt = 1; loaded.err && attempt < READ_ATTEMPTS; attempt += 1) {
-    wait(READ_INTERVAL_MS);
+    await wait(READ_INTERVAL_MS);
     loaded = loadSettings(file, schema);
   }
   return loaded;
--- a/scripts/build-deploy.mjs
+++ b/scripts/build-deploy.mjs
@@ -22,8 +22,17 @@
 await fs.mkdir(TARGET, { recursive: true });
 const folder = await fs.mkdtemp(path.join(TARGET, 'build-'));
 
-/** Replaces the program in one step. */
+/** The folder that the program is pointed to; null before the first build. */
+async function readPointed() {
+  const text = await fs.readFile(path.join(TARGET, PROGRAM), 'utf8').catch(() => '');
+  return /\.\/(build-[^/]+)\//.exec(text)?.[1] ?? null;
+}
+
+/** Replaces the program in one step. The folder before counts as old from now on: a gateway may be about to read it. */
 async function pointProgram() {
+  const before = await readPointed();
+  const now = new Date();
+  if (before !== null) await fs.utimes(path.join(TARGET, before), now, now).catch(() => {});
   const text = `require('./${path.basename(folder)}/${START}').run();\n`;
   const written = path.join(folder, PROGRAM);
   await fs.writeFile(written, text);
