--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -1,15 +1,17 @@
 /** The attempts at this agent: from dispatch to the end of the answer. */
 import type * as journals from '@copperlever/coordination/journal/types';
-import type { queues, types as work } from '@copperlever/decisions';
+import { longestTimes, type queues, type types as work } from '@copperlever/decisions';
 import { agent } from '@copperlever/protocol';
-import type { clocks, logs, metrics } from '@copperlever/runtime';
+import type { clocks, daemonHolds, logs, metrics } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
 
 import * as answerLogs from '../../shared/answer-log.js';
+import * as answerRooms from '../../shared/answer-rooms.js';
 import type * as revocations from '../../shared/revocations.js';
 import type * as answers from '../../types/answers.js';
 import type * as causes from '../../types/causes.js';
 import type * as copies from '../copies/types.js';
-import type * as runsModule from './runs.js';
+import * as runsModule from './runs.js';
 import type * as types from './types.js';
 
 /** How long a finished answer is kept for a reader that lost its connection. */
@@ -21,6 +23,8 @@
 /** An entry that lives reads, or resumes within a few seconds; after this it is taken for dead. */
 const UNREAD_LIMIT_MS = 15_000;
 
+const EMPTY_BODY = Buffer.alloc(0);
+
 export type AttemptsDeps = {
   clock: clocks.Clock;
   log: logs.Logger;
@@ -30,6 +34,7 @@
   runs: runsModule.Runs;
   revocations: revocations.Revocations;
   copies: copies.Copies;
+  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'bodies' | 'noteClosed'>;
   incarnation: number;
   /** The newest configuration version in force here. */
   configVersion: () => number;
@@ -45,6 +50,8 @@
   load: () => agent.AgentLoad;
   /** Refuses new work from now on. */
   leave: () => void;
+  /** To be called again and again in a drain: refuses what waits and can't be over in it, and ends what still runs at its end. */
+  stopBy: (times: stopTimes.DrainTimes) => void;
   /** Attempts that are not closed, and answers that their entries have not read whole yet. */
   openCount: () => number;
 };
@@ -73,7 +80,14 @@
 export function createAttempts(deps: AttemptsDeps): Attempts {
   const { clock, queue, copies: copyHolder, journal } = deps;
   const attempts = new Map<string, types.Attempt>();
+  const durations = longestTimes.createLongestTimes();
+  const rooms = answerRooms.createAnswerRooms(
+    deps.clock,
+    deps.holds.answers,
+    runsModule.MAX_ANSWER_BYTES,
+  );
   let isLeaving = false;
+  let stopping: stopTimes.DrainTimes | null = null;
 
   function record(
     attempt: types.Attempt,
@@ -95,6 +109,7 @@
     if (!didRun) deps.revocations.revoke(dispatchId, clock.nowMs());
     else deps.revocations.noteRan(dispatchId, clock.nowMs());
     stopTimers(attempt);
+    attempt.room.release();
     attempts.delete(dispatchId);
   }
 
@@ -127,6 +142,19 @@
     deps.log.warn('attempt-failed', { requestId, cause, upstreamCrashed, fingerprint });
   }
 
+  /** The request's body is not needed any more, nor are the bytes of an answer that is none. */
+  function releaseBytes(attempt: types.Attempt, part: answers.ClosingPart): void {
+    deps.holds.bodies.give(attempt.bodyBytes);
+    attempt.bodyBytes = 0;
+    attempt.request = { ...attempt.request, body: EMPTY_BODY };
+    if (part.kind === 'end') {
+      attempt.room.finish();
+      return;
+    }
+    attempt.log.discard();
+    attempt.room.release();
+  }
+
   function close(attempt: types.Attempt, part: answers.ClosingPart): void {
     if (attempt.state === 'closed') return;
     attempt.state = 'closed';
@@ -135,6 +163,7 @@
     attempt.release();
     attempt.log.append(part);
     recordClosing(attempt, part);
+    releaseBytes(attempt, part);
     schedule(attempt, clock.nowMs() + KEEP_FINISHED_MS, () => forget(attempt.request.dispatchId));
   }
 
@@ -167,8 +196,61 @@
     return request.configVersion > deps.configVersion() ? 'config-behind' : 'unknown-target';
   }
 
+  function mayBegin(attempt: types.Attempt): boolean {
+    const longestMs = durations.longestMs(attempt.request.target);
+    return stopTimes.mayBegin(stopping, clock.nowMs(), {
+      deadlineMs: attempt.deadlineMs,
+      longestMs,
+    });
+  }
+
+  function logAtStop(attempt: types.Attempt, outcome: 'refused' | 'ended'): void {
+    const stopAtMs = stopping?.stopAtMs ?? 0;
+    const { request, deadlineMs, startedAtMs } = attempt;
+    deps.log.info('attempt-at-stop', {
+      requestId: request.requestId,
+      dispatchId: request.dispatchId,
+      outcome,
+      arrivedSinceStopMs: Math.round(deadlineMs - request.remainingMs - stopAtMs),
+      startedSinceStopMs: startedAtMs === null ? null : Math.round(startedAtMs - stopAtMs),
+      sinceStopMs: Math.round(clock.nowMs() - stopAtMs),
+    });
+  }
+
+  function refuseAtStop(attempt: types.Attempt): void {
+    logAtStop(attempt, 'refused');
+    refuse(attempt, 'leaving', clock.nowMs() + DEFAULT_RETRY_MS, 'it would not be over in time');
+  }
+
+  /** What is non-idempotent goes on at the upstream, which may finish it. */
+  function endAtStop(attempt: types.Attempt): void {
+    logAtStop(attempt, 'ended');
+    const detail = 'the agent stopped before the answer was whole';
+    close(attempt, { kind: 'failed', cause: 'agent-stopping', detail, upstreamCrashed: false });
+    if (!attempt.request.nonIdempotent) attempt.abort.abort('cancelled');
+  }
+
+  function lookAtStop(attempt: types.Attempt, times: stopTimes.DrainTimes): void {
+    switch (attempt.state) {
+      case 'waiting-for-copy':
+      case 'queued':
+        if (mayBegin(attempt)) return;
+        queue.withdraw(attempt.request.dispatchId);
+        refuseAtStop(attempt);
+        break;
+      case 'running':
+        if (clock.nowMs() >= times.lastAnswersMs) endAtStop(attempt);
+        break;
+      case 'closed':
+    }
+  }
+
   async function run(attempt: types.Attempt): Promise<void> {
-    close(attempt, await deps.runs.run(attempt));
+    const closing = await deps.runs.run(attempt);
+    if (closing.kind === 'end') {
+      durations.observe(attempt.request.target, clock.nowMs() - (attempt.startedAtMs ?? 0));
+    }
+    close(attempt, closing);
     queue.finish(attempt.request.dispatchId, clock.nowMs());
     startWaiting();
   }
@@ -191,8 +273,12 @@
     }
     for (let item = queue.startNext(nowMs); item !== null; item = queue.startNext(nowMs)) {
       const attempt = attempts.get(item.id);
-      if (attempt?.state === 'queued') start(attempt);
-      else queue.finish(item.id, nowMs);
+      if (attempt?.state === 'queued' && mayBegin(attempt)) {
+        start(attempt);
+      } else {
+        queue.finish(item.id, nowMs);
+        if (attempt?.state === 'queued') refuseAtStop(attempt);
+      }
     }
   }
 
@@ -260,6 +346,19 @@
     return !attempt.log.isReadWhole() && sinceMs < UNREAD_LIMIT_MS;
   }
 
+  function takeBodyRoom(attempt: types.Attempt): boolean {
+    const { bodies } = deps.holds;
+    const { body, requestId: id } = attempt.request;
+    if (bodies.take(body.length, 0)) {
+      attempt.bodyBytes = body.length;
+      return true;
+    }
+    const sizeBytes = body.length;
+    const boundBytes = bodies.maxBytes;
+    deps.holds.noteClosed({ reader: 'request-body', id, sizeBytes, bound: 'sum', boundBytes });
+    return false;
+  }
+
   function begin(attempt: types.Attempt): void {
     const obstacle = findObstacle(attempt.request);
     if (obstacle !== null) {
@@ -267,6 +366,10 @@
       return;
     }
     deps.onDemand?.(toWorkItem(attempt, clock.nowMs()));
+    if (!takeBodyRoom(attempt)) {
+      refuse(attempt, 'queue-full', clock.nowMs() + DEFAULT_RETRY_MS);
+      return;
+    }
     if (copyHolder.isReady(attempt.request.target)) {
       enqueue(attempt);
       return;
@@ -281,11 +384,14 @@
   function dispatch(request: agent.DispatchRequest): answerLogs.AnswerLog {
     const known = attempts.get(request.dispatchId);
     if (known !== undefined) return known.log;
+    const log = answerLogs.createAnswerLog((readerCount) => noteReaders(attempt, readerCount));
     const attempt: types.Attempt = {
       request,
       state: 'waiting-for-copy',
       deadlineMs: clock.nowMs() + request.remainingMs,
-      log: answerLogs.createAnswerLog((readerCount) => noteReaders(attempt, readerCount)),
+      log,
+      room: rooms.open({ ...log, discard: () => forget(request.dispatchId) }),
+      bodyBytes: 0,
       abort: new AbortController(),
       startedAtMs: null,
       closedAtMs: null,
@@ -354,6 +460,10 @@
     leave: () => {
       isLeaving = true;
     },
+    stopBy: (times) => {
+      stopping = times;
+      attempts.forEach((attempt) => lookAtStop(attempt, times));
+    },
     openCount: () => [...attempts.values()].filter(isAwaited).length,
   };
 }
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -11,9 +11,11 @@
   requestIds,
   resilientStore,
 } from '@copperlever/coordination';
+import { longestTimes } from '@copperlever/decisions';
 import { attributes } from '@copperlever/protocol';
 import {
   clocks,
+  daemonHolds,
   logs,
   logSinks,
   metrics as metricsModule,
@@ -24,6 +26,7 @@
 
 import * as grpcLink from './server/links/grpc-link.js';
 import * as openCalls from './server/requests/open-calls.js';
+import * as plannedStops from './server/requests/planned-stop.js';
 import * as settlementsModule from './server/requests/settlements.js';
 import * as serving from './server/requests/serve.js';
 import * as directories from './shared/agent-directory.js';
@@ -45,6 +48,7 @@
   logSink: logSinks.LogSink;
   log: logs.LeveledLogger;
   metrics: metricsModule.Metrics;
+  holds: daemonHolds.DaemonHolds;
   rawStore: httpStore.HttpObjectStore;
   store: ReturnType<typeof resilientStore.createResilientStore>;
   transport: grpcTransport.GrpcTransport;
@@ -57,6 +61,7 @@
   suspects: suspectsModule.Suspects;
   retryBudget: retryBudgets.RetryBudget;
   calls: openCalls.OpenCalls;
+  stop: plannedStops.PlannedStop;
   serve: serving.Serve;
   ids: ReturnType<typeof requestIds.createRequestIds>;
 };
@@ -107,6 +112,7 @@
     settlements: parts.settlements,
     suspects: parts.suspects,
     calls: parts.calls,
+    stop: parts.stop,
     retryBudget: parts.retryBudget,
     reportUnreachable: parts.control.membership.reportUnreachable,
     configuration: parts.control.follower.current,
@@ -138,9 +144,19 @@
       )
       .singleton(),
     metrics: awilix.asFunction(createMetrics).singleton(),
+    holds: awilix
+      .asFunction(({ log, metrics }: EntryParts) =>
+        daemonHolds.createDaemonHolds({
+          daemonKind: 'entry',
+          memoryMb: settings.memoryMb,
+          log,
+          metrics,
+        }),
+      )
+      .singleton(),
     rawStore: awilix
-      .asFunction(({ clock }: EntryParts) =>
-        httpStore.createHttpObjectStore({ baseUrl: settings.platformUrl, clock }),
+      .asFunction(({ clock, holds }: EntryParts) =>
+        httpStore.createHttpObjectStore({ baseUrl: settings.platformUrl, clock, reads: holds }),
       )
       .singleton(),
     store: awilix
@@ -158,9 +174,10 @@
       .singleton(),
     control: awilix.asFunction(createControl).singleton(),
     journal: awilix
-      .asFunction(({ store, clock, random }: EntryParts) =>
+      .asFunction(({ store, clock, random, log }: EntryParts) =>
         journals.createJournal({
           store,
+          log,
           clock,
           random,
           incarnation,
@@ -199,6 +216,11 @@
     calls: awilix
       .asFunction(({ clock, log }: EntryParts) => openCalls.createOpenCalls(clock, log))
       .singleton(),
+    stop: awilix
+      .asFunction(({ clock }: EntryParts) =>
+        plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes()),
+      )
+      .singleton(),
     serve: awilix.asFunction(createServe).singleton(),
     ids: awilix
       .asFunction(({ clock }: EntryParts) =>
--- a/packages/entry/src/server/calls/app.test.ts
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -1,5 +1,11 @@
+import * as net from 'node:net';
+import * as streamConsumers from 'node:stream/consumers';
+
+import { longestTimes } from '@copperlever/decisions';
 import { schema } from '@copperlever/configuration';
 import { logs, metrics } from '@copperlever/runtime';
+import * as stopTimes from '@copperlever/runtime/stop-times';
+import * as testHolds from '@copperlever/runtime/testing/daemon-holds';
 import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 import type * as fastify from 'fastify';
 import { suite } from 'uvu';
@@ -7,6 +13,7 @@
 
 import type * as calls from '../../types/calls.js';
 import * as openCalls from '../requests/open-calls.js';
+import * as plannedStops from '../requests/planned-stop.js';
 import type * as serving from '../requests/serve.js';
 import * as app from './app.js';
 
@@ -41,11 +48,13 @@
   return { kind: 'answered', status: 200, replayed: false };
 };
 
-function createApp(serve = answering) {
+function createApp(serve = answering, memoryMb?: number) {
   const clock = fakeClock.createFakeClock();
+  const stop = plannedStops.createPlannedStop(clock, longestTimes.createLongestTimes());
   const served: calls.Call[] = [];
   const events: string[] = [];
   const state = { isStopping: false };
+  const holds = testHolds.createTestHolds(memoryMb);
   const server = app.createCallerApp(
     {
       clock,
@@ -65,11 +74,13 @@
       configuration: () => ({ version: 3, document }),
       nextRequestId: () => 'r-1',
       openCalls: { count: 0 },
+      holds,
       calls: openCalls.createOpenCalls(clock, logs.createSilentLogger()),
+      stop,
     },
     { maxBodyBytes: MAX_BODY_BYTES, isStopping: () => state.isStopping },
   );
-  return { server, served, events, state, clock };
+  return { server, served, events, state, clock, holds, stop };
 }
 
 const chat = { model: 'draws', messages: [{ role: 'user', content: 'draw' }] };
@@ -193,4 +204,87 @@
   assert.is(answer.headers.connection, 'close');
 });
 
+// Guards against bodies of callers that together fill the memory of an entry.
+test('bodies are bounded in sum: what finds no room is refused as not run', async () => {
+  // Room for some 400 bytes.
+  const { server, served, holds } = createApp(answering, 0.002);
+  const large = { ...chat, user: 'x'.repeat(400) };
+  const refused = await server.inject(post('/v1/chat/completions', large));
+  assert.is(refused.statusCode, 503);
+  assert.is(refused.json<{ outcome: string }>().outcome, 'not-run');
+  assert.is(refused.headers['retry-after'], '1');
+  assert.is(refused.headers.connection, 'close');
+  assert.is(holds.closed[0]?.reader, 'caller-body');
+  for (let count = 0; count < 20; count += 1) {
+    assert.is((await server.inject(post('/v1/chat/completions', chat))).statusCode, 200);
+  }
+  assert.is(served.length, 20);
+  assert.is(holds.bodies.heldBytes(), 0);
+});
+
+/** Sends a body in chunks that has no end; the answer's head, and what was sent by the time the connection was closed. */
+async function sendEndlessly(server: ReturnType<typeof createApp>['server']) {
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  const { port } = server.server.address() as net.AddressInfo;
+  const socket = net.connect(port, '127.0.0.1');
+  let answer = '';
+  socket.on('data', (data) => {
+    answer += data.toString();
+  });
+  socket.on('error', () => {});
+  socket.write(
+    'POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n',
+  );
+  const timer = setInterval(() => socket.write(`64\r\n${'x'.repeat(100)}\r\n`), 1);
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  clearInterval(timer);
+  await server.close();
+  return answer;
+}
+
+// Guards against a body in chunks that is read without an end, and a refusal that its caller never gets.
+test('a body in chunks without end is refused at its bound, each or in sum, and its connection closed', async () => {
+  const tooLarge = createApp(answering);
+  assert.match(await sendEndlessly(tooLarge.server), /^HTTP\/1.1 413 [^]*"outcome":"not-run"/);
+  const noRoom = createApp(answering, 0.002);
+  assert.match(await sendEndlessly(noRoom.server), /^HTTP\/1.1 503 [^]*"outcome":"not-run"/);
+  assert.equal([tooLarge.holds.bodies.heldBytes(), noRoom.holds.bodies.heldBytes()], [0, 0]);
+});
+
+const HALF = 'POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\n{';
+
+// Guards against a stop that closes the connection of a request whose body is still on its way, without a word.
+test('a request whose body has not come at the end of a stop is refused as not run', async () => {
+  const { server, state, stop, clock, served } = createApp();
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  const socket = net.connect((server.server.address() as net.AddressInfo).port, '127.0.0.1');
+  const read = new Promise<void>((resolve) => {
+    server.server.once('request', () => resolve());
+  });
+  socket.write(HALF);
+  await read;
+  state.isStopping = true;
+  stop.begin(stopTimes.drainTimes(0, 10_000, 2_000));
+  const answer = streamConsumers.text(socket);
+  await clock.advance(9_500);
+  const text = await answer;
+  assert.match(text, /^HTTP\/1.1 503 [^]*connection: close\r\nretry-after: 1\r\n[^]*"not-run"/i);
+  assert.equal(served, []);
+  await server.close();
+});
+
+// Guards against a call that never answers, as behind a caller that reads nothing, and that the stop leaves without a word.
+test('a call of which nothing is known by the end of a stop is told that it may have run', async () => {
+  const { server, stop, clock } = createApp(() => new Promise(() => {}));
+  const asked = server.inject(post(CHAT, chat));
+  await clock.settle();
+  stop.begin(stopTimes.drainTimes(0, 10_000, 2_000));
+  await clock.advance(10_000);
+  const answer = await asked;
+  assert.is(answer.statusCode, 504);
+  assert.is(answer.json<{ outcome: string }>().outcome, 'unknown');
+});
+
 test.run();
--- a/packages/entry/src/server/requests/attempt.test.ts
+++ b/packages/entry/src/server/requests/attempt.test.ts
@@ -16,14 +16,18 @@
   }
 }
 
-function createAttempt(open: () => AsyncIterable<links.LinkPart>, limitBytes?: number) {
+function createAttempt(open: () => AsyncIterable<links.LinkPart>, limitBytes = Infinity) {
   const rig = rigs.createRig();
   const kept: Buffer[] = [];
+  let heldBytes = 0;
   const sink: calls.AnswerSink = {
     head: () => {},
     chunk: async (data) => void kept.push(data),
     hasBegun: () => false,
-    limitBytes,
+    takeRoom: async (bytes) => {
+      heldBytes += bytes;
+      return heldBytes > limitBytes ? 'too-large' : 'taken';
+    },
   };
   const directory = {
     find: () => [],
@@ -46,6 +50,7 @@
     deadlineMs: 60_000,
     sink,
     callerGone: new AbortController().signal,
+    stop: attempts.NO_STOP,
     open,
   };
   const run = () => rigs.settle(rig, attempts.runAttempt(deps, input));
--- a/packages/entry/src/shared/endings.ts
+++ b/packages/entry/src/shared/endings.ts
@@ -69,6 +69,7 @@
   'upstream-silent': { cause: 'upstream-silent', mayRetry: true, mayBeDone: true },
   'deadline-passed': { cause: 'deadline-passed', mayRetry: false, mayBeDone: true },
   cancelled: { cause: 'cancelled', mayRetry: false, mayBeDone: true },
+  'agent-stopping': { cause: 'agent-lost', mayRetry: true, mayBeDone: true },
   'answer-too-large': { cause: 'answer-too-large', mayRetry: false, mayBeDone: false },
 };
 
@@ -121,6 +122,16 @@
     : { kind: 'failed', cause: 'deadline-passed', retryAtMs: null, detail };
 }
 
+/** This entry stops before the answer is whole. */
+export function afterStop(facts: Facts, withdrawal: Withdrawal): calls.Refusal {
+  const detail = 'this entry stopped before the answer was whole';
+  const retryAtMs = facts.nowMs + DEFAULT_RETRY_MS;
+  if (withdrawal === 'did-not-run') return notRun('leaving', retryAtMs, detail);
+  return facts.isOnce
+    ? { kind: 'unknown', cause: 'stopping', retryAtMs: askAgainMs(facts), detail }
+    : { kind: 'failed', cause: 'stopping', retryAtMs, detail };
+}
+
 export function afterCallerGone(withdrawal: Withdrawal): calls.Refusal {
   const detail = 'the caller closed its connection';
   return withdrawal === 'did-not-run'
--- a/packages/entry/src/shared/problems.ts
+++ b/packages/entry/src/shared/problems.ts
@@ -34,6 +34,7 @@
   'expired-waiting': 504,
   'config-behind': 503,
   starting: 503,
+  'no-room': 503,
   leaving: 503,
   'claim-store-unavailable': 503,
 };
@@ -44,6 +45,7 @@
   'deadline-passed': 504,
   'in-progress': 409,
   'upstream-broken': 502,
+  stopping: 504,
 };
 
 const FAILED_STATUS: Readonly<Record<calls.FailedCause, number>> = {
@@ -54,6 +56,7 @@
   cancelled: 499,
   'answer-too-large': 502,
   quarantined: 422,
+  stopping: 504,
 };
 
 /** What each outcome means for the caller, in one sentence. */
--- a/packages/gateway/src/types/parts.ts
+++ b/packages/gateway/src/types/parts.ts
@@ -1,5 +1,6 @@
 /** The parts of a gateway; each is made from those that it names. */
 import type { clocks, logs, logSinks, randoms } from '@copperlever/runtime';
+import type * as stopTimes from '@copperlever/runtime/stop-times';
 import type * as byteBudgets from '@copperlever/runtime/byte-budget';
 import type * as configHolder from '../server/control/config-holder.js';
 import type * as connectionsModule from '../server/forwarding/connections.js';
@@ -9,6 +10,7 @@
 import type * as openCallsModule from '../server/forwarding/open-calls.js';
 import type * as plainAdmissions from '../server/forwarding/plain-admission.js';
 import type * as serving from '../server/forwarding/serve.js';
+import type * as stopAdmissions from '../server/forwarding/stop-admission.js';
 import type * as unsentRequests from '../server/forwarding/unsent-requests.js';
 import type * as sheddings from '../server/health/shedding.js';
 import type * as metricsModule from '../server/metrics/metrics.js';
@@ -64,8 +66,12 @@
 /** What the running daemon knows of itself. */
 export type GatewayStatus = {
   isStopping: () => boolean;
+  /** Null until a stop begins. */
+  stopTimes: () => stopTimes.StopTimes | null;
   isStoreConnected: () => boolean;
   hasListing: () => boolean;
+  /** Addresses at which the process does not listen yet. */
+  startWaitingCount: () => number;
   onUpstreamsLearned: () => void;
   /** To all upstreams together, beside the connections of callers. */
   upstreamConnectionsMax: () => number;
@@ -113,6 +119,7 @@
   heldAnswers: heldAnswersModule.HeldAnswers;
   openCalls: openCallsModule.OpenCalls;
   unsent: unsentRequests.UnsentRequests;
+  stopAdmission: stopAdmissions.StopAdmission;
   quotas: quotasModule.Quotas;
   loopAges: readDelays.ReadDelay;
   intake: requestQueues.RequestQueue;
--- a/packages/proofs/src/harness/fleet.ts
+++ b/packages/proofs/src/harness/fleet.ts
@@ -243,7 +243,9 @@
         configuration: parts.control.follower.current,
         nextRequestId: parts.ids.next,
         openCalls,
+        holds: parts.holds,
         calls: parts.calls,
+        stop: parts.stop,
       },
       { maxBodyBytes: parts.settings.maxBodyBytes, isStopping: () => stopping.isStopping },
     );
