Entry, agent: a member whose attributes cannot be read is left out

Read, not seen at callers: the attributes that members publish reach every daemon by gossip and were decoded for each request (entries) and in the loops that place copies (agents) without a guard, so that one member of a broken build fails every call at every entry, and ends agents by an unhandled rejection.

One reader in the protocol package; what it cannot read has no part: not an agent, no candidate, no holder that stays. An entry names it once for each record (member-unreadable).

Test: failed before ('premature EOF' for all agents).

--- a/packages/agent/src/server/floors/standings.ts
+++ b/packages/agent/src/server/floors/standings.ts
@@ -1,7 +1,7 @@
 /** What the membership says of a floor's holder. */
 import type { schema } from '@copperlever/configuration';
 import type { membershipTypes } from '@copperlever/coordination';
-import { attributes } from '@copperlever/protocol';
+import { daemonAttributes } from '@copperlever/protocol';
 
 import type * as floorDecisions from '../../shared/floor-decisions.js';
 
@@ -16,7 +16,8 @@
     if (member === undefined || member.status === 'dead' || member.status === 'leaving') {
       return 'going';
     }
-    const said = attributes.DaemonAttributes.decode(member.attributes);
+    const said = daemonAttributes.read(member.attributes);
+    if (said === null) return 'going';
     const upstream = deps.document().upstreams[said.upstreamId];
     if (upstream === undefined || upstream.draining) return 'going';
     if (said.handingOver.includes(model)) return 'going';
--- a/packages/agent/src/server/placing/fleet-view.ts
+++ b/packages/agent/src/server/placing/fleet-view.ts
@@ -1,7 +1,7 @@
 /** The other agents as the membership and the configuration describe them. */
 import { checks, type schema } from '@copperlever/configuration';
 import type { membershipTypes } from '@copperlever/coordination';
-import { attributes } from '@copperlever/protocol';
+import { attributes, daemonAttributes } from '@copperlever/protocol';
 
 export type AgentView = {
   agentId: string;
@@ -30,7 +30,9 @@
 
 export function createFleetView(deps: FleetViewDeps): FleetView {
   function toView(member: membershipTypes.Member): AgentView | null {
-    const said = attributes.DaemonAttributes.decode(member.attributes);
+    // Entries name it in their logs.
+    const said = daemonAttributes.read(member.attributes);
+    if (said === null) return null;
     const upstream = deps.document().upstreams[said.upstreamId];
     if (said.role !== attributes.DaemonRole.DAEMON_ROLE_AGENT) return null;
     if (upstream?.kind !== 'engine' || member.status === 'dead') return null;
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -193,10 +193,12 @@
       .singleton(),
     link: awilix.asFunction(({ clock }: EntryParts) => grpcLink.createGrpcLink(clock)).singleton(),
     directory: awilix
-      .asFunction(({ control, clock }: EntryParts) =>
+      .asFunction(({ control, clock, log }: EntryParts) =>
         directories.createAgentDirectory({
           members: control.membership.members,
           nowMs: clock.nowMs,
+          onUnreadable: (unreadableId) =>
+            log.error('member-unreadable', { memberId: unreadableId }),
         }),
       )
       .singleton(),
--- a/packages/entry/src/server/operator/app.ts
+++ b/packages/entry/src/server/operator/app.ts
@@ -1,7 +1,7 @@
 /** What operators ask an entry: who is there, and what is in force. */
 import type { schema } from '@copperlever/configuration';
 import type { membershipTypes } from '@copperlever/coordination';
-import { attributes } from '@copperlever/protocol';
+import { attributes, daemonAttributes } from '@copperlever/protocol';
 import type * as fastify from 'fastify';
 
 export type OperatorDeps = {
@@ -23,7 +23,7 @@
 };
 
 function viewMember(member: membershipTypes.Member): MemberView {
-  const said = attributes.DaemonAttributes.decode(member.attributes);
+  const said = daemonAttributes.read(member.attributes) ?? attributes.DaemonAttributes.create();
   const isAgent = said.role === attributes.DaemonRole.DAEMON_ROLE_AGENT;
   return {
     memberId: member.memberId,
--- a/packages/entry/src/shared/agent-directory.test.ts
+++ b/packages/entry/src/shared/agent-directory.test.ts
@@ -46,9 +46,14 @@
 }
 
 function find(members: membership.Member[], nowMs = () => 0) {
-  const directory = directories.createAgentDirectory({ members: () => members, nowMs });
+  const unreadable: string[] = [];
+  const directory = directories.createAgentDirectory({
+    members: () => members,
+    nowMs,
+    onUnreadable: (memberId) => unreadable.push(memberId),
+  });
   const target = { kind: 'service', name: 'entries', pool: 'desk' } as const;
-  return { directory, known: () => directory.find(target, document) };
+  return { directory, unreadable, known: () => directory.find(target, document) };
 }
 
 test('leaving and dead agents, draining upstreams and other pools are left out', () => {
@@ -88,4 +93,16 @@
   assert.is(directory.tickOf('agent-desk-1', 4), 0);
 });
 
+// Guards against one member whose bytes make every entry refuse every call.
+test('a member whose attributes cannot be read is left out, and told once', () => {
+  const odd = { ...agentAt('desk-1', 'alive'), memberId: 'odd', attributes: Buffer.from([255]) };
+  const { known, unreadable } = find([odd, agentAt('desk-1', 'alive')]);
+  known();
+  assert.equal(
+    known().map((one) => one.target.agentId),
+    ['agent-desk-1'],
+  );
+  assert.equal(unreadable, ['odd']);
+});
+
 test.run();
--- a/packages/entry/src/shared/agent-directory.ts
+++ b/packages/entry/src/shared/agent-directory.ts
@@ -2,7 +2,7 @@
 import { type schema, targets } from '@copperlever/configuration';
 import type * as membership from '@copperlever/coordination/membership/types';
 import type { routing } from '@copperlever/decisions';
-import { type agent, attributes } from '@copperlever/protocol';
+import { type agent, attributes, daemonAttributes } from '@copperlever/protocol';
 
 import type * as links from '../types/links.js';
 import * as targetPaces from './target-paces.js';
@@ -31,6 +31,8 @@
 export type DirectoryDeps = {
   members: () => readonly membership.Member[];
   nowMs: () => number;
+  /** What a member has published cannot be read: it is left out. */
+  onUnreadable: (memberId: string) => void;
 };
 
 type SeenLoad = { load: agent.AgentLoad; atMs: number };
@@ -40,12 +42,14 @@
   const inFlightCounts = new Map<string, number>();
   const paces = targetPaces.createTargetPaces();
   // Records change rarely and are read for each request.
-  const decoded = new WeakMap<Buffer, attributes.DaemonAttributes>();
+  const decoded = new WeakMap<Buffer, attributes.DaemonAttributes | null>();
 
-  function attributesOf(member: membership.Member): attributes.DaemonAttributes {
+  /** Null if they cannot be read, which is told once for each record. */
+  function attributesOf(member: membership.Member): attributes.DaemonAttributes | null {
     const known = decoded.get(member.attributes);
     if (known !== undefined) return known;
-    const fresh = attributes.DaemonAttributes.decode(member.attributes);
+    const fresh = daemonAttributes.read(member.attributes);
+    if (fresh === null) deps.onUnreadable(member.memberId);
     decoded.set(member.attributes, fresh);
     return fresh;
   }
@@ -94,7 +98,7 @@
       for (const member of deps.members()) {
         if (member.status === 'leaving' || member.status === 'dead') continue;
         const said = attributesOf(member);
-        if (said.role !== attributes.DaemonRole.DAEMON_ROLE_AGENT) continue;
+        if (said?.role !== attributes.DaemonRole.DAEMON_ROLE_AGENT) continue;
         const upstream = document.upstreams[said.upstreamId];
         if (upstream === undefined || upstream.draining) continue;
         if (pools.includes(upstream.pool)) known.push(toKnown(member, said, target));
--- a/packages/entry/src/testing/rig.ts
+++ b/packages/entry/src/testing/rig.ts
@@ -115,6 +115,7 @@
       directory: directories.createAgentDirectory({
         members: () => members,
         nowMs: clock.nowMs,
+        onUnreadable: () => {},
       }),
       claims,
       settlements,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,3 +5,4 @@
 export * as attributes from './generated/copperlever/v1/attributes.js';
 export * as causes from './causes.js';
 export * as channels from './channels.js';
+export * as daemonAttributes from './daemon-attributes.js';
