Tests: messages of peers that are too long

Cause: nothing showed that a gRPC message without end is bounded where entries, agents and peers read one.

--- a/packages/coordination/src/membership/grpc-transport.test.ts
+++ b/packages/coordination/src/membership/grpc-transport.test.ts
@@ -1,5 +1,6 @@
 import * as grpc from '@grpc/grpc-js';
 import { clocks } from '@copperlever/runtime';
+import * as endlessPeers from '@copperlever/runtime/testing/endless-peer';
 import * as fakeClock from '@copperlever/runtime/testing/fake-clock';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -62,4 +63,34 @@
   assert.is(transport.openChannelCount(), 0);
 });
 
+const STATED_BYTES = 2 ** 31;
+const SENT_BYTES_MAX = 16 * 1024 * 1024;
+const WAIT_MS = 10_000;
+
+// Guards against a peer's message without end that fills the process which asked.
+test('an answer of a peer that is too long is given up, and named', async () => {
+  const endless = await endlessPeers.startEndlessPeer(STATED_BYTES);
+  const clock = clocks.createSystemClock();
+  const transport = grpcTransport.createGrpcTransport({ clock });
+  const reply = await transport.probe(endless.address, MESSAGE, clock.nowMs() + WAIT_MS);
+  assert.is(reply.err && reply.val.kind, 'unreachable');
+  assert.match(JSON.stringify(reply.val), new RegExp(`larger than max.*${STATED_BYTES}`));
+  assert.ok(endless.state.sentBytes > 0 && endless.state.sentBytes <= SENT_BYTES_MAX);
+  assert.is(transport.openChannelCount(), 0);
+  transport.close();
+  endless.close();
+});
+
+// Guards against a huge message of a peer that the process which is asked reads whole.
+test('a message to a peer that is too long is refused, and named', async () => {
+  await withServer(async (address) => {
+    const clock = clocks.createSystemClock();
+    const transport = grpcTransport.createGrpcTransport({ clock });
+    const huge = { ...MESSAGE, fromId: 'x'.repeat(5 * 1024 * 1024) };
+    const reply = await transport.probe(address, huge, clock.nowMs() + WAIT_MS);
+    assert.match(JSON.stringify(reply.val), /larger than max/);
+    transport.close();
+  });
+});
+
 test.run();
