Entry: frames that wait for a slow caller are bounded in bytes

What callers saw: nothing; for each stream that its caller takes slowly an entry held up to 64 frames, of up to 16 MB each. Cause: only their count was bounded. Change: the stream from the agent pauses at 256 KiB too.

--- a/packages/entry/src/server/links/frame-reader.test.ts
+++ b/packages/entry/src/server/links/frame-reader.test.ts
@@ -58,6 +58,20 @@
   assert.equal(calls, ['pause', 'resume']);
 });
 
+// Guards against large frames for a caller that takes slowly, held by their count alone.
+test('large frames pause the stream by their bytes', async () => {
+  const { emitter, stream, calls } = createStream();
+  const iterator = read(stream);
+  const value = { data: Buffer.alloc(64 * 1024) };
+  for (let count = 0; count < 4; count += 1) {
+    assert.equal(calls, []);
+    emitter.emit('data', { dispatchId: 'r-1/1', offsetBytes: 0, part: { $case: 'chunk', value } });
+  }
+  assert.equal(calls, ['pause']);
+  for (let count = 0; count < 4; count += 1) await iterator.next();
+  assert.equal(calls, ['pause', 'resume']);
+});
+
 test('an aborted reader cancels its stream and ends', async () => {
   const { emitter, stream, calls, frame } = createStream();
   const controller = new AbortController();
--- a/packages/entry/src/server/links/frame-reader.ts
+++ b/packages/entry/src/server/links/frame-reader.ts
@@ -11,9 +11,15 @@
 
 /** Frames held for a caller that takes them slowly; the stream is paused above. */
 const MAX_HELD_FRAMES = 64;
+const MAX_HELD_BYTES = 256 * 1024;
 
 type Step = IteratorResult<links.LinkPart>;
 
+function sizeOf(part: links.LinkPart): number {
+  if (part.kind !== 'frame' || part.frame.part?.$case !== 'chunk') return 0;
+  return part.frame.part.value.data.length;
+}
+
 /** Parts in order; ends after `lost`, at the end of the stream, or when `signal` is aborted. */
 export function readFrames(
   stream: FrameStream,
@@ -21,6 +27,7 @@
   onHeard: () => void,
 ): AsyncIterable<links.LinkPart> {
   const held: links.LinkPart[] = [];
+  let heldBytes = 0;
   let isEnded = false;
   let isPaused = false;
   let wake: ((step: Step) => void) | null = null;
@@ -28,6 +35,7 @@
   function push(part: links.LinkPart): void {
     if (wake === null) {
       held.push(part);
+      heldBytes += sizeOf(part);
       return;
     }
     const resolve = wake;
@@ -51,7 +59,8 @@
     if (isEnded) return;
     onHeard();
     push({ kind: 'frame', frame });
-    if (held.length < MAX_HELD_FRAMES || isPaused) return;
+    const isFull = held.length >= MAX_HELD_FRAMES || heldBytes >= MAX_HELD_BYTES;
+    if (!isFull || isPaused) return;
     isPaused = true;
     stream.pause();
   });
@@ -67,6 +76,7 @@
   function next(): Promise<Step> {
     const value = held.shift();
     if (value !== undefined) {
+      heldBytes -= sizeOf(value);
       if (isPaused && held.length === 0) {
         isPaused = false;
         stream.resume();
