Lines of closed reads name the request or path; callers' bodies have 60 s

Cause: read-closed had one field for ids and paths, so that a request's lines couldn't be found by requestId; a body that comes slowly held its room without a bound in time (fastify sets none). Change: requestId or path (200 characters at most); a caller's request that has not come whole after 60 s gets 408 from Node, which looks every 30 s. A request whose connection has closed before its body is read takes no room. The 60 s have no test of their own.

--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -286,14 +286,20 @@
 
   function takeBodyRoom(attempt: types.Attempt): boolean {
     const { bodies } = deps.holds;
-    const { body, requestId: id } = attempt.request;
+    const { body, requestId } = attempt.request;
     if (bodies.take(body.length, 0)) {
       attempt.bodyBytes = body.length;
       return true;
     }
     const sizeBytes = body.length;
     const boundBytes = bodies.maxBytes;
-    deps.holds.noteClosed({ reader: 'request-body', id, sizeBytes, bound: 'sum', boundBytes });
+    deps.holds.noteClosed({
+      reader: 'request-body',
+      requestId,
+      sizeBytes,
+      bound: 'sum',
+      boundBytes,
+    });
     return false;
   }
 
--- a/packages/agent/src/server/dispatch/runs.ts
+++ b/packages/agent/src/server/dispatch/runs.ts
@@ -120,9 +120,9 @@
     bound: 'each' | 'sum',
   ): answers.ClosingPart {
     const boundBytes = bound === 'each' ? MAX_ANSWER_BYTES : deps.holds.answers.maxBytes;
-    const id = attempt.request.requestId;
+    const { requestId } = attempt.request;
     attempt.abort.abort('answer-too-large');
-    deps.holds.noteClosed({ reader: 'upstream-answer', id, sizeBytes, bound, boundBytes });
+    deps.holds.noteClosed({ reader: 'upstream-answer', requestId, sizeBytes, bound, boundBytes });
     const of = bound === 'each' ? '' : ' of all answers';
     return failed('answer-too-large', `more than ${boundBytes} bytes${of}`);
   }
--- a/packages/entry/src/server/calls/app.ts
+++ b/packages/entry/src/server/calls/app.ts
@@ -7,6 +7,9 @@
 import * as services from './services.js';
 import * as unreadBodies from './unread-bodies.js';
 
+/** A body that comes more slowly would hold its room for as long as its caller likes. */
+const REQUEST_READ_TIMEOUT_MS = 60_000;
+
 export type CallerAppOptions = { maxBodyBytes: number; isStopping: () => boolean };
 
 /** Registers the callers' routes. */
@@ -25,6 +28,7 @@
 ): fastify.FastifyInstance {
   const app = fastify.fastify({
     bodyLimit: options.maxBodyBytes,
+    requestTimeout: REQUEST_READ_TIMEOUT_MS,
     // A URL that cannot be decoded never reaches a route or the error handler.
     frameworkErrors: (error, _request, reply) => {
       handlers.handleError(deps, error, reply);
--- a/packages/entry/src/server/calls/body-rooms.ts
+++ b/packages/entry/src/server/calls/body-rooms.ts
@@ -8,6 +8,8 @@
 export type BodyRoomsDeps = { holds: Pick<daemonHolds.DaemonHolds, 'bodies' | 'noteClosed'> };
 
 export const NO_ROOM = 'NO_ROOM';
+/** In a log line. */
+const PATH_LENGTH_MAX = 200;
 
 /** The request did not run: its body was not read whole. */
 export class NoRoomError extends Error {
@@ -32,13 +34,24 @@
   const { bodies, noteClosed } = deps.holds;
 
   app.addHook('preParsing', (request, reply, payload, done) => {
+    // Its close has been told already, so that nothing would give the room back.
+    if (reply.raw.closed) {
+      done(null, payload);
+      return;
+    }
     let takenBytes = 0;
 
     function take(bytes: number): boolean {
       if (!bodies.take(bytes, takenBytes)) {
         const sizeBytes = takenBytes + bytes;
         const boundBytes = bodies.maxBytes;
-        noteClosed({ reader: 'caller-body', id: request.url, sizeBytes, bound: 'sum', boundBytes });
+        noteClosed({
+          reader: 'caller-body',
+          path: request.url.slice(0, PATH_LENGTH_MAX),
+          sizeBytes,
+          bound: 'sum',
+          boundBytes,
+        });
         return false;
       }
       takenBytes += bytes;
--- a/packages/entry/src/server/calls/sinks.ts
+++ b/packages/entry/src/server/calls/sinks.ts
@@ -55,7 +55,7 @@
   });
 
   function refuse(sizeBytes: number, bound: 'each' | 'sum', boundBytes: number): void {
-    holds.noteClosed({ reader: 'held-answer', id: requestId, sizeBytes, bound, boundBytes });
+    holds.noteClosed({ reader: 'held-answer', requestId, sizeBytes, bound, boundBytes });
   }
 
   return {
--- a/packages/runtime/src/bounded-calls.ts
+++ b/packages/runtime/src/bounded-calls.ts
@@ -40,6 +40,9 @@
   }
 }
 
+/** In a log line. */
+const PATH_LENGTH_MAX = 200;
+
 /** Failures before a byte was sent. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 
@@ -61,7 +64,7 @@
 /** Throws where the answer is too long; the body that is left then closes its connection. */
 async function readWhole(
   answer: undici.Dispatcher.ResponseData,
-  id: string,
+  path: string,
   limits: AnswerLimits,
 ): Promise<Buffer> {
   const { budget, bytesMax, reader } = limits;
@@ -70,7 +73,7 @@
 
   function tooLong(sizeBytes: number, bound: 'each' | 'sum'): AnswerTooLongError {
     const boundBytes = bound === 'each' ? bytesMax : budget.maxBytes;
-    const closed = { reader, id, sizeBytes, bound, boundBytes };
+    const closed = { reader, path: path.slice(0, PATH_LENGTH_MAX), sizeBytes, bound, boundBytes };
     limits.noteClosed(closed);
     return new AnswerTooLongError(closed);
   }
--- a/packages/runtime/src/daemon-holds.ts
+++ b/packages/runtime/src/daemon-holds.ts
@@ -5,10 +5,11 @@
 import * as processMemory from './memory.js';
 import type * as metricsModule from './metrics.js';
 
-/** What was closed or refused for its bytes. `id`: of the request or call, or what was read. */
+/** What was closed or refused for its bytes, of which request, or at which path. */
 export type ClosedRead = {
   reader: string;
-  id: string;
+  requestId?: string;
+  path?: string;
   sizeBytes: number;
   /** Of one body or answer, or of all that the process holds of the kind. */
   bound: 'each' | 'sum';
