--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -78,6 +78,7 @@
     (clock, log) => createPlatform(clock, log, settings),
     {
       isStopping,
+      stopTimes: () => stopping,
       startWaitingCount: () => listeners.waitingCount(),
       hasListing: () => hasListing,
       isStoreConnected: () => upstreamFollower.isConnected(),
@@ -210,9 +211,9 @@
     metrics: cradle.metrics,
     closesConnections: () => isStopping() || cradle.shedding.isShedding() || callerBound.isFull(),
     isBeyondBound: (socket) => callerBound.isBeyond(socket),
-    mayTake: (deadlineMs) => stopTimes.mayTake(stopping, clock.nowMs(), deadlineMs),
     openCalls,
     unsent: cradle.unsent,
+    stopAdmission: cradle.stopAdmission,
     quotas: cradle.quotas,
     bodyBudget: cradle.bodyBudget,
     loopAges: cradle.loopAges,
@@ -358,11 +359,11 @@
 
   async function stop(sinceMs = clock.nowMs()): Promise<void> {
     const times = stopTimes.stopTimes(sinceMs, settings.stopTimeoutS * 1_000);
-    const { endMs, refusesUnsentMs } = times;
+    const { endMs } = times;
     stopping = times;
     listeners.stop();
     log.info('stopping', { openCallCount: openCalls.count() });
-    const cancelRefusal = clock.schedule(refusesUnsentMs, cradle.unsent.refuseAll);
+    const cancelRefusal = stops.refuseWaiting({ clock, unsent: cradle.unsent, times });
     const drained = stops.drain({
       clock,
       log,
@@ -370,6 +371,7 @@
       connections,
       openCallCount: () => openCalls.count() + cradle.intake.waitingCount(),
       cutOpen: () => {
+        cradle.unsent.endAll();
         openCalls.logCut();
         connections.cutOpen();
       },
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -1,5 +1,6 @@
 /** Reads settings files: JSON with comments, validated against a schema. */
 import * as fs from 'node:fs';
+import * as timers from 'node:timers/promises';
 
 import * as jsonc from 'jsonc-parser';
 import type * as zod from 'zod';
@@ -9,6 +10,10 @@
 /** Exit status of a program that was given invalid settings. */
 export const BAD_SETTINGS_EXIT_STATUS = 2;
 
+/** A writer is through with a file within milliseconds: an error that stays for 300 ms is one of the settings. */
+const READ_ATTEMPTS = 15;
+const READ_INTERVAL_MS = 20;
+
 /** Why a settings file was rejected: the position, the field and the reason. */
 export type SettingsError = {
   kind: 'settings-invalid';
@@ -90,3 +95,17 @@
   }
   return parseSettings(file, text, schema);
 }
+
+/** The same at a start, beside which the file may still be written: half of it is no settings. */
+export async function loadWrittenSettings<Settings>(
+  file: string,
+  schema: zod.ZodType<Settings>,
+  wait: (forMs: number) => Promise<unknown> = timers.setTimeout,
+): Promise<results.Result<Settings, SettingsError[]>> {
+  let loaded = loadSettings(file, schema);
+  for (let attempt = 1; loaded.err && attempt < READ_ATTEMPTS; attempt += 1) {
+    await wait(READ_INTERVAL_MS);
+    loaded = loadSettings(file, schema);
+  }
+  return loaded;
+}
