An idempotent call that a stop answers before its end is known ends as failed

unknown is only for calls that must run at most once; the guard at the end of a stop said it of all.

--- a/packages/entry/src/server/calls/serve-call.ts
+++ b/packages/entry/src/server/calls/serve-call.ts
@@ -35,7 +35,8 @@
   let remove = () => {};
   const unanswered = new Promise<calls.Outcome>((resolve) => {
     const detail = 'this entry stopped before it was known what became of the request';
-    const told = { kind: 'unknown', cause: 'stopping', retryAtMs: null, detail } as const;
+    const kind = call.idempotencyKey === null ? 'failed' : 'unknown';
+    const told: calls.Outcome = { kind, cause: 'stopping', retryAtMs: null, detail };
     const answerInTime = () => {
       cancel = clock.schedule(stop.times()?.answeredMs ?? Infinity, () => resolve(told));
     };
