--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -2,6 +2,7 @@
 import { grpcTransport } from '@copperlever/coordination';
 import {
   daemon,
+  daemonHolds,
   descriptors,
   gauges,
   heldSignals,
@@ -89,6 +90,7 @@
     configuration: control.follower.current,
     nextRequestId: cradle.ids.next,
     openCalls,
+    holds: cradle.holds,
     calls: cradle.calls,
     stop: cradle.stop,
   };
@@ -143,6 +145,7 @@
       { name: 'entry.start_waiting', read: listeners.waitingCount },
       ...gauges.logSources('entry', cradle.logSink),
       ...gauges.descriptorSources('entry', descriptorWatch),
+      ...daemonHolds.holdSources('entry', cradle.holds),
     ],
   });
 }
--- a/packages/gateway/src/server/forwarding/unsent-requests.ts
+++ b/packages/gateway/src/server/forwarding/unsent-requests.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that no upstream has been sent. Shortly before the end of a planned stop they are refused: a refusal tells callers that
+ * Requests at a planned stop. Shortly before its end those that no upstream has been sent are refused: a refusal tells callers that
  * they may send them again, while the end of a connection tells them nothing.
  */
 import type * as answers from './answers.js';
@@ -7,47 +7,69 @@
 /** Another gateway serves the request at once. */
 export const STOPPING_RETRY_MS = 100;
 
+export type AtStop = {
+  /** Whether it would not be over before the end if it was sent now, nor later. */
+  isTooLate?: () => boolean;
+  /** Called at the end of the stop. */
+  end?: () => void;
+};
+
 export type UnsentRequests = {
-  /** Has `refuse` called at the end of a stop, or at once if that has come; no more after the returned function is called. */
-  add: (refuse: () => void) => () => void;
+  /**
+   * Has `refuse` called shortly before the end of a stop, or at once if that has come; no more after the returned function is called.
+   */
+  add: (refuse: () => void, more?: AtStop) => () => void;
+  /** Refuses what is too late. */
+  refuseLate: () => void;
   /** Refuses what waits, and from then on what is added. */
   refuseAll: () => void;
   isRefusing: () => boolean;
+  /** Tells all that are left that the stop has come to its end. */
+  endAll: () => void;
 };
 
 export function createUnsentRequests(): UnsentRequests {
-  const waiting = new Set<() => void>();
+  const waiting = new Set<AtStop & { refuse: () => void }>();
   let isRefusing = false;
   return {
-    add: (refuse) => {
+    add: (refuse, more) => {
       if (isRefusing) {
         refuse();
         return () => {};
       }
-      // The same function may be added for several requests.
-      const entry = () => refuse();
+      const entry = { refuse, ...more };
       waiting.add(entry);
       return () => {
         waiting.delete(entry);
       };
     },
+    refuseLate: () => {
+      waiting.forEach(({ isTooLate, refuse }) => {
+        if (isTooLate?.() === true) refuse();
+      });
+    },
     refuseAll: () => {
+      if (isRefusing) return;
       isRefusing = true;
-      waiting.forEach((refuse) => refuse());
-      waiting.clear();
+      waiting.forEach(({ refuse }) => refuse());
     },
     isRefusing: () => isRefusing,
+    endAll: () => {
+      waiting.forEach(({ end }) => end?.());
+      waiting.clear();
+    },
   };
 }
 
-/** Settles like `work`, or resolves to `'stopping'` if the end of a stop comes before. */
+/** Settles like `work`, or resolves to `'stopping'` if the end of a stop comes before, or it gets too late for it. */
 export async function orStopping<Value>(
   unsent: Pick<UnsentRequests, 'add'>,
   work: Promise<Value>,
+  isTooLate?: () => boolean,
 ): Promise<Value | 'stopping'> {
   let remove = () => {};
   const refused = new Promise<'stopping'>((resolve) => {
-    remove = unsent.add(() => resolve('stopping'));
+    remove = unsent.add(() => resolve('stopping'), isTooLate === undefined ? {} : { isTooLate });
   });
   try {
     return await Promise.race([work, refused]);
--- a/packages/proofs/src/processes/rig.ts
+++ b/packages/proofs/src/processes/rig.ts
@@ -109,11 +109,22 @@
   };
 }
 
+export type RigChanges = {
+  /** Settings of that daemon, beside the usual ones. */
+  settingsOf?: (daemonId: string) => object;
+  /** The URL under which the daemons know that stand-in. */
+  reroute?: (name: string, url: string) => Promise<string>;
+};
+
 /** `settings`: of all entries and agents. */
-export async function startRig(output: Output = 'files', settings: object = {}) {
+export async function startRig(
+  output: Output = 'files',
+  settings: object = {},
+  { settingsOf = () => ({}), reroute = async (_name, to) => to }: RigChanges = {},
+) {
   const fleet = createFleet(output);
   const platform = await fleet.startStandIn('stand-in-platform', 'platform');
-  const relay = await startRelay(platform.url);
+  const relay = await startRelay(await reroute('platform', platform.url));
   const engineOptions = ['--memory-bytes', String(40 * GIGABYTE), '--token-gap-ms', '40'];
   const engines = [
     await fleet.startStandIn('stand-in-engine-1', 'engine', engineOptions),
@@ -121,15 +132,20 @@
   ];
   const service = await fleet.startStandIn('stand-in-service', 'service', ['--work-ms', '1500']);
   const upstreamUrls: Record<string, string> = {
-    'jury-1': engines[0]?.url ?? '',
-    'jury-2': engines[1]?.url ?? '',
-    'desk-1': service.url,
+    'jury-1': await reroute('jury-1', engines[0]?.url ?? ''),
+    'jury-2': await reroute('jury-2', engines[1]?.url ?? ''),
+    'desk-1': await reroute('desk-1', service.url),
   };
   const seeds: string[] = [];
   const place = { ...PLACE, ...settings, platformUrl: relay.url };
 
   async function startEntry(entryId: string) {
-    const entry = await fleet.startEntry({ ...place, entryId, seedAddresses: [...seeds] });
+    const entry = await fleet.startEntry({
+      ...place,
+      ...settingsOf(entryId),
+      entryId,
+      seedAddresses: [...seeds],
+    });
     seeds.push(entry.address);
     return entry;
   }
@@ -137,8 +153,14 @@
   async function startAgent(upstreamId: string): Promise<void> {
     const upstreamUrl = upstreamUrls[upstreamId] ?? '';
     const agentId = `agent-${upstreamId}`;
-    const seedAddresses = [...seeds];
-    await fleet.startAgent({ ...place, agentId, upstreamId, upstreamUrl, seedAddresses });
+    await fleet.startAgent({
+      ...place,
+      ...settingsOf(agentId),
+      agentId,
+      upstreamId,
+      upstreamUrl,
+      seedAddresses: [...seeds],
+    });
   }
 
   function signal(name: string, kind: NodeJS.Signals): void {
