A gateway's stop answers at its end what upstreams may still run

Cause: the end of the drain closed the connections of open requests. Change: what has no head of an answer by then gets 504 stopping with Connection: close, and its upstream's connection is closed at that time; only then the connections of answers that have begun are cut, as before.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,4 +1,6 @@
 /** Runs a gateway: its parts in a supervisor tree, and its planned stop. */
+import * as timers from 'node:timers/promises';
+
 import { descriptors, listenRetry, supervisor } from '@copperlever/runtime';
 import type { clocks, logs } from '@copperlever/runtime';
 import * as hashers from '@copperlever/runtime/hasher';
@@ -370,10 +372,12 @@
       loopAges: cradle.loopAges,
       connections,
       openCallCount: () => openCalls.count() + cradle.intake.waitingCount(),
-      cutOpen: () => {
+      cutOpen: async () => {
         cradle.unsent.endAll();
+        // By then the answers are written, and only those that began before are open.
+        await timers.setImmediate();
         openCalls.logCut();
-        connections.cutOpen();
+        connections.cutUnended();
       },
       endMs,
     });
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -89,7 +89,7 @@
       );
       return;
     case 'failed':
-      sink.refuse(ending.cause === 'timeout' ? 504 : 502, [], ending.cause);
+      sink.refuse(ending.cause === 'upstream-lost' ? 502 : 504, [], ending.cause);
       return;
     case 'cut':
       sink.cut();
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -972,4 +972,27 @@
   assert.equal(rejected, { ending: STOPPING, sentCount: 1, body: '' });
 });
 
+// Guards against a close without an answer at the end of a stop, and against an upstream that works on for nobody.
+test('at the end of a stop a request at an upstream is answered, and its connection there closed', async () => {
+  const state = { isClosed: false };
+  const fixture = await createFixture({
+    answer: (socket) => {
+      socket.once('close', () => Object.assign(state, { isClosed: true }));
+    },
+  });
+  try {
+    const served = fixture.serve(createCall(), createSink().sink);
+    await timers.setTimeout(50);
+    fixture.unsent.refuseAll();
+    await timers.setTimeout(20);
+    assert.is(state.isClosed, false);
+    fixture.unsent.endAll();
+    assert.equal(await served, { kind: 'failed', cause: 'stopping', upstreamId: 'u1' });
+    await timers.setTimeout(20);
+    assert.is(state.isClosed, true);
+  } finally {
+    await fixture.close();
+  }
+});
+
 test.run();
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -418,6 +418,15 @@
     return preferHeldFailure(run, sink, ending) ?? ending;
   }
 
+  /** The ending of what has no answer at the end of a stop: its upstream may go on running it. */
+  function endOfStop(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): calls.Ending {
+    if (!run.isAtUpstream && run.ranCount === 0) return stoppingEnding(call, run, sink);
+    const { upstreamId } = run;
+    logStop(call, run, 'answered');
+    const ending: calls.Ending = { kind: 'failed', cause: 'stopping', upstreamId };
+    return preferHeldFailure(run, sink, ending) ?? ending;
+  }
+
   async function bindAndServe(
     received: calls.Call,
     run: runs.Run,
@@ -439,9 +448,6 @@
     const run = { ...runs.createRun(holds), traits: requestTraits.of(call) };
     const withdrawable = unsentRequests.createWithdrawableSink(sink);
     let remove = () => {};
-    const end = () => {
-      if (!sink.isCallerGone()) logStop(call, run, 'cut');
-    };
     // Whatever it waits for, it is refused once a stop leaves it no time; what an upstream may be running goes on.
     const refused = new Promise<calls.Ending>((resolve) => {
       const refuseWaiting = () => {
@@ -449,6 +455,16 @@
         withdrawable.withdraw();
         resolve(stoppingEnding(call, run, sink));
       };
+      const end = () => {
+        if (sink.isCallerGone()) return;
+        // An answer that has begun can't become an error: the end of its connection shows that it is not whole.
+        if (sink.hasBegun()) {
+          logStop(call, run, 'cut');
+          return;
+        }
+        withdrawable.withdraw();
+        resolve(endOfStop(call, run, sink));
+      };
       remove = deps.unsent.add(refuseWaiting, { isTooLate: () => mustNotPassOn(call), end });
     });
     try {
--- a/packages/gateway/src/server/forwarding/unsent-requests.ts
+++ b/packages/gateway/src/server/forwarding/unsent-requests.ts
@@ -1,6 +1,6 @@
 /**
  * Requests at a planned stop. Shortly before its end those that no upstream has been sent are refused: a refusal tells callers that
- * they may send them again, while the end of a connection tells them nothing.
+ * they may send them again, while the end of a connection tells them nothing. What is left at the end is answered then.
  */
 import type * as answers from './answers.js';
 
@@ -10,7 +10,7 @@
 export type AtStop = {
   /** Whether it would not be over before the end if it was sent now, nor later. */
   isTooLate?: () => boolean;
-  /** Called at the end of the stop. */
+  /** Ends it at the end of the stop, whatever has it. */
   end?: () => void;
 };
 
--- a/packages/gateway/src/server/health/stop.ts
+++ b/packages/gateway/src/server/health/stop.ts
@@ -16,10 +16,10 @@
   clock: clocks.Clock;
   log: Pick<logEvents.GatewayLog, 'info'>;
   loopAges: Pick<readDelays.ReadDelay, 'readPending' | 'pollCount' | 'acceptWaitMs' | 'turnMs'>;
-  connections: Omit<openConnections.OpenConnections, 'cutOpen' | 'closeLongestIdle'>;
+  connections: Omit<openConnections.OpenConnections, 'cutOpen' | 'cutUnended' | 'closeLongestIdle'>;
   openCallCount: () => number;
-  /** Cuts the answers that are still open at the end. */
-  cutOpen: () => void;
+  /** Answers what has no answer at the end, and cuts the answers that have begun. */
+  cutOpen: () => void | Promise<void>;
   /** When the drain has to be over. */
   endMs: number;
 };
@@ -70,7 +70,7 @@
     await clocks.sleepUntil(clock, Math.min(endMs, clock.nowMs() + CHECK_MS));
   }
   // With the answers that are still open ends the work that makes turns long.
-  options.cutOpen();
+  await options.cutOpen();
   const lookUntilMs = clock.nowMs() + LAST_LOOK_MS;
   while ((state.isAccepting || connections.count() > 0) && clock.nowMs() < lookUntilMs) {
     await closeUnused(options, state);
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -75,8 +75,8 @@
   | { kind: 'answered'; status: number; upstreamId: string }
   /** No upstream ran it or will run it; the caller can retry after `retryAfterMs`. */
   | { kind: 'not-run'; cause: RefusalCause; retryAfterMs: number }
-  /** An upstream failed, and may have run the request. */
-  | { kind: 'failed'; cause: 'upstream-lost' | 'timeout'; upstreamId: string }
+  /** An upstream failed, or had not answered when a stop of the gateway came to its end, and may have run the request. */
+  | { kind: 'failed'; cause: 'upstream-lost' | 'timeout' | 'stopping'; upstreamId: string }
   /** The caller received a part of the answer before it broke off. */
   | { kind: 'cut'; cause: 'upstream-lost' | 'timeout'; upstreamId: string }
   | { kind: 'caller-gone'; stage: Stage };
--- a/packages/runtime/src/open-connections.ts
+++ b/packages/runtime/src/open-connections.ts
@@ -29,6 +29,8 @@
    * otherwise look complete.
    */
   cutOpen: () => void;
+  /** The same, but leaves those whose latest answer has been written to its end and is on its way. */
+  cutUnended: () => void;
 };
 
 /** Opened, or last used, before that time; at most `max` of them. */
@@ -43,6 +45,7 @@
 
 type Connection = {
   requestCount: number;
+  latest: http.ServerResponse | null;
   acceptedInPoll: number;
   /** When it was opened, or its latest request ended; what had been read from it by then. */
   usedMs: number;
@@ -81,6 +84,7 @@
     if (acceptedInRow >= ACCEPT_QUEUE_MAX) maybeFullMs = clock.nowMs();
     open.set(socket, {
       requestCount: 0,
+      latest: null,
       acceptedInPoll: lastAcceptPoll,
       usedMs: clock.nowMs(),
       usedBytes: 0,
@@ -92,6 +96,7 @@
     const connection = open.get(socket);
     if (connection === undefined) return;
     connection.requestCount += 1;
+    connection.latest = response;
     if (request.httpVersion === '1.0') withoutChunks.add(socket);
     response.once('close', () => {
       connection.requestCount -= 1;
@@ -101,6 +106,14 @@
       if (open.delete(socket)) open.set(socket, connection);
     });
   });
+  function cut(isCut: (connection: Connection) => boolean): void {
+    const busy = [...open].filter(([, one]) => one.requestCount > 0 && isCut(one));
+    busy.forEach(([socket]) => {
+      if (withoutChunks.has(socket)) socket.resetAndDestroy();
+      else socket.destroy();
+    });
+  }
+
   const isUnused = ({ requestCount, acceptedInPoll }: Connection, pollNumber: number) =>
     requestCount <= 0 && acceptedInPoll < pollNumber;
 
@@ -133,12 +146,7 @@
       return idle.length;
     },
     count: () => open.size,
-    cutOpen: () => {
-      const cut = [...open].filter(([, { requestCount }]) => requestCount > 0);
-      cut.forEach(([socket]) => {
-        if (withoutChunks.has(socket)) socket.resetAndDestroy();
-        else socket.destroy();
-      });
-    },
+    cutOpen: () => cut(() => true),
+    cutUnended: () => cut(({ latest }) => latest?.writableEnded !== true),
   };
 }
