A start waits for 120 s, since a closed connection's port stays taken

In a trial of many starts beside outgoing connections, starts gave up after 60 s at ports whose connection had been closed long before: the system keeps such a port from listeners for about as long. Now 120 s. 5 of 5 of listen-retry.test.ts.

--- a/packages/runtime/src/listen-retry.ts
+++ b/packages/runtime/src/listen-retry.ts
@@ -35,8 +35,8 @@
 type Failure = { code: string; cause: unknown };
 type Ended<Value> = { outcome: 'listening'; value: Value } | { outcome: 'stopped' | 'given-up' };
 
-/** Longer than the grace of the life before; then another machine may do better. */
-export const START_WAIT_MAX_MS = 60_000;
+/** The system keeps the port of an outgoing connection for 60 s after its end; later another machine may do better. */
+export const START_WAIT_MAX_MS = 120_000;
 /** A port that gets free is taken soon, and an attempt costs a few system calls. */
 const RETRY_INTERVAL_MS = 200;
 const LOG_INTERVAL_MS = 5_000;
