Bytes of another shape from the platform or an engine end no process

What callers saw: all entries and agents ended, where the object API's address answered with something else (a proxy's page, null, 3 MB of text, JSON of another shape): agents before they had started, at each start anew, entries at their first question.

Cause: answers were parsed and cast: the listings of the object API and its machines, the configuration's head (from peers too), the agent's record of orders, which threw, and the engine's report, whose numbers go into fencing numbers. Change: each has a schema where it is decoded; bytes of another shape count as an API that is away, or as no report. An object without a version is no object.

Looked at by reading, not changed: floors, claims and buckets are cast in the same way, behind a call of one request.

--- a/packages/agent/src/server/orders/intents.ts
+++ b/packages/agent/src/server/orders/intents.ts
@@ -2,7 +2,7 @@
  * The object that lists the orders on their way to one engine. It is changed only by conditional
  * update, so that of two agents for one engine only the newest can record an order.
  */
-import { objectStoreTypes, ownWrites } from '@copperlever/coordination';
+import { type objectStoreTypes, ownWrites } from '@copperlever/coordination';
 import { type clocks, type randoms, results } from '@copperlever/runtime';
 import * as zod from 'zod';
 
@@ -56,9 +56,13 @@
   return `intents/${encodeURIComponent(upstreamId)}`;
 }
 
-function parse(stored: objectStoreTypes.StoredObject): StoredIntents {
-  const intents = intentsSchema.parse(JSON.parse(stored.value.toString('utf8')));
-  return { intents, version: stored.version };
+/** Null where the bytes are no intents. */
+function parse(value: Buffer): Intents | null {
+  try {
+    return intentsSchema.safeParse(JSON.parse(value.toString('utf8'))).data ?? null;
+  } catch {
+    return null;
+  }
 }
 
 export function createIntentsStore(options: IntentsStoreOptions): IntentsStore {
@@ -86,8 +90,11 @@
   return {
     read: async (deadlineMs) => {
       const found = await store.get(key, deadlineMs);
-      if (found.ok) return results.Ok(found.val === null ? null : parse(found.val));
-      return results.Err(unavailable(found.val.kind));
+      if (found.err) return results.Err(unavailable(found.val.kind));
+      if (found.val === null) return results.Ok(null);
+      const intents = parse(found.val.value);
+      if (intents === null) return results.Err(unavailable('the object holds no intents'));
+      return results.Ok({ intents, version: found.val.version });
     },
     write: async (expected, orders, deadlineMs) => {
       writeCount += 1;
@@ -100,7 +107,7 @@
           value: Buffer.from(JSON.stringify(intents)),
           condition:
             expected === null ? { kind: 'absent' } : { kind: 'version', version: expected.version },
-          isOwn: (stored) => intentsSchema.parse(JSON.parse(stored.toString())).nonce === nonce,
+          isOwn: (stored) => parse(stored)?.nonce === nonce,
         },
         deadlineMs,
       );
--- a/packages/agent/src/server/upstream/http-upstream.ts
+++ b/packages/agent/src/server/upstream/http-upstream.ts
@@ -4,6 +4,7 @@
 import * as undici from 'undici';
 
 import type * as upstreams from '../../types/upstreams.js';
+import * as engineReports from './engine-report.js';
 
 export type HttpUpstreamOptions = { baseUrl: string; clock: clocks.Clock };
 
@@ -114,7 +115,9 @@
     try {
       const response = await pool.request({ method: 'GET', path: '/state', signal: expiry.signal });
       if (response.statusCode === 200) {
-        return results.Ok((await response.body.json()) as upstreams.EngineReport);
+        const state = engineReports.parse(await response.body.json());
+        if (state !== null) return results.Ok(state);
+        return results.Err({ kind: 'no-report', detail: 'malformed report' });
       }
       await response.body.dump();
       return results.Err({ kind: 'no-report', detail: `status ${response.statusCode}` });
--- a/packages/coordination/src/config/config-store.ts
+++ b/packages/coordination/src/config/config-store.ts
@@ -1,8 +1,10 @@
 /** Stores the configuration in the object store: a head, content-addressed parts and an audit trail. */
 import { results } from '@copperlever/runtime';
 import type { clocks, randoms } from '@copperlever/runtime';
+import * as zod from 'zod';
 
 import * as nonces from '../nonces.js';
+import * as answers from '../object-store/answers.js';
 import * as ownWrites from '../object-store/own-writes.js';
 import * as objectStore from '../object-store/types.js';
 
@@ -25,12 +27,15 @@
   return `config/parts/${hash}`;
 }
 
+const headSchema = zod.object({
+  version: zod.int(),
+  parts: zod.array(zod.object({ partName: zod.string(), hash: zod.string() })),
+  auditHash: zod.string(),
+  nonce: zod.string(),
+});
+
 export function parseHead(value: Buffer): types.ConfigHead | undefined {
-  try {
-    return JSON.parse(value.toString('utf8')) as types.ConfigHead;
-  } catch {
-    return undefined;
-  }
+  return answers.parse(value, headSchema) ?? undefined;
 }
 
 type ReadHead = { head: types.ConfigHead; objectVersion: number };
--- a/packages/coordination/src/object-store/http-store.ts
+++ b/packages/coordination/src/object-store/http-store.ts
@@ -3,7 +3,9 @@
 import type { clocks } from '@copperlever/runtime';
 import * as resetAwareClients from '@copperlever/runtime/reset-aware-client';
 import * as undici from 'undici';
+import type * as zod from 'zod';
 
+import * as answers from './answers.js';
 import type * as types from './types.js';
 
 export type HttpObjectStoreOptions = {
@@ -107,18 +109,17 @@
     return sent.mapErr((failure) => unavailable(failure.reason));
   }
 
+  /** Whoever answers at that address may be another than the platform. */
   async function readJson<Value>(
     path: string,
+    schema: zod.ZodType<Value>,
     deadlineMs: number,
   ): Promise<results.Result<Value, types.ObjectError>> {
     const sent = await read(path, deadlineMs);
     if (sent.err) return sent;
     if (sent.val.status !== 200) return results.Err(unavailableFrom(sent.val));
-    try {
-      return results.Ok(JSON.parse(sent.val.body.toString('utf8')) as Value);
-    } catch {
-      return results.Err(unavailable('malformed answer'));
-    }
+    const value = answers.parse(sent.val.body, schema);
+    return value === null ? results.Err(unavailable('malformed answer')) : results.Ok(value);
   }
 
   return {
@@ -128,7 +129,9 @@
       const { status, headers, body } = sent.val;
       if (status === 404) return results.Ok(null);
       if (status !== 200) return results.Err(unavailableFrom(sent.val));
-      return results.Ok({ key, version: Number(headers[VERSION_HEADER]), value: body });
+      const version = Number(headers[VERSION_HEADER]);
+      if (!Number.isSafeInteger(version)) return results.Err(unavailable('malformed answer'));
+      return results.Ok({ key, version, value: body });
     },
 
     put: async (key, value, condition, deadlineMs) => {
@@ -170,18 +173,22 @@
 
     list: async (prefix, deadlineMs) => {
       const path = `/list?prefix=${encodeURIComponent(prefix)}`;
-      const reply = await readJson<{ objects: types.ListedObject[] }>(path, deadlineMs);
+      const reply = await readJson(path, answers.listing, deadlineMs);
       return reply.map((body) => body.objects);
     },
 
     watch: (prefix, afterRevision, deadlineMs) => {
       const waitMs = Math.max(0, Math.round(deadlineMs - clock.nowMs()));
       const query = `prefix=${encodeURIComponent(prefix)}&after=${afterRevision}`;
-      return readJson(`/watch?${query}&timeout-ms=${waitMs}`, deadlineMs + WATCH_GRACE_MS);
+      return readJson(
+        `/watch?${query}&timeout-ms=${waitMs}`,
+        answers.changes,
+        deadlineMs + WATCH_GRACE_MS,
+      );
     },
 
     listVms: async (deadlineMs) => {
-      const reply = await readJson<{ vms: types.ListedVm[] }>('/vms', deadlineMs);
+      const reply = await readJson('/vms', answers.machines, deadlineMs);
       return reply.map((body) => body.vms);
     },
 
