--- a/packages/gateway/src/container.ts
+++ b/packages/gateway/src/container.ts
@@ -19,11 +19,13 @@
 import * as openCallsModule from './server/forwarding/open-calls.js';
 import * as plainAdmissions from './server/forwarding/plain-admission.js';
 import * as serving from './server/forwarding/serve.js';
+import * as stopAdmissions from './server/forwarding/stop-admission.js';
 import * as unsentRequests from './server/forwarding/unsent-requests.js';
 import * as upstreamSignals from './server/forwarding/upstream-signals.js';
 import * as measuredStores from './server/metrics/measured-store.js';
 import * as peerLinks from './server/peers/peer-link.js';
 import * as placementClients from './server/placement/placement-client.js';
+import * as answerTimes from './shared/answer-times.js';
 import * as inFlightModule from './shared/in-flight.js';
 import * as peerRegistries from './shared/peer-registry.js';
 import * as demandCounters from './shared/placement/demand-counters.js';
@@ -199,6 +201,16 @@
       )
       .singleton(),
     unsent: awilix.asFunction(unsentRequests.createUnsentRequests).singleton(),
+    stopAdmission: awilix
+      .asFunction((parts: partTypes.GatewayParts) =>
+        stopAdmissions.createStopAdmission({
+          clock: parts.clock,
+          log: parts.log,
+          stopTimes: status.stopTimes,
+          answerTimes: answerTimes.createAnswerTimes(),
+        }),
+      )
+      .singleton(),
     retries: awilix.asFunction(controlParts.createRetries).singleton(),
     incarnation: awilix
       .asFunction((parts: partTypes.GatewayParts) =>
@@ -302,6 +314,7 @@
             ),
           isStopping: status.isStopping,
           unsent: parts.unsent,
+          stopAdmission: parts.stopAdmission,
         }),
       )
       .singleton(),
--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -28,6 +28,7 @@
 import * as pipelinedRequests from './pipelined-requests.js';
 import * as requestLog from './request-log.js';
 import type * as serving from './serve.js';
+import type * as stopAdmissions from './stop-admission.js';
 import * as unsentRequests from './unsent-requests.js';
 
 export type CallersDeps = {
@@ -40,8 +41,6 @@
   closesConnections: () => boolean;
   /** Whether the connection is one too many for this process's descriptors. */
   isBeyondBound: (socket: net.Socket) => boolean;
-  /** False for a request that would not be over before a stop ends. */
-  mayTake: (deadlineMs: number) => boolean;
   metrics: Pick<
     metricsModule.GatewayMetrics,
     'requestEnded' | 'denied' | 'read' | 'callerLeft' | 'dropped'
@@ -50,6 +49,7 @@
   bodyBudget: byteBudgets.ByteBudget;
   openCalls: openCallsModule.OpenCalls;
   unsent: Pick<unsentRequests.UnsentRequests, 'add'>;
+  stopAdmission: stopAdmissions.StopAdmission;
   loopAges: Pick<
     readDelays.ReadDelay,
     'accepted' | 'probeWith' | 'requestAge' | 'readPending' | 'turnMs'
@@ -135,11 +135,12 @@
   deps: CallersDeps,
   request: http.IncomingMessage,
   sink: answers.AnswerSink,
-  { facts: { requestId }, route }: callBuilding.Admitted,
+  { facts: { requestId } }: callBuilding.Admitted,
+  arrival: callBuilding.Arrival,
   deadlineMs: number,
 ): void {
-  const remainingMs = Math.round(deadlineMs - deps.clock.nowMs());
-  deps.log.info('stopping-refused', { requestId, route: route.name, remainingMs });
+  const progress = { ...arrival, requestId, deadlineMs, passedOnAtMs: null, upstreamId: null };
+  deps.stopAdmission.log(progress, 'refused');
   const retryAfter = deps.dialect.retryAfter(unsentRequests.STOPPING_RETRY_MS);
   sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'stopping');
   deps.metrics.denied('stopping');
@@ -221,7 +222,7 @@
       sink.refuseUnread(request, 408, [['connection', 'close']], 'body-too-slow');
       return null;
     case 'stopping':
-      refuseStopping(deps, request, sink, admitted, deadlineMs);
+      refuseStopping(deps, request, sink, admitted, arrival, deadlineMs);
       return null;
     case 'no-room':
       logRefusedBody(deps, requestId, 'no-room', body.wantedBytes);
@@ -249,6 +250,11 @@
     const admitted = active === null ? null : admit(deps, active, request, sink);
     if (admitted === null) return null;
     const call = callBuilding.buildCall(deps, request, admitted, body, arrival);
+    const isTooLate = () => !deps.stopAdmission.mayPassOn(call);
+    if (isTooLate()) {
+      refuseStopping(deps, request, sink, admitted, arrival, call.deadlineMs);
+      return null;
+    }
     const queued = deps.requestQueue.waitForStart({
       dueMs: call.arrivedAtMs - call.elapsedBeforeMs + call.route.latencyObjectiveMs,
       deadlineMs: call.deadlineMs,
@@ -256,14 +262,14 @@
       bufferedMs: call.bufferedMs,
       onCallerGone: sink.onCallerGone,
     });
-    const result = await unsentRequests.orStopping(deps.unsent, queued);
+    const result = await unsentRequests.orStopping(deps.unsent, queued, isTooLate);
     sink.onCallerGone(null);
     if (isClosed(request.socket)) {
       requestLog.recordCallerLeft(deps, call.requestId, 'unread', arrival);
       return null;
     }
     if (result === 'stopping') {
-      refuseStopping(deps, request, sink, admitted, call.deadlineMs);
+      refuseStopping(deps, request, sink, admitted, arrival, call.deadlineMs);
       return null;
     }
     // A configuration that became active during the wait applies: the request is admitted again under it.
@@ -307,8 +313,8 @@
   const admitted = admit(deps, active, request, sink);
   if (admitted === null) return;
   const deadlineMs = callBuilding.deadlineOf(admitted, arrival);
-  if (!deps.mayTake(deadlineMs)) {
-    refuseStopping(deps, request, sink, admitted, deadlineMs);
+  if (!deps.stopAdmission.mayPassOn({ ...admitted, deadlineMs })) {
+    refuseStopping(deps, request, sink, admitted, arrival, deadlineMs);
     return;
   }
   const body = await readAdmitted(deps, active, request, sink, admitted, arrival);
@@ -336,9 +342,10 @@
   const quota = await unsentRequests.orStopping(
     deps.unsent,
     deps.quotas.admit(started.organisation, call.facts, isLate),
+    () => !deps.stopAdmission.mayPassOn(call),
   );
   if (quota === 'stopping') {
-    refuseStopping(deps, request, sink, started, call.deadlineMs);
+    refuseStopping(deps, request, sink, started, arrival, call.deadlineMs);
     return;
   }
   if (quota.kind === 'refused') {
--- a/packages/gateway/src/testing/callers-app.ts
+++ b/packages/gateway/src/testing/callers-app.ts
@@ -108,7 +108,6 @@
     configuration: () => (isConfigured ? active : null),
     closesConnections: options.closesConnections ?? (() => false),
     isBeyondBound: () => false,
-    mayTake: options.mayTake ?? (() => true),
     metrics: {
       requestEnded: () => {},
       denied: (cause) => denied.push(cause),
@@ -122,6 +121,11 @@
     bodyBudget,
     openCalls: openCallsModule.createOpenCalls(clock, log),
     unsent,
+    stopAdmission: {
+      mayPassOn: ({ deadlineMs }) => options.mayTake?.(deadlineMs) ?? true,
+      recordAnswer: () => {},
+      log: () => {},
+    },
   });
   await app.listen({ host: '127.0.0.1', port: 0 });
   const { port } = app.server.address() as net.AddressInfo;
