Entry: a call that an error ends is told that it may have run

Callers saw a 400 malformed-request, outcome not-run, for a submission that had run: each error behind the reading of a request went to the error handler, which knows malformed requests only. An upstream's status of 600 to 999, which fastify refuses to send, was enough. Such a call now ends as failed, or unknown where it may not run twice, with 502, or with the error event of its stream.

The test failed before: actual [400, not-run, not-run], expected [502, unknown, failed].

--- a/packages/entry/src/server/calls/app.test.ts
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -287,4 +287,23 @@
   assert.is(answer.json<{ outcome: string }>().outcome, 'failed');
 });
 
+// Guards against a submission that ran, and whose caller is told that it did not, since its answer cannot be passed on.
+test('a call that an error ends is never told as not run', async () => {
+  const answers: serving.Serve[] = [
+    async (_call, sink) => {
+      sink.head(600, [{ name: 'x-printer', value: 'desk' }]);
+      return { kind: 'answered', status: 600, replayed: false };
+    },
+    () => Promise.reject(new Error('broken')),
+  ];
+  for (const serve of answers) {
+    const { server } = createApp(serve);
+    const once = await server.inject(post('/services/proofs/submissions', '{}'));
+    const stream = await server.inject(post(CHAT, { ...chat, stream: true }));
+    const told = [once, stream].map((one) => one.json<{ outcome: string }>().outcome);
+    assert.equal([once.statusCode, ...told], [502, 'unknown', 'failed']);
+    assert.is(once.headers['x-printer'], undefined);
+  }
+});
+
 test.run();
--- a/packages/entry/src/server/calls/serve-call.ts
+++ b/packages/entry/src/server/calls/serve-call.ts
@@ -43,11 +43,14 @@
     if (stop.times() === null) remove = stop.onBegin(answerInTime);
     else answerInTime();
   });
-  const outcome = await Promise.race([served, unanswered]);
-  cancel();
-  remove();
-  logAtStop(deps, call, outcome);
-  return outcome;
+  try {
+    const outcome = await Promise.race([served, unanswered]);
+    logAtStop(deps, call, outcome);
+    return outcome;
+  } finally {
+    cancel();
+    remove();
+  }
 }
 
 async function serveHeld(
@@ -116,6 +119,28 @@
   deps.metrics.timing('entry.request_ms', tookMs, { class: call.priorityClass });
 }
 
+/** Tells the caller of a call that an error has ended that it may have run: to the error handler it would be a malformed request. */
+async function endBroken(
+  deps: contexts.CallDeps,
+  reply: fastify.FastifyReply,
+  call: calls.Call,
+  cause: unknown,
+): Promise<calls.Outcome> {
+  const { requestId } = call;
+  deps.log.error('call-broken', { requestId, reason: String(cause) });
+  const kind = call.idempotencyKey === null ? 'failed' : 'unknown';
+  const detail = 'an error in this entry, or an answer that cannot be passed on';
+  const outcome: calls.Refusal = { kind, cause: 'upstream-broken', retryAtMs: null, detail };
+  if (reply.raw.headersSent) {
+    reply.hijack();
+    answers.endStream(reply, outcome, requestId);
+    return outcome;
+  }
+  Object.keys(reply.getHeaders()).forEach((name) => reply.removeHeader(name));
+  await answers.sendRefusal(reply, outcome, requestId, deps.clock);
+  return outcome;
+}
+
 export async function serveCall(
   deps: contexts.CallDeps,
   reply: fastify.FastifyReply,
@@ -137,7 +162,10 @@
   deps.openCalls.count += 1;
   deps.metrics.gauge('entry.open_calls', deps.openCalls.count);
   try {
-    const outcome = await (isStreamed ? serveStreamed : serveHeld)(deps, reply, call);
+    const serve = isStreamed ? serveStreamed : serveHeld;
+    const outcome = await serve(deps, reply, call).catch((cause: unknown) =>
+      endBroken(deps, reply, call, cause),
+    );
     logOutcome(deps, call, outcome, startedAtMs);
   } finally {
     deps.openCalls.count -= 1;
