Agent: finished answers are not discarded where their room would not be enough

A part that found no room discarded all finished answers without a reader, those not yet read too, though the open ones held more than it needed; an entry that came back for one got attempt-unknown, and its caller unknown or a second run. The room that they would give is looked at first.

The test failed before: discarded [unread], expected [].

--- a/packages/agent/src/shared/answer-rooms.test.ts
+++ b/packages/agent/src/shared/answer-rooms.test.ts
@@ -60,6 +60,17 @@
   assert.is(budget.heldBytes(), 3 * MEGABYTE);
 });
 
+// Guards against unread answers that are thrown away for one that gets no room even so.
+test('finished answers are kept where their room would not be enough', async () => {
+  const { discarded, open, take, keep } = createWorld(11 * MEGABYTE);
+  await keep('unread', false);
+  assert.ok(await take(open('first'), 2 * MEGABYTE));
+  assert.ok(await take(open('second'), MEGABYTE));
+  assert.ok(await take(open('third'), MEGABYTE));
+  assert.not(await take(open('fourth'), 4 * MEGABYTE));
+  assert.equal(discarded, []);
+});
+
 // Guards against long answers that each hold what the others wait for, so that none can end.
 test('of long answers as many go on as can end, and one that ends lets the next go on', async () => {
   const { clock, discarded, open, take } = createWorld();
--- a/packages/agent/src/shared/answer-rooms.ts
+++ b/packages/agent/src/shared/answer-rooms.ts
@@ -39,6 +39,9 @@
 
   function takeByDiscarding(bytes: number, heldBytes: number): boolean {
     const idle = [...finished].filter(({ holder }) => holder.readerCount() === 0);
+    const idleBytes = idle.reduce((sumBytes, one) => sumBytes + one.heldBytes(), 0);
+    // An entry may still come for what would be discarded in vain.
+    if (!budget.wouldFit(bytes, heldBytes, idleBytes)) return false;
     const wholes = idle.filter(({ holder }) => holder.isReadWhole());
     const others = idle.filter(({ holder }) => !holder.isReadWhole());
     let freedBytes = 0;
