Entry: a wait for room ends with the deadline, or with its caller

And room could be taken after the answer's release, which nobody gave back. The wait now ends with the caller or the deadline, and what is over takes nothing.

--- a/packages/entry/src/server/calls/sinks.test.ts
+++ b/packages/entry/src/server/calls/sinks.test.ts
@@ -39,4 +39,20 @@
   assert.is(holds.answers.heldBytes(), 0);
 });
 
+// Guards against room that is taken for an answer which is over, and that nobody gives back.
+test('an answer that is over takes no room any more', async () => {
+  const holds = testHolds.createTestHolds(1);
+  const clock = fakeClock.createFakeClock();
+  const [first, second] = ['r-1', 'r-2'].map((id) => sinks.createHeldSink(holds, id, clock));
+  await first?.takeRoom?.(ANSWER_BYTES);
+  const over = new AbortController();
+  const waiting = second?.takeRoom?.(ANSWER_BYTES, over.signal);
+  over.abort();
+  second?.release();
+  first?.release();
+  await clock.advance(WAIT_MS);
+  assert.is(await waiting, 'no-room');
+  assert.equal([holds.answers.heldBytes(), holds.closed.length], [0, 0]);
+});
+
 test.run();
--- a/packages/entry/src/server/calls/sinks.ts
+++ b/packages/entry/src/server/calls/sinks.ts
@@ -70,14 +70,14 @@
       return Promise.resolve();
     },
     hasBegun: () => false,
-    takeRoom: async (bytes) => {
+    takeRoom: async (bytes, signal) => {
       const sizeBytes = room.usedBytes() + bytes;
       if (sizeBytes > MAX_HELD_BYTES) {
         refuse(sizeBytes, 'each', MAX_HELD_BYTES);
         return 'too-large';
       }
-      if (await room.take(bytes)) return 'taken';
-      refuse(sizeBytes, 'sum', sumBytesMax);
+      if (await room.take(bytes, signal)) return 'taken';
+      if (signal?.aborted !== true) refuse(sizeBytes, 'sum', sumBytesMax);
       return 'no-room';
     },
     answer: () => {
--- a/packages/entry/src/server/requests/attempt.test.ts
+++ b/packages/entry/src/server/requests/attempt.test.ts
@@ -16,7 +16,11 @@
   }
 }
 
-function createAttempt(open: () => AsyncIterable<links.LinkPart>, limitBytes = Infinity) {
+function createAttempt(
+  open: () => AsyncIterable<links.LinkPart>,
+  limitBytes = Infinity,
+  more: Partial<attempts.AttemptInput> = {},
+) {
   const rig = rigs.createRig();
   const kept: Buffer[] = [];
   let heldBytes = 0;
@@ -52,6 +56,7 @@
     callerGone: new AbortController().signal,
     stop: attempts.NO_STOP,
     open,
+    ...more,
   };
   const run = () => rigs.settle(rig, attempts.runAttempt(deps, input));
   return { rig, run, text: () => Buffer.concat(kept).toString() };
@@ -128,4 +133,35 @@
   assert.is(result.kind === 'failed' && result.cause, 'answer-too-large');
 });
 
+// Guards against a caller that is answered seconds behind its deadline, and a wait for room for a caller that has left.
+test('an answer waits for room until its deadline, or until its caller has left', async () => {
+  const leave = new AbortController();
+  let waitCount = 0;
+  const sink: calls.AnswerSink = {
+    head: () => {},
+    chunk: async () => {},
+    hasBegun: () => false,
+    takeRoom: (_bytes, signal) =>
+      new Promise((resolve) => {
+        waitCount += 1;
+        signal?.addEventListener('abort', () => resolve('no-room'));
+      }),
+  };
+  const open = () =>
+    frames('r-1/1', [
+      [0, fakeAgents.head],
+      [0, fakeAgents.chunk('lane 4')],
+    ]);
+  const late = createAttempt(open, Infinity, { sink, deadlineMs: 1_000 });
+  const result = late.run();
+  await late.rig.clock.advance(1_000);
+  assert.equal(await result, { kind: 'deadline-passed', hadStarted: false });
+  const left = createAttempt(open, Infinity, { sink, callerGone: leave.signal });
+  const alone = left.run();
+  await left.rig.clock.settle();
+  leave.abort();
+  assert.equal(await alone, { kind: 'caller-gone' });
+  assert.is(waitCount, 2);
+});
+
 test.run();
--- a/packages/entry/src/server/requests/attempt.ts
+++ b/packages/entry/src/server/requests/attempt.ts
@@ -137,19 +137,27 @@
     startedAtMs: clock.nowMs(),
   };
   const watch = createCallerWatch(input);
+  const deadline = new AbortController();
+  const cancelDeadline = clock.schedule(input.deadlineMs, () => deadline.abort());
+  /** Nobody waits for the answer any more. */
+  const over = AbortSignal.any([input.callerGone, deadline.signal]);
   let isTakingBack = false;
 
   async function takeData(offsetBytes: number, data: Buffer): Promise<AttemptResult | null> {
     // A frame of an earlier connection can arrive twice; only the next byte is ever passed on. A
     // body without its head would reach the caller without a status: it is asked for again.
     if (progress.status === 0 || offsetBytes !== progress.offsetBytes) return null;
-    const room = (await input.sink.takeRoom?.(data.length)) ?? 'taken';
+    const room = (await input.sink.takeRoom?.(data.length, over)) ?? 'taken';
     switch (room) {
       case 'too-large': {
         const detail = `the answer is longer than ${progress.offsetBytes} bytes`;
         return { kind: 'failed', cause: 'answer-too-large', detail, upstreamCrashed: false };
       }
       case 'no-room':
+        if (input.callerGone.aborted) return { kind: 'caller-gone' };
+        if (deadline.signal.aborted) {
+          return { kind: 'deadline-passed', hadStarted: progress.hadStarted };
+        }
         return { kind: 'no-room', detail: 'this entry has no room for the answer now' };
       case 'taken':
         break;
@@ -287,6 +295,7 @@
     return await readUntilClosed();
   } finally {
     watch.stop();
+    cancelDeadline();
     directory.noteEnded(input.target.agentId);
   }
 }
--- a/packages/entry/src/types/calls.ts
+++ b/packages/entry/src/types/calls.ts
@@ -36,7 +36,7 @@
   /** Whether the caller has received any of the answer. */
   hasBegun: () => boolean;
   /** Takes the room of bytes that it will hold; undefined for one that passes everything on. */
-  takeRoom?: (bytes: number) => Promise<Room>;
+  takeRoom?: (bytes: number, signal?: AbortSignal) => Promise<Room>;
 };
 
 /** Why a request did not run. */
--- a/packages/runtime/src/reservations.ts
+++ b/packages/runtime/src/reservations.ts
@@ -51,11 +51,13 @@
   return {
     take: async (bytes, signal) => {
       const untilMs = clock.nowMs() + WAIT_MS;
-      while (!tryTake(bytes)) {
-        if (clock.nowMs() >= untilMs || signal?.aborted === true) return false;
+      // What is over may have been released: nobody would give back what it took.
+      while (signal?.aborted !== true) {
+        if (tryTake(bytes)) return true;
+        if (clock.nowMs() >= untilMs) return false;
         await clocks.sleepUntil(clock, clock.nowMs() + RETRY_MS, signal);
       }
-      return true;
+      return false;
     },
     usedBytes: () => usedBytes,
     trim: () => {
