Entry: what still comes of a refused body is dropped before the connection is closed

A caller that was still sending when its body was refused (no-room, or 413) often got a reset in place of the refusal: Node closes the connection as soon as the answer is written, and a close with unread bytes is a reset, which overtakes the answer.

--- a/packages/entry/src/server/calls/app.test.ts
+++ b/packages/entry/src/server/calls/app.test.ts
@@ -253,6 +253,45 @@
   assert.equal([tooLarge.holds.bodies.heldBytes(), noRoom.holds.bodies.heldBytes()], [0, 0]);
 });
 
+/** Sends a long body in pieces as fast as the connection takes them, like a caller that gives up at an error: the status that it got. */
+async function statusOfLong(port: number, head: string, piece: Buffer): Promise<string> {
+  const socket = net.connect(port, '127.0.0.1');
+  let answer = '';
+  socket.on('data', (data) => {
+    answer += data.toString();
+  });
+  let leftCount = 300;
+  const sendOn = () => {
+    for (let hasRoom = true; hasRoom && leftCount > 0; leftCount -= 1)
+      hasRoom = socket.write(piece);
+  };
+  socket.write(`POST ${CHAT} HTTP/1.1\r\nhost: e\r\n${head}\r\n\r\n`);
+  socket.on('error', () => {}).on('drain', sendOn);
+  setTimeout(sendOn, 0);
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  return answer.slice('HTTP/1.1 '.length, 'HTTP/1.1 503'.length);
+}
+
+// Guards against a refusal that is lost in the reset of its connection, since its caller was still sending.
+test('a caller that sends on gets the refusal of its body', async () => {
+  const { server } = createApp(answering, 0.0001);
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  const { port } = server.server.address() as net.AddressInfo;
+  const data = Buffer.alloc(0x10000, 'x');
+  const chunk = Buffer.concat([Buffer.from('10000\r\n'), data, Buffer.from('\r\n')]);
+  const statuses: string[] = [];
+  for (let count = 0; count < 5; count += 1) {
+    statuses.push(
+      await statusOfLong(port, 'transfer-encoding: chunked', chunk),
+      await statusOfLong(port, 'content-length: 19660800', data),
+    );
+  }
+  await server.close();
+  assert.is(statuses.join(' '), '503 413 503 413 503 413 503 413 503 413');
+});
+
 const HALF = 'POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\n{';
 
 // Guards against a stop that closes the connection of a request whose body is still on its way, without a word.
--- a/packages/entry/src/server/calls/app.ts
+++ b/packages/entry/src/server/calls/app.ts
@@ -6,6 +6,7 @@
 import * as handlers from './handlers.js';
 import * as services from './services.js';
 import * as unreadBodies from './unread-bodies.js';
+import * as unreadRests from './unread-rests.js';
 
 /** A body that comes more slowly would hold its room for as long as its caller likes. */
 const REQUEST_READ_TIMEOUT_MS = 60_000;
@@ -49,6 +50,7 @@
   app.addHook('onSend', askForClose);
   bodyRooms.registerBodyRooms(app, deps, options.maxBodyBytes);
   unreadBodies.refuseUnreadBodies(app, deps);
+  unreadRests.dropUnreadRests(app);
   registerCalls(app, deps);
   return app;
 }
--- a/packages/entry/src/server/calls/unread-bodies.ts
+++ b/packages/entry/src/server/calls/unread-bodies.ts
@@ -8,7 +8,8 @@
   const unread = new Set<fastify.FastifyReply>();
 
   function refuse(reply: fastify.FastifyReply): void {
-    if (reply.sent) return;
+    unread.delete(reply);
+    if (reply.raw.headersSent) return;
     const requestId = deps.nextRequestId();
     const refusal = deps.stop.refusal();
     deps.calls.add(requestId);
