Long answers go on in the order in which they came

Cause: each room that became free went to whichever answer asked first; the one that waited longest could wait in vain. Change: of the long answers that wait, the one that came first goes on first.

--- a/packages/agent/src/shared/answer-rooms.test.ts
+++ b/packages/agent/src/shared/answer-rooms.test.ts
@@ -77,4 +77,20 @@
   assert.equal(discarded, []);
 });
 
+// Guards against a long answer that waits in vain, since later ones take each room that becomes free.
+test('long answers go on in the order in which they came', async () => {
+  const { clock, open, take } = createWorld();
+  const [first, second, early, late] = ['a', 'b', 'c', 'd'].map((name) => open(name));
+  assert.ok(first !== undefined && second !== undefined);
+  assert.ok(await take(first, 2 * MEGABYTE));
+  assert.ok(await take(second, 2 * MEGABYTE));
+  const waited = early?.take(2 * MEGABYTE);
+  first.release();
+  const overtaking = late?.take(2 * MEGABYTE);
+  await clock.advance(100);
+  assert.ok(await waited);
+  await clock.advance(WAIT_MS);
+  assert.not(await overtaking);
+});
+
 test.run();
--- a/packages/agent/src/shared/answer-rooms.ts
+++ b/packages/agent/src/shared/answer-rooms.ts
@@ -36,6 +36,7 @@
 ): AnswerRooms {
   /** In the order of their ends. */
   const finished = new Set<Finished>();
+  const waiting = new Set<object>();
 
   function takeByDiscarding(bytes: number, heldBytes: number): boolean {
     const idle = [...finished].filter(({ holder }) => holder.readerCount() === 0);
@@ -61,6 +62,7 @@
         give: budget.give,
         bytesMax,
         sumBytesMax: budget.maxBytes,
+        waiting,
       });
       const self = { holder, heldBytes: usedBytes };
       return {
--- a/packages/entry/src/server/calls/context.ts
+++ b/packages/entry/src/server/calls/context.ts
@@ -17,7 +17,7 @@
   configuration: () => { version: number; document: schema.Document } | null;
   nextRequestId: () => string;
   openCalls: { count: number };
-  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'bodies' | 'noteClosed'>;
+  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'waitingAnswers' | 'bodies' | 'noteClosed'>;
   calls: openCallsModule.OpenCalls;
   stop: plannedStops.PlannedStop;
 };
--- a/packages/entry/src/server/calls/sinks.ts
+++ b/packages/entry/src/server/calls/sinks.ts
@@ -38,7 +38,7 @@
 
 /** Holds the answer back until it is whole, so that a failure can still be told truthfully. */
 export function createHeldSink(
-  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'noteClosed'>,
+  holds: Pick<daemonHolds.DaemonHolds, 'answers' | 'waitingAnswers' | 'noteClosed'>,
   requestId: string,
   clock: clocks.Clock,
 ): HeldSink {
@@ -52,6 +52,7 @@
     give,
     bytesMax: MAX_HELD_BYTES,
     sumBytesMax,
+    waiting: holds.waitingAnswers,
   });
 
   function refuse(sizeBytes: number, bound: 'each' | 'sum', boundBytes: number): void {
--- a/packages/runtime/src/daemon-holds.ts
+++ b/packages/runtime/src/daemon-holds.ts
@@ -21,6 +21,8 @@
   bodies: byteBudgets.ByteBudget;
   /** Answers to requests. */
   answers: byteBudgets.ByteBudget;
+  /** Long answers that wait for room, in the order in which they came. */
+  waitingAnswers: Set<object>;
   /** Answers to the process's own calls, while they are read. */
   reads: byteBudgets.ByteBudget;
   noteClosed: (closed: ClosedRead) => void;
@@ -43,6 +45,7 @@
   return {
     bodies: processMemory.budgetOf(memoryMb, SHARE_OF_BODIES),
     answers: processMemory.budgetOf(memoryMb, SHARE_OF_ANSWERS),
+    waitingAnswers: new Set(),
     reads: processMemory.budgetOf(memoryMb, SHARE_OF_READS),
     noteClosed: (closed) => {
       log.warn('read-closed', closed);
--- a/packages/runtime/src/reservations.ts
+++ b/packages/runtime/src/reservations.ts
@@ -21,6 +21,8 @@
   bytesMax: number;
   /** Of all answers together. */
   sumBytesMax: number;
+  /** Long answers that wait for room, in the order in which they came: a later one may not go on before them. */
+  waiting: Set<object>;
 };
 
 /** A chat answer of some thousand tokens is shorter. */
@@ -32,17 +34,29 @@
 const RETRY_MS = 20;
 
 export function createReservation(options: ReservationOptions): Reservation {
-  const { clock, give, sumBytesMax } = options;
+  const { clock, give, sumBytesMax, waiting } = options;
+  const self = {};
   const longBytes = Math.min(options.bytesMax, Math.floor(sumBytesMax * SHARE_OF_ONE));
   let usedBytes = 0;
   let takenBytes = 0;
 
+  function hasTurn(): boolean {
+    const [eldest = self] = waiting;
+    return eldest === self;
+  }
+
   function tryTake(bytes: number): boolean {
     const neededBytes = usedBytes + bytes;
     const wholeBytes =
       neededBytes > SHORT_BYTES_MAX ? Math.max(longBytes, neededBytes) : neededBytes;
     const missingBytes = neededBytes <= takenBytes ? 0 : wholeBytes - takenBytes;
-    if (missingBytes > 0 && !options.take(missingBytes, takenBytes)) return false;
+    if (missingBytes > 0) {
+      const isLong = neededBytes > SHORT_BYTES_MAX;
+      if ((isLong && !hasTurn()) || !options.take(missingBytes, takenBytes)) {
+        if (isLong) waiting.add(self);
+        return false;
+      }
+    }
     takenBytes += missingBytes;
     usedBytes = neededBytes;
     return true;
@@ -51,11 +65,13 @@
   return {
     take: async (bytes, signal) => {
       const untilMs = clock.nowMs() + WAIT_MS;
-      while (!tryTake(bytes)) {
-        if (clock.nowMs() >= untilMs || signal?.aborted === true) return false;
+      let hasTaken = tryTake(bytes);
+      while (!hasTaken && clock.nowMs() < untilMs && signal?.aborted !== true) {
         await clocks.sleepUntil(clock, clock.nowMs() + RETRY_MS, signal);
+        hasTaken = tryTake(bytes);
       }
-      return true;
+      waiting.delete(self);
+      return hasTaken;
     },
     usedBytes: () => usedBytes,
     trim: () => {
