A long answer that has its room waits for nobody

What callers saw (endless-answers.test.ts on the commit before, once): submissions took 5 and 10 s; four long answers waited for each other. Cause: an answer that has the room of the longest needs a little more for what its parts take, and asked for it behind one that waits for its end. Change: one that has that room goes on at once; the room includes 512 KiB for its parts.

--- a/packages/agent/src/server/dispatch/attempts.ts
+++ b/packages/agent/src/server/dispatch/attempts.ts
@@ -84,7 +84,7 @@
   const rooms = answerRooms.createAnswerRooms(
     deps.clock,
     deps.holds.answers,
-    runsModule.MAX_ANSWER_BYTES,
+    runsModule.MAX_ANSWER_ROOM_BYTES,
   );
   let isLeaving = false;
   let stopping: stopTimes.DrainTimes | null = null;
--- a/packages/agent/src/server/dispatch/runs.ts
+++ b/packages/agent/src/server/dispatch/runs.ts
@@ -40,6 +40,8 @@
 export const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** What a part takes beside its bytes; the sum would not bound an answer in pieces of one byte. */
 const PART_OVERHEAD_BYTES = 256;
+/** With what its parts take, of 8 KB or more each. */
+export const MAX_ANSWER_ROOM_BYTES = MAX_ANSWER_BYTES + 512 * 1024;
 /** When an agent cannot say when it will be better, callers come back after this. */
 const DEFAULT_RETRY_MS = 1_000;
 const NOT_FOUND_STATUS = 404;
--- a/packages/agent/src/shared/answer-rooms.test.ts
+++ b/packages/agent/src/shared/answer-rooms.test.ts
@@ -93,4 +93,20 @@
   assert.not(await overtaking);
 });
 
+// Guards against a long answer that has its room and waits behind one that waits for its end.
+test('an answer that grows past the room of the longest goes on before those that wait', async () => {
+  const { clock, open, take } = createWorld(10 * MEGABYTE);
+  const [first, second, waiting] = ['a', 'b', 'c'].map((name) => open(name));
+  assert.ok(first !== undefined && second !== undefined);
+  assert.ok(await take(first, 4 * MEGABYTE));
+  assert.ok(await take(second, 4 * MEGABYTE));
+  const waited = waiting?.take(2 * MEGABYTE);
+  const grown = first.take(1_000);
+  await clock.advance(100);
+  assert.ok(await grown);
+  first.release();
+  await clock.advance(100);
+  assert.ok(await waited);
+});
+
 test.run();
--- a/packages/runtime/src/reservations.ts
+++ b/packages/runtime/src/reservations.ts
@@ -40,7 +40,9 @@
   let usedBytes = 0;
   let takenBytes = 0;
 
+  /** One that has the room of a long answer waits for nobody: the others wait for its end. */
   function hasTurn(): boolean {
+    if (takenBytes >= longBytes) return true;
     const [eldest = self] = waiting;
     return eldest === self;
   }
