--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -2,6 +2,7 @@
 import { grpcTransport } from '@copperlever/coordination';
 import {
   daemon,
+  daemonHolds,
   descriptors,
   gauges,
   heldSignals,
@@ -26,7 +27,7 @@
 const LAST_BATCH_MS = 5_000;
 
 const processEnd = processFaults.watchProcess('copperlever-entry');
-const settingsFile = daemon.readSettings(
+const settingsFile = await daemon.readSettings(
   { name: 'copperlever-entry', description: 'Takes calls, routes them and answers' },
   settingsModule.settingsSchema,
 );
@@ -89,6 +90,7 @@
     configuration: control.follower.current,
     nextRequestId: cradle.ids.next,
     openCalls,
+    holds: cradle.holds,
     calls: cradle.calls,
     stop: cradle.stop,
   };
@@ -143,6 +145,7 @@
       { name: 'entry.start_waiting', read: listeners.waitingCount },
       ...gauges.logSources('entry', cradle.logSink),
       ...gauges.descriptorSources('entry', descriptorWatch),
+      ...daemonHolds.holdSources('entry', cradle.holds),
     ],
   });
 }
