--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -135,12 +135,13 @@
   deps: CallersDeps,
   request: http.IncomingMessage,
   sink: answers.AnswerSink,
-  { facts: { requestId } }: callBuilding.Admitted,
+  admitted: callBuilding.Admitted,
   arrival: callBuilding.Arrival,
   deadlineMs: number,
 ): void {
-  const progress = { ...arrival, requestId, deadlineMs, passedOnAtMs: null, upstreamId: null };
-  deps.stopAdmission.log(progress, 'refused');
+  const { requestId } = admitted.facts;
+  const nowhere = { passedOnAtMs: null, upstreamId: null };
+  deps.stopAdmission.log({ ...arrival, ...admitted, ...nowhere, requestId, deadlineMs }, 'refused');
   const retryAfter = deps.dialect.retryAfter(unsentRequests.STOPPING_RETRY_MS);
   sink.refuseUnread(request, 503, [['retry-after', retryAfter]], 'stopping');
   deps.metrics.denied('stopping');
--- a/packages/gateway/src/server/forwarding/late-requests-plays.test.ts
+++ b/packages/gateway/src/server/forwarding/late-requests-plays.test.ts
@@ -110,10 +110,13 @@
 // Guards against late bodies, waits and other attempts that are passed on and cut off, and against requests without an answer.
 test('what is passed on late in a stop is over before its end, and every request has an answer', async () => {
   let withoutLooks = 0;
-  const checked = fc.asyncProperty(fc.array(late, { minLength: 20, maxLength: 40 }), async (requests) => {
-    assert.is(await cutLateCount(requests, true), 0);
-    withoutLooks += await cutLateCount(requests, false);
-  });
+  const checked = fc.asyncProperty(
+    fc.array(late, { minLength: 20, maxLength: 40 }),
+    async (requests) => {
+      assert.is(await cutLateCount(requests, true), 0);
+      withoutLooks += await cutLateCount(requests, false);
+    },
+  );
   await fc.assert(checked, { numRuns: PLAYS, seed: 78 });
   assert.ok(withoutLooks > PLAYS / 10, `${withoutLooks}`);
 });
--- a/packages/gateway/src/server/forwarding/stop-admission.ts
+++ b/packages/gateway/src/server/forwarding/stop-admission.ts
@@ -6,19 +6,18 @@
 import type * as calls from '../../types/calls.js';
 import type * as logEvents from '../../types/log-events.js';
 
+export type Request = Pick<calls.Call, 'route' | 'facts' | 'deadlineMs'>;
+
 /** When a request was read, and where it is. */
-export type Progress = {
+export type Progress = Request & {
   requestId: string;
   arrivedAtMs: number;
   bufferedMs: number;
-  deadlineMs: number;
   /** Of the latest attempt; null before the first. */
   passedOnAtMs: number | null;
   upstreamId: string | null;
 };
 
-export type Request = Pick<calls.Call, 'route' | 'facts' | 'deadlineMs'>;
-
 export type StopAdmission = {
   /**
    * False for a request that would not be over before the stop ends if it was sent to an upstream now: by its deadline, or by what
@@ -56,6 +55,7 @@
     log: ({ requestId, passedOnAtMs, upstreamId, ...progress }, outcome) => {
       const stop = deps.stopTimes();
       if (stop === null) return;
+      const usualMs = deps.answerTimes.usualMs(kindOf(progress));
       const readAtMs = progress.arrivedAtMs + progress.bufferedMs;
       deps.log.info('ended-by-stop', {
         requestId,
@@ -65,6 +65,7 @@
           passedOnAtMs === null ? undefined : Math.round(passedOnAtMs - stop.stopAtMs),
         upstreamId: upstreamId ?? undefined,
         remainingMs: Math.round(progress.deadlineMs - clock.nowMs()),
+        usualMs: usualMs === null ? undefined : Math.round(usualMs),
       });
     },
   };
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -229,7 +229,7 @@
   'steward-broken': { upstreamId: string; reason: string };
   /**
    * A planned stop decided how a request ended. Times count from the begin of the stop and are negative before; `passedOnSinceStopMs`:
-   * of its latest attempt. `remainingMs`: until its deadline.
+   * of its latest attempt. `remainingMs`: until its deadline; `usualMs`: what nearly all answers of its route and model take.
    */
   'ended-by-stop': {
     requestId: string;
@@ -238,6 +238,7 @@
     passedOnSinceStopMs: Amount;
     upstreamId: Text;
     remainingMs: number;
+    usualMs: Amount;
   };
   'route-unknown': { requestId: string; path: string; configVersion: number };
   /** No configuration in force names the caller's key. */
