What a gateway gave up at a silent upstream is sent on in a stop

Cause by reading, and shown by the test: an attempt was given up while a stop still left time for another; a wait for a permit or a queue later it left none, and the answer that the first upstream might still have sent was lost. Change: such a request is exempt from the look, until the refusal before the end. The test failed before: failed after one send, in place of answered after two.

--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -19,6 +19,8 @@
   retryHeldUntilMs: number | null;
   /** An attempt is under way of which an upstream may have received a part. */
   isAtUpstream: boolean;
+  /** Its latest attempt was given up, although it might still have answered, for another that follows. */
+  wasGivenUp: boolean;
   /** The caller has received a part of an answer. */
   hasBegun: boolean;
   /** The upstream of the latest attempt. */
@@ -68,6 +70,7 @@
     sentCount: 0,
     retryHeldUntilMs: null,
     isAtUpstream: false,
+    wasGivenUp: false,
     hasBegun: false,
     upstreamId: '',
     passedOnAtMs: null,
--- a/packages/gateway/src/server/forwarding/serve.test.ts
+++ b/packages/gateway/src/server/forwarding/serve.test.ts
@@ -908,6 +908,22 @@
   assert.equal([rejected.kind, rejected.cause, rejected.sentCount], ['not-run', 'stopping', 1]);
 });
 
+// Guards against an error in place of a late answer, where an attempt is given up just before a stop leaves no time for the next.
+test('an attempt that was given up for another is followed by it, in a stop too', async () => {
+  let permitCount = 0;
+  const takePermit = async () => {
+    permitCount += 1;
+    if (permitCount > 1) await timers.setTimeout(300);
+    return true;
+  };
+  const pending = { answers: [() => {}, answerAfter(0)], takePermit };
+  const served = await serveSilent(pending, ({ stopping }) => {
+    const times = lateStop();
+    stopping.times = { ...times, takesAllUntilMs: performance.now() + 400 };
+  });
+  assert.equal([served.kind, served.sentCount], ['answered', 2]);
+});
+
 // Guards against a request that waits on until the end of a stop, although it could not be over by then any more.
 test('a request that waits is refused as soon as a stop leaves no time for it', async () => {
   const waiting = async () => ({ kind: 'wait', ownerId: 'g2', waitMs: 10_000 }) as const;
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -156,6 +156,7 @@
     if (result.kind !== 'not-sent') run.sentCount += 1;
     if (result.kind !== 'not-sent' && result.kind !== 'rejected') run.ranCount += 1;
     run.hasBegun = sink.hasBegun();
+    run.wasGivenUp = result.kind === 'lost' && result.reason === 'silent';
     if (result.kind === 'rejected' && !result.isMisdirected) run.wasFull = true;
     const decision = retryDecisions.decideAfterAttempt(factsOf(call, run), result);
     if (decision.kind === 'end') return decision.ending;
@@ -314,7 +315,7 @@
       turn.ended(false, null);
       return preferHeldFailure(run, sink, refusedSince);
     }
-    if (isTooLate(call, sink)) {
+    if (isTooLate(call, run, sink)) {
       turn.ended(false, null);
       return null;
     }
@@ -380,7 +381,7 @@
         if (run.ranCount > 0) return { kind: 'failed', cause: 'timeout', upstreamId };
         return refuse(call, run, 'deadline-near', MIN_RETRY_AFTER_MS);
       }
-      if (isTooLate(call, sink)) return stoppingEnding(call, run, sink);
+      if (isTooLate(call, run, sink)) return stoppingEnding(call, run, sink);
       const refused = quarantined.ending(call, run);
       if (refused !== null) return preferHeldFailure(run, sink, refused) ?? refused;
       const ending = await serveOnce(call, run, sink);
@@ -392,9 +393,13 @@
     return deps.unsent.isRefusing() || !deps.stopAdmission.mayPassOn(call);
   }
 
-  /** Whether the end of a stop would cut it off. A stream that has begun goes on: its end is cut off in any case. */
-  function isTooLate(call: calls.Call, sink: answers.AnswerSink): boolean {
-    return !sink.hasBegun() && mustNotPassOn(call);
+  /**
+   * Whether the end of a stop would cut it off. A stream that has begun goes on, since it would be cut off in any case; so does what
+   * was given up at an upstream that might still have answered.
+   */
+  function isTooLate(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): boolean {
+    if (sink.hasBegun()) return false;
+    return run.wasGivenUp ? deps.unsent.isRefusing() : mustNotPassOn(call);
   }
 
   /** Resumed streams are left out: they do only a part of the work. At its deadline an answer would have taken longer still. */
@@ -465,7 +470,10 @@
         withdrawable.withdraw();
         resolve(endOfStop(call, run, sink));
       };
-      remove = deps.unsent.add(refuseWaiting, { isTooLate: () => mustNotPassOn(call), end });
+      remove = deps.unsent.add(refuseWaiting, {
+        isTooLate: () => isTooLate(call, run, sink),
+        end,
+      });
     });
     try {
       return await Promise.race([refused, bindAndServe(call, run, withdrawable)]);
