--- a/packages/agent/src/server/upstream/http-upstream.ts
+++ b/packages/agent/src/server/upstream/http-upstream.ts
@@ -5,6 +5,7 @@
 import * as undici from 'undici';
 
 import type * as upstreams from '../../types/upstreams.js';
+import * as engineReports from './engine-report.js';
 
 export type HttpUpstreamOptions = {
   baseUrl: string;
@@ -136,7 +137,9 @@
     if (status !== 200) return results.Err({ kind: 'no-report', detail: `status ${status}` });
     const state = parseJson(body);
     if (state === null) return results.Err({ kind: 'unreachable', detail: 'no JSON' });
-    return results.Ok(state as upstreams.EngineReport);
+    const found = engineReports.parse(state);
+    if (found === null) return results.Err({ kind: 'no-report', detail: 'malformed report' });
+    return results.Ok(found);
   }
 
   return { run, order, report, close: () => pool.close() };
