Tests of busy addresses look for the line that a start waits

One of four runs of packages/proofs busy-ports.test.ts failed at load 20 ("SIGTERM ends an agent, and an entry, that waits for its address"): it sent SIGTERM after a fixed 1.5 s. Suspected, not traced: Node had not run the program's first statement, so that the signal ended it by its default.

--- a/packages/proofs/src/processes/busy-ports.test.ts
+++ b/packages/proofs/src/processes/busy-ports.test.ts
@@ -1,5 +1,6 @@
+import * as fs from 'node:fs';
 import * as net from 'node:net';
-import * as timers from 'node:timers/promises';
+import * as path from 'node:path';
 
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -8,8 +9,6 @@
 
 const test = suite('starts of entries and agents at addresses that are taken');
 
-/** Longer than a start takes. */
-const TAKEN_MS = 1_500;
 const PLACE = { region: 'hanoi', failureDomain: 'long-bien', seedAddresses: [] };
 
 /** Takes a port; `giveBack` lets others listen there. */
@@ -36,6 +35,14 @@
 
 test.after(() => fleet.stop());
 
+/** Once its log says that it waits for an address of that kind. */
+function untilWaiting(name: string, what: string): Promise<boolean> {
+  return rigs.waitFor(`${name} that waits for ${what}`, async () => {
+    const text = fs.readFileSync(path.join(fleet.folder, `${name}.log`), 'utf8');
+    return new RegExp(`start-waiting.*what=${what} `).test(text) || undefined;
+  });
+}
+
 function endOf(name: string): Promise<number> {
   return rigs.waitFor(
     `the end of ${name}`,
@@ -49,9 +56,9 @@
   const ports = { callerPort: callers.port, listenPort: control.port };
   const starting = fleet.startEntry({ ...place, ...ports, entryId: 'entry-1' });
   starting.catch(() => {});
-  await timers.setTimeout(TAKEN_MS);
+  await untilWaiting('entry-1', 'control');
   control.giveBack();
-  await timers.setTimeout(TAKEN_MS / 3);
+  await untilWaiting('entry-1', 'callers');
   callers.giveBack();
   await starting;
   assert.is(fleet.processes.get('entry-1')?.exitCode, null);
@@ -64,9 +71,8 @@
   await fleet.startAgent({ ...place, ...agent, listenPort: control.port });
   const entry = fleet.startEntry({ ...place, entryId: 'entry-2', listenPort: control.port });
   entry.catch(() => {});
-  await timers.setTimeout(TAKEN_MS);
   for (const name of ['agent-1', 'entry-2']) {
-    assert.is(fleet.processes.get(name)?.exitCode, null, `${name} has ended`);
+    await untilWaiting(name, 'control');
     fleet.processes.get(name)?.kill('SIGTERM');
     assert.is(await endOf(name), 0, name);
   }
