Claims, floors: a record that cannot be read counts as a store that does not answer

The bytes of a claim or a floor were taken for JSON of the right form. With other bytes in the store, settling a claim threw in a task that nothing waits for: an unhandled rejection, which ends the entry (seen with createSettlements for "<html>", "null" and an empty record), and its count of pending claims stayed, for which the stop waits. The keeper of floors ended the run of an engine's agent. Nothing is taken over that cannot be read: whether it ran is not known.

--- a/packages/coordination/src/claims/claims.test.ts
+++ b/packages/coordination/src/claims/claims.test.ts
@@ -124,4 +124,26 @@
   assert.is.not((await one.read('open', clock.nowMs() + 100)).unwrap(), null);
 });
 
+// Guards against a record of another shape in the store that ends the process which settles the claim.
+test('a claim that cannot be read is neither taken over nor thrown', async () => {
+  for (const bytes of ['', '<html>', 'null', '[]', '{}', '{"nonce":"x","target":7}']) {
+    const { clock, store, holder } = createParts('one-object-each');
+    const held = await holder(1).claim(wanted('entry-1'), 1_000);
+    assert.ok(held.ok && held.val.kind === 'held');
+    const condition = { kind: 'version', version: held.val.held.version } as const;
+    await store.put(claims.claimObjectKey('proof-1'), Buffer.from(bytes), condition, 1_000);
+    const settling = holder(1).settle(held.val.held, { kind: 'failed', cause: 'x' }, 1_000);
+    const claiming = holder(2).claim(wanted('entry-2'), 1_000);
+    const reading = holder(2).read('proof-1', 1_000);
+    await clock.advance(2_000);
+    const told = await Promise.all([settling, claiming, reading]);
+    const kinds = told.map((one) => (one.err ? one.val.kind : 'ok'));
+    assert.equal(
+      kinds,
+      kinds.map(() => 'store-unavailable'),
+      bytes,
+    );
+  }
+});
+
 test.run();
--- a/packages/coordination/src/floors/floors.test.ts
+++ b/packages/coordination/src/floors/floors.test.ts
@@ -26,4 +26,20 @@
   assert.equal(c?.val, { kind: 'moved', floor: { key: 'm', holderId: 'b', incarnation: 1 } });
 });
 
+// Guards against a record of another shape in the store that ends the agent which reads it.
+test('a floor that cannot be read counts as a store that does not answer', async () => {
+  const clock = fakeClock.createFakeClock();
+  const store = memoryStore.createMemoryStore(clock);
+  const held = floors.createFloors({ store, clock, random: randoms.createRandom(1) });
+  for (const bytes of ['', 'null', '{}']) {
+    const key = `m${bytes}`;
+    const written = Buffer.from(bytes);
+    await store.put(floors.floorObjectKey(key), written, { kind: 'absent' }, 1_000);
+    const read = await held.read(key, 1_000);
+    const taken = await held.acquire(key, null, { holderId: 'b', incarnation: 1 }, 1_000);
+    const kinds = [read, taken].map((one) => (one.err ? one.val.kind : 'ok'));
+    assert.equal(kinds, ['store-unavailable', 'store-unavailable']);
+  }
+});
+
 test.run();
