--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,6 +1,6 @@
 /** The agent beside one upstream: the only process that gives it work and orders. */
 import { grpcTransport } from '@copperlever/coordination';
-import { agent } from '@copperlever/protocol';
+import { agent, servers } from '@copperlever/protocol';
 import {
   clocks,
   daemon,
@@ -104,12 +104,7 @@
     }),
     ...placingApp.createPlacingApp(() => (isConfigured() ? (cradle.copies.placing ?? null) : null)),
   });
-  return new Promise((resolve, reject) => {
-    server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error) => {
-      if (error === null) resolve(server);
-      else reject(error);
-    });
-  });
+  return servers.listen(server, address);
 }
 
 async function startControl(): Promise<supervisor.RunningPart> {
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,5 +1,6 @@
 /** The entry: takes calls from callers, routes them to agents and answers. */
 import { grpcTransport } from '@copperlever/coordination';
+import { servers } from '@copperlever/protocol';
 import {
   daemon,
   daemonHolds,
@@ -55,12 +56,7 @@
 function listenForPeers(address: string): Promise<grpc.Server> {
   const server = new grpc.Server();
   grpcTransport.addPeerService(server, control.handlers);
-  return new Promise((resolve, reject) => {
-    server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error) => {
-      if (error === null) resolve(server);
-      else reject(error);
-    });
-  });
+  return servers.listen(server, address);
 }
 
 async function startControl(): Promise<supervisor.RunningPart> {
--- a/packages/gateway/src/server/forwarding/serve.ts
+++ b/packages/gateway/src/server/forwarding/serve.ts
@@ -43,8 +43,9 @@
 import * as routers from './router.js';
 import * as runs from './run.js';
 import type * as stopAdmissions from './stop-admission.js';
+import * as stopEndings from './stop-endings.js';
 import * as streamBindings from './stream-binding.js';
-import * as unsentRequests from './unsent-requests.js';
+import type * as unsentRequests from './unsent-requests.js';
 import type * as connectionsModule from './connections.js';
 import type * as upstreamSignals from './upstream-signals.js';
 
@@ -114,6 +115,7 @@
   const missing = missingCopies.createMissingCopies({ ...deps, router, refuse });
   const quarantined = quarantineChecks.createQuarantineCheck({ ...deps, router, refuse });
   const bindStream = streamBindings.createStreamBinding({ ...deps, refuse });
+  const stopEnding = stopEndings.createStopEndings({ ...deps, refuse, preferHeldFailure });
 
   function factsOf(call: calls.Call, run: runs.Run): retryDecisions.RequestFacts {
     const { ranCount, sentCount, hasBegun, upstreamId } = run;
@@ -196,7 +198,7 @@
   /** Whether an upstream could take the request next, besides the one that has it now. */
   function hasNextUpstream(call: calls.Call, run: runs.Run): boolean {
     const next = { ...run, ranCount: run.ranCount + 1, sentCount: run.sentCount + 1 };
-    if (mustNotPassOn(call) || quarantined.isRefused(next)) return false;
+    if (stopEnding.mustNotPassOn(call) || quarantined.isRefused(next)) return false;
     const wouldSend = plainCallPath.wouldSend(call, next);
     if (wouldSend !== null) return wouldSend;
     const choice = router.choose(call, next, router.needsModel(call) ? 'any' : 'place');
@@ -315,7 +317,7 @@
       turn.ended(false, null);
       return preferHeldFailure(run, sink, refusedSince);
     }
-    if (isTooLate(call, run, sink)) {
+    if (stopEnding.isTooLate(call, run, sink)) {
       turn.ended(false, null);
       return null;
     }
@@ -324,7 +326,7 @@
     run.passedOnAtMs = clock.nowMs();
     run.excludedIds.add(choice.upstreamId);
     const result = await attempt(call, run, sink, to);
-    recordAnswerTime(call, run, result);
+    stopEnding.recordAnswer(call, run, result);
     quarantined.attemptEnded(run);
     if (result.kind === 'lost') run.lostUpstreamId = choice.upstreamId;
     // Has an effect only if the first event never arrived: the turn then ends without a prefill.
@@ -381,7 +383,7 @@
         if (run.ranCount > 0) return { kind: 'failed', cause: 'timeout', upstreamId };
         return refuse(call, run, 'deadline-near', MIN_RETRY_AFTER_MS);
       }
-      if (isTooLate(call, run, sink)) return stoppingEnding(call, run, sink);
+      if (stopEnding.isTooLate(call, run, sink)) return stopEnding.refused(call, run, sink);
       const refused = quarantined.ending(call, run);
       if (refused !== null) return preferHeldFailure(run, sink, refused) ?? refused;
       const ending = await serveOnce(call, run, sink);
@@ -389,49 +391,6 @@
     }
   }
 
-  function mustNotPassOn(call: calls.Call): boolean {
-    return deps.unsent.isRefusing() || !deps.stopAdmission.mayPassOn(call);
-  }
-
-  /**
-   * Whether the end of a stop would cut it off. A stream that has begun goes on, since it would be cut off in any case; so does what
-   * was given up at an upstream that might still have answered.
-   */
-  function isTooLate(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): boolean {
-    if (sink.hasBegun()) return false;
-    return run.wasGivenUp ? deps.unsent.isRefusing() : mustNotPassOn(call);
-  }
-
-  /** Resumed streams are left out: they do only a part of the work. At its deadline an answer would have taken longer still. */
-  function recordAnswerTime(call: calls.Call, run: runs.Run, result: calls.AttemptResult): void {
-    const isWhole = run.resumeAfterId === null && call.resumeAfterId === null;
-    const isTold = result.kind === 'answered' || result.kind === 'deadline';
-    if (!isWhole || !isTold || run.passedOnAtMs === null) return;
-    deps.stopAdmission.recordAnswer(call, clock.nowMs() - run.passedOnAtMs);
-  }
-
-  function logStop(call: calls.Call, run: runs.Run, outcome: logEvents.StopOutcome): void {
-    const { passedOnAtMs } = run;
-    const upstreamId = passedOnAtMs === null ? null : run.upstreamId;
-    deps.stopAdmission.log({ ...call, passedOnAtMs, upstreamId }, outcome);
-  }
-
-  /** The ending if a stop leaves it no time: nothing of it is at an upstream. */
-  function stoppingEnding(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): calls.Ending {
-    const ending = refuse(call, run, 'stopping', unsentRequests.STOPPING_RETRY_MS);
-    logStop(call, run, 'refused');
-    return preferHeldFailure(run, sink, ending) ?? ending;
-  }
-
-  /** The ending of what has no answer at the end of a stop: its upstream may go on running it. */
-  function endOfStop(call: calls.Call, run: runs.Run, sink: answers.AnswerSink): calls.Ending {
-    if (!run.isAtUpstream && run.ranCount === 0) return stoppingEnding(call, run, sink);
-    const { upstreamId } = run;
-    logStop(call, run, 'answered');
-    const ending: calls.Ending = { kind: 'failed', cause: 'stopping', upstreamId };
-    return preferHeldFailure(run, sink, ending) ?? ending;
-  }
-
   async function bindAndServe(
     received: calls.Call,
     run: runs.Run,
@@ -451,34 +410,11 @@
   return async (call, sink) => {
     const holds = deps.heldAnswers.forCall(call.requestId);
     const run = { ...runs.createRun(holds), traits: requestTraits.of(call) };
-    const withdrawable = unsentRequests.createWithdrawableSink(sink);
-    let remove = () => {};
-    // Whatever it waits for, it is refused once a stop leaves it no time; what an upstream may be running goes on.
-    const refused = new Promise<calls.Ending>((resolve) => {
-      const refuseWaiting = () => {
-        if (run.isAtUpstream || sink.hasBegun() || sink.isCallerGone()) return;
-        withdrawable.withdraw();
-        resolve(stoppingEnding(call, run, sink));
-      };
-      const end = () => {
-        if (sink.isCallerGone()) return;
-        // An answer that has begun can't become an error: the end of its connection shows that it is not whole.
-        if (sink.hasBegun()) {
-          logStop(call, run, 'cut');
-          return;
-        }
-        withdrawable.withdraw();
-        resolve(endOfStop(call, run, sink));
-      };
-      remove = deps.unsent.add(refuseWaiting, {
-        isTooLate: () => isTooLate(call, run, sink),
-        end,
-      });
-    });
+    const atStop = stopEnding.watch(call, run, sink);
     try {
-      return await Promise.race([refused, bindAndServe(call, run, withdrawable)]);
+      return await Promise.race([atStop.ending, bindAndServe(call, run, atStop.sink)]);
     } finally {
-      remove();
+      atStop.remove();
       holds.close();
     }
   };
--- a/packages/gateway/src/server/peers/server.ts
+++ b/packages/gateway/src/server/peers/server.ts
@@ -1,19 +1,11 @@
 /** Listens for other gateways. */
+import { servers } from '@copperlever/protocol';
 import * as grpc from '@grpc/grpc-js';
 
 import * as peerLinks from './peer-link.js';
 
-export async function listen(
-  address: string,
-  handlers: peerLinks.PeerHandlers,
-): Promise<grpc.Server> {
+export function listen(address: string, handlers: peerLinks.PeerHandlers): Promise<grpc.Server> {
   const server = new grpc.Server();
   peerLinks.addPeerService(server, handlers);
-  await new Promise<void>((resolve, reject) => {
-    server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error) => {
-      if (error === null) resolve();
-      else reject(error);
-    });
-  });
-  return server;
+  return servers.listen(server, address);
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,3 +6,4 @@
 export * as causes from './causes.js';
 export * as channels from './channels.js';
 export * as daemonAttributes from './daemon-attributes.js';
+export * as servers from './servers.js';
