Gateway: an answer without a stated length that finds no room is told, not cut

Cause: at the bound the largest answer was passed on, also one that may never end; its caller then had a part of a success, which can only be cut. Change: only an answer that states its length is passed on.

--- a/packages/gateway/src/server/forwarding/app.ts
+++ b/packages/gateway/src/server/forwarding/app.ts
@@ -76,6 +76,17 @@
 
 type OverQuota = Extract<quotasModule.QuotaDecision, { kind: 'refused' }>;
 
+function failureStatus(cause: calls.FailureCause): number {
+  switch (cause) {
+    case 'upstream-lost':
+    case 'answer-too-large':
+      return 502;
+    case 'timeout':
+    case 'stopping':
+      return 504;
+  }
+}
+
 function answerEnding(deps: CallersDeps, sink: answers.AnswerSink, ending: calls.Ending): void {
   switch (ending.kind) {
     case 'answered':
@@ -89,7 +100,7 @@
       );
       return;
     case 'failed':
-      sink.refuse(ending.cause === 'upstream-lost' ? 502 : 504, [], ending.cause);
+      sink.refuse(failureStatus(ending.cause), [], ending.cause);
       return;
     case 'cut':
       sink.cut();
--- a/packages/gateway/src/server/forwarding/attempt-outcomes.ts
+++ b/packages/gateway/src/server/forwarding/attempt-outcomes.ts
@@ -110,6 +110,7 @@
         if (result.status >= 500) updateHealth(upstreamId, { kind: 'failed' }, nowMs);
         break;
       case 'caller-gone':
+      case 'no-room':
         break;
     }
   }
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -611,7 +611,7 @@
 }
 
 // Guards against answers that are held in sum until the gateway has no memory left.
-test('without room to hold it a plain answer is passed on, a failure kept as its head, a long event given up', async () => {
+test('without room to hold it a plain answer is passed on or closed, a failure kept as its head, a long event given up', async () => {
   const piece = 'x'.repeat(3_000);
   const sendTwo = (head: string) => (socket: net.Socket) => {
     socket.write(`${head}${piece}`);
@@ -621,6 +621,8 @@
   const plain = await attemptInLittleRoom(sendTwo(`${OK}${length}`));
   assert.equal(plain.result, { kind: 'answered', status: 200 });
   assert.equal([plain.passed.body.length, plain.passed.hasEnded], [6_000, true]);
+  const endless = await attemptInLittleRoom(sendTwo(`${OK}Connection: close\r\n\r\n`));
+  assert.equal([endless.result, endless.passed.body], [{ kind: 'no-room' }, '']);
   const failed = OK.replace('200 OK', '500 Bad').concat('Content-Encoding: gzip\r\n');
   const failure = await attemptInLittleRoom(sendTwo(`${failed}${length}`));
   assert.is(failure.result.kind, 'held-failure');
@@ -633,7 +635,7 @@
   const streamed = await attemptInLittleRoom(sendTwo(event), createCall('stream', true));
   const lost = { kind: 'lost', reason: 'oversized', hasBegun: true, lastEventId: '1' };
   assert.equal(streamed.result, lost);
-  for (const { held, upstream, connections } of [plain, failure, streamed]) {
+  for (const { held, upstream, connections } of [plain, endless, failure, streamed]) {
     assert.is(held.heldBytes(), 0);
     upstream.close();
     await connections.close();
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -162,9 +162,13 @@
       run: () => abandon(lost('oversized')),
     };
 
-    /** There is no room to hold the answer until it is whole. */
+    /** There is no room to hold the answer until it is whole. Only one that states its length is known to end. */
     function letGoOfAnswer(): heldAnswers.LetGo {
-      if (status < FIRST_FAILURE_STATUS) return { way: 'passed-on', run: startForwarding };
+      if (status < FIRST_FAILURE_STATUS) {
+        return framing === 'length'
+          ? { way: 'passed-on', run: startForwarding }
+          : { way: 'closed', run: () => abandon({ kind: 'no-room' }) };
+      }
       const answer = headOnly({ status, headers, body: Buffer.alloc(0), statedBytes: 0 });
       const isSigned = facts?.isSigned === true;
       return {
--- a/packages/gateway/src/shared/retry-decisions.ts
+++ b/packages/gateway/src/shared/retry-decisions.ts
@@ -126,6 +126,9 @@
       return decideAfterLoss(facts, result);
     case 'held-failure':
       return decideAfterFailure(facts, result);
+    case 'no-room':
+      // Another upstream's answer would find no room either.
+      return { kind: 'end', ending: { kind: 'failed', cause: 'answer-too-large', upstreamId } };
     case 'deadline': {
       const kind = result.hasBegun ? 'cut' : 'failed';
       return { kind: 'end', ending: { kind, cause: 'timeout', upstreamId } };
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -70,13 +70,16 @@
   | 'permit'
   | 'upstream';
 
+/** `answer-too-large`: there was no room to hold the answer until its end. */
+export type FailureCause = 'upstream-lost' | 'timeout' | 'stopping' | 'answer-too-large';
+
 /** How a request ended at the gateway. */
 export type Ending =
   | { kind: 'answered'; status: number; upstreamId: string }
   /** No upstream ran it or will run it; the caller can retry after `retryAfterMs`. */
   | { kind: 'not-run'; cause: RefusalCause; retryAfterMs: number }
   /** An upstream failed, or had not answered when a stop of the gateway came to its end, and may have run the request. */
-  | { kind: 'failed'; cause: 'upstream-lost' | 'timeout' | 'stopping'; upstreamId: string }
+  | { kind: 'failed'; cause: FailureCause; upstreamId: string }
   /** The caller received a part of the answer before it broke off. */
   | { kind: 'cut'; cause: 'upstream-lost' | 'timeout'; upstreamId: string }
   | { kind: 'caller-gone'; stage: Stage };
@@ -92,6 +95,8 @@
   /** The answer is missing, incomplete or invalid; the upstream may have run the request. */
   | { kind: 'lost'; reason: LossReason; hasBegun: boolean; lastEventId: string | null }
   | { kind: 'deadline'; hasBegun: boolean }
+  /** Its answer states no length, and there was no room to hold it until its end. The upstream has run the request. */
+  | { kind: 'no-room' }
   | { kind: 'caller-gone' };
 
 /**
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -14,7 +14,7 @@
 type Amount = number | undefined;
 
 /** How an answer that is held frees its bytes. */
-export type LetGoWay = 'passed-on' | 'head-only' | 'event-lost';
+export type LetGoWay = 'passed-on' | 'closed' | 'head-only' | 'event-lost';
 
 export type RefusedBodyCause = 'too-large' | 'too-slow' | 'no-room';
 
@@ -261,8 +261,8 @@
     maxBytes: number;
   };
   /**
-   * Answers held `heldBytes` of `maxBytes`, and the largest had to free `bytes`: it is passed on before it is whole, a failure kept as
-   * its head alone, or its stream taken up elsewhere.
+   * Answers held `heldBytes` of `maxBytes`, and the largest had to free `bytes`: it is passed on before it is whole if it
+   * states its length, and closed and answered by an error if not; a failure is kept as its head alone, a stream taken up elsewhere.
    */
   'answer-let-go': {
     requestId: string;
