--- a/packages/gateway/src/server/forwarding/missing-copies.ts
+++ b/packages/gateway/src/server/forwarding/missing-copies.ts
@@ -35,12 +35,7 @@
   metrics: Pick<metricsModule.GatewayMetrics, 'waited'>;
   router: Pick<routers.Router, 'isLate'>;
   isStopping: () => boolean;
-  refuse: (
-    call: calls.Call,
-    run: runs.Run,
-    cause: calls.RefusalCause,
-    waitMs: number,
-  ) => calls.Ending;
+  refuse: runs.Refuse;
 };
 
 /** How long a request waits for an adapter; loading one takes some tens of milliseconds. */
--- a/packages/gateway/src/server/forwarding/run.ts
+++ b/packages/gateway/src/server/forwarding/run.ts
@@ -64,6 +64,14 @@
 
 const UNCOUNTED: heldAnswers.Hold = { set: () => {}, letGoBy: () => {}, release: () => {} };
 
+/** The ending of a request that is given up: a failure if an upstream may have run it. */
+export type Refuse = (
+  call: calls.Call,
+  run: Run,
+  cause: calls.RefusalCause,
+  waitMs: number,
+) => calls.Ending;
+
 export function createRun(holds: Run['holds'] = { open: () => UNCOUNTED }): Run {
   return {
     ranCount: 0,
--- a/packages/gateway/src/server/forwarding/stop-endings.ts
+++ b/packages/gateway/src/server/forwarding/stop-endings.ts
@@ -15,13 +15,7 @@
   clock: Pick<clocks.Clock, 'nowMs'>;
   unsent: Pick<unsentRequests.UnsentRequests, 'add' | 'isRefusing'>;
   stopAdmission: stopAdmissions.StopAdmission;
-  /** The ending of a request that is given up: a failure if an upstream may have run it. */
-  refuse: (
-    call: calls.Call,
-    run: runs.Run,
-    cause: calls.RefusalCause,
-    waitMs: number,
-  ) => calls.Ending;
+  refuse: runs.Refuse;
   /** Null stays null; a failure gives way to an upstream's own error answer. */
   preferHeldFailure: (
     run: runs.Run,
--- a/packages/gateway/src/server/forwarding/stream-binding.ts
+++ b/packages/gateway/src/server/forwarding/stream-binding.ts
@@ -5,12 +5,7 @@
 
 export type StreamBindingDeps = {
   streams: Pick<resumedStreams.ResumedStreams, 'match'>;
-  refuse: (
-    call: calls.Call,
-    run: runs.Run,
-    cause: calls.RefusalCause,
-    waitMs: number,
-  ) => calls.Ending;
+  refuse: runs.Refuse;
 };
 
 /** The request at the service that began its stream; `ending` if it cannot be bound. */
