Crashes: a trait is compared with what the same upstreams can run

What callers would have seen: upstreams of one model end by themselves, those of other models answer on, and all requests of that model are refused for 15 minutes.

Cause: the census compared a trait with all requests of the gateway. What requests of one model share went on to be unanswered while its own upstreams were down, and each answer of another model counted as one that chance would have given it.

Change: what is sent is noted with its service and model; a trait's share and the answers that speak against it are those of its own.

--- a/packages/gateway/src/server/crashes/crash-series-plays.test.ts
+++ b/packages/gateway/src/server/crashes/crash-series-plays.test.ts
@@ -25,12 +25,16 @@
   return [...new Set([...drawn, ...others])].filter((seed) => !LATE_SEEDS.includes(seed));
 }
 
-async function assertKept(seeds: readonly number[], badShare: number | null): Promise<void> {
+async function assertKept(
+  seeds: readonly number[],
+  badShare: number | null,
+  pool: Pick<crashSeries.SeriesOptions, 'modelCount' | 'upstreamCount'> = {},
+): Promise<void> {
   const wrong: string[] = [];
   const stopped: string[] = [];
   const late: string[] = [];
   for (const seed of seeds) {
-    const played = await crashSeries.play({ seed, badShare });
+    const played = await crashSeries.play({ seed, badShare, ...pool });
     if (badShare === null && played.refusedForMs > 0) wrong.push(played.shown);
     if (played.after < SHARE_MIN * played.before) stopped.push(played.shown);
     if (played.late > crashFleets.LATE_MAX) late.push(played.shown);
@@ -45,6 +49,14 @@
   await assertKept(seedsOf(8_001, [8_005]), null);
 });
 
+// Guards against answers of other models, whose upstreams are up, speaking against what the requests of one model share.
+test('what the requests of one model share is not refused since its upstreams end', async () => {
+  await assertKept(seedsOf(12_001, [12_002, 12_006, 12_011]), null, {
+    modelCount: 3,
+    upstreamCount: 12,
+  });
+});
+
 // Guards against the same beside a bad part, and against a bad part that hides behind ordinary ends.
 BESIDE_BAD.forEach(({ badShare, first, seeds }) => {
   test(`beside a bad part that ${badShare} of the requests have both promises are kept`, async () => {
--- a/packages/gateway/src/server/crashes/crash-watch.test.ts
+++ b/packages/gateway/src/server/crashes/crash-watch.test.ts
@@ -28,7 +28,7 @@
       return Promise.resolve(state.liveness);
     },
   });
-  const start = (...traits: string[]) => watch.started('u1', ADDRESS, traits);
+  const start = (...traits: string[]) => watch.started('u1', ADDRESS, { traits, pool: 'm1' });
   return { clock, census, lost, returned, probed, state, watch, start };
 }
 
--- a/packages/gateway/src/server/crashes/crash-watch.ts
+++ b/packages/gateway/src/server/crashes/crash-watch.ts
@@ -37,7 +37,7 @@
   started: (
     upstreamId: string,
     address: string,
-    traits: readonly string[],
+    request: requestCensus.SentRequest,
     trialTrait?: string,
   ) => WatchedAttempt;
   /** Resolves once it is known whether the upstream, which may have lost answers, has ended. */
@@ -60,8 +60,7 @@
   onReturned: (upstreamId: string) => void;
 };
 
-type Attempt = {
-  traits: readonly string[];
+type Attempt = requestCensus.SentRequest & {
   trialTrait: string | undefined;
   startedMs: number;
   beganMs: number | null;
@@ -112,8 +111,8 @@
     return beganMs === null || endedMs - beganMs < SUSPECT_BEFORE_MS;
   }
 
-  function noteSound({ traits, beganMs, startedMs }: Attempt): void {
-    census.noteSound(traits, beganMs ?? startedMs);
+  function noteSound({ traits, pool, beganMs, startedMs }: Attempt): void {
+    census.noteSound({ traits, pool }, beganMs ?? startedMs);
   }
 
   function needsProof({ traits }: Attempt): boolean {
@@ -163,11 +162,12 @@
   }
 
   return {
-    started: (upstreamId, address, traits, trialTrait) => {
+    started: (upstreamId, address, request, trialTrait) => {
       const watched = watchedOf(upstreamId);
-      const attempt: Attempt = { traits, trialTrait, startedMs: clock.nowMs(), beganMs: null };
+      const startedMs = clock.nowMs();
+      const attempt: Attempt = { ...request, trialTrait, startedMs, beganMs: null };
       watched.open.add(attempt);
-      census.noteSent(traits, attempt.startedMs);
+      census.noteSent(request, startedMs);
       return {
         began: () => {
           attempt.beganMs ??= clock.nowMs();
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -191,7 +191,7 @@
     const watched = deps.crashWatch.started(
       upstreamId,
       record.address,
-      run.traits,
+      { traits: run.traits, pool: `${record.service}/${call.facts.model ?? ''}` },
       run.trial?.trait,
     );
     const listAgeMs = loggedListAgeMs(deps.listAgeMs());
--- a/packages/gateway/src/shared/crashes/request-census.ts
+++ b/packages/gateway/src/shared/crashes/request-census.ts
@@ -1,16 +1,22 @@
-/** What this gateway sent lately, by trait, and what of it went well: without it chance and cause look alike in the evidence. */
+/**
+ * What this gateway sent lately, by trait, and what of it went well: without it chance and cause look alike in the evidence. Compared is
+ * only what the same upstreams can run: that others answer says nothing about a trait whose own upstreams are down.
+ */
 export type Usage = {
-  /** Requests with the trait, and all. */
+  /** Requests with the trait, and all that the same upstreams can run. */
   sentCount: number;
   sentTotal: number;
-  /** Requests whose answer has gone on. */
+  /** Of these the requests whose answer has gone on. */
   soundTotal: number;
 };
 
+/** What was sent: its traits, and the service and model whose upstreams can run it. */
+export type SentRequest = { traits: readonly string[]; pool: string };
+
 export type RequestCensus = {
-  noteSent: (traits: readonly string[], nowMs: number) => void;
+  noteSent: (request: SentRequest, nowMs: number) => void;
   /** An answer that began then has gone on, or is complete. */
-  noteSound: (traits: readonly string[], beganMs: number) => void;
+  noteSound: (request: SentRequest, beganMs: number) => void;
   /** When a sound answer with the trait last began. */
   lastSoundMs: (trait: string) => number | null;
   /** Since then, as far as it is remembered. */
@@ -22,7 +28,9 @@
 /** A minute's worth at several times the rate that is planned for one gateway. */
 const REMEMBERED_MAX = 3_000;
 
-type Sent = { atMs: number; traits: readonly string[] };
+type Sent = SentRequest & { atMs: number };
+
+type Sound = { beganMs: number; pool: string };
 
 function countSince<Item>(items: readonly Item[], isSince: (item: Item) => boolean): number {
   return items.reduce((count, item) => count + Number(isSince(item)), 0);
@@ -31,18 +39,20 @@
 export function createRequestCensus(): RequestCensus {
   const soundMs = new Map<string, number>();
   let sent: Sent[] = [];
-  let soundBegunMs: number[] = [];
+  let sound: Sound[] = [];
+
+  function poolsOf(trait: string): ReadonlySet<string> {
+    return new Set(sent.filter(({ traits }) => traits.includes(trait)).map(({ pool }) => pool));
+  }
 
   return {
-    noteSent: (traits, nowMs) => {
-      sent.push({ atMs: nowMs, traits });
+    noteSent: ({ traits, pool }, nowMs) => {
+      sent.push({ atMs: nowMs, traits, pool });
       if (sent.length > 2 * REMEMBERED_MAX) sent = sent.slice(-REMEMBERED_MAX);
     },
-    noteSound: (traits, beganMs) => {
-      soundBegunMs.push(beganMs);
-      if (soundBegunMs.length > 2 * REMEMBERED_MAX) {
-        soundBegunMs = soundBegunMs.slice(-REMEMBERED_MAX);
-      }
+    noteSound: ({ traits, pool }, beganMs) => {
+      sound.push({ beganMs, pool });
+      if (sound.length > 2 * REMEMBERED_MAX) sound = sound.slice(-REMEMBERED_MAX);
       traits.forEach((trait) => {
         const latestMs = Math.max(beganMs, soundMs.get(trait) ?? -Infinity);
         soundMs.delete(trait);
@@ -55,11 +65,12 @@
     },
     lastSoundMs: (trait) => soundMs.get(trait) ?? null,
     usage: (trait, sinceMs) => {
-      const since = sent.filter(({ atMs }) => atMs >= sinceMs);
+      const pools = poolsOf(trait);
+      const since = sent.filter(({ atMs, pool }) => atMs >= sinceMs && pools.has(pool));
       return {
         sentCount: countSince(since, ({ traits }) => traits.includes(trait)),
         sentTotal: since.length,
-        soundTotal: countSince(soundBegunMs, (beganMs) => beganMs >= sinceMs),
+        soundTotal: countSince(sound, ({ beganMs, pool }) => beganMs >= sinceMs && pools.has(pool)),
       };
     },
   };
--- a/packages/gateway/src/testing/crash-fleet.ts
+++ b/packages/gateway/src/testing/crash-fleet.ts
@@ -36,6 +36,8 @@
   id: number;
   traits: readonly string[];
   badPart: string | null;
+  /** The upstreams at a position of the same remainder have it. */
+  model: number;
   /** The play sends it again itself. */
   isRepeated?: boolean;
 };
@@ -93,6 +95,8 @@
   firstParts?: readonly string[];
   /** Another part that this share of the sound requests has; all bad requests have it. */
   commonPart?: { part: string; share: number };
+  /** Upstreams have one model each, in turn, and requests of each have a first part of their own. */
+  modelCount?: number;
   log?: logEvents.GatewayLog | undefined;
 };
 
@@ -108,6 +112,7 @@
   answerMs = [200, 3_000],
   firstParts = FIRST_PARTS,
   commonPart,
+  modelCount = 1,
   log = logs.createSilentLogger(),
 }: CrashFleetOptions) {
   const clock = fakeClocks.createFakeClock();
@@ -384,7 +389,10 @@
     if (node === undefined) return unserved;
     const kind = request.badPart === null ? 'sound' : 'bad';
     counts[kind] += 1;
-    const listed = upstreams.filter(({ state, isLeaving }) => state === 'up' && !isLeaving);
+    const listed = upstreams.filter(
+      ({ state, isLeaving, position }) =>
+        state === 'up' && !isLeaving && position % modelCount === request.model,
+    );
     const upstream = randoms.pick(random, listed);
     if (upstream === undefined) return unserved;
     const upstreamId = idOf(upstream);
@@ -415,7 +423,12 @@
     }
     const address = String(upstream.position);
     const { traits } = request;
-    const watched = tracker.watch.started(upstreamId, address, traits, trial?.trait);
+    const watched = tracker.watch.started(
+      upstreamId,
+      address,
+      { traits, pool: `m${request.model}` },
+      trial?.trait,
+    );
     return new Promise((resolve) => {
       const ended = (outcome: Outcome) => {
         if (nodes.get(gatewayId) === node) endTrial();
@@ -446,7 +459,8 @@
 
   function createRequest(badPart: string | null): Request {
     nextRequest += 1;
-    const first = randoms.pick(random, firstParts) ?? '';
+    const model = modelCount > 1 ? random.below(modelCount) : 0;
+    const first = modelCount > 1 ? `part:m${model}` : (randoms.pick(random, firstParts) ?? '');
     // Few subjects get most of the requests.
     const subject = `part:s${Math.floor(random.fraction() ** 3 * 200)}`;
     const own = requestTraits.ofFingerprint(`f${nextRequest}`);
@@ -455,7 +469,7 @@
     const common = isCommon || (commonPart !== undefined && badPart !== null);
     const shared = common ? [first, commonPart.part] : [first];
     const parts = badPart === null ? [...shared, subject] : [...shared, badPart, subject];
-    return { id: nextRequest, traits: [own, ...parts], badPart };
+    return { id: nextRequest, traits: [own, ...parts], badPart, model };
   }
 
   /** Sends requests at that rate until `untilMs`; `badPart`: all of them have it. */
--- a/packages/gateway/src/testing/crash-series.ts
+++ b/packages/gateway/src/testing/crash-series.ts
@@ -14,6 +14,8 @@
 const TICK_MS = 50;
 const FIRST_PART = 'part:first';
 const COMMON_PART = 'part:common';
+/** The first part of the requests for the model whose upstreams end. */
+const MODEL_PART = 'part:m0';
 export const BAD_PART = 'part:bad1';
 
 export type SeriesOptions = {
@@ -21,6 +23,8 @@
   /** Of the requests that come while the bad part does; null without a bad part. */
   badShare: number | null;
   upstreamCount?: number;
+  /** Upstreams have one model each, in turn; those of the first one end. */
+  modelCount?: number;
   log?: crashFleets.CrashFleetOptions['log'];
 };
 
@@ -69,12 +73,13 @@
   };
 }
 
-function strikeAll(fleet: crashFleets.CrashFleet, settings: Settings): void {
+function strikeAll(fleet: crashFleets.CrashFleet, settings: Settings, modelCount: number): void {
   const { strikes, gapMs, strikeShare } = settings;
+  const pool = fleet.upstreams.filter(({ position }) => position % modelCount === 0);
   Array.from({ length: strikes }, (_, strike) =>
     fleet.clock.schedule(SERIES_FROM_MS + strike * gapMs, () => {
-      const inTurn = fleet.upstreams[strike % fleet.upstreams.length];
-      const struck = fleet.upstreams.filter((one) =>
+      const inTurn = pool[strike % pool.length];
+      const struck = pool.filter((one) =>
         strikeShare === 0 ? one === inTurn : fleet.random.fraction() < strikeShare,
       );
       struck.forEach(fleet.crash);
@@ -130,13 +135,14 @@
     answerMs: [600, 2_000],
     firstParts: [FIRST_PART],
     commonPart: { part: COMMON_PART, share: settings.commonShare },
+    modelCount: options.modelCount ?? 1,
     log: options.log,
   });
   const seriesEndMs = SERIES_FROM_MS + (strikes - 1) * gapMs;
   const untilMs = seriesEndMs + backMs[1] + AFTER_MS;
   await fleet.clock.advance(CALM_FROM_MS);
   const { sound, refused } = askSound(fleet, perSecond, untilMs);
-  strikeAll(fleet, settings);
+  strikeAll(fleet, settings, options.modelCount ?? 1);
   const away = watchAway(fleet, untilMs);
   const { badShare } = options;
   if (badShare !== null) {
@@ -147,7 +153,8 @@
   await fleet.clock.advance(untilMs + backMs[1] + beginMs[1] + 5 * SECOND_MS);
   fleet.stop();
 
-  const isKnownSound = (trait: string) => trait === FIRST_PART || trait === COMMON_PART;
+  const isKnownSound = (trait: string) =>
+    trait === FIRST_PART || trait === COMMON_PART || trait === MODEL_PART;
   const wrong = refused.filter(({ traits }) => traits.every(isKnownSound));
   const refusedForMs = Math.max(0, ...wrong.map(({ atMs }) => atMs - away.latestMs));
   const badEndsMs = fleet.crashesMs.get(BAD_PART) ?? [];
