Answers: one whose status no answer may have is none, for callers, the store, peers and the first stage

Status 000 reached nobody: the HTTP client gives such an answer up by an assertion.

Cause: the HTTP client hands out any three digits from 100 on, and nobody asked whether they are a status. RFC 9110 calls all outside 100 to 599 invalid.

Change: decided once from the head, before any body (answer-status): the answer is dropped with what its head says of the upstream, its connection is closed, the request may have run. The gateway's attempts, its calls to the store and to upstreams, and the agents' calls use it. `answer-invalid` names the status; `answers_invalid_total` counts.

Measured. attempt.test.ts (000, 001, 099, 600, 700, 999, four and two digits; signed, with "did not run", with a sound answer behind) and bounded-calls.test.ts failed on the code before, and pass.

--- a/packages/agent/src/server/upstream/http-upstream.test.ts
+++ b/packages/agent/src/server/upstream/http-upstream.test.ts
@@ -51,6 +51,17 @@
   assert.equal(await partKinds((socket) => socket.end()), ['head', 'data', 'end']);
 });
 
+// Guards against a status that no answer may have being passed on to a caller.
+test('an answer with an invalid status is broken', async () => {
+  for (const status of ['000', '099', '600', '999']) {
+    const bytes = `HTTP/1.1 ${status} Trouble\r\nContent-Length: 4\r\n\r\noops`;
+    assert.equal(
+      [status, ...(await partKinds((socket) => socket.end(), bytes))],
+      [status, 'broken'],
+    );
+  }
+});
+
 test('a call whose connection is refused was not sent', async () => {
   const clock = clocks.createSystemClock();
   const server = net.createServer();
--- a/packages/gateway/src/server/forwarding/attempt-sender.ts
+++ b/packages/gateway/src/server/forwarding/attempt-sender.ts
@@ -38,7 +38,7 @@
   states: Pick<upstreamStates.UpstreamStates, 'state' | 'recordFirstChunk' | 'recordEventInterval'>;
   metrics: Pick<
     metricsModule.GatewayMetrics,
-    'predicted' | 'firstPiece' | 'attemptEnded' | 'cancelled'
+    'predicted' | 'firstPiece' | 'attemptEnded' | 'answerInvalid' | 'cancelled'
   >;
   router: Pick<routers.Router, 'needsModel' | 'priorityOf'>;
   streams: resumedStreams.ResumedStreams;
@@ -248,6 +248,7 @@
     watched.ended(evidenceOf(result, answer.framing));
     if (result.kind === 'not-sent') deps.doubts.noteUnreachable(upstreamId);
     deps.metrics.attemptEnded(result.kind);
+    if (result.kind === 'lost' && result.reason === 'invalid') deps.metrics.answerInvalid();
     connection.release(result.kind !== 'not-sent');
     const tookMs = clock.nowMs() - startedAtMs;
     const { firstChunk, wasSilent } = answer;
--- a/packages/gateway/src/server/forwarding/attempt.test.ts
+++ b/packages/gateway/src/server/forwarding/attempt.test.ts
@@ -131,7 +131,7 @@
     const result = await attempts.runAttempt(
       {
         clock,
-        log: { error },
+        log: { error, warn: () => {} },
         loopAges: { ...loopAges, turnMs: () => turnMs },
         dialect: testDialects.createTestDialect(),
         eventBytesMax: EVENT_BYTES_MAX,
@@ -313,6 +313,49 @@
   upstream.close();
 });
 
+const INVALID = ['000', '001', '099', '600', '700', '999'];
+
+// Guards against an answer whose status no answer may have that reaches a caller, is believed, or leaves its connection in use.
+test('an answer with an invalid status is none, whatever it says and whatever comes behind it', async () => {
+  for (const status of [...INVALID, '1000', '20']) {
+    for (const kind of ['at-most-once', 'stream'] as const) {
+      const head = `HTTP/1.1 ${status} Trouble\r\nT-Id: r1\r\nT-Signed: s\r\nT-Not-Run: 1\r\n`;
+      const sockets = new Set<net.Socket>();
+      const { result, passed, upstream, run } = await attempt((socket) => {
+        sockets.add(socket);
+        socket.write(`${head}Content-Length: 4\r\n\r\noops${OK}Content-Length: 2\r\n\r\nok`);
+      }, createCall(kind));
+      const reason = status.length === 3 ? 'invalid' : 'connection';
+      assert.equal(
+        [status, result.kind, 'reason' in result && result.reason],
+        [status, 'lost', reason],
+      );
+      assert.equal([passed.status, passed.body], [0, '']);
+      await run();
+      assert.is(sockets.size, 2);
+      upstream.close();
+    }
+  }
+});
+
+// Guards against an answer that only announces another one being taken for it.
+test('an interim answer is passed over, and one that asks for another protocol is none', async () => {
+  const sound = `${OK}Content-Length: 2\r\n\r\nok`;
+  for (const [status, kind] of [
+    ['102', 'answered'],
+    ['199', 'answered'],
+    ['100', 'lost'],
+    ['101', 'lost'],
+  ]) {
+    const { result, passed, upstream } = await attempt((socket) => {
+      socket.write(`HTTP/1.1 ${status} Trouble\r\n\r\n${sound}`);
+    });
+    assert.equal([status, result.kind], [status, kind]);
+    assert.is(passed.status, kind === 'answered' ? 200 : 0);
+    upstream.close();
+  }
+});
+
 test('a second answer behind the first is dropped', async () => {
   const { result, passed, upstream, run } = await attempt((socket) => {
     socket.write(`${OK}Content-Length: 2\r\n\r\nok${OK}Content-Length: 3\r\n\r\nbad`);
--- a/packages/gateway/src/server/forwarding/attempt.ts
+++ b/packages/gateway/src/server/forwarding/attempt.ts
@@ -5,6 +5,7 @@
 import type * as http from 'node:http';
 
 import type { clocks } from '@copperlever/runtime';
+import * as answerStatus from '@copperlever/runtime/answer-status';
 import type * as undici from 'undici';
 
 import * as connectionHeaders from '../../shared/connection-headers.js';
@@ -22,7 +23,7 @@
 
 export type AttemptDeps = {
   clock: clocks.Clock;
-  log: Pick<logEvents.GatewayLog, 'error'>;
+  log: Pick<logEvents.GatewayLog, 'error' | 'warn'>;
   dialect: dialects.Dialect;
   loopAges: Pick<readDelays.ReadDelay, 'mayBeStale' | 'readPending' | 'turnMs'>;
   /** A longer event of a resumable stream is none: it would have to be held until its end. */
@@ -114,6 +115,14 @@
       return { kind: 'lost', reason, hasBegun, lastEventId: framer?.lastEventId() ?? null };
     }
 
+    /** Nothing of such an answer is taken, what its head says of the upstream neither. */
+    function invalid(cause: Error): calls.AttemptResult {
+      const { requestId } = call;
+      const { upstreamName } = input;
+      deps.log.warn('answer-invalid', { requestId, upstreamName, reason: cause.message });
+      return lost('invalid');
+    }
+
     function forward(chunk: Buffer): void {
       if (isSettled) return;
       ends.push(chunk);
@@ -284,6 +293,10 @@
       },
       onResponseStart: (_controller, statusCode, responseHeaders) => {
         if (statusCode < 200 || isSettled) return;
+        if (!answerStatus.isFinal(statusCode)) {
+          abandon(invalid(new answerStatus.InvalidStatusError(statusCode)));
+          return;
+        }
         hasStatus = true;
         status = statusCode;
         framing = framingOf(call.method, status, responseHeaders);
@@ -320,6 +333,7 @@
       onResponseError: (_controller, error) => {
         if (callerGoneAtMs !== null) input.onCancelled(clock.nowMs() - callerGoneAtMs);
         if (!isSent) settle({ kind: 'not-sent', reason: error.message });
+        else if (!isSettled && answerStatus.isAssertion(error)) settle(invalid(error));
         else settle(lost('connection'));
       },
     };
--- a/packages/gateway/src/server/metrics/metrics.ts
+++ b/packages/gateway/src/server/metrics/metrics.ts
@@ -92,6 +92,8 @@
   /** An answer was held no longer, because all that are held have a bound. */
   answerLetGo: (way: logEvents.LetGoWay) => void;
   attemptEnded: (result: calls.AttemptResult['kind']) => void;
+  /** An upstream sent an answer of no valid status. */
+  answerInvalid: () => void;
   /** Requests with certain traits are refused from now on, or no longer. */
   quarantineChanged: (change: quarantines.EntryState) => void;
   /** Whether a suspected or refused request may be sent, and what its trial showed. */
@@ -243,6 +245,11 @@
     'Answers held no longer, at the bound of all',
     ['way'],
   );
+  const answersInvalid = counter(
+    'answers_invalid_total',
+    'Answers of upstreams that were dropped for their status',
+    [],
+  );
   const answersLost = counter(
     'answers_lost_total',
     'Upstreams that lost answers, by whether they accepted a connection afterwards',
@@ -425,6 +432,7 @@
     },
     gaveWay: (to) => gaveWay.inc({ to }),
     attemptEnded: (result) => attempts.inc({ result }),
+    answerInvalid: () => answersInvalid.inc(),
     quarantineChanged: (change) => quarantineChanges.inc({ change }),
     trialDecided: (outcome) => trialDecisions.inc({ outcome }),
     trialEnded: (outcome) => trialEnds.inc({ outcome }),
--- a/packages/gateway/src/types/calls.ts
+++ b/packages/gateway/src/types/calls.ts
@@ -100,10 +100,10 @@
   | { kind: 'caller-gone' };
 
 /**
- * `oversized`: an event, which has to be held until its end, is longer than allowed. `failed`: an error in answer to a stream that
+ * `invalid`: an answer of no valid status. `oversized`: an event, which has to be held until its end, is longer than allowed. `failed`: an error in answer to a stream that
  * goes on, of which the caller has a part.
  */
-export type LossReason = 'connection' | 'silent' | 'garbled' | 'oversized' | 'failed';
+export type LossReason = 'connection' | 'silent' | 'garbled' | 'invalid' | 'oversized' | 'failed';
 
 /**
  * What marks the end of an answer's body at its upstream. `until-close`: its connection, which a process that was killed closes in
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -386,6 +386,8 @@
   } & Omit<serviceTimes.ServiceTimes, 'promptTokens' | 'atMs'>;
   /** No upstream was chosen: why, and by what. */
   'request-not-placed': { requestId: string; model: string | null; cause: string } & ChoiceInputs;
+  /** The upstream's answer was dropped for its status, and its connection closed; the request may have run. */
+  'answer-invalid': { requestId: string; upstreamName: string; reason: string };
   'attempt-ended': {
     requestId: string;
     upstreamId: string;
--- a/packages/runtime/src/bounded-calls.test.ts
+++ b/packages/runtime/src/bounded-calls.test.ts
@@ -97,4 +97,19 @@
   assert.equal([closed.length, connections.opened, heldBytes], [0, 1, 0]);
 });
 
+// Guards against a status that no answer may have being told to those who decide by it.
+test('an answer with an invalid status is broken, and its connection is not used again', async () => {
+  for (const status of [600, 999]) {
+    const { first, second, connections } = await callAt((response) => {
+      response.writeHead(status, { 'content-length': 4 });
+      response.end('oops');
+    });
+    for (const answer of [first, second]) {
+      assert.ok(answer.err && answer.val.kind === 'broken');
+      assert.match(answer.val.reason, String(status));
+    }
+    assert.is(connections.opened, 2);
+  }
+});
+
 test.run();
--- a/packages/runtime/src/bounded-calls.ts
+++ b/packages/runtime/src/bounded-calls.ts
@@ -3,6 +3,7 @@
 
 import type * as undici from 'undici';
 
+import * as answerStatus from './answer-status.js';
 import type * as byteBudgets from './byte-budget.js';
 import * as byteCollectors from './byte-collector.js';
 import type * as clocks from './clocks.js';
@@ -106,7 +107,7 @@
   const cancel = clock.schedule(request.deadlineMs, () => setImmediate(() => aborter.abort()));
   const { origin, method, path } = request;
   try {
-    const answer = await dispatcher.request({
+    const answer = await dispatcher.compose(answerStatus.interceptor).request({
       origin,
       method,
       path,
--- a/packages/runtime/src/reset-aware-client.ts
+++ b/packages/runtime/src/reset-aware-client.ts
@@ -1,9 +1,10 @@
 /**
  * An HTTP client for which an answer that ends with its connection is whole only where that was not reset. The client library
- * takes a reset for the regular end of such an answer.
+ * takes a reset for the regular end of such an answer. An answer with an invalid status is none.
  */
 import * as undici from 'undici';
 
+import * as answerStatus from './answer-status.js';
 import * as connectionEnds from './connection-ends.js';
 
 export class ConnectionResetError extends Error {
@@ -46,6 +47,6 @@
         else handler.onResponseEnd?.(controller, trailers);
       },
     };
-    return dispatch(request, checked);
+    return dispatch(request, answerStatus.refusingInvalid(checked));
   });
 }
