Deploy: a failed assertion of any library costs microseconds, and stops no gateway

What callers saw (trial odd-status.mjs, 10 s of 100 requests a second): six answers with status 000 at one of three upstreams stopped both gateways for seconds: 188 of some 900 requests were refused with `deadline-near`, of both services.

Cause: Node makes the message of a failed assertion that has none by reading its source from the start of the line and parsing it. The deployed bundle is minified: 2.2 MB, lines of up to 317,319 characters. The HTTP client asserts that a status is 100 or more, so a few bytes of an upstream, or of the store, were enough; any other assertion that input can make fail was as good.

Change: all modules of the bundle get an assert of ours, whose failures have a message.

--- a/scripts/build-deploy.mjs
+++ b/scripts/build-deploy.mjs
@@ -69,6 +69,8 @@
     'ts-results': './scripts/deploy/ts-results.mjs',
     undici: './scripts/deploy/undici-core.cjs',
     'dtrace-provider': './scripts/deploy/absent.cjs',
+    assert: './scripts/deploy/assert.cjs',
+    'node:assert': './scripts/deploy/assert.cjs',
     mv: './scripts/deploy/absent.cjs',
     'node:child_process': './scripts/deploy/absent.cjs',
     'source-map-support': './scripts/deploy/absent.cjs',
