--- a/packages/gateway/src/server/crashes/crash-series-plays.test.ts
+++ b/packages/gateway/src/server/crashes/crash-series-plays.test.ts
@@ -10,10 +10,14 @@
 const PLAYS = Number(process.env.SERIES_PLAYS ?? 4);
 /** The promise: sound requests begin at least half as often as before. */
 const SHARE_MIN = 0.5;
-/** Half of the requests are bad, and twelve upstreams end under them at once. */
-const LATE_SEEDS = [11_012];
+/** Half of the requests are bad, or twelve upstreams end under them at once. */
+const LATE_SEEDS = [11_012, 11_030, 11_061, 11_071];
+const LATE_TENTH_SEEDS = [10_069];
 /** The upstreams of one model end again and again, each before it can have answered. */
-const LOOP_SEEDS = [12_002];
+const LOOP_SEEDS = [12_002, 12_041, 12_073];
+/** The same without models. */
+const LOOP_OF_ALL_SEEDS = [8_070, 8_073];
+const RED_SEEDS = [...LATE_SEEDS, ...LATE_TENTH_SEEDS, ...LOOP_SEEDS, ...LOOP_OF_ALL_SEEDS];
 
 /** Four upstreams have the model. */
 const ONE_OF_THREE = { modelCount: 3, upstreamCount: 12 };
@@ -27,9 +31,7 @@
 
 function seedsOf(first: number, others: readonly number[]): number[] {
   const drawn = Array.from({ length: PLAYS }, (_, index) => first + index);
-  return [...new Set([...drawn, ...others])].filter(
-    (seed) => ![...LATE_SEEDS, ...LOOP_SEEDS].includes(seed),
-  );
+  return [...new Set([...drawn, ...others])].filter((seed) => !RED_SEEDS.includes(seed));
 }
 
 async function assertKept(
@@ -56,6 +58,11 @@
   await assertKept(seedsOf(8_001, [8_005]), null);
 });
 
+// Guards against the same where upstreams end again before they can have answered.
+test('without a bad part nothing that was sound before is refused after a loop of ends', async () => {
+  await assertKept(LOOP_OF_ALL_SEEDS, null);
+});
+
 // Guards against answers of other models, whose upstreams are up, speaking against what the requests of one model share.
 test('what the requests of one model share is not refused since its upstreams end', async () => {
   await assertKept(seedsOf(12_001, [12_006, 12_011]), null, ONE_OF_THREE);
@@ -75,6 +82,7 @@
 
 // Guards against a bad part that is found late since ends at one moment count as one.
 test('beside a bad part that ends a whole pool at once both promises are kept', async () => {
+  await assertKept(LATE_TENTH_SEEDS, 0.1);
   await assertKept(LATE_SEEDS, 0.5);
 });
 
