--- a/packages/gateway/src/server/crashes/crash-series-plays.test.ts
+++ b/packages/gateway/src/server/crashes/crash-series-plays.test.ts
@@ -10,14 +10,22 @@
 const PLAYS = Number(process.env.SERIES_PLAYS ?? 4);
 /** The promise: sound requests begin at least half as often as before. */
 const SHARE_MIN = 0.5;
-/** Half of the requests are bad, or twelve upstreams end under them at once. */
+/** The bad part is found late: by the fifth end that counts, with ends close together as one. */
 const LATE_SEEDS = [11_012, 11_030, 11_061, 11_071];
 const LATE_TENTH_SEEDS = [10_069];
 /** The upstreams of one model end again and again, each before it can have answered. */
 const LOOP_SEEDS = [12_002, 12_041, 12_073];
 /** The same without models. */
-const LOOP_OF_ALL_SEEDS = [8_070, 8_073];
-const RED_SEEDS = [...LATE_SEEDS, ...LATE_TENTH_SEEDS, ...LOOP_SEEDS, ...LOOP_OF_ALL_SEEDS];
+const LOOP_OF_ALL_SEEDS = [8_070];
+/** Chance lets none of a part's answers go on while others do, which counts as proof. */
+const CHANCE_SEEDS = [8_073];
+const RED_SEEDS = [
+  ...LATE_SEEDS,
+  ...LATE_TENTH_SEEDS,
+  ...LOOP_SEEDS,
+  ...LOOP_OF_ALL_SEEDS,
+  ...CHANCE_SEEDS,
+];
 
 /** Four upstreams have the model. */
 const ONE_OF_THREE = { modelCount: 3, upstreamCount: 12 };
@@ -63,6 +71,11 @@
   await assertKept(LOOP_OF_ALL_SEEDS, null);
 });
 
+// Guards against chance being taken for proof against a part that was answered shortly before.
+test('without a bad part nothing that was sound before is refused by chance', async () => {
+  await assertKept(CHANCE_SEEDS, null);
+});
+
 // Guards against answers of other models, whose upstreams are up, speaking against what the requests of one model share.
 test('what the requests of one model share is not refused since its upstreams end', async () => {
   await assertKept(seedsOf(12_001, [12_006, 12_011]), null, ONE_OF_THREE);
@@ -80,8 +93,8 @@
   });
 });
 
-// Guards against a bad part that is found late since ends at one moment count as one.
-test('beside a bad part that ends a whole pool at once both promises are kept', async () => {
+// Guards against a bad part that is found late, such as where ends at one moment count as one.
+test('beside a bad part that is found late both promises are kept', async () => {
   await assertKept(LATE_TENTH_SEEDS, 0.1);
   await assertKept(LATE_SEEDS, 0.5);
 });
--- a/packages/gateway/src/shared/crashes/crash-judgement.ts
+++ b/packages/gateway/src/shared/crashes/crash-judgement.ts
@@ -43,7 +43,7 @@
   score: number;
   /** Else it is only the best guess: it has to be tried. */
   isClear: boolean;
-  /** So many requests have it that refusing them may stop most of what is served. */
+  /** Over a quarter of the requests have it, and nothing says that others are answered: refusing them may stop most of what is served. */
   isCommon: boolean;
   newStartCount: number;
   share: number;
--- a/packages/gateway/src/shared/crashes/quarantine.ts
+++ b/packages/gateway/src/shared/crashes/quarantine.ts
@@ -24,7 +24,7 @@
   trialCount: number;
   /** Ends of upstreams that it was decided from. */
   crashCount: number;
-  /** So many requests have these traits that refusing them stops most of what is served: it is tried soon. */
+  /** Over a quarter of the requests have these traits, and nothing says that others are answered: it is tried soon. */
   isCommon: boolean;
   /** The gateway that decided, and when, on the local clock. */
   decidedBy: string;
--- a/packages/gateway/src/testing/crash-series.ts
+++ b/packages/gateway/src/testing/crash-series.ts
@@ -7,16 +7,19 @@
 import * as crashFleets from './crash-fleet.js';
 
 const SECOND_MS = 1_000;
-const SERIES_FROM_MS = 12 * SECOND_MS;
-/** Served before by all, so that nothing is new. */
+/** Sound requests come from then on; before the series begins all that they share has been answered. */
 const CALM_FROM_MS = 2 * SECOND_MS;
+const CALM_UNTIL_MS = 7 * SECOND_MS;
+const SERIES_FROM_MS = 12 * SECOND_MS;
+/** A bad part first comes up to half as long before or after the series begins. */
+const BAD_SPREAD_MS = 8 * SECOND_MS;
 const AFTER_MS = 24 * SECOND_MS;
 const TICK_MS = 50;
 const FIRST_PART = 'part:first';
 const COMMON_PART = 'part:common';
 /** The first part of the requests for the model whose upstreams end. */
 const MODEL_PART = 'part:m0';
-export const BAD_PART = 'part:bad1';
+const BAD_PART = 'part:bad1';
 
 export type SeriesOptions = {
   seed: number;
@@ -147,7 +150,7 @@
   const { badShare } = options;
   if (badShare !== null) {
     const badPerSecond = (perSecond * badShare) / (1 - badShare);
-    const badFromMs = SERIES_FROM_MS + (random.fraction() - 0.5) * 8 * SECOND_MS;
+    const badFromMs = SERIES_FROM_MS + (random.fraction() - 0.5) * BAD_SPREAD_MS;
     fleet.clock.schedule(badFromMs, () => fleet.flow(badPerSecond, untilMs, BAD_PART));
   }
   await fleet.clock.advance(untilMs + backMs[1] + beginMs[1] + 5 * SECOND_MS);
@@ -160,7 +163,7 @@
   const badEndsMs = fleet.crashesMs.get(BAD_PART) ?? [];
   const lastEndMs = Math.max(away.latestMs, seriesEndMs, badEndsMs.slice(0, 5).at(-1) ?? 0);
   const judgedFromMs = lastEndMs + 2 * crashFleets.CONTACT_MS;
-  const before = shareServed(sound.filter(({ atMs }) => atMs < SERIES_FROM_MS - 5 * SECOND_MS));
+  const before = shareServed(sound.filter(({ atMs }) => atMs < CALM_UNTIL_MS));
   const after = shareServed(sound.filter(({ atMs }) => atMs >= judgedFromMs));
   const late = fleet.lateCount();
   const setting = JSON.stringify(settings);
--- a/packages/gateway/src/types/log-events.ts
+++ b/packages/gateway/src/types/log-events.ts
@@ -469,7 +469,7 @@
 type Quarantined = {
   traits: string;
   crashCount: number;
-  /** Most requests have these traits. */
+  /** Over a quarter of the requests have these traits: it is tried soon. */
   isCommon: boolean;
   decidedBy: string;
   /** Since the decision, and until it is on trial. */
--- a/packages/gateway/src/types/stores.ts
+++ b/packages/gateway/src/types/stores.ts
@@ -36,7 +36,7 @@
   isSuspected: boolean;
   trialCount: number;
   crashCount: number;
-  /** Most requests have these traits; null from the build before, which refused for long without proof. */
+  /** Over a quarter of the requests have these traits; null from the build before, which refused for long without proof. */
   isCommon: boolean | null;
   decidedBy: string;
   decidedAtWallMs: number;
